--- /dev/null
+++ b/include/graniteseam/common/error.h
@@ -0,0 +1,118 @@
+/// @file
+/// Typed errors over Boost.LEAF. An error has a kind, a message that says what went wrong, and a
+/// remedy that says what to do about it.
+///
+/// A function that can fail returns Result<T>. LEAF delivers the Error object to the nearest
+/// enclosing handler: use Attempt() (or boost::leaf::try_handle_all) where an error is handled and
+/// BOOST_LEAF_CHECK / BOOST_LEAF_AUTO where it is passed on. Without an enclosing handler the Error
+/// object is dropped, so every thread's top-level function must handle.
+#pragma once
+
+#include <boost/leaf.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <variant>
+
+namespace graniteseam {
+
+/// What kind of thing went wrong. Names appear in logs, problem bodies and exit codes.
+enum class ErrorKind {
+  kInvalidArgument,     ///< A value from outside breaks its documented form.
+  kInvalidSettings,     ///< A settings file or flag is wrong; lists every fault at once.
+  kInvalidBundle,       ///< A bundle breaks a rule of its format.
+  kMalformedMessage,    ///< Bytes from a peer do not decode under the expected schema.
+  kTooLarge,            ///< A body, frame or file exceeds its documented limit.
+  kUnauthenticated,     ///< No valid credential was shown.
+  kPermissionDenied,    ///< The credential is valid but may not do this.
+  kNotFound,            ///< The named thing does not exist.
+  kVersionConflict,     ///< Same version with another digest, or lower than the newest.
+  kFailedPrecondition,  ///< The state does not allow the step yet, for example rolling unsigned.
+  kNotLeader,           ///< Another control process leads; the message names it when known.
+  kUnavailable,         ///< Temporarily impossible; safe to retry as the remedy says.
+  kOverloaded,          ///< Refused to protect capacity; retry after the stated time.
+  kDeadlineExceeded,    ///< The deadline passed before the work began.
+  kNotOwner,            ///< The server does not hold the named shard at the named epoch.
+  kOutcomeUnknown,      ///< The work may or may not have run; must not be repeated blindly.
+  kStorageFull,         ///< No disk space; nothing was lost, nothing new is accepted.
+  kStorageCorrupt,      ///< A checksum failed outside the torn tail.
+  kStorageIo,           ///< The operating system failed a read, write or sync.
+  kIncompatibleFormat,  ///< A data folder or message has a version this program does not know.
+  kTransport,           ///< A connection failed, timed out or was closed.
+  kInternal,            ///< A broken invariant; a defect in the program.
+};
+
+/// Returns the stable lower_snake_case name of a kind, for example "not_leader".
+std::string_view ErrorKindName(ErrorKind kind);
+
+/// One error as reported to people and programs.
+struct Error {
+  ErrorKind kind = ErrorKind::kInternal;
+  std::string message;  ///< One sentence: what went wrong, with the values involved.
+  std::string remedy;   ///< One sentence: what to do about it.
+};
+
+/// Returns "kind: message Remedy: remedy".
+std::string ToString(const Error& error);
+
+template <class T>
+using Result = boost::leaf::result<T>;
+
+/// Raises an error: `return Fail(ErrorKind::kNotFound, "...", "...");`.
+boost::leaf::error_id Fail(ErrorKind kind, std::string message, std::string remedy);
+
+/// Raises an existing error again, for example one received from a peer.
+boost::leaf::error_id Fail(Error error);
+
+/// The value of a Result, or the error that LEAF carried: for call sites that want to look at both
+/// without a handler, and for tests.
+template <class T>
+using Outcome = std::variant<T, Error>;
+
+namespace internal {
+
+template <class R>
+struct ResultTraits;
+
+template <class T>
+struct ResultTraits<Result<T>> {
+  using Value = T;
+};
+
+template <>
+struct ResultTraits<Result<void>> {
+  using Value = std::monostate;
+};
+
+}  // namespace internal
+
+/// Runs `function`, which returns Result<T>, and captures what came of it.
+template <class Function>
+auto Attempt(Function&& function) {
+  using R = std::decay_t<decltype(function())>;
+  using Captured = Outcome<typename internal::ResultTraits<R>::Value>;
+  return boost::leaf::try_handle_all(
+      [&]() -> boost::leaf::result<Captured> {
+        R result = std::forward<Function>(function)();
+        if (!result) return result.error();
+        if constexpr (std::is_same_v<R, Result<void>>) {
+          return Captured(std::monostate{});
+        } else {
+          return Captured(std::move(result.value()));
+        }
+      },
+      [](const Error& error) { return Captured(error); },
+      [] {
+        return Captured(Error{ErrorKind::kInternal, "An error without a description was raised.",
+                              "Report this as a defect."});
+      });
+}
+
+/// Returns the error of an outcome, or nullptr when it holds a value.
+template <class T>
+const Error* ErrorOf(const Outcome<T>& outcome) {
+  return std::get_if<Error>(&outcome);
+}
+
+}  // namespace graniteseam
--- /dev/null
+++ b/include/graniteseam/common/time.h
@@ -0,0 +1,36 @@
+/// @file
+/// Time as the decision makers see it: instants and durations with microsecond resolution.
+///
+/// No decision maker reads a clock. Every entry point takes the current instant from its driver: a
+/// daemon passes CLOCK_BOOTTIME, the simulator passes virtual time. CLOCK_BOOTTIME keeps counting
+/// while a machine is suspended, so a process that wakes late sees that its leases are over.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+
+namespace graniteseam {
+
+/// A length of time in microseconds.
+using Duration = std::chrono::microseconds;
+
+/// The clock of one machine: starts at an arbitrary origin, never steps back. Instants of two
+/// machines must not be compared; the tag keeps them apart from wall-clock instants.
+struct MachineClock {
+  using duration = Duration;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<MachineClock, duration>;
+  static constexpr bool is_steady = true;
+};
+
+/// An instant on the local machine's clock.
+using Instant = MachineClock::time_point;
+
+/// Builds an instant from a raw reading in microseconds.
+constexpr Instant InstantFromMicros(std::int64_t micros) { return Instant(Duration(micros)); }
+
+/// Returns the raw reading of an instant in microseconds.
+constexpr std::int64_t ToMicros(Instant instant) { return instant.time_since_epoch().count(); }
+
+}  // namespace graniteseam
--- /dev/null
+++ b/include/graniteseam/control/operator_messages.h
@@ -0,0 +1,124 @@
+/// @file
+/// What operators ask of the control group and what the platform tells it. The HTTP adapter turns
+/// docs/interface/operators.md into these.
+#pragma once
+
+#include <boost/describe/class.hpp>
+#include <boost/describe/enum.hpp>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "graniteseam/bundle/bundle.h"
+#include "graniteseam/common/error.h"
+#include "graniteseam/common/ids.h"
+#include "graniteseam/consensus/types.h"
+#include "graniteseam/control/router_messages.h"
+
+namespace graniteseam::control {
+
+/// Submits a parsed and checked bundle. Idempotent by (version, digest).
+struct SubmitBundle {
+  bundle::Bundle bundle;
+  std::string digest;
+  std::string source_text;  ///< The TOML as submitted, kept for `bundle history` and `diff`.
+};
+/// Adds the reviewer's Ed25519 signature over "graniteseam-bundle:<version>:<digest>".
+struct SignBundle {
+  BundleVersion version;
+  std::string digest;
+  std::string reviewer;
+  std::string signature_base64;
+};
+/// Puts a signed bundle in force. Idempotent.
+struct RollBundle {
+  BundleVersion version;
+  std::string digest;
+};
+struct MoveShard {
+  ShardId shard;
+  ServerId target;
+};
+struct DrainServer {
+  ServerId server;
+  bool draining = true;  ///< False undoes it.
+};
+struct ChangeMembership {
+  enum class Kind { kAddLearner, kPromote, kRemove };
+  Kind kind = Kind::kAddLearner;
+  consensus::Member member;
+};
+struct ReadBundles {};
+struct ReadFleet {};
+struct ReadShards {
+  ServiceName service;  ///< Empty: all.
+};
+
+using OperatorRequest = std::variant<SubmitBundle, SignBundle, RollBundle, MoveShard, DrainServer,
+                                     ChangeMembership, ReadBundles, ReadFleet, ReadShards>;
+
+enum class BundleState { kSubmitted, kSigned, kRolled, kSuperseded };
+BOOST_DESCRIBE_ENUM(BundleState, kSubmitted, kSigned, kRolled, kSuperseded)
+
+struct BundleRecord {
+  BundleVersion version;
+  std::string digest;
+  std::string author;
+  std::string reviewer;
+  BundleState state = BundleState::kSubmitted;
+  std::string source_text;
+};
+/// The version that one process applies at present.
+struct ProcessVersion {
+  std::string process;  ///< Router id or control id.
+  std::string kind;     ///< "router" or "control".
+  BundleVersion version;
+  std::int64_t age_ms = 0;  ///< Since it was last heard of.
+};
+struct BundlesView {
+  BundleVersion in_force;
+  std::vector<BundleRecord> bundles;
+  std::vector<ProcessVersion> processes;
+};
+struct ServerView {
+  ServerEntry entry;
+  bool leased = false;
+  bool draining = false;
+  std::int64_t lease_remaining_ms = 0;
+  std::uint32_t shards = 0;
+};
+struct FleetView {
+  std::optional<consensus::Member> leader;
+  consensus::Membership membership;
+  Term term;
+  LogIndex commit_index;
+  BundleVersion bundle_version;
+  std::vector<ServerView> servers;
+  std::vector<ProcessVersion> routers;
+  std::uint64_t shard_moves = 0;  ///< Assignments of a shard that had another owner before.
+};
+struct ShardsView {
+  std::uint64_t version = 0;
+  std::vector<ShardEntry> shards;
+};
+struct Accepted {
+  LogIndex index;  ///< Where the change stands in the log.
+};
+
+using OperatorAnswer = std::variant<Accepted, BundlesView, FleetView, ShardsView, Error>;
+
+/// One machine of the platform's list (docs/interface/platform.md). The list lags: it is a hint.
+struct PlatformMachine {
+  ServerId server;
+  ServiceName service;
+  std::string address;
+  ZoneName zone;
+  bool leaving = false;
+};
+struct PlatformList {
+  std::vector<PlatformMachine> machines;
+};
+
+}  // namespace graniteseam::control
