Add the fenced owner: the server's side of ownership

Cause: a server program needs one place that decides whether a request may run under its grants, usable without the daemons.

Change: FencedOwner takes lease messages in (term, sequence) order, for its own incarnation only, and extends its lease only together with the set of shards that the message names. A full set drops what it does not name, so a request begun before a freeze can't commit after its shard went elsewhere. LeaseAnswer carries the order of the request it answers; the HTTP adapter copies it from its request, the wire does not change.

--- a/include/graniteseam/lease/fenced_owner.h
+++ b/include/graniteseam/lease/fenced_owner.h
@@ -57,9 +57,13 @@
     std::uint32_t in_flight = 0;
   };
 
-  LeaseAnswer Describe(bool accepted, Instant now) const;
+  bool Accept(const LeaseRequest& request);
+  LeaseAnswer Describe(const LeaseRequest& request, bool accepted, Instant now) const;
   void ApplyChange(const LeaseRequest& request);
+  void ReplaceSet(const LeaseRequest& request);
+  void Grant(const ShardGrant& grant);
   void Revoke(const ShardGrant& grant);
+  const HeldShard* Find(const ShardGrant& grant) const;
 
   ServerId server_;
   Incarnation incarnation_;
--- a/include/graniteseam/lease/grant.h
+++ b/include/graniteseam/lease/grant.h
@@ -29,6 +29,12 @@
 };
 
 /// Control leader to server. The first to an incarnation is a hello: no lease, no shards.
+///
+/// A change (target version other than base version, or base 0) carries in `revocations` every
+/// shard whose release the leader still waits for, so that a lost answer loses no release; the
+/// server forgets the releases that a change no longer names. A plain renewal has base equal to
+/// target, both lists empty, and extends the lease of exactly that set. A grant never takes back a
+/// revocation: once revoked, a shard comes back only at a higher epoch.
 struct LeaseRequest {
   ServerId server;
   MessageOrder order;
@@ -43,6 +49,8 @@
 /// Server to control leader.
 struct LeaseAnswer {
   ServerId server;
+  MessageOrder order;  ///< That of the request answered. Not on the wire: HTTP ties an answer to
+                       ///< its request, and the adapter copies it. Term 0 means "not known".
   Incarnation incarnation;
   Instant reading;                      ///< The server's clock when it took the request.
   bool accepted = false;                ///< False: order, incarnation or base version did not fit.
