--- /dev/null
+++ b/include/graniteseam/bundle/bundle_store.h
@@ -0,0 +1,140 @@
+/// @file
+/// The replicated store of bundles: which were submitted, signed and rolled, and which is in force.
+/// See docs/design/bundles.md.
+#pragma once
+
+#include <boost/describe/class.hpp>
+#include <boost/describe/enum.hpp>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "graniteseam/bundle/bundle.h"
+#include "graniteseam/common/error.h"
+#include "graniteseam/common/ids.h"
+
+namespace graniteseam::bundle {
+
+enum class BundleState {
+  kSubmitted,
+  kSigned,
+  kRolled,      ///< In force now, or was so before a higher version was rolled.
+  kSuperseded,  ///< Never rolled, and never will be: a higher version was rolled.
+};
+BOOST_DESCRIBE_ENUM(BundleState, kSubmitted, kSigned, kRolled, kSuperseded)
+
+/// What operators see of one submitted bundle.
+struct BundleRecord {
+  BundleVersion version;
+  std::string digest;
+  std::string author;
+  std::string reviewer;  ///< Empty until signed.
+  BundleState state = BundleState::kSubmitted;
+  std::string source_text;  ///< The TOML as submitted.
+
+  bool operator==(const BundleRecord&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(BundleRecord, (), (version, digest, author, reviewer, state, source_text))
+
+/// One bundle with its record.
+struct StoredBundle {
+  Bundle bundle;
+  BundleRecord record;
+
+  bool operator==(const StoredBundle&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(StoredBundle, (), (bundle, record))
+
+/// The whole store as a value, for snapshots.
+struct BundleStoreState {
+  BundleVersion in_force;             ///< 0 when no bundle was ever rolled.
+  std::vector<StoredBundle> bundles;  ///< In ascending order of version.
+
+  bool operator==(const BundleStoreState&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(BundleStoreState, (), (in_force, bundles))
+
+/// A reviewer's signature, with the public key that the proposing leader trusts for that reviewer.
+/// The key travels in the log so that replicas with differing settings still decide alike.
+struct SignatureCommand {
+  BundleVersion version;
+  std::string digest;
+  std::string reviewer;
+  std::string reviewer_key_base64;
+  std::string signature_base64;
+
+  bool operator==(const SignatureCommand&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(SignatureCommand, (),
+                      (version, digest, reviewer, reviewer_key_base64, signature_base64))
+
+/// Bounds of the store. Part of the replicated behaviour, so they are no settings.
+struct BundleStoreLimits {
+  std::size_t source_bytes_maximum = std::size_t{1} << 20;   ///< Of one bundle.
+  std::size_t bundles_maximum = 128;                         ///< Kept at once.
+  std::size_t history_bytes_maximum = std::size_t{8} << 20;  ///< Source text of all kept.
+};
+
+/// Looks a reviewer up in a control process's settings (reviewer -> public key).
+/// @return kPermissionDenied when the reviewer is not trusted.
+Result<std::string> TrustedKey(const std::map<std::string, std::string>& reviewer_keys,
+                               const std::string& reviewer);
+
+/// Decides what happens to bundles.
+///
+/// Invariants: the version in force never goes down; one version has one digest for as long as the
+/// store knows it or the version in force is not below it; only a bundle signed by someone other
+/// than its author is rolled.
+///
+/// A deterministic state machine, applied from the log. Each step is idempotent: repeated with the
+/// same arguments it gives the same answer and changes nothing. Not thread safe.
+class BundleStore {
+ public:
+  explicit BundleStore(BundleStoreLimits limits = {});
+
+  /// Takes a checked bundle.
+  /// @param digest Digest(bundle), computed by the proposer.
+  /// @return kVersionConflict when the version is known with another digest or is not above the
+  ///     one in force; kFailedPrecondition when it changes what is fixed for a service's life;
+  ///     kTooLarge; kOverloaded when too many bundles wait to be rolled.
+  Result<void> Submit(const Bundle& bundle, const std::string& digest,
+                      const std::string& source_text);
+
+  /// Records the review. The first valid signature stays; a second one is accepted and ignored.
+  /// @return kNotFound, kVersionConflict, kPermissionDenied (own bundle, or wrong signature),
+  ///     kInvalidArgument (malformed signature).
+  Result<void> Sign(const SignatureCommand& command);
+
+  /// Puts a signed bundle in force. Rolling one again that was rolled before is accepted and does
+  /// not bring it back.
+  /// @return kNotFound, kVersionConflict (other digest, or a higher version is in force),
+  ///     kFailedPrecondition (unsigned, or it changes what is fixed for a service's life).
+  Result<void> Roll(BundleVersion version, const std::string& digest);
+
+  /// The bundle in force, or nullptr. Valid until the next change of the store.
+  const Bundle* InForce() const;
+  /// 0 when no bundle was ever rolled.
+  BundleVersion in_force_version() const { return in_force_; }
+  /// The digest of the bundle in force; empty when there is none.
+  std::string InForceDigest() const;
+
+  /// All known bundles in ascending order of version.
+  std::vector<BundleRecord> Records() const;
+
+  BundleStoreState Snapshot() const;
+  void Restore(const BundleStoreState& state);
+
+ private:
+  Result<StoredBundle*> Find(BundleVersion version, const std::string& digest);
+  Result<void> CheckFixedParts(const Bundle& bundle) const;
+  Result<void> MakeRoom(std::size_t source_bytes);
+  std::size_t SourceBytes() const;
+
+  BundleStoreLimits limits_;
+  std::map<BundleVersion, StoredBundle> bundles_;
+  BundleVersion in_force_;
+};
+
+}  // namespace graniteseam::bundle
--- a/include/graniteseam/control/operator_messages.h
+++ b/include/graniteseam/control/operator_messages.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "graniteseam/bundle/bundle.h"
+#include "graniteseam/bundle/bundle_store.h"
 #include "graniteseam/common/error.h"
 #include "graniteseam/common/ids.h"
 #include "graniteseam/consensus/types.h"
@@ -59,17 +60,9 @@
 using OperatorRequest = std::variant<SubmitBundle, SignBundle, RollBundle, MoveShard, DrainServer,
                                      ChangeMembership, ReadBundles, ReadFleet, ReadShards>;
 
-enum class BundleState { kSubmitted, kSigned, kRolled, kSuperseded };
-BOOST_DESCRIBE_ENUM(BundleState, kSubmitted, kSigned, kRolled, kSuperseded)
+using bundle::BundleRecord;
+using bundle::BundleState;
 
-struct BundleRecord {
-  BundleVersion version;
-  std::string digest;
-  std::string author;
-  std::string reviewer;
-  BundleState state = BundleState::kSubmitted;
-  std::string source_text;
-};
 /// The version that one process applies at present.
 struct ProcessVersion {
   std::string process;  ///< Router id or control id.
--- a/include/graniteseam/control/router_messages.h
+++ b/include/graniteseam/control/router_messages.h
@@ -13,6 +13,7 @@
 
 #include "graniteseam/bundle/bundle.h"
 #include "graniteseam/common/ids.h"
+#include "graniteseam/operation/messages.h"
 
 namespace graniteseam::control {
 
@@ -107,60 +108,13 @@
 BOOST_DESCRIBE_STRUCT(RouterRenewalAnswer, (),
                       (sequence, granted, lease_us, bundle, bundle_digest, map, allotments))
 
-/// An answer kept for resends.
-struct KeptAnswer {
-  std::int32_t status = 0;
-  std::string content_type;
-  std::string body;  ///< At most kKeptBodyBytesMaximum.
-
-  bool operator==(const KeptAnswer&) const = default;
-};
-BOOST_DESCRIBE_STRUCT(KeptAnswer, (), (status, content_type, body))
-inline constexpr std::size_t kKeptBodyBytesMaximum = 16 * 1024;
-
-/// Asks for the sole right to run an operation. Answered only once committed.
-struct ClaimRequest {
-  OperationId operation;
-  ServiceName service;
-  GroupName group;
-  std::string request_digest;  ///< Guards against one id used for two different requests.
-  std::uint64_t claim = 0;     ///< Random number of this claim, so that a resent claim is known.
-};
-BOOST_DESCRIBE_STRUCT(ClaimRequest, (), (operation, service, group, request_digest, claim))
-
-enum class ClaimVerdict {
-  kClaimed,         ///< Send it; this claim alone may.
-  kInProgress,      ///< Another claim holds it and has not finished: outcome unknown.
-  kAnswered,        ///< Finished: `answer` holds the kept answer.
-  kUnknownOutcome,  ///< Finished without a known outcome.
-  kMismatch,        ///< Same id, other request.
-  kExpired,         ///< The id is older than the retention window: not run.
-};
-BOOST_DESCRIBE_ENUM(ClaimVerdict, kClaimed, kInProgress, kAnswered, kUnknownOutcome, kMismatch,
-                    kExpired)
-
-struct ClaimResult {
-  OperationId operation;
-  std::uint64_t claim = 0;
-  ClaimVerdict verdict = ClaimVerdict::kInProgress;
-  std::optional<KeptAnswer> answer;
-};
-BOOST_DESCRIBE_STRUCT(ClaimResult, (), (operation, claim, verdict, answer))
-
-enum class CompletionKind {
-  kAnswered,        ///< Ran; answer kept.
-  kNotRun,          ///< Provably did not run: the id may be claimed again.
-  kUnknownOutcome,  ///< May have run: never again.
-};
-BOOST_DESCRIBE_ENUM(CompletionKind, kAnswered, kNotRun, kUnknownOutcome)
-
-struct Completion {
-  OperationId operation;
-  std::uint64_t claim = 0;
-  CompletionKind kind = CompletionKind::kUnknownOutcome;
-  std::optional<KeptAnswer> answer;
-};
-BOOST_DESCRIBE_STRUCT(Completion, (), (operation, claim, kind, answer))
+using operation::ClaimRequest;
+using operation::ClaimResult;
+using operation::ClaimVerdict;
+using operation::Completion;
+using operation::CompletionKind;
+using operation::KeptAnswer;
+using operation::kKeptBodyBytesMaximum;
 
 /// A batch of journal work from one router.
 struct JournalRequest {
