--- a/cmake/Targets.cmake
+++ b/cmake/Targets.cmake
@@ -59,6 +59,7 @@
   target_link_libraries(test_${name} PRIVATE graniteseam_options ${ARG_LINK} criterion rapidcheck)
   target_compile_definitions(test_${name} PRIVATE
     GRANITESEAM_SOURCE_DIR="${PROJECT_SOURCE_DIR}" GRANITESEAM_BINARY_DIR="${CMAKE_BINARY_DIR}")
-  add_test(NAME ${name} COMMAND test_${name} --jobs 2)
+  add_test(NAME ${name} COMMAND ${PROJECT_SOURCE_DIR}/tools/run-criterion ${name}
+    $<TARGET_FILE:test_${name}> --jobs 2)
   set_tests_properties(${name} PROPERTIES TIMEOUT 300)
 endfunction()
