--- a/cmake/Targets.cmake
+++ b/cmake/Targets.cmake
@@ -4,9 +4,12 @@
 add_library(graniteseam_options INTERFACE)
 target_include_directories(graniteseam_options INTERFACE
   $<BUILD_INTERFACE:${PROJECT_SOURCE_DIR}/include> $<BUILD_INTERFACE:${PROJECT_SOURCE_DIR}>
+  $<BUILD_INTERFACE:${CMAKE_BINARY_DIR}/generated/include>
   $<INSTALL_INTERFACE:include>)
 target_compile_options(graniteseam_options INTERFACE
-  $<BUILD_INTERFACE:-Wall;-Wextra;-Wshadow;-Wnon-virtual-dtor;-Woverloaded-virtual>)
+  $<BUILD_INTERFACE:-Wall;-Wextra;-Wshadow;-Wnon-virtual-dtor;-Woverloaded-virtual>
+  # In place of clang-tidy's modernize-use-nullptr, which version 14 raises on every defaulted <=>.
+  $<BUILD_INTERFACE:$<$<COMPILE_LANGUAGE:CXX>:-Wzero-as-null-pointer-constant>>)
 if(GRANITESEAM_WARNINGS_AS_ERRORS)
   target_compile_options(graniteseam_options INTERFACE $<BUILD_INTERFACE:-Werror>)
 endif()
