Let routers report the capacity that their windows found out

Allotments must divide what servers really take, not the bundle's upper limit. A renewal now carries each service's observed concurrency; Allotter takes the sum over routers, at most the limit. Accessors follow the function case of the code style.

--- a/include/graniteseam/admission/allotter.h
+++ b/include/graniteseam/admission/allotter.h
@@ -35,6 +35,13 @@
   double concurrency_wanted = 0.0;  ///< In flight plus queued, mean.
 };
 
+/// The concurrent requests that a service's servers take from one router, as its concurrency
+/// windows found out.
+struct CapacityReport {
+  ServiceName service;
+  double concurrency = 0.0;
+};
+
 /// What one group may have in flight at one service through one router.
 struct RouterAllotment {
   GroupName group;
@@ -61,13 +68,15 @@
 
   /// Names the groups that may call a service and their weights; replaces earlier ones.
   void SetGroups(const ServiceName& service, std::vector<GroupWeight> groups);
-  /// Sets the concurrent requests that all servers of a service take together.
+  /// Sets the most concurrent requests that all servers of a service may take together. Where
+  /// routers report less, their sum counts.
   void SetCapacity(const ServiceName& service, double concurrency);
   /// Drops services that the bundle in force does not name.
   void KeepOnly(const std::vector<ServiceName>& services);
 
   /// Takes a router's report; replaces its earlier one.
-  void Report(const RouterId& router, const std::vector<DemandReport>& reports, Instant now);
+  void Report(const RouterId& router, const std::vector<DemandReport>& reports, Instant now,
+              const std::vector<CapacityReport>& capacities = {});
   /// Forgets a router that left.
   void Forget(const RouterId& router);
 
@@ -82,11 +91,13 @@
   struct RouterReport {
     Instant taken_at;
     std::map<ServiceName, std::map<GroupName, double>> wanted;
+    std::map<ServiceName, double> capacity;
   };
 
   void DropOldReports(Instant now);
   void Recompute(Instant now);
   void DivideService(const ServiceName& service, const ServiceShares& shares);
+  double Capacity(const ServiceName& service, const ServiceShares& shares) const;
   double Wanted(const RouterReport& report, const ServiceName& service,
                 const GroupName& group) const;
 
--- a/include/graniteseam/admission/group_limiter.h
+++ b/include/graniteseam/admission/group_limiter.h
@@ -84,9 +84,9 @@
   /// Lanes with waiting requests.
   std::vector<Lane> WaitingLanes() const;
 
-  std::size_t in_flight(const GroupName& group) const;
-  std::size_t queued(const GroupName& group) const;
-  std::size_t queued_total() const { return waiting_.size(); }
+  std::size_t InFlight(const GroupName& group) const;
+  std::size_t Queued(const GroupName& group) const;
+  std::size_t QueuedTotal() const { return waiting_.size(); }
 
   /// The wait that a new request of the group should expect.
   Duration ExpectedWait(const GroupName& group) const;
--- a/include/graniteseam/control/router_messages.h
+++ b/include/graniteseam/control/router_messages.h
@@ -81,6 +81,14 @@
 };
 BOOST_DESCRIBE_STRUCT(Allotment, (), (group, service, concurrency))
 
+/// The concurrent requests that a service's servers take from this router, as its concurrency
+/// windows found out. The sum over routers is the capacity that allotments divide.
+struct ServiceCapacity {
+  ServiceName service;
+  double concurrency = 0;
+};
+BOOST_DESCRIBE_STRUCT(ServiceCapacity, (), (service, concurrency))
+
 struct RouterRenewal {
   RouterId router;
   ZoneName zone;
@@ -90,10 +98,11 @@
   bool leaving = false;
   std::vector<GroupDemand> demand;
   std::vector<ShardLoad> shard_load;
+  std::vector<ServiceCapacity> capacity;
 };
 BOOST_DESCRIBE_STRUCT(RouterRenewal, (),
                       (router, zone, sequence, bundle_version, map_version, leaving, demand,
-                       shard_load))
+                       shard_load, capacity))
 
 struct RouterRenewalAnswer {
   std::uint64_t sequence = 0;
--- a/src/admission/allotter.cc
+++ b/src/admission/allotter.cc
@@ -57,14 +57,17 @@
   stale_ = true;
 }
 
-void Allotter::Report(const RouterId& router, const std::vector<DemandReport>& reports,
-                      Instant now) {
+void Allotter::Report(const RouterId& router, const std::vector<DemandReport>& reports, Instant now,
+                      const std::vector<CapacityReport>& capacities) {
   const bool known = reports_.contains(router);
   RouterReport report;
   report.taken_at = now;
   for (const DemandReport& item : reports) {
     report.wanted[item.service][item.group] = std::max(0.0, item.concurrency_wanted);
   }
+  for (const CapacityReport& item : capacities) {
+    report.capacity[item.service] = std::max(0.0, item.concurrency);
+  }
   reports_[router] = std::move(report);
   if (!known) stale_ = true;
 }
@@ -97,6 +100,18 @@
   stale_ = false;
 }
 
+/// The sum of what routers found out, at most the limit set. A router that reports no capacity of a
+/// service knows nothing against the limit.
+double Allotter::Capacity(const ServiceName& service, const ServiceShares& shares) const {
+  double sum = 0.0;
+  for (const auto& [router, report] : reports_) {
+    const auto found = report.capacity.find(service);
+    if (found == report.capacity.end()) return shares.capacity;
+    sum += found->second;
+  }
+  return std::min(sum, shares.capacity);
+}
+
 double Allotter::Wanted(const RouterReport& report, const ServiceName& service,
                         const GroupName& group) const {
   const auto by_group = report.wanted.find(service);
@@ -117,9 +132,10 @@
     group_claims.push_back({group.weight, demand});
     weight_sum += group.weight;
   }
-  const std::vector<double> group_parts = WeightedMaxMin(shares.capacity, group_claims);
+  const double capacity = Capacity(service, shares);
+  const std::vector<double> group_parts = WeightedMaxMin(capacity, group_claims);
   const double used = std::accumulate(group_parts.begin(), group_parts.end(), 0.0);
-  const double unused = std::max(0.0, shares.capacity - used);
+  const double unused = std::max(0.0, capacity - used);
 
   for (std::size_t index = 0; index < shares.groups.size(); ++index) {
     const GroupWeight& group = shares.groups[index];
--- a/src/admission/group_limiter.cc
+++ b/src/admission/group_limiter.cc
@@ -101,12 +101,12 @@
   return {lanes.begin(), lanes.end()};
 }
 
-std::size_t GroupLimiter::in_flight(const GroupName& group) const {
+std::size_t GroupLimiter::InFlight(const GroupName& group) const {
   const auto found = groups_.find(group);
   return found == groups_.end() ? 0 : found->second.in_flight;
 }
 
-std::size_t GroupLimiter::queued(const GroupName& group) const {
+std::size_t GroupLimiter::Queued(const GroupName& group) const {
   const auto found = groups_.find(group);
   return found == groups_.end() ? 0 : found->second.queued;
 }
--- a/tests/admission/allotter_test.cc
+++ b/tests/admission/allotter_test.cc
@@ -124,6 +124,19 @@
   cr_assert(AllottedTo(allotments, "b") == 10.0 + 20.0);
 }
 
+Test(allotter, capacity_is_what_routers_found_out_when_that_is_less) {
+  AllotterOptions options;
+  options.growth_headroom = 1.0;
+  Allotter allotter(options);
+  const ServiceName service{"archive"};
+  allotter.SetGroups(service, {{GroupName{"a"}, 1.0}});
+  allotter.SetCapacity(service, 100.0);
+  const Instant now = InstantFromMicros(1'000'000);
+  allotter.Report(RouterId{"r1"}, {{GroupName{"a"}, service, 50.0}}, now, {{service, 6.0}});
+  allotter.Report(RouterId{"r2"}, {{GroupName{"a"}, service, 50.0}}, now, {{service, 4.0}});
+  cr_assert(AllottedTo(allotter.AllotmentsFor(RouterId{"r1"}, now), "a") == 5.0);
+}
+
 Test(allotter, a_silent_router_loses_its_part) {
   AllotterOptions options;
   options.growth_headroom = 1.0;
--- a/tests/admission/group_limiter_test.cc
+++ b/tests/admission/group_limiter_test.cc
@@ -42,8 +42,8 @@
   cr_assert(limiter.Offer(Request(2, kFirst, 100), 9, kNow).verdict == Verdict::kQueued);
   cr_assert(limiter.Offer(Request(3, kSecond, 100), 9, kNow).verdict == Verdict::kAdmitted);
   cr_assert(limiter.Offer(Request(4, kSecond, 100), 0, kNow).verdict == Verdict::kQueued);
-  cr_assert(limiter.in_flight(kFirst) == 1);
-  cr_assert(limiter.queued(kFirst) == 1);
+  cr_assert(limiter.InFlight(kFirst) == 1);
+  cr_assert(limiter.Queued(kFirst) == 1);
 }
 
 Test(group_limiter, an_unknown_group_is_refused) {
@@ -100,8 +100,8 @@
   }
   const auto admitted = limiter.Dispatch(0, 40);
   cr_assert(admitted.size() == 40);
-  cr_assert(limiter.in_flight(kFirst) == 30);
-  cr_assert(limiter.in_flight(kSecond) == 10);
+  cr_assert(limiter.InFlight(kFirst) == 30);
+  cr_assert(limiter.InFlight(kSecond) == 10);
 }
 
 Test(group_limiter, a_full_server_does_not_hold_up_work_for_another) {
@@ -152,11 +152,11 @@
           waiting.erase(waiting.begin());
         }
       }
-      RC_ASSERT(limiter.in_flight(kFirst) + limiter.in_flight(kSecond) == running.size());
-      RC_ASSERT(limiter.queued_total() == waiting.size());
-      RC_ASSERT(static_cast<double>(limiter.in_flight(kFirst)) <= limit);
-      RC_ASSERT(limiter.queued(kFirst) <= 3U);
-      RC_ASSERT(limiter.queued(kSecond) <= 3U);
+      RC_ASSERT(limiter.InFlight(kFirst) + limiter.InFlight(kSecond) == running.size());
+      RC_ASSERT(limiter.QueuedTotal() == waiting.size());
+      RC_ASSERT(static_cast<double>(limiter.InFlight(kFirst)) <= limit);
+      RC_ASSERT(limiter.Queued(kFirst) <= 3U);
+      RC_ASSERT(limiter.Queued(kSecond) <= 3U);
     }
   }));
 }
