--- /dev/null
+++ b/src/platform/metric_list.h
@@ -0,0 +1,129 @@
+/// @file
+/// Every statistic of every program, named once. docs/operations/logs-and-metrics.md explains them.
+/// Units are in the names: _total counts, _seconds, _bytes, _ratio.
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <string_view>
+
+namespace graniteseam::platform {
+
+enum class MetricType { kCounter, kGauge, kHistogram };
+
+/// A statistic; its description stands at the same place of kMetricList.
+enum class Metric {
+  // Control.
+  kControlLeading,
+  kControlTerm,
+  kControlCommitIndex,
+  kControlBundleVersion,
+  kControlRoutersConnected,
+  kControlServersLeased,
+  kControlShardMoves,
+  kControlPersistSeconds,
+  kControlLeaseCalls,
+  kControlLeaseCallSeconds,
+  kControlPlatformPolls,
+  kControlEventQueueLength,
+  // Framed transport.
+  kTransportConnections,
+  kTransportFramesSent,
+  kTransportFramesReceived,
+  kTransportBytesSent,
+  kTransportBytesReceived,
+  kTransportFramesDropped,
+  kTransportConnectionsRefused,
+  // HTTP servers.
+  kHttpRequests,
+  // Router.
+  kRouterRequests,
+  kRouterRequestSeconds,
+  kRouterAttempts,
+  kRouterLeaseHeld,
+  kRouterBundleVersion,
+  kRouterQueueLength,
+  kRouterInFlight,
+  kRouterRetries,
+  kRouterEjectedServers,
+  kRouterUpstreamConnections,
+  kCount,
+};
+
+struct MetricDescription {
+  Metric metric;
+  MetricType type;
+  std::string_view name;
+  std::string_view help;
+};
+
+inline constexpr std::array<MetricDescription, static_cast<std::size_t>(Metric::kCount)>
+    kMetricList = {{
+        {Metric::kControlLeading, MetricType::kGauge, "graniteseam_control_leading",
+         "1 while this process leads, else 0."},
+        {Metric::kControlTerm, MetricType::kGauge, "graniteseam_control_term", "Consensus term."},
+        {Metric::kControlCommitIndex, MetricType::kGauge, "graniteseam_control_commit_index",
+         "Highest committed log index."},
+        {Metric::kControlBundleVersion, MetricType::kGauge, "graniteseam_control_bundle_version",
+         "Bundle version in force."},
+        {Metric::kControlRoutersConnected, MetricType::kGauge,
+         "graniteseam_control_routers_connected", "Routers connected to this process."},
+        {Metric::kControlServersLeased, MetricType::kGauge, "graniteseam_control_servers_leased",
+         "Servers with a lease, as this process sees it."},
+        {Metric::kControlShardMoves, MetricType::kGauge, "graniteseam_control_shard_moves",
+         "Shards given to another owner since the group began."},
+        {Metric::kControlPersistSeconds, MetricType::kHistogram,
+         "graniteseam_control_persist_seconds", "Time to make one batch durable."},
+        {Metric::kControlLeaseCalls, MetricType::kCounter, "graniteseam_control_lease_calls_total",
+         "Lease messages to servers, by result."},
+        {Metric::kControlLeaseCallSeconds, MetricType::kHistogram,
+         "graniteseam_control_lease_call_seconds", "Round trip of an answered lease message."},
+        {Metric::kControlPlatformPolls, MetricType::kCounter,
+         "graniteseam_control_platform_polls_total", "Polls of the platform list, by result."},
+        {Metric::kControlEventQueueLength, MetricType::kGauge,
+         "graniteseam_control_event_queue_length", "Events that wait for the deciding thread."},
+        {Metric::kTransportConnections, MetricType::kGauge, "graniteseam_transport_connections",
+         "Framed connections established."},
+        {Metric::kTransportFramesSent, MetricType::kCounter,
+         "graniteseam_transport_frames_sent_total", "Frames sent."},
+        {Metric::kTransportFramesReceived, MetricType::kCounter,
+         "graniteseam_transport_frames_received_total", "Frames received."},
+        {Metric::kTransportBytesSent, MetricType::kCounter,
+         "graniteseam_transport_bytes_sent_total", "Bytes of frames sent."},
+        {Metric::kTransportBytesReceived, MetricType::kCounter,
+         "graniteseam_transport_bytes_received_total", "Bytes of frames received."},
+        {Metric::kTransportFramesDropped, MetricType::kCounter,
+         "graniteseam_transport_frames_dropped_total",
+         "Frames not sent: no connection, or its queue was full."},
+        {Metric::kTransportConnectionsRefused, MetricType::kCounter,
+         "graniteseam_transport_connections_refused_total",
+         "Connections closed for a fault of the peer, by error kind."},
+        {Metric::kHttpRequests, MetricType::kCounter, "graniteseam_http_requests_total",
+         "Requests at an HTTP port, by port and status."},
+        {Metric::kRouterRequests, MetricType::kCounter, "graniteseam_router_requests_total",
+         "Callers' requests, by service and outcome."},
+        {Metric::kRouterRequestSeconds, MetricType::kHistogram,
+         "graniteseam_router_request_seconds", "Time from a request's head to its answer."},
+        {Metric::kRouterAttempts, MetricType::kCounter, "graniteseam_router_attempts_total",
+         "Attempts at servers, by result."},
+        {Metric::kRouterLeaseHeld, MetricType::kGauge, "graniteseam_router_lease_held",
+         "1 while this router holds its lease, else 0."},
+        {Metric::kRouterBundleVersion, MetricType::kGauge, "graniteseam_router_bundle_version",
+         "Bundle version in force in this router."},
+        {Metric::kRouterQueueLength, MetricType::kGauge, "graniteseam_router_queue_length",
+         "Requests that wait for admission, by group."},
+        {Metric::kRouterInFlight, MetricType::kGauge, "graniteseam_router_in_flight",
+         "Requests at servers."},
+        {Metric::kRouterRetries, MetricType::kCounter, "graniteseam_router_retries_total",
+         "Attempts after the first, by reason."},
+        {Metric::kRouterEjectedServers, MetricType::kGauge, "graniteseam_router_ejected_servers",
+         "Servers passed over as outliers."},
+        {Metric::kRouterUpstreamConnections, MetricType::kGauge,
+         "graniteseam_router_upstream_connections", "Connections to servers."},
+    }};
+
+constexpr const MetricDescription& Describe(Metric metric) {
+  return kMetricList[static_cast<std::size_t>(metric)];
+}
+
+}  // namespace graniteseam::platform
