--- /dev/null
+++ b/src/protocol/router_control_client.h
@@ -0,0 +1,61 @@
+/// @file
+/// A router's line to the control group: connected to every control process it knows, it sends to
+/// the one that leads, follows NotLeader answers and turns away from a leader that went silent.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "graniteseam/common/ids.h"
+#include "graniteseam/common/time.h"
+#include "graniteseam/control/router_messages.h"
+#include "src/platform/metrics.h"
+#include "src/platform/socket_address.h"
+#include "src/protocol/internal_security.h"
+
+namespace graniteseam::protocol {
+
+struct RouterControlClientOptions {
+  RouterId router;
+  std::vector<platform::SocketAddress>
+      control;  ///< From the settings; leaders' hints may add more.
+  InternalSecurity security;
+  /// A control process that leaves a message unanswered for longer is taken for silent, and the
+  /// message goes to the next one. Shorter than half the router's lease.
+  Duration silence_limit{250'000};
+};
+
+/// Sends what the router's decision maker wants sent and hands back the answers.
+///
+/// A message that was not answered is sent again to the next control process by itself; its
+/// sequence stays, so the router's lease is dated from the first send, which is the safe side, and
+/// claims are recognised by their claim number. An answer may therefore come twice: take the
+/// first. Unanswered messages are forgotten after ten silence limits; the decision maker asks
+/// anew then.
+///
+/// Lifecycle: construction connects in the background; destruction closes. Send() is thread safe;
+/// the handlers run on the client's own thread and must not block.
+class RouterControlClient {
+ public:
+  /// Answers other than NotLeader, which the client follows by itself.
+  using AnswerHandler = std::function<void(const control::ControlToRouter& answer)>;
+  /// Called with true when the first connection stands and false when the last one went.
+  using ConnectedHandler = std::function<void(bool connected)>;
+
+  RouterControlClient(RouterControlClientOptions options, platform::MetricsRegistry& metrics,
+                      AnswerHandler on_answer, ConnectedHandler on_connected = {});
+  ~RouterControlClient();
+  RouterControlClient(const RouterControlClient&) = delete;
+  RouterControlClient& operator=(const RouterControlClient&) = delete;
+
+  /// Sends to the process believed to lead, or as soon as a connection stands.
+  void Send(control::RouterToControl message);
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+}  // namespace graniteseam::protocol
