--- a/include/graniteseam/bundle/bundle.h
+++ b/include/graniteseam/bundle/bundle.h
@@ -38,9 +38,10 @@
   std::int64_t deadline_maximum_ms = 30'000;
   std::int64_t lease_ms = 600;  ///< Length of its servers' leases.
   std::int64_t body_bytes_maximum = 1 << 20;
-  std::uint32_t concurrency_per_server = 64;               ///< Upper limit of the router's window.
-  std::int64_t operation_retention_ms = 24 * 3600 * 1000;  ///< Not repeatable services only.
-  bool hedging = false;                                    ///< Repeatable services only.
+  std::uint32_t concurrency_per_server = 64;  ///< Upper limit of the router's window.
+  std::int64_t operation_retention_ms =
+      std::int64_t{24} * 3600 * 1000;  ///< Not repeatable services only.
+  bool hedging = false;                ///< Repeatable services only.
   PlacementWeights weights;
   bool operator==(const Service&) const = default;
 };
--- a/include/graniteseam/bundle/bundle_store.h
+++ b/include/graniteseam/bundle/bundle_store.h
@@ -47,14 +47,26 @@
 };
 BOOST_DESCRIBE_STRUCT(StoredBundle, (), (bundle, record))
 
+/// What stays as it is from a service's first roll on, also while no bundle names the service: its
+/// shards keep their epochs for ever.
+struct FixedService {
+  ServiceName name;
+  ServiceKind kind = ServiceKind::kPooled;
+  std::uint32_t shard_count = 0;
+
+  bool operator==(const FixedService&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(FixedService, (), (name, kind, shard_count))
+
 /// The whole store as a value, for snapshots.
 struct BundleStoreState {
-  BundleVersion in_force;             ///< 0 when no bundle was ever rolled.
-  std::vector<StoredBundle> bundles;  ///< In ascending order of version.
+  BundleVersion in_force;                          ///< 0 when no bundle was ever rolled.
+  std::vector<StoredBundle> bundles;               ///< In ascending order of version.
+  std::vector<FixedService> services_ever_rolled;  ///< In ascending order of name.
 
   bool operator==(const BundleStoreState&) const = default;
 };
-BOOST_DESCRIBE_STRUCT(BundleStoreState, (), (in_force, bundles))
+BOOST_DESCRIBE_STRUCT(BundleStoreState, (), (in_force, bundles, services_ever_rolled))
 
 /// A reviewer's signature, with the public key that the proposing leader trusts for that reviewer.
 /// The key travels in the log so that replicas with differing settings still decide alike.
@@ -128,12 +140,14 @@
 
  private:
   Result<StoredBundle*> Find(BundleVersion version, const std::string& digest);
+  Result<void> CheckNotBelowInForce(BundleVersion version) const;
   Result<void> CheckFixedParts(const Bundle& bundle) const;
   Result<void> MakeRoom(std::size_t source_bytes);
   std::size_t SourceBytes() const;
 
   BundleStoreLimits limits_;
   std::map<BundleVersion, StoredBundle> bundles_;
+  std::map<ServiceName, FixedService> services_ever_rolled_;
   BundleVersion in_force_;
 };
 
--- a/include/graniteseam/operation/messages.h
+++ b/include/graniteseam/operation/messages.h
@@ -23,7 +23,7 @@
   bool operator==(const KeptAnswer&) const = default;
 };
 BOOST_DESCRIBE_STRUCT(KeptAnswer, (), (status, content_type, body))
-inline constexpr std::size_t kKeptBodyBytesMaximum = 16 * 1024;
+inline constexpr std::size_t kKeptBodyBytesMaximum = std::size_t{16} * 1024;
 
 /// Asks for the sole right to run an operation. Answered only once committed.
 struct ClaimRequest {
--- a/include/graniteseam/operation/operation_journal.h
+++ b/include/graniteseam/operation/operation_journal.h
@@ -120,7 +120,10 @@
   static std::int64_t TimeOf(const OperationKey& key);
   static OperationId FormatKey(const OperationKey& key);
 
-  ClaimVerdict ClaimKnown(Entry& entry, const ClaimRequest& request) const;
+  /// How much a state says about the operation; completions only ever raise it.
+  static int Rank(OperationState state);
+
+  ClaimVerdict ClaimKnown(Entry& entry, const ClaimRequest& request, bool too_old) const;
   ClaimVerdict ClaimNew(ServiceJournal& journal, const OperationKey& key,
                         const ClaimRequest& request, std::int64_t retention_ms,
                         std::int64_t wall_ms);
