--- a/cmake/Dependencies.cmake
+++ b/cmake/Dependencies.cmake
@@ -7,6 +7,7 @@
 find_package(Boost 1.81 REQUIRED)
 find_package(TBB REQUIRED)
 find_package(spdlog REQUIRED)
+find_package(fmt REQUIRED)
 find_package(nlohmann_json REQUIRED)
 
 graniteseam_library_dependencies()
--- a/cmake/Targets.cmake
+++ b/cmake/Targets.cmake
@@ -51,6 +51,17 @@
   set_target_properties(${name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/bin)
 endfunction()
 
+# A library of the testbed from testbed/<folder>/*.cc, for its programs and their tests.
+function(graniteseam_testbed_library name folder)
+  cmake_parse_arguments(ARG "" "" "LINK" ${ARGN})
+  file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/${folder}/*.cc)
+  if(NOT sources)
+    return()
+  endif()
+  add_library(${name} STATIC ${sources})
+  target_link_libraries(${name} PUBLIC graniteseam_options ${ARG_LINK})
+endfunction()
+
 # A Criterion test program from tests/<name>/*.cc, registered with CTest.
 function(graniteseam_test name)
   cmake_parse_arguments(ARG "" "" "LINK" ${ARGN})
--- /dev/null
+++ b/testbed/experiment/registry.cc
@@ -0,0 +1,7 @@
+#include "testbed/experiment/registry.h"
+
+namespace graniteseam::testbed {
+
+ExperimentList AllExperiments() { return {}; }
+
+}  // namespace graniteseam::testbed
