--- a/testbed/experiment/command_line.cc
+++ b/testbed/experiment/command_line.cc
@@ -104,14 +104,14 @@
     Subcommand subcommand;
     std::size_t arguments;
   };
-  static const std::map<std::string, Form> kForms = {
+  static const std::map<std::string, Form> forms = {
       {"run", {Subcommand::kRun, 1}},
       {"list", {Subcommand::kList, 0}},
       {"compare", {Subcommand::kCompare, 2}},
   };
   if (words.empty()) return Misused("No subcommand was given.");
-  const auto form = kForms.find(words.front());
-  if (form == kForms.end()) {
+  const auto form = forms.find(words.front());
+  if (form == forms.end()) {
     return Misused(fmt::format("There is no subcommand \"{}\".", words.front()));
   }
   if (words.size() - 1 != form->second.arguments) {
