--- a/include/graniteseam/control/operator_messages.h
+++ b/include/graniteseam/control/operator_messages.h
@@ -48,9 +48,11 @@
 };
 struct ChangeMembership {
   enum class Kind { kAddLearner, kPromote, kRemove };
+  BOOST_DESCRIBE_NESTED_ENUM(Kind, kAddLearner, kPromote, kRemove)
   Kind kind = Kind::kAddLearner;
   consensus::Member member;
 };
+BOOST_DESCRIBE_STRUCT(ChangeMembership, (), (kind, member))
 struct ReadBundles {};
 struct ReadFleet {};
 struct ReadShards {
@@ -70,11 +72,13 @@
   BundleVersion version;
   std::int64_t age_ms = 0;  ///< Since it was last heard of.
 };
+BOOST_DESCRIBE_STRUCT(ProcessVersion, (), (process, kind, version, age_ms))
 struct BundlesView {
   BundleVersion in_force;
   std::vector<BundleRecord> bundles;
   std::vector<ProcessVersion> processes;
 };
+BOOST_DESCRIBE_STRUCT(BundlesView, (), (in_force, bundles, processes))
 struct ServerView {
   ServerEntry entry;
   bool leased = false;
@@ -82,6 +86,7 @@
   std::int64_t lease_remaining_ms = 0;
   std::uint32_t shards = 0;
 };
+BOOST_DESCRIBE_STRUCT(ServerView, (), (entry, leased, draining, lease_remaining_ms, shards))
 struct FleetView {
   std::optional<consensus::Member> leader;
   consensus::Membership membership;
@@ -92,13 +97,18 @@
   std::vector<ProcessVersion> routers;
   std::uint64_t shard_moves = 0;  ///< Assignments of a shard that had another owner before.
 };
+BOOST_DESCRIBE_STRUCT(FleetView, (),
+                      (leader, membership, term, commit_index, bundle_version, servers, routers,
+                       shard_moves))
 struct ShardsView {
   std::uint64_t version = 0;
   std::vector<ShardEntry> shards;
 };
+BOOST_DESCRIBE_STRUCT(ShardsView, (), (version, shards))
 struct Accepted {
   LogIndex index;  ///< Where the change stands in the log.
 };
+BOOST_DESCRIBE_STRUCT(Accepted, (), (index))
 
 using OperatorAnswer = std::variant<Accepted, BundlesView, FleetView, ShardsView, Error>;
 
