Add the replicated log: Raft with leader leases

Cause: control processes need one replicated log whose leader knows, by construction, that no other one acts.

New in the contracts: TimeoutNowRequest, Announcement (a process outside the membership tells its disk incarnation), RecoveredState::seeds, announced(). A group is founded only once every first voter has told its disk.

--- a/include/graniteseam/codec/schema.h
+++ b/include/graniteseam/codec/schema.h
@@ -120,12 +120,12 @@
 /// The Avro schema of T as JSON, derived once. Thread safe.
 template <class T>
 const std::string& SchemaText() {
-  static const std::string kText = [] {
+  static const std::string text = [] {
     internal::SchemaWriter writer;
     internal::WriteSchema<T>(writer);
     return writer.text();
   }();
-  return kText;
+  return text;
 }
 
 /// CRC-64-AVRO (Avro 1.11 specification, "Schema Fingerprints") of a schema's text.
@@ -134,8 +134,8 @@
 /// The fingerprint of T's derived schema: equal on two sides exactly when they agree on T's form.
 template <class T>
 std::uint64_t SchemaFingerprint() {
-  static const std::uint64_t kFingerprint = Fingerprint(SchemaText<T>());
-  return kFingerprint;
+  static const std::uint64_t fingerprint = Fingerprint(SchemaText<T>());
+  return fingerprint;
 }
 
 }  // namespace graniteseam::codec
--- a/include/graniteseam/consensus/raft_consensus.h
+++ b/include/graniteseam/consensus/raft_consensus.h
@@ -17,19 +17,26 @@
   Duration heartbeat_interval{50'000};
   Duration election_timeout_minimum{250'000};  ///< Also the span in which a follower refuses votes.
   Duration election_timeout_maximum{450'000};
-  Duration leader_lease{200'000};  ///< Shorter than election_timeout_minimum by the drift bound.
+  /// Shorter than election_timeout_minimum by more than two clocks may drift apart meanwhile.
+  Duration leader_lease{200'000};
   std::size_t append_bytes_maximum = 1 << 20;
   std::size_t snapshot_chunk_bytes = 1 << 18;
   std::size_t entries_kept_after_snapshot = 1'000;
 };
 
-/// What a member finds on its disk when it starts.
+/// What a member finds on its disk when it starts. The driver restores its state machine from
+/// `snapshot` before the first call; Effects then carry only what comes after it.
 struct RecoveredState {
   Member self;
   HardState hard_state;
   std::optional<Snapshot> snapshot;
-  std::vector<LogEntry> entries;        ///< Those after the snapshot, contiguous.
-  std::optional<Membership> bootstrap;  ///< Set only when a group is created.
+  std::vector<LogEntry> entries;  ///< Those after the snapshot, contiguous.
+  /// The first voters; set only when a group is created, ignored once the log holds a membership.
+  /// Disks of others may be 0: they are then learned from their announcements, and the voter with
+  /// the lowest id founds the group once all the others have announced themselves.
+  std::optional<Membership> bootstrap;
+  /// Where a process that is in no membership announces itself; disks may be 0.
+  std::vector<Member> seeds;
 };
 
 /// What must be made durable, in this order, before any message of the same Effects is sent or
@@ -46,7 +53,8 @@
 
 enum class Role { kLearner, kFollower, kPreCandidate, kCandidate, kLeader };
 
-/// What the driver must do after one step, in the order of the members.
+/// What the driver must do after one step, in the order of the members. Effects are carried out in
+/// the order in which they were returned, each as a whole before the next.
 struct Effects {
   PersistRequest persist;             ///< Make durable first; then call PersistDone().
   std::vector<PeerMessage> messages;  ///< May be sent only once `persist` is durable.
@@ -91,7 +99,8 @@
   ///     changes, or when a learner has not caught up; kNotLeader.
   Result<LogIndex> ProposeMembership(const Membership& next, Instant now, Effects& effects);
 
-  /// Hands leadership to the most advanced voter, for a planned stop.
+  /// Hands leadership to the most advanced voter, for a planned stop. Proposals are refused until
+  /// the transfer has happened or was given up after election_timeout_minimum.
   Effects TransferLeadership(Instant now);
 
   /// Tells that the state machine's state up to `index` is in `data`, so that the log before it may
@@ -111,6 +120,8 @@
   LogIndex last_index() const;
   const Membership& membership() const;
   const Member& self() const;
+  /// Processes outside the membership that announced themselves lately: candidates for a learner.
+  std::vector<Member> announced() const;
 
  private:
   class Impl;
--- a/include/graniteseam/consensus/types.h
+++ b/include/graniteseam/consensus/types.h
@@ -77,8 +77,11 @@
   bool pre_vote = false;
   LogIndex last_index;
   Term last_term;
+  /// The leader of term - 1 gave up its lease and asked the sender to take over, so that voters
+  /// need not wait until that leader has been silent for long.
+  bool leadership_transfer = false;
 };
-BOOST_DESCRIBE_STRUCT(VoteRequest, (), (term, pre_vote, last_index, last_term))
+BOOST_DESCRIBE_STRUCT(VoteRequest, (), (term, pre_vote, last_index, last_term, leadership_transfer))
 
 struct VoteResponse {
   Term term;
@@ -129,11 +132,29 @@
 };
 BOOST_DESCRIBE_STRUCT(InstallSnapshotResponse, (), (term, next_offset, installed, round))
 
-using PeerPayload = std::variant<VoteRequest, VoteResponse, AppendRequest, AppendResponse,
-                                 InstallSnapshotRequest, InstallSnapshotResponse>;
+/// From a leader that has given up its lease for the rest of `term`: stand for election at once.
+struct TimeoutNowRequest {
+  Term term;
+};
+BOOST_DESCRIBE_STRUCT(TimeoutNowRequest, (), (term))
 
-/// A message between two control processes. A receiver drops one whose `to` is not itself with its
-/// present disk incarnation, or whose sender's incarnation is not the one in its membership.
+/// From a process that is in no membership yet: tells its disk incarnation, so that a group can be
+/// founded, or the leader can take it in as a learner. `to.disk` is 0 while it is unknown.
+struct Announcement {
+  bool founding = false;  ///< Is one of the first voters of a group that is being created.
+};
+BOOST_DESCRIBE_STRUCT(Announcement, (), (founding))
+
+using PeerPayload =
+    std::variant<VoteRequest, VoteResponse, AppendRequest, AppendResponse, InstallSnapshotRequest,
+                 InstallSnapshotResponse, TimeoutNowRequest, Announcement>;
+
+/// A message between two control processes.
+///
+/// A receiver drops one whose `to` is not itself with its present disk incarnation. Responses count
+/// only from members with the incarnation that the membership names, so a vote or acknowledgement
+/// of a lost disk never makes up a quorum. Requests are taken from anyone, as Raft demands: a
+/// member that was away may not know its present leader yet.
 struct PeerMessage {
   Member from;
   Member to;
--- /dev/null
+++ b/src/consensus/election.cc
@@ -0,0 +1,105 @@
+/// @file
+/// Pre-vote, votes and the silence that leader leases rest on.
+#include "src/consensus/raft_impl.h"
+
+namespace graniteseam::consensus {
+
+void RaftConsensus::Impl::ResetElectionDeadline(Instant now) {
+  // Never below the minimum: a member keeps its own promise of silence too.
+  std::uniform_int_distribution<std::int64_t> jitter(
+      0, (options_.election_timeout_maximum - options_.election_timeout_minimum).count());
+  election_deadline_ = now + options_.election_timeout_minimum + Duration(jitter(random_));
+}
+
+bool RaftConsensus::Impl::HeardOfLeader(Instant now) const {
+  return role_ == Role::kLeader || now < silence_since_ + options_.election_timeout_minimum;
+}
+
+void RaftConsensus::Impl::BecomePreCandidate(Instant now) {
+  // Asking first keeps a member that cannot win from raising terms and unseating a leader
+  // (dissertation, 9.6).
+  leader_.reset();
+  SetRole(Role::kPreCandidate);
+  votes_.clear();
+  ResetElectionDeadline(now);
+  AskForVotes(true, false, hard_state_.term.Next());
+  CountVote(self_, now);
+}
+
+void RaftConsensus::Impl::BecomeCandidate(bool leadership_transfer, Instant now) {
+  leader_.reset();
+  hard_state_ = {hard_state_.term.Next(), self_};
+  SaveHardState();
+  PendingOfThisStep().own_vote = true;  // Counted when it is durable.
+  SetRole(Role::kCandidate);
+  votes_.clear();
+  ResetElectionDeadline(now);
+  AskForVotes(false, leadership_transfer, hard_state_.term);
+}
+
+void RaftConsensus::Impl::AskForVotes(bool pre_vote, bool leadership_transfer, Term term) {
+  const VoteRequest request{term, pre_vote, log_.last_index(), log_.last_term(),
+                            leadership_transfer};
+  for (const Member& voter : OtherVoters()) Send(voter, request);
+}
+
+void RaftConsensus::Impl::CountVote(const Member& voter, Instant now) {
+  if (!IsVoter(voter)) return;
+  votes_.insert(VoteKey(voter));
+  if (votes_.size() < QuorumSize()) return;
+  if (role_ == Role::kPreCandidate) {
+    BecomeCandidate(false, now);
+  } else if (role_ == Role::kCandidate) {
+    BecomeLeader(now);
+  }
+}
+
+bool RaftConsensus::Impl::LogIsUpToDate(const VoteRequest& request) const {
+  if (request.last_term != log_.last_term()) return request.last_term > log_.last_term();
+  return request.last_index >= log_.last_index();
+}
+
+void RaftConsensus::Impl::OnPreVoteRequest(const Member& from, const VoteRequest& request,
+                                           Instant now) {
+  const bool granted =
+      request.term > hard_state_.term && !HeardOfLeader(now) && LogIsUpToDate(request);
+  Send(from, VoteResponse{granted ? request.term : hard_state_.term, true, granted});
+}
+
+void RaftConsensus::Impl::OnVoteRequest(const Member& from, const VoteRequest& request,
+                                        Instant now) {
+  // Lease: whoever answered a heartbeat refuses votes for a while, so that no other leader is
+  // elected inside the lease. A transfer is let through: the leader of the term before it gave its
+  // lease up, and the leases of older terms ended before that leader was elected.
+  const bool silent = HeardOfLeader(now) && !request.leadership_transfer;
+  if (silent || request.term < hard_state_.term) {
+    Send(from, VoteResponse{hard_state_.term, false, false});
+    return;
+  }
+  if (request.term > hard_state_.term) BecomeFollower(request.term, std::nullopt, now);
+  const bool free_to_vote = !hard_state_.voted_for || hard_state_.voted_for->SameVoteAs(from);
+  const bool granted = free_to_vote && LogIsUpToDate(request);
+  if (granted) {
+    hard_state_.voted_for = from;
+    SaveHardState();
+    ResetElectionDeadline(now);
+  }
+  Send(from, VoteResponse{hard_state_.term, false, granted});
+}
+
+void RaftConsensus::Impl::OnVoteResponse(const Member& from, const VoteResponse& response,
+                                         Instant now) {
+  if (response.granted && response.pre_vote) {
+    if (role_ == Role::kPreCandidate && response.term == hard_state_.term.Next()) {
+      CountVote(from, now);
+    }
+    return;
+  }
+  if (response.term > hard_state_.term) {
+    BecomeFollower(response.term, std::nullopt, now);
+  } else if (response.granted && role_ == Role::kCandidate && response.term == hard_state_.term) {
+    CountVote(from, now);
+  }
+}
+
+}  // namespace graniteseam::consensus
--- /dev/null
+++ b/src/consensus/follower.cc
@@ -0,0 +1,87 @@
+/// @file
+/// The follower's and learner's side of replication.
+#include <algorithm>
+
+#include "src/consensus/raft_impl.h"
+
+namespace graniteseam::consensus {
+
+bool RaftConsensus::Impl::AcceptLeader(const Member& from, Term term, Instant now) {
+  if (term < hard_state_.term) return false;
+  // Two leaders of one term cannot be; a message that says so is not from a sound member.
+  if (term == hard_state_.term && role_ == Role::kLeader) return false;
+  const bool quiet = role_ == Role::kFollower || role_ == Role::kLearner;
+  if (term > hard_state_.term || !quiet) BecomeFollower(term, from, now);
+  leader_ = from;
+  silence_since_ = now;
+  ResetElectionDeadline(now);
+  return true;
+}
+
+bool RaftConsensus::Impl::EntriesAreWellFormed(const AppendRequest& request) const {
+  LogIndex expected = request.previous_index.Next();
+  Term term = request.previous_term;
+  for (const LogEntry& entry : request.entries) {
+    if (entry.index != expected || entry.term < term || entry.term > request.term) return false;
+    if (entry.kind == EntryKind::kMembership &&
+        ErrorOf(Attempt([&] { return DecodeMembership(entry.payload); }))) {
+      return false;
+    }
+    expected = expected.Next();
+    term = entry.term;
+  }
+  return true;
+}
+
+LogIndex RaftConsensus::Impl::ConflictHint(LogIndex previous_index) const {
+  if (previous_index > log_.last_index()) return log_.last_index().Next();
+  // Skip the whole run of the conflicting term in one step (Raft, 5.3).
+  return std::max(log_.FirstOfTermRun(previous_index), commit_index_.Next());
+}
+
+bool RaftConsensus::Impl::StoreEntries(const AppendRequest& request) {
+  bool stored = false;
+  for (const LogEntry& entry : request.entries) {
+    if (entry.index <= commit_index_) continue;
+    if (entry.index <= log_.last_index()) {
+      if (log_.TermAt(entry.index) == entry.term) continue;
+      TruncateLogFrom(entry.index);
+    }
+    AppendEntry(entry);
+    stored = true;
+  }
+  if (stored) SetRole(IsVoter(self_) ? Role::kFollower : Role::kLearner);
+  return stored;
+}
+
+void RaftConsensus::Impl::OnAppendRequest(const Member& from, const AppendRequest& request,
+                                          Instant now) {
+  AppendResponse response{hard_state_.term, false, {}, log_.last_index().Next(), request.round};
+  if (!EntriesAreWellFormed(request)) return;
+  if (!AcceptLeader(from, request.term, now)) {
+    Send(from, response);
+    return;
+  }
+  response.term = hard_state_.term;
+  // What is committed here equals the leader's log, whether or not it was compacted.
+  const bool matches = request.previous_index <= commit_index_ ||
+                       log_.TermAt(request.previous_index) == request.previous_term;
+  if (!matches) {
+    response.conflict_hint = ConflictHint(request.previous_index);
+    Send(from, response);
+    return;
+  }
+  const bool stored = StoreEntries(request);
+  const LogIndex match{request.previous_index.value + request.entries.size()};
+  AdvanceCommit(std::min(request.commit_index, match));
+  response.success = true;
+  if (stored) {
+    response.match_index = match;
+    PendingOfThisStep().acknowledgements.push_back({self_, from, response});
+  } else {
+    response.match_index = std::min(match, durable_index_);
+    Send(from, response);
+  }
+}
+
+}  // namespace graniteseam::consensus
--- /dev/null
+++ b/src/consensus/founding.cc
@@ -0,0 +1,94 @@
+/// @file
+/// Creation of a group, and announcements of processes that are in none.
+///
+/// A voter is (id, disk incarnation), so the first membership can only be written once every first
+/// voter's incarnation is known. The voter with the lowest id founds the group: when every other
+/// one has told it, and this incarnation of it, that it is new too, it writes the membership as the
+/// first entry of its log and stands for election. A first voter that lost its disk and is started
+/// for founding again finds others that are not new, and never founds a second group.
+#include <algorithm>
+
+#include "graniteseam/codec/codec.h"
+#include "src/consensus/raft_impl.h"
+
+namespace graniteseam::consensus {
+namespace {
+
+/// The founding entry's term differs between founders, so that the entries of a founder that lost
+/// its disk half-way are never taken for those of the next one.
+constexpr std::uint64_t kFoundingTerms = 1'000'000;
+
+}  // namespace
+
+void RaftConsensus::Impl::StartFounding(RecoveredState& recovered, Instant now) {
+  seeds_ = std::move(recovered.seeds);
+  next_announcement_ = now;
+  if (!InNoMembership() || !recovered.bootstrap || log_.last_index().value != 0) return;
+  bootstrap_ = std::move(recovered.bootstrap);
+  if (seeds_.empty()) seeds_ = bootstrap_->voters;
+  const auto& voters = bootstrap_->voters;
+  const bool all_known = std::all_of(voters.begin(), voters.end(),
+                                     [](const Member& voter) { return voter.disk.value != 0; });
+  if (all_known) {
+    WriteFoundingEntry(*bootstrap_, Term{1});
+  } else {
+    FoundWhenComplete(now);
+  }
+}
+
+void RaftConsensus::Impl::WriteFoundingEntry(const Membership& membership, Term term) {
+  if (term > hard_state_.term) {
+    hard_state_ = {term, std::nullopt};
+    SaveHardState();
+  }
+  AppendEntry({term, LogIndex{1}, EntryKind::kMembership, codec::Encode(membership)});
+  bootstrap_.reset();
+  SetRole(IsVoter(self_) ? Role::kFollower : Role::kLearner);
+}
+
+void RaftConsensus::Impl::Announce(Instant now) {
+  next_announcement_ = now + options_.election_timeout_minimum;
+  for (Member seed : seeds_) {
+    if (seed.id == self_.id) continue;
+    const auto known = announced_.find(seed.id);
+    if (known != announced_.end()) seed.disk = known->second.member.disk;
+    Send(seed, Announcement{bootstrap_.has_value()});
+  }
+}
+
+void RaftConsensus::Impl::OnAnnouncement(const PeerMessage& message, bool founding, Instant now) {
+  const bool to_this_disk = message.to.disk == self_.disk;
+  if (message.to.id != self_.id || (!to_this_disk && message.to.disk.value != 0)) return;
+  if (message.from.id == self_.id) return;
+  announced_[message.from.id] = {message.from, founding, to_this_disk, now};
+  FoundWhenComplete(now);
+}
+
+void RaftConsensus::Impl::FoundWhenComplete(Instant now) {
+  if (!InNoMembership() || !bootstrap_) return;
+  Membership membership;
+  for (const Member& voter : bootstrap_->voters) {
+    if (voter.id < self_.id) return;  // The lowest id founds.
+    if (voter.id == self_.id) {
+      membership.voters.push_back(self_);
+      continue;
+    }
+    const auto known = announced_.find(voter.id);
+    if (known == announced_.end()) return;
+    if (!known->second.founding || !known->second.knows_this_disk) return;
+    membership.voters.push_back(known->second.member);
+  }
+  WriteFoundingEntry(membership, Term{1 + self_.disk.value % kFoundingTerms});
+  ResetElectionDeadline(now);
+}
+
+std::vector<Member> RaftConsensus::Impl::Announced() const {
+  std::vector<Member> members;
+  for (const auto& [id, announced] : announced_) {
+    const bool lately = now_ - announced.at <= 3 * options_.election_timeout_maximum;
+    if (lately && !IsMember(announced.member)) members.push_back(announced.member);
+  }
+  return members;
+}
+
+}  // namespace graniteseam::consensus
--- /dev/null
+++ b/src/consensus/leader.cc
@@ -0,0 +1,199 @@
+/// @file
+/// The leader's side: heartbeat rounds, leader lease, check-quorum, replication and commit.
+#include <algorithm>
+#include <functional>
+
+#include "src/consensus/raft_impl.h"
+
+namespace graniteseam::consensus {
+namespace {
+
+/// The highest value that a quorum of voters has reached. @param values one a voter.
+template <class T>
+T ReachedByQuorum(std::vector<T> values, std::size_t quorum) {
+  std::sort(values.begin(), values.end(), std::greater<>());
+  return values.size() < quorum ? T{} : values[quorum - 1];
+}
+
+}  // namespace
+
+void RaftConsensus::Impl::BecomeLeader(Instant now) {
+  SetRole(Role::kLeader);
+  leader_ = self_;
+  leader_since_ = now;
+  established_at_.reset();
+  transfer_target_.reset();
+  progress_.clear();
+  round_sent_at_.clear();
+  SyncProgressWithMembership();
+  // Entries of older terms are committed only by an entry of this term above them (Raft, 5.4.2).
+  noop_index_ = log_.last_index().Next();
+  AppendEntry({hard_state_.term, noop_index_, EntryKind::kNoop, ""});
+  StartRound(now);
+  Heartbeat(now);
+}
+
+void RaftConsensus::Impl::LeaderTick(Instant now) {
+  if (transfer_target_ && now >= transfer_deadline_) transfer_target_.reset();
+  if (now >= QuorumRoundSentAt() + options_.election_timeout_maximum) {
+    // Check-quorum: a leader that is cut off stops claiming to lead.
+    BecomeFollower(hard_state_.term, std::nullopt, now);
+    return;
+  }
+  if (now < next_heartbeat_) return;
+  StartRound(now);
+  Heartbeat(now);
+}
+
+void RaftConsensus::Impl::StartRound(Instant now) {
+  ++round_;
+  round_sent_at_[round_] = now;
+  commit_at_round_start_ = commit_index_;
+  next_heartbeat_ = now + options_.heartbeat_interval;
+  const Instant oldest_useful = now - 2 * options_.election_timeout_maximum;
+  while (round_sent_at_.begin()->second < oldest_useful) {
+    round_sent_at_.erase(round_sent_at_.begin());
+  }
+}
+
+std::int64_t RaftConsensus::Impl::QuorumRound() const {
+  std::vector<std::int64_t> rounds;
+  for (const Member& voter : log_.membership().voters) {
+    const bool own = voter.SameVoteAs(self_);
+    rounds.push_back(own ? round_ : progress_.at(VoteKey(voter)).acknowledged_round);
+  }
+  return ReachedByQuorum(std::move(rounds), QuorumSize());
+}
+
+Instant RaftConsensus::Impl::QuorumRoundSentAt() const {
+  const auto sent = round_sent_at_.find(QuorumRound());
+  return sent == round_sent_at_.end() ? leader_since_ : sent->second;
+}
+
+Instant RaftConsensus::Impl::lease_end() const {
+  if (role_ != Role::kLeader) return Instant{};
+  const auto sent = round_sent_at_.find(QuorumRound());
+  // Dated from the send: whoever answered promised its silence later than that.
+  return sent == round_sent_at_.end() ? Instant{} : sent->second + options_.leader_lease;
+}
+
+void RaftConsensus::Impl::Heartbeat(Instant now) {
+  for (const Member& peer : OtherMembers()) {
+    PeerProgress& progress = progress_.at(VoteKey(peer));
+    const std::size_t sent_before = effects_.messages.size();
+    SendNext(peer, progress, now);
+    if (effects_.messages.size() == sent_before) SendEmptyAppend(peer, progress);
+  }
+}
+
+void RaftConsensus::Impl::Broadcast(Instant now) {
+  for (const Member& peer : OtherMembers()) SendNext(peer, progress_.at(VoteKey(peer)), now);
+}
+
+void RaftConsensus::Impl::SendNext(const Member& peer, PeerProgress& progress, Instant now) {
+  if (progress.transfer || progress.next < log_.first_index()) {
+    SendSnapshotChunk(peer, progress, now);
+    return;
+  }
+  const bool waiting =
+      progress.in_flight_end.value != 0 && now < progress.in_flight_since + RetransmitAfter();
+  // One append in flight: what is proposed meanwhile goes into the next one as a batch.
+  if (!waiting && progress.next <= log_.last_index()) SendEntries(peer, progress, now);
+}
+
+void RaftConsensus::Impl::SendEntries(const Member& peer, PeerProgress& progress, Instant now) {
+  const LogIndex previous{progress.next.value - 1};
+  AppendRequest request{
+      hard_state_.term,       previous,
+      *log_.TermAt(previous), log_.From(progress.next, options_.append_bytes_maximum),
+      commit_index_,          round_};
+  progress.in_flight_end = request.entries.back().index;
+  progress.in_flight_since = now;
+  Send(peer, std::move(request));
+}
+
+void RaftConsensus::Impl::SendEmptyAppend(const Member& peer, const PeerProgress& progress) {
+  // Index 0 matches everywhere, so that a heartbeat never fails for what was compacted here.
+  const auto term = log_.TermAt(progress.match);
+  const LogIndex previous = term ? progress.match : LogIndex{};
+  Send(peer,
+       AppendRequest{hard_state_.term, previous, term.value_or(Term{}), {}, commit_index_, round_});
+}
+
+void RaftConsensus::Impl::OnAppendResponse(const Member& from, const AppendResponse& response,
+                                           Instant now) {
+  if (response.term > hard_state_.term) {
+    BecomeFollower(response.term, std::nullopt, now);
+    return;
+  }
+  if (role_ != Role::kLeader || response.term < hard_state_.term) return;
+  PeerProgress& progress = progress_.at(VoteKey(from));
+  NoteAnswer(progress, response.round, now);
+  if (response.success) {
+    progress.match = std::max(progress.match, std::min(response.match_index, log_.last_index()));
+    progress.next = std::max(progress.next, progress.match.Next());
+    if (progress.match >= progress.in_flight_end) progress.in_flight_end = {};
+    UpdateLeaderCommit(now);
+    if (role_ != Role::kLeader) return;
+  } else {
+    progress.in_flight_end = {};
+    progress.next =
+        std::max(progress.match.Next(), std::min(response.conflict_hint, progress.next));
+  }
+  SendNext(from, progress, now);
+}
+
+void RaftConsensus::Impl::NoteAnswer(PeerProgress& progress, std::int64_t round, Instant now) {
+  progress.acknowledged_round = std::max(progress.acknowledged_round, std::min(round, round_));
+  progress.heard_at = now;
+}
+
+void RaftConsensus::Impl::UpdateLeaderCommit(Instant now) {
+  std::vector<LogIndex> durable;
+  for (const Member& voter : log_.membership().voters) {
+    const bool own = voter.SameVoteAs(self_);
+    durable.push_back(own ? durable_index_ : progress_.at(VoteKey(voter)).match);
+  }
+  const LogIndex reached = ReachedByQuorum(std::move(durable), QuorumSize());
+  if (reached > commit_index_ && log_.TermAt(reached) == hard_state_.term) AdvanceCommit(reached);
+  if (!established_at_ && commit_index_ >= noop_index_) {
+    established_at_ = now;
+    effects_.role_changed = true;
+  }
+  if (!IsVoter(self_) && log_.membership_index() <= commit_index_) {
+    // It led until its own removal was committed (dissertation, 4.2.2).
+    BecomeFollower(hard_state_.term, std::nullopt, now);
+    return;
+  }
+  CompleteTransferWhenReady(now);
+}
+
+Result<void> RaftConsensus::Impl::CheckLeading(Instant now) const {
+  if (role_ != Role::kLeader || now >= lease_end()) {
+    const bool known = role_ != Role::kLeader && leader_;
+    return Fail(ErrorKind::kNotLeader,
+                known ? "Control process " + std::to_string(leader_->id.value) + " at " +
+                            leader_->address + " leads."
+                      : "No leader with a valid lease is known here.",
+                known ? "Send the request to it." : "Try again in a second.");
+  }
+  if (TransferPending(now)) {
+    return Fail(ErrorKind::kUnavailable, "Leadership is being handed over.",
+                "Try again in a second.");
+  }
+  return {};
+}
+
+Result<LogIndex> RaftConsensus::Impl::Propose(std::vector<std::string> commands, Instant now) {
+  now_ = std::max(now_, now);
+  BOOST_LEAF_CHECK(CheckLeading(now_));
+  const LogIndex first = log_.last_index().Next();
+  for (auto& command : commands) {
+    AppendEntry(
+        {hard_state_.term, log_.last_index().Next(), EntryKind::kCommand, std::move(command)});
+  }
+  Broadcast(now_);
+  return first;
+}
+
+}  // namespace graniteseam::consensus
--- /dev/null
+++ b/src/consensus/leadership_transfer.cc
@@ -0,0 +1,45 @@
+/// @file
+/// Leadership transfer for a planned stop (dissertation, 3.10), made safe for leader leases: the
+/// leader steps down as it asks the next one to stand, and never leads again in that term.
+#include "src/consensus/raft_impl.h"
+
+namespace graniteseam::consensus {
+
+void RaftConsensus::Impl::TransferLeadership(Instant now) {
+  now_ = std::max(now_, now);
+  if (role_ != Role::kLeader || TransferPending(now_)) return;
+  std::optional<Member> best;
+  LogIndex best_match;
+  for (const Member& voter : OtherVoters()) {
+    const LogIndex match = progress_.at(VoteKey(voter)).match;
+    if (!HeardLately(voter, now_) || (best && match <= best_match)) continue;
+    best = voter;
+    best_match = match;
+  }
+  if (!best) return;
+  transfer_target_ = best;
+  transfer_deadline_ = now_ + options_.election_timeout_minimum;
+  CompleteTransferWhenReady(now_);
+}
+
+bool RaftConsensus::Impl::TransferPending(Instant now) const {
+  return transfer_target_ && now < transfer_deadline_;
+}
+
+void RaftConsensus::Impl::CompleteTransferWhenReady(Instant now) {
+  if (!TransferPending(now)) return;
+  const auto progress = progress_.find(VoteKey(*transfer_target_));
+  if (progress == progress_.end() || progress->second.match < log_.last_index()) return;
+  const Member target = *transfer_target_;
+  Send(target, TimeoutNowRequest{hard_state_.term});
+  // From here on this member has no lease: the request may arrive at any later moment.
+  BecomeFollower(hard_state_.term, std::nullopt, now);
+}
+
+void RaftConsensus::Impl::OnTimeoutNow(const TimeoutNowRequest& request, Instant now) {
+  const bool follows = role_ == Role::kFollower || role_ == Role::kPreCandidate;
+  if (request.term != hard_state_.term || !follows || !IsVoter(self_)) return;
+  BecomeCandidate(true, now);
+}
+
+}  // namespace graniteseam::consensus
--- /dev/null
+++ b/src/consensus/raft_impl.h
@@ -0,0 +1,185 @@
+/// @file
+/// The state of one Raft member. Its steps are implemented by concern: election.cc, leader.cc
+/// (replication, lease, commit), follower.cc, membership_change.cc, snapshot_transfer.cc,
+/// leadership_transfer.cc and founding.cc.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <vector>
+
+#include "graniteseam/consensus/raft_consensus.h"
+#include "src/consensus/peer_progress.h"
+#include "src/consensus/raft_log.h"
+
+namespace graniteseam::consensus {
+
+class RaftConsensus::Impl {
+ public:
+  Impl(ConsensusOptions options, RecoveredState recovered, std::uint64_t seed, Instant now);
+
+  void Tick(Instant now);
+  Instant NextTick() const;
+  void Step(const PeerMessage& message, Instant now);
+  void PersistDone(std::uint64_t sequence, Instant now);
+  Result<LogIndex> Propose(std::vector<std::string> commands, Instant now);
+  Result<LogIndex> ProposeMembership(const Membership& next, Instant now);
+  void TransferLeadership(Instant now);
+  void Compact(LogIndex index, std::string data, Instant now);
+  std::vector<Member> Announced() const;
+
+  /// Hands out the effects gathered since the last call and numbers what must be persisted.
+  Effects TakeEffects();
+
+  Role role() const { return role_; }
+  Term term() const { return hard_state_.term; }
+  const std::optional<Member>& leader() const { return leader_; }
+  Instant lease_end() const;
+  const std::optional<Instant>& established_at() const { return established_at_; }
+  LogIndex commit_index() const { return commit_index_; }
+  const RaftLog& log() const { return log_; }
+  const Member& self() const { return self_; }
+
+ private:
+  /// Something that becomes true once a PersistRequest is durable.
+  struct PendingPersist {
+    std::uint64_t sequence = 0;
+    Term term;  ///< The term in which it was asked; acknowledgements of older terms are dropped.
+    LogIndex durable_index;  ///< The log is durable up to here.
+    bool own_vote = false;   ///< This member's vote for itself.
+    std::vector<PeerMessage> acknowledgements;
+  };
+  struct AnnouncedMember {
+    Member member;
+    bool founding = false;
+    bool knows_this_disk = false;  ///< It addressed the announcement to our present incarnation.
+    Instant at;
+  };
+
+  // --- raft_consensus.cc: common steps ---
+  void Send(const Member& to, PeerPayload payload);
+  void SetRole(Role role);
+  void BecomeFollower(Term term, std::optional<Member> leader, Instant now);
+  void SaveHardState();
+  void AppendEntry(LogEntry entry);
+  void TruncateLogFrom(LogIndex index);
+  PendingPersist& PendingOfThisStep();
+  void AdvanceCommit(LogIndex index);
+  bool IsVoter(const Member& member) const;
+  bool IsMember(const Member& member) const;
+  std::vector<Member> OtherMembers() const;
+  std::vector<Member> OtherVoters() const;
+  std::size_t QuorumSize() const { return log_.membership().voters.size() / 2 + 1; }
+
+  // --- election.cc ---
+  void ResetElectionDeadline(Instant now);
+  bool HeardOfLeader(Instant now) const;
+  void BecomePreCandidate(Instant now);
+  void BecomeCandidate(bool leadership_transfer, Instant now);
+  void AskForVotes(bool pre_vote, bool leadership_transfer, Term term);
+  void CountVote(const Member& voter, Instant now);
+  bool LogIsUpToDate(const VoteRequest& request) const;
+  void OnVoteRequest(const Member& from, const VoteRequest& request, Instant now);
+  void OnPreVoteRequest(const Member& from, const VoteRequest& request, Instant now);
+  void OnVoteResponse(const Member& from, const VoteResponse& response, Instant now);
+
+  // --- leader.cc ---
+  void BecomeLeader(Instant now);
+  void LeaderTick(Instant now);
+  void StartRound(Instant now);
+  void Broadcast(Instant now);
+  void Heartbeat(Instant now);
+  void SendNext(const Member& peer, PeerProgress& progress, Instant now);
+  void SendEntries(const Member& peer, PeerProgress& progress, Instant now);
+  void SendEmptyAppend(const Member& peer, const PeerProgress& progress);
+  void OnAppendResponse(const Member& from, const AppendResponse& response, Instant now);
+  void NoteAnswer(PeerProgress& progress, std::int64_t round, Instant now);
+  std::int64_t QuorumRound() const;
+  Instant QuorumRoundSentAt() const;
+  void UpdateLeaderCommit(Instant now);
+  Duration RetransmitAfter() const { return 2 * options_.heartbeat_interval; }
+
+  // --- follower.cc ---
+  bool AcceptLeader(const Member& from, Term term, Instant now);
+  void OnAppendRequest(const Member& from, const AppendRequest& request, Instant now);
+  bool EntriesAreWellFormed(const AppendRequest& request) const;
+  LogIndex ConflictHint(LogIndex previous_index) const;
+  bool StoreEntries(const AppendRequest& request);
+
+  // --- snapshot_transfer.cc ---
+  void SendSnapshotChunk(const Member& peer, PeerProgress& progress, Instant now);
+  void OnInstallSnapshotRequest(const Member& from, const InstallSnapshotRequest& request,
+                                Instant now);
+  void OnInstallSnapshotResponse(const Member& from, const InstallSnapshotResponse& response,
+                                 Instant now);
+  void InstallReceivedSnapshot(const Member& from, const InstallSnapshotRequest& request);
+
+  // --- membership_change.cc ---
+  Result<void> CheckMembershipChange(const Membership& next, Instant now) const;
+  Result<void> CheckPromotion(const Member& learner, Instant now) const;
+  Result<void> CheckRemainingQuorum(const Membership& next, Instant now) const;
+  bool HeardLately(const Member& member, Instant now) const;
+  void SyncProgressWithMembership();
+
+  // --- leadership_transfer.cc ---
+  bool TransferPending(Instant now) const;
+  void CompleteTransferWhenReady(Instant now);
+  void OnTimeoutNow(const TimeoutNowRequest& request, Instant now);
+
+  // --- founding.cc ---
+  void StartFounding(RecoveredState& recovered, Instant now);
+  bool InNoMembership() const { return log_.membership().voters.empty(); }
+  void Announce(Instant now);
+  void OnAnnouncement(const PeerMessage& message, bool founding, Instant now);
+  void FoundWhenComplete(Instant now);
+  void WriteFoundingEntry(const Membership& membership, Term term);
+
+  Result<void> CheckLeading(Instant now) const;
+
+  const ConsensusOptions options_;
+  const Member self_;
+  std::mt19937_64 random_;  ///< Seeded; only for election jitter.
+
+  HardState hard_state_;
+  RaftLog log_;
+  LogIndex commit_index_;
+  LogIndex durable_index_;  ///< Own entries up to here are on disk.
+
+  Role role_ = Role::kFollower;
+  std::optional<Member> leader_;
+  Instant now_;  ///< The newest instant seen.
+  /// Votes are refused for election_timeout_minimum from here on: a leader may count on it.
+  Instant silence_since_;
+  Instant election_deadline_;
+  std::set<VoteKey> votes_;
+
+  // Leader only.
+  PeerProgressMap progress_;
+  std::int64_t round_ = 0;
+  std::map<std::int64_t, Instant> round_sent_at_;  ///< From the newest answered round on.
+  Instant next_heartbeat_;
+  Instant leader_since_;
+  LogIndex noop_index_;
+  LogIndex commit_at_round_start_;
+  std::optional<Instant> established_at_;
+  std::optional<Member> transfer_target_;
+  Instant transfer_deadline_;
+
+  // Follower only: the snapshot being received.
+  std::optional<Snapshot> incoming_snapshot_;
+
+  // While in no membership.
+  std::optional<Membership> bootstrap_;
+  std::vector<Member> seeds_;
+  std::map<ControlId, AnnouncedMember> announced_;
+  Instant next_announcement_;
+
+  Effects effects_;
+  std::deque<PendingPersist> pending_;
+  std::uint64_t sequence_ = 0;
+};
+
+}  // namespace graniteseam::consensus
--- /dev/null
+++ b/src/consensus/raft_log.cc
@@ -0,0 +1,115 @@
+#include "src/consensus/raft_log.h"
+
+#include <algorithm>
+
+#include "graniteseam/codec/codec.h"
+
+namespace graniteseam::consensus {
+
+Result<Membership> DecodeMembership(std::string_view payload) {
+  return codec::Decode<Membership>(payload);
+}
+
+RaftLog::RaftLog(std::optional<Snapshot> snapshot, std::vector<LogEntry> entries) {
+  if (snapshot) Install(std::move(*snapshot));
+  for (auto& entry : entries) Append(std::move(entry));
+}
+
+std::optional<Term> RaftLog::TermAt(LogIndex index) const {
+  if (index == base_index_) return base_term_;
+  if (index < base_index_ || index > last_index()) return std::nullopt;
+  return At(index).term;
+}
+
+const LogEntry& RaftLog::At(LogIndex index) const { return entries_[OffsetOf(index)]; }
+
+LogIndex RaftLog::FirstOfTermRun(LogIndex index) const {
+  const Term term = At(index).term;
+  while (index > first_index() && At(LogIndex{index.value - 1}).term == term) --index.value;
+  return index;
+}
+
+std::vector<LogEntry> RaftLog::From(LogIndex from, std::size_t bytes_maximum) const {
+  std::vector<LogEntry> copied;
+  std::size_t bytes = 0;
+  for (LogIndex index = from; index <= last_index(); index = index.Next()) {
+    const LogEntry& entry = At(index);
+    bytes += entry.payload.size() + sizeof(LogEntry);
+    if (!copied.empty() && bytes > bytes_maximum) break;
+    copied.push_back(entry);
+  }
+  return copied;
+}
+
+std::vector<LogEntry> RaftLog::Range(LogIndex first, LogIndex last) const {
+  const auto begin = entries_.begin() + static_cast<std::ptrdiff_t>(OffsetOf(first));
+  return {begin, begin + static_cast<std::ptrdiff_t>(last.value - first.value + 1)};
+}
+
+void RaftLog::Append(LogEntry entry) {
+  if (entry.kind == EntryKind::kMembership) {
+    // Payloads are checked where they enter: when they are proposed, received or recovered.
+    const auto outcome = Attempt([&] { return DecodeMembership(entry.payload); });
+    if (const auto* membership = std::get_if<Membership>(&outcome)) {
+      memberships_.push_back({entry.index, *membership});
+    }
+  }
+  entries_.push_back(std::move(entry));
+}
+
+void RaftLog::TruncateFrom(LogIndex index) {
+  entries_.resize(OffsetOf(index));
+  while (!memberships_.empty() && memberships_.back().index >= index) memberships_.pop_back();
+}
+
+void RaftLog::Compact(Snapshot snapshot, std::size_t kept) {
+  ForgetMembershipsBefore(snapshot.last_index);
+  const std::uint64_t last_dropped =
+      snapshot.last_index.value > kept ? snapshot.last_index.value - kept : 0;
+  snapshot_ = std::make_shared<const Snapshot>(std::move(snapshot));
+  if (last_dropped <= base_index_.value) return;
+  const LogIndex new_base{last_dropped};
+  const Term new_base_term = *TermAt(new_base);
+  entries_.erase(entries_.begin(),
+                 entries_.begin() + static_cast<std::ptrdiff_t>(OffsetOf(new_base) + 1));
+  base_index_ = new_base;
+  base_term_ = new_base_term;
+}
+
+bool RaftLog::Install(Snapshot snapshot) {
+  const LogIndex index = snapshot.last_index;
+  const bool keep_suffix = TermAt(index) == snapshot.last_term && index > base_index_;
+  if (keep_suffix) {
+    entries_.erase(entries_.begin(),
+                   entries_.begin() + static_cast<std::ptrdiff_t>(OffsetOf(index) + 1));
+    ForgetMembershipsBefore(index);
+  } else {
+    entries_.clear();
+    memberships_.assign(1, {index, snapshot.membership});
+  }
+  base_index_ = index;
+  base_term_ = snapshot.last_term;
+  snapshot_ = std::make_shared<const Snapshot>(std::move(snapshot));
+  return keep_suffix;
+}
+
+void RaftLog::ForgetMembershipsBefore(LogIndex index) {
+  while (memberships_.size() > 1 && memberships_[1].index <= index) {
+    memberships_.erase(memberships_.begin());
+  }
+}
+
+const Membership& RaftLog::membership() const { return MembershipAt(last_index()); }
+
+LogIndex RaftLog::membership_index() const {
+  return memberships_.empty() ? LogIndex{} : memberships_.back().index;
+}
+
+const Membership& RaftLog::MembershipAt(LogIndex index) const {
+  static const Membership none;
+  const auto after = std::find_if(memberships_.begin(), memberships_.end(),
+                                  [&](const auto& change) { return change.index > index; });
+  return after == memberships_.begin() ? none : std::prev(after)->membership;
+}
+
+}  // namespace graniteseam::consensus
--- /dev/null
+++ b/src/consensus/snapshot_transfer.cc
@@ -0,0 +1,116 @@
+/// @file
+/// Compaction, and snapshots sent in chunks to members that are further behind than the log.
+#include <algorithm>
+
+#include "src/consensus/raft_impl.h"
+
+namespace graniteseam::consensus {
+
+void RaftConsensus::Impl::Compact(LogIndex index, std::string data, Instant now) {
+  now_ = std::max(now_, now);
+  if (index > commit_index_ || index <= log_.snapshot_index()) return;
+  Snapshot snapshot{index, *log_.TermAt(index), log_.MembershipAt(index), std::move(data)};
+  effects_.persist.snapshot = snapshot;
+  log_.Compact(std::move(snapshot), options_.entries_kept_after_snapshot);
+}
+
+void RaftConsensus::Impl::SendSnapshotChunk(const Member& peer, PeerProgress& progress,
+                                            Instant now) {
+  if (!progress.transfer) {
+    progress.transfer = std::make_unique<SnapshotTransfer>();
+    progress.transfer->snapshot = log_.snapshot();
+    progress.in_flight_end = {};
+  }
+  SnapshotTransfer& transfer = *progress.transfer;
+  if (transfer.waiting && now < transfer.sent_at + RetransmitAfter()) return;
+  transfer.waiting = true;
+  transfer.sent_at = now;
+  const Snapshot& snapshot = *transfer.snapshot;
+  std::string chunk = snapshot.data.substr(transfer.offset, options_.snapshot_chunk_bytes);
+  const bool done = transfer.offset + chunk.size() == snapshot.data.size();
+  Send(peer, InstallSnapshotRequest{hard_state_.term, snapshot.last_index, snapshot.last_term,
+                                    snapshot.membership, static_cast<std::int64_t>(transfer.offset),
+                                    done, std::move(chunk), round_});
+}
+
+void RaftConsensus::Impl::OnInstallSnapshotResponse(const Member& from,
+                                                    const InstallSnapshotResponse& response,
+                                                    Instant now) {
+  if (response.term > hard_state_.term) {
+    BecomeFollower(response.term, std::nullopt, now);
+    return;
+  }
+  if (role_ != Role::kLeader || response.term < hard_state_.term) return;
+  PeerProgress& progress = progress_.at(VoteKey(from));
+  NoteAnswer(progress, response.round, now);
+  if (!progress.transfer) return;
+  SnapshotTransfer& transfer = *progress.transfer;
+  if (response.installed) {
+    progress.match = std::max(progress.match, transfer.snapshot->last_index);
+    progress.next = std::max(progress.next, progress.match.Next());
+    progress.transfer.reset();
+    UpdateLeaderCommit(now);
+    if (role_ == Role::kLeader) SendNext(from, progress, now);
+    return;
+  }
+  const auto wanted = static_cast<std::size_t>(std::max<std::int64_t>(response.next_offset, 0));
+  // The answer to a repeated chunk: the next one is on its way already.
+  if (wanted == transfer.offset || wanted > transfer.snapshot->data.size()) return;
+  transfer.offset = wanted;
+  transfer.waiting = false;
+  SendSnapshotChunk(from, progress, now);
+}
+
+void RaftConsensus::Impl::OnInstallSnapshotRequest(const Member& from,
+                                                   const InstallSnapshotRequest& request,
+                                                   Instant now) {
+  InstallSnapshotResponse response{hard_state_.term, 0, false, request.round};
+  if (!AcceptLeader(from, request.term, now)) {
+    Send(from, response);
+    return;
+  }
+  response.term = hard_state_.term;
+  if (request.last_index <= commit_index_) {
+    // Held already; told only once it is on disk, since the leader counts on it.
+    response.installed = request.last_index <= durable_index_;
+    if (response.installed) Send(from, response);
+    return;
+  }
+  const bool same = incoming_snapshot_ && incoming_snapshot_->last_index == request.last_index &&
+                    incoming_snapshot_->last_term == request.last_term;
+  if (!same || request.offset == 0) {
+    incoming_snapshot_ = Snapshot{request.last_index, request.last_term, request.membership, ""};
+  }
+  std::string& data = incoming_snapshot_->data;
+  const bool expected = request.offset == static_cast<std::int64_t>(data.size());
+  if (expected) data += request.chunk;
+  if (expected && request.done) {
+    InstallReceivedSnapshot(from, request);
+    return;
+  }
+  response.next_offset = static_cast<std::int64_t>(data.size());
+  Send(from, response);
+}
+
+void RaftConsensus::Impl::InstallReceivedSnapshot(const Member& from,
+                                                  const InstallSnapshotRequest& request) {
+  Snapshot snapshot = std::move(*incoming_snapshot_);
+  incoming_snapshot_.reset();
+  const LogIndex last = snapshot.last_index;
+  effects_.persist.snapshot = snapshot;
+  effects_.restored = snapshot;
+  if (!log_.Install(std::move(snapshot))) {
+    // The whole old log goes, on disk too; nothing counts as durable until that is done.
+    effects_.persist.truncate_from = last.Next();
+    durable_index_ = {};
+    for (auto& pending : pending_) pending.durable_index = {};
+  }
+  commit_index_ = last;
+  auto& pending = PendingOfThisStep();
+  pending.durable_index = last;
+  const InstallSnapshotResponse response{hard_state_.term, 0, true, request.round};
+  pending.acknowledgements.push_back({self_, from, response});
+  SetRole(IsVoter(self_) ? Role::kFollower : Role::kLearner);
+}
+
+}  // namespace graniteseam::consensus
