Add the router's decision makers

Cause: a router needs to know where each request goes, whether it may go there now, and what its caller is truly told.

Change: RoutingTable, RouterLease, ServerSelector with OutlierDetector, SlowStart and ConcurrencyWindow, RetryBudget, RequestState (the one place that decides between sending, waiting and the answers), JournalBatcher, and RouterNode, which joins them behind typed events and effects.

--- /dev/null
+++ b/include/graniteseam/routing/concurrency_window.h
@@ -0,0 +1,45 @@
+/// @file
+/// How many requests a router keeps in flight at one server.
+#pragma once
+
+#include <cstdint>
+
+#include "graniteseam/common/time.h"
+
+namespace graniteseam::routing {
+
+/// Finds a server's capacity by additive increase and multiplicative decrease (Chiu and Jain 1989):
+/// grows while full and answered, shrinks when the server sheds. It shrinks once per answer time,
+/// since the sheds of one moment tell the same thing.
+/// Invariant: 1 <= size <= maximum. Not thread safe.
+class ConcurrencyWindow {
+ public:
+  /// @param maximum at least 1; Service::concurrency_per_server.
+  explicit ConcurrencyWindow(std::uint32_t maximum);
+
+  void SetMaximum(std::uint32_t maximum);
+  /// Free places.
+  std::uint32_t Room() const;
+  void OnSent() { ++in_flight_; }
+  /// An answer came; the window grows when it was in use.
+  void OnAnswered(Duration latency);
+  /// The server refused to protect itself.
+  void OnShed(Instant now);
+  /// Ended in any other way.
+  void OnEnded();
+
+  std::uint32_t in_flight() const { return in_flight_; }
+  double size() const { return size_; }
+
+ private:
+  void Leave();
+
+  double maximum_;
+  double size_;
+  bool has_shed_ = false;  ///< Before the first shed the window doubles each answer time.
+  std::uint32_t in_flight_ = 0;
+  Instant shrunk_at_{};
+  Duration latency_{1'000};
+};
+
+}  // namespace graniteseam::routing
--- /dev/null
+++ b/src/routing/request_ending.cc
@@ -0,0 +1,118 @@
+// The part of RequestFlow that ends requests and hands on the places they held.
+#include <algorithm>
+#include <utility>
+
+#include "src/routing/live_request.h"
+#include "src/routing/problem.h"
+#include "src/routing/request_flow.h"
+
+namespace graniteseam::routing {
+
+void RequestFlow::GiveUp(Live& live, ErrorKind reason, std::optional<Duration> retry_after,
+                         Instant now, RouterEffects& effects) {
+  GiveUp(live, Error{reason, {}, {}}, retry_after, now, effects);
+}
+
+void RequestFlow::GiveUp(Live& live, Error error, std::optional<Duration> retry_after, Instant now,
+                         RouterEffects& effects) {
+  RequestAnswer answer;
+  answer.outcome = live.state.GiveUp();
+  const bool unknown = answer.outcome == RequestOutcome::kOutcomeUnknown;
+  answer.error =
+      unknown || error.message.empty() ? GivenUp(error.kind, answer.outcome) : std::move(error);
+  answer.status = StatusOf(answer.error.kind, answer.outcome);
+  answer.retry_after = retry_after.value_or(options_.retry_after);
+  Finish(live, std::move(answer), now, effects);
+}
+
+void RequestFlow::Finish(Live& live, RequestAnswer answer, Instant now, RouterEffects& effects) {
+  answer.request = live.caller.number;
+  Complete(live, answer);
+  effects.answers.push_back(std::move(answer));
+  End(live, now, effects);
+}
+
+void RequestFlow::Complete(const Live& live, const RequestAnswer& answer) {
+  if (!live.claim) return;
+  if (!live.claimed) {
+    // Nothing was sent under the claim, and nothing will be.
+    journal_.AbandonClaim(*live.claim);
+    claims_.erase(*live.claim);
+    return;
+  }
+  control::Completion completion;
+  completion.operation = *live.caller.operation;
+  completion.service = live.caller.service;
+  completion.claim = *live.claim;
+  switch (answer.outcome) {
+    case RequestOutcome::kAnswered:
+      completion.kind = control::CompletionKind::kAnswered;
+      completion.answer = answer.kept;
+      break;
+    case RequestOutcome::kNotRun:
+      completion.kind = control::CompletionKind::kNotRun;
+      break;
+    case RequestOutcome::kKept:
+    case RequestOutcome::kOutcomeUnknown:
+      completion.kind = control::CompletionKind::kUnknownOutcome;
+      break;
+  }
+  journal_.AddCompletion(std::move(completion));
+}
+
+void RequestFlow::End(Live& live, Instant now, RouterEffects& effects) {
+  for (const Flight& flight : live.flights) {
+    effects.cancels.push_back(flight.number);
+    live.service->selector().Unreserve(flight.server);
+  }
+  live.flights.clear();
+  live.service->limiter().Withdraw(live.caller.number);
+  ReleaseReservation(live);
+  ReleasePlace(live, now);
+  SetHeld(live, false);
+  ClearTimer(live);
+  NoteUse(live, now);
+  to_dispatch_.insert(live.service);
+  live_.erase(live.caller.number);
+}
+
+void RequestFlow::ReleasePlace(Live& live, Instant now) {
+  if (!live.has_place) return;
+  live.has_place = false;
+  live.service->limiter().Release(live.caller.group, now);
+  NoteUse(live, now);
+  to_dispatch_.insert(live.service);
+}
+
+void RequestFlow::ReleaseReservation(Live& live) {
+  if (!live.reserved) return;
+  live.service->selector().Unreserve(*live.reserved);
+  live.reserved.reset();
+}
+
+void RequestFlow::DispatchAll(Instant now, RouterEffects& effects) {
+  for (const auto& [number, live] : live_) {
+    if (live->phase == Live::Phase::kQueued) to_dispatch_.insert(live->service);
+  }
+  Dispatch(now, effects);
+}
+
+void RequestFlow::Dispatch(Instant now, RouterEffects& effects) {
+  if (dispatching_) return;
+  dispatching_ = true;
+  // A request that is admitted may end at once and free its place for the next one.
+  while (!to_dispatch_.empty()) {
+    const std::shared_ptr<ServiceRouter> service = *to_dispatch_.begin();
+    to_dispatch_.erase(to_dispatch_.begin());
+    if (service->limiter().QueuedTotal() == 0) continue;
+    for (const admission::Lane lane : service->limiter().WaitingLanes()) {
+      for (const RequestNumber number :
+           service->limiter().Dispatch(lane, service->RoomInLane(lane, now))) {
+        Admitted(*live_.at(number), now, effects);
+      }
+    }
+  }
+  dispatching_ = false;
+}
+
+}  // namespace graniteseam::routing
--- /dev/null
+++ b/src/routing/request_state.cc
@@ -0,0 +1,108 @@
+#include "graniteseam/routing/request_state.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace graniteseam::routing {
+
+RequestState::RequestState(RequestTraits traits, RetryOptions options, Instant start,
+                           Instant deadline)
+    : traits_(traits), options_(options), deadline_(std::max(start, deadline)) {}
+
+bool RequestState::MaySend(Instant now) const {
+  if (now + options_.time_left_minimum > deadline_) return false;
+  return traits_.repeatable || (!may_have_run_ && in_flight_ == 0);
+}
+
+void RequestState::OnSent() {
+  ++attempts_;
+  ++in_flight_;
+}
+
+Decision RequestState::OnAttemptEnd(const AttemptResult& result, RetryBudget& budget, double jitter,
+                                    Instant now) {
+  if (in_flight_ > 0) --in_flight_;
+  if (result.end == AttemptEnd::kAnswered) return {Step::kAnswer, {}, {}, {}};
+  if (!ProvenNotRun(result.end)) {
+    may_have_run_ = true;
+    if (!traits_.repeatable) return GivingUp(ErrorKind::kOutcomeUnknown);
+  }
+  if (in_flight_ > 0) return {Step::kWait, {}, {}, {}};
+  if (result.end == AttemptEnd::kDeadlinePassed || !MaySend(now)) {
+    return GivingUp(ErrorKind::kDeadlineExceeded);
+  }
+  if (attempts_ >= options_.attempts_maximum) {
+    return GivingUp(ErrorKind::kUnavailable, result.retry_after);
+  }
+  return Retry(result, budget, jitter, now);
+}
+
+Decision RequestState::Retry(const AttemptResult& result, RetryBudget& budget, double jitter,
+                             Instant now) {
+  // Only the owner can serve a key. Until the map or the owner changes its mind, trying is bounded
+  // by backing off, and the whole wait by the hold.
+  if (traits_.keyed &&
+      (result.end == AttemptEnd::kNotOwner || result.end == AttemptEnd::kNotReady ||
+       result.end == AttemptEnd::kNotSent)) {
+    return Hold(jitter, now);
+  }
+  const ErrorKind reason =
+      result.end == AttemptEnd::kShed ? ErrorKind::kOverloaded : ErrorKind::kUnavailable;
+  if (!budget.TryTake()) return GivingUp(reason, result.retry_after);
+  if (result.end == AttemptEnd::kNotSent || result.end == AttemptEnd::kNotReady) {
+    return {Step::kSendAgain, now, reason, result.retry_after};
+  }
+  const Instant at = now + BackOff(jitter);
+  if (at + options_.time_left_minimum > deadline_) return GivingUp(reason, result.retry_after);
+  return {Step::kBackOff, at, reason, result.retry_after};
+}
+
+bool RequestState::OnSuperseded(Instant now) {
+  if (in_flight_ > 0) --in_flight_;
+  may_have_run_ = true;
+  return MaySend(now) && attempts_ < options_.attempts_maximum;
+}
+
+bool RequestState::TryHedge(RetryBudget& budget, Instant now) const {
+  return traits_.hedging && traits_.repeatable && in_flight_ == 1 && MaySend(now) &&
+         attempts_ < options_.attempts_maximum && budget.TryTake();
+}
+
+Decision RequestState::Hold(double jitter, Instant now) {
+  const Instant until = HoldUntil(now);
+  if (now >= until) return GivingUp(ErrorKind::kUnavailable);
+  return {Step::kHold, std::min(until, now + BackOff(jitter)), ErrorKind::kUnavailable, {}};
+}
+
+RequestOutcome RequestState::GiveUp() {
+  if (in_flight_ > 0) may_have_run_ = true;
+  in_flight_ = 0;
+  return may_have_run_ ? RequestOutcome::kOutcomeUnknown : RequestOutcome::kNotRun;
+}
+
+Instant RequestState::PatienceEnd(Instant now) const {
+  const auto left = static_cast<double>((deadline_ - now).count());
+  return now + Duration(std::llround(std::max(0.0, left * options_.hold_fraction)));
+}
+
+Duration RequestState::BackOff(double jitter) {
+  constexpr std::uint32_t kDoublingsMaximum = 10;
+  const Duration longest =
+      std::min(options_.back_off_maximum,
+               options_.back_off_first * (1U << std::min(waits_++, kDoublingsMaximum)));
+  // Between half and the whole, so that requests which failed together do not come back together.
+  return longest / 2 + Duration(std::llround(jitter * static_cast<double>(longest.count()) / 2.0));
+}
+
+Instant RequestState::HoldUntil(Instant now) {
+  if (!hold_until_) {
+    hold_until_ = std::min(now + options_.hold_maximum, PatienceEnd(now));
+  }
+  return *hold_until_;
+}
+
+Decision RequestState::GivingUp(ErrorKind reason, std::optional<Duration> retry_after) {
+  return {Step::kGiveUp, {}, reason, retry_after};
+}
+
+}  // namespace graniteseam::routing
