Add the stand-ins for servers, callers and the platform list, and the history checker

Cause: nothing shows the whole path under load and faults, and a product that counts its own faults can hide them. Change: a server that takes leases through FencedOwner and writes down each lease and run, an open-loop caller that checks that each answer is its own and whole, a platform list that lags, and a checker that decides from their records alone whether owners, runs, answers and bundle versions were as they must be.

--- /dev/null
+++ b/testbed/caller/load.cc
@@ -0,0 +1,72 @@
+#include "testbed/caller/load.h"
+
+#include <thread>
+
+#include "src/platform/clock.h"
+
+namespace graniteseam::testbed {
+
+Load::Load(LoadOptions options, TrafficSource source, RecordFile& records)
+    : options_(std::move(options)),
+      records_(records),
+      end_(platform::BootTimeNow() + options_.duration),
+      source_(std::move(source)) {}
+
+void Load::Run(const std::function<bool()>& stop_asked) {
+  std::vector<std::thread> threads;
+  for (std::size_t number = 0; number < options_.senders; ++number) {
+    threads.emplace_back([this, number, &stop_asked] { RunSender(number, stop_asked); });
+  }
+  for (auto& thread : threads) thread.join();
+}
+
+std::optional<PlannedRequest> Load::TakeRequest() {
+  const std::lock_guard lock(source_mutex_);
+  auto request = source_.Next(platform::WallMillis());
+  if (request.due >= end_) return std::nullopt;
+  return request;
+}
+
+void Load::RunSender(std::size_t number, const std::function<bool()>& stop_asked) {
+  Sender sender(options_.routers, options_.resend, records_);
+  std::size_t router = number;
+  while (!stop_asked()) {
+    const auto request = TakeRequest();
+    if (!request) return;
+    std::this_thread::sleep_for(request->due - platform::BootTimeNow());
+    const auto& stream = source_.streams()[request->stream];
+    const auto result = sender.Send(*request, stream, router);
+    Count(result);
+    if (request->resend_when_answered && result.last.outcome == "answered") {
+      auto again = *request;
+      again.due = platform::BootTimeNow();
+      Count(sender.Send(again, stream, router + 1));
+    }
+    ++router;
+  }
+}
+
+void Load::Count(const RequestResult& result) {
+  const std::lock_guard lock(summary_mutex_);
+  summaries_[""].Add(result);
+  summaries_[result.last.service].Add(result);
+  if (!result.last.own) ++crossed_;
+  if (!result.last.whole) ++torn_;
+}
+
+std::map<std::string, TrafficSummary> Load::Summaries() const {
+  const std::lock_guard lock(summary_mutex_);
+  return summaries_;
+}
+
+std::uint64_t Load::crossed() const {
+  const std::lock_guard lock(summary_mutex_);
+  return crossed_;
+}
+
+std::uint64_t Load::torn() const {
+  const std::lock_guard lock(summary_mutex_);
+  return torn_;
+}
+
+}  // namespace graniteseam::testbed
