Add the durable state of a control process

Cause: a vote or acknowledgement counts only once it survives a crash.

Change: FileSystem (POSIX, and one in memory that loses unsynced bytes and injects faults), LogStore (one checksummed frame and one sync a batch, torn tail cut, damage elsewhere and missing segments stop with a typed error), SnapshotStore (write, sync, rename, sync), DataFolder (lock, format version, disk incarnation) and ConsensusStorage, which applies a PersistRequest in the order that the contract tells. A full disk refuses and takes the same request later; a failed sync stops the store for good.

--- /dev/null
+++ b/src/storage/snapshot_store.cc
@@ -0,0 +1,37 @@
+#include "src/storage/snapshot_store.h"
+
+#include "graniteseam/codec/codec.h"
+#include "src/storage/frame.h"
+
+namespace graniteseam::storage {
+namespace {
+
+constexpr const char* kSnapshotName = "snapshot";
+
+}  // namespace
+
+SnapshotStore::SnapshotStore(FileSystem& files, std::string folder)
+    : files_(files), folder_(std::move(folder)) {}
+
+Result<std::optional<StoredSnapshot>> SnapshotStore::Load() {
+  const std::string path = folder_ + "/" + kSnapshotName;
+  if (!files_.Exists(path)) return std::optional<StoredSnapshot>();
+  BOOST_LEAF_AUTO(content, files_.Read(path));
+  const Frame frame = ReadFrame(content);
+  // It was synced before it got its name: anything but a whole frame is damage, never a tear.
+  if (frame.state != FrameState::kWhole || frame.Bytes() != content.size()) {
+    return Fail(ErrorKind::kStorageCorrupt, path + " does not pass its checksum.",
+                "Do not repair the file. Replace this control process's disk as "
+                "docs/operations/replacing-a-control-disk.md tells; the other voters hold the "
+                "data.");
+  }
+  BOOST_LEAF_AUTO(stored, codec::Decode<StoredSnapshot>(frame.payload));
+  return std::optional<StoredSnapshot>(std::move(stored));
+}
+
+Result<void> SnapshotStore::Save(const StoredSnapshot& stored) {
+  const std::string frame = EncodeFrame(stored.snapshot.last_index.value, codec::Encode(stored));
+  return WriteFileAtomically(files_, folder_, kSnapshotName, frame);
+}
+
+}  // namespace graniteseam::storage
