--- /dev/null
+++ b/src/control/control_node_impl.cc
@@ -0,0 +1,424 @@
+#include "src/control/control_node_impl.h"
+
+#include <algorithm>
+#include <chrono>
+#include <cstdlib>
+#include <type_traits>
+#include <utility>
+
+#include "src/control/map_update.h"
+
+namespace graniteseam::control {
+
+namespace {
+
+/// How often old operations are forgotten.
+constexpr Duration kJournalExpiryInterval{10'000'000};
+
+OwnershipOptions OwnershipOptionsOf(const ControlOptions& options) {
+  OwnershipOptions ownership;
+  ownership.leases.clock_drift_bound = options.clock_drift_bound;
+  return ownership;
+}
+
+}  // namespace
+
+ControlNode::Impl::Leadership::Leadership(const ControlOptions& options,
+                                          const ReplicatedState& state, Term in_term,
+                                          std::uint64_t numbers_used, Instant now)
+    : term(in_term),
+      ownership(OwnershipOptionsOf(options), state, in_term, numbers_used, now),
+      routers(options.router_lease, state) {
+  routers.FollowState();
+}
+
+ControlNode::Impl::Impl(ControlOptions options, consensus::RecoveredState recovered,
+                        std::uint64_t seed, Instant now)
+    : options_(std::move(options)), consensus_(options_.consensus, recovered, seed, now) {
+  if (recovered.snapshot) RestoreState(*recovered.snapshot);
+}
+
+// --- Entry points ---
+
+ControlEffects ControlNode::Impl::Tick(Instant now, std::int64_t wall_ms) {
+  Absorb(consensus_.Tick(now), now);
+  if (Leading(now) && now >= journal_expiry_due_) {
+    journal_expiry_due_ = now + kJournalExpiryInterval;
+    if (state_.journal().entry_count() > 0) Propose({ExpireJournalCommand{wall_ms}}, now);
+  }
+  return Finish(now);
+}
+
+Instant ControlNode::Impl::NextTick() const {
+  Instant next = consensus_.NextTick();
+  if (leadership_) {
+    next = std::min({next, leadership_->ownership.NextDue(), journal_expiry_due_});
+  }
+  return next;
+}
+
+ControlEffects ControlNode::Impl::OnPeerMessage(const consensus::PeerMessage& message,
+                                                Instant now) {
+  Absorb(consensus_.Step(message, now), now);
+  return Finish(now);
+}
+
+ControlEffects ControlNode::Impl::OnPersistDone(std::uint64_t sequence, Instant now) {
+  Absorb(consensus_.PersistDone(sequence, now), now);
+  return Finish(now);
+}
+
+ControlEffects ControlNode::Impl::OnServerAnswer(const lease::LeaseAnswer& answer, Instant now) {
+  FollowRole(now);
+  // A reading that arrives after the leader lease ended may be younger than the next leader's
+  // election, so it must not be used.
+  if (Leading(now) && leadership_) leadership_->ownership.TakeAnswer(answer, now);
+  return Finish(now);
+}
+
+ControlEffects ControlNode::Impl::OnRouterMessage(ConnectionId connection,
+                                                  const RouterToControl& message, Instant now,
+                                                  std::int64_t wall_ms) {
+  FollowRole(now);
+  if (const auto* renewal = std::get_if<RouterRenewal>(&message)) {
+    OnRenewal(connection, *renewal, now);
+  } else {
+    OnJournal(connection, std::get<JournalRequest>(message), now, wall_ms);
+  }
+  return Finish(now);
+}
+
+ControlEffects ControlNode::Impl::OnRouterDisconnected(ConnectionId connection, Instant now) {
+  pending_.Drop(connection);
+  if (leadership_) leadership_->routers.Disconnect(connection);
+  return Finish(now);
+}
+
+ControlEffects ControlNode::Impl::OnOperatorRequest(RequestId request,
+                                                    const OperatorRequest& command, Instant now) {
+  FollowRole(now);
+  if (!Leading(now)) {
+    Reply(request, NotLeaderError());
+  } else {
+    RunStep(request, Plan(command, now), now);
+  }
+  return Finish(now);
+}
+
+ControlEffects ControlNode::Impl::OnPlatformList(const PlatformList& list, Instant now) {
+  platform_list_ = list;
+  FollowRole(now);
+  if (Leading(now) && leadership_) leadership_->ownership.TakePlatformList(list, now);
+  return Finish(now);
+}
+
+ControlEffects ControlNode::Impl::PrepareStop(Instant now) {
+  stopping_ = true;
+  Absorb(consensus_.TransferLeadership(now), now);
+  EndLeadership();
+  return Finish(now);
+}
+
+// --- Consensus ---
+
+void ControlNode::Impl::Absorb(consensus::Effects effects, Instant now) {
+  MergePersist(std::move(effects.persist));
+  std::move(effects.messages.begin(), effects.messages.end(),
+            std::back_inserter(effects_.peer_messages));
+  if (effects.restored) RestoreState(*effects.restored);
+  for (const auto& entry : effects.committed) ApplyEntry(entry, now);
+  FollowRole(now);
+}
+
+void ControlNode::Impl::MergePersist(consensus::PersistRequest persist) {
+  if (persist.Empty()) return;
+  auto& merged = effects_.persist;
+  if (persist.hard_state) merged.hard_state = std::move(persist.hard_state);
+  if (persist.snapshot) {
+    merged.snapshot = std::move(persist.snapshot);
+    std::erase_if(merged.entries, [&](const consensus::LogEntry& entry) {
+      return entry.index <= merged.snapshot->last_index;
+    });
+  }
+  if (persist.truncate_from) {
+    std::erase_if(merged.entries, [&](const consensus::LogEntry& entry) {
+      return entry.index >= *persist.truncate_from;
+    });
+    merged.truncate_from =
+        std::min(merged.truncate_from.value_or(*persist.truncate_from), *persist.truncate_from);
+  }
+  std::move(persist.entries.begin(), persist.entries.end(), std::back_inserter(merged.entries));
+  // Whoever confirms a sequence confirms all before it.
+  merged.sequence = persist.sequence;
+}
+
+void ControlNode::Impl::RestoreState(const consensus::Snapshot& snapshot) {
+  const auto restored = Attempt([&] { return state_.Restore(snapshot.data); });
+  // Storage has checked the snapshot's checksum, so a state that does not decode was written by
+  // another program version. Going on with a part of it would break what was accepted.
+  if (ErrorOf(restored) != nullptr) std::abort();
+  compacted_ = snapshot.last_index;
+}
+
+void ControlNode::Impl::ApplyEntry(const consensus::LogEntry& entry, Instant now) {
+  const ApplyOutcome outcome = state_.Apply(entry);
+  if (leadership_) {
+    leadership_->ownership.Follow(outcome, now);
+    if (outcome.bundle_rolled || !outcome.registered.empty() || !outcome.lost.empty()) {
+      leadership_->routers.FollowState();
+    }
+  }
+  AnswerWaiter(entry.index, outcome);
+}
+
+void ControlNode::Impl::AnswerWaiter(LogIndex index, const ApplyOutcome& outcome) {
+  const auto waiter = pending_.Take(index);
+  if (!waiter) return;
+  if (const auto* router = std::get_if<WaitingRouter>(&*waiter)) {
+    effects_.router_sends.push_back(
+        {router->connection, JournalAnswer{router->sequence, outcome.claims}});
+    return;
+  }
+  const RequestId request = std::get<WaitingOperator>(*waiter).request;
+  if (outcome.error) {
+    Reply(request, *outcome.error);
+  } else {
+    Reply(request, Accepted{index});
+  }
+}
+
+std::optional<LogIndex> ControlNode::Impl::Propose(const std::vector<CommandBody>& commands,
+                                                   Instant now) {
+  std::vector<std::string> payloads;
+  payloads.reserve(commands.size());
+  for (const auto& command : commands) payloads.push_back(EncodeCommand(command));
+  consensus::Effects effects;
+  const auto proposed =
+      Attempt([&] { return consensus_.Propose(std::move(payloads), now, effects); });
+  const auto* index = std::get_if<LogIndex>(&proposed);
+  Absorb(std::move(effects), now);
+  return index == nullptr ? std::nullopt : std::optional(*index);
+}
+
+void ControlNode::Impl::CompactIfDue(Instant now) {
+  if (state_.applied().value - compacted_.value < options_.compact_after_entries) return;
+  compacted_ = state_.applied();
+  Absorb(consensus_.Compact(compacted_, state_.Save(), now), now);
+}
+
+// --- Leadership ---
+
+bool ControlNode::Impl::Leading(Instant now) const {
+  return !stopping_ && consensus_.role() == consensus::Role::kLeader &&
+         consensus_.leadership_established().has_value() && now < consensus_.leader_lease_end();
+}
+
+void ControlNode::Impl::FollowRole(Instant now) {
+  const bool leads = consensus_.role() == consensus::Role::kLeader;
+  if (leadership_ && (!leads || consensus_.term() != leadership_->term)) EndLeadership();
+  if (!leads) {
+    EndLeadership();
+    return;
+  }
+  if (leadership_ || !Leading(now)) return;
+  if (numbers_term_ != consensus_.term()) {
+    numbers_term_ = consensus_.term();
+    numbers_used_ = 0;
+  }
+  leadership_.emplace(options_, state_, numbers_term_, numbers_used_, now);
+  leadership_->ownership.TakePlatformList(platform_list_, now);
+}
+
+void ControlNode::Impl::EndLeadership() {
+  if (leadership_) numbers_used_ = leadership_->ownership.leases().numbers_used();
+  leadership_.reset();
+  // Whether these entries will be committed is not known here. Each request may be resent, so its
+  // sender finds out by doing so.
+  for (const auto& waiter : pending_.TakeAll()) {
+    if (const auto* router = std::get_if<WaitingRouter>(&waiter)) {
+      SendNotLeader(router->connection, router->sequence);
+    } else {
+      Reply(std::get<WaitingOperator>(waiter).request,
+            Error{ErrorKind::kUnavailable,
+                  "The leader changed before the change was known to be accepted.",
+                  "Send the same request again; it is safe to resend."});
+    }
+  }
+}
+
+void ControlNode::Impl::Lead(Instant now) {
+  FollowRole(now);
+  if (!leadership_ || !Leading(now)) return;
+  RunDecisions(now);
+  if (!leadership_ || !Leading(now)) return;
+  for (auto& [address, request] : leadership_->ownership.Sends(now)) {
+    effects_.lease_sends.push_back({std::move(address), std::move(request)});
+  }
+  // What Sends() found to be over is decided at once.
+  RunDecisions(now);
+  if (!leadership_) return;
+  for (auto& [connection, answer] : leadership_->routers.Push(now)) {
+    effects_.router_sends.push_back({connection, std::move(answer)});
+  }
+}
+
+void ControlNode::Impl::RunDecisions(Instant now) {
+  const auto commands = leadership_->ownership.Decide(now);
+  if (commands.empty()) return;
+  const auto first = Propose(commands, now);
+  if (!leadership_) return;
+  if (!first) {
+    // The decisions are lost with the controller; a new one takes all sessions as renewed now.
+    EndLeadership();
+    return;
+  }
+  leadership_->ownership.Proposed(LogIndex{first->value + commands.size() - 1});
+}
+
+ControlEffects ControlNode::Impl::Finish(Instant now) {
+  Lead(now);
+  CompactIfDue(now);
+  return std::exchange(effects_, {});
+}
+
+// --- Requests ---
+
+void ControlNode::Impl::OnRenewal(ConnectionId connection, const RouterRenewal& renewal,
+                                  Instant now) {
+  if (!Leading(now) || !leadership_) {
+    SendNotLeader(connection, renewal.sequence);
+    return;
+  }
+  effects_.router_sends.push_back(
+      {connection, leadership_->routers.Renew(connection, renewal, now)});
+}
+
+void ControlNode::Impl::OnJournal(ConnectionId connection, const JournalRequest& request,
+                                  Instant now, std::int64_t wall_ms) {
+  if (!Leading(now)) {
+    SendNotLeader(connection, request.sequence);
+    return;
+  }
+  if (request.claims.empty() && request.completions.empty()) {
+    effects_.router_sends.push_back({connection, JournalAnswer{request.sequence, {}}});
+    return;
+  }
+  const auto index = Propose({JournalCommand{wall_ms, request.claims, request.completions}}, now);
+  if (index) {
+    pending_.Add(*index, WaitingRouter{connection, request.sequence});
+  } else {
+    SendNotLeader(connection, request.sequence);
+  }
+}
+
+OperatorStep ControlNode::Impl::Plan(const OperatorRequest& command, Instant now) const {
+  return std::visit(
+      [&](const auto& request) -> OperatorStep {
+        using Request = std::decay_t<decltype(request)>;
+        if constexpr (std::is_same_v<Request, ReadBundles>) {
+          return OperatorAnswer(Bundles(now));
+        } else if constexpr (std::is_same_v<Request, ReadFleet>) {
+          return OperatorAnswer(Fleet(now));
+        } else if constexpr (std::is_same_v<Request, SignBundle>) {
+          return PlanRequest(request, options_.reviewer_keys);
+        } else if constexpr (std::is_same_v<Request, RollBundle>) {
+          return PlanRequest(request);
+        } else if constexpr (std::is_same_v<Request, ChangeMembership>) {
+          return PlanRequest(request, state_, consensus_.membership());
+        } else {
+          return PlanRequest(request, state_);
+        }
+      },
+      command);
+}
+
+void ControlNode::Impl::RunStep(RequestId request, OperatorStep step, Instant now) {
+  if (auto* answer = std::get_if<OperatorAnswer>(&step)) {
+    Reply(request, std::move(*answer));
+    return;
+  }
+  if (const auto* command = std::get_if<CommandBody>(&step)) {
+    const auto index = Propose({*command}, now);
+    if (index) {
+      pending_.Add(*index, WaitingOperator{request});
+    } else {
+      Reply(request, NotLeaderError());
+    }
+    return;
+  }
+  consensus::Effects effects;
+  const auto proposed = Attempt([&] {
+    return consensus_.ProposeMembership(std::get<consensus::Membership>(step), now, effects);
+  });
+  Absorb(std::move(effects), now);
+  if (const Error* error = ErrorOf(proposed)) {
+    Reply(request, *error);
+  } else {
+    pending_.Add(std::get<LogIndex>(proposed), WaitingOperator{request});
+  }
+}
+
+void ControlNode::Impl::Reply(RequestId request, OperatorAnswer answer) {
+  effects_.operator_replies.push_back({request, std::move(answer)});
+}
+
+void ControlNode::Impl::SendNotLeader(ConnectionId connection, std::uint64_t sequence) {
+  effects_.router_sends.push_back({connection, NotLeaderAnswer{sequence, LeaderAddress()}});
+}
+
+std::string ControlNode::Impl::LeaderAddress() const {
+  const auto leader = consensus_.leader();
+  if (!leader || leader->SameVoteAs(consensus_.self())) return "";
+  return leader->address;
+}
+
+Error ControlNode::Impl::NotLeaderError() const {
+  const std::string address = LeaderAddress();
+  return {ErrorKind::kNotLeader,
+          address.empty() ? "This control process does not lead, and no leader is known."
+                          : "This control process does not lead; " + address + " does.",
+          "Send the request to the leader."};
+}
+
+// --- Views ---
+
+BundlesView ControlNode::Impl::Bundles(Instant now) const {
+  BundlesView view;
+  view.in_force = state_.bundles().in_force_version();
+  view.bundles = state_.bundles().Records();
+  const auto& self = consensus_.self();
+  view.processes.push_back({std::to_string(self.id.value), "control", view.in_force, 0});
+  if (leadership_) {
+    for (auto& version : leadership_->routers.Versions(now)) {
+      view.processes.push_back(std::move(version));
+    }
+  }
+  return view;
+}
+
+FleetView ControlNode::Impl::Fleet(Instant now) const {
+  FleetView view;
+  view.leader = consensus_.leader();
+  view.membership = consensus_.membership();
+  view.term = consensus_.term();
+  view.commit_index = consensus_.commit_index();
+  view.bundle_version = state_.bundles().in_force_version();
+  view.shard_moves = state_.shards().moves();
+  if (leadership_) view.routers = leadership_->routers.Versions(now);
+  for (const auto& [id, record] : state_.servers().servers()) {
+    ServerView& server = view.servers.emplace_back();
+    server.entry = ToEntry(record);
+    server.draining = record.draining;
+    server.shards = static_cast<std::uint32_t>(state_.shards().OwnedCount(id));
+    if (!leadership_) continue;
+    const auto& leases = leadership_->ownership.leases();
+    const auto remaining = leases.Remaining(id, now);
+    server.leased = remaining > Duration::zero();
+    server.lease_remaining_ms =
+        std::chrono::duration_cast<std::chrono::milliseconds>(remaining).count();
+    server.entry.load_hint = leases.LoadHint(id);
+  }
+  return view;
+}
+
+}  // namespace graniteseam::control
--- /dev/null
+++ b/src/control/control_node_impl.h
@@ -0,0 +1,95 @@
+/// @file
+/// The insides of ControlNode: joins consensus, replicated state and the leader's duties.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "graniteseam/control/control_node.h"
+#include "src/control/operator_requests.h"
+#include "src/control/ownership_controller.h"
+#include "src/control/pending_requests.h"
+#include "src/control/replicated_state.h"
+#include "src/control/router_sessions.h"
+
+namespace graniteseam::control {
+
+/// Each entry point collects effects in `effects_` and hands them out with Finish(). The leader's
+/// duties run at the end of each entry point, and only while Leading().
+class ControlNode::Impl {
+ public:
+  Impl(ControlOptions options, consensus::RecoveredState recovered, std::uint64_t seed,
+       Instant now);
+
+  ControlEffects Tick(Instant now, std::int64_t wall_ms);
+  Instant NextTick() const;
+  ControlEffects OnPeerMessage(const consensus::PeerMessage& message, Instant now);
+  ControlEffects OnPersistDone(std::uint64_t sequence, Instant now);
+  ControlEffects OnServerAnswer(const lease::LeaseAnswer& answer, Instant now);
+  ControlEffects OnRouterMessage(ConnectionId connection, const RouterToControl& message,
+                                 Instant now, std::int64_t wall_ms);
+  ControlEffects OnRouterDisconnected(ConnectionId connection, Instant now);
+  ControlEffects OnOperatorRequest(RequestId request, const OperatorRequest& command, Instant now);
+  ControlEffects OnPlatformList(const PlatformList& list, Instant now);
+  ControlEffects PrepareStop(Instant now);
+
+  const consensus::RaftConsensus& consensus() const { return consensus_; }
+  bool Leading(Instant now) const;
+  FleetView Fleet(Instant now) const;
+
+ private:
+  /// Everything that is known only to an established leader in one term.
+  struct Leadership {
+    Leadership(const ControlOptions& options, const ReplicatedState& state, Term in_term,
+               std::uint64_t numbers_used, Instant now);
+
+    Term term;
+    OwnershipController ownership;
+    RouterSessions routers;
+  };
+
+  // Consensus.
+  void Absorb(consensus::Effects effects, Instant now);
+  void MergePersist(consensus::PersistRequest persist);
+  void RestoreState(const consensus::Snapshot& snapshot);
+  void ApplyEntry(const consensus::LogEntry& entry, Instant now);
+  void AnswerWaiter(LogIndex index, const ApplyOutcome& outcome);
+  std::optional<LogIndex> Propose(const std::vector<CommandBody>& commands, Instant now);
+  void CompactIfDue(Instant now);
+
+  // Leadership.
+  void FollowRole(Instant now);
+  void EndLeadership();
+  void Lead(Instant now);
+  void RunDecisions(Instant now);
+  ControlEffects Finish(Instant now);
+
+  // Requests.
+  void OnRenewal(ConnectionId connection, const RouterRenewal& renewal, Instant now);
+  void OnJournal(ConnectionId connection, const JournalRequest& request, Instant now,
+                 std::int64_t wall_ms);
+  void RunStep(RequestId request, OperatorStep step, Instant now);
+  void Reply(RequestId request, OperatorAnswer answer);
+  void SendNotLeader(ConnectionId connection, std::uint64_t sequence);
+  OperatorStep Plan(const OperatorRequest& command, Instant now) const;
+  BundlesView Bundles(Instant now) const;
+  Error NotLeaderError() const;
+  std::string LeaderAddress() const;
+
+  ControlOptions options_;
+  consensus::RaftConsensus consensus_;
+  ReplicatedState state_;
+  std::optional<Leadership> leadership_;
+  PendingRequests pending_;
+  PlatformList platform_list_;
+  ControlEffects effects_;
+  LogIndex compacted_;
+  Term numbers_term_;               ///< Term in which `numbers_used_` counts.
+  std::uint64_t numbers_used_ = 0;  ///< Of earlier lease tables of that term.
+  Instant journal_expiry_due_{};
+  bool stopping_ = false;
+};
+
+}  // namespace graniteseam::control
--- /dev/null
+++ b/src/control/ownership_controller.cc
@@ -0,0 +1,310 @@
+#include "src/control/ownership_controller.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace graniteseam::control {
+
+using placement::OwnershipState;
+
+OwnershipController::OwnershipController(OwnershipOptions options, const ReplicatedState& state,
+                                         Term term, std::uint64_t numbers_used, Instant now)
+    : options_(options),
+      state_(state),
+      leases_(options.leases, term, numbers_used,
+              [&state](const ServerId& server) {
+                lease::ShardSet set;
+                for (const auto& owned : state.shards().OwnedBy(server)) {
+                  auto& list =
+                      owned.state == OwnershipState::kMoving ? set.revocations : set.grants;
+                  list.push_back({owned.shard, owned.epoch});
+                }
+                return set;
+              }),
+      healthy_([this](const ServerId& server) { return leases_.Healthy(server, now_); }),
+      now_(now) {
+  AddKnownServers(now);
+}
+
+void OwnershipController::AddKnownServers(Instant now) {
+  for (const auto& [id, record] : state_.servers().servers()) {
+    const auto lease = state_.LeaseOf(record.service);
+    const Duration longest = state_.LongestLease(record.service);
+    if (record.serving) {
+      leases_.AddHeld(id, record.incarnation, lease.value_or(longest), longest, now);
+    } else if (lease) {
+      leases_.AddUnleased(id, *lease, now);
+    }
+  }
+  shards_followed_ = state_.shards().version();
+}
+
+void OwnershipController::TakePlatformList(const PlatformList& list, Instant now) {
+  machines_.clear();
+  for (const auto& machine : list.machines) machines_[machine.server] = machine;
+  GreetMachines(now);
+  leaving_stale_ = true;
+}
+
+void OwnershipController::GreetMachines(Instant now) {
+  for (const auto& [id, machine] : machines_) {
+    const auto lease = state_.LeaseOf(machine.service);
+    if (lease) leases_.AddUnleased(id, *lease, now);
+  }
+}
+
+void OwnershipController::TakeAnswer(const lease::LeaseAnswer& answer, Instant now) {
+  leases_.Take(answer, now);
+}
+
+void OwnershipController::Follow(const ApplyOutcome& outcome, Instant now) {
+  for (const auto& server : outcome.lost) leases_.Dismiss(server, now);
+  for (const auto& server : outcome.registered) {
+    const auto* record = state_.servers().Find(server);
+    if (record == nullptr) continue;
+    if (const auto lease = state_.LeaseOf(record->service)) {
+      leases_.AddUnleased(server, *lease, now);
+    }
+    leases_.Admit(server, record->incarnation, now);
+    last_joined_[record->service] = now;
+    says_leaving_.erase(server);
+    leaving_stale_ = true;
+  }
+  if (outcome.bundle_rolled) {
+    for (const auto& [id, record] : state_.servers().servers()) {
+      if (const auto lease = state_.LeaseOf(record.service)) leases_.AddUnleased(id, *lease, now);
+    }
+    GreetMachines(now);
+  }
+  FollowShards(now);
+  std::erase_if(undecided_, [&](const auto& entry) {
+    return entry.second.value != 0 && entry.second <= state_.applied();
+  });
+  if (state_.applied() >= promised_until_) promised_.clear();
+  placement_stale_ = true;
+}
+
+void OwnershipController::FollowShards(Instant now) {
+  if (state_.shards().version() == shards_followed_) return;
+  auto changes = state_.shards().ChangesSince(shards_followed_);
+  shards_followed_ = state_.shards().version();
+  for (const auto& change : changes) {
+    const lease::ShardGrant grant{change.shard, change.epoch};
+    if (change.state == OwnershipState::kAssigned) leases_.Grant(change.owner, grant, now);
+    if (change.state == OwnershipState::kMoving) leases_.Revoke(change.owner, grant, now);
+  }
+}
+
+bool OwnershipController::Undecided(const ServerId& server) const {
+  return undecided_.contains(server);
+}
+
+const PlatformMachine* OwnershipController::Machine(const ServerId& server) const {
+  const auto found = machines_.find(server);
+  return found == machines_.end() ? nullptr : &found->second;
+}
+
+std::vector<CommandBody> OwnershipController::Decide(Instant now) {
+  now_ = now;
+  std::vector<CommandBody> commands;
+  TargetChoosers choosers(state_, healthy_, promised_);
+  DecideLosses(now, choosers, commands);
+  DecideAppearances(commands);
+  DecideReleases(choosers, commands);
+  DecideLeaving(commands);
+  placement_decided_ = false;
+  if (placement_due_ && now >= *placement_due_) {
+    placement_due_.reset();
+    placement_stale_ = true;
+  }
+  if (placement_stale_ && state_.applied() >= placement_proposed_) {
+    placement_stale_ = false;
+    const std::size_t before = commands.size();
+    DecideOrphans(now, choosers, commands);
+    DecideDrains(now, choosers, commands);
+    placement_decided_ = commands.size() > before;
+  }
+  Promise(commands);
+  return commands;
+}
+
+void OwnershipController::Promise(const std::vector<CommandBody>& commands) {
+  for (const auto& command : commands) {
+    const std::vector<placement::Assignment>* assignments = nullptr;
+    if (const auto* lose = std::get_if<LoseServerCommand>(&command)) {
+      assignments = &lose->assignments;
+    } else if (const auto* assign = std::get_if<AssignShardsCommand>(&command)) {
+      assignments = &assign->assignments;
+    }
+    if (assignments == nullptr) continue;
+    for (const auto& assignment : *assignments) ++promised_[assignment.server];
+  }
+}
+
+void OwnershipController::Proposed(LogIndex last) {
+  for (auto& [server, index] : undecided_) {
+    if (index.value == 0) index = last;
+  }
+  if (placement_decided_) placement_proposed_ = last;
+  promised_until_ = last;
+}
+
+void OwnershipController::DecideLosses(Instant now, TargetChoosers& choosers,
+                                       std::vector<CommandBody>& commands) {
+  for (const auto& server : leases_.expired()) {
+    if (Undecided(server)) continue;
+    if (const auto successor = leases_.Successor(server, now)) {
+      // The old incarnation's lease is over and a new one answers: it keeps the server's shards, at
+      // new epochs, which costs no move.
+      if (auto command = Registration(server, *successor)) {
+        commands.push_back(std::move(*command));
+        undecided_[server] = LogIndex{};
+        continue;
+      }
+    }
+    const auto* record = state_.servers().Find(server);
+    if (record == nullptr) continue;
+    commands.emplace_back(
+        LoseServerCommand{server, record->incarnation, AssignShardsOf(server, state_, choosers)});
+    undecided_[server] = LogIndex{};
+  }
+}
+
+void OwnershipController::DecideAppearances(std::vector<CommandBody>& commands) {
+  for (const auto& appearance : leases_.TakeAppearances()) {
+    if (Undecided(appearance.server) || !MayReplace(appearance.server)) continue;
+    const auto* record = state_.servers().Find(appearance.server);
+    if (record != nullptr && record->serving && record->incarnation == appearance.incarnation) {
+      continue;
+    }
+    auto command = Registration(appearance.server, appearance.incarnation);
+    if (!command) continue;
+    commands.push_back(std::move(*command));
+    undecided_[appearance.server] = LogIndex{};
+  }
+}
+
+bool OwnershipController::MayReplace(const ServerId& server) const {
+  const auto* record = state_.servers().Find(server);
+  if (record == nullptr || !record->serving) return true;
+  // Another incarnation may still hold the lease. Without shards it owns nothing exclusively, so
+  // nothing need be waited for; with shards the lease is waited out (DecideLosses).
+  return state_.shards().OwnedCount(server) == 0;
+}
+
+std::optional<CommandBody> OwnershipController::Registration(const ServerId& server,
+                                                             Incarnation incarnation) const {
+  if (const auto* machine = Machine(server)) {
+    return RegisterServerCommand{server, machine->service, machine->address, machine->zone,
+                                 incarnation};
+  }
+  if (const auto* record = state_.servers().Find(server)) {
+    return RegisterServerCommand{server, record->service, record->address, record->zone,
+                                 incarnation};
+  }
+  return std::nullopt;
+}
+
+void OwnershipController::DecideReleases(TargetChoosers& choosers,
+                                         std::vector<CommandBody>& commands) {
+  AssignShardsCommand command;
+  for (const auto& release : leases_.TakeReleases()) {
+    const auto shard = state_.shards().Find(release.grant.shard);
+    if (!shard || shard->epoch != release.grant.epoch || shard->owner != release.server) continue;
+    TargetChooser& chooser = choosers.For(shard->shard.service);
+    const auto target =
+        chooser.Contains(shard->target) ? std::optional(shard->target) : chooser.Next();
+    // Released, so it must go on somewhere: the target of the plan, else back to the old owner.
+    command.assignments.push_back({shard->shard, shard->epoch, target.value_or(shard->owner)});
+  }
+  if (!command.assignments.empty()) commands.emplace_back(std::move(command));
+}
+
+void OwnershipController::DecideLeaving(std::vector<CommandBody>& commands) {
+  for (const auto& [server, leaving] : leases_.TakeLeavingChanges()) {
+    says_leaving_[server] = leaving;
+    leaving_stale_ = true;
+  }
+  if (!std::exchange(leaving_stale_, false)) return;
+  for (const auto& [id, record] : state_.servers().servers()) {
+    const auto* machine = Machine(id);
+    const auto word = says_leaving_.find(id);
+    const bool leaving =
+        (machine != nullptr && machine->leaving) || (word != says_leaving_.end() && word->second);
+    if (record.serving && record.leaving != leaving) {
+      commands.emplace_back(SetLeavingCommand{id, leaving});
+    }
+  }
+}
+
+bool OwnershipController::FirstAssignmentWaits(const ServiceName& service, Instant now) {
+  const auto joined = last_joined_.find(service);
+  if (joined == last_joined_.end()) return false;
+  const Instant due = joined->second + options_.first_assignment_delay;
+  if (now >= due) return false;
+  WakeForPlacement(due);
+  return true;
+}
+
+void OwnershipController::WakeForPlacement(Instant at) {
+  placement_due_ = std::min(placement_due_.value_or(at), at);
+}
+
+void OwnershipController::DecideOrphans(Instant now, TargetChoosers& choosers,
+                                        std::vector<CommandBody>& commands) {
+  if (state_.shards().OwnedCount(ServerId{}) == 0) return;
+  AssignShardsCommand command;
+  std::map<ServiceName, bool> waits;
+  for (const auto& orphan : state_.shards().Unassigned()) {
+    const auto& service = orphan.shard.service;
+    TargetChooser& chooser = choosers.For(service);
+    if (chooser.empty()) {
+      if (chooser.has_unhealthy()) WakeForPlacement(now + options_.placement_retry);
+      continue;
+    }
+    if (orphan.epoch.value == 0) {
+      const auto [wait, inserted] = waits.try_emplace(service, false);
+      if (inserted) wait->second = FirstAssignmentWaits(service, now);
+      if (wait->second) continue;
+    }
+    command.assignments.push_back({orphan.shard, orphan.epoch, *chooser.Next()});
+  }
+  if (!command.assignments.empty()) commands.emplace_back(std::move(command));
+}
+
+void OwnershipController::DecideDrains(Instant now, TargetChoosers& choosers,
+                                       std::vector<CommandBody>& commands) {
+  BeginMovesCommand command;
+  for (const auto& [id, record] : state_.servers().servers()) {
+    if (!record.serving || record.AcceptsNewWork()) continue;
+    const std::size_t owned = state_.shards().OwnedCount(id);
+    const std::size_t under_way = owned - std::min(owned, state_.shards().PlannedCount(id));
+    if (owned == 0 || under_way >= options_.drain_moves_maximum) continue;
+    if (choosers.For(record.service).empty()) {
+      WakeForPlacement(now + options_.placement_retry);
+      continue;
+    }
+    auto moves = DrainShardsOf(id, state_, choosers, options_.drain_moves_maximum - under_way);
+    std::move(moves.begin(), moves.end(), std::back_inserter(command.moves));
+  }
+  if (!command.moves.empty()) commands.emplace_back(std::move(command));
+}
+
+std::vector<std::pair<std::string, lease::LeaseRequest>> OwnershipController::Sends(Instant now) {
+  std::vector<std::pair<std::string, lease::LeaseRequest>> sends;
+  for (auto& request : leases_.Advance(now)) {
+    // A machine's newest address comes from the platform's list; the log's is older.
+    const auto* machine = Machine(request.server);
+    const auto* record = state_.servers().Find(request.server);
+    if (machine == nullptr && record == nullptr) continue;
+    sends.emplace_back(machine != nullptr ? machine->address : record->address, std::move(request));
+  }
+  return sends;
+}
+
+Instant OwnershipController::NextDue() const {
+  const Instant sends = leases_.NextAdvance();
+  return placement_due_ ? std::min(sends, *placement_due_) : sends;
+}
+
+}  // namespace graniteseam::control
--- /dev/null
+++ b/src/control/ownership_controller.h
@@ -0,0 +1,102 @@
+/// @file
+/// What the control leader decides about servers and shards: whom to admit, whose lease is over,
+/// which shard goes where, and which move to start.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+#include "graniteseam/control/operator_messages.h"
+#include "graniteseam/lease/lease_table.h"
+#include "src/control/commands.h"
+#include "src/control/replicated_state.h"
+#include "src/control/shard_assigner.h"
+
+namespace graniteseam::control {
+
+struct OwnershipOptions {
+  lease::LeaseTableOptions leases;
+  /// Shards that were never assigned wait until no server of their service joined for this long,
+  /// so that the first server to join doesn't get them all.
+  Duration first_assignment_delay{200'000};
+  /// How soon shards are looked at again whose candidates had not answered lately.
+  Duration placement_retry{50'000};
+  /// Shards of one drained server that are under way at once.
+  std::size_t drain_moves_maximum = 64;
+};
+
+/// The duties of an established leader in one term. Reads the replicated state and changes it only
+/// through commands, which the caller proposes.
+///
+/// Lifecycle: made when leadership is established, dropped with it or when a proposal fails: all it
+/// knows is soft. Called only while the leader lease is held. Not thread safe; deterministic.
+class OwnershipController {
+ public:
+  /// @param state outlives the controller.
+  OwnershipController(OwnershipOptions options, const ReplicatedState& state, Term term,
+                      std::uint64_t numbers_used, Instant now);
+  OwnershipController(const OwnershipController&) = delete;
+  OwnershipController& operator=(const OwnershipController&) = delete;
+
+  /// Takes the platform's list, a hint: names whom to greet and who is about to leave.
+  void TakePlatformList(const PlatformList& list, Instant now);
+  void TakeAnswer(const lease::LeaseAnswer& answer, Instant now);
+  /// Follows what applied entries changed. Called after each applied entry.
+  void Follow(const ApplyOutcome& outcome, Instant now);
+
+  /// Commands to propose now. The caller proposes all of them at once and reports with Proposed(),
+  /// or drops the controller.
+  std::vector<CommandBody> Decide(Instant now);
+  /// Tells where the commands of the last Decide() stand in the log.
+  void Proposed(LogIndex last);
+
+  /// Messages to servers that are due, as (address, request).
+  std::vector<std::pair<std::string, lease::LeaseRequest>> Sends(Instant now);
+  /// When Decide() or Sends() has something to do next without another event.
+  Instant NextDue() const;
+
+  const lease::LeaseTable& leases() const { return leases_; }
+
+ private:
+  void AddKnownServers(Instant now);
+  void GreetMachines(Instant now);
+  void FollowShards(Instant now);
+  bool Undecided(const ServerId& server) const;
+  const PlatformMachine* Machine(const ServerId& server) const;
+
+  void DecideLosses(Instant now, TargetChoosers& choosers, std::vector<CommandBody>& commands);
+  void DecideAppearances(std::vector<CommandBody>& commands);
+  void DecideReleases(TargetChoosers& choosers, std::vector<CommandBody>& commands);
+  void DecideLeaving(std::vector<CommandBody>& commands);
+  void DecideOrphans(Instant now, TargetChoosers& choosers, std::vector<CommandBody>& commands);
+  void DecideDrains(Instant now, TargetChoosers& choosers, std::vector<CommandBody>& commands);
+  std::optional<CommandBody> Registration(const ServerId& server, Incarnation incarnation) const;
+  bool MayReplace(const ServerId& server) const;
+  bool FirstAssignmentWaits(const ServiceName& service, Instant now);
+  void WakeForPlacement(Instant at);
+  void Promise(const std::vector<CommandBody>& commands);
+
+  OwnershipOptions options_;
+  const ReplicatedState& state_;
+  lease::LeaseTable leases_;
+  HealthCheck healthy_;
+  Instant now_{};  ///< Of the call under way, for `healthy_`.
+  std::map<ServerId, PlatformMachine> machines_;
+  std::map<ServerId, bool> says_leaving_;  ///< Each server's own word.
+  std::map<ServiceName, Instant> last_joined_;
+  /// Servers with a registration or loss under way, and its log index; 0 until it is proposed.
+  std::map<ServerId, LogIndex> undecided_;
+  PromisedShards promised_;
+  LogIndex promised_until_;            ///< `promised_` counts until this is applied.
+  std::uint64_t shards_followed_ = 0;  ///< Version of the shard table that leases_ knows.
+  LogIndex placement_proposed_;        ///< Orphans and drains wait until this is applied.
+  bool placement_decided_ = false;     ///< In the last Decide().
+  bool leaving_stale_ = true;
+  bool placement_stale_ = true;
+  std::optional<Instant> placement_due_;  ///< When to look at placement again.
+};
+
+}  // namespace graniteseam::control
--- /dev/null
+++ b/src/control/replicated_state.h
@@ -0,0 +1,112 @@
+/// @file
+/// The state that all members of a control group derive from the log: bundles, servers, shards and
+/// the operation journal.
+#pragma once
+
+#include <boost/describe/class.hpp>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "graniteseam/bundle/bundle_store.h"
+#include "graniteseam/common/error.h"
+#include "graniteseam/common/time.h"
+#include "graniteseam/consensus/types.h"
+#include "graniteseam/operation/operation_journal.h"
+#include "src/control/commands.h"
+#include "src/membership/server_registry.h"
+#include "src/placement/shard_table.h"
+
+namespace graniteseam::control {
+
+/// The longest lease that a service's servers may have been granted, over all bundles in force.
+struct ServiceLease {
+  ServiceName service;
+  std::int64_t longest_ms = 0;
+};
+BOOST_DESCRIBE_STRUCT(ServiceLease, (), (service, longest_ms))
+
+/// The whole state as a value, for snapshots.
+struct ReplicatedStateImage {
+  LogIndex applied;
+  bundle::BundleStoreState bundles;
+  membership::ServerRegistryState servers;
+  placement::ShardTableState shards;
+  operation::OperationJournalState journal;
+  std::vector<ServiceLease> leases;
+};
+BOOST_DESCRIBE_STRUCT(ReplicatedStateImage, (),
+                      (applied, bundles, servers, shards, journal, leases))
+
+/// What applying one entry came to.
+struct ApplyOutcome {
+  std::optional<Error> error;                  ///< The command was refused.
+  std::vector<operation::ClaimResult> claims;  ///< Of a JournalCommand.
+  std::vector<ServerId> registered;            ///< Servers to be admitted to leases.
+  std::vector<ServerId> lost;                  ///< Servers whose session ended.
+  bool bundle_rolled = false;
+};
+
+/// Applies committed entries in order.
+///
+/// Deterministic: the same entries give the same state on each member, whatever its settings and
+/// clock. An entry that does not decode is a defect or a newer program's; it is refused, which is
+/// the same on each member that runs this version. Not thread safe.
+class ReplicatedState {
+ public:
+  /// Applies the entry after applied().
+  ApplyOutcome Apply(const consensus::LogEntry& entry);
+
+  /// Encodes the whole state.
+  std::string Save() const;
+  /// @return kMalformedMessage when the bytes are not a whole, consistent state.
+  Result<void> Restore(std::string_view bytes);
+
+  LogIndex applied() const { return applied_; }
+  const bundle::BundleStore& bundles() const { return bundles_; }
+  const membership::ServerRegistry& servers() const { return servers_; }
+  const placement::ShardTable& shards() const { return shards_; }
+  const operation::OperationJournal& journal() const { return journal_; }
+
+  /// The version of the routing table: the log index of its latest change.
+  std::uint64_t map_version() const;
+  /// The lease length of a service's servers; nullopt when the bundle in force does not name it.
+  std::optional<Duration> LeaseOf(const ServiceName& service) const;
+  /// The longest lease that may ever have been granted to a service's servers.
+  Duration LongestLease(const ServiceName& service) const;
+
+ private:
+  void Run(const SubmitBundleCommand& command, ApplyOutcome& outcome);
+  void Run(const bundle::SignatureCommand& command, ApplyOutcome& outcome);
+  void Run(const RollBundleCommand& command, ApplyOutcome& outcome);
+  void Run(const RegisterServerCommand& command, ApplyOutcome& outcome);
+  void Run(const LoseServerCommand& command, ApplyOutcome& outcome);
+  void Run(const AssignShardsCommand& command, ApplyOutcome& outcome);
+  void Run(const BeginMovesCommand& command, ApplyOutcome& outcome);
+  void Run(const SetDrainingCommand& command, ApplyOutcome& outcome);
+  void Run(const SetLeavingCommand& command, ApplyOutcome& outcome);
+  void Run(const JournalCommand& command, ApplyOutcome& outcome);
+  void Run(const ExpireJournalCommand& command, ApplyOutcome& outcome);
+
+  /// Takes over what a newly rolled bundle says about services.
+  void AdoptServices(const bundle::Bundle& bundle);
+  /// Gives a shard to a serving server, or to nobody when the server is gone meanwhile.
+  void Assign(const placement::Assignment& assignment);
+  /// Gives a restarted server's shards back to it, or to their move's target, at a new epoch.
+  void Reassign(const ServerId& server);
+  bool Serving(const ServerId& server) const;
+  /// The log index being applied, as a version.
+  std::uint64_t version() const { return applied_.value; }
+
+  LogIndex applied_;
+  bundle::BundleStore bundles_;
+  membership::ServerRegistry servers_;
+  placement::ShardTable shards_;
+  operation::OperationJournal journal_;
+  std::map<ServiceName, Duration> longest_leases_;
+};
+
+}  // namespace graniteseam::control
--- a/src/placement/shard_table.cc
+++ b/src/placement/shard_table.cc
@@ -79,6 +79,17 @@
   return true;
 }
 
+bool ShardTable::Unassign(const ShardId& shard, Epoch epoch, std::uint64_t version) {
+  const ShardNumber number = NumberOf(shard);
+  if (number == kNoShard || shards_[number].epoch != epoch) return false;
+  if (shards_[number].owner == kNoServer) return false;
+  StopMoving(number);
+  SetOwner(number, kNoServer);
+  shards_[number].state = OwnershipState::kUnassigned;
+  Touch(number, version);
+  return true;
+}
+
 void ShardTable::Orphan(const ServerId& server, std::uint64_t version) {
   const Server* found = FindServer(server);
   if (found == nullptr || server.Empty()) return;
--- a/src/placement/shard_table.h
+++ b/src/placement/shard_table.h
@@ -105,6 +105,10 @@
   /// A move already under way gets the new target.
   bool BeginMove(const PlannedMove& move, std::uint64_t version);
 
+  /// Takes a shard from its owner at `epoch`, which released it, without giving it to another yet.
+  /// @return whether it took effect: the shard is owned at this epoch.
+  bool Unassign(const ShardId& shard, Epoch epoch, std::uint64_t version);
+
   /// Makes all shards of a server unassigned. Their epochs stay, so that the next is higher.
   void Orphan(const ServerId& server, std::uint64_t version);
 
