Add graniteseamctl, the operators' command line

Cause: operators had no program to submit, sign and roll bundles or to look at the fleet.

`bundle diff` compares fields and not lines: the canonical text is now made of the same fields, one a line.

--- a/include/graniteseam/bundle/bundle.h
+++ b/include/graniteseam/bundle/bundle.h
@@ -82,4 +82,16 @@
 /// SHA-256 of the canonical form in lower-case hex.
 std::string Digest(const Bundle& bundle);
 
+/// A field that differs between two bundles; absent where its bundle does not have it.
+struct FieldChange {
+  std::string path;  ///< For example "services.billing.lease_ms".
+  std::optional<std::string> before;
+  std::optional<std::string> after;
+  bool operator==(const FieldChange&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(FieldChange, (), (path, before, after))
+
+/// Returns what differs, in the order of paths; what was added comes last.
+std::vector<FieldChange> Compare(const Bundle& before, const Bundle& after);
+
 }  // namespace graniteseam::bundle
--- a/src/bundle/canonical_text.cc
+++ b/src/bundle/canonical_text.cc
@@ -1,19 +1,14 @@
 /// @file
-/// The canonical form of a bundle and its digest. The writer follows the types' descriptions, so
-/// that a field added to a described type can't be left out of the digest.
+/// The canonical form of a bundle, its digest, and the comparison of two bundles.
 
 #include <openssl/evp.h>
 
-#include <algorithm>
 #include <array>
-#include <boost/describe/enum_to_string.hpp>
-#include <boost/describe/members.hpp>
-#include <boost/mp11/algorithm.hpp>
-#include <charconv>
 #include <stdexcept>
-#include <type_traits>
+#include <string_view>
 
 #include "graniteseam/bundle/bundle.h"
+#include "src/bundle/bundle_fields.h"
 
 namespace graniteseam::bundle {
 namespace {
@@ -21,77 +16,6 @@
 /// Named in the digest, so that a later form can't be taken for this one.
 constexpr std::string_view kFormatLine = "graniteseam-bundle-text 1\n";
 
-class CanonicalWriter {
- public:
-  explicit CanonicalWriter(std::string& text) : text_(text) {}
-
-  void Write(bool value) { text_ += value ? "true" : "false"; }
-
-  /// Writes the length first: no text can then be read as another field.
-  void Write(const std::string& value) {
-    Write(value.size());
-    text_ += ':';
-    text_ += value;
-  }
-
-  template <class Number>
-  requires std::is_arithmetic_v<Number>
-  void Write(Number value) {
-    std::array<char, 32> buffer{};
-    const auto end = std::to_chars(buffer.data(), buffer.data() + buffer.size(), value).ptr;
-    text_.append(buffer.data(), end);
-  }
-
-  template <class Enum>
-  requires std::is_enum_v<Enum>
-  void Write(Enum value) { text_ += boost::describe::enum_to_string(value, "?"); }
-
-  template <class Tag>
-  void Write(const NameId<Tag>& id) {
-    Write(id.value);
-  }
-
-  template <class Tag>
-  void Write(const NumericId<Tag>& id) {
-    Write(id.value);
-  }
-
-  template <class Element>
-  void Write(const std::vector<Element>& elements) {
-    text_ += "[\n";
-    for (const Element& element : elements) {
-      Write(element);
-      text_ += '\n';
-    }
-    text_ += ']';
-  }
-
-  template <class Struct>
-  requires boost::describe::has_describe_members<Struct>::value void Write(const Struct& value) {
-    using Members = boost::describe::describe_members<Struct, boost::describe::mod_public>;
-    text_ += "{\n";
-    boost::mp11::mp_for_each<Members>([&](auto member) {
-      text_ += member.name;
-      text_ += '=';
-      Write(value.*member.pointer);
-      text_ += '\n';
-    });
-    text_ += '}';
-  }
-
- private:
-  std::string& text_;
-};
-
-/// Returns the bundle with everything in one order that does not depend on the file's.
-Bundle Sorted(Bundle bundle) {
-  const auto by_name = [](const auto& left, const auto& right) { return left.name < right.name; };
-  std::sort(bundle.services.begin(), bundle.services.end(), by_name);
-  std::sort(bundle.groups.begin(), bundle.groups.end(), by_name);
-  for (Group& group : bundle.groups) std::sort(group.services.begin(), group.services.end());
-  return bundle;
-}
-
 std::string Hex(const unsigned char* bytes, std::size_t count) {
   constexpr std::string_view kDigits = "0123456789abcdef";
   std::string text;
@@ -106,8 +30,12 @@
 
 std::string CanonicalText(const Bundle& bundle) {
   std::string text(kFormatLine);
-  CanonicalWriter(text).Write(Sorted(bundle));
-  text += '\n';
+  for (const auto& [path, value] : FieldsOf(bundle)) {
+    text += path;
+    text += '=';
+    text += value;
+    text += '\n';
+  }
   return text;
 }
 
@@ -121,4 +49,22 @@
   return Hex(bytes.data(), count);
 }
 
+std::vector<FieldChange> Compare(const Bundle& before, const Bundle& after) {
+  const auto old_fields = FieldsOf(before);
+  const auto new_fields = FieldsOf(after);
+  std::vector<FieldChange> changes;
+  for (const auto& [path, value] : old_fields) {
+    const auto found = new_fields.find(path);
+    if (found == new_fields.end()) {
+      changes.push_back({path, value, std::nullopt});
+    } else if (found->second != value) {
+      changes.push_back({path, value, found->second});
+    }
+  }
+  for (const auto& [path, value] : new_fields) {
+    if (!old_fields.contains(path)) changes.push_back({path, std::nullopt, value});
+  }
+  return changes;
+}
+
 }  // namespace graniteseam::bundle
--- /dev/null
+++ b/src/daemon/operator_cli/options.h
@@ -0,0 +1,29 @@
+/// @file
+/// Flags and settings of graniteseamctl.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "graniteseam/common/time.h"
+#include "src/platform/settings.h"
+#include "src/platform/socket_address.h"
+
+namespace graniteseam::operator_cli {
+
+struct Options {
+  std::vector<platform::SocketAddress> control;
+  std::string credential_file;
+  std::string reviewer;
+  std::string key_file;
+  std::string digest;
+  bool json = false;
+  bool wait = false;
+  Duration time_limit{10'000'000};
+};
+
+/// Declares every flag; `options` must outlive the reader.
+void DeclareOptions(platform::SettingsReader& reader, Options& options);
+
+}  // namespace graniteseam::operator_cli
--- a/tests/bundle/bundle_parser_test.cc
+++ b/tests/bundle/bundle_parser_test.cc
@@ -13,7 +13,9 @@
 using graniteseam::ErrorKind;
 using graniteseam::ErrorOf;
 using graniteseam::bundle::Bundle;
+using graniteseam::bundle::Compare;
 using graniteseam::bundle::Digest;
+using graniteseam::bundle::FieldChange;
 using graniteseam::bundle::ParseBundle;
 using graniteseam::bundle::ServiceKind;
 using graniteseam::test::kSampleToml;
@@ -138,6 +140,21 @@
   }
 }
 
+Test(bundle_comparison, names_fields_that_changed_went_or_came) {
+  const Bundle before = Parsed(kSampleToml);
+  cr_assert(Compare(before, before).empty());
+  Bundle after = before;
+  after.services[0].lease_ms = 700;
+  after.groups[0].name = {"carrier-z"};
+  const auto changes = Compare(before, after);
+  const auto has = [&](const FieldChange& wanted) {
+    return std::find(changes.begin(), changes.end(), wanted) != changes.end();
+  };
+  cr_assert(has({"services.billing.lease_ms", "600", "700"}));
+  cr_assert(has({"groups.carrier-a.share", "2.5", std::nullopt}));
+  cr_assert(has({"groups.carrier-z.services", std::nullopt, "[\"billing\", \"transcripts\"]"}));
+}
+
 Test(bundle_parser, takes_the_ready_examples) {
   for (const char* name : {"transcription", "heat-network"}) {
     std::ifstream file(std::string(GRANITESEAM_SOURCE_DIR "/examples/") + name + "/bundle.toml");
