--- /dev/null
+++ b/src/protocol/connection.cc
@@ -0,0 +1,287 @@
+#include "src/protocol/connection.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <utility>
+
+#include "graniteseam/codec/codec.h"
+
+namespace graniteseam::protocol {
+namespace {
+
+namespace asio = boost::asio;
+
+// A connection whose far machine is gone without a word is given up after about this long.
+constexpr int kKeepAliveIdleSeconds = 5;
+constexpr int kKeepAliveIntervalSeconds = 2;
+constexpr int kKeepAliveProbes = 3;
+constexpr int kUnacknowledgedMilliseconds = 5'000;
+
+void SetOption(int descriptor, int level, int name, int value) {
+  // A refusal only costs speed of detection, so it is not an error.
+  setsockopt(descriptor, level, name, &value, sizeof(value));
+}
+
+}  // namespace
+
+ConnectionMetrics::ConnectionMetrics(platform::MetricsRegistry& metrics_registry)
+    : registry(metrics_registry),
+      connections(registry.Gauge(platform::Metric::kTransportConnections)),
+      frames_sent(registry.Counter(platform::Metric::kTransportFramesSent)),
+      frames_received(registry.Counter(platform::Metric::kTransportFramesReceived)),
+      bytes_sent(registry.Counter(platform::Metric::kTransportBytesSent)),
+      bytes_received(registry.Counter(platform::Metric::kTransportBytesReceived)),
+      frames_dropped(registry.Counter(platform::Metric::kTransportFramesDropped)) {}
+
+Connection::Connection(Socket socket, Side side, Hello own_hello, InternalTls& tls,
+                       ConnectionMetrics& metrics, ConnectionLimits limits)
+    : socket_(std::move(socket)),
+      side_(side),
+      own_hello_(std::move(own_hello)),
+      tls_(tls),
+      metrics_(metrics),
+      limits_(limits),
+      deadline_(socket_.get_executor()) {}
+
+/// Runs `operation` on the TLS stream or, when TLS is off, on the socket.
+template <class Operation>
+void Connection::OnStream(Operation operation) {
+  if (stream_) {
+    operation(*stream_);
+  } else {
+    operation(socket_);
+  }
+}
+
+void Connection::Start(Handlers handlers) {
+  handlers_ = std::move(handlers);
+  SetSocketOptions();
+  ArmDeadline(limits_.handshake_time, "The peer did not finish its hello in time.");
+  if (tls_.enabled()) {
+    BeginHandshake();
+  } else {
+    BeginHello();
+  }
+}
+
+void Connection::SetSocketOptions() {
+  const int descriptor = socket_.native_handle();
+  SetOption(descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
+  SetOption(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
+  SetOption(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, kKeepAliveIdleSeconds);
+  SetOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveIntervalSeconds);
+  SetOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
+  SetOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, kUnacknowledgedMilliseconds);
+}
+
+void Connection::BeginHandshake() {
+  stream_.emplace(socket_, tls_.ContextForHandshake());
+  // Neither side has a certificate. The accepting side can only offer a handshake by pre-shared
+  // key, and the dialling side, asked to verify, accepts nothing else.
+  stream_->set_verify_mode(side_ == Side::kDialled ? asio::ssl::verify_peer
+                                                   : asio::ssl::verify_none);
+  const auto role =
+      side_ == Side::kDialled ? asio::ssl::stream_base::client : asio::ssl::stream_base::server;
+  stream_->async_handshake(role, [self = shared_from_this()](ErrorCode error) {
+    if (self->closed_) return;
+    if (!error) return self->BeginHello();
+    self->Close({ErrorKind::kUnauthenticated,
+                 "The peer did not prove the shared secret: " + error.message() + ".",
+                 "Give every process the same secret file."});
+  });
+}
+
+void Connection::BeginHello() {
+  Queue(EncodeFrame(FrameKind::kHello, codec::Encode(own_hello_)));
+  Read();
+}
+
+bool Connection::Send(std::string_view payload) {
+  const bool fits = FitsFrame(payload) && waiting_.size() + in_flight_.size() + payload.size() <=
+                                              limits_.queue_bytes_maximum;
+  if (!ready_ || closed_ || refused_ || !fits) {
+    metrics_.frames_dropped.Increment();
+    return false;
+  }
+  Queue(EncodeFrame(FrameKind::kMessage, payload));
+  return true;
+}
+
+void Connection::Queue(std::string_view frame) {
+  metrics_.frames_sent.Increment();
+  waiting_ += frame;
+  if (!writing_) Write();
+}
+
+void Connection::Write() {
+  writing_ = true;
+  in_flight_.clear();
+  in_flight_.swap(waiting_);
+  OnStream([this](auto& stream) {
+    asio::async_write(stream, asio::buffer(in_flight_),
+                      [self = shared_from_this()](ErrorCode error, std::size_t /*bytes*/) {
+                        self->OnWritten(error);
+                      });
+  });
+}
+
+void Connection::OnWritten(ErrorCode error) {
+  if (closed_) return;
+  if (error) return CloseFor(error);
+  metrics_.bytes_sent.Increment(static_cast<double>(in_flight_.size()));
+  writing_ = false;
+  in_flight_.clear();
+  if (!waiting_.empty()) return Write();
+  if (refused_) EndSending();
+}
+
+void Connection::EndSending() {
+  ErrorCode ignored;
+  socket_.shutdown(Socket::shutdown_send, ignored);
+}
+
+void Connection::Read() {
+  OnStream([this](auto& stream) {
+    stream.async_read_some(asio::buffer(read_buffer_),
+                           [self = shared_from_this()](ErrorCode error, std::size_t bytes) {
+                             self->OnRead(error, bytes);
+                           });
+  });
+}
+
+void Connection::OnRead(ErrorCode error, std::size_t bytes) {
+  if (closed_) return;
+  if (error) return CloseFor(error);
+  metrics_.bytes_received.Increment(static_cast<double>(bytes));
+  if (refused_) return Read();
+  reader_.Feed({read_buffer_.data(), bytes});
+  if (!TakeFrames()) return ReadOn();
+  if (ready_ && !reader_.InFrame()) {
+    DisarmDeadline();
+  } else if (!deadline_armed_) {
+    ArmDeadline(limits_.frame_time, "The peer did not finish a frame in time.");
+  }
+  Read();
+}
+
+/// After a refusal: what still arrives is thrown away until the peer has closed, since closing with
+/// unread bytes would let the kernel drop the refusal on its way.
+void Connection::ReadOn() {
+  if (!closed_) Read();
+}
+
+/// @return false when no more frames are to be taken.
+bool Connection::TakeFrames() {
+  while (!closed_ && !refused_) {
+    const auto outcome = Attempt([&] { return reader_.Next(); });
+    if (const Error* error = ErrorOf(outcome)) {
+      Refuse(*error);
+      return false;
+    }
+    auto frame = std::get<std::optional<Frame>>(outcome);
+    if (!frame) return true;
+    // A frame that is whole ends the time limit of its arrival; the next one begins its own.
+    if (ready_) DisarmDeadline();
+    metrics_.frames_received.Increment();
+    if (const std::optional<Error> refused = TakeFrame(std::move(*frame))) {
+      Refuse(*refused);
+      return false;
+    }
+  }
+  return false;
+}
+
+std::optional<Error> Connection::TakeFrame(Frame frame) {
+  if (frame.kind == FrameKind::kRefusal) {
+    Close(ReadRefusal(frame));
+    return std::nullopt;
+  }
+  if (!ready_) return TakeHello(frame);
+  if (frame.kind == FrameKind::kHello) {
+    return Error{ErrorKind::kMalformedMessage, "The peer said hello twice.",
+                 "Connect only graniteseam's own processes to this port."};
+  }
+  return handlers_.on_message(std::move(frame.payload));
+}
+
+std::optional<Error> Connection::TakeHello(const Frame& frame) {
+  if (frame.kind != FrameKind::kHello) {
+    return Error{ErrorKind::kMalformedMessage, "The peer did not say hello first.",
+                 "Connect only graniteseam's own processes to this port."};
+  }
+  const auto decoded = Attempt([&] { return codec::Decode<Hello>(frame.payload); });
+  if (const Error* error = ErrorOf(decoded)) return *error;
+  const Hello& peer = std::get<Hello>(decoded);
+  const auto agreed = Attempt([&] { return AgreeVersion(own_hello_, peer); });
+  if (const Error* error = ErrorOf(agreed)) return *error;
+  ready_ = true;
+  reader_.set_payload_limit(kFramePayloadMaximum);
+  DisarmDeadline();
+  metrics_.connections.Add(1);
+  return handlers_.on_ready(peer);
+}
+
+Error Connection::ReadRefusal(const Frame& frame) {
+  const auto decoded = Attempt([&] { return codec::Decode<Refusal>(frame.payload); });
+  if (const Error* error = ErrorOf(decoded)) return *error;
+  const Refusal& refusal = std::get<Refusal>(decoded);
+  return {ErrorKind::kTransport, "The peer refused (" + refusal.kind + "): " + refusal.message,
+          refusal.remedy};
+}
+
+void Connection::Refuse(const Error& reason) {
+  if (closed_ || refused_) return;
+  metrics_.registry
+      .Counter(platform::Metric::kTransportConnectionsRefused,
+               {{"kind", std::string(ErrorKindName(reason.kind))}})
+      .Increment();
+  const Refusal refusal{std::string(ErrorKindName(reason.kind)), reason.message, reason.remedy};
+  // Whoever does not take the refusal within the handshake's time is cut off without it.
+  DisarmDeadline();
+  ArmDeadline(limits_.handshake_time, "The peer was refused and did not take it.");
+  refused_ = reason;
+  Queue(EncodeFrame(FrameKind::kRefusal, codec::Encode(refusal)));
+}
+
+void Connection::ArmDeadline(std::chrono::milliseconds span, const char* what) {
+  deadline_armed_ = true;
+  const std::uint64_t generation = ++deadline_generation_;
+  deadline_.expires_after(span);
+  deadline_.async_wait([self = shared_from_this(), what, generation](ErrorCode error) {
+    // An expiry that was already on its way when the deadline was disarmed does not count.
+    if (error || self->closed_ || generation != self->deadline_generation_) return;
+    self->Close({ErrorKind::kTransport, what, "Check the peer and the network between."});
+  });
+}
+
+void Connection::DisarmDeadline() {
+  if (!deadline_armed_) return;
+  deadline_armed_ = false;
+  ++deadline_generation_;
+  deadline_.cancel();
+}
+
+void Connection::CloseFor(ErrorCode error) {
+  Close(refused_ ? *refused_
+                 : Error{ErrorKind::kTransport, "The connection broke: " + error.message() + ".",
+                         "It is tried again by itself; check the network when this repeats."});
+}
+
+void Connection::Close(const Error& reason) {
+  if (closed_) return;
+  closed_ = true;
+  if (ready_) metrics_.connections.Add(-1);
+  deadline_.cancel();
+  ErrorCode ignored;
+  socket_.shutdown(Socket::shutdown_both, ignored);
+  socket_.close(ignored);
+  // Posted, because one of the handlers may be what called this.
+  asio::post(socket_.get_executor(),
+             [handlers = std::exchange(handlers_, {}), reason] { handlers.on_closed(reason); });
+}
+
+}  // namespace graniteseam::protocol
--- /dev/null
+++ b/src/protocol/connection.h
@@ -0,0 +1,125 @@
+/// @file
+/// One framed connection between two of the system's own processes, dialled or accepted.
+#pragma once
+
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ssl/stream.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "src/platform/metrics.h"
+#include "src/protocol/frame.h"
+#include "src/protocol/hello.h"
+#include "src/protocol/internal_tls.h"
+
+namespace graniteseam::protocol {
+
+/// Statistics of framed connections.
+struct ConnectionMetrics {
+  explicit ConnectionMetrics(platform::MetricsRegistry& registry);
+
+  platform::MetricsRegistry& registry;
+  platform::GaugeHandle connections;
+  platform::CounterHandle frames_sent;
+  platform::CounterHandle frames_received;
+  platform::CounterHandle bytes_sent;
+  platform::CounterHandle bytes_received;
+  platform::CounterHandle frames_dropped;
+};
+
+/// Limits of one connection.
+struct ConnectionLimits {
+  /// Bytes that may wait to be sent; a message that exceeds it is not queued.
+  std::size_t queue_bytes_maximum = std::size_t{32} << 20;
+  /// For connecting, TLS and hello together.
+  std::chrono::milliseconds handshake_time{5'000};
+  /// From a frame's first byte to its last.
+  std::chrono::milliseconds frame_time{10'000};
+};
+
+/// A connection with its hello exchange, bounded output queue and time limits.
+///
+/// Lifecycle: Start() once; then on_ready, any number of on_message, and on_closed exactly once,
+/// also after Close(). All calls and handlers run on the event loop's thread. Keeps itself alive
+/// until closed; handlers are dropped after on_closed.
+class Connection : public std::enable_shared_from_this<Connection> {
+ public:
+  using Socket = boost::asio::ip::tcp::socket;
+  enum class Side { kDialled, kAccepted };
+
+  struct Handlers {
+    /// The peer said hello and the versions agree.
+    /// @return an error to refuse the peer.
+    std::function<std::optional<Error>(const Hello& peer)> on_ready;
+    /// @return an error to refuse the message and close.
+    std::function<std::optional<Error>(std::string payload)> on_message;
+    std::function<void(const Error& reason)> on_closed;
+  };
+
+  Connection(Socket socket, Side side, Hello own_hello, InternalTls& tls,
+             ConnectionMetrics& metrics, ConnectionLimits limits = {});
+
+  void Start(Handlers handlers);
+
+  /// Queues one message.
+  /// @return false when it does not fit the queue or the connection is not ready.
+  bool Send(std::string_view payload);
+
+  void Close(const Error& reason);
+  void Close() { Close({ErrorKind::kTransport, "This side closed the connection.", "None."}); }
+
+  bool ready() const { return ready_; }
+
+ private:
+  using Stream = boost::asio::ssl::stream<Socket&>;
+  using ErrorCode = boost::system::error_code;
+
+  void SetSocketOptions();
+  void BeginHandshake();
+  void BeginHello();
+  void Read();
+  void OnRead(ErrorCode error, std::size_t bytes);
+  void ReadOn();
+  bool TakeFrames();
+  std::optional<Error> TakeFrame(Frame frame);
+  std::optional<Error> TakeHello(const Frame& frame);
+  static Error ReadRefusal(const Frame& frame);
+  void Queue(std::string_view frame);
+  void Write();
+  void OnWritten(ErrorCode error);
+  void EndSending();
+  /// Tells the peer why, then closes.
+  void Refuse(const Error& reason);
+  void ArmDeadline(std::chrono::milliseconds span, const char* what);
+  void DisarmDeadline();
+  void CloseFor(ErrorCode error);
+
+  template <class Operation>
+  void OnStream(Operation operation);
+
+  Socket socket_;
+  Side side_;
+  Hello own_hello_;
+  InternalTls& tls_;
+  ConnectionMetrics& metrics_;
+  ConnectionLimits limits_;
+  Handlers handlers_;
+  std::optional<Stream> stream_;  ///< Present when TLS is on.
+  boost::asio::steady_timer deadline_;
+  bool deadline_armed_ = false;
+  std::uint64_t deadline_generation_ = 0;
+  FrameReader reader_;
+  std::array<char, 65'536> read_buffer_;
+  std::string waiting_;    ///< Frames queued while a write is under way.
+  std::string in_flight_;  ///< Frames being written.
+  bool writing_ = false;
+  bool ready_ = false;
+  bool closed_ = false;
+  std::optional<Error> refused_;  ///< Set once a refusal was queued: close when it is written.
+};
+
+}  // namespace graniteseam::protocol
--- /dev/null
+++ b/src/protocol/dialer.cc
@@ -0,0 +1,108 @@
+#include "src/protocol/dialer.h"
+
+#include <boost/asio/ip/address.hpp>
+#include <utility>
+
+#include "src/platform/clock.h"
+#include "src/platform/log.h"
+
+namespace graniteseam::protocol {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr std::chrono::milliseconds kFirstDelay{20};
+constexpr std::chrono::milliseconds kLongestDelay{1'000};
+constexpr std::chrono::milliseconds kDialTime{1'000};
+
+}  // namespace
+
+Dialer::Dialer(asio::io_context& context, platform::SocketAddress address, Hello own_hello,
+               InternalTls& tls, ConnectionMetrics& metrics, Handlers handlers)
+    : context_(context),
+      address_(std::move(address)),
+      own_hello_(std::move(own_hello)),
+      tls_(tls),
+      metrics_(metrics),
+      handlers_(std::move(handlers)),
+      socket_(context),
+      timer_(context),
+      delay_(kFirstDelay),
+      jitter_(static_cast<std::uint32_t>(platform::RandomBits())) {}
+
+void Dialer::Start() { Dial(); }
+
+void Dialer::Stop() {
+  stopped_ = true;
+  timer_.cancel();
+  boost::system::error_code ignored;
+  socket_.close(ignored);
+  if (connection_) connection_->Close();
+}
+
+bool Dialer::Send(std::string_view payload) {
+  if (connection_) return connection_->Send(payload);
+  metrics_.frames_dropped.Increment();
+  return false;
+}
+
+void Dialer::Dial() {
+  socket_ = Connection::Socket(context_);
+  const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(address_.ip), address_.port);
+  socket_.async_connect(endpoint,
+                        [self = shared_from_this()](auto error) { self->OnDialled(error); });
+  timer_.expires_after(kDialTime);
+  timer_.async_wait([self = shared_from_this()](auto error) {
+    if (error) return;
+    boost::system::error_code ignored;
+    self->socket_.close(ignored);  // OnDialled() then gets operation_aborted.
+  });
+}
+
+void Dialer::OnDialled(boost::system::error_code error) {
+  timer_.cancel();
+  if (stopped_) return;
+  if (error) return DialLater(error.message());
+  Run(std::move(socket_));
+}
+
+void Dialer::Run(Connection::Socket socket) {
+  connection_ = std::make_shared<Connection>(std::move(socket), Connection::Side::kDialled,
+                                             own_hello_, tls_, metrics_);
+  Connection::Handlers handlers;
+  handlers.on_ready = [self = shared_from_this()](const Hello& /*peer*/) {
+    self->was_ready_ = true;
+    self->last_reason_.clear();
+    self->delay_ = kFirstDelay;
+    self->handlers_.on_connected();
+    return std::optional<Error>();
+  };
+  handlers.on_message = [self = shared_from_this()](std::string payload) {
+    return self->handlers_.on_message(std::move(payload));
+  };
+  handlers.on_closed = [self = shared_from_this()](const Error& reason) { self->OnClosed(reason); };
+  connection_->Start(std::move(handlers));
+}
+
+void Dialer::OnClosed(const Error& reason) {
+  connection_.reset();
+  const bool was_ready = std::exchange(was_ready_, false);
+  if (was_ready) handlers_.on_disconnected();
+  if (!stopped_) DialLater(reason.message);
+}
+
+void Dialer::DialLater(const std::string& reason) {
+  if (reason != last_reason_) {
+    last_reason_ = reason;
+    platform::Logger("internal").Info("No connection to {}: {}", ToString(address_), reason);
+  }
+  // Between half and the whole of the delay, so that many dialers do not come back together.
+  std::uniform_int_distribution<std::int64_t> spread(delay_.count() / 2, delay_.count());
+  timer_.expires_after(std::chrono::milliseconds(spread(jitter_)));
+  timer_.async_wait([self = shared_from_this()](auto error) {
+    if (!error && !self->stopped_) self->Dial();
+  });
+  delay_ = std::min(delay_ * 2, kLongestDelay);
+}
+
+}  // namespace graniteseam::protocol
--- /dev/null
+++ b/src/protocol/dialer.h
@@ -0,0 +1,61 @@
+/// @file
+/// Keeps one connection to one address: dials, waits with growing and jittered delays, dials again.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <random>
+#include <string>
+
+#include "src/platform/socket_address.h"
+#include "src/protocol/connection.h"
+
+namespace graniteseam::protocol {
+
+/// Lifecycle: Start() once, Stop() before the last owner lets go. Everything runs on the event
+/// loop's thread. Keeps itself alive while an operation is under way.
+class Dialer : public std::enable_shared_from_this<Dialer> {
+ public:
+  struct Handlers {
+    std::function<void()> on_connected;
+    /// @return an error to refuse the message and close.
+    std::function<std::optional<Error>(std::string payload)> on_message;
+    std::function<void()> on_disconnected;
+  };
+
+  Dialer(boost::asio::io_context& context, platform::SocketAddress address, Hello own_hello,
+         InternalTls& tls, ConnectionMetrics& metrics, Handlers handlers);
+
+  void Start();
+  void Stop();
+
+  /// @return false when there is no connection or its queue is full.
+  bool Send(std::string_view payload);
+
+  bool connected() const { return connection_ != nullptr && connection_->ready(); }
+  const platform::SocketAddress& address() const { return address_; }
+
+ private:
+  void Dial();
+  void OnDialled(boost::system::error_code error);
+  void Run(Connection::Socket socket);
+  void OnClosed(const Error& reason);
+  void DialLater(const std::string& reason);
+
+  boost::asio::io_context& context_;
+  platform::SocketAddress address_;
+  Hello own_hello_;
+  InternalTls& tls_;
+  ConnectionMetrics& metrics_;
+  Handlers handlers_;
+  Connection::Socket socket_;
+  boost::asio::steady_timer timer_;
+  std::shared_ptr<Connection> connection_;
+  std::chrono::milliseconds delay_;
+  std::minstd_rand jitter_;
+  bool was_ready_ = false;
+  bool stopped_ = false;
+  std::string last_reason_;  ///< Logged once until it changes or a connection stood.
+};
+
+}  // namespace graniteseam::protocol
--- /dev/null
+++ b/src/protocol/hello.cc
@@ -0,0 +1,48 @@
+#include "src/protocol/hello.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "graniteseam/codec/schema.h"
+#include "graniteseam/consensus/types.h"
+#include "graniteseam/control/router_messages.h"
+
+namespace graniteseam::protocol {
+
+std::uint64_t InternalSchemaFingerprint() {
+  static const std::uint64_t fingerprint = codec::Fingerprint(
+      codec::SchemaText<consensus::PeerMessage>() + codec::SchemaText<control::RouterToControl>() +
+      codec::SchemaText<control::ControlToRouter>());
+  return fingerprint;
+}
+
+Hello MakeHello(ProcessKind kind, std::string name) {
+  Hello hello;
+  hello.kind = kind;
+  hello.name = std::move(name);
+  hello.schema_fingerprint = InternalSchemaFingerprint();
+  return hello;
+}
+
+Result<std::int32_t> AgreeVersion(const Hello& own, const Hello& peer) {
+  const std::int32_t agreed = std::min(own.newest_version, peer.newest_version);
+  if (agreed < std::max(own.oldest_version, peer.oldest_version)) {
+    return Fail(ErrorKind::kIncompatibleFormat,
+                "Process \"" + peer.name + "\" speaks protocol versions " +
+                    std::to_string(peer.oldest_version) + " to " +
+                    std::to_string(peer.newest_version) + ", this one " +
+                    std::to_string(own.oldest_version) + " to " +
+                    std::to_string(own.newest_version) + ".",
+                "Upgrade one release at a time, so that neighbouring releases meet.");
+  }
+  if (own.newest_version == peer.newest_version &&
+      own.schema_fingerprint != peer.schema_fingerprint) {
+    return Fail(ErrorKind::kIncompatibleFormat,
+                "Process \"" + peer.name + "\" has other message schemas under protocol version " +
+                    std::to_string(agreed) + ".",
+                "Run the same release everywhere; mixed development builds do not go together.");
+  }
+  return agreed;
+}
+
+}  // namespace graniteseam::protocol
--- /dev/null
+++ b/src/protocol/internal_server.cc
@@ -0,0 +1,177 @@
+#include "src/protocol/internal_server.h"
+
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/post.hpp>
+#include <map>
+#include <utility>
+
+#include "graniteseam/codec/codec.h"
+#include "src/platform/log.h"
+#include "src/protocol/connection.h"
+
+namespace graniteseam::protocol {
+
+namespace asio = boost::asio;
+
+/// Everything below runs on the event loop's thread, save Start() and port().
+class InternalServer::Impl : public std::enable_shared_from_this<InternalServer::Impl> {
+ public:
+  Impl(InternalServerOptions options, EventLoop& loop, platform::MetricsRegistry& registry,
+       Handlers handlers)
+      : options_(std::move(options)),
+        loop_(loop),
+        metrics_(registry),
+        tls_(options_.security),
+        handlers_(std::move(handlers)),
+        acceptor_(loop.context()) {}
+
+  Result<void> Start();
+  void Accept();
+  void SendToRouter(RouterConnectionId id, const control::ControlToRouter& message);
+  void Disconnect();
+
+  EventLoop& loop() { return loop_; }
+  std::uint16_t port() const { return port_; }
+
+ private:
+  struct Client {
+    std::shared_ptr<Connection> connection;
+    std::optional<ProcessKind> kind;  ///< Known once it said hello.
+  };
+
+  void Take(Connection::Socket socket);
+  std::optional<Error> OnReady(RouterConnectionId id, const Hello& peer);
+  std::optional<Error> OnMessage(RouterConnectionId id, const std::string& payload);
+  void OnClosed(RouterConnectionId id, const Error& reason);
+
+  InternalServerOptions options_;
+  EventLoop& loop_;
+  ConnectionMetrics metrics_;
+  InternalTls tls_;
+  Handlers handlers_;
+  asio::ip::tcp::acceptor acceptor_;
+  std::uint16_t port_ = 0;
+  std::map<RouterConnectionId, Client> clients_;
+  RouterConnectionId next_id_ = 1;
+  platform::Logger log_{"internal"};
+};
+
+Result<void> InternalServer::Impl::Start() {
+  BOOST_LEAF_CHECK(tls_.Load());
+  const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(options_.address.ip),
+                                         options_.address.port);
+  boost::system::error_code error;
+  acceptor_.open(endpoint.protocol(), error);
+  if (!error) acceptor_.set_option(asio::socket_base::reuse_address(true), error);
+  if (!error) acceptor_.bind(endpoint, error);
+  if (!error) acceptor_.listen(asio::socket_base::max_listen_connections, error);
+  if (error) {
+    return Fail(ErrorKind::kInvalidSettings,
+                "Can not listen on " + ToString(options_.address) + ": " + error.message() + ".",
+                "Free the port, or set another peer_address.");
+  }
+  port_ = acceptor_.local_endpoint().port();
+  asio::post(loop_.context(), [self = shared_from_this()] { self->Accept(); });
+  return {};
+}
+
+void InternalServer::Impl::Accept() {
+  acceptor_.async_accept([self = shared_from_this()](auto error, Connection::Socket socket) {
+    if (error == asio::error::operation_aborted) return;
+    if (!error) self->Take(std::move(socket));
+    self->Accept();
+  });
+}
+
+void InternalServer::Impl::Take(Connection::Socket socket) {
+  if (clients_.size() >= options_.connections_maximum) {
+    metrics_.registry
+        .Counter(platform::Metric::kTransportConnectionsRefused,
+                 {{"kind", std::string(ErrorKindName(ErrorKind::kOverloaded))}})
+        .Increment();
+    return;  // Destroying the socket closes it.
+  }
+  const RouterConnectionId id = next_id_++;
+  Hello hello = MakeHello(ProcessKind::kControl, options_.name);
+  auto connection = std::make_shared<Connection>(std::move(socket), Connection::Side::kAccepted,
+                                                 std::move(hello), tls_, metrics_);
+  clients_[id].connection = connection;
+  Connection::Handlers handlers;
+  handlers.on_ready = [self = shared_from_this(), id](const Hello& peer) {
+    return self->OnReady(id, peer);
+  };
+  handlers.on_message = [self = shared_from_this(), id](const std::string& payload) {
+    return self->OnMessage(id, payload);
+  };
+  handlers.on_closed = [self = shared_from_this(), id](const Error& reason) {
+    self->OnClosed(id, reason);
+  };
+  connection->Start(std::move(handlers));
+}
+
+std::optional<Error> InternalServer::Impl::OnReady(RouterConnectionId id, const Hello& peer) {
+  clients_[id].kind = peer.kind;
+  log_.Info("Connected: {} {}.", peer.kind == ProcessKind::kRouter ? "router" : "control",
+            peer.name);
+  return std::nullopt;
+}
+
+std::optional<Error> InternalServer::Impl::OnMessage(RouterConnectionId id,
+                                                     const std::string& payload) {
+  if (clients_[id].kind == ProcessKind::kRouter) {
+    auto decoded = Attempt([&] { return codec::Decode<control::RouterToControl>(payload); });
+    if (const Error* error = ErrorOf(decoded)) return *error;
+    handlers_.on_router_message(id, std::move(std::get<control::RouterToControl>(decoded)));
+    return std::nullopt;
+  }
+  auto decoded = Attempt([&] { return codec::Decode<consensus::PeerMessage>(payload); });
+  if (const Error* error = ErrorOf(decoded)) return *error;
+  handlers_.on_peer_message(std::move(std::get<consensus::PeerMessage>(decoded)));
+  return std::nullopt;
+}
+
+void InternalServer::Impl::OnClosed(RouterConnectionId id, const Error& reason) {
+  const auto found = clients_.find(id);
+  const bool was_router = found->second.kind == ProcessKind::kRouter;
+  clients_.erase(found);
+  log_.Info("Connection ended: {}", reason.message);
+  if (was_router) handlers_.on_router_disconnected(id);
+}
+
+void InternalServer::Impl::SendToRouter(RouterConnectionId id,
+                                        const control::ControlToRouter& message) {
+  const auto found = clients_.find(id);
+  if (found == clients_.end()) return;
+  if (found->second.connection->Send(codec::Encode(message))) return;
+  found->second.connection->Close({ErrorKind::kOverloaded,
+                                   "The router does not take its messages fast enough.",
+                                   "Check the router and the network between."});
+}
+
+void InternalServer::Impl::Disconnect() {
+  boost::system::error_code ignored;
+  acceptor_.close(ignored);
+  for (auto& [id, client] : clients_) client.connection->Close();
+}
+
+InternalServer::InternalServer(InternalServerOptions options, EventLoop& loop,
+                               platform::MetricsRegistry& metrics, Handlers handlers)
+    : impl_(std::make_shared<Impl>(std::move(options), loop, metrics, std::move(handlers))) {}
+
+InternalServer::~InternalServer() { impl_->Disconnect(); }
+
+Result<void> InternalServer::Start() { return impl_->Start(); }
+
+std::uint16_t InternalServer::port() const { return impl_->port(); }
+
+void InternalServer::SendToRouter(RouterConnectionId connection, control::ControlToRouter message) {
+  asio::post(impl_->loop().context(), [impl = impl_, connection, message = std::move(message)] {
+    impl->SendToRouter(connection, message);
+  });
+}
+
+void InternalServer::Disconnect() {
+  asio::post(impl_->loop().context(), [impl = impl_] { impl->Disconnect(); });
+}
+
+}  // namespace graniteseam::protocol
--- /dev/null
+++ b/src/protocol/internal_server.h
@@ -0,0 +1,67 @@
+/// @file
+/// A control process's internal port: takes connections of control peers and of routers.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "graniteseam/common/error.h"
+#include "graniteseam/consensus/types.h"
+#include "graniteseam/control/router_messages.h"
+#include "src/platform/metrics.h"
+#include "src/platform/socket_address.h"
+#include "src/protocol/event_loop.h"
+#include "src/protocol/internal_security.h"
+
+namespace graniteseam::protocol {
+
+struct InternalServerOptions {
+  platform::SocketAddress address;
+  std::string name;  ///< This process's id, for logs at the other side.
+  InternalSecurity security;
+  /// Connections beyond this are closed at once: bounds memory and descriptors.
+  std::size_t connections_maximum = 4'096;
+};
+
+/// Names a router's connection as long as the process runs.
+using RouterConnectionId = std::uint64_t;
+
+/// Lifecycle: Start() once; stop the event loop before destruction. SendToRouter() and Disconnect()
+/// are thread safe; handlers run on the event loop's thread.
+class InternalServer {
+ public:
+  struct Handlers {
+    std::function<void(consensus::PeerMessage message)> on_peer_message;
+    std::function<void(RouterConnectionId connection, control::RouterToControl message)>
+        on_router_message;
+    std::function<void(RouterConnectionId connection)> on_router_disconnected;
+  };
+
+  InternalServer(InternalServerOptions options, EventLoop& loop, platform::MetricsRegistry& metrics,
+                 Handlers handlers);
+  ~InternalServer();
+  InternalServer(const InternalServer&) = delete;
+  InternalServer& operator=(const InternalServer&) = delete;
+
+  /// Opens the port.
+  /// @return kInvalidSettings when the address can not be listened on or the secret file is wrong.
+  Result<void> Start();
+
+  /// The port listened on, also when the settings named port 0.
+  std::uint16_t port() const;
+
+  /// Sends to one router. A connection whose queue is full is closed: the router comes back and
+  /// asks for what it lacks.
+  void SendToRouter(RouterConnectionId connection, control::ControlToRouter message);
+
+  /// Stops taking connections and closes those of routers, so that they turn to another process.
+  void Disconnect();
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
+}  // namespace graniteseam::protocol
--- /dev/null
+++ b/src/protocol/leader_tracker.cc
@@ -0,0 +1,158 @@
+#include "src/protocol/leader_tracker.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace graniteseam::protocol {
+namespace {
+
+/// While a group elects, every process answers "not leader" at once; this keeps a router from
+/// asking round in a tight loop.
+constexpr Duration kTurnInterval{10'000};
+/// Unanswered messages are forgotten after this many silence limits.
+constexpr int kForgetAfterLimits = 10;
+constexpr std::size_t kPendingMaximum = 256;
+
+std::uint64_t SequenceOf(const control::RouterToControl& message) {
+  return std::visit([](const auto& request) { return request.sequence; }, message);
+}
+
+bool Answers(const control::ControlToRouter& answer, const control::RouterToControl& message) {
+  const std::uint64_t sequence = SequenceOf(message);
+  if (const auto* renewal = std::get_if<control::RouterRenewalAnswer>(&answer)) {
+    return std::holds_alternative<control::RouterRenewal>(message) && renewal->sequence == sequence;
+  }
+  if (const auto* journal = std::get_if<control::JournalAnswer>(&answer)) {
+    return std::holds_alternative<control::JournalRequest>(message) &&
+           journal->sequence == sequence;
+  }
+  return false;
+}
+
+}  // namespace
+
+LeaderTracker::LeaderTracker(std::vector<std::string> addresses, Duration silence_limit)
+    : addresses_(std::move(addresses)),
+      connected_(addresses_.size()),
+      silent_at_(addresses_.size()),
+      silence_limit_(silence_limit) {}
+
+std::vector<LeaderSend> LeaderTracker::OnSend(control::RouterToControl message, Instant now) {
+  if (std::holds_alternative<control::RouterRenewal>(message)) {
+    // A newer renewal says all that an older one said.
+    std::erase_if(pending_, [](const Pending& pending) {
+      return std::holds_alternative<control::RouterRenewal>(pending.message);
+    });
+  }
+  if (pending_.size() >= kPendingMaximum) pending_.pop_front();
+  pending_.push_back({std::move(message), now, now});
+  if (!connected_[target_]) return {};  // Goes out on connecting, or when Tick() turns away.
+  return {SendOne(pending_.back(), now)};
+}
+
+std::vector<LeaderSend> LeaderTracker::OnConnected(const std::string& address, Instant now) {
+  const std::size_t index = IndexOf(address);
+  connected_[index] = true;
+  silent_at_[index].reset();
+  if (index == target_) return SendPending(now, Duration::zero());
+  return connected_[target_] ? std::vector<LeaderSend>{} : TurnTo(index, now);
+}
+
+std::vector<LeaderSend> LeaderTracker::OnDisconnected(const std::string& address, Instant now) {
+  const std::size_t index = IndexOf(address);
+  connected_[index] = false;
+  return index == target_ ? TurnTo(NextConnected(), now) : std::vector<LeaderSend>{};
+}
+
+void LeaderTracker::OnAnswered(const std::string& address, const control::ControlToRouter& answer) {
+  if (IndexOf(address) == target_) unanswered_since_.reset();
+  std::erase_if(pending_, [&](const Pending& pending) { return Answers(answer, pending.message); });
+}
+
+std::vector<LeaderSend> LeaderTracker::OnNotLeader(const std::string& address,
+                                                   const control::NotLeaderAnswer& answer,
+                                                   Instant now) {
+  const std::size_t index = IndexOf(address);
+  if (index != target_) return {};  // Of an earlier target: already turned away.
+  unanswered_since_.reset();
+  if (answer.leader_address.empty()) return TurnTo(NextConnected(), now);
+  const std::size_t hinted = IndexOf(answer.leader_address);
+  // A follower may still name a leader that this router just found silent.
+  if (RecentlySilent(hinted, now)) return TurnTo(NextConnected(), now);
+  return TurnTo(hinted, now);
+}
+
+std::vector<LeaderSend> LeaderTracker::Tick(Instant now) {
+  Forget(now);
+  if (wanted_target_ && now >= next_turn_) return TurnTo(*wanted_target_, now);
+  if (pending_.empty()) return {};
+  const bool silent = unanswered_since_ && now - *unanswered_since_ > silence_limit_;
+  const bool unreachable =
+      !connected_[target_] && now - pending_.front().first_sent > silence_limit_;
+  if (silent || unreachable) {
+    silent_at_[target_] = now;
+    return TurnTo(NextConnected(), now);
+  }
+  return SendPending(now, silence_limit_);
+}
+
+std::size_t LeaderTracker::IndexOf(const std::string& address) {
+  const auto found = std::find(addresses_.begin(), addresses_.end(), address);
+  const auto index = static_cast<std::size_t>(found - addresses_.begin());
+  if (found == addresses_.end()) {
+    addresses_.push_back(address);
+    connected_.push_back(false);
+    silent_at_.emplace_back();
+  }
+  return index;
+}
+
+bool LeaderTracker::RecentlySilent(std::size_t index, Instant now) const {
+  return silent_at_[index] && now - *silent_at_[index] <= 2 * silence_limit_;
+}
+
+/// The next process after the target that is connected; the next one when none is.
+std::size_t LeaderTracker::NextConnected() const {
+  for (std::size_t step = 1; step < addresses_.size(); ++step) {
+    const std::size_t index = (target_ + step) % addresses_.size();
+    if (connected_[index]) return index;
+  }
+  return (target_ + 1) % addresses_.size();
+}
+
+std::vector<LeaderSend> LeaderTracker::TurnTo(std::size_t target, Instant now) {
+  if (now < next_turn_) {
+    wanted_target_ = target;
+    return {};
+  }
+  wanted_target_.reset();
+  next_turn_ = now + kTurnInterval;
+  target_ = target;
+  unanswered_since_.reset();
+  return SendPending(now, Duration::zero());
+}
+
+/// Sends what was not sent for `unsent_for`, all of it when that is zero.
+std::vector<LeaderSend> LeaderTracker::SendPending(Instant now, Duration unsent_for) {
+  std::vector<LeaderSend> sends;
+  if (!connected_[target_]) return sends;
+  for (Pending& pending : pending_) {
+    if (now - pending.last_sent >= unsent_for) sends.push_back(SendOne(pending, now));
+  }
+  return sends;
+}
+
+LeaderSend LeaderTracker::SendOne(Pending& pending, Instant now) {
+  pending.last_sent = now;
+  if (!unanswered_since_) unanswered_since_ = now;
+  return {addresses_[target_], pending.message};
+}
+
+void LeaderTracker::Forget(Instant now) {
+  std::erase_if(pending_, [&](const Pending& pending) {
+    return now - pending.first_sent > kForgetAfterLimits * silence_limit_;
+  });
+  if (pending_.empty()) unanswered_since_.reset();
+}
+
+}  // namespace graniteseam::protocol
--- /dev/null
+++ b/src/protocol/leader_tracker.h
@@ -0,0 +1,73 @@
+/// @file
+/// Decides to which control process a router sends, and what it sends again. A deterministic state
+/// machine; RouterControlClient drives it.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "graniteseam/common/time.h"
+#include "graniteseam/control/router_messages.h"
+
+namespace graniteseam::protocol {
+
+/// Where to send what.
+struct LeaderSend {
+  std::string address;
+  control::RouterToControl message;
+};
+
+/// Not thread safe; `now` never goes back.
+class LeaderTracker {
+ public:
+  /// @param silence_limit how long a message may stay unanswered before the next process is tried.
+  LeaderTracker(std::vector<std::string> addresses, Duration silence_limit);
+
+  /// All addresses to keep a connection to; grows with hints.
+  const std::vector<std::string>& addresses() const { return addresses_; }
+  /// The process believed to lead.
+  const std::string& target() const { return addresses_[target_]; }
+
+  std::vector<LeaderSend> OnSend(control::RouterToControl message, Instant now);
+  std::vector<LeaderSend> OnConnected(const std::string& address, Instant now);
+  std::vector<LeaderSend> OnDisconnected(const std::string& address, Instant now);
+  /// Takes a renewal's or a journal batch's answer.
+  void OnAnswered(const std::string& address, const control::ControlToRouter& answer);
+  std::vector<LeaderSend> OnNotLeader(const std::string& address,
+                                      const control::NotLeaderAnswer& answer, Instant now);
+  /// Turns away from a silent process; forgets what is too old. Call it a few times a silence
+  /// limit.
+  std::vector<LeaderSend> Tick(Instant now);
+
+ private:
+  struct Pending {
+    control::RouterToControl message;
+    Instant first_sent;
+    Instant last_sent;
+  };
+
+  std::size_t IndexOf(const std::string& address);
+  bool RecentlySilent(std::size_t index, Instant now) const;
+  std::size_t NextConnected() const;
+  /// Makes `target` the one to send to, now or at the next tick that allows a turn.
+  std::vector<LeaderSend> TurnTo(std::size_t target, Instant now);
+  std::vector<LeaderSend> SendPending(Instant now, Duration unsent_for);
+  LeaderSend SendOne(Pending& pending, Instant now);
+  void Forget(Instant now);
+
+  std::vector<std::string> addresses_;
+  std::vector<bool> connected_;
+  std::vector<std::optional<Instant>> silent_at_;  ///< When each was last found silent.
+  Duration silence_limit_;
+  std::size_t target_ = 0;
+  std::optional<std::size_t> wanted_target_;  ///< A turn that waits for `next_turn_`.
+  Instant next_turn_;                         ///< Bounds how often targets change.
+  /// Since when the target left everything unanswered.
+  std::optional<Instant> unanswered_since_;
+  std::deque<Pending> pending_;
+};
+
+}  // namespace graniteseam::protocol
--- /dev/null
+++ b/src/protocol/peer_transport.cc
@@ -0,0 +1,108 @@
+#include "src/protocol/peer_transport.h"
+
+#include <boost/asio/post.hpp>
+#include <map>
+#include <utility>
+
+#include "graniteseam/codec/codec.h"
+#include "src/platform/clock.h"
+#include "src/platform/log.h"
+#include "src/protocol/dialer.h"
+
+namespace graniteseam::protocol {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr Duration kForgetPeerAfter = std::chrono::minutes(1);
+
+}  // namespace
+
+/// Runs on the event loop's thread, save Load().
+class PeerTransport::Impl : public std::enable_shared_from_this<PeerTransport::Impl> {
+ public:
+  Impl(std::string name, InternalSecurity security, EventLoop& loop,
+       platform::MetricsRegistry& registry)
+      : name_(std::move(name)), tls_(std::move(security)), loop_(loop), metrics_(registry) {}
+
+  Result<void> Load() { return tls_.Load(); }
+
+  void Send(const consensus::PeerMessage& message) {
+    const Instant now = platform::BootTimeNow();
+    Peer* const peer = FindOrDial(message.to.address);
+    if (peer == nullptr) return;
+    peer->last_sent = now;
+    peer->dialer->Send(codec::Encode(message));
+    ForgetSilent(now);
+  }
+
+  void HangUp() {
+    for (const auto& [address, peer] : peers_) peer.dialer->Stop();
+    peers_.clear();
+  }
+
+  EventLoop& loop() { return loop_; }
+
+ private:
+  struct Peer {
+    std::shared_ptr<Dialer> dialer;
+    Instant last_sent;
+  };
+
+  Peer* FindOrDial(const std::string& address);
+  void ForgetSilent(Instant now);
+
+  std::string name_;
+  InternalTls tls_;
+  EventLoop& loop_;
+  ConnectionMetrics metrics_;
+  std::map<std::string, Peer> peers_;
+};
+
+PeerTransport::Impl::Peer* PeerTransport::Impl::FindOrDial(const std::string& address) {
+  const auto found = peers_.find(address);
+  if (found != peers_.end()) return &found->second;
+  const auto parsed = Attempt([&] { return platform::ParseSocketAddress(address); });
+  if (const Error* error = ErrorOf(parsed)) {
+    platform::Logger("internal").Warning(*error);
+    return nullptr;
+  }
+  Dialer::Handlers handlers;
+  handlers.on_connected = [] {};
+  handlers.on_disconnected = [] {};
+  handlers.on_message = [](const std::string& /*payload*/) {
+    return Error{ErrorKind::kMalformedMessage, "A peer's answer came on a connection for sending.",
+                 "Run the same release everywhere."};
+  };
+  auto dialer = std::make_shared<Dialer>(loop_.context(), std::get<platform::SocketAddress>(parsed),
+                                         MakeHello(ProcessKind::kControl, name_), tls_, metrics_,
+                                         std::move(handlers));
+  dialer->Start();
+  return &peers_.emplace(address, Peer{dialer, {}}).first->second;
+}
+
+void PeerTransport::Impl::ForgetSilent(Instant now) {
+  for (auto peer = peers_.begin(); peer != peers_.end();) {
+    if (now - peer->second.last_sent <= kForgetPeerAfter) {
+      ++peer;
+      continue;
+    }
+    peer->second.dialer->Stop();
+    peer = peers_.erase(peer);
+  }
+}
+
+PeerTransport::PeerTransport(std::string name, InternalSecurity security, EventLoop& loop,
+                             platform::MetricsRegistry& metrics)
+    : impl_(std::make_shared<Impl>(std::move(name), std::move(security), loop, metrics)) {}
+
+PeerTransport::~PeerTransport() { impl_->HangUp(); }
+
+Result<void> PeerTransport::Load() { return impl_->Load(); }
+
+void PeerTransport::Send(consensus::PeerMessage message) {
+  asio::post(impl_->loop().context(),
+             [impl = impl_, message = std::move(message)] { impl->Send(message); });
+}
+
+}  // namespace graniteseam::protocol
--- /dev/null
+++ b/src/protocol/peer_transport.h
@@ -0,0 +1,42 @@
+/// @file
+/// Sends messages to control peers, over one dialled connection a peer.
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "graniteseam/common/error.h"
+#include "graniteseam/consensus/types.h"
+#include "src/platform/metrics.h"
+#include "src/protocol/event_loop.h"
+#include "src/protocol/internal_security.h"
+
+namespace graniteseam::protocol {
+
+/// Best effort, as consensus expects: a message is dropped when its peer is not connected or its
+/// queue is full, and never delivered twice or out of order within one connection.
+///
+/// Lifecycle: Load() once before the first Send(); stop the event loop before destruction. Send()
+/// is thread safe. A peer that is not sent to for a minute, as after its removal, is hung up on.
+class PeerTransport {
+ public:
+  /// @param name this process's id, for logs at the other side.
+  PeerTransport(std::string name, InternalSecurity security, EventLoop& loop,
+                platform::MetricsRegistry& metrics);
+  ~PeerTransport();
+  PeerTransport(const PeerTransport&) = delete;
+  PeerTransport& operator=(const PeerTransport&) = delete;
+
+  /// Reads the secret file.
+  /// @return kInvalidSettings when it is wrong.
+  Result<void> Load();
+
+  /// Sends to `message.to.address`; dials it when this is the first message to it.
+  void Send(consensus::PeerMessage message);
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
+}  // namespace graniteseam::protocol
--- /dev/null
+++ b/src/protocol/router_control_client.cc
@@ -0,0 +1,174 @@
+#include "src/protocol/router_control_client.h"
+
+#include <boost/asio/post.hpp>
+#include <map>
+#include <utility>
+
+#include "graniteseam/codec/codec.h"
+#include "src/platform/clock.h"
+#include "src/platform/log.h"
+#include "src/protocol/dialer.h"
+#include "src/protocol/event_loop.h"
+#include "src/protocol/leader_tracker.h"
+
+namespace graniteseam::protocol {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr std::chrono::milliseconds kTickInterval{10};
+
+std::vector<std::string> ToTexts(const std::vector<platform::SocketAddress>& addresses) {
+  std::vector<std::string> texts;
+  texts.reserve(addresses.size());
+  for (const platform::SocketAddress& address : addresses) texts.push_back(ToString(address));
+  return texts;
+}
+
+}  // namespace
+
+/// Runs on its own event loop's thread, save construction and destruction.
+class RouterControlClient::Impl {
+ public:
+  Impl(RouterControlClientOptions options, platform::MetricsRegistry& registry,
+       AnswerHandler on_answer, ConnectedHandler on_connected);
+  ~Impl();
+
+  void Send(control::RouterToControl message);
+
+ private:
+  void Dial(const std::string& address);
+  void DialNew();
+  void Deliver(const std::vector<LeaderSend>& sends);
+  void OnConnected(const std::string& address);
+  void OnDisconnected(const std::string& address);
+  std::optional<Error> OnMessage(const std::string& address, const std::string& payload);
+  void ScheduleTick();
+
+  // First, so that its context outlives the sockets and timers below; the destructor stops it.
+  EventLoop loop_;
+  RouterControlClientOptions options_;
+  AnswerHandler on_answer_;
+  ConnectedHandler on_connected_;
+  ConnectionMetrics metrics_;
+  InternalTls tls_;
+  LeaderTracker tracker_;
+  std::map<std::string, std::shared_ptr<Dialer>> dialers_;
+  std::size_t connected_ = 0;
+  asio::steady_timer tick_{loop_.context()};
+};
+
+RouterControlClient::Impl::Impl(RouterControlClientOptions options,
+                                platform::MetricsRegistry& registry, AnswerHandler on_answer,
+                                ConnectedHandler on_connected)
+    : options_(std::move(options)),
+      on_answer_(std::move(on_answer)),
+      on_connected_(std::move(on_connected)),
+      metrics_(registry),
+      tls_(options_.security),
+      tracker_(ToTexts(options_.control), options_.silence_limit) {
+  const auto loaded = Attempt([&] { return tls_.Load(); });
+  if (const Error* error = ErrorOf(loaded)) platform::Logger("internal").Error(*error);
+  asio::post(loop_.context(), [this] {
+    DialNew();
+    ScheduleTick();
+  });
+}
+
+RouterControlClient::Impl::~Impl() {
+  // What is under way refers to this object: the loop must stand still first.
+  loop_.Stop();
+  for (const auto& [address, dialer] : dialers_) {
+    if (dialer) dialer->Stop();
+  }
+}
+
+void RouterControlClient::Impl::Send(control::RouterToControl message) {
+  asio::post(loop_.context(), [this, message = std::move(message)]() mutable {
+    Deliver(tracker_.OnSend(std::move(message), platform::BootTimeNow()));
+  });
+}
+
+/// Dials the addresses that hints brought.
+void RouterControlClient::Impl::DialNew() {
+  for (const std::string& address : tracker_.addresses()) {
+    if (!dialers_.contains(address)) Dial(address);
+  }
+}
+
+void RouterControlClient::Impl::Dial(const std::string& address) {
+  const auto parsed = Attempt([&] { return platform::ParseSocketAddress(address); });
+  if (const Error* error = ErrorOf(parsed)) {
+    platform::Logger("internal").Warning(*error);
+    dialers_[address] = nullptr;
+    return;
+  }
+  Dialer::Handlers handlers;
+  handlers.on_connected = [this, address] { OnConnected(address); };
+  handlers.on_disconnected = [this, address] { OnDisconnected(address); };
+  handlers.on_message = [this, address](const std::string& payload) {
+    return OnMessage(address, payload);
+  };
+  auto dialer = std::make_shared<Dialer>(loop_.context(), std::get<platform::SocketAddress>(parsed),
+                                         MakeHello(ProcessKind::kRouter, options_.router.value),
+                                         tls_, metrics_, std::move(handlers));
+  dialers_[address] = dialer;
+  dialer->Start();
+}
+
+void RouterControlClient::Impl::Deliver(const std::vector<LeaderSend>& sends) {
+  for (const LeaderSend& send : sends) {
+    const auto found = dialers_.find(send.address);
+    if (found != dialers_.end() && found->second) {
+      found->second->Send(codec::Encode(send.message));
+    }
+  }
+  DialNew();
+}
+
+void RouterControlClient::Impl::OnConnected(const std::string& address) {
+  if (++connected_ == 1 && on_connected_) on_connected_(true);
+  Deliver(tracker_.OnConnected(address, platform::BootTimeNow()));
+}
+
+void RouterControlClient::Impl::OnDisconnected(const std::string& address) {
+  if (--connected_ == 0 && on_connected_) on_connected_(false);
+  Deliver(tracker_.OnDisconnected(address, platform::BootTimeNow()));
+}
+
+std::optional<Error> RouterControlClient::Impl::OnMessage(const std::string& address,
+                                                          const std::string& payload) {
+  const auto decoded = Attempt([&] { return codec::Decode<control::ControlToRouter>(payload); });
+  if (const Error* error = ErrorOf(decoded)) return *error;
+  const auto& answer = std::get<control::ControlToRouter>(decoded);
+  if (const auto* not_leader = std::get_if<control::NotLeaderAnswer>(&answer)) {
+    Deliver(tracker_.OnNotLeader(address, *not_leader, platform::BootTimeNow()));
+    return std::nullopt;
+  }
+  tracker_.OnAnswered(address, answer);
+  on_answer_(answer);
+  return std::nullopt;
+}
+
+void RouterControlClient::Impl::ScheduleTick() {
+  tick_.expires_after(kTickInterval);
+  tick_.async_wait([this](auto error) {
+    if (error) return;
+    Deliver(tracker_.Tick(platform::BootTimeNow()));
+    ScheduleTick();
+  });
+}
+
+RouterControlClient::RouterControlClient(RouterControlClientOptions options,
+                                         platform::MetricsRegistry& metrics,
+                                         AnswerHandler on_answer, ConnectedHandler on_connected)
+    : impl_(std::make_unique<Impl>(std::move(options), metrics, std::move(on_answer),
+                                   std::move(on_connected))) {}
+
+RouterControlClient::~RouterControlClient() = default;
+
+void RouterControlClient::Send(control::RouterToControl message) {
+  impl_->Send(std::move(message));
+}
+
+}  // namespace graniteseam::protocol
--- /dev/null
+++ b/tests/protocol/leader_tracker_test.cc
@@ -0,0 +1,119 @@
+#include "src/protocol/leader_tracker.h"
+
+#include <criterion/criterion.h>
+
+namespace control = graniteseam::control;
+using graniteseam::Duration;
+using graniteseam::Instant;
+using graniteseam::InstantFromMicros;
+using graniteseam::protocol::LeaderSend;
+using graniteseam::protocol::LeaderTracker;
+
+namespace {
+
+constexpr Duration kLimit{100'000};
+
+Instant At(std::int64_t milliseconds) { return InstantFromMicros(milliseconds * 1000); }
+
+control::RouterRenewal Renewal(std::uint64_t sequence) {
+  control::RouterRenewal renewal;
+  renewal.sequence = sequence;
+  return renewal;
+}
+
+control::JournalRequest Journal(std::uint64_t sequence) {
+  control::JournalRequest request;
+  request.sequence = sequence;
+  return request;
+}
+
+control::RouterRenewalAnswer RenewalAnswer(std::uint64_t sequence) {
+  control::RouterRenewalAnswer answer;
+  answer.sequence = sequence;
+  return answer;
+}
+
+/// Three processes, all connected, the first one believed to lead.
+LeaderTracker ThreeConnected() {
+  LeaderTracker tracker({"a", "b", "c"}, kLimit);
+  for (const char* address : {"a", "b", "c"}) tracker.OnConnected(address, At(0));
+  return tracker;
+}
+
+}  // namespace
+
+Test(leader_tracker, sends_to_the_first_and_holds_until_connected) {
+  LeaderTracker tracker({"a", "b"}, kLimit);
+  cr_assert(tracker.OnSend(Renewal(1), At(0)).empty());
+  const auto sends = tracker.OnConnected("a", At(5));
+  cr_assert(sends.size() == 1 && sends[0].address == "a");
+}
+
+Test(leader_tracker, follows_a_hint_also_to_a_process_not_in_the_settings) {
+  LeaderTracker tracker = ThreeConnected();
+  tracker.OnSend(Renewal(1), At(20));
+  cr_assert(tracker.OnNotLeader("a", {1, "d"}, At(30)).empty());
+  cr_assert(tracker.target() == "d");
+  cr_assert(tracker.addresses().size() == 4);
+  const auto sends = tracker.OnConnected("d", At(40));
+  cr_assert(sends.size() == 1 && sends[0].address == "d");
+}
+
+Test(leader_tracker, asks_round_without_a_tight_loop_while_nobody_leads) {
+  LeaderTracker tracker = ThreeConnected();
+  tracker.OnSend(Journal(1), At(20));
+  std::size_t sent = 0;
+  for (std::int64_t now = 21; now < 121; ++now) {
+    sent += tracker.OnNotLeader(tracker.target(), {1, ""}, At(now)).size();
+    sent += tracker.Tick(At(now)).size();
+  }
+  cr_assert(sent >= 3 && sent <= 11, "%zu sends", sent);
+}
+
+Test(leader_tracker, turns_from_a_silent_leader_and_passes_over_hints_to_it) {
+  LeaderTracker tracker = ThreeConnected();
+  tracker.OnSend(Journal(1), At(20));
+  cr_assert(tracker.Tick(At(100)).empty());
+  auto sends = tracker.Tick(At(121));
+  cr_assert(sends.size() == 1 && sends[0].address == "b");
+  tracker.OnNotLeader("b", {1, "a"}, At(140));
+  cr_assert(tracker.target() == "c");
+}
+
+Test(leader_tracker, keeps_a_leader_that_answers_something) {
+  LeaderTracker tracker = ThreeConnected();
+  tracker.OnSend(Journal(1), At(20));
+  tracker.OnSend(Renewal(1), At(20));
+  tracker.OnAnswered("a", RenewalAnswer(1));
+  // The journal batch is only asked again, at the same process.
+  const auto sends = tracker.Tick(At(130));
+  cr_assert(tracker.target() == "a");
+  cr_assert(sends.size() == 1);
+  cr_assert(std::holds_alternative<control::JournalRequest>(sends[0].message));
+}
+
+Test(leader_tracker, turns_at_once_when_the_connection_breaks) {
+  LeaderTracker tracker = ThreeConnected();
+  tracker.OnSend(Journal(7), At(20));
+  const auto sends = tracker.OnDisconnected("a", At(25));
+  cr_assert(sends.size() == 1 && sends[0].address == "b");
+}
+
+Test(leader_tracker, sends_only_the_newest_renewal_again_and_forgets_old_messages) {
+  LeaderTracker tracker({"a", "b"}, kLimit);
+  tracker.OnSend(Renewal(1), At(0));
+  tracker.OnSend(Renewal(2), At(50));
+  auto sends = tracker.OnConnected("a", At(60));
+  cr_assert(sends.size() == 1);
+  cr_assert(std::get<control::RouterRenewal>(sends[0].message).sequence == 2);
+  tracker.Tick(At(2000));
+  cr_assert(tracker.OnDisconnected("a", At(2001)).empty());
+  cr_assert(tracker.OnConnected("b", At(2002)).empty());
+}
+
+Test(leader_tracker, does_not_send_again_what_was_answered) {
+  LeaderTracker tracker = ThreeConnected();
+  tracker.OnSend(Journal(1), At(20));
+  tracker.OnAnswered("a", control::JournalAnswer{1, {}});
+  cr_assert(tracker.OnDisconnected("a", At(25)).empty());
+}
--- /dev/null
+++ b/tests/protocol/raw_client.h
@@ -0,0 +1,59 @@
+/// @file
+/// A plain TCP client that sends what no program of ours would send.
+#pragma once
+
+#include <arpa/inet.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cstdint>
+#include <string>
+
+namespace graniteseam::test {
+
+class RawClient {
+ public:
+  explicit RawClient(std::uint16_t port) : descriptor_(socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(port);
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    connected_ = connect(descriptor_, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0;
+  }
+  ~RawClient() { close(descriptor_); }
+  RawClient(const RawClient&) = delete;
+  RawClient& operator=(const RawClient&) = delete;
+
+  bool connected() const { return connected_; }
+
+  void Send(const std::string& bytes) {
+    // The other side may have closed already; what counts is what it answers.
+    [[maybe_unused]] const ssize_t sent =
+        send(descriptor_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+  }
+
+  /// All bytes until the other side closes; gives up after a generous while.
+  /// @param[out] closed whether it closed.
+  std::string ReadToEnd(bool& closed) {
+    std::string all;
+    closed = false;
+    pollfd source{descriptor_, POLLIN, 0};
+    while (poll(&source, 1, 30'000) > 0) {
+      char buffer[4096];
+      const ssize_t taken = recv(descriptor_, buffer, sizeof(buffer), 0);
+      if (taken <= 0) {
+        closed = true;
+        break;
+      }
+      all.append(buffer, static_cast<std::size_t>(taken));
+    }
+    return all;
+  }
+
+ private:
+  int descriptor_;
+  bool connected_ = false;
+};
+
+}  // namespace graniteseam::test
--- /dev/null
+++ b/tests/protocol/transport_test.cc
@@ -0,0 +1,318 @@
+#include <criterion/criterion.h>
+
+#include <condition_variable>
+#include <filesystem>
+#include <fstream>
+#include <mutex>
+
+#include "graniteseam/codec/codec.h"
+#include "src/protocol/frame.h"
+#include "src/protocol/hello.h"
+#include "src/protocol/internal_server.h"
+#include "src/protocol/internal_tls.h"
+#include "src/protocol/peer_transport.h"
+#include "src/protocol/router_control_client.h"
+#include "tests/protocol/raw_client.h"
+
+namespace consensus = graniteseam::consensus;
+namespace control = graniteseam::control;
+namespace platform = graniteseam::platform;
+namespace protocol = graniteseam::protocol;
+using graniteseam::protocol::FrameKind;
+using graniteseam::test::RawClient;
+
+namespace {
+
+/// Collects what handlers deliver on other threads.
+template <class T>
+class Mailbox {
+ public:
+  void Put(T item) {
+    const std::lock_guard lock(mutex_);
+    items_.push_back(std::move(item));
+    arrived_.notify_all();
+  }
+  /// Waits for `count` items, with a limit that only a defect reaches.
+  bool WaitFor(std::size_t count) {
+    std::unique_lock lock(mutex_);
+    return arrived_.wait_for(lock, std::chrono::seconds(60),
+                             [&] { return items_.size() >= count; });
+  }
+  std::vector<T> items() {
+    const std::lock_guard lock(mutex_);
+    return items_;
+  }
+
+ private:
+  std::mutex mutex_;  ///< Guards items_.
+  std::condition_variable arrived_;
+  std::vector<T> items_;
+};
+
+/// A control process's internal port that answers renewals with their sequence.
+struct Control {
+  explicit Control(protocol::InternalSecurity security = {}, std::size_t connections = 100)
+      : server({{"127.0.0.1", 0}, "1", std::move(security), connections}, loop, metrics,
+               {[this](consensus::PeerMessage message) { peers.Put(std::move(message)); },
+                [this](protocol::RouterConnectionId id, const control::RouterToControl& message) {
+                  Answer(id, message);
+                },
+                [this](protocol::RouterConnectionId id) { gone.Put(id); }}) {
+    const auto started = graniteseam::Attempt([&] { return server.Start(); });
+    cr_assert(graniteseam::ErrorOf(started) == nullptr);
+  }
+  ~Control() { loop.Stop(); }
+  void Answer(protocol::RouterConnectionId id, const control::RouterToControl& message) {
+    const auto* renewal = std::get_if<control::RouterRenewal>(&message);
+    if (renewal == nullptr) return;
+    if (!hint.empty()) {
+      server.SendToRouter(id, control::NotLeaderAnswer{renewal->sequence, hint});
+      return;
+    }
+    control::RouterRenewalAnswer answer;
+    answer.sequence = renewal->sequence;
+    server.SendToRouter(id, answer);
+  }
+  platform::SocketAddress address() const { return {"127.0.0.1", server.port()}; }
+
+  platform::MetricsRegistry metrics;
+  protocol::EventLoop loop;
+  std::string hint;  ///< The leader to name; empty while this one leads.
+  Mailbox<consensus::PeerMessage> peers;
+  Mailbox<protocol::RouterConnectionId> gone;
+  protocol::InternalServer server;
+};
+
+/// A router's client that collects answers.
+struct Router {
+  Router(std::vector<platform::SocketAddress> addresses, protocol::InternalSecurity security = {})
+      : client({.router = {"r1"}, .control = std::move(addresses), .security = std::move(security)},
+               metrics, [this](const control::ControlToRouter& answer) { answers.Put(answer); }) {}
+  void Renew(std::uint64_t sequence) {
+    control::RouterRenewal renewal;
+    renewal.sequence = sequence;
+    client.Send(renewal);
+  }
+  platform::MetricsRegistry metrics;
+  Mailbox<control::ControlToRouter> answers;
+  protocol::RouterControlClient client;
+};
+
+/// A secret file that is removed with this object.
+struct SecretFile {
+  SecretFile(const std::string& name, const std::string& text)
+      : path((std::filesystem::temp_directory_path() / (name + std::to_string(::getpid())))
+                 .string()) {
+    std::ofstream(path) << text;
+  }
+  ~SecretFile() { std::filesystem::remove(path); }
+  std::string path;
+};
+
+const std::string kSecret(40, 's');
+const std::string kOtherSecret(40, 'o');
+
+std::string HelloFrame(protocol::ProcessKind kind) {
+  return protocol::EncodeFrame(FrameKind::kHello,
+                               graniteseam::codec::Encode(protocol::MakeHello(kind, "test")));
+}
+
+/// The error kind of the refusal that ends the bytes a server sent.
+std::string RefusalKind(const std::string& bytes) {
+  protocol::FrameReader reader;
+  reader.set_payload_limit(protocol::kFramePayloadMaximum);
+  reader.Feed(bytes);
+  for (;;) {
+    const auto next = graniteseam::Attempt([&] { return reader.Next(); });
+    const auto* frame = std::get_if<std::optional<protocol::Frame>>(&next);
+    if (frame == nullptr || !*frame) return "";
+    if ((*frame)->kind != FrameKind::kRefusal) continue;
+    const auto refusal = graniteseam::Attempt(
+        [&] { return graniteseam::codec::Decode<protocol::Refusal>((*frame)->payload); });
+    return std::get<protocol::Refusal>(refusal).kind;
+  }
+}
+
+/// Sends bytes, and expects a refusal of this kind while another router is served on.
+void ExpectRefusal(const std::string& bytes, const std::string& kind) {
+  Control control;
+  Router router({control.address()});
+  router.Renew(1);
+  cr_assert(router.answers.WaitFor(1));
+  RawClient client(control.server.port());
+  client.Send(bytes);
+  bool closed = false;
+  const std::string answer = client.ReadToEnd(closed);
+  cr_assert(closed, "the server did not close");
+  cr_assert(RefusalKind(answer) == kind, "refused as \"%s\"", RefusalKind(answer).c_str());
+  router.Renew(2);
+  cr_assert(router.answers.WaitFor(2));
+  cr_assert(control.gone.items().empty() || kind == "malformed_message");
+}
+
+}  // namespace
+
+Test(transport, router_gets_its_answers) {
+  Control control;
+  Router router({control.address()});
+  for (std::uint64_t sequence = 1; sequence <= 20; ++sequence) {
+    router.Renew(sequence);
+    cr_assert(router.answers.WaitFor(sequence));
+  }
+}
+
+Test(transport, router_follows_the_leader_and_survives_its_end) {
+  Control first;
+  auto second = std::make_unique<Control>();
+  first.hint = ToString(second->address());
+  Router router({first.address()});
+  router.Renew(1);
+  cr_assert(router.answers.WaitFor(1));
+  second.reset();
+  first.hint.clear();
+  router.Renew(2);
+  cr_assert(router.answers.WaitFor(2));
+}
+
+Test(transport, peer_messages_arrive_in_order) {
+  Control control;
+  platform::MetricsRegistry metrics;
+  protocol::EventLoop loop;
+  protocol::PeerTransport transport("2", {}, loop, metrics);
+  constexpr std::uint64_t kMessages = 50;
+  consensus::PeerMessage message;
+  message.to.address = ToString(control.address());
+  // Sent until the first one arrives: what is sent before the connection stands is dropped.
+  while (control.peers.items().empty()) {
+    transport.Send(message);
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+  for (std::uint64_t term = 1; term <= kMessages; ++term) {
+    consensus::AppendRequest request;
+    request.term.value = term;
+    message.payload = request;
+    transport.Send(message);
+  }
+  const auto appends = [&] {
+    std::vector<std::uint64_t> terms;
+    for (const auto& item : control.peers.items()) {
+      const auto* append = std::get_if<consensus::AppendRequest>(&item.payload);
+      if (append != nullptr) terms.push_back(append->term.value);
+    }
+    return terms;
+  };
+  for (std::size_t count = 1; appends().size() < kMessages; ++count) {
+    cr_assert(control.peers.WaitFor(count));
+  }
+  const std::vector<std::uint64_t> terms = appends();
+  for (std::uint64_t term = 1; term <= kMessages; ++term) cr_assert(terms[term - 1] == term);
+  loop.Stop();
+}
+
+Test(transport, tells_when_a_router_went) {
+  Control control;
+  {
+    Router router({control.address()});
+    router.Renew(1);
+    cr_assert(router.answers.WaitFor(1));
+  }
+  cr_assert(control.gone.WaitFor(1));
+}
+
+Test(transport, refuses_garbage) {
+  ExpectRefusal("GET / HTTP/1.1\r\nHost: x\r\n\r\n", "malformed_message");
+}
+
+Test(transport, refuses_an_oversize_hello) {
+  ExpectRefusal(std::string("\x00\x10\x00\x00\x01", 5), "too_large");
+}
+
+Test(transport, refuses_a_message_before_hello) {
+  ExpectRefusal(protocol::EncodeFrame(FrameKind::kMessage, "x"), "malformed_message");
+}
+
+Test(transport, refuses_a_truncated_hello) {
+  ExpectRefusal(protocol::EncodeFrame(FrameKind::kHello, "\x02"), "malformed_message");
+}
+
+Test(transport, refuses_an_unknown_schema) {
+  protocol::Hello hello = protocol::MakeHello(protocol::ProcessKind::kRouter, "test");
+  ++hello.schema_fingerprint;
+  ExpectRefusal(protocol::EncodeFrame(FrameKind::kHello, graniteseam::codec::Encode(hello)),
+                "incompatible_format");
+}
+
+Test(transport, refuses_bytes_that_are_no_message) {
+  ExpectRefusal(HelloFrame(protocol::ProcessKind::kRouter) +
+                    protocol::EncodeFrame(FrameKind::kMessage, std::string(100, '\xff')),
+                "malformed_message");
+}
+
+Test(transport, refuses_a_second_hello) {
+  ExpectRefusal(
+      HelloFrame(protocol::ProcessKind::kControl) + HelloFrame(protocol::ProcessKind::kControl),
+      "malformed_message");
+}
+
+Test(transport, takes_no_more_connections_than_its_limit) {
+  Control control({}, 1);
+  Router router({control.address()});
+  router.Renew(1);
+  cr_assert(router.answers.WaitFor(1));
+  RawClient client(control.server.port());
+  bool closed = false;
+  cr_assert(client.ReadToEnd(closed).empty());
+  cr_assert(closed);
+  router.Renew(2);
+  cr_assert(router.answers.WaitFor(2));
+}
+
+Test(transport, processes_with_the_same_secret_meet) {
+  const SecretFile secret("graniteseam-secret-same", kSecret + "\n");
+  Control control({secret.path});
+  Router router({control.address()}, {secret.path});
+  router.Renew(1);
+  cr_assert(router.answers.WaitFor(1));
+}
+
+Test(transport, a_new_secret_is_taken_without_a_restart) {
+  const SecretFile old_secret("graniteseam-secret-old", kSecret + "\n");
+  const SecretFile new_secret("graniteseam-secret-new", kOtherSecret + "\n");
+  Control control({old_secret.path});
+  Router old_router({control.address()}, {old_secret.path});
+  Router new_router({control.address()}, {new_secret.path});
+  old_router.Renew(1);
+  cr_assert(old_router.answers.WaitFor(1));
+  cr_assert(new_router.answers.items().empty());
+  std::ofstream(old_secret.path) << kSecret << "\n" << kOtherSecret << "\n";
+  while (new_router.answers.items().empty()) {
+    new_router.Renew(2);
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+}
+
+Test(transport, who_lacks_the_secret_is_not_served) {
+  const SecretFile secret("graniteseam-secret-own", kSecret + "\n");
+  Control control({secret.path});
+  RawClient client(control.server.port());
+  client.Send(HelloFrame(protocol::ProcessKind::kRouter));
+  bool closed = false;
+  const std::string answer = client.ReadToEnd(closed);
+  cr_assert(closed && answer.find("router") == std::string::npos);
+  const SecretFile other("graniteseam-secret-other", kOtherSecret + "\n");
+  Router stranger({control.address()}, {other.path});
+  Router friendly({control.address()}, {secret.path});
+  stranger.Renew(1);
+  friendly.Renew(1);
+  cr_assert(friendly.answers.WaitFor(1));
+  cr_assert(stranger.answers.items().empty());
+}
+
+Test(transport, secrets_are_checked) {
+  for (const std::string& text :
+       {std::string(), std::string("# only a comment\n"), std::string("short\n")}) {
+    const SecretFile secret("graniteseam-secret-check", text);
+    const auto keys = graniteseam::Attempt([&] { return protocol::ReadSecretFile(secret.path); });
+    cr_assert(graniteseam::ErrorOf(keys) != nullptr);
+  }
+}
