Keep shedding servers from drawing work, and leave small groups room for bursts

Near capacity each step of window growth (one place an answer time, with two places in use) cost sheds, which fell on groups within their share as on the others. And an allotment of 1.25 x mean demand cut the bursts of a small group: a count with mean 4 varies by 2.

Change: a window with almost nothing in flight that is shed pauses, 20 ms doubling up to 500 ms, until an answer comes; near the size at which the server last shed, growth is 16 times slower, until the shed is 2 s old. Demand is taken as mean + 2 roots of the mean where that is more than 1.25 x mean (square-root staffing).

--- a/include/graniteseam/admission/allotter.h
+++ b/include/graniteseam/admission/allotter.h
@@ -52,7 +52,9 @@
 struct AllotterOptions {
   Duration report_lifetime{3'000'000};  ///< A router not heard of for this long wants nothing.
   Duration recompute_interval{50'000};  ///< Shares are computed anew at most this often.
-  double growth_headroom = 1.25;        ///< Demand is taken as this multiple of what was reported.
+  double growth_headroom = 1.25;        ///< Demand is taken as this multiple of what was reported,
+  double burst_deviations = 2.0;        ///< or, where that is more, with this many standard
+                                        ///< deviations of a Poisson count on top.
   double concurrency_minimum = 1.0;     ///< Floor for each group in each router, so that a group
                                         ///< that was silent can start before its next report.
 };
--- a/include/graniteseam/routing/server_selector.h
+++ b/include/graniteseam/routing/server_selector.h
@@ -46,7 +46,7 @@
   /// Free places of all servers that may be chosen.
   std::size_t PoolRoom(Instant now) const;
   /// Free places at one server; 0 when it is unknown.
-  std::size_t RoomAt(const ServerId& server) const;
+  std::size_t RoomAt(const ServerId& server, Instant now) const;
   /// A number for the server that stays the same while it is known; never 0.
   std::uint32_t LaneOf(const ServerId& server) const;
   /// The server with this number, or nullptr.
--- a/src/admission/allotter.cc
+++ b/src/admission/allotter.cc
@@ -1,6 +1,7 @@
 #include "graniteseam/admission/allotter.h"
 
 #include <algorithm>
+#include <cmath>
 #include <numeric>
 #include <utility>
 
@@ -117,7 +118,12 @@
   const auto by_group = report.wanted.find(service);
   if (by_group == report.wanted.end()) return 0.0;
   const auto wanted = by_group->second.find(group);
-  return wanted == by_group->second.end() ? 0.0 : wanted->second * options_.growth_headroom;
+  if (wanted == by_group->second.end()) return 0.0;
+  // A mean held to itself is over half of the time too little: small counts vary by their root
+  // (square-root staffing; Halfin and Whitt 1981).
+  const double mean = wanted->second;
+  return std::max(mean * options_.growth_headroom,
+                  mean + options_.burst_deviations * std::sqrt(mean));
 }
 
 /// Two levels: the capacity among groups by weight, then each group's part among routers. What no
--- a/src/routing/concurrency_window.cc
+++ b/src/routing/concurrency_window.cc
@@ -9,6 +9,16 @@
 constexpr double kInitialSize = 4.0;
 constexpr double kDecrease = 0.8;
 constexpr int kLatencySmoothing = 8;
+/// From this part of the size at which the server last shed, growth is slow...
+constexpr double kNearShedSize = 0.75;
+/// ...by this factor...
+constexpr double kSlowGrowth = 1.0 / 16.0;
+/// ...unless the last shed is this long ago.
+constexpr Duration kShedForgotten{2'000'000};
+/// With no more than this many in flight, a shed means that the server wants no work at all.
+constexpr std::uint32_t kAlmostIdle = 1;
+constexpr Duration kPauseFirst{20'000};
+constexpr Duration kPauseMaximum{500'000};
 
 }  // namespace
 
@@ -20,23 +30,28 @@
   size_ = std::min(size_, maximum_);
 }
 
-std::uint32_t ConcurrencyWindow::Room() const {
+std::uint32_t ConcurrencyWindow::Room(Instant now) const {
+  if (now < paused_until_) return 0;
   const auto places = static_cast<std::uint32_t>(size_);
   return places > in_flight_ ? places - in_flight_ : 0;
 }
 
-void ConcurrencyWindow::OnAnswered(Duration latency) {
+void ConcurrencyWindow::OnAnswered(Duration latency, Instant now) {
   // A window that is not in use says nothing about the server's capacity.
   const bool in_use = static_cast<double>(in_flight_) >= size_ * 0.5;
-  if (in_use) size_ = std::min(maximum_, size_ + (has_shed_ ? 1.0 / size_ : 1.0));
+  if (in_use) size_ = std::min(maximum_, size_ + Growth(now));
+  pause_ = Duration{0};
+  paused_until_ = Instant{};
   latency_ += (latency - latency_) / kLatencySmoothing;
   Leave();
 }
 
 void ConcurrencyWindow::OnShed(Instant now) {
   has_shed_ = true;
+  if (in_flight_ <= kAlmostIdle) Pause(now);
   if (shrunk_at_ == Instant{} || now - shrunk_at_ >= latency_) {
-    size_ = std::max(1.0, std::min(size_, static_cast<double>(in_flight_)) * kDecrease);
+    shed_size_ = std::min(size_, static_cast<double>(in_flight_));
+    size_ = std::max(1.0, shed_size_ * kDecrease);
     shrunk_at_ = now;
   }
   Leave();
@@ -44,6 +59,18 @@
 
 void ConcurrencyWindow::OnEnded() { Leave(); }
 
+double ConcurrencyWindow::Growth(Instant now) const {
+  if (!has_shed_) return 1.0;
+  const bool near = size_ >= shed_size_ * kNearShedSize && now - shrunk_at_ < kShedForgotten;
+  return (near ? kSlowGrowth : 1.0) / size_;
+}
+
+void ConcurrencyWindow::Pause(Instant now) {
+  if (now < paused_until_) return;
+  pause_ = std::clamp(2 * pause_, kPauseFirst, kPauseMaximum);
+  paused_until_ = now + pause_;
+}
+
 void ConcurrencyWindow::Leave() {
   if (in_flight_ > 0) --in_flight_;
 }
--- a/src/routing/server_selector.cc
+++ b/src/routing/server_selector.cc
@@ -93,14 +93,14 @@
 std::size_t ServerSelector::PoolRoom(Instant now) const {
   std::size_t room = 0;
   for (const Server* server : order_) {
-    if (MayTake(*server, now)) room += server->window.Room();
+    if (MayTake(*server, now)) room += server->window.Room(now);
   }
   return room;
 }
 
-std::size_t ServerSelector::RoomAt(const ServerId& server) const {
+std::size_t ServerSelector::RoomAt(const ServerId& server, Instant now) const {
   const Server* found = Find(server);
-  return found == nullptr ? 0 : found->window.Room();
+  return found == nullptr ? 0 : found->window.Room(now);
 }
 
 std::uint32_t ServerSelector::LaneOf(const ServerId& server) const {
@@ -142,7 +142,7 @@
   constexpr int kServerErrors = 500;
   switch (end) {
     case AttemptEnd::kAnswered:
-      server->window.OnAnswered(latency);
+      server->window.OnAnswered(latency, now);
       // An error answer comes fast and says nothing about the time that work takes.
       if (status >= kServerErrors) {
         outliers_.OnFailed(id, now);
@@ -194,7 +194,8 @@
 }
 
 bool ServerSelector::MayTake(const Server& server, Instant now) const {
-  return server.accepts_new_work && server.window.Room() > 0 && !outliers_.Ejected(server.id, now);
+  return server.accepts_new_work && server.window.Room(now) > 0 &&
+         !outliers_.Ejected(server.id, now);
 }
 
 double ServerSelector::Score(const Server& server, Instant now) const {
--- a/src/routing/service_router.cc
+++ b/src/routing/service_router.cc
@@ -62,7 +62,7 @@
 std::size_t ServiceRouter::RoomInLane(admission::Lane lane, Instant now) const {
   if (!keyed()) return selector_.PoolRoom(now);
   const ServerId* server = selector_.ServerOfLane(lane);
-  return server == nullptr ? 0 : selector_.RoomAt(*server);
+  return server == nullptr ? 0 : selector_.RoomAt(*server, now);
 }
 
 void ServiceRouter::NoteUse(const GroupName& group, Instant now) {
--- a/tests/admission/allotter_test.cc
+++ b/tests/admission/allotter_test.cc
@@ -96,6 +96,7 @@
 Test(allotter, a_greedy_group_takes_only_what_the_others_leave) {
   AllotterOptions options;
   options.growth_headroom = 1.0;
+  options.burst_deviations = 0.0;
   Allotter allotter(options);
   const ServiceName service{"archive"};
   allotter.SetGroups(service, {{GroupName{"small"}, 1.0}, {GroupName{"greedy"}, 1.0}});
@@ -109,9 +110,27 @@
   cr_assert(AllottedTo(allotter.AllotmentsFor(RouterId{"r2"}, now), "small") == 1.0);
 }
 
+Test(allotter, a_small_group_has_room_for_its_bursts) {
+  AllotterOptions options;
+  options.growth_headroom = 1.25;
+  options.burst_deviations = 2.0;
+  Allotter allotter(options);
+  const ServiceName service{"archive"};
+  allotter.SetGroups(service, {{GroupName{"small"}, 1.0}, {GroupName{"greedy"}, 1.0}});
+  allotter.SetCapacity(service, 100.0);
+  const Instant now = InstantFromMicros(1'000'000);
+  allotter.Report(RouterId{"r"},
+                  {{GroupName{"small"}, service, 16.0}, {GroupName{"greedy"}, service, 1'000.0}},
+                  now);
+  const auto allotments = allotter.AllotmentsFor(RouterId{"r"}, now);
+  cr_assert(AllottedTo(allotments, "small") == 16.0 + 2.0 * 4.0);
+  cr_assert(AllottedTo(allotments, "greedy") == 76.0);
+}
+
 Test(allotter, unused_share_is_lent_by_weight) {
   AllotterOptions options;
   options.growth_headroom = 1.0;
+  options.burst_deviations = 0.0;
   Allotter allotter(options);
   const ServiceName service{"archive"};
   allotter.SetGroups(service, {{GroupName{"a"}, 3.0}, {GroupName{"b"}, 1.0}});
@@ -127,6 +146,7 @@
 Test(allotter, capacity_is_what_routers_found_out_when_that_is_less) {
   AllotterOptions options;
   options.growth_headroom = 1.0;
+  options.burst_deviations = 0.0;
   Allotter allotter(options);
   const ServiceName service{"archive"};
   allotter.SetGroups(service, {{GroupName{"a"}, 1.0}});
@@ -140,6 +160,7 @@
 Test(allotter, a_silent_router_loses_its_part) {
   AllotterOptions options;
   options.growth_headroom = 1.0;
+  options.burst_deviations = 0.0;
   Allotter allotter(options);
   const ServiceName service{"archive"};
   allotter.SetGroups(service, {{GroupName{"a"}, 1.0}});
