--- a/include/graniteseam/routing/request_state.h
+++ b/include/graniteseam/routing/request_state.h
@@ -27,7 +27,8 @@
   double hold_fraction = 0.75;  ///< Of the time left; the rest is the caller's, to go elsewhere.
   Duration time_left_minimum{1'000};  ///< With less left no attempt is begun.
   Duration retry_after{200'000};      ///< Told with not_run where nothing better is known.
-  std::uint32_t attempts_maximum = 16;
+  std::uint32_t retries_maximum =
+      3;  ///< Under the budget; waiting for an owner is bounded by time.
 };
 
 enum class Step {
@@ -98,6 +99,7 @@
   Instant deadline_;
   std::uint32_t attempts_ = 0;
   std::uint32_t in_flight_ = 0;
+  std::uint32_t retries_ = 0;
   std::uint32_t waits_ = 0;
   bool may_have_run_ = false;
   std::optional<Instant> hold_until_;
--- a/include/graniteseam/routing/router_node.h
+++ b/include/graniteseam/routing/router_node.h
@@ -48,7 +48,7 @@
 /// One router without its I/O.
 ///
 /// Each request that OnRequest() took is ended by exactly one RequestAnswer, in the same or a later
-/// call, except after OnCallerGone(). Each AttemptSend must be followed by one OnAttemptEnd() not
+/// call. Each AttemptSend must be followed by one OnAttemptEnd() not
 /// later than its `give_up_at`, unless the attempt is cancelled. Not thread safe; `now` never goes
 /// back.
 class RouterNode {
--- /dev/null
+++ b/src/http/caller_server.cc
@@ -0,0 +1,331 @@
+#include "src/http/caller_server.h"
+
+#include <fcntl.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <utility>
+#include <vector>
+
+#include "src/http/caller_connection.h"
+#include "src/http/caller_request_parser.h"
+#include "src/http/connection_threads.h"
+#include "src/http/header_rules.h"
+#include "src/platform/clock.h"
+
+namespace graniteseam::http {
+
+namespace {
+
+constexpr int kListenBacklog = 1024;
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+constexpr int kTooLarge = 413;
+constexpr int kUriTooLong = 414;
+
+/// Waits for the next request's first byte.
+bool WaitForRequest(int descriptor, Duration limit) {
+  pollfd poll_entry{descriptor, POLLIN, 0};
+  const auto limit_ms = std::chrono::duration_cast<std::chrono::milliseconds>(limit).count();
+  return ::poll(&poll_entry, 1, static_cast<int>(limit_ms)) > 0 &&
+         (poll_entry.revents & POLLIN) != 0;
+}
+
+/// Reads off what the caller still sends, within bounds: closing a socket with unread bytes resets
+/// the connection and may take the answer with it.
+void DiscardInput(int descriptor) {
+  constexpr int kReadsMaximum = 64;
+  constexpr Duration kPause{200'000};
+  std::array<char, 16384> buffer;
+  ::shutdown(descriptor, SHUT_WR);
+  for (int reads = 0; reads < kReadsMaximum && WaitForRequest(descriptor, kPause); ++reads) {
+    if (::recv(descriptor, buffer.data(), buffer.size(), 0) <= 0) return;
+  }
+}
+
+}  // namespace
+
+CallerServer::CallerServer(CallerServerOptions options, Handler handler, BodyLimit body_limit,
+                           CallerGone caller_gone)
+    : options_(std::move(options)),
+      handler_(std::move(handler)),
+      body_limit_(std::move(body_limit)),
+      caller_gone_(std::move(caller_gone)) {
+  new_task_queue = [this] { return new ConnectionThreads(options_.connections_maximum); };
+  set_pre_routing_handler([this](const httplib::Request& request, httplib::Response& response) {
+    return BeforeRouting(request, response);
+  });
+  const auto take_body = [this](const httplib::Request& request, httplib::Response& response,
+                                const httplib::ContentReader& reader) {
+    TakeBody(request, response, reader);
+  };
+  // Paths are read by ParseCallerRequest(): the pattern only has to let everything through.
+  Post("/[^]*", take_body);
+  Put("/[^]*", take_body);
+  Patch("/[^]*", take_body);
+  Delete("/[^]*", take_body);
+  set_error_handler(
+      HandlerWithResponse([this](const httplib::Request& request, httplib::Response& response) {
+        return ExplainLibraryError(request, response);
+      }));
+}
+
+CallerServer::~CallerServer() {
+  stopping_ = true;
+  if (watcher_.joinable()) watcher_.join();
+}
+
+void CallerServer::AddPage(const std::string& path, std::function<PlainPage()> page) {
+  pages_[path] = std::move(page);
+}
+
+Result<std::uint16_t> CallerServer::Bind(const platform::SocketAddress& address) {
+  int port = address.port;
+  bool bound = false;
+  if (port == 0) {
+    port = bind_to_any_port(address.ip);
+    bound = port > 0;
+  } else {
+    bound = bind_to_port(address.ip, port);
+  }
+  // The library listens with a backlog of 5: a burst of new callers would wait for resent SYNs.
+  if (!bound || ::listen(svr_sock_, kListenBacklog) != 0) {
+    return Fail(ErrorKind::kTransport,
+                "The address " + platform::ToString(address) + " can not be listened on.",
+                "Check that it belongs to this machine and that no other program uses the port.");
+  }
+  return static_cast<std::uint16_t>(port);
+}
+
+void CallerServer::Serve() {
+  watcher_ = std::thread([this] { WatchCallers(); });
+  listen_after_bind();
+}
+
+void CallerServer::BeginDrain() {
+  draining_ = true;
+  stop();
+}
+
+void CallerServer::Stop() {
+  draining_ = true;
+  stopping_ = true;
+  stop();
+  const std::lock_guard lock(mutex_);
+  for (const Connection* connection : connections_) {
+    // Reading alone: an answer that is being written still goes out.
+    if (connection->idle) ::shutdown(connection->descriptor, SHUT_RD);
+  }
+}
+
+std::size_t CallerServer::connections() const {
+  const std::lock_guard lock(mutex_);
+  return connections_.size();
+}
+
+bool CallerServer::process_and_close_socket(socket_t descriptor) {
+  ::fcntl(descriptor, F_SETFL, ::fcntl(descriptor, F_GETFL) | O_NONBLOCK);
+  const int on = 1;
+  ::setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+  Connection connection(descriptor);
+  Connection::Current() = &connection;
+  {
+    const std::lock_guard lock(mutex_);
+    connections_.insert(&connection);
+  }
+  while (!stopping_ && ServeOne(connection)) {
+  }
+  {
+    // Stop() and the watcher use descriptors under the lock: closed only once out of their reach.
+    const std::lock_guard lock(mutex_);
+    connections_.erase(&connection);
+  }
+  Connection::Current() = nullptr;
+  if (connection.must_close) DiscardInput(descriptor);
+  ::shutdown(descriptor, SHUT_RDWR);
+  ::close(descriptor);
+  return true;
+}
+
+bool CallerServer::ServeOne(Connection& connection) {
+  connection.idle = true;
+  if (!connection.stream.HasUnreadBytes() &&
+      !WaitForRequest(connection.descriptor, options_.idle_maximum)) {
+    return false;
+  }
+  connection.idle = false;
+  connection.stream.Begin(platform::BootTimeNow() + options_.read_maximum,
+                          options_.head_bytes_maximum);
+  const bool last = draining_;
+  bool close_asked = false;
+  const bool served =
+      process_request(connection.stream, last, close_asked, [&](httplib::Request& request) {
+        // The library would cut ranges out of servers' answers, unpack bodies and compress: all of
+        // that is between caller and server.
+        request.ranges.clear();
+        connection.content_type = request.get_header_value("Content-Type");
+        connection.content_encoding = request.get_header_value("Content-Encoding");
+        request.headers.erase("Content-Type");
+        request.headers.erase("Content-Encoding");
+        request.headers.erase("Accept-Encoding");
+        request.headers.erase("Range");
+      });
+  return connection.stream.Flush() && served && !last && !close_asked && !connection.must_close;
+}
+
+httplib::Server::HandlerResponse CallerServer::BeforeRouting(const httplib::Request& request,
+                                                             httplib::Response& response) {
+  Connection& connection = *Connection::Current();
+  const Outcome<std::monostate> framing = Attempt([&] { return CheckFraming(request); });
+  if (const Error* error = ErrorOf(framing)) {
+    connection.must_close = true;
+    Refuse(kBadRequest, *error, response);
+    return HandlerResponse::Handled;
+  }
+  if (const auto page = pages_.find(request.path);
+      page != pages_.end() && request.method == "GET") {
+    const PlainPage shown = page->second();
+    response.status = shown.status;
+    response.set_content(shown.body, shown.content_type);
+    return HandlerResponse::Handled;
+  }
+  if (HasBody(request)) return HandlerResponse::Unhandled;
+  Handle(request, {}, response);
+  return HandlerResponse::Handled;
+}
+
+void CallerServer::TakeBody(const httplib::Request& request, httplib::Response& response,
+                            const httplib::ContentReader& reader) {
+  Connection& connection = *Connection::Current();
+  const Outcome<CallerMessage> head =
+      Attempt([&] { return ParseCallerRequest(request, connection.content_type, {}); });
+  std::size_t limit = 0;
+  if (const auto* message = std::get_if<CallerMessage>(&head)) {
+    limit = body_limit_(message->request.service);
+  }
+  // Frames of chunks take room besides the body.
+  connection.stream.AllowMore(2 * limit + options_.head_bytes_maximum);
+  std::string body;
+  bool too_large = false;
+  const bool whole = reader([&](const char* data, size_t size) {
+    too_large = too_large || body.size() + size > limit;
+    if (!too_large) body.append(data, size);
+    return !too_large;
+  });
+  if (whole) {
+    Handle(request, std::move(body), response);
+    return;
+  }
+  // What is left of the body can not be told from a next request.
+  connection.must_close = true;
+  if (const Error* error = ErrorOf(head)) {
+    Refuse(kBadRequest, *error, response);
+  } else if (too_large || connection.stream.limit_reached()) {
+    Refuse(kTooLarge,
+           {ErrorKind::kTooLarge,
+            "The body is longer than the " + std::to_string(limit) +
+                " bytes that the service takes, or the service is not known.",
+            "Send a shorter body, and check the service's name."},
+           response);
+  } else {
+    Refuse(kBadRequest,
+           {ErrorKind::kInvalidArgument, "The body ended early or came too slowly.",
+            "Send the whole body without pauses."},
+           response);
+  }
+}
+
+void CallerServer::Handle(const httplib::Request& request, std::string body,
+                          httplib::Response& response) {
+  Connection& connection = *Connection::Current();
+  Outcome<CallerMessage> parsed = Attempt(
+      [&] { return ParseCallerRequest(request, connection.content_type, std::move(body)); });
+  if (const Error* error = ErrorOf(parsed)) {
+    Refuse(error->kind == ErrorKind::kNotFound ? kNotFound : kBadRequest, *error, response);
+    return;
+  }
+  CallerMessage& message = std::get<CallerMessage>(parsed);
+  if (!connection.content_encoding.empty()) {
+    message.forwarded.headers.emplace_back("Content-Encoding", connection.content_encoding);
+  }
+  message.request.number = ++last_request_;
+  const std::string echo = message.request_echo;
+  connection.waiting_since_us = ToMicros(platform::BootTimeNow());
+  connection.waiting_request = message.request.number;
+  const CallerReply reply = handler_(std::move(message));
+  connection.waiting_request = 0;
+  connection.stream.SetDeadline(platform::BootTimeNow() + options_.write_maximum);
+  Write(reply, echo, response);
+}
+
+void CallerServer::Refuse(int status, const Error& error, httplib::Response& response) const {
+  Write(ProblemReply(status, error, routing::RequestOutcome::kNotRun), {}, response);
+}
+
+void CallerServer::Write(const CallerReply& reply, const std::string& echo,
+                         httplib::Response& response) const {
+  response.status = reply.status;
+  response.headers.emplace(kOutcomeHeader, OutcomeName(reply.outcome));
+  response.headers.emplace(kRouterHeader, options_.router.value);
+  if (!echo.empty()) response.headers.emplace(kRequestHeader, echo);
+  for (const auto& [name, value] : reply.headers) response.headers.emplace(name, value);
+  if (reply.retry_after) {
+    const double seconds = static_cast<double>(reply.retry_after->count()) / 1e6;
+    const auto whole = static_cast<std::int64_t>(std::ceil(std::max(seconds, 0.0)));
+    response.headers.emplace("Retry-After", std::to_string(whole));
+  }
+  if (!reply.content_type.empty() && !response.has_header("Content-Type")) {
+    response.headers.emplace("Content-Type", reply.content_type);
+  }
+  response.body = reply.body;
+}
+
+httplib::Server::HandlerResponse CallerServer::ExplainLibraryError(
+    const httplib::Request& /*request*/, httplib::Response& response) const {
+  if (response.has_header(kOutcomeHeader) || !response.body.empty()) {
+    return HandlerResponse::Unhandled;
+  }
+  if (Connection::Current() != nullptr) Connection::Current()->must_close = true;
+  const bool too_long = response.status == kUriTooLong;
+  Refuse(response.status,
+         {ErrorKind::kInvalidArgument,
+          too_long ? "The request's path is too long." : "The request is not valid HTTP/1.1.",
+          "Send it as docs/interface/callers.md says."},
+         response);
+  return HandlerResponse::Handled;
+}
+
+void CallerServer::WatchCallers() {
+  std::vector<pollfd> polled;
+  std::vector<routing::RequestNumber> numbers;
+  std::vector<routing::RequestNumber> gone;
+  while (!stopping_ || connections() > 0) {
+    std::this_thread::sleep_for(options_.watch_interval);
+    polled.clear();
+    numbers.clear();
+    gone.clear();
+    const Instant now = platform::BootTimeNow();
+    {
+      const std::lock_guard lock(mutex_);
+      for (const Connection* connection : connections_) {
+        const routing::RequestNumber number = connection->waiting_request;
+        const Instant since = InstantFromMicros(connection->waiting_since_us);
+        if (number == 0 || now - since < options_.watch_interval) continue;
+        polled.push_back({connection->descriptor, POLLRDHUP, 0});
+        numbers.push_back(number);
+      }
+      if (!polled.empty()) ::poll(polled.data(), polled.size(), 0);
+    }
+    for (std::size_t i = 0; i < polled.size(); ++i) {
+      if ((polled[i].revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0) gone.push_back(numbers[i]);
+    }
+    for (const routing::RequestNumber number : gone) caller_gone_(number);
+  }
+}
+
+}  // namespace graniteseam::http
--- /dev/null
+++ b/src/http/socket_connect.h
@@ -0,0 +1,14 @@
+/// @file
+/// Opens TCP connections to numeric addresses within a deadline.
+#pragma once
+
+#include "graniteseam/common/time.h"
+#include "src/platform/socket_address.h"
+
+namespace graniteseam::http {
+
+/// Connects a non-blocking socket without delay of small writes (TCP_NODELAY).
+/// @return the descriptor, owned by the caller, or -1.
+int ConnectWithin(const platform::SocketAddress& address, Instant deadline);
+
+}  // namespace graniteseam::http
--- a/src/routing/request_flow.cc
+++ b/src/routing/request_flow.cc
@@ -99,10 +99,7 @@
   if (found == live_.end()) return;
   Live& live = *found->second;
   if (!live.service->service().repeatable && !live.flights.empty()) return;
-  RequestAnswer answer;
-  answer.outcome = live.state.GiveUp();
-  Complete(live, answer);
-  End(live, now, effects);
+  GiveUp(live, ErrorKind::kDeadlineExceeded, std::nullopt, now, effects);
   Dispatch(now, effects);
 }
 
--- a/src/routing/request_state.cc
+++ b/src/routing/request_state.cc
@@ -31,9 +31,6 @@
   if (result.end == AttemptEnd::kDeadlinePassed || !MaySend(now)) {
     return GivingUp(ErrorKind::kDeadlineExceeded);
   }
-  if (attempts_ >= options_.attempts_maximum) {
-    return GivingUp(ErrorKind::kUnavailable, result.retry_after);
-  }
   return Retry(result, budget, jitter, now);
 }
 
@@ -48,7 +45,10 @@
   }
   const ErrorKind reason =
       result.end == AttemptEnd::kShed ? ErrorKind::kOverloaded : ErrorKind::kUnavailable;
-  if (!budget.TryTake()) return GivingUp(reason, result.retry_after);
+  if (retries_ >= options_.retries_maximum || !budget.TryTake()) {
+    return GivingUp(reason, result.retry_after);
+  }
+  ++retries_;
   if (result.end == AttemptEnd::kNotSent || result.end == AttemptEnd::kNotReady) {
     return {Step::kSendAgain, now, reason, result.retry_after};
   }
@@ -60,12 +60,12 @@
 bool RequestState::OnSuperseded(Instant now) {
   if (in_flight_ > 0) --in_flight_;
   may_have_run_ = true;
-  return MaySend(now) && attempts_ < options_.attempts_maximum;
+  return MaySend(now);
 }
 
 bool RequestState::TryHedge(RetryBudget& budget, Instant now) const {
   return traits_.hedging && traits_.repeatable && in_flight_ == 1 && MaySend(now) &&
-         attempts_ < options_.attempts_maximum && budget.TryTake();
+         budget.TryTake();
 }
 
 Decision RequestState::Hold(double jitter, Instant now) {
