--- a/src/http/request_driver.h
+++ b/src/http/request_driver.h
@@ -56,6 +56,7 @@
   bool Ready();
   std::size_t BodyBytesMaximum(const ServiceName& service);
   routing::RouterStatus Status();
+  std::size_t idle_connections() const { return upstream_.idle_connections(); }
 
  private:
   struct Mailbox;
