--- /dev/null
+++ b/benchmark/decisions/main.cc
@@ -0,0 +1,3 @@
+#include <benchmark/benchmark.h>
+
+BENCHMARK_MAIN();
--- a/include/graniteseam/placement/load_tracker.h
+++ b/include/graniteseam/placement/load_tracker.h
@@ -22,6 +22,15 @@
   /// How many standard deviations of a Poisson count the short window must differ from the long
   /// average before the average is thrown away and started again from the short window.
   double shift_deviations = 4.0;
+  /// Noise in proportion to the count: routers report in batches, so that a window may hold one
+  /// report more or less than it should.
+  double relative_deviation = 0.1;
+  /// A change of fewer requests in the short window is no shift, because a Poisson count that small
+  /// is not normally distributed.
+  double shift_requests_minimum = 10.0;
+  /// Shifts count for LastShift() when those of one slot together reach this part of the service's
+  /// load: with tens of thousands of shards, some false alarms are always about.
+  double marked_shift_share = 0.01;
 };
 
 /// A shard's estimated load.
@@ -48,8 +57,8 @@
 
   LoadEstimate Estimate(const ShardId& shard) const;
 
-  /// When a shard's load last shifted (its average was restarted), over all shards of a service;
-  /// the origin when never.
+  /// When the service's load last shifted markedly among its shards (see `marked_shift_share`); the
+  /// origin when never.
   Instant LastShift(const ServiceName& service) const;
 
   /// Forgets a service that no longer exists.
@@ -67,8 +76,11 @@
     Instant last_shift{};
   };
 
-  void CloseSlot(ServiceCounters& counters, Instant slot_end);
-  bool UpdateAverage(ShardCounter& counter) const;
+  void CloseSlots(std::uint64_t count);
+  void CloseSlot(ServiceCounters& counters) const;
+  double UpdateAverage(ShardCounter& counter, double slot_requests) const;
+  bool Shifted(const ShardCounter& counter, double window_requests) const;
+  double Seconds(Duration duration) const;
 
   LoadTrackerOptions options_;
   std::size_t slots_per_window_;
--- a/include/graniteseam/placement/placement_planner.h
+++ b/include/graniteseam/placement/placement_planner.h
@@ -65,15 +65,25 @@
 struct PlannerOptions {
   double imbalance_trigger = 1.15;  ///< Act when the busiest server is above this over the mean...
   double imbalance_target = 1.08;   ///< ...and then bring each server down to this.
+  /// Where no server has room below the target: the least gain, over the mean, that is worth a
+  /// move.
+  double gain_minimum = 0.05;
   double noise_deviations = 2.0;    ///< Imbalance within this much noise is none.
   double load_floor = 5.0;          ///< Mean requests a second of a server below which none moves.
-  Duration settle_time{1'000'000};  ///< Wait this long after the last shift of load.
-  Duration cool_down{2'000'000};    ///< Least time between two plans with moves for one service.
-  std::uint32_t moves_maximum = 256;      ///< Of one plan.
+  Duration settle_time{1'000'000};  ///< Wait this long after the last shift of load...
+  Duration settle_maximum{3'000'000};  ///< ...but never longer than this in all.
+  Duration cool_down{2'000'000};       ///< Least time between two plans with moves for one service.
+  std::uint32_t moves_maximum = 256;   ///< Of one plan.
   double budget_moves_per_second = 20.0;  ///< Refill of the move budget, for each service.
   double budget_moves_maximum = 512.0;    ///< Its upper limit.
 };
 
+/// How reluctant a service is to move shards, from its weights: 1 for equal weights, more where
+/// churn (or the short unavailability that each move brings) weighs more than imbalance. Infinite
+/// where imbalance weighs nothing. Thresholds over 1 and waiting times are multiplied by it, and
+/// the budget is divided by it.
+double MoveReluctance(const bundle::PlacementWeights& weights);
+
 /// Plans one service's moves. Keeps the service's move budget and the time of its last plan.
 ///
 /// Deterministic: equal inputs give equal plans. Not thread safe. `now` never goes back.
@@ -86,12 +96,14 @@
   PlacementPlan Plan(const PlacementInput& input, Instant now);
 
  private:
-  void RefillBudget(Instant now);
+  void RefillBudget(double reluctance, Instant now);
+  bool MayPlan(const PlacementInput& input, double reluctance, Instant now);
 
   PlannerOptions options_;
   double budget_;
   std::optional<Instant> last_refill_;
   std::optional<Instant> last_plan_;
+  std::optional<Instant> settling_since_;
 };
 
 }  // namespace graniteseam::placement
--- /dev/null
+++ b/src/placement/placement_planner.cc
@@ -0,0 +1,98 @@
+#include "graniteseam/placement/placement_planner.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+#include "src/placement/server_loads.h"
+
+namespace graniteseam::placement {
+namespace {
+
+constexpr double kReluctanceMinimum = 0.5;
+constexpr double kReluctanceMaximum = 4.0;
+/// A move makes its key unavailable for a moment only, so that weight counts by half.
+constexpr double kUnavailabilityPart = 0.5;
+
+Duration Scaled(Duration duration, double factor) {
+  return Duration(static_cast<std::int64_t>(static_cast<double>(duration.count()) * factor));
+}
+
+/// A threshold over 1, moved away from 1 by reluctance.
+double Threshold(double ratio, double reluctance) { return 1 + (ratio - 1) * reluctance; }
+
+std::vector<HotShard> FindHotShards(const PlacementInput& input, double target, double mean) {
+  double capacity = 0;
+  for (const PlannedServer& server : input.servers) capacity = std::max(capacity, server.capacity);
+  std::vector<HotShard> hot;
+  for (const PlannedShard& shard : input.shards) {
+    if (mean <= 0 || shard.load <= target * mean * capacity) continue;
+    hot.push_back({{input.service, shard.index}, shard.load, shard.load / mean});
+  }
+  return hot;
+}
+
+}  // namespace
+
+double MoveReluctance(const bundle::PlacementWeights& weights) {
+  if (weights.imbalance <= 0) return std::numeric_limits<double>::infinity();
+  const double cost =
+      (weights.churn + kUnavailabilityPart * weights.unavailability) / (1 + kUnavailabilityPart);
+  return std::clamp(std::sqrt(cost / weights.imbalance), kReluctanceMinimum, kReluctanceMaximum);
+}
+
+PlacementPlanner::PlacementPlanner(PlannerOptions options)
+    : options_(options), budget_(options.budget_moves_maximum) {}
+
+PlacementPlan PlacementPlanner::Plan(const PlacementInput& input, Instant now) {
+  const double reluctance = MoveReluctance(input.weights);
+  const bool never_moves = std::isinf(reluctance);
+  const double target = Threshold(options_.imbalance_target, never_moves ? 1 : reluctance);
+  ServerLoads loads(input, target, options_.noise_deviations, options_.gain_minimum);
+  PlacementPlan plan;
+  plan.hot_shards = FindHotShards(input, target, loads.mean());
+  plan.imbalance_before = plan.imbalance_after = loads.Imbalance();
+  if (never_moves) return plan;
+  RefillBudget(reluctance, now);
+  const double trigger = Threshold(options_.imbalance_trigger, reluctance);
+  if (loads.mean() < options_.load_floor || !loads.AnyAbove(trigger)) {
+    settling_since_.reset();
+    return plan;
+  }
+  if (!MayPlan(input, reluctance, now)) return plan;
+  const auto moves_maximum =
+      std::min<std::size_t>(options_.moves_maximum, static_cast<std::size_t>(budget_));
+  MoveChoice choice;
+  while (plan.moves.size() < moves_maximum && loads.TakeNextMove(choice)) {
+    plan.moves.push_back({{input.service, input.shards[choice.shard].index},
+                          input.servers[choice.from].id,
+                          input.servers[choice.to].id});
+  }
+  if (plan.moves.empty()) return plan;
+  budget_ -= static_cast<double>(plan.moves.size());
+  last_plan_ = now;
+  settling_since_.reset();
+  plan.imbalance_after = loads.Imbalance();
+  return plan;
+}
+
+/// Whether the estimates have settled and the last plan has cooled down.
+bool PlacementPlanner::MayPlan(const PlacementInput& input, double reluctance, Instant now) {
+  if (!settling_since_.has_value()) settling_since_ = now;
+  const bool shifted =
+      input.last_load_shift != Instant{} && now < input.last_load_shift + options_.settle_time;
+  // A load that never settles must not keep a server overloaded for ever.
+  if (shifted && now < *settling_since_ + options_.settle_maximum) return false;
+  return !last_plan_.has_value() || now >= *last_plan_ + Scaled(options_.cool_down, reluctance);
+}
+
+void PlacementPlanner::RefillBudget(double reluctance, Instant now) {
+  if (last_refill_.has_value()) {
+    const double seconds = std::chrono::duration<double>(now - *last_refill_).count();
+    budget_ = std::min(options_.budget_moves_maximum,
+                       budget_ + seconds * options_.budget_moves_per_second / reluctance);
+  }
+  last_refill_ = now;
+}
+
+}  // namespace graniteseam::placement
