--- a/testbed/experiment/experiments.h
+++ b/testbed/experiment/experiments.h
@@ -8,6 +8,7 @@
 
 namespace graniteseam::testbed {
 
+std::unique_ptr<Experiment> MakeHotShift();
 std::unique_ptr<Experiment> MakeLyingHealth();
 std::unique_ptr<Experiment> MakeOverloadShares();
 std::unique_ptr<Experiment> MakeRetryStorm();
--- a/testbed/experiment/registry.cc
+++ b/testbed/experiment/registry.cc
@@ -6,6 +6,7 @@
 
 ExperimentList AllExperiments() {
   ExperimentList list;
+  list.push_back(MakeHotShift());
   list.push_back(MakeLyingHealth());
   list.push_back(MakeOverloadShares());
   list.push_back(MakeRetryStorm());
