--- /dev/null
+++ b/src/http/async_http_client.cc
@@ -0,0 +1,156 @@
+// The only file of this component that sees Boost.Beast.
+#include "src/http/async_http_client.h"
+
+#include <boost/asio/ip/address.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <optional>
+#include <utility>
+
+namespace graniteseam::http {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+
+using ErrorCode = boost::system::error_code;
+using Response = beast::http::response_parser<beast::http::string_body>;
+
+Error TransportError(const platform::SocketAddress& address, ErrorCode error) {
+  const bool malformed =
+      error.category() == beast::http::make_error_code(beast::http::error::bad_version).category();
+  if (error == beast::http::error::body_limit || error == beast::http::error::header_limit) {
+    return {ErrorKind::kTooLarge, ToString(address) + " sent an answer that is too long.",
+            "Correct the program at that address."};
+  }
+  if (malformed && error != beast::http::error::end_of_stream) {
+    return {ErrorKind::kMalformedMessage,
+            ToString(address) + " sent no HTTP answer: " + error.message() + ".",
+            "Correct the program at that address."};
+  }
+  return {ErrorKind::kTransport,
+          "No answer from " + ToString(address) + ": " + error.message() + ".",
+          "Check the program at that address and the network between."};
+}
+
+}  // namespace
+
+/// One connection with its buffers. Lives as long as an operation is under way on it.
+class AsyncHttpClient::Session : public std::enable_shared_from_this<Session> {
+ public:
+  Session(platform::EventLoop& loop, platform::SocketAddress address)
+      : stream_(loop.context()), address_(std::move(address)) {}
+
+  void Start(HttpCall call, Duration limit, Handler handler);
+  /// Drops the handler, so that nothing of the call under way is told any more.
+  void Abandon() {
+    handler_ = {};
+    Close();
+  }
+
+  bool busy() const { return static_cast<bool>(handler_); }
+  bool usable() const { return !closed_; }
+
+ private:
+  void Close();
+  void Prepare(HttpCall call);
+  void Write();
+  void OnWritten(ErrorCode error);
+  void OnRead(ErrorCode error);
+  void Finish(const Outcome<HttpReply>& reply);
+  void FailWith(ErrorCode error);
+
+  beast::tcp_stream stream_;
+  platform::SocketAddress address_;
+  beast::flat_buffer buffer_;
+  beast::http::request<beast::http::string_body> request_;
+  std::optional<Response> response_;
+  Handler handler_;
+  bool connected_ = false;
+  bool closed_ = false;
+};
+
+void AsyncHttpClient::Session::Start(HttpCall call, Duration limit, Handler handler) {
+  handler_ = std::move(handler);
+  Prepare(std::move(call));
+  stream_.expires_after(limit);
+  if (connected_) return Write();
+  const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(address_.ip), address_.port);
+  stream_.async_connect(endpoint, [self = shared_from_this()](ErrorCode error) {
+    if (error) return self->FailWith(error);
+    self->connected_ = true;
+    ErrorCode ignored;
+    self->stream_.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+    self->Write();
+  });
+}
+
+void AsyncHttpClient::Session::Prepare(HttpCall call) {
+  request_ = {};
+  request_.version(11);
+  request_.method(call.post ? beast::http::verb::post : beast::http::verb::get);
+  request_.target(call.target);
+  request_.set(beast::http::field::host, ToString(address_));
+  if (call.post) request_.set(beast::http::field::content_type, "application/json");
+  request_.body() = std::move(call.body);
+  request_.prepare_payload();
+  response_.emplace();
+  response_->body_limit(kReplyBytesMaximum);
+}
+
+void AsyncHttpClient::Session::Write() {
+  beast::http::async_write(
+      stream_, request_,
+      [self = shared_from_this()](ErrorCode error, std::size_t) { self->OnWritten(error); });
+}
+
+void AsyncHttpClient::Session::OnWritten(ErrorCode error) {
+  if (error) return FailWith(error);
+  beast::http::async_read(
+      stream_, buffer_, *response_,
+      [self = shared_from_this()](ErrorCode read_error, std::size_t) { self->OnRead(read_error); });
+}
+
+void AsyncHttpClient::Session::OnRead(ErrorCode error) {
+  if (error) return FailWith(error);
+  auto message = response_->release();
+  if (!message.keep_alive()) Close();
+  Finish(HttpReply{static_cast<int>(message.result_int()), std::move(message.body())});
+}
+
+void AsyncHttpClient::Session::FailWith(ErrorCode error) {
+  Close();
+  Finish(TransportError(address_, error));
+}
+
+void AsyncHttpClient::Session::Finish(const Outcome<HttpReply>& reply) {
+  stream_.expires_never();
+  // Taken out first: the handler may start the next call.
+  const Handler handler = std::exchange(handler_, {});
+  if (handler) handler(reply);
+}
+
+void AsyncHttpClient::Session::Close() {
+  closed_ = true;
+  stream_.close();
+}
+
+AsyncHttpClient::AsyncHttpClient(platform::EventLoop& loop, platform::SocketAddress address)
+    : loop_(loop), address_(std::move(address)) {}
+
+AsyncHttpClient::~AsyncHttpClient() { Abandon(); }
+
+void AsyncHttpClient::Start(HttpCall call, Duration limit, Handler handler) {
+  if (!session_ || !session_->usable()) session_ = std::make_shared<Session>(loop_, address_);
+  session_->Start(std::move(call), limit, std::move(handler));
+}
+
+void AsyncHttpClient::Abandon() {
+  if (!session_) return;
+  session_->Abandon();
+  session_.reset();
+}
+
+bool AsyncHttpClient::busy() const { return session_ && session_->busy(); }
+
+}  // namespace graniteseam::http
--- /dev/null
+++ b/src/http/operator_credentials.cc
@@ -0,0 +1,48 @@
+#include "src/http/operator_credentials.h"
+
+#include <openssl/crypto.h>
+#include <openssl/sha.h>
+
+#include <algorithm>
+#include <array>
+#include <string_view>
+
+namespace graniteseam::http {
+namespace {
+
+constexpr std::string_view kScheme = "Bearer ";
+constexpr std::size_t kDigestCharacters = 2 * SHA256_DIGEST_LENGTH;
+
+std::string Sha256Hex(std::string_view text) {
+  constexpr char kDigits[] = "0123456789abcdef";
+  std::array<unsigned char, SHA256_DIGEST_LENGTH> hash{};
+  SHA256(reinterpret_cast<const unsigned char*>(text.data()), text.size(), hash.data());
+  std::string hex;
+  for (const unsigned char byte : hash) {
+    hex += kDigits[byte >> 4U];
+    hex += kDigits[byte & 0xfU];
+  }
+  return hex;
+}
+
+}  // namespace
+
+std::optional<std::string> OperatorCredentials::Identify(const std::string& authorization) const {
+  if (!authorization.starts_with(kScheme)) return std::nullopt;
+  const std::string shown = Sha256Hex(std::string_view(authorization).substr(kScheme.size()));
+  std::optional<std::string> identified;
+  for (const auto& [name, digest] : digests_) {
+    const bool same = digest.size() == shown.size() &&
+                      CRYPTO_memcmp(digest.data(), shown.data(), shown.size()) == 0;
+    if (same) identified = name;
+  }
+  return identified;
+}
+
+bool IsCredentialDigest(const std::string& text) {
+  return text.size() == kDigestCharacters && std::all_of(text.begin(), text.end(), [](char c) {
+           return (c >= '0' && c <= '9') || (c >= 'a' && c <= 'f');
+         });
+}
+
+}  // namespace graniteseam::http
--- /dev/null
+++ b/src/http/operator_server.cc
@@ -0,0 +1,194 @@
+#include "src/http/operator_server.h"
+
+#include <httplib.h>
+
+#include <thread>
+#include <utility>
+
+#include "src/http/operator_credentials.h"
+#include "src/http/operator_json.h"
+#include "src/http/operator_requests.h"
+#include "src/platform/log.h"
+
+namespace graniteseam::http {
+namespace {
+
+constexpr char kJson[] = "application/json";
+constexpr char kProblem[] = "application/problem+json";
+constexpr int kStatusOk = 200;
+constexpr int kStatusUnavailable = 503;
+constexpr time_t kReadSeconds = 5;
+constexpr time_t kKeepAliveSeconds = 30;
+
+void AnswerProblem(httplib::Response& response, const OperatorProblem& problem) {
+  response.status = HttpStatus(problem.error.kind);
+  response.set_content(ToJson(problem), kProblem);
+}
+
+/// Headers that decide who asks, or how long the body is, must not come twice.
+bool HasDoubledHeader(const httplib::Request& request) {
+  for (const char* name : {"Authorization", "Content-Length", "Transfer-Encoding", "Host"}) {
+    if (request.get_header_value_count(name) > 1) return true;
+  }
+  return false;
+}
+
+}  // namespace
+
+class OperatorServer::Impl {
+ public:
+  Impl(OperatorServerOptions options, platform::MetricsRegistry& metrics, OperatorServerHooks hooks)
+      : options_(std::move(options)),
+        metrics_(metrics),
+        hooks_(std::move(hooks)),
+        credentials_(options_.operators) {}
+  ~Impl() { Stop(); }
+
+  Result<void> Start();
+  void Stop();
+  std::uint16_t port() const { return port_; }
+
+ private:
+  void SetLimits();
+  void SetRoutes();
+  void Answer(const httplib::Request& request, httplib::Response& response);
+  std::optional<Error> CheckCaller(const httplib::Request& request) const;
+  void Execute(const httplib::Request& request, httplib::Response& response);
+  void AnswerHealth(bool healthy, httplib::Response& response) const;
+  void Count(const httplib::Response& response);
+
+  OperatorServerOptions options_;
+  platform::MetricsRegistry& metrics_;
+  OperatorServerHooks hooks_;
+  OperatorCredentials credentials_;
+  httplib::Server server_;
+  std::thread thread_;
+  std::uint16_t port_ = 0;
+  platform::Logger log_{"control.operators"};
+};
+
+Result<void> OperatorServer::Impl::Start() {
+  SetLimits();
+  SetRoutes();
+  const platform::SocketAddress& address = options_.address;
+  int bound = -1;
+  if (address.port == 0) {
+    bound = server_.bind_to_any_port(address.ip.c_str());
+  } else if (server_.bind_to_port(address.ip.c_str(), address.port)) {
+    bound = address.port;
+  }
+  if (bound < 0) {
+    return Fail(ErrorKind::kInvalidSettings, "Can not listen on " + ToString(address) + ".",
+                "Free the port, or set another http_address.");
+  }
+  port_ = static_cast<std::uint16_t>(bound);
+  thread_ = std::thread([this] { server_.listen_after_bind(); });
+  server_.wait_until_ready();
+  return {};
+}
+
+void OperatorServer::Impl::Stop() {
+  server_.stop();
+  if (thread_.joinable()) thread_.join();
+}
+
+void OperatorServer::Impl::SetLimits() {
+  server_.new_task_queue = [count = options_.connections_maximum] {
+    return new httplib::ThreadPool(count);
+  };
+  server_.set_payload_max_length(options_.body_bytes_maximum);
+  server_.set_read_timeout(kReadSeconds);
+  server_.set_write_timeout(kReadSeconds);
+  server_.set_keep_alive_timeout(kKeepAliveSeconds);
+  server_.set_tcp_nodelay(true);
+}
+
+void OperatorServer::Impl::SetRoutes() {
+  const auto answer = [this](const httplib::Request& request, httplib::Response& response) {
+    Answer(request, response);
+    Count(response);
+  };
+  server_.Get(".*", answer);
+  server_.Post(".*", answer);
+  // Answers that cpp-httplib makes by itself, for example 413 and 400, get a problem body too.
+  server_.set_error_handler([this](const httplib::Request& /*request*/,
+                                   httplib::Response& response) {
+    if (!response.body.empty()) return httplib::Server::HandlerResponse::Unhandled;
+    const int status = response.status;
+    const bool too_large = status == 413;
+    AnswerProblem(response, {{too_large ? ErrorKind::kTooLarge : ErrorKind::kInvalidArgument,
+                              "The request was refused with status " + std::to_string(status) + ".",
+                              "See docs/interface/operators.md for the calls."},
+                             ""});
+    response.status = status;
+    Count(response);
+    return httplib::Server::HandlerResponse::Handled;
+  });
+}
+
+void OperatorServer::Impl::Answer(const httplib::Request& request, httplib::Response& response) {
+  if (request.method == "GET" && request.path == "/livez") {
+    return AnswerHealth(hooks_.live(), response);
+  }
+  if (request.method == "GET" && request.path == "/readyz") {
+    return AnswerHealth(hooks_.ready(), response);
+  }
+  if (request.method == "GET" && request.path == "/metrics") {
+    return response.set_content(metrics_.Text(), platform::kMetricsContentType);
+  }
+  if (const std::optional<Error> refused = CheckCaller(request)) {
+    return AnswerProblem(response, {*refused, ""});
+  }
+  if (request.method == "GET" && request.path == "/v1/self") {
+    return response.set_content(ToJson(hooks_.self()), kJson);
+  }
+  Execute(request, response);
+}
+
+std::optional<Error> OperatorServer::Impl::CheckCaller(const httplib::Request& request) const {
+  if (HasDoubledHeader(request)) {
+    return Error{ErrorKind::kInvalidArgument, "A header came twice that must come once.",
+                 "Send Authorization, Host and the body's length once."};
+  }
+  if (credentials_.Identify(request.get_header_value("Authorization"))) return std::nullopt;
+  return Error{ErrorKind::kUnauthenticated, "No valid credential was shown.",
+               "Send Authorization: Bearer with an operator's credential."};
+}
+
+void OperatorServer::Impl::Execute(const httplib::Request& request, httplib::Response& response) {
+  OperatorCall call{request.method, request.path, request.get_param_value("service"), request.body};
+  auto read = Attempt([&] { return ReadOperatorCall(call); });
+  if (const Error* error = ErrorOf(read)) return AnswerProblem(response, {*error, ""});
+  const control::OperatorAnswer answer =
+      hooks_.execute(std::move(std::get<control::OperatorRequest>(read)));
+  const auto* error = std::get_if<Error>(&answer);
+  if (error == nullptr) return response.set_content(AnswerBody(answer), kJson);
+  const bool elsewhere = error->kind == ErrorKind::kNotLeader;
+  AnswerProblem(response, {*error, elsewhere ? hooks_.leader_address() : ""});
+}
+
+void OperatorServer::Impl::AnswerHealth(bool healthy, httplib::Response& response) const {
+  response.status = healthy ? kStatusOk : kStatusUnavailable;
+  response.set_content(healthy ? "ok\n" : "not ok\n", "text/plain");
+}
+
+void OperatorServer::Impl::Count(const httplib::Response& response) {
+  metrics_
+      .Counter(platform::Metric::kHttpRequests,
+               {{"port", "operators"}, {"status", std::to_string(response.status)}})
+      .Increment();
+}
+
+OperatorServer::OperatorServer(OperatorServerOptions options, platform::MetricsRegistry& metrics,
+                               OperatorServerHooks hooks)
+    : impl_(std::make_unique<Impl>(std::move(options), metrics, std::move(hooks))) {}
+
+OperatorServer::~OperatorServer() = default;
+
+Result<void> OperatorServer::Start() { return impl_->Start(); }
+
+void OperatorServer::Stop() { impl_->Stop(); }
+
+std::uint16_t OperatorServer::port() const { return impl_->port(); }
+
+}  // namespace graniteseam::http
--- a/src/protocol/event_loop.h
+++ b/src/platform/event_loop.h
@@ -6,7 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <thread>
 
-namespace graniteseam::protocol {
+namespace graniteseam::platform {
 
 /// Runs an io_context on one thread of its own. What runs on it needs no locks against each other.
 ///
@@ -34,4 +34,4 @@
   std::thread thread_;
 };
 
-}  // namespace graniteseam::protocol
+}  // namespace graniteseam::platform
--- a/src/protocol/hello.cc
+++ b/src/protocol/hello.cc
@@ -1,6 +1,7 @@
 #include "src/protocol/hello.h"
 
 #include <algorithm>
+#include <string_view>
 #include <utility>
 
 #include "graniteseam/codec/schema.h"
@@ -24,6 +25,15 @@
   return hello;
 }
 
+std::string HttpAddressOf(const Hello& hello) {
+  for (const std::string& feature : hello.features) {
+    if (feature.starts_with(kHttpAddressFeature)) {
+      return feature.substr(std::string_view(kHttpAddressFeature).size());
+    }
+  }
+  return "";
+}
+
 Result<std::int32_t> AgreeVersion(const Hello& own, const Hello& peer) {
   const std::int32_t agreed = std::min(own.newest_version, peer.newest_version);
   if (agreed < std::max(own.oldest_version, peer.oldest_version)) {
--- a/src/protocol/hello.h
+++ b/src/protocol/hello.h
@@ -50,6 +50,12 @@
 /// The hello of this build.
 Hello MakeHello(ProcessKind kind, std::string name);
 
+/// The feature by which a control process says where operators reach it: prefix, then "ip:port".
+inline constexpr char kHttpAddressFeature[] = "http_address=";
+
+/// The operators' address that a hello names; empty when it names none.
+std::string HttpAddressOf(const Hello& hello);
+
 /// Agrees on the newest version that both sides speak.
 /// @return that version; kIncompatibleFormat when there is none, or when both claim the same newest
 ///     version with different schemas.
--- a/src/protocol/internal_server.cc
+++ b/src/protocol/internal_server.cc
@@ -16,8 +16,8 @@
 /// Everything below runs on the event loop's thread, save Start() and port().
 class InternalServer::Impl : public std::enable_shared_from_this<InternalServer::Impl> {
  public:
-  Impl(InternalServerOptions options, EventLoop& loop, platform::MetricsRegistry& registry,
-       Handlers handlers)
+  Impl(InternalServerOptions options, platform::EventLoop& loop,
+       platform::MetricsRegistry& registry, Handlers handlers)
       : options_(std::move(options)),
         loop_(loop),
         metrics_(registry),
@@ -30,7 +30,7 @@
   void SendToRouter(RouterConnectionId id, const control::ControlToRouter& message);
   void Disconnect();
 
-  EventLoop& loop() { return loop_; }
+  platform::EventLoop& loop() { return loop_; }
   std::uint16_t port() const { return port_; }
 
  private:
@@ -45,7 +45,7 @@
   void OnClosed(RouterConnectionId id, const Error& reason);
 
   InternalServerOptions options_;
-  EventLoop& loop_;
+  platform::EventLoop& loop_;
   ConnectionMetrics metrics_;
   InternalTls tls_;
   Handlers handlers_;
@@ -113,6 +113,9 @@
   clients_[id].kind = peer.kind;
   log_.Info("Connected: {} {}.", peer.kind == ProcessKind::kRouter ? "router" : "control",
             peer.name);
+  if (peer.kind == ProcessKind::kControl) {
+    handlers_.on_peer_connected(peer.name, HttpAddressOf(peer));
+  }
   return std::nullopt;
 }
 
@@ -154,7 +157,7 @@
   for (auto& [id, client] : clients_) client.connection->Close();
 }
 
-InternalServer::InternalServer(InternalServerOptions options, EventLoop& loop,
+InternalServer::InternalServer(InternalServerOptions options, platform::EventLoop& loop,
                                platform::MetricsRegistry& metrics, Handlers handlers)
     : impl_(std::make_shared<Impl>(std::move(options), loop, metrics, std::move(handlers))) {}
 
--- a/src/protocol/internal_server.h
+++ b/src/protocol/internal_server.h
@@ -10,9 +10,9 @@
 #include "graniteseam/common/error.h"
 #include "graniteseam/consensus/types.h"
 #include "graniteseam/control/router_messages.h"
+#include "src/platform/event_loop.h"
 #include "src/platform/metrics.h"
 #include "src/platform/socket_address.h"
-#include "src/protocol/event_loop.h"
 #include "src/protocol/internal_security.h"
 
 namespace graniteseam::protocol {
@@ -33,14 +33,16 @@
 class InternalServer {
  public:
   struct Handlers {
+    /// @param http_address where operators reach the peer; empty when it did not say.
+    std::function<void(const std::string& name, const std::string& http_address)> on_peer_connected;
     std::function<void(consensus::PeerMessage message)> on_peer_message;
     std::function<void(RouterConnectionId connection, control::RouterToControl message)>
         on_router_message;
     std::function<void(RouterConnectionId connection)> on_router_disconnected;
   };
 
-  InternalServer(InternalServerOptions options, EventLoop& loop, platform::MetricsRegistry& metrics,
-                 Handlers handlers);
+  InternalServer(InternalServerOptions options, platform::EventLoop& loop,
+                 platform::MetricsRegistry& metrics, Handlers handlers);
   ~InternalServer();
   InternalServer(const InternalServer&) = delete;
   InternalServer& operator=(const InternalServer&) = delete;
--- a/src/protocol/peer_transport.cc
+++ b/src/protocol/peer_transport.cc
@@ -21,9 +21,14 @@
 /// Runs on the event loop's thread, save Load().
 class PeerTransport::Impl : public std::enable_shared_from_this<PeerTransport::Impl> {
  public:
-  Impl(std::string name, InternalSecurity security, EventLoop& loop,
+  Impl(const PeerTransportOptions& options, platform::EventLoop& loop,
        platform::MetricsRegistry& registry)
-      : name_(std::move(name)), tls_(std::move(security)), loop_(loop), metrics_(registry) {}
+      : hello_(MakeHello(ProcessKind::kControl, options.name)),
+        tls_(options.security),
+        loop_(loop),
+        metrics_(registry) {
+    hello_.features.push_back(kHttpAddressFeature + options.http_address);
+  }
 
   Result<void> Load() { return tls_.Load(); }
 
@@ -41,7 +46,7 @@
     peers_.clear();
   }
 
-  EventLoop& loop() { return loop_; }
+  platform::EventLoop& loop() { return loop_; }
 
  private:
   struct Peer {
@@ -52,9 +57,9 @@
   Peer* FindOrDial(const std::string& address);
   void ForgetSilent(Instant now);
 
-  std::string name_;
+  Hello hello_;
   InternalTls tls_;
-  EventLoop& loop_;
+  platform::EventLoop& loop_;
   ConnectionMetrics metrics_;
   std::map<std::string, Peer> peers_;
 };
@@ -75,8 +80,7 @@
                  "Run the same release everywhere."};
   };
   auto dialer = std::make_shared<Dialer>(loop_.context(), std::get<platform::SocketAddress>(parsed),
-                                         MakeHello(ProcessKind::kControl, name_), tls_, metrics_,
-                                         std::move(handlers));
+                                         hello_, tls_, metrics_, std::move(handlers));
   dialer->Start();
   return &peers_.emplace(address, Peer{dialer, {}}).first->second;
 }
@@ -92,9 +96,9 @@
   }
 }
 
-PeerTransport::PeerTransport(std::string name, InternalSecurity security, EventLoop& loop,
+PeerTransport::PeerTransport(const PeerTransportOptions& options, platform::EventLoop& loop,
                              platform::MetricsRegistry& metrics)
-    : impl_(std::make_shared<Impl>(std::move(name), std::move(security), loop, metrics)) {}
+    : impl_(std::make_shared<Impl>(options, loop, metrics)) {}
 
 PeerTransport::~PeerTransport() { impl_->HangUp(); }
 
--- a/src/protocol/peer_transport.h
+++ b/src/protocol/peer_transport.h
@@ -7,12 +7,18 @@
 
 #include "graniteseam/common/error.h"
 #include "graniteseam/consensus/types.h"
+#include "src/platform/event_loop.h"
 #include "src/platform/metrics.h"
-#include "src/protocol/event_loop.h"
 #include "src/protocol/internal_security.h"
 
 namespace graniteseam::protocol {
 
+struct PeerTransportOptions {
+  std::string name;          ///< This process's id.
+  std::string http_address;  ///< Where operators reach this process; peers pass it on to them.
+  InternalSecurity security;
+};
+
 /// Best effort, as consensus expects: a message is dropped when its peer is not connected or its
 /// queue is full, and never delivered twice or out of order within one connection.
 ///
@@ -20,8 +26,7 @@
 /// is thread safe. A peer that is not sent to for a minute, as after its removal, is hung up on.
 class PeerTransport {
  public:
-  /// @param name this process's id, for logs at the other side.
-  PeerTransport(std::string name, InternalSecurity security, EventLoop& loop,
+  PeerTransport(const PeerTransportOptions& options, platform::EventLoop& loop,
                 platform::MetricsRegistry& metrics);
   ~PeerTransport();
   PeerTransport(const PeerTransport&) = delete;
--- a/src/protocol/router_control_client.cc
+++ b/src/protocol/router_control_client.cc
@@ -6,9 +6,9 @@
 
 #include "graniteseam/codec/codec.h"
 #include "src/platform/clock.h"
+#include "src/platform/event_loop.h"
 #include "src/platform/log.h"
 #include "src/protocol/dialer.h"
-#include "src/protocol/event_loop.h"
 #include "src/protocol/leader_tracker.h"
 
 namespace graniteseam::protocol {
@@ -46,7 +46,7 @@
   void ScheduleTick();
 
   // First, so that its context outlives the sockets and timers below; the destructor stops it.
-  EventLoop loop_;
+  platform::EventLoop loop_;
   RouterControlClientOptions options_;
   AnswerHandler on_answer_;
   ConnectedHandler on_connected_;
--- a/tests/protocol/transport_test.cc
+++ b/tests/protocol/transport_test.cc
@@ -12,7 +12,7 @@
 #include "src/protocol/internal_tls.h"
 #include "src/protocol/peer_transport.h"
 #include "src/protocol/router_control_client.h"
-#include "tests/protocol/raw_client.h"
+#include "tests/support/raw_client.h"
 
 namespace consensus = graniteseam::consensus;
 namespace control = graniteseam::control;
@@ -53,7 +53,10 @@
 struct Control {
   explicit Control(protocol::InternalSecurity security = {}, std::size_t connections = 100)
       : server({{"127.0.0.1", 0}, "1", std::move(security), connections}, loop, metrics,
-               {[this](consensus::PeerMessage message) { peers.Put(std::move(message)); },
+               {[this](const std::string& name, const std::string& http_address) {
+                  hellos.Put(name + " at " + http_address);
+                },
+                [this](consensus::PeerMessage message) { peers.Put(std::move(message)); },
                 [this](protocol::RouterConnectionId id, const control::RouterToControl& message) {
                   Answer(id, message);
                 },
@@ -76,8 +79,9 @@
   platform::SocketAddress address() const { return {"127.0.0.1", server.port()}; }
 
   platform::MetricsRegistry metrics;
-  protocol::EventLoop loop;
+  platform::EventLoop loop;
   std::string hint;  ///< The leader to name; empty while this one leads.
+  Mailbox<std::string> hellos;
   Mailbox<consensus::PeerMessage> peers;
   Mailbox<protocol::RouterConnectionId> gone;
   protocol::InternalServer server;
@@ -177,8 +181,8 @@
 Test(transport, peer_messages_arrive_in_order) {
   Control control;
   platform::MetricsRegistry metrics;
-  protocol::EventLoop loop;
-  protocol::PeerTransport transport("2", {}, loop, metrics);
+  platform::EventLoop loop;
+  protocol::PeerTransport transport({"2", "127.0.0.1:9", {}}, loop, metrics);
   constexpr std::uint64_t kMessages = 50;
   consensus::PeerMessage message;
   message.to.address = ToString(control.address());
@@ -187,6 +191,7 @@
     transport.Send(message);
     std::this_thread::sleep_for(std::chrono::milliseconds(5));
   }
+  cr_assert(control.hellos.items().at(0) == "2 at 127.0.0.1:9");
   for (std::uint64_t term = 1; term <= kMessages; ++term) {
     consensus::AppendRequest request;
     request.term.value = term;
