Add the control process: operators' port, lease client, platform poller, deciding thread

One thread owns the ControlNode: it takes up to 256 events, makes what they want durable in as few syncs as their order allows, and only then lets effects out. A full disk stops its steps, answers operators with storage_full and retries; any other storage error ends the process. Operators' HTTP answers 421 with the leader's address, known from its hello.

--- /dev/null
+++ b/src/daemon/control/control_driver.cc
@@ -0,0 +1,218 @@
+#include "src/daemon/control/control_driver.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "src/daemon/control/persist_batch.h"
+#include "src/platform/clock.h"
+
+namespace graniteseam::daemon {
+namespace {
+
+/// Events decided before their effects are made durable together.
+constexpr std::size_t kEventsAtOnce = 256;
+constexpr Duration kLongestWait{100'000};
+constexpr Duration kFullRetryInterval{200'000};
+constexpr Duration kStatisticsInterval{1'000'000};
+
+}  // namespace
+
+struct ControlDriver::Statistics {
+  explicit Statistics(platform::MetricsRegistry& registry)
+      : leading(registry.Gauge(platform::Metric::kControlLeading)),
+        term(registry.Gauge(platform::Metric::kControlTerm)),
+        commit_index(registry.Gauge(platform::Metric::kControlCommitIndex)),
+        bundle_version(registry.Gauge(platform::Metric::kControlBundleVersion)),
+        routers(registry.Gauge(platform::Metric::kControlRoutersConnected)),
+        servers_leased(registry.Gauge(platform::Metric::kControlServersLeased)),
+        shard_moves(registry.Gauge(platform::Metric::kControlShardMoves)),
+        queue_length(registry.Gauge(platform::Metric::kControlEventQueueLength)),
+        persist_seconds(registry.Histogram(platform::Metric::kControlPersistSeconds)) {}
+
+  platform::GaugeHandle leading;
+  platform::GaugeHandle term;
+  platform::GaugeHandle commit_index;
+  platform::GaugeHandle bundle_version;
+  platform::GaugeHandle routers;
+  platform::GaugeHandle servers_leased;
+  platform::GaugeHandle shard_moves;
+  platform::GaugeHandle queue_length;
+  platform::HistogramHandle persist_seconds;
+};
+
+ControlDriver::ControlDriver(control::ControlOptions options,
+                             std::unique_ptr<storage::ConsensusStorage> consensus_storage,
+                             ControlEventQueue& queue, ControlOutputs outputs,
+                             platform::MetricsRegistry& metrics)
+    : storage_(std::move(consensus_storage)),
+      node_(std::move(options), storage_->TakeRecovered(), platform::RandomBits(),
+            platform::BootTimeNow()),
+      queue_(queue),
+      outputs_(std::move(outputs)),
+      statistics_(std::make_unique<Statistics>(metrics)) {
+  PublishStatus(false);
+}
+
+ControlDriver::~ControlDriver() { Stop(); }
+
+void ControlDriver::Start() {
+  thread_ = std::thread([this] { Run(); });
+}
+
+void ControlDriver::Stop() {
+  queue_.Close();
+  if (thread_.joinable()) thread_.join();
+}
+
+ControlStatus ControlDriver::status() const {
+  const std::lock_guard lock(status_mutex_);
+  return status_;
+}
+
+void ControlDriver::Run() {
+  while (!queue_.closed() && !failed_) {
+    const Duration until_tick = node_.NextTick() - platform::BootTimeNow();
+    const Duration wait = std::clamp(until_tick, Duration::zero(), kLongestWait);
+    Step(queue_.Take(kEventsAtOnce, wait));
+  }
+}
+
+void ControlDriver::Step(std::vector<ControlEvent> events) {
+  std::vector<control::ControlEffects> pending;
+  for (ControlEvent& event : events) pending.push_back(Apply(std::move(event)));
+  const Instant now = platform::BootTimeNow();
+  if (now >= node_.NextTick()) pending.push_back(node_.Tick(now, platform::WallMillis()));
+  Settle(std::move(pending));
+  PublishStatus(false);
+  PublishStatistics(now);
+}
+
+control::ControlEffects ControlDriver::Apply(ControlEvent event) {
+  const Instant now = platform::BootTimeNow();
+  const std::int64_t wall_ms = platform::WallMillis();
+  return std::visit(
+      [&](auto& happened) {
+        using Event = std::decay_t<decltype(happened)>;
+        if constexpr (std::is_same_v<Event, PeerMessageArrived>) {
+          return node_.OnPeerMessage(happened.message, now);
+        } else if constexpr (std::is_same_v<Event, ServerAnswered>) {
+          return node_.OnServerAnswer(happened.answer, now);
+        } else if constexpr (std::is_same_v<Event, RouterMessageArrived>) {
+          return node_.OnRouterMessage(happened.connection, happened.message, now, wall_ms);
+        } else if constexpr (std::is_same_v<Event, RouterDisconnected>) {
+          return node_.OnRouterDisconnected(happened.connection, now);
+        } else if constexpr (std::is_same_v<Event, OperatorRequested>) {
+          return node_.OnOperatorRequest(happened.request, happened.command, now, wall_ms);
+        } else if constexpr (std::is_same_v<Event, PlatformListed>) {
+          return node_.OnPlatformList(happened.list, now);
+        } else {
+          return node_.PrepareStop(now);
+        }
+      },
+      event);
+}
+
+/// Invariant: nothing leaves before what it rests on is durable. All steps of one round are made
+/// durable together; only then their effects go out, and the node is told, which may bring more.
+void ControlDriver::Settle(std::vector<control::ControlEffects> pending) {
+  while (!pending.empty()) {
+    if (!Persist(pending)) return;
+    std::vector<std::uint64_t> durable;
+    for (control::ControlEffects& effects : pending) {
+      if (!effects.persist.Empty()) durable.push_back(effects.persist.sequence);
+      Deliver(std::move(effects));
+    }
+    pending.clear();
+    for (const std::uint64_t sequence : durable) {
+      pending.push_back(node_.OnPersistDone(sequence, platform::BootTimeNow()));
+    }
+  }
+}
+
+bool ControlDriver::Persist(const std::vector<control::ControlEffects>& pending) {
+  std::vector<consensus::PersistRequest> requests;
+  for (const control::ControlEffects& effects : pending) {
+    if (!effects.persist.Empty()) requests.push_back(effects.persist);
+  }
+  for (const consensus::PersistRequest& request : JoinRequests(std::move(requests))) {
+    if (!PersistOne(request)) return false;
+  }
+  return true;
+}
+
+/// Tries again while the disk is full: the node is not stepped meanwhile, so it promises nothing
+/// that is not on disk, and its leader lease runs out by itself.
+bool ControlDriver::PersistOne(const consensus::PersistRequest& request) {
+  for (;;) {
+    const Instant begun = platform::BootTimeNow();
+    const auto outcome = Attempt([&] { return storage_->Persist(request); });
+    const Error* const error = ErrorOf(outcome);
+    if (error == nullptr) {
+      const Duration taken = platform::BootTimeNow() - begun;
+      statistics_->persist_seconds.Observe(std::chrono::duration<double>(taken).count());
+      return true;
+    }
+    if (error->kind != ErrorKind::kStorageFull || queue_.closed()) {
+      log_.Error(*error);
+      failed_ = true;
+      outputs_.stop();
+      return false;
+    }
+    RefuseWhileFull(*error);
+  }
+}
+
+/// Answers operators that wait, so that they learn why nothing is accepted; drops the rest, which
+/// is sent again.
+void ControlDriver::RefuseWhileFull(const Error& error) {
+  if (!status().storage_full) log_.Error(error);
+  PublishStatus(true);
+  const Instant end = platform::BootTimeNow() + kFullRetryInterval;
+  for (Instant now = end - kFullRetryInterval; now < end && !queue_.closed();
+       now = platform::BootTimeNow()) {
+    for (const ControlEvent& event : queue_.Take(kEventsAtOnce, end - now)) {
+      const auto* request = std::get_if<OperatorRequested>(&event);
+      if (request != nullptr) outputs_.to_operator({request->request, error});
+    }
+  }
+}
+
+void ControlDriver::Deliver(control::ControlEffects effects) {
+  for (auto& message : effects.peer_messages) outputs_.to_peer(std::move(message));
+  for (auto& send : effects.lease_sends) outputs_.to_server(std::move(send));
+  for (auto& send : effects.router_sends) outputs_.to_router(std::move(send));
+  for (const auto& reply : effects.operator_replies) outputs_.to_operator(reply);
+}
+
+void ControlDriver::PublishStatus(bool storage_full) {
+  const Instant now = platform::BootTimeNow();
+  ControlStatus status;
+  status.self = node_.consensus().self();
+  status.leader = node_.consensus().leader();
+  status.leading = !storage_full && node_.Leading(now);
+  status.storage_full = storage_full;
+  status.last_step = now;
+  const std::lock_guard lock(status_mutex_);
+  if (status.leading != status_.leading) {
+    log_.Info("{}", status.leading ? "Leads." : "Does not lead any more.");
+  }
+  status_ = std::move(status);
+}
+
+void ControlDriver::PublishStatistics(Instant now) {
+  if (now < next_statistics_) return;
+  next_statistics_ = now + kStatisticsInterval;
+  const control::FleetView fleet = node_.Fleet(now);
+  const auto leased = std::count_if(fleet.servers.begin(), fleet.servers.end(),
+                                    [](const auto& server) { return server.leased; });
+  statistics_->leading.Set(node_.Leading(now) ? 1 : 0);
+  statistics_->term.Set(static_cast<double>(fleet.term.value));
+  statistics_->commit_index.Set(static_cast<double>(fleet.commit_index.value));
+  statistics_->bundle_version.Set(static_cast<double>(fleet.bundle_version.value));
+  statistics_->routers.Set(static_cast<double>(fleet.routers.size()));
+  statistics_->servers_leased.Set(static_cast<double>(leased));
+  statistics_->shard_moves.Set(static_cast<double>(fleet.shard_moves));
+  statistics_->queue_length.Set(static_cast<double>(queue_.size()));
+}
+
+}  // namespace graniteseam::daemon
--- /dev/null
+++ b/src/daemon/control/control_driver.h
@@ -0,0 +1,90 @@
+/// @file
+/// The deciding thread of a control process: owns the ControlNode, makes durable what it wants
+/// durable, and carries out its effects.
+#pragma once
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "graniteseam/control/control_node.h"
+#include "src/daemon/control/control_event.h"
+#include "src/platform/log.h"
+#include "src/platform/metrics.h"
+#include "src/storage/consensus_storage.h"
+
+namespace graniteseam::daemon {
+
+/// How the effects leave the process. Called from the deciding thread; none may block.
+struct ControlOutputs {
+  std::function<void(consensus::PeerMessage message)> to_peer;
+  std::function<void(control::LeaseSend send)> to_server;
+  std::function<void(control::RouterSend send)> to_router;
+  std::function<void(const control::OperatorReply& reply)> to_operator;
+  /// A storage error that the process must not survive.
+  std::function<void()> stop;
+};
+
+/// What other threads may know of the node.
+struct ControlStatus {
+  consensus::Member self;
+  std::optional<consensus::Member> leader;
+  bool leading = false;
+  bool storage_full = false;
+  Instant last_step;
+};
+
+/// Lifecycle: Start() once, Stop() before destruction. Only the deciding thread touches node and
+/// storage.
+class ControlDriver {
+ public:
+  ControlDriver(control::ControlOptions options,
+                std::unique_ptr<storage::ConsensusStorage> consensus_storage,
+                ControlEventQueue& queue, ControlOutputs outputs,
+                platform::MetricsRegistry& metrics);
+  ~ControlDriver();
+  ControlDriver(const ControlDriver&) = delete;
+  ControlDriver& operator=(const ControlDriver&) = delete;
+
+  void Start();
+  /// Ends the deciding thread after the step under way.
+  void Stop();
+
+  /// Thread safe.
+  ControlStatus status() const;
+  /// Whether a storage error ended the deciding thread. Thread safe.
+  bool failed() const { return failed_; }
+
+ private:
+  struct Statistics;
+
+  void Run();
+  void Step(std::vector<ControlEvent> events);
+  control::ControlEffects Apply(ControlEvent event);
+  void Settle(std::vector<control::ControlEffects> pending);
+  bool Persist(const std::vector<control::ControlEffects>& pending);
+  bool PersistOne(const consensus::PersistRequest& request);
+  void RefuseWhileFull(const Error& error);
+  void Deliver(control::ControlEffects effects);
+  void PublishStatus(bool storage_full);
+  void PublishStatistics(Instant now);
+
+  std::unique_ptr<storage::ConsensusStorage> storage_;
+  control::ControlNode node_;
+  ControlEventQueue& queue_;
+  ControlOutputs outputs_;
+  std::unique_ptr<Statistics> statistics_;
+  Instant next_statistics_;
+  std::thread thread_;
+  std::atomic<bool> failed_{false};
+  mutable std::mutex status_mutex_;  ///< Guards status_.
+  ControlStatus status_;
+  platform::Logger log_{"control"};
+};
+
+}  // namespace graniteseam::daemon
--- /dev/null
+++ b/src/daemon/control/control_process.cc
@@ -0,0 +1,173 @@
+#include "src/daemon/control/control_process.h"
+
+#include <thread>
+#include <utility>
+
+#include "src/platform/clock.h"
+
+namespace graniteseam::daemon {
+namespace {
+
+/// Longer than a hand-over of leadership takes; a stop is not held up beyond it.
+constexpr Duration kHandOverLimit{1'500'000};
+constexpr Duration kHandOverPoll{5'000};
+/// A deciding thread that stood still for longer is taken for stuck.
+constexpr Duration kLiveLimit{10'000'000};
+
+}  // namespace
+
+ControlProcess::ControlProcess(ControlSettings settings, platform::StopSignals& stop_signals)
+    : settings_(std::move(settings)), stop_signals_(stop_signals) {}
+
+ControlProcess::~ControlProcess() {
+  // Nothing may run any more when the members go.
+  if (operator_server_) operator_server_->Stop();
+  if (driver_) driver_->Stop();
+  loop_.Stop();
+}
+
+Result<void> ControlProcess::Start() {
+  BOOST_LEAF_CHECK(OpenStorage());
+  CreateTransport();
+  BOOST_LEAF_CHECK(peers_->Load());
+  CreateDriver();
+  CreateClients();
+  CreateOperatorServer();
+  driver_->Start();
+  BOOST_LEAF_CHECK(internal_server_->Start());
+  BOOST_LEAF_CHECK(operator_server_->Start());
+  log_.Info("Listens for peers and routers on {}.", ToString(settings_.peer_address));
+  log_.Info("Listens for operators on {}.", ToString(settings_.http_address));
+  return {};
+}
+
+Result<void> ControlProcess::OpenStorage() {
+  storage::StorageOptions options;
+  options.folder = settings_.data_folder;
+  options.id.value = static_cast<std::uint64_t>(settings_.id);
+  options.address = ToString(settings_.peer_address);
+  options.zone.value = settings_.zone;
+  options.seeds = settings_.first_voters;
+  if (settings_.initialise) options.bootstrap = consensus::Membership{settings_.first_voters, {}};
+  BOOST_LEAF_ASSIGN(storage_, storage::ConsensusStorage::Open(files_, options));
+  if (storage_->torn_bytes() > 0) {
+    log_.Warning("Cut {} bytes of a write that a crash tore.", storage_->torn_bytes());
+  }
+  return {};
+}
+
+void ControlProcess::CreateTransport() {
+  const std::string name = std::to_string(settings_.id);
+  const std::string http_address = ToString(settings_.http_address);
+  peers_ = std::make_unique<protocol::PeerTransport>(
+      protocol::PeerTransportOptions{name, http_address, settings_.security}, loop_, metrics_);
+  protocol::InternalServerOptions options;
+  options.address = settings_.peer_address;
+  options.name = name;
+  options.security = settings_.security;
+  internal_server_ = std::make_unique<protocol::InternalServer>(std::move(options), loop_, metrics_,
+                                                                InternalHandlers());
+}
+
+protocol::InternalServer::Handlers ControlProcess::InternalHandlers() {
+  protocol::InternalServer::Handlers handlers;
+  handlers.on_peer_connected = [this](const std::string& name, const std::string& http_address) {
+    NotePeer(name, http_address);
+  };
+  handlers.on_peer_message = [this](consensus::PeerMessage message) {
+    queue_.Push(PeerMessageArrived{std::move(message)});
+  };
+  handlers.on_router_message = [this](protocol::RouterConnectionId connection,
+                                      control::RouterToControl message) {
+    queue_.Push(RouterMessageArrived{connection, std::move(message)});
+  };
+  handlers.on_router_disconnected = [this](protocol::RouterConnectionId connection) {
+    queue_.Push(RouterDisconnected{connection});
+  };
+  return handlers;
+}
+
+void ControlProcess::CreateClients() {
+  lease_client_ = std::make_unique<http::LeaseClient>(
+      http::LeaseClientOptions{}, loop_, metrics_,
+      [this](const lease::LeaseAnswer& answer) { queue_.Push(ServerAnswered{answer}); });
+  http::PlatformPollerOptions options;
+  options.addresses = settings_.platform;
+  platform_poller_ = std::make_unique<http::PlatformPoller>(
+      std::move(options), loop_, metrics_, [this] { return driver_->status().leading; },
+      [this](const control::PlatformList& list) { queue_.Push(PlatformListed{list}); });
+}
+
+void ControlProcess::CreateDriver() {
+  ControlOutputs outputs;
+  outputs.to_peer = [this](consensus::PeerMessage message) { peers_->Send(std::move(message)); };
+  outputs.to_server = [this](control::LeaseSend send) {
+    lease_client_->Send(std::move(send.address), std::move(send.request));
+  };
+  outputs.to_router = [this](control::RouterSend send) {
+    internal_server_->SendToRouter(send.connection, std::move(send.message));
+  };
+  outputs.to_operator = [this](const control::OperatorReply& reply) { desk_.Answer(reply); };
+  outputs.stop = [this] { stop_signals_.RequestStop(); };
+  control::ControlOptions options = settings_.node;
+  options.reviewer_keys = settings_.reviewers;
+  driver_ = std::make_unique<ControlDriver>(std::move(options), std::move(storage_), queue_,
+                                            std::move(outputs), metrics_);
+}
+
+void ControlProcess::CreateOperatorServer() {
+  http::OperatorServerOptions options;
+  options.address = settings_.http_address;
+  options.operators = settings_.operators;
+  http::OperatorServerHooks hooks;
+  hooks.execute = [this](control::OperatorRequest request) {
+    return desk_.Execute(std::move(request));
+  };
+  hooks.leader_address = [this] { return LeaderHttpAddress(); };
+  hooks.self = [this] { return driver_->status().self; };
+  hooks.live = [this] {
+    return platform::BootTimeNow() - driver_->status().last_step < kLiveLimit;
+  };
+  hooks.ready = [this] {
+    const ControlStatus status = driver_->status();
+    return status.leader.has_value() && !status.storage_full && !stopping_;
+  };
+  operator_server_ =
+      std::make_unique<http::OperatorServer>(std::move(options), metrics_, std::move(hooks));
+}
+
+void ControlProcess::NotePeer(const std::string& name, const std::string& http_address) {
+  const std::lock_guard lock(peers_mutex_);
+  peer_http_addresses_[name] = http_address;
+}
+
+/// Known from the leader's own hello: it connects to every member to send appends.
+std::string ControlProcess::LeaderHttpAddress() const {
+  const ControlStatus status = driver_->status();
+  if (!status.leader) return "";
+  const std::lock_guard lock(peers_mutex_);
+  const auto found = peer_http_addresses_.find(std::to_string(status.leader->id.value));
+  return found == peer_http_addresses_.end() ? "" : found->second;
+}
+
+void ControlProcess::Stop() {
+  log_.Info("Stops.");
+  stopping_ = true;
+  if (!driver_->failed()) HandLeadershipOver();
+  operator_server_->Stop();
+  internal_server_->Disconnect();
+  driver_->Stop();
+  loop_.Stop();
+  log_.Info("Stopped.");
+}
+
+void ControlProcess::HandLeadershipOver() {
+  if (!driver_->status().leading) return;
+  queue_.Push(StopPrepared{});
+  const Instant end = platform::BootTimeNow() + kHandOverLimit;
+  while (driver_->status().leading && platform::BootTimeNow() < end) {
+    std::this_thread::sleep_for(kHandOverPoll);
+  }
+}
+
+}  // namespace graniteseam::daemon
--- /dev/null
+++ b/src/daemon/control/control_process.h
@@ -0,0 +1,76 @@
+/// @file
+/// A control process: the deciding thread with its ports, clients and files.
+#pragma once
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+#include "src/daemon/control/control_driver.h"
+#include "src/daemon/control/control_event.h"
+#include "src/daemon/control/control_settings.h"
+#include "src/daemon/control/operator_desk.h"
+#include "src/http/lease_client.h"
+#include "src/http/operator_server.h"
+#include "src/http/platform_poller.h"
+#include "src/platform/event_loop.h"
+#include "src/platform/metrics.h"
+#include "src/platform/stop_signals.h"
+#include "src/protocol/internal_server.h"
+#include "src/protocol/peer_transport.h"
+#include "src/storage/posix_file_system.h"
+
+namespace graniteseam::daemon {
+
+/// Lifecycle: Start() once; when it succeeded, Stop() once. Both from the main thread.
+class ControlProcess {
+ public:
+  ControlProcess(ControlSettings settings, platform::StopSignals& stop_signals);
+  ~ControlProcess();
+  ControlProcess(const ControlProcess&) = delete;
+  ControlProcess& operator=(const ControlProcess&) = delete;
+
+  /// Opens the data folder and all ports, and begins to take part in the group.
+  Result<void> Start();
+
+  /// Hands leadership over, lets operators' requests finish, closes everything.
+  void Stop();
+
+  /// Whether a storage error ended the process.
+  bool failed() const { return driver_ && driver_->failed(); }
+
+ private:
+  Result<void> OpenStorage();
+  void CreateDriver();
+  void CreateTransport();
+  void CreateClients();
+  void CreateOperatorServer();
+  protocol::InternalServer::Handlers InternalHandlers();
+  void NotePeer(const std::string& name, const std::string& http_address);
+  std::string LeaderHttpAddress() const;
+  void HandLeadershipOver();
+
+  ControlSettings settings_;
+  platform::StopSignals& stop_signals_;
+  platform::MetricsRegistry metrics_;
+  // Before what runs on it, so that it outlives that.
+  platform::EventLoop loop_;
+  ControlEventQueue queue_;
+  OperatorDesk desk_{queue_};
+  storage::PosixFileSystem files_;
+  std::unique_ptr<storage::ConsensusStorage> storage_;
+  std::unique_ptr<protocol::PeerTransport> peers_;
+  std::unique_ptr<protocol::InternalServer> internal_server_;
+  std::unique_ptr<http::LeaseClient> lease_client_;
+  std::unique_ptr<http::PlatformPoller> platform_poller_;
+  std::unique_ptr<ControlDriver> driver_;
+  std::unique_ptr<http::OperatorServer> operator_server_;
+  std::atomic<bool> stopping_{false};
+  mutable std::mutex peers_mutex_;                          ///< Guards peer_http_addresses_.
+  std::map<std::string, std::string> peer_http_addresses_;  ///< By control id.
+  platform::Logger log_{"control"};
+};
+
+}  // namespace graniteseam::daemon
--- /dev/null
+++ b/src/daemon/control/control_settings.cc
@@ -0,0 +1,134 @@
+#include "src/daemon/control/control_settings.h"
+
+#include <charconv>
+#include <utility>
+
+#include "src/http/operator_credentials.h"
+#include "src/protocol/internal_settings.h"
+
+namespace graniteseam::daemon {
+namespace {
+
+using platform::SettingFault;
+using platform::SettingsReader;
+
+constexpr std::int64_t kLargestId = 1'000'000;
+
+boost::leaf::error_id FailFirstVoter(const std::string& text) {
+  return Fail(ErrorKind::kInvalidArgument, "\"" + text + "\" names no first voter.",
+              "Write id@zone@ip:port, for example 1@istanbul-1@127.0.0.1:7001.");
+}
+
+void CheckFirstVoters(ControlSettings& settings, std::vector<SettingFault>& faults) {
+  settings.first_voters.clear();
+  for (const std::string& text : settings.bootstrap) {
+    const auto member = Attempt([&] { return ParseFirstVoter(text); });
+    if (const Error* error = ErrorOf(member)) {
+      faults.push_back({"settings", "bootstrap", error->message, error->remedy});
+      continue;
+    }
+    settings.first_voters.push_back(std::get<consensus::Member>(member));
+  }
+  if (settings.initialise && settings.bootstrap.empty()) {
+    faults.push_back({"settings", "initialise", "There are no first voters to initialise with.",
+                      "List the first voters under bootstrap, or leave initialise out."});
+  }
+}
+
+void CheckOperators(const ControlSettings& settings, std::vector<SettingFault>& faults) {
+  for (const auto& [name, digest] : settings.operators) {
+    if (http::IsCredentialDigest(digest)) continue;
+    faults.push_back({"settings", "operators." + name, "The value is no SHA-256 digest.",
+                      "Write the 64 lower-case hex digits of: printf %s CREDENTIAL | sha256sum."});
+  }
+}
+
+/// A follower must not vote within the time in which an old leader may still act: the lease must
+/// end before the shortest election timeout by more than the clocks may drift.
+void CheckTimes(const ControlSettings& settings, std::vector<SettingFault>& faults) {
+  const consensus::ConsensusOptions& times = settings.node.consensus;
+  const double slowest = 1.0 + 2.0 * settings.node.clock_drift_bound;
+  const auto lease = static_cast<double>(times.leader_lease.count());
+  if (lease * slowest >= static_cast<double>(times.election_timeout_minimum.count())) {
+    faults.push_back({"settings", "leader_lease_ms",
+                      "The leader lease is not shorter than the shortest election timeout.",
+                      "Lower leader_lease_ms, or raise election_timeout_minimum_ms."});
+  }
+  if (times.election_timeout_minimum >= times.election_timeout_maximum) {
+    faults.push_back({"settings", "election_timeout_maximum_ms",
+                      "The longest election timeout is not above the shortest.",
+                      "Raise election_timeout_maximum_ms."});
+  }
+  if (times.heartbeat_interval * 2 > times.leader_lease) {
+    faults.push_back({"settings", "heartbeat_interval_ms",
+                      "Fewer than two heartbeats fit into the leader lease.",
+                      "Lower heartbeat_interval_ms."});
+  }
+}
+
+void DeclareTimes(SettingsReader& reader, ControlSettings& settings) {
+  using std::chrono::milliseconds;
+  using std::chrono::seconds;
+  consensus::ConsensusOptions& times = settings.node.consensus;
+  reader.AddMilliseconds("heartbeat_interval_ms", "Interval of the leader's heartbeats.",
+                         times.heartbeat_interval, milliseconds(5), seconds(5));
+  reader.AddMilliseconds("election_timeout_minimum_ms", "Shortest silence before an election.",
+                         times.election_timeout_minimum, milliseconds(20), seconds(30));
+  reader.AddMilliseconds("election_timeout_maximum_ms", "Longest silence before an election.",
+                         times.election_timeout_maximum, milliseconds(20), seconds(60));
+  reader.AddMilliseconds("leader_lease_ms", "How long a leader may act after a quorum answered.",
+                         times.leader_lease, milliseconds(10), seconds(30));
+  reader.AddMilliseconds("router_lease_ms", "Length of a router's lease.",
+                         settings.node.router_lease, milliseconds(100), seconds(30));
+  reader.AddNumber("clock_drift_bound", "Rate by which two machines' clocks may differ.",
+                   settings.node.clock_drift_bound, 0.0, 0.1);
+}
+
+}  // namespace
+
+Result<consensus::Member> ParseFirstVoter(const std::string& text) {
+  const std::size_t first = text.find('@');
+  const std::size_t second = first == std::string::npos ? first : text.find('@', first + 1);
+  if (second == std::string::npos) return FailFirstVoter(text);
+  consensus::Member member;
+  const char* const id_end = text.data() + first;
+  const auto [end, error] = std::from_chars(text.data(), id_end, member.id.value);
+  member.zone.value = text.substr(first + 1, second - first - 1);
+  member.address = text.substr(second + 1);
+  const bool id_valid = error == std::errc() && end == id_end && member.id.value > 0;
+  if (!id_valid || member.zone.Empty()) return FailFirstVoter(text);
+  BOOST_LEAF_CHECK(platform::ParseSocketAddress(member.address));
+  return member;
+}
+
+void DeclareControlSettings(SettingsReader& reader, ControlSettings& settings) {
+  reader.AddInteger("id", "This control process's id, for good.", settings.id, 1, kLargestId,
+                    SettingsReader::kRequired);
+  reader.AddText("zone", "Zone of this machine.", settings.zone, SettingsReader::kRequired);
+  reader.AddText("data_folder", "Folder for everything that must survive.", settings.data_folder,
+                 SettingsReader::kRequired);
+  reader.AddAddress("peer_address", "Internal port for control processes and routers.",
+                    settings.peer_address, SettingsReader::kRequired);
+  reader.AddAddress("http_address", "HTTP port for operators.", settings.http_address,
+                    SettingsReader::kRequired);
+  reader.AddTextList("bootstrap", "First voters of the group, each id@zone@ip:port.",
+                     settings.bootstrap);
+  reader.AddSwitch("initialise", "Creates the group when the data folder is empty.",
+                   settings.initialise);
+  reader.AddAddressList("platform", "Where the platform's list of machines is served.",
+                        settings.platform);
+  reader.AddTextTable("operators", "Operator's name and SHA-256 hex of the credential.",
+                      settings.operators);
+  reader.AddTextTable("reviewers", "Reviewer's name and Ed25519 public key, base64.",
+                      settings.reviewers);
+  DeclareTimes(reader, settings);
+  protocol::AddInternalSecuritySettings(reader, settings.security, &settings.peer_address, nullptr);
+  reader.AddLogSettings();
+  reader.AddCheck([&settings](std::vector<SettingFault>& faults) {
+    CheckFirstVoters(settings, faults);
+    CheckOperators(settings, faults);
+    CheckTimes(settings, faults);
+  });
+}
+
+}  // namespace graniteseam::daemon
--- a/src/http/async_http_client.cc
+++ b/src/http/async_http_client.cc
@@ -1,6 +1,9 @@
 // The only file of this component that sees Boost.Beast.
 #include "src/http/async_http_client.h"
 
+// Beast's templates compare with 0 where they are instantiated, which is here.
+#pragma GCC diagnostic ignored "-Wzero-as-null-pointer-constant"
+
 #include <boost/asio/ip/address.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
@@ -99,16 +102,18 @@
 }
 
 void AsyncHttpClient::Session::Write() {
-  beast::http::async_write(
-      stream_, request_,
-      [self = shared_from_this()](ErrorCode error, std::size_t) { self->OnWritten(error); });
+  beast::http::async_write(stream_, request_,
+                           [self = shared_from_this()](ErrorCode error, std::size_t /*bytes*/) {
+                             self->OnWritten(error);
+                           });
 }
 
 void AsyncHttpClient::Session::OnWritten(ErrorCode error) {
   if (error) return FailWith(error);
-  beast::http::async_read(
-      stream_, buffer_, *response_,
-      [self = shared_from_this()](ErrorCode read_error, std::size_t) { self->OnRead(read_error); });
+  beast::http::async_read(stream_, buffer_, *response_,
+                          [self = shared_from_this()](ErrorCode read_error, std::size_t /*bytes*/) {
+                            self->OnRead(read_error);
+                          });
 }
 
 void AsyncHttpClient::Session::OnRead(ErrorCode error) {
--- a/src/http/operator_requests.cc
+++ b/src/http/operator_requests.cc
@@ -37,7 +37,7 @@
   return value;
 }
 
-boost::leaf::error_id FailUnknown(const OperatorCall& call) {
+boost::leaf::error_id FailUnknown(const IncomingCall& call) {
   return Fail(ErrorKind::kNotFound, "There is no " + call.method + " " + call.path + ".",
               "See docs/interface/operators.md for the calls.");
 }
@@ -51,7 +51,7 @@
 }
 
 Result<OperatorRequest> ReadBundleAction(const std::string& version_text, const std::string& action,
-                                         const OperatorCall& call) {
+                                         const IncomingCall& call) {
   BOOST_LEAF_AUTO(number, ReadNumber<std::uint64_t>(version_text));
   const BundleVersion version{number};
   if (action == "signatures") {
@@ -73,7 +73,7 @@
   return OperatorRequest(control::MoveShard{{{service}, number}, move.target});
 }
 
-Result<OperatorRequest> ReadPost(const std::vector<std::string>& parts, const OperatorCall& call) {
+Result<OperatorRequest> ReadPost(const std::vector<std::string>& parts, const IncomingCall& call) {
   const std::string& area = parts[1];
   if (area == "bundles" && parts.size() == 2) return ReadSubmit(call.body);
   if (area == "bundles" && parts.size() == 4) return ReadBundleAction(parts[2], parts[3], call);
@@ -92,7 +92,7 @@
 
 }  // namespace
 
-Result<OperatorRequest> ReadOperatorCall(const OperatorCall& call) {
+Result<OperatorRequest> ReadOperatorCall(const IncomingCall& call) {
   const std::vector<std::string> parts = SplitPath(call.path);
   if (parts.size() < 2 || parts[0] != kVersionPrefix) return FailUnknown(call);
   if (call.method == "POST") return ReadPost(parts, call);
--- a/src/http/operator_requests.h
+++ b/src/http/operator_requests.h
@@ -11,7 +11,7 @@
 namespace graniteseam::http {
 
 /// An operator's request as it came over HTTP.
-struct OperatorCall {
+struct IncomingCall {
   std::string method;         ///< "GET" or "POST".
   std::string path;           ///< Without the query.
   std::string service_query;  ///< Value of the query's `service`; empty when absent.
@@ -20,7 +20,7 @@
 
 /// Reads and checks a call; a bundle is parsed and its digest computed here.
 /// @return kNotFound for an unknown path, kInvalidArgument, kMalformedMessage, kInvalidBundle.
-Result<control::OperatorRequest> ReadOperatorCall(const OperatorCall& call);
+Result<control::OperatorRequest> ReadOperatorCall(const IncomingCall& call);
 
 /// The body of an answer other than an error.
 std::string AnswerBody(const control::OperatorAnswer& answer);
--- a/src/http/operator_server.cc
+++ b/src/http/operator_server.cc
@@ -16,6 +16,7 @@
 constexpr char kJson[] = "application/json";
 constexpr char kProblem[] = "application/problem+json";
 constexpr int kStatusOk = 200;
+constexpr int kStatusTooLarge = 413;
 constexpr int kStatusUnavailable = 503;
 constexpr time_t kReadSeconds = 5;
 constexpr time_t kKeepAliveSeconds = 30;
@@ -53,6 +54,7 @@
   void SetRoutes();
   void Answer(const httplib::Request& request, httplib::Response& response);
   std::optional<Error> CheckCaller(const httplib::Request& request) const;
+  void ExplainRefusal(httplib::Response& response);
   void Execute(const httplib::Request& request, httplib::Response& response);
   void AnswerHealth(bool healthy, httplib::Response& response) const;
   void Count(const httplib::Response& response);
@@ -83,7 +85,7 @@
   }
   port_ = static_cast<std::uint16_t>(bound);
   thread_ = std::thread([this] { server_.listen_after_bind(); });
-  server_.wait_until_ready();
+  while (!server_.is_running()) std::this_thread::yield();
   return {};
 }
 
@@ -111,22 +113,28 @@
   server_.Get(".*", answer);
   server_.Post(".*", answer);
   // Answers that cpp-httplib makes by itself, for example 413 and 400, get a problem body too.
-  server_.set_error_handler([this](const httplib::Request& /*request*/,
-                                   httplib::Response& response) {
-    if (!response.body.empty()) return httplib::Server::HandlerResponse::Unhandled;
-    const int status = response.status;
-    const bool too_large = status == 413;
-    AnswerProblem(response, {{too_large ? ErrorKind::kTooLarge : ErrorKind::kInvalidArgument,
-                              "The request was refused with status " + std::to_string(status) + ".",
-                              "See docs/interface/operators.md for the calls."},
-                             ""});
-    response.status = status;
-    Count(response);
-    return httplib::Server::HandlerResponse::Handled;
-  });
+  const httplib::Server::Handler explain = [this](const httplib::Request& /*request*/,
+                                                  httplib::Response& response) {
+    ExplainRefusal(response);
+  };
+  server_.set_error_handler(explain);
+}
+
+/// Answers that cpp-httplib makes by itself, for example 413 and 400, get a problem body too.
+void OperatorServer::Impl::ExplainRefusal(httplib::Response& response) {
+  if (!response.body.empty()) return;
+  const int status = response.status;
+  AnswerProblem(response,
+                {{status == kStatusTooLarge ? ErrorKind::kTooLarge : ErrorKind::kInvalidArgument,
+                  "The request was refused with status " + std::to_string(status) + ".",
+                  "See docs/interface/operators.md for the calls."},
+                 ""});
+  response.status = status;
+  Count(response);
 }
 
 void OperatorServer::Impl::Answer(const httplib::Request& request, httplib::Response& response) {
+  response.status = kStatusOk;
   if (request.method == "GET" && request.path == "/livez") {
     return AnswerHealth(hooks_.live(), response);
   }
@@ -156,7 +164,7 @@
 }
 
 void OperatorServer::Impl::Execute(const httplib::Request& request, httplib::Response& response) {
-  OperatorCall call{request.method, request.path, request.get_param_value("service"), request.body};
+  IncomingCall call{request.method, request.path, request.get_param_value("service"), request.body};
   auto read = Attempt([&] { return ReadOperatorCall(call); });
   if (const Error* error = ErrorOf(read)) return AnswerProblem(response, {*error, ""});
   const control::OperatorAnswer answer =
--- a/tests/http/lease_client_test.cc
+++ b/tests/http/lease_client_test.cc
@@ -30,7 +30,7 @@
     server_.Get("/v1/machines", handler);
     port_ = server_.bind_to_any_port("127.0.0.1");
     thread_ = std::thread([this] { server_.listen_after_bind(); });
-    server_.wait_until_ready();
+    while (!server_.is_running()) std::this_thread::yield();
   }
   ~StandIn() {
     server_.stop();
--- a/tests/http/operator_server_test.cc
+++ b/tests/http/operator_server_test.cc
@@ -67,7 +67,8 @@
 }  // namespace
 
 Test(operator_credentials, knows_operators_by_their_token) {
-  const http::OperatorCredentials credentials({{"ana", kDigest}});
+  const std::map<std::string, std::string> digests{{"ana", kDigest}};
+  const http::OperatorCredentials credentials(digests);
   cr_assert(credentials.Identify("Bearer secret") == "ana");
   for (const char* wrong : {"", "Bearer", "Bearer ", "Bearer Secret", "secret", "Basic secret"}) {
     cr_assert(!credentials.Identify(wrong), "took \"%s\"", wrong);
