--- a/src/daemon/router/main.cc
+++ b/src/daemon/router/main.cc
@@ -15,6 +15,7 @@
 #include "src/platform/metrics.h"
 #include "src/platform/settings.h"
 #include "src/platform/stop_signals.h"
+#include "src/protocol/internal_settings.h"
 #include "src/protocol/router_control_client.h"
 
 namespace {
@@ -26,6 +27,7 @@
   std::string zone;
   platform::SocketAddress http_address;
   std::vector<platform::SocketAddress> control;
+  protocol::InternalSecurity security;
   std::int64_t connections_maximum = 4096;
   Duration drain{1'000'000};
   Duration stop_maximum{35'000'000};
@@ -51,6 +53,7 @@
                          settings.drain, Duration{0}, Duration{60'000'000});
   reader.AddMilliseconds("stop_maximum_ms", "How long a stop waits for requests in flight.",
                          settings.stop_maximum, Duration{0}, Duration{600'000'000});
+  protocol::AddInternalSecuritySettings(reader, settings.security, nullptr, &settings.control);
   reader.AddLogSettings();
   return reader.Read(argc, argv);
 }
@@ -124,6 +127,7 @@
   protocol::RouterControlClientOptions control_options;
   control_options.router = {settings.id};
   control_options.control = settings.control;
+  control_options.security = settings.security;
   auto client = std::make_unique<protocol::RouterControlClient>(
       control_options, metrics,
       [&driver](const control::ControlToRouter& message) { driver.OnControlMessage(message); },
--- a/src/http/caller_server.cc
+++ b/src/http/caller_server.cc
@@ -57,6 +57,11 @@
       body_limit_(std::move(body_limit)),
       caller_gone_(std::move(caller_gone)) {
   new_task_queue = [this] { return new ConnectionThreads(options_.connections_maximum); };
+  // What the library tells callers of this; the connection itself is kept by ServeOne().
+  constexpr std::size_t kRequestsPerConnection = 1'000'000;
+  set_keep_alive_max_count(kRequestsPerConnection);
+  set_keep_alive_timeout(
+      std::chrono::duration_cast<std::chrono::seconds>(options_.idle_maximum).count());
   set_pre_routing_handler([this](const httplib::Request& request, httplib::Response& response) {
     return BeforeRouting(request, response);
   });
