Move shards by load and fill servers that joined empty

Cause: a service's shards stayed where the first assignment had put them, whatever their load, and a server that joined or came back later stayed empty. Tests: only the overloaded server's shards move; even load moves nothing; a late joiner is filled once, by the least number of moves.

--- a/src/control/control_node_impl.cc
+++ b/src/control/control_node_impl.cc
@@ -290,6 +290,7 @@
     SendNotLeader(connection, renewal.sequence);
     return;
   }
+  leadership_->ownership.TakeLoad(renewal.shard_load, now);
   effects_.router_sends.push_back(
       {connection, leadership_->routers.Renew(connection, renewal, now)});
 }
--- /dev/null
+++ b/src/control/load_balancer.cc
@@ -0,0 +1,134 @@
+#include "src/control/load_balancer.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <set>
+#include <utility>
+
+namespace graniteseam::control {
+
+using placement::OwnershipState;
+
+LoadBalancer::LoadBalancer(LoadBalancerOptions options, const ReplicatedState& state, Instant now)
+    : options_(options),
+      state_(state),
+      tracker_(options.tracker),
+      started_(now),
+      due_(now + options.interval) {}
+
+void LoadBalancer::Report(const std::vector<ShardLoad>& loads, Instant now) {
+  for (const auto& load : loads) {
+    // Routers are trusted, but a shard that no service has would grow the tracker without bound.
+    if (load.shard.index >= state_.shards().ShardCount(load.shard.service)) continue;
+    tracker_.Record(load.shard, load.requests, now);
+  }
+}
+
+std::vector<placement::PlannedMove> LoadBalancer::Decide(const HealthCheck& healthy, Instant now) {
+  std::vector<placement::PlannedMove> moves;
+  if (now < due_) return moves;
+  due_ = now + options_.interval;
+  tracker_.Advance(now);
+  const auto* bundle = state_.bundles().InForce();
+  if (bundle == nullptr) return moves;
+  for (const auto& service : bundle->services) {
+    if (service.kind != bundle::ServiceKind::kKeyed) continue;
+    const std::size_t before = moves.size();
+    PlanByLoad(service, healthy, now, moves);
+    // One reason to move at a time: a server that fills changes the loads of others.
+    if (moves.size() == before) FillEmptyServers(service, healthy, now, moves);
+  }
+  return moves;
+}
+
+placement::PlacementInput LoadBalancer::InputOf(const bundle::Service& service,
+                                                const HealthCheck& healthy) const {
+  placement::PlacementInput input;
+  input.service = service.name;
+  input.weights = service.weights;
+  input.last_load_shift = tracker_.LastShift(service.name);
+  std::map<ServerId, std::uint32_t> positions;
+  for (const auto& [id, record] : state_.servers().servers()) {
+    if (record.service != service.name || !record.serving) continue;
+    positions[id] = static_cast<std::uint32_t>(input.servers.size());
+    const bool may_gain = record.AcceptsNewWork() && healthy(id);
+    input.servers.push_back({id, record.zone, 1.0, may_gain});
+  }
+  // Grouped by server, so that its name is looked up once and not for each shard.
+  for (const auto& [id, position] : positions) {
+    for (const auto& owned : state_.shards().OwnedBy(id)) {
+      const auto estimate = tracker_.Estimate(owned.shard);
+      const bool movable = owned.state == OwnershipState::kAssigned;
+      input.shards.push_back(
+          {owned.shard.index, position, estimate.requests_per_second, estimate.deviation, movable});
+    }
+  }
+  return input;
+}
+
+void LoadBalancer::PlanByLoad(const bundle::Service& service, const HealthCheck& healthy,
+                              Instant now, std::vector<placement::PlannedMove>& moves) {
+  const auto input = InputOf(service, healthy);
+  if (input.servers.empty()) return;
+  auto& planner = planners_.try_emplace(service.name, options_.planner).first->second;
+  for (const auto& move : planner.Plan(input, now).moves) {
+    const auto shard = state_.shards().Find(move.shard);
+    if (shard && shard->owner == move.from) moves.push_back({move.shard, shard->epoch, move.to});
+  }
+}
+
+std::size_t LoadBalancer::MovesToFill(const ServerId& server, double mean, Instant now) const {
+  const auto joined = joined_.find(server);
+  const Instant since = joined == joined_.end() ? started_ : joined->second;
+  if (now - since < options_.fill_delay) return 0;
+  const std::size_t planned = state_.shards().PlannedCount(server);
+  // Once begun, filling goes on to the level; it begins only far below.
+  const bool filling = planned > state_.shards().OwnedCount(server);
+  const double half = mean / 2;
+  if (!filling && static_cast<double>(planned) >= half) return 0;
+  const auto level = static_cast<std::size_t>(std::floor(mean * options_.fill_level));
+  const std::size_t arriving = planned - std::min(planned, state_.shards().OwnedCount(server));
+  if (level <= planned || arriving >= options_.fill_moves_maximum) return 0;
+  return std::min(level - planned, options_.fill_moves_maximum - arriving);
+}
+
+void LoadBalancer::FillEmptyServers(const bundle::Service& service, const HealthCheck& healthy,
+                                    Instant now, std::vector<placement::PlannedMove>& moves) {
+  if (std::isinf(placement::MoveReluctance(service.weights))) return;
+  std::set<std::pair<std::size_t, ServerId>> by_count;
+  for (const auto& [id, record] : state_.servers().servers()) {
+    if (record.service != service.name || !record.AcceptsNewWork() || !healthy(id)) continue;
+    by_count.emplace(state_.shards().PlannedCount(id), id);
+  }
+  if (by_count.size() < 2) return;
+  const double mean = static_cast<double>(state_.shards().ShardCount(service.name)) /
+                      static_cast<double>(by_count.size());
+  std::set<ShardId> chosen;
+  const auto candidates = by_count;
+  for (const auto& [count, target] : candidates) {
+    if (static_cast<double>(count) >= mean) break;
+    std::size_t wanted = MovesToFill(target, mean, now);
+    while (wanted > 0) {
+      // The server with the most shards gives the next one.
+      auto giver = by_count.extract(std::prev(by_count.end()));
+      auto& [shards, id] = giver.value();
+      if (static_cast<double>(shards) <= mean - 1 || id == target) return;
+      bool found = false;
+      for (const auto& owned : state_.shards().OwnedBy(id)) {
+        if (owned.state != OwnershipState::kAssigned || chosen.contains(owned.shard)) continue;
+        chosen.insert(owned.shard);
+        moves.push_back({owned.shard, owned.epoch, target});
+        found = true;
+        break;
+      }
+      // One without a free shard is not asked again in this round.
+      if (!found) continue;
+      --shards;
+      --wanted;
+      by_count.insert(std::move(giver));
+    }
+  }
+}
+
+}  // namespace graniteseam::control
--- a/src/control/ownership_controller.cc
+++ b/src/control/ownership_controller.cc
@@ -22,6 +22,7 @@
                 return set;
               }),
       healthy_([this](const ServerId& server) { return leases_.Healthy(server, now_); }),
+      balancer_(options.balancer, state, now),
       now_(now) {
   AddKnownServers(now);
 }
@@ -67,6 +68,7 @@
     }
     leases_.Admit(server, record->incarnation, now);
     last_joined_[record->service] = now;
+    balancer_.Joined(server, now);
     says_leaving_.erase(server);
     leaving_stale_ = true;
   }
@@ -117,11 +119,14 @@
     placement_due_.reset();
     placement_stale_ = true;
   }
-  if (placement_stale_ && state_.applied() >= placement_proposed_) {
-    placement_stale_ = false;
+  if (state_.applied() >= placement_proposed_) {
     const std::size_t before = commands.size();
-    DecideOrphans(now, choosers, commands);
-    DecideDrains(now, choosers, commands);
+    if (std::exchange(placement_stale_, false)) {
+      DecideOrphans(now, choosers, commands);
+      DecideDrains(now, choosers, commands);
+    }
+    // Moves for balance wait while shards without an owner are being given away.
+    if (commands.size() == before) DecideBalance(now, commands);
     placement_decided_ = commands.size() > before;
   }
   Promise(commands);
@@ -297,6 +302,11 @@
   if (!command.moves.empty()) commands.emplace_back(std::move(command));
 }
 
+void OwnershipController::DecideBalance(Instant now, std::vector<CommandBody>& commands) {
+  auto moves = balancer_.Decide(healthy_, now);
+  if (!moves.empty()) commands.emplace_back(BeginMovesCommand{std::move(moves)});
+}
+
 std::vector<std::pair<std::string, lease::LeaseRequest>> OwnershipController::Sends(Instant now) {
   std::vector<std::pair<std::string, lease::LeaseRequest>> sends;
   for (auto& request : leases_.Advance(now)) {
@@ -310,7 +320,7 @@
 }
 
 Instant OwnershipController::NextDue() const {
-  const Instant sends = leases_.NextAdvance();
+  const Instant sends = std::min(leases_.NextAdvance(), balancer_.NextDue());
   return placement_due_ ? std::min(sends, *placement_due_) : sends;
 }
 
--- a/src/control/ownership_controller.h
+++ b/src/control/ownership_controller.h
@@ -12,6 +12,7 @@
 #include "graniteseam/control/operator_messages.h"
 #include "graniteseam/lease/lease_table.h"
 #include "src/control/commands.h"
+#include "src/control/load_balancer.h"
 #include "src/control/replicated_state.h"
 #include "src/control/shard_assigner.h"
 
@@ -19,6 +20,7 @@
 
 struct OwnershipOptions {
   lease::LeaseTableOptions leases;
+  LoadBalancerOptions balancer;
   /// Shards that were never assigned wait until no server of their service joined for this long,
   /// so that the first server to join doesn't get them all.
   Duration first_assignment_delay{200'000};
@@ -44,6 +46,8 @@
   /// Takes the platform's list, a hint: names whom to greet and who is about to leave.
   void TakePlatformList(const PlatformList& list, Instant now);
   void TakeAnswer(const lease::LeaseAnswer& answer, Instant now);
+  /// Takes the shard load that a router counted.
+  void TakeLoad(const std::vector<ShardLoad>& loads, Instant now) { balancer_.Report(loads, now); }
   /// Follows what applied entries changed. Called after each applied entry.
   void Follow(const ApplyOutcome& outcome, Instant now);
 
@@ -72,6 +76,7 @@
   void DecideReleases(TargetChoosers& choosers, std::vector<CommandBody>& commands);
   void DecideLeaving(std::vector<CommandBody>& commands);
   void DecideOrphans(Instant now, TargetChoosers& choosers, std::vector<CommandBody>& commands);
+  void DecideBalance(Instant now, std::vector<CommandBody>& commands);
   void DecideDrains(Instant now, TargetChoosers& choosers, std::vector<CommandBody>& commands);
   std::optional<CommandBody> Registration(const ServerId& server, Incarnation incarnation) const;
   bool MayReceive(const ServerId& server) const;
@@ -84,6 +89,7 @@
   const ReplicatedState& state_;
   lease::LeaseTable leases_;
   HealthCheck healthy_;
+  LoadBalancer balancer_;
   Instant now_{};  ///< Of the call under way, for `healthy_`.
   std::map<ServerId, PlatformMachine> machines_;
   std::map<ServerId, bool> says_leaving_;  ///< Each server's own word.
