--- a/include/graniteseam/placement/load_tracker.h
+++ b/include/graniteseam/placement/load_tracker.h
@@ -49,7 +49,9 @@
  public:
   explicit LoadTracker(LoadTrackerOptions options = {});
 
-  /// Adds requests that one router counted for a shard since its last report.
+  /// Adds requests that one router counted for a shard since its last report. A count that is
+  /// negative, above a billion or not a number is passed over. The caller checks that the shard
+  /// exists.
   void Record(const ShardId& shard, double requests, Instant now);
 
   /// Closes slots that are over. Call it on each tick.
--- a/src/placement/load_tracker.cc
+++ b/src/placement/load_tracker.cc
@@ -10,6 +10,9 @@
 /// Slots closed one by one after a pause of the caller; after so many the averages have faded out.
 constexpr std::uint64_t kSlotsCaughtUpMaximum = 400;
 
+/// Of one shard in one report; a report beyond it is wrong.
+constexpr double kRequestsMaximum = 1e9;
+
 double Square(double value) { return value * value; }
 
 }  // namespace
@@ -25,6 +28,8 @@
 
 void LoadTracker::Record(const ShardId& shard, double requests, Instant now) {
   Advance(now);
+  // Also refuses what is not a number: it would stay in the average for ever.
+  if (!(requests >= 0 && requests <= kRequestsMaximum)) return;
   auto& shards = services_[shard.service].shards;
   if (shard.index >= shards.size()) shards.resize(std::size_t{shard.index} + 1);
   shards[shard.index].slot_requests += requests;
--- a/tests/placement/load_tracker_test.cc
+++ b/tests/placement/load_tracker_test.cc
@@ -97,3 +97,14 @@
   feed.tracker.Remove(kService);
   cr_assert(feed.tracker.Estimate({kService, 0}).requests_per_second == 0);
 }
+
+Test(load_tracker, passes_over_counts_that_can_not_be) {
+  Feed feed({200});
+  feed.Run(10);
+  for (const double wrong : {-1.0, 1e10, std::nan(""), HUGE_VAL}) {
+    feed.tracker.Record({kService, 0}, wrong, feed.now());
+  }
+  feed.Run(2);
+  const double rate = feed.tracker.Estimate({kService, 0}).requests_per_second;
+  cr_assert(rate > 150 && rate < 250, "%f", rate);
+}
