Forget servers that are gone for good, and keep log entries bounded

Change: RemoveServerCommand after ten minutes without lease and list entry, with removals sent to routers as changes; at most 5,000 assignments an entry; placement follows changes of servers and shards only.

--- a/src/control/commands.h
+++ b/src/control/commands.h
@@ -87,10 +87,16 @@
 };
 BOOST_DESCRIBE_STRUCT(ExpireJournalCommand, (), (wall_ms))
 
-using CommandBody =
-    std::variant<SubmitBundleCommand, bundle::SignatureCommand, RollBundleCommand,
-                 RegisterServerCommand, LoseServerCommand, AssignShardsCommand, BeginMovesCommand,
-                 SetDrainingCommand, SetLeavingCommand, JournalCommand, ExpireJournalCommand>;
+/// Forgets a server that holds no lease and no shards, and that will not come back.
+struct RemoveServerCommand {
+  ServerId server;
+};
+BOOST_DESCRIBE_STRUCT(RemoveServerCommand, (), (server))
+
+using CommandBody = std::variant<SubmitBundleCommand, bundle::SignatureCommand, RollBundleCommand,
+                                 RegisterServerCommand, LoseServerCommand, AssignShardsCommand,
+                                 BeginMovesCommand, SetDrainingCommand, SetLeavingCommand,
+                                 JournalCommand, ExpireJournalCommand, RemoveServerCommand>;
 
 struct Command {
   CommandBody body;
--- a/src/control/control_node_impl.cc
+++ b/src/control/control_node_impl.cc
@@ -1,13 +1,9 @@
 #include "src/control/control_node_impl.h"
 
 #include <algorithm>
-#include <chrono>
 #include <cstdlib>
-#include <type_traits>
 #include <utility>
 
-#include "src/control/map_update.h"
-
 namespace graniteseam::control {
 
 namespace {
@@ -176,8 +172,7 @@
   const auto waiter = pending_.Take(index);
   if (!waiter) return;
   if (const auto* router = std::get_if<WaitingRouter>(&*waiter)) {
-    effects_.router_sends.push_back(
-        {router->connection, JournalAnswer{router->sequence, outcome.claims}});
+    SendToRouter(router->connection, JournalAnswer{router->sequence, outcome.claims});
     return;
   }
   const RequestId request = std::get<WaitingOperator>(*waiter).request;
@@ -259,7 +254,7 @@
   RunDecisions(now);
   if (!leadership_) return;
   for (auto& [connection, answer] : leadership_->routers.Push(now)) {
-    effects_.router_sends.push_back({connection, std::move(answer)});
+    SendToRouter(connection, std::move(answer));
   }
 }
 
@@ -282,145 +277,4 @@
   return std::exchange(effects_, {});
 }
 
-// --- Requests ---
-
-void ControlNode::Impl::OnRenewal(ConnectionId connection, const RouterRenewal& renewal,
-                                  Instant now) {
-  if (!Leading(now) || !leadership_) {
-    SendNotLeader(connection, renewal.sequence);
-    return;
-  }
-  leadership_->ownership.TakeLoad(renewal.shard_load, now);
-  effects_.router_sends.push_back(
-      {connection, leadership_->routers.Renew(connection, renewal, now)});
-}
-
-void ControlNode::Impl::OnJournal(ConnectionId connection, const JournalRequest& request,
-                                  Instant now, std::int64_t wall_ms) {
-  if (!Leading(now)) {
-    SendNotLeader(connection, request.sequence);
-    return;
-  }
-  if (request.claims.empty() && request.completions.empty()) {
-    effects_.router_sends.push_back({connection, JournalAnswer{request.sequence, {}}});
-    return;
-  }
-  const auto index = Propose({JournalCommand{wall_ms, request.claims, request.completions}}, now);
-  if (index) {
-    pending_.Add(*index, WaitingRouter{connection, request.sequence});
-  } else {
-    SendNotLeader(connection, request.sequence);
-  }
-}
-
-OperatorStep ControlNode::Impl::Plan(const OperatorRequest& command, Instant now) const {
-  return std::visit(
-      [&](const auto& request) -> OperatorStep {
-        using Request = std::decay_t<decltype(request)>;
-        if constexpr (std::is_same_v<Request, ReadBundles>) {
-          return OperatorAnswer(Bundles(now));
-        } else if constexpr (std::is_same_v<Request, ReadFleet>) {
-          return OperatorAnswer(Fleet(now));
-        } else if constexpr (std::is_same_v<Request, SignBundle>) {
-          return PlanRequest(request, options_.reviewer_keys);
-        } else if constexpr (std::is_same_v<Request, RollBundle>) {
-          return PlanRequest(request);
-        } else if constexpr (std::is_same_v<Request, ChangeMembership>) {
-          return PlanRequest(request, state_, consensus_.membership());
-        } else {
-          return PlanRequest(request, state_);
-        }
-      },
-      command);
-}
-
-void ControlNode::Impl::RunStep(RequestId request, OperatorStep step, Instant now) {
-  if (auto* answer = std::get_if<OperatorAnswer>(&step)) {
-    Reply(request, std::move(*answer));
-    return;
-  }
-  if (const auto* command = std::get_if<CommandBody>(&step)) {
-    const auto index = Propose({*command}, now);
-    if (index) {
-      pending_.Add(*index, WaitingOperator{request});
-    } else {
-      Reply(request, NotLeaderError());
-    }
-    return;
-  }
-  consensus::Effects effects;
-  const auto proposed = Attempt([&] {
-    return consensus_.ProposeMembership(std::get<consensus::Membership>(step), now, effects);
-  });
-  Absorb(std::move(effects), now);
-  if (const Error* error = ErrorOf(proposed)) {
-    Reply(request, *error);
-  } else {
-    pending_.Add(std::get<LogIndex>(proposed), WaitingOperator{request});
-  }
-}
-
-void ControlNode::Impl::Reply(RequestId request, OperatorAnswer answer) {
-  effects_.operator_replies.push_back({request, std::move(answer)});
-}
-
-void ControlNode::Impl::SendNotLeader(ConnectionId connection, std::uint64_t sequence) {
-  effects_.router_sends.push_back({connection, NotLeaderAnswer{sequence, LeaderAddress()}});
-}
-
-std::string ControlNode::Impl::LeaderAddress() const {
-  const auto leader = consensus_.leader();
-  if (!leader || leader->SameVoteAs(consensus_.self())) return "";
-  return leader->address;
-}
-
-Error ControlNode::Impl::NotLeaderError() const {
-  const std::string address = LeaderAddress();
-  return {ErrorKind::kNotLeader,
-          address.empty() ? "This control process does not lead, and no leader is known."
-                          : "This control process does not lead; " + address + " does.",
-          "Send the request to the leader."};
-}
-
-// --- Views ---
-
-BundlesView ControlNode::Impl::Bundles(Instant now) const {
-  BundlesView view;
-  view.in_force = state_.bundles().in_force_version();
-  view.bundles = state_.bundles().Records();
-  const auto& self = consensus_.self();
-  view.processes.push_back({std::to_string(self.id.value), "control", view.in_force, 0});
-  if (leadership_) {
-    for (auto& version : leadership_->routers.Versions(now)) {
-      view.processes.push_back(std::move(version));
-    }
-  }
-  return view;
-}
-
-FleetView ControlNode::Impl::Fleet(Instant now) const {
-  FleetView view;
-  view.leader = consensus_.leader();
-  view.membership = consensus_.membership();
-  view.term = consensus_.term();
-  view.commit_index = consensus_.commit_index();
-  view.bundle_version = state_.bundles().in_force_version();
-  view.shard_moves = state_.shards().moves();
-  if (leadership_) view.routers = leadership_->routers.Versions(now);
-  for (const auto& [id, record] : state_.servers().servers()) {
-    ServerView& server = view.servers.emplace_back();
-    server.entry = ToEntry(record);
-    server.draining = record.draining;
-    server.shards = static_cast<std::uint32_t>(state_.shards().OwnedCount(id));
-    if (!leadership_) continue;
-    const auto& leases = leadership_->ownership.leases();
-    const auto remaining = leases.Remaining(id, now);
-    server.leased = remaining > Duration::zero();
-    server.lease_remaining_ms =
-        std::chrono::duration_cast<std::chrono::milliseconds>(remaining).count();
-    server.entry.load_hint = leases.LoadHint(id);
-  }
-  return view;
-}
-
 }  // namespace graniteseam::control
--- a/src/control/control_node_impl.h
+++ b/src/control/control_node_impl.h
@@ -72,6 +72,7 @@
                  std::int64_t wall_ms);
   void RunStep(RequestId request, OperatorStep step, Instant now);
   void Reply(RequestId request, OperatorAnswer answer);
+  void SendToRouter(ConnectionId connection, ControlToRouter message);
   void SendNotLeader(ConnectionId connection, std::uint64_t sequence);
   OperatorStep Plan(const OperatorRequest& command, Instant now) const;
   BundlesView Bundles(Instant now) const;
--- a/src/control/load_balancer.cc
+++ b/src/control/load_balancer.cc
@@ -2,8 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <limits>
-#include <set>
 #include <utility>
 
 namespace graniteseam::control {
@@ -96,39 +94,43 @@
 void LoadBalancer::FillEmptyServers(const bundle::Service& service, const HealthCheck& healthy,
                                     Instant now, std::vector<placement::PlannedMove>& moves) {
   if (std::isinf(placement::MoveReluctance(service.weights))) return;
-  std::set<std::pair<std::size_t, ServerId>> by_count;
+  ServersByCount servers;
   for (const auto& [id, record] : state_.servers().servers()) {
     if (record.service != service.name || !record.AcceptsNewWork() || !healthy(id)) continue;
-    by_count.emplace(state_.shards().PlannedCount(id), id);
+    servers.emplace(state_.shards().PlannedCount(id), id);
   }
-  if (by_count.size() < 2) return;
+  if (servers.size() < 2) return;
   const double mean = static_cast<double>(state_.shards().ShardCount(service.name)) /
-                      static_cast<double>(by_count.size());
-  std::set<ShardId> chosen;
-  const auto candidates = by_count;
-  for (const auto& [count, target] : candidates) {
-    if (static_cast<double>(count) >= mean) break;
-    std::size_t wanted = MovesToFill(target, mean, now);
-    while (wanted > 0) {
-      // The server with the most shards gives the next one.
-      auto giver = by_count.extract(std::prev(by_count.end()));
-      auto& [shards, id] = giver.value();
-      if (static_cast<double>(shards) <= mean - 1 || id == target) return;
-      bool found = false;
-      for (const auto& owned : state_.shards().OwnedBy(id)) {
-        if (owned.state != OwnershipState::kAssigned || chosen.contains(owned.shard)) continue;
-        chosen.insert(owned.shard);
-        moves.push_back({owned.shard, owned.epoch, target});
-        found = true;
-        break;
-      }
-      // One without a free shard is not asked again in this round.
-      if (!found) continue;
-      --shards;
-      --wanted;
-      by_count.insert(std::move(giver));
+                      static_cast<double>(servers.size());
+  const ServersByCount targets = servers;
+  for (const auto& [count, target] : targets) {
+    if (static_cast<double>(count) >= mean) return;
+    for (std::size_t wanted = MovesToFill(target, mean, now); wanted > 0; --wanted) {
+      auto move = TakeFromFullest(servers, target, mean, moves);
+      if (!move) return;
+      moves.push_back(std::move(*move));
     }
   }
 }
 
+std::optional<placement::PlannedMove> LoadBalancer::TakeFromFullest(
+    ServersByCount& servers, const ServerId& target, double mean,
+    const std::vector<placement::PlannedMove>& taken) const {
+  while (!servers.empty()) {
+    auto giver = servers.extract(std::prev(servers.end()));
+    auto& [count, id] = giver.value();
+    if (static_cast<double>(count) <= mean - 1 || id == target) return std::nullopt;
+    for (const auto& owned : state_.shards().OwnedBy(id)) {
+      const bool is_taken = std::any_of(
+          taken.begin(), taken.end(), [&](const auto& move) { return move.shard == owned.shard; });
+      if (owned.state != OwnershipState::kAssigned || is_taken) continue;
+      --count;
+      servers.insert(std::move(giver));
+      return placement::PlannedMove{owned.shard, owned.epoch, target};
+    }
+    // One without a free shard is not asked again in this round.
+  }
+  return std::nullopt;
+}
+
 }  // namespace graniteseam::control
--- a/src/control/load_balancer.h
+++ b/src/control/load_balancer.h
@@ -4,6 +4,8 @@
 
 #include <map>
 #include <optional>
+#include <set>
+#include <utility>
 #include <vector>
 
 #include "graniteseam/control/router_messages.h"
@@ -47,12 +49,18 @@
   Instant NextDue() const { return due_; }
 
  private:
+  using ServersByCount = std::set<std::pair<std::size_t, ServerId>>;
+
   void PlanByLoad(const bundle::Service& service, const HealthCheck& healthy, Instant now,
                   std::vector<placement::PlannedMove>& moves);
   placement::PlacementInput InputOf(const bundle::Service& service,
                                     const HealthCheck& healthy) const;
   void FillEmptyServers(const bundle::Service& service, const HealthCheck& healthy, Instant now,
                         std::vector<placement::PlannedMove>& moves);
+  /// Takes one shard of the server with the most shards, as long as it has more than the mean.
+  std::optional<placement::PlannedMove> TakeFromFullest(
+      ServersByCount& servers, const ServerId& target, double mean,
+      const std::vector<placement::PlannedMove>& taken) const;
   std::size_t MovesToFill(const ServerId& server, double mean, Instant now) const;
 
   LoadBalancerOptions options_;
--- a/src/control/map_update.cc
+++ b/src/control/map_update.cc
@@ -28,13 +28,15 @@
 MapUpdate BuildMapUpdate(const ReplicatedState& state, std::uint64_t base) {
   MapUpdate update;
   update.version = state.map_version();
-  const bool whole = base > update.version || base < state.servers().removed_at();
+  const bool whole =
+      base == 0 || base > update.version || base < state.servers().removals_known_after();
   update.base_version = whole ? 0 : base;
   for (const auto& [id, record] : state.servers().servers()) {
     if (update.base_version == 0 || record.changed_at > base) {
       update.servers.push_back(ToEntry(record));
     }
   }
+  if (!whole) update.removed_servers = state.servers().RemovedSince(base);
   for (const auto& shard : state.shards().ChangesSince(update.base_version)) {
     update.shards.push_back(ToEntry(shard));
   }
--- a/src/control/map_update.h
+++ b/src/control/map_update.h
@@ -13,8 +13,8 @@
 ShardEntry ToEntry(const placement::ShardOwnership& shard);
 
 /// What changed after version `base`; the whole table when `base` is 0, newer than the state, or
-/// older than the latest removal of a server. Work grows with the changes and the servers, and with
-/// the shards only for a whole table.
+/// so old that a removal after it may have been forgotten. Work grows with the changes and the
+/// servers, and with the shards only for a whole table.
 MapUpdate BuildMapUpdate(const ReplicatedState& state, std::uint64_t base);
 
 }  // namespace graniteseam::control
--- a/src/control/ownership_controller.cc
+++ b/src/control/ownership_controller.cc
@@ -45,6 +45,13 @@
   for (const auto& machine : list.machines) machines_[machine.server] = machine;
   GreetMachines(now);
   leaving_stale_ = true;
+  for (const auto& [id, record] : state_.servers().servers()) {
+    if (record.serving || machines_.contains(id)) {
+      gone_since_.erase(id);
+    } else {
+      gone_since_.try_emplace(id, now);
+    }
+  }
 }
 
 void OwnershipController::GreetMachines(Instant now) {
@@ -60,6 +67,7 @@
 
 void OwnershipController::Follow(const ApplyOutcome& outcome, Instant now) {
   for (const auto& server : outcome.lost) leases_.Dismiss(server, now);
+  for (const auto& server : outcome.removed) leases_.Remove(server);
   for (const auto& server : outcome.registered) {
     const auto* record = state_.servers().Find(server);
     if (record == nullptr) continue;
@@ -83,6 +91,8 @@
     return entry.second.value != 0 && entry.second <= state_.applied();
   });
   if (state_.applied() >= promised_until_) promised_.clear();
+  if (state_.map_version() == map_followed_) return;
+  map_followed_ = state_.map_version();
   placement_stale_ = true;
 }
 
@@ -114,6 +124,7 @@
   DecideAppearances(commands);
   DecideReleases(choosers, commands);
   DecideLeaving(commands);
+  DecideRemovals(now, commands);
   placement_decided_ = false;
   if (placement_due_ && now >= *placement_due_) {
     placement_due_.reset();
@@ -249,6 +260,14 @@
   }
 }
 
+void OwnershipController::DecideRemovals(Instant now, std::vector<CommandBody>& commands) {
+  std::erase_if(gone_since_, [&](const auto& entry) {
+    if (now - entry.second < options_.forget_after) return false;
+    if (!Undecided(entry.first)) commands.emplace_back(RemoveServerCommand{entry.first});
+    return true;
+  });
+}
+
 bool OwnershipController::FirstAssignmentWaits(const ServiceName& service, Instant now) {
   const auto joined = last_joined_.find(service);
   if (joined == last_joined_.end()) return false;
@@ -280,6 +299,8 @@
       if (wait->second) continue;
     }
     command.assignments.push_back({orphan.shard, orphan.epoch, *chooser.Next()});
+    if (command.assignments.size() < options_.assignments_maximum) continue;
+    commands.emplace_back(std::exchange(command, {}));
   }
   if (!command.assignments.empty()) commands.emplace_back(std::move(command));
 }
--- a/src/control/ownership_controller.h
+++ b/src/control/ownership_controller.h
@@ -24,6 +24,10 @@
   /// Shards that were never assigned wait until no server of their service joined for this long,
   /// so that the first server to join doesn't get them all.
   Duration first_assignment_delay{200'000};
+  /// A server without a lease that the platform's list does not name is forgotten after this long.
+  Duration forget_after{600'000'000};
+  /// Assignments in one command: bounds a log entry, and the time to apply it.
+  std::size_t assignments_maximum = 5'000;
   /// How soon shards are looked at again whose candidates had not answered lately.
   Duration placement_retry{50'000};
   /// Shards of one drained server that are under way at once.
@@ -74,6 +78,7 @@
   void DecideLosses(Instant now, TargetChoosers& choosers, std::vector<CommandBody>& commands);
   void DecideAppearances(std::vector<CommandBody>& commands);
   void DecideReleases(TargetChoosers& choosers, std::vector<CommandBody>& commands);
+  void DecideRemovals(Instant now, std::vector<CommandBody>& commands);
   void DecideLeaving(std::vector<CommandBody>& commands);
   void DecideOrphans(Instant now, TargetChoosers& choosers, std::vector<CommandBody>& commands);
   void DecideBalance(Instant now, std::vector<CommandBody>& commands);
@@ -97,10 +102,12 @@
   /// Servers with a registration or loss under way, and its log index; 0 until it is proposed.
   std::map<ServerId, LogIndex> undecided_;
   PromisedShards promised_;
-  LogIndex promised_until_;            ///< `promised_` counts until this is applied.
-  std::uint64_t shards_followed_ = 0;  ///< Version of the shard table that leases_ knows.
-  LogIndex placement_proposed_;        ///< Orphans and drains wait until this is applied.
-  bool placement_decided_ = false;     ///< In the last Decide().
+  LogIndex promised_until_;                 ///< `promised_` counts until this is applied.
+  std::map<ServerId, Instant> gone_since_;  ///< Without a lease and not on the platform's list.
+  std::uint64_t map_followed_ = 0;          ///< Version of servers and shards last looked at.
+  std::uint64_t shards_followed_ = 0;       ///< Version of the shard table that leases_ knows.
+  LogIndex placement_proposed_;             ///< Orphans and drains wait until this is applied.
+  bool placement_decided_ = false;          ///< In the last Decide().
   bool leaving_stale_ = true;
   bool placement_stale_ = true;
   std::optional<Instant> placement_due_;  ///< When to look at placement again.
--- a/src/control/replicated_state.cc
+++ b/src/control/replicated_state.cc
@@ -160,6 +160,13 @@
   }
 }
 
+void ReplicatedState::Run(const RemoveServerCommand& command, ApplyOutcome& outcome) {
+  const auto* known = servers_.Find(command.server);
+  if (known == nullptr || known->serving || shards_.OwnedCount(command.server) > 0) return;
+  servers_.Remove(command.server, version());
+  outcome.removed.push_back(command.server);
+}
+
 std::string ReplicatedState::Save() const {
   ReplicatedStateImage image;
   image.applied = applied_;
--- a/src/control/replicated_state.h
+++ b/src/control/replicated_state.h
@@ -47,6 +47,7 @@
   std::vector<operation::ClaimResult> claims;  ///< Of a JournalCommand.
   std::vector<ServerId> registered;            ///< Servers to be admitted to leases.
   std::vector<ServerId> lost;                  ///< Servers whose session ended.
+  std::vector<ServerId> removed;               ///< Servers that are not known any more.
   bool bundle_rolled = false;
 };
 
@@ -90,6 +91,7 @@
   void Run(const SetLeavingCommand& command, ApplyOutcome& outcome);
   void Run(const JournalCommand& command, ApplyOutcome& outcome);
   void Run(const ExpireJournalCommand& command, ApplyOutcome& outcome);
+  void Run(const RemoveServerCommand& command, ApplyOutcome& outcome);
 
   /// Takes over what a newly rolled bundle says about services.
   void AdoptServices(const bundle::Bundle& bundle);
--- a/src/membership/server_registry.cc
+++ b/src/membership/server_registry.cc
@@ -39,8 +39,19 @@
 
 void ServerRegistry::Remove(const ServerId& server, std::uint64_t version) {
   if (servers_.erase(server) == 0) return;
-  removed_at_ = version;
   version_ = version;
+  removed_.push_back({server, version});
+  if (removed_.size() <= kRemovedMaximum) return;
+  removals_known_after_ = removed_.front().version;
+  removed_.pop_front();
+}
+
+std::vector<ServerId> ServerRegistry::RemovedSince(std::uint64_t version) const {
+  std::vector<ServerId> removed;
+  for (const auto& entry : removed_) {
+    if (entry.version > version && !servers_.contains(entry.id)) removed.push_back(entry.id);
+  }
+  return removed;
 }
 
 const ServerRecord* ServerRegistry::Find(const ServerId& server) const {
@@ -51,7 +62,8 @@
 ServerRegistryState ServerRegistry::State() const {
   ServerRegistryState state;
   state.version = version_;
-  state.removed_at = removed_at_;
+  state.removals_known_after = removals_known_after_;
+  state.removed.assign(removed_.begin(), removed_.end());
   state.servers.reserve(servers_.size());
   for (const auto& [id, record] : servers_) state.servers.push_back(record);
   return state;
@@ -60,7 +72,8 @@
 void ServerRegistry::Restore(const ServerRegistryState& state) {
   servers_.clear();
   version_ = state.version;
-  removed_at_ = state.removed_at;
+  removals_known_after_ = state.removals_known_after;
+  removed_.assign(state.removed.begin(), state.removed.end());
   for (const auto& record : state.servers) servers_[record.id] = record;
 }
 
--- a/src/membership/server_registry.h
+++ b/src/membership/server_registry.h
@@ -3,8 +3,11 @@
 #pragma once
 
 #include <boost/describe/class.hpp>
+#include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
+#include <string>
 #include <vector>
 
 #include "graniteseam/common/ids.h"
@@ -30,13 +33,26 @@
                       (id, service, address, zone, incarnation, draining, serving, leaving,
                        changed_at))
 
+/// A server that was forgotten.
+struct RemovedServer {
+  ServerId id;
+  std::uint64_t version = 0;
+
+  bool operator==(const RemovedServer&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(RemovedServer, (), (id, version))
+
 /// A registry's whole state, for snapshots.
 struct ServerRegistryState {
   std::uint64_t version = 0;
-  std::uint64_t removed_at = 0;
+  std::uint64_t removals_known_after = 0;
   std::vector<ServerRecord> servers;
+  std::vector<RemovedServer> removed;
 };
-BOOST_DESCRIBE_STRUCT(ServerRegistryState, (), (version, removed_at, servers))
+BOOST_DESCRIBE_STRUCT(ServerRegistryState, (), (version, removals_known_after, servers, removed))
+
+/// Removals that a registry remembers.
+inline constexpr std::size_t kRemovedMaximum = 1'000;
 
 /// The registered servers by id. Each change carries the version (log index) that made it, which
 /// never goes back. Deterministic; not thread safe.
@@ -51,15 +67,18 @@
   bool SetLeaving(const ServerId& server, bool leaving, std::uint64_t version);
   bool SetServing(const ServerId& server, bool serving, std::uint64_t version);
 
-  /// Forgets a server. @param version the log index, kept as removed_at().
+  /// Forgets a server; its name stays known as removed for a while.
   void Remove(const ServerId& server, std::uint64_t version);
 
   const ServerRecord* Find(const ServerId& server) const;
   const std::map<ServerId, ServerRecord>& servers() const { return servers_; }
   /// The version of the latest change.
   std::uint64_t version() const { return version_; }
-  /// The version of the latest removal: a reader that saw an older one needs the whole list.
-  std::uint64_t removed_at() const { return removed_at_; }
+  /// The servers removed after `version` and not registered again, oldest first.
+  std::vector<ServerId> RemovedSince(std::uint64_t version) const;
+  /// A reader that saw an older version than this needs the whole list: removals after it may have
+  /// been forgotten.
+  std::uint64_t removals_known_after() const { return removals_known_after_; }
 
   ServerRegistryState State() const;
   void Restore(const ServerRegistryState& state);
@@ -70,7 +89,8 @@
 
   std::map<ServerId, ServerRecord> servers_;
   std::uint64_t version_ = 0;
-  std::uint64_t removed_at_ = 0;
+  std::deque<RemovedServer> removed_;  ///< Oldest first, kRemovedMaximum at most.
+  std::uint64_t removals_known_after_ = 0;
 };
 
 }  // namespace graniteseam::membership
--- a/tests/control/ownership_test.cc
+++ b/tests/control/ownership_test.cc
@@ -239,3 +239,15 @@
   cr_assert(harness.OwnedBy("t-2") == 12);
   cr_assert(harness.most_owners_seen() == 1);
 }
+
+Test(ownership, server_that_is_gone_for_good_is_forgotten) {
+  ControlHarness harness;
+  StartFleet(harness);
+  harness.KillServer("t-1");
+  harness.RemoveFromPlatformList("t-1");
+  harness.RunFor(300 * kSecond);
+  cr_assert(harness.LeaderNode().Fleet(harness.now()).servers.size() == 3);
+  harness.RunFor(400 * kSecond);
+  cr_assert(harness.LeaderNode().Fleet(harness.now()).servers.size() == 2);
+  cr_assert(harness.AllOwned());
+}
--- a/tests/membership/server_registry_test.cc
+++ b/tests/membership/server_registry_test.cc
@@ -6,6 +6,7 @@
 using graniteseam::ServerId;
 using graniteseam::ServiceName;
 using graniteseam::ZoneName;
+using graniteseam::membership::kRemovedMaximum;
 using graniteseam::membership::ServerRecord;
 using graniteseam::membership::ServerRegistry;
 
@@ -65,20 +66,42 @@
   ServerRegistry registry;
   registry.Register(Record(1), 1);
   registry.Remove(ServerId{"another"}, 8);
-  cr_assert(registry.removed_at() == 0);
+  cr_assert(registry.RemovedSince(0).empty());
   registry.Remove(kServer, 9);
-  cr_assert(registry.removed_at() == 9);
+  cr_assert(registry.version() == 9);
+  cr_assert(registry.RemovedSince(8) == std::vector{kServer});
+  cr_assert(registry.RemovedSince(9).empty());
   cr_assert(registry.servers().empty());
 }
 
+Test(server_registry, server_that_came_back_does_not_count_as_removed) {
+  ServerRegistry registry;
+  registry.Register(Record(1), 1);
+  registry.Remove(kServer, 2);
+  registry.Register(Record(2), 3);
+  cr_assert(registry.RemovedSince(0).empty());
+}
+
+Test(server_registry, old_removals_are_forgotten_and_their_age_is_known) {
+  ServerRegistry registry;
+  for (std::uint64_t version = 1; version <= 2 * kRemovedMaximum + 2; version += 2) {
+    registry.Register(Record(version), version);
+    registry.Remove(kServer, version + 1);
+  }
+  cr_assert(registry.removals_known_after() == 2);
+}
+
 Test(server_registry, restored_state_is_equal) {
   ServerRegistry registry;
   registry.Register(Record(1), 1);
   registry.SetDraining(kServer, true, 2);
-  registry.Remove(ServerId{"another"}, 8);
+  auto other = Record(1);
+  other.id = ServerId{"another"};
+  registry.Register(other, 7);
+  registry.Remove(other.id, 8);
   ServerRegistry restored;
   restored.Restore(registry.State());
   cr_assert(restored.servers() == registry.servers());
-  cr_assert(restored.removed_at() == registry.removed_at());
+  cr_assert(restored.RemovedSince(0) == registry.RemovedSince(0));
   cr_assert(restored.version() == registry.version());
 }
