--- a/src/bundle/bundle_fields.cc
+++ b/src/bundle/bundle_fields.cc
@@ -10,22 +10,19 @@
 #include <boost/describe/members.hpp>
 #include <boost/mp11/algorithm.hpp>
 #include <charconv>
-#include <string_view>
 #include <type_traits>
 
+#include "graniteseam/common/hex.h"
+
 namespace graniteseam::bundle {
 namespace {
 
-constexpr std::string_view kHexDigits = "0123456789abcdef";
-
 std::string Quoted(const std::string& text) {
   std::string quoted = "\"";
   for (const char c : text) {
     const auto byte = static_cast<unsigned char>(c);
     if (byte < 0x20 || c == '"' || c == '\\') {
-      quoted += "\\x";
-      quoted += kHexDigits[byte >> 4];
-      quoted += kHexDigits[byte & 0x0f];
+      quoted += "\\x" + ToHex(&byte, 1);
     } else {
       quoted += c;
     }
--- a/src/bundle/canonical_text.cc
+++ b/src/bundle/canonical_text.cc
@@ -8,6 +8,7 @@
 #include <string_view>
 
 #include "graniteseam/bundle/bundle.h"
+#include "graniteseam/common/hex.h"
 #include "src/bundle/bundle_fields.h"
 
 namespace graniteseam::bundle {
@@ -16,16 +17,6 @@
 /// Named in the digest, so that a later form can't be taken for this one.
 constexpr std::string_view kFormatLine = "graniteseam-bundle-text 1\n";
 
-std::string Hex(const unsigned char* bytes, std::size_t count) {
-  constexpr std::string_view kDigits = "0123456789abcdef";
-  std::string text;
-  for (std::size_t i = 0; i < count; ++i) {
-    text += kDigits[bytes[i] >> 4];
-    text += kDigits[bytes[i] & 0x0f];
-  }
-  return text;
-}
-
 }  // namespace
 
 std::string CanonicalText(const Bundle& bundle) {
@@ -46,7 +37,7 @@
   if (EVP_Digest(text.data(), text.size(), bytes.data(), &count, EVP_sha256(), nullptr) != 1) {
     throw std::runtime_error("OpenSSL has no SHA-256.");
   }
-  return Hex(bytes.data(), count);
+  return ToHex(bytes.data(), count);
 }
 
 std::vector<FieldChange> Compare(const Bundle& before, const Bundle& after) {
--- a/src/http/caller_request_parser.cc
+++ b/src/http/caller_request_parser.cc
@@ -8,6 +8,7 @@
 #include <optional>
 #include <utility>
 
+#include "graniteseam/common/hex.h"
 #include "src/http/header_rules.h"
 
 namespace graniteseam::http {
@@ -91,13 +92,7 @@
   }
   EVP_DigestFinal_ex(context, digest.data(), &length);
   EVP_MD_CTX_free(context);
-  constexpr char kDigits[] = "0123456789abcdef";
-  std::string text;
-  for (unsigned int i = 0; i < length; ++i) {
-    text += kDigits[digest[i] >> 4U];
-    text += kDigits[digest[i] & 15U];
-  }
-  return text;
+  return ToHex(digest.data(), length);
 }
 
 Result<void> ParsePath(std::string_view target, routing::CallerRequest& request) {
--- a/src/http/operator_credentials.cc
+++ b/src/http/operator_credentials.cc
@@ -7,6 +7,8 @@
 #include <array>
 #include <string_view>
 
+#include "graniteseam/common/hex.h"
+
 namespace graniteseam::http {
 namespace {
 
@@ -14,15 +16,9 @@
 constexpr std::size_t kDigestCharacters = 2 * SHA256_DIGEST_LENGTH;
 
 std::string Sha256Hex(std::string_view text) {
-  constexpr char kDigits[] = "0123456789abcdef";
   std::array<unsigned char, SHA256_DIGEST_LENGTH> hash{};
   SHA256(reinterpret_cast<const unsigned char*>(text.data()), text.size(), hash.data());
-  std::string hex;
-  for (const unsigned char byte : hash) {
-    hex += kDigits[byte >> 4U];
-    hex += kDigits[byte & 0xfU];
-  }
-  return hex;
+  return ToHex(hash.data(), hash.size());
 }
 
 }  // namespace
--- a/src/operation/operation_journal.cc
+++ b/src/operation/operation_journal.cc
@@ -4,6 +4,8 @@
 #include <string_view>
 #include <utility>
 
+#include "graniteseam/common/hex.h"
+
 namespace graniteseam::operation {
 namespace {
 
@@ -243,12 +245,8 @@
 }
 
 OperationId OperationJournal::FormatKey(const OperationKey& key) {
-  OperationId operation;
-  for (const std::uint8_t byte : key) {
-    if (HyphenAt(operation.value.size())) operation.value += '-';
-    operation.value += kHexDigits[byte >> 4];
-    operation.value += kHexDigits[byte & 0x0f];
-  }
+  OperationId operation{ToHex(key.data(), key.size())};
+  for (const std::size_t position : kUuidHyphens) operation.value.insert(position, 1, '-');
   return operation;
 }
 
--- a/src/protocol/internal_tls.cc
+++ b/src/protocol/internal_tls.cc
@@ -9,6 +9,7 @@
 #include <fstream>
 #include <utility>
 
+#include "graniteseam/common/hex.h"
 #include "src/platform/log.h"
 
 namespace graniteseam::protocol {
@@ -27,20 +28,10 @@
   return hash;
 }
 
-std::string Hex(const unsigned char* bytes, std::size_t count) {
-  constexpr char kDigits[] = "0123456789abcdef";
-  std::string text;
-  for (std::size_t index = 0; index < count; ++index) {
-    text += kDigits[bytes[index] >> 4U];
-    text += kDigits[bytes[index] & 0xfU];
-  }
-  return text;
-}
-
 InternalKey DeriveKey(const std::string& secret) {
   const Hash key = Sha256("graniteseam-internal-key:" + secret);
   const Hash name = Sha256("graniteseam-internal-identity:" + secret);
-  return {"graniteseam-" + Hex(name.data(), kIdentityBytes),
+  return {"graniteseam-" + ToHex(name.data(), kIdentityBytes),
           std::string(reinterpret_cast<const char*>(key.data()), key.size())};
 }
 
