--- a/testbed/caller/load.cc
+++ b/testbed/caller/load.cc
@@ -37,7 +37,7 @@
     const auto& stream = source_.streams()[request->stream];
     const auto result = sender.Send(*request, stream, router);
     Count(result);
-    if (request->resend_when_answered && result.last.outcome == "answered") {
+    if (request->resend_when_answered && result.outcome == "answered") {
       auto again = *request;
       again.due = platform::BootTimeNow();
       Count(sender.Send(again, stream, router + 1));
@@ -46,12 +46,12 @@
   }
 }
 
-void Load::Count(const RequestResult& result) {
+void Load::Count(const AnswerRecord& last) {
   const std::lock_guard lock(summary_mutex_);
-  summaries_[""].Add(result);
-  summaries_[result.last.service].Add(result);
-  if (!result.last.own) ++crossed_;
-  if (!result.last.whole) ++torn_;
+  summaries_[""].Add(last);
+  summaries_[last.service].Add(last);
+  if (!last.own) ++crossed_;
+  if (!last.whole) ++torn_;
 }
 
 std::map<std::string, TrafficSummary> Load::Summaries() const {
--- a/testbed/caller/load.h
+++ b/testbed/caller/load.h
@@ -44,7 +44,7 @@
  private:
   void RunSender(std::size_t number, const std::function<bool()>& stop_asked);
   std::optional<PlannedRequest> TakeRequest();
-  void Count(const RequestResult& result);
+  void Count(const AnswerRecord& last);
 
   const LoadOptions options_;
   RecordFile& records_;
--- a/testbed/caller/sender.cc
+++ b/testbed/caller/sender.cc
@@ -84,39 +84,40 @@
   }
 }
 
-RequestResult Sender::Send(const PlannedRequest& request, const Stream& stream,
-                           std::size_t first_router) {
-  RequestResult result;
-  result.deadline_us = Duration(std::chrono::milliseconds(stream.deadline_ms)).count();
+AnswerRecord Sender::Send(const PlannedRequest& request, const Stream& stream,
+                          std::size_t first_router) {
+  AnswerRecord last;
   const Instant give_up = request.due + std::chrono::milliseconds(stream.deadline_ms);
   for (std::uint32_t sending = 1;; ++sending) {
     const std::size_t router = (first_router + sending - 1) % clients_.size();
     const Duration left =
         std::max(Duration(std::chrono::milliseconds(1)), give_up - platform::BootTimeNow());
-    result.last = SendOnce(request, stream, router, sending, left);
-    records_.Append(result.last);
-    if (IsFinal(result.last) || sending >= policy_.sendings_maximum) break;
+    last = SendOnce(request, stream, router, sending, left);
+    records_.Append(last);
+    if (IsFinal(last) || sending >= policy_.sendings_maximum) break;
     // An operation that may not be repeated is asked for beyond its deadline too: its caller must
     // find out what became of it.
     if (request.operation.empty() && platform::BootTimeNow() + policy_.pause >= give_up) break;
     std::this_thread::sleep_for(policy_.pause);
   }
-  return result;
+  return last;
 }
 
 AnswerRecord Sender::SendOnce(const PlannedRequest& request, const Stream& stream,
                               std::size_t router, std::uint32_t sending, Duration left) {
-  AnswerRecord answer{.nonce = request.nonce,
-                      .operation = request.operation,
-                      .service = stream.service,
-                      .key = request.key,
-                      .group = stream.group,
-                      .router = addresses_[router],
-                      .sending = sending,
-                      .due_us = ToMicros(request.due),
-                      .sent_us = ToMicros(platform::BootTimeNow()),
-                      .outcome = "none",
-                      .kind = {}};
+  AnswerRecord answer{
+      .nonce = request.nonce,
+      .operation = request.operation,
+      .service = stream.service,
+      .key = request.key,
+      .group = stream.group,
+      .router = addresses_[router],
+      .sending = sending,
+      .due_us = ToMicros(request.due),
+      .deadline_us = Duration(std::chrono::milliseconds(stream.deadline_ms)).count(),
+      .sent_us = ToMicros(platform::BootTimeNow()),
+      .outcome = "none",
+      .kind = {}};
   auto& client = *clients_[router];
   client.set_connection_timeout(left);
   client.set_read_timeout(left + kReadMargin);
--- a/testbed/caller/sender.h
+++ b/testbed/caller/sender.h
@@ -12,7 +12,6 @@
 #include "testbed/caller/traffic.h"
 #include "testbed/support/record.h"
 #include "testbed/support/record_file.h"
-#include "testbed/support/traffic_summary.h"
 
 namespace graniteseam::testbed {
 
@@ -31,7 +30,8 @@
   /// Sends a request, and again through the next router while it was not answered, within the
   /// caller's deadline; records each answer. An operation keeps its id through all sendings.
   /// @param first_router where the first sending goes.
-  RequestResult Send(const PlannedRequest& request, const Stream& stream, std::size_t first_router);
+  /// @return the answer to the last sending.
+  AnswerRecord Send(const PlannedRequest& request, const Stream& stream, std::size_t first_router);
 
  private:
   AnswerRecord SendOnce(const PlannedRequest& request, const Stream& stream, std::size_t router,
--- a/testbed/experiment/main.cc
+++ b/testbed/experiment/main.cc
@@ -10,6 +10,7 @@
 #include "testbed/experiment/registry.h"
 #include "testbed/measurement/plot.h"
 #include "testbed/measurement/report.h"
+#include "testbed/support/text_file.h"
 
 namespace graniteseam::testbed {
 
--- /dev/null
+++ b/testbed/fleet/await.cc
@@ -0,0 +1,29 @@
+#include "testbed/fleet/await.h"
+
+#include <thread>
+
+#include "src/platform/clock.h"
+
+namespace graniteseam::testbed {
+
+namespace {
+
+constexpr auto kPeriod = std::chrono::milliseconds(50);
+
+}  // namespace
+
+Result<void> Await(const std::string& what, Duration limit,
+                   const std::function<Missing()>& condition) {
+  const Instant end = platform::BootTimeNow() + limit;
+  while (true) {
+    const Missing missing = condition();
+    if (missing.empty()) return {};
+    if (platform::BootTimeNow() >= end) {
+      return Fail(ErrorKind::kDeadlineExceeded, "Waited in vain for " + what + ": " + missing + ".",
+                  "Look at the logs in the fleet's folder.");
+    }
+    std::this_thread::sleep_for(kPeriod);
+  }
+}
+
+}  // namespace graniteseam::testbed
--- /dev/null
+++ b/testbed/fleet/reserved_port.h
@@ -0,0 +1,34 @@
+/// @file
+/// TCP ports that the kernel chose and that stay reserved for a fleet's processes.
+#pragma once
+
+#include <string>
+
+#include "graniteseam/common/error.h"
+#include "src/platform/socket_address.h"
+
+namespace graniteseam::testbed {
+
+/// Holds a port of one address without listening on it: a process that sets SO_REUSEADDR or
+/// SO_REUSEPORT can listen there, now and after each restart, while the kernel gives the port to
+/// nobody else.
+class ReservedPort {
+ public:
+  /// @param also_on further address on which the same port must be free, or empty.
+  static Result<ReservedPort> Reserve(const std::string& ip, const std::string& also_on);
+
+  ReservedPort(ReservedPort&& other) noexcept;
+  ReservedPort& operator=(ReservedPort&& other) = delete;
+  ~ReservedPort();
+
+  const platform::SocketAddress& address() const { return address_; }
+
+ private:
+  ReservedPort(platform::SocketAddress address, int descriptor)
+      : address_(std::move(address)), descriptor_(descriptor) {}
+
+  platform::SocketAddress address_;
+  int descriptor_;
+};
+
+}  // namespace graniteseam::testbed
--- a/testbed/measurement/plot.cc
+++ b/testbed/measurement/plot.cc
@@ -9,6 +9,7 @@
 #include <map>
 
 #include "testbed/measurement/report.h"
+#include "testbed/support/text_file.h"
 
 namespace graniteseam::testbed {
 
--- a/testbed/measurement/report.cc
+++ b/testbed/measurement/report.cc
@@ -7,7 +7,6 @@
 #include <fstream>
 #include <nlohmann/json.hpp>
 #include <set>
-#include <sstream>
 #include <thread>
 
 namespace graniteseam::testbed {
@@ -177,26 +176,4 @@
   return text;
 }
 
-Result<std::string> ReadTextFile(const std::string& path) {
-  std::ifstream file(path, std::ios::binary);
-  std::ostringstream text;
-  text << file.rdbuf();
-  if (!file) {
-    return Fail(ErrorKind::kNotFound, fmt::format("{} can not be read.", path),
-                "Name a file that exists and may be read.");
-  }
-  return text.str();
-}
-
-Result<void> WriteTextFile(const std::string& path, const std::string& text) {
-  std::ofstream file(path, std::ios::binary | std::ios::trunc);
-  file << text;
-  file.close();
-  if (!file) {
-    return Fail(ErrorKind::kStorageIo, fmt::format("{} can not be written.", path),
-                "Name a file in a folder that exists and may be written.");
-  }
-  return {};
-}
-
 }  // namespace graniteseam::testbed
--- a/testbed/measurement/report.h
+++ b/testbed/measurement/report.h
@@ -45,7 +45,4 @@
 /// "<= 1.25", ">= 0.9", or "-" without a bound.
 std::string FormatBound(const Figure& figure);
 
-Result<std::string> ReadTextFile(const std::string& path);
-Result<void> WriteTextFile(const std::string& path, const std::string& text);
-
 }  // namespace graniteseam::testbed
--- a/testbed/support/record.h
+++ b/testbed/support/record.h
@@ -55,9 +55,10 @@
   std::string service;
   std::string key;
   std::string group;
-  std::string router;         ///< Address that it was sent to.
-  std::uint32_t sending = 0;  ///< Counted from 1 for each nonce.
-  std::int64_t due_us = 0;    ///< When the load's schedule wanted it sent.
+  std::string router;            ///< Address that it was sent to.
+  std::uint32_t sending = 0;     ///< Counted from 1 for each nonce.
+  std::int64_t due_us = 0;       ///< When the load's schedule wanted it sent.
+  std::int64_t deadline_us = 0;  ///< How long after that the caller wants the answer at most.
   std::int64_t sent_us = 0;
   std::int64_t answered_us = 0;
   std::string outcome;  ///< Graniteseam-Outcome, or "none" when no answer came.
--- a/testbed/support/traffic_summary.cc
+++ b/testbed/support/traffic_summary.cc
@@ -9,14 +9,12 @@
 constexpr double kLongestUs = 100e6;
 constexpr double kMicrosPerMilli = 1'000.0;
 
-bool Answered(const RequestResult& result) {
-  const auto& last = result.last;
+bool Answered(const AnswerRecord& last) {
   return last.outcome == "answered" || last.outcome == "kept";
 }
 
-std::string FailureName(const RequestResult& result) {
-  if (Answered(result)) return "late";
-  const auto& last = result.last;
+std::string FailureName(const AnswerRecord& last) {
+  if (Answered(last)) return "late";
   return last.kind.empty() ? last.outcome : last.outcome + " " + last.kind;
 }
 
@@ -41,19 +39,19 @@
   return kLongestUs / kMicrosPerMilli;
 }
 
-void TrafficSummary::Add(const RequestResult& result) {
-  const std::int64_t latency = result.last.answered_us - result.last.due_us;
-  const bool in_time = Answered(result) && latency <= result.deadline_us;
+void TrafficSummary::Add(const AnswerRecord& last) {
+  const std::int64_t latency = last.answered_us - last.due_us;
+  const bool in_time = Answered(last) && latency <= last.deadline_us;
   ++requests_;
   latencies_.Add(latency);
-  auto& window = windows_[result.last.due_us / kWindowUs];
+  auto& window = windows_[last.due_us / kWindowUs];
   ++window.requests;
   if (in_time) {
     ++answered_;
     return;
   }
   ++window.failed;
-  ++failures_[FailureName(result)];
+  ++failures_[FailureName(last)];
 }
 
 double TrafficSummary::UnavailableMs() const {
--- a/testbed/support/traffic_summary.h
+++ b/testbed/support/traffic_summary.h
@@ -12,12 +12,6 @@
 
 namespace graniteseam::testbed {
 
-/// A request from its schedule to its last answer; one or more sendings.
-struct RequestResult {
-  AnswerRecord last;
-  std::int64_t deadline_us = 0;  ///< How long the caller wanted to wait at most.
-};
-
 /// Latencies with a resolution of about 1.5 % from 10 us to 100 s.
 class LatencyHistogram {
  public:
@@ -41,7 +35,8 @@
 class TrafficSummary {
  public:
   /// Takes one request in, whatever became of it.
-  void Add(const RequestResult& result);
+  /// @param last the answer to its last sending.
+  void Add(const AnswerRecord& last);
 
   std::uint64_t requests() const { return requests_; }
   std::uint64_t answered() const { return answered_; }
--- a/tests/testbed/caller_test.cc
+++ b/tests/testbed/caller_test.cc
@@ -33,13 +33,13 @@
   return TrafficSource(Streams(), 1'000.0, seed, InstantFromMicros(0));
 }
 
-RequestResult ResultOf(const std::string& outcome, std::int64_t due, std::int64_t answered) {
-  RequestResult result;
-  result.deadline_us = 1'000'000;
-  result.last.outcome = outcome;
-  result.last.due_us = due;
-  result.last.answered_us = answered;
-  return result;
+AnswerRecord ResultOf(const std::string& outcome, std::int64_t due, std::int64_t answered) {
+  AnswerRecord answer;
+  answer.deadline_us = 1'000'000;
+  answer.outcome = outcome;
+  answer.due_us = due;
+  answer.answered_us = answered;
+  return answer;
 }
 
 }  // namespace
