--- a/include/graniteseam/routing/messages.h
+++ b/include/graniteseam/routing/messages.h
@@ -77,6 +77,7 @@
 };
 
 /// What the caller is told about its request; the names are those of Graniteseam-Outcome.
+/// For an operation that may not be repeated, kNotRun says that no earlier sending ran either.
 enum class RequestOutcome { kAnswered, kKept, kNotRun, kOutcomeUnknown };
 
 /// Ends a request.
--- a/src/routing/problem.cc
+++ b/src/routing/problem.cc
@@ -11,7 +11,7 @@
 }  // namespace
 
 int StatusOf(ErrorKind kind, RequestOutcome outcome) {
-  if (outcome == RequestOutcome::kOutcomeUnknown) return 502;
+  if (outcome == RequestOutcome::kOutcomeUnknown && kind == ErrorKind::kOutcomeUnknown) return 502;
   switch (kind) {
     case ErrorKind::kInvalidArgument:
       return 400;
@@ -102,6 +102,12 @@
           "Send a shorter body."};
 }
 
+Error NotAskedJournal(Error reason) {
+  reason.message += " Whether an earlier sending of this operation ran was not looked up.";
+  reason.remedy = "Send it again with the same Idempotency-Key after the time in Retry-After.";
+  return reason;
+}
+
 Error JournalSilent() {
   return {ErrorKind::kUnavailable, "The operation journal did not answer in time.",
           "Send the request again with the same Idempotency-Key after the time in Retry-After."};
--- a/src/routing/problem.h
+++ b/src/routing/problem.h
@@ -24,6 +24,9 @@
 Error WrongPathForm(const ServiceName& service, bool keyed);
 Error OperationIdMissing(const ServiceName& service);
 Error BodyTooLarge(std::int64_t bytes_maximum);
+/// For an operation that is refused before the journal said whether an earlier sending of it ran:
+/// `reason`'s kind and words, and what is known about the outcome.
+Error NotAskedJournal(Error reason);
 /// The journal did not answer a claim in time; nothing was sent.
 Error JournalSilent();
 /// For a claim's verdict other than kClaimed and kAnswered with an answer.
--- a/src/routing/request_ending.cc
+++ b/src/routing/request_ending.cc
@@ -22,15 +22,30 @@
 void RequestFlow::GiveUp(Live& live, Error error, std::optional<Duration> retry_after, Instant now,
                          RouterEffects& effects) {
   RequestAnswer answer;
-  answer.outcome = live.state.GiveUp();
+  answer.outcome = OutcomeOfGivingUp(live);
   const bool unknown = answer.outcome == RequestOutcome::kOutcomeUnknown;
-  answer.error =
-      unknown || error.message.empty() ? GivenUp(error.kind, answer.outcome) : std::move(error);
+  if (unknown && !live.state.may_have_run()) {
+    answer.error = NotAskedJournal(
+        error.message.empty() ? GivenUp(error.kind, RequestOutcome::kNotRun) : error);
+  } else if (unknown || error.message.empty()) {
+    answer.error = GivenUp(error.kind, answer.outcome);
+  } else {
+    answer.error = std::move(error);
+  }
   answer.status = StatusOf(answer.error.kind, answer.outcome);
   answer.retry_after = retry_after.value_or(options_.retry_after);
   Finish(live, std::move(answer), now, effects);
 }
 
+RequestOutcome RequestFlow::OutcomeOfGivingUp(Live& live) const {
+  const RequestOutcome outcome = live.state.GiveUp();
+  // An earlier sending of the same operation may have run, perhaps through another router. Only a
+  // claim that the journal gave to this request proves that none did.
+  const bool journal_asked = live.service->service().repeatable || live.claimed;
+  if (outcome == RequestOutcome::kNotRun && !journal_asked) return RequestOutcome::kOutcomeUnknown;
+  return outcome;
+}
+
 void RequestFlow::Finish(Live& live, RequestAnswer answer, Instant now, RouterEffects& effects) {
   answer.request = live.caller.number;
   Complete(live, answer);
@@ -78,7 +93,7 @@
   SetHeld(live, false);
   ClearTimer(live);
   NoteUse(live, now);
-  to_dispatch_.insert(live.service);
+  DispatchLater(live.service);
   live_.erase(live.caller.number);
 }
 
@@ -87,7 +102,7 @@
   live.has_place = false;
   live.service->limiter().Release(live.caller.group, now);
   NoteUse(live, now);
-  to_dispatch_.insert(live.service);
+  DispatchLater(live.service);
 }
 
 void RequestFlow::ReleaseReservation(Live& live) {
@@ -96,10 +111,15 @@
   live.reserved.reset();
 }
 
+void RequestFlow::DispatchLater(const std::shared_ptr<ServiceRouter>& service) {
+  if (std::find(to_dispatch_.begin(), to_dispatch_.end(), service) != to_dispatch_.end()) return;
+  to_dispatch_.push_back(service);
+}
+
 void RequestFlow::DispatchAll(Instant now, RouterEffects& effects) {
   dispatch_at_.reset();
   for (const auto& [number, live] : live_) {
-    if (live->phase == Live::Phase::kQueued) to_dispatch_.insert(live->service);
+    if (live->phase == Live::Phase::kQueued) DispatchLater(live->service);
   }
   Dispatch(now, effects);
 }
@@ -109,8 +129,8 @@
   dispatching_ = true;
   // A request that is admitted may end at once and free its place for the next one.
   while (!to_dispatch_.empty()) {
-    const std::shared_ptr<ServiceRouter> service = *to_dispatch_.begin();
-    to_dispatch_.erase(to_dispatch_.begin());
+    const std::shared_ptr<ServiceRouter> service = std::move(to_dispatch_.front());
+    to_dispatch_.pop_front();
     if (service->limiter().QueuedTotal() == 0) continue;
     for (const admission::Lane lane : service->limiter().WaitingLanes()) {
       for (const RequestNumber number :
--- a/src/routing/request_flow.cc
+++ b/src/routing/request_flow.cc
@@ -58,7 +58,7 @@
     live.avoided.push_back(ended.server);
     live.failed_epoch = ended.epoch;
   }
-  to_dispatch_.insert(live.service);
+  DispatchLater(live.service);
   Decide(live, live.state.OnAttemptEnd(result, service.budget(live.caller.group), Jitter(), now),
          result, now, effects);
   Dispatch(now, effects);
--- a/src/routing/request_flow.h
+++ b/src/routing/request_flow.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -80,6 +81,7 @@
               RouterEffects& effects);
   void GiveUp(Live& live, ErrorKind reason, std::optional<Duration> retry_after, Instant now,
               RouterEffects& effects);
+  RequestOutcome OutcomeOfGivingUp(Live& live) const;
   void Finish(Live& live, RequestAnswer answer, Instant now, RouterEffects& effects);
   void Complete(const Live& live, const RequestAnswer& answer);
   void End(Live& live, Instant now, RouterEffects& effects);
@@ -90,6 +92,7 @@
   void ReleasePlace(Live& live, Instant now);
   void ReleaseReservation(Live& live);
   void NoteUse(Live& live, Instant now);
+  void DispatchLater(const std::shared_ptr<ServiceRouter>& service);
   void Dispatch(Instant now, RouterEffects& effects);
   double Jitter();
   std::uint64_t NextRandom();
@@ -103,8 +106,9 @@
   std::unordered_map<RequestNumber, std::unique_ptr<Live>> live_;
   std::unordered_map<std::uint64_t, RequestNumber> claims_;  ///< Claims waited for.
   std::set<std::pair<Instant, RequestNumber>> timers_;
-  /// Services in which a place became free during this event.
-  std::set<std::shared_ptr<ServiceRouter>> to_dispatch_;
+  /// Services in which a place became free during this event, each once, in the order in which that
+  /// happened: an order by address would differ between runs.
+  std::deque<std::shared_ptr<ServiceRouter>> to_dispatch_;
   bool dispatching_ = false;
   /// While requests are queued: when to look for room that came by the passing of time.
   std::optional<Instant> dispatch_at_;
--- a/src/routing/router_node.cc
+++ b/src/routing/router_node.cc
@@ -54,8 +54,9 @@
   void UpdateServers(Instant now);
   void Renew(Instant now, RouterEffects& effects);
   Duration RenewalInterval() const;
-  static void Refuse(const CallerRequest& request, Error error, Duration retry_after,
-                     RouterEffects& effects);
+  bool Repeatable(const ServiceName& service) const;
+  void Refuse(const CallerRequest& request, Error error, Duration retry_after,
+              RouterEffects& effects) const;
 
   RouterNodeOptions options_;
   std::uint64_t seed_;
@@ -104,13 +105,20 @@
   flow_.Begin(request, services_.at(request.service), now, effects);
 }
 
+bool RouterNode::Impl::Repeatable(const ServiceName& service) const {
+  const bundle::Service* found = bundle_ ? bundle_->FindService(service) : nullptr;
+  return found != nullptr && found->repeatable;
+}
+
 void RouterNode::Impl::Refuse(const CallerRequest& request, Error error, Duration retry_after,
-                              RouterEffects& effects) {
+                              RouterEffects& effects) const {
   RequestAnswer answer;
   answer.request = request.number;
-  answer.outcome = RequestOutcome::kNotRun;
-  answer.status = StatusOf(error.kind, answer.outcome);
-  answer.error = std::move(error);
+  // An operation may have been sent before, and this router does not know what came of that.
+  const bool may_be_resend = request.operation.has_value() && !Repeatable(request.service);
+  answer.outcome = may_be_resend ? RequestOutcome::kOutcomeUnknown : RequestOutcome::kNotRun;
+  answer.error = may_be_resend ? NotAskedJournal(std::move(error)) : std::move(error);
+  answer.status = StatusOf(answer.error.kind, answer.outcome);
   answer.retry_after = retry_after;
   effects.answers.push_back(std::move(answer));
 }
