Add the simulator: the shipped decision makers in virtual time under faults

Cause: what must always hold has to hold under each line of what fails, together and twice, and a failure must repeat.

--- /dev/null
+++ b/simulation/simulator/main.cc
@@ -0,0 +1,237 @@
+/// @file
+/// graniteseam-simulation: runs the shipped decision makers of control, routers and servers in
+/// virtual time under faults, and judges them by an oracle of its own.
+#include <getopt.h>
+#include <oneapi/tbb/global_control.h>
+#include <oneapi/tbb/parallel_for.h>
+
+#include <chrono>
+#include <cstdio>
+#include <cstdlib>
+#include <map>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "graniteseam/common/seeded_defects.h"
+#include "simulation/simulator/run.h"
+
+namespace {
+
+using graniteseam::Duration;
+using graniteseam::simulation::FindScenario;
+using graniteseam::simulation::RunOptions;
+using graniteseam::simulation::RunResult;
+using graniteseam::simulation::RunScenario;
+using graniteseam::simulation::Scenario;
+using graniteseam::simulation::Scenarios;
+
+constexpr const char* kUsage =
+    "Usage: graniteseam-simulation [OPTION...]\n"
+    "  --seeds A:B        run the seeds from A to B (default 1:20)\n"
+    "  --seed N           run one seed\n"
+    "  --trace            print each event of the run; with --seed\n"
+    "  --scenario NAME    inject the faults of one scenario (default any)\n"
+    "  --seconds N        virtual seconds of each run (default 60, at least 20)\n"
+    "  --threads N        runs at once (default: all processors)\n"
+    "  --defect NAME      switch on a seeded defect; succeed when a run finds it\n"
+    "  --list             list scenarios and seeded defects\n"
+    "  --help, --version\n"
+    "Exit status: 0 as promised, 1 a promise was broken (or a defect not found), 2 wrong usage.\n";
+
+struct Settings {
+  std::uint64_t first = 1;
+  std::uint64_t last = 20;
+  bool trace = false;
+  std::string scenario = "any";
+  std::int64_t seconds = 60;
+  int threads = 0;
+  std::string defect;
+  bool list = false;
+};
+
+[[noreturn]] void ExitWithUsage(const std::string& fault) {
+  std::fprintf(stderr, "graniteseam-simulation: %s\n%s", fault.c_str(), kUsage);
+  std::exit(2);
+}
+
+std::uint64_t ParseNumber(const std::string& text) {
+  char* end = nullptr;
+  const unsigned long long value = std::strtoull(text.c_str(), &end, 10);
+  if (text.empty() || *end != '\0') ExitWithUsage("'" + text + "' is not a number.");
+  return value;
+}
+
+void ParseSeeds(const std::string& text, Settings& settings) {
+  const auto colon = text.find(':');
+  if (colon == std::string::npos) ExitWithUsage("--seeds wants A:B.");
+  settings.first = ParseNumber(text.substr(0, colon));
+  settings.last = ParseNumber(text.substr(colon + 1));
+  if (settings.last < settings.first) ExitWithUsage("--seeds wants A not above B.");
+}
+
+Settings ParseArguments(int argc, char** argv) {
+  static const option kOptions[] = {{"seeds", required_argument, nullptr, 's'},
+                                    {"seed", required_argument, nullptr, 'n'},
+                                    {"trace", no_argument, nullptr, 't'},
+                                    {"scenario", required_argument, nullptr, 'c'},
+                                    {"seconds", required_argument, nullptr, 'l'},
+                                    {"threads", required_argument, nullptr, 'j'},
+                                    {"defect", required_argument, nullptr, 'd'},
+                                    {"list", no_argument, nullptr, 'i'},
+                                    {"help", no_argument, nullptr, 'h'},
+                                    {"version", no_argument, nullptr, 'v'},
+                                    {nullptr, 0, nullptr, 0}};
+  Settings settings;
+  for (int chosen = 0; (chosen = getopt_long(argc, argv, "", kOptions, nullptr)) != -1;) {
+    switch (chosen) {
+      case 's':
+        ParseSeeds(optarg, settings);
+        break;
+      case 'n':
+        settings.first = settings.last = ParseNumber(optarg);
+        break;
+      case 't':
+        settings.trace = true;
+        break;
+      case 'c':
+        settings.scenario = optarg;
+        break;
+      case 'l':
+        settings.seconds = static_cast<std::int64_t>(ParseNumber(optarg));
+        break;
+      case 'j':
+        settings.threads = static_cast<int>(ParseNumber(optarg));
+        break;
+      case 'd':
+        settings.defect = optarg;
+        break;
+      case 'i':
+        settings.list = true;
+        break;
+      case 'h':
+        std::printf("%s", kUsage);
+        std::exit(0);
+      case 'v':
+        std::printf("graniteseam-simulation %s\n", GRANITESEAM_VERSION);
+        std::exit(0);
+      default:
+        ExitWithUsage("unknown option.");
+    }
+  }
+  if (optind < argc) ExitWithUsage(std::string("unexpected argument ") + argv[optind] + ".");
+  constexpr std::int64_t kShortest = 20;
+  if (settings.seconds < kShortest) ExitWithUsage("--seconds is below 20.");
+  if (settings.trace && settings.first != settings.last) ExitWithUsage("--trace wants --seed.");
+  return settings;
+}
+
+int List() {
+  for (const auto& scenario : Scenarios()) {
+    std::printf("scenario %-36s %s\n", scenario.name.c_str(), scenario.description.c_str());
+  }
+  for (const auto& [defect, name, description] : graniteseam::SeededDefects()) {
+    std::printf("defect   %-36s %s\n", name, description);
+  }
+  if (!graniteseam::kSeededDefectsCompiled) {
+    std::printf("Defects are compiled only with -DGRANITESEAM_SEEDED_DEFECTS=ON.\n");
+  }
+  return 0;
+}
+
+struct Totals {
+  std::mutex mutex;  ///< Guards all members.
+  std::map<std::string, std::uint64_t> counts;
+  std::uint64_t answered = 0;
+  std::uint64_t checks = 0;
+  std::uint64_t events = 0;
+  std::uint64_t runs = 0;
+  std::map<std::uint64_t, std::vector<std::string>> violations;  ///< By seed.
+};
+
+void Add(Totals& totals, const RunResult& result) {
+  const std::lock_guard lock(totals.mutex);
+  for (const auto& [name, count] : result.counts) totals.counts[name] += count;
+  totals.answered += result.answered;
+  totals.checks += result.checks;
+  totals.events += result.events;
+  ++totals.runs;
+  if (!result.violations.empty()) totals.violations[result.seed] = result.violations;
+}
+
+void RunAll(const Settings& settings, const Scenario& scenario, Totals& totals) {
+  tbb::parallel_for(settings.first, settings.last + 1, [&](std::uint64_t seed) {
+    {
+      // A defect is found once; more runs would add nothing.
+      const std::lock_guard lock(totals.mutex);
+      if (!settings.defect.empty() && !totals.violations.empty()) return;
+    }
+    RunOptions options;
+    options.seed = seed;
+    options.length = std::chrono::seconds(settings.seconds);
+    options.trace = settings.trace;
+    Add(totals, RunScenario(scenario, options));
+  });
+}
+
+/// Runs the first seed twice. @return whether both runs were the same, bit for bit.
+bool Repeats(const Settings& settings, const Scenario& scenario) {
+  RunOptions options;
+  options.seed = settings.first;
+  options.length = std::chrono::seconds(settings.seconds);
+  const RunResult one = RunScenario(scenario, options);
+  const RunResult two = RunScenario(scenario, options);
+  return one.trace_hash == two.trace_hash && one.events == two.events && one.counts == two.counts;
+}
+
+void Print(const Totals& totals, double seconds, std::int64_t virtual_seconds) {
+  for (const auto& [name, count] : totals.counts) {
+    std::printf("%-32s %12llu\n", name.c_str(), static_cast<unsigned long long>(count));
+  }
+  for (const auto& [seed, violations] : totals.violations) {
+    for (const auto& violation : violations) {
+      std::printf("seed %llu: %s\n", static_cast<unsigned long long>(seed), violation.c_str());
+    }
+  }
+  std::printf(
+      "%llu runs of %lld virtual seconds, %llu requests answered, %llu checks, %llu events, "
+      "%.1f s, %.0f virtual seconds a second; seeds with violations: %zu\n",
+      static_cast<unsigned long long>(totals.runs), static_cast<long long>(virtual_seconds),
+      static_cast<unsigned long long>(totals.answered),
+      static_cast<unsigned long long>(totals.checks),
+      static_cast<unsigned long long>(totals.events), seconds,
+      static_cast<double>(totals.runs) * static_cast<double>(virtual_seconds) / seconds,
+      totals.violations.size());
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  const Settings settings = ParseArguments(argc, argv);
+  if (settings.list) return List();
+  const Scenario* scenario = FindScenario(settings.scenario);
+  if (scenario == nullptr) ExitWithUsage("no scenario " + settings.scenario + "; see --list.");
+  if (!settings.defect.empty() && !graniteseam::SwitchOnDefect(settings.defect)) {
+    ExitWithUsage("no defect " + settings.defect + " in this build; see --list.");
+  }
+  const auto threads = settings.threads > 0 ? static_cast<unsigned>(settings.threads)
+                                            : std::thread::hardware_concurrency();
+  const tbb::global_control limit(tbb::global_control::max_allowed_parallelism, threads);
+  Totals totals;
+  const auto started = std::chrono::steady_clock::now();
+  RunAll(settings, *scenario, totals);
+  const std::chrono::duration<double> took = std::chrono::steady_clock::now() - started;
+  if (!settings.trace) Print(totals, took.count(), settings.seconds);
+  if (!settings.defect.empty()) {
+    std::printf("Defect %s: %s.\n", settings.defect.c_str(),
+                totals.violations.empty() ? "NOT FOUND" : "found");
+    return totals.violations.empty() ? 1 : 0;
+  }
+  if (!settings.trace && !Repeats(settings, *scenario)) {
+    std::printf("Seed %llu does not repeat itself bit for bit.\n",
+                static_cast<unsigned long long>(settings.first));
+    return 1;
+  }
+  return totals.violations.empty() ? 0 : 1;
+}
--- /dev/null
+++ b/simulation/simulator/scenarios.cc
@@ -0,0 +1,106 @@
+#include "simulation/simulator/scenarios.h"
+
+#include <algorithm>
+
+namespace graniteseam::simulation {
+
+const std::vector<Scenario>& Scenarios() {
+  using Span = std::chrono::milliseconds;
+  static const std::vector<Scenario> scenarios = {
+      {"any", "all faults together, one after another", {}, Span(1'500), false},
+      {"together", "all faults together, two at once and often", {}, Span(900), true},
+      {"calm", "no fault but a changing clock rate", {"clock rate changed"}, Span(2'000), false},
+      {"control-partitioned",
+       "control processes cut off, by node, link and zone",
+       {"control cut", "link cut one way", "zone cut"},
+       Span(1'500),
+       false},
+      {"control-paused",
+       "control processes stop and go on as if nothing happened",
+       {"control paused", "leader paused"},
+       Span(1'500),
+       false},
+      {"leader-cut-silently",
+       "a leader cut off silently for a long time",
+       {"leader cut for long", "leader paused"},
+       Span(6'000),
+       false},
+      {"control-disk-lost",
+       "control processes lose their disks, one or two at a time",
+       {"control disk lost"},
+       Span(2'500),
+       false},
+      {"second-loss-after-repair",
+       "further losses right after a disk was replaced",
+       {"control disk lost", "leader lost power", "control cut"},
+       Span(1'500),
+       true},
+      {"torn-writes",
+       "power lost in the middle of writes, disks full",
+       {"control write torn", "control lost power", "control disk full"},
+       Span(1'000),
+       false},
+      {"far-behind",
+       "control processes that come back after hundreds of changes",
+       {"control away for long", "bundles raced"},
+       Span(1'500),
+       false},
+      {"server-freezes",
+       "servers freeze, die and come back; old grants are replayed",
+       {"server frozen", "server killed", "server cut", "leases replayed"},
+       Span(500),
+       false},
+      {"server-freezes-while-leader-changes",
+       "servers freeze while leaders pause, die or are cut off",
+       {"server frozen", "leader paused", "leader lost power", "leader cut for long"},
+       Span(1'000),
+       true},
+      {"routers-fail",
+       "routers die, pause and are cut off between claim, send and answer",
+       {"router paused", "router killed", "router cut"},
+       Span(600),
+       false},
+      {"operations-while-leader-changes",
+       "leader changes between claim and send, with lost answers",
+       {"leader lost power", "leader paused", "router killed", "network lossy", "server killed"},
+       Span(1'000),
+       true},
+      {"operators-race",
+       "operators race with equal versions and resend what got no answer",
+       {"bundles raced", "network lossy", "leader lost power", "router cut"},
+       Span(800),
+       false},
+      {"zone-cut", "a zone cut off", {"zone cut"}, Span(4'000), false},
+      {"zone-lost", "a zone loses its power", {"zone lost power"}, Span(5'000), false},
+      {"network-bad",
+       "loss, repeats, reordering, long delays",
+       {"network lossy", "network slow", "leases replayed"},
+       Span(1'500),
+       false},
+      {"clocks",
+       "clocks drift up to the bound, wall clocks jump",
+       {"clock rate changed", "wall clock jumped", "leader lost power", "server frozen"},
+       Span(700),
+       false},
+      {"platform-list-wrong",
+       "the platform's list lags and misleads",
+       {"server not listed", "server listed as leaving", "server killed"},
+       Span(1'000),
+       false},
+      {"planned-stops",
+       "planned stops of routers and leaders, servers that leave",
+       {"router stopped as planned", "leader stopped as planned", "server listed as leaving"},
+       Span(3'000),
+       false},
+  };
+  return scenarios;
+}
+
+const Scenario* FindScenario(const std::string& name) {
+  const auto& all = Scenarios();
+  const auto found = std::find_if(all.begin(), all.end(),
+                                  [&](const Scenario& scenario) { return scenario.name == name; });
+  return found == all.end() ? nullptr : &*found;
+}
+
+}  // namespace graniteseam::simulation
