--- a/src/routing/router_node.cc
+++ b/src/routing/router_node.cc
@@ -193,11 +193,13 @@
   const bool bundle_is_newer =
       answer.bundle && (!bundle_ || answer.bundle->version > bundle_->version);
   if (bundle_is_newer) TakeBundle(*answer.bundle, answer.bundle_digest, now);
-  bool table_changed = bundle_is_newer;
-  if (answer.map) {
-    table_changed |= table_.Apply(*answer.map) == RoutingTable::Applied::kYes;
-  }
-  if (table_changed) UpdateServers(now);
+  const bool map_applied = answer.map && table_.Apply(*answer.map) == RoutingTable::Applied::kYes;
+  const bool table_changed = bundle_is_newer || map_applied;
+  // Most changes move a shard and touch no server.
+  const bool servers_changed =
+      map_applied && (answer.map->base_version == 0 || !answer.map->servers.empty() ||
+                      !answer.map->removed_servers.empty());
+  if (bundle_is_newer || servers_changed) UpdateServers(now);
   for (const control::Allotment& allotment : answer.allotments) {
     const auto service = services_.find(allotment.service);
     if (service == services_.end()) continue;
--- a/tests/http/request_driver_test.cc
+++ b/tests/http/request_driver_test.cc
@@ -295,3 +295,52 @@
   cr_assert_eq(router.driver().Status().requests, 0);
   release = true;
 }
+
+Test(request_driver, hedges_a_slow_attempt_and_gives_out_one_answer) {
+  std::atomic<bool> freeze{false};
+  std::atomic<bool> release{false};
+  const auto answer = [&](const std::string&, int) {
+    return Script{Answer(200, "right"), false, [&] {
+                    const bool frozen = freeze.exchange(false);
+                    while (frozen && !release) std::this_thread::sleep_for(1ms);
+                  }};
+  };
+  ScriptedServer one(answer);
+  ScriptedServer two(answer);
+  RouterFixture router;
+  router.AddServer("one", kSearch, one.address());
+  router.AddServer("two", kSearch, two.address());
+  router.Start();
+  // The router has to learn how long an answer takes.
+  for (int i = 0; i < 40; ++i) router.Call(kSearch);
+  freeze = true;  // Whichever server is asked next does not answer.
+  const http::CallerReply reply = router.Call(kSearch);
+  release = true;
+  cr_assert(reply.outcome == RequestOutcome::kAnswered);
+  cr_assert_geq(router.driver().Status().hedges, 1);
+}
+
+Test(request_driver, a_stop_finishes_what_is_in_flight_and_refuses_what_is_new) {
+  std::atomic<bool> release{false};
+  ScriptedServer server([&](const std::string&, int) {
+    return Script{Answer(200, "finished"), false, [&] {
+                    while (!release) std::this_thread::sleep_for(1ms);
+                  }};
+  });
+  RouterFixture router;
+  router.AddServer("a", kShutOffs, server.address());
+  router.Start();
+  std::thread stopper([&] {
+    while (server.requests() == 0) std::this_thread::sleep_for(1ms);
+    router.driver().PrepareStop();
+    cr_assert_not(router.driver().Ready());
+    const http::CallerReply refused = router.Call(kShutOffs);
+    cr_assert(refused.outcome == RequestOutcome::kNotRun);
+    cr_assert_eq(refused.status, 503);
+    release = true;
+  });
+  const http::CallerReply reply = router.Call(kShutOffs);
+  stopper.join();
+  cr_assert_str_eq(reply.body.c_str(), "finished");
+  while (!router.driver().Status().journal_idle) std::this_thread::sleep_for(1ms);
+}
