Let no caller's thread wait for the node's lock

Cause: stacks of a router under 32 callers on a busy machine showed 14 and 9 threads asleep on the node's mutex and none inside the node: a lock convoy.

Change: events are queued and run by whoever gets the lock (flat combining); a thread that does not get it goes on to wait for its own answer. A thread prefers the server connection that it used last.

--- a/src/http/request_driver.cc
+++ b/src/http/request_driver.cc
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <utility>
+#include <vector>
 
 #include "src/platform/clock.h"
 
@@ -54,7 +55,7 @@
 
 void RequestDriver::Stop() {
   {
-    const std::lock_guard lock(node_mutex_);
+    const std::lock_guard lock(tick_mutex_);
     stopping_ = true;
   }
   tick_wake_.notify_all();
@@ -62,33 +63,54 @@
   hedge_threads_->shutdown();
 }
 
-std::unique_lock<std::mutex> RequestDriver::LockNode() {
-  // Events take a few microseconds, less than going to sleep and being woken.
-  constexpr int kTries = 200;
-  for (int tries = 0; tries < kTries; ++tries) {
-    std::unique_lock lock(node_mutex_, std::try_to_lock);
-    if (lock) return lock;
-    for (int pause = 0; pause < 10; ++pause) __builtin_ia32_pause();
+void RequestDriver::RunEvent(Event event) {
+  auto* const pending = new Pending{std::move(event), pending_.load(std::memory_order_relaxed)};
+  while (!pending_.compare_exchange_weak(pending->next, pending)) {
   }
-  return std::unique_lock(node_mutex_);
+  RunPending();
 }
 
-template <class Event>
-void RequestDriver::RunEvent(Event&& event) {
-  routing::RouterEffects effects;
-  bool wake = false;
-  {
-    const std::unique_lock lock = LockNode();
-    // Read under the lock, so that the node's time never goes back.
-    effects = event(platform::BootTimeNow());
-    // Before anyone can cancel them.
-    for (const routing::AttemptSend& send : effects.sends) upstream_.Announce(send.attempt);
-    const Instant next = node_.NextTick();
-    wake = next < tick_at_;
-    if (wake) tick_at_ = next;
+void RequestDriver::RunPending() {
+  // Either we get the lock, or its holder sees our event: it looks at the list after it unlocked,
+  // and we look at the lock after we queued. The fences keep both in this order.
+  std::atomic_thread_fence(std::memory_order_seq_cst);
+  while (pending_.load() != nullptr && node_mutex_.try_lock()) {
+    Pending* newest_first = pending_.exchange(nullptr);
+    Pending* events = nullptr;
+    while (newest_first != nullptr) {
+      Pending* const next = newest_first->next;
+      newest_first->next = events;
+      events = newest_first;
+      newest_first = next;
+    }
+    std::vector<routing::RouterEffects> effects;
+    for (const Pending* pending = events; pending != nullptr; pending = pending->next) {
+      // Read under the lock, so that the node's time never goes back.
+      effects.push_back(pending->event(node_, platform::BootTimeNow()));
+      // Before anyone can cancel them.
+      for (const routing::AttemptSend& send : effects.back().sends)
+        upstream_.Announce(send.attempt);
+    }
+    const std::int64_t next_tick = ToMicros(node_.NextTick());
+    node_mutex_.unlock();
+    if (next_tick < tick_at_us_.exchange(next_tick)) {
+      const std::lock_guard lock(tick_mutex_);
+      tick_wake_.notify_one();
+    }
+    for (routing::RouterEffects& effect : effects) Deliver(std::move(effect));
+    while (events != nullptr) delete std::exchange(events, events->next);
+    std::atomic_thread_fence(std::memory_order_seq_cst);
   }
-  if (wake) tick_wake_.notify_one();
-  Deliver(std::move(effects));
+}
+
+template <class Look>
+auto RequestDriver::LookAt(Look&& look) {
+  auto seen = [&] {
+    const std::lock_guard lock(node_mutex_);
+    return look(node_, platform::BootTimeNow());
+  }();
+  RunPending();  // Whoever queued an event meanwhile relies on us.
+  return seen;
 }
 
 void RequestDriver::Deliver(routing::RouterEffects effects) {
@@ -125,7 +147,9 @@
     const std::lock_guard lock(shard.mutex);
     shard.mailboxes[number] = &mailbox;
   }
-  RunEvent([&](Instant now) { return node_.OnRequest(message.request, now); });
+  RunEvent([&message](routing::RouterNode& node, Instant now) {
+    return node.OnRequest(message.request, now);
+  });
   std::unique_lock lock(mailbox.mutex);
   while (!mailbox.answer) {
     mailbox.wake.wait(lock, [&] { return mailbox.answer || !mailbox.sends.empty(); });
@@ -170,7 +194,8 @@
     const std::lock_guard lock(mailbox.mutex);
     mailbox.answers[send.attempt] = std::move(answer);
   }
-  RunEvent([&](Instant now) { return node_.OnAttemptEnd(result, now); });
+  RunEvent(
+      [result](routing::RouterNode& node, Instant now) { return node.OnAttemptEnd(result, now); });
 }
 
 CallerReply RequestDriver::ReplyFor(const routing::RequestAnswer& answer, Mailbox& mailbox) const {
@@ -193,55 +218,53 @@
 }
 
 void RequestDriver::OnCallerGone(routing::RequestNumber request) {
-  RunEvent([&](Instant now) { return node_.OnCallerGone(request, now); });
+  RunEvent([request](routing::RouterNode& node, Instant now) {
+    return node.OnCallerGone(request, now);
+  });
 }
 
 void RequestDriver::OnControlMessage(const control::ControlToRouter& message) {
-  RunEvent([&](Instant now) { return node_.OnControlMessage(message, now); });
+  RunEvent([message](routing::RouterNode& node, Instant now) {
+    return node.OnControlMessage(message, now);
+  });
 }
 
 void RequestDriver::OnControlConnected() {
-  RunEvent([&](Instant now) { return node_.OnControlConnected(now); });
+  RunEvent([](routing::RouterNode& node, Instant now) { return node.OnControlConnected(now); });
 }
 
 void RequestDriver::PrepareStop() {
-  RunEvent([&](Instant now) { return node_.PrepareStop(now); });
+  RunEvent([](routing::RouterNode& node, Instant now) { return node.PrepareStop(now); });
 }
 
 bool RequestDriver::Ready() {
-  const std::lock_guard lock(node_mutex_);
-  return node_.Ready(platform::BootTimeNow());
+  return LookAt([](const routing::RouterNode& node, Instant now) { return node.Ready(now); });
 }
 
 std::size_t RequestDriver::BodyBytesMaximum(const ServiceName& service) {
-  const std::lock_guard lock(node_mutex_);
-  return node_.BodyBytesMaximum(service);
+  return LookAt(
+      [&](const routing::RouterNode& node, Instant) { return node.BodyBytesMaximum(service); });
 }
 
 routing::RouterStatus RequestDriver::Status() {
-  const std::lock_guard lock(node_mutex_);
-  return node_.Status(platform::BootTimeNow());
+  return LookAt([](const routing::RouterNode& node, Instant now) { return node.Status(now); });
 }
 
 void RequestDriver::TickUntilStopped() {
   constexpr Duration kReapInterval{1'000'000};
   Instant reap_at = platform::BootTimeNow();
   for (;;) {
-    {
-      std::unique_lock lock(node_mutex_);
-      if (stopping_) return;
-      const Instant now = platform::BootTimeNow();
-      tick_at_ = std::min(node_.NextTick(), now + kReapInterval);
-      // A wait for a tick that an event moved forward ends early and is computed anew.
-      if (tick_at_ > now) tick_wake_.wait_for(lock, tick_at_ - now);
-      if (stopping_) return;
-    }
-    RunEvent([&](Instant now) { return node_.Tick(now); });
+    RunEvent([](routing::RouterNode& node, Instant now) { return node.Tick(now); });
     const Instant now = platform::BootTimeNow();
     if (now >= reap_at) {
       upstream_.Reap(now);
       reap_at = now + kReapInterval;
     }
+    std::unique_lock lock(tick_mutex_);
+    // An event that moves the next tick forward ends the wait.
+    const Duration wait = std::min(InstantFromMicros(tick_at_us_), now + kReapInterval) - now;
+    if (wait > Duration{0} && !stopping_) tick_wake_.wait_for(lock, wait);
+    if (stopping_) return;
   }
 }
 
--- a/src/http/request_driver.h
+++ b/src/http/request_driver.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <array>
+#include <atomic>
 #include <condition_variable>
 #include <cstdint>
 #include <functional>
@@ -27,6 +28,9 @@
 
 /// Joins callers' threads, RouterNode and UpstreamClient.
 ///
+/// Nobody waits for the node's lock: events are queued, and whoever gets the lock runs all that are
+/// there (flat combining, Hendler and others 2010). With a plain lock, one holder that loses its
+/// processor sends all others to sleep, and they come back one after the other.
 /// Each caller's thread makes its own attempts, so that a plain request crosses no other thread.
 /// Effects that concern another request go to that request's mailbox. Only services with hedging
 /// run their attempts on threads of their own.
@@ -66,10 +70,20 @@
   };
   static constexpr std::size_t kShards = 64;
 
-  std::unique_lock<std::mutex> LockNode();
-  /// Runs one event of the node and hands on its effects.
-  template <class Event>
-  void RunEvent(Event&& event);
+  using Event = std::function<routing::RouterEffects(routing::RouterNode&, Instant)>;
+  /// One event in the list of those not yet run.
+  struct Pending {
+    Event event;
+    Pending* next = nullptr;
+  };
+
+  /// Queues an event; it is run before the call ends, or by the thread that has the lock.
+  void RunEvent(Event event);
+  /// Runs queued events while there are any, unless another thread does.
+  void RunPending();
+  /// Looks at the node under its lock.
+  template <class Look>
+  auto LookAt(Look&& look);
   void Deliver(routing::RouterEffects effects);
   MailboxShard& ShardOf(routing::RequestNumber request) { return shards_[request % kShards]; }
   void Post(routing::RequestNumber request, const std::function<void(Mailbox&)>& change);
@@ -85,12 +99,14 @@
   std::array<MailboxShard, kShards> shards_;
   std::unique_ptr<ConnectionThreads> hedge_threads_;
 
+  std::atomic<Pending*> pending_{nullptr};  ///< Newest first.
   std::mutex node_mutex_;
+  routing::RouterNode node_;  ///< Guarded by node_mutex_.
+
+  std::atomic<std::int64_t> tick_at_us_{0};
+  std::mutex tick_mutex_;
   std::condition_variable tick_wake_;
-  // Guarded by node_mutex_:
-  routing::RouterNode node_;
-  Instant tick_at_{};
-  bool stopping_ = false;
+  bool stopping_ = false;  ///< Guarded by tick_mutex_.
 
   std::thread ticker_;
 };
--- a/src/http/upstream_pool.cc
+++ b/src/http/upstream_pool.cc
@@ -12,9 +12,14 @@
       const std::lock_guard lock(mutex_);
       const auto found = by_address_.find(address);
       if (found == by_address_.end() || found->second.empty()) return nullptr;
-      const bool fresh = now - found->second.back().since < idle_;
-      connection = std::move(found->second.back().connection);
-      found->second.pop_back();
+      std::vector<Idle>& idle = found->second;
+      const auto own = std::find_if(idle.rbegin(), idle.rend(), [](const Idle& candidate) {
+        return candidate.user == std::this_thread::get_id();
+      });
+      const auto taken = own == idle.rend() ? std::prev(idle.end()) : std::prev(own.base());
+      const bool fresh = now - taken->since < idle_;
+      connection = std::move(taken->connection);
+      idle.erase(taken);
       if (!fresh) continue;
     }
     if (connection->Reusable()) return connection;
@@ -25,7 +30,9 @@
                         Instant now) {
   const std::lock_guard lock(mutex_);
   std::vector<Idle>& idle = by_address_[address];
-  if (idle.size() < kIdlePerAddressMaximum) idle.push_back({std::move(connection), now});
+  if (idle.size() < kIdlePerAddressMaximum) {
+    idle.push_back({std::move(connection), now, std::this_thread::get_id()});
+  }
 }
 
 void UpstreamPool::Reap(Instant now) {
--- a/src/http/upstream_pool.h
+++ b/src/http/upstream_pool.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <thread>
 #include <unordered_map>
 #include <vector>
 
@@ -14,8 +15,10 @@
 
 namespace graniteseam::http {
 
-/// Keeps idle connections by address. The one used last is taken first, so that those not needed
-/// grow old. Thread safe.
+/// Keeps idle connections by address. A thread gets the connection that it used last if it can:
+/// then the server's thread at its other end tends to run nearby, and the two need not wait for
+/// other processors. Else the one used last is taken, so that those not needed grow old. Thread
+/// safe.
 class UpstreamPool {
  public:
   /// @param idle_maximum how long a connection waits at most; shorter than the 30 s for which
@@ -37,6 +40,7 @@
   struct Idle {
     std::unique_ptr<UpstreamConnection> connection;
     Instant since;
+    std::thread::id user;  ///< Who used it last.
   };
 
   const Duration idle_;
