Tell the same truth about operations at the port, and forget overtaken hedges

A hedge that the answer overtook before its thread began stayed in the list of announced attempts.

Change: the port says outcome_unknown where an Idempotency-Key was given; the test asks for not_run of a repeatable service and outcome_unknown of an operation, each with 503; attempts that will not be made are forgotten.

--- a/src/http/caller_server.cc
+++ b/src/http/caller_server.cc
@@ -179,7 +179,7 @@
   const Outcome<std::monostate> framing = Attempt([&] { return CheckFraming(request); });
   if (const Error* error = ErrorOf(framing)) {
     connection.must_close = true;
-    Refuse(kBadRequest, *error, response);
+    Refuse(request, kBadRequest, *error, response);
     return HandlerResponse::Handled;
   }
   if (const auto page = pages_.find(request.path);
@@ -219,16 +219,16 @@
   // What is left of the body can not be told from a next request.
   connection.must_close = true;
   if (const Error* error = ErrorOf(head)) {
-    Refuse(kBadRequest, *error, response);
+    Refuse(request, kBadRequest, *error, response);
   } else if (too_large || connection.stream.limit_reached()) {
-    Refuse(kTooLarge,
+    Refuse(request, kTooLarge,
            {ErrorKind::kTooLarge,
             "The body is longer than the " + std::to_string(limit) +
                 " bytes that the service takes, or the service is not known.",
             "Send a shorter body, and check the service's name."},
            response);
   } else {
-    Refuse(kBadRequest,
+    Refuse(request, kBadRequest,
            {ErrorKind::kInvalidArgument, "The body ended early or came too slowly.",
             "Send the whole body without pauses."},
            response);
@@ -241,7 +241,8 @@
   Outcome<CallerMessage> parsed = Attempt(
       [&] { return ParseCallerRequest(request, connection.content_type, std::move(body)); });
   if (const Error* error = ErrorOf(parsed)) {
-    Refuse(error->kind == ErrorKind::kNotFound ? kNotFound : kBadRequest, *error, response);
+    Refuse(request, error->kind == ErrorKind::kNotFound ? kNotFound : kBadRequest, *error,
+           response);
     return;
   }
   CallerMessage& message = std::get<CallerMessage>(parsed);
@@ -258,8 +259,13 @@
   Write(reply, echo, response);
 }
 
-void CallerServer::Refuse(int status, const Error& error, httplib::Response& response) const {
-  Write(ProblemReply(status, error, routing::RequestOutcome::kNotRun), {}, response);
+void CallerServer::Refuse(const httplib::Request& request, int status, const Error& error,
+                          httplib::Response& response) const {
+  // An earlier sending of an operation may have run, and the journal was not asked.
+  const auto outcome = request.has_header(kOperationHeader)
+                           ? routing::RequestOutcome::kOutcomeUnknown
+                           : routing::RequestOutcome::kNotRun;
+  Write(ProblemReply(status, error, outcome), {}, response);
 }
 
 void CallerServer::Write(const CallerReply& reply, const std::string& echo,
@@ -281,13 +287,13 @@
 }
 
 httplib::Server::HandlerResponse CallerServer::ExplainLibraryError(
-    const httplib::Request& /*request*/, httplib::Response& response) const {
+    const httplib::Request& request, httplib::Response& response) const {
   if (response.has_header(kOutcomeHeader) || !response.body.empty()) {
     return HandlerResponse::Unhandled;
   }
   if (Connection::Current() != nullptr) Connection::Current()->must_close = true;
   const bool too_long = response.status == kUriTooLong;
-  Refuse(response.status,
+  Refuse(request, response.status,
          {ErrorKind::kInvalidArgument,
           too_long ? "The request's path is too long." : "The request is not valid HTTP/1.1.",
           "Send it as docs/interface/callers.md says."},
--- a/src/http/caller_server.h
+++ b/src/http/caller_server.h
@@ -79,7 +79,8 @@
   void TakeBody(const httplib::Request& request, httplib::Response& response,
                 const httplib::ContentReader& reader);
   void Handle(const httplib::Request& request, std::string body, httplib::Response& response);
-  void Refuse(int status, const Error& error, httplib::Response& response) const;
+  void Refuse(const httplib::Request& request, int status, const Error& error,
+              httplib::Response& response) const;
   void Write(const CallerReply& reply, const std::string& echo, httplib::Response& response) const;
   HandlerResponse ExplainLibraryError(const httplib::Request& request,
                                       httplib::Response& response) const;
--- a/src/http/request_driver.cc
+++ b/src/http/request_driver.cc
@@ -119,24 +119,28 @@
   }
   for (const routing::AttemptNumber attempt : effects.cancels) upstream_.Cancel(attempt);
   for (routing::AttemptSend& send : effects.sends) {
-    Post(send.request, [&](Mailbox& mailbox) { mailbox.sends.push_back(std::move(send)); });
+    const routing::AttemptNumber attempt = send.attempt;
+    const bool posted =
+        Post(send.request, [&](Mailbox& mailbox) { mailbox.sends.push_back(std::move(send)); });
+    if (!posted) upstream_.Forget(attempt);
   }
   for (routing::RequestAnswer& answer : effects.answers) {
     Post(answer.request, [&](Mailbox& mailbox) { mailbox.answer = std::move(answer); });
   }
 }
 
-void RequestDriver::Post(routing::RequestNumber request,
+bool RequestDriver::Post(routing::RequestNumber request,
                          const std::function<void(Mailbox&)>& change) {
   MailboxShard& shard = ShardOf(request);
   // Held throughout, so that the mailbox can not end under our hands.
   const std::lock_guard shard_lock(shard.mutex);
   const auto found = shard.mailboxes.find(request);
-  if (found == shard.mailboxes.end()) return;
+  if (found == shard.mailboxes.end()) return false;
   Mailbox& mailbox = *found->second;
   const std::lock_guard lock(mailbox.mutex);
   change(mailbox);
   mailbox.wake.notify_one();
+  return true;
 }
 
 CallerReply RequestDriver::Handle(CallerMessage&& message) {
@@ -178,6 +182,8 @@
     const std::lock_guard shard_lock(shard.mutex);
     shard.mailboxes.erase(number);
   }
+  // A hedge that the answer overtook.
+  for (const routing::AttemptSend& send : mailbox.sends) upstream_.Forget(send.attempt);
   return ReplyFor(*mailbox.answer, mailbox);
 }
 
--- a/src/http/request_driver.h
+++ b/src/http/request_driver.h
@@ -60,6 +60,8 @@
   bool Ready();
   std::size_t BodyBytesMaximum(const ServiceName& service);
   routing::RouterStatus Status();
+  /// Attempts announced and not ended; 0 when nothing is in flight.
+  std::size_t attempts() { return upstream_.attempts(); }
   std::size_t idle_connections() const { return upstream_.idle_connections(); }
 
  private:
@@ -86,7 +88,8 @@
   auto LookAt(Look&& look);
   void Deliver(routing::RouterEffects effects);
   MailboxShard& ShardOf(routing::RequestNumber request) { return shards_[request % kShards]; }
-  void Post(routing::RequestNumber request, const std::function<void(Mailbox&)>& change);
+  /// @return false when the request ended.
+  bool Post(routing::RequestNumber request, const std::function<void(Mailbox&)>& change);
   void MakeAttempt(const routing::AttemptSend& send, Mailbox& mailbox,
                    const ForwardedRequest& forwarded);
   CallerReply ReplyFor(const routing::RequestAnswer& answer, Mailbox& mailbox) const;
--- a/src/http/upstream_client.cc
+++ b/src/http/upstream_client.cc
@@ -86,6 +86,15 @@
   if (found->second.connection != nullptr) found->second.connection->Cancel();
 }
 
+std::size_t UpstreamClient::attempts() {
+  std::size_t count = 0;
+  for (Shard& shard : shards_) {
+    const std::lock_guard lock(shard.mutex);
+    count += shard.attempts.size();
+  }
+  return count;
+}
+
 bool UpstreamClient::Attach(routing::AttemptNumber attempt, UpstreamConnection& connection) {
   Shard& shard = ShardOf(attempt);
   const std::lock_guard lock(shard.mutex);
--- a/src/http/upstream_client.h
+++ b/src/http/upstream_client.h
@@ -53,11 +53,15 @@
   void Announce(routing::AttemptNumber attempt);
   /// Makes an announced attempt; blocks until its end.
   UpstreamAnswer Run(const routing::AttemptSend& send, const ForwardedRequest& request);
+  /// Forgets an announced attempt that will not be made.
+  void Forget(routing::AttemptNumber attempt) { Detach(attempt); }
   /// Ends an announced attempt from any thread; does nothing once it ended.
   void Cancel(routing::AttemptNumber attempt);
 
   void Reap(Instant now) { pool_.Reap(now); }
   std::size_t idle_connections() const { return pool_.size(); }
+  /// Attempts announced and not ended.
+  std::size_t attempts();
 
  private:
   /// An announced attempt: where it is, and whether it is still wanted.
--- a/tests/http/caller_server_test.cc
+++ b/tests/http/caller_server_test.cc
@@ -187,6 +187,15 @@
                 "413");
 }
 
+Test(caller_server, claims_nothing_about_earlier_sendings_of_an_operation) {
+  EchoServer server;
+  const std::string answer = server.Send(Request(
+      "POST", "/v1/services/archive/x",
+      "Idempotency-Key: 01890a5d-ac96-774b-bcce-b302099a8057\r\nContent-Length: 10\r\n", "half"));
+  cr_assert(Has(answer, "HTTP/1.1 400"), "%s", answer.c_str());
+  cr_assert(Has(answer, "Graniteseam-Outcome: outcome_unknown"), "%s", answer.c_str());
+}
+
 Test(caller_server, never_forwards_half_a_body) {
   ExpectRefused(Request("POST", "/v1/services/archive/x", "Content-Length: 10\r\n", "half"), "400");
 }
--- a/tests/http/request_driver_test.cc
+++ b/tests/http/request_driver_test.cc
@@ -318,6 +318,7 @@
   release = true;
   cr_assert(reply.outcome == RequestOutcome::kAnswered);
   cr_assert_geq(router.driver().Status().hedges, 1);
+  cr_assert_eq(router.driver().attempts(), 0, "nothing is remembered of attempts that ended");
 }
 
 Test(request_driver, a_stop_finishes_what_is_in_flight_and_refuses_what_is_new) {
@@ -334,9 +335,13 @@
     while (server.requests() == 0) std::this_thread::sleep_for(1ms);
     router.driver().PrepareStop();
     cr_assert_not(router.driver().Ready());
-    const http::CallerReply refused = router.Call(kShutOffs);
+    const http::CallerReply refused = router.Call(kArchive);
     cr_assert(refused.outcome == RequestOutcome::kNotRun);
     cr_assert_eq(refused.status, 503);
+    // An operation may have been sent before, through another router.
+    const http::CallerReply operation = router.Call(kShutOffs);
+    cr_assert(operation.outcome == RequestOutcome::kOutcomeUnknown);
+    cr_assert_eq(operation.status, 503);
     release = true;
   });
   const http::CallerReply reply = router.Call(kShutOffs);
