--- a/testbed/experiment/experiments.h
+++ b/testbed/experiment/experiments.h
@@ -1,5 +1,5 @@
 /// @file
-/// Makers of the experiments, one a file.
+/// Makers of the experiments.
 #pragma once
 
 #include <memory>
@@ -8,9 +8,23 @@
 
 namespace graniteseam::testbed {
 
+// In virtual time.
 std::unique_ptr<Experiment> MakeHotShift();
 std::unique_ptr<Experiment> MakeLyingHealth();
 std::unique_ptr<Experiment> MakeOverloadShares();
 std::unique_ptr<Experiment> MakeRetryStorm();
 
+// With a real fleet.
+std::unique_ptr<Experiment> MakeBundleRollout();
+std::unique_ptr<Experiment> MakeControlScale();
+std::unique_ptr<Experiment> MakeFreezeWake();
+std::unique_ptr<Experiment> MakeLeaderAndOwnerLoss();
+std::unique_ptr<Experiment> MakeLeaderLoss();
+std::unique_ptr<Experiment> MakeOwnerLoss();
+std::unique_ptr<Experiment> MakePathOverhead();
+std::unique_ptr<Experiment> MakePlannedMove();
+std::unique_ptr<Experiment> MakeRouterStop();
+std::unique_ptr<Experiment> MakeServerDrain();
+std::unique_ptr<Experiment> MakeZoneCut();
+
 }  // namespace graniteseam::testbed
--- a/testbed/experiment/main.cc
+++ b/testbed/experiment/main.cc
@@ -37,7 +37,7 @@
   return kBoundsKept;
 }
 
-Result<Report> LoadReport(const std::string& path) {
+Result<ExperimentReport> LoadReport(const std::string& path) {
   BOOST_LEAF_AUTO(text, ReadTextFile(path));
   return ParseReport(text, path);
 }
@@ -64,15 +64,15 @@
                             line.arguments[0], DriverName(line.driver)),
                 "Pick one of graniteseam-experiment list; --virtual switches the driver.");
   }
-  Report report{std::string(experiment->name()),
-                std::string(DriverName(line.driver)),
-                line.options.seed,
-                line.command_text,
-                GRANITESEAM_VERSION,
-                DescribeMachine(),
-                LoadAverage(),
-                0.0,
-                {}};
+  ExperimentReport report{std::string(experiment->name()),
+                          std::string(DriverName(line.driver)),
+                          line.options.seed,
+                          line.command_text,
+                          GRANITESEAM_VERSION,
+                          DescribeMachine(),
+                          LoadAverage(),
+                          0.0,
+                          {}};
   const auto started = std::chrono::steady_clock::now();
   BOOST_LEAF_AUTO(measurement, RunExperiment(*experiment, line.options, line.baseline,
                                              TerminalProgress(line.quiet)));
--- a/testbed/experiment/registry.cc
+++ b/testbed/experiment/registry.cc
@@ -6,10 +6,12 @@
 
 ExperimentList AllExperiments() {
   ExperimentList list;
-  list.push_back(MakeHotShift());
-  list.push_back(MakeLyingHealth());
-  list.push_back(MakeOverloadShares());
-  list.push_back(MakeRetryStorm());
+  for (const auto& make :
+       {MakePathOverhead, MakeOwnerLoss, MakeFreezeWake, MakeLeaderLoss, MakeLeaderAndOwnerLoss,
+        MakePlannedMove, MakeServerDrain, MakeRouterStop, MakeBundleRollout, MakeZoneCut,
+        MakeControlScale, MakeHotShift, MakeOverloadShares, MakeLyingHealth, MakeRetryStorm}) {
+    list.push_back(make());
+  }
   return list;
 }
 
--- a/testbed/fleet/fleet.cc
+++ b/testbed/fleet/fleet.cc
@@ -192,8 +192,18 @@
   }
 }
 
+Result<void> Fleet::ListMachines(const std::string& machines_json) {
+  if (!nlohmann::json::accept(machines_json)) {
+    return Fail(ErrorKind::kInvalidArgument, "The machines to list are no JSON.",
+                "See docs/interface/platform.md.");
+  }
+  further_machines_ = machines_json;
+  return WriteMachineList();
+}
+
 Result<void> Fleet::WriteMachineList() {
   nlohmann::json machines = nlohmann::json::array();
+  if (!further_machines_.empty()) machines = nlohmann::json::parse(further_machines_);
   for (const auto& [name, member] : members_) {
     if (!member.listed) continue;
     machines.push_back({{"server", name},
--- a/testbed/fleet/fleet.h
+++ b/testbed/fleet/fleet.h
@@ -48,6 +48,9 @@
   Result<void> LoseDisk(const std::string& name);
   /// Marks a server as leaving on the platform's list and asks it to stop.
   Result<void> Leave(const std::string& name);
+  /// Puts machines on the platform's list that this fleet does not run.
+  /// @param machines_json a JSON array in the form of docs/interface/platform.md.
+  Result<void> ListMachines(const std::string& machines_json);
   /// Starts one more server of a service.
   /// @return its name, or kNotFound for a service that no deployment has.
   Result<std::string> Join(const std::string& service);
@@ -73,7 +76,8 @@
   Credentials credentials_;
   Members members_;
   std::unique_ptr<Layout> layout_;
-  std::mutex cuts_mutex_;                               ///< Guards cuts_.
+  std::string further_machines_;  ///< JSON array of what ListMachines() was given last.
+  std::mutex cuts_mutex_;         ///< Guards cuts_.
   std::set<std::pair<std::string, std::string>> cuts_;  ///< Directed, by address.
   std::unique_ptr<LinkLayer> links_;                    ///< Null when links are not simulated.
 };
--- a/testbed/fleet/layout.cc
+++ b/testbed/fleet/layout.cc
@@ -216,9 +216,8 @@
            "--hint-lag-ms",
            std::to_string(group.hint_lag_ms),
            "--seed",
-           std::to_string(scenario_.seed + number),
-           "--record",
-           paths_.Record(name)};
+           std::to_string(scenario_.seed + number)};
+  if (scenario_.servers_record) words.insert(words.end(), {"--record", paths_.Record(name)});
   if (group.keyed) words.emplace_back("--keyed");
   if (number <= group.liars) {
     words.insert(words.end(), {"--claimed-load-percent", "0", "--always-healthy"});
--- a/testbed/fleet/scenario.cc
+++ b/testbed/fleet/scenario.cc
@@ -93,25 +93,6 @@
   return group;
 }
 
-Result<Deployment> ReadDeployment(const std::string& name, const std::string& source_folder) {
-  const std::string path = source_folder + "/scenarios/deployments/" + name + ".toml";
-  BOOST_LEAF_AUTO(file, ParseFile(path));
-  BOOST_LEAF_CHECK(CheckKeys(file, {"bundle", "traffic", "rate", "servers"}, path));
-  Deployment deployment;
-  deployment.name = name;
-  deployment.bundle = source_folder + "/" + file["bundle"].value_or(std::string());
-  deployment.traffic = source_folder + "/" + file["traffic"].value_or(std::string());
-  deployment.rate = file["rate"].value_or(deployment.rate);
-  const auto* list = file["servers"].as_array();
-  if (list == nullptr) return Invalid(path, "there is no [[servers]].");
-  for (const auto& item : *list) {
-    if (!item.is_table()) return Invalid(path, "an item of servers is no table.");
-    BOOST_LEAF_AUTO(group, ReadServers(*item.as_table(), path));
-    deployment.servers.push_back(std::move(group));
-  }
-  return deployment;
-}
-
 Result<Fault> ReadFault(const toml::table& table, const std::string& path) {
   BOOST_LEAF_CHECK(
       CheckKeys(table, {"at_s", "action", "target", "to", "one_way", "lasts_s"}, path));
@@ -160,6 +141,25 @@
   return std::string(entry->first);
 }
 
+Result<Deployment> ReadDeployment(const std::string& name, const std::string& source_folder) {
+  const std::string path = source_folder + "/scenarios/deployments/" + name + ".toml";
+  BOOST_LEAF_AUTO(file, ParseFile(path));
+  BOOST_LEAF_CHECK(CheckKeys(file, {"bundle", "traffic", "rate", "servers"}, path));
+  Deployment deployment;
+  deployment.name = name;
+  deployment.bundle = source_folder + "/" + file["bundle"].value_or(std::string());
+  deployment.traffic = source_folder + "/" + file["traffic"].value_or(std::string());
+  deployment.rate = file["rate"].value_or(deployment.rate);
+  const auto* list = file["servers"].as_array();
+  if (list == nullptr) return Invalid(path, "there is no [[servers]].");
+  for (const auto& item : *list) {
+    if (!item.is_table()) return Invalid(path, "an item of servers is no table.");
+    BOOST_LEAF_AUTO(group, ReadServers(*item.as_table(), path));
+    deployment.servers.push_back(std::move(group));
+  }
+  return deployment;
+}
+
 Result<Scenario> ReadScenario(const std::string& path, const std::string& source_folder) {
   BOOST_LEAF_AUTO(file, ParseFile(path));
   BOOST_LEAF_CHECK(CheckKeys(
--- a/testbed/fleet/scenario.h
+++ b/testbed/fleet/scenario.h
@@ -80,6 +80,7 @@
   /// Smallest part of the requests that must be answered in time; 0 when none is promised.
   double answered_minimum = 0.0;
   std::int64_t seed = 1;
+  bool servers_record = true;  ///< Without, the history of runs can't be checked.
   Links links;
   std::vector<Deployment> deployments;
   std::vector<Fault> faults;  ///< In order of time.
@@ -90,6 +91,10 @@
 /// For example "lose_disk".
 std::string FaultActionName(FaultAction action);
 
+/// Reads scenarios/deployments/NAME.toml of `source_folder`.
+/// @return kInvalidSettings with file and key.
+Result<Deployment> ReadDeployment(const std::string& name, const std::string& source_folder);
+
 /// Reads a scenario and the deployments that it names. Paths in these files are relative to
 /// `source_folder`.
 /// @return kInvalidSettings with file and key.
--- a/testbed/measurement/plot.cc
+++ b/testbed/measurement/plot.cc
@@ -8,7 +8,6 @@
 #include <filesystem>
 #include <map>
 
-#include "testbed/measurement/report.h"
 #include "testbed/support/text_file.h"
 
 namespace graniteseam::testbed {
--- a/testbed/measurement/report.cc
+++ b/testbed/measurement/report.cc
@@ -89,7 +89,7 @@
   return average;
 }
 
-std::string ToJson(const Report& report) {
+std::string ToJson(const ExperimentReport& report) {
   Json figures = Json::object();
   for (const Figure& figure : report.measurement.figures) {
     figures[figure.key] = FigureToJson(figure);
@@ -110,8 +110,8 @@
   return json.dump(2) + "\n";
 }
 
-Result<Report> ParseReport(const std::string& json_text, const std::string& file_name) {
-  Report report;
+Result<ExperimentReport> ParseReport(const std::string& json_text, const std::string& file_name) {
+  ExperimentReport report;
   try {
     const Json json = Json::parse(json_text);
     report.experiment = json.at("experiment").get<std::string>();
@@ -142,7 +142,7 @@
                      FormatValue(figure.bound->limit));
 }
 
-std::string ToTable(const Report& report) {
+std::string ToTable(const ExperimentReport& report) {
   const std::size_t width = KeyWidth(report.measurement);
   std::string text = fmt::format("{:<{}}  {:>12}  {:>12}  {:>6}  {:>12}  {:>8}\n", "figure", width,
                                  "value", "bound", "met", "baseline", "ratio");
@@ -156,7 +156,7 @@
   return text;
 }
 
-std::string CompareTable(const Report& left, const Report& right) {
+std::string CompareTable(const ExperimentReport& left, const ExperimentReport& right) {
   const std::size_t width = std::max(KeyWidth(left.measurement), KeyWidth(right.measurement));
   std::string text =
       fmt::format("{:<{}}  {:>12}  {:>12}  {:>8}\n", "figure", width, "first", "second", "ratio");
--- a/testbed/measurement/report.h
+++ b/testbed/measurement/report.h
@@ -9,7 +9,7 @@
 namespace graniteseam::testbed {
 
 /// What was run, where, and what came of it.
-struct Report {
+struct ExperimentReport {
   std::string experiment;
   std::string driver;
   std::uint64_t seed = 0;
@@ -27,17 +27,17 @@
 /// One-minute load average of this machine, 0 when unknown.
 double LoadAverage();
 
-std::string ToJson(const Report& report);
+std::string ToJson(const ExperimentReport& report);
 
 /// Reads a report written by ToJson(); plots' series are not read back.
 /// @return kInvalidArgument when the text is not such a report.
-Result<Report> ParseReport(const std::string& json_text, const std::string& file_name);
+Result<ExperimentReport> ParseReport(const std::string& json_text, const std::string& file_name);
 
 /// A text table: each figure beside its bound, the baseline and the ratio to it.
-std::string ToTable(const Report& report);
+std::string ToTable(const ExperimentReport& report);
 
 /// A text table of the figures of two reports side by side with their ratio.
-std::string CompareTable(const Report& left, const Report& right);
+std::string CompareTable(const ExperimentReport& left, const ExperimentReport& right);
 
 /// Rounded for people: four significant digits.
 std::string FormatValue(double value);
--- a/tests/experiment/measurement_test.cc
+++ b/tests/experiment/measurement_test.cc
@@ -13,8 +13,8 @@
 using namespace graniteseam;           // NOLINT
 using namespace graniteseam::testbed;  // NOLINT
 
-Report SampleReport() {
-  Report report{
+ExperimentReport SampleReport() {
+  ExperimentReport report{
       "owner-loss", "fleet", 7, "graniteseam-experiment run owner-loss", "0.1.0", "a machine",
       0.5,          12.5,    {}};
   report.measurement.AddAtMost("key_unavailable_p99_ms", 812.5, 1000.0);
@@ -65,9 +65,9 @@
 }
 
 Test(measurement, a_report_survives_its_json) {
-  const Report report = SampleReport();
+  const ExperimentReport report = SampleReport();
   const auto outcome = Attempt([&] { return ParseReport(ToJson(report), "report.json"); });
-  const auto& parsed = std::get<Report>(outcome);
+  const auto& parsed = std::get<ExperimentReport>(outcome);
   cr_assert_eq(parsed.experiment, report.experiment);
   cr_assert_eq(parsed.seed, report.seed);
   cr_assert_eq(parsed.measurement.remarks, report.measurement.remarks);
