Add TLS to callers', servers' and operators' HTTP, and bound each operator exchange

Cause: credentials, leases and requests crossed the network in the clear, and a caller of the operators' port that sent slowly held a thread for good. The operators' port runs on bounded streams, as the callers' does.

--- a/src/daemon/control/control_driver.cc
+++ b/src/daemon/control/control_driver.cc
@@ -79,6 +79,7 @@
 
 void ControlDriver::Step(std::vector<ControlEvent> events) {
   std::vector<control::ControlEffects> pending;
+  pending.reserve(events.size() + 1);
   for (ControlEvent& event : events) pending.push_back(Apply(std::move(event)));
   const Instant now = platform::BootTimeNow();
   if (now >= node_.NextTick()) pending.push_back(node_.Tick(now, platform::WallMillis()));
--- a/src/daemon/control/control_process.cc
+++ b/src/daemon/control/control_process.cc
@@ -27,6 +27,7 @@
 }
 
 Result<void> ControlProcess::Start() {
+  BOOST_LEAF_CHECK(LoadTls());
   BOOST_LEAF_CHECK(OpenStorage());
   CreateTransport();
   BOOST_LEAF_CHECK(peers_->Load());
@@ -41,6 +42,19 @@
   return {};
 }
 
+Result<void> ControlProcess::LoadTls() {
+  using http::TlsContext;
+  if (!settings_.operator_tls.Empty()) {
+    BOOST_LEAF_ASSIGN(operator_tls_,
+                      TlsContext::Load(TlsContext::Side::kServer, settings_.operator_tls));
+  }
+  if (!settings_.server_tls.Empty()) {
+    BOOST_LEAF_ASSIGN(server_tls_,
+                      TlsContext::Load(TlsContext::Side::kClient, settings_.server_tls));
+  }
+  return {};
+}
+
 Result<void> ControlProcess::OpenStorage() {
   storage::StorageOptions options;
   options.folder = settings_.data_folder;
@@ -88,11 +102,14 @@
 }
 
 void ControlProcess::CreateClients() {
+  http::LeaseClientOptions lease_options;
+  lease_options.tls = server_tls_;
   lease_client_ = std::make_unique<http::LeaseClient>(
-      http::LeaseClientOptions{}, loop_, metrics_,
+      std::move(lease_options), loop_, metrics_,
       [this](const lease::LeaseAnswer& answer) { queue_.Push(ServerAnswered{answer}); });
   http::PlatformPollerOptions options;
   options.addresses = settings_.platform;
+  options.tls = server_tls_;
   platform_poller_ = std::make_unique<http::PlatformPoller>(
       std::move(options), loop_, metrics_, [this] { return driver_->status().leading; },
       [this](const control::PlatformList& list) { queue_.Push(PlatformListed{list}); });
@@ -119,6 +136,7 @@
   http::OperatorServerOptions options;
   options.address = settings_.http_address;
   options.operators = settings_.operators;
+  options.tls = operator_tls_;
   http::OperatorServerHooks hooks;
   hooks.execute = [this](control::OperatorRequest request) {
     return desk_.Execute(std::move(request));
--- a/src/daemon/control/control_process.h
+++ b/src/daemon/control/control_process.h
@@ -43,6 +43,7 @@
 
  private:
   Result<void> OpenStorage();
+  Result<void> LoadTls();
   void CreateDriver();
   void CreateTransport();
   void CreateClients();
@@ -59,6 +60,8 @@
   platform::EventLoop loop_;
   ControlEventQueue queue_;
   OperatorDesk desk_{queue_};
+  std::shared_ptr<http::TlsContext> operator_tls_;
+  std::shared_ptr<http::TlsContext> server_tls_;
   storage::PosixFileSystem files_;
   std::unique_ptr<storage::ConsensusStorage> storage_;
   std::unique_ptr<protocol::PeerTransport> peers_;
--- a/src/daemon/control/control_settings.cc
+++ b/src/daemon/control/control_settings.cc
@@ -123,6 +123,8 @@
                       settings.reviewers);
   DeclareTimes(reader, settings);
   protocol::AddInternalSecuritySettings(reader, settings.security, &settings.peer_address, nullptr);
+  http::AddServerTlsSettings(reader, settings.operator_tls, &settings.http_address);
+  http::AddUpstreamTlsSettings(reader, settings.server_tls);
   reader.AddLogSettings();
   reader.AddCheck([&settings](std::vector<SettingFault>& faults) {
     CheckFirstVoters(settings, faults);
--- a/src/daemon/control/control_settings.h
+++ b/src/daemon/control/control_settings.h
@@ -8,6 +8,7 @@
 
 #include "graniteseam/consensus/types.h"
 #include "graniteseam/control/control_node.h"
+#include "src/http/tls.h"
 #include "src/platform/settings.h"
 #include "src/protocol/internal_security.h"
 
@@ -25,6 +26,8 @@
   platform::TextTable operators;
   platform::TextTable reviewers;
   protocol::InternalSecurity security;
+  http::TlsFiles operator_tls;
+  http::TlsFiles server_tls;
   control::ControlOptions node;
 
   std::vector<consensus::Member> first_voters;  ///< Read from `bootstrap`; disks 0.
--- a/src/daemon/operator_cli/main.cc
+++ b/src/daemon/operator_cli/main.cc
@@ -20,6 +20,7 @@
   http::OperatorClientOptions client_options;
   client_options.control = options.control;
   client_options.time_limit = options.time_limit;
+  client_options.authorities_file = options.tls_ca;
   if (!options.credential_file.empty()) {
     BOOST_LEAF_ASSIGN(client_options.credential, ReadFirstLine(options.credential_file));
   }
--- a/src/daemon/operator_cli/options.cc
+++ b/src/daemon/operator_cli/options.cc
@@ -7,6 +7,9 @@
                         options.control);
   reader.AddText("credential_file", "File whose first line is your credential.",
                  options.credential_file);
+  reader.AddText("tls_ca",
+                 "Authorities (PEM) of control's certificates; needed beyond this machine.",
+                 options.tls_ca);
   reader.AddText("reviewer", "Your name as reviewer, for bundle sign.", options.reviewer);
   reader.AddText("key_file", "File of your private key, for bundle sign and key generate.",
                  options.key_file);
--- a/src/daemon/operator_cli/options.h
+++ b/src/daemon/operator_cli/options.h
@@ -15,6 +15,7 @@
 struct Options {
   std::vector<platform::SocketAddress> control;
   std::string credential_file;
+  std::string tls_ca;
   std::string reviewer;
   std::string key_file;
   std::string digest;
--- a/src/daemon/router/main.cc
+++ b/src/daemon/router/main.cc
@@ -28,6 +28,8 @@
   platform::SocketAddress http_address;
   std::vector<platform::SocketAddress> control;
   protocol::InternalSecurity security;
+  http::TlsFiles caller_tls;
+  http::TlsFiles server_tls;
   std::int64_t connections_maximum = 4096;
   Duration drain{1'000'000};
   Duration stop_maximum{35'000'000};
@@ -54,10 +56,31 @@
   reader.AddMilliseconds("stop_maximum_ms", "How long a stop waits for requests in flight.",
                          settings.stop_maximum, Duration{0}, Duration{600'000'000});
   protocol::AddInternalSecuritySettings(reader, settings.security, nullptr, &settings.control);
+  http::AddServerTlsSettings(reader, settings.caller_tls, &settings.http_address);
+  http::AddUpstreamTlsSettings(reader, settings.server_tls);
   reader.AddLogSettings();
   return reader.Read(argc, argv);
 }
 
+/// Null when no files are set.
+Result<std::shared_ptr<http::TlsContext>> LoadTls(http::TlsContext::Side side,
+                                                  const http::TlsFiles& files) {
+  if (files.Empty()) return std::shared_ptr<http::TlsContext>();
+  return http::TlsContext::Load(side, files);
+}
+
+struct RouterTls {
+  std::shared_ptr<http::TlsContext> callers;
+  std::shared_ptr<http::TlsContext> servers;
+};
+
+Result<RouterTls> LoadRouterTls(const RouterSettings& settings) {
+  RouterTls tls;
+  BOOST_LEAF_ASSIGN(tls.callers, LoadTls(http::TlsContext::Side::kServer, settings.caller_tls));
+  BOOST_LEAF_ASSIGN(tls.servers, LoadTls(http::TlsContext::Side::kClient, settings.server_tls));
+  return tls;
+}
+
 /// Answers on open connections go on for the drain, then requests in flight are finished.
 void StopInOrder(const RouterSettings& settings, http::CallerServer& server,
                  http::RequestDriver& driver, std::atomic<bool>& stopping) {
@@ -76,7 +99,7 @@
   }
 }
 
-int Run(const RouterSettings& settings, platform::StopSignals& stop_signals) {
+int Run(const RouterSettings& settings, const RouterTls& tls, platform::StopSignals& stop_signals) {
   const platform::Logger log("router");
   platform::MetricsRegistry metrics;
   daemon::RouterMetrics router_metrics(metrics);
@@ -86,6 +109,7 @@
   driver_options.node.router = {settings.id};
   driver_options.node.zone = {settings.zone};
   driver_options.seed = platform::RandomBits();
+  driver_options.upstream.tls = tls.servers;
   // Null until the client stands; what is sent before is asked for again on the first connection.
   std::atomic<protocol::RouterControlClient*> control{nullptr};
   http::RequestDriver driver(
@@ -97,6 +121,7 @@
 
   http::CallerServerOptions server_options;
   server_options.router = {settings.id};
+  server_options.tls = tls.callers;
   server_options.connections_maximum = static_cast<std::size_t>(settings.connections_maximum);
   http::CallerServer server(
       server_options,
@@ -158,5 +183,10 @@
   RouterSettings settings;
   if (const std::optional<int> exit_code = ReadSettings(argc, argv, settings)) return *exit_code;
   platform::StopSignals stop_signals;
-  return Run(settings, stop_signals);
+  const auto tls = Attempt([&] { return LoadRouterTls(settings); });
+  if (const Error* error = ErrorOf(tls)) {
+    platform::Logger("router").Error(*error);
+    return platform::kExitInvalidSettings;
+  }
+  return Run(settings, std::get<RouterTls>(tls), stop_signals);
 }
--- a/src/http/async_http_client.cc
+++ b/src/http/async_http_client.cc
@@ -4,7 +4,12 @@
 // Beast's templates compare with 0 where they are instantiated, which is here.
 #pragma GCC diagnostic ignored "-Wzero-as-null-pointer-constant"
 
+#include <openssl/ssl.h>
+#include <openssl/x509v3.h>
+
 #include <boost/asio/ip/address.hpp>
+#include <boost/asio/ssl/context.hpp>
+#include <boost/asio/ssl/stream.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <optional>
@@ -41,8 +46,10 @@
 /// One connection with its buffers. Lives as long as an operation is under way on it.
 class AsyncHttpClient::Session : public std::enable_shared_from_this<Session> {
  public:
-  Session(platform::EventLoop& loop, platform::SocketAddress address)
-      : stream_(loop.context()), address_(std::move(address)) {}
+  Session(platform::EventLoop& loop, platform::SocketAddress address, TlsContext* tls)
+      : stream_(loop.context()), address_(std::move(address)) {
+    if (tls != nullptr) UseTls(*tls);
+  }
 
   void Start(HttpCall call, Duration limit, Handler handler);
   /// Drops the handler, so that nothing of the call under way is told any more.
@@ -56,7 +63,12 @@
 
  private:
   void Close();
+  void UseTls(TlsContext& tls);
+  void Connect();
+  void OnConnected();
   void Prepare(HttpCall call);
+  template <class Operation>
+  void OnStream(Operation operation);
   void Write();
   void OnWritten(ErrorCode error);
   void OnRead(ErrorCode error);
@@ -64,6 +76,8 @@
   void FailWith(ErrorCode error);
 
   beast::tcp_stream stream_;
+  std::optional<asio::ssl::context> tls_context_;
+  std::optional<asio::ssl::stream<beast::tcp_stream&>> tls_stream_;  ///< Present when TLS is on.
   platform::SocketAddress address_;
   beast::flat_buffer buffer_;
   beast::http::request<beast::http::string_body> request_;
@@ -78,16 +92,47 @@
   Prepare(std::move(call));
   stream_.expires_after(limit);
   if (connected_) return Write();
+  Connect();
+}
+
+void AsyncHttpClient::Session::UseTls(TlsContext& tls) {
+  const std::shared_ptr<SSL_CTX> context = tls.Current();
+  SSL_CTX_up_ref(context.get());  // asio's context gives it back.
+  tls_context_.emplace(context.get());
+  tls_stream_.emplace(stream_, *tls_context_);
+  X509_VERIFY_PARAM_set1_ip_asc(SSL_get0_param(tls_stream_->native_handle()), address_.ip.c_str());
+}
+
+/// Runs `operation` on the TLS stream or, when TLS is off, on the plain one.
+template <class Operation>
+void AsyncHttpClient::Session::OnStream(Operation operation) {
+  if (tls_stream_) {
+    operation(*tls_stream_);
+  } else {
+    operation(stream_);
+  }
+}
+
+void AsyncHttpClient::Session::Connect() {
   const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(address_.ip), address_.port);
   stream_.async_connect(endpoint, [self = shared_from_this()](ErrorCode error) {
     if (error) return self->FailWith(error);
-    self->connected_ = true;
-    ErrorCode ignored;
-    self->stream_.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
-    self->Write();
+    self->OnConnected();
   });
 }
 
+void AsyncHttpClient::Session::OnConnected() {
+  connected_ = true;
+  ErrorCode ignored;
+  stream_.socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+  if (!tls_stream_) return Write();
+  tls_stream_->async_handshake(asio::ssl::stream_base::client,
+                               [self = shared_from_this()](ErrorCode error) {
+                                 if (error) return self->FailWith(error);
+                                 self->Write();
+                               });
+}
+
 void AsyncHttpClient::Session::Prepare(HttpCall call) {
   request_ = {};
   request_.version(11);
@@ -102,18 +147,23 @@
 }
 
 void AsyncHttpClient::Session::Write() {
-  beast::http::async_write(stream_, request_,
-                           [self = shared_from_this()](ErrorCode error, std::size_t /*bytes*/) {
-                             self->OnWritten(error);
-                           });
+  OnStream([this](auto& stream) {
+    beast::http::async_write(stream, request_,
+                             [self = shared_from_this()](ErrorCode error, std::size_t /*bytes*/) {
+                               self->OnWritten(error);
+                             });
+  });
 }
 
 void AsyncHttpClient::Session::OnWritten(ErrorCode error) {
   if (error) return FailWith(error);
-  beast::http::async_read(stream_, buffer_, *response_,
-                          [self = shared_from_this()](ErrorCode read_error, std::size_t /*bytes*/) {
-                            self->OnRead(read_error);
-                          });
+  OnStream([this](auto& stream) {
+    beast::http::async_read(
+        stream, buffer_, *response_,
+        [self = shared_from_this()](ErrorCode read_error, std::size_t /*bytes*/) {
+          self->OnRead(read_error);
+        });
+  });
 }
 
 void AsyncHttpClient::Session::OnRead(ErrorCode error) {
@@ -140,13 +190,21 @@
   stream_.close();
 }
 
-AsyncHttpClient::AsyncHttpClient(platform::EventLoop& loop, platform::SocketAddress address)
-    : loop_(loop), address_(std::move(address)) {}
+AsyncHttpClient::AsyncHttpClient(platform::EventLoop& loop, platform::SocketAddress address,
+                                 std::shared_ptr<TlsContext> tls)
+    : loop_(loop), address_(std::move(address)), tls_(std::move(tls)) {}
 
 AsyncHttpClient::~AsyncHttpClient() { Abandon(); }
 
 void AsyncHttpClient::Start(HttpCall call, Duration limit, Handler handler) {
-  if (!session_ || !session_->usable()) session_ = std::make_shared<Session>(loop_, address_);
+  if (!tls_ && !platform::IsLoopback(address_)) {
+    return handler(Error{ErrorKind::kPermissionDenied,
+                         ToString(address_) + " is not on this machine and TLS is off.",
+                         "Set server_tls_ca, or use loopback addresses only."});
+  }
+  if (!session_ || !session_->usable()) {
+    session_ = std::make_shared<Session>(loop_, address_, tls_.get());
+  }
   session_->Start(std::move(call), limit, std::move(handler));
 }
 
--- a/src/http/async_http_client.h
+++ b/src/http/async_http_client.h
@@ -9,6 +9,7 @@
 
 #include "graniteseam/common/error.h"
 #include "graniteseam/common/time.h"
+#include "src/http/tls.h"
 #include "src/platform/event_loop.h"
 #include "src/platform/socket_address.h"
 
@@ -34,7 +35,9 @@
  public:
   using Handler = std::function<void(const Outcome<HttpReply>& reply)>;
 
-  AsyncHttpClient(platform::EventLoop& loop, platform::SocketAddress address);
+  /// @param tls null for plain HTTP, which only a loopback address gets.
+  AsyncHttpClient(platform::EventLoop& loop, platform::SocketAddress address,
+                  std::shared_ptr<TlsContext> tls = nullptr);
   /// Abandons the call under way; its handler is not called any more.
   ~AsyncHttpClient();
   AsyncHttpClient(const AsyncHttpClient&) = delete;
@@ -56,6 +59,7 @@
 
   platform::EventLoop& loop_;
   platform::SocketAddress address_;
+  std::shared_ptr<TlsContext> tls_;
   std::shared_ptr<Session> session_;
 };
 
--- a/src/http/bounded_stream.cc
+++ b/src/http/bounded_stream.cc
@@ -1,5 +1,8 @@
 #include "src/http/bounded_stream.h"
 
+#include <fcntl.h>
+#include <openssl/err.h>
+#include <openssl/ssl.h>
 #include <poll.h>
 #include <sys/socket.h>
 #include <sys/time.h>
@@ -8,6 +11,7 @@
 #include <cerrno>
 #include <cstdint>
 #include <cstring>
+#include <utility>
 
 #include "src/platform/clock.h"
 
@@ -56,8 +60,83 @@
   return false;
 }
 
+bool BoundedStream::StartTls(TlsSession session) {
+  ::fcntl(descriptor_, F_SETFL, ::fcntl(descriptor_, F_GETFL) | O_NONBLOCK);
+  tls_ = std::move(session);
+  for (;;) {
+    ERR_clear_error();
+    const int done = SSL_do_handshake(tls_.get());
+    if (done == 1) return true;
+    if (!WaitForTls(done)) return false;
+  }
+}
+
+/// Waits for what TLS said it needs. @return false when it can not go on.
+bool BoundedStream::WaitForTls(int result) {
+  switch (SSL_get_error(tls_.get(), result)) {
+    case SSL_ERROR_WANT_READ:
+      return WaitFor(POLLIN);
+    case SSL_ERROR_WANT_WRITE:
+      return WaitFor(POLLOUT);
+    default:
+      return false;
+  }
+}
+
+bool BoundedStream::HasUnreadBytes() const {
+  return read_position_ < read_end_ || (tls_ && SSL_pending(tls_.get()) > 0);
+}
+
+bool BoundedStream::Silent() {
+  if (HasUnreadBytes()) return false;
+  char byte = 0;
+  if (tls_) {
+    // Takes in session tickets, which some servers send after the handshake.
+    ERR_clear_error();
+    const int peeked = SSL_peek(tls_.get(), &byte, 1);
+    return peeked <= 0 && SSL_get_error(tls_.get(), peeked) == SSL_ERROR_WANT_READ;
+  }
+  return ::recv(descriptor_, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
+         (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+ssize_t BoundedStream::ReceiveTls(std::size_t size) {
+  for (;;) {
+    ERR_clear_error();
+    const int received = SSL_read(tls_.get(), read_buffer_.data(), static_cast<int>(size));
+    if (received > 0) return received;
+    // An end without TLS's own goodbye is an error: it may be a cut.
+    if (SSL_get_error(tls_.get(), received) == SSL_ERROR_ZERO_RETURN) return 0;
+    if (!WaitForTls(received)) return -1;
+  }
+}
+
+ssize_t BoundedStream::TransmitTls(const char* data, std::size_t size) {
+  for (;;) {
+    ERR_clear_error();
+    // A part of a record may reach the kernel before the call says so: from here on nobody may
+    // claim that nothing was sent.
+    sent_ = std::max<std::size_t>(sent_, 1);
+    const int sent = SSL_write(tls_.get(), data, static_cast<int>(size));
+    if (sent > 0) return sent;
+    if (!WaitForTls(sent)) return -1;
+  }
+}
+
+ssize_t BoundedStream::Transmit(const char* data, std::size_t size) {
+  if (tls_) return TransmitTls(data, size);
+  for (;;) {
+    const ssize_t sent = ::send(descriptor_, data, size, MSG_NOSIGNAL | MSG_DONTWAIT);
+    if (sent > 0) return sent;
+    if (sent < 0 && errno == EINTR) continue;
+    if (sent < 0 && (errno == EAGAIN || errno == EWOULDBLOCK) && WaitFor(POLLOUT)) continue;
+    return -1;
+  }
+}
+
 ssize_t BoundedStream::Receive() {
   const std::size_t size = std::min(read_buffer_.size(), read_left_);
+  if (tls_) return ReceiveTls(size);
   for (;;) {
     const Duration left = deadline_ - platform::BootTimeNow();
     const bool last_tick = left <= tick_;
@@ -70,7 +149,7 @@
 }
 
 bool BoundedStream::Await() {
-  if (HasUnreadBytes()) return true;
+  if (read_position_ < read_end_) return true;
   if (!write_buffer_.empty() && !Flush()) return false;
   if (read_left_ == 0) {
     limit_reached_ = true;
@@ -104,20 +183,14 @@
 bool BoundedStream::Flush() {
   std::size_t done = 0;
   while (done < write_buffer_.size()) {
-    const ssize_t sent = ::send(descriptor_, write_buffer_.data() + done,
-                                write_buffer_.size() - done, MSG_NOSIGNAL | MSG_DONTWAIT);
-    if (sent > 0) {
-      done += static_cast<std::size_t>(sent);
-      sent_ += static_cast<std::size_t>(sent);
-      continue;
-    }
-    if (sent < 0 && errno == EINTR) continue;
-    if (sent < 0 && (errno == EAGAIN || errno == EWOULDBLOCK) && WaitFor(POLLOUT)) continue;
-    write_buffer_.clear();
-    return false;
+    const ssize_t sent = Transmit(write_buffer_.data() + done, write_buffer_.size() - done);
+    if (sent <= 0) break;
+    done += static_cast<std::size_t>(sent);
+    sent_ += static_cast<std::size_t>(sent);
   }
+  const bool whole = done == write_buffer_.size();
   write_buffer_.clear();
-  return true;
+  return whole;
 }
 
 }  // namespace graniteseam::http
--- a/src/http/bounded_stream.h
+++ b/src/http/bounded_stream.h
@@ -11,6 +11,7 @@
 #include <string>
 
 #include "graniteseam/common/time.h"
+#include "src/http/tls.h"
 
 namespace graniteseam::http {
 
@@ -26,6 +27,10 @@
   /// @param tick greater than 0; the socket's receive time-out from now on.
   BoundedStream(int descriptor, Duration tick);
 
+  /// Speaks TLS from now on: runs the handshake within the deadline of Begin(). The socket no
+  /// longer blocks then, since one read of TLS may need several of the kernel.
+  bool StartTls(TlsSession session);
+
   /// Begins an exchange.
   /// @param read_maximum bytes that may be read in it; more counts as an error.
   void Begin(Instant deadline, std::size_t read_maximum);
@@ -37,7 +42,9 @@
   /// Whether the kernel was handed any byte since Begin().
   bool AnythingSent() const { return sent_ > 0; }
   /// Whether bytes were received that nobody read.
-  bool HasUnreadBytes() const { return read_position_ < read_end_; }
+  bool HasUnreadBytes() const;
+  /// Whether the other side is silent and has not closed; takes TLS's own messages in.
+  bool Silent();
   bool timed_out() const { return timed_out_; }
   bool limit_reached() const { return limit_reached_; }
   bool Flush();
@@ -61,9 +68,15 @@
 
   bool WaitFor(short events);
   ssize_t Receive();
+  ssize_t ReceiveTls(std::size_t size);
+  bool WaitForTls(int result);
+  /// Hands some bytes to the kernel, waiting if need be. @return their count, -1 on error.
+  ssize_t Transmit(const char* data, std::size_t size);
+  ssize_t TransmitTls(const char* data, std::size_t size);
 
   int descriptor_;
   Duration tick_;
+  TlsSession tls_;  ///< Null for a plain connection.
   Instant deadline_{};
   std::size_t read_left_ = 0;
   std::size_t sent_ = 0;
--- a/src/http/caller_server.cc
+++ b/src/http/caller_server.cc
@@ -135,7 +135,9 @@
     const std::lock_guard lock(mutex_);
     connections_.insert(&connection);
   }
-  while (!stopping_ && ServeOne(connection)) {
+  if (BeginConnection(connection)) {
+    while (!stopping_ && ServeOne(connection)) {
+    }
   }
   {
     // Stop() and the watcher use descriptors under the lock: closed only once out of their reach.
@@ -149,6 +151,13 @@
   return true;
 }
 
+bool CallerServer::BeginConnection(Connection& connection) {
+  if (!options_.tls) return true;
+  connection.stream.Begin(platform::BootTimeNow() + options_.read_maximum,
+                          options_.head_bytes_maximum);
+  return connection.stream.StartTls(options_.tls->NewSession(connection.descriptor));
+}
+
 bool CallerServer::ServeOne(Connection& connection) {
   connection.idle = true;
   connection.stream.Begin(platform::BootTimeNow() + options_.idle_maximum,
--- a/src/http/caller_server.h
+++ b/src/http/caller_server.h
@@ -16,6 +16,7 @@
 #include "graniteseam/common/error.h"
 #include "graniteseam/common/time.h"
 #include "src/http/caller_messages.h"
+#include "src/http/tls.h"
 #include "src/platform/socket_address.h"
 
 namespace graniteseam::http {
@@ -28,6 +29,7 @@
   Duration write_maximum{30'000'000};      ///< For writing one whole answer.
   std::size_t head_bytes_maximum = std::size_t{64} << 10;
   Duration watch_interval{20'000};  ///< How often callers that wait are looked at.
+  std::shared_ptr<TlsContext> tls;  ///< Null for plain HTTP.
 };
 
 /// Pages of the process itself, for example /readyz.
@@ -74,6 +76,7 @@
   class Connection;
 
   bool process_and_close_socket(socket_t descriptor) override;
+  bool BeginConnection(Connection& connection);
   bool ServeOne(Connection& connection);
   HandlerResponse BeforeRouting(const httplib::Request& request, httplib::Response& response);
   void TakeBody(const httplib::Request& request, httplib::Response& response,
--- a/src/http/lease_client.cc
+++ b/src/http/lease_client.cc
@@ -65,7 +65,7 @@
 
 LeaseClient::Impl::Impl(LeaseClientOptions options, platform::EventLoop& loop,
                         platform::MetricsRegistry& metrics, AnswerHandler on_answer)
-    : options_(options),
+    : options_(std::move(options)),
       loop_(loop),
       on_answer_(std::move(on_answer)),
       answered_(metrics.Counter(platform::Metric::kControlLeaseCalls, {{"result", "answered"}})),
@@ -96,7 +96,12 @@
   const auto found = servers_.find(id);
   if (found != servers_.end() && found->second.client->address() == wanted) return &found->second;
   if (found != servers_.end()) servers_.erase(found);
-  Server server{std::make_unique<AsyncHttpClient>(loop_, wanted), {}, {}, {}, {}, true,
+  Server server{std::make_unique<AsyncHttpClient>(loop_, wanted, options_.tls),
+                {},
+                {},
+                {},
+                {},
+                true,
                 boost::asio::steady_timer(loop_.context())};
   return &servers_.emplace(id, std::move(server)).first->second;
 }
@@ -185,7 +190,7 @@
 
 LeaseClient::LeaseClient(LeaseClientOptions options, platform::EventLoop& loop,
                          platform::MetricsRegistry& metrics, AnswerHandler on_answer)
-    : impl_(std::make_shared<Impl>(options, loop, metrics, std::move(on_answer))) {}
+    : impl_(std::make_shared<Impl>(std::move(options), loop, metrics, std::move(on_answer))) {}
 
 LeaseClient::~LeaseClient() { impl_->HangUp(); }
 
--- a/src/http/lease_client.h
+++ b/src/http/lease_client.h
@@ -9,6 +9,7 @@
 #include <string>
 
 #include "graniteseam/lease/grant.h"
+#include "src/http/tls.h"
 #include "src/platform/event_loop.h"
 #include "src/platform/metrics.h"
 
@@ -22,6 +23,7 @@
   Duration call_maximum{2'000'000};
   /// Servers without a message for so long are hung up on.
   Duration forget_after{60'000'000};
+  std::shared_ptr<TlsContext> tls;  ///< Null for plain HTTP, which only loopback addresses get.
 };
 
 /// While a call is under way, the newest message to that server waits and replaces one that waited:
--- a/src/http/operator_client.cc
+++ b/src/http/operator_client.cc
@@ -33,6 +33,14 @@
   return std::get<SocketAddress>(parsed);
 }
 
+/// A credential must not leave the machine in the clear.
+OperatorProblem PlainRefused(const SocketAddress& address) {
+  return {{ErrorKind::kPermissionDenied,
+           ToString(address) + " is not on this machine, and no authorities for TLS are set.",
+           "Set tls_ca to the authorities that signed the control processes' certificates."},
+          ""};
+}
+
 Error TransportError(const SocketAddress& address, httplib::Error error) {
   return {ErrorKind::kTransport,
           ToString(address) + " gave no answer (" + httplib::to_string(error) + ").",
@@ -100,7 +108,11 @@
                                                    const OperatorCall& call, Instant end) const {
   const Duration left = std::max(kAttemptMinimum, end - platform::BootTimeNow());
   // A client of its own for each attempt: none is ever sent again over a kept connection.
-  httplib::Client client(address.ip, address.port);
+  const bool tls = !options_.authorities_file.empty();
+  if (!tls && !platform::IsLoopback(address))
+    return {AttemptEnd::kNotSent, "", PlainRefused(address)};
+  httplib::Client client((tls ? "https://" : "http://") + ToString(address));
+  if (tls) client.set_ca_cert_path(options_.authorities_file);
   client.set_connection_timeout(std::min(options_.connection_time_limit, left));
   client.set_read_timeout(std::min(options_.answer_time_limit, left));
   client.set_write_timeout(std::min(options_.answer_time_limit, left));
--- a/src/http/operator_client.h
+++ b/src/http/operator_client.h
@@ -19,7 +19,8 @@
   Duration connection_time_limit{1'000'000};
   /// Of one answer. A paused process still accepts connections, so this finds it out.
   Duration answer_time_limit{3'000'000};
-  Duration pause{200'000};  ///< After each round of attempts that led nowhere.
+  std::string authorities_file;  ///< PEM; empty for plain HTTP, which only loopback gets.
+  Duration pause{200'000};       ///< After each round of attempts that led nowhere.
 };
 
 /// One call of docs/interface/operators.md.
--- a/src/http/operator_credentials.cc
+++ b/src/http/operator_credentials.cc
@@ -13,7 +13,7 @@
 namespace {
 
 constexpr std::string_view kScheme = "Bearer ";
-constexpr std::size_t kDigestCharacters = 2 * SHA256_DIGEST_LENGTH;
+constexpr std::size_t kDigestCharacters = std::size_t{2} * SHA256_DIGEST_LENGTH;
 
 std::string Sha256Hex(std::string_view text) {
   std::array<unsigned char, SHA256_DIGEST_LENGTH> hash{};
--- a/src/http/operator_server.cc
+++ b/src/http/operator_server.cc
@@ -1,13 +1,20 @@
 #include "src/http/operator_server.h"
 
 #include <httplib.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
+#include <atomic>
 #include <thread>
 #include <utility>
 
+#include "src/http/bounded_stream.h"
 #include "src/http/operator_credentials.h"
 #include "src/http/operator_json.h"
 #include "src/http/operator_requests.h"
+#include "src/platform/clock.h"
 #include "src/platform/log.h"
 
 namespace graniteseam::http {
@@ -18,8 +25,13 @@
 constexpr int kStatusOk = 200;
 constexpr int kStatusTooLarge = 413;
 constexpr int kStatusUnavailable = 503;
-constexpr time_t kReadSeconds = 5;
-constexpr time_t kKeepAliveSeconds = 30;
+constexpr std::size_t kHeadBytesMaximum = std::size_t{64} << 10;
+/// How often a connection that waits for a request looks whether the server stops.
+constexpr Duration kStopLook{200'000};
+
+/// Set when what follows in this thread's connection can not be told apart any more; cpp-httplib's
+/// handlers do not say which connection they serve.
+thread_local bool must_close = false;
 
 void AnswerProblem(httplib::Response& response, const OperatorProblem& problem) {
   response.status = HttpStatus(problem.error.kind);
@@ -36,20 +48,25 @@
 
 }  // namespace
 
-class OperatorServer::Impl {
+/// cpp-httplib's server on streams that bound the time and the bytes of each exchange, so that a
+/// caller that sends slowly gives its thread back.
+class OperatorServer::Impl : private httplib::Server {
  public:
   Impl(OperatorServerOptions options, platform::MetricsRegistry& metrics, OperatorServerHooks hooks)
       : options_(std::move(options)),
         metrics_(metrics),
         hooks_(std::move(hooks)),
         credentials_(options_.operators) {}
-  ~Impl() { Stop(); }
+  ~Impl() override { Stop(); }
 
   Result<void> Start();
   void Stop();
   std::uint16_t port() const { return port_; }
 
  private:
+  bool process_and_close_socket(socket_t descriptor) override;
+  void Serve(int descriptor);
+  bool AwaitRequest(const BoundedStream& stream, int descriptor) const;
   void SetLimits();
   void SetRoutes();
   void Answer(const httplib::Request& request, httplib::Response& response);
@@ -63,7 +80,7 @@
   platform::MetricsRegistry& metrics_;
   OperatorServerHooks hooks_;
   OperatorCredentials credentials_;
-  httplib::Server server_;
+  std::atomic<bool> stopping_{false};
   std::thread thread_;
   std::uint16_t port_ = 0;
   platform::Logger log_{"control.operators"};
@@ -75,8 +92,8 @@
   const platform::SocketAddress& address = options_.address;
   int bound = -1;
   if (address.port == 0) {
-    bound = server_.bind_to_any_port(address.ip.c_str());
-  } else if (server_.bind_to_port(address.ip.c_str(), address.port)) {
+    bound = bind_to_any_port(address.ip.c_str());
+  } else if (bind_to_port(address.ip.c_str(), address.port)) {
     bound = address.port;
   }
   if (bound < 0) {
@@ -84,25 +101,62 @@
                 "Free the port, or set another http_address.");
   }
   port_ = static_cast<std::uint16_t>(bound);
-  thread_ = std::thread([this] { server_.listen_after_bind(); });
-  while (!server_.is_running()) std::this_thread::yield();
+  thread_ = std::thread([this] { listen_after_bind(); });
+  while (!is_running()) std::this_thread::yield();
   return {};
 }
 
 void OperatorServer::Impl::Stop() {
-  server_.stop();
+  stopping_ = true;
+  stop();
   if (thread_.joinable()) thread_.join();
 }
 
+bool OperatorServer::Impl::process_and_close_socket(socket_t descriptor) {
+  const int on = 1;
+  ::setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+  Serve(descriptor);
+  ::shutdown(descriptor, SHUT_RDWR);
+  ::close(descriptor);
+  return true;
+}
+
+void OperatorServer::Impl::Serve(int descriptor) {
+  BoundedStream stream(descriptor, kStopLook);
+  const auto begin = [&] {
+    stream.Begin(platform::BootTimeNow() + options_.exchange_maximum,
+                 options_.body_bytes_maximum + kHeadBytesMaximum);
+  };
+  begin();
+  if (options_.tls && !stream.StartTls(options_.tls->NewSession(descriptor))) return;
+  bool close_asked = false;
+  while (!close_asked && !stopping_ && AwaitRequest(stream, descriptor)) {
+    begin();
+    must_close = false;
+    if (!process_request(stream, false, close_asked, nullptr) || !stream.Flush()) return;
+    if (must_close || stream.timed_out() || stream.limit_reached()) return;
+  }
+}
+
+/// @return false when none came in time or the server stops.
+bool OperatorServer::Impl::AwaitRequest(const BoundedStream& stream, int descriptor) const {
+  const Instant end = platform::BootTimeNow() + options_.idle_maximum;
+  while (!stopping_ && platform::BootTimeNow() < end) {
+    if (stream.HasUnreadBytes()) return true;
+    pollfd source{descriptor, POLLIN, 0};
+    const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(kStopLook);
+    if (::poll(&source, 1, static_cast<int>(wait.count())) > 0) return true;
+  }
+  return false;
+}
+
 void OperatorServer::Impl::SetLimits() {
-  server_.new_task_queue = [count = options_.connections_maximum] {
+  new_task_queue = [count = options_.connections_maximum] {
     return new httplib::ThreadPool(count);
   };
-  server_.set_payload_max_length(options_.body_bytes_maximum);
-  server_.set_read_timeout(kReadSeconds);
-  server_.set_write_timeout(kReadSeconds);
-  server_.set_keep_alive_timeout(kKeepAliveSeconds);
-  server_.set_tcp_nodelay(true);
+  set_payload_max_length(options_.body_bytes_maximum);
+  set_keep_alive_timeout(
+      std::chrono::duration_cast<std::chrono::seconds>(options_.idle_maximum).count());
 }
 
 void OperatorServer::Impl::SetRoutes() {
@@ -110,20 +164,21 @@
     Answer(request, response);
     Count(response);
   };
-  server_.Get(".*", answer);
-  server_.Post(".*", answer);
+  Get(".*", answer);
+  Post(".*", answer);
   // Answers that cpp-httplib makes by itself, for example 413 and 400, get a problem body too.
   const httplib::Server::Handler explain = [this](const httplib::Request& /*request*/,
                                                   httplib::Response& response) {
     ExplainRefusal(response);
   };
-  server_.set_error_handler(explain);
+  set_error_handler(explain);
 }
 
 /// Answers that cpp-httplib makes by itself, for example 413 and 400, get a problem body too.
 void OperatorServer::Impl::ExplainRefusal(httplib::Response& response) {
   if (!response.body.empty()) return;
   const int status = response.status;
+  must_close = true;
   AnswerProblem(response,
                 {{status == kStatusTooLarge ? ErrorKind::kTooLarge : ErrorKind::kInvalidArgument,
                   "The request was refused with status " + std::to_string(status) + ".",
--- a/src/http/operator_server.h
+++ b/src/http/operator_server.h
@@ -11,6 +11,7 @@
 #include "graniteseam/common/error.h"
 #include "graniteseam/consensus/types.h"
 #include "graniteseam/control/operator_messages.h"
+#include "src/http/tls.h"
 #include "src/platform/metrics.h"
 #include "src/platform/socket_address.h"
 
@@ -20,7 +21,10 @@
   platform::SocketAddress address;
   std::map<std::string, std::string> operators;  ///< Name -> SHA-256 hex of the credential.
   std::size_t body_bytes_maximum = std::size_t{2} << 20;
-  std::size_t connections_maximum = 64;  ///< Each has a thread; more wait.
+  std::size_t connections_maximum = 64;   ///< Each has a thread; more wait.
+  Duration idle_maximum{30'000'000};      ///< A connection without a request is closed then.
+  Duration exchange_maximum{15'000'000};  ///< For reading a whole request and answering it.
+  std::shared_ptr<TlsContext> tls;        ///< Null for plain HTTP.
 };
 
 /// What the server asks of the process. All are called from the server's threads.
--- a/src/http/platform_poller.cc
+++ b/src/http/platform_poller.cc
@@ -87,7 +87,8 @@
 
 void PlatformPoller::Impl::Begin() {
   for (const platform::SocketAddress& address : options_.addresses) {
-    sources_.push_back({std::make_unique<AsyncHttpClient>(loop_, address), {}, true});
+    Source& source = sources_.emplace_back();
+    source.client = std::make_unique<AsyncHttpClient>(loop_, address, options_.tls);
   }
   Poll();
 }
--- a/src/http/platform_poller.h
+++ b/src/http/platform_poller.h
@@ -9,6 +9,7 @@
 
 #include "graniteseam/common/error.h"
 #include "graniteseam/control/operator_messages.h"
+#include "src/http/tls.h"
 #include "src/platform/event_loop.h"
 #include "src/platform/metrics.h"
 #include "src/platform/socket_address.h"
@@ -23,6 +24,7 @@
   std::vector<platform::SocketAddress> addresses;
   Duration interval{1'000'000};
   Duration call_limit{800'000};
+  std::shared_ptr<TlsContext> tls;  ///< Null for plain HTTP, which only loopback addresses get.
 };
 
 /// Asks all addresses each interval and hands on each list that was read. Several addresses are
--- a/src/http/upstream_client.cc
+++ b/src/http/upstream_client.cc
@@ -119,7 +119,8 @@
   if (ErrorOf(address) != nullptr) return nullptr;
   return UpstreamConnection::Open(
       std::get<platform::SocketAddress>(address),
-      std::min(send.give_up_at, platform::BootTimeNow() + options_.connect_maximum));
+      std::min(send.give_up_at, platform::BootTimeNow() + options_.connect_maximum),
+      options_.tls.get());
 }
 
 UpstreamAnswer UpstreamClient::Run(const routing::AttemptSend& send,
--- a/src/http/upstream_client.h
+++ b/src/http/upstream_client.h
@@ -14,6 +14,7 @@
 
 #include "graniteseam/common/time.h"
 #include "graniteseam/routing/messages.h"
+#include "src/http/tls.h"
 #include "src/http/upstream_pool.h"
 
 namespace graniteseam::http {
@@ -38,6 +39,7 @@
 struct UpstreamOptions {
   Duration connect_maximum{1'000'000};
   std::size_t answer_bytes_maximum = std::size_t{16} << 20;
+  std::shared_ptr<TlsContext> tls;  ///< Null for plain HTTP, which only loopback addresses get.
 };
 
 /// Runs attempts over pooled connections, each carrying one request at a time.
@@ -47,7 +49,7 @@
 /// safe.
 class UpstreamClient {
  public:
-  explicit UpstreamClient(UpstreamOptions options = {}) : options_(options) {}
+  explicit UpstreamClient(UpstreamOptions options = {}) : options_(std::move(options)) {}
 
   /// Announces an attempt, so that it can be cancelled before it starts.
   void Announce(routing::AttemptNumber attempt);
--- a/src/http/upstream_connection.cc
+++ b/src/http/upstream_connection.cc
@@ -3,8 +3,6 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#include <cerrno>
-
 #include "src/http/socket_connect.h"
 
 namespace graniteseam::http {
@@ -32,10 +30,16 @@
 }  // namespace
 
 std::unique_ptr<UpstreamConnection> UpstreamConnection::Open(const platform::SocketAddress& address,
-                                                             Instant deadline) {
+                                                             Instant deadline, TlsContext* tls) {
+  if (tls == nullptr && !platform::IsLoopback(address)) return nullptr;
   const int descriptor = ConnectWithin(address, deadline);
   if (descriptor < 0) return nullptr;
-  return std::unique_ptr<UpstreamConnection>(new UpstreamConnection(address, descriptor));
+  auto connection =
+      std::unique_ptr<UpstreamConnection>(new UpstreamConnection(address, descriptor));
+  if (tls == nullptr) return connection;
+  connection->stream_.Begin(deadline, kHeadBytesMaximum);
+  if (!connection->stream_.StartTls(tls->NewSession(descriptor, address.ip))) return nullptr;
+  return connection;
 }
 
 UpstreamConnection::UpstreamConnection(const platform::SocketAddress& address, int descriptor)
@@ -59,12 +63,7 @@
   return ExchangeEnd::kWhole;
 }
 
-bool UpstreamConnection::Reusable() {
-  if (stream_.HasUnreadBytes()) return false;
-  char byte = 0;
-  return ::recv(descriptor_, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
-         (errno == EAGAIN || errno == EWOULDBLOCK);
-}
+bool UpstreamConnection::Reusable() { return stream_.Silent(); }
 
 void UpstreamConnection::Cancel() { ::shutdown(descriptor_, SHUT_RDWR); }
 
--- a/src/http/upstream_connection.h
+++ b/src/http/upstream_connection.h
@@ -33,9 +33,10 @@
 /// Exchange() is for one thread at a time; Cancel() may come from any.
 class UpstreamConnection : private httplib::ClientImpl {
  public:
+  /// @param tls null for plain HTTP, which only a loopback address gets.
   /// @return nullptr when there was no connection by the deadline.
   static std::unique_ptr<UpstreamConnection> Open(const platform::SocketAddress& address,
-                                                  Instant deadline);
+                                                  Instant deadline, TlsContext* tls = nullptr);
   ~UpstreamConnection() override;
   UpstreamConnection(const UpstreamConnection&) = delete;
   UpstreamConnection& operator=(const UpstreamConnection&) = delete;
--- a/tests/http/lease_client_test.cc
+++ b/tests/http/lease_client_test.cc
@@ -69,7 +69,8 @@
 class Client {
  public:
   Client()
-      : client_({std::chrono::milliseconds(20), std::chrono::seconds(30), std::chrono::seconds(60)},
+      : client_({std::chrono::milliseconds(20), std::chrono::seconds(30), std::chrono::seconds(60),
+                 nullptr},
                 loop_, metrics_, [this](const lease::LeaseAnswer& answer) {
                   const std::lock_guard lock(mutex_);
                   answers_.push_back(answer);
@@ -252,7 +253,7 @@
   const auto address = std::get<platform::SocketAddress>(
       Attempt([&] { return platform::ParseSocketAddress(server.address()); }));
   const http::PlatformPoller poller(
-      {{address}, std::chrono::milliseconds(10), std::chrono::seconds(5)}, loop, metrics,
+      {{address}, std::chrono::milliseconds(10), std::chrono::seconds(5), nullptr}, loop, metrics,
       [] { return true; }, [&](const control::PlatformList& /*list*/) { listed = true; });
   while (!listed) std::this_thread::yield();
   cr_assert(calls >= 2);
--- a/tests/http/operator_server_test.cc
+++ b/tests/http/operator_server_test.cc
@@ -28,10 +28,20 @@
   return Attempt([&] { return http::ReadOperatorCall({method, path, "", body}); });
 }
 
+http::OperatorServerOptions Options() {
+  http::OperatorServerOptions options;
+  options.address = {"127.0.0.1", 0};
+  options.operators = {{"ana", kDigest}};
+  options.body_bytes_maximum = 100'000;
+  options.connections_maximum = 8;
+  options.exchange_maximum = std::chrono::seconds(2);
+  return options;
+}
+
 /// A server that answers moves of shard 1 with "not leader", and everything else with index 5.
 struct Server {
   Server()
-      : server({{"127.0.0.1", 0}, {{"ana", kDigest}}, 100'000, 8}, metrics,
+      : server(Options(), metrics,
                {[](const control::OperatorRequest& request) -> control::OperatorAnswer {
                   if (std::holds_alternative<control::MoveShard>(request)) {
                     return Error{ErrorKind::kNotLeader, "Another leads.", "Ask it."};
@@ -160,6 +170,19 @@
   ExpectStatus("BREW /v1/fleet HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n", " 400 ");
 }
 
+Test(operator_server, callers_that_stop_midway_give_their_threads_back) {
+  Server server;
+  std::vector<std::unique_ptr<graniteseam::test::RawClient>> slow;
+  for (int caller = 0; caller < 16; ++caller) {
+    slow.push_back(std::make_unique<graniteseam::test::RawClient>(server.server.port()));
+    slow.back()->Send("POST /v1/bundles HTTP/1.1\r\nHost: x\r\nContent-Le");
+  }
+  auto client = server.Client();
+  client.set_read_timeout(60);
+  const auto live = client.Get("/livez");
+  cr_assert(live && live->status == 200);
+}
+
 Test(operator_server, a_caller_that_sends_nothing_holds_up_no_other) {
   Server server;
   const graniteseam::test::RawClient silent(server.server.port());
