--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <csignal>
+#include <fstream>
+#include <iterator>
 #include <set>
 
 #include "src/platform/clock.h"
@@ -71,6 +73,18 @@
   }
 }
 
+Test(metrics, every_one_is_on_an_operators_page) {
+  std::string pages;
+  for (const char* name : {"logs-and-metrics.md", "router-metrics.md"}) {
+    std::ifstream page(std::string(GRANITESEAM_SOURCE_DIR "/docs/operations/") + name);
+    pages.append(std::istreambuf_iterator<char>(page), {});
+  }
+  for (const platform::MetricDescription& description : platform::kMetricList) {
+    const std::string name = "`" + std::string(description.name) + "`";
+    cr_assert(pages.find(name) != std::string::npos, "%s is not explained", name.c_str());
+  }
+}
+
 Test(metrics, writes_what_was_counted) {
   platform::MetricsRegistry registry;
   registry.Counter(Metric::kRouterRequests, {{"service", "billing"}}).Increment();
