--- a/src/daemon/control/control_driver.cc
+++ b/src/daemon/control/control_driver.cc
@@ -15,6 +15,12 @@
 constexpr Duration kFullRetryInterval{200'000};
 constexpr Duration kStatisticsInterval{1'000'000};
 
+bool IsRead(const control::OperatorRequest& command) {
+  return std::holds_alternative<control::ReadBundles>(command) ||
+         std::holds_alternative<control::ReadFleet>(command) ||
+         std::holds_alternative<control::ReadShards>(command);
+}
+
 }  // namespace
 
 struct ControlDriver::Statistics {
@@ -103,7 +109,7 @@
         } else if constexpr (std::is_same_v<Event, RouterDisconnected>) {
           return node_.OnRouterDisconnected(happened.connection, now);
         } else if constexpr (std::is_same_v<Event, OperatorRequested>) {
-          return node_.OnOperatorRequest(happened.request, happened.command, now, wall_ms);
+          return ApplyOperatorRequest(happened, now, wall_ms);
         } else if constexpr (std::is_same_v<Event, PlatformListed>) {
           return node_.OnPlatformList(happened.list, now);
         } else {
@@ -113,6 +119,20 @@
       event);
 }
 
+/// While space runs low, operators' changes are refused so that what is left is kept for elections
+/// and the journal; what they read is still answered.
+control::ControlEffects ControlDriver::ApplyOperatorRequest(const OperatorRequested& asked,
+                                                            Instant now, std::int64_t wall_ms) {
+  if (!space_is_low_ || IsRead(asked.command)) {
+    return node_.OnOperatorRequest(asked.request, asked.command, now, wall_ms);
+  }
+  control::ControlEffects refused;
+  refused.operator_replies.push_back(
+      {asked.request, Error{ErrorKind::kStorageFull, "The data folder's disk is nearly full.",
+                            "Free space below data_folder; nothing was lost."}});
+  return refused;
+}
+
 /// Invariant: nothing leaves before what it rests on is durable. All steps of one round are made
 /// durable together; only then their effects go out, and the node is told, which may bring more.
 void ControlDriver::Settle(std::vector<control::ControlEffects> pending) {
@@ -200,9 +220,16 @@
   status_ = std::move(status);
 }
 
+void ControlDriver::LookAtSpace() {
+  const bool low = storage_->SpaceIsLow();
+  if (low && !space_is_low_) log_.Warning("The data folder's disk is nearly full.");
+  space_is_low_ = low;
+}
+
 void ControlDriver::PublishStatistics(Instant now) {
   if (now < next_statistics_) return;
   next_statistics_ = now + kStatisticsInterval;
+  LookAtSpace();
   const control::FleetView fleet = node_.Fleet(now);
   const auto leased = std::count_if(fleet.servers.begin(), fleet.servers.end(),
                                     [](const auto& server) { return server.leased; });
--- a/src/daemon/control/control_driver.h
+++ b/src/daemon/control/control_driver.h
@@ -66,6 +66,8 @@
   void Run();
   void Step(std::vector<ControlEvent> events);
   control::ControlEffects Apply(ControlEvent event);
+  control::ControlEffects ApplyOperatorRequest(const OperatorRequested& asked, Instant now,
+                                               std::int64_t wall_ms);
   void Settle(std::vector<control::ControlEffects> pending);
   bool Persist(const std::vector<control::ControlEffects>& pending);
   bool PersistOne(const consensus::PersistRequest& request);
@@ -73,6 +75,7 @@
   void Deliver(control::ControlEffects effects);
   void PublishStatus(bool storage_full);
   void PublishStatistics(Instant now);
+  void LookAtSpace();
 
   std::unique_ptr<storage::ConsensusStorage> storage_;
   control::ControlNode node_;
@@ -80,6 +83,7 @@
   ControlOutputs outputs_;
   std::unique_ptr<Statistics> statistics_;
   Instant next_statistics_;
+  bool space_is_low_ = false;
   std::thread thread_;
   std::atomic<bool> failed_{false};
   mutable std::mutex status_mutex_;  ///< Guards status_.
--- a/src/http/operator_server.cc
+++ b/src/http/operator_server.cc
@@ -11,6 +11,7 @@
 #include <utility>
 
 #include "src/http/bounded_stream.h"
+#include "src/http/dashboard_page.h"
 #include "src/http/operator_credentials.h"
 #include "src/http/operator_json.h"
 #include "src/http/operator_requests.h"
@@ -199,6 +200,11 @@
   if (request.method == "GET" && request.path == "/metrics") {
     return response.set_content(metrics_.Text(), platform::kMetricsContentType);
   }
+  if (request.method == "GET" && request.path == "/") {
+    response.set_header("Content-Security-Policy", kDashboardPolicy);
+    response.set_header("X-Content-Type-Options", "nosniff");
+    return response.set_content(std::string(DashboardPage()), "text/html; charset=utf-8");
+  }
   if (const std::optional<Error> refused = CheckCaller(request)) {
     return AnswerProblem(response, {*refused, ""});
   }
--- a/src/protocol/connection.h
+++ b/src/protocol/connection.h
@@ -12,6 +12,7 @@
 #include <string>
 
 #include "src/platform/metrics.h"
+#include "src/protocol/connection_limits.h"
 #include "src/protocol/frame.h"
 #include "src/protocol/hello.h"
 #include "src/protocol/internal_tls.h"
@@ -31,16 +32,6 @@
   platform::CounterHandle frames_dropped;
 };
 
-/// Limits of one connection.
-struct ConnectionLimits {
-  /// Bytes that may wait to be sent; a message that exceeds it is not queued.
-  std::size_t queue_bytes_maximum = std::size_t{32} << 20;
-  /// For connecting, TLS and hello together.
-  std::chrono::milliseconds handshake_time{5'000};
-  /// From a frame's first byte to its last.
-  std::chrono::milliseconds frame_time{10'000};
-};
-
 /// A connection with its hello exchange, bounded output queue and time limits.
 ///
 /// Lifecycle: Start() once; then on_ready, any number of on_message, and on_closed exactly once,
--- a/src/protocol/internal_server.cc
+++ b/src/protocol/internal_server.cc
@@ -94,7 +94,7 @@
   const RouterConnectionId id = next_id_++;
   Hello hello = MakeHello(ProcessKind::kControl, options_.name);
   auto connection = std::make_shared<Connection>(std::move(socket), Connection::Side::kAccepted,
-                                                 std::move(hello), tls_, metrics_);
+                                                 std::move(hello), tls_, metrics_, options_.limits);
   clients_[id].connection = connection;
   Connection::Handlers handlers;
   handlers.on_ready = [self = shared_from_this(), id](const Hello& peer) {
--- a/src/protocol/internal_server.h
+++ b/src/protocol/internal_server.h
@@ -13,6 +13,7 @@
 #include "src/platform/event_loop.h"
 #include "src/platform/metrics.h"
 #include "src/platform/socket_address.h"
+#include "src/protocol/connection_limits.h"
 #include "src/protocol/internal_security.h"
 
 namespace graniteseam::protocol {
@@ -23,6 +24,7 @@
   InternalSecurity security;
   /// Connections beyond this are closed at once: bounds memory and descriptors.
   std::size_t connections_maximum = 4'096;
+  ConnectionLimits limits;
 };
 
 /// Names a router's connection as long as the process runs.
--- a/tests/http/operator_server_test.cc
+++ b/tests/http/operator_server_test.cc
@@ -149,6 +149,17 @@
   cr_assert(metrics->body.find("graniteseam_http_requests_total") != std::string::npos);
 }
 
+Test(operator_server, serves_the_dashboard_that_loads_nothing_from_elsewhere) {
+  Server server;
+  auto client = server.Client();
+  const auto page = client.Get("/");
+  cr_assert(page && page->status == 200);
+  cr_assert(page->get_header_value("Content-Security-Policy").find("default-src 'none'") !=
+            std::string::npos);
+  cr_assert(page->body.find("src=") == std::string::npos);
+  cr_assert(page->body.find("innerHTML") == std::string::npos);
+}
+
 Test(operator_server, refuses_bodies_that_are_too_long) {
   ExpectStatus(
       "POST /v1/bundles HTTP/1.1\r\nHost: x\r\nConnection: close\r\n"
--- a/tests/protocol/transport_test.cc
+++ b/tests/protocol/transport_test.cc
@@ -51,8 +51,9 @@
 
 /// A control process's internal port that answers renewals with their sequence.
 struct Control {
-  explicit Control(protocol::InternalSecurity security = {}, std::size_t connections = 100)
-      : server({{"127.0.0.1", 0}, "1", std::move(security), connections}, loop, metrics,
+  explicit Control(protocol::InternalSecurity security = {}, std::size_t connections = 100,
+                   protocol::ConnectionLimits limits = {})
+      : server({{"127.0.0.1", 0}, "1", std::move(security), connections, limits}, loop, metrics,
                {[this](const std::string& name, const std::string& http_address) {
                   hellos.Put(name + " at " + http_address);
                 },
@@ -259,6 +260,28 @@
       "malformed_message");
 }
 
+Test(transport, gives_up_who_connects_and_is_silent_or_stops_midway) {
+  using std::chrono::milliseconds;
+  Control control({}, 100, {std::size_t{1} << 20, milliseconds(50), milliseconds(50)});
+  Router router({control.address()});
+  router.Renew(1);
+  cr_assert(router.answers.WaitFor(1));
+  const std::string hello = HelloFrame(protocol::ProcessKind::kRouter);
+  for (const std::string& begun : {std::string(), hello.substr(0, 3), hello.substr(0, 9),
+                                   hello + std::string("\x00\x00\x00\x09\x02", 5),
+                                   hello + std::string("\x00\xff\x00\x00\x02"
+                                                       "begun",
+                                                       10)}) {
+    RawClient client(control.server.port());
+    client.Send(begun);
+    bool closed = false;
+    client.ReadToEnd(closed);
+    cr_assert(closed, "kept after %zu bytes", begun.size());
+  }
+  router.Renew(2);
+  cr_assert(router.answers.WaitFor(2));
+}
+
 Test(transport, takes_no_more_connections_than_its_limit) {
   Control control({}, 1);
   Router router({control.address()});
