Test the replicated log under faults, and probe new learners at their entry

Cause: a learner added to the membership was never sent an entry: it was probed from beyond the end of the log, and empty heartbeats tell nothing about what a member lacks. And a learner that was removed while it was away took itself for a member and never announced itself again.

Change: a new member is probed from the membership entry on; a member that heard of no leader for four election timeouts announces itself. The virtual cluster runs on the shipped storage with loss of power in the middle of writes.

--- a/include/graniteseam/consensus/types.h
+++ b/include/graniteseam/consensus/types.h
@@ -138,8 +138,9 @@
 };
 BOOST_DESCRIBE_STRUCT(TimeoutNowRequest, (), (term))
 
-/// From a process that is in no membership yet: tells its disk incarnation, so that a group can be
-/// founded, or the leader can take it in as a learner. `to.disk` is 0 while it is unknown.
+/// From a process that is in no membership, or heard of no leader for long and may have been
+/// removed: tells its disk incarnation, so that a group can be founded, or the leader can take it
+/// in as a learner. `to.disk` is 0 while it is unknown.
 struct Announcement {
   bool founding = false;  ///< Is one of the first voters of a group that is being created.
 };
--- a/src/consensus/founding.cc
+++ b/src/consensus/founding.cc
@@ -18,6 +18,9 @@
 /// its disk half-way are never taken for those of the next one.
 constexpr std::uint64_t kFoundingTerms = 1'000'000;
 
+/// A member that heard of no leader for so many election timeouts announces itself again.
+constexpr int kForgottenAfterTimeouts = 4;
+
 }  // namespace
 
 void RaftConsensus::Impl::StartFounding(RecoveredState& recovered, Instant now) {
@@ -46,12 +49,21 @@
   SetRole(IsVoter(self_) ? Role::kFollower : Role::kLearner);
 }
 
+bool RaftConsensus::Impl::MayBeForgotten(Instant now) const {
+  // A member that was removed while it was away still holds a membership with itself in it.
+  return now - silence_since_ >= kForgottenAfterTimeouts * options_.election_timeout_maximum;
+}
+
 void RaftConsensus::Impl::Announce(Instant now) {
   next_announcement_ = now + options_.election_timeout_minimum;
-  for (Member seed : seeds_) {
+  std::vector<Member> listeners = seeds_;
+  for (const Member& member : OtherMembers()) listeners.push_back(member);
+  for (Member seed : listeners) {
     if (seed.id == self_.id) continue;
     const auto known = announced_.find(seed.id);
-    if (known != announced_.end()) seed.disk = known->second.member.disk;
+    // A founder counts only on whoever knows its present disk; all others take any disk.
+    const bool name_disk = bootstrap_ && known != announced_.end();
+    seed.disk = name_disk ? known->second.member.disk : DiskIncarnation{};
     Send(seed, Announcement{bootstrap_.has_value()});
   }
 }
--- a/src/consensus/leader.cc
+++ b/src/consensus/leader.cc
@@ -25,9 +25,9 @@
   transfer_target_.reset();
   progress_.clear();
   round_sent_at_.clear();
-  SyncProgressWithMembership();
   // Entries of older terms are committed only by an entry of this term above them (Raft, 5.4.2).
   noop_index_ = log_.last_index().Next();
+  SyncProgressWithMembership(noop_index_);
   AppendEntry({hard_state_.term, noop_index_, EntryKind::kNoop, ""});
   StartRound(now);
   Heartbeat(now);
--- a/src/consensus/membership_change.cc
+++ b/src/consensus/membership_change.cc
@@ -66,7 +66,7 @@
   BOOST_LEAF_CHECK(CheckMembershipChange(next, now_));
   const LogIndex index = log_.last_index().Next();
   AppendEntry({hard_state_.term, index, EntryKind::kMembership, codec::Encode(next)});
-  SyncProgressWithMembership();
+  SyncProgressWithMembership(index);
   Broadcast(now_);
   UpdateLeaderCommit(now_);
   return index;
@@ -122,7 +122,9 @@
          now - progress->second.heard_at <= options_.election_timeout_maximum;
 }
 
-void RaftConsensus::Impl::SyncProgressWithMembership() {
+// A new member is probed from `next_to_send` on, which must not be beyond the log's end for long:
+// an empty heartbeat tells nothing about what it lacks.
+void RaftConsensus::Impl::SyncProgressWithMembership(LogIndex next_to_send) {
   PeerProgressMap kept;
   for (const Member& member : OtherMembers()) {
     const VoteKey key(member);
@@ -130,7 +132,7 @@
     if (known != progress_.end()) {
       kept.emplace(key, std::move(known->second));
     } else {
-      kept[key].next = log_.last_index().Next();
+      kept[key].next = next_to_send;
     }
   }
   progress_ = std::move(kept);
--- a/src/consensus/raft_consensus.cc
+++ b/src/consensus/raft_consensus.cc
@@ -32,7 +32,8 @@
     LeaderTick(now_);
     return;
   }
-  if (InNoMembership() && now_ >= next_announcement_) Announce(now_);
+  const bool unknown = InNoMembership() || MayBeForgotten(now_);
+  if (unknown && now_ >= next_announcement_) Announce(now_);
   if (now_ < election_deadline_) return;
   if (IsVoter(self_)) {
     BecomePreCandidate(now_);
--- a/src/consensus/raft_impl.h
+++ b/src/consensus/raft_impl.h
@@ -122,7 +122,7 @@
   Result<void> CheckPromotion(const Member& learner, Instant now) const;
   Result<void> CheckRemainingQuorum(const Membership& next, Instant now) const;
   bool HeardLately(const Member& member, Instant now) const;
-  void SyncProgressWithMembership();
+  void SyncProgressWithMembership(LogIndex next_to_send);
 
   // --- leadership_transfer.cc ---
   bool TransferPending(Instant now) const;
@@ -132,6 +132,7 @@
   // --- founding.cc ---
   void StartFounding(RecoveredState& recovered, Instant now);
   bool InNoMembership() const { return log_.membership().voters.empty(); }
+  bool MayBeForgotten(Instant now) const;
   void Announce(Instant now);
   void OnAnnouncement(const PeerMessage& message, bool founding, Instant now);
   void FoundWhenComplete(Instant now);
--- a/tests/consensus/virtual_cluster.cc
+++ b/tests/consensus/virtual_cluster.cc
@@ -4,6 +4,8 @@
 #include <sstream>
 #include <tuple>
 
+#include "graniteseam/codec/codec.h"
+
 namespace graniteseam::consensus::test {
 namespace {
 
@@ -13,24 +15,6 @@
 
 }  // namespace
 
-void VirtualDisk::Apply(const PersistRequest& request) {
-  if (request.snapshot) {
-    snapshot = request.snapshot;
-    entries.erase(entries.begin(), entries.upper_bound(snapshot->last_index.value));
-  }
-  if (request.truncate_from) {
-    entries.erase(entries.lower_bound(request.truncate_from->value), entries.end());
-  }
-  for (const auto& entry : request.entries) entries[entry.index.value] = entry;
-  if (request.hard_state) hard_state = *request.hard_state;
-}
-
-std::vector<LogEntry> VirtualDisk::EntriesAfterSnapshot() const {
-  std::vector<LogEntry> all;
-  for (const auto& [index, entry] : entries) all.push_back(entry);
-  return all;
-}
-
 VirtualCluster::VirtualCluster(std::size_t voters, std::uint64_t seed, NetworkOptions network,
                                ConsensusOptions options, Founding founding)
     : options_(options), network_(network), random_(seed), founding_(founding) {
@@ -46,39 +30,63 @@
 VirtualCluster::Node& VirtualCluster::AddNode(std::uint64_t id) {
   Node& node = nodes_[id];
   ids_.insert(id);
-  node.disk.incarnation = DiskIncarnation{next_incarnation_++};
-  node.member = {ControlId{id}, node.disk.incarnation, "10.0.0." + std::to_string(id) + ":1",
-                 ZoneName{ZoneOf(id)}};
+  node.files = std::make_unique<storage::MemoryFileSystem>(random_());
+  node.member = {ControlId{id}, DiskIncarnation{next_incarnation_++},
+                 "10.0.0." + std::to_string(id) + ":1", ZoneName{ZoneOf(id)}};
   node.clock_rate = 1 + network_.clock_drift * (2 * Chance() - 1);
   node.clock_offset = static_cast<std::int64_t>(Chance() * 1e9);
   return node;
 }
 
 void VirtualCluster::Start(Node& node) {
-  RecoveredState recovered;
-  recovered.self = node.member;
-  recovered.hard_state = node.disk.hard_state;
-  recovered.snapshot = node.disk.snapshot;
-  recovered.entries = node.disk.EntriesAfterSnapshot();
-  recovered.seeds = first_voters_.voters;
-  for (auto& seed : recovered.seeds) seed.disk = {};
+  storage::StorageOptions options;
+  options.folder = "/data";
+  options.id = node.member.id;
+  options.address = node.member.address;
+  options.zone = node.member.zone;
+  options.fresh_incarnation = node.member.disk;
+  options.segment_bytes = 4'096;  // Small, so that segments change often.
+  options.seeds = first_voters_.voters;
+  for (auto& seed : options.seeds) seed.disk = {};
   if (node.founding) {
-    recovered.bootstrap = first_voters_;
-    if (founding_ == Founding::kDisksUnknown) recovered.bootstrap->voters = recovered.seeds;
+    options.bootstrap = first_voters_;
+    if (founding_ == Founding::kDisksUnknown) options.bootstrap->voters = options.seeds;
   }
-  node.log = node.disk.entries;
+  auto opened = Attempt([&] { return storage::ConsensusStorage::Open(*node.files, options); });
+  if (const Error* error = ErrorOf(opened)) {
+    // A process whose disk is full at its start ends and is started again later.
+    if (error->kind != ErrorKind::kStorageFull) Violate("recovery: " + ToString(*error));
+    return;
+  }
+  node.storage = std::move(std::get<std::unique_ptr<storage::ConsensusStorage>>(opened));
+  RecoveredState recovered = node.storage->TakeRecovered();
+  node.log.clear();
+  for (const auto& entry : recovered.entries) node.log[entry.index.value] = entry;
   node.applied.clear();
   node.applied_index = {};
+  node.snapshot_index = {};
   node.checked_term.reset();
   node.persisting.clear();
-  if (node.disk.snapshot) Restore(node, *node.disk.snapshot);
+  if (recovered.snapshot) Restore(node, *recovered.snapshot);
   node.raft = std::make_unique<RaftConsensus>(options_, std::move(recovered), random_(),
                                               LocalTime(node.member.id.value));
 }
 
 void VirtualCluster::Crash(std::uint64_t id) {
-  nodes_.at(id).raft.reset();
-  nodes_.at(id).persisting.clear();
+  Node& node = nodes_.at(id);
+  if (node.storage && !node.persisting.empty()) {
+    // The write was under way; power goes before its sync returns.
+    node.files->FailSyncs(1);
+    static_cast<void>(
+        Attempt([&] { return node.storage->Persist(node.persisting.front().effects.persist); }));
+  }
+  node.raft.reset();
+  node.storage.reset();
+  node.inbox.clear();
+  node.persisting.clear();
+  node.stalled = false;
+  node.files->FailSyncs(0);
+  node.files->LosePower();
 }
 
 void VirtualCluster::Restart(std::uint64_t id) {
@@ -90,9 +98,9 @@
 void VirtualCluster::LoseDisk(std::uint64_t id) {
   Crash(id);
   Node& node = nodes_.at(id);
-  node.disk = {};
-  node.disk.incarnation = DiskIncarnation{next_incarnation_++};
-  node.member.disk = node.disk.incarnation;
+  node.files->LoseDisk();
+  node.files->SetCapacity(std::nullopt);
+  node.member.disk = DiskIncarnation{next_incarnation_++};
   node.founding = false;
 }
 
@@ -132,6 +140,7 @@
     for (auto& [id, node] : nodes_) {
       if (!node.raft || node.paused) continue;
       CarryOutDue(node);
+      if (!node.raft || node.stalled) continue;
       if (LocalTime(id) >= node.raft->NextTick()) Take(node, node.raft->Tick(LocalTime(id)));
       CarryOutDue(node);
     }
@@ -142,6 +151,7 @@
 void VirtualCluster::Take(Node& node, Effects effects) {
   const auto& persist = effects.persist;
   if (persist.snapshot) {
+    node.snapshot_index = persist.snapshot->last_index;
     node.log.erase(node.log.begin(), node.log.upper_bound(persist.snapshot->last_index.value));
   }
   if (persist.truncate_from) {
@@ -162,14 +172,25 @@
 
 void VirtualCluster::CarryOutDue(Node& node) {
   while (node.raft && !node.persisting.empty() && node.persisting.front().due <= time_) {
+    if (!Persist(node, node.persisting.front().effects.persist)) return;
     const Effects effects = std::move(node.persisting.front().effects);
     node.persisting.pop_front();
     CarryOut(node, effects);
   }
 }
 
+bool VirtualCluster::Persist(Node& node, const PersistRequest& request) {
+  if (request.Empty()) return true;
+  const auto outcome = Attempt([&] { return node.storage->Persist(request); });
+  const Error* error = ErrorOf(outcome);
+  node.stalled = error != nullptr && error->kind == ErrorKind::kStorageFull;
+  if (error == nullptr) return true;
+  // Nothing is known of the disk after a failed sync: the process stops.
+  if (!node.stalled) Crash(node.member.id.value);
+  return false;
+}
+
 void VirtualCluster::CarryOut(Node& node, const Effects& effects) {
-  node.disk.Apply(effects.persist);
   for (const auto& message : effects.messages) Post(message);
   if (effects.restored) Restore(node, *effects.restored);
   for (const auto& entry : effects.committed) ApplyCommitted(node, entry);
@@ -183,6 +204,7 @@
   std::istringstream lines(snapshot.data);
   for (std::string command; std::getline(lines, command);) node.applied.push_back(command);
   node.applied_index = snapshot.last_index;
+  node.snapshot_index = snapshot.last_index;
 }
 
 void VirtualCluster::ApplyCommitted(Node& node, const LogEntry& entry) {
@@ -211,6 +233,13 @@
   }
 }
 
+void VirtualCluster::Resume(std::uint64_t id) {
+  Node& node = nodes_.at(id);
+  node.paused = false;
+  for (const auto& message : node.inbox) Inject(message);
+  node.inbox.clear();
+}
+
 void VirtualCluster::Inject(const PeerMessage& message) {
   transit_.push({time_, ++order_, message});
 }
@@ -222,9 +251,10 @@
     const auto to = nodes_.find(message.to.id.value);
     if (to == nodes_.end() || !to->second.raft) continue;
     if (!Connected(message.from.id.value, message.to.id.value)) continue;
+    if (to->second.stalled) continue;
     if (to->second.paused) {
       // A paused process finds in its sockets what came meanwhile.
-      transit_.push({time_ + kTickMicros, ++order_, message});
+      to->second.inbox.push_back(message);
       continue;
     }
     Take(to->second, to->second.raft->Step(message, LocalTime(to->first)));
@@ -247,8 +277,8 @@
 
 void VirtualCluster::CheckLeaderCompleteness(Node& node) {
   node.checked_term = node.raft->term();
-  const std::uint64_t from = node.disk.snapshot ? node.disk.snapshot->last_index.value + 1 : 1;
-  for (auto entry = committed_.lower_bound(from); entry != committed_.end(); ++entry) {
+  for (auto entry = committed_.upper_bound(node.snapshot_index.value); entry != committed_.end();
+       ++entry) {
     // A leader of an old term need not hold what newer terms committed.
     if (entry->second.term > node.raft->term()) continue;
     const auto held = node.log.find(entry->first);
@@ -263,6 +293,7 @@
 std::optional<LogIndex> VirtualCluster::Propose(std::uint64_t id,
                                                 std::vector<std::string> commands) {
   Node& node = nodes_.at(id);
+  if (node.stalled) return std::nullopt;
   Effects effects;
   const auto outcome =
       Attempt([&] { return node.raft->Propose(std::move(commands), LocalTime(id), effects); });
@@ -325,4 +356,74 @@
   });
 }
 
+std::vector<Member> VirtualCluster::VotersThatMayCount() const {
+  std::vector<Member> voters = first_voters_.voters;
+  const auto voters_of = [](const LogEntry& entry) {
+    const auto decoded = Attempt([&] { return codec::Decode<Membership>(entry.payload); });
+    return std::get<Membership>(decoded).voters;
+  };
+  for (const auto& [index, entry] : committed_) {
+    if (entry.kind == EntryKind::kMembership) voters = voters_of(entry);
+  }
+  const std::uint64_t committed = highest_committed();
+  for (const auto& [id, node] : nodes_) {
+    for (auto held = node.log.upper_bound(committed); held != node.log.end(); ++held) {
+      if (held->second.kind != EntryKind::kMembership) continue;
+      for (const Member& voter : voters_of(held->second)) voters.push_back(voter);
+    }
+  }
+  return voters;
+}
+
+bool VirtualCluster::RepairStep() {
+  const std::uint64_t leader = Leader();
+  if (leader == 0) return false;
+  const RaftConsensus& raft = Raft(leader);
+  Membership next = raft.membership();
+  const auto announced_again = [&](const Member& learner) {
+    const auto announced = raft.announced();
+    return std::any_of(announced.begin(), announced.end(), [&](const auto& member) {
+      return member.id == learner.id && member.disk > learner.disk;
+    });
+  };
+  if (std::erase_if(next.learners, announced_again) > 0) return !ChangeMembership(leader, next);
+  if (!next.learners.empty()) {
+    next.voters.push_back(next.learners.front());
+    next.learners.erase(next.learners.begin());
+    return !ChangeMembership(leader, next);
+  }
+  for (auto voter = next.voters.begin(); voter != next.voters.end(); ++voter) {
+    const bool replaced = std::any_of(
+        next.voters.begin(), next.voters.end(),
+        [&](const auto& other) { return other.id == voter->id && other.disk > voter->disk; });
+    if (!replaced) continue;
+    next.voters.erase(voter);
+    return !ChangeMembership(leader, next);
+  }
+  for (const Member& announced : raft.announced()) {
+    next.learners.push_back(announced);
+    return !ChangeMembership(leader, next);
+  }
+  return false;
+}
+
+bool VirtualCluster::Repair(std::size_t voters, Duration limit) {
+  return RunUntil(
+      [&] {
+        RepairStep();
+        const std::uint64_t leader = Leader();
+        if (leader == 0) return false;
+        const auto& membership = Raft(leader).membership();
+        return membership.learners.empty() && membership.voters.size() == voters &&
+               std::all_of(membership.voters.begin(), membership.voters.end(),
+                           [&](const auto& voter) {
+                             const Node& node = nodes_.at(voter.id.value);
+                             return node.raft && node.raft->membership() == membership &&
+                                    node.member.SameVoteAs(voter) &&
+                                    node.applied_index >= nodes_.at(leader).applied_index;
+                           });
+      },
+      limit);
+}
+
 }  // namespace graniteseam::consensus::test
--- a/tests/consensus/virtual_cluster.h
+++ b/tests/consensus/virtual_cluster.h
@@ -1,6 +1,7 @@
 /// @file
-/// A group of members in virtual time: a network with delay, loss, duplication and partitions, a
-/// disk each, clocks that drift. Checks what Raft and the leader lease promise after every step.
+/// A group of members in virtual time: a network with delay, loss, duplication and partitions, the
+/// shipped storage on a disk in memory each, clocks that drift. Checks what Raft and the leader
+/// lease promise after every step.
 #pragma once
 
 #include <deque>
@@ -14,20 +15,11 @@
 #include <vector>
 
 #include "graniteseam/consensus/raft_consensus.h"
+#include "src/storage/consensus_storage.h"
+#include "src/storage/memory_file_system.h"
 
 namespace graniteseam::consensus::test {
 
-/// What a member's disk holds: PersistRequests applied in order.
-struct VirtualDisk {
-  DiskIncarnation incarnation;
-  HardState hard_state;
-  std::optional<Snapshot> snapshot;
-  std::map<std::uint64_t, LogEntry> entries;
-
-  void Apply(const PersistRequest& request);
-  std::vector<LogEntry> EntriesAfterSnapshot() const;
-};
-
 struct NetworkOptions {
   Duration delay_minimum{200};
   Duration delay_maximum{1'500};
@@ -58,6 +50,7 @@
     return true;
   }
 
+  /// Power goes: what was not synced is lost or torn, in the middle of a write if there is one.
   void Crash(std::uint64_t id);
   void Restart(std::uint64_t id);
   /// The member loses its disk; a Restart() then comes up with a new incarnation and nothing else.
@@ -67,7 +60,7 @@
   /// Adds a process that is in no membership.
   void AddOutsider(std::uint64_t id);
   void Pause(std::uint64_t id) { nodes_.at(id).paused = true; }
-  void Resume(std::uint64_t id) { nodes_.at(id).paused = false; }
+  void Resume(std::uint64_t id);
   /// Messages pass only inside each set; members in no set are cut off alone. No set: all connect.
   void Partition(std::vector<std::set<std::uint64_t>> sides) { sides_ = std::move(sides); }
   void Heal() { sides_.clear(); }
@@ -81,7 +74,9 @@
   Instant LocalTime(std::uint64_t id) const;
   bool ActsAsLeader(std::uint64_t id) const;
   const std::vector<std::string>& Applied(std::uint64_t id) const { return nodes_.at(id).applied; }
-  VirtualDisk& Disk(std::uint64_t id) { return nodes_.at(id).disk; }
+  storage::MemoryFileSystem& Files(std::uint64_t id) { return *nodes_.at(id).files; }
+  /// Whether a member stands still because its disk is full.
+  bool Stalled(std::uint64_t id) const { return nodes_.at(id).stalled; }
   const std::set<std::uint64_t>& ids() const { return ids_; }
   Member MemberOf(std::uint64_t id) const;
 
@@ -96,6 +91,15 @@
   void Compact(std::uint64_t id);
   bool AllAppliedEqual(const std::set<std::uint64_t>& of) const;
 
+  /// Voters of the newest committed membership and of those that members hold beyond it.
+  std::vector<Member> VotersThatMayCount() const;
+
+  /// Takes the next step of replacing a voter whose process came back with another disk: learner,
+  /// promotion, removal of the old incarnation. @return whether there was a step to take.
+  bool RepairStep();
+  /// Repairs until the membership is `voters` answering voters and no learner.
+  bool Repair(std::size_t voters, Duration limit = std::chrono::seconds(20));
+
   /// Broken promises found so far, in words; empty when all held.
   const std::vector<std::string>& violations() const { return violations_; }
   /// The most index that any member applied.
@@ -112,13 +116,17 @@
   };
   struct Node {
     Member member;
-    VirtualDisk disk;
+    std::unique_ptr<storage::MemoryFileSystem> files;
+    std::unique_ptr<storage::ConsensusStorage> storage;
     std::unique_ptr<RaftConsensus> raft;
     std::deque<QueuedEffects> persisting;   ///< Carried out in order.
     std::map<std::uint64_t, LogEntry> log;  ///< As the member sees it, durable or not.
     std::vector<std::string> applied;
     LogIndex applied_index;
+    LogIndex snapshot_index;
     bool paused = false;
+    std::deque<PeerMessage> inbox;  ///< What came while it was paused.
+    bool stalled = false;           ///< Its disk is full: it retries and takes no step meanwhile.
     double clock_rate = 1;
     std::int64_t clock_offset = 0;
     bool founding = false;             ///< Started with the group's first membership.
@@ -137,6 +145,7 @@
   void Start(Node& node);
   void Take(Node& node, Effects effects);
   void CarryOutDue(Node& node);
+  bool Persist(Node& node, const PersistRequest& request);
   void CarryOut(Node& node, const Effects& effects);
   void Restore(Node& node, const Snapshot& snapshot);
   void ApplyCommitted(Node& node, const LogEntry& entry);
