Keep the control harness inside its processes

Cause: a message to a learner without a process was delivered beyond the end of the harness's list, which crashed now and then.

Change: such a message is dropped, as on a network.

--- a/tests/control/control_harness.cc
+++ b/tests/control/control_harness.cc
@@ -229,7 +229,8 @@
   }
   for (auto& message : effects.peer_messages) {
     const auto to = static_cast<std::size_t>(message.to.id.value - 1);
-    if (!Connected(index, to)) continue;
+    // A learner that no process stands behind hears nothing.
+    if (to >= controls_.size() || !Connected(index, to)) continue;
     At(now_ + Delay(), [this, to, message] {
       Call(to, [&](auto& node) { return node.OnPeerMessage(message, now_); });
     });
