--- a/src/consensus/raft_consensus.cc
+++ b/src/consensus/raft_consensus.cc
@@ -160,6 +160,8 @@
   if (pending_.empty() || pending_.back().sequence != next) {
     pending_.push_back({next, hard_state_.term, {}, false, {}});
   }
+  // A step that goes on to a new term, as a first election does, tells nothing of the old one.
+  pending_.back().term = hard_state_.term;
   return pending_.back();
 }
 
--- a/src/storage/consensus_storage.cc
+++ b/src/storage/consensus_storage.cc
@@ -67,8 +67,10 @@
 Result<void> ConsensusStorage::Persist(const consensus::PersistRequest& request) {
   LogBatch batch;
   if (request.snapshot) {
-    // A truncation right after the snapshot means that the log before it is another history.
-    const bool replaces_log = request.truncate_from == request.snapshot->last_index.Next();
+    // A truncation from right after the snapshot, or from before it when requests were joined,
+    // leaves nothing of the log on disk: it may be another history.
+    const bool replaces_log =
+        request.truncate_from && *request.truncate_from <= request.snapshot->last_index.Next();
     BOOST_LEAF_CHECK(snapshots_.Save({*request.snapshot, replaces_log}));
     if (replaces_log) {
       batch.replaced_by = {request.snapshot->last_index, request.snapshot->last_term};
--- a/tests/storage/consensus_storage_test.cc
+++ b/tests/storage/consensus_storage_test.cc
@@ -133,7 +133,10 @@
   cr_assert(ErrorOfOpening(files, OptionsIn("/data")) == ErrorKind::kStorageCorrupt);
 }
 
-Test(consensus_storage, a_crash_between_snapshot_and_log_does_not_bring_the_old_log_back) {
+namespace {
+
+/// @param truncate_from at most 11; lower when requests were joined.
+void CheckOldLogStaysAway(std::uint64_t truncate_from) {
   MemoryFileSystem files;
   {
     auto storage = OpenStorage(files);
@@ -141,6 +144,7 @@
     files.SetCapacity(1'000'000);
     // The snapshot's own sync passes; the log's sync fails, as when power goes in between.
     PersistRequest request = SnapshotAt(10, 5, true);
+    request.truncate_from = LogIndex{truncate_from};
     files.FailSyncsAfter(1, 1);
     cr_assert(Persist(*storage, request) == ErrorKind::kStorageIo);
   }
@@ -158,6 +162,14 @@
   cr_assert_eq(OpenStorage(files)->TakeRecovered().entries.size(), 1U);
 }
 
+}  // namespace
+
+Test(consensus_storage, a_crash_between_snapshot_and_log_does_not_bring_the_old_log_back) {
+  CheckOldLogStaysAway(11);
+}
+
+Test(consensus_storage, nor_does_one_in_joined_requests) { CheckOldLogStaysAway(8); }
+
 Test(consensus_storage, a_full_disk_refuses_a_snapshot_and_takes_it_later) {
   MemoryFileSystem files;
   auto storage = OpenStorage(files);
