Check that servers told to leave get no new work after 5 s

Change: the runner records when a server was told to leave, was drained or taken back; a run that begins more than 5 s later is a violation.

--- a/testbed/fleet/fault_runner.cc
+++ b/testbed/fleet/fault_runner.cc
@@ -97,6 +97,7 @@
       fleet_.Kill(name);
       return {};
     case FaultAction::kRestart:
+      NoteLeaving(name, false);
       return fleet_.Start(name);
     case FaultAction::kStop:
       fleet_.Signal(name, SIGTERM);
@@ -110,14 +111,16 @@
     case FaultAction::kLoseDisk:
       return fleet_.LoseDisk(name);
     case FaultAction::kLeave:
+      NoteLeaving(name, true);
       return fleet_.Leave(name);
     case FaultAction::kReplace:
       RunReplace(name);
       return {};
     case FaultAction::kDrain:
-      RunCommand({"server", "drain", name});
+      RunCommand({"server", "drain", name}, [this, name] { NoteLeaving(name, true); });
       return {};
     case FaultAction::kUndrain:
+      NoteLeaving(name, false);
       RunCommand({"server", "undrain", name});
       return {};
     default:
@@ -247,13 +250,21 @@
               platform::ToString(member.http_address())});
 }
 
-void FaultRunner::RunCommand(const std::vector<std::string>& words) {
-  Beside([this, words] {
+void FaultRunner::NoteLeaving(const std::string& server, bool leaving) {
+  records_.Append(LeavingRecord{server, ToMicros(platform::BootTimeNow()), leaving});
+}
+
+void FaultRunner::RunCommand(const std::vector<std::string>& words,
+                             const std::function<void()>& accepted) {
+  Beside([this, words, accepted] {
     for (int attempt = 0; attempt < kCommandTries; ++attempt) {
       const auto outcome = Attempt([&] { return console_.Run(words); });
       const auto* result = std::get_if<CommandResult>(&outcome);
       Note(Join(words) + ": " + (result ? FirstLine(result->output) : ErrorOf(outcome)->message));
-      if (result != nullptr && result->exit_code == 0) return;
+      if (result != nullptr && result->exit_code == 0) {
+        if (accepted) accepted();
+        return;
+      }
       std::this_thread::sleep_for(kRetryPause);
     }
     NoteProblem("no success: " + Join(words));
--- a/testbed/fleet/fault_runner.h
+++ b/testbed/fleet/fault_runner.h
@@ -56,7 +56,10 @@
   void RunMove(const std::string& service);
   void RunReplace(const std::string& name);
   /// Runs one command of graniteseamctl beside, and again while control is unavailable.
-  void RunCommand(const std::vector<std::string>& words);
+  /// @param accepted called once it succeeded; may be empty.
+  void RunCommand(const std::vector<std::string>& words,
+                  const std::function<void()>& accepted = {});
+  void NoteLeaving(const std::string& server, bool leaving);
   void RollAndNote(const std::string& file, std::uint64_t version);
   void Beside(std::function<void()> work);
   void After(Duration delay, std::function<Result<void>()> work);
--- a/testbed/fleet/report.cc
+++ b/testbed/fleet/report.cc
@@ -77,11 +77,13 @@
   return fmt::format(
       "  must be 0: operations doubled {}, answers without a run {}, run though told not run {},\n"
       "             answers crossed {}, answers torn {}, keys with two owners {}, epochs that\n"
-      "             went back {}, bundle versions that went back {}\n",
+      "             went back {}, bundle versions that went back {}, runs on servers long told to\n"
+      "             leave {}\n",
       count(ViolationKind::kDoubledRun), count(ViolationKind::kLostRun),
       count(ViolationKind::kRanThoughNotRun), count(ViolationKind::kCrossedAnswer),
       count(ViolationKind::kTornAnswer), count(ViolationKind::kTwoOwners),
-      count(ViolationKind::kEpochWentBack), count(ViolationKind::kVersionWentBack));
+      count(ViolationKind::kEpochWentBack), count(ViolationKind::kVersionWentBack),
+      count(ViolationKind::kWorkAfterLeaving));
 }
 
 nlohmann::json ServiceJson(const TrafficSummary& summary) {
--- a/testbed/history/history.cc
+++ b/testbed/history/history.cc
@@ -19,6 +19,10 @@
   history.versions.push_back(std::move(record));
 }
 
+void AddRecord(History& history, LeavingRecord record) {
+  history.leavings.push_back(std::move(record));
+}
+
 void Append(std::vector<Violation>& all, std::vector<Violation> more) {
   std::move(more.begin(), more.end(), std::back_inserter(all));
 }
@@ -60,6 +64,8 @@
       return "torn_answer";
     case ViolationKind::kVersionWentBack:
       return "version_went_back";
+    case ViolationKind::kWorkAfterLeaving:
+      return "work_after_leaving";
   }
   return "unknown";
 }
@@ -69,6 +75,7 @@
   Append(violations, CheckRuns(history));
   Append(violations, CheckAnswers(history));
   Append(violations, CheckVersions(history));
+  Append(violations, CheckLeaving(history));
   return violations;
 }
 
--- a/testbed/history/history.h
+++ b/testbed/history/history.h
@@ -19,6 +19,7 @@
   std::vector<RunRecord> runs;
   std::vector<AnswerRecord> answers;
   std::vector<VersionRecord> versions;
+  std::vector<LeavingRecord> leavings;
 
   void Add(std::vector<Record> records);
 };
@@ -27,14 +28,15 @@
 Result<History> ReadHistory(const std::string& folder);
 
 enum class ViolationKind {
-  kTwoOwners,        ///< Two servers owned one shard at the same instant.
-  kEpochWentBack,    ///< A shard was owned at a lower epoch after a higher one.
-  kDoubledRun,       ///< An operation that may not be repeated ran twice.
-  kRanThoughNotRun,  ///< A caller was told `not_run` and it ran.
-  kLostRun,          ///< A caller was told that a server answered, and no server ran it.
-  kCrossedAnswer,    ///< A caller got another request's answer.
-  kTornAnswer,       ///< A caller got a part of an answer.
-  kVersionWentBack,  ///< A bundle version was replaced by a lower one.
+  kTwoOwners,         ///< Two servers owned one shard at the same instant.
+  kEpochWentBack,     ///< A shard was owned at a lower epoch after a higher one.
+  kDoubledRun,        ///< An operation that may not be repeated ran twice.
+  kRanThoughNotRun,   ///< A caller was told `not_run` and it ran.
+  kLostRun,           ///< A caller was told that a server answered, and no server ran it.
+  kCrossedAnswer,     ///< A caller got another request's answer.
+  kTornAnswer,        ///< A caller got a part of an answer.
+  kVersionWentBack,   ///< A bundle version was replaced by a lower one.
+  kWorkAfterLeaving,  ///< A leaving server got new work later than a few seconds.
 };
 
 /// For example "two_owners".
@@ -54,6 +56,10 @@
 std::vector<Violation> CheckRuns(const History& history);
 /// Every caller gets its own whole answer.
 std::vector<Violation> CheckAnswers(const History& history);
+/// A leaving server receives no new work after kLeavingGraceUs.
+std::vector<Violation> CheckLeaving(const History& history);
+inline constexpr std::int64_t kLeavingGraceUs = 5'000'000;
+
 /// No accepted bundle version is ever replaced by a lower one.
 std::vector<Violation> CheckVersions(const History& history);
 
--- a/testbed/support/record.cc
+++ b/testbed/support/record.cc
@@ -78,6 +78,13 @@
           {"seen_us", record.seen_us}, {"accepted", record.accepted}};
 }
 
+Json Encode(const LeavingRecord& record) {
+  return {{"record", "leaving"},
+          {"server", record.server},
+          {"at_us", record.at_us},
+          {"leaving", record.leaving}};
+}
+
 LeaseRecord DecodeLease(const Json& json) {
   LeaseRecord record{.server = json.at("server"),
                      .incarnation = json.at("incarnation"),
@@ -129,12 +136,17 @@
           .accepted = json.at("accepted")};
 }
 
+LeavingRecord DecodeLeaving(const Json& json) {
+  return {.server = json.at("server"), .at_us = json.at("at_us"), .leaving = json.at("leaving")};
+}
+
 Record Decode(const Json& json) {
   const std::string name = json.at("record");
   if (name == "lease") return DecodeLease(json);
   if (name == "run") return DecodeRun(json);
   if (name == "answer") return DecodeAnswer(json);
   if (name == "version") return DecodeVersion(json);
+  if (name == "leaving") return DecodeLeaving(json);
   throw std::invalid_argument("no record is called " + name);
 }
 
--- a/testbed/support/record.h
+++ b/testbed/support/record.h
@@ -83,7 +83,16 @@
   bool operator==(const VersionRecord&) const = default;
 };
 
-using Record = std::variant<LeaseRecord, RunRecord, AnswerRecord, VersionRecord>;
+/// A server was told to take no new work from now on, or to take it again.
+struct LeavingRecord {
+  std::string server;
+  std::int64_t at_us = 0;
+  bool leaving = true;
+
+  bool operator==(const LeavingRecord&) const = default;
+};
+
+using Record = std::variant<LeaseRecord, RunRecord, AnswerRecord, VersionRecord, LeavingRecord>;
 
 /// Writes a record as one line without its line end.
 std::string EncodeRecord(const Record& record);
--- a/tests/testbed/history_test.cc
+++ b/tests/testbed/history_test.cc
@@ -216,3 +216,16 @@
   history.versions = {accepted, shown};
   cr_assert(Clean(history));
 }
+
+Test(history, finds_new_work_of_a_server_that_was_told_to_leave) {
+  History history;
+  const std::int64_t late = 100 + kLeavingGraceUs + 1;
+  history.leavings = {{"a", 100, true}};
+  history.runs = {Run("a", "op", late, late + 5)};
+  cr_assert(Finds(history, ViolationKind::kWorkAfterLeaving));
+  history.runs = {Run("a", "op", late - 1, late + 5)};
+  cr_assert(Clean(history));
+  history.runs = {Run("a", "op", late, late + 5)};
+  history.leavings.push_back({"a", late - 10, false});
+  cr_assert(Clean(history));
+}
--- a/tests/testbed/record_test.cc
+++ b/tests/testbed/record_test.cc
@@ -25,9 +25,12 @@
   answer.nonce = "n";
   answer.kind = "overloaded";
   answer.own = false;
-  return {lease, LeaseRecord{"a", 7, 15, 25, std::nullopt},
-          RunRecord{"a", 7, "meters", "k", 3, 9, "op", "n", "t", 11, 12}, answer,
-          VersionRecord{"router-1", 4, 1, 2, true}};
+  return {lease,
+          LeaseRecord{"a", 7, 15, 25, std::nullopt},
+          RunRecord{"a", 7, "meters", "k", 3, 9, "op", "n", "t", 11, 12},
+          answer,
+          VersionRecord{"router-1", 4, 1, 2, true},
+          LeavingRecord{"a", 5, false}};
 }
 
 struct TemporaryFile {
