--- a/testbed/fleet/fleet.cc
+++ b/testbed/fleet/fleet.cc
@@ -26,6 +26,10 @@
 
 Result<void> Fleet::Prepare() {
   std::error_code error;
+  if (std::filesystem::exists(paths_.folder) && !std::filesystem::is_empty(paths_.folder, error)) {
+    return Fail(ErrorKind::kFailedPrecondition, "The folder " + paths_.folder + " is not empty.",
+                "Name an empty one: records of an earlier run would be judged with this one's.");
+  }
   for (const char* folder : {"log", "records", "settings", "data"}) {
     std::filesystem::create_directories(paths_.folder + "/" + folder, error);
     if (error) {
--- a/testbed/fleet/fleet.h
+++ b/testbed/fleet/fleet.h
@@ -28,6 +28,7 @@
   Fleet& operator=(const Fleet&) = delete;
 
   /// Makes folders, credentials, members and links. Starts nothing.
+  /// @return kFailedPrecondition when the folder is not empty.
   Result<void> Prepare();
 
   /// Resolves selectors: a member's name, "control", "routers", "servers", "zone-2" for every
--- a/tests/testbed/fleet_test.cc
+++ b/tests/testbed/fleet_test.cc
@@ -1,3 +1,5 @@
+#include "testbed/fleet/fleet.h"
+
 #include <criterion/criterion.h>
 #include <unistd.h>
 
@@ -133,3 +135,14 @@
   cr_assert(report.Good());
   cr_assert(report.services.at("readings").requests() == 1);
 }
+
+Test(fleet, folder_with_records_of_an_earlier_run_is_refused) {
+  const auto folder =
+      std::filesystem::temp_directory_path() / ("graniteseam-folder-" + std::to_string(::getpid()));
+  std::filesystem::create_directories(folder / "records");
+  Fleet fleet(Scenario(), FleetPaths{"/no/programs", folder});
+  const auto prepared = Attempt([&] { return fleet.Prepare(); });
+  std::filesystem::remove_all(folder);
+  cr_assert(ErrorOf(prepared) != nullptr);
+  cr_assert(ErrorOf(prepared)->kind == ErrorKind::kFailedPrecondition);
+}
