--- a/include/graniteseam/placement/placement_planner.h
+++ b/include/graniteseam/placement/placement_planner.h
@@ -63,15 +63,18 @@
 
 /// Tunables; the services' weights scale the thresholds, see docs/operations/rebalancing.md.
 struct PlannerOptions {
-  double imbalance_trigger = 1.15;  ///< Act when the busiest server is above this over the mean...
-  double imbalance_target = 1.08;   ///< ...and then bring each server down to this.
+  double imbalance_trigger = 1.15;  ///< Relieve servers above this over the mean...
+  double imbalance_target = 1.08;   ///< ...and bring them down to this.
   /// Where no server has room below the target: the least gain, over the mean, that is worth a
   /// move.
   double gain_minimum = 0.05;
+  /// A shard above the target moves as a whole to a server that carries no more than this, over the
+  /// mean: cheaper than moving all its neighbours.
+  double hot_shard_company = 0.06;
   double noise_deviations = 2.0;    ///< Imbalance within this much noise is none.
   double load_floor = 5.0;          ///< Mean requests a second of a server below which none moves.
   Duration settle_time{1'000'000};  ///< Wait this long after the last shift of load...
-  Duration settle_maximum{3'000'000};  ///< ...but never longer than this in all.
+  Duration settle_maximum{1'000'000};  ///< ...but never longer than this in all.
   Duration cool_down{2'000'000};       ///< Least time between two plans with moves for one service.
   std::uint32_t moves_maximum = 256;   ///< Of one plan.
   double budget_moves_per_second = 20.0;  ///< Refill of the move budget, for each service.
@@ -92,7 +95,7 @@
   explicit PlacementPlanner(PlannerOptions options = {});
 
   /// Looks at the service's load and returns the moves to start now, often none. Moves are few:
-  /// only servers above the target lose shards, and each loses as few as can be.
+  /// only servers above the trigger lose shards, and each loses as few as can be.
   PlacementPlan Plan(const PlacementInput& input, Instant now);
 
  private:
@@ -103,7 +106,7 @@
   double budget_;
   std::optional<Instant> last_refill_;
   std::optional<Instant> last_plan_;
-  std::optional<Instant> settling_since_;
+  std::optional<Instant> unsettled_since_;
 };
 
 }  // namespace graniteseam::placement
--- a/src/placement/placement_planner.cc
+++ b/src/placement/placement_planner.cc
@@ -48,18 +48,15 @@
   const double reluctance = MoveReluctance(input.weights);
   const bool never_moves = std::isinf(reluctance);
   const double target = Threshold(options_.imbalance_target, never_moves ? 1 : reluctance);
-  ServerLoads loads(input, target, options_.noise_deviations, options_.gain_minimum);
+  const double trigger = Threshold(options_.imbalance_trigger, never_moves ? 1 : reluctance);
+  ServerLoads loads(input, trigger, target, options_);
   PlacementPlan plan;
   plan.hot_shards = FindHotShards(input, target, loads.mean());
   plan.imbalance_before = plan.imbalance_after = loads.Imbalance();
   if (never_moves) return plan;
   RefillBudget(reluctance, now);
-  const double trigger = Threshold(options_.imbalance_trigger, reluctance);
-  if (loads.mean() < options_.load_floor || !loads.AnyAbove(trigger)) {
-    settling_since_.reset();
-    return plan;
-  }
   if (!MayPlan(input, reluctance, now)) return plan;
+  if (loads.mean() < options_.load_floor || !loads.AnyOverloaded()) return plan;
   const auto moves_maximum =
       std::min<std::size_t>(options_.moves_maximum, static_cast<std::size_t>(budget_));
   MoveChoice choice;
@@ -71,18 +68,21 @@
   if (plan.moves.empty()) return plan;
   budget_ -= static_cast<double>(plan.moves.size());
   last_plan_ = now;
-  settling_since_.reset();
   plan.imbalance_after = loads.Imbalance();
   return plan;
 }
 
 /// Whether the estimates have settled and the last plan has cooled down.
 bool PlacementPlanner::MayPlan(const PlacementInput& input, double reluctance, Instant now) {
-  if (!settling_since_.has_value()) settling_since_ = now;
   const bool shifted =
       input.last_load_shift != Instant{} && now < input.last_load_shift + options_.settle_time;
-  // A load that never settles must not keep a server overloaded for ever.
-  if (shifted && now < *settling_since_ + options_.settle_maximum) return false;
+  if (!shifted) {
+    unsettled_since_.reset();
+  } else {
+    if (!unsettled_since_.has_value()) unsettled_since_ = now;
+    // A load that never settles must not keep a server overloaded for ever.
+    if (now < *unsettled_since_ + options_.settle_maximum) return false;
+  }
   return !last_plan_.has_value() || now >= *last_plan_ + Scaled(options_.cool_down, reluctance);
 }
 
--- a/src/placement/server_loads.cc
+++ b/src/placement/server_loads.cc
@@ -5,13 +5,9 @@
 
 namespace graniteseam::placement {
 
-ServerLoads::ServerLoads(const PlacementInput& input, double target, double noise_deviations,
-                         double gain_minimum)
-    : input_(input),
-      target_(target),
-      noise_deviations_(noise_deviations),
-      gain_minimum_(gain_minimum),
-      servers_(input.servers.size()) {
+ServerLoads::ServerLoads(const PlacementInput& input, double trigger, double target,
+                         const PlannerOptions& options)
+    : input_(input), target_(target), options_(options), servers_(input.servers.size()) {
   double total_load = 0;
   for (std::uint32_t position = 0; position < input.shards.size(); ++position) {
     const PlannedShard& shard = input.shards[position];
@@ -34,7 +30,7 @@
   for (ServerNumber number = 0; number < servers_.size(); ++number) {
     const Server& server = servers_[number];
     // Overload that may be noise is left alone: a move on its account may well make things worse.
-    const bool overloaded = Room(server) < 0 && Ratio(server) - 1 > Noise(server);
+    const bool overloaded = Ratio(server) > trigger && Ratio(server) - 1 > Noise(server);
     if (overloaded) sources_.emplace(Ratio(server), number);
     if (server.may_gain) rooms_.emplace(Room(server), number);
   }
@@ -42,7 +38,7 @@
 
 /// As a ratio. The error of the mean is left out: it is smaller by the root of the servers' number.
 double ServerLoads::Noise(const Server& server) const {
-  return noise_deviations_ * std::sqrt(server.variance) / (server.capacity * mean_);
+  return options_.noise_deviations * std::sqrt(server.variance) / (server.capacity * mean_);
 }
 
 double ServerLoads::Imbalance() const {
@@ -52,11 +48,6 @@
   return highest;
 }
 
-bool ServerLoads::AnyAbove(double ratio) const {
-  return std::any_of(sources_.begin(), sources_.end(),
-                     [&](const auto& source) { return source.first > ratio; });
-}
-
 bool ServerLoads::TakeNextMove(MoveChoice& choice) {
   while (!sources_.empty()) {
     const ServerNumber from = sources_.begin()->second;
@@ -76,8 +67,8 @@
                                      [&](const auto& room) { return room.second != from; });
   if (roomiest == rooms_.end() || source.shards.empty()) return false;
   const Server& target = servers_[roomiest->second];
-  std::size_t position = 0;
-  if (!FindMoveWithinTarget(source, target, position) &&
+  std::size_t position = source.shards.size() - 1;
+  if (!IsHotShardMove(source, target) && !FindMoveWithinTarget(source, target, position) &&
       !FindMoveWorthIt(source, target, position)) {
     return false;
   }
@@ -94,6 +85,16 @@
       [&](std::uint32_t left, std::uint32_t right) { return Load(left) < Load(right); });
 }
 
+/// Whether to move the heaviest shard, which no server can carry within the target, to one that is
+/// nearly empty: one move in place of one for each of its neighbours.
+bool ServerLoads::IsHotShardMove(const Server& source, const Server& target) const {
+  const double unit = target.capacity * mean_;
+  const double hottest = Load(source.shards.back());
+  const double neighbours = source.load - hottest;
+  return hottest > target_ * unit && target.load <= options_.hot_shard_company * unit &&
+         neighbours > target.load + options_.gain_minimum * unit;
+}
+
 /// The least shard that alone brings the source to its target, if the target server takes it; else
 /// the greatest that it takes: so the source needs the fewest moves.
 bool ServerLoads::FindMoveWithinTarget(const Server& source, const Server& target,
@@ -125,7 +126,7 @@
                     (target.load + load) / (target.capacity * mean_));
   };
   // The higher of the two falls with the shard's load up to a point and rises after it.
-  double best = Ratio(source) - gain_minimum_;
+  double best = Ratio(source) - options_.gain_minimum;
   bool found = false;
   const double even = (source.load * target.capacity - target.load * source.capacity) /
                       (source.capacity + target.capacity);
--- a/src/placement/server_loads.h
+++ b/src/placement/server_loads.h
@@ -24,18 +24,18 @@
 /// mean. Not thread safe.
 class ServerLoads {
  public:
-  /// @param target the ratio that no server shall exceed.
-  /// @param noise_deviations overload within this many standard deviations is none.
-  /// @param gain_minimum see PlannerOptions.
-  ServerLoads(const PlacementInput& input, double target, double noise_deviations,
-              double gain_minimum);
+  /// @param trigger servers above this ratio are relieved...
+  /// @param target ...down to this one.
+  /// @param options for the noise and the gains that are worth a move.
+  ServerLoads(const PlacementInput& input, double trigger, double target,
+              const PlannerOptions& options);
 
   /// Mean load of a server of capacity 1.
   double mean() const { return mean_; }
   /// The highest ratio of any server.
   double Imbalance() const;
-  /// Whether a server is above `ratio` by more than its noise.
-  bool AnyAbove(double ratio) const;
+  /// Whether a server is above the trigger, and above the mean by more than its noise.
+  bool AnyOverloaded() const { return !sources_.empty(); }
 
   /// Finds the next move off the most overloaded server that has one, and applies it.
   /// @return false when no move is left that brings a server to the target or is worth it.
@@ -64,6 +64,7 @@
 
   void SortShards(Server& server);
   bool FindMove(ServerNumber from, MoveChoice& choice);
+  bool IsHotShardMove(const Server& source, const Server& target) const;
   bool FindMoveWithinTarget(const Server& source, const Server& target, std::size_t& position);
   bool FindMoveWorthIt(const Server& source, const Server& target, std::size_t& position);
   void Apply(const MoveChoice& choice);
@@ -71,11 +72,10 @@
 
   const PlacementInput& input_;
   double target_;
-  double noise_deviations_;
-  double gain_minimum_;
+  const PlannerOptions& options_;
   double mean_ = 0;
   std::vector<Server> servers_;
-  RankedServers sources_;  ///< Servers above the target, by ratio.
+  RankedServers sources_;  ///< Servers to be relieved that are still above the target, by ratio.
   RankedServers rooms_;    ///< Servers that may gain, by room.
 };
 
