--- a/src/control/control_node_impl.cc
+++ b/src/control/control_node_impl.cc
@@ -53,7 +53,8 @@
   const Instant due = std::min(leadership_->ownership.NextDue(), journal_expiry_due_);
   // Without the leader lease nothing may be done about it, and what renews the lease is a peer's
   // message: waking for it would only spin.
-  return due < consensus_.leader_lease_end() ? std::min(next, due) : next;
+  const Instant at = std::max(due, finished_at_);
+  return at < consensus_.leader_lease_end() ? std::min(next, due) : next;
 }
 
 ControlEffects ControlNode::Impl::OnPeerMessage(const consensus::PeerMessage& message,
@@ -278,6 +279,7 @@
 ControlEffects ControlNode::Impl::Finish(Instant now) {
   Lead(now);
   CompactIfDue(now);
+  finished_at_ = now;
   return std::exchange(effects_, {});
 }
 
--- a/src/control/control_node_impl.h
+++ b/src/control/control_node_impl.h
@@ -90,6 +90,7 @@
   Term numbers_term_;               ///< Term in which `numbers_used_` counts.
   std::uint64_t numbers_used_ = 0;  ///< Of earlier lease tables of that term.
   Instant journal_expiry_due_{};
+  Instant finished_at_{};  ///< Of the latest entry point.
   bool stopping_ = false;
 };
 
--- a/tests/control/control_harness.cc
+++ b/tests/control/control_harness.cc
@@ -111,6 +111,13 @@
   was_leased_[name] = false;
 }
 
+void ControlHarness::KillServer(const std::string& name) {
+  Server& server = servers_.at(name);
+  server.owner.reset();
+  server.frozen = false;
+  server.inbox.clear();
+}
+
 void ControlHarness::SetPlatformLeaving(const std::string& name, bool leaving) {
   if (leaving) {
     leaving_.insert(name);
@@ -193,10 +200,10 @@
   for (std::size_t index = 0; index < controls_.size(); ++index) {
     if (!controls_[index].node || paused_.contains(index)) continue;
     if (platform) {
-      Call(index, [&](auto& node) { return node.OnPlatformList(list, now_); });
+      Call(index, [=, this](auto& node) { return node.OnPlatformList(list, now_); });
     }
     if (controls_[index].node->NextTick() <= now_) {
-      Call(index, [&](auto& node) { return node.Tick(now_, WallMs()); });
+      Call(index, [=, this](auto& node) { return node.Tick(now_, WallMs()); });
     }
   }
 }
@@ -224,7 +231,7 @@
     const std::uint64_t start = process.starts;
     At(now_ + Duration(200), [this, index, sequence, start] {
       if (controls_[index].starts != start) return;
-      Call(index, [&](auto& node) { return node.OnPersistDone(sequence, now_); });
+      Call(index, [=, this](auto& node) { return node.OnPersistDone(sequence, now_); });
     });
   }
   for (auto& message : effects.peer_messages) {
@@ -232,7 +239,7 @@
     // A learner that no process stands behind hears nothing.
     if (to >= controls_.size() || !Connected(index, to)) continue;
     At(now_ + Delay(), [this, to, message] {
-      Call(to, [&](auto& node) { return node.OnPeerMessage(message, now_); });
+      Call(to, [=, this](auto& node) { return node.OnPeerMessage(message, now_); });
     });
   }
   for (const auto& send : effects.lease_sends) CarryLease(index, send);
@@ -271,7 +278,7 @@
   Trace(answer.shard_set_version);
   if (cut_servers_.contains(index)) return;
   At(now_ + Delay(), [this, index, answer] {
-    Call(index, [&](auto& node) { return node.OnServerAnswer(answer, now_); });
+    Call(index, [=, this](auto& node) { return node.OnServerAnswer(answer, now_); });
   });
 }
 
@@ -352,12 +359,19 @@
   for (const auto& [shard, count] : owners) most_owners_ = std::max(most_owners_, count);
 }
 
+void ControlHarness::Submit(std::size_t index, const control::OperatorRequest& request) {
+  const control::RequestId id = ++last_request_;
+  Call(index,
+       [=, this](auto& node) { return node.OnOperatorRequest(id, request, now_, WallMs()); });
+}
+
 control::OperatorAnswer ControlHarness::Ask(const control::OperatorRequest& request) {
   const control::RequestId id = ++last_request_;
   if (!RunUntil([&] { return Leader().has_value(); }, Duration(10'000'000))) {
     throw std::runtime_error("no leader");
   }
-  Call(*Leader(), [&](auto& node) { return node.OnOperatorRequest(id, request, now_, WallMs()); });
+  Call(*Leader(),
+       [=, this](auto& node) { return node.OnOperatorRequest(id, request, now_, WallMs()); });
   if (!RunUntil([&] { return answers_.contains(id); }, Duration(10'000'000))) {
     throw std::runtime_error("no answer");
   }
@@ -365,13 +379,13 @@
 }
 
 void ControlHarness::StopLeaderAsPlanned() {
-  Call(*Leader(), [&](auto& node) { return node.PrepareStop(now_); });
+  Call(*Leader(), [=, this](auto& node) { return node.PrepareStop(now_); });
 }
 
 void ControlHarness::SendAsRouter(std::size_t index, std::uint64_t connection,
                                   const control::RouterToControl& message) {
   Call(index,
-       [&](auto& node) { return node.OnRouterMessage(connection, message, now_, WallMs()); });
+       [=, this](auto& node) { return node.OnRouterMessage(connection, message, now_, WallMs()); });
 }
 
 void ControlHarness::Trace(std::uint64_t value) {
--- a/tests/control/control_harness.h
+++ b/tests/control/control_harness.h
@@ -91,7 +91,7 @@
   void Reconnect(std::size_t index);
   void PauseControl(std::size_t index) { paused_.insert(index); }
   void ResumeControl(std::size_t index) { paused_.erase(index); }
-  void KillServer(const std::string& name) { servers_.at(name).owner.reset(); }
+  void KillServer(const std::string& name);
   void StartServer(const std::string& name);
   void FreezeServer(const std::string& name) { servers_.at(name).frozen = true; }
   void WakeServer(const std::string& name);
@@ -108,6 +108,11 @@
   std::vector<std::string> OwnersOf(std::uint32_t shard) const;
   bool AllOwned() const;
   std::size_t OwnedBy(const std::string& name) const;
+  /// The server's own clock.
+  Instant Clock(const std::string& name) const { return ServerNow(servers_.at(name)); }
+  bool Runs(std::size_t index) const { return controls_[index].node != nullptr; }
+  /// Sends a request to a control process without waiting for its answer.
+  void Submit(std::size_t index, const control::OperatorRequest& request);
   /// Sends a request to the leader and runs until it is answered.
   control::OperatorAnswer Ask(const control::OperatorRequest& request);
   /// Sends a message to one control process as a router; answers are in router_inbox().
