Keep router messages' encoding and lease calls off the heartbeats' thread

Change: InternalServer encodes on a thread of its own, in order; the lease client and the platform poller have an event loop of their own.

--- a/src/daemon/control/control_process.cc
+++ b/src/daemon/control/control_process.cc
@@ -24,6 +24,7 @@
   if (operator_server_) operator_server_->Stop();
   if (driver_) driver_->Stop();
   loop_.Stop();
+  server_loop_.Stop();
 }
 
 Result<void> ControlProcess::Start() {
@@ -105,13 +106,13 @@
   http::LeaseClientOptions lease_options;
   lease_options.tls = server_tls_;
   lease_client_ = std::make_unique<http::LeaseClient>(
-      std::move(lease_options), loop_, metrics_,
+      std::move(lease_options), server_loop_, metrics_,
       [this](const lease::LeaseAnswer& answer) { queue_.Push(ServerAnswered{answer}); });
   http::PlatformPollerOptions options;
   options.addresses = settings_.platform;
   options.tls = server_tls_;
   platform_poller_ = std::make_unique<http::PlatformPoller>(
-      std::move(options), loop_, metrics_, [this] { return driver_->status().leading; },
+      std::move(options), server_loop_, metrics_, [this] { return driver_->status().leading; },
       [this](const control::PlatformList& list) { queue_.Push(PlatformListed{list}); });
 }
 
@@ -176,6 +177,7 @@
   internal_server_->Disconnect();
   driver_->Stop();
   loop_.Stop();
+  server_loop_.Stop();
   log_.Info("Stopped.");
 }
 
--- a/src/daemon/control/control_process.h
+++ b/src/daemon/control/control_process.h
@@ -57,7 +57,8 @@
   platform::StopSignals& stop_signals_;
   platform::MetricsRegistry metrics_;
   // Before what runs on it, so that it outlives that.
-  platform::EventLoop loop_;
+  platform::EventLoop loop_;         ///< Control peers and routers.
+  platform::EventLoop server_loop_;  ///< The users' servers and the platform list.
   ControlEventQueue queue_;
   OperatorDesk desk_{queue_};
   std::shared_ptr<http::TlsContext> operator_tls_;
--- a/src/protocol/frame.h
+++ b/src/protocol/frame.h
@@ -25,7 +25,7 @@
 };
 
 inline constexpr std::size_t kFrameHeaderBytes = 5;
-/// Holds a whole shard map of 87,000 shards (about 4 MiB) with room to spare.
+/// Holds a whole shard map of 87,000 shards (3.0 MB as encoded) with room to spare.
 inline constexpr std::size_t kFramePayloadMaximum = std::size_t{16} << 20;
 /// Until a peer said hello it gets no more memory than this.
 inline constexpr std::size_t kHelloPayloadMaximum = std::size_t{4} << 10;
--- a/src/protocol/internal_server.cc
+++ b/src/protocol/internal_server.cc
@@ -27,7 +27,7 @@
 
   Result<void> Start();
   void Accept();
-  void SendToRouter(RouterConnectionId id, const control::ControlToRouter& message);
+  void SendToRouter(RouterConnectionId id, const std::string& payload);
   void Disconnect();
 
   platform::EventLoop& loop() { return loop_; }
@@ -141,11 +141,10 @@
   if (was_router) handlers_.on_router_disconnected(id);
 }
 
-void InternalServer::Impl::SendToRouter(RouterConnectionId id,
-                                        const control::ControlToRouter& message) {
+void InternalServer::Impl::SendToRouter(RouterConnectionId id, const std::string& payload) {
   const auto found = clients_.find(id);
   if (found == clients_.end()) return;
-  if (found->second.connection->Send(codec::Encode(message))) return;
+  if (found->second.connection->Send(payload)) return;
   found->second.connection->Close({ErrorKind::kOverloaded,
                                    "The router does not take its messages fast enough.",
                                    "Check the router and the network between."});
@@ -161,15 +160,20 @@
                                platform::MetricsRegistry& metrics, Handlers handlers)
     : impl_(std::make_shared<Impl>(std::move(options), loop, metrics, std::move(handlers))) {}
 
-InternalServer::~InternalServer() { impl_->Disconnect(); }
+InternalServer::~InternalServer() {
+  encoder_.Stop();
+  impl_->Disconnect();
+}
 
 Result<void> InternalServer::Start() { return impl_->Start(); }
 
 std::uint16_t InternalServer::port() const { return impl_->port(); }
 
 void InternalServer::SendToRouter(RouterConnectionId connection, control::ControlToRouter message) {
-  asio::post(impl_->loop().context(), [impl = impl_, connection, message = std::move(message)] {
-    impl->SendToRouter(connection, message);
+  asio::post(encoder_.context(), [impl = impl_, connection, message = std::move(message)] {
+    asio::post(impl->loop().context(), [impl, connection, payload = codec::Encode(message)] {
+      impl->SendToRouter(connection, payload);
+    });
   });
 }
 
--- a/src/protocol/internal_server.h
+++ b/src/protocol/internal_server.h
@@ -66,6 +66,9 @@
  private:
   class Impl;
   std::shared_ptr<Impl> impl_;
+  /// Encodes for routers: a whole map of a large fleet takes so long that peers' heartbeats must
+  /// not wait for it on the connections' thread.
+  platform::EventLoop encoder_;
 };
 
 }  // namespace graniteseam::protocol
