--- a/src/daemon/router/main.cc
+++ b/src/daemon/router/main.cc
@@ -18,10 +18,9 @@
 #include "src/protocol/internal_settings.h"
 #include "src/protocol/router_control_client.h"
 
+namespace graniteseam {
 namespace {
 
-using namespace graniteseam;
-
 struct RouterSettings {
   std::string id;
   std::string zone;
@@ -179,7 +178,7 @@
 
 }  // namespace
 
-int main(int argc, char** argv) {
+int Main(int argc, char** argv) {
   RouterSettings settings;
   if (const std::optional<int> exit_code = ReadSettings(argc, argv, settings)) return *exit_code;
   platform::StopSignals stop_signals;
@@ -190,3 +189,7 @@
   }
   return Run(settings, std::get<RouterTls>(tls), stop_signals);
 }
+
+}  // namespace graniteseam
+
+int main(int argc, char** argv) { return graniteseam::Main(argc, argv); }
