--- a/src/platform/metric_list.h
+++ b/src/platform/metric_list.h
@@ -111,15 +111,15 @@
         {Metric::kRouterBundleVersion, MetricType::kGauge, "graniteseam_router_bundle_version",
          "Bundle version in force in this router."},
         {Metric::kRouterQueueLength, MetricType::kGauge, "graniteseam_router_queue_length",
-         "Requests that wait for admission, by group."},
+         "Requests that wait for admission."},
         {Metric::kRouterInFlight, MetricType::kGauge, "graniteseam_router_in_flight",
          "Requests at servers."},
         {Metric::kRouterRetries, MetricType::kCounter, "graniteseam_router_retries_total",
-         "Attempts after the first, by reason."},
+         "Attempts after the first of a request."},
         {Metric::kRouterEjectedServers, MetricType::kGauge, "graniteseam_router_ejected_servers",
          "Servers passed over as outliers."},
         {Metric::kRouterUpstreamConnections, MetricType::kGauge,
-         "graniteseam_router_upstream_connections", "Connections to servers."},
+         "graniteseam_router_upstream_connections", "Idle connections to servers."},
     }};
 
 constexpr const MetricDescription& Describe(Metric metric) {
