--- a/testbed/fleet_session/scale_fleet.h
+++ b/testbed/fleet_session/scale_fleet.h
@@ -92,7 +92,7 @@
   Result<void> StartServers();
   Result<void> StartRouters();
   Result<void> AwaitShards();
-  Result<void> AwaitRouters();
+  Result<void> AwaitRouters(std::uint32_t wanted);
   Result<std::uint64_t> SumOf(const std::vector<HollowProcess>& processes, const std::string& key);
   const HollowProcess& ProcessOf(std::uint32_t server) const;
   void Take(const nlohmann::json& event);
