--- a/testbed/experiment/planned_changes.cc
+++ b/testbed/experiment/planned_changes.cc
@@ -211,7 +211,7 @@
       files.push_back(deployment.bundle);
     }
     BOOST_LEAF_AUTO(text, JoinBundles(files, version, "experiment-author"));
-    const std::string path =
+    std::string path =
         fmt::format("{}/bundle-{}.toml", run.session.fleet().paths().folder, version);
     BOOST_LEAF_CHECK(WriteTextFile(path, text));
     return path;
