--- a/testbed/fleet/await.cc
+++ b/testbed/fleet/await.cc
@@ -1,5 +1,7 @@
 #include "testbed/fleet/await.h"
 
+#include <fmt/format.h>
+
 #include <thread>
 
 #include "src/platform/clock.h"
@@ -19,7 +21,8 @@
     const Missing missing = condition();
     if (missing.empty()) return {};
     if (platform::BootTimeNow() >= end) {
-      return Fail(ErrorKind::kDeadlineExceeded, "Waited in vain for " + what + ": " + missing + ".",
+      return Fail(ErrorKind::kDeadlineExceeded,
+                  fmt::format("Waited in vain for {}: {}.", what, missing),
                   "Look at the logs in the fleet's folder.");
     }
     std::this_thread::sleep_for(kPeriod);
--- a/testbed/fleet/child_process.cc
+++ b/testbed/fleet/child_process.cc
@@ -1,6 +1,7 @@
 #include "testbed/fleet/child_process.h"
 
 #include <fcntl.h>
+#include <fmt/format.h>
 #include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -32,7 +33,7 @@
 std::vector<std::string> Environment(const std::map<std::string, std::string>& added) {
   std::vector<std::string> environment;
   for (char** entry = environ; *entry != nullptr; ++entry) environment.emplace_back(*entry);
-  for (const auto& [name, value] : added) environment.push_back(name + "=" + value);
+  for (const auto& [name, value] : added) environment.push_back(fmt::format("{}={}", name, value));
   return environment;
 }
 
--- a/testbed/fleet/fault_runner.cc
+++ b/testbed/fleet/fault_runner.cc
@@ -158,8 +158,8 @@
   std::vector<std::string> files;
   for (const auto& deployment : fleet_.scenario().deployments) files.push_back(deployment.bundle);
   BOOST_LEAF_AUTO(text, JoinBundles(files, bundle_version_ + 1, author));
-  const std::string path = fleet_.paths().folder + "/bundle-" +
-                           std::to_string(bundle_version_ + 1) + "-" + author + ".toml";
+  std::string path = fleet_.paths().folder + "/bundle-" + std::to_string(bundle_version_ + 1) +
+                     "-" + author + ".toml";
   BOOST_LEAF_CHECK(WriteTextFile(path, text));
   return path;
 }
--- a/testbed/fleet/layout.cc
+++ b/testbed/fleet/layout.cc
@@ -122,7 +122,7 @@
   std::uint64_t id = 0;
   for (std::size_t zone = 0; zone < scenario_.zone_count(); ++zone) {
     for (std::int64_t count = 0; count < scenario_.voters_per_zone[zone]; ++count) {
-      const std::string name = "control-" + std::to_string(++id);
+      std::string name = "control-" + std::to_string(++id);
       BOOST_LEAF_AUTO(member, AddMember(members, name, Role::kControl, zone, 2));
       member->control_id = id;
       member->data_folder = paths_.folder + "/data/" + name;
@@ -158,7 +158,7 @@
 Result<void> Layout::AddRouters(Members& members) {
   for (std::size_t zone = 0; zone < scenario_.zone_count(); ++zone) {
     for (std::int64_t count = 1; count <= scenario_.routers_per_zone; ++count) {
-      const std::string name = "router-" + ZoneName(zone) + "-" + std::to_string(count);
+      std::string name = "router-" + ZoneName(zone) + "-" + std::to_string(count);
       BOOST_LEAF_AUTO(member, AddMember(members, name, Role::kRouter, zone, 1));
       member->command.words = {Program("graniteseam-router"), "--settings", paths_.Settings(name)};
       BOOST_LEAF_CHECK(WriteRouterSettings(members, *member));
@@ -192,7 +192,7 @@
 Result<std::string> Layout::AddServer(Members& members, const ServerGroup& group,
                                       std::size_t zone) {
   const int number = ++servers_of_service_[group.service];
-  const std::string name = group.service + "-" + std::to_string(number);
+  std::string name = group.service + "-" + std::to_string(number);
   BOOST_LEAF_AUTO(member, AddMember(members, name, Role::kServer, zone, 1));
   member->service = group.service;
   auto& words = member->command.words;
@@ -235,7 +235,7 @@
 }
 
 Result<void> Layout::AddCaller(Members& members, const Deployment& deployment, std::size_t zone) {
-  const std::string name = "caller-" + deployment.name + "-" + ZoneName(zone);
+  std::string name = "caller-" + deployment.name + "-" + ZoneName(zone);
   BOOST_LEAF_AUTO(member, AddMember(members, name, Role::kCaller, zone, 0));
   std::string routers;
   for (const auto& [router_name, router] : members) {
--- a/testbed/fleet/link_layer.cc
+++ b/testbed/fleet/link_layer.cc
@@ -17,7 +17,7 @@
 
 /// How often a held connection looks whether its link is healed.
 constexpr auto kHealCheckPeriod = std::chrono::milliseconds(10);
-constexpr std::size_t kPieceBytes = 64 * 1024;
+constexpr std::size_t kPieceBytes = std::size_t{64} * 1024;
 /// Pieces held in one direction before reading pauses; the sender's window then fills up.
 constexpr std::size_t kHeldPiecesMaximum = 64;
 
@@ -128,18 +128,18 @@
     });
   }
 
-  void Take(std::shared_ptr<Tcp::socket> client) {
+  void Take(const std::shared_ptr<Tcp::socket>& client) {
     ErrorCode error;
     const auto peer = client->remote_endpoint(error);
     if (error) return;
     const std::string from = peer.address().to_string();
     const std::string to = target_.address().to_string();
     if (state_(from, to).cut || state_(to, from).cut) return HoldUntilHealed(client, from, to);
-    Connect(std::move(client), from, to);
+    Connect(client, from, to);
   }
 
   /// What came in while the link was cut never reached the other side: it is closed in the end.
-  void HoldUntilHealed(std::shared_ptr<Tcp::socket> client, const std::string& from,
+  void HoldUntilHealed(const std::shared_ptr<Tcp::socket>& client, const std::string& from,
                        const std::string& to) {
     auto timer = std::make_shared<boost::asio::steady_timer>(context_, kHealCheckPeriod);
     timer->async_wait([self = shared_from_this(), client, timer, from, to](ErrorCode) {
@@ -149,7 +149,7 @@
     });
   }
 
-  void Connect(std::shared_ptr<Tcp::socket> client, const std::string& from,
+  void Connect(const std::shared_ptr<Tcp::socket>& client, const std::string& from,
                const std::string& to) {
     auto server = std::make_shared<Tcp::socket>(context_);
     server->async_connect(
