--- a/tests/admission/allotter_test.cc
+++ b/tests/admission/allotter_test.cc
@@ -7,7 +7,7 @@
 #include <cstdlib>
 #include <numeric>
 
-#include "tests/admission/fixed_seed.h"
+#include "tests/support/fixed_seed.h"
 
 using graniteseam::GroupName;
 using graniteseam::Instant;
--- a/tests/admission/group_limiter_test.cc
+++ b/tests/admission/group_limiter_test.cc
@@ -5,7 +5,7 @@
 
 #include <set>
 
-#include "tests/admission/fixed_seed.h"
+#include "tests/support/fixed_seed.h"
 
 using graniteseam::Duration;
 using graniteseam::GroupName;
