--- a/src/consensus/leader.cc
+++ b/src/consensus/leader.cc
@@ -122,13 +122,9 @@
 
 void RaftConsensus::Impl::OnAppendResponse(const Member& from, const AppendResponse& response,
                                            Instant now) {
-  if (response.term > hard_state_.term) {
-    BecomeFollower(response.term, std::nullopt, now);
-    return;
-  }
-  if (role_ != Role::kLeader || response.term < hard_state_.term) return;
-  PeerProgress& progress = progress_.at(VoteKey(from));
-  NoteAnswer(progress, response.round, now);
+  PeerProgress* const answered = TakeAnswer(from, response.term, response.round, now);
+  if (answered == nullptr) return;
+  PeerProgress& progress = *answered;
   if (response.success) {
     progress.match = std::max(progress.match, std::min(response.match_index, log_.last_index()));
     progress.next = std::max(progress.next, progress.match.Next());
@@ -143,9 +139,17 @@
   SendNext(from, progress, now);
 }
 
-void RaftConsensus::Impl::NoteAnswer(PeerProgress& progress, std::int64_t round, Instant now) {
+PeerProgress* RaftConsensus::Impl::TakeAnswer(const Member& from, Term term, std::int64_t round,
+                                              Instant now) {
+  if (term > hard_state_.term) {
+    BecomeFollower(term, std::nullopt, now);
+    return nullptr;
+  }
+  if (role_ != Role::kLeader || term < hard_state_.term) return nullptr;
+  PeerProgress& progress = progress_.at(VoteKey(from));
   progress.acknowledged_round = std::max(progress.acknowledged_round, std::min(round, round_));
   progress.heard_at = now;
+  return &progress;
 }
 
 void RaftConsensus::Impl::UpdateLeaderCommit(Instant now) {
--- a/src/consensus/raft_impl.h
+++ b/src/consensus/raft_impl.h
@@ -96,7 +96,9 @@
   void SendEntries(const Member& peer, PeerProgress& progress, Instant now);
   void SendEmptyAppend(const Member& peer, const PeerProgress& progress);
   void OnAppendResponse(const Member& from, const AppendResponse& response, Instant now);
-  void NoteAnswer(PeerProgress& progress, std::int64_t round, Instant now);
+  /// Takes what every answer to a leader says: its term and the round it answers.
+  /// @return the sender's progress; null when the answer is not for this leader's term.
+  PeerProgress* TakeAnswer(const Member& from, Term term, std::int64_t round, Instant now);
   std::int64_t QuorumRound() const;
   Instant QuorumRoundSentAt() const;
   void UpdateLeaderCommit(Instant now);
--- a/src/consensus/snapshot_transfer.cc
+++ b/src/consensus/snapshot_transfer.cc
@@ -36,13 +36,9 @@
 void RaftConsensus::Impl::OnInstallSnapshotResponse(const Member& from,
                                                     const InstallSnapshotResponse& response,
                                                     Instant now) {
-  if (response.term > hard_state_.term) {
-    BecomeFollower(response.term, std::nullopt, now);
-    return;
-  }
-  if (role_ != Role::kLeader || response.term < hard_state_.term) return;
-  PeerProgress& progress = progress_.at(VoteKey(from));
-  NoteAnswer(progress, response.round, now);
+  PeerProgress* const answered = TakeAnswer(from, response.term, response.round, now);
+  if (answered == nullptr) return;
+  PeerProgress& progress = *answered;
   if (!progress.transfer) return;
   SnapshotTransfer& transfer = *progress.transfer;
   if (response.installed) {
