--- a/cmake/HeaderCheck.cmake
+++ b/cmake/HeaderCheck.cmake
@@ -13,4 +13,4 @@
 target_compile_options(graniteseam_header_check PRIVATE -O0 -g0)
 target_link_libraries(graniteseam_header_check PRIVATE
   graniteseam_control graniteseam_routing graniteseam_storage graniteseam_lease
-  graniteseam_protocol graniteseam_http graniteseam_platform)
+  graniteseam_protocol graniteseam_http graniteseam_runtime)
--- a/cmake/Install.cmake
+++ b/cmake/Install.cmake
@@ -4,7 +4,7 @@
 include(CMakePackageConfigHelpers)
 
 set(library_components common codec consensus storage lease bundle placement membership operation
-  admission control routing)
+  admission traffic control routing)
 
 set(library_objects)
 foreach(component ${library_components})
--- a/fuzz/settings_fuzz.cc
+++ b/fuzz/settings_fuzz.cc
@@ -6,7 +6,7 @@
 #include <string>
 
 #include "fuzz/fuzz_target.h"
-#include "src/platform/setting_value.h"
+#include "src/runtime/setting_value.h"
 
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
   using namespace graniteseam;
@@ -15,7 +15,7 @@
   if (file == nullptr) return 0;
   std::fwrite(data, 1, size, file);
   std::fclose(file);
-  const auto settings = Attempt([&] { return platform::ReadSettingsFile(path); });
+  const auto settings = Attempt([&] { return runtime::ReadSettingsFile(path); });
   static_cast<void>(settings);
   std::remove(path.c_str());
   return 0;
--- a/include/graniteseam/consensus/raft_consensus.h
+++ b/include/graniteseam/consensus/raft_consensus.h
@@ -63,6 +63,13 @@
   bool role_changed = false;
 };
 
+/// What a leader knows of another member.
+struct PeerStatus {
+  Member member;
+  Duration silence{};      ///< Since it last answered, or since this leadership began.
+  bool caught_up = false;  ///< Holds what was committed at the start of the newest round.
+};
+
 /// One member of one replicated log.
 ///
 /// Lifecycle: constructed from what recovery found; stepped until destruction. Not thread safe:
@@ -122,6 +129,8 @@
   const Member& self() const;
   /// Processes outside the membership that announced themselves lately: candidates for a learner.
   std::vector<Member> announced() const;
+  /// The other members as this leader sees them; empty when it does not lead.
+  std::vector<PeerStatus> peers(Instant now) const;
 
  private:
   class Impl;
--- a/include/graniteseam/control/control_node.h
+++ b/include/graniteseam/control/control_node.h
@@ -11,7 +11,9 @@
 
 #include "graniteseam/consensus/raft_consensus.h"
 #include "graniteseam/control/operator_messages.h"
+#include "graniteseam/control/range_orders.h"
 #include "graniteseam/control/router_messages.h"
+#include "graniteseam/control/traffic_options.h"
 #include "graniteseam/lease/grant.h"
 
 namespace graniteseam::control {
@@ -22,6 +24,8 @@
   Duration router_lease{1'000'000};
   double clock_drift_bound = 0.001;  ///< Rate by which two machines' clocks may differ.
   std::size_t compact_after_entries = 10'000;
+  TrafficOptions traffic;
+  MembershipKeeperOptions membership;
   std::map<std::string, std::string> reviewer_keys;  ///< Reviewer -> Ed25519 public key, base64.
 };
 
@@ -50,6 +54,7 @@
   std::vector<LeaseSend> lease_sends;
   std::vector<RouterSend> router_sends;
   std::vector<OperatorReply> operator_replies;
+  std::vector<RangeOrder> range_orders;  ///< To instances that own keys.
 };
 
 /// One control process without its I/O. Not thread safe; `now` never goes back.
@@ -70,6 +75,7 @@
   ControlEffects OnOperatorRequest(RequestId request, const OperatorRequest& command, Instant now,
                                    std::int64_t wall_ms);
   ControlEffects OnPlatformList(const PlatformList& list, Instant now);
+  ControlEffects OnRangeOrderResult(const RangeOrderResult& result, Instant now);
   /// Hands leadership over for a planned stop.
   ControlEffects PrepareStop(Instant now);
 
--- a/include/graniteseam/control/operator_messages.h
+++ b/include/graniteseam/control/operator_messages.h
@@ -17,6 +17,8 @@
 #include "graniteseam/common/ids.h"
 #include "graniteseam/consensus/types.h"
 #include "graniteseam/control/router_messages.h"
+#include "graniteseam/traffic/configuration.h"
+#include "graniteseam/traffic/instance.h"
 
 namespace graniteseam::control {
 
@@ -59,8 +61,23 @@
   ServiceName service;  ///< Empty: all.
 };
 
-using OperatorRequest = std::variant<SubmitBundle, SignBundle, RollBundle, MoveShard, DrainServer,
-                                     ChangeMembership, ReadBundles, ReadFleet, ReadShards>;
+/// Changes the traffic configuration; idempotent by the change's digest.
+struct ChangeConfiguration {
+  traffic::ConfigurationChange change;
+};
+struct ReadConfiguration {};
+/// An instance's heartbeat.
+struct ReportInstance {
+  traffic::InstanceReport report;
+};
+struct DeregisterInstance {
+  traffic::InstanceId instance;
+};
+
+using OperatorRequest =
+    std::variant<SubmitBundle, SignBundle, RollBundle, MoveShard, DrainServer, ChangeMembership,
+                 ReadBundles, ReadFleet, ReadShards, ChangeConfiguration, ReadConfiguration,
+                 ReportInstance, DeregisterInstance>;
 
 using bundle::BundleRecord;
 using bundle::BundleState;
@@ -110,7 +127,13 @@
 };
 BOOST_DESCRIBE_STRUCT(Accepted, (), (index))
 
-using OperatorAnswer = std::variant<Accepted, BundlesView, FleetView, ShardsView, Error>;
+struct ConfigurationView {
+  traffic::Configuration configuration;
+};
+BOOST_DESCRIBE_STRUCT(ConfigurationView, (), (configuration))
+
+using OperatorAnswer =
+    std::variant<Accepted, BundlesView, FleetView, ShardsView, Error, ConfigurationView>;
 
 /// One machine of the platform's list (docs/interface/platform.md). The list lags: it is a hint.
 struct PlatformMachine {
--- /dev/null
+++ b/include/graniteseam/control/range_orders.h
@@ -0,0 +1,46 @@
+/// @file
+/// Orders to the instances that own keys, and what came of them.
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+#include "graniteseam/common/time.h"
+#include "graniteseam/traffic/key_range.h"
+
+namespace graniteseam::control {
+
+/// Names an order as long as one leadership lasts.
+using OrderNumber = NumericId<struct OrderNumberTag>;
+
+/// A call to an instance. A grant gives the span for `hold`, counted by the instance from the
+/// call's arrival; the same grant again renews it. A release stops new work on the span and is
+/// answered when the work that runs has ended.
+struct RangeOrder {
+  enum class Kind { kGrant, kRelease };
+
+  OrderNumber number;
+  Kind kind = Kind::kGrant;
+  traffic::InstanceId instance;
+  std::string address;  ///< "ip:port".
+  traffic::KeySpan span;
+  traffic::Fence fence;
+  Duration hold{};       ///< Grants only.
+  std::string handover;  ///< Grants only: what the last owner gave; may be empty.
+  Duration limit{};      ///< Without an answer by then its outcome is unknown.
+};
+
+struct RangeOrderResult {
+  enum class Outcome {
+    kDone,
+    kRefused,       ///< The instance saw a higher fence.
+    kNotDelivered,  ///< No byte was sent.
+    kUnknown,       ///< Sent; it may be carried out, also later.
+  };
+
+  OrderNumber number;
+  Outcome outcome = Outcome::kUnknown;
+  std::string handover;  ///< Of a release; may be empty.
+};
+
+}  // namespace graniteseam::control
--- a/include/graniteseam/control/router_messages.h
+++ b/include/graniteseam/control/router_messages.h
@@ -14,6 +14,7 @@
 #include "graniteseam/bundle/bundle.h"
 #include "graniteseam/common/ids.h"
 #include "graniteseam/operation/messages.h"
+#include "graniteseam/traffic/update.h"
 
 namespace graniteseam::control {
 
@@ -147,7 +148,11 @@
 };
 BOOST_DESCRIBE_STRUCT(NotLeaderAnswer, (), (sequence, leader_address))
 
-using RouterToControl = std::variant<RouterRenewal, JournalRequest>;
-using ControlToRouter = std::variant<RouterRenewalAnswer, JournalAnswer, NotLeaderAnswer>;
+using traffic::TrafficPoll;
+using traffic::TrafficUpdate;
+
+using RouterToControl = std::variant<RouterRenewal, JournalRequest, TrafficPoll>;
+using ControlToRouter =
+    std::variant<RouterRenewalAnswer, JournalAnswer, NotLeaderAnswer, TrafficUpdate>;
 
 }  // namespace graniteseam::control
--- /dev/null
+++ b/include/graniteseam/control/traffic_options.h
@@ -0,0 +1,36 @@
+/// @file
+/// Tunables of a control group's care for key ranges, instances and its own membership.
+#pragma once
+
+#include <cstddef>
+
+#include "graniteseam/common/time.h"
+
+namespace graniteseam::control {
+
+struct RangeOptions {
+  Duration hold{3'000'000};                ///< Length of a grant.
+  Duration renewal_interval{1'000'000};    ///< Between two renewals of a grant.
+  Duration grant_limit{400'000};           ///< How long a grant's answer is awaited.
+  Duration release_limit{3'000'000};       ///< The same of a release, which waits for work to end.
+  Duration retry_interval{150'000};        ///< After an order that failed.
+  Duration settling{1'500'000};            ///< Of registrations before keys are first given out.
+  double clock_drift_bound = 0.02;         ///< By which an instance's clock may run slow.
+  Duration unresponsive_after{1'000'000};  ///< Of orders that failed, to give up on an owner.
+  Duration transit_slack{50'000};          ///< Added to the end of each grant.
+};
+
+struct TrafficOptions {
+  RangeOptions ranges;
+  /// An instance that sent no heartbeat for so long gets nothing new.
+  Duration instance_silence{4'000'000};
+};
+
+struct MembershipKeeperOptions {
+  bool enabled = false;
+  std::size_t voters = 3;             ///< Wanted; more machines are learners in reserve.
+  Duration replace_after{6'000'000};  ///< Silence after which a reserve takes a voter's place.
+  Duration forget_learner_after{30'000'000};
+};
+
+}  // namespace graniteseam::control
--- /dev/null
+++ b/include/graniteseam/traffic/update.h
@@ -0,0 +1,62 @@
+/// @file
+/// What routers are told of the traffic state, and what they tell in return.
+#pragma once
+
+#include <boost/describe/class.hpp>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "graniteseam/traffic/configuration.h"
+#include "graniteseam/traffic/instance.h"
+#include "graniteseam/traffic/key_range.h"
+
+namespace graniteseam::traffic {
+
+/// The change of the traffic state from `base` to `version`, both log indexes. With base 0 it is
+/// the whole state. Items are without their sources.
+struct TrafficUpdate {
+  std::uint64_t sequence = 0;  ///< Of the poll that it answers; 0 when it was pushed.
+  std::uint64_t base = 0;
+  std::uint64_t version = 0;
+  ConfigurationVersion configuration;
+  std::vector<Route> routes;  ///< New or changed.
+  std::vector<RouteName> removed_routes;
+  std::vector<Service> services;  ///< New or changed.
+  std::vector<ServiceName> removed_services;
+  std::optional<CallerLimits> limits;  ///< When changed.
+  std::vector<Instance> instances;     ///< New or changed; those that are gone to be forgotten.
+  /// Changed spans in the order of their changes; each overrides what was known of its keys.
+  std::vector<KeyRange> ranges;
+  std::uint32_t routers = 0;  ///< Routers that share the group's budgets at present.
+
+  bool operator==(const TrafficUpdate&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(TrafficUpdate, (),
+                      (sequence, base, version, configuration, routes, removed_routes, services,
+                       removed_services, limits, instances, ranges, routers))
+
+/// Requests for keys of one span through one router since its last poll.
+struct SpanLoad {
+  ServiceName service;
+  KeySpan span;
+  double requests = 0;
+  double busy_us = 0;  ///< Server time spent, as the router saw it.
+
+  bool operator==(const SpanLoad&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(SpanLoad, (), (service, span, requests, busy_us))
+
+/// Asks for what changed, and shows that the router lives.
+struct TrafficPoll {
+  RouterId router;
+  ZoneName zone;
+  std::uint64_t sequence = 0;
+  std::uint64_t version = 0;  ///< Log index of the state that the router has; 0 for none.
+  std::vector<SpanLoad> loads;
+
+  bool operator==(const TrafficPoll&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(TrafficPoll, (), (router, zone, sequence, version, loads))
+
+}  // namespace graniteseam::traffic
--- a/src/consensus/membership_change.cc
+++ b/src/consensus/membership_change.cc
@@ -122,6 +122,17 @@
          now - progress->second.heard_at <= options_.election_timeout_maximum;
 }
 
+std::vector<PeerStatus> RaftConsensus::Impl::Peers(Instant now) const {
+  std::vector<PeerStatus> peers;
+  if (role_ != Role::kLeader) return peers;
+  for (const Member& member : OtherMembers()) {
+    const PeerProgress& progress = progress_.at(VoteKey(member));
+    const Instant heard = std::max(progress.heard_at, leader_since_);
+    peers.push_back({member, now - heard, progress.match >= commit_at_round_start_});
+  }
+  return peers;
+}
+
 // A new member is probed from `next_to_send` on, which must not be beyond the log's end for long:
 // an empty heartbeat tells nothing about what it lacks.
 void RaftConsensus::Impl::SyncProgressWithMembership(LogIndex next_to_send) {
--- a/src/consensus/raft_consensus.cc
+++ b/src/consensus/raft_consensus.cc
@@ -263,5 +263,6 @@
 const Membership& RaftConsensus::membership() const { return impl_->log().membership(); }
 const Member& RaftConsensus::self() const { return impl_->self(); }
 std::vector<Member> RaftConsensus::announced() const { return impl_->Announced(); }
+std::vector<PeerStatus> RaftConsensus::peers(Instant now) const { return impl_->Peers(now); }
 
 }  // namespace graniteseam::consensus
--- a/src/consensus/raft_impl.h
+++ b/src/consensus/raft_impl.h
@@ -30,6 +30,7 @@
   void TransferLeadership(Instant now);
   void Compact(LogIndex index, std::string data, Instant now);
   std::vector<Member> Announced() const;
+  std::vector<PeerStatus> Peers(Instant now) const;
 
   /// Hands out the effects gathered since the last call and numbers what must be persisted.
   Effects TakeEffects();
--- a/src/control/commands.h
+++ b/src/control/commands.h
@@ -14,6 +14,7 @@
 #include "graniteseam/common/error.h"
 #include "graniteseam/operation/messages.h"
 #include "src/placement/shard_table.h"
+#include "src/traffic/traffic_state.h"
 
 namespace graniteseam::control {
 
@@ -93,10 +94,48 @@
 };
 BOOST_DESCRIBE_STRUCT(RemoveServerCommand, (), (server))
 
-using CommandBody = std::variant<SubmitBundleCommand, bundle::SignatureCommand, RollBundleCommand,
-                                 RegisterServerCommand, LoseServerCommand, AssignShardsCommand,
-                                 BeginMovesCommand, SetDrainingCommand, SetLeavingCommand,
-                                 JournalCommand, ExpireJournalCommand, RemoveServerCommand>;
+/// An operator's direct change of the traffic configuration.
+struct ChangeConfigurationCommand {
+  traffic::ConfigurationChange change;
+};
+BOOST_DESCRIBE_STRUCT(ChangeConfigurationCommand, (), (change))
+
+/// Heartbeats that tell something new.
+struct ReportInstancesCommand {
+  std::vector<traffic::InstanceReport> reports;
+};
+BOOST_DESCRIBE_STRUCT(ReportInstancesCommand, (), (reports))
+
+struct DeregisterInstanceCommand {
+  traffic::InstanceId instance;
+};
+BOOST_DESCRIBE_STRUCT(DeregisterInstanceCommand, (), (instance))
+
+/// Gives spans of keys to instances.
+struct AssignRangesCommand {
+  std::vector<traffic::RangeAssignment> assignments;
+};
+BOOST_DESCRIBE_STRUCT(AssignRangesCommand, (), (assignments))
+
+/// Begins planned changes of owner.
+struct ReleaseRangesCommand {
+  std::vector<traffic::RangeRelease> releases;
+};
+BOOST_DESCRIBE_STRUCT(ReleaseRangesCommand, (), (releases))
+
+/// Owners confirmed their grants: routers may send to them.
+struct ConfirmRangesCommand {
+  std::vector<traffic::RangeConfirmation> confirmations;
+};
+BOOST_DESCRIBE_STRUCT(ConfirmRangesCommand, (), (confirmations))
+
+using CommandBody =
+    std::variant<SubmitBundleCommand, bundle::SignatureCommand, RollBundleCommand,
+                 RegisterServerCommand, LoseServerCommand, AssignShardsCommand, BeginMovesCommand,
+                 SetDrainingCommand, SetLeavingCommand, JournalCommand, ExpireJournalCommand,
+                 RemoveServerCommand, ChangeConfigurationCommand, ReportInstancesCommand,
+                 DeregisterInstanceCommand, AssignRangesCommand, ReleaseRangesCommand,
+                 ConfirmRangesCommand>;
 
 struct Command {
   CommandBody body;
--- a/src/control/control_node.cc
+++ b/src/control/control_node.cc
@@ -48,6 +48,10 @@
   return impl_->OnPlatformList(list, now);
 }
 
+ControlEffects ControlNode::OnRangeOrderResult(const RangeOrderResult& result, Instant now) {
+  return impl_->OnRangeOrderResult(result, now);
+}
+
 ControlEffects ControlNode::PrepareStop(Instant now) { return impl_->PrepareStop(now); }
 
 const consensus::RaftConsensus& ControlNode::consensus() const { return impl_->consensus(); }
--- a/src/control/control_node_impl.cc
+++ b/src/control/control_node_impl.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "graniteseam/common/seeded_defects.h"
+#include "src/control/membership_keeper.h"
 
 namespace graniteseam::control {
 
@@ -12,6 +13,7 @@
 
 /// How often old operations are forgotten.
 constexpr Duration kJournalExpiryInterval{10'000'000};
+constexpr Duration kMembershipLookInterval{200'000};
 
 OwnershipOptions OwnershipOptionsOf(const ControlOptions& options) {
   OwnershipOptions ownership;
@@ -26,7 +28,8 @@
                                           std::uint64_t numbers_used, Instant now)
     : term(in_term),
       ownership(OwnershipOptionsOf(options), state, in_term, numbers_used, now),
-      routers(options.router_lease, state) {
+      routers(options.router_lease, state),
+      traffic(options.traffic, state, now) {
   routers.FollowState();
 }
 
@@ -50,7 +53,8 @@
 Instant ControlNode::Impl::NextTick() const {
   Instant next = consensus_.NextTick();
   if (!leadership_ || stopping_) return next;
-  const Instant due = std::min(leadership_->ownership.NextDue(), journal_expiry_due_);
+  Instant due = std::min(leadership_->ownership.NextDue(), journal_expiry_due_);
+  due = std::min(due, leadership_->traffic.NextDue());
   // Without the leader lease nothing may be done about it, and what renews the lease is a peer's
   // message: waking for it would only spin.
   const Instant at = std::max(due, finished_at_);
@@ -82,6 +86,8 @@
   FollowRole(now);
   if (const auto* renewal = std::get_if<RouterRenewal>(&message)) {
     OnRenewal(connection, *renewal, now);
+  } else if (const auto* poll = std::get_if<TrafficPoll>(&message)) {
+    OnTrafficPoll(connection, *poll, now);
   } else {
     OnJournal(connection, std::get<JournalRequest>(message), now, wall_ms);
   }
@@ -90,15 +96,20 @@
 
 ControlEffects ControlNode::Impl::OnRouterDisconnected(ConnectionId connection, Instant now) {
   pending_.Drop(connection);
-  if (leadership_) leadership_->routers.Disconnect(connection);
+  if (leadership_) {
+    leadership_->routers.Disconnect(connection);
+    leadership_->traffic.sessions().Disconnect(connection);
+  }
   return Finish(now);
 }
 
 ControlEffects ControlNode::Impl::OnOperatorRequest(RequestId request,
                                                     const OperatorRequest& command, Instant now) {
   FollowRole(now);
-  if (!Leading(now)) {
+  if (!Leading(now) || !leadership_) {
     Reply(request, NotLeaderError());
+  } else if (const auto* heartbeat = std::get_if<ReportInstance>(&command)) {
+    OnHeartbeat(request, *heartbeat, now);
   } else {
     RunStep(request, Plan(command, now), now);
   }
@@ -112,6 +123,12 @@
   return Finish(now);
 }
 
+ControlEffects ControlNode::Impl::OnRangeOrderResult(const RangeOrderResult& result, Instant now) {
+  FollowRole(now);
+  if (Leading(now) && leadership_) leadership_->traffic.ranges().TakeResult(result, now);
+  return Finish(now);
+}
+
 ControlEffects ControlNode::Impl::PrepareStop(Instant now) {
   stopping_ = true;
   Absorb(consensus_.TransferLeadership(now), now);
@@ -261,6 +278,44 @@
   for (auto& [connection, answer] : leadership_->routers.Push(now)) {
     SendToRouter(connection, std::move(answer));
   }
+  RunTrafficDecisions(now);
+  if (!leadership_ || !Leading(now)) return;
+  SendTrafficOrders(now);
+  KeepMembership(now);
+}
+
+void ControlNode::Impl::RunTrafficDecisions(Instant now) {
+  const auto commands = leadership_->traffic.Decide(now);
+  if (commands.empty()) return;
+  const auto first = Propose(commands, now);
+  if (!leadership_) return;
+  if (!first) {
+    EndLeadership();
+    return;
+  }
+  leadership_->traffic.Proposed(LogIndex{first->value + commands.size() - 1});
+}
+
+void ControlNode::Impl::SendTrafficOrders(Instant now) {
+  for (auto& [connection, update] : leadership_->traffic.sessions().Push(now)) {
+    SendToRouter(connection, std::move(update));
+  }
+  for (RangeOrder& order : leadership_->traffic.ranges().Orders(now)) {
+    effects_.range_orders.push_back(std::move(order));
+  }
+}
+
+void ControlNode::Impl::KeepMembership(Instant now) {
+  if (!options_.membership.enabled || now < membership_look_due_) return;
+  membership_look_due_ = now + kMembershipLookInterval;
+  const MembershipView view{consensus_.self(), consensus_.membership(), consensus_.peers(now),
+                            consensus_.announced()};
+  const auto next = NextMembership(options_.membership, view);
+  if (!next) return;
+  consensus::Effects effects;
+  // Refused while an earlier change is not committed: the next look finds what is left to do.
+  static_cast<void>(Attempt([&] { return consensus_.ProposeMembership(*next, now, effects); }));
+  Absorb(std::move(effects), now);
 }
 
 void ControlNode::Impl::RunDecisions(Instant now) {
--- a/src/control/control_node_impl.h
+++ b/src/control/control_node_impl.h
@@ -13,6 +13,7 @@
 #include "src/control/pending_requests.h"
 #include "src/control/replicated_state.h"
 #include "src/control/router_sessions.h"
+#include "src/control/traffic_leader.h"
 
 namespace graniteseam::control {
 
@@ -33,6 +34,7 @@
   ControlEffects OnRouterDisconnected(ConnectionId connection, Instant now);
   ControlEffects OnOperatorRequest(RequestId request, const OperatorRequest& command, Instant now);
   ControlEffects OnPlatformList(const PlatformList& list, Instant now);
+  ControlEffects OnRangeOrderResult(const RangeOrderResult& result, Instant now);
   ControlEffects PrepareStop(Instant now);
 
   const consensus::RaftConsensus& consensus() const { return consensus_; }
@@ -48,6 +50,7 @@
     Term term;
     OwnershipController ownership;
     RouterSessions routers;
+    TrafficLeader traffic;
   };
 
   // Consensus.
@@ -64,10 +67,15 @@
   void EndLeadership();
   void Lead(Instant now);
   void RunDecisions(Instant now);
+  void RunTrafficDecisions(Instant now);
+  void SendTrafficOrders(Instant now);
+  void KeepMembership(Instant now);
   ControlEffects Finish(Instant now);
 
   // Requests.
   void OnRenewal(ConnectionId connection, const RouterRenewal& renewal, Instant now);
+  void OnTrafficPoll(ConnectionId connection, const TrafficPoll& poll, Instant now);
+  void OnHeartbeat(RequestId request, const ReportInstance& heartbeat, Instant now);
   void OnJournal(ConnectionId connection, const JournalRequest& request, Instant now,
                  std::int64_t wall_ms);
   void RunStep(RequestId request, OperatorStep step, Instant now);
@@ -90,6 +98,7 @@
   Term numbers_term_;               ///< Term in which `numbers_used_` counts.
   std::uint64_t numbers_used_ = 0;  ///< Of earlier lease tables of that term.
   Instant journal_expiry_due_{};
+  Instant membership_look_due_{};
   Instant finished_at_{};  ///< Of the latest entry point.
   bool stopping_ = false;
 };
--- a/src/control/control_node_requests.cc
+++ b/src/control/control_node_requests.cc
@@ -38,6 +38,26 @@
   }
 }
 
+void ControlNode::Impl::OnTrafficPoll(ConnectionId connection, const TrafficPoll& poll,
+                                      Instant now) {
+  if (!Leading(now) || !leadership_) {
+    SendNotLeader(connection, poll.sequence);
+    return;
+  }
+  leadership_->traffic.ranges().TakeLoads(poll.loads, now);
+  SendToRouter(connection, leadership_->traffic.sessions().Poll(connection, poll, now));
+}
+
+void ControlNode::Impl::OnHeartbeat(RequestId request, const ReportInstance& heartbeat,
+                                    Instant now) {
+  leadership_->traffic.liveness().Heard(heartbeat.report.id, now);
+  if (!state_.traffic().instances().WouldChange(heartbeat.report)) {
+    Reply(request, Accepted{state_.applied()});
+    return;
+  }
+  RunStep(request, CommandBody(ReportInstancesCommand{{heartbeat.report}}), now);
+}
+
 OperatorStep ControlNode::Impl::Plan(const OperatorRequest& command, Instant now) const {
   return std::visit(
       [&](const auto& request) -> OperatorStep {
@@ -46,6 +66,14 @@
           return OperatorAnswer(Bundles(now));
         } else if constexpr (std::is_same_v<Request, ReadFleet>) {
           return OperatorAnswer(Fleet(now));
+        } else if constexpr (std::is_same_v<Request, ReadConfiguration>) {
+          return OperatorAnswer(ConfigurationView{state_.traffic().configuration().current()});
+        } else if constexpr (std::is_same_v<Request, ChangeConfiguration>) {
+          return CommandBody(ChangeConfigurationCommand{request.change});
+        } else if constexpr (std::is_same_v<Request, ReportInstance>) {
+          return CommandBody(ReportInstancesCommand{{request.report}});
+        } else if constexpr (std::is_same_v<Request, DeregisterInstance>) {
+          return CommandBody(DeregisterInstanceCommand{request.instance});
         } else if constexpr (std::is_same_v<Request, SignBundle>) {
           return PlanRequest(request, options_.reviewer_keys);
         } else if constexpr (std::is_same_v<Request, RollBundle>) {
--- /dev/null
+++ b/src/control/range_controller.cc
@@ -0,0 +1,297 @@
+#include "src/control/range_controller.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace graniteseam::control {
+namespace {
+
+using traffic::InstanceState;
+using traffic::KeyRange;
+using traffic::RangePhase;
+
+/// How often the state is looked at without an event: liveness and balance change by themselves.
+constexpr Duration kLookInterval{100'000};
+/// Instances among which the keys of one that is gone are divided.
+constexpr std::size_t kHeirsMaximum = 3;
+
+bool Owned(const KeyRange& range) {
+  return range.phase == RangePhase::kGranting || range.phase == RangePhase::kServing;
+}
+
+}  // namespace
+
+RangeController::RangeController(RangeOptions options, const traffic::TrafficState& state,
+                                 const InstanceLiveness& liveness, Instant now)
+    : options_(options), state_(state), liveness_(liveness) {
+  // Former leaders may have granted anything up to the end of their leases, which ended before this
+  // election.
+  for (const auto& [service, ranges] : state_.ranges().services()) {
+    for (const auto& [first, range] : ranges) {
+      if (range.phase == RangePhase::kUnowned) continue;
+      NoteGrant(range.owner, service, range.span, EndOfGrantReceivedBy(now));
+    }
+  }
+  FollowRanges(now);
+}
+
+Instant RangeController::EndOfGrantReceivedBy(Instant received) const {
+  const auto stretched = static_cast<std::int64_t>(static_cast<double>(options_.hold.count()) *
+                                                   (1.0 + options_.clock_drift_bound));
+  return received + Duration(stretched) + options_.transit_slack;
+}
+
+void RangeController::NoteGrant(const traffic::InstanceId& instance, const ServiceName& service,
+                                const traffic::KeySpan& span, Instant end) {
+  auto& ends = grant_ends_[instance];
+  for (GrantEnd& known : ends) {
+    if (known.service != service || !(known.span == span)) continue;
+    known.end = std::max(known.end, end);
+    return;
+  }
+  ends.push_back({service, span, end});
+}
+
+Instant RangeController::GrantEndOf(const KeyRange& range) const {
+  Instant end{};
+  const auto found = grant_ends_.find(range.owner);
+  if (found == grant_ends_.end()) return end;
+  for (const GrantEnd& known : found->second) {
+    const bool overlaps = known.service == range.service && known.span.first <= range.span.last &&
+                          range.span.first <= known.span.last;
+    if (overlaps) end = std::max(end, known.end);
+  }
+  return end;
+}
+
+/// Keeps what is known of ranges that are still the same; what was cut or joined begins anew with
+/// an order at once, which is harmless.
+void RangeController::FollowRanges(Instant now) {
+  std::map<RangeKey, RangeCare> followed;
+  for (const auto& [service, ranges] : state_.ranges().services()) {
+    for (const auto& [first, range] : ranges) {
+      const auto known = care_.find({service, first});
+      const bool same = known != care_.end() && known->second.fence == range.fence &&
+                        known->second.last == range.span.last;
+      if (same) {
+        followed.emplace(known->first, std::move(known->second));
+      } else {
+        RangeCare& care = followed[{service, first}];
+        care.fence = range.fence;
+        care.last = range.span.last;
+        // A piece of a range whose grant stands need not be renewed before its time.
+        const bool stands = range.phase == RangePhase::kServing;
+        care.next_order = stands ? now + options_.renewal_interval / 4 : now;
+      }
+    }
+  }
+  care_ = std::move(followed);
+  followed_version_ = state_.ranges().changed_at();
+  for (auto& [instance, ends] : grant_ends_) {
+    std::erase_if(ends, [&](const GrantEnd& known) { return known.end < now; });
+  }
+  std::erase_if(grant_ends_, [](const auto& entry) { return entry.second.empty(); });
+}
+
+RangeController::RangeCare* RangeController::CareOf(const OpenOrder& open) {
+  const auto found = care_.find({open.service, open.order.span.first});
+  if (found == care_.end() || found->second.open_order != open.order.number) return nullptr;
+  return &found->second;
+}
+
+void RangeController::TakeResult(const RangeOrderResult& result, Instant now) {
+  const auto found = open_.find(result.number);
+  if (found == open_.end()) return;
+  const OpenOrder open = std::move(found->second);
+  open_.erase(found);
+  next_due_ = now;
+  const bool grant = open.order.kind == RangeOrder::Kind::kGrant;
+  if (grant && result.outcome != RangeOrderResult::Outcome::kNotDelivered) {
+    NoteGrant(open.order.instance, open.service, open.order.span, EndOfGrantReceivedBy(now));
+  }
+  const bool done = result.outcome == RangeOrderResult::Outcome::kDone;
+  const bool refused = result.outcome == RangeOrderResult::Outcome::kRefused;
+  if (done || refused) {
+    failing_since_.erase(open.order.instance);
+  } else {
+    failing_since_.emplace(open.order.instance, now);
+  }
+  RangeCare* const care = CareOf(open);
+  if (care == nullptr) return;
+  care->open_order.reset();
+  if (!done) {
+    care->next_order = now + options_.retry_interval;
+    care->refused = refused && grant;
+  } else if (grant) {
+    care->confirmed = true;
+    care->next_order = now + options_.renewal_interval;
+  } else {
+    care->released = true;
+    care->handover = result.handover;
+  }
+}
+
+void RangeController::TakeLoads(const std::vector<traffic::SpanLoad>& loads, Instant now) {
+  balancer_.TakeLoads(loads, now);
+}
+
+bool RangeController::OwnerIsOver(const KeyRange& range, const RangeCare& care, Instant now) const {
+  if (range.phase == RangePhase::kUnowned || care.released || care.refused) return true;
+  const traffic::Instance* owner = state_.instances().Find(range.owner);
+  if (owner != nullptr && owner->state == InstanceState::kDisplaced) return true;
+  if (care.open_order || now <= GrantEndOf(range)) return false;
+  // An owner that only missed renewals gets its keys again by the next one.
+  return !Owned(range) || Unresponsive(range.owner, now);
+}
+
+bool RangeController::OwnerMustGo(const KeyRange& range) const {
+  const traffic::Instance* owner = state_.instances().Find(range.owner);
+  return owner == nullptr || !owner->TakesNewWork();
+}
+
+std::vector<CommandBody> RangeController::Decide(Instant now) {
+  if (followed_version_ != state_.ranges().changed_at()) FollowRanges(now);
+  std::vector<CommandBody> commands;
+  DecideConfirmations(commands);
+  DecideReleases(now, commands);
+  DecideAssignments(now, commands);
+  next_due_ = now + kLookInterval;
+  return commands;
+}
+
+void RangeController::DecideConfirmations(std::vector<CommandBody>& commands) const {
+  ConfirmRangesCommand command;
+  for (const auto& [key, care] : care_) {
+    const KeyRange* range = state_.ranges().Find(key.service, key.first);
+    if (range == nullptr || range->phase != RangePhase::kGranting || !care.confirmed) continue;
+    command.confirmations.push_back({key.service, range->span, range->fence});
+  }
+  if (!command.confirmations.empty()) commands.emplace_back(std::move(command));
+}
+
+std::vector<RangeCandidate> RangeController::CandidatesFor(const ServiceName& service,
+                                                           Instant now) const {
+  std::vector<RangeCandidate> candidates;
+  for (const auto& [id, instance] : state_.instances().instances()) {
+    const bool fits = instance.report.service == service && instance.TakesNewWork();
+    if (!fits || liveness_.Silent(id, now) || Unresponsive(id, now)) continue;
+    const double slots = static_cast<double>(std::max<std::int64_t>(1, instance.report.slots));
+    candidates.push_back({id, instance.report.zone, slots});
+  }
+  return candidates;
+}
+
+bool RangeController::Unresponsive(const traffic::InstanceId& instance, Instant now) const {
+  const auto failing = failing_since_.find(instance);
+  if (failing == failing_since_.end()) return false;
+  return now - failing->second > options_.unresponsive_after &&
+         !liveness_.HeardSince(instance, failing->second);
+}
+
+void RangeController::DecideReleases(Instant now, std::vector<CommandBody>& commands) {
+  ReleaseRangesCommand command;
+  for (const auto& [service, ranges] : state_.ranges().services()) {
+    bool releasing = false;
+    for (const auto& [first, range] : ranges) {
+      releasing = releasing || range.phase == RangePhase::kReleasing ||
+                  range.phase == RangePhase::kGranting;
+      if (!Owned(range) || !OwnerMustGo(range)) continue;
+      command.releases.push_back({service, range.span, range.fence, {}});
+      releasing = true;
+    }
+    if (releasing) continue;
+    const auto candidates = CandidatesFor(service, now);
+    const auto move = balancer_.Rebalance(service, ranges, candidates, now);
+    if (move) command.releases.push_back(*move);
+  }
+  if (!command.releases.empty()) commands.emplace_back(std::move(command));
+}
+
+bool RangeController::Settled(const ServiceName& service,
+                              const std::vector<RangeCandidate>& candidates, Instant now) {
+  Settling& settling = settling_[service];
+  if (settling.candidates != candidates.size()) settling = {candidates.size(), now};
+  return now - settling.since >= options_.settling;
+}
+
+void RangeController::DecideAssignments(Instant now, std::vector<CommandBody>& commands) {
+  AssignRangesCommand command;
+  for (const auto& [service, ranges] : state_.ranges().services()) {
+    const auto candidates = CandidatesFor(service, now);
+    if (candidates.empty()) continue;
+    for (const auto& [first, range] : ranges) {
+      const RangeCare& care = care_.at({service, first});
+      if (!OwnerIsOver(range, care, now)) continue;
+      // Nobody ever had these keys: wait until the servers are all there.
+      if (range.fence.value == 0 && !Settled(service, candidates, now)) continue;
+      auto parts = NextOwners(range, care, ranges, candidates);
+      std::move(parts.begin(), parts.end(), std::back_inserter(command.assignments));
+    }
+  }
+  if (!command.assignments.empty()) commands.emplace_back(std::move(command));
+}
+
+std::vector<traffic::RangeAssignment> RangeController::NextOwners(
+    const KeyRange& range, const RangeCare& care, const traffic::KeyRangeTable::Ranges& ranges,
+    const std::vector<RangeCandidate>& candidates) const {
+  const traffic::InstanceId& wanted = care.refused ? range.owner : range.successor;
+  const bool stands = std::any_of(candidates.begin(), candidates.end(),
+                                  [&](const auto& one) { return one.id == wanted; });
+  if (stands) return {{range.service, range.span, range.fence, wanted, care.handover}};
+  const bool first_time = range.fence.value == 0;
+  auto parts = balancer_.Divide(
+      range, ranges,
+      first_time ? candidates : balancer_.Lightest(ranges, candidates, kHeirsMaximum));
+  for (traffic::RangeAssignment& part : parts) part.handover = care.handover;
+  return parts;
+}
+
+std::vector<RangeOrder> RangeController::Orders(Instant now) {
+  if (followed_version_ != state_.ranges().changed_at()) FollowRanges(now);
+  std::vector<RangeOrder> orders;
+  for (auto& [key, care] : care_) {
+    const KeyRange* range = state_.ranges().Find(key.service, key.first);
+    if (range == nullptr || care.open_order) continue;
+    if (now < care.next_order) {
+      next_due_ = std::min(next_due_, care.next_order);
+      continue;
+    }
+    std::optional<RangeOrder> order = NextOrder(*range, care, now);
+    if (!order) continue;
+    care.open_order = order->number;
+    open_[order->number] = {*order, key.service};
+    orders.push_back(std::move(*order));
+  }
+  return orders;
+}
+
+std::optional<RangeOrder> RangeController::NextOrder(const KeyRange& range, RangeCare& care,
+                                                     Instant now) {
+  const traffic::Instance* owner = state_.instances().Find(range.owner);
+  const bool ended = owner == nullptr || owner->state == InstanceState::kDisplaced;
+  if (range.phase == RangePhase::kUnowned || ended || care.released) return std::nullopt;
+  RangeOrder order;
+  order.instance = range.owner;
+  order.address = owner->report.address;
+  order.span = range.span;
+  order.fence = range.fence;
+  if (range.phase == RangePhase::kReleasing) {
+    order.kind = RangeOrder::Kind::kRelease;
+    order.limit = options_.release_limit;
+  } else {
+    // Each grant that may have arrived puts off the end of what the owner may hold, so that one
+    // that seems gone gets no more.
+    if (Unresponsive(range.owner, now)) return std::nullopt;
+    order.hold = options_.hold;
+    order.handover = range.handover;
+    order.limit = options_.grant_limit;
+  }
+  order.number = last_number_ = last_number_.Next();
+  return order;
+}
+
+Instant RangeController::NextDue() const {
+  return state_.ranges().services().empty() ? Instant::max() : next_due_;
+}
+
+}  // namespace graniteseam::control
--- a/src/control/replicated_state.cc
+++ b/src/control/replicated_state.cc
@@ -167,6 +167,30 @@
   outcome.removed.push_back(command.server);
 }
 
+void ReplicatedState::Run(const ChangeConfigurationCommand& command, ApplyOutcome& outcome) {
+  Keep(outcome, [&] { return traffic_.Apply(command.change, version()); });
+}
+
+void ReplicatedState::Run(const ReportInstancesCommand& command, ApplyOutcome& /*outcome*/) {
+  traffic_.Report(command.reports, version());
+}
+
+void ReplicatedState::Run(const DeregisterInstanceCommand& command, ApplyOutcome& /*outcome*/) {
+  traffic_.Deregister(command.instance, version());
+}
+
+void ReplicatedState::Run(const AssignRangesCommand& command, ApplyOutcome& /*outcome*/) {
+  traffic_.Assign(command.assignments, version());
+}
+
+void ReplicatedState::Run(const ReleaseRangesCommand& command, ApplyOutcome& /*outcome*/) {
+  traffic_.BeginReleases(command.releases, version());
+}
+
+void ReplicatedState::Run(const ConfirmRangesCommand& command, ApplyOutcome& /*outcome*/) {
+  traffic_.Confirm(command.confirmations, version());
+}
+
 std::string ReplicatedState::Save() const {
   ReplicatedStateImage image;
   image.applied = applied_;
@@ -174,6 +198,7 @@
   image.servers = servers_.State();
   image.shards = shards_.State();
   image.journal = journal_.Snapshot();
+  image.traffic = traffic_.Image();
   for (const auto& [service, longest] : longest_leases_) {
     image.leases.push_back(
         {service, std::chrono::duration_cast<std::chrono::milliseconds>(longest).count()});
@@ -188,6 +213,7 @@
   bundles_.Restore(image.bundles);
   servers_.Restore(image.servers);
   journal_.Restore(image.journal);
+  traffic_.Restore(std::move(image.traffic));
   longest_leases_.clear();
   for (const auto& lease : image.leases) {
     longest_leases_[lease.service] = std::chrono::milliseconds(lease.longest_ms);
--- a/src/control/replicated_state.h
+++ b/src/control/replicated_state.h
@@ -37,9 +37,10 @@
   placement::ShardTableState shards;
   operation::OperationJournalState journal;
   std::vector<ServiceLease> leases;
+  traffic::TrafficImage traffic;
 };
 BOOST_DESCRIBE_STRUCT(ReplicatedStateImage, (),
-                      (applied, bundles, servers, shards, journal, leases))
+                      (applied, bundles, servers, shards, journal, leases, traffic))
 
 /// What applying one entry came to.
 struct ApplyOutcome {
@@ -68,6 +69,7 @@
 
   LogIndex applied() const { return applied_; }
   const bundle::BundleStore& bundles() const { return bundles_; }
+  const traffic::TrafficState& traffic() const { return traffic_; }
   const membership::ServerRegistry& servers() const { return servers_; }
   const placement::ShardTable& shards() const { return shards_; }
   const operation::OperationJournal& journal() const { return journal_; }
@@ -92,6 +94,12 @@
   void Run(const JournalCommand& command, ApplyOutcome& outcome);
   void Run(const ExpireJournalCommand& command, ApplyOutcome& outcome);
   void Run(const RemoveServerCommand& command, ApplyOutcome& outcome);
+  void Run(const ChangeConfigurationCommand& command, ApplyOutcome& outcome);
+  void Run(const ReportInstancesCommand& command, ApplyOutcome& outcome);
+  void Run(const DeregisterInstanceCommand& command, ApplyOutcome& outcome);
+  void Run(const AssignRangesCommand& command, ApplyOutcome& outcome);
+  void Run(const ReleaseRangesCommand& command, ApplyOutcome& outcome);
+  void Run(const ConfirmRangesCommand& command, ApplyOutcome& outcome);
 
   /// Takes over what a newly rolled bundle says about services.
   void AdoptServices(const bundle::Bundle& bundle);
@@ -108,6 +116,7 @@
   membership::ServerRegistry servers_;
   placement::ShardTable shards_;
   operation::OperationJournal journal_;
+  traffic::TrafficState traffic_;
   std::map<ServiceName, Duration> longest_leases_;
 };
 
--- /dev/null
+++ b/src/control/traffic_leader.h
@@ -0,0 +1,46 @@
+/// @file
+/// A leader's duties towards traffic: liveness of instances, key ranges, routers' updates.
+#pragma once
+
+#include <utility>
+#include <vector>
+
+#include "src/control/instance_liveness.h"
+#include "src/control/range_controller.h"
+#include "src/control/replicated_state.h"
+#include "src/control/traffic_sessions.h"
+
+namespace graniteseam::control {
+
+/// Lives as long as one leadership. Not thread safe; `now` never goes back.
+class TrafficLeader {
+ public:
+  TrafficLeader(const TrafficOptions& options, const ReplicatedState& state, Instant now)
+      : state_(state),
+        liveness_(options.instance_silence, now),
+        ranges_(options.ranges, state.traffic(), liveness_, now),
+        sessions_(state.traffic(), now) {}
+
+  InstanceLiveness& liveness() { return liveness_; }
+  RangeController& ranges() { return ranges_; }
+  TrafficSessions& sessions() { return sessions_; }
+
+  /// Commands to propose; none while those before wait to be applied.
+  std::vector<CommandBody> Decide(Instant now) {
+    if (state_.applied() < proposed_) return {};
+    return ranges_.Decide(now);
+  }
+  /// The commands of the last Decide() stand in the log up to here.
+  void Proposed(LogIndex last) { proposed_ = last; }
+
+  Instant NextDue() const { return ranges_.NextDue(); }
+
+ private:
+  const ReplicatedState& state_;
+  InstanceLiveness liveness_;
+  RangeController ranges_;
+  TrafficSessions sessions_;
+  LogIndex proposed_;
+};
+
+}  // namespace graniteseam::control
--- a/src/daemon/control/control_driver.cc
+++ b/src/daemon/control/control_driver.cc
@@ -4,7 +4,7 @@
 #include <utility>
 
 #include "src/daemon/control/persist_batch.h"
-#include "src/platform/clock.h"
+#include "src/runtime/clock.h"
 
 namespace graniteseam::daemon {
 namespace {
@@ -15,8 +15,12 @@
 constexpr Duration kFullRetryInterval{200'000};
 constexpr Duration kStatisticsInterval{1'000'000};
 
-bool IsRead(const control::OperatorRequest& command) {
-  return std::holds_alternative<control::ReadBundles>(command) ||
+/// Reads, and what instances tell: that is little and keeps them served.
+bool IsTakenWithLittleSpace(const control::OperatorRequest& command) {
+  return std::holds_alternative<control::ReadConfiguration>(command) ||
+         std::holds_alternative<control::ReportInstance>(command) ||
+         std::holds_alternative<control::DeregisterInstance>(command) ||
+         std::holds_alternative<control::ReadBundles>(command) ||
          std::holds_alternative<control::ReadFleet>(command) ||
          std::holds_alternative<control::ReadShards>(command);
 }
@@ -24,35 +28,35 @@
 }  // namespace
 
 struct ControlDriver::Statistics {
-  explicit Statistics(platform::MetricsRegistry& registry)
-      : leading(registry.Gauge(platform::Metric::kControlLeading)),
-        term(registry.Gauge(platform::Metric::kControlTerm)),
-        commit_index(registry.Gauge(platform::Metric::kControlCommitIndex)),
-        bundle_version(registry.Gauge(platform::Metric::kControlBundleVersion)),
-        routers(registry.Gauge(platform::Metric::kControlRoutersConnected)),
-        servers_leased(registry.Gauge(platform::Metric::kControlServersLeased)),
-        shard_moves(registry.Gauge(platform::Metric::kControlShardMoves)),
-        queue_length(registry.Gauge(platform::Metric::kControlEventQueueLength)),
-        persist_seconds(registry.Histogram(platform::Metric::kControlPersistSeconds)) {}
-
-  platform::GaugeHandle leading;
-  platform::GaugeHandle term;
-  platform::GaugeHandle commit_index;
-  platform::GaugeHandle bundle_version;
-  platform::GaugeHandle routers;
-  platform::GaugeHandle servers_leased;
-  platform::GaugeHandle shard_moves;
-  platform::GaugeHandle queue_length;
-  platform::HistogramHandle persist_seconds;
+  explicit Statistics(runtime::MetricsRegistry& registry)
+      : leading(registry.Gauge(runtime::Metric::kControlLeading)),
+        term(registry.Gauge(runtime::Metric::kControlTerm)),
+        commit_index(registry.Gauge(runtime::Metric::kControlCommitIndex)),
+        bundle_version(registry.Gauge(runtime::Metric::kControlBundleVersion)),
+        routers(registry.Gauge(runtime::Metric::kControlRoutersConnected)),
+        servers_leased(registry.Gauge(runtime::Metric::kControlServersLeased)),
+        shard_moves(registry.Gauge(runtime::Metric::kControlShardMoves)),
+        queue_length(registry.Gauge(runtime::Metric::kControlEventQueueLength)),
+        persist_seconds(registry.Histogram(runtime::Metric::kControlPersistSeconds)) {}
+
+  runtime::GaugeHandle leading;
+  runtime::GaugeHandle term;
+  runtime::GaugeHandle commit_index;
+  runtime::GaugeHandle bundle_version;
+  runtime::GaugeHandle routers;
+  runtime::GaugeHandle servers_leased;
+  runtime::GaugeHandle shard_moves;
+  runtime::GaugeHandle queue_length;
+  runtime::HistogramHandle persist_seconds;
 };
 
 ControlDriver::ControlDriver(control::ControlOptions options,
                              std::unique_ptr<storage::ConsensusStorage> consensus_storage,
                              ControlEventQueue& queue, ControlOutputs outputs,
-                             platform::MetricsRegistry& metrics)
+                             runtime::MetricsRegistry& metrics)
     : storage_(std::move(consensus_storage)),
-      node_(std::move(options), storage_->TakeRecovered(), platform::RandomBits(),
-            platform::BootTimeNow()),
+      node_(std::move(options), storage_->TakeRecovered(), runtime::RandomBits(),
+            runtime::BootTimeNow()),
       queue_(queue),
       outputs_(std::move(outputs)),
       statistics_(std::make_unique<Statistics>(metrics)) {
@@ -77,7 +81,7 @@
 
 void ControlDriver::Run() {
   while (!queue_.closed() && !failed_) {
-    const Duration until_tick = node_.NextTick() - platform::BootTimeNow();
+    const Duration until_tick = node_.NextTick() - runtime::BootTimeNow();
     const Duration wait = std::clamp(until_tick, Duration::zero(), kLongestWait);
     Step(queue_.Take(kEventsAtOnce, wait));
   }
@@ -87,16 +91,16 @@
   std::vector<control::ControlEffects> pending;
   pending.reserve(events.size() + 1);
   for (ControlEvent& event : events) pending.push_back(Apply(std::move(event)));
-  const Instant now = platform::BootTimeNow();
-  if (now >= node_.NextTick()) pending.push_back(node_.Tick(now, platform::WallMillis()));
+  const Instant now = runtime::BootTimeNow();
+  if (now >= node_.NextTick()) pending.push_back(node_.Tick(now, runtime::WallMillis()));
   Settle(std::move(pending));
   PublishStatus(false);
   PublishStatistics(now);
 }
 
 control::ControlEffects ControlDriver::Apply(ControlEvent event) {
-  const Instant now = platform::BootTimeNow();
-  const std::int64_t wall_ms = platform::WallMillis();
+  const Instant now = runtime::BootTimeNow();
+  const std::int64_t wall_ms = runtime::WallMillis();
   return std::visit(
       [&](auto& happened) {
         using Event = std::decay_t<decltype(happened)>;
@@ -112,6 +116,8 @@
           return ApplyOperatorRequest(happened, now, wall_ms);
         } else if constexpr (std::is_same_v<Event, PlatformListed>) {
           return node_.OnPlatformList(happened.list, now);
+        } else if constexpr (std::is_same_v<Event, RangeOrderEnded>) {
+          return node_.OnRangeOrderResult(happened.result, now);
         } else {
           return node_.PrepareStop(now);
         }
@@ -123,7 +129,7 @@
 /// and the journal; what they read is still answered.
 control::ControlEffects ControlDriver::ApplyOperatorRequest(const OperatorRequested& asked,
                                                             Instant now, std::int64_t wall_ms) {
-  if (!space_is_low_ || IsRead(asked.command)) {
+  if (!space_is_low_ || IsTakenWithLittleSpace(asked.command)) {
     return node_.OnOperatorRequest(asked.request, asked.command, now, wall_ms);
   }
   control::ControlEffects refused;
@@ -145,7 +151,7 @@
     }
     pending.clear();
     for (const std::uint64_t sequence : durable) {
-      pending.push_back(node_.OnPersistDone(sequence, platform::BootTimeNow()));
+      pending.push_back(node_.OnPersistDone(sequence, runtime::BootTimeNow()));
     }
   }
 }
@@ -165,11 +171,11 @@
 /// that is not on disk, and its leader lease runs out by itself.
 bool ControlDriver::PersistOne(const consensus::PersistRequest& request) {
   for (;;) {
-    const Instant begun = platform::BootTimeNow();
+    const Instant begun = runtime::BootTimeNow();
     const auto outcome = Attempt([&] { return storage_->Persist(request); });
     const Error* const error = ErrorOf(outcome);
     if (error == nullptr) {
-      const Duration taken = platform::BootTimeNow() - begun;
+      const Duration taken = runtime::BootTimeNow() - begun;
       statistics_->persist_seconds.Observe(std::chrono::duration<double>(taken).count());
       return true;
     }
@@ -188,9 +194,9 @@
 void ControlDriver::RefuseWhileFull(const Error& error) {
   if (!status().storage_full) log_.Error(error);
   PublishStatus(true);
-  const Instant end = platform::BootTimeNow() + kFullRetryInterval;
+  const Instant end = runtime::BootTimeNow() + kFullRetryInterval;
   for (Instant now = end - kFullRetryInterval; now < end && !queue_.closed();
-       now = platform::BootTimeNow()) {
+       now = runtime::BootTimeNow()) {
     for (const ControlEvent& event : queue_.Take(kEventsAtOnce, end - now)) {
       const auto* request = std::get_if<OperatorRequested>(&event);
       if (request != nullptr) outputs_.to_operator({request->request, error});
@@ -203,16 +209,20 @@
   for (auto& send : effects.lease_sends) outputs_.to_server(std::move(send));
   for (auto& send : effects.router_sends) outputs_.to_router(std::move(send));
   for (const auto& reply : effects.operator_replies) outputs_.to_operator(reply);
+  for (auto& order : effects.range_orders) outputs_.to_range_owner(std::move(order));
 }
 
 void ControlDriver::PublishStatus(bool storage_full) {
-  const Instant now = platform::BootTimeNow();
+  const Instant now = runtime::BootTimeNow();
   ControlStatus status;
   status.self = node_.consensus().self();
   status.leader = node_.consensus().leader();
   status.leading = !storage_full && node_.Leading(now);
   status.storage_full = storage_full;
   status.last_step = now;
+  status.term = node_.consensus().term();
+  const bool changed = status.leading != status_.leading || status.leader != status_.leader;
+  if (changed) outputs_.on_leadership(status);
   const std::lock_guard lock(status_mutex_);
   if (status.leading != status_.leading) {
     log_.Info("{}", status.leading ? "Leads." : "Does not lead any more.");
--- a/src/daemon/control/control_driver.h
+++ b/src/daemon/control/control_driver.h
@@ -14,31 +14,35 @@
 
 #include "graniteseam/control/control_node.h"
 #include "src/daemon/control/control_event.h"
-#include "src/platform/log.h"
-#include "src/platform/metrics.h"
+#include "src/runtime/log.h"
+#include "src/runtime/metrics.h"
 #include "src/storage/consensus_storage.h"
 
 namespace graniteseam::daemon {
 
+/// What other threads may know of the node.
+struct ControlStatus {
+  consensus::Member self;
+  std::optional<consensus::Member> leader;
+  Term term;
+  bool leading = false;
+  bool storage_full = false;
+  Instant last_step;
+};
+
 /// How the effects leave the process. Called from the deciding thread; none may block.
 struct ControlOutputs {
   std::function<void(consensus::PeerMessage message)> to_peer;
   std::function<void(control::LeaseSend send)> to_server;
   std::function<void(control::RouterSend send)> to_router;
   std::function<void(const control::OperatorReply& reply)> to_operator;
+  std::function<void(control::RangeOrder order)> to_range_owner = [](const auto&) {};
+  /// This process began or ceased to lead, or follows another leader.
+  std::function<void(const ControlStatus& status)> on_leadership = [](const auto&) {};
   /// A storage error that the process must not survive.
   std::function<void()> stop;
 };
 
-/// What other threads may know of the node.
-struct ControlStatus {
-  consensus::Member self;
-  std::optional<consensus::Member> leader;
-  bool leading = false;
-  bool storage_full = false;
-  Instant last_step;
-};
-
 /// Lifecycle: Start() once, Stop() before destruction. Only the deciding thread touches node and
 /// storage.
 class ControlDriver {
@@ -46,7 +50,7 @@
   ControlDriver(control::ControlOptions options,
                 std::unique_ptr<storage::ConsensusStorage> consensus_storage,
                 ControlEventQueue& queue, ControlOutputs outputs,
-                platform::MetricsRegistry& metrics);
+                runtime::MetricsRegistry& metrics);
   ~ControlDriver();
   ControlDriver(const ControlDriver&) = delete;
   ControlDriver& operator=(const ControlDriver&) = delete;
@@ -88,7 +92,7 @@
   std::atomic<bool> failed_{false};
   mutable std::mutex status_mutex_;  ///< Guards status_.
   ControlStatus status_;
-  platform::Logger log_{"control"};
+  runtime::Logger log_{"control"};
 };
 
 }  // namespace graniteseam::daemon
--- a/src/daemon/control/control_event.h
+++ b/src/daemon/control/control_event.h
@@ -32,12 +32,15 @@
 struct PlatformListed {
   control::PlatformList list;
 };
+struct RangeOrderEnded {
+  control::RangeOrderResult result;
+};
 /// A planned stop begins: hand leadership over.
 struct StopPrepared {};
 
 using ControlEvent =
     std::variant<PeerMessageArrived, ServerAnswered, RouterMessageArrived, RouterDisconnected,
-                 OperatorRequested, PlatformListed, StopPrepared>;
+                 OperatorRequested, PlatformListed, RangeOrderEnded, StopPrepared>;
 
 /// Carries events from all threads to the deciding one. Thread safe.
 ///
--- a/src/daemon/control/control_process.cc
+++ b/src/daemon/control/control_process.cc
@@ -1,9 +1,12 @@
 #include "src/daemon/control/control_process.h"
 
+#include <unistd.h>
+
+#include <algorithm>
 #include <thread>
 #include <utility>
 
-#include "src/platform/clock.h"
+#include "src/runtime/clock.h"
 
 namespace graniteseam::daemon {
 namespace {
@@ -14,10 +17,20 @@
 /// A deciding thread that stood still for longer is taken for stuck.
 constexpr Duration kLiveLimit{10'000'000};
 
+/// Where others reach a port: behind a relay or address translation not where it listens.
+const runtime::SocketAddress& AdvertisedOr(const runtime::SocketAddress& advertised,
+                                           const runtime::SocketAddress& listened) {
+  return advertised.ip.empty() ? listened : advertised;
+}
+
 }  // namespace
 
-ControlProcess::ControlProcess(ControlSettings settings, platform::StopSignals& stop_signals)
-    : settings_(std::move(settings)), stop_signals_(stop_signals) {}
+ControlProcess::ControlProcess(ControlSettings settings, runtime::StopSignals& stop_signals,
+                               OwnerCallNames owner_names)
+    : settings_(std::move(settings)),
+      stop_signals_(stop_signals),
+      owner_names_(std::move(owner_names)),
+      events_("control-" + std::to_string(settings_.EffectiveId().value), STDOUT_FILENO) {}
 
 ControlProcess::~ControlProcess() {
   // Nothing may run any more when the members go.
@@ -35,10 +48,19 @@
   CreateDriver();
   CreateClients();
   CreateOperatorServer();
+  CreateRegistry();
   driver_->Start();
   BOOST_LEAF_CHECK(internal_server_->Start());
   BOOST_LEAF_CHECK(operator_server_->Start());
+  if (registry_) BOOST_LEAF_CHECK(registry_->Start());
   log_.Info("Listens for peers and routers on {}.", ToString(settings_.peer_address));
+  events_.Write(
+      runtime::EventWeight::kNotable,
+      runtime::EventLine("started")
+          .Add("zone", settings_.zone)
+          .Add("peers", ToString(settings_.peer_address))
+          .Add("initialise", static_cast<std::int64_t>(settings_.initialise))
+          .Add("trusted_network", static_cast<std::int64_t>(settings_.security.trusted_network)));
   log_.Info("Listens for operators on {}.", ToString(settings_.http_address));
   return {};
 }
@@ -59,11 +81,16 @@
 Result<void> ControlProcess::OpenStorage() {
   storage::StorageOptions options;
   options.folder = settings_.data_folder;
-  options.id.value = static_cast<std::uint64_t>(settings_.id);
-  options.address = ToString(settings_.peer_address);
+  options.id = settings_.EffectiveId();
+  options.address =
+      ToString(AdvertisedOr(settings_.advertised_peer_address, settings_.peer_address));
   options.zone.value = settings_.zone;
   options.seeds = settings_.first_voters;
-  if (settings_.initialise) options.bootstrap = consensus::Membership{settings_.first_voters, {}};
+  const bool founder =
+      std::any_of(settings_.first_voters.begin(), settings_.first_voters.end(),
+                  [&](const consensus::Member& voter) { return voter.id == options.id; });
+  if (founder) options.founders = consensus::Membership{settings_.first_voters, {}};
+  if (settings_.initialise) options.bootstrap = options.founders;
   BOOST_LEAF_ASSIGN(storage_, storage::ConsensusStorage::Open(files_, options));
   if (storage_->torn_bytes() > 0) {
     log_.Warning("Cut {} bytes of a write that a crash tore.", storage_->torn_bytes());
@@ -72,10 +99,14 @@
 }
 
 void ControlProcess::CreateTransport() {
-  const std::string name = std::to_string(settings_.id);
-  const std::string http_address = ToString(settings_.http_address);
+  const std::string name = std::to_string(settings_.EffectiveId().value);
+  protocol::ServedAddresses served;
+  served.http = ToString(AdvertisedOr(settings_.advertised_http_address, settings_.http_address));
+  if (!settings_.registry_address.ip.empty()) {
+    served.registry = ToString(settings_.registry_address);
+  }
   peers_ = std::make_unique<protocol::PeerTransport>(
-      protocol::PeerTransportOptions{name, http_address, settings_.security}, loop_, metrics_);
+      protocol::PeerTransportOptions{name, served, settings_.security}, loop_, metrics_);
   protocol::InternalServerOptions options;
   options.address = settings_.peer_address;
   options.name = name;
@@ -86,8 +117,9 @@
 
 protocol::InternalServer::Handlers ControlProcess::InternalHandlers() {
   protocol::InternalServer::Handlers handlers;
-  handlers.on_peer_connected = [this](const std::string& name, const std::string& http_address) {
-    NotePeer(name, http_address);
+  handlers.on_peer_connected = [this](const std::string& name,
+                                      const protocol::ServedAddresses& served) {
+    NotePeer(name, served);
   };
   handlers.on_peer_message = [this](consensus::PeerMessage message) {
     queue_.Push(PeerMessageArrived{std::move(message)});
@@ -125,10 +157,32 @@
   outputs.to_router = [this](control::RouterSend send) {
     internal_server_->SendToRouter(send.connection, std::move(send.message));
   };
-  outputs.to_operator = [this](const control::OperatorReply& reply) { desk_.Answer(reply); };
+  outputs.to_operator = [this](const control::OperatorReply& reply) {
+    if (registry_ && (reply.request & RegistryServer::kRequestBit) != 0) {
+      registry_->Answer(reply);
+    } else {
+      desk_.Answer(reply);
+    }
+  };
+  if (!owner_names_.grant_path.empty()) {
+    owner_client_ = std::make_unique<OwnerClient>(
+        owner_names_, server_loop_, events_,
+        [this](const control::RangeOrderResult& result) { queue_.Push(RangeOrderEnded{result}); });
+    outputs.to_range_owner = [this](control::RangeOrder order) {
+      owner_client_->Send(std::move(order));
+    };
+  }
+  outputs.on_leadership = [this](const ControlStatus& status) {
+    const std::string leader = status.leader ? status.leader->address : "";
+    events_.Write(runtime::EventWeight::kNotable,
+                  runtime::EventLine(status.leading ? "leads" : "follows")
+                      .Add("term", status.term.value)
+                      .Add("leader", leader));
+  };
   outputs.stop = [this] { stop_signals_.RequestStop(); };
   control::ControlOptions options = settings_.node;
   options.reviewer_keys = settings_.reviewers;
+  options.membership.voters = static_cast<std::size_t>(settings_.voters);
   driver_ = std::make_unique<ControlDriver>(std::move(options), std::move(storage_), queue_,
                                             std::move(outputs), metrics_);
 }
@@ -142,11 +196,9 @@
   hooks.execute = [this](control::OperatorRequest request) {
     return desk_.Execute(std::move(request));
   };
-  hooks.leader_address = [this] { return LeaderHttpAddress(); };
+  hooks.leader_address = [this] { return LeaderAddresses().http; };
   hooks.self = [this] { return driver_->status().self; };
-  hooks.live = [this] {
-    return platform::BootTimeNow() - driver_->status().last_step < kLiveLimit;
-  };
+  hooks.live = [this] { return runtime::BootTimeNow() - driver_->status().last_step < kLiveLimit; };
   hooks.ready = [this] {
     const ControlStatus status = driver_->status();
     return status.leader.has_value() && !status.storage_full && !stopping_;
@@ -155,23 +207,37 @@
       std::make_unique<http::OperatorServer>(std::move(options), metrics_, std::move(hooks));
 }
 
-void ControlProcess::NotePeer(const std::string& name, const std::string& http_address) {
+void ControlProcess::NotePeer(const std::string& name, const protocol::ServedAddresses& served) {
   const std::lock_guard lock(peers_mutex_);
-  peer_http_addresses_[name] = http_address;
+  peer_addresses_[name] = served;
 }
 
 /// Known from the leader's own hello: it connects to every member to send appends.
-std::string ControlProcess::LeaderHttpAddress() const {
+protocol::ServedAddresses ControlProcess::LeaderAddresses() const {
   const ControlStatus status = driver_->status();
-  if (!status.leader) return "";
+  if (!status.leader) return {};
   const std::lock_guard lock(peers_mutex_);
-  const auto found = peer_http_addresses_.find(std::to_string(status.leader->id.value));
-  return found == peer_http_addresses_.end() ? "" : found->second;
+  const auto found = peer_addresses_.find(std::to_string(status.leader->id.value));
+  return found == peer_addresses_.end() ? protocol::ServedAddresses{} : found->second;
+}
+
+void ControlProcess::CreateRegistry() {
+  if (settings_.registry_address.ip.empty()) return;
+  RegistryServerHooks hooks;
+  hooks.execute = [this](control::RequestId request, control::OperatorRequest command) {
+    queue_.Push(OperatorRequested{request, std::move(command)});
+  };
+  hooks.leader_address = [this] { return LeaderAddresses().registry; };
+  hooks.metrics = [this] { return metrics_.Text(); };
+  registry_ = std::make_unique<RegistryServer>(settings_.registry_address, server_loop_, events_,
+                                               std::move(hooks));
 }
 
 void ControlProcess::Stop() {
   log_.Info("Stops.");
   stopping_ = true;
+  events_.Write(runtime::EventWeight::kNotable, runtime::EventLine("stopping"));
+  if (registry_) registry_->BeginDrain();
   if (!driver_->failed()) HandLeadershipOver();
   operator_server_->Stop();
   internal_server_->Disconnect();
@@ -184,8 +250,8 @@
 void ControlProcess::HandLeadershipOver() {
   if (!driver_->status().leading) return;
   queue_.Push(StopPrepared{});
-  const Instant end = platform::BootTimeNow() + kHandOverLimit;
-  while (driver_->status().leading && platform::BootTimeNow() < end) {
+  const Instant end = runtime::BootTimeNow() + kHandOverLimit;
+  while (driver_->status().leading && runtime::BootTimeNow() < end) {
     std::this_thread::sleep_for(kHandOverPoll);
   }
 }
--- a/src/daemon/control/control_process.h
+++ b/src/daemon/control/control_process.h
@@ -12,14 +12,17 @@
 #include "src/daemon/control/control_event.h"
 #include "src/daemon/control/control_settings.h"
 #include "src/daemon/control/operator_desk.h"
+#include "src/daemon/control/owner_client.h"
+#include "src/daemon/control/registry_server.h"
 #include "src/http/lease_client.h"
 #include "src/http/operator_server.h"
 #include "src/http/platform_poller.h"
-#include "src/platform/event_loop.h"
-#include "src/platform/metrics.h"
-#include "src/platform/stop_signals.h"
 #include "src/protocol/internal_server.h"
 #include "src/protocol/peer_transport.h"
+#include "src/runtime/event_log.h"
+#include "src/runtime/event_loop.h"
+#include "src/runtime/metrics.h"
+#include "src/runtime/stop_signals.h"
 #include "src/storage/posix_file_system.h"
 
 namespace graniteseam::daemon {
@@ -27,7 +30,9 @@
 /// Lifecycle: Start() once; when it succeeded, Stop() once. Both from the main thread.
 class ControlProcess {
  public:
-  ControlProcess(ControlSettings settings, platform::StopSignals& stop_signals);
+  /// @param owner_names how instances that own keys are called.
+  ControlProcess(ControlSettings settings, runtime::StopSignals& stop_signals,
+                 OwnerCallNames owner_names = {});
   ~ControlProcess();
   ControlProcess(const ControlProcess&) = delete;
   ControlProcess& operator=(const ControlProcess&) = delete;
@@ -43,22 +48,25 @@
 
  private:
   Result<void> OpenStorage();
+  void CreateRegistry();
   Result<void> LoadTls();
   void CreateDriver();
   void CreateTransport();
   void CreateClients();
   void CreateOperatorServer();
   protocol::InternalServer::Handlers InternalHandlers();
-  void NotePeer(const std::string& name, const std::string& http_address);
-  std::string LeaderHttpAddress() const;
+  void NotePeer(const std::string& name, const protocol::ServedAddresses& served);
+  protocol::ServedAddresses LeaderAddresses() const;
   void HandLeadershipOver();
 
   ControlSettings settings_;
-  platform::StopSignals& stop_signals_;
-  platform::MetricsRegistry metrics_;
+  runtime::StopSignals& stop_signals_;
+  const OwnerCallNames owner_names_;
+  runtime::EventLog events_;
+  runtime::MetricsRegistry metrics_;
   // Before what runs on it, so that it outlives that.
-  platform::EventLoop loop_;         ///< Control peers and routers.
-  platform::EventLoop server_loop_;  ///< The users' servers and the platform list.
+  runtime::EventLoop loop_;         ///< Control peers and routers.
+  runtime::EventLoop server_loop_;  ///< The users' servers and the platform list.
   ControlEventQueue queue_;
   OperatorDesk desk_{queue_};
   std::shared_ptr<http::TlsContext> operator_tls_;
@@ -69,12 +77,14 @@
   std::unique_ptr<protocol::InternalServer> internal_server_;
   std::unique_ptr<http::LeaseClient> lease_client_;
   std::unique_ptr<http::PlatformPoller> platform_poller_;
+  std::unique_ptr<OwnerClient> owner_client_;
+  std::unique_ptr<RegistryServer> registry_;
   std::unique_ptr<ControlDriver> driver_;
   std::unique_ptr<http::OperatorServer> operator_server_;
   std::atomic<bool> stopping_{false};
-  mutable std::mutex peers_mutex_;                          ///< Guards peer_http_addresses_.
-  std::map<std::string, std::string> peer_http_addresses_;  ///< By control id.
-  platform::Logger log_{"control"};
+  mutable std::mutex peers_mutex_;                                   ///< Guards peer_addresses_.
+  std::map<std::string, protocol::ServedAddresses> peer_addresses_;  ///< By control id.
+  runtime::Logger log_{"control"};
 };
 
 }  // namespace graniteseam::daemon
--- a/src/daemon/control/control_settings.cc
+++ b/src/daemon/control/control_settings.cc
@@ -9,8 +9,8 @@
 namespace graniteseam::daemon {
 namespace {
 
-using platform::SettingFault;
-using platform::SettingsReader;
+using runtime::SettingFault;
+using runtime::SettingsReader;
 
 constexpr std::int64_t kLargestId = 1'000'000;
 
@@ -21,6 +21,14 @@
 
 void CheckFirstVoters(ControlSettings& settings, std::vector<SettingFault>& faults) {
   settings.first_voters.clear();
+  if (settings.id == 0 && settings.seeds.empty()) {
+    faults.push_back({"settings", "id", "The process has neither an id nor seeds.",
+                      "Set id, or list the internal addresses of some members under seeds."});
+  }
+  runtime::UsePort(settings.seeds, settings.seed_port);
+  for (const runtime::SocketAddress& seed : settings.seeds) {
+    settings.first_voters.push_back({IdOfAddress(seed), {}, ToString(seed), {}});
+  }
   for (const std::string& text : settings.bootstrap) {
     const auto member = Attempt([&] { return ParseFirstVoter(text); });
     if (const Error* error = ErrorOf(member)) {
@@ -29,7 +37,7 @@
     }
     settings.first_voters.push_back(std::get<consensus::Member>(member));
   }
-  if (settings.initialise && settings.bootstrap.empty()) {
+  if (settings.initialise && settings.first_voters.empty() && settings.bootstrap.empty()) {
     faults.push_back({"settings", "initialise", "There are no first voters to initialise with.",
                       "List the first voters under bootstrap, or leave initialise out."});
   }
@@ -86,6 +94,30 @@
 
 }  // namespace
 
+ControlId IdOfAddress(const runtime::SocketAddress& address) {
+  constexpr unsigned kPortBits = 16;
+  constexpr unsigned kPartBits = 8;
+  std::uint64_t ip = 0;
+  std::uint64_t part = 0;
+  for (const char c : address.ip + ".") {
+    if (c != '.') {
+      part = part * 10 + static_cast<std::uint64_t>(c - '0');
+      continue;
+    }
+    ip = (ip << kPartBits) | part;
+    part = 0;
+  }
+  return ControlId{(ip << kPortBits) | address.port};
+}
+
+const runtime::SocketAddress& ControlSettings::KnownPeerAddress() const {
+  return advertised_peer_address.ip.empty() ? peer_address : advertised_peer_address;
+}
+
+ControlId ControlSettings::EffectiveId() const {
+  return id > 0 ? ControlId{static_cast<std::uint64_t>(id)} : IdOfAddress(KnownPeerAddress());
+}
+
 Result<consensus::Member> ParseFirstVoter(const std::string& text) {
   const std::size_t first = text.find('@');
   const std::size_t second = first == std::string::npos ? first : text.find('@', first + 1);
@@ -97,13 +129,13 @@
   member.address = text.substr(second + 1);
   const bool id_valid = error == std::errc() && end == id_end && member.id.value > 0;
   if (!id_valid || member.zone.Empty()) return FailFirstVoter(text);
-  BOOST_LEAF_CHECK(platform::ParseSocketAddress(member.address));
+  BOOST_LEAF_CHECK(runtime::ParseSocketAddress(member.address));
   return member;
 }
 
 void DeclareControlSettings(SettingsReader& reader, ControlSettings& settings) {
-  reader.AddInteger("id", "This control process's id, for good.", settings.id, 1, kLargestId,
-                    SettingsReader::kRequired);
+  reader.AddInteger("id", "This control process's id, for good; 0 takes its address for it.",
+                    settings.id, 0, kLargestId);
   reader.AddText("zone", "Zone of this machine.", settings.zone, SettingsReader::kRequired);
   reader.AddText("data_folder", "Folder for everything that must survive.", settings.data_folder,
                  SettingsReader::kRequired);
@@ -111,8 +143,35 @@
                     settings.peer_address, SettingsReader::kRequired);
   reader.AddAddress("http_address", "HTTP port for operators.", settings.http_address,
                     SettingsReader::kRequired);
+  reader.AddAddress("advertised_peer_address",
+                    "Where others reach the internal port, when not at peer_address.",
+                    settings.advertised_peer_address);
+  reader.AddAddress("advertised_http_address",
+                    "Where operators reach the HTTP port, when not at http_address.",
+                    settings.advertised_http_address);
   reader.AddTextList("bootstrap", "First voters of the group, each id@zone@ip:port.",
                      settings.bootstrap);
+  reader.AddAddressList("seeds", "Internal addresses of some members, in place of bootstrap.",
+                        settings.seeds);
+  constexpr std::int64_t kPortMaximum = 65'535;
+  reader.AddInteger("seed_port", "Internal port of all seeds; 0 takes those listed.",
+                    settings.seed_port, 0, kPortMaximum);
+  reader.AddAddress("registry_address",
+                    "HTTP port for instances that register themselves, and for the traffic "
+                    "configuration.",
+                    settings.registry_address);
+  reader.AddSwitch("self_repair",
+                   "Takes in processes that announce themselves, and replaces members that are "
+                   "gone or lost their disk.",
+                   settings.node.membership.enabled);
+  constexpr std::int64_t kVotersMaximum = 9;
+  reader.AddInteger("voters", "Voters that self_repair keeps.", settings.voters, 1, kVotersMaximum);
+  reader.AddMilliseconds("range_hold_ms", "Length of a grant of keys.",
+                         settings.node.traffic.ranges.hold, std::chrono::milliseconds(500),
+                         std::chrono::seconds(60));
+  reader.AddMilliseconds("range_renewal_ms", "Between two renewals of a grant of keys.",
+                         settings.node.traffic.ranges.renewal_interval,
+                         std::chrono::milliseconds(50), std::chrono::seconds(20));
   reader.AddSwitch("initialise", "Creates the group when the data folder is empty.",
                    settings.initialise);
   reader.AddAddressList("platform", "Where the platform's list of machines is served.",
--- a/src/daemon/control/control_settings.h
+++ b/src/daemon/control/control_settings.h
@@ -9,8 +9,8 @@
 #include "graniteseam/consensus/types.h"
 #include "graniteseam/control/control_node.h"
 #include "src/http/tls.h"
-#include "src/platform/settings.h"
 #include "src/protocol/internal_security.h"
+#include "src/runtime/settings.h"
 
 namespace graniteseam::daemon {
 
@@ -18,23 +18,37 @@
   std::int64_t id = 0;
   std::string zone;
   std::string data_folder;
-  platform::SocketAddress peer_address;
-  platform::SocketAddress http_address;
-  platform::TextList bootstrap;  ///< "id@zone@ip:port" of the group's first voters.
+  runtime::SocketAddress peer_address;
+  runtime::SocketAddress http_address;
+  runtime::SocketAddress advertised_peer_address;  ///< Empty: peer_address.
+  runtime::SocketAddress advertised_http_address;  ///< Empty: http_address.
+  runtime::TextList bootstrap;                ///< "id@zone@ip:port" of the group's first voters.
+  std::vector<runtime::SocketAddress> seeds;  ///< Internal addresses of some members.
+  std::int64_t seed_port = 0;                 ///< In place of the listed ports; 0 leaves them.
+  runtime::SocketAddress registry_address;    ///< Empty: instances can't register themselves.
   bool initialise = false;
-  std::vector<platform::SocketAddress> platform;
-  platform::TextTable operators;
-  platform::TextTable reviewers;
+  std::int64_t voters = 3;
+  std::vector<runtime::SocketAddress> platform;
+  runtime::TextTable operators;
+  runtime::TextTable reviewers;
   protocol::InternalSecurity security;
   http::TlsFiles operator_tls;
   http::TlsFiles server_tls;
   control::ControlOptions node;
 
+  /// Its id: the one of the settings, or one drawn from the address where others reach it.
+  ControlId EffectiveId() const;
+  /// Where others reach its internal port.
+  const runtime::SocketAddress& KnownPeerAddress() const;
+
   std::vector<consensus::Member> first_voters;  ///< Read from `bootstrap`; disks 0.
 };
 
 /// Declares all settings with their checks. `settings` must stay valid until the reader is gone.
-void DeclareControlSettings(platform::SettingsReader& reader, ControlSettings& settings);
+void DeclareControlSettings(runtime::SettingsReader& reader, ControlSettings& settings);
+
+/// The id of a control process that is known by its internal address alone.
+ControlId IdOfAddress(const runtime::SocketAddress& address);
 
 /// Reads "id@zone@ip:port".
 /// @return kInvalidArgument when it has another form.
--- a/src/daemon/control/main.cc
+++ b/src/daemon/control/main.cc
@@ -1,8 +1,8 @@
 // graniteseam-control: a member of the control group.
 #include "src/daemon/control/control_process.h"
-#include "src/platform/log.h"
-#include "src/platform/settings.h"
-#include "src/platform/stop_signals.h"
+#include "src/runtime/log.h"
+#include "src/runtime/settings.h"
+#include "src/runtime/stop_signals.h"
 
 namespace {
 
@@ -14,23 +14,22 @@
   using graniteseam::Attempt;
   using graniteseam::ErrorOf;
   namespace daemon = graniteseam::daemon;
-  namespace platform = graniteseam::platform;
+  namespace runtime = graniteseam::runtime;
 
   daemon::ControlSettings settings;
-  platform::SettingsReader reader(
-      "graniteseam-control",
-      "Decides which server owns each key, as one of a group that keeps "
-      "its decisions in a replicated log.");
+  runtime::SettingsReader reader("graniteseam-control",
+                                 "Decides which server owns each key, as one of a group that keeps "
+                                 "its decisions in a replicated log.");
   daemon::DeclareControlSettings(reader, settings);
   if (const std::optional<int> exit_code = reader.Read(argc, argv)) return *exit_code;
 
-  platform::StopSignals stop;
-  const platform::Logger log("control");
+  runtime::StopSignals stop;
+  const runtime::Logger log("control");
   daemon::ControlProcess process(settings, stop);
   const auto started = Attempt([&] { return process.Start(); });
   if (const graniteseam::Error* error = ErrorOf(started)) {
     log.Error(*error);
-    return error->kind == graniteseam::ErrorKind::kInvalidSettings ? platform::kExitInvalidSettings
+    return error->kind == graniteseam::ErrorKind::kInvalidSettings ? runtime::kExitInvalidSettings
                                                                    : kExitFailure;
   }
   log.Info("Ready.");
--- /dev/null
+++ b/src/daemon/control/owner_calls.h
@@ -0,0 +1,16 @@
+/// @file
+/// How the instances that own keys are called: a dialect of paths and headers.
+#pragma once
+
+#include <string>
+
+namespace graniteseam::daemon {
+
+/// Bodies are JSON: {"from","to","fence","hold_ms","handover"}. A composition gives the names.
+struct OwnerCallNames {
+  std::string grant_path;
+  std::string release_path;
+  std::string handover_header;  ///< Of a release's answer.
+};
+
+}  // namespace graniteseam::daemon
--- /dev/null
+++ b/src/daemon/control/owner_client.cc
@@ -0,0 +1,115 @@
+#include "src/daemon/control/owner_client.h"
+
+#include <boost/asio/post.hpp>
+#include <utility>
+
+namespace graniteseam::daemon {
+namespace {
+
+using control::RangeOrder;
+using control::RangeOrderResult;
+
+constexpr int kOk = 200;
+constexpr int kHigherFenceSeen = 409;
+constexpr std::size_t kAnswerBytesMaximum = 65'536;
+
+std::string BodyOf(const RangeOrder& order) {
+  std::string body = "{\"from\":" + std::to_string(order.span.first) +
+                     ",\"to\":" + std::to_string(order.span.last) +
+                     ",\"fence\":" + std::to_string(order.fence.value);
+  if (order.kind == RangeOrder::Kind::kGrant) {
+    body += ",\"hold_ms\":" + std::to_string(order.hold.count() / 1'000);
+    // Handovers come from instances: only what is a plain token is passed on.
+    if (!order.handover.empty()) body += ",\"handover\":\"" + order.handover + "\"";
+  }
+  return body + "}";
+}
+
+/// A handover as it may stand in a body; empty when it has signs that a token does not have.
+std::string PlainToken(const std::string* text) {
+  if (text == nullptr) return "";
+  for (const char c : *text) {
+    if (c == '"' || c == '\\' || static_cast<unsigned char>(c) < 0x20) return "";
+  }
+  return *text;
+}
+
+RangeOrderResult::Outcome OutcomeOf(const event_http::CallResult& result) {
+  using Outcome = RangeOrderResult::Outcome;
+  if (result.end == event_http::CallEnd::kNotSent) return Outcome::kNotDelivered;
+  if (result.end != event_http::CallEnd::kAnswered) return Outcome::kUnknown;
+  if (result.response.status == kOk) return Outcome::kDone;
+  return result.response.status == kHigherFenceSeen ? Outcome::kRefused : Outcome::kUnknown;
+}
+
+const char* OutcomeName(RangeOrderResult::Outcome outcome) {
+  switch (outcome) {
+    case RangeOrderResult::Outcome::kDone:
+      return "done";
+    case RangeOrderResult::Outcome::kRefused:
+      return "refused";
+    case RangeOrderResult::Outcome::kNotDelivered:
+      return "not_delivered";
+    case RangeOrderResult::Outcome::kUnknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
+event_http::ClientPoolOptions PoolOptions() {
+  event_http::ClientPoolOptions options;
+  options.answer_bytes_maximum = kAnswerBytesMaximum;
+  options.resting_maximum = 2;
+  return options;
+}
+
+}  // namespace
+
+OwnerClient::OwnerClient(OwnerCallNames names, runtime::EventLoop& loop, runtime::EventLog& events,
+                         Handler handler)
+    : names_(std::move(names)),
+      loop_(loop),
+      events_(events),
+      handler_(std::move(handler)),
+      pool_(loop.context(), PoolOptions()) {}
+
+void OwnerClient::Send(RangeOrder order) {
+  boost::asio::post(loop_.context(), [this, order = std::move(order)] { Start(order); });
+}
+
+void OwnerClient::Start(const RangeOrder& order) {
+  const bool grant = order.kind == RangeOrder::Kind::kGrant;
+  event_http::Request request;
+  request.method = "POST";
+  request.target = grant ? names_.grant_path : names_.release_path;
+  request.fields.Add("Host", order.address);
+  request.fields.Add("Content-Type", "application/json");
+  request.body = BodyOf(order);
+  event_http::Call call;
+  call.address = order.address;
+  call.bytes = event_http::Serialize(request);
+  call.limit = order.limit;
+  pool_.Start(std::move(call),
+              [this, order](const event_http::CallResult& result) { OnEnd(order, result); });
+}
+
+void OwnerClient::OnEnd(const RangeOrder& order, const event_http::CallResult& result) {
+  RangeOrderResult ended;
+  ended.number = order.number;
+  ended.outcome = OutcomeOf(result);
+  if (ended.outcome == RangeOrderResult::Outcome::kDone) {
+    ended.handover = PlainToken(result.response.fields.Find(names_.handover_header));
+  }
+  const bool plain_renewal =
+      order.kind == RangeOrder::Kind::kGrant && ended.outcome == RangeOrderResult::Outcome::kDone;
+  events_.Write(plain_renewal ? runtime::EventWeight::kOrdinary : runtime::EventWeight::kNotable,
+                runtime::EventLine(order.kind == RangeOrder::Kind::kGrant ? "grant" : "release")
+                    .Add("instance", order.instance.value)
+                    .Add("first", std::uint64_t{order.span.first})
+                    .Add("last", std::uint64_t{order.span.last})
+                    .Add("fence", order.fence.value)
+                    .Add("outcome", OutcomeName(ended.outcome)));
+  handler_(ended);
+}
+
+}  // namespace graniteseam::daemon
--- /dev/null
+++ b/src/daemon/control/owner_client.h
@@ -0,0 +1,38 @@
+/// @file
+/// Carries range orders to the instances that own keys.
+#pragma once
+
+#include <functional>
+#include <memory>
+
+#include "graniteseam/control/range_orders.h"
+#include "src/daemon/control/owner_calls.h"
+#include "src/event_http/client_pool.h"
+#include "src/runtime/event_log.h"
+#include "src/runtime/event_loop.h"
+
+namespace graniteseam::daemon {
+
+/// Lifecycle: stop the event loop before destruction. Send() is thread safe; the handler runs on
+/// the event loop's thread, once for each order.
+class OwnerClient {
+ public:
+  using Handler = std::function<void(const control::RangeOrderResult& result)>;
+
+  OwnerClient(OwnerCallNames names, runtime::EventLoop& loop, runtime::EventLog& events,
+              Handler handler);
+
+  void Send(control::RangeOrder order);
+
+ private:
+  void Start(const control::RangeOrder& order);
+  void OnEnd(const control::RangeOrder& order, const event_http::CallResult& result);
+
+  const OwnerCallNames names_;
+  runtime::EventLoop& loop_;
+  runtime::EventLog& events_;
+  const Handler handler_;
+  event_http::ClientPool pool_;
+};
+
+}  // namespace graniteseam::daemon
--- /dev/null
+++ b/src/daemon/control/registry_server.cc
@@ -0,0 +1,186 @@
+#include "src/daemon/control/registry_server.h"
+
+#include <boost/asio/post.hpp>
+#include <charconv>
+#include <utility>
+
+#include "src/http/operator_json.h"
+#include "src/http/traffic_json.h"
+
+namespace graniteseam::daemon {
+namespace {
+
+constexpr char kConfigurationPath[] = "/v1/traffic/configuration";
+constexpr char kInstancesPath[] = "/v1/instances/";
+constexpr char kHeartbeatSuffix[] = "/heartbeat";
+constexpr char kMetricsPath[] = "/metrics";
+
+constexpr int kPreconditionFailed = 412;
+constexpr int kTemporaryRedirect = 307;
+constexpr int kServiceUnavailable = 503;
+constexpr std::size_t kBodyBytesMaximum = std::size_t{8} << 20;
+constexpr std::size_t kConnectionsMaximum = 1'500;
+
+/// Reads the version of an If-Match field, with or without quotes.
+Result<traffic::ConfigurationVersion> ReadBase(const event_http::Request& request) {
+  const std::string* field = request.fields.Find("If-Match");
+  traffic::ConfigurationVersion base;
+  if (field != nullptr) {
+    std::string_view text = *field;
+    if (text.size() >= 2 && text.front() == '"' && text.back() == '"') {
+      text = text.substr(1, text.size() - 2);
+    }
+    const char* const end = text.data() + text.size();
+    const auto [parsed, error] = std::from_chars(text.data(), end, base.value);
+    if (!text.empty() && error == std::errc() && parsed == end) return base;
+  }
+  return Fail(ErrorKind::kMalformedMessage, "If-Match names no version.",
+              "Name the version that the change builds on; 0 for the first.");
+}
+
+Result<control::OperatorRequest> ReadChange(const event_http::Request& request, bool whole) {
+  BOOST_LEAF_AUTO(base, ReadBase(request));
+  control::ChangeConfiguration change;
+  if (whole) {
+    BOOST_LEAF_ASSIGN(change.change, http::ReadConfiguration(request.body, base));
+  } else {
+    BOOST_LEAF_ASSIGN(change.change, http::ReadConfigurationPatch(request.body, base));
+  }
+  return control::OperatorRequest(std::move(change));
+}
+
+/// "i-7" of "/v1/instances/i-7" or "/v1/instances/i-7/heartbeat"; empty for another path.
+std::string InstanceOf(std::string_view path, std::string_view suffix) {
+  constexpr std::string_view kPrefix = kInstancesPath;
+  if (!path.starts_with(kPrefix) || !path.ends_with(suffix)) return "";
+  if (path.size() < kPrefix.size() + suffix.size()) return "";
+  const std::string_view id =
+      path.substr(kPrefix.size(), path.size() - kPrefix.size() - suffix.size());
+  return id.find('/') == std::string_view::npos ? std::string(id) : "";
+}
+
+Result<control::OperatorRequest> ReadRequest(const event_http::Request& request) {
+  const std::string_view path = request.Path();
+  if (path == kConfigurationPath) {
+    if (request.method == "GET") return control::OperatorRequest(control::ReadConfiguration{});
+    if (request.method == "PUT") return ReadChange(request, true);
+    if (request.method == "PATCH") return ReadChange(request, false);
+  }
+  const std::string beating = InstanceOf(path, kHeartbeatSuffix);
+  if (!beating.empty() && request.method == "POST") {
+    control::ReportInstance heartbeat;
+    BOOST_LEAF_ASSIGN(heartbeat.report, http::ReadHeartbeat(request.body, {beating}));
+    return control::OperatorRequest(std::move(heartbeat));
+  }
+  const std::string leaving = InstanceOf(path, "");
+  if (!leaving.empty() && request.method == "DELETE") {
+    return control::OperatorRequest(control::DeregisterInstance{{leaving}});
+  }
+  return Fail(ErrorKind::kNotFound,
+              "Nothing is served at " + request.method + " " + std::string(path) + ".",
+              "See docs/interface/traffic.md.");
+}
+
+event_http::Response JsonResponse(int status, std::string body) {
+  event_http::Response response;
+  response.status = status;
+  response.fields.Add("Content-Type", "application/json");
+  response.body = std::move(body);
+  return response;
+}
+
+event_http::ServerOptions OptionsFor(runtime::SocketAddress address) {
+  event_http::ServerOptions options;
+  options.address = std::move(address);
+  options.connections_maximum = kConnectionsMaximum;
+  return options;
+}
+
+}  // namespace
+
+RegistryServer::RegistryServer(runtime::SocketAddress address, runtime::EventLoop& loop,
+                               runtime::EventLog& events, RegistryServerHooks hooks)
+    : loop_(loop),
+      events_(events),
+      hooks_(std::move(hooks)),
+      server_(loop.context(), OptionsFor(std::move(address)),
+              [this](const auto& exchange) { OnExchange(exchange); }) {
+  event_http::ServerLimits limits;
+  limits.body_bytes = kBodyBytesMaximum;
+  server_.SetLimits(limits);
+}
+
+void RegistryServer::BeginDrain() {
+  boost::asio::post(loop_.context(), [this] { server_.BeginDrain(); });
+}
+
+void RegistryServer::OnExchange(const std::shared_ptr<event_http::Exchange>& exchange) {
+  const event_http::Request& request = exchange->request();
+  if (request.Path() == kMetricsPath) {
+    event_http::Response response;
+    response.body = hooks_.metrics();
+    exchange->Respond(response);
+    return;
+  }
+  const std::string what = request.method + " " + std::string(request.Path());
+  auto read = Attempt([&] { return ReadRequest(request); });
+  if (const Error* error = ErrorOf(read)) {
+    const control::OperatorAnswer answer = *error;
+    const event_http::Response response = ResponseFor(answer, request);
+    Log(what, response.status, answer);
+    exchange->Respond(response);
+    return;
+  }
+  const control::RequestId number = next_request_++;
+  waiting_[number] = {exchange, what};
+  exchange->OnGone([this, number] { waiting_.erase(number); });
+  hooks_.execute(number, std::move(std::get<control::OperatorRequest>(read)));
+}
+
+void RegistryServer::Answer(const control::OperatorReply& reply) {
+  boost::asio::post(loop_.context(), [this, reply] { OnAnswer(reply); });
+}
+
+void RegistryServer::OnAnswer(const control::OperatorReply& reply) {
+  const auto found = waiting_.find(reply.request);
+  if (found == waiting_.end()) return;
+  const Waiting waiting = std::move(found->second);
+  waiting_.erase(found);
+  const event_http::Response response = ResponseFor(reply.answer, waiting.exchange->request());
+  Log(waiting.what, response.status, reply.answer);
+  waiting.exchange->Respond(response);
+}
+
+event_http::Response RegistryServer::ResponseFor(const control::OperatorAnswer& answer,
+                                                 const event_http::Request& request) const {
+  if (std::holds_alternative<control::Accepted>(answer)) return JsonResponse(200, "{}");
+  if (const auto* view = std::get_if<control::ConfigurationView>(&answer)) {
+    return JsonResponse(200, http::ToJson(view->configuration));
+  }
+  const auto* error = std::get_if<Error>(&answer);
+  if (error == nullptr) return JsonResponse(500, "{}");
+  const std::string body = http::ToJson(http::OperatorProblem{*error, ""});
+  if (error->kind == ErrorKind::kNotLeader) {
+    const std::string leader = hooks_.leader_address();
+    if (leader.empty()) return JsonResponse(kServiceUnavailable, body);
+    event_http::Response response = JsonResponse(kTemporaryRedirect, body);
+    response.fields.Add("Location", "http://" + leader + request.target);
+    return response;
+  }
+  if (error->kind == ErrorKind::kVersionConflict) return JsonResponse(kPreconditionFailed, body);
+  const int status = http::HttpStatus(error->kind);
+  // Where the group can't take it now, another process may soon.
+  return JsonResponse(status >= 500 ? kServiceUnavailable : status, body);
+}
+
+void RegistryServer::Log(const std::string& what, int status,
+                         const control::OperatorAnswer& answer) {
+  const auto* error = std::get_if<Error>(&answer);
+  const bool plain = error == nullptr && what.ends_with(kHeartbeatSuffix);
+  runtime::EventLine line("registry_call");
+  line.Add("call", what).Add("status", static_cast<std::int64_t>(status));
+  if (error != nullptr) line.Add("error", ToString(*error));
+  events_.Write(plain ? runtime::EventWeight::kOrdinary : runtime::EventWeight::kNotable, line);
+}
+
+}  // namespace graniteseam::daemon
--- /dev/null
+++ b/src/daemon/control/registry_server.h
@@ -0,0 +1,60 @@
+/// @file
+/// The HTTP port of a control process for instances and for operators of the traffic configuration;
+/// docs/interface/traffic.md. On an event loop: heartbeats of many instances need no threads.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "graniteseam/control/operator_messages.h"
+#include "src/daemon/control/control_event.h"
+#include "src/event_http/server.h"
+#include "src/runtime/event_log.h"
+#include "src/runtime/event_loop.h"
+
+namespace graniteseam::daemon {
+
+struct RegistryServerHooks {
+  /// Puts a request to the deciding thread; Answer() brings what it said.
+  std::function<void(control::RequestId request, control::OperatorRequest command)> execute;
+  /// Where the leader's registry is reached; empty when unknown or this process leads.
+  std::function<std::string()> leader_address;
+  std::function<std::string()> metrics;
+};
+
+/// Lifecycle: Start() once; stop the event loop before destruction. Answer() is thread safe.
+class RegistryServer {
+ public:
+  /// Requests with this bit in their number are this server's.
+  static constexpr control::RequestId kRequestBit = control::RequestId{1} << 62U;
+
+  RegistryServer(runtime::SocketAddress address, runtime::EventLoop& loop,
+                 runtime::EventLog& events, RegistryServerHooks hooks);
+
+  Result<void> Start() { return server_.Start(); }
+  void BeginDrain();
+  void Answer(const control::OperatorReply& reply);
+
+ private:
+  struct Waiting {
+    std::shared_ptr<event_http::Exchange> exchange;
+    std::string what;  ///< For the log.
+  };
+
+  void OnExchange(const std::shared_ptr<event_http::Exchange>& exchange);
+  void OnAnswer(const control::OperatorReply& reply);
+  event_http::Response ResponseFor(const control::OperatorAnswer& answer,
+                                   const event_http::Request& request) const;
+  void Log(const std::string& what, int status, const control::OperatorAnswer& answer);
+
+  runtime::EventLoop& loop_;
+  runtime::EventLog& events_;
+  const RegistryServerHooks hooks_;
+  event_http::Server server_;
+  control::RequestId next_request_ = kRequestBit;
+  std::map<control::RequestId, Waiting> waiting_;
+};
+
+}  // namespace graniteseam::daemon
--- /dev/null
+++ b/src/daemon/gateway/exchange_translator.cc
@@ -0,0 +1,140 @@
+#include "src/daemon/gateway/exchange_translator.h"
+
+#include <algorithm>
+#include <charconv>
+#include <cstdio>
+#include <utility>
+
+namespace graniteseam::daemon {
+namespace {
+
+using gateway::AttemptEnd;
+
+/// For a caller that does not say how long it waits.
+constexpr Duration kDefaultTimeLeft{30'000'000};
+constexpr std::int64_t kTimeLeftMaximumMs = 3'600'000;
+constexpr int kMisdirected = 421;
+
+template <class Number>
+std::optional<Number> ReadNumber(const std::string* text) {
+  if (text == nullptr || text->empty()) return std::nullopt;
+  Number number{};
+  const char* const end = text->data() + text->size();
+  const auto [parsed, error] = std::from_chars(text->data(), end, number);
+  if (error != std::errc() || parsed != end) return std::nullopt;
+  return number;
+}
+
+/// Reads "running,waiting,slots".
+std::optional<gateway::ReportedLoad> ReadLoad(const std::string* text) {
+  if (text == nullptr) return std::nullopt;
+  gateway::ReportedLoad load;
+  const int read =
+      std::sscanf(text->c_str(), "%lf,%lf,%lf", &load.running, &load.waiting, &load.slots);
+  const bool sound = read == 3 && load.running >= 0 && load.waiting >= 0 && load.slots >= 0;
+  return sound ? std::optional(load) : std::nullopt;
+}
+
+std::int64_t ToMillis(Duration duration) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+}  // namespace
+
+std::string ExchangeTranslator::AttemptId(const event_http::Request& request) const {
+  const std::string* id = request.fields.Find(names_.attempt_id);
+  return id == nullptr ? "" : *id;
+}
+
+gateway::ArrivedRequest ExchangeTranslator::Read(const event_http::Request& request,
+                                                 gateway::RequestNumber number) const {
+  gateway::ArrivedRequest arrived;
+  arrived.number = number;
+  if (const std::string* host = request.fields.Find("Host")) arrived.host = *host;
+  arrived.path = std::string(request.Path());
+  arrived.key = ReadNumber<std::uint32_t>(request.fields.Find(names_.key));
+  arrived.time_left = kDefaultTimeLeft;
+  const auto left = ReadNumber<std::int64_t>(request.fields.Find(names_.time_left_ms));
+  if (left) {
+    arrived.time_left =
+        std::chrono::milliseconds(std::clamp<std::int64_t>(*left, 0, kTimeLeftMaximumMs));
+  }
+  return arrived;
+}
+
+std::string ExchangeTranslator::ForServer(const event_http::Request& request,
+                                          const gateway::SendAttempt& send) const {
+  event_http::Request forwarded = request;
+  event_http::RemoveConnectionFields(forwarded.fields);
+  forwarded.fields.Remove("Expect");
+  forwarded.fields.Set(names_.target_instance, send.instance.value);
+  const std::int64_t left = std::max<std::int64_t>(1, ToMillis(send.time_left));
+  forwarded.fields.Set(names_.time_left_ms, std::to_string(left));
+  return event_http::Serialize(forwarded);
+}
+
+AttemptEnd ExchangeTranslator::EndOf(const event_http::Response& answer,
+                                     const event_http::Request& request) const {
+  const std::string* echo = answer.fields.Find(names_.attempt_id);
+  const std::string* own = request.fields.Find(names_.attempt_id);
+  if (own != nullptr && (echo == nullptr || *echo != *own)) return AttemptEnd::kUnusable;
+  const bool not_executed = answer.fields.Find(names_.not_executed) != nullptr;
+  if (not_executed || answer.status == kMisdirected) return AttemptEnd::kNotExecuted;
+  if (answer.fields.Find("Content-Encoding") != nullptr) return AttemptEnd::kUnusable;
+  const bool success = answer.status / 100 == 2;
+  const bool sealed = answer.fields.Find(names_.seal) != nullptr;
+  return success && !sealed ? AttemptEnd::kUnusable : AttemptEnd::kAnswered;
+}
+
+gateway::AttemptReport ExchangeTranslator::Read(const event_http::CallResult& result,
+                                                const event_http::Request& request,
+                                                const gateway::SendAttempt& send) const {
+  gateway::AttemptReport report;
+  report.request = send.request;
+  report.attempt = send.attempt;
+  switch (result.end) {
+    case event_http::CallEnd::kNotSent:
+      report.end = AttemptEnd::kNotSent;
+      return report;
+    case event_http::CallEnd::kLost:
+      report.end = AttemptEnd::kLost;
+      return report;
+    case event_http::CallEnd::kMalformed:
+      report.end = AttemptEnd::kUnusable;
+      return report;
+    case event_http::CallEnd::kAnswered:
+      break;
+  }
+  report.status = result.response.status;
+  report.end = EndOf(result.response, request);
+  if (report.end != AttemptEnd::kUnusable) {
+    report.load = ReadLoad(result.response.fields.Find(names_.load));
+  }
+  report.server_leaves = result.response.status == kMisdirected;
+  return report;
+}
+
+event_http::Response ExchangeTranslator::ForCaller(event_http::Response answer) const {
+  event_http::RemoveConnectionFields(answer.fields);
+  return answer;
+}
+
+event_http::Response ExchangeTranslator::ForCaller(const gateway::Refuse& refusal,
+                                                   const event_http::Request& request) const {
+  event_http::Response response;
+  response.status = refusal.status;
+  const std::string id = AttemptId(request);
+  if (!id.empty()) response.fields.Add(names_.attempt_id, id);
+  response.fields.Add("Content-Type", "application/problem+json");
+  if (refusal.retry_after) {
+    char seconds[32];
+    std::snprintf(seconds, sizeof(seconds), "%.3f",
+                  std::chrono::duration<double>(*refusal.retry_after).count());
+    response.fields.Add("Retry-After", seconds);
+  }
+  response.body = "{\"status\":" + std::to_string(refusal.status) + ",\"kind\":\"" +
+                  std::string(gateway::ReasonName(refusal.reason)) + "\"}";
+  return response;
+}
+
+}  // namespace graniteseam::daemon
--- /dev/null
+++ b/src/daemon/gateway/exchange_translator.h
@@ -0,0 +1,49 @@
+/// @file
+/// Reads requests and servers' answers by a dialect's names, and writes what the gateway sends.
+#pragma once
+
+#include <optional>
+
+#include "src/daemon/gateway/exchange_names.h"
+#include "src/event_http/client_pool.h"
+#include "src/event_http/message.h"
+#include "src/gateway/gateway_events.h"
+
+namespace graniteseam::daemon {
+
+/// Stateless; decides nothing.
+class ExchangeTranslator {
+ public:
+  explicit ExchangeTranslator(ExchangeNames names) : names_(std::move(names)) {}
+
+  /// What the decision maker must know of a caller's request.
+  gateway::ArrivedRequest Read(const event_http::Request& request,
+                               gateway::RequestNumber number) const;
+
+  /// The bytes for a server: the request as it came, with the target and the time that is left.
+  std::string ForServer(const event_http::Request& request, const gateway::SendAttempt& send) const;
+
+  /// What the decision maker must know of the end of a call. An answer counts only when it echoes
+  /// the request's id; a success only with the server's seal and without an encoding, which callers
+  /// never ask for.
+  gateway::AttemptReport Read(const event_http::CallResult& result,
+                              const event_http::Request& request,
+                              const gateway::SendAttempt& send) const;
+
+  /// A server's answer as the caller gets it.
+  event_http::Response ForCaller(event_http::Response answer) const;
+  /// The gateway's own answer.
+  event_http::Response ForCaller(const gateway::Refuse& refusal,
+                                 const event_http::Request& request) const;
+
+  /// The caller's id of a request, for the log; empty when it has none.
+  std::string AttemptId(const event_http::Request& request) const;
+
+ private:
+  gateway::AttemptEnd EndOf(const event_http::Response& answer,
+                            const event_http::Request& request) const;
+
+  const ExchangeNames names_;
+};
+
+}  // namespace graniteseam::daemon
--- /dev/null
+++ b/src/daemon/gateway/gateway_metrics.h
@@ -0,0 +1,35 @@
+/// @file
+/// The statistics that a gateway keeps of its work.
+#pragma once
+
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "graniteseam/common/time.h"
+#include "src/gateway/gateway_events.h"
+#include "src/runtime/metrics.h"
+
+namespace graniteseam::daemon {
+
+/// Not thread safe.
+class GatewayMetrics {
+ public:
+  explicit GatewayMetrics(runtime::MetricsRegistry& registry);
+
+  void OnRequest(std::string_view outcome, Duration taken);
+  void OnSend() { sends_.Increment(); }
+  void OnAttemptEnd(gateway::AttemptEnd end);
+  void OnCallerGone() { callers_gone_.Increment(); }
+  void OnVersion(std::uint64_t version, std::uint64_t configuration);
+
+ private:
+  runtime::MetricsRegistry& registry_;
+  runtime::CounterHandle sends_;
+  runtime::CounterHandle callers_gone_;
+  runtime::GaugeHandle version_;
+  runtime::GaugeHandle configuration_;
+  std::map<std::string, runtime::HistogramHandle, std::less<>> seconds_;  ///< By outcome.
+};
+
+}  // namespace graniteseam::daemon
--- /dev/null
+++ b/src/daemon/gateway/gateway_process.cc
@@ -0,0 +1,307 @@
+#include "src/daemon/gateway/gateway_process.h"
+
+#include <boost/asio/post.hpp>
+#include <future>
+#include <thread>
+#include <utility>
+
+#include "src/runtime/clock.h"
+
+namespace graniteseam::daemon {
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr Duration kStopLook{20'000};
+/// Of the requests that went well at the first try, one in so many is told in full.
+constexpr std::uint64_t kSampledRequests = 64;
+/// A request that took longer is told in full.
+constexpr Duration kSlow{1'000'000};
+/// Kept free of callers' bodies: the rest of the process, and answers under way.
+constexpr std::size_t kBodyBytesTotal = std::size_t{64} << 20;
+constexpr std::size_t kAnswerBytesMaximum = std::size_t{32} << 20;
+
+gateway::GatewayOptions NodeOptions(const GatewaySettings& settings) {
+  gateway::GatewayOptions options;
+  options.id = {settings.id};
+  options.backends.zone = {settings.zone};
+  options.budget = settings.budget;
+  return options;
+}
+
+}  // namespace
+
+GatewayProcess::GatewayProcess(GatewaySettings settings, ExchangeNames names, int event_descriptor)
+    : settings_(std::move(settings)),
+      translator_(std::move(names)),
+      events_(settings_.id, event_descriptor),
+      metrics_(metrics_registry_),
+      node_(NodeOptions(settings_), runtime::RandomBits()),
+      timer_(loop_.context()),
+      poll_timer_(loop_.context()) {}
+
+GatewayProcess::~GatewayProcess() {
+  control_.reset();
+  loop_.Stop();
+}
+
+Result<void> GatewayProcess::Start() {
+  event_http::ServerOptions callers;
+  callers.address = settings_.caller_address;
+  callers.connections_maximum = static_cast<std::size_t>(settings_.connections_maximum);
+  callers.body_bytes_total = kBodyBytesTotal;
+  callers_ = std::make_unique<event_http::Server>(
+      loop_.context(), callers, [this](const auto& exchange) { OnExchange(exchange); });
+  event_http::ServerOptions status;
+  status.address = settings_.status_address;
+  status.connections_maximum = 64;
+  status_ = std::make_unique<event_http::Server>(
+      loop_.context(), status, [this](const auto& exchange) { OnStatus(exchange); });
+  event_http::ClientPoolOptions pool;
+  pool.answer_bytes_maximum = kAnswerBytesMaximum;
+  servers_ = std::make_unique<event_http::ClientPool>(loop_.context(), pool);
+  BOOST_LEAF_CHECK(callers_->Start());
+  BOOST_LEAF_CHECK(status_->Start());
+  protocol::RouterControlClientOptions control;
+  control.router = {settings_.id};
+  control.control = settings_.control;
+  control.security = settings_.security;
+  control.silence_limit = settings_.poll_interval;
+  control_ = std::make_unique<protocol::RouterControlClient>(
+      control, metrics_registry_,
+      [this](const control::ControlToRouter& answer) {
+        const auto* update = std::get_if<control::TrafficUpdate>(&answer);
+        if (update == nullptr) return;
+        asio::post(loop_.context(), [this, update = *update] { OnUpdate(update); });
+      },
+      [this](bool connected) {
+        events_.Write(runtime::EventWeight::kNotable,
+                      runtime::EventLine(connected ? "control_connected" : "control_lost"));
+        if (connected) asio::post(loop_.context(), [this] { Poll(); });
+      });
+  asio::post(loop_.context(), [this] { Poll(); });
+  events_.Write(runtime::EventWeight::kNotable,
+                runtime::EventLine("started")
+                    .Add("zone", settings_.zone)
+                    .Add("callers", runtime::ToString(settings_.caller_address)));
+  return {};
+}
+
+void GatewayProcess::Reload(const GatewaySettings& settings) {
+  std::vector<std::string> addresses;
+  for (const auto& address : settings.control) addresses.push_back(runtime::ToString(address));
+  control_->AddControl(addresses);
+  events_.Write(runtime::EventWeight::kNotable,
+                runtime::EventLine("reloaded")
+                    .Add("control", static_cast<std::uint64_t>(settings.control.size())));
+}
+
+void GatewayProcess::Stop() {
+  events_.Write(runtime::EventWeight::kNotable, runtime::EventLine("stopping"));
+  stopping_ = true;
+  asio::post(loop_.context(), [this] { callers_->BeginDrain(); });
+  const Instant begun = runtime::BootTimeNow();
+  while (runtime::BootTimeNow() - begun < settings_.stop_maximum) {
+    const bool served_on = runtime::BootTimeNow() - begun >= settings_.stop_minimum;
+    if (served_on && Idle()) break;
+    std::this_thread::sleep_for(kStopLook);
+  }
+  events_.Write(runtime::EventWeight::kNotable, runtime::EventLine("stopped"));
+}
+
+/// Whether no caller has a connection any more.
+bool GatewayProcess::Idle() {
+  std::promise<bool> idle;
+  asio::post(loop_.context(), [&] { idle.set_value(callers_->connections() == 0); });
+  return idle.get_future().get();
+}
+
+// --- Requests ---
+
+void GatewayProcess::OnExchange(const std::shared_ptr<event_http::Exchange>& exchange) {
+  const gateway::RequestNumber number = last_number_ = last_number_.Next();
+  LiveExchange& live = live_[number];
+  live.exchange = exchange;
+  exchange->OnGone([this, number] {
+    metrics_.OnCallerGone();
+    Run(node_.OnCallerGone(number, runtime::BootTimeNow()));
+    live_.erase(number);
+  });
+  Run(node_.OnRequest(translator_.Read(exchange->request(), number), runtime::BootTimeNow()));
+}
+
+void GatewayProcess::OnStatus(const std::shared_ptr<event_http::Exchange>& exchange) const {
+  event_http::Response response;
+  const std::string_view path = exchange->request().Path();
+  if (path == "/metrics") {
+    response.fields.Add("Content-Type", runtime::kMetricsContentType);
+    response.body = metrics_registry_.Text();
+  } else if (path == "/ready") {
+    const bool ready = node_.Ready() && !stopping_;
+    response.status = ready ? 200 : 503;
+    response.body = ready ? "ready\n" : "not ready\n";
+  } else {
+    response.status = 404;
+  }
+  exchange->Respond(response);
+}
+
+void GatewayProcess::Run(gateway::GatewayEffects effects) {
+  TakeNotes(std::move(effects.notes));
+  for (const gateway::GatewayEffect& action : effects.actions) {
+    std::visit([this](const auto& one) { Do(one); }, action);
+  }
+  ArmTimer();
+}
+
+void GatewayProcess::Do(const gateway::SendAttempt& send) {
+  LiveExchange& live = live_.at(send.request);
+  const event_http::Request& request = live.exchange->request();
+  event_http::Call call;
+  call.address = send.address;
+  call.bytes = translator_.ForServer(request, send);
+  call.head = request.method == "HEAD";
+  call.limit = send.time_left;
+  metrics_.OnSend();
+  live.call = servers_->Start(std::move(call), [this, send](event_http::CallResult result) {
+    OnCallEnd(send, std::move(result));
+  });
+}
+
+void GatewayProcess::OnCallEnd(const gateway::SendAttempt& send, event_http::CallResult result) {
+  const auto found = live_.find(send.request);
+  if (found == live_.end()) return;
+  LiveExchange& live = found->second;
+  const gateway::AttemptReport report = translator_.Read(result, live.exchange->request(), send);
+  metrics_.OnAttemptEnd(report.end);
+  if (report.end == gateway::AttemptEnd::kUnusable && live.call) servers_->Distrust(*live.call);
+  live.call.reset();
+  live.answer = std::move(result.response);
+  Run(node_.OnAttemptEnd(report, runtime::BootTimeNow()));
+}
+
+void GatewayProcess::Do(const gateway::AbandonAttempt& abandon) {
+  const auto found = live_.find(abandon.request);
+  if (found == live_.end() || !found->second.call) return;
+  servers_->Abandon(*found->second.call);
+  found->second.call.reset();
+}
+
+void GatewayProcess::Do(const gateway::RelayAnswer& relay) {
+  LiveExchange& live = live_.at(relay.request);
+  Finish(relay.request, translator_.ForCaller(std::move(*live.answer)), "relayed");
+}
+
+void GatewayProcess::Do(const gateway::Refuse& refusal) {
+  // What was abandoned with it comes after it among the effects, and may need the entry.
+  const auto found = live_.find(refusal.request);
+  if (found == live_.end()) return;
+  if (found->second.call) {
+    servers_->Abandon(*found->second.call);
+    found->second.call.reset();
+  }
+  Finish(refusal.request, translator_.ForCaller(refusal, found->second.exchange->request()),
+         gateway::ReasonName(refusal.reason));
+}
+
+void GatewayProcess::Finish(gateway::RequestNumber number, const event_http::Response& response,
+                            std::string_view outcome) {
+  const auto found = live_.find(number);
+  const LiveExchange live = std::move(found->second);
+  live_.erase(found);
+  const Duration taken = runtime::BootTimeNow() - live.exchange->received_at();
+  metrics_.OnRequest(outcome, taken);
+  LogRequest(live, response.status, outcome, taken);
+  live.exchange->Respond(response);
+}
+
+// --- Log ---
+
+void GatewayProcess::TakeNotes(std::vector<gateway::DecisionNote> notes) {
+  for (gateway::DecisionNote& note : notes) {
+    const auto found = live_.find(note.request);
+    if (found != live_.end()) {
+      found->second.notes.push_back(std::move(note));
+      found->second.note_times.push_back(runtime::BootTimeNow());
+      continue;
+    }
+    events_.Write(runtime::EventWeight::kNotable, runtime::EventLine(note.what)
+                                                      .Add("instance", note.instance.value)
+                                                      .Add("inputs", note.inputs));
+  }
+}
+
+/// Failures, retries and slow requests are told in full, of the rest a sample: all that was
+/// decided, in order, with what it was decided on.
+void GatewayProcess::LogRequest(const LiveExchange& live, int status, std::string_view outcome,
+                                Duration taken) {
+  const bool plain = status < 400 && live.notes.size() <= 1 && taken < kSlow;
+  if (plain && finished_++ % kSampledRequests != 0) return;
+  const auto weight = plain ? runtime::EventWeight::kOrdinary : runtime::EventWeight::kNotable;
+  const std::string id = translator_.AttemptId(live.exchange->request());
+  const Instant received = live.exchange->received_at();
+  for (std::size_t note = 0; note < live.notes.size(); ++note) {
+    const Duration at = live.note_times[note] - received;
+    events_.Write(weight, runtime::EventLine(live.notes[note].what)
+                              .Add("request", id)
+                              .Add("after_us", static_cast<std::int64_t>(at.count()))
+                              .Add("instance", live.notes[note].instance.value)
+                              .Add("inputs", live.notes[note].inputs));
+  }
+  events_.Write(weight, runtime::EventLine("answer")
+                            .Add("request", id)
+                            .Add("after_us", static_cast<std::int64_t>(taken.count()))
+                            .Add("status", static_cast<std::int64_t>(status))
+                            .Add("outcome", outcome)
+                            .Add("target", live.exchange->request().target)
+                            .Add("version", node_.version()));
+}
+
+// --- Control and time ---
+
+void GatewayProcess::OnUpdate(const traffic::TrafficUpdate& update) {
+  const bool was_ready = node_.Ready();
+  Run(node_.OnUpdate(update, runtime::BootTimeNow()));
+  if (update.limits) ApplyLimits();
+  metrics_.OnVersion(node_.version(), node_.configuration().value);
+  if (!was_ready && node_.Ready()) {
+    events_.Write(runtime::EventWeight::kNotable,
+                  runtime::EventLine("ready").Add("version", node_.version()));
+  }
+}
+
+void GatewayProcess::ApplyLimits() {
+  const traffic::CallerLimits& limits = node_.limits();
+  event_http::ServerLimits server;
+  server.header_bytes = static_cast<std::size_t>(limits.header_bytes_maximum);
+  server.body_bytes = static_cast<std::size_t>(limits.body_bytes_maximum);
+  server.header_timeout = std::chrono::milliseconds(limits.header_timeout_ms);
+  server.idle_timeout = std::chrono::milliseconds(limits.idle_timeout_ms);
+  callers_->SetLimits(server);
+}
+
+void GatewayProcess::Poll() {
+  if (control_) control_->Send(node_.TakePoll());
+  poll_timer_.expires_after(settings_.poll_interval);
+  poll_timer_.async_wait([this](auto error) {
+    if (!error) Poll();
+  });
+}
+
+void GatewayProcess::ArmTimer() {
+  const Instant next = node_.NextTick();
+  if (next == timer_at_) return;
+  timer_at_ = next;
+  if (next == Instant::max()) {
+    timer_.cancel();
+    return;
+  }
+  timer_.expires_after(std::max(Duration{0}, next - runtime::BootTimeNow()));
+  timer_.async_wait([this](auto error) {
+    if (error) return;
+    timer_at_ = Instant::max();
+    Run(node_.Tick(runtime::BootTimeNow()));
+  });
+}
+
+}  // namespace graniteseam::daemon
--- /dev/null
+++ b/src/daemon/gateway/gateway_process.h
@@ -0,0 +1,93 @@
+/// @file
+/// A gateway process: the decision maker with its ports, its connections to servers and its line to
+/// control.
+#pragma once
+
+#include <atomic>
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "src/daemon/gateway/exchange_translator.h"
+#include "src/daemon/gateway/gateway_metrics.h"
+#include "src/daemon/gateway/gateway_settings.h"
+#include "src/event_http/client_pool.h"
+#include "src/event_http/server.h"
+#include "src/gateway/gateway_node.h"
+#include "src/protocol/router_control_client.h"
+#include "src/runtime/event_log.h"
+#include "src/runtime/event_loop.h"
+#include "src/runtime/metrics.h"
+
+namespace graniteseam::daemon {
+
+/// Lifecycle: Start() once; when it succeeded, Stop() once. Both from the main thread; everything
+/// else runs on one event loop's thread.
+class GatewayProcess {
+ public:
+  GatewayProcess(GatewaySettings settings, ExchangeNames names, int event_descriptor);
+  ~GatewayProcess();
+  GatewayProcess(const GatewayProcess&) = delete;
+  GatewayProcess& operator=(const GatewayProcess&) = delete;
+
+  Result<void> Start();
+
+  /// Not ready at once; serves on until callers have gone elsewhere, then ends.
+  void Stop();
+
+  /// Takes other control addresses beside those it knows.
+  void Reload(const GatewaySettings& settings);
+
+ private:
+  /// A request with what the log may have to tell of it.
+  struct LiveExchange {
+    std::shared_ptr<event_http::Exchange> exchange;
+    std::optional<event_http::CallNumber> call;
+    std::optional<event_http::Response> answer;  ///< The last that a server gave.
+    std::vector<gateway::DecisionNote> notes;
+    std::vector<Instant> note_times;
+  };
+
+  void OnExchange(const std::shared_ptr<event_http::Exchange>& exchange);
+  void OnStatus(const std::shared_ptr<event_http::Exchange>& exchange) const;
+  void OnUpdate(const traffic::TrafficUpdate& update);
+  void Run(gateway::GatewayEffects effects);
+  void Do(const gateway::SendAttempt& send);
+  void Do(const gateway::AbandonAttempt& abandon);
+  void Do(const gateway::RelayAnswer& relay);
+  void Do(const gateway::Refuse& refusal);
+  void OnCallEnd(const gateway::SendAttempt& send, event_http::CallResult result);
+  void Finish(gateway::RequestNumber number, const event_http::Response& response,
+              std::string_view outcome);
+  void TakeNotes(std::vector<gateway::DecisionNote> notes);
+  void LogRequest(const LiveExchange& live, int status, std::string_view outcome, Duration taken);
+  void ArmTimer();
+  void Poll();
+  void ApplyLimits();
+  bool Idle();
+
+  const GatewaySettings settings_;
+  const ExchangeTranslator translator_;
+  runtime::EventLog events_;
+  runtime::MetricsRegistry metrics_registry_;
+  GatewayMetrics metrics_;
+  // Before what runs on it, so that it outlives that.
+  runtime::EventLoop loop_;
+  gateway::GatewayNode node_;
+  std::unique_ptr<event_http::Server> callers_;
+  std::unique_ptr<event_http::Server> status_;
+  std::unique_ptr<event_http::ClientPool> servers_;
+  std::unique_ptr<protocol::RouterControlClient> control_;
+  boost::asio::steady_timer timer_;
+  Instant timer_at_ = Instant::max();
+  boost::asio::steady_timer poll_timer_;
+  std::map<gateway::RequestNumber, LiveExchange> live_;
+  gateway::RequestNumber last_number_;
+  std::uint64_t finished_ = 0;
+  std::atomic<bool> stopping_{false};
+};
+
+}  // namespace graniteseam::daemon
--- /dev/null
+++ b/src/daemon/gateway/gateway_settings.cc
@@ -0,0 +1,48 @@
+#include "src/daemon/gateway/gateway_settings.h"
+
+#include "src/protocol/internal_settings.h"
+
+namespace graniteseam::daemon {
+
+void DeclareGatewaySettings(runtime::SettingsReader& reader, GatewaySettings& settings) {
+  using Presence = runtime::SettingsReader::Presence;
+  using std::chrono::milliseconds;
+  using std::chrono::seconds;
+  constexpr std::int64_t kConnectionsMaximum = 65'536;
+  constexpr double kExtraMaximum = 1e9;
+  constexpr std::int64_t kPortMaximum = 65'535;
+  reader.AddText("id", "This gateway's name, unique in the fleet.", settings.id,
+                 Presence::kRequired);
+  reader.AddText("zone", "The zone it runs in.", settings.zone, Presence::kRequired);
+  reader.AddAddress("caller_address", "Address for callers.", settings.caller_address,
+                    Presence::kRequired);
+  reader.AddAddress("status_address", "Address for /ready and /metrics.", settings.status_address,
+                    Presence::kRequired);
+  reader.AddAddressList("control", "Internal addresses of control processes.", settings.control,
+                        Presence::kRequired);
+  reader.AddInteger("control_port", "Internal port of all control processes; 0 takes those listed.",
+                    settings.control_port, 0, kPortMaximum);
+  reader.AddMilliseconds("poll_interval_ms", "Between two questions to control for changes.",
+                         settings.poll_interval, milliseconds(50), seconds(5));
+  reader.AddMilliseconds("stop_minimum_ms",
+                         "How long a stop goes on serving, so that callers go elsewhere.",
+                         settings.stop_minimum, milliseconds(0), seconds(60));
+  reader.AddMilliseconds("stop_maximum_ms", "How long a stop waits for requests in flight.",
+                         settings.stop_maximum, milliseconds(0), seconds(600));
+  reader.AddNumber("retry_budget_ratio",
+                   "Repetitions for each request that all gateways may send together.",
+                   settings.budget.ratio, 0, 1);
+  reader.AddNumber("retry_budget_extra", "Repetitions beyond that in a window.",
+                   settings.budget.extra, 0, kExtraMaximum);
+  reader.AddMilliseconds("retry_budget_window_ms", "Length of the window.", settings.budget.window,
+                         milliseconds(100), seconds(600));
+  reader.AddInteger("connections_maximum", "Callers' connections at once.",
+                    settings.connections_maximum, 1, kConnectionsMaximum);
+  protocol::AddInternalSecuritySettings(reader, settings.security, nullptr, &settings.control);
+  reader.AddLogSettings();
+  reader.AddCheck([&settings](std::vector<runtime::SettingFault>&) {
+    runtime::UsePort(settings.control, settings.control_port);
+  });
+}
+
+}  // namespace graniteseam::daemon
--- /dev/null
+++ b/src/daemon/gateway/gateway_settings.h
@@ -0,0 +1,32 @@
+/// @file
+/// Settings of a gateway.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "src/gateway/gateway_node.h"
+#include "src/protocol/internal_security.h"
+#include "src/runtime/settings.h"
+
+namespace graniteseam::daemon {
+
+struct GatewaySettings {
+  std::string id;
+  std::string zone;
+  runtime::SocketAddress caller_address;
+  runtime::SocketAddress status_address;
+  std::vector<runtime::SocketAddress> control;
+  std::int64_t control_port = 0;  ///< In place of the listed ports; 0 leaves them.
+  protocol::InternalSecurity security;
+  Duration poll_interval{500'000};
+  Duration stop_minimum{2'500'000};
+  Duration stop_maximum{5'000'000};
+  gateway::RetryBudgetLimits budget;
+  std::int64_t connections_maximum = 2'000;
+};
+
+/// Declares all settings with their checks. `settings` must stay valid until the reader is gone.
+void DeclareGatewaySettings(runtime::SettingsReader& reader, GatewaySettings& settings);
+
+}  // namespace graniteseam::daemon
--- a/src/daemon/operator_cli/bundle_commands.cc
+++ b/src/daemon/operator_cli/bundle_commands.cc
@@ -10,7 +10,7 @@
 #include "src/daemon/operator_cli/control_calls.h"
 #include "src/daemon/operator_cli/files.h"
 #include "src/daemon/operator_cli/json_output.h"
-#include "src/platform/clock.h"
+#include "src/runtime/clock.h"
 
 namespace graniteseam::operator_cli {
 namespace {
@@ -42,12 +42,12 @@
 }
 
 Result<void> WaitUntilInForce(const CommandContext& context, BundleVersion version) {
-  const Instant end = platform::BootTimeNow() + context.options.time_limit;
+  const Instant end = runtime::BootTimeNow() + context.options.time_limit;
   while (true) {
     BOOST_LEAF_AUTO(view, GetBundles(context));
     const std::size_t behind = ProcessesBehind(view, version);
     if (view.in_force >= version && behind == 0) return {};
-    if (platform::BootTimeNow() >= end) {
+    if (runtime::BootTimeNow() >= end) {
       return Fail(ErrorKind::kUnavailable,
                   "Version " + std::to_string(version.value) + " is rolled, but " +
                       std::to_string(behind) + " processes have not shown it in time.",
--- a/src/daemon/operator_cli/control_calls.cc
+++ b/src/daemon/operator_cli/control_calls.cc
@@ -22,7 +22,7 @@
 }
 
 Result<consensus::Member> GetMember(const CommandContext& context,
-                                    const platform::SocketAddress& address) {
+                                    const runtime::SocketAddress& address) {
   BOOST_LEAF_AUTO(body, context.client.CallOne(address, {"GET", "/v1/self", ""}));
   return http::ReadMember(body);
 }
--- a/src/daemon/operator_cli/control_calls.h
+++ b/src/daemon/operator_cli/control_calls.h
@@ -17,7 +17,7 @@
 Result<control::ShardsView> GetShards(const CommandContext& context, const std::string& service);
 /// Asks one process for its own member record.
 Result<consensus::Member> GetMember(const CommandContext& context,
-                                    const platform::SocketAddress& address);
+                                    const runtime::SocketAddress& address);
 
 /// Sends a change to the leader.
 Result<control::Accepted> Change(const CommandContext& context, const std::string& path,
--- a/src/daemon/operator_cli/main.cc
+++ b/src/daemon/operator_cli/main.cc
@@ -10,7 +10,7 @@
 #include "src/daemon/operator_cli/options.h"
 #include "src/http/operator_client.h"
 #include "src/http/operator_json.h"
-#include "src/platform/settings.h"
+#include "src/runtime/settings.h"
 
 namespace graniteseam::operator_cli {
 namespace {
@@ -40,8 +40,8 @@
 
 int Main(int argc, char** argv) {
   Options options;
-  platform::SettingsReader reader("graniteseamctl",
-                                  "Steers a graniteseam fleet.\n\n" + CommandsHelp());
+  runtime::SettingsReader reader("graniteseamctl",
+                                 "Steers a graniteseam fleet.\n\n" + CommandsHelp());
   reader.AllowArguments("COMMAND [ARGUMENT...]");
   DeclareOptions(reader, options);
   if (const std::optional<int> exit_code = reader.Read(argc, argv)) return *exit_code;
--- a/src/daemon/operator_cli/member_commands.cc
+++ b/src/daemon/operator_cli/member_commands.cc
@@ -9,7 +9,7 @@
 #include "src/daemon/operator_cli/command.h"
 #include "src/daemon/operator_cli/control_calls.h"
 #include "src/daemon/operator_cli/json_output.h"
-#include "src/platform/clock.h"
+#include "src/runtime/clock.h"
 
 namespace graniteseam::operator_cli {
 namespace {
@@ -36,20 +36,20 @@
 }
 
 Result<Member> AskMember(const CommandContext& context, const std::string& address_text) {
-  BOOST_LEAF_AUTO(address, platform::ParseSocketAddress(address_text));
+  BOOST_LEAF_AUTO(address, runtime::ParseSocketAddress(address_text));
   return GetMember(context, address);
 }
 
 /// Promotes a learner as soon as control finds that it has caught up.
 Result<void> PromoteWhenCaughtUp(const CommandContext& context, const Member& member) {
-  const Instant end = platform::BootTimeNow() + context.options.time_limit;
+  const Instant end = runtime::BootTimeNow() + context.options.time_limit;
   while (true) {
     const auto outcome =
         Attempt([&] { return Send(context, ChangeMembership::Kind::kPromote, member); });
     const Error* const error = ErrorOf(outcome);
     if (error == nullptr) return {};
     const bool waiting = error->kind == ErrorKind::kFailedPrecondition;
-    if (!waiting || platform::BootTimeNow() >= end) return Fail(*error);
+    if (!waiting || runtime::BootTimeNow() >= end) return Fail(*error);
     std::this_thread::sleep_for(kPromotionPause);
   }
 }
--- a/src/daemon/operator_cli/options.cc
+++ b/src/daemon/operator_cli/options.cc
@@ -2,7 +2,7 @@
 
 namespace graniteseam::operator_cli {
 
-void DeclareOptions(platform::SettingsReader& reader, Options& options) {
+void DeclareOptions(runtime::SettingsReader& reader, Options& options) {
   reader.AddAddressList("control", "Operator addresses of control processes, in any order.",
                         options.control);
   reader.AddText("credential_file", "File whose first line is your credential.",
--- a/src/daemon/operator_cli/options.h
+++ b/src/daemon/operator_cli/options.h
@@ -7,13 +7,13 @@
 #include <vector>
 
 #include "graniteseam/common/time.h"
-#include "src/platform/settings.h"
-#include "src/platform/socket_address.h"
+#include "src/runtime/settings.h"
+#include "src/runtime/socket_address.h"
 
 namespace graniteseam::operator_cli {
 
 struct Options {
-  std::vector<platform::SocketAddress> control;
+  std::vector<runtime::SocketAddress> control;
   std::string credential_file;
   std::string tls_ca;
   std::string reviewer;
@@ -25,6 +25,6 @@
 };
 
 /// Declares every flag; `options` must outlive the reader.
-void DeclareOptions(platform::SettingsReader& reader, Options& options);
+void DeclareOptions(runtime::SettingsReader& reader, Options& options);
 
 }  // namespace graniteseam::operator_cli
--- a/src/daemon/operator_cli/table.cc
+++ b/src/daemon/operator_cli/table.cc
@@ -4,7 +4,7 @@
 #include <ostream>
 #include <utility>
 
-#include "src/platform/json_text.h"
+#include "src/runtime/json_text.h"
 
 namespace graniteseam::operator_cli {
 
@@ -14,7 +14,7 @@
   cells.resize(rows_.front().size());
   for (std::string& cell : cells) {
     // What a control process or bundle says must not steer the operator's terminal.
-    cell = cell.empty() ? "-" : platform::EscapeControlCharacters(cell);
+    cell = cell.empty() ? "-" : runtime::EscapeControlCharacters(cell);
   }
   rows_.push_back(std::move(cells));
 }
--- a/src/daemon/router/main.cc
+++ b/src/daemon/router/main.cc
@@ -10,13 +10,13 @@
 #include "src/daemon/router/router_metrics.h"
 #include "src/http/caller_server.h"
 #include "src/http/request_driver.h"
-#include "src/platform/clock.h"
-#include "src/platform/log.h"
-#include "src/platform/metrics.h"
-#include "src/platform/settings.h"
-#include "src/platform/stop_signals.h"
 #include "src/protocol/internal_settings.h"
 #include "src/protocol/router_control_client.h"
+#include "src/runtime/clock.h"
+#include "src/runtime/log.h"
+#include "src/runtime/metrics.h"
+#include "src/runtime/settings.h"
+#include "src/runtime/stop_signals.h"
 
 namespace graniteseam {
 namespace {
@@ -24,8 +24,8 @@
 struct RouterSettings {
   std::string id;
   std::string zone;
-  platform::SocketAddress http_address;
-  std::vector<platform::SocketAddress> control;
+  runtime::SocketAddress http_address;
+  std::vector<runtime::SocketAddress> control;
   protocol::InternalSecurity security;
   http::TlsFiles caller_tls;
   http::TlsFiles server_tls;
@@ -35,9 +35,9 @@
 };
 
 std::optional<int> ReadSettings(int argc, char** argv, RouterSettings& settings) {
-  platform::SettingsReader reader("graniteseam-router",
-                                  "Takes callers' requests to the servers that own their keys.");
-  using Presence = platform::SettingsReader::Presence;
+  runtime::SettingsReader reader("graniteseam-router",
+                                 "Takes callers' requests to the servers that own their keys.");
+  using Presence = runtime::SettingsReader::Presence;
   reader.AddText("id", "This router's name, unique in the fleet.", settings.id,
                  Presence::kRequired);
   reader.AddText("zone", "The zone it runs in.", settings.zone, Presence::kRequired);
@@ -88,9 +88,9 @@
   std::this_thread::sleep_for(settings.drain);
   driver.PrepareStop();
   server.Stop();
-  const Instant give_up = platform::BootTimeNow() + settings.stop_maximum;
+  const Instant give_up = runtime::BootTimeNow() + settings.stop_maximum;
   constexpr Duration kLook{10'000};
-  while (platform::BootTimeNow() < give_up) {
+  while (runtime::BootTimeNow() < give_up) {
     const routing::RouterStatus status = driver.Status();
     // Completions that the journal did not take would leave operations without their answer.
     if (status.requests == 0 && status.journal_idle && server.connections() == 0) return;
@@ -98,16 +98,16 @@
   }
 }
 
-int Run(const RouterSettings& settings, const RouterTls& tls, platform::StopSignals& stop_signals) {
-  const platform::Logger log("router");
-  platform::MetricsRegistry metrics;
+int Run(const RouterSettings& settings, const RouterTls& tls, runtime::StopSignals& stop_signals) {
+  const runtime::Logger log("router");
+  runtime::MetricsRegistry metrics;
   daemon::RouterMetrics router_metrics(metrics);
   std::atomic<bool> stopping{false};
 
   http::RequestDriverOptions driver_options;
   driver_options.node.router = {settings.id};
   driver_options.node.zone = {settings.zone};
-  driver_options.seed = platform::RandomBits();
+  driver_options.seed = runtime::RandomBits();
   driver_options.upstream.tls = tls.servers;
   // Null until the client stands; what is sent before is asked for again on the first connection.
   std::atomic<protocol::RouterControlClient*> control{nullptr};
@@ -125,10 +125,10 @@
   http::CallerServer server(
       server_options,
       [&](http::CallerMessage&& message) {
-        const Instant start = platform::BootTimeNow();
+        const Instant start = runtime::BootTimeNow();
         const ServiceName service = message.request.service;
         http::CallerReply reply = driver.Handle(std::move(message));
-        router_metrics.OnRequest(service, reply.outcome, platform::BootTimeNow() - start);
+        router_metrics.OnRequest(service, reply.outcome, runtime::BootTimeNow() - start);
         return reply;
       },
       [&driver](const ServiceName& service) { return driver.BodyBytesMaximum(service); },
@@ -141,7 +141,7 @@
   });
   server.AddPage("/metrics", [&] {
     router_metrics.Update(driver.Status(), driver.idle_connections());
-    return http::PlainPage{200, platform::kMetricsContentType, metrics.Text()};
+    return http::PlainPage{200, runtime::kMetricsContentType, metrics.Text()};
   });
   const Outcome<std::uint16_t> port = Attempt([&] { return server.Bind(settings.http_address); });
   if (const Error* error = ErrorOf(port)) {
@@ -181,11 +181,11 @@
 int Main(int argc, char** argv) {
   RouterSettings settings;
   if (const std::optional<int> exit_code = ReadSettings(argc, argv, settings)) return *exit_code;
-  platform::StopSignals stop_signals;
+  runtime::StopSignals stop_signals;
   const auto tls = Attempt([&] { return LoadRouterTls(settings); });
   if (const Error* error = ErrorOf(tls)) {
-    platform::Logger("router").Error(*error);
-    return platform::kExitInvalidSettings;
+    runtime::Logger("router").Error(*error);
+    return runtime::kExitInvalidSettings;
   }
   return Run(settings, std::get<RouterTls>(tls), stop_signals);
 }
--- a/src/daemon/router/router_metrics.cc
+++ b/src/daemon/router/router_metrics.cc
@@ -9,24 +9,23 @@
 
 namespace {
 
-using platform::Metric;
+using runtime::Metric;
 
 constexpr double kSecondsPerMicro = 1e-6;
 
-platform::CounterHandle AttemptCounter(platform::MetricsRegistry& registry, const char* result) {
+runtime::CounterHandle AttemptCounter(runtime::MetricsRegistry& registry, const char* result) {
   return registry.Counter(Metric::kRouterAttempts, {{"result", result}});
 }
 
-platform::CounterHandle RequestCounter(platform::MetricsRegistry& registry,
-                                       const std::string& service,
-                                       routing::RequestOutcome outcome) {
+runtime::CounterHandle RequestCounter(runtime::MetricsRegistry& registry,
+                                      const std::string& service, routing::RequestOutcome outcome) {
   return registry.Counter(Metric::kRouterRequests,
                           {{"service", service}, {"outcome", http::OutcomeName(outcome)}});
 }
 
 }  // namespace
 
-RouterMetrics::RouterMetrics(platform::MetricsRegistry& registry)
+RouterMetrics::RouterMetrics(runtime::MetricsRegistry& registry)
     : registry_(registry),
       other_(Make("other")),
       // In the order of AttemptEnd.
--- a/src/daemon/router/router_metrics.h
+++ b/src/daemon/router/router_metrics.h
@@ -15,14 +15,14 @@
 #include "graniteseam/common/time.h"
 #include "graniteseam/routing/messages.h"
 #include "graniteseam/routing/router_node.h"
-#include "src/platform/metrics.h"
+#include "src/runtime/metrics.h"
 
 namespace graniteseam::daemon {
 
 /// Thread safe.
 class RouterMetrics {
  public:
-  explicit RouterMetrics(platform::MetricsRegistry& registry);
+  explicit RouterMetrics(runtime::MetricsRegistry& registry);
 
   /// Counts a request under its service's name once that service answered, before under "other", so
   /// that callers can not make up labels.
@@ -36,25 +36,25 @@
   static constexpr std::size_t kOutcomes = 4;
   static constexpr std::size_t kEnds = 8;
   struct ServiceMetrics {
-    std::array<platform::CounterHandle, kOutcomes> requests;
-    platform::HistogramHandle seconds;
+    std::array<runtime::CounterHandle, kOutcomes> requests;
+    runtime::HistogramHandle seconds;
   };
 
   ServiceMetrics& Of(const ServiceName& service, bool known);
   std::unique_ptr<ServiceMetrics> Make(const std::string& service);
 
-  platform::MetricsRegistry& registry_;
+  runtime::MetricsRegistry& registry_;
   std::shared_mutex mutex_;
   std::map<ServiceName, std::unique_ptr<ServiceMetrics>> services_;  ///< Guarded by mutex_.
   std::unique_ptr<ServiceMetrics> other_;
-  std::array<platform::CounterHandle, kEnds> attempts_;
-  platform::GaugeHandle lease_held_;
-  platform::GaugeHandle bundle_version_;
-  platform::GaugeHandle queue_length_;
-  platform::GaugeHandle in_flight_;
-  platform::GaugeHandle ejected_;
-  platform::GaugeHandle upstream_connections_;
-  platform::CounterHandle retries_;
+  std::array<runtime::CounterHandle, kEnds> attempts_;
+  runtime::GaugeHandle lease_held_;
+  runtime::GaugeHandle bundle_version_;
+  runtime::GaugeHandle queue_length_;
+  runtime::GaugeHandle in_flight_;
+  runtime::GaugeHandle ejected_;
+  runtime::GaugeHandle upstream_connections_;
+  runtime::CounterHandle retries_;
   std::atomic<std::uint64_t> retries_counted_{0};
 };
 
--- /dev/null
+++ b/src/event_http/client_pool.cc
@@ -0,0 +1,407 @@
+#include "src/event_http/client_pool.h"
+
+#include <algorithm>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <charconv>
+#include <list>
+#include <map>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "src/event_http/socket_options.h"
+#include "src/runtime/clock.h"
+#include "src/runtime/socket_address.h"
+
+namespace graniteseam::event_http {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using Tcp = asio::ip::tcp;
+using ErrorCode = boost::system::error_code;
+using Parser = http::response_parser<http::string_body>;
+
+constexpr std::size_t kReadBytes = 8'192;
+constexpr std::uint32_t kAnswerHeaderBytes = 65'536;
+constexpr std::chrono::milliseconds kSweepInterval{500};
+/// Of the rest that a server states: it may have begun to count earlier.
+constexpr double kUsableRest = 0.7;
+
+/// The seconds of "timeout=5" in a Keep-Alive field.
+std::optional<Duration> StatedRest(const Response& response) {
+  const std::string* field = response.fields.Find("Keep-Alive");
+  if (field == nullptr) return std::nullopt;
+  static constexpr std::string_view kTimeout = "timeout=";
+  const std::size_t at = field->find(kTimeout);
+  if (at == std::string::npos) return std::nullopt;
+  std::int64_t seconds = 0;
+  const char* const begin = field->data() + at + kTimeout.size();
+  std::from_chars(begin, field->data() + field->size(), seconds);
+  return std::chrono::seconds(seconds);
+}
+
+}  // namespace
+
+class ClientConnection;
+
+class ClientPool::Impl : public std::enable_shared_from_this<ClientPool::Impl> {
+ public:
+  Impl(asio::io_context& context, ClientPoolOptions options)
+      : context_(context), options_(options), sweep_(context) {}
+
+  void Begin() { Sweep(); }
+  CallNumber Start(Call call, Handler handler);
+  void Abandon(CallNumber number);
+  void Distrust(CallNumber number);
+  void Stop();
+
+  const ClientPoolOptions& options() const { return options_; }
+  ClientPoolCounts& counts() { return counts_; }
+  void Rest(const std::shared_ptr<ClientConnection>& connection);
+  void Remove(const std::shared_ptr<ClientConnection>& connection);
+  void Finished(CallNumber number) { open_.erase(number); }
+
+ private:
+  std::shared_ptr<ClientConnection> TakeResting(const Call& call);
+  void Sweep();
+
+  asio::io_context& context_;
+  const ClientPoolOptions options_;
+  asio::steady_timer sweep_;
+  CallNumber last_number_;
+  std::map<CallNumber, std::shared_ptr<ClientConnection>> open_;
+  /// Resting connections by address, the one used last at the end.
+  std::map<std::string, std::vector<std::shared_ptr<ClientConnection>>> resting_;
+  ClientPoolCounts counts_;
+};
+
+class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
+ public:
+  ClientConnection(asio::io_context& context, std::string address,
+                   std::weak_ptr<ClientPool::Impl> pool)
+      : socket_(context), timer_(context), address_(std::move(address)), pool_(std::move(pool)) {}
+
+  const std::string& address() const { return address_; }
+  CallNumber last_call() const { return number_; }
+  Duration Rested() const { return runtime::BootTimeNow() - rests_since_; }
+  Duration rest_limit() const { return rest_limit_; }
+
+  void Start(CallNumber number, Call call, ClientPool::Handler handler) {
+    number_ = number;
+    call_ = std::move(call);
+    handler_ = std::move(handler);
+    handed_over_ = false;
+    written_ = false;
+    answered_ = false;
+    parser_.emplace();
+    PrepareParser();
+    ArmTimer(connected_ ? call_.limit : std::min(call_.limit, ConnectLimit()));
+    connected_ ? Write() : Connect();
+  }
+
+  /// Closes without calling the handler.
+  void Drop() {
+    handler_ = nullptr;
+    Close(true);
+  }
+
+ private:
+  Duration ConnectLimit() const {
+    const auto pool = pool_.lock();
+    return pool ? pool->options().connect_limit : Duration{};
+  }
+
+  void PrepareParser() {
+    const auto pool = pool_.lock();
+    parser_->eager(true);
+    parser_->header_limit(kAnswerHeaderBytes);
+    parser_->body_limit(pool ? pool->options().answer_bytes_maximum : 0);
+    parser_->skip(call_.head);
+  }
+
+  void ArmTimer(Duration span) {
+    timer_.expires_after(span);
+    timer_.async_wait([self = shared_from_this(), number = number_](ErrorCode error) {
+      if (error || self->number_ != number || !self->handler_) return;
+      self->Fail(CallEnd::kLost);
+    });
+  }
+
+  void Connect() {
+    started_at_ = runtime::BootTimeNow();
+    ErrorCode error;
+    const auto parsed = Attempt([&] { return runtime::ParseSocketAddress(address_); });
+    if (ErrorOf(parsed) != nullptr) return Fail(CallEnd::kNotSent);
+    const auto& target = std::get<runtime::SocketAddress>(parsed);
+    const Tcp::endpoint endpoint(asio::ip::make_address(target.ip, error), target.port);
+    if (error) return Fail(CallEnd::kNotSent);
+    socket_.async_connect(endpoint, [self = shared_from_this()](ErrorCode failed) {
+      if (self->closed_ || !self->handler_) return;
+      if (failed) return self->Fail(CallEnd::kNotSent);
+      self->connected_ = true;
+      if (const auto pool = self->pool_.lock()) ++pool->counts().connections_opened;
+      SetSocketOptions(self->socket_);
+      const Duration spent = runtime::BootTimeNow() - self->started_at_;
+      self->ArmTimer(std::max(Duration{1'000}, self->call_.limit - spent));
+      self->Write();
+      self->Read();
+    });
+  }
+
+  void Write() {
+    handed_over_ = true;
+    asio::async_write(
+        socket_, asio::buffer(call_.bytes),
+        [self = shared_from_this(), number = number_](ErrorCode error, std::size_t bytes) {
+          if (self->number_ != number) return;
+          if (error) {
+            // The read end tells why, and may still bring an answer.
+            self->handed_over_ = bytes > 0;
+            if (!self->reading_) self->Fail(CallEnd::kLost);
+            return;
+          }
+          self->written_ = true;
+          self->call_.bytes.clear();
+          if (self->answered_) self->Settle();
+        });
+  }
+
+  void Read() {
+    if (reading_ || closed_) return;
+    reading_ = true;
+    socket_.async_read_some(buffer_.prepare(kReadBytes),
+                            [self = shared_from_this()](ErrorCode error, std::size_t bytes) {
+                              self->reading_ = false;
+                              self->OnRead(error, bytes);
+                            });
+  }
+
+  void OnRead(ErrorCode error, std::size_t bytes) {
+    if (closed_) return;
+    // A resting connection has nothing to read: bytes belong to no request, and an end is an end.
+    if (!handler_) return Close(false);
+    if (error == asio::error::eof) return OnEnd();
+    if (error) return Fail(CallEnd::kLost);
+    buffer_.commit(bytes);
+    Parse();
+  }
+
+  void Parse() {
+    while (buffer_.size() > 0 && !parser_->is_done()) {
+      ErrorCode error;
+      const std::size_t used = parser_->put(buffer_.data(), error);
+      buffer_.consume(used);
+      if (error && error != http::error::need_more) return Fail(CallEnd::kMalformed);
+      if (parser_->is_done() && parser_->get().result_int() / 100 == 1) {
+        // An interim answer; the final one follows (RFC 9110, section 15.2).
+        parser_.emplace();
+        PrepareParser();
+      } else if (used == 0) {
+        break;
+      }
+    }
+    if (!parser_->is_done()) return Read();
+    answered_ = true;
+    Settle();
+  }
+
+  /// The server closed: that ends an answer without a length, and cuts off every other.
+  void OnEnd() {
+    ErrorCode error;
+    if (parser_->got_some()) parser_->put_eof(error);
+    if (error || !parser_->is_done()) return Fail(CallEnd::kLost);
+    ended_ = true;
+    answered_ = true;
+    Settle();
+  }
+
+  /// Hands the answer over. The connection rests only when nothing of either message is left over.
+  void Settle() {
+    CallResult result;
+    result.end = CallEnd::kAnswered;
+    const bool keep = parser_->keep_alive() && !ended_;
+    result.server_closes = !keep;
+    auto message = parser_->release();
+    result.response.status = static_cast<int>(message.result_int());
+    result.response.reason = std::string(message.reason());
+    for (const auto& field : message) {
+      result.response.fields.Add({field.name_string().data(), field.name_string().size()},
+                                 {field.value().data(), field.value().size()});
+    }
+    result.response.body = std::move(message.body());
+    result.response.head_only = call_.head;
+    parser_.reset();
+    timer_.cancel();
+    const bool clean = keep && written_ && buffer_.size() == 0;
+    const auto pool = pool_.lock();
+    if (pool) rest_limit_ = pool->options().rest_limit;
+    if (const auto stated = StatedRest(result.response)) {
+      const double usable = static_cast<double>(stated->count()) * kUsableRest;
+      rest_limit_ = std::min(rest_limit_, Duration(static_cast<std::int64_t>(usable)));
+    }
+    const ClientPool::Handler handler = std::exchange(handler_, nullptr);
+    if (pool) pool->Finished(number_);
+    if (clean && pool) {
+      rests_since_ = runtime::BootTimeNow();
+      pool->Rest(shared_from_this());
+      Read();
+    } else {
+      Close(!written_);
+    }
+    handler(std::move(result));
+  }
+
+  void Fail(CallEnd end) {
+    if (!handed_over_) end = CallEnd::kNotSent;
+    const ClientPool::Handler handler = std::exchange(handler_, nullptr);
+    if (const auto pool = pool_.lock()) pool->Finished(number_);
+    Close(true);
+    if (!handler) return;
+    CallResult result;
+    result.end = end;
+    handler(std::move(result));
+  }
+
+  void Close(bool discard) {
+    if (closed_) return;
+    closed_ = true;
+    timer_.cancel();
+    if (discard) DiscardOnClose(socket_);
+    ErrorCode ignored;
+    socket_.close(ignored);
+    if (const auto pool = pool_.lock()) pool->Remove(shared_from_this());
+  }
+
+  Tcp::socket socket_;
+  asio::steady_timer timer_;
+  const std::string address_;
+  const std::weak_ptr<ClientPool::Impl> pool_;
+  CallNumber number_;
+  Call call_;
+  ClientPool::Handler handler_;
+  std::optional<Parser> parser_;
+  boost::beast::flat_buffer buffer_;
+  Instant started_at_{};
+  Instant rests_since_{};
+  Duration rest_limit_{};
+  bool connected_ = false;
+  bool handed_over_ = false;
+  bool written_ = false;
+  bool answered_ = false;
+  bool ended_ = false;
+  bool reading_ = false;
+  bool closed_ = false;
+};
+
+CallNumber ClientPool::Impl::Start(Call call, Handler handler) {
+  const CallNumber number = last_number_ = last_number_.Next();
+  ++counts_.calls;
+  std::shared_ptr<ClientConnection> connection = TakeResting(call);
+  if (!connection) {
+    connection = std::make_shared<ClientConnection>(context_, call.address, weak_from_this());
+  }
+  open_[number] = connection;
+  // Posted, so that no handler runs before the caller knows the number.
+  asio::post(context_, [self = shared_from_this(), connection, number, call = std::move(call),
+                        handler = std::move(handler)]() mutable {
+    const auto found = self->open_.find(number);
+    if (found == self->open_.end()) {
+      connection->Drop();
+    } else {
+      connection->Start(number, std::move(call), std::move(handler));
+    }
+  });
+  return number;
+}
+
+std::shared_ptr<ClientConnection> ClientPool::Impl::TakeResting(const Call& call) {
+  const auto found = resting_.find(call.address);
+  if (found == resting_.end() || found->second.empty()) return nullptr;
+  std::shared_ptr<ClientConnection> connection = found->second.back();
+  const Duration limit = std::min(call.rested_maximum, connection->rest_limit());
+  if (connection->Rested() > limit) return nullptr;
+  found->second.pop_back();
+  return connection;
+}
+
+void ClientPool::Impl::Abandon(CallNumber number) {
+  const auto found = open_.find(number);
+  if (found == open_.end()) return;
+  const auto connection = found->second;
+  open_.erase(found);
+  connection->Drop();
+}
+
+void ClientPool::Impl::Distrust(CallNumber number) {
+  for (const auto& [address, connections] : resting_) {
+    for (const auto& connection : connections) {
+      if (connection->last_call() != number) continue;
+      const auto distrusted = connection;
+      distrusted->Drop();
+      return;
+    }
+  }
+}
+
+void ClientPool::Impl::Rest(const std::shared_ptr<ClientConnection>& connection) {
+  auto& resting = resting_[connection->address()];
+  resting.push_back(connection);
+  if (resting.size() <= options_.resting_maximum) return;
+  const auto oldest = resting.front();
+  oldest->Drop();
+}
+
+void ClientPool::Impl::Remove(const std::shared_ptr<ClientConnection>& connection) {
+  const auto found = resting_.find(connection->address());
+  if (found == resting_.end()) return;
+  std::erase(found->second, connection);
+  if (found->second.empty()) resting_.erase(found);
+}
+
+void ClientPool::Impl::Sweep() {
+  std::vector<std::shared_ptr<ClientConnection>> old;
+  for (const auto& [address, connections] : resting_) {
+    for (const auto& connection : connections) {
+      if (connection->Rested() > connection->rest_limit()) old.push_back(connection);
+    }
+  }
+  for (const auto& connection : old) connection->Drop();
+  sweep_.expires_after(kSweepInterval);
+  sweep_.async_wait([weak = weak_from_this()](ErrorCode error) {
+    const auto self = weak.lock();
+    if (self && !error) self->Sweep();
+  });
+}
+
+void ClientPool::Impl::Stop() {
+  sweep_.cancel();
+  std::vector<std::shared_ptr<ClientConnection>> all;
+  for (const auto& [number, connection] : open_) all.push_back(connection);
+  for (const auto& [address, connections] : resting_) {
+    all.insert(all.end(), connections.begin(), connections.end());
+  }
+  for (const auto& connection : all) connection->Drop();
+  open_.clear();
+}
+
+ClientPool::ClientPool(asio::io_context& context, ClientPoolOptions options)
+    : impl_(std::make_shared<Impl>(context, options)) {
+  impl_->Begin();
+}
+ClientPool::~ClientPool() { impl_->Stop(); }
+
+CallNumber ClientPool::Start(Call call, Handler handler) {
+  return impl_->Start(std::move(call), std::move(handler));
+}
+void ClientPool::Abandon(CallNumber call) { impl_->Abandon(call); }
+void ClientPool::Distrust(CallNumber call) { impl_->Distrust(call); }
+const ClientPoolCounts& ClientPool::counts() const { return impl_->counts(); }
+
+}  // namespace graniteseam::event_http
--- /dev/null
+++ b/src/event_http/client_pool.h
@@ -0,0 +1,83 @@
+/// @file
+/// Calls to HTTP/1.1 servers over kept connections on an event loop, one call at a time on each.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "graniteseam/common/ids.h"
+#include "graniteseam/common/time.h"
+#include "src/event_http/message.h"
+
+namespace graniteseam::event_http {
+
+/// Names a call as long as its pool lives.
+using CallNumber = NumericId<struct CallNumberTag>;
+
+struct Call {
+  std::string address;  ///< "ip:port".
+  std::string bytes;    ///< The whole request.
+  bool head = false;    ///< A HEAD request: its answer has no body.
+  Duration limit{};     ///< For connecting, sending and the whole answer together.
+  /// Connections that rested longer are not used: the server may just be closing them.
+  Duration rested_maximum{4'000'000};
+};
+
+enum class CallEnd {
+  kAnswered,
+  kNotSent,   ///< No byte was handed to the kernel.
+  kLost,      ///< Sent; the connection ended, or the limit came, without a whole answer.
+  kMalformed  ///< Sent; what came is no answer of the protocol, or longer than allowed.
+};
+
+struct CallResult {
+  CallEnd end = CallEnd::kLost;
+  Response response;           ///< When answered.
+  bool server_closes = false;  ///< The server said that it closes the connection.
+};
+
+struct ClientPoolOptions {
+  std::size_t answer_bytes_maximum = std::size_t{64} << 20;
+  std::size_t resting_maximum = 8;  ///< Connections kept for one address.
+  Duration connect_limit{1'000'000};
+  /// A connection that rests longer is closed, sooner when its server says so.
+  Duration rest_limit{8'000'000};
+};
+
+struct ClientPoolCounts {
+  std::uint64_t connections_opened = 0;
+  std::uint64_t calls = 0;
+};
+
+/// Invariant: a connection is used again only after exactly one whole answer to its last request,
+/// and after the request was sent whole; a call that ends in any other way closes it with a reset,
+/// so that nothing of it arrives later. Everything runs on the event loop's thread.
+class ClientPool {
+ public:
+  using Handler = std::function<void(CallResult result)>;
+
+  ClientPool(boost::asio::io_context& context, ClientPoolOptions options);
+  ~ClientPool();
+  ClientPool(const ClientPool&) = delete;
+  ClientPool& operator=(const ClientPool&) = delete;
+
+  /// @param handler is called once, never before Start() returned, and not after Abandon().
+  CallNumber Start(Call call, Handler handler);
+  /// Gives up a call and resets its connection.
+  void Abandon(CallNumber call);
+  /// Tells that an answer is not to be trusted: the connection that brought it, if it rests, is
+  /// closed.
+  void Distrust(CallNumber call);
+
+  const ClientPoolCounts& counts() const;
+
+  class Impl;  ///< Known to the implementation only.
+
+ private:
+  std::shared_ptr<Impl> impl_;
+};
+
+}  // namespace graniteseam::event_http
--- /dev/null
+++ b/src/event_http/message.h
@@ -0,0 +1,65 @@
+/// @file
+/// HTTP/1.1 messages as values: what the event-driven server and clients exchange with the rest.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace graniteseam::event_http {
+
+struct HeaderField {
+  std::string name;
+  std::string value;
+};
+
+/// Header fields in the order in which they came; names compare without case.
+class HeaderFields {
+ public:
+  void Add(std::string_view name, std::string_view value) {
+    fields_.push_back({std::string(name), std::string(value)});
+  }
+  /// Replaces all fields of the name by one.
+  void Set(std::string_view name, std::string_view value);
+  void Remove(std::string_view name);
+  /// The first field of the name; null when there is none.
+  const std::string* Find(std::string_view name) const;
+  const std::vector<HeaderField>& all() const { return fields_; }
+
+ private:
+  std::vector<HeaderField> fields_;
+};
+
+struct Request {
+  std::string method;
+  std::string target;  ///< As sent: path and query.
+  HeaderFields fields;
+  std::string body;
+
+  /// The target without its query.
+  std::string_view Path() const;
+};
+
+struct Response {
+  int status = 200;
+  std::string reason;  ///< Empty: the standard one.
+  HeaderFields fields;
+  std::string body;
+  /// Without a body although its fields speak of one: the answer to a HEAD request.
+  bool head_only = false;
+};
+
+/// Whether two names are equal without regard to case.
+bool SameName(std::string_view a, std::string_view b);
+
+/// Removes the fields that concern one connection only (RFC 9110, section 7.6.1), also those that
+/// `Connection` names, and the framing, which is written anew.
+void RemoveConnectionFields(HeaderFields& fields);
+
+/// The bytes of a message; the body is framed by its length.
+std::string Serialize(const Request& request);
+/// @param close says that the connection ends with this answer.
+std::string Serialize(const Response& response, bool close);
+
+}  // namespace graniteseam::event_http
--- /dev/null
+++ b/src/event_http/server.cc
@@ -0,0 +1,417 @@
+#include "src/event_http/server.h"
+
+#include <netinet/tcp.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <optional>
+#include <set>
+#include <utility>
+
+#include "src/event_http/socket_options.h"
+#include "src/runtime/clock.h"
+
+namespace graniteseam::event_http {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using Tcp = asio::ip::tcp;
+using ErrorCode = boost::system::error_code;
+using Parser = http::request_parser<http::string_body>;
+
+constexpr std::size_t kReadBytes = 8'192;
+/// What a client may send ahead while its request is being answered.
+constexpr std::size_t kReadAheadBytes = 65'536;
+constexpr std::chrono::milliseconds kSweepInterval{250};
+/// How long a client that was refused may go on sending, so that it sees why.
+constexpr Duration kLinger{1'000'000};
+
+}  // namespace
+
+class ServerConnection;
+
+class Server::Impl : public std::enable_shared_from_this<Server::Impl> {
+ public:
+  Impl(asio::io_context& context, ServerOptions options, Handler handler)
+      : context_(context),
+        options_(std::move(options)),
+        handler_(std::move(handler)),
+        acceptor_(context),
+        sweep_(context) {}
+
+  Result<void> Start();
+  std::uint16_t port() const { return port_; }
+  void BeginDrain() { draining_ = true; }
+  void Close();
+  void Stop();
+
+  const ServerOptions& options() const { return options_; }
+  const ServerLimits& limits() const { return limits_; }
+  void SetLimits(const ServerLimits& limits) { limits_ = limits; }
+  bool draining() const { return draining_; }
+  bool closing() const { return closing_; }
+  void Handle(const std::shared_ptr<Exchange>& exchange) { handler_(exchange); }
+  void Remove(const std::shared_ptr<ServerConnection>& connection) {
+    connections_.erase(connection);
+  }
+  std::size_t connections() const { return connections_.size(); }
+  std::size_t busy() const;
+
+  /// Takes room for body bytes.
+  /// @return false when all of it is in use.
+  bool TakeBodyBytes(std::size_t bytes) {
+    if (body_bytes_ + bytes > options_.body_bytes_total) return false;
+    body_bytes_ += bytes;
+    return true;
+  }
+  void ReturnBodyBytes(std::size_t bytes) { body_bytes_ -= bytes; }
+
+ private:
+  void Accept();
+  void Sweep();
+
+  asio::io_context& context_;
+  const ServerOptions options_;
+  const Handler handler_;
+  ServerLimits limits_;
+  Tcp::acceptor acceptor_;
+  asio::steady_timer sweep_;
+  std::set<std::shared_ptr<ServerConnection>> connections_;
+  std::size_t body_bytes_ = 0;
+  std::uint16_t port_ = 0;
+  bool draining_ = false;
+  bool closing_ = false;
+};
+
+/// Reads requests one after the other; while one is being answered it goes on reading a little, to
+/// see when the client leaves.
+class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
+ public:
+  ServerConnection(Tcp::socket socket, std::weak_ptr<Server::Impl> server)
+      : socket_(std::move(socket)), server_(std::move(server)) {}
+
+  void Start() {
+    SetSocketOptions(socket_);
+    last_activity_ = runtime::BootTimeNow();
+    Advance();
+  }
+
+  bool busy() const { return exchange_ != nullptr || writing_; }
+
+  void CloseIfResting() {
+    if (!busy() && !parser_) Close();
+  }
+
+  void Close() {
+    if (closed_) return;
+    closed_ = true;
+    ErrorCode ignored;
+    socket_.close(ignored);
+    ReturnBytes();
+    Gone();
+    if (const auto server = server_.lock()) server->Remove(shared_from_this());
+  }
+
+  /// Ends what takes too long.
+  void Sweep(Instant now) {
+    const auto server = server_.lock();
+    if (!server || closed_) return;
+    const Duration quiet = now - last_activity_;
+    if (lingering_) {
+      if (quiet > kLinger) Close();
+    } else if (writing_) {
+      if (quiet > server->options().write_timeout) Close();
+    } else if (exchange_) {
+      return;
+    } else if (parser_ && !parser_->is_header_done()) {
+      if (now - message_start_ > server->limits().header_timeout) Refuse(408);
+    } else if (quiet > server->limits().idle_timeout) {
+      parser_ ? Refuse(408) : Close();
+    }
+  }
+
+ private:
+  class ExchangeImpl;
+
+  void Read() {
+    if (reading_ || closed_) return;
+    if (busy() && buffer_.size() >= kReadAheadBytes) return;
+    reading_ = true;
+    socket_.async_read_some(buffer_.prepare(kReadBytes),
+                            [self = shared_from_this()](ErrorCode error, std::size_t bytes) {
+                              self->OnRead(error, bytes);
+                            });
+  }
+
+  void OnRead(ErrorCode error, std::size_t bytes) {
+    reading_ = false;
+    if (closed_) return;
+    if (error) return Close();
+    last_activity_ = runtime::BootTimeNow();
+    if (lingering_) return Read();  // Thrown away.
+    buffer_.commit(bytes);
+    Advance();
+  }
+
+  /// Parses what was read, up to one whole request.
+  void Advance() {
+    const auto server = server_.lock();
+    if (!server) return Close();
+    while (!busy() && !lingering_ && !closed_ && buffer_.size() > 0) {
+      if (!parser_) BeginMessage(*server);
+      ErrorCode error;
+      const std::size_t used = parser_->put(buffer_.data(), error);
+      buffer_.consume(used);
+      if (error && error != http::error::need_more) return RefuseFor(error);
+      if (!CountBody(*server)) return Refuse(503);
+      ExpectContinue();
+      if (parser_->is_done()) {
+        Dispatch(*server);
+      } else if (used == 0) {
+        break;
+      }
+    }
+    Read();
+  }
+
+  void BeginMessage(Server::Impl& server) {
+    parser_.emplace();
+    parser_->eager(true);
+    parser_->header_limit(static_cast<std::uint32_t>(server.limits().header_bytes));
+    parser_->body_limit(server.limits().body_bytes);
+    message_start_ = runtime::BootTimeNow();
+    continued_ = false;
+  }
+
+  bool CountBody(Server::Impl& server) {
+    const std::size_t size = parser_->get().body().size();
+    if (size <= counted_bytes_) return true;
+    if (!server.TakeBodyBytes(size - counted_bytes_)) return false;
+    counted_bytes_ = size;
+    return true;
+  }
+
+  void ReturnBytes() {
+    if (const auto server = server_.lock()) server->ReturnBodyBytes(counted_bytes_);
+    counted_bytes_ = 0;
+  }
+
+  /// A client that waits for leave to send its body gets it (RFC 9110, section 10.1.1).
+  void ExpectContinue() {
+    if (continued_ || !parser_->is_header_done() || parser_->is_done()) return;
+    continued_ = true;
+    if (!boost::beast::iequals(parser_->get()[http::field::expect], "100-continue")) return;
+    static constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+    ErrorCode ignored;
+    socket_.non_blocking(true, ignored);
+    socket_.write_some(asio::buffer(kContinue), ignored);
+  }
+
+  void Dispatch(Server::Impl& server);
+
+  void Respond(const Response& response) {
+    if (closed_ || !exchange_) return;
+    exchange_.reset();
+    gone_ = nullptr;
+    ReturnBytes();
+    const auto server = server_.lock();
+    const bool close = !keep_alive_ || !server || server->draining() || server->closing();
+    Write(Serialize(response, close), close);
+  }
+
+  void Write(std::string text, bool close) {
+    writing_ = true;
+    output_ = std::move(text);
+    last_activity_ = runtime::BootTimeNow();
+    asio::async_write(socket_, asio::buffer(output_),
+                      [self = shared_from_this(), close](ErrorCode error, std::size_t) {
+                        self->OnWritten(error, close);
+                      });
+  }
+
+  void OnWritten(ErrorCode error, bool close) {
+    if (closed_) return;
+    writing_ = false;
+    output_.clear();
+    output_.shrink_to_fit();
+    last_activity_ = runtime::BootTimeNow();
+    if (error) return Close();
+    if (close) return Linger();
+    Advance();
+  }
+
+  /// Says that nothing more comes, and takes what the client still sends, so that no reset
+  /// overtakes the answer.
+  void Linger() {
+    lingering_ = true;
+    ErrorCode ignored;
+    socket_.shutdown(Tcp::socket::shutdown_send, ignored);
+    buffer_.clear();
+    Read();
+  }
+
+  void RefuseFor(ErrorCode error) {
+    if (error == http::error::header_limit) return Refuse(431);
+    if (error == http::error::body_limit) return Refuse(413);
+    Refuse(400);
+  }
+
+  void Refuse(int status) {
+    parser_.reset();
+    ReturnBytes();
+    Response response;
+    response.status = status;
+    Write(Serialize(response, true), true);
+  }
+
+  void Gone() {
+    exchange_.reset();
+    if (const auto handler = std::exchange(gone_, nullptr)) handler();
+  }
+
+  Tcp::socket socket_;
+  const std::weak_ptr<Server::Impl> server_;
+  boost::beast::flat_buffer buffer_;
+  std::optional<Parser> parser_;
+  std::shared_ptr<ExchangeImpl> exchange_;
+  std::function<void()> gone_;
+  std::string output_;
+  std::size_t counted_bytes_ = 0;
+  Instant message_start_{};
+  Instant last_activity_{};
+  bool keep_alive_ = true;
+  bool continued_ = false;
+  bool reading_ = false;
+  bool writing_ = false;
+  bool lingering_ = false;
+  bool closed_ = false;
+};
+
+class ServerConnection::ExchangeImpl : public Exchange {
+ public:
+  ExchangeImpl(Request request, std::weak_ptr<ServerConnection> connection)
+      : request_(std::move(request)),
+        connection_(std::move(connection)),
+        received_at_(runtime::BootTimeNow()) {}
+
+  const Request& request() const override { return request_; }
+  Instant received_at() const override { return received_at_; }
+  void Respond(const Response& response) override {
+    const auto connection = connection_.lock();
+    if (connection && connection->exchange_.get() == this) connection->Respond(response);
+  }
+  void OnGone(std::function<void()> handler) override {
+    const auto connection = connection_.lock();
+    if (connection && connection->exchange_.get() == this) connection->gone_ = std::move(handler);
+  }
+
+ private:
+  const Request request_;
+  const std::weak_ptr<ServerConnection> connection_;
+  const Instant received_at_;
+};
+
+void ServerConnection::Dispatch(Server::Impl& server) {
+  keep_alive_ = parser_->keep_alive();
+  auto message = parser_->release();
+  parser_.reset();
+  Request request;
+  request.method = std::string(message.method_string());
+  request.target = std::string(message.target());
+  for (const auto& field : message) {
+    request.fields.Add({field.name_string().data(), field.name_string().size()},
+                       {field.value().data(), field.value().size()});
+  }
+  request.body = std::move(message.body());
+  exchange_ = std::make_shared<ExchangeImpl>(std::move(request), weak_from_this());
+  server.Handle(exchange_);
+}
+
+// --- Server::Impl ---
+
+Result<void> Server::Impl::Start() {
+  ErrorCode error;
+  const Tcp::endpoint endpoint(asio::ip::make_address(options_.address.ip, error),
+                               options_.address.port);
+  if (!error) acceptor_.open(endpoint.protocol(), error);
+  if (!error) acceptor_.set_option(Tcp::acceptor::reuse_address(true), error);
+  if (!error) acceptor_.bind(endpoint, error);
+  if (!error) acceptor_.listen(asio::socket_base::max_listen_connections, error);
+  if (error) {
+    return Fail(
+        ErrorKind::kInvalidSettings,
+        "Can't listen on " + runtime::ToString(options_.address) + ": " + error.message() + ".",
+        "Choose an address of this machine whose port is free.");
+  }
+  port_ = acceptor_.local_endpoint(error).port();
+  asio::post(context_, [self = shared_from_this()] {
+    self->Accept();
+    self->Sweep();
+  });
+  return {};
+}
+
+void Server::Impl::Accept() {
+  acceptor_.async_accept([self = shared_from_this()](ErrorCode error, Tcp::socket socket) {
+    if (error == asio::error::operation_aborted || self->closing_) return;
+    if (!error && self->connections_.size() < self->options_.connections_maximum) {
+      const auto connection = std::make_shared<ServerConnection>(std::move(socket), self);
+      self->connections_.insert(connection);
+      connection->Start();
+    }
+    self->Accept();
+  });
+}
+
+void Server::Impl::Sweep() {
+  const Instant now = runtime::BootTimeNow();
+  const auto connections = connections_;
+  for (const auto& connection : connections) connection->Sweep(now);
+  sweep_.expires_after(kSweepInterval);
+  sweep_.async_wait([self = shared_from_this()](ErrorCode error) {
+    if (!error) self->Sweep();
+  });
+}
+
+std::size_t Server::Impl::busy() const {
+  std::size_t busy = 0;
+  for (const auto& connection : connections_) busy += connection->busy() ? 1 : 0;
+  return busy;
+}
+
+void Server::Impl::Close() {
+  closing_ = true;
+  ErrorCode ignored;
+  acceptor_.close(ignored);
+  const auto connections = connections_;
+  for (const auto& connection : connections) connection->CloseIfResting();
+}
+
+void Server::Impl::Stop() {
+  Close();
+  sweep_.cancel();
+  const auto connections = connections_;
+  for (const auto& connection : connections) connection->Close();
+}
+
+// --- Server ---
+
+Server::Server(asio::io_context& context, ServerOptions options, Handler handler)
+    : impl_(std::make_shared<Impl>(context, std::move(options), std::move(handler))) {}
+Server::~Server() { impl_->Stop(); }
+
+Result<void> Server::Start() { return impl_->Start(); }
+std::uint16_t Server::port() const { return impl_->port(); }
+void Server::SetLimits(const ServerLimits& limits) { impl_->SetLimits(limits); }
+void Server::BeginDrain() { impl_->BeginDrain(); }
+void Server::Close() { impl_->Close(); }
+std::size_t Server::connections() const { return impl_->connections(); }
+std::size_t Server::busy() const { return impl_->busy(); }
+
+}  // namespace graniteseam::event_http
--- /dev/null
+++ b/src/event_http/server.h
@@ -0,0 +1,83 @@
+/// @file
+/// An HTTP/1.1 server on an event loop: a connection costs a socket and a buffer, not a thread.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "graniteseam/common/error.h"
+#include "graniteseam/common/time.h"
+#include "src/event_http/message.h"
+#include "src/runtime/socket_address.h"
+
+namespace graniteseam::event_http {
+
+/// What a client may send and how long it may take. May change while the server runs.
+struct ServerLimits {
+  std::size_t header_bytes = 16'384;
+  std::size_t body_bytes = std::size_t{1} << 20;
+  Duration header_timeout{5'000'000};
+  Duration idle_timeout{60'000'000};
+};
+
+struct ServerOptions {
+  runtime::SocketAddress address;
+  std::size_t connections_maximum = 2'000;
+  /// Of all bodies that are being read or answered, together.
+  std::size_t body_bytes_total = std::size_t{96} << 20;
+  /// A client that takes no bytes of its answer for so long is hung up on.
+  Duration write_timeout{10'000'000};
+};
+
+/// One request that was read whole, until it is answered.
+class Exchange {
+ public:
+  virtual ~Exchange() = default;
+
+  virtual const Request& request() const = 0;
+  virtual Instant received_at() const = 0;
+  /// Sends the answer, once. After the client has gone it does nothing.
+  virtual void Respond(const Response& response) = 0;
+  /// Is called at most once, when the client goes before it was answered.
+  virtual void OnGone(std::function<void()> handler) = 0;
+};
+
+/// All calls and handlers run on the event loop's thread.
+///
+/// Lifecycle: Start() once; BeginDrain(), then Close() for a planned stop. The event loop stops
+/// before destruction. Requests of one connection are answered in their order, one at a time.
+/// Malformed, oversized and slow input is answered with 400, 408, 413, 431 or 503 and ends its
+/// connection; others are not touched by it.
+class Server {
+ public:
+  using Handler = std::function<void(const std::shared_ptr<Exchange>& exchange)>;
+
+  Server(boost::asio::io_context& context, ServerOptions options, Handler handler);
+  ~Server();
+  Server(const Server&) = delete;
+  Server& operator=(const Server&) = delete;
+
+  /// @return kInvalidSettings when the address can't be listened on.
+  Result<void> Start();
+  std::uint16_t port() const;
+
+  void SetLimits(const ServerLimits& limits);
+  /// From now on each answer ends its connection; new connections are still taken.
+  void BeginDrain();
+  /// Takes no connections any more and closes those that rest.
+  void Close();
+
+  std::size_t connections() const;
+  /// Requests that wait for their answer, or whose answer is being written.
+  std::size_t busy() const;
+
+  class Impl;  ///< Known to the implementation only.
+
+ private:
+  std::shared_ptr<Impl> impl_;
+};
+
+}  // namespace graniteseam::event_http
--- /dev/null
+++ b/src/event_http/socket_options.cc
@@ -0,0 +1,25 @@
+#include "src/event_http/socket_options.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace graniteseam::event_http {
+namespace {
+
+constexpr unsigned kUnacknowledgedMs = 3'000;
+
+}  // namespace
+
+void SetSocketOptions(boost::asio::ip::tcp::socket& socket) {
+  boost::system::error_code ignored;
+  socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+  static_cast<void>(::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
+                                 &kUnacknowledgedMs, sizeof(kUnacknowledgedMs)));
+}
+
+void DiscardOnClose(boost::asio::ip::tcp::socket& socket) {
+  boost::system::error_code ignored;
+  socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+}
+
+}  // namespace graniteseam::event_http
--- /dev/null
+++ b/src/event_http/socket_options.h
@@ -0,0 +1,18 @@
+/// @file
+/// Options that every connection of the event-driven server and clients has.
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include "graniteseam/common/time.h"
+
+namespace graniteseam::event_http {
+
+/// No delay of small writes, and an end (TCP_USER_TIMEOUT) when what was sent stays unacknowledged:
+/// a cut network says nothing.
+void SetSocketOptions(boost::asio::ip::tcp::socket& socket);
+
+/// Makes the coming close a reset: what is not delivered yet is thrown away, here and on its way.
+void DiscardOnClose(boost::asio::ip::tcp::socket& socket);
+
+}  // namespace graniteseam::event_http
--- /dev/null
+++ b/src/gateway/backend_table.cc
@@ -0,0 +1,160 @@
+#include "src/gateway/backend_table.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+
+namespace graniteseam::gateway {
+namespace {
+
+/// Weight of the newest latency.
+constexpr double kNewestLatency = 0.15;
+/// Servers that are about as good are chosen among at random, so that gateways which know the same
+/// don't all choose the same.
+constexpr double kJitter = 0.15;
+
+double Micros(Duration duration) { return static_cast<double>(duration.count()); }
+
+double SlotsOf(const Backend& backend) {
+  return static_cast<double>(std::max<std::int64_t>(1, backend.instance.report.slots));
+}
+
+}  // namespace
+
+BackendTable::BackendTable(BackendOptions options, std::uint64_t seed)
+    : options_(std::move(options)), random_(seed) {}
+
+void BackendTable::Apply(const traffic::TrafficUpdate& update, Instant now) {
+  std::map<traffic::InstanceId, Backend> before;
+  if (update.base == 0) before = std::move(backends_), backends_.clear();
+  for (const traffic::Instance& instance : update.instances) {
+    const traffic::InstanceId& id = instance.report.id;
+    const auto old = before.find(id);
+    if (instance.Gone()) {
+      backends_.erase(id);
+      continue;
+    }
+    const bool fresh = old == before.end() && !backends_.contains(id);
+    Backend& backend = backends_[id];
+    if (old != before.end()) backend = old->second;
+    backend.instance = instance;
+    if (fresh) {
+      backend.warm_at = now + std::chrono::milliseconds(instance.report.warmup_left_ms);
+      backend.latency_us = Micros(options_.first_latency);
+    }
+  }
+  services_.clear();
+  for (const auto& [id, backend] : backends_) {
+    services_[backend.instance.report.service].push_back(id);
+  }
+}
+
+const Backend* BackendTable::Find(const traffic::InstanceId& id) const {
+  const auto found = backends_.find(id);
+  return found == backends_.end() ? nullptr : &found->second;
+}
+
+double BackendTable::LoadOf(const Backend& backend, Instant now) const {
+  // The others' requests end like our own: their word fades with the time that one takes.
+  const double age = Micros(now - backend.others_at);
+  const double fading = std::exp(-age / std::max(1.0, 2 * backend.latency_us));
+  return backend.in_flight + backend.others * fading;
+}
+
+bool BackendTable::HasRoom(const Backend& backend, Instant now) const {
+  return LoadOf(backend, now) < SlotsOf(backend) * (1.0 + options_.waiting_maximum);
+}
+
+double BackendTable::ExpectedMicros(const Backend& backend, Instant now) const {
+  double latency = backend.latency_us;
+  if (now < backend.warm_at) latency *= options_.cold_factor;
+  const double turns = std::max(1.0, (LoadOf(backend, now) + 1) / SlotsOf(backend));
+  const bool far = backend.instance.report.zone != options_.zone;
+  return latency * turns + (far ? Micros(options_.cross_zone_penalty) : 0.0);
+}
+
+const Backend* BackendTable::Choose(const ServiceName& service,
+                                    const std::vector<traffic::InstanceId>& tried, Instant now) {
+  const auto ids = services_.find(service);
+  if (ids == services_.end()) return nullptr;
+  std::uniform_real_distribution<double> jitter(1.0, 1.0 + kJitter);
+  const Backend* best = nullptr;
+  const Backend* best_ejected = nullptr;
+  double least = 0;
+  for (const traffic::InstanceId& id : ids->second) {
+    const Backend& backend = backends_.at(id);
+    const bool was_tried = std::find(tried.begin(), tried.end(), id) != tried.end();
+    if (!backend.instance.TakesNewWork() || was_tried) continue;
+    if (now < backend.ejected_until) {
+      const bool sooner =
+          best_ejected == nullptr || backend.ejected_until < best_ejected->ejected_until;
+      if (sooner) best_ejected = &backend;
+      continue;
+    }
+    const double expected = ExpectedMicros(backend, now) * jitter(random_);
+    if (best != nullptr && expected >= least) continue;
+    best = &backend;
+    least = expected;
+  }
+  return best == nullptr ? best_ejected : best;
+}
+
+void BackendTable::OnSent(const traffic::InstanceId& id) {
+  const auto found = backends_.find(id);
+  if (found != backends_.end()) ++found->second.in_flight;
+}
+
+void BackendTable::OnAbandoned(const traffic::InstanceId& id) {
+  const auto found = backends_.find(id);
+  if (found != backends_.end() && found->second.in_flight > 0) --found->second.in_flight;
+}
+
+void BackendTable::OnEnded(const traffic::InstanceId& id, const AttemptReport& report,
+                           Duration taken, Instant now) {
+  OnAbandoned(id);
+  const auto found = backends_.find(id);
+  if (found == backends_.end()) return;
+  Backend& backend = found->second;
+  const bool was_waiting = LoadOf(backend, now) + 1 > SlotsOf(backend);
+  if (report.load) TakeLoad(backend, *report.load, now);
+  if (report.end == AttemptEnd::kNotSent || report.end == AttemptEnd::kLost) {
+    Fail(backend, now);
+    return;
+  }
+  if (report.end != AttemptEnd::kAnswered) return;
+  backend.failures = 0;
+  backend.ejection = {};
+  backend.ejected_until = {};
+  // A request that waited tells of the queue, not of the server.
+  const double sample = Micros(taken) / (was_waiting ? 1.5 : 1.0);
+  const double weight = backend.latency_known ? kNewestLatency : 0.5;
+  backend.latency_us += weight * (sample - backend.latency_us);
+  backend.latency_known = true;
+}
+
+void BackendTable::TakeLoad(Backend& backend, const ReportedLoad& load, Instant now) const {
+  backend.others = std::max(0.0, load.running + load.waiting - backend.in_flight);
+  backend.others_at = now;
+  if (load.slots > 0) backend.instance.report.slots = std::llround(load.slots);
+}
+
+void BackendTable::Fail(Backend& backend, Instant now) const {
+  ++backend.failures;
+  if (backend.failures < options_.failures_to_eject) return;
+  backend.ejection = backend.ejection == Duration{}
+                         ? options_.ejection
+                         : std::min(2 * backend.ejection, options_.ejection_maximum);
+  backend.ejected_until = now + backend.ejection;
+}
+
+std::string BackendTable::Describe(const Backend& backend, Instant now) const {
+  char text[128];
+  const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - backend.others_at);
+  std::snprintf(text, sizeof(text), "load %.1f of %.0f, word %lld ms old, latency %.0f ms",
+                LoadOf(backend, now), SlotsOf(backend),
+                backend.others_at == Instant{} ? -1LL : static_cast<long long>(age.count()),
+                backend.latency_us / 1000);
+  return text;
+}
+
+}  // namespace graniteseam::gateway
--- /dev/null
+++ b/src/gateway/backend_table.h
@@ -0,0 +1,85 @@
+/// @file
+/// What a gateway knows of the servers: who there is, what they carry, and how they did lately.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "graniteseam/traffic/update.h"
+#include "src/gateway/gateway_events.h"
+
+namespace graniteseam::gateway {
+
+struct BackendOptions {
+  ZoneName zone;  ///< Of this gateway.
+  /// Extra wait that a server of another zone must save to be preferred.
+  Duration cross_zone_penalty{3'000};
+  Duration first_latency{80'000};  ///< Taken for a server that has not answered yet.
+  Duration ejection{1'000'000};    ///< After failures in a row; doubles up to ejection_maximum.
+  Duration ejection_maximum{4'000'000};
+  int failures_to_eject = 2;
+  double cold_factor = 2.0;      ///< By which a server that warms up is taken for slower.
+  double waiting_maximum = 2.0;  ///< Requests for each slot that may wait at a server.
+};
+
+/// One server with what was seen of it.
+struct Backend {
+  traffic::Instance instance;
+  Instant warm_at{};
+  std::uint32_t in_flight = 0;  ///< Of this gateway.
+  double others = 0;            ///< Of other gateways, as last reported.
+  Instant others_at{};
+  double latency_us = 0;  ///< Mean time of one request that did not wait.
+  bool latency_known = false;
+  int failures = 0;  ///< In a row.
+  Duration ejection{};
+  Instant ejected_until{};
+};
+
+/// Chooses servers by the shortest wait to expect. Deterministic under its seed; not thread safe;
+/// `now` never goes back.
+class BackendTable {
+ public:
+  BackendTable(BackendOptions options, std::uint64_t seed);
+
+  /// Takes an update's instances; one with base 0 replaces all, keeping what was seen of those that
+  /// stay.
+  void Apply(const traffic::TrafficUpdate& update, Instant now);
+
+  const Backend* Find(const traffic::InstanceId& id) const;
+
+  /// The server of a service with the shortest wait to expect, without those in `tried`.
+  /// @return nullptr when none takes new work.
+  const Backend* Choose(const ServiceName& service, const std::vector<traffic::InstanceId>& tried,
+                        Instant now);
+
+  /// Whether a server has room, so that a request would not wait there for long.
+  bool HasRoom(const Backend& backend, Instant now) const;
+  /// Requests that are at a server at present, by the best guess.
+  double LoadOf(const Backend& backend, Instant now) const;
+
+  void OnSent(const traffic::InstanceId& id);
+  /// @param taken from sending to the end.
+  void OnEnded(const traffic::InstanceId& id, const AttemptReport& report, Duration taken,
+               Instant now);
+  void OnAbandoned(const traffic::InstanceId& id);
+
+  /// "load 2.1 of 2, word 120 ms old, latency 61 ms" for the log.
+  std::string Describe(const Backend& backend, Instant now) const;
+
+ private:
+  double ExpectedMicros(const Backend& backend, Instant now) const;
+  void TakeLoad(Backend& backend, const ReportedLoad& load, Instant now) const;
+  void Fail(Backend& backend, Instant now) const;
+
+  const BackendOptions options_;
+  std::mt19937_64 random_;
+  std::map<traffic::InstanceId, Backend> backends_;
+  std::map<ServiceName, std::vector<traffic::InstanceId>> services_;
+};
+
+}  // namespace graniteseam::gateway
--- /dev/null
+++ b/src/gateway/gateway_events.h
@@ -0,0 +1,111 @@
+/// @file
+/// What happens at a gateway, as its decision maker takes it, and what it wants done.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "graniteseam/common/ids.h"
+#include "graniteseam/common/time.h"
+#include "graniteseam/traffic/instance.h"
+
+namespace graniteseam::gateway {
+
+/// One request of a caller, as long as the gateway has it.
+using RequestNumber = NumericId<struct RequestNumberTag>;
+
+/// What is known of a request when it was read whole.
+struct ArrivedRequest {
+  RequestNumber number;
+  std::string host;
+  std::string path;                  ///< Without the query.
+  std::optional<std::uint32_t> key;  ///< Of a keyed service.
+  Duration time_left{};              ///< For which the caller waits from now on.
+};
+
+/// A server's word on its own load.
+struct ReportedLoad {
+  double running = 0;
+  double waiting = 0;
+  double slots = 0;
+};
+
+/// How one sending of a request ended.
+enum class AttemptEnd {
+  kAnswered,     ///< The server's own answer, whole and in place.
+  kNotExecuted,  ///< The server says that it did not and will not run it.
+  kNotSent,      ///< No byte was handed to the kernel.
+  kLost,         ///< Sent; the connection ended without a whole answer.
+  kUnusable,     ///< An answer that is not to be trusted: another request's, or broken.
+};
+
+struct AttemptReport {
+  RequestNumber request;
+  std::uint32_t attempt = 0;
+  AttemptEnd end = AttemptEnd::kLost;
+  int status = 0;
+  std::optional<ReportedLoad> load;
+  bool server_leaves = false;  ///< Another instance answered, or the server closes for good.
+};
+
+/// Why a request was answered by the gateway itself.
+enum class RefusalReason {
+  kNoConfiguration,  ///< This gateway never had one.
+  kNoRoute,          ///< The configuration has no such route.
+  kBadKey,           ///< A keyed service needs a key from 0 to 65535.
+  kNoServer,         ///< No server takes work.
+  kNoOwner,          ///< The key has no owner at present.
+  kOverloaded,       ///< No server would take it in time.
+  kDeadline,         ///< The time is over.
+  kBudget,           ///< It did not run; the retry budget is used up.
+  kAttemptsUsed,     ///< It did not run; no further server may be tried.
+  kOutcomeUnknown,   ///< It may have run.
+};
+
+std::string_view ReasonName(RefusalReason reason);
+
+/// Send the request to a server.
+struct SendAttempt {
+  RequestNumber request;
+  std::uint32_t attempt = 0;
+  traffic::InstanceId instance;
+  std::string address;  ///< "ip:port".
+  Duration time_left{};
+};
+/// Stop waiting for an attempt and close its connection.
+struct AbandonAttempt {
+  RequestNumber request;
+  std::uint32_t attempt = 0;
+};
+/// Pass on the answer of the attempt that was reported last.
+struct RelayAnswer {
+  RequestNumber request;
+};
+/// Answer in the gateway's own name; nothing of the request is under way any more.
+struct Refuse {
+  RequestNumber request;
+  int status = 503;
+  RefusalReason reason = RefusalReason::kOverloaded;
+  std::optional<Duration> retry_after;
+};
+
+using GatewayEffect = std::variant<SendAttempt, AbandonAttempt, RelayAnswer, Refuse>;
+
+/// A decision worth a line in the log.
+struct DecisionNote {
+  RequestNumber request;
+  std::string_view what;         ///< For example "send" or "retry".
+  traffic::InstanceId instance;  ///< Concerned; may be empty.
+  std::string inputs;            ///< What it was taken on, with ages or versions.
+};
+
+struct GatewayEffects {
+  std::vector<GatewayEffect> actions;
+  std::vector<DecisionNote> notes;
+};
+
+}  // namespace graniteseam::gateway
--- /dev/null
+++ b/src/gateway/live_request.h
@@ -0,0 +1,54 @@
+/// @file
+/// One request as long as a gateway has it.
+#pragma once
+
+#include <compare>
+#include <optional>
+#include <vector>
+
+#include "graniteseam/traffic/configuration.h"
+#include "src/gateway/gateway_events.h"
+
+namespace graniteseam::gateway {
+
+/// Order in which requests leave a queue: the most urgent first, then the oldest.
+struct WaitingPlace {
+  std::int64_t priority = 0;
+  RequestNumber number;
+
+  auto operator<=>(const WaitingPlace&) const = default;
+};
+
+/// The attempt under way.
+struct OpenAttempt {
+  std::uint32_t number = 0;
+  traffic::InstanceId instance;
+  Instant sent_at{};
+};
+
+struct LiveRequest {
+  ArrivedRequest arrived;
+  traffic::RouteKind kind = traffic::RouteKind::kUnsafe;
+  ServiceName service;
+  std::int64_t priority = 0;
+  Duration target_latency{};
+  std::uint32_t attempts_maximum = 1;
+
+  Instant received{};
+  Instant hold_from{};  ///< Since when it waits for its next server.
+  Instant give_up{};    ///< The caller's deadline or the route's timeout.
+  Instant timer{};      ///< As entered in the node's timers.
+
+  std::optional<OpenAttempt> open;
+  std::uint32_t attempts = 0;   ///< Sent so far, one that got no byte out not counted.
+  std::uint32_t numbering = 0;  ///< Of the newest attempt.
+  std::uint32_t unsent = 0;     ///< Attempts that got no byte out.
+  std::vector<traffic::InstanceId> tried;
+  bool may_have_run = false;
+
+  bool waiting = false;
+  Instant not_before{};  ///< While waiting: not tried again earlier.
+  RefusalReason waits_for = RefusalReason::kOverloaded;
+};
+
+}  // namespace graniteseam::gateway
--- /dev/null
+++ b/src/gateway/route_table.cc
@@ -0,0 +1,78 @@
+#include "src/gateway/route_table.h"
+
+#include <algorithm>
+#include <cctype>
+#include <numeric>
+
+namespace graniteseam::gateway {
+namespace {
+
+std::string LowerCase(std::string_view text) {
+  std::string lower(text);
+  std::transform(lower.begin(), lower.end(), lower.begin(),
+                 [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+  return lower;
+}
+
+/// A host without its port.
+std::string_view HostName(std::string_view host) { return host.substr(0, host.find(':')); }
+
+}  // namespace
+
+void RouteTable::Apply(const traffic::TrafficUpdate& update) {
+  if (update.base == 0) {
+    routes_.clear();
+    hosts_.clear();
+  }
+  for (const traffic::RouteName& name : update.removed_routes) Remove(name);
+  // A route may move to the place of another one that moves in the same update.
+  for (const traffic::Route& route : update.routes) Remove(route.name);
+  for (const traffic::Route& route : update.routes) Put(route);
+}
+
+void RouteTable::Put(const traffic::Route& route) {
+  hosts_[LowerCase(route.host)][route.path_prefix] = route.name;
+  routes_[route.name] = {route, std::vector<double>(route.split.size(), 0.0)};
+}
+
+void RouteTable::Remove(const traffic::RouteName& name) {
+  const auto found = routes_.find(name);
+  if (found == routes_.end()) return;
+  const auto host = hosts_.find(LowerCase(found->second.route.host));
+  if (host != hosts_.end()) {
+    const auto place = host->second.find(found->second.route.path_prefix);
+    if (place != host->second.end() && place->second == name) host->second.erase(place);
+    if (host->second.empty()) hosts_.erase(host);
+  }
+  routes_.erase(found);
+}
+
+const traffic::Route* RouteTable::Find(std::string_view host, std::string_view path) const {
+  const auto prefixes = hosts_.find(LowerCase(HostName(host)));
+  if (prefixes == hosts_.end()) return nullptr;
+  const traffic::Route* best = nullptr;
+  for (const auto& [prefix, name] : prefixes->second) {
+    if (!path.starts_with(prefix)) continue;
+    const traffic::Route& route = routes_.at(name).route;
+    if (best == nullptr || prefix.size() > best->path_prefix.size()) best = &route;
+  }
+  return best;
+}
+
+std::optional<ServiceName> RouteTable::NextService(const traffic::Route& route) {
+  Entry& entry = routes_.at(route.name);
+  const auto& split = entry.route.split;
+  const double total =
+      std::accumulate(split.begin(), split.end(), 0.0,
+                      [](double sum, const auto& part) { return sum + part.weight; });
+  if (total <= 0) return std::nullopt;
+  std::size_t chosen = 0;
+  for (std::size_t part = 0; part < split.size(); ++part) {
+    entry.credit[part] += split[part].weight;
+    if (entry.credit[part] > entry.credit[chosen]) chosen = part;
+  }
+  entry.credit[chosen] -= total;
+  return split[chosen].service;
+}
+
+}  // namespace graniteseam::gateway
