--- /dev/null
+++ b/src/gateway/shared_retry_budget.cc
@@ -0,0 +1,41 @@
+#include "src/gateway/shared_retry_budget.h"
+
+#include <algorithm>
+
+namespace graniteseam::gateway {
+namespace {
+
+constexpr int kSlicesPerWindow = 20;
+/// Kept in reserve: requests and their repetitions do not reach servers at the instant at which
+/// they are counted here.
+constexpr double kUsable = 0.8;
+
+}  // namespace
+
+SharedRetryBudget::Slice& SharedRetryBudget::Current(Instant now) {
+  const Duration length = limits_.window / kSlicesPerWindow;
+  // One slice more than the window, so that a sliding window never holds more than was allowed.
+  while (!slices_.empty() && now - slices_.front().start > limits_.window + length) {
+    slices_.pop_front();
+  }
+  if (slices_.empty() || now - slices_.back().start >= length) slices_.push_back({now, 0, 0});
+  return slices_.back();
+}
+
+void SharedRetryBudget::CountRequest(Instant now) { Current(now).requests += 1; }
+
+bool SharedRetryBudget::Take(std::uint32_t gateways, Instant now) {
+  Slice& current = Current(now);
+  double requests = 0;
+  double repeats = 0;
+  for (const Slice& slice : slices_) {
+    requests += slice.requests;
+    repeats += slice.repeats;
+  }
+  const double part = limits_.extra / std::max(1U, gateways);
+  if (repeats + 1 > kUsable * (limits_.ratio * requests + part)) return false;
+  current.repeats += 1;
+  return true;
+}
+
+}  // namespace graniteseam::gateway
--- a/src/http/async_http_client.cc
+++ b/src/http/async_http_client.cc
@@ -24,7 +24,7 @@
 using ErrorCode = boost::system::error_code;
 using Response = beast::http::response_parser<beast::http::string_body>;
 
-Error TransportError(const platform::SocketAddress& address, ErrorCode error) {
+Error TransportError(const runtime::SocketAddress& address, ErrorCode error) {
   const bool malformed =
       error.category() == beast::http::make_error_code(beast::http::error::bad_version).category();
   if (error == beast::http::error::body_limit || error == beast::http::error::header_limit) {
@@ -46,7 +46,7 @@
 /// One connection with its buffers. Lives as long as an operation is under way on it.
 class AsyncHttpClient::Session : public std::enable_shared_from_this<Session> {
  public:
-  Session(platform::EventLoop& loop, platform::SocketAddress address, TlsContext* tls)
+  Session(runtime::EventLoop& loop, runtime::SocketAddress address, TlsContext* tls)
       : stream_(loop.context()), address_(std::move(address)) {
     if (tls != nullptr) UseTls(*tls);
   }
@@ -78,7 +78,7 @@
   beast::tcp_stream stream_;
   std::optional<asio::ssl::context> tls_context_;
   std::optional<asio::ssl::stream<beast::tcp_stream&>> tls_stream_;  ///< Present when TLS is on.
-  platform::SocketAddress address_;
+  runtime::SocketAddress address_;
   beast::flat_buffer buffer_;
   beast::http::request<beast::http::string_body> request_;
   std::optional<Response> response_;
@@ -190,14 +190,14 @@
   stream_.close();
 }
 
-AsyncHttpClient::AsyncHttpClient(platform::EventLoop& loop, platform::SocketAddress address,
+AsyncHttpClient::AsyncHttpClient(runtime::EventLoop& loop, runtime::SocketAddress address,
                                  std::shared_ptr<TlsContext> tls)
     : loop_(loop), address_(std::move(address)), tls_(std::move(tls)) {}
 
 AsyncHttpClient::~AsyncHttpClient() { Abandon(); }
 
 void AsyncHttpClient::Start(HttpCall call, Duration limit, Handler handler) {
-  if (!tls_ && !platform::IsLoopback(address_)) {
+  if (!tls_ && !runtime::IsLoopback(address_)) {
     return handler(Error{ErrorKind::kPermissionDenied,
                          ToString(address_) + " is not on this machine and TLS is off.",
                          "Set server_tls_ca, or use loopback addresses only."});
--- a/src/http/async_http_client.h
+++ b/src/http/async_http_client.h
@@ -10,8 +10,8 @@
 #include "graniteseam/common/error.h"
 #include "graniteseam/common/time.h"
 #include "src/http/tls.h"
-#include "src/platform/event_loop.h"
-#include "src/platform/socket_address.h"
+#include "src/runtime/event_loop.h"
+#include "src/runtime/socket_address.h"
 
 namespace graniteseam::http {
 
@@ -36,7 +36,7 @@
   using Handler = std::function<void(const Outcome<HttpReply>& reply)>;
 
   /// @param tls null for plain HTTP, which only a loopback address gets.
-  AsyncHttpClient(platform::EventLoop& loop, platform::SocketAddress address,
+  AsyncHttpClient(runtime::EventLoop& loop, runtime::SocketAddress address,
                   std::shared_ptr<TlsContext> tls = nullptr);
   /// Abandons the call under way; its handler is not called any more.
   ~AsyncHttpClient();
@@ -52,13 +52,13 @@
   void Abandon();
 
   bool busy() const;
-  const platform::SocketAddress& address() const { return address_; }
+  const runtime::SocketAddress& address() const { return address_; }
 
  private:
   class Session;
 
-  platform::EventLoop& loop_;
-  platform::SocketAddress address_;
+  runtime::EventLoop& loop_;
+  runtime::SocketAddress address_;
   std::shared_ptr<TlsContext> tls_;
   std::shared_ptr<Session> session_;
 };
--- a/src/http/bounded_stream.cc
+++ b/src/http/bounded_stream.cc
@@ -13,7 +13,7 @@
 #include <cstring>
 #include <utility>
 
-#include "src/platform/clock.h"
+#include "src/runtime/clock.h"
 
 namespace graniteseam::http {
 
@@ -46,7 +46,7 @@
 
 bool BoundedStream::WaitFor(short events) {
   for (;;) {
-    const Duration left = deadline_ - platform::BootTimeNow();
+    const Duration left = deadline_ - runtime::BootTimeNow();
     if (left <= Duration{0}) break;
     constexpr std::int64_t kWaitMaximumMs = 3'600'000;
     // Rounded up, so that the last part of a millisecond is not spent spinning.
@@ -138,7 +138,7 @@
   const std::size_t size = std::min(read_buffer_.size(), read_left_);
   if (tls_) return ReceiveTls(size);
   for (;;) {
-    const Duration left = deadline_ - platform::BootTimeNow();
+    const Duration left = deadline_ - runtime::BootTimeNow();
     const bool last_tick = left <= tick_;
     if (last_tick && !WaitFor(POLLIN)) return -1;
     const ssize_t received =
--- a/src/http/caller_server.cc
+++ b/src/http/caller_server.cc
@@ -15,7 +15,7 @@
 #include "src/http/caller_request_parser.h"
 #include "src/http/connection_threads.h"
 #include "src/http/header_rules.h"
-#include "src/platform/clock.h"
+#include "src/runtime/clock.h"
 
 namespace graniteseam::http {
 
@@ -82,7 +82,7 @@
   pages_[path] = std::move(page);
 }
 
-Result<std::uint16_t> CallerServer::Bind(const platform::SocketAddress& address) {
+Result<std::uint16_t> CallerServer::Bind(const runtime::SocketAddress& address) {
   int port = address.port;
   bool bound = false;
   if (port == 0) {
@@ -94,7 +94,7 @@
   // The library listens with a backlog of 5: a burst of new callers would wait for resent SYNs.
   if (!bound || ::listen(svr_sock_, kListenBacklog) != 0) {
     return Fail(ErrorKind::kTransport,
-                "The address " + platform::ToString(address) + " can not be listened on.",
+                "The address " + runtime::ToString(address) + " can not be listened on.",
                 "Check that it belongs to this machine and that no other program uses the port.");
   }
   return static_cast<std::uint16_t>(port);
@@ -153,18 +153,18 @@
 
 bool CallerServer::BeginConnection(Connection& connection) {
   if (!options_.tls) return true;
-  connection.stream.Begin(platform::BootTimeNow() + options_.read_maximum,
+  connection.stream.Begin(runtime::BootTimeNow() + options_.read_maximum,
                           options_.head_bytes_maximum);
   return connection.stream.StartTls(options_.tls->NewSession(connection.descriptor));
 }
 
 bool CallerServer::ServeOne(Connection& connection) {
   connection.idle = true;
-  connection.stream.Begin(platform::BootTimeNow() + options_.idle_maximum,
+  connection.stream.Begin(runtime::BootTimeNow() + options_.idle_maximum,
                           options_.head_bytes_maximum);
   if (!connection.stream.Await()) return false;
   connection.idle = false;
-  connection.stream.SetDeadline(platform::BootTimeNow() + options_.read_maximum);
+  connection.stream.SetDeadline(runtime::BootTimeNow() + options_.read_maximum);
   const bool last = draining_;
   bool close_asked = false;
   const bool served =
@@ -260,11 +260,11 @@
   }
   message.request.number = ++last_request_;
   const std::string echo = message.request_echo;
-  connection.waiting_since_us = ToMicros(platform::BootTimeNow());
+  connection.waiting_since_us = ToMicros(runtime::BootTimeNow());
   connection.waiting_request = message.request.number;
   const CallerReply reply = handler_(std::move(message));
   connection.waiting_request = 0;
-  connection.stream.SetDeadline(platform::BootTimeNow() + options_.write_maximum);
+  connection.stream.SetDeadline(runtime::BootTimeNow() + options_.write_maximum);
   Write(reply, echo, response);
 }
 
@@ -319,7 +319,7 @@
     polled.clear();
     numbers.clear();
     gone.clear();
-    const Instant now = platform::BootTimeNow();
+    const Instant now = runtime::BootTimeNow();
     {
       const std::lock_guard lock(mutex_);
       for (const Connection* connection : connections_) {
--- a/src/http/caller_server.h
+++ b/src/http/caller_server.h
@@ -17,7 +17,7 @@
 #include "graniteseam/common/time.h"
 #include "src/http/caller_messages.h"
 #include "src/http/tls.h"
-#include "src/platform/socket_address.h"
+#include "src/runtime/socket_address.h"
 
 namespace graniteseam::http {
 
@@ -60,7 +60,7 @@
   void AddPage(const std::string& path, std::function<PlainPage()> page);
 
   /// @return the port; kTransport when the address can not be had.
-  Result<std::uint16_t> Bind(const platform::SocketAddress& address);
+  Result<std::uint16_t> Bind(const runtime::SocketAddress& address);
   /// Serves until Stop(); returns once every connection is closed.
   void Serve();
 
--- a/src/http/lease_client.cc
+++ b/src/http/lease_client.cc
@@ -8,8 +8,8 @@
 
 #include "src/http/async_http_client.h"
 #include "src/http/lease_json.h"
-#include "src/platform/clock.h"
-#include "src/platform/log.h"
+#include "src/runtime/clock.h"
+#include "src/runtime/log.h"
 
 namespace graniteseam::http {
 namespace {
@@ -24,11 +24,11 @@
 /// Runs on the event loop's thread.
 class LeaseClient::Impl : public std::enable_shared_from_this<LeaseClient::Impl> {
  public:
-  Impl(LeaseClientOptions options, platform::EventLoop& loop, platform::MetricsRegistry& metrics,
+  Impl(LeaseClientOptions options, runtime::EventLoop& loop, runtime::MetricsRegistry& metrics,
        AnswerHandler on_answer);
 
   void Send(const std::string& address, lease::LeaseRequest request);
-  platform::EventLoop& loop() { return loop_; }
+  runtime::EventLoop& loop() { return loop_; }
   void HangUp() { servers_.clear(); }
 
  private:
@@ -52,29 +52,29 @@
   void ForgetSilent(Instant now);
 
   LeaseClientOptions options_;
-  platform::EventLoop& loop_;
+  runtime::EventLoop& loop_;
   AnswerHandler on_answer_;
-  platform::CounterHandle answered_;
-  platform::CounterHandle failed_;
-  platform::CounterHandle abandoned_;
-  platform::HistogramHandle call_seconds_;
+  runtime::CounterHandle answered_;
+  runtime::CounterHandle failed_;
+  runtime::CounterHandle abandoned_;
+  runtime::HistogramHandle call_seconds_;
   std::map<ServerId, Server> servers_;
   Instant next_forget_;
-  platform::Logger log_{"control.lease"};
+  runtime::Logger log_{"control.lease"};
 };
 
-LeaseClient::Impl::Impl(LeaseClientOptions options, platform::EventLoop& loop,
-                        platform::MetricsRegistry& metrics, AnswerHandler on_answer)
+LeaseClient::Impl::Impl(LeaseClientOptions options, runtime::EventLoop& loop,
+                        runtime::MetricsRegistry& metrics, AnswerHandler on_answer)
     : options_(std::move(options)),
       loop_(loop),
       on_answer_(std::move(on_answer)),
-      answered_(metrics.Counter(platform::Metric::kControlLeaseCalls, {{"result", "answered"}})),
-      failed_(metrics.Counter(platform::Metric::kControlLeaseCalls, {{"result", "failed"}})),
-      abandoned_(metrics.Counter(platform::Metric::kControlLeaseCalls, {{"result", "abandoned"}})),
-      call_seconds_(metrics.Histogram(platform::Metric::kControlLeaseCallSeconds)) {}
+      answered_(metrics.Counter(runtime::Metric::kControlLeaseCalls, {{"result", "answered"}})),
+      failed_(metrics.Counter(runtime::Metric::kControlLeaseCalls, {{"result", "failed"}})),
+      abandoned_(metrics.Counter(runtime::Metric::kControlLeaseCalls, {{"result", "abandoned"}})),
+      call_seconds_(metrics.Histogram(runtime::Metric::kControlLeaseCallSeconds)) {}
 
 void LeaseClient::Impl::Send(const std::string& address, lease::LeaseRequest request) {
-  const Instant now = platform::BootTimeNow();
+  const Instant now = runtime::BootTimeNow();
   ForgetSilent(now);
   const ServerId id = request.server;
   Server* const server = Find(id, address);
@@ -87,12 +87,12 @@
 
 /// The entry of a server; a new address gets a new connection.
 LeaseClient::Impl::Server* LeaseClient::Impl::Find(const ServerId& id, const std::string& address) {
-  const auto parsed = Attempt([&] { return platform::ParseSocketAddress(address); });
+  const auto parsed = Attempt([&] { return runtime::ParseSocketAddress(address); });
   if (const Error* error = ErrorOf(parsed)) {
     log_.Warning(*error);
     return nullptr;
   }
-  const auto& wanted = std::get<platform::SocketAddress>(parsed);
+  const auto& wanted = std::get<runtime::SocketAddress>(parsed);
   const auto found = servers_.find(id);
   if (found != servers_.end() && found->second.client->address() == wanted) return &found->second;
   if (found != servers_.end()) servers_.erase(found);
@@ -109,7 +109,7 @@
 void LeaseClient::Impl::Start(const ServerId& id, lease::LeaseRequest request) {
   Server& server = servers_.at(id);
   server.current = std::move(request);
-  server.started = platform::BootTimeNow();
+  server.started = runtime::BootTimeNow();
   HttpCall call{true, kLeasePath, ToJson(server.current)};
   server.client->Start(std::move(call), options_.call_maximum,
                        [this, id](const Outcome<HttpReply>& reply) { OnReply(id, reply); });
@@ -125,7 +125,7 @@
 
 /// A call that hangs must not keep the newer message waiting.
 void LeaseClient::Impl::GiveWayLater(const ServerId& id, Server& server) {
-  const Duration age = platform::BootTimeNow() - server.started;
+  const Duration age = runtime::BootTimeNow() - server.started;
   server.give_way.expires_after(std::max(Duration::zero(), options_.call_limit - age));
   server.give_way.async_wait([weak = weak_from_this(), id](auto error) {
     const auto self = weak.lock();
@@ -150,7 +150,7 @@
   const auto answer = Attempt([&] { return ReadReply(server, std::get<HttpReply>(reply)); });
   NoteResult(id, server, ErrorOf(answer));
   if (ErrorOf(answer) == nullptr) {
-    call_seconds_.Observe(Seconds(platform::BootTimeNow() - server.started));
+    call_seconds_.Observe(Seconds(runtime::BootTimeNow() - server.started));
     on_answer_(std::get<lease::LeaseAnswer>(answer));
   }
   StartWaiting(id);
@@ -188,8 +188,8 @@
   });
 }
 
-LeaseClient::LeaseClient(LeaseClientOptions options, platform::EventLoop& loop,
-                         platform::MetricsRegistry& metrics, AnswerHandler on_answer)
+LeaseClient::LeaseClient(LeaseClientOptions options, runtime::EventLoop& loop,
+                         runtime::MetricsRegistry& metrics, AnswerHandler on_answer)
     : impl_(std::make_shared<Impl>(std::move(options), loop, metrics, std::move(on_answer))) {}
 
 LeaseClient::~LeaseClient() { impl_->HangUp(); }
--- a/src/http/lease_client.h
+++ b/src/http/lease_client.h
@@ -10,8 +10,8 @@
 
 #include "graniteseam/lease/grant.h"
 #include "src/http/tls.h"
-#include "src/platform/event_loop.h"
-#include "src/platform/metrics.h"
+#include "src/runtime/event_loop.h"
+#include "src/runtime/metrics.h"
 
 namespace graniteseam::http {
 
@@ -35,8 +35,8 @@
  public:
   using AnswerHandler = std::function<void(const lease::LeaseAnswer& answer)>;
 
-  LeaseClient(LeaseClientOptions options, platform::EventLoop& loop,
-              platform::MetricsRegistry& metrics, AnswerHandler on_answer);
+  LeaseClient(LeaseClientOptions options, runtime::EventLoop& loop,
+              runtime::MetricsRegistry& metrics, AnswerHandler on_answer);
   ~LeaseClient();
   LeaseClient(const LeaseClient&) = delete;
   LeaseClient& operator=(const LeaseClient&) = delete;
--- a/src/http/operator_client.cc
+++ b/src/http/operator_client.cc
@@ -7,12 +7,12 @@
 #include <thread>
 #include <utility>
 
-#include "src/platform/clock.h"
+#include "src/runtime/clock.h"
 
 namespace graniteseam::http {
 namespace {
 
-using platform::SocketAddress;
+using runtime::SocketAddress;
 
 /// Leaders named one after the other without progress: two processes may each name the other.
 constexpr int kRedirectsMaximum = 3;
@@ -28,7 +28,7 @@
 
 std::optional<SocketAddress> LeaderOf(const OperatorProblem& problem) {
   if (problem.error.kind != ErrorKind::kNotLeader || problem.leader.empty()) return std::nullopt;
-  const auto parsed = Attempt([&] { return platform::ParseSocketAddress(problem.leader); });
+  const auto parsed = Attempt([&] { return runtime::ParseSocketAddress(problem.leader); });
   if (ErrorOf(parsed) != nullptr) return std::nullopt;
   return std::get<SocketAddress>(parsed);
 }
@@ -68,7 +68,7 @@
     return Fail(ErrorKind::kInvalidArgument, "No control address is known.",
                 "Give --control ip:port[,ip:port...], or the key `control` in a settings file.");
   }
-  const Instant end = platform::BootTimeNow() + options_.time_limit;
+  const Instant end = runtime::BootTimeNow() + options_.time_limit;
   const bool changes = call.method != "GET";
   std::optional<SocketAddress> leader;
   std::string last_words;
@@ -93,23 +93,23 @@
     if (!leader.has_value() && round_over) {
       std::this_thread::sleep_for(options_.pause);
     }
-  } while (platform::BootTimeNow() < end);
+  } while (runtime::BootTimeNow() < end);
   return Fail(GaveUp(last_words, answer_lost));
 }
 
 Result<std::string> OperatorClient::CallOne(const SocketAddress& address,
                                             const OperatorCall& call) {
-  const AttemptResult attempt = Send(address, call, platform::BootTimeNow() + options_.time_limit);
+  const AttemptResult attempt = Send(address, call, runtime::BootTimeNow() + options_.time_limit);
   if (attempt.end == AttemptEnd::kAnswered) return attempt.body;
   return Fail(attempt.problem.error);
 }
 
 OperatorClient::AttemptResult OperatorClient::Send(const SocketAddress& address,
                                                    const OperatorCall& call, Instant end) const {
-  const Duration left = std::max(kAttemptMinimum, end - platform::BootTimeNow());
+  const Duration left = std::max(kAttemptMinimum, end - runtime::BootTimeNow());
   // A client of its own for each attempt: none is ever sent again over a kept connection.
   const bool tls = !options_.authorities_file.empty();
-  if (!tls && !platform::IsLoopback(address))
+  if (!tls && !runtime::IsLoopback(address))
     return {AttemptEnd::kNotSent, "", PlainRefused(address)};
   httplib::Client client((tls ? "https://" : "http://") + ToString(address));
   if (tls) client.set_ca_cert_path(options_.authorities_file);
--- a/src/http/operator_client.h
+++ b/src/http/operator_client.h
@@ -8,12 +8,12 @@
 #include "graniteseam/common/error.h"
 #include "graniteseam/common/time.h"
 #include "src/http/operator_json.h"
-#include "src/platform/socket_address.h"
+#include "src/runtime/socket_address.h"
 
 namespace graniteseam::http {
 
 struct OperatorClientOptions {
-  std::vector<platform::SocketAddress> control;  ///< Operator addresses; any order, any subset.
+  std::vector<runtime::SocketAddress> control;  ///< Operator addresses; any order, any subset.
   std::string credential;
   Duration time_limit{10'000'000};  ///< Of one call with all its attempts.
   Duration connection_time_limit{1'000'000};
@@ -45,7 +45,7 @@
 
   /// Calls one process, leader or not, once.
   /// @return as Call(), or kTransport when there was no answer.
-  Result<std::string> CallOne(const platform::SocketAddress& address, const OperatorCall& call);
+  Result<std::string> CallOne(const runtime::SocketAddress& address, const OperatorCall& call);
 
  private:
   enum class AttemptEnd { kAnswered, kRefused, kNotSent, kAnswerLost };
@@ -56,7 +56,7 @@
   };
 
   /// @param end when the call's time is over, which shortens the attempt's own limits.
-  AttemptResult Send(const platform::SocketAddress& address, const OperatorCall& call,
+  AttemptResult Send(const runtime::SocketAddress& address, const OperatorCall& call,
                      Instant end) const;
 
   OperatorClientOptions options_;
--- a/src/http/operator_requests.cc
+++ b/src/http/operator_requests.cc
@@ -6,6 +6,7 @@
 
 #include "graniteseam/bundle/bundle.h"
 #include "src/http/operator_json.h"
+#include "src/http/traffic_json.h"
 
 namespace graniteseam::http {
 namespace {
@@ -108,6 +109,9 @@
       [](const auto& value) -> std::string {
         if constexpr (std::is_same_v<std::decay_t<decltype(value)>, Error>) {
           return ToJson(OperatorProblem{value, ""});
+        } else if constexpr (std::is_same_v<std::decay_t<decltype(value)>,
+                                            control::ConfigurationView>) {
+          return ToJson(value.configuration);
         } else {
           return ToJson(value);
         }
--- a/src/http/operator_server.cc
+++ b/src/http/operator_server.cc
@@ -15,8 +15,8 @@
 #include "src/http/operator_credentials.h"
 #include "src/http/operator_json.h"
 #include "src/http/operator_requests.h"
-#include "src/platform/clock.h"
-#include "src/platform/log.h"
+#include "src/runtime/clock.h"
+#include "src/runtime/log.h"
 
 namespace graniteseam::http {
 namespace {
@@ -53,7 +53,7 @@
 /// caller that sends slowly gives its thread back.
 class OperatorServer::Impl : private httplib::Server {
  public:
-  Impl(OperatorServerOptions options, platform::MetricsRegistry& metrics, OperatorServerHooks hooks)
+  Impl(OperatorServerOptions options, runtime::MetricsRegistry& metrics, OperatorServerHooks hooks)
       : options_(std::move(options)),
         metrics_(metrics),
         hooks_(std::move(hooks)),
@@ -78,19 +78,19 @@
   void Count(const httplib::Response& response);
 
   OperatorServerOptions options_;
-  platform::MetricsRegistry& metrics_;
+  runtime::MetricsRegistry& metrics_;
   OperatorServerHooks hooks_;
   OperatorCredentials credentials_;
   std::atomic<bool> stopping_{false};
   std::thread thread_;
   std::uint16_t port_ = 0;
-  platform::Logger log_{"control.operators"};
+  runtime::Logger log_{"control.operators"};
 };
 
 Result<void> OperatorServer::Impl::Start() {
   SetLimits();
   SetRoutes();
-  const platform::SocketAddress& address = options_.address;
+  const runtime::SocketAddress& address = options_.address;
   int bound = -1;
   if (address.port == 0) {
     bound = bind_to_any_port(address.ip.c_str());
@@ -125,7 +125,7 @@
 void OperatorServer::Impl::Serve(int descriptor) {
   BoundedStream stream(descriptor, kStopLook);
   const auto begin = [&] {
-    stream.Begin(platform::BootTimeNow() + options_.exchange_maximum,
+    stream.Begin(runtime::BootTimeNow() + options_.exchange_maximum,
                  options_.body_bytes_maximum + kHeadBytesMaximum);
   };
   begin();
@@ -141,8 +141,8 @@
 
 /// @return false when none came in time or the server stops.
 bool OperatorServer::Impl::AwaitRequest(const BoundedStream& stream, int descriptor) const {
-  const Instant end = platform::BootTimeNow() + options_.idle_maximum;
-  while (!stopping_ && platform::BootTimeNow() < end) {
+  const Instant end = runtime::BootTimeNow() + options_.idle_maximum;
+  while (!stopping_ && runtime::BootTimeNow() < end) {
     if (stream.HasUnreadBytes()) return true;
     pollfd source{descriptor, POLLIN, 0};
     const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(kStopLook);
@@ -198,7 +198,7 @@
     return AnswerHealth(hooks_.ready(), response);
   }
   if (request.method == "GET" && request.path == "/metrics") {
-    return response.set_content(metrics_.Text(), platform::kMetricsContentType);
+    return response.set_content(metrics_.Text(), runtime::kMetricsContentType);
   }
   if (request.method == "GET" && request.path == "/") {
     response.set_header("Content-Security-Policy", kDashboardPolicy);
@@ -243,12 +243,12 @@
 
 void OperatorServer::Impl::Count(const httplib::Response& response) {
   metrics_
-      .Counter(platform::Metric::kHttpRequests,
+      .Counter(runtime::Metric::kHttpRequests,
                {{"port", "operators"}, {"status", std::to_string(response.status)}})
       .Increment();
 }
 
-OperatorServer::OperatorServer(OperatorServerOptions options, platform::MetricsRegistry& metrics,
+OperatorServer::OperatorServer(OperatorServerOptions options, runtime::MetricsRegistry& metrics,
                                OperatorServerHooks hooks)
     : impl_(std::make_unique<Impl>(std::move(options), metrics, std::move(hooks))) {}
 
--- a/src/http/operator_server.h
+++ b/src/http/operator_server.h
@@ -12,13 +12,13 @@
 #include "graniteseam/consensus/types.h"
 #include "graniteseam/control/operator_messages.h"
 #include "src/http/tls.h"
-#include "src/platform/metrics.h"
-#include "src/platform/socket_address.h"
+#include "src/runtime/metrics.h"
+#include "src/runtime/socket_address.h"
 
 namespace graniteseam::http {
 
 struct OperatorServerOptions {
-  platform::SocketAddress address;
+  runtime::SocketAddress address;
   std::map<std::string, std::string> operators;  ///< Name -> SHA-256 hex of the credential.
   std::size_t body_bytes_maximum = std::size_t{2} << 20;
   std::size_t connections_maximum = 64;   ///< Each has a thread; more wait.
@@ -41,7 +41,7 @@
 /// Lifecycle: Start() once, Stop() before destruction. Thread safe.
 class OperatorServer {
  public:
-  OperatorServer(OperatorServerOptions options, platform::MetricsRegistry& metrics,
+  OperatorServer(OperatorServerOptions options, runtime::MetricsRegistry& metrics,
                  OperatorServerHooks hooks);
   ~OperatorServer();
   OperatorServer(const OperatorServer&) = delete;
--- a/src/http/platform_poller.cc
+++ b/src/http/platform_poller.cc
@@ -6,7 +6,7 @@
 
 #include "src/http/async_http_client.h"
 #include "src/http/json_binding.h"
-#include "src/platform/log.h"
+#include "src/runtime/log.h"
 
 namespace graniteseam::http {
 namespace {
@@ -34,7 +34,7 @@
   BOOST_LEAF_AUTO(wire, FromJsonText<WireMachines>(json, /*lenient=*/false));
   control::PlatformList list;
   for (WireMachine& machine : wire.machines) {
-    BOOST_LEAF_CHECK(platform::ParseSocketAddress(machine.address));
+    BOOST_LEAF_CHECK(runtime::ParseSocketAddress(machine.address));
     list.machines.push_back(
         {machine.server, machine.service, machine.address, machine.zone, machine.leaving});
   }
@@ -44,11 +44,11 @@
 /// Runs on the event loop's thread.
 class PlatformPoller::Impl : public std::enable_shared_from_this<PlatformPoller::Impl> {
  public:
-  Impl(PlatformPollerOptions options, platform::EventLoop& loop, platform::MetricsRegistry& metrics,
+  Impl(PlatformPollerOptions options, runtime::EventLoop& loop, runtime::MetricsRegistry& metrics,
        std::function<bool()> wanted, ListHandler on_list);
 
   void Begin();
-  platform::EventLoop& loop() { return loop_; }
+  runtime::EventLoop& loop() { return loop_; }
   void HangUp() { sources_.clear(); }
 
  private:
@@ -64,29 +64,29 @@
   control::PlatformList Union() const;
 
   PlatformPollerOptions options_;
-  platform::EventLoop& loop_;
+  runtime::EventLoop& loop_;
   std::function<bool()> wanted_;
   ListHandler on_list_;
-  platform::CounterHandle answered_;
-  platform::CounterHandle failed_;
+  runtime::CounterHandle answered_;
+  runtime::CounterHandle failed_;
   std::vector<Source> sources_;
   boost::asio::steady_timer timer_;
-  platform::Logger log_{"control.platform"};
+  runtime::Logger log_{"control.platform"};
 };
 
-PlatformPoller::Impl::Impl(PlatformPollerOptions options, platform::EventLoop& loop,
-                           platform::MetricsRegistry& metrics, std::function<bool()> wanted,
+PlatformPoller::Impl::Impl(PlatformPollerOptions options, runtime::EventLoop& loop,
+                           runtime::MetricsRegistry& metrics, std::function<bool()> wanted,
                            ListHandler on_list)
     : options_(std::move(options)),
       loop_(loop),
       wanted_(std::move(wanted)),
       on_list_(std::move(on_list)),
-      answered_(metrics.Counter(platform::Metric::kControlPlatformPolls, {{"result", "answered"}})),
-      failed_(metrics.Counter(platform::Metric::kControlPlatformPolls, {{"result", "failed"}})),
+      answered_(metrics.Counter(runtime::Metric::kControlPlatformPolls, {{"result", "answered"}})),
+      failed_(metrics.Counter(runtime::Metric::kControlPlatformPolls, {{"result", "failed"}})),
       timer_(loop.context()) {}
 
 void PlatformPoller::Impl::Begin() {
-  for (const platform::SocketAddress& address : options_.addresses) {
+  for (const runtime::SocketAddress& address : options_.addresses) {
     Source& source = sources_.emplace_back();
     source.client = std::make_unique<AsyncHttpClient>(loop_, address, options_.tls);
   }
@@ -142,8 +142,8 @@
   return all;
 }
 
-PlatformPoller::PlatformPoller(PlatformPollerOptions options, platform::EventLoop& loop,
-                               platform::MetricsRegistry& metrics, std::function<bool()> wanted,
+PlatformPoller::PlatformPoller(PlatformPollerOptions options, runtime::EventLoop& loop,
+                               runtime::MetricsRegistry& metrics, std::function<bool()> wanted,
                                ListHandler on_list)
     : impl_(std::make_shared<Impl>(std::move(options), loop, metrics, std::move(wanted),
                                    std::move(on_list))) {
--- a/src/http/platform_poller.h
+++ b/src/http/platform_poller.h
@@ -10,9 +10,9 @@
 #include "graniteseam/common/error.h"
 #include "graniteseam/control/operator_messages.h"
 #include "src/http/tls.h"
-#include "src/platform/event_loop.h"
-#include "src/platform/metrics.h"
-#include "src/platform/socket_address.h"
+#include "src/runtime/event_loop.h"
+#include "src/runtime/metrics.h"
+#include "src/runtime/socket_address.h"
 
 namespace graniteseam::http {
 
@@ -21,7 +21,7 @@
 Result<control::PlatformList> ReadMachines(const std::string& json);
 
 struct PlatformPollerOptions {
-  std::vector<platform::SocketAddress> addresses;
+  std::vector<runtime::SocketAddress> addresses;
   Duration interval{1'000'000};
   Duration call_limit{800'000};
   std::shared_ptr<TlsContext> tls;  ///< Null for plain HTTP, which only loopback addresses get.
@@ -36,8 +36,8 @@
   using ListHandler = std::function<void(const control::PlatformList& list)>;
 
   /// @param wanted tells whether to poll now.
-  PlatformPoller(PlatformPollerOptions options, platform::EventLoop& loop,
-                 platform::MetricsRegistry& metrics, std::function<bool()> wanted,
+  PlatformPoller(PlatformPollerOptions options, runtime::EventLoop& loop,
+                 runtime::MetricsRegistry& metrics, std::function<bool()> wanted,
                  ListHandler on_list);
   ~PlatformPoller();
   PlatformPoller(const PlatformPoller&) = delete;
--- a/src/http/request_driver.cc
+++ b/src/http/request_driver.cc
@@ -8,7 +8,7 @@
 #include <utility>
 #include <vector>
 
-#include "src/platform/clock.h"
+#include "src/runtime/clock.h"
 
 namespace graniteseam::http {
 
@@ -45,7 +45,7 @@
       attempt_observer_(std::move(attempt_observer)),
       upstream_(options_.upstream),
       hedge_threads_(std::make_unique<ConnectionThreads>(options_.hedge_threads_maximum)),
-      node_(options_.node, options_.seed, platform::BootTimeNow()) {}
+      node_(options_.node, options_.seed, runtime::BootTimeNow()) {}
 
 RequestDriver::~RequestDriver() { Stop(); }
 
@@ -86,7 +86,7 @@
     std::vector<routing::RouterEffects> effects;
     for (const Pending* pending = events; pending != nullptr; pending = pending->next) {
       // Read under the lock, so that the node's time never goes back.
-      effects.push_back(pending->event(node_, platform::BootTimeNow()));
+      effects.push_back(pending->event(node_, runtime::BootTimeNow()));
       // Before anyone can cancel them.
       for (const routing::AttemptSend& send : effects.back().sends)
         upstream_.Announce(send.attempt);
@@ -107,7 +107,7 @@
 auto RequestDriver::LookAt(Look&& look) {
   auto seen = [&] {
     const std::lock_guard lock(node_mutex_);
-    return look(node_, platform::BootTimeNow());
+    return look(node_, runtime::BootTimeNow());
   }();
   RunPending();  // Whoever queued an event meanwhile relies on us.
   return seen;
@@ -258,10 +258,10 @@
 
 void RequestDriver::TickUntilStopped() {
   constexpr Duration kReapInterval{1'000'000};
-  Instant reap_at = platform::BootTimeNow();
+  Instant reap_at = runtime::BootTimeNow();
   for (;;) {
     RunEvent([](routing::RouterNode& node, Instant now) { return node.Tick(now); });
-    const Instant now = platform::BootTimeNow();
+    const Instant now = runtime::BootTimeNow();
     if (now >= reap_at) {
       upstream_.Reap(now);
       reap_at = now + kReapInterval;
--- a/src/http/socket_connect.cc
+++ b/src/http/socket_connect.cc
@@ -11,7 +11,7 @@
 #include <cerrno>
 #include <string>
 
-#include "src/platform/clock.h"
+#include "src/runtime/clock.h"
 
 namespace graniteseam::http {
 
@@ -19,7 +19,7 @@
 
 bool FinishConnecting(int descriptor, Instant deadline) {
   for (;;) {
-    const Duration left = deadline - platform::BootTimeNow();
+    const Duration left = deadline - runtime::BootTimeNow();
     if (left <= Duration{0}) return false;
     constexpr std::int64_t kWaitMaximumMs = 60'000;
     pollfd poll_entry{descriptor, POLLOUT, 0};
@@ -35,7 +35,7 @@
 
 }  // namespace
 
-int ConnectWithin(const platform::SocketAddress& address, Instant deadline) {
+int ConnectWithin(const runtime::SocketAddress& address, Instant deadline) {
   addrinfo hints{};
   hints.ai_socktype = SOCK_STREAM;
   hints.ai_flags = AI_NUMERICHOST | AI_NUMERICSERV;
--- a/src/http/socket_connect.h
+++ b/src/http/socket_connect.h
@@ -3,12 +3,12 @@
 #pragma once
 
 #include "graniteseam/common/time.h"
-#include "src/platform/socket_address.h"
+#include "src/runtime/socket_address.h"
 
 namespace graniteseam::http {
 
 /// Connects a blocking socket without delay of small writes (TCP_NODELAY).
 /// @return the descriptor, owned by the caller, or -1.
-int ConnectWithin(const platform::SocketAddress& address, Instant deadline);
+int ConnectWithin(const runtime::SocketAddress& address, Instant deadline);
 
 }  // namespace graniteseam::http
--- a/src/http/tls.cc
+++ b/src/http/tls.cc
@@ -9,8 +9,8 @@
 #include <mutex>
 #include <utility>
 
-#include "src/platform/clock.h"
-#include "src/platform/log.h"
+#include "src/runtime/clock.h"
+#include "src/runtime/log.h"
 
 namespace graniteseam::http {
 namespace {
@@ -82,7 +82,7 @@
         files(std::move(files_of)),
         current(std::move(loaded)),
         times(TimesOf(files)),
-        next_look(platform::BootTimeNow() + kLookInterval) {}
+        next_look(runtime::BootTimeNow() + kLookInterval) {}
 
   void ReloadIfChanged();
 
@@ -96,13 +96,13 @@
 };
 
 void TlsContext::Impl::ReloadIfChanged() {
-  const Instant now = platform::BootTimeNow();
+  const Instant now = runtime::BootTimeNow();
   if (now < next_look) return;
   next_look = now + kLookInterval;
   const ChangeTimes found = TimesOf(files);
   if (found == times) return;
   times = found;
-  const platform::Logger log("tls");
+  const runtime::Logger log("tls");
   const auto loaded = Attempt([&] { return LoadContext(side, files); });
   if (const Error* error = ErrorOf(loaded)) return log.Error(*error);
   current = std::get<std::shared_ptr<SSL_CTX>>(loaded);
--- a/src/http/tls.h
+++ b/src/http/tls.h
@@ -7,8 +7,8 @@
 #include <string>
 
 #include "graniteseam/common/error.h"
-#include "src/platform/settings.h"
-#include "src/platform/socket_address.h"
+#include "src/runtime/settings.h"
+#include "src/runtime/socket_address.h"
 
 struct ssl_st;
 struct ssl_ctx_st;
@@ -62,11 +62,11 @@
 /// Declares `http_tls_certificate`, `http_tls_key` and `http_tls_client_ca` of a program's HTTP
 /// port, and refuses to serve plain HTTP on another address than loopback. The pointers must stay
 /// valid until Read().
-void AddServerTlsSettings(platform::SettingsReader& reader, TlsFiles& files,
-                          const platform::SocketAddress* own);
+void AddServerTlsSettings(runtime::SettingsReader& reader, TlsFiles& files,
+                          const runtime::SocketAddress* own);
 
 /// Declares `server_tls_ca`, `server_tls_certificate` and `server_tls_key` of connections to the
 /// users' servers.
-void AddUpstreamTlsSettings(platform::SettingsReader& reader, TlsFiles& files);
+void AddUpstreamTlsSettings(runtime::SettingsReader& reader, TlsFiles& files);
 
 }  // namespace graniteseam::http
--- a/src/http/tls_settings.cc
+++ b/src/http/tls_settings.cc
@@ -4,7 +4,7 @@
 namespace graniteseam::http {
 namespace {
 
-using platform::SettingFault;
+using runtime::SettingFault;
 
 void CheckLoads(TlsContext::Side side, const TlsFiles& files, const std::string& key,
                 std::vector<SettingFault>& faults) {
@@ -14,12 +14,12 @@
   }
 }
 
-void CheckServer(const TlsFiles& files, const platform::SocketAddress& own,
+void CheckServer(const TlsFiles& files, const runtime::SocketAddress& own,
                  std::vector<SettingFault>& faults) {
   if (!files.Empty()) {
     return CheckLoads(TlsContext::Side::kServer, files, "http_tls_certificate", faults);
   }
-  if (platform::IsLoopback(own)) return;
+  if (runtime::IsLoopback(own)) return;
   faults.push_back({"settings", "http_tls_certificate",
                     "Plain HTTP would be served beyond this machine.",
                     "Set http_tls_certificate and http_tls_key, or use a loopback address."});
@@ -27,8 +27,8 @@
 
 }  // namespace
 
-void AddServerTlsSettings(platform::SettingsReader& reader, TlsFiles& files,
-                          const platform::SocketAddress* own) {
+void AddServerTlsSettings(runtime::SettingsReader& reader, TlsFiles& files,
+                          const runtime::SocketAddress* own) {
   reader.AddText("http_tls_certificate", "Certificate (PEM, with its chain) of the HTTP port.",
                  files.certificate);
   reader.AddText("http_tls_key", "Private key (PEM) of that certificate.", files.key);
@@ -39,7 +39,7 @@
       [&files, own](std::vector<SettingFault>& faults) { CheckServer(files, *own, faults); });
 }
 
-void AddUpstreamTlsSettings(platform::SettingsReader& reader, TlsFiles& files) {
+void AddUpstreamTlsSettings(runtime::SettingsReader& reader, TlsFiles& files) {
   reader.AddText("server_tls_ca",
                  "Authorities (PEM) of the users' servers; needed for servers beyond loopback.",
                  files.authorities);
--- /dev/null
+++ b/src/http/traffic_json.cc
@@ -0,0 +1,288 @@
+#include "src/http/traffic_json.h"
+
+#include <openssl/sha.h>
+
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "graniteseam/common/hex.h"
+
+namespace graniteseam::http {
+namespace {
+
+using nlohmann::json;
+
+constexpr char kRemedy[] = "Send what docs/interface/traffic.md describes.";
+constexpr char kVersion[] = "version";
+constexpr char kRoutes[] = "routes";
+constexpr char kServices[] = "services";
+constexpr char kLimits[] = "limits";
+
+boost::leaf::error_id Wrong(const std::string& path, const std::string& wanted) {
+  return Fail(ErrorKind::kMalformedMessage, "The value \"" + path + "\" is not " + wanted + ".",
+              kRemedy);
+}
+
+/// Reads members of one JSON object, with the path of each for messages.
+class ObjectReader {
+ public:
+  ObjectReader(const json& object, std::string path) : object_(object), path_(std::move(path)) {}
+
+  bool Has(const char* key) const {
+    const auto found = object_.find(key);
+    return found != object_.end() && !found->is_null();
+  }
+
+  Result<void> Text(const char* key, std::string& value) const {
+    const auto found = object_.find(key);
+    if (found == object_.end() || !found->is_string()) return Wrong(Path(key), "a text");
+    value = found->get<std::string>();
+    return {};
+  }
+
+  /// A whole number of 0 or more; also in the form 1500.0.
+  Result<void> Whole(const char* key, std::int64_t& value) const {
+    const auto found = object_.find(key);
+    const bool number = found != object_.end() && found->is_number();
+    if (!number) return Wrong(Path(key), "a number");
+    const double real = found->get<double>();
+    constexpr double kLargest = 9e15;
+    if (real < 0 || real > kLargest) return Wrong(Path(key), "a number of 0 or more");
+    value =
+        found->is_number_integer() ? found->get<std::int64_t>() : static_cast<std::int64_t>(real);
+    return {};
+  }
+
+  Result<void> OptionalWhole(const char* key, std::int64_t& value) const {
+    return Has(key) ? Whole(key, value) : Result<void>();
+  }
+
+  Result<void> Number(const char* key, double& value) const {
+    const auto found = object_.find(key);
+    if (found == object_.end() || !found->is_number()) return Wrong(Path(key), "a number");
+    value = found->get<double>();
+    return {};
+  }
+
+  Result<void> OptionalFlag(const char* key, bool& value) const {
+    if (!Has(key)) return {};
+    const json& flag = object_[key];
+    if (!flag.is_boolean()) return Wrong(Path(key), "true or false");
+    value = flag.get<bool>();
+    return {};
+  }
+
+  std::string Path(const std::string& key) const { return path_.empty() ? key : path_ + "." + key; }
+
+ private:
+  const json& object_;
+  const std::string path_;
+};
+
+Result<traffic::WeightedService> ReadPart(const json& value, const std::string& path) {
+  if (!value.is_object()) return Wrong(path, "an object");
+  const ObjectReader reader(value, path);
+  traffic::WeightedService part;
+  BOOST_LEAF_CHECK(reader.Text("service", part.service.value));
+  BOOST_LEAF_CHECK(reader.Number("weight", part.weight));
+  return part;
+}
+
+Result<void> ReadSplit(const json& value, const ObjectReader& reader, traffic::Route& route) {
+  constexpr double kOnlyPart = 100;
+  if (!reader.Has("split")) {
+    traffic::WeightedService whole;
+    BOOST_LEAF_CHECK(reader.Text("service", whole.service.value));
+    whole.weight = kOnlyPart;
+    route.split.push_back(std::move(whole));
+    return {};
+  }
+  const json& split = value["split"];
+  if (!split.is_array() || split.empty()) return Wrong(reader.Path("split"), "a list of parts");
+  for (const json& element : split) {
+    BOOST_LEAF_AUTO(part, ReadPart(element, reader.Path("split")));
+    route.split.push_back(std::move(part));
+  }
+  return {};
+}
+
+Result<traffic::Route> ReadRoute(const json& value, const std::string& path) {
+  if (!value.is_object()) return Wrong(path, "an object");
+  const ObjectReader reader(value, path);
+  traffic::Route route;
+  BOOST_LEAF_CHECK(reader.Text("name", route.name.value));
+  BOOST_LEAF_CHECK(reader.Text("host", route.host));
+  BOOST_LEAF_CHECK(reader.Text("path_prefix", route.path_prefix));
+  std::string kind;
+  BOOST_LEAF_CHECK(reader.Text("kind", kind));
+  if (kind != "safe" && kind != "unsafe") return Wrong(reader.Path("kind"), "safe or unsafe");
+  route.kind = kind == "safe" ? traffic::RouteKind::kSafe : traffic::RouteKind::kUnsafe;
+  BOOST_LEAF_CHECK(reader.Whole("timeout_ms", route.timeout_ms));
+  BOOST_LEAF_CHECK(reader.OptionalWhole("target_latency_ms", route.target_latency_ms));
+  BOOST_LEAF_CHECK(reader.OptionalWhole("priority", route.priority));
+  BOOST_LEAF_CHECK(reader.OptionalWhole("attempts_maximum", route.attempts_maximum));
+  BOOST_LEAF_CHECK(ReadSplit(value, reader, route));
+  route.source = value.dump();
+  return route;
+}
+
+Result<traffic::Service> ReadService(const json& value, const std::string& path) {
+  if (!value.is_object()) return Wrong(path, "an object");
+  const ObjectReader reader(value, path);
+  traffic::Service service;
+  BOOST_LEAF_CHECK(reader.Text("name", service.name.value));
+  if (reader.Has("health_path")) {
+    BOOST_LEAF_CHECK(reader.Text("health_path", service.health_path));
+  }
+  BOOST_LEAF_CHECK(reader.OptionalWhole("connections_maximum", service.connections_maximum));
+  BOOST_LEAF_CHECK(reader.OptionalFlag("keyed", service.keyed));
+  service.source = value.dump();
+  return service;
+}
+
+Result<traffic::CallerLimits> ReadLimits(const json& value) {
+  if (!value.is_object()) return Wrong(kLimits, "an object");
+  const ObjectReader reader(value, kLimits);
+  traffic::CallerLimits limits;
+  BOOST_LEAF_CHECK(reader.OptionalWhole("header_bytes_maximum", limits.header_bytes_maximum));
+  BOOST_LEAF_CHECK(reader.OptionalWhole("body_bytes_maximum", limits.body_bytes_maximum));
+  BOOST_LEAF_CHECK(reader.OptionalWhole("header_timeout_ms", limits.header_timeout_ms));
+  BOOST_LEAF_CHECK(reader.OptionalWhole("idle_timeout_ms", limits.idle_timeout_ms));
+  limits.source = value.dump();
+  return limits;
+}
+
+template <class Item, class ReadItem>
+Result<void> ReadItems(const json& object, const char* key, ReadItem read_item,
+                       std::vector<Item>& items) {
+  const auto found = object.find(key);
+  if (found == object.end()) return {};
+  if (!found->is_array()) return Wrong(key, "a list");
+  for (const json& element : *found) {
+    const std::string path = std::string(key) + "[" + std::to_string(items.size()) + "]";
+    BOOST_LEAF_AUTO(item, read_item(element, path));
+    items.push_back(std::move(item));
+  }
+  return {};
+}
+
+Result<void> ReadAllItems(const json& object, traffic::ConfigurationChange& change) {
+  BOOST_LEAF_CHECK(ReadItems(object, kRoutes, ReadRoute, change.routes));
+  BOOST_LEAF_CHECK(ReadItems(object, kServices, ReadService, change.services));
+  if (const auto limits = object.find(kLimits); limits != object.end()) {
+    BOOST_LEAF_ASSIGN(change.limits, ReadLimits(*limits));
+  }
+  return {};
+}
+
+template <class Name>
+Result<void> ReadNames(const json& object, const char* key, std::vector<Name>& names) {
+  const auto found = object.find(key);
+  if (found == object.end()) return {};
+  if (!found->is_array()) return Wrong(key, "a list of names");
+  for (const json& element : *found) {
+    if (!element.is_string()) return Wrong(key, "a list of names");
+    names.push_back(Name{element.get<std::string>()});
+  }
+  return {};
+}
+
+/// Tells a change that was sent again from another one.
+std::string DigestOf(const char* what, traffic::ConfigurationVersion base,
+                     const std::string& text) {
+  const std::string whole = what + std::to_string(base.value) + "\n" + text;
+  unsigned char digest[SHA256_DIGEST_LENGTH] = {};
+  ::SHA256(reinterpret_cast<const unsigned char*>(whole.data()), whole.size(), digest);
+  return ToHex(digest, sizeof(digest));
+}
+
+Result<json> ReadObject(const std::string& text) {
+  json object = json::parse(text, nullptr, /*allow_exceptions=*/false);
+  if (object.is_discarded() || !object.is_object()) {
+    return Fail(ErrorKind::kMalformedMessage, "The body is not one JSON object.", kRemedy);
+  }
+  return object;
+}
+
+Result<traffic::ConfigurationChange> BeginChange(const json& object,
+                                                 traffic::ConfigurationVersion base) {
+  traffic::ConfigurationChange change;
+  change.base = base;
+  std::int64_t version = 0;
+  BOOST_LEAF_CHECK(ObjectReader(object, "").Whole(kVersion, version));
+  change.version.value = static_cast<std::uint64_t>(version);
+  return change;
+}
+
+template <class Item>
+json SourcesOf(const std::vector<Item>& items) {
+  json sources = json::array();
+  for (const Item& item : items) sources.push_back(json::parse(item.source));
+  return sources;
+}
+
+}  // namespace
+
+Result<traffic::ConfigurationChange> ReadConfiguration(const std::string& text,
+                                                       traffic::ConfigurationVersion base) {
+  BOOST_LEAF_AUTO(object, ReadObject(text));
+  BOOST_LEAF_AUTO(change, BeginChange(object, base));
+  change.whole = true;
+  if (!object.contains(kRoutes)) return Wrong(kRoutes, "given");
+  if (!object.contains(kServices)) return Wrong(kServices, "given");
+  BOOST_LEAF_CHECK(ReadAllItems(object, change));
+  json further = object;
+  for (const char* key : {kVersion, kRoutes, kServices, kLimits}) further.erase(key);
+  if (!further.empty()) change.further = further.dump();
+  change.digest = DigestOf("whole", base, text);
+  return change;
+}
+
+Result<traffic::ConfigurationChange> ReadConfigurationPatch(const std::string& text,
+                                                            traffic::ConfigurationVersion base) {
+  BOOST_LEAF_AUTO(object, ReadObject(text));
+  BOOST_LEAF_AUTO(change, BeginChange(object, base));
+  if (const auto set = object.find("set"); set != object.end()) {
+    if (!set->is_object()) return Wrong("set", "an object");
+    BOOST_LEAF_CHECK(ReadAllItems(*set, change));
+  }
+  if (const auto remove = object.find("remove"); remove != object.end()) {
+    if (!remove->is_object()) return Wrong("remove", "an object");
+    BOOST_LEAF_CHECK(ReadNames(*remove, kRoutes, change.removed_routes));
+    BOOST_LEAF_CHECK(ReadNames(*remove, kServices, change.removed_services));
+  }
+  change.digest = DigestOf("patch", base, text);
+  return change;
+}
+
+std::string ToJson(const traffic::Configuration& configuration) {
+  json object = configuration.further.empty() ? json::object() : json::parse(configuration.further);
+  object[kVersion] = configuration.version.value;
+  object[kRoutes] = SourcesOf(configuration.routes);
+  object[kServices] = SourcesOf(configuration.services);
+  if (!configuration.limits.source.empty()) {
+    object[kLimits] = json::parse(configuration.limits.source);
+  }
+  return object.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+Result<traffic::InstanceReport> ReadHeartbeat(const std::string& text,
+                                              const traffic::InstanceId& id) {
+  BOOST_LEAF_AUTO(object, ReadObject(text));
+  const ObjectReader reader(object, "");
+  traffic::InstanceReport report;
+  report.id = id;
+  BOOST_LEAF_CHECK(reader.Text("service", report.service.value));
+  BOOST_LEAF_CHECK(reader.Text("address", report.address));
+  if (reader.Has("zone")) BOOST_LEAF_CHECK(reader.Text("zone", report.zone.value));
+  if (reader.Has("version")) BOOST_LEAF_CHECK(reader.Text("version", report.release));
+  BOOST_LEAF_CHECK(reader.OptionalWhole("slots", report.slots));
+  BOOST_LEAF_CHECK(reader.Whole("sequence", report.sequence));
+  BOOST_LEAF_CHECK(reader.OptionalWhole("warmup_left_ms", report.warmup_left_ms));
+  std::string state = "ready";
+  if (reader.Has("state")) BOOST_LEAF_CHECK(reader.Text("state", state));
+  report.draining = state == "draining";
+  return report;
+}
+
+}  // namespace graniteseam::http
--- a/src/http/upstream_client.cc
+++ b/src/http/upstream_client.cc
@@ -5,8 +5,8 @@
 #include <optional>
 
 #include "src/http/header_rules.h"
-#include "src/platform/clock.h"
-#include "src/platform/socket_address.h"
+#include "src/runtime/clock.h"
+#include "src/runtime/socket_address.h"
 
 namespace graniteseam::http {
 
@@ -114,12 +114,12 @@
 }
 
 std::unique_ptr<UpstreamConnection> UpstreamClient::Open(const routing::AttemptSend& send) const {
-  const Outcome<platform::SocketAddress> address =
-      graniteseam::Attempt([&] { return platform::ParseSocketAddress(send.address); });
+  const Outcome<runtime::SocketAddress> address =
+      graniteseam::Attempt([&] { return runtime::ParseSocketAddress(send.address); });
   if (ErrorOf(address) != nullptr) return nullptr;
   return UpstreamConnection::Open(
-      std::get<platform::SocketAddress>(address),
-      std::min(send.give_up_at, platform::BootTimeNow() + options_.connect_maximum),
+      std::get<runtime::SocketAddress>(address),
+      std::min(send.give_up_at, runtime::BootTimeNow() + options_.connect_maximum),
       options_.tls.get());
 }
 
@@ -129,7 +129,7 @@
   answer.result.request = send.request;
   answer.result.attempt = send.attempt;
   answer.result.end = AttemptEnd::kNotSent;
-  std::unique_ptr<UpstreamConnection> kept = pool_.Take(send.address, platform::BootTimeNow());
+  std::unique_ptr<UpstreamConnection> kept = pool_.Take(send.address, runtime::BootTimeNow());
   // A kept connection that breaks before a byte of the request went out says nothing about the
   // server: a new one is tried.
   if (!kept || !Exchange(send, request, std::move(kept), answer)) {
@@ -143,7 +143,7 @@
 bool UpstreamClient::Exchange(const routing::AttemptSend& send, const ForwardedRequest& request,
                               std::unique_ptr<UpstreamConnection> connection,
                               UpstreamAnswer& answer) {
-  httplib::Request outgoing = BuildRequest(send, request, platform::BootTimeNow());
+  httplib::Request outgoing = BuildRequest(send, request, runtime::BootTimeNow());
   httplib::Response response;
   // Attached only while the connection is this attempt's: Cancel() can not reach it later.
   const bool wanted = Attach(send.attempt, *connection);
@@ -169,7 +169,7 @@
   }
   answer.body = std::move(response.body);
   if (!cancelled && !connection->close_asked()) {
-    pool_.Keep(send.address, std::move(connection), platform::BootTimeNow());
+    pool_.Keep(send.address, std::move(connection), runtime::BootTimeNow());
   }
   return true;
 }
--- a/src/http/upstream_connection.cc
+++ b/src/http/upstream_connection.cc
@@ -29,9 +29,9 @@
 
 }  // namespace
 
-std::unique_ptr<UpstreamConnection> UpstreamConnection::Open(const platform::SocketAddress& address,
+std::unique_ptr<UpstreamConnection> UpstreamConnection::Open(const runtime::SocketAddress& address,
                                                              Instant deadline, TlsContext* tls) {
-  if (tls == nullptr && !platform::IsLoopback(address)) return nullptr;
+  if (tls == nullptr && !runtime::IsLoopback(address)) return nullptr;
   const int descriptor = ConnectWithin(address, deadline);
   if (descriptor < 0) return nullptr;
   auto connection =
@@ -42,7 +42,7 @@
   return connection;
 }
 
-UpstreamConnection::UpstreamConnection(const platform::SocketAddress& address, int descriptor)
+UpstreamConnection::UpstreamConnection(const runtime::SocketAddress& address, int descriptor)
     : httplib::ClientImpl(address.ip, address.port),
       descriptor_(descriptor),
       stream_(descriptor, kReadTick) {
--- a/src/http/upstream_connection.h
+++ b/src/http/upstream_connection.h
@@ -11,7 +11,7 @@
 
 #include "graniteseam/common/time.h"
 #include "src/http/bounded_stream.h"
-#include "src/platform/socket_address.h"
+#include "src/runtime/socket_address.h"
 
 namespace graniteseam::http {
 
@@ -35,7 +35,7 @@
  public:
   /// @param tls null for plain HTTP, which only a loopback address gets.
   /// @return nullptr when there was no connection by the deadline.
-  static std::unique_ptr<UpstreamConnection> Open(const platform::SocketAddress& address,
+  static std::unique_ptr<UpstreamConnection> Open(const runtime::SocketAddress& address,
                                                   Instant deadline, TlsContext* tls = nullptr);
   ~UpstreamConnection() override;
   UpstreamConnection(const UpstreamConnection&) = delete;
@@ -55,7 +55,7 @@
   void Cancel();
 
  private:
-  UpstreamConnection(const platform::SocketAddress& address, int descriptor);
+  UpstreamConnection(const runtime::SocketAddress& address, int descriptor);
 
   int descriptor_;
   BoundedStream stream_;
--- a/src/protocol/connection.cc
+++ b/src/protocol/connection.cc
@@ -28,14 +28,14 @@
 
 }  // namespace
 
-ConnectionMetrics::ConnectionMetrics(platform::MetricsRegistry& metrics_registry)
+ConnectionMetrics::ConnectionMetrics(runtime::MetricsRegistry& metrics_registry)
     : registry(metrics_registry),
-      connections(registry.Gauge(platform::Metric::kTransportConnections)),
-      frames_sent(registry.Counter(platform::Metric::kTransportFramesSent)),
-      frames_received(registry.Counter(platform::Metric::kTransportFramesReceived)),
-      bytes_sent(registry.Counter(platform::Metric::kTransportBytesSent)),
-      bytes_received(registry.Counter(platform::Metric::kTransportBytesReceived)),
-      frames_dropped(registry.Counter(platform::Metric::kTransportFramesDropped)) {}
+      connections(registry.Gauge(runtime::Metric::kTransportConnections)),
+      frames_sent(registry.Counter(runtime::Metric::kTransportFramesSent)),
+      frames_received(registry.Counter(runtime::Metric::kTransportFramesReceived)),
+      bytes_sent(registry.Counter(runtime::Metric::kTransportBytesSent)),
+      bytes_received(registry.Counter(runtime::Metric::kTransportBytesReceived)),
+      frames_dropped(registry.Counter(runtime::Metric::kTransportFramesDropped)) {}
 
 Connection::Connection(Socket socket, Side side, Hello own_hello, InternalTls& tls,
                        ConnectionMetrics& metrics, ConnectionLimits limits)
@@ -236,7 +236,7 @@
 void Connection::Refuse(const Error& reason) {
   if (closed_ || refused_) return;
   metrics_.registry
-      .Counter(platform::Metric::kTransportConnectionsRefused,
+      .Counter(runtime::Metric::kTransportConnectionsRefused,
                {{"kind", std::string(ErrorKindName(reason.kind))}})
       .Increment();
   const Refusal refusal{std::string(ErrorKindName(reason.kind)), reason.message, reason.remedy};
--- a/src/protocol/connection.h
+++ b/src/protocol/connection.h
@@ -11,25 +11,25 @@
 #include <optional>
 #include <string>
 
-#include "src/platform/metrics.h"
 #include "src/protocol/connection_limits.h"
 #include "src/protocol/frame.h"
 #include "src/protocol/hello.h"
 #include "src/protocol/internal_tls.h"
+#include "src/runtime/metrics.h"
 
 namespace graniteseam::protocol {
 
 /// Statistics of framed connections.
 struct ConnectionMetrics {
-  explicit ConnectionMetrics(platform::MetricsRegistry& registry);
-
-  platform::MetricsRegistry& registry;
-  platform::GaugeHandle connections;
-  platform::CounterHandle frames_sent;
-  platform::CounterHandle frames_received;
-  platform::CounterHandle bytes_sent;
-  platform::CounterHandle bytes_received;
-  platform::CounterHandle frames_dropped;
+  explicit ConnectionMetrics(runtime::MetricsRegistry& registry);
+
+  runtime::MetricsRegistry& registry;
+  runtime::GaugeHandle connections;
+  runtime::CounterHandle frames_sent;
+  runtime::CounterHandle frames_received;
+  runtime::CounterHandle bytes_sent;
+  runtime::CounterHandle bytes_received;
+  runtime::CounterHandle frames_dropped;
 };
 
 /// A connection with its hello exchange, bounded output queue and time limits.
--- a/src/protocol/dialer.cc
+++ b/src/protocol/dialer.cc
@@ -3,8 +3,8 @@
 #include <boost/asio/ip/address.hpp>
 #include <utility>
 
-#include "src/platform/clock.h"
-#include "src/platform/log.h"
+#include "src/runtime/clock.h"
+#include "src/runtime/log.h"
 
 namespace graniteseam::protocol {
 namespace {
@@ -17,7 +17,7 @@
 
 }  // namespace
 
-Dialer::Dialer(asio::io_context& context, platform::SocketAddress address, Hello own_hello,
+Dialer::Dialer(asio::io_context& context, runtime::SocketAddress address, Hello own_hello,
                InternalTls& tls, ConnectionMetrics& metrics, Handlers handlers)
     : context_(context),
       address_(std::move(address)),
@@ -28,7 +28,7 @@
       socket_(context),
       timer_(context),
       delay_(kFirstDelay),
-      jitter_(static_cast<std::uint32_t>(platform::RandomBits())) {}
+      jitter_(static_cast<std::uint32_t>(runtime::RandomBits())) {}
 
 void Dialer::Start() { Dial(); }
 
@@ -94,7 +94,7 @@
 void Dialer::DialLater(const std::string& reason) {
   if (reason != last_reason_) {
     last_reason_ = reason;
-    platform::Logger("internal").Info("No connection to {}: {}", ToString(address_), reason);
+    runtime::Logger("internal").Info("No connection to {}: {}", ToString(address_), reason);
   }
   // Between half and the whole of the delay, so that many dialers do not come back together.
   std::uniform_int_distribution<std::int64_t> spread(delay_.count() / 2, delay_.count());
--- a/src/protocol/dialer.h
+++ b/src/protocol/dialer.h
@@ -7,8 +7,8 @@
 #include <random>
 #include <string>
 
-#include "src/platform/socket_address.h"
 #include "src/protocol/connection.h"
+#include "src/runtime/socket_address.h"
 
 namespace graniteseam::protocol {
 
@@ -23,7 +23,7 @@
     std::function<void()> on_disconnected;
   };
 
-  Dialer(boost::asio::io_context& context, platform::SocketAddress address, Hello own_hello,
+  Dialer(boost::asio::io_context& context, runtime::SocketAddress address, Hello own_hello,
          InternalTls& tls, ConnectionMetrics& metrics, Handlers handlers);
 
   void Start();
@@ -33,7 +33,7 @@
   bool Send(std::string_view payload);
 
   bool connected() const { return connection_ != nullptr && connection_->ready(); }
-  const platform::SocketAddress& address() const { return address_; }
+  const runtime::SocketAddress& address() const { return address_; }
 
  private:
   void Dial();
@@ -43,7 +43,7 @@
   void DialLater(const std::string& reason);
 
   boost::asio::io_context& context_;
-  platform::SocketAddress address_;
+  runtime::SocketAddress address_;
   Hello own_hello_;
   InternalTls& tls_;
   ConnectionMetrics& metrics_;
--- a/src/protocol/hello.cc
+++ b/src/protocol/hello.cc
@@ -25,15 +25,22 @@
   return hello;
 }
 
-std::string HttpAddressOf(const Hello& hello) {
+namespace {
+
+/// What follows a feature's prefix; empty when the hello does not have it.
+std::string FeatureOf(const Hello& hello, std::string_view prefix) {
   for (const std::string& feature : hello.features) {
-    if (feature.starts_with(kHttpAddressFeature)) {
-      return feature.substr(std::string_view(kHttpAddressFeature).size());
-    }
+    if (feature.starts_with(prefix)) return feature.substr(prefix.size());
   }
   return "";
 }
 
+}  // namespace
+
+ServedAddresses ServedAddressesOf(const Hello& hello) {
+  return {FeatureOf(hello, kHttpAddressFeature), FeatureOf(hello, kRegistryAddressFeature)};
+}
+
 Result<std::int32_t> AgreeVersion(const Hello& own, const Hello& peer) {
   const std::int32_t agreed = std::min(own.newest_version, peer.newest_version);
   if (agreed < std::max(own.oldest_version, peer.oldest_version)) {
--- a/src/protocol/hello.h
+++ b/src/protocol/hello.h
@@ -14,8 +14,8 @@
 namespace graniteseam::protocol {
 
 /// The newest version of the internal protocol that this build speaks, and the oldest.
-inline constexpr std::int32_t kProtocolVersion = 1;
-inline constexpr std::int32_t kOldestProtocolVersion = 1;
+inline constexpr std::int32_t kProtocolVersion = 2;
+inline constexpr std::int32_t kOldestProtocolVersion = 2;
 
 enum class ProcessKind { kControl, kRouter };
 BOOST_DESCRIBE_ENUM(ProcessKind, kControl, kRouter)
@@ -53,8 +53,17 @@
 /// The feature by which a control process says where operators reach it: prefix, then "ip:port".
 inline constexpr char kHttpAddressFeature[] = "http_address=";
 
-/// The operators' address that a hello names; empty when it names none.
-std::string HttpAddressOf(const Hello& hello);
+/// The same for instances that register themselves and for traffic's operators.
+inline constexpr char kRegistryAddressFeature[] = "registry_address=";
+
+/// Where a control process is reached from outside; each empty when it did not say.
+struct ServedAddresses {
+  std::string http;      ///< By operators.
+  std::string registry;  ///< By instances, and by operators of the traffic configuration.
+};
+
+/// The addresses that a hello names.
+ServedAddresses ServedAddressesOf(const Hello& hello);
 
 /// Agrees on the newest version that both sides speak.
 /// @return that version; kIncompatibleFormat when there is none, or when both claim the same newest
--- a/src/protocol/internal_security.h
+++ b/src/protocol/internal_security.h
@@ -12,6 +12,9 @@
 /// plain; programs refuse that on addresses other than loopback.
 struct InternalSecurity {
   std::string secret_file;  ///< Path; empty means plain connections.
+  /// The operator vouches that nobody else reaches the internal addresses: plain connections are
+  /// then taken beyond loopback too.
+  bool trusted_network = false;
 };
 
 }  // namespace graniteseam::protocol
--- a/src/protocol/internal_server.cc
+++ b/src/protocol/internal_server.cc
@@ -6,8 +6,8 @@
 #include <utility>
 
 #include "graniteseam/codec/codec.h"
-#include "src/platform/log.h"
 #include "src/protocol/connection.h"
+#include "src/runtime/log.h"
 
 namespace graniteseam::protocol {
 
@@ -16,8 +16,8 @@
 /// Everything below runs on the event loop's thread, save Start() and port().
 class InternalServer::Impl : public std::enable_shared_from_this<InternalServer::Impl> {
  public:
-  Impl(InternalServerOptions options, platform::EventLoop& loop,
-       platform::MetricsRegistry& registry, Handlers handlers)
+  Impl(InternalServerOptions options, runtime::EventLoop& loop, runtime::MetricsRegistry& registry,
+       Handlers handlers)
       : options_(std::move(options)),
         loop_(loop),
         metrics_(registry),
@@ -30,7 +30,7 @@
   void SendToRouter(RouterConnectionId id, const std::string& payload);
   void Disconnect();
 
-  platform::EventLoop& loop() { return loop_; }
+  runtime::EventLoop& loop() { return loop_; }
   std::uint16_t port() const { return port_; }
 
  private:
@@ -45,7 +45,7 @@
   void OnClosed(RouterConnectionId id, const Error& reason);
 
   InternalServerOptions options_;
-  platform::EventLoop& loop_;
+  runtime::EventLoop& loop_;
   ConnectionMetrics metrics_;
   InternalTls tls_;
   Handlers handlers_;
@@ -53,7 +53,7 @@
   std::uint16_t port_ = 0;
   std::map<RouterConnectionId, Client> clients_;
   RouterConnectionId next_id_ = 1;
-  platform::Logger log_{"internal"};
+  runtime::Logger log_{"internal"};
 };
 
 Result<void> InternalServer::Impl::Start() {
@@ -86,7 +86,7 @@
 void InternalServer::Impl::Take(Connection::Socket socket) {
   if (clients_.size() >= options_.connections_maximum) {
     metrics_.registry
-        .Counter(platform::Metric::kTransportConnectionsRefused,
+        .Counter(runtime::Metric::kTransportConnectionsRefused,
                  {{"kind", std::string(ErrorKindName(ErrorKind::kOverloaded))}})
         .Increment();
     return;  // Destroying the socket closes it.
@@ -114,7 +114,7 @@
   log_.Info("Connected: {} {}.", peer.kind == ProcessKind::kRouter ? "router" : "control",
             peer.name);
   if (peer.kind == ProcessKind::kControl) {
-    handlers_.on_peer_connected(peer.name, HttpAddressOf(peer));
+    handlers_.on_peer_connected(peer.name, ServedAddressesOf(peer));
   }
   return std::nullopt;
 }
@@ -156,8 +156,8 @@
   for (auto& [id, client] : clients_) client.connection->Close();
 }
 
-InternalServer::InternalServer(InternalServerOptions options, platform::EventLoop& loop,
-                               platform::MetricsRegistry& metrics, Handlers handlers)
+InternalServer::InternalServer(InternalServerOptions options, runtime::EventLoop& loop,
+                               runtime::MetricsRegistry& metrics, Handlers handlers)
     : impl_(std::make_shared<Impl>(std::move(options), loop, metrics, std::move(handlers))) {}
 
 InternalServer::~InternalServer() {
--- a/src/protocol/internal_server.h
+++ b/src/protocol/internal_server.h
@@ -10,16 +10,17 @@
 #include "graniteseam/common/error.h"
 #include "graniteseam/consensus/types.h"
 #include "graniteseam/control/router_messages.h"
-#include "src/platform/event_loop.h"
-#include "src/platform/metrics.h"
-#include "src/platform/socket_address.h"
 #include "src/protocol/connection_limits.h"
+#include "src/protocol/hello.h"
 #include "src/protocol/internal_security.h"
+#include "src/runtime/event_loop.h"
+#include "src/runtime/metrics.h"
+#include "src/runtime/socket_address.h"
 
 namespace graniteseam::protocol {
 
 struct InternalServerOptions {
-  platform::SocketAddress address;
+  runtime::SocketAddress address;
   std::string name;  ///< This process's id, for logs at the other side.
   InternalSecurity security;
   /// Connections beyond this are closed at once: bounds memory and descriptors.
@@ -35,16 +36,15 @@
 class InternalServer {
  public:
   struct Handlers {
-    /// @param http_address where operators reach the peer; empty when it did not say.
-    std::function<void(const std::string& name, const std::string& http_address)> on_peer_connected;
+    std::function<void(const std::string& name, const ServedAddresses& served)> on_peer_connected;
     std::function<void(consensus::PeerMessage message)> on_peer_message;
     std::function<void(RouterConnectionId connection, control::RouterToControl message)>
         on_router_message;
     std::function<void(RouterConnectionId connection)> on_router_disconnected;
   };
 
-  InternalServer(InternalServerOptions options, platform::EventLoop& loop,
-                 platform::MetricsRegistry& metrics, Handlers handlers);
+  InternalServer(InternalServerOptions options, runtime::EventLoop& loop,
+                 runtime::MetricsRegistry& metrics, Handlers handlers);
   ~InternalServer();
   InternalServer(const InternalServer&) = delete;
   InternalServer& operator=(const InternalServer&) = delete;
@@ -68,7 +68,7 @@
   std::shared_ptr<Impl> impl_;
   /// Encodes for routers: a whole map of a large fleet takes so long that peers' heartbeats must
   /// not wait for it on the connections' thread.
-  platform::EventLoop encoder_;
+  runtime::EventLoop encoder_;
 };
 
 }  // namespace graniteseam::protocol
--- a/src/protocol/internal_settings.cc
+++ b/src/protocol/internal_settings.cc
@@ -9,26 +9,31 @@
 
 constexpr char kKey[] = "internal_secret_file";
 
-bool OnlyLoopback(const platform::SocketAddress* own,
-                  const std::vector<platform::SocketAddress>* peers) {
-  if (own != nullptr && !platform::IsLoopback(*own)) return false;
-  return peers == nullptr || std::all_of(peers->begin(), peers->end(), platform::IsLoopback);
+bool OnlyLoopback(const runtime::SocketAddress* own,
+                  const std::vector<runtime::SocketAddress>* peers) {
+  if (own != nullptr && !runtime::IsLoopback(*own)) return false;
+  return peers == nullptr || std::all_of(peers->begin(), peers->end(), runtime::IsLoopback);
 }
 
 }  // namespace
 
-void AddInternalSecuritySettings(platform::SettingsReader& reader, InternalSecurity& security,
-                                 const platform::SocketAddress* own,
-                                 const std::vector<platform::SocketAddress>* peers) {
+void AddInternalSecuritySettings(runtime::SettingsReader& reader, InternalSecurity& security,
+                                 const runtime::SocketAddress* own,
+                                 const std::vector<runtime::SocketAddress>* peers) {
   reader.AddText(kKey,
                  "File with the secret that control processes and routers share, one a line; the "
                  "first dials, all are accepted.",
                  security.secret_file);
-  reader.AddCheck([&security, own, peers](std::vector<platform::SettingFault>& faults) {
+  reader.AddSwitch("trusted_network",
+                   "Nobody but this system reaches its internal addresses: they may do without a "
+                   "secret beyond loopback.",
+                   security.trusted_network);
+  reader.AddCheck([&security, own, peers](std::vector<runtime::SettingFault>& faults) {
     if (security.secret_file.empty()) {
-      if (OnlyLoopback(own, peers)) return;
-      faults.push_back({"settings", kKey, "An internal address is not on loopback.",
-                        "Set internal_secret_file, or use loopback addresses only."});
+      if (security.trusted_network || OnlyLoopback(own, peers)) return;
+      faults.push_back(
+          {"settings", kKey, "An internal address is not on loopback.",
+           "Set internal_secret_file, or trusted_network where nobody else reaches it."});
       return;
     }
     const auto keys = Attempt([&] { return ReadSecretFile(security.secret_file); });
--- a/src/protocol/internal_settings.h
+++ b/src/protocol/internal_settings.h
@@ -2,15 +2,15 @@
 /// The settings of internal connections, equal in every program that has any.
 #pragma once
 
-#include "src/platform/settings.h"
 #include "src/protocol/internal_security.h"
+#include "src/runtime/settings.h"
 
 namespace graniteseam::protocol {
 
 /// Declares `internal_secret_file` and checks that it can be read. Without it, every address in
 /// `own` and `peers` must be a loopback address. The pointers must stay valid until Read().
-void AddInternalSecuritySettings(platform::SettingsReader& reader, InternalSecurity& security,
-                                 const platform::SocketAddress* own,
-                                 const std::vector<platform::SocketAddress>* peers);
+void AddInternalSecuritySettings(runtime::SettingsReader& reader, InternalSecurity& security,
+                                 const runtime::SocketAddress* own,
+                                 const std::vector<runtime::SocketAddress>* peers);
 
 }  // namespace graniteseam::protocol
--- a/src/protocol/internal_tls.cc
+++ b/src/protocol/internal_tls.cc
@@ -10,7 +10,7 @@
 #include <utility>
 
 #include "graniteseam/common/hex.h"
-#include "src/platform/log.h"
+#include "src/runtime/log.h"
 
 namespace graniteseam::protocol {
 namespace {
@@ -135,11 +135,11 @@
   keys_->change_time = change_time;
   const auto outcome = Attempt([&] { return ReadSecretFile(security_.secret_file); });
   if (const Error* error = ErrorOf(outcome)) {
-    platform::Logger("internal").Error(*error);
+    runtime::Logger("internal").Error(*error);
     return;
   }
   keys_->keys = std::get<std::vector<InternalKey>>(outcome);
-  platform::Logger("internal").Info("Read the shared secrets again.");
+  runtime::Logger("internal").Info("Read the shared secrets again.");
 }
 
 }  // namespace graniteseam::protocol
--- a/src/protocol/leader_tracker.cc
+++ b/src/protocol/leader_tracker.cc
@@ -26,9 +26,17 @@
     return std::holds_alternative<control::JournalRequest>(message) &&
            journal->sequence == sequence;
   }
+  if (const auto* update = std::get_if<control::TrafficUpdate>(&answer)) {
+    return std::holds_alternative<control::TrafficPoll>(message) && update->sequence == sequence;
+  }
   return false;
 }
 
+/// Whether a newer message of the kind says all that an older one said.
+bool Supersedes(const control::RouterToControl& newer, const control::RouterToControl& older) {
+  return newer.index() == older.index() && !std::holds_alternative<control::JournalRequest>(newer);
+}
+
 }  // namespace
 
 LeaderTracker::LeaderTracker(std::vector<std::string> addresses, Duration silence_limit)
@@ -38,12 +46,8 @@
       silence_limit_(silence_limit) {}
 
 std::vector<LeaderSend> LeaderTracker::OnSend(control::RouterToControl message, Instant now) {
-  if (std::holds_alternative<control::RouterRenewal>(message)) {
-    // A newer renewal says all that an older one said.
-    std::erase_if(pending_, [](const Pending& pending) {
-      return std::holds_alternative<control::RouterRenewal>(pending.message);
-    });
-  }
+  std::erase_if(pending_,
+                [&](const Pending& pending) { return Supersedes(message, pending.message); });
   if (pending_.size() >= kPendingMaximum) pending_.pop_front();
   pending_.push_back({std::move(message), now, now});
   if (!connected_[target_]) return {};  // Goes out on connecting, or when Tick() turns away.
--- a/src/protocol/leader_tracker.h
+++ b/src/protocol/leader_tracker.h
@@ -28,6 +28,7 @@
 
   /// All addresses to keep a connection to; grows with hints.
   const std::vector<std::string>& addresses() const { return addresses_; }
+  void AddAddress(const std::string& address) { IndexOf(address); }
   /// The process believed to lead.
   const std::string& target() const { return addresses_[target_]; }
 
--- a/src/protocol/peer_transport.cc
+++ b/src/protocol/peer_transport.cc
@@ -5,9 +5,9 @@
 #include <utility>
 
 #include "graniteseam/codec/codec.h"
-#include "src/platform/clock.h"
-#include "src/platform/log.h"
 #include "src/protocol/dialer.h"
+#include "src/runtime/clock.h"
+#include "src/runtime/log.h"
 
 namespace graniteseam::protocol {
 namespace {
@@ -21,19 +21,20 @@
 /// Runs on the event loop's thread, save Load().
 class PeerTransport::Impl : public std::enable_shared_from_this<PeerTransport::Impl> {
  public:
-  Impl(const PeerTransportOptions& options, platform::EventLoop& loop,
-       platform::MetricsRegistry& registry)
+  Impl(const PeerTransportOptions& options, runtime::EventLoop& loop,
+       runtime::MetricsRegistry& registry)
       : hello_(MakeHello(ProcessKind::kControl, options.name)),
         tls_(options.security),
         loop_(loop),
         metrics_(registry) {
-    hello_.features.push_back(kHttpAddressFeature + options.http_address);
+    hello_.features.push_back(kHttpAddressFeature + options.served.http);
+    hello_.features.push_back(kRegistryAddressFeature + options.served.registry);
   }
 
   Result<void> Load() { return tls_.Load(); }
 
   void Send(const consensus::PeerMessage& message) {
-    const Instant now = platform::BootTimeNow();
+    const Instant now = runtime::BootTimeNow();
     Peer* const peer = FindOrDial(message.to.address);
     if (peer == nullptr) return;
     peer->last_sent = now;
@@ -46,7 +47,7 @@
     peers_.clear();
   }
 
-  platform::EventLoop& loop() { return loop_; }
+  runtime::EventLoop& loop() { return loop_; }
 
  private:
   struct Peer {
@@ -59,7 +60,7 @@
 
   Hello hello_;
   InternalTls tls_;
-  platform::EventLoop& loop_;
+  runtime::EventLoop& loop_;
   ConnectionMetrics metrics_;
   std::map<std::string, Peer> peers_;
 };
@@ -67,9 +68,9 @@
 PeerTransport::Impl::Peer* PeerTransport::Impl::FindOrDial(const std::string& address) {
   const auto found = peers_.find(address);
   if (found != peers_.end()) return &found->second;
-  const auto parsed = Attempt([&] { return platform::ParseSocketAddress(address); });
+  const auto parsed = Attempt([&] { return runtime::ParseSocketAddress(address); });
   if (const Error* error = ErrorOf(parsed)) {
-    platform::Logger("internal").Warning(*error);
+    runtime::Logger("internal").Warning(*error);
     return nullptr;
   }
   Dialer::Handlers handlers;
@@ -79,7 +80,7 @@
     return Error{ErrorKind::kMalformedMessage, "A peer's answer came on a connection for sending.",
                  "Run the same release everywhere."};
   };
-  auto dialer = std::make_shared<Dialer>(loop_.context(), std::get<platform::SocketAddress>(parsed),
+  auto dialer = std::make_shared<Dialer>(loop_.context(), std::get<runtime::SocketAddress>(parsed),
                                          hello_, tls_, metrics_, std::move(handlers));
   dialer->Start();
   return &peers_.emplace(address, Peer{dialer, {}}).first->second;
@@ -96,8 +97,8 @@
   }
 }
 
-PeerTransport::PeerTransport(const PeerTransportOptions& options, platform::EventLoop& loop,
-                             platform::MetricsRegistry& metrics)
+PeerTransport::PeerTransport(const PeerTransportOptions& options, runtime::EventLoop& loop,
+                             runtime::MetricsRegistry& metrics)
     : impl_(std::make_shared<Impl>(options, loop, metrics)) {}
 
 PeerTransport::~PeerTransport() { impl_->HangUp(); }
--- a/src/protocol/peer_transport.h
+++ b/src/protocol/peer_transport.h
@@ -7,15 +7,16 @@
 
 #include "graniteseam/common/error.h"
 #include "graniteseam/consensus/types.h"
-#include "src/platform/event_loop.h"
-#include "src/platform/metrics.h"
+#include "src/protocol/hello.h"
 #include "src/protocol/internal_security.h"
+#include "src/runtime/event_loop.h"
+#include "src/runtime/metrics.h"
 
 namespace graniteseam::protocol {
 
 struct PeerTransportOptions {
-  std::string name;          ///< This process's id.
-  std::string http_address;  ///< Where operators reach this process; peers pass it on to them.
+  std::string name;        ///< This process's id.
+  ServedAddresses served;  ///< Where this process is reached; peers pass it on.
   InternalSecurity security;
 };
 
@@ -26,8 +27,8 @@
 /// is thread safe. A peer that is not sent to for a minute, as after its removal, is hung up on.
 class PeerTransport {
  public:
-  PeerTransport(const PeerTransportOptions& options, platform::EventLoop& loop,
-                platform::MetricsRegistry& metrics);
+  PeerTransport(const PeerTransportOptions& options, runtime::EventLoop& loop,
+                runtime::MetricsRegistry& metrics);
   ~PeerTransport();
   PeerTransport(const PeerTransport&) = delete;
   PeerTransport& operator=(const PeerTransport&) = delete;
--- a/src/protocol/router_control_client.cc
+++ b/src/protocol/router_control_client.cc
@@ -5,11 +5,11 @@
 #include <utility>
 
 #include "graniteseam/codec/codec.h"
-#include "src/platform/clock.h"
-#include "src/platform/event_loop.h"
-#include "src/platform/log.h"
 #include "src/protocol/dialer.h"
 #include "src/protocol/leader_tracker.h"
+#include "src/runtime/clock.h"
+#include "src/runtime/event_loop.h"
+#include "src/runtime/log.h"
 
 namespace graniteseam::protocol {
 namespace {
@@ -18,10 +18,10 @@
 
 constexpr std::chrono::milliseconds kTickInterval{10};
 
-std::vector<std::string> ToTexts(const std::vector<platform::SocketAddress>& addresses) {
+std::vector<std::string> ToTexts(const std::vector<runtime::SocketAddress>& addresses) {
   std::vector<std::string> texts;
   texts.reserve(addresses.size());
-  for (const platform::SocketAddress& address : addresses) texts.push_back(ToString(address));
+  for (const runtime::SocketAddress& address : addresses) texts.push_back(ToString(address));
   return texts;
 }
 
@@ -30,11 +30,12 @@
 /// Runs on its own event loop's thread, save construction and destruction.
 class RouterControlClient::Impl {
  public:
-  Impl(RouterControlClientOptions options, platform::MetricsRegistry& registry,
+  Impl(RouterControlClientOptions options, runtime::MetricsRegistry& registry,
        AnswerHandler on_answer, ConnectedHandler on_connected);
   ~Impl();
 
   void Send(control::RouterToControl message);
+  void AddControl(std::vector<std::string> addresses);
 
  private:
   void Dial(const std::string& address);
@@ -46,7 +47,7 @@
   void ScheduleTick();
 
   // First, so that its context outlives the sockets and timers below; the destructor stops it.
-  platform::EventLoop loop_;
+  runtime::EventLoop loop_;
   RouterControlClientOptions options_;
   AnswerHandler on_answer_;
   ConnectedHandler on_connected_;
@@ -59,7 +60,7 @@
 };
 
 RouterControlClient::Impl::Impl(RouterControlClientOptions options,
-                                platform::MetricsRegistry& registry, AnswerHandler on_answer,
+                                runtime::MetricsRegistry& registry, AnswerHandler on_answer,
                                 ConnectedHandler on_connected)
     : options_(std::move(options)),
       on_answer_(std::move(on_answer)),
@@ -68,7 +69,7 @@
       tls_(options_.security),
       tracker_(ToTexts(options_.control), options_.silence_limit) {
   const auto loaded = Attempt([&] { return tls_.Load(); });
-  if (const Error* error = ErrorOf(loaded)) platform::Logger("internal").Error(*error);
+  if (const Error* error = ErrorOf(loaded)) runtime::Logger("internal").Error(*error);
   asio::post(loop_.context(), [this] {
     DialNew();
     ScheduleTick();
@@ -85,7 +86,14 @@
 
 void RouterControlClient::Impl::Send(control::RouterToControl message) {
   asio::post(loop_.context(), [this, message = std::move(message)]() mutable {
-    Deliver(tracker_.OnSend(std::move(message), platform::BootTimeNow()));
+    Deliver(tracker_.OnSend(std::move(message), runtime::BootTimeNow()));
+  });
+}
+
+void RouterControlClient::Impl::AddControl(std::vector<std::string> addresses) {
+  asio::post(loop_.context(), [this, addresses = std::move(addresses)] {
+    for (const std::string& address : addresses) tracker_.AddAddress(address);
+    DialNew();
   });
 }
 
@@ -97,9 +105,9 @@
 }
 
 void RouterControlClient::Impl::Dial(const std::string& address) {
-  const auto parsed = Attempt([&] { return platform::ParseSocketAddress(address); });
+  const auto parsed = Attempt([&] { return runtime::ParseSocketAddress(address); });
   if (const Error* error = ErrorOf(parsed)) {
-    platform::Logger("internal").Warning(*error);
+    runtime::Logger("internal").Warning(*error);
     dialers_[address] = nullptr;
     return;
   }
@@ -109,7 +117,7 @@
   handlers.on_message = [this, address](const std::string& payload) {
     return OnMessage(address, payload);
   };
-  auto dialer = std::make_shared<Dialer>(loop_.context(), std::get<platform::SocketAddress>(parsed),
+  auto dialer = std::make_shared<Dialer>(loop_.context(), std::get<runtime::SocketAddress>(parsed),
                                          MakeHello(ProcessKind::kRouter, options_.router.value),
                                          tls_, metrics_, std::move(handlers));
   dialers_[address] = dialer;
@@ -128,12 +136,12 @@
 
 void RouterControlClient::Impl::OnConnected(const std::string& address) {
   if (++connected_ == 1 && on_connected_) on_connected_(true);
-  Deliver(tracker_.OnConnected(address, platform::BootTimeNow()));
+  Deliver(tracker_.OnConnected(address, runtime::BootTimeNow()));
 }
 
 void RouterControlClient::Impl::OnDisconnected(const std::string& address) {
   if (--connected_ == 0 && on_connected_) on_connected_(false);
-  Deliver(tracker_.OnDisconnected(address, platform::BootTimeNow()));
+  Deliver(tracker_.OnDisconnected(address, runtime::BootTimeNow()));
 }
 
 std::optional<Error> RouterControlClient::Impl::OnMessage(const std::string& address,
@@ -142,7 +150,7 @@
   if (const Error* error = ErrorOf(decoded)) return *error;
   const auto& answer = std::get<control::ControlToRouter>(decoded);
   if (const auto* not_leader = std::get_if<control::NotLeaderAnswer>(&answer)) {
-    Deliver(tracker_.OnNotLeader(address, *not_leader, platform::BootTimeNow()));
+    Deliver(tracker_.OnNotLeader(address, *not_leader, runtime::BootTimeNow()));
     return std::nullopt;
   }
   tracker_.OnAnswered(address, answer);
@@ -154,19 +162,23 @@
   tick_.expires_after(kTickInterval);
   tick_.async_wait([this](auto error) {
     if (error) return;
-    Deliver(tracker_.Tick(platform::BootTimeNow()));
+    Deliver(tracker_.Tick(runtime::BootTimeNow()));
     ScheduleTick();
   });
 }
 
 RouterControlClient::RouterControlClient(RouterControlClientOptions options,
-                                         platform::MetricsRegistry& metrics,
-                                         AnswerHandler on_answer, ConnectedHandler on_connected)
+                                         runtime::MetricsRegistry& metrics, AnswerHandler on_answer,
+                                         ConnectedHandler on_connected)
     : impl_(std::make_unique<Impl>(std::move(options), metrics, std::move(on_answer),
                                    std::move(on_connected))) {}
 
 RouterControlClient::~RouterControlClient() = default;
 
+void RouterControlClient::AddControl(std::vector<std::string> addresses) {
+  impl_->AddControl(std::move(addresses));
+}
+
 void RouterControlClient::Send(control::RouterToControl message) {
   impl_->Send(std::move(message));
 }
--- a/src/protocol/router_control_client.h
+++ b/src/protocol/router_control_client.h
@@ -6,21 +6,21 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string>
 #include <vector>
 
 #include "graniteseam/common/ids.h"
 #include "graniteseam/common/time.h"
 #include "graniteseam/control/router_messages.h"
-#include "src/platform/metrics.h"
-#include "src/platform/socket_address.h"
 #include "src/protocol/internal_security.h"
+#include "src/runtime/metrics.h"
+#include "src/runtime/socket_address.h"
 
 namespace graniteseam::protocol {
 
 struct RouterControlClientOptions {
   RouterId router;
-  std::vector<platform::SocketAddress>
-      control;  ///< From the settings; leaders' hints may add more.
+  std::vector<runtime::SocketAddress> control;  ///< From the settings; leaders' hints may add more.
   InternalSecurity security;
   /// A control process that leaves a message unanswered for longer is taken for silent, and the
   /// message goes to the next one. Shorter than half the router's lease.
@@ -44,7 +44,7 @@
   /// Called with true when the first connection stands and false when the last one went.
   using ConnectedHandler = std::function<void(bool connected)>;
 
-  RouterControlClient(RouterControlClientOptions options, platform::MetricsRegistry& metrics,
+  RouterControlClient(RouterControlClientOptions options, runtime::MetricsRegistry& metrics,
                       AnswerHandler on_answer, ConnectedHandler on_connected = {});
   ~RouterControlClient();
   RouterControlClient(const RouterControlClient&) = delete;
@@ -53,6 +53,9 @@
   /// Sends to the process believed to lead, or as soon as a connection stands.
   void Send(control::RouterToControl message);
 
+  /// Adds control processes ("ip:port") to those that it knows.
+  void AddControl(std::vector<std::string> addresses);
+
  private:
   class Impl;
   std::unique_ptr<Impl> impl_;
--- a/src/platform/clock.cc
+++ b/src/runtime/clock.cc
@@ -1,4 +1,4 @@
-#include "src/platform/clock.h"
+#include "src/runtime/clock.h"
 
 #include <sys/random.h>
 
@@ -6,7 +6,7 @@
 #include <cstdlib>
 #include <ctime>
 
-namespace graniteseam::platform {
+namespace graniteseam::runtime {
 
 Instant BootTimeNow() {
   timespec reading{};
@@ -32,4 +32,4 @@
   return bits;
 }
 
-}  // namespace graniteseam::platform
+}  // namespace graniteseam::runtime
--- a/src/platform/clock.h
+++ b/src/runtime/clock.h
@@ -6,7 +6,7 @@
 
 #include "graniteseam/common/time.h"
 
-namespace graniteseam::platform {
+namespace graniteseam::runtime {
 
 /// Reads CLOCK_BOOTTIME. It counts on while the machine is suspended, so a process that wakes late
 /// sees that its leases are over. Thread safe.
@@ -19,4 +19,4 @@
 /// gives none.
 std::uint64_t RandomBits();
 
-}  // namespace graniteseam::platform
+}  // namespace graniteseam::runtime
--- a/src/platform/event_loop.h
+++ b/src/runtime/event_loop.h
@@ -6,7 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <thread>
 
-namespace graniteseam::platform {
+namespace graniteseam::runtime {
 
 /// Runs an io_context on one thread of its own. What runs on it needs no locks against each other.
 ///
@@ -34,4 +34,4 @@
   std::thread thread_;
 };
 
-}  // namespace graniteseam::platform
+}  // namespace graniteseam::runtime
--- a/src/platform/json_text.cc
+++ b/src/runtime/json_text.cc
@@ -1,8 +1,8 @@
-#include "src/platform/json_text.h"
+#include "src/runtime/json_text.h"
 
 #include <fmt/core.h>
 
-namespace graniteseam::platform {
+namespace graniteseam::runtime {
 namespace {
 
 constexpr unsigned char kFirstPrintable = 0x20;
@@ -44,4 +44,4 @@
 
 std::string EscapeControlCharacters(std::string_view text) { return Escape(text, false); }
 
-}  // namespace graniteseam::platform
+}  // namespace graniteseam::runtime
--- a/src/platform/json_text.h
+++ b/src/runtime/json_text.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <string_view>
 
-namespace graniteseam::platform {
+namespace graniteseam::runtime {
 
 /// Escapes text for the inside of a JSON string (RFC 8259, section 7). Bytes that are not UTF-8
 /// pass unchanged.
@@ -14,4 +14,4 @@
 /// Replaces control characters by their JSON escapes; quotes and backslashes stay.
 std::string EscapeControlCharacters(std::string_view text);
 
-}  // namespace graniteseam::platform
+}  // namespace graniteseam::runtime
--- a/src/platform/log.cc
+++ b/src/runtime/log.cc
@@ -1,12 +1,12 @@
-#include "src/platform/log.h"
+#include "src/runtime/log.h"
 
 #include <spdlog/pattern_formatter.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 
-#include "src/platform/json_text.h"
+#include "src/runtime/json_text.h"
 
-namespace graniteseam::platform {
+namespace graniteseam::runtime {
 namespace {
 
 constexpr char kPlainPattern[] = "%Y-%m-%dT%H:%M:%S.%eZ %l %n: %*";
@@ -84,4 +84,4 @@
   logger_->log(ToSpdlog(level), spdlog::string_view_t(sentence.data(), sentence.size()));
 }
 
-}  // namespace graniteseam::platform
+}  // namespace graniteseam::runtime
--- a/src/platform/log.h
+++ b/src/runtime/log.h
@@ -15,7 +15,7 @@
 class logger;
 }
 
-namespace graniteseam::platform {
+namespace graniteseam::runtime {
 
 enum class LogFormat { kPlain, kJson };
 enum class LogLevel { kDebug, kInfo, kWarning, kError };
@@ -65,4 +65,4 @@
   std::shared_ptr<spdlog::logger> logger_;
 };
 
-}  // namespace graniteseam::platform
+}  // namespace graniteseam::runtime
--- a/src/platform/metric_list.h
+++ b/src/runtime/metric_list.h
@@ -7,7 +7,7 @@
 #include <cstddef>
 #include <string_view>
 
-namespace graniteseam::platform {
+namespace graniteseam::runtime {
 
 enum class MetricType { kCounter, kGauge, kHistogram };
 
@@ -47,6 +47,13 @@
   kRouterRetries,
   kRouterEjectedServers,
   kRouterUpstreamConnections,
+  // Gateway.
+  kGatewayRequestSeconds,
+  kGatewaySends,
+  kGatewayAttempts,
+  kGatewayCallersGone,
+  kGatewayStateVersion,
+  kGatewayConfigurationVersion,
   kCount,
 };
 
@@ -120,10 +127,23 @@
          "Servers passed over as outliers."},
         {Metric::kRouterUpstreamConnections, MetricType::kGauge,
          "graniteseam_router_upstream_connections", "Idle connections to servers."},
+        {Metric::kGatewayRequestSeconds, MetricType::kHistogram,
+         "graniteseam_gateway_request_seconds",
+         "Time from a request's receipt to its answer, by outcome."},
+        {Metric::kGatewaySends, MetricType::kCounter, "graniteseam_gateway_sends_total",
+         "Requests sent to servers, repetitions included."},
+        {Metric::kGatewayAttempts, MetricType::kCounter, "graniteseam_gateway_attempts_total",
+         "Ends of sendings, by how they ended."},
+        {Metric::kGatewayCallersGone, MetricType::kCounter,
+         "graniteseam_gateway_callers_gone_total", "Callers that left before their answer."},
+        {Metric::kGatewayStateVersion, MetricType::kGauge, "graniteseam_gateway_state_version",
+         "Log index of the traffic state in force."},
+        {Metric::kGatewayConfigurationVersion, MetricType::kGauge,
+         "graniteseam_gateway_configuration_version", "Traffic configuration in force."},
     }};
 
 constexpr const MetricDescription& Describe(Metric metric) {
   return kMetricList[static_cast<std::size_t>(metric)];
 }
 
-}  // namespace graniteseam::platform
+}  // namespace graniteseam::runtime
--- a/src/platform/metrics.cc
+++ b/src/runtime/metrics.cc
@@ -1,4 +1,4 @@
-#include "src/platform/metrics.h"
+#include "src/runtime/metrics.h"
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
@@ -8,7 +8,7 @@
 
 #include <cstdlib>
 
-namespace graniteseam::platform {
+namespace graniteseam::runtime {
 namespace {
 
 /// Upper bounds in seconds: 100 us to 10 s, three a decade.
@@ -73,4 +73,4 @@
   return prometheus::TextSerializer().Serialize(impl_->registry.Collect());
 }
 
-}  // namespace graniteseam::platform
+}  // namespace graniteseam::runtime
--- a/src/platform/metrics.h
+++ b/src/runtime/metrics.h
@@ -7,7 +7,7 @@
 #include <utility>
 #include <vector>
 
-#include "src/platform/metric_list.h"
+#include "src/runtime/metric_list.h"
 
 namespace prometheus {
 class Counter;
@@ -15,7 +15,7 @@
 class Histogram;
 }  // namespace prometheus
 
-namespace graniteseam::platform {
+namespace graniteseam::runtime {
 
 /// Label names with their values. Label values must come from a bounded set (settings, bundle,
 /// enumerations), never from a caller's request.
@@ -77,4 +77,4 @@
 /// The content type of MetricsRegistry::Text().
 inline constexpr char kMetricsContentType[] = "text/plain; version=0.0.4; charset=utf-8";
 
-}  // namespace graniteseam::platform
+}  // namespace graniteseam::runtime
--- a/src/platform/setting_value.cc
+++ b/src/runtime/setting_value.cc
@@ -1,9 +1,9 @@
-#include "src/platform/setting_value.h"
+#include "src/runtime/setting_value.h"
 
 #include <algorithm>
 #include <charconv>
 
-namespace graniteseam::platform {
+namespace graniteseam::runtime {
 namespace {
 
 /// Reads the whole text as a number of type T.
@@ -98,4 +98,4 @@
   return value.form == SettingForm::kInteger ? static_cast<double>(value.integer) : value.number;
 }
 
-}  // namespace graniteseam::platform
+}  // namespace graniteseam::runtime
--- a/src/platform/setting_value.h
+++ b/src/runtime/setting_value.h
@@ -12,7 +12,7 @@
 
 #include "graniteseam/common/error.h"
 
-namespace graniteseam::platform {
+namespace graniteseam::runtime {
 
 /// The form in which a setting is written.
 enum class SettingForm { kSwitch, kInteger, kNumber, kText, kTextList, kTextTable };
@@ -61,4 +61,4 @@
 /// line.
 Result<std::vector<FileSetting>> ReadSettingsFile(const std::string& path);
 
-}  // namespace graniteseam::platform
+}  // namespace graniteseam::runtime
--- a/src/platform/settings.cc
+++ b/src/runtime/settings.cc
@@ -1,4 +1,4 @@
-#include "src/platform/settings.h"
+#include "src/runtime/settings.h"
 
 #include <getopt.h>
 
@@ -8,7 +8,7 @@
 
 #include "graniteseam/version.h"
 
-namespace graniteseam::platform {
+namespace graniteseam::runtime {
 namespace {
 
 constexpr char kFlagPlace[] = "flag";
@@ -226,4 +226,4 @@
   return text;
 }
 
-}  // namespace graniteseam::platform
+}  // namespace graniteseam::runtime
--- a/src/platform/settings.h
+++ b/src/runtime/settings.h
@@ -20,11 +20,11 @@
 
 #include "graniteseam/common/error.h"
 #include "graniteseam/common/time.h"
-#include "src/platform/log.h"
-#include "src/platform/setting_value.h"
-#include "src/platform/socket_address.h"
+#include "src/runtime/log.h"
+#include "src/runtime/setting_value.h"
+#include "src/runtime/socket_address.h"
 
-namespace graniteseam::platform {
+namespace graniteseam::runtime {
 
 /// Exit code of every program whose settings or flags are wrong.
 inline constexpr int kExitInvalidSettings = 2;
@@ -133,4 +133,4 @@
   std::size_t log_level_ = static_cast<std::size_t>(LogLevel::kInfo);
 };
 
-}  // namespace graniteseam::platform
+}  // namespace graniteseam::runtime
--- a/src/platform/settings_declarations.cc
+++ b/src/runtime/settings_declarations.cc
@@ -4,9 +4,9 @@
 #include <algorithm>
 #include <utility>
 
-#include "src/platform/settings.h"
+#include "src/runtime/settings.h"
 
-namespace graniteseam::platform {
+namespace graniteseam::runtime {
 namespace {
 
 std::string JoinNames(std::span<const std::string_view> names) {
@@ -149,4 +149,4 @@
   AddChoice("log_level", "Lowest level that is logged.", log_level_, kLogLevelNames);
 }
 
-}  // namespace graniteseam::platform
+}  // namespace graniteseam::runtime
--- a/src/platform/settings_file.cc
+++ b/src/runtime/settings_file.cc
@@ -5,9 +5,9 @@
 #include <iterator>
 #include <optional>
 
-#include "src/platform/setting_value.h"
+#include "src/runtime/setting_value.h"
 
-namespace graniteseam::platform {
+namespace graniteseam::runtime {
 namespace {
 
 /// Leaves the form absent when an element is no text.
@@ -93,4 +93,4 @@
   return settings;
 }
 
-}  // namespace graniteseam::platform
+}  // namespace graniteseam::runtime
--- a/src/platform/socket_address.cc
+++ b/src/runtime/socket_address.cc
@@ -1,11 +1,11 @@
-#include "src/platform/socket_address.h"
+#include "src/runtime/socket_address.h"
 
 #include <arpa/inet.h>
 
 #include <charconv>
 #include <optional>
 
-namespace graniteseam::platform {
+namespace graniteseam::runtime {
 namespace {
 
 bool IsIp(int family, const std::string& text) {
@@ -49,4 +49,9 @@
   return address.ip == "::1" || address.ip.starts_with("127.");
 }
 
-}  // namespace graniteseam::platform
+void UsePort(std::vector<SocketAddress>& addresses, std::int64_t port) {
+  if (port == 0) return;
+  for (SocketAddress& address : addresses) address.port = static_cast<std::uint16_t>(port);
+}
+
+}  // namespace graniteseam::runtime
--- a/src/platform/socket_address.h
+++ b/src/runtime/socket_address.h
@@ -6,10 +6,11 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "graniteseam/common/error.h"
 
-namespace graniteseam::platform {
+namespace graniteseam::runtime {
 
 struct SocketAddress {
   std::string ip;  ///< Numeric, without brackets.
@@ -27,4 +28,8 @@
 /// Whether the address is reachable from this machine alone (127.0.0.0/8 or ::1).
 bool IsLoopback(const SocketAddress& address);
 
-}  // namespace graniteseam::platform
+/// Gives all addresses one port; 0 leaves them as they are. For lists that name another port of the
+/// same machines.
+void UsePort(std::vector<SocketAddress>& addresses, std::int64_t port);
+
+}  // namespace graniteseam::runtime
--- a/src/platform/stop_signals.cc
+++ b/src/runtime/stop_signals.cc
@@ -1,4 +1,4 @@
-#include "src/platform/stop_signals.h"
+#include "src/runtime/stop_signals.h"
 
 #include <poll.h>
 #include <pthread.h>
@@ -13,9 +13,9 @@
 #include <cstdint>
 #include <cstdlib>
 
-#include "src/platform/clock.h"
+#include "src/runtime/clock.h"
 
-namespace graniteseam::platform {
+namespace graniteseam::runtime {
 
 StopSignals::StopSignals() {
   std::signal(SIGPIPE, SIG_IGN);
@@ -23,6 +23,7 @@
   sigemptyset(&taken);
   sigaddset(&taken, SIGTERM);
   sigaddset(&taken, SIGINT);
+  sigaddset(&taken, SIGHUP);
   pthread_sigmask(SIG_BLOCK, &taken, nullptr);
   signal_descriptor_ = signalfd(-1, &taken, SFD_CLOEXEC);
   request_descriptor_ = eventfd(0, EFD_CLOEXEC);
@@ -48,17 +49,28 @@
     const Duration left = end - BootTimeNow();
     const auto wait = std::chrono::ceil<std::chrono::milliseconds>(std::max(left, Duration(0)));
     const int ready = poll(sources.data(), sources.size(), static_cast<int>(wait.count()));
-    if (ready > 0) stop_asked_ = true;
+    if (ready > 0 && sources[1].revents != 0) stop_asked_ = true;
+    if (ready > 0 && sources[0].revents != 0) TakeSignal();
     if (ready == 0) break;
     if (ready < 0 && errno != EINTR) std::abort();
   }
   return stop_asked_;
 }
 
+void StopSignals::TakeSignal() {
+  signalfd_siginfo signal{};
+  if (read(signal_descriptor_, &signal, sizeof(signal)) != sizeof(signal)) return;
+  if (signal.ssi_signo != SIGHUP) {
+    stop_asked_ = true;
+  } else if (reload_) {
+    reload_();
+  }
+}
+
 void StopSignals::RequestStop() {
   const std::uint64_t one = 1;
   // The counter only overflows after 2^64 - 1 requests.
   [[maybe_unused]] const ssize_t written = write(request_descriptor_, &one, sizeof(one));
 }
 
-}  // namespace graniteseam::platform
+}  // namespace graniteseam::runtime
--- a/src/storage/consensus_storage.cc
+++ b/src/storage/consensus_storage.cc
@@ -1,6 +1,12 @@
 #include "src/storage/consensus_storage.h"
 
 namespace graniteseam::storage {
+namespace {
+
+/// Marks a folder that was made for the founding of a group.
+constexpr const char* kFoundingName = "founding";
+
+}  // namespace
 
 ConsensusStorage::ConsensusStorage(FileSystem& files, const StorageOptions& options,
                                    DataFolder folder, std::unique_ptr<LogStore> log)
@@ -28,13 +34,23 @@
   torn_bytes_ = content.torn_bytes;
   recovered_.self = {options_.id, folder_.incarnation(), options_.address, options_.zone};
   recovered_.hard_state = content.hard_state;
+  BOOST_LEAF_AUTO(founds, Founds());
   recovered_.bootstrap = options_.bootstrap;
+  if (founds && !recovered_.bootstrap) recovered_.bootstrap = options_.founders;
   recovered_.seeds = options_.seeds;
   BOOST_LEAF_CHECK(RecoverEntries(std::move(content), stored));
   if (stored) recovered_.snapshot = std::move(stored->snapshot);
   return {};
 }
 
+Result<bool> ConsensusStorage::Founds() {
+  const std::string path = options_.folder + "/" + kFoundingName;
+  if (files_.Exists(path)) return true;
+  if (!folder_.initialised_now() || !options_.bootstrap) return false;
+  BOOST_LEAF_CHECK(WriteFileAtomically(files_, options_.folder, kFoundingName, "founding\n"));
+  return true;
+}
+
 Result<void> ConsensusStorage::RecoverEntries(LogContent content,
                                               const std::optional<StoredSnapshot>& stored) {
   LogIndex previous;
--- a/src/storage/consensus_storage.h
+++ b/src/storage/consensus_storage.h
@@ -22,6 +22,9 @@
   ZoneName zone;
   /// Set only at a group's first start: the first voters, disks 0 where unknown.
   std::optional<consensus::Membership> bootstrap;
+  /// The first voters as every start names them. A folder that was made for founding goes on
+  /// founding with them after a restart, until the group exists.
+  std::optional<consensus::Membership> founders;
   /// Where to announce this process while it is in no membership; disks 0.
   std::vector<consensus::Member> seeds;
   std::size_t segment_bytes = 16UL << 20U;
@@ -62,6 +65,8 @@
                    std::unique_ptr<LogStore> log);
 
   Result<void> Recover();
+  /// Remembers that this folder was made for founding, or finds that it was.
+  Result<bool> Founds();
   Result<void> RecoverEntries(LogContent content, const std::optional<StoredSnapshot>& stored);
 
   FileSystem& files_;
--- /dev/null
+++ b/src/traffic/instance_table.h
@@ -0,0 +1,52 @@
+/// @file
+/// The instances that registered themselves: part of the replicated state.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "graniteseam/traffic/instance.h"
+
+namespace graniteseam::traffic {
+
+/// Invariants: an instance that was deregistered never comes back, a draining one never takes new
+/// work again, and of the instances at one address at most one is not gone. Not thread safe.
+class InstanceTable {
+ public:
+  /// Takes a heartbeat.
+  /// @return the instances that changed.
+  std::vector<InstanceId> Report(const InstanceReport& report, std::uint64_t log_index);
+
+  /// Whether Report() would change anything: a heartbeat that does not need not be committed.
+  bool WouldChange(const InstanceReport& report) const;
+
+  /// Keeps a tombstone also for an instance that was never seen, so that a heartbeat which arrives
+  /// late does not bring it back.
+  /// @return whether anything changed.
+  bool Deregister(const InstanceId& id, std::uint64_t log_index);
+
+  const Instance* Find(const InstanceId& id) const;
+  const std::map<InstanceId, Instance>& instances() const { return instances_; }
+  /// Log index of the newest change.
+  std::uint64_t changed_at() const { return changed_at_; }
+
+  /// Adds the instances that changed after `base`; the whole leaves out those that are gone.
+  void AddChanges(std::uint64_t base, std::vector<Instance>& changed) const;
+
+  std::vector<Instance> Image() const;
+  void Restore(const std::vector<Instance>& image);
+
+ private:
+  const Instance* HolderOf(const std::string& address) const;
+  void ForgetOldTombstones();
+  /// What a heartbeat makes of an instance; nullopt when it changes nothing.
+  std::optional<Instance> Changed(const InstanceReport& report) const;
+
+  std::map<InstanceId, Instance> instances_;
+  std::map<std::string, InstanceId> holders_;  ///< By address, of those not gone.
+  std::uint64_t changed_at_ = 0;
+};
+
+}  // namespace graniteseam::traffic
--- /dev/null
+++ b/src/traffic/traffic_state.cc
@@ -0,0 +1,69 @@
+#include "src/traffic/traffic_state.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace graniteseam::traffic {
+
+Result<void> TrafficState::Apply(const ConfigurationChange& change, std::uint64_t log_index) {
+  BOOST_LEAF_CHECK(configuration_.Apply(change, log_index));
+  FollowKeyedServices(log_index);
+  return {};
+}
+
+void TrafficState::FollowKeyedServices(std::uint64_t log_index) {
+  for (const Service& service : configuration_.current().services) {
+    if (service.keyed) ranges_.AddService(service.name, log_index);
+  }
+}
+
+void TrafficState::Report(const std::vector<InstanceReport>& reports, std::uint64_t log_index) {
+  for (const InstanceReport& report : reports) instances_.Report(report, log_index);
+}
+
+void TrafficState::Deregister(const InstanceId& id, std::uint64_t log_index) {
+  instances_.Deregister(id, log_index);
+}
+
+void TrafficState::Assign(const std::vector<RangeAssignment>& assignments,
+                          std::uint64_t log_index) {
+  for (const RangeAssignment& assignment : assignments) ranges_.Assign(assignment, log_index);
+}
+
+void TrafficState::BeginReleases(const std::vector<RangeRelease>& releases,
+                                 std::uint64_t log_index) {
+  for (const RangeRelease& release : releases) ranges_.BeginRelease(release, log_index);
+}
+
+void TrafficState::Confirm(const std::vector<RangeConfirmation>& confirmations,
+                           std::uint64_t log_index) {
+  for (const RangeConfirmation& confirmation : confirmations) {
+    ranges_.Confirm(confirmation, log_index);
+  }
+}
+
+std::uint64_t TrafficState::version() const {
+  return std::max({configuration_.changed_at(), instances_.changed_at(), ranges_.changed_at()});
+}
+
+TrafficUpdate TrafficState::UpdateSince(std::uint64_t base) const {
+  TrafficUpdate update;
+  update.base = base > version() ? 0 : base;
+  update.version = version();
+  configuration_.AddChanges(update.base, update);
+  instances_.AddChanges(update.base, update.instances);
+  ranges_.AddChanges(update.base, update.ranges);
+  return update;
+}
+
+TrafficImage TrafficState::Image() const {
+  return {configuration_.Image(), instances_.Image(), ranges_.Image(), version()};
+}
+
+void TrafficState::Restore(TrafficImage image) {
+  configuration_.Restore(std::move(image.configuration));
+  instances_.Restore(image.instances);
+  ranges_.Restore(image.ranges);
+}
+
+}  // namespace graniteseam::traffic
--- /dev/null
+++ b/src/traffic/traffic_state.h
@@ -0,0 +1,60 @@
+/// @file
+/// The replicated state of traffic: configuration, instances and key ranges behind one class.
+#pragma once
+
+#include <boost/describe/class.hpp>
+#include <vector>
+
+#include "graniteseam/common/error.h"
+#include "graniteseam/traffic/update.h"
+#include "src/traffic/configuration_store.h"
+#include "src/traffic/instance_table.h"
+#include "src/traffic/key_range_table.h"
+
+namespace graniteseam::traffic {
+
+/// All of a TrafficState, for snapshots.
+struct TrafficImage {
+  ConfigurationImage configuration;
+  std::vector<Instance> instances;
+  std::vector<KeyRange> ranges;
+  std::uint64_t version = 0;
+};
+BOOST_DESCRIBE_STRUCT(TrafficImage, (), (configuration, instances, ranges, version))
+
+/// Deterministic; changed only by entries of the log, whose index becomes the version. Not thread
+/// safe.
+class TrafficState {
+ public:
+  /// @return errors of ConfigurationStore::Apply().
+  Result<void> Apply(const ConfigurationChange& change, std::uint64_t log_index);
+  void Report(const std::vector<InstanceReport>& reports, std::uint64_t log_index);
+  void Deregister(const InstanceId& id, std::uint64_t log_index);
+  void Assign(const std::vector<RangeAssignment>& assignments, std::uint64_t log_index);
+  void BeginReleases(const std::vector<RangeRelease>& releases, std::uint64_t log_index);
+  void Confirm(const std::vector<RangeConfirmation>& confirmations, std::uint64_t log_index);
+
+  const ConfigurationStore& configuration() const { return configuration_; }
+  const InstanceTable& instances() const { return instances_; }
+  const KeyRangeTable& ranges() const { return ranges_; }
+
+  /// Log index of the newest change; 0 when nothing ever changed.
+  std::uint64_t version() const;
+
+  /// What changed after `base`, or the whole state when base is 0 or unknown here.
+  TrafficUpdate UpdateSince(std::uint64_t base) const;
+
+  TrafficImage Image() const;
+  void Restore(TrafficImage image);
+
+ private:
+  /// A service that became keyed gets its keys. They are kept when it is dropped: its servers may
+  /// hold grants for some time, and the service may come back.
+  void FollowKeyedServices(std::uint64_t log_index);
+
+  ConfigurationStore configuration_;
+  InstanceTable instances_;
+  KeyRangeTable ranges_;
+};
+
+}  // namespace graniteseam::traffic
--- a/testbed/caller/load.cc
+++ b/testbed/caller/load.cc
@@ -2,14 +2,14 @@
 
 #include <thread>
 
-#include "src/platform/clock.h"
+#include "src/runtime/clock.h"
 
 namespace graniteseam::testbed {
 
 Load::Load(LoadOptions options, TrafficSource source, RecordFile& records)
     : options_(std::move(options)),
       records_(records),
-      end_(platform::BootTimeNow() + options_.duration),
+      end_(runtime::BootTimeNow() + options_.duration),
       source_(std::move(source)) {}
 
 void Load::Run(const std::function<bool()>& stop_asked) {
@@ -22,7 +22,7 @@
 
 std::optional<PlannedRequest> Load::TakeRequest() {
   const std::lock_guard lock(source_mutex_);
-  auto request = source_.Next(platform::WallMillis());
+  auto request = source_.Next(runtime::WallMillis());
   if (request.due >= end_) return std::nullopt;
   return request;
 }
@@ -33,13 +33,13 @@
   while (!stop_asked()) {
     const auto request = TakeRequest();
     if (!request) return;
-    std::this_thread::sleep_for(request->due - platform::BootTimeNow());
+    std::this_thread::sleep_for(request->due - runtime::BootTimeNow());
     const auto& stream = source_.streams()[request->stream];
     const auto result = sender.Send(*request, stream, router);
     Count(result);
     if (request->resend_when_answered && result.outcome == "answered") {
       auto again = *request;
-      again.due = platform::BootTimeNow();
+      again.due = runtime::BootTimeNow();
       Count(sender.Send(again, stream, router + 1));
     }
     ++router;
--- a/testbed/caller/load.h
+++ b/testbed/caller/load.h
@@ -16,7 +16,7 @@
 namespace graniteseam::testbed {
 
 struct LoadOptions {
-  std::vector<platform::SocketAddress> routers;
+  std::vector<runtime::SocketAddress> routers;
   std::size_t senders = 64;
   Duration duration{10'000'000};
   ResendPolicy resend;
--- a/testbed/caller/main.cc
+++ b/testbed/caller/main.cc
@@ -6,10 +6,10 @@
 #include <nlohmann/json.hpp>
 #include <thread>
 
-#include "src/platform/clock.h"
-#include "src/platform/log.h"
-#include "src/platform/settings.h"
-#include "src/platform/stop_signals.h"
+#include "src/runtime/clock.h"
+#include "src/runtime/log.h"
+#include "src/runtime/settings.h"
+#include "src/runtime/stop_signals.h"
 #include "testbed/caller/load.h"
 
 namespace graniteseam::testbed {
@@ -19,7 +19,7 @@
 constexpr Duration kProgressPeriod{5'000'000};
 
 struct CallerOptions {
-  std::vector<platform::SocketAddress> routers;
+  std::vector<runtime::SocketAddress> routers;
   std::string traffic;
   double rate = 100.0;
   double duration_s = 10.0;
@@ -31,7 +31,7 @@
 };
 
 std::optional<int> ReadOptions(int argc, char** argv, CallerOptions& options) {
-  using platform::SettingsReader;
+  using runtime::SettingsReader;
   constexpr double kRateMaximum = 100'000.0;
   constexpr double kSecondsMaximum = 86'400.0;
   constexpr std::int64_t kSendersMaximum = 4'096;
@@ -68,7 +68,7 @@
   return report;
 }
 
-void LogProgress(const platform::Logger& log, const Load& load) {
+void LogProgress(const runtime::Logger& log, const Load& load) {
   const auto summaries = load.Summaries();
   const auto all = summaries.find("");
   if (all == summaries.end()) return;
@@ -78,12 +78,12 @@
            summary.latencies().QuantileMs(0.99));
 }
 
-Result<void> RunLoad(const CallerOptions& options, platform::StopSignals& stop,
-                     const platform::Logger& log) {
+Result<void> RunLoad(const CallerOptions& options, runtime::StopSignals& stop,
+                     const runtime::Logger& log) {
   BOOST_LEAF_AUTO(streams, ReadTraffic(options.traffic));
   BOOST_LEAF_AUTO(records, RecordFile::Open(options.record));
   TrafficSource source(std::move(streams), options.rate, static_cast<std::uint64_t>(options.seed),
-                       platform::BootTimeNow());
+                       runtime::BootTimeNow());
   constexpr double kMicrosPerSecond = 1e6;
   LoadOptions load_options;
   load_options.routers = options.routers;
@@ -114,8 +114,8 @@
 }
 
 int Run(const CallerOptions& options) {
-  const platform::Logger log("testbed-caller");
-  platform::StopSignals stop;
+  const runtime::Logger log("testbed-caller");
+  runtime::StopSignals stop;
   const auto outcome = Attempt([&] { return RunLoad(options, stop, log); });
   if (const auto* error = ErrorOf(outcome)) {
     log.Error(*error);
--- a/testbed/caller/sender.cc
+++ b/testbed/caller/sender.cc
@@ -3,7 +3,7 @@
 #include <nlohmann/json.hpp>
 #include <thread>
 
-#include "src/platform/clock.h"
+#include "src/runtime/clock.h"
 
 namespace graniteseam::testbed {
 
@@ -72,11 +72,11 @@
   answer.whole = json.value("padding", "").size() == static_cast<std::size_t>(stream.padding);
 }
 
-Sender::Sender(const std::vector<platform::SocketAddress>& routers, ResendPolicy policy,
+Sender::Sender(const std::vector<runtime::SocketAddress>& routers, ResendPolicy policy,
                RecordFile& records)
     : policy_(policy), records_(records) {
   for (const auto& router : routers) {
-    addresses_.push_back(platform::ToString(router));
+    addresses_.push_back(runtime::ToString(router));
     auto client = std::make_unique<httplib::Client>(router.ip, router.port);
     client->set_keep_alive(true);
     client->set_tcp_nodelay(true);
@@ -91,13 +91,13 @@
   for (std::uint32_t sending = 1;; ++sending) {
     const std::size_t router = (first_router + sending - 1) % clients_.size();
     const Duration left =
-        std::max(Duration(std::chrono::milliseconds(1)), give_up - platform::BootTimeNow());
+        std::max(Duration(std::chrono::milliseconds(1)), give_up - runtime::BootTimeNow());
     last = SendOnce(request, stream, router, sending, left);
     records_.Append(last);
     if (IsFinal(last) || sending >= policy_.sendings_maximum) break;
     // An operation that may not be repeated is asked for beyond its deadline too: its caller must
     // find out what became of it.
-    if (request.operation.empty() && platform::BootTimeNow() + policy_.pause >= give_up) break;
+    if (request.operation.empty() && runtime::BootTimeNow() + policy_.pause >= give_up) break;
     std::this_thread::sleep_for(policy_.pause);
   }
   return last;
@@ -115,7 +115,7 @@
       .sending = sending,
       .due_us = ToMicros(request.due),
       .deadline_us = Duration(std::chrono::milliseconds(stream.deadline_ms)).count(),
-      .sent_us = ToMicros(platform::BootTimeNow()),
+      .sent_us = ToMicros(runtime::BootTimeNow()),
       .outcome = "none",
       .kind = {}};
   auto& client = *clients_[router];
@@ -126,7 +126,7 @@
   const auto response = request.operation.empty()
                             ? client.Get(path, headers)
                             : client.Post(path, headers, request.operation, "text/plain");
-  answer.answered_us = ToMicros(platform::BootTimeNow());
+  answer.answered_us = ToMicros(runtime::BootTimeNow());
   if (response) ReadResponse(*response, stream, answer);
   return answer;
 }
--- a/testbed/caller/sender.h
+++ b/testbed/caller/sender.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-#include "src/platform/socket_address.h"
+#include "src/runtime/socket_address.h"
 #include "testbed/caller/traffic.h"
 #include "testbed/support/record.h"
 #include "testbed/support/record_file.h"
@@ -24,7 +24,7 @@
 /// One caller with a connection of its own to each router. Not thread safe.
 class Sender {
  public:
-  Sender(const std::vector<platform::SocketAddress>& routers, ResendPolicy policy,
+  Sender(const std::vector<runtime::SocketAddress>& routers, ResendPolicy policy,
          RecordFile& records);
 
   /// Sends a request, and again through the next router while it was not answered, within the
--- a/testbed/experiment/control_scale.cc
+++ b/testbed/experiment/control_scale.cc
@@ -5,7 +5,7 @@
 #include <algorithm>
 #include <map>
 
-#include "src/platform/clock.h"
+#include "src/runtime/clock.h"
 #include "testbed/experiment/experiments.h"
 #include "testbed/fleet_session/fleet_session.h"
 #include "testbed/fleet_session/scale_fleet.h"
@@ -54,9 +54,9 @@
   Result<void> Changing(Duration length) {
     BOOST_LEAF_CHECK(fleet_.Gather());
     BOOST_LEAF_AUTO(before, fleet_.Cost());
-    const std::int64_t began = ToMicros(platform::BootTimeNow());
+    const std::int64_t began = ToMicros(runtime::BootTimeNow());
     for (Duration passed{0}; passed < length;
-         passed = Duration(ToMicros(platform::BootTimeNow()) - began)) {
+         passed = Duration(ToMicros(runtime::BootTimeNow()) - began)) {
       BOOST_LEAF_CHECK(DoDue(passed));
       FleetSession::Pause(kStep);
       progress_("changing", 0.2 + 0.5 * static_cast<double>(passed.count()) /
--- a/testbed/experiment/fault_experiment.cc
+++ b/testbed/experiment/fault_experiment.cc
@@ -4,7 +4,7 @@
 
 #include <algorithm>
 
-#include "src/platform/clock.h"
+#include "src/runtime/clock.h"
 
 namespace graniteseam::testbed {
 
@@ -22,7 +22,7 @@
 
 }  // namespace
 
-std::int64_t NowMicros() { return ToMicros(platform::BootTimeNow()); }
+std::int64_t NowMicros() { return ToMicros(runtime::BootTimeNow()); }
 
 std::set<ShardId> OwnedBy(const control::ShardsView& view, const std::string& server) {
   std::set<ShardId> shards;
--- a/testbed/experiment/path_overhead.cc
+++ b/testbed/experiment/path_overhead.cc
@@ -38,7 +38,7 @@
   return {{"Graniteseam-Group", kGroup}, {"Graniteseam-Deadline-Ms", "2000"}};
 }
 
-Result<Ways> KeyedWays(FleetSession& session, const platform::SocketAddress& router) {
+Result<Ways> KeyedWays(FleetSession& session, const runtime::SocketAddress& router) {
   BOOST_LEAF_AUTO(shard_of, session.MakeShardOf());
   BOOST_LEAF_AUTO(view, session.Shards());
   std::map<ShardId, control::ShardEntry> entries;
@@ -58,8 +58,8 @@
   return ways;
 }
 
-Ways PooledWays(FleetSession& session, const platform::SocketAddress& router) {
-  std::vector<platform::SocketAddress> servers;
+Ways PooledWays(FleetSession& session, const runtime::SocketAddress& router) {
+  std::vector<runtime::SocketAddress> servers;
   for (const auto& name : session.fleet().Names(Role::kServer)) {
     const Member& member = session.fleet().member(name);
     if (member.service == "pooled") servers.push_back(member.http_address());
@@ -90,7 +90,7 @@
     scenario.servers_record = false;
     BOOST_LEAF_AUTO(session, FleetSession::Start(scenario, options, false));
     const std::string router_name = session->fleet().Names(Role::kRouter).front();
-    const platform::SocketAddress router = session->fleet().member(router_name).http_address();
+    const runtime::SocketAddress router = session->fleet().member(router_name).http_address();
     const Duration length =
         std::chrono::seconds(options.duration_s == 0 ? kSecondsDefault : options.duration_s);
     Measurement result;
--- a/testbed/experiment/zone_cut.cc
+++ b/testbed/experiment/zone_cut.cc
@@ -92,7 +92,7 @@
     std::set<std::string> routers;
     for (const auto& name : run.session.fleet().Names(Role::kRouter)) {
       const Member& member = run.session.fleet().member(name);
-      if (member.zone != kZone) routers.insert(platform::ToString(member.http_address()));
+      if (member.zone != kZone) routers.insert(runtime::ToString(member.http_address()));
     }
     std::vector<RequestView> rest;
     for (const RequestView& request : records.requests) {
--- a/testbed/fleet/await.cc
+++ b/testbed/fleet/await.cc
@@ -4,7 +4,7 @@
 
 #include <thread>
 
-#include "src/platform/clock.h"
+#include "src/runtime/clock.h"
 
 namespace graniteseam::testbed {
 
@@ -16,11 +16,11 @@
 
 Result<void> Await(const std::string& what, Duration limit,
                    const std::function<Missing()>& condition) {
-  const Instant end = platform::BootTimeNow() + limit;
+  const Instant end = runtime::BootTimeNow() + limit;
   while (true) {
     const Missing missing = condition();
     if (missing.empty()) return {};
-    if (platform::BootTimeNow() >= end) {
+    if (runtime::BootTimeNow() >= end) {
       return Fail(ErrorKind::kDeadlineExceeded,
                   fmt::format("Waited in vain for {}: {}.", what, missing),
                   "Look at the logs in the fleet's folder.");
--- a/testbed/fleet/child_process.cc
+++ b/testbed/fleet/child_process.cc
@@ -12,7 +12,7 @@
 #include <thread>
 #include <utility>
 
-#include "src/platform/clock.h"
+#include "src/runtime/clock.h"
 
 namespace graniteseam::testbed {
 
@@ -104,9 +104,9 @@
 }
 
 std::optional<int> ChildProcess::Wait(Duration limit) {
-  const Instant end = platform::BootTimeNow() + limit;
+  const Instant end = runtime::BootTimeNow() + limit;
   while (Running()) {
-    if (platform::BootTimeNow() >= end) return std::nullopt;
+    if (runtime::BootTimeNow() >= end) return std::nullopt;
     std::this_thread::sleep_for(kWaitPeriod);
   }
   return exit_status_;
--- a/testbed/fleet/fault_runner.cc
+++ b/testbed/fleet/fault_runner.cc
@@ -2,7 +2,7 @@
 
 #include <csignal>
 
-#include "src/platform/clock.h"
+#include "src/runtime/clock.h"
 #include "testbed/fleet/bundle_file.h"
 #include "testbed/support/text_file.h"
 
@@ -26,12 +26,12 @@
 }  // namespace
 
 FaultRunner::FaultRunner(Fleet& fleet, const OperatorConsole& console, RecordFile& records,
-                         const platform::Logger& log)
+                         const runtime::Logger& log)
     : fleet_(fleet),
       console_(console),
       records_(records),
       log_(log),
-      start_(platform::BootTimeNow()) {
+      start_(runtime::BootTimeNow()) {
   for (const auto& fault : fleet_.scenario().faults) {
     schedule_.emplace(start_ + fault.at, [this, fault] { return Run(fault); });
   }
@@ -40,7 +40,7 @@
 FaultRunner::~FaultRunner() { Finish(); }
 
 Result<void> FaultRunner::RunDue() {
-  while (!schedule_.empty() && schedule_.begin()->first <= platform::BootTimeNow()) {
+  while (!schedule_.empty() && schedule_.begin()->first <= runtime::BootTimeNow()) {
     const auto work = schedule_.begin()->second;
     schedule_.erase(schedule_.begin());
     BOOST_LEAF_CHECK(work());
@@ -177,7 +177,7 @@
     const auto rolled = Attempt([&] { return console_.Roll(file); });
     const auto* result = std::get_if<CommandResult>(&rolled);
     if (result != nullptr && result->exit_code == 0) {
-      const std::int64_t now = ToMicros(platform::BootTimeNow());
+      const std::int64_t now = ToMicros(runtime::BootTimeNow());
       records_.Append(VersionRecord{"operator", version, now, now, true});
       Note("bundle version " + std::to_string(version) + " is rolled");
       return;
@@ -214,7 +214,7 @@
     } else if (!left_won && !right_won) {
       NoteProblem("neither racer could roll version " + std::to_string(version));
     } else {
-      const std::int64_t now = ToMicros(platform::BootTimeNow());
+      const std::int64_t now = ToMicros(runtime::BootTimeNow());
       records_.Append(VersionRecord{"operator", version, now, now, true});
       Note(std::string(left_won ? "the first" : "the second") + " racer's version " +
            std::to_string(version) + " is rolled, the other was refused");
@@ -247,11 +247,11 @@
 void FaultRunner::RunReplace(const std::string& name) {
   const auto& member = fleet_.member(name);
   RunCommand({"control", "replace", std::to_string(member.control_id),
-              platform::ToString(member.http_address())});
+              runtime::ToString(member.http_address())});
 }
 
 void FaultRunner::NoteLeaving(const std::string& server, bool leaving) {
-  records_.Append(LeavingRecord{server, ToMicros(platform::BootTimeNow()), leaving});
+  records_.Append(LeavingRecord{server, ToMicros(runtime::BootTimeNow()), leaving});
 }
 
 void FaultRunner::RunCommand(const std::vector<std::string>& words,
@@ -274,12 +274,12 @@
 void FaultRunner::Beside(std::function<void()> work) { beside_.emplace_back(std::move(work)); }
 
 void FaultRunner::After(Duration delay, std::function<Result<void>()> work) {
-  schedule_.emplace(platform::BootTimeNow() + delay, std::move(work));
+  schedule_.emplace(runtime::BootTimeNow() + delay, std::move(work));
 }
 
 void FaultRunner::Note(const std::string& what) {
   const double at =
-      static_cast<double>((platform::BootTimeNow() - start_).count()) / kMicrosPerSecond;
+      static_cast<double>((runtime::BootTimeNow() - start_).count()) / kMicrosPerSecond;
   log_.Info("At {:.1f} s: {}.", at, what);
   const std::lock_guard lock(mutex_);
   events_.push_back({at, what});
--- a/testbed/fleet/fault_runner.h
+++ b/testbed/fleet/fault_runner.h
@@ -10,7 +10,7 @@
 #include <thread>
 #include <vector>
 
-#include "src/platform/log.h"
+#include "src/runtime/log.h"
 #include "testbed/fleet/fleet.h"
 #include "testbed/fleet/operator_console.h"
 #include "testbed/support/record_file.h"
@@ -29,7 +29,7 @@
  public:
   /// @param records takes note of bundle versions that an operator was told are rolled.
   FaultRunner(Fleet& fleet, const OperatorConsole& console, RecordFile& records,
-              const platform::Logger& log);
+              const runtime::Logger& log);
   ~FaultRunner();
 
   /// Runs what is due.
@@ -70,7 +70,7 @@
   Fleet& fleet_;
   const OperatorConsole& console_;
   RecordFile& records_;
-  const platform::Logger& log_;
+  const runtime::Logger& log_;
   const Instant start_;
   std::uint64_t bundle_version_ = 1;
   std::multimap<Instant, std::function<Result<void>()>> schedule_;
--- a/testbed/fleet/fleet.cc
+++ b/testbed/fleet/fleet.cc
@@ -40,7 +40,8 @@
   BOOST_LEAF_ASSIGN(credentials_, MakeCredentials(paths_));
   if (scenario_.links.enabled) {
     links_ = std::make_unique<LinkLayer>(
-        [this](const std::string& from, const std::string& to) { return StateOf(from, to); });
+        [this](const std::string& from, const std::string& to) { return StateOf(from, to); },
+        [this](const ConnectionEnds& ends) { return socket_owners_.IpOf(ends); });
   }
   layout_ = std::make_unique<Layout>(scenario_, paths_, credentials_);
   BOOST_LEAF_CHECK(layout_->AddAll(members_));
@@ -100,6 +101,7 @@
   if (member.Running()) return {};
   BOOST_LEAF_AUTO(process, ChildProcess::Start(member.command));
   member.process.emplace(std::move(process));
+  socket_owners_.Add(member.process->id(), member.ip);
   if (member.role != Role::kServer) return {};
   member.listed = true;
   member.leaving = false;
@@ -212,7 +214,7 @@
     if (!member.listed) continue;
     machines.push_back({{"server", name},
                         {"service", member.service},
-                        {"address", platform::ToString(member.http_address())},
+                        {"address", runtime::ToString(member.KnownAddress(member.http_address()))},
                         {"zone", member.zone},
                         {"leaving", member.leaving}});
   }
--- a/testbed/fleet/fleet.h
+++ b/testbed/fleet/fleet.h
@@ -14,6 +14,7 @@
 #include "testbed/fleet/link_layer.h"
 #include "testbed/fleet/member.h"
 #include "testbed/fleet/scenario.h"
+#include "testbed/fleet/socket_owners.h"
 
 namespace graniteseam::testbed {
 
@@ -80,7 +81,8 @@
   std::string further_machines_;  ///< JSON array of what ListMachines() was given last.
   std::mutex cuts_mutex_;         ///< Guards cuts_.
   std::set<std::pair<std::string, std::string>> cuts_;  ///< Directed, by address.
-  std::unique_ptr<LinkLayer> links_;                    ///< Null when links are not simulated.
+  SocketOwners socket_owners_;
+  std::unique_ptr<LinkLayer> links_;  ///< Null when links are not simulated.
 };
 
 }  // namespace graniteseam::testbed
--- a/testbed/fleet/layout.cc
+++ b/testbed/fleet/layout.cc
@@ -7,7 +7,7 @@
 #include <cstdio>
 
 #include "graniteseam/bundle/signature.h"
-#include "src/platform/clock.h"
+#include "src/runtime/clock.h"
 #include "testbed/support/text_file.h"
 
 namespace graniteseam::testbed {
@@ -49,18 +49,27 @@
   return "[" + text + "]";
 }
 
-std::string HttpAddress(const Member& member) { return platform::ToString(member.http_address()); }
-std::string PeerAddress(const Member& member) { return platform::ToString(member.peer_address()); }
+/// Where a member listens.
+std::string HttpAddress(const Member& member) { return runtime::ToString(member.http_address()); }
+std::string PeerAddress(const Member& member) { return runtime::ToString(member.peer_address()); }
+
+/// Where the others reach it: at the link layer's relay when there is one.
+std::string KnownHttpAddress(const Member& member) {
+  return runtime::ToString(member.KnownAddress(member.http_address()));
+}
+std::string KnownPeerAddress(const Member& member) {
+  return runtime::ToString(member.KnownAddress(member.peer_address()));
+}
 
 std::string BootstrapEntry(const Member& member) {
-  return std::to_string(member.control_id) + "@" + member.zone + "@" + PeerAddress(member);
+  return std::to_string(member.control_id) + "@" + member.zone + "@" + KnownPeerAddress(member);
 }
 
 }  // namespace
 
 Result<Credentials> MakeCredentials(const FleetPaths& paths) {
   Credentials credentials;
-  credentials.operator_credential = "fleet-" + std::to_string(platform::RandomBits());
+  credentials.operator_credential = "fleet-" + std::to_string(runtime::RandomBits());
   credentials.credential_file = paths.folder + "/operator.credential";
   credentials.reviewer_key_file = paths.folder + "/reviewer.key";
   BOOST_LEAF_AUTO(keys, bundle::GenerateKeyPair());
@@ -99,10 +108,7 @@
     member.ports.push_back(std::move(reserved));
   }
   member.command.log = paths_.Log(name);
-  if (scenario_.links.enabled) {
-    member.command.environment = {{"LD_PRELOAD", Program("../lib/graniteseam-connect-shim.so")},
-                                  {"GRANITESEAM_LINK_SOURCE", member.ip}};
-  }
+  member.relayed = scenario_.links.enabled;
   return &members.emplace(name, std::move(member)).first->second;
 }
 
@@ -144,7 +150,11 @@
   text += "data_folder = " + Quoted(member.data_folder) + "\n";
   text += "peer_address = " + Quoted(PeerAddress(member)) + "\n";
   text += "http_address = " + Quoted(HttpAddress(member)) + "\n";
-  text += "platform = " + TomlArray(members, Role::kPlatform, HttpAddress) + "\n";
+  if (member.relayed) {
+    text += "advertised_peer_address = " + Quoted(KnownPeerAddress(member)) + "\n";
+    text += "advertised_http_address = " + Quoted(KnownHttpAddress(member)) + "\n";
+  }
+  text += "platform = " + TomlArray(members, Role::kPlatform, KnownHttpAddress) + "\n";
   if (initialise) {
     text += "initialise = true\n";
     text += "bootstrap = " + TomlArray(members, Role::kControl, BootstrapEntry) + "\n";
@@ -171,7 +181,7 @@
   std::string text = "id = " + Quoted(member.name) + "\n";
   text += "zone = " + Quoted(member.zone) + "\n";
   text += "http_address = " + Quoted(HttpAddress(member)) + "\n";
-  text += "control = " + TomlArray(members, Role::kControl, PeerAddress) + "\n";
+  text += "control = " + TomlArray(members, Role::kControl, KnownPeerAddress) + "\n";
   return WriteTextFile(paths_.Settings(member.name), text);
 }
 
@@ -240,7 +250,7 @@
   std::string routers;
   for (const auto& [router_name, router] : members) {
     if (router.role != Role::kRouter || router.zone != member->zone) continue;
-    routers += (routers.empty() ? "" : ",") + HttpAddress(router);
+    routers += (routers.empty() ? "" : ",") + KnownHttpAddress(router);
   }
   const double zones = static_cast<double>(scenario_.zone_count());
   const double rate = deployment.rate * scenario_.rate_factor / zones;
--- a/testbed/fleet/link_layer.cc
+++ b/testbed/fleet/link_layer.cc
@@ -6,7 +6,7 @@
 #include <mutex>
 #include <thread>
 
-#include "src/platform/clock.h"
+#include "src/runtime/clock.h"
 
 namespace graniteseam::testbed {
 
@@ -50,7 +50,7 @@
   }
 
   void Hold(std::size_t size) {
-    const Instant due = platform::BootTimeNow() + state_().delay;
+    const Instant due = runtime::BootTimeNow() + state_().delay;
     held_.push_back({due, {buffer_.begin(), buffer_.begin() + static_cast<std::ptrdiff_t>(size)}});
     if (!delivering_) Deliver();
   }
@@ -62,7 +62,7 @@
       return;
     }
     delivering_ = true;
-    const Duration left = held_.front().due - platform::BootTimeNow();
+    const Duration left = held_.front().due - runtime::BootTimeNow();
     if (left > Duration(0)) return Later(left);
     if (state_().cut) return Later(kHealCheckPeriod);
     if (held_.front().bytes.empty()) return Close();
@@ -105,8 +105,12 @@
 class Relay : public std::enable_shared_from_this<Relay> {
  public:
   Relay(boost::asio::io_context& context, Tcp::endpoint target,
-        const LinkLayer::StateFunction& state)
-      : context_(context), target_(std::move(target)), state_(state), acceptor_(context) {}
+        const LinkLayer::StateFunction& state, const LinkLayer::SourceFunction& source)
+      : context_(context),
+        target_(std::move(target)),
+        state_(state),
+        source_(source),
+        acceptor_(context) {}
 
   void Listen() {
     const Tcp::endpoint front(
@@ -132,7 +136,10 @@
     ErrorCode error;
     const auto peer = client->remote_endpoint(error);
     if (error) return;
-    const std::string from = peer.address().to_string();
+    const auto own = client->local_endpoint(error);
+    if (error) return;
+    const std::string from = source_(
+        {{peer.address().to_string(), peer.port()}, {own.address().to_string(), own.port()}});
     const std::string to = target_.address().to_string();
     if (state_(from, to).cut || state_(to, from).cut) return HoldUntilHealed(client, from, to);
     Connect(client, from, to);
@@ -171,6 +178,7 @@
   boost::asio::io_context& context_;
   const Tcp::endpoint target_;
   const LinkLayer::StateFunction state_;
+  const LinkLayer::SourceFunction source_;
   Tcp::acceptor acceptor_;
 };
 
@@ -178,8 +186,9 @@
 
 class LinkLayer::Impl {
  public:
-  explicit Impl(StateFunction state)
+  Impl(StateFunction state, SourceFunction source)
       : state_(std::move(state)),
+        source_(std::move(source)),
         work_(boost::asio::make_work_guard(context_)),
         thread_([this] { context_.run(); }) {}
 
@@ -188,13 +197,13 @@
     thread_.join();
   }
 
-  Result<void> AddEndpoint(const platform::SocketAddress& address) {
+  Result<void> AddEndpoint(const runtime::SocketAddress& address) {
     const Tcp::endpoint target(boost::asio::ip::make_address(address.ip), address.port);
     try {
-      std::make_shared<Relay>(context_, target, state_)->Listen();
+      std::make_shared<Relay>(context_, target, state_, source_)->Listen();
     } catch (const boost::system::system_error& error) {
       return Fail(ErrorKind::kUnavailable,
-                  "The link layer can't listen for " + platform::ToString(address) + ": " +
+                  "The link layer can't listen for " + runtime::ToString(address) + ": " +
                       error.what() + ".",
                   "Stop other fleets on this machine.");
     }
@@ -203,15 +212,17 @@
 
  private:
   const StateFunction state_;
+  const SourceFunction source_;
   boost::asio::io_context context_;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_;
   std::thread thread_;
 };
 
-LinkLayer::LinkLayer(StateFunction state) : impl_(std::make_unique<Impl>(std::move(state))) {}
+LinkLayer::LinkLayer(StateFunction state, SourceFunction source)
+    : impl_(std::make_unique<Impl>(std::move(state), std::move(source))) {}
 LinkLayer::~LinkLayer() = default;
 
-Result<void> LinkLayer::AddEndpoint(const platform::SocketAddress& address) {
+Result<void> LinkLayer::AddEndpoint(const runtime::SocketAddress& address) {
   return impl_->AddEndpoint(address);
 }
 
--- a/testbed/fleet/link_layer.h
+++ b/testbed/fleet/link_layer.h
@@ -9,7 +9,7 @@
 
 #include "graniteseam/common/error.h"
 #include "graniteseam/common/time.h"
-#include "src/platform/socket_address.h"
+#include "src/runtime/socket_address.h"
 
 namespace graniteseam::testbed {
 
@@ -19,8 +19,13 @@
   Duration delay{0};
 };
 
-/// Relays connections to addresses 127.0.x.y, for those who come through the connect shim to
-/// 127.1.x.y.
+/// The two ends of a connection that the relay took, as its client sees them.
+struct ConnectionEnds {
+  runtime::SocketAddress client;
+  runtime::SocketAddress relay;
+};
+
+/// Relays connections to addresses 127.0.x.y, for those who were told that they are 127.1.x.y.
 ///
 /// A cut link is silent, as a lost network is: bytes of connections that exist are held and arrive
 /// when the link is healed, if nobody has given up by then; a connection made while the link is cut
@@ -34,13 +39,17 @@
   using StateFunction =
       std::function<LinkState(const std::string& from_ip, const std::string& to_ip)>;
 
-  explicit LinkLayer(StateFunction state);
+  /// Tells the address ("127.0.1.2") of the process that opened a connection, or "" when it is none
+  /// of the fleet; called on the relay's thread, once a connection.
+  using SourceFunction = std::function<std::string(const ConnectionEnds& ends)>;
+
+  LinkLayer(StateFunction state, SourceFunction source);
   ~LinkLayer();
 
   /// Relays connections to `address` from now on.
-  Result<void> AddEndpoint(const platform::SocketAddress& address);
+  Result<void> AddEndpoint(const runtime::SocketAddress& address);
 
-  /// Where the shim leads connections to `ip`.
+  /// Where others reach what listens on `ip`.
   static std::string RelayIp(const std::string& ip);
 
  private:
--- a/testbed/fleet/main.cc
+++ b/testbed/fleet/main.cc
@@ -5,9 +5,9 @@
 #include <filesystem>
 #include <iostream>
 
-#include "src/platform/log.h"
-#include "src/platform/settings.h"
-#include "src/platform/stop_signals.h"
+#include "src/runtime/log.h"
+#include "src/runtime/settings.h"
+#include "src/runtime/stop_signals.h"
 #include "testbed/fleet/run.h"
 #include "testbed/support/text_file.h"
 
@@ -29,7 +29,7 @@
 };
 
 std::optional<int> ReadOptions(int argc, char** argv, FleetOptions& options) {
-  using platform::SettingsReader;
+  using runtime::SettingsReader;
   constexpr double kFactorMaximum = 1'000.0;
   SettingsReader reader("graniteseam-fleet",
                         "Runs a whole fleet on this machine, disturbs it, and checks its history.");
@@ -55,8 +55,8 @@
               "Name a folder with --folder.");
 }
 
-Result<FleetReport> Run(FleetOptions options, platform::StopSignals& stop,
-                        const platform::Logger& log) {
+Result<FleetReport> Run(FleetOptions options, runtime::StopSignals& stop,
+                        const runtime::Logger& log) {
   const std::filesystem::path own = std::filesystem::read_symlink("/proc/self/exe").parent_path();
   if (options.programs.empty()) options.programs = own;
   // build/bin/graniteseam-fleet
@@ -81,8 +81,8 @@
 }
 
 int Main(const FleetOptions& options) {
-  const platform::Logger log("fleet");
-  platform::StopSignals stop;
+  const runtime::Logger log("fleet");
+  runtime::StopSignals stop;
   const auto outcome = Attempt([&] { return Run(options, stop, log); });
   if (const auto* error = ErrorOf(outcome)) {
     log.Error(*error);
--- a/testbed/fleet/member.h
+++ b/testbed/fleet/member.h
@@ -7,8 +7,9 @@
 #include <string>
 #include <vector>
 
-#include "src/platform/socket_address.h"
+#include "src/runtime/socket_address.h"
 #include "testbed/fleet/child_process.h"
+#include "testbed/fleet/link_layer.h"
 #include "testbed/fleet/reserved_port.h"
 
 namespace graniteseam::testbed {
@@ -26,11 +27,17 @@
   std::uint64_t control_id = 0;     ///< Control only.
   Command command;
   std::optional<ChildProcess> process;
+  bool relayed = false;  ///< Others reach it through the link layer.
   bool listed = false;   ///< On the platform's list.
   bool leaving = false;  ///< Marked there as leaving.
 
-  const platform::SocketAddress& http_address() const { return ports.at(0).address(); }
-  const platform::SocketAddress& peer_address() const { return ports.at(1).address(); }
+  const runtime::SocketAddress& http_address() const { return ports.at(0).address(); }
+  const runtime::SocketAddress& peer_address() const { return ports.at(1).address(); }
+  /// Where others reach what listens on `listened`.
+  runtime::SocketAddress KnownAddress(const runtime::SocketAddress& listened) const {
+    if (!relayed) return listened;
+    return {LinkLayer::RelayIp(listened.ip), listened.port};
+  }
   bool Running() { return process && process->Running(); }
 };
 
--- a/testbed/fleet/operator_console.cc
+++ b/testbed/fleet/operator_console.cc
@@ -19,7 +19,7 @@
 }  // namespace
 
 OperatorConsole::OperatorConsole(const FleetPaths& paths, const Credentials& credentials,
-                                 std::vector<platform::SocketAddress> control)
+                                 std::vector<runtime::SocketAddress> control)
     : paths_(paths), credentials_(credentials), control_(std::move(control)) {
   client_options_.control = control_;
   client_options_.credential = credentials_.operator_credential;
@@ -31,7 +31,7 @@
 Result<CommandResult> OperatorConsole::Run(const std::vector<std::string>& words) const {
   std::string control;
   for (const auto& address : control_) {
-    control += (control.empty() ? "" : ",") + platform::ToString(address);
+    control += (control.empty() ? "" : ",") + runtime::ToString(address);
   }
   Command command;
   command.words = {paths_.programs + "/graniteseamctl"};
--- a/testbed/fleet/operator_console.h
+++ b/testbed/fleet/operator_console.h
@@ -22,7 +22,7 @@
  public:
   /// @param control HTTP addresses of the control processes.
   OperatorConsole(const FleetPaths& paths, const Credentials& credentials,
-                  std::vector<platform::SocketAddress> control);
+                  std::vector<runtime::SocketAddress> control);
 
   /// Runs graniteseamctl with the operator's credential and waits until it has ended.
   Result<CommandResult> Run(const std::vector<std::string>& words) const;
@@ -40,7 +40,7 @@
  private:
   const FleetPaths paths_;
   const Credentials credentials_;
-  const std::vector<platform::SocketAddress> control_;
+  const std::vector<runtime::SocketAddress> control_;
   http::OperatorClientOptions client_options_;
 };
 
--- a/testbed/fleet/readiness.cc
+++ b/testbed/fleet/readiness.cc
@@ -5,7 +5,7 @@
 #include <algorithm>
 #include <set>
 
-#include "src/platform/clock.h"
+#include "src/runtime/clock.h"
 #include "testbed/caller/sender.h"
 #include "testbed/caller/traffic.h"
 #include "testbed/fleet/await.h"
@@ -66,13 +66,13 @@
 }
 
 /// Sends one request of a stream through one router until it is answered.
-Result<void> AwaitAnswer(const std::string& router, const platform::SocketAddress& address,
+Result<void> AwaitAnswer(const std::string& router, const runtime::SocketAddress& address,
                          const Stream& stream, RecordFile& records) {
-  TrafficSource source({stream}, 1.0, platform::RandomBits(), platform::BootTimeNow());
+  TrafficSource source({stream}, 1.0, runtime::RandomBits(), runtime::BootTimeNow());
   Sender sender({address}, ResendPolicy{.sendings_maximum = 1, .pause = Duration(0)}, records);
   return Await("an answer from " + stream.service, kLimit, [&]() -> Missing {
-    auto request = source.Next(platform::WallMillis());
-    request.due = platform::BootTimeNow();
+    auto request = source.Next(runtime::WallMillis());
+    request.due = runtime::BootTimeNow();
     const auto answer = sender.Send(request, stream, 0);
     if (answer.outcome == "answered") return "";
     return router + " says " + answer.outcome + " " + answer.kind;
--- a/testbed/fleet/reserved_port.h
+++ b/testbed/fleet/reserved_port.h
@@ -5,7 +5,7 @@
 #include <string>
 
 #include "graniteseam/common/error.h"
-#include "src/platform/socket_address.h"
+#include "src/runtime/socket_address.h"
 
 namespace graniteseam::testbed {
 
@@ -21,13 +21,13 @@
   ReservedPort& operator=(ReservedPort&& other) = delete;
   ~ReservedPort();
 
-  const platform::SocketAddress& address() const { return address_; }
+  const runtime::SocketAddress& address() const { return address_; }
 
  private:
-  ReservedPort(platform::SocketAddress address, int descriptor)
+  ReservedPort(runtime::SocketAddress address, int descriptor)
       : address_(std::move(address)), descriptor_(descriptor) {}
 
-  platform::SocketAddress address_;
+  runtime::SocketAddress address_;
   int descriptor_;
 };
 
--- a/testbed/fleet/run.cc
+++ b/testbed/fleet/run.cc
@@ -2,7 +2,7 @@
 
 #include <thread>
 
-#include "src/platform/clock.h"
+#include "src/runtime/clock.h"
 #include "testbed/fleet/fault_runner.h"
 #include "testbed/fleet/readiness.h"
 #include "testbed/fleet/running_fleet.h"
@@ -20,7 +20,7 @@
 /// One run of one scenario.
 class Run {
  public:
-  Run(const Scenario& scenario, const FleetPaths& paths, const platform::Logger& log,
+  Run(const Scenario& scenario, const FleetPaths& paths, const runtime::Logger& log,
       const std::function<bool()>& stop_asked)
       : scenario_(scenario),
         log_(log),
@@ -56,12 +56,12 @@
  private:
   /// Lets the traffic run and the faults happen until all callers have their last answers.
   Result<void> RunTraffic(FaultRunner& faults) {
-    const Instant start = platform::BootTimeNow();
+    const Instant start = runtime::BootTimeNow();
     const Instant give_up = start + scenario_.duration + kCallersLimit;
     Instant next_progress = start + kProgressPeriod;
     while (!fleet_.Names(Role::kCaller, true).empty() || !faults.Done()) {
       BOOST_LEAF_CHECK(faults.RunDue());
-      const Instant now = platform::BootTimeNow();
+      const Instant now = runtime::BootTimeNow();
       if (now >= next_progress) {
         ShowProgress(now - start);
         next_progress = now + kProgressPeriod;
@@ -95,7 +95,7 @@
   }
 
   const Scenario& scenario_;
-  const platform::Logger& log_;
+  const runtime::Logger& log_;
   const std::function<bool()>& stop_asked_;
   RunningFleet running_;
   Fleet& fleet_;
@@ -104,7 +104,7 @@
 }  // namespace
 
 Result<FleetReport> RunScenario(const Scenario& scenario, const FleetPaths& paths,
-                                const platform::Logger& log,
+                                const runtime::Logger& log,
                                 const std::function<bool()>& stop_asked) {
   return Run(scenario, paths, log, stop_asked).Do();
 }
--- a/testbed/fleet/run.h
+++ b/testbed/fleet/run.h
@@ -4,7 +4,7 @@
 
 #include <functional>
 
-#include "src/platform/log.h"
+#include "src/runtime/log.h"
 #include "testbed/fleet/layout.h"
 #include "testbed/fleet/report.h"
 
@@ -15,7 +15,7 @@
 /// @param stop_asked polled; ends the run early.
 /// @return an error when the fleet could not be run; a fleet that misbehaved is in the report.
 Result<FleetReport> RunScenario(const Scenario& scenario, const FleetPaths& paths,
-                                const platform::Logger& log,
+                                const runtime::Logger& log,
                                 const std::function<bool()>& stop_asked);
 
 }  // namespace graniteseam::testbed
--- a/testbed/fleet/running_fleet.cc
+++ b/testbed/fleet/running_fleet.cc
@@ -12,7 +12,7 @@
 
 }  // namespace
 
-RunningFleet::RunningFleet(const Scenario& scenario, FleetPaths paths, const platform::Logger& log)
+RunningFleet::RunningFleet(const Scenario& scenario, FleetPaths paths, const runtime::Logger& log)
     : log_(log), fleet_(scenario, std::move(paths)) {}
 
 Result<void> RunningFleet::Start() {
@@ -26,7 +26,7 @@
 
 Result<void> RunningFleet::Prepare() {
   BOOST_LEAF_CHECK(fleet_.Prepare());
-  std::vector<platform::SocketAddress> control;
+  std::vector<runtime::SocketAddress> control;
   for (const auto& name : fleet_.Names(Role::kControl)) {
     control.push_back(fleet_.member(name).http_address());
   }
--- a/testbed/fleet/running_fleet.h
+++ b/testbed/fleet/running_fleet.h
@@ -5,7 +5,7 @@
 #include <memory>
 #include <string>
 
-#include "src/platform/log.h"
+#include "src/runtime/log.h"
 #include "testbed/fleet/fleet.h"
 #include "testbed/fleet/operator_console.h"
 
@@ -15,7 +15,7 @@
 /// running. Not thread safe.
 class RunningFleet {
  public:
-  RunningFleet(const Scenario& scenario, FleetPaths paths, const platform::Logger& log);
+  RunningFleet(const Scenario& scenario, FleetPaths paths, const runtime::Logger& log);
 
   /// Starts all members but the callers, rolls the first bundle and waits until everything serves.
   Result<void> Start();
@@ -36,7 +36,7 @@
  private:
   Result<void> RollFirstBundle();
 
-  const platform::Logger& log_;
+  const runtime::Logger& log_;
   Fleet fleet_;
   std::unique_ptr<OperatorConsole> console_;
 };
--- a/testbed/fleet/version_observer.cc
+++ b/testbed/fleet/version_observer.cc
@@ -1,6 +1,6 @@
 #include "testbed/fleet/version_observer.h"
 
-#include "src/platform/clock.h"
+#include "src/runtime/clock.h"
 
 namespace graniteseam::testbed {
 
@@ -20,9 +20,9 @@
 
 void VersionObserver::Run() {
   while (!stop_) {
-    const std::int64_t asked = ToMicros(platform::BootTimeNow());
+    const std::int64_t asked = ToMicros(runtime::BootTimeNow());
     const auto views = console_.BundlesFromEachLeader();
-    const std::int64_t seen = ToMicros(platform::BootTimeNow());
+    const std::int64_t seen = ToMicros(runtime::BootTimeNow());
     for (const auto& view : views) {
       records_.Append(
           VersionRecord{VersionRecord::kInForceProcess, view.in_force.value, asked, seen, false});
--- a/testbed/fleet_session/exchange_load.h
+++ b/testbed/fleet_session/exchange_load.h
@@ -9,13 +9,13 @@
 #include <vector>
 
 #include "graniteseam/common/time.h"
-#include "src/platform/socket_address.h"
+#include "src/runtime/socket_address.h"
 
 namespace graniteseam::testbed {
 
 /// What one connection asks for, again and again.
 struct ExchangeTarget {
-  platform::SocketAddress address;
+  runtime::SocketAddress address;
   std::string path;
   httplib::Headers headers;
 };
--- a/testbed/fleet_session/fleet_session.cc
+++ b/testbed/fleet_session/fleet_session.cc
@@ -6,7 +6,7 @@
 #include <thread>
 
 #include "graniteseam/routing/routing_table.h"
-#include "src/platform/clock.h"
+#include "src/runtime/clock.h"
 #include "testbed/fleet/await.h"
 
 namespace graniteseam::testbed {
@@ -72,9 +72,9 @@
 }
 
 bool FleetSession::WaitUntil(Duration limit, const std::function<bool()>& condition) const {
-  const Instant give_up = platform::BootTimeNow() + limit;
+  const Instant give_up = runtime::BootTimeNow() + limit;
   while (!condition()) {
-    if (platform::BootTimeNow() >= give_up) return false;
+    if (runtime::BootTimeNow() >= give_up) return false;
     std::this_thread::sleep_for(kPollPeriod);
   }
   return true;
--- a/testbed/fleet_session/fleet_session.h
+++ b/testbed/fleet_session/fleet_session.h
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-#include "src/platform/log.h"
+#include "src/runtime/log.h"
 #include "testbed/fleet/running_fleet.h"
 #include "testbed/fleet_session/request_view.h"
 #include "testbed/history/history.h"
@@ -56,7 +56,7 @@
  private:
   FleetSession(const Scenario& scenario, const FleetPaths& paths);
 
-  platform::Logger log_;
+  runtime::Logger log_;
   Scenario scenario_;
   RunningFleet running_;
   bool keep_folder_ = true;  ///< Until the session ended well and nothing was violated.
--- a/testbed/fleet_session/hollow_process.cc
+++ b/testbed/fleet_session/hollow_process.cc
@@ -20,7 +20,7 @@
   BOOST_LEAF_AUTO(port, ReservedPort::Reserve("127.0.0.1", ""));
   Command command;
   command.words = {program_folder + "/graniteseam-hollow-nodes", "--admin-address",
-                   platform::ToString(port.address())};
+                   runtime::ToString(port.address())};
   command.words.insert(command.words.end(), flags.begin(), flags.end());
   command.log = log;
   BOOST_LEAF_AUTO(process, ChildProcess::Start(command));
--- a/testbed/fleet_session/scale_fleet.cc
+++ b/testbed/fleet_session/scale_fleet.cc
@@ -6,7 +6,7 @@
 #include <filesystem>
 #include <sstream>
 
-#include "src/platform/clock.h"
+#include "src/runtime/clock.h"
 #include "testbed/fleet/await.h"
 #include "testbed/fleet/bundle_file.h"
 #include "testbed/fleet_session/fleet_session.h"
@@ -27,7 +27,7 @@
 constexpr double kRealServers = 0.3;
 constexpr double kRealRate = 0.25;
 
-std::int64_t Now() { return ToMicros(platform::BootTimeNow()); }
+std::int64_t Now() { return ToMicros(runtime::BootTimeNow()); }
 
 void AddCost(std::optional<ProcessCost> cost, ProcessCost& sum) {
   if (!cost) return;
@@ -123,7 +123,7 @@
   std::string control;
   for (const auto& name : running_.fleet().Names(Role::kControl)) {
     control += (control.empty() ? "" : ",") +
-               platform::ToString(running_.fleet().member(name).peer_address());
+               runtime::ToString(running_.fleet().member(name).peer_address());
   }
   for (std::uint32_t first = 0; first < size_.routers; first += kRoutersPerProcess) {
     const std::uint32_t count = std::min(kRoutersPerProcess, size_.routers - first);
--- a/testbed/fleet_session/scale_fleet.h
+++ b/testbed/fleet_session/scale_fleet.h
@@ -8,7 +8,7 @@
 #include <string>
 #include <vector>
 
-#include "src/platform/log.h"
+#include "src/runtime/log.h"
 #include "testbed/fleet/running_fleet.h"
 #include "testbed/fleet_session/hollow_process.h"
 #include "testbed/fleet_session/process_cost.h"
@@ -98,7 +98,7 @@
   void Take(const nlohmann::json& event);
   Result<void> WriteHollowBundle();
 
-  platform::Logger log_;
+  runtime::Logger log_;
   ScaleSize size_;
   RunningFleet running_;
   std::vector<HollowProcess> servers_;
--- a/testbed/hollow/hollow_router.cc
+++ b/testbed/hollow/hollow_router.cc
@@ -2,7 +2,7 @@
 
 #include <cmath>
 
-#include "src/platform/clock.h"
+#include "src/runtime/clock.h"
 
 namespace graniteseam::testbed {
 
@@ -21,13 +21,13 @@
 
 }  // namespace
 
-HollowRouter::HollowRouter(HollowRouterOptions options, platform::MetricsRegistry& metrics,
+HollowRouter::HollowRouter(HollowRouterOptions options, runtime::MetricsRegistry& metrics,
                            EventLog& events)
     : options_(std::move(options)),
       events_(events),
-      random_(platform::RandomBits()),
-      node_(NodeOptions(options_), platform::RandomBits(), platform::BootTimeNow()),
-      requests_until_(platform::BootTimeNow()) {
+      random_(runtime::RandomBits()),
+      node_(NodeOptions(options_), runtime::RandomBits(), runtime::BootTimeNow()),
+      requests_until_(runtime::BootTimeNow()) {
   protocol::RouterControlClientOptions client;
   client.router = options_.id;
   client.control = options_.control;
@@ -37,20 +37,20 @@
       client, metrics,
       [this](const control::ControlToRouter& answer) {
         const std::lock_guard answer_lock(mutex_);
-        const Instant now = platform::BootTimeNow();
+        const Instant now = runtime::BootTimeNow();
         Carry(node_.OnControlMessage(answer, now));
         NoteVersion(now);
       },
       [this](bool connected) {
         if (!connected) return;
         const std::lock_guard connected_lock(mutex_);
-        Carry(node_.OnControlConnected(platform::BootTimeNow()));
+        Carry(node_.OnControlConnected(runtime::BootTimeNow()));
       });
 }
 
 void HollowRouter::Drive() {
   const std::lock_guard lock(mutex_);
-  const Instant now = platform::BootTimeNow();
+  const Instant now = runtime::BootTimeNow();
   for (const auto& send : std::exchange(in_flight_, {})) {
     routing::AttemptResult result;
     result.request = send.request;
@@ -70,7 +70,7 @@
 
 bool HollowRouter::Ready() {
   const std::lock_guard lock(mutex_);
-  return node_.Ready(platform::BootTimeNow());
+  return node_.Ready(runtime::BootTimeNow());
 }
 
 void HollowRouter::Carry(routing::RouterEffects effects) {
--- a/testbed/hollow/hollow_router.h
+++ b/testbed/hollow/hollow_router.h
@@ -10,8 +10,8 @@
 #include <vector>
 
 #include "graniteseam/routing/router_node.h"
-#include "src/platform/metrics.h"
 #include "src/protocol/router_control_client.h"
+#include "src/runtime/metrics.h"
 #include "testbed/hollow/event_log.h"
 
 namespace graniteseam::testbed {
@@ -19,7 +19,7 @@
 struct HollowRouterOptions {
   RouterId id;
   ZoneName zone;
-  std::vector<platform::SocketAddress> control;
+  std::vector<runtime::SocketAddress> control;
   ServiceName service;  ///< Keyed; its keys are used by Zipf's law.
   GroupName group;
   double requests_per_second = 20.0;
@@ -28,7 +28,7 @@
 /// Thread safe. Drive() must be called some ten times a second.
 class HollowRouter {
  public:
-  HollowRouter(HollowRouterOptions options, platform::MetricsRegistry& metrics, EventLog& events);
+  HollowRouter(HollowRouterOptions options, runtime::MetricsRegistry& metrics, EventLog& events);
 
   /// Lets time pass: ends requests, begins new ones, renews.
   void Drive();
--- a/testbed/hollow/hollow_server.cc
+++ b/testbed/hollow/hollow_server.cc
@@ -2,7 +2,7 @@
 
 #include <sys/socket.h>
 
-#include "src/platform/clock.h"
+#include "src/runtime/clock.h"
 #include "testbed/server/lease_messages.h"
 
 namespace graniteseam::testbed {
@@ -35,7 +35,7 @@
 Result<void> HollowServer::Start() {
   {
     const std::lock_guard lock(mutex_);
-    owner_ = std::make_unique<lease::FencedOwner>(id_, Incarnation{platform::RandomBits() >> 1U});
+    owner_ = std::make_unique<lease::FencedOwner>(id_, Incarnation{runtime::RandomBits() >> 1U});
   }
   server_ = std::make_unique<httplib::Server>();
   server_->new_task_queue = [] { return new httplib::ThreadPool(kConnections); };
@@ -59,7 +59,7 @@
     bound = server_->bind_to_port(address_.ip, address_.port);
   }
   if (!bound) {
-    return Fail(ErrorKind::kUnavailable, "Can't listen on " + platform::ToString(address_) + ".",
+    return Fail(ErrorKind::kUnavailable, "Can't listen on " + runtime::ToString(address_) + ".",
                 "Run fewer hollow servers, or free the port.");
   }
   thread_ = std::thread([server = server_.get()] { server->listen_after_bind(); });
@@ -102,7 +102,7 @@
 }
 
 lease::LeaseAnswer HollowServer::Take(const lease::LeaseRequest& request) {
-  const Instant now = platform::BootTimeNow();
+  const Instant now = runtime::BootTimeNow();
   if (owner_->lease_end() != Instant{} && !owner_->LeaseValid(now)) ++stats_.lapses;
   lease::LeaseAnswer answer = owner_->Take(request, now);
   if (!answer.accepted) return answer;
--- a/testbed/hollow/hollow_server.h
+++ b/testbed/hollow/hollow_server.h
@@ -11,7 +11,7 @@
 #include <thread>
 
 #include "graniteseam/lease/fenced_owner.h"
-#include "src/platform/socket_address.h"
+#include "src/runtime/socket_address.h"
 #include "testbed/hollow/event_log.h"
 
 namespace graniteseam::testbed {
@@ -39,7 +39,7 @@
   std::vector<lease::ShardGrant> Kill();
 
   const ServerId& id() const { return id_; }
-  const platform::SocketAddress& address() const { return address_; }
+  const runtime::SocketAddress& address() const { return address_; }
   HollowServerStats Stats() const;
 
  private:
@@ -48,7 +48,7 @@
 
   const ServerId id_;
   EventLog& events_;
-  platform::SocketAddress address_{"127.0.0.1", 0};
+  runtime::SocketAddress address_{"127.0.0.1", 0};
   std::unique_ptr<httplib::Server> server_;
   std::thread thread_;
   mutable std::mutex mutex_;  ///< Guards what follows.
--- a/testbed/hollow/main.cc
+++ b/testbed/hollow/main.cc
@@ -4,10 +4,10 @@
 #include <nlohmann/json.hpp>
 #include <thread>
 
-#include "src/platform/clock.h"
-#include "src/platform/log.h"
-#include "src/platform/settings.h"
-#include "src/platform/stop_signals.h"
+#include "src/runtime/clock.h"
+#include "src/runtime/log.h"
+#include "src/runtime/settings.h"
+#include "src/runtime/stop_signals.h"
 #include "testbed/hollow/hollow_router.h"
 #include "testbed/hollow/hollow_server.h"
 #include "testbed/support/http_listener.h"
@@ -22,18 +22,18 @@
 constexpr char kJson[] = "application/json";
 
 struct HollowOptions {
-  platform::SocketAddress admin_address{"127.0.0.1", 0};
+  runtime::SocketAddress admin_address{"127.0.0.1", 0};
   std::int64_t servers = 0;
   std::int64_t routers = 0;
   std::int64_t first = 0;
   std::string service = "hollow";
   std::string group = "hollow";
-  std::vector<platform::SocketAddress> control;
+  std::vector<runtime::SocketAddress> control;
   double requests_per_second = 20.0;
 };
 
 std::optional<int> ReadOptions(int argc, char** argv, HollowOptions& options) {
-  using platform::SettingsReader;
+  using runtime::SettingsReader;
   constexpr std::int64_t kNodesMaximum = 10'000;
   constexpr double kRateMaximum = 10'000.0;
   SettingsReader reader("graniteseam-hollow-nodes",
@@ -102,12 +102,12 @@
       return StartAgain(request.get_param_value("server"));
     });
     get("/shift", [this](const httplib::Request&) {
-      const std::uint64_t seed = platform::RandomBits();
+      const std::uint64_t seed = runtime::RandomBits();
       for (const auto& router : routers_) router->ShiftKeys(seed);
       return nlohmann::json::object();
     });
     server.Get("/metrics", [this](const httplib::Request&, httplib::Response& response) {
-      response.set_content(metrics_.Text(), platform::kMetricsContentType);
+      response.set_content(metrics_.Text(), runtime::kMetricsContentType);
     });
   }
 
@@ -124,7 +124,7 @@
     for (std::size_t index = 0; index < servers_.size(); ++index) {
       machines.push_back({{"server", servers_[index]->id().value},
                           {"service", options_.service},
-                          {"address", platform::ToString(servers_[index]->address())},
+                          {"address", runtime::ToString(servers_[index]->address())},
                           {"zone", ZoneOf(static_cast<std::int64_t>(index)).value},
                           {"leaving", false}});
     }
@@ -149,7 +149,7 @@
   nlohmann::json Kill(const std::string& id) const {
     HollowServer* server = Find(id);
     if (server == nullptr) return nullptr;
-    const Instant at = platform::BootTimeNow();
+    const Instant at = runtime::BootTimeNow();
     nlohmann::json shards = nlohmann::json::array();
     for (const auto& grant : server->Kill()) shards.push_back(grant.shard.index);
     return {{"at_us", ToMicros(at)}, {"shards", std::move(shards)}};
@@ -164,27 +164,27 @@
 
   const HollowOptions& options_;
   EventLog events_;
-  platform::MetricsRegistry metrics_;
+  runtime::MetricsRegistry metrics_;
   std::vector<std::unique_ptr<HollowServer>> servers_;
   std::vector<std::unique_ptr<HollowRouter>> routers_;
 };
 
-Result<void> RunNodes(const HollowOptions& options, platform::StopSignals& stop,
-                      const platform::Logger& log) {
+Result<void> RunNodes(const HollowOptions& options, runtime::StopSignals& stop,
+                      const runtime::Logger& log) {
   HollowNodes nodes(options);
   BOOST_LEAF_CHECK(nodes.Start());
   HttpListener admin(kAdminConnections);
   nodes.Serve(admin.server());
   BOOST_LEAF_AUTO(address, admin.Start(options.admin_address));
-  log.Info("Steered at {}.", platform::ToString(address));
+  log.Info("Steered at {}.", runtime::ToString(address));
   log.Info("Ready.");
   while (!stop.WaitFor(kDrivePeriod)) nodes.Drive();
   return {};
 }
 
 int Run(const HollowOptions& options) {
-  const platform::Logger log("hollow-nodes");
-  platform::StopSignals stop;
+  const runtime::Logger log("hollow-nodes");
+  runtime::StopSignals stop;
   const auto outcome = Attempt([&] { return RunNodes(options, stop, log); });
   if (const auto* error = ErrorOf(outcome)) {
     log.Error(*error);
--- a/testbed/platform_list/main.cc
+++ b/testbed/platform_list/main.cc
@@ -8,10 +8,10 @@
 #include <sstream>
 #include <string>
 
-#include "src/platform/clock.h"
-#include "src/platform/log.h"
-#include "src/platform/settings.h"
-#include "src/platform/stop_signals.h"
+#include "src/runtime/clock.h"
+#include "src/runtime/log.h"
+#include "src/runtime/settings.h"
+#include "src/runtime/stop_signals.h"
 #include "testbed/support/http_listener.h"
 
 namespace graniteseam::testbed {
@@ -23,13 +23,13 @@
 constexpr int kUnavailable = 503;
 
 struct PlatformOptions {
-  platform::SocketAddress http_address{"127.0.0.1", 0};
+  runtime::SocketAddress http_address{"127.0.0.1", 0};
   std::string machines;
   Duration lag{1'000'000};
 };
 
 std::optional<int> ReadOptions(int argc, char** argv, PlatformOptions& options) {
-  using platform::SettingsReader;
+  using runtime::SettingsReader;
   SettingsReader reader("graniteseam-testbed-platform",
                         "Stands in for the platform's list of machines; the list lags.");
   reader.AddAddress("http_address", "Where it listens.", options.http_address);
@@ -83,12 +83,12 @@
 };
 
 int Run(const PlatformOptions& options) {
-  const platform::Logger log("testbed-platform");
-  platform::StopSignals stop;
+  const runtime::Logger log("testbed-platform");
+  runtime::StopSignals stop;
   LaggingList list(options.lag);
   HttpListener listener(kConnections);
   listener.server().Get("/v1/machines", [&](const auto&, auto& response) {
-    const std::string told = list.Told(platform::BootTimeNow());
+    const std::string told = list.Told(runtime::BootTimeNow());
     if (told.empty()) {
       response.status = kUnavailable;
     } else {
@@ -102,7 +102,7 @@
   }
   log.Info("Ready.");
   do {
-    list.Observe(ReadFile(options.machines), platform::BootTimeNow());
+    list.Observe(ReadFile(options.machines), runtime::BootTimeNow());
   } while (!stop.WaitFor(kFileCheckPeriod));
   return EXIT_SUCCESS;
 }
--- a/testbed/server/main.cc
+++ b/testbed/server/main.cc
@@ -4,9 +4,9 @@
 
 #include <nlohmann/json.hpp>
 
-#include "src/platform/clock.h"
-#include "src/platform/log.h"
-#include "src/platform/stop_signals.h"
+#include "src/runtime/clock.h"
+#include "src/runtime/log.h"
+#include "src/runtime/stop_signals.h"
 #include "testbed/server/hints.h"
 #include "testbed/server/lease_messages.h"
 #include "testbed/server/options.h"
@@ -31,21 +31,21 @@
  public:
   StandInServer(const ServerOptions& options, RecordFile& records)
       : options_(options),
-        ownership_(ServerId{options.id}, Incarnation{platform::RandomBits() >> 1}, records),
-        handler_(options, ownership_, platform::BootTimeNow()),
+        ownership_(ServerId{options.id}, Incarnation{runtime::RandomBits() >> 1}, records),
+        handler_(options, ownership_, runtime::BootTimeNow()),
         hints_(options.hint_lag),
         listener_(static_cast<std::size_t>(options.connections)) {
     AddEndpoints();
   }
 
-  Result<platform::SocketAddress> Start() { return listener_.Start(options_.http_address); }
+  Result<runtime::SocketAddress> Start() { return listener_.Start(options_.http_address); }
 
   /// Asks to be drained, waits until its work has gone elsewhere, and stops. No request in flight
   /// is cut off.
   void Stop() {
     ownership_.SetLeaving();
-    const Instant asked = platform::BootTimeNow();
-    while (!Drained(asked) && platform::BootTimeNow() < asked + options_.drain_limit) {
+    const Instant asked = runtime::BootTimeNow();
+    while (!Drained(asked) && runtime::BootTimeNow() < asked + options_.drain_limit) {
       std::this_thread::sleep_for(kDrainCheckPeriod);
     }
     handler_.Close();
@@ -89,7 +89,7 @@
   }
 
   Hint CurrentHint() {
-    const Instant now = platform::BootTimeNow();
+    const Instant now = runtime::BootTimeNow();
     const Hint truth{.healthy = !handler_.Cold(now) && ownership_.LeaseValid(now),
                      .load = handler_.slots().Load(),
                      .in_flight = handler_.slots().Busy()};
@@ -113,7 +113,7 @@
 
   bool Drained(Instant asked) const {
     if (handler_.slots().Busy() > 0) return false;
-    const Instant now = platform::BootTimeNow();
+    const Instant now = runtime::BootTimeNow();
     if (!ownership_.LeaseValid(now)) return true;
     if (options_.keyed && ownership_.HoldsShards()) return false;
     return std::max(handler_.last_arrival(), asked) + kQuietBeforeStop <= now;
@@ -127,13 +127,13 @@
 };
 
 int Run(const ServerOptions& options) {
-  const platform::Logger log("testbed-server");
-  platform::StopSignals stop;
+  const runtime::Logger log("testbed-server");
+  runtime::StopSignals stop;
   const auto outcome = Attempt([&]() -> Result<void> {
     BOOST_LEAF_AUTO(records, RecordFile::Open(options.record));
     StandInServer server(options, records);
     BOOST_LEAF_AUTO(address, server.Start());
-    log.Info("Server {} listens on {}.", options.id, platform::ToString(address));
+    log.Info("Server {} listens on {}.", options.id, runtime::ToString(address));
     log.Info("Ready.");
     stop.Wait();
     log.Info("Server {} drains.", options.id);
--- a/testbed/server/options.cc
+++ b/testbed/server/options.cc
@@ -1,6 +1,6 @@
 #include "testbed/server/options.h"
 
-#include "src/platform/settings.h"
+#include "src/runtime/settings.h"
 
 namespace graniteseam::testbed {
 
@@ -12,7 +12,7 @@
 }  // namespace
 
 std::optional<int> ReadServerOptions(int argc, char** argv, ServerOptions& options) {
-  using platform::SettingsReader;
+  using runtime::SettingsReader;
   SettingsReader reader(
       "graniteseam-testbed-server",
       "Stands in for a user's server: takes leases, runs requests, keeps record.");
--- a/testbed/server/options.h
+++ b/testbed/server/options.h
@@ -7,7 +7,7 @@
 #include <string>
 
 #include "graniteseam/common/time.h"
-#include "src/platform/socket_address.h"
+#include "src/runtime/socket_address.h"
 
 namespace graniteseam::testbed {
 
@@ -15,7 +15,7 @@
   std::string id;
   std::string service;
   std::string zone;
-  platform::SocketAddress http_address{"127.0.0.1", 0};
+  runtime::SocketAddress http_address{"127.0.0.1", 0};
   bool keyed = false;
   std::int64_t slots = 2;                  ///< Requests run at once.
   std::int64_t queue = 64;                 ///< Requests that may wait for a slot; more are shed.
--- a/testbed/server/ownership.cc
+++ b/testbed/server/ownership.cc
@@ -1,17 +1,17 @@
 #include "testbed/server/ownership.h"
 
-#include "src/platform/clock.h"
+#include "src/runtime/clock.h"
 
 namespace graniteseam::testbed {
 
 Ownership::Ownership(ServerId server, Incarnation incarnation, RecordFile& records)
     : server_(server), records_(records), owner_(std::move(server), incarnation) {
-  RecordLease(platform::BootTimeNow());
+  RecordLease(runtime::BootTimeNow());
 }
 
 lease::LeaseAnswer Ownership::Take(const lease::LeaseRequest& request) {
   const std::lock_guard lock(mutex_);
-  const Instant now = platform::BootTimeNow();
+  const Instant now = runtime::BootTimeNow();
   auto answer = owner_.Take(request, now);
   // A renewal that gives no lease and one that was refused change nothing that could be owned.
   if (answer.accepted && request.valid_until) RecordLease(now);
@@ -39,7 +39,7 @@
 
 Result<void> Ownership::Commit(const lease::ShardGrant* grant, RunRecord run) {
   const std::lock_guard lock(mutex_);
-  const Instant now = platform::BootTimeNow();
+  const Instant now = runtime::BootTimeNow();
   BOOST_LEAF_CHECK(grant == nullptr ? owner_.BeginPooled(now) : owner_.Commit(*grant, now));
   run.incarnation = owner_.incarnation().value;
   run.ended_us = ToMicros(now);
--- a/testbed/server/request_handler.cc
+++ b/testbed/server/request_handler.cc
@@ -4,7 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <thread>
 
-#include "src/platform/clock.h"
+#include "src/runtime/clock.h"
 #include "testbed/server/connection_watch.h"
 
 namespace graniteseam::testbed {
@@ -63,7 +63,7 @@
       random_(static_cast<std::uint64_t>(options.seed)) {}
 
 void RequestHandler::Handle(const httplib::Request& request, httplib::Response& response) {
-  const Instant now = platform::BootTimeNow();
+  const Instant now = runtime::BootTimeNow();
   last_arrival_us_ = ToMicros(now);
   response.set_header("Graniteseam-Attempt", request.get_header_value("Graniteseam-Attempt"));
   if (closed_) return RefuseNotRun(response, kUnavailable, "This server is stopping.");
@@ -114,7 +114,7 @@
   }
   const SlotHold slot(slots_);
   auto run = call.run;
-  const Instant begun = platform::BootTimeNow();
+  const Instant begun = runtime::BootTimeNow();
   run.begun_us = ToMicros(begun);
   std::this_thread::sleep_for(DrawWork(begun));
   if (connection.PeerClosed()) {
--- a/testbed/server/slots.cc
+++ b/testbed/server/slots.cc
@@ -1,6 +1,6 @@
 #include "testbed/server/slots.h"
 
-#include "src/platform/clock.h"
+#include "src/runtime/clock.h"
 
 namespace graniteseam::testbed {
 
@@ -21,7 +21,7 @@
   auto answer = Answer::kAcquired;
   while (running_ >= slots_) {
     freed_.wait_for(lock, kCancelCheckPeriod);
-    if (platform::BootTimeNow() >= deadline) {
+    if (runtime::BootTimeNow() >= deadline) {
       answer = Answer::kDeadlinePassed;
       break;
     }
--- a/testbed/support/http_listener.cc
+++ b/testbed/support/http_listener.cc
@@ -30,8 +30,8 @@
 
 HttpListener::~HttpListener() { Stop(); }
 
-Result<platform::SocketAddress> HttpListener::Start(const platform::SocketAddress& address) {
-  platform::SocketAddress bound = address;
+Result<runtime::SocketAddress> HttpListener::Start(const runtime::SocketAddress& address) {
+  runtime::SocketAddress bound = address;
   if (address.port == 0) {
     const int port = server_.bind_to_any_port(address.ip);
     if (port > 0) bound.port = static_cast<std::uint16_t>(port);
@@ -39,7 +39,7 @@
     bound.port = 0;
   }
   if (bound.port == 0) {
-    return Fail(ErrorKind::kUnavailable, "Can't listen on " + platform::ToString(address) + ".",
+    return Fail(ErrorKind::kUnavailable, "Can't listen on " + runtime::ToString(address) + ".",
                 "Choose an address of this machine with a free port.");
   }
   // cpp-httplib listens with a backlog of 5, too short for a fleet that connects at once.
--- a/testbed/support/http_listener.h
+++ b/testbed/support/http_listener.h
@@ -8,7 +8,7 @@
 #include <thread>
 
 #include "graniteseam/common/error.h"
-#include "src/platform/socket_address.h"
+#include "src/runtime/socket_address.h"
 
 namespace graniteseam::testbed {
 
@@ -28,7 +28,7 @@
 
   /// Listens; port 0 lets the kernel choose.
   /// @return the address in use, or kUnavailable.
-  Result<platform::SocketAddress> Start(const platform::SocketAddress& address);
+  Result<runtime::SocketAddress> Start(const runtime::SocketAddress& address);
 
   /// Stops listening and waits for the requests in flight.
   void Stop();
--- /dev/null
+++ b/tests/control/membership_keeper_test.cc
@@ -0,0 +1,81 @@
+#include "src/control/membership_keeper.h"
+
+#include <criterion/criterion.h>
+
+using namespace graniteseam;
+using namespace graniteseam::control;
+using consensus::Member;
+
+namespace {
+
+Member MakeMember(std::uint64_t id, std::uint64_t disk) {
+  return {ControlId{id}, DiskIncarnation{disk}, "10.0.0." + std::to_string(id) + ":7", {"z"}};
+}
+
+const Member kA = MakeMember(1, 11);
+const Member kB = MakeMember(2, 12);
+const Member kC = MakeMember(3, 13);
+const Member kEmptyC = MakeMember(3, 23);
+const Member kD = MakeMember(4, 14);
+
+consensus::PeerStatus Status(const Member& member, std::int64_t silence_ms, bool caught_up = true) {
+  return {member, std::chrono::milliseconds(silence_ms), caught_up};
+}
+
+MembershipKeeperOptions Enabled() {
+  MembershipKeeperOptions options;
+  options.enabled = true;
+  return options;
+}
+
+}  // namespace
+
+Test(membership_keeper, whole_group_is_left_alone) {
+  const MembershipView view{kA, {{kA, kB, kC}, {}}, {Status(kB, 50), Status(kC, 50)}, {}};
+  cr_assert(!NextMembership(Enabled(), view));
+}
+
+Test(membership_keeper, member_without_its_disk_learns_then_votes_then_its_old_self_goes) {
+  MembershipView view{kA, {{kA, kB, kC}, {}}, {Status(kB, 50), Status(kC, 2'000)}, {kEmptyC}};
+  auto next = NextMembership(Enabled(), view);
+  cr_assert(next && next->learners == std::vector<Member>{kEmptyC});
+
+  view = {kA, *next, {Status(kB, 50), Status(kC, 2'000), Status(kEmptyC, 50, false)}, {}};
+  cr_assert(!NextMembership(Enabled(), view), "it must not vote before it has caught up");
+
+  view.others[2].caught_up = true;
+  next = NextMembership(Enabled(), view);
+  cr_assert(next && next->voters.size() == 4 && next->learners.empty());
+
+  view = {kA, *next, {Status(kB, 50), Status(kC, 2'000), Status(kEmptyC, 50)}, {}};
+  next = NextMembership(Enabled(), view);
+  cr_assert(next && (next->voters == std::vector<Member>{kA, kB, kEmptyC}));
+}
+
+Test(membership_keeper, no_voter_goes_while_too_few_answer) {
+  const MembershipView view{kA,
+                            {{kA, kB, kC, kEmptyC}, {}},
+                            {Status(kB, 5'000), Status(kC, 9'000), Status(kEmptyC, 50)},
+                            {}};
+  cr_assert(!NextMembership(Enabled(), view));
+}
+
+Test(membership_keeper, reserve_takes_the_place_of_a_voter_that_is_silent_for_long) {
+  MembershipView view{
+      kA, {{kA, kB, kC}, {kD}}, {Status(kB, 50), Status(kC, 3'000), Status(kD, 50)}, {}};
+  cr_assert(!NextMembership(Enabled(), view), "a short silence is no loss");
+  view.others[1].silence = std::chrono::seconds(7);
+  const auto next = NextMembership(Enabled(), view);
+  cr_assert(next && next->voters.size() == 4);
+}
+
+Test(membership_keeper, further_machines_stay_in_reserve) {
+  const MembershipView view{kA, {{kA, kB, kC}, {}}, {Status(kB, 50), Status(kC, 50)}, {kD}};
+  const auto next = NextMembership(Enabled(), view);
+  cr_assert(next && next->voters.size() == 3 && next->learners == std::vector<Member>{kD});
+}
+
+Test(membership_keeper, switched_off_it_does_nothing) {
+  const MembershipView view{kA, {{kA, kB, kC}, {}}, {Status(kB, 50), Status(kC, 50)}, {kD}};
+  cr_assert(!NextMembership({}, view));
+}
--- /dev/null
+++ b/tests/control/range_controller_test.cc
@@ -0,0 +1,215 @@
+#include "src/control/range_controller.h"
+
+#include <criterion/criterion.h>
+
+#include <map>
+
+using namespace graniteseam;
+using namespace graniteseam::control;
+using traffic::RangePhase;
+
+namespace {
+
+constexpr Instant kStart = InstantFromMicros(1'000'000'000);
+const ServiceName kService{"s"};
+
+Instant At(std::int64_t ms) { return kStart + std::chrono::milliseconds(ms); }
+
+/// A controller over a state whose commands are applied at once, and instances that answer orders
+/// as each test says.
+struct Fixture {
+  traffic::TrafficState state;
+  InstanceLiveness liveness{std::chrono::seconds(4), kStart};
+  std::uint64_t index = 1;
+  std::optional<RangeController> controller;
+  std::map<std::string, RangeOrderResult::Outcome> answers;  ///< By instance; done by default.
+  std::vector<RangeOrder> sent;
+
+  explicit Fixture(int instances) {
+    traffic::ConfigurationChange change;
+    change.version = {1};
+    change.whole = true;
+    traffic::Service service;
+    service.name = kService;
+    service.keyed = true;
+    change.services = {service};
+    const auto applied = Attempt([&] { return state.Apply(change, ++index); });
+    cr_assert(ErrorOf(applied) == nullptr);
+    for (int instance = 1; instance <= instances; ++instance) Report(instance, 1, false);
+    controller.emplace(RangeOptions{}, state, liveness, kStart);
+  }
+
+  void Report(int instance, std::int64_t sequence, bool draining) {
+    traffic::InstanceReport report;
+    report.id = {"i-" + std::to_string(instance)};
+    report.service = kService;
+    report.address = "10.0.0." + std::to_string(instance) + ":80";
+    report.slots = 2;
+    report.sequence = sequence;
+    report.draining = draining;
+    state.Report({report}, ++index);
+  }
+
+  void Apply(const CommandBody& command) {
+    ++index;
+    if (const auto* assign = std::get_if<AssignRangesCommand>(&command)) {
+      state.Assign(assign->assignments, index);
+    } else if (const auto* release = std::get_if<ReleaseRangesCommand>(&command)) {
+      state.BeginReleases(release->releases, index);
+    } else {
+      state.Confirm(std::get<ConfirmRangesCommand>(command).confirmations, index);
+    }
+  }
+
+  /// Lets the controller work from one instant to another, in steps of 10 ms.
+  void Run(std::int64_t from_ms, std::int64_t to_ms) {
+    for (std::int64_t ms = from_ms; ms <= to_ms; ms += 10) {
+      // An instance that answers no orders sends no heartbeats either.
+      for (const auto& [id, instance] : state.instances().instances()) {
+        if (!answers.contains(id.value)) liveness.Heard(id, At(ms));
+      }
+      for (const CommandBody& command : controller->Decide(At(ms))) Apply(command);
+      for (const RangeOrder& order : controller->Orders(At(ms))) {
+        sent.push_back(order);
+        const auto found = answers.find(order.instance.value);
+        const auto outcome =
+            found == answers.end() ? RangeOrderResult::Outcome::kDone : found->second;
+        controller->TakeResult({order.number, outcome, "token"}, At(ms));
+      }
+    }
+  }
+
+  std::map<std::string, std::uint32_t> KeysOf(RangePhase phase) const {
+    std::map<std::string, std::uint32_t> keys;
+    for (const auto& [first, range] : state.ranges().services().at(kService)) {
+      if (range.phase == phase) keys[range.owner.value] += range.span.size();
+    }
+    return keys;
+  }
+
+  std::size_t SentTo(const std::string& instance) const {
+    return static_cast<std::size_t>(
+        std::count_if(sent.begin(), sent.end(),
+                      [&](const RangeOrder& order) { return order.instance.value == instance; }));
+  }
+};
+
+}  // namespace
+
+Test(range_controller, keys_are_divided_once_registrations_have_settled) {
+  Fixture fixture(4);
+  fixture.Run(0, 1'000);
+  cr_assert(fixture.sent.empty());
+  fixture.Run(1'010, 2'000);
+  const auto serving = fixture.KeysOf(RangePhase::kServing);
+  cr_assert(serving.size() == 4);
+  for (const auto& [owner, keys] : serving) cr_assert(keys == (traffic::kLastKey + 1) / 4);
+  // Each got one grant; nothing moved.
+  cr_assert(fixture.sent.size() == 4);
+}
+
+Test(range_controller, grants_are_renewed_under_the_same_fence) {
+  Fixture fixture(2);
+  fixture.Run(0, 5'500);
+  std::map<std::string, std::set<std::uint64_t>> fences;
+  for (const RangeOrder& order : fixture.sent)
+    fences[order.instance.value].insert(order.fence.value);
+  cr_assert(fixture.SentTo("i-1") >= 3);
+  for (const auto& [owner, seen] : fences) cr_assert(seen.size() == 1);
+}
+
+Test(range_controller, draining_owner_releases_before_anybody_else_is_granted) {
+  Fixture fixture(3);
+  fixture.Run(0, 2'000);
+  fixture.sent.clear();
+  fixture.Report(1, 2, true);
+  fixture.Run(2'010, 2'500);
+  cr_assert(fixture.KeysOf(RangePhase::kServing).count("i-1") == 0);
+  bool released = false;
+  for (const RangeOrder& order : fixture.sent) {
+    if (order.kind == RangeOrder::Kind::kRelease) {
+      cr_assert(order.instance.value == "i-1");
+      released = true;
+    } else if (order.handover == "token") {
+      cr_assert(released);
+    }
+  }
+  cr_assert(released);
+}
+
+Test(range_controller, owner_that_answers_nothing_keeps_its_keys_until_its_grant_is_over) {
+  for (const auto outcome :
+       {RangeOrderResult::Outcome::kNotDelivered, RangeOrderResult::Outcome::kUnknown}) {
+    Fixture fixture(3);
+    fixture.Run(0, 3'000);
+    fixture.answers["i-1"] = outcome;
+    const std::uint32_t own = fixture.KeysOf(RangePhase::kServing).at("i-1");
+    // Its last grant was answered after 2 s at the earliest, so it may hold until 5 s and more.
+    fixture.Run(3'010, 5'000);
+    cr_assert(fixture.KeysOf(RangePhase::kServing).at("i-1") == own);
+    fixture.Run(5'010, 9'000);
+    cr_assert(fixture.KeysOf(RangePhase::kServing).count("i-1") == 0);
+    cr_assert(fixture.KeysOf(RangePhase::kServing).size() == 2);
+  }
+}
+
+Test(range_controller, owner_whose_address_another_instance_has_is_over_at_once) {
+  Fixture fixture(3);
+  fixture.Run(0, 2'000);
+  fixture.answers["i-1"] = RangeOrderResult::Outcome::kNotDelivered;
+  traffic::InstanceReport report;
+  report.id = {"i-9"};
+  report.service = {"other"};
+  report.address = "10.0.0.1:80";
+  report.sequence = 1;
+  fixture.state.Report({report}, ++fixture.index);
+  fixture.Run(2'010, 2'200);
+  cr_assert(fixture.KeysOf(RangePhase::kServing).count("i-1") == 0);
+  cr_assert(fixture.KeysOf(RangePhase::kServing).size() == 2);
+}
+
+Test(range_controller, new_leader_waits_out_what_its_predecessor_may_have_granted) {
+  Fixture fixture(3);
+  fixture.Run(0, 2'000);
+  fixture.answers["i-1"] = RangeOrderResult::Outcome::kNotDelivered;
+  fixture.controller.emplace(RangeOptions{}, fixture.state, fixture.liveness, At(2'000));
+  fixture.Run(2'000, 5'000);
+  cr_assert(fixture.KeysOf(RangePhase::kServing).count("i-1") == 1);
+  fixture.Run(5'010, 6'000);
+  cr_assert(fixture.KeysOf(RangePhase::kServing).count("i-1") == 0);
+}
+
+Test(range_controller, refused_grant_is_given_again_under_a_higher_fence) {
+  Fixture fixture(2);
+  fixture.Run(0, 2'000);
+  const std::uint64_t fence = fixture.sent[0].fence.value;
+  fixture.sent.clear();
+  fixture.answers["i-1"] = RangeOrderResult::Outcome::kRefused;
+  fixture.Run(2'010, 3'000);
+  fixture.answers.clear();
+  fixture.sent.clear();
+  fixture.Run(3'010, 3'500);
+  cr_assert(fixture.KeysOf(RangePhase::kServing).count("i-1") == 1);
+  for (const RangeOrder& order : fixture.sent) {
+    if (order.instance.value == "i-1") cr_assert(order.fence.value > fence);
+  }
+}
+
+Test(range_controller, busy_keys_move_to_an_instance_with_room) {
+  Fixture fixture(2);
+  fixture.Run(0, 2'000);
+  const auto owner = [&](std::uint32_t key) {
+    return fixture.state.ranges().Find(kService, key)->owner.value;
+  };
+  const std::string before = owner(160);
+  for (std::int64_t ms = 2'000; ms < 6'000; ms += 500) {
+    std::vector<traffic::SpanLoad> loads;
+    for (std::uint32_t first = 0; first < 320; first += kKeysPerBucket) {
+      loads.push_back({kService, {first, first + kKeysPerBucket - 1}, 10, 0});
+    }
+    fixture.controller->TakeLoads(loads, At(ms));
+    fixture.Run(ms, ms + 490);
+  }
+  cr_assert(owner(0) != owner(319));
+  cr_assert(owner(0) == before || owner(319) == before);
+}
--- a/tests/control_daemon/control_driver_test.cc
+++ b/tests/control_daemon/control_driver_test.cc
@@ -8,13 +8,13 @@
 
 #include "graniteseam/bundle/bundle.h"
 #include "src/daemon/control/operator_desk.h"
-#include "src/platform/clock.h"
+#include "src/runtime/clock.h"
 #include "src/storage/posix_file_system.h"
 
 namespace bundle = graniteseam::bundle;
 namespace control = graniteseam::control;
 namespace program = graniteseam::daemon;
-namespace platform = graniteseam::platform;
+namespace runtime = graniteseam::runtime;
 namespace storage = graniteseam::storage;
 using graniteseam::Attempt;
 using graniteseam::Error;
@@ -77,7 +77,7 @@
  public:
   Voter()
       : folder_(std::filesystem::temp_directory_path() /
-                ("graniteseam-driver-" + std::to_string(platform::RandomBits()))) {
+                ("graniteseam-driver-" + std::to_string(runtime::RandomBits()))) {
     program::ControlOutputs outputs;
     outputs.to_peer = [](const auto& /*message*/) {};
     outputs.to_server = [](const auto& /*send*/) {};
@@ -103,7 +103,7 @@
 
   DiskFaults faults;
   FaultyFiles files{faults};
-  platform::MetricsRegistry metrics;
+  runtime::MetricsRegistry metrics;
   program::ControlEventQueue queue;
   program::OperatorDesk desk{queue};
   std::atomic<bool> stopped{false};
--- a/tests/control_daemon/control_settings_test.cc
+++ b/tests/control_daemon/control_settings_test.cc
@@ -6,7 +6,7 @@
 #include <sstream>
 
 namespace program = graniteseam::daemon;
-namespace platform = graniteseam::platform;
+namespace runtime = graniteseam::runtime;
 using graniteseam::Attempt;
 using graniteseam::ErrorOf;
 
@@ -15,7 +15,7 @@
 /// The keys at fault when graniteseam-control is given these flags besides the required ones.
 std::vector<std::string> Faults(std::vector<std::string> flags) {
   program::ControlSettings settings;
-  platform::SettingsReader reader("graniteseam-control", "Test.");
+  runtime::SettingsReader reader("graniteseam-control", "Test.");
   program::DeclareControlSettings(reader, settings);
   std::vector<std::string> arguments = {"graniteseam-control", "--id=1", "--zone=z",
                                         "--data-folder=/nonexistent"};
@@ -26,7 +26,7 @@
   std::ostringstream out;
   reader.Read(static_cast<int>(arguments.size()), pointers.data(), out, out);
   std::vector<std::string> keys;
-  for (const platform::SettingFault& fault : reader.faults()) keys.push_back(fault.key);
+  for (const runtime::SettingFault& fault : reader.faults()) keys.push_back(fault.key);
   return keys;
 }
 
--- a/tests/end_to_end/small_fleet.cc
+++ b/tests/end_to_end/small_fleet.cc
@@ -64,7 +64,7 @@
   return answer;
 }
 
-httplib::Client ClientOf(const platform::SocketAddress& address) {
+httplib::Client ClientOf(const runtime::SocketAddress& address) {
   httplib::Client client(address.ip, address.port);
   client.set_read_timeout(kReadSeconds);
   return client;
@@ -80,7 +80,7 @@
   const FleetPaths paths{GRANITESEAM_BINARY_DIR "/bin", TemporaryFolder()};
   fleet_ = std::make_unique<Fleet>(scenario_, paths);
   ValueOrFail(Attempt([&] { return fleet_->Prepare(); }));
-  std::vector<platform::SocketAddress> control;
+  std::vector<runtime::SocketAddress> control;
   for (const auto& name : fleet_->Names(Role::kControl)) {
     control.push_back(fleet_->member(name).http_address());
   }
--- a/tests/end_to_end/small_fleet.h
+++ b/tests/end_to_end/small_fleet.h
@@ -58,7 +58,7 @@
   Scenario scenario_;
   std::unique_ptr<Fleet> fleet_;
   std::unique_ptr<OperatorConsole> console_;
-  std::vector<platform::SocketAddress> routers_;
+  std::vector<runtime::SocketAddress> routers_;
 };
 
 /// Waits for a condition with a generous limit and asserts that it came.
--- a/tests/end_to_end/thin_path_test.cc
+++ b/tests/end_to_end/thin_path_test.cc
@@ -4,7 +4,7 @@
 #include <algorithm>
 #include <csignal>
 
-#include "src/platform/clock.h"
+#include "src/runtime/clock.h"
 #include "testbed/caller/traffic.h"
 #include "tests/end_to_end/small_fleet.h"
 
@@ -17,8 +17,8 @@
 std::string NewOperation() {
   Stream stream;
   stream.repeatable = false;
-  TrafficSource source({stream}, 1.0, platform::RandomBits(), platform::BootTimeNow());
-  return source.Next(platform::WallMillis()).operation;
+  TrafficSource source({stream}, 1.0, runtime::RandomBits(), runtime::BootTimeNow());
+  return source.Next(runtime::WallMillis()).operation;
 }
 
 std::string OtherServer(const std::string& server) {
