--- /dev/null
+++ b/tests/event_http/event_http_test.cc
@@ -0,0 +1,155 @@
+#include <criterion/criterion.h>
+
+#include <boost/asio/post.hpp>
+#include <future>
+
+#include "src/event_http/client_pool.h"
+#include "src/event_http/server.h"
+#include "src/runtime/event_loop.h"
+#include "tests/support/raw_client.h"
+
+using namespace graniteseam;
+using namespace graniteseam::event_http;
+
+namespace {
+
+/// A server that answers with the request's body, or holds it when its path says so.
+struct EchoServer {
+  runtime::EventLoop loop;
+  std::vector<std::shared_ptr<Exchange>> held;
+  std::promise<void> gone;
+  std::unique_ptr<Server> server;
+
+  explicit EchoServer(ServerLimits limits = {}) {
+    ServerOptions options;
+    options.address = {"127.0.0.1", 0};
+    server = std::make_unique<Server>(loop.context(), options, [this](const auto& exchange) {
+      if (exchange->request().Path() == "/hold") {
+        exchange->OnGone([this] { gone.set_value(); });
+        held.push_back(exchange);
+        return;
+      }
+      Response response;
+      response.body = exchange->request().method + " " + exchange->request().body;
+      exchange->Respond(response);
+    });
+    server->SetLimits(limits);
+    const auto started = Attempt([this] { return server->Start(); });
+    cr_assert(ErrorOf(started) == nullptr);
+  }
+  ~EchoServer() { loop.Stop(); }
+
+  std::string address() const { return "127.0.0.1:" + std::to_string(server->port()); }
+};
+
+CallResult CallAndWait(runtime::EventLoop& loop, ClientPool& pool, const std::string& address,
+                       const Request& request) {
+  std::promise<CallResult> ended;
+  boost::asio::post(loop.context(), [&] {
+    Call call;
+    call.address = address;
+    call.bytes = Serialize(request);
+    call.limit = std::chrono::seconds(5);
+    pool.Start(std::move(call), [&](CallResult result) { ended.set_value(std::move(result)); });
+  });
+  return ended.get_future().get();
+}
+
+Request Post(const std::string& path, const std::string& body) {
+  Request request;
+  request.method = "POST";
+  request.target = path;
+  request.fields.Add("Host", "a.example");
+  request.body = body;
+  return request;
+}
+
+std::string ReadAll(test::RawClient& client) {
+  bool closed = false;
+  const std::string all = client.ReadToEnd(closed);
+  cr_assert(closed);
+  return all;
+}
+
+}  // namespace
+
+Test(event_http, connection_is_kept_for_the_next_call) {
+  EchoServer server;
+  runtime::EventLoop loop;
+  ClientPool pool(loop.context(), {});
+  for (const std::string body : {"one", "two", "three"}) {
+    const CallResult result = CallAndWait(loop, pool, server.address(), Post("/", body));
+    cr_assert(result.end == CallEnd::kAnswered);
+    cr_assert(result.response.body == "POST " + body);
+  }
+  cr_assert(pool.counts().connections_opened == 1);
+  loop.Stop();
+}
+
+Test(event_http, nothing_listening_means_not_sent) {
+  runtime::EventLoop loop;
+  ClientPool pool(loop.context(), {});
+  const CallResult result = CallAndWait(loop, pool, "127.0.0.1:1", Post("/", "x"));
+  cr_assert(result.end == CallEnd::kNotSent);
+  loop.Stop();
+}
+
+Test(event_http, pipelined_requests_are_answered_in_order) {
+  EchoServer server;
+  test::RawClient client(server.server->port());
+  client.Send(
+      "POST /a HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\n1"
+      "POST /b HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n2\r\n0\r\n\r\n"
+      "GET /c HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+  const std::string answers = ReadAll(client);
+  const std::size_t first = answers.find("POST 1");
+  const std::size_t second = answers.find("POST 2");
+  const std::size_t third = answers.find("GET ");
+  cr_assert(first != std::string::npos && second != std::string::npos);
+  cr_assert(first < second && second < third && third != std::string::npos);
+}
+
+Test(event_http, malformed_and_oversized_input_is_refused_with_its_status) {
+  ServerLimits limits;
+  limits.header_bytes = 400;
+  limits.body_bytes = 10;
+  EchoServer server(limits);
+  const std::pair<std::string, std::string> cases[] = {
+      {"nonsense\r\n\r\n", " 400 "},
+      {"GET / HTTP/1.1\r\nX: " + std::string(500, 'x') + "\r\n\r\n", " 431 "},
+      {"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 11\r\n\r\n12345678901", " 413 "},
+      {"POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+       " 400 "},
+      {"POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", " 400 "}};
+  for (const auto& [input, status] : cases) {
+    test::RawClient client(server.server->port());
+    client.Send(input);
+    const std::string answer = ReadAll(client);
+    cr_assert(answer.find(status) != std::string::npos, "%s", answer.c_str());
+  }
+}
+
+Test(event_http, client_that_leaves_is_noticed_while_its_request_is_held) {
+  EchoServer server;
+  {
+    test::RawClient client(server.server->port());
+    client.Send("GET /hold HTTP/1.1\r\nHost: a\r\n\r\n");
+    while (true) {
+      std::promise<bool> holds;
+      boost::asio::post(server.loop.context(), [&] { holds.set_value(!server.held.empty()); });
+      if (holds.get_future().get()) break;
+    }
+  }
+  server.gone.get_future().get();
+}
+
+Test(event_http, fields_of_one_connection_are_removed_also_those_that_connection_names) {
+  HeaderFields fields;
+  fields.Add("Connection", "close, X-Once");
+  fields.Add("x-once", "1");
+  fields.Add("X-Kept", "2");
+  fields.Add("Transfer-Encoding", "chunked");
+  RemoveConnectionFields(fields);
+  cr_assert(fields.all().size() == 1);
+  cr_assert(*fields.Find("x-kept") == "2");
+}
--- /dev/null
+++ b/tests/gateway/gateway_node_test.cc
@@ -0,0 +1,276 @@
+#include "src/gateway/gateway_node.h"
+
+#include <criterion/criterion.h>
+
+#include <map>
+
+using namespace graniteseam;
+using namespace graniteseam::gateway;
+using traffic::RouteKind;
+
+namespace {
+
+constexpr Instant kStart = InstantFromMicros(1'000'000'000);
+
+Instant At(std::int64_t ms) { return kStart + std::chrono::milliseconds(ms); }
+
+traffic::Instance MakeInstance(const std::string& id, const std::string& service) {
+  traffic::Instance instance;
+  instance.report.id = {id};
+  instance.report.service = {service};
+  instance.report.address = "10.0.0.1:80";
+  instance.report.slots = 2;
+  return instance;
+}
+
+traffic::Route MakeRoute(const std::string& name, RouteKind kind, const std::string& service) {
+  traffic::Route route;
+  route.name = {name};
+  route.host = "a.example";
+  route.path_prefix = "/" + name + "/";
+  route.kind = kind;
+  route.timeout_ms = 1'000;
+  route.target_latency_ms = 200;
+  route.attempts_maximum = 2;
+  route.split = {{{service}, 100}};
+  return route;
+}
+
+/// A gateway with a safe and an unsafe route to "pool" and one to "keyed".
+struct Fixture {
+  GatewayNode node;
+  std::uint64_t numbers = 0;
+
+  static GatewayOptions Options() {
+    GatewayOptions options;
+    options.id = {"g-1"};
+    options.backends.zone = {"z"};
+    options.budget.extra = 1'000;
+    options.gateways_assumed = 1;
+    return options;
+  }
+
+  static traffic::TrafficUpdate State() {
+    traffic::TrafficUpdate update;
+    update.version = 10;
+    update.configuration = {5};
+    update.routes = {MakeRoute("safe", RouteKind::kSafe, "pool"),
+                     MakeRoute("unsafe", RouteKind::kUnsafe, "pool"),
+                     MakeRoute("keyed", RouteKind::kSafe, "keyed")};
+    traffic::Service pool;
+    pool.name = {"pool"};
+    traffic::Service keyed;
+    keyed.name = {"keyed"};
+    keyed.keyed = true;
+    update.services = {pool, keyed};
+    update.instances = {MakeInstance("p-1", "pool"), MakeInstance("p-2", "pool"),
+                        MakeInstance("k-1", "keyed"), MakeInstance("k-2", "keyed")};
+    traffic::KeyRange range;
+    range.service = {"keyed"};
+    range.span = {0, traffic::kLastKey};
+    range.phase = traffic::RangePhase::kServing;
+    range.owner = {"k-1"};
+    range.fence = {3};
+    update.ranges = {range};
+    update.routers = 1;
+    return update;
+  }
+
+  explicit Fixture(bool configured = true) : node(Options(), 1) {
+    if (configured) node.OnUpdate(State(), kStart);
+  }
+
+  GatewayEffects Request(const std::string& path, std::int64_t ms,
+                         std::optional<std::uint32_t> key = {}) {
+    ArrivedRequest request;
+    request.number = {++numbers};
+    request.host = "A.example:8080";
+    request.path = path;
+    request.key = key;
+    request.time_left = std::chrono::seconds(2);
+    return node.OnRequest(request, At(ms));
+  }
+
+  GatewayEffects End(const SendAttempt& send, AttemptEnd end, int status, std::int64_t ms) {
+    AttemptReport report;
+    report.request = send.request;
+    report.attempt = send.attempt;
+    report.end = end;
+    report.status = status;
+    return node.OnAttemptEnd(report, At(ms));
+  }
+};
+
+/// The only effect of a kind, which must be there.
+template <class Effect>
+Effect Only(const GatewayEffects& effects) {
+  const Effect* found = nullptr;
+  for (const GatewayEffect& effect : effects.actions) {
+    const auto* one = std::get_if<Effect>(&effect);
+    if (one == nullptr) continue;
+    cr_assert(found == nullptr, "more than one effect of the kind");
+    found = one;
+  }
+  cr_assert(found != nullptr, "no effect of the kind");
+  return *found;
+}
+
+template <class Effect>
+bool Has(const GatewayEffects& effects) {
+  for (const GatewayEffect& effect : effects.actions) {
+    if (std::holds_alternative<Effect>(effect)) return true;
+  }
+  return false;
+}
+
+}  // namespace
+
+Test(gateway_node, without_a_configuration_nothing_is_known_not_to_exist) {
+  Fixture fixture(false);
+  cr_assert(!fixture.node.Ready());
+  cr_assert(Only<Refuse>(fixture.Request("/safe/x", 0)).status == 503);
+}
+
+Test(gateway_node, longest_prefix_of_the_host_wins_and_unknown_routes_are_not_found) {
+  Fixture fixture;
+  auto update = Fixture::State();
+  update.base = 10;
+  update.version = 11;
+  update.routes = {MakeRoute("safe/deeper", RouteKind::kSafe, "keyed")};
+  fixture.node.OnUpdate(update, At(0));
+  cr_assert(Only<SendAttempt>(fixture.Request("/safe/deeper/x", 1, 7)).instance.value == "k-1");
+  cr_assert(Only<SendAttempt>(fixture.Request("/safe/deepe", 1)).instance.value.front() == 'p');
+  cr_assert(Only<Refuse>(fixture.Request("/nothing/x", 1)).status == 404);
+}
+
+Test(gateway_node, unsafe_request_that_was_lost_is_never_sent_again) {
+  Fixture fixture;
+  for (const AttemptEnd end : {AttemptEnd::kLost, AttemptEnd::kUnusable}) {
+    const auto send = Only<SendAttempt>(fixture.Request("/unsafe/x", 0));
+    const auto effects = fixture.End(send, end, 0, 50);
+    cr_assert(!Has<SendAttempt>(effects));
+    cr_assert(Only<Refuse>(effects).status == 502);
+  }
+}
+
+Test(gateway_node, unsafe_request_that_did_not_run_goes_to_another_server) {
+  Fixture fixture;
+  const auto first = Only<SendAttempt>(fixture.Request("/unsafe/x", 0));
+  const auto second = Only<SendAttempt>(fixture.End(first, AttemptEnd::kNotExecuted, 503, 5));
+  cr_assert(second.instance != first.instance);
+  // Two servers at most: the next word that it did not run is passed on as a refusal.
+  const auto refused = Only<Refuse>(fixture.End(second, AttemptEnd::kNotExecuted, 503, 10));
+  cr_assert(refused.status == 503);
+  cr_assert(refused.retry_after.has_value());
+}
+
+Test(gateway_node, promise_without_its_mark_is_not_passed_on) {
+  Fixture fixture;
+  for (const int status : {408, 421, 429, 503}) {
+    const auto send = Only<SendAttempt>(fixture.Request("/unsafe/x", 0));
+    const auto effects = fixture.End(send, AttemptEnd::kAnswered, status, 20);
+    cr_assert(!Has<RelayAnswer>(effects));
+    cr_assert(Only<Refuse>(effects).status == 502);
+  }
+}
+
+Test(gateway_node, safe_request_is_sent_again_after_a_loss_and_answers_are_relayed) {
+  Fixture fixture;
+  const auto first = Only<SendAttempt>(fixture.Request("/safe/x", 0));
+  const auto second = Only<SendAttempt>(fixture.End(first, AttemptEnd::kLost, 0, 30));
+  cr_assert(second.instance != first.instance);
+  cr_assert(second.time_left < first.time_left);
+  cr_assert(Has<RelayAnswer>(fixture.End(second, AttemptEnd::kAnswered, 200, 90)));
+  cr_assert(fixture.node.requests() == 0);
+}
+
+Test(gateway_node, connection_that_failed_costs_no_attempt_and_no_budget) {
+  Fixture fixture;
+  auto send = Only<SendAttempt>(fixture.Request("/unsafe/x", 0));
+  send = Only<SendAttempt>(fixture.End(send, AttemptEnd::kNotSent, 0, 1));
+  send = Only<SendAttempt>(fixture.End(send, AttemptEnd::kNotExecuted, 503, 2));
+  cr_assert(Has<RelayAnswer>(fixture.End(send, AttemptEnd::kAnswered, 200, 80)));
+}
+
+Test(gateway_node,
+     at_its_timeout_a_request_that_was_sent_ends_as_unknown_and_its_attempt_is_abandoned) {
+  Fixture fixture;
+  const auto send = Only<SendAttempt>(fixture.Request("/unsafe/x", 0));
+  cr_assert(!Has<Refuse>(fixture.node.Tick(At(999))));
+  const auto effects = fixture.node.Tick(At(1'000));
+  cr_assert(Only<Refuse>(effects).status == 504);
+  cr_assert(Only<AbandonAttempt>(effects).attempt == send.attempt);
+  cr_assert(fixture.node.requests() == 0);
+}
+
+Test(gateway_node, caller_that_left_is_followed_at_the_server) {
+  Fixture fixture;
+  const auto send = Only<SendAttempt>(fixture.Request("/safe/x", 0));
+  const auto effects = fixture.node.OnCallerGone(send.request, At(10));
+  cr_assert(Only<AbandonAttempt>(effects).request == send.request);
+  cr_assert(!Has<Refuse>(effects));
+}
+
+Test(gateway_node, full_servers_hold_requests_for_a_part_of_the_target_then_refuse_them) {
+  Fixture fixture;
+  int sent = 0;
+  while (Has<SendAttempt>(fixture.Request("/safe/x", 0)) && sent < 100) ++sent;
+  cr_assert(sent < 100);
+  cr_assert(!Has<Refuse>(fixture.node.Tick(At(49))));
+  const auto refused = Only<Refuse>(fixture.node.Tick(At(50)));
+  cr_assert(refused.status == 503);
+  cr_assert(refused.reason == RefusalReason::kOverloaded);
+}
+
+Test(gateway_node, key_on_its_way_waits_for_its_next_owner) {
+  Fixture fixture;
+  auto update = Fixture::State();
+  update.base = 10;
+  update.version = 11;
+  update.routes.clear();
+  update.ranges[0].phase = traffic::RangePhase::kReleasing;
+  fixture.node.OnUpdate(update, At(0));
+  cr_assert(!Has<SendAttempt>(fixture.Request("/keyed/x", 1, 9)));
+  update.base = 11;
+  update.version = 12;
+  update.ranges[0].phase = traffic::RangePhase::kServing;
+  update.ranges[0].owner = {"k-2"};
+  cr_assert(Only<SendAttempt>(fixture.node.OnUpdate(update, At(40))).instance.value == "k-2");
+}
+
+Test(gateway_node, older_state_is_never_taken) {
+  Fixture fixture;
+  auto older = Fixture::State();
+  older.version = 9;
+  older.routes.clear();
+  fixture.node.OnUpdate(older, At(0));
+  cr_assert(fixture.node.version() == 10);
+  cr_assert(Has<SendAttempt>(fixture.Request("/safe/x", 1)));
+  auto gap = Fixture::State();
+  gap.base = 12;
+  gap.version = 13;
+  fixture.node.OnUpdate(gap, At(2));
+  cr_assert(fixture.node.version() == 10);
+}
+
+Test(gateway_node, keyed_request_without_a_key_is_a_bad_request) {
+  Fixture fixture;
+  cr_assert(Only<Refuse>(fixture.Request("/keyed/x", 0)).status == 400);
+  cr_assert(Only<Refuse>(fixture.Request("/keyed/x", 0, 65'536)).status == 400);
+}
+
+Test(gateway_node, parts_of_a_split_follow_their_weights) {
+  Fixture fixture;
+  auto update = Fixture::State();
+  update.base = 10;
+  update.version = 11;
+  update.routes[0].split = {{{"pool"}, 75}, {{"keyed"}, 25}};
+  fixture.node.OnUpdate(update, At(0));
+  std::map<char, int> counts;
+  for (int request = 0; request < 100; ++request) {
+    const auto send = Only<SendAttempt>(fixture.Request("/safe/x", request, 1));
+    ++counts[send.instance.value.front()];
+    fixture.End(send, AttemptEnd::kAnswered, 200, request);
+  }
+  cr_assert(counts['p'] == 75 && counts['k'] == 25);
+}
--- a/tests/http/caller_server_test.cc
+++ b/tests/http/caller_server_test.cc
@@ -12,7 +12,7 @@
 #include <thread>
 
 #include "src/http/socket_connect.h"
-#include "src/platform/clock.h"
+#include "src/runtime/clock.h"
 
 using namespace std::chrono_literals;
 using namespace graniteseam;
@@ -62,13 +62,13 @@
   }
   int Connect() const {
     const int descriptor =
-        http::ConnectWithin({"127.0.0.1", port_}, platform::BootTimeNow() + Duration(10s));
+        http::ConnectWithin({"127.0.0.1", port_}, runtime::BootTimeNow() + Duration(10s));
     cr_assert_geq(descriptor, 0);
     return descriptor;
   }
   static std::string ReadAll(int descriptor, const std::string& enough) {
     http::BoundedStream stream(descriptor, Duration(100ms));
-    stream.Begin(platform::BootTimeNow() + Duration(20s), 1 << 20);
+    stream.Begin(runtime::BootTimeNow() + Duration(20s), 1 << 20);
     std::string text;
     char byte = 0;
     while ((enough.empty() || text.find(enough) == std::string::npos) &&
--- a/tests/http/lease_client_test.cc
+++ b/tests/http/lease_client_test.cc
@@ -15,7 +15,7 @@
 namespace control = graniteseam::control;
 namespace http = graniteseam::http;
 namespace lease = graniteseam::lease;
-namespace platform = graniteseam::platform;
+namespace runtime = graniteseam::runtime;
 using graniteseam::Attempt;
 using graniteseam::ErrorKind;
 using graniteseam::ErrorOf;
@@ -96,8 +96,8 @@
   }
 
  private:
-  platform::MetricsRegistry metrics_;
-  platform::EventLoop loop_;
+  runtime::MetricsRegistry metrics_;
+  runtime::EventLoop loop_;
   std::mutex mutex_;  ///< Guards answers_.
   std::condition_variable arrived_;
   std::vector<lease::LeaseAnswer> answers_;
@@ -247,11 +247,11 @@
     }
     response.set_content(R"({"machines":[]})", "application/json");
   });
-  platform::MetricsRegistry metrics;
-  platform::EventLoop loop;
+  runtime::MetricsRegistry metrics;
+  runtime::EventLoop loop;
   std::atomic<bool> listed{false};
-  const auto address = std::get<platform::SocketAddress>(
-      Attempt([&] { return platform::ParseSocketAddress(server.address()); }));
+  const auto address = std::get<runtime::SocketAddress>(
+      Attempt([&] { return runtime::ParseSocketAddress(server.address()); }));
   const http::PlatformPoller poller(
       {{address}, std::chrono::milliseconds(10), std::chrono::seconds(5), nullptr}, loop, metrics,
       [] { return true; }, [&](const control::PlatformList& /*list*/) { listed = true; });
--- a/tests/http/operator_server_test.cc
+++ b/tests/http/operator_server_test.cc
@@ -11,7 +11,7 @@
 
 namespace control = graniteseam::control;
 namespace http = graniteseam::http;
-namespace platform = graniteseam::platform;
+namespace runtime = graniteseam::runtime;
 using graniteseam::Attempt;
 using graniteseam::Error;
 using graniteseam::ErrorKind;
@@ -55,7 +55,7 @@
   httplib::Client Client() const { return httplib::Client("127.0.0.1", server.port()); }
   httplib::Headers Credential() const { return {{"Authorization", "Bearer secret"}}; }
 
-  platform::MetricsRegistry metrics;
+  runtime::MetricsRegistry metrics;
   http::OperatorServer server;
 };
 
--- a/tests/http/router_fixture.h
+++ b/tests/http/router_fixture.h
@@ -15,7 +15,7 @@
 
 #include "graniteseam/routing/routing_table.h"
 #include "src/http/request_driver.h"
-#include "src/platform/clock.h"
+#include "src/runtime/clock.h"
 
 namespace graniteseam::test {
 
--- a/tests/http/tls_test.cc
+++ b/tests/http/tls_test.cc
@@ -12,12 +12,12 @@
 #include "src/http/operator_client.h"
 #include "src/http/operator_server.h"
 #include "src/http/upstream_connection.h"
-#include "src/platform/clock.h"
+#include "src/runtime/clock.h"
 #include "tests/http/test_certificate.h"
 #include "tests/support/raw_client.h"
 
 namespace http = graniteseam::http;
-namespace platform = graniteseam::platform;
+namespace runtime = graniteseam::runtime;
 using graniteseam::Attempt;
 using graniteseam::ErrorOf;
 using graniteseam::http::TlsContext;
@@ -53,7 +53,7 @@
     options.tls = Load(TlsContext::Side::kServer, certificate.ServerFiles());
     return options;
   }
-  platform::SocketAddress address() const { return {"127.0.0.1", server.port()}; }
+  runtime::SocketAddress address() const { return {"127.0.0.1", server.port()}; }
   /// Whether a call by someone who trusts this certificate alone is answered.
   bool Answers(const TestCertificate& trusted) const {
     http::OperatorClientOptions options;
@@ -67,15 +67,15 @@
     return ErrorOf(answer) == nullptr;
   }
 
-  platform::MetricsRegistry metrics;
+  runtime::MetricsRegistry metrics;
   http::OperatorServer server;
 };
 
 /// The faults of a program with an HTTP port.
-std::vector<platform::SettingFault> ReadSettings(std::vector<std::string> arguments) {
+std::vector<runtime::SettingFault> ReadSettings(std::vector<std::string> arguments) {
   http::TlsFiles files;
-  platform::SocketAddress address;
-  platform::SettingsReader reader("program", "Tests TLS.");
+  runtime::SocketAddress address;
+  runtime::SettingsReader reader("program", "Tests TLS.");
   reader.AddAddress("http_address", "Address.", address);
   http::AddServerTlsSettings(reader, files, &address);
   arguments.insert(arguments.begin(), "program");
@@ -147,8 +147,8 @@
   cr_assert(ReadSettings({"--http-address", "10.0.0.1:80", "--http-tls-certificate",
                           own.certificate(), "--http-tls-key", own.key()})
                 .empty());
-  const platform::SocketAddress far{"192.0.2.1", 80};
-  const auto deadline = platform::BootTimeNow() + std::chrono::seconds(1);
+  const runtime::SocketAddress far{"192.0.2.1", 80};
+  const auto deadline = runtime::BootTimeNow() + std::chrono::seconds(1);
   cr_assert(http::UpstreamConnection::Open(far, deadline) == nullptr);
 }
 
@@ -169,8 +169,8 @@
   while (!stand_in.is_running()) std::this_thread::yield();
   const auto trusting = Load(TlsContext::Side::kClient, own.ClientFiles());
 
-  const platform::SocketAddress address{"127.0.0.1", static_cast<std::uint16_t>(port)};
-  const auto deadline = platform::BootTimeNow() + std::chrono::seconds(60);
+  const runtime::SocketAddress address{"127.0.0.1", static_cast<std::uint16_t>(port)};
+  const auto deadline = runtime::BootTimeNow() + std::chrono::seconds(60);
   {
     const auto connection = http::UpstreamConnection::Open(address, deadline, trusting.get());
     cr_assert(connection != nullptr);
@@ -189,8 +189,8 @@
   const auto distrusting = Load(TlsContext::Side::kClient, other.ClientFiles());
   cr_assert(http::UpstreamConnection::Open(address, deadline, distrusting.get()) == nullptr);
 
-  platform::MetricsRegistry metrics;
-  platform::EventLoop loop;
+  runtime::MetricsRegistry metrics;
+  runtime::EventLoop loop;
   std::atomic<bool> answered{false};
   http::LeaseClientOptions options;
   options.tls = trusting;
--- a/tests/protocol/transport_test.cc
+++ b/tests/protocol/transport_test.cc
@@ -16,7 +16,7 @@
 
 namespace consensus = graniteseam::consensus;
 namespace control = graniteseam::control;
-namespace platform = graniteseam::platform;
+namespace runtime = graniteseam::runtime;
 namespace protocol = graniteseam::protocol;
 using graniteseam::protocol::FrameKind;
 using graniteseam::test::RawClient;
@@ -54,8 +54,8 @@
   explicit Control(protocol::InternalSecurity security = {}, std::size_t connections = 100,
                    protocol::ConnectionLimits limits = {})
       : server({{"127.0.0.1", 0}, "1", std::move(security), connections, limits}, loop, metrics,
-               {[this](const std::string& name, const std::string& http_address) {
-                  hellos.Put(name + " at " + http_address);
+               {[this](const std::string& name, const protocol::ServedAddresses& served) {
+                  hellos.Put(name + " at " + served.http);
                 },
                 [this](consensus::PeerMessage message) { peers.Put(std::move(message)); },
                 [this](protocol::RouterConnectionId id, const control::RouterToControl& message) {
@@ -77,10 +77,10 @@
     answer.sequence = renewal->sequence;
     server.SendToRouter(id, answer);
   }
-  platform::SocketAddress address() const { return {"127.0.0.1", server.port()}; }
+  runtime::SocketAddress address() const { return {"127.0.0.1", server.port()}; }
 
-  platform::MetricsRegistry metrics;
-  platform::EventLoop loop;
+  runtime::MetricsRegistry metrics;
+  runtime::EventLoop loop;
   std::string hint;  ///< The leader to name; empty while this one leads.
   Mailbox<std::string> hellos;
   Mailbox<consensus::PeerMessage> peers;
@@ -90,7 +90,7 @@
 
 /// A router's client that collects answers.
 struct Router {
-  Router(std::vector<platform::SocketAddress> addresses, protocol::InternalSecurity security = {})
+  Router(std::vector<runtime::SocketAddress> addresses, protocol::InternalSecurity security = {})
       : client({.router = {"r1"}, .control = std::move(addresses), .security = std::move(security)},
                metrics, [this](const control::ControlToRouter& answer) { answers.Put(answer); }) {}
   void Renew(std::uint64_t sequence) {
@@ -98,7 +98,7 @@
     renewal.sequence = sequence;
     client.Send(renewal);
   }
-  platform::MetricsRegistry metrics;
+  runtime::MetricsRegistry metrics;
   Mailbox<control::ControlToRouter> answers;
   protocol::RouterControlClient client;
 };
@@ -181,9 +181,9 @@
 
 Test(transport, peer_messages_arrive_in_order) {
   Control control;
-  platform::MetricsRegistry metrics;
-  platform::EventLoop loop;
-  protocol::PeerTransport transport({"2", "127.0.0.1:9", {}}, loop, metrics);
+  runtime::MetricsRegistry metrics;
+  runtime::EventLoop loop;
+  protocol::PeerTransport transport({"2", {"127.0.0.1:9", ""}, {}}, loop, metrics);
   constexpr std::uint64_t kMessages = 50;
   consensus::PeerMessage message;
   message.to.address = ToString(control.address());
--- a/tests/platform/log_test.cc
+++ b/tests/runtime/log_test.cc
@@ -1,4 +1,4 @@
-#include "src/platform/log.h"
+#include "src/runtime/log.h"
 
 #include <criterion/criterion.h>
 #include <criterion/redirect.h>
@@ -6,7 +6,7 @@
 #include <cstdio>
 #include <string>
 
-namespace platform = graniteseam::platform;
+namespace runtime = graniteseam::runtime;
 
 namespace {
 
@@ -26,7 +26,7 @@
 }  // namespace
 
 Test(log, writes_plain_lines_with_the_prefix_of_the_part, .init = RedirectError) {
-  const platform::Logger log("router.upstream");
+  const runtime::Logger log("router.upstream");
   log.Debug("Not shown.");
   log.Warning("Server {} shed a request\nforged line.", "s1");
   const std::string line = StandardError();
@@ -35,8 +35,8 @@
 }
 
 Test(log, writes_json_lines, .init = RedirectError) {
-  const platform::Logger log("control");
-  platform::ConfigureLogs(platform::LogFormat::kJson, platform::LogLevel::kDebug);
+  const runtime::Logger log("control");
+  runtime::ConfigureLogs(runtime::LogFormat::kJson, runtime::LogLevel::kDebug);
   log.Debug("Said \"{}\".", 1);
   const std::string line = StandardError();
   cr_assert(line.starts_with("{\"time\":\""), "%s", line.c_str());
--- a/tests/platform/settings_test.cc
+++ b/tests/runtime/settings_test.cc
@@ -1,4 +1,4 @@
-#include "src/platform/settings.h"
+#include "src/runtime/settings.h"
 
 #include <criterion/criterion.h>
 #include <unistd.h>
@@ -7,8 +7,8 @@
 #include <fstream>
 #include <sstream>
 
-namespace platform = graniteseam::platform;
-using graniteseam::platform::SettingsReader;
+namespace runtime = graniteseam::runtime;
+using graniteseam::runtime::SettingsReader;
 
 namespace {
 
@@ -31,14 +31,14 @@
 struct Program {
   std::int64_t id = 0;
   std::string zone;
-  platform::SocketAddress address{"127.0.0.1", 1};
-  std::vector<platform::SocketAddress> control;
-  platform::TextTable operators;
+  runtime::SocketAddress address{"127.0.0.1", 1};
+  std::vector<runtime::SocketAddress> control;
+  runtime::TextTable operators;
   graniteseam::Duration interval{250'000};
   double ratio = 0.5;
   bool initialise = false;
   std::optional<int> exit_code;
-  std::vector<platform::SettingFault> faults;
+  std::vector<runtime::SettingFault> faults;
   std::string out;
   std::string errors;
 
@@ -81,7 +81,7 @@
   cr_assert(!program.exit_code, "%s", program.errors.c_str());
   cr_assert(program.id == 3);
   cr_assert(program.zone == "istanbul-2");
-  cr_assert(program.address == platform::SocketAddress({"::1", 80}));
+  cr_assert(program.address == runtime::SocketAddress({"::1", 80}));
   cr_assert(program.control.size() == 2 && program.control[1].port == 7002);
   cr_assert(program.operators.at("ana") == "00ff");
   cr_assert(program.interval == std::chrono::milliseconds(30));
@@ -95,7 +95,7 @@
                           "log_level = \"loud\"\nratio = 1979-05-27\n");
   Program program;
   program.Read({"--settings", file.path(), "--interval-ms", "soon", "--nonsense", "stray"});
-  cr_assert(program.exit_code == platform::kExitInvalidSettings);
+  cr_assert(program.exit_code == runtime::kExitInvalidSettings);
   const std::vector<std::pair<std::string, std::string>> expected = {
       {"flag", "--nonsense"},
       {"flag", "stray"},
@@ -117,7 +117,7 @@
 Test(settings, names_what_is_missing) {
   Program program;
   program.Read({"--id", "7"});
-  cr_assert(program.exit_code == platform::kExitInvalidSettings);
+  cr_assert(program.exit_code == runtime::kExitInvalidSettings);
   cr_assert(program.faults.size() == 1 && program.faults[0].key == "zone");
   cr_assert(program.errors.find("--zone") != std::string::npos);
 }
@@ -126,7 +126,7 @@
   const SettingsFile file("graniteseam-settings-syntax", "id = 3\nzone = \n");
   Program program;
   program.Read({"--settings", file.path()});
-  cr_assert(program.exit_code == platform::kExitInvalidSettings);
+  cr_assert(program.exit_code == runtime::kExitInvalidSettings);
   cr_assert(program.errors.find(file.path() + ":2") != std::string::npos, "%s",
             program.errors.c_str());
 }
@@ -135,7 +135,7 @@
   for (const char* path : {"/nonexistent/settings.toml", "/dev/zero"}) {
     Program program;
     program.Read({"--settings", path, "--id", "1", "--zone", "z"});
-    cr_assert(program.exit_code == platform::kExitInvalidSettings);
+    cr_assert(program.exit_code == runtime::kExitInvalidSettings);
     cr_assert(program.faults.size() == 1);
   }
 }
--- a/tests/testbed/link_layer_test.cc
+++ b/tests/testbed/link_layer_test.cc
@@ -34,14 +34,16 @@
   LinkFixture()
       : port(std::get<ReservedPort>(
             Attempt([] { return ReservedPort::Reserve(kServer, LinkLayer::RelayIp(kServer)); }))),
-        links([this](const std::string& from, const std::string& to) {
-          const bool known =
-              (from == kClient && to == kServer) || (from == kServer && to == kClient);
-          cr_assert(known);
-          ++asked;
-          return LinkState{from == kClient ? cut_to_server.load() : cut_to_client.load(),
-                           Duration(0)};
-        }) {
+        links(
+            [this](const std::string& from, const std::string& to) {
+              const bool known =
+                  (from == kClient && to == kServer) || (from == kServer && to == kClient);
+              cr_assert(known);
+              ++asked;
+              return LinkState{from == kClient ? cut_to_server.load() : cut_to_client.load(),
+                               Duration(0)};
+            },
+            [](const ConnectionEnds& ends) { return ends.client.ip; }) {
     const Tcp::endpoint real(boost::asio::ip::make_address(kServer), port.address().port);
     acceptor.open(real.protocol());
     acceptor.set_option(Tcp::acceptor::reuse_address(true));
--- a/tests/testbed/server_test.cc
+++ b/tests/testbed/server_test.cc
@@ -1,6 +1,6 @@
 #include <criterion/criterion.h>
 
-#include "src/platform/clock.h"
+#include "src/runtime/clock.h"
 #include "testbed/server/hints.h"
 #include "testbed/server/lease_messages.h"
 #include "testbed/server/slots.h"
@@ -10,7 +10,7 @@
 using graniteseam::ErrorKind;
 using graniteseam::ErrorOf;
 using graniteseam::InstantFromMicros;
-using graniteseam::platform::BootTimeNow;
+using graniteseam::runtime::BootTimeNow;
 using namespace graniteseam::testbed;
 
 namespace {
