Read nothing new in the last part of a gateway's stop

Change: at 62% of the limit the port and the resting connections close; what was read is finished until 95%.

--- a/src/daemon/gateway/gateway_process.cc
+++ b/src/daemon/gateway/gateway_process.cc
@@ -100,20 +100,24 @@
   events_.Write(runtime::EventWeight::kNotable, runtime::EventLine("stopping"));
   stopping_ = true;
   asio::post(loop_.context(), [this] { callers_->BeginDrain(); });
-  const Instant begun = runtime::BootTimeNow();
-  while (runtime::BootTimeNow() - begun < settings_.stop_maximum) {
-    const bool served_on = runtime::BootTimeNow() - begun >= settings_.stop_minimum;
-    if (served_on && Idle()) break;
-    std::this_thread::sleep_for(kStopLook);
-  }
+  const StopSchedule schedule = ScheduleStop(settings_.stop_limit);
+  WaitUntilLeft(schedule.leave_earliest, schedule.close, &event_http::Server::connections);
+  asio::post(loop_.context(), [this] { callers_->Close(); });
+  WaitUntilLeft({}, schedule.end - schedule.close, &event_http::Server::busy);
   events_.Write(runtime::EventWeight::kNotable, runtime::EventLine("stopped"));
 }
 
-/// Whether no caller has a connection any more.
-bool GatewayProcess::Idle() {
-  std::promise<bool> idle;
-  asio::post(loop_.context(), [&] { idle.set_value(callers_->connections() == 0); });
-  return idle.get_future().get();
+/// Waits until nothing is left of what `count` counts, for `limit` at most.
+void GatewayProcess::WaitUntilLeft(Duration earliest, Duration limit,
+                                   std::size_t (event_http::Server::*count)() const) {
+  const Instant begun = runtime::BootTimeNow();
+  while (runtime::BootTimeNow() - begun < limit) {
+    std::promise<std::size_t> left;
+    asio::post(loop_.context(), [&] { left.set_value((callers_.get()->*count)()); });
+    const bool none = left.get_future().get() == 0;
+    if (none && runtime::BootTimeNow() - begun >= earliest) return;
+    std::this_thread::sleep_for(kStopLook);
+  }
 }
 
 // --- Requests ---
--- a/src/daemon/gateway/gateway_process.h
+++ b/src/daemon/gateway/gateway_process.h
@@ -14,6 +14,7 @@
 #include "src/daemon/gateway/exchange_translator.h"
 #include "src/daemon/gateway/gateway_metrics.h"
 #include "src/daemon/gateway/gateway_settings.h"
+#include "src/daemon/gateway/stop_schedule.h"
 #include "src/event_http/client_pool.h"
 #include "src/event_http/server.h"
 #include "src/gateway/gateway_node.h"
@@ -67,7 +68,8 @@
   void ArmTimer();
   void Poll();
   void ApplyLimits();
-  bool Idle();
+  void WaitUntilLeft(Duration earliest, Duration limit,
+                     std::size_t (event_http::Server::*count)() const);
 
   const GatewaySettings settings_;
   const ExchangeTranslator translator_;
--- a/src/daemon/gateway/gateway_settings.cc
+++ b/src/daemon/gateway/gateway_settings.cc
@@ -24,11 +24,10 @@
                     settings.control_port, 0, kPortMaximum);
   reader.AddMilliseconds("poll_interval_ms", "Between two questions to control for changes.",
                          settings.poll_interval, milliseconds(50), seconds(5));
-  reader.AddMilliseconds("stop_minimum_ms",
-                         "How long a stop goes on serving, so that callers go elsewhere.",
-                         settings.stop_minimum, milliseconds(0), seconds(60));
-  reader.AddMilliseconds("stop_maximum_ms", "How long a stop waits for requests in flight.",
-                         settings.stop_maximum, milliseconds(0), seconds(600));
+  reader.AddMilliseconds("stop_limit_ms",
+                         "How long a stop may take; it serves on for the first part of it, so that "
+                         "callers go elsewhere, and finishes what it has in the rest.",
+                         settings.stop_limit, milliseconds(0), seconds(600));
   reader.AddNumber("retry_budget_ratio",
                    "Repetitions for each request that all gateways may send together.",
                    settings.budget.ratio, 0, 1);
--- a/src/daemon/gateway/gateway_settings.h
+++ b/src/daemon/gateway/gateway_settings.h
@@ -20,8 +20,7 @@
   std::int64_t control_port = 0;  ///< In place of the listed ports; 0 leaves them.
   protocol::InternalSecurity security;
   Duration poll_interval{500'000};
-  Duration stop_minimum{2'500'000};
-  Duration stop_maximum{5'000'000};
+  Duration stop_limit{6'000'000};
   gateway::RetryBudgetLimits budget;
   std::int64_t connections_maximum = 2'000;
 };
--- /dev/null
+++ b/src/daemon/gateway/stop_schedule.h
@@ -0,0 +1,29 @@
+/// @file
+/// When a gateway that was told to stop does what.
+#pragma once
+
+#include "graniteseam/common/time.h"
+
+namespace graniteseam::daemon {
+
+/// Spans from the stop signal on.
+///
+/// Invariant: a request that was read gets its answer before the process ends. So no request is
+/// read any more once what is left of the limit may be too short for it; whoever sends one then
+/// finds the connection closed unread and goes elsewhere.
+struct StopSchedule {
+  Duration leave_earliest;  ///< Not before this, so that new callers have been led elsewhere.
+  Duration close;           ///< From here on nothing new is read.
+  Duration end;             ///< The process ends, whatever is left.
+};
+
+/// @param limit after which the process is killed.
+inline StopSchedule ScheduleStop(Duration limit) {
+  constexpr int kHundred = 100;
+  constexpr int kLeaveAt = 45;
+  constexpr int kCloseAt = 62;
+  constexpr int kEndAt = 95;
+  return {limit * kLeaveAt / kHundred, limit * kCloseAt / kHundred, limit * kEndAt / kHundred};
+}
+
+}  // namespace graniteseam::daemon
