--- a/src/gateway/backend_table.cc
+++ b/src/gateway/backend_table.cc
@@ -65,16 +65,17 @@
   return LoadOf(backend, now) < SlotsOf(backend) * (1.0 + options_.waiting_maximum);
 }
 
-double BackendTable::ExpectedMicros(const Backend& backend, Instant now) const {
+double BackendTable::ExpectedMicros(const Backend& backend, Duration target, Instant now) const {
   double latency = backend.latency_us;
   if (now < backend.warm_at) latency *= options_.cold_factor;
   const double turns = std::max(1.0, (LoadOf(backend, now) + 1) / SlotsOf(backend));
   const bool far = backend.instance.report.zone != options_.zone;
-  return latency * turns + (far ? Micros(options_.cross_zone_penalty) : 0.0);
+  return latency * turns + (far ? Micros(target) * options_.cross_zone_part : 0.0);
 }
 
 const Backend* BackendTable::Choose(const ServiceName& service,
-                                    const std::vector<traffic::InstanceId>& tried, Instant now) {
+                                    const std::vector<traffic::InstanceId>& tried, Duration target,
+                                    Instant now) {
   const auto ids = services_.find(service);
   if (ids == services_.end()) return nullptr;
   std::uniform_real_distribution<double> jitter(1.0, 1.0 + kJitter);
@@ -91,7 +92,7 @@
       if (sooner) best_ejected = &backend;
       continue;
     }
-    const double expected = ExpectedMicros(backend, now) * jitter(random_);
+    const double expected = ExpectedMicros(backend, target, now) * jitter(random_);
     if (best != nullptr && expected >= least) continue;
     best = &backend;
     least = expected;
--- a/src/gateway/backend_table.h
+++ b/src/gateway/backend_table.h
@@ -16,8 +16,9 @@
 
 struct BackendOptions {
   ZoneName zone;  ///< Of this gateway.
-  /// Extra wait that a server of another zone must save to be preferred.
-  Duration cross_zone_penalty{3'000};
+  /// Part of the target latency that a server of another zone must save to be preferred: bytes
+  /// between zones cost, and an answer within its target is worth no more for being sooner.
+  double cross_zone_part = 0.25;
   Duration first_latency{80'000};  ///< Taken for a server that has not answered yet.
   Duration ejection{1'000'000};    ///< After failures in a row; doubles up to ejection_maximum.
   Duration ejection_maximum{4'000'000};
@@ -53,9 +54,10 @@
   const Backend* Find(const traffic::InstanceId& id) const;
 
   /// The server of a service with the shortest wait to expect, without those in `tried`.
+  /// @param target within which an answer is worth most.
   /// @return nullptr when none takes new work.
   const Backend* Choose(const ServiceName& service, const std::vector<traffic::InstanceId>& tried,
-                        Instant now);
+                        Duration target, Instant now);
 
   /// Whether a server has room, so that a request would not wait there for long.
   bool HasRoom(const Backend& backend, Instant now) const;
@@ -72,7 +74,7 @@
   std::string Describe(const Backend& backend, Instant now) const;
 
  private:
-  double ExpectedMicros(const Backend& backend, Instant now) const;
+  double ExpectedMicros(const Backend& backend, Duration target, Instant now) const;
   void TakeLoad(Backend& backend, const ReportedLoad& load, Instant now) const;
   void Fail(Backend& backend, Instant now) const;
 
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -242,9 +242,11 @@
 }
 
 GatewayNode::Step GatewayNode::TryPool(LiveRequest& request, Instant now) {
-  const Backend* backend = backends_.Choose(request.service, request.tried, now);
+  const Backend* backend =
+      backends_.Choose(request.service, request.tried, request.target_latency, now);
   // With no other server left, one that was tried may do better now.
-  if (backend == nullptr) backend = backends_.Choose(request.service, {}, now);
+  if (backend == nullptr)
+    backend = backends_.Choose(request.service, {}, request.target_latency, now);
   const Duration hold = request.target_latency / kHoldPartOfTarget;
   if (backend == nullptr) return Wait(request, RefusalReason::kNoServer, hold, now);
   if (!backends_.HasRoom(*backend, now)) {
--- /dev/null
+++ b/tests/gateway/backend_table_test.cc
@@ -0,0 +1,110 @@
+#include "src/gateway/backend_table.h"
+
+#include <criterion/criterion.h>
+
+#include <map>
+
+using namespace graniteseam;
+using namespace graniteseam::gateway;
+
+namespace {
+
+constexpr Instant kNow = InstantFromMicros(1'000'000'000);
+constexpr Duration kTarget{200'000};
+const ServiceName kService{"s"};
+
+traffic::Instance MakeInstance(const std::string& id, const std::string& zone) {
+  traffic::Instance instance;
+  instance.report.id = {id};
+  instance.report.service = kService;
+  instance.report.zone = {zone};
+  instance.report.slots = 2;
+  return instance;
+}
+
+struct Fixture {
+  BackendTable table;
+
+  explicit Fixture(const std::vector<traffic::Instance>& instances)
+      : table(
+            [] {
+              BackendOptions options;
+              options.zone = {"near"};
+              return options;
+            }(),
+            1) {
+    traffic::TrafficUpdate update;
+    update.instances = instances;
+    table.Apply(update, kNow);
+  }
+
+  std::string Choose() {
+    const Backend* backend = table.Choose(kService, {}, kTarget, kNow);
+    return backend == nullptr ? "" : backend->instance.report.id.value;
+  }
+
+  void Answer(const std::string& id, Duration taken, Instant at,
+              std::optional<ReportedLoad> load = {}) {
+    AttemptReport report;
+    report.end = AttemptEnd::kAnswered;
+    report.load = load;
+    table.OnSent({id});
+    table.OnEnded({id}, report, taken, at);
+  }
+};
+
+}  // namespace
+
+Test(backend_table, servers_of_the_own_zone_come_first_until_they_make_requests_wait) {
+  Fixture fixture({MakeInstance("near-1", "near"), MakeInstance("far-1", "far")});
+  for (int request = 0; request < 2; ++request) {
+    cr_assert(fixture.Choose() == "near-1");
+    fixture.table.OnSent({"near-1"});
+  }
+  // Further ones would wait for a whole turn there.
+  fixture.table.OnSent({"near-1"});
+  cr_assert(fixture.Choose() == "far-1");
+}
+
+Test(backend_table, faster_server_gets_more) {
+  Fixture fixture({MakeInstance("a", "near"), MakeInstance("b", "near")});
+  for (int answer = 0; answer < 20; ++answer) {
+    fixture.Answer("a", Duration{40'000}, kNow);
+    fixture.Answer("b", Duration{120'000}, kNow);
+  }
+  cr_assert(fixture.Choose() == "a");
+  fixture.table.OnSent({"a"});
+  fixture.table.OnSent({"a"});
+  cr_assert(fixture.Choose() == "a", "two turns of 40 ms end before one of 120 ms");
+}
+
+Test(backend_table, reported_load_counts_and_fades) {
+  Fixture fixture({MakeInstance("a", "near"), MakeInstance("b", "near")});
+  fixture.Answer("a", Duration{80'000}, kNow, ReportedLoad{2, 6, 2});
+  fixture.Answer("b", Duration{80'000}, kNow, ReportedLoad{1, 0, 2});
+  cr_assert(fixture.Choose() == "b");
+  const Backend& busy = *fixture.table.Find({"a"});
+  cr_assert(!fixture.table.HasRoom(busy, kNow));
+  cr_assert(fixture.table.HasRoom(busy, kNow + std::chrono::seconds(1)));
+}
+
+Test(backend_table, server_that_fails_in_a_row_is_left_out_and_comes_back) {
+  Fixture fixture({MakeInstance("a", "near"), MakeInstance("b", "far")});
+  AttemptReport lost;
+  lost.end = AttemptEnd::kLost;
+  for (int failure = 0; failure < 2; ++failure) {
+    fixture.table.OnSent({"a"});
+    fixture.table.OnEnded({"a"}, lost, Duration{1'000}, kNow);
+  }
+  cr_assert(fixture.Choose() == "b");
+  const Backend* later =
+      fixture.table.Choose(kService, {}, kTarget, kNow + std::chrono::seconds(2));
+  cr_assert(later->instance.report.id.value == "a");
+}
+
+Test(backend_table, draining_server_gets_nothing) {
+  traffic::Instance draining = MakeInstance("a", "near");
+  draining.state = traffic::InstanceState::kDraining;
+  Fixture fixture({draining});
+  cr_assert(fixture.Choose().empty());
+}
