Divide keys by measured speed, several moves at a time

Change: routers report how fast owners answer; slots are scaled by it; up to four moves are begun together, each half second.

--- a/include/graniteseam/traffic/update.h
+++ b/include/graniteseam/traffic/update.h
@@ -41,11 +41,21 @@
   ServiceName service;
   KeySpan span;
   double requests = 0;
-  double busy_us = 0;  ///< Server time spent, as the router saw it.
 
   bool operator==(const SpanLoad&) const = default;
 };
-BOOST_DESCRIBE_STRUCT(SpanLoad, (), (service, span, requests, busy_us))
+BOOST_DESCRIBE_STRUCT(SpanLoad, (), (service, span, requests))
+
+/// How fast one instance answered one router since that router's last poll: requests that found a
+/// free slot, so that their time tells of the instance and not of its queue.
+struct InstanceSpeed {
+  InstanceId instance;
+  double answers = 0;
+  double busy_us = 0;  ///< Sum of their times.
+
+  bool operator==(const InstanceSpeed&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(InstanceSpeed, (), (instance, answers, busy_us))
 
 /// Asks for what changed, and shows that the router lives.
 struct TrafficPoll {
@@ -54,9 +64,10 @@
   std::uint64_t sequence = 0;
   std::uint64_t version = 0;  ///< Log index of the state that the router has; 0 for none.
   std::vector<SpanLoad> loads;
+  std::vector<InstanceSpeed> speeds;
 
   bool operator==(const TrafficPoll&) const = default;
 };
-BOOST_DESCRIBE_STRUCT(TrafficPoll, (), (router, zone, sequence, version, loads))
+BOOST_DESCRIBE_STRUCT(TrafficPoll, (), (router, zone, sequence, version, loads, speeds))
 
 }  // namespace graniteseam::traffic
--- a/src/control/control_node_requests.cc
+++ b/src/control/control_node_requests.cc
@@ -44,7 +44,7 @@
     SendNotLeader(connection, poll.sequence);
     return;
   }
-  leadership_->traffic.ranges().TakeLoads(poll.loads, now);
+  leadership_->traffic.ranges().TakeLoads(poll, now);
   SendToRouter(connection, leadership_->traffic.sessions().Poll(connection, poll, now));
 }
 
--- a/src/control/range_balancer.cc
+++ b/src/control/range_balancer.cc
@@ -8,16 +8,18 @@
 namespace graniteseam::control {
 namespace {
 
-constexpr Duration kWindow{1'000'000};
+constexpr Duration kWindow{500'000};
 /// Weight of the newest window.
-constexpr double kNewest = 0.5;
+constexpr double kNewest = 0.3;
 /// Requests a second that all keys of a service together count for by their mere number.
 constexpr double kSizeWeight = 10.0;
 /// A move needs an owner that carries so many times the mean of all.
-constexpr double kOverloaded = 1.35;
+constexpr double kOverloaded = 1.2;
 /// And a gain of at least this part of the mean.
-constexpr double kWorthwhile = 0.15;
-constexpr Duration kMoveInterval{1'000'000};
+constexpr double kWorthwhile = 0.1;
+constexpr Duration kMoveInterval{500'000};
+/// Moves that are begun together.
+constexpr std::size_t kMovesMaximum = 4;
 
 double TotalSlots(const std::vector<RangeCandidate>& candidates) {
   return std::accumulate(
@@ -147,37 +149,66 @@
   return start->size() <= end->size() ? start : end;
 }
 
-std::optional<traffic::RangeRelease> RangeBalancer::Rebalance(
+std::vector<traffic::RangeRelease> RangeBalancer::Rebalance(
     const ServiceName& service, const traffic::KeyRangeTable::Ranges& ranges,
     const std::vector<RangeCandidate>& candidates, Instant now) {
+  std::vector<traffic::RangeRelease> moves;
   ServiceLoad& measured = loads_[service];
   CloseWindow(measured, now);
-  if (!measured.measured || candidates.size() < 2) return std::nullopt;
-  if (now - last_move_[service] < kMoveInterval) return std::nullopt;
+  if (!measured.measured || candidates.size() < 2) return moves;
+  if (now - last_move_[service] < kMoveInterval) return moves;
+  traffic::KeyRangeTable::Ranges planned = ranges;
+  while (moves.size() < kMovesMaximum) {
+    const auto move = NextMove(service, planned, candidates);
+    if (!move) break;
+    moves.push_back(*move);
+  }
+  if (!moves.empty()) last_move_[service] = now;
+  return moves;
+}
+
+/// The move from the busiest candidate to the one with most room; `ranges` then stand as after it.
+std::optional<traffic::RangeRelease> RangeBalancer::NextMove(
+    const ServiceName& service, traffic::KeyRangeTable::Ranges& ranges,
+    const std::vector<RangeCandidate>& candidates) const {
   const auto loads = OwnerLoads(service, ranges);
   double total = 0;
   for (const auto& [owner, load] : loads) total += load;
   const double mean = total / TotalSlots(candidates);
-  const RangeCandidate* heaviest = nullptr;
-  const RangeCandidate* lightest = nullptr;
   const auto load_of = [&](const RangeCandidate& candidate) {
     const auto found = loads.find(candidate.id);
     return (found == loads.end() ? 0.0 : found->second) / candidate.slots;
   };
-  for (const RangeCandidate& candidate : candidates) {
-    if (heaviest == nullptr || load_of(candidate) > load_of(*heaviest)) heaviest = &candidate;
-    if (lightest == nullptr || load_of(candidate) < load_of(*lightest)) lightest = &candidate;
-  }
-  const double excess = std::min(load_of(*heaviest) - mean, mean - load_of(*lightest));
-  if (load_of(*heaviest) < mean * kOverloaded || excess < mean * kWorthwhile) return std::nullopt;
+  const auto [lightest, heaviest] =
+      std::minmax_element(candidates.begin(), candidates.end(),
+                          [&](const auto& a, const auto& b) { return load_of(a) < load_of(b); });
+  const double over = (load_of(*heaviest) - mean) * heaviest->slots;
+  const double room = (mean - load_of(*lightest)) * lightest->slots;
+  const double wanted = std::min(over, room);
+  if (load_of(*heaviest) < mean * kOverloaded || wanted < mean * kWorthwhile) return std::nullopt;
   std::optional<traffic::RangeRelease> best;
   for (const auto& [first, range] : ranges) {
     if (range.owner != heaviest->id || range.phase != traffic::RangePhase::kServing) continue;
-    const auto piece = PieceOf(range, excess * heaviest->slots);
+    const auto piece = PieceOf(range, wanted);
     if (!piece || (best && best->span.size() <= piece->size())) continue;
     best = traffic::RangeRelease{service, *piece, range.fence, lightest->id};
   }
-  if (best) last_move_[service] = now;
+  if (!best) return std::nullopt;
+  auto cut = std::prev(ranges.upper_bound(best->span.first));
+  traffic::KeyRange rest = cut->second;
+  ranges.erase(cut);
+  traffic::KeyRange moved = rest;
+  moved.span = best->span;
+  moved.phase = traffic::RangePhase::kReleasing;
+  moved.successor = lightest->id;
+  // A piece is taken from one of the ends.
+  if (best->span.first == rest.span.first) {
+    rest.span.first = best->span.last + 1;
+  } else {
+    rest.span.last = best->span.first - 1;
+  }
+  ranges.emplace(moved.span.first, moved);
+  ranges.emplace(rest.span.first, rest);
   return best;
 }
 
--- a/src/control/range_balancer.h
+++ b/src/control/range_balancer.h
@@ -17,7 +17,7 @@
 struct RangeCandidate {
   traffic::InstanceId id;
   ZoneName zone;
-  double slots = 1;
+  double slots = 1;  ///< Scaled by its speed, relative to the mean of its service.
 };
 
 /// Keys of one bucket share a load figure.
@@ -41,11 +41,11 @@
                                        std::vector<RangeCandidate> candidates,
                                        std::size_t count) const;
 
-  /// One move that evens out the load, or nullopt when it is even enough.
-  std::optional<traffic::RangeRelease> Rebalance(const ServiceName& service,
-                                                 const traffic::KeyRangeTable::Ranges& ranges,
-                                                 const std::vector<RangeCandidate>& candidates,
-                                                 Instant now);
+  /// Moves that even out the load, none when it is even enough.
+  std::vector<traffic::RangeRelease> Rebalance(const ServiceName& service,
+                                               const traffic::KeyRangeTable::Ranges& ranges,
+                                               const std::vector<RangeCandidate>& candidates,
+                                               Instant now);
 
  private:
   /// Requests a second in each bucket, as an exponentially weighted mean.
@@ -61,6 +61,9 @@
   double LoadOf(const ServiceName& service, const traffic::KeySpan& span) const;
   std::map<traffic::InstanceId, double> OwnerLoads(
       const ServiceName& service, const traffic::KeyRangeTable::Ranges& ranges) const;
+  std::optional<traffic::RangeRelease> NextMove(
+      const ServiceName& service, traffic::KeyRangeTable::Ranges& ranges,
+      const std::vector<RangeCandidate>& candidates) const;
   /// A piece of a range, from its start or end, that carries about `wanted`.
   std::optional<traffic::KeySpan> PieceOf(const traffic::KeyRange& range, double wanted) const;
 
--- a/src/control/range_controller.cc
+++ b/src/control/range_controller.cc
@@ -131,8 +131,9 @@
   }
 }
 
-void RangeController::TakeLoads(const std::vector<traffic::SpanLoad>& loads, Instant now) {
-  balancer_.TakeLoads(loads, now);
+void RangeController::TakeLoads(const traffic::TrafficPoll& poll, Instant now) {
+  balancer_.TakeLoads(poll.loads, now);
+  for (const traffic::InstanceSpeed& speed : poll.speeds) speeds_.Take(speed);
 }
 
 bool RangeController::OwnerIsOver(const KeyRange& range, const RangeCare& care, Instant now) const {
@@ -178,6 +179,7 @@
     const double slots = static_cast<double>(std::max<std::int64_t>(1, instance.report.slots));
     candidates.push_back({id, instance.report.zone, slots});
   }
+  speeds_.Scale(candidates);
   return candidates;
 }
 
@@ -201,8 +203,8 @@
     }
     if (releasing) continue;
     const auto candidates = CandidatesFor(service, now);
-    const auto move = balancer_.Rebalance(service, ranges, candidates, now);
-    if (move) command.releases.push_back(*move);
+    const auto moves = balancer_.Rebalance(service, ranges, candidates, now);
+    command.releases.insert(command.releases.end(), moves.begin(), moves.end());
   }
   if (!command.releases.empty()) commands.emplace_back(std::move(command));
 }
--- a/src/control/range_controller.h
+++ b/src/control/range_controller.h
@@ -12,6 +12,7 @@
 #include "graniteseam/control/traffic_options.h"
 #include "src/control/commands.h"
 #include "src/control/instance_liveness.h"
+#include "src/control/instance_speeds.h"
 #include "src/control/range_balancer.h"
 #include "src/traffic/traffic_state.h"
 
@@ -36,7 +37,7 @@
   /// Orders to send now.
   std::vector<RangeOrder> Orders(Instant now);
   void TakeResult(const RangeOrderResult& result, Instant now);
-  void TakeLoads(const std::vector<traffic::SpanLoad>& loads, Instant now);
+  void TakeLoads(const traffic::TrafficPoll& poll, Instant now);
 
   /// The next instant at which Decide() or Orders() has something to do by itself.
   Instant NextDue() const;
@@ -100,6 +101,7 @@
   const traffic::TrafficState& state_;
   const InstanceLiveness& liveness_;
   RangeBalancer balancer_;
+  InstanceSpeeds speeds_;
   std::map<RangeKey, RangeCare> care_;
   std::map<traffic::InstanceId, std::vector<GrantEnd>> grant_ends_;
   std::map<OrderNumber, OpenOrder> open_;
--- a/src/gateway/backend_table.cc
+++ b/src/gateway/backend_table.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <cstdio>
+#include <utility>
 
 namespace graniteseam::gateway {
 namespace {
@@ -126,6 +127,10 @@
   backend.failures = 0;
   backend.ejection = {};
   backend.ejected_until = {};
+  if (!was_waiting) {
+    backend.speed.answers += 1;
+    backend.speed.busy_us += Micros(taken);
+  }
   // A request that waited tells of the queue, not of the server.
   const double sample = Micros(taken) / (was_waiting ? 1.5 : 1.0);
   const double weight = backend.latency_known ? kNewestLatency : 0.5;
@@ -133,6 +138,18 @@
   backend.latency_known = true;
 }
 
+void BackendTable::TakeSpeeds(const ServiceName& service,
+                              std::vector<traffic::InstanceSpeed>& speeds) {
+  const auto ids = services_.find(service);
+  if (ids == services_.end()) return;
+  for (const traffic::InstanceId& id : ids->second) {
+    traffic::InstanceSpeed& speed = backends_.at(id).speed;
+    if (speed.answers == 0) continue;
+    speed.instance = id;
+    speeds.push_back(std::exchange(speed, {}));
+  }
+}
+
 void BackendTable::TakeLoad(Backend& backend, const ReportedLoad& load, Instant now) const {
   backend.others = std::max(0.0, load.running + load.waiting - backend.in_flight);
   backend.others_at = now;
--- a/src/gateway/backend_table.h
+++ b/src/gateway/backend_table.h
@@ -36,7 +36,8 @@
   Instant others_at{};
   double latency_us = 0;  ///< Mean time of one request that did not wait.
   bool latency_known = false;
-  int failures = 0;  ///< In a row.
+  traffic::InstanceSpeed speed;  ///< Since it was last told.
+  int failures = 0;              ///< In a row.
   Duration ejection{};
   Instant ejected_until{};
 };
@@ -70,6 +71,9 @@
                Instant now);
   void OnAbandoned(const traffic::InstanceId& id);
 
+  /// Speeds of a service's servers that were seen since the last call.
+  void TakeSpeeds(const ServiceName& service, std::vector<traffic::InstanceSpeed>& speeds);
+
   /// "load 2.1 of 2, word 120 ms old, latency 61 ms" for the log.
   std::string Describe(const Backend& backend, Instant now) const;
 
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -205,8 +205,9 @@
   for (const auto& [service, buckets] : key_loads_) {
     for (const auto& [bucket, requests] : buckets) {
       const std::uint32_t first = bucket * kKeysPerBucket;
-      poll.loads.push_back({service, {first, first + kKeysPerBucket - 1}, requests, 0});
+      poll.loads.push_back({service, {first, first + kKeysPerBucket - 1}, requests});
     }
+    backends_.TakeSpeeds(service, poll.speeds);
   }
   key_loads_.clear();
   return poll;
--- a/tests/control/range_controller_test.cc
+++ b/tests/control/range_controller_test.cc
@@ -203,13 +203,30 @@
   };
   const std::string before = owner(160);
   for (std::int64_t ms = 2'000; ms < 6'000; ms += 500) {
-    std::vector<traffic::SpanLoad> loads;
+    traffic::TrafficPoll poll;
     for (std::uint32_t first = 0; first < 320; first += kKeysPerBucket) {
-      loads.push_back({kService, {first, first + kKeysPerBucket - 1}, 10, 0});
+      poll.loads.push_back({kService, {first, first + kKeysPerBucket - 1}, 10});
     }
-    fixture.controller->TakeLoads(loads, At(ms));
+    fixture.controller->TakeLoads(poll, At(ms));
     fixture.Run(ms, ms + 490);
   }
   cr_assert(owner(0) != owner(319));
   cr_assert(owner(0) == before || owner(319) == before);
 }
+
+Test(range_controller, slower_instance_carries_less) {
+  Fixture fixture(2);
+  fixture.Run(0, 2'000);
+  for (std::int64_t ms = 2'000; ms < 10'000; ms += 500) {
+    traffic::TrafficPoll poll;
+    for (std::uint32_t first = 0; first <= traffic::kLastKey; first += kKeysPerBucket) {
+      poll.loads.push_back({kService, {first, first + kKeysPerBucket - 1}, 1});
+    }
+    poll.speeds = {{{"i-1"}, 20, 20 * 60'000.0}, {{"i-2"}, 20, 20 * 120'000.0}};
+    fixture.controller->TakeLoads(poll, At(ms));
+    fixture.Run(ms, ms + 490);
+  }
+  const auto keys = fixture.KeysOf(RangePhase::kServing);
+  const double ratio = static_cast<double>(keys.at("i-1")) / keys.at("i-2");
+  cr_assert(ratio > 1.5 && ratio < 2.5);
+}
