Know loads by single keys, and give a hot key to the fastest owner

Change: loads by key with a slow and a fast mean; a key that fills its owner goes to the fastest instance, the balancer takes the rest away from it; routers tell a key that suddenly gets much at once.

--- a/src/control/range_balancer.cc
+++ b/src/control/range_balancer.cc
@@ -8,18 +8,40 @@
 namespace graniteseam::control {
 namespace {
 
-constexpr Duration kWindow{500'000};
-/// Weight of the newest window.
-constexpr double kNewest = 0.3;
+constexpr Duration kWindow{250'000};
+/// Weights of the newest window in the slow mean and in the fast one.
+constexpr float kNewest = 0.15F;
+constexpr float kNewestOfFast = 0.5F;
+/// Requests a second of one key that count by the fast mean.
+constexpr float kHotRate = 6.0F;
 /// Requests a second that all keys of a service together count for by their mere number.
 constexpr double kSizeWeight = 10.0;
 /// A move needs an owner that carries so many times the mean of all.
 constexpr double kOverloaded = 1.2;
 /// And a gain of at least this part of the mean.
 constexpr double kWorthwhile = 0.1;
-constexpr Duration kMoveInterval{500'000};
+constexpr Duration kLookInterval{250'000};
+/// By which another candidate must be faster to get a hot key.
+constexpr double kMuchFaster = 1.2;
 /// Moves that are begun together.
-constexpr std::size_t kMovesMaximum = 4;
+constexpr std::size_t kMovesMaximum = 8;
+
+/// Lets ranges stand as after a move was begun.
+void MarkMoved(traffic::KeyRangeTable::Ranges& ranges, const traffic::RangeRelease& move) {
+  const auto holder = std::prev(ranges.upper_bound(move.span.first));
+  const traffic::KeyRange whole = holder->second;
+  ranges.erase(holder);
+  const auto put = [&](std::uint32_t first, std::uint32_t last) {
+    traffic::KeyRange& part = ranges[first] = whole;
+    part.span = {first, last};
+    return &part;
+  };
+  if (whole.span.first < move.span.first) put(whole.span.first, move.span.first - 1);
+  if (move.span.last < whole.span.last) put(move.span.last + 1, whole.span.last);
+  traffic::KeyRange* const moved = put(move.span.first, move.span.last);
+  moved->phase = traffic::RangePhase::kReleasing;
+  moved->successor = move.successor;
+}
 
 double TotalSlots(const std::vector<RangeCandidate>& candidates) {
   return std::accumulate(
@@ -34,7 +56,10 @@
     if (reported.span.last > traffic::kLastKey) continue;
     ServiceLoad& load = loads_[reported.service];
     CloseWindow(load, now);
-    load.arrived[reported.span.first / kKeysPerBucket] += reported.requests;
+    const auto each = static_cast<float>(reported.requests / reported.span.size());
+    for (std::uint32_t key = reported.span.first; key <= reported.span.last; ++key) {
+      load.arrived[key] += each;
+    }
   }
 }
 
@@ -42,26 +67,29 @@
   if (load.window_start == Instant{}) load.window_start = now;
   const Duration length = now - load.window_start;
   if (length < kWindow) return;
-  const double seconds = std::chrono::duration<double>(length).count();
-  const double newest = load.measured ? kNewest : 1.0;
-  for (std::size_t bucket = 0; bucket < kBucketCount; ++bucket) {
-    load.rate[bucket] += newest * (load.arrived[bucket] / seconds - load.rate[bucket]);
-    load.arrived[bucket] = 0;
+  const auto seconds = static_cast<float>(std::chrono::duration<double>(length).count());
+  // The first windows count alike: a mean of few is worth more than its newest.
+  const float newest = std::max(kNewest, 1.0F / static_cast<float>(load.windows + 1));
+  load.hot.clear();
+  for (std::uint32_t key = 0; key <= traffic::kLastKey; ++key) {
+    const float seen = load.arrived[key] / seconds;
+    load.rate[key] += newest * (seen - load.rate[key]);
+    load.fast_rate[key] += kNewestOfFast * (seen - load.fast_rate[key]);
+    load.arrived[key] = 0;
+    if (load.fast_rate[key] >= kHotRate) load.hot[key] = load.fast_rate[key];
   }
   load.window_start = now;
-  load.measured = true;
+  ++load.windows;
 }
 
 double RangeBalancer::LoadOf(const ServiceName& service, const traffic::KeySpan& span) const {
   double sum = kSizeWeight * span.size() / (traffic::kLastKey + 1.0);
   const auto found = loads_.find(service);
   if (found == loads_.end()) return sum;
-  for (std::uint32_t bucket = span.first / kKeysPerBucket; bucket <= span.last / kKeysPerBucket;
-       ++bucket) {
-    const std::uint32_t first = std::max(span.first, bucket * kKeysPerBucket);
-    const std::uint32_t last = std::min(span.last, (bucket + 1) * kKeysPerBucket - 1);
-    const double part = static_cast<double>(last - first + 1) / kKeysPerBucket;
-    sum += found->second.rate[bucket] * part;
+  const auto first = found->second.rate.begin() + span.first;
+  sum = std::accumulate(first, first + span.size(), sum);
+  for (const auto& [key, rate] : found->second.hot) {
+    if (span.Contains(key)) sum += std::max(0.0F, rate - found->second.rate[key]);
   }
   return sum;
 }
@@ -130,14 +158,12 @@
   const auto grow = [&](bool from_start) -> std::optional<traffic::KeySpan> {
     double carried = 0;
     std::uint32_t keys = 0;
-    while (keys + kKeysPerBucket < range.span.size()) {
-      const std::uint32_t edge =
-          from_start ? range.span.first + keys : range.span.last - keys - kKeysPerBucket + 1;
-      const traffic::KeySpan bucket{edge, edge + kKeysPerBucket - 1};
-      const double load = LoadOf(range.service, bucket);
+    while (keys + 1 < range.span.size()) {
+      const std::uint32_t edge = from_start ? range.span.first + keys : range.span.last - keys;
+      const double load = LoadOf(range.service, {edge, edge});
       if (carried + load / 2 > wanted) break;
       carried += load;
-      keys += kKeysPerBucket;
+      ++keys;
     }
     if (keys == 0 || carried < wanted / 3) return std::nullopt;
     if (from_start) return traffic::KeySpan{range.span.first, range.span.first + keys - 1};
@@ -155,15 +181,15 @@
   std::vector<traffic::RangeRelease> moves;
   ServiceLoad& measured = loads_[service];
   CloseWindow(measured, now);
-  if (!measured.measured || candidates.size() < 2) return moves;
-  if (now - last_move_[service] < kMoveInterval) return moves;
+  if (measured.windows == 0 || candidates.size() < 2) return moves;
+  if (now - measured.last_look < kLookInterval) return moves;
+  measured.last_look = now;
   traffic::KeyRangeTable::Ranges planned = ranges;
   while (moves.size() < kMovesMaximum) {
     const auto move = NextMove(service, planned, candidates);
     if (!move) break;
     moves.push_back(*move);
   }
-  if (!moves.empty()) last_move_[service] = now;
   return moves;
 }
 
@@ -175,6 +201,10 @@
   double total = 0;
   for (const auto& [owner, load] : loads) total += load;
   const double mean = total / TotalSlots(candidates);
+  if (const auto hot = MoveOfHotKey(service, ranges, candidates, mean)) {
+    MarkMoved(ranges, *hot);
+    return hot;
+  }
   const auto load_of = [&](const RangeCandidate& candidate) {
     const auto found = loads.find(candidate.id);
     return (found == loads.end() ? 0.0 : found->second) / candidate.slots;
@@ -194,22 +224,28 @@
     best = traffic::RangeRelease{service, *piece, range.fence, lightest->id};
   }
   if (!best) return std::nullopt;
-  auto cut = std::prev(ranges.upper_bound(best->span.first));
-  traffic::KeyRange rest = cut->second;
-  ranges.erase(cut);
-  traffic::KeyRange moved = rest;
-  moved.span = best->span;
-  moved.phase = traffic::RangePhase::kReleasing;
-  moved.successor = lightest->id;
-  // A piece is taken from one of the ends.
-  if (best->span.first == rest.span.first) {
-    rest.span.first = best->span.last + 1;
-  } else {
-    rest.span.last = best->span.first - 1;
-  }
-  ranges.emplace(moved.span.first, moved);
-  ranges.emplace(rest.span.first, rest);
+  MarkMoved(ranges, *best);
   return best;
 }
 
+std::optional<traffic::RangeRelease> RangeBalancer::MoveOfHotKey(
+    const ServiceName& service, const traffic::KeyRangeTable::Ranges& ranges,
+    const std::vector<RangeCandidate>& candidates, double mean) const {
+  const auto measured = loads_.find(service);
+  if (measured == loads_.end()) return std::nullopt;
+  const auto fastest =
+      std::max_element(candidates.begin(), candidates.end(),
+                       [](const auto& a, const auto& b) { return a.slots < b.slots; });
+  for (const auto& [key, rate] : measured->second.hot) {
+    const traffic::KeyRange& range = std::prev(ranges.upper_bound(key))->second;
+    const auto owner = std::find_if(candidates.begin(), candidates.end(),
+                                    [&](const auto& one) { return one.id == range.owner; });
+    if (owner == candidates.end() || range.phase != traffic::RangePhase::kServing) continue;
+    const bool fills_owner = rate > mean * owner->slots;
+    if (!fills_owner || owner->slots * kMuchFaster > fastest->slots) continue;
+    return traffic::RangeRelease{service, {key, key}, range.fence, fastest->id};
+  }
+  return std::nullopt;
+}
+
 }  // namespace graniteseam::control
--- a/src/control/range_balancer.h
+++ b/src/control/range_balancer.h
@@ -20,10 +20,6 @@
   double slots = 1;  ///< Scaled by its speed, relative to the mean of its service.
 };
 
-/// Keys of one bucket share a load figure.
-inline constexpr std::uint32_t kKeysPerBucket = 16;
-inline constexpr std::uint32_t kBucketCount = (traffic::kLastKey + 1) / kKeysPerBucket;
-
 /// Keeps moves few and narrow: what moves has no owner for a moment, and its next owner is cold.
 /// Deterministic; not thread safe; `now` never goes back.
 class RangeBalancer {
@@ -48,15 +44,20 @@
                                                Instant now);
 
  private:
-  /// Requests a second in each bucket, as an exponentially weighted mean.
+  /// Requests a second for each key. Keys alone tell: the load of a span may be that of one of its
+  /// keys, which can't be divided. Ordinary keys have a slow mean, so that chance moves nothing;
+  /// one that suddenly gets much has a fast one.
   struct ServiceLoad {
-    std::vector<double> rate = std::vector<double>(kBucketCount, 0.0);
-    std::vector<double> arrived = std::vector<double>(kBucketCount, 0.0);
+    std::vector<float> rate = std::vector<float>(traffic::kLastKey + 1, 0.0F);
+    std::vector<float> fast_rate = std::vector<float>(traffic::kLastKey + 1, 0.0F);
+    std::vector<float> arrived = std::vector<float>(traffic::kLastKey + 1, 0.0F);
+    std::map<std::uint32_t, float> hot;  ///< Keys with much, by their fast mean.
     Instant window_start{};
-    bool measured = false;
+    Instant last_look{};
+    int windows = 0;  ///< Closed so far.
   };
 
-  void CloseWindow(ServiceLoad& load, Instant now);
+  static void CloseWindow(ServiceLoad& load, Instant now);
   /// The load of a span, with a share for its mere size, so that cold keys count a little.
   double LoadOf(const ServiceName& service, const traffic::KeySpan& span) const;
   std::map<traffic::InstanceId, double> OwnerLoads(
@@ -64,11 +65,15 @@
   std::optional<traffic::RangeRelease> NextMove(
       const ServiceName& service, traffic::KeyRangeTable::Ranges& ranges,
       const std::vector<RangeCandidate>& candidates) const;
+  /// Takes a key that alone is more than its owner's share to the fastest candidate.
+  std::optional<traffic::RangeRelease> MoveOfHotKey(const ServiceName& service,
+                                                    const traffic::KeyRangeTable::Ranges& ranges,
+                                                    const std::vector<RangeCandidate>& candidates,
+                                                    double mean) const;
   /// A piece of a range, from its start or end, that carries about `wanted`.
   std::optional<traffic::KeySpan> PieceOf(const traffic::KeyRange& range, double wanted) const;
 
   std::map<ServiceName, ServiceLoad> loads_;
-  std::map<ServiceName, Instant> last_move_;
 };
 
 }  // namespace graniteseam::control
--- a/src/daemon/gateway/gateway_process.cc
+++ b/src/daemon/gateway/gateway_process.cc
@@ -13,6 +13,7 @@
 namespace asio = boost::asio;
 
 constexpr Duration kStopLook{20'000};
+constexpr Duration kUrgentPollInterval{100'000};
 /// Of the requests that went well at the first try, one in so many is told in full.
 constexpr std::uint64_t kSampledRequests = 64;
 /// A request that took longer is told in full.
@@ -132,6 +133,8 @@
     live_.erase(number);
   });
   Run(node_.OnRequest(translator_.Read(exchange->request(), number), runtime::BootTimeNow()));
+  const bool due = runtime::BootTimeNow() - last_poll_ >= kUrgentPollInterval;
+  if (node_.LoadIsUrgent() && due) Poll();
 }
 
 void GatewayProcess::OnStatus(const std::shared_ptr<event_http::Exchange>& exchange) const {
@@ -285,6 +288,7 @@
 }
 
 void GatewayProcess::Poll() {
+  last_poll_ = runtime::BootTimeNow();
   if (control_) control_->Send(node_.TakePoll());
   poll_timer_.expires_after(settings_.poll_interval);
   poll_timer_.async_wait([this](auto error) {
--- a/src/daemon/gateway/gateway_process.h
+++ b/src/daemon/gateway/gateway_process.h
@@ -86,6 +86,7 @@
   boost::asio::steady_timer timer_;
   Instant timer_at_ = Instant::max();
   boost::asio::steady_timer poll_timer_;
+  Instant last_poll_{};
   std::map<gateway::RequestNumber, LiveExchange> live_;
   gateway::RequestNumber last_number_;
   std::uint64_t finished_ = 0;
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -16,8 +16,8 @@
 constexpr int kNotFound = 404;
 constexpr int kBadRequest = 400;
 
-/// Keys of one bucket are reported together.
-constexpr std::uint32_t kKeysPerBucket = 16;
+/// Requests for one key between two polls that control should know of at once.
+constexpr double kUrgentRequests = 3;
 /// A request may be held for this part of its target latency before it is offered to a server.
 constexpr int kHoldPartOfTarget = 4;
 /// Longer where the end of the wait is near: a range that is on its way to its next owner.
@@ -202,14 +202,12 @@
   poll.zone = options_.backends.zone;
   poll.sequence = ++poll_sequence_;
   poll.version = version_;
-  for (const auto& [service, buckets] : key_loads_) {
-    for (const auto& [bucket, requests] : buckets) {
-      const std::uint32_t first = bucket * kKeysPerBucket;
-      poll.loads.push_back({service, {first, first + kKeysPerBucket - 1}, requests});
-    }
+  for (const auto& [service, keys] : key_loads_) {
+    for (const auto& [key, requests] : keys) poll.loads.push_back({service, {key, key}, requests});
     backends_.TakeSpeeds(service, poll.speeds);
   }
   key_loads_.clear();
+  load_is_urgent_ = false;
   return poll;
 }
 
@@ -446,7 +444,9 @@
 }
 
 void GatewayNode::CountKey(const ServiceName& service, std::uint32_t key) {
-  key_loads_[service][key / kKeysPerBucket] += 1;
+  double& load = key_loads_[service][key];
+  load += 1;
+  load_is_urgent_ = load_is_urgent_ || load >= kUrgentRequests;
 }
 
 void GatewayNode::Note(RequestNumber request, std::string_view what,
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -51,6 +51,9 @@
   /// What to ask control, with the loads counted since the last call.
   traffic::TrafficPoll TakePoll();
 
+  /// Whether some key got so much since the last poll that control should know at once.
+  bool LoadIsUrgent() const { return load_is_urgent_; }
+
   /// Whether a configuration was ever received.
   bool Ready() const { return configuration_.value > 0; }
   const traffic::CallerLimits& limits() const { return limits_; }
@@ -105,7 +108,8 @@
   std::map<ServiceName, ServiceQueue> queues_;
   std::set<std::pair<Instant, RequestNumber>> timers_;
   std::map<ServiceName, SharedRetryBudget> budgets_;
-  std::map<ServiceName, std::map<std::uint32_t, double>> key_loads_;  ///< By bucket.
+  std::map<ServiceName, std::map<std::uint32_t, double>> key_loads_;  ///< By key.
+  bool load_is_urgent_ = false;
   std::uint64_t poll_sequence_ = 0;
   GatewayEffects effects_;
 };
--- a/tests/control/range_controller_test.cc
+++ b/tests/control/range_controller_test.cc
@@ -12,6 +12,7 @@
 
 constexpr Instant kStart = InstantFromMicros(1'000'000'000);
 const ServiceName kService{"s"};
+constexpr std::uint32_t kKeysTogether = 16;
 
 Instant At(std::int64_t ms) { return kStart + std::chrono::milliseconds(ms); }
 
@@ -204,8 +205,8 @@
   const std::string before = owner(160);
   for (std::int64_t ms = 2'000; ms < 6'000; ms += 500) {
     traffic::TrafficPoll poll;
-    for (std::uint32_t first = 0; first < 320; first += kKeysPerBucket) {
-      poll.loads.push_back({kService, {first, first + kKeysPerBucket - 1}, 10});
+    for (std::uint32_t first = 0; first < 320; first += kKeysTogether) {
+      poll.loads.push_back({kService, {first, first + kKeysTogether - 1}, 10});
     }
     fixture.controller->TakeLoads(poll, At(ms));
     fixture.Run(ms, ms + 490);
@@ -219,8 +220,8 @@
   fixture.Run(0, 2'000);
   for (std::int64_t ms = 2'000; ms < 10'000; ms += 500) {
     traffic::TrafficPoll poll;
-    for (std::uint32_t first = 0; first <= traffic::kLastKey; first += kKeysPerBucket) {
-      poll.loads.push_back({kService, {first, first + kKeysPerBucket - 1}, 1});
+    for (std::uint32_t first = 0; first <= traffic::kLastKey; first += kKeysTogether) {
+      poll.loads.push_back({kService, {first, first + kKeysTogether - 1}, 1});
     }
     poll.speeds = {{{"i-1"}, 20, 20 * 60'000.0}, {{"i-2"}, 20, 20 * 120'000.0}};
     fixture.controller->TakeLoads(poll, At(ms));
@@ -230,3 +231,37 @@
   const double ratio = static_cast<double>(keys.at("i-1")) / keys.at("i-2");
   cr_assert(ratio > 1.5 && ratio < 2.5);
 }
+
+Test(range_controller, neighbours_of_a_key_that_fills_its_owner_move_away) {
+  Fixture fixture(3);
+  fixture.Run(0, 2'000);
+  constexpr std::uint32_t kHot = 700;
+  for (std::int64_t ms = 2'000; ms < 8'000; ms += 500) {
+    traffic::TrafficPoll poll;
+    poll.loads.push_back({kService, {kHot, kHot}, 60});
+    for (std::uint32_t first = 0; first <= traffic::kLastKey; first += kKeysTogether) {
+      poll.loads.push_back({kService, {first, first + kKeysTogether - 1}, 0.015});
+    }
+    fixture.controller->TakeLoads(poll, At(ms));
+    fixture.Run(ms, ms + 490);
+  }
+  const auto keys = fixture.KeysOf(RangePhase::kServing);
+  const std::string owner = fixture.state.ranges().Find(kService, kHot)->owner.value;
+  cr_assert(keys.at(owner) < 3'000, "it still has %u keys", keys.at(owner));
+}
+
+Test(range_controller, key_that_is_too_much_for_its_owner_goes_to_the_fastest) {
+  Fixture fixture(3);
+  fixture.Run(0, 2'000);
+  constexpr std::uint32_t kHot = 700;
+  cr_assert(fixture.state.ranges().Find(kService, kHot)->owner.value == "i-1");
+  for (std::int64_t ms = 2'000; ms < 4'000; ms += 500) {
+    traffic::TrafficPoll poll;
+    poll.loads = {{kService, {kHot, kHot}, 30}, {kService, {0, traffic::kLastKey}, 20}};
+    poll.speeds = {
+        {{"i-1"}, 20, 20 * 100'000.0}, {{"i-2"}, 20, 20 * 100'000.0}, {{"i-3"}, 20, 20 * 50'000.0}};
+    fixture.controller->TakeLoads(poll, At(ms));
+    fixture.Run(ms, ms + 490);
+  }
+  cr_assert(fixture.state.ranges().Find(kService, kHot)->owner.value == "i-3");
+}
