--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -18,8 +18,9 @@
 
 /// Requests for one key between two polls that control should know of at once.
 constexpr double kUrgentRequests = 3;
-/// A request may be held for this part of its target latency before it is offered to a server.
-constexpr int kHoldPartOfTarget = 4;
+/// A request may be held for this part of its target latency before it is offered to a server. What
+/// is refused so early may still be served in time when the caller comes back.
+constexpr int kHoldPartOfTarget = 5;
 /// Longer where the end of the wait is near: a range that is on its way to its next owner.
 constexpr int kMovePartOfTarget = 2;
 constexpr Duration kHoldWithoutTarget{100'000};
@@ -27,8 +28,11 @@
 constexpr Duration kOwnerRetry{30'000};
 /// Connections that failed before one request is given up.
 constexpr std::uint32_t kUnsentMaximum = 3;
-constexpr Duration kRetryAfterMinimum{50'000};
-constexpr Duration kRetryAfterMaximum{500'000};
+/// When to come back: after this part of the time that the caller has left. Sooner, it would mostly
+/// find what it found before; callers with little time may try only once.
+constexpr int kRetryAfterPartOfTimeLeft = 4;
+constexpr Duration kRetryAfterMinimum{20'000};
+constexpr Duration kRetryAfterMaximum{1'000'000};
 
 /// Statuses by which a server would promise that a request did not run; without the mark that says
 /// so they promise nothing.
@@ -408,13 +412,15 @@
        std::string(ReasonName(reason)) + ", version " + std::to_string(version_) + ", after " +
            std::to_string((now - request.received).count() / 1000) + " ms");
   std::optional<Duration> retry_after;
-  if (status == kUnavailable) retry_after = RetryAfter(request);
+  if (status == kUnavailable) retry_after = RetryAfter(request, now);
   effects_.actions.emplace_back(Refuse{request.arrived.number, status, reason, retry_after});
   Forget(request);
 }
 
-Duration GatewayNode::RetryAfter(const LiveRequest& request) const {
-  return std::clamp<Duration>(request.target_latency / 2, kRetryAfterMinimum, kRetryAfterMaximum);
+Duration GatewayNode::RetryAfter(const LiveRequest& request, Instant now) {
+  const Duration left = request.arrived.time_left - (now - request.received);
+  return std::clamp<Duration>(left / kRetryAfterPartOfTimeLeft, kRetryAfterMinimum,
+                              kRetryAfterMaximum);
 }
 
 void GatewayNode::Forget(LiveRequest& request) {
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -83,7 +83,7 @@
   void GiveUp(LiveRequest& request, Instant now);
   void End(LiveRequest& request, RefusalReason reason, Instant now);
   void EndWithoutRun(LiveRequest& request, RefusalReason reason, Instant now);
-  Duration RetryAfter(const LiveRequest& request) const;
+  static Duration RetryAfter(const LiveRequest& request, Instant now);
   void Forget(LiveRequest& request);
 
   SharedRetryBudget& BudgetOf(const ServiceName& service);
--- a/tests/gateway/gateway_node_test.cc
+++ b/tests/gateway/gateway_node_test.cc
@@ -216,9 +216,12 @@
   int sent = 0;
   while (Has<SendAttempt>(fixture.Request("/safe/x", 0)) && sent < 100) ++sent;
   cr_assert(sent < 100);
-  cr_assert(!Has<Refuse>(fixture.node.Tick(At(49))));
-  const auto refused = Only<Refuse>(fixture.node.Tick(At(50)));
+  // The target is 200 ms: refused within a quarter of it, on the caller's clock.
+  cr_assert(!Has<Refuse>(fixture.node.Tick(At(39))));
+  const auto refused = Only<Refuse>(fixture.node.Tick(At(40)));
   cr_assert(refused.status == 503);
+  // The caller waits for 2 s: it is told to come back with most of that left.
+  cr_assert(*refused.retry_after == Duration{490'000});
   cr_assert(refused.reason == RefusalReason::kOverloaded);
 }
 
