--- a/src/control/range_balancer.cc
+++ b/src/control/range_balancer.cc
@@ -201,7 +201,7 @@
   double total = 0;
   for (const auto& [owner, load] : loads) total += load;
   const double mean = total / TotalSlots(candidates);
-  if (const auto hot = MoveOfHotKey(service, ranges, candidates, mean)) {
+  if (auto hot = MoveOfHotKey(service, ranges, candidates, mean)) {
     MarkMoved(ranges, *hot);
     return hot;
   }
--- a/src/event_http/client_pool.cc
+++ b/src/event_http/client_pool.cc
@@ -340,14 +340,13 @@
 }
 
 void ClientPool::Impl::Distrust(CallNumber number) {
+  std::shared_ptr<ClientConnection> distrusted;
   for (const auto& [address, connections] : resting_) {
     for (const auto& connection : connections) {
-      if (connection->last_call() != number) continue;
-      const auto distrusted = connection;
-      distrusted->Drop();
-      return;
+      if (connection->last_call() == number) distrusted = connection;
     }
   }
+  if (distrusted) distrusted->Drop();
 }
 
 void ClientPool::Impl::Rest(const std::shared_ptr<ClientConnection>& connection) {
--- a/src/runtime/event_log.cc
+++ b/src/runtime/event_log.cc
@@ -9,7 +9,6 @@
 #include <atomic>
 #include <cerrno>
 #include <mutex>
-#include <utility>
 
 #include "src/runtime/clock.h"
 #include "src/runtime/json_text.h"
@@ -78,7 +77,7 @@
 
 class EventLog::Impl {
  public:
-  Impl(std::string process, int descriptor)
+  Impl(const std::string& process, int descriptor)
       : process_(EscapeJson(process)),
         pool_(std::make_shared<spdlog::details::thread_pool>(kQueueLines, 1)),
         logger_(std::make_shared<spdlog::async_logger>(
@@ -130,8 +129,8 @@
   std::uint64_t told_ = 0;
 };
 
-EventLog::EventLog(std::string process, int descriptor)
-    : impl_(std::make_unique<Impl>(std::move(process), descriptor)) {}
+EventLog::EventLog(const std::string& process, int descriptor)
+    : impl_(std::make_unique<Impl>(process, descriptor)) {}
 EventLog::~EventLog() = default;
 
 void EventLog::Write(EventWeight weight, const EventLine& line) { impl_->Write(weight, line); }
--- a/src/runtime/event_log.h
+++ b/src/runtime/event_log.h
@@ -47,7 +47,7 @@
  public:
   /// @param process the name under which its lines stand.
   /// @param descriptor where lines go; standard output in programs.
-  EventLog(std::string process, int descriptor);
+  EventLog(const std::string& process, int descriptor);
   ~EventLog();
   EventLog(const EventLog&) = delete;
   EventLog& operator=(const EventLog&) = delete;
--- a/src/traffic/configuration_store.cc
+++ b/src/traffic/configuration_store.cc
@@ -116,6 +116,7 @@
 
 std::vector<ItemVersion> ToList(const std::map<std::string, std::uint64_t>& versions) {
   std::vector<ItemVersion> list;
+  list.reserve(versions.size());
   for (const auto& [name, at] : versions) list.push_back({name, at});
   return list;
 }
