--- a/src/daemon/control/registry_server.cc
+++ b/src/daemon/control/registry_server.cc
@@ -15,11 +15,14 @@
 constexpr char kHeartbeatSuffix[] = "/heartbeat";
 constexpr char kMetricsPath[] = "/metrics";
 
+constexpr int kOk = 200;
 constexpr int kPreconditionFailed = 412;
 constexpr int kTemporaryRedirect = 307;
 constexpr int kServiceUnavailable = 503;
 constexpr std::size_t kBodyBytesMaximum = std::size_t{8} << 20;
 constexpr std::size_t kConnectionsMaximum = 1'500;
+constexpr std::uint32_t kHeartbeatsPerAddress = 8;
+constexpr std::size_t kInstancesRemembered = 10'000;
 
 /// Reads the version of an If-Match field, with or without quotes.
 Result<traffic::ConfigurationVersion> ReadBase(const event_http::Request& request) {
@@ -103,6 +106,7 @@
     : loop_(loop),
       events_(events),
       hooks_(std::move(hooks)),
+      address_(ToString(address)),
       server_(loop.context(), OptionsFor(std::move(address)),
               [this](const auto& exchange) { OnExchange(exchange); }) {
   event_http::ServerLimits limits;
@@ -132,9 +136,11 @@
     return;
   }
   const control::RequestId number = next_request_++;
-  waiting_[number] = {exchange, what};
+  auto& command = std::get<control::OperatorRequest>(read);
+  const auto* heartbeat = std::get_if<control::ReportInstance>(&command);
+  waiting_[number] = {exchange, what, heartbeat == nullptr ? "" : heartbeat->report.id.value};
   exchange->OnGone([this, number] { waiting_.erase(number); });
-  hooks_.execute(number, std::move(std::get<control::OperatorRequest>(read)));
+  hooks_.execute(number, std::move(command));
 }
 
 void RegistryServer::Answer(const control::OperatorReply& reply) {
@@ -146,11 +152,20 @@
   if (found == waiting_.end()) return;
   const Waiting waiting = std::move(found->second);
   waiting_.erase(found);
-  const event_http::Response response = ResponseFor(reply.answer, waiting.exchange->request());
+  event_http::Response response = ResponseFor(reply.answer, waiting.exchange->request());
+  if (!waiting.heartbeat.empty() && response.status == kOk) {
+    response.body = HeartbeatBody(waiting.heartbeat);
+  }
   Log(waiting.what, response.status, reply.answer);
   waiting.exchange->Respond(response);
 }
 
+std::string RegistryServer::HeartbeatBody(const std::string& instance) {
+  if (heartbeats_.size() >= kInstancesRemembered) heartbeats_.clear();
+  const bool tell = heartbeats_[instance]++ % kHeartbeatsPerAddress == 0;
+  return tell ? "{\"next_address\":\"" + address_ + "\"}" : "{}";
+}
+
 event_http::Response RegistryServer::ResponseFor(const control::OperatorAnswer& answer,
                                                  const event_http::Request& request) const {
   if (std::holds_alternative<control::Accepted>(answer)) return JsonResponse(200, "{}");
@@ -163,7 +178,8 @@
   if (error->kind == ErrorKind::kNotLeader) {
     const std::string leader = hooks_.leader_address();
     if (leader.empty()) return JsonResponse(kServiceUnavailable, body);
-    event_http::Response response = JsonResponse(kTemporaryRedirect, body);
+    event_http::Response response;
+    response.status = kTemporaryRedirect;
     response.fields.Add("Location", "http://" + leader + request.target);
     return response;
   }
--- a/src/daemon/control/registry_server.h
+++ b/src/daemon/control/registry_server.h
@@ -40,19 +40,25 @@
  private:
   struct Waiting {
     std::shared_ptr<event_http::Exchange> exchange;
-    std::string what;  ///< For the log.
+    std::string what;       ///< For the log.
+    std::string heartbeat;  ///< Whose it is, when it is one.
   };
 
   void OnExchange(const std::shared_ptr<event_http::Exchange>& exchange);
   void OnAnswer(const control::OperatorReply& reply);
   event_http::Response ResponseFor(const control::OperatorAnswer& answer,
                                    const event_http::Request& request) const;
+  /// Names this process to an instance for its later heartbeats, now and then: each that goes to
+  /// another process costs a redirect.
+  std::string HeartbeatBody(const std::string& instance);
   void Log(const std::string& what, int status, const control::OperatorAnswer& answer);
 
   runtime::EventLoop& loop_;
   runtime::EventLog& events_;
   const RegistryServerHooks hooks_;
+  const std::string address_;
   event_http::Server server_;
+  std::map<std::string, std::uint32_t> heartbeats_;  ///< Taken here, by instance.
   control::RequestId next_request_ = kRequestBit;
   std::map<control::RequestId, Waiting> waiting_;
 };
--- a/src/protocol/peer_transport.cc
+++ b/src/protocol/peer_transport.cc
@@ -38,7 +38,11 @@
     Peer* const peer = FindOrDial(message.to.address);
     if (peer == nullptr) return;
     peer->last_sent = now;
-    peer->dialer->Send(codec::Encode(message));
+    // The receiver knows its own address and zone; heartbeats are many.
+    consensus::PeerMessage sent = message;
+    sent.to.address.clear();
+    sent.to.zone.value.clear();
+    peer->dialer->Send(codec::Encode(sent));
     ForgetSilent(now);
   }
 
