--- a/include/graniteseam/traffic/update.h
+++ b/include/graniteseam/traffic/update.h
@@ -36,22 +36,30 @@
                       (sequence, base, version, configuration, routes, removed_routes, services,
                        removed_services, limits, instances, ranges, routers))
 
-/// Requests for keys of one span through one router since its last poll.
-struct SpanLoad {
+/// Requests for one key through one router since its last poll.
+struct KeyLoad {
+  std::uint32_t key = 0;
+  std::uint32_t requests = 0;
+
+  bool operator==(const KeyLoad&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(KeyLoad, (), (key, requests))
+
+/// The loads of a service's keys; keys without requests are left out.
+struct ServiceLoads {
   ServiceName service;
-  KeySpan span;
-  double requests = 0;
+  std::vector<KeyLoad> keys;
 
-  bool operator==(const SpanLoad&) const = default;
+  bool operator==(const ServiceLoads&) const = default;
 };
-BOOST_DESCRIBE_STRUCT(SpanLoad, (), (service, span, requests))
+BOOST_DESCRIBE_STRUCT(ServiceLoads, (), (service, keys))
 
 /// How fast one instance answered one router since that router's last poll: requests that found a
 /// free slot, so that their time tells of the instance and not of its queue.
 struct InstanceSpeed {
   InstanceId instance;
-  double answers = 0;
-  double busy_us = 0;  ///< Sum of their times.
+  std::uint32_t answers = 0;
+  std::uint64_t busy_us = 0;  ///< Sum of their times.
 
   bool operator==(const InstanceSpeed&) const = default;
 };
@@ -63,7 +71,7 @@
   ZoneName zone;
   std::uint64_t sequence = 0;
   std::uint64_t version = 0;  ///< Log index of the state that the router has; 0 for none.
-  std::vector<SpanLoad> loads;
+  std::vector<ServiceLoads> loads;
   std::vector<InstanceSpeed> speeds;
 
   bool operator==(const TrafficPoll&) const = default;
--- a/src/control/instance_speeds.h
+++ b/src/control/instance_speeds.h
@@ -15,10 +15,11 @@
 class InstanceSpeeds {
  public:
   void Take(const traffic::InstanceSpeed& speed) {
-    if (speed.answers <= 0) return;
+    if (speed.answers == 0) return;
     // Many answers tell more than a few.
-    const double weight = std::min(0.5, kAnswerWeight * speed.answers);
-    const double sample = speed.busy_us / speed.answers;
+    const double answers = speed.answers;
+    const double weight = std::min(0.5, kAnswerWeight * answers);
+    const double sample = static_cast<double>(speed.busy_us) / answers;
     const auto [known, fresh] = mean_us_.try_emplace(speed.instance, sample);
     if (!fresh) known->second += weight * (sample - known->second);
   }
--- a/src/control/range_balancer.cc
+++ b/src/control/range_balancer.cc
@@ -10,14 +10,14 @@
 
 constexpr Duration kWindow{250'000};
 /// Weights of the newest window in the slow mean and in the fast one.
-constexpr float kNewest = 0.15F;
+constexpr float kNewest = 0.1F;
 constexpr float kNewestOfFast = 0.5F;
 /// Requests a second of one key that count by the fast mean.
 constexpr float kHotRate = 6.0F;
 /// Requests a second that all keys of a service together count for by their mere number.
 constexpr double kSizeWeight = 10.0;
 /// A move needs an owner that carries so many times the mean of all.
-constexpr double kOverloaded = 1.2;
+constexpr double kOverloaded = 1.25;
 /// And a gain of at least this part of the mean.
 constexpr double kWorthwhile = 0.1;
 constexpr Duration kLookInterval{250'000};
@@ -51,14 +51,12 @@
 
 }  // namespace
 
-void RangeBalancer::TakeLoads(const std::vector<traffic::SpanLoad>& loads, Instant now) {
-  for (const traffic::SpanLoad& reported : loads) {
-    if (reported.span.last > traffic::kLastKey) continue;
+void RangeBalancer::TakeLoads(const std::vector<traffic::ServiceLoads>& loads, Instant now) {
+  for (const traffic::ServiceLoads& reported : loads) {
     ServiceLoad& load = loads_[reported.service];
     CloseWindow(load, now);
-    const auto each = static_cast<float>(reported.requests / reported.span.size());
-    for (std::uint32_t key = reported.span.first; key <= reported.span.last; ++key) {
-      load.arrived[key] += each;
+    for (const traffic::KeyLoad& one : reported.keys) {
+      if (one.key <= traffic::kLastKey) load.arrived[one.key] += static_cast<float>(one.requests);
     }
   }
 }
--- a/src/control/range_balancer.h
+++ b/src/control/range_balancer.h
@@ -24,7 +24,7 @@
 /// Deterministic; not thread safe; `now` never goes back.
 class RangeBalancer {
  public:
-  void TakeLoads(const std::vector<traffic::SpanLoad>& loads, Instant now);
+  void TakeLoads(const std::vector<traffic::ServiceLoads>& loads, Instant now);
 
   /// Divides a span that has no owner any more among the candidates, in proportion to slots, less
   /// for those that carry much already.
--- a/src/control/traffic_sessions.cc
+++ b/src/control/traffic_sessions.cc
@@ -25,7 +25,7 @@
 std::vector<std::pair<ConnectionId, traffic::TrafficUpdate>> TrafficSessions::Push(Instant now) {
   std::vector<std::pair<ConnectionId, traffic::TrafficUpdate>> updates;
   for (auto& [connection, session] : sessions_) {
-    if (session.version >= state_.version()) continue;
+    if (session.version >= state_.urgent_version()) continue;
     updates.emplace_back(connection, UpdateFor(session.version, now));
     session.version = state_.version();
   }
--- a/src/gateway/backend_table.cc
+++ b/src/gateway/backend_table.cc
@@ -128,8 +128,8 @@
   backend.ejection = {};
   backend.ejected_until = {};
   if (!was_waiting) {
-    backend.speed.answers += 1;
-    backend.speed.busy_us += Micros(taken);
+    ++backend.speed.answers;
+    backend.speed.busy_us += static_cast<std::uint64_t>(taken.count());
   }
   // A request that waited tells of the queue, not of the server.
   const double sample = Micros(taken) / (was_waiting ? 1.5 : 1.0);
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -17,7 +17,9 @@
 constexpr int kBadRequest = 400;
 
 /// Requests for one key between two polls that control should know of at once.
-constexpr double kUrgentRequests = 3;
+constexpr std::uint32_t kUrgentRequests = 3;
+/// Speeds change slowly: one poll in so many tells them.
+constexpr std::uint64_t kPollsPerSpeeds = 4;
 /// A request may be held for this part of its target latency before it is offered to a server. What
 /// is refused so early may still be served in time when the caller comes back.
 constexpr int kHoldPartOfTarget = 5;
@@ -206,9 +208,12 @@
   poll.zone = options_.backends.zone;
   poll.sequence = ++poll_sequence_;
   poll.version = version_;
+  const bool tell_speeds = poll_sequence_ % kPollsPerSpeeds == 0;
   for (const auto& [service, keys] : key_loads_) {
-    for (const auto& [key, requests] : keys) poll.loads.push_back({service, {key, key}, requests});
-    backends_.TakeSpeeds(service, poll.speeds);
+    traffic::ServiceLoads& loads = poll.loads.emplace_back();
+    loads.service = service;
+    for (const auto& [key, requests] : keys) loads.keys.push_back({key, requests});
+    if (tell_speeds) backends_.TakeSpeeds(service, poll.speeds);
   }
   key_loads_.clear();
   load_is_urgent_ = false;
@@ -450,8 +455,8 @@
 }
 
 void GatewayNode::CountKey(const ServiceName& service, std::uint32_t key) {
-  double& load = key_loads_[service][key];
-  load += 1;
+  std::uint32_t& load = key_loads_[service][key];
+  ++load;
   load_is_urgent_ = load_is_urgent_ || load >= kUrgentRequests;
 }
 
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -108,7 +108,7 @@
   std::map<ServiceName, ServiceQueue> queues_;
   std::set<std::pair<Instant, RequestNumber>> timers_;
   std::map<ServiceName, SharedRetryBudget> budgets_;
-  std::map<ServiceName, std::map<std::uint32_t, double>> key_loads_;  ///< By key.
+  std::map<ServiceName, std::map<std::uint32_t, std::uint32_t>> key_loads_;  ///< By key.
   bool load_is_urgent_ = false;
   std::uint64_t poll_sequence_ = 0;
   GatewayEffects effects_;
--- a/src/traffic/key_range_table.cc
+++ b/src/traffic/key_range_table.cc
@@ -13,6 +13,7 @@
   all.changed_at = log_index;
   services_[service].emplace(0, all);
   changed_at_ = log_index;
+  urgent_changed_at_ = log_index;
 }
 
 const KeyRange* KeyRangeTable::Find(const ServiceName& service, std::uint32_t key) const {
@@ -54,6 +55,7 @@
 bool KeyRangeTable::Assign(const RangeAssignment& assignment, std::uint64_t log_index) {
   KeyRange* range = CutOut(assignment.service, assignment.span, assignment.expected, log_index);
   if (range == nullptr) return false;
+  if (range->phase != RangePhase::kReleasing) urgent_changed_at_ = log_index;
   range->phase = assignment.owner.Empty() ? RangePhase::kUnowned : RangePhase::kGranting;
   range->owner = assignment.owner;
   range->successor = {};
@@ -70,6 +72,7 @@
   if (!owned) return false;
   KeyRange* range = CutOut(release.service, release.span, release.expected, log_index);
   if (range == nullptr) return false;
+  urgent_changed_at_ = log_index;
   range->phase = RangePhase::kReleasing;
   range->successor = release.successor;
   range->handover.clear();
@@ -83,6 +86,7 @@
   if (holder == nullptr || holder->phase != RangePhase::kGranting) return false;
   KeyRange* range = CutOut(confirmation.service, confirmation.span, confirmation.fence, log_index);
   if (range == nullptr) return false;
+  urgent_changed_at_ = log_index;
   range->phase = RangePhase::kServing;
   range->handover.clear();
   JoinNeighbours(confirmation.service, range->span.first);
@@ -139,6 +143,7 @@
     services_[range.service].emplace(range.span.first, range);
     changed_at_ = std::max(changed_at_, range.changed_at);
   }
+  urgent_changed_at_ = changed_at_;
 }
 
 }  // namespace graniteseam::traffic
--- a/src/traffic/key_range_table.h
+++ b/src/traffic/key_range_table.h
@@ -65,6 +65,10 @@
   /// Log index of the newest change.
   std::uint64_t changed_at() const { return changed_at_; }
 
+  /// The same of changes that routers must know at once. That a span which is on its way has its
+  /// next owner is not one: they wait until that owner serves.
+  std::uint64_t urgent_changed_at() const { return urgent_changed_at_; }
+
   /// Adds the ranges that changed after `base`, in the order of their changes.
   void AddChanges(std::uint64_t base, std::vector<KeyRange>& changed) const;
 
@@ -80,6 +84,7 @@
 
   std::map<ServiceName, Ranges> services_;
   std::uint64_t changed_at_ = 0;
+  std::uint64_t urgent_changed_at_ = 0;
 };
 
 }  // namespace graniteseam::traffic
--- a/src/traffic/traffic_state.cc
+++ b/src/traffic/traffic_state.cc
@@ -46,6 +46,11 @@
   return std::max({configuration_.changed_at(), instances_.changed_at(), ranges_.changed_at()});
 }
 
+std::uint64_t TrafficState::urgent_version() const {
+  return std::max(
+      {configuration_.changed_at(), instances_.changed_at(), ranges_.urgent_changed_at()});
+}
+
 TrafficUpdate TrafficState::UpdateSince(std::uint64_t base) const {
   TrafficUpdate update;
   update.base = base > version() ? 0 : base;
--- a/src/traffic/traffic_state.h
+++ b/src/traffic/traffic_state.h
@@ -41,6 +41,9 @@
   /// Log index of the newest change; 0 when nothing ever changed.
   std::uint64_t version() const;
 
+  /// Log index of the newest change that routers must know at once.
+  std::uint64_t urgent_version() const;
+
   /// What changed after `base`, or the whole state when base is 0 or unknown here.
   TrafficUpdate UpdateSince(std::uint64_t base) const;
 
--- a/tests/control/range_controller_test.cc
+++ b/tests/control/range_controller_test.cc
@@ -205,9 +205,8 @@
   const std::string before = owner(160);
   for (std::int64_t ms = 2'000; ms < 6'000; ms += 500) {
     traffic::TrafficPoll poll;
-    for (std::uint32_t first = 0; first < 320; first += kKeysTogether) {
-      poll.loads.push_back({kService, {first, first + kKeysTogether - 1}, 10});
-    }
+    poll.loads = {{kService, {}}};
+    for (std::uint32_t key = 0; key < 320; key += 4) poll.loads[0].keys.push_back({key, 3});
     fixture.controller->TakeLoads(poll, At(ms));
     fixture.Run(ms, ms + 490);
   }
@@ -220,10 +219,11 @@
   fixture.Run(0, 2'000);
   for (std::int64_t ms = 2'000; ms < 10'000; ms += 500) {
     traffic::TrafficPoll poll;
-    for (std::uint32_t first = 0; first <= traffic::kLastKey; first += kKeysTogether) {
-      poll.loads.push_back({kService, {first, first + kKeysTogether - 1}, 1});
+    poll.loads = {{kService, {}}};
+    for (std::uint32_t key = 0; key <= traffic::kLastKey; key += kKeysTogether) {
+      poll.loads[0].keys.push_back({key, 1});
     }
-    poll.speeds = {{{"i-1"}, 20, 20 * 60'000.0}, {{"i-2"}, 20, 20 * 120'000.0}};
+    poll.speeds = {{{"i-1"}, 20, 20 * 60'000}, {{"i-2"}, 20, 20 * 120'000}};
     fixture.controller->TakeLoads(poll, At(ms));
     fixture.Run(ms, ms + 490);
   }
@@ -238,9 +238,9 @@
   constexpr std::uint32_t kHot = 700;
   for (std::int64_t ms = 2'000; ms < 8'000; ms += 500) {
     traffic::TrafficPoll poll;
-    poll.loads.push_back({kService, {kHot, kHot}, 60});
-    for (std::uint32_t first = 0; first <= traffic::kLastKey; first += kKeysTogether) {
-      poll.loads.push_back({kService, {first, first + kKeysTogether - 1}, 0.015});
+    poll.loads = {{kService, {{kHot, 60}}}};
+    for (std::uint32_t key = 0; key <= traffic::kLastKey; key += 1'024) {
+      poll.loads[0].keys.push_back({key, 1});
     }
     fixture.controller->TakeLoads(poll, At(ms));
     fixture.Run(ms, ms + 490);
@@ -257,9 +257,9 @@
   cr_assert(fixture.state.ranges().Find(kService, kHot)->owner.value == "i-1");
   for (std::int64_t ms = 2'000; ms < 4'000; ms += 500) {
     traffic::TrafficPoll poll;
-    poll.loads = {{kService, {kHot, kHot}, 30}, {kService, {0, traffic::kLastKey}, 20}};
+    poll.loads = {{kService, {{kHot, 30}, {30'000, 4}, {40'000, 4}, {50'000, 4}, {60'000, 4}}}};
     poll.speeds = {
-        {{"i-1"}, 20, 20 * 100'000.0}, {{"i-2"}, 20, 20 * 100'000.0}, {{"i-3"}, 20, 20 * 50'000.0}};
+        {{"i-1"}, 20, 20 * 100'000}, {{"i-2"}, 20, 20 * 100'000}, {{"i-3"}, 20, 20 * 50'000}};
     fixture.controller->TakeLoads(poll, At(ms));
     fixture.Run(ms, ms + 490);
   }
