Leave an owner alone that disowned a key, and send its callers on

Change: after a 421 the range waits for a newer map; its requests are refused within a fifth of their target with an immediate Retry-After, since another router may know more.

--- a/src/daemon/gateway/exchange_translator.cc
+++ b/src/daemon/gateway/exchange_translator.cc
@@ -110,7 +110,7 @@
   if (report.end != AttemptEnd::kUnusable) {
     report.load = ReadLoad(result.response.fields.Find(names_.load));
   }
-  report.server_leaves = result.response.status == kMisdirected;
+  report.not_owner = result.response.status == kMisdirected;
   return report;
 }
 
--- a/src/gateway/gateway_events.h
+++ b/src/gateway/gateway_events.h
@@ -49,7 +49,7 @@
   AttemptEnd end = AttemptEnd::kLost;
   int status = 0;
   std::optional<ReportedLoad> load;
-  bool server_leaves = false;  ///< Another instance answered, or the server closes for good.
+  bool not_owner = false;  ///< The server is not the one that was meant, or does not hold the key.
 };
 
 /// Why a request was answered by the gateway itself.
@@ -59,6 +59,7 @@
   kBadKey,           ///< A keyed service needs a key from 0 to 65535.
   kNoServer,         ///< No server takes work.
   kNoOwner,          ///< The key has no owner at present.
+  kStaleOwner,       ///< The owner known here is not it any more; another gateway may know more.
   kOverloaded,       ///< No server would take it in time.
   kDeadline,         ///< The time is over.
   kBudget,           ///< It did not run; the retry budget is used up.
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -28,6 +28,8 @@
 constexpr Duration kHoldWithoutTarget{100'000};
 /// Between two looks at a key whose owner refused it.
 constexpr Duration kOwnerRetry{30'000};
+/// How long an owner that said it is none is left alone.
+constexpr Duration kDisowned{400'000};
 /// Connections that failed before one request is given up.
 constexpr std::uint32_t kUnsentMaximum = 3;
 /// When to come back: after this part of the time that the caller has left. Sooner, it would mostly
@@ -69,6 +71,8 @@
       return "no_server";
     case RefusalReason::kNoOwner:
       return "no_owner";
+    case RefusalReason::kStaleOwner:
+      return "stale_owner";
     case RefusalReason::kOverloaded:
       return "overloaded";
     case RefusalReason::kDeadline:
@@ -238,6 +242,10 @@
     const int part = moving ? kMovePartOfTarget : kHoldPartOfTarget;
     return Wait(request, RefusalReason::kNoOwner, request.target_latency / part, now);
   }
+  if (keys_.Disowned(*range, now)) {
+    return Wait(request, RefusalReason::kStaleOwner, request.target_latency / kHoldPartOfTarget,
+                now);
+  }
   if (now < owner->ejected_until) {
     return Wait(request, RefusalReason::kNoOwner, request.target_latency / kHoldPartOfTarget, now);
   }
@@ -357,6 +365,10 @@
 }
 
 void GatewayNode::RetryOrEnd(LiveRequest& request, const AttemptReport& report, Instant now) {
+  if (report.not_owner && Keyed(request.service)) {
+    const traffic::KeyRange* range = keys_.Find(request.service, *request.arrived.key);
+    if (range != nullptr) keys_.Disown(*range, now + kDisowned);
+  }
   RefusalReason reason = RefusalReason::kOutcomeUnknown;
   if (MayRetry(request, report.end, now, reason)) {
     // The owner of a key refused it: it lost the key, and its next owner is not known here yet.
@@ -417,7 +429,11 @@
        std::string(ReasonName(reason)) + ", version " + std::to_string(version_) + ", after " +
            std::to_string((now - request.received).count() / 1000) + " ms");
   std::optional<Duration> retry_after;
-  if (status == kUnavailable) retry_after = RetryAfter(request, now);
+  if (status == kUnavailable) {
+    // Where this gateway is behind, coming back at once to another one helps.
+    const bool behind = reason == RefusalReason::kStaleOwner;
+    retry_after = behind ? kRetryAfterMinimum : RetryAfter(request, now);
+  }
   effects_.actions.emplace_back(Refuse{request.arrived.number, status, reason, retry_after});
   Forget(request);
 }
--- a/src/gateway/key_map.cc
+++ b/src/gateway/key_map.cc
@@ -35,6 +35,18 @@
   ranges[span.first] = range;
 }
 
+void KeyMap::Disown(const traffic::KeyRange& range, Instant until) {
+  disowned_[range.service][range.span.first] = {range.fence, until};
+}
+
+bool KeyMap::Disowned(const traffic::KeyRange& range, Instant now) const {
+  const auto service = disowned_.find(range.service);
+  if (service == disowned_.end()) return false;
+  const auto found = service->second.find(range.span.first);
+  return found != service->second.end() && found->second.fence == range.fence &&
+         now < found->second.until;
+}
+
 const traffic::KeyRange* KeyMap::Find(const ServiceName& service, std::uint32_t key) const {
   const auto ranges = services_.find(service);
   if (ranges == services_.end()) return nullptr;
--- a/src/gateway/key_map.h
+++ b/src/gateway/key_map.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <vector>
 
+#include "graniteseam/common/time.h"
 #include "graniteseam/traffic/update.h"
 
 namespace graniteseam::gateway {
@@ -19,12 +20,23 @@
   /// @return null when nothing is known of the key; valid until the next Apply().
   const traffic::KeyRange* Find(const ServiceName& service, std::uint32_t key) const;
 
+  /// The owner that is known here said that it does not own the range: this map is behind. It is
+  /// not asked again before `until`, unless an update changes the range.
+  void Disown(const traffic::KeyRange& range, Instant until);
+  bool Disowned(const traffic::KeyRange& range, Instant now) const;
+
  private:
   using Ranges = std::map<std::uint32_t, traffic::KeyRange>;  ///< By their first key.
 
   static void Override(Ranges& ranges, const traffic::KeyRange& range);
 
+  struct Disavowal {
+    traffic::Fence fence;
+    Instant until;
+  };
+
   std::map<ServiceName, Ranges> services_;
+  std::map<ServiceName, std::map<std::uint32_t, Disavowal>> disowned_;  ///< By first key.
 };
 
 }  // namespace graniteseam::gateway
--- a/tests/gateway/gateway_node_test.cc
+++ b/tests/gateway/gateway_node_test.cc
@@ -277,3 +277,27 @@
   }
   cr_assert(counts['p'] == 75 && counts['k'] == 25);
 }
+
+Test(gateway_node, owner_that_disowns_a_key_is_left_alone_until_the_map_changes) {
+  Fixture fixture;
+  const auto send = Only<SendAttempt>(fixture.Request("/keyed/x", 0, 9));
+  AttemptReport report;
+  report.request = send.request;
+  report.attempt = send.attempt;
+  report.end = AttemptEnd::kNotExecuted;
+  report.status = 421;
+  report.not_owner = true;
+  cr_assert(!Has<SendAttempt>(fixture.node.OnAttemptEnd(report, At(5))));
+  // Others for the same keys do not ask it either: each would cost a repetition.
+  cr_assert(!Has<SendAttempt>(fixture.Request("/keyed/x", 6, 10)));
+  const auto refused = Only<Refuse>(fixture.node.Tick(At(45)));
+  cr_assert(refused.reason == RefusalReason::kStaleOwner);
+  cr_assert(*refused.retry_after < Duration{50'000}, "another gateway may know more");
+
+  auto update = Fixture::State();
+  update.base = 10;
+  update.version = 11;
+  update.ranges[0].owner = {"k-2"};
+  update.ranges[0].fence = {11};
+  cr_assert(Only<SendAttempt>(fixture.node.OnUpdate(update, At(46))).instance.value == "k-2");
+}
