Hold requests for keys whose owner drains for long

Nobody moved the drained server's shards, and routers went on sending their keys' requests to it beyond the promised 2 s. Ruled out: routers without the news (all three had it within 0.2 s), a drain that was lost or undone, a late copy of its end. Change: after half of the promise, requests for a drained owner's keys wait for the next owner, in the router and in the gateway alike; a server that is first met draining counts as drained for long.

--- a/include/graniteseam/routing/server_selector.h
+++ b/include/graniteseam/routing/server_selector.h
@@ -59,6 +59,11 @@
   bool Knows(const ServerId& server) const { return servers_.contains(server); }
   const std::string& AddressOf(const ServerId& server) const;
 
+  /// Whether a server has been without new work for so long that its promise is due. A keyed server
+  /// keeps its shards until they have moved, which takes long where no control process leads; by
+  /// then their requests have to wait for the next owner.
+  bool DrainedForLong(const ServerId& server, Instant now) const;
+
   /// Takes a place at a server, before the request is sent.
   void Reserve(const ServerId& server);
   /// Gives a place back whose request was never sent, or is not awaited any more.
@@ -82,12 +87,14 @@
     ConcurrencyWindow window;
     std::string address;
     bool listed = true;
+    bool listed_before = false;
     bool accepts_new_work = true;
     double latency_us = 0.0;
     Instant latency_at{};
     double hint = 0.0;
     Instant hint_at{};
     Instant since{};
+    Instant drained_since{};  ///< While it takes no new work.
   };
 
   Server* Find(const ServerId& server) const;
--- a/src/gateway/backend_table.cc
+++ b/src/gateway/backend_table.cc
@@ -38,6 +38,8 @@
     const bool fresh = old == before.end() && !backends_.contains(id);
     Backend& backend = backends_[id];
     if (old != before.end()) backend = old->second;
+    const bool drains_now = !fresh && backend.instance.TakesNewWork() && !instance.TakesNewWork();
+    if (drains_now) backend.drained_since = now;
     backend.instance = instance;
     if (fresh) {
       backend.warm_at = now + std::chrono::milliseconds(instance.report.warmup_left_ms);
@@ -55,6 +57,11 @@
   return found == backends_.end() ? nullptr : &found->second;
 }
 
+bool BackendTable::DrainedForLong(const Backend& backend, Instant now) const {
+  return !backend.instance.TakesNewWork() &&
+         now - backend.drained_since >= options_.drain_allowance;
+}
+
 double BackendTable::LoadOf(const Backend& backend, Instant now) const {
   // The others' requests end like our own: their word fades with the time that one takes.
   const double age = Micros(now - backend.others_at);
--- a/src/gateway/backend_table.h
+++ b/src/gateway/backend_table.h
@@ -23,6 +23,8 @@
   Duration ejection{1'000'000};    ///< After failures in a row; doubles up to ejection_maximum.
   Duration ejection_maximum{4'000'000};
   int failures_to_eject = 2;
+  /// How long the owner of keys that drains still gets their requests, while they find their next.
+  Duration drain_allowance{1'000'000};
   double cold_factor = 2.0;      ///< By which a server that warms up is taken for slower.
   double waiting_maximum = 2.0;  ///< Requests for each slot that may wait at a server.
 };
@@ -31,6 +33,7 @@
 struct Backend {
   traffic::Instance instance;
   Instant warm_at{};
+  Instant drained_since{};      ///< While it takes no new work; long ago when it was met draining.
   std::uint32_t in_flight = 0;  ///< Of this gateway.
   double others = 0;            ///< Of other gateways, as last reported.
   Instant others_at{};
@@ -53,6 +56,8 @@
   void Apply(const traffic::TrafficUpdate& update, Instant now);
 
   const Backend* Find(const traffic::InstanceId& id) const;
+  /// Whether a server has been without new work for so long that its promise to get none is due.
+  bool DrainedForLong(const Backend& backend, Instant now) const;
 
   /// The server of a service with the shortest wait to expect, without those in `tried`.
   /// @param target within which an answer is worth most.
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -242,6 +242,9 @@
     const int part = moving ? kMovePartOfTarget : kHoldPartOfTarget;
     return Wait(request, RefusalReason::kNoOwner, request.target_latency / part, now);
   }
+  if (backends_.DrainedForLong(*owner, now)) {
+    return Wait(request, RefusalReason::kNoOwner, request.target_latency / kMovePartOfTarget, now);
+  }
   if (keys_.Disowned(*range, now)) {
     return Wait(request, RefusalReason::kStaleOwner, request.target_latency / kHoldPartOfTarget,
                 now);
--- a/src/routing/request_flow.h
+++ b/src/routing/request_flow.h
@@ -68,7 +68,7 @@
   std::optional<ServerId> ChooseServer(Live& live, Instant now);
   void Claim(Live& live, Instant now);
   void SendReserved(Live& live, Instant now, RouterEffects& effects);
-  bool ReservationHolds(const Live& live) const;
+  bool ReservationHolds(const Live& live, Instant now) const;
   void Send(Live& live, Instant now, RouterEffects& effects);
   void Hedge(Live& live, Instant now, RouterEffects& effects);
   void Hold(Live& live, Instant now, RouterEffects& effects);
--- a/src/routing/request_sending.cc
+++ b/src/routing/request_sending.cc
@@ -69,6 +69,7 @@
   if (route.state != control::ShardState::kAssigned || !selector.Knows(route.owner)) {
     return std::nullopt;
   }
+  if (selector.DrainedForLong(route.owner, now)) return std::nullopt;
   return route.owner;
 }
 
@@ -121,7 +122,7 @@
     GiveUp(live, ErrorKind::kDeadlineExceeded, std::nullopt, now, effects);
     return;
   }
-  if (!ReservationHolds(live)) {
+  if (!ReservationHolds(live, now)) {
     ReleaseReservation(live);
     ReleasePlace(live, now);
     Place(live, now, effects);
@@ -130,10 +131,11 @@
   Send(live, now, effects);
 }
 
-bool RequestFlow::ReservationHolds(const Live& live) const {
+bool RequestFlow::ReservationHolds(const Live& live, Instant now) const {
   if (!live.service->keyed()) return live.service->selector().AcceptsNewWork(*live.reserved);
   const Route& route = table_.Find(live.service->service().name, live.shard);
-  return route.state == control::ShardState::kAssigned && route.owner == *live.reserved;
+  return route.state == control::ShardState::kAssigned && route.owner == *live.reserved &&
+         !live.service->selector().DrainedForLong(*live.reserved, now);
 }
 
 void RequestFlow::Send(Live& live, Instant now, RouterEffects& effects) {
--- a/src/routing/server_selector.cc
+++ b/src/routing/server_selector.cc
@@ -9,6 +9,8 @@
 
 namespace {
 
+/// Half of the time within which a drained server must get nothing new.
+constexpr Duration kDrainAllowance{1'000'000};
 constexpr double kLatencySmoothing = 0.1;
 constexpr double kLatencyUnknownUs = 1'000.0;
 constexpr std::uint64_t kAnswersForEstimate = 32;
@@ -49,6 +51,11 @@
     server->since = now;
     lanes_[server->lane] = server.get();
   }
+  // A server that is met draining may have begun long ago.
+  if (!entry.accepts_new_work && server->listed_before && server->accepts_new_work) {
+    server->drained_since = now;
+  }
+  server->listed_before = true;
   // One that takes work again after a drain or a lost lease starts slowly once more.
   if (entry.accepts_new_work && !server->accepts_new_work) server->since = now;
   server->listed = true;
@@ -61,6 +68,12 @@
   order_.push_back(server.get());
 }
 
+bool ServerSelector::DrainedForLong(const ServerId& server, Instant now) const {
+  const Server* found = Find(server);
+  return found != nullptr && !found->accepts_new_work &&
+         now - found->drained_since >= kDrainAllowance;
+}
+
 std::optional<ServerId> ServerSelector::Choose(const std::vector<ServerId>& avoided, Instant now) {
   if (order_.empty()) return std::nullopt;
   Server* best = nullptr;
--- a/tests/gateway/gateway_node_test.cc
+++ b/tests/gateway/gateway_node_test.cc
@@ -301,3 +301,17 @@
   update.ranges[0].fence = {11};
   cr_assert(Only<SendAttempt>(fixture.node.OnUpdate(update, At(46))).instance.value == "k-2");
 }
+
+Test(gateway_node, owner_that_drains_for_long_gets_nothing_though_its_keys_have_not_moved) {
+  Fixture fixture;
+  auto update = Fixture::State();
+  update.base = 10;
+  update.version = 11;
+  update.ranges.clear();
+  update.instances = {MakeInstance("k-1", "keyed")};
+  update.instances[0].state = traffic::InstanceState::kDraining;
+  fixture.node.OnUpdate(update, At(0));
+  // No control process leads: nobody moves the keys.
+  cr_assert(Has<SendAttempt>(fixture.Request("/keyed/x", 900, 1)));
+  cr_assert(!Has<SendAttempt>(fixture.Request("/keyed/x", 1'000, 2)));
+}
