Count a drain from when control was last heard, and keep requests out of queues that miss their target

Change: a drain may have begun any time since control was last heard. Cause: servers whose queue was full reset requests that were sent on a load 114 ms old (docs/OPERATIONS.md, the unsafe request ended 502). Change: a request is sent into a queue only where it may still be answered within its target.

--- a/include/graniteseam/routing/server_selector.h
+++ b/include/graniteseam/routing/server_selector.h
@@ -64,6 +64,10 @@
   /// then their requests have to wait for the next owner.
   bool DrainedForLong(const ServerId& server, Instant now) const;
 
+  /// Tells that control was heard: what is known of the servers is as of now. What the next update
+  /// says may have become true any time from here on.
+  void Confirm(Instant now) { confirmed_at_ = now; }
+
   /// Takes a place at a server, before the request is sent.
   void Reserve(const ServerId& server);
   /// Gives a place back whose request was never sent, or is not awaited any more.
@@ -94,7 +98,7 @@
     double hint = 0.0;
     Instant hint_at{};
     Instant since{};
-    Instant drained_since{};  ///< While it takes no new work.
+    Instant drained_since{};  ///< At the earliest; while it takes no new work.
   };
 
   Server* Find(const ServerId& server) const;
@@ -118,6 +122,7 @@
   double latency_us_ = 0.0;  ///< Smoothed over all answers of the service.
   double deviation_us_ = 0.0;
   std::uint64_t answers_ = 0;
+  Instant confirmed_at_{};
 };
 
 }  // namespace graniteseam::routing
--- a/src/gateway/backend_table.cc
+++ b/src/gateway/backend_table.cc
@@ -39,7 +39,7 @@
     Backend& backend = backends_[id];
     if (old != before.end()) backend = old->second;
     const bool drains_now = !fresh && backend.instance.TakesNewWork() && !instance.TakesNewWork();
-    if (drains_now) backend.drained_since = now;
+    if (drains_now) backend.drained_since = confirmed_at_;
     backend.instance = instance;
     if (fresh) {
       backend.warm_at = now + std::chrono::milliseconds(instance.report.warmup_left_ms);
@@ -69,8 +69,12 @@
   return backend.in_flight + backend.others * fading;
 }
 
-bool BackendTable::HasRoom(const Backend& backend, Instant now) const {
-  return LoadOf(backend, now) < SlotsOf(backend) * (1.0 + options_.waiting_maximum);
+bool BackendTable::HasRoom(const Backend& backend, Duration target, Instant now) const {
+  const double load = LoadOf(backend, now);
+  const double slots = SlotsOf(backend);
+  if (load < slots) return true;
+  if (load >= slots * (1.0 + options_.waiting_maximum)) return false;
+  return target == Duration{} || ExpectedMicros(backend, Duration{}, now) <= Micros(target);
 }
 
 double BackendTable::ExpectedMicros(const Backend& backend, Duration target, Instant now) const {
--- a/src/gateway/backend_table.h
+++ b/src/gateway/backend_table.h
@@ -33,7 +33,7 @@
 struct Backend {
   traffic::Instance instance;
   Instant warm_at{};
-  Instant drained_since{};      ///< While it takes no new work; long ago when it was met draining.
+  Instant drained_since{};      ///< At the earliest; while it takes no new work.
   std::uint32_t in_flight = 0;  ///< Of this gateway.
   double others = 0;            ///< Of other gateways, as last reported.
   Instant others_at{};
@@ -55,6 +55,10 @@
   /// stay.
   void Apply(const traffic::TrafficUpdate& update, Instant now);
 
+  /// Tells that control was heard: what is known is as of now. What the next update says may have
+  /// become true any time from here on.
+  void Confirm(Instant now) { confirmed_at_ = now; }
+
   const Backend* Find(const traffic::InstanceId& id) const;
   /// Whether a server has been without new work for so long that its promise to get none is due.
   bool DrainedForLong(const Backend& backend, Instant now) const;
@@ -65,8 +69,9 @@
   const Backend* Choose(const ServiceName& service, const std::vector<traffic::InstanceId>& tried,
                         Duration target, Instant now);
 
-  /// Whether a server has room, so that a request would not wait there for long.
-  bool HasRoom(const Backend& backend, Instant now) const;
+  /// Whether a request that is sent now may still be answered within its target: otherwise it waits
+  /// here, where it can be refused early and where nobody resets it for a full queue.
+  bool HasRoom(const Backend& backend, Duration target, Instant now) const;
   /// Requests that are at a server at present, by the best guess.
   double LoadOf(const Backend& backend, Instant now) const;
 
@@ -90,6 +95,7 @@
   const BackendOptions options_;
   std::mt19937_64 random_;
   std::map<traffic::InstanceId, Backend> backends_;
+  Instant confirmed_at_{};
   std::map<ServiceName, std::vector<traffic::InstanceId>> services_;
 };
 
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -97,9 +97,13 @@
   const bool fits = update.base == 0 || update.base <= version_;
   // Invariant: never back to an older state. An update that leaves a gap is asked for again by
   // poll.
-  if (update.version <= version_ || !fits) return Finish();
+  if (update.version <= version_ || !fits) {
+    if (update.version == version_) backends_.Confirm(now);
+    return Finish();
+  }
   routes_.Apply(update);
   backends_.Apply(update, now);
+  backends_.Confirm(now);
   keys_.Apply(update);
   if (update.base == 0) services_.clear();
   for (const ServiceName& name : update.removed_services) services_.erase(name);
@@ -252,7 +256,7 @@
   if (now < owner->ejected_until) {
     return Wait(request, RefusalReason::kNoOwner, request.target_latency / kHoldPartOfTarget, now);
   }
-  if (!backends_.HasRoom(*owner, now)) {
+  if (!backends_.HasRoom(*owner, request.target_latency, now)) {
     return Wait(request, RefusalReason::kOverloaded, request.target_latency / kHoldPartOfTarget,
                 now);
   }
@@ -268,7 +272,7 @@
     backend = backends_.Choose(request.service, {}, request.target_latency, now);
   const Duration hold = request.target_latency / kHoldPartOfTarget;
   if (backend == nullptr) return Wait(request, RefusalReason::kNoServer, hold, now);
-  if (!backends_.HasRoom(*backend, now)) {
+  if (!backends_.HasRoom(*backend, request.target_latency, now)) {
     return Wait(request, RefusalReason::kOverloaded, hold, now);
   }
   Send(request, *backend, now);
--- a/src/routing/router_node.cc
+++ b/src/routing/router_node.cc
@@ -200,6 +200,7 @@
       map_applied && (answer.map->base_version == 0 || !answer.map->servers.empty() ||
                       !answer.map->removed_servers.empty());
   if (bundle_is_newer || servers_changed) UpdateServers(now);
+  for (const auto& [name, service] : services_) service->selector().Confirm(now);
   for (const control::Allotment& allotment : answer.allotments) {
     const auto service = services_.find(allotment.service);
     if (service == services_.end()) continue;
--- a/src/routing/server_selector.cc
+++ b/src/routing/server_selector.cc
@@ -53,7 +53,7 @@
   }
   // A server that is met draining may have begun long ago.
   if (!entry.accepts_new_work && server->listed_before && server->accepts_new_work) {
-    server->drained_since = now;
+    server->drained_since = confirmed_at_;
   }
   server->listed_before = true;
   // One that takes work again after a drain or a lost lease starts slowly once more.
--- a/tests/gateway/backend_table_test.cc
+++ b/tests/gateway/backend_table_test.cc
@@ -84,8 +84,8 @@
   fixture.Answer("b", Duration{80'000}, kNow, ReportedLoad{1, 0, 2});
   cr_assert(fixture.Choose() == "b");
   const Backend& busy = *fixture.table.Find({"a"});
-  cr_assert(!fixture.table.HasRoom(busy, kNow));
-  cr_assert(fixture.table.HasRoom(busy, kNow + std::chrono::seconds(1)));
+  cr_assert(!fixture.table.HasRoom(busy, kTarget, kNow));
+  cr_assert(fixture.table.HasRoom(busy, kTarget, kNow + std::chrono::seconds(1)));
 }
 
 Test(backend_table, server_that_fails_in_a_row_is_left_out_and_comes_back) {
@@ -108,3 +108,17 @@
   Fixture fixture({draining});
   cr_assert(fixture.Choose().empty());
 }
+
+Test(backend_table, request_that_would_miss_its_target_in_a_queue_stays_here) {
+  Fixture fixture({MakeInstance("a", "near")});
+  for (int answer = 0; answer < 20; ++answer) fixture.Answer("a", Duration{120'000}, kNow);
+  const Backend& slow = *fixture.table.Find({"a"});
+  fixture.table.OnSent({"a"});
+  cr_assert(fixture.table.HasRoom(slow, kTarget, kNow));
+  fixture.table.OnSent({"a"});
+  // A third one would wait for half a turn of 120 ms, a fourth for a whole one: 240 of 200 ms.
+  cr_assert(fixture.table.HasRoom(slow, kTarget, kNow));
+  fixture.table.OnSent({"a"});
+  cr_assert(!fixture.table.HasRoom(slow, kTarget, kNow));
+  cr_assert(fixture.table.HasRoom(slow, 2 * kTarget, kNow));
+}
--- a/tests/gateway/gateway_node_test.cc
+++ b/tests/gateway/gateway_node_test.cc
@@ -315,3 +315,15 @@
   cr_assert(Has<SendAttempt>(fixture.Request("/keyed/x", 900, 1)));
   cr_assert(!Has<SendAttempt>(fixture.Request("/keyed/x", 1'000, 2)));
 }
+
+Test(gateway_node, drain_that_is_heard_of_late_may_have_begun_when_control_was_last_heard) {
+  Fixture fixture;
+  auto update = Fixture::State();
+  update.base = 10;
+  update.version = 11;
+  update.ranges.clear();
+  update.instances = {MakeInstance("k-1", "keyed")};
+  update.instances[0].state = traffic::InstanceState::kDraining;
+  fixture.node.OnUpdate(update, At(3'000));
+  cr_assert(!Has<SendAttempt>(fixture.Request("/keyed/x", 3'001, 1)));
+}
