--- a/src/control/control_node_impl.cc
+++ b/src/control/control_node_impl.cc
@@ -267,35 +267,23 @@
 void ControlNode::Impl::Lead(Instant now) {
   FollowRole(now);
   if (!leadership_ || !Leading(now)) return;
-  RunDecisions(now);
+  ProposeDecisions(leadership_->ownership, now);
   if (!leadership_ || !Leading(now)) return;
   for (auto& [address, request] : leadership_->ownership.Sends(now)) {
     effects_.lease_sends.push_back({std::move(address), std::move(request)});
   }
   // What Sends() found to be over is decided at once.
-  RunDecisions(now);
+  ProposeDecisions(leadership_->ownership, now);
   if (!leadership_) return;
   for (auto& [connection, answer] : leadership_->routers.Push(now)) {
     SendToRouter(connection, std::move(answer));
   }
-  RunTrafficDecisions(now);
+  ProposeDecisions(leadership_->traffic, now);
   if (!leadership_ || !Leading(now)) return;
   SendTrafficOrders(now);
   KeepMembership(now);
 }
 
-void ControlNode::Impl::RunTrafficDecisions(Instant now) {
-  const auto commands = leadership_->traffic.Decide(now);
-  if (commands.empty()) return;
-  const auto first = Propose(commands, now);
-  if (!leadership_) return;
-  if (!first) {
-    EndLeadership();
-    return;
-  }
-  leadership_->traffic.Proposed(LogIndex{first->value + commands.size() - 1});
-}
-
 void ControlNode::Impl::SendTrafficOrders(Instant now) {
   for (auto& [connection, update] : leadership_->traffic.sessions().Push(now)) {
     SendToRouter(connection, std::move(update));
@@ -318,17 +306,18 @@
   Absorb(std::move(effects), now);
 }
 
-void ControlNode::Impl::RunDecisions(Instant now) {
-  const auto commands = leadership_->ownership.Decide(now);
+template <class Decider>
+void ControlNode::Impl::ProposeDecisions(Decider& decider, Instant now) {
+  const auto commands = decider.Decide(now);
   if (commands.empty()) return;
   const auto first = Propose(commands, now);
   if (!leadership_) return;
   if (!first) {
-    // The decisions are lost with the controller; a new one takes all sessions as renewed now.
+    // The decisions are lost with the decider; a new one takes everything as renewed now.
     EndLeadership();
     return;
   }
-  leadership_->ownership.Proposed(LogIndex{first->value + commands.size() - 1});
+  decider.Proposed(LogIndex{first->value + commands.size() - 1});
 }
 
 ControlEffects ControlNode::Impl::Finish(Instant now) {
--- a/src/control/control_node_impl.h
+++ b/src/control/control_node_impl.h
@@ -66,8 +66,9 @@
   void FollowRole(Instant now);
   void EndLeadership();
   void Lead(Instant now);
-  void RunDecisions(Instant now);
-  void RunTrafficDecisions(Instant now);
+  /// Proposes what one part of the leadership decided, all of it at once.
+  template <class Decider>
+  void ProposeDecisions(Decider& decider, Instant now);
   void SendTrafficOrders(Instant now);
   void KeepMembership(Instant now);
   ControlEffects Finish(Instant now);
