Give the keys of an owner that refused a grant to others only when its grants are over

Found when reading the change again. Cause: a refused renewal (409) counted as proof that the owner holds nothing, but it may hold a part by an older grant. An owner that refuses while no heartbeat of it arrives is no candidate, so its keys went to others at once: two owners. Ruled out: a draining owner, whose release raises the fence first and voids the assignment (a first form of the test showed that). Change: after a refusal the keys go back to the same owner at once, to others only when every grant that it may hold has run out; a refused grant does not put that end off.

--- a/src/control/range_controller.cc
+++ b/src/control/range_controller.cc
@@ -19,6 +19,11 @@
   return range.phase == RangePhase::kGranting || range.phase == RangePhase::kServing;
 }
 
+bool Contains(const std::vector<RangeCandidate>& candidates, const traffic::InstanceId& id) {
+  return std::any_of(candidates.begin(), candidates.end(),
+                     [&](const RangeCandidate& one) { return one.id == id; });
+}
+
 }  // namespace
 
 RangeController::RangeController(RangeOptions options, const traffic::TrafficState& state,
@@ -106,11 +111,12 @@
   open_.erase(found);
   next_due_ = now;
   const bool grant = open.order.kind == RangeOrder::Kind::kGrant;
-  if (grant && result.outcome != RangeOrderResult::Outcome::kNotDelivered) {
-    NoteGrant(open.order.instance, open.service, open.order.span, EndOfGrantReceivedBy(now));
-  }
   const bool done = result.outcome == RangeOrderResult::Outcome::kDone;
   const bool refused = result.outcome == RangeOrderResult::Outcome::kRefused;
+  const bool may_hold = done || result.outcome == RangeOrderResult::Outcome::kUnknown;
+  if (grant && may_hold) {
+    NoteGrant(open.order.instance, open.service, open.order.span, EndOfGrantReceivedBy(now));
+  }
   if (done || refused) {
     failing_since_.erase(open.order.instance);
   } else {
@@ -137,12 +143,12 @@
 }
 
 bool RangeController::OwnerIsOver(const KeyRange& range, const RangeCare& care, Instant now) const {
-  if (range.phase == RangePhase::kUnowned || care.released || care.refused) return true;
+  if (range.phase == RangePhase::kUnowned || care.released) return true;
   const traffic::Instance* owner = state_.instances().Find(range.owner);
   if (owner != nullptr && owner->state == InstanceState::kDisplaced) return true;
   if (care.open_order || now <= GrantEndOf(range)) return false;
   // An owner that only missed renewals gets its keys again by the next one.
-  return !Owned(range) || Unresponsive(range.owner, now);
+  return !Owned(range) || care.refused || Unresponsive(range.owner, now);
 }
 
 bool RangeController::OwnerMustGo(const KeyRange& range) const {
@@ -223,7 +229,10 @@
     if (candidates.empty()) continue;
     for (const auto& [first, range] : ranges) {
       const RangeCare& care = care_.at({service, first});
-      if (!OwnerIsOver(range, care, now)) continue;
+      // An owner that refused may still hold a part by an older grant: only to itself may the keys
+      // go again at once.
+      const bool back_to_owner = care.refused && Contains(candidates, range.owner);
+      if (!back_to_owner && !OwnerIsOver(range, care, now)) continue;
       // Nobody ever had these keys: wait until the servers are all there.
       if (range.fence.value == 0 && !Settled(service, candidates, now)) continue;
       auto parts = NextOwners(range, care, ranges, candidates);
@@ -237,9 +246,8 @@
     const KeyRange& range, const RangeCare& care, const traffic::KeyRangeTable::Ranges& ranges,
     const std::vector<RangeCandidate>& candidates) const {
   const traffic::InstanceId& wanted = care.refused ? range.owner : range.successor;
-  const bool stands = std::any_of(candidates.begin(), candidates.end(),
-                                  [&](const auto& one) { return one.id == wanted; });
-  if (stands) return {{range.service, range.span, range.fence, wanted, care.handover}};
+  if (Contains(candidates, wanted))
+    return {{range.service, range.span, range.fence, wanted, care.handover}};
   const bool first_time = range.fence.value == 0;
   auto parts = balancer_.Divide(
       range, ranges,
--- a/tests/control/range_controller_test.cc
+++ b/tests/control/range_controller_test.cc
@@ -265,3 +265,19 @@
   }
   cr_assert(fixture.state.ranges().Find(kService, kHot)->owner.value == "i-3");
 }
+
+Test(range_controller, owner_that_refused_and_is_silent_keeps_its_keys_until_its_grant_is_over) {
+  Fixture fixture(3);
+  fixture.Run(0, 3'000);
+  const std::uint32_t own = fixture.KeysOf(RangePhase::kServing).at("i-1");
+  // It answers orders, but no heartbeat of it arrives: it is no candidate for keys any more.
+  fixture.answers["i-1"] = RangeOrderResult::Outcome::kDone;
+  fixture.Run(3'010, 8'000);
+  fixture.answers["i-1"] = RangeOrderResult::Outcome::kRefused;
+  // Its last grant was taken after 7 s at the earliest: it may hold keys until 10 s and more.
+  fixture.Run(8'010, 9'900);
+  cr_assert(fixture.KeysOf(RangePhase::kServing).at("i-1") == own);
+  fixture.Run(9'910, 13'000);
+  cr_assert(fixture.KeysOf(RangePhase::kServing).count("i-1") == 0);
+  cr_assert(fixture.KeysOf(RangePhase::kServing).size() == 2);
+}
