Remove dead code and a twin

InstanceLiveness::Forget() and Step::kEnded had no users; AdvertisedOr() repeated ControlSettings::KnownPeerAddress(), which now has KnownHttpAddress() beside it.

--- a/src/control/instance_liveness.h
+++ b/src/control/instance_liveness.h
@@ -29,12 +29,6 @@
     return found != heard_.end() && found->second >= since;
   }
 
-  /// Forgets those for which `gone` holds.
-  template <class Gone>
-  void Forget(Gone gone) {
-    std::erase_if(heard_, [&](const auto& entry) { return gone(entry.first); });
-  }
-
  private:
   const Duration silence_;
   const Instant start_;
--- a/src/daemon/control/control_process.cc
+++ b/src/daemon/control/control_process.cc
@@ -17,12 +17,6 @@
 /// A deciding thread that stood still for longer is taken for stuck.
 constexpr Duration kLiveLimit{10'000'000};
 
-/// Where others reach a port: behind a relay or address translation not where it listens.
-const runtime::SocketAddress& AdvertisedOr(const runtime::SocketAddress& advertised,
-                                           const runtime::SocketAddress& listened) {
-  return advertised.ip.empty() ? listened : advertised;
-}
-
 }  // namespace
 
 ControlProcess::ControlProcess(ControlSettings settings, runtime::StopSignals& stop_signals,
@@ -83,8 +77,7 @@
   storage::StorageOptions options;
   options.folder = settings_.data_folder;
   options.id = settings_.EffectiveId();
-  options.address =
-      ToString(AdvertisedOr(settings_.advertised_peer_address, settings_.peer_address));
+  options.address = ToString(settings_.KnownPeerAddress());
   options.zone.value = settings_.zone;
   options.seeds = settings_.first_voters;
   const bool founder =
@@ -102,7 +95,7 @@
 void ControlProcess::CreateTransport() {
   const std::string name = std::to_string(settings_.EffectiveId().value);
   protocol::ServedAddresses served;
-  served.http = ToString(AdvertisedOr(settings_.advertised_http_address, settings_.http_address));
+  served.http = ToString(settings_.KnownHttpAddress());
   if (!settings_.registry_address.ip.empty()) {
     served.registry = ToString(settings_.registry_address);
   }
--- a/src/daemon/control/control_settings.cc
+++ b/src/daemon/control/control_settings.cc
@@ -114,6 +114,10 @@
   return advertised_peer_address.ip.empty() ? peer_address : advertised_peer_address;
 }
 
+const runtime::SocketAddress& ControlSettings::KnownHttpAddress() const {
+  return advertised_http_address.ip.empty() ? http_address : advertised_http_address;
+}
+
 ControlId ControlSettings::EffectiveId() const {
   return id > 0 ? ControlId{static_cast<std::uint64_t>(id)} : IdOfAddress(KnownPeerAddress());
 }
--- a/src/daemon/control/control_settings.h
+++ b/src/daemon/control/control_settings.h
@@ -40,6 +40,8 @@
   ControlId EffectiveId() const;
   /// Where others reach its internal port.
   const runtime::SocketAddress& KnownPeerAddress() const;
+  /// Where operators reach it.
+  const runtime::SocketAddress& KnownHttpAddress() const;
 
   std::vector<consensus::Member> first_voters;  ///< Read from `bootstrap`; disks 0.
 };
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -65,7 +65,7 @@
   struct ServiceQueue {
     std::set<WaitingPlace> waiting;
   };
-  enum class Step { kSent, kWaits, kEnded };
+  enum class Step { kSent, kWaits };
 
   void Admit(LiveRequest& request, Instant now);
   Step TryNext(LiveRequest& request, Instant now);
