Keep what comes of key orders apart and whole, and don't spin while commits are awaited

The lease was lost because the deciding thread spun: while proposed decisions waited for their commit, the next wake-up stood at 'now'; and each event had all ranges decided on anew.

Change: results are taken without the lease too; numbers go on over leaderships; a fence that was refused is not ordered again; decisions are made when there is something new; no wake-up for decisions while some wait; updates are searched once for all routers with the same version.

--- a/src/control/control_node_impl.cc
+++ b/src/control/control_node_impl.cc
@@ -25,11 +25,12 @@
 
 ControlNode::Impl::Leadership::Leadership(const ControlOptions& options,
                                           const ReplicatedState& state, Term in_term,
-                                          std::uint64_t numbers_used, Instant now)
+                                          std::uint64_t numbers_used, OrderNumber orders_used,
+                                          Instant now)
     : term(in_term),
       ownership(OwnershipOptionsOf(options), state, in_term, numbers_used, now),
       routers(options.router_lease, state),
-      traffic(options.traffic, state, now) {
+      traffic(options.traffic, state, orders_used, now) {
   routers.FollowState();
 }
 
@@ -125,7 +126,9 @@
 
 ControlEffects ControlNode::Impl::OnRangeOrderResult(const RangeOrderResult& result, Instant now) {
   FollowRole(now);
-  if (Leading(now) && leadership_) leadership_->traffic.ranges().TakeResult(result, now);
+  // Taken without the leader lease too: it tells what an instance did, and the range it is about
+  // would wait for it for ever. What follows from it is decided with the lease only.
+  if (leadership_) leadership_->traffic.ranges().TakeResult(result, now);
   return Finish(now);
 }
 
@@ -243,12 +246,15 @@
     numbers_term_ = consensus_.term();
     numbers_used_ = 0;
   }
-  leadership_.emplace(options_, state_, numbers_term_, numbers_used_, now);
+  leadership_.emplace(options_, state_, numbers_term_, numbers_used_, orders_used_, now);
   leadership_->ownership.TakePlatformList(platform_list_, now);
 }
 
 void ControlNode::Impl::EndLeadership() {
-  if (leadership_) numbers_used_ = leadership_->ownership.leases().numbers_used();
+  if (leadership_) {
+    numbers_used_ = leadership_->ownership.leases().numbers_used();
+    orders_used_ = leadership_->traffic.ranges().last_number();
+  }
   leadership_.reset();
   // Whether these entries will be committed is not known here. Each request may be resent, so its
   // sender finds out by doing so.
--- a/src/control/control_node_impl.h
+++ b/src/control/control_node_impl.h
@@ -45,7 +45,7 @@
   /// Everything that is known only to an established leader in one term.
   struct Leadership {
     Leadership(const ControlOptions& options, const ReplicatedState& state, Term in_term,
-               std::uint64_t numbers_used, Instant now);
+               std::uint64_t numbers_used, OrderNumber orders_used, Instant now);
 
     Term term;
     OwnershipController ownership;
@@ -98,6 +98,7 @@
   LogIndex compacted_;
   Term numbers_term_;               ///< Term in which `numbers_used_` counts.
   std::uint64_t numbers_used_ = 0;  ///< Of earlier lease tables of that term.
+  OrderNumber orders_used_;         ///< By earlier leaderships of this process.
   Instant journal_expiry_due_{};
   Instant membership_look_due_{};
   Instant finished_at_{};  ///< Of the latest entry point.
--- a/src/control/range_controller.cc
+++ b/src/control/range_controller.cc
@@ -27,8 +27,9 @@
 }  // namespace
 
 RangeController::RangeController(RangeOptions options, const traffic::TrafficState& state,
-                                 const InstanceLiveness& liveness, Instant now)
-    : options_(options), state_(state), liveness_(liveness) {
+                                 const InstanceLiveness& liveness, OrderNumber last_used,
+                                 Instant now)
+    : options_(options), state_(state), liveness_(liveness), last_number_(last_used) {
   // Former leaders may have granted anything up to the end of their leases, which ended before this
   // election.
   for (const auto& [service, ranges] : state_.ranges().services()) {
@@ -87,6 +88,8 @@
         // A piece of a range whose grant stands need not be renewed before its time.
         const bool stands = range.phase == RangePhase::kServing;
         care.next_order = stands ? now + options_.renewal_interval / 4 : now;
+        const RangeCare* const whole = CareBefore({service, first}, range.fence);
+        care.refused = whole != nullptr && whole->refused;
       }
     }
   }
@@ -98,6 +101,15 @@
   std::erase_if(grant_ends_, [](const auto& entry) { return entry.second.empty(); });
 }
 
+const RangeController::RangeCare* RangeController::CareBefore(const RangeKey& key,
+                                                              traffic::Fence fence) const {
+  const auto after = care_.upper_bound(key);
+  if (after == care_.begin()) return nullptr;
+  const auto& [whole, care] = *std::prev(after);
+  const bool held = whole.service == key.service && key.first <= care.last;
+  return held && care.fence == fence ? &care : nullptr;
+}
+
 RangeController::RangeCare* RangeController::CareOf(const OpenOrder& open) {
   const auto found = care_.find({open.service, open.order.span.first});
   if (found == care_.end() || found->second.open_order != open.order.number) return nullptr;
@@ -109,7 +121,6 @@
   if (found == open_.end()) return;
   const OpenOrder open = std::move(found->second);
   open_.erase(found);
-  next_due_ = now;
   const bool grant = open.order.kind == RangeOrder::Kind::kGrant;
   const bool done = result.outcome == RangeOrderResult::Outcome::kDone;
   const bool refused = result.outcome == RangeOrderResult::Outcome::kRefused;
@@ -123,14 +134,18 @@
     failing_since_.emplace(open.order.instance, now);
   }
   RangeCare* const care = CareOf(open);
+  // A renewal that went well gives nothing new to decide: the most common result by far.
+  const bool plain_renewal = grant && done && care != nullptr && care->confirmed;
+  if (!plain_renewal) decide_due_ = orders_due_ = now;
   if (care == nullptr) return;
   care->open_order.reset();
   if (!done) {
     care->next_order = now + options_.retry_interval;
-    care->refused = refused && grant;
+    care->refused = care->refused || (refused && grant);
   } else if (grant) {
     care->confirmed = true;
     care->next_order = now + options_.renewal_interval;
+    orders_due_ = std::min(orders_due_, care->next_order);
   } else {
     care->released = true;
     care->handover = result.handover;
@@ -157,12 +172,14 @@
 }
 
 std::vector<CommandBody> RangeController::Decide(Instant now) {
+  if (now < decide_due_ && decided_version_ == state_.version()) return {};
+  decided_version_ = state_.version();
   if (followed_version_ != state_.ranges().changed_at()) FollowRanges(now);
   std::vector<CommandBody> commands;
   DecideConfirmations(commands);
   DecideReleases(now, commands);
   DecideAssignments(now, commands);
-  next_due_ = now + kLookInterval;
+  decide_due_ = now + kLookInterval;
   return commands;
 }
 
@@ -257,13 +274,16 @@
 }
 
 std::vector<RangeOrder> RangeController::Orders(Instant now) {
+  if (now < orders_due_ && ordered_version_ == state_.version()) return {};
+  ordered_version_ = state_.version();
   if (followed_version_ != state_.ranges().changed_at()) FollowRanges(now);
+  orders_due_ = now + kLookInterval;
   std::vector<RangeOrder> orders;
   for (auto& [key, care] : care_) {
     const KeyRange* range = state_.ranges().Find(key.service, key.first);
     if (range == nullptr || care.open_order) continue;
     if (now < care.next_order) {
-      next_due_ = std::min(next_due_, care.next_order);
+      orders_due_ = std::min(orders_due_, care.next_order);
       continue;
     }
     std::optional<RangeOrder> order = NextOrder(*range, care, now);
@@ -289,6 +309,8 @@
     order.kind = RangeOrder::Kind::kRelease;
     order.limit = options_.release_limit;
   } else {
+    // The same fence would be refused again: the range waits for its next assignment.
+    if (care.refused) return std::nullopt;
     // Each grant that may have arrived puts off the end of what the owner may hold, so that one
     // that seems gone gets no more.
     if (Unresponsive(range.owner, now)) return std::nullopt;
@@ -301,7 +323,12 @@
 }
 
 Instant RangeController::NextDue() const {
-  return state_.ranges().services().empty() ? Instant::max() : next_due_;
+  if (state_.ranges().services().empty()) return Instant::max();
+  return std::min(decide_due_, orders_due_);
+}
+
+Instant RangeController::NextOrderDue() const {
+  return state_.ranges().services().empty() ? Instant::max() : orders_due_;
 }
 
 }  // namespace graniteseam::control
--- a/src/control/range_controller.h
+++ b/src/control/range_controller.h
@@ -29,18 +29,25 @@
 /// Deterministic; not thread safe; `now` never goes back.
 class RangeController {
  public:
+  /// @param last_used the newest order number of this process's earlier leaderships. Results of
+  /// their orders may still come, and must not be taken for those of this one's.
   RangeController(RangeOptions options, const traffic::TrafficState& state,
-                  const InstanceLiveness& liveness, Instant now);
+                  const InstanceLiveness& liveness, OrderNumber last_used, Instant now);
 
-  /// Commands to propose. Call it again only when those before were applied.
+  OrderNumber last_number() const { return last_number_; }
+
+  /// Commands to propose. Call it again only when those before were applied. Costs next to nothing
+  /// where neither the state nor an order's result nor the time gives anything new to decide.
   std::vector<CommandBody> Decide(Instant now);
-  /// Orders to send now.
+  /// Orders to send now; as cheap where none is due.
   std::vector<RangeOrder> Orders(Instant now);
   void TakeResult(const RangeOrderResult& result, Instant now);
   void TakeLoads(const traffic::TrafficPoll& poll, Instant now);
 
   /// The next instant at which Decide() or Orders() has something to do by itself.
   Instant NextDue() const;
+  /// The same of Orders() alone.
+  Instant NextOrderDue() const;
 
  private:
   /// Until when a grant that was sent may be held.
@@ -65,12 +72,15 @@
     Instant next_order{};
     bool confirmed = false;
     bool released = false;
-    bool refused = false;  ///< The owner saw a higher fence: it needs a new one.
+    /// The owner saw a higher fence: no order goes out under this one again.
+    bool refused = false;
     std::string handover;
     std::optional<OrderNumber> open_order;
   };
 
   void FollowRanges(Instant now);
+  /// What is known of the range that held `key` under the same fence, null when there was none.
+  const RangeCare* CareBefore(const RangeKey& key, traffic::Fence fence) const;
   RangeCare* CareOf(const OpenOrder& open);
   /// Whether nobody but a new owner can act for the range's keys any more.
   bool OwnerIsOver(const traffic::KeyRange& range, const RangeCare& care, Instant now) const;
@@ -115,7 +125,10 @@
   };
   std::map<ServiceName, Settling> settling_;
   std::uint64_t followed_version_ = 0;
-  Instant next_due_{};
+  std::uint64_t decided_version_ = 0;  ///< Of the state at the last full Decide().
+  std::uint64_t ordered_version_ = 0;  ///< The same of Orders().
+  Instant decide_due_{};
+  Instant orders_due_{};
 };
 
 }  // namespace graniteseam::control
--- a/src/control/traffic_leader.h
+++ b/src/control/traffic_leader.h
@@ -15,10 +15,11 @@
 /// Lives as long as one leadership. Not thread safe; `now` never goes back.
 class TrafficLeader {
  public:
-  TrafficLeader(const TrafficOptions& options, const ReplicatedState& state, Instant now)
+  TrafficLeader(const TrafficOptions& options, const ReplicatedState& state,
+                OrderNumber orders_used, Instant now)
       : state_(state),
         liveness_(options.instance_silence, now),
-        ranges_(options.ranges, state.traffic(), liveness_, now),
+        ranges_(options.ranges, state.traffic(), liveness_, orders_used, now),
         sessions_(state.traffic(), now) {}
 
   InstanceLiveness& liveness() { return liveness_; }
@@ -33,7 +34,11 @@
   /// The commands of the last Decide() stand in the log up to here.
   void Proposed(LogIndex last) { proposed_ = last; }
 
-  Instant NextDue() const { return ranges_.NextDue(); }
+  /// While commands wait to be applied there is nothing to decide, and what ends the wait is an
+  /// event: waking for decisions would only spin.
+  Instant NextDue() const {
+    return state_.applied() < proposed_ ? ranges_.NextOrderDue() : ranges_.NextDue();
+  }
 
  private:
   const ReplicatedState& state_;
--- a/src/control/traffic_sessions.cc
+++ b/src/control/traffic_sessions.cc
@@ -24,9 +24,13 @@
 
 std::vector<std::pair<ConnectionId, traffic::TrafficUpdate>> TrafficSessions::Push(Instant now) {
   std::vector<std::pair<ConnectionId, traffic::TrafficUpdate>> updates;
+  // Most routers have the same version: one search through the state serves them all.
+  std::map<std::uint64_t, traffic::TrafficUpdate> by_base;
   for (auto& [connection, session] : sessions_) {
     if (session.version >= state_.urgent_version()) continue;
-    updates.emplace_back(connection, UpdateFor(session.version, now));
+    const auto [found, added] = by_base.try_emplace(session.version);
+    if (added) found->second = UpdateFor(session.version, now);
+    updates.emplace_back(connection, found->second);
     session.version = state_.version();
   }
   return updates;
--- a/tests/control/control_harness.cc
+++ b/tests/control/control_harness.cc
@@ -249,6 +249,12 @@
     }
   }
   for (auto& reply : effects.operator_replies) answers_[reply.request] = std::move(reply.answer);
+  if (!on_range_order) return;
+  for (const auto& order : effects.range_orders) on_range_order(index, order);
+}
+
+void ControlHarness::GiveRangeResult(std::size_t index, const control::RangeOrderResult& result) {
+  Call(index, [&, this](auto& node) { return node.OnRangeOrderResult(result, now_); });
 }
 
 void ControlHarness::CarryLease(std::size_t index, const control::LeaseSend& send) {
--- a/tests/control/control_harness.h
+++ b/tests/control/control_harness.h
@@ -121,6 +121,10 @@
   std::vector<control::ControlToRouter>& router_inbox(std::uint64_t connection) {
     return router_inbox_[connection];
   }
+  /// Called with each order to an instance that owns keys; the test answers it or does not.
+  std::function<void(std::size_t, const control::RangeOrder&)> on_range_order;
+  /// Tells a control process what came of an order.
+  void GiveRangeResult(std::size_t index, const control::RangeOrderResult& result);
   /// The most owners that any shard had at one instant so far.
   std::size_t most_owners_seen() const { return most_owners_; }
   std::uint64_t leases_lost() const { return leases_lost_; }
--- a/tests/control/range_controller_test.cc
+++ b/tests/control/range_controller_test.cc
@@ -37,7 +37,7 @@
     const auto applied = Attempt([&] { return state.Apply(change, ++index); });
     cr_assert(ErrorOf(applied) == nullptr);
     for (int instance = 1; instance <= instances; ++instance) Report(instance, 1, false);
-    controller.emplace(RangeOptions{}, state, liveness, kStart);
+    controller.emplace(RangeOptions{}, state, liveness, OrderNumber{}, kStart);
   }
 
   void Report(int instance, std::int64_t sequence, bool draining) {
@@ -173,7 +173,8 @@
   Fixture fixture(3);
   fixture.Run(0, 2'000);
   fixture.answers["i-1"] = RangeOrderResult::Outcome::kNotDelivered;
-  fixture.controller.emplace(RangeOptions{}, fixture.state, fixture.liveness, At(2'000));
+  fixture.controller.emplace(RangeOptions{}, fixture.state, fixture.liveness, OrderNumber{},
+                             At(2'000));
   fixture.Run(2'000, 5'000);
   cr_assert(fixture.KeysOf(RangePhase::kServing).count("i-1") == 1);
   fixture.Run(5'010, 6'000);
@@ -196,6 +197,24 @@
   }
 }
 
+Test(range_controller, refused_grant_is_not_sent_again_under_the_same_fence) {
+  Fixture fixture(2);
+  fixture.Run(0, 2'000);
+  // No heartbeat arrives any more, so that it is no candidate and its keys get no new fence at
+  // once.
+  fixture.answers["i-1"] = RangeOrderResult::Outcome::kDone;
+  fixture.Run(2'010, 7'000);
+  fixture.answers["i-1"] = RangeOrderResult::Outcome::kRefused;
+  fixture.sent.clear();
+  fixture.Run(7'010, 9'900);
+  std::map<std::uint64_t, int> grants;
+  for (const RangeOrder& order : fixture.sent) {
+    if (order.instance.value == "i-1") ++grants[order.fence.value];
+  }
+  for (const auto& [fence, count] : grants) cr_assert(count == 1, "%d under one fence", count);
+  cr_assert(!grants.empty());
+}
+
 Test(range_controller, busy_keys_move_to_an_instance_with_room) {
   Fixture fixture(2);
   fixture.Run(0, 2'000);
