Soak the platform's programs: random faults from outside real processes

graniteseam-soak draws a plan of faults from a seed (kills, freezes, cuts by a relay, lost disks, torn writes, workers that crash or drain), plays it on three control processes and three routers, and checks ten promises from what callers, workers and an operator saw.

Tests: fault_plan (every plan can be borne, all kinds come up), promises (each breach is found).

--- /dev/null
+++ b/testbed/soak/fault_plan.h
@@ -0,0 +1,61 @@
+/// @file
+/// Which faults hit a soaked fleet, and when: drawn from a seed alone, so that a failed run can be
+/// played again.
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <string_view>
+#include <vector>
+
+#include "graniteseam/common/time.h"
+
+namespace graniteseam::testbed::soak {
+
+enum class FaultKind {
+    KillControl, ///< SIGKILL; back after the span.
+    KillRouter,
+    KillAllControls, ///< At the same moment; their disks stay.
+    StopRouter, ///< SIGTERM; back after it has ended.
+    FreezeControl, ///< SIGSTOP, then SIGCONT: its clock jumps by the span.
+    FreezeRouter,
+    CutControl, ///< From the other control processes, both ways.
+    CutControlOneWay, ///< What it sends to the others is held; what they send arrives.
+    CutRouter, ///< From all control processes.
+    LoseDisk, ///< SIGKILL; the data folder is empty when it is back.
+    TearWrite, ///< SIGKILL; the newest file of the log ends in bytes that were never synced whole.
+    CrashWorker, ///< Ends without a word; another one starts after the span.
+    DrainWorker, ///< Says that it leaves, and ends after the span; another one starts first.
+};
+
+auto name_of(FaultKind) -> std::string_view;
+
+struct Fault {
+    FaultKind kind = FaultKind::KillControl;
+    Duration at {}; ///< Since the start of traffic.
+    Duration span {}; ///< Until it is undone.
+    std::uint32_t target = 0; ///< Which of its kind, from 0.
+
+    auto operator==(Fault const&) const -> bool = default;
+};
+
+/// How many there are of what faults may hit, and when they may.
+struct PlanBounds {
+    std::uint32_t controls = 3;
+    std::uint32_t routers = 3;
+    std::uint32_t workers = 6;
+    Duration first {4'000'000};
+    Duration last {26'000'000}; ///< Every fault is undone by then.
+    Duration catch_up {8'000'000}; ///< That a control process needs after its disk was lost.
+    std::uint32_t faults = 10;
+};
+
+/// Faults in the order of their times. At most one disk is lost at once: while a control process that
+/// lost its disk catches up, no other control process is killed or cut, and none lost one within
+/// catch_up before. The users' claim is that nothing acknowledged is lost by such faults.
+auto plan_faults(std::uint64_t seed, PlanBounds const&) -> std::vector<Fault>;
+
+/// Whether a plan keeps to what plan_faults() promises.
+auto is_borne(std::span<Fault const>, PlanBounds const&) -> bool;
+
+} // namespace graniteseam::testbed::soak
--- /dev/null
+++ b/tests/soak/promises_test.cc
@@ -0,0 +1,137 @@
+#include "testbed/soak/promises.h"
+
+#include <criterion/criterion.h>
+
+using namespace graniteseam;
+using namespace graniteseam::testbed;
+using namespace graniteseam::testbed::soak;
+
+namespace {
+
+constexpr auto start = InstantFromMicros(1'000'000'000);
+
+auto at(std::int64_t ms) -> Instant
+{
+    return start + std::chrono::milliseconds(ms);
+}
+
+auto answer(std::string attempt, bool may_repeat, int status) -> SeenAnswer
+{
+    return {std::move(attempt), may_repeat, status, true, at(0), at(10)};
+}
+
+auto run(std::string worker, std::string attempt, std::uint64_t fence, std::int64_t begun, std::int64_t ended)
+    -> WorkerRun
+{
+    return {std::move(worker), std::move(attempt), 7, fence, at(begun), at(ended)};
+}
+
+auto change(std::uint64_t base, std::uint64_t version, std::string body, std::int64_t ended) -> SeenChange
+{
+    return {base, version, std::move(body), true, at(ended - 5), at(ended)};
+}
+
+/// Everything held.
+auto whole() -> Observed
+{
+    Observed seen;
+    seen.answers
+        = {answer("a", true, 200), answer("b", false, 200), answer("c", false, 503), answer("d", true, 502)};
+    seen.runs = {run("w-1", "a", 3, 0, 5), run("w-1", "b", 3, 6, 9), run("w-2", "d", 8, 20, 25),
+        run("w-2", "d", 8, 30, 35)};
+    seen.changes = {change(0, 1, "one", 10), change(0, 1, "one", 20), change(1, 3, "three", 30)};
+    seen.reads = {{1, "one", at(15)}, {3, "three", at(40)}};
+    seen.drains = {{"w-1", 0}};
+    seen.asked_at_the_end = 100;
+    seen.served_at_the_end = 100;
+    return seen;
+}
+
+auto assert_only(Observed const& seen, std::string const& promise) -> void
+{
+    auto const breaches = check_promises(seen);
+    cr_assert(!breaches.empty(), "%s was not found to be broken", promise.c_str());
+    for (auto const& it : breaches)
+        cr_assert(it.promise == promise, "%s: %s", it.promise.c_str(), it.detail.c_str());
+}
+
+} // namespace
+
+Test(promises, nothing_is_said_of_a_run_in_which_everything_held)
+{
+    cr_assert(check_promises(whole()).empty());
+}
+
+Test(promises, second_run_of_what_may_not_be_repeated)
+{
+    auto seen = whole();
+    seen.runs.push_back(run("w-2", "b", 8, 40, 45));
+    assert_only(seen, "at_most_once");
+}
+
+Test(promises, run_of_a_refused_request)
+{
+    auto seen = whole();
+    seen.runs.push_back(run("w-2", "c", 8, 40, 45));
+    assert_only(seen, "not_run");
+}
+
+Test(promises, answer_of_another_request_and_success_without_a_run)
+{
+    auto seen = whole();
+    seen.answers[0].own = false;
+    assert_only(seen, "own_answer");
+    seen = whole();
+    seen.answers.push_back(answer("e", true, 200));
+    assert_only(seen, "own_answer");
+}
+
+Test(promises, run_that_nobody_asked_for)
+{
+    auto seen = whole();
+    seen.runs.push_back(run("w-2", "z", 8, 40, 45));
+    assert_only(seen, "asked_for");
+}
+
+Test(promises, two_owners_at_work_on_a_key)
+{
+    auto seen = whole();
+    seen.answers.push_back(answer("e", true, 502));
+    seen.runs.push_back(run("w-3", "e", 9, 33, 40));
+    assert_only(seen, "one_owner");
+}
+
+Test(promises, key_that_goes_on_under_a_fence_that_is_not_higher)
+{
+    auto seen = whole();
+    seen.answers.push_back(answer("e", true, 502));
+    seen.runs.push_back(run("w-3", "e", 8, 50, 55));
+    assert_only(seen, "fences_rise");
+}
+
+Test(promises, two_winners_on_one_version)
+{
+    auto seen = whole();
+    seen.changes.push_back(change(1, 4, "rival", 50));
+    assert_only(seen, "one_winner");
+}
+
+Test(promises, accepted_change_that_is_lost_or_reads_otherwise)
+{
+    auto seen = whole();
+    seen.reads.push_back({1, "one", at(60)});
+    assert_only(seen, "accepted_stays");
+    seen = whole();
+    seen.reads.push_back({3, "other", at(60)});
+    assert_only(seen, "accepted_stays");
+}
+
+Test(promises, work_after_a_drain_and_a_fleet_that_does_not_recover)
+{
+    auto seen = whole();
+    seen.drains[0].late_arrivals = 1;
+    assert_only(seen, "drained_rests");
+    seen = whole();
+    seen.served_at_the_end = 24;
+    assert_only(seen, "recovers");
+}
