Add request explain and log timeline to graniteseamctl

They join the event logs of several processes: a request's story with its cause in one sentence and what was believed around it, and a line of all changes of belief. Heartbeats that are refused because nobody leads are ordinary lines now: at the start of a large fleet they were most of the log.

--- a/src/daemon/control/registry_server.cc
+++ b/src/daemon/control/registry_server.cc
@@ -192,7 +192,9 @@
 void RegistryServer::Log(const std::string& what, int status,
                          const control::OperatorAnswer& answer) {
   const auto* error = std::get_if<Error>(&answer);
-  const bool plain = error == nullptr && what.ends_with(kHeartbeatSuffix);
+  // Instances beat everywhere until somebody leads: one such refusal is like all others.
+  const bool heartbeat = what.ends_with(kHeartbeatSuffix);
+  const bool plain = heartbeat && (error == nullptr || error->kind == ErrorKind::kNotLeader);
   runtime::EventLine line("registry_call");
   line.Add("call", what).Add("status", static_cast<std::int64_t>(status));
   if (error != nullptr) line.Add("error", ToString(*error));
--- a/src/daemon/operator_cli/command.cc
+++ b/src/daemon/operator_cli/command.cc
@@ -8,6 +8,9 @@
 namespace graniteseam::operator_cli {
 namespace {
 
+/// Files that one call may name.
+constexpr std::size_t kLogsMaximum = 2'000;
+
 constexpr Command kCommands[] = {
     {"bundle", "check", "FILE", 1, 1, "Check a bundle without sending it.", BundleCheck},
     {"bundle", "digest", "FILE", 1, 1, "Print a bundle's digest.", BundleDigest},
@@ -34,6 +37,10 @@
     {"control", "remove", "ID", 1, 1, "Take a member out of the control group.", ControlRemove},
     {"control", "replace", "ID ADDRESS", 2, 2,
      "Add the process at ADDRESS, then take the member ID out.", ControlReplace},
+    {"request", "explain", "ID LOG...", 2, kLogsMaximum,
+     "Tell from event logs what became of a request, and why.", RequestExplain},
+    {"log", "timeline", "LOG...", 1, kLogsMaximum,
+     "Show changes of belief of all processes in the order of their times.", LogTimeline},
     {"key", "generate", "", 0, 0, "Draw a reviewer's key: private into --key-file, public printed.",
      KeyGenerate},
     {"completion", "bash", "", 0, 0, "Print a completion script for bash.", CompletionBash},
--- a/src/daemon/operator_cli/command.h
+++ b/src/daemon/operator_cli/command.h
@@ -65,6 +65,9 @@
 Result<void> ControlRemove(const CommandContext& context);
 Result<void> ControlReplace(const CommandContext& context);
 
+Result<void> RequestExplain(const CommandContext& context);
+Result<void> LogTimeline(const CommandContext& context);
+
 Result<void> KeyGenerate(const CommandContext& context);
 Result<void> CompletionBash(const CommandContext& context);
 
--- a/src/daemon/operator_cli/json_output.cc
+++ b/src/daemon/operator_cli/json_output.cc
@@ -23,5 +23,7 @@
 void PrintJson(std::ostream& out, const control::FleetView& view) { Print(out, view); }
 void PrintJson(std::ostream& out, const control::ShardsView& view) { Print(out, view); }
 void PrintJson(std::ostream& out, const consensus::Member& member) { Print(out, member); }
+void PrintJson(std::ostream& out, const RequestStory& story) { Print(out, story); }
+void PrintJson(std::ostream& out, const std::vector<LoggedEvent>& line) { Print(out, line); }
 
 }  // namespace graniteseam::operator_cli
--- a/src/daemon/operator_cli/json_output.h
+++ b/src/daemon/operator_cli/json_output.h
@@ -10,6 +10,7 @@
 
 #include "graniteseam/bundle/bundle.h"
 #include "graniteseam/control/operator_messages.h"
+#include "src/daemon/operator_cli/event_story.h"
 
 namespace graniteseam::operator_cli {
 
@@ -44,5 +45,7 @@
 void PrintJson(std::ostream& out, const control::FleetView& view);
 void PrintJson(std::ostream& out, const control::ShardsView& view);
 void PrintJson(std::ostream& out, const consensus::Member& member);
+void PrintJson(std::ostream& out, const RequestStory& story);
+void PrintJson(std::ostream& out, const std::vector<LoggedEvent>& line);
 
 }  // namespace graniteseam::operator_cli
