Keep to the gateway's part of the connections that servers accept

Ruled out: lost owners (five leaderships, no grant failed).

Change: a gateway has at most its part of what a server accepts (connection_share); an owner that failed gets one request at a time instead of none. Tests: backend_table gateway_keeps_to_its_part_of_the_connections_that_servers_accept, gateway_node owner_whose_answers_were_lost_gets_one_request_at_a_time.

--- a/src/gateway/backend_table.cc
+++ b/src/gateway/backend_table.cc
@@ -5,6 +5,8 @@
 #include <cstdio>
 #include <utility>
 
+#include "src/gateway/connection_share.h"
+
 namespace graniteseam::gateway {
 namespace {
 
@@ -52,6 +54,16 @@
   }
 }
 
+void BackendTable::ShareConnections(const std::map<ServiceName, traffic::Service>& services,
+                                    std::uint32_t gateways) {
+  for (const auto& [name, service] : services) {
+    const std::uint32_t share = connection_share({service.connections_maximum, gateways});
+    const auto ids = services_.find(name);
+    if (ids == services_.end()) continue;
+    for (const traffic::InstanceId& id : ids->second) backends_.at(id).connection_share = share;
+  }
+}
+
 const Backend* BackendTable::Find(const traffic::InstanceId& id) const {
   const auto found = backends_.find(id);
   return found == backends_.end() ? nullptr : &found->second;
@@ -70,6 +82,7 @@
 }
 
 bool BackendTable::HasRoom(const Backend& backend, Duration target, Instant now) const {
+  if (backend.in_flight >= backend.connection_share) return false;
   const double load = LoadOf(backend, now);
   const double slots = SlotsOf(backend);
   if (load < slots) return true;
@@ -93,6 +106,7 @@
   std::uniform_real_distribution<double> jitter(1.0, 1.0 + kJitter);
   const Backend* best = nullptr;
   const Backend* best_ejected = nullptr;
+  const Backend* full = nullptr;  // Where this gateway has all the connections that it may have.
   double least = 0;
   for (const traffic::InstanceId& id : ids->second) {
     const Backend& backend = backends_.at(id);
@@ -104,12 +118,17 @@
       if (sooner) best_ejected = &backend;
       continue;
     }
+    if (backend.in_flight >= backend.connection_share) {
+      if (full == nullptr) full = &backend;
+      continue;
+    }
     const double expected = ExpectedMicros(backend, target, now) * jitter(random_);
     if (best != nullptr && expected >= least) continue;
     best = &backend;
     least = expected;
   }
-  return best == nullptr ? best_ejected : best;
+  if (best != nullptr) return best;
+  return full == nullptr ? best_ejected : full;
 }
 
 void BackendTable::OnSent(const traffic::InstanceId& id) {
--- a/src/gateway/backend_table.h
+++ b/src/gateway/backend_table.h
@@ -33,9 +33,10 @@
 struct Backend {
   traffic::Instance instance;
   Instant warm_at{};
-  Instant drained_since{};      ///< At the earliest; while it takes no new work.
-  std::uint32_t in_flight = 0;  ///< Of this gateway.
-  double others = 0;            ///< Of other gateways, as last reported.
+  Instant drained_since{};                      ///< At the earliest; while it takes no new work.
+  std::uint32_t in_flight = 0;                  ///< Of this gateway.
+  std::uint32_t connection_share = UINT32_MAX;  ///< Requests of this gateway at most.
+  double others = 0;                            ///< Of other gateways, as last reported.
   Instant others_at{};
   double latency_us = 0;  ///< Mean time of one request that did not wait.
   bool latency_known = false;
@@ -55,6 +56,10 @@
   /// stay.
   void Apply(const traffic::TrafficUpdate& update, Instant now);
 
+  /// Takes how many connections servers accept, by service, and how many gateways share them.
+  void ShareConnections(const std::map<ServiceName, traffic::Service>& services,
+                        std::uint32_t gateways);
+
   /// Tells that control was heard: what is known is as of now. What the next update says may have
   /// become true any time from here on.
   void Confirm(Instant now) { confirmed_at_ = now; }
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -109,6 +109,7 @@
   for (const ServiceName& name : update.removed_services) services_.erase(name);
   for (const traffic::Service& service : update.services) services_[service.name] = service;
   if (update.limits) limits_ = *update.limits;
+  backends_.ShareConnections(services_, GatewayCount());
   version_ = update.version;
   configuration_ = update.configuration;
   Note({}, "update", {},
@@ -253,7 +254,9 @@
     return Wait(request, RefusalReason::kStaleOwner, request.target_latency / kHoldPartOfTarget,
                 now);
   }
-  if (now < owner->ejected_until) {
+  // One request at a time finds out whether an owner that failed is back: nobody else may serve its
+  // keys meanwhile.
+  if (now < owner->ejected_until && owner->in_flight > 0) {
     return Wait(request, RefusalReason::kNoOwner, request.target_latency / kHoldPartOfTarget, now);
   }
   if (!backends_.HasRoom(*owner, request.target_latency, now)) {
--- a/tests/gateway/backend_table_test.cc
+++ b/tests/gateway/backend_table_test.cc
@@ -66,6 +66,25 @@
   cr_assert(fixture.Choose() == "far-1");
 }
 
+Test(backend_table, gateway_keeps_to_its_part_of_the_connections_that_servers_accept) {
+  Fixture fixture({MakeInstance("a", "near"), MakeInstance("b", "near")});
+  traffic::Service service;
+  service.name = kService;
+  service.connections_maximum = 150;
+  fixture.table.ShareConnections({{kService, service}}, 88);
+  fixture.Answer("b", Duration{400'000}, kNow);
+  cr_assert(fixture.Choose() == "a");
+  fixture.table.OnSent({"a"});
+  cr_assert(!fixture.table.HasRoom(*fixture.table.Find({"a"}), kTarget, kNow));
+  cr_assert(fixture.Choose() == "b", "the faster one has all of this gateway's connections");
+  // Fewer gateways have larger parts.
+  fixture.table.ShareConnections({{kService, service}}, 40);
+  cr_assert(fixture.table.HasRoom(*fixture.table.Find({"a"}), kTarget, kNow));
+  service.connections_maximum = 0;
+  fixture.table.ShareConnections({{kService, service}}, 1'000);
+  cr_assert(fixture.table.HasRoom(*fixture.table.Find({"a"}), kTarget, kNow), "no bound is stated");
+}
+
 Test(backend_table, faster_server_gets_more) {
   Fixture fixture({MakeInstance("a", "near"), MakeInstance("b", "near")});
   for (int answer = 0; answer < 20; ++answer) {
--- a/tests/gateway/gateway_node_test.cc
+++ b/tests/gateway/gateway_node_test.cc
@@ -302,6 +302,18 @@
   cr_assert(Only<SendAttempt>(fixture.node.OnUpdate(update, At(46))).instance.value == "k-2");
 }
 
+Test(gateway_node, owner_whose_answers_were_lost_gets_one_request_at_a_time) {
+  Fixture fixture;
+  const auto first = Only<SendAttempt>(fixture.Request("/keyed/x", 0, 7));
+  fixture.End(first, AttemptEnd::kLost, 0, 1);
+  const auto second = Only<SendAttempt>(fixture.node.Tick(At(40)));
+  fixture.End(second, AttemptEnd::kLost, 0, 41);
+  const auto probe = Only<SendAttempt>(fixture.Request("/keyed/x", 600, 7));
+  cr_assert(!Has<SendAttempt>(fixture.Request("/keyed/x", 601, 7)));
+  fixture.End(probe, AttemptEnd::kAnswered, 200, 640);
+  cr_assert(Has<SendAttempt>(fixture.Request("/keyed/x", 641, 7)), "it is back");
+}
+
 Test(gateway_node, owner_that_drains_for_long_gets_nothing_though_its_keys_have_not_moved) {
   Fixture fixture;
   auto update = Fixture::State();
