Leave an owner of keys alone for longer the more it fails

Change: from the second failure in a row on, an owner is left alone for about its latency, twice as long after each further failure, 2 s at most, spread by half; requests wait for a part of their target and are then refused with owner_fails. One lost answer alone changes nothing.

--- a/src/daemon/operator_cli/event_story.cc
+++ b/src/daemon/operator_cli/event_story.cc
@@ -54,6 +54,8 @@
     return "No server had room for it in time; it was offered to none and did not run.";
   if (outcome == "no_owner")
     return "Its key had no owner that this gateway could reach; it did not run.";
+  if (outcome == "owner_fails")
+    return "The owner of its key had failed just before, for other requests; it did not run.";
   if (outcome == "stale_owner")
     return "The owner of its key that this gateway knew had lost the key; it did not run.";
   if (outcome == "no_server") return "No server of its service took work; it did not run.";
--- a/src/gateway/backend_table.cc
+++ b/src/gateway/backend_table.cc
@@ -157,6 +157,7 @@
   backend.failures = 0;
   backend.ejection = {};
   backend.ejected_until = {};
+  backend.paused_until = {};
   if (!was_waiting) {
     ++backend.speed.answers;
     backend.speed.busy_us += static_cast<std::uint64_t>(taken.count());
@@ -186,9 +187,18 @@
   if (load.slots > 0) backend.instance.report.slots = std::llround(load.slots);
 }
 
-void BackendTable::Fail(Backend& backend, Instant now) const {
+/// Full servers reset connections. All gateways that ask one owner must together ask no more than
+/// it can do, without knowing of each other: each leaves it alone for longer the more it fails, and
+/// for a span of its own.
+void BackendTable::Fail(Backend& backend, Instant now) {
   ++backend.failures;
   if (backend.failures < options_.failures_to_eject) return;
+  constexpr int kDoublingsMaximum = 10;
+  const int doublings = std::min(backend.failures - options_.failures_to_eject, kDoublingsMaximum);
+  const double pause = options_.pause_part * backend.latency_us * std::exp2(doublings);
+  std::uniform_real_distribution<double> spread(0.5, 1.5);
+  const double bounded = std::min(pause, Micros(options_.pause_maximum)) * spread(random_);
+  backend.paused_until = now + Duration(std::llround(bounded));
   backend.ejection = backend.ejection == Duration{}
                          ? options_.ejection
                          : std::min(2 * backend.ejection, options_.ejection_maximum);
--- a/src/gateway/backend_table.h
+++ b/src/gateway/backend_table.h
@@ -23,6 +23,10 @@
   Duration ejection{1'000'000};    ///< After failures in a row; doubles up to ejection_maximum.
   Duration ejection_maximum{4'000'000};
   int failures_to_eject = 2;
+  /// An owner of keys that failed so often in a row is left alone for about this part of its
+  /// latency, twice as long after each further failure.
+  double pause_part = 1.0;
+  Duration pause_maximum{2'000'000};
   /// How long the owner of keys that drains still gets their requests, while they find their next.
   Duration drain_allowance{1'000'000};
   double cold_factor = 2.0;      ///< By which a server that warms up is taken for slower.
@@ -44,6 +48,7 @@
   int failures = 0;              ///< In a row.
   Duration ejection{};
   Instant ejected_until{};
+  Instant paused_until{};  ///< As the owner of keys, for which there is no other server.
 };
 
 /// Chooses servers by the shortest wait to expect. Deterministic under its seed; not thread safe;
@@ -95,7 +100,7 @@
  private:
   double ExpectedMicros(const Backend& backend, Duration target, Instant now) const;
   void TakeLoad(Backend& backend, const ReportedLoad& load, Instant now) const;
-  void Fail(Backend& backend, Instant now) const;
+  void Fail(Backend& backend, Instant now);
 
   const BackendOptions options_;
   std::mt19937_64 random_;
--- a/src/gateway/gateway_events.h
+++ b/src/gateway/gateway_events.h
@@ -59,6 +59,7 @@
   kBadKey,           ///< A keyed service needs a key from 0 to 65535.
   kNoServer,         ///< No server takes work.
   kNoOwner,          ///< The key has no owner at present.
+  kOwnerFails,       ///< The owner of the key resets connections or is not reached.
   kStaleOwner,       ///< The owner known here is not it any more; another gateway may know more.
   kOverloaded,       ///< No server would take it in time.
   kDeadline,         ///< The time is over.
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -71,6 +71,8 @@
       return "no_server";
     case RefusalReason::kNoOwner:
       return "no_owner";
+    case RefusalReason::kOwnerFails:
+      return "owner_fails";
     case RefusalReason::kStaleOwner:
       return "stale_owner";
     case RefusalReason::kOverloaded:
@@ -254,10 +256,9 @@
     return Wait(request, RefusalReason::kStaleOwner, request.target_latency / kHoldPartOfTarget,
                 now);
   }
-  // One request at a time finds out whether an owner that failed is back: nobody else may serve its
-  // keys meanwhile.
-  if (now < owner->ejected_until && owner->in_flight > 0) {
-    return Wait(request, RefusalReason::kNoOwner, request.target_latency / kHoldPartOfTarget, now);
+  if (now < owner->paused_until) {
+    return Wait(request, RefusalReason::kOwnerFails, request.target_latency / kHoldPartOfTarget,
+                now);
   }
   if (!backends_.HasRoom(*owner, request.target_latency, now)) {
     return Wait(request, RefusalReason::kOverloaded, request.target_latency / kHoldPartOfTarget,
