Let followers take heartbeats for the leader, in the instance's own zone

Change: a follower that hears its leader acknowledges a heartbeat that would change nothing, and tells the leader in a batch each 0.4 s; the leader names each instance a member of its own zone for its later heartbeats. What changes something is committed by the leader first, as before. The registry's connections follow from the descriptors that the process may have (descriptors_maximum). Tests: heartbeat_relay (three).

--- a/include/graniteseam/consensus/types.h
+++ b/include/graniteseam/consensus/types.h
@@ -146,9 +146,16 @@
 };
 BOOST_DESCRIBE_STRUCT(Announcement, (), (founding))
 
+/// From a follower to its leader: instances whose heartbeats it took for it. Goes the way of the
+/// other messages; consensus itself does not read it.
+struct HeartbeatRelay {
+  std::vector<std::string> instances;
+};
+BOOST_DESCRIBE_STRUCT(HeartbeatRelay, (), (instances))
+
 using PeerPayload =
     std::variant<VoteRequest, VoteResponse, AppendRequest, AppendResponse, InstallSnapshotRequest,
-                 InstallSnapshotResponse, TimeoutNowRequest, Announcement>;
+                 InstallSnapshotResponse, TimeoutNowRequest, Announcement, HeartbeatRelay>;
 
 /// A message between two control processes.
 ///
--- a/src/consensus/raft_consensus.cc
+++ b/src/consensus/raft_consensus.cc
@@ -74,7 +74,8 @@
           OnInstallSnapshotRequest(from, payload, now_);
         } else if constexpr (std::is_same_v<Payload, TimeoutNowRequest>) {
           OnTimeoutNow(payload, now_);
-        } else if constexpr (!std::is_same_v<Payload, Announcement>) {
+        } else if constexpr (!std::is_same_v<Payload, Announcement> &&
+                             !std::is_same_v<Payload, HeartbeatRelay>) {
           // A response of a lost disk or of a stranger counts for nothing, not even its term.
           if (!IsMember(from)) return;
           if constexpr (std::is_same_v<Payload, VoteResponse>) {
--- a/src/control/control_node_impl.cc
+++ b/src/control/control_node_impl.cc
@@ -52,7 +52,7 @@
 }
 
 Instant ControlNode::Impl::NextTick() const {
-  Instant next = consensus_.NextTick();
+  Instant next = std::min(consensus_.NextTick(), relay_due_);
   if (!leadership_ || stopping_) return next;
   Instant due = std::min(leadership_->ownership.NextDue(), journal_expiry_due_);
   due = std::min(due, leadership_->traffic.NextDue());
@@ -64,7 +64,11 @@
 
 ControlEffects ControlNode::Impl::OnPeerMessage(const consensus::PeerMessage& message,
                                                 Instant now) {
-  Absorb(consensus_.Step(message, now), now);
+  if (std::holds_alternative<consensus::HeartbeatRelay>(message.payload)) {
+    TakeRelay(message, now);
+  } else {
+    Absorb(consensus_.Step(message, now), now);
+  }
   return Finish(now);
 }
 
@@ -107,9 +111,11 @@
 ControlEffects ControlNode::Impl::OnOperatorRequest(RequestId request,
                                                     const OperatorRequest& command, Instant now) {
   FollowRole(now);
+  const auto* heartbeat = std::get_if<ReportInstance>(&command);
   if (!Leading(now) || !leadership_) {
-    Reply(request, NotLeaderError());
-  } else if (const auto* heartbeat = std::get_if<ReportInstance>(&command)) {
+    const bool relayed = heartbeat != nullptr && RelayHeartbeat(request, *heartbeat, now);
+    if (!relayed) Reply(request, NotLeaderError());
+  } else if (heartbeat != nullptr) {
     OnHeartbeat(request, *heartbeat, now);
   } else {
     RunStep(request, Plan(command, now), now);
@@ -328,6 +334,7 @@
 
 ControlEffects ControlNode::Impl::Finish(Instant now) {
   Lead(now);
+  FlushRelay(now);
   CompactIfDue(now);
   finished_at_ = now;
   return std::exchange(effects_, {});
--- a/src/control/control_node_impl.h
+++ b/src/control/control_node_impl.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -76,6 +77,12 @@
   // Requests.
   void OnRenewal(ConnectionId connection, const RouterRenewal& renewal, Instant now);
   void OnTrafficPoll(ConnectionId connection, const TrafficPoll& poll, Instant now);
+  /// Takes a heartbeat that changes nothing in place of the leader, which is told in a batch: so
+  /// most heartbeats neither cross zones nor cost the leader a call.
+  /// @return false when only the leader may answer it.
+  bool RelayHeartbeat(RequestId request, const ReportInstance& heartbeat, Instant now);
+  void FlushRelay(Instant now);
+  void TakeRelay(const consensus::PeerMessage& message, Instant now);
   void OnHeartbeat(RequestId request, const ReportInstance& heartbeat, Instant now);
   void OnJournal(ConnectionId connection, const JournalRequest& request, Instant now,
                  std::int64_t wall_ms);
@@ -101,6 +108,8 @@
   OrderNumber orders_used_;         ///< By earlier leaderships of this process.
   Instant journal_expiry_due_{};
   Instant membership_look_due_{};
+  std::set<std::string> relayed_;  ///< Instances heard of for the leader since the last batch.
+  Instant relay_due_ = Instant::max();
   Instant finished_at_{};  ///< Of the latest entry point.
   bool stopping_ = false;
 };
--- a/src/control/control_node_requests.cc
+++ b/src/control/control_node_requests.cc
@@ -9,6 +9,13 @@
 #include "src/control/map_update.h"
 
 namespace graniteseam::control {
+namespace {
+
+/// For how long a follower gathers heartbeats for its leader: short beside the silence after which
+/// an instance gets nothing new.
+constexpr Duration kRelayInterval{400'000};
+
+}  // namespace
 
 void ControlNode::Impl::OnRenewal(ConnectionId connection, const RouterRenewal& renewal,
                                   Instant now) {
@@ -48,6 +55,37 @@
   SendToRouter(connection, leadership_->traffic.sessions().Poll(connection, poll, now));
 }
 
+bool ControlNode::Impl::RelayHeartbeat(RequestId request, const ReportInstance& heartbeat,
+                                       Instant now) {
+  const bool follows = consensus_.role() == consensus::Role::kFollower && consensus_.leader();
+  // What changes something must be committed before it is acknowledged.
+  if (!follows || stopping_ || state_.traffic().instances().WouldChange(heartbeat.report)) {
+    return false;
+  }
+  if (relayed_.empty()) relay_due_ = now + kRelayInterval;
+  relayed_.insert(heartbeat.report.id.value);
+  Reply(request, Accepted{state_.applied()});
+  return true;
+}
+
+void ControlNode::Impl::FlushRelay(Instant now) {
+  if (now < relay_due_) return;
+  relay_due_ = Instant::max();
+  const std::set<std::string> heard = std::exchange(relayed_, {});
+  // Without a leader there is nobody to tell; the instances beat again.
+  const auto leader = consensus_.leader();
+  if (!leader || consensus_.role() == consensus::Role::kLeader) return;
+  consensus::HeartbeatRelay relay{{heard.begin(), heard.end()}};
+  effects_.peer_messages.push_back({consensus_.self(), *leader, std::move(relay)});
+}
+
+void ControlNode::Impl::TakeRelay(const consensus::PeerMessage& message, Instant now) {
+  if (!leadership_ || !message.to.SameVoteAs(consensus_.self())) return;
+  for (const std::string& id : std::get<consensus::HeartbeatRelay>(message.payload).instances) {
+    leadership_->traffic.liveness().Heard({id}, now);
+  }
+}
+
 void ControlNode::Impl::OnHeartbeat(RequestId request, const ReportInstance& heartbeat,
                                     Instant now) {
   leadership_->traffic.liveness().Heard(heartbeat.report.id, now);
--- a/src/daemon/control/control_driver.cc
+++ b/src/daemon/control/control_driver.cc
@@ -14,6 +14,8 @@
 constexpr Duration kLongestWait{100'000};
 constexpr Duration kFullRetryInterval{200'000};
 constexpr Duration kStatisticsInterval{1'000'000};
+/// A peer that answered so lately may be given work.
+constexpr Duration kResponsive{1'000'000};
 
 /// Reads, and what instances tell: that is little and keeps them served.
 bool IsTakenWithLittleSpace(const control::OperatorRequest& command) {
@@ -25,6 +27,16 @@
          std::holds_alternative<control::ReadShards>(command);
 }
 
+/// Members that answered the leader lately.
+std::vector<consensus::Member> ResponsivePeers(const consensus::RaftConsensus& consensus,
+                                               Instant now) {
+  std::vector<consensus::Member> responsive;
+  for (const consensus::PeerStatus& peer : consensus.peers(now)) {
+    if (peer.silence < kResponsive && peer.caught_up) responsive.push_back(peer.member);
+  }
+  return responsive;
+}
+
 }  // namespace
 
 struct ControlDriver::Statistics {
@@ -230,6 +242,7 @@
   status.storage_full = storage_full;
   status.last_step = now;
   status.term = node_.consensus().term();
+  if (status.leading) status.relays = ResponsivePeers(node_.consensus(), now);
   const bool changed = status.leading != status_.leading || status.leader != status_.leader;
   if (changed) outputs_.on_leadership(status);
   const std::lock_guard lock(status_mutex_);
--- a/src/daemon/control/control_driver.h
+++ b/src/daemon/control/control_driver.h
@@ -26,6 +26,8 @@
   std::optional<consensus::Member> leader;
   Term term;
   bool leading = false;
+  /// While it leads: members that answered lately, so that they may take heartbeats for it.
+  std::vector<consensus::Member> relays;
   bool storage_full = false;
   Instant last_step;
 };
--- a/src/daemon/control/control_process.cc
+++ b/src/daemon/control/control_process.cc
@@ -215,6 +215,26 @@
   return found == peer_addresses_.end() ? protocol::ServedAddresses{} : found->second;
 }
 
+/// A member of the instance's own zone where there is one, so that its heartbeats stay there; the
+/// instances of a zone are spread over its members. Followers keep those that came to them.
+std::string ControlProcess::HeartbeatAddress(const traffic::InstanceReport& report) const {
+  const ControlStatus status = driver_->status();
+  const std::string own = ToString(settings_.registry_address);
+  if (!status.leading) return own;
+  std::vector<std::string> in_zone;
+  std::vector<std::string> all{own};
+  if (settings_.zone == report.zone.value) in_zone.push_back(own);
+  const std::lock_guard lock(peers_mutex_);
+  for (const consensus::Member& member : status.relays) {
+    const auto found = peer_addresses_.find(std::to_string(member.id.value));
+    if (found == peer_addresses_.end() || found->second.registry.empty()) continue;
+    all.push_back(found->second.registry);
+    if (member.zone == report.zone) in_zone.push_back(found->second.registry);
+  }
+  const std::vector<std::string>& choices = in_zone.empty() ? all : in_zone;
+  return choices[std::hash<std::string>{}(report.id.value) % choices.size()];
+}
+
 void ControlProcess::CreateRegistry() {
   if (settings_.registry_address.ip.empty()) return;
   RegistryServerHooks hooks;
@@ -223,8 +243,10 @@
   };
   hooks.leader_address = [this] { return LeaderAddresses().registry; };
   hooks.metrics = [this] { return metrics_.Text(); };
-  registry_ = std::make_unique<RegistryServer>(settings_.registry_address, server_loop_, events_,
-                                               std::move(hooks));
+  hooks.heartbeat_address = [this](const auto& report) { return HeartbeatAddress(report); };
+  registry_ =
+      std::make_unique<RegistryServer>(settings_.registry_address, settings_.RegistryConnections(),
+                                       server_loop_, events_, std::move(hooks));
 }
 
 void ControlProcess::Stop() {
--- a/src/daemon/control/control_process.h
+++ b/src/daemon/control/control_process.h
@@ -48,6 +48,7 @@
 
  private:
   Result<void> OpenStorage();
+  std::string HeartbeatAddress(const traffic::InstanceReport& report) const;
   void CreateRegistry();
   Result<void> LoadTls();
   void CreateDriver();
--- a/src/daemon/control/control_settings.cc
+++ b/src/daemon/control/control_settings.cc
@@ -114,6 +114,11 @@
   return advertised_peer_address.ip.empty() ? peer_address : advertised_peer_address;
 }
 
+std::size_t ControlSettings::RegistryConnections() const {
+  constexpr double kRegistryPart = 0.5;
+  return static_cast<std::size_t>(static_cast<double>(descriptors_maximum) * kRegistryPart);
+}
+
 const runtime::SocketAddress& ControlSettings::KnownHttpAddress() const {
   return advertised_http_address.ip.empty() ? http_address : advertised_http_address;
 }
@@ -164,6 +169,12 @@
                     "HTTP port for instances that register themselves, and for the traffic "
                     "configuration.",
                     settings.registry_address);
+  constexpr std::int64_t kDescriptorsMinimum = 64;
+  constexpr std::int64_t kDescriptorsMaximum = 1 << 20;
+  reader.AddInteger("descriptors_maximum",
+                    "Descriptors that this process may have open; half of them are for connections "
+                    "at registry_address.",
+                    settings.descriptors_maximum, kDescriptorsMinimum, kDescriptorsMaximum);
   reader.AddSwitch("self_repair",
                    "Takes in processes that announce themselves, and replaces members that are "
                    "gone or lost their disk.",
--- a/src/daemon/control/control_settings.h
+++ b/src/daemon/control/control_settings.h
@@ -26,6 +26,7 @@
   std::vector<runtime::SocketAddress> seeds;  ///< Internal addresses of some members.
   std::int64_t seed_port = 0;                 ///< In place of the listed ports; 0 leaves them.
   runtime::SocketAddress registry_address;    ///< Empty: instances can't register themselves.
+  std::int64_t descriptors_maximum = 4'096;   ///< That this process may have open.
   bool initialise = false;
   std::int64_t voters = 3;
   std::vector<runtime::SocketAddress> platform;
@@ -43,6 +44,10 @@
   /// Where operators reach it.
   const runtime::SocketAddress& KnownHttpAddress() const;
 
+  /// Of instances and operators at once: what is left belongs to peers, routers, owners of keys and
+  /// files.
+  std::size_t RegistryConnections() const;
+
   std::vector<consensus::Member> first_voters;  ///< Read from `bootstrap`; disks 0.
 };
 
--- a/src/daemon/control/registry_server.cc
+++ b/src/daemon/control/registry_server.cc
@@ -20,7 +20,6 @@
 constexpr int kTemporaryRedirect = 307;
 constexpr int kServiceUnavailable = 503;
 constexpr std::size_t kBodyBytesMaximum = std::size_t{8} << 20;
-constexpr std::size_t kConnectionsMaximum = 1'500;
 constexpr std::uint32_t kHeartbeatsPerAddress = 8;
 constexpr std::size_t kInstancesRemembered = 10'000;
 
@@ -92,22 +91,23 @@
   return response;
 }
 
-event_http::ServerOptions OptionsFor(runtime::SocketAddress address) {
+event_http::ServerOptions OptionsFor(runtime::SocketAddress address,
+                                     std::size_t connections_maximum) {
   event_http::ServerOptions options;
   options.address = std::move(address);
-  options.connections_maximum = kConnectionsMaximum;
+  options.connections_maximum = connections_maximum;
   return options;
 }
 
 }  // namespace
 
-RegistryServer::RegistryServer(runtime::SocketAddress address, runtime::EventLoop& loop,
-                               runtime::EventLog& events, RegistryServerHooks hooks)
+RegistryServer::RegistryServer(runtime::SocketAddress address, std::size_t connections_maximum,
+                               runtime::EventLoop& loop, runtime::EventLog& events,
+                               RegistryServerHooks hooks)
     : loop_(loop),
       events_(events),
       hooks_(std::move(hooks)),
-      address_(ToString(address)),
-      server_(loop.context(), OptionsFor(std::move(address)),
+      server_(loop.context(), OptionsFor(std::move(address), connections_maximum),
               [this](const auto& exchange) { OnExchange(exchange); }) {
   event_http::ServerLimits limits;
   limits.body_bytes = kBodyBytesMaximum;
@@ -138,7 +138,8 @@
   const control::RequestId number = next_request_++;
   auto& command = std::get<control::OperatorRequest>(read);
   const auto* heartbeat = std::get_if<control::ReportInstance>(&command);
-  waiting_[number] = {exchange, what, heartbeat == nullptr ? "" : heartbeat->report.id.value};
+  waiting_[number] = {exchange, what, {}};
+  if (heartbeat != nullptr) waiting_[number].heartbeat = heartbeat->report;
   exchange->OnGone([this, number] { waiting_.erase(number); });
   hooks_.execute(number, std::move(command));
 }
@@ -153,17 +154,17 @@
   const Waiting waiting = std::move(found->second);
   waiting_.erase(found);
   event_http::Response response = ResponseFor(reply.answer, waiting.exchange->request());
-  if (!waiting.heartbeat.empty() && response.status == kOk) {
-    response.body = HeartbeatBody(waiting.heartbeat);
+  if (waiting.heartbeat && response.status == kOk) {
+    response.body = HeartbeatBody(*waiting.heartbeat);
   }
   Log(waiting.what, response.status, reply.answer);
   waiting.exchange->Respond(response);
 }
 
-std::string RegistryServer::HeartbeatBody(const std::string& instance) {
+std::string RegistryServer::HeartbeatBody(const traffic::InstanceReport& report) {
   if (heartbeats_.size() >= kInstancesRemembered) heartbeats_.clear();
-  const bool tell = heartbeats_[instance]++ % kHeartbeatsPerAddress == 0;
-  return tell ? "{\"next_address\":\"" + address_ + "\"}" : "{}";
+  const bool tell = heartbeats_[report.id.value]++ % kHeartbeatsPerAddress == 0;
+  return tell ? "{\"next_address\":\"" + hooks_.heartbeat_address(report) + "\"}" : "{}";
 }
 
 event_http::Response RegistryServer::ResponseFor(const control::OperatorAnswer& answer,
--- a/src/daemon/control/registry_server.h
+++ b/src/daemon/control/registry_server.h
@@ -22,6 +22,8 @@
   /// Where the leader's registry is reached; empty when unknown or this process leads.
   std::function<std::string()> leader_address;
   std::function<std::string()> metrics;
+  /// Where an instance of this zone should send its later heartbeats.
+  std::function<std::string(const traffic::InstanceReport& report)> heartbeat_address;
 };
 
 /// Lifecycle: Start() once; stop the event loop before destruction. Answer() is thread safe.
@@ -30,8 +32,8 @@
   /// Requests with this bit in their number are this server's.
   static constexpr control::RequestId kRequestBit = control::RequestId{1} << 62U;
 
-  RegistryServer(runtime::SocketAddress address, runtime::EventLoop& loop,
-                 runtime::EventLog& events, RegistryServerHooks hooks);
+  RegistryServer(runtime::SocketAddress address, std::size_t connections_maximum,
+                 runtime::EventLoop& loop, runtime::EventLog& events, RegistryServerHooks hooks);
 
   Result<void> Start() { return server_.Start(); }
   void BeginDrain();
@@ -40,8 +42,8 @@
  private:
   struct Waiting {
     std::shared_ptr<event_http::Exchange> exchange;
-    std::string what;       ///< For the log.
-    std::string heartbeat;  ///< Whose it is, when it is one.
+    std::string what;                                  ///< For the log.
+    std::optional<traffic::InstanceReport> heartbeat;  ///< When it is one.
   };
 
   void OnExchange(const std::shared_ptr<event_http::Exchange>& exchange);
@@ -50,13 +52,12 @@
                                    const event_http::Request& request) const;
   /// Names this process to an instance for its later heartbeats, now and then: each that goes to
   /// another process costs a redirect.
-  std::string HeartbeatBody(const std::string& instance);
+  std::string HeartbeatBody(const traffic::InstanceReport& report);
   void Log(const std::string& what, int status, const control::OperatorAnswer& answer);
 
   runtime::EventLoop& loop_;
   runtime::EventLog& events_;
   const RegistryServerHooks hooks_;
-  const std::string address_;
   event_http::Server server_;
   std::map<std::string, std::uint32_t> heartbeats_;  ///< Taken here, by instance.
   control::RequestId next_request_ = kRequestBit;
--- a/testbed/soak/soaked_fleet.cc
+++ b/testbed/soak/soaked_fleet.cc
@@ -109,6 +109,7 @@
         {"portRange", {m_ports[PeerPort].address().port, m_ports[HttpPort].address().port}},
         {"seeds", seeds},
         {"bootstrap", first},
+        {"limits", {{"maxFds", 1'024}}},
         {"dataDir", data_folder(machine - 1)},
         {"bounds", {{"retryBudgetRatio", 0.2}, {"budgetExtra", 50}, {"budgetWindow", 10}, {"grace", 6}}},
     };
--- a/tests/control/control_harness.cc
+++ b/tests/control/control_harness.cc
@@ -384,6 +384,16 @@
   return answers_.at(id);
 }
 
+control::OperatorAnswer ControlHarness::AskAt(std::size_t index,
+                                              const control::OperatorRequest& request) {
+  Submit(index, request);
+  const control::RequestId id = last_request_;
+  if (!RunUntil([&] { return answers_.contains(id); }, Duration(10'000'000))) {
+    throw std::runtime_error("no answer");
+  }
+  return answers_.at(id);
+}
+
 void ControlHarness::StopLeaderAsPlanned() {
   Call(*Leader(), [=, this](auto& node) { return node.PrepareStop(now_); });
 }
--- a/tests/control/control_harness.h
+++ b/tests/control/control_harness.h
@@ -115,6 +115,8 @@
   void Submit(std::size_t index, const control::OperatorRequest& request);
   /// Sends a request to the leader and runs until it is answered.
   control::OperatorAnswer Ask(const control::OperatorRequest& request);
+  /// Sends a request to one control process and runs until it is answered.
+  control::OperatorAnswer AskAt(std::size_t index, const control::OperatorRequest& request);
   /// Sends a message to one control process as a router; answers are in router_inbox().
   void SendAsRouter(std::size_t index, std::uint64_t connection,
                     const control::RouterToControl& message);
--- /dev/null
+++ b/tests/control/heartbeat_relay_test.cc
@@ -0,0 +1,97 @@
+/// @file
+/// Followers that take heartbeats for their leader.
+
+#include <criterion/criterion.h>
+
+#include "tests/control/control_harness.h"
+
+using namespace graniteseam;
+using namespace graniteseam::control;
+using graniteseam::test::ControlHarness;
+
+namespace {
+
+constexpr Duration kSecond{1'000'000};
+const ServiceName kRanged{"archive"};
+
+auto report_of(ControlHarness& harness, std::string_view name, bool draining) -> ReportInstance {
+  traffic::InstanceReport report;
+  report.id = {std::string(name)};
+  report.service = kRanged;
+  report.address = "10.0.0." + std::string(name.substr(2)) + ":80";
+  report.sequence = ToMicros(harness.now());
+  report.draining = draining;
+  return {report};
+}
+
+auto is_accepted(OperatorAnswer const& answer) -> bool {
+  return std::holds_alternative<Accepted>(answer);
+}
+
+/// A group with one ranged service whose keys two instances own. Orders are carried out at once.
+struct Fixture {
+  ControlHarness harness;
+  std::vector<RangeOrder> grants;
+
+  Fixture() {
+    harness.on_range_order = [this](std::size_t process, RangeOrder const& order) {
+      if (order.kind == RangeOrder::Kind::kGrant) grants.push_back(order);
+      harness.GiveRangeResult(process, {order.number, RangeOrderResult::Outcome::kDone, ""});
+    };
+    cr_assert(harness.RunUntil([&] { return harness.Leader().has_value(); }, 5 * kSecond));
+    ChangeConfiguration change;
+    change.change.version = {1};
+    change.change.whole = true;
+    traffic::Service service;
+    service.name = kRanged;
+    service.keyed = true;
+    change.change.services = {service};
+    cr_assert(is_accepted(harness.Ask(change)));
+    for (auto const* name : {"i-1", "i-2"}) {
+      cr_assert(is_accepted(harness.Ask(report_of(harness, name, false))));
+    }
+    harness.RunFor(3 * kSecond);
+  }
+
+  auto follower() -> std::size_t { return *harness.Leader() == 0 ? 1 : 0; }
+};
+
+}  // namespace
+
+Test(heartbeat_relay, leader_hears_of_instances_that_beat_at_a_follower_only) {
+  Fixture fixture;
+  // Longer than the silence after which an instance would get nothing new.
+  for (int beat = 0; beat < 10; ++beat) {
+    for (auto const* name : {"i-1", "i-2"}) {
+      auto const answer =
+          fixture.harness.AskAt(fixture.follower(), report_of(fixture.harness, name, false));
+      cr_assert(is_accepted(answer));
+    }
+    fixture.harness.RunFor(kSecond);
+  }
+  fixture.grants.clear();
+  cr_assert(is_accepted(fixture.harness.Ask(report_of(fixture.harness, "i-2", true))));
+  fixture.harness.RunFor(2 * kSecond);
+  std::set<std::uint32_t> firsts;
+  for (auto const& grant : fixture.grants) {
+    if (grant.instance.value == "i-1") firsts.insert(grant.span.first);
+  }
+  cr_assert(firsts.size() >= 2, "i-1 got nothing of what i-2 had");
+}
+
+Test(heartbeat_relay, what_changes_something_is_left_to_the_leader) {
+  Fixture fixture;
+  auto const drains = report_of(fixture.harness, "i-1", true);
+  cr_assert(!is_accepted(fixture.harness.AskAt(fixture.follower(), drains)));
+  auto const unknown = report_of(fixture.harness, "i-9", false);
+  cr_assert(!is_accepted(fixture.harness.AskAt(fixture.follower(), unknown)));
+}
+
+Test(heartbeat_relay, follower_that_hears_of_no_leader_takes_nothing) {
+  Fixture fixture;
+  auto const cut = fixture.follower();
+  fixture.harness.CutOff(cut, false);
+  fixture.harness.RunFor(2 * kSecond);
+  auto const beat = report_of(fixture.harness, "i-1", false);
+  cr_assert(!is_accepted(fixture.harness.AskAt(cut, beat)));
+}
--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -181,6 +181,7 @@
             {"portRange", {ports_.numbers[2], ports_.numbers[3]}},
             {"seeds", seeds},
             {"bootstrap", first},
+            {"limits", {{"maxFds", 1024}}},
             {"bounds",
              {{"retryBudgetRatio", 0.2}, {"budgetExtra", 50}, {"budgetWindow", 10}, {"grace", 6}}}};
   }
