--- a/src/daemon/control/control_process.cc
+++ b/src/daemon/control/control_process.cc
@@ -219,7 +219,7 @@
 /// instances of a zone are spread over its members. Followers keep those that came to them.
 std::string ControlProcess::HeartbeatAddress(const traffic::InstanceReport& report) const {
   const ControlStatus status = driver_->status();
-  const std::string own = ToString(settings_.registry_address);
+  std::string own = ToString(settings_.registry_address);
   if (!status.leading) return own;
   std::vector<std::string> in_zone;
   std::vector<std::string> all{own};
--- a/src/daemon/operator_cli/event_story.cc
+++ b/src/daemon/operator_cli/event_story.cc
@@ -37,7 +37,9 @@
     if (is_told_elsewhere(name)) continue;
     auto const text = value.is_string() ? value.get<std::string>() : value.dump();
     if (text.empty()) continue;
-    details += (details.empty() ? "" : ", ") + (name == "inputs" ? text : name + " " + text);
+    if (!details.empty()) details += ", ";
+    if (name != "inputs") details.append(name).append(" ");
+    details += text;
   }
   return details;
 }
--- a/testbed/soak/load.h
+++ b/testbed/soak/load.h
@@ -21,7 +21,7 @@
 
 /// Sends attempts until it is told to stop: keyed ones, ones that may be repeated, ones that may not.
 /// No attempt is sent twice. @return every one, in order.
-auto run_caller(Endpoints const&, std::uint64_t seed, std::string const& name, std::stop_token)
+auto run_caller(Endpoints const&, std::uint64_t seed, std::string const& name, std::stop_token const&)
     -> std::vector<SeenAnswer>;
 
 struct SeenByOperator {
@@ -31,6 +31,6 @@
 
 /// Changes and reads the configuration until it is told to stop; resends what got no clear answer, and
 /// at times sends a rival on a version that was built on already. The last thing it does is a read.
-auto run_operator(Endpoints const&, std::uint64_t seed, std::stop_token) -> SeenByOperator;
+auto run_operator(Endpoints const&, std::uint64_t seed, std::stop_token const&) -> SeenByOperator;
 
 } // namespace graniteseam::testbed::soak
