--- a/src/protocol/hello.h
+++ b/src/protocol/hello.h
@@ -14,7 +14,7 @@
 namespace graniteseam::protocol {
 
 /// The newest version of the internal protocol that this build speaks, and the oldest.
-inline constexpr std::int32_t kProtocolVersion = 2;
+inline constexpr std::int32_t kProtocolVersion = 3;
 inline constexpr std::int32_t kOldestProtocolVersion = 2;
 
 enum class ProcessKind { kControl, kRouter };
