--- a/testbed/soak/load.cc
+++ b/testbed/soak/load.cc
@@ -104,8 +104,8 @@
 
 } // namespace
 
-auto run_caller(Endpoints const& endpoints, std::uint64_t seed, std::string const& name, std::stop_token const& stop)
-    -> std::vector<SeenAnswer>
+auto run_caller(Endpoints const& endpoints, std::uint64_t seed, std::string const& name,
+    std::stop_token const& stop) -> std::vector<SeenAnswer>
 {
     auto const& names = endpoints.names;
     std::mt19937_64 random(seed);
@@ -140,7 +140,8 @@
     return answers;
 }
 
-auto run_operator(Endpoints const& endpoints, std::uint64_t seed, std::stop_token const& stop) -> SeenByOperator
+auto run_operator(Endpoints const& endpoints, std::uint64_t seed, std::stop_token const& stop)
+    -> SeenByOperator
 {
     Operator it {endpoints, std::mt19937_64(seed), {}, {}};
     std::uint64_t current = 0;
--- a/tests/control/heartbeat_relay_test.cc
+++ b/tests/control/heartbeat_relay_test.cc
@@ -3,30 +3,18 @@
 
 #include <criterion/criterion.h>
 
-#include "tests/control/control_harness.h"
+#include "tests/control/ranged_group.h"
 
 using namespace graniteseam;
 using namespace graniteseam::control;
 using graniteseam::test::ControlHarness;
+using graniteseam::test::is_accepted;
+using graniteseam::test::report_of;
+using graniteseam::test::start_ranges;
 
 namespace {
 
 constexpr Duration kSecond{1'000'000};
-const ServiceName kRanged{"archive"};
-
-auto report_of(ControlHarness& harness, std::string_view name, bool draining) -> ReportInstance {
-  traffic::InstanceReport report;
-  report.id = {std::string(name)};
-  report.service = kRanged;
-  report.address = "10.0.0." + std::string(name.substr(2)) + ":80";
-  report.sequence = ToMicros(harness.now());
-  report.draining = draining;
-  return {report};
-}
-
-auto is_accepted(OperatorAnswer const& answer) -> bool {
-  return std::holds_alternative<Accepted>(answer);
-}
 
 /// A group with one ranged service whose keys two instances own. Orders are carried out at once.
 struct Fixture {
@@ -38,19 +26,7 @@
       if (order.kind == RangeOrder::Kind::kGrant) grants.push_back(order);
       harness.GiveRangeResult(process, {order.number, RangeOrderResult::Outcome::kDone, ""});
     };
-    cr_assert(harness.RunUntil([&] { return harness.Leader().has_value(); }, 5 * kSecond));
-    ChangeConfiguration change;
-    change.change.version = {1};
-    change.change.whole = true;
-    traffic::Service service;
-    service.name = kRanged;
-    service.keyed = true;
-    change.change.services = {service};
-    cr_assert(is_accepted(harness.Ask(change)));
-    for (auto const* name : {"i-1", "i-2"}) {
-      cr_assert(is_accepted(harness.Ask(report_of(harness, name, false))));
-    }
-    harness.RunFor(3 * kSecond);
+    start_ranges(harness);
   }
 
   auto follower() -> std::size_t { return *harness.Leader() == 0 ? 1 : 0; }
--- a/tests/control/range_order_test.cc
+++ b/tests/control/range_order_test.cc
@@ -4,49 +4,24 @@
 
 #include <criterion/criterion.h>
 
-#include "tests/control/control_harness.h"
+#include "tests/control/ranged_group.h"
 
 using namespace graniteseam;
 using namespace graniteseam::control;
 using graniteseam::test::ControlHarness;
+using graniteseam::test::report_instances;
+using graniteseam::test::report_of;
+using graniteseam::test::start_ranges;
 
 namespace {
 
 constexpr Duration kSecond{1'000'000};
-const ServiceName kRanged{"archive"};
 
 struct GivenOrder {
   std::size_t process = 0;
   RangeOrder order;
 };
 
-void ReportInstances(ControlHarness& harness) {
-  for (const char* name : {"i-1", "i-2"}) {
-    traffic::InstanceReport report;
-    report.id = {name};
-    report.service = kRanged;
-    report.address = std::string("10.0.0.") + name[2] + ":80";
-    report.sequence = ToMicros(harness.now());
-    static_cast<void>(harness.Ask(ReportInstance{report}));
-  }
-}
-
-/// A group with one ranged service and two instances that own all its keys.
-void StartRanges(ControlHarness& harness) {
-  cr_assert(harness.RunUntil([&] { return harness.Leader().has_value(); }, 5 * kSecond));
-  ChangeConfiguration change;
-  change.change.version = {1};
-  change.change.whole = true;
-  traffic::Service service;
-  service.name = kRanged;
-  service.keyed = true;
-  change.change.services = {service};
-  const auto answer = harness.Ask(change);
-  cr_assert(std::get_if<Error>(&answer) == nullptr);
-  ReportInstances(harness);
-  harness.RunFor(3 * kSecond);
-}
-
 }  // namespace
 
 Test(range_order, result_that_comes_without_the_leader_lease_is_not_lost) {
@@ -60,7 +35,7 @@
       harness.GiveRangeResult(process, {order.number, RangeOrderResult::Outcome::kDone, ""});
     }
   };
-  StartRanges(harness);
+  start_ranges(harness);
   const std::size_t leader = *harness.Leader();
   hold = true;
   cr_assert(harness.RunUntil([&] { return held.size() >= 2; }, 3 * kSecond));
@@ -89,7 +64,7 @@
     ++uses[{process, order.number.value}];
     harness.GiveRangeResult(process, {order.number, RangeOrderResult::Outcome::kDone, ""});
   };
-  StartRanges(harness);
+  start_ranges(harness);
   for (int round = 0; round < 6; ++round) {
     const std::size_t leader = *harness.Leader();
     ++leaderships[leader];
@@ -97,7 +72,7 @@
     const auto replaced = [&] { return harness.Leader() && *harness.Leader() != leader; };
     cr_assert(harness.RunUntil(replaced, 5 * kSecond));
     harness.Reconnect(leader);
-    ReportInstances(harness);
+    report_instances(harness);
     harness.RunFor(2 * kSecond);
   }
   int most = 0;
@@ -113,19 +88,13 @@
   harness.on_range_order = [&](std::size_t process, const RangeOrder& order) {
     harness.GiveRangeResult(process, {order.number, RangeOrderResult::Outcome::kDone, ""});
   };
-  StartRanges(harness);
+  start_ranges(harness);
   const std::size_t leader = *harness.Leader();
   for (std::size_t other = 0; other < 3; ++other) {
     if (other != leader) harness.PauseControl(other);
   }
   // Its keys must go: the release is proposed and can't be committed.
-  traffic::InstanceReport leaving;
-  leaving.id = {"i-1"};
-  leaving.service = kRanged;
-  leaving.address = "10.0.0.1:80";
-  leaving.sequence = ToMicros(harness.now()) + 1;
-  leaving.draining = true;
-  harness.Submit(leader, ReportInstance{leaving});
+  harness.Submit(leader, report_of(harness, "i-1", true));
   harness.RunFor(Duration{50'000});
   ControlNode& node = harness.node(leader);
   cr_assert(node.Leading(harness.now()));
