Look connection shares up by service, and keep what outcomes mean in a table

Each update of the traffic state copied the share into every server's entry, one search by id each; it follows from the service alone. The meanings of outcomes were a chain of eleven conditions. A comment of the registry still told what it did before followers took heartbeats. Behaviour is the same; the tests are unchanged.

--- a/src/daemon/control/registry_server.h
+++ b/src/daemon/control/registry_server.h
@@ -50,8 +50,7 @@
   void OnAnswer(const control::OperatorReply& reply);
   event_http::Response ResponseFor(const control::OperatorAnswer& answer,
                                    const event_http::Request& request) const;
-  /// Names this process to an instance for its later heartbeats, now and then: each that goes to
-  /// another process costs a redirect.
+  /// Tells an instance, now and then, where its later heartbeats should go.
   std::string HeartbeatBody(const traffic::InstanceReport& report);
   void Log(const std::string& what, int status, const control::OperatorAnswer& answer);
 
--- a/src/daemon/operator_cli/event_story.cc
+++ b/src/daemon/operator_cli/event_story.cc
@@ -51,31 +51,37 @@
   return event.event != "grant" || event.outcome != "done";
 }
 
+/// What a gateway's outcome means for the caller, by the name that the log gives it.
+struct OutcomeMeaning {
+  std::string_view outcome;
+  std::string_view meaning;
+};
+
+constexpr OutcomeMeaning kMeanings[] = {
+    {"overloaded", "No server had room for it in time; it was offered to none and did not run."},
+    {"no_owner", "Its key had no owner that this gateway could reach; it did not run."},
+    {"owner_fails",
+     "The owner of its key had failed just before, for other requests; it did not run."},
+    {"stale_owner",
+     "The owner of its key that this gateway knew had lost the key; it did not run."},
+    {"no_server", "No server of its service took work; it did not run."},
+    {"no_configuration", "This gateway had no configuration yet; it did not run."},
+    {"no_route", "The configuration in force here has no route for it."},
+    {"bad_key", "It carried no key from 0 to 65535, and its service is keyed."},
+    {"retry_budget", "A server did not run it, and the retry budget was used up; it did not run."},
+    {"attempts_used", "Servers did not run it, and no further one might be tried; it did not run."},
+    {"deadline", "Its time was over before a server could be found; it did not run."},
+};
+
 auto cause_of_refusal(std::string_view outcome, LoggedEvent const& last) -> std::string {
-  if (outcome == "overloaded")
-    return "No server had room for it in time; it was offered to none and did not run.";
-  if (outcome == "no_owner")
-    return "Its key had no owner that this gateway could reach; it did not run.";
-  if (outcome == "owner_fails")
-    return "The owner of its key had failed just before, for other requests; it did not run.";
-  if (outcome == "stale_owner")
-    return "The owner of its key that this gateway knew had lost the key; it did not run.";
-  if (outcome == "no_server") return "No server of its service took work; it did not run.";
-  if (outcome == "no_configuration")
-    return "This gateway had no configuration yet; it did not run.";
-  if (outcome == "no_route") return "The configuration in force here has no route for it.";
-  if (outcome == "bad_key") return "It carried no key from 0 to 65535, and its service is keyed.";
-  if (outcome == "retry_budget")
-    return "A server did not run it, and the retry budget was used up; it did not run.";
-  if (outcome == "attempts_used")
-    return "Servers did not run it, and no further one might be tried; it did not run.";
-  if (outcome == "deadline")
-    return "Its time was over before a server could be found; it did not run.";
   if (outcome == "outcome_unknown") {
     auto const server = last.instance.empty() ? std::string("a server") : last.instance;
     return "It was sent to " + server + " and no whole answer came (" + last.details +
            "); it may have run.";
   }
+  auto const* const it = std::find_if(std::begin(kMeanings), std::end(kMeanings),
+                                      [&](auto const& one) { return one.outcome == outcome; });
+  if (it != std::end(kMeanings)) return std::string(it->meaning);
   return "Its outcome \"" + std::string(outcome) + "\" has no explanation here.";
 }
 
--- a/src/gateway/backend_table.cc
+++ b/src/gateway/backend_table.cc
@@ -56,14 +56,17 @@
 
 void BackendTable::ShareConnections(const std::map<ServiceName, traffic::Service>& services,
                                     std::uint32_t gateways) {
+  connection_shares_.clear();
   for (const auto& [name, service] : services) {
-    const std::uint32_t share = connection_share({service.connections_maximum, gateways});
-    const auto ids = services_.find(name);
-    if (ids == services_.end()) continue;
-    for (const traffic::InstanceId& id : ids->second) backends_.at(id).connection_share = share;
+    connection_shares_[name] = connection_share({service.connections_maximum, gateways});
   }
 }
 
+std::uint32_t BackendTable::ConnectionShare(const ServiceName& service) const {
+  const auto found = connection_shares_.find(service);
+  return found == connection_shares_.end() ? connection_share({}) : found->second;
+}
+
 const Backend* BackendTable::Find(const traffic::InstanceId& id) const {
   const auto found = backends_.find(id);
   return found == backends_.end() ? nullptr : &found->second;
@@ -82,7 +85,7 @@
 }
 
 bool BackendTable::HasRoom(const Backend& backend, Duration target, Instant now) const {
-  if (backend.in_flight >= backend.connection_share) return false;
+  if (backend.in_flight >= ConnectionShare(backend.instance.report.service)) return false;
   const double load = LoadOf(backend, now);
   const double slots = SlotsOf(backend);
   if (load < slots) return true;
@@ -106,6 +109,7 @@
   std::uniform_real_distribution<double> jitter(1.0, 1.0 + kJitter);
   const Backend* best = nullptr;
   const Backend* best_ejected = nullptr;
+  const std::uint32_t share = ConnectionShare(service);
   const Backend* full = nullptr;  // Where this gateway has all the connections that it may have.
   double least = 0;
   for (const traffic::InstanceId& id : ids->second) {
@@ -118,7 +122,7 @@
       if (sooner) best_ejected = &backend;
       continue;
     }
-    if (backend.in_flight >= backend.connection_share) {
+    if (backend.in_flight >= share) {
       if (full == nullptr) full = &backend;
       continue;
     }
--- a/src/gateway/backend_table.h
+++ b/src/gateway/backend_table.h
@@ -37,10 +37,9 @@
 struct Backend {
   traffic::Instance instance;
   Instant warm_at{};
-  Instant drained_since{};                      ///< At the earliest; while it takes no new work.
-  std::uint32_t in_flight = 0;                  ///< Of this gateway.
-  std::uint32_t connection_share = UINT32_MAX;  ///< Requests of this gateway at most.
-  double others = 0;                            ///< Of other gateways, as last reported.
+  Instant drained_since{};      ///< At the earliest; while it takes no new work.
+  std::uint32_t in_flight = 0;  ///< Of this gateway.
+  double others = 0;            ///< Of other gateways, as last reported.
   Instant others_at{};
   double latency_us = 0;  ///< Mean time of one request that did not wait.
   bool latency_known = false;
@@ -101,12 +100,15 @@
   double ExpectedMicros(const Backend& backend, Duration target, Instant now) const;
   void TakeLoad(Backend& backend, const ReportedLoad& load, Instant now) const;
   void Fail(Backend& backend, Instant now);
+  /// Requests that this gateway may have at one server of a service at once.
+  std::uint32_t ConnectionShare(const ServiceName& service) const;
 
   const BackendOptions options_;
   std::mt19937_64 random_;
   std::map<traffic::InstanceId, Backend> backends_;
   Instant confirmed_at_{};
   std::map<ServiceName, std::vector<traffic::InstanceId>> services_;
+  std::map<ServiceName, std::uint32_t> connection_shares_;
 };
 
 }  // namespace graniteseam::gateway
