Keep the platform's settings fields in platform/ alone

The soak and the end-to-end test each wrote the fields that the platform fills templates from, the soak outside of platform/. Both now describe a machine in the testbed's words (FleetMachine), and platform/machine_fields.h alone knows the platform's names for it. The soak's addresses are put together in one place; includes that nothing used are gone. Assertions are unchanged.

--- a/testbed/soak/load.h
+++ b/testbed/soak/load.h
@@ -2,7 +2,6 @@
 /// Callers and an operator of a soaked fleet, each on a thread of its own, and what they saw.
 #pragma once
 
-#include <atomic>
 #include <cstdint>
 #include <stop_token>
 #include <string>
--- a/testbed/soak/soaked_fleet.cc
+++ b/testbed/soak/soaked_fleet.cc
@@ -5,7 +5,6 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
-#include <nlohmann/json.hpp>
 
 #include "testbed/registered/template.h"
 #include "testbed/support/text_file.h"
@@ -14,18 +13,6 @@
 
 namespace {
 
-    using nlohmann::json;
-
-    /// Ports, the same on all machines.
-    enum Port : std::size_t {
-        RegistryPort,
-        CallerPort,
-        PeerPort,
-        HttpPort,
-        StatusPort,
-        PortCount,
-    };
-
     /// That a worker which said that it leaves may still get work.
     constexpr Duration drain_allowance {2'000'000};
     constexpr Duration stop_limit {8'000'000};
@@ -80,14 +67,18 @@
 {
     std::vector<std::string> addresses;
     for (std::uint32_t i = 0; i < m_options.controls; ++i)
-        addresses.push_back(
-            ip_of(control_machine(i)) + ":" + std::to_string(m_ports[RegistryPort].address().port));
+        addresses.push_back(at_port(ip_of(control_machine(i)), RegistryPort));
     return addresses;
 }
 
 auto SoakedFleet::caller_address(std::uint32_t router) const -> std::string
 {
-    return ip_of(router_machine(router)) + ":" + std::to_string(m_ports[CallerPort].address().port);
+    return at_port(ip_of(router_machine(router)), CallerPort);
+}
+
+auto SoakedFleet::at_port(std::string const& ip, Port port) const -> std::string
+{
+    return ip + ":" + std::to_string(m_ports[port].address().port);
 }
 
 auto SoakedFleet::data_folder(std::uint32_t control) const -> std::string
@@ -97,25 +88,19 @@
 
 auto SoakedFleet::settings_of(Machine machine, std::string const& program, bool first) const -> std::string
 {
-    json seeds = json::array();
+    FleetMachine fields;
+    fields.number = machine;
+    fields.ip = ip_of(machine);
+    fields.first_start = first;
     // Others are told the relay's addresses, so that every link between processes can be cut.
     for (std::uint32_t i = 0; i < m_options.controls; ++i)
-        seeds.push_back(LinkLayer::RelayIp(ip_of(control_machine(i))) + ":"
-            + std::to_string(m_ports[RegistryPort].address().port));
-    json fields = {
-        {"nodeName", "node-" + std::to_string(machine)},
-        {"ip", ip_of(machine)},
-        {"zone", "z" + std::to_string(machine % 3)},
-        {"portRange", {m_ports[PeerPort].address().port, m_ports[HttpPort].address().port}},
-        {"seeds", seeds},
-        {"bootstrap", first},
-        {"limits", {{"maxFds", 1'024}}},
-        {"dataDir", data_folder(machine - 1)},
-        {"bounds", {{"retryBudgetRatio", 0.2}, {"budgetExtra", 50}, {"budgetWindow", 10}, {"grace", 6}}},
-    };
-    fields["listen"]["control"] = ip_of(machine) + ":" + std::to_string(m_ports[RegistryPort].address().port);
-    fields["listen"]["front"] = ip_of(machine) + ":" + std::to_string(m_ports[CallerPort].address().port);
-    fields["listen"]["ready"] = ip_of(machine) + ":" + std::to_string(m_ports[StatusPort].address().port);
+        fields.seeds.push_back(at_port(LinkLayer::RelayIp(ip_of(control_machine(i))), RegistryPort));
+    fields.first_port = m_ports[PeerPort].address().port;
+    fields.last_port = m_ports[HttpPort].address().port;
+    fields.control_address = at_port(fields.ip, RegistryPort);
+    fields.front_address = at_port(fields.ip, CallerPort);
+    fields.ready_address = at_port(fields.ip, StatusPort);
+    fields.data_folder = data_folder(machine - 1);
     auto const source
         = Attempt([&] { return ReadTextFile(m_options.templates + "/" + program + ".toml.template"); });
     if (ErrorOf(source) != nullptr) {
@@ -123,11 +108,9 @@
             stderr, "soak: no template for %s below %s.\n", program.c_str(), m_options.templates.c_str());
         std::exit(EXIT_FAILURE);
     }
-    auto text = FillTemplate(std::get<std::string>(source), fields.dump());
-    if (program == "control") {
-        auto const port = std::to_string(m_ports[PeerPort].address().port);
-        text += "advertised_peer_address = \"" + LinkLayer::RelayIp(ip_of(machine)) + ":" + port + "\"\n";
-    }
+    auto text = FillTemplate(std::get<std::string>(source), m_names.fields_of(fields));
+    if (program == "control")
+        text += "advertised_peer_address = \"" + at_port(LinkLayer::RelayIp(fields.ip), PeerPort) + "\"\n";
     return text;
 }
 
--- a/testbed/soak/soaked_fleet.h
+++ b/testbed/soak/soaked_fleet.h
@@ -3,7 +3,7 @@
 /// them from outside: signals, a relay on their links, and their data folders.
 #pragma once
 
-#include <atomic>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -15,6 +15,7 @@
 #include "testbed/fleet/link_layer.h"
 #include "testbed/fleet/reserved_port.h"
 #include "testbed/fleet/socket_owners.h"
+#include "testbed/registered/fleet_machine.h"
 #include "testbed/registered/worker.h"
 #include "testbed/soak/fault_plan.h"
 #include "testbed/soak/promises.h"
@@ -26,6 +27,7 @@
     daemon::ExchangeNames exchange;
     daemon::OwnerCallNames owner_calls;
     std::string settings_variable; ///< Holds the path of a program's settings.
+    std::function<std::string(FleetMachine const&)> fields_of; ///< For its settings template, as JSON.
 };
 
 struct FleetOptions {
@@ -60,6 +62,15 @@
 
 private:
     using Machine = std::uint32_t; ///< Controls from 1, routers after them.
+    /// Ports, the same on all machines.
+    enum Port : std::size_t {
+        RegistryPort,
+        CallerPort,
+        PeerPort,
+        HttpPort,
+        StatusPort,
+        PortCount,
+    };
 
     auto control_machine(std::uint32_t index) const -> Machine { return 1 + index; }
     auto router_machine(std::uint32_t index) const -> Machine { return 1 + m_options.controls + index; }
@@ -67,6 +78,7 @@
     auto start_router(std::uint32_t index) -> void;
     auto start(Machine, std::string const& program, std::string const& settings) -> void;
     auto settings_of(Machine, std::string const& program, bool first) const -> std::string;
+    auto at_port(std::string const& ip, Port) const -> std::string;
     auto data_folder(std::uint32_t control) const -> std::string;
     auto tear_newest_file(std::uint32_t control) const -> void;
     auto add_worker(std::uint32_t index) -> void;
--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -8,6 +8,7 @@
 #include <nlohmann/json.hpp>
 #include <set>
 
+#include "platform/machine_fields.h"
 #include "platform/names.h"
 #include "src/runtime/clock.h"
 #include "testbed/fleet/await.h"
@@ -75,9 +76,9 @@
   }
 
   void StartControl(int control, bool first) {
-    json fields = Fields(control, first);
-    fields["listen"]["control"] = Ip(control) + ":" + std::to_string(ports_.numbers[0]);
-    fields["dataDir"] = folder_ + "/data-" + std::to_string(control);
+    FleetMachine fields = Fields(control, first);
+    fields.control_address = Ip(control) + ":" + std::to_string(ports_.numbers[0]);
+    fields.data_folder = folder_ + "/data-" + std::to_string(control);
     Start(control, "control", fields);
   }
   void Kill(int machine) { processes_.erase(machine); }
@@ -172,27 +173,24 @@
   void NoteUnsafe() { unsafe_.insert(last_id_); }
 
  private:
-  json Fields(int machine, bool first) const {
-    json seeds = json::array();
-    for (const std::string& address : Registries()) seeds.push_back(address);
-    return {{"nodeName", "node-" + std::to_string(machine)},
-            {"ip", Ip(machine)},
-            {"zone", "z" + std::to_string(machine % 3)},
-            {"portRange", {ports_.numbers[2], ports_.numbers[3]}},
-            {"seeds", seeds},
-            {"bootstrap", first},
-            {"limits", {{"maxFds", 1024}}},
-            {"bounds",
-             {{"retryBudgetRatio", 0.2}, {"budgetExtra", 50}, {"budgetWindow", 10}, {"grace", 6}}}};
+  FleetMachine Fields(int machine, bool first) const {
+    FleetMachine fields;
+    fields.number = static_cast<std::uint32_t>(machine);
+    fields.ip = Ip(machine);
+    fields.first_start = first;
+    fields.seeds = Registries();
+    fields.first_port = ports_.numbers[2];
+    fields.last_port = ports_.numbers[3];
+    return fields;
   }
 
-  void Start(int machine, const std::string& program, const json& fields) {
+  void Start(int machine, const std::string& program, const FleetMachine& fields) {
     const std::string source = std::get<std::string>(Attempt([&] {
       return ReadTextFile(GRANITESEAM_SOURCE_DIR "/platform/" + program + ".toml.template");
     }));
     const std::string settings = folder_ + "/" + std::to_string(machine) + ".toml";
-    const auto written =
-        Attempt([&] { return WriteTextFile(settings, FillTemplate(source, fields.dump())); });
+    const auto written = Attempt(
+        [&] { return WriteTextFile(settings, FillTemplate(source, platform::FieldsOf(fields))); });
     cr_assert(ErrorOf(written) == nullptr);
     Command command;
     command.words = {GRANITESEAM_BINARY_DIR "/bin/graniteseam-platform-" + program};
@@ -204,9 +202,9 @@
   }
 
   void StartRouter(int machine) {
-    json fields = Fields(machine, true);
-    fields["listen"]["front"] = Ip(machine) + ":" + std::to_string(ports_.numbers[1]);
-    fields["listen"]["ready"] = Ip(machine) + ":" + std::to_string(ports_.numbers[4]);
+    FleetMachine fields = Fields(machine, true);
+    fields.front_address = Ip(machine) + ":" + std::to_string(ports_.numbers[1]);
+    fields.ready_address = Ip(machine) + ":" + std::to_string(ports_.numbers[4]);
     Start(machine, "router", fields);
   }
 
