Lease keys in the answers to heartbeats, beside orders to their owners

Change: a service names the form of its leases. The range controller leases, proves releases by sequences of heartbeats, and plans moves for the owner's next heartbeat; the leader alone answers such heartbeats.

--- a/include/graniteseam/control/operator_messages.h
+++ b/include/graniteseam/control/operator_messages.h
@@ -19,6 +19,7 @@
 #include "graniteseam/control/router_messages.h"
 #include "graniteseam/traffic/configuration.h"
 #include "graniteseam/traffic/instance.h"
+#include "graniteseam/traffic/key_lease.h"
 
 namespace graniteseam::control {
 
@@ -69,6 +70,7 @@
 /// An instance's heartbeat.
 struct ReportInstance {
   traffic::InstanceReport report;
+  traffic::HeldKeys keys{};  ///< Of instances that are leased keys by heartbeat.
 };
 struct DeregisterInstance {
   traffic::InstanceId instance;
@@ -132,8 +134,11 @@
 };
 BOOST_DESCRIBE_STRUCT(ConfigurationView, (), (configuration))
 
+/// The answer to a heartbeat of an instance that is leased keys by it.
+using traffic::KeyLeases;
+
 using OperatorAnswer =
-    std::variant<Accepted, BundlesView, FleetView, ShardsView, Error, ConfigurationView>;
+    std::variant<Accepted, BundlesView, FleetView, ShardsView, Error, ConfigurationView, KeyLeases>;
 
 /// One machine of the platform's list (docs/interface/platform.md). The list lags: it is a hint.
 struct PlatformMachine {
--- a/include/graniteseam/control/traffic_options.h
+++ b/include/graniteseam/control/traffic_options.h
@@ -18,6 +18,11 @@
   double clock_drift_bound = 0.02;         ///< By which an instance's clock may run slow.
   Duration unresponsive_after{1'000'000};  ///< Of orders that failed, to give up on an owner.
   Duration transit_slack{50'000};          ///< Added to the end of each grant.
+  /// By heartbeat: within this an instance comes for keys that were assigned to it. Two intervals
+  /// of heartbeats (0.9 s on the deployments so far) and some time for one that is late.
+  Duration lease_pickup{2'000'000};
+  /// Within this an instance takes the answer to a heartbeat; one that comes later is not used.
+  Duration answer_taken_within{1'200'000};
 };
 
 struct TrafficOptions {
--- a/include/graniteseam/traffic/configuration.h
+++ b/include/graniteseam/traffic/configuration.h
@@ -54,17 +54,26 @@
                       (name, host, path_prefix, kind, timeout_ms, target_latency_ms, priority,
                        attempts_maximum, split, source))
 
+/// How the instances of a keyed service are given their keys.
+enum class LeaseForm {
+  kOrders,     ///< By calls from control to the owner.
+  kHeartbeat,  ///< In the answers to the owner's heartbeats.
+};
+BOOST_DESCRIBE_ENUM(LeaseForm, kOrders, kHeartbeat)
+
 /// A service whose servers register themselves.
 struct Service {
   ServiceName name;
   std::string health_path;
-  std::int64_t connections_maximum = 0;  ///< That one server takes, from all callers together.
-  bool keyed = false;                    ///< Divided by key: each key has one owner.
-  std::string source;                    ///< The item as submitted, JSON.
+  std::int64_t connections_maximum = 0;       ///< That one server takes, from all callers together.
+  bool keyed = false;                         ///< Divided by key: each key has one owner.
+  std::string source;                         ///< The item as submitted, JSON.
+  LeaseForm lease_form = LeaseForm::kOrders;  ///< Of a keyed service.
 
   bool operator==(const Service&) const = default;
 };
-BOOST_DESCRIBE_STRUCT(Service, (), (name, health_path, connections_maximum, keyed, source))
+BOOST_DESCRIBE_STRUCT(Service, (),
+                      (name, health_path, connections_maximum, keyed, source, lease_form))
 
 /// What a caller may send, and how long it may take or be idle.
 struct CallerLimits {
--- a/include/graniteseam/traffic/key_range.h
+++ b/include/graniteseam/traffic/key_range.h
@@ -26,6 +26,8 @@
 
   std::uint32_t size() const { return last - first + 1; }
   bool Contains(std::uint32_t key) const { return first <= key && key <= last; }
+  bool Contains(const KeySpan& part) const { return first <= part.first && part.last <= last; }
+  bool Overlaps(const KeySpan& other) const { return first <= other.last && other.first <= last; }
   bool operator==(const KeySpan&) const = default;
 };
 BOOST_DESCRIBE_STRUCT(KeySpan, (), (first, last))
@@ -48,6 +50,8 @@
   std::string handover;  ///< What the last owner gave with its release; may be empty.
   std::uint64_t changed_at = 0;
 
+  /// Whether somebody is meant to hold the keys, and to go on.
+  bool Owned() const { return phase == RangePhase::kGranting || phase == RangePhase::kServing; }
   bool operator==(const KeyRange&) const = default;
 };
 BOOST_DESCRIBE_STRUCT(KeyRange, (),
--- a/src/control/control_node_impl.cc
+++ b/src/control/control_node_impl.cc
@@ -194,19 +194,21 @@
       leadership_->routers.FollowState();
     }
   }
-  AnswerWaiter(entry.index, outcome);
+  AnswerWaiter(entry.index, outcome, now);
 }
 
-void ControlNode::Impl::AnswerWaiter(LogIndex index, const ApplyOutcome& outcome) {
+void ControlNode::Impl::AnswerWaiter(LogIndex index, const ApplyOutcome& outcome, Instant now) {
   const auto waiter = pending_.Take(index);
   if (!waiter) return;
   if (const auto* router = std::get_if<WaitingRouter>(&*waiter)) {
     SendToRouter(router->connection, JournalAnswer{router->sequence, outcome.claims});
     return;
   }
-  const RequestId request = std::get<WaitingOperator>(*waiter).request;
+  const auto& [request, heartbeat] = std::get<WaitingOperator>(*waiter);
   if (outcome.error) {
     Reply(request, *outcome.error);
+  } else if (heartbeat) {
+    ReplyToHeartbeat(request, *heartbeat, index, now);
   } else {
     Reply(request, Accepted{index});
   }
--- a/src/control/control_node_impl.h
+++ b/src/control/control_node_impl.h
@@ -59,7 +59,7 @@
   void MergePersist(consensus::PersistRequest persist);
   void RestoreState(const consensus::Snapshot& snapshot);
   void ApplyEntry(const consensus::LogEntry& entry, Instant now);
-  void AnswerWaiter(LogIndex index, const ApplyOutcome& outcome);
+  void AnswerWaiter(LogIndex index, const ApplyOutcome& outcome, Instant now);
   std::optional<LogIndex> Propose(const std::vector<CommandBody>& commands, Instant now);
   void CompactIfDue(Instant now);
 
@@ -84,6 +84,9 @@
   void FlushRelay(Instant now);
   void TakeRelay(const consensus::PeerMessage& message, Instant now);
   void OnHeartbeat(RequestId request, const ReportInstance& heartbeat, Instant now);
+  /// Acknowledges a heartbeat, with leases where its instance gets its keys so.
+  void ReplyToHeartbeat(RequestId request, const ReportInstance& heartbeat, LogIndex index,
+                        Instant now);
   void OnJournal(ConnectionId connection, const JournalRequest& request, Instant now,
                  std::int64_t wall_ms);
   void RunStep(RequestId request, OperatorStep step, Instant now);
--- a/src/control/control_node_requests.cc
+++ b/src/control/control_node_requests.cc
@@ -58,10 +58,11 @@
 bool ControlNode::Impl::RelayHeartbeat(RequestId request, const ReportInstance& heartbeat,
                                        Instant now) {
   const bool follows = consensus_.role() == consensus::Role::kFollower && consensus_.leader();
+  if (!follows || stopping_) return false;
   // What changes something must be committed before it is acknowledged.
-  if (!follows || stopping_ || state_.traffic().instances().WouldChange(heartbeat.report)) {
-    return false;
-  }
+  if (state_.traffic().instances().WouldChange(heartbeat.report)) return false;
+  // Only the leader may renew the leases of instances that get their keys by heartbeat.
+  if (state_.traffic().LeasedByHeartbeat(heartbeat.report.service)) return false;
   if (relayed_.empty()) relay_due_ = now + kRelayInterval;
   relayed_.insert(heartbeat.report.id.value);
   Reply(request, Accepted{state_.applied()});
@@ -90,10 +91,30 @@
                                     Instant now) {
   leadership_->traffic.liveness().Heard(heartbeat.report.id, now);
   if (!state_.traffic().instances().WouldChange(heartbeat.report)) {
-    Reply(request, Accepted{state_.applied()});
+    ReplyToHeartbeat(request, heartbeat, state_.applied(), now);
     return;
   }
-  RunStep(request, CommandBody(ReportInstancesCommand{{heartbeat.report}}), now);
+  const auto index = Propose({ReportInstancesCommand{{heartbeat.report}}}, now);
+  if (index) {
+    pending_.Add(*index, WaitingOperator{request, heartbeat});
+  } else {
+    Reply(request, NotLeaderError());
+  }
+}
+
+void ControlNode::Impl::ReplyToHeartbeat(RequestId request, const ReportInstance& heartbeat,
+                                         LogIndex index, Instant now) {
+  // Invariant: leases are given under the leader lease only. A later leader counts what this one
+  // may have given from its own election on.
+  std::optional<KeyLeases> leases;
+  if (Leading(now) && leadership_) {
+    leases = leadership_->traffic.ranges().TakeHeartbeat(heartbeat, now);
+  }
+  if (leases) {
+    Reply(request, *std::move(leases));
+  } else {
+    Reply(request, Accepted{index});
+  }
 }
 
 OperatorStep ControlNode::Impl::Plan(const OperatorRequest& command, Instant now) const {
@@ -133,7 +154,7 @@
   if (const auto* command = std::get_if<CommandBody>(&step)) {
     const auto index = Propose({*command}, now);
     if (index) {
-      pending_.Add(*index, WaitingOperator{request});
+      pending_.Add(*index, WaitingOperator{request, {}});
     } else {
       Reply(request, NotLeaderError());
     }
@@ -147,7 +168,7 @@
   if (const Error* error = ErrorOf(proposed)) {
     Reply(request, *error);
   } else {
-    pending_.Add(std::get<LogIndex>(proposed), WaitingOperator{request});
+    pending_.Add(std::get<LogIndex>(proposed), WaitingOperator{request, {}});
   }
 }
 
--- /dev/null
+++ b/src/control/heartbeat_leases.cc
@@ -0,0 +1,198 @@
+/// @file
+/// The range controller's leases by heartbeat. An owner learns what it holds only from the answers
+/// to its heartbeats, and tells in heartbeats what it let go of;
+/// docs/design/leases-by-heartbeat.md.
+///
+/// Invariant: a lease counts from the sending of the heartbeat, so that it has run out on the
+/// owner's clock when `hold`, stretched by the clocks' drift, has passed since the heartbeat's
+/// arrival here. Answers that are lost, late or crossed can only make it end sooner.
+
+#include <algorithm>
+#include <utility>
+
+#include "src/control/range_controller.h"
+
+namespace graniteseam::control {
+namespace {
+
+using traffic::KeyRange;
+using traffic::KeySpan;
+using traffic::RangePhase;
+
+/// Heartbeats without a leased range after which its fence is taken for refused: one answer may
+/// have been lost, and one heartbeat may have been sent before the answer came.
+constexpr int kUnheededMaximum = 4;
+
+/// What is left of `spans` without `hole`.
+std::vector<KeySpan> Without(const std::vector<KeySpan>& spans, const KeySpan& hole) {
+  std::vector<KeySpan> rest;
+  for (const KeySpan& span : spans) {
+    if (!span.Overlaps(hole)) {
+      rest.push_back(span);
+      continue;
+    }
+    if (span.first < hole.first) rest.push_back({span.first, hole.first - 1});
+    if (hole.last < span.last) rest.push_back({hole.last + 1, span.last});
+  }
+  return rest;
+}
+
+}  // namespace
+
+void RangeController::FollowForms(Instant now) {
+  if (followed_configuration_ == state_.configuration().changed_at()) return;
+  followed_configuration_ = state_.configuration().changed_at();
+  for (const traffic::Service& service : state_.configuration().current().services) {
+    if (!service.keyed) continue;
+    const auto [known, fresh] = forms_.try_emplace(service.name, FormCare{service.lease_form, {}});
+    if (fresh || known->second.form == service.lease_form) continue;
+    known->second = {service.lease_form, EndOfGrantReceivedBy(now)};
+  }
+}
+
+bool RangeController::LeasedByHeartbeat(const ServiceName& service) const {
+  const auto known = forms_.find(service);
+  return known != forms_.end() && known->second.form == traffic::LeaseForm::kHeartbeat;
+}
+
+bool RangeController::InQuietTime(const ServiceName& service, Instant now) const {
+  const auto known = forms_.find(service);
+  return known != forms_.end() && now < known->second.quiet_until;
+}
+
+std::optional<traffic::KeyLeases> RangeController::TakeHeartbeat(const ReportInstance& heartbeat,
+                                                                 Instant now) {
+  const traffic::InstanceReport& report = heartbeat.report;
+  FollowForms(now);
+  if (!LeasedByHeartbeat(report.service) || InQuietTime(report.service, now)) return std::nullopt;
+  if (followed_version_ != state_.ranges().changed_at()) FollowRanges(now);
+  Holder& holder = holders_[report.id];
+  // A late heartbeat tells of keys as they were.
+  if (report.sequence <= holder.sequence) return std::nullopt;
+  holder.sequence = report.sequence;
+  holder.heard = now;
+  traffic::KeyLeases leases;
+  leases.length_ms = options_.hold.count() / 1'000;
+  for (const auto& [first, range] : state_.ranges().services().at(report.service)) {
+    if (range.owner != report.id) continue;
+    RangeCare& care = care_.at({range.service, first});
+    TakeHeldSpans(heartbeat.keys, range, care);
+    if (range.phase == RangePhase::kReleasing) TakeRelease(heartbeat, holder, range, care, now);
+    Lease(range, care, holder, leases, now);
+  }
+  return leases;
+}
+
+void RangeController::Lease(const KeyRange& range, RangeCare& care, Holder& holder,
+                            traffic::KeyLeases& leases, Instant now) {
+  const std::vector<KeySpan> given = SpansToLease(range, care);
+  for (const KeySpan& span : given) {
+    leases.spans.push_back({span, range.fence, range.handover});
+    NoteGrant(range.owner, range.service, span, EndOfGrantReceivedBy(now));
+    std::erase_if(holder.omissions,
+                  [&](const Omission& omission) { return omission.span.Overlaps(span); });
+  }
+  if (!given.empty()) {
+    // Routers may send to the owner at once: its answer is on the way, and what comes sooner is
+    // refused by it without being run.
+    if (range.phase == RangePhase::kGranting && !care.confirmed) decide_due_ = now;
+    care.leased = care.confirmed = true;
+  }
+  std::vector<KeySpan> omitted{range.span};
+  for (const KeySpan& span : given) omitted = Without(omitted, span);
+  for (const KeySpan& span : omitted) {
+    if (NoteOmission(holder, span, now)) decide_due_ = now;
+  }
+}
+
+void RangeController::TakeRelease(const ReportInstance& heartbeat, const Holder& holder,
+                                  const KeyRange& range, RangeCare& care, Instant now) {
+  if (care.released) return;
+  // Only a heartbeat that was sent after an answer without these keys tells of their release: one
+  // before it may have been sent before the keys were leased.
+  const auto omission =
+      std::find_if(holder.omissions.begin(), holder.omissions.end(), [&](const Omission& known) {
+        return known.span.Contains(range.span) && known.sequence < heartbeat.report.sequence;
+      });
+  if (omission == holder.omissions.end()) return;
+  const auto& held = heartbeat.keys.held;
+  const bool holds = std::any_of(held.begin(), held.end(), [&](const traffic::HeldSpan& one) {
+    return one.span.Overlaps(range.span);
+  });
+  if (holds) return;
+  const auto& released = heartbeat.keys.released;
+  const auto told = std::find_if(released.begin(), released.end(),
+                                 [&](const auto& one) { return one.span.Contains(range.span); });
+  // What ran out, or was told to an earlier leader, is not told again. Then the time must have
+  // passed in which the instance could still take an earlier answer that gave the keys.
+  const bool settled = now - omission->at > options_.answer_taken_within;
+  if (told == released.end() && !settled) return;
+  care.released = true;
+  if (told != released.end()) care.handover = told->handover;
+  decide_due_ = now;
+}
+
+void RangeController::TakeHeldSpans(const traffic::HeldKeys& keys, const KeyRange& range,
+                                    RangeCare& care) {
+  if (!care.leased || !range.Owned()) return;
+  const bool told =
+      std::any_of(keys.held.begin(), keys.held.end(), [&](const traffic::HeldSpan& one) {
+        return one.fence == range.fence && one.span.Overlaps(range.span);
+      });
+  care.unheeded = told ? 0 : care.unheeded + 1;
+  care.refused = care.refused || care.unheeded > kUnheededMaximum;
+}
+
+std::vector<KeySpan> RangeController::SpansToLease(const KeyRange& range, const RangeCare& care) {
+  if (!range.Owned() || OwnerMustGo(range) || care.refused) return {};
+  std::vector<KeySpan> spans{range.span};
+  for (PlannedMove& move : planned_) {
+    const traffic::RangeRelease& release = move.release;
+    const bool fits = release.service == range.service && release.expected == range.fence &&
+                      range.span.Contains(release.span);
+    if (!fits) continue;
+    move.begun = true;
+    spans = Without(spans, release.span);
+  }
+  return spans;
+}
+
+bool RangeController::NoteOmission(Holder& holder, const KeySpan& span, Instant now) {
+  const bool known =
+      std::any_of(holder.omissions.begin(), holder.omissions.end(),
+                  [&](const Omission& omission) { return omission.span.Contains(span); });
+  if (!known) holder.omissions.push_back({span, holder.sequence, now});
+  return !known;
+}
+
+bool RangeController::AwaitsFirstLease(const KeyRange& range, const RangeCare& care,
+                                       Instant now) const {
+  const bool assigned = range.phase == RangePhase::kGranting && !care.leased && !care.refused;
+  return assigned && !OwnerMustGo(range) && now - care.since < options_.lease_pickup;
+}
+
+void RangeController::PlanMoves(const ServiceName& service,
+                                std::vector<traffic::RangeRelease> moves) {
+  for (traffic::RangeRelease& move : moves) {
+    move.service = service;
+    planned_.push_back({std::move(move), false});
+  }
+}
+
+void RangeController::AddBegunMoves(std::vector<traffic::RangeRelease>& releases) {
+  std::erase_if(planned_, [&](const PlannedMove& move) {
+    const traffic::RangeRelease& release = move.release;
+    const KeyRange* const range = state_.ranges().Find(release.service, release.span.first);
+    const bool fits = range != nullptr && range->phase == RangePhase::kServing &&
+                      range->fence == release.expected && range->span.Contains(release.span);
+    if (fits && move.begun) releases.push_back(release);
+    return !fits || move.begun;
+  });
+}
+
+bool RangeController::HeardLately(const traffic::InstanceId& instance, Instant now) const {
+  const auto found = holders_.find(instance);
+  return found != holders_.end() && now - found->second.heard <= options_.lease_pickup;
+}
+
+}  // namespace graniteseam::control
--- a/src/control/pending_requests.h
+++ b/src/control/pending_requests.h
@@ -10,12 +10,14 @@
 #include <vector>
 
 #include "graniteseam/common/ids.h"
+#include "graniteseam/control/operator_messages.h"
 
 namespace graniteseam::control {
 
-/// An operator's change that was proposed.
+/// An operator's change or an instance's heartbeat that was proposed.
 struct WaitingOperator {
   std::uint64_t request = 0;
+  std::optional<ReportInstance> heartbeat;
 };
 
 /// A router's journal batch that was proposed.
--- a/src/control/range_controller.cc
+++ b/src/control/range_controller.cc
@@ -15,10 +15,6 @@
 /// Instances among which the keys of one that is gone are divided.
 constexpr std::size_t kHeirsMaximum = 3;
 
-bool Owned(const KeyRange& range) {
-  return range.phase == RangePhase::kGranting || range.phase == RangePhase::kServing;
-}
-
 bool Contains(const std::vector<RangeCandidate>& candidates, const traffic::InstanceId& id) {
   return std::any_of(candidates.begin(), candidates.end(),
                      [&](const RangeCandidate& one) { return one.id == id; });
@@ -63,8 +59,7 @@
   const auto found = grant_ends_.find(range.owner);
   if (found == grant_ends_.end()) return end;
   for (const GrantEnd& known : found->second) {
-    const bool overlaps = known.service == range.service && known.span.first <= range.span.last &&
-                          range.span.first <= known.span.last;
+    const bool overlaps = known.service == range.service && known.span.Overlaps(range.span);
     if (overlaps) end = std::max(end, known.end);
   }
   return end;
@@ -85,11 +80,13 @@
         RangeCare& care = followed[{service, first}];
         care.fence = range.fence;
         care.last = range.span.last;
+        care.since = now;
         // A piece of a range whose grant stands need not be renewed before its time.
         const bool stands = range.phase == RangePhase::kServing;
         care.next_order = stands ? now + options_.renewal_interval / 4 : now;
         const RangeCare* const whole = CareBefore({service, first}, range.fence);
         care.refused = whole != nullptr && whole->refused;
+        care.leased = whole != nullptr && whole->leased;
       }
     }
   }
@@ -162,8 +159,10 @@
   const traffic::Instance* owner = state_.instances().Find(range.owner);
   if (owner != nullptr && owner->state == InstanceState::kDisplaced) return true;
   if (care.open_order || now <= GrantEndOf(range)) return false;
+  // Without an answer for the length of a lease, the owner holds nothing more.
+  if (LeasedByHeartbeat(range.service)) return !AwaitsFirstLease(range, care, now);
   // An owner that only missed renewals gets its keys again by the next one.
-  return !Owned(range) || care.refused || Unresponsive(range.owner, now);
+  return !range.Owned() || care.refused || Unresponsive(range.owner, now);
 }
 
 bool RangeController::OwnerMustGo(const KeyRange& range) const {
@@ -174,6 +173,7 @@
 std::vector<CommandBody> RangeController::Decide(Instant now) {
   if (now < decide_due_ && decided_version_ == state_.version()) return {};
   decided_version_ = state_.version();
+  FollowForms(now);
   if (followed_version_ != state_.ranges().changed_at()) FollowRanges(now);
   std::vector<CommandBody> commands;
   DecideConfirmations(commands);
@@ -196,9 +196,11 @@
 std::vector<RangeCandidate> RangeController::CandidatesFor(const ServiceName& service,
                                                            Instant now) const {
   std::vector<RangeCandidate> candidates;
+  const bool by_heartbeat = LeasedByHeartbeat(service);
   for (const auto& [id, instance] : state_.instances().instances()) {
     const bool fits = instance.report.service == service && instance.TakesNewWork();
     if (!fits || liveness_.Silent(id, now) || Unresponsive(id, now)) continue;
+    if (by_heartbeat && !HeardLately(id, now)) continue;
     const double slots = static_cast<double>(std::max<std::int64_t>(1, instance.report.slots));
     candidates.push_back({id, instance.report.zone, slots});
   }
@@ -215,18 +217,25 @@
 
 void RangeController::DecideReleases(Instant now, std::vector<CommandBody>& commands) {
   ReleaseRangesCommand command;
+  AddBegunMoves(command.releases);
   for (const auto& [service, ranges] : state_.ranges().services()) {
-    bool releasing = false;
+    bool releasing = std::any_of(planned_.begin(), planned_.end(), [&](const PlannedMove& move) {
+      return move.release.service == service;
+    });
     for (const auto& [first, range] : ranges) {
       releasing = releasing || range.phase == RangePhase::kReleasing ||
                   range.phase == RangePhase::kGranting;
-      if (!Owned(range) || !OwnerMustGo(range)) continue;
+      if (!range.Owned() || !OwnerMustGo(range)) continue;
       command.releases.push_back({service, range.span, range.fence, {}});
       releasing = true;
     }
     if (releasing) continue;
     const auto candidates = CandidatesFor(service, now);
-    const auto moves = balancer_.Rebalance(service, ranges, candidates, now);
+    auto moves = balancer_.Rebalance(service, ranges, candidates, now);
+    if (LeasedByHeartbeat(service)) {
+      PlanMoves(service, std::move(moves));
+      continue;
+    }
     command.releases.insert(command.releases.end(), moves.begin(), moves.end());
   }
   if (!command.releases.empty()) commands.emplace_back(std::move(command));
@@ -276,6 +285,7 @@
 std::vector<RangeOrder> RangeController::Orders(Instant now) {
   if (now < orders_due_ && ordered_version_ == state_.version()) return {};
   ordered_version_ = state_.version();
+  FollowForms(now);
   if (followed_version_ != state_.ranges().changed_at()) FollowRanges(now);
   orders_due_ = now + kLookInterval;
   std::vector<RangeOrder> orders;
@@ -297,6 +307,7 @@
 
 std::optional<RangeOrder> RangeController::NextOrder(const KeyRange& range, RangeCare& care,
                                                      Instant now) {
+  if (LeasedByHeartbeat(range.service) || InQuietTime(range.service, now)) return std::nullopt;
   const traffic::Instance* owner = state_.instances().Find(range.owner);
   const bool ended = owner == nullptr || owner->state == InstanceState::kDisplaced;
   if (range.phase == RangePhase::kUnowned || ended || care.released) return std::nullopt;
--- a/src/control/range_controller.h
+++ b/src/control/range_controller.h
@@ -1,6 +1,7 @@
 /// @file
 /// The leader's care for key ranges: grants and their renewals, planned releases, and new owners
-/// for the keys of instances that are gone.
+/// for the keys of instances that are gone. Grants travel in one of two forms: as orders to the
+/// owner (range_controller.cc), or in the answers to its heartbeats (heartbeat_leases.cc).
 #pragma once
 
 #include <cstdint>
@@ -8,6 +9,7 @@
 #include <optional>
 #include <vector>
 
+#include "graniteseam/control/operator_messages.h"
 #include "graniteseam/control/range_orders.h"
 #include "graniteseam/control/traffic_options.h"
 #include "src/control/commands.h"
@@ -44,6 +46,12 @@
   void TakeResult(const RangeOrderResult& result, Instant now);
   void TakeLoads(const traffic::TrafficPoll& poll, Instant now);
 
+  /// Takes a heartbeat, and decides what its answer leases to the instance. The caller must hold
+  /// the leader lease at `now`, and must answer this very heartbeat with it.
+  /// @return nullopt when the answer must not speak of keys: the instance takes orders, or a later
+  /// heartbeat of it was taken before this one.
+  std::optional<traffic::KeyLeases> TakeHeartbeat(const ReportInstance& heartbeat, Instant now);
+
   /// The next instant at which Decide() or Orders() has something to do by itself.
   Instant NextDue() const;
   /// The same of Orders() alone.
@@ -76,6 +84,28 @@
     bool refused = false;
     std::string handover;
     std::optional<OrderNumber> open_order;
+    Instant since{};      ///< When this began.
+    bool leased = false;  ///< By heartbeat: an answer of this leadership gave the range.
+    int unheeded = 0;     ///< Heartbeats in a row that do not tell of it although it was leased.
+  };
+
+  /// Keys that all answers to an instance's heartbeats left out since `sequence`.
+  struct Omission {
+    traffic::KeySpan span;
+    std::int64_t sequence = 0;
+    Instant at;
+  };
+  /// What is known of an instance by its heartbeats.
+  struct Holder {
+    std::int64_t sequence = 0;  ///< Of the newest heartbeat that was taken.
+    Instant heard{};
+    std::vector<Omission> omissions;
+  };
+  /// A planned move that waits for its owner's next heartbeat: routers are told of the release
+  /// together with the owner, so that the keys are without an owner for no longer than they must.
+  struct PlannedMove {
+    traffic::RangeRelease release;
+    bool begun = false;  ///< An answer to the owner left the keys out.
   };
 
   void FollowRanges(Instant now);
@@ -107,6 +137,34 @@
   bool Unresponsive(const traffic::InstanceId& instance, Instant now) const;
   std::optional<RangeOrder> NextOrder(const traffic::KeyRange& range, RangeCare& care, Instant now);
 
+  // Leases by heartbeat.
+  /// Takes the forms of leases from the configuration.
+  void FollowForms(Instant now);
+  bool LeasedByHeartbeat(const ServiceName& service) const;
+  /// Whether leases of a service's former form may still be held: until they are over, none of the
+  /// new form is given.
+  bool InQuietTime(const ServiceName& service, Instant now) const;
+  /// Adds to an answer what it leases of one range, and notes what it leaves out.
+  void Lease(const traffic::KeyRange& range, RangeCare& care, Holder& holder,
+             traffic::KeyLeases& leases, Instant now);
+  /// Takes what a heartbeat proves about the release of one of its instance's ranges.
+  void TakeRelease(const ReportInstance& heartbeat, const Holder& holder,
+                   const traffic::KeyRange& range, RangeCare& care, Instant now);
+  /// Counts the heartbeats that do not tell of a range although earlier answers leased it.
+  static void TakeHeldSpans(const traffic::HeldKeys& keys, const traffic::KeyRange& range,
+                            RangeCare& care);
+  /// Parts of a range that may be leased to its owner now; the rest is to be let go.
+  std::vector<traffic::KeySpan> SpansToLease(const traffic::KeyRange& range, const RangeCare& care);
+  /// @return whether answers gave these keys until now.
+  static bool NoteOmission(Holder& holder, const traffic::KeySpan& span, Instant now);
+  /// Whether an owner has still to come for keys that no answer leased to it yet.
+  bool AwaitsFirstLease(const traffic::KeyRange& range, const RangeCare& care, Instant now) const;
+  void PlanMoves(const ServiceName& service, std::vector<traffic::RangeRelease> moves);
+  /// Adds the moves whose owners were told, and forgets those that fit no more.
+  void AddBegunMoves(std::vector<traffic::RangeRelease>& releases);
+  /// Whether an instance beat so lately that it will come for new keys.
+  bool HeardLately(const traffic::InstanceId& instance, Instant now) const;
+
   const RangeOptions options_;
   const traffic::TrafficState& state_;
   const InstanceLiveness& liveness_;
@@ -117,6 +175,14 @@
   std::map<OrderNumber, OpenOrder> open_;
   /// Since when an instance left orders unanswered; not there when it answered the last one.
   std::map<traffic::InstanceId, Instant> failing_since_;
+  std::map<traffic::InstanceId, Holder> holders_;  ///< Of instances leased keys by heartbeat.
+  std::vector<PlannedMove> planned_;
+  struct FormCare {
+    traffic::LeaseForm form = traffic::LeaseForm::kOrders;
+    Instant quiet_until{};
+  };
+  std::map<ServiceName, FormCare> forms_;  ///< A dropped service keeps its last one.
+  std::uint64_t followed_configuration_ = 0;
   OrderNumber last_number_;
   /// When the number of a service's candidates last changed while all its keys are unowned.
   struct Settling {
--- a/src/daemon/control/registry_server.cc
+++ b/src/daemon/control/registry_server.cc
@@ -70,8 +70,7 @@
   }
   const std::string beating = InstanceOf(path, kHeartbeatSuffix);
   if (!beating.empty() && request.method == "POST") {
-    control::ReportInstance heartbeat;
-    BOOST_LEAF_ASSIGN(heartbeat.report, http::ReadHeartbeat(request.body, {beating}));
+    BOOST_LEAF_AUTO(heartbeat, http::ReadHeartbeat(request.body, {beating}));
     return control::OperatorRequest(std::move(heartbeat));
   }
   const std::string leaving = InstanceOf(path, "");
@@ -107,6 +106,7 @@
     : loop_(loop),
       events_(events),
       hooks_(std::move(hooks)),
+      registry_address_(ToString(address)),
       server_(loop.context(), OptionsFor(std::move(address), connections_maximum),
               [this](const auto& exchange) { OnExchange(exchange); }) {
   event_http::ServerLimits limits;
@@ -155,21 +155,28 @@
   waiting_.erase(found);
   event_http::Response response = ResponseFor(reply.answer, waiting.exchange->request());
   if (waiting.heartbeat && response.status == kOk) {
-    response.body = HeartbeatBody(*waiting.heartbeat);
+    response.body = HeartbeatBody(*waiting.heartbeat, reply.answer);
   }
   Log(waiting.what, response.status, reply.answer);
   waiting.exchange->Respond(response);
 }
 
-std::string RegistryServer::HeartbeatBody(const traffic::InstanceReport& report) {
+std::string RegistryServer::HeartbeatBody(const traffic::InstanceReport& report,
+                                          const control::OperatorAnswer& answer) {
+  // Who leases its keys must go on to get its heartbeats: this process, which leads.
+  if (const auto* leases = std::get_if<control::KeyLeases>(&answer)) {
+    return http::HeartbeatAnswerJson(leases, registry_address_);
+  }
   if (heartbeats_.size() >= kInstancesRemembered) heartbeats_.clear();
   const bool tell = heartbeats_[report.id.value]++ % kHeartbeatsPerAddress == 0;
-  return tell ? "{\"next_address\":\"" + hooks_.heartbeat_address(report) + "\"}" : "{}";
+  return http::HeartbeatAnswerJson(nullptr, tell ? hooks_.heartbeat_address(report) : "");
 }
 
 event_http::Response RegistryServer::ResponseFor(const control::OperatorAnswer& answer,
                                                  const event_http::Request& request) const {
-  if (std::holds_alternative<control::Accepted>(answer)) return JsonResponse(200, "{}");
+  const bool accepted = std::holds_alternative<control::Accepted>(answer) ||
+                        std::holds_alternative<control::KeyLeases>(answer);
+  if (accepted) return JsonResponse(kOk, "{}");
   if (const auto* view = std::get_if<control::ConfigurationView>(&answer)) {
     return JsonResponse(200, http::ToJson(view->configuration));
   }
--- a/src/daemon/control/registry_server.h
+++ b/src/daemon/control/registry_server.h
@@ -51,12 +51,14 @@
   event_http::Response ResponseFor(const control::OperatorAnswer& answer,
                                    const event_http::Request& request) const;
   /// Tells an instance, now and then, where its later heartbeats should go.
-  std::string HeartbeatBody(const traffic::InstanceReport& report);
+  std::string HeartbeatBody(const traffic::InstanceReport& report,
+                            const control::OperatorAnswer& answer);
   void Log(const std::string& what, int status, const control::OperatorAnswer& answer);
 
   runtime::EventLoop& loop_;
   runtime::EventLog& events_;
   const RegistryServerHooks hooks_;
+  const std::string registry_address_;
   event_http::Server server_;
   std::map<std::string, std::uint32_t> heartbeats_;  ///< Taken here, by instance.
   control::RequestId next_request_ = kRequestBit;
--- a/src/http/operator_requests.cc
+++ b/src/http/operator_requests.cc
@@ -112,6 +112,8 @@
         } else if constexpr (std::is_same_v<std::decay_t<decltype(value)>,
                                             control::ConfigurationView>) {
           return ToJson(value.configuration);
+        } else if constexpr (std::is_same_v<std::decay_t<decltype(value)>, control::KeyLeases>) {
+          return HeartbeatAnswerJson(&value, "");
         } else {
           return ToJson(value);
         }
--- a/src/http/traffic_json.cc
+++ b/src/http/traffic_json.cc
@@ -17,6 +17,8 @@
 constexpr char kRoutes[] = "routes";
 constexpr char kServices[] = "services";
 constexpr char kLimits[] = "limits";
+constexpr char kHeld[] = "keys_held";
+constexpr char kReleased[] = "keys_released";
 
 boost::leaf::error_id Wrong(const std::string& path, const std::string& wanted) {
   return Fail(ErrorKind::kMalformedMessage, "The value \"" + path + "\" is not " + wanted + ".",
@@ -136,6 +138,15 @@
   }
   BOOST_LEAF_CHECK(reader.OptionalWhole("connections_maximum", service.connections_maximum));
   BOOST_LEAF_CHECK(reader.OptionalFlag("keyed", service.keyed));
+  if (reader.Has("grants")) {
+    std::string form;
+    BOOST_LEAF_CHECK(reader.Text("grants", form));
+    if (form != "orders" && form != "heartbeat") {
+      return Wrong(reader.Path("grants"), "orders or heartbeat");
+    }
+    service.lease_form =
+        form == "heartbeat" ? traffic::LeaseForm::kHeartbeat : traffic::LeaseForm::kOrders;
+  }
   service.source = value.dump();
   return service;
 }
@@ -175,6 +186,38 @@
   return {};
 }
 
+/// A whole number of a row.
+Result<std::uint64_t> ReadWhole(const json& value, const std::string& path) {
+  if (!value.is_number_unsigned()) return Wrong(path, "a whole number of 0 or more");
+  return value.get<std::uint64_t>();
+}
+
+/// The first and last key of a row, which has `columns` values.
+Result<traffic::KeySpan> ReadSpan(const json& row, std::size_t columns, const std::string& path) {
+  if (!row.is_array() || row.size() != columns) return Wrong(path, "a row of three values");
+  BOOST_LEAF_AUTO(first, ReadWhole(row[0], path));
+  BOOST_LEAF_AUTO(last, ReadWhole(row[1], path));
+  if (first > last || last > traffic::kLastKey) return Wrong(path, "a span of keys");
+  return traffic::KeySpan{static_cast<std::uint32_t>(first), static_cast<std::uint32_t>(last)};
+}
+
+Result<traffic::HeldSpan> ReadHeldSpan(const json& row, const std::string& path) {
+  constexpr std::size_t kColumns = 3;
+  traffic::HeldSpan held;
+  BOOST_LEAF_ASSIGN(held.span, ReadSpan(row, kColumns, path));
+  BOOST_LEAF_ASSIGN(held.fence.value, ReadWhole(row[2], path));
+  return held;
+}
+
+Result<traffic::ReleasedSpan> ReadReleasedSpan(const json& row, const std::string& path) {
+  constexpr std::size_t kColumns = 3;
+  traffic::ReleasedSpan released;
+  BOOST_LEAF_ASSIGN(released.span, ReadSpan(row, kColumns, path));
+  if (!row[2].is_string()) return Wrong(path, "a row that ends in a text");
+  released.handover = row[2].get<std::string>();
+  return released;
+}
+
 template <class Name>
 Result<void> ReadNames(const json& object, const char* key, std::vector<Name>& names) {
   const auto found = object.find(key);
@@ -266,11 +309,14 @@
   return object.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
-Result<traffic::InstanceReport> ReadHeartbeat(const std::string& text,
+Result<control::ReportInstance> ReadHeartbeat(const std::string& text,
                                               const traffic::InstanceId& id) {
   BOOST_LEAF_AUTO(object, ReadObject(text));
   const ObjectReader reader(object, "");
-  traffic::InstanceReport report;
+  control::ReportInstance heartbeat;
+  BOOST_LEAF_CHECK(ReadItems(object, kHeld, ReadHeldSpan, heartbeat.keys.held));
+  BOOST_LEAF_CHECK(ReadItems(object, kReleased, ReadReleasedSpan, heartbeat.keys.released));
+  traffic::InstanceReport& report = heartbeat.report;
   report.id = id;
   BOOST_LEAF_CHECK(reader.Text("service", report.service.value));
   BOOST_LEAF_CHECK(reader.Text("address", report.address));
@@ -282,7 +328,20 @@
   std::string state = "ready";
   if (reader.Has("state")) BOOST_LEAF_CHECK(reader.Text("state", state));
   report.draining = state == "draining";
-  return report;
+  return heartbeat;
+}
+
+std::string HeartbeatAnswerJson(const traffic::KeyLeases* leases, const std::string& next_address) {
+  json answer = json::object();
+  if (!next_address.empty()) answer["next_address"] = next_address;
+  if (leases != nullptr) {
+    json& held = answer[kHeld] = json::array();
+    for (const traffic::LeasedSpan& leased : leases->spans) {
+      held.push_back({leased.span.first, leased.span.last, leased.fence.value, leased.handover});
+    }
+    answer["hold_ms"] = leases->length_ms;
+  }
+  return answer.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
 }  // namespace graniteseam::http
--- a/src/http/traffic_json.h
+++ b/src/http/traffic_json.h
@@ -6,6 +6,7 @@
 #include <string_view>
 
 #include "graniteseam/common/error.h"
+#include "graniteseam/control/operator_messages.h"
 #include "graniteseam/traffic/configuration.h"
 #include "graniteseam/traffic/instance.h"
 
@@ -25,7 +26,13 @@
 std::string ToJson(const traffic::Configuration& configuration);
 
 /// Reads a heartbeat of the instance `id`.
-Result<traffic::InstanceReport> ReadHeartbeat(const std::string& json,
+/// @return kMalformedMessage naming the value that does not fit; nothing of it may be taken then.
+Result<control::ReportInstance> ReadHeartbeat(const std::string& json,
                                               const traffic::InstanceId& id);
 
+/// The answer to a heartbeat.
+/// @param leases null where the instance is not leased keys by heartbeat.
+/// @param next_address where its later heartbeats should go; empty: unchanged.
+std::string HeartbeatAnswerJson(const traffic::KeyLeases* leases, const std::string& next_address);
+
 }  // namespace graniteseam::http
--- a/src/traffic/configuration_store.cc
+++ b/src/traffic/configuration_store.cc
@@ -174,6 +174,13 @@
   return {};
 }
 
+const Service* ConfigurationStore::FindService(const ServiceName& name) const {
+  const auto& services = configuration_.services;
+  const auto found = std::find_if(services.begin(), services.end(),
+                                  [&](const Service& service) { return service.name == name; });
+  return found == services.end() ? nullptr : &*found;
+}
+
 bool ConfigurationStore::WasAccepted(const std::string& digest) const {
   // A resend is nearly always of a late change.
   return std::find(accepted_digests_.rbegin(), accepted_digests_.rend(), digest) !=
--- a/src/traffic/configuration_store.h
+++ b/src/traffic/configuration_store.h
@@ -58,6 +58,9 @@
   ConfigurationImage Image() const;
   void Restore(ConfigurationImage image);
 
+  /// @return nullptr when the configuration has no such service.
+  const Service* FindService(const ServiceName& name) const;
+
  private:
   /// When the items of one kind changed, and which were removed when.
   struct ItemHistory {
--- a/src/traffic/traffic_state.cc
+++ b/src/traffic/traffic_state.cc
@@ -42,6 +42,11 @@
   }
 }
 
+bool TrafficState::LeasedByHeartbeat(const ServiceName& service) const {
+  const Service* const found = configuration_.FindService(service);
+  return found != nullptr && found->keyed && found->lease_form == LeaseForm::kHeartbeat;
+}
+
 std::uint64_t TrafficState::version() const {
   return std::max({configuration_.changed_at(), instances_.changed_at(), ranges_.changed_at()});
 }
--- a/src/traffic/traffic_state.h
+++ b/src/traffic/traffic_state.h
@@ -38,6 +38,9 @@
   const InstanceTable& instances() const { return instances_; }
   const KeyRangeTable& ranges() const { return ranges_; }
 
+  /// Whether the instances of a service are given their keys in answers to their heartbeats.
+  bool LeasedByHeartbeat(const ServiceName& service) const;
+
   /// Log index of the newest change; 0 when nothing ever changed.
   std::uint64_t version() const;
 
--- /dev/null
+++ b/tests/control/heartbeat_leases_test.cc
@@ -0,0 +1,129 @@
+/// @file
+/// Leases of keys by heartbeat: one owner, rising fences, handover, and no key without an owner for
+/// longer than docs/design/leases-by-heartbeat.md says.
+
+#include <criterion/criterion.h>
+
+#include "tests/control/leased_world.h"
+
+using namespace graniteseam;
+using graniteseam::test::LeasedWorld;
+using graniteseam::test::LeasedWorldFaults;
+
+namespace {
+
+constexpr Duration kSecond{1'000'000};
+constexpr std::uint32_t kAllKeys = traffic::kLastKey + 1;
+
+void MustHold(const std::optional<std::string>& violation) {
+  cr_assert(!violation, "%s", violation ? violation->c_str() : "");
+}
+
+/// Random faults of one kind or of all, then calm in which all keys must find an owner again.
+void RunFaults(const LeasedWorldFaults& faults, std::uint64_t seeds) {
+  for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
+    LeasedWorld world(seed, 5, {});
+    MustHold(world.Run(5 * kSecond));
+    world.set_faults(faults);
+    const auto violation = world.Run(20 * kSecond);
+    cr_assert(!violation, "seed %llu: %s", static_cast<unsigned long long>(seed),
+              violation ? violation->c_str() : "");
+    world.set_faults({});
+    // A lease of 3 s, the pick-up by an instance that is gone too, and heartbeats.
+    for (int step = 0; step < 90 && world.KeysHeld() < kAllKeys; ++step) {
+      MustHold(world.Run(kSecond / 10));
+    }
+    cr_assert(world.KeysHeld() == kAllKeys, "seed %llu: %u keys are held",
+              static_cast<unsigned long long>(seed), world.KeysHeld());
+    cr_assert(world.refused() == 0, "a lease was refused for a higher fence");
+  }
+}
+
+}  // namespace
+
+Test(heartbeat_leases, all_keys_are_held_soon_after_the_instances_came) {
+  LeasedWorld world(1, 4, {});
+  MustHold(world.Run(4 * kSecond));
+  cr_assert(world.KeysHeld() == kAllKeys);
+  for (const auto* name : {"i-1", "i-2", "i-3", "i-4"}) {
+    cr_assert(world.KeysHeldBy(name) == kAllKeys / 4);
+  }
+}
+
+Test(heartbeat_leases, leases_are_renewed_by_each_answer) {
+  LeasedWorld world(2, 3, {});
+  MustHold(world.Run(4 * kSecond));
+  for (int i = 0; i < 100; ++i) {
+    MustHold(world.Run(kSecond / 10));
+    cr_assert(world.KeysHeld() == kAllKeys);
+  }
+}
+
+Test(heartbeat_leases, draining_instance_hands_its_keys_over) {
+  LeasedWorld world(3, 4, {});
+  MustHold(world.Run(4 * kSecond));
+  world.Drain("i-2");
+  // Its next heartbeat, the end of its work, and the heartbeats of those that follow.
+  MustHold(world.Run(3 * kSecond));
+  cr_assert(world.KeysHeldBy("i-2") == 0);
+  cr_assert(world.KeysHeld() == kAllKeys);
+  cr_assert(world.handovers() > 0);
+}
+
+Test(heartbeat_leases, crashed_owner_keeps_its_keys_until_its_lease_is_over) {
+  LeasedWorld world(4, 4, {});
+  MustHold(world.Run(4 * kSecond));
+  world.Crash("i-1");
+  const auto owner = [&](std::uint32_t key) {
+    return world.state().ranges().Find({"s"}, key)->owner.value;
+  };
+  std::uint32_t key = 0;
+  while (owner(key) != "i-1") ++key;
+  MustHold(world.Run(2 * kSecond));
+  cr_assert(owner(key) == "i-1");
+  MustHold(world.Run(3 * kSecond));
+  cr_assert(world.KeysHeld() == kAllKeys);
+}
+
+Test(heartbeat_leases, new_leader_waits_for_what_the_last_one_may_have_given) {
+  LeasedWorld world(5, 4, {});
+  MustHold(world.Run(4 * kSecond));
+  world.Crash("i-3");
+  world.ChangeLeader(kSecond / 2);
+  MustHold(world.Run(3 * kSecond));
+  cr_assert(world.KeysHeld() < kAllKeys);
+  MustHold(world.Run(4 * kSecond));
+  cr_assert(world.KeysHeld() == kAllKeys);
+}
+
+Test(heartbeat_leases, lost_and_late_messages_never_make_two_owners) {
+  LeasedWorldFaults faults;
+  faults.heartbeat_lost = 0.1;
+  faults.heartbeat_late = 0.2;
+  faults.answer_lost = 0.1;
+  faults.answer_late = 0.2;
+  faults.move = 1;
+  RunFaults(faults, 150);
+}
+
+Test(heartbeat_leases, leaving_instances_and_leaders_never_make_two_owners) {
+  LeasedWorldFaults faults;
+  faults.leader_change = 0.3;
+  faults.crash = 0.2;
+  faults.drain = 0.4;
+  faults.move = 1;
+  RunFaults(faults, 150);
+}
+
+Test(heartbeat_leases, all_faults_together_never_make_two_owners) {
+  LeasedWorldFaults faults;
+  faults.heartbeat_lost = 0.1;
+  faults.heartbeat_late = 0.2;
+  faults.answer_lost = 0.1;
+  faults.answer_late = 0.2;
+  faults.leader_change = 0.3;
+  faults.crash = 0.2;
+  faults.drain = 0.4;
+  faults.move = 1;
+  RunFaults(faults, 400);
+}
--- a/tests/control/heartbeat_relay_test.cc
+++ b/tests/control/heartbeat_relay_test.cc
@@ -63,6 +63,21 @@
   cr_assert(!is_accepted(fixture.harness.AskAt(fixture.follower(), unknown)));
 }
 
+Test(heartbeat_relay, heartbeats_that_lease_keys_are_left_to_the_leader) {
+  ControlHarness harness;
+  start_ranges(harness, traffic::LeaseForm::kHeartbeat);
+  for (int beat = 0; beat < 4; ++beat) {
+    for (auto const* name : {"i-1", "i-2"})
+      cr_assert(is_accepted(harness.Ask(report_of(harness, name, false))));
+    harness.RunFor(kSecond);
+  }
+  auto const answer = harness.Ask(report_of(harness, "i-1", false));
+  auto const* leases = std::get_if<KeyLeases>(&answer);
+  cr_assert(leases != nullptr && !leases->spans.empty());
+  auto const follower = *harness.Leader() == 0 ? 1U : 0U;
+  cr_assert(!is_accepted(harness.AskAt(follower, report_of(harness, "i-1", false))));
+}
+
 Test(heartbeat_relay, follower_that_hears_of_no_leader_takes_nothing) {
   Fixture fixture;
   auto const cut = fixture.follower();
--- a/tests/control/ranged_group.cc
+++ b/tests/control/ranged_group.cc
@@ -23,7 +23,8 @@
 }
 
 auto is_accepted(control::OperatorAnswer const& answer) -> bool {
-  return std::holds_alternative<control::Accepted>(answer);
+  return std::holds_alternative<control::Accepted>(answer) ||
+         std::holds_alternative<control::KeyLeases>(answer);
 }
 
 auto report_instances(ControlHarness& harness) -> void {
@@ -32,7 +33,7 @@
   }
 }
 
-auto start_ranges(ControlHarness& harness) -> void {
+auto start_ranges(ControlHarness& harness, traffic::LeaseForm form) -> void {
   cr_assert(harness.RunUntil([&] { return harness.Leader().has_value(); }, 5 * kSecond));
   control::ChangeConfiguration change;
   change.change.version = {1};
@@ -40,6 +41,7 @@
   traffic::Service service;
   service.name = kRanged;
   service.keyed = true;
+  service.lease_form = form;
   change.change.services = {service};
   cr_assert(is_accepted(harness.Ask(change)));
   report_instances(harness);
--- a/tests/control/ranged_group.h
+++ b/tests/control/ranged_group.h
@@ -21,6 +21,8 @@
 
 /// Waits for a leader, configures the service, and runs until both instances own their keys. The
 /// harness must answer orders.
-auto start_ranges(ControlHarness& harness) -> void;
+/// @param form by heartbeat, the keys are assigned, and the instances have still to come for them.
+auto start_ranges(ControlHarness& harness, traffic::LeaseForm form = traffic::LeaseForm::kOrders)
+    -> void;
 
 }  // namespace graniteseam::test
