--- a/include/graniteseam/control/control_node.h
+++ b/include/graniteseam/control/control_node.h
@@ -55,6 +55,7 @@
   std::vector<RouterSend> router_sends;
   std::vector<OperatorReply> operator_replies;
   std::vector<RangeOrder> range_orders;  ///< To instances that own keys.
+  std::vector<RangeNote> range_notes;    ///< For the event log.
 };
 
 /// One control process without its I/O. Not thread safe; `now` never goes back.
--- a/include/graniteseam/control/range_orders.h
+++ b/include/graniteseam/control/range_orders.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 #include "graniteseam/common/time.h"
 #include "graniteseam/traffic/key_range.h"
@@ -43,4 +44,15 @@
   std::string handover;  ///< Of a release; may be empty.
 };
 
+/// A decision of the leader about key ranges, or something that it came to believe of them, for the
+/// event log.
+struct RangeNote {
+  std::string_view what;  ///< "plan_move", "release", "released", "assign", "unknown_keys", ...
+  ServiceName service;
+  traffic::KeySpan span;
+  traffic::Fence fence;
+  traffic::InstanceId instance;  ///< The owner that it is about.
+  std::string inputs;            ///< Why, in short sentences.
+};
+
 }  // namespace graniteseam::control
--- a/src/control/control_node_impl.cc
+++ b/src/control/control_node_impl.cc
@@ -338,6 +338,7 @@
   Lead(now);
   FlushRelay(now);
   CompactIfDue(now);
+  if (leadership_) effects_.range_notes = leadership_->traffic.ranges().TakeNotes();
   finished_at_ = now;
   return std::exchange(effects_, {});
 }
--- a/src/control/heartbeat_leases.cc
+++ b/src/control/heartbeat_leases.cc
@@ -80,9 +80,22 @@
     if (range.phase == RangePhase::kReleasing) TakeRelease(heartbeat, holder, range, care, now);
     Lease(range, care, holder, leases, now);
   }
+  NoteUnknownKeys(heartbeat);
   return leases;
 }
 
+/// What an instance holds and the state does not give it is left out of the answer, so that the
+/// instance lets go of it.
+void RangeController::NoteUnknownKeys(const ReportInstance& heartbeat) {
+  const traffic::InstanceId& id = heartbeat.report.id;
+  for (const traffic::HeldSpan& held : heartbeat.keys.held) {
+    const KeyRange* const range = state_.ranges().Find(heartbeat.report.service, held.span.first);
+    if (range == nullptr || range->owner == id) continue;
+    Note("unknown_keys", *range, held.span,
+         id.value + " holds them under fence " + std::to_string(held.fence.value));
+  }
+}
+
 void RangeController::Lease(const KeyRange& range, RangeCare& care, Holder& holder,
                             traffic::KeyLeases& leases, Instant now) {
   const std::vector<KeySpan> given = SpansToLease(range, care);
@@ -129,6 +142,9 @@
   if (told == released.end() && !settled) return;
   care.released = true;
   if (told != released.end()) care.handover = told->handover;
+  Note("released", range, range.span,
+       "by heartbeat " + std::to_string(heartbeat.report.sequence) + ", left out since " +
+           std::to_string(omission->sequence) + (told == released.end() ? ", not told" : ""));
   decide_due_ = now;
 }
 
@@ -171,12 +187,13 @@
   return assigned && !OwnerMustGo(range) && now - care.since < options_.lease_pickup;
 }
 
-void RangeController::PlanMoves(const ServiceName& service,
-                                std::vector<traffic::RangeRelease> moves) {
-  for (traffic::RangeRelease& move : moves) {
-    move.service = service;
-    planned_.push_back({std::move(move), false});
+std::vector<traffic::RangeRelease> RangeController::PlannedMoves(
+    const ServiceName& service) const {
+  std::vector<traffic::RangeRelease> moves;
+  for (const PlannedMove& move : planned_) {
+    if (move.release.service == service) moves.push_back(move.release);
   }
+  return moves;
 }
 
 void RangeController::AddBegunMoves(std::vector<traffic::RangeRelease>& releases) {
@@ -185,7 +202,10 @@
     const KeyRange* const range = state_.ranges().Find(release.service, release.span.first);
     const bool fits = range != nullptr && range->phase == RangePhase::kServing &&
                       range->fence == release.expected && range->span.Contains(release.span);
-    if (fits && move.begun) releases.push_back(release);
+    if (fits && move.begun) {
+      releases.push_back(release);
+      Note("release", *range, release.span, "planned, to " + release.successor.value);
+    }
     return !fits || move.begun;
   });
 }
--- a/src/control/range_balancer.cc
+++ b/src/control/range_balancer.cc
@@ -12,8 +12,14 @@
 /// Weights of the newest window in the slow mean and in the fast one.
 constexpr float kNewest = 0.1F;
 constexpr float kNewestOfFast = 0.5F;
-/// Requests a second of one key that count by the fast mean.
+/// Requests a second of one key, or of a block of keys, that count by the fast mean.
 constexpr float kHotRate = 6.0F;
+/// Neighbours that are looked at together: a fifth of the narrowest share of 300 owners.
+constexpr std::uint32_t kBlockKeys = 64;
+/// Over what time the fast mean looks back, and by how many standard deviations of a count over
+/// that time a block must lie above its slow mean: 2.5 lets chance move a block once in minutes.
+constexpr double kFastSeconds = 0.75;
+constexpr double kDeviations = 2.5;
 /// Requests a second that all keys of a service together count for by their mere number.
 constexpr double kSizeWeight = 10.0;
 /// A move needs an owner that carries so many times the mean of all.
@@ -78,18 +84,32 @@
   }
   load.window_start = now;
   ++load.windows;
+  SumUp(load);
+}
+
+void RangeBalancer::SumUp(ServiceLoad& load) {
+  for (std::uint32_t block = 0; block <= traffic::kLastKey; block += kBlockKeys) {
+    double slow = 0;
+    double fast = 0;
+    for (std::uint32_t key = block; key < block + kBlockKeys; ++key) {
+      slow += load.rate[key];
+      fast += load.fast_rate[key];
+    }
+    const double chance = kDeviations * std::sqrt(slow / kFastSeconds);
+    const bool crowded = fast >= kHotRate && fast - slow > chance;
+    const double part = crowded ? (fast - slow) / fast : 0.0;
+    for (std::uint32_t key = block; key < block + kBlockKeys; ++key) {
+      load.before[key + 1] = load.before[key] + load.rate[key] + part * load.fast_rate[key];
+    }
+  }
 }
 
 double RangeBalancer::LoadOf(const ServiceName& service, const traffic::KeySpan& span) const {
-  double sum = kSizeWeight * span.size() / (traffic::kLastKey + 1.0);
+  const double sum = kSizeWeight * span.size() / (traffic::kLastKey + 1.0);
   const auto found = loads_.find(service);
   if (found == loads_.end()) return sum;
-  const auto first = found->second.rate.begin() + span.first;
-  sum = std::accumulate(first, first + span.size(), sum);
-  for (const auto& [key, rate] : found->second.hot) {
-    if (span.Contains(key)) sum += std::max(0.0F, rate - found->second.rate[key]);
-  }
-  return sum;
+  const std::vector<double>& before = found->second.before;
+  return sum + before[span.last + 1] - before[span.first];
 }
 
 std::map<traffic::InstanceId, double> RangeBalancer::OwnerLoads(
@@ -175,16 +195,23 @@
 
 std::vector<traffic::RangeRelease> RangeBalancer::Rebalance(
     const ServiceName& service, const traffic::KeyRangeTable::Ranges& ranges,
-    const std::vector<RangeCandidate>& candidates, Instant now) {
+    const std::vector<RangeCandidate>& candidates,
+    const std::vector<traffic::RangeRelease>& planned, Instant now) {
   std::vector<traffic::RangeRelease> moves;
   ServiceLoad& measured = loads_[service];
   CloseWindow(measured, now);
   if (measured.windows == 0 || candidates.size() < 2) return moves;
   if (now - measured.last_look < kLookInterval) return moves;
   measured.last_look = now;
-  traffic::KeyRangeTable::Ranges planned = ranges;
-  while (moves.size() < kMovesMaximum) {
-    const auto move = NextMove(service, planned, candidates);
+  traffic::KeyRangeTable::Ranges after = ranges;
+  for (const traffic::RangeRelease& move : planned) MarkMoved(after, move);
+  const auto under_way = static_cast<std::size_t>(
+      std::count_if(after.begin(), after.end(), [](const auto& entry) {
+        return entry.second.phase == traffic::RangePhase::kReleasing ||
+               entry.second.phase == traffic::RangePhase::kGranting;
+      }));
+  while (moves.size() + under_way < kMovesMaximum) {
+    const auto move = NextMove(service, after, candidates);
     if (!move) break;
     moves.push_back(*move);
   }
--- a/src/control/range_balancer.h
+++ b/src/control/range_balancer.h
@@ -38,26 +38,32 @@
                                        std::size_t count) const;
 
   /// Moves that even out the load, none when it is even enough.
+  /// @param planned moves that are not begun yet; they count as done.
   std::vector<traffic::RangeRelease> Rebalance(const ServiceName& service,
                                                const traffic::KeyRangeTable::Ranges& ranges,
                                                const std::vector<RangeCandidate>& candidates,
+                                               const std::vector<traffic::RangeRelease>& planned,
                                                Instant now);
 
  private:
   /// Requests a second for each key. Keys alone tell: the load of a span may be that of one of its
-  /// keys, which can't be divided. Ordinary keys have a slow mean, so that chance moves nothing;
-  /// one that suddenly gets much has a fast one.
+  /// keys, which can't be divided. Ordinary keys have a slow mean, so that chance moves nothing. A
+  /// block of neighbours that suddenly gets much has a fast one: the keys of a crowd may be many,
+  /// each of them with little.
   struct ServiceLoad {
     std::vector<float> rate = std::vector<float>(traffic::kLastKey + 1, 0.0F);
     std::vector<float> fast_rate = std::vector<float>(traffic::kLastKey + 1, 0.0F);
     std::vector<float> arrived = std::vector<float>(traffic::kLastKey + 1, 0.0F);
-    std::map<std::uint32_t, float> hot;  ///< Keys with much, by their fast mean.
+    /// What all keys before one get together, by the mean that counts for each; one entry more.
+    std::vector<double> before = std::vector<double>(traffic::kLastKey + 2, 0.0);
+    std::map<std::uint32_t, float> hot;  ///< Keys that alone get much.
     Instant window_start{};
     Instant last_look{};
     int windows = 0;  ///< Closed so far.
   };
 
   static void CloseWindow(ServiceLoad& load, Instant now);
+  static void SumUp(ServiceLoad& load);
   /// The load of a span, with a share for its mere size, so that cold keys count a little.
   double LoadOf(const ServiceName& service, const traffic::KeySpan& span) const;
   std::map<traffic::InstanceId, double> OwnerLoads(
--- a/src/control/range_controller.cc
+++ b/src/control/range_controller.cc
@@ -165,6 +165,20 @@
   return !range.Owned() || care.refused || Unresponsive(range.owner, now);
 }
 
+void RangeController::Note(std::string_view what, const KeyRange& range,
+                           const traffic::KeySpan& span, std::string inputs) {
+  notes_.push_back({what, range.service, span, range.fence, range.owner, std::move(inputs)});
+}
+
+std::string RangeController::WhyOver(const KeyRange& range, const RangeCare& care) const {
+  if (range.phase == RangePhase::kUnowned) return "nobody owns them";
+  if (care.released) return care.handover.empty() ? "released" : "released with a handover";
+  if (care.refused) return "the fence was refused";
+  const traffic::Instance* const owner = state_.instances().Find(range.owner);
+  const bool displaced = owner != nullptr && owner->state == InstanceState::kDisplaced;
+  return displaced ? "another instance reported from its address" : "the last lease ran out";
+}
+
 bool RangeController::OwnerMustGo(const KeyRange& range) const {
   const traffic::Instance* owner = state_.instances().Find(range.owner);
   return owner == nullptr || !owner->TakesNewWork();
@@ -219,24 +233,30 @@
   ReleaseRangesCommand command;
   AddBegunMoves(command.releases);
   for (const auto& [service, ranges] : state_.ranges().services()) {
-    bool releasing = std::any_of(planned_.begin(), planned_.end(), [&](const PlannedMove& move) {
-      return move.release.service == service;
-    });
+    bool moving = false;
     for (const auto& [first, range] : ranges) {
-      releasing = releasing || range.phase == RangePhase::kReleasing ||
-                  range.phase == RangePhase::kGranting;
+      moving = moving || range.phase == RangePhase::kReleasing ||
+               range.phase == RangePhase::kGranting;
       if (!range.Owned() || !OwnerMustGo(range)) continue;
       command.releases.push_back({service, range.span, range.fence, {}});
-      releasing = true;
+      Note("release", range, range.span, "the owner leaves");
+      moving = true;
     }
-    if (releasing) continue;
-    const auto candidates = CandidatesFor(service, now);
-    auto moves = balancer_.Rebalance(service, ranges, candidates, now);
-    if (LeasedByHeartbeat(service)) {
-      PlanMoves(service, std::move(moves));
-      continue;
+    const bool by_heartbeat = LeasedByHeartbeat(service);
+    // By orders, moves are quick, and the next ones are planned from what they brought. By
+    // heartbeat each takes about a second: the next ones are planned beside them.
+    if (moving && !by_heartbeat) continue;
+    const auto moves = balancer_.Rebalance(service, ranges, CandidatesFor(service, now),
+                                           PlannedMoves(service), now);
+    for (const traffic::RangeRelease& move : moves) {
+      Note("plan_move", *state_.ranges().Find(service, move.span.first), move.span,
+           "load, to " + move.successor.value);
+    }
+    if (by_heartbeat) {
+      for (const traffic::RangeRelease& move : moves) planned_.push_back({move, false});
+    } else {
+      command.releases.insert(command.releases.end(), moves.begin(), moves.end());
     }
-    command.releases.insert(command.releases.end(), moves.begin(), moves.end());
   }
   if (!command.releases.empty()) commands.emplace_back(std::move(command));
 }
@@ -262,6 +282,9 @@
       // Nobody ever had these keys: wait until the servers are all there.
       if (range.fence.value == 0 && !Settled(service, candidates, now)) continue;
       auto parts = NextOwners(range, care, ranges, candidates);
+      for (const traffic::RangeAssignment& part : parts) {
+        Note("assign", range, part.span, WhyOver(range, care) + ", next " + part.owner.value);
+      }
       std::move(parts.begin(), parts.end(), std::back_inserter(command.assignments));
     }
   }
--- a/src/control/range_controller.h
+++ b/src/control/range_controller.h
@@ -7,6 +7,9 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 #include "graniteseam/control/operator_messages.h"
@@ -52,6 +55,9 @@
   /// heartbeat of it was taken before this one.
   std::optional<traffic::KeyLeases> TakeHeartbeat(const ReportInstance& heartbeat, Instant now);
 
+  /// What was decided and believed since the last call.
+  std::vector<RangeNote> TakeNotes() { return std::exchange(notes_, {}); }
+
   /// The next instant at which Decide() or Orders() has something to do by itself.
   Instant NextDue() const;
   /// The same of Orders() alone.
@@ -120,6 +126,10 @@
   Instant EndOfGrantReceivedBy(Instant received) const;
   bool OwnerMustGo(const traffic::KeyRange& range) const;
 
+  void Note(std::string_view what, const traffic::KeyRange& range, const traffic::KeySpan& span,
+            std::string inputs);
+  /// Why the keys of a range may be given to somebody else.
+  std::string WhyOver(const traffic::KeyRange& range, const RangeCare& care) const;
   void DecideConfirmations(std::vector<CommandBody>& commands) const;
   void DecideReleases(Instant now, std::vector<CommandBody>& commands);
   void DecideAssignments(Instant now, std::vector<CommandBody>& commands);
@@ -144,6 +154,7 @@
   /// Whether leases of a service's former form may still be held: until they are over, none of the
   /// new form is given.
   bool InQuietTime(const ServiceName& service, Instant now) const;
+  void NoteUnknownKeys(const ReportInstance& heartbeat);
   /// Adds to an answer what it leases of one range, and notes what it leaves out.
   void Lease(const traffic::KeyRange& range, RangeCare& care, Holder& holder,
              traffic::KeyLeases& leases, Instant now);
@@ -159,7 +170,7 @@
   static bool NoteOmission(Holder& holder, const traffic::KeySpan& span, Instant now);
   /// Whether an owner has still to come for keys that no answer leased to it yet.
   bool AwaitsFirstLease(const traffic::KeyRange& range, const RangeCare& care, Instant now) const;
-  void PlanMoves(const ServiceName& service, std::vector<traffic::RangeRelease> moves);
+  std::vector<traffic::RangeRelease> PlannedMoves(const ServiceName& service) const;
   /// Adds the moves whose owners were told, and forgets those that fit no more.
   void AddBegunMoves(std::vector<traffic::RangeRelease>& releases);
   /// Whether an instance beat so lately that it will come for new keys.
@@ -190,6 +201,7 @@
     Instant since;
   };
   std::map<ServiceName, Settling> settling_;
+  std::vector<RangeNote> notes_;
   std::uint64_t followed_version_ = 0;
   std::uint64_t decided_version_ = 0;  ///< Of the state at the last full Decide().
   std::uint64_t ordered_version_ = 0;  ///< The same of Orders().
--- a/src/daemon/control/control_driver.h
+++ b/src/daemon/control/control_driver.h
@@ -41,6 +41,8 @@
   std::function<void(control::RangeOrder order)> to_range_owner = [](const auto&) {};
   /// This process began or ceased to lead, or follows another leader.
   std::function<void(const ControlStatus& status)> on_leadership = [](const auto&) {};
+  /// A decision about key ranges.
+  std::function<void(const control::RangeNote& note)> on_range_note = [](const auto&) {};
   /// A storage error that the process must not survive.
   std::function<void()> stop;
 };
