Hold requests for keys longer, avoid servers that fail requests, begin weighted turns anywhere

Cause: most of what the new customer loses are lookups refused after a fifth of their target, though only one server can run them and a caller returns once; requests refused by gateways that have just started; servers that answer 500 while their health check is good; in the larger deployment, one key moving from owner to owner while it is hot.

Change: requests for keys wait up to 0.4 of their caller's time, those that can still be in time first, late ones for a free slot only; requests read before the first configuration wait for it; failures count against a server's choice, control moves keys away from owners that fail most requests, none where a fifth of a service fails; a hot key rests 8 s between moves; moved keys go to the candidate with room that beats soonest; a quarter of the owners may move together; turns of a divided route begin at a place drawn for each gateway.

--- a/src/control/heartbeat_leases.cc
+++ b/src/control/heartbeat_leases.cc
@@ -22,6 +22,8 @@
 /// Heartbeats without a leased range after which its fence is taken for refused: one answer may
 /// have been lost, and one heartbeat may have been sent before the answer came.
 constexpr int kUnheededMaximum = 4;
+/// Instances that let go of keys beat each 100 ms; what is longer than some of that is regular.
+constexpr Duration kShortestInterval{300'000};
 
 /// What is left of `spans` without `hole`.
 std::vector<KeySpan> Without(const std::vector<KeySpan>& spans, const KeySpan& hole) {
@@ -70,6 +72,8 @@
   // A late heartbeat tells of keys as they were.
   if (report.sequence <= holder.sequence) return std::nullopt;
   holder.sequence = report.sequence;
+  const Duration since = now - holder.heard;
+  if (kShortestInterval < since && since < options_.lease_pickup) holder.interval = since;
   holder.heard = now;
   traffic::KeyLeases leases;
   leases.length_ms = options_.hold.count() / 1'000;
@@ -187,8 +191,7 @@
   return assigned && !OwnerMustGo(range) && now - care.since < options_.lease_pickup;
 }
 
-std::vector<traffic::RangeRelease> RangeController::PlannedMoves(
-    const ServiceName& service) const {
+std::vector<traffic::RangeRelease> RangeController::PlannedMoves(const ServiceName& service) const {
   std::vector<traffic::RangeRelease> moves;
   for (const PlannedMove& move : planned_) {
     if (move.release.service == service) moves.push_back(move.release);
--- a/src/control/range_balancer.cc
+++ b/src/control/range_balancer.cc
@@ -27,10 +27,19 @@
 /// And a gain of at least this part of the mean.
 constexpr double kWorthwhile = 0.1;
 constexpr Duration kLookInterval{250'000};
+/// A hot key that moves is served by nobody for a second: not again before its faster owner made
+/// up for that several times, however the measured speeds change meanwhile.
+constexpr Duration kHotKeyRest{8'000'000};
 /// By which another candidate must be faster to get a hot key.
 constexpr double kMuchFaster = 1.2;
-/// Moves that are begun together.
-constexpr std::size_t kMovesMaximum = 8;
+/// Moves that are under way together: some, or more where a crowd may need many owners.
+constexpr std::size_t kMovesAtLeast = 8;
+constexpr std::size_t kCandidatesPerMove = 4;
+/// From an owner's heartbeat whose answer takes keys away until their work has ended and it says
+/// so: a heartbeat each 100 ms, and requests that run for some hundred.
+constexpr Duration kReleaseTime{250'000};
+/// A candidate with this part of the most room may be chosen for its earlier heartbeat.
+constexpr double kRoomEnough = 0.6;
 
 /// Lets ranges stand as after a move was begun.
 void MarkMoved(traffic::KeyRangeTable::Ranges& ranges, const traffic::RangeRelease& move) {
@@ -57,6 +66,14 @@
 
 }  // namespace
 
+Instant RangeCandidate::HeartbeatFrom(Instant time) const {
+  if (heartbeat_interval <= Duration{} || next_heartbeat >= time)
+    return std::max(next_heartbeat, time);
+  const auto intervals =
+      (time - next_heartbeat + heartbeat_interval - Duration{1}) / heartbeat_interval;
+  return next_heartbeat + intervals * heartbeat_interval;
+}
+
 void RangeBalancer::TakeLoads(const std::vector<traffic::ServiceLoads>& loads, Instant now) {
   for (const traffic::ServiceLoads& reported : loads) {
     ServiceLoad& load = loads_[reported.service];
@@ -205,13 +222,14 @@
   measured.last_look = now;
   traffic::KeyRangeTable::Ranges after = ranges;
   for (const traffic::RangeRelease& move : planned) MarkMoved(after, move);
-  const auto under_way = static_cast<std::size_t>(
-      std::count_if(after.begin(), after.end(), [](const auto& entry) {
+  const auto under_way =
+      static_cast<std::size_t>(std::count_if(after.begin(), after.end(), [](const auto& entry) {
         return entry.second.phase == traffic::RangePhase::kReleasing ||
                entry.second.phase == traffic::RangePhase::kGranting;
       }));
-  while (moves.size() + under_way < kMovesMaximum) {
-    const auto move = NextMove(service, after, candidates);
+  const std::size_t maximum = std::max(kMovesAtLeast, candidates.size() / kCandidatesPerMove);
+  while (moves.size() + under_way < maximum) {
+    const auto move = NextMove(service, after, candidates, now);
     if (!move) break;
     moves.push_back(*move);
   }
@@ -221,12 +239,12 @@
 /// The move from the busiest candidate to the one with most room; `ranges` then stand as after it.
 std::optional<traffic::RangeRelease> RangeBalancer::NextMove(
     const ServiceName& service, traffic::KeyRangeTable::Ranges& ranges,
-    const std::vector<RangeCandidate>& candidates) const {
+    const std::vector<RangeCandidate>& candidates, Instant now) {
   const auto loads = OwnerLoads(service, ranges);
   double total = 0;
   for (const auto& [owner, load] : loads) total += load;
   const double mean = total / TotalSlots(candidates);
-  if (auto hot = MoveOfHotKey(service, ranges, candidates, mean)) {
+  if (auto hot = MoveOfHotKey(service, ranges, candidates, mean, now)) {
     MarkMoved(ranges, *hot);
     return hot;
   }
@@ -234,19 +252,34 @@
     const auto found = loads.find(candidate.id);
     return (found == loads.end() ? 0.0 : found->second) / candidate.slots;
   };
-  const auto [lightest, heaviest] =
-      std::minmax_element(candidates.begin(), candidates.end(),
-                          [&](const auto& a, const auto& b) { return load_of(a) < load_of(b); });
+  const auto heaviest =
+      std::max_element(candidates.begin(), candidates.end(),
+                       [&](const auto& a, const auto& b) { return load_of(a) < load_of(b); });
+  const auto room_of = [&](const RangeCandidate& candidate) {
+    return (mean - load_of(candidate)) * candidate.slots;
+  };
+  const double most_room = room_of(
+      *std::max_element(candidates.begin(), candidates.end(),
+                        [&](const auto& a, const auto& b) { return room_of(a) < room_of(b); }));
+  // Among those with room, the one that comes for the keys soonest after their release.
+  const Instant released = heaviest->HeartbeatFrom(now) + kReleaseTime;
+  const RangeCandidate* next = nullptr;
+  for (const RangeCandidate& candidate : candidates) {
+    if (room_of(candidate) < most_room * kRoomEnough) continue;
+    const bool sooner =
+        next == nullptr || candidate.HeartbeatFrom(released) < next->HeartbeatFrom(released);
+    const bool same = !sooner && candidate.HeartbeatFrom(released) == next->HeartbeatFrom(released);
+    if (sooner || (same && room_of(candidate) > room_of(*next))) next = &candidate;
+  }
   const double over = (load_of(*heaviest) - mean) * heaviest->slots;
-  const double room = (mean - load_of(*lightest)) * lightest->slots;
-  const double wanted = std::min(over, room);
+  const double wanted = std::min(over, room_of(*next));
   if (load_of(*heaviest) < mean * kOverloaded || wanted < mean * kWorthwhile) return std::nullopt;
   std::optional<traffic::RangeRelease> best;
   for (const auto& [first, range] : ranges) {
     if (range.owner != heaviest->id || range.phase != traffic::RangePhase::kServing) continue;
     const auto piece = PieceOf(range, wanted);
     if (!piece || (best && best->span.size() <= piece->size())) continue;
-    best = traffic::RangeRelease{service, *piece, range.fence, lightest->id};
+    best = traffic::RangeRelease{service, *piece, range.fence, next->id};
   }
   if (!best) return std::nullopt;
   MarkMoved(ranges, *best);
@@ -255,9 +288,11 @@
 
 std::optional<traffic::RangeRelease> RangeBalancer::MoveOfHotKey(
     const ServiceName& service, const traffic::KeyRangeTable::Ranges& ranges,
-    const std::vector<RangeCandidate>& candidates, double mean) const {
+    const std::vector<RangeCandidate>& candidates, double mean, Instant now) {
   const auto measured = loads_.find(service);
   if (measured == loads_.end()) return std::nullopt;
+  auto& moved = measured->second.hot_moved;
+  std::erase_if(moved, [&](const auto& entry) { return now - entry.second > kHotKeyRest; });
   const auto fastest =
       std::max_element(candidates.begin(), candidates.end(),
                        [](const auto& a, const auto& b) { return a.slots < b.slots; });
@@ -268,6 +303,7 @@
     if (owner == candidates.end() || range.phase != traffic::RangePhase::kServing) continue;
     const bool fills_owner = rate > mean * owner->slots;
     if (!fills_owner || owner->slots * kMuchFaster > fastest->slots) continue;
+    if (!moved.emplace(key, now).second) continue;
     return traffic::RangeRelease{service, {key, key}, range.fence, fastest->id};
   }
   return std::nullopt;
--- a/src/control/range_balancer.h
+++ b/src/control/range_balancer.h
@@ -18,6 +18,12 @@
   traffic::InstanceId id;
   ZoneName zone;
   double slots = 1;  ///< Scaled by its speed, relative to the mean of its service.
+  /// By heartbeat: when it learns of changes next, and after that each interval. Zero by orders.
+  Instant next_heartbeat{};
+  Duration heartbeat_interval{};
+
+  /// Its first heartbeat from `time` on.
+  Instant HeartbeatFrom(Instant time) const;
 };
 
 /// Keeps moves few and narrow: what moves has no owner for a moment, and its next owner is cold.
@@ -56,7 +62,8 @@
     std::vector<float> arrived = std::vector<float>(traffic::kLastKey + 1, 0.0F);
     /// What all keys before one get together, by the mean that counts for each; one entry more.
     std::vector<double> before = std::vector<double>(traffic::kLastKey + 2, 0.0);
-    std::map<std::uint32_t, float> hot;  ///< Keys that alone get much.
+    std::map<std::uint32_t, float> hot;          ///< Keys that alone get much.
+    std::map<std::uint32_t, Instant> hot_moved;  ///< When they were last moved to a faster owner.
     Instant window_start{};
     Instant last_look{};
     int windows = 0;  ///< Closed so far.
@@ -68,14 +75,15 @@
   double LoadOf(const ServiceName& service, const traffic::KeySpan& span) const;
   std::map<traffic::InstanceId, double> OwnerLoads(
       const ServiceName& service, const traffic::KeyRangeTable::Ranges& ranges) const;
-  std::optional<traffic::RangeRelease> NextMove(
-      const ServiceName& service, traffic::KeyRangeTable::Ranges& ranges,
-      const std::vector<RangeCandidate>& candidates) const;
+  std::optional<traffic::RangeRelease> NextMove(const ServiceName& service,
+                                                traffic::KeyRangeTable::Ranges& ranges,
+                                                const std::vector<RangeCandidate>& candidates,
+                                                Instant now);
   /// Takes a key that alone is more than its owner's share to the fastest candidate.
   std::optional<traffic::RangeRelease> MoveOfHotKey(const ServiceName& service,
                                                     const traffic::KeyRangeTable::Ranges& ranges,
                                                     const std::vector<RangeCandidate>& candidates,
-                                                    double mean) const;
+                                                    double mean, Instant now);
   /// A piece of a range, from its start or end, that carries about `wanted`.
   std::optional<traffic::KeySpan> PieceOf(const traffic::KeyRange& range, double wanted) const;
 
--- a/src/control/range_controller.cc
+++ b/src/control/range_controller.cc
@@ -12,6 +12,9 @@
 
 /// How often the state is looked at without an event: liveness and balance change by themselves.
 constexpr Duration kLookInterval{100'000};
+/// Where more than this part of a service's instances fail, the cause is a common one, and moving
+/// keys would only add load to the rest.
+constexpr double kAvoidedPart = 0.2;
 /// Instances among which the keys of one that is gone are divided.
 constexpr std::size_t kHeirsMaximum = 3;
 
@@ -151,7 +154,7 @@
 
 void RangeController::TakeLoads(const traffic::TrafficPoll& poll, Instant now) {
   balancer_.TakeLoads(poll.loads, now);
-  for (const traffic::InstanceSpeed& speed : poll.speeds) speeds_.Take(speed);
+  for (const traffic::InstanceSpeed& speed : poll.speeds) speeds_.Take(speed, now);
 }
 
 bool RangeController::OwnerIsOver(const KeyRange& range, const RangeCare& care, Instant now) const {
@@ -211,17 +214,39 @@
                                                            Instant now) const {
   std::vector<RangeCandidate> candidates;
   const bool by_heartbeat = LeasedByHeartbeat(service);
+  const auto avoided = AvoidedInstances(service, now);
   for (const auto& [id, instance] : state_.instances().instances()) {
     const bool fits = instance.report.service == service && instance.TakesNewWork();
     if (!fits || liveness_.Silent(id, now) || Unresponsive(id, now)) continue;
+    if (avoided.contains(id)) continue;
     if (by_heartbeat && !HeardLately(id, now)) continue;
     const double slots = static_cast<double>(std::max<std::int64_t>(1, instance.report.slots));
-    candidates.push_back({id, instance.report.zone, slots});
+    RangeCandidate& candidate = candidates.emplace_back();
+    candidate.id = id;
+    candidate.zone = instance.report.zone;
+    candidate.slots = slots;
+    if (!by_heartbeat) continue;
+    const Holder& holder = holders_.at(id);
+    candidate.next_heartbeat = holder.heard + holder.interval;
+    candidate.heartbeat_interval = holder.interval;
   }
   speeds_.Scale(candidates);
   return candidates;
 }
 
+std::set<traffic::InstanceId> RangeController::AvoidedInstances(const ServiceName& service,
+                                                                Instant now) const {
+  std::set<traffic::InstanceId> failing;
+  std::size_t all = 0;
+  for (const auto& [id, instance] : state_.instances().instances()) {
+    if (instance.report.service != service || !instance.TakesNewWork()) continue;
+    ++all;
+    if (speeds_.Failing(id, now)) failing.insert(id);
+  }
+  const bool many = static_cast<double>(failing.size()) > kAvoidedPart * static_cast<double>(all);
+  return many ? std::set<traffic::InstanceId>{} : failing;
+}
+
 bool RangeController::Unresponsive(const traffic::InstanceId& instance, Instant now) const {
   const auto failing = failing_since_.find(instance);
   if (failing == failing_since_.end()) return false;
@@ -234,12 +259,15 @@
   AddBegunMoves(command.releases);
   for (const auto& [service, ranges] : state_.ranges().services()) {
     bool moving = false;
+    const auto avoided = AvoidedInstances(service, now);
     for (const auto& [first, range] : ranges) {
-      moving = moving || range.phase == RangePhase::kReleasing ||
-               range.phase == RangePhase::kGranting;
-      if (!range.Owned() || !OwnerMustGo(range)) continue;
+      moving =
+          moving || range.phase == RangePhase::kReleasing || range.phase == RangePhase::kGranting;
+      const bool must_go = OwnerMustGo(range);
+      const bool fails = range.phase == RangePhase::kServing && avoided.contains(range.owner);
+      if (!range.Owned() || (!must_go && !fails)) continue;
       command.releases.push_back({service, range.span, range.fence, {}});
-      Note("release", range, range.span, "the owner leaves");
+      Note("release", range, range.span, must_go ? "the owner leaves" : "the owner fails requests");
       moving = true;
     }
     const bool by_heartbeat = LeasedByHeartbeat(service);
--- a/src/control/range_controller.h
+++ b/src/control/range_controller.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -105,6 +106,7 @@
   struct Holder {
     std::int64_t sequence = 0;  ///< Of the newest heartbeat that was taken.
     Instant heard{};
+    Duration interval{};  ///< Between its heartbeats, but for those that tell of a release.
     std::vector<Omission> omissions;
   };
   /// A planned move that waits for its owner's next heartbeat: routers are told of the release
@@ -143,6 +145,8 @@
 
   /// Instances that may be given keys.
   std::vector<RangeCandidate> CandidatesFor(const ServiceName& service, Instant now) const;
+  /// Instances that fail their requests, none where many do.
+  std::set<traffic::InstanceId> AvoidedInstances(const ServiceName& service, Instant now) const;
   /// Whether an instance answers neither orders nor sends heartbeats.
   bool Unresponsive(const traffic::InstanceId& instance, Instant now) const;
   std::optional<RangeOrder> NextOrder(const traffic::KeyRange& range, RangeCare& care, Instant now);
--- a/src/gateway/backend_table.cc
+++ b/src/gateway/backend_table.cc
@@ -12,6 +12,13 @@
 
 /// Weight of the newest latency.
 constexpr double kNewestLatency = 0.15;
+/// Weights of the newest answer in what part of them fails. A failure says more than a success: a
+/// sound server fails one in a thousand.
+constexpr double kNewestFailure = 0.5;
+constexpr double kNewestSuccess = 0.2;
+/// A request's end at its deadline tells of the queue that it stood in, not of the server.
+constexpr int kDeadlineStatus = 504;
+constexpr int kFirstFailureStatus = 500;
 /// Servers that are about as good are chosen among at random, so that gateways which know the same
 /// don't all choose the same.
 constexpr double kJitter = 0.15;
@@ -93,12 +100,32 @@
   return target == Duration{} || ExpectedMicros(backend, Duration{}, now) <= Micros(target);
 }
 
+bool BackendTable::HasFreeSlot(const Backend& backend, Instant now) const {
+  return backend.in_flight < ConnectionShare(backend.instance.report.service) &&
+         LoadOf(backend, now) < SlotsOf(backend);
+}
+
 double BackendTable::ExpectedMicros(const Backend& backend, Duration target, Instant now) const {
   double latency = backend.latency_us;
   if (now < backend.warm_at) latency *= options_.cold_factor;
   const double turns = std::max(1.0, (LoadOf(backend, now) + 1) / SlotsOf(backend));
   const bool far = backend.instance.report.zone != options_.zone;
-  return latency * turns + (far ? Micros(target) * options_.cross_zone_part : 0.0);
+  const double cross_zone = far ? options_.cross_zone_part : 0.0;
+  const double failing = options_.failure_targets * FailingPart(backend, now);
+  return latency * turns + Micros(target) * (cross_zone + failing);
+}
+
+double BackendTable::FailingPart(const Backend& backend, Instant now) const {
+  if (backend.failing == 0) return 0;
+  return backend.failing *
+         std::exp(-Micros(now - backend.failing_at) / Micros(options_.failure_memory));
+}
+
+void BackendTable::NoteOutcome(Backend& backend, bool failed, Instant now) const {
+  const double before = FailingPart(backend, now);
+  const double weight = failed ? kNewestFailure : kNewestSuccess;
+  backend.failing = before + weight * ((failed ? 1.0 : 0.0) - before);
+  backend.failing_at = now;
 }
 
 const Backend* BackendTable::Choose(const ServiceName& service,
@@ -158,6 +185,10 @@
     return;
   }
   if (report.end != AttemptEnd::kAnswered) return;
+  const bool failed = report.status >= kFirstFailureStatus && report.status != kDeadlineStatus;
+  ++backend.speed.whole;
+  if (failed) ++backend.speed.failures;
+  NoteOutcome(backend, failed, now);
   backend.failures = 0;
   backend.ejection = {};
   backend.ejected_until = {};
@@ -173,13 +204,13 @@
   backend.latency_known = true;
 }
 
-void BackendTable::TakeSpeeds(const ServiceName& service,
+void BackendTable::TakeSpeeds(const ServiceName& service, bool all,
                               std::vector<traffic::InstanceSpeed>& speeds) {
   const auto ids = services_.find(service);
   if (ids == services_.end()) return;
   for (const traffic::InstanceId& id : ids->second) {
     traffic::InstanceSpeed& speed = backends_.at(id).speed;
-    if (speed.answers == 0) continue;
+    if (speed.whole == 0 || (!all && speed.failures == 0)) continue;
     speed.instance = id;
     speeds.push_back(std::exchange(speed, {}));
   }
--- a/src/gateway/backend_table.h
+++ b/src/gateway/backend_table.h
@@ -29,6 +29,12 @@
   Duration pause_maximum{2'000'000};
   /// How long the owner of keys that drains still gets their requests, while they find their next.
   Duration drain_allowance{1'000'000};
+  /// Targets by which a server that fails all requests is taken for slower: a failure costs all
+  /// that an answer is worth, so that a long wait elsewhere is better.
+  double failure_targets = 4.0;
+  /// With which the memory of failures fades, so that a server is tried again. As long as the
+  /// ejection of one that breaks connections.
+  Duration failure_memory{4'000'000};
   double cold_factor = 2.0;      ///< By which a server that warms up is taken for slower.
   double waiting_maximum = 2.0;  ///< Requests for each slot that may wait at a server.
 };
@@ -45,6 +51,8 @@
   bool latency_known = false;
   traffic::InstanceSpeed speed;  ///< Since it was last told.
   int failures = 0;              ///< In a row.
+  double failing = 0;            ///< Mean part of answers that told of a failure, as of failing_at.
+  Instant failing_at{};
   Duration ejection{};
   Instant ejected_until{};
   Instant paused_until{};  ///< As the owner of keys, for which there is no other server.
@@ -81,6 +89,8 @@
   /// Whether a request that is sent now may still be answered within its target: otherwise it waits
   /// here, where it can be refused early and where nobody resets it for a full queue.
   bool HasRoom(const Backend& backend, Duration target, Instant now) const;
+  /// Whether a request that is sent now would find a free slot, by the best guess.
+  bool HasFreeSlot(const Backend& backend, Instant now) const;
   /// Requests that are at a server at present, by the best guess.
   double LoadOf(const Backend& backend, Instant now) const;
 
@@ -90,14 +100,19 @@
                Instant now);
   void OnAbandoned(const traffic::InstanceId& id);
 
-  /// Speeds of a service's servers that were seen since the last call.
-  void TakeSpeeds(const ServiceName& service, std::vector<traffic::InstanceSpeed>& speeds);
+  /// Speeds of a service's servers that were seen since they were last taken.
+  /// @param all false: only of those that failed meanwhile, which control should know at once.
+  void TakeSpeeds(const ServiceName& service, bool all,
+                  std::vector<traffic::InstanceSpeed>& speeds);
 
   /// "load 2.1 of 2, word 120 ms old, latency 61 ms" for the log.
   std::string Describe(const Backend& backend, Instant now) const;
 
  private:
   double ExpectedMicros(const Backend& backend, Duration target, Instant now) const;
+  /// Part of the next requests that a server is taken to fail.
+  double FailingPart(const Backend& backend, Instant now) const;
+  void NoteOutcome(Backend& backend, bool failed, Instant now) const;
   void TakeLoad(Backend& backend, const ReportedLoad& load, Instant now) const;
   void Fail(Backend& backend, Instant now);
   /// Requests that this gateway may have at one server of a service at once.
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -1,6 +1,7 @@
 #include "src/gateway/gateway_node.h"
 
 #include <algorithm>
+#include <cmath>
 #include <string>
 #include <utility>
 
@@ -23,8 +24,12 @@
 /// A request may be held for this part of its target latency before it is offered to a server. What
 /// is refused so early may still be served in time when the caller comes back.
 constexpr int kHoldPartOfTarget = 5;
-/// Longer where the end of the wait is near: a range that is on its way to its next owner.
-constexpr int kMovePartOfTarget = 2;
+/// A request for a key may be held for this part of the time that its caller gave: no other server
+/// can run it, and a caller that comes back finds the same owner. Less than half, so that one which
+/// is refused in the end has time for another try.
+constexpr double kOwnerHoldPart = 0.4;
+/// Between two looks at an owner that has no room. What others have there fades by itself.
+constexpr Duration kOwnerLook{25'000};
 constexpr Duration kHoldWithoutTarget{100'000};
 /// Between two looks at a key whose owner refused it.
 constexpr Duration kOwnerRetry{30'000};
@@ -38,6 +43,10 @@
 constexpr Duration kRetryAfterMinimum{20'000};
 constexpr Duration kRetryAfterMaximum{1'000'000};
 
+Duration PartOf(Duration whole, double part) {
+  return Duration(std::llround(static_cast<double>(whole.count()) * part));
+}
+
 /// Statuses by which a server would promise that a request did not run; without the mark that says
 /// so they promise nothing.
 bool IsPromise(int status) {
@@ -90,7 +99,7 @@
 }
 
 GatewayNode::GatewayNode(GatewayOptions options, std::uint64_t seed)
-    : options_(std::move(options)), backends_(options_.backends, seed) {}
+    : options_(std::move(options)), routes_(seed), backends_(options_.backends, seed) {}
 
 // --- Entry points ---
 
@@ -120,6 +129,7 @@
            std::to_string(update.routes.size()) + ", instances " +
            std::to_string(update.instances.size()) + ", ranges " +
            std::to_string(update.ranges.size()) + ", gateways " + std::to_string(gateways_));
+  if (Ready()) AdmitUnrouted(now);
   ServeAllWaiting(now);
   return Finish();
 }
@@ -135,7 +145,7 @@
 
 void GatewayNode::Admit(LiveRequest& request, Instant now) {
   const ArrivedRequest& arrived = request.arrived;
-  if (!Ready()) return EndWithoutRun(request, RefusalReason::kNoConfiguration, now);
+  if (!Ready()) return AwaitConfiguration(request, now);
   const traffic::Route* route = routes_.Find(arrived.host, arrived.path);
   if (route == nullptr) return EndWithoutRun(request, RefusalReason::kNoRoute, now);
   const auto service = routes_.NextService(*route);
@@ -147,7 +157,8 @@
   request.attempts_maximum =
       static_cast<std::uint32_t>(std::max<std::int64_t>(1, route->attempts_maximum));
   const Duration timeout = std::chrono::milliseconds(route->timeout_ms);
-  request.give_up = now + std::min(arrived.time_left - options_.answer_margin, timeout);
+  request.give_up =
+      request.received + std::min(arrived.time_left - options_.answer_margin, timeout);
   if (Keyed(*service)) {
     if (!arrived.key || *arrived.key > traffic::kLastKey) {
       return EndWithoutRun(request, RefusalReason::kBadKey, now);
@@ -165,6 +176,26 @@
   ServeWaiting(*service, now);
 }
 
+/// A gateway that has just started will know its routes in a moment, and its neighbours may have
+/// started with it: a caller that is refused finds no better one.
+void GatewayNode::AwaitConfiguration(LiveRequest& request, Instant now) {
+  request.give_up = request.received + PartOf(request.arrived.time_left, kOwnerHoldPart);
+  if (unrouted_.size() >= options_.waiting_maximum || now >= request.give_up) {
+    return EndWithoutRun(request, RefusalReason::kNoConfiguration, now);
+  }
+  unrouted_.insert(request.arrived.number);
+  SetTimer(request, request.give_up);
+}
+
+void GatewayNode::AdmitUnrouted(Instant now) {
+  for (const RequestNumber number : std::exchange(unrouted_, {})) {
+    LiveRequest& request = requests_.at(number);
+    SetTimer(request, {});
+    request.hold_from = now;
+    Admit(request, now);
+  }
+}
+
 GatewayEffects GatewayNode::OnAttemptEnd(const AttemptReport& report, Instant now) {
   const auto found = requests_.find(report.request);
   const bool current = found != requests_.end() && found->second.open &&
@@ -196,14 +227,7 @@
     LiveRequest& request = requests_.at(number);
     request.timer = {};
     const ServiceName service = request.service;
-    if (now >= request.give_up) {
-      GiveUp(request, now);
-    } else if (request.waiting) {
-      const Step step = TryNext(request, now);
-      if (step == Step::kWaits && request.timer == Instant{}) {
-        EndWithoutRun(request, request.waits_for, now);
-      }
-    }
+    if (now >= request.give_up) GiveUp(request, now);
     ServeWaiting(service, now);
   }
   return Finish();
@@ -224,7 +248,7 @@
     traffic::ServiceLoads& loads = poll.loads.emplace_back();
     loads.service = service;
     for (const auto& [key, requests] : keys) loads.keys.push_back({key, requests});
-    if (tell_speeds) backends_.TakeSpeeds(service, poll.speeds);
+    backends_.TakeSpeeds(service, tell_speeds, poll.speeds);
   }
   key_loads_.clear();
   load_is_urgent_ = false;
@@ -240,34 +264,50 @@
 
 GatewayNode::Step GatewayNode::TryOwner(LiveRequest& request, Instant now) {
   const traffic::KeyRange* range = keys_.Find(request.service, *request.arrived.key);
-  const bool moving = range != nullptr && (range->phase == RangePhase::kReleasing ||
-                                           range->phase == RangePhase::kGranting);
   const Backend* owner = range != nullptr && range->phase == RangePhase::kServing
                              ? backends_.Find(range->owner)
                              : nullptr;
-  if (owner == nullptr) {
-    const int part = moving ? kMovePartOfTarget : kHoldPartOfTarget;
-    return Wait(request, RefusalReason::kNoOwner, request.target_latency / part, now);
-  }
-  if (backends_.DrainedForLong(*owner, now)) {
-    return Wait(request, RefusalReason::kNoOwner, request.target_latency / kMovePartOfTarget, now);
+  const auto wait_for = [&](RefusalReason reason) { return WaitForOwner(request, reason, now); };
+  if (owner == nullptr || backends_.DrainedForLong(*owner, now)) {
+    return wait_for(RefusalReason::kNoOwner);
   }
   if (keys_.Disowned(*range, now)) {
+    // This gateway's map is behind: the caller had better ask another one soon.
     return Wait(request, RefusalReason::kStaleOwner, request.target_latency / kHoldPartOfTarget,
                 now);
   }
-  if (now < owner->paused_until) {
-    return Wait(request, RefusalReason::kOwnerFails, request.target_latency / kHoldPartOfTarget,
-                now);
-  }
-  if (!backends_.HasRoom(*owner, request.target_latency, now)) {
-    return Wait(request, RefusalReason::kOverloaded, request.target_latency / kHoldPartOfTarget,
-                now);
-  }
+  if (now < owner->paused_until) return wait_for(RefusalReason::kOwnerFails);
+  const bool room = InTime(request, now) ? backends_.HasRoom(*owner, request.target_latency, now)
+                                         : backends_.HasFreeSlot(*owner, now);
+  if (!room) return wait_for(RefusalReason::kOverloaded);
   Send(request, *owner, now);
   return Step::kSent;
 }
 
+/// Whether a request may still be answered within its target.
+bool GatewayNode::InTime(const LiveRequest& request, Instant now) {
+  return now - request.received < request.target_latency;
+}
+
+GatewayNode::Step GatewayNode::WaitForOwner(LiveRequest& request, RefusalReason reason,
+                                            Instant now) {
+  const Instant end = request.received + PartOf(request.arrived.time_left, kOwnerHoldPart);
+  const Duration limit =
+      std::max(end - request.hold_from, request.target_latency / kHoldPartOfTarget);
+  const Step step = Wait(request, reason, limit, now);
+  if (request.timer == Instant{}) return step;
+  // All that wait look at the same instants, so that one look serves them.
+  const Instant look{(now.time_since_epoch() / kOwnerLook + 1) * kOwnerLook};
+  SetTimer(request, std::min(request.timer, look));
+  return step;
+}
+
+void GatewayNode::SetTimer(LiveRequest& request, Instant at) {
+  timers_.erase({request.timer, request.arrived.number});
+  request.timer = at;
+  if (at != Instant{}) timers_.insert({at, request.arrived.number});
+}
+
 GatewayNode::Step GatewayNode::TryPool(LiveRequest& request, Instant now) {
   const Backend* backend =
       backends_.Choose(request.service, request.tried, request.target_latency, now);
@@ -294,9 +334,7 @@
                                             backend.instance.report.address,
                                             request.give_up - now});
   backends_.OnSent(id);
-  timers_.erase({request.timer, request.arrived.number});
-  request.timer = request.give_up;
-  timers_.insert({request.timer, request.arrived.number});
+  SetTimer(request, request.give_up);
 }
 
 /// Leaves the request in its queue until `limit` after its arrival.
@@ -305,11 +343,9 @@
   request.waits_for = reason;
   const Duration hold = limit > Duration{} ? limit : kHoldWithoutTarget;
   const Instant end = std::min(request.hold_from + hold, request.give_up);
-  timers_.erase({request.timer, request.arrived.number});
-  request.timer = {};
-  if (now >= end) return Step::kWaits;  // Its time to wait is over: the caller ends it.
-  request.timer = request.not_before > now ? std::min(end, request.not_before) : end;
-  timers_.insert({request.timer, request.arrived.number});
+  // With its time to wait over it gets no timer, and the caller ends it.
+  const bool held = request.not_before > now;
+  SetTimer(request, now >= end ? Instant{} : held ? std::min(end, request.not_before) : end);
   return Step::kWaits;
 }
 
@@ -318,6 +354,13 @@
   if (queue == queues_.end()) return;
   const bool keyed = Keyed(service);
   std::vector<WaitingPlace> places(queue->second.waiting.begin(), queue->second.waiting.end());
+  // Those that can still be answered within their targets go first: what is late anyway is worth
+  // the same a little later.
+  if (keyed) {
+    std::stable_partition(places.begin(), places.end(), [&](const WaitingPlace& place) {
+      return InTime(requests_.at(place.number), now);
+    });
+  }
   for (const WaitingPlace& place : places) {
     LiveRequest& request = requests_.at(place.number);
     const Step step = TryNext(request, now);
@@ -416,6 +459,9 @@
 }
 
 void GatewayNode::GiveUp(LiveRequest& request, Instant now) {
+  if (unrouted_.contains(request.arrived.number)) {
+    return EndWithoutRun(request, RefusalReason::kNoConfiguration, now);
+  }
   if (!request.open && !request.may_have_run) {
     return EndWithoutRun(request, RefusalReason::kDeadline, now);
   }
@@ -463,6 +509,7 @@
     effects_.actions.emplace_back(AbandonAttempt{number, request.open->number});
   }
   timers_.erase({request.timer, number});
+  unrouted_.erase(number);
   requests_.erase(number);
 }
 
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -68,8 +68,15 @@
   enum class Step { kSent, kWaits };
 
   void Admit(LiveRequest& request, Instant now);
+  void AwaitConfiguration(LiveRequest& request, Instant now);
+  void AdmitUnrouted(Instant now);
   Step TryNext(LiveRequest& request, Instant now);
   Step TryOwner(LiveRequest& request, Instant now);
+  /// Waits for the only server that can run a request, for a part of its caller's time.
+  Step WaitForOwner(LiveRequest& request, RefusalReason reason, Instant now);
+  static bool InTime(const LiveRequest& request, Instant now);
+  /// @param at Instant{} for none.
+  void SetTimer(LiveRequest& request, Instant at);
   Step TryPool(LiveRequest& request, Instant now);
   void Send(LiveRequest& request, const Backend& backend, Instant now);
   Step Wait(LiveRequest& request, RefusalReason reason, Duration limit, Instant now);
@@ -105,6 +112,7 @@
   std::uint32_t gateways_ = 0;
 
   std::map<RequestNumber, LiveRequest> requests_;
+  std::set<RequestNumber> unrouted_;  ///< Read before the first configuration came.
   std::map<ServiceName, ServiceQueue> queues_;
   std::set<std::pair<Instant, RequestNumber>> timers_;
   std::map<ServiceName, SharedRetryBudget> budgets_;
--- a/src/gateway/route_table.cc
+++ b/src/gateway/route_table.cc
@@ -7,6 +7,9 @@
 namespace graniteseam::gateway {
 namespace {
 
+/// Turns after which whole percentages repeat themselves.
+constexpr int kTurns = 100;
+
 std::string LowerCase(std::string_view text) {
   std::string lower(text);
   std::transform(lower.begin(), lower.end(), lower.begin(),
@@ -32,7 +35,10 @@
 
 void RouteTable::Put(const traffic::Route& route) {
   hosts_[LowerCase(route.host)][route.path_prefix] = route.name;
-  routes_[route.name] = {route, std::vector<double>(route.split.size(), 0.0)};
+  Entry& entry = routes_[route.name] = {route, std::vector<double>(route.split.size(), 0.0)};
+  if (route.split.size() < 2) return;
+  const int begun = std::uniform_int_distribution<int>(0, kTurns - 1)(random_);
+  for (int turn = 0; turn < begun; ++turn) NextTurn(entry);
 }
 
 void RouteTable::Remove(const traffic::RouteName& name) {
@@ -60,7 +66,10 @@
 }
 
 std::optional<ServiceName> RouteTable::NextService(const traffic::Route& route) {
-  Entry& entry = routes_.at(route.name);
+  return NextTurn(routes_.at(route.name));
+}
+
+std::optional<ServiceName> RouteTable::NextTurn(Entry& entry) {
   const auto& split = entry.route.split;
   const double total =
       std::accumulate(split.begin(), split.end(), 0.0,
--- a/src/gateway/route_table.h
+++ b/src/gateway/route_table.h
@@ -2,8 +2,10 @@
 /// Finds a request's route by host and longest path prefix, and divides it among services.
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <optional>
+#include <random>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -15,6 +17,10 @@
 /// Not thread safe.
 class RouteTable {
  public:
+  /// @param seed draws where the turns of a divided route begin. Where many gateways have a few
+  /// requests each, one beginning for all would give nothing to parts with little weight.
+  explicit RouteTable(std::uint64_t seed) : random_(seed) {}
+
   /// Takes an update's routes; one with base 0 replaces all.
   void Apply(const traffic::TrafficUpdate& update);
 
@@ -35,7 +41,9 @@
 
   void Put(const traffic::Route& route);
   void Remove(const traffic::RouteName& name);
+  static std::optional<ServiceName> NextTurn(Entry& entry);
 
+  std::mt19937_64 random_;
   std::map<traffic::RouteName, Entry> routes_;
   std::map<std::string, ByPrefix, std::less<>> hosts_;
 };
--- a/tests/control/range_controller_test.cc
+++ b/tests/control/range_controller_test.cc
@@ -300,3 +300,40 @@
   cr_assert(fixture.KeysOf(RangePhase::kServing).count("i-1") == 0);
   cr_assert(fixture.KeysOf(RangePhase::kServing).size() == 2);
 }
+
+Test(range_controller, owner_that_fails_requests_loses_its_keys_for_a_while) {
+  Fixture fixture(5);
+  fixture.Run(0, 2'000);
+  const auto tell = [&](std::int64_t ms, std::uint32_t whole, std::uint32_t failures) {
+    traffic::TrafficPoll poll;
+    traffic::InstanceSpeed& speed = poll.speeds.emplace_back();
+    speed.instance = {"i-1"};
+    speed.whole = whole;
+    speed.failures = failures;
+    fixture.controller->TakeLoads(poll, At(ms));
+  };
+  // Single failures among many answers are no reason.
+  tell(2'000, 100, 3);
+  fixture.Run(2'010, 2'500);
+  cr_assert(fixture.KeysOf(RangePhase::kServing).count("i-1") == 1);
+  fixture.Run(2'510, 7'990);
+  tell(8'000, 12, 10);
+  fixture.Run(8'010, 9'000);
+  cr_assert(fixture.KeysOf(RangePhase::kServing).count("i-1") == 0);
+  cr_assert(fixture.KeysOf(RangePhase::kServing).size() == 4, "all keys have other owners");
+}
+
+Test(range_controller, instances_that_all_fail_keep_their_keys) {
+  Fixture fixture(4);
+  fixture.Run(0, 2'000);
+  const auto before = fixture.KeysOf(RangePhase::kServing);
+  traffic::TrafficPoll poll;
+  for (const char* id : {"i-1", "i-2"}) {
+    traffic::InstanceSpeed& speed = poll.speeds.emplace_back();
+    speed.instance = {id};
+    speed.whole = speed.failures = 20;
+  }
+  fixture.controller->TakeLoads(poll, At(2'000));
+  fixture.Run(2'010, 3'000);
+  cr_assert(fixture.KeysOf(RangePhase::kServing) == before);
+}
--- a/tests/gateway/backend_table_test.cc
+++ b/tests/gateway/backend_table_test.cc
@@ -141,3 +141,31 @@
   cr_assert(!fixture.table.HasRoom(slow, kTarget, kNow));
   cr_assert(fixture.table.HasRoom(slow, 2 * kTarget, kNow));
 }
+
+Test(backend_table, server_that_answers_with_failures_is_left_for_busier_ones_and_tried_again) {
+  Fixture fixture({MakeInstance("fails", "near"), MakeInstance("sound", "near")});
+  const auto answer = [&](const std::string& id, int status, Instant at) {
+    AttemptReport report;
+    report.end = AttemptEnd::kAnswered;
+    report.status = status;
+    fixture.table.OnSent({id});
+    fixture.table.OnEnded({id}, report, Duration{20'000}, at);
+  };
+  answer("sound", 200, kNow);
+  // A deadline that passed in its queue says nothing of it.
+  answer("sound", 504, kNow);
+  answer("fails", 500, kNow);
+  // Though it answers fast and has nothing to do, four waiting requests elsewhere are better.
+  for (int request = 0; request < 4; ++request) {
+    cr_assert(fixture.Choose() == "sound");
+    fixture.table.OnSent({"sound"});
+  }
+  // Its failure is forgotten in time, and a success counts for it.
+  const Instant later = kNow + std::chrono::seconds(20);
+  const Backend* const again = fixture.table.Choose(kService, {}, kTarget, later);
+  cr_assert(again->instance.report.id.value == "fails");
+  std::vector<traffic::InstanceSpeed> speeds;
+  fixture.table.TakeSpeeds(kService, /*all=*/false, speeds);
+  cr_assert(speeds.size() == 1 && speeds[0].instance.value == "fails");
+  cr_assert(speeds[0].failures == 1 && speeds[0].whole == 1);
+}
