Lease nothing to an owner whose successor is proposed and not committed

Cause: between the proposal of a next owner and its commit, the state still names the last one. When that was heard of again just then, it got a lease by heartbeat, or a renewal by order, beside its successor's: two owners.

Change: from the proposal on it gets none. The world of the tests commits slowly now.

--- a/src/control/heartbeat_leases.cc
+++ b/src/control/heartbeat_leases.cc
@@ -165,7 +165,7 @@
 }
 
 std::vector<KeySpan> RangeController::SpansToLease(const KeyRange& range, const RangeCare& care) {
-  if (!range.Owned() || OwnerMustGo(range) || care.refused) return {};
+  if (!range.Owned() || OwnerMustGo(range) || care.refused || care.given_away) return {};
   std::vector<KeySpan> spans{range.span};
   for (PlannedMove& move : planned_) {
     const traffic::RangeRelease& release = move.release;
--- a/src/control/range_controller.cc
+++ b/src/control/range_controller.cc
@@ -312,7 +312,7 @@
     const auto candidates = CandidatesFor(service, now);
     if (candidates.empty()) continue;
     for (const auto& [first, range] : ranges) {
-      const RangeCare& care = care_.at({service, first});
+      RangeCare& care = care_.at({service, first});
       // An owner that refused may still hold a part by an older grant: only to itself may the keys
       // go again at once.
       const bool back_to_owner = care.refused && Contains(candidates, range.owner);
@@ -320,6 +320,7 @@
       // Nobody ever had these keys: wait until the servers are all there.
       if (range.fence.value == 0 && !Settled(service, candidates, now)) continue;
       auto parts = NextOwners(range, care, ranges, candidates);
+      care.given_away = !parts.empty();
       for (const traffic::RangeAssignment& part : parts) {
         Note("assign", range, part.span, WhyOver(range, care) + ", next " + part.owner.value);
       }
@@ -369,6 +370,7 @@
 std::optional<RangeOrder> RangeController::NextOrder(const KeyRange& range, RangeCare& care,
                                                      Instant now) {
   if (LeasedByHeartbeat(range.service) || InQuietTime(range.service, now)) return std::nullopt;
+  if (care.given_away) return std::nullopt;
   const traffic::Instance* owner = state_.instances().Find(range.owner);
   const bool ended = owner == nullptr || owner->state == InstanceState::kDisplaced;
   if (range.phase == RangePhase::kUnowned || ended || care.released) return std::nullopt;
--- a/src/control/range_controller.h
+++ b/src/control/range_controller.h
@@ -91,7 +91,10 @@
     bool refused = false;
     std::string handover;
     std::optional<OrderNumber> open_order;
-    Instant since{};      ///< When this began.
+    Instant since{};  ///< When this began.
+    /// A next owner was proposed. Until that is committed the state still names the last one, which
+    /// must get no lease any more: it may be heard of again just then.
+    bool given_away = false;
     bool leased = false;  ///< By heartbeat: an answer of this leadership gave the range.
     int unheeded = 0;     ///< Heartbeats in a row that do not tell of it although it was leased.
   };
--- a/tests/control/heartbeat_leases_test.cc
+++ b/tests/control/heartbeat_leases_test.cc
@@ -115,6 +115,16 @@
   RunFaults(faults, 150);
 }
 
+Test(heartbeat_leases, slow_commits_never_make_two_owners) {
+  LeasedWorldFaults faults;
+  // Owners that are not heard of for the length of a lease come back while the log is slow to
+  // commit who follows them.
+  faults.heartbeat_lost = 0.7;
+  faults.slow_commit = 0.5;
+  faults.move = 1;
+  RunFaults(faults, 150);
+}
+
 Test(heartbeat_leases, all_faults_together_never_make_two_owners) {
   LeasedWorldFaults faults;
   faults.heartbeat_lost = 0.1;
@@ -124,6 +134,7 @@
   faults.leader_change = 0.3;
   faults.crash = 0.2;
   faults.drain = 0.4;
+  faults.slow_commit = 0.2;
   faults.move = 1;
   RunFaults(faults, 400);
 }
--- a/tests/control/leased_world.cc
+++ b/tests/control/leased_world.cc
@@ -57,6 +57,9 @@
 
 void LeasedWorld::ChangeLeader(Duration gap) {
   leader_.reset();
+  // What was proposed may have reached a quorum, or not.
+  if (Chance(0.5)) committed_at_ = now_, ApplyProposed();
+  proposed_.clear();
   leaderless_until_ = now_ + gap;
 }
 
@@ -106,7 +109,8 @@
     }
     if (leader_) {
       TellLoads();
-      for (const auto& command : leader_->Decide(now_)) Apply(command);
+      ApplyProposed();
+      if (proposed_.empty()) Propose(leader_->Decide(now_));
       cr_assert(leader_->Orders(now_).empty(), "an order went out for a service without orders");
     }
     if (auto violation = TwoHolders()) return violation;
@@ -151,6 +155,17 @@
                                                        control::OrderNumber{}, now_);
 }
 
+void LeasedWorld::Propose(std::vector<control::CommandBody> commands) {
+  proposed_ = std::move(commands);
+  committed_at_ = now_ + (Chance(faults_.slow_commit) ? Millis(50, 1'000) : Duration{});
+  ApplyProposed();
+}
+
+void LeasedWorld::ApplyProposed() {
+  if (now_ < committed_at_) return;
+  for (const auto& command : std::exchange(proposed_, {})) Apply(command);
+}
+
 void LeasedWorld::Apply(const control::CommandBody& command) {
   ++log_index_;
   if (const auto* assign = std::get_if<control::AssignRangesCommand>(&command)) {
--- a/tests/control/leased_world.h
+++ b/tests/control/leased_world.h
@@ -25,7 +25,8 @@
   double leader_change = 0;
   double crash = 0;
   double drain = 0;
-  double move = 0;  ///< Shifts of a load that the balancer follows; 0 for no load at all.
+  double slow_commit = 0;  ///< Of proposals that take up to a second to be committed.
+  double move = 0;         ///< Shifts of a load that the balancer follows; 0 for no load at all.
 };
 
 /// Deterministic under its seed.
@@ -94,6 +95,8 @@
   void Expire(Server& server);
   bool HasWorkOn(const Server& server) const;
   void LeadOn();
+  void Propose(std::vector<control::CommandBody> commands);
+  void ApplyProposed();
   void Apply(const control::CommandBody& command);
   void Trouble();
   void TellLoads();
@@ -104,6 +107,9 @@
   Instant now_ = InstantFromMicros(1'000'000'000);
   traffic::TrafficState state_;
   std::uint64_t log_index_ = 1;
+  /// What the leader decided and the log has not committed: it decides nothing meanwhile.
+  std::vector<control::CommandBody> proposed_;
+  Instant committed_at_{};
   std::optional<control::InstanceLiveness> liveness_;
   std::unique_ptr<control::RangeController> leader_;
   Instant leaderless_until_{};
--- a/tests/control/range_controller_test.cc
+++ b/tests/control/range_controller_test.cc
@@ -337,3 +337,35 @@
   fixture.Run(2'010, 3'000);
   cr_assert(fixture.KeysOf(RangePhase::kServing) == before);
 }
+
+Test(range_controller, owner_that_comes_back_while_the_next_one_is_proposed_gets_no_grant) {
+  Fixture fixture(3);
+  fixture.Run(0, 3'000);
+  fixture.answers["i-1"] = RangeOrderResult::Outcome::kUnknown;
+  // Until its keys are given away; the command is not committed yet.
+  std::vector<CommandBody> proposed;
+  std::int64_t ms = 3'010;
+  const auto gives_away = [](const CommandBody& command) {
+    return std::holds_alternative<AssignRangesCommand>(command);
+  };
+  for (; ms < 12'000 && proposed.empty(); ms += 10) {
+    for (const auto* id : {"i-2", "i-3"}) fixture.liveness.Heard({id}, At(ms));
+    auto commands = fixture.controller->Decide(At(ms));
+    if (std::any_of(commands.begin(), commands.end(), gives_away)) proposed = std::move(commands);
+    for (const RangeOrder& order : fixture.controller->Orders(At(ms))) {
+      const bool silent = order.instance.value == "i-1";
+      const auto outcome =
+          silent ? RangeOrderResult::Outcome::kUnknown : RangeOrderResult::Outcome::kDone;
+      fixture.controller->TakeResult({order.number, outcome, ""}, At(ms));
+    }
+  }
+  cr_assert(!proposed.empty());
+  // It is heard of again; a grant now would stand beside that of the next owner.
+  for (; ms < 13'000; ms += 10) {
+    for (const auto* id : {"i-1", "i-2", "i-3"}) fixture.liveness.Heard({id}, At(ms));
+    for (const RangeOrder& order : fixture.controller->Orders(At(ms))) {
+      cr_assert(order.instance.value != "i-1", "granted %lld ms", static_cast<long long>(ms));
+      fixture.controller->TakeResult({order.number, RangeOrderResult::Outcome::kDone, ""}, At(ms));
+    }
+  }
+}
