--- a/include/graniteseam/control/traffic_options.h
+++ b/include/graniteseam/control/traffic_options.h
@@ -18,10 +18,10 @@
   double clock_drift_bound = 0.02;         ///< By which an instance's clock may run slow.
   Duration unresponsive_after{1'000'000};  ///< Of orders that failed, to give up on an owner.
   Duration transit_slack{50'000};          ///< Added to the end of each grant.
-  /// Length of a lease by heartbeat. A worker's crash leaves its keys without an owner for as long;
-  /// a leader's loss takes up to 3 s until all instances have found the next one (a heartbeat's
-  /// interval, a call that is not answered for a second, an election). Measured: 2.5 s is worse
-  /// than 3 s, 4 s is better; docs/MEASURED-DECISIONS.md.
+  /// Length of a lease by heartbeat. An instance's crash leaves its keys without an owner for as
+  /// long; a leader's loss takes up to 3 s until all instances have found the next one (a
+  /// heartbeat's interval, a call that is not answered for a second, an election). Measured: 2.5 s
+  /// is worse than 3 s, 4 s is better; docs/MEASURED-DECISIONS.md.
   Duration lease_length{4'000'000};
   /// By heartbeat: within this an instance comes for keys that were assigned to it. Two intervals
   /// of heartbeats (0.9 s on the deployments so far) and some time for one that is late.
