--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -24,10 +24,11 @@
 /// A request may be held for this part of its target latency before it is offered to a server. What
 /// is refused so early may still be served in time when the caller comes back.
 constexpr int kHoldPartOfTarget = 5;
-/// A request for a key may be held for this part of the time that its caller gave: no other server
-/// can run it, and a caller that comes back finds the same owner. Less than half, so that one which
+/// A request for a key, or one read before the first configuration, may be held for this part of
+/// the time that its caller gave: nobody else can do better, and a caller that comes back finds the
+/// same. Less than half, so that one which
 /// is refused in the end has time for another try.
-constexpr double kOwnerHoldPart = 0.4;
+constexpr double kHoldPartOfTime = 0.4;
 /// Between two looks at an owner that has no room. What others have there fades by itself.
 constexpr Duration kOwnerLook{25'000};
 constexpr Duration kHoldWithoutTarget{100'000};
@@ -179,7 +180,7 @@
 /// A gateway that has just started will know its routes in a moment, and its neighbours may have
 /// started with it: a caller that is refused finds no better one.
 void GatewayNode::AwaitConfiguration(LiveRequest& request, Instant now) {
-  request.give_up = request.received + PartOf(request.arrived.time_left, kOwnerHoldPart);
+  request.give_up = request.received + PartOf(request.arrived.time_left, kHoldPartOfTime);
   if (unrouted_.size() >= options_.waiting_maximum || now >= request.give_up) {
     return EndWithoutRun(request, RefusalReason::kNoConfiguration, now);
   }
@@ -291,7 +292,7 @@
 
 GatewayNode::Step GatewayNode::WaitForOwner(LiveRequest& request, RefusalReason reason,
                                             Instant now) {
-  const Instant end = request.received + PartOf(request.arrived.time_left, kOwnerHoldPart);
+  const Instant end = request.received + PartOf(request.arrived.time_left, kHoldPartOfTime);
   const Duration limit =
       std::max(end - request.hold_from, request.target_latency / kHoldPartOfTarget);
   const Step step = Wait(request, reason, limit, now);
