Log when and over which connection an order to a key owner was sent

Change: grant and release events carry the order's number, the address, the time under way, whether the connection was new, and the answering instance where the answer tells it.

--- a/src/daemon/control/owner_calls.h
+++ b/src/daemon/control/owner_calls.h
@@ -11,6 +11,8 @@
   std::string grant_path;
   std::string release_path;
   std::string handover_header;  ///< Of a release's answer.
+  /// Of an answer: the instance that gave it. Empty, or left out by the instance: not told.
+  std::string answerer_header;
 };
 
 }  // namespace graniteseam::daemon
--- a/src/daemon/control/owner_client.cc
+++ b/src/daemon/control/owner_client.cc
@@ -3,6 +3,8 @@
 #include <boost/asio/post.hpp>
 #include <utility>
 
+#include "src/runtime/clock.h"
+
 namespace graniteseam::daemon {
 namespace {
 
@@ -89,27 +91,43 @@
   call.address = order.address;
   call.bytes = event_http::Serialize(request);
   call.limit = order.limit;
-  pool_.Start(std::move(call),
-              [this, order](const event_http::CallResult& result) { OnEnd(order, result); });
+  const Instant sent = runtime::BootTimeNow();
+  pool_.Start(std::move(call), [this, order, sent](const event_http::CallResult& result) {
+    OnEnd(order, sent, result);
+  });
 }
 
-void OwnerClient::OnEnd(const RangeOrder& order, const event_http::CallResult& result) {
+void OwnerClient::OnEnd(const RangeOrder& order, Instant sent,
+                        const event_http::CallResult& result) {
   RangeOrderResult ended;
   ended.number = order.number;
   ended.outcome = OutcomeOf(result);
   if (ended.outcome == RangeOrderResult::Outcome::kDone) {
     ended.handover = PlainToken(result.response.fields.Find(names_.handover_header));
   }
-  const bool plain_renewal =
-      order.kind == RangeOrder::Kind::kGrant && ended.outcome == RangeOrderResult::Outcome::kDone;
-  events_.Write(plain_renewal ? runtime::EventWeight::kOrdinary : runtime::EventWeight::kNotable,
-                runtime::EventLine(order.kind == RangeOrder::Kind::kGrant ? "grant" : "release")
-                    .Add("instance", order.instance.value)
-                    .Add("first", std::uint64_t{order.span.first})
-                    .Add("last", std::uint64_t{order.span.last})
-                    .Add("fence", order.fence.value)
-                    .Add("outcome", OutcomeName(ended.outcome)));
+  WriteEvent(order, runtime::BootTimeNow() - sent, ended.outcome, result);
   handler_(ended);
 }
 
+void OwnerClient::WriteEvent(const RangeOrder& order, Duration took,
+                             RangeOrderResult::Outcome outcome,
+                             const event_http::CallResult& result) {
+  const bool grant = order.kind == RangeOrder::Kind::kGrant;
+  const bool plain_renewal = grant && outcome == RangeOrderResult::Outcome::kDone;
+  runtime::EventLine line(grant ? "grant" : "release");
+  line.Add("instance", order.instance.value)
+      .Add("address", order.address)
+      .Add("order", order.number.value)
+      .Add("first", std::uint64_t{order.span.first})
+      .Add("last", std::uint64_t{order.span.last})
+      .Add("fence", order.fence.value)
+      .Add("outcome", OutcomeName(outcome))
+      .Add("took_us", took.count())
+      .Add("connection", result.new_connection ? "new" : "kept");
+  const std::string* const answerer = result.response.fields.Find(names_.answerer_header);
+  if (answerer != nullptr) line.Add("answered_by", *answerer);
+  events_.Write(plain_renewal ? runtime::EventWeight::kOrdinary : runtime::EventWeight::kNotable,
+                line);
+}
+
 }  // namespace graniteseam::daemon
--- a/src/daemon/control/owner_client.h
+++ b/src/daemon/control/owner_client.h
@@ -26,7 +26,11 @@
 
  private:
   void Start(const control::RangeOrder& order);
-  void OnEnd(const control::RangeOrder& order, const event_http::CallResult& result);
+  void OnEnd(const control::RangeOrder& order, Instant sent, const event_http::CallResult& result);
+  /// What tells one order from another, and the process that took it from the one that was meant:
+  /// an address may have passed to another process since the order was decided.
+  void WriteEvent(const control::RangeOrder& order, Duration took,
+                  control::RangeOrderResult::Outcome outcome, const event_http::CallResult& result);
 
   const OwnerCallNames names_;
   runtime::EventLoop& loop_;
--- a/src/event_http/client_pool.cc
+++ b/src/event_http/client_pool.cc
@@ -97,6 +97,7 @@
     number_ = number;
     call_ = std::move(call);
     handler_ = std::move(handler);
+    new_connection_ = !connected_;
     handed_over_ = false;
     written_ = false;
     answered_ = false;
@@ -228,6 +229,7 @@
     result.end = CallEnd::kAnswered;
     const bool keep = parser_->keep_alive() && !ended_;
     result.server_closes = !keep;
+    result.new_connection = new_connection_;
     auto message = parser_->release();
     result.response.status = static_cast<int>(message.result_int());
     result.response.reason = std::string(message.reason());
@@ -266,6 +268,7 @@
     if (!handler) return;
     CallResult result;
     result.end = end;
+    result.new_connection = new_connection_;
     handler(std::move(result));
   }
 
@@ -292,6 +295,7 @@
   Instant rests_since_{};
   Duration rest_limit_{};
   bool connected_ = false;
+  bool new_connection_ = false;  ///< For the present call.
   bool handed_over_ = false;
   bool written_ = false;
   bool answered_ = false;
--- a/src/event_http/client_pool.h
+++ b/src/event_http/client_pool.h
@@ -37,6 +37,8 @@
   CallEnd end = CallEnd::kLost;
   Response response;           ///< When answered.
   bool server_closes = false;  ///< The server said that it closes the connection.
+  /// The call opened its connection, or tried to; otherwise it went over a kept one.
+  bool new_connection = false;
 };
 
 struct ClientPoolOptions {
