--- /dev/null
+++ b/tests/control_daemon/owner_client_test.cc
@@ -0,0 +1,148 @@
+#include "src/daemon/control/owner_client.h"
+
+#include <criterion/criterion.h>
+#include <fcntl.h>
+#include <unistd.h>
+
+#include <atomic>
+#include <future>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "src/event_http/server.h"
+
+namespace control = graniteseam::control;
+namespace program = graniteseam::daemon;
+namespace event_http = graniteseam::event_http;
+namespace runtime = graniteseam::runtime;
+using graniteseam::Attempt;
+using graniteseam::Duration;
+using graniteseam::ErrorOf;
+using Kind = control::RangeOrder::Kind;
+using Outcome = control::RangeOrderResult::Outcome;
+
+namespace {
+
+constexpr int kMisdirected = 421;
+/// Sendings of an order until a process that has just started answers it.
+constexpr int kSendingsMaximum = 100;
+
+auto names() -> program::OwnerCallNames {
+  program::OwnerCallNames names;
+  names.grant_path = "/grant";
+  names.release_path = "/release";
+  names.handover_header = "Handover";
+  names.target_header = "Target";
+  return names;
+}
+
+/// One life of a server at an address: it carries out the orders that name it or nobody, as
+/// docs/interface/traffic.md asks of servers.
+class ServerLife {
+ public:
+  ServerLife(std::string id, std::uint16_t port) : m_id(std::move(id)) {
+    event_http::ServerOptions options;
+    options.address = {"127.0.0.1", port};
+    m_server = std::make_unique<event_http::Server>(
+        m_loop.context(), options, [this](auto const& exchange) { answer(*exchange); });
+    auto const started = Attempt([this] { return m_server->Start(); });
+    cr_assert(ErrorOf(started) == nullptr);
+  }
+  ~ServerLife() { m_loop.Stop(); }
+
+  auto port() const -> std::uint16_t { return m_server->port(); }
+  auto orders_taken() const -> int { return m_orders_taken; }
+
+ private:
+  auto answer(event_http::Exchange& exchange) -> void {
+    auto const* const target = exchange.request().fields.Find(names().target_header);
+    event_http::Response response;
+    if (target != nullptr && *target != m_id) {
+      response.status = kMisdirected;
+    } else {
+      ++m_orders_taken;
+      response.fields.Add(names().handover_header, "of-" + m_id);
+    }
+    exchange.Respond(response);
+  }
+
+  std::string const m_id;
+  std::atomic<int> m_orders_taken{0};
+  runtime::EventLoop m_loop;
+  std::unique_ptr<event_http::Server> m_server;
+};
+
+/// Sends orders for "i-1" to one address.
+class Orders {
+ public:
+  explicit Orders(std::uint16_t port) : m_address("127.0.0.1:" + std::to_string(port)) {}
+  ~Orders() {
+    m_loop.Stop();
+    ::close(m_discarded);
+  }
+
+  auto send(Kind kind) -> Outcome {
+    control::RangeOrder order;
+    order.number = m_last = m_last.Next();
+    order.kind = kind;
+    order.instance = {"i-1"};
+    order.address = m_address;
+    order.span = {18725, 19231};
+    order.fence = {138};
+    order.hold = std::chrono::seconds(3);
+    order.limit = std::chrono::seconds(5);
+    m_ended = {};
+    auto ended = m_ended.get_future();
+    m_client.Send(order);
+    return ended.get();
+  }
+
+  /// Repeats an order until it was delivered to some process.
+  auto send_until_delivered(Kind kind) -> Outcome {
+    auto outcome = Outcome::kNotDelivered;
+    for (auto i = 0; i < kSendingsMaximum && undelivered(outcome); ++i) outcome = send(kind);
+    return outcome;
+  }
+
+ private:
+  /// A kept connection to the life before may bring the end of it in the place of an answer.
+  static auto undelivered(Outcome outcome) -> bool {
+    return outcome == Outcome::kNotDelivered || outcome == Outcome::kUnknown;
+  }
+
+  std::string const m_address;
+  int const m_discarded = ::open("/dev/null", O_WRONLY | O_CLOEXEC);
+  runtime::EventLog m_events{"test", m_discarded};
+  runtime::EventLoop m_loop;
+  graniteseam::control::OrderNumber m_last;
+  std::promise<Outcome> m_ended;
+  program::OwnerClient m_client{
+      names(), m_loop, m_events,
+      [this](control::RangeOrderResult const& result) { m_ended.set_value(result.outcome); }};
+};
+
+/// An owner ends, and the next process starts at its address before control has heard of it: the
+/// order that is repeated then is meant for the former one.
+auto expect_not_taken_by_the_next_process(Kind kind) -> void {
+  auto owner = std::make_unique<ServerLife>("i-1", 0);
+  Orders orders(owner->port());
+  cr_assert(orders.send(kind) == Outcome::kDone);
+  cr_assert(owner->orders_taken() == 1);
+  auto const port = owner->port();
+  owner.reset();
+  ServerLife next("i-2", port);
+  auto const outcome = orders.send_until_delivered(kind);
+  cr_assert(next.orders_taken() == 0, "The next process carried out an order for its forerunner.");
+  cr_assert(outcome != Outcome::kDone);
+}
+
+}  // namespace
+
+Test(owner_client, renewal_is_not_taken_by_the_next_process_at_the_address) {
+  expect_not_taken_by_the_next_process(Kind::kGrant);
+}
+
+Test(owner_client, release_is_not_taken_by_the_next_process_at_the_address) {
+  expect_not_taken_by_the_next_process(Kind::kRelease);
+}
