Bind each order to the instance that it is meant for; let no displaced instance come back

Cause: an order to a key owner named an address alone. The same cause elsewhere: an address stood for a process in the instance table too. A heartbeat of the former process that arrived after its successor's first one brought the former one back and displaced the living one, whose keys were then given away at once; its sequence looked new, since heartbeats that change nothing are not kept. An instance that reported from a second address could be displaced from its first one. Change: orders carry the name of their instance; 421 is an outcome of its own (other_instance): not carried out, now or later. Displaced instances are gone for good; an instance holds one address.

--- a/include/graniteseam/control/range_orders.h
+++ b/include/graniteseam/control/range_orders.h
@@ -14,9 +14,10 @@
 /// Names an order as long as one leadership lasts.
 using OrderNumber = NumericId<struct OrderNumberTag>;
 
-/// A call to an instance. A grant gives the span for `hold`, counted by the instance from the
-/// call's arrival; the same grant again renews it. A release stops new work on the span and is
-/// answered when the work that runs has ended.
+/// A call to an instance. It names the instance, not only its address: the address may pass to
+/// another process before the call arrives, and that one must not carry it out. A grant gives the
+/// span for `hold`, counted by the instance from the call's arrival; the same grant again renews
+/// it. A release stops new work on the span and is answered when the work that runs has ended.
 struct RangeOrder {
   enum class Kind { kGrant, kRelease };
 
@@ -36,7 +37,9 @@
     kDone,
     kRefused,       ///< The instance saw a higher fence.
     kNotDelivered,  ///< No byte was sent.
-    kUnknown,       ///< Sent; it may be carried out, also later.
+    /// Another instance answered at the address: it was not carried out and never will be.
+    kOtherInstance,
+    kUnknown,  ///< Sent; it may be carried out, also later.
   };
 
   OrderNumber number;
--- a/src/control/range_controller.h
+++ b/src/control/range_controller.h
@@ -29,8 +29,10 @@
 ///
 /// Invariant: a span is assigned to another instance only when its owner confirmed the release, or
 /// when every grant that may have reached the owner has run out on the owner's own clock, or when
-/// another instance reported from the owner's address, so that the owner has ended. Answers the
-/// failures: crash, cut, pause of an owner; lost and late orders; loss of the leader.
+/// another instance reported from the owner's address, so that the owner has ended. Orders that
+/// were sent to the owner before can not act on the other instance, since each names its instance.
+/// Answers the failures: crash, cut, pause of an owner; another process at its address; lost and
+/// late orders; loss of the leader.
 ///
 /// Deterministic; not thread safe; `now` never goes back.
 class RangeController {
--- a/src/daemon/control/owner_client.cc
+++ b/src/daemon/control/owner_client.cc
@@ -13,6 +13,8 @@
 
 constexpr int kOk = 200;
 constexpr int kHigherFenceSeen = 409;
+/// The process at the address is not the instance that the order names (RFC 9110, 15.5.20).
+constexpr int kMisdirected = 421;
 constexpr std::size_t kAnswerBytesMaximum = 65'536;
 
 std::string BodyOf(const RangeOrder& order) {
@@ -40,8 +42,16 @@
   using Outcome = RangeOrderResult::Outcome;
   if (result.end == event_http::CallEnd::kNotSent) return Outcome::kNotDelivered;
   if (result.end != event_http::CallEnd::kAnswered) return Outcome::kUnknown;
-  if (result.response.status == kOk) return Outcome::kDone;
-  return result.response.status == kHigherFenceSeen ? Outcome::kRefused : Outcome::kUnknown;
+  switch (result.response.status) {
+    case kOk:
+      return Outcome::kDone;
+    case kHigherFenceSeen:
+      return Outcome::kRefused;
+    case kMisdirected:
+      return Outcome::kOtherInstance;
+    default:
+      return Outcome::kUnknown;
+  }
 }
 
 const char* OutcomeName(RangeOrderResult::Outcome outcome) {
@@ -52,6 +62,8 @@
       return "refused";
     case RangeOrderResult::Outcome::kNotDelivered:
       return "not_delivered";
+    case RangeOrderResult::Outcome::kOtherInstance:
+      return "other_instance";
     case RangeOrderResult::Outcome::kUnknown:
       return "unknown";
   }
@@ -86,6 +98,9 @@
   request.target = grant ? names_.grant_path : names_.release_path;
   request.fields.Add("Host", order.address);
   request.fields.Add("Content-Type", "application/json");
+  if (!names_.target_header.empty()) {
+    request.fields.Add(names_.target_header, order.instance.value);
+  }
   request.body = BodyOf(order);
   event_http::Call call;
   call.address = order.address;
--- a/src/traffic/instance_table.cc
+++ b/src/traffic/instance_table.cc
@@ -16,8 +16,9 @@
   next.report = report;
   next.state = report.draining ? InstanceState::kDraining : InstanceState::kReady;
   if (known == nullptr) return next;
+  // The sequence alone does not tell a late heartbeat: those that changed nothing were not kept.
   const bool late = report.sequence <= known->report.sequence;
-  if (known->state == InstanceState::kDeregistered || late) return std::nullopt;
+  if (known->Gone() || late) return std::nullopt;
   if (known->state == InstanceState::kDraining) next.state = InstanceState::kDraining;
   // Warm-up and sequence change with every heartbeat and tell nothing new.
   InstanceReport same = report;
@@ -45,6 +46,7 @@
     displaced.changed_at = log_index;
     changed.push_back(displaced.report.id);
   }
+  if (const Instance* known = Find(report.id)) ForgetHolder(known->report);
   next->changed_at = log_index;
   instances_[report.id] = *next;
   holders_[report.address] = report.id;
@@ -56,8 +58,7 @@
 bool InstanceTable::Deregister(const InstanceId& id, std::uint64_t log_index) {
   Instance& instance = instances_[id];
   if (instance.state == InstanceState::kDeregistered) return false;
-  const auto holder = holders_.find(instance.report.address);
-  if (holder != holders_.end() && holder->second == id) holders_.erase(holder);
+  ForgetHolder(instance.report);
   instance.report.id = id;
   instance.state = InstanceState::kDeregistered;
   instance.changed_at = log_index;
@@ -76,6 +77,11 @@
   return found == holders_.end() ? nullptr : Find(found->second);
 }
 
+void InstanceTable::ForgetHolder(const InstanceReport& report) {
+  const auto holder = holders_.find(report.address);
+  if (holder != holders_.end() && holder->second == report.id) holders_.erase(holder);
+}
+
 void InstanceTable::ForgetOldTombstones() {
   std::vector<const Instance*> gone;
   for (const auto& [id, instance] : instances_) {
--- a/src/traffic/instance_table.h
+++ b/src/traffic/instance_table.h
@@ -11,8 +11,10 @@
 
 namespace graniteseam::traffic {
 
-/// Invariants: an instance that was deregistered never comes back, a draining one never takes new
-/// work again, and of the instances at one address at most one is not gone. Not thread safe.
+/// Invariants: an instance that was deregistered or displaced never comes back, a draining one
+/// never takes new work again, and of the instances at one address at most one is not gone. Answers
+/// the failures: a heartbeat that arrives after the instance has ended, also after the first one of
+/// the next process at its address. Not thread safe.
 class InstanceTable {
  public:
   /// Takes a heartbeat.
@@ -40,6 +42,8 @@
 
  private:
   const Instance* HolderOf(const std::string& address) const;
+  /// The instance holds the address that it reported no more.
+  void ForgetHolder(const InstanceReport& report);
   void ForgetOldTombstones();
   /// What a heartbeat makes of an instance; nullopt when it changes nothing.
   std::optional<Instance> Changed(const InstanceReport& report) const;
--- a/tests/control/range_controller_test.cc
+++ b/tests/control/range_controller_test.cc
@@ -140,7 +140,8 @@
 
 Test(range_controller, owner_that_answers_nothing_keeps_its_keys_until_its_grant_is_over) {
   for (const auto outcome :
-       {RangeOrderResult::Outcome::kNotDelivered, RangeOrderResult::Outcome::kUnknown}) {
+       {RangeOrderResult::Outcome::kNotDelivered, RangeOrderResult::Outcome::kUnknown,
+        RangeOrderResult::Outcome::kOtherInstance}) {
     Fixture fixture(3);
     fixture.Run(0, 3'000);
     fixture.answers["i-1"] = outcome;
--- a/tests/control_daemon/owner_client_test.cc
+++ b/tests/control_daemon/owner_client_test.cc
@@ -134,7 +134,7 @@
   ServerLife next("i-2", port);
   auto const outcome = orders.send_until_delivered(kind);
   cr_assert(next.orders_taken() == 0, "The next process carried out an order for its forerunner.");
-  cr_assert(outcome != Outcome::kDone);
+  cr_assert(outcome == Outcome::kOtherInstance);
 }
 
 }  // namespace
--- a/tests/traffic/instance_table_test.cc
+++ b/tests/traffic/instance_table_test.cc
@@ -57,6 +57,26 @@
   cr_assert(!table.WouldChange(Beat("i-1", "10.0.0.1:80", 4)));
 }
 
+Test(instance_table, late_heartbeat_of_a_displaced_instance_does_not_displace_its_successor) {
+  InstanceTable table;
+  table.Report(Beat("i-1", "10.0.0.1:80", 1), 1);
+  // Its heartbeats 2 to 9 tell nothing new and are not kept; the last one is on its way for long.
+  table.Report(Beat("i-2", "10.0.0.1:80", 1), 2);
+  cr_assert(!table.WouldChange(Beat("i-1", "10.0.0.1:80", 9)));
+  table.Report(Beat("i-1", "10.0.0.1:80", 9), 3);
+  cr_assert(StateOf(table, "i-1") == InstanceState::kDisplaced);
+  cr_assert(StateOf(table, "i-2") == InstanceState::kReady);
+}
+
+Test(instance_table, instance_that_moved_is_not_displaced_from_its_former_address) {
+  InstanceTable table;
+  table.Report(Beat("i-1", "10.0.0.1:80", 1), 1);
+  table.Report(Beat("i-1", "10.0.0.2:80", 2), 2);
+  table.Report(Beat("i-2", "10.0.0.1:80", 1), 3);
+  cr_assert(StateOf(table, "i-1") == InstanceState::kReady);
+  cr_assert(StateOf(table, "i-2") == InstanceState::kReady);
+}
+
 Test(instance_table, heartbeat_that_tells_nothing_new_need_not_be_committed) {
   InstanceTable table;
   InstanceReport first = Beat("i-1", "10.0.0.1:80", 1);
