Let one place say whether a gateway has room at a server

Cause: HasRoom repeated both checks of HasFreeSlot, so that a change of one could miss the other.

Change: HasRoom asks HasFreeSlot first; HasConnectionLeft holds the check of the connection share that both need. No decision changes. One comment loses its figure of speech.

Measured: test_gateway 33 of 33; check-format, check-dependencies and check-lint of backend_table.cc without a finding.

--- a/src/gateway/backend_table.cc
+++ b/src/gateway/backend_table.cc
@@ -74,6 +74,10 @@
   return found == connection_shares_.end() ? connection_share({}) : found->second;
 }
 
+bool BackendTable::HasConnectionLeft(const Backend& backend) const {
+  return backend.in_flight < ConnectionShare(backend.instance.report.service);
+}
+
 const Backend* BackendTable::Find(const traffic::InstanceId& id) const {
   const auto found = backends_.find(id);
   return found == backends_.end() ? nullptr : &found->second;
@@ -85,24 +89,22 @@
 }
 
 double BackendTable::LoadOf(const Backend& backend, Instant now) const {
-  // The others' requests end like our own: their word fades with the time that one takes.
+  // Other gateways' requests end like this one's: their reported number decays with the time that
+  // one takes.
   const double age = Micros(now - backend.others_at);
   const double fading = std::exp(-age / std::max(1.0, 2 * backend.latency_us));
   return backend.in_flight + backend.others * fading;
 }
 
 bool BackendTable::HasRoom(const Backend& backend, Duration target, Instant now) const {
-  if (backend.in_flight >= ConnectionShare(backend.instance.report.service)) return false;
-  const double load = LoadOf(backend, now);
-  const double slots = SlotsOf(backend);
-  if (load < slots) return true;
-  if (load >= slots * (1.0 + options_.waiting_maximum)) return false;
+  if (HasFreeSlot(backend, now)) return true;
+  if (!HasConnectionLeft(backend)) return false;
+  if (LoadOf(backend, now) >= SlotsOf(backend) * (1.0 + options_.waiting_maximum)) return false;
   return target == Duration{} || ExpectedMicros(backend, Duration{}, now) <= Micros(target);
 }
 
 bool BackendTable::HasFreeSlot(const Backend& backend, Instant now) const {
-  return backend.in_flight < ConnectionShare(backend.instance.report.service) &&
-         LoadOf(backend, now) < SlotsOf(backend);
+  return HasConnectionLeft(backend) && LoadOf(backend, now) < SlotsOf(backend);
 }
 
 double BackendTable::ExpectedMicros(const Backend& backend, Duration target, Instant now) const {
--- a/src/gateway/backend_table.h
+++ b/src/gateway/backend_table.h
@@ -117,6 +117,7 @@
   void Fail(Backend& backend, Instant now);
   /// Requests that this gateway may have at one server of a service at once.
   std::uint32_t ConnectionShare(const ServiceName& service) const;
+  bool HasConnectionLeft(const Backend& backend) const;
 
   const BackendOptions options_;
   std::mt19937_64 random_;
