Split the gateway's decision maker into parts with one job each

Change, without one of behaviour: - TrafficView takes updates and keeps the state from going back. - LiveRequests owns requests, queues and timers; what waits or has a timer is a live request. - hold_limits: how long requests wait for servers, owners and the first configuration. - retry_rules, refusals: free functions over a live request. - KeyLoads counts requests by key until the next poll. - GatewayNode keeps its interface; its methods stand in gateway_node.cc (events, admission), request_sending.cc and request_ending.cc. Comments of live_request.h and gateway_events.h say more plainly what they mean.

Measured: test_gateway 33 of 33, test_gateway_daemon 2 of 2, with unchanged test files.

--- /dev/null
+++ b/src/gateway/gateway_events.cc
@@ -0,0 +1,35 @@
+#include "src/gateway/gateway_events.h"
+
+namespace graniteseam::gateway {
+
+std::string_view ReasonName(RefusalReason reason) {
+  switch (reason) {
+    case RefusalReason::kNoConfiguration:
+      return "no_configuration";
+    case RefusalReason::kNoRoute:
+      return "no_route";
+    case RefusalReason::kBadKey:
+      return "bad_key";
+    case RefusalReason::kNoServer:
+      return "no_server";
+    case RefusalReason::kNoOwner:
+      return "no_owner";
+    case RefusalReason::kOwnerFails:
+      return "owner_fails";
+    case RefusalReason::kStaleOwner:
+      return "stale_owner";
+    case RefusalReason::kOverloaded:
+      return "overloaded";
+    case RefusalReason::kDeadline:
+      return "deadline";
+    case RefusalReason::kBudget:
+      return "retry_budget";
+    case RefusalReason::kAttemptsUsed:
+      return "attempts_used";
+    case RefusalReason::kOutcomeUnknown:
+      return "outcome_unknown";
+  }
+  return "unknown";
+}
+
+}  // namespace graniteseam::gateway
--- a/src/gateway/gateway_events.h
+++ b/src/gateway/gateway_events.h
@@ -27,7 +27,7 @@
   Duration time_left{};              ///< For which the caller waits from now on.
 };
 
-/// A server's word on its own load.
+/// What a server reports of its own load.
 struct ReportedLoad {
   double running = 0;
   double waiting = 0;
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -4,19 +4,18 @@
 
 #include <cstdint>
 #include <map>
-#include <memory>
-#include <set>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
 #include "graniteseam/traffic/update.h"
 #include "src/gateway/backend_table.h"
 #include "src/gateway/gateway_events.h"
-#include "src/gateway/key_map.h"
-#include "src/gateway/live_request.h"
-#include "src/gateway/route_table.h"
+#include "src/gateway/key_loads.h"
+#include "src/gateway/live_requests.h"
 #include "src/gateway/shared_retry_budget.h"
+#include "src/gateway/traffic_view.h"
 
 namespace graniteseam::gateway {
 
@@ -52,72 +51,60 @@
   traffic::TrafficPoll TakePoll();
 
   /// Whether some key got so much since the last poll that control should know at once.
-  bool LoadIsUrgent() const { return load_is_urgent_; }
+  bool LoadIsUrgent() const { return key_loads_.is_urgent(); }
 
   /// Whether a configuration was ever received.
-  bool Ready() const { return configuration_.value > 0; }
-  const traffic::CallerLimits& limits() const { return limits_; }
-  traffic::ConfigurationVersion configuration() const { return configuration_; }
-  std::uint64_t version() const { return version_; }
+  bool Ready() const { return traffic_.is_ready(); }
+  const traffic::CallerLimits& limits() const { return traffic_.limits(); }
+  traffic::ConfigurationVersion configuration() const { return traffic_.configuration(); }
+  std::uint64_t version() const { return traffic_.version(); }
   std::size_t requests() const { return requests_.size(); }
 
  private:
-  struct ServiceQueue {
-    std::set<WaitingPlace> waiting;
-  };
   enum class Step { kSent, kWaits };
 
+  // gateway_node.cc
   void Admit(LiveRequest& request, Instant now);
+  /// Takes what the request's route says of it.
+  void TakeRoute(LiveRequest& request, const traffic::Route& route, const ServiceName& service);
   void AwaitConfiguration(LiveRequest& request, Instant now);
   void AdmitUnrouted(Instant now);
+  SharedRetryBudget& BudgetOf(const ServiceName& service);
+  void Note(RequestNumber request, std::string_view what, const traffic::InstanceId& instance,
+            std::string inputs);
+  GatewayEffects Finish() { return std::exchange(effects_, {}); }
+
+  // request_sending.cc
+  void ServeWaiting(const ServiceName& service, Instant now);
+  void ServeAllWaiting(Instant now);
+  /// Lets all behind `place` wait for what it waits for. They still need their timers.
+  void HoldBehind(const WaitingPlace& place, const std::vector<WaitingPlace>& places, Instant now);
   Step TryNext(LiveRequest& request, Instant now);
   Step TryOwner(LiveRequest& request, Instant now);
-  /// Waits for the only server that can run a request, for a part of its caller's time.
-  Step WaitForOwner(LiveRequest& request, RefusalReason reason, Instant now);
-  static bool InTime(const LiveRequest& request, Instant now);
-  /// @param at Instant{} for none.
-  void SetTimer(LiveRequest& request, Instant at);
   Step TryPool(LiveRequest& request, Instant now);
   void Send(LiveRequest& request, const Backend& backend, Instant now);
+  /// Leaves the request in its queue until `limit` after `hold_from`. With its time to wait over it
+  /// gets no timer, and the caller ends it.
   Step Wait(LiveRequest& request, RefusalReason reason, Duration limit, Instant now);
-  void ServeWaiting(const ServiceName& service, Instant now);
-  void ServeAllWaiting(Instant now);
-  void StopWaiting(LiveRequest& request);
+  /// Waits for the only server that can run a request, for a part of its caller's time.
+  Step WaitForOwner(LiveRequest& request, RefusalReason reason, Instant now);
 
+  // request_ending.cc
   void TakeEnd(LiveRequest& request, const AttemptReport& report, Instant now);
   void RetryOrEnd(LiveRequest& request, const AttemptReport& report, Instant now);
-  bool MayRetry(LiveRequest& request, AttemptEnd end, Instant now, RefusalReason& reason);
+  /// Puts a request back into its queue, to be sent again.
+  void Requeue(LiveRequest& request, Instant now);
+  void Relay(LiveRequest& request);
   void GiveUp(LiveRequest& request, Instant now);
   void End(LiveRequest& request, RefusalReason reason, Instant now);
   void EndWithoutRun(LiveRequest& request, RefusalReason reason, Instant now);
-  static Duration RetryAfter(const LiveRequest& request, Instant now);
   void Forget(LiveRequest& request);
 
-  SharedRetryBudget& BudgetOf(const ServiceName& service);
-  std::uint32_t GatewayCount() const;
-  bool Keyed(const ServiceName& service) const;
-  void CountKey(const ServiceName& service, std::uint32_t key);
-  void Note(RequestNumber request, std::string_view what, const traffic::InstanceId& instance,
-            std::string inputs);
-  GatewayEffects Finish() { return std::exchange(effects_, {}); }
-
   const GatewayOptions options_;
-  RouteTable routes_;
-  BackendTable backends_;
-  KeyMap keys_;
-  std::map<ServiceName, traffic::Service> services_;
-  traffic::CallerLimits limits_;
-  traffic::ConfigurationVersion configuration_;
-  std::uint64_t version_ = 0;
-  std::uint32_t gateways_ = 0;
-
-  std::map<RequestNumber, LiveRequest> requests_;
-  std::set<RequestNumber> unrouted_;  ///< Read before the first configuration came.
-  std::map<ServiceName, ServiceQueue> queues_;
-  std::set<std::pair<Instant, RequestNumber>> timers_;
+  TrafficView traffic_;
+  LiveRequests requests_;
   std::map<ServiceName, SharedRetryBudget> budgets_;
-  std::map<ServiceName, std::map<std::uint32_t, std::uint32_t>> key_loads_;  ///< By key.
-  bool load_is_urgent_ = false;
+  KeyLoads key_loads_;
   std::uint64_t poll_sequence_ = 0;
   GatewayEffects effects_;
 };
--- /dev/null
+++ b/src/gateway/hold_limits.cc
@@ -0,0 +1,54 @@
+#include "src/gateway/hold_limits.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace graniteseam::gateway {
+namespace {
+
+/// A request may be held for this part of its target latency before it is offered to a server.
+constexpr int kHoldPartOfTarget = 5;
+/// A request for a key, or one read before the first configuration, may be held for this part of
+/// the time that its caller gave. Less than half, so that one which is refused in the end has time
+/// for another try.
+constexpr double kHoldPartOfTime = 0.4;
+constexpr Duration kHoldWithoutTarget{100'000};
+/// Between two looks at an owner that has no room. The load that other gateways put there fades
+/// without any event here.
+constexpr Duration kOwnerLook{25'000};
+
+auto long_hold_end(LiveRequest const& request) -> Instant {
+  auto const time_left = static_cast<double>(request.arrived.time_left.count());
+  return request.received + Duration(std::llround(time_left * kHoldPartOfTime));
+}
+
+}  // namespace
+
+auto is_in_time(LiveRequest const& request, Instant now) -> bool {
+  return now - request.received < request.target_latency;
+}
+
+auto short_hold(LiveRequest const& request) -> Duration {
+  return request.target_latency / kHoldPartOfTarget;
+}
+
+auto owner_hold(LiveRequest const& request) -> Duration {
+  return std::max(long_hold_end(request) - request.hold_from, short_hold(request));
+}
+
+auto configuration_wait_end(LiveRequest const& request) -> Instant {
+  return long_hold_end(request);
+}
+
+auto hold_timer(LiveRequest const& request, Duration limit, Instant now) -> Instant {
+  auto const hold = limit > Duration{} ? limit : kHoldWithoutTarget;
+  auto const end = std::min(request.hold_from + hold, request.give_up);
+  if (now >= end) return {};
+  return request.not_before > now ? std::min(end, request.not_before) : end;
+}
+
+auto next_owner_look(Instant now) -> Instant {
+  return Instant{(now.time_since_epoch() / kOwnerLook + 1) * kOwnerLook};
+}
+
+}  // namespace graniteseam::gateway
--- /dev/null
+++ b/src/gateway/key_loads.h
@@ -0,0 +1,47 @@
+/// @file
+/// How many requests each key got since control was last told.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <utility>
+#include <vector>
+
+#include "graniteseam/traffic/update.h"
+
+namespace graniteseam::gateway {
+
+/// Not thread safe.
+class KeyLoads {
+ public:
+  auto count(ServiceName const& service, std::uint32_t key) -> void {
+    auto& requests = m_requests[service][key];
+    ++requests;
+    m_is_urgent = m_is_urgent || requests >= kUrgentRequests;
+  }
+
+  /// Whether some key got so much that control should know at once.
+  auto is_urgent() const -> bool { return m_is_urgent; }
+
+  /// All that was counted since the last call.
+  auto take() -> std::vector<traffic::ServiceLoads> {
+    std::vector<traffic::ServiceLoads> all;
+    for (auto const& [service, keys] : m_requests) {
+      auto& loads = all.emplace_back();
+      loads.service = service;
+      for (auto const& [key, requests] : keys) loads.keys.push_back({key, requests});
+    }
+    m_requests.clear();
+    m_is_urgent = false;
+    return all;
+  }
+
+ private:
+  /// Requests for one key between two polls that control should know of at once.
+  static constexpr std::uint32_t kUrgentRequests = 3;
+
+  std::map<ServiceName, std::map<std::uint32_t, std::uint32_t>> m_requests;  ///< By key.
+  bool m_is_urgent = false;
+};
+
+}  // namespace graniteseam::gateway
--- a/src/gateway/live_request.h
+++ b/src/gateway/live_request.h
@@ -37,7 +37,7 @@
   Instant received{};
   Instant hold_from{};  ///< Since when it waits for its next server.
   Instant give_up{};    ///< The caller's deadline or the route's timeout.
-  Instant timer{};      ///< As entered in the node's timers.
+  Instant timer{};      ///< As entered in LiveRequests; Instant{} for none.
 
   std::optional<OpenAttempt> open;
   std::uint32_t attempts = 0;   ///< Sent so far, one that got no byte out not counted.
@@ -46,7 +46,7 @@
   std::vector<traffic::InstanceId> tried;
   bool may_have_run = false;
 
-  bool waiting = false;
+  bool waiting = false;  ///< In its service's queue.
   Instant not_before{};  ///< While waiting: not tried again earlier.
   RefusalReason waits_for = RefusalReason::kOverloaded;
 };
--- /dev/null
+++ b/src/gateway/refusals.cc
@@ -0,0 +1,58 @@
+#include "src/gateway/refusals.h"
+
+#include <algorithm>
+#include <optional>
+
+namespace graniteseam::gateway {
+namespace {
+
+constexpr int kBadRequest = 400;
+constexpr int kNotFound = 404;
+constexpr int kBadGateway = 502;
+constexpr int kUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+
+/// When to come back: after this part of the time that the caller has left. Sooner, it would mostly
+/// find what it found before; callers with little time may try only once.
+constexpr int kRetryAfterPartOfTimeLeft = 4;
+constexpr Duration kRetryAfterMinimum{20'000};
+constexpr Duration kRetryAfterMaximum{1'000'000};
+
+auto status_of(RefusalReason reason) -> int {
+  switch (reason) {
+    case RefusalReason::kNoRoute:
+      return kNotFound;
+    case RefusalReason::kBadKey:
+      return kBadRequest;
+    case RefusalReason::kOutcomeUnknown:
+      return kBadGateway;
+    default:
+      return kUnavailable;
+  }
+}
+
+auto retry_after(LiveRequest const& request, RefusalReason reason, Instant now) -> Duration {
+  // Where this gateway is behind, coming back at once to another one helps.
+  if (reason == RefusalReason::kStaleOwner) return kRetryAfterMinimum;
+  auto const left = request.arrived.time_left - (now - request.received);
+  return std::clamp<Duration>(left / kRetryAfterPartOfTimeLeft, kRetryAfterMinimum,
+                              kRetryAfterMaximum);
+}
+
+}  // namespace
+
+auto refusal_without_run(LiveRequest const& request, RefusalReason reason, Instant now) -> Refuse {
+  Refuse refusal{request.arrived.number, status_of(reason), reason, std::nullopt};
+  if (refusal.status == kUnavailable) refusal.retry_after = retry_after(request, reason, now);
+  return refusal;
+}
+
+auto refusal_of_unknown_outcome(LiveRequest const& request) -> Refuse {
+  return {request.arrived.number, kBadGateway, RefusalReason::kOutcomeUnknown, std::nullopt};
+}
+
+auto refusal_at_deadline(LiveRequest const& request) -> Refuse {
+  return {request.arrived.number, kGatewayTimeout, RefusalReason::kOutcomeUnknown, std::nullopt};
+}
+
+}  // namespace graniteseam::gateway
--- /dev/null
+++ b/src/gateway/refusals.h
@@ -0,0 +1,20 @@
+/// @file
+/// What a gateway answers in its own name.
+#pragma once
+
+#include "graniteseam/common/time.h"
+#include "src/gateway/gateway_events.h"
+#include "src/gateway/live_request.h"
+
+namespace graniteseam::gateway {
+
+/// The answer to a request that has not run and never will. With 503 it says when to come back.
+auto refusal_without_run(LiveRequest const& request, RefusalReason reason, Instant now) -> Refuse;
+
+/// The answer to a request that may have run and will not be sent again.
+auto refusal_of_unknown_outcome(LiveRequest const& request) -> Refuse;
+
+/// The answer to a request that may have run, at its deadline.
+auto refusal_at_deadline(LiveRequest const& request) -> Refuse;
+
+}  // namespace graniteseam::gateway
--- /dev/null
+++ b/src/gateway/request_ending.cc
@@ -0,0 +1,100 @@
+// What follows the end of an attempt: the request is answered, sent again or refused.
+#include <string>
+
+#include "src/gateway/gateway_node.h"
+#include "src/gateway/hold_limits.h"
+#include "src/gateway/refusals.h"
+#include "src/gateway/retry_rules.h"
+
+namespace graniteseam::gateway {
+namespace {
+
+/// Between two looks at a key whose owner refused it.
+constexpr Duration kOwnerRetry{30'000};
+/// How long an owner that said it is none is left alone.
+constexpr Duration kDisowned{400'000};
+
+std::string AfterMs(Duration taken) {
+  return ", after " + std::to_string(taken.count() / 1000) + " ms";
+}
+
+}  // namespace
+
+void GatewayNode::TakeEnd(LiveRequest& request, const AttemptReport& report, Instant now) {
+  const OpenAttempt ended = *request.open;
+  request.open.reset();
+  if (report.end == AttemptEnd::kNotSent) {
+    --request.attempts;
+    ++request.unsent;
+  }
+  request.may_have_run = request.may_have_run || may_have_run(report.end);
+  if (is_final_answer(report)) return Relay(request);
+  Note(request.arrived.number, "attempt_failed", ended.instance,
+       "end " + std::to_string(static_cast<int>(report.end)) + ", status " +
+           std::to_string(report.status) + AfterMs(now - ended.sent_at));
+  RetryOrEnd(request, report, now);
+}
+
+void GatewayNode::RetryOrEnd(LiveRequest& request, const AttemptReport& report, Instant now) {
+  if (report.not_owner && traffic_.is_keyed(request.service)) {
+    const traffic::KeyRange* range = traffic_.keys().Find(request.service, *request.arrived.key);
+    if (range != nullptr) traffic_.keys().Disown(*range, now + kDisowned);
+  }
+  const auto bar =
+      bar_to_retry(request, report.end, BudgetOf(request.service), traffic_.gateway_count(), now);
+  if (!bar) return Requeue(request, now);
+  if (may_be_relayed(report)) return Relay(request);
+  End(request, *bar, now);
+}
+
+void GatewayNode::Requeue(LiveRequest& request, Instant now) {
+  // The owner of a key refused it: it lost the key, and its next owner is not known here yet.
+  const bool again_at_owner = traffic_.is_keyed(request.service);
+  request.not_before = again_at_owner ? now + kOwnerRetry : now;
+  requests_.enqueue(request);
+  request.hold_from = now;
+  Wait(request, RefusalReason::kNoServer, short_hold(request), now);
+}
+
+void GatewayNode::Relay(LiveRequest& request) {
+  effects_.actions.emplace_back(RelayAnswer{request.arrived.number});
+  Forget(request);
+}
+
+void GatewayNode::GiveUp(LiveRequest& request, Instant now) {
+  if (requests_.is_unrouted(request)) {
+    return EndWithoutRun(request, RefusalReason::kNoConfiguration, now);
+  }
+  if (!request.open && !request.may_have_run) {
+    return EndWithoutRun(request, RefusalReason::kDeadline, now);
+  }
+  Note(request.arrived.number, "give_up",
+       request.open ? request.open->instance : traffic::InstanceId{}, "deadline or timeout");
+  effects_.actions.emplace_back(refusal_at_deadline(request));
+  Forget(request);
+}
+
+void GatewayNode::End(LiveRequest& request, RefusalReason reason, Instant now) {
+  if (!request.may_have_run) return EndWithoutRun(request, reason, now);
+  effects_.actions.emplace_back(refusal_of_unknown_outcome(request));
+  Forget(request);
+}
+
+void GatewayNode::EndWithoutRun(LiveRequest& request, RefusalReason reason, Instant now) {
+  if (request.may_have_run) return End(request, RefusalReason::kOutcomeUnknown, now);
+  Note(request.arrived.number, "refuse", {},
+       std::string(ReasonName(reason)) + ", version " + std::to_string(version()) +
+           AfterMs(now - request.received));
+  effects_.actions.emplace_back(refusal_without_run(request, reason, now));
+  Forget(request);
+}
+
+void GatewayNode::Forget(LiveRequest& request) {
+  if (request.open) {
+    traffic_.backends().OnAbandoned(request.open->instance);
+    effects_.actions.emplace_back(AbandonAttempt{request.arrived.number, request.open->number});
+  }
+  requests_.erase(request);
+}
+
+}  // namespace graniteseam::gateway
--- /dev/null
+++ b/src/gateway/request_sending.cc
@@ -0,0 +1,119 @@
+// Which server a waiting request goes to, and what it waits for otherwise.
+#include <algorithm>
+
+#include "src/gateway/gateway_node.h"
+#include "src/gateway/hold_limits.h"
+
+namespace graniteseam::gateway {
+
+void GatewayNode::ServeWaiting(const ServiceName& service, Instant now) {
+  const bool keyed = traffic_.is_keyed(service);
+  std::vector<WaitingPlace> places = requests_.queue_of(service);
+  // Those that can still be answered within their targets go first: what is late anyway is worth
+  // the same a little later.
+  if (keyed) {
+    std::stable_partition(places.begin(), places.end(), [&](const WaitingPlace& place) {
+      return is_in_time(requests_.at(place.number), now);
+    });
+  }
+  for (const WaitingPlace& place : places) {
+    LiveRequest& request = requests_.at(place.number);
+    if (TryNext(request, now) != Step::kWaits) continue;
+    const bool held = request.not_before > now;
+    if (request.timer == Instant{} && !held) {
+      EndWithoutRun(request, request.waits_for, now);
+    } else if (!keyed && !held) {
+      return HoldBehind(place, places, now);
+    }
+  }
+}
+
+void GatewayNode::ServeAllWaiting(Instant now) {
+  for (const ServiceName& service : requests_.queued_services()) ServeWaiting(service, now);
+}
+
+void GatewayNode::HoldBehind(const WaitingPlace& place, const std::vector<WaitingPlace>& places,
+                             Instant now) {
+  const RefusalReason reason = requests_.at(place.number).waits_for;
+  for (const WaitingPlace& behind : places) {
+    if (!(place < behind)) continue;
+    LiveRequest& later = requests_.at(behind.number);
+    if (later.timer != Instant{}) continue;
+    Wait(later, reason, short_hold(later), now);
+    if (later.timer == Instant{}) EndWithoutRun(later, reason, now);
+  }
+}
+
+GatewayNode::Step GatewayNode::TryNext(LiveRequest& request, Instant now) {
+  if (now < request.not_before) return Step::kWaits;
+  return traffic_.is_keyed(request.service) ? TryOwner(request, now) : TryPool(request, now);
+}
+
+GatewayNode::Step GatewayNode::TryOwner(LiveRequest& request, Instant now) {
+  const BackendTable& backends = traffic_.backends();
+  const traffic::KeyRange* range = traffic_.keys().Find(request.service, *request.arrived.key);
+  const Backend* owner = range != nullptr && range->phase == traffic::RangePhase::kServing
+                             ? backends.Find(range->owner)
+                             : nullptr;
+  if (owner == nullptr || backends.DrainedForLong(*owner, now)) {
+    return WaitForOwner(request, RefusalReason::kNoOwner, now);
+  }
+  if (traffic_.keys().Disowned(*range, now)) {
+    // This gateway's map is behind: the caller had better ask another one soon.
+    return Wait(request, RefusalReason::kStaleOwner, short_hold(request), now);
+  }
+  if (now < owner->paused_until) return WaitForOwner(request, RefusalReason::kOwnerFails, now);
+  const bool room = is_in_time(request, now) ? backends.HasRoom(*owner, request.target_latency, now)
+                                             : backends.HasFreeSlot(*owner, now);
+  if (!room) return WaitForOwner(request, RefusalReason::kOverloaded, now);
+  Send(request, *owner, now);
+  return Step::kSent;
+}
+
+GatewayNode::Step GatewayNode::TryPool(LiveRequest& request, Instant now) {
+  BackendTable& backends = traffic_.backends();
+  const Backend* backend =
+      backends.Choose(request.service, request.tried, request.target_latency, now);
+  // With no other server left, one that was tried may do better now.
+  if (backend == nullptr)
+    backend = backends.Choose(request.service, {}, request.target_latency, now);
+  if (backend == nullptr) {
+    return Wait(request, RefusalReason::kNoServer, short_hold(request), now);
+  }
+  if (!backends.HasRoom(*backend, request.target_latency, now)) {
+    return Wait(request, RefusalReason::kOverloaded, short_hold(request), now);
+  }
+  Send(request, *backend, now);
+  return Step::kSent;
+}
+
+void GatewayNode::Send(LiveRequest& request, const Backend& backend, Instant now) {
+  requests_.dequeue(request);
+  const traffic::InstanceId id = backend.instance.report.id;
+  Note(request.arrived.number, "send", id, traffic_.backends().Describe(backend, now));
+  request.open = OpenAttempt{++request.numbering, id, now};
+  ++request.attempts;
+  request.tried.push_back(id);
+  effects_.actions.emplace_back(SendAttempt{request.arrived.number, request.numbering, id,
+                                            backend.instance.report.address,
+                                            request.give_up - now});
+  traffic_.backends().OnSent(id);
+  requests_.set_timer(request, request.give_up);
+}
+
+GatewayNode::Step GatewayNode::Wait(LiveRequest& request, RefusalReason reason, Duration limit,
+                                    Instant now) {
+  request.waits_for = reason;
+  requests_.set_timer(request, hold_timer(request, limit, now));
+  return Step::kWaits;
+}
+
+GatewayNode::Step GatewayNode::WaitForOwner(LiveRequest& request, RefusalReason reason,
+                                            Instant now) {
+  const Step step = Wait(request, reason, owner_hold(request), now);
+  if (request.timer == Instant{}) return step;
+  requests_.set_timer(request, std::min(request.timer, next_owner_look(now)));
+  return step;
+}
+
+}  // namespace graniteseam::gateway
--- /dev/null
+++ b/src/gateway/retry_rules.cc
@@ -0,0 +1,46 @@
+#include "src/gateway/retry_rules.h"
+
+namespace graniteseam::gateway {
+namespace {
+
+constexpr int kFirstFailureStatus = 500;
+/// Connections that failed before one request is given up.
+constexpr std::uint32_t kUnsentMaximum = 3;
+
+auto is_promise(int status) -> bool {
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+}  // namespace
+
+auto may_have_run(AttemptEnd end) -> bool {
+  return end != AttemptEnd::kNotSent && end != AttemptEnd::kNotExecuted;
+}
+
+auto is_final_answer(AttemptReport const& report) -> bool {
+  return may_be_relayed(report) && report.status < kFirstFailureStatus;
+}
+
+auto may_be_relayed(AttemptReport const& report) -> bool {
+  return report.end == AttemptEnd::kAnswered && !is_promise(report.status);
+}
+
+auto bar_to_retry(LiveRequest const& request, AttemptEnd end, SharedRetryBudget& budget,
+                  std::uint32_t gateways, Instant now) -> std::optional<RefusalReason> {
+  auto const ran = may_have_run(end);
+  if (ran && request.kind == traffic::RouteKind::kUnsafe) return RefusalReason::kOutcomeUnknown;
+  // Of a request that may have run in this attempt, the caller is told nothing else.
+  auto const because = [ran](RefusalReason reason) {
+    return ran ? RefusalReason::kOutcomeUnknown : reason;
+  };
+  if (now >= request.give_up) return because(RefusalReason::kDeadline);
+  if (end == AttemptEnd::kNotSent) {
+    if (request.unsent < kUnsentMaximum) return std::nullopt;
+    return RefusalReason::kAttemptsUsed;
+  }
+  if (request.attempts >= request.attempts_maximum) return because(RefusalReason::kAttemptsUsed);
+  if (budget.Take(gateways, now)) return std::nullopt;
+  return because(RefusalReason::kBudget);
+}
+
+}  // namespace graniteseam::gateway
--- /dev/null
+++ b/src/gateway/retry_rules.h
@@ -0,0 +1,32 @@
+/// @file
+/// What may follow the end of an attempt.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+
+#include "graniteseam/common/time.h"
+#include "src/gateway/gateway_events.h"
+#include "src/gateway/live_request.h"
+#include "src/gateway/shared_retry_budget.h"
+
+namespace graniteseam::gateway {
+
+/// Whether the request ran or may have run in the attempt.
+auto may_have_run(AttemptEnd end) -> bool;
+
+/// Whether an answer goes to the caller at once: no retry is considered.
+auto is_final_answer(AttemptReport const& report) -> bool;
+
+/// Whether an answer may go to the caller when the request is not sent again. A status by which a
+/// server would promise that a request did not run may not: without the mark that says so it
+/// promises nothing.
+auto may_be_relayed(AttemptReport const& report) -> bool;
+
+/// Decides whether a request is sent again after an attempt, and takes that out of the budget.
+/// Invariant: an unsafe request that may have run in the attempt is never sent again.
+/// @return nullopt when it is sent again, else why not.
+auto bar_to_retry(LiveRequest const& request, AttemptEnd end, SharedRetryBudget& budget,
+                  std::uint32_t gateways, Instant now) -> std::optional<RefusalReason>;
+
+}  // namespace graniteseam::gateway
