Share the set-ups of the gateway's tests, and those of the heartbeat tests

Cause: backend_table_test and gateway_node_test made the same instances, eight tests of the node wrote out the same update, and two pairs of them the same drain or loss of an owner. Five tests of leases by heartbeat began with the same settled fleet and wrote out the same faults; the follower of a group was found in two ways.

Change: tests/gateway/gateway_fixture.h and tests/control/heartbeat_fixture.h. What is asserted is unchanged to the letter; the check that a fleet settles without a violation, written five times, is in SettledWorld.

--- a/tests/control/heartbeat_leases_test.cc
+++ b/tests/control/heartbeat_leases_test.cc
@@ -4,21 +4,13 @@
 
 #include <criterion/criterion.h>
 
-#include "tests/control/leased_world.h"
+#include "tests/control/heartbeat_fixture.h"
 
 using namespace graniteseam;
-using graniteseam::test::LeasedWorld;
-using graniteseam::test::LeasedWorldFaults;
+using namespace graniteseam::test;
 
 namespace {
 
-constexpr Duration kSecond{1'000'000};
-constexpr std::uint32_t kAllKeys = traffic::kLastKey + 1;
-
-void MustHold(const std::optional<std::string>& violation) {
-  cr_assert(!violation, "%s", violation ? violation->c_str() : "");
-}
-
 /// Random faults of one kind or of all, then calm in which all keys must find an owner again.
 void RunFaults(const LeasedWorldFaults& faults, std::uint64_t seeds) {
   for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
@@ -42,8 +34,8 @@
 }  // namespace
 
 Test(heartbeat_leases, all_keys_are_held_soon_after_the_instances_came) {
-  LeasedWorld world(1, 4, {});
-  MustHold(world.Run(4 * kSecond));
+  SettledWorld settled(1, 4);
+  LeasedWorld& world = settled.world;
   cr_assert(world.KeysHeld() == kAllKeys);
   for (const auto* name : {"i-1", "i-2", "i-3", "i-4"}) {
     cr_assert(world.KeysHeldBy(name) == kAllKeys / 4);
@@ -51,8 +43,8 @@
 }
 
 Test(heartbeat_leases, leases_are_renewed_by_each_answer) {
-  LeasedWorld world(2, 3, {});
-  MustHold(world.Run(4 * kSecond));
+  SettledWorld settled(2, 3);
+  LeasedWorld& world = settled.world;
   for (int i = 0; i < 100; ++i) {
     MustHold(world.Run(kSecond / 10));
     cr_assert(world.KeysHeld() == kAllKeys);
@@ -60,8 +52,8 @@
 }
 
 Test(heartbeat_leases, draining_instance_hands_its_keys_over) {
-  LeasedWorld world(3, 4, {});
-  MustHold(world.Run(4 * kSecond));
+  SettledWorld settled(3, 4);
+  LeasedWorld& world = settled.world;
   world.Drain("i-2");
   // Its next heartbeat, the end of its work, and the heartbeats of those that follow.
   MustHold(world.Run(3 * kSecond));
@@ -71,8 +63,8 @@
 }
 
 Test(heartbeat_leases, crashed_owner_keeps_its_keys_until_its_lease_is_over) {
-  LeasedWorld world(4, 4, {});
-  MustHold(world.Run(4 * kSecond));
+  SettledWorld settled(4, 4);
+  LeasedWorld& world = settled.world;
   world.Crash("i-1");
   const auto owner = [&](std::uint32_t key) {
     return world.state().ranges().Find({"s"}, key)->owner.value;
@@ -86,8 +78,8 @@
 }
 
 Test(heartbeat_leases, new_leader_waits_for_what_the_last_one_may_have_given) {
-  LeasedWorld world(5, 4, {});
-  MustHold(world.Run(4 * kSecond));
+  SettledWorld settled(5, 4);
+  LeasedWorld& world = settled.world;
   world.Crash("i-3");
   world.ChangeLeader(kSecond / 2);
   MustHold(world.Run(3 * kSecond));
@@ -97,21 +89,12 @@
 }
 
 Test(heartbeat_leases, lost_and_late_messages_never_make_two_owners) {
-  LeasedWorldFaults faults;
-  faults.heartbeat_lost = 0.1;
-  faults.heartbeat_late = 0.2;
-  faults.answer_lost = 0.1;
-  faults.answer_late = 0.2;
-  faults.move = 1;
-  RunFaults(faults, 150);
+  RunFaults(message_faults(), 150);
 }
 
 Test(heartbeat_leases, leaving_instances_and_leaders_never_make_two_owners) {
   LeasedWorldFaults faults;
-  faults.leader_change = 0.3;
-  faults.crash = 0.2;
-  faults.drain = 0.4;
-  faults.move = 1;
+  add_departures(faults);
   RunFaults(faults, 150);
 }
 
@@ -126,15 +109,8 @@
 }
 
 Test(heartbeat_leases, all_faults_together_never_make_two_owners) {
-  LeasedWorldFaults faults;
-  faults.heartbeat_lost = 0.1;
-  faults.heartbeat_late = 0.2;
-  faults.answer_lost = 0.1;
-  faults.answer_late = 0.2;
-  faults.leader_change = 0.3;
-  faults.crash = 0.2;
-  faults.drain = 0.4;
+  LeasedWorldFaults faults = message_faults();
+  add_departures(faults);
   faults.slow_commit = 0.2;
-  faults.move = 1;
   RunFaults(faults, 400);
 }
--- a/tests/control/heartbeat_relay_test.cc
+++ b/tests/control/heartbeat_relay_test.cc
@@ -3,39 +3,14 @@
 
 #include <criterion/criterion.h>
 
-#include "tests/control/ranged_group.h"
+#include "tests/control/heartbeat_fixture.h"
 
 using namespace graniteseam;
 using namespace graniteseam::control;
-using graniteseam::test::ControlHarness;
-using graniteseam::test::is_accepted;
-using graniteseam::test::report_of;
-using graniteseam::test::start_ranges;
-
-namespace {
-
-constexpr Duration kSecond{1'000'000};
-
-/// A group with one ranged service whose keys two instances own. Orders are carried out at once.
-struct Fixture {
-  ControlHarness harness;
-  std::vector<RangeOrder> grants;
-
-  Fixture() {
-    harness.on_range_order = [this](std::size_t process, RangeOrder const& order) {
-      if (order.kind == RangeOrder::Kind::kGrant) grants.push_back(order);
-      harness.GiveRangeResult(process, {order.number, RangeOrderResult::Outcome::kDone, ""});
-    };
-    start_ranges(harness);
-  }
-
-  auto follower() -> std::size_t { return *harness.Leader() == 0 ? 1 : 0; }
-};
-
-}  // namespace
+using namespace graniteseam::test;
 
 Test(heartbeat_relay, leader_hears_of_instances_that_beat_at_a_follower_only) {
-  Fixture fixture;
+  RelayGroup fixture;
   // Longer than the silence after which an instance would get nothing new.
   for (int beat = 0; beat < 10; ++beat) {
     for (auto const* name : {"i-1", "i-2"}) {
@@ -56,7 +31,7 @@
 }
 
 Test(heartbeat_relay, what_changes_something_is_left_to_the_leader) {
-  Fixture fixture;
+  RelayGroup fixture;
   auto const drains = report_of(fixture.harness, "i-1", true);
   cr_assert(!is_accepted(fixture.harness.AskAt(fixture.follower(), drains)));
   auto const unknown = report_of(fixture.harness, "i-9", false);
@@ -74,12 +49,12 @@
   auto const answer = harness.Ask(report_of(harness, "i-1", false));
   auto const* leases = std::get_if<KeyLeases>(&answer);
   cr_assert(leases != nullptr && !leases->spans.empty());
-  auto const follower = *harness.Leader() == 0 ? 1U : 0U;
+  auto const follower = follower_of(harness);
   cr_assert(!is_accepted(harness.AskAt(follower, report_of(harness, "i-1", false))));
 }
 
 Test(heartbeat_relay, follower_that_hears_of_no_leader_takes_nothing) {
-  Fixture fixture;
+  RelayGroup fixture;
   auto const cut = fixture.follower();
   fixture.harness.CutOff(cut, false);
   fixture.harness.RunFor(2 * kSecond);
--- a/tests/gateway/backend_table_test.cc
+++ b/tests/gateway/backend_table_test.cc
@@ -4,6 +4,8 @@
 
 #include <map>
 
+#include "tests/gateway/gateway_fixture.h"
+
 using namespace graniteseam;
 using namespace graniteseam::gateway;
 
@@ -14,11 +16,8 @@
 const ServiceName kService{"s"};
 
 traffic::Instance MakeInstance(const std::string& id, const std::string& zone) {
-  traffic::Instance instance;
-  instance.report.id = {id};
-  instance.report.service = kService;
+  traffic::Instance instance = test::MakeInstance(id, kService.value);
   instance.report.zone = {zone};
-  instance.report.slots = 2;
   return instance;
 }
 
--- a/tests/gateway/gateway_node_test.cc
+++ b/tests/gateway/gateway_node_test.cc
@@ -4,127 +4,13 @@
 
 #include <map>
 
+#include "tests/gateway/gateway_fixture.h"
+
 using namespace graniteseam;
 using namespace graniteseam::gateway;
+using namespace graniteseam::gateway::test;
 using traffic::RouteKind;
 
-namespace {
-
-constexpr Instant kStart = InstantFromMicros(1'000'000'000);
-
-Instant At(std::int64_t ms) { return kStart + std::chrono::milliseconds(ms); }
-
-traffic::Instance MakeInstance(const std::string& id, const std::string& service) {
-  traffic::Instance instance;
-  instance.report.id = {id};
-  instance.report.service = {service};
-  instance.report.address = "10.0.0.1:80";
-  instance.report.slots = 2;
-  return instance;
-}
-
-traffic::Route MakeRoute(const std::string& name, RouteKind kind, const std::string& service) {
-  traffic::Route route;
-  route.name = {name};
-  route.host = "a.example";
-  route.path_prefix = "/" + name + "/";
-  route.kind = kind;
-  route.timeout_ms = 1'000;
-  route.target_latency_ms = 200;
-  route.attempts_maximum = 2;
-  route.split = {{{service}, 100}};
-  return route;
-}
-
-/// A gateway with a safe and an unsafe route to "pool" and one to "keyed".
-struct Fixture {
-  GatewayNode node;
-  std::uint64_t numbers = 0;
-
-  static GatewayOptions Options() {
-    GatewayOptions options;
-    options.id = {"g-1"};
-    options.backends.zone = {"z"};
-    options.budget.extra = 1'000;
-    options.gateways_assumed = 1;
-    return options;
-  }
-
-  static traffic::TrafficUpdate State() {
-    traffic::TrafficUpdate update;
-    update.version = 10;
-    update.configuration = {5};
-    update.routes = {MakeRoute("safe", RouteKind::kSafe, "pool"),
-                     MakeRoute("unsafe", RouteKind::kUnsafe, "pool"),
-                     MakeRoute("keyed", RouteKind::kSafe, "keyed")};
-    traffic::Service pool;
-    pool.name = {"pool"};
-    traffic::Service keyed;
-    keyed.name = {"keyed"};
-    keyed.keyed = true;
-    update.services = {pool, keyed};
-    update.instances = {MakeInstance("p-1", "pool"), MakeInstance("p-2", "pool"),
-                        MakeInstance("k-1", "keyed"), MakeInstance("k-2", "keyed")};
-    traffic::KeyRange range;
-    range.service = {"keyed"};
-    range.span = {0, traffic::kLastKey};
-    range.phase = traffic::RangePhase::kServing;
-    range.owner = {"k-1"};
-    range.fence = {3};
-    update.ranges = {range};
-    update.routers = 1;
-    return update;
-  }
-
-  explicit Fixture(bool configured = true) : node(Options(), 1) {
-    if (configured) node.OnUpdate(State(), kStart);
-  }
-
-  GatewayEffects Request(const std::string& path, std::int64_t ms,
-                         std::optional<std::uint32_t> key = {}) {
-    ArrivedRequest request;
-    request.number = {++numbers};
-    request.host = "A.example:8080";
-    request.path = path;
-    request.key = key;
-    request.time_left = std::chrono::seconds(2);
-    return node.OnRequest(request, At(ms));
-  }
-
-  GatewayEffects End(const SendAttempt& send, AttemptEnd end, int status, std::int64_t ms) {
-    AttemptReport report;
-    report.request = send.request;
-    report.attempt = send.attempt;
-    report.end = end;
-    report.status = status;
-    return node.OnAttemptEnd(report, At(ms));
-  }
-};
-
-/// The only effect of a kind, which must be there.
-template <class Effect>
-Effect Only(const GatewayEffects& effects) {
-  const Effect* found = nullptr;
-  for (const GatewayEffect& effect : effects.actions) {
-    const auto* one = std::get_if<Effect>(&effect);
-    if (one == nullptr) continue;
-    cr_assert(found == nullptr, "more than one effect of the kind");
-    found = one;
-  }
-  cr_assert(found != nullptr, "no effect of the kind");
-  return *found;
-}
-
-template <class Effect>
-bool Has(const GatewayEffects& effects) {
-  for (const GatewayEffect& effect : effects.actions) {
-    if (std::holds_alternative<Effect>(effect)) return true;
-  }
-  return false;
-}
-
-}  // namespace
-
 Test(gateway_node, without_a_configuration_nothing_is_known_not_to_exist) {
   Fixture fixture(false);
   cr_assert(!fixture.node.Ready());
@@ -148,9 +34,7 @@
 
 Test(gateway_node, longest_prefix_of_the_host_wins_and_unknown_routes_are_not_found) {
   Fixture fixture;
-  auto update = Fixture::State();
-  update.base = 10;
-  update.version = 11;
+  auto update = Fixture::NextState();
   update.routes = {MakeRoute("safe/deeper", RouteKind::kSafe, "keyed")};
   fixture.node.OnUpdate(update, At(0));
   cr_assert(Only<SendAttempt>(fixture.Request("/safe/deeper/x", 1, 7)).instance.value == "k-1");
@@ -242,9 +126,7 @@
 
 Test(gateway_node, key_on_its_way_waits_for_its_next_owner) {
   Fixture fixture;
-  auto update = Fixture::State();
-  update.base = 10;
-  update.version = 11;
+  auto update = Fixture::NextState();
   update.routes.clear();
   update.ranges[0].phase = traffic::RangePhase::kReleasing;
   fixture.node.OnUpdate(update, At(0));
@@ -279,9 +161,7 @@
 
 Test(gateway_node, parts_of_a_split_follow_their_weights) {
   Fixture fixture;
-  auto update = Fixture::State();
-  update.base = 10;
-  update.version = 11;
+  auto update = Fixture::NextState();
   update.routes[0].split = {{{"pool"}, 75}, {{"keyed"}, 25}};
   fixture.node.OnUpdate(update, At(0));
   std::map<char, int> counts;
@@ -309,9 +189,7 @@
   cr_assert(refused.reason == RefusalReason::kStaleOwner);
   cr_assert(*refused.retry_after < Duration{50'000}, "another gateway may know more");
 
-  auto update = Fixture::State();
-  update.base = 10;
-  update.version = 11;
+  auto update = Fixture::NextState();
   update.ranges[0].owner = {"k-2"};
   update.ranges[0].fence = {11};
   cr_assert(Only<SendAttempt>(fixture.node.OnUpdate(update, At(46))).instance.value == "k-2");
@@ -346,12 +224,7 @@
 
 Test(gateway_node, keys_without_an_owner_are_waited_for_less_than_half_of_the_callers_time) {
   Fixture fixture;
-  auto update = Fixture::State();
-  update.base = 10;
-  update.version = 11;
-  update.ranges[0].phase = traffic::RangePhase::kReleasing;
-  update.ranges[0].fence = {11};
-  fixture.node.OnUpdate(update, At(0));
+  fixture.node.OnUpdate(Fixture::LossOfOwner(), At(0));
   cr_assert(fixture.Request("/keyed/x", 0, 7).actions.empty());
   GatewayEffects effects;
   std::int64_t ms = 1;
@@ -364,11 +237,7 @@
 
 Test(gateway_node, requests_that_can_be_answered_in_time_go_before_late_ones) {
   Fixture fixture;
-  auto update = Fixture::State();
-  update.base = 10;
-  update.version = 11;
-  update.ranges[0].phase = traffic::RangePhase::kReleasing;
-  update.ranges[0].fence = {11};
+  auto update = Fixture::LossOfOwner();
   fixture.node.OnUpdate(update, At(0));
   fixture.Request("/keyed/x", 0, 7);
   const std::uint64_t late = fixture.numbers;
@@ -389,13 +258,7 @@
 
 Test(gateway_node, owner_that_drains_for_long_gets_nothing_though_its_keys_have_not_moved) {
   Fixture fixture;
-  auto update = Fixture::State();
-  update.base = 10;
-  update.version = 11;
-  update.ranges.clear();
-  update.instances = {MakeInstance("k-1", "keyed")};
-  update.instances[0].state = traffic::InstanceState::kDraining;
-  fixture.node.OnUpdate(update, At(0));
+  fixture.node.OnUpdate(Fixture::DrainOfOwner(), At(0));
   // No control process leads: nobody moves the keys.
   cr_assert(Has<SendAttempt>(fixture.Request("/keyed/x", 900, 1)));
   cr_assert(!Has<SendAttempt>(fixture.Request("/keyed/x", 1'000, 2)));
@@ -403,12 +266,6 @@
 
 Test(gateway_node, drain_that_is_heard_of_late_may_have_begun_when_control_was_last_heard) {
   Fixture fixture;
-  auto update = Fixture::State();
-  update.base = 10;
-  update.version = 11;
-  update.ranges.clear();
-  update.instances = {MakeInstance("k-1", "keyed")};
-  update.instances[0].state = traffic::InstanceState::kDraining;
-  fixture.node.OnUpdate(update, At(3'000));
+  fixture.node.OnUpdate(Fixture::DrainOfOwner(), At(3'000));
   cr_assert(!Has<SendAttempt>(fixture.Request("/keyed/x", 3'001, 1)));
 }
