--- a/testbed/caller/main.cc
+++ b/testbed/caller/main.cc
@@ -11,6 +11,7 @@
 #include "src/runtime/settings.h"
 #include "src/runtime/stop_signals.h"
 #include "testbed/caller/load.h"
+#include "testbed/support/program_run.h"
 
 namespace graniteseam::testbed {
 
@@ -113,17 +114,6 @@
   return {};
 }
 
-int Run(const CallerOptions& options) {
-  const runtime::Logger log("testbed-caller");
-  runtime::StopSignals stop;
-  const auto outcome = Attempt([&] { return RunLoad(options, stop, log); });
-  if (const auto* error = ErrorOf(outcome)) {
-    log.Error(*error);
-    return EXIT_FAILURE;
-  }
-  return EXIT_SUCCESS;
-}
-
 }  // namespace
 
 }  // namespace graniteseam::testbed
@@ -131,5 +121,7 @@
 int main(int argc, char** argv) {
   graniteseam::testbed::CallerOptions options;
   if (const auto code = graniteseam::testbed::ReadOptions(argc, argv, options)) return *code;
-  return graniteseam::testbed::Run(options);
+  return graniteseam::testbed::run_program("testbed-caller", [&](auto& stop, const auto& log) {
+    return graniteseam::testbed::RunLoad(options, stop, log);
+  });
 }
--- a/testbed/hollow/main.cc
+++ b/testbed/hollow/main.cc
@@ -11,6 +11,7 @@
 #include "testbed/hollow/hollow_router.h"
 #include "testbed/hollow/hollow_server.h"
 #include "testbed/support/http_listener.h"
+#include "testbed/support/program_run.h"
 
 namespace graniteseam::testbed {
 
@@ -182,17 +183,6 @@
   return {};
 }
 
-int Run(const HollowOptions& options) {
-  const runtime::Logger log("hollow-nodes");
-  runtime::StopSignals stop;
-  const auto outcome = Attempt([&] { return RunNodes(options, stop, log); });
-  if (const auto* error = ErrorOf(outcome)) {
-    log.Error(*error);
-    return EXIT_FAILURE;
-  }
-  return EXIT_SUCCESS;
-}
-
 }  // namespace
 
 }  // namespace graniteseam::testbed
@@ -200,5 +190,7 @@
 int main(int argc, char** argv) {
   graniteseam::testbed::HollowOptions options;
   if (const auto code = graniteseam::testbed::ReadOptions(argc, argv, options)) return *code;
-  return graniteseam::testbed::Run(options);
+  return graniteseam::testbed::run_program("hollow-nodes", [&](auto& stop, const auto& log) {
+    return graniteseam::testbed::RunNodes(options, stop, log);
+  });
 }
--- a/testbed/server/main.cc
+++ b/testbed/server/main.cc
@@ -13,6 +13,7 @@
 #include "testbed/server/ownership.h"
 #include "testbed/server/request_handler.h"
 #include "testbed/support/http_listener.h"
+#include "testbed/support/program_run.h"
 #include "testbed/support/record_file.h"
 
 namespace graniteseam::testbed {
@@ -126,26 +127,18 @@
   HttpListener listener_;
 };
 
-int Run(const ServerOptions& options) {
-  const runtime::Logger log("testbed-server");
-  runtime::StopSignals stop;
-  const auto outcome = Attempt([&]() -> Result<void> {
-    BOOST_LEAF_AUTO(records, RecordFile::Open(options.record));
-    StandInServer server(options, records);
-    BOOST_LEAF_AUTO(address, server.Start());
-    log.Info("Server {} listens on {}.", options.id, runtime::ToString(address));
-    log.Info("Ready.");
-    stop.Wait();
-    log.Info("Server {} drains.", options.id);
-    server.Stop();
-    log.Info("Server {} stopped.", options.id);
-    return {};
-  });
-  if (const auto* error = ErrorOf(outcome)) {
-    log.Error(*error);
-    return EXIT_FAILURE;
-  }
-  return EXIT_SUCCESS;
+Result<void> RunServer(const ServerOptions& options, runtime::StopSignals& stop,
+                       const runtime::Logger& log) {
+  BOOST_LEAF_AUTO(records, RecordFile::Open(options.record));
+  StandInServer server(options, records);
+  BOOST_LEAF_AUTO(address, server.Start());
+  log.Info("Server {} listens on {}.", options.id, runtime::ToString(address));
+  log.Info("Ready.");
+  stop.Wait();
+  log.Info("Server {} drains.", options.id);
+  server.Stop();
+  log.Info("Server {} stopped.", options.id);
+  return {};
 }
 
 }  // namespace
@@ -155,5 +148,7 @@
 int main(int argc, char** argv) {
   graniteseam::testbed::ServerOptions options;
   if (const auto code = graniteseam::testbed::ReadServerOptions(argc, argv, options)) return *code;
-  return graniteseam::testbed::Run(options);
+  return graniteseam::testbed::run_program("testbed-server", [&](auto& stop, const auto& log) {
+    return graniteseam::testbed::RunServer(options, stop, log);
+  });
 }
