--- a/testbed/experiment/control_scale.cc
+++ b/testbed/experiment/control_scale.cc
@@ -275,8 +275,7 @@
     result.Add("processes_count", static_cast<double>(fleet->ProcessCount()));
     ScaleRun run(*fleet, result, progress);
     BOOST_LEAF_CHECK(run.Steady());
-    BOOST_LEAF_CHECK(run.Changing(
-        std::chrono::seconds(options.duration_s == 0 ? kSecondsDefault : options.duration_s)));
+    BOOST_LEAF_CHECK(run.Changing(run_length(options, kSecondsDefault)));
     BOOST_LEAF_CHECK(run.RestartTogether());
     BOOST_LEAF_CHECK(run.LoseLeader());
     BOOST_LEAF_AUTO(requests, fleet->StopCallers());
--- a/testbed/experiment/lying_health.cc
+++ b/testbed/experiment/lying_health.cc
@@ -49,13 +49,9 @@
 
   Result<Measurement> Measure(const RunOptions& options, Way way,
                               const Progress& progress) const override {
-    PoolFleetSettings settings;
-    settings.pool.servers = options.nodes == 0 ? kServersDefault : options.nodes;
+    PoolFleetSettings settings = pool_fleet_settings(options, way, kServersDefault);
     settings.groups = {kGroup};
-    settings.way = way;
-    settings.seed = options.seed;
-    const Duration length =
-        std::chrono::seconds(options.duration_s == 0 ? kSecondsDefault : options.duration_s);
+    const Duration length = run_length(options, kSecondsDefault);
     PoolFleet fleet(settings);
     fleet.load().SetRate(kGroup, kLoadOfCapacity * fleet.pool().CapacityPerSecond());
     fleet.Run(kWarmUp);
--- a/testbed/experiment/path_overhead.cc
+++ b/testbed/experiment/path_overhead.cc
@@ -91,8 +91,7 @@
     BOOST_LEAF_AUTO(session, FleetSession::Start(scenario, options, false));
     const std::string router_name = session->fleet().Names(Role::kRouter).front();
     const runtime::SocketAddress router = session->fleet().member(router_name).http_address();
-    const Duration length =
-        std::chrono::seconds(options.duration_s == 0 ? kSecondsDefault : options.duration_s);
+    const Duration length = run_length(options, kSecondsDefault);
     Measurement result;
     BOOST_LEAF_AUTO(keyed, KeyedWays(*session, router));
     Compare("keyed", keyed, length, result);
--- a/testbed/experiment/retry_storm.cc
+++ b/testbed/experiment/retry_storm.cc
@@ -30,11 +30,8 @@
 
   Result<Measurement> Measure(const RunOptions& options, Way way,
                               const Progress& progress) const override {
-    PoolFleetSettings settings;
-    settings.pool.servers = options.nodes == 0 ? kServersDefault : options.nodes;
+    PoolFleetSettings settings = pool_fleet_settings(options, way, kServersDefault);
     settings.groups = {kGroup};
-    settings.way = way;
-    settings.seed = options.seed;
     PoolFleet fleet(settings);
     VirtualPool& pool = fleet.pool();
     fleet.load().SetRate(kGroup, kLoadOfCapacity * pool.CapacityPerSecond());
--- a/testbed/measurement/experiment.h
+++ b/testbed/measurement/experiment.h
@@ -2,6 +2,7 @@
 /// What an experiment is, and the table of all of them.
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -10,6 +11,7 @@
 #include <vector>
 
 #include "graniteseam/common/error.h"
+#include "graniteseam/common/time.h"
 #include "testbed/measurement/measurement.h"
 
 namespace graniteseam::testbed {
@@ -38,6 +40,12 @@
   std::string program_folder;  ///< Where the daemons' and test programs are.
 };
 
+/// How long a run measures.
+/// @param own_s the experiment's own default.
+inline auto run_length(RunOptions const& options, std::uint32_t own_s) -> Duration {
+  return std::chrono::seconds(options.duration_s == 0 ? own_s : options.duration_s);
+}
+
 /// Tells the person at the terminal how far a run is.
 using Progress = std::function<void(const std::string& what, double fraction_done)>;
 
--- a/testbed/virtual_fleet/pool_fleet.cc
+++ b/testbed/virtual_fleet/pool_fleet.cc
@@ -4,6 +4,15 @@
 
 namespace graniteseam::testbed {
 
+auto pool_fleet_settings(RunOptions const& options, Way way, std::uint32_t own_servers)
+    -> PoolFleetSettings {
+  PoolFleetSettings settings;
+  settings.pool.servers = options.nodes == 0 ? own_servers : options.nodes;
+  settings.way = way;
+  settings.seed = options.seed;
+  return settings;
+}
+
 PoolFleet::PoolFleet(const PoolFleetSettings& settings)
     : pool_(events_, settings.pool, settings.seed) {
   if (settings.way == Way::kShipped) {
--- a/testbed/virtual_fleet/pool_fleet.h
+++ b/testbed/virtual_fleet/pool_fleet.h
@@ -22,6 +22,11 @@
   std::uint64_t seed = 1;
 };
 
+/// The settings of an experiment's run, as yet without groups.
+/// @param own_servers how many servers the experiment takes by default.
+auto pool_fleet_settings(RunOptions const& options, Way way, std::uint32_t own_servers)
+    -> PoolFleetSettings;
+
 /// Not thread safe, not movable: its parts refer to each other.
 class PoolFleet {
  public:
