--- a/model/heartbeat_leases/heartbeat_leases.pml
+++ b/model/heartbeat_leases/heartbeat_leases.pml
@@ -1,5 +1,5 @@
 /*
- * One key, leased in the answers to heartbeats: one address with two processes in succession, and
+ * One key, leased in the answers to heartbeats: one address with three processes in succession, and
  * leaders in succession.
  *
  * What is modelled: src/control/heartbeat_leases.cc, range_controller.cc, and the instance and range
@@ -16,7 +16,8 @@
  * up and never takes its answer. A heartbeat may arrive at any later time, any number of times, or
  * never: the present call's, and those of two calls before. In place of sequence numbers each
  * carries whether it is newer than the newest that the leader took (`newer`), and than the one since
- * which all answers leave the key out (`after`); so the number of heartbeats is not bounded.
+ * which all answers leave the key out (`after`); so the number of heartbeats is not bounded. The
+ * first heartbeat of a process that arrives at all does so within LATE ticks after its end.
  */
 
 #define LEASE 2
@@ -25,8 +26,9 @@
 #else
 #define COUNT LEASE
 #endif
-#define LIVES 2
-#define MAXIMUM_FENCE 5
+#define LATE 1
+#define LIVES 3
+#define MAXIMUM_FENCE 4
 #define OTHER 0
 #define NOBODY 9
 #define CALLS 3
@@ -35,7 +37,6 @@
 /* ---- The process at the address ---- */
 
 byte life = 1;
-bool up = true;
 byte held = 0;       /* fence; 0 when it holds nothing */
 byte lease_left = 0;
 byte seen = 0;       /* highest fence that it saw */
@@ -43,6 +44,7 @@
 bool answered = false;
 byte given = 0;      /* fence in the answer that is on its way; 0 leaves the key out */
 byte given_left = 0; /* LEASE minus the ticks since its heartbeat was sent */
+byte echo_left = 0;  /* ticks for which the second one's first heartbeat may arrive after its end */
 
 /* ---- Heartbeats on their way ---- */
 
@@ -60,9 +62,12 @@
 byte fence = 1;
 bool releasing = false;
 byte registered = 1;  /* of the address */
-bool ended[LIVES + 1]; /* displaced by another process at its address */
+byte young_left = 0;  /* ticks for which a heartbeat of its forerunner may arrive */
+bool heard[LIVES + 1]; /* a heartbeat arrived */
+bool barred[LIVES + 1]; /* displaced by another process at its address, and does not come back */
+bool ended[LIVES + 1]; /* the same, and its key is free at once */
 
-/* ---- The present leader; what it knows is of the registered process ---- */
+/* ---- The present leader ---- */
 
 byte count_out = 0;   /* ticks until it takes the last lease for over */
 bool omits = false;   /* all answers since some heartbeat leave the key out */
@@ -78,10 +83,43 @@
 byte highest = 0;     /* fence under which somebody held the key */
 byte highest_by = 0;  /* who */
 
-#define HOLDS (up && held != 0 && lease_left > 0)
+#define HOLDS (held != 0 && lease_left > 0)
 #define CHECK assert(!HOLDS || owner == life)
 #define FALL(x) if :: x > 0 -> x = x - 1 :: else fi
 
+inline ClearCall(k) {
+  call[k].life = 0; call[k].holds = false; call[k].newer = false; call[k].after = false
+}
+
+#ifdef DEFECT_DISPLACED_COMES_BACK
+#define BARRED(process) false
+#else
+#define BARRED(process) barred[process]
+#endif
+
+/* Forgets what no leader will take, so that fewer states differ. */
+inline ForgetBarred(k) {
+  if
+  :: call[k].life != 0 && BARRED(call[k].life) -> ClearCall(k)
+  :: else
+  fi
+}
+
+/* Who displaced another and was not displaced in turn is the one that lives. */
+inline BarOthers() {
+  barred[1] = barred[1] || (heard[1] && registered != 1);
+  barred[2] = barred[2] || (heard[2] && registered != 2);
+  barred[3] = barred[3] || (heard[3] && registered != 3);
+  ForgetBarred(0); ForgetBarred(1); ForgetBarred(NOW)
+}
+
+inline ForgetUnheard(k) {
+  if
+  :: call[k].life == 2 -> ClearCall(k)
+  :: else
+  fi
+}
+
 inline Tick() {
   FALL(lease_left);
   if
@@ -91,15 +129,29 @@
   FALL(sent_left);
   FALL(given_left);
   FALL(count_out);
-  FALL(taken_over)
+  FALL(taken_over);
+  if
+  :: echo_left > 0 ->
+     echo_left = echo_left - 1;
+     if
+     :: echo_left == 0 -> ForgetUnheard(0); ForgetUnheard(1); ForgetUnheard(NOW)
+     :: else
+     fi
+  :: else
+  fi;
+  if
+  :: young_left > 0 ->
+     young_left = young_left - 1;
+     if
+     :: young_left == 0 -> BarOthers()
+     :: else
+     fi
+  :: else
+  fi
 }
 
 /* ---- Steps of the process ---- */
 
-inline ClearCall(k) {
-  call[k].life = 0; call[k].holds = false; call[k].newer = false; call[k].after = false
-}
-
 inline MoveCall(from, to) {
   call[to].life = call[from].life;
   call[to].holds = call[from].holds;
@@ -158,42 +210,45 @@
   ClearAnswer()
 }
 
-inline Crash() {
-  up = false;
+/* The process ends and the next one starts; one that is not there yet is as one that is paused. */
+inline Replace() {
   held = 0; lease_left = 0; seen = 0;
   GiveUpCall();
-  ClearAnswer()
+  ClearAnswer();
+  if
+  :: !heard[life] -> echo_left = LATE
+  :: else
+  fi;
+  life = life + 1
 }
 
-inline Start() { up = true; life = life + 1 }
-
 /* ---- Steps of the leader ---- */
 
-inline ForgetEnded(k) {
-  if
-  :: call[k].life != 0 && ended[call[k].life] -> ClearCall(k)
-  :: else
-  fi
-}
+/* The first heartbeat of a process displaces the one before at its address. One that is displaced
+ * within LATE ticks of its first heartbeat may be the later one of both: its key waits for the end
+ * of its lease, and a heartbeat brings it back in that time. */
+#ifdef DEFECT_YOUNG_ONE_TAKEN_FOR_ENDED
+#define DISPLACED_FOR_GOOD true
+#else
+#define DISPLACED_FOR_GOOD (young_left == 0)
+#endif
 
-/* The first heartbeat of a process displaces the one before at its address. */
 inline Register(process) {
   if
   :: process != registered ->
-     ended[registered] = true;
-     ended[process] = false;
+     ended[registered] = DISPLACED_FOR_GOOD;
+     barred[registered] = DISPLACED_FOR_GOOD;
      registered = process;
-     count_out = 0; omits = false; taken_over = 0;
-     call[0].newer = (call[0].life != 0); call[0].after = false;
-     call[1].newer = (call[1].life != 0); call[1].after = false;
-     call[NOW].newer = (call[NOW].life != 0); call[NOW].after = false;
+     ended[registered] = false; barred[registered] = false;
+     heard[registered] = true;
      if
-     :: owner != registered -> released = false
+     :: registered == 2 -> echo_left = 0
      :: else
      fi;
-#ifndef DEFECT_DISPLACED_COMES_BACK
-     ForgetEnded(0); ForgetEnded(1); ForgetEnded(NOW)
-#endif
+     young_left = LATE;
+     omits = false;
+     call[0].after = false; call[1].after = false; call[NOW].after = false;
+     ForgetBarred(0); ForgetBarred(1); ForgetBarred(NOW)
   :: else
   fi
 }
@@ -225,19 +280,22 @@
   fi
 }
 
-inline NoLongerNewer(k) {
-  call[0].newer = false;
-  if :: k >= 1 -> call[1].newer = false :: else fi;
-  if :: k >= NOW -> call[NOW].newer = false :: else fi
+inline NoLongerNewer(j, k) {
+  if
+  :: k >= j && call[j].life == call[k].life -> call[j].newer = false
+  :: else
+  fi
 }
 
+#define AFTER(j, k) (j > k && call[j].life == call[k].life)
+
 inline Omit(k) {
   if
   :: !omits ->
      omits = true;
-     call[0].after = (0 > k && call[0].life != 0);
-     call[1].after = (1 > k && call[1].life != 0);
-     call[NOW].after = (NOW > k && call[NOW].life != 0)
+     call[0].after = AFTER(0, k);
+     call[1].after = AFTER(1, k);
+     call[NOW].after = AFTER(NOW, k)
   :: else
   fi;
   Answer(k, 0)
@@ -254,7 +312,7 @@
   Register(call[k].life);
   if
   :: NEWER(k) ->
-     NoLongerNewer(k);
+     NoLongerNewer(0, k); NoLongerNewer(1, k); NoLongerNewer(NOW, k);
      if
      :: owner == registered && releasing && omits && call[k].after && !call[k].holds && MAY_PROVE ->
         released = true
@@ -272,13 +330,9 @@
 #define OVER (owner == OTHER || ended[owner] || released || count_out == 0)
 
 /* To another one only when the owner is over; to itself under a new fence at any time. */
-inline Propose() {
-  if
-  :: OVER && owner != OTHER -> next = OTHER
-  :: OVER && owner != registered -> next = registered
-  :: owner == registered -> next = registered
-  fi
-}
+#define MAY_PROPOSE(to) \
+  (next == NOBODY && fence < MAXIMUM_FENCE && \
+   ((owner != to && OVER) || (owner == to && owner == registered)))
 
 inline Commit() {
   fence = fence + 1;
@@ -307,9 +361,9 @@
   fi;
   released = false;
   omits = false;
-  call[0].newer = (call[0].life == registered); call[0].after = false;
-  call[1].newer = (call[1].life == registered); call[1].after = false;
-  call[NOW].newer = (call[NOW].life == registered); call[NOW].after = false;
+  call[0].newer = (call[0].life != 0); call[0].after = false;
+  call[1].newer = (call[1].life != 0); call[1].after = false;
+  call[NOW].newer = (call[NOW].life != 0); call[NOW].after = false;
 #ifdef DEFECT_NO_WAIT_AFTER_ELECTION
   count_out = 0;
 #else
@@ -319,19 +373,19 @@
 }
 
 init {
-  d_step { count_out = COUNT; taken_over = COUNT }
+  d_step { heard[1] = true; count_out = COUNT; taken_over = COUNT }
   do
   :: atomic { true -> Tick() }
-  :: atomic { up -> Call() }
-  :: atomic { up && answered -> TakeAnswer(); CHECK }
-  :: atomic { up && life < LIVES -> Crash() }
-  :: atomic { !up -> Start() }
+  :: atomic { true -> Call() }
+  :: atomic { answered -> TakeAnswer(); CHECK }
+  :: atomic { life < LIVES -> Replace() }
   :: atomic { call[0].life != 0 -> TakeHeartbeat(0) }
   :: atomic { call[1].life != 0 -> TakeHeartbeat(1) }
   :: atomic { call[NOW].life != 0 -> TakeHeartbeat(NOW) }
   :: atomic { owner != OTHER && !releasing && next == NOBODY && fence < MAXIMUM_FENCE ->
               releasing = true; fence = fence + 1 }
-  :: atomic { next == NOBODY && fence < MAXIMUM_FENCE -> Propose() }
+  :: atomic { MAY_PROPOSE(OTHER) -> next = OTHER }
+  :: atomic { MAY_PROPOSE(registered) -> next = registered }
   :: atomic { next != NOBODY -> Commit(); CHECK }
   :: atomic { true -> Elect(); CHECK }
 #ifdef DEFECT_FORMER_LEADER_ANSWERS
