Do not take one late heartbeat for an owner that still beats

Cause: an owner that leaves orders unanswered counts as unresponsive unless it was heard of since. One heartbeat that was sent before its end and came seconds late kept it responsive for good, and its keys without an owner until another instance had its address. Change: it must have been heard of since, and not be silent now.

--- a/src/control/range_controller.cc
+++ b/src/control/range_controller.cc
@@ -259,8 +259,10 @@
 bool RangeController::Unresponsive(const traffic::InstanceId& instance, Instant now) const {
   const auto failing = failing_since_.find(instance);
   if (failing == failing_since_.end()) return false;
-  return now - failing->second > options_.unresponsive_after &&
-         !liveness_.HeardSince(instance, failing->second);
+  // One heartbeat since then may have been sent before the instance ended.
+  const bool beats =
+      liveness_.HeardSince(instance, failing->second) && !liveness_.Silent(instance, now);
+  return now - failing->second > options_.unresponsive_after && !beats;
 }
 
 void RangeController::DecideReleases(Instant now, std::vector<CommandBody>& commands) {
--- a/tests/control/range_controller_test.cc
+++ b/tests/control/range_controller_test.cc
@@ -155,6 +155,18 @@
   }
 }
 
+Test(range_controller, late_heartbeat_of_an_owner_that_is_gone_does_not_keep_its_keys_for_good) {
+  Fixture fixture(3);
+  fixture.Run(0, 2'000);
+  fixture.answers["i-1"] = RangeOrderResult::Outcome::kNotDelivered;
+  fixture.Run(2'010, 3'500);
+  // Sent before it ended, and on its way for long.
+  fixture.liveness.Heard({"i-1"}, At(3'500));
+  fixture.Run(3'510, 9'000);
+  cr_assert(fixture.KeysOf(RangePhase::kServing).count("i-1") == 0);
+  cr_assert(fixture.KeysOf(RangePhase::kServing).size() == 2);
+}
+
 Test(range_controller, owner_whose_address_another_instance_has_is_over_at_once) {
   Fixture fixture(3);
   fixture.Run(0, 2'000);
