Answer a waiter by the entry that was proposed for it, not by another term's at its index

Cause: who waits for a log entry was found by its index alone. A leader that was cut off for less time than it goes on leading takes, in one step, the next leader's entry at that index and its commit, and answered its own waiter by it: a change, a drain, a deregistration or a batch of claims was acknowledged that no log has. Change: a waiter is found by index and term.

--- a/src/control/control_node_impl.cc
+++ b/src/control/control_node_impl.cc
@@ -194,11 +194,12 @@
       leadership_->routers.FollowState();
     }
   }
-  AnswerWaiter(entry.index, outcome, now);
+  AnswerWaiter(entry, outcome, now);
 }
 
-void ControlNode::Impl::AnswerWaiter(LogIndex index, const ApplyOutcome& outcome, Instant now) {
-  const auto waiter = pending_.Take(index);
+void ControlNode::Impl::AnswerWaiter(const consensus::LogEntry& entry, const ApplyOutcome& outcome,
+                                     Instant now) {
+  const auto waiter = pending_.Take(entry.index, entry.term);
   if (!waiter) return;
   if (const auto* router = std::get_if<WaitingRouter>(&*waiter)) {
     SendToRouter(router->connection, JournalAnswer{router->sequence, outcome.claims});
@@ -208,9 +209,9 @@
   if (outcome.error) {
     Reply(request, *outcome.error);
   } else if (heartbeat) {
-    ReplyToHeartbeat(request, *heartbeat, index, now);
+    ReplyToHeartbeat(request, *heartbeat, entry.index, now);
   } else {
-    Reply(request, Accepted{index});
+    Reply(request, Accepted{entry.index});
   }
 }
 
--- a/src/control/control_node_impl.h
+++ b/src/control/control_node_impl.h
@@ -59,7 +59,7 @@
   void MergePersist(consensus::PersistRequest persist);
   void RestoreState(const consensus::Snapshot& snapshot);
   void ApplyEntry(const consensus::LogEntry& entry, Instant now);
-  void AnswerWaiter(LogIndex index, const ApplyOutcome& outcome, Instant now);
+  void AnswerWaiter(const consensus::LogEntry& entry, const ApplyOutcome& outcome, Instant now);
   std::optional<LogIndex> Propose(const std::vector<CommandBody>& commands, Instant now);
   void CompactIfDue(Instant now);
 
--- a/src/control/control_node_requests.cc
+++ b/src/control/control_node_requests.cc
@@ -39,7 +39,7 @@
   }
   const auto index = Propose({JournalCommand{wall_ms, request.claims, request.completions}}, now);
   if (index) {
-    pending_.Add(*index, WaitingRouter{connection, request.sequence});
+    pending_.Add(*index, consensus_.term(), WaitingRouter{connection, request.sequence});
   } else {
     SendNotLeader(connection, request.sequence);
   }
@@ -96,7 +96,7 @@
   }
   const auto index = Propose({ReportInstancesCommand{{heartbeat.report}}}, now);
   if (index) {
-    pending_.Add(*index, WaitingOperator{request, heartbeat});
+    pending_.Add(*index, consensus_.term(), WaitingOperator{request, heartbeat});
   } else {
     Reply(request, NotLeaderError());
   }
@@ -154,7 +154,7 @@
   if (const auto* command = std::get_if<CommandBody>(&step)) {
     const auto index = Propose({*command}, now);
     if (index) {
-      pending_.Add(*index, WaitingOperator{request, {}});
+      pending_.Add(*index, consensus_.term(), WaitingOperator{request, {}});
     } else {
       Reply(request, NotLeaderError());
     }
@@ -168,7 +168,7 @@
   if (const Error* error = ErrorOf(proposed)) {
     Reply(request, *error);
   } else {
-    pending_.Add(std::get<LogIndex>(proposed), WaitingOperator{request, {}});
+    pending_.Add(std::get<LogIndex>(proposed), consensus_.term(), WaitingOperator{request, {}});
   }
 }
 
--- a/src/control/pending_requests.h
+++ b/src/control/pending_requests.h
@@ -28,17 +28,21 @@
 
 using Waiter = std::variant<WaitingOperator, WaitingRouter>;
 
-/// The waiters of one leader in one term. The entry at an index is the waiter's own only as long as
-/// the term has not changed, so all are dropped when it does. Not thread safe.
+/// The waiters of one leader.
+///
+/// Invariant: a waiter is answered only by the entry that was proposed for it, which its index and
+/// its term name together (Ongaro and Ousterhout 2014, section 5.3). Answers the failure: a leader
+/// takes the next leader's entry at that index before it has noticed that it leads no more. Not
+/// thread safe.
 class PendingRequests {
  public:
-  void Add(LogIndex index, const Waiter& waiter) { waiters_[index] = waiter; }
+  void Add(LogIndex index, Term term, const Waiter& waiter) { waiters_[index] = {term, waiter}; }
 
-  /// Takes out who waits for an entry.
-  std::optional<Waiter> Take(LogIndex index) {
+  /// Takes out who waits for an entry; nobody waits for one of another term at the index.
+  std::optional<Waiter> Take(LogIndex index, Term term) {
     const auto found = waiters_.find(index);
-    if (found == waiters_.end()) return std::nullopt;
-    const Waiter waiter = found->second;
+    if (found == waiters_.end() || found->second.term != term) return std::nullopt;
+    const Waiter waiter = found->second.waiter;
     waiters_.erase(found);
     return waiter;
   }
@@ -46,7 +50,7 @@
   /// Takes out all, in the order of the log.
   std::vector<Waiter> TakeAll() {
     std::vector<Waiter> all;
-    for (const auto& [index, waiter] : waiters_) all.push_back(waiter);
+    for (const auto& [index, proposed] : waiters_) all.push_back(proposed.waiter);
     waiters_.clear();
     return all;
   }
@@ -54,13 +58,17 @@
   /// Forgets a router's batches, whose connection is gone.
   void Drop(std::uint64_t connection) {
     std::erase_if(waiters_, [&](const auto& entry) {
-      const auto* router = std::get_if<WaitingRouter>(&entry.second);
+      const auto* router = std::get_if<WaitingRouter>(&entry.second.waiter);
       return router != nullptr && router->connection == connection;
     });
   }
 
  private:
-  std::map<LogIndex, Waiter> waiters_;
+  struct Proposed {
+    Term term;
+    Waiter waiter;
+  };
+  std::map<LogIndex, Proposed> waiters_;
 };
 
 }  // namespace graniteseam::control
--- a/tests/control/control_harness.h
+++ b/tests/control/control_harness.h
@@ -113,6 +113,11 @@
   bool Runs(std::size_t index) const { return controls_[index].node != nullptr; }
   /// Sends a request to a control process without waiting for its answer.
   void Submit(std::size_t index, const control::OperatorRequest& request);
+  /// The answer to the request that was submitted last; null while there is none.
+  const control::OperatorAnswer* LastAnswer() const {
+    const auto found = answers_.find(last_request_);
+    return found == answers_.end() ? nullptr : &found->second;
+  }
   /// Sends a request to the leader and runs until it is answered.
   control::OperatorAnswer Ask(const control::OperatorRequest& request);
   /// Sends a request to one control process and runs until it is answered.
--- a/tests/control/leader_change_test.cc
+++ b/tests/control/leader_change_test.cc
@@ -5,6 +5,7 @@
 
 #include "tests/control/control_harness.h"
 
+namespace control = graniteseam::control;
 using graniteseam::Duration;
 using graniteseam::Error;
 using graniteseam::GroupName;
@@ -243,3 +244,34 @@
   cr_assert(run(7) == run(7));
   cr_assert(run(7) != run(8));
 }
+
+/// A leader proposes a change at an index that an entry of the next leader takes, and comes back
+/// before it has given up leading: the other entry's commit says nothing of the change.
+Test(leader_change, change_is_not_acknowledged_by_another_terms_entry_at_its_index) {
+  int wrong = 0;
+  for (std::uint64_t seed = 1; seed <= 8; ++seed) {
+    for (int cut_ms = 250; cut_ms <= 480; cut_ms += 10) {
+      HarnessOptions options;
+      options.seed = seed;
+      ControlHarness harness(options);
+      cr_assert(harness.RunUntil([&] { return harness.Leader().has_value(); }, 5 * kSecond));
+      harness.RunFor(kSecond);
+      const auto leader = *harness.Leader();
+      harness.CutOff(leader, false);
+      control::ChangeConfiguration change;
+      change.change.version = {7};
+      change.change.whole = true;
+      harness.Submit(leader, change);
+      harness.RunFor(std::chrono::milliseconds(cut_ms));
+      harness.Reconnect(leader);
+      harness.RunFor(2 * kSecond);
+      const control::OperatorAnswer* const told = harness.LastAnswer();
+      const bool accepted = told != nullptr && std::holds_alternative<control::Accepted>(*told);
+      const auto read = harness.Ask(control::ReadConfiguration{});
+      const auto* view = std::get_if<control::ConfigurationView>(&read);
+      const bool kept = view != nullptr && view->configuration.version.value == 7;
+      if (accepted && !kept) ++wrong;
+    }
+  }
+  cr_assert(wrong == 0, "%d runs acknowledged a change that no log has", wrong);
+}
