Take a displacement for the owner's end only where no forerunner's heartbeat can come

Cause, of the incident's class: an instance that reported from an owner's address counted as proof that the owner had ended. A process that lived for less time than its first heartbeat's way is heard of after its successor at the address: the living successor was displaced and its keys were given away at once (and, since displaced instances stay gone, it was lost for good). Likewise a new leader took heartbeats that were sent before a former leader's answer for proof of a release. Change: the end is proven when another process answers an order to the owner (421), or when the owner had been heard of for 10 s before its successor was. Else it is asked to release, and its keys wait for the answer or the end of the lease. A displaced instance that is heard of for 10 s after its successor lives: the forerunner is deregistered. Reports prove no release to a new leader before the end of what a former one may have leased. An ended instance is no candidate for keys.

--- a/include/graniteseam/traffic/instance.h
+++ b/include/graniteseam/traffic/instance.h
@@ -36,7 +36,7 @@
 enum class InstanceState {
   kReady,
   kDraining,     ///< Finishes what it has; gets no new work.
-  kDisplaced,    ///< Another instance reported from its address; never comes back.
+  kDisplaced,    ///< Another instance reported from its address.
   kDeregistered  ///< Said that it ends; never comes back.
 };
 BOOST_DESCRIBE_ENUM(InstanceState, kReady, kDraining, kDisplaced, kDeregistered)
--- a/src/control/heartbeat_leases.cc
+++ b/src/control/heartbeat_leases.cc
@@ -126,6 +126,9 @@
 void RangeController::TakeRelease(const ReportInstance& heartbeat, const Holder& holder,
                                   const KeyRange& range, RangeCare& care, Instant now) {
   if (care.released) return;
+  // What is left out is known of this leadership's answers only: a heartbeat that was sent before
+  // a former leader's answer may come after them.
+  if (now <= inherited_until_) return;
   // Only a heartbeat that was sent after an answer without these keys tells of their release: one
   // before it may have been sent before the keys were leased.
   const auto omission =
--- a/src/control/instance_liveness.h
+++ b/src/control/instance_liveness.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 
 #include "graniteseam/common/time.h"
 #include "graniteseam/traffic/instance.h"
@@ -17,22 +18,39 @@
   /// @param now the start of a leadership: all instances count as heard then.
   InstanceLiveness(Duration silence, Instant now) : silence_(silence), start_(now) {}
 
-  void Heard(const traffic::InstanceId& id, Instant now) { heard_[id] = now; }
+  void Heard(const traffic::InstanceId& id, Instant now) {
+    heard_.try_emplace(id, Heartbeats{now, now}).first->second.last = now;
+  }
 
   bool Silent(const traffic::InstanceId& id, Instant now) const {
-    const auto found = heard_.find(id);
-    return now - (found == heard_.end() ? start_ : found->second) > silence_;
+    return now - LastHeard(id).value_or(start_) > silence_;
   }
 
   bool HeardSince(const traffic::InstanceId& id, Instant since) const {
+    const auto last = LastHeard(id);
+    return last && *last >= since;
+  }
+
+  /// In this leadership; nullopt when it was not heard of.
+  std::optional<Instant> FirstHeard(const traffic::InstanceId& id) const {
     const auto found = heard_.find(id);
-    return found != heard_.end() && found->second >= since;
+    return found == heard_.end() ? std::nullopt : std::optional(found->second.first);
+  }
+  std::optional<Instant> LastHeard(const traffic::InstanceId& id) const {
+    const auto found = heard_.find(id);
+    return found == heard_.end() ? std::nullopt : std::optional(found->second.last);
   }
 
  private:
+  /// When the heartbeats of an instance arrived.
+  struct Heartbeats {
+    Instant first;
+    Instant last;
+  };
+
   const Duration silence_;
   const Instant start_;
-  std::map<traffic::InstanceId, Instant> heard_;
+  std::map<traffic::InstanceId, Heartbeats> heard_;
 };
 
 }  // namespace graniteseam::control
--- a/src/control/range_controller.cc
+++ b/src/control/range_controller.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "src/control/displacement.h"
+
 namespace graniteseam::control {
 namespace {
 
@@ -30,7 +32,11 @@
 RangeController::RangeController(RangeOptions options, const traffic::TrafficState& state,
                                  const InstanceLiveness& liveness, OrderNumber last_used,
                                  Instant now)
-    : options_(options), state_(state), liveness_(liveness), last_number_(last_used) {
+    : options_(options),
+      inherited_until_(EndOfGrant(options.lease_length, now)),
+      state_(state),
+      liveness_(liveness),
+      last_number_(last_used) {
   // Former leaders may have granted anything up to the end of their leases, which ended before this
   // election.
   FollowForms(now);
@@ -103,6 +109,7 @@
     std::erase_if(ends, [&](const GrantEnd& known) { return known.end < now; });
   }
   std::erase_if(grant_ends_, [](const auto& entry) { return entry.second.empty(); });
+  std::erase_if(ended_, [&](const auto& id) { return state_.instances().Find(id) == nullptr; });
   std::erase_if(holders_, [&](const auto& entry) {
     const traffic::Instance* const instance = state_.instances().Find(entry.first);
     const bool gone = instance == nullptr || instance->Gone();
@@ -137,6 +144,8 @@
   if (grant && may_hold) {
     NoteGrant(open.order.instance, open.service, open.order.span, EndOfGrant(options_.hold, now));
   }
+  const bool other = result.outcome == RangeOrderResult::Outcome::kOtherInstance;
+  if (other) ended_.insert(open.order.instance);
   if (done || refused) {
     failing_since_.erase(open.order.instance);
   } else {
@@ -168,8 +177,7 @@
 
 bool RangeController::OwnerIsOver(const KeyRange& range, const RangeCare& care, Instant now) const {
   if (range.phase == RangePhase::kUnowned || care.released) return true;
-  const traffic::Instance* owner = state_.instances().Find(range.owner);
-  if (owner != nullptr && owner->state == InstanceState::kDisplaced) return true;
+  if (HasEnded(range.owner)) return true;
   if (care.open_order || now <= GrantEndOf(range)) return false;
   // Without an answer for the length of a lease, the owner holds nothing more.
   if (LeasedByHeartbeat(range.service)) return !AwaitsFirstLease(range, care, now);
@@ -186,11 +194,15 @@
   if (range.phase == RangePhase::kUnowned) return "nobody owns them";
   if (care.released) return care.handover.empty() ? "released" : "released with a handover";
   if (care.refused) return "the fence was refused";
-  const traffic::Instance* const owner = state_.instances().Find(range.owner);
-  const bool displaced = owner != nullptr && owner->state == InstanceState::kDisplaced;
+  if (ended_.contains(range.owner)) return "another process answered at its address";
+  const bool displaced = EndIsProven(state_.instances(), liveness_, range.owner);
   return displaced ? "another instance reported from its address" : "the last lease ran out";
 }
 
+bool RangeController::HasEnded(const traffic::InstanceId& instance) const {
+  return ended_.contains(instance) || EndIsProven(state_.instances(), liveness_, instance);
+}
+
 bool RangeController::OwnerMustGo(const KeyRange& range) const {
   const traffic::Instance* owner = state_.instances().Find(range.owner);
   return owner == nullptr || !owner->TakesNewWork();
@@ -227,7 +239,7 @@
   for (const auto& [id, instance] : state_.instances().instances()) {
     const bool fits = instance.report.service == service && instance.TakesNewWork();
     if (!fits || liveness_.Silent(id, now) || Unresponsive(id, now)) continue;
-    if (avoided.contains(id)) continue;
+    if (avoided.contains(id) || ended_.contains(id)) continue;
     if (by_heartbeat && !HeardLately(id, now)) continue;
     const double slots = static_cast<double>(std::max<std::int64_t>(1, instance.report.slots));
     RangeCandidate& candidate = candidates.emplace_back();
@@ -374,8 +386,11 @@
   if (LeasedByHeartbeat(range.service) || InQuietTime(range.service, now)) return std::nullopt;
   if (care.given_away) return std::nullopt;
   const traffic::Instance* owner = state_.instances().Find(range.owner);
-  const bool ended = owner == nullptr || owner->state == InstanceState::kDisplaced;
+  const bool ended = owner == nullptr || HasEnded(range.owner);
   if (range.phase == RangePhase::kUnowned || ended || care.released) return std::nullopt;
+  // A displaced owner is asked to release: its answer, or another process's, tells whether it
+  // lives.
+  if (range.Owned() && owner->state == InstanceState::kDisplaced) return std::nullopt;
   RangeOrder order;
   order.instance = range.owner;
   order.address = owner->report.address;
--- a/src/control/range_controller.h
+++ b/src/control/range_controller.h
@@ -29,10 +29,11 @@
 ///
 /// Invariant: a span is assigned to another instance only when its owner confirmed the release, or
 /// when every grant that may have reached the owner has run out on the owner's own clock, or when
-/// another instance reported from the owner's address, so that the owner has ended. Orders that
-/// were sent to the owner before can not act on the other instance, since each names its instance.
-/// Answers the failures: crash, cut, pause of an owner; another process at its address; lost and
-/// late orders; loss of the leader.
+/// the owner has ended for certain: another process answered an order to it, or reported from its
+/// address and is no forerunner of it (displacement.h). Orders that were sent to the owner before
+/// can not act on the other process, since each names its instance. Answers the failures: crash,
+/// cut, pause of an owner; another process at its address; lost and late orders and heartbeats;
+/// loss of the leader.
 ///
 /// Deterministic; not thread safe; `now` never goes back.
 class RangeController {
@@ -133,6 +134,8 @@
   /// When a grant is over for certain on its owner's clock.
   Instant EndOfGrant(Duration length, Instant received) const;
   bool OwnerMustGo(const traffic::KeyRange& range) const;
+  /// Whether an instance's process has ended for certain.
+  bool HasEnded(const traffic::InstanceId& instance) const;
 
   void Note(std::string_view what, const traffic::KeyRange& range, const traffic::KeySpan& span,
             std::string inputs);
@@ -187,6 +190,8 @@
   bool HeardLately(const traffic::InstanceId& instance, Instant now) const;
 
   const RangeOptions options_;
+  /// Until then leases of former leaders may be held.
+  const Instant inherited_until_;
   const traffic::TrafficState& state_;
   const InstanceLiveness& liveness_;
   RangeBalancer balancer_;
@@ -196,6 +201,8 @@
   std::map<OrderNumber, OpenOrder> open_;
   /// Since when an instance left orders unanswered; not there when it answered the last one.
   std::map<traffic::InstanceId, Instant> failing_since_;
+  /// Instances in whose place another process answered an order.
+  std::set<traffic::InstanceId> ended_;
   std::map<traffic::InstanceId, Holder> holders_;  ///< Of instances leased keys by heartbeat.
   std::vector<PlannedMove> planned_;
   struct FormCare {
--- a/src/control/traffic_leader.h
+++ b/src/control/traffic_leader.h
@@ -5,6 +5,7 @@
 #include <utility>
 #include <vector>
 
+#include "src/control/displacement.h"
 #include "src/control/instance_liveness.h"
 #include "src/control/range_controller.h"
 #include "src/control/replicated_state.h"
@@ -29,7 +30,9 @@
   /// Commands to propose; none while those before wait to be applied.
   std::vector<CommandBody> Decide(Instant now) {
     if (state_.applied() < proposed_) return {};
-    return ranges_.Decide(now);
+    std::vector<CommandBody> commands = ranges_.Decide(now);
+    if (now >= forerunners_due_) DeregisterForerunners(commands, now);
+    return commands;
   }
   /// The commands of the last Decide() stand in the log up to here.
   void Proposed(LogIndex last) { proposed_ = last; }
@@ -41,11 +44,23 @@
   }
 
  private:
+  /// How often displaced instances are looked at that turn out to live.
+  static constexpr Duration kForerunnersInterval{1'000'000};
+
+  /// The address is free again for the instance that lives there; its next heartbeat takes it.
+  void DeregisterForerunners(std::vector<CommandBody>& commands, Instant now) {
+    forerunners_due_ = now + kForerunnersInterval;
+    for (const auto& id : Forerunners(state_.traffic().instances(), liveness_)) {
+      commands.emplace_back(DeregisterInstanceCommand{id});
+    }
+  }
+
   const ReplicatedState& state_;
   InstanceLiveness liveness_;
   RangeController ranges_;
   TrafficSessions sessions_;
   LogIndex proposed_;
+  Instant forerunners_due_{};
 };
 
 }  // namespace graniteseam::control
--- a/src/traffic/instance_table.cc
+++ b/src/traffic/instance_table.cc
@@ -16,9 +16,11 @@
   next.report = report;
   next.state = report.draining ? InstanceState::kDraining : InstanceState::kReady;
   if (known == nullptr) return next;
-  // The sequence alone does not tell a late heartbeat: those that changed nothing were not kept.
   const bool late = report.sequence <= known->report.sequence;
-  if (known->Gone() || late) return std::nullopt;
+  if (known->state == InstanceState::kDeregistered || late) return std::nullopt;
+  // The sequence alone does not tell a late heartbeat: those that changed nothing were not kept.
+  const bool displaced = known->state == InstanceState::kDisplaced;
+  if (displaced && HolderOf(report.address) != nullptr) return std::nullopt;
   if (known->state == InstanceState::kDraining) next.state = InstanceState::kDraining;
   // Warm-up and sequence change with every heartbeat and tell nothing new.
   InstanceReport same = report;
--- a/src/traffic/instance_table.h
+++ b/src/traffic/instance_table.h
@@ -11,10 +11,11 @@
 
 namespace graniteseam::traffic {
 
-/// Invariants: an instance that was deregistered or displaced never comes back, a draining one
-/// never takes new work again, and of the instances at one address at most one is not gone. Answers
-/// the failures: a heartbeat that arrives after the instance has ended, also after the first one of
-/// the next process at its address. Not thread safe.
+/// Invariants: an instance that was deregistered never comes back, a displaced one only to an
+/// address that nobody holds, a draining one never takes new work again, and of the instances at
+/// one address at most one is not gone. Answers the failure: a heartbeat that arrives after its
+/// instance has ended, also after the first one of the next process at its address. Not thread
+/// safe.
 class InstanceTable {
  public:
   /// Takes a heartbeat.
@@ -30,6 +31,8 @@
   bool Deregister(const InstanceId& id, std::uint64_t log_index);
 
   const Instance* Find(const InstanceId& id) const;
+  /// The instance at an address that is not gone; null when there is none.
+  const Instance* HolderOf(const std::string& address) const;
   const std::map<InstanceId, Instance>& instances() const { return instances_; }
   /// Log index of the newest change.
   std::uint64_t changed_at() const { return changed_at_; }
@@ -41,7 +44,6 @@
   void Restore(const std::vector<Instance>& image);
 
  private:
-  const Instance* HolderOf(const std::string& address) const;
   /// The instance holds the address that it reported no more.
   void ForgetHolder(const InstanceReport& report);
   void ForgetOldTombstones();
--- a/tests/control/heartbeat_leases_test.cc
+++ b/tests/control/heartbeat_leases_test.cc
@@ -31,8 +31,62 @@
   }
 }
 
+constexpr Instant kStart = InstantFromMicros(1'000'000'000);
+const ServiceName kService{"s"};
+
+/// The state that a new leader finds: "i-1" owns all keys, which are being released.
+traffic::TrafficState StateWithRelease() {
+  traffic::TrafficState state;
+  traffic::ConfigurationChange change;
+  change.version = {1};
+  change.whole = true;
+  traffic::Service service;
+  service.name = kService;
+  service.keyed = true;
+  service.lease_form = traffic::LeaseForm::kHeartbeat;
+  change.services = {service};
+  const auto applied = Attempt([&] { return state.Apply(change, 1); });
+  cr_assert(ErrorOf(applied) == nullptr);
+  const traffic::KeySpan all{0, traffic::kLastKey};
+  state.Assign({{kService, all, {}, {"i-1"}, ""}}, 2);
+  state.Confirm({{kService, all, {2}}}, 3);
+  state.BeginReleases({{kService, all, {2}, {}}}, 4);
+  return state;
+}
+
+/// A heartbeat of an instance that holds nothing and tells of no release.
+control::ReportInstance EmptyHeartbeat(const std::string& id, std::int64_t sequence) {
+  control::ReportInstance heartbeat;
+  heartbeat.report.id = {id};
+  heartbeat.report.service = kService;
+  heartbeat.report.address = "10.0.0." + id.substr(2) + ":80";
+  heartbeat.report.sequence = sequence;
+  return heartbeat;
+}
+
 }  // namespace
 
+/// Both heartbeats of i-1 were sent before a former leader's answer gave it the keys, and come
+/// late: they do not tell that it let go of them.
+Test(heartbeat_leases, late_heartbeats_prove_no_release_to_a_new_leader) {
+  traffic::TrafficState state = StateWithRelease();
+  state.Report({EmptyHeartbeat("i-1", 1).report}, 5);
+  state.Report({EmptyHeartbeat("i-2", 1).report}, 6);
+  control::InstanceLiveness liveness(4 * kSecond, kStart);
+  control::RangeController leader({}, state, liveness, {}, kStart);
+  const auto hear = [&](const std::string& id, std::int64_t sequence, Instant now) {
+    liveness.Heard({id}, now);
+    leader.TakeHeartbeat(EmptyHeartbeat(id, sequence), now);
+  };
+  hear("i-1", 2, kStart + kSecond / 10);
+  hear("i-1", 3, kStart + 3 * kSecond / 2);
+  hear("i-2", 2, kStart + 3 * kSecond / 2);
+  cr_assert(leader.Decide(kStart + 2 * kSecond).empty());
+  // Whatever a former leader gave is over.
+  hear("i-2", 3, kStart + 5 * kSecond);
+  cr_assert(!leader.Decide(kStart + 5 * kSecond).empty());
+}
+
 Test(heartbeat_leases, all_keys_are_held_soon_after_the_instances_came) {
   SettledWorld settled(1, 4);
   LeasedWorld& world = settled.world;
@@ -114,3 +168,28 @@
   faults.slow_commit = 0.2;
   RunFaults(faults, 400);
 }
+
+Test(heartbeat_leases, instances_replaced_at_their_address_never_make_two_owners) {
+  LeasedWorldFaults faults = message_faults();
+  faults.replace = 0.6;
+  faults.leader_change = 0.2;
+  RunFaults(faults, 300);
+}
+
+/// An instance lives for less time than its heartbeats take, and the next one at its address is
+/// heard of first: what comes late from the former says nothing about the end of the latter.
+Test(heartbeat_leases, late_first_heartbeat_of_a_forerunner_does_not_end_a_living_owner) {
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    SettledWorld settled(seed, 3);
+    LeasedWorld& world = settled.world;
+    const std::string forerunner = world.Replace("i-1", {});
+    world.DelayHeartbeats(forerunner, 3 * kSecond);
+    // It takes no keys itself, so that they would go to others at once.
+    world.Drain(forerunner);
+    MustHold(world.Run(kSecond / 2));
+    world.Replace(forerunner, {});
+    MustHold(world.Run(12 * kSecond));
+    cr_assert(world.KeysHeld() == kAllKeys, "seed %llu: %u keys are held",
+              static_cast<unsigned long long>(seed), world.KeysHeld());
+  }
+}
--- a/tests/control/heartbeat_relay_test.cc
+++ b/tests/control/heartbeat_relay_test.cc
@@ -61,3 +61,32 @@
   auto const beat = report_of(fixture.harness, "i-1", false);
   cr_assert(!is_accepted(fixture.harness.AskAt(cut, beat)));
 }
+
+/// An owner beats at a follower and ends at once; the follower tells its leader a while later. The
+/// end falls on each tenth of the second in which renewals are due.
+Test(heartbeat_relay, batch_that_comes_after_an_owners_end_does_not_keep_its_keys) {
+  for (int phase = 0; phase < 10; ++phase) {
+    ControlHarness harness;
+    bool ended = false;
+    std::size_t orders_to_it = 0;
+    harness.on_range_order = [&](std::size_t process, RangeOrder const& order) {
+      bool const lost = ended && order.instance.value == "i-1";
+      if (lost) ++orders_to_it;
+      auto const outcome =
+          lost ? RangeOrderResult::Outcome::kNotDelivered : RangeOrderResult::Outcome::kDone;
+      harness.GiveRangeResult(process, {order.number, outcome, ""});
+    };
+    start_ranges(harness);
+    harness.RunFor(phase * kSecond / 10);
+    auto const follower = follower_of(harness);
+    cr_assert(is_accepted(harness.AskAt(follower, report_of(harness, "i-1", false))));
+    ended = true;
+    for (int beat = 0; beat < 20; ++beat) {
+      harness.RunFor(kSecond);
+      cr_assert(is_accepted(harness.AskAt(follower, report_of(harness, "i-2", false))));
+    }
+    orders_to_it = 0;
+    harness.RunFor(5 * kSecond);
+    cr_assert(orders_to_it == 0, "phase %d: its keys are still its own after 20 s", phase);
+  }
+}
--- a/tests/traffic/instance_table_test.cc
+++ b/tests/traffic/instance_table_test.cc
@@ -68,6 +68,17 @@
   cr_assert(StateOf(table, "i-2") == InstanceState::kReady);
 }
 
+Test(instance_table, displaced_instance_comes_back_to_an_address_that_nobody_holds) {
+  InstanceTable table;
+  table.Report(Beat("i-1", "10.0.0.1:80", 1), 1);
+  table.Report(Beat("i-2", "10.0.0.1:80", 1), 2);
+  table.Deregister({"i-2"}, 3);
+  cr_assert(!table.WouldChange(Beat("i-1", "10.0.0.1:80", 1)));
+  table.Report(Beat("i-1", "10.0.0.1:80", 9), 4);
+  cr_assert(StateOf(table, "i-1") == InstanceState::kReady);
+  cr_assert(table.HolderOf("10.0.0.1:80")->report.id.value == "i-1");
+}
+
 Test(instance_table, instance_that_moved_is_not_displaced_from_its_former_address) {
   InstanceTable table;
   table.Report(Beat("i-1", "10.0.0.1:80", 1), 1);
