--- a/testbed/registered/worker.cc
+++ b/testbed/registered/worker.cc
@@ -2,10 +2,18 @@
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cstdio>
 #include <cstdlib>
+#include <functional>
+#include <mutex>
 #include <nlohmann/json.hpp>
+#include <set>
 
+#include "src/event_http/client_pool.h"
+#include "src/event_http/server.h"
 #include "src/runtime/clock.h"
+#include "src/runtime/event_loop.h"
 
 namespace graniteseam::testbed {
 
@@ -14,9 +22,28 @@
 namespace asio = boost::asio;
 using event_http::Exchange;
 using event_http::Response;
+using nlohmann::json;
 
 constexpr Duration kCallLimit{1'000'000};
+/// An answer to a heartbeat is used for so long after the heartbeat was sent.
+constexpr Duration kAnswerUsable{1'000'000};
+/// While keys that were left out are not told as released yet.
+constexpr Duration kUrgentHeartbeat{100'000};
+/// After a call that nobody answered.
+constexpr Duration kRetryAfter{150'000};
+constexpr Duration kReleaseLook{2'000};
+/// How long a heartbeat is held up: this, and a part of the second figure.
+constexpr Duration kLateAtLeast{300'000};
+constexpr std::int64_t kLateSpreadMs = 1'700;
+constexpr std::int64_t kLateStepMs = 97;
 constexpr int kRedirectsMaximum = 2;
+constexpr int kOk = 200;
+constexpr int kRedirected = 307;
+constexpr int kMalformed = 400;
+constexpr int kNothingThere = 404;
+constexpr int kHigherFenceSeen = 409;
+constexpr int kNotMeantForIt = 421;
+constexpr int kRanTooLong = 500;
 
 std::optional<std::uint32_t> ReadKey(const event_http::Request& request, const std::string& name) {
   const std::string* text = request.fields.Find(name);
@@ -24,6 +51,23 @@
   return static_cast<std::uint32_t>(std::stoul(*text));
 }
 
+/// "ip:port" of "http://ip:port/path".
+auto AddressOf(std::string const& location) -> std::string {
+  constexpr std::size_t scheme = sizeof("http://") - 1;
+  if (location.size() <= scheme) return "";
+  auto const rest = location.substr(scheme);
+  return rest.substr(0, rest.find('/'));
+}
+
+auto ReadOrder(event_http::Request const& request) -> std::optional<json> {
+  auto order = json::parse(request.body, nullptr, /*allow_exceptions=*/false);
+  if (!order.is_object()) return std::nullopt;
+  for (auto const* member : {"from", "to", "fence"}) {
+    if (!order.contains(member) || !order[member].is_number_unsigned()) return std::nullopt;
+  }
+  return order;
+}
+
 }  // namespace
 
 /// Runs on its own event loop; the mutex guards what other threads read.
@@ -32,13 +76,16 @@
   explicit Impl(WorkerOptions options)
       : options_(std::move(options)), pool_(loop_.context(), {}), beat_timer_(loop_.context()) {
     event_http::ServerOptions server;
-    server.address = {"127.0.0.1", 0};
+    server.address = options_.address;
     server_ = std::make_unique<event_http::Server>(
         loop_.context(), server, [this](const auto& exchange) { OnExchange(exchange); });
     const auto started = Attempt([this] { return server_->Start(); });
-    if (ErrorOf(started) != nullptr) std::abort();
-    address_ = "127.0.0.1:" + std::to_string(server_->port());
-    asio::post(loop_.context(), [this] { Beat(); });
+    if (const Error* error = ErrorOf(started)) {
+      std::fprintf(stderr, "worker %s: %s\n", options_.id.c_str(), error->message.c_str());
+      std::abort();
+    }
+    address_ = options_.address.ip + ":" + std::to_string(server_->port());
+    asio::post(loop_.context(), [this] { BeatAfter(options_.first_heartbeat); });
   }
   ~Impl() { loop_.Stop(); }
 
@@ -46,178 +93,317 @@
     const std::lock_guard lock(mutex_);
     draining_ = true;
   }
+  auto Deregister() -> void {
+    std::lock_guard const lock(mutex_);
+    if (std::exchange(deregistered_, true)) return;
+    asio::post(loop_.context(), [this] { SayGone(Registry(), 0); });
+  }
   bool drain_acknowledged() const {
     const std::lock_guard lock(mutex_);
     return drain_acknowledged_at_.has_value();
   }
+  auto HoldBackHeartbeat() -> WorkerBeat {
+    std::lock_guard const lock(mutex_);
+    return {BeatTarget(), Compose().body};
+  }
   std::vector<WorkerRun> runs() const {
     const std::lock_guard lock(mutex_);
     return runs_;
   }
-  std::size_t arrivals_after_drain(Duration allowance) const {
-    const std::lock_guard lock(mutex_);
-    if (!drain_acknowledged_at_) return 0;
-    return static_cast<std::size_t>(std::count_if(
-        arrivals_.begin(), arrivals_.end(),
-        [&](Instant arrival) { return arrival > *drain_acknowledged_at_ + allowance; }));
+  auto holds() const -> std::vector<WorkerHold> {
+    std::lock_guard const lock(mutex_);
+    std::vector<WorkerHold> holds;
+    for (auto const& span : AllHolds(keys_, runtime::BootTimeNow()))
+      holds.push_back({options_.id, options_.service, span});
+    return holds;
+  }
+  auto arrivals_after_drain(Duration allowance) const -> std::vector<std::string> {
+    std::lock_guard const lock(mutex_);
+    std::vector<std::string> late;
+    if (!drain_acknowledged_at_) return late;
+    for (auto const& [at, attempt] : arrivals_) {
+      if (at > *drain_acknowledged_at_ + allowance) late.push_back(attempt);
+    }
+    return late;
   }
 
  private:
+  /// A heartbeat that is made and not sent yet.
+  struct Beat {
+    std::string body;
+    std::int64_t sequence = 0;
+    bool says_draining = false;
+    std::uint64_t releases_told = 0;  ///< Number of the last release that it tells.
+  };
+  /// Keys that were let go of and are to be told.
+  struct Release {
+    std::uint64_t number = 0;
+    HeldSpan span;
+  };
+
   void OnExchange(const std::shared_ptr<Exchange>& exchange) {
     const std::lock_guard lock(mutex_);
     const std::string_view path = exchange->request().Path();
     if (path == options_.owner_names.grant_path) {
-      Grant(*exchange);
+      TakeOrder(exchange, [this](auto const& it, auto const& order) { Grant(it, order); });
     } else if (path == options_.owner_names.release_path) {
-      Release(exchange);
+      TakeOrder(exchange, [this](auto const& it, auto const& order) { LetGoByOrder(it, order); });
     } else {
       Serve(exchange);
     }
   }
 
-  void Grant(Exchange& exchange) {
-    const auto order = nlohmann::json::parse(exchange.request().body);
-    const HeldSpan span{
-        order["from"], order["to"], order["fence"],
-        runtime::BootTimeNow() + std::chrono::milliseconds(order["hold_ms"].get<std::int64_t>())};
+  /// Refuses what is no order for this instance, and leads the rest on.
+  template <class Handler>
+  auto TakeOrder(std::shared_ptr<Exchange> const& exchange, Handler const& handler) -> void {
+    auto const& request = exchange->request();
+    auto const* target = request.fields.Find(options_.names.target_instance);
     Response response;
-    if (SeenFence(span) > span.fence) {
-      response.status = 409;
-    } else {
-      Forget(span);
-      held_.push_back(span);
-      Note(span);
+    if (target != nullptr && *target != options_.id) {
+      response.status = kNotMeantForIt;
+      response.fields.Add(options_.names.not_executed, "1");
+      return exchange->Respond(response);
+    }
+    if (!options_.keyed || options_.leases) {
+      response.status = kNothingThere;
+      return exchange->Respond(response);
     }
-    exchange.Respond(response);
+    auto const order = ReadOrder(request);
+    if (order) return handler(exchange, *order);
+    response.status = kMalformed;
+    exchange->Respond(response);
   }
 
-  void Release(const std::shared_ptr<Exchange>& exchange) {
-    const auto order = nlohmann::json::parse(exchange->request().body);
-    const HeldSpan span{order["from"], order["to"], order["fence"], {}};
-    Forget(span);
-    Note(span);
+  auto Grant(std::shared_ptr<Exchange> const& exchange, json const& order) -> void {
+    auto const now = runtime::BootTimeNow();
+    auto const hold = std::chrono::milliseconds(order["hold_ms"].get<std::int64_t>());
     Response response;
-    response.fields.Add(options_.owner_names.handover_header, "handover-of-" + options_.id);
-    // Work here is short and ends before the answer is of use to anybody.
-    auto timer = std::make_shared<asio::steady_timer>(loop_.context(), 2 * options_.work);
-    timer->async_wait([timer, exchange, response](auto) { exchange->Respond(response); });
+    HeldSpan const span{order["from"], order["to"], order["fence"], now + hold, now};
+    response.status = Take(keys_, span) ? kOk : kHigherFenceSeen;
+    exchange->Respond(response);
+  }
+
+  auto LetGoByOrder(std::shared_ptr<Exchange> const& exchange, json const& order) -> void {
+    HeldSpan const span{order["from"], order["to"], order["fence"], {}, {}};
+    LetGo(keys_, span, runtime::BootTimeNow());
+    AnswerWhenAtRest(exchange, span);
+  }
+
+  /// A release is answered when the work on its keys has ended.
+  auto AnswerWhenAtRest(std::shared_ptr<Exchange> const& exchange, HeldSpan const& span) -> void {
+    if (!Works(span)) {
+      Response response;
+      response.fields.Add(options_.owner_names.handover_header, "handover-of-" + options_.id);
+      return exchange->Respond(response);
+    }
+    auto timer = std::make_shared<asio::steady_timer>(loop_.context(), kReleaseLook);
+    timer->async_wait([this, timer, exchange, span](auto) {
+      std::lock_guard const lock(mutex_);
+      AnswerWhenAtRest(exchange, span);
+    });
   }
 
   void Serve(const std::shared_ptr<Exchange>& exchange) {
     const event_http::Request& request = exchange->request();
-    arrivals_.push_back(runtime::BootTimeNow());
     const std::string* id = request.fields.Find(options_.names.attempt_id);
     const std::string* target = request.fields.Find(options_.names.target_instance);
     Response response;
     if (id != nullptr) response.fields.Add(options_.names.attempt_id, *id);
     const auto key = ReadKey(request, options_.names.key);
-    const HeldSpan* holder = options_.keyed && key ? HolderOf(*key) : nullptr;
+    auto const now = runtime::BootTimeNow();
+    const HeldSpan* holder = options_.keyed && key ? HolderOf(keys_, *key, now) : nullptr;
     const bool mistaken = target != nullptr && *target != options_.id;
     if (mistaken || (options_.keyed && holder == nullptr)) {
-      response.status = 421;
+      response.status = kNotMeantForIt;
       response.fields.Add(options_.names.not_executed, "1");
       exchange->Respond(response);
       return;
     }
+    arrivals_.emplace_back(now, id == nullptr ? "" : *id);
     WorkerRun run{options_.id,
                   id == nullptr ? "" : *id,
                   key,
                   holder == nullptr ? 0 : holder->fence,
-                  runtime::BootTimeNow(),
-                  {}};
+                  now,
+                  {},
+                  options_.service};
+    if (options_.keyed) working_.insert(*key);
+    auto const until = holder == nullptr ? Instant::max() : holder->until;
     auto timer = std::make_shared<asio::steady_timer>(loop_.context(), options_.work);
-    timer->async_wait([this, timer, exchange, response, run](auto) mutable {
-      run.ended = runtime::BootTimeNow();
-      response.fields.Add(options_.names.seal, "seal-of-" + options_.id);
-      response.fields.Add(options_.names.load, "0,0,2");
-      response.body = options_.id;
-      {
-        const std::lock_guard lock(mutex_);
-        runs_.push_back(run);
-      }
+    timer->async_wait([this, timer, exchange, response, run, until](auto) mutable {
+      Finish(std::move(run), until, response);
       exchange->Respond(response);
     });
   }
 
-  void Beat() {
-    nlohmann::json body = {{"service", options_.service},
-                           {"address", address_},
-                           {"zone", options_.zone},
-                           {"version", "v1"},
-                           {"slots", 2},
-                           {"warmup_left_ms", 0}};
-    bool says_draining = false;
-    {
-      const std::lock_guard lock(mutex_);
-      says_draining = draining_;
+  /// @param until when the lease under which the run began was to end; it may have been renewed.
+  auto Finish(WorkerRun run, Instant until, Response& response) -> void {
+    std::lock_guard const lock(mutex_);
+    auto const now = runtime::BootTimeNow();
+    run.ended = now;
+    if (options_.keyed) {
+      working_.erase(working_.find(*run.key));
+      auto const* holder = HolderOf(keys_, *run.key, now);
+      auto const renewed = holder != nullptr && holder->fence == run.fence;
+      if (!renewed && now > until) {
+        // Work ends with its lease.
+        run.ended = std::max(run.begun, until);
+        response.status = kRanTooLong;
+      }
+    }
+    response.fields.Add(options_.names.seal, "seal-of-" + options_.id);
+    response.fields.Add(options_.names.load, "0,0,2");
+    response.body = options_.id;
+    runs_.push_back(std::move(run));
+  }
+
+  auto Works(HeldSpan const& span) const -> bool {
+    auto const first = working_.lower_bound(span.first);
+    return first != working_.end() && *first <= span.last;
+  }
+
+  // --- Heartbeats ---
+
+  auto BeatTarget() const -> std::string { return "/v1/instances/" + options_.id + "/heartbeat"; }
+
+  auto Compose() -> Beat {
+    Beat beat;
+    beat.sequence = ++sequence_;
+    beat.says_draining = draining_;
+    json body = {{"service", options_.service},
+                 {"address", address_},
+                 {"zone", options_.zone},
+                 {"version", "v1"},
+                 {"slots", 2},
+                 {"warmup_left_ms", 0},
+                 {"state", draining_ ? "draining" : "ready"},
+                 {"sequence", beat.sequence}};
+    if (options_.leases) TellKeys(body, beat);
+    beat.body = body.dump();
+    return beat;
+  }
+
+  auto TellKeys(json& body, Beat& beat) -> void {
+    DropExpired(keys_, runtime::BootTimeNow());
+    for (auto const& span : finishing_) {
+      if (!Works(span)) releases_.push_back({++last_release_, span});
     }
-    body["state"] = says_draining ? "draining" : "ready";
-    body["sequence"] = ++sequence_;
-    const std::string registry = options_.registries[sequence_ % options_.registries.size()];
-    SendBeat(registry, body.dump(), says_draining, 0);
-    beat_timer_.expires_after(options_.heartbeat);
+    std::erase_if(finishing_, [this](auto const& span) { return !Works(span); });
+    auto& held = body["keys_held"] = json::array();
+    for (auto const& span : keys_.held) held.push_back({span.first, span.last, span.fence});
+    for (auto const& span : finishing_) held.push_back({span.first, span.last, span.fence});
+    auto& released = body["keys_released"] = json::array();
+    for (auto const& [number, span] : releases_)
+      released.push_back({span.first, span.last, "handover-of-" + options_.id});
+    beat.releases_told = last_release_;
+  }
+
+  /// Where the next call goes: where an answer led it, until a call fails there.
+  auto Registry() -> std::string {
+    return home_.empty() ? options_.registries[turn_++ % options_.registries.size()] : home_;
+  }
+
+  auto BeatAfter(Duration pause) -> void {
+    beat_timer_.expires_after(pause);
     beat_timer_.async_wait([this](auto error) {
-      if (!error) Beat();
+      if (!error) SendNextBeat();
     });
   }
 
-  void SendBeat(const std::string& registry, const std::string& body, bool says_draining,
-                int redirects) {
+  auto SendNextBeat() -> void {
+    std::lock_guard const lock(mutex_);
+    if (deregistered_) return;
+    auto const beat = Compose();
+    auto const late = options_.late_every > 0 && beat.sequence % options_.late_every == 0;
+    if (!late) {
+      SendBeat(Registry(), beat, runtime::BootTimeNow(), 0);
+    } else {
+      auto const more = std::chrono::milliseconds(beat.sequence * kLateStepMs % kLateSpreadMs);
+      auto timer = std::make_shared<asio::steady_timer>(loop_.context(), kLateAtLeast + more);
+      timer->async_wait([this, timer, beat, made = runtime::BootTimeNow()](auto) {
+        std::lock_guard const inner(mutex_);
+        SendBeat(Registry(), beat, made, 0);
+      });
+    }
+    auto const urgent = !finishing_.empty() || !releases_.empty();
+    BeatAfter(urgent ? std::min(kUrgentHeartbeat, options_.heartbeat) : options_.heartbeat);
+  }
+
+  auto SendBeat(std::string const& registry, Beat const& beat, Instant sent, int redirects)
+      -> void {
     event_http::Request request;
     request.method = "POST";
-    request.target = "/v1/instances/" + options_.id + "/heartbeat";
+    request.target = BeatTarget();
     request.fields.Add("Host", registry);
-    request.body = body;
-    event_http::Call call;
-    call.address = registry;
-    call.bytes = event_http::Serialize(request);
-    call.limit = kCallLimit;
-    pool_.Start(std::move(call), [this, body, says_draining,
-                                  redirects](const event_http::CallResult& result) {
-      if (result.end != event_http::CallEnd::kAnswered) return;
-      const std::string* location = result.response.fields.Find("Location");
-      if (result.response.status == 307 && location != nullptr && redirects < kRedirectsMaximum) {
-        constexpr std::size_t kScheme = sizeof("http://") - 1;
-        const std::string rest = location->substr(kScheme);
-        SendBeat(rest.substr(0, rest.find('/')), body, says_draining, redirects + 1);
-      } else if (result.response.status == 200 && says_draining) {
-        const std::lock_guard lock(mutex_);
-        if (!drain_acknowledged_at_) drain_acknowledged_at_ = runtime::BootTimeNow();
+    request.body = beat.body;
+    Call(registry, request, [this, registry, beat, sent, redirects](auto const& result) {
+      std::lock_guard const lock(mutex_);
+      if (auto const next = RedirectOf(result); !next.empty() && redirects < kRedirectsMaximum)
+        return SendBeat(next, beat, sent, redirects + 1);
+      if (result.end != event_http::CallEnd::kAnswered || result.response.status != kOk) {
+        if (home_ == registry) home_.clear();
+        // The next one goes to another process, soon.
+        return BeatAfter(kRetryAfter);
       }
+      OnAcknowledged(beat, sent, result.response.body);
     });
   }
 
-  static bool Overlap(const HeldSpan& a, const HeldSpan& b) {
-    return a.first <= b.last && b.first <= a.last;
+  auto OnAcknowledged(Beat const& beat, Instant sent, std::string const& body) -> void {
+    auto const now = runtime::BootTimeNow();
+    if (beat.says_draining && !drain_acknowledged_at_) drain_acknowledged_at_ = now;
+    std::erase_if(releases_, [&](auto const& it) { return it.number <= beat.releases_told; });
+    auto const answer = json::parse(body, nullptr, /*allow_exceptions=*/false);
+    if (!answer.is_object()) return;
+    if (answer.contains("next_address")) home_ = answer["next_address"].get<std::string>();
+    auto const usable = beat.sequence == sequence_ && now <= sent + kAnswerUsable;
+    if (!options_.leases || !usable || !answer.contains("keys_held")) return;
+    auto const hold = std::chrono::milliseconds(answer["hold_ms"].get<std::int64_t>());
+    std::vector<HeldSpan> rows;
+    for (auto const& row : answer["keys_held"])
+      rows.push_back({row[0], row[1], row[2], sent + hold, now});
+    auto const left_out = TakeWhole(keys_, rows, now);
+    finishing_.insert(finishing_.end(), left_out.begin(), left_out.end());
+    if (!left_out.empty() && !deregistered_)
+      BeatAfter(std::min(kUrgentHeartbeat, options_.heartbeat));
   }
-  std::uint64_t SeenFence(const HeldSpan& span) const {
-    std::uint64_t highest = 0;
-    for (const HeldSpan& seen : seen_) {
-      if (Overlap(seen, span)) highest = std::max(highest, seen.fence);
-    }
-    return highest;
-  }
-  void Note(const HeldSpan& span) { seen_.push_back(span); }
-  /// Cuts a span out of what is held.
-  void Forget(const HeldSpan& span) {
-    std::vector<HeldSpan> left;
-    for (const HeldSpan& held : held_) {
-      if (!Overlap(held, span)) {
-        left.push_back(held);
-        continue;
+
+  auto SayGone(std::string const& registry, int redirects) -> void {
+    event_http::Request request;
+    request.method = "DELETE";
+    request.target = "/v1/instances/" + options_.id;
+    request.fields.Add("Host", registry);
+    Call(registry, request, [this, registry, redirects](auto const& result) {
+      std::lock_guard const lock(mutex_);
+      if (auto const next = RedirectOf(result); !next.empty() && redirects < kRedirectsMaximum)
+        return SayGone(next, redirects + 1);
+      if (result.end == event_http::CallEnd::kAnswered && result.response.status == kOk) {
+        if (!drain_acknowledged_at_) drain_acknowledged_at_ = runtime::BootTimeNow();
+        return;
       }
-      if (held.first < span.first)
-        left.push_back({held.first, span.first - 1, held.fence, held.until});
-      if (held.last > span.last) left.push_back({span.last + 1, held.last, held.fence, held.until});
-    }
-    held_ = std::move(left);
+      if (home_ == registry) home_.clear();
+      auto timer = std::make_shared<asio::steady_timer>(loop_.context(), 2 * kRetryAfter);
+      timer->async_wait([this, timer](auto) {
+        std::lock_guard const inner(mutex_);
+        SayGone(Registry(), 0);
+      });
+    });
   }
-  const HeldSpan* HolderOf(std::uint32_t key) const {
-    const Instant now = runtime::BootTimeNow();
-    for (const HeldSpan& held : held_) {
-      if (held.first <= key && key <= held.last && now < held.until) return &held;
-    }
-    return nullptr;
+
+  auto Call(std::string const& address, event_http::Request const& request,
+            event_http::ClientPool::Handler handler) -> void {
+    event_http::Call call;
+    call.address = address;
+    call.bytes = event_http::Serialize(request);
+    call.limit = kCallLimit;
+    pool_.Start(std::move(call), std::move(handler));
+  }
+
+  static auto RedirectOf(event_http::CallResult const& result) -> std::string {
+    if (result.end != event_http::CallEnd::kAnswered || result.response.status != kRedirected)
+      return "";
+    auto const* location = result.response.fields.Find("Location");
+    return location == nullptr ? "" : AddressOf(*location);
   }
 
   const WorkerOptions options_;
@@ -225,15 +411,21 @@
   std::string address_;
   std::unique_ptr<event_http::Server> server_;
   event_http::ClientPool pool_;
-  asio::steady_timer beat_timer_;
-  std::int64_t sequence_ = 0;
+  asio::steady_timer beat_timer_;  ///< Used on the loop only.
 
   mutable std::mutex mutex_;  ///< Guards what follows.
+  std::int64_t sequence_ = 0;
+  std::string home_;
+  std::size_t turn_ = 0;
   bool draining_ = false;
+  bool deregistered_ = false;
   std::optional<Instant> drain_acknowledged_at_;
-  std::vector<HeldSpan> held_;
-  std::vector<HeldSpan> seen_;
-  std::vector<Instant> arrivals_;
+  HeldKeys keys_;
+  std::multiset<std::uint32_t> working_;  ///< Keys of requests that run.
+  std::vector<HeldSpan> finishing_;       ///< Left out by an answer; work on them may still run.
+  std::vector<Release> releases_;         ///< Not told by an acknowledged heartbeat yet.
+  std::uint64_t last_release_ = 0;
+  std::vector<std::pair<Instant, std::string>> arrivals_;
   std::vector<WorkerRun> runs_;
 };
 
@@ -241,10 +433,12 @@
 Worker::~Worker() = default;
 
 void Worker::Drain() { impl_->Drain(); }
+auto Worker::Deregister() -> void { impl_->Deregister(); }
 bool Worker::drain_acknowledged() const { return impl_->drain_acknowledged(); }
-void Worker::Stop() { impl_.reset(); }
+auto Worker::HoldBackHeartbeat() -> WorkerBeat { return impl_->HoldBackHeartbeat(); }
 std::vector<WorkerRun> Worker::runs() const { return impl_->runs(); }
-std::size_t Worker::arrivals_after_drain(Duration allowance) const {
+auto Worker::holds() const -> std::vector<WorkerHold> { return impl_->holds(); }
+auto Worker::arrivals_after_drain(Duration allowance) const -> std::vector<std::string> {
   return impl_->arrivals_after_drain(allowance);
 }
 
--- a/testbed/registered/worker.h
+++ b/testbed/registered/worker.h
@@ -1,23 +1,19 @@
 /// @file
-/// A stand-in for a server that registers itself: heartbeats, grants of keys under fences, requests
-/// that are run or refused as the interface says. Records what it ran.
+/// A stand-in for a server that registers itself: heartbeats, keys under fences by orders or by the
+/// answers to heartbeats, requests that are run or refused as the interface says. Records what it ran
+/// and what it held.
 #pragma once
 
-#include <boost/asio/steady_timer.hpp>
 #include <cstdint>
-#include <functional>
-#include <map>
 #include <memory>
-#include <mutex>
 #include <optional>
 #include <string>
 #include <vector>
 
 #include "src/daemon/control/owner_calls.h"
 #include "src/daemon/gateway/exchange_names.h"
-#include "src/event_http/client_pool.h"
-#include "src/event_http/server.h"
-#include "src/runtime/event_loop.h"
+#include "src/runtime/socket_address.h"
+#include "testbed/registered/held_keys.h"
 
 namespace graniteseam::testbed {
 
@@ -26,11 +22,15 @@
   std::string service;
   std::string zone;
   bool keyed = false;
+  bool leases = false;  ///< Of a keyed one: it takes no orders, keys come by heartbeat.
   std::vector<std::string> registries;  ///< "ip:port" of control processes.
   daemon::ExchangeNames names;
   daemon::OwnerCallNames owner_names;
+  runtime::SocketAddress address{"127.0.0.1", 0};  ///< Port 0: one that is free.
   Duration work{5'000};
   Duration heartbeat{200'000};
+  Duration first_heartbeat{0};   ///< How long after its start.
+  std::uint32_t late_every = 0;  ///< One heartbeat in so many is held up on its way; 0: none is.
 };
 
 /// One request that a worker ran.
@@ -41,17 +41,23 @@
   std::uint64_t fence = 0;
   Instant begun{};
   Instant ended{};
+  std::string service;
 };
 
-/// A span of keys that a worker held.
-struct HeldSpan {
-  std::uint32_t first = 0;
-  std::uint32_t last = 0;
-  std::uint64_t fence = 0;
-  Instant until{};
+/// Keys that a worker held from one grant or renewal on, until the next one of them or their end.
+struct WorkerHold {
+  std::string worker;
+  std::string service;
+  HeldSpan span;
 };
 
-/// Lifecycle: constructed running; Stop() or destruction ends it as a crash would. Thread safe.
+/// A heartbeat as it is sent.
+struct WorkerBeat {
+  std::string target;  ///< Path of the call.
+  std::string body;
+};
+
+/// Lifecycle: constructed running; destruction ends it as a crash would. Thread safe.
 class Worker {
  public:
   explicit Worker(WorkerOptions options);
@@ -61,13 +67,20 @@
 
   /// From the next heartbeat on it says that it drains.
   void Drain();
-  /// Whether a heartbeat that said so was acknowledged.
+  /// Says that it is gone, sends no heartbeat any more, and serves on.
+  auto Deregister() -> void;
+  /// Whether a call that said either was acknowledged.
   bool drain_acknowledged() const;
-  void Stop();
+
+  /// Makes its next heartbeat and keeps it back: for one that is held up on its way for longer than
+  /// the worker lives.
+  auto HoldBackHeartbeat() -> WorkerBeat;
 
   std::vector<WorkerRun> runs() const;
-  /// Requests that arrived after the drain was acknowledged and `allowance` had passed.
-  std::size_t arrivals_after_drain(Duration allowance) const;
+  auto holds() const -> std::vector<WorkerHold>;
+  /// Attempts that arrived after the drain was acknowledged and `allowance` had passed; those that it
+  /// refused as not meant for it are left out.
+  auto arrivals_after_drain(Duration allowance) const -> std::vector<std::string>;
 
  private:
   class Impl;
--- /dev/null
+++ b/testbed/soak/caller_connection.cc
@@ -0,0 +1,153 @@
+#include "testbed/soak/caller_connection.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <cerrno>
+
+#include "src/runtime/clock.h"
+
+namespace graniteseam::testbed::soak {
+
+namespace {
+
+    namespace http = boost::beast::http;
+
+    constexpr std::size_t read_bytes = 8'192;
+
+    /// @return whether the descriptor is ready before `end`.
+    auto wait_for(int descriptor, short events, Instant end) -> bool
+    {
+        auto const left = std::chrono::ceil<std::chrono::milliseconds>(end - runtime::BootTimeNow());
+        if (left.count() <= 0)
+            return false;
+        pollfd look {descriptor, events, 0};
+        return ::poll(&look, 1, static_cast<int>(left.count())) > 0;
+    }
+
+    auto parse_address(std::string const& text) -> sockaddr_in
+    {
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        auto const colon = text.find(':');
+        ::inet_pton(AF_INET, text.substr(0, colon).c_str(), &address.sin_addr);
+        address.sin_port = htons(static_cast<std::uint16_t>(std::stoul(text.substr(colon + 1))));
+        return address;
+    }
+
+} // namespace
+
+CallerConnection::CallerConnection(std::string const& text, Duration limit)
+{
+    auto const end = runtime::BootTimeNow() + limit;
+    auto const address = parse_address(text);
+    m_descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+    if (m_descriptor < 0)
+        return;
+    int const yes = 1;
+    ::setsockopt(m_descriptor, IPPROTO_TCP, TCP_NODELAY, &yes, sizeof(yes));
+    if (::connect(m_descriptor, reinterpret_cast<sockaddr const*>(&address), sizeof(address)) == 0)
+        return;
+    int error = errno;
+    if (error == EINPROGRESS && wait_for(m_descriptor, POLLOUT, end)) {
+        socklen_t length = sizeof(error);
+        ::getsockopt(m_descriptor, SOL_SOCKET, SO_ERROR, &error, &length);
+        if (error == 0)
+            return;
+    }
+    close();
+}
+
+CallerConnection::~CallerConnection()
+{
+    close();
+}
+
+auto CallerConnection::close() -> void
+{
+    if (m_descriptor >= 0)
+        ::close(m_descriptor);
+    m_descriptor = -1;
+}
+
+auto CallerConnection::exchange(event_http::Request const& request, Duration limit) -> ExchangeOutcome
+{
+    auto const end = runtime::BootTimeNow() + limit;
+    ExchangeOutcome outcome;
+    outcome.end = ExchangeEnd::NotSent;
+    // What lies here before the request belongs to none.
+    std::array<char, 1> early {};
+    if (::recv(m_descriptor, early.data(), early.size(), MSG_PEEK) > 0) {
+        outcome.end = ExchangeEnd::Malformed;
+        close();
+        return outcome;
+    }
+    auto const bytes = event_http::Serialize(request);
+    std::size_t sent = 0;
+    while (sent < bytes.size()) {
+        auto const n = ::send(m_descriptor, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
+        if (n > 0) {
+            sent += static_cast<std::size_t>(n);
+            continue;
+        }
+        auto const full = n < 0 && (errno == EAGAIN || errno == EINTR);
+        if (!full || !wait_for(m_descriptor, POLLOUT, end)) {
+            close();
+            return outcome;
+        }
+    }
+    outcome = read_answer(end);
+    auto const goes_on = outcome.end == ExchangeEnd::Answered && !outcome.closes;
+    m_answered = m_answered || goes_on;
+    if (!goes_on)
+        close();
+    return outcome;
+}
+
+auto CallerConnection::read_answer(Instant end) -> ExchangeOutcome
+{
+    ExchangeOutcome outcome;
+    http::response_parser<http::string_body> parser;
+    parser.eager(true);
+    std::string pending;
+    std::array<char, read_bytes> buf {};
+    while (!parser.is_done()) {
+        if (!wait_for(m_descriptor, POLLIN, end))
+            return outcome;
+        auto const n = ::recv(m_descriptor, buf.data(), buf.size(), 0);
+        if (n < 0 && (errno == EAGAIN || errno == EINTR))
+            continue;
+        if (n <= 0) {
+            outcome.end = ExchangeEnd::Closed;
+            return outcome;
+        }
+        pending.append(buf.data(), static_cast<std::size_t>(n));
+        boost::system::error_code ec;
+        auto const used = parser.put(boost::asio::buffer(pending), ec);
+        pending.erase(0, used);
+        if (ec && ec != http::error::need_more) {
+            outcome.end = ExchangeEnd::Malformed;
+            return outcome;
+        }
+    }
+    outcome.end = pending.empty() ? ExchangeEnd::Answered : ExchangeEnd::Malformed;
+    auto const& message = parser.get();
+    outcome.closes = !message.keep_alive();
+    outcome.response.status = static_cast<int>(message.result_int());
+    outcome.response.body = message.body();
+    for (auto const& field : message)
+        outcome.response.fields.Add(std::string_view(field.name_string().data(), field.name_string().size()),
+            std::string_view(field.value().data(), field.value().size()));
+    return outcome;
+}
+
+} // namespace graniteseam::testbed::soak
--- /dev/null
+++ b/testbed/soak/caller_connection.h
@@ -0,0 +1,52 @@
+/// @file
+/// One caller's connection to a router, seen as closely as the promises need: whether a connection was
+/// closed before, in or after an answer.
+#pragma once
+
+#include <string>
+
+#include "src/event_http/message.h"
+#include "graniteseam/common/time.h"
+
+namespace graniteseam::testbed::soak {
+
+enum class ExchangeEnd {
+    Answered,
+    NotSent, ///< The connection was closed before the whole request was written.
+    Closed, ///< The request was sent whole; the connection ended without a whole answer.
+    Silent, ///< No whole answer within the limit.
+    Malformed, ///< Bytes that are no answer, or more than one.
+};
+
+struct ExchangeOutcome {
+    ExchangeEnd end = ExchangeEnd::Silent;
+    event_http::Response response; ///< When answered.
+    bool closes = false; ///< The answer says that the connection ends with it.
+};
+
+/// Not thread safe. One exchange at a time.
+class CallerConnection {
+public:
+    /// Connects, or is not open() afterwards.
+    CallerConnection(std::string const& address, Duration limit);
+    ~CallerConnection();
+    CallerConnection(CallerConnection const&) = delete;
+    auto operator=(CallerConnection const&) -> CallerConnection& = delete;
+
+    auto open() const -> bool { return m_descriptor >= 0; }
+    /// Whether an answer came on it already.
+    auto kept() const -> bool { return m_answered; }
+
+    /// Sends a request and waits for its answer. After any end but a whole answer that keeps the
+    /// connection it is not open any more.
+    auto exchange(event_http::Request const&, Duration limit) -> ExchangeOutcome;
+
+private:
+    auto close() -> void;
+    auto read_answer(Instant end) -> ExchangeOutcome;
+
+    int m_descriptor = -1;
+    bool m_answered = false;
+};
+
+} // namespace graniteseam::testbed::soak
--- a/testbed/soak/fault_plan.cc
+++ b/testbed/soak/fault_plan.cc
@@ -2,35 +2,49 @@
 
 #include <algorithm>
 #include <array>
+#include <numeric>
 #include <random>
 
 namespace graniteseam::testbed::soak {
 
 namespace {
 
+    enum class Role { Control, Router, Worker };
+
     struct KindTraits {
         FaultKind kind;
         std::string_view name;
         Duration shortest;
         Duration longest;
+        std::uint32_t weight; ///< How often it is drawn, beside the others.
+        Role role; ///< Which it hits.
     };
 
     constexpr auto kind_traits = std::to_array<KindTraits>({
-        {FaultKind::KillControl, "kill_control", Duration {200'000}, Duration {5'000'000}},
-        {FaultKind::KillRouter, "kill_router", Duration {200'000}, Duration {3'000'000}},
-        {FaultKind::KillAllControls, "kill_all_controls", Duration {200'000}, Duration {1'000'000}},
-        {FaultKind::StopRouter, "stop_router", Duration {6'500'000}, Duration {7'000'000}},
-        {FaultKind::FreezeControl, "freeze_control", Duration {300'000}, Duration {6'000'000}},
-        {FaultKind::FreezeRouter, "freeze_router", Duration {300'000}, Duration {4'000'000}},
-        {FaultKind::CutControl, "cut_control", Duration {500'000}, Duration {6'000'000}},
-        {FaultKind::CutControlOneWay, "cut_control_one_way", Duration {500'000}, Duration {6'000'000}},
-        {FaultKind::CutRouter, "cut_router", Duration {500'000}, Duration {6'000'000}},
-        {FaultKind::LoseDisk, "lose_disk", Duration {200'000}, Duration {2'000'000}},
-        {FaultKind::TearWrite, "tear_write", Duration {200'000}, Duration {2'000'000}},
-        {FaultKind::CrashWorker, "crash_worker", Duration {500'000}, Duration {4'000'000}},
-        {FaultKind::DrainWorker, "drain_worker", Duration {3'500'000}, Duration {4'500'000}},
+        {FaultKind::KillControl, "kill_control", Duration {200'000}, Duration {5'000'000}, 2, Role::Control},
+        {FaultKind::KillRouter, "kill_router", Duration {200'000}, Duration {3'000'000}, 2, Role::Router},
+        {FaultKind::KillAllControls, "kill_all_controls", Duration {200'000}, Duration {1'000'000}, 1, Role::Control},
+        {FaultKind::StopControl, "stop_control", Duration {500'000}, Duration {3'000'000}, 1, Role::Control},
+        {FaultKind::StopRouter, "stop_router", Duration {6'500'000}, Duration {7'000'000}, 3, Role::Router},
+        {FaultKind::ReloadControl, "reload_control", Duration {1'000}, Duration {10'000}, 1, Role::Control},
+        {FaultKind::ReloadRouter, "reload_router", Duration {1'000}, Duration {10'000}, 2, Role::Router},
+        {FaultKind::FreezeControl, "freeze_control", Duration {300'000}, Duration {6'000'000}, 2, Role::Control},
+        {FaultKind::FreezeRouter, "freeze_router", Duration {300'000}, Duration {4'000'000}, 2, Role::Router},
+        {FaultKind::CutControl, "cut_control", Duration {500'000}, Duration {6'000'000}, 1, Role::Control},
+        {FaultKind::CutControlOneWay, "cut_control_one_way", Duration {500'000}, Duration {6'000'000}, 1, Role::Control},
+        {FaultKind::CutRouter, "cut_router", Duration {500'000}, Duration {6'000'000}, 1, Role::Router},
+        {FaultKind::LoseDisk, "lose_disk", Duration {200'000}, Duration {2'000'000}, 1, Role::Control},
+        {FaultKind::TearWrite, "tear_write", Duration {200'000}, Duration {2'000'000}, 1, Role::Control},
+        {FaultKind::CrashWorker, "crash_worker", Duration {500'000}, Duration {4'000'000}, 2, Role::Worker},
+        {FaultKind::ReplaceWorker, "replace_worker", Duration {0}, Duration {900'000}, 5, Role::Worker},
+        {FaultKind::ReuseAddress, "reuse_address", Duration {0}, Duration {3'000'000}, 4, Role::Worker},
+        {FaultKind::DrainWorker, "drain_worker", Duration {3'500'000}, Duration {4'500'000}, 2, Role::Worker},
+        {FaultKind::DeregisterWorker, "deregister_worker", Duration {3'500'000}, Duration {4'500'000}, 2, Role::Worker},
     });
 
+    /// Faults of a series begin within this after the one before.
+    constexpr std::uint64_t series_gap_us = 1'500'000;
+
     auto traits_of(FaultKind kind) -> KindTraits const&
     {
         return *std::find_if(
@@ -39,36 +53,32 @@
 
     auto targets_of(FaultKind kind, PlanBounds const& bounds) -> std::uint32_t
     {
-        switch (kind) {
-        case FaultKind::KillAllControls:
+        if (kind == FaultKind::KillAllControls)
             return 1;
-        case FaultKind::KillRouter:
-        case FaultKind::StopRouter:
-        case FaultKind::FreezeRouter:
-        case FaultKind::CutRouter:
+        switch (traits_of(kind).role) {
+        case Role::Control:
+            return bounds.controls;
+        case Role::Router:
             return bounds.routers;
-        case FaultKind::CrashWorker:
-        case FaultKind::DrainWorker:
+        case Role::Worker:
             return bounds.workers;
-        default:
-            return bounds.controls;
         }
+        return 1;
     }
 
     auto hits_control(FaultKind kind) -> bool
     {
-        switch (kind) {
-        case FaultKind::KillControl:
-        case FaultKind::KillAllControls:
-        case FaultKind::FreezeControl:
-        case FaultKind::CutControl:
-        case FaultKind::CutControlOneWay:
-        case FaultKind::LoseDisk:
-        case FaultKind::TearWrite:
-            return true;
-        default:
-            return false;
-        }
+        return traits_of(kind).role == Role::Control;
+    }
+
+    auto is_reload(FaultKind kind) -> bool
+    {
+        return kind == FaultKind::ReloadControl || kind == FaultKind::ReloadRouter;
+    }
+
+    auto ends_router(FaultKind kind) -> bool
+    {
+        return kind == FaultKind::KillRouter || kind == FaultKind::StopRouter;
     }
 
     /// What a fault needs for itself: until the end of catching up where a disk was lost.
@@ -87,21 +97,34 @@
     {
         if (!overlap(a, b, bounds))
             return true;
-        // One thing is hit by one fault at a time.
         if (a.kind == b.kind && a.target == b.target)
             return false;
+        if (is_reload(a.kind) || is_reload(b.kind) || traits_of(a.kind).role != traits_of(b.kind).role)
+            return true;
         auto const disk = a.kind == FaultKind::LoseDisk || b.kind == FaultKind::LoseDisk;
-        if (disk && hits_control(a.kind) && hits_control(b.kind))
+        if (disk && hits_control(a.kind))
             return false;
         auto const same_target = a.target == b.target || a.kind == FaultKind::KillAllControls
             || b.kind == FaultKind::KillAllControls;
-        if (hits_control(a.kind) != hits_control(b.kind))
-            return true;
-        if (targets_of(a.kind, bounds) != targets_of(b.kind, bounds) && !hits_control(a.kind))
-            return true;
+        // A router bears several signals at once, but is started again by one fault only.
+        if (traits_of(a.kind).role == Role::Router)
+            return !same_target || !ends_router(a.kind) || !ends_router(b.kind);
         return !same_target;
     }
 
+    auto draw_kind(std::uint64_t drawn) -> KindTraits const&
+    {
+        auto const total = std::accumulate(kind_traits.begin(), kind_traits.end(), std::uint64_t {0},
+            [](auto sum, auto const& it) { return sum + it.weight; });
+        auto left = drawn % total;
+        for (auto const& it : kind_traits) {
+            if (left < it.weight)
+                return it;
+            left -= it.weight;
+        }
+        return kind_traits.back();
+    }
+
 } // namespace
 
 auto name_of(FaultKind kind) -> std::string_view
@@ -117,7 +140,7 @@
     std::vector<Fault> plan;
     constexpr int attempts_maximum = 1'000;
     for (int attempt = 0; attempt < attempts_maximum && plan.size() < bounds.faults; ++attempt) {
-        auto const& traits = kind_traits[below(kind_traits.size())];
+        auto const& traits = draw_kind(random());
         Fault fault;
         fault.kind = traits.kind;
         fault.target = static_cast<std::uint32_t>(below(targets_of(traits.kind, bounds)));
@@ -126,8 +149,13 @@
         auto const room = (bounds.last - bounds.first - fault.span).count();
         if (room <= 0)
             continue;
-        fault.at
-            = bounds.first + Duration(static_cast<std::int64_t>(below(static_cast<std::uint64_t>(room))));
+        fault.choice = static_cast<std::uint32_t>(random());
+        auto const in_series = !plan.empty() && below(2) == 0;
+        fault.at = in_series
+            ? plan.back().at + Duration(static_cast<std::int64_t>(below(series_gap_us)))
+            : bounds.first + Duration(static_cast<std::int64_t>(below(static_cast<std::uint64_t>(room))));
+        if (fault.at + fault.span > bounds.last)
+            continue;
         auto const fits = std::all_of(
             plan.begin(), plan.end(), [&](auto const& it) { return go_together(it, fault, bounds); });
         if (fits)
--- a/testbed/soak/fault_plan.h
+++ b/testbed/soak/fault_plan.h
@@ -16,7 +16,10 @@
     KillControl, ///< SIGKILL; back after the span.
     KillRouter,
     KillAllControls, ///< At the same moment; their disks stay.
+    StopControl, ///< SIGTERM; back after the span.
     StopRouter, ///< SIGTERM; back after it has ended.
+    ReloadControl, ///< SIGHUP.
+    ReloadRouter,
     FreezeControl, ///< SIGSTOP, then SIGCONT: its clock jumps by the span.
     FreezeRouter,
     CutControl, ///< From the other control processes, both ways.
@@ -24,17 +27,21 @@
     CutRouter, ///< From all control processes.
     LoseDisk, ///< SIGKILL; the data folder is empty when it is back.
     TearWrite, ///< SIGKILL; the newest file of the log ends in bytes that were never synced whole.
-    CrashWorker, ///< Ends without a word; another one starts after the span.
-    DrainWorker, ///< Says that it leaves, and ends after the span; another one starts first.
+    CrashWorker, ///< Ends without a word; another one starts after the span, at another address.
+    ReplaceWorker, ///< The same, at the same address.
+    ReuseAddress, ///< The same, at the same address and of another service.
+    DrainWorker, ///< Says that it leaves, and ends after the span; another one starts at its address.
+    DeregisterWorker, ///< Says that it is gone, serves on for the span; another one starts at its address.
 };
 
-auto name_of(FaultKind) -> std::string_view;
+auto name_of(FaultKind kind) -> std::string_view;
 
 struct Fault {
     FaultKind kind = FaultKind::KillControl;
     Duration at {}; ///< Since the start of traffic.
     Duration span {}; ///< Until it is undone.
     std::uint32_t target = 0; ///< Which of its kind, from 0.
+    std::uint32_t choice = 0; ///< Drawn for what else may differ, such as the next service.
 
     auto operator==(Fault const&) const -> bool = default;
 };
@@ -47,12 +54,15 @@
     Duration first {4'000'000};
     Duration last {26'000'000}; ///< Every fault is undone by then.
     Duration catch_up {8'000'000}; ///< That a control process needs after its disk was lost.
-    std::uint32_t faults = 10;
+    std::uint32_t faults = 20;
 };
 
 /// Faults in the order of their times. At most one disk is lost at once: while a control process that
 /// lost its disk catches up, no other control process is killed or cut, and none lost one within
 /// catch_up before. The users' claim is that nothing acknowledged is lost by such faults.
+///
+/// Half of the faults begin within moments of another one, so that they come in series and overlap; a
+/// router may be hit by several signals at once.
 auto plan_faults(std::uint64_t seed, PlanBounds const&) -> std::vector<Fault>;
 
 /// Whether a plan keeps to what plan_faults() promises.
--- a/testbed/soak/load.cc
+++ b/testbed/soak/load.cc
@@ -1,5 +1,6 @@
 #include "testbed/soak/load.h"
 
+#include <array>
 #include <chrono>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -8,6 +9,7 @@
 
 #include "src/runtime/clock.h"
 #include "testbed/registered/http_call.h"
+#include "testbed/soak/caller_connection.h"
 
 namespace graniteseam::testbed::soak {
 
@@ -20,6 +22,11 @@
     constexpr auto pause_of_operator = std::chrono::milliseconds(250);
     constexpr Duration call_limit {3'000'000};
     constexpr Duration read_patience {20'000'000};
+    constexpr Duration connect_limit {1'000'000};
+    constexpr int connections_tried = 3;
+    /// Of an operator: one change in so many begins a series without pauses, of at most so many.
+    constexpr std::uint64_t series_every = 6;
+    constexpr std::uint64_t series_longest = 5;
     constexpr int resends_maximum = 6;
     constexpr std::uint32_t keys_asked_for = 64;
     constexpr std::uint32_t key_distance = 1'021;
@@ -34,8 +41,10 @@
         return json {{"version", version},
             {"routes",
                 {route("/safe/", "safe", "pool"), route("/unsafe/", "unsafe", "pool"),
-                    route("/keyed/", "safe", "keyed")}},
-            {"services", {{{"name", "pool"}}, {{"name", "keyed"}, {"keyed", true}}}},
+                    route("/keyed/", "safe", "keyed"), route("/leased/", "safe", "leased")}},
+            {"services",
+                {{{"name", "pool"}}, {{"name", "keyed"}, {"keyed", true}},
+                    {{"name", "leased"}, {"keyed", true}, {"grants", "heartbeat"}}}},
             {"limits", {{"idle_timeout_ms", 15'000}}}}
             .dump();
     }
@@ -102,37 +111,102 @@
         return false;
     }
 
-} // namespace
+    struct Caller {
+        Endpoints const& endpoints;
+        std::mt19937_64 random;
+        HttpCaller pooled;
+        std::optional<CallerConnection> connection;
+        std::uint32_t router = 0; ///< That the connection leads to.
+    };
 
-auto run_caller(Endpoints const& endpoints, std::uint64_t seed, std::string const& name,
-    std::stop_token const& stop) -> std::vector<SeenAnswer>
-{
-    auto const& names = endpoints.names;
-    std::mt19937_64 random(seed);
-    HttpCaller caller;
-    std::vector<SeenAnswer> answers;
-    while (!stop.stop_requested()) {
-        auto const kind = random() % 3;
-        SeenAnswer answer;
-        answer.attempt = name + "-" + std::to_string(answers.size());
-        answer.may_repeat = kind != 2;
+    auto draw_router(Caller& it) -> std::uint32_t
+    {
+        return static_cast<std::uint32_t>(it.random() % it.endpoints.routers.size());
+    }
+
+    auto next_request(Caller& it, SeenAnswer& answer) -> event_http::Request
+    {
+        auto const& names = it.endpoints.names;
+        constexpr auto paths = std::to_array<char const*>({"/keyed/x", "/leased/x", "/safe/x", "/unsafe/x"});
+        auto const kind = it.random() % paths.size();
+        auto const keyed = kind < 2;
+        auto const unsafe = kind == 3;
+        answer.may_repeat = !unsafe;
         event_http::Request request;
-        request.method = kind == 2 ? "POST" : "GET";
-        request.target = kind == 0 ? "/keyed/x" : kind == 1 ? "/safe/x" : "/unsafe/x";
+        request.method = unsafe ? "POST" : "GET";
+        request.target = paths[kind];
         request.fields.Add("Host", "a.example");
         request.fields.Add(names.attempt_id, answer.attempt);
         request.fields.Add(names.time_left_ms, "2000");
-        if (kind == 0)
-            request.fields.Add(names.key, std::to_string(random() % keys_asked_for * key_distance));
-        if (kind == 2)
+        if (keyed)
+            request.fields.Add(names.key, std::to_string(it.random() % keys_asked_for * key_distance));
+        if (unsafe)
             request.body = "order";
+        return request;
+    }
+
+    auto note(Caller const& it, event_http::Response const& response, SeenAnswer& answer) -> void
+    {
+        answer.status = response.status;
+        answer.own = answer.status / 100 != 2 || is_own(response, answer.attempt, it.endpoints.names);
+    }
+
+    auto call_pooled(Caller& it, event_http::Request const& request, SeenAnswer& answer) -> void
+    {
+        answer.router = draw_router(it);
         answer.sent = runtime::BootTimeNow();
-        auto const result
-            = caller.Call(endpoints.routers[random() % endpoints.routers.size()], request, call_limit);
+        auto const result = it.pooled.Call(it.endpoints.routers[answer.router], request, call_limit);
+        answer.ended = runtime::BootTimeNow();
+        if (result.end == CallEnd::kAnswered)
+            note(it, result.response, answer);
+    }
+
+    /// Uses the connection that is open, or opens one: to the same router as before, or to another one
+    /// where that takes none.
+    auto call_kept(Caller& it, event_http::Request const& request, SeenAnswer& answer) -> void
+    {
+        for (int opened = 0; opened < connections_tried && !(it.connection && it.connection->open()); ++opened) {
+            if (opened > 0)
+                it.router = draw_router(it);
+            it.connection.emplace(it.endpoints.routers[it.router], connect_limit);
+        }
+        answer.router = it.router;
+        answer.sent = answer.ended = runtime::BootTimeNow();
+        if (!it.connection->open())
+            return;
+        answer.kept = it.connection->kept();
+        auto const outcome = it.connection->exchange(request, call_limit);
         answer.ended = runtime::BootTimeNow();
-        if (result.end == CallEnd::kAnswered) {
-            answer.status = result.response.status;
-            answer.own = answer.status / 100 != 2 || is_own(result.response, answer.attempt, names);
+        answer.closed = outcome.end == ExchangeEnd::Closed;
+        if (outcome.end == ExchangeEnd::Malformed)
+            answer.own = false;
+        if (outcome.end == ExchangeEnd::Answered)
+            note(it, outcome.response, answer);
+    }
+
+} // namespace
+
+auto run_caller(Endpoints const& endpoints, CallerOptions const& options, std::stop_token const& stop)
+    -> std::vector<SeenAnswer>
+{
+    Caller it {endpoints, std::mt19937_64(options.seed), {}, {}, 0};
+    std::vector<SeenAnswer> answers;
+    while (!stop.stop_requested()) {
+        SeenAnswer answer;
+        answer.attempt = options.name + "-" + std::to_string(answers.size());
+        auto const request = next_request(it, answer);
+        switch (options.style) {
+        case CallerStyle::Pooled:
+            call_pooled(it, request, answer);
+            break;
+        case CallerStyle::Kept:
+            call_kept(it, request, answer);
+            break;
+        case CallerStyle::Fresh:
+            it.connection.reset();
+            it.router = draw_router(it);
+            call_kept(it, request, answer);
+            break;
         }
         answers.push_back(std::move(answer));
         std::this_thread::sleep_for(pause_of_callers);
@@ -145,6 +219,7 @@
 {
     Operator it {endpoints, std::mt19937_64(seed), {}, {}};
     std::uint64_t current = 0;
+    std::uint64_t in_series = 0; ///< Changes that are to follow without a pause.
     while (!stop.stop_requested()) {
         auto const version = current + 1 + it.random() % 3;
         if (change(it, current, version)) {
@@ -152,7 +227,11 @@
             if (it.random() % 4 == 0)
                 change(it, current, version + 1);
             current = version;
+            if (in_series == 0 && it.random() % series_every == 0)
+                in_series = 1 + it.random() % series_longest;
         }
+        if (in_series > 0 && --in_series > 0)
+            continue;
         std::this_thread::sleep_for(pause_of_operator);
         if (auto const newest = read(it))
             current = *newest;
--- a/testbed/soak/load.h
+++ b/testbed/soak/load.h
@@ -18,17 +18,29 @@
     daemon::ExchangeNames names;
 };
 
-/// Sends attempts until it is told to stop: keyed ones, ones that may be repeated, ones that may not.
-/// No attempt is sent twice. @return every one, in order.
-auto run_caller(Endpoints const&, std::uint64_t seed, std::string const& name, std::stop_token const&)
-    -> std::vector<SeenAnswer>;
+enum class CallerStyle {
+    Pooled, ///< Some connections to each router, used again where one rests.
+    Kept, ///< One connection, used until it is closed; then one to the same router, while that answers.
+    Fresh, ///< A connection for each request.
+};
+
+struct CallerOptions {
+    std::uint64_t seed = 0;
+    std::string name; ///< Its attempts begin with it.
+    CallerStyle style = CallerStyle::Pooled;
+};
+
+/// Sends attempts until it is told to stop: keyed ones of both forms, ones that may be repeated, ones that
+/// may not. No attempt is sent twice. @return every one, in order.
+auto run_caller(Endpoints const&, CallerOptions const&, std::stop_token const&) -> std::vector<SeenAnswer>;
 
 struct SeenByOperator {
     std::vector<SeenChange> changes;
     std::vector<SeenRead> reads;
 };
 
-/// Changes and reads the configuration until it is told to stop; resends what got no clear answer, and
+/// Changes and reads the configuration until it is told to stop, at times several changes without a pause;
+/// resends what got no clear answer, and
 /// at times sends a rival on a version that was built on already. The last thing it does is a read.
 auto run_operator(Endpoints const&, std::uint64_t seed, std::stop_token const&) -> SeenByOperator;
 
--- a/testbed/soak/promises.cc
+++ b/testbed/soak/promises.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 #include <set>
+#include <tuple>
 
 namespace graniteseam::testbed::soak {
 
@@ -12,6 +13,15 @@
     /// given: as the users ask.
     constexpr double served_share_minimum = 0.25;
 
+    /// A machine counts as in touch again so long after what disturbed it.
+    constexpr Duration contact {3'000'000};
+    /// That a close without an answer is allowed to happen.
+    constexpr std::size_t lost_allowed = 3;
+    /// The callers wait for so long; a close after it says nothing.
+    constexpr Duration callers_deadline {2'000'000};
+    /// A grant counts only if it comes later than this after its sender went on.
+    constexpr Duration thaw_slack {300'000};
+
     auto add(std::vector<Breach>& breaches, std::string promise, std::string detail) -> void
     {
         breaches.push_back({std::move(promise), std::move(detail)});
@@ -32,7 +42,7 @@
             auto const promised = answer.status == 503 || answer.status == 429;
             if (promised && n > 0)
                 add(breaches, "not_run", answer.attempt + " was refused and ran");
-            if (answer.status / 100 == 2 && !answer.own)
+            if (!answer.own)
                 add(breaches, "own_answer",
                     answer.attempt + " got an answer that is not its own or not whole");
             if (answer.status / 100 == 2 && n == 0)
@@ -44,31 +54,133 @@
         }
     }
 
+    auto key_text(std::string const& service, std::uint32_t key) -> std::string
+    {
+        return (service.empty() ? "" : service + " ") + "key " + std::to_string(key);
+    }
+
     auto check_owners(Observed const& seen, std::vector<Breach>& breaches) -> void
     {
-        std::map<std::uint32_t, std::vector<WorkerRun const*>> by_key;
+        std::map<std::pair<std::string, std::uint32_t>, std::vector<WorkerRun const*>> by_key;
         for (auto const& run : seen.runs) {
             if (run.key)
-                by_key[*run.key].push_back(&run);
+                by_key[{run.service, *run.key}].push_back(&run);
         }
-        for (auto& [key, runs] : by_key) {
+        for (auto& [name, runs] : by_key) {
+            auto const& [service, key] = name;
             std::sort(
                 runs.begin(), runs.end(), [](auto const* a, auto const* b) { return a->begun < b->begun; });
             for (std::size_t i = 0; i + 1 < runs.size(); ++i) {
                 for (std::size_t j = i + 1; j < runs.size() && runs[j]->begun < runs[i]->ended; ++j) {
                     if (runs[j]->worker != runs[i]->worker)
                         add(breaches, "one_owner",
-                            "key " + std::to_string(key) + " ran at " + runs[i]->worker + " and "
-                                + runs[j]->worker);
+                            key_text(service, key) + " ran at " + runs[i]->worker + " and " + runs[j]->worker);
                 }
                 auto const& next = *runs[i + 1];
                 if (next.worker != runs[i]->worker && next.fence <= runs[i]->fence)
                     add(breaches, "fences_rise",
-                        "key " + std::to_string(key) + " went on under fence " + std::to_string(next.fence));
+                        key_text(service, key) + " went on under fence " + std::to_string(next.fence) + " at "
+                            + next.worker + " after " + std::to_string(runs[i]->fence) + " at "
+                            + runs[i]->worker);
+            }
+        }
+    }
+
+    auto same_grant(WorkerHold const& a, WorkerHold const& b) -> bool
+    {
+        return a.worker == b.worker && a.span.first == b.span.first && a.span.last == b.span.last
+            && a.span.fence == b.span.fence;
+    }
+
+    /// Grants of one service in the order of their arrival, renewals joined to what they renew; without
+    /// those that came within the slack after a control process went on.
+    auto joined_holds(std::vector<WorkerHold const*> holds, std::vector<Instant> const& thaws)
+        -> std::vector<WorkerHold>
+    {
+        std::erase_if(holds, [&](auto const* hold) {
+            return std::any_of(thaws.begin(), thaws.end(), [&](auto const& thaw) {
+                return thaw <= hold->span.since && hold->span.since <= thaw + thaw_slack;
+            });
+        });
+        std::sort(holds.begin(), holds.end(), [](auto const* a, auto const* b) {
+            return std::tie(a->worker, a->span.first, a->span.last, a->span.fence, a->span.since)
+                < std::tie(b->worker, b->span.first, b->span.last, b->span.fence, b->span.since);
+        });
+        std::vector<WorkerHold> joined;
+        for (auto const* hold : holds) {
+            if (!joined.empty() && same_grant(joined.back(), *hold)
+                && hold->span.since <= joined.back().span.until)
+                joined.back().span.until = std::max(joined.back().span.until, hold->span.until);
+            else
+                joined.push_back(*hold);
+        }
+        std::sort(joined.begin(), joined.end(),
+            [](auto const& a, auto const& b) { return a.span.since < b.span.since; });
+        return joined;
+    }
+
+    /// What instances held, whether anybody asked for the keys or not.
+    auto check_holds(Observed const& seen, std::vector<Breach>& breaches) -> void
+    {
+        std::map<std::string, std::vector<WorkerHold const*>> by_service;
+        for (auto const& hold : seen.holds)
+            by_service[hold.service].push_back(&hold);
+        for (auto const& [service, all] : by_service) {
+            auto const holds = joined_holds(all, seen.thaws);
+            for (std::size_t later = 1; later < holds.size(); ++later) {
+                auto const& b = holds[later];
+                for (std::size_t earlier = 0; earlier < later; ++earlier) {
+                    auto const& a = holds[earlier];
+                    if (a.worker == b.worker || !Overlap(a.span, b.span))
+                        continue;
+                    auto const what = key_text(service, std::max(a.span.first, b.span.first)) + " to "
+                        + std::to_string(std::min(a.span.last, b.span.last)) + ", " + a.worker + " under fence "
+                        + std::to_string(a.span.fence) + ", " + b.worker + " under fence "
+                        + std::to_string(b.span.fence);
+                    if (b.span.since < a.span.until)
+                        add(breaches, "held_alone", what + " at once");
+                    if (b.span.fence <= a.span.fence)
+                        add(breaches, "held_under_higher_fence", what + " after it");
+                }
             }
         }
     }
 
+    /// Whether nothing disturbed a router from `contact` before an instant until another one.
+    auto in_touch(Observed const& seen, std::uint32_t router, Instant from, Instant until) -> bool
+    {
+        return std::none_of(seen.disturbances.begin(), seen.disturbances.end(), [&](auto const& it) {
+            return it.router == router && it.begun <= until && from <= it.ended + contact;
+        });
+    }
+
+    auto check_drains(Observed const& seen, std::vector<Breach>& breaches) -> void
+    {
+        std::map<std::string, SeenAnswer const*> answers;
+        for (auto const& answer : seen.answers)
+            answers[answer.attempt] = &answer;
+        for (auto const& drain : seen.drains) {
+            for (auto const& attempt : drain.late_arrivals) {
+                auto const it = answers.find(attempt);
+                auto const counts = it == answers.end()
+                    || in_touch(seen, it->second->router, it->second->sent, it->second->ended);
+                if (counts)
+                    add(breaches, "drained_rests", drain.worker + " got " + attempt + " late");
+            }
+        }
+    }
+
+    auto check_kept_connections(Observed const& seen, std::vector<Breach>& breaches) -> void
+    {
+        auto const lost = lost_on_kept_connections(seen);
+        if (lost.size() <= lost_allowed)
+            return;
+        for (auto const& answer : lost)
+            add(breaches, "kept_is_answered",
+                answer.attempt + " ran, and router " + std::to_string(answer.router)
+                    + " closed its connection without an answer");
+    }
+
     auto check_changes(Observed const& seen, std::vector<Breach>& breaches) -> void
     {
         std::map<std::uint64_t, SeenChange const*> accepted_on;
@@ -100,17 +212,35 @@
 
 } // namespace
 
+auto lost_on_kept_connections(Observed const& seen) -> std::vector<SeenAnswer>
+{
+    std::map<std::string, WorkerRun const*> runs;
+    for (auto const& run : seen.runs)
+        runs[run.attempt] = &run;
+    std::vector<SeenAnswer> lost;
+    for (auto const& answer : seen.answers) {
+        if (!answer.kept || !answer.closed || answer.ended - answer.sent >= callers_deadline)
+            continue;
+        auto const run = runs.find(answer.attempt);
+        if (run == runs.end())
+            continue;
+        auto const end = seen.worker_ends.find(run->second->worker);
+        auto const sound = end == seen.worker_ends.end() || end->second > answer.ended;
+        if (sound && in_touch(seen, answer.router, answer.sent, answer.ended))
+            lost.push_back(answer);
+    }
+    return lost;
+}
+
 auto check_promises(Observed const& seen) -> std::vector<Breach>
 {
     std::vector<Breach> breaches;
     check_runs_of_answers(seen, breaches);
     check_owners(seen, breaches);
     check_changes(seen, breaches);
-    for (auto const& drain : seen.drains) {
-        if (drain.late_arrivals > 0)
-            add(breaches, "drained_rests",
-                drain.worker + " got " + std::to_string(drain.late_arrivals) + " requests late");
-    }
+    check_holds(seen, breaches);
+    check_drains(seen, breaches);
+    check_kept_connections(seen, breaches);
     auto const wanted = static_cast<double>(seen.asked_at_the_end) * served_share_minimum;
     if (static_cast<double>(seen.served_at_the_end) < wanted)
         add(breaches, "recovers",
--- a/testbed/soak/promises.h
+++ b/testbed/soak/promises.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -19,6 +20,9 @@
     bool own = true; ///< A success carried this attempt's id, a seal and the worker's body.
     Instant sent {};
     Instant ended {};
+    std::uint32_t router = 0; ///< Which one it was sent to, from 0.
+    bool kept = false; ///< Sent on a connection that had brought an answer before.
+    bool closed = false; ///< Sent whole, then the connection ended without a whole answer.
 };
 
 /// One change of the configuration, or one resend of it, as the operator saw it.
@@ -41,7 +45,15 @@
 /// A worker's word that it leaves.
 struct SeenDrain {
     std::string worker;
-    std::size_t late_arrivals = 0; ///< Requests that came later than the allowance after the acknowledgement.
+    /// Attempts that came later than the allowance after the acknowledgement.
+    std::vector<std::string> late_arrivals;
+};
+
+/// A span in which a router was killed, stood still, started or was cut off.
+struct SeenDisturbance {
+    std::uint32_t router = 0;
+    Instant begun {};
+    Instant ended {};
 };
 
 struct Observed {
@@ -50,6 +62,10 @@
     std::vector<SeenChange> changes;
     std::vector<SeenRead> reads;
     std::vector<SeenDrain> drains;
+    std::vector<WorkerHold> holds;
+    std::map<std::string, Instant> worker_ends; ///< Of those that ended, by id.
+    std::vector<SeenDisturbance> disturbances;
+    std::vector<Instant> thaws; ///< When a control process that had stood still went on.
     std::uint64_t served_at_the_end = 0; ///< Successes after all faults were undone.
     std::uint64_t asked_at_the_end = 0;
 };
@@ -63,4 +79,8 @@
 /// @return all that was not kept; empty when everything held.
 auto check_promises(Observed const&) -> std::vector<Breach>;
 
+/// Requests on kept connections that ran at a worker which lived on, and whose connection was then closed
+/// without an answer by a router that nothing had disturbed. The users allow three.
+auto lost_on_kept_connections(Observed const&) -> std::vector<SeenAnswer>;
+
 } // namespace graniteseam::testbed::soak
--- /dev/null
+++ b/testbed/soak/run_shape.h
@@ -0,0 +1,37 @@
+/// @file
+/// How large a soaked fleet is and what load it gets: drawn from a run's seed.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+
+#include "graniteseam/common/time.h"
+
+namespace graniteseam::testbed::soak {
+
+struct RunShape {
+    std::uint32_t controls = 3;
+    std::uint32_t routers = 3;
+    std::uint32_t keyed_workers = 4;
+    std::uint32_t leased_workers = 4;
+    std::uint32_t pool_workers = 2;
+    std::uint32_t pooled_callers = 2;
+    std::uint32_t kept_callers = 5;
+    std::uint32_t fresh_callers = 2;
+    std::uint32_t faults = 20;
+    Duration heartbeat {200'000};
+
+    auto operator==(RunShape const&) const -> bool = default;
+};
+
+enum class RunSize { Small, Large };
+
+/// @param size drawn from the seed, one in four large, where none is given.
+auto draw_shape(std::uint64_t seed, std::optional<RunSize> size) -> RunShape;
+
+/// Processes that such a run starts.
+auto processes_of(RunShape const&) -> std::uint32_t;
+
+auto workers_of(RunShape const&) -> std::uint32_t;
+
+} // namespace graniteseam::testbed::soak
--- a/testbed/soak/soak.cc
+++ b/testbed/soak/soak.cc
@@ -1,54 +1,78 @@
 #include "testbed/soak/soak.h"
 
+#include <fmt/format.h>
 #include <getopt.h>
 
 #include <algorithm>
+#include <condition_variable>
 #include <cstdio>
 #include <cstdlib>
 #include <filesystem>
 #include <map>
+#include <mutex>
 #include <optional>
 #include <random>
+#include <set>
 #include <thread>
 
 #include "src/runtime/clock.h"
 #include "testbed/soak/load.h"
+#include "testbed/soak/run_shape.h"
 #include "testbed/soak/soaked_fleet.h"
+#include "testbed/support/text_file.h"
 
 namespace graniteseam::testbed::soak {
 
 namespace {
 
-    constexpr std::size_t callers = 4;
     /// The users give this long to recover after the last fault.
     constexpr Duration recovery {15'000'000};
     /// How long it is looked whether requests are served again.
     constexpr Duration final_look {4'000'000};
     constexpr int exit_breach = 1;
     constexpr int exit_usage = 2;
+    /// Of the programs under test, of all runs at once.
+    constexpr std::uint32_t processes_maximum = 60;
+    /// A run tells at most so many breaches of one promise.
+    constexpr int breaches_told = 5;
 
     struct Arguments {
         std::uint64_t first_seed = 0;
         std::uint64_t seeds = 1;
-        std::uint32_t faults = 10;
+        std::uint64_t parallel = 1;
+        std::optional<std::uint32_t> faults;
+        std::optional<RunSize> size;
         std::string folder = "/tmp/graniteseam-soak";
         std::string programs;
         std::string templates = "platform";
     };
 
-    constexpr char usage[] = "Usage: graniteseam-soak [--seed N] [--seeds N] [--faults N] [--folder DIR] "
-                             "[--programs DIR] [--templates DIR]\n"
-                             "  --seed N       first seed; without it one is drawn and printed\n"
-                             "  --seeds N      how many, one after the other (1)\n"
-                             "  --faults N     of each run (10)\n"
-                             "  --folder DIR   for data and logs; those of failed seeds are kept\n"
-                             "  --programs DIR where graniteseam-platform-* are (beside this program)\n"
-                             "  --templates DIR where their settings templates are (platform)\n";
+    constexpr char usage[]
+        = "Usage: graniteseam-soak [--seed N] [--seeds N] [--parallel K] [--size small|large] [--faults N]\n"
+          "                        [--folder DIR] [--programs DIR] [--templates DIR]\n"
+          "  --seed N       first seed; without it one is drawn and printed\n"
+          "  --seeds N      how many, from the first on (1)\n"
+          "  --parallel K   how many side by side (1), as long as they start at most 60 processes together\n"
+          "  --size SIZE    of all runs; without it drawn from the seed, one in four large\n"
+          "  --faults N     of each run (20, a large one 45)\n"
+          "  --folder DIR   for data and logs; those of failed seeds are kept\n"
+          "  --programs DIR where graniteseam-platform-* are (beside this program)\n"
+          "  --templates DIR where their settings templates are (platform)\n";
+
+    auto read_size(std::string_view text) -> std::optional<RunSize>
+    {
+        if (text == "small")
+            return RunSize::Small;
+        if (text == "large")
+            return RunSize::Large;
+        return std::nullopt;
+    }
 
     auto read_arguments(int argc, char** argv) -> std::optional<Arguments>
     {
         static option const options[] = {{"seed", required_argument, nullptr, 's'},
-            {"seeds", required_argument, nullptr, 'n'}, {"faults", required_argument, nullptr, 'f'},
+            {"seeds", required_argument, nullptr, 'n'}, {"parallel", required_argument, nullptr, 'k'},
+            {"size", required_argument, nullptr, 'z'}, {"faults", required_argument, nullptr, 'f'},
             {"folder", required_argument, nullptr, 'd'}, {"programs", required_argument, nullptr, 'p'},
             {"templates", required_argument, nullptr, 't'}, {}};
         Arguments arguments;
@@ -62,6 +86,16 @@
             case 'n':
                 arguments.seeds = std::strtoull(optarg, nullptr, 10);
                 break;
+            case 'k':
+                arguments.parallel = std::max(1ULL, std::strtoull(optarg, nullptr, 10));
+                break;
+            case 'z':
+                arguments.size = read_size(optarg);
+                if (!arguments.size) {
+                    std::fputs(usage, stderr);
+                    return std::nullopt;
+                }
+                break;
             case 'f':
                 arguments.faults = static_cast<std::uint32_t>(std::strtoul(optarg, nullptr, 10));
                 break;
@@ -106,13 +140,57 @@
         }
     }
 
-    auto print_plan(std::vector<Fault> const& plan) -> void
+    auto seconds(Duration span) -> double
     {
-        for (auto const& fault : plan) {
-            std::printf("  %6.2f s to %6.2f s  %s %u\n", std::chrono::duration<double>(fault.at).count(),
-                std::chrono::duration<double>(fault.at + fault.span).count(),
-                std::string(name_of(fault.kind)).c_str(), fault.target);
+        return std::chrono::duration<double>(span).count();
+    }
+
+    auto plan_text(std::vector<Fault> const& plan) -> std::string
+    {
+        std::string text;
+        for (auto const& fault : plan)
+            text += fmt::format("  {:6.2f} s to {:6.2f} s  {} {}\n", seconds(fault.at),
+                seconds(fault.at + fault.span), name_of(fault.kind), fault.target);
+        return text;
+    }
+
+    /// "2 kill_router, 1 lose_disk".
+    auto kinds_text(std::vector<Fault> const& plan) -> std::string
+    {
+        std::map<std::string_view, int> kinds;
+        for (auto const& fault : plan)
+            ++kinds[name_of(fault.kind)];
+        std::string text;
+        for (auto const& [name, n] : kinds)
+            text += fmt::format("{}{} {}", text.empty() ? "" : ", ", n, name);
+        return text;
+    }
+
+    auto breaches_text(std::vector<Breach> const& breaches) -> std::string
+    {
+        std::map<std::string, int> told;
+        std::string text;
+        for (auto const& breach : breaches) {
+            if (++told[breach.promise] <= breaches_told)
+                text += fmt::format("  BROKEN {}: {}\n", breach.promise, breach.detail);
         }
+        for (auto const& [promise, n] : told) {
+            if (n > breaches_told)
+                text += fmt::format("  BROKEN {}: {} more\n", promise, n - breaches_told);
+        }
+        return text;
+    }
+
+    /// "fences_rise 2, held_alone 1", or "none".
+    auto promises_text(std::vector<Breach> const& breaches) -> std::string
+    {
+        std::map<std::string, int> broken;
+        for (auto const& breach : breaches)
+            ++broken[breach.promise];
+        std::string text;
+        for (auto const& [promise, n] : broken)
+            text += fmt::format("{}{} {}", text.empty() ? "" : ", ", promise, n);
+        return text.empty() ? "none" : text;
     }
 
     auto count_end(Observed& seen, Instant from) -> void
@@ -126,34 +204,55 @@
         }
     }
 
-    /// @return whether every promise was kept.
-    auto soak(std::uint64_t seed, Arguments const& arguments, ProgramNames const& names) -> bool
+    auto caller_options(RunShape const& shape, std::uint64_t seed) -> std::vector<CallerOptions>
+    {
+        std::vector<CallerOptions> all;
+        auto const add = [&](std::uint32_t n, CallerStyle style) {
+            for (std::uint32_t i = 0; i < n; ++i)
+                all.push_back({seed + all.size() + 1, "a" + std::to_string(all.size()), style});
+        };
+        add(shape.pooled_callers, CallerStyle::Pooled);
+        add(shape.kept_callers, CallerStyle::Kept);
+        add(shape.fresh_callers, CallerStyle::Fresh);
+        return all;
+    }
+
+    auto fleet_options(RunShape const& shape, std::uint64_t seed, Arguments const& arguments) -> FleetOptions
     {
-        PlanBounds bounds;
-        bounds.faults = arguments.faults;
-        auto const plan = plan_faults(seed, bounds);
         FleetOptions options;
         options.programs = arguments.programs;
         options.templates = arguments.templates;
         options.folder = arguments.folder + "/seed-" + std::to_string(seed);
-        std::filesystem::remove_all(options.folder);
-        SoakedFleet fleet(options, names);
+        options.controls = shape.controls;
+        options.routers = shape.routers;
+        options.seed = seed;
+        options.keyed_workers = shape.keyed_workers;
+        options.leased_workers = shape.leased_workers;
+        options.pool_workers = shape.pool_workers;
+        options.heartbeat = shape.heartbeat;
+        return options;
+    }
+
+    /// Plays the plan under load until the fleet had its time to recover.
+    auto observe(SoakedFleet& fleet, RunShape const& shape, std::vector<Fault> const& plan,
+        PlanBounds const& bounds, std::uint64_t seed, ProgramNames const& names) -> Observed
+    {
         Endpoints endpoints {{}, fleet.registries(), names.exchange};
-        for (std::uint32_t i = 0; i < options.routers; ++i)
+        for (std::uint32_t i = 0; i < shape.routers; ++i)
             endpoints.routers.push_back(fleet.caller_address(i));
-
         Observed seen;
         SeenByOperator by_operator;
-        std::vector<std::vector<SeenAnswer>> answers(callers);
+        auto const callers = caller_options(shape, seed);
+        std::vector<std::vector<SeenAnswer>> answers(callers.size());
         auto const start = runtime::BootTimeNow();
         auto const settled = start + bounds.last + recovery;
         {
             std::vector<std::jthread> threads;
             threads.emplace_back(
                 [&](std::stop_token const& stop) { by_operator = run_operator(endpoints, seed, stop); });
-            for (std::size_t i = 0; i < callers; ++i) {
+            for (std::size_t i = 0; i < callers.size(); ++i) {
                 threads.emplace_back([&, i](std::stop_token const& stop) {
-                    answers[i] = run_caller(endpoints, seed + i + 1, "a" + std::to_string(i), stop);
+                    answers[i] = run_caller(endpoints, callers[i], stop);
                 });
             }
             play(fleet, plan, start);
@@ -165,39 +264,146 @@
         seen.reads = std::move(by_operator.reads);
         fleet.collect(seen);
         count_end(seen, settled);
+        return seen;
+    }
 
-        auto const breaches = check_promises(seen);
-        auto const served = std::count_if(
-            seen.answers.begin(), seen.answers.end(), [](auto const& it) { return it.status == 200; });
-        std::printf("seed %llu: %zu faults, %zu attempts, %zd served, %zu runs, %zu changes sent, %zu reads, "
-                    "at the end %llu of %llu served, %zu breaches\n",
-            static_cast<unsigned long long>(seed), plan.size(), seen.answers.size(),
-            static_cast<ssize_t>(served), seen.runs.size(), seen.changes.size(), seen.reads.size(),
-            static_cast<unsigned long long>(seen.served_at_the_end),
-            static_cast<unsigned long long>(seen.asked_at_the_end), breaches.size());
-        for (auto const& breach : breaches)
-            std::printf("  BROKEN %s: %s\n", breach.promise.c_str(), breach.detail.c_str());
+    /// What a run's line tells, whatever came of it.
+    auto summary_text(Observed const& seen, RunShape const& shape, std::vector<Fault> const& plan) -> std::string
+    {
+        auto const count
+            = [&](auto const& which) { return std::count_if(seen.answers.begin(), seen.answers.end(), which); };
+        return fmt::format("{} routers, {} orders + {} leases + {} pool workers; {} faults ({}); "
+                           "{} attempts, {} served, {} kept-connection requests, {} of them lost; {} runs, "
+                           "{} grants held, {} changes sent, {} reads; at the end {} of {} served",
+            shape.routers, shape.keyed_workers, shape.leased_workers, shape.pool_workers, plan.size(),
+            kinds_text(plan), seen.answers.size(), count([](auto const& it) { return it.status == 200; }),
+            count([](auto const& it) { return it.kept; }), lost_on_kept_connections(seen).size(),
+            seen.runs.size(), seen.holds.size(), seen.changes.size(), seen.reads.size(), seen.served_at_the_end,
+            seen.asked_at_the_end);
+    }
+
+    /// @return the promises of which one was broken at least.
+    auto soak(std::uint64_t seed, Arguments const& arguments, ProgramNames const& names) -> std::set<std::string>
+    {
+        auto const shape = draw_shape(seed, arguments.size);
+        PlanBounds bounds;
+        bounds.controls = shape.controls;
+        bounds.routers = shape.routers;
+        bounds.workers = workers_of(shape);
+        bounds.faults = arguments.faults.value_or(shape.faults);
+        auto const plan = plan_faults(seed, bounds);
+        auto const options = fleet_options(shape, seed, arguments);
+        std::filesystem::remove_all(options.folder);
+        std::string text;
+        std::vector<Breach> breaches;
+        {
+            SoakedFleet fleet(options, names);
+            auto const seen = observe(fleet, shape, plan, bounds, seed, names);
+            breaches = check_promises(seen);
+            auto const replaced = fleet.replacements();
+            text = fmt::format("seed {}: {}; replaced at the same address {}, elsewhere {}; promises broken: {}\n",
+                seed, summary_text(seen, shape, plan), replaced.at_same_address, replaced.elsewhere,
+                promises_text(breaches));
+        }
         if (!breaches.empty()) {
-            print_plan(plan);
-            std::printf("  logs and data: %s\n", options.folder.c_str());
+            text += breaches_text(breaches) + plan_text(plan);
+            text += fmt::format("  logs and data: {}\n", options.folder);
+            static_cast<void>(
+                Attempt([&] { return WriteTextFile(options.folder + "/soak.txt", text); }));
+        } else {
+            std::filesystem::remove_all(options.folder);
         }
+        // One call: runs side by side do not write into each other's lines.
+        std::fputs(text.c_str(), stdout);
         std::fflush(stdout);
-        if (breaches.empty())
-            std::filesystem::remove_all(options.folder);
-        return breaches.empty();
+        std::set<std::string> broken;
+        for (auto const& breach : breaches)
+            broken.insert(breach.promise);
+        return broken;
+    }
+
+    /// Seeds that are to be played, and what came of those that were. Thread safe.
+    class Seeds {
+    public:
+        explicit Seeds(Arguments const& arguments)
+            : m_arguments(arguments)
+        {
+        }
+
+        /// Takes the next seed, and waits until there is room for its processes.
+        auto take() -> std::optional<std::uint64_t>
+        {
+            std::unique_lock lock(m_mutex);
+            if (m_taken == m_arguments.seeds)
+                return std::nullopt;
+            auto const seed = m_arguments.first_seed + m_taken++;
+            auto const needed = processes(seed);
+            m_room.wait(lock, [&] { return m_running == 0 || m_running + needed <= processes_maximum; });
+            m_running += needed;
+            return seed;
+        }
+
+        auto put_back(std::uint64_t seed, std::set<std::string> const& broken) -> void
+        {
+            std::lock_guard const lock(m_mutex);
+            m_running -= processes(seed);
+            if (!broken.empty())
+                m_failed.insert(seed);
+            for (auto const& promise : broken)
+                ++m_broken[promise];
+            m_room.notify_all();
+        }
+
+        auto failed() const -> std::set<std::uint64_t> const& { return m_failed; }
+        auto broken() const -> std::map<std::string, int> const& { return m_broken; }
+
+    private:
+        auto processes(std::uint64_t seed) const -> std::uint32_t
+        {
+            return processes_of(draw_shape(seed, m_arguments.size));
+        }
+
+        Arguments const& m_arguments;
+        std::mutex m_mutex;
+        std::condition_variable m_room;
+        std::uint64_t m_taken = 0;
+        std::uint32_t m_running = 0; ///< Processes.
+        std::set<std::uint64_t> m_failed;
+        std::map<std::string, int> m_broken; ///< Seeds by promise.
+    };
+
+    auto print_count(Seeds const& seeds, std::uint64_t played) -> void
+    {
+        std::printf("%llu seeds: %llu kept every promise, %zu broke one\n",
+            static_cast<unsigned long long>(played),
+            static_cast<unsigned long long>(played - seeds.failed().size()), seeds.failed().size());
+        for (auto const& [promise, n] : seeds.broken())
+            std::printf("  %s: broken by %d\n", promise.c_str(), n);
+        for (auto const seed : seeds.failed())
+            std::printf("  failed seed %llu\n", static_cast<unsigned long long>(seed));
     }
 
 } // namespace
 
 auto run_soak(ProgramNames const& names, int argc, char** argv) -> int
 {
+    if (argc > 2 && std::string_view(argv[1]) == run_closed_word)
+        return run_closed(argv + 2);
     auto const arguments = read_arguments(argc, argv);
     if (!arguments)
         return exit_usage;
-    bool kept = true;
-    for (std::uint64_t i = 0; i < arguments->seeds; ++i)
-        kept = soak(arguments->first_seed + i, *arguments, names) && kept;
-    return kept ? 0 : exit_breach;
+    Seeds seeds(*arguments);
+    {
+        std::vector<std::jthread> threads;
+        for (std::uint64_t i = 0; i < std::min(arguments->parallel, arguments->seeds); ++i) {
+            threads.emplace_back([&] {
+                while (auto const seed = seeds.take())
+                    seeds.put_back(*seed, soak(*seed, *arguments, names));
+            });
+        }
+    }
+    print_count(seeds, arguments->seeds);
+    return seeds.failed().empty() ? 0 : exit_breach;
 }
 
 } // namespace graniteseam::testbed::soak
--- a/testbed/soak/soaked_fleet.cc
+++ b/testbed/soak/soaked_fleet.cc
@@ -1,11 +1,15 @@
 #include "testbed/soak/soaked_fleet.h"
 
+#include <unistd.h>
+
+#include <algorithm>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
 
+#include "src/runtime/clock.h"
 #include "testbed/registered/template.h"
 #include "testbed/support/text_file.h"
 
@@ -15,7 +19,23 @@
 
     /// That a worker which said that it leaves may still get work.
     constexpr Duration drain_allowance {2'000'000};
-    constexpr Duration stop_limit {8'000'000};
+    /// A router that was told to stop ends by itself before its time is over; it is killed so long after.
+    constexpr Duration stop_limit {300'000};
+    constexpr char worker_ip[] = "127.0.0.1";
+    constexpr char keyed_service[] = "keyed";
+    constexpr char leased_service[] = "leased";
+    constexpr char pool_service[] = "pool";
+    /// A service that has fewer workers left gives none away.
+    constexpr std::ptrdiff_t workers_left_minimum = 2;
+    /// Workers differ in speed.
+    constexpr Duration work_shortest {4'000};
+    constexpr std::uint64_t work_spread_us = 40'000;
+    /// A worker's first heartbeat comes at most so long after it listens.
+    constexpr std::uint64_t first_heartbeat_spread_us = 300'000;
+    constexpr std::uint32_t late_heartbeat_every = 23;
+    /// A heartbeat that outlives its sender is held up for at most so long.
+    constexpr std::uint32_t heartbeat_delay_spread_ms = 2'500;
+    constexpr int exit_not_run = 127;
 
     auto ip_of(std::uint32_t machine) -> std::string
     {
@@ -24,9 +44,17 @@
 
 } // namespace
 
+auto run_closed(char** words) -> int
+{
+    ::close_range(STDERR_FILENO + 1, ~0U, 0);
+    ::execv(words[0], words);
+    return exit_not_run;
+}
+
 SoakedFleet::SoakedFleet(FleetOptions options, ProgramNames names)
     : m_options(std::move(options))
     , m_names(std::move(names))
+    , m_random(m_options.seed)
 {
     std::filesystem::create_directories(m_options.folder);
     while (m_ports.size() < PortCount) {
@@ -53,13 +81,18 @@
         start_control(i, true);
     for (std::uint32_t i = 0; i < m_options.routers; ++i)
         start_router(i);
-    for (std::uint32_t i = 0; i < m_options.keyed_workers + m_options.pool_workers; ++i)
+    auto const workers = m_options.keyed_workers + m_options.leased_workers + m_options.pool_workers;
+    for (std::uint32_t i = 0; i < workers; ++i) {
+        auto const leased = i < m_options.keyed_workers + m_options.leased_workers;
+        m_slots[i].service = i < m_options.keyed_workers ? keyed_service : leased ? leased_service : pool_service;
+        reserve_address(i);
         add_worker(i);
+    }
 }
 
 SoakedFleet::~SoakedFleet()
 {
-    m_workers.clear();
+    m_slots.clear();
     m_processes.clear();
 }
 
@@ -119,12 +152,13 @@
     auto const path = m_options.folder + "/" + std::to_string(machine) + ".toml";
     static_cast<void>(Attempt([&] { return WriteTextFile(path, settings); }));
     Command command;
-    command.words = {m_options.programs + "/graniteseam-platform-" + program};
+    command.words = {
+        "/proc/self/exe", run_closed_word, m_options.programs + "/graniteseam-platform-" + program};
     command.environment = {{m_names.settings_variable, path}};
     command.log = m_options.folder + "/" + std::to_string(machine) + ".log";
     auto process = Attempt([&] { return ChildProcess::Start(command); });
     if (ErrorOf(process) != nullptr) {
-        std::fprintf(stderr, "soak: %s could not be started.\n", command.words[0].c_str());
+        std::fprintf(stderr, "soak: %s could not be started.\n", command.words.back().c_str());
         std::exit(EXIT_FAILURE);
     }
     auto& started = std::get<ChildProcess>(process);
@@ -145,29 +179,86 @@
     start(machine, "router", settings_of(machine, "router", true));
 }
 
+auto SoakedFleet::reserve_address(std::uint32_t index) -> void
+{
+    auto port = Attempt([&] { return ReservedPort::Reserve(worker_ip, ""); });
+    if (ErrorOf(port) != nullptr) {
+        std::fprintf(stderr, "soak: no port is free for a worker.\n");
+        std::exit(EXIT_FAILURE);
+    }
+    m_slots.at(index).port.emplace(std::move(std::get<ReservedPort>(port)));
+}
+
 auto SoakedFleet::add_worker(std::uint32_t index) -> void
 {
-    auto const keyed = index < m_options.keyed_workers;
+    auto& slot = m_slots.at(index);
     WorkerOptions options;
     options.id = "w-" + std::to_string(index) + "-" + std::to_string(++m_worker_lives);
-    options.service = keyed ? "keyed" : "pool";
+    options.service = slot.service;
     options.zone = "z" + std::to_string(index % 3);
-    options.keyed = keyed;
+    options.keyed = slot.service != pool_service;
+    options.leases = slot.service == leased_service;
     options.registries = registries();
     options.names = m_names.exchange;
     options.owner_names = m_names.owner_calls;
-    m_worker_ids[index] = options.id;
-    m_workers[index] = std::make_unique<Worker>(options);
+    options.address = slot.port->address();
+    options.heartbeat = m_options.heartbeat;
+    options.work = work_shortest + Duration(static_cast<std::int64_t>(m_random() % work_spread_us));
+    options.first_heartbeat = Duration(static_cast<std::int64_t>(m_random() % first_heartbeat_spread_us));
+    options.late_every = late_heartbeat_every;
+    slot.worker_id = options.id;
+    slot.worker = std::make_unique<Worker>(options);
+}
+
+auto SoakedFleet::delay_heartbeat(Worker& worker, std::uint32_t choice) -> void
+{
+    auto const all = registries();
+    m_late_heartbeats.Deliver(all[choice % all.size()], worker.HoldBackHeartbeat(),
+        std::chrono::milliseconds(choice % heartbeat_delay_spread_ms));
 }
 
-auto SoakedFleet::retire_worker(std::uint32_t index) -> void
+auto SoakedFleet::retire_worker(std::uint32_t index, std::uint32_t choice) -> void
 {
-    auto const& worker = *m_workers.at(index);
+    auto& slot = m_slots.at(index);
+    auto& worker = *slot.worker;
+    if (choice % 2 == 1)
+        delay_heartbeat(worker, choice);
     auto const runs = worker.runs();
-    m_past_runs.insert(m_past_runs.end(), runs.begin(), runs.end());
+    m_seen.runs.insert(m_seen.runs.end(), runs.begin(), runs.end());
+    auto const holds = worker.holds();
+    m_seen.holds.insert(m_seen.holds.end(), holds.begin(), holds.end());
     if (worker.drain_acknowledged())
-        m_drains.push_back({m_worker_ids.at(index), worker.arrivals_after_drain(drain_allowance)});
-    m_workers.erase(index);
+        m_seen.drains.push_back({slot.worker_id, worker.arrivals_after_drain(drain_allowance)});
+    m_seen.worker_ends[slot.worker_id] = runtime::BootTimeNow();
+    slot.worker.reset();
+}
+
+auto SoakedFleet::next_service(std::uint32_t index, std::uint32_t choice) const -> std::string
+{
+    auto const& own = m_slots.at(index).service;
+    auto const left = std::count_if(
+        m_slots.begin(), m_slots.end(), [&](auto const& it) { return it.second.service == own; });
+    if (left <= workers_left_minimum)
+        return own;
+    std::vector<std::string> others {keyed_service, leased_service, pool_service};
+    std::erase(others, own);
+    return others[choice % others.size()];
+}
+
+auto SoakedFleet::begin_disturbance(std::uint32_t router) -> void
+{
+    m_seen.disturbances.push_back({router, runtime::BootTimeNow(), Instant::max()});
+    ++m_open_disturbances[router];
+}
+
+auto SoakedFleet::end_disturbance(std::uint32_t router) -> void
+{
+    if (--m_open_disturbances[router] > 0)
+        return;
+    for (auto& it : m_seen.disturbances) {
+        if (it.router == router && it.ended == Instant::max())
+            it.ended = runtime::BootTimeNow();
+    }
 }
 
 auto SoakedFleet::tear_newest_file(std::uint32_t control) const -> void
@@ -210,16 +301,24 @@
     case FaultKind::KillControl:
         return m_processes.at(control).Kill();
     case FaultKind::KillRouter:
+        begin_disturbance(fault.target);
         return m_processes.at(router).Kill();
     case FaultKind::KillAllControls:
         for (std::uint32_t i = 0; i < m_options.controls; ++i)
             m_processes.at(control_machine(i)).Kill();
         return;
+    case FaultKind::StopControl:
+        return m_processes.at(control).Signal(SIGTERM);
     case FaultKind::StopRouter:
         return m_processes.at(router).Signal(SIGTERM);
+    case FaultKind::ReloadControl:
+        return m_processes.at(control).Signal(SIGHUP);
+    case FaultKind::ReloadRouter:
+        return m_processes.at(router).Signal(SIGHUP);
     case FaultKind::FreezeControl:
         return m_processes.at(control).Signal(SIGSTOP);
     case FaultKind::FreezeRouter:
+        begin_disturbance(fault.target);
         return m_processes.at(router).Signal(SIGSTOP);
     case FaultKind::LoseDisk:
         m_processes.at(control).Kill();
@@ -229,9 +328,18 @@
         m_processes.at(control).Kill();
         return tear_newest_file(fault.target);
     case FaultKind::CrashWorker:
-        return retire_worker(fault.target);
+    case FaultKind::ReplaceWorker:
+    case FaultKind::ReuseAddress:
+        return retire_worker(fault.target, fault.choice);
     case FaultKind::DrainWorker:
-        return m_workers.at(fault.target)->Drain();
+    case FaultKind::DeregisterWorker: {
+        auto& worker = *m_slots.at(fault.target).worker;
+        delay_heartbeat(worker, fault.choice);
+        return fault.kind == FaultKind::DrainWorker ? worker.Drain() : worker.Deregister();
+    }
+    case FaultKind::CutRouter:
+        begin_disturbance(fault.target);
+        break;
     default:
         break;
     }
@@ -250,6 +358,7 @@
     auto const router = router_machine(fault.target);
     switch (fault.kind) {
     case FaultKind::KillControl:
+    case FaultKind::StopControl:
     case FaultKind::LoseDisk:
     case FaultKind::TearWrite:
         return start_control(fault.target, false);
@@ -258,34 +367,61 @@
             start_control(i, false);
         return;
     case FaultKind::KillRouter:
-        return start_router(fault.target);
+        start_router(fault.target);
+        return end_disturbance(fault.target);
     case FaultKind::StopRouter:
         static_cast<void>(m_processes.at(router).Wait(stop_limit));
-        return start_router(fault.target);
+        begin_disturbance(fault.target);
+        start_router(fault.target);
+        return end_disturbance(fault.target);
     case FaultKind::FreezeControl:
+        m_seen.thaws.push_back(runtime::BootTimeNow());
         return m_processes.at(control).Signal(SIGCONT);
     case FaultKind::FreezeRouter:
-        return m_processes.at(router).Signal(SIGCONT);
+        m_processes.at(router).Signal(SIGCONT);
+        return end_disturbance(fault.target);
     case FaultKind::CrashWorker:
+        ++m_replacements.elsewhere;
+        reserve_address(fault.target);
+        return add_worker(fault.target);
+    case FaultKind::ReuseAddress:
+        m_slots.at(fault.target).service = next_service(fault.target, fault.choice);
+        [[fallthrough]];
+    case FaultKind::ReplaceWorker:
+        ++m_replacements.at_same_address;
         return add_worker(fault.target);
     case FaultKind::DrainWorker:
-        retire_worker(fault.target);
+    case FaultKind::DeregisterWorker:
+        ++m_replacements.at_same_address;
+        retire_worker(fault.target, fault.choice);
         return add_worker(fault.target);
+    case FaultKind::CutRouter:
+        end_disturbance(fault.target);
+        break;
     default:
         break;
     }
     std::lock_guard const lock(m_mutex);
+    if (fault.kind == FaultKind::CutRouter) {
+        m_cut_routers.erase(ip_of(router));
+        return;
+    }
     m_cut_controls.erase(ip_of(control));
     m_mute_controls.erase(ip_of(control));
-    m_cut_routers.erase(ip_of(router));
 }
 
 auto SoakedFleet::collect(Observed& seen) -> void
 {
-    while (!m_workers.empty())
-        retire_worker(m_workers.begin()->first);
-    seen.runs = m_past_runs;
-    seen.drains = m_drains;
+    for (auto& [index, slot] : m_slots) {
+        if (slot.worker)
+            retire_worker(index, 0);
+    }
+    seen.runs = m_seen.runs;
+    seen.holds = m_seen.holds;
+    seen.drains = m_seen.drains;
+    seen.disturbances = m_seen.disturbances;
+    seen.thaws = m_seen.thaws;
+    seen.worker_ends = m_seen.worker_ends;
 }
 
 } // namespace graniteseam::testbed::soak
--- a/testbed/soak/soaked_fleet.h
+++ b/testbed/soak/soaked_fleet.h
@@ -7,6 +7,8 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -16,6 +18,7 @@
 #include "testbed/fleet/reserved_port.h"
 #include "testbed/fleet/socket_owners.h"
 #include "testbed/registered/fleet_machine.h"
+#include "testbed/registered/late_heartbeats.h"
 #include "testbed/registered/worker.h"
 #include "testbed/soak/fault_plan.h"
 #include "testbed/soak/promises.h"
@@ -36,10 +39,27 @@
     std::string folder; ///< For data and logs.
     std::uint32_t controls = 3;
     std::uint32_t routers = 3;
-    std::uint32_t keyed_workers = 4;
+    std::uint64_t seed = 0; ///< For what differs between workers.
+    std::uint32_t keyed_workers = 4; ///< Of the service that takes orders.
+    std::uint32_t leased_workers = 4; ///< Of the service whose keys come by heartbeat.
     std::uint32_t pool_workers = 2;
+    Duration heartbeat {200'000};
 };
 
+/// How often a worker was replaced by another process.
+struct Replacements {
+    std::uint64_t at_same_address = 0;
+    std::uint64_t elsewhere = 0;
+};
+
+/// The word that makes the soak's own program run another one in its place, see run_closed().
+inline constexpr char run_closed_word[] = "--run-closed";
+
+/// Replaces this process by a program, with no descriptor but the standard ones open. The sockets of workers
+/// and callers are not to live on in the programs under test: a worker that crashed would still seem to listen.
+/// @return only when the program can't be run.
+auto run_closed(char** words) -> int;
+
 /// Processes die with the thread that constructed it. Faults are begun and undone by that thread; the
 /// addresses may be read by any.
 class SoakedFleet {
@@ -57,9 +77,12 @@
     auto begin(Fault const&) -> void;
     auto undo(Fault const&) -> void;
 
-    /// What workers ran and what came after their drains; workers that ended count too.
+    /// What workers ran and held, what came after their drains, and what was done to routers; workers that
+    /// ended count too. Ends the workers.
     auto collect(Observed&) -> void;
 
+    auto replacements() const -> Replacements { return m_replacements; }
+
 private:
     using Machine = std::uint32_t; ///< Controls from 1, routers after them.
     /// Ports, the same on all machines.
@@ -81,8 +104,16 @@
     auto at_port(std::string const& ip, Port) const -> std::string;
     auto data_folder(std::uint32_t control) const -> std::string;
     auto tear_newest_file(std::uint32_t control) const -> void;
+    /// Starts a worker of the slot's service at the slot's address.
     auto add_worker(std::uint32_t index) -> void;
-    auto retire_worker(std::uint32_t index) -> void;
+    /// Notes what the slot's worker saw and ends it, as a crash does. A heartbeat of it may come later.
+    auto retire_worker(std::uint32_t index, std::uint32_t choice) -> void;
+    /// Keeps a heartbeat back that was made now, and delivers it later.
+    auto delay_heartbeat(Worker&, std::uint32_t choice) -> void;
+    auto reserve_address(std::uint32_t index) -> void;
+    auto next_service(std::uint32_t index, std::uint32_t choice) const -> std::string;
+    auto begin_disturbance(std::uint32_t router) -> void;
+    auto end_disturbance(std::uint32_t router) -> void;
     auto link_state(std::string const& from, std::string const& to) const -> LinkState;
 
     FleetOptions const m_options;
@@ -91,11 +122,20 @@
     SocketOwners m_owners;
     std::unique_ptr<LinkLayer> m_links;
     std::map<Machine, ChildProcess> m_processes;
-    std::map<std::uint32_t, std::unique_ptr<Worker>> m_workers; ///< By index.
-    std::map<std::uint32_t, std::string> m_worker_ids;
+    /// A place for one worker after the other.
+    struct Slot {
+        std::string service;
+        std::optional<ReservedPort> port;
+        std::string worker_id;
+        std::unique_ptr<Worker> worker;
+    };
+    std::map<std::uint32_t, Slot> m_slots; ///< By index.
     std::uint32_t m_worker_lives = 0;
-    std::vector<WorkerRun> m_past_runs;
-    std::vector<SeenDrain> m_drains;
+    std::mt19937_64 m_random;
+    LateHeartbeats m_late_heartbeats;
+    Replacements m_replacements;
+    Observed m_seen; ///< Of workers that ended, and of what was done.
+    std::map<std::uint32_t, int> m_open_disturbances; ///< By router.
 
     mutable std::mutex m_mutex; ///< Guards what follows, which the relay's thread reads.
     std::set<std::string> m_cut_controls;
--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -289,7 +289,7 @@
     return draining.drain_acknowledged() ? "" : "acknowledgement";
   });
   for (std::uint32_t key = 0; key < 65'536; key += 4'096) fleet.AwaitServed(2, "/keyed/x", key);
-  cr_assert(draining.arrivals_after_drain(std::chrono::seconds(2)) == 0);
+  cr_assert(draining.arrivals_after_drain(std::chrono::seconds(2)).empty());
 
   // A change is in force at every router, soon after it was accepted.
   cr_assert(fleet.Operate("PUT", ConfigurationText(8, "/more/"), 5).status == 200);
--- a/tests/soak/fault_plan_test.cc
+++ b/tests/soak/fault_plan_test.cc
@@ -25,7 +25,7 @@
         for (auto const& fault : plan)
             kinds.insert(fault.kind);
     }
-    cr_assert(kinds.size() == 13);
+    cr_assert(kinds.size() == 19);
 }
 
 Test(fault_plan, second_lost_disk_and_a_killed_member_beside_a_lost_disk_are_not_borne)
@@ -46,3 +46,26 @@
     Fault const late {FaultKind::KillRouter, Duration {25'500'000}, Duration {1'000'000}, 0};
     cr_assert(!is_borne(std::vector {late}, bounds));
 }
+
+Test(fault_plan, faults_overlap_and_come_in_series)
+{
+    PlanBounds const bounds;
+    for (std::uint64_t seed = 0; seed < 500; ++seed) {
+        auto const plan = plan_faults(seed, bounds);
+        std::size_t beside = 0;
+        for (std::size_t i = 1; i < plan.size(); ++i)
+            beside += plan[i].at < plan[i - 1].at + plan[i - 1].span ? 1U : 0U;
+        cr_assert(beside >= 1, "seed %lu: one fault at a time", seed);
+    }
+}
+
+Test(fault_plan, router_bears_several_signals_at_once_and_one_restart)
+{
+    PlanBounds const bounds;
+    Fault const stopped {FaultKind::StopRouter, Duration {5'000'000}, Duration {6'500'000}, 0};
+    Fault const frozen {FaultKind::FreezeRouter, Duration {6'000'000}, Duration {1'000'000}, 0};
+    Fault const reloaded {FaultKind::ReloadRouter, Duration {6'500'000}, Duration {1'000}, 0};
+    Fault const killed {FaultKind::KillRouter, Duration {7'000'000}, Duration {1'000'000}, 0};
+    cr_assert(is_borne(std::vector {stopped, frozen, reloaded}, bounds));
+    cr_assert(!is_borne(std::vector {stopped, killed}, bounds));
+}
--- a/tests/soak/promises_test.cc
+++ b/tests/soak/promises_test.cc
@@ -23,7 +23,29 @@
 auto run(std::string worker, std::string attempt, std::uint64_t fence, std::int64_t begun, std::int64_t ended)
     -> WorkerRun
 {
-    return {std::move(worker), std::move(attempt), 7, fence, at(begun), at(ended)};
+    return {std::move(worker), std::move(attempt), 7, fence, at(begun), at(ended), "keyed"};
+}
+
+auto hold(std::string worker, std::uint64_t fence, std::int64_t since, std::int64_t until) -> WorkerHold
+{
+    return {std::move(worker), "keyed", {100, 200, fence, at(until), at(since)}};
+}
+
+/// A request on a kept connection to router 0 that ran, and whose connection was closed.
+auto lose_on_kept_connection(Observed& seen, std::string const& attempt) -> void
+{
+    auto lost = answer(attempt, true, 0);
+    lost.kept = lost.closed = true;
+    lost.sent = at(100);
+    lost.ended = at(150);
+    seen.answers.push_back(lost);
+    seen.runs.push_back(run("w-2", attempt, 8, 110, 140));
+}
+
+auto lose_four(Observed& seen) -> void
+{
+    for (auto const* attempt : {"k-1", "k-2", "k-3", "k-4"})
+        lose_on_kept_connection(seen, attempt);
 }
 
 auto change(std::uint64_t base, std::uint64_t version, std::string body, std::int64_t ended) -> SeenChange
@@ -41,7 +63,8 @@
         run("w-2", "d", 8, 30, 35)};
     seen.changes = {change(0, 1, "one", 10), change(0, 1, "one", 20), change(1, 3, "three", 30)};
     seen.reads = {{1, "one", at(15)}, {3, "three", at(40)}};
-    seen.drains = {{"w-1", 0}};
+    seen.drains = {{"w-1", {}}};
+    seen.holds = {hold("w-1", 3, 0, 10), hold("w-1", 3, 8, 15), hold("w-2", 8, 15, 60)};
     seen.asked_at_the_end = 100;
     seen.served_at_the_end = 100;
     return seen;
@@ -129,9 +152,107 @@
 Test(promises, work_after_a_drain_and_a_fleet_that_does_not_recover)
 {
     auto seen = whole();
-    seen.drains[0].late_arrivals = 1;
+    seen.drains[0].late_arrivals = {"a"};
     assert_only(seen, "drained_rests");
     seen = whole();
     seen.served_at_the_end = 24;
     assert_only(seen, "recovers");
 }
+
+Test(promises, same_key_number_of_two_services_is_two_keys)
+{
+    auto seen = whole();
+    seen.answers.push_back(answer("e", true, 502));
+    seen.runs.push_back(run("w-3", "e", 2, 33, 40));
+    seen.runs.back().service = "leased";
+    seen.holds.push_back(hold("w-3", 2, 20, 50));
+    seen.holds.back().service = "leased";
+    cr_assert(check_promises(seen).empty());
+}
+
+Test(promises, keys_held_by_two_at_once_without_any_request)
+{
+    auto seen = whole();
+    seen.holds.push_back(hold("w-3", 9, 59, 70));
+    assert_only(seen, "held_alone");
+}
+
+Test(promises, keys_taken_by_another_instance_under_an_equal_or_a_lower_fence)
+{
+    auto seen = whole();
+    seen.holds.push_back(hold("w-3", 8, 61, 70));
+    assert_only(seen, "held_under_higher_fence");
+    seen = whole();
+    seen.holds.push_back(hold("w-3", 7, 61, 70));
+    assert_only(seen, "held_under_higher_fence");
+    seen = whole();
+    seen.holds.push_back(hold("w-3", 9, 61, 70));
+    cr_assert(check_promises(seen).empty());
+}
+
+Test(promises, keys_taken_under_a_fence_of_long_ago)
+{
+    // Not the last holder's fence, but that of one before it.
+    auto seen = whole();
+    seen.holds.push_back(hold("w-3", 3, 70, 80));
+    assert_only(seen, "held_under_higher_fence");
+}
+
+Test(promises, keys_that_come_back_to_the_same_instance_under_its_own_fence_are_the_same_grant)
+{
+    auto seen = whole();
+    seen.holds.push_back(hold("w-2", 8, 90, 95));
+    cr_assert(check_promises(seen).empty());
+}
+
+Test(promises, grant_just_after_its_sender_went_on_does_not_count)
+{
+    auto seen = whole();
+    seen.holds.push_back(hold("w-3", 8, 1'200, 1'300));
+    seen.thaws = {at(1'000)};
+    cr_assert(check_promises(seen).empty());
+    seen.thaws = {at(800)};
+    assert_only(seen, "held_under_higher_fence");
+}
+
+Test(promises, kept_connections_closed_without_an_answer_more_than_three_times)
+{
+    auto seen = whole();
+    lose_four(seen);
+    assert_only(seen, "kept_is_answered");
+    seen.answers.back().closed = false;
+    cr_assert(check_promises(seen).empty());
+}
+
+Test(promises, close_that_crosses_a_request_does_not_count)
+{
+    auto seen = whole();
+    lose_four(seen);
+    seen.runs.pop_back();
+    cr_assert(lost_on_kept_connections(seen).size() == 3);
+    cr_assert(check_promises(seen).empty());
+}
+
+Test(promises, close_by_a_disturbed_router_or_beside_a_worker_that_ended_does_not_count)
+{
+    auto seen = whole();
+    lose_four(seen);
+    seen.disturbances = {{0, at(-2'500), at(-2'000)}};
+    cr_assert(check_promises(seen).empty());
+    seen.disturbances = {{1, at(-2'500), at(-2'000)}};
+    assert_only(seen, "kept_is_answered");
+    seen.disturbances = {{0, at(-4'500), at(-4'000)}};
+    assert_only(seen, "kept_is_answered");
+    seen.worker_ends["w-2"] = at(145);
+    cr_assert(check_promises(seen).empty());
+}
+
+Test(promises, work_after_a_drain_that_a_disturbed_router_sent_does_not_count)
+{
+    auto seen = whole();
+    seen.drains[0].late_arrivals = {"a"};
+    seen.disturbances = {{0, at(-500), at(5)}};
+    cr_assert(check_promises(seen).empty());
+    seen.disturbances = {{1, at(-500), at(5)}};
+    assert_only(seen, "drained_rests");
+}
--- /dev/null
+++ b/tests/soak/run_shape_test.cc
@@ -0,0 +1,28 @@
+#include "testbed/soak/run_shape.h"
+
+#include <criterion/criterion.h>
+
+using namespace graniteseam;
+using namespace graniteseam::testbed::soak;
+
+Test(run_shape, follows_from_its_seed_alone_and_both_sizes_come_up)
+{
+    int large = 0;
+    for (std::uint64_t seed = 0; seed < 200; ++seed) {
+        auto const shape = draw_shape(seed, {});
+        cr_assert(shape == draw_shape(seed, {}));
+        cr_assert(shape.keyed_workers >= 2 && shape.leased_workers >= 2 && shape.pool_workers >= 2);
+        large += shape.routers >= 9 ? 1 : 0;
+    }
+    cr_assert(large > 20 && large < 100);
+}
+
+Test(run_shape, large_runs_stay_within_a_few_hundred_processes)
+{
+    for (std::uint64_t seed = 0; seed < 200; ++seed) {
+        auto const shape = draw_shape(seed, RunSize::Large);
+        cr_assert(shape.routers >= 9 && shape.routers <= 20);
+        cr_assert(workers_of(shape) >= 60 && workers_of(shape) <= 150);
+        cr_assert(processes_of(shape) <= 23);
+    }
+}
