--- a/testbed/soak/soaked_fleet.cc
+++ b/testbed/soak/soaked_fleet.cc
@@ -21,7 +21,7 @@
     constexpr Duration drain_allowance {2'000'000};
     /// A router that was told to stop ends by itself before its time is over; it is killed so long after.
     constexpr Duration stop_limit {300'000};
-    constexpr char worker_ip[] = "127.0.0.1";
+    constexpr char local_ip[] = "127.0.0.1";
     constexpr char keyed_service[] = "keyed";
     constexpr char leased_service[] = "leased";
     constexpr char pool_service[] = "pool";
@@ -58,8 +58,13 @@
 {
     std::filesystem::create_directories(m_options.folder);
     while (m_ports.size() < PortCount) {
-        // The relay listens on the same ports of its own addresses.
-        auto port = Attempt([] { return ReservedPort::Reserve(ip_of(1), LinkLayer::RelayIp(ip_of(1))); });
+        // The relay listens on the same ports of its own addresses. Control's own HTTP listens on the local
+        // address, as its settings template has it, where workers and callers take ports too.
+        auto const local = m_ports.size() == HttpPort;
+        auto port = Attempt([&] {
+            return local ? ReservedPort::Reserve(local_ip, ip_of(1))
+                         : ReservedPort::Reserve(ip_of(1), LinkLayer::RelayIp(ip_of(1)));
+        });
         if (ErrorOf(port) != nullptr) {
             std::fprintf(stderr, "soak: no port is free.\n");
             std::exit(EXIT_FAILURE);
@@ -198,7 +203,7 @@
 
 auto SoakedFleet::reserve_address(std::uint32_t index) -> void
 {
-    auto port = Attempt([&] { return ReservedPort::Reserve(worker_ip, ""); });
+    auto port = Attempt([&] { return ReservedPort::Reserve(local_ip, ""); });
     if (ErrorOf(port) != nullptr) {
         std::fprintf(stderr, "soak: no port is free for a worker.\n");
         std::exit(EXIT_FAILURE);
