--- a/testbed/registered/worker.cc
+++ b/testbed/registered/worker.cc
@@ -9,6 +9,7 @@
 #include <mutex>
 #include <nlohmann/json.hpp>
 #include <set>
+#include <thread>
 
 #include "src/event_http/client_pool.h"
 #include "src/event_http/server.h"
@@ -31,6 +32,8 @@
 constexpr Duration kUrgentHeartbeat{100'000};
 /// After a call that nobody answered.
 constexpr Duration kRetryAfter{150'000};
+constexpr Duration kListenLimit{5'000'000};
+constexpr auto kListenPause = std::chrono::milliseconds(5);
 constexpr Duration kReleaseLook{2'000};
 /// How long a heartbeat is held up: this, and a part of the second figure.
 constexpr Duration kLateAtLeast{300'000};
@@ -75,15 +78,7 @@
  public:
   explicit Impl(WorkerOptions options)
       : options_(std::move(options)), pool_(loop_.context(), {}), beat_timer_(loop_.context()) {
-    event_http::ServerOptions server;
-    server.address = options_.address;
-    server_ = std::make_unique<event_http::Server>(
-        loop_.context(), server, [this](const auto& exchange) { OnExchange(exchange); });
-    const auto started = Attempt([this] { return server_->Start(); });
-    if (const Error* error = ErrorOf(started)) {
-      std::fprintf(stderr, "worker %s: %s\n", options_.id.c_str(), error->message.c_str());
-      std::abort();
-    }
+    Listen();
     address_ = options_.address.ip + ":" + std::to_string(server_->port());
     asio::post(loop_.context(), [this] { BeatAfter(options_.first_heartbeat); });
   }
@@ -154,6 +149,26 @@
     }
   }
 
+  /// Listens. The socket of the worker before at the address may live for a moment more, in a
+  /// process that is just being started and has not closed yet what it inherited.
+  auto Listen() -> void {
+    event_http::ServerOptions server;
+    server.address = options_.address;
+    auto const end = runtime::BootTimeNow() + kListenLimit;
+    for (;;) {
+      server_ = std::make_unique<event_http::Server>(
+          loop_.context(), server, [this](auto const& exchange) { OnExchange(exchange); });
+      auto const started = Attempt([this] { return server_->Start(); });
+      auto const* error = ErrorOf(started);
+      if (error == nullptr) return;
+      if (runtime::BootTimeNow() >= end) {
+        std::fprintf(stderr, "worker %s: %s\n", options_.id.c_str(), error->message.c_str());
+        std::abort();
+      }
+      std::this_thread::sleep_for(kListenPause);
+    }
+  }
+
   /// Refuses what is no order for this instance, and leads the rest on.
   template <class Handler>
   auto TakeOrder(std::shared_ptr<Exchange> const& exchange, Handler const& handler) -> void {
