Send no order to a key owner after the leader lease is over; keep results over a full disk

Cause: orders are decided under the leader lease and sent after the disk has taken what they rest on. A leader whose disk stalled sent renewals that a later leader had already counted as over: the right instance, but a later state of the keys. And while the disk was full, the results of orders were dropped as if they were sent again; a range whose order has no result gets no other one. Change: an order carries the end of the leader lease, and is not handed to the kernel after it, over new and kept connections; what is not sent again is put off until the disk has room.

--- a/src/daemon/control/control_driver.cc
+++ b/src/daemon/control/control_driver.cc
@@ -110,7 +110,10 @@
 
 void ControlDriver::Step(std::vector<ControlEvent> events) {
   std::vector<control::ControlEffects> pending;
-  pending.reserve(events.size() + 1);
+  pending.reserve(put_off_.size() + events.size() + 1);
+  for (ControlEvent& event : std::exchange(put_off_, {})) {
+    pending.push_back(Apply(std::move(event)));
+  }
   for (ControlEvent& event : events) pending.push_back(Apply(std::move(event)));
   const Instant now = runtime::BootTimeNow();
   if (now >= node_.NextTick()) pending.push_back(node_.Tick(now, runtime::WallMillis()));
@@ -210,17 +213,20 @@
   }
 }
 
-/// Answers operators that wait, so that they learn why nothing is accepted; drops the rest, which
-/// is sent again.
+/// Answers operators that wait, so that they learn why nothing is accepted, and drops what is sent
+/// again. The rest is put off: the node waits for an order's result, for example, until it comes.
 void ControlDriver::RefuseWhileFull(const Error& error) {
   if (!status().storage_full) log_.Error(error);
   PublishStatus(true);
   const Instant end = runtime::BootTimeNow() + kFullRetryInterval;
   for (Instant now = end - kFullRetryInterval; now < end && !queue_.closed();
        now = runtime::BootTimeNow()) {
-    for (const ControlEvent& event : queue_.Take(kEventsAtOnce, end - now)) {
-      const auto* request = std::get_if<OperatorRequested>(&event);
-      if (request != nullptr) outputs_.to_operator({request->request, error});
+    for (ControlEvent& event : queue_.Take(kEventsAtOnce, end - now)) {
+      if (const auto* request = std::get_if<OperatorRequested>(&event)) {
+        outputs_.to_operator({request->request, error});
+      } else if (!IsSentAgain(event)) {
+        put_off_.push_back(std::move(event));
+      }
     }
   }
 }
--- a/src/daemon/control/control_driver.h
+++ b/src/daemon/control/control_driver.h
@@ -94,6 +94,8 @@
   std::unique_ptr<Statistics> statistics_;
   Instant next_statistics_;
   bool space_is_low_ = false;
+  /// What happened while the disk was full and is told only once.
+  std::vector<ControlEvent> put_off_;
   std::thread thread_;
   std::atomic<bool> failed_{false};
   mutable std::mutex status_mutex_;  ///< Guards status_.
--- a/src/daemon/control/control_event.cc
+++ b/src/daemon/control/control_event.cc
@@ -5,7 +5,6 @@
 #include <utility>
 
 namespace graniteseam::daemon {
-namespace {
 
 bool IsSentAgain(const ControlEvent& event) {
   return std::holds_alternative<PeerMessageArrived>(event) ||
@@ -14,8 +13,6 @@
          std::holds_alternative<PlatformListed>(event);
 }
 
-}  // namespace
-
 bool ControlEventQueue::Push(ControlEvent event) {
   const std::lock_guard lock(mutex_);
   if (events_.size() >= capacity_ && IsSentAgain(event)) return false;
--- a/src/daemon/control/control_event.h
+++ b/src/daemon/control/control_event.h
@@ -42,6 +42,9 @@
     std::variant<PeerMessageArrived, ServerAnswered, RouterMessageArrived, RouterDisconnected,
                  OperatorRequested, PlatformListed, RangeOrderEnded, StopPrepared>;
 
+/// Whether the sender of an event sends it again by itself, so that it may be dropped.
+bool IsSentAgain(const ControlEvent& event);
+
 /// Carries events from all threads to the deciding one. Thread safe.
 ///
 /// Bounded: when full, it drops what its sender sends again by itself (messages of peers and
--- a/src/daemon/control/owner_client.cc
+++ b/src/daemon/control/owner_client.cc
@@ -106,6 +106,7 @@
   call.address = order.address;
   call.bytes = event_http::Serialize(request);
   call.limit = order.limit;
+  call.not_after = order.not_after;
   const Instant sent = runtime::BootTimeNow();
   pool_.Start(std::move(call), [this, order, sent](const event_http::CallResult& result) {
     OnEnd(order, sent, result);
--- a/src/event_http/client_pool.cc
+++ b/src/event_http/client_pool.cc
@@ -157,6 +157,7 @@
   }
 
   void Write() {
+    if (runtime::BootTimeNow() > call_.not_after) return Fail(CallEnd::kNotSent);
     handed_over_ = true;
     asio::async_write(
         socket_, asio::buffer(call_.bytes),
--- a/src/event_http/client_pool.h
+++ b/src/event_http/client_pool.h
@@ -22,6 +22,8 @@
   std::string bytes;    ///< The whole request.
   bool head = false;    ///< A HEAD request: its answer has no body.
   Duration limit{};     ///< For connecting, sending and the whole answer together.
+  /// A request that is not handed to the kernel by then is not sent at all.
+  Instant not_after = Instant::max();
   /// Connections that rested longer are not used: the server may just be closing them.
   Duration rested_maximum{4'000'000};
 };
--- a/tests/control/range_order_test.cc
+++ b/tests/control/range_order_test.cc
@@ -100,3 +100,17 @@
   cr_assert(node.Leading(harness.now()));
   cr_assert(node.NextTick() > harness.now());
 }
+
+Test(range_order, order_is_good_for_the_leader_lease_only) {
+  ControlHarness harness;
+  std::size_t orders = 0;
+  harness.on_range_order = [&](std::size_t process, const RangeOrder& order) {
+    ++orders;
+    cr_assert(order.not_after == harness.node(process).consensus().leader_lease_end());
+    cr_assert(order.not_after > harness.now());
+    harness.GiveRangeResult(process, {order.number, RangeOrderResult::Outcome::kDone, ""});
+  };
+  start_ranges(harness);
+  harness.RunFor(3 * kSecond);
+  cr_assert(orders > 4);
+}
--- a/tests/control_daemon/control_driver_test.cc
+++ b/tests/control_daemon/control_driver_test.cc
@@ -2,9 +2,12 @@
 
 #include <criterion/criterion.h>
 
+#include <condition_variable>
 #include <filesystem>
 #include <fstream>
 #include <iterator>
+#include <mutex>
+#include <vector>
 
 #include "graniteseam/bundle/bundle.h"
 #include "src/daemon/control/operator_desk.h"
@@ -72,6 +75,48 @@
   return control::SubmitBundle{read, bundle::Digest(read), text};
 }
 
+/// Orders to key owners, handed from the deciding thread to the test's.
+class OrderList {
+ public:
+  void Push(const control::RangeOrder& order) {
+    const std::lock_guard lock(mutex_);
+    orders_.push_back(order);
+    changed_.notify_all();
+  }
+  /// Waits for the order of this place in their sequence.
+  control::RangeOrder Await(std::size_t place) {
+    std::unique_lock lock(mutex_);
+    changed_.wait(lock, [&] { return orders_.size() > place; });
+    return orders_[place];
+  }
+
+ private:
+  std::mutex mutex_;
+  std::condition_variable changed_;
+  std::vector<control::RangeOrder> orders_;
+};
+
+control::OperatorRequest ConfigureKeyedService() {
+  control::ChangeConfiguration change;
+  change.change.version = {1};
+  change.change.whole = true;
+  graniteseam::traffic::Service service;
+  service.name = {"archive"};
+  service.keyed = true;
+  change.change.services = {service};
+  return change;
+}
+
+control::OperatorRequest Heartbeat(std::int64_t sequence, std::int64_t slots) {
+  control::ReportInstance heartbeat;
+  heartbeat.report.id = {"i-1"};
+  heartbeat.report.service = {"archive"};
+  heartbeat.report.address = "127.0.0.1:1";
+  heartbeat.report.sequence = sequence;
+  heartbeat.report.slots = slots;
+  return heartbeat;
+}
+
 /// A group of one voter in a folder of its own.
 class Voter {
  public:
@@ -84,6 +129,8 @@
     outputs.to_router = [](const auto& /*send*/) {};
     outputs.to_operator = [this](const control::OperatorReply& reply) { desk.Answer(reply); };
     outputs.stop = [this] { stopped = true; };
+    outputs.to_range_owner = [this](const control::RangeOrder& order) { orders.Push(order); };
+    outputs.on_range_note = [](const auto& /*note*/) {};
     driver = std::make_unique<program::ControlDriver>(control::ControlOptions{}, OpenStorage(),
                                                       queue, std::move(outputs), metrics);
     driver->Start();
@@ -107,6 +154,7 @@
   program::ControlEventQueue queue;
   program::OperatorDesk desk{queue};
   std::atomic<bool> stopped{false};
+  OrderList orders;
   std::unique_ptr<program::ControlDriver> driver;
 
  private:
@@ -140,6 +188,25 @@
   cr_assert(!voter.stopped && !voter.driver->failed());
 }
 
+/// A range whose order has no result gets no further one: the result must survive the full disk.
+Test(control_driver, result_of_an_order_that_comes_while_the_disk_is_full_is_kept, .timeout = 60) {
+  Voter voter;
+  cr_assert(std::holds_alternative<control::Accepted>(voter.desk.Execute(ConfigureKeyedService())));
+  voter.desk.Execute(Heartbeat(1, 1));
+  const control::RangeOrder first = voter.orders.Await(0);
+  voter.faults.full = true;
+  voter.queue.Push(program::OperatorRequested{0, Heartbeat(2, 2)});
+  while (!voter.driver->status().storage_full) std::this_thread::yield();
+  using Result = control::RangeOrderResult;
+  voter.queue.Push(program::RangeOrderEnded{Result{first.number, Result::Outcome::kDone, ""}});
+  // Taken off the queue while the disk is full still.
+  while (voter.queue.size() > 0) std::this_thread::yield();
+  voter.faults.full = false;
+  const control::RangeOrder next = voter.orders.Await(1);
+  cr_assert(next.number != first.number);
+  cr_assert(next.span == first.span);
+}
+
 Test(control_driver, a_failed_sync_ends_the_process_without_an_answer) {
   Voter voter;
   voter.faults.broken = true;
--- a/tests/control_daemon/owner_client_test.cc
+++ b/tests/control_daemon/owner_client_test.cc
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "src/event_http/server.h"
+#include "src/runtime/clock.h"
 
 namespace control = graniteseam::control;
 namespace program = graniteseam::daemon;
@@ -19,6 +20,7 @@
 using graniteseam::Attempt;
 using graniteseam::Duration;
 using graniteseam::ErrorOf;
+using graniteseam::Instant;
 using Kind = control::RangeOrder::Kind;
 using Outcome = control::RangeOrderResult::Outcome;
 
@@ -82,7 +84,8 @@
     ::close(m_discarded);
   }
 
-  auto send(Kind kind) -> Outcome {
+  /// @param not_after the end of the leader lease under which the order was decided.
+  auto send(Kind kind, Instant not_after = Instant::max()) -> Outcome {
     control::RangeOrder order;
     order.number = m_last = m_last.Next();
     order.kind = kind;
@@ -92,6 +95,7 @@
     order.fence = {138};
     order.hold = std::chrono::seconds(3);
     order.limit = std::chrono::seconds(5);
+    order.not_after = not_after;
     m_ended = {};
     auto ended = m_ended.get_future();
     m_client.Send(order);
@@ -146,3 +150,16 @@
 Test(owner_client, release_is_not_taken_by_the_next_process_at_the_address) {
   expect_not_taken_by_the_next_process(Kind::kRelease);
 }
+
+/// A leader stood still between its decision and the sending, and another one leads by now.
+Test(owner_client, order_is_not_sent_after_the_leader_lease_is_over) {
+  ServerLife owner("i-1", 0);
+  Orders orders(owner.port());
+  const Instant over = runtime::BootTimeNow() - std::chrono::microseconds(1);
+  cr_assert(orders.send(Kind::kGrant, over) == Outcome::kNotDelivered);
+  cr_assert(owner.orders_taken() == 0);
+  // The same over a kept connection.
+  cr_assert(orders.send(Kind::kGrant) == Outcome::kDone);
+  cr_assert(orders.send(Kind::kGrant, over) == Outcome::kNotDelivered);
+  cr_assert(owner.orders_taken() == 1);
+}
