--- a/src/daemon/gateway/gateway_process.cc
+++ b/src/daemon/gateway/gateway_process.cc
@@ -169,6 +169,7 @@
   call.bytes = translator_.ForServer(request, send);
   call.head = request.method == "HEAD";
   call.limit = send.time_left;
+  call.needs_new_connection = send.needs_new_connection;
   metrics_.OnSend();
   live.call = servers_->Start(std::move(call), [this, send](event_http::CallResult result) {
     OnCallEnd(send, std::move(result));
--- a/src/event_http/client_pool.cc
+++ b/src/event_http/client_pool.cc
@@ -328,7 +328,7 @@
 
 std::shared_ptr<ClientConnection> ClientPool::Impl::TakeResting(const Call& call) {
   const auto found = resting_.find(call.address);
-  if (found == resting_.end() || found->second.empty()) return nullptr;
+  if (call.needs_new_connection || found == resting_.end() || found->second.empty()) return nullptr;
   std::shared_ptr<ClientConnection> connection = found->second.back();
   const Duration limit = std::min(call.rested_maximum, connection->rest_limit());
   if (connection->Rested() > limit) return nullptr;
--- a/src/event_http/client_pool.h
+++ b/src/event_http/client_pool.h
@@ -18,10 +18,11 @@
 using CallNumber = NumericId<struct CallNumberTag>;
 
 struct Call {
-  std::string address;  ///< "ip:port".
-  std::string bytes;    ///< The whole request.
-  bool head = false;    ///< A HEAD request: its answer has no body.
-  Duration limit{};     ///< For connecting, sending and the whole answer together.
+  std::string address;                ///< "ip:port".
+  std::string bytes;                  ///< The whole request.
+  bool head = false;                  ///< A HEAD request: its answer has no body.
+  Duration limit{};                   ///< For connecting, sending and the whole answer together.
+  bool needs_new_connection = false;  ///< No kept connection will do.
   /// A request that is not handed to the kernel by then is not sent at all.
   Instant not_after = Instant::max();
   /// Connections that rested longer are not used: the server may just be closing them.
--- a/src/gateway/gateway_events.h
+++ b/src/gateway/gateway_events.h
@@ -77,6 +77,9 @@
   traffic::InstanceId instance;
   std::string address;  ///< "ip:port".
   Duration time_left{};
+  /// The server had an attempt of this request before, which may run once only. A surplus answer to
+  /// that one carries the same id, and must not pass for the answer to this one.
+  bool needs_new_connection = false;
 };
 /// Stop waiting for an attempt and close its connection.
 struct AbandonAttempt {
--- a/src/gateway/request_sending.cc
+++ b/src/gateway/request_sending.cc
@@ -1,5 +1,6 @@
 // Which server a waiting request goes to, and what it waits for otherwise.
 #include <algorithm>
+#include <utility>
 
 #include "src/gateway/gateway_node.h"
 #include "src/gateway/hold_limits.h"
@@ -93,10 +94,17 @@
   Note(request.arrived.number, "send", id, traffic_.backends().Describe(backend, now));
   request.open = OpenAttempt{++request.numbering, id, now};
   ++request.attempts;
+  const bool again =
+      std::find(request.tried.begin(), request.tried.end(), id) != request.tried.end();
   request.tried.push_back(id);
-  effects_.actions.emplace_back(SendAttempt{request.arrived.number, request.numbering, id,
-                                            backend.instance.report.address,
-                                            request.give_up - now});
+  SendAttempt send;
+  send.request = request.arrived.number;
+  send.attempt = request.numbering;
+  send.instance = id;
+  send.address = backend.instance.report.address;
+  send.time_left = request.give_up - now;
+  send.needs_new_connection = again && request.kind == traffic::RouteKind::kUnsafe;
+  effects_.actions.emplace_back(std::move(send));
   traffic_.backends().OnSent(id);
   requests_.set_timer(request, request.give_up);
 }
--- a/tests/event_http/event_http_test.cc
+++ b/tests/event_http/event_http_test.cc
@@ -43,13 +43,14 @@
 };
 
 CallResult CallAndWait(runtime::EventLoop& loop, ClientPool& pool, const std::string& address,
-                       const Request& request) {
+                       const Request& request, bool needs_new_connection = false) {
   std::promise<CallResult> ended;
   boost::asio::post(loop.context(), [&] {
     Call call;
     call.address = address;
     call.bytes = Serialize(request);
     call.limit = std::chrono::seconds(5);
+    call.needs_new_connection = needs_new_connection;
     pool.Start(std::move(call), [&](CallResult result) { ended.set_value(std::move(result)); });
   });
   return ended.get_future().get();
@@ -73,6 +74,16 @@
 
 }  // namespace
 
+Test(event_http, call_that_needs_a_new_connection_takes_no_kept_one) {
+  EchoServer server;
+  runtime::EventLoop loop;
+  ClientPool pool(loop.context(), {});
+  cr_assert(CallAndWait(loop, pool, server.address(), Post("/x", "one")).new_connection);
+  cr_assert(!CallAndWait(loop, pool, server.address(), Post("/x", "two")).new_connection);
+  cr_assert(CallAndWait(loop, pool, server.address(), Post("/x", "three"), true).new_connection);
+  loop.Stop();
+}
+
 Test(event_http, connection_is_kept_for_the_next_call) {
   EchoServer server;
   runtime::EventLoop loop;
