Answer what was handed on from a kept connection before the connection ends

Reading the caller's side of the server found these paths: - the write limit counted from the start of a write, not from the last bytes that the client took: a long answer on a slow link was cut; - a client that ended its sending while its answer was being written lost the rest of it; - a request sent ahead behind one that a drain answered was dropped; - a close (the later part of a stop) handed on what came whole only after it, and, when it met an answer amid its writing, everything after that; - a close reset connections whose client had not taken its answer yet when something unread lay in the socket. Read without a finding: idle end and header limit (a request is answered or not handed on), body limits, pipelining behind 'Connection: close', resets, held requests beyond the idle time.

Change: progress of a write counts; an end of input amid a write waits for the write; what was sent ahead is answered in a drain and refused with 503 after a close; after a close nothing goes to the handler; lingering connections count as unfinished and are left to a close. The clock of a server can be given, so that tests step it.

--- a/src/event_http/server.cc
+++ b/src/event_http/server.cc
@@ -14,7 +14,6 @@
 #include <utility>
 
 #include "src/event_http/socket_options.h"
-#include "src/runtime/clock.h"
 
 namespace graniteseam::event_http {
 namespace {
@@ -93,19 +92,21 @@
 /// see when the client leaves.
 class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
  public:
-  ServerConnection(Tcp::socket socket, std::weak_ptr<Server::Impl> server)
-      : socket_(std::move(socket)), server_(std::move(server)) {}
+  ServerConnection(Tcp::socket socket, const std::shared_ptr<Server::Impl>& server)
+      : socket_(std::move(socket)), server_(server), clock_(server->options().clock) {}
 
   void Start() {
     SetSocketOptions(socket_);
-    last_activity_ = runtime::BootTimeNow();
+    last_activity_ = clock_();
     Advance();
   }
 
   bool busy() const { return exchange_ != nullptr || writing_; }
+  /// Also while the client may not have taken its answer yet.
+  bool unfinished() const { return busy() || lingering_; }
 
   void CloseIfResting() {
-    if (!busy() && !parser_) Close();
+    if (!unfinished() && !parser_) Close();
   }
 
   void Close() {
@@ -140,7 +141,7 @@
   class ExchangeImpl;
 
   void Read() {
-    if (reading_ || closed_) return;
+    if (reading_ || closed_ || input_ended_) return;
     if (busy() && buffer_.size() >= kReadAheadBytes) return;
     reading_ = true;
     socket_.async_read_some(buffer_.prepare(kReadBytes),
@@ -152,8 +153,12 @@
   void OnRead(ErrorCode error, std::size_t bytes) {
     reading_ = false;
     if (closed_) return;
+    // The client sends nothing more. It may still take the answer that is on its way; one that was
+    // not made yet has nobody who waits for it, since a client that left looks the same.
+    input_ended_ = error == asio::error::eof;
+    if (input_ended_ && writing_) return;
     if (error) return Close();
-    last_activity_ = runtime::BootTimeNow();
+    last_activity_ = clock_();
     if (lingering_) return Read();  // Thrown away.
     buffer_.commit(bytes);
     Advance();
@@ -185,7 +190,7 @@
     parser_->eager(true);
     parser_->header_limit(static_cast<std::uint32_t>(server.limits().header_bytes));
     parser_->body_limit(server.limits().body_bytes);
-    message_start_ = runtime::BootTimeNow();
+    message_start_ = clock_();
     continued_ = false;
   }
 
@@ -221,18 +226,25 @@
     gone_ = nullptr;
     ReturnBytes();
     const auto server = server_.lock();
-    const bool close = !keep_alive_ || !server || server->draining() || server->closing();
+    // What the client sent ahead is answered before the connection ends: it was read.
+    const bool leaves = !server || server->draining() || server->closing();
+    const bool close = !keep_alive_ || (leaves && buffer_.size() == 0);
     Write(Serialize(response, close), close);
   }
 
   void Write(std::string text, bool close) {
     writing_ = true;
     output_ = std::move(text);
-    last_activity_ = runtime::BootTimeNow();
-    asio::async_write(socket_, asio::buffer(output_),
-                      [self = shared_from_this(), close](ErrorCode error, std::size_t) {
-                        self->OnWritten(error, close);
-                      });
+    last_activity_ = clock_();
+    asio::async_write(
+        socket_, asio::buffer(output_),
+        [self = shared_from_this()](ErrorCode error, std::size_t) {
+          self->last_activity_ = self->clock_();
+          return asio::transfer_all()(error, 0);
+        },
+        [self = shared_from_this(), close](ErrorCode error, std::size_t) {
+          self->OnWritten(error, close);
+        });
   }
 
   void OnWritten(ErrorCode error, bool close) {
@@ -240,9 +252,12 @@
     writing_ = false;
     output_.clear();
     output_.shrink_to_fit();
-    last_activity_ = runtime::BootTimeNow();
-    if (error) return Close();
+    last_activity_ = clock_();
+    if (error || input_ended_) return Close();
     if (close) return Linger();
+    const auto server = server_.lock();
+    // The server was closed amid an answer that did not say so.
+    if (server && server->closing()) return buffer_.size() == 0 ? Close() : Refuse(503);
     Advance();
   }
 
@@ -277,6 +292,7 @@
 
   Tcp::socket socket_;
   const std::weak_ptr<Server::Impl> server_;
+  const std::function<Instant()> clock_;
   boost::beast::flat_buffer buffer_;
   std::optional<Parser> parser_;
   std::shared_ptr<ExchangeImpl> exchange_;
@@ -290,15 +306,16 @@
   bool reading_ = false;
   bool writing_ = false;
   bool lingering_ = false;
+  bool input_ended_ = false;
   bool closed_ = false;
 };
 
 class ServerConnection::ExchangeImpl : public Exchange {
  public:
-  ExchangeImpl(Request request, std::weak_ptr<ServerConnection> connection)
+  ExchangeImpl(Request request, std::weak_ptr<ServerConnection> connection, Instant received_at)
       : request_(std::move(request)),
         connection_(std::move(connection)),
-        received_at_(runtime::BootTimeNow()) {}
+        received_at_(received_at) {}
 
   const Request& request() const override { return request_; }
   Instant received_at() const override { return received_at_; }
@@ -318,6 +335,8 @@
 };
 
 void ServerConnection::Dispatch(Server::Impl& server) {
+  // It came whole only after the close, when its answer might come too late.
+  if (server.closing()) return Refuse(503);
   keep_alive_ = parser_->keep_alive();
   auto message = parser_->release();
   parser_.reset();
@@ -329,7 +348,7 @@
                        {field.value().data(), field.value().size()});
   }
   request.body = std::move(message.body());
-  exchange_ = std::make_shared<ExchangeImpl>(std::move(request), weak_from_this());
+  exchange_ = std::make_shared<ExchangeImpl>(std::move(request), weak_from_this(), clock_());
   server.Handle(exchange_);
 }
 
@@ -370,7 +389,7 @@
 }
 
 void Server::Impl::Sweep() {
-  const Instant now = runtime::BootTimeNow();
+  const Instant now = options_.clock();
   const auto connections = connections_;
   for (const auto& connection : connections) connection->Sweep(now);
   sweep_.expires_after(kSweepInterval);
@@ -381,7 +400,7 @@
 
 std::size_t Server::Impl::busy() const {
   std::size_t busy = 0;
-  for (const auto& connection : connections_) busy += connection->busy() ? 1 : 0;
+  for (const auto& connection : connections_) busy += connection->unfinished() ? 1 : 0;
   return busy;
 }
 
--- a/src/event_http/server.h
+++ b/src/event_http/server.h
@@ -11,6 +11,7 @@
 #include "graniteseam/common/error.h"
 #include "graniteseam/common/time.h"
 #include "src/event_http/message.h"
+#include "src/runtime/clock.h"
 #include "src/runtime/socket_address.h"
 
 namespace graniteseam::event_http {
@@ -30,6 +31,8 @@
   std::size_t body_bytes_total = std::size_t{96} << 20;
   /// A client that takes no bytes of its answer for so long is hung up on.
   Duration write_timeout{10'000'000};
+  /// Tests step it by hand.
+  std::function<Instant()> clock = runtime::BootTimeNow;
 };
 
 /// One request that was read whole, until it is answered.
@@ -51,6 +54,10 @@
 /// before destruction. Requests of one connection are answered in their order, one at a time.
 /// Malformed, oversized and slow input is answered with 400, 408, 413, 431 or 503 and ends its
 /// connection; others are not touched by it.
+///
+/// Invariant: a request that the handler was given is answered before its connection ends, unless
+/// the client left or takes no bytes. A client that ends its sending before its answer was made has
+/// left: a closed connection looks the same, and work for nobody must end.
 class Server {
  public:
   using Handler = std::function<void(const std::shared_ptr<Exchange>& exchange)>;
@@ -65,13 +72,16 @@
   std::uint16_t port() const;
 
   void SetLimits(const ServerLimits& limits);
-  /// From now on each answer ends its connection; new connections are still taken.
+  /// From now on each answer ends its connection, unless its client had sent a further request
+  /// ahead; new connections are still taken.
   void BeginDrain();
-  /// Takes no connections any more and closes those that rest.
+  /// Takes no connections any more and closes those that rest. The handler gets nothing more: a
+  /// request that comes whole only now, or was sent ahead, is refused with 503.
   void Close();
 
   std::size_t connections() const;
-  /// Requests that wait for their answer, or whose answer is being written.
+  /// Connections whose request waits for its answer, or whose last answer may not have been taken
+  /// yet.
   std::size_t busy() const;
 
   class Impl;  ///< Known to the implementation only.
--- a/tests/support/raw_client.h
+++ b/tests/support/raw_client.h
@@ -7,6 +7,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <cerrno>
 #include <cstdint>
 #include <string>
 
@@ -14,7 +15,12 @@
 
 class RawClient {
  public:
-  explicit RawClient(std::uint16_t port) : descriptor_(socket(AF_INET, SOCK_STREAM, 0)) {
+  /// @param receive_bytes the room for what is not read yet; 0 leaves it to the system.
+  explicit RawClient(std::uint16_t port, int receive_bytes = 0)
+      : descriptor_(socket(AF_INET, SOCK_STREAM, 0)) {
+    if (receive_bytes > 0) {
+      setsockopt(descriptor_, SOL_SOCKET, SO_RCVBUF, &receive_bytes, sizeof(receive_bytes));
+    }
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_port = htons(port);
@@ -33,6 +39,19 @@
         send(descriptor_, bytes.data(), bytes.size(), MSG_NOSIGNAL);
   }
 
+  /// Says that nothing more is sent; reading goes on.
+  void EndSending() { shutdown(descriptor_, SHUT_WR); }
+
+  /// What has arrived, `most` bytes of it, without waiting.
+  /// @param[out] closed is set once the other side closed; left as it is otherwise.
+  std::string ReadArrived(std::size_t most, bool& closed) {
+    std::string all(most, '\0');
+    const ssize_t taken = recv(descriptor_, all.data(), all.size(), MSG_DONTWAIT);
+    if (taken == 0 || (taken < 0 && errno != EAGAIN)) closed = true;
+    all.resize(taken > 0 ? static_cast<std::size_t>(taken) : 0);
+    return all;
+  }
+
   /// All bytes until the other side closes; gives up after a generous while.
   /// @param[out] closed whether it closed.
   std::string ReadToEnd(bool& closed) {
