Never let both votes of a machine that lost its disk count together

Where the machine had lost its disk shortly before and its repair was between promotion of the new disk and removal of the old vote (200 ms, the keeper's look), the group had four votes of which two were gone for good: it never took a change again.

Change: the vote of a lost disk is removed once the learner of its id holds the log, and that one is promoted next. Without the dead vote a quorum needs no more of the others than with it (2 of 2 for three, 3 of 4 for five). The file system in memory can now decide by chance, for each name that was not synced, whether it lasts, and now and then takes all that was not synced.

--- a/src/control/membership_keeper.cc
+++ b/src/control/membership_keeper.cc
@@ -25,6 +25,12 @@
   return status != nullptr && status->silence <= kPresent;
 }
 
+/// Whether a learner is there and holds the log.
+bool Ready(const MembershipView& view, const Member& learner) {
+  const consensus::PeerStatus* status = StatusOf(view, learner);
+  return status != nullptr && status->caught_up && Present(view, learner);
+}
+
 void Erase(std::vector<Member>& members, const Member& gone) {
   std::erase_if(members, [&](const Member& member) { return member.SameVoteAs(gone); });
 }
@@ -66,6 +72,23 @@
   return silent == voters.end() ? nullptr : &*silent;
 }
 
+/// A voter whose machine came back with another disk that holds the log by now. What it was never
+/// answers again, so that without it a quorum needs no more of the others than with it. While both
+/// voted, the loss of the new disk would be the second of one machine: four votes of which two are
+/// gone for good never decide anything again.
+const Member* FormerSelf(const MembershipView& view) {
+  const auto& voters = view.membership.voters;
+  const auto back = [&](const Member& voter) {
+    const auto& learners = view.membership.learners;
+    return !Present(view, voter) &&
+           std::any_of(learners.begin(), learners.end(), [&](const Member& learner) {
+             return learner.id == voter.id && Ready(view, learner);
+           });
+  };
+  const auto former = std::find_if(voters.begin(), voters.end(), back);
+  return former == voters.end() ? nullptr : &*former;
+}
+
 /// Whether a voter's place is to be taken: its disk came back empty, or it is silent for long.
 bool NeedsReplacement(const MembershipKeeperOptions& options, const MembershipView& view,
                       const Member& voter) {
@@ -77,19 +100,12 @@
   return disk_lost || (status != nullptr && status->silence >= options.replace_after);
 }
 
-/// A learner that may vote; one that takes its own former place goes first.
+/// A learner that may vote.
 const Member* ReadyLearner(const MembershipView& view) {
-  const Member* ready = nullptr;
-  for (const Member& learner : view.membership.learners) {
-    const consensus::PeerStatus* status = StatusOf(view, learner);
-    if (status == nullptr || !status->caught_up || !Present(view, learner)) continue;
-    const auto& voters = view.membership.voters;
-    const bool former = std::any_of(voters.begin(), voters.end(),
-                                    [&](const Member& one) { return one.id == learner.id; });
-    if (former) return &learner;
-    if (ready == nullptr) ready = &learner;
-  }
-  return ready;
+  const auto& learners = view.membership.learners;
+  const auto ready = std::find_if(learners.begin(), learners.end(),
+                                  [&](const Member& learner) { return Ready(view, learner); });
+  return ready == learners.end() ? nullptr : &*ready;
 }
 
 std::optional<Membership> Promotion(const MembershipKeeperOptions& options,
@@ -127,6 +143,7 @@
   if (const Member* surplus = SurplusVoter(options, view)) {
     return WithoutVoter(view.membership, *surplus);
   }
+  if (const Member* former = FormerSelf(view)) return WithoutVoter(view.membership, *former);
   if (auto promoted = Promotion(options, view)) return promoted;
   if (auto admitted = Admission(view)) return admitted;
   for (const Member& learner : view.membership.learners) {
--- a/src/control/membership_keeper.h
+++ b/src/control/membership_keeper.h
@@ -22,10 +22,10 @@
 /// One step towards a whole group, or nullopt when there is nothing to do. Each step changes one
 /// member, as consensus asks for.
 ///
-/// Invariant: a voter is removed only when as many voters as before remain that answer, so that
-/// repair never lowers what the group can lose. A disk that came back empty is another member: it
-/// votes only after it has caught up. Answers the failures: lost disk, lost machine, machine
-/// replaced at another address. Pure function of its inputs.
+/// Invariant: a voter is removed only when as many voters as before remain that answer, or when it
+/// never answers again, so that repair never lowers what the group can lose. A disk that came back
+/// empty is another member: it votes only after it has caught up. Answers the failures: lost disk,
+/// lost machine, machine replaced at another address. Pure function of its inputs.
 std::optional<consensus::Membership> NextMembership(const MembershipKeeperOptions& options,
                                                     const MembershipView& view);
 
--- a/src/storage/memory_file_system.cc
+++ b/src/storage/memory_file_system.cc
@@ -160,8 +160,38 @@
   inode.synced_size = inode.content.size();
 }
 
+/// A file keeps at least one of its names: a rename moves it, whatever lasts of that.
+MemoryFileSystem::Names MemoryFileSystem::NamesAfterPowerLoss() {
+  Names after = names_;
+  std::set<const Inode*> named;
+  for (const auto& [path, inode] : names_) {
+    const auto synced = synced_names_.find(path);
+    const bool changed = synced == synced_names_.end() || synced->second != inode;
+    if (changed && random_() % 2 == 0) {
+      after.erase(path);
+      if (synced != synced_names_.end()) after.insert(*synced);
+    }
+  }
+  for (const auto& [path, inode] : after) named.insert(inode.get());
+  for (const auto& [path, inode] : synced_names_) {
+    const bool renamed = std::any_of(names_.begin(), names_.end(),
+                                     [&](const auto& entry) { return entry.second == inode; });
+    const bool lost = renamed && !named.contains(inode.get());
+    if (!names_.contains(path) && (lost || random_() % 2 == 0)) after.insert({path, inode});
+  }
+  return after;
+}
+
 void MemoryFileSystem::LosePower() {
-  names_ = synced_names_;
+  constexpr std::uint64_t kTakesAllOneIn = 4;
+  if (names_by_chance_ && random_() % kTakesAllOneIn == 0) {
+    names_ = synced_names_;
+    for (const auto& [path, inode] : names_) inode->content.resize(inode->synced_size);
+    locks_.clear();
+    return;
+  }
+  names_ = names_by_chance_ ? NamesAfterPowerLoss() : synced_names_;
+  synced_names_ = names_;
   for (const auto& [path, inode] : names_) TearUnsynced(*inode);
   locks_.clear();
 }
--- a/src/storage/memory_file_system.h
+++ b/src/storage/memory_file_system.h
@@ -32,6 +32,10 @@
   /// survives, in which whole sectors may read as zeros. All locks are released, and files opened
   /// before must not be used any more.
   void LosePower();
+  /// From now on a loss of power decides for each name that was created, removed or renamed since
+  /// its folder was synced, independently of the others, whether that lasts; and now and then it
+  /// takes all that was not synced.
+  void LoseNamesByChance() { names_by_chance_ = true; }
   /// What the end of the process alone leaves: all that was written. Locks are released.
   void EndProcess() { locks_.clear(); }
   /// The disk is replaced by an empty one.
@@ -65,6 +69,7 @@
   Result<void> SyncInode(Inode& inode, const std::string& path);
   std::uint64_t UsedBytes() const;
   void TearUnsynced(Inode& inode);
+  Names NamesAfterPowerLoss();
 
   std::mt19937_64 random_;
   Names names_;         ///< As the running process sees them.
@@ -74,6 +79,7 @@
   int passing_syncs_ = 0;  ///< Before those that fail.
   int failing_syncs_ = 0;
   std::uint64_t syncs_ = 0;
+  bool names_by_chance_ = false;
 };
 
 }  // namespace graniteseam::storage
--- a/tests/consensus/virtual_cluster.cc
+++ b/tests/consensus/virtual_cluster.cc
@@ -407,6 +407,17 @@
   return false;
 }
 
+bool VirtualCluster::KeeperStep(const control::MembershipKeeperOptions& options) {
+  const std::uint64_t leader = Leader();
+  if (leader == 0) return false;
+  const RaftConsensus& raft = Raft(leader);
+  const auto next = control::NextMembership(
+      options, {raft.self(), raft.membership(), raft.peers(LocalTime(leader)), raft.announced()});
+  if (!next) return false;
+  ChangeMembership(leader, *next);
+  return true;
+}
+
 bool VirtualCluster::Repair(std::size_t voters, Duration limit) {
   return RunUntil(
       [&] {
