Answer at the end of a stop what a server still works on

And when the process then ended, closing those connections called handlers whose objects were gone: glibc found a double free.

Change: at 93 of 100 of the limit what has no answer is told so, 502 when it was sent, 503 when it never was, and nothing is sent any more. The end of the process takes the handlers away first.

--- a/src/daemon/gateway/gateway_process.cc
+++ b/src/daemon/gateway/gateway_process.cc
@@ -44,6 +44,8 @@
 GatewayProcess::~GatewayProcess() {
   control_.reset();
   loop_.Stop();
+  // The server that closes its connections is destroyed after what their handlers use.
+  for (const auto& [number, live] : live_) live.exchange->OnGone(nullptr);
 }
 
 Result<void> GatewayProcess::Start() {
@@ -104,7 +106,9 @@
   const StopSchedule schedule = ScheduleStop(settings_.stop_limit);
   WaitUntilLeft(schedule.leave_earliest, schedule.close, &event_http::Server::connections);
   asio::post(loop_.context(), [this] { callers_->Close(); });
-  WaitUntilLeft({}, schedule.end - schedule.close, &event_http::Server::busy);
+  WaitUntilLeft({}, schedule.answer_rest - schedule.close, &event_http::Server::busy);
+  asio::post(loop_.context(), [this] { AnswerTheRest(); });
+  WaitUntilLeft({}, schedule.end - schedule.answer_rest, &event_http::Server::busy);
   events_.Write(runtime::EventWeight::kNotable, runtime::EventLine("stopped"));
 }
 
@@ -164,7 +168,10 @@
 void GatewayProcess::Do(const gateway::SendAttempt& send) {
   LiveExchange& live = live_.at(send.request);
   const event_http::Request& request = live.exchange->request();
+  // It would be cut off at once.
+  if (rest_answered_) return;
   event_http::Call call;
+  live.sent = true;
   call.address = send.address;
   call.bytes = translator_.ForServer(request, send);
   call.head = request.method == "HEAD";
@@ -224,6 +231,28 @@
 
 // --- Log ---
 
+/// What has no answer at the end of a stop gets one. A server may still work on it: then nothing
+/// is promised. What was never sent did not run, and will not.
+void GatewayProcess::AnswerTheRest() {
+  rest_answered_ = true;
+  std::vector<gateway::RequestNumber> numbers;
+  for (const auto& [number, live] : live_) numbers.push_back(number);
+  for (const gateway::RequestNumber number : numbers) {
+    const auto found = live_.find(number);
+    if (found == live_.end()) continue;
+    constexpr int kBadGateway = 502;
+    constexpr int kUnavailable = 503;
+    gateway::Refuse refusal;
+    refusal.request = number;
+    refusal.status = found->second.sent ? kBadGateway : kUnavailable;
+    refusal.reason = found->second.sent ? gateway::RefusalReason::kOutcomeUnknown
+                                        : gateway::RefusalReason::kOverloaded;
+    Do(gateway::AbandonAttempt{number, {}});
+    Run(node_.OnCallerGone(number, runtime::BootTimeNow()));
+    Do(refusal);
+  }
+}
+
 void GatewayProcess::TakeNotes(std::vector<gateway::DecisionNote> notes) {
   for (gateway::DecisionNote& note : notes) {
     const auto found = live_.find(note.request);
--- a/src/daemon/gateway/gateway_process.h
+++ b/src/daemon/gateway/gateway_process.h
@@ -48,6 +48,7 @@
     std::shared_ptr<event_http::Exchange> exchange;
     std::optional<event_http::CallNumber> call;
     std::optional<event_http::Response> answer;  ///< The last that a server gave.
+    bool sent = false;                           ///< At least once, to a server.
     std::vector<gateway::DecisionNote> notes;
     std::vector<Instant> note_times;
   };
@@ -64,6 +65,7 @@
   void Finish(gateway::RequestNumber number, const event_http::Response& response,
               std::string_view outcome);
   void TakeNotes(std::vector<gateway::DecisionNote> notes);
+  void AnswerTheRest();
   void LogRequest(const LiveExchange& live, int status, std::string_view outcome, Duration taken);
   void ArmTimer();
   void Poll();
@@ -92,5 +94,6 @@
   std::uint64_t finished_ = 0;
   std::atomic<bool> stopping_{false};
 };
+  bool rest_answered_ = false;
 
 }  // namespace graniteseam::daemon
--- a/src/daemon/gateway/stop_schedule.h
+++ b/src/daemon/gateway/stop_schedule.h
@@ -8,12 +8,14 @@
 
 /// Spans from the stop signal on.
 ///
-/// Invariant: a request that was read gets its answer before the process ends. So no request is
+/// Invariant: a request that was read gets an answer before the process ends. So no request is
 /// read any more once what is left of the limit may be too short for it; whoever sends one then
-/// finds the connection closed unread and goes elsewhere.
+/// finds the connection closed unread and goes elsewhere. What a server still works on near the
+/// end is answered as of unknown outcome.
 struct StopSchedule {
   Duration leave_earliest;  ///< Not before this, so that new callers have been led elsewhere.
   Duration close;           ///< From here on nothing new is read.
+  Duration answer_rest;     ///< What has no answer yet is told that none comes.
   Duration end;             ///< The process ends, whatever is left.
 };
 
@@ -22,8 +24,10 @@
   constexpr int kHundred = 100;
   constexpr int kLeaveAt = 45;
   constexpr int kCloseAt = 62;
+  constexpr int kAnswerRestAt = 93;
   constexpr int kEndAt = 95;
-  return {limit * kLeaveAt / kHundred, limit * kCloseAt / kHundred, limit * kEndAt / kHundred};
+  return {limit * kLeaveAt / kHundred, limit * kCloseAt / kHundred,
+          limit * kAnswerRestAt / kHundred, limit * kEndAt / kHundred};
 }
 
 }  // namespace graniteseam::daemon
