Tell a process's statistics at a further address, and count orders and answers

Change: metrics_address, a checked setting of both programs. It is opened after all other ports; one that is taken costs a warning. Control counts changes of the leader by its role, orders to owners by kind and their ends by result, and times what is answered at the registry, by call and result: an accepted change includes its commit, 'leases' are keys given with a heartbeat's answer.

--- a/src/daemon/control/control_process.cc
+++ b/src/daemon/control/control_process.cc
@@ -17,6 +17,25 @@
 /// A deciding thread that stood still for longer is taken for stuck.
 constexpr Duration kLiveLimit{10'000'000};
 
+const char* KindName(control::RangeOrder::Kind kind) {
+  return kind == control::RangeOrder::Kind::kGrant ? "grant" : "release";
+}
+
+const char* OutcomeName(control::RangeOrderResult::Outcome outcome) {
+  using Outcome = control::RangeOrderResult::Outcome;
+  switch (outcome) {
+    case Outcome::kDone:
+      return "done";
+    case Outcome::kRefused:
+      return "refused";
+    case Outcome::kNotDelivered:
+      return "not_delivered";
+    case Outcome::kUnknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
 }  // namespace
 
 ControlProcess::ControlProcess(ControlSettings settings, runtime::StopSignals& stop_signals,
@@ -48,6 +67,8 @@
   BOOST_LEAF_CHECK(internal_server_->Start());
   BOOST_LEAF_CHECK(operator_server_->Start());
   if (registry_) BOOST_LEAF_CHECK(registry_->Start());
+  metrics_port_ =
+      event_http::OpenMetricsPort(server_loop_.context(), settings_.metrics_address, metrics_);
   log_.Info("Listens for peers and routers on {}.", ToString(settings_.peer_address));
   events_.Write(
       runtime::EventWeight::kNotable,
@@ -160,14 +181,25 @@
   };
   if (!owner_names_.grant_path.empty()) {
     owner_client_ = std::make_unique<OwnerClient>(
-        owner_names_, server_loop_, events_,
-        [this](const control::RangeOrderResult& result) { queue_.Push(RangeOrderEnded{result}); });
+        owner_names_, server_loop_, events_, [this](const control::RangeOrderResult& result) {
+          metrics_
+              .Counter(runtime::Metric::kControlRangeOrderEnds,
+                       {{"result", OutcomeName(result.outcome)}})
+              .Increment();
+          queue_.Push(RangeOrderEnded{result});
+        });
     outputs.to_range_owner = [this](control::RangeOrder order) {
+      metrics_.Counter(runtime::Metric::kControlRangeOrders, {{"kind", KindName(order.kind)}})
+          .Increment();
       owner_client_->Send(std::move(order));
     };
   }
   outputs.on_leadership = [this](const ControlStatus& status) {
     const std::string leader = status.leader ? status.leader->address : "";
+    metrics_
+        .Counter(runtime::Metric::kControlLeaderChanges,
+                 {{"role", status.leading ? "leads" : "follows"}})
+        .Increment();
     events_.Write(runtime::EventWeight::kNotable,
                   runtime::EventLine(status.leading ? "leads" : "follows")
                       .Add("term", status.term.value)
@@ -252,6 +284,12 @@
   };
   hooks.leader_address = [this] { return LeaderAddresses().registry; };
   hooks.metrics = [this] { return metrics_.Text(); };
+  hooks.on_answered = [this](std::string_view call, std::string_view result, Duration taken) {
+    metrics_
+        .Histogram(runtime::Metric::kControlRegistrySeconds,
+                   {{"call", std::string(call)}, {"result", std::string(result)}})
+        .Observe(std::chrono::duration<double>(taken).count());
+  };
   hooks.heartbeat_address = [this](const auto& report) { return HeartbeatAddress(report); };
   registry_ =
       std::make_unique<RegistryServer>(settings_.registry_address, settings_.RegistryConnections(),
--- a/src/daemon/control/control_process.h
+++ b/src/daemon/control/control_process.h
@@ -14,6 +14,7 @@
 #include "src/daemon/control/operator_desk.h"
 #include "src/daemon/control/owner_client.h"
 #include "src/daemon/control/registry_server.h"
+#include "src/event_http/metrics_port.h"
 #include "src/http/lease_client.h"
 #include "src/http/operator_server.h"
 #include "src/http/platform_poller.h"
@@ -80,6 +81,7 @@
   std::unique_ptr<http::PlatformPoller> platform_poller_;
   std::unique_ptr<OwnerClient> owner_client_;
   std::unique_ptr<RegistryServer> registry_;
+  std::unique_ptr<event_http::MetricsPort> metrics_port_;
   std::unique_ptr<ControlDriver> driver_;
   std::unique_ptr<http::OperatorServer> operator_server_;
   std::atomic<bool> stopping_{false};
--- a/src/daemon/control/control_settings.cc
+++ b/src/daemon/control/control_settings.cc
@@ -169,6 +169,9 @@
                     "HTTP port for instances that register themselves, and for the traffic "
                     "configuration.",
                     settings.registry_address);
+  reader.AddAddress("metrics_address",
+                    "A further address for /metrics; the process runs without it when it is taken.",
+                    settings.metrics_address);
   constexpr std::int64_t kDescriptorsMinimum = 64;
   constexpr std::int64_t kDescriptorsMaximum = 1 << 20;
   reader.AddInteger("descriptors_maximum",
--- a/src/daemon/control/control_settings.h
+++ b/src/daemon/control/control_settings.h
@@ -26,6 +26,7 @@
   std::vector<runtime::SocketAddress> seeds;  ///< Internal addresses of some members.
   std::int64_t seed_port = 0;                 ///< In place of the listed ports; 0 leaves them.
   runtime::SocketAddress registry_address;    ///< Empty: instances can't register themselves.
+  runtime::SocketAddress metrics_address;     ///< Empty: only at the other HTTP ports.
   std::int64_t descriptors_maximum = 4'096;   ///< That this process may have open.
   bool initialise = false;
   std::int64_t voters = 3;
--- a/src/daemon/control/registry_server.cc
+++ b/src/daemon/control/registry_server.cc
@@ -6,6 +6,7 @@
 
 #include "src/http/operator_json.h"
 #include "src/http/traffic_json.h"
+#include "src/runtime/clock.h"
 
 namespace graniteseam::daemon {
 namespace {
@@ -82,6 +83,20 @@
               "See docs/interface/traffic.md.");
 }
 
+std::string_view CallName(const event_http::Request& request) {
+  if (request.Path() == kConfigurationPath) {
+    return request.method == "GET" ? "read_configuration" : "change_configuration";
+  }
+  return request.Path().ends_with(kHeartbeatSuffix) ? "heartbeat" : "leave";
+}
+
+std::string_view ResultName(const control::OperatorAnswer& answer) {
+  if (std::holds_alternative<control::KeyLeases>(answer)) return "leases";
+  const auto* error = std::get_if<Error>(&answer);
+  if (error == nullptr) return "accepted";
+  return error->kind == ErrorKind::kNotLeader ? "not_leader" : "refused";
+}
+
 event_http::Response JsonResponse(int status, std::string body) {
   event_http::Response response;
   response.status = status;
@@ -158,6 +173,8 @@
     response.body = HeartbeatBody(*waiting.heartbeat, reply.answer);
   }
   Log(waiting.what, response.status, reply.answer);
+  hooks_.on_answered(CallName(waiting.exchange->request()), ResultName(reply.answer),
+                     runtime::BootTimeNow() - waiting.exchange->received_at());
   waiting.exchange->Respond(response);
 }
 
--- a/src/daemon/control/registry_server.h
+++ b/src/daemon/control/registry_server.h
@@ -22,6 +22,8 @@
   /// Where the leader's registry is reached; empty when unknown or this process leads.
   std::function<std::string()> leader_address;
   std::function<std::string()> metrics;
+  /// A request was answered: what it asked for, and how it went, both of a few words.
+  std::function<void(std::string_view call, std::string_view result, Duration taken)> on_answered;
   /// Where an instance of this zone should send its later heartbeats.
   std::function<std::string(const traffic::InstanceReport& report)> heartbeat_address;
 };
--- a/src/daemon/gateway/gateway_process.cc
+++ b/src/daemon/gateway/gateway_process.cc
@@ -65,6 +65,8 @@
   servers_ = std::make_unique<event_http::ClientPool>(loop_.context(), pool);
   BOOST_LEAF_CHECK(callers_->Start());
   BOOST_LEAF_CHECK(status_->Start());
+  metrics_port_ =
+      event_http::OpenMetricsPort(loop_.context(), settings_.metrics_address, metrics_registry_);
   protocol::RouterControlClientOptions control;
   control.router = {settings_.id};
   control.control = settings_.control;
@@ -166,12 +168,12 @@
 }
 
 void GatewayProcess::Do(const gateway::SendAttempt& send) {
-  LiveExchange& live = live_.at(send.request);
-  const event_http::Request& request = live.exchange->request();
   // It would be cut off at once.
   if (rest_answered_) return;
-  event_http::Call call;
+  LiveExchange& live = live_.at(send.request);
   live.sent = true;
+  const event_http::Request& request = live.exchange->request();
+  event_http::Call call;
   call.address = send.address;
   call.bytes = translator_.ForServer(request, send);
   call.head = request.method == "HEAD";
@@ -229,8 +231,6 @@
   live.exchange->Respond(response);
 }
 
-// --- Log ---
-
 /// What has no answer at the end of a stop gets one. A server may still work on it: then nothing
 /// is promised. What was never sent did not run, and will not.
 void GatewayProcess::AnswerTheRest() {
@@ -253,6 +253,8 @@
   }
 }
 
+// --- Log ---
+
 void GatewayProcess::TakeNotes(std::vector<gateway::DecisionNote> notes) {
   for (gateway::DecisionNote& note : notes) {
     const auto found = live_.find(note.request);
--- a/src/daemon/gateway/gateway_process.h
+++ b/src/daemon/gateway/gateway_process.h
@@ -16,6 +16,7 @@
 #include "src/daemon/gateway/gateway_settings.h"
 #include "src/daemon/gateway/stop_schedule.h"
 #include "src/event_http/client_pool.h"
+#include "src/event_http/metrics_port.h"
 #include "src/event_http/server.h"
 #include "src/gateway/gateway_node.h"
 #include "src/protocol/router_control_client.h"
@@ -47,8 +48,8 @@
   struct LiveExchange {
     std::shared_ptr<event_http::Exchange> exchange;
     std::optional<event_http::CallNumber> call;
-    std::optional<event_http::Response> answer;  ///< The last that a server gave.
     bool sent = false;                           ///< At least once, to a server.
+    std::optional<event_http::Response> answer;  ///< The last that a server gave.
     std::vector<gateway::DecisionNote> notes;
     std::vector<Instant> note_times;
   };
@@ -64,8 +65,8 @@
   void OnCallEnd(const gateway::SendAttempt& send, event_http::CallResult result);
   void Finish(gateway::RequestNumber number, const event_http::Response& response,
               std::string_view outcome);
-  void TakeNotes(std::vector<gateway::DecisionNote> notes);
   void AnswerTheRest();
+  void TakeNotes(std::vector<gateway::DecisionNote> notes);
   void LogRequest(const LiveExchange& live, int status, std::string_view outcome, Duration taken);
   void ArmTimer();
   void Poll();
@@ -83,6 +84,7 @@
   gateway::GatewayNode node_;
   std::unique_ptr<event_http::Server> callers_;
   std::unique_ptr<event_http::Server> status_;
+  std::unique_ptr<event_http::MetricsPort> metrics_port_;
   std::unique_ptr<event_http::ClientPool> servers_;
   std::unique_ptr<protocol::RouterControlClient> control_;
   boost::asio::steady_timer timer_;
@@ -92,8 +94,8 @@
   std::map<gateway::RequestNumber, LiveExchange> live_;
   gateway::RequestNumber last_number_;
   std::uint64_t finished_ = 0;
+  bool rest_answered_ = false;
   std::atomic<bool> stopping_{false};
 };
-  bool rest_answered_ = false;
 
 }  // namespace graniteseam::daemon
--- a/src/daemon/gateway/gateway_settings.cc
+++ b/src/daemon/gateway/gateway_settings.cc
@@ -18,6 +18,9 @@
                     Presence::kRequired);
   reader.AddAddress("status_address", "Address for /ready and /metrics.", settings.status_address,
                     Presence::kRequired);
+  reader.AddAddress("metrics_address",
+                    "A further address for /metrics; the process runs without it when it is taken.",
+                    settings.metrics_address);
   reader.AddAddressList("control", "Internal addresses of control processes.", settings.control,
                         Presence::kRequired);
   reader.AddInteger("control_port", "Internal port of all control processes; 0 takes those listed.",
--- a/src/daemon/gateway/gateway_settings.h
+++ b/src/daemon/gateway/gateway_settings.h
@@ -16,6 +16,7 @@
   std::string zone;
   runtime::SocketAddress caller_address;
   runtime::SocketAddress status_address;
+  runtime::SocketAddress metrics_address;  ///< Empty: only at status_address.
   std::vector<runtime::SocketAddress> control;
   std::int64_t control_port = 0;  ///< In place of the listed ports; 0 leaves them.
   protocol::InternalSecurity security;
--- a/tests/control_daemon/control_settings_test.cc
+++ b/tests/control_daemon/control_settings_test.cc
@@ -53,6 +53,7 @@
 Test(control_settings, plain_settings_on_loopback_are_in_order) {
   cr_assert(WithAddresses({}).empty());
   cr_assert(WithAddresses({"--initialise", "--bootstrap=1@z@127.0.0.1:1"}).empty());
+  cr_assert(WithAddresses({"--metrics-address=10.0.0.1:3"}).empty());
 }
 
 Test(control_settings, ports_beyond_loopback_need_protection) {
@@ -68,6 +69,7 @@
       {"--leader-lease-ms=250", "leader_lease_ms"},
       {"--election-timeout-maximum-ms=250", "election_timeout_maximum_ms"},
       {"--heartbeat-interval-ms=150", "heartbeat_interval_ms"},
+      {"--metrics-address=somewhere", "metrics_address"},
       {"--server-tls-certificate=/nonexistent", "server_tls_ca"},
       {"--internal-secret-file=/nonexistent", "internal_secret_file"}};
   for (const auto& [flag, key] : cases) {
--- a/tests/gateway_daemon/gateway_process_test.cc
+++ b/tests/gateway_daemon/gateway_process_test.cc
@@ -36,7 +36,8 @@
   GatewaySettings settings;
   std::unique_ptr<GatewayProcess> process;
 
-  Fixture() {
+  explicit Fixture(std::uint16_t metrics_port = 0) {
+    if (metrics_port != 0) settings.metrics_address = {"127.0.0.1", metrics_port};
     settings.id = "g-1";
     settings.zone = "z";
     settings.caller_address = {"127.0.0.1", FreePort()};
@@ -72,6 +73,18 @@
   cr_assert(answer.find("no_configuration") != std::string::npos);
 }
 
+Test(gateway_process, tells_its_statistics_at_an_address_of_their_own_where_it_is_free) {
+  const std::uint16_t port = FreePort();
+  const Fixture fixture(port);
+  const std::string request = "GET /metrics HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
+  cr_assert(fixture.Ask(port, request).find("graniteseam_gateway_sends_total") !=
+            std::string::npos);
+  // It runs without where it is not.
+  const Fixture other(port);
+  cr_assert(other.Ask(other.settings.status_address.port, request).find(" 200 ") !=
+            std::string::npos);
+}
+
 Test(gateway_process, stop_reads_nothing_new_in_its_last_part) {
   const Fixture fixture;
   const StopSchedule schedule = ScheduleStop(fixture.settings.stop_limit);
