Hold the new control statistics in the platform's test, and mend what lint says of the new code

Change: the test of the platform's programs reads the statistics of all control processes at its end; a lambda captured a structured binding, which clang refuses; a test read a string through its optional.

--- a/src/storage/memory_file_system.cc
+++ b/src/storage/memory_file_system.cc
@@ -174,8 +174,9 @@
   }
   for (const auto& [path, inode] : after) named.insert(inode.get());
   for (const auto& [path, inode] : synced_names_) {
-    const bool renamed = std::any_of(names_.begin(), names_.end(),
-                                     [&](const auto& entry) { return entry.second == inode; });
+    const bool renamed =
+        std::any_of(names_.begin(), names_.end(),
+                    [&moved = inode](const auto& entry) { return entry.second == moved; });
     const bool lost = renamed && !named.contains(inode.get());
     if (!names_.contains(path) && (lost || random_() % 2 == 0)) after.insert({path, inode});
   }
--- a/tests/gateway_daemon/kept_connection_test.cc
+++ b/tests/gateway_daemon/kept_connection_test.cc
@@ -100,10 +100,11 @@
       if (recv(connection, buffer, sizeof(buffer), 0) <= 0) ++abandoned_;
       return;
     }
-    if (const std::size_t gap = answer->find("$ID"); gap != std::string::npos) {
-      answer->replace(gap, 3, id);
+    std::string bytes = *answer;
+    if (const std::size_t gap = bytes.find("$ID"); gap != std::string::npos) {
+      bytes.replace(gap, 3, id);
     }
-    send(connection, answer->data(), answer->size(), MSG_NOSIGNAL);
+    send(connection, bytes.data(), bytes.size(), MSG_NOSIGNAL);
     shutdown(connection, SHUT_WR);
     // Until the other side has closed too, so that no reset overtakes the answer.
     while (recv(connection, buffer, sizeof(buffer), 0) > 0) {
@@ -316,6 +317,7 @@
   };
   constexpr int kCallers = 8;
   constexpr int kNumbersEach = 1'000'000;
+  callers.reserve(kCallers);
   for (int caller = 0; caller < kCallers; ++caller) {
     callers.emplace_back(call, caller * kNumbersEach);
   }
--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -105,6 +105,19 @@
     return response;
   }
 
+  /// The statistics of all control processes, one after the other.
+  std::string ControlMetrics() {
+    std::string all;
+    for (const std::string& registry : Registries()) {
+      event_http::Request request;
+      request.method = "GET";
+      request.target = "/metrics";
+      request.fields.Add("Host", "control");
+      all += caller_.Call(registry, request, kCallLimit).response.body;
+    }
+    return all;
+  }
+
   /// One attempt of a caller.
   event_http::CallResult Ask(int router, const std::string& method, const std::string& path,
                              std::optional<std::uint32_t> key = {}) {
@@ -295,4 +308,16 @@
   cr_assert(fleet.Operate("PUT", ConfigurationText(8, "/more/"), 5).status == 200);
   for (int router = 1; router <= kRouters; ++router) fleet.AwaitServed(router, "/more/x");
   fleet.CheckRuns();
+
+  // Control told what it did.
+  const std::string metrics = fleet.ControlMetrics();
+  for (const std::string told :
+       {"graniteseam_control_leader_changes_total{role=\"leads\"}",
+        "graniteseam_control_range_orders_total{kind=\"grant\"}",
+        "graniteseam_control_range_order_ends_total{result=\"done\"}",
+        "graniteseam_control_registry_seconds_count{call=\"heartbeat\",result=\"accepted\"}",
+        "graniteseam_control_registry_seconds_count{call=\"change_configuration\","
+        "result=\"accepted\"}"}) {
+    cr_assert(metrics.find(told) != std::string::npos, "%s", told.c_str());
+  }
 }
