Open the metrics port without a copy of its error, which the sanitizer build refuses

Cause: with -fsanitize=address,undefined GCC 12 takes a moved error in MetricsPort::Start() for uninitialised, and warnings are errors.

Change: the error is handled where it arises.

Measured: the file compiles in the sanitizer build; test_event_http 23 of 23.

--- a/src/event_http/metrics_port.cc
+++ b/src/event_http/metrics_port.cc
@@ -31,19 +31,18 @@
         exchange->Respond(response);
       }) {}
 
-bool MetricsPort::Start() {
-  const auto started = Attempt([this] { return server_.Start(); });
-  const Error* error = ErrorOf(started);
-  if (error != nullptr) runtime::Logger("metrics").Warning(*error);
-  return error == nullptr;
-}
-
 std::unique_ptr<MetricsPort> OpenMetricsPort(boost::asio::io_context& context,
                                              const runtime::SocketAddress& address,
                                              const runtime::MetricsRegistry& registry) {
   if (address.ip.empty()) return nullptr;
   auto port = std::make_unique<MetricsPort>(context, address, registry);
-  return port->Start() ? std::move(port) : nullptr;
+  boost::leaf::try_handle_all([&] { return port->Start(); },
+                              [&](const Error& error) {
+                                runtime::Logger("metrics").Warning(error);
+                                port.reset();
+                              },
+                              [&] { port.reset(); });
+  return port;
 }
 
 }  // namespace graniteseam::event_http
--- a/src/event_http/metrics_port.h
+++ b/src/event_http/metrics_port.h
@@ -19,15 +19,16 @@
   MetricsPort(boost::asio::io_context& context, runtime::SocketAddress address,
               const runtime::MetricsRegistry& registry);
 
-  /// @return false, after a warning, when the address can't be listened on.
-  bool Start();
+  /// @return kInvalidSettings when the address can't be listened on.
+  Result<void> Start() { return server_.Start(); }
   std::uint16_t port() const { return server_.port(); }
 
  private:
   Server server_;
 };
 
-/// A port at the address, started; null when the address is empty, or can't be listened on.
+/// A port at the address, started; null when the address is empty, or, after a warning, when it
+/// can't be listened on.
 std::unique_ptr<MetricsPort> OpenMetricsPort(boost::asio::io_context& context,
                                              const runtime::SocketAddress& address,
                                              const runtime::MetricsRegistry& registry);
