--- a/src/daemon/gateway/gateway_process.cc
+++ b/src/daemon/gateway/gateway_process.cc
@@ -44,6 +44,8 @@
 GatewayProcess::~GatewayProcess() {
   control_.reset();
   loop_.Stop();
+  // The server that closes its connections is destroyed after what their handlers use.
+  for (const auto& [number, live] : live_) live.exchange->OnGone(nullptr);
 }
 
 Result<void> GatewayProcess::Start() {
@@ -63,6 +65,8 @@
   servers_ = std::make_unique<event_http::ClientPool>(loop_.context(), pool);
   BOOST_LEAF_CHECK(callers_->Start());
   BOOST_LEAF_CHECK(status_->Start());
+  metrics_port_ =
+      event_http::OpenMetricsPort(loop_.context(), settings_.metrics_address, metrics_registry_);
   protocol::RouterControlClientOptions control;
   control.router = {settings_.id};
   control.control = settings_.control;
@@ -104,7 +108,9 @@
   const StopSchedule schedule = ScheduleStop(settings_.stop_limit);
   WaitUntilLeft(schedule.leave_earliest, schedule.close, &event_http::Server::connections);
   asio::post(loop_.context(), [this] { callers_->Close(); });
-  WaitUntilLeft({}, schedule.end - schedule.close, &event_http::Server::busy);
+  WaitUntilLeft({}, schedule.answer_rest - schedule.close, &event_http::Server::busy);
+  asio::post(loop_.context(), [this] { AnswerTheRest(); });
+  WaitUntilLeft({}, schedule.end - schedule.answer_rest, &event_http::Server::busy);
   events_.Write(runtime::EventWeight::kNotable, runtime::EventLine("stopped"));
 }
 
@@ -162,7 +168,10 @@
 }
 
 void GatewayProcess::Do(const gateway::SendAttempt& send) {
+  // It would be cut off at once.
+  if (rest_answered_) return;
   LiveExchange& live = live_.at(send.request);
+  live.sent = true;
   const event_http::Request& request = live.exchange->request();
   event_http::Call call;
   call.address = send.address;
@@ -223,6 +232,28 @@
   live.exchange->Respond(response);
 }
 
+/// What has no answer at the end of a stop gets one. A server may still work on it: then nothing
+/// is promised. What was never sent did not run, and will not.
+void GatewayProcess::AnswerTheRest() {
+  rest_answered_ = true;
+  std::vector<gateway::RequestNumber> numbers;
+  for (const auto& [number, live] : live_) numbers.push_back(number);
+  for (const gateway::RequestNumber number : numbers) {
+    const auto found = live_.find(number);
+    if (found == live_.end()) continue;
+    constexpr int kBadGateway = 502;
+    constexpr int kUnavailable = 503;
+    gateway::Refuse refusal;
+    refusal.request = number;
+    refusal.status = found->second.sent ? kBadGateway : kUnavailable;
+    refusal.reason = found->second.sent ? gateway::RefusalReason::kOutcomeUnknown
+                                        : gateway::RefusalReason::kOverloaded;
+    Do(gateway::AbandonAttempt{number, {}});
+    Run(node_.OnCallerGone(number, runtime::BootTimeNow()));
+    Do(refusal);
+  }
+}
+
 // --- Log ---
 
 void GatewayProcess::TakeNotes(std::vector<gateway::DecisionNote> notes) {
