--- a/simulation/simulator/control_process.cc
+++ b/simulation/simulator/control_process.cc
@@ -173,6 +173,7 @@
   for (const auto& send : effects.lease_sends) ports_.SendToServer(*this, send);
   for (const auto& send : effects.router_sends) ports_.SendToRouter(*this, send);
   for (const auto& reply : effects.operator_replies) ports_.SendToOperator(name(), reply);
+  for (const auto& order : effects.range_orders) ports_.SendToOwner(*this, order);
 }
 
 }  // namespace graniteseam::simulation
--- a/simulation/simulator/control_process.h
+++ b/simulation/simulator/control_process.h
@@ -27,6 +27,8 @@
   virtual void SendToServer(ControlProcess& from, const control::LeaseSend& send) = 0;
   virtual void SendToRouter(ControlProcess& from, const control::RouterSend& send) = 0;
   virtual void SendToOperator(const NodeName& from, const control::OperatorReply& reply) = 0;
+  /// To an instance that owns keys; a fleet without such instances gets no orders for them.
+  virtual void SendToOwner(ControlProcess& /*from*/, const control::RangeOrder& /*order*/) {}
 };
 
 /// Drives one ControlNode as the daemon does: persists first, then carries out the rest in order.
--- a/simulation/simulator/main.cc
+++ b/simulation/simulator/main.cc
@@ -5,6 +5,7 @@
 #include <oneapi/tbb/global_control.h>
 #include <oneapi/tbb/parallel_for.h>
 
+#include <algorithm>
 #include <chrono>
 #include <cstdio>
 #include <cstdlib>
@@ -16,6 +17,7 @@
 
 #include "graniteseam/common/seeded_defects.h"
 #include "simulation/simulator/run.h"
+#include "simulation/traffic_world/traffic_run.h"
 
 namespace {
 
@@ -26,6 +28,11 @@
 using graniteseam::simulation::RunScenario;
 using graniteseam::simulation::Scenario;
 using graniteseam::simulation::Scenarios;
+using graniteseam::simulation::seeded_traffic_defects;
+using graniteseam::simulation::TrafficDefect;
+
+/// The world of gateways, key ranges and configuration, with faults of its own.
+constexpr const char* kTrafficScenario = "traffic";
 
 constexpr const char* kUsage =
     "Usage: graniteseam-simulation [OPTION...]\n"
@@ -36,6 +43,8 @@
     "  --seconds N        virtual seconds of each run (default 60, at least 20)\n"
     "  --threads N        runs at once (default: all processors)\n"
     "  --defect NAME      switch on a seeded defect; succeed when a run finds it\n"
+    "  --orders-name-instance  scenario traffic: orders carry the name of the instance that is\n"
+    "                     meant, and another one refuses them\n"
     "  --list             list scenarios and seeded defects\n"
     "  --help, --version\n"
     "Exit status: 0 as promised, 1 a promise was broken (or a defect not found), 2 wrong usage.\n";
@@ -48,7 +57,10 @@
   std::int64_t seconds = 60;
   int threads = 0;
   std::string defect;
+  bool orders_name_instance = false;
   bool list = false;
+
+  bool Traffic() const { return scenario == kTrafficScenario; }
 };
 
 [[noreturn]] void ExitWithUsage(const std::string& fault) {
@@ -79,6 +91,7 @@
                                     {"seconds", required_argument, nullptr, 'l'},
                                     {"threads", required_argument, nullptr, 'j'},
                                     {"defect", required_argument, nullptr, 'd'},
+                                    {"orders-name-instance", no_argument, nullptr, 'o'},
                                     {"list", no_argument, nullptr, 'i'},
                                     {"help", no_argument, nullptr, 'h'},
                                     {"version", no_argument, nullptr, 'v'},
@@ -107,6 +120,9 @@
       case 'd':
         settings.defect = optarg;
         break;
+      case 'o':
+        settings.orders_name_instance = true;
+        break;
       case 'i':
         settings.list = true;
         break;
@@ -121,8 +137,11 @@
     }
   }
   if (optind < argc) ExitWithUsage(std::string("unexpected argument ") + argv[optind] + ".");
-  constexpr std::int64_t kShortest = 20;
-  if (settings.seconds < kShortest) ExitWithUsage("--seconds is below 20.");
+  // The traffic world is left alone for longer at its end.
+  const std::int64_t shortest = settings.Traffic() ? 30 : 20;
+  if (settings.seconds < shortest) {
+    ExitWithUsage("--seconds is below " + std::to_string(shortest) + ".");
+  }
   if (settings.trace && settings.first != settings.last) ExitWithUsage("--trace wants --seed.");
   return settings;
 }
@@ -131,6 +150,12 @@
   for (const auto& scenario : Scenarios()) {
     std::printf("scenario %-36s %s\n", scenario.name.c_str(), scenario.description.c_str());
   }
+  std::printf("scenario %-36s %s\n", kTrafficScenario,
+              "gateways, key ranges and configuration under faults that the seed draws");
+  for (const auto& [defect, name, promise, description] : seeded_traffic_defects()) {
+    std::printf("defect   %-36.*s traffic: %.*s\n", static_cast<int>(name.size()), name.data(),
+                static_cast<int>(description.size()), description.data());
+  }
   for (const auto& [defect, name, description] : graniteseam::SeededDefects()) {
     std::printf("defect   %-36s %s\n", name, description);
   }
@@ -150,6 +175,17 @@
   std::map<std::uint64_t, std::vector<std::string>> violations;  ///< By seed.
 };
 
+/// Whether a defect was found; one of the traffic world by the promise that it breaks.
+bool Found(const Totals& totals, const graniteseam::simulation::SeededTrafficDefect* in_traffic) {
+  if (in_traffic == nullptr) return !totals.violations.empty();
+  const std::string promise = " us: " + std::string(in_traffic->promise) + ": ";
+  return std::any_of(totals.violations.begin(), totals.violations.end(), [&](const auto& entry) {
+    return std::any_of(entry.second.begin(), entry.second.end(), [&](const std::string& violation) {
+      return violation.find(promise) != std::string::npos;
+    });
+  });
+}
+
 void Add(Totals& totals, const RunResult& result) {
   const std::lock_guard lock(totals.mutex);
   for (const auto& [name, count] : result.counts) totals.counts[name] += count;
@@ -160,28 +196,45 @@
   if (!result.violations.empty()) totals.violations[result.seed] = result.violations;
 }
 
-void RunAll(const Settings& settings, const Scenario& scenario, Totals& totals) {
+/// The traffic world's defect of a name. @return nullptr when it has none.
+const graniteseam::simulation::SeededTrafficDefect* FindTrafficDefect(const std::string& name) {
+  static const auto defects = seeded_traffic_defects();
+  const auto found = std::find_if(defects.begin(), defects.end(),
+                                  [&](const auto& seeded) { return seeded.name == name; });
+  return found == defects.end() ? nullptr : &*found;
+}
+
+/// Runs one seed. @param scenario not used in the traffic world.
+RunResult RunOne(const Settings& settings, const Scenario* scenario, std::uint64_t seed,
+                 bool trace) {
+  RunOptions options;
+  options.seed = seed;
+  options.length = std::chrono::seconds(settings.seconds);
+  options.trace = trace;
+  if (!settings.Traffic()) return RunScenario(*scenario, options);
+  const auto* defect = FindTrafficDefect(settings.defect);
+  return graniteseam::simulation::run_traffic({options,
+                                               defect ? defect->defect : TrafficDefect::kNone,
+                                               settings.orders_name_instance});
+}
+
+void RunAll(const Settings& settings, const Scenario* scenario, Totals& totals) {
   tbb::parallel_for(settings.first, settings.last + 1, [&](std::uint64_t seed) {
     {
       // A defect is found once; more runs would add nothing.
       const std::lock_guard lock(totals.mutex);
-      if (!settings.defect.empty() && !totals.violations.empty()) return;
+      const bool done =
+          !settings.defect.empty() && Found(totals, FindTrafficDefect(settings.defect));
+      if (done) return;
     }
-    RunOptions options;
-    options.seed = seed;
-    options.length = std::chrono::seconds(settings.seconds);
-    options.trace = settings.trace;
-    Add(totals, RunScenario(scenario, options));
+    Add(totals, RunOne(settings, scenario, seed, settings.trace));
   });
 }
 
 /// Runs the first seed twice. @return whether both runs were the same, bit for bit.
-bool Repeats(const Settings& settings, const Scenario& scenario) {
-  RunOptions options;
-  options.seed = settings.first;
-  options.length = std::chrono::seconds(settings.seconds);
-  const RunResult one = RunScenario(scenario, options);
-  const RunResult two = RunScenario(scenario, options);
+bool Repeats(const Settings& settings, const Scenario* scenario) {
+  const RunResult one = RunOne(settings, scenario, settings.first, false);
+  const RunResult two = RunOne(settings, scenario, settings.first, false);
   return one.trace_hash == two.trace_hash && one.events == two.events && one.counts == two.counts;
 }
 
@@ -211,8 +264,12 @@
   const Settings settings = ParseArguments(argc, argv);
   if (settings.list) return List();
   const Scenario* scenario = FindScenario(settings.scenario);
-  if (scenario == nullptr) ExitWithUsage("no scenario " + settings.scenario + "; see --list.");
-  if (!settings.defect.empty() && !graniteseam::SwitchOnDefect(settings.defect)) {
+  if (scenario == nullptr && !settings.Traffic()) {
+    ExitWithUsage("no scenario " + settings.scenario + "; see --list.");
+  }
+  const auto* in_traffic = settings.Traffic() ? FindTrafficDefect(settings.defect) : nullptr;
+  if (!settings.defect.empty() && in_traffic == nullptr &&
+      !graniteseam::SwitchOnDefect(settings.defect)) {
     ExitWithUsage("no defect " + settings.defect + " in this build; see --list.");
   }
   const auto threads = settings.threads > 0 ? static_cast<unsigned>(settings.threads)
@@ -220,15 +277,15 @@
   const tbb::global_control limit(tbb::global_control::max_allowed_parallelism, threads);
   Totals totals;
   const auto started = std::chrono::steady_clock::now();
-  RunAll(settings, *scenario, totals);
+  RunAll(settings, scenario, totals);
   const std::chrono::duration<double> took = std::chrono::steady_clock::now() - started;
   if (!settings.trace) Print(totals, took.count(), settings.seconds);
   if (!settings.defect.empty()) {
-    std::printf("Defect %s: %s.\n", settings.defect.c_str(),
-                totals.violations.empty() ? "NOT FOUND" : "found");
-    return totals.violations.empty() ? 1 : 0;
+    const bool found = Found(totals, in_traffic);
+    std::printf("Defect %s: %s.\n", settings.defect.c_str(), found ? "found" : "NOT FOUND");
+    return found ? 0 : 1;
   }
-  if (!settings.trace && !Repeats(settings, *scenario)) {
+  if (!settings.trace && !Repeats(settings, scenario)) {
     std::printf("Seed %llu does not repeat itself bit for bit.\n",
                 static_cast<unsigned long long>(settings.first));
     return 1;
--- /dev/null
+++ b/simulation/traffic_world/gateway_process.cc
@@ -0,0 +1,182 @@
+#include "simulation/traffic_world/gateway_process.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace graniteseam::simulation {
+namespace {
+
+/// As the daemon's settings have it.
+constexpr Duration kPollInterval {500'000};
+constexpr Duration kUrgentPollInterval {100'000};
+constexpr Duration kTrackerInterval {50'000};
+constexpr int kMisdirected = 421;
+
+} // namespace
+
+GatewayProcess::GatewayProcess(World& world, GatewayPorts& ports, std::uint32_t number, std::uint32_t zone,
+    std::vector<std::string> controls)
+    : Process(world, {NodeKind::kRouter, number}, zone)
+    , m_ports(ports)
+    , m_controls(std::move(controls))
+{
+}
+
+void GatewayProcess::OnStart()
+{
+    gateway::GatewayOptions options;
+    options.id = RouterId {ToString(name())};
+    options.backends.zone = ZoneName {"zone-" + std::to_string(world_.ZoneOf(name()))};
+    m_node = std::make_unique<gateway::GatewayNode>(options, world_.random.Next());
+    m_tracker = std::make_unique<protocol::LeaderTracker>(m_controls, kPollInterval);
+    m_tracker_due = m_poll_due = Now();
+    m_last_poll = {};
+}
+
+void GatewayProcess::OnKill()
+{
+    m_node.reset();
+    m_tracker.reset();
+    for (auto& [number, live] : std::exchange(m_live, {})) {
+        close(live);
+        live.reply({});
+    }
+}
+
+Instant GatewayProcess::NextTick() const
+{
+    return std::min({m_node->NextTick(), m_tracker_due, m_poll_due});
+}
+
+void GatewayProcess::OnTick()
+{
+    if (m_tracker_due <= Now()) {
+        m_tracker_due = Now() + kTrackerInterval;
+        transmit(m_tracker->Tick(Now()));
+    }
+    if (m_poll_due <= Now())
+        poll();
+    if (m_node->NextTick() <= Now())
+        carry_out(m_node->Tick(Now()));
+}
+
+auto GatewayProcess::poll() -> void
+{
+    m_last_poll = Now();
+    m_poll_due = Now() + kPollInterval;
+    transmit(m_tracker->OnSend(m_node->TakePoll(), Now()));
+}
+
+auto GatewayProcess::transmit(std::vector<protocol::LeaderSend> const& sends) -> void
+{
+    for (auto const& send : sends)
+        m_ports.send_to_control(*this, send.address, send.message);
+}
+
+auto GatewayProcess::on_control_connected(std::string const& address) -> void
+{
+    transmit(m_tracker->OnConnected(address, Now()));
+    poll();
+}
+
+auto GatewayProcess::on_control_disconnected(std::string const& address) -> void
+{
+    transmit(m_tracker->OnDisconnected(address, Now()));
+}
+
+auto GatewayProcess::on_control_message(std::string const& address, control::ControlToRouter const& message)
+    -> void
+{
+    if (auto const* const not_leader = std::get_if<control::NotLeaderAnswer>(&message))
+        return transmit(m_tracker->OnNotLeader(address, *not_leader, Now()));
+    m_tracker->OnAnswered(address, message);
+    if (auto const* const update = std::get_if<control::TrafficUpdate>(&message))
+        carry_out(m_node->OnUpdate(*update, Now()));
+}
+
+auto GatewayProcess::take(gateway::ArrivedRequest const& request, Reply const& reply) -> void
+{
+    m_live[request.number] = {request, reply, 0, {}, {}};
+    carry_out(m_node->OnRequest(request, Now()));
+    if (m_node->LoadIsUrgent() && Now() - m_last_poll >= kUrgentPollInterval)
+        poll();
+}
+
+auto GatewayProcess::carry_out(gateway::GatewayEffects const& effects) -> void
+{
+    for (auto const& action : effects.actions)
+        std::visit([this](auto const& one) { act(one); }, action);
+}
+
+auto GatewayProcess::act(gateway::SendAttempt const& send) -> void
+{
+    auto& live = m_live.at(send.request);
+    live.attempt = send.attempt;
+    live.address = send.address;
+    WorkerRequest const request {
+        send.request.value, send.instance.value, live.request.key, send.time_left};
+    m_ports.send_to_worker(*this, send.address, request,
+        [this, send](gateway::AttemptEnd end, WorkerAnswer const& answer) {
+            on_attempt_end(send, end, answer);
+        });
+}
+
+auto GatewayProcess::on_attempt_end(
+    gateway::SendAttempt const& send, gateway::AttemptEnd end, WorkerAnswer const& answer) -> void
+{
+    auto const found = m_live.find(send.request);
+    if (found == m_live.end() || found->second.attempt != send.attempt)
+        return;
+    gateway::AttemptReport report;
+    report.request = send.request;
+    report.attempt = send.attempt;
+    report.end = end;
+    auto const answered = end == gateway::AttemptEnd::kAnswered || end == gateway::AttemptEnd::kNotExecuted;
+    if (answered && answer.number != send.request.value && !takes_any_answer) {
+        report.end = gateway::AttemptEnd::kUnusable;
+    } else if (answered) {
+        report.status = answer.status;
+        report.load = answer.load;
+        report.not_owner = end == gateway::AttemptEnd::kNotExecuted && answer.status == kMisdirected;
+    }
+    found->second.attempt = 0;
+    found->second.answer = answer;
+    carry_out(m_node->OnAttemptEnd(report, Now()));
+}
+
+auto GatewayProcess::close(Live& live) -> void
+{
+    if (std::exchange(live.attempt, 0) != 0)
+        m_ports.close_at_worker(*this, live.address, live.request.number.value);
+}
+
+auto GatewayProcess::act(gateway::AbandonAttempt const& abandon) -> void
+{
+    auto const found = m_live.find(abandon.request);
+    if (found != m_live.end())
+        close(found->second);
+}
+
+auto GatewayProcess::act(gateway::RelayAnswer const& relay) -> void
+{
+    auto const& answer = m_live.at(relay.request).answer;
+    tell(relay.request, {CallerAnswer::End::kAnswered, answer.status, answer.number, {}});
+}
+
+auto GatewayProcess::act(gateway::Refuse const& refusal) -> void
+{
+    tell(refusal.request, {CallerAnswer::End::kRefused, refusal.status, 0, refusal.retry_after});
+}
+
+auto GatewayProcess::tell(gateway::RequestNumber number, CallerAnswer const& answer) -> void
+{
+    auto const found = m_live.find(number);
+    if (found == m_live.end())
+        return;
+    auto live = std::move(found->second);
+    m_live.erase(found);
+    close(live);
+    live.reply(answer);
+}
+
+} // namespace graniteseam::simulation
--- /dev/null
+++ b/simulation/traffic_world/gateway_process.h
@@ -0,0 +1,106 @@
+/// @file
+/// A gateway: the shipped GatewayNode and LeaderTracker, driven as the daemon drives them.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "graniteseam/control/router_messages.h"
+#include "simulation/simulator/process.h"
+#include "simulation/traffic_world/worker.h"
+#include "src/gateway/gateway_node.h"
+#include "src/protocol/leader_tracker.h"
+
+namespace graniteseam::simulation {
+
+class GatewayProcess;
+
+/// What a caller is told.
+struct CallerAnswer {
+    enum class End {
+        kAnswered, ///< By a worker.
+        kRefused, ///< By the gateway, in its own name.
+        kBroken, ///< The connection ended.
+    };
+    End end = End::kBroken;
+    int status = 0;
+    std::uint64_t answered = 0; ///< The request that a worker's answer says it belongs to.
+    std::optional<Duration> retry_after;
+};
+
+/// Where a gateway's messages go; the fleet implements it.
+class GatewayPorts {
+public:
+    virtual ~GatewayPorts() = default;
+    virtual auto send_to_control(
+        GatewayProcess& from, std::string const& address, control::RouterToControl const&) -> void
+        = 0;
+    /// The reply comes once at most, not after the gateway has ended.
+    virtual auto send_to_worker(GatewayProcess& from, std::string const& address, WorkerRequest const&,
+        std::function<void(gateway::AttemptEnd, WorkerAnswer const&)> const& reply) -> void
+        = 0;
+    virtual auto close_at_worker(GatewayProcess& from, std::string const& address, std::uint64_t request)
+        -> void
+        = 0;
+};
+
+/// Not thread safe.
+class GatewayProcess : public Process {
+public:
+    using Reply = std::function<void(CallerAnswer const&)>;
+
+    GatewayProcess(World&, GatewayPorts&, std::uint32_t number, std::uint32_t zone,
+        std::vector<std::string> controls);
+
+    /// Takes the answers of any request for its own; a seeded defect.
+    bool takes_any_answer = false;
+
+    auto on_control_connected(std::string const& address) -> void;
+    auto on_control_disconnected(std::string const& address) -> void;
+    auto on_control_message(std::string const& address, control::ControlToRouter const&) -> void;
+    auto take(gateway::ArrivedRequest const&, Reply const&) -> void;
+
+    auto ready() const -> bool { return alive() && m_node->Ready(); }
+    auto configuration() const -> std::uint64_t { return m_node->configuration().value; }
+
+protected:
+    void OnStart() override;
+    void OnKill() override;
+    void OnTick() override;
+    Instant NextTick() const override;
+
+private:
+    struct Live {
+        gateway::ArrivedRequest request;
+        Reply reply;
+        std::uint32_t attempt = 0; ///< Under way; 0 for none.
+        std::string address;
+        WorkerAnswer answer;
+    };
+
+    auto poll() -> void;
+    auto transmit(std::vector<protocol::LeaderSend> const&) -> void;
+    auto carry_out(gateway::GatewayEffects const&) -> void;
+    auto act(gateway::SendAttempt const&) -> void;
+    auto act(gateway::AbandonAttempt const&) -> void;
+    auto act(gateway::RelayAnswer const&) -> void;
+    auto act(gateway::Refuse const&) -> void;
+    auto on_attempt_end(gateway::SendAttempt const&, gateway::AttemptEnd, WorkerAnswer const&) -> void;
+    auto close(Live&) -> void;
+    auto tell(gateway::RequestNumber, CallerAnswer const&) -> void;
+
+    GatewayPorts& m_ports;
+    std::vector<std::string> m_controls;
+    std::unique_ptr<gateway::GatewayNode> m_node;
+    std::unique_ptr<protocol::LeaderTracker> m_tracker;
+    Instant m_tracker_due {};
+    Instant m_poll_due {};
+    Instant m_last_poll {};
+    std::map<gateway::RequestNumber, Live> m_live;
+};
+
+} // namespace graniteseam::simulation
--- /dev/null
+++ b/simulation/traffic_world/traffic_callers.cc
@@ -0,0 +1,127 @@
+#include "simulation/traffic_world/traffic_callers.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace graniteseam::simulation {
+namespace {
+
+constexpr std::array<CallKind, 6> kKinds {{
+    {kOrderedService, "/ordered/safe/", true, true},
+    {kOrderedService, "/ordered/unsafe/", true, false},
+    {kLeasedService, "/leased/safe/", true, true},
+    {kLeasedService, "/leased/unsafe/", true, false},
+    {kPooledService, "/pooled/safe/", false, true},
+    {kPooledService, "/pooled/unsafe/", false, false},
+}};
+
+constexpr Duration kArrivalMinimum {1'000};
+constexpr Duration kArrivalMaximum {15'000};
+constexpr Duration kDeadlineMinimum {800'000};
+constexpr Duration kDeadlineMaximum {3'000'000};
+constexpr Duration kToGateway {8'000};
+constexpr Duration kRetryPause {20'000};
+constexpr int kTries = 3;
+constexpr double kHotKeys = 0.4;
+constexpr std::uint32_t kKeys = 65'536;
+
+auto is_promise(int status) -> bool
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+} // namespace
+
+auto TrafficCallers::start() -> void
+{
+    m_world.queue.After(m_world.random.Between(kArrivalMinimum, kArrivalMaximum), [this] {
+        arrive();
+        start();
+    });
+}
+
+auto TrafficCallers::draw_key() -> std::uint32_t
+{
+    // A few busy keys that lie close to one another.
+    if (m_world.random.Chance(kHotKeys))
+        return static_cast<std::uint32_t>(20'000 + m_world.random.Below(8));
+    return static_cast<std::uint32_t>(m_world.random.Below(kKeys));
+}
+
+auto TrafficCallers::arrive() -> void
+{
+    Call call;
+    call.kind = &kKinds[m_world.random.Below(kKinds.size())];
+    if (call.kind->keyed)
+        call.key = draw_key();
+    call.deadline = m_world.now() + m_world.random.Between(kDeadlineMinimum, kDeadlineMaximum).count();
+    call.tries_left = kTries;
+    attempt(call);
+}
+
+auto TrafficCallers::attempt(Call call) -> void
+{
+    --call.tries_left;
+    auto const number = ++m_last_request;
+    m_oracle.on_sent(number, call.kind->repeatable);
+    gateway::ArrivedRequest request;
+    request.number = {number};
+    request.host = "host";
+    request.path = call.kind->path + std::to_string(number);
+    request.key = call.key;
+    request.time_left = Duration {call.deadline - m_world.now()};
+    auto& gateway = *m_fleet.gateways[m_world.random.Below(m_fleet.gateways.size())];
+    auto const ended = std::make_shared<bool>(false);
+    auto const told = [this, call, number, ended](CallerAnswer const& answer) {
+        m_world.queue.After(kToGateway, [this, call, number, ended, answer] {
+            if (!std::exchange(*ended, true))
+                on_told(call, number, answer);
+        });
+    };
+    m_world.queue.After(kToGateway, [&gateway, request, told] {
+        if (!gateway.alive())
+            return told({});
+        gateway.Deliver([&gateway, request, told] { gateway.take(request, told); });
+    });
+    m_world.queue.At(call.deadline, [this, call, ended] {
+        if (!std::exchange(*ended, true))
+            count_end(call, false);
+    });
+}
+
+auto TrafficCallers::on_told(Call call, std::uint64_t request, CallerAnswer const& answer) -> void
+{
+    if (answer.end == CallerAnswer::End::kAnswered) {
+        ++m_answered;
+        m_oracle.on_answer(request, answer.answered, m_world.now());
+        if (answer.status < 300)
+            return count_end(call, true);
+    }
+    auto const refused = answer.end == CallerAnswer::End::kRefused && is_promise(answer.status);
+    if (refused) {
+        m_world.Count("request refused");
+        m_oracle.on_refused(request, answer.status, m_world.now());
+    }
+    auto const may_repeat = refused || call.kind->repeatable;
+    auto const left = call.deadline - m_world.now();
+    if (!may_repeat || call.tries_left == 0 || answer.status == 404 || left <= 0)
+        return count_end(call, false);
+    auto const wait = std::min<Duration>(answer.retry_after.value_or(kRetryPause), Duration {left / 3});
+    m_world.queue.After(wait, [this, call] { attempt(call); });
+}
+
+auto TrafficCallers::count_end(Call const& call, bool served) -> void
+{
+    auto& count = m_served[call.kind->service];
+    ++count.calls;
+    if (served)
+        ++count.served;
+}
+
+auto TrafficCallers::take_served() -> std::map<std::string, Served>
+{
+    return std::exchange(m_served, {});
+}
+
+} // namespace graniteseam::simulation
--- /dev/null
+++ b/simulation/traffic_world/traffic_faults.cc
@@ -0,0 +1,354 @@
+#include "simulation/traffic_world/traffic_faults.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace graniteseam::simulation {
+namespace {
+
+/// An address that a worker left is not given to another service sooner.
+constexpr Duration kReuseAfter {2'000'000};
+constexpr Duration kIntervalMaximum {2'500'000};
+constexpr Duration kOverlappingIntervalMaximum {1'200'000};
+constexpr std::size_t kKindsMinimum = 2;
+
+} // namespace
+
+auto TrafficFaults::all() -> std::vector<TrafficFaultKind> const&
+{
+    static std::vector<TrafficFaultKind> const kinds {
+        {"worker crashed", &TrafficFaults::crash_worker},
+        {"worker crashed, heard of later", &TrafficFaults::crash_worker_heard_of_later},
+        {"address given to another service", &TrafficFaults::give_address_to_another_service},
+        {"worker drained", &TrafficFaults::drain_worker},
+        {"worker left without a word", &TrafficFaults::drain_worker_without_word},
+        {"worker cut from control", &TrafficFaults::cut_worker_from_control},
+        {"heartbeats disturbed", &TrafficFaults::disturb_heartbeats},
+        {"orders lost", &TrafficFaults::lose_orders},
+        {"orders late", &TrafficFaults::delay_orders},
+        {"answers lost", &TrafficFaults::lose_answers},
+        {"answers surplus", &TrafficFaults::add_answers},
+        {"control paused", &TrafficFaults::pause_control},
+        {"leader paused", &TrafficFaults::pause_leader},
+        {"control lost power", &TrafficFaults::kill_control},
+        {"leader lost power", &TrafficFaults::kill_leader},
+        {"control cut", &TrafficFaults::cut_control},
+        {"leader stopped as planned", &TrafficFaults::stop_leader_as_planned},
+        {"gateway cut from control", &TrafficFaults::cut_gateway},
+        {"gateway killed", &TrafficFaults::kill_gateway},
+        {"network lossy", &TrafficFaults::disturb_network},
+        {"operators raced", &TrafficFaults::race_operators},
+        {"lease form to be turned", &TrafficFaults::turn_form},
+    };
+    return kinds;
+}
+
+auto TrafficFaults::inject_until(TrueTime end, bool overlapping) -> void
+{
+    m_end = end;
+    auto kinds = all();
+    auto const count = kKindsMinimum + m_world.random.Below(kinds.size() - kKindsMinimum + 1);
+    while (m_kinds.size() < count) {
+        auto const drawn = kinds.begin() + static_cast<std::ptrdiff_t>(m_world.random.Below(kinds.size()));
+        m_kinds.push_back(*drawn);
+        kinds.erase(drawn);
+    }
+    inject_next(end, overlapping);
+}
+
+auto TrafficFaults::inject_next(TrueTime end, bool overlapping) -> void
+{
+    auto const longest = overlapping ? kOverlappingIntervalMaximum : kIntervalMaximum;
+    auto const wait = m_world.random.Between(longest / 10, longest);
+    if (m_world.now() + wait.count() >= end)
+        return;
+    m_world.queue.After(wait, [this, end, overlapping] {
+        for (auto number = 0; number < (overlapping ? 2 : 1); ++number) {
+            auto const& kind = m_kinds[m_world.random.Below(m_kinds.size())];
+            m_world.Count(std::string("fault: ") + kind.name);
+            m_world.Trace(std::string("fault: ") + kind.name);
+            (this->*kind.inject)();
+        }
+        inject_next(end, overlapping);
+    });
+}
+
+auto TrafficFaults::heal() -> void
+{
+    ++m_network_moods;
+    m_world.mood = {};
+    m_fleet.mood = {};
+    m_fleet.disturb_core(m_world.now());
+    for (auto const& control : m_fleet.controls) {
+        m_world.RestoreNode(control->name());
+        control->Start();
+        for (auto const& gateway : m_fleet.gateways) {
+            m_world.RestoreLink(control->name(), gateway->name());
+            m_world.RestoreLink(gateway->name(), control->name());
+        }
+        for (auto const& place : m_fleet.places) {
+            m_world.RestoreLink(control->name(), place.node);
+            m_world.RestoreLink(place.node, control->name());
+        }
+    }
+    for (auto const& gateway : m_fleet.gateways)
+        gateway->Start();
+    // Each service has workers again, whichever service an address was given to meanwhile.
+    for (std::size_t i = 0; i < m_fleet.places.size(); ++i) {
+        auto& place = m_fleet.places[i];
+        if (place.worker->up())
+            continue;
+        auto const* const service = i < kPlacesOfService ? kOrderedService
+            : i < 2 * kPlacesOfService                   ? kLeasedService
+                                                         : kPooledService;
+        start_after(place, service, kReuseAfter);
+    }
+}
+
+/// A random length, cut at the end of the time of faults.
+auto TrafficFaults::span(std::int64_t low_ms, std::int64_t high_ms) -> Duration
+{
+    auto const drawn = m_world.random.Between(Duration {low_ms * 1'000}, Duration {high_ms * 1'000});
+    return std::max(Duration {1'000}, std::min(drawn, Duration {m_end - m_world.now()}));
+}
+
+auto TrafficFaults::any_control() -> ControlProcess&
+{
+    return *m_fleet.controls[m_world.random.Below(m_fleet.controls.size())];
+}
+
+auto TrafficFaults::leader_or_any() -> ControlProcess&
+{
+    auto* const leader = m_fleet.leader();
+    return leader != nullptr ? *leader : any_control();
+}
+
+auto TrafficFaults::any_gateway() -> GatewayProcess&
+{
+    return *m_fleet.gateways[m_world.random.Below(m_fleet.gateways.size())];
+}
+
+auto TrafficFaults::any_place() -> Place*
+{
+    auto& place = m_fleet.places[m_world.random.Below(m_fleet.places.size())];
+    auto const stays = place.worker->up() && !place.planned_end;
+    return stays ? &place : nullptr;
+}
+
+// --- Workers ---
+
+auto TrafficFaults::start_after(Place& place, std::string const& service, Duration wait) -> void
+{
+    m_world.queue.After(wait, [this, &place, service] {
+        if (!place.worker->up())
+            m_fleet.start_worker(place, service);
+    });
+}
+
+auto TrafficFaults::crash(Place& place, bool heard_of_later) -> void
+{
+    auto const service = place.worker->traits().service;
+    m_fleet.crash(place, heard_of_later ? std::optional(span(50, 3'000)) : std::nullopt);
+    // At once for the most part: that is when the former process's messages find the next one.
+    auto const soon = m_world.random.Chance(0.6);
+    start_after(place, service, soon ? span(1, 400) : span(400, 4'000));
+}
+
+auto TrafficFaults::crash_worker() -> void
+{
+    if (auto* const place = any_place())
+        crash(*place, false);
+}
+
+auto TrafficFaults::crash_worker_heard_of_later() -> void
+{
+    if (auto* const place = any_place())
+        crash(*place, true);
+}
+
+auto TrafficFaults::give_address_to_another_service() -> void
+{
+    auto* const place = any_place();
+    if (place == nullptr)
+        return;
+    auto const service = place->worker->traits().service;
+    // Some worker of the service must be left.
+    auto const others = std::count_if(m_fleet.places.begin(), m_fleet.places.end(), [&](auto const& other) {
+        return other.worker->up() && other.worker->traits().service == service;
+    });
+    if (others < 3)
+        return;
+    auto const* const next = service == kOrderedService ? kLeasedService
+        : service == kLeasedService                     ? kOrderedService
+        : m_world.random.Chance(0.5)                    ? kOrderedService
+                                                        : kLeasedService;
+    m_fleet.crash(*place, m_world.random.Chance(0.3) ? std::optional(span(1'500, 4'000)) : std::nullopt);
+    start_after(*place, next, kReuseAfter + span(1, 500));
+}
+
+auto TrafficFaults::drain_worker() -> void
+{
+    auto* const place = any_place();
+    if (place == nullptr)
+        return;
+    m_fleet.drain(*place, true);
+    start_after(*place, place->worker->traits().service, Duration {10'000'000});
+}
+
+auto TrafficFaults::drain_worker_without_word() -> void
+{
+    auto* const place = any_place();
+    if (place == nullptr)
+        return;
+    m_fleet.drain(*place, false);
+    start_after(*place, place->worker->traits().service, Duration {10'000'000});
+}
+
+auto TrafficFaults::cut_worker_from_control() -> void
+{
+    auto* const place = any_place();
+    if (place == nullptr)
+        return;
+    auto const length = span(300, 5'000);
+    for (auto const& control : m_fleet.controls) {
+        m_world.CutLink(control->name(), place->node);
+        m_world.CutLink(place->node, control->name());
+        m_world.queue.After(length, [this, node = place->node, to = control->name()] {
+            m_world.RestoreLink(to, node);
+            m_world.RestoreLink(node, to);
+        });
+    }
+}
+
+auto TrafficFaults::in_mood(double WorkerMood::*what, double part) -> void
+{
+    m_fleet.mood.*what = part;
+    m_world.queue.After(span(500, 5'000), [this, what] { m_fleet.mood.*what = 0; });
+}
+
+auto TrafficFaults::disturb_heartbeats() -> void
+{
+    in_mood(&WorkerMood::heartbeat_lost, m_world.random.Fraction() * 0.3);
+    in_mood(&WorkerMood::heartbeat_late, m_world.random.Fraction() * 0.5);
+    in_mood(&WorkerMood::heartbeat_repeated, m_world.random.Fraction() * 0.5);
+    in_mood(&WorkerMood::heartbeat_answer_lost, m_world.random.Fraction() * 0.3);
+}
+
+auto TrafficFaults::lose_orders() -> void
+{
+    in_mood(&WorkerMood::order_lost, m_world.random.Fraction() * 0.5);
+    in_mood(&WorkerMood::order_answer_lost, m_world.random.Fraction() * 0.5);
+}
+
+auto TrafficFaults::delay_orders() -> void
+{
+    in_mood(&WorkerMood::order_late, m_world.random.Fraction());
+}
+
+auto TrafficFaults::lose_answers() -> void
+{
+    in_mood(&WorkerMood::answer_lost, m_world.random.Fraction() * 0.3);
+}
+
+auto TrafficFaults::add_answers() -> void
+{
+    in_mood(&WorkerMood::answer_surplus, m_world.random.Fraction() * 0.3);
+}
+
+// --- Control and gateways ---
+
+auto TrafficFaults::pause(ControlProcess& control, Duration length) -> void
+{
+    m_fleet.disturb_core(m_world.now() + length.count());
+    control.PauseFor(length);
+}
+
+auto TrafficFaults::kill(ControlProcess& control, Duration length) -> void
+{
+    m_fleet.disturb_core(m_world.now() + length.count());
+    control.LosePower();
+    m_world.queue.After(length, [&control] { control.Start(); });
+}
+
+auto TrafficFaults::pause_control() -> void
+{
+    pause(any_control(), span(50, 4'000));
+}
+
+auto TrafficFaults::pause_leader() -> void
+{
+    pause(leader_or_any(), span(100, 4'000));
+}
+
+auto TrafficFaults::kill_control() -> void
+{
+    kill(any_control(), span(50, 3'000));
+}
+
+auto TrafficFaults::kill_leader() -> void
+{
+    kill(leader_or_any(), span(50, 3'000));
+}
+
+auto TrafficFaults::cut_control() -> void
+{
+    auto const node = any_control().name();
+    auto const length = span(200, 5'000);
+    m_fleet.disturb_core(m_world.now() + length.count());
+    m_world.CutNode(node);
+    m_world.queue.After(length, [this, node] { m_world.RestoreNode(node); });
+}
+
+auto TrafficFaults::stop_leader_as_planned() -> void
+{
+    auto& control = leader_or_any();
+    if (!control.alive())
+        return;
+    m_fleet.disturb_core(m_world.now() + 1'000'000);
+    control.Deliver([&control] {
+        control.Run([](control::ControlNode& node, Instant now) { return node.PrepareStop(now); });
+    });
+    m_world.queue.After(span(500, 1'000), [this, &control, start = control.starts()] {
+        if (control.starts() == start)
+            kill(control, span(100, 1'000));
+    });
+}
+
+auto TrafficFaults::cut_gateway() -> void
+{
+    auto& gateway = any_gateway();
+    auto const length = span(500, 6'000);
+    m_fleet.disturb_gateway(gateway.name().number, m_world.now() + length.count());
+    for (auto const& control : m_fleet.controls) {
+        m_world.CutLink(control->name(), gateway.name());
+        m_world.CutLink(gateway.name(), control->name());
+        m_world.queue.After(length, [this, node = gateway.name(), to = control->name()] {
+            m_world.RestoreLink(to, node);
+            m_world.RestoreLink(node, to);
+        });
+    }
+}
+
+auto TrafficFaults::kill_gateway() -> void
+{
+    auto& gateway = any_gateway();
+    auto const length = span(1, 2'000);
+    m_fleet.disturb_gateway(gateway.name().number, m_world.now() + length.count());
+    gateway.Kill();
+    m_world.queue.After(length, [&gateway] { gateway.Start(); });
+}
+
+auto TrafficFaults::disturb_network() -> void
+{
+    auto const length = span(500, 4'000);
+    m_fleet.disturb_core(m_world.now() + length.count());
+    m_world.mood.loss = m_world.random.Fraction() * 0.2;
+    m_world.mood.duplication = m_world.random.Fraction() * 0.2;
+    m_world.mood.late = m_world.random.Fraction() * 0.1;
+    m_world.queue.After(length, [this, number = ++m_network_moods] {
+        if (number == m_network_moods)
+            m_world.mood = {};
+    });
+}
+
+} // namespace graniteseam::simulation
--- /dev/null
+++ b/simulation/traffic_world/traffic_faults.h
@@ -0,0 +1,83 @@
+/// @file
+/// What goes wrong in the traffic world, by name, and who makes it go wrong at random instants.
+#pragma once
+
+#include <vector>
+
+#include "simulation/traffic_world/configuration_operators.h"
+#include "simulation/traffic_world/traffic_fleet.h"
+
+namespace graniteseam::simulation {
+
+class TrafficFaults;
+
+/// One kind of fault. Its name appears in the counts of a run.
+struct TrafficFaultKind {
+    char const* name;
+    auto (TrafficFaults::*inject)() -> void;
+};
+
+/// Injects faults into a fleet. Each ends by itself; heal() ends all. Not thread safe.
+class TrafficFaults {
+public:
+    TrafficFaults(World& world, TrafficFleet& fleet, ConfigurationOperators& operators)
+        : m_world(world)
+        , m_fleet(fleet)
+        , m_operators(operators)
+    {
+    }
+
+    static auto all() -> std::vector<TrafficFaultKind> const&;
+
+    /// Injects kinds drawn from some drawn for this run, until `end`: one after another, or with
+    /// `overlapping` two at once and often.
+    auto inject_until(TrueTime end, bool overlapping) -> void;
+    /// Makes network and processes whole again, with a worker at each address.
+    auto heal() -> void;
+
+    auto crash_worker() -> void;
+    auto crash_worker_heard_of_later() -> void;
+    auto give_address_to_another_service() -> void;
+    auto drain_worker() -> void;
+    auto drain_worker_without_word() -> void;
+    auto cut_worker_from_control() -> void;
+    auto disturb_heartbeats() -> void;
+    auto lose_orders() -> void;
+    auto delay_orders() -> void;
+    auto lose_answers() -> void;
+    auto add_answers() -> void;
+    auto pause_control() -> void;
+    auto pause_leader() -> void;
+    auto kill_control() -> void;
+    auto kill_leader() -> void;
+    auto cut_control() -> void;
+    auto stop_leader_as_planned() -> void;
+    auto cut_gateway() -> void;
+    auto kill_gateway() -> void;
+    auto disturb_network() -> void;
+    auto race_operators() -> void { m_operators.race(); }
+    auto turn_form() -> void { m_operators.turn_form(); }
+
+private:
+    auto inject_next(TrueTime end, bool overlapping) -> void;
+    auto span(std::int64_t low_ms, std::int64_t high_ms) -> Duration;
+    auto any_control() -> ControlProcess&;
+    auto leader_or_any() -> ControlProcess&;
+    auto any_gateway() -> GatewayProcess&;
+    /// A place with a worker that is up and means to stay, null when a draw finds none.
+    auto any_place() -> Place*;
+    auto crash(Place&, bool heard_of_later) -> void;
+    auto start_after(Place&, std::string const& service, Duration) -> void;
+    auto pause(ControlProcess&, Duration) -> void;
+    auto kill(ControlProcess&, Duration) -> void;
+    auto in_mood(double WorkerMood::*what, double part) -> void;
+
+    World& m_world;
+    TrafficFleet& m_fleet;
+    ConfigurationOperators& m_operators;
+    std::vector<TrafficFaultKind> m_kinds;
+    std::uint64_t m_network_moods = 0;
+    TrueTime m_end = 0;
+};
+
+} // namespace graniteseam::simulation
--- /dev/null
+++ b/simulation/traffic_world/traffic_fleet.cc
@@ -0,0 +1,558 @@
+#include "simulation/traffic_world/traffic_fleet.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace graniteseam::simulation {
+namespace {
+
+using Outcome = control::RangeOrderResult::Outcome;
+using gateway::AttemptEnd;
+
+constexpr Duration kMaintenanceInterval {50'000};
+constexpr Duration kContact {3'000'000};
+constexpr double kBreaksWhileCut = 0.05;
+constexpr Duration kBeatMinimum {840'000};
+constexpr Duration kBeatMaximum {900'000};
+constexpr Duration kBeatWhileLettingGo {100'000};
+constexpr Duration kCallLimit {1'000'000};
+constexpr Duration kTurnPause {20'000};
+constexpr Duration kTurnsPause {200'000};
+constexpr int kTurnsInARow = 3;
+constexpr Duration kConnectRetry {50'000};
+constexpr Duration kLateMaximum {4'000'000};
+/// A worker that leaves goes on for this long after its word was acknowledged, and up to as long again.
+constexpr Duration kDrain {2'000'000};
+/// Without an acknowledgement it ends all the same.
+constexpr Duration kDrainUnheard {6'000'000};
+/// Of requests to a worker that is down, those that go out on a connection which it had left open.
+constexpr double kOnOldConnection = 0.3;
+constexpr double kSentTwice = 0.05;
+
+} // namespace
+
+TrafficFleet::TrafficFleet(
+    World& world, TrafficOracle& oracle, TrafficDefect defect, bool orders_name_instance)
+    : m_world(world)
+    , m_oracle(oracle)
+    , m_defect(defect)
+    , m_orders_name_instance(orders_name_instance && defect != TrafficDefect::kOrderTakenByAnyInstance)
+{
+    std::vector<std::string> addresses;
+    std::vector<consensus::Member> voters;
+    for (std::uint32_t number = 1; number <= kTrafficControls; ++number) {
+        controls.push_back(
+            std::make_unique<ControlProcess>(world, *this, number, (number - 1) % kTrafficZones));
+        addresses.push_back(controls.back()->address());
+        m_control_of_address[addresses.back()] = number;
+        voters.push_back(controls.back()->FirstSelf());
+    }
+    for (auto const& control : controls)
+        control->SetFirstVoters(voters);
+    for (std::uint32_t number = 1; number <= kTrafficGateways; ++number) {
+        gateways.push_back(
+            std::make_unique<GatewayProcess>(world, *this, number, (number - 1) % kTrafficZones, addresses));
+        gateways.back()->takes_any_answer = defect == TrafficDefect::kSurplusAnswerTaken;
+        for (auto const& control : controls)
+            m_lines.push_back(std::make_unique<RouterLine>(world, *gateways.back(), *control));
+    }
+    for (std::uint32_t number = 1; number <= 3 * kPlacesOfService; ++number) {
+        NodeName const node {NodeKind::kServer, number};
+        world.SetZone(node, number % kTrafficZones);
+        auto const address = "10.1.0." + std::to_string(number) + ":80";
+        m_place_of_address[address] = number;
+        places.push_back({node, address, nullptr, 0, false});
+    }
+}
+
+auto TrafficFleet::start() -> void
+{
+    for (auto const& control : controls)
+        control->Start();
+    for (auto const& gateway : gateways)
+        gateway->Start();
+    for (std::size_t i = 0; i < places.size(); ++i) {
+        auto const* const service = i < kPlacesOfService ? kOrderedService
+            : i < 2 * kPlacesOfService                   ? kLeasedService
+                                                         : kPooledService;
+        start_worker(places[i], service);
+    }
+    maintain_lines();
+}
+
+auto TrafficFleet::leader() -> ControlProcess*
+{
+    auto const found
+        = std::find_if(controls.begin(), controls.end(), [](auto const& control) { return control->Leads(); });
+    return found == controls.end() ? nullptr : found->get();
+}
+
+auto TrafficFleet::place_of(std::string const& address) -> Place&
+{
+    return places[m_place_of_address.at(address) - 1];
+}
+
+auto TrafficFleet::line_between(std::uint32_t gateway, std::uint32_t control) -> RouterLine&
+{
+    return *m_lines[(gateway - 1) * kTrafficControls + control - 1];
+}
+
+// --- Who is in touch ---
+
+auto TrafficFleet::disturb_gateway(std::uint32_t number, TrueTime until) -> void
+{
+    auto& disturbed = m_gateway_disturbed[number];
+    disturbed = std::max(disturbed, until);
+}
+
+auto TrafficFleet::calm_for(GatewayProcess const& gateway, Duration span) const -> bool
+{
+    auto const found = m_gateway_disturbed.find(gateway.name().number);
+    auto const disturbed
+        = std::max(m_core_disturbed, found == m_gateway_disturbed.end() ? 0 : found->second);
+    return m_world.now() - disturbed > span.count();
+}
+
+auto TrafficFleet::in_touch(GatewayProcess const& gateway) const -> bool
+{
+    return calm_for(gateway, kContact);
+}
+
+// --- Control and gateways ---
+
+auto TrafficFleet::maintain_lines() -> void
+{
+    for (auto const& gateway : gateways) {
+        for (auto const& control : controls)
+            maintain_line(
+                line_between(gateway->name().number, control->name().number), *gateway, *control);
+    }
+    check_group();
+    m_world.queue.After(kMaintenanceInterval, [this] { maintain_lines(); });
+}
+
+auto TrafficFleet::maintain_line(RouterLine& line, GatewayProcess& gateway, ControlProcess& control) -> void
+{
+    auto const address = control.address();
+    auto const number = gateway.name().number;
+    if (m_defect == TrafficDefect::kCutNeverHealed && !line.NetworkWhole())
+        m_lost_for_good.insert(number);
+    if (line.up()) {
+        auto const breaks = !line.EndsAlive() || m_lost_for_good.contains(number)
+            || (!line.NetworkWhole() && m_world.random.Chance(kBreaksWhileCut));
+        if (!breaks)
+            return;
+        auto const connection = line.connection();
+        line.Close();
+        gateway.Deliver([&gateway, address] { gateway.on_control_disconnected(address); });
+        control.Deliver([&control, connection] {
+            control.Run([connection](control::ControlNode& node, Instant now) {
+                return node.OnRouterDisconnected(connection, now);
+            });
+        });
+        return;
+    }
+    if (!gateway.alive() || !control.alive() || !line.NetworkWhole() || m_lost_for_good.contains(number))
+        return;
+    line.Open(++m_last_connection);
+    gateway.Deliver([&gateway, address] { gateway.on_control_connected(address); });
+}
+
+/// Looks at what all processes show.
+auto TrafficFleet::check_group() -> void
+{
+    std::uint32_t leading = 0;
+    for (auto const& control : controls) {
+        // One that is paused counts too: nothing but its lease keeps it from acting as it wakes.
+        if (!control->works() || !control->node().Leading(control->Now()))
+            continue;
+        ++leading;
+        if (control->name().number != m_last_leader) {
+            m_world.Count("leader changed");
+            m_world.Trace(ToString(control->name()) + " leads");
+            disturb_core(m_world.now());
+        }
+        m_last_leader = control->name().number;
+    }
+    if (leading > 1)
+        m_oracle.violate("one_owner", "two leaders with a valid leader lease", m_world.now());
+    constexpr Duration kMustHaveHeard {5'000'000};
+    for (auto const& gateway : gateways) {
+        if (!gateway->alive() || gateway->paused())
+            continue;
+        auto const life = ToString(gateway->name()) + " start " + std::to_string(gateway->starts());
+        m_oracle.on_gateway_configuration(
+            life, gateway->configuration(), calm_for(*gateway, kMustHaveHeard), m_world.now());
+    }
+}
+
+void TrafficFleet::SendToPeer(NodeName const& from, consensus::PeerMessage const& message)
+{
+    auto const to = static_cast<std::uint32_t>(message.to.id.value);
+    if (to == 0 || to > kTrafficControls)
+        return;
+    auto& peer = *controls[to - 1];
+    m_world.Send(from, peer.name(), [&peer, message] {
+        peer.Deliver([&peer, message] {
+            peer.Run([&message](control::ControlNode& node, Instant now) {
+                return node.OnPeerMessage(message, now);
+            });
+        });
+    });
+}
+
+void TrafficFleet::SendToRouter(ControlProcess& from, control::RouterSend const& send)
+{
+    for (auto const& gateway : gateways) {
+        auto& line = line_between(gateway->name().number, from.name().number);
+        if (!line.up() || line.connection() != send.connection)
+            continue;
+        line.ToRouter([&to = *gateway, address = from.address(), message = send.message] {
+            to.on_control_message(address, message);
+        });
+    }
+}
+
+auto TrafficFleet::send_to_control(
+    GatewayProcess& from, std::string const& address, control::RouterToControl const& message) -> void
+{
+    auto const number = m_control_of_address.at(address);
+    auto& line = line_between(from.name().number, number);
+    auto& control = *controls[number - 1];
+    line.ToControl([&control, connection = line.connection(), message] {
+        control.Run([&](control::ControlNode& node, Instant now) {
+            return node.OnRouterMessage(connection, message, now, control.WallMs());
+        });
+    });
+}
+
+auto TrafficFleet::ask(NodeName const& from, std::uint32_t control, control::OperatorRequest const& request,
+    std::function<void(control::OperatorAnswer const&)> const& reply) -> void
+{
+    auto const id = ++m_last_request;
+    auto& to = *controls[control - 1];
+    // The answer goes back to whoever asked.
+    m_asked[id] = [this, from, to = to.name(), reply](control::OperatorAnswer const& answer) {
+        m_world.SendOnce(to, from, [reply, answer] { reply(answer); });
+    };
+    m_world.SendOnce(from, to.name(), [&to, id, request] {
+        to.Deliver([&to, id, request] {
+            to.Run([&](control::ControlNode& node, Instant now) {
+                return node.OnOperatorRequest(id, request, now, to.WallMs());
+            });
+        });
+    });
+}
+
+void TrafficFleet::SendToOperator(NodeName const& /*from*/, control::OperatorReply const& reply)
+{
+    auto const asked = m_asked.find(reply.request);
+    if (asked == m_asked.end())
+        return;
+    auto const handler = std::move(asked->second);
+    m_asked.erase(asked);
+    handler(reply.answer);
+}
+
+// --- Workers' lives ---
+
+auto TrafficFleet::start_worker(Place& place, std::string const& service) -> void
+{
+    WorkerTraits traits;
+    traits.id = "i-" + std::to_string(++m_last_worker);
+    traits.service = service;
+    traits.address = place.address;
+    traits.zone = "zone-" + std::to_string(m_world.ZoneOf(place.node));
+    traits.slots = static_cast<std::int64_t>(2 + m_world.random.Below(3));
+    traits.clock_rate = 0.98 + 0.02 * m_world.random.Fraction();
+    traits.work = m_world.random.Between(Duration {20'000}, Duration {120'000});
+    traits.keyed = service != kPooledService;
+    traits.checks_instance = m_orders_name_instance;
+    traits.lease_never_ends = m_defect == TrafficDefect::kLeaseNeverEnds;
+    place.worker = std::make_shared<Worker>(m_world, m_oracle, traits);
+    place.planned_end = false;
+    m_targets[traits.id] = static_cast<std::uint32_t>(1 + m_world.random.Below(kTrafficControls));
+    m_world.Trace(traits.id + " starts at " + place.address + " for " + service);
+    // The first word comes a little after it takes connections.
+    beat_after(place, place.worker, m_world.random.Between(Duration {5'000}, Duration {120'000}), 0);
+}
+
+auto TrafficFleet::crash(Place& place, std::optional<Duration> heartbeat_left) -> void
+{
+    auto const worker = place.worker;
+    if (!worker || !worker->up())
+        return;
+    if (heartbeat_left) {
+        m_world.Count("heartbeat left behind");
+        m_world.queue.After(*heartbeat_left,
+            [this, &place, heartbeat = worker->beat(), to = m_targets.at(worker->traits().id)] {
+                ask(place.node, to, heartbeat, [](auto const&) { });
+            });
+    }
+    worker->end();
+    place.ended = m_world.now();
+}
+
+auto TrafficFleet::end_after(Place& place, std::shared_ptr<Worker> const& worker, Duration time) -> void
+{
+    m_world.queue.After(time, [this, &place, worker] {
+        if (!worker->up())
+            return;
+        // Its last word, heard or not.
+        auto const to = m_targets.at(worker->traits().id);
+        ask(place.node, to, control::DeregisterInstance {{worker->traits().id}}, [](auto const&) { });
+        crash(place, std::nullopt);
+    });
+}
+
+auto TrafficFleet::drain(Place& place, bool with_word) -> void
+{
+    auto const worker = place.worker;
+    if (!worker || !worker->up() || place.planned_end)
+        return;
+    place.planned_end = true;
+    m_world.Trace(worker->traits().id + (with_word ? " drains" : " leaves without a word of draining"));
+    end_after(place, worker, kDrainUnheard + kDrain);
+    if (with_word) {
+        worker->say_draining();
+        beat_after(place, worker, Duration {1}, 0);
+        return;
+    }
+    deregister(place, worker, m_world.now() + kDrainUnheard.count(), [this, &place, worker] {
+        m_oracle.on_drain_acknowledged(worker->traits().id, m_world.now());
+        end_after(place, worker, m_world.random.Between(kDrain, 2 * kDrain));
+    });
+}
+
+auto TrafficFleet::deregister(Place& place, std::shared_ptr<Worker> const& worker, TrueTime until,
+    std::function<void()> const& acknowledged) -> void
+{
+    if (!worker->up() || m_world.now() >= until)
+        return;
+    auto& target = m_targets.at(worker->traits().id);
+    auto const done = std::make_shared<bool>(false);
+    ask(place.node, target, control::DeregisterInstance {{worker->traits().id}},
+        [this, &place, worker, until, acknowledged, done](control::OperatorAnswer const& answer) {
+            if (std::exchange(*done, true) || !worker->up())
+                return;
+            if (std::holds_alternative<control::Accepted>(answer))
+                return acknowledged();
+            m_world.queue.After(kTurnPause,
+                [=, this, &place] { deregister(place, worker, until, acknowledged); });
+        });
+    target = target % kTrafficControls + 1;
+    m_world.queue.After(kCallLimit, [=, this, &place] {
+        if (!std::exchange(*done, true))
+            deregister(place, worker, until, acknowledged);
+    });
+}
+
+auto TrafficFleet::beat_after(
+    Place& place, std::shared_ptr<Worker> const& worker, Duration time, int turns) -> void
+{
+    auto const number = ++m_beats[worker->traits().id];
+    m_world.queue.After(time, [this, &place, worker, number, turns] {
+        if (worker->up() && m_beats.at(worker->traits().id) == number)
+            beat(place, worker, turns);
+    });
+}
+
+auto TrafficFleet::beat(Place& place, std::shared_ptr<Worker> const& worker, int turns) -> void
+{
+    auto heartbeat = worker->beat();
+    auto const sequence = heartbeat.report.sequence;
+    auto const drains = heartbeat.report.draining;
+    if (m_defect == TrafficDefect::kDrainForgotten)
+        heartbeat.report.draining = false;
+    auto const target = m_targets.at(worker->traits().id);
+    send_heartbeat(place, heartbeat, target,
+        [this, &place, worker, sequence, turns, drains](control::OperatorAnswer const& answer) {
+            if (!worker->up())
+                return;
+            auto const accepted = std::get_if<Error>(&answer) == nullptr;
+            if (drains && accepted) {
+                m_oracle.on_drain_acknowledged(worker->traits().id, m_world.now());
+                if (m_drains_heard.insert(worker->traits().id).second)
+                    end_after(place, worker, m_world.random.Between(kDrain, 2 * kDrain));
+            }
+            on_beat_answer(place, worker, sequence, turns, answer);
+        });
+    // Without an answer within a second the worker calls the next process.
+    auto const number = ++m_beats[worker->traits().id];
+    m_world.queue.After(kCallLimit, [this, &place, worker, number, target] {
+        auto const& id = worker->traits().id;
+        if (!worker->up() || m_beats.at(id) != number)
+            return;
+        m_targets.at(id) = target % kTrafficControls + 1;
+        beat(place, worker, 0);
+    });
+}
+
+auto TrafficFleet::send_heartbeat(Place const& place, control::ReportInstance const& heartbeat,
+    std::uint32_t control, std::function<void(control::OperatorAnswer const&)> const& reply) -> void
+{
+    auto const send = [this, node = place.node, heartbeat, control, reply] {
+        ask(node, control, heartbeat, [this, reply](control::OperatorAnswer const& answer) {
+            if (m_world.random.Chance(mood.heartbeat_answer_lost))
+                return m_world.Count("heartbeat's answer lost");
+            reply(answer);
+        });
+    };
+    if (m_world.random.Chance(mood.heartbeat_repeated)) {
+        m_world.Count("heartbeat repeated");
+        m_world.queue.After(m_world.random.Between(Duration {1'000}, kLateMaximum), send);
+    }
+    if (m_world.random.Chance(mood.heartbeat_lost))
+        return m_world.Count("heartbeat lost");
+    if (m_world.random.Chance(mood.heartbeat_late)) {
+        m_world.Count("heartbeat late");
+        return m_world.queue.After(m_world.random.Between(Duration {100'000}, kLateMaximum), send);
+    }
+    send();
+}
+
+auto TrafficFleet::on_beat_answer(Place& place, std::shared_ptr<Worker> const& worker, std::int64_t sequence,
+    int turns, control::OperatorAnswer const& answer) -> void
+{
+    if (std::holds_alternative<Error>(answer)) {
+        auto& target = m_targets.at(worker->traits().id);
+        target = target % kTrafficControls + 1;
+        return beat_after(place, worker, turns < kTurnsInARow ? kTurnPause : kTurnsPause, turns + 1);
+    }
+    if (!worker->take_answer(sequence, answer))
+        return;
+    auto const again = worker->lets_go() ? kBeatWhileLettingGo
+                                         : m_world.random.Between(kBeatMinimum, kBeatMaximum);
+    beat_after(place, worker, again, 0);
+}
+
+// --- Orders ---
+
+void TrafficFleet::SendToOwner(ControlProcess& from, control::RangeOrder const& order)
+{
+    auto const ended = std::make_shared<bool>(false);
+    OrderEnd const end = [this, &from, number = order.number, start = from.starts(), ended](
+                             Outcome outcome, std::string const& handover) {
+        if (std::exchange(*ended, true) || from.starts() != start)
+            return;
+        m_world.Trace("order " + std::to_string(number.value) + " ends "
+            + std::to_string(static_cast<int>(outcome)));
+        from.Deliver([&from, result = control::RangeOrderResult {number, outcome, handover}] {
+            from.Run([&](control::ControlNode& node, Instant now) {
+                return node.OnRangeOrderResult(result, now);
+            });
+        });
+    };
+    m_world.queue.After(m_world.Delay(), [this, &from, order, end, sent = m_world.now()] {
+        connect_to_owner(from, order, sent, end);
+    });
+}
+
+/// Tries until the owner's address answers, as the kernel does; whoever lives there then takes the order.
+auto TrafficFleet::connect_to_owner(
+    ControlProcess& from, control::RangeOrder const& order, TrueTime sent, OrderEnd const& end) -> void
+{
+    auto const give_up = sent + order.limit.count();
+    if (m_world.now() >= give_up)
+        return end(Outcome::kNotDelivered, "");
+    auto& place = place_of(order.address);
+    if (!m_world.Connected(from.name(), place.node) || !m_world.Connected(place.node, from.name())) {
+        m_world.queue.After(
+            kConnectRetry, [this, &from, order, sent, end] { connect_to_owner(from, order, sent, end); });
+        return;
+    }
+    auto const worker = place.worker;
+    if (!worker || !worker->up()) {
+        m_world.queue.After(m_world.Delay(), [end] { end(Outcome::kNotDelivered, ""); });
+        return;
+    }
+    // From here on it was sent: without an answer its outcome is unknown.
+    m_world.queue.At(give_up, [end] { end(Outcome::kUnknown, ""); });
+    if (m_world.random.Chance(mood.order_lost))
+        return m_world.Count("order lost");
+    Duration wait {0};
+    if (m_world.random.Chance(mood.order_late)) {
+        m_world.Count("order carried out late");
+        wait = m_world.random.Between(Duration {100'000}, kLateMaximum);
+    }
+    auto const answered = [this, &from, node = place.node, end](Outcome outcome, std::string const& handover) {
+        if (m_world.random.Chance(mood.order_answer_lost))
+            return m_world.Count("order's answer lost");
+        m_world.SendOnce(node, from.name(), [end, outcome, handover] { end(outcome, handover); });
+    };
+    m_world.queue.After(wait, [this, worker, order, answered, give_up] {
+        if (worker->up())
+            worker->take_order(order, m_world.now() > give_up, answered);
+    });
+}
+
+// --- Requests ---
+
+auto TrafficFleet::send_to_worker(GatewayProcess& from, std::string const& address,
+    WorkerRequest const& request, AttemptReply const& reply) -> void
+{
+    auto const ended = std::make_shared<bool>(false);
+    AttemptReply const once = [&from, reply, ended, start = from.starts()](
+                                  AttemptEnd end, WorkerAnswer const& answer) {
+        if (std::exchange(*ended, true) || from.starts() != start)
+            return;
+        from.Deliver([reply, end, answer] { reply(end, answer); });
+    };
+    auto& place = place_of(address);
+    m_world.queue.After(m_world.Delay(), [this, &from, &place, request, once] {
+        hand_over_request(from, place, request, once);
+        if (m_defect == TrafficDefect::kRequestSentTwice && m_world.random.Chance(kSentTwice))
+            hand_over_request(from, place, request, [](auto, auto const&) { });
+    });
+}
+
+auto TrafficFleet::hand_over_request(
+    GatewayProcess& from, Place& place, WorkerRequest const& request, AttemptReply const& reply) -> void
+{
+    auto const worker = place.worker;
+    auto const lost
+        = m_defect == TrafficDefect::kLostCountsAsRefused ? AttemptEnd::kNotExecuted : AttemptEnd::kLost;
+    auto const end_with = [this, reply](AttemptEnd end) {
+        m_world.queue.After(m_world.Delay(), [reply, end] { reply(end, {}); });
+    };
+    if (!worker || !worker->up())
+        return end_with(m_world.random.Chance(kOnOldConnection) ? lost : AttemptEnd::kNotSent);
+    // Nothing comes back over a cut link; the gateway's own patience ends the attempt.
+    if (!m_world.Connected(from.name(), place.node))
+        return;
+    m_oracle.on_request_reached(
+        worker->traits().id, in_touch(from) && worker->would_run(request), m_world.now());
+    auto const surplus_place = std::pair(from.name().number, worker->traits().id);
+    worker->run(request, [=, this, &from](WorkerAnswer const& given) {
+        if (given.end == WorkerAnswer::End::kBroken)
+            return end_with(lost);
+        if (m_world.random.Chance(mood.answer_lost)) {
+            m_world.Count("answer lost");
+            return end_with(lost);
+        }
+        auto answer = given;
+        auto const surplus = m_surplus.find(surplus_place);
+        if (surplus != m_surplus.end()) {
+            m_world.Count("surplus answer read");
+            answer = surplus->second;
+            m_surplus.erase(surplus);
+        } else if (m_world.random.Chance(mood.answer_surplus)) {
+            m_surplus[surplus_place] = given;
+        }
+        auto const end = answer.end == WorkerAnswer::End::kAnswered ? AttemptEnd::kAnswered
+                                                                    : AttemptEnd::kNotExecuted;
+        m_world.SendOnce(place.node, from.name(), [reply, end, answer] { reply(end, answer); });
+    });
+}
+
+auto TrafficFleet::close_at_worker(GatewayProcess& from, std::string const& address, std::uint64_t request)
+    -> void
+{
+    auto& place = place_of(address);
+    m_world.SendOnce(from.name(), place.node, [worker = place.worker, request] {
+        if (worker && worker->up())
+            worker->drop(request);
+    });
+}
+
+} // namespace graniteseam::simulation
--- /dev/null
+++ b/simulation/traffic_world/traffic_fleet.h
@@ -0,0 +1,154 @@
+/// @file
+/// All processes of one run of the traffic world and the connections between them: a control group,
+/// gateways, and addresses at which one worker after another lives.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "simulation/simulator/control_process.h"
+#include "simulation/simulator/router_line.h"
+#include "simulation/traffic_world/gateway_process.h"
+#include "simulation/traffic_world/traffic_defect.h"
+#include "simulation/traffic_world/traffic_oracle.h"
+#include "simulation/traffic_world/worker.h"
+
+namespace graniteseam::simulation {
+
+inline constexpr std::uint32_t kTrafficZones = 3;
+inline constexpr std::uint32_t kTrafficControls = 3;
+inline constexpr std::uint32_t kTrafficGateways = 3;
+inline constexpr std::uint32_t kPlacesOfService = 4;
+
+/// The services: keyed with each form of leases, and one without keys.
+inline constexpr auto kOrderedService = "ordered";
+inline constexpr auto kLeasedService = "leased";
+inline constexpr auto kPooledService = "pooled";
+
+/// What goes wrong with the messages of workers at present, each as a part of all of their kind.
+struct WorkerMood {
+    double heartbeat_lost = 0;
+    double heartbeat_late = 0; ///< By up to seconds, so that later ones come before it.
+    double heartbeat_repeated = 0;
+    double heartbeat_answer_lost = 0;
+    double order_lost = 0;
+    double order_late = 0; ///< Carried out seconds after it came.
+    double order_answer_lost = 0;
+    double answer_lost = 0; ///< The worker runs the request, and its connection breaks.
+    double answer_surplus = 0; ///< A second answer, in the place of the next one.
+};
+
+/// An address, and who lives there.
+struct Place {
+    NodeName node;
+    std::string address;
+    std::shared_ptr<Worker> worker; ///< The newest; it may have ended.
+    TrueTime ended = 0;
+    bool planned_end = false; ///< Its end is under way.
+};
+
+/// Not thread safe.
+class TrafficFleet : public ControlPorts, public GatewayPorts {
+public:
+    TrafficFleet(World&, TrafficOracle&, TrafficDefect, bool orders_name_instance);
+
+    auto start() -> void;
+
+    std::vector<std::unique_ptr<ControlProcess>> controls;
+    std::vector<std::unique_ptr<GatewayProcess>> gateways;
+    std::vector<Place> places;
+    WorkerMood mood;
+
+    /// The control process that leads, or null.
+    auto leader() -> ControlProcess*;
+
+    /// Starts a worker at a place where none is up.
+    auto start_worker(Place&, std::string const& service) -> void;
+    /// The place's worker ends without a word. @param heartbeat_left one of its heartbeats is still on
+    /// its way, and arrives after this time.
+    auto crash(Place&, std::optional<Duration> heartbeat_left) -> void;
+    /// The place's worker leaves as planned, with a word first or by the word that it is gone.
+    auto drain(Place&, bool with_word) -> void;
+
+    /// Asks a control process; `reply` may never come, and comes once at most.
+    auto ask(NodeName const& from, std::uint32_t control, control::OperatorRequest const&,
+        std::function<void(control::OperatorAnswer const&)> const& reply) -> void;
+
+    // Who is in touch.
+    /// The group or the whole network is disturbed until then.
+    auto disturb_core(TrueTime until) -> void { m_core_disturbed = std::max(m_core_disturbed, until); }
+    auto disturb_gateway(std::uint32_t number, TrueTime until) -> void;
+    /// Whether neither a gateway nor the group was disturbed for so long.
+    auto calm_for(GatewayProcess const&, Duration) const -> bool;
+    /// The users' rule: for the last three seconds.
+    auto in_touch(GatewayProcess const&) const -> bool;
+
+    auto defect() const -> TrafficDefect { return m_defect; }
+
+    void SendToPeer(NodeName const& from, consensus::PeerMessage const&) override;
+    void SendToServer(ControlProcess&, control::LeaseSend const&) override { }
+    void SendToRouter(ControlProcess& from, control::RouterSend const&) override;
+    void SendToOperator(NodeName const& from, control::OperatorReply const&) override;
+    void SendToOwner(ControlProcess& from, control::RangeOrder const&) override;
+    auto send_to_control(GatewayProcess& from, std::string const& address, control::RouterToControl const&)
+        -> void override;
+    auto send_to_worker(GatewayProcess& from, std::string const& address, WorkerRequest const&,
+        std::function<void(gateway::AttemptEnd, WorkerAnswer const&)> const& reply) -> void override;
+    auto close_at_worker(GatewayProcess& from, std::string const& address, std::uint64_t request)
+        -> void override;
+
+private:
+    using OrderEnd = std::function<void(control::RangeOrderResult::Outcome, std::string const&)>;
+    using AttemptReply = std::function<void(gateway::AttemptEnd, WorkerAnswer const&)>;
+
+    auto maintain_lines() -> void;
+    auto maintain_line(RouterLine&, GatewayProcess&, ControlProcess&) -> void;
+    auto check_group() -> void;
+    auto line_between(std::uint32_t gateway, std::uint32_t control) -> RouterLine&;
+    auto place_of(std::string const& address) -> Place&;
+
+    // Workers' calls to control.
+    auto beat(Place&, std::shared_ptr<Worker> const&, int turns) -> void;
+    auto beat_after(Place&, std::shared_ptr<Worker> const&, Duration, int turns) -> void;
+    auto send_heartbeat(Place const&, control::ReportInstance const&, std::uint32_t control,
+        std::function<void(control::OperatorAnswer const&)> const& reply) -> void;
+    auto on_beat_answer(Place&, std::shared_ptr<Worker> const&, std::int64_t sequence, int turns,
+        control::OperatorAnswer const&) -> void;
+    /// Says that a worker is gone, again and again until it is acknowledged or `until`.
+    auto deregister(Place&, std::shared_ptr<Worker> const&, TrueTime until,
+        std::function<void()> const& acknowledged) -> void;
+    auto end_after(Place&, std::shared_ptr<Worker> const&, Duration) -> void;
+
+    auto connect_to_owner(ControlProcess& from, control::RangeOrder const&, TrueTime sent, OrderEnd const&)
+        -> void;
+    auto hand_over_request(GatewayProcess& from, Place&, WorkerRequest const&, AttemptReply const&) -> void;
+
+    World& m_world;
+    TrafficOracle& m_oracle;
+    TrafficDefect const m_defect;
+    bool const m_orders_name_instance;
+    std::vector<std::unique_ptr<RouterLine>> m_lines;
+    std::map<std::string, std::uint32_t> m_control_of_address;
+    std::map<std::string, std::uint32_t> m_place_of_address;
+    std::map<std::string, std::uint32_t> m_targets; ///< Where each worker beats next, by id.
+    std::map<std::string, std::uint64_t> m_beats; ///< Numbers a worker's planned beats.
+    std::map<std::uint64_t, std::function<void(control::OperatorAnswer const&)>> m_asked;
+    /// Answers that come in the place of the next one, by gateway and worker.
+    std::map<std::pair<std::uint32_t, std::string>, WorkerAnswer> m_surplus;
+    std::set<std::string> m_drains_heard; ///< Workers whose word was acknowledged.
+    std::set<std::uint32_t> m_lost_for_good; ///< Gateways, by the seeded defect.
+    std::uint64_t m_last_connection = 0;
+    std::uint64_t m_last_request = 0;
+    std::uint64_t m_last_worker = 0;
+    TrueTime m_core_disturbed = 0;
+    std::map<std::uint32_t, TrueTime> m_gateway_disturbed;
+    std::uint32_t m_last_leader = 0;
+};
+
+} // namespace graniteseam::simulation
--- /dev/null
+++ b/simulation/traffic_world/traffic_oracle.cc
@@ -0,0 +1,237 @@
+#include "simulation/traffic_world/traffic_oracle.h"
+
+#include <algorithm>
+
+namespace graniteseam::simulation {
+namespace {
+
+/// Breaches of one promise that are told; the rest of them mostly follow from the first.
+constexpr std::uint32_t kToldOfOne = 3;
+/// A drained worker may get requests for so long after the acknowledgement.
+constexpr std::int64_t kDrainAllowed = 2'000'000;
+/// By then an accepted configuration is in force at gateways in touch.
+constexpr std::int64_t kConfigurationApplied = 2'000'000;
+
+auto to_text(Keys const& keys) -> std::string
+{
+    return std::to_string(keys.first) + " to " + std::to_string(keys.last);
+}
+
+} // namespace
+
+auto TrafficOracle::violate(std::string_view promise, std::string const& what, std::int64_t now) -> void
+{
+    auto const found = m_found.try_emplace(std::string(promise), 0).first;
+    if (++found->second <= kToldOfOne)
+        m_violations.push_back(std::to_string(now) + " us: " + std::string(promise) + ": " + what);
+}
+
+// --- Keys ---
+
+auto TrafficOracle::on_holdings(std::string const& worker, std::string const& service,
+    std::vector<HeldKeysFact> held, std::int64_t now) -> void
+{
+    m_held[{worker, service}] = std::move(held);
+    find_second_holder({worker, service}, now);
+}
+
+auto TrafficOracle::find_second_holder(ServiceOf const& holder, std::int64_t now) -> void
+{
+    ++m_checks;
+    auto const counts = [&](HeldKeysFact const& fact) { return !fact.late && fact.until > now; };
+    for (auto const& [other, others] : m_held) {
+        if (other.second != holder.second || other.first == holder.first)
+            continue;
+        for (auto const& theirs : others) {
+            if (!counts(theirs))
+                continue;
+            for (auto const& own : m_held.at(holder)) {
+                if (!counts(own) || !own.keys.overlaps(theirs.keys))
+                    continue;
+                Keys const both {
+                    std::max(own.keys.first, theirs.keys.first), std::min(own.keys.last, theirs.keys.last)};
+                violate("one_owner",
+                    "keys " + to_text(both) + " of " + holder.second + " are held by " + holder.first
+                        + " under fence " + std::to_string(own.fence) + " and by " + other.first
+                        + " under fence " + std::to_string(theirs.fence),
+                    now);
+            }
+        }
+    }
+}
+
+auto TrafficOracle::on_keys_taken(
+    std::string const& worker, std::string const& service, HeldKeysFact const& taken, std::int64_t now)
+    -> void
+{
+    ++m_checks;
+    auto& by_worker = m_fences[service];
+    auto& own = by_worker[worker];
+    auto fresh = own.gaps(taken.keys);
+    for (auto const& part : own.within(taken.keys)) {
+        // The same grant once more is a renewal, whatever happened meanwhile.
+        if (part.value != taken.fence)
+            fresh.push_back(part.keys);
+    }
+    for (auto const& keys : fresh) {
+        for (auto const& [other, fences] : by_worker) {
+            if (other == worker || taken.late)
+                continue;
+            for (auto const& part : fences.within(keys)) {
+                if (part.value < taken.fence)
+                    continue;
+                violate("fences",
+                    "keys " + to_text(part.keys) + " of " + service + " are taken by " + worker
+                        + " under fence " + std::to_string(taken.fence) + "; " + other
+                        + " held them under fence " + std::to_string(part.value),
+                    now);
+            }
+        }
+        own.assign(keys, taken.fence);
+    }
+}
+
+auto TrafficOracle::on_worker_over(std::string const& worker) -> void
+{
+    std::erase_if(m_held, [&](auto const& entry) { return entry.first.first == worker; });
+}
+
+// --- Requests ---
+
+auto TrafficOracle::on_sent(std::uint64_t request, bool repeatable) -> void
+{
+    m_requests[request].repeatable = repeatable;
+}
+
+auto TrafficOracle::on_run(std::uint64_t request, std::string const& worker, std::int64_t now) -> void
+{
+    ++m_checks;
+    auto const found = m_requests.find(request);
+    if (found == m_requests.end())
+        return violate("own_answer", worker + " runs a request that nobody sent", now);
+    auto& known = found->second;
+    ++known.runs;
+    if (!known.repeatable)
+        ++m_unsafe_runs;
+    if (!known.repeatable && known.runs > 1)
+        violate("at_most_once",
+            "request " + std::to_string(request) + " runs at " + worker + " for the "
+                + std::to_string(known.runs) + ". time",
+            now);
+    if (known.refused)
+        violate("refusal_true",
+            "request " + std::to_string(request) + " runs at " + worker + " after it was refused", now);
+}
+
+auto TrafficOracle::on_refused(std::uint64_t request, int status, std::int64_t now) -> void
+{
+    ++m_checks;
+    auto& known = m_requests[request];
+    known.refused = true;
+    if (known.runs > 0)
+        violate("refusal_true",
+            "request " + std::to_string(request) + " is refused with " + std::to_string(status)
+                + " although it has run",
+            now);
+}
+
+auto TrafficOracle::on_answer(std::uint64_t request, std::uint64_t answered, std::int64_t now) -> void
+{
+    ++m_checks;
+    if (request != answered)
+        violate("own_answer",
+            "request " + std::to_string(request) + " gets the answer to request " + std::to_string(answered),
+            now);
+}
+
+// --- Drains ---
+
+auto TrafficOracle::on_drain_acknowledged(std::string const& worker, std::int64_t now) -> void
+{
+    m_drained_since.try_emplace(worker, now);
+}
+
+auto TrafficOracle::on_request_reached(std::string const& worker, bool in_touch, std::int64_t now) -> void
+{
+    auto const drained = m_drained_since.find(worker);
+    if (drained == m_drained_since.end() || !in_touch)
+        return;
+    ++m_checks;
+    if (now - drained->second > kDrainAllowed)
+        violate("drained",
+            worker + " gets a request " + std::to_string((now - drained->second) / 1'000)
+                + " ms after its drain was acknowledged",
+            now);
+}
+
+// --- Configuration ---
+
+auto TrafficOracle::on_change_accepted(std::uint64_t version, std::uint64_t base, std::string const& content,
+    std::int64_t now) -> void
+{
+    ++m_checks;
+    auto const name = "change " + content + " to version " + std::to_string(version);
+    auto const known = m_accepted.try_emplace(version, Accepted {content, now}).first;
+    if (known->second.content != content)
+        violate("accepted_stays", name + " is accepted beside " + known->second.content, now);
+    auto const on = m_accepted_on.try_emplace(base, content).first;
+    if (on->second != content)
+        violate("accepted_stays", name + " is accepted on the same base as " + on->second, now);
+    if (m_refused_contents.contains(content))
+        violate("accepted_stays", name + " is accepted after it was refused", now);
+}
+
+auto TrafficOracle::on_change_refused(
+    std::uint64_t version, std::string const& content, std::int64_t now) -> void
+{
+    ++m_checks;
+    m_refused_contents.insert(content);
+    auto const known = m_accepted.find(version);
+    if (known != m_accepted.end() && known->second.content == content)
+        violate("accepted_stays", "change " + content + " is refused after it was accepted", now);
+}
+
+auto TrafficOracle::on_configuration_read(
+    std::uint64_t version, std::string const& content, std::int64_t asked, std::int64_t now) -> void
+{
+    ++m_checks;
+    for (auto const& [accepted, change] : m_accepted) {
+        if (accepted > version && change.at < asked)
+            return violate("accepted_stays",
+                "a read gives version " + std::to_string(version) + " after version "
+                    + std::to_string(accepted) + " was accepted",
+                now);
+    }
+    auto const known = m_accepted.find(version);
+    if (known != m_accepted.end() && known->second.content != content)
+        violate("accepted_stays",
+            "a read gives " + content + " for " + known->second.content + ", version "
+                + std::to_string(version),
+            now);
+    if (m_refused_contents.contains(content))
+        violate("accepted_stays", "a read gives " + content + ", which was refused", now);
+}
+
+auto TrafficOracle::on_gateway_configuration(
+    std::string const& gateway, std::uint64_t version, bool in_touch, std::int64_t now) -> void
+{
+    ++m_checks;
+    auto& shown = m_gateway_versions[gateway];
+    if (version < shown)
+        violate("accepted_stays",
+            gateway + " goes back from version " + std::to_string(shown) + " to " + std::to_string(version),
+            now);
+    shown = std::max(shown, version);
+    if (!in_touch)
+        return;
+    for (auto const& [accepted, change] : m_accepted) {
+        if (accepted <= version || now - change.at <= kConfigurationApplied)
+            continue;
+        return violate("accepted_stays",
+            gateway + " shows version " + std::to_string(version) + " long after version "
+                + std::to_string(accepted) + " was accepted",
+            now);
+    }
+}
+
+} // namespace graniteseam::simulation
--- /dev/null
+++ b/simulation/traffic_world/traffic_oracle.h
@@ -0,0 +1,113 @@
+/// @file
+/// The judge of a run of the traffic world: an account of what workers, callers and operators saw, in
+/// true time and in plain values. It shares no code with the product and takes nothing from it on trust.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "simulation/traffic_world/span_map.h"
+
+namespace graniteseam::simulation {
+
+/// Keys that a worker holds, or still works on.
+struct HeldKeysFact {
+    Keys keys;
+    std::uint64_t fence = 0;
+    std::int64_t until = 0; ///< When its lease is over at the latest.
+    /// Given by an order that was carried out after its sender had stopped waiting for it. Nobody but
+    /// the worker can know of it, so the users' rules do not count it.
+    bool late = false;
+};
+
+/// Checks each fact against all earlier ones when it is told, and keeps what it finds; of each kind the
+/// first few. Times are true time in microseconds. Workers are told apart by their lives' ids, requests
+/// by their senders' numbers. Not thread safe.
+class TrafficOracle {
+public:
+    // Keys.
+    /// All that a worker holds of a service from now on.
+    auto on_holdings(std::string const& worker, std::string const& service, std::vector<HeldKeysFact> held,
+        std::int64_t now) -> void;
+    /// A worker took keys under a fence, for the first time or again.
+    auto on_keys_taken(std::string const& worker, std::string const& service, HeldKeysFact const& taken,
+        std::int64_t now) -> void;
+    auto on_worker_over(std::string const& worker) -> void;
+
+    // Requests.
+    auto on_sent(std::uint64_t request, bool repeatable) -> void;
+    /// A worker began to work on a request.
+    auto on_run(std::uint64_t request, std::string const& worker, std::int64_t now) -> void;
+    /// A caller was told that its request did not run and never will.
+    auto on_refused(std::uint64_t request, int status, std::int64_t now) -> void;
+    /// A caller got a worker's answer. @param answered the request that the answer says it belongs to.
+    auto on_answer(std::uint64_t request, std::uint64_t answered, std::int64_t now) -> void;
+
+    // Drains.
+    /// A worker's word that it leaves was acknowledged.
+    auto on_drain_acknowledged(std::string const& worker, std::int64_t now) -> void;
+    /// A request reaches a worker. @param in_touch whether its gateway was in touch when it sent it.
+    auto on_request_reached(std::string const& worker, bool in_touch, std::int64_t now) -> void;
+
+    // Configuration.
+    /// An operator was told that a change is accepted.
+    auto on_change_accepted(std::uint64_t version, std::uint64_t base, std::string const& content,
+        std::int64_t now) -> void;
+    /// An operator was told for certain that a change is not accepted.
+    auto on_change_refused(std::uint64_t version, std::string const& content, std::int64_t now) -> void;
+    /// A read of the configuration, asked for at `asked`, was answered.
+    auto on_configuration_read(std::uint64_t version, std::string const& content, std::int64_t asked,
+        std::int64_t now) -> void;
+    /// What is in force at one life of a gateway. @param in_touch whether it was all the while in which
+    /// it must have heard of the newest.
+    auto on_gateway_configuration(std::string const& gateway, std::uint64_t version, bool in_touch,
+        std::int64_t now) -> void;
+
+    /// Notes a breach of a promise; `promise` is one of the names in the pages.
+    auto violate(std::string_view promise, std::string const& what, std::int64_t now) -> void;
+
+    auto violations() const -> std::vector<std::string> const& { return m_violations; }
+    /// Whether a breach of this promise was found.
+    auto found(std::string_view promise) const -> bool { return m_found.contains(promise); }
+    auto checks() const -> std::uint64_t { return m_checks; }
+    auto newest_accepted() const -> std::uint64_t
+    {
+        return m_accepted.empty() ? 0 : m_accepted.rbegin()->first;
+    }
+    auto unsafe_runs() const -> std::uint64_t { return m_unsafe_runs; }
+
+private:
+    struct Request {
+        bool repeatable = false;
+        bool refused = false;
+        std::uint32_t runs = 0;
+    };
+    struct Accepted {
+        std::string content;
+        std::int64_t at = 0;
+    };
+    using ServiceOf = std::pair<std::string, std::string>; ///< Worker and service.
+
+    auto find_second_holder(ServiceOf const& holder, std::int64_t now) -> void;
+
+    std::map<ServiceOf, std::vector<HeldKeysFact>> m_held;
+    /// The highest fence under which each worker ever held a key, by service and worker.
+    std::map<std::string, std::map<std::string, SpanMap<std::uint64_t>>> m_fences;
+    std::map<std::uint64_t, Request> m_requests;
+    std::map<std::string, std::int64_t> m_drained_since;
+    std::map<std::uint64_t, Accepted> m_accepted; ///< By version.
+    std::map<std::uint64_t, std::string> m_accepted_on; ///< Contents by base.
+    std::set<std::string> m_refused_contents;
+    std::map<std::string, std::uint64_t> m_gateway_versions;
+    std::vector<std::string> m_violations;
+    std::map<std::string, std::uint32_t, std::less<>> m_found;
+    std::uint64_t m_checks = 0;
+    std::uint64_t m_unsafe_runs = 0;
+};
+
+} // namespace graniteseam::simulation
