--- a/simulation/simulator/control_process.cc
+++ b/simulation/simulator/control_process.cc
@@ -174,6 +174,12 @@
   for (const auto& send : effects.router_sends) ports_.SendToRouter(*this, send);
   for (const auto& reply : effects.operator_replies) ports_.SendToOperator(name(), reply);
   for (const auto& order : effects.range_orders) ports_.SendToOwner(*this, order);
+  for (const auto& note : effects.range_notes) {
+    world_.Trace(ToString(name()) + " " + std::string(note.what) + " " + note.service.value + " " +
+                 std::to_string(note.span.first) + " to " + std::to_string(note.span.last) +
+                 " fence " + std::to_string(note.fence.value) + " of " + note.instance.value + ": " +
+                 note.inputs);
+  }
 }
 
 }  // namespace graniteseam::simulation
--- a/simulation/simulator/main.cc
+++ b/simulation/simulator/main.cc
@@ -45,6 +45,7 @@
     "  --defect NAME      switch on a seeded defect; succeed when a run finds it\n"
     "  --orders-name-instance  scenario traffic: orders carry the name of the instance that is\n"
     "                     meant, and another one refuses them\n"
+    "  --former-processes-silent  scenario traffic: no heartbeat comes after its sender's end\n"
     "  --list             list scenarios and seeded defects\n"
     "  --help, --version\n"
     "Exit status: 0 as promised, 1 a promise was broken (or a defect not found), 2 wrong usage.\n";
@@ -58,6 +59,7 @@
   int threads = 0;
   std::string defect;
   bool orders_name_instance = false;
+  bool former_processes_silent = false;
   bool list = false;
 
   bool Traffic() const { return scenario == kTrafficScenario; }
@@ -92,6 +94,7 @@
                                     {"threads", required_argument, nullptr, 'j'},
                                     {"defect", required_argument, nullptr, 'd'},
                                     {"orders-name-instance", no_argument, nullptr, 'o'},
+                                    {"former-processes-silent", no_argument, nullptr, 'f'},
                                     {"list", no_argument, nullptr, 'i'},
                                     {"help", no_argument, nullptr, 'h'},
                                     {"version", no_argument, nullptr, 'v'},
@@ -123,6 +126,9 @@
       case 'o':
         settings.orders_name_instance = true;
         break;
+      case 'f':
+        settings.former_processes_silent = true;
+        break;
       case 'i':
         settings.list = true;
         break;
@@ -213,9 +219,10 @@
   options.trace = trace;
   if (!settings.Traffic()) return RunScenario(*scenario, options);
   const auto* defect = FindTrafficDefect(settings.defect);
-  return graniteseam::simulation::run_traffic({options,
-                                               defect ? defect->defect : TrafficDefect::kNone,
-                                               settings.orders_name_instance});
+  return graniteseam::simulation::run_traffic(
+      {options,
+       {defect ? defect->defect : TrafficDefect::kNone, settings.orders_name_instance,
+        settings.former_processes_silent}});
 }
 
 void RunAll(const Settings& settings, const Scenario* scenario, Totals& totals) {
--- a/simulation/traffic_world/gateway_process.cc
+++ b/simulation/traffic_world/gateway_process.cc
@@ -106,6 +106,9 @@
 {
     for (auto const& action : effects.actions)
         std::visit([this](auto const& one) { act(one); }, action);
+    for (auto const& note : effects.notes)
+        world_.Trace(ToString(name()) + " " + std::to_string(note.request.value) + " "
+            + std::string(note.what) + " " + note.instance.value + ": " + note.inputs);
 }
 
 auto GatewayProcess::act(gateway::SendAttempt const& send) -> void
--- a/simulation/traffic_world/traffic_run.cc
+++ b/simulation/traffic_world/traffic_run.cc
@@ -62,7 +62,7 @@
 {
     World world(options.run.seed, options.run.trace);
     TrafficOracle oracle;
-    TrafficFleet fleet(world, oracle, options.defect, options.orders_name_instance);
+    TrafficFleet fleet(world, oracle, options.world);
     TrafficCallers callers(world, oracle, fleet);
     ConfigurationOperators operators(world, oracle, fleet);
     TrafficFaults faults(world, fleet, operators);
