--- a/simulation/traffic_world/traffic_fleet.cc
+++ b/simulation/traffic_world/traffic_fleet.cc
@@ -174,7 +174,7 @@
         m_last_leader = control->name().number;
     }
     if (leading > 1)
-        m_oracle.violate("one_owner", "two leaders with a valid leader lease", m_world.now());
+        m_oracle.violate("one_leader", "two leaders with a valid leader lease", m_world.now());
     constexpr Duration kMustHaveHeard {5'000'000};
     for (auto const& gateway : gateways) {
         if (!gateway->alive() || gateway->paused())
@@ -523,8 +523,11 @@
     auto const worker = place.worker;
     auto const lost
         = defect() == TrafficDefect::kLostCountsAsRefused ? AttemptEnd::kNotExecuted : AttemptEnd::kLost;
-    auto const end_with = [this, reply](AttemptEnd end) {
-        m_world.queue.After(m_world.Delay(), [reply, end] { reply(end, {}); });
+    auto const end_with = [this, reply, number = request.number](AttemptEnd end) {
+        WorkerAnswer answer;
+        answer.status = 503;
+        answer.number = number;
+        m_world.queue.After(m_world.Delay(), [reply, end, answer] { reply(end, answer); });
     };
     if (!worker || !worker->up())
         return end_with(m_world.random.Chance(kOnOldConnection) ? lost : AttemptEnd::kNotSent);
