--- a/simulation/simulator/control_process.cc
+++ b/simulation/simulator/control_process.cc
@@ -177,8 +177,8 @@
   for (const auto& note : effects.range_notes) {
     world_.Trace(ToString(name()) + " " + std::string(note.what) + " " + note.service.value + " " +
                  std::to_string(note.span.first) + " to " + std::to_string(note.span.last) +
-                 " fence " + std::to_string(note.fence.value) + " of " + note.instance.value + ": " +
-                 note.inputs);
+                 " fence " + std::to_string(note.fence.value) + " of " + note.instance.value +
+                 ": " + note.inputs);
   }
 }
 
--- a/simulation/traffic_world/configuration_operators.cc
+++ b/simulation/traffic_world/configuration_operators.cc
@@ -6,71 +6,71 @@
 namespace graniteseam::simulation {
 namespace {
 
-constexpr Duration kPauseMinimum {1'000'000};
-constexpr Duration kPauseMaximum {6'000'000};
-constexpr Duration kCallLimit {1'000'000};
-constexpr Duration kTurnPause {50'000};
-/// The route whose source says which change made a configuration.
-constexpr auto kMarker = "marker";
-
-auto route(std::string const& name, std::string const& host, std::string const& prefix,
-    std::string const& service, bool repeatable) -> traffic::Route
-{
-    traffic::Route route;
-    route.name = {name};
-    route.host = host;
-    route.path_prefix = prefix;
-    route.kind = repeatable ? traffic::RouteKind::kSafe : traffic::RouteKind::kUnsafe;
-    route.timeout_ms = 2'500;
-    route.target_latency_ms = 500;
-    route.attempts_maximum = 3;
-    route.split = {{{service}, 1.0}};
-    return route;
-}
+    constexpr Duration kPauseMinimum {1'000'000};
+    constexpr Duration kPauseMaximum {6'000'000};
+    constexpr Duration kCallLimit {1'000'000};
+    constexpr Duration kTurnPause {50'000};
+    /// The route whose source says which change made a configuration.
+    constexpr auto kMarker = "marker";
+
+    auto route(std::string const& name, std::string const& host, std::string const& prefix,
+        std::string const& service, bool repeatable) -> traffic::Route
+    {
+        traffic::Route route;
+        route.name = {name};
+        route.host = host;
+        route.path_prefix = prefix;
+        route.kind = repeatable ? traffic::RouteKind::kSafe : traffic::RouteKind::kUnsafe;
+        route.timeout_ms = 2'500;
+        route.target_latency_ms = 500;
+        route.attempts_maximum = 3;
+        route.split = {{{service}, 1.0}};
+        return route;
+    }
 
-auto marker(std::string const& content) -> traffic::Route
-{
-    auto marker = route(kMarker, kMarker, "/marker/", kPooledService, true);
-    marker.source = content;
-    return marker;
-}
+    auto marker(std::string const& content) -> traffic::Route
+    {
+        auto marker = route(kMarker, kMarker, "/marker/", kPooledService, true);
+        marker.source = content;
+        return marker;
+    }
 
-auto content_of(traffic::Configuration const& configuration) -> std::string
-{
-    auto const& routes = configuration.routes;
-    auto const found = std::find_if(
-        routes.begin(), routes.end(), [](auto const& route) { return route.name.value == kMarker; });
-    return found == routes.end() ? "" : found->source;
-}
+    auto content_of(traffic::Configuration const& configuration) -> std::string
+    {
+        auto const& routes = configuration.routes;
+        auto const found = std::find_if(
+            routes.begin(), routes.end(), [](auto const& route) { return route.name.value == kMarker; });
+        return found == routes.end() ? "" : found->source;
+    }
 
-auto service(std::string const& name, bool keyed, traffic::LeaseForm form) -> traffic::Service
-{
-    traffic::Service service;
-    service.name = {name};
-    service.keyed = keyed;
-    service.connections_maximum = 100;
-    service.lease_form = form;
-    return service;
-}
+    auto service(std::string const& name, bool keyed, traffic::LeaseForm form) -> traffic::Service
+    {
+        traffic::Service service;
+        service.name = {name};
+        service.keyed = keyed;
+        service.connections_maximum = 100;
+        service.lease_form = form;
+        return service;
+    }
 
-auto first_change() -> traffic::ConfigurationChange
-{
-    traffic::ConfigurationChange change;
-    change.version = {1};
-    change.whole = true;
-    change.digest = "first";
-    change.services = {service(kOrderedService, true, traffic::LeaseForm::kOrders),
-        service(kLeasedService, true, traffic::LeaseForm::kHeartbeat),
-        service(kPooledService, false, traffic::LeaseForm::kOrders)};
-    for (auto const* name : {kOrderedService, kLeasedService, kPooledService}) {
-        for (auto const repeatable : {true, false}) {
-            auto const prefix = "/" + std::string(name) + (repeatable ? "/safe/" : "/unsafe/");
-            change.routes.push_back(route(prefix, "host", prefix, name, repeatable));
+    auto first_change() -> traffic::ConfigurationChange
+    {
+        traffic::ConfigurationChange change;
+        change.version = {1};
+        change.whole = true;
+        change.digest = "first";
+        change.services = {service(kOrderedService, true, traffic::LeaseForm::kOrders),
+            service(kLeasedService, true, traffic::LeaseForm::kHeartbeat),
+            service(kPooledService, false, traffic::LeaseForm::kOrders)};
+        for (auto const* name : {kOrderedService, kLeasedService, kPooledService}) {
+            for (auto const repeatable : {true, false}) {
+                auto const prefix = "/" + std::string(name) + (repeatable ? "/safe/" : "/unsafe/");
+                change.routes.push_back(route(prefix, "host", prefix, name, repeatable));
+            }
         }
+        change.routes.push_back(marker(change.digest));
+        return change;
     }
-    change.routes.push_back(marker(change.digest));
-    return change;
-}
 
 } // namespace
 
@@ -143,7 +143,7 @@
 
 auto ConfigurationOperators::read_once() -> void
 {
-    read(0, [](auto const&) { });
+    read(0, [](auto const&) {});
 }
 
 auto ConfigurationOperators::change(std::uint32_t number, traffic::Configuration const& base) -> void
@@ -183,8 +183,7 @@
         m_world.queue.After(kTurnPause, [this, number, change] { send(number, change); });
     };
     if (m_fleet.defect() == TrafficDefect::kAcknowledgedBeforeCommit && change.base.value > 0)
-        m_oracle.on_change_accepted(
-            change.version.value, change.base.value, change.digest, m_world.now());
+        m_oracle.on_change_accepted(change.version.value, change.base.value, change.digest, m_world.now());
     ask(
         number, control::ChangeConfiguration {change},
         [this, number, change, again](control::OperatorAnswer const& answer) {
--- a/simulation/traffic_world/gateway_process.cc
+++ b/simulation/traffic_world/gateway_process.cc
@@ -6,11 +6,11 @@
 namespace graniteseam::simulation {
 namespace {
 
-/// As the daemon's settings have it.
-constexpr Duration kPollInterval {500'000};
-constexpr Duration kUrgentPollInterval {100'000};
-constexpr Duration kTrackerInterval {50'000};
-constexpr int kMisdirected = 421;
+    /// As the daemon's settings have it.
+    constexpr Duration kPollInterval {500'000};
+    constexpr Duration kUrgentPollInterval {100'000};
+    constexpr Duration kTrackerInterval {50'000};
+    constexpr int kMisdirected = 421;
 
 } // namespace
 
@@ -116,10 +116,9 @@
     auto& live = m_live.at(send.request);
     live.attempt = send.attempt;
     live.address = send.address;
-    WorkerRequest const request {
-        send.request.value, send.instance.value, live.request.key, send.time_left};
-    m_ports.send_to_worker(*this, send.address, request,
-        [this, send](gateway::AttemptEnd end, WorkerAnswer const& answer) {
+    WorkerRequest const request {send.request.value, send.instance.value, live.request.key, send.time_left};
+    m_ports.send_to_worker(
+        *this, send.address, request, [this, send](gateway::AttemptEnd end, WorkerAnswer const& answer) {
             on_attempt_end(send, end, answer);
         });
 }
--- a/simulation/traffic_world/gateway_process.h
+++ b/simulation/traffic_world/gateway_process.h
@@ -53,8 +53,8 @@
 public:
     using Reply = std::function<void(CallerAnswer const&)>;
 
-    GatewayProcess(World&, GatewayPorts&, std::uint32_t number, std::uint32_t zone,
-        std::vector<std::string> controls);
+    GatewayProcess(
+        World&, GatewayPorts&, std::uint32_t number, std::uint32_t zone, std::vector<std::string> controls);
 
     /// Takes the answers of any request for its own; a seeded defect.
     bool takes_any_answer = false;
--- a/simulation/traffic_world/traffic_callers.cc
+++ b/simulation/traffic_world/traffic_callers.cc
@@ -7,29 +7,29 @@
 namespace graniteseam::simulation {
 namespace {
 
-constexpr std::array<CallKind, 6> kKinds {{
-    {kOrderedService, "/ordered/safe/", true, true},
-    {kOrderedService, "/ordered/unsafe/", true, false},
-    {kLeasedService, "/leased/safe/", true, true},
-    {kLeasedService, "/leased/unsafe/", true, false},
-    {kPooledService, "/pooled/safe/", false, true},
-    {kPooledService, "/pooled/unsafe/", false, false},
-}};
+    constexpr std::array<CallKind, 6> kKinds {{
+        {kOrderedService, "/ordered/safe/", true, true},
+        {kOrderedService, "/ordered/unsafe/", true, false},
+        {kLeasedService, "/leased/safe/", true, true},
+        {kLeasedService, "/leased/unsafe/", true, false},
+        {kPooledService, "/pooled/safe/", false, true},
+        {kPooledService, "/pooled/unsafe/", false, false},
+    }};
 
-constexpr Duration kArrivalMinimum {1'000};
-constexpr Duration kArrivalMaximum {15'000};
-constexpr Duration kDeadlineMinimum {800'000};
-constexpr Duration kDeadlineMaximum {3'000'000};
-constexpr Duration kToGateway {8'000};
-constexpr Duration kRetryPause {20'000};
-constexpr int kTries = 3;
-constexpr double kHotKeys = 0.4;
-constexpr std::uint32_t kKeys = 65'536;
+    constexpr Duration kArrivalMinimum {1'000};
+    constexpr Duration kArrivalMaximum {15'000};
+    constexpr Duration kDeadlineMinimum {800'000};
+    constexpr Duration kDeadlineMaximum {3'000'000};
+    constexpr Duration kToGateway {8'000};
+    constexpr Duration kRetryPause {20'000};
+    constexpr int kTries = 3;
+    constexpr double kHotKeys = 0.4;
+    constexpr std::uint32_t kKeys = 65'536;
 
-auto is_promise(int status) -> bool
-{
-    return status == 408 || status == 421 || status == 429 || status == 503;
-}
+    auto is_promise(int status) -> bool
+    {
+        return status == 408 || status == 421 || status == 429 || status == 503;
+    }
 
 } // namespace
 
--- a/simulation/traffic_world/traffic_faults.cc
+++ b/simulation/traffic_world/traffic_faults.cc
@@ -6,11 +6,11 @@
 namespace graniteseam::simulation {
 namespace {
 
-/// An address that a worker left is not given to another service sooner.
-constexpr Duration kReuseAfter {2'000'000};
-constexpr Duration kIntervalMaximum {2'500'000};
-constexpr Duration kOverlappingIntervalMaximum {1'200'000};
-constexpr std::size_t kKindsMinimum = 2;
+    /// An address that a worker left is not given to another service sooner.
+    constexpr Duration kReuseAfter {2'000'000};
+    constexpr Duration kIntervalMaximum {2'500'000};
+    constexpr Duration kOverlappingIntervalMaximum {1'200'000};
+    constexpr std::size_t kKindsMinimum = 2;
 
 } // namespace
 
@@ -94,14 +94,9 @@
     for (auto const& gateway : m_fleet.gateways)
         gateway->Start();
     // Each service has workers again, whichever service an address was given to meanwhile.
-    for (std::size_t i = 0; i < m_fleet.places.size(); ++i) {
-        auto& place = m_fleet.places[i];
-        if (place.worker->up())
-            continue;
-        auto const* const service = i < kPlacesOfService ? kOrderedService
-            : i < 2 * kPlacesOfService                   ? kLeasedService
-                                                         : kPooledService;
-        start_after(place, service, kReuseAfter);
+    for (auto& place : m_fleet.places) {
+        if (!place.worker->up())
+            start_after(place, place.home, kReuseAfter);
     }
 }
 
@@ -173,9 +168,8 @@
         return;
     auto const service = place->worker->traits().service;
     // Some worker of the service must be left.
-    auto const others = std::count_if(m_fleet.places.begin(), m_fleet.places.end(), [&](auto const& other) {
-        return other.worker->up() && other.worker->traits().service == service;
-    });
+    auto const others = std::count_if(m_fleet.places.begin(), m_fleet.places.end(),
+        [&](auto const& other) { return other.worker->up() && other.worker->traits().service == service; });
     if (others < 3)
         return;
     auto const* const next = service == kOrderedService ? kLeasedService
--- a/simulation/traffic_world/traffic_faults.h
+++ b/simulation/traffic_world/traffic_faults.h
@@ -14,7 +14,7 @@
 /// One kind of fault. Its name appears in the counts of a run.
 struct TrafficFaultKind {
     char const* name;
-    auto (TrafficFaults::*inject)() -> void;
+    auto(TrafficFaults::*inject)() -> void;
 };
 
 /// Injects faults into a fleet. Each ends by itself; heal() ends all. Not thread safe.
--- a/simulation/traffic_world/traffic_fleet.cc
+++ b/simulation/traffic_world/traffic_fleet.cc
@@ -7,28 +7,29 @@
 namespace graniteseam::simulation {
 namespace {
 
-using Outcome = control::RangeOrderResult::Outcome;
-using gateway::AttemptEnd;
-
-constexpr Duration kMaintenanceInterval {50'000};
-constexpr Duration kContact {3'000'000};
-constexpr double kBreaksWhileCut = 0.05;
-constexpr Duration kBeatMinimum {840'000};
-constexpr Duration kBeatMaximum {900'000};
-constexpr Duration kBeatWhileLettingGo {100'000};
-constexpr Duration kCallLimit {1'000'000};
-constexpr Duration kTurnPause {20'000};
-constexpr Duration kTurnsPause {200'000};
-constexpr int kTurnsInARow = 3;
-constexpr Duration kConnectRetry {50'000};
-constexpr Duration kLateMaximum {4'000'000};
-/// A worker that leaves goes on for this long after its word was acknowledged, and up to as long again.
-constexpr Duration kDrain {2'000'000};
-/// Without an acknowledgement it ends all the same.
-constexpr Duration kDrainUnheard {6'000'000};
-/// Of requests to a worker that is down, those that go out on a connection which it had left open.
-constexpr double kOnOldConnection = 0.3;
-constexpr double kSentTwice = 0.05;
+    using Outcome = control::RangeOrderResult::Outcome;
+    using gateway::AttemptEnd;
+
+    constexpr Duration kMaintenanceInterval {50'000};
+    constexpr Duration kContact {3'000'000};
+    constexpr double kBreaksWhileCut = 0.05;
+    constexpr Duration kBeatMinimum {840'000};
+    constexpr Duration kBeatMaximum {900'000};
+    constexpr Duration kBeatWhileLettingGo {100'000};
+    constexpr Duration kCallLimit {1'000'000};
+    constexpr Duration kTurnPause {20'000};
+    constexpr Duration kTurnsPause {200'000};
+    constexpr int kTurnsInARow = 3;
+    constexpr Duration kConnectRetry {50'000};
+    constexpr Duration kLateMaximum {4'000'000};
+    /// A worker that leaves goes on for this long after its word was acknowledged, and up to as long again.
+    constexpr Duration kDrain {2'000'000};
+    /// Without an acknowledgement it ends all the same.
+    constexpr Duration kDrainUnheard {6'000'000};
+    /// Of requests to a worker that is down, those that go out on a connection which it had left open.
+    constexpr double kOnOldConnection = 0.3;
+    constexpr double kSentTwice = 0.05;
+    constexpr std::array kHomes {kOrderedService, kLeasedService, kPooledService};
 
 } // namespace
 
@@ -55,12 +56,13 @@
         for (auto const& control : controls)
             m_lines.push_back(std::make_unique<RouterLine>(world, *gateways.back(), *control));
     }
-    for (std::uint32_t number = 1; number <= 3 * kPlacesOfService; ++number) {
+    for (std::uint32_t number = 1; number <= kHomes.size() * kPlacesOfService; ++number) {
         NodeName const node {NodeKind::kServer, number};
         world.SetZone(node, number % kTrafficZones);
         auto const address = "10.1.0." + std::to_string(number) + ":80";
         m_place_of_address[address] = number;
-        places.push_back({node, address, nullptr, 0, false});
+        auto const* const home = kHomes.at((number - 1) / kPlacesOfService);
+        places.push_back({node, address, home, nullptr, 0, false});
     }
 }
 
@@ -70,19 +72,15 @@
         control->Start();
     for (auto const& gateway : gateways)
         gateway->Start();
-    for (std::size_t i = 0; i < places.size(); ++i) {
-        auto const* const service = i < kPlacesOfService ? kOrderedService
-            : i < 2 * kPlacesOfService                   ? kLeasedService
-                                                         : kPooledService;
-        start_worker(places[i], service);
-    }
+    for (auto& place : places)
+        start_worker(place, place.home);
     maintain_lines();
 }
 
 auto TrafficFleet::leader() -> ControlProcess*
 {
-    auto const found
-        = std::find_if(controls.begin(), controls.end(), [](auto const& control) { return control->Leads(); });
+    auto const found = std::find_if(
+        controls.begin(), controls.end(), [](auto const& control) { return control->Leads(); });
     return found == controls.end() ? nullptr : found->get();
 }
 
@@ -107,8 +105,7 @@
 auto TrafficFleet::calm_for(GatewayProcess const& gateway, Duration span) const -> bool
 {
     auto const found = m_gateway_disturbed.find(gateway.name().number);
-    auto const disturbed
-        = std::max(m_core_disturbed, found == m_gateway_disturbed.end() ? 0 : found->second);
+    auto const disturbed = std::max(m_core_disturbed, found == m_gateway_disturbed.end() ? 0 : found->second);
     return m_world.now() - disturbed > span.count();
 }
 
@@ -123,8 +120,7 @@
 {
     for (auto const& gateway : gateways) {
         for (auto const& control : controls)
-            maintain_line(
-                line_between(gateway->name().number, control->name().number), *gateway, *control);
+            maintain_line(line_between(gateway->name().number, control->name().number), *gateway, *control);
     }
     check_group();
     m_world.queue.After(kMaintenanceInterval, [this] { maintain_lines(); });
@@ -269,8 +265,8 @@
     traits.clock_rate = 0.98 + 0.02 * m_world.random.Fraction();
     traits.work = m_world.random.Between(Duration {20'000}, Duration {120'000});
     traits.keyed = service != kPooledService;
-    traits.checks_instance = m_options.orders_name_instance
-        && defect() != TrafficDefect::kOrderTakenByAnyInstance;
+    traits.checks_instance
+        = m_options.orders_name_instance && defect() != TrafficDefect::kOrderTakenByAnyInstance;
     traits.lease_never_ends = defect() == TrafficDefect::kLeaseNeverEnds;
     place.worker = std::make_shared<Worker>(m_world, m_oracle, traits);
     place.planned_end = false;
@@ -290,7 +286,7 @@
         m_world.queue.After(*heartbeat_left,
             [this, &place, worker, heartbeat = worker->beat(), to = m_targets.at(worker->traits().id)] {
                 ask(
-                    place.node, to, heartbeat, [](auto const&) { }, worker);
+                    place.node, to, heartbeat, [](auto const&) {}, worker);
             });
     }
     worker->end();
@@ -304,7 +300,7 @@
             return;
         // Its last word, heard or not.
         auto const to = m_targets.at(worker->traits().id);
-        ask(place.node, to, control::DeregisterInstance {{worker->traits().id}}, [](auto const&) { });
+        ask(place.node, to, control::DeregisterInstance {{worker->traits().id}}, [](auto const&) {});
         crash(place, std::nullopt);
     });
 }
@@ -341,8 +337,8 @@
                 return;
             if (std::holds_alternative<control::Accepted>(answer))
                 return acknowledged();
-            m_world.queue.After(kTurnPause,
-                [=, this, &place] { deregister(place, worker, until, acknowledged); });
+            m_world.queue.After(
+                kTurnPause, [=, this, &place] { deregister(place, worker, until, acknowledged); });
         });
     target = target % kTrafficControls + 1;
     m_world.queue.After(kCallLimit, [=, this, &place] {
@@ -351,8 +347,8 @@
     });
 }
 
-auto TrafficFleet::beat_after(
-    Place& place, std::shared_ptr<Worker> const& worker, Duration time, int turns) -> void
+auto TrafficFleet::beat_after(Place& place, std::shared_ptr<Worker> const& worker, Duration time, int turns)
+    -> void
 {
     auto const number = ++m_beats[worker->traits().id];
     m_world.queue.After(time, [this, &place, worker, number, turns] {
@@ -427,8 +423,8 @@
     }
     if (!worker->take_answer(sequence, answer))
         return;
-    auto const again = worker->lets_go() ? kBeatWhileLettingGo
-                                         : m_world.random.Between(kBeatMinimum, kBeatMaximum);
+    auto const again
+        = worker->lets_go() ? kBeatWhileLettingGo : m_world.random.Between(kBeatMinimum, kBeatMaximum);
     beat_after(place, worker, again, 0);
 }
 
@@ -446,17 +442,16 @@
         if (std::exchange(*ended, true) || from.starts() != start)
             return;
         constexpr std::array kNames {"done", "refused", "not_delivered", "unknown"};
-        m_world.Trace("order " + std::to_string(number.value) + " ends "
-            + kNames[static_cast<std::size_t>(outcome)]);
+        m_world.Trace(
+            "order " + std::to_string(number.value) + " ends " + kNames[static_cast<std::size_t>(outcome)]);
         from.Deliver([&from, result = control::RangeOrderResult {number, outcome, handover}] {
             from.Run([&](control::ControlNode& node, Instant now) {
                 return node.OnRangeOrderResult(result, now);
             });
         });
     };
-    m_world.queue.After(m_world.Delay(), [this, &from, order, end, sent = m_world.now()] {
-        connect_to_owner(from, order, sent, end);
-    });
+    m_world.queue.After(m_world.Delay(),
+        [this, &from, order, end, sent = m_world.now()] { connect_to_owner(from, order, sent, end); });
 }
 
 /// Tries until the owner's address answers, as the kernel does; whoever lives there then takes the order.
@@ -486,11 +481,12 @@
         m_world.Count("order carried out late");
         wait = m_world.random.Between(Duration {100'000}, kLateMaximum);
     }
-    auto const answered = [this, &from, node = place.node, end](Outcome outcome, std::string const& handover) {
-        if (m_world.random.Chance(mood.order_answer_lost))
-            return m_world.Count("order's answer lost");
-        m_world.SendOnce(node, from.name(), [end, outcome, handover] { end(outcome, handover); });
-    };
+    auto const answered
+        = [this, &from, node = place.node, end](Outcome outcome, std::string const& handover) {
+              if (m_world.random.Chance(mood.order_answer_lost))
+                  return m_world.Count("order's answer lost");
+              m_world.SendOnce(node, from.name(), [end, outcome, handover] { end(outcome, handover); });
+          };
     m_world.queue.After(wait, [this, worker, order, answered, give_up] {
         if (worker->up())
             worker->take_order(order, m_world.now() > give_up, answered);
@@ -503,17 +499,17 @@
     WorkerRequest const& request, AttemptReply const& reply) -> void
 {
     auto const ended = std::make_shared<bool>(false);
-    AttemptReply const once = [&from, reply, ended, start = from.starts()](
-                                  AttemptEnd end, WorkerAnswer const& answer) {
-        if (std::exchange(*ended, true) || from.starts() != start)
-            return;
-        from.Deliver([reply, end, answer] { reply(end, answer); });
-    };
+    AttemptReply const once
+        = [&from, reply, ended, start = from.starts()](AttemptEnd end, WorkerAnswer const& answer) {
+              if (std::exchange(*ended, true) || from.starts() != start)
+                  return;
+              from.Deliver([reply, end, answer] { reply(end, answer); });
+          };
     auto& place = place_of(address);
     m_world.queue.After(m_world.Delay(), [this, &from, &place, request, once] {
         hand_over_request(from, place, request, once);
         if (defect() == TrafficDefect::kRequestSentTwice && m_world.random.Chance(kSentTwice))
-            hand_over_request(from, place, request, [](auto, auto const&) { });
+            hand_over_request(from, place, request, [](auto, auto const&) {});
     });
 }
 
@@ -553,8 +549,8 @@
         } else if (given.end == WorkerAnswer::End::kAnswered && m_world.random.Chance(mood.answer_surplus)) {
             m_surplus[surplus_place] = given;
         }
-        auto const end = answer.end == WorkerAnswer::End::kAnswered ? AttemptEnd::kAnswered
-                                                                    : AttemptEnd::kNotExecuted;
+        auto const end
+            = answer.end == WorkerAnswer::End::kAnswered ? AttemptEnd::kAnswered : AttemptEnd::kNotExecuted;
         m_world.SendOnce(place.node, from.name(), [reply, end, answer] { reply(end, answer); });
     });
 }
--- a/simulation/traffic_world/traffic_fleet.h
+++ b/simulation/traffic_world/traffic_fleet.h
@@ -57,6 +57,7 @@
 struct Place {
     NodeName node;
     std::string address;
+    std::string home; ///< The service that it has at first, and again at the end.
     std::shared_ptr<Worker> worker; ///< The newest; it may have ended.
     TrueTime ended = 0;
     bool planned_end = false; ///< Its end is under way.
@@ -128,8 +129,7 @@
     auto beat(Place&, std::shared_ptr<Worker> const&, int turns) -> void;
     auto beat_after(Place&, std::shared_ptr<Worker> const&, Duration, int turns) -> void;
     auto send_heartbeat(Place const&, std::shared_ptr<Worker> const&, control::ReportInstance const&,
-        std::uint32_t control,
-        std::function<void(control::OperatorAnswer const&)> const& reply) -> void;
+        std::uint32_t control, std::function<void(control::OperatorAnswer const&)> const& reply) -> void;
     auto on_beat_answer(Place&, std::shared_ptr<Worker> const&, std::int64_t sequence, int turns,
         control::OperatorAnswer const&) -> void;
     /// Says that a worker is gone, again and again until it is acknowledged or `until`.
--- a/simulation/traffic_world/traffic_oracle.cc
+++ b/simulation/traffic_world/traffic_oracle.cc
@@ -5,17 +5,17 @@
 namespace graniteseam::simulation {
 namespace {
 
-/// Breaches of one promise that are told; the rest of them mostly follow from the first.
-constexpr std::uint32_t kToldOfOne = 3;
-/// A drained worker may get requests for so long after the acknowledgement.
-constexpr std::int64_t kDrainAllowed = 2'000'000;
-/// By then an accepted configuration is in force at gateways in touch.
-constexpr std::int64_t kConfigurationApplied = 2'000'000;
-
-auto to_text(Keys const& keys) -> std::string
-{
-    return std::to_string(keys.first) + " to " + std::to_string(keys.last);
-}
+    /// Breaches of one promise that are told; the rest of them mostly follow from the first.
+    constexpr std::uint32_t kToldOfOne = 3;
+    /// A drained worker may get requests for so long after the acknowledgement.
+    constexpr std::int64_t kDrainAllowed = 2'000'000;
+    /// By then an accepted configuration is in force at gateways in touch.
+    constexpr std::int64_t kConfigurationApplied = 2'000'000;
+
+    auto to_text(Keys const& keys) -> std::string
+    {
+        return std::to_string(keys.first) + " to " + std::to_string(keys.last);
+    }
 
 } // namespace
 
@@ -50,19 +50,17 @@
                     continue;
                 Keys const both {
                     std::max(own.keys.first, theirs.keys.first), std::min(own.keys.last, theirs.keys.last)};
-                violate("one_owner",
-                    "keys " + to_text(both) + " of " + holder.second + " are held by " + holder.first
-                        + " under fence " + std::to_string(own.fence) + " and by " + other.first
-                        + " under fence " + std::to_string(theirs.fence),
-                    now);
+                auto what = "keys " + to_text(both) + " of " + holder.second;
+                what += " are held by " + holder.first + " under fence " + std::to_string(own.fence);
+                what += " and by " + other.first + " under fence " + std::to_string(theirs.fence);
+                violate("one_owner", what, now);
             }
         }
     }
 }
 
-auto TrafficOracle::on_keys_taken(
-    std::string const& worker, std::string const& service, HeldKeysFact const& taken, std::int64_t now)
-    -> void
+auto TrafficOracle::on_keys_taken(std::string const& worker, std::string const& service,
+    HeldKeysFact const& taken, std::int64_t now) -> void
 {
     ++m_checks;
     auto& by_worker = m_fences[service];
@@ -166,8 +164,8 @@
 
 // --- Configuration ---
 
-auto TrafficOracle::on_change_accepted(std::uint64_t version, std::uint64_t base, std::string const& content,
-    std::int64_t now) -> void
+auto TrafficOracle::on_change_accepted(
+    std::uint64_t version, std::uint64_t base, std::string const& content, std::int64_t now) -> void
 {
     ++m_checks;
     auto const name = "change " + content + " to version " + std::to_string(version);
@@ -181,8 +179,8 @@
         violate("accepted_stays", name + " is accepted after it was refused", now);
 }
 
-auto TrafficOracle::on_change_refused(
-    std::uint64_t version, std::string const& content, std::int64_t now) -> void
+auto TrafficOracle::on_change_refused(std::uint64_t version, std::string const& content, std::int64_t now)
+    -> void
 {
     ++m_checks;
     m_refused_contents.insert(content);
--- a/simulation/traffic_world/traffic_oracle.h
+++ b/simulation/traffic_world/traffic_oracle.h
@@ -56,17 +56,17 @@
 
     // Configuration.
     /// An operator was told that a change is accepted.
-    auto on_change_accepted(std::uint64_t version, std::uint64_t base, std::string const& content,
-        std::int64_t now) -> void;
+    auto on_change_accepted(
+        std::uint64_t version, std::uint64_t base, std::string const& content, std::int64_t now) -> void;
     /// An operator was told for certain that a change is not accepted.
     auto on_change_refused(std::uint64_t version, std::string const& content, std::int64_t now) -> void;
     /// A read of the configuration, asked for at `asked`, was answered.
-    auto on_configuration_read(std::uint64_t version, std::string const& content, std::int64_t asked,
-        std::int64_t now) -> void;
+    auto on_configuration_read(
+        std::uint64_t version, std::string const& content, std::int64_t asked, std::int64_t now) -> void;
     /// What is in force at one life of a gateway. @param in_touch whether it was all the while in which
     /// it must have heard of the newest.
-    auto on_gateway_configuration(std::string const& gateway, std::uint64_t version, bool in_touch,
-        std::int64_t now) -> void;
+    auto on_gateway_configuration(
+        std::string const& gateway, std::uint64_t version, bool in_touch, std::int64_t now) -> void;
 
     /// Notes a breach of a promise; `promise` is one of the names in the pages.
     auto violate(std::string_view promise, std::string const& what, std::int64_t now) -> void;
--- a/simulation/traffic_world/traffic_run.cc
+++ b/simulation/traffic_world/traffic_run.cc
@@ -10,51 +10,54 @@
 namespace graniteseam::simulation {
 namespace {
 
-/// Time to found the group, to accept the first configuration and to give out the keys.
-constexpr Duration kCalmAtStart {5'000'000};
-/// Time without faults at the end, in which all must recover: the users allow 15 s.
-constexpr Duration kCalmAtEnd {18'000'000};
-/// The last part of it, in which each service must answer.
-constexpr Duration kProbe {3'000'000};
-constexpr std::uint64_t kAnsweredMinimum = 200;
-/// Of the calls in that part, so many must be served.
-constexpr double kServedPart = 0.25;
+    /// Time to found the group, to accept the first configuration and to give out the keys.
+    constexpr Duration kCalmAtStart {5'000'000};
+    /// Time without faults at the end, in which all must recover: the users allow 15 s.
+    constexpr Duration kCalmAtEnd {18'000'000};
+    /// The last part of it, in which each service must answer.
+    constexpr Duration kProbe {3'000'000};
+    constexpr std::uint64_t kAnsweredMinimum = 200;
+    /// Of the calls in that part, so many must be served.
+    constexpr double kServedPart = 0.25;
 
-auto check_recovered(
-    World const& world, TrafficOracle& oracle, TrafficFleet& fleet, TrafficCallers& callers) -> void
-{
-    auto const missing = [&](std::string const& what) { oracle.violate("recovers", what, world.now()); };
-    if (fleet.leader() == nullptr)
-        missing("there is no leader");
-    for (auto const& gateway : fleet.gateways) {
-        if (!gateway->ready())
-            missing(ToString(gateway->name()) + " is not ready");
-        else if (gateway->configuration() < oracle.newest_accepted())
-            missing(ToString(gateway->name()) + " has an old configuration");
-    }
-    auto served = callers.take_served();
-    for (auto const* service : {kOrderedService, kLeasedService, kPooledService}) {
-        auto const& count = served[service];
-        if (static_cast<double>(count.served) < kServedPart * static_cast<double>(std::max<std::uint64_t>(1, count.calls)))
-            missing(std::string(service) + " serves " + std::to_string(count.served) + " of "
-                + std::to_string(count.calls) + " calls");
+    auto check_recovered(
+        World const& world, TrafficOracle& oracle, TrafficFleet& fleet, TrafficCallers& callers) -> void
+    {
+        auto const missing = [&](std::string const& what) { oracle.violate("recovers", what, world.now()); };
+        if (fleet.leader() == nullptr)
+            missing("there is no leader");
+        for (auto const& gateway : fleet.gateways) {
+            if (!gateway->ready())
+                missing(ToString(gateway->name()) + " is not ready");
+            else if (gateway->configuration() < oracle.newest_accepted())
+                missing(ToString(gateway->name()) + " has an old configuration");
+        }
+        auto served = callers.take_served();
+        for (auto const* service : {kOrderedService, kLeasedService, kPooledService}) {
+            auto const& count = served[service];
+            if (static_cast<double>(count.served)
+                < kServedPart * static_cast<double>(std::max<std::uint64_t>(1, count.calls)))
+                missing(std::string(service) + " serves " + std::to_string(count.served) + " of "
+                    + std::to_string(count.calls) + " calls");
+        }
     }
-}
 
-auto check_work_done(
-    World const& world, TrafficOracle& oracle, TrafficCallers const& callers, ConfigurationOperators const& operators) -> void
-{
-    auto const missing = [&](std::string const& what) { oracle.violate("the run proves nothing", what, world.now()); };
-    if (callers.answered() < kAnsweredMinimum)
-        missing("only " + std::to_string(callers.answered()) + " requests were answered");
-    auto const& counts = world.counts();
-    if (std::none_of(counts.begin(), counts.end(), [](auto const& count) { return count.first.starts_with("fault: "); }))
-        missing("no fault was injected");
-    if (operators.accepted() < 2)
-        missing("no change of the configuration was accepted");
-    if (oracle.unsafe_runs() == 0)
-        missing("no unsafe request ran");
-}
+    auto check_work_done(World const& world, TrafficOracle& oracle, TrafficCallers const& callers,
+        ConfigurationOperators const& operators) -> void
+    {
+        auto const missing
+            = [&](std::string const& what) { oracle.violate("the run proves nothing", what, world.now()); };
+        if (callers.answered() < kAnsweredMinimum)
+            missing("only " + std::to_string(callers.answered()) + " requests were answered");
+        auto const& counts = world.counts();
+        if (std::none_of(counts.begin(), counts.end(),
+                [](auto const& count) { return count.first.starts_with("fault: "); }))
+            missing("no fault was injected");
+        if (operators.accepted() < 2)
+            missing("no change of the configuration was accepted");
+        if (oracle.unsafe_runs() == 0)
+            missing("no unsafe request ran");
+    }
 
 } // namespace
 
--- a/simulation/traffic_world/worker.cc
+++ b/simulation/traffic_world/worker.cc
@@ -6,24 +6,24 @@
 namespace graniteseam::simulation {
 namespace {
 
-using Outcome = control::RangeOrderResult::Outcome;
-
-/// Within this a worker takes the answer to a heartbeat.
-constexpr std::int64_t kAnswerTaken = 1'000'000;
-constexpr int kMisdirected = 421;
-constexpr int kUnavailable = 503;
-constexpr int kFailed = 500;
-constexpr int kOk = 200;
-
-auto keys_of(traffic::KeySpan const& span) -> Keys
-{
-    return {span.first, span.last};
-}
+    using Outcome = control::RangeOrderResult::Outcome;
+
+    /// Within this a worker takes the answer to a heartbeat.
+    constexpr std::int64_t kAnswerTaken = 1'000'000;
+    constexpr int kMisdirected = 421;
+    constexpr int kUnavailable = 503;
+    constexpr int kFailed = 500;
+    constexpr int kOk = 200;
+
+    auto keys_of(traffic::KeySpan const& span) -> Keys
+    {
+        return {span.first, span.last};
+    }
 
-auto span_of(Keys const& keys) -> traffic::KeySpan
-{
-    return {keys.first, keys.last};
-}
+    auto span_of(Keys const& keys) -> traffic::KeySpan
+    {
+        return {keys.first, keys.last};
+    }
 
 } // namespace
 
--- a/tests/traffic_world/traffic_world_test.cc
+++ b/tests/traffic_world/traffic_world_test.cc
@@ -67,10 +67,11 @@
         for (auto const& [name, count] : run_traffic(options_of(seed, TrafficDefect::kNone)).counts)
             counts[name] += count;
     }
-    for (auto const* name : {"heartbeat late", "heartbeat repeated", "heartbeat lost", "heartbeat's answer lost",
-             "heartbeat left behind", "former process not heard", "order lost", "order carried out late",
-             "order's answer lost", "order for another instance refused", "answer lost", "surplus answer read",
-             "lease form turned", "leader changed", "keys ran out", "change refused", "request refused"})
+    for (auto const* name :
+        {"heartbeat late", "heartbeat repeated", "heartbeat lost", "heartbeat's answer lost",
+            "heartbeat left behind", "former process not heard", "order lost", "order carried out late",
+            "order's answer lost", "order for another instance refused", "answer lost", "surplus answer read",
+            "lease form turned", "leader changed", "keys ran out", "change refused", "request refused"})
         cr_expect(counts[name] > 0, "no run had: %s", name);
 }
 
