Traffic world: the configuration must be readable at the end; drained workers' requests counted

Cause: a last read that never came would have gone unseen, and nothing told how often the promise about drains was put to the test.

--- a/simulation/traffic_world/configuration_operators.cc
+++ b/simulation/traffic_world/configuration_operators.cc
@@ -141,9 +141,9 @@
         again);
 }
 
-auto ConfigurationOperators::read_once() -> void
+auto ConfigurationOperators::read_once(std::function<void()> const& answered) -> void
 {
-    read(0, [](auto const&) {});
+    read(0, [answered](auto const&) { answered(); });
 }
 
 auto ConfigurationOperators::change(std::uint32_t number, traffic::Configuration const& base) -> void
--- a/simulation/traffic_world/configuration_operators.h
+++ b/simulation/traffic_world/configuration_operators.h
@@ -30,8 +30,8 @@
     auto race() -> void;
     /// The next change also turns a keyed service to the other form of leases.
     auto turn_form() -> void { m_turns_form = true; }
-    /// Reads the configuration once more, for the record.
-    auto read_once() -> void;
+    /// Reads the configuration once more.
+    auto read_once(std::function<void()> const& answered) -> void;
 
     auto accepted() const -> std::uint64_t { return m_accepted; }
 
--- a/simulation/traffic_world/traffic_fleet.cc
+++ b/simulation/traffic_world/traffic_fleet.cc
@@ -530,8 +530,10 @@
     // Nothing comes back over a cut link; the gateway's own patience ends the attempt.
     if (!m_world.Connected(from.name(), place.node))
         return;
-    m_oracle.on_request_reached(
-        worker->traits().id, in_touch(from) && worker->would_run(request), m_world.now());
+    auto const counts = worker->would_run(request) && in_touch(from);
+    if (counts && m_drains_heard.contains(worker->traits().id))
+        m_world.Count("request from a gateway in touch to a drained worker");
+    m_oracle.on_request_reached(worker->traits().id, counts, m_world.now());
     auto const surplus_place = std::pair(from.name().number, worker->traits().id);
     worker->run(request, [=, this, &from](WorkerAnswer const& given) {
         if (given.end == WorkerAnswer::End::kBroken)
--- a/simulation/traffic_world/traffic_oracle.cc
+++ b/simulation/traffic_world/traffic_oracle.cc
@@ -17,6 +17,11 @@
         return std::to_string(keys.first) + " to " + std::to_string(keys.last);
     }
 
+    auto under_fence(std::string worker, std::uint64_t fence) -> std::string
+    {
+        return worker.append(" under fence ").append(std::to_string(fence));
+    }
+
 } // namespace
 
 auto TrafficOracle::violate(std::string_view promise, std::string const& what, std::int64_t now) -> void
@@ -50,10 +55,11 @@
                     continue;
                 Keys const both {
                     std::max(own.keys.first, theirs.keys.first), std::min(own.keys.last, theirs.keys.last)};
-                auto what = "keys " + to_text(both) + " of " + holder.second;
-                what += " are held by " + holder.first + " under fence " + std::to_string(own.fence);
-                what += " and by " + other.first + " under fence " + std::to_string(theirs.fence);
-                violate("one_owner", what, now);
+                violate("one_owner",
+                    "keys " + to_text(both) + " of " + holder.second + " are held by "
+                        + under_fence(holder.first, own.fence) + " and by "
+                        + under_fence(other.first, theirs.fence),
+                    now);
             }
         }
     }
--- a/simulation/traffic_world/traffic_run.cc
+++ b/simulation/traffic_world/traffic_run.cc
@@ -73,6 +73,7 @@
     operators.start();
     auto const end = options.run.length.count();
     auto const calm_from = end - kCalmAtEnd.count();
+    auto read = false;
     auto const overlapping = world.random.Chance(0.5);
     world.queue.After(kCalmAtStart, [&] {
         callers.start();
@@ -84,10 +85,12 @@
     });
     world.queue.At(end - kProbe.count(), [&] {
         callers.take_served();
-        operators.read_once();
+        operators.read_once([&] { read = true; });
     });
     while (world.queue.Step(end)) { }
     check_recovered(world, oracle, fleet, callers);
+    if (!read)
+        oracle.violate("recovers", "the configuration cannot be read", world.now());
     check_work_done(world, oracle, callers, operators);
     RunResult result;
     result.seed = options.run.seed;
