--- a/simulation/simulator/main.cc
+++ b/simulation/simulator/main.cc
@@ -33,6 +33,8 @@
 
 /// The world of gateways, key ranges and configuration, with faults of its own.
 constexpr const char* kTrafficScenario = "traffic";
+/// The same without faults of control and of the whole network.
+constexpr const char* kTrafficCalmCore = "traffic-calm-core";
 
 constexpr const char* kUsage =
     "Usage: graniteseam-simulation [OPTION...]\n"
@@ -43,9 +45,9 @@
     "  --seconds N        virtual seconds of each run (default 60, at least 20)\n"
     "  --threads N        runs at once (default: all processors)\n"
     "  --defect NAME      switch on a seeded defect; succeed when a run finds it\n"
-    "  --orders-name-instance  scenario traffic: orders carry the name of the instance that is\n"
+    "  --orders-name-instance  scenarios traffic*: orders carry the name of the instance that is\n"
     "                     meant, and another one refuses them\n"
-    "  --former-processes-silent  scenario traffic: no heartbeat comes after its sender's end\n"
+    "  --former-processes-silent  scenarios traffic*: no heartbeat comes after its sender's end\n"
     "  --list             list scenarios and seeded defects\n"
     "  --help, --version\n"
     "Exit status: 0 as promised, 1 a promise was broken (or a defect not found), 2 wrong usage.\n";
@@ -62,7 +64,7 @@
   bool former_processes_silent = false;
   bool list = false;
 
-  bool Traffic() const { return scenario == kTrafficScenario; }
+  bool Traffic() const { return scenario == kTrafficScenario || scenario == kTrafficCalmCore; }
 };
 
 [[noreturn]] void ExitWithUsage(const std::string& fault) {
@@ -158,6 +160,8 @@
   }
   std::printf("scenario %-36s %s\n", kTrafficScenario,
               "gateways, key ranges and configuration under faults that the seed draws");
+  std::printf("scenario %-36s %s\n", kTrafficCalmCore,
+              "the same without faults of control and of the whole network");
   for (const auto& [defect, name, promise, description] : seeded_traffic_defects()) {
     std::printf("defect   %-36.*s traffic: %.*s\n", static_cast<int>(name.size()), name.data(),
                 static_cast<int>(description.size()), description.data());
@@ -222,7 +226,7 @@
   return graniteseam::simulation::run_traffic(
       {options,
        {defect ? defect->defect : TrafficDefect::kNone, settings.orders_name_instance,
-        settings.former_processes_silent}});
+        settings.former_processes_silent, settings.scenario == kTrafficCalmCore}});
 }
 
 void RunAll(const Settings& settings, const Scenario* scenario, Totals& totals) {
--- a/simulation/traffic_world/traffic_faults.cc
+++ b/simulation/traffic_world/traffic_faults.cc
@@ -28,15 +28,15 @@
         {"orders late", &TrafficFaults::delay_orders},
         {"answers lost", &TrafficFaults::lose_answers},
         {"answers surplus", &TrafficFaults::add_answers},
-        {"control paused", &TrafficFaults::pause_control},
-        {"leader paused", &TrafficFaults::pause_leader},
-        {"control lost power", &TrafficFaults::kill_control},
-        {"leader lost power", &TrafficFaults::kill_leader},
-        {"control cut", &TrafficFaults::cut_control},
-        {"leader stopped as planned", &TrafficFaults::stop_leader_as_planned},
+        {"control paused", &TrafficFaults::pause_control, true},
+        {"leader paused", &TrafficFaults::pause_leader, true},
+        {"control lost power", &TrafficFaults::kill_control, true},
+        {"leader lost power", &TrafficFaults::kill_leader, true},
+        {"control cut", &TrafficFaults::cut_control, true},
+        {"leader stopped as planned", &TrafficFaults::stop_leader_as_planned, true},
         {"gateway cut from control", &TrafficFaults::cut_gateway},
         {"gateway killed", &TrafficFaults::kill_gateway},
-        {"network lossy", &TrafficFaults::disturb_network},
+        {"network lossy", &TrafficFaults::disturb_network, true},
         {"operators raced", &TrafficFaults::race_operators},
         {"lease form to be turned", &TrafficFaults::turn_form},
     };
@@ -47,6 +47,8 @@
 {
     m_end = end;
     auto kinds = all();
+    if (m_fleet.options().core_stays_calm)
+        std::erase_if(kinds, [](TrafficFaultKind const& kind) { return kind.disturbs_core; });
     auto const count = kKindsMinimum + m_world.random.Below(kinds.size() - kKindsMinimum + 1);
     while (m_kinds.size() < count) {
         auto const drawn = kinds.begin() + static_cast<std::ptrdiff_t>(m_world.random.Below(kinds.size()));
--- a/simulation/traffic_world/traffic_faults.h
+++ b/simulation/traffic_world/traffic_faults.h
@@ -15,6 +15,7 @@
 struct TrafficFaultKind {
     char const* name;
     auto(TrafficFaults::*inject)() -> void;
+    bool disturbs_core = false; ///< No gateway is in touch for three seconds after it.
 };
 
 /// Injects faults into a fleet. Each ends by itself; heal() ends all. Not thread safe.
--- a/simulation/traffic_world/traffic_fleet.h
+++ b/simulation/traffic_world/traffic_fleet.h
@@ -51,6 +51,9 @@
     bool orders_name_instance = false;
     /// What a process sent as a heartbeat is lost once it has ended.
     bool former_processes_silent = false;
+    /// Control and the network as a whole stay whole, so that the promises of gateways in touch are put
+    /// to the test.
+    bool core_stays_calm = false;
 };
 
 /// An address, and who lives there.
@@ -101,6 +104,7 @@
     /// The users' rule: for the last three seconds.
     auto in_touch(GatewayProcess const&) const -> bool;
 
+    auto options() const -> TrafficWorldOptions const& { return m_options; }
     auto defect() const -> TrafficDefect { return m_options.defect; }
 
     void SendToPeer(NodeName const& from, consensus::PeerMessage const&) override;
