--- a/simulation/traffic_world/traffic_oracle.cc
+++ b/simulation/traffic_world/traffic_oracle.cc
@@ -17,9 +17,20 @@
         return std::to_string(keys.first) + " to " + std::to_string(keys.last);
     }
 
-    auto under_fence(std::string worker, std::uint64_t fence) -> std::string
+    using Holder = std::pair<std::string, std::string>; ///< Worker and service.
+
+    auto both_hold(Holder const& one, std::uint64_t one_fence, Holder const& other, std::uint64_t other_fence)
+        -> std::string
     {
-        return worker.append(" under fence ").append(std::to_string(fence));
+        return " of " + one.second + " are held by " + one.first + " under fence " + std::to_string(one_fence)
+            + " and by " + other.first + " under fence " + std::to_string(other_fence);
+    }
+
+    auto taken_after(std::string const& service, std::string const& worker, std::uint64_t fence,
+        std::string const& other, std::uint64_t other_fence) -> std::string
+    {
+        return " of " + service + " are taken by " + worker + " under fence " + std::to_string(fence) + "; "
+            + other + " held them under fence " + std::to_string(other_fence);
     }
 
 } // namespace
@@ -56,10 +67,7 @@
                 Keys const both {
                     std::max(own.keys.first, theirs.keys.first), std::min(own.keys.last, theirs.keys.last)};
                 violate("one_owner",
-                    "keys " + to_text(both) + " of " + holder.second + " are held by "
-                        + under_fence(holder.first, own.fence) + " and by "
-                        + under_fence(other.first, theirs.fence),
-                    now);
+                    "keys " + to_text(both) + both_hold(holder, own.fence, other, theirs.fence), now);
             }
         }
     }
@@ -85,9 +93,8 @@
                 if (part.value < taken.fence)
                     continue;
                 violate("fences",
-                    "keys " + to_text(part.keys) + " of " + service + " are taken by " + worker
-                        + " under fence " + std::to_string(taken.fence) + "; " + other
-                        + " held them under fence " + std::to_string(part.value),
+                    "keys " + to_text(part.keys)
+                        + taken_after(service, worker, taken.fence, other, part.value),
                     now);
             }
         }
