Count grants under way when the range they are of is released; play the traffic world without flags

Cause, of the incident's class: when a release begins, the range gets another fence and what was known of it begins anew. Change: an owner is not over while a grant of overlapping keys to it has no result. The traffic world plays what is shipped: orders name their instance, late heartbeats of former processes come. Names of orders' kinds and outcomes stand in one place.

--- a/simulation/simulator/main.cc
+++ b/simulation/simulator/main.cc
@@ -45,9 +45,6 @@
     "  --seconds N        virtual seconds of each run (default 60, at least 20)\n"
     "  --threads N        runs at once (default: all processors)\n"
     "  --defect NAME      switch on a seeded defect; succeed when a run finds it\n"
-    "  --orders-name-instance  scenarios traffic*: orders carry the name of the instance that is\n"
-    "                     meant, and another one refuses them\n"
-    "  --former-processes-silent  scenarios traffic*: no heartbeat comes after its sender's end\n"
     "  --list             list scenarios and seeded defects\n"
     "  --help, --version\n"
     "Exit status: 0 as promised, 1 a promise was broken (or a defect not found), 2 wrong usage.\n";
@@ -60,8 +57,6 @@
   std::int64_t seconds = 60;
   int threads = 0;
   std::string defect;
-  bool orders_name_instance = false;
-  bool former_processes_silent = false;
   bool list = false;
 
   bool Traffic() const { return scenario == kTrafficScenario || scenario == kTrafficCalmCore; }
@@ -95,8 +90,6 @@
                                     {"seconds", required_argument, nullptr, 'l'},
                                     {"threads", required_argument, nullptr, 'j'},
                                     {"defect", required_argument, nullptr, 'd'},
-                                    {"orders-name-instance", no_argument, nullptr, 'o'},
-                                    {"former-processes-silent", no_argument, nullptr, 'f'},
                                     {"list", no_argument, nullptr, 'i'},
                                     {"help", no_argument, nullptr, 'h'},
                                     {"version", no_argument, nullptr, 'v'},
@@ -125,12 +118,6 @@
       case 'd':
         settings.defect = optarg;
         break;
-      case 'o':
-        settings.orders_name_instance = true;
-        break;
-      case 'f':
-        settings.former_processes_silent = true;
-        break;
       case 'i':
         settings.list = true;
         break;
@@ -225,8 +212,7 @@
   const auto* defect = FindTrafficDefect(settings.defect);
   return graniteseam::simulation::run_traffic(
       {options,
-       {defect ? defect->defect : TrafficDefect::kNone, settings.orders_name_instance,
-        settings.former_processes_silent, settings.scenario == kTrafficCalmCore}});
+       {defect ? defect->defect : TrafficDefect::kNone, settings.scenario == kTrafficCalmCore}});
 }
 
 void RunAll(const Settings& settings, const Scenario* scenario, Totals& totals) {
--- a/simulation/traffic_world/traffic_fleet.cc
+++ b/simulation/traffic_world/traffic_fleet.cc
@@ -4,6 +4,8 @@
 #include <array>
 #include <utility>
 
+#include "src/control/order_names.h"
+
 namespace graniteseam::simulation {
 namespace {
 
@@ -222,8 +224,7 @@
 }
 
 auto TrafficFleet::ask(NodeName const& from, std::uint32_t control, control::OperatorRequest const& request,
-    std::function<void(control::OperatorAnswer const&)> const& reply, std::shared_ptr<Worker> const& sender)
-    -> void
+    std::function<void(control::OperatorAnswer const&)> const& reply) -> void
 {
     auto const id = ++m_last_request;
     auto& to = *controls[control - 1];
@@ -231,10 +232,8 @@
     m_asked[id] = [this, from, to = to.name(), reply](control::OperatorAnswer const& answer) {
         m_world.SendOnce(to, from, [reply, answer] { reply(answer); });
     };
-    m_world.SendOnce(from, to.name(), [this, &to, id, request, sender] {
-        to.Deliver([this, &to, id, request, sender] {
-            if (m_options.former_processes_silent && sender && !sender->up())
-                return m_world.Count("former process not heard");
+    m_world.SendOnce(from, to.name(), [&to, id, request] {
+        to.Deliver([&to, id, request] {
             to.Run([&](control::ControlNode& node, Instant now) {
                 return node.OnOperatorRequest(id, request, now, to.WallMs());
             });
@@ -265,8 +264,7 @@
     traits.clock_rate = 0.98 + 0.02 * m_world.random.Fraction();
     traits.work = m_world.random.Between(Duration {20'000}, Duration {120'000});
     traits.keyed = service != kPooledService;
-    traits.checks_instance
-        = m_options.orders_name_instance && defect() != TrafficDefect::kOrderTakenByAnyInstance;
+    traits.checks_instance = defect() != TrafficDefect::kOrderTakenByAnyInstance;
     traits.lease_never_ends = defect() == TrafficDefect::kLeaseNeverEnds;
     place.worker = std::make_shared<Worker>(m_world, m_oracle, traits);
     place.planned_end = false;
@@ -284,9 +282,8 @@
     if (heartbeat_left) {
         m_world.Count("heartbeat left behind");
         m_world.queue.After(*heartbeat_left,
-            [this, &place, worker, heartbeat = worker->beat(), to = m_targets.at(worker->traits().id)] {
-                ask(
-                    place.node, to, heartbeat, [](auto const&) {}, worker);
+            [this, &place, heartbeat = worker->beat(), to = m_targets.at(worker->traits().id)] {
+                ask(place.node, to, heartbeat, [](auto const&) {});
             });
     }
     worker->end();
@@ -365,7 +362,7 @@
     if (defect() == TrafficDefect::kDrainForgotten)
         heartbeat.report.draining = false;
     auto const target = m_targets.at(worker->traits().id);
-    send_heartbeat(place, worker, heartbeat, target,
+    send_heartbeat(place, heartbeat, target,
         [this, &place, worker, sequence, turns, drains](control::OperatorAnswer const& answer) {
             if (!worker->up())
                 return;
@@ -388,17 +385,16 @@
     });
 }
 
-auto TrafficFleet::send_heartbeat(Place const& place, std::shared_ptr<Worker> const& worker,
-    control::ReportInstance const& heartbeat, std::uint32_t control,
-    std::function<void(control::OperatorAnswer const&)> const& reply) -> void
+auto TrafficFleet::send_heartbeat(Place const& place, control::ReportInstance const& heartbeat,
+    std::uint32_t control, std::function<void(control::OperatorAnswer const&)> const& reply) -> void
 {
-    auto const send = [this, node = place.node, worker, heartbeat, control, reply] {
+    auto const send = [this, node = place.node, heartbeat, control, reply] {
         auto const answered = [this, reply](control::OperatorAnswer const& answer) {
             if (m_world.random.Chance(mood.heartbeat_answer_lost))
                 return m_world.Count("heartbeat's answer lost");
             reply(answer);
         };
-        ask(node, control, heartbeat, answered, worker);
+        ask(node, control, heartbeat, answered);
     };
     if (m_world.random.Chance(mood.heartbeat_repeated)) {
         m_world.Count("heartbeat repeated");
@@ -433,17 +429,16 @@
 void TrafficFleet::SendToOwner(ControlProcess& from, control::RangeOrder const& order)
 {
     auto const ended = std::make_shared<bool>(false);
-    m_world.Trace(ToString(from.name()) + " order " + std::to_string(order.number.value)
-        + (order.kind == control::RangeOrder::Kind::kGrant ? " grant " : " release ")
-        + std::to_string(order.span.first) + " to " + std::to_string(order.span.last) + " fence "
-        + std::to_string(order.fence.value) + " for " + order.instance.value);
+    m_world.Trace(ToString(from.name()) + " order " + std::to_string(order.number.value) + " "
+        + control::OrderKindName(order.kind) + " " + std::to_string(order.span.first) + " to "
+        + std::to_string(order.span.last) + " fence " + std::to_string(order.fence.value) + " for "
+        + order.instance.value);
     OrderEnd const end = [this, &from, number = order.number, start = from.starts(), ended](
                              Outcome outcome, std::string const& handover) {
         if (std::exchange(*ended, true) || from.starts() != start)
             return;
-        constexpr std::array kNames {"done", "refused", "not_delivered", "unknown"};
         m_world.Trace(
-            "order " + std::to_string(number.value) + " ends " + kNames[static_cast<std::size_t>(outcome)]);
+            "order " + std::to_string(number.value) + " ends " + control::OrderOutcomeName(outcome));
         from.Deliver([&from, result = control::RangeOrderResult {number, outcome, handover}] {
             from.Run([&](control::ControlNode& node, Instant now) {
                 return node.OnRangeOrderResult(result, now);
--- a/simulation/traffic_world/traffic_fleet.h
+++ b/simulation/traffic_world/traffic_fleet.h
@@ -47,10 +47,6 @@
 /// What is given of a run besides its seed.
 struct TrafficWorldOptions {
     TrafficDefect defect = TrafficDefect::kNone;
-    /// Orders carry the name of the instance that is meant, and workers refuse those of others.
-    bool orders_name_instance = false;
-    /// What a process sent as a heartbeat is lost once it has ended.
-    bool former_processes_silent = false;
     /// Control and the network as a whole stay whole, so that the promises of gateways in touch are put
     /// to the test.
     bool core_stays_calm = false;
@@ -90,10 +86,8 @@
     auto drain(Place&, bool with_word) -> void;
 
     /// Asks a control process; `reply` may never come, and comes once at most.
-    /// @param sender a worker whose end may take the request out of the network.
     auto ask(NodeName const& from, std::uint32_t control, control::OperatorRequest const&,
-        std::function<void(control::OperatorAnswer const&)> const& reply,
-        std::shared_ptr<Worker> const& sender = nullptr) -> void;
+        std::function<void(control::OperatorAnswer const&)> const& reply) -> void;
 
     // Who is in touch.
     /// The group or the whole network is disturbed until then.
@@ -132,8 +126,8 @@
     // Workers' calls to control.
     auto beat(Place&, std::shared_ptr<Worker> const&, int turns) -> void;
     auto beat_after(Place&, std::shared_ptr<Worker> const&, Duration, int turns) -> void;
-    auto send_heartbeat(Place const&, std::shared_ptr<Worker> const&, control::ReportInstance const&,
-        std::uint32_t control, std::function<void(control::OperatorAnswer const&)> const& reply) -> void;
+    auto send_heartbeat(Place const&, control::ReportInstance const&, std::uint32_t control,
+        std::function<void(control::OperatorAnswer const&)> const& reply) -> void;
     auto on_beat_answer(Place&, std::shared_ptr<Worker> const&, std::int64_t sequence, int turns,
         control::OperatorAnswer const&) -> void;
     /// Says that a worker is gone, again and again until it is acknowledged or `until`.
--- a/simulation/traffic_world/worker.cc
+++ b/simulation/traffic_world/worker.cc
@@ -71,7 +71,7 @@
     // Not carried out, and without a word about the fences that it has seen.
     if (m_traits.checks_instance && order.instance.value != m_traits.id) {
         m_world.Count("order for another instance refused");
-        return reply(Outcome::kUnknown, "");
+        return reply(Outcome::kOtherInstance, "");
     }
     auto const keys = keys_of(order.span);
     auto const fence = order.fence.value;
--- a/src/control/range_controller.cc
+++ b/src/control/range_controller.cc
@@ -78,6 +78,15 @@
   return end;
 }
 
+/// The range may have another fence or other ends by now than when the grant was sent.
+bool RangeController::GrantUnderWay(const KeyRange& range) const {
+  return std::any_of(open_.begin(), open_.end(), [&](const auto& entry) {
+    const OpenOrder& open = entry.second;
+    return open.order.kind == RangeOrder::Kind::kGrant && open.order.instance == range.owner &&
+           open.service == range.service && open.order.span.Overlaps(range.span);
+  });
+}
+
 /// Keeps what is known of ranges that are still the same; what was cut or joined begins anew with
 /// an order at once, which is harmless.
 void RangeController::FollowRanges(Instant now) {
@@ -178,7 +187,7 @@
 bool RangeController::OwnerIsOver(const KeyRange& range, const RangeCare& care, Instant now) const {
   if (range.phase == RangePhase::kUnowned || care.released) return true;
   if (HasEnded(range.owner)) return true;
-  if (care.open_order || now <= GrantEndOf(range)) return false;
+  if (care.open_order || now <= GrantEndOf(range) || GrantUnderWay(range)) return false;
   // Without an answer for the length of a lease, the owner holds nothing more.
   if (LeasedByHeartbeat(range.service)) return !AwaitsFirstLease(range, care, now);
   // An owner that only missed renewals gets its keys again by the next one.
--- a/src/control/range_controller.h
+++ b/src/control/range_controller.h
@@ -129,6 +129,8 @@
   /// Whether nobody but a new owner can act for the range's keys any more.
   bool OwnerIsOver(const traffic::KeyRange& range, const RangeCare& care, Instant now) const;
   Instant GrantEndOf(const traffic::KeyRange& range) const;
+  /// Whether a grant of keys of the range to its owner has no result yet.
+  bool GrantUnderWay(const traffic::KeyRange& range) const;
   void NoteGrant(const traffic::InstanceId& instance, const ServiceName& service,
                  const traffic::KeySpan& span, Instant end);
   /// When a grant is over for certain on its owner's clock.
--- a/src/daemon/control/control_process.cc
+++ b/src/daemon/control/control_process.cc
@@ -6,6 +6,7 @@
 #include <thread>
 #include <utility>
 
+#include "src/control/order_names.h"
 #include "src/runtime/clock.h"
 
 namespace graniteseam::daemon {
@@ -17,25 +18,6 @@
 /// A deciding thread that stood still for longer is taken for stuck.
 constexpr Duration kLiveLimit{10'000'000};
 
-const char* KindName(control::RangeOrder::Kind kind) {
-  return kind == control::RangeOrder::Kind::kGrant ? "grant" : "release";
-}
-
-const char* OutcomeName(control::RangeOrderResult::Outcome outcome) {
-  using Outcome = control::RangeOrderResult::Outcome;
-  switch (outcome) {
-    case Outcome::kDone:
-      return "done";
-    case Outcome::kRefused:
-      return "refused";
-    case Outcome::kNotDelivered:
-      return "not_delivered";
-    case Outcome::kUnknown:
-      return "unknown";
-  }
-  return "unknown";
-}
-
 }  // namespace
 
 ControlProcess::ControlProcess(ControlSettings settings, runtime::StopSignals& stop_signals,
@@ -184,12 +166,14 @@
         owner_names_, server_loop_, events_, [this](const control::RangeOrderResult& result) {
           metrics_
               .Counter(runtime::Metric::kControlRangeOrderEnds,
-                       {{"result", OutcomeName(result.outcome)}})
+                       {{"result", control::OrderOutcomeName(result.outcome)}})
               .Increment();
           queue_.Push(RangeOrderEnded{result});
         });
     outputs.to_range_owner = [this](control::RangeOrder order) {
-      metrics_.Counter(runtime::Metric::kControlRangeOrders, {{"kind", KindName(order.kind)}})
+      metrics_
+          .Counter(runtime::Metric::kControlRangeOrders,
+                   {{"kind", control::OrderKindName(order.kind)}})
           .Increment();
       owner_client_->Send(std::move(order));
     };
--- a/src/daemon/control/owner_client.cc
+++ b/src/daemon/control/owner_client.cc
@@ -3,6 +3,7 @@
 #include <boost/asio/post.hpp>
 #include <utility>
 
+#include "src/control/order_names.h"
 #include "src/runtime/clock.h"
 
 namespace graniteseam::daemon {
@@ -54,22 +55,6 @@
   }
 }
 
-const char* OutcomeName(RangeOrderResult::Outcome outcome) {
-  switch (outcome) {
-    case RangeOrderResult::Outcome::kDone:
-      return "done";
-    case RangeOrderResult::Outcome::kRefused:
-      return "refused";
-    case RangeOrderResult::Outcome::kNotDelivered:
-      return "not_delivered";
-    case RangeOrderResult::Outcome::kOtherInstance:
-      return "other_instance";
-    case RangeOrderResult::Outcome::kUnknown:
-      return "unknown";
-  }
-  return "unknown";
-}
-
 event_http::ClientPoolOptions PoolOptions() {
   event_http::ClientPoolOptions options;
   options.answer_bytes_maximum = kAnswerBytesMaximum;
@@ -130,14 +115,14 @@
                              const event_http::CallResult& result) {
   const bool grant = order.kind == RangeOrder::Kind::kGrant;
   const bool plain_renewal = grant && outcome == RangeOrderResult::Outcome::kDone;
-  runtime::EventLine line(grant ? "grant" : "release");
+  runtime::EventLine line(control::OrderKindName(order.kind));
   line.Add("instance", order.instance.value)
       .Add("address", order.address)
       .Add("order", order.number.value)
       .Add("first", std::uint64_t{order.span.first})
       .Add("last", std::uint64_t{order.span.last})
       .Add("fence", order.fence.value)
-      .Add("outcome", OutcomeName(outcome))
+      .Add("outcome", control::OrderOutcomeName(outcome))
       .Add("took_us", took.count())
       .Add("connection", result.new_connection ? "new" : "kept");
   const std::string* const answerer = result.response.fields.Find(names_.answerer_header);
--- a/tests/control/range_controller_test.cc
+++ b/tests/control/range_controller_test.cc
@@ -24,6 +24,7 @@
   std::uint64_t index = 1;
   std::optional<RangeController> controller;
   std::map<std::string, RangeOrderResult::Outcome> answers;  ///< By instance; done by default.
+  std::string withheld;  ///< The instance whose grants have no result yet.
   std::vector<RangeOrder> sent;
 
   explicit Fixture(int instances) {
@@ -72,6 +73,7 @@
       for (const CommandBody& command : controller->Decide(At(ms))) Apply(command);
       for (const RangeOrder& order : controller->Orders(At(ms))) {
         sent.push_back(order);
+        if (order.kind == RangeOrder::Kind::kGrant && order.instance.value == withheld) continue;
         const auto found = answers.find(order.instance.value);
         const auto outcome =
             found == answers.end() ? RangeOrderResult::Outcome::kDone : found->second;
@@ -238,6 +240,26 @@
   cr_assert(fixture.SentTo("i-1") == 1);
 }
 
+Test(range_controller, grant_that_is_under_way_counts_when_its_range_is_released) {
+  Fixture fixture(2);
+  fixture.withheld = "i-1";
+  fixture.Run(0, 1'700);
+  const auto given = std::find_if(fixture.sent.begin(), fixture.sent.end(),
+                                  [](const auto& order) { return order.instance.value == "i-1"; });
+  cr_assert(given != fixture.sent.end());
+  const OrderNumber number = given->number;
+  // The release can not be delivered; the grant may be, or is.
+  fixture.answers["i-1"] = RangeOrderResult::Outcome::kNotDelivered;
+  fixture.Report(1, 2, true);
+  fixture.Run(1'710, 2'000);
+  cr_assert(fixture.ServedKeysWithout("i-1") < traffic::kLastKey + 1);
+  fixture.controller->TakeResult({number, RangeOrderResult::Outcome::kDone, ""}, At(2'000));
+  fixture.Run(2'010, 4'900);
+  cr_assert(fixture.ServedKeysWithout("i-1") < traffic::kLastKey + 1);
+  fixture.Run(4'910, 7'000);
+  cr_assert(fixture.ServedKeysWithout("i-1") == traffic::kLastKey + 1);
+}
+
 Test(range_controller, new_leader_waits_out_what_its_predecessor_may_have_granted) {
   Fixture fixture(3);
   fixture.Run(0, 2'000);
--- a/tests/traffic_world/traffic_world_test.cc
+++ b/tests/traffic_world/traffic_world_test.cc
@@ -23,8 +23,6 @@
     TrafficRunOptions options;
     options.run.seed = seed;
     options.world.defect = defect;
-    options.world.orders_name_instance = true;
-    options.world.former_processes_silent = true;
     return options;
 }
 
