Turn from a lost leader that followers still name

Cause: a router whose leader was lost and whom a follower sent back to it waited for a connection to it, and counted the wait from its oldest message; each newer poll takes the place of the one before, so the limit was never reached, and the router stayed with its map until the lost process was back. Change: the wait counts from when the target was found without a connection, and a process whose connection broke is passed over like a silent one.

--- a/src/protocol/leader_tracker.cc
+++ b/src/protocol/leader_tracker.cc
@@ -50,8 +50,10 @@
                 [&](const Pending& pending) { return Supersedes(message, pending.message); });
   if (pending_.size() >= kPendingMaximum) pending_.pop_front();
   pending_.push_back({std::move(message), now, now});
-  if (!connected_[target_]) return {};  // Goes out on connecting, or when Tick() turns away.
-  return {SendOne(pending_.back(), now)};
+  if (connected_[target_]) return {SendOne(pending_.back(), now)};
+  // Goes out on connecting, or when Tick() turns away.
+  if (!unanswered_since_) unanswered_since_ = now;
+  return {};
 }
 
 std::vector<LeaderSend> LeaderTracker::OnConnected(const std::string& address, Instant now) {
@@ -65,6 +67,7 @@
 std::vector<LeaderSend> LeaderTracker::OnDisconnected(const std::string& address, Instant now) {
   const std::size_t index = IndexOf(address);
   connected_[index] = false;
+  silent_at_[index] = now;
   return index == target_ ? TurnTo(NextConnected(), now) : std::vector<LeaderSend>{};
 }
 
@@ -90,10 +93,9 @@
   Forget(now);
   if (wanted_target_ && now >= next_turn_) return TurnTo(*wanted_target_, now);
   if (pending_.empty()) return {};
+  // Not counted from the oldest message: newer ones take the places of those of their kind.
   const bool silent = unanswered_since_ && now - *unanswered_since_ > silence_limit_;
-  const bool unreachable =
-      !connected_[target_] && now - pending_.front().first_sent > silence_limit_;
-  if (silent || unreachable) {
+  if (silent) {
     silent_at_[target_] = now;
     return TurnTo(NextConnected(), now);
   }
@@ -139,7 +141,10 @@
 /// Sends what was not sent for `unsent_for`, all of it when that is zero.
 std::vector<LeaderSend> LeaderTracker::SendPending(Instant now, Duration unsent_for) {
   std::vector<LeaderSend> sends;
-  if (!connected_[target_]) return sends;
+  if (!connected_[target_]) {
+    if (!pending_.empty() && !unanswered_since_) unanswered_since_ = now;
+    return sends;
+  }
   for (Pending& pending : pending_) {
     if (now - pending.last_sent >= unsent_for) sends.push_back(SendOne(pending, now));
   }
--- a/src/protocol/leader_tracker.h
+++ b/src/protocol/leader_tracker.h
@@ -61,12 +61,12 @@
 
   std::vector<std::string> addresses_;
   std::vector<bool> connected_;
-  std::vector<std::optional<Instant>> silent_at_;  ///< When each was last found silent.
+  std::vector<std::optional<Instant>> silent_at_;  ///< When each was last found silent, or lost.
   Duration silence_limit_;
   std::size_t target_ = 0;
   std::optional<std::size_t> wanted_target_;  ///< A turn that waits for `next_turn_`.
   Instant next_turn_;                         ///< Bounds how often targets change.
-  /// Since when the target left everything unanswered.
+  /// Since when the target left everything unanswered, also for want of a connection.
   std::optional<Instant> unanswered_since_;
   std::deque<Pending> pending_;
 };
--- a/tests/protocol/leader_tracker_test.cc
+++ b/tests/protocol/leader_tracker_test.cc
@@ -117,3 +117,34 @@
   tracker.OnAnswered("a", control::JournalAnswer{1, {}});
   cr_assert(tracker.OnDisconnected("a", At(25)).empty());
 }
+
+/// Followers still name the leader that was lost, and a newer renewal takes the older one's place
+/// before the limit: the router must not wait until that leader is back.
+Test(leader_tracker, turns_from_a_lost_leader_that_followers_still_name) {
+  LeaderTracker tracker = ThreeConnected();
+  tracker.OnSend(Renewal(1), At(0));
+  tracker.OnDisconnected("a", At(20));
+  const std::string follower = tracker.target();
+  tracker.OnNotLeader(follower, {1, "a"}, At(40));
+  std::uint64_t sequence = 1;
+  std::size_t sent = 0;
+  for (std::int64_t ms = 40; ms <= 400; ms += 10) {
+    if (ms % 50 == 0) sent += tracker.OnSend(Renewal(++sequence), At(ms)).size();
+    sent += tracker.Tick(At(ms)).size();
+  }
+  cr_assert(tracker.target() != "a");
+  cr_assert(sent > 0);
+}
+
+/// The same, where the target never was connected.
+Test(leader_tracker, turns_from_a_process_that_never_connects_though_renewals_follow_each_other) {
+  LeaderTracker tracker({"a", "b"}, kLimit);
+  tracker.OnConnected("b", At(0));
+  tracker.OnNotLeader("b", {1, "a"}, At(20));
+  cr_assert(tracker.target() == "a");
+  for (std::int64_t ms = 20; ms <= 200; ms += 10) {
+    if (ms % 50 == 0) tracker.OnSend(Renewal(static_cast<std::uint64_t>(ms)), At(ms));
+    tracker.Tick(At(ms));
+  }
+  cr_assert(tracker.target() == "b");
+}
