Take only a silent holder of an address for a forerunner; keep a displaced instance's drain

Change: a forerunner must be silent itself; who lives is proposed anew by the leader, heartbeats of displaced instances ask for nothing but their drain; 421 proves an end only where the order named its instance and the answer does not come from it, and until that one is heard of 10 s later; the wait for a leader's answer begins anew with its connection.

--- a/src/control/displacement.cc
+++ b/src/control/displacement.cc
@@ -18,21 +18,23 @@
   if (displaced == nullptr) return false;
   const traffic::Instance* const successor = SuccessorOf(instances, *displaced);
   if (successor == nullptr) return false;
-  const auto first = liveness.FirstHeard(id);
-  const auto next = liveness.FirstHeard(successor->report.id);
-  return first && next && *next - *first > kHeartbeatLateMaximum;
+  const auto displaced_heard = liveness.FirstHeard(id);
+  const auto successor_heard = liveness.FirstHeard(successor->report.id);
+  return displaced_heard && successor_heard &&
+         *successor_heard - *displaced_heard > kHeartbeatLateMaximum;
 }
 
-std::vector<traffic::InstanceId> Forerunners(const traffic::InstanceTable& instances,
-                                             const InstanceLiveness& liveness) {
-  std::vector<traffic::InstanceId> forerunners;
+std::vector<Forerunner> Forerunners(const traffic::InstanceTable& instances,
+                                    const InstanceLiveness& liveness, Instant now) {
+  std::vector<Forerunner> forerunners;
   for (const auto& [id, instance] : instances.instances()) {
-    const traffic::Instance* const holder = SuccessorOf(instances, instance);
-    if (holder == nullptr) continue;
-    const auto last = liveness.LastHeard(id);
-    const auto next = liveness.FirstHeard(holder->report.id);
-    const bool lives = last && next && *last - *next > kHeartbeatLateMaximum;
-    if (lives) forerunners.push_back(holder->report.id);
+    const traffic::Instance* const successor = SuccessorOf(instances, instance);
+    if (successor == nullptr || !liveness.Silent(successor->report.id, now)) continue;
+    const auto displaced_heard = liveness.LastHeard(id);
+    const auto successor_heard = liveness.FirstHeard(successor->report.id);
+    if (!displaced_heard || !successor_heard) continue;
+    if (*displaced_heard - *successor_heard <= kHeartbeatLateMaximum) continue;
+    forerunners.push_back({successor->report.id, instance.report});
   }
   return forerunners;
 }
--- a/src/control/displacement.h
+++ b/src/control/displacement.h
@@ -1,5 +1,5 @@
 /// @file
-/// What it proves that an instance reported from another one's address.
+/// Which of two instances that reported from one address has ended.
 ///
 /// An address belongs to one process at a time, so that whoever reported from it before has ended.
 /// But a heartbeat may be late: a process whose life was shorter than its first heartbeat's way is
@@ -15,7 +15,8 @@
 
 namespace graniteseam::control {
 
-/// The longest time that a heartbeat is on its way; docs/interface/traffic.md asks it of servers.
+/// The longest time from a heartbeat's sending until the leader has taken it; an assumption of
+/// docs/design/platform.md.
 inline constexpr Duration kHeartbeatLateMaximum{10'000'000};
 
 /// Whether a displaced instance has ended for certain: it had been heard of for so long that its
@@ -23,9 +24,16 @@
 bool EndIsProven(const traffic::InstanceTable& instances, const InstanceLiveness& liveness,
                  const traffic::InstanceId& id);
 
-/// Instances that hold the address of a displaced one which is proven to live: it was heard of so
-/// long after them that its heartbeat can not be late. They ended before it began.
-std::vector<traffic::InstanceId> Forerunners(const traffic::InstanceTable& instances,
-                                             const InstanceLiveness& liveness);
+/// A displaced instance that is proven to live, and who holds its address: a forerunner, which
+/// ended before it began.
+struct Forerunner {
+  traffic::InstanceId id;
+  traffic::InstanceReport displaced;  ///< What is known of the instance that lives.
+};
+
+/// The displaced instance was heard of so long after the holder of its address that its heartbeat
+/// can not be late, and the holder is silent.
+std::vector<Forerunner> Forerunners(const traffic::InstanceTable& instances,
+                                    const InstanceLiveness& liveness, Instant now);
 
 }  // namespace graniteseam::control
--- a/src/control/instance_liveness.h
+++ b/src/control/instance_liveness.h
@@ -19,7 +19,7 @@
   InstanceLiveness(Duration silence, Instant now) : silence_(silence), start_(now) {}
 
   void Heard(const traffic::InstanceId& id, Instant now) {
-    heard_.try_emplace(id, Heartbeats{now, now}).first->second.last = now;
+    heard_.try_emplace(id, HeardTimes{now, now}).first->second.last = now;
   }
 
   bool Silent(const traffic::InstanceId& id, Instant now) const {
@@ -43,14 +43,14 @@
 
  private:
   /// When the heartbeats of an instance arrived.
-  struct Heartbeats {
+  struct HeardTimes {
     Instant first;
     Instant last;
   };
 
   const Duration silence_;
   const Instant start_;
-  std::map<traffic::InstanceId, Heartbeats> heard_;
+  std::map<traffic::InstanceId, HeardTimes> heard_;
 };
 
 }  // namespace graniteseam::control
--- a/src/control/range_controller.cc
+++ b/src/control/range_controller.cc
@@ -78,10 +78,10 @@
   return end;
 }
 
-/// The range may have another fence or other ends by now than when the grant was sent.
 bool RangeController::GrantUnderWay(const KeyRange& range) const {
   return std::any_of(open_.begin(), open_.end(), [&](const auto& entry) {
     const OpenOrder& open = entry.second;
+    // By the keys: the range may have another fence or other ends than when the grant was sent.
     return open.order.kind == RangeOrder::Kind::kGrant && open.order.instance == range.owner &&
            open.service == range.service && open.order.span.Overlaps(range.span);
   });
@@ -118,7 +118,8 @@
     std::erase_if(ends, [&](const GrantEnd& known) { return known.end < now; });
   }
   std::erase_if(grant_ends_, [](const auto& entry) { return entry.second.empty(); });
-  std::erase_if(ended_, [&](const auto& id) { return state_.instances().Find(id) == nullptr; });
+  std::erase_if(replaced_,
+                [&](const auto& entry) { return state_.instances().Find(entry.first) == nullptr; });
   std::erase_if(holders_, [&](const auto& entry) {
     const traffic::Instance* const instance = state_.instances().Find(entry.first);
     const bool gone = instance == nullptr || instance->Gone();
@@ -154,7 +155,7 @@
     NoteGrant(open.order.instance, open.service, open.order.span, EndOfGrant(options_.hold, now));
   }
   const bool other = result.outcome == RangeOrderResult::Outcome::kOtherInstance;
-  if (other) ended_.insert(open.order.instance);
+  if (other) replaced_[open.order.instance] = now;
   if (done || refused) {
     failing_since_.erase(open.order.instance);
   } else {
@@ -203,13 +204,16 @@
   if (range.phase == RangePhase::kUnowned) return "nobody owns them";
   if (care.released) return care.handover.empty() ? "released" : "released with a handover";
   if (care.refused) return "the fence was refused";
-  if (ended_.contains(range.owner)) return "another process answered at its address";
+  if (replaced_.contains(range.owner)) return "another process answered at its address";
   const bool displaced = EndIsProven(state_.instances(), liveness_, range.owner);
   return displaced ? "another instance reported from its address" : "the last lease ran out";
 }
 
 bool RangeController::HasEnded(const traffic::InstanceId& instance) const {
-  return ended_.contains(instance) || EndIsProven(state_.instances(), liveness_, instance);
+  const auto replaced = replaced_.find(instance);
+  if (replaced == replaced_.end()) return EndIsProven(state_.instances(), liveness_, instance);
+  // Whoever is heard of for so long after that answer lives: the answer was wrong.
+  return !liveness_.HeardSince(instance, replaced->second + kHeartbeatLateMaximum);
 }
 
 bool RangeController::OwnerMustGo(const KeyRange& range) const {
@@ -248,7 +252,7 @@
   for (const auto& [id, instance] : state_.instances().instances()) {
     const bool fits = instance.report.service == service && instance.TakesNewWork();
     if (!fits || liveness_.Silent(id, now) || Unresponsive(id, now)) continue;
-    if (avoided.contains(id) || ended_.contains(id)) continue;
+    if (avoided.contains(id) || HasEnded(id)) continue;
     if (by_heartbeat && !HeardLately(id, now)) continue;
     const double slots = static_cast<double>(std::max<std::int64_t>(1, instance.report.slots));
     RangeCandidate& candidate = candidates.emplace_back();
@@ -397,8 +401,8 @@
   const traffic::Instance* owner = state_.instances().Find(range.owner);
   const bool ended = owner == nullptr || HasEnded(range.owner);
   if (range.phase == RangePhase::kUnowned || ended || care.released) return std::nullopt;
-  // A displaced owner is asked to release: its answer, or another process's, tells whether it
-  // lives.
+  // A displaced owner gets no grant. It is asked to release once that is decided: its answer, or
+  // another process's, tells whether it lives.
   if (range.Owned() && owner->state == InstanceState::kDisplaced) return std::nullopt;
   RangeOrder order;
   order.instance = range.owner;
--- a/src/control/range_controller.h
+++ b/src/control/range_controller.h
@@ -203,8 +203,8 @@
   std::map<OrderNumber, OpenOrder> open_;
   /// Since when an instance left orders unanswered; not there when it answered the last one.
   std::map<traffic::InstanceId, Instant> failing_since_;
-  /// Instances in whose place another process answered an order.
-  std::set<traffic::InstanceId> ended_;
+  /// Instances in whose place another process answered an order, and when it did.
+  std::map<traffic::InstanceId, Instant> replaced_;
   std::map<traffic::InstanceId, Holder> holders_;  ///< Of instances leased keys by heartbeat.
   std::vector<PlannedMove> planned_;
   struct FormCare {
--- a/src/control/traffic_leader.h
+++ b/src/control/traffic_leader.h
@@ -47,11 +47,13 @@
   /// How often displaced instances are looked at that turn out to live.
   static constexpr Duration kForerunnersInterval{1'000'000};
 
-  /// The address is free again for the instance that lives there; its next heartbeat takes it.
+  /// The instance that lives gets its address back.
   void DeregisterForerunners(std::vector<CommandBody>& commands, Instant now) {
     forerunners_due_ = now + kForerunnersInterval;
-    for (const auto& id : Forerunners(state_.traffic().instances(), liveness_)) {
-      commands.emplace_back(DeregisterInstanceCommand{id});
+    for (Forerunner& one : Forerunners(state_.traffic().instances(), liveness_, now)) {
+      commands.emplace_back(DeregisterInstanceCommand{one.id});
+      ++one.displaced.sequence;  // Newer than what is known, so that it is taken.
+      commands.emplace_back(ReportInstancesCommand{{one.displaced}});
     }
   }
 
--- a/src/daemon/control/control_driver.h
+++ b/src/daemon/control/control_driver.h
@@ -94,7 +94,7 @@
   std::unique_ptr<Statistics> statistics_;
   Instant next_statistics_;
   bool space_is_low_ = false;
-  /// What happened while the disk was full and is told only once.
+  /// What happened while the disk was full and is not sent again.
   std::vector<ControlEvent> put_off_;
   std::thread thread_;
   std::atomic<bool> failed_{false};
--- a/src/daemon/control/owner_client.cc
+++ b/src/daemon/control/owner_client.cc
@@ -39,17 +39,25 @@
   return *text;
 }
 
-RangeOrderResult::Outcome OutcomeOf(const event_http::CallResult& result) {
+/// Whether an answer proves that the process at the address is not the instance that was meant.
+bool FromOtherInstance(const OwnerCallNames& names, const RangeOrder& order,
+                       const event_http::Response& response) {
+  if (response.status != kMisdirected || names.target_header.empty()) return false;
+  const std::string* const answerer = response.fields.Find(names.answerer_header);
+  return answerer == nullptr || *answerer != order.instance.value;
+}
+
+RangeOrderResult::Outcome OutcomeOf(const OwnerCallNames& names, const RangeOrder& order,
+                                    const event_http::CallResult& result) {
   using Outcome = RangeOrderResult::Outcome;
   if (result.end == event_http::CallEnd::kNotSent) return Outcome::kNotDelivered;
   if (result.end != event_http::CallEnd::kAnswered) return Outcome::kUnknown;
+  if (FromOtherInstance(names, order, result.response)) return Outcome::kOtherInstance;
   switch (result.response.status) {
     case kOk:
       return Outcome::kDone;
     case kHigherFenceSeen:
       return Outcome::kRefused;
-    case kMisdirected:
-      return Outcome::kOtherInstance;
     default:
       return Outcome::kUnknown;
   }
@@ -102,7 +110,7 @@
                         const event_http::CallResult& result) {
   RangeOrderResult ended;
   ended.number = order.number;
-  ended.outcome = OutcomeOf(result);
+  ended.outcome = OutcomeOf(names_, order, result);
   if (ended.outcome == RangeOrderResult::Outcome::kDone) {
     ended.handover = PlainToken(result.response.fields.Find(names_.handover_header));
   }
--- a/src/event_http/client_pool.h
+++ b/src/event_http/client_pool.h
@@ -18,11 +18,12 @@
 using CallNumber = NumericId<struct CallNumberTag>;
 
 struct Call {
-  std::string address;                ///< "ip:port".
-  std::string bytes;                  ///< The whole request.
-  bool head = false;                  ///< A HEAD request: its answer has no body.
-  Duration limit{};                   ///< For connecting, sending and the whole answer together.
-  bool needs_new_connection = false;  ///< No kept connection will do.
+  std::string address;  ///< "ip:port".
+  std::string bytes;    ///< The whole request.
+  bool head = false;    ///< A HEAD request: its answer has no body.
+  Duration limit{};     ///< For connecting, sending and the whole answer together.
+  /// A kept connection may still bring a second answer to an earlier call.
+  bool needs_new_connection = false;
   /// A request that is not handed to the kernel by then is not sent at all.
   Instant not_after = Instant::max();
   /// Connections that rested longer are not used: the server may just be closing them.
--- a/src/protocol/leader_tracker.cc
+++ b/src/protocol/leader_tracker.cc
@@ -60,7 +60,10 @@
   const std::size_t index = IndexOf(address);
   connected_[index] = true;
   silent_at_[index].reset();
-  if (index == target_) return SendPending(now, Duration::zero());
+  if (index == target_) {
+    unanswered_since_.reset();
+    return SendPending(now, Duration::zero());
+  }
   return connected_[target_] ? std::vector<LeaderSend>{} : TurnTo(index, now);
 }
 
--- a/src/traffic/instance_table.cc
+++ b/src/traffic/instance_table.cc
@@ -16,22 +16,31 @@
   next.report = report;
   next.state = report.draining ? InstanceState::kDraining : InstanceState::kReady;
   if (known == nullptr) return next;
+  // The sequence alone does not tell a late heartbeat: those that changed nothing were not kept.
   const bool late = report.sequence <= known->report.sequence;
   if (known->state == InstanceState::kDeregistered || late) return std::nullopt;
-  // The sequence alone does not tell a late heartbeat: those that changed nothing were not kept.
   const bool displaced = known->state == InstanceState::kDisplaced;
-  if (displaced && HolderOf(report.address) != nullptr) return std::nullopt;
-  if (known->state == InstanceState::kDraining) next.state = InstanceState::kDraining;
+  if (displaced && HolderOf(report.address) != nullptr) {
+    // It stays what it is; only that it drains must not be forgotten.
+    if (!report.draining || known->report.draining) return std::nullopt;
+    next.state = InstanceState::kDisplaced;
+    return next;
+  }
+  next.report.draining = report.draining || known->report.draining;
+  if (next.report.draining) next.state = InstanceState::kDraining;
   // Warm-up and sequence change with every heartbeat and tell nothing new.
-  InstanceReport same = report;
+  InstanceReport same = next.report;
   same.sequence = known->report.sequence;
   same.warmup_left_ms = known->report.warmup_left_ms;
-  same.draining = known->report.draining;
   if (next.state == known->state && same == known->report) return std::nullopt;
   return next;
 }
 
 bool InstanceTable::WouldChange(const InstanceReport& report) const {
+  const Instance* const known = Find(report.id);
+  const bool displaced = known != nullptr && known->state == InstanceState::kDisplaced;
+  const bool tells_of_drain = displaced && report.draining && !known->report.draining;
+  if (displaced && !tells_of_drain) return false;
   return Changed(report).has_value();
 }
 
@@ -40,6 +49,11 @@
   std::optional<Instance> next = Changed(report);
   if (!next) return {};
   std::vector<InstanceId> changed{report.id};
+  if (next->state == InstanceState::kDisplaced) {
+    next->changed_at = changed_at_ = log_index;
+    instances_[report.id] = *next;
+    return changed;
+  }
   const Instance* holder = HolderOf(report.address);
   if (holder != nullptr && holder->report.id != report.id) {
     // An address belongs to one process at a time: whoever held it before has ended.
--- a/src/traffic/instance_table.h
+++ b/src/traffic/instance_table.h
@@ -11,18 +11,19 @@
 
 namespace graniteseam::traffic {
 
-/// Invariants: an instance that was deregistered never comes back, a displaced one only to an
-/// address that nobody holds, a draining one never takes new work again, and of the instances at
-/// one address at most one is not gone. Answers the failure: a heartbeat that arrives after its
-/// instance has ended, also after the first one of the next process at its address. Not thread
-/// safe.
+/// Invariants: an instance that was deregistered never comes back, a displaced one only when nobody
+/// holds its address and somebody proposes it (WouldChange() asks for no such proposal), a draining
+/// one never takes new work again, and of the instances at one address at most one is not gone.
+/// Answers the failure: a heartbeat that arrives after its instance has ended, also after the first
+/// one of the next process at its address. Not thread safe.
 class InstanceTable {
  public:
   /// Takes a heartbeat.
   /// @return the instances that changed.
   std::vector<InstanceId> Report(const InstanceReport& report, std::uint64_t log_index);
 
-  /// Whether Report() would change anything: a heartbeat that does not need not be committed.
+  /// Whether a heartbeat must be committed before it is acknowledged. One of a displaced instance
+  /// need not, unless it says that it drains: it may be late.
   bool WouldChange(const InstanceReport& report) const;
 
   /// Keeps a tombstone also for an instance that was never seen, so that a heartbeat which arrives
--- a/tests/control/range_controller_test.cc
+++ b/tests/control/range_controller_test.cc
@@ -240,6 +240,20 @@
   cr_assert(fixture.SentTo("i-1") == 1);
 }
 
+Test(range_controller, owner_that_is_heard_of_long_after_another_process_answered_gets_orders) {
+  Fixture fixture(1);
+  fixture.Run(0, 2'000);
+  fixture.answers["i-1"] = RangeOrderResult::Outcome::kOtherInstance;
+  fixture.Run(2'010, 3'500);
+  fixture.answers.clear();
+  fixture.sent.clear();
+  fixture.Run(3'510, 9'000);
+  cr_assert(fixture.SentTo("i-1") == 0);
+  fixture.Run(9'010, 16'000);
+  cr_assert(fixture.SentTo("i-1") > 0);
+  cr_assert(fixture.KeysOf(RangePhase::kServing).at("i-1") == traffic::kLastKey + 1);
+}
+
 Test(range_controller, grant_that_is_under_way_counts_when_its_range_is_released) {
   Fixture fixture(2);
   fixture.withheld = "i-1";
--- a/tests/protocol/leader_tracker_test.cc
+++ b/tests/protocol/leader_tracker_test.cc
@@ -148,3 +148,13 @@
   }
   cr_assert(tracker.target() == "b");
 }
+
+Test(leader_tracker, leader_that_connects_late_gets_its_time_to_answer) {
+  LeaderTracker tracker({"a", "b"}, kLimit);
+  tracker.OnConnected("b", At(0));
+  tracker.OnNotLeader("b", {1, "a"}, At(20));
+  tracker.OnSend(Renewal(1), At(25));
+  cr_assert(tracker.OnConnected("a", At(120)).size() == 1);
+  tracker.Tick(At(127));
+  cr_assert(tracker.target() == "a");
+}
