--- a/src/control/control_node_requests.cc
+++ b/src/control/control_node_requests.cc
@@ -73,7 +73,7 @@
   if (now < relay_due_) return;
   relay_due_ = Instant::max();
   const std::set<std::string> heard = std::exchange(relayed_, {});
-  // Without a leader there is nobody to tell; the instances beat again.
+  // Without a leader there is nobody to tell; the instances send their heartbeats again.
   const auto leader = consensus_.leader();
   if (!leader || consensus_.role() == consensus::Role::kLeader) return;
   consensus::HeartbeatRelay relay{{heard.begin(), heard.end()}};
--- a/src/control/range_controller.cc
+++ b/src/control/range_controller.cc
@@ -18,7 +18,7 @@
 /// keys would only add load to the rest.
 constexpr double kAvoidedPart = 0.2;
 /// How long the sequence of an instance that is gone is kept: longer than a heartbeat may be late.
-constexpr Duration kHolderKept{60'000'000};
+constexpr Duration kHolderKept = 6 * kHeartbeatLateMaximum;
 /// Instances among which the keys of one that is gone are divided.
 constexpr std::size_t kHeirsMaximum = 3;
 
@@ -285,9 +285,9 @@
   const auto failing = failing_since_.find(instance);
   if (failing == failing_since_.end()) return false;
   // One heartbeat since then may have been sent before the instance ended.
-  const bool beats =
+  const bool still_heard =
       liveness_.HeardSince(instance, failing->second) && !liveness_.Silent(instance, now);
-  return now - failing->second > options_.unresponsive_after && !beats;
+  return now - failing->second > options_.unresponsive_after && !still_heard;
 }
 
 void RangeController::DecideReleases(Instant now, std::vector<CommandBody>& commands) {
--- a/src/control/range_controller.h
+++ b/src/control/range_controller.h
@@ -188,7 +188,7 @@
   std::vector<traffic::RangeRelease> PlannedMoves(const ServiceName& service) const;
   /// Adds the moves whose owners were told, and forgets those that fit no more.
   void AddBegunMoves(std::vector<traffic::RangeRelease>& releases);
-  /// Whether an instance beat so lately that it will come for new keys.
+  /// Whether an instance was heard of so lately that it will come for new keys.
   bool HeardLately(const traffic::InstanceId& instance, Instant now) const;
 
   const RangeOptions options_;
--- a/src/daemon/control/registry_server.cc
+++ b/src/daemon/control/registry_server.cc
@@ -69,9 +69,9 @@
     if (request.method == "PUT") return ReadChange(request, true);
     if (request.method == "PATCH") return ReadChange(request, false);
   }
-  const std::string beating = InstanceOf(path, kHeartbeatSuffix);
-  if (!beating.empty() && request.method == "POST") {
-    BOOST_LEAF_AUTO(heartbeat, http::ReadHeartbeat(request.body, {beating}));
+  const std::string reporting = InstanceOf(path, kHeartbeatSuffix);
+  if (!reporting.empty() && request.method == "POST") {
+    BOOST_LEAF_AUTO(heartbeat, http::ReadHeartbeat(request.body, {reporting}));
     return control::OperatorRequest(std::move(heartbeat));
   }
   const std::string leaving = InstanceOf(path, "");
@@ -217,7 +217,7 @@
 void RegistryServer::Log(const std::string& what, int status,
                          const control::OperatorAnswer& answer) {
   const auto* error = std::get_if<Error>(&answer);
-  // Instances beat everywhere until somebody leads: one such refusal is like all others.
+  // Instances report everywhere until somebody leads: one such refusal is like all others.
   const bool heartbeat = what.ends_with(kHeartbeatSuffix);
   const bool plain = heartbeat && (error == nullptr || error->kind == ErrorKind::kNotLeader);
   runtime::EventLine line("registry_call");
--- a/src/event_http/server.cc
+++ b/src/event_http/server.cc
@@ -24,6 +24,12 @@
 using ErrorCode = boost::system::error_code;
 using Parser = http::request_parser<http::string_body>;
 
+// Statuses of the server's own answers (RFC 9110, section 15; RFC 6585, section 5).
+constexpr int kBadRequest = 400;
+constexpr int kRequestTimeout = 408;
+constexpr int kBodyTooLarge = 413;
+constexpr int kHeaderTooLarge = 431;
+constexpr int kServiceUnavailable = 503;
 constexpr std::size_t kReadBytes = 8'192;
 /// What a client may send ahead while its request is being answered.
 constexpr std::size_t kReadAheadBytes = 65'536;
@@ -131,9 +137,9 @@
     } else if (exchange_) {
       return;
     } else if (parser_ && !parser_->is_header_done()) {
-      if (now - message_start_ > server->limits().header_timeout) Refuse(408);
+      if (now - message_start_ > server->limits().header_timeout) Refuse(kRequestTimeout);
     } else if (quiet > server->limits().idle_timeout) {
-      parser_ ? Refuse(408) : Close();
+      parser_ ? Refuse(kRequestTimeout) : Close();
     }
   }
 
@@ -174,7 +180,7 @@
       const std::size_t used = parser_->put(buffer_.data(), error);
       buffer_.consume(used);
       if (error && error != http::error::need_more) return RefuseFor(error);
-      if (!CountBody(*server)) return Refuse(503);
+      if (!CountBody(*server)) return Refuse(kServiceUnavailable);
       ExpectContinue();
       if (parser_->is_done()) {
         Dispatch(*server);
@@ -257,7 +263,8 @@
     if (close) return Linger();
     const auto server = server_.lock();
     // The server was closed amid an answer that did not say so.
-    if (server && server->closing()) return buffer_.size() == 0 ? Close() : Refuse(503);
+    if (server && server->closing())
+      return buffer_.size() == 0 ? Close() : Refuse(kServiceUnavailable);
     Advance();
   }
 
@@ -272,9 +279,9 @@
   }
 
   void RefuseFor(ErrorCode error) {
-    if (error == http::error::header_limit) return Refuse(431);
-    if (error == http::error::body_limit) return Refuse(413);
-    Refuse(400);
+    if (error == http::error::header_limit) return Refuse(kHeaderTooLarge);
+    if (error == http::error::body_limit) return Refuse(kBodyTooLarge);
+    Refuse(kBadRequest);
   }
 
   void Refuse(int status) {
@@ -336,7 +343,7 @@
 
 void ServerConnection::Dispatch(Server::Impl& server) {
   // It came whole only after the close, when its answer might come too late.
-  if (server.closing()) return Refuse(503);
+  if (server.closing()) return Refuse(kServiceUnavailable);
   keep_alive_ = parser_->keep_alive();
   auto message = parser_->release();
   parser_.reset();
