Send an order within half a second or not at all, instead of within the leader lease

Cause: orders expired with the leader lease under which they were decided, 280 ms. After a loss of all power a new leader has hundreds to send at once with a part of a core: those that were late were decided again and connected again for nothing, and with bad luck nothing else was done. Change: an order has half a second to be sent, and costs no connection after that; a new leader waits for so much longer before it gives away what a former one may have granted.

--- a/include/graniteseam/control/range_orders.h
+++ b/include/graniteseam/control/range_orders.h
@@ -30,8 +30,7 @@
   Duration hold{};       ///< Grants only.
   std::string handover;  ///< Grants only: what the last owner gave; may be empty.
   Duration limit{};      ///< Without an answer by then its outcome is unknown.
-  /// Not to be sent any more after this: the leader lease under which it was decided is over, and a
-  /// later leader may have given the keys away.
+  /// Not to be sent any more after this: a later leader counts on it.
   Instant not_after = Instant::max();
 };
 
--- a/include/graniteseam/control/traffic_options.h
+++ b/include/graniteseam/control/traffic_options.h
@@ -9,11 +9,15 @@
 namespace graniteseam::control {
 
 struct RangeOptions {
-  Duration hold{3'000'000};                ///< Length of a grant.
-  Duration renewal_interval{1'000'000};    ///< Between two renewals of a grant.
-  Duration grant_limit{400'000};           ///< How long a grant's answer is awaited.
-  Duration release_limit{3'000'000};       ///< The same of a release, which waits for work to end.
-  Duration retry_interval{150'000};        ///< After an order that failed.
+  Duration hold{3'000'000};              ///< Length of a grant.
+  Duration renewal_interval{1'000'000};  ///< Between two renewals of a grant.
+  Duration grant_limit{400'000};         ///< How long a grant's answer is awaited.
+  Duration release_limit{3'000'000};     ///< The same of a release, which waits for work to end.
+  Duration retry_interval{150'000};      ///< After an order that failed.
+  /// From an order's decision until it is sent, or not at all. A new leader waits for so much
+  /// longer, since a former one may have decided orders until its lease was over. Longer than a
+  /// leader takes to send the orders to all owners at once.
+  Duration order_sent_within{500'000};
   Duration settling{1'500'000};            ///< Of registrations before keys are first given out.
   double clock_drift_bound = 0.02;         ///< By which an instance's clock may run slow.
   Duration unresponsive_after{1'000'000};  ///< Of orders that failed, to give up on an owner.
--- a/src/control/control_node_impl.cc
+++ b/src/control/control_node_impl.cc
@@ -304,7 +304,6 @@
     SendToRouter(connection, std::move(update));
   }
   for (RangeOrder& order : leadership_->traffic.ranges().Orders(now)) {
-    order.not_after = consensus_.leader_lease_end();
     effects_.range_orders.push_back(std::move(order));
   }
 }
--- a/src/control/range_controller.cc
+++ b/src/control/range_controller.cc
@@ -41,10 +41,12 @@
   // election.
   FollowForms(now);
   for (const auto& [service, ranges] : state_.ranges().services()) {
-    const Duration length = LeasedByHeartbeat(service) ? options_.lease_length : options_.hold;
+    const bool by_heartbeat = LeasedByHeartbeat(service);
+    const Duration length = by_heartbeat ? options_.lease_length : options_.hold;
+    const Instant given = by_heartbeat ? now : now + options_.order_sent_within;
     for (const auto& [first, range] : ranges) {
       if (range.phase == RangePhase::kUnowned) continue;
-      NoteGrant(range.owner, service, range.span, EndOfGrant(length, now));
+      NoteGrant(range.owner, service, range.span, EndOfGrant(length, given));
     }
   }
   FollowRanges(now);
@@ -422,6 +424,7 @@
     order.handover = range.handover;
     order.limit = options_.grant_limit;
   }
+  order.not_after = now + options_.order_sent_within;
   order.number = last_number_ = last_number_.Next();
   return order;
 }
--- a/src/event_http/client_pool.cc
+++ b/src/event_http/client_pool.cc
@@ -103,6 +103,8 @@
     answered_ = false;
     parser_.emplace();
     PrepareParser();
+    // Not worth a connection.
+    if (IsTooLate()) return Fail(CallEnd::kNotSent);
     ArmTimer(connected_ ? call_.limit : std::min(call_.limit, ConnectLimit()));
     connected_ ? Write() : Connect();
   }
@@ -119,6 +121,8 @@
     return pool ? pool->options().connect_limit : Duration{};
   }
 
+  bool IsTooLate() const { return runtime::BootTimeNow() > call_.not_after; }
+
   void PrepareParser() {
     const auto pool = pool_.lock();
     parser_->eager(true);
@@ -157,7 +161,7 @@
   }
 
   void Write() {
-    if (runtime::BootTimeNow() > call_.not_after) return Fail(CallEnd::kNotSent);
+    if (IsTooLate()) return Fail(CallEnd::kNotSent);
     handed_over_ = true;
     asio::async_write(
         socket_, asio::buffer(call_.bytes),
--- a/tests/control/range_controller_test.cc
+++ b/tests/control/range_controller_test.cc
@@ -286,6 +286,19 @@
   cr_assert(fixture.KeysOf(RangePhase::kServing).count("i-1") == 0);
 }
 
+/// The former leader may have sent its last orders some time after its lease was over.
+Test(range_controller, new_leader_waits_for_orders_that_a_former_one_may_still_send) {
+  Fixture fixture(3);
+  fixture.Run(0, 2'000);
+  fixture.answers["i-1"] = RangeOrderResult::Outcome::kNotDelivered;
+  const RangeOptions options;
+  fixture.controller.emplace(options, fixture.state, fixture.liveness, OrderNumber{}, At(2'000));
+  const Duration longest = options.hold + options.order_sent_within;
+  const auto over = 2'000 + std::chrono::duration_cast<std::chrono::milliseconds>(longest).count();
+  fixture.Run(2'000, over);
+  cr_assert(fixture.KeysOf(RangePhase::kServing).count("i-1") == 1);
+}
+
 Test(range_controller, refused_grant_is_given_again_under_a_higher_fence) {
   Fixture fixture(2);
   fixture.Run(0, 2'000);
