Reserve the platform test's ports where control listens for operators too

Cause: test_platform failed once in this series of changes: its three control processes could not listen on 127.0.0.1:45337. The test had found the port free on another loopback address only, and a connection of another process held it on 127.0.0.1. Change: a port must be free on both when it is reserved; held, it is given to no connection. There is no test that forces such a collision.

--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -32,14 +32,19 @@
 
 std::string Ip(int machine) { return "127.0.77." + std::to_string(machine); }
 
-/// Ports that are free on all machines of the fleet.
+/// The address at which control listens for operators, whatever its machine.
+constexpr char kLocalIp[] = "127.0.0.1";
+
+/// Ports that are free on all machines of the fleet, and at kLocalIp: another process's connection
+/// may hold one there.
 struct Ports {
   std::vector<ReservedPort> reserved;
   std::vector<std::uint16_t> numbers;
 
   Ports() {
     while (numbers.size() < 5) {
-      auto port = std::get<ReservedPort>(Attempt([] { return ReservedPort::Reserve(Ip(1), ""); }));
+      auto port =
+          std::get<ReservedPort>(Attempt([] { return ReservedPort::Reserve(Ip(1), kLocalIp); }));
       numbers.push_back(port.address().port);
       reserved.push_back(std::move(port));
     }
