Plan moves of keys beside releases under way, and more of them among more owners

Cause: the balancer planned nothing for a service led by orders while any of its ranges was released or granted. Among hundreds of owners some always are (a rolling replacement, a crash), so that load stood uneven for as long; eight moves at a time are a fiftieth of 385 owners. Change: moves are planned beside what is under way; only ranges that go to a chosen owner count against the maximum, which is a sixteenth of the candidates, eight at least; one sum of the owners' loads serves all moves of a look. Tests (failed first): range_controller/busy_keys_move_while_..., range_balancer/*.

--- a/src/control/range_balancer.cc
+++ b/src/control/range_balancer.cc
@@ -37,9 +37,11 @@
 constexpr Duration kHotKeyRest{8'000'000};
 /// By which another candidate must be faster to get a hot key.
 constexpr double kMuchFaster = 1.2;
-/// Moves that are under way together. A quarter of 153 owners' was tried: five times the moves, and
-/// more requests that found no owner.
-constexpr std::size_t kMovesMaximum = 8;
+/// Moves that are under way together: so many, or one for this number of candidates when that is
+/// more, since the moves that a shift of load takes grow with the owners. A quarter of 153 owners'
+/// was tried: five times the moves, and more requests that found no owner.
+constexpr std::size_t kMovesMinimum = 8;
+constexpr std::size_t kCandidatesPerMove = 16;
 /// From an owner's heartbeat whose answer takes keys away until their work has ended and it says
 /// so: a heartbeat each 100 ms, and requests that run for some hundred.
 constexpr Duration kReleaseTime{250'000};
@@ -63,6 +65,16 @@
   moved->successor = move.successor;
 }
 
+std::size_t MovesMaximum(const std::vector<RangeCandidate>& candidates) {
+  return std::max(kMovesMinimum, candidates.size() / kCandidatesPerMove);
+}
+
+/// Whether a range is on its way to the owner that a move chose. Spans that are released because
+/// their owners leave are not: at hundreds of owners some always are.
+bool IsMoving(const traffic::KeyRange& range) {
+  return range.phase == traffic::RangePhase::kReleasing && !range.successor.Empty();
+}
+
 double TotalSlots(const std::vector<RangeCandidate>& candidates) {
   return std::accumulate(
       candidates.begin(), candidates.end(), 0.0,
@@ -134,12 +146,11 @@
   return sum + before[span.last + 1] - before[span.first];
 }
 
-std::map<traffic::InstanceId, double> RangeBalancer::OwnerLoads(
+RangeBalancer::LoadByOwner RangeBalancer::OwnerLoads(
     const ServiceName& service, const traffic::KeyRangeTable::Ranges& ranges) const {
-  std::map<traffic::InstanceId, double> loads;
+  LoadByOwner loads;
   for (const auto& [first, range] : ranges) {
-    const bool leaves = range.phase == traffic::RangePhase::kReleasing && !range.successor.Empty();
-    loads[leaves ? range.successor : range.owner] += LoadOf(service, range.span);
+    loads[IsMoving(range) ? range.successor : range.owner] += LoadOf(service, range.span);
   }
   return loads;
 }
@@ -227,13 +238,11 @@
   measured.last_look = now;
   traffic::KeyRangeTable::Ranges after = ranges;
   for (const traffic::RangeRelease& move : planned) MarkMoved(after, move);
-  const auto under_way =
-      static_cast<std::size_t>(std::count_if(after.begin(), after.end(), [](const auto& entry) {
-        return entry.second.phase == traffic::RangePhase::kReleasing ||
-               entry.second.phase == traffic::RangePhase::kGranting;
-      }));
-  while (moves.size() + under_way < kMovesMaximum) {
-    const auto move = NextMove(service, after, candidates, now);
+  const auto under_way = static_cast<std::size_t>(std::count_if(
+      after.begin(), after.end(), [](const auto& entry) { return IsMoving(entry.second); }));
+  LoadByOwner loads = OwnerLoads(service, after);
+  while (moves.size() + under_way < MovesMaximum(candidates)) {
+    const auto move = NextMove(service, after, candidates, loads, now);
     if (!move) break;
     moves.push_back(*move);
   }
@@ -243,13 +252,12 @@
 /// The move from the busiest candidate to the one with most room; `ranges` then stand as after it.
 std::optional<traffic::RangeRelease> RangeBalancer::NextMove(
     const ServiceName& service, traffic::KeyRangeTable::Ranges& ranges,
-    const std::vector<RangeCandidate>& candidates, Instant now) {
-  const auto loads = OwnerLoads(service, ranges);
+    const std::vector<RangeCandidate>& candidates, LoadByOwner& loads, Instant now) {
   double total = 0;
   for (const auto& [owner, load] : loads) total += load;
   const double mean = total / TotalSlots(candidates);
   if (auto hot = MoveOfHotKey(service, ranges, candidates, mean, now)) {
-    MarkMoved(ranges, *hot);
+    Take(*hot, ranges, loads);
     return hot;
   }
   const auto load_of = [&](const RangeCandidate& candidate) {
@@ -288,10 +296,18 @@
     best = traffic::RangeRelease{service, *piece, range.fence, next->id};
   }
   if (!best) return std::nullopt;
-  MarkMoved(ranges, *best);
+  Take(*best, ranges, loads);
   return best;
 }
 
+void RangeBalancer::Take(const traffic::RangeRelease& move, traffic::KeyRangeTable::Ranges& ranges,
+                         LoadByOwner& loads) const {
+  const double load = LoadOf(move.service, move.span);
+  loads[std::prev(ranges.upper_bound(move.span.first))->second.owner] -= load;
+  loads[move.successor] += load;
+  MarkMoved(ranges, move);
+}
+
 double RangeBalancer::SecondsSeen(const ServiceName& service, Instant now) const {
   const auto found = loads_.find(service);
   if (found == loads_.end()) return kFastSeconds;
--- a/src/control/range_balancer.h
+++ b/src/control/range_balancer.h
@@ -74,12 +74,16 @@
   static void SumUp(ServiceLoad& load);
   /// The load of a span, with a share for its mere size, so that cold keys count a little.
   double LoadOf(const ServiceName& service, const traffic::KeySpan& span) const;
-  std::map<traffic::InstanceId, double> OwnerLoads(
-      const ServiceName& service, const traffic::KeyRangeTable::Ranges& ranges) const;
+  using LoadByOwner = std::map<traffic::InstanceId, double>;
+  LoadByOwner OwnerLoads(const ServiceName& service,
+                         const traffic::KeyRangeTable::Ranges& ranges) const;
   std::optional<traffic::RangeRelease> NextMove(const ServiceName& service,
                                                 traffic::KeyRangeTable::Ranges& ranges,
                                                 const std::vector<RangeCandidate>& candidates,
-                                                Instant now);
+                                                LoadByOwner& loads, Instant now);
+  /// Lets ranges and loads stand as after a move.
+  void Take(const traffic::RangeRelease& move, traffic::KeyRangeTable::Ranges& ranges,
+            LoadByOwner& loads) const;
   /// Takes a key that alone is more than its owner's share to the fastest candidate.
   std::optional<traffic::RangeRelease> MoveOfHotKey(const ServiceName& service,
                                                     const traffic::KeyRangeTable::Ranges& ranges,
--- a/src/control/range_controller.cc
+++ b/src/control/range_controller.cc
@@ -296,23 +296,17 @@
   ReleaseRangesCommand command;
   AddBegunMoves(command.releases);
   for (const auto& [service, ranges] : state_.ranges().services()) {
-    bool moving = false;
     const auto avoided = AvoidedInstances(service, now);
     for (const auto& [first, range] : ranges) {
-      moving =
-          moving || range.phase == RangePhase::kReleasing || range.phase == RangePhase::kGranting;
       const bool must_go = OwnerMustGo(range);
       const bool fails = range.phase == RangePhase::kServing && avoided.contains(range.owner);
       if (!range.Owned() || (!must_go && !fails)) continue;
       command.releases.push_back({service, range.span, range.fence, {}});
       Note("begin_release", range, range.span,
            must_go ? "the owner leaves" : "the owner fails requests");
-      moving = true;
     }
     const bool by_heartbeat = LeasedByHeartbeat(service);
-    // By orders, moves are quick, and the next ones are planned from what they brought. By
-    // heartbeat each takes about a second: the next ones are planned beside them.
-    if (moving && !by_heartbeat) continue;
+    // Planned beside the moves and releases under way: among hundreds of owners some always are.
     const auto moves = balancer_.Rebalance(service, ranges, CandidatesFor(service, now),
                                            PlannedMoves(service), now);
     for (const traffic::RangeRelease& move : moves) {
--- a/tests/control/range_controller_test.cc
+++ b/tests/control/range_controller_test.cc
@@ -351,6 +351,26 @@
   cr_assert(owner(0) == before || owner(319) == before);
 }
 
+Test(range_controller, busy_keys_move_while_keys_of_another_owner_are_on_their_way) {
+  Fixture fixture(3);
+  fixture.Run(0, 2'000);
+  // It leaves and says nothing of its keys: they rest until its grant is over.
+  fixture.answers["i-3"] = RangeOrderResult::Outcome::kUnknown;
+  fixture.Report(3, 2, true);
+  for (std::int64_t ms = 2'000; ms < 4'000; ms += 500) {
+    traffic::TrafficPoll poll;
+    poll.loads = {{kService, {}}};
+    for (std::uint32_t key = 0; key < 320; key += 4) poll.loads[0].keys.push_back({key, 3});
+    fixture.controller->TakeLoads(poll, At(ms));
+    fixture.Run(ms, ms + 490);
+  }
+  cr_assert(fixture.KeysOf(RangePhase::kReleasing).contains("i-3"));
+  const auto owner = [&](std::uint32_t key) {
+    return fixture.state.ranges().Find(kService, key)->owner.value;
+  };
+  cr_assert(owner(0) != owner(319));
+}
+
 Test(range_controller, slower_instance_carries_less) {
   Fixture fixture(2);
   fixture.Run(0, 2'000);
