Tell gateways what all of them saw of servers, and of keys that no owner can carry

Cause: 285 gateways that share 900 instances meet each of them about once a minute; none knows which is slow or gone, and each finds a dead one by a request of its own. Of a key with a third of a service's requests, what its one owner can't run was held for 0.4 of the caller's time and refused then. A gateway that meets a server less than once in 5 s draws two of its zone and one of any by speed and takes the better one; requests for a hot key beyond the owner's capacity are refused at once, in equal parts at all gateways. A connection that is not up after 0.3 s is given up.

--- a/include/graniteseam/control/router_messages.h
+++ b/include/graniteseam/control/router_messages.h
@@ -14,6 +14,7 @@
 #include "graniteseam/bundle/bundle.h"
 #include "graniteseam/common/ids.h"
 #include "graniteseam/operation/messages.h"
+#include "graniteseam/traffic/hints.h"
 #include "graniteseam/traffic/update.h"
 
 namespace graniteseam::control {
@@ -148,11 +149,12 @@
 };
 BOOST_DESCRIBE_STRUCT(NotLeaderAnswer, (), (sequence, leader_address))
 
+using traffic::TrafficHints;
 using traffic::TrafficPoll;
 using traffic::TrafficUpdate;
 
 using RouterToControl = std::variant<RouterRenewal, JournalRequest, TrafficPoll>;
 using ControlToRouter =
-    std::variant<RouterRenewalAnswer, JournalAnswer, NotLeaderAnswer, TrafficUpdate>;
+    std::variant<RouterRenewalAnswer, JournalAnswer, NotLeaderAnswer, TrafficUpdate, TrafficHints>;
 
 }  // namespace graniteseam::control
--- a/src/control/control_node_impl.cc
+++ b/src/control/control_node_impl.cc
@@ -300,7 +300,7 @@
 }
 
 void ControlNode::Impl::SendTrafficOrders(Instant now) {
-  for (RouterSend& send : leadership_->traffic.sessions().Push(now)) {
+  for (RouterSend& send : leadership_->traffic.Push(now)) {
     effects_.router_sends.push_back(std::move(send));
   }
   for (RangeOrder& order : leadership_->traffic.ranges().Orders(now)) {
--- a/src/control/control_node_requests.cc
+++ b/src/control/control_node_requests.cc
@@ -51,8 +51,7 @@
     SendNotLeader(connection, poll.sequence);
     return;
   }
-  leadership_->traffic.ranges().TakeLoads(poll, now);
-  SendToRouter(connection, leadership_->traffic.sessions().Poll(connection, poll, now));
+  SendToRouter(connection, leadership_->traffic.TakePoll(connection, poll, now));
 }
 
 bool ControlNode::Impl::RelayHeartbeat(RequestId request, const ReportInstance& heartbeat,
--- /dev/null
+++ b/src/control/hint_teller.cc
@@ -0,0 +1,81 @@
+#include "src/control/hint_teller.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace graniteseam::control {
+namespace {
+
+/// Between two looks: a window of the balancer, which finds the hot keys.
+constexpr Duration kLookInterval{250'000};
+/// Routers forget a hot key of which they hear nothing for longer.
+constexpr Duration kHotKeyRefresh{1'000'000};
+/// By which the admitted part must change to be told before that.
+constexpr double kAdmittedChange = 0.25;
+
+bool IsAmong(const std::vector<traffic::HotKey>& hot, const ServiceName& service,
+             std::uint32_t key) {
+  return std::any_of(hot.begin(), hot.end(), [&](const traffic::HotKey& one) {
+    return one.service == service && one.key == key;
+  });
+}
+
+}  // namespace
+
+void HintTeller::TakePoll(const traffic::TrafficPoll& poll, Instant now) {
+  for (const traffic::InstanceSpeed& speed : poll.speeds) {
+    // An owner of keys is the only one for them: routers have nothing to choose.
+    if (IsOfPool(speed.instance)) outlook_.Take(poll.router, speed, now);
+  }
+}
+
+bool HintTeller::IsOfPool(const traffic::InstanceId& id) const {
+  const traffic::Instance* const instance = state_.instances().Find(id);
+  if (instance == nullptr) return false;
+  const traffic::Service* const service =
+      state_.configuration().FindService(instance->report.service);
+  return service != nullptr && !service->keyed;
+}
+
+std::optional<traffic::TrafficHints> HintTeller::Look(const std::vector<traffic::HotKey>& hot,
+                                                      Instant now) {
+  look_due_ = now + kLookInterval;
+  traffic::TrafficHints hints;
+  hints.instances = outlook_.TakeChanges(now);
+  outlook_.ForgetOld(now);
+  for (const traffic::HotKey& one : hot) TellHot(one, hints.hot_keys, now);
+  TellOver(hot, hints.hot_keys);
+  if (hints.instances.empty() && hints.hot_keys.empty()) return std::nullopt;
+  return hints;
+}
+
+traffic::TrafficHints HintTeller::All(Instant now) const {
+  traffic::TrafficHints hints;
+  hints.instances = outlook_.All(now);
+  for (const auto& [service, keys] : hot_keys_) {
+    for (const auto& [key, told] : keys) hints.hot_keys.push_back({service, key, told.admitted});
+  }
+  return hints;
+}
+
+void HintTeller::TellHot(const traffic::HotKey& hot, std::vector<traffic::HotKey>& hints,
+                         Instant now) {
+  Told& told = hot_keys_[hot.service][hot.key];
+  const bool changed = std::abs(hot.admitted - told.admitted) > kAdmittedChange * told.admitted;
+  if (!changed && now - told.at < kHotKeyRefresh) return;
+  told = {hot.admitted, now};
+  hints.push_back(hot);
+}
+
+void HintTeller::TellOver(const std::vector<traffic::HotKey>& hot,
+                          std::vector<traffic::HotKey>& hints) {
+  for (auto& [service, keys] : hot_keys_) {
+    std::erase_if(keys, [&, &of = service](const auto& entry) {
+      const bool over = !IsAmong(hot, of, entry.first);
+      if (over) hints.push_back({of, entry.first, 1});
+      return over;
+    });
+  }
+}
+
+}  // namespace graniteseam::control
--- /dev/null
+++ b/src/control/hint_teller.h
@@ -0,0 +1,46 @@
+/// @file
+/// When the leader tells routers which hints.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "src/control/instance_outlook.h"
+#include "src/traffic/traffic_state.h"
+
+namespace graniteseam::control {
+
+/// Belongs to one leadership. Not thread safe; `now` never goes back.
+class HintTeller {
+ public:
+  explicit HintTeller(const traffic::TrafficState& state) : state_(state) {}
+
+  void TakePoll(const traffic::TrafficPoll& poll, Instant now);
+
+  /// Whether it is time to look for what is to be told.
+  bool IsDue(Instant now) const { return now >= look_due_; }
+  /// What all routers should be told now.
+  /// @param hot keys that are hot at present.
+  std::optional<traffic::TrafficHints> Look(const std::vector<traffic::HotKey>& hot, Instant now);
+  /// What a router should be told that was told nothing yet.
+  traffic::TrafficHints All(Instant now) const;
+
+ private:
+  struct Told {
+    double admitted = 1;
+    Instant at{};
+  };
+
+  bool IsOfPool(const traffic::InstanceId& id) const;
+  void TellHot(const traffic::HotKey& hot, std::vector<traffic::HotKey>& hints, Instant now);
+  /// Ends what was told of keys that are not hot any more.
+  void TellOver(const std::vector<traffic::HotKey>& hot, std::vector<traffic::HotKey>& hints);
+
+  const traffic::TrafficState& state_;
+  InstanceOutlook outlook_;
+  std::map<ServiceName, std::map<std::uint32_t, Told>> hot_keys_;
+  Instant look_due_{};
+};
+
+}  // namespace graniteseam::control
--- a/src/control/instance_speeds.h
+++ b/src/control/instance_speeds.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cmath>
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "graniteseam/traffic/update.h"
@@ -27,6 +28,12 @@
     if (!fresh) known->second += weight * (sample - known->second);
   }
 
+  /// Mean time of a request at an instance; nullopt when it is not known.
+  std::optional<double> MeanMicros(const traffic::InstanceId& id) const {
+    const auto found = mean_us_.find(id);
+    return found == mean_us_.end() ? std::nullopt : std::optional(found->second);
+  }
+
   /// Whether an instance lately failed most requests, so that it had better own nothing.
   bool Failing(const traffic::InstanceId& id, Instant now) const {
     const auto found = outcomes_.find(id);
--- a/src/control/range_balancer.cc
+++ b/src/control/range_balancer.cc
@@ -138,6 +138,11 @@
   }
 }
 
+std::map<std::uint32_t, float> RangeBalancer::HotKeys(const ServiceName& service) const {
+  const auto found = loads_.find(service);
+  return found == loads_.end() ? std::map<std::uint32_t, float>{} : found->second.hot;
+}
+
 double RangeBalancer::LoadOf(const ServiceName& service, const traffic::KeySpan& span) const {
   const double sum = kSizeWeight * span.size() / (traffic::kLastKey + 1.0);
   const auto found = loads_.find(service);
--- a/src/control/range_balancer.h
+++ b/src/control/range_balancer.h
@@ -38,6 +38,9 @@
                                                const traffic::KeyRangeTable::Ranges& ranges,
                                                const std::vector<RangeCandidate>& candidates) const;
 
+  /// Requests a second of the keys that alone get much, by key; empty for an unknown service.
+  std::map<std::uint32_t, float> HotKeys(const ServiceName& service) const;
+
   /// The candidates that carry least, `count` at most.
   std::vector<RangeCandidate> Lightest(const traffic::KeyRangeTable::Ranges& ranges,
                                        std::vector<RangeCandidate> candidates,
--- a/src/control/range_controller.cc
+++ b/src/control/range_controller.cc
@@ -1,6 +1,7 @@
 #include "src/control/range_controller.h"
 
 #include <algorithm>
+#include <ratio>
 #include <utility>
 
 #include "src/control/displacement.h"
@@ -19,6 +20,9 @@
 constexpr double kAvoidedPart = 0.2;
 /// How long the sequence of an instance that is gone is kept: longer than a heartbeat may be late.
 constexpr Duration kHolderKept = 6 * kHeartbeatLateMaximum;
+/// Part of an owner's capacity up to which a hot key's requests are let in: somewhat more than all
+/// of it, so that it stays full though they come unevenly.
+constexpr double kFilled = 1.1;
 /// Instances among which the keys of one that is gone are divided.
 constexpr std::size_t kHeirsMaximum = 3;
 
@@ -187,6 +191,29 @@
   for (const traffic::InstanceSpeed& speed : poll.speeds) speeds_.Take(speed, now);
 }
 
+std::optional<double> RangeController::CapacityOf(const KeyRange& range) const {
+  const traffic::Instance* const owner = state_.instances().Find(range.owner);
+  const auto mean_us = speeds_.MeanMicros(range.owner);
+  if (owner == nullptr || !mean_us || *mean_us <= 0) return std::nullopt;
+  const auto slots = static_cast<double>(std::max<std::int64_t>(1, owner->report.slots));
+  return slots * std::micro::den / *mean_us;
+}
+
+std::vector<traffic::HotKey> RangeController::HotKeys() const {
+  std::vector<traffic::HotKey> hot;
+  for (const auto& [service, ranges] : state_.ranges().services()) {
+    for (const auto& [key, rate] : balancer_.HotKeys(service)) {
+      const KeyRange* const range = state_.ranges().Find(service, key);
+      // On its way to another owner, a key is waited for.
+      if (range == nullptr || range->phase != RangePhase::kServing) continue;
+      const auto capacity = CapacityOf(*range);
+      if (!capacity || rate <= *capacity * kFilled) continue;
+      hot.push_back({service, key, *capacity * kFilled / rate});
+    }
+  }
+  return hot;
+}
+
 bool RangeController::OwnerIsOver(const KeyRange& range, const RangeCare& care, Instant now) const {
   if (range.phase == RangePhase::kUnowned || care.released) return true;
   if (HasEnded(range.owner)) return true;
--- a/src/control/range_controller.h
+++ b/src/control/range_controller.h
@@ -16,6 +16,7 @@
 #include "graniteseam/control/operator_messages.h"
 #include "graniteseam/control/range_orders.h"
 #include "graniteseam/control/traffic_options.h"
+#include "graniteseam/traffic/hints.h"
 #include "src/control/commands.h"
 #include "src/control/instance_liveness.h"
 #include "src/control/instance_speeds.h"
@@ -59,6 +60,9 @@
   /// heartbeat of it was taken before this one.
   std::optional<traffic::KeyLeases> TakeHeartbeat(const ReportInstance& heartbeat, Instant now);
 
+  /// Keys that are asked for more often than their owners can answer.
+  std::vector<traffic::HotKey> HotKeys() const;
+
   /// What was decided and believed since the last call.
   std::vector<RangeNote> TakeNotes() { return std::exchange(notes_, {}); }
 
@@ -154,6 +158,9 @@
       const traffic::KeyRangeTable::Ranges& ranges,
       const std::vector<RangeCandidate>& candidates) const;
 
+  /// Requests a second that the owner of a range can run; nullopt when it is not known.
+  std::optional<double> CapacityOf(const traffic::KeyRange& range) const;
+
   /// Instances that may be given keys.
   std::vector<RangeCandidate> CandidatesFor(const ServiceName& service, Instant now) const;
   /// Instances that fail their requests, none where many do.
--- a/src/control/traffic_leader.h
+++ b/src/control/traffic_leader.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "src/control/displacement.h"
+#include "src/control/hint_teller.h"
 #include "src/control/instance_liveness.h"
 #include "src/control/range_controller.h"
 #include "src/control/replicated_state.h"
@@ -22,12 +23,29 @@
       : state_(state),
         liveness_(options.instance_silence, now),
         ranges_(options.ranges, state.traffic(), liveness_, orders_used, now),
-        sessions_(state.traffic(), now) {}
+        sessions_(state.traffic(), now),
+        hints_(state.traffic()) {}
 
   InstanceLiveness& liveness() { return liveness_; }
   RangeController& ranges() { return ranges_; }
   TrafficSessions& sessions() { return sessions_; }
 
+  traffic::TrafficUpdate TakePoll(ConnectionId connection, const traffic::TrafficPoll& poll,
+                                  Instant now) {
+    ranges_.TakeLoads(poll, now);
+    hints_.TakePoll(poll, now);
+    return sessions_.Poll(connection, poll, now);
+  }
+
+  /// What routers are to be sent by themselves.
+  std::vector<RouterSend> Push(Instant now) {
+    std::vector<RouterSend> sends = sessions_.Push(now);
+    if (sessions_.HasNew()) sessions_.TellNew(hints_.All(now), sends);
+    if (!hints_.IsDue(now)) return sends;
+    if (const auto hints = hints_.Look(ranges_.HotKeys(), now)) sessions_.TellAll(*hints, sends);
+    return sends;
+  }
+
   /// Commands to propose; none while those before wait to be applied.
   std::vector<CommandBody> Decide(Instant now) {
     if (state_.applied() < proposed_) return {};
@@ -63,6 +81,7 @@
   InstanceLiveness liveness_;
   RangeController ranges_;
   TrafficSessions sessions_;
+  HintTeller hints_;
   LogIndex proposed_;
   Instant forerunners_due_{};
 };
--- a/src/control/traffic_sessions.cc
+++ b/src/control/traffic_sessions.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <ratio>
+#include <utility>
 
 namespace graniteseam::control {
 namespace {
@@ -21,6 +22,7 @@
 traffic::TrafficUpdate TrafficSessions::Poll(ConnectionId connection,
                                              const traffic::TrafficPoll& poll, Instant now) {
   heard_[poll.router] = now;
+  if (!sessions_.contains(connection)) new_.insert(connection);
   sessions_[connection].version = state_.version();
   traffic::TrafficUpdate update = UpdateFor(poll.version, now);
   update.sequence = poll.sequence;
@@ -47,6 +49,19 @@
   return sends;
 }
 
+void TrafficSessions::TellAll(const traffic::TrafficHints& hints,
+                              std::vector<RouterSend>& sends) const {
+  const auto message = std::make_shared<const ControlToRouter>(hints);
+  for (const auto& [connection, session] : sessions_) sends.push_back({connection, message});
+}
+
+void TrafficSessions::TellNew(const traffic::TrafficHints& hints, std::vector<RouterSend>& sends) {
+  const auto message = std::make_shared<const ControlToRouter>(hints);
+  for (const ConnectionId connection : std::exchange(new_, {})) {
+    sends.push_back({connection, message});
+  }
+}
+
 traffic::TrafficUpdate TrafficSessions::UpdateFor(std::uint64_t base, Instant now) const {
   traffic::TrafficUpdate update = state_.UpdateSince(base);
   update.routers = RouterCount(now);
--- a/src/control/traffic_sessions.h
+++ b/src/control/traffic_sessions.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -22,10 +23,20 @@
   /// Answers a poll with what the router lacks.
   traffic::TrafficUpdate Poll(ConnectionId connection, const traffic::TrafficPoll& poll,
                               Instant now);
-  void Disconnect(ConnectionId connection) { sessions_.erase(connection); }
+  void Disconnect(ConnectionId connection) {
+    sessions_.erase(connection);
+    new_.erase(connection);
+  }
 
   /// What changed for each router since it was last sent something.
   std::vector<RouterSend> Push(Instant now);
+  /// Sends hints to all routers.
+  void TellAll(const traffic::TrafficHints& hints, std::vector<RouterSend>& sends) const;
+  /// Whether routers were heard of that were told no hints yet.
+  bool HasNew() const { return !new_.empty(); }
+  /// Sends hints to those.
+  void TellNew(const traffic::TrafficHints& hints, std::vector<RouterSend>& sends);
+
   /// When Push() has something to send that it held back.
   Instant NextDue() const { return held_back_ ? push_due_ : Instant::max(); }
 
@@ -42,6 +53,7 @@
   const traffic::TrafficState& state_;
   const Instant start_;
   std::map<ConnectionId, Session> sessions_;
+  std::set<ConnectionId> new_;  ///< Told no hints yet.
   std::uint64_t pushed_version_ = 0;  ///< Urgent version that every session was sent.
   Instant push_due_{};                ///< Not pushed again earlier.
   bool held_back_ = false;            ///< Something waits for `push_due_`.
--- a/src/daemon/gateway/gateway_process.cc
+++ b/src/daemon/gateway/gateway_process.cc
@@ -18,6 +18,9 @@
 constexpr std::uint64_t kSampledRequests = 64;
 /// A request that took longer is told in full.
 constexpr Duration kSlow{1'000'000};
+/// A server that is reached accepts within milliseconds. A lost opening packet is sent again after a
+/// second at the earliest: by then another server would have answered.
+constexpr Duration kConnectLimit{300'000};
 /// Kept free of callers' bodies: the rest of the process, and answers under way.
 constexpr std::size_t kBodyBytesTotal = std::size_t{64} << 20;
 constexpr std::size_t kAnswerBytesMaximum = std::size_t{32} << 20;
@@ -62,6 +65,7 @@
       loop_.context(), status, [this](const auto& exchange) { OnStatus(exchange); });
   event_http::ClientPoolOptions pool;
   pool.answer_bytes_maximum = kAnswerBytesMaximum;
+  pool.connect_limit = kConnectLimit;
   servers_ = std::make_unique<event_http::ClientPool>(loop_.context(), pool);
   BOOST_LEAF_CHECK(callers_->Start());
   BOOST_LEAF_CHECK(status_->Start());
@@ -75,9 +79,7 @@
   control_ = std::make_unique<protocol::RouterControlClient>(
       control, metrics_registry_,
       [this](const control::ControlToRouter& answer) {
-        const auto* update = std::get_if<control::TrafficUpdate>(&answer);
-        if (update == nullptr) return;
-        asio::post(loop_.context(), [this, update = *update] { OnUpdate(update); });
+        OnControlMessage(answer);
       },
       [this](bool connected) {
         events_.Write(runtime::EventWeight::kNotable,
@@ -298,6 +300,16 @@
 
 // --- Control and time ---
 
+void GatewayProcess::OnControlMessage(const control::ControlToRouter& message) {
+  if (const auto* update = std::get_if<control::TrafficUpdate>(&message)) {
+    asio::post(loop_.context(), [this, update = *update] { OnUpdate(update); });
+  } else if (const auto* hints = std::get_if<control::TrafficHints>(&message)) {
+    asio::post(loop_.context(), [this, hints = *hints] {
+      Run(node_.OnHints(hints, runtime::BootTimeNow()));
+    });
+  }
+}
+
 void GatewayProcess::OnUpdate(const traffic::TrafficUpdate& update) {
   const bool was_ready = node_.Ready();
   Run(node_.OnUpdate(update, runtime::BootTimeNow()));
--- a/src/daemon/gateway/gateway_process.h
+++ b/src/daemon/gateway/gateway_process.h
@@ -56,6 +56,8 @@
 
   void OnExchange(const std::shared_ptr<event_http::Exchange>& exchange);
   void OnStatus(const std::shared_ptr<event_http::Exchange>& exchange) const;
+  /// Runs on the control connections' thread.
+  void OnControlMessage(const control::ControlToRouter& message);
   void OnUpdate(const traffic::TrafficUpdate& update);
   void Run(gateway::GatewayEffects effects);
   void Do(const gateway::SendAttempt& send);
--- a/src/gateway/backend_table.cc
+++ b/src/gateway/backend_table.cc
@@ -22,6 +22,16 @@
 /// Servers that are about as good are chosen among at random, so that gateways which know the same
 /// don't all choose the same.
 constexpr double kJitter = 0.15;
+/// Servers that are drawn of the own zone, beside one of any zone. Two choices keep most of what a
+/// look at all would bring (Mitzenmacher, The Power of Two Choices, 2001).
+constexpr int kDrawnNear = 2;
+/// How long this gateway counts its requests before it says how often it meets a server.
+constexpr Duration kVisitsCounted{3'000'000};
+/// Weight of the newest word in the occupancy of a zone's servers, and how long it is remembered.
+constexpr double kNewestOccupancy = 0.2;
+constexpr Duration kOccupancyMemory{3'000'000};
+/// Below this part failing servers are drawn still, so that it is found out when they are sound.
+constexpr double kSoundMinimum = 0.05;
 
 double Micros(Duration duration) { return static_cast<double>(duration.count()); }
 
@@ -64,7 +74,9 @@
 void BackendTable::ShareConnections(const std::map<ServiceName, traffic::Service>& services,
                                     std::uint32_t gateways) {
   connection_shares_.clear();
+  keyed_.clear();
   for (const auto& [name, service] : services) {
+    if (service.keyed) keyed_.insert(name);
     connection_shares_[name] = connection_share({service.connections_maximum, gateways});
   }
 }
@@ -91,26 +103,39 @@
 double BackendTable::LoadOf(const Backend& backend, Instant now) const {
   // Other gateways' requests end like this one's: their reported number decays with the time that
   // one takes.
+  return backend.in_flight + backend.others * Freshness(backend, now);
+}
+
+double BackendTable::Freshness(const Backend& backend, Instant now) {
   const double age = Micros(now - backend.others_at);
-  const double fading = std::exp(-age / std::max(1.0, 2 * backend.latency_us));
-  return backend.in_flight + backend.others * fading;
+  return std::exp(-age / std::max(1.0, 2 * backend.latency_us));
+}
+
+double BackendTable::GuessedLoad(const Backend& backend, Instant now) const {
+  const auto found = occupancies_.find({backend.instance.report.service, backend.instance.report.zone});
+  if (found == occupancies_.end()) return LoadOf(backend, now);
+  const double fading = std::exp(-Micros(now - found->second.at) / Micros(kOccupancyMemory));
+  const double mean = found->second.mean * fading * SlotsOf(backend);
+  return LoadOf(backend, now) + mean * (1 - Freshness(backend, now));
 }
 
 bool BackendTable::HasRoom(const Backend& backend, Duration target, Instant now) const {
   if (HasFreeSlot(backend, now)) return true;
   if (!HasConnectionLeft(backend)) return false;
   if (LoadOf(backend, now) >= SlotsOf(backend) * (1.0 + options_.waiting_maximum)) return false;
-  return target == Duration{} || ExpectedMicros(backend, Duration{}, now) <= Micros(target);
+  const double expected = ExpectedMicros(backend, LoadOf(backend, now), Duration{}, now);
+  return target == Duration{} || expected <= Micros(target);
 }
 
 bool BackendTable::HasFreeSlot(const Backend& backend, Instant now) const {
   return HasConnectionLeft(backend) && LoadOf(backend, now) < SlotsOf(backend);
 }
 
-double BackendTable::ExpectedMicros(const Backend& backend, Duration target, Instant now) const {
+double BackendTable::ExpectedMicros(const Backend& backend, double load, Duration target,
+                                    Instant now) const {
   double latency = backend.latency_us;
   if (now < backend.warm_at) latency *= options_.cold_factor;
-  const double turns = std::max(1.0, (LoadOf(backend, now) + 1) / SlotsOf(backend));
+  const double turns = std::max(1.0, (load + 1) / SlotsOf(backend));
   const bool far = backend.instance.report.zone != options_.zone;
   const double cross_zone = far ? options_.cross_zone_part : 0.0;
   const double failing = options_.failure_targets * FailingPart(backend, now);
@@ -135,12 +160,10 @@
                                     Instant now) {
   const auto ids = services_.find(service);
   if (ids == services_.end()) return nullptr;
-  std::uniform_real_distribution<double> jitter(1.0, 1.0 + kJitter);
-  const Backend* best = nullptr;
+  Backends usable;
   const Backend* best_ejected = nullptr;
   const std::uint32_t share = ConnectionShare(service);
   const Backend* full = nullptr;  // Where this gateway has all the connections that it may have.
-  double least = 0;
   for (const traffic::InstanceId& id : ids->second) {
     const Backend& backend = backends_.at(id);
     const bool was_tried = std::find(tried.begin(), tried.end(), id) != tried.end();
@@ -155,18 +178,91 @@
       if (full == nullptr) full = &backend;
       continue;
     }
-    const double expected = ExpectedMicros(backend, target, now) * jitter(random_);
+    usable.push_back(&backend);
+  }
+  if (usable.empty()) return full == nullptr ? best_ejected : full;
+  return KnowsServers(service, ids->second.size(), now) ? Shortest(usable, target, now)
+                                                        : ShortestOfDrawn(usable, target, now);
+}
+
+bool BackendTable::KnowsServers(const ServiceName& service, std::size_t servers,
+                                Instant now) const {
+  const auto found = visits_.find(service);
+  if (found == visits_.end() || now - found->second.since < kVisitsCounted) return true;
+  const Visits& visits = found->second;
+  const double memory = Micros(options_.visits_memory);
+  const double lately = visits.fading * std::exp(-Micros(now - visits.at) / memory);
+  // What a count that has only begun is short of.
+  const double counted = 1 - std::exp(-Micros(now - visits.since) / memory);
+  return lately >= options_.visits_to_know * counted * static_cast<double>(servers);
+}
+
+const Backend* BackendTable::Shortest(const Backends& usable, Duration target, Instant now) {
+  std::uniform_real_distribution<double> jitter(1.0, 1.0 + kJitter);
+  const Backend* best = nullptr;
+  double least = 0;
+  for (const Backend* const backend : usable) {
+    const double load = LoadOf(*backend, now);
+    const double expected = ExpectedMicros(*backend, load, target, now) * jitter(random_);
     if (best != nullptr && expected >= least) continue;
-    best = &backend;
+    best = backend;
     least = expected;
   }
-  if (best != nullptr) return best;
-  return full == nullptr ? best_ejected : full;
+  return best;
 }
 
-void BackendTable::OnSent(const traffic::InstanceId& id) {
+const Backend* BackendTable::ShortestOfDrawn(const Backends& usable, Duration target,
+                                             Instant now) {
+  Backends near;
+  std::copy_if(
+      usable.begin(), usable.end(), std::back_inserter(near),
+      [&](const Backend* backend) { return backend->instance.report.zone == options_.zone; });
+  Backends drawn{Draw(usable, now)};
+  for (int draw = 0; draw < kDrawnNear && !near.empty(); ++draw) drawn.push_back(Draw(near, now));
+  return *std::min_element(drawn.begin(), drawn.end(), [&](const Backend* a, const Backend* b) {
+    return ExpectedMicros(*a, GuessedLoad(*a, now), target, now) <
+           ExpectedMicros(*b, GuessedLoad(*b, now), target, now);
+  });
+}
+
+const Backend* BackendTable::Draw(const Backends& backends, Instant now) {
+  std::vector<double> sums;
+  double sum = 0;
+  for (const Backend* const backend : backends) {
+    const double cold = now < backend->warm_at ? options_.cold_factor : 1.0;
+    const double sound = std::max(kSoundMinimum, 1 - FailingPart(*backend, now));
+    sum += SlotsOf(*backend) * sound / (cold * std::max(1.0, backend->latency_us));
+    sums.push_back(sum);
+  }
+  const double drawn = std::uniform_real_distribution<double>(0, sum)(random_);
+  const auto at = std::upper_bound(sums.begin(), sums.end(), drawn) - sums.begin();
+  return backends[std::min(static_cast<std::size_t>(at), backends.size() - 1)];
+}
+
+void BackendTable::OnSent(const traffic::InstanceId& id, Instant now) {
   const auto found = backends_.find(id);
-  if (found != backends_.end()) ++found->second.in_flight;
+  if (found == backends_.end()) return;
+  ++found->second.in_flight;
+  Visits& visits = visits_.try_emplace(found->second.instance.report.service, Visits{0, now, now})
+                       .first->second;
+  visits.fading *= std::exp(-Micros(now - visits.at) / Micros(options_.visits_memory));
+  ++visits.fading;
+  visits.at = now;
+}
+
+void BackendTable::TakeHints(const std::vector<traffic::InstanceHint>& hints, Instant now) {
+  for (const traffic::InstanceHint& hint : hints) {
+    const auto found = backends_.find(hint.instance);
+    if (found == backends_.end()) continue;
+    Backend& backend = found->second;
+    if (hint.latency_us > 0) {
+      backend.latency_us = hint.latency_us;
+      backend.latency_known = true;
+    }
+    constexpr double kPercent = 100;
+    backend.failing = std::max(FailingPart(backend, now), hint.failing_percent / kPercent);
+    backend.failing_at = now;
+  }
 }
 
 void BackendTable::OnAbandoned(const traffic::InstanceId& id) {
@@ -182,7 +278,8 @@
   Backend& backend = found->second;
   const bool was_waiting = LoadOf(backend, now) + 1 > SlotsOf(backend);
   if (report.load) TakeLoad(backend, *report.load, now);
-  if (report.end == AttemptEnd::kNotSent || report.end == AttemptEnd::kLost) {
+  if (Unreached(backend, report)) {
+    ++backend.speed.unreached;
     Fail(backend, now);
     return;
   }
@@ -206,19 +303,30 @@
   backend.latency_known = true;
 }
 
-void BackendTable::TakeSpeeds(const ServiceName& service, bool all,
-                              std::vector<traffic::InstanceSpeed>& speeds) {
-  const auto ids = services_.find(service);
-  if (ids == services_.end()) return;
-  for (const traffic::InstanceId& id : ids->second) {
-    traffic::InstanceSpeed& speed = backends_.at(id).speed;
-    if (speed.whole == 0 || (!all && speed.failures == 0)) continue;
+bool BackendTable::Unreached(const Backend& backend, const AttemptReport& report) const {
+  if (report.end == AttemptEnd::kNotSent || report.end == AttemptEnd::kLost) return true;
+  // Of a pool's server that is to say that another process has its address.
+  return report.not_owner && !keyed_.contains(backend.instance.report.service);
+}
+
+std::vector<traffic::InstanceSpeed> BackendTable::TakeSpeeds(bool all) {
+  std::vector<traffic::InstanceSpeed> speeds;
+  for (auto& [id, backend] : backends_) {
+    traffic::InstanceSpeed& speed = backend.speed;
+    const bool failed = speed.failures > 0 || speed.unreached > 0;
+    if (!failed && (!all || speed.whole == 0)) continue;
     speed.instance = id;
     speeds.push_back(std::exchange(speed, {}));
   }
+  return speeds;
 }
 
-void BackendTable::TakeLoad(Backend& backend, const ReportedLoad& load, Instant now) const {
+void BackendTable::TakeLoad(Backend& backend, const ReportedLoad& load, Instant now) {
+  const ServiceZone place{backend.instance.report.service, backend.instance.report.zone};
+  Occupancy& occupancy = occupancies_[place];
+  const double word = (load.running + load.waiting) / std::max(1.0, load.slots);
+  occupancy.mean += kNewestOccupancy * (word - occupancy.mean);
+  occupancy.at = now;
   backend.others = std::max(0.0, load.running + load.waiting - backend.in_flight);
   backend.others_at = now;
   if (load.slots > 0) backend.instance.report.slots = std::llround(load.slots);
--- a/src/gateway/backend_table.h
+++ b/src/gateway/backend_table.h
@@ -6,9 +6,11 @@
 #include <map>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
+#include "graniteseam/traffic/hints.h"
 #include "graniteseam/traffic/update.h"
 #include "src/gateway/gateway_events.h"
 
@@ -37,6 +39,11 @@
   Duration failure_memory{4'000'000};
   double cold_factor = 2.0;      ///< By which a server that warms up is taken for slower.
   double waiting_maximum = 2.0;  ///< Requests for each slot that may wait at a server.
+  /// Requests that each server of a service must get from this gateway on the average within
+  /// visits_memory for what this gateway saw of them to say which one is best. With fewer, all
+  /// gateways would go by the same hints to the same few.
+  double visits_to_know = 2.0;
+  Duration visits_memory{10'000'000};
 };
 
 /// One server with what was seen of it.
@@ -76,11 +83,15 @@
   /// become true any time from here on.
   void Confirm(Instant now) { confirmed_at_ = now; }
 
+  /// Takes what all gateways together saw.
+  void TakeHints(const std::vector<traffic::InstanceHint>& hints, Instant now);
+
   const Backend* Find(const traffic::InstanceId& id) const;
   /// Whether a server has been without new work for so long that its promise to get none is due.
   bool DrainedForLong(const Backend& backend, Instant now) const;
 
-  /// The server of a service with the shortest wait to expect, without those in `tried`.
+  /// The server of a service with the shortest wait to expect, without those in `tried`: of all
+  /// where this gateway meets them often, of a few that are drawn by their speed otherwise.
   /// @param target within which an answer is worth most.
   /// @return nullptr when none takes new work.
   const Backend* Choose(const ServiceName& service, const std::vector<traffic::InstanceId>& tried,
@@ -94,26 +105,55 @@
   /// Requests that are at a server at present, by the best guess.
   double LoadOf(const Backend& backend, Instant now) const;
 
-  void OnSent(const traffic::InstanceId& id);
+  void OnSent(const traffic::InstanceId& id, Instant now);
   /// @param taken from sending to the end.
   void OnEnded(const traffic::InstanceId& id, const AttemptReport& report, Duration taken,
                Instant now);
   void OnAbandoned(const traffic::InstanceId& id);
 
-  /// Speeds of a service's servers that were seen since they were last taken.
+  /// Speeds of servers that were seen since they were last taken.
   /// @param all false: only of those that failed meanwhile, which control should know at once.
-  void TakeSpeeds(const ServiceName& service, bool all,
-                  std::vector<traffic::InstanceSpeed>& speeds);
+  std::vector<traffic::InstanceSpeed> TakeSpeeds(bool all);
 
   /// "load 2.1 of 2, word 120 ms old, latency 61 ms" for the log.
   std::string Describe(const Backend& backend, Instant now) const;
 
  private:
-  double ExpectedMicros(const Backend& backend, Duration target, Instant now) const;
+  /// What this gateway sent to a service lately.
+  struct Visits {
+    double fading = 0;
+    Instant at{};
+    Instant since{};
+  };
+  /// Requests for each slot at the servers of a zone, as their answers told lately.
+  struct Occupancy {
+    double mean = 0;
+    Instant at{};
+  };
+  struct ServiceZone {
+    ServiceName service;
+    ZoneName zone;
+    auto operator<=>(const ServiceZone&) const = default;
+  };
+  using Backends = std::vector<const Backend*>;
+
+  /// Whether this gateway meets each server of a service often enough to know how it does.
+  bool KnowsServers(const ServiceName& service, std::size_t servers, Instant now) const;
+  const Backend* Shortest(const Backends& usable, Duration target, Instant now);
+  const Backend* ShortestOfDrawn(const Backends& usable, Duration target, Instant now);
+  /// One of `backends`, each as probable as it is fast; nullptr of none.
+  const Backend* Draw(const Backends& backends, Instant now);
+  /// LoadOf(), with the mean of the server's zone in place of a word that is too old.
+  double GuessedLoad(const Backend& backend, Instant now) const;
+  /// Part that is left of a server's word on its load.
+  static double Freshness(const Backend& backend, Instant now);
+  double ExpectedMicros(const Backend& backend, double load, Duration target, Instant now) const;
   /// Part of the next requests that a server is taken to fail.
   double FailingPart(const Backend& backend, Instant now) const;
   void NoteOutcome(Backend& backend, bool failed, Instant now) const;
-  void TakeLoad(Backend& backend, const ReportedLoad& load, Instant now) const;
+  void TakeLoad(Backend& backend, const ReportedLoad& load, Instant now);
+  /// Whether an attempt ended without a whole answer of the server that was meant.
+  bool Unreached(const Backend& backend, const AttemptReport& report) const;
   void Fail(Backend& backend, Instant now);
   /// Requests that this gateway may have at one server of a service at once.
   std::uint32_t ConnectionShare(const ServiceName& service) const;
@@ -125,6 +165,9 @@
   Instant confirmed_at_{};
   std::map<ServiceName, std::vector<traffic::InstanceId>> services_;
   std::map<ServiceName, std::uint32_t> connection_shares_;
+  std::set<ServiceName> keyed_;
+  std::map<ServiceName, Visits> visits_;
+  std::map<ServiceZone, Occupancy> occupancies_;
 };
 
 }  // namespace graniteseam::gateway
--- a/src/gateway/gateway_events.cc
+++ b/src/gateway/gateway_events.cc
@@ -20,6 +20,8 @@
       return "stale_owner";
     case RefusalReason::kOverloaded:
       return "overloaded";
+    case RefusalReason::kHotKey:
+      return "hot_key";
     case RefusalReason::kDeadline:
       return "deadline";
     case RefusalReason::kBudget:
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -16,7 +16,9 @@
 }  // namespace
 
 GatewayNode::GatewayNode(GatewayOptions options, std::uint64_t seed)
-    : options_(std::move(options)), traffic_(options_.backends, options_.gateways_assumed, seed) {}
+    : options_(std::move(options)),
+      traffic_(options_.backends, options_.gateways_assumed, seed),
+      hot_keys_(seed) {}
 
 GatewayEffects GatewayNode::OnUpdate(const traffic::TrafficUpdate& update, Instant now) {
   if (!traffic_.take(update, now)) return Finish();
@@ -26,6 +28,16 @@
   return Finish();
 }
 
+GatewayEffects GatewayNode::OnHints(const traffic::TrafficHints& hints, Instant now) {
+  traffic_.backends().TakeHints(hints.instances, now);
+  hot_keys_.take(hints.hot_keys, now);
+  for (const traffic::HotKey& hot : hints.hot_keys) RefuseExcess(hot, now);
+  Note({}, "hints", {},
+       "instances " + std::to_string(hints.instances.size()) + ", hot keys " +
+           std::to_string(hints.hot_keys.size()));
+  return Finish();
+}
+
 GatewayEffects GatewayNode::OnRequest(const ArrivedRequest& arrived, Instant now) {
   Admit(requests_.add(arrived, now), now);
   return Finish();
@@ -72,9 +84,7 @@
   poll.version = version();
   poll.loads = key_loads_.take();
   const bool tell_speeds = poll_sequence_ % kPollsPerSpeeds == 0;
-  for (const traffic::ServiceLoads& loads : poll.loads) {
-    traffic_.backends().TakeSpeeds(loads.service, tell_speeds, poll.speeds);
-  }
+  poll.speeds = traffic_.backends().TakeSpeeds(tell_speeds);
   return poll;
 }
 
@@ -93,6 +103,7 @@
       return EndWithoutRun(request, RefusalReason::kBadKey, now);
     }
     key_loads_.count(*service, *arrived.key);
+    if (!HasPlace(request, now)) return EndWithoutRun(request, RefusalReason::kHotKey, now);
   }
   BudgetOf(*service).CountRequest(now);
   if (now >= request.give_up) return EndWithoutRun(request, RefusalReason::kDeadline, now);
@@ -103,6 +114,20 @@
   ServeWaiting(*service, now);
 }
 
+bool GatewayNode::HasPlace(LiveRequest& request, Instant now) {
+  if (!hot_keys_.is_hot(request.service, *request.arrived.key, now)) return true;
+  request.let_in = hot_keys_.admits(request.service, *request.arrived.key);
+  return request.let_in;
+}
+
+void GatewayNode::RefuseExcess(const traffic::HotKey& hot, Instant now) {
+  for (const WaitingPlace& place : requests_.queue_of(hot.service)) {
+    LiveRequest& request = requests_.at(place.number);
+    if (request.arrived.key != hot.key || request.let_in) continue;
+    if (!HasPlace(request, now)) EndWithoutRun(request, RefusalReason::kHotKey, now);
+  }
+}
+
 void GatewayNode::TakeRoute(LiveRequest& request, const traffic::Route& route,
                             const ServiceName& service) {
   request.kind = route.kind;
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -12,6 +12,7 @@
 #include "graniteseam/traffic/update.h"
 #include "src/gateway/backend_table.h"
 #include "src/gateway/gateway_events.h"
+#include "src/gateway/hot_key_gate.h"
 #include "src/gateway/key_loads.h"
 #include "src/gateway/live_requests.h"
 #include "src/gateway/shared_retry_budget.h"
@@ -41,6 +42,7 @@
   GatewayNode(GatewayOptions options, std::uint64_t seed);
 
   GatewayEffects OnUpdate(const traffic::TrafficUpdate& update, Instant now);
+  GatewayEffects OnHints(const traffic::TrafficHints& hints, Instant now);
   GatewayEffects OnRequest(const ArrivedRequest& request, Instant now);
   GatewayEffects OnAttemptEnd(const AttemptReport& report, Instant now);
   GatewayEffects OnCallerGone(RequestNumber request, Instant now);
@@ -67,6 +69,10 @@
   void Admit(LiveRequest& request, Instant now);
   /// Takes what the request's route says of it.
   void TakeRoute(LiveRequest& request, const traffic::Route& route, const ServiceName& service);
+  /// Whether the owner of its key has a place for the request, as far as is known.
+  bool HasPlace(LiveRequest& request, Instant now);
+  /// Refuses those that wait for a hot key and have no place.
+  void RefuseExcess(const traffic::HotKey& hot, Instant now);
   void AwaitConfiguration(LiveRequest& request, Instant now);
   void AdmitUnrouted(Instant now);
   SharedRetryBudget& BudgetOf(const ServiceName& service);
@@ -105,6 +111,7 @@
   LiveRequests requests_;
   std::map<ServiceName, SharedRetryBudget> budgets_;
   KeyLoads key_loads_;
+  HotKeyGate hot_keys_;
   std::uint64_t poll_sequence_ = 0;
   GatewayEffects effects_;
 };
--- /dev/null
+++ b/src/gateway/hot_key_gate.cc
@@ -0,0 +1,39 @@
+#include "src/gateway/hot_key_gate.h"
+
+namespace graniteseam::gateway {
+
+auto HotKeyGate::take(std::vector<traffic::HotKey> const& hot_keys, Instant now) -> void {
+  std::uniform_real_distribution<double> drawn(0, 1);
+  for (auto const& hot : hot_keys) {
+    auto& gates = m_gates[hot.service];
+    if (hot.admitted >= 1) {
+      gates.erase(hot.key);
+      continue;
+    }
+    auto const [gate, fresh] = gates.try_emplace(hot.key);
+    // Gateways that all began alike would let their first requests in together.
+    if (fresh) gate->second.credit = drawn(m_random);
+    gate->second.admitted = hot.admitted;
+    gate->second.told = now;
+  }
+}
+
+auto HotKeyGate::is_hot(ServiceName const& service, std::uint32_t key, Instant now) -> bool {
+  auto const gates = m_gates.find(service);
+  if (gates == m_gates.end()) return false;
+  auto const found = gates->second.find(key);
+  if (found == gates->second.end()) return false;
+  auto const lapsed = now - found->second.told > kForgotten;
+  if (lapsed) gates->second.erase(found);
+  return !lapsed;
+}
+
+auto HotKeyGate::admits(ServiceName const& service, std::uint32_t key) -> bool {
+  auto& gate = m_gates.at(service).at(key);
+  gate.credit += gate.admitted;
+  if (gate.credit < 1) return false;
+  gate.credit -= 1;
+  return true;
+}
+
+}  // namespace graniteseam::gateway
--- a/src/gateway/live_request.h
+++ b/src/gateway/live_request.h
@@ -47,6 +47,7 @@
   bool may_have_run = false;
 
   bool waiting = false;  ///< In its service's queue.
+  bool let_in = false;   ///< While its key was known to be hot.
   Instant not_before{};  ///< While waiting: not tried again earlier.
   RefusalReason waits_for = RefusalReason::kOverloaded;
 };
--- a/src/gateway/request_sending.cc
+++ b/src/gateway/request_sending.cc
@@ -105,7 +105,7 @@
   send.time_left = request.give_up - now;
   send.needs_new_connection = again && request.kind == traffic::RouteKind::kUnsafe;
   effects_.actions.emplace_back(std::move(send));
-  traffic_.backends().OnSent(id);
+  traffic_.backends().OnSent(id, now);
   requests_.set_timer(request, request.give_up);
 }
 
--- a/tests/control/range_controller_test.cc
+++ b/tests/control/range_controller_test.cc
@@ -423,6 +423,26 @@
   cr_assert(fixture.state.ranges().Find(kService, kHot)->owner.value == "i-3");
 }
 
+Test(range_controller, key_that_no_owner_can_carry_is_hot_by_what_its_owner_can_run) {
+  Fixture fixture(3);
+  fixture.Run(0, 2'000);
+  constexpr std::uint32_t kHot = 700;
+  cr_assert(fixture.controller->HotKeys().empty());
+  for (std::int64_t ms = 2'000; ms < 4'000; ms += 500) {
+    traffic::TrafficPoll poll;
+    poll.loads = {{kService, {{kHot, 100}, {30'000, 4}, {50'000, 4}}}};
+    poll.speeds = {{{"i-1"}, 20, 20 * 100'000, 20, 0, 0},
+                   {{"i-2"}, 20, 20 * 100'000, 20, 0, 0},
+                   {{"i-3"}, 20, 20 * 100'000, 20, 0, 0}};
+    fixture.controller->TakeLoads(poll, At(ms));
+    fixture.Run(ms, ms + 490);
+  }
+  const auto hot = fixture.controller->HotKeys();
+  cr_assert(hot.size() == 1 && hot[0].key == kHot);
+  // Two slots at 100 ms run 20 of some 200 requests a second.
+  cr_assert(hot[0].admitted > 0.07 && hot[0].admitted < 0.2, "%f", hot[0].admitted);
+}
+
 Test(range_controller, owner_that_refused_and_is_silent_keeps_its_keys_until_its_grant_is_over) {
   Fixture fixture(3);
   fixture.Run(0, 3'000);
--- a/tests/gateway/backend_table_test.cc
+++ b/tests/gateway/backend_table_test.cc
@@ -47,7 +47,7 @@
     AttemptReport report;
     report.end = AttemptEnd::kAnswered;
     report.load = load;
-    table.OnSent({id});
+    table.OnSent({id}, kNow);
     table.OnEnded({id}, report, taken, at);
   }
 };
@@ -58,10 +58,10 @@
   Fixture fixture({MakeInstance("near-1", "near"), MakeInstance("far-1", "far")});
   for (int request = 0; request < 2; ++request) {
     cr_assert(fixture.Choose() == "near-1");
-    fixture.table.OnSent({"near-1"});
+    fixture.table.OnSent({"near-1"}, kNow);
   }
   // Further ones would wait for a whole turn there.
-  fixture.table.OnSent({"near-1"});
+  fixture.table.OnSent({"near-1"}, kNow);
   cr_assert(fixture.Choose() == "far-1");
 }
 
@@ -73,7 +73,7 @@
   fixture.table.ShareConnections({{kService, service}}, 88);
   fixture.Answer("b", Duration{400'000}, kNow);
   cr_assert(fixture.Choose() == "a");
-  fixture.table.OnSent({"a"});
+  fixture.table.OnSent({"a"}, kNow);
   cr_assert(!fixture.table.HasRoom(*fixture.table.Find({"a"}), kTarget, kNow));
   cr_assert(fixture.Choose() == "b", "the faster one has all of this gateway's connections");
   // Fewer gateways have larger parts.
@@ -91,8 +91,8 @@
     fixture.Answer("b", Duration{120'000}, kNow);
   }
   cr_assert(fixture.Choose() == "a");
-  fixture.table.OnSent({"a"});
-  fixture.table.OnSent({"a"});
+  fixture.table.OnSent({"a"}, kNow);
+  fixture.table.OnSent({"a"}, kNow);
   cr_assert(fixture.Choose() == "a", "two turns of 40 ms end before one of 120 ms");
 }
 
@@ -111,7 +111,7 @@
   AttemptReport lost;
   lost.end = AttemptEnd::kLost;
   for (int failure = 0; failure < 2; ++failure) {
-    fixture.table.OnSent({"a"});
+    fixture.table.OnSent({"a"}, kNow);
     fixture.table.OnEnded({"a"}, lost, Duration{1'000}, kNow);
   }
   cr_assert(fixture.Choose() == "b");
@@ -131,12 +131,12 @@
   Fixture fixture({MakeInstance("a", "near")});
   for (int answer = 0; answer < 20; ++answer) fixture.Answer("a", Duration{120'000}, kNow);
   const Backend& slow = *fixture.table.Find({"a"});
-  fixture.table.OnSent({"a"});
+  fixture.table.OnSent({"a"}, kNow);
   cr_assert(fixture.table.HasRoom(slow, kTarget, kNow));
-  fixture.table.OnSent({"a"});
+  fixture.table.OnSent({"a"}, kNow);
   // A third one would wait for half a turn of 120 ms, a fourth for a whole one: 240 of 200 ms.
   cr_assert(fixture.table.HasRoom(slow, kTarget, kNow));
-  fixture.table.OnSent({"a"});
+  fixture.table.OnSent({"a"}, kNow);
   cr_assert(!fixture.table.HasRoom(slow, kTarget, kNow));
   cr_assert(fixture.table.HasRoom(slow, 2 * kTarget, kNow));
 }
@@ -147,7 +147,7 @@
     AttemptReport report;
     report.end = AttemptEnd::kAnswered;
     report.status = status;
-    fixture.table.OnSent({id});
+    fixture.table.OnSent({id}, kNow);
     fixture.table.OnEnded({id}, report, Duration{20'000}, at);
   };
   answer("sound", 200, kNow);
@@ -157,14 +157,93 @@
   // Though it answers fast and has nothing to do, four waiting requests elsewhere are better.
   for (int request = 0; request < 4; ++request) {
     cr_assert(fixture.Choose() == "sound");
-    fixture.table.OnSent({"sound"});
+    fixture.table.OnSent({"sound"}, kNow);
   }
   // Its failure is forgotten in time, and a success counts for it.
   const Instant later = kNow + std::chrono::seconds(20);
   const Backend* const again = fixture.table.Choose(kService, {}, kTarget, later);
   cr_assert(again->instance.report.id.value == "fails");
-  std::vector<traffic::InstanceSpeed> speeds;
-  fixture.table.TakeSpeeds(kService, /*all=*/false, speeds);
+  const auto speeds = fixture.table.TakeSpeeds(/*all=*/false);
   cr_assert(speeds.size() == 1 && speeds[0].instance.value == "fails");
   cr_assert(speeds[0].failures == 1 && speeds[0].whole == 1);
 }
+
+Test(backend_table, server_that_others_found_failing_is_left_out_for_a_while) {
+  Fixture fixture({MakeInstance("a", "near"), MakeInstance("b", "near")});
+  fixture.Answer("b", Duration{400'000}, kNow);
+  cr_assert(fixture.Choose() == "a");
+  fixture.table.TakeHints({{{"a"}, 0, 100}}, kNow);
+  cr_assert(fixture.Choose() == "b");
+  const Backend* const later =
+      fixture.table.Choose(kService, {}, kTarget, kNow + std::chrono::seconds(20));
+  cr_assert(later->instance.report.id.value == "a", "hints fade");
+}
+
+Test(backend_table, latency_that_others_saw_is_taken) {
+  Fixture fixture({MakeInstance("a", "near"), MakeInstance("b", "near")});
+  fixture.table.TakeHints({{{"a"}, 300'000, 0}, {{"unknown"}, 1, 0}}, kNow);
+  cr_assert(fixture.Choose() == "b");
+}
+
+Test(backend_table, attempts_that_did_not_reach_their_server_are_told) {
+  Fixture fixture({MakeInstance("a", "near"), MakeInstance("b", "near")});
+  AttemptReport report;
+  report.end = AttemptEnd::kNotSent;
+  fixture.table.OnSent({"a"}, kNow);
+  fixture.table.OnEnded({"a"}, report, Duration{1'000}, kNow);
+  // Another process has the address of a pool's server.
+  report.end = AttemptEnd::kNotExecuted;
+  report.not_owner = true;
+  fixture.table.OnSent({"b"}, kNow);
+  fixture.table.OnEnded({"b"}, report, Duration{1'000}, kNow);
+  const auto speeds = fixture.table.TakeSpeeds(/*all=*/false);
+  cr_assert(speeds.size() == 2);
+  for (const traffic::InstanceSpeed& speed : speeds) cr_assert(speed.unreached == 1);
+  cr_assert(fixture.table.TakeSpeeds(/*all=*/true).empty());
+}
+
+Test(backend_table, owner_that_lost_a_key_was_reached) {
+  Fixture fixture({MakeInstance("a", "near")});
+  traffic::Service service;
+  service.name = kService;
+  service.keyed = true;
+  fixture.table.ShareConnections({{kService, service}}, 1);
+  AttemptReport report;
+  report.end = AttemptEnd::kNotExecuted;
+  report.not_owner = true;
+  fixture.table.OnSent({"a"}, kNow);
+  fixture.table.OnEnded({"a"}, report, Duration{1'000}, kNow);
+  cr_assert(fixture.table.TakeSpeeds(/*all=*/false).empty());
+}
+
+Test(backend_table, gateway_that_rarely_meets_a_server_draws_by_speed) {
+  std::vector<traffic::Instance> instances;
+  std::vector<traffic::InstanceHint> hints;
+  for (int number = 0; number < 200; ++number) {
+    instances.push_back(MakeInstance("i-" + std::to_string(number), "near"));
+    // Each other one is half as fast.
+    const std::uint32_t latency_us = number % 2 == 0 ? 100'000 : 200'000;
+    hints.push_back({instances.back().report.id, latency_us, 0});
+  }
+  Fixture fixture(instances);
+  fixture.table.TakeHints(hints, kNow);
+  std::map<std::string, int> chosen;
+  for (int request = 0; request < 400; ++request) {
+    const Instant now = kNow + std::chrono::milliseconds(250 * request);
+    const Backend* const backend = fixture.table.Choose(kService, {}, kTarget, now);
+    if (request >= 100) ++chosen[backend->instance.report.id.value];
+    const traffic::InstanceId id = backend->instance.report.id;
+    fixture.table.OnSent(id, now);
+    fixture.table.OnAbandoned(id);
+  }
+  int slow = 0;
+  int most = 0;
+  for (const auto& [id, count] : chosen) {
+    if (std::stoi(id.substr(2)) % 2 == 1) slow += count;
+    most = std::max(most, count);
+  }
+  // By chance a few are met several times; by the same hints all gateways would go to one.
+  cr_assert(most <= 12, "%d requests of 300 went to one server", most);
+  cr_assert(slow >= 5, "slower ones get requests too: %d", slow);
+  cr_assert(slow <= 150);
+}
