Answer polls of routers that start together with one shared state

Cause: after a loss of everything each of hundreds of gateways polls with no state; the leader searched, copied and encoded the whole of it for each (the poll's sequence was in the message). Change: the state goes in a message of its own that names no poll, kept until the next change and encoded once; the answer to the poll follows and is small. Tests (new): traffic_sessions/routers_that_start_together_..., router_that_lacks_nothing_...

--- a/src/control/control_node_requests.cc
+++ b/src/control/control_node_requests.cc
@@ -51,7 +51,9 @@
     SendNotLeader(connection, poll.sequence);
     return;
   }
-  SendToRouter(connection, leadership_->traffic.TakePoll(connection, poll, now));
+  for (RouterSend& send : leadership_->traffic.TakePoll(connection, poll, now)) {
+    effects_.router_sends.push_back(std::move(send));
+  }
 }
 
 bool ControlNode::Impl::RelayHeartbeat(RequestId request, const ReportInstance& heartbeat,
--- a/src/control/traffic_leader.h
+++ b/src/control/traffic_leader.h
@@ -30,8 +30,8 @@
   RangeController& ranges() { return ranges_; }
   TrafficSessions& sessions() { return sessions_; }
 
-  traffic::TrafficUpdate TakePoll(ConnectionId connection, const traffic::TrafficPoll& poll,
-                                  Instant now) {
+  std::vector<RouterSend> TakePoll(ConnectionId connection, const traffic::TrafficPoll& poll,
+                                   Instant now) {
     ranges_.TakeLoads(poll, now);
     hints_.TakePoll(poll, now);
     return sessions_.Poll(connection, poll, now);
--- a/src/control/traffic_sessions.cc
+++ b/src/control/traffic_sessions.cc
@@ -19,14 +19,20 @@
 
 }  // namespace
 
-traffic::TrafficUpdate TrafficSessions::Poll(ConnectionId connection,
-                                             const traffic::TrafficPoll& poll, Instant now) {
+std::vector<RouterSend> TrafficSessions::Poll(ConnectionId connection,
+                                              const traffic::TrafficPoll& poll, Instant now) {
   heard_[poll.router] = now;
   if (!sessions_.contains(connection)) new_.insert(connection);
   sessions_[connection].version = state_.version();
-  traffic::TrafficUpdate update = UpdateFor(poll.version, now);
-  update.sequence = poll.sequence;
-  return update;
+  std::vector<RouterSend> sends;
+  if (poll.version != state_.version()) sends.push_back({connection, UpdateFor(poll.version, now)});
+  traffic::TrafficUpdate answer;
+  answer.sequence = poll.sequence;
+  answer.base = answer.version = state_.version();
+  answer.configuration = state_.configuration().current().version;
+  answer.routers = RouterCount(now);
+  sends.push_back({connection, std::make_shared<const ControlToRouter>(std::move(answer))});
+  return sends;
 }
 
 std::vector<RouterSend> TrafficSessions::Push(Instant now) {
@@ -34,13 +40,9 @@
   if (pushed_version_ == state_.urgent_version()) return sends;
   held_back_ = now < push_due_;
   if (held_back_) return sends;
-  // Most routers have the same version: one message serves them all.
-  std::map<std::uint64_t, std::shared_ptr<const ControlToRouter>> by_base;
   for (auto& [connection, session] : sessions_) {
     if (session.version >= state_.urgent_version()) continue;
-    auto& message = by_base[session.version];
-    if (!message) message = std::make_shared<const ControlToRouter>(UpdateFor(session.version, now));
-    sends.push_back({connection, message});
+    sends.push_back({connection, UpdateFor(session.version, now)});
     session.version = state_.version();
   }
   pushed_version_ = state_.urgent_version();
@@ -62,10 +64,15 @@
   }
 }
 
-traffic::TrafficUpdate TrafficSessions::UpdateFor(std::uint64_t base, Instant now) const {
+TrafficSessions::Message TrafficSessions::UpdateFor(std::uint64_t base, Instant now) {
+  if (updates_version_ != state_.version()) updates_.clear();
+  updates_version_ = state_.version();
+  Message& message = updates_[base];
+  if (message) return message;
   traffic::TrafficUpdate update = state_.UpdateSince(base);
   update.routers = RouterCount(now);
-  return update;
+  message = std::make_shared<const ControlToRouter>(std::move(update));
+  return message;
 }
 
 std::uint32_t TrafficSessions::RouterCount(Instant now) const {
--- a/src/control/traffic_sessions.h
+++ b/src/control/traffic_sessions.h
@@ -20,9 +20,10 @@
  public:
   TrafficSessions(const traffic::TrafficState& state, Instant now) : state_(state), start_(now) {}
 
-  /// Answers a poll with what the router lacks.
-  traffic::TrafficUpdate Poll(ConnectionId connection, const traffic::TrafficPoll& poll,
-                              Instant now);
+  /// Sends a router what it lacks, and then the answer to its poll. The state goes in a message of
+  /// its own, which names no poll: hundreds of routers that start together get the same one.
+  std::vector<RouterSend> Poll(ConnectionId connection, const traffic::TrafficPoll& poll,
+                               Instant now);
   void Disconnect(ConnectionId connection) {
     sessions_.erase(connection);
     new_.erase(connection);
@@ -48,12 +49,17 @@
     std::uint64_t version = 0;  ///< Sent up to here.
   };
 
-  traffic::TrafficUpdate UpdateFor(std::uint64_t base, Instant now) const;
+  using Message = std::shared_ptr<const ControlToRouter>;
+
+  /// What changed since `base`; the same message for all that ask before the next change.
+  Message UpdateFor(std::uint64_t base, Instant now);
 
   const traffic::TrafficState& state_;
   const Instant start_;
   std::map<ConnectionId, Session> sessions_;
   std::set<ConnectionId> new_;  ///< Told no hints yet.
+  std::uint64_t updates_version_ = 0;         ///< Of the state that `updates_` lead to.
+  std::map<std::uint64_t, Message> updates_;  ///< By base.
   std::uint64_t pushed_version_ = 0;  ///< Urgent version that every session was sent.
   Instant push_due_{};                ///< Not pushed again earlier.
   bool held_back_ = false;            ///< Something waits for `push_due_`.
--- a/src/protocol/internal_server.cc
+++ b/src/protocol/internal_server.cc
@@ -172,16 +172,25 @@
 void InternalServer::SendToRouter(RouterConnectionId connection,
                                   std::shared_ptr<const control::ControlToRouter> message) {
   asio::post(encoder_.context(), [this, connection, message = std::move(message)] {
-    if (message != encoded_message_) {
-      encoded_message_ = message;
-      encoded_ = std::make_shared<const std::string>(codec::Encode(*message));
-    }
-    asio::post(impl_->loop().context(), [impl = impl_, connection, payload = encoded_] {
+    const auto payload = EncodeOnce(message);
+    asio::post(impl_->loop().context(), [impl = impl_, connection, payload] {
       impl->SendToRouter(connection, *payload);
     });
   });
 }
 
+std::shared_ptr<const std::string> InternalServer::EncodeOnce(
+    const std::shared_ptr<const control::ControlToRouter>& message) {
+  if (message == encoded_message_) return encoded_;
+  auto payload = std::make_shared<const std::string>(codec::Encode(*message));
+  // One that nobody else holds does not come again.
+  if (message.use_count() > 1) {
+    encoded_message_ = message;
+    encoded_ = payload;
+  }
+  return payload;
+}
+
 void InternalServer::Disconnect() {
   asio::post(impl_->loop().context(), [impl = impl_] { impl->Disconnect(); });
 }
--- a/src/protocol/internal_server.h
+++ b/src/protocol/internal_server.h
@@ -69,12 +69,16 @@
   void Disconnect();
 
  private:
+  /// On the encoder's thread only.
+  std::shared_ptr<const std::string> EncodeOnce(
+      const std::shared_ptr<const control::ControlToRouter>& message);
+
   class Impl;
   std::shared_ptr<Impl> impl_;
   /// Encodes for routers: a whole map of a large fleet takes so long that peers' heartbeats must
   /// not wait for it on the connections' thread.
   runtime::EventLoop encoder_;
-  // The message that was encoded last, on the encoder's thread only.
+  // The shared message that was encoded last, on the encoder's thread only.
   std::shared_ptr<const control::ControlToRouter> encoded_message_;
   std::shared_ptr<const std::string> encoded_;
 };
--- a/tests/control/traffic_sessions_test.cc
+++ b/tests/control/traffic_sessions_test.cc
@@ -76,3 +76,28 @@
   fixture.Change();
   cr_assert(fixture.sessions.Push(kStart + Duration{1'000}).size() == 10);
 }
+
+Test(traffic_sessions, routers_that_start_together_get_one_message_and_an_answer_each) {
+  Fixture fixture(0);
+  std::set<const ControlToRouter*> states;
+  for (ConnectionId router = 1; router <= 300; ++router) {
+    traffic::TrafficPoll poll;
+    poll.router = {"r-" + std::to_string(router)};
+    poll.sequence = 40 + router;
+    const auto sends = fixture.sessions.Poll(router, poll, kStart);
+    cr_assert(sends.size() == 2);
+    cr_assert(UpdateOf(sends[0]).base == 0 && UpdateOf(sends[0]).instances.size() == 1);
+    states.insert(sends[0].message.get());
+    cr_assert(UpdateOf(sends[1]).sequence == poll.sequence);
+    cr_assert(UpdateOf(sends[1]).version == UpdateOf(sends[0]).version);
+  }
+  cr_assert(states.size() == 1);
+}
+
+Test(traffic_sessions, router_that_lacks_nothing_gets_the_answer_alone) {
+  Fixture fixture(0);
+  traffic::TrafficPoll poll;
+  poll.router = {"r-1"};
+  poll.version = fixture.index;
+  cr_assert(fixture.sessions.Poll(1, poll, kStart).size() == 1);
+}
