--- a/src/control/range_controller.cc
+++ b/src/control/range_controller.cc
@@ -333,6 +333,9 @@
            must_go ? "the owner leaves" : "the owner fails requests");
     }
     const bool by_heartbeat = LeasedByHeartbeat(service);
+    // Their release would not be known of before then, and the keys would rest for as long: their
+    // owner, though it is busy, serves them better.
+    if (by_heartbeat && now <= inherited_until_) continue;
     // Planned beside the moves and releases under way: among hundreds of owners some always are.
     const auto moves = balancer_.Rebalance(service, ranges, CandidatesFor(service, now),
                                            PlannedMoves(service), now);
--- a/tests/control/heartbeat_leases_test.cc
+++ b/tests/control/heartbeat_leases_test.cc
@@ -34,8 +34,8 @@
 constexpr Instant kStart = InstantFromMicros(1'000'000'000);
 const ServiceName kService{"s"};
 
-/// The state that a new leader finds: "i-1" owns all keys, which are being released.
-traffic::TrafficState StateWithRelease() {
+/// The state that a new leader finds: "i-1" owns all keys.
+traffic::TrafficState StateWithOwner() {
   traffic::TrafficState state;
   traffic::ConfigurationChange change;
   change.version = {1};
@@ -50,10 +50,26 @@
   const traffic::KeySpan all{0, traffic::kLastKey};
   state.Assign({{kService, all, {}, {"i-1"}, ""}}, 2);
   state.Confirm({{kService, all, {2}}}, 3);
-  state.BeginReleases({{kService, all, {2}, {}}}, 4);
   return state;
 }
 
+/// The same when the keys are being released.
+traffic::TrafficState StateWithRelease() {
+  traffic::TrafficState state = StateWithOwner();
+  state.BeginReleases({{kService, {0, traffic::kLastKey}, {2}, {}}}, 4);
+  return state;
+}
+
+/// Requests for keys all over the service.
+traffic::TrafficPoll BusyPoll() {
+  traffic::TrafficPoll poll;
+  poll.loads = {{kService, {}}};
+  for (std::uint32_t key = 0; key <= traffic::kLastKey; key += 512) {
+    poll.loads[0].keys.push_back({key, 2});
+  }
+  return poll;
+}
+
 /// A heartbeat of an instance that holds nothing and tells of no release.
 control::ReportInstance EmptyHeartbeat(const std::string& id, std::int64_t sequence) {
   control::ReportInstance heartbeat;
@@ -87,6 +103,28 @@
   cr_assert(!leader.Decide(kStart + 5 * kSecond).empty());
 }
 
+/// Whoever gives keys away then leaves them without an owner until the last lease is over.
+Test(heartbeat_leases, new_leader_moves_no_load_before_it_can_know_of_a_release) {
+  traffic::TrafficState state = StateWithOwner();
+  for (const char* const id : {"i-1", "i-2"}) state.Report({EmptyHeartbeat(id, 1).report}, 5);
+  control::InstanceLiveness liveness(4 * kSecond, kStart);
+  control::RangeController leader({}, state, liveness, {}, kStart);
+  std::optional<Duration> first_move;
+  for (int step = 0; step < 80 && !first_move; ++step) {
+    const Duration since = step * kSecond / 10;
+    for (const char* const id : {"i-1", "i-2"}) {
+      control::ReportInstance heartbeat = EmptyHeartbeat(id, step + 2);
+      if (*(id + 2) == '1') heartbeat.keys.held = {{{0, traffic::kLastKey}, {2}}};
+      liveness.Heard({id}, kStart + since);
+      leader.TakeHeartbeat(heartbeat, kStart + since);
+    }
+    leader.TakeLoads(BusyPoll(), kStart + since);
+    if (!leader.Decide(kStart + since).empty()) first_move = since;
+  }
+  cr_assert(first_move.has_value(), "the load is moved in the end");
+  cr_assert(*first_move > 4 * kSecond);
+}
+
 Test(heartbeat_leases, all_keys_are_held_soon_after_the_instances_came) {
   SettledWorld settled(1, 4);
   LeasedWorld& world = settled.world;
