Draw servers by speed alone, so that none gets more than its part; tell of hot keys in the log

Change: a draw by speed, again where the server is known to be full, of all zones where the own one is; no server counts as more than twice as fast as the mean; failures are no answers by whose time a server is judged.

--- a/src/control/range_controller.cc
+++ b/src/control/range_controller.cc
@@ -214,6 +214,14 @@
   return hot;
 }
 
+void RangeController::NoteTold(const traffic::HotKey& hot) {
+  const KeyRange* const range = state_.ranges().Find(hot.service, hot.key);
+  if (range == nullptr) return;
+  const bool over = hot.admitted >= 1;
+  Note("hot_key", *range, {hot.key, hot.key},
+       over ? "over" : "admitted " + std::to_string(hot.admitted) + " of its requests");
+}
+
 bool RangeController::OwnerIsOver(const KeyRange& range, const RangeCare& care, Instant now) const {
   if (range.phase == RangePhase::kUnowned || care.released) return true;
   if (HasEnded(range.owner)) return true;
--- a/src/control/range_controller.h
+++ b/src/control/range_controller.h
@@ -62,6 +62,8 @@
 
   /// Keys that are asked for more often than their owners can answer.
   std::vector<traffic::HotKey> HotKeys() const;
+  /// Notes that routers are told of a hot key.
+  void NoteTold(const traffic::HotKey& hot);
 
   /// What was decided and believed since the last call.
   std::vector<RangeNote> TakeNotes() { return std::exchange(notes_, {}); }
--- a/src/control/traffic_leader.h
+++ b/src/control/traffic_leader.h
@@ -42,7 +42,10 @@
     std::vector<RouterSend> sends = sessions_.Push(now);
     if (sessions_.HasNew()) sessions_.TellNew(hints_.All(now), sends);
     if (!hints_.IsDue(now)) return sends;
-    if (const auto hints = hints_.Look(ranges_.HotKeys(), now)) sessions_.TellAll(*hints, sends);
+    const auto hints = hints_.Look(ranges_.HotKeys(), now);
+    if (!hints) return sends;
+    for (const traffic::HotKey& hot : hints->hot_keys) ranges_.NoteTold(hot);
+    sessions_.TellAll(*hints, sends);
     return sends;
   }
 
--- a/src/gateway/backend_table.cc
+++ b/src/gateway/backend_table.cc
@@ -22,9 +22,13 @@
 /// Servers that are about as good are chosen among at random, so that gateways which know the same
 /// don't all choose the same.
 constexpr double kJitter = 0.15;
-/// Servers that are drawn of the own zone, beside one of any zone. Two choices keep most of what a
-/// look at all would bring (Mitzenmacher, The Power of Two Choices, 2001).
-constexpr int kDrawnNear = 2;
+/// Draws for a server that is not known to be full.
+constexpr int kDraws = 3;
+/// Requests for each slot at the own zone's servers from which on other zones' are drawn too.
+constexpr double kZoneIsFull = 1.5;
+/// No server is drawn for more than this multiple of the mean speed: a low mean time may stand on
+/// few answers.
+constexpr double kFastest = 2.0;
 /// How long this gateway counts its requests before it says how often it meets a server.
 constexpr Duration kVisitsCounted{3'000'000};
 /// Weight of the newest word in the occupancy of a zone's servers, and how long it is remembered.
@@ -103,39 +107,32 @@
 double BackendTable::LoadOf(const Backend& backend, Instant now) const {
   // Other gateways' requests end like this one's: their reported number decays with the time that
   // one takes.
-  return backend.in_flight + backend.others * Freshness(backend, now);
-}
-
-double BackendTable::Freshness(const Backend& backend, Instant now) {
   const double age = Micros(now - backend.others_at);
-  return std::exp(-age / std::max(1.0, 2 * backend.latency_us));
+  const double fading = std::exp(-age / std::max(1.0, 2 * backend.latency_us));
+  return backend.in_flight + backend.others * fading;
 }
 
-double BackendTable::GuessedLoad(const Backend& backend, Instant now) const {
-  const auto found = occupancies_.find({backend.instance.report.service, backend.instance.report.zone});
-  if (found == occupancies_.end()) return LoadOf(backend, now);
-  const double fading = std::exp(-Micros(now - found->second.at) / Micros(kOccupancyMemory));
-  const double mean = found->second.mean * fading * SlotsOf(backend);
-  return LoadOf(backend, now) + mean * (1 - Freshness(backend, now));
+double BackendTable::OccupancyOf(const ServiceZone& place, Instant now) const {
+  const auto found = occupancies_.find(place);
+  if (found == occupancies_.end()) return 0;
+  return found->second.mean * std::exp(-Micros(now - found->second.at) / Micros(kOccupancyMemory));
 }
 
 bool BackendTable::HasRoom(const Backend& backend, Duration target, Instant now) const {
   if (HasFreeSlot(backend, now)) return true;
   if (!HasConnectionLeft(backend)) return false;
   if (LoadOf(backend, now) >= SlotsOf(backend) * (1.0 + options_.waiting_maximum)) return false;
-  const double expected = ExpectedMicros(backend, LoadOf(backend, now), Duration{}, now);
-  return target == Duration{} || expected <= Micros(target);
+  return target == Duration{} || ExpectedMicros(backend, Duration{}, now) <= Micros(target);
 }
 
 bool BackendTable::HasFreeSlot(const Backend& backend, Instant now) const {
   return HasConnectionLeft(backend) && LoadOf(backend, now) < SlotsOf(backend);
 }
 
-double BackendTable::ExpectedMicros(const Backend& backend, double load, Duration target,
-                                    Instant now) const {
+double BackendTable::ExpectedMicros(const Backend& backend, Duration target, Instant now) const {
   double latency = backend.latency_us;
   if (now < backend.warm_at) latency *= options_.cold_factor;
-  const double turns = std::max(1.0, (load + 1) / SlotsOf(backend));
+  const double turns = std::max(1.0, (LoadOf(backend, now) + 1) / SlotsOf(backend));
   const bool far = backend.instance.report.zone != options_.zone;
   const double cross_zone = far ? options_.cross_zone_part : 0.0;
   const double failing = options_.failure_targets * FailingPart(backend, now);
@@ -182,7 +179,7 @@
   }
   if (usable.empty()) return full == nullptr ? best_ejected : full;
   return KnowsServers(service, ids->second.size(), now) ? Shortest(usable, target, now)
-                                                        : ShortestOfDrawn(usable, target, now);
+                                                        : DrawWithRoom(usable, now);
 }
 
 bool BackendTable::KnowsServers(const ServiceName& service, std::size_t servers,
@@ -202,8 +199,7 @@
   const Backend* best = nullptr;
   double least = 0;
   for (const Backend* const backend : usable) {
-    const double load = LoadOf(*backend, now);
-    const double expected = ExpectedMicros(*backend, load, target, now) * jitter(random_);
+    const double expected = ExpectedMicros(*backend, target, now) * jitter(random_);
     if (best != nullptr && expected >= least) continue;
     best = backend;
     least = expected;
@@ -211,27 +207,33 @@
   return best;
 }
 
-const Backend* BackendTable::ShortestOfDrawn(const Backends& usable, Duration target,
-                                             Instant now) {
+const Backend* BackendTable::DrawWithRoom(const Backends& usable, Instant now) {
   Backends near;
   std::copy_if(
       usable.begin(), usable.end(), std::back_inserter(near),
       [&](const Backend* backend) { return backend->instance.report.zone == options_.zone; });
-  Backends drawn{Draw(usable, now)};
-  for (int draw = 0; draw < kDrawnNear && !near.empty(); ++draw) drawn.push_back(Draw(near, now));
-  return *std::min_element(drawn.begin(), drawn.end(), [&](const Backend* a, const Backend* b) {
-    return ExpectedMicros(*a, GuessedLoad(*a, now), target, now) <
-           ExpectedMicros(*b, GuessedLoad(*b, now), target, now);
-  });
+  const ServiceZone place{usable.front()->instance.report.service, options_.zone};
+  const bool full = near.empty() || OccupancyOf(place, now) >= kZoneIsFull;
+  const Backend* best = nullptr;
+  for (int draw = 0; draw < kDraws; ++draw) {
+    const Backend* const drawn = Draw(full ? usable : near, now);
+    if (LoadOf(*drawn, now) < SlotsOf(*drawn)) return drawn;
+    const bool better = best == nullptr || LoadOf(*drawn, now) < LoadOf(*best, now);
+    if (better) best = drawn;
+  }
+  return best;
 }
 
 const Backend* BackendTable::Draw(const Backends& backends, Instant now) {
+  double latencies = 0;
+  for (const Backend* const backend : backends) latencies += backend->latency_us;
+  const double least = std::max(1.0, latencies / static_cast<double>(backends.size()) / kFastest);
   std::vector<double> sums;
   double sum = 0;
   for (const Backend* const backend : backends) {
     const double cold = now < backend->warm_at ? options_.cold_factor : 1.0;
     const double sound = std::max(kSoundMinimum, 1 - FailingPart(*backend, now));
-    sum += SlotsOf(*backend) * sound / (cold * std::max(1.0, backend->latency_us));
+    sum += SlotsOf(*backend) * sound / (cold * std::max(least, backend->latency_us));
     sums.push_back(sum);
   }
   const double drawn = std::uniform_real_distribution<double>(0, sum)(random_);
@@ -292,6 +294,8 @@
   backend.ejection = {};
   backend.ejected_until = {};
   backend.paused_until = {};
+  // What fails may fail in no time, and must not pass for fast.
+  if (failed) return;
   if (!was_waiting) {
     ++backend.speed.answers;
     backend.speed.busy_us += static_cast<std::uint64_t>(taken.count());
--- a/src/gateway/backend_table.h
+++ b/src/gateway/backend_table.h
@@ -90,8 +90,8 @@
   /// Whether a server has been without new work for so long that its promise to get none is due.
   bool DrainedForLong(const Backend& backend, Instant now) const;
 
-  /// The server of a service with the shortest wait to expect, without those in `tried`: of all
-  /// where this gateway meets them often, of a few that are drawn by their speed otherwise.
+  /// The server of a service with the shortest wait to expect, without those in `tried`; one drawn
+  /// by its speed where this gateway meets them too rarely to know.
   /// @param target within which an answer is worth most.
   /// @return nullptr when none takes new work.
   const Backend* Choose(const ServiceName& service, const std::vector<traffic::InstanceId>& tried,
@@ -140,14 +140,14 @@
   /// Whether this gateway meets each server of a service often enough to know how it does.
   bool KnowsServers(const ServiceName& service, std::size_t servers, Instant now) const;
   const Backend* Shortest(const Backends& usable, Duration target, Instant now);
-  const Backend* ShortestOfDrawn(const Backends& usable, Duration target, Instant now);
-  /// One of `backends`, each as probable as it is fast; nullptr of none.
+  /// Draws from the own zone, from all while that zone's servers are full.
+  const Backend* DrawWithRoom(const Backends& usable, Instant now);
+  /// One of `backends`, each as probable as it is fast, so that all get the same load for their
+  /// speed; there must be one.
   const Backend* Draw(const Backends& backends, Instant now);
-  /// LoadOf(), with the mean of the server's zone in place of a word that is too old.
-  double GuessedLoad(const Backend& backend, Instant now) const;
-  /// Part that is left of a server's word on its load.
-  static double Freshness(const Backend& backend, Instant now);
-  double ExpectedMicros(const Backend& backend, double load, Duration target, Instant now) const;
+  /// Requests for each slot at a zone's servers, by their words of the last seconds; 0 when unknown.
+  double OccupancyOf(const ServiceZone& place, Instant now) const;
+  double ExpectedMicros(const Backend& backend, Duration target, Instant now) const;
   /// Part of the next requests that a server is taken to fail.
   double FailingPart(const Backend& backend, Instant now) const;
   void NoteOutcome(Backend& backend, bool failed, Instant now) const;
--- a/tests/gateway/backend_table_test.cc
+++ b/tests/gateway/backend_table_test.cc
@@ -247,3 +247,19 @@
   cr_assert(slow >= 5, "slower ones get requests too: %d", slow);
   cr_assert(slow <= 150);
 }
+
+Test(backend_table, failures_do_not_make_a_server_pass_for_fast) {
+  Fixture fixture({MakeInstance("a", "near")});
+  fixture.Answer("a", Duration{100'000}, kNow);
+  AttemptReport report;
+  report.end = AttemptEnd::kAnswered;
+  report.status = 500;
+  const double before = fixture.table.Find({"a"})->latency_us;
+  for (int failure = 0; failure < 20; ++failure) {
+    fixture.table.OnSent({"a"}, kNow);
+    fixture.table.OnEnded({"a"}, report, Duration{1'000}, kNow);
+  }
+  cr_assert(fixture.table.Find({"a"})->latency_us == before);
+  const auto speeds = fixture.table.TakeSpeeds(/*all=*/true);
+  cr_assert(speeds.at(0).answers == 1 && speeds.at(0).failures == 20);
+}
