Watch a new connection to a server for a reset before a request is sent over it

Cause: a server with too many connections, or a long queue, accepts one and resets it at once. Change: the connection is watched for as long as its opening took, 1 to 10 ms; a reset by then means that nothing was sent.

--- a/src/daemon/gateway/gateway_process.cc
+++ b/src/daemon/gateway/gateway_process.cc
@@ -21,6 +21,9 @@
 /// A server that is reached accepts within milliseconds. A lost opening packet is sent again after a
 /// second at the earliest: by then another server would have answered.
 constexpr Duration kConnectLimit{300'000};
+/// Bounds of the time for which a new connection to a server is watched for a reset.
+constexpr Duration kWatchMinimum{1'000};
+constexpr Duration kWatchMaximum{10'000};
 /// Kept free of callers' bodies: the rest of the process, and answers under way.
 constexpr std::size_t kBodyBytesTotal = std::size_t{64} << 20;
 constexpr std::size_t kAnswerBytesMaximum = std::size_t{32} << 20;
@@ -66,6 +69,8 @@
   event_http::ClientPoolOptions pool;
   pool.answer_bytes_maximum = kAnswerBytesMaximum;
   pool.connect_limit = kConnectLimit;
+  pool.watch_minimum = kWatchMinimum;
+  pool.watch_maximum = kWatchMaximum;
   servers_ = std::make_unique<event_http::ClientPool>(loop_.context(), pool);
   BOOST_LEAF_CHECK(callers_->Start());
   BOOST_LEAF_CHECK(status_->Start());
--- a/src/event_http/client_pool.cc
+++ b/src/event_http/client_pool.cc
@@ -86,7 +86,7 @@
  public:
   ClientConnection(asio::io_context& context, std::string address,
                    std::weak_ptr<ClientPool::Impl> pool)
-      : socket_(context), timer_(context), address_(std::move(address)), pool_(std::move(pool)) {}
+      : socket_(context), timer_(context), watch_(context), address_(std::move(address)), pool_(std::move(pool)) {}
 
   const std::string& address() const { return address_; }
   CallNumber last_call() const { return number_; }
@@ -155,8 +155,19 @@
       SetSocketOptions(self->socket_);
       const Duration spent = runtime::BootTimeNow() - self->started_at_;
       self->ArmTimer(std::max(Duration{1'000}, self->call_.limit - spent));
-      self->Write();
       self->Read();
+      self->WatchAndWrite(spent);
+    });
+  }
+
+  void WatchAndWrite(Duration opening) {
+    const auto pool = pool_.lock();
+    if (!pool || pool->options().watch_maximum == Duration{}) return Write();
+    const ClientPoolOptions& options = pool->options();
+    watch_.expires_after(std::clamp(opening, options.watch_minimum, options.watch_maximum));
+    watch_.async_wait([self = shared_from_this(), number = number_](ErrorCode error) {
+      if (error || self->closed_ || !self->handler_ || self->number_ != number) return;
+      self->Write();
     });
   }
 
@@ -281,6 +292,7 @@
     if (closed_) return;
     closed_ = true;
     timer_.cancel();
+    watch_.cancel();
     if (discard) DiscardOnClose(socket_);
     ErrorCode ignored;
     socket_.close(ignored);
@@ -289,6 +301,7 @@
 
   Tcp::socket socket_;
   asio::steady_timer timer_;
+  asio::steady_timer watch_;
   const std::string address_;
   const std::weak_ptr<ClientPool::Impl> pool_;
   CallNumber number_;
--- a/src/event_http/client_pool.h
+++ b/src/event_http/client_pool.h
@@ -49,6 +49,11 @@
   std::size_t answer_bytes_maximum = std::size_t{64} << 20;
   std::size_t resting_maximum = 8;  ///< Connections kept for one address.
   Duration connect_limit{1'000'000};
+  /// A new connection is watched for as long as its opening took, within these bounds, before a
+  /// request is sent over it: a server that has too many connections accepts one and resets it at
+  /// once, and a request that was sent by then may have run for all that is known. Zero: not at all.
+  Duration watch_minimum{0};
+  Duration watch_maximum{0};
   /// A connection that rests longer is closed, sooner when its server says so.
   Duration rest_limit{8'000'000};
 };
--- a/tests/event_http/event_http_test.cc
+++ b/tests/event_http/event_http_test.cc
@@ -1,7 +1,9 @@
 #include <criterion/criterion.h>
 
+#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <future>
+#include <thread>
 
 #include "src/event_http/client_pool.h"
 #include "src/event_http/server.h"
@@ -105,6 +107,37 @@
   loop.Stop();
 }
 
+Test(event_http, nothing_is_sent_over_a_connection_that_its_server_resets_as_it_opens) {
+  namespace asio = boost::asio;
+  asio::io_context context;
+  asio::ip::tcp::acceptor acceptor(context, {asio::ip::make_address("127.0.0.1"), 0});
+  std::thread server([&] {
+    asio::ip::tcp::socket socket(context);
+    acceptor.accept(socket);
+    socket.set_option(asio::socket_base::linger(true, 0));
+    socket.close();
+  });
+  runtime::EventLoop loop;
+  ClientPoolOptions options;
+  // Only the reset ends it: however slow this machine is, it comes first.
+  options.watch_minimum = options.watch_maximum = std::chrono::seconds(4);
+  ClientPool pool(loop.context(), options);
+  const std::string address = "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+  cr_assert(CallAndWait(loop, pool, address, Post("/", "x")).end == CallEnd::kNotSent);
+  server.join();
+  loop.Stop();
+}
+
+Test(event_http, request_is_sent_over_a_connection_that_stays_open) {
+  EchoServer server;
+  runtime::EventLoop loop;
+  ClientPoolOptions options;
+  options.watch_minimum = options.watch_maximum = Duration{2'000};
+  ClientPool pool(loop.context(), options);
+  cr_assert(CallAndWait(loop, pool, server.address(), Post("/", "x")).response.body == "POST x");
+  loop.Stop();
+}
+
 Test(event_http, pipelined_requests_are_answered_in_order) {
   EchoServer server;
   test::RawClient client(server.server->port());
