--- a/src/control/instance_outlook.cc
+++ b/src/control/instance_outlook.cc
@@ -19,8 +19,10 @@
 /// Answers that a mean latency must stand on, and up to which older ones count.
 constexpr double kAnswersMinimum = 6;
 constexpr double kAnswersMaximum = 40;
-/// By which a latency must differ from what was told last.
-constexpr double kLatencyChange = 0.25;
+/// By which a latency must differ from what was told last, and how long that stands at least: where
+/// servers slow down, their means pass through many values, and each goes to all routers.
+constexpr double kLatencyChange = 0.4;
+constexpr Duration kLatencyStands{4'000'000};
 constexpr Duration kForgotten{60'000'000};
 
 double Fading(Duration age, Duration memory) {
@@ -79,15 +81,20 @@
     const double told = seen.told_failing_percent * Fading(now - seen.told_at, kAnswerMemory);
     const double latency = LatencyOf(seen);
     const bool fails = failing >= kFailingWorthTelling && failing - told >= kFailingChange;
-    const bool differs =
-        latency > 0 && std::abs(latency - seen.told_latency_us) > kLatencyChange * latency;
+    const bool stands = seen.told_latency_us > 0 && now - seen.latency_told_at < kLatencyStands;
+    const bool differs = latency > 0 && !stands &&
+                         std::abs(latency - seen.told_latency_us) > kLatencyChange * latency;
     if (!fails && !differs) continue;
-    seen.told_latency_us = static_cast<std::uint32_t>(latency);
+    if (differs) {
+      seen.told_latency_us = static_cast<std::uint32_t>(latency);
+      seen.latency_told_at = now;
+    }
     if (fails) {
       seen.told_failing_percent = static_cast<std::uint32_t>(failing);
       seen.told_at = now;
     }
-    hints.push_back({id, seen.told_latency_us, fails ? seen.told_failing_percent : 0});
+    const std::uint32_t latency_us = differs ? seen.told_latency_us : 0;
+    hints.push_back({id, latency_us, fails ? seen.told_failing_percent : 0});
   }
   return hints;
 }
--- a/src/control/instance_outlook.h
+++ b/src/control/instance_outlook.h
@@ -40,6 +40,7 @@
     double latency_weight = 0;  ///< Answers that the mean stands on.
     Instant heard{};
     std::uint32_t told_latency_us = 0;
+    Instant latency_told_at{};
     std::uint32_t told_failing_percent = 0;
     Instant told_at{};
   };
--- a/src/traffic/instance_table.cc
+++ b/src/traffic/instance_table.cc
@@ -114,7 +114,9 @@
 void InstanceTable::AddChanges(std::uint64_t base, std::vector<Instance>& changed) const {
   for (const auto& [id, instance] : instances_) {
     if (instance.changed_at <= base || (base == 0 && instance.Gone())) continue;
-    changed.push_back(instance);
+    Instance& told = changed.emplace_back(instance);
+    told.report.release.clear();
+    told.report.sequence = 0;
   }
 }
 
--- a/src/traffic/key_range_table.cc
+++ b/src/traffic/key_range_table.cc
@@ -119,8 +119,12 @@
   for (const auto& [service, ranges] : services_) {
     for (const auto& [first, range] : ranges) {
       if (range.changed_at <= base) continue;
-      changed.push_back(range);
-      changed.back().handover.clear();
+      KeyRange& told = changed.emplace_back(range);
+      // Nobody is asked for the keys but an owner that serves them. Each range goes to each router:
+      // what it does without is most of a range's bytes.
+      told.handover.clear();
+      told.successor = {};
+      if (range.phase != RangePhase::kServing) told.owner = {};
     }
   }
   std::stable_sort(changed.begin(), changed.end(), [](const KeyRange& a, const KeyRange& b) {
--- a/src/traffic/key_range_table.h
+++ b/src/traffic/key_range_table.h
@@ -69,7 +69,8 @@
   /// next owner is not one: they wait until that owner serves.
   std::uint64_t urgent_changed_at() const { return urgent_changed_at_; }
 
-  /// Adds the ranges that changed after `base`, in the order of their changes.
+  /// Adds the ranges that changed after `base`, in the order of their changes, with what routers
+  /// need of them.
   void AddChanges(std::uint64_t base, std::vector<KeyRange>& changed) const;
 
   std::vector<KeyRange> Image() const;
