Draw by what all gateways saw, and by nothing else

Cause: a hinted latency took the place of the gateway's own. Change: hints count in draws only; a server that nobody met counts as the mean.

--- a/include/graniteseam/traffic/update.h
+++ b/include/graniteseam/traffic/update.h
@@ -59,9 +59,9 @@
 struct InstanceSpeed {
   InstanceId instance;
   std::uint32_t answers = 0;
-  std::uint64_t busy_us = 0;   ///< Sum of their times.
-  std::uint32_t whole = 0;     ///< Whole answers, also of requests that had to wait.
-  std::uint32_t failures = 0;  ///< Of those, the ones that tell of a failure of the instance.
+  std::uint64_t busy_us = 0;    ///< Sum of their times.
+  std::uint32_t whole = 0;      ///< Whole answers, also of requests that had to wait.
+  std::uint32_t failures = 0;   ///< Of those, the ones that tell of a failure of the instance.
   std::uint32_t unreached = 0;  ///< Attempts that ended without a whole answer of the instance.
 
   bool operator==(const InstanceSpeed&) const = default;
--- a/src/control/traffic_sessions.h
+++ b/src/control/traffic_sessions.h
@@ -57,12 +57,12 @@
   const traffic::TrafficState& state_;
   const Instant start_;
   std::map<ConnectionId, Session> sessions_;
-  std::set<ConnectionId> new_;  ///< Told no hints yet.
+  std::set<ConnectionId> new_;                ///< Told no hints yet.
   std::uint64_t updates_version_ = 0;         ///< Of the state that `updates_` lead to.
   std::map<std::uint64_t, Message> updates_;  ///< By base.
-  std::uint64_t pushed_version_ = 0;  ///< Urgent version that every session was sent.
-  Instant push_due_{};                ///< Not pushed again earlier.
-  bool held_back_ = false;            ///< Something waits for `push_due_`.
+  std::uint64_t pushed_version_ = 0;          ///< Urgent version that every session was sent.
+  Instant push_due_{};                        ///< Not pushed again earlier.
+  bool held_back_ = false;                    ///< Something waits for `push_due_`.
   std::map<RouterId, Instant> heard_;
 };
 
--- a/src/daemon/gateway/gateway_process.cc
+++ b/src/daemon/gateway/gateway_process.cc
@@ -18,8 +18,8 @@
 constexpr std::uint64_t kSampledRequests = 64;
 /// A request that took longer is told in full.
 constexpr Duration kSlow{1'000'000};
-/// A server that is reached accepts within milliseconds. A lost opening packet is sent again after a
-/// second at the earliest: by then another server would have answered.
+/// A server that is reached accepts within milliseconds. A lost opening packet is sent again after
+/// a second at the earliest: by then another server would have answered.
 constexpr Duration kConnectLimit{300'000};
 /// Bounds of the time for which a new connection to a server is watched for a reset.
 constexpr Duration kWatchMinimum{1'000};
@@ -83,9 +83,7 @@
   control.silence_limit = settings_.poll_interval;
   control_ = std::make_unique<protocol::RouterControlClient>(
       control, metrics_registry_,
-      [this](const control::ControlToRouter& answer) {
-        OnControlMessage(answer);
-      },
+      [this](const control::ControlToRouter& answer) { OnControlMessage(answer); },
       [this](bool connected) {
         events_.Write(runtime::EventWeight::kNotable,
                       runtime::EventLine(connected ? "control_connected" : "control_lost"));
@@ -309,9 +307,8 @@
   if (const auto* update = std::get_if<control::TrafficUpdate>(&message)) {
     asio::post(loop_.context(), [this, update = *update] { OnUpdate(update); });
   } else if (const auto* hints = std::get_if<control::TrafficHints>(&message)) {
-    asio::post(loop_.context(), [this, hints = *hints] {
-      Run(node_.OnHints(hints, runtime::BootTimeNow()));
-    });
+    asio::post(loop_.context(),
+               [this, hints = *hints] { Run(node_.OnHints(hints, runtime::BootTimeNow())); });
   }
 }
 
--- a/src/event_http/client_pool.cc
+++ b/src/event_http/client_pool.cc
@@ -86,7 +86,11 @@
  public:
   ClientConnection(asio::io_context& context, std::string address,
                    std::weak_ptr<ClientPool::Impl> pool)
-      : socket_(context), timer_(context), watch_(context), address_(std::move(address)), pool_(std::move(pool)) {}
+      : socket_(context),
+        timer_(context),
+        watch_(context),
+        address_(std::move(address)),
+        pool_(std::move(pool)) {}
 
   const std::string& address() const { return address_; }
   CallNumber last_call() const { return number_; }
--- a/src/event_http/client_pool.h
+++ b/src/event_http/client_pool.h
@@ -51,7 +51,8 @@
   Duration connect_limit{1'000'000};
   /// A new connection is watched for as long as its opening took, within these bounds, before a
   /// request is sent over it: a server that has too many connections accepts one and resets it at
-  /// once, and a request that was sent by then may have run for all that is known. Zero: not at all.
+  /// once, and a request that was sent by then may have run for all that is known. Zero: not at
+  /// all.
   Duration watch_minimum{0};
   Duration watch_maximum{0};
   /// A connection that rests longer is closed, sooner when its server says so.
--- a/src/gateway/backend_table.cc
+++ b/src/gateway/backend_table.cc
@@ -209,9 +209,9 @@
 
 const Backend* BackendTable::DrawWithRoom(const Backends& usable, Instant now) {
   Backends near;
-  std::copy_if(
-      usable.begin(), usable.end(), std::back_inserter(near),
-      [&](const Backend* backend) { return backend->instance.report.zone == options_.zone; });
+  std::copy_if(usable.begin(), usable.end(), std::back_inserter(near), [&](const Backend* backend) {
+    return backend->instance.report.zone == options_.zone;
+  });
   const ServiceZone place{usable.front()->instance.report.service, options_.zone};
   const bool full = near.empty() || OccupancyOf(place, now) >= kZoneIsFull;
   const Backend* best = nullptr;
@@ -224,16 +224,29 @@
   return best;
 }
 
+std::optional<double> BackendTable::LatencyToDrawBy(const Backend& backend) {
+  if (backend.hinted_latency_us > 0) return backend.hinted_latency_us;
+  return backend.latency_known ? std::optional(backend.latency_us) : std::nullopt;
+}
+
 const Backend* BackendTable::Draw(const Backends& backends, Instant now) {
+  double known = 0;
   double latencies = 0;
-  for (const Backend* const backend : backends) latencies += backend->latency_us;
-  const double least = std::max(1.0, latencies / static_cast<double>(backends.size()) / kFastest);
+  for (const Backend* const backend : backends) {
+    const auto latency = LatencyToDrawBy(*backend);
+    if (!latency) continue;
+    known += 1;
+    latencies += *latency;
+  }
+  // Of a server that nobody has met nothing speaks for another speed than that of the others.
+  const double mean = known > 0 ? std::max(1.0, latencies / known) : 1.0;
   std::vector<double> sums;
   double sum = 0;
   for (const Backend* const backend : backends) {
     const double cold = now < backend->warm_at ? options_.cold_factor : 1.0;
     const double sound = std::max(kSoundMinimum, 1 - FailingPart(*backend, now));
-    sum += SlotsOf(*backend) * sound / (cold * std::max(least, backend->latency_us));
+    const double latency = std::max(mean / kFastest, LatencyToDrawBy(*backend).value_or(mean));
+    sum += SlotsOf(*backend) * sound / (cold * latency);
     sums.push_back(sum);
   }
   const double drawn = std::uniform_real_distribution<double>(0, sum)(random_);
@@ -245,8 +258,8 @@
   const auto found = backends_.find(id);
   if (found == backends_.end()) return;
   ++found->second.in_flight;
-  Visits& visits = visits_.try_emplace(found->second.instance.report.service, Visits{0, now, now})
-                       .first->second;
+  Visits& visits =
+      visits_.try_emplace(found->second.instance.report.service, Visits{0, now, now}).first->second;
   visits.fading *= std::exp(-Micros(now - visits.at) / Micros(options_.visits_memory));
   ++visits.fading;
   visits.at = now;
@@ -257,10 +270,8 @@
     const auto found = backends_.find(hint.instance);
     if (found == backends_.end()) continue;
     Backend& backend = found->second;
-    if (hint.latency_us > 0) {
-      backend.latency_us = hint.latency_us;
-      backend.latency_known = true;
-    }
+    // Only draws go by it: by the same hints the shortest wait would be the same server's for all.
+    if (hint.latency_us > 0) backend.hinted_latency_us = hint.latency_us;
     constexpr double kPercent = 100;
     backend.failing = std::max(FailingPart(backend, now), hint.failing_percent / kPercent);
     backend.failing_at = now;
--- a/src/gateway/backend_table.h
+++ b/src/gateway/backend_table.h
@@ -56,6 +56,7 @@
   Instant others_at{};
   double latency_us = 0;  ///< Mean time of one request that did not wait.
   bool latency_known = false;
+  double hinted_latency_us = 0;  ///< As all gateways saw it; 0 when not told.
   traffic::InstanceSpeed speed;  ///< Since it was last told.
   int failures = 0;              ///< In a row.
   double failing = 0;            ///< Mean part of answers that told of a failure, as of failing_at.
@@ -145,7 +146,10 @@
   /// One of `backends`, each as probable as it is fast, so that all get the same load for their
   /// speed; there must be one.
   const Backend* Draw(const Backends& backends, Instant now);
-  /// Requests for each slot at a zone's servers, by their words of the last seconds; 0 when unknown.
+  /// The best known latency of a server that is to be drawn; nullopt when there is none.
+  static std::optional<double> LatencyToDrawBy(const Backend& backend);
+  /// Requests for each slot at a zone's servers, by their words of the last seconds; 0 when
+  /// unknown.
   double OccupancyOf(const ServiceZone& place, Instant now) const;
   double ExpectedMicros(const Backend& backend, Duration target, Instant now) const;
   /// Part of the next requests that a server is taken to fail.
--- a/src/protocol/internal_server.cc
+++ b/src/protocol/internal_server.cc
@@ -173,9 +173,8 @@
                                   std::shared_ptr<const control::ControlToRouter> message) {
   asio::post(encoder_.context(), [this, connection, message = std::move(message)] {
     const auto payload = EncodeOnce(message);
-    asio::post(impl_->loop().context(), [impl = impl_, connection, payload] {
-      impl->SendToRouter(connection, *payload);
-    });
+    asio::post(impl_->loop().context(),
+               [impl = impl_, connection, payload] { impl->SendToRouter(connection, *payload); });
   });
 }
 
