--- a/src/control/traffic_sessions.cc
+++ b/src/control/traffic_sessions.cc
@@ -12,9 +12,9 @@
 constexpr Duration kRouterKept{15'000'000};
 /// By then every router has found a new leader.
 constexpr Duration kSettling{3'000'000};
-/// Messages a second that pushes may take. A change that goes to 300 routers is 300 messages; where
-/// changes come faster than they can be sent, the queue of one leader held up acknowledgements for
-/// 12 s. At 300 routers changes are told each 30 ms, at ten each millisecond.
+/// Messages a second that pushes may take, so that a leader has time for its other duties: a change
+/// that goes to 300 routers is 300 messages. With so many, changes are told each 30 ms; with ten,
+/// each millisecond.
 constexpr std::int64_t kPushesPerSecond = 10'000;
 
 }  // namespace
