Keep as many voters as the losses that are to be survived take

Cause: the group kept three voters wherever it ran. On sites where two machines with a disk may be lost at once, the loss of two of the three took the quorum and with it what had been acknowledged; the other core machines were learners. Change: setting losses_tolerated; self_repair keeps twice as many voters and one.

--- a/src/daemon/control/control_process.cc
+++ b/src/daemon/control/control_process.cc
@@ -201,7 +201,7 @@
   outputs.stop = [this] { stop_signals_.RequestStop(); };
   control::ControlOptions options = settings_.node;
   options.reviewer_keys = settings_.reviewers;
-  options.membership.voters = static_cast<std::size_t>(settings_.voters);
+  options.membership.voters = settings_.WantedVoters();
   driver_ = std::make_unique<ControlDriver>(std::move(options), std::move(storage_), queue_,
                                             std::move(outputs), metrics_);
 }
--- a/src/daemon/control/control_settings.cc
+++ b/src/daemon/control/control_settings.cc
@@ -114,6 +114,10 @@
   return advertised_peer_address.ip.empty() ? peer_address : advertised_peer_address;
 }
 
+std::size_t ControlSettings::WantedVoters() const {
+  return static_cast<std::size_t>(losses_tolerated == 0 ? voters : 2 * losses_tolerated + 1);
+}
+
 std::size_t ControlSettings::RegistryConnections() const {
   constexpr double kRegistryPart = 0.5;
   return static_cast<std::size_t>(static_cast<double>(descriptors_maximum) * kRegistryPart);
@@ -184,6 +188,10 @@
                    settings.node.membership.enabled);
   constexpr std::int64_t kVotersMaximum = 9;
   reader.AddInteger("voters", "Voters that self_repair keeps.", settings.voters, 1, kVotersMaximum);
+  reader.AddInteger("losses_tolerated",
+                    "Machines that may be lost at once with their disks; self_repair keeps the "
+                    "voters that this takes, twice as many and one. 0: as voters says.",
+                    settings.losses_tolerated, 0, (kVotersMaximum - 1) / 2);
   reader.AddMilliseconds("range_hold_ms", "Length of a grant of keys.",
                          settings.node.traffic.ranges.hold, std::chrono::milliseconds(500),
                          std::chrono::seconds(60));
--- a/src/daemon/control/control_settings.h
+++ b/src/daemon/control/control_settings.h
@@ -30,6 +30,8 @@
   std::int64_t descriptors_maximum = 4'096;   ///< That this process may have open.
   bool initialise = false;
   std::int64_t voters = 3;
+  /// Machines whose loss at once, disks included, the group must survive; 0 leaves it to `voters`.
+  std::int64_t losses_tolerated = 0;
   std::vector<runtime::SocketAddress> platform;
   runtime::TextTable operators;
   runtime::TextTable reviewers;
@@ -45,6 +47,9 @@
   /// Where operators reach it.
   const runtime::SocketAddress& KnownHttpAddress() const;
 
+  /// Voters that self_repair keeps: as many as it takes for the losses that are to be survived.
+  std::size_t WantedVoters() const;
+
   /// Of instances and operators at once: what is left belongs to peers, routers, owners of keys and
   /// files.
   std::size_t RegistryConnections() const;
--- a/tests/control/membership_keeper_test.cc
+++ b/tests/control/membership_keeper_test.cc
@@ -91,6 +91,22 @@
   cr_assert(next && next->voters.size() == 3 && next->learners == std::vector<Member>{kD});
 }
 
+Test(membership_keeper, group_grows_to_the_voters_that_are_wanted) {
+  const Member e = MakeMember(5, 15);
+  MembershipKeeperOptions options = Enabled();
+  options.voters = 5;
+  MembershipView view{kA,
+                      {{kA, kB, kC}, {kD, e}},
+                      {Status(kB, 50), Status(kC, 50), Status(kD, 50), Status(e, 50)},
+                      {}};
+  for (const std::size_t voters : {4, 5}) {
+    const auto next = NextMembership(options, view);
+    cr_assert(next && next->voters.size() == voters);
+    view.membership = *next;
+  }
+  cr_assert(!NextMembership(options, view));
+}
+
 Test(membership_keeper, switched_off_it_does_nothing) {
   const MembershipView view{kA, {{kA, kB, kC}, {}}, {Status(kB, 50), Status(kC, 50)}, {kD}};
   cr_assert(!NextMembership({}, view));
--- a/tests/control_daemon/control_settings_test.cc
+++ b/tests/control_daemon/control_settings_test.cc
@@ -56,6 +56,21 @@
   cr_assert(WithAddresses({"--metrics-address=10.0.0.1:3"}).empty());
 }
 
+Test(control_settings, voters_follow_from_the_losses_that_are_to_be_survived) {
+  program::ControlSettings settings;
+  cr_assert(settings.WantedVoters() == 3);
+  settings.voters = 7;
+  cr_assert(settings.WantedVoters() == 7);
+  settings.losses_tolerated = 1;
+  cr_assert(settings.WantedVoters() == 3);
+  // With three voters, two disks that are lost at once take the quorum and what it acknowledged.
+  settings.losses_tolerated = 2;
+  cr_assert(settings.WantedVoters() == 5);
+  cr_assert(WithAddresses({"--losses-tolerated=2"}).empty());
+  cr_assert(WithAddresses({"--losses-tolerated=5"}) ==
+            std::vector<std::string>({"losses_tolerated"}));
+}
+
 Test(control_settings, ports_beyond_loopback_need_protection) {
   const auto keys = Faults({"--peer-address=10.0.0.1:1", "--http-address=10.0.0.1:2"});
   cr_assert(keys == std::vector<std::string>({"internal_secret_file", "http_tls_certificate"}));
