Tell in the logs which requests ask for the same, and name the ends of attempts

Cause: after servers ended one after the other, the logs could not tell whether the requests lost at them asked for the same thing: each came under an id of its own. The ends of attempts were numbers that had to be looked up.

Change: a digest of all that a server acts on (method, host, target, key, body) is taken as a request is read and told with its answer; ends have names.

--- a/src/daemon/gateway/exchange_translator.cc
+++ b/src/daemon/gateway/exchange_translator.cc
@@ -1,5 +1,7 @@
 #include "src/daemon/gateway/exchange_translator.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <charconv>
 #include <cstdio>
@@ -35,6 +37,20 @@
   return sound ? std::optional(load) : std::nullopt;
 }
 
+/// The digest leaves out the sign bit.
+constexpr std::uint64_t kDigestBits = (std::uint64_t{1} << 63) - 1;
+
+/// @param key the field that names the request's key; null when there is none.
+traffic::RequestDigest DigestOf(const event_http::Request& request, const std::string& host,
+                                const std::string* key) {
+  std::string text = request.method + '\n' + host + '\n' + request.target + '\n';
+  if (key != nullptr) text += *key;
+  text += '\n';
+  // The body is hashed by itself: it may be large, and would have to be copied.
+  const std::uint64_t body = XXH3_64bits(request.body.data(), request.body.size());
+  return {XXH3_64bits_withSeed(text.data(), text.size(), body) & kDigestBits};
+}
+
 std::int64_t ToMillis(Duration duration) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
 }
@@ -52,7 +68,9 @@
   arrived.number = number;
   if (const std::string* host = request.fields.Find("Host")) arrived.host = *host;
   arrived.path = std::string(request.Path());
-  arrived.key = ReadNumber<std::uint32_t>(request.fields.Find(names_.key));
+  const std::string* const key = request.fields.Find(names_.key);
+  arrived.key = ReadNumber<std::uint32_t>(key);
+  arrived.digest = DigestOf(request, arrived.host, key);
   arrived.time_left = kDefaultTimeLeft;
   const auto left = ReadNumber<std::int64_t>(request.fields.Find(names_.time_left_ms));
   if (left) {
--- a/src/daemon/gateway/gateway_process.cc
+++ b/src/daemon/gateway/gateway_process.cc
@@ -143,7 +143,9 @@
     Run(node_.OnCallerGone(number, runtime::BootTimeNow()));
     live_.erase(number);
   });
-  Run(node_.OnRequest(translator_.Read(exchange->request(), number), runtime::BootTimeNow()));
+  const gateway::ArrivedRequest arrived = translator_.Read(exchange->request(), number);
+  live.digest = arrived.digest;
+  Run(node_.OnRequest(arrived, runtime::BootTimeNow()));
   const bool due = runtime::BootTimeNow() - last_poll_ >= kUrgentPollInterval;
   if (node_.LoadIsUrgent() && due) Poll();
 }
@@ -298,6 +300,7 @@
                             .Add("status", static_cast<std::int64_t>(status))
                             .Add("outcome", outcome)
                             .Add("target", live.exchange->request().target)
+                            .Add("digest", live.digest.value)
                             .Add("version", node_.version()));
 }
 
--- a/src/daemon/gateway/gateway_process.h
+++ b/src/daemon/gateway/gateway_process.h
@@ -47,6 +47,7 @@
   /// A request with what the log may have to tell of it.
   struct LiveExchange {
     std::shared_ptr<event_http::Exchange> exchange;
+    traffic::RequestDigest digest;
     std::optional<event_http::CallNumber> call;
     bool sent = false;                           ///< At least once, to a server.
     std::optional<event_http::Response> answer;  ///< The last that a server gave.
--- a/src/gateway/gateway_events.cc
+++ b/src/gateway/gateway_events.cc
@@ -2,6 +2,22 @@
 
 namespace graniteseam::gateway {
 
+std::string_view EndName(AttemptEnd end) {
+  switch (end) {
+    case AttemptEnd::kAnswered:
+      return "answered";
+    case AttemptEnd::kNotExecuted:
+      return "not_executed";
+    case AttemptEnd::kNotSent:
+      return "not_sent";
+    case AttemptEnd::kLost:
+      return "lost";
+    case AttemptEnd::kUnusable:
+      return "unusable";
+  }
+  return "unknown";
+}
+
 std::string_view ReasonName(RefusalReason reason) {
   switch (reason) {
     case RefusalReason::kNoConfiguration:
--- a/src/gateway/gateway_events.h
+++ b/src/gateway/gateway_events.h
@@ -12,6 +12,7 @@
 #include "graniteseam/common/ids.h"
 #include "graniteseam/common/time.h"
 #include "graniteseam/traffic/instance.h"
+#include "graniteseam/traffic/request_digest.h"
 
 namespace graniteseam::gateway {
 
@@ -25,6 +26,7 @@
   std::string path;                  ///< Without the query.
   std::optional<std::uint32_t> key;  ///< Of a keyed service.
   Duration time_left{};              ///< For which the caller waits from now on.
+  traffic::RequestDigest digest;     ///< Of what it asks for.
 };
 
 /// What a server reports of its own load.
@@ -43,6 +45,8 @@
   kUnusable,     ///< An answer that is not to be trusted: another request's, or broken.
 };
 
+std::string_view EndName(AttemptEnd end);
+
 struct AttemptReport {
   RequestNumber request;
   std::uint32_t attempt = 0;
--- a/src/gateway/request_ending.cc
+++ b/src/gateway/request_ending.cc
@@ -30,8 +30,8 @@
   request.may_have_run = request.may_have_run || may_have_run(report.end);
   if (is_final_answer(report)) return Relay(request);
   Note(request.arrived.number, "attempt_failed", ended.instance,
-       "end " + std::to_string(static_cast<int>(report.end)) + ", status " +
-           std::to_string(report.status) + AfterMs(now - ended.sent_at));
+       "end " + std::string(EndName(report.end)) + ", status " + std::to_string(report.status) +
+           AfterMs(now - ended.sent_at));
   RetryOrEnd(request, report, now);
 }
 
