--- a/simulation/simulator/main.cc
+++ b/simulation/simulator/main.cc
@@ -35,6 +35,8 @@
 constexpr const char* kTrafficScenario = "traffic";
 /// The same without faults of control and of the whole network.
 constexpr const char* kTrafficCalmCore = "traffic-calm-core";
+/// The same as the first with requests that end each worker that runs them.
+constexpr const char* kTrafficCrashing = "traffic-crashing";
 
 constexpr const char* kUsage =
     "Usage: graniteseam-simulation [OPTION...]\n"
@@ -59,7 +61,10 @@
   std::string defect;
   bool list = false;
 
-  bool Traffic() const { return scenario == kTrafficScenario || scenario == kTrafficCalmCore; }
+  bool Traffic() const {
+    return scenario == kTrafficScenario || scenario == kTrafficCalmCore ||
+           scenario == kTrafficCrashing;
+  }
 };
 
 [[noreturn]] void ExitWithUsage(const std::string& fault) {
@@ -149,6 +154,8 @@
               "gateways, key ranges and configuration under faults that the seed draws");
   std::printf("scenario %-36s %s\n", kTrafficCalmCore,
               "the same without faults of control and of the whole network");
+  std::printf("scenario %-36s %s\n", kTrafficCrashing,
+              "traffic with requests that end each worker that runs them");
   for (const auto& [defect, name, promise, description] : seeded_traffic_defects()) {
     std::printf("defect   %-36.*s traffic: %.*s\n", static_cast<int>(name.size()), name.data(),
                 static_cast<int>(description.size()), description.data());
@@ -212,7 +219,8 @@
   const auto* defect = FindTrafficDefect(settings.defect);
   return graniteseam::simulation::run_traffic(
       {options,
-       {defect ? defect->defect : TrafficDefect::kNone, settings.scenario == kTrafficCalmCore}});
+       {defect ? defect->defect : TrafficDefect::kNone, settings.scenario == kTrafficCalmCore,
+        settings.scenario == kTrafficCrashing, false}});
 }
 
 void RunAll(const Settings& settings, const Scenario* scenario, Totals& totals) {
--- a/simulation/traffic_world/gateway_process.cc
+++ b/simulation/traffic_world/gateway_process.cc
@@ -118,7 +118,8 @@
     auto& live = m_live.at(send.request);
     live.attempt = send.attempt;
     live.address = send.address;
-    WorkerRequest const request {send.request.value, send.instance.value, live.request.key, send.time_left};
+    WorkerRequest const request {
+        send.request.value, send.instance.value, live.request.key, send.time_left, live.request.digest.value};
     m_ports.send_to_worker(
         *this, send.address, request, [this, send](gateway::AttemptEnd end, WorkerAnswer const& answer) {
             on_attempt_end(send, end, answer);
@@ -164,12 +165,14 @@
 auto GatewayProcess::act(gateway::RelayAnswer const& relay) -> void
 {
     auto const& answer = m_live.at(relay.request).answer;
-    tell(relay.request, {CallerAnswer::End::kAnswered, answer.status, answer.number, {}});
+    tell(relay.request, {CallerAnswer::End::kAnswered, answer.status, answer.number, {}, {}});
 }
 
 auto GatewayProcess::act(gateway::Refuse const& refusal) -> void
 {
-    tell(refusal.request, {CallerAnswer::End::kRefused, refusal.status, 0, refusal.retry_after});
+    tell(refusal.request,
+        {CallerAnswer::End::kRefused, refusal.status, 0, refusal.retry_after,
+            gateway::ReasonName(refusal.reason)});
 }
 
 auto GatewayProcess::tell(gateway::RequestNumber number, CallerAnswer const& answer) -> void
--- a/simulation/traffic_world/gateway_process.h
+++ b/simulation/traffic_world/gateway_process.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "graniteseam/control/router_messages.h"
@@ -30,6 +31,7 @@
     int status = 0;
     std::uint64_t answered = 0; ///< The request that a worker's answer says it belongs to.
     std::optional<Duration> retry_after;
+    std::string_view reason; ///< Of a refusal.
 };
 
 /// Where a gateway's messages go; the fleet implements it.
--- a/simulation/traffic_world/traffic_callers.cc
+++ b/simulation/traffic_world/traffic_callers.cc
@@ -25,6 +25,15 @@
     constexpr int kTries = 3;
     constexpr double kHotKeys = 0.4;
     constexpr std::uint32_t kKeys = 65'536;
+    /// Part of the calls that ask for what others ask for as well.
+    constexpr double kPopular = 0.3;
+    constexpr std::uint64_t kCrashingMaximum = 3;
+    constexpr Duration kCrashingStart {4'000'000};
+    /// Between two calls for what ends its workers.
+    constexpr Duration kAgainMinimum {50'000};
+    constexpr Duration kAgainMaximum {1'500'000};
+    /// What only one call asks for is numbered from here on.
+    constexpr std::uint64_t kOwnDigest = 1'000;
 
     auto is_promise(int status) -> bool
     {
@@ -57,9 +66,47 @@
         call.key = draw_key();
     call.deadline = m_world.now() + m_world.random.Between(kDeadlineMinimum, kDeadlineMaximum).count();
     call.tries_left = kTries;
+    if (m_fleet.options().crashing_requests && m_world.random.Chance(kPopular))
+        make_popular(call);
     attempt(call);
 }
 
+auto TrafficCallers::make_popular(Call& call) -> void
+{
+    call.digest = 1 + m_world.random.Below(kPopularDigests);
+    // What many ask for alike has one kind and one key.
+    call.kind = &kKinds[2 * (call.digest % 3)];
+    call.key
+        = call.kind->keyed ? std::optional(static_cast<std::uint32_t>(20'000 + call.digest)) : std::nullopt;
+}
+
+auto TrafficCallers::start_crashing(TrueTime end) -> void
+{
+    auto const count = 1 + m_world.random.Below(kCrashingMaximum);
+    for (std::uint64_t number = 1; number <= count; ++number) {
+        Call call;
+        call.kind = &kKinds[m_world.random.Below(kKinds.size())];
+        if (call.kind->keyed)
+            call.key = draw_key();
+        call.digest = kPopularDigests + number;
+        m_world.Count("fault: request that ends its workers");
+        m_world.queue.After(m_world.random.Between(Duration {0}, kCrashingStart),
+            [this, call, end] { come_again(call, end); });
+    }
+}
+
+auto TrafficCallers::come_again(Call call, TrueTime end) -> void
+{
+    if (m_world.now() >= end)
+        return;
+    auto one = call;
+    one.deadline = m_world.now() + m_world.random.Between(kDeadlineMinimum, kDeadlineMaximum).count();
+    one.tries_left = kTries;
+    attempt(one);
+    m_world.queue.After(
+        m_world.random.Between(kAgainMinimum, kAgainMaximum), [this, call, end] { come_again(call, end); });
+}
+
 auto TrafficCallers::attempt(Call call) -> void
 {
     --call.tries_left;
@@ -70,6 +117,7 @@
     request.host = "host";
     request.path = call.kind->path + std::to_string(number);
     request.key = call.key;
+    request.digest = {call.digest != 0 ? call.digest : kOwnDigest + number};
     request.time_left = Duration {call.deadline - m_world.now()};
     auto& gateway = *m_fleet.gateways[m_world.random.Below(m_fleet.gateways.size())];
     auto const ended = std::make_shared<bool>(false);
@@ -102,6 +150,10 @@
     if (refused) {
         m_world.Count("request refused");
         m_oracle.on_refused(request, answer.status, m_world.now());
+        if (answer.reason == "quarantined") {
+            m_world.Count("request quarantined");
+            m_oracle.on_quarantined(request, call.digest, m_world.now());
+        }
     }
     auto const may_repeat = refused || call.kind->repeatable;
     auto const left = call.deadline - m_world.now();
--- a/simulation/traffic_world/traffic_callers.h
+++ b/simulation/traffic_world/traffic_callers.h
@@ -31,6 +31,8 @@
     }
 
     auto start() -> void;
+    /// Some requests that end each worker that runs them come again and again until `end`.
+    auto start_crashing(TrueTime end) -> void;
 
     /// Calls that ended since the last question.
     struct Served {
@@ -47,9 +49,12 @@
         std::optional<std::uint32_t> key;
         TrueTime deadline = 0;
         int tries_left = 0;
+        std::uint64_t digest = 0; ///< Of what it asks for; 0 for what nobody else asks for.
     };
 
     auto arrive() -> void;
+    auto make_popular(Call&) -> void;
+    auto come_again(Call, TrueTime end) -> void;
     auto attempt(Call) -> void;
     auto on_told(Call, std::uint64_t request, CallerAnswer const&) -> void;
     auto count_end(Call const&, bool served) -> void;
--- a/simulation/traffic_world/traffic_fleet.cc
+++ b/simulation/traffic_world/traffic_fleet.cc
@@ -31,6 +31,9 @@
     /// Of requests to a worker that is down, those that go out on a connection which it had left open.
     constexpr double kOnOldConnection = 0.3;
     constexpr double kSentTwice = 0.05;
+    /// A worker that ended under a request is back after so long.
+    constexpr Duration kBackMinimum {400'000};
+    constexpr Duration kBackMaximum {4'000'000};
     constexpr std::array kHomes {kOrderedService, kLeasedService, kPooledService};
 
 } // namespace
@@ -266,6 +269,7 @@
     traits.keyed = service != kPooledService;
     traits.checks_instance = defect() != TrafficDefect::kOrderTakenByAnyInstance;
     traits.lease_never_ends = defect() == TrafficDefect::kLeaseNeverEnds;
+    traits.crash = [this, &place](WorkerRequest const& request) { crash_under(place, request); };
     place.worker = std::make_shared<Worker>(m_world, m_oracle, traits);
     place.planned_end = false;
     m_targets[traits.id] = static_cast<std::uint32_t>(1 + m_world.random.Below(kTrafficControls));
@@ -291,6 +295,18 @@
     place.ended = m_world.now();
 }
 
+auto TrafficFleet::crash_under(Place& place, WorkerRequest const& request) -> void
+{
+    m_world.Count("worker ended under a request");
+    m_oracle.on_crashed(request.digest, place.worker->traits().id, m_world.now());
+    auto const service = place.worker->traits().service;
+    crash(place, std::nullopt);
+    m_world.queue.After(m_world.random.Between(kBackMinimum, kBackMaximum), [this, &place, service] {
+        if (!place.worker->up())
+            start_worker(place, service);
+    });
+}
+
 auto TrafficFleet::end_after(Place& place, std::shared_ptr<Worker> const& worker, Duration time) -> void
 {
     m_world.queue.After(time, [this, &place, worker] {
@@ -530,6 +546,8 @@
     if (counts && m_drains_heard.contains(worker->traits().id))
         m_world.Count("request from a gateway in touch to a drained worker");
     m_oracle.on_request_reached(worker->traits().id, counts, m_world.now());
+    if (is_crashing(request.digest))
+        m_oracle.on_crashing_reached(request.digest, in_touch(from), m_world.now());
     auto const surplus_place = std::pair(from.name().number, worker->traits().id);
     worker->run(request, [=, this, &from](WorkerAnswer const& given) {
         if (given.end == WorkerAnswer::End::kBroken)
--- a/simulation/traffic_world/traffic_fleet.h
+++ b/simulation/traffic_world/traffic_fleet.h
@@ -50,6 +50,11 @@
     /// Control and the network as a whole stay whole, so that the promises of gateways in touch are put
     /// to the test.
     bool core_stays_calm = false;
+    /// Some requests end each worker that runs them and come again and again, and many callers ask for
+    /// the same.
+    bool crashing_requests = false;
+    /// Nothing else goes wrong beside those requests.
+    bool nothing_else = false;
 };
 
 /// An address, and who lives there.
@@ -82,6 +87,8 @@
     /// The place's worker ends without a word. @param heartbeat_left one of its heartbeats is still on
     /// its way, and arrives after this time.
     auto crash(Place&, std::optional<Duration> heartbeat_left) -> void;
+    /// The place's worker ends under a request that it runs, and another one starts there after some time.
+    auto crash_under(Place&, WorkerRequest const&) -> void;
     /// The place's worker leaves as planned, with a word first or by the word that it is gone.
     auto drain(Place&, bool with_word) -> void;
 
--- a/simulation/traffic_world/traffic_oracle.cc
+++ b/simulation/traffic_world/traffic_oracle.cc
@@ -12,6 +12,12 @@
     /// By then an accepted configuration is in force at gateways in touch.
     constexpr std::int64_t kConfigurationApplied = 2'000'000;
 
+    /// Workers that one request may end before it must reach no more, and how soon after the last of them.
+    constexpr std::size_t kCrashesAllowed = 3;
+    constexpr std::int64_t kContainedWithin = 3'000'000;
+    /// Times that it may reach a worker after that.
+    constexpr std::uint32_t kReachedAllowed = 3;
+
     auto to_text(Keys const& keys) -> std::string
     {
         return std::to_string(keys.first) + " to " + std::to_string(keys.last);
@@ -155,6 +161,40 @@
             now);
 }
 
+// --- Requests that end their workers ---
+
+auto TrafficOracle::on_crashed(std::uint64_t digest, std::string const& worker, std::int64_t now) -> void
+{
+    auto& crashing = m_crashing[digest];
+    crashing.ended.insert(worker);
+    if (crashing.ended.size() == kCrashesAllowed && crashing.third_at == 0)
+        crashing.third_at = now;
+}
+
+auto TrafficOracle::on_crashing_reached(std::uint64_t digest, bool in_touch, std::int64_t now) -> void
+{
+    ++m_checks;
+    auto& crashing = m_crashing[digest];
+    if (!in_touch || crashing.third_at == 0 || now - crashing.third_at <= kContainedWithin)
+        return;
+    if (++crashing.reached_after > kReachedAllowed)
+        violate("contained",
+            "a request under which " + std::to_string(crashing.ended.size())
+                + " workers have ended reaches workers for the " + std::to_string(crashing.reached_after)
+                + ". time",
+            now);
+}
+
+auto TrafficOracle::on_quarantined(std::uint64_t request, std::uint64_t digest, std::int64_t now) -> void
+{
+    ++m_checks;
+    if (!is_crashing(digest))
+        violate("spared",
+            "request " + std::to_string(request)
+                + " is refused for workers that ended, and it has ended none",
+            now);
+}
+
 // --- Drains ---
 
 auto TrafficOracle::on_drain_acknowledged(std::string const& worker, std::int64_t now) -> void
--- a/simulation/traffic_world/traffic_oracle.h
+++ b/simulation/traffic_world/traffic_oracle.h
@@ -15,6 +15,15 @@
 
 namespace graniteseam::simulation {
 
+/// What requests ask for, as the callers of this world number it: one of a few that many callers ask
+/// for alike, one that ends each worker that runs it, or one that only one call asks for.
+inline constexpr std::uint64_t kPopularDigests = 4;
+inline constexpr std::uint64_t kCrashingDigests = 16;
+constexpr auto is_crashing(std::uint64_t digest) -> bool
+{
+    return digest > kPopularDigests && digest <= kPopularDigests + kCrashingDigests;
+}
+
 /// Keys that a worker holds, or still works on.
 struct HeldKeysFact {
     Keys keys;
@@ -48,6 +57,14 @@
     /// A caller got a worker's answer. @param answered the request that the answer says it belongs to.
     auto on_answer(std::uint64_t request, std::uint64_t answered, std::int64_t now) -> void;
 
+    // Requests that end their workers.
+    /// A worker ended under what it ran.
+    auto on_crashed(std::uint64_t digest, std::string const& worker, std::int64_t now) -> void;
+    /// A request that would end its worker reaches one. @param in_touch whether its gateway was in touch.
+    auto on_crashing_reached(std::uint64_t digest, bool in_touch, std::int64_t now) -> void;
+    /// A caller was told that what it asks for ended workers.
+    auto on_quarantined(std::uint64_t request, std::uint64_t digest, std::int64_t now) -> void;
+
     // Drains.
     /// A worker's word that it leaves was acknowledged.
     auto on_drain_acknowledged(std::string const& worker, std::int64_t now) -> void;
@@ -87,6 +104,11 @@
         bool refused = false;
         std::uint32_t runs = 0;
     };
+    struct Crashing {
+        std::set<std::string> ended; ///< Workers.
+        std::int64_t third_at = 0; ///< When it ended the third one.
+        std::uint32_t reached_after = 0; ///< Workers, by gateways in touch, later than allowed.
+    };
     struct Accepted {
         std::string content;
         std::int64_t at = 0;
@@ -99,6 +121,7 @@
     /// The highest fence under which each worker ever held a key, by service and worker.
     std::map<std::string, std::map<std::string, SpanMap<std::uint64_t>>> m_fences;
     std::map<std::uint64_t, Request> m_requests;
+    std::map<std::uint64_t, Crashing> m_crashing; ///< By digest.
     std::map<std::string, std::int64_t> m_drained_since;
     std::map<std::uint64_t, Accepted> m_accepted; ///< By version.
     std::map<std::uint64_t, std::string> m_accepted_on; ///< Contents by base.
--- a/simulation/traffic_world/traffic_run.cc
+++ b/simulation/traffic_world/traffic_run.cc
@@ -77,7 +77,10 @@
     auto const overlapping = world.random.Chance(0.5);
     world.queue.After(kCalmAtStart, [&] {
         callers.start();
-        faults.inject_until(calm_from, overlapping);
+        if (options.world.crashing_requests)
+            callers.start_crashing(calm_from);
+        if (!options.world.nothing_else)
+            faults.inject_until(calm_from, overlapping);
     });
     world.queue.At(calm_from, [&] {
         operators.rest();
--- a/simulation/traffic_world/worker.cc
+++ b/simulation/traffic_world/worker.cc
@@ -277,6 +277,13 @@
         auto const started = ++m_started;
         m_running.emplace(started, work);
         auto const time = m_world.random.Between(m_traits.work / 2, m_traits.work * 3 / 2);
+        if (is_crashing(work.request.digest)) {
+            m_world.queue.After(time, [self = shared_from_this(), request = work.request] {
+                if (self->m_up)
+                    self->m_traits.crash(request);
+            });
+            continue;
+        }
         m_world.queue.After(time, [self = shared_from_this(), started] { self->finish(started, kOk); });
     }
 }
--- a/simulation/traffic_world/worker.h
+++ b/simulation/traffic_world/worker.h
@@ -21,6 +21,15 @@
 
 namespace graniteseam::simulation {
 
+/// A request as it reaches a worker.
+struct WorkerRequest {
+    std::uint64_t number = 0;
+    std::string instance; ///< That is meant.
+    std::optional<std::uint32_t> key;
+    Duration time_left {};
+    std::uint64_t digest = 0; ///< Of what it asks for.
+};
+
 /// What a worker is from its start to its end.
 struct WorkerTraits {
     std::string id;
@@ -35,14 +44,8 @@
     /// Refuses an order that names another instance. Only with a transport that carries the name.
     bool checks_instance = false;
     bool lease_never_ends = false; ///< A seeded defect.
-};
-
-/// A request as it reaches a worker.
-struct WorkerRequest {
-    std::uint64_t number = 0;
-    std::string instance; ///< That is meant.
-    std::optional<std::uint32_t> key;
-    Duration time_left {};
+    /// Ends the worker's process under the request that it runs.
+    std::function<void(WorkerRequest const&)> crash;
 };
 
 struct WorkerAnswer {
--- a/tests/traffic_world/traffic_oracle_test.cc
+++ b/tests/traffic_world/traffic_oracle_test.cc
@@ -198,3 +198,29 @@
     oracle.violate("fences", "once", 10);
     cr_assert_eq(oracle.violations().size(), 4);
 }
+
+Test(traffic_oracle, a_request_that_ended_three_workers_may_reach_few_more)
+{
+    constexpr std::uint64_t kCrashing = kPopularDigests + 1;
+    TrafficOracle oracle;
+    for (auto const* worker : {"i-1", "i-2", "i-3"})
+        oracle.on_crashed(kCrashing, worker, kSecond);
+    for (auto number = 0; number < 9; ++number)
+        oracle.on_crashing_reached(kCrashing, true, 4 * kSecond);
+    for (auto number = 0; number < 9; ++number)
+        oracle.on_crashing_reached(kCrashing, false, 5 * kSecond);
+    for (auto number = 0; number < 3; ++number)
+        oracle.on_crashing_reached(kCrashing, true, 5 * kSecond);
+    cr_assert(clean(oracle));
+    oracle.on_crashing_reached(kCrashing, true, 6 * kSecond);
+    cr_assert(oracle.found("contained"));
+}
+
+Test(traffic_oracle, a_request_that_ended_no_worker_is_not_refused_for_it)
+{
+    TrafficOracle oracle;
+    oracle.on_quarantined(1, kPopularDigests + 1, kSecond);
+    cr_assert(clean(oracle));
+    oracle.on_quarantined(2, kPopularDigests, kSecond);
+    cr_assert(oracle.found("spared"));
+}
