Quarantine requests under which servers end one after the other

Cause: what a request did to servers was remembered nowhere. Limits of attempts and the retry budget end with one request at one gateway; its caller comes back through any gateway under a new id, and the key's next owner is the next to end. Class: evidence that only all gateways together have is kept by none of them.

Change: gateways tell control which attempts were lost at which instance, by the digest of what the request asks for. The leader counts instances that ended under the same request, one after the other, silent since, not leaving as planned, and without an answer in between; two make a suspect, whose answers gateways tell, three a quarantine, in which it is refused at once with 503. Both are entries of the log: a new leader, a gateway that starts again and a group that lost all power know them. Bounded (256, for ten minutes). Control writes its decisions to the event log.

--- a/include/graniteseam/control/control_node.h
+++ b/include/graniteseam/control/control_node.h
@@ -55,8 +55,9 @@
   std::vector<LeaseSend> lease_sends;
   std::vector<RouterSend> router_sends;
   std::vector<OperatorReply> operator_replies;
-  std::vector<RangeOrder> range_orders;  ///< To instances that own keys.
-  std::vector<RangeNote> range_notes;    ///< For the event log.
+  std::vector<RangeOrder> range_orders;    ///< To instances that own keys.
+  std::vector<RangeNote> range_notes;      ///< For the event log.
+  std::vector<SuspectNote> suspect_notes;  ///< The same.
 };
 
 /// One control process without its I/O. Not thread safe; `now` never goes back.
--- a/include/graniteseam/control/range_orders.h
+++ b/include/graniteseam/control/range_orders.h
@@ -8,6 +8,7 @@
 
 #include "graniteseam/common/time.h"
 #include "graniteseam/traffic/key_range.h"
+#include "graniteseam/traffic/request_digest.h"
 
 namespace graniteseam::control {
 
@@ -60,4 +61,11 @@
   std::string inputs;            ///< Why, in short sentences.
 };
 
+/// What was decided on a request under which instances ended; for the event log.
+struct SuspectNote {
+  std::string_view what;  ///< "suspect", "quarantine" or "clear_suspect".
+  traffic::RequestDigest digest;
+  std::string inputs;  ///< The instances that ended under it.
+};
+
 }  // namespace graniteseam::control
--- a/include/graniteseam/traffic/update.h
+++ b/include/graniteseam/traffic/update.h
@@ -10,6 +10,7 @@
 #include "graniteseam/traffic/configuration.h"
 #include "graniteseam/traffic/instance.h"
 #include "graniteseam/traffic/key_range.h"
+#include "graniteseam/traffic/suspect.h"
 
 namespace graniteseam::traffic {
 
@@ -29,12 +30,13 @@
   /// Changed spans in the order of their changes; each overrides what was known of its keys.
   std::vector<KeyRange> ranges;
   std::uint32_t routers = 0;  ///< Routers that share the group's budgets at present.
+  std::optional<std::vector<SuspectRequest>> suspects;  ///< All of them, when any changed.
 
   bool operator==(const TrafficUpdate&) const = default;
 };
 BOOST_DESCRIBE_STRUCT(TrafficUpdate, (),
                       (sequence, base, version, configuration, routes, removed_routes, services,
-                       removed_services, limits, instances, ranges, routers))
+                       removed_services, limits, instances, ranges, routers, suspects))
 
 /// Requests for one key through one router since its last poll.
 struct KeyLoad {
@@ -76,9 +78,12 @@
   std::uint64_t version = 0;  ///< Log index of the state that the router has; 0 for none.
   std::vector<ServiceLoads> loads;
   std::vector<InstanceSpeed> speeds;
+  std::vector<LostAttempt> losses;        ///< Lately, some of them told before.
+  std::vector<AnsweredRequest> answered;  ///< Suspects that were answered lately.
 
   bool operator==(const TrafficPoll&) const = default;
 };
-BOOST_DESCRIBE_STRUCT(TrafficPoll, (), (router, zone, sequence, version, loads, speeds))
+BOOST_DESCRIBE_STRUCT(TrafficPoll, (),
+                      (router, zone, sequence, version, loads, speeds, losses, answered))
 
 }  // namespace graniteseam::traffic
--- a/simulation/simulator/control_process.cc
+++ b/simulation/simulator/control_process.cc
@@ -180,6 +180,10 @@
                  " fence " + std::to_string(note.fence.value) + " of " + note.instance.value +
                  ": " + note.inputs);
   }
+  for (const auto& note : effects.suspect_notes) {
+    world_.Trace(ToString(name()) + " " + std::string(note.what) + " " +
+                 std::to_string(note.digest.value) + ": " + note.inputs);
+  }
 }
 
 }  // namespace graniteseam::simulation
--- a/simulation/traffic_world/gateway_process.cc
+++ b/simulation/traffic_world/gateway_process.cc
@@ -64,7 +64,7 @@
 {
     m_last_poll = Now();
     m_poll_due = Now() + kPollInterval;
-    transmit(m_tracker->OnSend(m_node->TakePoll(), Now()));
+    transmit(m_tracker->OnSend(m_node->TakePoll(Now()), Now()));
 }
 
 auto GatewayProcess::transmit(std::vector<protocol::LeaderSend> const& sends) -> void
--- a/simulation/traffic_world/traffic_fleet.cc
+++ b/simulation/traffic_world/traffic_fleet.cc
@@ -298,6 +298,8 @@
 auto TrafficFleet::crash_under(Place& place, WorkerRequest const& request) -> void
 {
     m_world.Count("worker ended under a request");
+    m_world.Trace(place.worker->traits().id + " ends under " + std::to_string(request.number) + ", digest "
+        + std::to_string(request.digest));
     m_oracle.on_crashed(request.digest, place.worker->traits().id, m_world.now());
     auto const service = place.worker->traits().service;
     crash(place, std::nullopt);
@@ -546,8 +548,11 @@
     if (counts && m_drains_heard.contains(worker->traits().id))
         m_world.Count("request from a gateway in touch to a drained worker");
     m_oracle.on_request_reached(worker->traits().id, counts, m_world.now());
-    if (is_crashing(request.digest))
+    if (is_crashing(request.digest)) {
+        m_world.Trace(worker->traits().id + " reached by " + std::to_string(request.number) + " of digest "
+            + std::to_string(request.digest) + (in_touch(from) ? ", in touch" : ""));
         m_oracle.on_crashing_reached(request.digest, in_touch(from), m_world.now());
+    }
     auto const surplus_place = std::pair(from.name().number, worker->traits().id);
     worker->run(request, [=, this, &from](WorkerAnswer const& given) {
         if (given.end == WorkerAnswer::End::kBroken)
--- a/src/control/commands.h
+++ b/src/control/commands.h
@@ -129,13 +129,25 @@
 };
 BOOST_DESCRIBE_STRUCT(ConfirmRangesCommand, (), (confirmations))
 
+/// Instances ended under these requests.
+struct RecordSuspectsCommand {
+  std::vector<traffic::SuspectRequest> suspects;
+};
+BOOST_DESCRIBE_STRUCT(RecordSuspectsCommand, (), (suspects))
+
+/// These requests are suspected no more: they were answered, or are forgotten.
+struct ClearSuspectsCommand {
+  std::vector<traffic::RequestDigest> digests;
+};
+BOOST_DESCRIBE_STRUCT(ClearSuspectsCommand, (), (digests))
+
 using CommandBody =
     std::variant<SubmitBundleCommand, bundle::SignatureCommand, RollBundleCommand,
                  RegisterServerCommand, LoseServerCommand, AssignShardsCommand, BeginMovesCommand,
                  SetDrainingCommand, SetLeavingCommand, JournalCommand, ExpireJournalCommand,
                  RemoveServerCommand, ChangeConfigurationCommand, ReportInstancesCommand,
                  DeregisterInstanceCommand, AssignRangesCommand, ReleaseRangesCommand,
-                 ConfirmRangesCommand>;
+                 ConfirmRangesCommand, RecordSuspectsCommand, ClearSuspectsCommand>;
 
 struct Command {
   CommandBody body;
--- a/src/control/control_node_impl.cc
+++ b/src/control/control_node_impl.cc
@@ -339,7 +339,10 @@
   Lead(now);
   FlushRelay(now);
   CompactIfDue(now);
-  if (leadership_) effects_.range_notes = leadership_->traffic.ranges().TakeNotes();
+  if (leadership_) {
+    effects_.range_notes = leadership_->traffic.ranges().TakeNotes();
+    effects_.suspect_notes = leadership_->traffic.crashes().TakeNotes();
+  }
   finished_at_ = now;
   return std::exchange(effects_, {});
 }
--- a/src/control/instance_liveness.h
+++ b/src/control/instance_liveness.h
@@ -19,7 +19,9 @@
   InstanceLiveness(Duration silence, Instant now) : silence_(silence), start_(now) {}
 
   void Heard(const traffic::InstanceId& id, Instant now) {
-    heard_.try_emplace(id, HeardTimes{now, now}).first->second.last = now;
+    HeardTimes& times = heard_.try_emplace(id, HeardTimes{now, {}, now}).first->second;
+    if (now - times.last >= kRepetition) times.previous = times.last;
+    times.last = now;
   }
 
   bool Silent(const traffic::InstanceId& id, Instant now) const {
@@ -31,6 +33,12 @@
     return last && *last >= since;
   }
 
+  /// Whether two heartbeats arrived since: one may have been on its way for long.
+  bool HeardTwiceSince(const traffic::InstanceId& id, Instant since) const {
+    const auto found = heard_.find(id);
+    return found != heard_.end() && found->second.previous >= since;
+  }
+
   /// In this leadership; nullopt when it was not heard of.
   std::optional<Instant> FirstHeard(const traffic::InstanceId& id) const {
     const auto found = heard_.find(id);
@@ -42,9 +50,13 @@
   }
 
  private:
+  /// A heartbeat that comes so soon after another one may be the same, sent again.
+  static constexpr Duration kRepetition{500'000};
+
   /// When the heartbeats of an instance arrived.
   struct HeardTimes {
     Instant first;
+    Instant previous;  ///< Before `last`, not a repetition of it; Instant{} for none.
     Instant last;
   };
 
--- a/src/control/replicated_state.cc
+++ b/src/control/replicated_state.cc
@@ -20,6 +20,14 @@
   if (const Error* error = ErrorOf(result)) outcome.error = *error;
 }
 
+/// Releases that knew no suspects end their snapshots where these begin.
+Result<ReplicatedStateImage> DecodeImage(std::string_view bytes) {
+  const auto whole = Attempt([&] { return codec::Decode<ReplicatedStateImage>(bytes); });
+  if (ErrorOf(whole) == nullptr) return std::get<ReplicatedStateImage>(whole);
+  return codec::Decode<ReplicatedStateImage>(std::string(bytes) +
+                                             codec::Encode(traffic::SuspectImage{}));
+}
+
 Error UnknownServer(const ServerId& server) {
   return {ErrorKind::kNotFound, "No server " + server.value + " is known.",
           "Look the name up with `graniteseamctl fleet status`."};
@@ -191,6 +199,14 @@
   traffic_.Confirm(command.confirmations, version());
 }
 
+void ReplicatedState::Run(const RecordSuspectsCommand& command, ApplyOutcome& /*outcome*/) {
+  traffic_.Record(command.suspects, version());
+}
+
+void ReplicatedState::Run(const ClearSuspectsCommand& command, ApplyOutcome& /*outcome*/) {
+  traffic_.Clear(command.digests, version());
+}
+
 std::string ReplicatedState::Save() const {
   ReplicatedStateImage image;
   image.applied = applied_;
@@ -199,6 +215,7 @@
   image.shards = shards_.State();
   image.journal = journal_.Snapshot();
   image.traffic = traffic_.Image();
+  image.suspects = traffic_.suspects().Image();
   for (const auto& [service, longest] : longest_leases_) {
     image.leases.push_back(
         {service, std::chrono::duration_cast<std::chrono::milliseconds>(longest).count()});
@@ -207,13 +224,14 @@
 }
 
 Result<void> ReplicatedState::Restore(std::string_view bytes) {
-  BOOST_LEAF_AUTO(image, codec::Decode<ReplicatedStateImage>(bytes));
+  BOOST_LEAF_AUTO(image, DecodeImage(bytes));
   BOOST_LEAF_CHECK(shards_.Restore(image.shards));
   applied_ = image.applied;
   bundles_.Restore(image.bundles);
   servers_.Restore(image.servers);
   journal_.Restore(image.journal);
   traffic_.Restore(std::move(image.traffic));
+  traffic_.Restore(image.suspects);
   longest_leases_.clear();
   for (const auto& lease : image.leases) {
     longest_leases_[lease.service] = std::chrono::milliseconds(lease.longest_ms);
--- a/src/control/replicated_state.h
+++ b/src/control/replicated_state.h
@@ -38,9 +38,10 @@
   operation::OperationJournalState journal;
   std::vector<ServiceLease> leases;
   traffic::TrafficImage traffic;
+  traffic::SuspectImage suspects;
 };
 BOOST_DESCRIBE_STRUCT(ReplicatedStateImage, (),
-                      (applied, bundles, servers, shards, journal, leases, traffic))
+                      (applied, bundles, servers, shards, journal, leases, traffic, suspects))
 
 /// What applying one entry came to.
 struct ApplyOutcome {
@@ -100,6 +101,8 @@
   void Run(const AssignRangesCommand& command, ApplyOutcome& outcome);
   void Run(const ReleaseRangesCommand& command, ApplyOutcome& outcome);
   void Run(const ConfirmRangesCommand& command, ApplyOutcome& outcome);
+  void Run(const RecordSuspectsCommand& command, ApplyOutcome& outcome);
+  void Run(const ClearSuspectsCommand& command, ApplyOutcome& outcome);
 
   /// Takes over what a newly rolled bundle says about services.
   void AdoptServices(const bundle::Bundle& bundle);
--- a/src/control/traffic_leader.h
+++ b/src/control/traffic_leader.h
@@ -6,6 +6,7 @@
 #include <utility>
 #include <vector>
 
+#include "src/control/crash_tally.h"
 #include "src/control/displacement.h"
 #include "src/control/hint_teller.h"
 #include "src/control/instance_liveness.h"
@@ -24,16 +25,19 @@
         liveness_(options.instance_silence, now),
         ranges_(options.ranges, state.traffic(), liveness_, orders_used, now),
         sessions_(state.traffic(), now),
-        hints_(state.traffic()) {}
+        hints_(state.traffic()),
+        crashes_(state.traffic(), liveness_, now) {}
 
   InstanceLiveness& liveness() { return liveness_; }
   RangeController& ranges() { return ranges_; }
   TrafficSessions& sessions() { return sessions_; }
+  CrashTally& crashes() { return crashes_; }
 
   std::vector<RouterSend> TakePoll(ConnectionId connection, const traffic::TrafficPoll& poll,
                                    Instant now) {
     ranges_.TakeLoads(poll, now);
     hints_.TakePoll(poll, now);
+    crashes_.TakePoll(poll, now);
     return sessions_.Poll(connection, poll, now);
   }
 
@@ -54,6 +58,7 @@
     if (state_.applied() < proposed_) return {};
     std::vector<CommandBody> commands = ranges_.Decide(now);
     if (now >= forerunners_due_) DeregisterForerunners(commands, now);
+    crashes_.Decide(commands, now);
     return commands;
   }
   /// The commands of the last Decide() stand in the log up to here.
@@ -63,7 +68,8 @@
   /// event: waking for decisions would only spin.
   Instant NextDue() const {
     const bool waits = state_.applied() < proposed_;
-    return std::min(sessions_.NextDue(), waits ? ranges_.NextOrderDue() : ranges_.NextDue());
+    const Instant decisions = std::min(ranges_.NextDue(), crashes_.NextDue());
+    return std::min(sessions_.NextDue(), waits ? ranges_.NextOrderDue() : decisions);
   }
 
  private:
@@ -85,6 +91,7 @@
   RangeController ranges_;
   TrafficSessions sessions_;
   HintTeller hints_;
+  CrashTally crashes_;
   LogIndex proposed_;
   Instant forerunners_due_{};
 };
--- a/src/daemon/control/control_driver.cc
+++ b/src/daemon/control/control_driver.cc
@@ -238,6 +238,7 @@
   for (const auto& reply : effects.operator_replies) outputs_.to_operator(reply);
   for (auto& order : effects.range_orders) outputs_.to_range_owner(std::move(order));
   for (const auto& note : effects.range_notes) outputs_.on_range_note(note);
+  for (const auto& note : effects.suspect_notes) outputs_.on_suspect_note(note);
 }
 
 void ControlDriver::PublishStatus(bool storage_full) {
--- a/src/daemon/control/control_driver.h
+++ b/src/daemon/control/control_driver.h
@@ -43,6 +43,8 @@
   std::function<void(const ControlStatus& status)> on_leadership = [](const auto&) {};
   /// A decision about key ranges.
   std::function<void(const control::RangeNote& note)> on_range_note = [](const auto&) {};
+  /// A decision about a request under which instances ended.
+  std::function<void(const control::SuspectNote& note)> on_suspect_note = [](const auto&) {};
   /// A storage error that the process must not survive.
   std::function<void()> stop;
 };
--- a/src/daemon/control/control_process.cc
+++ b/src/daemon/control/control_process.cc
@@ -198,6 +198,11 @@
                                                       .Add("instance", note.instance.value)
                                                       .Add("inputs", note.inputs));
   };
+  outputs.on_suspect_note = [this](const control::SuspectNote& note) {
+    events_.Write(
+        runtime::EventWeight::kNotable,
+        runtime::EventLine(note.what).Add("digest", note.digest.value).Add("inputs", note.inputs));
+  };
   outputs.stop = [this] { stop_signals_.RequestStop(); };
   control::ControlOptions options = settings_.node;
   options.reviewer_keys = settings_.reviewers;
--- a/src/daemon/gateway/gateway_metrics.cc
+++ b/src/daemon/gateway/gateway_metrics.cc
@@ -5,22 +5,6 @@
 
 using runtime::Metric;
 
-const char* EndName(gateway::AttemptEnd end) {
-  switch (end) {
-    case gateway::AttemptEnd::kAnswered:
-      return "answered";
-    case gateway::AttemptEnd::kNotExecuted:
-      return "not_executed";
-    case gateway::AttemptEnd::kNotSent:
-      return "not_sent";
-    case gateway::AttemptEnd::kLost:
-      return "lost";
-    case gateway::AttemptEnd::kUnusable:
-      return "unusable";
-  }
-  return "unknown";
-}
-
 }  // namespace
 
 GatewayMetrics::GatewayMetrics(runtime::MetricsRegistry& registry)
@@ -43,7 +27,7 @@
 }
 
 void GatewayMetrics::OnAttemptEnd(gateway::AttemptEnd end) {
-  registry_.Counter(Metric::kGatewayAttempts, {{"end", EndName(end)}}).Increment();
+  registry_.Counter(Metric::kGatewayAttempts, {{"end", std::string(EndName(end))}}).Increment();
 }
 
 void GatewayMetrics::OnVersion(std::uint64_t version, std::uint64_t configuration) {
--- a/src/daemon/gateway/gateway_process.cc
+++ b/src/daemon/gateway/gateway_process.cc
@@ -338,7 +338,7 @@
 
 void GatewayProcess::Poll() {
   last_poll_ = runtime::BootTimeNow();
-  if (control_) control_->Send(node_.TakePoll());
+  if (control_) control_->Send(node_.TakePoll(last_poll_));
   poll_timer_.expires_after(settings_.poll_interval);
   poll_timer_.async_wait([this](auto error) {
     if (!error) Poll();
--- a/src/daemon/operator_cli/event_story.cc
+++ b/src/daemon/operator_cli/event_story.cc
@@ -64,6 +64,8 @@
      "The owner of its key had failed just before, for other requests; it did not run."},
     {"stale_owner",
      "The owner of its key that this gateway knew had lost the key; it did not run."},
+    {"quarantined",
+     "Servers ended one after the other under requests that asked for the same; it did not run."},
     {"no_server", "No server of its service took work; it did not run."},
     {"no_configuration", "This gateway had no configuration yet; it did not run."},
     {"no_route", "The configuration in force here has no route for it."},
--- a/src/gateway/gateway_events.cc
+++ b/src/gateway/gateway_events.cc
@@ -36,6 +36,8 @@
       return "stale_owner";
     case RefusalReason::kOverloaded:
       return "overloaded";
+    case RefusalReason::kQuarantined:
+      return "quarantined";
     case RefusalReason::kHotKey:
       return "hot_key";
     case RefusalReason::kDeadline:
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -23,6 +23,10 @@
 GatewayEffects GatewayNode::OnUpdate(const traffic::TrafficUpdate& update, Instant now) {
   if (!traffic_.take(update, now)) return Finish();
   Note({}, "update", {}, traffic_.describe(update));
+  if (update.suspects) {
+    crashes_.take(*update.suspects);
+    RefuseQuarantined(now);
+  }
   if (Ready()) AdmitUnrouted(now);
   ServeAllWaiting(now);
   return Finish();
@@ -76,7 +80,7 @@
 
 Instant GatewayNode::NextTick() const { return requests_.next_timer(); }
 
-traffic::TrafficPoll GatewayNode::TakePoll() {
+traffic::TrafficPoll GatewayNode::TakePoll(Instant now) {
   traffic::TrafficPoll poll;
   poll.router = options_.id;
   poll.zone = options_.backends.zone;
@@ -85,6 +89,7 @@
   poll.loads = key_loads_.take();
   const bool tell_speeds = poll_sequence_ % kPollsPerSpeeds == 0;
   poll.speeds = traffic_.backends().TakeSpeeds(tell_speeds);
+  crashes_.tell(poll, now);
   return poll;
 }
 
@@ -98,6 +103,9 @@
   const auto service = traffic_.routes().NextService(*route);
   if (!service) return EndWithoutRun(request, RefusalReason::kNoServer, now);
   TakeRoute(request, *route, *service);
+  if (crashes_.is_quarantined(arrived.digest)) {
+    return EndWithoutRun(request, RefusalReason::kQuarantined, now);
+  }
   if (traffic_.is_keyed(*service)) {
     if (!arrived.key || *arrived.key > traffic::kLastKey) {
       return EndWithoutRun(request, RefusalReason::kBadKey, now);
@@ -128,6 +136,16 @@
   }
 }
 
+void GatewayNode::RefuseQuarantined(Instant now) {
+  for (const ServiceName& service : requests_.queued_services()) {
+    for (const WaitingPlace& place : requests_.queue_of(service)) {
+      LiveRequest& request = requests_.at(place.number);
+      if (!crashes_.is_quarantined(request.arrived.digest)) continue;
+      EndWithoutRun(request, RefusalReason::kQuarantined, now);
+    }
+  }
+}
+
 void GatewayNode::TakeRoute(LiveRequest& request, const traffic::Route& route,
                             const ServiceName& service) {
   request.kind = route.kind;
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -11,6 +11,7 @@
 
 #include "graniteseam/traffic/update.h"
 #include "src/gateway/backend_table.h"
+#include "src/gateway/crash_watch.h"
 #include "src/gateway/gateway_events.h"
 #include "src/gateway/hot_key_gate.h"
 #include "src/gateway/key_loads.h"
@@ -50,7 +51,7 @@
   Instant NextTick() const;
 
   /// What to ask control, with the loads counted since the last call.
-  traffic::TrafficPoll TakePoll();
+  traffic::TrafficPoll TakePoll(Instant now);
 
   /// Whether some key got so much since the last poll that control should know at once.
   bool LoadIsUrgent() const { return key_loads_.is_urgent(); }
@@ -73,6 +74,8 @@
   bool HasPlace(LiveRequest& request, Instant now);
   /// Refuses those that wait for a hot key and have no place.
   void RefuseExcess(const traffic::HotKey& hot, Instant now);
+  /// Refuses those that wait and that control found to end their servers.
+  void RefuseQuarantined(Instant now);
   void AwaitConfiguration(LiveRequest& request, Instant now);
   void AdmitUnrouted(Instant now);
   SharedRetryBudget& BudgetOf(const ServiceName& service);
@@ -97,6 +100,9 @@
 
   // request_ending.cc
   void TakeEnd(LiveRequest& request, const AttemptReport& report, Instant now);
+  /// Remembers what the end of an attempt tells of whether its request ends servers.
+  void NoteForCrashes(const LiveRequest& request, const AttemptReport& report,
+                      const OpenAttempt& ended, Instant now);
   void RetryOrEnd(LiveRequest& request, const AttemptReport& report, Instant now);
   /// Puts a request back into its queue, to be sent again.
   void Requeue(LiveRequest& request, Instant now);
@@ -112,6 +118,7 @@
   std::map<ServiceName, SharedRetryBudget> budgets_;
   KeyLoads key_loads_;
   HotKeyGate hot_keys_;
+  CrashWatch crashes_;
   std::uint64_t poll_sequence_ = 0;
   GatewayEffects effects_;
 };
--- a/src/gateway/refusals.cc
+++ b/src/gateway/refusals.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <optional>
 
+#include "graniteseam/traffic/suspect.h"
+
 namespace graniteseam::gateway {
 namespace {
 
@@ -34,6 +36,8 @@
 auto retry_after(LiveRequest const& request, RefusalReason reason, Instant now) -> Duration {
   // Where this gateway is behind, coming back at once to another one helps.
   if (reason == RefusalReason::kStaleOwner) return kRetryAfterMinimum;
+  // Whoever comes back sooner is refused again.
+  if (reason == RefusalReason::kQuarantined) return traffic::kSuspectKept;
   auto const left = request.arrived.time_left - (now - request.received);
   return std::clamp<Duration>(left / kRetryAfterPartOfTimeLeft, kRetryAfterMinimum,
                               kRetryAfterMaximum);
--- a/src/gateway/request_ending.cc
+++ b/src/gateway/request_ending.cc
@@ -28,6 +28,7 @@
     ++request.unsent;
   }
   request.may_have_run = request.may_have_run || may_have_run(report.end);
+  NoteForCrashes(request, report, ended, now);
   if (is_final_answer(report)) return Relay(request);
   Note(request.arrived.number, "attempt_failed", ended.instance,
        "end " + std::string(EndName(report.end)) + ", status " + std::to_string(report.status) +
@@ -35,11 +36,24 @@
   RetryOrEnd(request, report, now);
 }
 
+void GatewayNode::NoteForCrashes(const LiveRequest& request, const AttemptReport& report,
+                                 const OpenAttempt& ended, Instant now) {
+  const traffic::RequestDigest digest = request.arrived.digest;
+  if (report.end == AttemptEnd::kLost) {
+    crashes_.note_lost(digest, ended.instance, ended.sent_at, now);
+  } else if (is_final_answer(report)) {
+    crashes_.note_answered(digest, now);
+  }
+}
+
 void GatewayNode::RetryOrEnd(LiveRequest& request, const AttemptReport& report, Instant now) {
   if (report.not_owner && traffic_.is_keyed(request.service)) {
     const traffic::KeyRange* range = traffic_.keys().Find(request.service, *request.arrived.key);
     if (range != nullptr) traffic_.keys().Disown(*range, now + kDisowned);
   }
+  if (crashes_.is_quarantined(request.arrived.digest)) {
+    return End(request, RefusalReason::kQuarantined, now);
+  }
   const auto bar =
       bar_to_retry(request, report.end, BudgetOf(request.service), traffic_.gateway_count(), now);
   if (!bar) return Requeue(request, now);
--- /dev/null
+++ b/src/traffic/suspect_table.cc
@@ -0,0 +1,54 @@
+#include "src/traffic/suspect_table.h"
+
+#include <algorithm>
+
+namespace graniteseam::traffic {
+namespace {
+
+/// Each takes about 100 bytes in every router and every message that tells the whole.
+constexpr std::size_t kSuspectsMaximum = 256;
+
+}  // namespace
+
+void SuspectTable::Record(const std::vector<SuspectRequest>& suspects, std::uint64_t log_index) {
+  for (const SuspectRequest& suspect : suspects) {
+    SuspectRequest& recorded = suspects_[suspect.digest];
+    recorded = suspect;
+    recorded.changed_at = log_index;
+    ForgetOldest();
+  }
+  changed_at_ = log_index;
+}
+
+void SuspectTable::Clear(const std::vector<RequestDigest>& digests, std::uint64_t log_index) {
+  for (const RequestDigest digest : digests) suspects_.erase(digest);
+  changed_at_ = log_index;
+}
+
+const SuspectRequest* SuspectTable::Find(RequestDigest digest) const {
+  const auto found = suspects_.find(digest);
+  return found == suspects_.end() ? nullptr : &found->second;
+}
+
+std::vector<SuspectRequest> SuspectTable::All() const {
+  std::vector<SuspectRequest> all;
+  all.reserve(suspects_.size());
+  for (const auto& [digest, suspect] : suspects_) all.push_back(suspect);
+  return all;
+}
+
+void SuspectTable::Restore(const SuspectImage& image) {
+  suspects_.clear();
+  for (const SuspectRequest& suspect : image.suspects) suspects_[suspect.digest] = suspect;
+  changed_at_ = image.changed_at;
+}
+
+void SuspectTable::ForgetOldest() {
+  if (suspects_.size() <= kSuspectsMaximum) return;
+  const auto oldest = std::min_element(
+      suspects_.begin(), suspects_.end(),
+      [](const auto& a, const auto& b) { return a.second.changed_at < b.second.changed_at; });
+  suspects_.erase(oldest);
+}
+
+}  // namespace graniteseam::traffic
--- a/src/traffic/traffic_state.cc
+++ b/src/traffic/traffic_state.cc
@@ -48,12 +48,13 @@
 }
 
 std::uint64_t TrafficState::version() const {
-  return std::max({configuration_.changed_at(), instances_.changed_at(), ranges_.changed_at()});
+  return std::max({configuration_.changed_at(), instances_.changed_at(), ranges_.changed_at(),
+                   suspects_.changed_at()});
 }
 
 std::uint64_t TrafficState::urgent_version() const {
-  return std::max(
-      {configuration_.changed_at(), instances_.changed_at(), ranges_.urgent_changed_at()});
+  return std::max({configuration_.changed_at(), instances_.changed_at(),
+                   ranges_.urgent_changed_at(), suspects_.changed_at()});
 }
 
 TrafficUpdate TrafficState::UpdateSince(std::uint64_t base) const {
@@ -63,6 +64,7 @@
   configuration_.AddChanges(update.base, update);
   instances_.AddChanges(update.base, update.instances);
   ranges_.AddChanges(update.base, update.ranges);
+  if (update.base == 0 || suspects_.changed_at() > update.base) update.suspects = suspects_.All();
   return update;
 }
 
--- a/src/traffic/traffic_state.h
+++ b/src/traffic/traffic_state.h
@@ -1,5 +1,6 @@
 /// @file
-/// The replicated state of traffic: configuration, instances and key ranges behind one class.
+/// The replicated state of traffic: configuration, instances, key ranges and
+/// suspects behind one class.
 #pragma once
 
 #include <boost/describe/class.hpp>
@@ -10,6 +11,7 @@
 #include "src/traffic/configuration_store.h"
 #include "src/traffic/instance_table.h"
 #include "src/traffic/key_range_table.h"
+#include "src/traffic/suspect_table.h"
 
 namespace graniteseam::traffic {
 
@@ -34,9 +36,17 @@
   void BeginReleases(const std::vector<RangeRelease>& releases, std::uint64_t log_index);
   void Confirm(const std::vector<RangeConfirmation>& confirmations, std::uint64_t log_index);
 
+  void Record(const std::vector<SuspectRequest>& suspects, std::uint64_t log_index) {
+    suspects_.Record(suspects, log_index);
+  }
+  void Clear(const std::vector<RequestDigest>& digests, std::uint64_t log_index) {
+    suspects_.Clear(digests, log_index);
+  }
+
   const ConfigurationStore& configuration() const { return configuration_; }
   const InstanceTable& instances() const { return instances_; }
   const KeyRangeTable& ranges() const { return ranges_; }
+  const SuspectTable& suspects() const { return suspects_; }
 
   /// Whether the instances of a service are given their keys in answers to their heartbeats.
   bool LeasedByHeartbeat(const ServiceName& service) const;
@@ -50,8 +60,10 @@
   /// What changed after `base`, or the whole state when base is 0 or unknown here.
   TrafficUpdate UpdateSince(std::uint64_t base) const;
 
+  /// Without the suspects, which have an image of their own.
   TrafficImage Image() const;
   void Restore(TrafficImage image);
+  void Restore(const SuspectImage& image) { suspects_.Restore(image); }
 
  private:
   /// A service that became keyed gets its keys. They are kept when it is dropped: its servers may
@@ -61,6 +73,7 @@
   ConfigurationStore configuration_;
   InstanceTable instances_;
   KeyRangeTable ranges_;
+  SuspectTable suspects_;
 };
 
 }  // namespace graniteseam::traffic
--- /dev/null
+++ b/tests/control/crash_tally_test.cc
@@ -0,0 +1,183 @@
+// Which requests are recorded as the cause of their servers' ends, and which are spared.
+#include "src/control/crash_tally.h"
+
+#include <criterion/criterion.h>
+
+#include <variant>
+
+using namespace graniteseam;
+using namespace graniteseam::control;
+
+namespace {
+
+constexpr Instant kStart = InstantFromMicros(1'000'000'000);
+constexpr traffic::RequestDigest kLethal{7};
+constexpr traffic::RequestDigest kShared{8};
+
+Instant At(std::int64_t ms) { return kStart + std::chrono::milliseconds(ms); }
+
+struct Fixture {
+  traffic::TrafficState state;
+  InstanceLiveness liveness{std::chrono::seconds(4), kStart};
+  CrashTally tally{state, liveness, kStart};
+  std::uint64_t index = 1;
+
+  Fixture() {
+    for (const char* id : {"i-1", "i-2", "i-3", "i-4", "i-5"}) {
+      traffic::InstanceReport report;
+      report.id = {id};
+      report.service = {"pool"};
+      report.address = std::string("10.0.0.1:") + id[2];
+      report.sequence = 1;
+      state.Report({report}, index);
+    }
+  }
+
+  void Lose(traffic::RequestDigest digest, const char* instance, std::int64_t sent_ms,
+            std::int64_t lost_ms) {
+    traffic::TrafficPoll poll;
+    poll.losses = {{digest, {instance}, 10, 0}};
+    poll.losses[0].sent_ms_ago = lost_ms - sent_ms;
+    tally.TakePoll(poll, At(lost_ms));
+  }
+
+  /// Tells at `ms` of an answer some time before.
+  void Answer(traffic::RequestDigest digest, std::int64_t answered_ms, std::int64_t ms) {
+    traffic::TrafficPoll poll;
+    poll.answered = {{digest, ms - answered_ms}};
+    tally.TakePoll(poll, At(ms));
+  }
+
+  /// Decides each quarter second until then, and applies what was decided.
+  void RunUntil(std::int64_t ms) {
+    for (; now_ms <= ms; now_ms += 250) {
+      std::vector<CommandBody> commands;
+      tally.Decide(commands, At(now_ms));
+      for (const CommandBody& command : commands) Apply(command);
+    }
+  }
+
+  void Apply(const CommandBody& command) {
+    ++index;
+    if (const auto* record = std::get_if<RecordSuspectsCommand>(&command)) {
+      state.Record(record->suspects, index);
+    } else {
+      state.Clear(std::get<ClearSuspectsCommand>(command).digests, index);
+    }
+  }
+
+  bool Suspected(traffic::RequestDigest digest) const { return state.suspects().Find(digest); }
+  bool Quarantined(traffic::RequestDigest digest) const {
+    const auto* const suspect = state.suspects().Find(digest);
+    return suspect != nullptr && suspect->Quarantined();
+  }
+
+  std::int64_t now_ms = 0;
+};
+
+}  // namespace
+
+Test(crash_tally, three_instances_that_end_one_after_the_other_quarantine_a_request) {
+  Fixture fixture;
+  fixture.Lose(kLethal, "i-1", 5'000, 5'050);
+  fixture.RunUntil(5'500);
+  cr_assert(!fixture.Suspected(kLethal));
+  fixture.Lose(kLethal, "i-2", 8'000, 8'050);
+  fixture.RunUntil(8'500);
+  cr_assert(fixture.Suspected(kLethal) && !fixture.Quarantined(kLethal));
+  fixture.Lose(kLethal, "i-3", 11'000, 11'050);
+  fixture.RunUntil(11'500);
+  cr_assert(fixture.Quarantined(kLethal));
+}
+
+Test(crash_tally, instances_that_are_heard_of_again_have_not_ended) {
+  Fixture fixture;
+  fixture.Lose(kLethal, "i-1", 5'000, 5'050);
+  fixture.Lose(kLethal, "i-2", 6'000, 6'050);
+  fixture.Lose(kLethal, "i-3", 7'000, 7'050);
+  for (const char* id : {"i-1", "i-2", "i-3"}) {
+    fixture.liveness.Heard({id}, At(8'000));
+    fixture.liveness.Heard({id}, At(9'500));
+  }
+  fixture.RunUntil(20'000);
+  cr_assert(!fixture.Suspected(kLethal));
+}
+
+Test(crash_tally, one_late_heartbeat_does_not_bring_an_instance_back) {
+  Fixture fixture;
+  fixture.Lose(kLethal, "i-1", 5'000, 5'050);
+  fixture.liveness.Heard({"i-1"}, At(6'500));
+  fixture.Lose(kLethal, "i-2", 8'000, 8'050);
+  fixture.RunUntil(10'500);
+  fixture.Lose(kLethal, "i-3", 11'000, 11'050);
+  fixture.RunUntil(11'500);
+  cr_assert(fixture.Quarantined(kLethal));
+}
+
+Test(crash_tally, instances_that_end_together_count_once) {
+  Fixture fixture;
+  fixture.Lose(kShared, "i-1", 5'000, 5'050);
+  fixture.Lose(kShared, "i-2", 5'010, 5'060);
+  fixture.Lose(kShared, "i-3", 5'020, 5'070);
+  fixture.RunUntil(20'000);
+  cr_assert(!fixture.Suspected(kShared));
+}
+
+Test(crash_tally, instances_that_leave_as_planned_do_not_count) {
+  Fixture fixture;
+  for (const char* id : {"i-1", "i-2", "i-3"}) fixture.state.Deregister({id}, ++fixture.index);
+  fixture.Lose(kShared, "i-1", 5'000, 5'050);
+  fixture.Lose(kShared, "i-2", 6'000, 6'050);
+  fixture.Lose(kShared, "i-3", 7'000, 7'050);
+  fixture.RunUntil(20'000);
+  cr_assert(!fixture.Suspected(kShared));
+}
+
+Test(crash_tally, an_answer_between_ends_clears_a_request) {
+  Fixture fixture;
+  fixture.Lose(kShared, "i-1", 5'000, 5'050);
+  fixture.Lose(kShared, "i-2", 8'000, 8'050);
+  fixture.RunUntil(8'500);
+  cr_assert(fixture.Suspected(kShared));
+  fixture.Answer(kShared, 8'400, 8'900);
+  fixture.RunUntil(9'500);
+  cr_assert(!fixture.Suspected(kShared));
+  fixture.Lose(kShared, "i-3", 11'000, 11'050);
+  fixture.RunUntil(20'000);
+  cr_assert(!fixture.Quarantined(kShared));
+}
+
+Test(crash_tally, a_request_that_shared_the_ends_of_another_one_is_spared) {
+  Fixture fixture;
+  std::int64_t ms = 5'000;
+  for (const char* id : {"i-1", "i-2", "i-3"}) {
+    fixture.Lose(kLethal, id, ms, ms + 50);
+    fixture.Lose(kShared, id, ms, ms + 51);
+    fixture.RunUntil(ms + 1'000);
+    // It was served until the other one came.
+    fixture.Answer(kShared, 4'000, ms + 1'000);
+    ms += 3'000;
+  }
+  fixture.RunUntil(ms + 10'000);
+  cr_assert(fixture.Quarantined(kLethal));
+  cr_assert(!fixture.Quarantined(kShared));
+}
+
+Test(crash_tally, a_new_leader_keeps_what_was_recorded_and_goes_on_counting) {
+  Fixture fixture;
+  fixture.state.Record({{kLethal, {{"i-1"}, {"i-2"}}, 0}}, ++fixture.index);
+  fixture.RunUntil(4'000);
+  fixture.Lose(kLethal, "i-3", 4'100, 4'150);
+  fixture.RunUntil(5'000);
+  cr_assert(fixture.Quarantined(kLethal));
+}
+
+Test(crash_tally, a_quarantine_ends_after_its_time) {
+  Fixture fixture;
+  fixture.state.Record({{kLethal, {{"i-1"}, {"i-2"}, {"i-3"}}, 0}}, ++fixture.index);
+  const std::int64_t kept_ms = traffic::kSuspectKept.count() / 1'000;
+  fixture.RunUntil(kept_ms - 1'000);
+  cr_assert(fixture.Quarantined(kLethal));
+  fixture.RunUntil(kept_ms + 1'000);
+  cr_assert(!fixture.Suspected(kLethal));
+}
--- a/tests/control/replicated_state_test.cc
+++ b/tests/control/replicated_state_test.cc
@@ -128,3 +128,15 @@
   const auto restored = Attempt([&] { return state.Restore("garbage"); });
   cr_assert(ErrorOf(restored) != nullptr);
 }
+
+Test(replicated_state, snapshot_of_a_release_without_suspects_is_read) {
+  ReplicatedState state;
+  const std::string whole = state.Save();
+  const std::size_t suspects =
+      graniteseam::codec::Encode(graniteseam::traffic::SuspectImage{}).size();
+  ReplicatedState restored;
+  const auto outcome =
+      Attempt([&] { return restored.Restore(whole.substr(0, whole.size() - suspects)); });
+  cr_assert(ErrorOf(outcome) == nullptr);
+  cr_assert(restored.Save() == whole);
+}
--- /dev/null
+++ b/tests/gateway/crash_watch_test.cc
@@ -0,0 +1,116 @@
+// What a gateway tells of lost attempts, and whom it refuses.
+#include "src/gateway/crash_watch.h"
+
+#include <criterion/criterion.h>
+
+#include "tests/gateway/gateway_fixture.h"
+
+using namespace graniteseam;
+using namespace graniteseam::gateway;
+using namespace graniteseam::gateway::test;
+
+namespace {
+
+constexpr traffic::RequestDigest kDigest{7};
+
+traffic::TrafficUpdate Quarantine() {
+  traffic::TrafficUpdate update = Fixture::NextState();
+  update.suspects = {{kDigest, {{"i-1"}, {"i-2"}, {"i-3"}}, 11}};
+  return update;
+}
+
+GatewayEffects Ask(Fixture& fixture, const std::string& path, std::int64_t ms,
+                   std::optional<std::uint32_t> key = {}) {
+  ArrivedRequest request;
+  request.number = {++fixture.numbers};
+  request.host = "a.example";
+  request.path = path;
+  request.key = key;
+  request.time_left = std::chrono::seconds(2);
+  request.digest = kDigest;
+  return fixture.node.OnRequest(request, At(ms));
+}
+
+}  // namespace
+
+Test(crash_watch, loss_is_told_some_times_and_again_now_and_then) {
+  CrashWatch watch;
+  watch.note_lost(kDigest, {"i-1"}, At(0), At(50));
+  int told = 0;
+  for (std::uint64_t sequence = 1; sequence <= 12; ++sequence) {
+    traffic::TrafficPoll poll;
+    poll.sequence = sequence;
+    watch.tell(poll, At(100));
+    told += static_cast<int>(poll.losses.size());
+    if (sequence == 1) {
+      cr_assert(poll.losses[0] == (traffic::LostAttempt{kDigest, {"i-1"}, 100, 50}));
+    }
+  }
+  cr_assert_eq(told, 6);
+}
+
+Test(crash_watch, losses_and_answers_are_bounded) {
+  CrashWatch watch;
+  for (std::uint64_t number = 1; number <= 100'000; ++number) {
+    watch.note_lost({number}, {"i-1"}, At(0), At(1));
+    watch.note_answered({number}, At(1));
+  }
+  traffic::TrafficPoll poll;
+  poll.sequence = 4;
+  watch.tell(poll, At(2));
+  cr_assert_eq(poll.losses.size(), 16);
+  traffic::TrafficPoll later;
+  later.sequence = 8;
+  watch.tell(later, At(120'000));
+  cr_assert(later.losses.empty());
+}
+
+Test(crash_watch, answer_of_a_suspect_is_told_also_when_it_came_before_the_suspicion) {
+  CrashWatch watch;
+  watch.note_answered(kDigest, At(0));
+  watch.take({{kDigest, {{"i-1"}, {"i-2"}}, 5}});
+  traffic::TrafficPoll poll;
+  watch.tell(poll, At(300));
+  cr_assert(poll.answered == (std::vector<traffic::AnsweredRequest>{{kDigest, 300}}));
+}
+
+Test(crash_watch, quarantined_request_is_refused_at_once_in_pools_and_for_keys) {
+  Fixture fixture;
+  fixture.node.OnUpdate(Quarantine(), At(0));
+  for (const auto& effects :
+       {Ask(fixture, "/safe/x", 1), Ask(fixture, "/unsafe/x", 1), Ask(fixture, "/keyed/x", 1, 7)}) {
+    const auto refused = Only<Refuse>(effects);
+    cr_assert(refused.status == 503 && refused.reason == RefusalReason::kQuarantined);
+    cr_assert(refused.retry_after == traffic::kSuspectKept);
+  }
+  cr_assert(Has<SendAttempt>(fixture.Request("/safe/x", 2)), "others are served");
+}
+
+Test(crash_watch, waiting_request_is_refused_when_it_is_found_to_end_servers) {
+  Fixture fixture;
+  fixture.node.OnUpdate(Fixture::LossOfOwner(), At(0));
+  cr_assert(!Has<Refuse>(Ask(fixture, "/keyed/x", 1, 7)));
+  auto update = Quarantine();
+  update.base = 11;
+  update.version = 12;
+  update.ranges.clear();
+  const auto refused = Only<Refuse>(fixture.node.OnUpdate(update, At(2)));
+  cr_assert(refused.reason == RefusalReason::kQuarantined);
+}
+
+Test(crash_watch, request_that_ran_is_not_sent_again_nor_said_to_be_refused) {
+  Fixture fixture;
+  const auto send = Only<SendAttempt>(Ask(fixture, "/safe/x", 0));
+  fixture.node.OnUpdate(Quarantine(), At(10));
+  const auto ended = Only<Refuse>(fixture.End(send, AttemptEnd::kLost, 0, 20));
+  cr_assert(ended.status == 502 && ended.reason == RefusalReason::kOutcomeUnknown);
+}
+
+Test(crash_watch, lost_attempt_is_told_with_the_next_poll) {
+  Fixture fixture;
+  const auto send = Only<SendAttempt>(Ask(fixture, "/unsafe/x", 0));
+  fixture.End(send, AttemptEnd::kLost, 0, 20);
+  const auto poll = fixture.node.TakePoll(At(100));
+  cr_assert_eq(poll.losses.size(), 1);
+  cr_assert(poll.losses[0].instance == send.instance && poll.losses[0].digest == kDigest);
+}
--- a/tests/operator_cli/log_commands_test.cc
+++ b/tests/operator_cli/log_commands_test.cc
@@ -24,7 +24,7 @@
     "{\"at_ms\":2,\"wall_ms\":1300,\"process\":\"g-1\",\"event\":\"send\",\"request\":\"bb\","
     "\"after_us\":80,\"instance\":\"i-7\",\"inputs\":\"load 1.0 of 2\"}\n"
     "{\"at_ms\":2,\"wall_ms\":1300,\"process\":\"g-1\",\"event\":\"attempt_failed\",\"request\":"
-    "\"bb\",\"after_us\":9000,\"instance\":\"i-7\",\"inputs\":\"end 3, status 0, after 8 ms\"}\n"
+    "\"bb\",\"after_us\":9000,\"instance\":\"i-7\",\"inputs\":\"end lost, status 0, after 8 ms\"}\n"
     "{\"at_ms\":2,\"wall_ms\":1300,\"process\":\"g-1\",\"event\":\"answer\",\"request\":\"bb\","
     "\"after_us\":9100,\"status\":502,\"outcome\":\"outcome_unknown\"}\n"
     "{\"at_ms\":2,\"wall_ms\":1400,\"process\":\"g-1\",\"event\":\"answer\",\"request\":\"cc\","
--- /dev/null
+++ b/tests/traffic/suspect_table_test.cc
@@ -0,0 +1,32 @@
+// What the group remembers of requests under which instances ended.
+#include "src/traffic/suspect_table.h"
+
+#include <criterion/criterion.h>
+
+#include "src/traffic/traffic_state.h"
+
+using namespace graniteseam;
+using namespace graniteseam::traffic;
+
+Test(suspect_table, is_bounded_and_forgets_what_changed_longest_ago) {
+  SuspectTable table;
+  constexpr std::uint64_t kMany = 1'000;
+  for (std::uint64_t number = 1; number <= kMany; ++number) {
+    table.Record({{{number}, {{"i-1"}, {"i-2"}}, 0}}, number);
+  }
+  cr_assert_eq(table.suspects().size(), 256);
+  cr_assert_null(table.Find({kMany - 256}));
+  cr_assert_not_null(table.Find({kMany}));
+}
+
+Test(suspect_table, routers_are_told_the_whole_at_first_and_whenever_it_changed) {
+  TrafficState state;
+  cr_assert(state.UpdateSince(0).suspects.has_value());
+  state.Record({{{7}, {{"i-1"}, {"i-2"}, {"i-3"}}, 0}}, 5);
+  cr_assert_eq(state.version(), 5);
+  cr_assert_eq(state.urgent_version(), 5);
+  cr_assert(state.UpdateSince(4).suspects->front().Quarantined());
+  cr_assert(!state.UpdateSince(5).suspects.has_value());
+  state.Clear({{7}}, 6);
+  cr_assert(state.UpdateSince(5).suspects->empty());
+}
--- a/tests/traffic_world/crashing_request_test.cc
+++ b/tests/traffic_world/crashing_request_test.cc
@@ -53,3 +53,36 @@
     auto const found = breaches(world, 20);
     cr_assert(found.empty(), "%s", found.c_str());
 }
+
+/// Found with requests that many callers ask for alike: hundreds of refusals of requests that had ended
+/// nothing, and, under one seed, a late heartbeat by which a worker that had ended seemed to live.
+Test(crashing_request, spares_what_shared_servers_that_ended, .timeout = 300)
+{
+    std::string found;
+    for (std::uint64_t const seed : {44, 52, 83, 103, 182, 225, 267, 282, 288, 292, 309, 355, 389}) {
+        TrafficRunOptions options;
+        options.run.seed = seed;
+        options.run.length = std::chrono::seconds(60);
+        options.world.crashing_requests = true;
+        for (auto const& violation : run_traffic(options).violations)
+            found += "seed " + std::to_string(seed) + ": " + violation + "\n";
+    }
+    cr_assert(found.empty(), "%s", found.c_str());
+}
+
+/// Three servers end within seconds, as other faults strike too, and what many ask for was answered
+/// nowhere in between: nothing seen so far tells it from the cause. Seed 159: the request reaches a worker
+/// by two attempts more than allowed while a leader is new.
+Test(crashing_request, is_told_apart_while_other_servers_end_as_well, .timeout = 300)
+{
+    std::string found;
+    for (std::uint64_t const seed : {159, 192, 255}) {
+        TrafficRunOptions options;
+        options.run.seed = seed;
+        options.run.length = std::chrono::seconds(60);
+        options.world.crashing_requests = true;
+        for (auto const& violation : run_traffic(options).violations)
+            found += "seed " + std::to_string(seed) + ": " + violation + "\n";
+    }
+    cr_assert(found.empty(), "%s", found.c_str());
+}
