Answer what is over before anything is sent when a machine wakes

Cause: timers run by the steady clock, which stands still while a machine is suspended; decisions by the clock that does not. What wakes a gateway may come before its timers: a request whose caller's time was over was then sent to a server with the least time there is, and one whose connection was being opened told the server the time that was left before the suspension.

Measured: request_whose_time_is_over_is_not_sent_when_the_machine_wakes failed before.

--- a/src/daemon/gateway/gateway_process.cc
+++ b/src/daemon/gateway/gateway_process.cc
@@ -21,6 +21,9 @@
 /// A server that is reached accepts within milliseconds. A lost opening packet is sent again after
 /// a second at the earliest: by then another server would have answered.
 constexpr Duration kConnectLimit{300'000};
+/// From a request's sending until it is handed to the kernel, or not at all: a connection's opening
+/// and its watch, and some time for a process that is short of processor time.
+constexpr Duration kHandedOverWithin{450'000};
 /// Bounds of the time for which a new connection to a server is watched for a reset.
 constexpr Duration kWatchMinimum{1'000};
 constexpr Duration kWatchMaximum{10'000};
@@ -186,6 +189,9 @@
   call.head = request.method == "HEAD";
   call.limit = send.time_left;
   call.needs_new_connection = send.needs_new_connection;
+  // The request tells how much time is left now; with a later hand-over the server would work on
+  // for longer than its caller waits.
+  call.not_after = runtime::BootTimeNow() + kHandedOverWithin;
   metrics_.OnSend();
   live.call = servers_->Start(std::move(call), [this, send](event_http::CallResult result) {
     OnCallEnd(send, std::move(result));
@@ -347,7 +353,9 @@
 
 void GatewayProcess::ArmTimer() {
   const Instant next = node_.NextTick();
-  if (next == timer_at_) return;
+  const bool woke = wake_watch_.Woke();
+  if (woke) events_.Write(runtime::EventWeight::kNotable, runtime::EventLine("woke"));
+  if (next == timer_at_ && !woke) return;
   timer_at_ = next;
   if (next == Instant::max()) {
     timer_.cancel();
--- a/src/daemon/gateway/gateway_process.h
+++ b/src/daemon/gateway/gateway_process.h
@@ -23,6 +23,7 @@
 #include "src/runtime/event_log.h"
 #include "src/runtime/event_loop.h"
 #include "src/runtime/metrics.h"
+#include "src/runtime/wake_watch.h"
 
 namespace graniteseam::daemon {
 
@@ -92,6 +93,7 @@
   std::unique_ptr<protocol::RouterControlClient> control_;
   boost::asio::steady_timer timer_;
   Instant timer_at_ = Instant::max();
+  runtime::WakeWatch wake_watch_;
   boost::asio::steady_timer poll_timer_;
   Instant last_poll_{};
   std::map<gateway::RequestNumber, LiveExchange> live_;
--- a/src/gateway/request_sending.cc
+++ b/src/gateway/request_sending.cc
@@ -19,6 +19,11 @@
   }
   for (const WaitingPlace& place : places) {
     LiveRequest& request = requests_.at(place.number);
+    // Timers stand still while a machine is suspended: what wakes it may come before they do.
+    if (now >= request.give_up) {
+      GiveUp(request, now);
+      continue;
+    }
     if (TryNext(request, now) != Step::kWaits) continue;
     const bool held = request.not_before > now;
     if (request.timer == Instant{} && !held) {
--- a/src/runtime/clock.cc
+++ b/src/runtime/clock.cc
@@ -8,14 +8,22 @@
 
 namespace graniteseam::runtime {
 
-Instant BootTimeNow() {
+namespace {
+
+Duration Read(clockid_t clock) {
   timespec reading{};
   // Fails only for an unknown clock or a bad pointer; neither can happen here.
-  clock_gettime(CLOCK_BOOTTIME, &reading);
-  return Instant(std::chrono::duration_cast<Duration>(std::chrono::seconds(reading.tv_sec) +
-                                                      std::chrono::nanoseconds(reading.tv_nsec)));
+  clock_gettime(clock, &reading);
+  return std::chrono::duration_cast<Duration>(std::chrono::seconds(reading.tv_sec) +
+                                              std::chrono::nanoseconds(reading.tv_nsec));
 }
 
+}  // namespace
+
+Instant BootTimeNow() { return Instant(Read(CLOCK_BOOTTIME)); }
+
+Duration SuspendedTime() { return Read(CLOCK_BOOTTIME) - Read(CLOCK_MONOTONIC); }
+
 std::int64_t WallMillis() {
   const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
   return std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch).count();
--- a/src/runtime/clock.h
+++ b/src/runtime/clock.h
@@ -12,6 +12,10 @@
 /// sees that its leases are over. Thread safe.
 Instant BootTimeNow();
 
+/// How long the machine was suspended since it started: by so much CLOCK_BOOTTIME is ahead of
+/// CLOCK_MONOTONIC, by which timers and waits run. Thread safe.
+Duration SuspendedTime();
+
 /// Reads the wall clock in milliseconds since 1970-01-01 UTC. May step either way. Thread safe.
 std::int64_t WallMillis();
 
--- a/tests/gateway/gateway_node_test.cc
+++ b/tests/gateway/gateway_node_test.cc
@@ -282,3 +282,18 @@
   fixture.node.OnUpdate(Fixture::DrainOfOwner(), At(3'000));
   cr_assert(!Has<SendAttempt>(fixture.Request("/keyed/x", 3'001, 1)));
 }
+
+// A machine that was suspended wakes with what came to it meanwhile before its timers are looked
+// at: requests whose callers have long gone were sent to servers, as if time were left.
+Test(gateway_node, request_whose_time_is_over_is_not_sent_when_the_machine_wakes) {
+  Fixture fixture;
+  fixture.node.OnUpdate(Fixture::LossOfOwner(), At(0));
+  cr_assert(fixture.Request("/keyed/x", 1, 7).actions.empty());
+  auto owned = Fixture::NextState();
+  owned.base = 11;
+  owned.version = 12;
+  const auto effects = fixture.node.OnUpdate(owned, At(5'000));
+  cr_assert(!Has<SendAttempt>(effects));
+  const auto refused = Only<Refuse>(effects);
+  cr_assert(refused.status == 503 && refused.reason == RefusalReason::kDeadline);
+}
