--- a/testbed/soak/load.cc
+++ b/testbed/soak/load.cc
@@ -148,6 +148,7 @@
     auto note(Caller const& it, event_http::Response const& response, SeenAnswer& answer) -> void
     {
         answer.status = response.status;
+        answer.quarantined = response.body.find("\"quarantined\"") != std::string::npos;
         answer.own = answer.status / 100 != 2 || is_own(response, answer.attempt, it.endpoints.names);
     }
 
--- a/testbed/soak/promises.cc
+++ b/testbed/soak/promises.cc
@@ -214,6 +214,15 @@
         }
     }
 
+    /// No request of a soak ends its worker; workers end by themselves while they run some.
+    auto check_spared(Observed const& seen, std::vector<Breach>& breaches) -> void
+    {
+        for (auto const& answer : seen.answers) {
+            if (answer.quarantined)
+                add(breaches, "spared", answer.attempt + " was refused as one that ends its servers");
+        }
+    }
+
 } // namespace
 
 auto lost_on_kept_connections(Observed const& seen) -> std::vector<SeenAnswer>
@@ -245,6 +254,7 @@
     check_holds(seen, breaches);
     check_drains(seen, breaches);
     check_kept_connections(seen, breaches);
+    check_spared(seen, breaches);
     auto const wanted = static_cast<double>(seen.asked_at_the_end) * served_share_minimum;
     if (static_cast<double>(seen.served_at_the_end) < wanted)
         add(breaches, "recovers",
--- a/testbed/soak/promises.h
+++ b/testbed/soak/promises.h
@@ -23,6 +23,7 @@
     std::uint32_t router = 0; ///< Which one it was sent to, from 0.
     bool kept = false; ///< Sent on a connection that had brought an answer before.
     bool closed = false; ///< Sent whole, then the connection ended without a whole answer.
+    bool quarantined = false; ///< Refused since servers ended under what it asks for.
 };
 
 /// One change of the configuration, or one resend of it, as the operator saw it.
--- a/tests/soak/promises_test.cc
+++ b/tests/soak/promises_test.cc
@@ -256,3 +256,12 @@
     seen.disturbances = {{1, at(-500), at(5)}};
     assert_only(seen, "drained_rests");
 }
+
+Test(promises, a_request_that_ended_no_worker_is_not_quarantined)
+{
+    Observed seen;
+    seen.answers.push_back(answer("a-1", true, 503));
+    cr_assert(check_promises(seen).empty());
+    seen.answers.back().quarantined = true;
+    cr_assert_eq(check_promises(seen).front().promise, "spared");
+}
