Play the loss of two disks of five voters as all other machines lose power

Cause: the loss of a disk as all others lose power was played for one disk only; the larger deployments are to bear two.

Change: two tests of the same shape with two lost disks, alone and beside as many machines in reserve as are kept.

--- a/tests/consensus/closing_loss_test.cc
+++ b/tests/consensus/closing_loss_test.cc
@@ -4,6 +4,7 @@
 #include <criterion/criterion.h>
 
 #include <algorithm>
+#include <set>
 
 #include "tests/consensus/virtual_cluster.h"
 
@@ -54,13 +55,16 @@
   }
 
   /// A little later the disk of one goes, and the power of all others.
-  void Strike(std::uint64_t victim) {
+  void Strike(std::uint64_t victim) { Strike(std::set<std::uint64_t>{victim}); }
+
+  /// The same with the disks of several.
+  void Strike(const std::set<std::uint64_t>& victims) {
     constexpr std::int64_t kSoon = 5'000;
     cluster_.Run(Duration(Below(kSoon)));
     for (const auto id : cluster_.ids()) {
-      if (id != victim) cluster_.Crash(id);
+      if (!victims.contains(id)) cluster_.Crash(id);
     }
-    cluster_.LoseDisk(victim);
+    for (const std::uint64_t victim : victims) cluster_.LoseDisk(victim);
     const auto ids = cluster_.ids();
     std::vector<std::uint64_t> order(ids.begin(), ids.end());
     std::shuffle(order.begin(), order.end(), random_);
@@ -115,6 +119,13 @@
     return static_cast<std::int64_t>(random_() % static_cast<std::uint64_t>(bound));
   }
   std::uint64_t AnyMember() { return 1 + random_() % voters_; }
+  /// Two voters, the leader often among them.
+  std::set<std::uint64_t> AnyTwo() {
+    std::set<std::uint64_t> two;
+    if (Below(2) == 0 && cluster_.Leader() != 0) two.insert(cluster_.Leader());
+    while (two.size() < 2) two.insert(AnyMember());
+    return two;
+  }
   VirtualCluster& cluster() { return cluster_; }
 
  private:
@@ -240,3 +251,31 @@
     loss.CheckRecovered(seed);
   }
 }
+
+// As many disks as five voters bear.
+Test(closing_loss, two_of_five_lose_their_disks, .timeout = 300) {
+  constexpr std::size_t kFive = 5;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    ClosingLoss loss(seed, kFive);
+    loss.Acknowledge(1 + static_cast<int>(seed % 7));
+    loss.Strike(loss.AnyTwo());
+    loss.CheckRecovered(seed);
+  }
+}
+
+// As many learners as are kept come back with them, some of which hold the log.
+Test(closing_loss, two_of_five_lose_their_disks_beside_eight_machines_in_reserve, .timeout = 300) {
+  constexpr std::size_t kFive = 5;
+  constexpr std::uint64_t kReserve = 8;
+  for (std::uint64_t seed = 1; seed <= kSeeds / 3; ++seed) {
+    ClosingLoss loss(seed, kFive);
+    loss.Acknowledge(6);
+    for (std::uint64_t number = 1; number <= kReserve; ++number) {
+      loss.cluster().AddOutsider(kFive + number);
+    }
+    loss.Run(Duration(loss.Below(3'000'000)));
+    loss.Acknowledge(1);
+    loss.Strike(loss.AnyTwo());
+    loss.CheckRecovered(seed);
+  }
+}
