Tell how late a control process is in what keeps its group together

Cause looked for: a leader that is lost though nothing failed. The logs could not tell an overloaded process from one that was cut off, dropped hundreds of lines just then, and no metric told the age of what waits.

Change, no logic: events carry their arrival and their lane (consensus, fleet); metrics for their wait, for those dropped, for a round's length and for the items that decisions look at; leads and follows tell role, waits and lateness of the last second or two and are never dropped for want of rate; a refusal of a gateway tells how long ago a leader confirmed its state. The deciding thread's round is a function of its own, so that tests play it in virtual time.

--- a/include/graniteseam/control/control_node.h
+++ b/include/graniteseam/control/control_node.h
@@ -86,6 +86,9 @@
   /// Whether this process leads, holds its leader lease and has applied its own term's no-op.
   bool Leading(Instant now) const;
   FleetView Fleet(Instant now) const;
+  /// Ranges and instances that decisions looked at since the start, each as often as it was: what
+  /// deciding costs, for metrics and for cost models.
+  std::uint64_t decision_looks() const;
 
  private:
   class Impl;
--- a/src/control/control_node_impl.cc
+++ b/src/control/control_node_impl.cc
@@ -236,6 +236,10 @@
 
 // --- Leadership ---
 
+std::uint64_t ControlNode::Impl::decision_looks() const {
+  return looks_before_ + (leadership_ ? leadership_->traffic.ranges().looks() : 0);
+}
+
 bool ControlNode::Impl::Leading(Instant now) const {
   const bool lease_holds =
       now < consensus_.leader_lease_end() || DefectOn(Defect::kLeaderWithoutLease);
@@ -263,6 +267,7 @@
   if (leadership_) {
     numbers_used_ = leadership_->ownership.leases().numbers_used();
     orders_used_ = leadership_->traffic.ranges().last_number();
+    looks_before_ += leadership_->traffic.ranges().looks();
   }
   leadership_.reset();
   // Whether these entries will be committed is not known here. Each request may be resent, so its
--- a/src/control/control_node_impl.h
+++ b/src/control/control_node_impl.h
@@ -41,6 +41,7 @@
   const consensus::RaftConsensus& consensus() const { return consensus_; }
   bool Leading(Instant now) const;
   FleetView Fleet(Instant now) const;
+  std::uint64_t decision_looks() const;
 
  private:
   /// Everything that is known only to an established leader in one term.
@@ -109,6 +110,7 @@
   Term numbers_term_;               ///< Term in which `numbers_used_` counts.
   std::uint64_t numbers_used_ = 0;  ///< Of earlier lease tables of that term.
   OrderNumber orders_used_;         ///< By earlier leaderships of this process.
+  std::uint64_t looks_before_ = 0;  ///< Of decisions of earlier leaderships.
   Instant journal_expiry_due_{};
   Instant membership_look_due_{};
   std::set<std::string> relayed_;  ///< Instances heard of for the leader since the last batch.
--- a/src/control/range_controller.cc
+++ b/src/control/range_controller.cc
@@ -96,6 +96,7 @@
 /// Keeps what is known of ranges that are still the same; what was cut or joined begins anew with
 /// an order at once, which is harmless.
 void RangeController::FollowRanges(Instant now) {
+  CountLooks(care_.size());
   std::map<RangeKey, RangeCare> followed;
   for (const auto& [service, ranges] : state_.ranges().services()) {
     for (const auto& [first, range] : ranges) {
@@ -261,6 +262,7 @@
 std::vector<CommandBody> RangeController::Decide(Instant now) {
   if (now < decide_due_ && decided_version_ == state_.version()) return {};
   decided_version_ = state_.version();
+  CountLooks(care_.size());
   FollowForms(now);
   if (followed_version_ != state_.ranges().changed_at()) FollowRanges(now);
   std::vector<CommandBody> commands;
@@ -283,6 +285,7 @@
 
 std::vector<RangeCandidate> RangeController::CandidatesFor(const ServiceName& service,
                                                            Instant now) const {
+  CountLooks(InstanceCount());
   std::vector<RangeCandidate> candidates;
   const bool by_heartbeat = LeasedByHeartbeat(service);
   const auto avoided = AvoidedInstances(service, now);
@@ -307,6 +310,7 @@
 
 std::set<traffic::InstanceId> RangeController::AvoidedInstances(const ServiceName& service,
                                                                 Instant now) const {
+  CountLooks(InstanceCount());
   std::set<traffic::InstanceId> failing;
   std::size_t all = 0;
   for (const auto& [id, instance] : state_.instances().instances()) {
@@ -397,6 +401,7 @@
   const traffic::InstanceId& wanted = care.refused ? range.owner : range.successor;
   if (Contains(candidates, wanted))
     return {{range.service, range.span, range.fence, wanted, care.handover}};
+  CountLooks(ranges.size() + candidates.size());
   const bool first_time = range.fence.value == 0;
   auto parts = balancer_.Divide(
       range, ranges,
@@ -411,6 +416,7 @@
   FollowForms(now);
   if (followed_version_ != state_.ranges().changed_at()) FollowRanges(now);
   orders_due_ = now + kLookInterval;
+  CountLooks(care_.size());
   std::vector<RangeOrder> orders;
   for (auto& [key, care] : care_) {
     const KeyRange* range = state_.ranges().Find(key.service, key.first);
--- a/src/control/range_controller.h
+++ b/src/control/range_controller.h
@@ -73,6 +73,10 @@
   /// The same of Orders() alone.
   Instant NextOrderDue() const;
 
+  /// Ranges and instances that decisions looked at so far, each as often as it was: what they cost,
+  /// in a unit that does not depend on the machine (half a microsecond each, measured).
+  std::uint64_t looks() const { return looks_; }
+
  private:
   /// Until when a grant that was sent may be held.
   struct GrantEnd {
@@ -200,6 +204,10 @@
   /// Whether an instance was heard of so lately that it will come for new keys.
   bool HeardLately(const traffic::InstanceId& instance, Instant now) const;
 
+  /// Counts what one pass looks at.
+  void CountLooks(std::size_t items) const { looks_ += items; }
+  std::size_t InstanceCount() const { return state_.instances().instances().size(); }
+
   const RangeOptions options_;
   /// Until then leases of former leaders may be held.
   const Instant inherited_until_;
@@ -235,6 +243,7 @@
   std::uint64_t ordered_version_ = 0;  ///< The same of Orders().
   Instant decide_due_{};
   Instant orders_due_{};
+  mutable std::uint64_t looks_ = 0;  ///< Also of passes that decide nothing.
 };
 
 }  // namespace graniteseam::control
--- a/src/control/traffic_leader.h
+++ b/src/control/traffic_leader.h
@@ -30,6 +30,7 @@
 
   InstanceLiveness& liveness() { return liveness_; }
   RangeController& ranges() { return ranges_; }
+  const RangeController& ranges() const { return ranges_; }
   TrafficSessions& sessions() { return sessions_; }
   CrashTally& crashes() { return crashes_; }
 
--- a/src/daemon/control/control_driver.cc
+++ b/src/daemon/control/control_driver.cc
@@ -9,8 +9,8 @@
 namespace graniteseam::daemon {
 namespace {
 
-/// Events decided before their effects are made durable together.
-constexpr std::size_t kEventsAtOnce = 256;
+/// Events taken off the queue at once while the disk is full.
+constexpr std::size_t kEventsWhileFull = 256;
 constexpr Duration kLongestWait{100'000};
 constexpr Duration kFullRetryInterval{200'000};
 constexpr Duration kStatisticsInterval{1'000'000};
@@ -27,6 +27,8 @@
          std::holds_alternative<control::ReadShards>(command);
 }
 
+double ToSeconds(Duration span) { return std::chrono::duration<double>(span).count(); }
+
 /// Members that answered the leader lately.
 std::vector<consensus::Member> ResponsivePeers(const consensus::RaftConsensus& consensus,
                                                Instant now) {
@@ -49,8 +51,23 @@
         servers_leased(registry.Gauge(runtime::Metric::kControlServersLeased)),
         shard_moves(registry.Gauge(runtime::Metric::kControlShardMoves)),
         queue_length(registry.Gauge(runtime::Metric::kControlEventQueueLength)),
+        decision_looks(registry.Counter(runtime::Metric::kControlDecisionLooks)),
+        consensus_dropped(DroppedOf(registry, EventLane::kConsensus)),
+        fleet_dropped(DroppedOf(registry, EventLane::kFleet)),
+        consensus_wait(WaitOf(registry, EventLane::kConsensus)),
+        fleet_wait(WaitOf(registry, EventLane::kFleet)),
+        round_seconds(registry.Histogram(runtime::Metric::kControlRoundSeconds)),
         persist_seconds(registry.Histogram(runtime::Metric::kControlPersistSeconds)) {}
 
+  static runtime::CounterHandle DroppedOf(runtime::MetricsRegistry& registry, EventLane lane) {
+    return registry.Counter(runtime::Metric::kControlEventsDropped,
+                            {{"lane", std::string(LaneName(lane))}});
+  }
+  static runtime::HistogramHandle WaitOf(runtime::MetricsRegistry& registry, EventLane lane) {
+    return registry.Histogram(runtime::Metric::kControlEventWaitSeconds,
+                              {{"lane", std::string(LaneName(lane))}});
+  }
+
   runtime::GaugeHandle leading;
   runtime::GaugeHandle term;
   runtime::GaugeHandle commit_index;
@@ -59,7 +76,17 @@
   runtime::GaugeHandle servers_leased;
   runtime::GaugeHandle shard_moves;
   runtime::GaugeHandle queue_length;
+  runtime::CounterHandle decision_looks;
+  runtime::CounterHandle consensus_dropped;
+  runtime::CounterHandle fleet_dropped;
+  runtime::HistogramHandle consensus_wait;
+  runtime::HistogramHandle fleet_wait;
+  runtime::HistogramHandle round_seconds;
   runtime::HistogramHandle persist_seconds;
+  // Counted up to here.
+  std::uint64_t looks_told = 0;
+  std::uint64_t consensus_dropped_told = 0;
+  std::uint64_t fleet_dropped_told = 0;
 };
 
 ControlDriver::ControlDriver(control::ControlOptions options,
@@ -101,27 +128,49 @@
 }
 
 void ControlDriver::Run() {
-  while (!queue_.closed() && !failed_) {
-    const Duration until_tick = node_.NextTick() - runtime::BootTimeNow();
-    const Duration wait = std::clamp(until_tick, Duration::zero(), kLongestWait);
-    Step(queue_.Take(kEventsAtOnce, wait));
-  }
+  while (!queue_.closed() && !failed_) Step();
 }
 
-void ControlDriver::Step(std::vector<ControlEvent> events) {
+void ControlDriver::Step() {
   std::vector<control::ControlEffects> pending;
-  pending.reserve(put_off_.size() + events.size() + 1);
   for (ControlEvent& event : std::exchange(put_off_, {})) {
     pending.push_back(Apply(std::move(event)));
   }
-  for (ControlEvent& event : events) pending.push_back(Apply(std::move(event)));
-  const Instant now = runtime::BootTimeNow();
-  if (now >= node_.NextTick()) pending.push_back(node_.Tick(now, runtime::WallMillis()));
+  std::optional<Instant> begun;
+  RoundHooks hooks;
+  hooks.now = runtime::BootTimeNow;
+  hooks.next_tick = [this] { return node_.NextTick(); };
+  hooks.apply = [&](QueuedEvent queued) {
+    if (!begun) begun = runtime::BootTimeNow();
+    NoteWait(queued);
+    pending.push_back(Apply(std::move(queued.event)));
+  };
+  hooks.tick = [&](Instant now) {
+    if (!begun) begun = now;
+    strain_.NoteTickLate(now - node_.NextTick(), now);
+    pending.push_back(node_.Tick(now, runtime::WallMillis()));
+  };
+  PlayRound(queue_, kLongestWait, hooks);
   Settle(std::move(pending));
+  const Instant now = runtime::BootTimeNow();
+  if (begun) NoteRound(now - *begun, now);
   PublishStatus(false);
   PublishStatistics(now);
 }
 
+void ControlDriver::NoteWait(const QueuedEvent& queued) {
+  const Instant now = runtime::BootTimeNow();
+  const Duration wait = now - queued.arrived;
+  const bool consensus = LaneOf(queued.event) == EventLane::kConsensus;
+  if (consensus) strain_.NoteConsensusWait(wait, now);
+  (consensus ? statistics_->consensus_wait : statistics_->fleet_wait).Observe(ToSeconds(wait));
+}
+
+void ControlDriver::NoteRound(Duration length, Instant now) {
+  strain_.NoteRound(length, now);
+  statistics_->round_seconds.Observe(ToSeconds(length));
+}
+
 control::ControlEffects ControlDriver::Apply(ControlEvent event) {
   const Instant now = runtime::BootTimeNow();
   const std::int64_t wall_ms = runtime::WallMillis();
@@ -200,7 +249,7 @@
     const Error* const error = ErrorOf(outcome);
     if (error == nullptr) {
       const Duration taken = runtime::BootTimeNow() - begun;
-      statistics_->persist_seconds.Observe(std::chrono::duration<double>(taken).count());
+      statistics_->persist_seconds.Observe(ToSeconds(taken));
       return true;
     }
     if (error->kind != ErrorKind::kStorageFull || queue_.closed()) {
@@ -221,7 +270,7 @@
   const Instant end = runtime::BootTimeNow() + kFullRetryInterval;
   for (Instant now = end - kFullRetryInterval; now < end && !queue_.closed();
        now = runtime::BootTimeNow()) {
-    for (ControlEvent& event : queue_.Take(kEventsAtOnce, end - now)) {
+    for (auto& [event, arrived] : queue_.Take(kEventsWhileFull, end - now)) {
       if (const auto* request = std::get_if<OperatorRequested>(&event)) {
         outputs_.to_operator({request->request, error});
       } else if (!IsSentAgain(event)) {
@@ -250,6 +299,8 @@
   status.storage_full = storage_full;
   status.last_step = now;
   status.term = node_.consensus().term();
+  status.role = node_.consensus().role();
+  status.strain = strain_.Worst(now);
   if (status.leading) status.relays = ResponsivePeers(node_.consensus(), now);
   const bool changed = status.leading != status_.leading || status.leader != status_.leader;
   if (changed) outputs_.on_leadership(status);
@@ -281,6 +332,14 @@
   statistics_->servers_leased.Set(static_cast<double>(leased));
   statistics_->shard_moves.Set(static_cast<double>(fleet.shard_moves));
   statistics_->queue_length.Set(static_cast<double>(queue_.size()));
+  const auto count = [](runtime::CounterHandle& counter, std::uint64_t& told, std::uint64_t total) {
+    counter.Increment(static_cast<double>(total - told));
+    told = total;
+  };
+  Statistics& it = *statistics_;
+  count(it.decision_looks, it.looks_told, node_.decision_looks());
+  count(it.consensus_dropped, it.consensus_dropped_told, queue_.dropped(EventLane::kConsensus));
+  count(it.fleet_dropped, it.fleet_dropped_told, queue_.dropped(EventLane::kFleet));
 }
 
 }  // namespace graniteseam::daemon
--- a/src/daemon/control/control_driver.h
+++ b/src/daemon/control/control_driver.h
@@ -13,7 +13,8 @@
 #include <vector>
 
 #include "graniteseam/control/control_node.h"
-#include "src/daemon/control/control_event.h"
+#include "src/daemon/control/event_round.h"
+#include "src/daemon/control/strain_watch.h"
 #include "src/runtime/log.h"
 #include "src/runtime/metrics.h"
 #include "src/storage/consensus_storage.h"
@@ -30,6 +31,8 @@
   std::vector<consensus::Member> relays;
   bool storage_full = false;
   Instant last_step;
+  consensus::Role role = consensus::Role::kFollower;
+  Strain strain;  ///< Of the last second or two.
 };
 
 /// How the effects leave the process. Called from the deciding thread; none may block.
@@ -76,7 +79,9 @@
   struct Statistics;
 
   void Run();
-  void Step(std::vector<ControlEvent> events);
+  void Step();
+  void NoteWait(const QueuedEvent& queued);
+  void NoteRound(Duration length, Instant now);
   control::ControlEffects Apply(ControlEvent event);
   control::ControlEffects ApplyOperatorRequest(const OperatorRequested& asked, Instant now,
                                                std::int64_t wall_ms);
@@ -95,6 +100,7 @@
   ControlOutputs outputs_;
   std::unique_ptr<Statistics> statistics_;
   Instant next_statistics_;
+  StrainWatch strain_;
   bool space_is_low_ = false;
   /// What happened while the disk was full and is not sent again.
   std::vector<ControlEvent> put_off_;
--- a/src/daemon/control/control_event.cc
+++ b/src/daemon/control/control_event.cc
@@ -13,20 +13,33 @@
          std::holds_alternative<PlatformListed>(event);
 }
 
-bool ControlEventQueue::Push(ControlEvent event) {
+EventLane LaneOf(const ControlEvent& event) {
+  const bool consensus = std::holds_alternative<PeerMessageArrived>(event) ||
+                         std::holds_alternative<StopPrepared>(event);
+  return consensus ? EventLane::kConsensus : EventLane::kFleet;
+}
+
+std::string_view LaneName(EventLane lane) {
+  return lane == EventLane::kConsensus ? "consensus" : "fleet";
+}
+
+bool ControlEventQueue::Push(ControlEvent event, Instant arrived) {
   const std::lock_guard lock(mutex_);
-  if (events_.size() >= capacity_ && IsSentAgain(event)) return false;
-  events_.push_back(std::move(event));
+  if (events_.size() >= capacity_ && IsSentAgain(event)) {
+    ++dropped_[static_cast<std::size_t>(LaneOf(event))];
+    return false;
+  }
+  events_.push_back({std::move(event), arrived});
   changed_.notify_one();
   return true;
 }
 
-std::vector<ControlEvent> ControlEventQueue::Take(std::size_t maximum, Duration limit) {
+std::vector<QueuedEvent> ControlEventQueue::Take(std::size_t maximum, Duration limit) {
   std::unique_lock lock(mutex_);
   changed_.wait_for(lock, limit, [this] { return closed_ || !events_.empty(); });
   const auto count = static_cast<std::ptrdiff_t>(std::min(maximum, events_.size()));
-  std::vector<ControlEvent> taken(std::make_move_iterator(events_.begin()),
-                                  std::make_move_iterator(events_.begin() + count));
+  std::vector<QueuedEvent> taken(std::make_move_iterator(events_.begin()),
+                                 std::make_move_iterator(events_.begin() + count));
   events_.erase(events_.begin(), events_.begin() + count);
   return taken;
 }
@@ -47,4 +60,9 @@
   return events_.size();
 }
 
+std::uint64_t ControlEventQueue::dropped(EventLane lane) const {
+  const std::lock_guard lock(mutex_);
+  return dropped_[static_cast<std::size_t>(lane)];
+}
+
 }  // namespace graniteseam::daemon
--- a/src/daemon/control/control_process.cc
+++ b/src/daemon/control/control_process.cc
@@ -18,6 +18,26 @@
 /// A deciding thread that stood still for longer is taken for stuck.
 constexpr Duration kLiveLimit{10'000'000};
 
+std::string_view RoleName(consensus::Role role) {
+  switch (role) {
+    case consensus::Role::kLearner:
+      return "learner";
+    case consensus::Role::kFollower:
+      return "follower";
+    case consensus::Role::kPreCandidate:
+      return "pre_candidate";
+    case consensus::Role::kCandidate:
+      return "candidate";
+    case consensus::Role::kLeader:
+      return "leader";
+  }
+  return "";
+}
+
+std::int64_t InMillis(Duration span) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
+}
+
 }  // namespace
 
 ControlProcess::ControlProcess(ControlSettings settings, runtime::StopSignals& stop_signals,
@@ -53,7 +73,7 @@
       event_http::OpenMetricsPort(server_loop_.context(), settings_.metrics_address, metrics_);
   log_.Info("Listens for peers and routers on {}.", ToString(settings_.peer_address));
   events_.Write(
-      runtime::EventWeight::kNotable,
+      runtime::EventWeight::kVital,
       runtime::EventLine("started")
           .Add("zone", settings_.zone)
           .Add("peers", ToString(settings_.peer_address))
@@ -184,10 +204,14 @@
         .Counter(runtime::Metric::kControlLeaderChanges,
                  {{"role", status.leading ? "leads" : "follows"}})
         .Increment();
-    events_.Write(runtime::EventWeight::kNotable,
+    events_.Write(runtime::EventWeight::kVital,
                   runtime::EventLine(status.leading ? "leads" : "follows")
                       .Add("term", status.term.value)
-                      .Add("leader", leader));
+                      .Add("leader", leader)
+                      .Add("role", RoleName(status.role))
+                      .Add("consensus_wait_ms", InMillis(status.strain.consensus_wait))
+                      .Add("tick_late_ms", InMillis(status.strain.tick_late))
+                      .Add("round_ms", InMillis(status.strain.round)));
   };
   outputs.on_range_note = [this](const control::RangeNote& note) {
     events_.Write(runtime::EventWeight::kNotable, runtime::EventLine(note.what)
@@ -288,7 +312,7 @@
 void ControlProcess::Stop() {
   log_.Info("Stops.");
   stopping_ = true;
-  events_.Write(runtime::EventWeight::kNotable, runtime::EventLine("stopping"));
+  events_.Write(runtime::EventWeight::kVital, runtime::EventLine("stopping"));
   if (registry_) registry_->BeginDrain();
   if (!driver_->failed()) HandLeadershipOver();
   operator_server_->Stop();
--- a/src/daemon/gateway/gateway_process.cc
+++ b/src/daemon/gateway/gateway_process.cc
@@ -93,7 +93,7 @@
         if (connected) asio::post(loop_.context(), [this] { Poll(); });
       });
   asio::post(loop_.context(), [this] { Poll(); });
-  events_.Write(runtime::EventWeight::kNotable,
+  events_.Write(runtime::EventWeight::kVital,
                 runtime::EventLine("started")
                     .Add("zone", settings_.zone)
                     .Add("callers", runtime::ToString(settings_.caller_address)));
@@ -110,7 +110,7 @@
 }
 
 void GatewayProcess::Stop() {
-  events_.Write(runtime::EventWeight::kNotable, runtime::EventLine("stopping"));
+  events_.Write(runtime::EventWeight::kVital, runtime::EventLine("stopping"));
   stopping_ = true;
   asio::post(loop_.context(), [this] { callers_->BeginDrain(); });
   const StopSchedule schedule = ScheduleStop(settings_.stop_limit);
@@ -119,7 +119,7 @@
   WaitUntilLeft({}, schedule.answer_rest - schedule.close, &event_http::Server::busy);
   asio::post(loop_.context(), [this] { AnswerTheRest(); });
   WaitUntilLeft({}, schedule.end - schedule.answer_rest, &event_http::Server::busy);
-  events_.Write(runtime::EventWeight::kNotable, runtime::EventLine("stopped"));
+  events_.Write(runtime::EventWeight::kVital, runtime::EventLine("stopped"));
 }
 
 /// Waits until nothing is left of what `count` counts, for `limit` at most.
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -21,7 +21,9 @@
       hot_keys_(seed) {}
 
 GatewayEffects GatewayNode::OnUpdate(const traffic::TrafficUpdate& update, Instant now) {
-  if (!traffic_.take(update, now)) return Finish();
+  const bool taken = traffic_.take(update, now);
+  NoteConfirmation(update);
+  if (!taken) return Finish();
   Note({}, "update", {}, traffic_.describe(update));
   if (update.suspects) {
     crashes_.take(*update.suspects);
@@ -32,6 +34,11 @@
   return Finish();
 }
 
+void GatewayNode::NoteConfirmation(const traffic::TrafficUpdate& update) {
+  const bool answers = update.sequence != 0 && update.sequence == poll_sequence_;
+  if (answers && version() >= update.version) confirmed_at_ = polled_at_;
+}
+
 GatewayEffects GatewayNode::OnHints(const traffic::TrafficHints& hints, Instant now) {
   traffic_.backends().TakeHints(hints.instances, now);
   hot_keys_.take(hints.hot_keys, now);
@@ -85,6 +92,7 @@
   poll.router = options_.id;
   poll.zone = options_.backends.zone;
   poll.sequence = ++poll_sequence_;
+  polled_at_ = now;
   poll.version = version();
   poll.loads = key_loads_.take();
   const bool tell_speeds = poll_sequence_ % kPollsPerSpeeds == 0;
--- a/src/gateway/request_ending.cc
+++ b/src/gateway/request_ending.cc
@@ -14,9 +14,9 @@
 /// How long an owner that said it is none is left alone.
 constexpr Duration kDisowned{400'000};
 
-std::string AfterMs(Duration taken) {
-  return ", after " + std::to_string(taken.count() / 1000) + " ms";
-}
+std::string InMs(Duration span) { return std::to_string(span.count() / 1000) + " ms"; }
+
+std::string AfterMs(Duration taken) { return ", after " + InMs(taken); }
 
 }  // namespace
 
@@ -97,8 +97,8 @@
 void GatewayNode::EndWithoutRun(LiveRequest& request, RefusalReason reason, Instant now) {
   if (request.may_have_run) return End(request, RefusalReason::kOutcomeUnknown, now);
   Note(request.arrived.number, "refuse", {},
-       std::string(ReasonName(reason)) + ", version " + std::to_string(version()) +
-           AfterMs(now - request.received));
+       std::string(ReasonName(reason)) + ", version " + std::to_string(version()) + ", confirmed " +
+           InMs(now - confirmed_at_) + " ago" + AfterMs(now - request.received));
   effects_.actions.emplace_back(refusal_without_run(request, reason, now));
   Forget(request);
 }
--- a/src/runtime/event_log.cc
+++ b/src/runtime/event_log.cc
@@ -113,6 +113,7 @@
       ordinary_ = 0;
       notable_ = 0;
     }
+    if (weight == EventWeight::kVital) return true;
     const bool ordinary = weight == EventWeight::kOrdinary;
     int& count = ordinary ? ordinary_ : notable_;
     return ++count <= (ordinary ? kOrdinaryPerSecond : kNotablePerSecond);
--- a/src/runtime/event_log.h
+++ b/src/runtime/event_log.h
@@ -37,12 +37,14 @@
 enum class EventWeight {
   kOrdinary,  ///< One of many alike.
   kNotable,   ///< A failure, or a change of what the process believes.
+  kVital,     ///< Who leads, starts and ends: few, and what a timeline begins with.
 };
 
 /// Writes events without ever blocking its callers: a queue of bounded length stands between them
 /// and a thread that writes. When the reader of the output stalls, the oldest lines in the queue
 /// are dropped; when a process has too much to tell, ordinary lines beyond a rate are dropped
-/// first. How many were dropped is told by the next line that gets through. Thread safe.
+/// first, then notable ones; vital ones are not. How many were dropped is told by the next line
+/// that gets through. Thread safe.
 class EventLog {
  public:
   /// @param process the name under which its lines stand.
