Soak a crowd: six control processes, 100 routers, hundreds of workers, little processor time

Three promises more, for all sizes: an accepted change is in force at each router in touch 2.5 s after its acknowledgement, a change and a read have a clear answer within 4 s of calm. A quota of processor time is played by signals. Plans of the other sizes are drawn as before.

--- a/testbed/soak/fault_plan.cc
+++ b/testbed/soak/fault_plan.cc
@@ -18,6 +18,7 @@
         Duration longest;
         std::uint32_t weight; ///< How often it is drawn, beside the others.
         Role role; ///< Which it hits.
+        bool of_crowds = false; ///< Drawn for crowded fleets only, so that plans of others stay as they are.
     };
 
     constexpr auto kind_traits = std::to_array<KindTraits>({
@@ -44,6 +45,7 @@
         {FaultKind::DrainWorker, "drain_worker", Duration {3'500'000}, Duration {4'500'000}, 2, Role::Worker},
         {FaultKind::DeregisterWorker, "deregister_worker", Duration {3'500'000}, Duration {4'500'000}, 2,
             Role::Worker},
+        {FaultKind::ScaleIn, "scale_in", Duration {4'000'000}, Duration {6'000'000}, 8, Role::Worker, true},
     });
 
     /// Faults of a series begin within this after the one before.
@@ -75,6 +77,11 @@
         return traits_of(kind).role == Role::Control;
     }
 
+    auto hits_all_of_role(FaultKind kind) -> bool
+    {
+        return kind == FaultKind::KillAllControls || kind == FaultKind::ScaleIn;
+    }
+
     auto is_reload(FaultKind kind) -> bool
     {
         return kind == FaultKind::ReloadControl || kind == FaultKind::ReloadRouter;
@@ -108,23 +115,24 @@
         auto const disk = a.kind == FaultKind::LoseDisk || b.kind == FaultKind::LoseDisk;
         if (disk && hits_control(a.kind))
             return false;
-        auto const same_target = a.target == b.target || a.kind == FaultKind::KillAllControls
-            || b.kind == FaultKind::KillAllControls;
+        auto const same_target = a.target == b.target || hits_all_of_role(a.kind) || hits_all_of_role(b.kind);
         // A router bears several signals at once, but is started again by one fault only.
         if (traits_of(a.kind).role == Role::Router)
             return !same_target || !ends_router(a.kind) || !ends_router(b.kind);
         return !same_target;
     }
 
-    auto draw_kind(std::uint64_t drawn) -> KindTraits const&
+    auto draw_kind(std::uint64_t drawn, bool crowded) -> KindTraits const&
     {
+        auto const weight_of
+            = [&](auto const& it) -> std::uint64_t { return it.of_crowds && !crowded ? 0 : it.weight; };
         auto const total = std::accumulate(kind_traits.begin(), kind_traits.end(), std::uint64_t {0},
-            [](auto sum, auto const& it) { return sum + it.weight; });
+            [&](auto sum, auto const& it) { return sum + weight_of(it); });
         auto left = drawn % total;
         for (auto const& it : kind_traits) {
-            if (left < it.weight)
+            if (left < weight_of(it))
                 return it;
-            left -= it.weight;
+            left -= weight_of(it);
         }
         return kind_traits.back();
     }
@@ -136,6 +144,11 @@
     return traits_of(kind).name;
 }
 
+auto disturbs_core(FaultKind kind) -> bool
+{
+    return hits_control(kind) && !is_reload(kind);
+}
+
 auto plan_faults(std::uint64_t seed, PlanBounds const& bounds) -> std::vector<Fault>
 {
     std::mt19937_64 random(seed);
@@ -144,7 +157,7 @@
     std::vector<Fault> plan;
     constexpr int attempts_maximum = 1'000;
     for (int attempt = 0; attempt < attempts_maximum && plan.size() < bounds.faults; ++attempt) {
-        auto const& traits = draw_kind(random());
+        auto const& traits = draw_kind(random(), bounds.crowded);
         Fault fault;
         fault.kind = traits.kind;
         fault.target = static_cast<std::uint32_t>(below(targets_of(traits.kind, bounds)));
--- a/testbed/soak/fault_plan.h
+++ b/testbed/soak/fault_plan.h
@@ -32,10 +32,14 @@
     ReuseAddress, ///< The same, at the same address and of another service.
     DrainWorker, ///< Says that it leaves, and ends after the span; another one starts at its address.
     DeregisterWorker, ///< Says that it is gone, serves on for the span; another one starts at its address.
+    ScaleIn, ///< Many workers say at the same moment that they leave; others start at their addresses.
 };
 
 auto name_of(FaultKind kind) -> std::string_view;
 
+/// Whether it takes a control process away for a time, or cuts one off.
+auto disturbs_core(FaultKind kind) -> bool;
+
 struct Fault {
     FaultKind kind = FaultKind::KillControl;
     Duration at {}; ///< Since the start of traffic.
@@ -55,6 +59,7 @@
     Duration last {26'000'000}; ///< Every fault is undone by then.
     Duration catch_up {8'000'000}; ///< That a control process needs after its disk was lost.
     std::uint32_t faults = 20;
+    bool crowded = false; ///< Draws what hits many workers at once, too.
 };
 
 /// Faults in the order of their times. At most one disk is lost at once: while a control process that
--- a/testbed/soak/load.cc
+++ b/testbed/soak/load.cc
@@ -10,6 +10,7 @@
 #include "src/runtime/clock.h"
 #include "testbed/registered/http_call.h"
 #include "testbed/soak/caller_connection.h"
+#include "testbed/soak/probes.h"
 
 namespace graniteseam::testbed::soak {
 
@@ -21,6 +22,8 @@
     constexpr auto pause_of_callers = std::chrono::milliseconds(12);
     constexpr auto pause_of_operator = std::chrono::milliseconds(250);
     constexpr Duration call_limit {3'000'000};
+    /// The operator moves on after a second of silence.
+    constexpr Duration operator_call_limit {1'000'000};
     constexpr Duration read_patience {20'000'000};
     constexpr Duration connect_limit {1'000'000};
     constexpr int connections_tried = 3;
@@ -38,10 +41,12 @@
                 {"kind", kind}, {"timeout_ms", 2'000 + version % 7}, {"target_latency_ms", 500},
                 {"priority", 1}, {"attempts_maximum", 2}, {"service", service}};
         };
-        return json {{"version", version},
-            {"routes",
-                {route("/safe/", "safe", "pool"), route("/unsafe/", "unsafe", "pool"),
-                    route("/keyed/", "safe", "keyed"), route("/leased/", "safe", "leased")}},
+        json routes {route("/safe/", "safe", "pool"), route("/unsafe/", "unsafe", "pool"),
+            route("/keyed/", "safe", "keyed"), route("/leased/", "safe", "leased")};
+        auto const first = version > versions_routed ? version - versions_routed + 1 : 1;
+        for (auto since = first; since <= version; ++since)
+            routes.push_back(route(path_since(since).c_str(), "safe", "pool"));
+        return json {{"version", version}, {"routes", routes},
             {"services",
                 {{{"name", "pool"}}, {{"name", "keyed"}, {"keyed", true}},
                     {{"name", "leased"}, {"keyed", true}, {"grants", "heartbeat"}}}},
@@ -59,6 +64,7 @@
 
     struct Operator {
         Endpoints const& endpoints;
+        AcceptedVersions& accepted;
         std::mt19937_64 random;
         HttpCaller caller;
         SeenByOperator seen;
@@ -74,14 +80,16 @@
         request.fields.Add("If-Match", std::to_string(base));
         request.body = body;
         auto const& registry = it.endpoints.registries[it.random() % it.endpoints.registries.size()];
-        return it.caller.CallFollowing(registry, request, call_limit);
+        return it.caller.CallFollowing(registry, request, operator_call_limit);
     }
 
     auto read(Operator& it) -> std::optional<std::uint64_t>
     {
         auto const sent = runtime::BootTimeNow();
         auto const result = call(it, "GET", "", 0);
-        if (result.end != CallEnd::kAnswered || result.response.status != 200)
+        auto const answered = result.end == CallEnd::kAnswered && result.response.status == 200;
+        it.seen.read_tries.push_back({sent, runtime::BootTimeNow(), answered});
+        if (!answered)
             return std::nullopt;
         auto const body = json::parse(result.response.body, nullptr, false);
         if (body.is_discarded() || !body.contains("version"))
@@ -96,15 +104,19 @@
     {
         auto const text = configuration_text(version);
         for (int sending = 0; sending <= resends_maximum; ++sending) {
-            SeenChange change {base, version, json::parse(text).dump(), false, runtime::BootTimeNow(), {}};
+            SeenChange change {
+                base, version, json::parse(text).dump(), false, runtime::BootTimeNow(), {}, {}};
             auto const result = call(it, "PUT", text, base);
             change.ended = runtime::BootTimeNow();
             auto const answered = result.end == CallEnd::kAnswered;
             change.accepted = answered && result.response.status == 200;
+            change.refused = answered && result.response.status / 100 == 4;
             it.seen.changes.push_back(change);
-            if (change.accepted)
+            if (change.accepted) {
+                it.accepted.add(version);
                 return true;
-            if (answered && result.response.status / 100 == 4)
+            }
+            if (change.refused)
                 return false;
             std::this_thread::sleep_for(pause_of_operator);
         }
@@ -216,10 +228,10 @@
     return answers;
 }
 
-auto run_operator(Endpoints const& endpoints, std::uint64_t seed, std::stop_token const& stop)
-    -> SeenByOperator
+auto run_operator(Endpoints const& endpoints, std::uint64_t seed, Duration pause, AcceptedVersions& accepted,
+    std::stop_token const& stop) -> SeenByOperator
 {
-    Operator it {endpoints, std::mt19937_64(seed), {}, {}};
+    Operator it {endpoints, accepted, std::mt19937_64(seed), {}, {}};
     std::uint64_t current = 0;
     std::uint64_t in_series = 0; ///< Changes that are to follow without a pause.
     while (!stop.stop_requested()) {
@@ -234,7 +246,7 @@
         }
         if (in_series > 0 && --in_series > 0)
             continue;
-        std::this_thread::sleep_for(pause_of_operator);
+        std::this_thread::sleep_for(pause);
         if (auto const newest = read(it))
             current = *newest;
     }
--- a/testbed/soak/load.h
+++ b/testbed/soak/load.h
@@ -37,11 +37,17 @@
 struct SeenByOperator {
     std::vector<SeenChange> changes;
     std::vector<SeenRead> reads;
+    std::vector<SeenReadTry> read_tries;
 };
 
+class AcceptedVersions;
+
 /// Changes and reads the configuration until it is told to stop, at times several changes without a pause;
 /// resends what got no clear answer, and
 /// at times sends a rival on a version that was built on already. The last thing it does is a read.
-auto run_operator(Endpoints const&, std::uint64_t seed, std::stop_token const&) -> SeenByOperator;
+/// @param pause between two changes that are no series.
+/// @param accepted is told of each change that was acknowledged.
+auto run_operator(Endpoints const&, std::uint64_t seed, Duration pause, AcceptedVersions& accepted,
+    std::stop_token const&) -> SeenByOperator;
 
 } // namespace graniteseam::testbed::soak
--- a/testbed/soak/promises.cc
+++ b/testbed/soak/promises.cc
@@ -214,6 +214,73 @@
         }
     }
 
+    /// Whether nothing disturbed the control group from `contact` before an instant until another one.
+    auto core_is_calm(Observed const& seen, Instant from, Instant until) -> bool
+    {
+        return from - contact >= seen.settled
+            && std::none_of(seen.core_disturbances.begin(), seen.core_disturbances.end(),
+                [&](auto const& it) { return it.begun <= until && from <= it.ended + contact; });
+    }
+
+    auto in_ms(Duration span) -> std::string
+    {
+        return std::to_string(span.count() / 1000) + " ms";
+    }
+
+    /// While the control group was disturbed, changes need not be in force anywhere sooner than after the
+    /// last disturbance, so that only calm time is looked at.
+    auto check_in_force(Observed const& seen, std::vector<Breach>& breaches) -> void
+    {
+        constexpr int no_such_route = 404;
+        for (auto const& probe : seen.probes) {
+            auto const& [answer, version, acknowledged] = probe;
+            if (answer.status != no_such_route)
+                continue;
+            auto const calm = core_is_calm(seen, acknowledged, answer.sent)
+                && in_touch(seen, answer.router, answer.sent, answer.sent);
+            if (calm)
+                add(breaches, "in_force",
+                    "router " + std::to_string(answer.router) + " did not know version "
+                        + std::to_string(version) + " " + in_ms(answer.sent - acknowledged)
+                        + " after its acknowledgement");
+        }
+    }
+
+    auto check_acknowledged(Observed const& seen, std::vector<Breach>& breaches) -> void
+    {
+        std::map<std::pair<std::uint64_t, std::string>, SeenChange const*> first;
+        std::map<std::pair<std::uint64_t, std::string>, Instant> clear;
+        for (auto const& change : seen.changes) {
+            auto const name = std::pair(change.version, change.body);
+            first.try_emplace(name, &change);
+            if (change.accepted || change.refused)
+                clear.try_emplace(name, change.ended);
+        }
+        for (auto const& [name, change] : first) {
+            auto const due = change->sent + answered_within;
+            auto const it = clear.find(name);
+            auto const late = it == clear.end() ? seen.ended >= due : it->second > due;
+            if (late && core_is_calm(seen, change->sent, due))
+                add(breaches, "acknowledged",
+                    "version " + std::to_string(name.first) + " had no clear answer after "
+                        + in_ms(answered_within) + " of calm");
+        }
+    }
+
+    auto check_readable(Observed const& seen, std::vector<Breach>& breaches) -> void
+    {
+        for (auto const& failed : seen.read_tries) {
+            auto const due = failed.sent + answered_within;
+            if (failed.answered || due > seen.ended || !core_is_calm(seen, failed.sent, due))
+                continue;
+            auto const answered = std::any_of(seen.read_tries.begin(), seen.read_tries.end(),
+                [&](auto const& it) { return it.answered && it.ended >= failed.sent && it.ended <= due; });
+            if (!answered)
+                add(breaches, "readable",
+                    "the configuration could not be read within " + in_ms(answered_within) + " of calm");
+        }
+    }
+
     /// No request of a soak ends its worker; workers end by themselves while they run some.
     auto check_spared(Observed const& seen, std::vector<Breach>& breaches) -> void
     {
@@ -255,6 +322,9 @@
     check_drains(seen, breaches);
     check_kept_connections(seen, breaches);
     check_spared(seen, breaches);
+    check_in_force(seen, breaches);
+    check_acknowledged(seen, breaches);
+    check_readable(seen, breaches);
     auto const wanted = static_cast<double>(seen.asked_at_the_end) * served_share_minimum;
     if (static_cast<double>(seen.served_at_the_end) < wanted)
         add(breaches, "recovers",
--- a/testbed/soak/promises.h
+++ b/testbed/soak/promises.h
@@ -34,6 +34,7 @@
     bool accepted = false;
     Instant sent {};
     Instant ended {};
+    bool refused = false; ///< For what it says, not for who was asked.
 };
 
 /// One read of the configuration that was answered.
@@ -43,6 +44,20 @@
     Instant sent {};
 };
 
+/// One question for the configuration, answered or not.
+struct SeenReadTry {
+    Instant sent {};
+    Instant ended {};
+    bool answered = false;
+};
+
+/// A request for a route that an accepted change added.
+struct SeenProbe {
+    SeenAnswer answer;
+    std::uint64_t version = 0; ///< Of the change.
+    Instant acknowledged {}; ///< When the operator was told that it is accepted.
+};
+
 /// A worker's word that it leaves.
 struct SeenDrain {
     std::string worker;
@@ -57,20 +72,36 @@
     Instant ended {};
 };
 
+/// A span in which something was done to a control process.
+struct SeenCoreDisturbance {
+    Instant begun {};
+    Instant ended {};
+};
+
 struct Observed {
     std::vector<SeenAnswer> answers;
     std::vector<WorkerRun> runs;
     std::vector<SeenChange> changes;
     std::vector<SeenRead> reads;
+    std::vector<SeenReadTry> read_tries;
+    std::vector<SeenProbe> probes;
     std::vector<SeenDrain> drains;
     std::vector<WorkerHold> holds;
     std::map<std::string, Instant> worker_ends; ///< Of those that ended, by id.
     std::vector<SeenDisturbance> disturbances;
+    std::vector<SeenCoreDisturbance> core_disturbances;
+    Instant ended {}; ///< When the callers and the operator were told to stop.
+    Instant settled {}; ///< When all processes had started and found each other.
     std::vector<Instant> thaws; ///< When a control process that had stood still went on.
     std::uint64_t served_at_the_end = 0; ///< Successes after all faults were undone.
     std::uint64_t asked_at_the_end = 0;
 };
 
+/// The users' bounds: for a change to be in force at every router in touch, counted from its
+/// acknowledgement, and for a change or a read in calm time to be answered.
+inline constexpr Duration in_force_within {2'500'000};
+inline constexpr Duration answered_within {4'000'000};
+
 /// A promise that was not kept.
 struct Breach {
     std::string promise; ///< For example "at_most_once".
--- a/testbed/soak/run_shape.cc
+++ b/testbed/soak/run_shape.cc
@@ -10,6 +10,30 @@
     /// Apart from the numbers that the plan of faults is drawn from.
     constexpr std::uint64_t shape_salt = 0x5eed'0f5a'4a9e'0001;
 
+    template<class Between>
+    auto draw_crowd(Between const& between) -> RunShape
+    {
+        RunShape shape;
+        shape.crowded = true;
+        shape.controls = 6;
+        shape.losses_tolerated = 2;
+        shape.routers = 100;
+        auto const workers = between(200, 330);
+        shape.keyed_workers = workers * 2 / 5;
+        shape.leased_workers = workers / 10;
+        shape.pool_workers = workers - shape.keyed_workers - shape.leased_workers;
+        shape.pooled_callers = 1;
+        shape.kept_callers = 12;
+        shape.fresh_callers = 2;
+        shape.faults = 10;
+        // As on the users' machines.
+        shape.heartbeat = Duration {1'300'000};
+        shape.operator_pause = Duration {1'000'000};
+        constexpr double hundredth = 0.01;
+        shape.processor = between(6, 12) * hundredth;
+        return shape;
+    }
+
 } // namespace
 
 auto draw_shape(std::uint64_t seed, std::optional<RunSize> size) -> RunShape
@@ -26,6 +50,8 @@
         shape.pool_workers = between(2, 3);
         return shape;
     }
+    if (size == RunSize::Crowd)
+        return draw_crowd(between);
     shape.routers = between(9, 20);
     auto const workers = between(60, 150);
     shape.pool_workers = workers / 6;
--- a/testbed/soak/run_shape.h
+++ b/testbed/soak/run_shape.h
@@ -20,13 +20,21 @@
     std::uint32_t fresh_callers = 2;
     std::uint32_t faults = 20;
     Duration heartbeat {200'000};
+    std::uint32_t losses_tolerated = 1;
+    double processor = 1; ///< Part of a core that each control process may use; 1: not limited.
+    bool crowded = false; ///< Faults of many workers at once.
+    Duration operator_pause {250'000}; ///< Between two changes that are no series.
 
     auto operator==(RunShape const&) const -> bool = default;
 };
 
-enum class RunSize { Small, Large };
+enum class RunSize {
+    Small,
+    Large,
+    Crowd, ///< Six control processes of which five vote, 100 routers, hundreds of workers, little processor.
+};
 
-/// @param size drawn from the seed, one in four large, where none is given.
+/// @param size drawn from the seed, one in four large and none a crowd, where none is given.
 auto draw_shape(std::uint64_t seed, std::optional<RunSize> size) -> RunShape;
 
 /// Processes that such a run starts.
--- a/testbed/soak/soak.cc
+++ b/testbed/soak/soak.cc
@@ -17,6 +17,7 @@
 
 #include "src/runtime/clock.h"
 #include "testbed/soak/load.h"
+#include "testbed/soak/probes.h"
 #include "testbed/soak/run_shape.h"
 #include "testbed/soak/soaked_fleet.h"
 #include "testbed/support/text_file.h"
@@ -48,13 +49,14 @@
     };
 
     constexpr char usage[]
-        = "Usage: graniteseam-soak [--seed N] [--seeds N] [--parallel K] [--size small|large] [--faults N]\n"
+        = "Usage: graniteseam-soak [--seed N] [--seeds N] [--parallel K] [--size small|large|crowd] "
+          "[--faults N]\n"
           "                        [--folder DIR] [--programs DIR] [--templates DIR]\n"
           "  --seed N       first seed; without it one is drawn and printed\n"
           "  --seeds N      how many, from the first on (1)\n"
           "  --parallel K   how many side by side (1), as long as they start at most 60 processes together\n"
-          "  --size SIZE    of all runs; without it drawn from the seed, one in four large\n"
-          "  --faults N     of each run (20, a large one 45)\n"
+          "  --size SIZE    of all runs; without it drawn from the seed, one in four large, none a crowd\n"
+          "  --faults N     of each run (20, a large one 45, a crowd 10)\n"
           "  --folder DIR   for data and logs; those of failed seeds are kept\n"
           "  --programs DIR where graniteseam-platform-* are (beside this program)\n"
           "  --templates DIR where their settings templates are (platform)\n";
@@ -65,6 +67,8 @@
             return RunSize::Small;
         if (text == "large")
             return RunSize::Large;
+        if (text == "crowd")
+            return RunSize::Crowd;
         return std::nullopt;
     }
 
@@ -230,9 +234,20 @@
         options.leased_workers = shape.leased_workers;
         options.pool_workers = shape.pool_workers;
         options.heartbeat = shape.heartbeat;
+        options.losses_tolerated = shape.losses_tolerated;
+        options.processor = shape.processor;
         return options;
     }
 
+    /// The first accepted change proves that the group founded itself; routers find it within `settling`.
+    auto settled_at(Observed const& seen) -> Instant
+    {
+        constexpr Duration settling {3'000'000};
+        auto const it = std::find_if(
+            seen.changes.begin(), seen.changes.end(), [](auto const& change) { return change.accepted; });
+        return it == seen.changes.end() ? Instant::max() : it->ended + settling;
+    }
+
     /// Plays the plan under load until the fleet had its time to recover.
     auto observe(SoakedFleet& fleet, RunShape const& shape, std::vector<Fault> const& plan,
         PlanBounds const& bounds, std::uint64_t seed, ProgramNames const& names) -> Observed
@@ -242,14 +257,18 @@
             endpoints.routers.push_back(fleet.caller_address(i));
         Observed seen;
         SeenByOperator by_operator;
+        AcceptedVersions accepted;
         auto const callers = caller_options(shape, seed);
         std::vector<std::vector<SeenAnswer>> answers(callers.size());
         auto const start = runtime::BootTimeNow();
         auto const settled = start + bounds.last + recovery;
         {
             std::vector<std::jthread> threads;
+            threads.emplace_back([&](std::stop_token const& stop) {
+                by_operator = run_operator(endpoints, seed, shape.operator_pause, accepted, stop);
+            });
             threads.emplace_back(
-                [&](std::stop_token const& stop) { by_operator = run_operator(endpoints, seed, stop); });
+                [&](std::stop_token const& stop) { seen.probes = run_prober(endpoints, accepted, stop); });
             for (std::size_t i = 0; i < callers.size(); ++i) {
                 threads.emplace_back([&, i](std::stop_token const& stop) {
                     answers[i] = run_caller(endpoints, callers[i], stop);
@@ -257,11 +276,16 @@
             }
             play(fleet, plan, start);
             sleep_until(settled + final_look);
+            seen.ended = runtime::BootTimeNow();
         }
         for (auto& it : answers)
             std::move(it.begin(), it.end(), std::back_inserter(seen.answers));
         seen.changes = std::move(by_operator.changes);
         seen.reads = std::move(by_operator.reads);
+        seen.read_tries = std::move(by_operator.read_tries);
+        for (auto const& probe : seen.probes)
+            seen.answers.push_back(probe.answer);
+        seen.settled = settled_at(seen);
         fleet.collect(seen);
         count_end(seen, settled);
         return seen;
@@ -276,11 +300,11 @@
         };
         return fmt::format("{} routers, {} orders + {} leases + {} pool workers; {} faults ({}); "
                            "{} attempts, {} served, {} kept-connection requests, {} of them lost; {} runs, "
-                           "{} grants held, {} changes sent, {} reads; at the end {} of {} served",
+                           "{} grants held, {} changes sent, {} reads, {} probes; at the end {} of {} served",
             shape.routers, shape.keyed_workers, shape.leased_workers, shape.pool_workers, plan.size(),
             kinds_text(plan), seen.answers.size(), count([](auto const& it) { return it.status == 200; }),
             count([](auto const& it) { return it.kept; }), lost_on_kept_connections(seen).size(),
-            seen.runs.size(), seen.holds.size(), seen.changes.size(), seen.reads.size(),
+            seen.runs.size(), seen.holds.size(), seen.changes.size(), seen.reads.size(), seen.probes.size(),
             seen.served_at_the_end, seen.asked_at_the_end);
     }
 
@@ -293,6 +317,7 @@
         bounds.controls = shape.controls;
         bounds.routers = shape.routers;
         bounds.workers = workers_of(shape);
+        bounds.crowded = shape.crowded;
         bounds.faults = arguments.faults.value_or(shape.faults);
         auto const plan = plan_faults(seed, bounds);
         auto const options = fleet_options(shape, seed, arguments);
--- a/testbed/soak/soaked_fleet.cc
+++ b/testbed/soak/soaked_fleet.cc
@@ -36,6 +36,11 @@
     /// A heartbeat that outlives its sender is held up for at most so long.
     constexpr std::uint32_t heartbeat_delay_spread_ms = 2'500;
     constexpr int exit_not_run = 127;
+    /// Seeds that a process is told of, as the users' platform does.
+    constexpr std::uint32_t seeds_told = 3;
+    /// Of all workers, those that leave together: a part between these, in hundredths.
+    constexpr std::uint32_t leaving_least = 10;
+    constexpr std::uint32_t leaving_spread = 21;
 
     auto ip_of(std::uint32_t machine) -> std::string
     {
@@ -82,6 +87,8 @@
             std::exit(EXIT_FAILURE);
         }
     }
+    if (m_options.processor < 1)
+        m_quota.emplace(m_options.processor);
     for (std::uint32_t i = 0; i < m_options.controls; ++i)
         start_control(i, true);
     for (std::uint32_t i = 0; i < m_options.routers; ++i)
@@ -100,6 +107,7 @@
 SoakedFleet::~SoakedFleet()
 {
     m_slots.clear();
+    m_quota.reset();
     m_processes.clear();
 }
 
@@ -133,8 +141,9 @@
     fields.number = machine;
     fields.ip = ip_of(machine);
     fields.first_start = first;
+    fields.losses_tolerated = m_options.losses_tolerated;
     // Others are told the relay's addresses, so that every link between processes can be cut.
-    for (std::uint32_t i = 0; i < m_options.controls; ++i) {
+    for (std::uint32_t i = 0; i < std::min(m_options.controls, seeds_told); ++i) {
         auto const control = control_machine((first_seed + i) % m_options.controls);
         fields.seeds.push_back(at_port(LinkLayer::RelayIp(ip_of(control)), RegistryPort));
     }
@@ -185,10 +194,35 @@
     }
     auto& started = std::get<ChildProcess>(process);
     m_owners.Add(started.id(), ip_of(machine));
-    m_processes.erase(machine);
+    if (auto const it = m_processes.find(machine); it != m_processes.end()) {
+        if (m_quota)
+            m_quota->remove(it->second.id());
+        m_processes.erase(it);
+    }
+    if (m_quota && program == "control")
+        m_quota->add(started.id());
     m_processes.emplace(machine, std::move(started));
 }
 
+auto SoakedFleet::kill(Machine machine) -> void
+{
+    auto& process = m_processes.at(machine);
+    if (m_quota)
+        m_quota->remove(process.id());
+    process.Kill();
+}
+
+auto SoakedFleet::leaving_workers(Fault const& fault) const -> std::vector<std::uint32_t>
+{
+    auto const all = static_cast<std::uint32_t>(m_slots.size());
+    auto const n = all * (leaving_least + fault.choice % leaving_spread) / 100;
+    std::vector<std::uint32_t> leaving;
+    // Spread over all services.
+    for (std::uint32_t i = 0; i < n; ++i)
+        leaving.push_back((fault.target + i * all / n) % all);
+    return leaving;
+}
+
 auto SoakedFleet::start_control(std::uint32_t index, bool first) -> void
 {
     auto const machine = control_machine(index);
@@ -318,17 +352,19 @@
 
 auto SoakedFleet::begin(Fault const& fault) -> void
 {
+    if (disturbs_core(fault.kind))
+        m_seen.core_disturbances.push_back({runtime::BootTimeNow(), runtime::BootTimeNow() + fault.span});
     auto const control = control_machine(fault.target);
     auto const router = router_machine(fault.target);
     switch (fault.kind) {
     case FaultKind::KillControl:
-        return m_processes.at(control).Kill();
+        return kill(control);
     case FaultKind::KillRouter:
         begin_disturbance(fault.target);
-        return m_processes.at(router).Kill();
+        return kill(router);
     case FaultKind::KillAllControls:
         for (std::uint32_t i = 0; i < m_options.controls; ++i)
-            m_processes.at(control_machine(i)).Kill();
+            kill(control_machine(i));
         return;
     case FaultKind::StopControl:
         return m_processes.at(control).Signal(SIGTERM);
@@ -339,16 +375,18 @@
     case FaultKind::ReloadRouter:
         return reload(router, "router", fault.choice);
     case FaultKind::FreezeControl:
+        if (m_quota)
+            m_quota->remove(m_processes.at(control).id());
         return m_processes.at(control).Signal(SIGSTOP);
     case FaultKind::FreezeRouter:
         begin_disturbance(fault.target);
         return m_processes.at(router).Signal(SIGSTOP);
     case FaultKind::LoseDisk:
-        m_processes.at(control).Kill();
+        kill(control);
         std::filesystem::remove_all(data_folder(fault.target));
         return;
     case FaultKind::TearWrite:
-        m_processes.at(control).Kill();
+        kill(control);
         return tear_newest_file(fault.target);
     case FaultKind::CrashWorker:
     case FaultKind::ReplaceWorker:
@@ -360,6 +398,10 @@
         delay_heartbeat(worker, fault.choice);
         return fault.kind == FaultKind::DrainWorker ? worker.Drain() : worker.Deregister();
     }
+    case FaultKind::ScaleIn:
+        for (auto const index : leaving_workers(fault))
+            m_slots.at(index).worker->Drain();
+        return;
     case FaultKind::CutRouter:
         begin_disturbance(fault.target);
         break;
@@ -399,7 +441,10 @@
         return end_disturbance(fault.target);
     case FaultKind::FreezeControl:
         m_seen.thaws.push_back(runtime::BootTimeNow());
-        return m_processes.at(control).Signal(SIGCONT);
+        m_processes.at(control).Signal(SIGCONT);
+        if (m_quota)
+            m_quota->add(m_processes.at(control).id());
+        return;
     case FaultKind::FreezeRouter:
         m_processes.at(router).Signal(SIGCONT);
         return end_disturbance(fault.target);
@@ -418,6 +463,13 @@
         ++m_replacements.at_same_address;
         retire_worker(fault.target, fault.choice);
         return add_worker(fault.target);
+    case FaultKind::ScaleIn:
+        for (auto const index : leaving_workers(fault)) {
+            ++m_replacements.at_same_address;
+            retire_worker(index, 0);
+            add_worker(index);
+        }
+        return;
     case FaultKind::CutRouter:
         end_disturbance(fault.target);
         break;
@@ -444,6 +496,7 @@
     seen.drains = m_seen.drains;
     seen.disturbances = m_seen.disturbances;
     seen.thaws = m_seen.thaws;
+    seen.core_disturbances = m_seen.core_disturbances;
     seen.worker_ends = m_seen.worker_ends;
 }
 
--- a/testbed/soak/soaked_fleet.h
+++ b/testbed/soak/soaked_fleet.h
@@ -21,6 +21,7 @@
 #include "testbed/registered/late_heartbeats.h"
 #include "testbed/registered/worker.h"
 #include "testbed/soak/fault_plan.h"
+#include "testbed/soak/processor_quota.h"
 #include "testbed/soak/promises.h"
 
 namespace graniteseam::testbed::soak {
@@ -44,6 +45,8 @@
     std::uint32_t leased_workers = 4; ///< Of the service whose keys come by heartbeat.
     std::uint32_t pool_workers = 2;
     Duration heartbeat {200'000};
+    std::uint32_t losses_tolerated = 1;
+    double processor = 1; ///< Part of a core that each control process may use; 1: not limited.
 };
 
 /// How often a worker was replaced by another process.
@@ -118,6 +121,10 @@
     auto delay_heartbeat(Worker&, std::uint32_t choice) -> void;
     auto reserve_address(std::uint32_t index) -> void;
     auto next_service(std::uint32_t index, std::uint32_t choice) const -> std::string;
+    /// Kills a process, which is not signalled by the quota any more.
+    auto kill(Machine) -> void;
+    /// Workers that leave together by such a fault.
+    auto leaving_workers(Fault const&) const -> std::vector<std::uint32_t>;
     auto begin_disturbance(std::uint32_t router) -> void;
     auto end_disturbance(std::uint32_t router) -> void;
     auto link_state(std::string const& from, std::string const& to) const -> LinkState;
@@ -128,6 +135,7 @@
     SocketOwners m_owners;
     std::unique_ptr<LinkLayer> m_links;
     std::map<Machine, ChildProcess> m_processes;
+    std::optional<ProcessorQuota> m_quota; ///< Of control processes; after them, so that it ends first.
     /// A place for one worker after the other.
     struct Slot {
         std::string service;
