Simulator: a word of not run is about its sending and those before it

Traced: a first sending was refused as expired, by a control process whose time of day had jumped, and its answer was on its way when the caller sent the operation again, which ran. Then the first sending's caller was told not_run. docs/interface/callers.md promises just that: the request did not run and never will.

Change: the oracle remembers which sending ran; not_run breaks the promise when that one, or one before it, ran.

--- a/simulation/simulator/oracle.h
+++ b/simulation/simulator/oracle.h
@@ -72,6 +72,7 @@
   std::map<ShardKey, std::vector<Holding>> holdings_;
   std::map<ShardKey, std::pair<std::uint64_t, std::string>> newest_effect_;
   std::map<std::string, std::uint32_t> runs_;
+  std::map<std::string, std::uint64_t> first_run_by_;  ///< The submission that ran, by operation.
   std::map<std::uint64_t, Submission> submissions_;
   std::map<std::uint64_t, std::string> accepted_digests_;
   std::map<std::uint64_t, std::int64_t> rolled_;  ///< Version -> when it was accepted as rolled.
