--- a/include/graniteseam/consensus/types.h
+++ b/include/graniteseam/consensus/types.h
@@ -146,12 +146,13 @@
 };
 BOOST_DESCRIBE_STRUCT(Announcement, (), (founding))
 
-/// From a follower to its leader: instances whose heartbeats it took for it. Goes the way of the
+/// From a member to its leader: instances whose heartbeats it took for it. Goes the way of the
 /// other messages; consensus itself does not read it.
 struct HeartbeatRelay {
-  std::vector<std::string> instances;
+  std::vector<std::string> instances;  ///< They told nothing new.
+  std::string changes;  ///< A command with the reports that did, to be proposed; may be empty.
 };
-BOOST_DESCRIBE_STRUCT(HeartbeatRelay, (), (instances))
+BOOST_DESCRIBE_STRUCT(HeartbeatRelay, (), (instances, changes))
 
 using PeerPayload =
     std::variant<VoteRequest, VoteResponse, AppendRequest, AppendResponse, InstallSnapshotRequest,
--- a/include/graniteseam/control/control_node.h
+++ b/include/graniteseam/control/control_node.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -54,6 +55,9 @@
   std::vector<consensus::PeerMessage> peer_messages;
   std::vector<LeaseSend> lease_sends;
   std::vector<RouterSend> router_sends;
+  /// Names the changes among them that go to many routers: with TrafficOptions::pushes_are_timed
+  /// the driver tells by OnPushSent() when they have left.
+  std::optional<std::uint64_t> push;
   std::vector<OperatorReply> operator_replies;
   std::vector<RangeOrder> range_orders;    ///< To instances that own keys.
   std::vector<RangeNote> range_notes;      ///< For the event log.
@@ -79,6 +83,8 @@
                                    std::int64_t wall_ms);
   ControlEffects OnPlatformList(const PlatformList& list, Instant now);
   ControlEffects OnRangeOrderResult(const RangeOrderResult& result, Instant now);
+  /// All that effects with this `push` sent to routers has left the process.
+  ControlEffects OnPushSent(std::uint64_t push, Instant now);
   /// Hands leadership over for a planned stop.
   ControlEffects PrepareStop(Instant now);
 
--- a/include/graniteseam/control/traffic_options.h
+++ b/include/graniteseam/control/traffic_options.h
@@ -38,6 +38,8 @@
   RangeOptions ranges;
   /// An instance that sent no heartbeat for so long gets nothing new.
   Duration instance_silence{4'000'000};
+  /// The driver tells when pushes have left the process, and the next ones wait for it.
+  bool pushes_are_timed = false;
 };
 
 struct MembershipKeeperOptions {
--- a/src/control/control_node.cc
+++ b/src/control/control_node.cc
@@ -52,6 +52,10 @@
   return impl_->OnRangeOrderResult(result, now);
 }
 
+ControlEffects ControlNode::OnPushSent(std::uint64_t push, Instant now) {
+  return impl_->OnPushSent(push, now);
+}
+
 ControlEffects ControlNode::PrepareStop(Instant now) { return impl_->PrepareStop(now); }
 
 const consensus::RaftConsensus& ControlNode::consensus() const { return impl_->consensus(); }
--- a/src/control/control_node_impl.cc
+++ b/src/control/control_node_impl.cc
@@ -26,11 +26,11 @@
 ControlNode::Impl::Leadership::Leadership(const ControlOptions& options,
                                           const ReplicatedState& state, Term in_term,
                                           std::uint64_t numbers_used, OrderNumber orders_used,
-                                          Instant now)
+                                          std::uint64_t pushes_used, Instant now)
     : term(in_term),
       ownership(OwnershipOptionsOf(options), state, in_term, numbers_used, now),
       routers(options.router_lease, state),
-      traffic(options.traffic, state, orders_used, now) {
+      traffic(options.traffic, state, orders_used, pushes_used, now) {
   routers.FollowState();
 }
 
@@ -52,7 +52,7 @@
 }
 
 Instant ControlNode::Impl::NextTick() const {
-  Instant next = std::min(consensus_.NextTick(), relay_due_);
+  Instant next = std::min(consensus_.NextTick(), relayer_.NextDue(FollowsLeader()));
   if (!leadership_ || stopping_) return next;
   Instant due = std::min(leadership_->ownership.NextDue(), journal_expiry_due_);
   due = std::min(due, leadership_->traffic.NextDue());
@@ -92,7 +92,7 @@
   if (const auto* renewal = std::get_if<RouterRenewal>(&message)) {
     OnRenewal(connection, *renewal, now);
   } else if (const auto* poll = std::get_if<TrafficPoll>(&message)) {
-    OnTrafficPoll(connection, *poll, now);
+    TakePoll(connection, *poll, now);
   } else {
     OnJournal(connection, std::get<JournalRequest>(message), now, wall_ms);
   }
@@ -101,6 +101,7 @@
 
 ControlEffects ControlNode::Impl::OnRouterDisconnected(ConnectionId connection, Instant now) {
   pending_.Drop(connection);
+  deferred_.Drop(connection);
   if (leadership_) {
     leadership_->routers.Disconnect(connection);
     leadership_->traffic.sessions().Disconnect(connection);
@@ -111,14 +112,10 @@
 ControlEffects ControlNode::Impl::OnOperatorRequest(RequestId request,
                                                     const OperatorRequest& command, Instant now) {
   FollowRole(now);
-  const auto* heartbeat = std::get_if<ReportInstance>(&command);
-  if (!Leading(now) || !leadership_) {
-    const bool relayed = heartbeat != nullptr && RelayHeartbeat(request, *heartbeat, now);
-    if (!relayed) Reply(request, NotLeaderError());
-  } else if (heartbeat != nullptr) {
-    OnHeartbeat(request, *heartbeat, now);
+  if (AwaitsLease(now) && !deferred_.full()) {
+    deferred_.Add(DeferredOperatorRequest{request, command});
   } else {
-    RunStep(request, Plan(command, now), now);
+    TakeRequest(request, command, now);
   }
   return Finish(now);
 }
@@ -138,6 +135,12 @@
   return Finish(now);
 }
 
+ControlEffects ControlNode::Impl::OnPushSent(std::uint64_t push, Instant now) {
+  FollowRole(now);
+  if (leadership_) leadership_->traffic.sessions().PushSent(push, now);
+  return Finish(now);
+}
+
 ControlEffects ControlNode::Impl::PrepareStop(Instant now) {
   stopping_ = true;
   Absorb(consensus_.TransferLeadership(now), now);
@@ -248,6 +251,7 @@
 }
 
 void ControlNode::Impl::FollowRole(Instant now) {
+  if (FollowsLeader()) leader_known_at_ = now;
   const bool leads = consensus_.role() == consensus::Role::kLeader;
   if (leadership_ && (!leads || consensus_.term() != leadership_->term)) EndLeadership();
   if (!leads) {
@@ -259,7 +263,8 @@
     numbers_term_ = consensus_.term();
     numbers_used_ = 0;
   }
-  leadership_.emplace(options_, state_, numbers_term_, numbers_used_, orders_used_, now);
+  leadership_.emplace(options_, state_, numbers_term_, numbers_used_, orders_used_, pushes_used_,
+                      now);
   leadership_->ownership.TakePlatformList(platform_list_, now);
 }
 
@@ -267,9 +272,18 @@
   if (leadership_) {
     numbers_used_ = leadership_->ownership.leases().numbers_used();
     orders_used_ = leadership_->traffic.ranges().last_number();
+    pushes_used_ = leadership_->traffic.sessions().last_push();
     looks_before_ += leadership_->traffic.ranges().looks();
   }
   leadership_.reset();
+  for (const Deferred& deferred : deferred_.TakeAll()) {
+    if (const auto* asked = std::get_if<DeferredOperatorRequest>(&deferred)) {
+      Reply(asked->request, NotLeaderError());
+    } else {
+      const auto& poll = std::get<DeferredPoll>(deferred);
+      SendNotLeader(poll.connection, poll.poll.sequence);
+    }
+  }
   // Whether these entries will be committed is not known here. Each request may be resent, so its
   // sender finds out by doing so.
   for (const auto& waiter : pending_.TakeAll()) {
@@ -305,9 +319,12 @@
 }
 
 void ControlNode::Impl::SendTrafficOrders(Instant now) {
+  const std::uint64_t pushes_before = leadership_->traffic.sessions().last_push();
   for (RouterSend& send : leadership_->traffic.Push(now)) {
     effects_.router_sends.push_back(std::move(send));
   }
+  const std::uint64_t push = leadership_->traffic.sessions().last_push();
+  if (push != pushes_before) effects_.push = push;
   for (RangeOrder& order : leadership_->traffic.ranges().Orders(now)) {
     effects_.range_orders.push_back(std::move(order));
   }
@@ -340,9 +357,22 @@
   decider.Proposed(LogIndex{first->value + commands.size() - 1});
 }
 
+void ControlNode::Impl::TakeDeferred(Instant now) {
+  if (deferred_.empty() || !leadership_ || !Leading(now)) return;
+  for (const Deferred& deferred : deferred_.TakeAll()) {
+    if (const auto* asked = std::get_if<DeferredOperatorRequest>(&deferred)) {
+      TakeRequest(asked->request, asked->command, now);
+    } else {
+      const auto& poll = std::get<DeferredPoll>(deferred);
+      OnTrafficPoll(poll.connection, poll.poll, now);
+    }
+  }
+}
+
 ControlEffects ControlNode::Impl::Finish(Instant now) {
+  TakeDeferred(now);
+  FollowRelay(now);
   Lead(now);
-  FlushRelay(now);
   CompactIfDue(now);
   if (leadership_) {
     effects_.range_notes = leadership_->traffic.ranges().TakeNotes();
--- a/src/control/control_node_impl.h
+++ b/src/control/control_node_impl.h
@@ -4,11 +4,12 @@
 
 #include <cstdint>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
 #include "graniteseam/control/control_node.h"
+#include "src/control/deferred_requests.h"
+#include "src/control/heartbeat_relayer.h"
 #include "src/control/operator_requests.h"
 #include "src/control/ownership_controller.h"
 #include "src/control/pending_requests.h"
@@ -36,6 +37,7 @@
   ControlEffects OnOperatorRequest(RequestId request, const OperatorRequest& command, Instant now);
   ControlEffects OnPlatformList(const PlatformList& list, Instant now);
   ControlEffects OnRangeOrderResult(const RangeOrderResult& result, Instant now);
+  ControlEffects OnPushSent(std::uint64_t push, Instant now);
   ControlEffects PrepareStop(Instant now);
 
   const consensus::RaftConsensus& consensus() const { return consensus_; }
@@ -47,7 +49,8 @@
   /// Everything that is known only to an established leader in one term.
   struct Leadership {
     Leadership(const ControlOptions& options, const ReplicatedState& state, Term in_term,
-               std::uint64_t numbers_used, OrderNumber orders_used, Instant now);
+               std::uint64_t numbers_used, OrderNumber orders_used, std::uint64_t pushes_used,
+               Instant now);
 
     Term term;
     OwnershipController ownership;
@@ -74,16 +77,24 @@
   void SendTrafficOrders(Instant now);
   void KeepMembership(Instant now);
   ControlEffects Finish(Instant now);
+  /// Whether it leads but for its lease, which may come back with any message of a peer.
+  bool AwaitsLease(Instant now) const { return leadership_ && !stopping_ && !Leading(now); }
+  /// Takes what was asked meanwhile, once the lease is back.
+  void TakeDeferred(Instant now);
 
   // Requests.
+  void TakeRequest(RequestId request, const OperatorRequest& command, Instant now);
+  void TakePoll(ConnectionId connection, const TrafficPoll& poll, Instant now);
   void OnRenewal(ConnectionId connection, const RouterRenewal& renewal, Instant now);
   void OnTrafficPoll(ConnectionId connection, const TrafficPoll& poll, Instant now);
-  /// Takes a heartbeat that changes nothing in place of the leader, which is told in a batch: so
-  /// most heartbeats neither cross zones nor cost the leader a call.
+  /// Takes a heartbeat in place of the leader.
   /// @return false when only the leader may answer it.
   bool RelayHeartbeat(RequestId request, const ReportInstance& heartbeat, Instant now);
-  void FlushRelay(Instant now);
+  /// Answers relayed heartbeats whose time has come, and tells the leader of those that wait.
+  void FollowRelay(Instant now);
+  bool FollowsLeader() const;
   void TakeRelay(const consensus::PeerMessage& message, Instant now);
+  void TakeRelayedChanges(const std::string& changes, Instant now);
   void OnHeartbeat(RequestId request, const ReportInstance& heartbeat, Instant now);
   /// Acknowledges a heartbeat, with leases where its instance gets its keys so.
   void ReplyToHeartbeat(RequestId request, const ReportInstance& heartbeat, LogIndex index,
@@ -104,18 +115,20 @@
   ReplicatedState state_;
   std::optional<Leadership> leadership_;
   PendingRequests pending_;
+  DeferredRequests deferred_;
   PlatformList platform_list_;
   ControlEffects effects_;
   LogIndex compacted_;
   Term numbers_term_;               ///< Term in which `numbers_used_` counts.
   std::uint64_t numbers_used_ = 0;  ///< Of earlier lease tables of that term.
   OrderNumber orders_used_;         ///< By earlier leaderships of this process.
+  std::uint64_t pushes_used_ = 0;   ///< By earlier leaderships of this process.
   std::uint64_t looks_before_ = 0;  ///< Of decisions of earlier leaderships.
   Instant journal_expiry_due_{};
   Instant membership_look_due_{};
-  std::set<std::string> relayed_;  ///< Instances heard of for the leader since the last batch.
-  Instant relay_due_ = Instant::max();
-  Instant finished_at_{};  ///< Of the latest entry point.
+  HeartbeatRelayer relayer_{state_.traffic()};
+  Instant leader_known_at_{};  ///< When this process last knew another one that leads.
+  Instant finished_at_{};      ///< Of the latest entry point.
   bool stopping_ = false;
 };
 
--- a/src/control/control_node_requests.cc
+++ b/src/control/control_node_requests.cc
@@ -11,12 +11,33 @@
 namespace graniteseam::control {
 namespace {
 
-/// For how long a follower gathers heartbeats for its leader: short beside the silence after which
-/// an instance gets nothing new.
-constexpr Duration kRelayInterval{400'000};
+/// A process that knew no leader for longer sends instances on: it may be cut off, and a group that
+/// has lost its leader elects the next one sooner.
+constexpr Duration kLeaderMissed{1'500'000};
 
 }  // namespace
 
+void ControlNode::Impl::TakeRequest(RequestId request, const OperatorRequest& command,
+                                    Instant now) {
+  const auto* heartbeat = std::get_if<ReportInstance>(&command);
+  if (!Leading(now) || !leadership_) {
+    const bool relayed = heartbeat != nullptr && RelayHeartbeat(request, *heartbeat, now);
+    if (!relayed) Reply(request, NotLeaderError());
+  } else if (heartbeat != nullptr) {
+    OnHeartbeat(request, *heartbeat, now);
+  } else {
+    RunStep(request, Plan(command, now), now);
+  }
+}
+
+void ControlNode::Impl::TakePoll(ConnectionId connection, const TrafficPoll& poll, Instant now) {
+  if (AwaitsLease(now) && !deferred_.full()) {
+    deferred_.Add(DeferredPoll{connection, poll});
+  } else {
+    OnTrafficPoll(connection, poll, now);
+  }
+}
+
 void ControlNode::Impl::OnRenewal(ConnectionId connection, const RouterRenewal& renewal,
                                   Instant now) {
   if (!Leading(now) || !leadership_) {
@@ -56,36 +77,58 @@
   }
 }
 
+bool ControlNode::Impl::FollowsLeader() const {
+  return consensus_.role() != consensus::Role::kLeader && consensus_.leader();
+}
+
 bool ControlNode::Impl::RelayHeartbeat(RequestId request, const ReportInstance& heartbeat,
                                        Instant now) {
-  const bool follows = consensus_.role() == consensus::Role::kFollower && consensus_.leader();
-  if (!follows || stopping_) return false;
-  // What changes something must be committed before it is acknowledged.
-  if (state_.traffic().instances().WouldChange(heartbeat.report)) return false;
-  // Only the leader may renew the leases of instances that get their keys by heartbeat.
-  if (state_.traffic().LeasedByHeartbeat(heartbeat.report.service)) return false;
-  if (relayed_.empty()) relay_due_ = now + kRelayInterval;
-  relayed_.insert(heartbeat.report.id.value);
-  Reply(request, Accepted{state_.applied()});
-  return true;
-}
-
-void ControlNode::Impl::FlushRelay(Instant now) {
-  if (now < relay_due_) return;
-  relay_due_ = Instant::max();
-  const std::set<std::string> heard = std::exchange(relayed_, {});
-  // Without a leader there is nobody to tell; the instances send their heartbeats again.
-  const auto leader = consensus_.leader();
-  if (!leader || consensus_.role() == consensus::Role::kLeader) return;
-  consensus::HeartbeatRelay relay{{heard.begin(), heard.end()}};
-  effects_.peer_messages.push_back({consensus_.self(), *leader, std::move(relay)});
+  const bool lately = FollowsLeader() || now - leader_known_at_ < kLeaderMissed;
+  if (!lately || stopping_ || consensus_.role() == consensus::Role::kLeader) return false;
+  using Taken = HeartbeatRelayer::Taken;
+  const Taken taken = relayer_.Take(request, heartbeat.report, now);
+  if (taken == Taken::kAcknowledged) Reply(request, Accepted{state_.applied()});
+  return taken != Taken::kRefused;
+}
+
+void ControlNode::Impl::FollowRelay(Instant now) {
+  for (const RequestId request : relayer_.TakeCommitted()) {
+    Reply(request, Accepted{state_.applied()});
+  }
+  for (const RequestId request : relayer_.TakeExpired(now)) Reply(request, NotLeaderError());
+  if (leadership_ && Leading(now)) {
+    for (const auto& waiting : relayer_.TakeAll()) {
+      OnHeartbeat(waiting.request, ReportInstance{waiting.report}, now);
+    }
+    return;
+  }
+  if (!FollowsLeader()) return;
+  if (auto relay = relayer_.Flush(now)) {
+    effects_.peer_messages.push_back({consensus_.self(), *consensus_.leader(), *std::move(relay)});
+  }
 }
 
 void ControlNode::Impl::TakeRelay(const consensus::PeerMessage& message, Instant now) {
   if (!leadership_ || !message.to.SameVoteAs(consensus_.self())) return;
-  for (const std::string& id : std::get<consensus::HeartbeatRelay>(message.payload).instances) {
+  const auto& relay = std::get<consensus::HeartbeatRelay>(message.payload);
+  for (const std::string& id : relay.instances) {
     leadership_->traffic.liveness().Heard({id}, now);
   }
+  if (!relay.changes.empty()) TakeRelayedChanges(relay.changes, now);
+}
+
+/// What can not be proposed now is told again by the member that it came from.
+void ControlNode::Impl::TakeRelayedChanges(const std::string& changes, Instant now) {
+  const auto decoded = Attempt([&] { return DecodeCommand(changes); });
+  const auto* body = std::get_if<CommandBody>(&decoded);
+  const auto* command = body == nullptr ? nullptr : std::get_if<ReportInstancesCommand>(body);
+  if (command == nullptr) return;
+  ReportInstancesCommand fresh;
+  for (const traffic::InstanceReport& report : command->reports) {
+    leadership_->traffic.liveness().Heard(report.id, now);
+    if (state_.traffic().instances().WouldChange(report)) fresh.reports.push_back(report);
+  }
+  if (!fresh.reports.empty()) Propose({fresh}, now);
 }
 
 void ControlNode::Impl::OnHeartbeat(RequestId request, const ReportInstance& heartbeat,
--- /dev/null
+++ b/src/control/heartbeat_relayer.cc
@@ -0,0 +1,83 @@
+#include "src/control/heartbeat_relayer.h"
+
+#include <algorithm>
+
+#include "src/control/commands.h"
+
+namespace graniteseam::control {
+namespace {
+
+/// For how long heartbeats that change nothing are gathered: short beside the silence after which
+/// an instance gets nothing new.
+constexpr Duration kHeardInterval{400'000};
+/// The same of those that change something: many come at the same moment when many drain.
+constexpr Duration kReportsInterval{20'000};
+/// After this a report that is not committed is told again: its leader may be lost.
+constexpr Duration kReportsRepeated{250'000};
+/// Callers go to another process after a second.
+constexpr Duration kWait{800'000};
+constexpr std::size_t kWaitingMaximum = 2'048;
+
+}  // namespace
+
+HeartbeatRelayer::Taken HeartbeatRelayer::Take(std::uint64_t request,
+                                               const traffic::InstanceReport& report, Instant now) {
+  // Only the leader may renew the leases of instances that get their keys by heartbeat.
+  if (state_.LeasedByHeartbeat(report.service)) return Taken::kRefused;
+  if (!state_.instances().WouldChange(report)) {
+    heard_.insert(report.id.value);
+    heard_due_ = std::min(heard_due_, now + kHeardInterval);
+    return Taken::kAcknowledged;
+  }
+  if (waiting_.size() >= kWaitingMaximum) return Taken::kRefused;
+  waiting_.push_back({request, report, now + kWait});
+  reports_due_ = std::min(reports_due_, now + kReportsInterval);
+  return Taken::kWaits;
+}
+
+std::vector<std::uint64_t> HeartbeatRelayer::TakeCommitted() {
+  std::vector<std::uint64_t> requests;
+  if (waiting_.empty() || looked_version_ == state_.instances().changed_at()) return requests;
+  looked_version_ = state_.instances().changed_at();
+  std::erase_if(waiting_, [&](const Waiting& waiting) {
+    if (state_.instances().WouldChange(waiting.report)) return false;
+    requests.push_back(waiting.request);
+    heard_.insert(waiting.report.id.value);
+    return true;
+  });
+  return requests;
+}
+
+std::vector<std::uint64_t> HeartbeatRelayer::TakeExpired(Instant now) {
+  std::vector<std::uint64_t> requests;
+  const auto live = std::find_if(waiting_.begin(), waiting_.end(),
+                                 [&](const Waiting& waiting) { return waiting.until > now; });
+  std::transform(waiting_.begin(), live, std::back_inserter(requests),
+                 [](const Waiting& waiting) { return waiting.request; });
+  waiting_.erase(waiting_.begin(), live);
+  return requests;
+}
+
+std::optional<consensus::HeartbeatRelay> HeartbeatRelayer::Flush(Instant now) {
+  consensus::HeartbeatRelay relay;
+  if (now >= heard_due_) {
+    heard_due_ = Instant::max();
+    relay.instances = {heard_.begin(), heard_.end()};
+    heard_.clear();
+  }
+  if (now >= reports_due_) {
+    reports_due_ = waiting_.empty() ? Instant::max() : now + kReportsRepeated;
+    ReportInstancesCommand command;
+    for (const Waiting& waiting : waiting_) command.reports.push_back(waiting.report);
+    if (!command.reports.empty()) relay.changes = EncodeCommand(command);
+  }
+  if (relay.instances.empty() && relay.changes.empty()) return std::nullopt;
+  return relay;
+}
+
+Instant HeartbeatRelayer::NextDue(bool leader_known) const {
+  const Instant due = leader_known ? std::min(heard_due_, reports_due_) : Instant::max();
+  return waiting_.empty() ? due : std::min(due, waiting_.front().until);
+}
+
+}  // namespace graniteseam::control
--- /dev/null
+++ b/src/control/heartbeat_relayer.h
@@ -0,0 +1,66 @@
+/// @file
+/// Heartbeats that a control process takes although it does not lead.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "graniteseam/consensus/types.h"
+#include "graniteseam/control/operator_messages.h"
+#include "src/traffic/traffic_state.h"
+
+namespace graniteseam::control {
+
+/// Takes heartbeats for the leader. One that changes nothing is acknowledged at once and its
+/// instance named to the leader with others; one that changes something is told to the leader with
+/// others, which proposes them together, and is acknowledged when the change was committed and
+/// stands in this process's own state.
+///
+/// So hundreds of instances neither cross zones nor cost the leader a call each, also when they all
+/// start, drain or have lost their leader at the same moment; without a leader for a moment they
+/// wait here instead of asking round. Each waits for `kWait` at most. Not thread safe; `now` never
+/// goes back.
+class HeartbeatRelayer {
+ public:
+  enum class Taken {
+    kAcknowledged,  ///< It changes nothing.
+    kWaits,         ///< TakeCommitted() or TakeExpired() will name it.
+    kRefused,       ///< Only the leader may answer it, or too many wait.
+  };
+
+  explicit HeartbeatRelayer(const traffic::TrafficState& state) : state_(state) {}
+
+  Taken Take(std::uint64_t request, const traffic::InstanceReport& report, Instant now);
+
+  /// Requests whose reports stand in the committed state now.
+  std::vector<std::uint64_t> TakeCommitted();
+  /// Requests that have waited too long.
+  std::vector<std::uint64_t> TakeExpired(Instant now);
+  struct Waiting {
+    std::uint64_t request = 0;
+    traffic::InstanceReport report;
+    Instant until;
+  };
+  /// All that wait, for a process that has come to lead.
+  std::vector<Waiting> TakeAll() { return std::exchange(waiting_, {}); }
+
+  /// What the leader is to be told now, nullopt when nothing is due.
+  std::optional<consensus::HeartbeatRelay> Flush(Instant now);
+
+  /// When TakeExpired() has something to do, or Flush() where a leader is known.
+  Instant NextDue(bool leader_known) const;
+
+ private:
+  const traffic::TrafficState& state_;
+  std::set<std::string> heard_;  ///< Instances that told nothing new since the last batch.
+  Instant heard_due_ = Instant::max();
+  std::vector<Waiting> waiting_;  ///< In the order of their `until`.
+  Instant reports_due_ = Instant::max();
+  std::uint64_t looked_version_ = 0;  ///< Of the state that waiting reports were held against.
+};
+
+}  // namespace graniteseam::control
--- a/src/control/range_balancer.cc
+++ b/src/control/range_balancer.cc
@@ -42,6 +42,13 @@
 /// was tried: five times the moves, and more requests that found no owner.
 constexpr std::size_t kMovesMinimum = 8;
 constexpr std::size_t kCandidatesPerMove = 16;
+/// Up to so many ranges, or so many for each candidate when that is more, moves and losses cut the
+/// keys into further pieces; beyond it, ranges move as a whole. Each range is renewed by a call of
+/// its own and looked at by every decision: without a bound 385 owners' ranges became over 1,250
+/// within 16 s of 62 moves a second, whose renewals alone took what a leader has of a third of a
+/// core.
+constexpr std::size_t kRangesMinimum = 256;
+constexpr std::size_t kRangesPerCandidate = 2;
 /// From an owner's heartbeat whose answer takes keys away until their work has ended and it says
 /// so: a heartbeat each 100 ms, and requests that run for some hundred.
 constexpr Duration kReleaseTime{250'000};
@@ -160,27 +167,26 @@
   return loads;
 }
 
+bool RangeBalancer::MayCut(const traffic::KeyRangeTable::Ranges& ranges,
+                           const std::vector<RangeCandidate>& candidates) {
+  return ranges.size() < std::max(kRangesMinimum, kRangesPerCandidate * candidates.size());
+}
+
 std::vector<traffic::RangeAssignment> RangeBalancer::Divide(
-    const traffic::KeyRange& range, const traffic::KeyRangeTable::Ranges& ranges,
+    const traffic::KeyRange& range, LoadByOwner& loads,
     const std::vector<RangeCandidate>& candidates) const {
   std::vector<traffic::RangeAssignment> assignments;
   const double total = LoadOf(range.service, range.span);
-  auto carried = OwnerLoads(range.service, ranges);
-  carried[range.owner] -= total;
+  loads[range.owner] -= total;
   double already = 0;
-  for (const RangeCandidate& candidate : candidates) {
-    const auto found = carried.find(candidate.id);
-    if (found != carried.end()) already += found->second;
-  }
+  for (const RangeCandidate& candidate : candidates) already += loads[candidate.id];
   const double mean = (total + already) / TotalSlots(candidates);
   double position = range.span.first;
   const double keys_per_load = range.span.size() / total;
   double left = total;
-  for (std::size_t index = 0; index < candidates.size(); ++index) {
-    const RangeCandidate& candidate = candidates[index];
-    const auto found = carried.find(candidate.id);
-    const double room = mean * candidate.slots - (found == carried.end() ? 0.0 : found->second);
-    const double share = std::clamp(room, 0.0, left);
+  for (const RangeCandidate& candidate : candidates) {
+    double& carried = loads[candidate.id];
+    const double share = std::clamp(mean * candidate.slots - carried, 0.0, left);
     left -= share;
     const double end =
         left < total * 1e-9 ? range.span.last + 1.0 : position + share * keys_per_load;
@@ -188,24 +194,36 @@
     const auto past = static_cast<std::uint32_t>(std::llround(end));
     position = end;
     if (past <= first) continue;
+    carried += share;
     assignments.push_back({range.service, {first, past - 1}, range.fence, candidate.id, ""});
   }
   return assignments;
 }
 
-std::vector<RangeCandidate> RangeBalancer::Lightest(const traffic::KeyRangeTable::Ranges& ranges,
-                                                    std::vector<RangeCandidate> candidates,
-                                                    std::size_t count) const {
-  if (ranges.empty()) return candidates;
-  const auto loads = OwnerLoads(ranges.begin()->second.service, ranges);
-  const auto load_of = [&](const RangeCandidate& candidate) {
-    const auto found = loads.find(candidate.id);
-    return (found == loads.end() ? 0.0 : found->second) / candidate.slots;
-  };
-  std::stable_sort(candidates.begin(), candidates.end(),
-                   [&](const auto& a, const auto& b) { return load_of(a) < load_of(b); });
-  if (candidates.size() > count) candidates.resize(count);
-  return candidates;
+std::vector<RangeCandidate> RangeBalancer::Lightest(const LoadByOwner& loads,
+                                                    const std::vector<RangeCandidate>& candidates,
+                                                    std::size_t count) {
+  std::vector<std::pair<double, std::size_t>> places;  // The load of a slot, and which candidate.
+  for (std::size_t index = 0; index < candidates.size(); ++index) {
+    const auto found = loads.find(candidates[index].id);
+    const double load = found == loads.end() ? 0.0 : found->second;
+    places.emplace_back(load / candidates[index].slots, index);
+  }
+  const std::size_t taken = std::min(count, places.size());
+  std::partial_sort(places.begin(), places.begin() + static_cast<std::ptrdiff_t>(taken),
+                    places.end());
+  std::vector<RangeCandidate> lightest;
+  for (std::size_t place = 0; place < taken; ++place) {
+    lightest.push_back(candidates[places[place].second]);
+  }
+  return lightest;
+}
+
+std::optional<traffic::KeySpan> RangeBalancer::PartOf(const traffic::KeyRange& range, double wanted,
+                                                      bool may_cut) const {
+  const double load = LoadOf(range.service, range.span);
+  if (wanted / 3 <= load && load <= wanted) return range.span;
+  return may_cut ? PieceOf(range, wanted) : std::nullopt;
 }
 
 std::optional<traffic::KeySpan> RangeBalancer::PieceOf(const traffic::KeyRange& range,
@@ -293,10 +311,11 @@
   if (load_of(*heaviest) < mean * kOverloaded || wanted < mean * kWorthwhile) return std::nullopt;
   const double load = load_of(*heaviest) * heaviest->slots;
   if (over < kMoveDeviations * std::sqrt(load / SecondsSeen(service, now))) return std::nullopt;
+  const bool may_cut = MayCut(ranges, candidates);
   std::optional<traffic::RangeRelease> best;
   for (const auto& [first, range] : ranges) {
     if (range.owner != heaviest->id || range.phase != traffic::RangePhase::kServing) continue;
-    const auto piece = PieceOf(range, wanted);
+    const auto piece = PartOf(range, wanted, may_cut);
     if (!piece || (best && best->span.size() <= piece->size())) continue;
     best = traffic::RangeRelease{service, *piece, range.fence, next->id};
   }
--- a/src/control/range_balancer.h
+++ b/src/control/range_balancer.h
@@ -32,19 +32,27 @@
  public:
   void TakeLoads(const std::vector<traffic::ServiceLoads>& loads, Instant now);
 
+  /// What each owner carries; what moves counts for its next owner.
+  using LoadByOwner = std::map<traffic::InstanceId, double>;
+  LoadByOwner OwnerLoads(const ServiceName& service,
+                         const traffic::KeyRangeTable::Ranges& ranges) const;
+
   /// Divides a span that has no owner any more among the candidates, in proportion to slots, less
-  /// for those that carry much already.
-  std::vector<traffic::RangeAssignment> Divide(const traffic::KeyRange& range,
-                                               const traffic::KeyRangeTable::Ranges& ranges,
+  /// for those that carry much already. `loads` then stand as after it.
+  std::vector<traffic::RangeAssignment> Divide(const traffic::KeyRange& range, LoadByOwner& loads,
                                                const std::vector<RangeCandidate>& candidates) const;
 
+  /// Whether the keys of a service may be cut into more ranges than they are.
+  static bool MayCut(const traffic::KeyRangeTable::Ranges& ranges,
+                     const std::vector<RangeCandidate>& candidates);
+
   /// Requests a second of the keys that alone get much, by key; empty for an unknown service.
   std::map<std::uint32_t, float> HotKeys(const ServiceName& service) const;
 
   /// The candidates that carry least, `count` at most.
-  std::vector<RangeCandidate> Lightest(const traffic::KeyRangeTable::Ranges& ranges,
-                                       std::vector<RangeCandidate> candidates,
-                                       std::size_t count) const;
+  static std::vector<RangeCandidate> Lightest(const LoadByOwner& loads,
+                                              const std::vector<RangeCandidate>& candidates,
+                                              std::size_t count);
 
   /// Moves that even out the load, none when it is even enough.
   /// @param planned moves that are not begun yet; they count as done.
@@ -77,9 +85,6 @@
   static void SumUp(ServiceLoad& load);
   /// The load of a span, with a share for its mere size, so that cold keys count a little.
   double LoadOf(const ServiceName& service, const traffic::KeySpan& span) const;
-  using LoadByOwner = std::map<traffic::InstanceId, double>;
-  LoadByOwner OwnerLoads(const ServiceName& service,
-                         const traffic::KeyRangeTable::Ranges& ranges) const;
   std::optional<traffic::RangeRelease> NextMove(const ServiceName& service,
                                                 traffic::KeyRangeTable::Ranges& ranges,
                                                 const std::vector<RangeCandidate>& candidates,
@@ -94,7 +99,9 @@
                                                     double mean, Instant now);
   /// Over how much time the load of a service's owners was counted, so that chance can be told.
   double SecondsSeen(const ServiceName& service, Instant now) const;
-  /// A piece of a range, from its start or end, that carries about `wanted`.
+  /// Keys of a range that carry about `wanted`: all of them, or a piece from its start or end.
+  std::optional<traffic::KeySpan> PartOf(const traffic::KeyRange& range, double wanted,
+                                         bool may_cut) const;
   std::optional<traffic::KeySpan> PieceOf(const traffic::KeyRange& range, double wanted) const;
 
   std::map<ServiceName, ServiceLoad> loads_;
--- a/src/control/range_controller.cc
+++ b/src/control/range_controller.cc
@@ -15,6 +15,18 @@
 
 /// How often the state is looked at without an event: liveness and balance change by themselves.
 constexpr Duration kLookInterval{100'000};
+/// A pass over the fleet is not made again before so much time for each range and instance that it
+/// looked at, whatever happens meanwhile: what came of it is decided together. A look takes half a
+/// microsecond of a core, so that decisions take a twentieth of one at the most, however many
+/// events call for them. Without it, the second in which 126 of 901 instances left took 1.8 s of a
+/// core (scratch measurement of the deciding thread); a pass then follows 22 ms after the one
+/// before, with 33 instances after 1 ms.
+constexpr Duration kTimePerLook{10};
+/// Orders that go out at once, or this part of all ranges when that is more, and the pause until
+/// the next ones. An order and its answer take 0.2 ms of a core: orders for hundreds of ranges, as
+/// a new leader has, leave most of it to other duties, and all are out within 16 pauses.
+constexpr std::size_t kOrdersAtOnce = 16;
+constexpr Duration kOrdersPause{12'000};
 /// Where more than this part of a service's instances fail, the cause is a common one, and moving
 /// keys would only add load to the rest.
 constexpr double kAvoidedPart = 0.2;
@@ -26,6 +38,14 @@
 /// Instances among which the keys of one that is gone are divided.
 constexpr std::size_t kHeirsMaximum = 3;
 
+/// A part of a span for one of many: neighbours get parts that lie apart, and many are spread
+/// evenly.
+Duration PartOf(Duration span, std::size_t number) {
+  constexpr std::size_t kParts = 16;
+  constexpr std::size_t kStep = 7;  // Has no divisor in common with the parts.
+  return span * static_cast<std::int64_t>(1 + number * kStep % kParts) / kParts;
+}
+
 bool Contains(const std::vector<RangeCandidate>& candidates, const traffic::InstanceId& id) {
   return std::any_of(candidates.begin(), candidates.end(),
                      [&](const RangeCandidate& one) { return one.id == id; });
@@ -110,9 +130,11 @@
         care.fence = range.fence;
         care.last = range.span.last;
         care.since = now;
-        // A piece of a range whose grant stands need not be renewed before its time.
+        // A piece of a range whose grant stands need not be renewed before its time. A new leader
+        // renews all within that time, one after the other.
         const bool stands = range.phase == RangePhase::kServing;
-        care.next_order = stands ? now + options_.renewal_interval / 4 : now;
+        const Duration within = options_.renewal_interval / 4;
+        care.next_order = stands ? now + PartOf(within, followed.size()) : now;
         const RangeCare* const whole = CareBefore({service, first}, range.fence);
         care.refused = whole != nullptr && whole->refused;
         care.leased = whole != nullptr && whole->leased;
@@ -178,8 +200,12 @@
     care->next_order = now + options_.retry_interval;
     care->refused = care->refused || (refused && grant);
   } else if (grant) {
+    // What was given or taken over together is not renewed together for good: 385 renewals at the
+    // same instant take a fifth of a second with a third of a core, as long as a leader lease.
+    const Duration first = options_.renewal_interval / 2;
+    care->next_order = now + (care->confirmed ? options_.renewal_interval
+                                              : first + PartOf(first, result.number.value));
     care->confirmed = true;
-    care->next_order = now + options_.renewal_interval;
     orders_due_ = std::min(orders_due_, care->next_order);
   } else {
     care->released = true;
@@ -260,19 +286,31 @@
 }
 
 std::vector<CommandBody> RangeController::Decide(Instant now) {
-  if (now < decide_due_ && decided_version_ == state_.version()) return {};
+  if (now < NextDecision()) return {};
+  const std::uint64_t looks_before = looks_;
   decided_version_ = state_.version();
   CountLooks(care_.size());
   FollowForms(now);
   if (followed_version_ != state_.ranges().changed_at()) FollowRanges(now);
+  views_.clear();
   std::vector<CommandBody> commands;
   DecideConfirmations(commands);
   DecideReleases(now, commands);
   DecideAssignments(now, commands);
   decide_due_ = now + kLookInterval;
+  decide_not_before_ = now + PauseAfter(looks_ - looks_before);
   return commands;
 }
 
+Duration RangeController::PauseAfter(std::uint64_t looks) {
+  return static_cast<std::int64_t>(looks) * kTimePerLook;
+}
+
+Instant RangeController::NextDecision() const {
+  const bool changed = decided_version_ != state_.version();
+  return std::max(decide_not_before_, changed ? Instant{} : decide_due_);
+}
+
 void RangeController::DecideConfirmations(std::vector<CommandBody>& commands) const {
   ConfirmRangesCommand command;
   for (const auto& [key, care] : care_) {
@@ -283,12 +321,21 @@
   if (!command.confirmations.empty()) commands.emplace_back(std::move(command));
 }
 
-std::vector<RangeCandidate> RangeController::CandidatesFor(const ServiceName& service,
-                                                           Instant now) const {
+const RangeController::ServiceView& RangeController::ViewOf(const ServiceName& service,
+                                                            Instant now) {
+  const auto [known, fresh] = views_.try_emplace(service);
+  if (fresh) {
+    known->second.avoided = AvoidedInstances(service, now);
+    known->second.candidates = CandidatesFor(service, known->second.avoided, now);
+  }
+  return known->second;
+}
+
+std::vector<RangeCandidate> RangeController::CandidatesFor(
+    const ServiceName& service, const std::set<traffic::InstanceId>& avoided, Instant now) const {
   CountLooks(InstanceCount());
   std::vector<RangeCandidate> candidates;
   const bool by_heartbeat = LeasedByHeartbeat(service);
-  const auto avoided = AvoidedInstances(service, now);
   for (const auto& [id, instance] : state_.instances().instances()) {
     const bool fits = instance.report.service == service && instance.TakesNewWork();
     if (!fits || liveness_.Silent(id, now) || Unresponsive(id, now)) continue;
@@ -335,7 +382,8 @@
   ReleaseRangesCommand command;
   AddBegunMoves(command.releases);
   for (const auto& [service, ranges] : state_.ranges().services()) {
-    const auto avoided = AvoidedInstances(service, now);
+    const ServiceView& view = ViewOf(service, now);
+    const auto& avoided = view.avoided;
     for (const auto& [first, range] : ranges) {
       const bool must_go = OwnerMustGo(range);
       const bool fails = range.phase == RangePhase::kServing && avoided.contains(range.owner);
@@ -349,8 +397,8 @@
     // owner, though it is busy, serves them better.
     if (by_heartbeat && now <= inherited_until_) continue;
     // Planned beside the moves and releases under way: among hundreds of owners some always are.
-    const auto moves = balancer_.Rebalance(service, ranges, CandidatesFor(service, now),
-                                           PlannedMoves(service), now);
+    const auto moves =
+        balancer_.Rebalance(service, ranges, view.candidates, PlannedMoves(service), now);
     for (const traffic::RangeRelease& move : moves) {
       Note("plan_move", *state_.ranges().Find(service, move.span.first), move.span,
            "load, to " + move.successor.value);
@@ -374,8 +422,10 @@
 void RangeController::DecideAssignments(Instant now, std::vector<CommandBody>& commands) {
   AssignRangesCommand command;
   for (const auto& [service, ranges] : state_.ranges().services()) {
-    const auto candidates = CandidatesFor(service, now);
+    const auto& candidates = ViewOf(service, now).candidates;
     if (candidates.empty()) continue;
+    auto loads = balancer_.OwnerLoads(service, ranges);
+    CountLooks(ranges.size());
     for (const auto& [first, range] : ranges) {
       RangeCare& care = care_.at({service, first});
       // An owner that refused may still hold a part by an older grant: only to itself may the keys
@@ -384,7 +434,8 @@
       if (!back_to_owner && !OwnerIsOver(range, care, now)) continue;
       // Nobody ever had these keys: wait until the servers are all there.
       if (range.fence.value == 0 && !Settled(service, candidates, now)) continue;
-      auto parts = NextOwners(range, care, ranges, candidates);
+      const bool may_cut = RangeBalancer::MayCut(ranges, candidates);
+      auto parts = NextOwners(range, care, candidates, may_cut ? kHeirsMaximum : 1, loads);
       care.given_away = !parts.empty();
       for (const traffic::RangeAssignment& part : parts) {
         Note("assign", range, part.span, WhyOver(range, care) + ", next " + part.owner.value);
@@ -396,27 +447,27 @@
 }
 
 std::vector<traffic::RangeAssignment> RangeController::NextOwners(
-    const KeyRange& range, const RangeCare& care, const traffic::KeyRangeTable::Ranges& ranges,
-    const std::vector<RangeCandidate>& candidates) const {
+    const KeyRange& range, const RangeCare& care, const std::vector<RangeCandidate>& candidates,
+    std::size_t heirs, RangeBalancer::LoadByOwner& loads) const {
   const traffic::InstanceId& wanted = care.refused ? range.owner : range.successor;
   if (Contains(candidates, wanted))
     return {{range.service, range.span, range.fence, wanted, care.handover}};
-  CountLooks(ranges.size() + candidates.size());
+  CountLooks(candidates.size());
   const bool first_time = range.fence.value == 0;
   auto parts = balancer_.Divide(
-      range, ranges,
-      first_time ? candidates : balancer_.Lightest(ranges, candidates, kHeirsMaximum));
+      range, loads, first_time ? candidates : RangeBalancer::Lightest(loads, candidates, heirs));
   for (traffic::RangeAssignment& part : parts) part.handover = care.handover;
   return parts;
 }
 
 std::vector<RangeOrder> RangeController::Orders(Instant now) {
-  if (now < orders_due_ && ordered_version_ == state_.version()) return {};
+  if (now < NextOrderDue()) return {};
   ordered_version_ = state_.version();
   FollowForms(now);
   if (followed_version_ != state_.ranges().changed_at()) FollowRanges(now);
   orders_due_ = now + kLookInterval;
   CountLooks(care_.size());
+  const std::size_t at_once = std::max(kOrdersAtOnce, care_.size() / kOrdersAtOnce);
   std::vector<RangeOrder> orders;
   for (auto& [key, care] : care_) {
     const KeyRange* range = state_.ranges().Find(key.service, key.first);
@@ -425,12 +476,18 @@
       orders_due_ = std::min(orders_due_, care.next_order);
       continue;
     }
+    if (orders.size() >= at_once) {
+      orders_due_ = now;
+      break;
+    }
     std::optional<RangeOrder> order = NextOrder(*range, care, now);
     if (!order) continue;
     care.open_order = order->number;
     open_[order->number] = {*order, key.service};
     orders.push_back(std::move(*order));
   }
+  const Duration pause = orders.size() >= at_once ? kOrdersPause : Duration::zero();
+  orders_not_before_ = now + std::max(PauseAfter(care_.size()), pause);
   return orders;
 }
 
@@ -469,11 +526,13 @@
 
 Instant RangeController::NextDue() const {
   if (state_.ranges().services().empty()) return Instant::max();
-  return std::min(decide_due_, orders_due_);
+  return std::min(NextDecision(), NextOrderDue());
 }
 
 Instant RangeController::NextOrderDue() const {
-  return state_.ranges().services().empty() ? Instant::max() : orders_due_;
+  if (state_.ranges().services().empty()) return Instant::max();
+  const bool changed = ordered_version_ != state_.version();
+  return std::max(orders_not_before_, changed ? Instant{} : orders_due_);
 }
 
 }  // namespace graniteseam::control
--- a/src/control/range_controller.h
+++ b/src/control/range_controller.h
@@ -159,16 +159,24 @@
   /// Whether registrations have settled enough to give out a service's keys for the first time.
   bool Settled(const ServiceName& service, const std::vector<RangeCandidate>& candidates,
                Instant now);
-  std::vector<traffic::RangeAssignment> NextOwners(
-      const traffic::KeyRange& range, const RangeCare& care,
-      const traffic::KeyRangeTable::Ranges& ranges,
-      const std::vector<RangeCandidate>& candidates) const;
+  std::vector<traffic::RangeAssignment> NextOwners(const traffic::KeyRange& range,
+                                                   const RangeCare& care,
+                                                   const std::vector<RangeCandidate>& candidates,
+                                                   std::size_t heirs,
+                                                   RangeBalancer::LoadByOwner& loads) const;
 
   /// Requests a second that the owner of a range can run; nullopt when it is not known.
   std::optional<double> CapacityOf(const traffic::KeyRange& range) const;
 
-  /// Instances that may be given keys.
-  std::vector<RangeCandidate> CandidatesFor(const ServiceName& service, Instant now) const;
+  /// What one pass finds of a service's instances; worked out once a pass.
+  struct ServiceView {
+    std::set<traffic::InstanceId> avoided;   ///< They fail their requests.
+    std::vector<RangeCandidate> candidates;  ///< They may be given keys.
+  };
+  const ServiceView& ViewOf(const ServiceName& service, Instant now);
+  std::vector<RangeCandidate> CandidatesFor(const ServiceName& service,
+                                            const std::set<traffic::InstanceId>& avoided,
+                                            Instant now) const;
   /// Instances that fail their requests, none where many do.
   std::set<traffic::InstanceId> AvoidedInstances(const ServiceName& service, Instant now) const;
   /// Whether an instance answers neither orders nor sends heartbeats.
@@ -204,6 +212,9 @@
   /// Whether an instance was heard of so lately that it will come for new keys.
   bool HeardLately(const traffic::InstanceId& instance, Instant now) const;
 
+  /// When Decide() has something to decide.
+  Instant NextDecision() const;
+  static Duration PauseAfter(std::uint64_t looks);
   /// Counts what one pass looks at.
   void CountLooks(std::size_t items) const { looks_ += items; }
   std::size_t InstanceCount() const { return state_.instances().instances().size(); }
@@ -224,6 +235,7 @@
   std::map<traffic::InstanceId, Instant> replaced_;
   std::map<traffic::InstanceId, Holder> holders_;  ///< Of instances leased keys by heartbeat.
   std::vector<PlannedMove> planned_;
+  std::map<ServiceName, ServiceView> views_;  ///< Of the pass under way.
   struct FormCare {
     traffic::LeaseForm form = traffic::LeaseForm::kOrders;
     Instant quiet_until{};
@@ -242,7 +254,9 @@
   std::uint64_t decided_version_ = 0;  ///< Of the state at the last full Decide().
   std::uint64_t ordered_version_ = 0;  ///< The same of Orders().
   Instant decide_due_{};
+  Instant decide_not_before_{};  ///< Whatever is new.
   Instant orders_due_{};
+  Instant orders_not_before_{};
   mutable std::uint64_t looks_ = 0;  ///< Also of passes that decide nothing.
 };
 
--- a/src/control/traffic_leader.h
+++ b/src/control/traffic_leader.h
@@ -20,11 +20,11 @@
 class TrafficLeader {
  public:
   TrafficLeader(const TrafficOptions& options, const ReplicatedState& state,
-                OrderNumber orders_used, Instant now)
+                OrderNumber orders_used, std::uint64_t pushes_used, Instant now)
       : state_(state),
         liveness_(options.instance_silence, now),
         ranges_(options.ranges, state.traffic(), liveness_, orders_used, now),
-        sessions_(state.traffic(), now),
+        sessions_(state.traffic(), now, options.pushes_are_timed, pushes_used),
         hints_(state.traffic()),
         crashes_(state.traffic(), liveness_, now) {}
 
--- a/src/control/traffic_sessions.cc
+++ b/src/control/traffic_sessions.cc
@@ -17,6 +17,9 @@
 /// each millisecond.
 constexpr std::int64_t kPushesPerSecond = 10'000;
 
+/// Without word that a push has left, the next one goes out all the same after this.
+constexpr Duration kPushLostAfter{500'000};
+
 }  // namespace
 
 std::vector<RouterSend> TrafficSessions::Poll(ConnectionId connection,
@@ -46,11 +49,22 @@
     session.version = state_.version();
   }
   pushed_version_ = state_.urgent_version();
+  if (sends.empty()) return sends;
   const auto sent = static_cast<std::int64_t>(sends.size());
   push_due_ = now + std::chrono::microseconds(std::micro::den * sent / kPushesPerSecond);
+  pushed_at_ = now;
+  ++last_push_;
+  if (timed_) push_due_ = std::max(push_due_, now + kPushLostAfter);
   return sends;
 }
 
+void TrafficSessions::PushSent(std::uint64_t push, Instant now) {
+  if (push != last_push_) return;
+  const auto paced =
+      static_cast<std::int64_t>(sessions_.size()) * std::micro::den / kPushesPerSecond;
+  push_due_ = std::max(now + (now - pushed_at_), pushed_at_ + std::chrono::microseconds(paced));
+}
+
 void TrafficSessions::TellAll(const traffic::TrafficHints& hints,
                               std::vector<RouterSend>& sends) const {
   const auto message = std::make_shared<const ControlToRouter>(hints);
--- a/src/daemon/control/control_driver.cc
+++ b/src/daemon/control/control_driver.cc
@@ -1,6 +1,7 @@
 #include "src/daemon/control/control_driver.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 #include "src/daemon/control/persist_batch.h"
@@ -52,21 +53,26 @@
         shard_moves(registry.Gauge(runtime::Metric::kControlShardMoves)),
         queue_length(registry.Gauge(runtime::Metric::kControlEventQueueLength)),
         decision_looks(registry.Counter(runtime::Metric::kControlDecisionLooks)),
-        consensus_dropped(DroppedOf(registry, EventLane::kConsensus)),
-        fleet_dropped(DroppedOf(registry, EventLane::kFleet)),
-        consensus_wait(WaitOf(registry, EventLane::kConsensus)),
-        fleet_wait(WaitOf(registry, EventLane::kFleet)),
+        lanes{LaneStatistics(registry, EventLane::kConsensus),
+              LaneStatistics(registry, EventLane::kOperator),
+              LaneStatistics(registry, EventLane::kFleet)},
         round_seconds(registry.Histogram(runtime::Metric::kControlRoundSeconds)),
         persist_seconds(registry.Histogram(runtime::Metric::kControlPersistSeconds)) {}
 
-  static runtime::CounterHandle DroppedOf(runtime::MetricsRegistry& registry, EventLane lane) {
-    return registry.Counter(runtime::Metric::kControlEventsDropped,
-                            {{"lane", std::string(LaneName(lane))}});
-  }
-  static runtime::HistogramHandle WaitOf(runtime::MetricsRegistry& registry, EventLane lane) {
-    return registry.Histogram(runtime::Metric::kControlEventWaitSeconds,
-                              {{"lane", std::string(LaneName(lane))}});
-  }
+  struct LaneStatistics {
+    LaneStatistics(runtime::MetricsRegistry& registry, EventLane of)
+        : lane(of),
+          wait(registry.Histogram(runtime::Metric::kControlEventWaitSeconds, Labels(of))),
+          dropped(registry.Counter(runtime::Metric::kControlEventsDropped, Labels(of))) {}
+    static runtime::MetricLabels Labels(EventLane lane) {
+      return {{"lane", std::string(LaneName(lane))}};
+    }
+
+    EventLane lane;
+    runtime::HistogramHandle wait;
+    runtime::CounterHandle dropped;
+    std::uint64_t dropped_told = 0;  ///< Counted up to here.
+  };
 
   runtime::GaugeHandle leading;
   runtime::GaugeHandle term;
@@ -77,16 +83,10 @@
   runtime::GaugeHandle shard_moves;
   runtime::GaugeHandle queue_length;
   runtime::CounterHandle decision_looks;
-  runtime::CounterHandle consensus_dropped;
-  runtime::CounterHandle fleet_dropped;
-  runtime::HistogramHandle consensus_wait;
-  runtime::HistogramHandle fleet_wait;
+  std::uint64_t looks_told = 0;                   ///< Counted up to here.
+  std::array<LaneStatistics, kEventLanes> lanes;  ///< In the order of EventLane.
   runtime::HistogramHandle round_seconds;
   runtime::HistogramHandle persist_seconds;
-  // Counted up to here.
-  std::uint64_t looks_told = 0;
-  std::uint64_t consensus_dropped_told = 0;
-  std::uint64_t fleet_dropped_told = 0;
 };
 
 ControlDriver::ControlDriver(control::ControlOptions options,
@@ -128,6 +128,7 @@
 }
 
 void ControlDriver::Run() {
+  started_at_ = runtime::BootTimeNow();
   while (!queue_.closed() && !failed_) Step();
 }
 
@@ -147,7 +148,7 @@
   };
   hooks.tick = [&](Instant now) {
     if (!begun) begun = now;
-    strain_.NoteTickLate(now - node_.NextTick(), now);
+    strain_.NoteTickLate(now - std::max(node_.NextTick(), started_at_), now);
     pending.push_back(node_.Tick(now, runtime::WallMillis()));
   };
   PlayRound(queue_, kLongestWait, hooks);
@@ -161,9 +162,9 @@
 void ControlDriver::NoteWait(const QueuedEvent& queued) {
   const Instant now = runtime::BootTimeNow();
   const Duration wait = now - queued.arrived;
-  const bool consensus = LaneOf(queued.event) == EventLane::kConsensus;
-  if (consensus) strain_.NoteConsensusWait(wait, now);
-  (consensus ? statistics_->consensus_wait : statistics_->fleet_wait).Observe(ToSeconds(wait));
+  const EventLane lane = LaneOf(queued.event);
+  if (lane == EventLane::kConsensus) strain_.NoteConsensusWait(wait, now);
+  statistics_->lanes[static_cast<std::size_t>(lane)].wait.Observe(ToSeconds(wait));
 }
 
 void ControlDriver::NoteRound(Duration length, Instant now) {
@@ -191,6 +192,8 @@
           return node_.OnPlatformList(happened.list, now);
         } else if constexpr (std::is_same_v<Event, RangeOrderEnded>) {
           return node_.OnRangeOrderResult(happened.result, now);
+        } else if constexpr (std::is_same_v<Event, PushSent>) {
+          return node_.OnPushSent(happened.push, now);
         } else {
           return node_.PrepareStop(now);
         }
@@ -284,6 +287,7 @@
   for (auto& message : effects.peer_messages) outputs_.to_peer(std::move(message));
   for (auto& send : effects.lease_sends) outputs_.to_server(std::move(send));
   for (auto& send : effects.router_sends) outputs_.to_router(std::move(send));
+  if (effects.push) outputs_.after_push(*effects.push);
   for (const auto& reply : effects.operator_replies) outputs_.to_operator(reply);
   for (auto& order : effects.range_orders) outputs_.to_range_owner(std::move(order));
   for (const auto& note : effects.range_notes) outputs_.on_range_note(note);
@@ -336,10 +340,10 @@
     counter.Increment(static_cast<double>(total - told));
     told = total;
   };
-  Statistics& it = *statistics_;
-  count(it.decision_looks, it.looks_told, node_.decision_looks());
-  count(it.consensus_dropped, it.consensus_dropped_told, queue_.dropped(EventLane::kConsensus));
-  count(it.fleet_dropped, it.fleet_dropped_told, queue_.dropped(EventLane::kFleet));
+  count(statistics_->decision_looks, statistics_->looks_told, node_.decision_looks());
+  for (auto& of : statistics_->lanes) {
+    count(of.dropped, of.dropped_told, queue_.dropped(of.lane));
+  }
 }
 
 }  // namespace graniteseam::daemon
--- a/src/daemon/control/control_driver.h
+++ b/src/daemon/control/control_driver.h
@@ -40,6 +40,8 @@
   std::function<void(consensus::PeerMessage message)> to_peer;
   std::function<void(control::LeaseSend send)> to_server;
   std::function<void(control::RouterSend send)> to_router;
+  /// Called after the messages of a push: PushSent is to follow once they have left.
+  std::function<void(std::uint64_t push)> after_push = [](auto) {};
   std::function<void(const control::OperatorReply& reply)> to_operator;
   std::function<void(control::RangeOrder order)> to_range_owner = [](const auto&) {};
   /// This process began or ceased to lead, or follows another leader.
@@ -101,6 +103,7 @@
   std::unique_ptr<Statistics> statistics_;
   Instant next_statistics_;
   StrainWatch strain_;
+  Instant started_at_{};  ///< The node wants its first tick from the clock's start on.
   bool space_is_low_ = false;
   /// What happened while the disk was full and is not sent again.
   std::vector<ControlEvent> put_off_;
--- a/src/daemon/control/control_event.cc
+++ b/src/daemon/control/control_event.cc
@@ -1,7 +1,5 @@
 #include "src/daemon/control/control_event.h"
 
-#include <algorithm>
-#include <iterator>
 #include <utility>
 
 namespace graniteseam::daemon {
@@ -16,31 +14,49 @@
 EventLane LaneOf(const ControlEvent& event) {
   const bool consensus = std::holds_alternative<PeerMessageArrived>(event) ||
                          std::holds_alternative<StopPrepared>(event);
-  return consensus ? EventLane::kConsensus : EventLane::kFleet;
+  if (consensus) return EventLane::kConsensus;
+  const auto* const asked = std::get_if<OperatorRequested>(&event);
+  if (asked == nullptr) return EventLane::kFleet;
+  const bool of_instance = std::holds_alternative<control::ReportInstance>(asked->command) ||
+                           std::holds_alternative<control::DeregisterInstance>(asked->command);
+  return of_instance ? EventLane::kFleet : EventLane::kOperator;
 }
 
 std::string_view LaneName(EventLane lane) {
-  return lane == EventLane::kConsensus ? "consensus" : "fleet";
+  switch (lane) {
+    case EventLane::kConsensus:
+      return "consensus";
+    case EventLane::kOperator:
+      return "operator";
+    case EventLane::kFleet:
+      return "fleet";
+  }
+  return "";
 }
 
 bool ControlEventQueue::Push(ControlEvent event, Instant arrived) {
   const std::lock_guard lock(mutex_);
-  if (events_.size() >= capacity_ && IsSentAgain(event)) {
-    ++dropped_[static_cast<std::size_t>(LaneOf(event))];
+  Lane& lane = lanes_[static_cast<std::size_t>(LaneOf(event))];
+  if (lane.events.size() >= lane_capacity_ && IsSentAgain(event)) {
+    ++lane.dropped;
     return false;
   }
-  events_.push_back({std::move(event), arrived});
+  lane.events.push_back({std::move(event), arrived});
   changed_.notify_one();
   return true;
 }
 
 std::vector<QueuedEvent> ControlEventQueue::Take(std::size_t maximum, Duration limit) {
   std::unique_lock lock(mutex_);
-  changed_.wait_for(lock, limit, [this] { return closed_ || !events_.empty(); });
-  const auto count = static_cast<std::ptrdiff_t>(std::min(maximum, events_.size()));
-  std::vector<QueuedEvent> taken(std::make_move_iterator(events_.begin()),
-                                 std::make_move_iterator(events_.begin() + count));
-  events_.erase(events_.begin(), events_.begin() + count);
+  const auto has_some = [this] { return closed_ || Waiting() > 0; };
+  if (!has_some() && limit > Duration::zero()) changed_.wait_for(lock, limit, has_some);
+  std::vector<QueuedEvent> taken;
+  for (Lane& lane : lanes_) {
+    while (taken.size() < maximum && !lane.events.empty()) {
+      taken.push_back(std::move(lane.events.front()));
+      lane.events.pop_front();
+    }
+  }
   return taken;
 }
 
@@ -55,14 +71,20 @@
   return closed_;
 }
 
+std::size_t ControlEventQueue::Waiting() const {
+  std::size_t waiting = 0;
+  for (const Lane& lane : lanes_) waiting += lane.events.size();
+  return waiting;
+}
+
 std::size_t ControlEventQueue::size() const {
   const std::lock_guard lock(mutex_);
-  return events_.size();
+  return Waiting();
 }
 
 std::uint64_t ControlEventQueue::dropped(EventLane lane) const {
   const std::lock_guard lock(mutex_);
-  return dropped_[static_cast<std::size_t>(lane)];
+  return lanes_[static_cast<std::size_t>(lane)].dropped;
 }
 
 }  // namespace graniteseam::daemon
--- a/src/daemon/control/control_event.h
+++ b/src/daemon/control/control_event.h
@@ -39,23 +39,29 @@
 struct RangeOrderEnded {
   control::RangeOrderResult result;
 };
+/// What a push sent to routers has left the process.
+struct PushSent {
+  std::uint64_t push = 0;
+};
 /// A planned stop begins: hand leadership over.
 struct StopPrepared {};
 
 using ControlEvent =
     std::variant<PeerMessageArrived, ServerAnswered, RouterMessageArrived, RouterDisconnected,
-                 OperatorRequested, PlatformListed, RangeOrderEnded, StopPrepared>;
+                 OperatorRequested, PlatformListed, RangeOrderEnded, PushSent, StopPrepared>;
 
 /// Whether the sender of an event sends it again by itself, so that it may be dropped.
 bool IsSentAgain(const ControlEvent& event);
 
-/// Which duty of the process an event serves.
+/// Which duty of the process an event serves, the one that goes first before the others.
 enum class EventLane {
   kConsensus,  ///< Keeps the group together: messages of peers, a planned stop.
-  kFleet,      ///< Everything that grows with routers, instances and operators.
+  kOperator,   ///< What operators ask: few at once, and somebody waits for each.
+  kFleet,      ///< Everything that grows with routers and instances.
 };
+inline constexpr std::size_t kEventLanes = 3;
 EventLane LaneOf(const ControlEvent& event);
-/// "consensus" or "fleet".
+/// "consensus", "operator" or "fleet".
 std::string_view LaneName(EventLane lane);
 
 struct QueuedEvent {
@@ -63,13 +69,20 @@
   Instant arrived;
 };
 
-/// Carries events from all threads to the deciding one. Thread safe.
+/// Carries events from all threads to the deciding one, a lane after the other, and within a lane
+/// in the order of their arrival. Thread safe.
+///
+/// The lanes keep a leader one: what hundreds of routers and instances sent may wait, and what the
+/// group's elections rest on never waits behind it. With one lane, a group under 330 instances and
+/// 100 routers lost its leader each two seconds without a fault (tests/control_daemon).
 ///
-/// Bounded: when full, it drops what its sender sends again by itself (messages of peers and
+/// Bounded: a lane that is full drops what its sender sends again by itself (messages of peers and
 /// routers, answers of servers), and takes the rest, which is bounded at its source.
 class ControlEventQueue {
  public:
-  explicit ControlEventQueue(std::size_t capacity = 65'536) : capacity_(capacity) {}
+  /// @param capacity half of it is consensus' own, half the fleet's; operators wait for answers,
+  /// which bounds theirs.
+  explicit ControlEventQueue(std::size_t capacity = 65'536) : lane_capacity_(capacity / 2) {}
 
   /// @return false when the event was dropped.
   bool Push(ControlEvent event, Instant arrived = runtime::BootTimeNow());
@@ -86,11 +99,17 @@
   std::uint64_t dropped(EventLane lane) const;
 
  private:
-  const std::size_t capacity_;
+  struct Lane {
+    std::deque<QueuedEvent> events;
+    std::uint64_t dropped = 0;
+  };
+
+  std::size_t Waiting() const;
+
+  const std::size_t lane_capacity_;
   mutable std::mutex mutex_;  ///< Guards the members below.
   std::condition_variable changed_;
-  std::deque<QueuedEvent> events_;
-  std::array<std::uint64_t, 2> dropped_{};  ///< By lane.
+  std::array<Lane, kEventLanes> lanes_;  ///< In the order of EventLane.
   bool closed_ = false;
 };
 
--- a/src/daemon/control/control_process.cc
+++ b/src/daemon/control/control_process.cc
@@ -174,6 +174,9 @@
   outputs.to_router = [this](control::RouterSend send) {
     internal_server_->SendToRouter(send.connection, std::move(send.message));
   };
+  outputs.after_push = [this](std::uint64_t push) {
+    internal_server_->AfterSent([this, push] { queue_.Push(PushSent{push}); });
+  };
   outputs.to_operator = [this](const control::OperatorReply& reply) {
     if (registry_ && (reply.request & RegistryServer::kRequestBit) != 0) {
       registry_->Answer(reply);
@@ -229,6 +232,7 @@
   };
   outputs.stop = [this] { stop_signals_.RequestStop(); };
   control::ControlOptions options = settings_.node;
+  options.traffic.pushes_are_timed = true;
   options.reviewer_keys = settings_.reviewers;
   options.membership.voters = settings_.WantedVoters();
   driver_ = std::make_unique<ControlDriver>(std::move(options), std::move(storage_), queue_,
--- a/src/daemon/control/event_round.h
+++ b/src/daemon/control/event_round.h
@@ -17,7 +17,8 @@
   std::function<void(Instant)> tick;  ///< Called when the node's tick is due.
 };
 
-/// Waits for an event or for the node's tick, `longest_wait` at most, and takes what is there.
+/// Waits for an event or for the node's tick, `longest_wait` at most. Then takes events, those of
+/// the first lanes first, until none is left, a tick is due or the round has taken its time.
 void PlayRound(ControlEventQueue& queue, Duration longest_wait, const RoundHooks& hooks);
 
 }  // namespace graniteseam::daemon
--- a/src/gateway/gateway_events.cc
+++ b/src/gateway/gateway_events.cc
@@ -24,6 +24,8 @@
       return "no_configuration";
     case RefusalReason::kNoRoute:
       return "no_route";
+    case RefusalReason::kUnconfirmed:
+      return "unconfirmed";
     case RefusalReason::kBadKey:
       return "bad_key";
     case RefusalReason::kNoServer:
--- a/src/gateway/gateway_events.h
+++ b/src/gateway/gateway_events.h
@@ -60,18 +60,20 @@
 enum class RefusalReason {
   kNoConfiguration,  ///< This gateway never had one.
   kNoRoute,          ///< The configuration has no such route.
-  kBadKey,           ///< A keyed service needs a key from 0 to 65535.
-  kNoServer,         ///< No server takes work.
-  kNoOwner,          ///< The key has no owner at present.
-  kOwnerFails,       ///< The owner of the key resets connections or is not reached.
-  kStaleOwner,       ///< The owner known here is not it any more; another gateway may know more.
-  kOverloaded,       ///< No server would take it in time.
-  kQuarantined,      ///< Servers ended under what it asks for, one after the other.
-  kHotKey,           ///< The key is asked for more often than its owner can answer.
-  kDeadline,         ///< The time is over.
-  kBudget,           ///< It did not run; the retry budget is used up.
-  kAttemptsUsed,     ///< It did not run; no further server may be tried.
-  kOutcomeUnknown,   ///< It may have run.
+  /// The one that stands here has no such route, and may be older than what was accepted.
+  kUnconfirmed,
+  kBadKey,          ///< A keyed service needs a key from 0 to 65535.
+  kNoServer,        ///< No server takes work.
+  kNoOwner,         ///< The key has no owner at present.
+  kOwnerFails,      ///< The owner of the key resets connections or is not reached.
+  kStaleOwner,      ///< The owner known here is not it any more; another gateway may know more.
+  kOverloaded,      ///< No server would take it in time.
+  kQuarantined,     ///< Servers ended under what it asks for, one after the other.
+  kHotKey,          ///< The key is asked for more often than its owner can answer.
+  kDeadline,        ///< The time is over.
+  kBudget,          ///< It did not run; the retry budget is used up.
+  kAttemptsUsed,    ///< It did not run; no further server may be tried.
+  kOutcomeUnknown,  ///< It may have run.
 };
 
 std::string_view ReasonName(RefusalReason reason);
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -10,6 +10,10 @@
 namespace graniteseam::gateway {
 namespace {
 
+/// A gateway that no leader confirmed for longer does not claim that a route is not there: it may
+/// have been added since, and 404 would send the caller away for good. Three polls and an answer;
+/// shorter than the time within which an accepted change is to be in force.
+constexpr Duration kConfirmedFor{1'600'000};
 /// Speeds change slowly: one poll in so many tells them.
 constexpr std::uint64_t kPollsPerSpeeds = 4;
 
@@ -22,7 +26,7 @@
 
 GatewayEffects GatewayNode::OnUpdate(const traffic::TrafficUpdate& update, Instant now) {
   const bool taken = traffic_.take(update, now);
-  NoteConfirmation(update);
+  NoteConfirmation(update, now);
   if (!taken) return Finish();
   Note({}, "update", {}, traffic_.describe(update));
   if (update.suspects) {
@@ -34,9 +38,11 @@
   return Finish();
 }
 
-void GatewayNode::NoteConfirmation(const traffic::TrafficUpdate& update) {
-  const bool answers = update.sequence != 0 && update.sequence == poll_sequence_;
-  if (answers && version() >= update.version) confirmed_at_ = polled_at_;
+void GatewayNode::NoteConfirmation(const traffic::TrafficUpdate& update, Instant now) {
+  if (version() < update.version) return;
+  const bool pushed = update.sequence == 0;
+  const bool answers = update.sequence == poll_sequence_;
+  if (pushed || answers) confirmed_at_ = std::max(confirmed_at_, pushed ? now : polled_at_);
 }
 
 GatewayEffects GatewayNode::OnHints(const traffic::TrafficHints& hints, Instant now) {
@@ -107,7 +113,11 @@
   const ArrivedRequest& arrived = request.arrived;
   if (!Ready()) return AwaitConfiguration(request, now);
   const traffic::Route* route = traffic_.routes().Find(arrived.host, arrived.path);
-  if (route == nullptr) return EndWithoutRun(request, RefusalReason::kNoRoute, now);
+  if (route == nullptr) {
+    const bool sure = now - confirmed_at_ <= kConfirmedFor;
+    return EndWithoutRun(request, sure ? RefusalReason::kNoRoute : RefusalReason::kUnconfirmed,
+                         now);
+  }
   const auto service = traffic_.routes().NextService(*route);
   if (!service) return EndWithoutRun(request, RefusalReason::kNoServer, now);
   TakeRoute(request, *route, *service);
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -62,16 +62,17 @@
   traffic::ConfigurationVersion configuration() const { return traffic_.configuration(); }
   std::uint64_t version() const { return traffic_.version(); }
   std::size_t requests() const { return requests_.size(); }
-  /// The newest instant as of which this state is known to leave out no accepted change: when the
-  /// poll was sent that a leader answered last. The clock's start before there was one.
+  /// The newest instant as of which this state is known to leave out no accepted change: when a
+  /// leader pushed it, or when the poll was sent that a leader answered with it. The clock's start
+  /// before there was one.
   Instant confirmed_at() const { return confirmed_at_; }
 
  private:
   enum class Step { kSent, kWaits };
 
   // gateway_node.cc
-  /// Notes what a leader's answer to the newest poll proves.
-  void NoteConfirmation(const traffic::TrafficUpdate& update);
+  /// Notes what a leader's push, or its answer to the newest poll, proves.
+  void NoteConfirmation(const traffic::TrafficUpdate& update, Instant now);
   void Admit(LiveRequest& request, Instant now);
   /// Takes what the request's route says of it.
   void TakeRoute(LiveRequest& request, const traffic::Route& route, const ServiceName& service);
--- a/src/protocol/hello.h
+++ b/src/protocol/hello.h
@@ -14,7 +14,7 @@
 namespace graniteseam::protocol {
 
 /// The newest version of the internal protocol that this build speaks, and the oldest.
-inline constexpr std::int32_t kProtocolVersion = 6;
+inline constexpr std::int32_t kProtocolVersion = 7;
 inline constexpr std::int32_t kOldestProtocolVersion = 6;
 
 enum class ProcessKind { kControl, kRouter };
--- a/src/protocol/internal_server.cc
+++ b/src/protocol/internal_server.cc
@@ -178,6 +178,13 @@
   });
 }
 
+void InternalServer::AfterSent(std::function<void()> callback) {
+  // The way of the messages: encoder first, then the connections' thread.
+  asio::post(encoder_.context(), [this, callback = std::move(callback)]() mutable {
+    asio::post(impl_->loop().context(), std::move(callback));
+  });
+}
+
 std::shared_ptr<const std::string> InternalServer::EncodeOnce(
     const std::shared_ptr<const control::ControlToRouter>& message) {
   if (message == encoded_message_) return encoded_;
--- a/src/protocol/internal_server.h
+++ b/src/protocol/internal_server.h
@@ -65,6 +65,10 @@
   void SendToRouter(RouterConnectionId connection,
                     std::shared_ptr<const control::ControlToRouter> message);
 
+  /// Calls back, on the event loop's thread, once what was sent to routers before was handed to
+  /// their connections.
+  void AfterSent(std::function<void()> callback);
+
   /// Stops taking connections and closes those of routers, so that they turn to another process.
   void Disconnect();
 
--- a/src/protocol/leader_tracker.cc
+++ b/src/protocol/leader_tracker.cc
@@ -7,8 +7,12 @@
 namespace {
 
 /// While a group elects, every process answers "not leader" at once; this keeps a router from
-/// asking round in a tight loop.
-constexpr Duration kTurnInterval{10'000};
+/// asking round in a tight loop. Doubled with each turn that found no leader: 285 routers that
+/// asked each 10 ms sent 28,500 messages a second to a group that had too little processor time to
+/// elect, and so kept it from it. Once there is a leader a follower names it, so that a router
+/// finds it within the longest interval.
+constexpr Duration kTurnIntervalShortest{10'000};
+constexpr Duration kTurnIntervalLongest{320'000};
 /// Unanswered messages are forgotten after this many silence limits.
 constexpr int kForgetAfterLimits = 10;
 constexpr std::size_t kPendingMaximum = 256;
@@ -43,7 +47,8 @@
     : addresses_(std::move(addresses)),
       connected_(addresses_.size()),
       silent_at_(addresses_.size()),
-      silence_limit_(silence_limit) {}
+      silence_limit_(silence_limit),
+      turn_interval_(kTurnIntervalShortest) {}
 
 std::vector<LeaderSend> LeaderTracker::OnSend(control::RouterToControl message, Instant now) {
   std::erase_if(pending_,
@@ -75,7 +80,10 @@
 }
 
 void LeaderTracker::OnAnswered(const std::string& address, const control::ControlToRouter& answer) {
-  if (IndexOf(address) == target_) unanswered_since_.reset();
+  if (IndexOf(address) == target_) {
+    unanswered_since_.reset();
+    turn_interval_ = kTurnIntervalShortest;
+  }
   std::erase_if(pending_, [&](const Pending& pending) { return Answers(answer, pending.message); });
 }
 
@@ -135,7 +143,8 @@
     return {};
   }
   wanted_target_.reset();
-  next_turn_ = now + kTurnInterval;
+  next_turn_ = now + turn_interval_;
+  turn_interval_ = std::min(2 * turn_interval_, kTurnIntervalLongest);
   target_ = target;
   unanswered_since_.reset();
   return SendPending(now, Duration::zero());
--- a/src/protocol/leader_tracker.h
+++ b/src/protocol/leader_tracker.h
@@ -66,6 +66,7 @@
   std::size_t target_ = 0;
   std::optional<std::size_t> wanted_target_;  ///< A turn that waits for `next_turn_`.
   Instant next_turn_;                         ///< Bounds how often targets change.
+  Duration turn_interval_;                    ///< Grows until a leader answers.
   /// Since when the target left everything unanswered, also for want of a connection.
   std::optional<Instant> unanswered_since_;
   std::deque<Pending> pending_;
--- a/tests/control/heartbeat_relay_test.cc
+++ b/tests/control/heartbeat_relay_test.cc
@@ -3,6 +3,8 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
+
 #include "tests/control/heartbeat_fixture.h"
 
 using namespace graniteseam;
@@ -30,12 +32,52 @@
   cr_assert(firsts.size() >= 2, "i-1 got nothing of what i-2 had");
 }
 
-Test(heartbeat_relay, what_changes_something_is_left_to_the_leader) {
+/// What a follower acknowledged is known to the next leader, though this one and the follower end
+/// at the same moment: it was committed before.
+Test(heartbeat_relay, change_is_acknowledged_once_it_is_committed) {
+  for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+    HarnessOptions options;
+    options.control_count = 5;
+    options.seed = seed;
+    ControlHarness harness(options);
+    std::vector<RangeOrder> grants;
+    harness.on_range_order = [&](std::size_t process, RangeOrder const& order) {
+      if (order.kind == RangeOrder::Kind::kGrant) grants.push_back(order);
+      harness.GiveRangeResult(process, {order.number, RangeOrderResult::Outcome::kDone, ""});
+    };
+    start_ranges(harness);
+    auto const follower = follower_of(harness);
+    cr_assert(is_accepted(harness.AskAt(follower, report_of(harness, "i-1", true))));
+    harness.StopControl(follower);
+    harness.StopControl(*harness.Leader());
+    harness.RunFor(3 * kSecond);
+    cr_assert(harness.Leader().has_value(), "seed %lu", seed);
+    grants.clear();
+    // Its keys went to the other one by then, and nothing comes back to it.
+    harness.RunFor(5 * kSecond);
+    cr_assert(!grants.empty());
+    for (auto const& grant : grants) cr_assert(grant.instance.value == "i-2", "seed %lu", seed);
+  }
+}
+
+Test(heartbeat_relay, change_that_no_quorum_takes_is_not_acknowledged) {
   RelayGroup fixture;
+  auto const follower = fixture.follower();
+  fixture.harness.CutOff(follower, false);
   auto const drains = report_of(fixture.harness, "i-1", true);
-  cr_assert(!is_accepted(fixture.harness.AskAt(fixture.follower(), drains)));
+  cr_assert(!is_accepted(fixture.harness.AskAt(follower, drains)));
   auto const unknown = report_of(fixture.harness, "i-9", false);
-  cr_assert(!is_accepted(fixture.harness.AskAt(fixture.follower(), unknown)));
+  cr_assert(!is_accepted(fixture.harness.AskAt(follower, unknown)));
+}
+
+Test(heartbeat_relay, new_instance_that_beats_at_a_follower_gets_keys) {
+  RelayGroup fixture;
+  fixture.harness.Ask(report_of(fixture.harness, "i-2", true));
+  auto const fresh = report_of(fixture.harness, "i-9", false);
+  cr_assert(is_accepted(fixture.harness.AskAt(fixture.follower(), fresh)));
+  fixture.harness.RunFor(2 * kSecond);
+  auto const gets_keys = [](auto const& grant) { return grant.instance.value == "i-9"; };
+  cr_assert(std::any_of(fixture.grants.begin(), fixture.grants.end(), gets_keys));
 }
 
 Test(heartbeat_relay, heartbeats_that_lease_keys_are_left_to_the_leader) {
--- a/tests/control/range_controller_test.cc
+++ b/tests/control/range_controller_test.cc
@@ -3,6 +3,7 @@
 #include <criterion/criterion.h>
 
 #include <map>
+#include <random>
 
 using namespace graniteseam;
 using namespace graniteseam::control;
@@ -527,3 +528,56 @@
     }
   }
 }
+
+/// Each range is renewed by a call of its own: without a bound, moves of a shifting load cut the
+/// keys into thousands, and their renewals took what a leader has.
+Test(range_controller, moves_of_a_shifting_load_cut_the_keys_into_a_bounded_number_of_ranges) {
+  Fixture fixture(8);
+  fixture.Run(0, 2'000);
+  std::mt19937_64 random(1);
+  for (std::int64_t ms = 2'000; ms < 120'000; ms += 250) {
+    // Every second another block of keys is busy.
+    const auto block = static_cast<std::uint32_t>(ms / 1'000 * 7'919 % 65'000);
+    traffic::TrafficPoll poll;
+    poll.loads = {{kService, {}}};
+    for (int key = 0; key < 60; ++key) {
+      const auto near = block + static_cast<std::uint32_t>(random() % 400);
+      poll.loads[0].keys.push_back({std::min(near, traffic::kLastKey), 3});
+    }
+    fixture.controller->TakeLoads(poll, At(ms));
+    fixture.Run(ms, ms + 240);
+  }
+  const std::size_t ranges = fixture.state.ranges().services().at(kService).size();
+  cr_assert(ranges > 16, "%zu ranges: nothing moved", ranges);
+  cr_assert(ranges <= 300, "%zu ranges", ranges);
+}
+
+/// Whoever carries least gets the keys of one that is gone, and counts as carrying them for the
+/// next.
+Test(range_controller, keys_of_many_that_leave_together_are_spread_over_those_that_stay) {
+  Fixture fixture(40);
+  fixture.Run(0, 3'000);
+  for (int instance = 1; instance <= 20; ++instance) fixture.Report(instance, 2, true);
+  fixture.Run(3'010, 8'000);
+  const auto serving = fixture.KeysOf(RangePhase::kServing);
+  cr_assert(serving.size() == 20, "%zu owners", serving.size());
+  const std::uint32_t fair = (traffic::kLastKey + 1) / 20;
+  for (const auto& [owner, keys] : serving) {
+    cr_assert(keys < 2 * fair, "%s has %u of a fair share of %u", owner.c_str(), keys, fair);
+  }
+}
+
+/// What a new leader takes over is not asked for all at once, nor renewed together for good.
+Test(range_controller, renewals_of_hundreds_of_ranges_are_spread_over_their_interval) {
+  Fixture fixture(200);
+  fixture.Run(0, 6'000);
+  fixture.sent.clear();
+  std::size_t most = 0;
+  for (std::int64_t ms = 6'010; ms < 8'000; ms += 10) {
+    const std::size_t before = fixture.sent.size();
+    fixture.Run(ms, ms);
+    most = std::max(most, fixture.sent.size() - before);
+  }
+  cr_assert(fixture.sent.size() >= 200);
+  cr_assert(most <= 32, "%zu orders within 10 ms", most);
+}
--- a/tests/control_daemon/crowded_group.cc
+++ b/tests/control_daemon/crowded_group.cc
@@ -16,11 +16,9 @@
 // takes 0.6 to 1.5 ms); a message's share was drawn from the processor time of whole processes.
 constexpr Duration kEventCost{5};
 constexpr double kLookCostMicros = 0.5;
-constexpr Duration kMessageCost{40};
+constexpr Duration kFrameCost{40};
 constexpr Duration kHttpCost{100};
 constexpr Duration kSyncTime{3'000};
-/// What keeps sockets and what decides are threads of one processor: each gets its half of it.
-constexpr double kThreads = 2;
 
 constexpr Duration kPollInterval{500'000};
 constexpr Duration kTrackerTick{10'000};
@@ -48,29 +46,27 @@
   options.clock_drift_bound = 0.02;
   options.traffic.ranges.renewal_interval = kRenewalInterval;
   options.membership.enabled = true;
+  options.traffic.pushes_are_timed = true;
   options.membership.voters = voters;
   return options;
 }
 
-/// Work on one of a process's threads, in the order in which it came.
-struct Thread {
-  Instant free{};
+}  // namespace
 
-  Instant Do(Instant from, Duration cost, double speed) {
-    const auto taken = static_cast<std::int64_t>(static_cast<double>(cost.count()) / speed);
-    free = std::max(free, from) + Duration(taken);
-    return free;
-  }
+/// Does its work in the order in which it came.
+struct CrowdedGroup::Thread {
+  Instant free{};  ///< When it will have done what came so far.
 };
 
-}  // namespace
-
 struct CrowdedGroup::Control {
   std::uint32_t index = 0;
   consensus::Member self;
   std::unique_ptr<control::ControlNode> node;
   daemon::ControlEventQueue queue;
-  Thread sockets;
+  // What keeps framed connections, what keeps HTTP connections and what decides are threads of one
+  // processor.
+  Thread frames;
+  Thread http;
   Thread deciding;
   Instant wakes_at = Instant::max();
   std::uint64_t wake = 0;  ///< Numbers what is planned; only the newest counts.
@@ -101,6 +97,19 @@
   std::function<void()> done;
 };
 
+/// The threads that have work at an instant share the processor evenly. @return when `thread` has
+/// done a piece of work that comes to it then.
+Instant CrowdedGroup::Do(Control& control, Thread& thread, Instant from, Duration cost) const {
+  int busy = 1;
+  for (const Thread* other : {&control.frames, &control.http, &control.deciding}) {
+    if (other != &thread && other->free > from) ++busy;
+  }
+  const double speed = options_.processor / busy;
+  const auto taken = static_cast<std::int64_t>(static_cast<double>(cost.count()) / speed);
+  thread.free = std::max(thread.free, from) + Duration(taken);
+  return thread.free;
+}
+
 CrowdedGroup::CrowdedGroup(const CrowdOptions& options) : options_(options), random_(options.seed) {
   StartControls();
   StartRouters();
@@ -155,9 +164,9 @@
   }
 }
 
-/// A message is read by the thread that keeps the sockets; then it waits for the deciding one.
-void CrowdedGroup::Arrive(Control& control, daemon::ControlEvent event, Duration cost) {
-  const Instant read = control.sockets.Do(now_, cost, options_.processor / kThreads);
+/// A message is read by the thread that keeps its connection; then it waits for the deciding one.
+void CrowdedGroup::Arrive(Control& control, daemon::ControlEvent event, Kind kind) {
+  const Instant read = Work(control, kind, now_);
   At(read, [this, &control, event = std::move(event)]() mutable {
     control.queue.Push(std::move(event), now_);
     WakeFor(control);
@@ -184,7 +193,7 @@
     pending.push_back(step(control.deciding.free));
     const auto looked = static_cast<double>(control.node->decision_looks() - looks);
     const Duration deciding(static_cast<std::int64_t>(looked * kLookCostMicros));
-    control.deciding.Do(now_, kEventCost + deciding, options_.processor / kThreads);
+    Do(control, control.deciding, now_, kEventCost + deciding);
   };
   daemon::RoundHooks hooks;
   hooks.now = [&] { return control.deciding.free; };
@@ -198,6 +207,8 @@
         return control.node->OnRouterMessage(router->connection, router->message, now, kWallMs);
       if (auto* asked = std::get_if<daemon::OperatorRequested>(&queued.event))
         return control.node->OnOperatorRequest(asked->request, asked->command, now, kWallMs);
+      if (auto* push = std::get_if<daemon::PushSent>(&queued.event))
+        return control.node->OnPushSent(push->push, now);
       return control.node->OnRangeOrderResult(
           std::get<daemon::RangeOrderEnded>(queued.event).result, now);
     });
@@ -222,28 +233,39 @@
       const std::uint64_t looks = control.node->decision_looks();
       pending.push_back(control.node->OnPersistDone(sequence, control.deciding.free));
       const auto looked = static_cast<double>(control.node->decision_looks() - looks);
-      control.deciding.Do(
-          now_, kEventCost + Duration(static_cast<std::int64_t>(looked * kLookCostMicros)),
-          options_.processor / kThreads);
+      Do(control, control.deciding, now_,
+         kEventCost + Duration(static_cast<std::int64_t>(looked * kLookCostMicros)));
     }
   }
 }
 
-/// When something that is sent now leaves the process.
-Instant CrowdedGroup::Emit(Control& control, Duration cost) {
-  return control.sockets.Do(control.deciding.free, cost, options_.processor / kThreads);
+/// When a message that is there at an instant was read, or has left.
+Instant CrowdedGroup::Work(Control& control, Kind kind, Instant from) const {
+  const bool frame = kind == Kind::kFrame;
+  Thread& thread = frame ? control.frames : control.http;
+  return Do(control, thread, from, frame ? kFrameCost : kHttpCost);
+}
+
+Instant CrowdedGroup::Emit(Control& control, Kind kind) const {
+  return Work(control, kind, control.deciding.free);
 }
 
 void CrowdedGroup::CarryOut(Control& control, const control::ControlEffects& effects) {
   for (const auto& message : effects.peer_messages) SendToPeer(control, message);
   for (const auto& send : effects.router_sends) SendToRouter(control, send);
+  if (effects.push) {
+    At(control.frames.free, [this, &control, push = *effects.push] {
+      control.queue.Push(daemon::PushSent{push}, now_);
+      WakeFor(control);
+    });
+  }
   for (const auto& reply : effects.operator_replies) {
     const auto asked = asked_.find(reply.request);
     if (asked == asked_.end()) continue;
     const auto leader = control.node->consensus().leader();
     const auto index =
         leader && !leader->SameVoteAs(control.self) ? IndexOf(leader->address) : control.index;
-    At(Emit(control, kHttpCost) + Latency(),
+    At(Emit(control, Kind::kHttp) + Latency(),
        [answer = std::move(asked->second), given = reply.answer, index] { answer(&given, index); });
     asked_.erase(asked);
   }
@@ -252,27 +274,28 @@
 
 void CrowdedGroup::SendToPeer(Control& from, const consensus::PeerMessage& message) {
   const auto to = static_cast<std::size_t>(message.to.id.value) - 1;
-  At(Emit(from, kMessageCost) + Latency(), [this, to, message] {
-    Arrive(*controls_[to], daemon::PeerMessageArrived{message}, kMessageCost);
+  At(Emit(from, Kind::kFrame) + Latency(), [this, to, message] {
+    Arrive(*controls_[to], daemon::PeerMessageArrived{message}, Kind::kFrame);
   });
 }
 
 void CrowdedGroup::SendToRouter(Control& from, const control::RouterSend& send) {
-  At(Emit(from, kMessageCost) + Latency(), [this, at = from.index, send] {
+  At(Emit(from, Kind::kFrame) + Latency(), [this, at = from.index, send] {
     OnRouterMessage(*routers_[send.connection], at, *send.message);
   });
 }
 
 void CrowdedGroup::SendOrder(Control& from, const control::RangeOrder& order) {
   using Outcome = control::RangeOrderResult::Outcome;
-  const Instant left = Emit(from, kHttpCost);
+  const Instant left = Emit(from, Kind::kHttp);
   const bool late = left > order.not_after;
   const bool release = order.kind == control::RangeOrder::Kind::kRelease;
   const Duration work = release ? kReleaseTime : Duration::zero();
   const control::RangeOrderResult result{
       order.number, late ? Outcome::kNotDelivered : Outcome::kDone, release ? "token" : ""};
   const Instant answered = late ? left : left + Latency() + work + Latency();
-  At(answered, [this, &from, result] { Arrive(from, daemon::RangeOrderEnded{result}, kHttpCost); });
+  At(answered,
+     [this, &from, result] { Arrive(from, daemon::RangeOrderEnded{result}, Kind::kHttp); });
 }
 
 std::uint32_t CrowdedGroup::IndexOf(const std::string& address) const {
@@ -325,7 +348,7 @@
 void CrowdedGroup::Deliver(Router& router, const std::vector<protocol::LeaderSend>& sends) {
   for (const auto& send : sends) {
     At(now_ + Latency(), [this, to = IndexOf(send.address), from = router.index, send] {
-      Arrive(*controls_[to], daemon::RouterMessageArrived{from, send.message}, kMessageCost);
+      Arrive(*controls_[to], daemon::RouterMessageArrived{from, send.message}, Kind::kFrame);
     });
   }
 }
@@ -418,7 +441,7 @@
   const control::RequestId number = ++last_request_;
   asked_[number] = std::move(answer);
   At(now_ + Latency(), [this, control, number, request] {
-    Arrive(*controls_[control], daemon::OperatorRequested{number, request}, kHttpCost);
+    Arrive(*controls_[control], daemon::OperatorRequested{number, request}, Kind::kHttp);
   });
 }
 
--- a/tests/control_daemon/crowded_group.h
+++ b/tests/control_daemon/crowded_group.h
@@ -63,6 +63,7 @@
   Duration longest_without_leader() const { return longest_without_leader_; }
 
  private:
+  struct Thread;
   struct Control;
   struct Router;
   struct Instance;
@@ -74,12 +75,16 @@
   Duration Latency();
   // Control processes.
   void StartControls();
-  void Arrive(Control& control, daemon::ControlEvent event, Duration cost);
+  Instant Do(Control& control, Thread& thread, Instant from, Duration cost) const;
+  enum class Kind { kFrame, kHttp };
+  void Arrive(Control& control, daemon::ControlEvent event, Kind kind);
   void WakeFor(Control& control);
   void PlayRound(Control& control);
   void Settle(Control& control, std::vector<control::ControlEffects> pending);
   void CarryOut(Control& control, const control::ControlEffects& effects);
-  Instant Emit(Control& control, Duration cost);
+  Instant Work(Control& control, Kind kind, Instant from) const;
+  /// When something that is sent now leaves the process.
+  Instant Emit(Control& control, Kind kind) const;
   void SendToPeer(Control& from, const consensus::PeerMessage& message);
   void SendToRouter(Control& from, const control::RouterSend& send);
   void SendOrder(Control& from, const control::RangeOrder& order);
--- a/tests/control_daemon/crowded_group_test.cc
+++ b/tests/control_daemon/crowded_group_test.cc
@@ -2,10 +2,13 @@
 /// What was seen: on a fleet of six control processes, 100 routers and 330 instances with little
 /// processor time, accepted changes were not in force at some routers for seconds, and the
 /// configuration could not be read, though nothing had failed; the term rose by 75 in a minute.
-/// How it came about here: nothing fails; instances leave beside four changes, and the leader loses
-/// its lease again and again, as each next one does.
-
-#include "tests/control_daemon/crowded_group.h"
+/// How it came about: instances left beside changes, and the leader was late for its own lease. Who
+/// found no leader asked all the others, so that the next lease lapsed sooner.
+/// What caused it: work that grows with the fleet stood before what keeps a leader. Each event made
+/// it decide about the whole fleet, rounds were bounded by events and not by time, hundreds of
+/// orders and messages went out at once, and whoever met a process that does not lead came again.
+/// What proved it: in this world, where work takes the time that was measured, the code before the
+/// repair loses its leader 2 and 8 times in 22 s, and this one keeps it.
 
 #include <criterion/criterion.h>
 
@@ -73,5 +76,6 @@
   options.routers = 285;
   options.keyed = 385;
   options.pooled = 516;
+  options.processor = 0.2;
   PlayScaleIn(options, 0.14);
 }
--- a/tests/gateway/gateway_node_test.cc
+++ b/tests/gateway/gateway_node_test.cc
@@ -297,3 +297,38 @@
   const auto refused = Only<Refuse>(effects);
   cr_assert(refused.status == 503 && refused.reason == RefusalReason::kDeadline);
 }
+
+/// A route that is not here may have been added meanwhile: only a gateway that a leader confirmed
+/// lately says that there is none.
+Test(gateway_node, unknown_route_is_not_denied_by_a_gateway_that_no_leader_confirmed_lately) {
+  Fixture fixture;
+  cr_assert(Only<Refuse>(fixture.Request("/nothing/x", 1'000)).status == 404);
+  const auto unsure = Only<Refuse>(fixture.Request("/nothing/x", 2'000));
+  cr_assert(unsure.status == 503 && unsure.reason == RefusalReason::kUnconfirmed);
+  cr_assert(unsure.retry_after.has_value());
+  const auto poll = fixture.node.TakePoll(At(2'100));
+  traffic::TrafficUpdate answer;
+  answer.sequence = poll.sequence;
+  answer.base = answer.version = fixture.node.version();
+  answer.configuration = fixture.node.configuration();
+  fixture.node.OnUpdate(answer, At(2'400));
+  cr_assert(Only<Refuse>(fixture.Request("/nothing/x", 2'500)).status == 404);
+  // The answer proves what was so when the poll was sent, and no more.
+  cr_assert(Only<Refuse>(fixture.Request("/nothing/x", 3'800)).status == 503);
+}
+
+Test(gateway_node, answer_to_an_older_poll_or_of_a_newer_state_confirms_nothing) {
+  Fixture fixture;
+  const auto poll = fixture.node.TakePoll(At(2'000));
+  fixture.node.TakePoll(At(2'500));
+  traffic::TrafficUpdate late;
+  late.sequence = poll.sequence;
+  late.base = late.version = fixture.node.version();
+  fixture.node.OnUpdate(late, At(2'600));
+  cr_assert(Only<Refuse>(fixture.Request("/nothing/x", 2'700)).status == 503);
+  traffic::TrafficUpdate newer = late;
+  newer.sequence = poll.sequence + 1;
+  newer.base = newer.version = fixture.node.version() + 1;
+  fixture.node.OnUpdate(newer, At(2'700));
+  cr_assert(Only<Refuse>(fixture.Request("/nothing/x", 2'800)).status == 503);
+}
--- a/tests/protocol/leader_tracker_test.cc
+++ b/tests/protocol/leader_tracker_test.cc
@@ -158,3 +158,21 @@
   tracker.Tick(At(127));
   cr_assert(tracker.target() == "a");
 }
+
+/// Hundreds of routers ask round together: while nobody leads, each of them asks less and less.
+Test(leader_tracker, asks_seldom_while_nobody_leads_for_long_and_soon_again_after_an_answer) {
+  LeaderTracker tracker = ThreeConnected();
+  std::size_t sent = tracker.OnSend(Renewal(1), At(20)).size();
+  for (std::int64_t now = 21; now < 2'021; ++now) {
+    sent += tracker.OnNotLeader(tracker.target(), {1, ""}, At(now)).size();
+    sent += tracker.Tick(At(now)).size();
+  }
+  cr_assert(sent >= 8 && sent <= 16, "%zu sends in 2 s", sent);
+  tracker.OnAnswered(tracker.target(), RenewalAnswer(1));
+  sent = tracker.OnSend(Renewal(2), At(2'400)).size();
+  for (std::int64_t now = 2'401; now < 2'501; ++now) {
+    sent += tracker.OnNotLeader(tracker.target(), {2, ""}, At(now)).size();
+    sent += tracker.Tick(At(now)).size();
+  }
+  cr_assert(sent >= 4, "%zu sends in 0.1 s", sent);
+}
--- a/tests/traffic_world/traffic_world_test.cc
+++ b/tests/traffic_world/traffic_world_test.cc
@@ -15,7 +15,7 @@
 
 namespace {
 
-constexpr std::uint64_t kSeeds = 15;
+constexpr std::uint64_t kSeeds = 20;
 
 /// The world in which the code as it is keeps its promises under the seeds below kSeeds.
 auto options_of(std::uint64_t seed, TrafficDefect defect) -> TrafficRunOptions
