--- a/testbed/soak/probes.cc
+++ b/testbed/soak/probes.cc
@@ -61,8 +61,10 @@
         request.fields.Add(endpoints.names.time_left_ms, "1000");
         auto const result = caller.Call(endpoints.routers[answer.router], request, probe_limit);
         answer.ended = runtime::BootTimeNow();
-        if (result.end == event_http::CallEnd::kAnswered)
+        if (result.end == event_http::CallEnd::kAnswered) {
             answer.status = result.response.status;
+            answer.unconfirmed = result.response.body.find("\"unconfirmed\"") != std::string::npos;
+        }
         probes.push_back(probe);
     }
     return probes;
--- a/testbed/soak/promises.cc
+++ b/testbed/soak/promises.cc
@@ -234,7 +234,7 @@
         constexpr int no_such_route = 404;
         for (auto const& probe : seen.probes) {
             auto const& [answer, version, acknowledged] = probe;
-            if (answer.status != no_such_route)
+            if (answer.status != no_such_route && !answer.unconfirmed)
                 continue;
             auto const calm = core_is_calm(seen, acknowledged, answer.sent)
                 && in_touch(seen, answer.router, answer.sent, answer.sent);
--- a/testbed/soak/promises.h
+++ b/testbed/soak/promises.h
@@ -23,6 +23,7 @@
     std::uint32_t router = 0; ///< Which one it was sent to, from 0.
     bool kept = false; ///< Sent on a connection that had brought an answer before.
     bool closed = false; ///< Sent whole, then the connection ended without a whole answer.
+    bool unconfirmed = false; ///< Refused since the router was not sure of its configuration.
     bool quarantined = false; ///< Refused since servers ended under what it asks for.
 };
 
