--- a/src/control/replicated_state.cc
+++ b/src/control/replicated_state.cc
@@ -200,11 +200,11 @@
 }
 
 void ReplicatedState::Run(const RecordSuspectsCommand& command, ApplyOutcome& /*outcome*/) {
-  traffic_.Record(command.suspects, version());
+  traffic_.RecordSuspects(command.suspects, version());
 }
 
 void ReplicatedState::Run(const ClearSuspectsCommand& command, ApplyOutcome& /*outcome*/) {
-  traffic_.Clear(command.digests, version());
+  traffic_.ClearSuspects(command.digests, version());
 }
 
 std::string ReplicatedState::Save() const {
--- a/src/traffic/traffic_state.h
+++ b/src/traffic/traffic_state.h
@@ -36,10 +36,10 @@
   void BeginReleases(const std::vector<RangeRelease>& releases, std::uint64_t log_index);
   void Confirm(const std::vector<RangeConfirmation>& confirmations, std::uint64_t log_index);
 
-  void Record(const std::vector<SuspectRequest>& suspects, std::uint64_t log_index) {
+  void RecordSuspects(const std::vector<SuspectRequest>& suspects, std::uint64_t log_index) {
     suspects_.Record(suspects, log_index);
   }
-  void Clear(const std::vector<RequestDigest>& digests, std::uint64_t log_index) {
+  void ClearSuspects(const std::vector<RequestDigest>& digests, std::uint64_t log_index) {
     suspects_.Clear(digests, log_index);
   }
 
--- a/tests/control/crash_tally_test.cc
+++ b/tests/control/crash_tally_test.cc
@@ -60,9 +60,9 @@
   void Apply(const CommandBody& command) {
     ++index;
     if (const auto* record = std::get_if<RecordSuspectsCommand>(&command)) {
-      state.Record(record->suspects, index);
+      state.RecordSuspects(record->suspects, index);
     } else {
-      state.Clear(std::get<ClearSuspectsCommand>(command).digests, index);
+      state.ClearSuspects(std::get<ClearSuspectsCommand>(command).digests, index);
     }
   }
 
@@ -165,7 +165,7 @@
 
 Test(crash_tally, a_new_leader_keeps_what_was_recorded_and_goes_on_counting) {
   Fixture fixture;
-  fixture.state.Record({{kLethal, {{"i-1"}, {"i-2"}}, 0}}, ++fixture.index);
+  fixture.state.RecordSuspects({{kLethal, {{"i-1"}, {"i-2"}}, 0}}, ++fixture.index);
   fixture.RunUntil(4'000);
   fixture.Lose(kLethal, "i-3", 4'100, 4'150);
   fixture.RunUntil(5'000);
@@ -174,7 +174,7 @@
 
 Test(crash_tally, a_quarantine_ends_after_its_time) {
   Fixture fixture;
-  fixture.state.Record({{kLethal, {{"i-1"}, {"i-2"}, {"i-3"}}, 0}}, ++fixture.index);
+  fixture.state.RecordSuspects({{kLethal, {{"i-1"}, {"i-2"}, {"i-3"}}, 0}}, ++fixture.index);
   const std::int64_t kept_ms = traffic::kSuspectKept.count() / 1'000;
   fixture.RunUntil(kept_ms - 1'000);
   cr_assert(fixture.Quarantined(kLethal));
--- a/tests/soak/promises_test.cc
+++ b/tests/soak/promises_test.cc
@@ -2,6 +2,8 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
+
 using namespace graniteseam;
 using namespace graniteseam::testbed;
 using namespace graniteseam::testbed::soak;
@@ -265,3 +267,111 @@
     seen.answers.back().quarantined = true;
     cr_assert_eq(check_promises(seen).front().promise, "spared");
 }
+
+namespace {
+
+/// A fleet that is calm from the start: everything settled at 0, and observed for 20 s.
+auto calm() -> Observed
+{
+    Observed seen;
+    seen.settled = at(0);
+    seen.ended = at(20'000);
+    seen.asked_at_the_end = seen.served_at_the_end = 1;
+    return seen;
+}
+
+auto probe(std::uint32_t router, int status, std::int64_t acknowledged, std::int64_t sent) -> SeenProbe
+{
+    SeenProbe probe;
+    probe.answer.attempt = "p-0";
+    probe.answer.router = router;
+    probe.answer.status = status;
+    probe.answer.sent = at(sent);
+    probe.version = 7;
+    probe.acknowledged = at(acknowledged);
+    return probe;
+}
+
+auto breaks(Observed const& seen, std::string const& promise) -> bool
+{
+    auto const breaches = check_promises(seen);
+    return std::any_of(
+        breaches.begin(), breaches.end(), [&](auto const& it) { return it.promise == promise; });
+}
+
+} // namespace
+
+Test(promises, accepted_change_that_a_router_in_touch_does_not_know_breaks_in_force)
+{
+    auto seen = calm();
+    seen.probes = {probe(3, 404, 5'000, 7'600)};
+    cr_assert(breaks(seen, "in_force"));
+    seen.probes = {probe(3, 200, 5'000, 7'600)};
+    cr_assert(!breaks(seen, "in_force"));
+    seen.probes = {probe(3, 503, 5'000, 7'600)};
+    cr_assert(!breaks(seen, "in_force"));
+    seen.probes[0].answer.unconfirmed = true;
+    cr_assert(breaks(seen, "in_force"));
+}
+
+Test(promises, router_out_of_touch_and_disturbed_control_excuse_an_old_configuration)
+{
+    auto seen = calm();
+    seen.probes = {probe(3, 404, 5'000, 7'600)};
+    seen.disturbances = {{3, at(4'000), at(5'000)}};
+    cr_assert(!breaks(seen, "in_force"));
+    seen.disturbances = {{2, at(4'000), at(5'000)}};
+    cr_assert(breaks(seen, "in_force"));
+    seen.core_disturbances = {{at(1'000), at(3'000)}};
+    cr_assert(!breaks(seen, "in_force"));
+}
+
+Test(promises, change_without_a_clear_answer_in_calm_breaks_acknowledged)
+{
+    auto seen = calm();
+    seen.changes = {{4, 5, "body", false, at(6'000), at(7'000), false}};
+    cr_assert(breaks(seen, "acknowledged"));
+    auto resent = seen;
+    resent.changes.push_back({4, 5, "body", true, at(7'500), at(9'900), false});
+    cr_assert(!breaks(resent, "acknowledged"));
+    resent.changes.back().ended = at(10'100);
+    cr_assert(breaks(resent, "acknowledged"));
+    auto refused = seen;
+    refused.changes[0].refused = true;
+    cr_assert(!breaks(refused, "acknowledged"));
+    seen.core_disturbances = {{at(8'000), at(8'500)}};
+    cr_assert(!breaks(seen, "acknowledged"));
+}
+
+Test(promises, configuration_that_nobody_tells_in_calm_breaks_readable)
+{
+    auto seen = calm();
+    seen.read_tries = {{at(6'000), at(7'000), false}, {at(7'100), at(8'000), false}};
+    cr_assert(breaks(seen, "readable"));
+    seen.read_tries.push_back({at(8'100), at(8'200), true});
+    cr_assert(!breaks(seen, "readable"));
+    seen.read_tries.pop_back();
+    seen.core_disturbances = {{at(4'000), at(4'500)}};
+    cr_assert(!breaks(seen, "readable"));
+}
+
+Test(promises, request_that_goes_on_to_end_workers_breaks_contained)
+{
+    auto seen = calm();
+    auto const crash = [&](std::int64_t ms) {
+        auto const attempt = "x-" + std::to_string(seen.crashes.size());
+        seen.crashes.push_back({"w-" + attempt, "/safe/crashing-0", attempt, at(ms)});
+        SeenAnswer answer;
+        answer.attempt = attempt;
+        answer.crashes = answer.quarantined = true;
+        seen.answers.push_back(answer);
+    };
+    for (std::int64_t ms : {1'000, 2'000, 3'000, 4'000, 5'500, 7'000, 8'000, 9'000})
+        crash(ms);
+    cr_assert(!breaks(seen, "contained"));
+    crash(10'000);
+    cr_assert(breaks(seen, "contained"));
+    cr_assert(!breaks(seen, "spared"));
+    seen.answers.back().crashes = false;
+    cr_assert(breaks(seen, "spared"));
+}
--- a/tests/soak/seeded_runs_test.cc
+++ b/tests/soak/seeded_runs_test.cc
@@ -3,6 +3,8 @@
 #include <unistd.h>
 
 #include <filesystem>
+#include <string>
+#include <vector>
 
 #include "testbed/fleet/child_process.h"
 #include "testbed/support/text_file.h"
@@ -15,7 +17,7 @@
 /// A run takes 46 s; this only ends one that hangs.
 constexpr Duration run_limit {200'000'000};
 
-auto play(std::string const& seed) -> void
+auto play(std::string const& seed, std::vector<std::string> const& further = {}) -> void
 {
     auto const folder = std::filesystem::temp_directory_path()
         / ("graniteseam-soak-" + std::to_string(::getpid()) + "-" + seed);
@@ -23,6 +25,7 @@
     Command command;
     command.words = {GRANITESEAM_BINARY_DIR "/bin/graniteseam-soak", "--seed", seed, "--size", "small",
         "--templates", GRANITESEAM_SOURCE_DIR "/platform", "--folder", folder};
+    command.words.insert(command.words.end(), further.begin(), further.end());
     command.log = folder / "output.txt";
     auto process = std::get<ChildProcess>(Attempt([&] { return ChildProcess::Start(command); }));
     auto const status = process.Wait(run_limit);
@@ -42,3 +45,8 @@
 {
     play("4");
 }
+
+Test(seeded_runs, seed_30001_with_requests_that_end_their_workers, .timeout = 240)
+{
+    play("30001", {"--crashing"});
+}
--- a/tests/traffic/suspect_table_test.cc
+++ b/tests/traffic/suspect_table_test.cc
@@ -22,11 +22,11 @@
 Test(suspect_table, routers_are_told_the_whole_at_first_and_whenever_it_changed) {
   TrafficState state;
   cr_assert(state.UpdateSince(0).suspects.has_value());
-  state.Record({{{7}, {{"i-1"}, {"i-2"}, {"i-3"}}, 0}}, 5);
+  state.RecordSuspects({{{7}, {{"i-1"}, {"i-2"}, {"i-3"}}, 0}}, 5);
   cr_assert_eq(state.version(), 5);
   cr_assert_eq(state.urgent_version(), 5);
   cr_assert(state.UpdateSince(4).suspects->front().Quarantined());
   cr_assert(!state.UpdateSince(5).suspects.has_value());
-  state.Clear({{7}}, 6);
+  state.ClearSuspects({{7}}, 6);
   cr_assert(state.UpdateSince(5).suspects->empty());
 }
