Keep whole the heartbeats that wait for a leader; what is left of crashing requests

Cause: a process that came to lead answered heartbeats that had waited there without what they tell of keys, so that instances leased by heartbeat would have seemed to hold none. Found by reading, before it ran anywhere but in tests.

Change: they wait whole.

--- a/src/control/control_node_requests.cc
+++ b/src/control/control_node_requests.cc
@@ -86,7 +86,7 @@
   if (stopping_ || consensus_.role() == consensus::Role::kLeader) return false;
   const bool lately = FollowsLeader() || now - leader_known_at_ < kLeaderMissed;
   using Taken = HeartbeatRelayer::Taken;
-  const Taken taken = relayer_.Take(request, heartbeat.report, lately, now);
+  const Taken taken = relayer_.Take(request, heartbeat, lately, now);
   if (taken == Taken::kAcknowledged) Reply(request, Accepted{state_.applied()});
   return taken != Taken::kRefused;
 }
@@ -100,7 +100,7 @@
   for (const RequestId request : relayer_.TakeExpired(now)) Reply(request, NotLeaderError());
   if (leadership_ && Leading(now)) {
     for (const auto& waiting : relayer_.TakeAll()) {
-      OnHeartbeat(waiting.request, ReportInstance{waiting.report}, now);
+      OnHeartbeat(waiting.request, waiting.heartbeat, now);
     }
     return;
   }
--- a/src/control/heartbeat_relayer.cc
+++ b/src/control/heartbeat_relayer.cc
@@ -21,8 +21,9 @@
 }  // namespace
 
 HeartbeatRelayer::Taken HeartbeatRelayer::Take(std::uint64_t request,
-                                               const traffic::InstanceReport& report,
-                                               bool leader_known, Instant now) {
+                                               const ReportInstance& heartbeat, bool leader_known,
+                                               Instant now) {
+  const traffic::InstanceReport& report = heartbeat.report;
   // Only the leader may renew the leases of instances that get their keys by heartbeat.
   const bool leased = state_.LeasedByHeartbeat(report.service);
   if (leased && leader_known) return Taken::kRefused;
@@ -32,7 +33,7 @@
     return Taken::kAcknowledged;
   }
   if (waiting_.size() >= kWaitingMaximum) return Taken::kRefused;
-  waiting_.push_back({request, report, now + kWait});
+  waiting_.push_back({request, heartbeat, now + kWait});
   if (changes) reports_due_ = std::min(reports_due_, now + kReportsInterval);
   unlooked_ = unlooked_ || !changes;
   return Taken::kWaits;
@@ -50,10 +51,10 @@
   looked_version_ = state_.instances().changed_at();
   unlooked_ = false;
   std::erase_if(waiting_, [&](const Waiting& waiting) {
-    const bool leased = state_.LeasedByHeartbeat(waiting.report.service);
-    if (!leased && state_.instances().WouldChange(waiting.report)) return false;
+    const bool leased = state_.LeasedByHeartbeat(waiting.heartbeat.report.service);
+    if (!leased && state_.instances().WouldChange(waiting.heartbeat.report)) return false;
     (leased ? done.refused : done.acknowledged).push_back(waiting.request);
-    if (!leased) NoteHeard(waiting.report.id, now);
+    if (!leased) NoteHeard(waiting.heartbeat.report.id, now);
     return true;
   });
   return done;
@@ -80,7 +81,8 @@
     reports_due_ = waiting_.empty() ? Instant::max() : now + kReportsRepeated;
     ReportInstancesCommand command;
     for (const Waiting& waiting : waiting_) {
-      if (state_.instances().WouldChange(waiting.report)) command.reports.push_back(waiting.report);
+      if (state_.instances().WouldChange(waiting.heartbeat.report))
+        command.reports.push_back(waiting.heartbeat.report);
     }
     if (!command.reports.empty()) relay.changes = EncodeCommand(command);
   }
--- a/src/control/heartbeat_relayer.h
+++ b/src/control/heartbeat_relayer.h
@@ -36,7 +36,7 @@
   explicit HeartbeatRelayer(const traffic::TrafficState& state) : state_(state) {}
 
   /// @param leader_known whether this process knows a leader, or did so lately.
-  Taken Take(std::uint64_t request, const traffic::InstanceReport& report, bool leader_known,
+  Taken Take(std::uint64_t request, const ReportInstance& heartbeat, bool leader_known,
              Instant now);
 
   /// Requests that may be answered, for a process that knows a leader.
@@ -49,10 +49,11 @@
   std::vector<std::uint64_t> TakeExpired(Instant now);
   struct Waiting {
     std::uint64_t request = 0;
-    traffic::InstanceReport report;
+    ReportInstance heartbeat;
     Instant until;
   };
-  /// All that wait, for a process that has come to lead.
+  /// All that wait, whole, for a process that has come to lead: what a heartbeat says of keys
+  /// counts there, and one that left them out would seem to have let them go.
   std::vector<Waiting> TakeAll() { return std::exchange(waiting_, {}); }
 
   /// What the leader is to be told now, nullopt when nothing is due.
--- a/tests/control/heartbeat_relay_test.cc
+++ b/tests/control/heartbeat_relay_test.cc
@@ -132,3 +132,30 @@
     cr_assert(orders_to_it == 0, "phase %d: its keys are still its own after 20 s", phase);
   }
 }
+
+/// Instances that were refused at once came again at once, and kept a group with little processor
+/// time from electing.
+Test(heartbeat_relay, heartbeats_wait_where_no_leader_is_known) {
+  RelayGroup fixture;
+  ControlHarness& harness = fixture.harness;
+  auto const cut = fixture.follower();
+  harness.CutOff(cut, false);
+  harness.RunFor(2 * kSecond);
+  harness.Submit(cut, report_of(harness, "i-1", false));
+  harness.RunFor(kSecond / 2);
+  cr_assert(harness.LastAnswer() == nullptr);
+  harness.Reconnect(cut);
+  cr_assert(harness.RunUntil([&] { return harness.LastAnswer() != nullptr; }, kSecond / 4));
+  cr_assert(is_accepted(*harness.LastAnswer()));
+}
+
+Test(heartbeat_relay, heartbeats_that_waited_too_long_are_refused_before_their_senders_give_up) {
+  RelayGroup fixture;
+  ControlHarness& harness = fixture.harness;
+  auto const cut = fixture.follower();
+  harness.CutOff(cut, false);
+  harness.RunFor(2 * kSecond);
+  harness.Submit(cut, report_of(harness, "i-1", false));
+  cr_assert(harness.RunUntil([&] { return harness.LastAnswer() != nullptr; }, kSecond));
+  cr_assert(!is_accepted(*harness.LastAnswer()));
+}
--- a/tests/traffic_world/crashing_request_test.cc
+++ b/tests/traffic_world/crashing_request_test.cc
@@ -83,3 +83,14 @@
     auto const found = breaches(world, {159, 192, 255});
     cr_assert(found.empty(), "%s", found.c_str());
 }
+
+/// What is left of 600 seeds. Seeds 123, 269, 530: while a leader is new or a third end is not certain yet,
+/// gateways that each know of a suspect send it, and again where the server refuses it, one time too many in
+/// all. Seed 157: three servers end beside what many ask for, as above.
+Test(crashing_request, is_contained_while_a_third_end_is_not_certain, .timeout = 300)
+{
+    TrafficWorldOptions world;
+    world.crashing_requests = true;
+    auto const found = breaches(world, {123, 157, 269, 530});
+    cr_assert(found.empty(), "%s", found.c_str());
+}
