--- a/include/graniteseam/control/operator_messages.h
+++ b/include/graniteseam/control/operator_messages.h
@@ -76,10 +76,16 @@
   traffic::InstanceId instance;
 };
 
+/// Drains a zone: its instances get no new work, and their keys move to other zones. Idempotent.
+struct DrainZone {
+  ZoneName zone;
+  bool drained = true;  ///< False takes it back.
+};
+
 using OperatorRequest =
     std::variant<SubmitBundle, SignBundle, RollBundle, MoveShard, DrainServer, ChangeMembership,
                  ReadBundles, ReadFleet, ReadShards, ChangeConfiguration, ReadConfiguration,
-                 ReportInstance, DeregisterInstance>;
+                 ReportInstance, DeregisterInstance, DrainZone>;
 
 using bundle::BundleRecord;
 using bundle::BundleState;
@@ -115,10 +121,11 @@
   std::vector<ServerView> servers;
   std::vector<ProcessVersion> routers;
   std::uint64_t shard_moves = 0;  ///< Assignments of a shard that had another owner before.
+  std::vector<ZoneName> drained_zones;
 };
 BOOST_DESCRIBE_STRUCT(FleetView, (),
                       (leader, membership, term, commit_index, bundle_version, servers, routers,
-                       shard_moves))
+                       shard_moves, drained_zones))
 struct ShardsView {
   std::uint64_t version = 0;
   std::vector<ShardEntry> shards;
--- a/include/graniteseam/control/traffic_options.h
+++ b/include/graniteseam/control/traffic_options.h
@@ -30,6 +30,9 @@
   /// By heartbeat: within this an instance comes for keys that were assigned to it. Two intervals
   /// of heartbeats (0.9 s on the deployments so far) and some time for one that is late.
   Duration lease_pickup{2'000'000};
+  /// Gives no keys to an instance that warms up, as long as there are others: it falls over under a
+  /// load that it bears when warm, and all gateways send it what its keys get.
+  bool spares_warming_up = false;
   /// Within this an instance takes the answer to a heartbeat; one that comes later is not used.
   Duration answer_taken_within{1'200'000};
 };
--- a/include/graniteseam/traffic/instance.h
+++ b/include/graniteseam/traffic/instance.h
@@ -7,14 +7,28 @@
 #include <boost/describe/enum.hpp>
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 #include "graniteseam/common/ids.h"
 
 namespace graniteseam::traffic {
 
-/// One life of a server process.
+/// One life of a server process: the name that the server gives itself and, where it tells, when
+/// it started. A server may start again under its name; nothing that is known of one life, and
+/// nothing that was decided for it, then holds for the next one.
 using InstanceId = NameId<struct InstanceIdTag>;
 
+/// Parts a server's name from the start of one of its lives. Names must not have it.
+inline constexpr char kLifeSeparator = '~';
+
+/// @param born_ms when the life began, in milliseconds by the server's own time of day; 0 when it
+/// does not tell, and the name stands for its only life.
+InstanceId LifeOf(std::string_view name, std::int64_t born_ms);
+/// The name by which the server knows itself, in all of its lives.
+std::string_view NameOf(const InstanceId& life);
+/// When the life began; 0 when it did not tell.
+std::int64_t BornOf(const InstanceId& life);
+
 /// What an instance says of itself in a heartbeat.
 struct InstanceReport {
   InstanceId id;
@@ -24,8 +38,9 @@
   std::string release;  ///< Of its software; only shown.
   std::int64_t slots = 1;
   bool draining = false;
-  std::int64_t sequence = 0;        ///< Grows with each heartbeat: tells a late one.
-  std::int64_t warmup_left_ms = 0;  ///< How much longer it is slow.
+  std::int64_t sequence = 0;  ///< Grows with each heartbeat: tells a late one.
+  /// How much longer it is slow. Of a committed report only whether it is 0 is kept up to date.
+  std::int64_t warmup_left_ms = 0;
 
   bool operator==(const InstanceReport&) const = default;
 };
@@ -35,11 +50,12 @@
 
 enum class InstanceState {
   kReady,
-  kDraining,     ///< Finishes what it has; gets no new work.
-  kDisplaced,    ///< Another instance reported from its address.
-  kDeregistered  ///< Said that it ends; never comes back.
+  kDraining,      ///< Finishes what it has; gets no new work.
+  kDisplaced,     ///< Another instance reported from its address.
+  kDeregistered,  ///< Said that it ends; never comes back.
+  kZoneDrained,   ///< An operator drains its zone; gets new work again when the zone is taken back.
 };
-BOOST_DESCRIBE_ENUM(InstanceState, kReady, kDraining, kDisplaced, kDeregistered)
+BOOST_DESCRIBE_ENUM(InstanceState, kReady, kDraining, kDisplaced, kDeregistered, kZoneDrained)
 
 /// What is known of an instance.
 struct Instance {
@@ -48,6 +64,7 @@
   std::uint64_t changed_at = 0;  ///< Log index of the newest change.
 
   bool TakesNewWork() const { return state == InstanceState::kReady; }
+  bool WarmsUp() const { return report.warmup_left_ms > 0; }
   bool Gone() const {
     return state == InstanceState::kDisplaced || state == InstanceState::kDeregistered;
   }
--- a/include/graniteseam/traffic/update.h
+++ b/include/graniteseam/traffic/update.h
@@ -30,13 +30,16 @@
   /// Changed spans in the order of their changes; each overrides what was known of its keys.
   std::vector<KeyRange> ranges;
   std::uint32_t routers = 0;  ///< Routers that share the group's budgets at present.
+  /// In the answer to a poll: the polling router's place among them, from 0 on, by their ids.
+  std::uint32_t router_place = 0;
   std::optional<std::vector<SuspectRequest>> suspects;  ///< All of them, when any changed.
 
   bool operator==(const TrafficUpdate&) const = default;
 };
 BOOST_DESCRIBE_STRUCT(TrafficUpdate, (),
                       (sequence, base, version, configuration, routes, removed_routes, services,
-                       removed_services, limits, instances, ranges, routers, suspects))
+                       removed_services, limits, instances, ranges, routers, router_place,
+                       suspects))
 
 /// Requests for one key through one router since its last poll.
 struct KeyLoad {
--- a/src/control/commands.h
+++ b/src/control/commands.h
@@ -141,13 +141,21 @@
 };
 BOOST_DESCRIBE_STRUCT(ClearSuspectsCommand, (), (digests))
 
+/// An operator drains a zone, or takes it back.
+struct DrainZoneCommand {
+  ZoneName zone;
+  bool drained = false;
+};
+BOOST_DESCRIBE_STRUCT(DrainZoneCommand, (), (zone, drained))
+
 using CommandBody =
     std::variant<SubmitBundleCommand, bundle::SignatureCommand, RollBundleCommand,
                  RegisterServerCommand, LoseServerCommand, AssignShardsCommand, BeginMovesCommand,
                  SetDrainingCommand, SetLeavingCommand, JournalCommand, ExpireJournalCommand,
                  RemoveServerCommand, ChangeConfigurationCommand, ReportInstancesCommand,
                  DeregisterInstanceCommand, AssignRangesCommand, ReleaseRangesCommand,
-                 ConfirmRangesCommand, RecordSuspectsCommand, ClearSuspectsCommand>;
+                 ConfirmRangesCommand, RecordSuspectsCommand, ClearSuspectsCommand,
+                 DrainZoneCommand>;
 
 struct Command {
   CommandBody body;
--- a/src/control/control_node_requests.cc
+++ b/src/control/control_node_requests.cc
@@ -179,6 +179,8 @@
           return CommandBody(ReportInstancesCommand{{request.report}});
         } else if constexpr (std::is_same_v<Request, DeregisterInstance>) {
           return CommandBody(DeregisterInstanceCommand{request.instance});
+        } else if constexpr (std::is_same_v<Request, DrainZone>) {
+          return CommandBody(DrainZoneCommand{request.zone, request.drained});
         } else if constexpr (std::is_same_v<Request, SignBundle>) {
           return PlanRequest(request, options_.reviewer_keys);
         } else if constexpr (std::is_same_v<Request, RollBundle>) {
@@ -269,6 +271,7 @@
   view.commit_index = consensus_.commit_index();
   view.bundle_version = state_.bundles().in_force_version();
   view.shard_moves = state_.shards().moves();
+  view.drained_zones = state_.traffic().ZoneDrains().zones;
   if (leadership_) view.routers = leadership_->routers.Versions(now);
   for (const auto& [id, record] : state_.servers().servers()) {
     ServerView& server = view.servers.emplace_back();
--- a/src/control/displacement.cc
+++ b/src/control/displacement.cc
@@ -3,11 +3,19 @@
 namespace graniteseam::control {
 namespace {
 
-/// The instance at the address of a displaced one; null when there is none.
+/// The later life of a displaced instance, or else who is at its address; null when there is none.
 const traffic::Instance* SuccessorOf(const traffic::InstanceTable& instances,
                                      const traffic::Instance& displaced) {
   if (displaced.state != traffic::InstanceState::kDisplaced) return nullptr;
-  return instances.HolderOf(displaced.report.address);
+  const traffic::Instance* const later = instances.NewestLife(displaced.report.id);
+  const bool is_other = later != nullptr && later->report.id != displaced.report.id;
+  return is_other ? later : instances.HolderOf(displaced.report.address);
+}
+
+/// Whether what was sent to one instance would be taken by the other: same name, same address.
+bool TakesItsOrders(const traffic::Instance& later, const traffic::Instance& former) {
+  return later.report.address == former.report.address &&
+         traffic::NameOf(later.report.id) == traffic::NameOf(former.report.id);
 }
 
 }  // namespace
@@ -17,7 +25,7 @@
   const traffic::Instance* const displaced = instances.Find(id);
   if (displaced == nullptr) return false;
   const traffic::Instance* const successor = SuccessorOf(instances, *displaced);
-  if (successor == nullptr) return false;
+  if (successor == nullptr || TakesItsOrders(*successor, *displaced)) return false;
   const auto displaced_heard = liveness.FirstHeard(id);
   const auto successor_heard = liveness.FirstHeard(successor->report.id);
   return displaced_heard && successor_heard &&
--- a/src/control/displacement.h
+++ b/src/control/displacement.h
@@ -19,8 +19,11 @@
 /// docs/design/platform.md.
 inline constexpr Duration kHeartbeatLateMaximum{10'000'000};
 
-/// Whether a displaced instance has ended for certain: it had been heard of for so long that its
-/// successor's heartbeat can not be one of a forerunner. False for one that is not displaced.
+/// Whether a displaced instance has ended for certain, and nothing that was sent to it can act any
+/// more: it had been heard of for so long that its successor's heartbeat can not be one of a
+/// forerunner. False for one that is not displaced. False also for one whose successor is a later
+/// life under its name at its address: that one takes late orders for its own. Its answer to a
+/// release tells that it has seen a higher fence, and refuses them from then on.
 bool EndIsProven(const traffic::InstanceTable& instances, const InstanceLiveness& liveness,
                  const traffic::InstanceId& id);
 
--- a/src/control/range_controller.cc
+++ b/src/control/range_controller.cc
@@ -30,6 +30,11 @@
 /// Where more than this part of a service's instances fail, the cause is a common one, and moving
 /// keys would only add load to the rest.
 constexpr double kAvoidedPart = 0.2;
+/// Key ranges of a drained zone that are released together: so many, or one for this number of
+/// owners elsewhere when that is more. A range is without an owner for about 0.8 s, and the zones'
+/// owners have some three ranges each: a third of the owners are left within 3 s.
+constexpr std::size_t kZoneReleasesMinimum = 8;
+constexpr std::size_t kOwnersPerZoneRelease = 2;
 /// How long the sequence of an instance that is gone is kept: longer than a heartbeat may be late.
 constexpr Duration kHolderKept = 6 * kHeartbeatLateMaximum;
 /// Part of an owner's capacity up to which a hot key's requests are let in: somewhat more than all
@@ -285,6 +290,23 @@
   return owner == nullptr || !owner->TakesNewWork();
 }
 
+bool RangeController::InDrainedZone(const traffic::InstanceId& owner) const {
+  const traffic::Instance* const instance = state_.instances().Find(owner);
+  return instance != nullptr && instance->state == InstanceState::kZoneDrained;
+}
+
+std::size_t RangeController::ZoneReleasesAllowed(
+    const traffic::KeyRangeTable::Ranges& ranges,
+    const std::vector<RangeCandidate>& candidates) const {
+  const auto under_way = static_cast<std::size_t>(
+      std::count_if(ranges.begin(), ranges.end(), [this](const auto& entry) {
+        return entry.second.phase == RangePhase::kReleasing && InDrainedZone(entry.second.owner);
+      }));
+  const std::size_t most =
+      std::max(kZoneReleasesMinimum, candidates.size() / kOwnersPerZoneRelease);
+  return most - std::min(most, under_way);
+}
+
 std::vector<CommandBody> RangeController::Decide(Instant now) {
   if (now < NextDecision()) return {};
   const std::uint64_t looks_before = looks_;
@@ -335,6 +357,7 @@
     const ServiceName& service, const std::set<traffic::InstanceId>& avoided, Instant now) const {
   CountLooks(InstanceCount());
   std::vector<RangeCandidate> candidates;
+  std::vector<RangeCandidate> warming_up;
   const bool by_heartbeat = LeasedByHeartbeat(service);
   for (const auto& [id, instance] : state_.instances().instances()) {
     const bool fits = instance.report.service == service && instance.TakesNewWork();
@@ -342,7 +365,8 @@
     if (avoided.contains(id) || HasEnded(id)) continue;
     if (by_heartbeat && !HeardLately(id, now)) continue;
     const double slots = static_cast<double>(std::max<std::int64_t>(1, instance.report.slots));
-    RangeCandidate& candidate = candidates.emplace_back();
+    const bool spared = options_.spares_warming_up && instance.WarmsUp();
+    RangeCandidate& candidate = (spared ? warming_up : candidates).emplace_back();
     candidate.id = id;
     candidate.zone = instance.report.zone;
     candidate.slots = slots;
@@ -351,6 +375,7 @@
     candidate.next_heartbeat = holder.heard + holder.interval;
     candidate.heartbeat_interval = holder.interval;
   }
+  if (candidates.empty()) candidates = std::move(warming_up);
   speeds_.Scale(candidates);
   return candidates;
 }
@@ -384,10 +409,15 @@
   for (const auto& [service, ranges] : state_.ranges().services()) {
     const ServiceView& view = ViewOf(service, now);
     const auto& avoided = view.avoided;
+    std::size_t zone_releases = ZoneReleasesAllowed(ranges, view.candidates);
     for (const auto& [first, range] : ranges) {
       const bool must_go = OwnerMustGo(range);
       const bool fails = range.phase == RangePhase::kServing && avoided.contains(range.owner);
       if (!range.Owned() || (!must_go && !fails)) continue;
+      if (InDrainedZone(range.owner)) {
+        if (zone_releases == 0) continue;
+        --zone_releases;
+      }
       command.releases.push_back({service, range.span, range.fence, {}});
       Note("begin_release", range, range.span,
            must_go ? "the owner leaves" : "the owner fails requests");
--- a/src/control/range_controller.h
+++ b/src/control/range_controller.h
@@ -155,6 +155,10 @@
   std::string WhyOver(const traffic::KeyRange& range, const RangeCare& care) const;
   void DecideConfirmations(std::vector<CommandBody>& commands) const;
   void DecideReleases(Instant now, std::vector<CommandBody>& commands);
+  bool InDrainedZone(const traffic::InstanceId& owner) const;
+  /// Ranges of drained zones that may be released now, beside those on their way.
+  std::size_t ZoneReleasesAllowed(const traffic::KeyRangeTable::Ranges& ranges,
+                                  const std::vector<RangeCandidate>& candidates) const;
   void DecideAssignments(Instant now, std::vector<CommandBody>& commands);
   /// Whether registrations have settled enough to give out a service's keys for the first time.
   bool Settled(const ServiceName& service, const std::vector<RangeCandidate>& candidates,
--- a/src/control/replicated_state.cc
+++ b/src/control/replicated_state.cc
@@ -20,12 +20,17 @@
   if (const Error* error = ErrorOf(result)) outcome.error = *error;
 }
 
-/// Releases that knew no suspects end their snapshots where these begin.
+/// Releases that knew no drained zones, and those before that knew no suspects, end their snapshots
+/// where these begin.
 Result<ReplicatedStateImage> DecodeImage(std::string_view bytes) {
-  const auto whole = Attempt([&] { return codec::Decode<ReplicatedStateImage>(bytes); });
-  if (ErrorOf(whole) == nullptr) return std::get<ReplicatedStateImage>(whole);
-  return codec::Decode<ReplicatedStateImage>(std::string(bytes) +
-                                             codec::Encode(traffic::SuspectImage{}));
+  const std::string no_drains = codec::Encode(traffic::ZoneDrainImage{});
+  const std::string no_suspects = codec::Encode(traffic::SuspectImage{}) + no_drains;
+  for (const std::string& missing : {std::string(), no_drains}) {
+    const auto whole =
+        Attempt([&] { return codec::Decode<ReplicatedStateImage>(std::string(bytes) + missing); });
+    if (ErrorOf(whole) == nullptr) return std::get<ReplicatedStateImage>(whole);
+  }
+  return codec::Decode<ReplicatedStateImage>(std::string(bytes) + no_suspects);
 }
 
 Error UnknownServer(const ServerId& server) {
@@ -207,6 +212,10 @@
   traffic_.ClearSuspects(command.digests, version());
 }
 
+void ReplicatedState::Run(const DrainZoneCommand& command, ApplyOutcome& outcome) {
+  Keep(outcome, [&] { return traffic_.DrainZone(command.zone, command.drained, version()); });
+}
+
 std::string ReplicatedState::Save() const {
   ReplicatedStateImage image;
   image.applied = applied_;
@@ -216,6 +225,7 @@
   image.journal = journal_.Snapshot();
   image.traffic = traffic_.Image();
   image.suspects = traffic_.suspects().Image();
+  image.zone_drains = traffic_.ZoneDrains();
   for (const auto& [service, longest] : longest_leases_) {
     image.leases.push_back(
         {service, std::chrono::duration_cast<std::chrono::milliseconds>(longest).count()});
@@ -232,6 +242,7 @@
   journal_.Restore(image.journal);
   traffic_.Restore(std::move(image.traffic));
   traffic_.Restore(image.suspects);
+  traffic_.Restore(image.zone_drains);
   longest_leases_.clear();
   for (const auto& lease : image.leases) {
     longest_leases_[lease.service] = std::chrono::milliseconds(lease.longest_ms);
--- a/src/control/replicated_state.h
+++ b/src/control/replicated_state.h
@@ -39,9 +39,11 @@
   std::vector<ServiceLease> leases;
   traffic::TrafficImage traffic;
   traffic::SuspectImage suspects;
+  traffic::ZoneDrainImage zone_drains;
 };
 BOOST_DESCRIBE_STRUCT(ReplicatedStateImage, (),
-                      (applied, bundles, servers, shards, journal, leases, traffic, suspects))
+                      (applied, bundles, servers, shards, journal, leases, traffic, suspects,
+                       zone_drains))
 
 /// What applying one entry came to.
 struct ApplyOutcome {
@@ -103,6 +105,7 @@
   void Run(const ConfirmRangesCommand& command, ApplyOutcome& outcome);
   void Run(const RecordSuspectsCommand& command, ApplyOutcome& outcome);
   void Run(const ClearSuspectsCommand& command, ApplyOutcome& outcome);
+  void Run(const DrainZoneCommand& command, ApplyOutcome& outcome);
 
   /// Takes over what a newly rolled bundle says about services.
   void AdoptServices(const bundle::Bundle& bundle);
--- a/src/control/traffic_sessions.cc
+++ b/src/control/traffic_sessions.cc
@@ -34,6 +34,7 @@
   answer.base = answer.version = state_.version();
   answer.configuration = state_.configuration().current().version;
   answer.routers = RouterCount(now);
+  answer.router_place = PlaceOf(poll.router, now);
   sends.push_back({connection, std::make_shared<const ControlToRouter>(std::move(answer))});
   return sends;
 }
@@ -89,12 +90,18 @@
   return message;
 }
 
-std::uint32_t TrafficSessions::RouterCount(Instant now) const {
-  if (now - start_ < kSettling) return 0;
-  const auto lately = std::count_if(heard_.begin(), heard_.end(), [&](const auto& entry) {
-    return now - entry.second <= kRouterKept;
-  });
+std::uint32_t TrafficSessions::HeardLately(RouterTimes::const_iterator end, Instant now) const {
+  const auto lately = std::count_if(
+      heard_.begin(), end, [&](const auto& entry) { return now - entry.second <= kRouterKept; });
   return static_cast<std::uint32_t>(lately);
 }
 
+std::uint32_t TrafficSessions::RouterCount(Instant now) const {
+  return now - start_ < kSettling ? 0 : HeardLately(heard_.end(), now);
+}
+
+std::uint32_t TrafficSessions::PlaceOf(const RouterId& router, Instant now) const {
+  return HeardLately(heard_.find(router), now);
+}
+
 }  // namespace graniteseam::control
--- a/src/control/traffic_sessions.h
+++ b/src/control/traffic_sessions.h
@@ -60,6 +60,13 @@
     std::uint64_t version = 0;  ///< Sent up to here.
   };
 
+  using RouterTimes = std::map<RouterId, Instant>;
+
+  /// Routers heard of lately, of those before `end`.
+  std::uint32_t HeardLately(RouterTimes::const_iterator end, Instant now) const;
+  /// A router's place among those that RouterCount() counts.
+  std::uint32_t PlaceOf(const RouterId& router, Instant now) const;
+
   using Message = std::shared_ptr<const ControlToRouter>;
 
   /// What changed since `base`; the same message for all that ask before the next change.
@@ -77,7 +84,7 @@
   Instant pushed_at_{};
   Instant push_due_{};      ///< Not pushed again earlier.
   bool held_back_ = false;  ///< Something waits for `push_due_`.
-  std::map<RouterId, Instant> heard_;
+  RouterTimes heard_;
 };
 
 }  // namespace graniteseam::control
--- a/src/daemon/control/control_driver.cc
+++ b/src/daemon/control/control_driver.cc
@@ -53,6 +53,7 @@
         shard_moves(registry.Gauge(runtime::Metric::kControlShardMoves)),
         queue_length(registry.Gauge(runtime::Metric::kControlEventQueueLength)),
         decision_looks(registry.Counter(runtime::Metric::kControlDecisionLooks)),
+        drained_zones(registry.Gauge(runtime::Metric::kControlDrainedZones)),
         lanes{LaneStatistics(registry, EventLane::kConsensus),
               LaneStatistics(registry, EventLane::kOperator),
               LaneStatistics(registry, EventLane::kFleet)},
@@ -83,6 +84,7 @@
   runtime::GaugeHandle shard_moves;
   runtime::GaugeHandle queue_length;
   runtime::CounterHandle decision_looks;
+  runtime::GaugeHandle drained_zones;
   std::uint64_t looks_told = 0;                   ///< Counted up to here.
   std::array<LaneStatistics, kEventLanes> lanes;  ///< In the order of EventLane.
   runtime::HistogramHandle round_seconds;
@@ -335,6 +337,7 @@
   statistics_->routers.Set(static_cast<double>(fleet.routers.size()));
   statistics_->servers_leased.Set(static_cast<double>(leased));
   statistics_->shard_moves.Set(static_cast<double>(fleet.shard_moves));
+  statistics_->drained_zones.Set(static_cast<double>(fleet.drained_zones.size()));
   statistics_->queue_length.Set(static_cast<double>(queue_.size()));
   const auto count = [](runtime::CounterHandle& counter, std::uint64_t& told, std::uint64_t total) {
     counter.Increment(static_cast<double>(total - told));
--- a/src/daemon/control/control_settings.cc
+++ b/src/daemon/control/control_settings.cc
@@ -202,6 +202,9 @@
                          "Length of a lease of keys that is given in the answer to a heartbeat.",
                          settings.node.traffic.ranges.lease_length, std::chrono::milliseconds(500),
                          std::chrono::seconds(60));
+  reader.AddSwitch("spare_warming_up",
+                   "Gives no keys to instances that warm up while there are others.",
+                   settings.node.traffic.ranges.spares_warming_up);
   reader.AddSwitch("initialise", "Creates the group when the data folder is empty.",
                    settings.initialise);
   reader.AddAddressList("platform", "Where the platform's list of machines is served.",
--- a/src/daemon/control/registry_server.cc
+++ b/src/daemon/control/registry_server.cc
@@ -14,6 +14,9 @@
 constexpr char kConfigurationPath[] = "/v1/traffic/configuration";
 constexpr char kInstancesPath[] = "/v1/instances/";
 constexpr char kHeartbeatSuffix[] = "/heartbeat";
+constexpr char kZonesPath[] = "/v1/zones/";
+constexpr char kDrainSuffix[] = "/drain";
+constexpr std::size_t kZoneNameMaximum = 128;
 constexpr char kMetricsPath[] = "/metrics";
 
 constexpr int kOk = 200;
@@ -53,13 +56,21 @@
 }
 
 /// "i-7" of "/v1/instances/i-7" or "/v1/instances/i-7/heartbeat"; empty for another path.
-std::string InstanceOf(std::string_view path, std::string_view suffix) {
-  constexpr std::string_view kPrefix = kInstancesPath;
-  if (!path.starts_with(kPrefix) || !path.ends_with(suffix)) return "";
-  if (path.size() < kPrefix.size() + suffix.size()) return "";
-  const std::string_view id =
-      path.substr(kPrefix.size(), path.size() - kPrefix.size() - suffix.size());
-  return id.find('/') == std::string_view::npos ? std::string(id) : "";
+std::string NameIn(std::string_view path, std::string_view prefix, std::string_view suffix) {
+  if (!path.starts_with(prefix) || !path.ends_with(suffix)) return "";
+  if (path.size() < prefix.size() + suffix.size()) return "";
+  const std::string_view name =
+      path.substr(prefix.size(), path.size() - prefix.size() - suffix.size());
+  return name.find('/') == std::string_view::npos ? std::string(name) : "";
+}
+
+/// A zone of which nothing is known yet may be drained: its instances may still come.
+Result<control::OperatorRequest> ReadZoneDrain(const std::string& zone, bool drained) {
+  if (zone.size() > kZoneNameMaximum) {
+    return Fail(ErrorKind::kMalformedMessage, "The zone's name is too long.",
+                "Name a zone as instances report it.");
+  }
+  return control::OperatorRequest(control::DrainZone{{zone}, drained});
 }
 
 Result<control::OperatorRequest> ReadRequest(const event_http::Request& request) {
@@ -69,12 +80,16 @@
     if (request.method == "PUT") return ReadChange(request, true);
     if (request.method == "PATCH") return ReadChange(request, false);
   }
-  const std::string reporting = InstanceOf(path, kHeartbeatSuffix);
+  const std::string zone = NameIn(path, kZonesPath, kDrainSuffix);
+  if (!zone.empty() && (request.method == "PUT" || request.method == "DELETE")) {
+    return ReadZoneDrain(zone, request.method == "PUT");
+  }
+  const std::string reporting = NameIn(path, kInstancesPath, kHeartbeatSuffix);
   if (!reporting.empty() && request.method == "POST") {
     BOOST_LEAF_AUTO(heartbeat, http::ReadHeartbeat(request.body, {reporting}));
     return control::OperatorRequest(std::move(heartbeat));
   }
-  const std::string leaving = InstanceOf(path, "");
+  const std::string leaving = NameIn(path, kInstancesPath, "");
   if (!leaving.empty() && request.method == "DELETE") {
     return control::OperatorRequest(control::DeregisterInstance{{leaving}});
   }
@@ -87,6 +102,7 @@
   if (request.Path() == kConfigurationPath) {
     return request.method == "GET" ? "read_configuration" : "change_configuration";
   }
+  if (request.Path().starts_with(kZonesPath)) return "drain_zone";
   return request.Path().ends_with(kHeartbeatSuffix) ? "heartbeat" : "leave";
 }
 
--- a/src/daemon/gateway/exchange_translator.cc
+++ b/src/daemon/gateway/exchange_translator.cc
@@ -27,14 +27,24 @@
   return number;
 }
 
-/// Reads "running,waiting,slots".
-std::optional<gateway::ReportedLoad> ReadLoad(const std::string* text) {
-  if (text == nullptr) return std::nullopt;
+/// Reads "running,waiting,slots" or "running,waiting,slots,work_percent". A server may mislead:
+/// nothing beyond a bound is taken, since it would weigh more than all that is seen.
+std::optional<gateway::ReportedLoad> ReadLoad(const std::string& text) {
+  constexpr double kRequestsMaximum = 1e6;
+  constexpr double kPercentMaximum = 1e5;
+  constexpr int kWithWork = 4;
   gateway::ReportedLoad load;
-  const int read =
-      std::sscanf(text->c_str(), "%lf,%lf,%lf", &load.running, &load.waiting, &load.slots);
-  const bool sound = read == 3 && load.running >= 0 && load.waiting >= 0 && load.slots >= 0;
-  return sound ? std::optional(load) : std::nullopt;
+  double percent = 0;
+  const int read = std::sscanf(text.c_str(), "%lf,%lf,%lf,%lf", &load.running, &load.waiting,
+                               &load.slots, &percent);
+  const auto sound = [](double number, double maximum) { return 0 <= number && number <= maximum; };
+  const bool counts = sound(load.running, kRequestsMaximum) &&
+                      sound(load.waiting, kRequestsMaximum) && sound(load.slots, kRequestsMaximum);
+  if (read < kWithWork - 1 || !counts) return std::nullopt;
+  if (read < kWithWork) return load;
+  if (percent <= 0 || !sound(percent, kPercentMaximum)) return std::nullopt;
+  load.work_percent = percent;
+  return load;
 }
 
 /// The digest leaves out the sign bit.
@@ -85,7 +95,7 @@
   event_http::Request forwarded = request;
   event_http::RemoveConnectionFields(forwarded.fields);
   forwarded.fields.Remove("Expect");
-  forwarded.fields.Set(names_.target_instance, send.instance.value);
+  forwarded.fields.Set(names_.target_instance, std::string(traffic::NameOf(send.instance)));
   const std::int64_t left = std::max<std::int64_t>(1, ToMillis(send.time_left));
   forwarded.fields.Set(names_.time_left_ms, std::to_string(left));
   return event_http::Serialize(forwarded);
@@ -126,7 +136,9 @@
   report.status = result.response.status;
   report.end = EndOf(result.response, request);
   if (report.end != AttemptEnd::kUnusable) {
-    report.load = ReadLoad(result.response.fields.Find(names_.load));
+    const std::string* const load = result.response.fields.Find(names_.load);
+    if (load != nullptr) report.load = ReadLoad(*load);
+    report.load_unreadable = load != nullptr && !report.load;
   }
   report.not_owner = result.response.status == kMisdirected;
   return report;
--- a/src/daemon/gateway/gateway_metrics.cc
+++ b/src/daemon/gateway/gateway_metrics.cc
@@ -11,6 +11,7 @@
     : registry_(registry),
       sends_(registry.Counter(Metric::kGatewaySends)),
       callers_gone_(registry.Counter(Metric::kGatewayCallersGone)),
+      unreadable_loads_(registry.Counter(Metric::kGatewayUnreadableLoads)),
       version_(registry.Gauge(Metric::kGatewayStateVersion)),
       configuration_(registry.Gauge(Metric::kGatewayConfigurationVersion)) {}
 
--- a/src/daemon/gateway/gateway_process.cc
+++ b/src/daemon/gateway/gateway_process.cc
@@ -35,6 +35,7 @@
   gateway::GatewayOptions options;
   options.id = {settings.id};
   options.backends.zone = {settings.zone};
+  options.backends.warm_up_requests_per_second = settings.warm_up_requests_per_second;
   options.budget = settings.budget;
   return options;
 }
@@ -204,6 +205,7 @@
   LiveExchange& live = found->second;
   const gateway::AttemptReport report = translator_.Read(result, live.exchange->request(), send);
   metrics_.OnAttemptEnd(report.end);
+  if (report.load_unreadable) metrics_.OnUnreadableLoad();
   if (report.end == gateway::AttemptEnd::kUnusable && live.call) servers_->Distrust(*live.call);
   live.call.reset();
   live.answer = std::move(result.response);
--- a/src/daemon/gateway/gateway_settings.cc
+++ b/src/daemon/gateway/gateway_settings.cc
@@ -38,6 +38,11 @@
                    settings.budget.extra, 0, kExtraMaximum);
   reader.AddMilliseconds("retry_budget_window_ms", "Length of the window.", settings.budget.window,
                          milliseconds(100), seconds(600));
+  constexpr double kRequestsMaximum = 1e6;
+  reader.AddNumber("warm_up_requests_per_second",
+                   "Requests that one instance of a pool may get from all gateways together in a "
+                   "second while it warms up; 0: no bound.",
+                   settings.warm_up_requests_per_second, 0, kRequestsMaximum);
   reader.AddInteger("connections_maximum", "Callers' connections at once.",
                     settings.connections_maximum, 1, kConnectionsMaximum);
   protocol::AddInternalSecuritySettings(reader, settings.security, nullptr, &settings.control);
--- a/src/daemon/gateway/gateway_settings.h
+++ b/src/daemon/gateway/gateway_settings.h
@@ -24,6 +24,8 @@
   Duration stop_limit{6'000'000};
   gateway::RetryBudgetLimits budget;
   std::int64_t connections_maximum = 2'000;
+  /// That an instance may get from all gateways while it warms up; 0: no bound.
+  double warm_up_requests_per_second = 0;
 };
 
 /// Declares all settings with their checks. `settings` must stay valid until the reader is gone.
--- a/src/daemon/operator_cli/command.h
+++ b/src/daemon/operator_cli/command.h
@@ -60,6 +60,8 @@
 Result<void> ShardMove(const CommandContext& context);
 Result<void> ServerDrain(const CommandContext& context);
 Result<void> ServerUndrain(const CommandContext& context);
+Result<void> ZoneDrain(const CommandContext& context);
+Result<void> ZoneUndrain(const CommandContext& context);
 
 Result<void> ControlAdd(const CommandContext& context);
 Result<void> ControlRemove(const CommandContext& context);
--- a/src/daemon/operator_cli/fleet_commands.cc
+++ b/src/daemon/operator_cli/fleet_commands.cc
@@ -54,7 +54,9 @@
 void PrintFleet(std::ostream& out, const control::FleetView& view) {
   out << "Term " << view.term.value << ", committed up to " << view.commit_index.value
       << ", bundle " << view.bundle_version.value << " in force, " << view.shard_moves
-      << " shard moves so far.\n\n";
+      << " shard moves so far.\n";
+  for (const ZoneName& zone : view.drained_zones) out << "Zone " << zone.value << " is drained.\n";
+  out << "\n";
   Table members({"CONTROL", "ROLE", "ZONE", "ADDRESS", "DISK"});
   AddMembers(members, view, view.membership.voters, "voter");
   AddMembers(members, view, view.membership.learners, "learner");
@@ -70,15 +72,17 @@
   routers.Print(out);
 }
 
-Result<void> Drain(const CommandContext& context, const std::string& action,
-                   const std::string& done) {
-  const std::string& server = context.arguments[0];
-  BOOST_LEAF_AUTO(accepted,
-                  Change(context, "/v1/servers/" + PathSegment(server) + "/" + action, "{}"));
+/// @param area of the API, "servers" or "zones".
+/// @param what begins the line that is printed.
+Result<void> Drain(const CommandContext& context, const std::string& area,
+                   const std::string& action, const std::string& what, const std::string& done) {
+  const std::string& name = context.arguments[0];
+  const std::string path = "/v1/" + area + "/" + PathSegment(name) + "/" + action;
+  BOOST_LEAF_AUTO(accepted, Change(context, path, "{}"));
   if (context.options.json) {
     PrintJson(context.out, accepted);
   } else {
-    context.out << "Server " << server << " " << done << "\n";
+    context.out << what << " " << name << " " << done << "\n";
   }
   return {};
 }
@@ -128,11 +132,19 @@
 }
 
 Result<void> ServerDrain(const CommandContext& context) {
-  return Drain(context, "drain", "gets no new work; its shards move away.");
+  return Drain(context, "servers", "drain", "Server", "gets no new work; its shards move away.");
 }
 
 Result<void> ServerUndrain(const CommandContext& context) {
-  return Drain(context, "undrain", "takes work again.");
+  return Drain(context, "servers", "undrain", "Server", "takes work again.");
+}
+
+Result<void> ZoneDrain(const CommandContext& context) {
+  return Drain(context, "zones", "drain", "Zone", "gets no new work; its keys move to others.");
+}
+
+Result<void> ZoneUndrain(const CommandContext& context) {
+  return Drain(context, "zones", "undrain", "Zone", "takes work again.");
 }
 
 }  // namespace graniteseam::operator_cli
--- a/src/gateway/backend_table.cc
+++ b/src/gateway/backend_table.cc
@@ -46,7 +46,9 @@
 }  // namespace
 
 BackendTable::BackendTable(BackendOptions options, std::uint64_t seed)
-    : options_(std::move(options)), random_(seed) {}
+    : options_(std::move(options)),
+      random_(seed),
+      warm_ups_(options_.warm_up_requests_per_second) {}
 
 void BackendTable::Apply(const traffic::TrafficUpdate& update, Instant now) {
   std::map<traffic::InstanceId, Backend> before;
@@ -63,11 +65,9 @@
     if (old != before.end()) backend = old->second;
     const bool drains_now = !fresh && backend.instance.TakesNewWork() && !instance.TakesNewWork();
     if (drains_now) backend.drained_since = confirmed_at_;
+    FollowWarmUp(backend, instance, fresh, now);
     backend.instance = instance;
-    if (fresh) {
-      backend.warm_at = now + std::chrono::milliseconds(instance.report.warmup_left_ms);
-      backend.latency_us = Micros(options_.first_latency);
-    }
+    if (fresh) backend.latency_us = Micros(options_.first_latency);
   }
   services_.clear();
   for (const auto& [id, backend] : backends_) {
@@ -75,6 +75,17 @@
   }
 }
 
+void BackendTable::FollowWarmUp(Backend& backend, const traffic::Instance& next, bool fresh,
+                                Instant now) {
+  const bool drained = backend.instance.state == traffic::InstanceState::kZoneDrained;
+  const bool taken_back = !fresh && drained && next.TakesNewWork();
+  if (taken_back) backend.warm_at_earliest = now + options_.taken_back_warm_up;
+  const bool news = fresh || taken_back || next.WarmsUp() != backend.instance.WarmsUp();
+  if (!news) return;
+  const Instant told = now + std::chrono::milliseconds(next.report.warmup_left_ms);
+  backend.warm_at = std::max(told, backend.warm_at_earliest);
+}
+
 void BackendTable::ShareConnections(const std::map<ServiceName, traffic::Service>& services,
                                     std::uint32_t gateways) {
   connection_shares_.clear();
@@ -100,8 +111,9 @@
 }
 
 bool BackendTable::DrainedForLong(const Backend& backend, Instant now) const {
-  return !backend.instance.TakesNewWork() &&
-         now - backend.drained_since >= options_.drain_allowance;
+  const bool zone = backend.instance.state == traffic::InstanceState::kZoneDrained;
+  const Duration allowance = zone ? options_.zone_drain_allowance : options_.drain_allowance;
+  return !backend.instance.TakesNewWork() && now - backend.drained_since >= allowance;
 }
 
 double BackendTable::LoadOf(const Backend& backend, Instant now) const {
@@ -131,7 +143,7 @@
 
 double BackendTable::ExpectedMicros(const Backend& backend, Duration target, Instant now) const {
   double latency = backend.latency_us;
-  if (now < backend.warm_at) latency *= options_.cold_factor;
+  if (WarmsUp(backend, now)) latency *= options_.cold_factor;
   const double turns = std::max(1.0, (LoadOf(backend, now) + 1) / SlotsOf(backend));
   const bool far = backend.instance.report.zone != options_.zone;
   const double cross_zone = far ? options_.cross_zone_part : 0.0;
@@ -159,12 +171,15 @@
   if (ids == services_.end()) return nullptr;
   Backends usable;
   const Backend* best_ejected = nullptr;
+  const Backend* warming = nullptr;  // This gateway may send it one request now.
   const std::uint32_t share = ConnectionShare(service);
   const Backend* full = nullptr;  // Where this gateway has all the connections that it may have.
   for (const traffic::InstanceId& id : ids->second) {
     const Backend& backend = backends_.at(id);
     const bool was_tried = std::find(tried.begin(), tried.end(), id) != tried.end();
     if (!backend.instance.TakesNewWork() || was_tried) continue;
+    const bool bounded = warm_ups_.is_bounded() && WarmsUp(backend, now);
+    if (bounded && !warm_ups_.admits(id, now)) continue;
     if (now < backend.ejected_until) {
       const bool sooner =
           best_ejected == nullptr || backend.ejected_until < best_ejected->ejected_until;
@@ -175,8 +190,11 @@
       if (full == nullptr) full = &backend;
       continue;
     }
+    if (bounded) warming = &backend;
     usable.push_back(&backend);
   }
+  // The few requests that it bears would be lost if they had to wait for chance to draw it.
+  if (warming != nullptr) return warming;
   if (usable.empty()) return full == nullptr ? best_ejected : full;
   return KnowsServers(service, ids->second.size(), now) ? Shortest(usable, target, now)
                                                         : DrawWithRoom(usable, now);
@@ -243,7 +261,7 @@
   std::vector<double> sums;
   double sum = 0;
   for (const Backend* const backend : backends) {
-    const double cold = now < backend->warm_at ? options_.cold_factor : 1.0;
+    const double cold = WarmsUp(*backend, now) ? options_.cold_factor : 1.0;
     const double sound = std::max(kSoundMinimum, 1 - FailingPart(*backend, now));
     const double latency = std::max(mean / kFastest, LatencyToDrawBy(*backend).value_or(mean));
     sum += SlotsOf(*backend) * sound / (cold * latency);
@@ -258,6 +276,7 @@
   const auto found = backends_.find(id);
   if (found == backends_.end()) return;
   ++found->second.in_flight;
+  if (WarmsUp(found->second, now)) warm_ups_.note_sent(id, now);
   Visits& visits =
       visits_.try_emplace(found->second.instance.report.service, Visits{0, now, now}).first->second;
   visits.fading *= std::exp(-Micros(now - visits.at) / Micros(options_.visits_memory));
@@ -344,6 +363,7 @@
   occupancy.at = now;
   backend.others = std::max(0.0, load.running + load.waiting - backend.in_flight);
   backend.others_at = now;
+  backend.work_percent = load.work_percent;
   if (load.slots > 0) backend.instance.report.slots = std::llround(load.slots);
 }
 
@@ -366,13 +386,16 @@
 }
 
 std::string BackendTable::Describe(const Backend& backend, Instant now) const {
-  char text[128];
+  char text[160];
   const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - backend.others_at);
-  std::snprintf(text, sizeof(text), "load %.1f of %.0f, word %lld ms old, latency %.0f ms",
+  std::snprintf(text, sizeof(text), "load %.1f of %.0f, word %lld ms old, latency %.0f ms%s",
                 LoadOf(backend, now), SlotsOf(backend),
                 backend.others_at == Instant{} ? -1LL : static_cast<long long>(age.count()),
-                backend.latency_us / 1000);
-  return text;
+                backend.latency_us / 1000, WarmsUp(backend, now) ? ", warms up" : "");
+  std::string described = text;
+  if (!backend.work_percent) return described;
+  std::snprintf(text, sizeof(text), ", work %.0f%%", *backend.work_percent);
+  return described + text;
 }
 
 }  // namespace graniteseam::gateway
--- a/src/gateway/backend_table.h
+++ b/src/gateway/backend_table.h
@@ -13,6 +13,7 @@
 #include "graniteseam/traffic/hints.h"
 #include "graniteseam/traffic/update.h"
 #include "src/gateway/gateway_events.h"
+#include "src/gateway/warm_up_gate.h"
 
 namespace graniteseam::gateway {
 
@@ -31,6 +32,16 @@
   Duration pause_maximum{2'000'000};
   /// How long the owner of keys that drains still gets their requests, while they find their next.
   Duration drain_allowance{1'000'000};
+  /// The same of an owner whose zone is drained. Hundreds of owners' keys move together then, and
+  /// control paces them. Long enough for that, and short enough that the last request is with its
+  /// owner in the 5 s after which a drained zone is to get none.
+  Duration zone_drain_allowance{3'500'000};
+  /// Requests a second that an instance of a pool may get from all gateways while it warms up; 0:
+  /// no bound, and it is only taken for slower.
+  double warm_up_requests_per_second = 0;
+  /// For which an instance whose zone is taken back counts as warming up whatever it says: its
+  /// next heartbeats may have been sent before it became cold.
+  Duration taken_back_warm_up{1'500'000};
   /// Targets by which a server that fails all requests is taken for slower: a failure costs all
   /// that an answer is worth, so that a long wait elsewhere is better.
   double failure_targets = 4.0;
@@ -50,10 +61,13 @@
 struct Backend {
   traffic::Instance instance;
   Instant warm_at{};
+  Instant warm_at_earliest{};   ///< Whatever it says.
   Instant drained_since{};      ///< At the earliest; while it takes no new work.
   std::uint32_t in_flight = 0;  ///< Of this gateway.
   double others = 0;            ///< Of other gateways, as last reported.
-  Instant others_at{};
+  Instant others_at{};          ///< When it last told of its load.
+  /// How long work took there when it last told, in percent of what is usual; not told by all.
+  std::optional<double> work_percent;
   double latency_us = 0;  ///< Mean time of one request that did not wait.
   bool latency_known = false;
   double hinted_latency_us = 0;  ///< As all gateways saw it; 0 when not told.
@@ -84,6 +98,9 @@
   /// become true any time from here on.
   void Confirm(Instant now) { confirmed_at_ = now; }
 
+  /// Takes this gateway's place among all, by which instances that warm up are shared.
+  void SetPlace(const GatewayPlace& place) { warm_ups_.set_place(place); }
+
   /// Takes what all gateways together saw.
   void TakeHints(const std::vector<traffic::InstanceHint>& hints, Instant now);
 
@@ -138,6 +155,10 @@
   };
   using Backends = std::vector<const Backend*>;
 
+  /// Takes what control says of an instance's warm-up.
+  void FollowWarmUp(Backend& backend, const traffic::Instance& next, bool fresh, Instant now);
+  static bool WarmsUp(const Backend& backend, Instant now) { return now < backend.warm_at; }
+
   /// Whether this gateway meets each server of a service often enough to know how it does.
   bool KnowsServers(const ServiceName& service, std::size_t servers, Instant now) const;
   const Backend* Shortest(const Backends& usable, Duration target, Instant now);
@@ -165,6 +186,7 @@
 
   const BackendOptions options_;
   std::mt19937_64 random_;
+  WarmUpGate warm_ups_;
   std::map<traffic::InstanceId, Backend> backends_;
   Instant confirmed_at_{};
   std::map<ServiceName, std::vector<traffic::InstanceId>> services_;
--- a/src/gateway/gateway_events.h
+++ b/src/gateway/gateway_events.h
@@ -34,6 +34,8 @@
   double running = 0;
   double waiting = 0;
   double slots = 0;
+  /// How long work takes there at this moment, in percent of what is usual; not told by all.
+  std::optional<double> work_percent = std::nullopt;
 };
 
 /// How one sending of a request ended.
@@ -53,6 +55,7 @@
   AttemptEnd end = AttemptEnd::kLost;
   int status = 0;
   std::optional<ReportedLoad> load;
+  bool load_unreadable = false;  ///< The answer told of a load that is none.
   bool not_owner = false;  ///< The server is not the one that was meant, or does not hold the key.
 };
 
--- /dev/null
+++ b/src/gateway/warm_up_gate.cc
@@ -0,0 +1,43 @@
+#include "src/gateway/warm_up_gate.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace graniteseam::gateway {
+namespace {
+
+/// Of the bound; the rest is kept for gateways that go by places told before.
+constexpr double kGivenOut = 0.5;
+
+auto users_for(double requests_per_second) -> std::uint32_t {
+  if (requests_per_second <= 0) return 0;
+  return std::max(1U, static_cast<std::uint32_t>(requests_per_second * kGivenOut));
+}
+
+}  // namespace
+
+WarmUpGate::WarmUpGate(double requests_per_second) : m_users(users_for(requests_per_second)) {}
+
+auto WarmUpGate::is_user_of(traffic::InstanceId const& instance) const -> bool {
+  if (m_place.count == 0) return false;
+  auto const hash = XXH3_64bits(instance.value.data(), instance.value.size());
+  auto const first = static_cast<std::uint32_t>(hash % m_place.count);
+  auto const behind_first = (m_place.place + m_place.count - first) % m_place.count;
+  return behind_first < m_users;
+}
+
+auto WarmUpGate::admits(traffic::InstanceId const& instance, Instant now) const -> bool {
+  if (!is_bounded()) return true;
+  if (!is_user_of(instance)) return false;
+  auto const sent = m_sent.find(instance);
+  return sent == m_sent.end() || now - sent->second >= kSpacing;
+}
+
+auto WarmUpGate::note_sent(traffic::InstanceId const& instance, Instant now) -> void {
+  if (!is_bounded()) return;
+  std::erase_if(m_sent, [now](auto const& entry) { return now - entry.second >= kSpacing; });
+  m_sent[instance] = now;
+}
+
+}  // namespace graniteseam::gateway
--- a/src/http/operator_requests.cc
+++ b/src/http/operator_requests.cc
@@ -84,6 +84,9 @@
   if (area == "servers" && parts.size() == 4 && (parts[3] == "drain" || parts[3] == "undrain")) {
     return OperatorRequest(control::DrainServer{{parts[2]}, parts[3] == "drain"});
   }
+  if (area == "zones" && parts.size() == 4 && (parts[3] == "drain" || parts[3] == "undrain")) {
+    return OperatorRequest(control::DrainZone{{parts[2]}, parts[3] == "drain"});
+  }
   if (area == "control" && parts.size() == 3 && parts[2] == "members") {
     BOOST_LEAF_AUTO(change, ReadMembershipBody(call.body));
     return OperatorRequest(std::move(change));
--- a/src/http/traffic_json.cc
+++ b/src/http/traffic_json.cc
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "graniteseam/common/hex.h"
+#include "src/runtime/socket_address.h"
 
 namespace graniteseam::http {
 namespace {
@@ -239,6 +240,31 @@
   return ToHex(digest, sizeof(digest));
 }
 
+/// What an instance may claim to have; more is a mistake of whoever wrote the heartbeat.
+constexpr std::int64_t kSlotsMaximum = 1'000'000;
+
+/// Everything of a heartbeat but the keys. Whatever can not be used by all that follows is refused
+/// here: an instance that is known by half of its report would be sent requests that it never gets.
+Result<void> ReadReport(const ObjectReader& reader, traffic::InstanceReport& report) {
+  BOOST_LEAF_CHECK(reader.Text("service", report.service.value));
+  if (report.service.Empty()) return Wrong("service", "a service's name");
+  BOOST_LEAF_CHECK(reader.Text("address", report.address));
+  const auto address = Attempt([&] { return runtime::ParseSocketAddress(report.address); });
+  const auto* const parsed = std::get_if<runtime::SocketAddress>(&address);
+  if (parsed == nullptr || parsed->port == 0) return Wrong("address", "an address, ip:port");
+  if (reader.Has("zone")) BOOST_LEAF_CHECK(reader.Text("zone", report.zone.value));
+  if (reader.Has("version")) BOOST_LEAF_CHECK(reader.Text("version", report.release));
+  BOOST_LEAF_CHECK(reader.OptionalWhole("slots", report.slots));
+  if (report.slots > kSlotsMaximum) return Wrong("slots", "a number of slots");
+  BOOST_LEAF_CHECK(reader.Whole("sequence", report.sequence));
+  BOOST_LEAF_CHECK(reader.OptionalWhole("warmup_left_ms", report.warmup_left_ms));
+  std::string state = "ready";
+  if (reader.Has("state")) BOOST_LEAF_CHECK(reader.Text("state", state));
+  if (state != "ready" && state != "draining") return Wrong("state", "ready or draining");
+  report.draining = state == "draining";
+  return {};
+}
+
 Result<json> ReadObject(const std::string& text) {
   json object = json::parse(text, nullptr, /*allow_exceptions=*/false);
   if (object.is_discarded() || !object.is_object()) {
@@ -316,18 +342,13 @@
   control::ReportInstance heartbeat;
   BOOST_LEAF_CHECK(ReadItems(object, kHeld, ReadHeldSpan, heartbeat.keys.held));
   BOOST_LEAF_CHECK(ReadItems(object, kReleased, ReadReleasedSpan, heartbeat.keys.released));
-  traffic::InstanceReport& report = heartbeat.report;
-  report.id = id;
-  BOOST_LEAF_CHECK(reader.Text("service", report.service.value));
-  BOOST_LEAF_CHECK(reader.Text("address", report.address));
-  if (reader.Has("zone")) BOOST_LEAF_CHECK(reader.Text("zone", report.zone.value));
-  if (reader.Has("version")) BOOST_LEAF_CHECK(reader.Text("version", report.release));
-  BOOST_LEAF_CHECK(reader.OptionalWhole("slots", report.slots));
-  BOOST_LEAF_CHECK(reader.Whole("sequence", report.sequence));
-  BOOST_LEAF_CHECK(reader.OptionalWhole("warmup_left_ms", report.warmup_left_ms));
-  std::string state = "ready";
-  if (reader.Has("state")) BOOST_LEAF_CHECK(reader.Text("state", state));
-  report.draining = state == "draining";
+  if (id.value.find(traffic::kLifeSeparator) != std::string::npos) {
+    return Wrong("id", std::string("a name without ") + traffic::kLifeSeparator);
+  }
+  std::int64_t born_ms = 0;
+  BOOST_LEAF_CHECK(reader.OptionalWhole("born", born_ms));
+  heartbeat.report.id = traffic::LifeOf(id.value, born_ms);
+  BOOST_LEAF_CHECK(ReadReport(reader, heartbeat.report));
   return heartbeat;
 }
 
--- a/src/traffic/instance_table.cc
+++ b/src/traffic/instance_table.cc
@@ -1,21 +1,65 @@
 #include "src/traffic/instance_table.h"
 
 #include <algorithm>
+#include <charconv>
 
 namespace graniteseam::traffic {
 namespace {
 
 /// Tombstones of instances that are gone; the oldest beyond this are forgotten.
 constexpr std::size_t kTombstonesMaximum = 4'096;
+/// For which an instance counts as warming up when its zone is taken back, in ms. It may have
+/// become cold while it had nothing to do; its next heartbeats tell.
+constexpr std::int64_t kTakenBackWarmupMs = 3'000;
 
 }  // namespace
 
+InstanceId LifeOf(std::string_view name, std::int64_t born_ms) {
+  InstanceId life{std::string(name)};
+  if (born_ms > 0) life.value += kLifeSeparator + std::to_string(born_ms);
+  return life;
+}
+
+std::string_view NameOf(const InstanceId& life) {
+  return std::string_view(life.value).substr(0, life.value.find(kLifeSeparator));
+}
+
+std::int64_t BornOf(const InstanceId& life) {
+  const std::size_t separator = life.value.find(kLifeSeparator);
+  if (separator == std::string::npos) return 0;
+  std::int64_t born_ms = 0;
+  const char* const end = life.value.data() + life.value.size();
+  std::from_chars(life.value.data() + separator + 1, end, born_ms);
+  return born_ms;
+}
+
+InstanceState InstanceTable::StateOf(const InstanceReport& report) const {
+  if (report.draining) return InstanceState::kDraining;
+  return drained_zones_.contains(report.zone) ? InstanceState::kZoneDrained : InstanceState::kReady;
+}
+
+Instance InstanceTable::First(const InstanceReport& report) const {
+  Instance first;
+  first.report = report;
+  first.state = StateOf(report);
+  const Instance* const newest = NewestLife(report.id);
+  // A life that began earlier than one that is known: its heartbeat is late.
+  if (newest != nullptr && BornOf(report.id) < BornOf(newest->report.id)) {
+    first.state = InstanceState::kDisplaced;
+  }
+  // Its name was deregistered before any of its lives was heard of: it was this one.
+  const Instance* const tombstone = Find({std::string(NameOf(report.id))});
+  const bool ended = tombstone != nullptr && tombstone->state == InstanceState::kDeregistered;
+  if (ended && newest == nullptr) first.state = InstanceState::kDeregistered;
+  return first;
+}
+
 std::optional<Instance> InstanceTable::Changed(const InstanceReport& report) const {
   const Instance* known = Find(report.id);
+  if (known == nullptr) return First(report);
   Instance next;
   next.report = report;
-  next.state = report.draining ? InstanceState::kDraining : InstanceState::kReady;
-  if (known == nullptr) return next;
+  next.state = StateOf(report);
   // The sequence alone does not tell a late heartbeat: those that changed nothing were not kept.
   const bool late = report.sequence <= known->report.sequence;
   if (known->state == InstanceState::kDeregistered || late) return std::nullopt;
@@ -28,10 +72,12 @@
   }
   next.report.draining = report.draining || known->report.draining;
   if (next.report.draining) next.state = InstanceState::kDraining;
-  // Warm-up and sequence change with every heartbeat and tell nothing new.
+  // Sequence and the time of a warm-up change with every heartbeat and tell nothing new; whether
+  // the instance warms up at all does.
   InstanceReport same = next.report;
   same.sequence = known->report.sequence;
-  same.warmup_left_ms = known->report.warmup_left_ms;
+  const bool warms_up = same.warmup_left_ms > 0;
+  if (warms_up == known->WarmsUp()) same.warmup_left_ms = known->report.warmup_left_ms;
   if (next.state == known->state && same == known->report) return std::nullopt;
   return next;
 }
@@ -49,19 +95,17 @@
   std::optional<Instance> next = Changed(report);
   if (!next) return {};
   std::vector<InstanceId> changed{report.id};
-  if (next->state == InstanceState::kDisplaced) {
+  if (next->Gone()) {
     next->changed_at = changed_at_ = log_index;
     instances_[report.id] = *next;
+    NoteLife(report.id);
     return changed;
   }
-  const Instance* holder = HolderOf(report.address);
-  if (holder != nullptr && holder->report.id != report.id) {
-    // An address belongs to one process at a time: whoever held it before has ended.
-    Instance& displaced = instances_.at(holder->report.id);
-    displaced.state = InstanceState::kDisplaced;
-    displaced.changed_at = log_index;
-    changed.push_back(displaced.report.id);
-  }
+  // An address belongs to one process at a time, and a name to one life: whoever had them before
+  // has ended.
+  Displace(HolderOf(report.address), report.id, log_index, changed);
+  Displace(NewestLife(report.id), report.id, log_index, changed);
+  NoteLife(report.id);
   if (const Instance* known = Find(report.id)) ForgetHolder(known->report);
   next->changed_at = log_index;
   instances_[report.id] = *next;
@@ -71,11 +115,60 @@
   return changed;
 }
 
+void InstanceTable::Displace(const Instance* former, const InstanceId& successor,
+                             std::uint64_t log_index, std::vector<InstanceId>& changed) {
+  if (former == nullptr || former->Gone() || former->report.id == successor) return;
+  Instance& displaced = instances_.at(former->report.id);
+  ForgetHolder(displaced.report);
+  displaced.state = InstanceState::kDisplaced;
+  displaced.changed_at = log_index;
+  changed.push_back(displaced.report.id);
+}
+
+void InstanceTable::NoteLife(const InstanceId& id) {
+  const std::int64_t born_ms = BornOf(id);
+  if (born_ms == 0) return;
+  InstanceId& newest = newest_lives_.try_emplace(std::string(NameOf(id)), id).first->second;
+  if (born_ms > BornOf(newest)) newest = id;
+}
+
+const Instance* InstanceTable::NewestLife(const InstanceId& id) const {
+  const auto found = newest_lives_.find(std::string(NameOf(id)));
+  return found == newest_lives_.end() ? nullptr : Find(found->second);
+}
+
+bool InstanceTable::DrainZone(const ZoneName& zone, bool drained, std::uint64_t log_index) {
+  const bool changes =
+      drained ? drained_zones_.insert(zone).second : drained_zones_.erase(zone) > 0;
+  if (!changes) return false;
+  changed_at_ = log_index;
+  for (auto& [id, instance] : instances_) {
+    if (instance.report.zone != zone || instance.Gone() || instance.report.draining) continue;
+    instance.state = StateOf(instance.report);
+    if (!drained) instance.report.warmup_left_ms = kTakenBackWarmupMs;
+    instance.changed_at = log_index;
+  }
+  return true;
+}
+
+bool InstanceTable::DrainLeavesNone(const ZoneName& zone) const {
+  bool any = false;
+  for (const auto& [id, instance] : instances_) {
+    if (!instance.TakesNewWork()) continue;
+    if (instance.report.zone != zone) return false;
+    any = true;
+  }
+  return any;
+}
+
 bool InstanceTable::Deregister(const InstanceId& id, std::uint64_t log_index) {
-  Instance& instance = instances_[id];
+  const Instance* const newest = NewestLife(id);
+  const bool by_name = newest != nullptr && BornOf(id) == 0;
+  const InstanceId life = by_name ? newest->report.id : id;
+  Instance& instance = instances_[life];
   if (instance.state == InstanceState::kDeregistered) return false;
   ForgetHolder(instance.report);
-  instance.report.id = id;
+  instance.report.id = life;
   instance.state = InstanceState::kDeregistered;
   instance.changed_at = log_index;
   changed_at_ = log_index;
@@ -109,6 +202,8 @@
       [](const Instance* a, const Instance* b) { return a->changed_at < b->changed_at; });
   const InstanceId forgotten = (*oldest)->report.id;
   instances_.erase(forgotten);
+  const auto newest = newest_lives_.find(std::string(NameOf(forgotten)));
+  if (newest != newest_lives_.end() && newest->second == forgotten) newest_lives_.erase(newest);
 }
 
 void InstanceTable::AddChanges(std::uint64_t base, std::vector<Instance>& changed) const {
@@ -129,9 +224,12 @@
 void InstanceTable::Restore(const std::vector<Instance>& image) {
   instances_.clear();
   holders_.clear();
+  newest_lives_.clear();
+  drained_zones_.clear();
   changed_at_ = 0;
   for (const Instance& instance : image) {
     instances_[instance.report.id] = instance;
+    NoteLife(instance.report.id);
     if (!instance.Gone()) holders_[instance.report.address] = instance.report.id;
     changed_at_ = std::max(changed_at_, instance.changed_at);
   }
--- a/src/traffic/traffic_state.cc
+++ b/src/traffic/traffic_state.cc
@@ -25,6 +25,17 @@
   instances_.Deregister(id, log_index);
 }
 
+Result<void> TrafficState::DrainZone(const ZoneName& zone, bool drained, std::uint64_t log_index) {
+  const bool known = instances_.drained_zones().contains(zone);
+  if (drained && !known && instances_.DrainLeavesNone(zone)) {
+    return Fail(ErrorKind::kFailedPrecondition,
+                "No instance outside of zone " + zone.value + " takes work.",
+                "Take another zone back first.");
+  }
+  instances_.DrainZone(zone, drained, log_index);
+  return {};
+}
+
 void TrafficState::Assign(const std::vector<RangeAssignment>& assignments,
                           std::uint64_t log_index) {
   for (const RangeAssignment& assignment : assignments) ranges_.Assign(assignment, log_index);
@@ -72,6 +83,11 @@
   return {configuration_.Image(), instances_.Image(), ranges_.Image(), version()};
 }
 
+ZoneDrainImage TrafficState::ZoneDrains() const {
+  const auto& zones = instances_.drained_zones();
+  return {{zones.begin(), zones.end()}};
+}
+
 void TrafficState::Restore(TrafficImage image) {
   configuration_.Restore(std::move(image.configuration));
   instances_.Restore(image.instances);
--- a/src/traffic/traffic_state.h
+++ b/src/traffic/traffic_state.h
@@ -24,6 +24,12 @@
 };
 BOOST_DESCRIBE_STRUCT(TrafficImage, (), (configuration, instances, ranges, version))
 
+/// The zones that operators drain, for snapshots.
+struct ZoneDrainImage {
+  std::vector<ZoneName> zones;
+};
+BOOST_DESCRIBE_STRUCT(ZoneDrainImage, (), (zones))
+
 /// Deterministic; changed only by entries of the log, whose index becomes the version. Not thread
 /// safe.
 class TrafficState {
@@ -32,6 +38,10 @@
   Result<void> Apply(const ConfigurationChange& change, std::uint64_t log_index);
   void Report(const std::vector<InstanceReport>& reports, std::uint64_t log_index);
   void Deregister(const InstanceId& id, std::uint64_t log_index);
+  /// Drains a zone, or takes it back; the same again changes nothing.
+  /// @return kFailedPrecondition when no instance of another zone takes work: a drain moves work
+  /// elsewhere, and is no way to stop the service.
+  Result<void> DrainZone(const ZoneName& zone, bool drained, std::uint64_t log_index);
   void Assign(const std::vector<RangeAssignment>& assignments, std::uint64_t log_index);
   void BeginReleases(const std::vector<RangeRelease>& releases, std::uint64_t log_index);
   void Confirm(const std::vector<RangeConfirmation>& confirmations, std::uint64_t log_index);
@@ -60,10 +70,12 @@
   /// What changed after `base`, or the whole state when base is 0 or unknown here.
   TrafficUpdate UpdateSince(std::uint64_t base) const;
 
-  /// Without the suspects, which have an image of their own.
+  /// Without the suspects and the drained zones, which have images of their own.
   TrafficImage Image() const;
+  ZoneDrainImage ZoneDrains() const;
   void Restore(TrafficImage image);
   void Restore(const SuspectImage& image) { suspects_.Restore(image); }
+  void Restore(const ZoneDrainImage& image) { instances_.RestoreZones(image.zones); }
 
  private:
   /// A service that became keyed gets its keys. They are kept when it is dropped: its servers may
--- a/tests/control/replicated_state_test.cc
+++ b/tests/control/replicated_state_test.cc
@@ -129,14 +129,18 @@
   cr_assert(ErrorOf(restored) != nullptr);
 }
 
-Test(replicated_state, snapshot_of_a_release_without_suspects_is_read) {
+Test(replicated_state, snapshots_of_earlier_releases_are_read) {
   ReplicatedState state;
   const std::string whole = state.Save();
+  const std::size_t drains =
+      graniteseam::codec::Encode(graniteseam::traffic::ZoneDrainImage{}).size();
   const std::size_t suspects =
       graniteseam::codec::Encode(graniteseam::traffic::SuspectImage{}).size();
-  ReplicatedState restored;
-  const auto outcome =
-      Attempt([&] { return restored.Restore(whole.substr(0, whole.size() - suspects)); });
-  cr_assert(ErrorOf(outcome) == nullptr);
-  cr_assert(restored.Save() == whole);
+  for (const std::size_t unknown : {drains, drains + suspects}) {
+    ReplicatedState restored;
+    const auto outcome =
+        Attempt([&] { return restored.Restore(whole.substr(0, whole.size() - unknown)); });
+    cr_assert(ErrorOf(outcome) == nullptr);
+    cr_assert(restored.Save() == whole);
+  }
 }
--- a/tests/gateway/backend_table_test.cc
+++ b/tests/gateway/backend_table_test.cc
@@ -263,3 +263,85 @@
   const auto speeds = fixture.table.TakeSpeeds(/*all=*/true);
   cr_assert(speeds.at(0).answers == 1 && speeds.at(0).failures == 20);
 }
+
+Test(backend_table, pool_turns_from_a_drained_zone_at_once) {
+  Fixture fixture({MakeInstance("near-1", "near"), MakeInstance("far-1", "far")});
+  traffic::TrafficUpdate update;
+  update.base = 1;
+  update.instances = {MakeInstance("near-1", "near")};
+  update.instances[0].state = traffic::InstanceState::kZoneDrained;
+  fixture.table.Apply(update, kNow);
+  cr_assert(fixture.Choose() == "far-1");
+}
+
+Test(backend_table, owner_in_a_drained_zone_gets_requests_while_its_keys_move_and_no_longer) {
+  Fixture fixture({MakeInstance("a", "near")});
+  fixture.table.Confirm(kNow);
+  traffic::TrafficUpdate update;
+  update.base = 1;
+  update.instances = {MakeInstance("a", "near")};
+  update.instances[0].state = traffic::InstanceState::kZoneDrained;
+  fixture.table.Apply(update, kNow);
+  const Backend& owner = *fixture.table.Find({"a"});
+  cr_assert(!fixture.table.DrainedForLong(owner, kNow + Duration{3'000'000}));
+  // In 5 s nothing may reach it any more.
+  cr_assert(fixture.table.DrainedForLong(owner, kNow + Duration{4'000'000}));
+}
+
+Test(backend_table, instance_that_warms_up_gets_its_few_requests_and_no_others) {
+  BackendOptions options;
+  options.zone = {"near"};
+  options.warm_up_requests_per_second = 8;
+  BackendTable table(options, 1);
+  table.SetPlace({0, 1});
+  traffic::TrafficUpdate update;
+  update.instances = {MakeInstance("cold", "near"), MakeInstance("warm", "near")};
+  update.instances[0].report.warmup_left_ms = 3'000;
+  table.Apply(update, kNow);
+  const auto chosen = [&](Instant at) {
+    return table.Choose(kService, {}, kTarget, at)->instance.report.id.value;
+  };
+  cr_assert(chosen(kNow) == "cold");
+  table.OnSent({"cold"}, kNow);
+  table.OnAbandoned({"cold"});
+  cr_assert(chosen(kNow + Duration{500'000}) == "warm");
+  cr_assert(chosen(kNow + Duration{1'100'000}) == "cold");
+  update.base = 1;
+  update.instances[0].report.warmup_left_ms = 0;
+  update.instances.resize(1);
+  table.Apply(update, kNow + Duration{1'200'000});
+  table.OnSent({"warm"}, kNow);
+  cr_assert(chosen(kNow + Duration{1'200'000}) == "cold", "it is warm, and idle");
+}
+
+Test(backend_table, instance_whose_zone_is_taken_back_warms_up_whatever_a_late_heartbeat_says) {
+  BackendOptions options;
+  options.zone = {"near"};
+  options.warm_up_requests_per_second = 8;
+  BackendTable table(options, 1);
+  traffic::TrafficUpdate update;
+  update.instances = {MakeInstance("back", "near"), MakeInstance("other", "far")};
+  update.instances[0].state = traffic::InstanceState::kZoneDrained;
+  table.Apply(update, kNow);
+  update.base = 1;
+  update.instances.resize(1);
+  update.instances[0].state = traffic::InstanceState::kReady;
+  update.instances[0].report.warmup_left_ms = 3'000;
+  table.Apply(update, kNow);
+  update.instances[0].report.warmup_left_ms = 0;
+  table.Apply(update, kNow + Duration{100'000});
+  const auto chosen = [&](Instant at) {
+    return table.Choose(kService, {}, kTarget, at)->instance.report.id.value;
+  };
+  cr_assert(chosen(kNow + Duration{200'000}) == "other");
+  cr_assert(chosen(kNow + options.taken_back_warm_up) == "back");
+}
+
+Test(backend_table, word_of_a_server_on_its_work_is_kept_and_told) {
+  Fixture fixture({MakeInstance("a", "near")});
+  ReportedLoad load{1, 0, 2};
+  load.work_percent = 300;
+  fixture.Answer("a", Duration{50'000}, kNow, load);
+  const std::string told = fixture.table.Describe(*fixture.table.Find({"a"}), kNow);
+  cr_assert(told.find("work 300%") != std::string::npos, "%s", told.c_str());
+}
--- a/tests/gateway_daemon/exchange_translator_test.cc
+++ b/tests/gateway_daemon/exchange_translator_test.cc
@@ -53,3 +53,35 @@
   other.body = "Body";
   cr_expect(DigestOf(other) != DigestOf(Lookup()));
 }
+
+namespace {
+
+/// What is read of an answer that tells this of the server's load.
+gateway::AttemptReport ReportWithLoad(const std::string& load) {
+  event_http::CallResult result;
+  result.end = event_http::CallEnd::kAnswered;
+  result.response.status = 200;
+  result.response.fields.Add("Id", "one");
+  result.response.fields.Add("Seal", "s");
+  result.response.fields.Add("Load", load);
+  return daemon::ExchangeTranslator(Names()).Read(result, Lookup(), {});
+}
+
+}  // namespace
+
+Test(exchange_translator, word_of_a_servers_load_is_read_with_three_figures_and_with_four) {
+  const auto three = ReportWithLoad("3,1,8").load;
+  cr_assert(three && three->running == 3 && three->waiting == 1 && three->slots == 8);
+  cr_assert(!three->work_percent);
+  const auto four = ReportWithLoad("3,1,8,300").load;
+  cr_assert(four && four->slots == 8 && four->work_percent == 300);
+}
+
+Test(exchange_translator, word_of_a_load_that_is_none_is_left_out_and_told) {
+  for (const char* load : {"", "x", "3", "3,1", "3,1,y", "-3,1,8", "3,1,8,0", "3,1,8,-1", "nan,1,8",
+                           "3,1,8,nan", "inf,1,8", "3,1,8,1e9"}) {
+    const auto report = ReportWithLoad(load);
+    cr_expect(!report.load && report.load_unreadable, "%s was taken", load);
+    cr_expect(report.end == gateway::AttemptEnd::kAnswered, "its answer is sound");
+  }
+}
--- a/tests/http/heartbeat_json_test.cc
+++ b/tests/http/heartbeat_json_test.cc
@@ -85,3 +85,43 @@
     cr_assert(error != nullptr && error->kind == ErrorKind::kMalformedMessage, "%s", form);
   }
 }
+
+Test(heartbeat_json, heartbeat_that_can_not_be_used_is_refused) {
+  for (const char* members : {R"(,"state":"serving")",
+                              R"(,"state":7)",
+                              R"(,"state":"")",
+                              R"(,"slots":"3")",
+                              R"(,"slots":-1)",
+                              R"(,"slots":4000000)",
+                              R"(,"address":"")",
+                              R"(,"address":"host:80")",
+                              R"(,"address":"10.0.0.1")",
+                              R"(,"address":"10.0.0.1:0")",
+                              R"(,"address":"10.0.0.1:70000")",
+                              R"(,"address":["10.0.0.1:80"])",
+                              R"(,"service":"")",
+                              R"(,"service":null)",
+                              R"(,"zone":4)",
+                              R"(,"sequence":"9")",
+                              R"(,"sequence":null)",
+                              R"(,"warmup_left_ms":"3s")",
+                              R"(,"born":"x")",
+                              R"(,"born":-5)",
+                              R"(,"version":{})"}) {
+    cr_assert(IsMalformed(members), "%s was taken", members);
+  }
+  for (const char* text : {"", "{", "[]", "null", "\"a\"", "{\"service\":\"s\"", "\xff\xfe"}) {
+    const auto read = Attempt([&] { return http::ReadHeartbeat(text, {"i-1"}); });
+    cr_assert(ErrorOf(read) != nullptr, "%s was taken", text);
+  }
+}
+
+Test(heartbeat_json, start_of_a_life_is_part_of_the_instance) {
+  const auto read = Attempt(
+      [&] { return http::ReadHeartbeat(HeartbeatWith(R"(,"born":1796245000000)"), {"i-1"}); });
+  cr_assert(ErrorOf(read) == nullptr);
+  const auto& report = std::get<control::ReportInstance>(read).report;
+  cr_assert(report.id == traffic::LifeOf("i-1", 1'796'245'000'000));
+  const auto doubled = Attempt([&] { return http::ReadHeartbeat(HeartbeatWith(""), {"i-1~5"}); });
+  cr_assert(ErrorOf(doubled) != nullptr, "a name that looks like a life was taken");
+}
