--- a/tests/operator_cli/exit_code_test.cc
+++ b/tests/operator_cli/exit_code_test.cc
@@ -47,7 +47,7 @@
 
 Test(exit_code, is_2_for_wrong_use_and_names_what_would_fit) {
   const std::pair<std::vector<std::string>, const char*> uses[] = {
-      {{}, "bundle, fleet, shard, server, control, request, log, key, completion"},
+      {{}, "bundle, fleet, shard, server, zone, control, request, log, key, completion"},
       {{"bundle", "rol", "1"}, "bundle roll"},
       {{"bundle", "roll"}, "bundle roll FILE|VERSION"},
       {{"bundle", "check", "/nowhere/bundle.toml"}, "can't be read"},
