Ask three servers for their load before a request of a noisy pool is sent

Cause: 76 gateways that share 98 servers meet each of them every 7 s, and what the servers tell of their load and of the pace of their work is true for 0.4 s. Change: where servers tell in their answers how long work takes at the moment, a gateway asks three of them, two of its own zone and one of another, waits 50 ms at the most, and sends the request to the one that would answer first by what they told. It finds out by itself where that fits: without the fourth figure, or where probes are slow, it goes on as before. Probes need no watch of their new connections and use kept ones longer, since losing one costs nothing.

--- a/simulation/traffic_world/gateway_process.cc
+++ b/simulation/traffic_world/gateway_process.cc
@@ -126,6 +126,16 @@
         });
 }
 
+/// Workers of this world do not tell how long their work takes, so that none is ever probed.
+auto GatewayProcess::act(gateway::ProbeInstance const& probe) -> void
+{
+    gateway::ProbeReport report;
+    report.request = probe.request;
+    report.round = probe.round;
+    report.instance = probe.instance;
+    carry_out(m_node->OnProbeEnd(report, Now()));
+}
+
 auto GatewayProcess::on_attempt_end(
     gateway::SendAttempt const& send, gateway::AttemptEnd end, WorkerAnswer const& answer) -> void
 {
--- a/simulation/traffic_world/gateway_process.h
+++ b/simulation/traffic_world/gateway_process.h
@@ -88,6 +88,7 @@
     auto transmit(std::vector<protocol::LeaderSend> const&) -> void;
     auto carry_out(gateway::GatewayEffects const&) -> void;
     auto act(gateway::SendAttempt const&) -> void;
+    auto act(gateway::ProbeInstance const&) -> void;
     auto act(gateway::AbandonAttempt const&) -> void;
     auto act(gateway::RelayAnswer const&) -> void;
     auto act(gateway::Refuse const&) -> void;
--- a/src/daemon/gateway/exchange_names.h
+++ b/src/daemon/gateway/exchange_names.h
@@ -15,6 +15,8 @@
   std::string seal;             ///< From servers: marks an answer as theirs.
   std::string load;             ///< From servers: running, waiting, slots; joined by commas.
   std::string not_executed;     ///< From servers: the request did not run and will not.
+  std::string answerer{};       ///< From servers, to probes: which instance answers.
+  std::string warm_up_ms{};     ///< From servers, to probes: how much longer it warms up.
 };
 
 }  // namespace graniteseam::daemon
--- a/src/daemon/gateway/exchange_translator.cc
+++ b/src/daemon/gateway/exchange_translator.cc
@@ -144,6 +144,35 @@
   return report;
 }
 
+std::string ExchangeTranslator::ForProbe(const gateway::ProbeInstance& probe) const {
+  event_http::Request request;
+  request.method = "GET";
+  request.target = probe.path;
+  request.fields.Add("Host", probe.address);
+  return event_http::Serialize(request);
+}
+
+gateway::ProbeReport ExchangeTranslator::Read(const event_http::CallResult& result,
+                                              const gateway::ProbeInstance& probe) const {
+  gateway::ProbeReport report;
+  report.request = probe.request;
+  report.round = probe.round;
+  report.instance = probe.instance;
+  if (result.end != event_http::CallEnd::kAnswered) return report;
+  const auto& fields = result.response.fields;
+  const std::string* const answerer = fields.Find(names_.answerer);
+  report.other_instance = answerer != nullptr && *answerer != traffic::NameOf(probe.instance);
+  if (report.other_instance) return report;
+  // Also of a server that says it is not well: whether it fails requests is seen by them.
+  if (const std::string* const load = fields.Find(names_.load)) report.load = ReadLoad(*load);
+  const auto warm_up = ReadNumber<std::int64_t>(fields.Find(names_.warm_up_ms));
+  constexpr std::int64_t kWarmUpMaximumMs = 60'000;
+  if (warm_up && 0 < *warm_up && *warm_up <= kWarmUpMaximumMs) {
+    report.warm_up_left = std::chrono::milliseconds(*warm_up);
+  }
+  return report;
+}
+
 event_http::Response ExchangeTranslator::ForCaller(event_http::Response answer) const {
   event_http::RemoveConnectionFields(answer.fields);
   return answer;
--- a/src/daemon/gateway/exchange_translator.h
+++ b/src/daemon/gateway/exchange_translator.h
@@ -30,6 +30,12 @@
                               const event_http::Request& request,
                               const gateway::SendAttempt& send) const;
 
+  /// The bytes that ask a server for its load.
+  std::string ForProbe(const gateway::ProbeInstance& probe) const;
+  /// What the decision maker must know of the end of such a call.
+  gateway::ProbeReport Read(const event_http::CallResult& result,
+                            const gateway::ProbeInstance& probe) const;
+
   /// A server's answer as the caller gets it.
   event_http::Response ForCaller(event_http::Response answer) const;
   /// The gateway's own answer.
--- a/src/daemon/gateway/gateway_metrics.cc
+++ b/src/daemon/gateway/gateway_metrics.cc
@@ -12,6 +12,7 @@
       sends_(registry.Counter(Metric::kGatewaySends)),
       callers_gone_(registry.Counter(Metric::kGatewayCallersGone)),
       unreadable_loads_(registry.Counter(Metric::kGatewayUnreadableLoads)),
+      probes_(registry.Counter(Metric::kGatewayProbes)),
       version_(registry.Gauge(Metric::kGatewayStateVersion)),
       configuration_(registry.Gauge(Metric::kGatewayConfigurationVersion)) {}
 
--- a/src/daemon/gateway/gateway_metrics.h
+++ b/src/daemon/gateway/gateway_metrics.h
@@ -20,6 +20,7 @@
   void OnRequest(std::string_view outcome, Duration taken);
   void OnSend() { sends_.Increment(); }
   void OnAttemptEnd(gateway::AttemptEnd end);
+  void OnProbe() { probes_.Increment(); }
   void OnUnreadableLoad() { unreadable_loads_.Increment(); }
   void OnCallerGone() { callers_gone_.Increment(); }
   void OnVersion(std::uint64_t version, std::uint64_t configuration);
@@ -29,6 +30,7 @@
   runtime::CounterHandle sends_;
   runtime::CounterHandle callers_gone_;
   runtime::CounterHandle unreadable_loads_;
+  runtime::CounterHandle probes_;
   runtime::GaugeHandle version_;
   runtime::GaugeHandle configuration_;
   std::map<std::string, runtime::HistogramHandle, std::less<>> seconds_;  ///< By outcome.
--- a/src/daemon/gateway/gateway_process.cc
+++ b/src/daemon/gateway/gateway_process.cc
@@ -27,6 +27,12 @@
 /// Bounds of the time for which a new connection to a server is watched for a reset.
 constexpr Duration kWatchMinimum{1'000};
 constexpr Duration kWatchMaximum{10'000};
+/// After which a probe's connection is taken for broken. Much longer than its answer is waited for,
+/// since a connection that is given up must be made anew.
+constexpr Duration kProbeLimit{1'000'000};
+/// Connections that rested for so long are used for probes still: one that its server closes under
+/// a probe costs nothing but that, and a new one costs more than the probe.
+constexpr Duration kProbeRested{8'000'000};
 /// Kept free of callers' bodies: the rest of the process, and answers under way.
 constexpr std::size_t kBodyBytesTotal = std::size_t{64} << 20;
 constexpr std::size_t kAnswerBytesMaximum = std::size_t{32} << 20;
@@ -199,6 +205,25 @@
   });
 }
 
+void GatewayProcess::Do(const gateway::ProbeInstance& probe) {
+  if (rest_answered_) return;
+  const Instant sent = runtime::BootTimeNow();
+  event_http::Call call;
+  call.address = probe.address;
+  call.bytes = translator_.ForProbe(probe);
+  call.limit = kProbeLimit;
+  call.not_after = sent + probe.useful_for;
+  call.rested_maximum = kProbeRested;
+  // It may be lost without harm.
+  call.watches_new_connection = false;
+  metrics_.OnProbe();
+  servers_->Start(std::move(call), [this, probe, sent](const event_http::CallResult& result) {
+    gateway::ProbeReport report = translator_.Read(result, probe);
+    report.taken = runtime::BootTimeNow() - sent;
+    Run(node_.OnProbeEnd(report, runtime::BootTimeNow()));
+  });
+}
+
 void GatewayProcess::OnCallEnd(const gateway::SendAttempt& send, event_http::CallResult result) {
   const auto found = live_.find(send.request);
   if (found == live_.end()) return;
--- a/src/daemon/gateway/gateway_process.h
+++ b/src/daemon/gateway/gateway_process.h
@@ -63,6 +63,7 @@
   void OnUpdate(const traffic::TrafficUpdate& update);
   void Run(gateway::GatewayEffects effects);
   void Do(const gateway::SendAttempt& send);
+  void Do(const gateway::ProbeInstance& probe);
   void Do(const gateway::AbandonAttempt& abandon);
   void Do(const gateway::RelayAnswer& relay);
   void Do(const gateway::Refuse& refusal);
--- a/src/event_http/client_pool.cc
+++ b/src/event_http/client_pool.cc
@@ -166,7 +166,8 @@
 
   void WatchAndWrite(Duration opening) {
     const auto pool = pool_.lock();
-    if (!pool || pool->options().watch_maximum == Duration{}) return Write();
+    const bool watches = call_.watches_new_connection;
+    if (!pool || !watches || pool->options().watch_maximum == Duration{}) return Write();
     const ClientPoolOptions& options = pool->options();
     watch_.expires_after(std::clamp(opening, options.watch_minimum, options.watch_maximum));
     watch_.async_wait([self = shared_from_this(), number = number_](ErrorCode error) {
--- a/src/event_http/client_pool.h
+++ b/src/event_http/client_pool.h
@@ -26,6 +26,8 @@
   bool needs_new_connection = false;
   /// A request that is not handed to the kernel by then is not sent at all.
   Instant not_after = Instant::max();
+  /// Whether a new connection is watched before the request is sent, as the pool's options say.
+  bool watches_new_connection = true;
   /// Connections that rested longer are not used: the server may just be closing them.
   Duration rested_maximum{4'000'000};
 };
--- a/src/gateway/backend_table.cc
+++ b/src/gateway/backend_table.cc
@@ -34,6 +34,12 @@
 /// Weight of the newest word in the occupancy of a zone's servers, and how long it is remembered.
 constexpr double kNewestOccupancy = 0.2;
 constexpr Duration kOccupancyMemory{3'000'000};
+/// By which servers tell that work takes as long as usual.
+constexpr double kUsualPercent = 100;
+/// Weight of the newest request in the usual time of a service.
+constexpr double kNewestUsual = 0.02;
+/// A word of a server's load that is older tells nothing of the moment.
+constexpr Duration kWordIsFresh{100'000};
 /// Below this part failing servers are drawn still, so that it is found out when they are sound.
 constexpr double kSoundMinimum = 0.05;
 
@@ -145,10 +151,14 @@
   double latency = backend.latency_us;
   if (WarmsUp(backend, now)) latency *= options_.cold_factor;
   const double turns = std::max(1.0, (LoadOf(backend, now) + 1) / SlotsOf(backend));
+  return latency * turns + PenaltyMicros(backend, target, now);
+}
+
+double BackendTable::PenaltyMicros(const Backend& backend, Duration target, Instant now) const {
   const bool far = backend.instance.report.zone != options_.zone;
   const double cross_zone = far ? options_.cross_zone_part : 0.0;
   const double failing = options_.failure_targets * FailingPart(backend, now);
-  return latency * turns + Micros(target) * (cross_zone + failing);
+  return Micros(target) * (cross_zone + failing);
 }
 
 double BackendTable::FailingPart(const Backend& backend, Instant now) const {
@@ -164,14 +174,13 @@
   backend.failing_at = now;
 }
 
-const Backend* BackendTable::Choose(const ServiceName& service,
-                                    const std::vector<traffic::InstanceId>& tried, Duration target,
-                                    Instant now) {
+BackendTable::Choice BackendTable::ChoiceOf(const ServiceName& service,
+                                            const std::vector<traffic::InstanceId>& tried,
+                                            Instant now) const {
+  Choice choice;
   const auto ids = services_.find(service);
-  if (ids == services_.end()) return nullptr;
-  Backends usable;
+  if (ids == services_.end()) return choice;
   const Backend* best_ejected = nullptr;
-  const Backend* warming = nullptr;  // This gateway may send it one request now.
   const std::uint32_t share = ConnectionShare(service);
   const Backend* full = nullptr;  // Where this gateway has all the connections that it may have.
   for (const traffic::InstanceId& id : ids->second) {
@@ -190,14 +199,84 @@
       if (full == nullptr) full = &backend;
       continue;
     }
-    if (bounded) warming = &backend;
-    usable.push_back(&backend);
+    if (bounded) choice.warming_up = &backend;
+    choice.usable.push_back(&backend);
   }
+  choice.last_resort = full == nullptr ? best_ejected : full;
+  return choice;
+}
+
+const Backend* BackendTable::Choose(const ServiceName& service,
+                                    const std::vector<traffic::InstanceId>& tried, Duration target,
+                                    Instant now) {
+  const Choice choice = ChoiceOf(service, tried, now);
   // The few requests that it bears would be lost if they had to wait for chance to draw it.
-  if (warming != nullptr) return warming;
-  if (usable.empty()) return full == nullptr ? best_ejected : full;
-  return KnowsServers(service, ids->second.size(), now) ? Shortest(usable, target, now)
-                                                        : DrawWithRoom(usable, now);
+  if (choice.warming_up != nullptr) return choice.warming_up;
+  if (choice.usable.empty()) return choice.last_resort;
+  return KnowsServers(service, services_.at(service).size(), now)
+             ? Shortest(choice.usable, target, now)
+             : DrawWithRoom(choice.usable, now);
+}
+
+BackendTable::Backends BackendTable::Draw(const ServiceName& service,
+                                          const std::vector<traffic::InstanceId>& tried,
+                                          std::size_t count, Instant now) {
+  const Choice choice = ChoiceOf(service, tried, now);
+  if (choice.warming_up != nullptr) return {};
+  Backends near;
+  Backends far;
+  for (const Backend* const backend : choice.usable) {
+    (backend->instance.report.zone == options_.zone ? near : far).push_back(backend);
+  }
+  Backends drawn;
+  while (drawn.size() < count && !(near.empty() && far.empty())) {
+    const bool last = drawn.size() + 1 == count;
+    Backends& from = near.empty() || (last && !far.empty()) ? far : near;
+    drawn.push_back(DrawOne(from, now));
+    std::erase(from, drawn.back());
+  }
+  return drawn.size() < 2 ? Backends{} : drawn;
+}
+
+const Backend* BackendTable::Soonest(const std::vector<traffic::InstanceId>& asked, Duration target,
+                                     Instant now) const {
+  const Backend* best = nullptr;
+  double least = 0;
+  for (const traffic::InstanceId& id : asked) {
+    const Backend* const backend = Find(id);
+    if (backend == nullptr || now - backend->others_at > kWordIsFresh) continue;
+    if (!backend->instance.TakesNewWork() || !HasConnectionLeft(*backend)) continue;
+    if (LoadOf(*backend, now) >= SlotsOf(*backend) * (1.0 + options_.waiting_maximum)) continue;
+    const double time = CompletionMicros(*backend, target, now);
+    if (best != nullptr && time >= least) continue;
+    best = backend;
+    least = time;
+  }
+  return best;
+}
+
+double BackendTable::CompletionMicros(const Backend& backend, Duration target, Instant now) const {
+  const auto usual = usual_us_.find(backend.instance.report.service);
+  const double usual_us = usual == usual_us_.end() ? Micros(options_.first_latency) : usual->second;
+  const double work = backend.work_percent.value_or(kUsualPercent) / kUsualPercent;
+  const double turns = std::max(1.0, (LoadOf(backend, now) + 1) / SlotsOf(backend));
+  return usual_us * work * turns + PenaltyMicros(backend, target, now);
+}
+
+void BackendTable::NoteUsualTime(const Backend& backend, Duration taken, Instant now) {
+  if (!backend.work_percent || now - backend.others_at > taken + kWordIsFresh) return;
+  const double sample = Micros(taken) * kUsualPercent / *backend.work_percent;
+  const auto [known, fresh] = usual_us_.try_emplace(backend.instance.report.service, sample);
+  if (!fresh) known->second += kNewestUsual * (sample - known->second);
+}
+
+void BackendTable::OnProbed(const ProbeReport& report, Instant now) {
+  const auto found = backends_.find(report.instance);
+  if (found == backends_.end()) return;
+  Backend& backend = found->second;
+  if (report.other_instance) return Fail(backend, now);
+  if (report.load) TakeLoad(backend, *report.load, now);
+  if (report.warm_up_left) backend.warm_at = std::max(backend.warm_at, now + *report.warm_up_left);
 }
 
 bool BackendTable::KnowsServers(const ServiceName& service, std::size_t servers,
@@ -234,7 +313,7 @@
   const bool full = near.empty() || OccupancyOf(place, now) >= kZoneIsFull;
   const Backend* best = nullptr;
   for (int draw = 0; draw < kDraws; ++draw) {
-    const Backend* const drawn = Draw(full ? usable : near, now);
+    const Backend* const drawn = DrawOne(full ? usable : near, now);
     if (LoadOf(*drawn, now) < SlotsOf(*drawn)) return drawn;
     const bool better = best == nullptr || LoadOf(*drawn, now) < LoadOf(*best, now);
     if (better) best = drawn;
@@ -247,7 +326,7 @@
   return backend.latency_known ? std::optional(backend.latency_us) : std::nullopt;
 }
 
-const Backend* BackendTable::Draw(const Backends& backends, Instant now) {
+const Backend* BackendTable::DrawOne(const Backends& backends, Instant now) {
   double known = 0;
   double latencies = 0;
   for (const Backend* const backend : backends) {
@@ -309,6 +388,7 @@
   if (found == backends_.end()) return;
   Backend& backend = found->second;
   const bool was_waiting = LoadOf(backend, now) + 1 > SlotsOf(backend);
+  if (report.end == AttemptEnd::kAnswered) NoteUsualTime(backend, taken, now);
   if (report.load) TakeLoad(backend, *report.load, now);
   if (Unreached(backend, report)) {
     ++backend.speed.unreached;
--- a/src/gateway/backend_table.h
+++ b/src/gateway/backend_table.h
@@ -84,6 +84,8 @@
 /// `now` never goes back.
 class BackendTable {
  public:
+  using Backends = std::vector<const Backend*>;
+
   BackendTable(BackendOptions options, std::uint64_t seed);
 
   /// Takes an update's instances; one with base 0 replaces all, keeping what was seen of those that
@@ -115,6 +117,18 @@
   const Backend* Choose(const ServiceName& service, const std::vector<traffic::InstanceId>& tried,
                         Duration target, Instant now);
 
+  /// Servers to ask for their load before a request is sent: drawn by their speeds, the last one
+  /// from another zone, so that a zone which is fuller than others is found out.
+  /// @return none where an instance that warms up is to get the request, or there is no choice.
+  Backends Draw(const ServiceName& service, const std::vector<traffic::InstanceId>& tried,
+                std::size_t count, Instant now);
+  /// Of servers that were asked, the one that would answer first, by what they just told.
+  /// @return nullptr when none of them answered and has room.
+  const Backend* Soonest(const std::vector<traffic::InstanceId>& asked, Duration target,
+                         Instant now) const;
+  /// Takes what came of asking a server.
+  void OnProbed(const ProbeReport& report, Instant now);
+
   /// Whether a request that is sent now may still be answered within its target: otherwise it waits
   /// here, where it can be refused early and where nobody resets it for a full queue.
   bool HasRoom(const Backend& backend, Duration target, Instant now) const;
@@ -153,7 +167,6 @@
     ZoneName zone;
     auto operator<=>(const ServiceZone&) const = default;
   };
-  using Backends = std::vector<const Backend*>;
 
   /// Takes what control says of an instance's warm-up.
   void FollowWarmUp(Backend& backend, const traffic::Instance& next, bool fresh, Instant now);
@@ -161,18 +174,34 @@
 
   /// Whether this gateway meets each server of a service often enough to know how it does.
   bool KnowsServers(const ServiceName& service, std::size_t servers, Instant now) const;
+  /// The servers of a service that a request may go to.
+  struct Choice {
+    Backends usable;
+    const Backend* warming_up = nullptr;  ///< It may get one request from this gateway now.
+    /// Where nothing is usable: one at which this gateway has all its connections, or else the
+    /// ejected one that is tried again first.
+    const Backend* last_resort = nullptr;
+  };
+  Choice ChoiceOf(const ServiceName& service, const std::vector<traffic::InstanceId>& tried,
+                  Instant now) const;
+  /// Time until a server that told of its load just now would have answered a further request.
+  double CompletionMicros(const Backend& backend, Duration target, Instant now) const;
+  /// Takes the time of a request for what is usual in its service.
+  void NoteUsualTime(const Backend& backend, Duration taken, Instant now);
   const Backend* Shortest(const Backends& usable, Duration target, Instant now);
   /// Draws from the own zone, from all while that zone's servers are full.
   const Backend* DrawWithRoom(const Backends& usable, Instant now);
   /// One of `backends`, each as probable as it is fast, so that all get the same load for their
   /// speed; there must be one.
-  const Backend* Draw(const Backends& backends, Instant now);
+  const Backend* DrawOne(const Backends& backends, Instant now);
   /// The best known latency of a server that is to be drawn; nullopt when there is none.
   static std::optional<double> LatencyToDrawBy(const Backend& backend);
   /// Requests for each slot at a zone's servers, by their words of the last seconds; 0 when
   /// unknown.
   double OccupancyOf(const ServiceZone& place, Instant now) const;
   double ExpectedMicros(const Backend& backend, Duration target, Instant now) const;
+  /// What weighs against a server beside its time: bytes between zones, and that it fails.
+  double PenaltyMicros(const Backend& backend, Duration target, Instant now) const;
   /// Part of the next requests that a server is taken to fail.
   double FailingPart(const Backend& backend, Instant now) const;
   void NoteOutcome(Backend& backend, bool failed, Instant now) const;
@@ -194,6 +223,8 @@
   std::set<ServiceName> keyed_;
   std::map<ServiceName, Visits> visits_;
   std::map<ServiceZone, Occupancy> occupancies_;
+  /// Mean time of a request, by service, as it would be where work takes as long as usual.
+  std::map<ServiceName, double> usual_us_;
 };
 
 }  // namespace graniteseam::gateway
--- a/src/gateway/gateway_events.h
+++ b/src/gateway/gateway_events.h
@@ -59,6 +59,17 @@
   bool not_owner = false;  ///< The server is not the one that was meant, or does not hold the key.
 };
 
+/// How asking a server for its load went.
+struct ProbeReport {
+  RequestNumber request;
+  std::uint32_t round = 0;  ///< Of the request's probes.
+  traffic::InstanceId instance;
+  Duration taken{};
+  std::optional<ReportedLoad> load;        ///< When it answered.
+  std::optional<Duration> warm_up_left{};  ///< When it told.
+  bool other_instance = false;             ///< Another process has its address.
+};
+
 /// Why a request was answered by the gateway itself.
 enum class RefusalReason {
   kNoConfiguration,  ///< This gateway never had one.
@@ -92,6 +103,15 @@
   /// that one carries the same id, and must not pass for the answer to this one.
   bool needs_new_connection = false;
 };
+/// Ask a server for its load. Costs it little, and says nothing of the request it is asked for.
+struct ProbeInstance {
+  RequestNumber request;
+  std::uint32_t round = 0;
+  traffic::InstanceId instance;
+  std::string address;  ///< "ip:port".
+  std::string path;
+  Duration useful_for{};  ///< An answer that comes later is not waited for.
+};
 /// Stop waiting for an attempt and close its connection.
 struct AbandonAttempt {
   RequestNumber request;
@@ -109,7 +129,7 @@
   std::optional<Duration> retry_after;
 };
 
-using GatewayEffect = std::variant<SendAttempt, AbandonAttempt, RelayAnswer, Refuse>;
+using GatewayEffect = std::variant<SendAttempt, ProbeInstance, AbandonAttempt, RelayAnswer, Refuse>;
 
 /// A decision worth a line in the log.
 struct DecisionNote {
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -22,7 +22,8 @@
 GatewayNode::GatewayNode(GatewayOptions options, std::uint64_t seed)
     : options_(std::move(options)),
       traffic_(options_.backends, options_.gateways_assumed, seed),
-      hot_keys_(seed) {}
+      hot_keys_(seed),
+      probes_(options_.probes) {}
 
 GatewayEffects GatewayNode::OnUpdate(const traffic::TrafficUpdate& update, Instant now) {
   const bool taken = traffic_.take(update, now);
@@ -67,11 +68,27 @@
   if (!current) return Finish();
   const ServiceName service = request->service;
   traffic_.backends().OnEnded(request->open->instance, report, now - request->open->sent_at, now);
+  if (report.load) probes_.note_answer(service, *report.load, now);
   TakeEnd(*request, report, now);
   ServeWaiting(service, now);
   return Finish();
 }
 
+GatewayEffects GatewayNode::OnProbeEnd(const ProbeReport& report, Instant now) {
+  traffic_.backends().OnProbed(report, now);
+  LiveRequest* const request = requests_.find(report.request);
+  if (request == nullptr) return Finish();
+  probes_.note_probe(request->service, report.taken, now);
+  ProbeRound& round = request->probes;
+  const bool awaited = request->waiting && round.open > 0 && round.number == report.round;
+  if (!awaited) return Finish();
+  if (report.load) ++round.told;
+  if (--round.open > 0) return Finish();
+  request->not_before = now;
+  ServeWaiting(ServiceName(request->service), now);
+  return Finish();
+}
+
 GatewayEffects GatewayNode::OnCallerGone(RequestNumber number, Instant now) {
   LiveRequest* const request = requests_.find(number);
   if (request == nullptr) return Finish();
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -16,6 +16,7 @@
 #include "src/gateway/hot_key_gate.h"
 #include "src/gateway/key_loads.h"
 #include "src/gateway/live_requests.h"
+#include "src/gateway/probe_policy.h"
 #include "src/gateway/shared_retry_budget.h"
 #include "src/gateway/traffic_view.h"
 
@@ -25,6 +26,7 @@
   RouterId id;
   BackendOptions backends;
   RetryBudgetLimits budget;
+  ProbeOptions probes;
   /// Gateways that are taken to share the budget while control has not said how many.
   std::uint32_t gateways_assumed = 64;
   /// Taken off the caller's time, so that an answer still reaches it.
@@ -46,6 +48,7 @@
   GatewayEffects OnHints(const traffic::TrafficHints& hints, Instant now);
   GatewayEffects OnRequest(const ArrivedRequest& request, Instant now);
   GatewayEffects OnAttemptEnd(const AttemptReport& report, Instant now);
+  GatewayEffects OnProbeEnd(const ProbeReport& report, Instant now);
   GatewayEffects OnCallerGone(RequestNumber request, Instant now);
   GatewayEffects Tick(Instant now);
   Instant NextTick() const;
@@ -97,6 +100,12 @@
   Step TryNext(LiveRequest& request, Instant now);
   Step TryOwner(LiveRequest& request, Instant now);
   Step TryPool(LiveRequest& request, Instant now);
+  /// Asks a few servers for their load before the request is sent to one of them.
+  /// @return whether there is anything to wait for.
+  bool BeginProbes(LiveRequest& request, Instant now);
+  /// Sends the request to the best of the servers that were asked.
+  /// @return whether one of them answered and has room.
+  bool SendToProbed(LiveRequest& request, Instant now);
   void Send(LiveRequest& request, const Backend& backend, Instant now);
   /// Leaves the request in its queue until `limit` after `hold_from`. With its time to wait over it
   /// gets no timer, and the caller ends it.
@@ -125,6 +134,7 @@
   KeyLoads key_loads_;
   HotKeyGate hot_keys_;
   CrashWatch crashes_;
+  ProbePolicy probes_;
   std::uint64_t poll_sequence_ = 0;
   Instant polled_at_{};  ///< When the newest poll was made.
   Instant confirmed_at_{};
--- a/src/gateway/live_request.h
+++ b/src/gateway/live_request.h
@@ -26,6 +26,15 @@
   Instant sent_at{};
 };
 
+/// The servers that are asked for their load before a request's next attempt.
+struct ProbeRound {
+  std::uint32_t number = 0;                ///< Answers to earlier rounds are late.
+  std::vector<traffic::InstanceId> asked;  ///< Empty while there is no round.
+  std::uint32_t open = 0;                  ///< Answers that are waited for.
+  std::uint32_t told = 0;                  ///< Of the servers asked, those that told their load.
+  Instant rests_until{};                   ///< No further round before.
+};
+
 struct LiveRequest {
   ArrivedRequest arrived;
   traffic::RouteKind kind = traffic::RouteKind::kUnsafe;
@@ -45,6 +54,7 @@
   std::uint32_t unsent = 0;     ///< Attempts that got no byte out.
   std::vector<traffic::InstanceId> tried;
   bool may_have_run = false;
+  ProbeRound probes;
 
   bool waiting = false;  ///< In its service's queue.
   bool let_in = false;   ///< While its key was known to be hot.
--- a/src/gateway/request_sending.cc
+++ b/src/gateway/request_sending.cc
@@ -77,6 +77,11 @@
 }
 
 GatewayNode::Step GatewayNode::TryPool(LiveRequest& request, Instant now) {
+  if (!request.probes.asked.empty()) {
+    if (SendToProbed(request, now)) return Step::kSent;
+  } else if (BeginProbes(request, now)) {
+    return Step::kWaits;
+  }
   BackendTable& backends = traffic_.backends();
   const Backend* backend =
       backends.Choose(request.service, request.tried, request.target_latency, now);
@@ -93,6 +98,43 @@
   return Step::kSent;
 }
 
+bool GatewayNode::BeginProbes(LiveRequest& request, Instant now) {
+  if (now < request.probes.rests_until || !probes_.applies(request.service, now)) return false;
+  const std::string path = traffic_.health_path(request.service);
+  if (path.empty()) return false;
+  const ProbeOptions& options = probes_.options();
+  ProbeRound& round = request.probes;
+  ++round.number;
+  round.told = 0;
+  for (const Backend* const backend :
+       traffic_.backends().Draw(request.service, request.tried, options.per_request, now)) {
+    const traffic::InstanceReport& instance = backend->instance.report;
+    round.asked.push_back(instance.id);
+    effects_.actions.emplace_back(ProbeInstance{request.arrived.number, round.number, instance.id,
+                                                instance.address, path, options.wait});
+  }
+  if (round.asked.empty()) return false;
+  round.open = static_cast<std::uint32_t>(round.asked.size());
+  request.not_before = now + options.wait;
+  requests_.set_timer(request, std::min(request.not_before, request.give_up));
+  return true;
+}
+
+bool GatewayNode::SendToProbed(LiveRequest& request, Instant now) {
+  const std::vector<traffic::InstanceId> asked = std::exchange(request.probes.asked, {});
+  request.probes.open = 0;
+  Note(request.arrived.number, "probed", {},
+       std::to_string(request.probes.told) + " of " + std::to_string(asked.size()) +
+           " told their load");
+  const Backend* const backend = traffic_.backends().Soonest(asked, request.target_latency, now);
+  if (backend == nullptr) {
+    request.probes.rests_until = now + probes_.options().rest;
+    return false;
+  }
+  Send(request, *backend, now);
+  return true;
+}
+
 void GatewayNode::Send(LiveRequest& request, const Backend& backend, Instant now) {
   requests_.dequeue(request);
   const traffic::InstanceId id = backend.instance.report.id;
--- a/src/gateway/traffic_view.cc
+++ b/src/gateway/traffic_view.cc
@@ -41,6 +41,11 @@
   return found != m_services.end() && found->second.keyed;
 }
 
+auto TrafficView::health_path(ServiceName const& service) const -> std::string {
+  auto const found = m_services.find(service);
+  return found == m_services.end() ? std::string() : found->second.health_path;
+}
+
 auto TrafficView::gateway_count() const -> std::uint32_t {
   return m_gateways == 0 ? m_gateways_assumed : m_gateways;
 }
--- a/src/gateway/traffic_view.h
+++ b/src/gateway/traffic_view.h
@@ -27,6 +27,8 @@
   /// Whether a configuration was ever received.
   auto is_ready() const -> bool { return m_configuration.value > 0; }
   auto is_keyed(ServiceName const& service) const -> bool;
+  /// Where servers of a service tell their load; empty when the service names no such path.
+  auto health_path(ServiceName const& service) const -> std::string;
   auto gateway_count() const -> std::uint32_t;
   auto limits() const -> traffic::CallerLimits const& { return m_limits; }
   auto configuration() const -> traffic::ConfigurationVersion { return m_configuration; }
--- a/tests/gateway_daemon/exchange_translator_test.cc
+++ b/tests/gateway_daemon/exchange_translator_test.cc
@@ -7,7 +7,9 @@
 
 namespace {
 
-daemon::ExchangeNames Names() { return {"Id", "Left", "Key", "Target", "Seal", "Load", "Not-Run"}; }
+daemon::ExchangeNames Names() {
+  return {"Id", "Left", "Key", "Target", "Seal", "Load", "Not-Run", "Answerer", "Warm-Up"};
+}
 
 event_http::Request Lookup() {
   event_http::Request request;
