Divide a crowd with as many moves at once as owners are to share it

Moves cut one owner's room off at a time, and no more than eight were under way: after 3 s the first owner still had 70 of the 200 keys, and the requests of all stood in its queue. Change: from owners with twice the mean and more, moves under way may be a third of the owners. Measured: test of that load, 70 keys at one owner before, at most 16 after.

--- a/src/control/range_balancer.cc
+++ b/src/control/range_balancer.cc
@@ -42,6 +42,11 @@
 /// was tried: five times the moves, and more requests that found no owner.
 constexpr std::size_t kMovesMinimum = 8;
 constexpr std::size_t kCandidatesPerMove = 16;
+/// The same from owners that carry so many times the mean: a crowd came to a few hundred
+/// neighbouring keys, which one owner has. It takes as many moves as owners that share the crowd,
+/// and until they are made its requests stand in one queue.
+constexpr double kCrowded = 2.0;
+constexpr std::size_t kCandidatesPerCrowdMove = 3;
 /// Up to so many ranges, or so many for each candidate when that is more, moves and losses cut the
 /// keys into further pieces; beyond it, ranges move as a whole. Each range is renewed by a call of
 /// its own and looked at by every decision: without a bound 385 owners' ranges became over 1,250
@@ -76,6 +81,10 @@
   return std::max(kMovesMinimum, candidates.size() / kCandidatesPerMove);
 }
 
+std::size_t CrowdMovesMaximum(const std::vector<RangeCandidate>& candidates) {
+  return std::max(kMovesMinimum, candidates.size() / kCandidatesPerCrowdMove);
+}
+
 /// Whether a range is on its way to the owner that a move chose. Spans that are released because
 /// their owners leave are not: at hundreds of owners some always are.
 bool IsMoving(const traffic::KeyRange& range) {
@@ -264,8 +273,10 @@
   const auto under_way = static_cast<std::size_t>(std::count_if(
       after.begin(), after.end(), [](const auto& entry) { return IsMoving(entry.second); }));
   LoadByOwner loads = OwnerLoads(service, after);
-  while (moves.size() + under_way < MovesMaximum(candidates)) {
-    const auto move = NextMove(service, after, candidates, loads, now);
+  while (moves.size() + under_way < CrowdMovesMaximum(candidates)) {
+    const bool ordinary = moves.size() + under_way < MovesMaximum(candidates);
+    const double overload = ordinary ? kOverloaded : kCrowded;
+    const auto move = NextMove(service, after, candidates, loads, overload, now);
     if (!move) break;
     moves.push_back(*move);
   }
@@ -273,9 +284,11 @@
 }
 
 /// The move from the busiest candidate to the one with most room; `ranges` then stand as after it.
+/// None when the busiest carries less than `overload` times the mean.
 std::optional<traffic::RangeRelease> RangeBalancer::NextMove(
     const ServiceName& service, traffic::KeyRangeTable::Ranges& ranges,
-    const std::vector<RangeCandidate>& candidates, LoadByOwner& loads, Instant now) {
+    const std::vector<RangeCandidate>& candidates, LoadByOwner& loads, double overload,
+    Instant now) {
   double total = 0;
   for (const auto& [owner, load] : loads) total += load;
   const double mean = total / TotalSlots(candidates);
@@ -308,7 +321,7 @@
   }
   const double over = (load_of(*heaviest) - mean) * heaviest->slots;
   const double wanted = std::min(over, room_of(*next));
-  if (load_of(*heaviest) < mean * kOverloaded || wanted < mean * kWorthwhile) return std::nullopt;
+  if (load_of(*heaviest) < mean * overload || wanted < mean * kWorthwhile) return std::nullopt;
   const double load = load_of(*heaviest) * heaviest->slots;
   if (over < kMoveDeviations * std::sqrt(load / SecondsSeen(service, now))) return std::nullopt;
   const bool may_cut = MayCut(ranges, candidates);
--- a/src/control/range_balancer.h
+++ b/src/control/range_balancer.h
@@ -88,7 +88,7 @@
   std::optional<traffic::RangeRelease> NextMove(const ServiceName& service,
                                                 traffic::KeyRangeTable::Ranges& ranges,
                                                 const std::vector<RangeCandidate>& candidates,
-                                                LoadByOwner& loads, Instant now);
+                                                LoadByOwner& loads, double overload, Instant now);
   /// Lets ranges and loads stand as after a move.
   void Take(const traffic::RangeRelease& move, traffic::KeyRangeTable::Ranges& ranges,
             LoadByOwner& loads) const;
--- a/tests/control/range_balancer_test.cc
+++ b/tests/control/range_balancer_test.cc
@@ -71,3 +71,63 @@
   for (const auto& [owner, moves] : taken)
     cr_assert(moves == 1, "%s takes %d", owner.c_str(), moves);
 }
+
+/// A crowd comes to 200 neighbouring keys, which one of 140 owners has: four tenths of all requests
+/// stand in one queue until the keys are divided. Moves take half a second here.
+Test(range_balancer, crowd_on_one_owner_is_divided_within_three_seconds) {
+  constexpr std::uint32_t kOwners = 140;
+  constexpr std::uint32_t kFirstKey = 20'000;
+  constexpr std::uint32_t kKeys = 200;
+  constexpr std::uint32_t kLooksPerMove = 2;
+  Fixture fixture(kOwners);
+  std::map<std::uint32_t, std::vector<traffic::RangeRelease>> under_way;
+  traffic::ServiceLoads calm{kService, {}};
+  for (std::uint32_t key = 0; key <= traffic::kLastKey; key += 64) calm.keys.push_back({key, 1});
+  traffic::ServiceLoads crowded = calm;
+  for (std::uint32_t key = kFirstKey; key < kFirstKey + kKeys; ++key) {
+    crowded.keys.push_back({key, 4});
+  }
+  std::size_t most = 0;
+  for (std::uint32_t look = 0; look < 34; ++look) {
+    for (const traffic::RangeRelease& move : under_way[look]) {
+      auto holder = std::prev(fixture.ranges.upper_bound(move.span.first));
+      holder->second.phase = traffic::RangePhase::kServing;
+      holder->second.owner = holder->second.successor;
+      holder->second.successor = {};
+    }
+    fixture.balancer.TakeLoads({look < 24 ? calm : crowded}, fixture.now);
+    fixture.now += kLook;
+    const auto moves = fixture.balancer.Rebalance(kService, fixture.ranges, fixture.candidates, {},
+                                                  fixture.now);
+    most = std::max(most, moves.size());
+    for (const traffic::RangeRelease& move : moves) {
+      auto holder = std::prev(fixture.ranges.upper_bound(move.span.first));
+      const traffic::KeyRange whole = holder->second;
+      fixture.ranges.erase(holder);
+      const auto put = [&](std::uint32_t first, std::uint32_t last) -> traffic::KeyRange& {
+        traffic::KeyRange& part = fixture.ranges[first] = whole;
+        part.span = {first, last};
+        return part;
+      };
+      if (whole.span.first < move.span.first) put(whole.span.first, move.span.first - 1);
+      if (move.span.last < whole.span.last) put(move.span.last + 1, whole.span.last);
+      traffic::KeyRange& moved = put(move.span.first, move.span.last);
+      moved.phase = traffic::RangePhase::kReleasing;
+      moved.successor = move.successor;
+    }
+    under_way[look + kLooksPerMove] = moves;
+  }
+  std::map<traffic::InstanceId, std::uint32_t> crowd;
+  for (const auto& [first, range] : fixture.ranges) {
+    for (std::uint32_t key = kFirstKey; key < kFirstKey + kKeys; ++key) {
+      if (range.span.Contains(key)) ++crowd[range.owner];
+    }
+  }
+  std::uint32_t heaviest = 0;
+  for (const auto& [owner, keys] : crowd) heaviest = std::max(heaviest, keys);
+  // 140 owners have 7 keys of calm load each; an even share of the crowd is 1.4 keys more, and one
+  // owner is known by what it carries to a half.
+  cr_assert(heaviest <= 16, "one owner has %u keys of the crowd, %zu owners share it", heaviest,
+            crowd.size());
+  cr_assert(most <= kOwners / 3);
+}
