Keep the losses and quarantines that tell of a request that comes dozens of times a second

Two bounds forgot what mattered. The leader kept the first eight losses of a request; those were of copies sent together, which may have one cause, so that it never counted a third end. And hundreds of requests that shared the dying servers became suspects, 256 of them are kept, and quarantined ones were forgotten for being older. Change: a loss that tells nothing makes room for the next one; quarantined requests are forgotten last.

--- a/src/control/crash_tally.cc
+++ b/src/control/crash_tally.cc
@@ -50,12 +50,25 @@
   const bool known = std::any_of(losses.begin(), losses.end(),
                                  [&](const Loss& one) { return one.instance == loss.instance; });
   const bool counts = !known && loss.lost_at > tally.answered_at;
-  if (!counts || losses.size() >= kLossesOfOneMaximum) return;
+  if (!counts || (losses.size() >= kLossesOfOneMaximum && !MakeRoom(losses, now))) return;
   const auto later = std::find_if(losses.begin(), losses.end(),
                                   [&](const Loss& one) { return one.lost_at > loss.lost_at; });
   losses.insert(later, loss);
 }
 
+bool CrashTally::MakeRoom(std::vector<Loss>& losses, Instant now) const {
+  Instant last_end{};
+  for (auto it = losses.begin(); it != losses.end(); ++it) {
+    const bool follows = it->sent_at >= last_end;
+    if (!follows || FateOf(*it, now) == Fate::kSurvived) {
+      losses.erase(it);
+      return true;
+    }
+    last_end = it->lost_at;
+  }
+  return false;
+}
+
 void CrashTally::TakeAnswer(const traffic::AnsweredRequest& answered, Instant now) {
   const Instant at = now - std::chrono::milliseconds(answered.answered_ms_ago);
   const auto found = tallies_.find(answered.digest);
--- a/src/control/crash_tally.h
+++ b/src/control/crash_tally.h
@@ -73,6 +73,10 @@
   enum class Fate { kSurvived, kOpen, kEnded };
 
   void TakeLoss(const traffic::LostAttempt& lost, Instant now);
+  /// Forgets a loss that tells nothing: its instance lives, or the attempt was sent before the one
+  /// before it was lost, as many copies of a request that comes often are.
+  /// @return false when each of them follows the one before it.
+  bool MakeRoom(std::vector<Loss>& losses, Instant now) const;
   void TakeAnswer(const traffic::AnsweredRequest& answered, Instant now);
   void ForgetOld(Instant now);
   /// Whether an instance went down with an attempt that was lost at it.
--- a/src/traffic/suspect_table.cc
+++ b/src/traffic/suspect_table.cc
@@ -1,6 +1,7 @@
 #include "src/traffic/suspect_table.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace graniteseam::traffic {
 namespace {
@@ -45,9 +46,13 @@
 
 void SuspectTable::ForgetOldest() {
   if (suspects_.size() <= kSuspectsMaximum) return;
+  // A quarantined one would end further servers before it is known again.
+  const auto place = [](const SuspectRequest& suspect) {
+    return std::pair(suspect.Quarantined(), suspect.changed_at);
+  };
   const auto oldest = std::min_element(
       suspects_.begin(), suspects_.end(),
-      [](const auto& a, const auto& b) { return a.second.changed_at < b.second.changed_at; });
+      [&](const auto& a, const auto& b) { return place(a.second) < place(b.second); });
   suspects_.erase(oldest);
 }
 
--- a/src/traffic/suspect_table.h
+++ b/src/traffic/suspect_table.h
@@ -19,8 +19,8 @@
 BOOST_DESCRIBE_STRUCT(SuspectImage, (), (suspects, changed_at))
 
 /// Replicated, so that neither a new leader nor a router that starts again lets a request through
-/// which has ended its servers. Bounded: the ones that changed longest ago are forgotten. Not
-/// thread safe.
+/// which has ended its servers. Bounded: the ones that changed longest ago are forgotten, and
+/// quarantined ones after all others. Not thread safe.
 class SuspectTable {
  public:
   void Record(const std::vector<SuspectRequest>& suspects, std::uint64_t log_index);
--- a/tests/control/crash_tally_test.cc
+++ b/tests/control/crash_tally_test.cc
@@ -3,7 +3,9 @@
 
 #include <criterion/criterion.h>
 
+#include <string>
 #include <variant>
+#include <vector>
 
 using namespace graniteseam;
 using namespace graniteseam::control;
@@ -181,3 +183,30 @@
   fixture.RunUntil(kept_ms + 1'000);
   cr_assert(!fixture.Suspected(kLethal));
 }
+
+/// A request comes dozens of times a second. Its first copies are sent together, before any of them
+/// ended its instance, and may all have one cause; what follows them tells.
+Test(crash_tally, copies_that_were_lost_together_leave_room_for_those_that_follow) {
+  Fixture fixture;
+  std::vector<std::string> names;
+  for (int number = 10; number < 40; ++number) {
+    traffic::InstanceReport report;
+    report.id = {"i-" + std::to_string(number)};
+    report.service = {"pool"};
+    report.address = "10.0.1.1:" + std::to_string(number);
+    report.sequence = 1;
+    fixture.state.Report({report}, fixture.index);
+    names.push_back(report.id.value);
+  }
+  std::size_t next = 0;
+  for (int copy = 0; copy < 10; ++copy) {
+    fixture.Lose(kLethal, names[next++].c_str(), 5'000 + copy, 5'050 + copy);
+  }
+  fixture.RunUntil(5'250);
+  for (int sent = 5'300; sent < 8'000; sent += 200) {
+    fixture.Lose(kLethal, names[next++].c_str(), sent, sent + 60);
+    fixture.RunUntil(sent + 60);
+  }
+  fixture.RunUntil(8'400);
+  cr_assert(fixture.Quarantined(kLethal), "it ends its servers for more than 3 s after the third");
+}
