Give planned releases a file of their own; tell of relays that can not be read

Change: releases of owners that leave, fail or are drained, and for balance, stand in range_releases.cc. Tests use MarkMoved() in place of a copy.

--- a/include/graniteseam/control/control_node.h
+++ b/include/graniteseam/control/control_node.h
@@ -62,6 +62,7 @@
   std::vector<RangeOrder> range_orders;    ///< To instances that own keys.
   std::vector<RangeNote> range_notes;      ///< For the event log.
   std::vector<SuspectNote> suspect_notes;  ///< The same.
+  std::vector<Error> faults;  ///< What others sent and could not be taken, for the log.
 };
 
 /// One control process without its I/O. Not thread safe; `now` never goes back.
--- a/src/control/control_node_requests.cc
+++ b/src/control/control_node_requests.cc
@@ -124,7 +124,12 @@
   const auto decoded = Attempt([&] { return DecodeCommand(changes); });
   const auto* body = std::get_if<CommandBody>(&decoded);
   const auto* command = body == nullptr ? nullptr : std::get_if<ReportInstancesCommand>(body);
-  if (command == nullptr) return;
+  if (command == nullptr) {
+    effects_.faults.push_back({ErrorKind::kMalformedMessage,
+                               "A member's relay of heartbeats can not be read.",
+                               "Run the same release on all members."});
+    return;
+  }
   ReportInstancesCommand fresh;
   for (const traffic::InstanceReport& report : command->reports) {
     leadership_->traffic.liveness().Heard(report.id, now);
--- a/src/control/range_balancer.cc
+++ b/src/control/range_balancer.cc
@@ -60,23 +60,6 @@
 /// A candidate with this part of the most room may be chosen for its earlier heartbeat.
 constexpr double kRoomEnough = 0.6;
 
-/// Lets ranges stand as after a move was begun.
-void MarkMoved(traffic::KeyRangeTable::Ranges& ranges, const traffic::RangeRelease& move) {
-  const auto holder = std::prev(ranges.upper_bound(move.span.first));
-  const traffic::KeyRange whole = holder->second;
-  ranges.erase(holder);
-  const auto put = [&](std::uint32_t first, std::uint32_t last) {
-    traffic::KeyRange& part = ranges[first] = whole;
-    part.span = {first, last};
-    return &part;
-  };
-  if (whole.span.first < move.span.first) put(whole.span.first, move.span.first - 1);
-  if (move.span.last < whole.span.last) put(move.span.last + 1, whole.span.last);
-  traffic::KeyRange* const moved = put(move.span.first, move.span.last);
-  moved->phase = traffic::RangePhase::kReleasing;
-  moved->successor = move.successor;
-}
-
 std::size_t MovesMaximum(const std::vector<RangeCandidate>& candidates) {
   return std::max(kMovesMinimum, candidates.size() / kCandidatesPerMove);
 }
@@ -99,6 +82,22 @@
 
 }  // namespace
 
+void MarkMoved(traffic::KeyRangeTable::Ranges& ranges, const traffic::RangeRelease& move) {
+  const auto holder = std::prev(ranges.upper_bound(move.span.first));
+  const traffic::KeyRange whole = holder->second;
+  ranges.erase(holder);
+  const auto put = [&](std::uint32_t first, std::uint32_t last) {
+    traffic::KeyRange& part = ranges[first] = whole;
+    part.span = {first, last};
+    return &part;
+  };
+  if (whole.span.first < move.span.first) put(whole.span.first, move.span.first - 1);
+  if (move.span.last < whole.span.last) put(move.span.last + 1, whole.span.last);
+  traffic::KeyRange* const moved = put(move.span.first, move.span.last);
+  moved->phase = traffic::RangePhase::kReleasing;
+  moved->successor = move.successor;
+}
+
 Instant RangeCandidate::HeartbeatFrom(Instant time) const {
   if (heartbeat_interval <= Duration{} || next_heartbeat >= time)
     return std::max(next_heartbeat, time);
--- a/src/control/range_balancer.h
+++ b/src/control/range_balancer.h
@@ -26,6 +26,9 @@
   Instant HeartbeatFrom(Instant time) const;
 };
 
+/// Lets ranges stand as after a move was begun: its span is cut out and on its way.
+void MarkMoved(traffic::KeyRangeTable::Ranges& ranges, const traffic::RangeRelease& move);
+
 /// Keeps moves few and narrow: what moves has no owner for a moment, and its next owner is cold.
 /// Deterministic; not thread safe; `now` never goes back.
 class RangeBalancer {
--- /dev/null
+++ b/src/control/range_releases.cc
@@ -0,0 +1,102 @@
+/// @file
+/// The range controller's planned releases: of owners that leave or fail, of owners in drained
+/// zones, and for the balance of load.
+
+#include <algorithm>
+
+#include "src/control/range_controller.h"
+
+namespace graniteseam::control {
+namespace {
+
+using traffic::InstanceState;
+using traffic::KeyRange;
+using traffic::RangePhase;
+
+/// Where more than this part of a service's instances fail, the cause is a common one, and moving
+/// keys would only add load to the rest.
+constexpr double kAvoidedPart = 0.2;
+/// Key ranges of a drained zone that are released together: so many, or one for this number of
+/// owners elsewhere when that is more. A range is without an owner for about 0.8 s, and the zones'
+/// owners have some three ranges each: a third of the owners are left within 3 s.
+constexpr std::size_t kZoneReleasesMinimum = 8;
+constexpr std::size_t kOwnersPerZoneRelease = 2;
+
+}  // namespace
+
+bool RangeController::OwnerMustGo(const KeyRange& range) const {
+  const traffic::Instance* owner = state_.instances().Find(range.owner);
+  return owner == nullptr || !owner->TakesNewWork();
+}
+
+bool RangeController::InDrainedZone(const traffic::InstanceId& owner) const {
+  const traffic::Instance* const instance = state_.instances().Find(owner);
+  return instance != nullptr && instance->state == InstanceState::kZoneDrained;
+}
+
+std::size_t RangeController::ZoneReleasesAllowed(
+    const traffic::KeyRangeTable::Ranges& ranges,
+    const std::vector<RangeCandidate>& candidates) const {
+  const auto under_way = static_cast<std::size_t>(
+      std::count_if(ranges.begin(), ranges.end(), [this](const auto& entry) {
+        return entry.second.phase == RangePhase::kReleasing && InDrainedZone(entry.second.owner);
+      }));
+  const std::size_t most =
+      std::max(kZoneReleasesMinimum, candidates.size() / kOwnersPerZoneRelease);
+  return most - std::min(most, under_way);
+}
+
+std::set<traffic::InstanceId> RangeController::AvoidedInstances(const ServiceName& service,
+                                                                Instant now) const {
+  CountLooks(InstanceCount());
+  std::set<traffic::InstanceId> failing;
+  std::size_t all = 0;
+  for (const auto& [id, instance] : state_.instances().instances()) {
+    if (instance.report.service != service || !instance.TakesNewWork()) continue;
+    ++all;
+    if (speeds_.Failing(id, now)) failing.insert(id);
+  }
+  const bool many = static_cast<double>(failing.size()) > kAvoidedPart * static_cast<double>(all);
+  return many ? std::set<traffic::InstanceId>{} : failing;
+}
+
+void RangeController::DecideReleases(Instant now, std::vector<CommandBody>& commands) {
+  ReleaseRangesCommand command;
+  AddBegunMoves(command.releases);
+  for (const auto& [service, ranges] : state_.ranges().services()) {
+    const ServiceView& view = ViewOf(service, now);
+    const auto& avoided = view.avoided;
+    std::size_t zone_releases = ZoneReleasesAllowed(ranges, view.candidates);
+    for (const auto& [first, range] : ranges) {
+      const bool must_go = OwnerMustGo(range);
+      const bool fails = range.phase == RangePhase::kServing && avoided.contains(range.owner);
+      if (!range.Owned() || (!must_go && !fails)) continue;
+      if (InDrainedZone(range.owner)) {
+        if (zone_releases == 0) continue;
+        --zone_releases;
+      }
+      command.releases.push_back({service, range.span, range.fence, {}});
+      Note("begin_release", range, range.span,
+           must_go ? "the owner leaves" : "the owner fails requests");
+    }
+    const bool by_heartbeat = LeasedByHeartbeat(service);
+    // Their release would not be known of before then, and the keys would rest for as long: their
+    // owner, though it is busy, serves them better.
+    if (by_heartbeat && now <= inherited_until_) continue;
+    // Planned beside the moves and releases under way: among hundreds of owners some always are.
+    const auto moves =
+        balancer_.Rebalance(service, ranges, view.candidates, PlannedMoves(service), now);
+    for (const traffic::RangeRelease& move : moves) {
+      Note("plan_move", *state_.ranges().Find(service, move.span.first), move.span,
+           "load, to " + move.successor.value);
+    }
+    if (by_heartbeat) {
+      for (const traffic::RangeRelease& move : moves) planned_.push_back({move, false});
+    } else {
+      command.releases.insert(command.releases.end(), moves.begin(), moves.end());
+    }
+  }
+  if (!command.releases.empty()) commands.emplace_back(std::move(command));
+}
+
+}  // namespace graniteseam::control
--- a/tests/control/heartbeat_relay_test.cc
+++ b/tests/control/heartbeat_relay_test.cc
@@ -159,3 +159,16 @@
   cr_assert(harness.RunUntil([&] { return harness.LastAnswer() != nullptr; }, kSecond));
   cr_assert(!is_accepted(*harness.LastAnswer()));
 }
+
+Test(heartbeat_relay, batch_that_can_not_be_read_is_told_and_takes_nothing_from_the_rest) {
+  RelayGroup fixture;
+  ControlNode& leader = fixture.harness.LeaderNode();
+  consensus::PeerMessage message;
+  message.to = leader.consensus().self();
+  message.from = fixture.harness.node(fixture.follower()).consensus().self();
+  message.payload = consensus::HeartbeatRelay{{"i-1"}, "no command"};
+  const ControlEffects effects = leader.OnPeerMessage(message, fixture.harness.now());
+  cr_assert_eq(effects.faults.size(), 1);
+  cr_assert(effects.faults[0].kind == ErrorKind::kMalformedMessage);
+  cr_assert(!effects.faults[0].remedy.empty());
+}
--- a/tests/control/range_balancer_test.cc
+++ b/tests/control/range_balancer_test.cc
@@ -97,24 +97,10 @@
     }
     fixture.balancer.TakeLoads({look < 24 ? calm : crowded}, fixture.now);
     fixture.now += kLook;
-    const auto moves = fixture.balancer.Rebalance(kService, fixture.ranges, fixture.candidates, {},
-                                                  fixture.now);
+    const auto moves =
+        fixture.balancer.Rebalance(kService, fixture.ranges, fixture.candidates, {}, fixture.now);
     most = std::max(most, moves.size());
-    for (const traffic::RangeRelease& move : moves) {
-      auto holder = std::prev(fixture.ranges.upper_bound(move.span.first));
-      const traffic::KeyRange whole = holder->second;
-      fixture.ranges.erase(holder);
-      const auto put = [&](std::uint32_t first, std::uint32_t last) -> traffic::KeyRange& {
-        traffic::KeyRange& part = fixture.ranges[first] = whole;
-        part.span = {first, last};
-        return part;
-      };
-      if (whole.span.first < move.span.first) put(whole.span.first, move.span.first - 1);
-      if (move.span.last < whole.span.last) put(move.span.last + 1, whole.span.last);
-      traffic::KeyRange& moved = put(move.span.first, move.span.last);
-      moved.phase = traffic::RangePhase::kReleasing;
-      moved.successor = move.successor;
-    }
+    for (const traffic::RangeRelease& move : moves) MarkMoved(fixture.ranges, move);
     under_way[look + kLooksPerMove] = moves;
   }
   std::map<traffic::InstanceId, std::uint32_t> crowd;
