Call no handler of a server that is destroyed

Cause: a soaked control process that was told to stop ended with a double free. As a RegistryServer goes, its table of waiting requests goes before its server, which closes its connections and tells the handlers of clients that go; those erase from the table. The gateway's process has the same order. Class: a callback into what is being destroyed. Change: a server that is destroyed closes its connections without calling anybody.

--- a/src/event_http/server.cc
+++ b/src/event_http/server.cc
@@ -125,6 +125,13 @@
     if (const auto server = server_.lock()) server->Remove(shared_from_this());
   }
 
+  /// Closes without calling the handler of a client that goes: the server itself goes, and what the
+  /// handler would use may be gone already.
+  void Drop() {
+    gone_ = nullptr;
+    Close();
+  }
+
   /// Ends what takes too long.
   void Sweep(Instant now) {
     const auto server = server_.lock();
@@ -423,7 +430,7 @@
   Close();
   sweep_.cancel();
   const auto connections = connections_;
-  for (const auto& connection : connections) connection->Close();
+  for (const auto& connection : connections) connection->Drop();
 }
 
 // --- Server ---
--- a/src/event_http/server.h
+++ b/src/event_http/server.h
@@ -44,7 +44,8 @@
   virtual Instant received_at() const = 0;
   /// Sends the answer, once. After the client has gone it does nothing.
   virtual void Respond(const Response& response) = 0;
-  /// Is called at most once, when the client goes before it was answered.
+  /// Is called at most once, when the client goes before it was answered; not when the server is
+  /// destroyed.
   virtual void OnGone(std::function<void()> handler) = 0;
 };
 
--- a/tests/event_http/event_http_test.cc
+++ b/tests/event_http/event_http_test.cc
@@ -197,3 +197,27 @@
   cr_assert(fields.all().size() == 1);
   cr_assert(*fields.Find("x-kept") == "2");
 }
+
+/// As its process stops, a server goes after what its handlers use: a process that was told to stop
+/// while a request waited ended with "double free or corruption".
+Test(event_http, server_that_is_destroyed_tells_nobody_of_clients_that_go) {
+  int gone = 0;
+  std::promise<void> arrived;
+  std::shared_ptr<Exchange> held;
+  runtime::EventLoop loop;
+  ServerOptions options;
+  options.address = {"127.0.0.1", 0};
+  auto server = std::make_unique<Server>(loop.context(), options, [&](const auto& exchange) {
+    exchange->OnGone([&gone] { ++gone; });
+    held = exchange;
+    arrived.set_value();
+  });
+  const auto started = Attempt([&] { return server->Start(); });
+  cr_assert(ErrorOf(started) == nullptr);
+  test::RawClient client(server->port());
+  client.Send("GET /hold HTTP/1.1\r\nHost: a.example\r\n\r\n");
+  arrived.get_future().wait();
+  loop.Stop();
+  server.reset();
+  cr_assert_eq(gone, 0);
+}
