Hold servers that tell a probe that they turned cold to their bound

Cause: found on reading. The rule which gateway may send an instance that warms up a request was checked where servers are drawn for probes, and not where one is chosen among those that answered: one that told in that answer that it had turned cold was sent the request all the same. Change: one predicate, WarmUpAdmits(), asked by both.

--- a/src/gateway/backend_table.cc
+++ b/src/gateway/backend_table.cc
@@ -92,6 +92,10 @@
   backend.warm_at = std::max(told, backend.warm_at_earliest);
 }
 
+bool BackendTable::WarmUpAdmits(const Backend& backend, Instant now) const {
+  return !WarmsUp(backend, now) || warm_ups_.admits(backend.instance.report.id, now);
+}
+
 void BackendTable::ShareConnections(const std::map<ServiceName, traffic::Service>& services,
                                     std::uint32_t gateways) {
   connection_shares_.clear();
@@ -187,8 +191,7 @@
     const Backend& backend = backends_.at(id);
     const bool was_tried = std::find(tried.begin(), tried.end(), id) != tried.end();
     if (!backend.instance.TakesNewWork() || was_tried) continue;
-    const bool bounded = warm_ups_.is_bounded() && WarmsUp(backend, now);
-    if (bounded && !warm_ups_.admits(id, now)) continue;
+    if (!WarmUpAdmits(backend, now)) continue;
     if (now < backend.ejected_until) {
       const bool sooner =
           best_ejected == nullptr || backend.ejected_until < best_ejected->ejected_until;
@@ -199,7 +202,7 @@
       if (full == nullptr) full = &backend;
       continue;
     }
-    if (bounded) choice.warming_up = &backend;
+    if (warm_ups_.is_bounded() && WarmsUp(backend, now)) choice.warming_up = &backend;
     choice.usable.push_back(&backend);
   }
   choice.last_resort = full == nullptr ? best_ejected : full;
@@ -246,6 +249,7 @@
     const Backend* const backend = Find(id);
     if (backend == nullptr || now - backend->others_at > kWordIsFresh) continue;
     if (!backend->instance.TakesNewWork() || !HasConnectionLeft(*backend)) continue;
+    if (!WarmUpAdmits(*backend, now)) continue;
     if (LoadOf(*backend, now) >= SlotsOf(*backend) * (1.0 + options_.waiting_maximum)) continue;
     const double time = CompletionMicros(*backend, target, now);
     if (best != nullptr && time >= least) continue;
--- a/tests/gateway/backend_table_test.cc
+++ b/tests/gateway/backend_table_test.cc
@@ -345,3 +345,24 @@
   const std::string told = fixture.table.Describe(*fixture.table.Find({"a"}), kNow);
   cr_assert(told.find("work 300%") != std::string::npos, "%s", told.c_str());
 }
+
+Test(backend_table, server_that_tells_a_probe_that_it_turned_cold_keeps_to_its_bound) {
+  BackendOptions options;
+  options.zone = {"near"};
+  options.warm_up_requests_per_second = 8;
+  BackendTable table(options, 1);  // It was told no place: it may send such an instance nothing.
+  traffic::TrafficUpdate update;
+  update.instances = {MakeInstance("cold", "near"), MakeInstance("warm", "near")};
+  table.Apply(update, kNow);
+  const auto tell = [&](const std::string& id, double waiting, std::optional<Duration> warm_up) {
+    ProbeReport report;
+    report.instance = {id};
+    report.load = ReportedLoad{2, waiting, 2, 100};
+    report.warm_up_left = warm_up;
+    table.OnProbed(report, kNow);
+  };
+  tell("cold", 0, Duration{3'000'000});
+  tell("warm", 1, {});
+  const Backend* const chosen = table.Soonest({{"cold"}, {"warm"}}, kTarget, kNow);
+  cr_assert(chosen != nullptr && chosen->instance.report.id.value == "warm");
+}
