Tell by which step a router is behind with a configuration change

Cause: logs could not tell whether a change was not sent to a gateway, was sent and not heard, or was heard and not applied. Change: the leader follows each change from commit to the last router's word (configuration_committed, _acknowledged, _in_force, router_behind, router_caught_up); a gateway tells when it applied a configuration and how long that waited there, and whom it asks and why (control_turn). Three lines a change, two for each span in which a router is behind. Result: test_control configuration_rollout passes (4 tests); no logic of routing changed.

--- a/include/graniteseam/control/control_node.h
+++ b/include/graniteseam/control/control_node.h
@@ -13,6 +13,7 @@
 #include "graniteseam/consensus/raft_consensus.h"
 #include "graniteseam/control/operator_messages.h"
 #include "graniteseam/control/range_orders.h"
+#include "graniteseam/control/rollout_note.h"
 #include "graniteseam/control/router_messages.h"
 #include "graniteseam/control/traffic_options.h"
 #include "graniteseam/lease/grant.h"
@@ -62,6 +63,7 @@
   std::vector<RangeOrder> range_orders;    ///< To instances that own keys.
   std::vector<RangeNote> range_notes;      ///< For the event log.
   std::vector<SuspectNote> suspect_notes;  ///< The same.
+  std::vector<RolloutNote> rollout_notes;  ///< The same.
   std::vector<Error> faults;  ///< What others sent and could not be taken, for the log.
 };
 
--- a/src/control/control_node_impl.cc
+++ b/src/control/control_node_impl.cc
@@ -196,6 +196,10 @@
     if (outcome.bundle_rolled || !outcome.registered.empty() || !outcome.lost.empty()) {
       leadership_->routers.FollowState();
     }
+    if (outcome.configuration_changed) {
+      leadership_->traffic.rollout().Committed(state_.traffic().configuration().current().version,
+                                               entry.index.value, now);
+    }
   }
   AnswerWaiter(entry, outcome, now);
 }
@@ -215,6 +219,7 @@
     ReplyToHeartbeat(request, *heartbeat, entry.index, now);
   } else {
     Reply(request, Accepted{entry.index});
+    if (leadership_) leadership_->traffic.rollout().Acknowledged(entry.index.value, now);
   }
 }
 
@@ -377,6 +382,7 @@
   if (leadership_) {
     effects_.range_notes = leadership_->traffic.ranges().TakeNotes();
     effects_.suspect_notes = leadership_->traffic.crashes().TakeNotes();
+    effects_.rollout_notes = leadership_->traffic.rollout().TakeNotes();
   }
   finished_at_ = now;
   return std::exchange(effects_, {});
--- a/src/control/replicated_state.cc
+++ b/src/control/replicated_state.cc
@@ -181,7 +181,9 @@
 }
 
 void ReplicatedState::Run(const ChangeConfigurationCommand& command, ApplyOutcome& outcome) {
+  const std::uint64_t before = traffic_.configuration().changed_at();
   Keep(outcome, [&] { return traffic_.Apply(command.change, version()); });
+  outcome.configuration_changed = traffic_.configuration().changed_at() != before;
 }
 
 void ReplicatedState::Run(const ReportInstancesCommand& command, ApplyOutcome& /*outcome*/) {
--- a/src/control/replicated_state.h
+++ b/src/control/replicated_state.h
@@ -53,6 +53,7 @@
   std::vector<ServerId> lost;                  ///< Servers whose session ended.
   std::vector<ServerId> removed;               ///< Servers that are not known any more.
   bool bundle_rolled = false;
+  bool configuration_changed = false;  ///< Another traffic configuration is in force.
 };
 
 /// Applies committed entries in order.
--- a/src/control/traffic_leader.h
+++ b/src/control/traffic_leader.h
@@ -6,6 +6,7 @@
 #include <utility>
 #include <vector>
 
+#include "src/control/configuration_rollout.h"
 #include "src/control/crash_tally.h"
 #include "src/control/displacement.h"
 #include "src/control/hint_teller.h"
@@ -33,17 +34,20 @@
   const RangeController& ranges() const { return ranges_; }
   TrafficSessions& sessions() { return sessions_; }
   CrashTally& crashes() { return crashes_; }
+  ConfigurationRollout& rollout() { return rollout_; }
 
   std::vector<RouterSend> TakePoll(ConnectionId connection, const traffic::TrafficPoll& poll,
                                    Instant now) {
     ranges_.TakeLoads(poll, now);
     hints_.TakePoll(poll, now);
     crashes_.TakePoll(poll, now);
+    rollout_.Heard(poll.router, poll.version, now);
     return sessions_.Poll(connection, poll, now);
   }
 
   /// What routers are to be sent by themselves.
   std::vector<RouterSend> Push(Instant now) {
+    rollout_.Look([&](const RouterId& router) { return sessions_.SentTo(router); }, now);
     std::vector<RouterSend> sends = sessions_.Push(now);
     if (sessions_.HasNew()) sessions_.TellNew(hints_.All(now), sends);
     if (!hints_.IsDue(now)) return sends;
@@ -70,7 +74,8 @@
   Instant NextDue() const {
     const bool waits = state_.applied() < proposed_;
     const Instant decisions = std::min(ranges_.NextDue(), crashes_.NextDue());
-    return std::min(sessions_.NextDue(), waits ? ranges_.NextOrderDue() : decisions);
+    const Instant told = std::min(sessions_.NextDue(), rollout_.NextDue());
+    return std::min(told, waits ? ranges_.NextOrderDue() : decisions);
   }
 
  private:
@@ -93,6 +98,7 @@
   TrafficSessions sessions_;
   HintTeller hints_;
   CrashTally crashes_;
+  ConfigurationRollout rollout_;
   LogIndex proposed_;
   Instant forerunners_due_{};
 };
--- a/src/control/traffic_sessions.cc
+++ b/src/control/traffic_sessions.cc
@@ -26,7 +26,7 @@
                                               const traffic::TrafficPoll& poll, Instant now) {
   heard_[poll.router] = now;
   if (!sessions_.contains(connection)) new_.insert(connection);
-  sessions_[connection].version = state_.version();
+  sessions_[connection] = {poll.router, state_.version()};
   std::vector<RouterSend> sends;
   if (poll.version != state_.version()) sends.push_back({connection, UpdateFor(poll.version, now)});
   traffic::TrafficUpdate answer;
@@ -90,6 +90,14 @@
   return message;
 }
 
+std::uint64_t TrafficSessions::SentTo(const RouterId& router) const {
+  std::uint64_t sent = 0;
+  for (const auto& [connection, session] : sessions_) {
+    if (session.router == router) sent = std::max(sent, session.version);
+  }
+  return sent;
+}
+
 std::uint32_t TrafficSessions::HeardLately(RouterTimes::const_iterator end, Instant now) const {
   const auto lately = std::count_if(
       heard_.begin(), end, [&](const auto& entry) { return now - entry.second <= kRouterKept; });
--- a/src/control/traffic_sessions.h
+++ b/src/control/traffic_sessions.h
@@ -52,11 +52,15 @@
   /// When Push() has something to send that it held back.
   Instant NextDue() const { return held_back_ ? push_due_ : Instant::max(); }
 
+  /// The newest version that a router was sent over any of its connections; 0 for none.
+  std::uint64_t SentTo(const RouterId& router) const;
+
   /// Routers that polled lately; 0 while a new leader may not have heard of all.
   std::uint32_t RouterCount(Instant now) const;
 
  private:
   struct Session {
+    RouterId router;
     std::uint64_t version = 0;  ///< Sent up to here.
   };
 
--- a/src/daemon/control/control_driver.cc
+++ b/src/daemon/control/control_driver.cc
@@ -294,6 +294,7 @@
   for (auto& order : effects.range_orders) outputs_.to_range_owner(std::move(order));
   for (const auto& note : effects.range_notes) outputs_.on_range_note(note);
   for (const auto& note : effects.suspect_notes) outputs_.on_suspect_note(note);
+  for (const auto& note : effects.rollout_notes) outputs_.on_rollout_note(note);
   for (const Error& fault : effects.faults) log_.Error(fault);
 }
 
--- a/src/daemon/control/control_driver.h
+++ b/src/daemon/control/control_driver.h
@@ -50,6 +50,8 @@
   std::function<void(const control::RangeNote& note)> on_range_note = [](const auto&) {};
   /// A decision about a request under which instances ended.
   std::function<void(const control::SuspectNote& note)> on_suspect_note = [](const auto&) {};
+  /// A step of a configuration change on its way to the routers.
+  std::function<void(const control::RolloutNote& note)> on_rollout_note = [](const auto&) {};
   /// A storage error that the process must not survive.
   std::function<void()> stop;
 };
--- a/src/daemon/control/control_process.cc
+++ b/src/daemon/control/control_process.cc
@@ -230,6 +230,14 @@
         runtime::EventWeight::kNotable,
         runtime::EventLine(note.what).Add("digest", note.digest.value).Add("inputs", note.inputs));
   };
+  outputs.on_rollout_note = [this](const control::RolloutNote& note) {
+    events_.Write(runtime::EventWeight::kNotable,
+                  runtime::EventLine(note.what)
+                      .Add("configuration", note.configuration.value)
+                      .Add("version", note.version)
+                      .Add("router", note.router.value)
+                      .Add("inputs", note.inputs));
+  };
   outputs.stop = [this] { stop_signals_.RequestStop(); };
   control::ControlOptions options = settings_.node;
   options.traffic.pushes_are_timed = true;
--- a/src/daemon/gateway/gateway_process.cc
+++ b/src/daemon/gateway/gateway_process.cc
@@ -98,6 +98,12 @@
         events_.Write(runtime::EventWeight::kNotable,
                       runtime::EventLine(connected ? "control_connected" : "control_lost"));
         if (connected) asio::post(loop_.context(), [this] { Poll(); });
+      },
+      [this](const protocol::LeaderTurn& turn) {
+        events_.Write(runtime::EventWeight::kNotable, runtime::EventLine("control_turn")
+                                                          .Add("from", turn.from)
+                                                          .Add("to", turn.to)
+                                                          .Add("why", turn.why));
       });
   asio::post(loop_.context(), [this] { Poll(); });
   events_.Write(runtime::EventWeight::kVital,
@@ -341,24 +347,37 @@
 
 void GatewayProcess::OnControlMessage(const control::ControlToRouter& message) {
   if (const auto* update = std::get_if<control::TrafficUpdate>(&message)) {
-    asio::post(loop_.context(), [this, update = *update] { OnUpdate(update); });
+    const Instant received = runtime::BootTimeNow();
+    asio::post(loop_.context(), [this, update = *update, received] { OnUpdate(update, received); });
   } else if (const auto* hints = std::get_if<control::TrafficHints>(&message)) {
     asio::post(loop_.context(),
                [this, hints = *hints] { Run(node_.OnHints(hints, runtime::BootTimeNow())); });
   }
 }
 
-void GatewayProcess::OnUpdate(const traffic::TrafficUpdate& update) {
+void GatewayProcess::OnUpdate(const traffic::TrafficUpdate& update, Instant received) {
   const bool was_ready = node_.Ready();
+  const traffic::ConfigurationVersion before = node_.configuration();
   Run(node_.OnUpdate(update, runtime::BootTimeNow()));
   if (update.limits) ApplyLimits();
   metrics_.OnVersion(node_.version(), node_.configuration().value);
+  if (node_.configuration() != before) LogConfiguration(update, received);
   if (!was_ready && node_.Ready()) {
     events_.Write(runtime::EventWeight::kNotable,
                   runtime::EventLine("ready").Add("version", node_.version()));
   }
 }
 
+void GatewayProcess::LogConfiguration(const traffic::TrafficUpdate& update, Instant received) {
+  const Duration waited = runtime::BootTimeNow() - received;
+  events_.Write(runtime::EventWeight::kNotable,
+                runtime::EventLine("configuration_applied")
+                    .Add("configuration", node_.configuration().value)
+                    .Add("version", node_.version())
+                    .Add("base", update.base)
+                    .Add("received_us_ago", static_cast<std::int64_t>(waited.count())));
+}
+
 void GatewayProcess::ApplyLimits() {
   const traffic::CallerLimits& limits = node_.limits();
   event_http::ServerLimits server;
--- a/src/daemon/gateway/gateway_process.h
+++ b/src/daemon/gateway/gateway_process.h
@@ -60,7 +60,8 @@
   void OnStatus(const std::shared_ptr<event_http::Exchange>& exchange) const;
   /// Runs on the control connections' thread.
   void OnControlMessage(const control::ControlToRouter& message);
-  void OnUpdate(const traffic::TrafficUpdate& update);
+  void OnUpdate(const traffic::TrafficUpdate& update, Instant received);
+  void LogConfiguration(const traffic::TrafficUpdate& update, Instant received);
   void Run(gateway::GatewayEffects effects);
   void Do(const gateway::SendAttempt& send);
   void Do(const gateway::ProbeInstance& probe);
--- a/src/protocol/leader_tracker.cc
+++ b/src/protocol/leader_tracker.cc
@@ -16,6 +16,8 @@
 /// Unanswered messages are forgotten after this many silence limits.
 constexpr int kForgetAfterLimits = 10;
 constexpr std::size_t kPendingMaximum = 256;
+/// Turns kept for whoever takes them for its log.
+constexpr std::size_t kTurnsKept = 16;
 
 std::uint64_t SequenceOf(const control::RouterToControl& message) {
   return std::visit([](const auto& request) { return request.sequence; }, message);
@@ -69,14 +71,15 @@
     unanswered_since_.reset();
     return SendPending(now, Duration::zero());
   }
-  return connected_[target_] ? std::vector<LeaderSend>{} : TurnTo(index, now);
+  return connected_[target_] ? std::vector<LeaderSend>{} : TurnTo(index, "connected", now);
 }
 
 std::vector<LeaderSend> LeaderTracker::OnDisconnected(const std::string& address, Instant now) {
   const std::size_t index = IndexOf(address);
   connected_[index] = false;
   silent_at_[index] = now;
-  return index == target_ ? TurnTo(NextConnected(), now) : std::vector<LeaderSend>{};
+  return index == target_ ? TurnTo(NextConnected(), "disconnected", now)
+                          : std::vector<LeaderSend>{};
 }
 
 void LeaderTracker::OnAnswered(const std::string& address, const control::ControlToRouter& answer) {
@@ -93,22 +96,22 @@
   const std::size_t index = IndexOf(address);
   if (index != target_) return {};  // Of an earlier target: already turned away.
   unanswered_since_.reset();
-  if (answer.leader_address.empty()) return TurnTo(NextConnected(), now);
+  if (answer.leader_address.empty()) return TurnTo(NextConnected(), "not_leader", now);
   const std::size_t hinted = IndexOf(answer.leader_address);
   // A follower may still name a leader that this router just found silent.
-  if (RecentlySilent(hinted, now)) return TurnTo(NextConnected(), now);
-  return TurnTo(hinted, now);
+  if (RecentlySilent(hinted, now)) return TurnTo(NextConnected(), "not_leader", now);
+  return TurnTo(hinted, "not_leader", now);
 }
 
 std::vector<LeaderSend> LeaderTracker::Tick(Instant now) {
   Forget(now);
-  if (wanted_target_ && now >= next_turn_) return TurnTo(*wanted_target_, now);
+  if (wanted_target_ && now >= next_turn_) return TurnTo(*wanted_target_, wanted_why_, now);
   if (pending_.empty()) return {};
   // Not counted from the oldest message: newer ones take the places of those of their kind.
   const bool silent = unanswered_since_ && now - *unanswered_since_ > silence_limit_;
   if (silent) {
     silent_at_[target_] = now;
-    return TurnTo(NextConnected(), now);
+    return TurnTo(NextConnected(), "silent", now);
   }
   return SendPending(now, silence_limit_);
 }
@@ -137,14 +140,17 @@
   return (target_ + 1) % addresses_.size();
 }
 
-std::vector<LeaderSend> LeaderTracker::TurnTo(std::size_t target, Instant now) {
+std::vector<LeaderSend> LeaderTracker::TurnTo(std::size_t target, std::string_view why,
+                                              Instant now) {
   if (now < next_turn_) {
     wanted_target_ = target;
+    wanted_why_ = why;
     return {};
   }
   wanted_target_.reset();
   next_turn_ = now + turn_interval_;
   turn_interval_ = std::min(2 * turn_interval_, kTurnIntervalLongest);
+  if (turns_.size() < kTurnsKept) turns_.push_back({addresses_[target_], addresses_[target], why});
   target_ = target;
   unanswered_since_.reset();
   return SendPending(now, Duration::zero());
--- a/src/protocol/leader_tracker.h
+++ b/src/protocol/leader_tracker.h
@@ -7,6 +7,8 @@
 #include <deque>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 #include "graniteseam/common/time.h"
@@ -20,6 +22,13 @@
   control::RouterToControl message;
 };
 
+/// The tracker turned to another process.
+struct LeaderTurn {
+  std::string from;
+  std::string to;
+  std::string_view why;  ///< "connected", "disconnected", "silent", "not_leader".
+};
+
 /// Not thread safe; `now` never goes back.
 class LeaderTracker {
  public:
@@ -43,6 +52,9 @@
   /// limit.
   std::vector<LeaderSend> Tick(Instant now);
 
+  /// The turns since the last call.
+  std::vector<LeaderTurn> TakeTurns() { return std::exchange(turns_, {}); }
+
  private:
   struct Pending {
     control::RouterToControl message;
@@ -54,7 +66,7 @@
   bool RecentlySilent(std::size_t index, Instant now) const;
   std::size_t NextConnected() const;
   /// Makes `target` the one to send to, now or at the next tick that allows a turn.
-  std::vector<LeaderSend> TurnTo(std::size_t target, Instant now);
+  std::vector<LeaderSend> TurnTo(std::size_t target, std::string_view why, Instant now);
   std::vector<LeaderSend> SendPending(Instant now, Duration unsent_for);
   LeaderSend SendOne(Pending& pending, Instant now);
   void Forget(Instant now);
@@ -65,11 +77,13 @@
   Duration silence_limit_;
   std::size_t target_ = 0;
   std::optional<std::size_t> wanted_target_;  ///< A turn that waits for `next_turn_`.
-  Instant next_turn_;                         ///< Bounds how often targets change.
-  Duration turn_interval_;                    ///< Grows until a leader answers.
+  std::string_view wanted_why_;
+  Instant next_turn_;       ///< Bounds how often targets change.
+  Duration turn_interval_;  ///< Grows until a leader answers.
   /// Since when the target left everything unanswered, also for want of a connection.
   std::optional<Instant> unanswered_since_;
   std::deque<Pending> pending_;
+  std::vector<LeaderTurn> turns_;  ///< Since they were taken, the first ones.
 };
 
 }  // namespace graniteseam::protocol
--- a/src/protocol/router_control_client.cc
+++ b/src/protocol/router_control_client.cc
@@ -31,7 +31,7 @@
 class RouterControlClient::Impl {
  public:
   Impl(RouterControlClientOptions options, runtime::MetricsRegistry& registry,
-       AnswerHandler on_answer, ConnectedHandler on_connected);
+       AnswerHandler on_answer, ConnectedHandler on_connected, TurnHandler on_turn);
   ~Impl();
 
   void Send(control::RouterToControl message);
@@ -51,6 +51,7 @@
   RouterControlClientOptions options_;
   AnswerHandler on_answer_;
   ConnectedHandler on_connected_;
+  TurnHandler on_turn_;
   ConnectionMetrics metrics_;
   InternalTls tls_;
   LeaderTracker tracker_;
@@ -61,10 +62,11 @@
 
 RouterControlClient::Impl::Impl(RouterControlClientOptions options,
                                 runtime::MetricsRegistry& registry, AnswerHandler on_answer,
-                                ConnectedHandler on_connected)
+                                ConnectedHandler on_connected, TurnHandler on_turn)
     : options_(std::move(options)),
       on_answer_(std::move(on_answer)),
       on_connected_(std::move(on_connected)),
+      on_turn_(std::move(on_turn)),
       metrics_(registry),
       tls_(options_.security),
       tracker_(ToTexts(options_.control), options_.silence_limit) {
@@ -131,6 +133,9 @@
       found->second->Send(codec::Encode(send.message));
     }
   }
+  for (const LeaderTurn& turn : tracker_.TakeTurns()) {
+    if (on_turn_) on_turn_(turn);
+  }
   DialNew();
 }
 
@@ -169,9 +174,9 @@
 
 RouterControlClient::RouterControlClient(RouterControlClientOptions options,
                                          runtime::MetricsRegistry& metrics, AnswerHandler on_answer,
-                                         ConnectedHandler on_connected)
+                                         ConnectedHandler on_connected, TurnHandler on_turn)
     : impl_(std::make_unique<Impl>(std::move(options), metrics, std::move(on_answer),
-                                   std::move(on_connected))) {}
+                                   std::move(on_connected), std::move(on_turn))) {}
 
 RouterControlClient::~RouterControlClient() = default;
 
--- a/src/protocol/router_control_client.h
+++ b/src/protocol/router_control_client.h
@@ -13,6 +13,7 @@
 #include "graniteseam/common/time.h"
 #include "graniteseam/control/router_messages.h"
 #include "src/protocol/internal_security.h"
+#include "src/protocol/leader_tracker.h"
 #include "src/runtime/metrics.h"
 #include "src/runtime/socket_address.h"
 
@@ -44,8 +45,12 @@
   /// Called with true when the first connection stands and false when the last one went.
   using ConnectedHandler = std::function<void(bool connected)>;
 
+  /// Called for each turn to another control process.
+  using TurnHandler = std::function<void(const LeaderTurn& turn)>;
+
   RouterControlClient(RouterControlClientOptions options, runtime::MetricsRegistry& metrics,
-                      AnswerHandler on_answer, ConnectedHandler on_connected = {});
+                      AnswerHandler on_answer, ConnectedHandler on_connected = {},
+                      TurnHandler on_turn = {});
   ~RouterControlClient();
   RouterControlClient(const RouterControlClient&) = delete;
   RouterControlClient& operator=(const RouterControlClient&) = delete;
