--- a/testbed/fleet/link_layer.cc
+++ b/testbed/fleet/link_layer.cc
@@ -64,7 +64,8 @@
     delivering_ = true;
     const Duration left = held_.front().due - runtime::BootTimeNow();
     if (left > Duration(0)) return Later(left);
-    if (state_().cut) return Later(kHealCheckPeriod);
+    const LinkState state = state_();
+    if (state.cut || made_at_ < state.silent_before) return Later(kHealCheckPeriod);
     if (held_.front().bytes.empty()) return Close();
     boost::asio::async_write(*sink_, boost::asio::buffer(held_.front().bytes),
                              [self = shared_from_this()](ErrorCode error, std::size_t) {
@@ -94,6 +95,7 @@
   std::shared_ptr<Tcp::socket> source_;
   std::shared_ptr<Tcp::socket> sink_;
   std::function<LinkState()> state_;
+  const Instant made_at_ = runtime::BootTimeNow();
   boost::asio::steady_timer timer_;
   std::array<char, kPieceBytes> buffer_{};
   std::deque<Piece> held_;
--- a/testbed/fleet/link_layer.h
+++ b/testbed/fleet/link_layer.h
@@ -17,6 +17,8 @@
 struct LinkState {
   bool cut = false;
   Duration delay{0};
+  /// Connections that were made earlier carry nothing any more, and are not ended; newer ones work.
+  Instant silent_before{};
 };
 
 /// The two ends of a connection that the relay took, as its client sees them.
@@ -30,6 +32,9 @@
 /// A cut link is silent, as a lost network is: bytes of connections that exist are held and arrive
 /// when the link is healed, if nobody has given up by then; a connection made while the link is cut
 /// is never led on. Both sides of a connection are judged by themselves, so a cut may be one way.
+/// A connection may also fall silent for good while new ones over the same link work: what is sent
+/// on it is acknowledged by the relay and goes nowhere, as behind a lost entry of an address
+/// translation.
 ///
 /// Thread safe; the relay runs on a thread of its own.
 class LinkLayer {
--- a/testbed/soak/fault_plan.cc
+++ b/testbed/soak/fault_plan.cc
@@ -18,7 +18,8 @@
         Duration longest;
         std::uint32_t weight; ///< How often it is drawn, beside the others.
         Role role; ///< Which it hits.
-        bool of_crowds = false; ///< Drawn for crowded fleets only, so that plans of others stay as they are.
+        /// Bound that must be set for it to be drawn, so that plans without it stay as they are.
+        bool PlanBounds::*only_with = nullptr;
     };
 
     constexpr auto kind_traits = std::to_array<KindTraits>({
@@ -45,7 +46,12 @@
         {FaultKind::DrainWorker, "drain_worker", Duration {3'500'000}, Duration {4'500'000}, 2, Role::Worker},
         {FaultKind::DeregisterWorker, "deregister_worker", Duration {3'500'000}, Duration {4'500'000}, 2,
             Role::Worker},
-        {FaultKind::ScaleIn, "scale_in", Duration {4'000'000}, Duration {6'000'000}, 8, Role::Worker, true},
+        {FaultKind::SilenceRouter, "silence_router", Duration {1'000}, Duration {10'000}, 5, Role::Router,
+            &PlanBounds::silencing},
+        {FaultKind::SilenceControl, "silence_control", Duration {1'000}, Duration {10'000}, 3, Role::Control,
+            &PlanBounds::silencing},
+        {FaultKind::ScaleIn, "scale_in", Duration {4'000'000}, Duration {6'000'000}, 8, Role::Worker,
+            &PlanBounds::crowded},
     });
 
     /// Faults of a series begin within this after the one before.
@@ -122,10 +128,12 @@
         return !same_target;
     }
 
-    auto draw_kind(std::uint64_t drawn, bool crowded) -> KindTraits const&
+    auto draw_kind(std::uint64_t drawn, PlanBounds const& bounds) -> KindTraits const&
     {
-        auto const weight_of
-            = [&](auto const& it) -> std::uint64_t { return it.of_crowds && !crowded ? 0 : it.weight; };
+        auto const weight_of = [&](auto const& it) -> std::uint64_t {
+            auto const drawn_here = it.only_with == nullptr || bounds.*it.only_with;
+            return drawn_here ? it.weight : 0;
+        };
         auto const total = std::accumulate(kind_traits.begin(), kind_traits.end(), std::uint64_t {0},
             [&](auto sum, auto const& it) { return sum + weight_of(it); });
         auto left = drawn % total;
@@ -157,7 +165,7 @@
     std::vector<Fault> plan;
     constexpr int attempts_maximum = 1'000;
     for (int attempt = 0; attempt < attempts_maximum && plan.size() < bounds.faults; ++attempt) {
-        auto const& traits = draw_kind(random(), bounds.crowded);
+        auto const& traits = draw_kind(random(), bounds);
         Fault fault;
         fault.kind = traits.kind;
         fault.target = static_cast<std::uint32_t>(below(targets_of(traits.kind, bounds)));
--- a/testbed/soak/fault_plan.h
+++ b/testbed/soak/fault_plan.h
@@ -32,6 +32,8 @@
     ReuseAddress, ///< The same, at the same address and of another service.
     DrainWorker, ///< Says that it leaves, and ends after the span; another one starts at its address.
     DeregisterWorker, ///< Says that it is gone, serves on for the span; another one starts at its address.
+    SilenceRouter, ///< Its open connections to control carry nothing any more; new ones work.
+    SilenceControl, ///< The same of a control process's connections with peers and routers.
     ScaleIn, ///< Many workers say at the same moment that they leave; others start at their addresses.
 };
 
@@ -60,6 +62,7 @@
     Duration catch_up {8'000'000}; ///< That a control process needs after its disk was lost.
     std::uint32_t faults = 20;
     bool crowded = false; ///< Draws what hits many workers at once, too.
+    bool silencing = false; ///< Draws connections that fall silent, too.
 };
 
 /// Faults in the order of their times. At most one disk is lost at once: while a control process that
--- a/testbed/soak/load.cc
+++ b/testbed/soak/load.cc
@@ -11,6 +11,7 @@
 #include "testbed/registered/http_call.h"
 #include "testbed/soak/caller_connection.h"
 #include "testbed/soak/probes.h"
+#include "testbed/soak/routed_paths.h"
 
 namespace graniteseam::testbed::soak {
 
@@ -31,29 +32,15 @@
     constexpr std::uint64_t series_every = 6;
     constexpr std::uint64_t series_longest = 5;
     constexpr int resends_maximum = 6;
+    /// One change in so many is followed by a rest, longer than a change takes to be in force: only then a
+    /// router that is behind by a few changes can be told from one that is not.
+    constexpr std::uint64_t rest_every = 8;
+    constexpr auto rest_of_operator = std::chrono::milliseconds(4'000);
+    /// Apart from the numbers that versions are drawn from.
+    constexpr std::uint64_t form_salt = 0x5eed'0f5a'4a9e'0002;
     constexpr std::uint32_t keys_asked_for = 64;
     constexpr std::uint32_t key_distance = 1'021;
 
-    auto configuration_text(std::uint64_t version) -> std::string
-    {
-        auto const route = [&](char const* prefix, char const* kind, char const* service) {
-            return json {{"name", std::string(prefix)}, {"host", "a.example"}, {"path_prefix", prefix},
-                {"kind", kind}, {"timeout_ms", 2'000 + version % 7}, {"target_latency_ms", 500},
-                {"priority", 1}, {"attempts_maximum", 2}, {"service", service}};
-        };
-        json routes {route("/safe/", "safe", "pool"), route("/unsafe/", "unsafe", "pool"),
-            route("/keyed/", "safe", "keyed"), route("/leased/", "safe", "leased")};
-        auto const first = version > versions_routed ? version - versions_routed + 1 : 1;
-        for (auto since = first; since <= version; ++since)
-            routes.push_back(route(path_since(since).c_str(), "safe", "pool"));
-        return json {{"version", version}, {"routes", routes},
-            {"services",
-                {{{"name", "pool"}}, {{"name", "keyed"}, {"keyed", true}},
-                    {{"name", "leased"}, {"keyed", true}, {"grants", "heartbeat"}}}},
-            {"limits", {{"idle_timeout_ms", 15'000}}}}
-            .dump();
-    }
-
     auto is_own(event_http::Response const& response, std::string const& attempt,
         daemon::ExchangeNames const& names) -> bool
     {
@@ -66,6 +53,7 @@
         Endpoints const& endpoints;
         AcceptedVersions& accepted;
         std::mt19937_64 random;
+        std::mt19937_64 random_forms; ///< Of whole changes and patches, and of rests.
         HttpCaller caller;
         SeenByOperator seen;
     };
@@ -95,18 +83,19 @@
         if (body.is_discarded() || !body.contains("version"))
             return std::nullopt;
         auto const version = body["version"].get<std::uint64_t>();
-        it.seen.reads.push_back({version, body.dump(), sent});
+        it.seen.reads.push_back({version, in_order(body).dump(), sent});
         return version;
     }
 
     /// @return whether it was accepted.
     auto change(Operator& it, std::uint64_t base, std::uint64_t version) -> bool
     {
-        auto const text = configuration_text(version);
+        auto const whole = base == 0 || it.random_forms() % 2 == 0;
+        auto const text = whole ? configuration_of(version).dump() : patch_between(base, version).dump();
+        auto const body = in_order(configuration_of(version)).dump();
         for (int sending = 0; sending <= resends_maximum; ++sending) {
-            SeenChange change {
-                base, version, json::parse(text).dump(), false, runtime::BootTimeNow(), {}, {}};
-            auto const result = call(it, "PUT", text, base);
+            SeenChange change {base, version, body, false, runtime::BootTimeNow(), {}, {}};
+            auto const result = call(it, whole ? "PUT" : "PATCH", text, base);
             change.ended = runtime::BootTimeNow();
             auto const answered = result.end == CallEnd::kAnswered;
             change.accepted = answered && result.response.status == 200;
@@ -123,6 +112,13 @@
         return false;
     }
 
+    auto rest(std::stop_token const& stop) -> void
+    {
+        auto const end = std::chrono::steady_clock::now() + rest_of_operator;
+        while (!stop.stop_requested() && std::chrono::steady_clock::now() < end)
+            std::this_thread::sleep_for(pause_of_operator);
+    }
+
     struct Caller {
         Endpoints const& endpoints;
         std::mt19937_64 random;
@@ -268,7 +264,7 @@
 auto run_operator(Endpoints const& endpoints, std::uint64_t seed, Duration pause, AcceptedVersions& accepted,
     std::stop_token const& stop) -> SeenByOperator
 {
-    Operator it {endpoints, accepted, std::mt19937_64(seed), {}, {}};
+    Operator it {endpoints, accepted, std::mt19937_64(seed), std::mt19937_64(seed ^ form_salt), {}, {}};
     std::uint64_t current = 0;
     std::uint64_t in_series = 0; ///< Changes that are to follow without a pause.
     while (!stop.stop_requested()) {
@@ -284,6 +280,8 @@
         if (in_series > 0 && --in_series > 0)
             continue;
         std::this_thread::sleep_for(pause);
+        if (it.random_forms() % rest_every == 0)
+            rest(stop);
         if (auto const newest = read(it))
             current = *newest;
     }
--- a/testbed/soak/load.h
+++ b/testbed/soak/load.h
@@ -46,9 +46,9 @@
 
 class AcceptedVersions;
 
-/// Changes and reads the configuration until it is told to stop, at times several changes without a pause;
-/// resends what got no clear answer, and
-/// at times sends a rival on a version that was built on already. The last thing it does is a read.
+/// Changes and reads the configuration until it is told to stop: as a whole or by patches, at times several
+/// changes without a pause, at times none for seconds. Resends what got no clear answer, and at times sends
+/// a rival on a version that was built on already. The last thing it does is a read.
 /// @param pause between two changes that are no series.
 /// @param accepted is told of each change that was acknowledged.
 auto run_operator(Endpoints const&, std::uint64_t seed, Duration pause, AcceptedVersions& accepted,
--- a/testbed/soak/probes.h
+++ b/testbed/soak/probes.h
@@ -1,5 +1,6 @@
 /// @file
-/// Asks routers for routes that accepted changes added: whether the changes are in force there.
+/// Asks routers for routes that accepted changes added, moved, split or dropped: whether the changes are in
+/// force there.
 #pragma once
 
 #include <cstdint>
@@ -14,11 +15,6 @@
 
 namespace graniteseam::testbed::soak {
 
-/// The path that only configurations from a version on route, and those before it don't.
-auto path_since(std::uint64_t version) -> std::string;
-/// A configuration routes such paths of its own version and of so many before it.
-inline constexpr std::uint64_t versions_routed = 48;
-
 /// Changes that were acknowledged, told by the operator's thread to the probing ones. Thread safe.
 class AcceptedVersions {
 public:
@@ -28,16 +24,18 @@
     };
 
     auto add(std::uint64_t version) -> void;
-    /// The newest one that was acknowledged before an instant, unless a newer one has so moved on that its
-    /// path may not be routed any more.
+    /// The newest one that was acknowledged before an instant.
     auto newest_before(Instant) const -> std::optional<Accepted>;
+    /// Whether a newer one has so moved on that this one's own path may not be routed any more.
+    auto is_outdated(Accepted const&) const -> bool;
 
 private:
     mutable std::mutex m_mutex;
     std::vector<Accepted> m_accepted;
 };
 
-/// Asks one router after the other for the newest change that is to be in force, until it is told to stop.
+/// Asks one router after the other, in turn for the route that the newest change which is to be in force
+/// added and for one of the changing paths, until it is told to stop.
 auto run_prober(Endpoints const&, AcceptedVersions const&, std::stop_token const&) -> std::vector<SeenProbe>;
 
 } // namespace graniteseam::testbed::soak
--- a/testbed/soak/promises.cc
+++ b/testbed/soak/promises.cc
@@ -5,6 +5,9 @@
 #include <set>
 #include <tuple>
 
+#include "testbed/soak/calm.h"
+#include "testbed/soak/version_promises.h"
+
 namespace graniteseam::testbed::soak {
 
 namespace {
@@ -13,8 +16,6 @@
     /// given: as the users ask.
     constexpr double served_share_minimum = 0.25;
 
-    /// A machine counts as in touch again so long after what disturbed it.
-    constexpr Duration contact {3'000'000};
     /// That a close without an answer is allowed to happen.
     constexpr std::size_t lost_allowed = 3;
     /// The callers wait for so long; a close after it says nothing.
@@ -150,14 +151,6 @@
         }
     }
 
-    /// Whether nothing disturbed a router from `contact` before an instant until another one.
-    auto in_touch(Observed const& seen, std::uint32_t router, Instant from, Instant until) -> bool
-    {
-        return std::none_of(seen.disturbances.begin(), seen.disturbances.end(), [&](auto const& it) {
-            return it.router == router && it.begun <= until && from <= it.ended + contact;
-        });
-    }
-
     auto check_drains(Observed const& seen, std::vector<Breach>& breaches) -> void
     {
         std::map<std::string, SeenAnswer const*> answers;
@@ -214,14 +207,6 @@
         }
     }
 
-    /// Whether nothing disturbed the control group from `contact` before an instant until another one.
-    auto core_is_calm(Observed const& seen, Instant from, Instant until) -> bool
-    {
-        return from - contact >= seen.settled
-            && std::none_of(seen.core_disturbances.begin(), seen.core_disturbances.end(),
-                [&](auto const& it) { return it.begun <= until && from <= it.ended + contact; });
-    }
-
     auto in_ms(Duration span) -> std::string
     {
         return std::to_string(span.count() / 1000) + " ms";
@@ -233,8 +218,8 @@
     {
         constexpr int no_such_route = 404;
         for (auto const& probe : seen.probes) {
-            auto const& [answer, version, acknowledged] = probe;
-            if (answer.status != no_such_route && !answer.unconfirmed)
+            auto const& [answer, version, acknowledged, path] = probe;
+            if (is_changing(path) || (answer.status != no_such_route && !answer.unconfirmed))
                 continue;
             auto const calm = core_is_calm(seen, acknowledged, answer.sent)
                 && in_touch(seen, answer.router, answer.sent, answer.sent);
@@ -354,6 +339,7 @@
     check_spared(seen, breaches);
     check_contained(seen, breaches);
     check_in_force(seen, breaches);
+    check_versions(seen, breaches);
     check_acknowledged(seen, breaches);
     check_readable(seen, breaches);
     auto const wanted = static_cast<double>(seen.asked_at_the_end) * served_share_minimum;
--- a/testbed/soak/promises.h
+++ b/testbed/soak/promises.h
@@ -53,11 +53,12 @@
     bool answered = false;
 };
 
-/// A request for a route that an accepted change added.
+/// A request for a route that changes add, move or drop.
 struct SeenProbe {
     SeenAnswer answer;
-    std::uint64_t version = 0; ///< Of the change.
+    std::uint64_t version = 0; ///< The newest that is to be in force: its change, or newer ones, decide.
     Instant acknowledged {}; ///< When the operator was told that it is accepted.
+    std::string path; ///< That it asks for, without what stands behind the route's prefix.
 };
 
 /// A worker's word that it leaves.
@@ -102,7 +103,7 @@
 
 /// The users' bounds: for a change to be in force at every router in touch, counted from its
 /// acknowledgement, and for a change or a read in calm time to be answered.
-inline constexpr Duration in_force_within {2'500'000};
+inline constexpr Duration in_force_within {2'000'000};
 inline constexpr Duration answered_within {4'000'000};
 
 /// A promise that was not kept.
--- a/testbed/soak/run_shape.h
+++ b/testbed/soak/run_shape.h
@@ -22,6 +22,8 @@
     Duration heartbeat {200'000};
     std::uint32_t losses_tolerated = 1;
     double processor = 1; ///< Part of a core that each control process may use; 1: not limited.
+    double router_processor = 1; ///< The same of routers.
+    bool silencing = false; ///< Open connections to control fall silent for good at times.
     bool crashing = false; ///< Some requests end each worker that runs them.
     bool crowded = false; ///< Faults of many workers at once.
     Duration operator_pause {250'000}; ///< Between two changes that are no series.
--- a/testbed/soak/soak.cc
+++ b/testbed/soak/soak.cc
@@ -20,6 +20,7 @@
 #include "testbed/soak/probes.h"
 #include "testbed/soak/run_shape.h"
 #include "testbed/soak/soaked_fleet.h"
+#include "testbed/soak/version_promises.h"
 #include "testbed/support/text_file.h"
 
 namespace graniteseam::testbed::soak {
@@ -44,6 +45,8 @@
         std::optional<std::uint32_t> faults;
         std::optional<RunSize> size;
         bool crashing = false;
+        bool silencing = false;
+        std::optional<double> processor;
         std::string folder = "/tmp/graniteseam-soak";
         std::string programs;
         std::string templates = "platform";
@@ -52,12 +55,15 @@
     constexpr char usage[]
         = "Usage: graniteseam-soak [--seed N] [--seeds N] [--parallel K] [--size small|large|crowd] "
           "[--faults N]\n"
+          "                        [--crashing] [--silencing] [--processor SHARE]\n"
           "                        [--folder DIR] [--programs DIR] [--templates DIR]\n"
           "  --seed N       first seed; without it one is drawn and printed\n"
           "  --seeds N      how many, from the first on (1)\n"
           "  --parallel K   how many side by side (1), as long as they start at most 60 processes together\n"
           "  --size SIZE    of all runs; without it drawn from the seed, one in four large, none a crowd\n"
           "  --crashing     some requests end each worker that runs them, as in a crowd\n"
+          "  --silencing    open connections with control fall silent for good, and new ones work\n"
+          "  --processor X  part of a core that each control process and each router may use\n"
           "  --faults N     of each run (20, a large one 45, a crowd 10)\n"
           "  --folder DIR   for data and logs; those of failed seeds are kept\n"
           "  --programs DIR where graniteseam-platform-* are (beside this program)\n"
@@ -79,7 +85,8 @@
         static option const options[]
             = {{"seed", required_argument, nullptr, 's'}, {"seeds", required_argument, nullptr, 'n'},
                 {"parallel", required_argument, nullptr, 'k'}, {"size", required_argument, nullptr, 'z'},
-                {"crashing", no_argument, nullptr, 'x'}, {"faults", required_argument, nullptr, 'f'},
+                {"crashing", no_argument, nullptr, 'x'}, {"silencing", no_argument, nullptr, 'i'},
+                {"processor", required_argument, nullptr, 'c'}, {"faults", required_argument, nullptr, 'f'},
                 {"folder", required_argument, nullptr, 'd'}, {"programs", required_argument, nullptr, 'p'},
                 {"templates", required_argument, nullptr, 't'}, {}};
         Arguments arguments;
@@ -106,6 +113,12 @@
             case 'x':
                 arguments.crashing = true;
                 break;
+            case 'i':
+                arguments.silencing = true;
+                break;
+            case 'c':
+                arguments.processor = std::strtod(optarg, nullptr);
+                break;
             case 'f':
                 arguments.faults = static_cast<std::uint32_t>(std::strtoul(optarg, nullptr, 10));
                 break;
@@ -245,6 +258,7 @@
         options.heartbeat = shape.heartbeat;
         options.losses_tolerated = shape.losses_tolerated;
         options.processor = shape.processor;
+        options.router_processor = shape.router_processor;
         return options;
     }
 
@@ -313,15 +327,19 @@
         auto const count = [&](auto const& which) {
             return std::count_if(seen.answers.begin(), seen.answers.end(), which);
         };
-        return fmt::format("{} routers, {} orders + {} leases + {} pool workers; {} faults ({}); "
-                           "{} attempts, {} served, {} kept-connection requests, {} of them lost; {} runs, "
-                           "{} grants held, {} changes sent, {} reads, {} probes, {} workers crashed; at the "
-                           "end {} of {} served",
+        auto const looked = looked_at(seen);
+        return fmt::format(
+            "{} routers, {} orders + {} leases + {} pool workers; {} faults ({}); "
+            "{} attempts, {} served, {} kept-connection requests, {} of them lost; {} runs, "
+            "{} grants held, {} changes sent, {} reads, {} probes ({} of changing routes in calm, "
+            "{} that tell an older version), {} workers crashed; at the "
+            "end {} of {} served",
             shape.routers, shape.keyed_workers, shape.leased_workers, shape.pool_workers, plan.size(),
             kinds_text(plan), seen.answers.size(), count([](auto const& it) { return it.status == 200; }),
             count([](auto const& it) { return it.kept; }), lost_on_kept_connections(seen).size(),
             seen.runs.size(), seen.holds.size(), seen.changes.size(), seen.reads.size(), seen.probes.size(),
-            seen.crashes.size(), seen.served_at_the_end, seen.asked_at_the_end);
+            looked.in_calm, looked.telling, seen.crashes.size(), seen.served_at_the_end,
+            seen.asked_at_the_end);
     }
 
     /// @return the promises of which one was broken at least.
@@ -330,11 +348,15 @@
     {
         auto shape = draw_shape(seed, arguments.size);
         shape.crashing = shape.crashing || arguments.crashing;
+        shape.silencing = arguments.silencing;
+        shape.processor = arguments.processor.value_or(shape.processor);
+        shape.router_processor = arguments.processor.value_or(shape.router_processor);
         PlanBounds bounds;
         bounds.controls = shape.controls;
         bounds.routers = shape.routers;
         bounds.workers = workers_of(shape);
         bounds.crowded = shape.crowded;
+        bounds.silencing = shape.silencing;
         bounds.faults = arguments.faults.value_or(shape.faults);
         auto const plan = plan_faults(seed, bounds);
         auto const options = fleet_options(shape, seed, arguments);
--- a/testbed/soak/soaked_fleet.cc
+++ b/testbed/soak/soaked_fleet.cc
@@ -25,6 +25,7 @@
     constexpr char keyed_service[] = "keyed";
     constexpr char leased_service[] = "leased";
     constexpr char pool_service[] = "pool";
+    constexpr char annex_service[] = "annex";
     /// A service that has fewer workers left gives none away.
     constexpr std::ptrdiff_t workers_left_minimum = 2;
     /// Workers differ in speed.
@@ -91,6 +92,8 @@
     }
     if (m_options.processor < 1)
         m_quota.emplace(m_options.processor);
+    if (m_options.router_processor < 1)
+        m_router_quota.emplace(m_options.router_processor);
     for (std::uint32_t i = 0; i < m_options.controls; ++i)
         start_control(i, true);
     for (std::uint32_t i = 0; i < m_options.routers; ++i)
@@ -104,12 +107,19 @@
         reserve_address(i);
         add_worker(i);
     }
+    // After the others: faults name workers by their index, and these are not among them.
+    for (std::uint32_t i = workers; i < workers + m_options.annex_workers; ++i) {
+        m_slots[i].service = annex_service;
+        reserve_address(i);
+        add_worker(i);
+    }
 }
 
 SoakedFleet::~SoakedFleet()
 {
     m_slots.clear();
     m_quota.reset();
+    m_router_quota.reset();
     m_processes.clear();
 }
 
@@ -197,23 +207,52 @@
     auto& started = std::get<ChildProcess>(process);
     m_owners.Add(started.id(), ip_of(machine));
     if (auto const it = m_processes.find(machine); it != m_processes.end()) {
-        if (m_quota)
-            m_quota->remove(it->second.id());
+        if (auto* quota = quota_of(machine))
+            quota->remove(it->second.id());
         m_processes.erase(it);
     }
-    if (m_quota && program == "control")
-        m_quota->add(started.id());
+    if (auto* quota = quota_of(machine))
+        quota->add(started.id());
     m_processes.emplace(machine, std::move(started));
 }
 
 auto SoakedFleet::kill(Machine machine) -> void
 {
     auto& process = m_processes.at(machine);
-    if (m_quota)
-        m_quota->remove(process.id());
+    if (auto* quota = quota_of(machine))
+        quota->remove(process.id());
     process.Kill();
 }
 
+auto SoakedFleet::quota_of(Machine machine) -> ProcessorQuota*
+{
+    auto& quota = machine <= m_options.controls ? m_quota : m_router_quota;
+    return quota ? &*quota : nullptr;
+}
+
+auto SoakedFleet::freeze(Machine machine) -> void
+{
+    auto& process = m_processes.at(machine);
+    // It would let the process go on with its next period.
+    if (auto* quota = quota_of(machine))
+        quota->remove(process.id());
+    process.Signal(SIGSTOP);
+}
+
+auto SoakedFleet::thaw(Machine machine) -> void
+{
+    auto& process = m_processes.at(machine);
+    process.Signal(SIGCONT);
+    if (auto* quota = quota_of(machine))
+        quota->add(process.id());
+}
+
+auto SoakedFleet::silence(std::string const& ip) -> void
+{
+    std::lock_guard const lock(m_mutex);
+    m_silent_before[ip] = runtime::BootTimeNow();
+}
+
 auto SoakedFleet::leaving_workers(Fault const& fault) const -> std::vector<std::uint32_t>
 {
     auto const all = static_cast<std::uint32_t>(m_slots.size());
@@ -254,7 +293,7 @@
     options.id = "w-" + std::to_string(index) + "-" + std::to_string(++m_worker_lives);
     options.service = slot.service;
     options.zone = "z" + std::to_string(index % 3);
-    options.keyed = slot.service != pool_service;
+    options.keyed = slot.service == keyed_service || slot.service == leased_service;
     options.leases = slot.service == leased_service;
     options.registries = registries();
     options.names = m_names.exchange;
@@ -365,7 +404,12 @@
     auto const between_controls = is_control(from) && is_control(to);
     auto const cut = between_controls
         && (m_cut_controls.contains(from) || m_cut_controls.contains(to) || m_mute_controls.contains(from));
-    return {cut || m_cut_routers.contains(from) || m_cut_routers.contains(to), Duration {0}};
+    auto const silent_before = [&](std::string const& ip) {
+        auto const it = m_silent_before.find(ip);
+        return it == m_silent_before.end() ? Instant {} : it->second;
+    };
+    return {cut || m_cut_routers.contains(from) || m_cut_routers.contains(to), Duration {0},
+        std::max(silent_before(from), silent_before(to))};
 }
 
 auto SoakedFleet::begin(Fault const& fault) -> void
@@ -393,12 +437,10 @@
     case FaultKind::ReloadRouter:
         return reload(router, "router", fault.choice);
     case FaultKind::FreezeControl:
-        if (m_quota)
-            m_quota->remove(m_processes.at(control).id());
-        return m_processes.at(control).Signal(SIGSTOP);
+        return freeze(control);
     case FaultKind::FreezeRouter:
         begin_disturbance(fault.target);
-        return m_processes.at(router).Signal(SIGSTOP);
+        return freeze(router);
     case FaultKind::LoseDisk:
         kill(control);
         std::filesystem::remove_all(data_folder(fault.target));
@@ -420,6 +462,13 @@
         for (auto const index : leaving_workers(fault))
             m_slots.at(index).worker->Drain();
         return;
+    case FaultKind::SilenceRouter:
+        begin_disturbance(fault.target);
+        return silence(ip_of(router));
+    case FaultKind::SilenceControl:
+        for (std::uint32_t i = 0; i < m_options.routers; ++i)
+            begin_disturbance(i);
+        return silence(ip_of(control));
     case FaultKind::CutRouter:
         begin_disturbance(fault.target);
         break;
@@ -459,12 +508,9 @@
         return end_disturbance(fault.target);
     case FaultKind::FreezeControl:
         m_seen.thaws.push_back(runtime::BootTimeNow());
-        m_processes.at(control).Signal(SIGCONT);
-        if (m_quota)
-            m_quota->add(m_processes.at(control).id());
-        return;
+        return thaw(control);
     case FaultKind::FreezeRouter:
-        m_processes.at(router).Signal(SIGCONT);
+        thaw(router);
         return end_disturbance(fault.target);
     case FaultKind::CrashWorker:
         ++m_replacements.elsewhere;
@@ -488,6 +534,12 @@
             add_worker(index);
         }
         return;
+    case FaultKind::SilenceControl:
+        for (std::uint32_t i = 0; i < m_options.routers; ++i)
+            end_disturbance(i);
+        return;
+    case FaultKind::SilenceRouter:
+        return end_disturbance(fault.target);
     case FaultKind::CutRouter:
         end_disturbance(fault.target);
         break;
--- a/testbed/soak/soaked_fleet.h
+++ b/testbed/soak/soaked_fleet.h
@@ -44,9 +44,13 @@
     std::uint32_t keyed_workers = 4; ///< Of the service that takes orders.
     std::uint32_t leased_workers = 4; ///< Of the service whose keys come by heartbeat.
     std::uint32_t pool_workers = 2;
+    /// Of the service that routes move to and from; no fault hits them, so that who ran a request tells of
+    /// the router alone.
+    std::uint32_t annex_workers = 2;
     Duration heartbeat {200'000};
     std::uint32_t losses_tolerated = 1;
     double processor = 1; ///< Part of a core that each control process may use; 1: not limited.
+    double router_processor = 1; ///< The same of routers.
 };
 
 /// How often a worker was replaced by another process.
@@ -126,10 +130,16 @@
     auto next_service(std::uint32_t index, std::uint32_t choice) const -> std::string;
     /// Kills a process, which is not signalled by the quota any more.
     auto kill(Machine) -> void;
+    auto freeze(Machine) -> void;
+    auto thaw(Machine) -> void;
+    /// Null when the machine's program is not limited.
+    auto quota_of(Machine) -> ProcessorQuota*;
     /// Workers that leave together by such a fault.
     auto leaving_workers(Fault const&) const -> std::vector<std::uint32_t>;
     auto begin_disturbance(std::uint32_t router) -> void;
     auto end_disturbance(std::uint32_t router) -> void;
+    /// Open connections with a process carry nothing any more.
+    auto silence(std::string const& ip) -> void;
     auto link_state(std::string const& from, std::string const& to) const -> LinkState;
 
     FleetOptions const m_options;
@@ -138,7 +148,9 @@
     SocketOwners m_owners;
     std::unique_ptr<LinkLayer> m_links;
     std::map<Machine, ChildProcess> m_processes;
-    std::optional<ProcessorQuota> m_quota; ///< Of control processes; after them, so that it ends first.
+    // After the processes, so that they end first.
+    std::optional<ProcessorQuota> m_quota; ///< Of control processes.
+    std::optional<ProcessorQuota> m_router_quota;
     /// A place for one worker after the other.
     struct Slot {
         std::string service;
@@ -158,6 +170,7 @@
     std::set<std::string> m_cut_controls;
     std::set<std::string> m_mute_controls; ///< Cut one way.
     std::set<std::string> m_cut_routers;
+    std::map<std::string, Instant> m_silent_before; ///< By address: its older connections are silent.
 };
 
 } // namespace graniteseam::testbed::soak
--- a/tests/gateway/route_table_test.cc
+++ b/tests/gateway/route_table_test.cc
@@ -2,7 +2,11 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
 #include <map>
+#include <random>
+
+#include "src/traffic/configuration_store.h"
 
 using namespace graniteseam;
 using namespace graniteseam::gateway;
@@ -55,3 +59,70 @@
   table.Apply(SplitOf({{{"none"}, 0}}));
   cr_assert(!table.NextService(*table.Find("a.example", "/x")));
 }
+
+namespace {
+
+constexpr std::uint64_t kNames = 6;
+constexpr std::uint64_t kPlaces = 8;
+
+/// Routes that move, trade places, are split, dropped and added again.
+traffic::ConfigurationChange DrawChange(std::mt19937_64& random, std::uint64_t base) {
+  traffic::ConfigurationChange change;
+  change.base.value = base;
+  change.version.value = base + 1;
+  change.digest = std::to_string(base);
+  change.whole = true;
+  for (const char* name : {"a", "b", "c"}) change.services.emplace_back().name = {name};
+  std::vector<std::uint64_t> places(kPlaces);
+  for (std::uint64_t place = 0; place < kPlaces; ++place) places[place] = place;
+  std::shuffle(places.begin(), places.end(), random);
+  for (std::uint64_t name = 0; name < kNames; ++name) {
+    if (random() % 3 == 0) continue;
+    traffic::Route& route = change.routes.emplace_back();
+    route.name = {"r" + std::to_string(name)};
+    route.host = "h" + std::to_string(places[name] % 2) + ".example";
+    route.path_prefix = "/p" + std::to_string(places[name] / 2) + "/";
+    route.timeout_ms = 1'000;
+    route.split = {{change.services[random() % 3].name, 100}};
+  }
+  return change;
+}
+
+std::string ServiceAt(RouteTable& table, std::uint64_t place) {
+  const auto* route = table.Find("h" + std::to_string(place % 2) + ".example",
+                                 "/p" + std::to_string(place / 2) + "/x");
+  return route == nullptr ? "" : table.NextService(*route)->value;
+}
+
+}  // namespace
+
+Test(route_table, updates_that_join_any_changes_lead_to_what_each_change_alone_leads_to) {
+  for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+    std::mt19937_64 random(seed);
+    traffic::ConfigurationStore store;
+    RouteTable each(seed);
+    RouteTable joined(seed);
+    std::uint64_t joined_at = 0;
+    for (std::uint64_t index = 1; index <= 60; ++index) {
+      const auto change = DrawChange(random, index - 1);
+      cr_assert(ErrorOf(Attempt([&] { return store.Apply(change, index); })) == nullptr);
+      const auto apply = [&](RouteTable& table, std::uint64_t base) {
+        traffic::TrafficUpdate update;
+        update.base = base;
+        store.AddChanges(base, update);
+        table.Apply(update);
+      };
+      apply(each, index - 1);
+      if (random() % 4 != 0) continue;
+      apply(joined, joined_at);
+      joined_at = index;
+      RouteTable whole(seed);
+      apply(whole, 0);
+      for (std::uint64_t place = 0; place < kPlaces; ++place) {
+        const std::string wanted = ServiceAt(whole, place);
+        cr_assert(ServiceAt(each, place) == wanted, "seed %lu, change %lu", seed, index);
+        cr_assert(ServiceAt(joined, place) == wanted, "seed %lu, change %lu, joined", seed, index);
+      }
+    }
+  }
+}
--- a/tests/soak/seeded_runs_test.cc
+++ b/tests/soak/seeded_runs_test.cc
@@ -50,3 +50,9 @@
 {
     play("30001", {"--crashing"});
 }
+
+// Gateways kept an older configuration to the end of the run: see tests/testbed/silent_connection_test.cc.
+Test(seeded_runs, seed_9100002_with_connections_that_fall_silent, .timeout = 240)
+{
+    play("9100002", {"--silencing"});
+}
