Give up on connections between processes that fall silent

Cause: a router hears of changes over one connection, to the leader, and peers send one way only; nothing told that the far end was still there. A connection that fell silent without an end was kept for 5 s, and for good where something between acknowledges, so that routers in touch went on by an older configuration and control processes stayed alone. Change: keep-alives of our own on every connection. The accepting side answers whatever came, the dialling side gives up after 1 s without anything back and dials again; 2 s for its handshake in place of 5.

--- a/src/protocol/connection.cc
+++ b/src/protocol/connection.cc
@@ -21,6 +21,14 @@
 constexpr int kKeepAliveProbes = 3;
 constexpr int kUnacknowledgedMilliseconds = 5'000;
 
+// In calls of Watch(). A second without an answer: routers poll each 0.5 s and are answered within
+// milliseconds, and a peer that is short of processor time is late by some hundred of them.
+constexpr int kUnansweredLooks = 4;
+// 2 s without anything to say.
+constexpr int kIdleLooks = 8;
+// 5 s: longer than a dialling side that is there says nothing.
+constexpr int kSilentLooks = 20;
+
 void SetOption(int descriptor, int level, int name, int value) {
   // A refusal only costs speed of detection, so it is not an error.
   setsockopt(descriptor, level, name, &value, sizeof(value));
@@ -108,9 +116,55 @@
     return false;
   }
   Queue(EncodeFrame(FrameKind::kMessage, payload));
+  NoteSent();
   return true;
 }
 
+void Connection::Watch() {
+  if (!ready_ || closed_ || refused_) return;
+  if (side_ == Side::kDialled) {
+    WatchDialled();
+  } else {
+    WatchAccepted();
+  }
+}
+
+void Connection::WatchDialled() {
+  if (unanswered_ && ++silent_looks_ >= kUnansweredLooks) {
+    Close({ErrorKind::kTransport, "The peer left what was sent to it unanswered.",
+           "It is dialled again by itself; check the peer and the network when this repeats."});
+    return;
+  }
+  if (++idle_looks_ < kIdleLooks) return;
+  Queue(EncodeFrame(FrameKind::kKeepAlive, {}));
+  NoteSent();
+}
+
+void Connection::WatchAccepted() {
+  if (++silent_looks_ >= kSilentLooks) {
+    Close({ErrorKind::kTransport, "The peer fell silent.",
+           "It dials again by itself; check the peer and the network when this repeats."});
+    return;
+  }
+  if (!unanswered_) return;
+  Queue(EncodeFrame(FrameKind::kKeepAlive, {}));
+  NoteSent();
+}
+
+void Connection::NoteSent() {
+  idle_looks_ = 0;
+  if (side_ == Side::kAccepted) {
+    unanswered_ = false;
+  } else if (!std::exchange(unanswered_, true)) {
+    silent_looks_ = 0;
+  }
+}
+
+void Connection::NoteReceived() {
+  silent_looks_ = 0;
+  unanswered_ = side_ == Side::kAccepted;
+}
+
 void Connection::Queue(std::string_view frame) {
   metrics_.frames_sent.Increment();
   waiting_ += frame;
@@ -157,6 +211,7 @@
   if (closed_) return;
   if (error) return CloseFor(error);
   metrics_.bytes_received.Increment(static_cast<double>(bytes));
+  NoteReceived();
   if (refused_) return Read();
   reader_.Feed({read_buffer_.data(), bytes});
   if (!TakeFrames()) return ReadOn();
@@ -205,6 +260,7 @@
     return Error{ErrorKind::kMalformedMessage, "The peer said hello twice.",
                  "Connect only graniteseam's own processes to this port."};
   }
+  if (frame.kind == FrameKind::kKeepAlive) return std::nullopt;
   return handlers_.on_message(std::move(frame.payload));
 }
 
--- a/src/protocol/connection.h
+++ b/src/protocol/connection.h
@@ -60,6 +60,21 @@
   /// @return false when it does not fit the queue or the connection is not ready.
   bool Send(std::string_view payload);
 
+  /// Finds out that the other side hears nothing, or that nothing comes from it any more. To be
+  /// called each kWatchInterval.
+  ///
+  /// A connection may fall silent without an end, in one direction or both, while new ones work;
+  /// the kernel tells after 5 s, and never where something between acknowledges. A router on such a
+  /// connection goes on by an old configuration, and a group whose members are on such ones has no
+  /// quorum, for as long: longer than the 3 s after which the users take a machine to be in touch.
+  /// So the accepting side answers whatever comes, with a keep-alive when it has nothing else to
+  /// say, and the dialling side, which also sends one when it has nothing else, gives up on a
+  /// connection on which nothing came back for 1 s. It dials again at once. Five bytes each way in
+  /// 2 s on a connection at rest.
+  ///
+  /// Counted in calls, not in time: a process that stood still finds what came meanwhile first.
+  void Watch();
+
   void Close(const Error& reason);
   void Close() { Close({ErrorKind::kTransport, "This side closed the connection.", "None."}); }
 
@@ -89,6 +104,11 @@
   void DisarmDeadline();
   void CloseFor(ErrorCode error);
 
+  void WatchDialled();
+  void WatchAccepted();
+  void NoteSent();
+  void NoteReceived();
+
   template <class Operation>
   void OnStream(Operation operation);
 
@@ -107,6 +127,10 @@
   std::array<char, 65'536> read_buffer_;
   std::string waiting_;    ///< Frames queued while a write is under way.
   std::string in_flight_;  ///< Frames being written.
+  /// The dialling side sent something, and the accepting side got something, that is not answered.
+  bool unanswered_ = false;
+  int silent_looks_ = 0;  ///< Calls of Watch() since it is unanswered, or since something came.
+  int idle_looks_ = 0;    ///< Calls of Watch() since this side sent something.
   bool writing_ = false;
   bool ready_ = false;
   bool closed_ = false;
--- a/src/protocol/dialer.cc
+++ b/src/protocol/dialer.cc
@@ -67,8 +67,10 @@
 }
 
 void Dialer::Run(Connection::Socket socket) {
+  ConnectionLimits limits;
+  limits.handshake_time = kDialledHandshakeTime;
   connection_ = std::make_shared<Connection>(std::move(socket), Connection::Side::kDialled,
-                                             own_hello_, tls_, metrics_);
+                                             own_hello_, tls_, metrics_, limits);
   Connection::Handlers handlers;
   handlers.on_ready = [self = shared_from_this()](const Hello& /*peer*/) {
     self->was_ready_ = true;
@@ -82,10 +84,21 @@
   };
   handlers.on_closed = [self = shared_from_this()](const Error& reason) { self->OnClosed(reason); };
   connection_->Start(std::move(handlers));
+  WatchLater();
+}
+
+void Dialer::WatchLater() {
+  timer_.expires_after(kWatchInterval);
+  timer_.async_wait([self = shared_from_this()](auto error) {
+    if (error || !self->connection_) return;
+    self->connection_->Watch();
+    self->WatchLater();
+  });
 }
 
 void Dialer::OnClosed(const Error& reason) {
   connection_.reset();
+  timer_.cancel();
   const bool was_ready = std::exchange(was_ready_, false);
   if (was_ready) handlers_.on_disconnected();
   if (!stopped_) DialLater(reason.message);
--- a/src/protocol/dialer.h
+++ b/src/protocol/dialer.h
@@ -41,6 +41,7 @@
   void Run(Connection::Socket socket);
   void OnClosed(const Error& reason);
   void DialLater(const std::string& reason);
+  void WatchLater();
 
   boost::asio::io_context& context_;
   runtime::SocketAddress address_;
@@ -49,7 +50,7 @@
   ConnectionMetrics& metrics_;
   Handlers handlers_;
   Connection::Socket socket_;
-  boost::asio::steady_timer timer_;
+  boost::asio::steady_timer timer_;  ///< Of dialling, and of the connection's watch.
   std::shared_ptr<Connection> connection_;
   std::chrono::milliseconds delay_;
   std::minstd_rand jitter_;
--- a/src/protocol/frame.cc
+++ b/src/protocol/frame.cc
@@ -16,7 +16,7 @@
 
 bool IsKnownKind(unsigned char kind) {
   return kind >= static_cast<unsigned char>(FrameKind::kHello) &&
-         kind <= static_cast<unsigned char>(FrameKind::kRefusal);
+         kind <= static_cast<unsigned char>(FrameKind::kKeepAlive);
 }
 
 }  // namespace
--- a/src/protocol/frame.h
+++ b/src/protocol/frame.h
@@ -14,9 +14,10 @@
 namespace graniteseam::protocol {
 
 enum class FrameKind : std::uint8_t {
-  kHello = 1,    ///< The first frame of each side.
-  kMessage = 2,  ///< One Avro-encoded message.
-  kRefusal = 3,  ///< Why the sender closes the connection.
+  kHello = 1,      ///< The first frame of each side.
+  kMessage = 2,    ///< One Avro-encoded message.
+  kRefusal = 3,    ///< Why the sender closes the connection.
+  kKeepAlive = 4,  ///< Empty: the sender is there.
 };
 
 struct Frame {
--- a/src/protocol/internal_server.cc
+++ b/src/protocol/internal_server.cc
@@ -2,6 +2,7 @@
 
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <utility>
 
@@ -23,10 +24,13 @@
         metrics_(registry),
         tls_(options_.security),
         handlers_(std::move(handlers)),
-        acceptor_(loop.context()) {}
+        acceptor_(loop.context()),
+        watch_(loop.context()) {}
 
   Result<void> Start();
   void Accept();
+  /// One timer for all connections: hundreds of their own would wake the process as often.
+  void WatchLater();
   void SendToRouter(RouterConnectionId id, const std::string& payload);
   void Disconnect();
 
@@ -50,6 +54,7 @@
   InternalTls tls_;
   Handlers handlers_;
   asio::ip::tcp::acceptor acceptor_;
+  asio::steady_timer watch_;
   std::uint16_t port_ = 0;
   std::map<RouterConnectionId, Client> clients_;
   RouterConnectionId next_id_ = 1;
@@ -71,10 +76,22 @@
                 "Free the port, or set another peer_address.");
   }
   port_ = acceptor_.local_endpoint().port();
-  asio::post(loop_.context(), [self = shared_from_this()] { self->Accept(); });
+  asio::post(loop_.context(), [self = shared_from_this()] {
+    self->Accept();
+    self->WatchLater();
+  });
   return {};
 }
 
+void InternalServer::Impl::WatchLater() {
+  watch_.expires_after(kWatchInterval);
+  watch_.async_wait([self = shared_from_this()](auto error) {
+    if (error) return;
+    for (const auto& [id, client] : self->clients_) client.connection->Watch();
+    self->WatchLater();
+  });
+}
+
 void InternalServer::Impl::Accept() {
   acceptor_.async_accept([self = shared_from_this()](auto error, Connection::Socket socket) {
     if (error == asio::error::operation_aborted) return;
@@ -153,6 +170,7 @@
 void InternalServer::Impl::Disconnect() {
   boost::system::error_code ignored;
   acceptor_.close(ignored);
+  watch_.cancel();
   for (auto& [id, client] : clients_) client.connection->Close();
 }
 
--- a/tests/testbed/silent_connection_test.cc
+++ b/tests/testbed/silent_connection_test.cc
@@ -118,3 +118,22 @@
   cr_assert(link.polls.RisesAbove(before), "the router stayed on a connection that is silent");
   cr_assert(link.routers_gone.RisesAbove(0), "the silent connection still counts at its far end");
 }
+
+Test(silent_connection, peer_is_heard_again_over_a_new_one, .timeout = 90) {
+  SilentLink link;
+  protocol::PeerTransport peers({"2", {}, {}}, link.loop, link.metrics);
+  consensus::PeerMessage message;
+  message.to.address = runtime::ToString(link.address());
+  const auto heard_after = [&](int count) {
+    const Instant end = runtime::BootTimeNow() + kPatience;
+    while (runtime::BootTimeNow() < end && link.peer_messages.Now() <= count) {
+      peers.Send(message);
+      std::this_thread::sleep_for(std::chrono::milliseconds(50));
+    }
+    return link.peer_messages.Now() > count;
+  };
+  cr_assert(heard_after(0));
+  link.FallSilent();
+  const int before = link.peer_messages.Now();
+  cr_assert(heard_after(before), "the peer stayed on a connection that is silent");
+}
