--- a/src/daemon/control/control_driver.cc
+++ b/src/daemon/control/control_driver.cc
@@ -253,7 +253,9 @@
     const auto outcome = Attempt([&] { return storage_->Persist(request); });
     const Error* const error = ErrorOf(outcome);
     if (error == nullptr) {
-      const Duration taken = runtime::BootTimeNow() - begun;
+      const Instant now = runtime::BootTimeNow();
+      const Duration taken = now - begun;
+      strain_.NotePersist(taken, now);
       statistics_->persist_seconds.Observe(ToSeconds(taken));
       return true;
     }
--- a/src/daemon/control/control_process.cc
+++ b/src/daemon/control/control_process.cc
@@ -214,7 +214,8 @@
                       .Add("role", RoleName(status.role))
                       .Add("consensus_wait_ms", InMillis(status.strain.consensus_wait))
                       .Add("tick_late_ms", InMillis(status.strain.tick_late))
-                      .Add("round_ms", InMillis(status.strain.round)));
+                      .Add("round_ms", InMillis(status.strain.round))
+                      .Add("persist_ms", InMillis(status.strain.persist)));
   };
   outputs.on_range_note = [this](const control::RangeNote& note) {
     events_.Write(runtime::EventWeight::kNotable, runtime::EventLine(note.what)
--- a/src/daemon/control/strain_watch.h
+++ b/src/daemon/control/strain_watch.h
@@ -14,6 +14,7 @@
   Duration consensus_wait{};  ///< From a peer message's arrival until it was taken.
   Duration tick_late{};       ///< From the instant a tick was wanted for until it ran.
   Duration round{};           ///< Length of a round, its write to disk included.
+  Duration persist{};         ///< Length of one write to disk with its sync.
 };
 
 /// Keeps the worst of the last second or two. Not thread safe; `now` never goes back.
@@ -22,11 +23,13 @@
   void NoteConsensusWait(Duration wait, Instant now) { Raise(now, &Strain::consensus_wait, wait); }
   void NoteTickLate(Duration late, Instant now) { Raise(now, &Strain::tick_late, late); }
   void NoteRound(Duration length, Instant now) { Raise(now, &Strain::round, length); }
+  void NotePersist(Duration length, Instant now) { Raise(now, &Strain::persist, length); }
 
   Strain Worst(Instant now) {
     Turn(now);
     Strain worst = this_span_;
-    for (auto member : {&Strain::consensus_wait, &Strain::tick_late, &Strain::round}) {
+    for (auto member :
+         {&Strain::consensus_wait, &Strain::tick_late, &Strain::round, &Strain::persist}) {
       worst.*member = std::max(worst.*member, last_span_.*member);
     }
     return worst;
