--- a/src/protocol/dialer.cc
+++ b/src/protocol/dialer.cc
@@ -68,12 +68,14 @@
 
 void Dialer::Run(Connection::Socket socket) {
   ConnectionLimits limits;
-  limits.handshake_time = kDialledHandshakeTime;
+  limits.handshake_time = patience_.handshake_time();
+  limits.unanswered_looks = patience_.unanswered_looks();
   connection_ = std::make_shared<Connection>(std::move(socket), Connection::Side::kDialled,
                                              own_hello_, tls_, metrics_, limits);
   Connection::Handlers handlers;
   handlers.on_ready = [self = shared_from_this()](const Hello& /*peer*/) {
     self->was_ready_ = true;
+    self->patience_.Ready();
     self->last_reason_.clear();
     self->delay_ = kFirstDelay;
     self->handlers_.on_connected();
@@ -91,15 +93,26 @@
   timer_.expires_after(kWatchInterval);
   timer_.async_wait([self = shared_from_this()](auto error) {
     if (error || !self->connection_) return;
-    self->connection_->Watch();
+    self->Watch();
     self->WatchLater();
   });
 }
 
+void Dialer::Watch() {
+  connection_->Watch();
+  if (!connection_->ready()) return;
+  if (connection_->given_up()) {
+    patience_.GaveUp();
+  } else {
+    patience_.Watched();
+  }
+}
+
 void Dialer::OnClosed(const Error& reason) {
   connection_.reset();
   timer_.cancel();
   const bool was_ready = std::exchange(was_ready_, false);
+  if (!was_ready) patience_.GaveUp();
   if (was_ready) handlers_.on_disconnected();
   if (!stopped_) DialLater(reason.message);
 }
--- a/src/protocol/dialer.h
+++ b/src/protocol/dialer.h
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "src/protocol/connection.h"
+#include "src/protocol/dial_patience.h"
 #include "src/runtime/socket_address.h"
 
 namespace graniteseam::protocol {
@@ -42,6 +43,7 @@
   void OnClosed(const Error& reason);
   void DialLater(const std::string& reason);
   void WatchLater();
+  void Watch();
 
   boost::asio::io_context& context_;
   runtime::SocketAddress address_;
@@ -54,6 +56,7 @@
   std::shared_ptr<Connection> connection_;
   std::chrono::milliseconds delay_;
   std::minstd_rand jitter_;
+  DialPatience patience_;
   bool was_ready_ = false;
   bool stopped_ = false;
   std::string last_reason_;  ///< Logged once until it changes or a connection stood.
--- a/tests/traffic_world/crashing_request_test.cc
+++ b/tests/traffic_world/crashing_request_test.cc
@@ -84,9 +84,10 @@
     cr_assert(found.empty(), "%s", found.c_str());
 }
 
-/// What is left of 600 seeds. Seeds 123, 269, 530: while a leader is new or a third end is not certain yet,
-/// gateways that each know of a suspect send it, and again where the server refuses it, one time too many in
-/// all. Seed 157: three servers end beside what many ask for, as above.
+/// Seeds 123, 269, 530: while a leader is new or a third end is not certain yet, gateways that each know of a
+/// suspect sent it, and again where the server refused it, one time too many in all. Seed 157: three servers
+/// end beside what many ask for, as above. Their courses are others since routers poll when a configuration
+/// comes into force; the seeds below have the same fault now.
 Test(crashing_request, is_contained_while_a_third_end_is_not_certain, .timeout = 300)
 {
     TrafficWorldOptions world;
@@ -94,3 +95,12 @@
     auto const found = breaches(world, {123, 157, 269, 530});
     cr_assert(found.empty(), "%s", found.c_str());
 }
+
+/// What is left of 600 seeds: one to three sends too many.
+Test(crashing_request, is_contained_by_gateways_that_each_know_of_a_suspect, .timeout = 300)
+{
+    TrafficWorldOptions world;
+    world.crashing_requests = true;
+    auto const found = breaches(world, {270, 304, 417, 478});
+    cr_assert(found.empty(), "%s", found.c_str());
+}
