--- a/tests/event_http/kept_connection_test.cc
+++ b/tests/event_http/kept_connection_test.cc
@@ -3,138 +3,15 @@
 // clock is the test's, so that what meets what is decided here.
 #include <criterion/criterion.h>
 
-#include <boost/asio/io_context.hpp>
-#include <functional>
-#include <thread>
-
-#include "src/event_http/server.h"
-#include "src/runtime/clock.h"
-#include "tests/support/raw_client.h"
+#include "tests/event_http/stepped_server.h"
 
 using namespace graniteseam;
 using namespace graniteseam::event_http;
-
-namespace {
-
-constexpr std::chrono::seconds kIdle{10};
-constexpr std::chrono::seconds kWriteLimit{4};
-/// More than the buffers of both sockets take.
-constexpr std::size_t kLargeBody = std::size_t{48} << 20;
-/// Of several sweeps.
-constexpr std::chrono::milliseconds kSweeps{600};
-
-std::string Get(const std::string& path) { return "GET " + path + " HTTP/1.1\r\nHost: a\r\n\r\n"; }
-
-std::size_t Count(const std::string& text, const std::string& part) {
-  std::size_t count = 0;
-  for (std::size_t at = text.find(part); at != std::string::npos; at = text.find(part, at + 1)) {
-    ++count;
-  }
-  return count;
-}
-
-/// Answers with the path; /hold is answered by the test, /large with a large body.
-struct SteppedServer {
-  boost::asio::io_context context;
-  Instant now = runtime::BootTimeNow();
-  std::vector<std::string> handed_on;
-  std::vector<std::shared_ptr<Exchange>> held;
-  int gone = 0;
-  std::unique_ptr<Server> server;
-
-  SteppedServer() {
-    ServerOptions options;
-    options.address = {"127.0.0.1", 0};
-    options.write_timeout = kWriteLimit;
-    options.clock = [this] { return now; };
-    server = std::make_unique<Server>(context, options,
-                                      [this](const auto& exchange) { Take(exchange); });
-    ServerLimits limits;
-    limits.idle_timeout = kIdle;
-    server->SetLimits(limits);
-    const auto started = Attempt([this] { return server->Start(); });
-    cr_assert(ErrorOf(started) == nullptr);
-    Turn();
-  }
-
-  void Take(const std::shared_ptr<Exchange>& exchange) {
-    const std::string path(exchange->request().Path());
-    handed_on.push_back(path);
-    if (path == "/hold") {
-      exchange->OnGone([this] { ++gone; });
-      held.push_back(exchange);
-      return;
-    }
-    Answer(*exchange, path == "/large" ? std::string(kLargeBody, 'x') : "body of " + path + ";");
-  }
-
-  static void Answer(Exchange& exchange, std::string body) {
-    Response response;
-    response.body = std::move(body);
-    exchange.Respond(response);
-  }
-
-  void AnswerHeld() {
-    const auto exchanges = std::exchange(held, {});
-    for (const auto& exchange : exchanges) Answer(*exchange, "held;");
-  }
-
-  /// Does what is due, without waiting.
-  void Turn() {
-    context.restart();
-    while (context.poll() > 0) {
-    }
-  }
-
-  /// Turns until the condition holds. Only a server that is wrong uses the limit up.
-  bool TurnUntil(const std::function<bool()>& condition) {
-    for (int round = 0; round < 2'000; ++round) {
-      Turn();
-      if (condition()) return true;
-      std::this_thread::sleep_for(std::chrono::milliseconds(1));
-    }
-    return false;
-  }
-
-  /// Lets sweeps become due, with nothing done meanwhile, then does all at once.
-  void TurnAfterSweeps() {
-    std::this_thread::sleep_for(kSweeps);
-    Turn();
-  }
-
-  /// All that comes until the connection ends.
-  std::string ReadToEnd(test::RawClient& client) {
-    constexpr std::size_t kPiece = std::size_t{1} << 20;
-    std::string all;
-    bool closed = false;
-    const bool ended = TurnUntil([&] {
-      for (std::string piece; !(piece = client.ReadArrived(kPiece, closed)).empty();) {
-        all += piece;
-        Turn();
-      }
-      return closed;
-    });
-    cr_assert(ended, "The connection stays open after %zu bytes.", all.size());
-    return all;
-  }
-
-  std::string ReadAnswers(test::RawClient& client, std::size_t answers) {
-    std::string all;
-    bool closed = false;
-    const bool came = TurnUntil([&] {
-      all += client.ReadArrived(1 << 16, closed);
-      return Count(all, " 200 OK") >= answers && all.ends_with(";");
-    });
-    cr_assert(came, "Instead of %zu answers: %s", answers, all.c_str());
-    return all;
-  }
-};
-
-}  // namespace
+using namespace graniteseam::event_http::test;
 
 Test(kept_connection, request_that_arrives_as_the_idle_time_ends_is_answered) {
   SteppedServer stepped;
-  test::RawClient client(stepped.server->port());
+  RawClient client(stepped.server->port());
   client.Send(Get("/first"));
   stepped.ReadAnswers(client, 1);
   // It lies in the socket when the sweep that would end the connection is due.
@@ -147,7 +24,7 @@
 
 Test(kept_connection, request_that_crosses_the_end_of_an_idle_connection_is_not_handed_on) {
   SteppedServer stepped;
-  test::RawClient client(stepped.server->port());
+  RawClient client(stepped.server->port());
   client.Send(Get("/first"));
   stepped.ReadAnswers(client, 1);
   stepped.now += kIdle + std::chrono::seconds(1);
@@ -159,7 +36,7 @@
 
 Test(kept_connection, held_request_outlasts_idle_and_header_time) {
   SteppedServer stepped;
-  test::RawClient client(stepped.server->port());
+  RawClient client(stepped.server->port());
   client.Send(Get("/hold"));
   cr_assert(stepped.TurnUntil([&] { return !stepped.held.empty(); }));
   stepped.now += kIdle * 100;
@@ -170,7 +47,7 @@
 
 Test(kept_connection, answer_is_not_cut_while_the_client_takes_it_slowly) {
   SteppedServer stepped;
-  test::RawClient client(stepped.server->port());
+  RawClient client(stepped.server->port());
   client.Send(Get("/large"));
   std::size_t taken = 0;
   bool closed = false;
@@ -199,7 +76,7 @@
 
 Test(kept_connection, client_that_takes_nothing_of_its_answer_is_hung_up_on) {
   SteppedServer stepped;
-  test::RawClient client(stepped.server->port());
+  RawClient client(stepped.server->port());
   client.Send(Get("/large"));
   cr_assert(stepped.TurnUntil([&] { return !stepped.handed_on.empty(); }));
   cr_assert_eq(stepped.server->busy(), 1U);
@@ -210,7 +87,7 @@
 
 Test(kept_connection, client_that_ends_sending_amid_its_answer_gets_it_whole) {
   SteppedServer stepped;
-  test::RawClient client(stepped.server->port());
+  RawClient client(stepped.server->port());
   client.Send(Get("/large"));
   bool closed = false;
   std::size_t taken = 0;
@@ -225,7 +102,7 @@
 Test(kept_connection, client_that_ends_sending_before_its_answer_has_left) {
   // A closed connection looks the same, and work for a client that left must end.
   SteppedServer stepped;
-  test::RawClient client(stepped.server->port());
+  RawClient client(stepped.server->port());
   client.Send(Get("/hold") + Get("/behind"));
   cr_assert(stepped.TurnUntil([&] { return !stepped.held.empty(); }));
   client.EndSending();
@@ -235,7 +112,7 @@
 
 Test(kept_connection, request_behind_one_that_is_answered_in_a_drain_is_answered_too) {
   SteppedServer stepped;
-  test::RawClient client(stepped.server->port());
+  RawClient client(stepped.server->port());
   client.Send(Get("/hold") + Get("/behind"));
   cr_assert(stepped.TurnUntil([&] { return !stepped.held.empty(); }));
   stepped.server->BeginDrain();
@@ -250,7 +127,7 @@
 
 Test(kept_connection, request_behind_one_that_ends_the_connection_is_not_handed_on) {
   SteppedServer stepped;
-  test::RawClient client(stepped.server->port());
+  RawClient client(stepped.server->port());
   client.Send("GET /last HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n" + Get("/behind"));
   const std::string answers = stepped.ReadAnswers(client, 1);
   cr_assert(answers.ends_with("body of /last;"));
@@ -259,7 +136,7 @@
 
 Test(kept_connection, close_answers_what_was_read_and_hands_on_nothing_more) {
   SteppedServer stepped;
-  test::RawClient client(stepped.server->port());
+  RawClient client(stepped.server->port());
   client.Send(Get("/hold") + Get("/behind"));
   cr_assert(stepped.TurnUntil([&] { return !stepped.held.empty(); }));
   stepped.server->BeginDrain();
@@ -274,7 +151,7 @@
 
 Test(kept_connection, request_that_crosses_the_close_of_a_resting_connection_is_not_handed_on) {
   SteppedServer stepped;
-  test::RawClient client(stepped.server->port());
+  RawClient client(stepped.server->port());
   client.Send(Get("/first"));
   stepped.ReadAnswers(client, 1);
   client.Send(Get("/crossing"));
@@ -285,7 +162,7 @@
 
 Test(kept_connection, request_that_is_half_read_at_the_close_is_told_that_it_did_not_run) {
   SteppedServer stepped;
-  test::RawClient client(stepped.server->port());
+  RawClient client(stepped.server->port());
   client.Send("POST /late HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\n12");
   cr_assert(stepped.TurnUntil([&] { return stepped.server->connections() == 1; }));
   stepped.Turn();
@@ -300,7 +177,7 @@
 
 Test(kept_connection, close_amid_an_answer_lets_it_end_and_hands_on_nothing_more) {
   SteppedServer stepped;
-  test::RawClient client(stepped.server->port());
+  RawClient client(stepped.server->port());
   client.Send(Get("/large"));
   cr_assert(stepped.TurnUntil([&] { return !stepped.handed_on.empty(); }));
   // The answer's head did not say that the connection ends, so the client may use it again.
@@ -317,7 +194,7 @@
   constexpr int kSmallRoom = 4'096;
   constexpr std::size_t kBody = 200'000;
   SteppedServer stepped;
-  test::RawClient client(stepped.server->port(), kSmallRoom);
+  RawClient client(stepped.server->port(), kSmallRoom);
   client.Send(Get("/hold"));
   cr_assert(stepped.TurnUntil([&] { return !stepped.held.empty(); }));
   stepped.server->BeginDrain();
