Give reads an area of their own, so that no request is handed on twice

Cause: while a request is answered its connection goes on reading, into the free end of the buffer that what was read ahead is consumed from. A buffer that consuming empties goes back to its start, and what the read then brings is looked for where the old bytes still lie: they are parsed again.

Weighed: no read while a message can be consumed (no copy, but a client that leaves is not noticed while it waits behind a request sent ahead); a read buffer that is appended to when a read has ended (one copy of at most 8 KiB a read). The second is taken: ReadBuffer holds the invariant in one place, for the server and for the client pool, which was not hit since it reads only when nothing is left to consume. protocol/connection and the relay read into an array of their own; async_http_client and bounded_stream never consume while a read is pending.

HeadLimit counts what was received, in the server and in the client pool; its test fails without it (no answer in pieces of 100 and 500 bytes).

--- a/src/event_http/client_pool.cc
+++ b/src/event_http/client_pool.cc
@@ -5,7 +5,6 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <charconv>
@@ -15,6 +14,8 @@
 #include <utility>
 #include <vector>
 
+#include "src/event_http/head_limit.h"
+#include "src/event_http/read_buffer.h"
 #include "src/event_http/socket_options.h"
 #include "src/runtime/clock.h"
 #include "src/runtime/socket_address.h"
@@ -28,7 +29,6 @@
 using ErrorCode = boost::system::error_code;
 using Parser = http::response_parser<http::string_body>;
 
-constexpr std::size_t kReadBytes = 8'192;
 constexpr std::uint32_t kAnswerHeaderBytes = 65'536;
 constexpr std::chrono::milliseconds kSweepInterval{500};
 /// Of the rest that a server states: it may have begun to count earlier.
@@ -131,6 +131,7 @@
     const auto pool = pool_.lock();
     parser_->eager(true);
     parser_->header_limit(kAnswerHeaderBytes);
+    head_limit_.Begin(kAnswerHeaderBytes);
     parser_->body_limit(pool ? pool->options().answer_bytes_maximum : 0);
     parser_->skip(call_.head);
   }
@@ -186,7 +187,7 @@
           if (error) {
             // The read end tells why, and may still bring an answer.
             self->handed_over_ = bytes > 0;
-            if (!self->reading_) self->Fail(CallEnd::kLost);
+            if (!self->buffer_.pending()) self->Fail(CallEnd::kLost);
             return;
           }
           self->written_ = true;
@@ -196,31 +197,31 @@
   }
 
   void Read() {
-    if (reading_ || closed_) return;
-    reading_ = true;
-    socket_.async_read_some(buffer_.prepare(kReadBytes),
+    if (buffer_.pending() || closed_) return;
+    socket_.async_read_some(buffer_.BeginRead(),
                             [self = shared_from_this()](ErrorCode error, std::size_t bytes) {
-                              self->reading_ = false;
-                              self->OnRead(error, bytes);
+                              self->buffer_.EndRead(error ? 0 : bytes);
+                              self->OnRead(error);
                             });
   }
 
-  void OnRead(ErrorCode error, std::size_t bytes) {
+  void OnRead(ErrorCode error) {
     if (closed_) return;
     // A resting connection has nothing to read: bytes belong to no request, and an end is an end.
     if (!handler_) return Close(false);
     if (error == asio::error::eof) return OnEnd();
     if (error) return Fail(CallEnd::kLost);
-    buffer_.commit(bytes);
     Parse();
   }
 
   void Parse() {
-    while (buffer_.size() > 0 && !parser_->is_done()) {
+    while (!buffer_.empty() && !parser_->is_done()) {
       ErrorCode error;
-      const std::size_t used = parser_->put(buffer_.data(), error);
-      buffer_.consume(used);
+      const std::size_t used = parser_->put(asio::buffer(buffer_.unread()), error);
+      buffer_.Consume(used);
       if (error && error != http::error::need_more) return Fail(CallEnd::kMalformed);
+      const bool in_head = !parser_->is_header_done();
+      if (in_head && head_limit_.Exceeded(used, buffer_.size())) return Fail(CallEnd::kMalformed);
       if (parser_->is_done() && parser_->get().result_int() / 100 == 1) {
         // An interim answer; the final one follows (RFC 9110, section 15.2).
         parser_.emplace();
@@ -262,7 +263,7 @@
     result.response.head_only = call_.head;
     parser_.reset();
     timer_.cancel();
-    const bool clean = keep && written_ && buffer_.size() == 0;
+    const bool clean = keep && written_ && buffer_.empty();
     const auto pool = pool_.lock();
     if (pool) rest_limit_ = pool->options().rest_limit;
     if (const auto stated = StatedRest(result.response)) {
@@ -313,7 +314,8 @@
   Call call_;
   ClientPool::Handler handler_;
   std::optional<Parser> parser_;
-  boost::beast::flat_buffer buffer_;
+  HeadLimit head_limit_;
+  ReadBuffer buffer_;
   Instant started_at_{};
   Instant rests_since_{};
   Duration rest_limit_{};
@@ -323,7 +325,6 @@
   bool written_ = false;
   bool answered_ = false;
   bool ended_ = false;
-  bool reading_ = false;
   bool closed_ = false;
 };
 
--- a/src/event_http/server.cc
+++ b/src/event_http/server.cc
@@ -6,13 +6,14 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <optional>
 #include <set>
 #include <utility>
 
+#include "src/event_http/head_limit.h"
+#include "src/event_http/read_buffer.h"
 #include "src/event_http/socket_options.h"
 
 namespace graniteseam::event_http {
@@ -30,7 +31,6 @@
 constexpr int kBodyTooLarge = 413;
 constexpr int kHeaderTooLarge = 431;
 constexpr int kServiceUnavailable = 503;
-constexpr std::size_t kReadBytes = 8'192;
 /// What a client may send ahead while its request is being answered.
 constexpr std::size_t kReadAheadBytes = 65'536;
 constexpr std::chrono::milliseconds kSweepInterval{250};
@@ -154,17 +154,16 @@
   class ExchangeImpl;
 
   void Read() {
-    if (reading_ || closed_ || input_ended_) return;
+    if (buffer_.pending() || closed_ || input_ended_) return;
     if (busy() && buffer_.size() >= kReadAheadBytes) return;
-    reading_ = true;
-    socket_.async_read_some(buffer_.prepare(kReadBytes),
+    socket_.async_read_some(buffer_.BeginRead(),
                             [self = shared_from_this()](ErrorCode error, std::size_t bytes) {
                               self->OnRead(error, bytes);
                             });
   }
 
   void OnRead(ErrorCode error, std::size_t bytes) {
-    reading_ = false;
+    buffer_.EndRead(error || lingering_ ? 0 : bytes);
     if (closed_) return;
     // The client sends nothing more. It may still take the answer that is on its way; one that was
     // not made yet has nobody who waits for it, since a client that left looks the same.
@@ -172,8 +171,7 @@
     if (input_ended_ && writing_) return;
     if (error) return Close();
     last_activity_ = clock_();
-    if (lingering_) return Read();  // Thrown away.
-    buffer_.commit(bytes);
+    if (lingering_) return Read();  // What came was thrown away.
     Advance();
   }
 
@@ -181,12 +179,14 @@
   void Advance() {
     const auto server = server_.lock();
     if (!server) return Close();
-    while (!busy() && !lingering_ && !closed_ && buffer_.size() > 0) {
+    while (!busy() && !lingering_ && !closed_ && !buffer_.empty()) {
       if (!parser_) BeginMessage(*server);
       ErrorCode error;
-      const std::size_t used = parser_->put(buffer_.data(), error);
-      buffer_.consume(used);
+      const std::size_t used = parser_->put(asio::buffer(buffer_.unread()), error);
+      buffer_.Consume(used);
       if (error && error != http::error::need_more) return RefuseFor(error);
+      const bool in_head = !parser_->is_header_done();
+      if (in_head && head_limit_.Exceeded(used, buffer_.size())) return Refuse(kHeaderTooLarge);
       if (!CountBody(*server)) return Refuse(kServiceUnavailable);
       ExpectContinue();
       if (parser_->is_done()) {
@@ -202,6 +202,7 @@
     parser_.emplace();
     parser_->eager(true);
     parser_->header_limit(static_cast<std::uint32_t>(server.limits().header_bytes));
+    head_limit_.Begin(server.limits().header_bytes);
     parser_->body_limit(server.limits().body_bytes);
     message_start_ = clock_();
     continued_ = false;
@@ -241,7 +242,7 @@
     const auto server = server_.lock();
     // What the client sent ahead is answered before the connection ends: it was read.
     const bool leaves = !server || server->draining() || server->closing();
-    const bool close = !keep_alive_ || (leaves && buffer_.size() == 0);
+    const bool close = !keep_alive_ || (leaves && buffer_.empty());
     Write(Serialize(response, close), close);
   }
 
@@ -270,8 +271,7 @@
     if (close) return Linger();
     const auto server = server_.lock();
     // The server was closed amid an answer that did not say so.
-    if (server && server->closing())
-      return buffer_.size() == 0 ? Close() : Refuse(kServiceUnavailable);
+    if (server && server->closing()) return buffer_.empty() ? Close() : Refuse(kServiceUnavailable);
     Advance();
   }
 
@@ -281,7 +281,7 @@
     lingering_ = true;
     ErrorCode ignored;
     socket_.shutdown(Tcp::socket::shutdown_send, ignored);
-    buffer_.clear();
+    buffer_.Clear();
     Read();
   }
 
@@ -307,8 +307,9 @@
   Tcp::socket socket_;
   const std::weak_ptr<Server::Impl> server_;
   const std::function<Instant()> clock_;
-  boost::beast::flat_buffer buffer_;
+  ReadBuffer buffer_;
   std::optional<Parser> parser_;
+  HeadLimit head_limit_;
   std::shared_ptr<ExchangeImpl> exchange_;
   std::function<void()> gone_;
   std::string output_;
@@ -317,7 +318,6 @@
   Instant last_activity_{};
   bool keep_alive_ = true;
   bool continued_ = false;
-  bool reading_ = false;
   bool writing_ = false;
   bool lingering_ = false;
   bool input_ended_ = false;
--- a/tests/event_http/sent_ahead_test.cc
+++ b/tests/event_http/sent_ahead_test.cc
@@ -119,3 +119,31 @@
     }
   }
 }
+
+// Seen by the fuzz target: such a head was kept for as long as its sender went on, and neither
+// refused nor handed on, when it came in pieces.
+Test(sent_ahead, head_that_is_too_large_is_refused_however_it_is_split) {
+  constexpr std::size_t kLimit = 2'048;
+  const std::string head = "GET /x HTTP/1.1\r\nHost: a\r\nX-Long: " + std::string(2 * kLimit, 'h');
+  for (const std::size_t piece : {100U, 500U, 3'000U, 100'000U}) {
+    SteppedServer stepped;
+    ServerLimits limits;
+    limits.header_bytes = kLimit;
+    stepped.server->SetLimits(limits);
+    RawClient client(stepped.server->port());
+    const std::string bytes = Get("/first") + head + "\r\n\r\n" + Get("/behind");
+    for (std::size_t at = 0; at < bytes.size(); at += piece) {
+      client.Send(bytes.substr(at, piece));
+      stepped.Turn();
+    }
+    std::string answers;
+    bool closed = false;
+    cr_assert(stepped.TurnUntil([&] {
+      answers += client.ReadArrived(1 << 16, closed);
+      return closed;
+    }));
+    cr_assert(answers.find(" 431 ") != std::string::npos, "In pieces of %zu: %s", piece,
+              answers.c_str());
+    cr_assert(stepped.handed_on == std::vector<std::string>{"/first"});
+  }
+}
