--- a/fuzz/replay_main.cc
+++ b/fuzz/replay_main.cc
@@ -1,12 +1,15 @@
 /// @file
 /// Replays a corpus with the ordinary compiler: each file, each of its beginnings at some lengths,
-/// and each with one byte changed here and there.
+/// and each with one byte changed here and there. With `--seeds FIRST:LAST` it runs inputs of
+/// random bytes instead, one a seed.
 #include <algorithm>
 #include <cstdio>
 #include <filesystem>
 #include <fstream>
 #include <iterator>
+#include <random>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "fuzz/fuzz_target.h"
@@ -30,11 +33,35 @@
   }
 }
 
+std::string RandomInput(unsigned long seed) {
+  constexpr std::size_t kLongest = 2'048;
+  std::mt19937_64 random(seed);
+  std::string input(1 + random() % kLongest, '\0');
+  for (char& byte : input) byte = static_cast<char>(random());
+  return input;
+}
+
+/// @param text "FIRST:LAST".
+int RunSeeds(const char* text) {
+  unsigned long first = 0;
+  unsigned long last = 0;
+  if (std::sscanf(text, "%lu:%lu", &first, &last) != 2 || first > last) return 2;
+  for (unsigned long seed = first; seed <= last; ++seed) {
+    // Before the run, so that the last line names the seed that ended it.
+    std::printf("seed %lu\n", seed);
+    std::fflush(stdout);
+    Run(RandomInput(seed));
+  }
+  std::printf("%lu seeds passed.\n", last - first + 1);
+  return 0;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
+  if (argc == 3 && std::string_view(argv[1]) == "--seeds") return RunSeeds(argv[2]);
   if (argc != 2) {
-    std::fprintf(stderr, "Usage: %s CORPUS_FOLDER\n", argv[0]);
+    std::fprintf(stderr, "Usage: %s CORPUS_FOLDER | --seeds FIRST:LAST\n", argv[0]);
     return 2;
   }
   std::vector<std::filesystem::path> files;
--- a/testbed/soak/caller_connection.cc
+++ b/testbed/soak/caller_connection.cc
@@ -80,18 +80,42 @@
 }
 
 auto CallerConnection::exchange(event_http::Request const& request, Duration limit) -> ExchangeOutcome
+{
+    return exchange_ahead({&request, 1}, limit).front();
+}
+
+auto CallerConnection::exchange_ahead(std::span<event_http::Request const> requests, Duration limit)
+    -> std::vector<ExchangeOutcome>
 {
     auto const end = runtime::BootTimeNow() + limit;
-    ExchangeOutcome outcome;
-    outcome.end = ExchangeEnd::NotSent;
-    // What lies here before the request belongs to none.
-    std::array<char, 1> early {};
-    if (::recv(m_descriptor, early.data(), early.size(), MSG_PEEK) > 0) {
-        outcome.end = ExchangeEnd::Malformed;
+    std::vector<ExchangeOutcome> outcomes;
+    std::string bytes;
+    for (auto const& request : requests)
+        bytes += event_http::Serialize(request);
+    auto const early = has_early_bytes();
+    if (early || !write(bytes, end)) {
         close();
-        return outcome;
+        outcomes.emplace_back().end = early ? ExchangeEnd::Malformed : ExchangeEnd::NotSent;
+        return outcomes;
     }
-    auto const bytes = event_http::Serialize(request);
+    while (outcomes.size() < requests.size() && open()) {
+        auto& outcome = outcomes.emplace_back(read_answer(end));
+        auto const last = outcomes.size() == requests.size();
+        if (last && outcome.end == ExchangeEnd::Answered && !m_unread.empty())
+            outcome.end = ExchangeEnd::Malformed;
+        take_end(outcome);
+    }
+    return outcomes;
+}
+
+auto CallerConnection::has_early_bytes() const -> bool
+{
+    char early = 0;
+    return ::recv(m_descriptor, &early, 1, MSG_PEEK) > 0;
+}
+
+auto CallerConnection::write(std::string const& bytes, Instant end) -> bool
+{
     std::size_t sent = 0;
     while (sent < bytes.size()) {
         auto const n = ::send(m_descriptor, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
@@ -100,17 +124,18 @@
             continue;
         }
         auto const full = n < 0 && (errno == EAGAIN || errno == EINTR);
-        if (!full || !wait_for(m_descriptor, POLLOUT, end)) {
-            close();
-            return outcome;
-        }
+        if (!full || !wait_for(m_descriptor, POLLOUT, end))
+            return false;
     }
-    outcome = read_answer(end);
+    return true;
+}
+
+auto CallerConnection::take_end(ExchangeOutcome const& outcome) -> void
+{
     auto const goes_on = outcome.end == ExchangeEnd::Answered && !outcome.closes;
     m_answered = m_answered || goes_on;
     if (!goes_on)
         close();
-    return outcome;
 }
 
 auto CallerConnection::read_answer(Instant end) -> ExchangeOutcome
@@ -118,9 +143,17 @@
     ExchangeOutcome outcome;
     http::response_parser<http::string_body> parser;
     parser.eager(true);
-    std::string pending;
     std::array<char, read_bytes> buf {};
-    while (!parser.is_done()) {
+    while (true) {
+        boost::system::error_code ec;
+        auto const used = m_unread.empty() ? 0 : parser.put(boost::asio::buffer(m_unread), ec);
+        m_unread.erase(0, used);
+        if (ec && ec != http::error::need_more) {
+            outcome.end = ExchangeEnd::Malformed;
+            return outcome;
+        }
+        if (parser.is_done())
+            break;
         if (!wait_for(m_descriptor, POLLIN, end))
             return outcome;
         auto const n = ::recv(m_descriptor, buf.data(), buf.size(), 0);
@@ -130,16 +163,9 @@
             outcome.end = ExchangeEnd::Closed;
             return outcome;
         }
-        pending.append(buf.data(), static_cast<std::size_t>(n));
-        boost::system::error_code ec;
-        auto const used = parser.put(boost::asio::buffer(pending), ec);
-        pending.erase(0, used);
-        if (ec && ec != http::error::need_more) {
-            outcome.end = ExchangeEnd::Malformed;
-            return outcome;
-        }
+        m_unread.append(buf.data(), static_cast<std::size_t>(n));
     }
-    outcome.end = pending.empty() ? ExchangeEnd::Answered : ExchangeEnd::Malformed;
+    outcome.end = ExchangeEnd::Answered;
     auto const& message = parser.get();
     outcome.closes = !message.keep_alive();
     outcome.response.status = static_cast<int>(message.result_int());
--- a/testbed/soak/caller_connection.h
+++ b/testbed/soak/caller_connection.h
@@ -3,7 +3,9 @@
 /// closed before, in or after an answer.
 #pragma once
 
+#include <span>
 #include <string>
+#include <vector>
 
 #include "graniteseam/common/time.h"
 #include "src/event_http/message.h"
@@ -24,7 +26,7 @@
     bool closes = false; ///< The answer says that the connection ends with it.
 };
 
-/// Not thread safe. One exchange at a time.
+/// Not thread safe. One series of requests at a time.
 class CallerConnection {
 public:
     /// Connects, or is not open() afterwards.
@@ -41,11 +43,24 @@
     /// connection it is not open any more.
     auto exchange(event_http::Request const&, Duration limit) -> ExchangeOutcome;
 
+    /// Sends all requests in one piece and waits for their answers, which come in the same order. It ends
+    /// with the first end but a whole answer that keeps the connection, which is not open any more then.
+    /// @param limit for all of them together.
+    /// @return what came, one for each request at most; requests behind the last of them have no answer.
+    auto exchange_ahead(std::span<event_http::Request const>, Duration limit) -> std::vector<ExchangeOutcome>;
+
 private:
     auto close() -> void;
+    /// Whether bytes lie here that answer nothing.
+    auto has_early_bytes() const -> bool;
+    auto write(std::string const& bytes, Instant end) -> bool;
+    /// Notes what the answer says of the connection, and closes it where it does not go on.
+    auto take_end(ExchangeOutcome const&) -> void;
+    /// Leaves what came behind the answer in m_unread.
     auto read_answer(Instant end) -> ExchangeOutcome;
 
     int m_descriptor = -1;
+    std::string m_unread; ///< Came behind the last answer.
     bool m_answered = false;
 };
 
--- a/testbed/soak/load.cc
+++ b/testbed/soak/load.cc
@@ -1,5 +1,6 @@
 #include "testbed/soak/load.h"
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <nlohmann/json.hpp>
@@ -38,6 +39,7 @@
     constexpr auto rest_of_operator = std::chrono::milliseconds(4'000);
     /// Apart from the numbers that versions are drawn from.
     constexpr std::uint64_t form_salt = 0x5eed'0f5a'4a9e'0002;
+    constexpr std::size_t all_kinds = 4; ///< Of requests; the last one is of those that may not be repeated.
     constexpr std::uint32_t keys_asked_for = 64;
     constexpr std::uint32_t key_distance = 1'021;
 
@@ -132,11 +134,12 @@
         return static_cast<std::uint32_t>(it.random() % it.endpoints.routers.size());
     }
 
-    auto next_request(Caller& it, SeenAnswer& answer) -> event_http::Request
+    /// @param kinds of the four paths, from the first on.
+    auto next_request(Caller& it, SeenAnswer& answer, std::size_t kinds) -> event_http::Request
     {
         auto const& names = it.endpoints.names;
         constexpr auto paths = std::to_array<char const*>({"/keyed/x", "/leased/x", "/safe/x", "/unsafe/x"});
-        auto const kind = it.random() % paths.size();
+        auto const kind = it.random() % std::min(kinds, paths.size());
         auto const keyed = kind < 2;
         auto const unsafe = kind == 3;
         answer.may_repeat = !unsafe;
@@ -170,9 +173,9 @@
             note(it, result.response, answer);
     }
 
-    /// Uses the connection that is open, or opens one: to the same router as before, or to another one
+    /// Keeps the connection that is open, or opens one: to the same router as before, or to another one
     /// where that takes none.
-    auto call_kept(Caller& it, event_http::Request const& request, SeenAnswer& answer) -> void
+    auto connect(Caller& it) -> void
     {
         for (int opened = 0; opened < connections_tried && !(it.connection && it.connection->open());
              ++opened) {
@@ -180,12 +183,17 @@
                 it.router = draw_router(it);
             it.connection.emplace(it.endpoints.routers[it.router], connect_limit);
         }
+    }
+
+    auto note_sending(Caller const& it, SeenAnswer& answer) -> void
+    {
         answer.router = it.router;
         answer.sent = answer.ended = runtime::BootTimeNow();
-        if (!it.connection->open())
-            return;
         answer.kept = it.connection->kept();
-        auto const outcome = it.connection->exchange(request, call_limit);
+    }
+
+    auto note_end(Caller const& it, ExchangeOutcome const& outcome, SeenAnswer& answer) -> void
+    {
         answer.ended = runtime::BootTimeNow();
         answer.closed = outcome.end == ExchangeEnd::Closed;
         if (outcome.end == ExchangeEnd::Malformed)
@@ -194,6 +202,43 @@
             note(it, outcome.response, answer);
     }
 
+    auto call_kept(Caller& it, event_http::Request const& request, SeenAnswer& answer) -> void
+    {
+        connect(it);
+        note_sending(it, answer);
+        if (it.connection->open())
+            note_end(it, it.connection->exchange(request, call_limit), answer);
+    }
+
+    auto attempt_name(CallerOptions const& options, std::size_t number) -> std::string
+    {
+        return options.name + "-" + std::to_string(number);
+    }
+
+    /// Sends one to eight requests in one piece and takes their answers in that order.
+    auto call_ahead(Caller& it, CallerOptions const& options, std::vector<SeenAnswer>& answers) -> void
+    {
+        constexpr std::size_t longest = 8;
+        auto const kinds = options.style == CallerStyle::SafeAhead ? all_kinds - 1 : all_kinds;
+        auto const first = answers.size();
+        std::vector<event_http::Request> requests(1 + it.random() % longest);
+        connect(it);
+        for (auto& request : requests) {
+            auto& answer = answers.emplace_back();
+            answer.attempt = attempt_name(options, answers.size() - 1);
+            request = next_request(it, answer, kinds);
+            note_sending(it, answer);
+        }
+        if (!it.connection->open())
+            return;
+        auto const outcomes = it.connection->exchange_ahead(requests, call_limit);
+        for (std::size_t i = 0; i < outcomes.size(); ++i) {
+            note_end(it, outcomes[i], answers[first + i]);
+            auto const* id = outcomes[i].response.fields.Find(it.endpoints.names.attempt_id);
+            answers[first + i].out_of_order = id != nullptr && *id != answers[first + i].attempt;
+        }
+    }
+
 } // namespace
 
 auto run_caller(Endpoints const& endpoints, CallerOptions const& options, std::stop_token const& stop)
@@ -202,9 +247,14 @@
     Caller it {endpoints, std::mt19937_64(options.seed), {}, {}, 0};
     std::vector<SeenAnswer> answers;
     while (!stop.stop_requested()) {
+        if (options.style == CallerStyle::Ahead || options.style == CallerStyle::SafeAhead) {
+            call_ahead(it, options, answers);
+            std::this_thread::sleep_for(pause_of_callers);
+            continue;
+        }
         SeenAnswer answer;
-        answer.attempt = options.name + "-" + std::to_string(answers.size());
-        auto const request = next_request(it, answer);
+        answer.attempt = attempt_name(options, answers.size());
+        auto const request = next_request(it, answer, all_kinds);
         switch (options.style) {
         case CallerStyle::Pooled:
             call_pooled(it, request, answer);
@@ -217,6 +267,9 @@
             it.router = draw_router(it);
             call_kept(it, request, answer);
             break;
+        case CallerStyle::Ahead:
+        case CallerStyle::SafeAhead:
+            break; // Taken above.
         }
         answers.push_back(std::move(answer));
         std::this_thread::sleep_for(pause_of_callers);
--- a/testbed/soak/load.h
+++ b/testbed/soak/load.h
@@ -22,6 +22,8 @@
     Pooled, ///< Some connections to each router, used again where one rests.
     Kept, ///< One connection, used until it is closed; then one to the same router, while that answers.
     Fresh, ///< A connection for each request.
+    Ahead, ///< As Kept, with further requests sent before the first is answered; of all kinds.
+    SafeAhead, ///< The same, with only such as may be repeated.
 };
 
 struct CallerOptions {
--- a/testbed/soak/promises.cc
+++ b/testbed/soak/promises.cc
@@ -46,6 +46,8 @@
             if (!answer.own)
                 add(breaches, "own_answer",
                     answer.attempt + " got an answer that is not its own or not whole");
+            if (answer.out_of_order)
+                add(breaches, "answers_in_order", answer.attempt + " got the answer of another attempt");
             if (answer.status / 100 == 2 && n == 0)
                 add(breaches, "own_answer", answer.attempt + " succeeded and no worker ran it");
         }
--- a/testbed/soak/promises.h
+++ b/testbed/soak/promises.h
@@ -26,6 +26,7 @@
     bool unconfirmed = false; ///< Refused since the router was not sure of its configuration.
     bool crashes = false; ///< Asks for what ends each worker that runs it.
     bool quarantined = false; ///< Refused since servers ended under what it asks for.
+    bool out_of_order = false; ///< Sent ahead; the answer in its place names another attempt.
 };
 
 /// One change of the configuration, or one resend of it, as the operator saw it.
--- a/testbed/soak/run_shape.h
+++ b/testbed/soak/run_shape.h
@@ -18,6 +18,8 @@
     std::uint32_t pooled_callers = 2;
     std::uint32_t kept_callers = 5;
     std::uint32_t fresh_callers = 2;
+    std::uint32_t ahead_callers = 1; ///< That send requests of all kinds ahead.
+    std::uint32_t safe_ahead_callers = 1; ///< That send only such ahead as may be repeated.
     std::uint32_t faults = 20;
     Duration heartbeat {200'000};
     std::uint32_t losses_tolerated = 1;
--- a/testbed/soak/soak.cc
+++ b/testbed/soak/soak.cc
@@ -245,6 +245,8 @@
         add(shape.pooled_callers, CallerStyle::Pooled);
         add(shape.kept_callers, CallerStyle::Kept);
         add(shape.fresh_callers, CallerStyle::Fresh);
+        add(shape.ahead_callers, CallerStyle::Ahead);
+        add(shape.safe_ahead_callers, CallerStyle::SafeAhead);
         return all;
     }
 
--- a/tests/soak/promises_test.cc
+++ b/tests/soak/promises_test.cc
@@ -111,6 +111,13 @@
     assert_only(seen, "own_answer");
 }
 
+Test(promises, answer_in_the_place_of_another_attempt_is_seen)
+{
+    auto seen = whole();
+    seen.answers.front().out_of_order = true;
+    assert_only(seen, "answers_in_order");
+}
+
 Test(promises, run_that_nobody_asked_for)
 {
     auto seen = whole();
