Keep a message to many routers once, and little for a connection that says little

Cause: each of a control process's connections to routers had a read buffer of 64 KiB and a copy of every message that waited to be sent: a state of 1.5 MB for each of a thousand routers that start together is 1.5 GB.

Change: an encoded message to several routers is one frame, which their connections share; short frames are copied, since each piece costs a write its part. Read buffers begin at 2 KiB and grow while reads fill them.

--- a/src/protocol/connection.cc
+++ b/src/protocol/connection.cc
@@ -29,6 +29,11 @@
 // 5 s: longer than a dialling side that is there says nothing.
 constexpr int kSilentLooks = 20;
 
+constexpr std::size_t kReadBytesAtFirst = 2'048;
+constexpr std::size_t kReadBytesMaximum = 65'536;
+/// A shorter frame is copied: that costs less than a piece of its own in each write.
+constexpr std::size_t kSharedBytesMinimum = 4'096;
+
 void SetOption(int descriptor, int level, int name, int value) {
   // A refusal only costs speed of detection, so it is not an error.
   setsockopt(descriptor, level, name, &value, sizeof(value));
@@ -53,7 +58,8 @@
       tls_(tls),
       metrics_(metrics),
       limits_(limits),
-      deadline_(socket_.get_executor()) {}
+      deadline_(socket_.get_executor()),
+      read_buffer_(kReadBytesAtFirst) {}
 
 /// Runs `operation` on the TLS stream or, when TLS is off, on the socket.
 template <class Operation>
@@ -109,17 +115,31 @@
 }
 
 bool Connection::Send(std::string_view payload) {
-  const bool fits = FitsFrame(payload) && waiting_.size() + in_flight_.size() + payload.size() <=
-                                              limits_.queue_bytes_maximum;
-  if (!ready_ || closed_ || refused_ || !fits) {
-    metrics_.frames_dropped.Increment();
-    return false;
-  }
+  if (!HasRoomFor(payload.size())) return false;
   Queue(EncodeFrame(FrameKind::kMessage, payload));
   NoteSent();
   return true;
 }
 
+bool Connection::SendFrame(std::shared_ptr<const std::string> frame) {
+  if (!HasRoomFor(frame->size() - kFrameHeaderBytes)) return false;
+  if (frame->size() < kSharedBytesMinimum) {
+    Queue(*frame);
+  } else {
+    Queue(std::move(frame));
+  }
+  NoteSent();
+  return true;
+}
+
+bool Connection::HasRoomFor(std::size_t bytes) {
+  const bool fits =
+      bytes <= kFramePayloadMaximum && queued_bytes_ + bytes <= limits_.queue_bytes_maximum;
+  if (ready_ && !closed_ && !refused_ && fits) return true;
+  metrics_.frames_dropped.Increment();
+  return false;
+}
+
 void Connection::Watch() {
   if (!ready_ || closed_ || refused_) return;
   if (side_ == Side::kDialled) {
@@ -166,8 +186,20 @@
 }
 
 void Connection::Queue(std::string_view frame) {
+  if (waiting_.empty() || waiting_.back().shared) waiting_.emplace_back();
+  waiting_.back().own += frame;
+  queued_bytes_ += frame.size();
+  WriteIfIdle();
+}
+
+void Connection::Queue(std::shared_ptr<const std::string> frame) {
+  queued_bytes_ += frame->size();
+  waiting_.push_back({{}, std::move(frame)});
+  WriteIfIdle();
+}
+
+void Connection::WriteIfIdle() {
   metrics_.frames_sent.Increment();
-  waiting_ += frame;
   if (!writing_) Write();
 }
 
@@ -175,8 +207,11 @@
   writing_ = true;
   in_flight_.clear();
   in_flight_.swap(waiting_);
-  OnStream([this](auto& stream) {
-    asio::async_write(stream, asio::buffer(in_flight_),
+  std::vector<asio::const_buffer> buffers;
+  buffers.reserve(in_flight_.size());
+  for (const Output& output : in_flight_) buffers.push_back(asio::buffer(output.bytes()));
+  OnStream([&](auto& stream) {
+    asio::async_write(stream, buffers,
                       [self = shared_from_this()](ErrorCode error, std::size_t /*bytes*/) {
                         self->OnWritten(error);
                       });
@@ -186,7 +221,10 @@
 void Connection::OnWritten(ErrorCode error) {
   if (closed_) return;
   if (error) return CloseFor(error);
-  metrics_.bytes_sent.Increment(static_cast<double>(in_flight_.size()));
+  std::size_t written = 0;
+  for (const Output& output : in_flight_) written += output.bytes().size();
+  metrics_.bytes_sent.Increment(static_cast<double>(written));
+  queued_bytes_ -= written;
   writing_ = false;
   in_flight_.clear();
   if (!waiting_.empty()) return Write();
@@ -214,6 +252,7 @@
   NoteReceived();
   if (refused_) return Read();
   reader_.Feed({read_buffer_.data(), bytes});
+  if (bytes == read_buffer_.size() && bytes < kReadBytesMaximum) read_buffer_.resize(2 * bytes);
   if (!TakeFrames()) return ReadOn();
   if (ready_ && !reader_.InFrame()) {
     DisarmDeadline();
--- a/src/protocol/connection.h
+++ b/src/protocol/connection.h
@@ -2,7 +2,6 @@
 /// One framed connection between two of the system's own processes, dialled or accepted.
 #pragma once
 
-#include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ssl/stream.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -10,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "src/protocol/connection_limits.h"
 #include "src/protocol/frame.h"
@@ -59,6 +59,9 @@
   /// Queues one message.
   /// @return false when it does not fit the queue or the connection is not ready.
   bool Send(std::string_view payload);
+  /// The same of a frame that EncodeFrame() made, and that other connections may send too: it is
+  /// kept once for all of them.
+  bool SendFrame(std::shared_ptr<const std::string> frame);
 
   /// Finds out that the other side hears nothing, or that nothing comes from it any more. To be
   /// called each kWatchInterval.
@@ -94,7 +97,10 @@
   std::optional<Error> TakeFrame(Frame frame);
   std::optional<Error> TakeHello(const Frame& frame);
   static Error ReadRefusal(const Frame& frame);
+  bool HasRoomFor(std::size_t bytes);
   void Queue(std::string_view frame);
+  void Queue(std::shared_ptr<const std::string> frame);
+  void WriteIfIdle();
   void Write();
   void OnWritten(ErrorCode error);
   void EndSending();
@@ -124,9 +130,17 @@
   bool deadline_armed_ = false;
   std::uint64_t deadline_generation_ = 0;
   FrameReader reader_;
-  std::array<char, 65'536> read_buffer_;
-  std::string waiting_;    ///< Frames queued while a write is under way.
-  std::string in_flight_;  ///< Frames being written.
+  /// Small until much comes at once: a thousand routers' connections tell little each.
+  std::vector<char> read_buffer_;
+  /// Frames of this connection alone, or one that it shares with others.
+  struct Output {
+    std::string own;
+    std::shared_ptr<const std::string> shared;
+    std::string_view bytes() const { return shared ? *shared : own; }
+  };
+  std::vector<Output> waiting_;    ///< Queued while a write is under way.
+  std::vector<Output> in_flight_;  ///< Being written.
+  std::size_t queued_bytes_ = 0;   ///< Of both.
   /// The dialling side sent something, and the accepting side got something, that is not answered.
   bool unanswered_ = false;
   int silent_looks_ = 0;  ///< Calls of Watch() since it is unanswered, or since something came.
--- a/src/protocol/internal_server.cc
+++ b/src/protocol/internal_server.cc
@@ -8,6 +8,7 @@
 
 #include "graniteseam/codec/codec.h"
 #include "src/protocol/connection.h"
+#include "src/protocol/frame.h"
 #include "src/runtime/log.h"
 
 namespace graniteseam::protocol {
@@ -31,7 +32,7 @@
   void Accept();
   /// One timer for all connections: hundreds of their own would wake the process as often.
   void WatchLater();
-  void SendToRouter(RouterConnectionId id, const std::string& payload);
+  void SendToRouter(RouterConnectionId id, std::shared_ptr<const std::string> frame);
   void Disconnect();
 
   runtime::EventLoop& loop() { return loop_; }
@@ -158,10 +159,11 @@
   if (was_router) handlers_.on_router_disconnected(id);
 }
 
-void InternalServer::Impl::SendToRouter(RouterConnectionId id, const std::string& payload) {
+void InternalServer::Impl::SendToRouter(RouterConnectionId id,
+                                        std::shared_ptr<const std::string> frame) {
   const auto found = clients_.find(id);
   if (found == clients_.end()) return;
-  if (found->second.connection->Send(payload)) return;
+  if (found->second.connection->SendFrame(std::move(frame))) return;
   found->second.connection->Close({ErrorKind::kOverloaded,
                                    "The router does not take its messages fast enough.",
                                    "Check the router and the network between."});
@@ -190,9 +192,9 @@
 void InternalServer::SendToRouter(RouterConnectionId connection,
                                   std::shared_ptr<const control::ControlToRouter> message) {
   asio::post(encoder_.context(), [this, connection, message = std::move(message)] {
-    const auto payload = EncodeOnce(message);
+    const auto frame = EncodeOnce(message);
     asio::post(impl_->loop().context(),
-               [impl = impl_, connection, payload] { impl->SendToRouter(connection, *payload); });
+               [impl = impl_, connection, frame] { impl->SendToRouter(connection, frame); });
   });
 }
 
@@ -206,13 +208,14 @@
 std::shared_ptr<const std::string> InternalServer::EncodeOnce(
     const std::shared_ptr<const control::ControlToRouter>& message) {
   if (message == encoded_message_) return encoded_;
-  auto payload = std::make_shared<const std::string>(codec::Encode(*message));
+  auto frame = std::make_shared<const std::string>(
+      EncodeFrame(FrameKind::kMessage, codec::Encode(*message)));
   // One that nobody else holds does not come again.
   if (message.use_count() > 1) {
     encoded_message_ = message;
-    encoded_ = payload;
+    encoded_ = frame;
   }
-  return payload;
+  return frame;
 }
 
 void InternalServer::Disconnect() {
--- a/src/protocol/internal_server.h
+++ b/src/protocol/internal_server.h
@@ -74,6 +74,7 @@
 
  private:
   /// On the encoder's thread only.
+  /// @return the frame.
   std::shared_ptr<const std::string> EncodeOnce(
       const std::shared_ptr<const control::ControlToRouter>& message);
 
