Tell members of a commit within milliseconds where they pass it on

Cause: a follower learns of a commit with the next entries or heartbeat, up to 100 ms later on the users' machines. That is soon enough for one that only keeps the log; a member that brings the state to routers is as late there.

Change: option commit_told_within (0: off, as before): the leader sends an empty append to members that were not sent the commit index, merged over that time.

--- a/include/graniteseam/consensus/raft_consensus.h
+++ b/include/graniteseam/consensus/raft_consensus.h
@@ -19,6 +19,9 @@
   Duration election_timeout_maximum{450'000};
   /// Shorter than election_timeout_minimum by more than two clocks may drift apart meanwhile.
   Duration leader_lease{200'000};
+  /// Within this the other members hear of a commit, also when nothing follows it. 0: with the next
+  /// entries or heartbeat, which is soon enough for members that only keep the log.
+  Duration commit_told_within{0};
   std::size_t append_bytes_maximum = 1 << 20;
   std::size_t snapshot_chunk_bytes = 1 << 18;
   std::size_t entries_kept_after_snapshot = 1'000;
--- a/src/consensus/leader.cc
+++ b/src/consensus/leader.cc
@@ -22,6 +22,7 @@
   leader_ = self_;
   leader_since_ = now;
   established_at_.reset();
+  commit_told_due_ = Instant::max();
   transfer_target_.reset();
   progress_.clear();
   round_sent_at_.clear();
@@ -40,11 +41,20 @@
     BecomeFollower(hard_state_.term, std::nullopt, now);
     return;
   }
+  if (now >= commit_told_due_) TellCommit();
   if (now < next_heartbeat_) return;
   StartRound(now);
   Heartbeat(now);
 }
 
+void RaftConsensus::Impl::TellCommit() {
+  commit_told_due_ = Instant::max();
+  for (const Member& peer : OtherMembers()) {
+    PeerProgress& progress = progress_.at(VoteKey(peer));
+    if (progress.commit_told < commit_index_) SendEmptyAppend(peer, progress);
+  }
+}
+
 void RaftConsensus::Impl::StartRound(Instant now) {
   ++round_;
   round_sent_at_[round_] = now;
@@ -109,10 +119,12 @@
       commit_index_,          round_};
   progress.in_flight_end = request.entries.back().index;
   progress.in_flight_since = now;
+  progress.commit_told = commit_index_;
   Send(peer, std::move(request));
 }
 
-void RaftConsensus::Impl::SendEmptyAppend(const Member& peer, const PeerProgress& progress) {
+void RaftConsensus::Impl::SendEmptyAppend(const Member& peer, PeerProgress& progress) {
+  progress.commit_told = commit_index_;
   // Index 0 matches everywhere, so that a heartbeat never fails for what was compacted here.
   const auto term = log_.TermAt(progress.match);
   const LogIndex previous = term ? progress.match : LogIndex{};
@@ -159,7 +171,11 @@
     durable.push_back(own ? durable_index_ : progress_.at(VoteKey(voter)).match);
   }
   const LogIndex reached = ReachedByQuorum(std::move(durable), QuorumSize());
-  if (reached > commit_index_ && log_.TermAt(reached) == hard_state_.term) AdvanceCommit(reached);
+  if (reached > commit_index_ && log_.TermAt(reached) == hard_state_.term) {
+    AdvanceCommit(reached);
+    const bool told = options_.commit_told_within > Duration{};
+    if (told) commit_told_due_ = std::min(commit_told_due_, now + options_.commit_told_within);
+  }
   if (!established_at_ && commit_index_ >= noop_index_) {
     established_at_ = now;
     effects_.role_changed = true;
--- a/src/consensus/raft_consensus.cc
+++ b/src/consensus/raft_consensus.cc
@@ -46,7 +46,7 @@
 Instant RaftConsensus::Impl::NextTick() const {
   if (role_ == Role::kLeader) {
     const Instant step_down = QuorumRoundSentAt() + options_.election_timeout_maximum;
-    Instant next = std::min(next_heartbeat_, step_down);
+    Instant next = std::min({next_heartbeat_, step_down, commit_told_due_});
     if (transfer_target_) next = std::min(next, transfer_deadline_);
     return next;
   }
--- a/src/consensus/raft_impl.h
+++ b/src/consensus/raft_impl.h
@@ -95,7 +95,9 @@
   void Heartbeat(Instant now);
   void SendNext(const Member& peer, PeerProgress& progress, Instant now);
   void SendEntries(const Member& peer, PeerProgress& progress, Instant now);
-  void SendEmptyAppend(const Member& peer, const PeerProgress& progress);
+  void SendEmptyAppend(const Member& peer, PeerProgress& progress);
+  /// Tells the commit index to the members that were not sent it yet.
+  void TellCommit();
   void OnAppendResponse(const Member& from, const AppendResponse& response, Instant now);
   /// Takes what every answer to a leader says: its term and the round it answers.
   /// @return the sender's progress; null when the answer is not for this leader's term.
@@ -165,6 +167,7 @@
   std::int64_t round_ = 0;
   std::map<std::int64_t, Instant> round_sent_at_;  ///< From the newest answered round on.
   Instant next_heartbeat_;
+  Instant commit_told_due_ = Instant::max();
   Instant leader_since_;
   LogIndex noop_index_;
   LogIndex commit_at_round_start_;
--- a/tests/consensus/raft_consensus_test.cc
+++ b/tests/consensus/raft_consensus_test.cc
@@ -6,6 +6,7 @@
 
 using graniteseam::ErrorKind;
 using graniteseam::consensus::Announcement;
+using graniteseam::consensus::ConsensusOptions;
 using graniteseam::consensus::Role;
 using graniteseam::consensus::test::VirtualCluster;
 
@@ -92,3 +93,29 @@
   cr_assert_eq(announced.size(), 1U);
   cr_assert(announced[0] == cluster.MemberOf(1));
 }
+
+// Members bring the state to routers: what they learn of a commit only with the next heartbeat is
+// as late at the routers.
+Test(raft_consensus, followers_hear_of_a_commit_without_waiting_for_a_heartbeat) {
+  ConsensusOptions options;
+  options.heartbeat_interval = std::chrono::milliseconds(100);
+  options.commit_told_within = std::chrono::milliseconds(5);
+  VirtualCluster cluster(3, 11, {}, options);
+  cr_assert(cluster.RunUntil([&] { return cluster.Leader() != 0; }));
+  cluster.Run(std::chrono::seconds(1));
+  for (int change = 0; change < 20; ++change) {
+    const std::uint64_t leader = cluster.Leader();
+    const std::size_t before = cluster.Applied(leader).size();
+    cr_assert(cluster.Propose(leader, {"change-" + std::to_string(change)}));
+    cr_assert(cluster.RunUntil([&] { return cluster.Applied(leader).size() > before; }));
+    const auto at_all = [&] {
+      for (std::uint64_t id = 1; id <= 3; ++id) {
+        if (cluster.Applied(id).size() <= before) return false;
+      }
+      return true;
+    };
+    // The 5 ms, a message, and steps of a millisecond.
+    cr_assert(cluster.RunUntil(at_all, std::chrono::milliseconds(10)), "change %d", change);
+    cluster.Run(std::chrono::milliseconds(7 * change));
+  }
+}
