Soak with two tenants: keys, a quota that binds, forged names

Workers record the tenant that a request names and whether they saw a key. Promises own_tenant, known_key, key_hidden and quota, each with a test that sees it broken. Routes that are only probed ask for no key.

--- a/testbed/registered/worker.cc
+++ b/testbed/registered/worker.cc
@@ -246,6 +246,9 @@
     WorkerRun run{
         options_.id, id == nullptr ? "" : *id, key, holder == nullptr ? 0 : holder->fence, now,
         {},          options_.service};
+    const std::string* tenant = request.fields.Find(options_.names.tenant);
+    if (tenant != nullptr) run.tenant = *tenant;
+    run.saw_api_key = request.fields.Find("Authorization") != nullptr;
     if (options_.keyed) working_.insert(*key);
     auto const until = holder == nullptr ? Instant::max() : holder->until;
     auto timer = std::make_shared<asio::steady_timer>(loop_.context(), options_.work);
--- a/testbed/registered/worker.h
+++ b/testbed/registered/worker.h
@@ -53,6 +53,8 @@
   Instant begun{};
   Instant ended{};
   std::string service;
+  std::string tenant{};      ///< As the request named it.
+  bool saw_api_key = false;  ///< The request still had it.
 };
 
 /// Keys that a worker held from one grant or renewal on, until the next one of them or their end.
--- a/testbed/soak/load.cc
+++ b/testbed/soak/load.cc
@@ -13,6 +13,7 @@
 #include "testbed/soak/caller_connection.h"
 #include "testbed/soak/probes.h"
 #include "testbed/soak/routed_paths.h"
+#include "testbed/soak/tenants.h"
 
 namespace graniteseam::testbed::soak {
 
@@ -40,6 +41,7 @@
     /// Apart from the numbers that versions are drawn from.
     constexpr std::uint64_t form_salt = 0x5eed'0f5a'4a9e'0002;
     constexpr std::size_t all_kinds = 4; ///< Of requests; the last one is of those that may not be repeated.
+    constexpr std::uint64_t unknown_key_every = 40;
     constexpr std::uint32_t keys_asked_for = 64;
     constexpr std::uint32_t key_distance = 1'021;
 
@@ -123,7 +125,9 @@
 
     struct Caller {
         Endpoints const& endpoints;
+        CallerOptions const& options;
         std::mt19937_64 random;
+        std::mt19937_64 random_keys; ///< Apart, so that a seed's requests stay what they were.
         HttpCaller pooled;
         std::optional<CallerConnection> connection;
         std::uint32_t router = 0; ///< That the connection leads to.
@@ -134,6 +138,17 @@
         return static_cast<std::uint32_t>(it.random() % it.endpoints.routers.size());
     }
 
+    /// Shows its tenant's key, now and then one that nobody has, and claims to be somebody else.
+    auto show_key(Caller& it, event_http::Request& request, SeenAnswer& answer) -> void
+    {
+        auto const& tenant = it.options.limited ? limited_tenant() : unlimited_tenant();
+        answer.unknown_key = it.random_keys() % unknown_key_every == 0;
+        answer.tenant = answer.unknown_key ? "" : tenant.name;
+        request.fields.Add("Authorization",
+            "Bearer " + (answer.unknown_key ? std::string(unknown_api_key) : tenant.api_key));
+        request.fields.Add(it.endpoints.names.tenant, "somebody-else");
+    }
+
     /// @param kinds of the four paths, from the first on.
     auto next_request(Caller& it, SeenAnswer& answer, std::size_t kinds) -> event_http::Request
     {
@@ -149,6 +164,7 @@
         request.fields.Add("Host", "a.example");
         request.fields.Add(names.attempt_id, answer.attempt);
         request.fields.Add(names.time_left_ms, "2000");
+        show_key(it, request, answer);
         if (keyed)
             request.fields.Add(names.key, std::to_string(it.random() % keys_asked_for * key_distance));
         if (unsafe)
@@ -244,7 +260,7 @@
 auto run_caller(Endpoints const& endpoints, CallerOptions const& options, std::stop_token const& stop)
     -> std::vector<SeenAnswer>
 {
-    Caller it {endpoints, std::mt19937_64(options.seed), {}, {}, 0};
+    Caller it {endpoints, options, std::mt19937_64(options.seed), std::mt19937_64(~options.seed), {}, {}, 0};
     std::vector<SeenAnswer> answers;
     while (!stop.stop_requested()) {
         if (options.style == CallerStyle::Ahead || options.style == CallerStyle::SafeAhead) {
@@ -293,6 +309,7 @@
         SeenAnswer answer;
         answer.attempt = "x-" + std::to_string(answers.size());
         answer.crashes = true;
+        answer.tenant = unlimited_tenant().name;
         answer.router = static_cast<std::uint32_t>(random() % endpoints.routers.size());
         answer.sent = runtime::BootTimeNow();
         event_http::Request request;
@@ -302,6 +319,7 @@
         request.fields.Add("Host", "a.example");
         request.fields.Add(endpoints.names.attempt_id, answer.attempt);
         request.fields.Add(endpoints.names.time_left_ms, "2000");
+        request.fields.Add("Authorization", "Bearer " + unlimited_tenant().api_key);
         auto const result = caller.Call(endpoints.routers[answer.router], request, call_limit);
         answer.ended = runtime::BootTimeNow();
         if (result.end == CallEnd::kAnswered) {
--- a/testbed/soak/load.h
+++ b/testbed/soak/load.h
@@ -30,6 +30,7 @@
     std::uint64_t seed = 0;
     std::string name; ///< Its attempts begin with it.
     CallerStyle style = CallerStyle::Pooled;
+    bool limited = false; ///< Sends as the tenant whose quota is far below that.
 };
 
 /// Sends attempts until it is told to stop: keyed ones of both forms, ones that may be repeated, ones that
--- a/testbed/soak/promises.cc
+++ b/testbed/soak/promises.cc
@@ -6,6 +6,7 @@
 #include <tuple>
 
 #include "testbed/soak/calm.h"
+#include "testbed/soak/tenants.h"
 #include "testbed/soak/version_promises.h"
 
 namespace graniteseam::testbed::soak {
@@ -20,6 +21,7 @@
     constexpr std::size_t lost_allowed = 3;
     /// The callers wait for so long; a close after it says nothing.
     constexpr Duration callers_deadline {2'000'000};
+    constexpr Duration quota_window {5'000'000};
     /// A grant counts only if it comes later than this after its sender went on.
     constexpr Duration thaw_slack {300'000};
 
@@ -57,6 +59,47 @@
         }
     }
 
+    /// Servers see whose request it is, and no key; a key that nobody has runs nothing.
+    auto check_tenants(Observed const& seen, std::vector<Breach>& breaches) -> void
+    {
+        std::map<std::string, SeenAnswer const*> answers;
+        for (auto const& answer : seen.answers)
+            answers[answer.attempt] = &answer;
+        for (auto const& run : seen.runs) {
+            auto const it = answers.find(run.attempt);
+            if (it != answers.end() && it->second->tenant != run.tenant)
+                add(breaches, "own_tenant",
+                    run.attempt + " of tenant '" + it->second->tenant + "' ran as one of '" + run.tenant
+                        + "'");
+            if (it != answers.end() && it->second->unknown_key)
+                add(breaches, "known_key", run.attempt + " ran under a key that nobody has");
+            if (run.saw_api_key)
+                add(breaches, "key_hidden", run.attempt + " came to " + run.worker + " with its key");
+        }
+    }
+
+    auto check_quota(Observed const& seen, SoakTenant const& tenant, std::vector<Breach>& breaches) -> void
+    {
+        std::vector<Instant> begun;
+        for (auto const& run : seen.runs) {
+            if (run.tenant == tenant.name)
+                begun.push_back(run.begun);
+        }
+        std::sort(begun.begin(), begun.end());
+        auto const allowed = allowed_in_window(tenant);
+        std::size_t most = 0;
+        std::size_t first = 0;
+        for (std::size_t last = 0; last < begun.size(); ++last) {
+            while (begun[last] - begun[first] >= quota_window)
+                ++first;
+            most = std::max(most, last - first + 1);
+        }
+        if (most > allowed)
+            add(breaches, "quota",
+                std::to_string(most) + " requests of tenant " + tenant.name + " within 5 s, "
+                    + std::to_string(allowed) + " allowed");
+    }
+
     auto key_text(std::string const& service, std::uint32_t key) -> std::string
     {
         return (service.empty() ? "" : service + " ") + "key " + std::to_string(key);
@@ -333,6 +376,8 @@
 {
     std::vector<Breach> breaches;
     check_runs_of_answers(seen, breaches);
+    check_tenants(seen, breaches);
+    check_quota(seen, limited_tenant(), breaches);
     check_owners(seen, breaches);
     check_changes(seen, breaches);
     check_holds(seen, breaches);
--- a/testbed/soak/promises.h
+++ b/testbed/soak/promises.h
@@ -26,6 +26,8 @@
     bool unconfirmed = false; ///< Refused since the router was not sure of its configuration.
     bool crashes = false; ///< Asks for what ends each worker that runs it.
     bool quarantined = false; ///< Refused since servers ended under what it asks for.
+    std::string tenant {}; ///< Whose key it showed; empty when it showed none, or an unknown one.
+    bool unknown_key = false; ///< It showed a key that nobody has.
     bool out_of_order = false; ///< Sent ahead; the answer in its place names another attempt.
 };
 
--- a/testbed/soak/routed_paths.cc
+++ b/testbed/soak/routed_paths.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <array>
 
+#include "testbed/soak/tenants.h"
+
 namespace graniteseam::testbed::soak {
 
 namespace {
@@ -85,6 +87,14 @@
         return it;
     }
 
+    /// One that asks for no key.
+    auto open_route_to(std::uint64_t version, std::string const& prefix) -> json
+    {
+        auto it = route_to(version, prefix, "safe", pool);
+        it["anonymous"] = true;
+        return it;
+    }
+
     /// Routes that trade places are named by the service that they keep.
     auto name_of(ChangingPath const& it, json const& weights) -> std::string
     {
@@ -99,6 +109,7 @@
                 continue;
             auto& added = routes.emplace_back(route(version, name_of(it, weights), it.path, "safe"));
             added["split"] = weights;
+            added["anonymous"] = true;
         }
     }
 
@@ -139,13 +150,13 @@
         route_to(version, "/keyed/", "safe", "keyed"), route_to(version, "/leased/", "safe", "leased")};
     auto const first = version > versions_routed ? version - versions_routed + 1 : 1;
     for (auto since = first; since <= version; ++since)
-        routes.push_back(route_to(version, path_since(since), "safe", pool));
+        routes.push_back(open_route_to(version, path_since(since)));
     add_changing(version, routes);
     return {{"version", version}, {"routes", routes},
         {"services",
             {{{"name", pool}}, {{"name", annex}}, {{"name", "keyed"}, {"keyed", true}},
                 {{"name", "leased"}, {"keyed", true}, {"grants", "heartbeat"}}}},
-        {"limits", {{"idle_timeout_ms", 15'000}}}};
+        {"tenants", tenants_of_configurations()}, {"limits", {{"idle_timeout_ms", 15'000}}}};
 }
 
 auto patch_between(std::uint64_t base, std::uint64_t version) -> json
--- a/testbed/soak/run_shape.h
+++ b/testbed/soak/run_shape.h
@@ -19,6 +19,7 @@
     std::uint32_t kept_callers = 5;
     std::uint32_t fresh_callers = 2;
     std::uint32_t ahead_callers = 1; ///< That send requests of all kinds ahead.
+    std::uint32_t limited_callers = 2; ///< Whose tenant may send far less than they do.
     std::uint32_t safe_ahead_callers = 1; ///< That send only such ahead as may be repeated.
     std::uint32_t faults = 20;
     Duration heartbeat {200'000};
--- a/testbed/soak/soak.cc
+++ b/testbed/soak/soak.cc
@@ -242,11 +242,17 @@
             for (std::uint32_t i = 0; i < n; ++i)
                 all.push_back({seed + all.size() + 1, "a" + std::to_string(all.size()), style});
         };
+        auto const add_limited = [&](std::uint32_t n) {
+            for (std::uint32_t i = 0; i < n; ++i)
+                all.push_back(
+                    {seed + all.size() + 1, "a" + std::to_string(all.size()), CallerStyle::Pooled, true});
+        };
         add(shape.pooled_callers, CallerStyle::Pooled);
         add(shape.kept_callers, CallerStyle::Kept);
         add(shape.fresh_callers, CallerStyle::Fresh);
         add(shape.ahead_callers, CallerStyle::Ahead);
         add(shape.safe_ahead_callers, CallerStyle::SafeAhead);
+        add_limited(shape.limited_callers);
         return all;
     }
 
--- a/tests/soak/promises_test.cc
+++ b/tests/soak/promises_test.cc
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "testbed/soak/tenants.h"
+
 using namespace graniteseam;
 using namespace graniteseam::testbed;
 using namespace graniteseam::testbed::soak;
@@ -118,6 +120,42 @@
     assert_only(seen, "answers_in_order");
 }
 
+Test(promises, run_of_another_tenant_or_with_a_key_is_seen)
+{
+    auto seen = whole();
+    seen.runs.front().tenant = "somebody";
+    assert_only(seen, "own_tenant");
+    seen = whole();
+    seen.runs.front().saw_api_key = true;
+    assert_only(seen, "key_hidden");
+    seen = whole();
+    auto const ran = std::find_if(seen.answers.begin(), seen.answers.end(),
+        [&](auto const& it) { return it.attempt == seen.runs.front().attempt; });
+    ran->unknown_key = true;
+    assert_only(seen, "known_key");
+}
+
+Test(promises, more_than_a_quota_within_a_window_is_seen)
+{
+    auto seen = whole();
+    auto const allowed = static_cast<std::int64_t>(allowed_in_window(limited_tenant()));
+    auto const add = [&](std::int64_t number, std::int64_t ms) {
+        auto const attempt = "q-" + std::to_string(number);
+        seen.answers.push_back(answer(attempt, true, 200));
+        seen.answers.back().tenant = limited_tenant().name;
+        auto one = run("w-2", attempt, 8, ms, ms + 1);
+        one.key.reset();
+        one.tenant = limited_tenant().name;
+        seen.runs.push_back(one);
+    };
+    for (std::int64_t number = 0; number < allowed; ++number)
+        add(number, 10'000 + number);
+    cr_assert(check_promises(seen).empty());
+    // Within five seconds of the first.
+    add(allowed, 14'999);
+    assert_only(seen, "quota");
+}
+
 Test(promises, run_that_nobody_asked_for)
 {
     auto seen = whole();
