Give a feed that brings something time; list instances by what changes

Two causes by reading: each update went over all instances to list them by service, and updates came each 20 ms; a feed that brought the state of a growing fleet over a 10 Mbit/s link counted as late after 0.6 s, so that gateways changed feeds and had the leader send the same once more.

Change: BackendTable lists what changed; updates are paced by 5 us for each instance and range (100 ms with 20,000). A feed is given up after 0.6 s without anything new, or when it is behind for 1.5 s, twice as long after each. What is known of drains is confirmed as of a leader's answer whose version is here, not when a feed brings something. A gateway asks the leader for the state only once that answered without naming a feed. Event 'feed' tells each change of it.

--- a/src/control/state_feed.cc
+++ b/src/control/state_feed.cc
@@ -11,9 +11,9 @@
 /// change that goes to 300 routers is 300 messages. With so many, changes are told each 30 ms; with
 /// ten, each millisecond.
 constexpr std::int64_t kPushesPerSecond = 10'000;
-/// A message is made by looking at all instances and ranges. With 20,000 of them, changes are told
-/// each 20 ms at most, however few routers there are.
-constexpr Duration kPacePerItem{1};
+/// A message is made by looking at all instances and ranges, and taking it costs each router as
+/// well. With 20,000 of them, changes are told each 100 ms at most, however few routers there are.
+constexpr Duration kPacePerItem{5};
 /// What routers need not know at once waits so long for what they must.
 constexpr Duration kPatience{250'000};
 /// Without word that a push has left, the next one goes out all the same after this.
--- a/src/daemon/gateway/gateway_process.cc
+++ b/src/daemon/gateway/gateway_process.cc
@@ -371,7 +371,7 @@
   metrics_.OnVersion(node_.version(), node_.configuration().value);
   if (node_.configuration() != before) LogConfiguration(update, received);
   control_->NoteVersion(node_.version());
-  if (!node_.feed().empty()) control_->TakeStateFrom(node_.feed());
+  if (node_.feed() != feed_) FollowFeed();
   if (node_.ConfigurationIsUntold()) Poll();
   if (!was_ready && node_.Ready()) {
     events_.Write(runtime::EventWeight::kNotable,
@@ -379,6 +379,15 @@
   }
 }
 
+void GatewayProcess::FollowFeed() {
+  events_.Write(runtime::EventWeight::kNotable, runtime::EventLine("feed")
+                                                    .Add("from", feed_)
+                                                    .Add("to", node_.feed())
+                                                    .Add("version", node_.version()));
+  feed_ = node_.feed();
+  control_->TakeStateFrom(feed_);
+}
+
 void GatewayProcess::OnFeedLost() {
   events_.Write(runtime::EventWeight::kNotable,
                 runtime::EventLine("feed_lost").Add("feed", node_.feed()));
--- a/src/daemon/gateway/gateway_process.h
+++ b/src/daemon/gateway/gateway_process.h
@@ -61,6 +61,8 @@
   /// Runs on the control connections' thread.
   void OnControlMessage(const control::ControlToRouter& message);
   void OnUpdate(const traffic::TrafficUpdate& update, Instant received);
+  /// Takes the state from the process that the leader named last.
+  void FollowFeed();
   void OnFeedLost();
   void LogConfiguration(const traffic::TrafficUpdate& update, Instant received);
   void Run(gateway::GatewayEffects effects);
@@ -100,6 +102,7 @@
   runtime::WakeWatch wake_watch_;
   boost::asio::steady_timer poll_timer_;
   Instant last_poll_{};
+  std::string feed_;  ///< The control process that brings the state.
   std::map<gateway::RequestNumber, LiveExchange> live_;
   gateway::RequestNumber last_number_;
   std::uint64_t finished_ = 0;
--- a/src/gateway/backend_table.cc
+++ b/src/gateway/backend_table.cc
@@ -63,7 +63,7 @@
     const traffic::InstanceId& id = instance.report.id;
     const auto old = before.find(id);
     if (instance.Gone()) {
-      backends_.erase(id);
+      Remove(id);
       continue;
     }
     const bool fresh = old == before.end() && !backends_.contains(id);
@@ -72,15 +72,39 @@
     const bool drains_now = !fresh && backend.instance.TakesNewWork() && !instance.TakesNewWork();
     if (drains_now) backend.drained_since = confirmed_at_;
     FollowWarmUp(backend, instance, fresh, now);
+    if (update.base != 0 && (fresh || backend.instance.report.service != instance.report.service)) {
+      if (!fresh) Unlist(backend);
+      std::vector<traffic::InstanceId>& listed = services_[instance.report.service];
+      listed.insert(std::lower_bound(listed.begin(), listed.end(), id), id);
+    }
     backend.instance = instance;
     if (fresh) backend.latency_us = Micros(options_.first_latency);
   }
+  if (update.base == 0) ListAll();
+}
+
+void BackendTable::ListAll() {
   services_.clear();
   for (const auto& [id, backend] : backends_) {
     services_[backend.instance.report.service].push_back(id);
   }
 }
 
+void BackendTable::Unlist(const Backend& backend) {
+  const traffic::InstanceId& id = backend.instance.report.id;
+  const auto listed = services_.find(backend.instance.report.service);
+  if (listed == services_.end()) return;
+  std::erase(listed->second, id);
+  if (listed->second.empty()) services_.erase(listed);
+}
+
+void BackendTable::Remove(const traffic::InstanceId& id) {
+  const auto found = backends_.find(id);
+  if (found == backends_.end()) return;
+  Unlist(found->second);
+  backends_.erase(found);
+}
+
 void BackendTable::FollowWarmUp(Backend& backend, const traffic::Instance& next, bool fresh,
                                 Instant now) {
   const bool drained = backend.instance.state == traffic::InstanceState::kZoneDrained;
--- a/src/gateway/backend_table.h
+++ b/src/gateway/backend_table.h
@@ -2,6 +2,7 @@
 /// What a gateway knows of the servers: who there is, what they carry, and how they did lately.
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -96,9 +97,15 @@
   void ShareConnections(const std::map<ServiceName, traffic::Service>& services,
                         std::uint32_t gateways);
 
-  /// Tells that control was heard: what is known is as of now. What the next update says may have
-  /// become true any time from here on.
-  void Confirm(Instant now) { confirmed_at_ = now; }
+  /// The instances of a service, by their ids.
+  std::vector<traffic::InstanceId> Listed(const ServiceName& service) const {
+    const auto listed = services_.find(service);
+    return listed == services_.end() ? std::vector<traffic::InstanceId>{} : listed->second;
+  }
+
+  /// Tells that what is known is all that was true at an instant. What the next update says may
+  /// have become true any time from then on.
+  void Confirm(Instant at) { confirmed_at_ = std::max(confirmed_at_, at); }
 
   /// Takes this gateway's place among all, by which instances that warm up are shared.
   void SetPlace(const GatewayPlace& place) { warm_ups_.set_place(place); }
@@ -169,6 +176,11 @@
   };
 
   /// Takes what control says of an instance's warm-up.
+  /// Instances by service are kept up to date by what changes: an update of a few must not go over
+  /// ten thousand.
+  void ListAll();
+  void Unlist(const Backend& backend);
+  void Remove(const traffic::InstanceId& id);
   void FollowWarmUp(Backend& backend, const traffic::Instance& next, bool fresh, Instant now);
   /// Whether this gateway may send a server a request now, as far as its warm-up goes; also of one
   /// that has just told a probe that it turned cold.
--- a/src/gateway/feed_watch.h
+++ b/src/gateway/feed_watch.h
@@ -14,11 +14,15 @@
 /// bind here too. So each answer of the leader names its version, and a feed that does not bring
 /// that in time is given up: the leader is asked for the state itself, and for another feed.
 struct FeedWatch {
+  bool answered = false;      ///< A leader has answered a poll.
   std::string address;        ///< As the leader named it last; empty before.
   std::uint32_t tried = 0;    ///< Feeds that were given up.
   std::uint64_t awaited = 0;  ///< A version that the leader has and that is not here yet.
   Instant awaited_since{};
-  bool asks_leader = false;  ///< For the state itself, until it is here.
+  std::uint64_t version = 0;  ///< Here at the last look.
+  Instant advanced_at{};      ///< When a look last found a newer one.
+  std::uint32_t late = 0;     ///< Feeds given up since the state here was the leader's.
+  bool asks_leader = false;   ///< For the state itself, until it is here.
 };
 
 /// Takes the leader's answer to a poll.
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -15,8 +15,6 @@
 /// have been added since, and 404 would send the caller away for good. Three polls and an answer;
 /// shorter than the time within which an accepted change is to be in force.
 constexpr Duration kConfirmedFor{1'600'000};
-/// A leader names a feed with its first answer. One that names none after so many polls has none.
-constexpr std::uint64_t kPollsWithoutFeed = 2;
 /// Speeds change slowly: one poll in so many tells them.
 constexpr std::uint64_t kPollsPerSpeeds = 4;
 
@@ -151,7 +149,8 @@
   polled_at_ = now;
   poll.version = version();
   look_at_feed(feed_, version(), now);
-  poll.wants_state = feed_.address.empty() ? poll_sequence_ > kPollsWithoutFeed : feed_.asks_leader;
+  const bool has_feed = !feed_.address.empty();
+  poll.wants_state = has_feed ? feed_.asks_leader : feed_.answered;
   poll.feeds_tried = feed_.tried;
   told_configuration_ = configuration();
   poll.loads = key_loads_.take();
--- a/src/gateway/traffic_view.cc
+++ b/src/gateway/traffic_view.cc
@@ -13,19 +13,30 @@
   // Only the answer to a poll names a place.
   auto const names_place = update.routers > 0 && update.sequence > 0;
   if (names_place) m_backends.SetPlace({update.router_place, update.routers});
+  if (update.sequence > 0) note_answer(update.version, now);
   auto const fits = update.base == 0 || update.base <= m_version;
-  if (update.version <= m_version || !fits) {
-    if (update.version == m_version) m_backends.Confirm(now);
-    return false;
+  auto const taken = update.version > m_version && fits;
+  if (taken) apply(update, now);
+  confirm_backends();
+  return taken;
+}
+
+auto TrafficView::note_answer(std::uint64_t version, Instant now) -> void {
+  constexpr std::size_t kToldMaximum = 16;
+  m_told.push_back({version, now});
+  if (m_told.size() > kToldMaximum) m_told.pop_front();
+}
+
+auto TrafficView::confirm_backends() -> void {
+  while (!m_told.empty() && m_told.front().version <= m_version) {
+    m_backends.Confirm(m_told.front().at);
+    m_told.pop_front();
   }
-  apply(update, now);
-  return true;
 }
 
 auto TrafficView::apply(traffic::TrafficUpdate const& update, Instant now) -> void {
   m_routes.Apply(update);
   m_backends.Apply(update, now);
-  m_backends.Confirm(now);
   m_keys.Apply(update);
   m_tenants.apply(update);
   if (update.base == 0) m_services.clear();
--- a/src/gateway/traffic_view.h
+++ b/src/gateway/traffic_view.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
 
@@ -45,6 +46,16 @@
 
  private:
   auto apply(traffic::TrafficUpdate const& update, Instant now) -> void;
+  /// Notes how far the leader was when it answered.
+  auto note_answer(std::uint64_t version, Instant now) -> void;
+  /// What is here is all that was true when the leader last told a version that is here by now. A
+  /// feed proves nothing itself: it may be behind.
+  auto confirm_backends() -> void;
+
+  struct Told {
+    std::uint64_t version = 0;
+    Instant at;
+  };
 
   std::uint32_t const m_gateways_assumed;
   RouteTable m_routes;
@@ -55,6 +66,7 @@
   traffic::CallerLimits m_limits;
   traffic::ConfigurationVersion m_configuration;
   std::uint64_t m_version = 0;
+  std::deque<Told> m_told;       ///< By the leader, and not here yet; oldest first.
   std::uint32_t m_gateways = 0;  ///< As control said; 0 before it did.
 };
 
--- a/tests/gateway/backend_table_test.cc
+++ b/tests/gateway/backend_table_test.cc
@@ -3,6 +3,7 @@
 #include <criterion/criterion.h>
 
 #include <map>
+#include <random>
 
 #include "tests/gateway/gateway_fixture.h"
 
@@ -366,3 +367,37 @@
   const Backend* const chosen = table.Soonest({{"cold"}, {"warm"}}, kTarget, kNow);
   cr_assert(chosen != nullptr && chosen->instance.report.id.value == "warm");
 }
+
+// Each update went over all instances to list them by service: with ten thousand, and ten updates a
+// second, more than a gateway's requests took.
+Test(backend_table, instances_that_come_go_and_change_their_service_are_listed_as_by_a_whole) {
+  std::mt19937 random(7);
+  BackendTable table({}, 1);
+  std::map<std::string, traffic::Instance> known;
+  std::uint64_t version = 1;
+  for (int turn = 0; turn < 300; ++turn) {
+    traffic::TrafficUpdate update;
+    update.base = version == 1 ? 0 : version;
+    update.version = ++version;
+    for (int change = 0; change < 4; ++change) {
+      traffic::Instance instance;
+      instance.report.id = {"i-" + std::to_string(random() % 40)};
+      instance.report.service = {random() % 2 == 0 ? "a" : "b"};
+      if (random() % 3 == 0) instance.state = traffic::InstanceState::kDeregistered;
+      update.instances.push_back(instance);
+    }
+    for (const auto& instance : update.instances) {
+      known.erase(instance.report.id.value);
+      if (!instance.Gone()) known[instance.report.id.value] = instance;
+    }
+    table.Apply(update, kNow);
+    traffic::TrafficUpdate whole;
+    whole.version = version;
+    for (const auto& [id, instance] : known) whole.instances.push_back(instance);
+    BackendTable other({}, 1);
+    other.Apply(whole, kNow);
+    for (const char* service : {"a", "b"}) {
+      cr_assert(table.Listed({service}) == other.Listed({service}), "turn %d", turn);
+    }
+  }
+}
