Forget a share whose lease is over before a new leader hears of it

Cause: a gateway that was cut off for longer than its lease kept the number of its set of shares. The leader had forgotten them and given the same to another gateway; when the leadership changed just then, the gateway told the new leader, which took both over: a quota could be exceeded by one gateway's part.

Change: shares are forgotten with their lease; the gateway then tells that it has none.

--- a/src/gateway/quota_gate.cc
+++ b/src/gateway/quota_gate.cc
@@ -73,6 +73,8 @@
 }
 
 auto QuotaGate::tell(traffic::TrafficPoll& poll, Instant now) -> void {
+  // Others may use them by now: a new leader must not hear of them and take them over.
+  if (now >= m_lease_end) forget_shares();
   m_polls.push_back({poll.sequence, now});
   if (m_polls.size() > kPollsKept) m_polls.pop_front();
   poll.quota.number = m_number;
@@ -86,6 +88,11 @@
   }
 }
 
+auto QuotaGate::forget_shares() -> void {
+  m_number = 0;
+  for (auto& [tenant, limited] : m_limited) limited.share.reset();
+}
+
 auto QuotaGate::take(traffic::QuotaGrant const& grant, std::uint64_t poll, Instant now) -> void {
   auto const sent = std::find_if(m_polls.begin(), m_polls.end(),
                                  [&](auto const& one) { return one.sequence == poll; });
--- a/src/gateway/quota_gate.h
+++ b/src/gateway/quota_gate.h
@@ -70,6 +70,7 @@
   };
 
   auto replace(traffic::QuotaShares const& shares, Instant now) -> void;
+  auto forget_shares() -> void;
   static auto fill(Bucket& bucket, Instant now) -> void;
 
   RouterId const m_router;
--- a/tests/quota/quota_bound_test.cc
+++ b/tests/quota/quota_bound_test.cc
@@ -134,3 +134,35 @@
   // Half of the rate at least is leased.
   cr_assert_geq(served / (served + lost), 0.5, "%.0f served, %.0f refused", served, lost);
 }
+
+// Found by a model of the hand-over of one share: a gateway that was cut off told the next leader of a share whose
+// lease was over. The leader before had given the same to another gateway, and the next one took
+// both over.
+Test(quota_bound, share_whose_lease_is_over_is_not_told_to_a_new_leader) {
+  gateway::QuotaGate gate({"g-1"});
+  gateway::TenantTable tenants;
+  traffic::TrafficUpdate update;
+  traffic::Tenant tenant;
+  tenant.name = {"t"};
+  tenant.quota = {20, 5};
+  update.tenancy.tenants = {tenant};
+  tenants.apply(update);
+  gate.follow(tenants);
+  const Instant start = InstantFromMicros(1'000'000'000);
+  traffic::TrafficPoll poll;
+  poll.sequence = 1;
+  gate.tell(poll, start);
+  traffic::QuotaGrant grant;
+  grant.next = {7, {{{"t"}, 10, 3}}};
+  gate.take(grant, 1, start);
+  poll.sequence = 2;
+  gate.tell(poll, start + std::chrono::seconds(1));
+  cr_assert_eq(poll.quota.number, 7U);
+  grant = {};
+  grant.asks_for_shares = true;
+  gate.take(grant, 2, start + std::chrono::seconds(1));
+  traffic::TrafficPoll late;
+  late.sequence = 3;
+  gate.tell(late, start + traffic::kQuotaLease);
+  cr_assert(late.quota.number == 0 && late.quota.shares.empty());
+}
