Keep a gateway on one feed, and end the feed it leaves

Cause: a zone member that fell behind for one exchange dropped out of the list a gateway is named, so the gateway took another feed, while the one it had left went on pushing every change.

Result: the new test of `feed_choice` and the tests of protocol, gateway, quota, traffic_world and control_daemon pass.

--- a/include/graniteseam/traffic/update.h
+++ b/include/graniteseam/traffic/update.h
@@ -107,9 +107,10 @@
   RouterId router;
   std::uint64_t sequence = 0;
   std::uint64_t version = 0;  ///< Log index of the state that the router has; 0 for none.
+  bool ends = false;          ///< The router takes it from another process from now on.
 
   bool operator==(const FeedRequest&) const = default;
 };
-BOOST_DESCRIBE_STRUCT(FeedRequest, (), (router, sequence, version))
+BOOST_DESCRIBE_STRUCT(FeedRequest, (), (router, sequence, version, ends))
 
 }  // namespace graniteseam::traffic
--- a/simulation/traffic_world/gateway_process.cc
+++ b/simulation/traffic_world/gateway_process.cc
@@ -84,7 +84,7 @@
 
 auto GatewayProcess::ask_feed() -> void
 {
-    m_ports.send_to_control(*this, m_feed, control::FeedRequest {{}, 0, m_node->version()});
+    m_ports.send_to_control(*this, m_feed, control::FeedRequest {{}, 0, m_node->version(), false});
 }
 
 auto GatewayProcess::on_control_disconnected(std::string const& address) -> void
@@ -105,6 +105,8 @@
     if (auto const* const update = std::get_if<control::TrafficUpdate>(&message))
         carry_out(m_node->OnUpdate(*update, Now()));
     if (m_feed != m_node->feed()) {
+        if (!m_feed.empty())
+            m_ports.send_to_control(*this, m_feed, control::FeedRequest {{}, 0, 0, true});
         m_feed = m_node->feed();
         ask_feed();
     }
--- a/src/control/control_node_requests.cc
+++ b/src/control/control_node_requests.cc
@@ -89,6 +89,7 @@
 }
 
 void ControlNode::Impl::OnFeedRequest(ConnectionId connection, const FeedRequest& request) {
+  if (request.ends) return feed_.Disconnect(connection);
   StateFeed::Message state = feed_.Subscribe(connection, request.version);
   if (state) effects_.router_sends.push_back({connection, std::move(state)});
 }
--- a/src/control/feed_choice.h
+++ b/src/control/feed_choice.h
@@ -14,9 +14,10 @@
 
 /// A member of the router's own zone where there is one, so that the state crosses between zones
 /// once a member and not once a router; the routers of a zone are spread over its members, and each
-/// keeps its member as long as that is there. The leader, which has the most to do, is a feed only
-/// where a zone has no other. A router that says that its feed does not keep up is named the next.
-/// Not thread safe; `now` never goes back.
+/// keeps its member as long as that is there, whichever others come and go. A member that is behind
+/// for a moment, as most are while much is committed, stays one. The leader, which has the most to
+/// do, is a feed only where a zone has no other. A router that says that its feed does not keep up
+/// is named the next. Not thread safe; `now` never goes back.
 class FeedChoice {
  public:
   /// Whether the members are to be told again.
@@ -30,7 +31,8 @@
  private:
   Instant due_{};
   std::string leader_;
-  std::vector<std::string> all_;  ///< Without the leader.
+  std::map<std::string, Instant> fit_at_;  ///< When each member last had all that was committed.
+  std::vector<std::string> all_;           ///< Without the leader.
   std::map<ZoneName, std::vector<std::string>> by_zone_;
 };
 
--- a/src/protocol/router_control_client.cc
+++ b/src/protocol/router_control_client.cc
@@ -42,7 +42,8 @@
   void NoteVersion(std::uint64_t version) { version_ = version; }
 
  private:
-  void AskFeed();
+  /// @param ends whether it is to bring no more, and not to begin.
+  void AskFeed(bool ends);
   void Dial(const std::string& address);
   void DialNew();
   void Deliver(const std::vector<LeaderSend>& sends);
@@ -113,17 +114,19 @@
 void RouterControlClient::Impl::TakeStateFrom(const std::string& address) {
   asio::post(loop_.context(), [this, address] {
     if (feed_ == address) return;
+    // Otherwise both would bring every change.
+    AskFeed(true);
     feed_ = address;
     tracker_.AddAddress(address);
     DialNew();
-    AskFeed();
+    AskFeed(false);
   });
 }
 
-void RouterControlClient::Impl::AskFeed() {
+void RouterControlClient::Impl::AskFeed(bool ends) {
   const auto found = dialers_.find(feed_);
   if (found == dialers_.end() || !found->second || !found->second->connected()) return;
-  const control::FeedRequest request{options_.router, ++feed_requests_, version_};
+  const control::FeedRequest request{options_.router, ++feed_requests_, version_, ends};
   found->second->Send(codec::Encode(control::RouterToControl(request)));
 }
 
@@ -170,7 +173,7 @@
 void RouterControlClient::Impl::OnConnected(const std::string& address) {
   if (++connected_ == 1 && on_connected_) on_connected_(true);
   Deliver(tracker_.OnConnected(address, runtime::BootTimeNow()));
-  if (address == feed_) AskFeed();
+  if (address == feed_) AskFeed(false);
 }
 
 void RouterControlClient::Impl::OnDisconnected(const std::string& address) {
--- a/tests/control/feed_choice_test.cc
+++ b/tests/control/feed_choice_test.cc
@@ -5,6 +5,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <vector>
 
 using namespace graniteseam;
 using namespace graniteseam::control;
@@ -78,3 +79,27 @@
   choice.Take(MakeMember(1, "b"), {silent, behind, Peer(4, "c")}, kStart);
   cr_assert_eq(choice.For(Router(1), {"a"}, 0), "10.0.0.4:1");
 }
+
+// Members that were behind for a moment fell out of the list, and every router of their zone was
+// named another feed: a thousand gateways took the state from several members at once.
+Test(feed_choice, router_keeps_its_member_while_others_come_and_go_or_lag_for_a_moment) {
+  FeedChoice choice;
+  const std::vector<consensus::PeerStatus> whole{Peer(2, "a"), Peer(3, "a"), Peer(4, "a"),
+                                                 Peer(5, "a")};
+  choice.Take(MakeMember(1, "b"), whole, kStart);
+  std::map<int, std::string> before;
+  for (int number = 0; number < 200; ++number)
+    before[number] = choice.For(Router(number), {"a"}, 0);
+  auto lagging = whole;
+  for (consensus::PeerStatus& peer : lagging) peer.caught_up = false;
+  choice.Take(MakeMember(1, "b"), lagging, kStart + std::chrono::seconds(1));
+  for (int number = 0; number < 200; ++number) {
+    cr_assert_eq(choice.For(Router(number), {"a"}, 0), before[number]);
+  }
+  // One is gone: only its routers change.
+  choice.Take(MakeMember(1, "b"), {whole[0], whole[1], whole[3]}, kStart + std::chrono::seconds(2));
+  for (int number = 0; number < 200; ++number) {
+    if (before[number] == "10.0.0.4:1") continue;
+    cr_assert_eq(choice.For(Router(number), {"a"}, 0), before[number]);
+  }
+}
--- a/tests/quota/quota_bound_test.cc
+++ b/tests/quota/quota_bound_test.cc
@@ -135,9 +135,9 @@
   cr_assert_geq(served / (served + lost), 0.5, "%.0f served, %.0f refused", served, lost);
 }
 
-// Found by a model of the hand-over of one share: a gateway that was cut off told the next leader of a share whose
-// lease was over. The leader before had given the same to another gateway, and the next one took
-// both over.
+// Found by a model of the hand-over of one share: a gateway that was cut off told the next leader
+// of a share whose lease was over. The leader before had given the same to another gateway, and the
+// next one took both over.
 Test(quota_bound, share_whose_lease_is_over_is_not_told_to_a_new_leader) {
   gateway::QuotaGate gate({"g-1"});
   gateway::TenantTable tenants;
