Take operators' and tenants' digests from one function

`runtime::SecretDigest` did again what `OperatorCredentials` had for itself. No change of behaviour; the suites of http and gateway_daemon pass.

--- a/src/http/operator_credentials.cc
+++ b/src/http/operator_credentials.cc
@@ -4,10 +4,9 @@
 #include <openssl/sha.h>
 
 #include <algorithm>
-#include <array>
 #include <string_view>
 
-#include "graniteseam/common/hex.h"
+#include "src/runtime/secret_digest.h"
 
 namespace graniteseam::http {
 namespace {
@@ -15,17 +14,12 @@
 constexpr std::string_view kScheme = "Bearer ";
 constexpr std::size_t kDigestCharacters = std::size_t{2} * SHA256_DIGEST_LENGTH;
 
-std::string Sha256Hex(std::string_view text) {
-  std::array<unsigned char, SHA256_DIGEST_LENGTH> hash{};
-  SHA256(reinterpret_cast<const unsigned char*>(text.data()), text.size(), hash.data());
-  return ToHex(hash.data(), hash.size());
-}
-
 }  // namespace
 
 std::optional<std::string> OperatorCredentials::Identify(const std::string& authorization) const {
   if (!authorization.starts_with(kScheme)) return std::nullopt;
-  const std::string shown = Sha256Hex(std::string_view(authorization).substr(kScheme.size()));
+  const std::string shown =
+      runtime::SecretDigest(std::string_view(authorization).substr(kScheme.size()));
   std::optional<std::string> identified;
   for (const auto& [name, digest] : digests_) {
     const bool same = digest.size() == shown.size() &&
