--- a/src/control/configuration_rollout.cc
+++ b/src/control/configuration_rollout.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "graniteseam/common/duration_text.h"
+
 namespace graniteseam::control {
 namespace {
 
@@ -30,8 +32,6 @@
 /// Of looking at one router.
 constexpr Duration kTimePerLook{1};
 
-std::string InMs(Duration span) { return std::to_string(span.count() / 1000) + " ms"; }
-
 }  // namespace
 
 void ConfigurationRollout::Committed(traffic::ConfigurationVersion configuration,
--- a/src/daemon/control/control_driver.cc
+++ b/src/daemon/control/control_driver.cc
@@ -4,6 +4,7 @@
 #include <array>
 #include <utility>
 
+#include "graniteseam/common/duration_text.h"
 #include "src/daemon/control/persist_batch.h"
 #include "src/runtime/clock.h"
 
@@ -28,8 +29,6 @@
          std::holds_alternative<control::ReadShards>(command);
 }
 
-double ToSeconds(Duration span) { return std::chrono::duration<double>(span).count(); }
-
 /// Members that answered the leader lately.
 std::vector<consensus::Member> ResponsivePeers(const consensus::RaftConsensus& consensus,
                                                Instant now) {
--- a/src/gateway/quota_gate.cc
+++ b/src/gateway/quota_gate.cc
@@ -4,6 +4,8 @@
 #include <chrono>
 #include <utility>
 
+#include "graniteseam/common/duration_text.h"
+
 namespace graniteseam::gateway {
 namespace {
 
@@ -19,8 +21,8 @@
 }  // namespace
 
 auto QuotaGate::fill(Bucket& bucket, Instant now) -> void {
-  auto const seconds = std::chrono::duration<double>(now - bucket.filled).count();
-  bucket.tokens = std::min(bucket.burst, bucket.tokens + bucket.rate * seconds);
+  auto const come = bucket.rate * ToSeconds(now - bucket.filled);
+  bucket.tokens = std::min(bucket.burst, bucket.tokens + come);
   bucket.filled = now;
 }
 
--- a/src/gateway/request_ending.cc
+++ b/src/gateway/request_ending.cc
@@ -1,6 +1,7 @@
 // What follows the end of an attempt: the request is answered, sent again or refused.
 #include <string>
 
+#include "graniteseam/common/duration_text.h"
 #include "src/gateway/gateway_node.h"
 #include "src/gateway/hold_limits.h"
 #include "src/gateway/refusals.h"
@@ -14,8 +15,6 @@
 /// How long an owner that said it is none is left alone.
 constexpr Duration kDisowned{400'000};
 
-std::string InMs(Duration span) { return std::to_string(span.count() / 1000) + " ms"; }
-
 std::string AfterMs(Duration taken) { return ", after " + InMs(taken); }
 
 }  // namespace
--- a/src/http/lease_client.cc
+++ b/src/http/lease_client.cc
@@ -6,6 +6,7 @@
 #include <optional>
 #include <utility>
 
+#include "graniteseam/common/duration_text.h"
 #include "src/http/async_http_client.h"
 #include "src/http/lease_json.h"
 #include "src/runtime/clock.h"
@@ -17,8 +18,6 @@
 constexpr char kLeasePath[] = "/graniteseam/v1/lease";
 constexpr int kStatusOk = 200;
 
-double Seconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
-
 }  // namespace
 
 /// Runs on the event loop's thread.
@@ -150,7 +149,7 @@
   const auto answer = Attempt([&] { return ReadReply(server, std::get<HttpReply>(reply)); });
   NoteResult(id, server, ErrorOf(answer));
   if (ErrorOf(answer) == nullptr) {
-    call_seconds_.Observe(Seconds(runtime::BootTimeNow() - server.started));
+    call_seconds_.Observe(ToSeconds(runtime::BootTimeNow() - server.started));
     on_answer_(std::get<lease::LeaseAnswer>(answer));
   }
   StartWaiting(id);
--- a/testbed/soak/promises.cc
+++ b/testbed/soak/promises.cc
@@ -5,6 +5,7 @@
 #include <set>
 #include <tuple>
 
+#include "graniteseam/common/duration_text.h"
 #include "testbed/soak/calm.h"
 #include "testbed/soak/tenants.h"
 #include "testbed/soak/version_promises.h"
@@ -21,7 +22,6 @@
     constexpr std::size_t lost_allowed = 3;
     /// The callers wait for so long; a close after it says nothing.
     constexpr Duration callers_deadline {2'000'000};
-    constexpr Duration quota_window {5'000'000};
     /// A grant counts only if it comes later than this after its sender went on.
     constexpr Duration thaw_slack {300'000};
 
@@ -252,11 +252,6 @@
         }
     }
 
-    auto in_ms(Duration span) -> std::string
-    {
-        return std::to_string(span.count() / 1000) + " ms";
-    }
-
     /// While the control group was disturbed, changes need not be in force anywhere sooner than after the
     /// last disturbance, so that only calm time is looked at.
     auto check_in_force(Observed const& seen, std::vector<Breach>& breaches) -> void
@@ -271,7 +266,7 @@
             if (calm)
                 add(breaches, "in_force",
                     "router " + std::to_string(answer.router) + " did not know version "
-                        + std::to_string(version) + " " + in_ms(answer.sent - acknowledged)
+                        + std::to_string(version) + " " + InMs(answer.sent - acknowledged)
                         + " after its acknowledgement");
         }
     }
@@ -293,7 +288,7 @@
             if (late && core_is_calm(seen, change->sent, due))
                 add(breaches, "acknowledged",
                     "version " + std::to_string(name.first) + " had no clear answer after "
-                        + in_ms(answered_within) + " of calm");
+                        + InMs(answered_within) + " of calm");
         }
     }
 
@@ -307,7 +302,7 @@
                 [&](auto const& it) { return it.answered && it.ended >= failed.sent && it.ended <= due; });
             if (!answered)
                 add(breaches, "readable",
-                    "the configuration could not be read within " + in_ms(answered_within) + " of calm");
+                    "the configuration could not be read within " + InMs(answered_within) + " of calm");
         }
     }
 
--- a/testbed/soak/soak.cc
+++ b/testbed/soak/soak.cc
@@ -238,21 +238,16 @@
     auto caller_options(RunShape const& shape, std::uint64_t seed) -> std::vector<CallerOptions>
     {
         std::vector<CallerOptions> all;
-        auto const add = [&](std::uint32_t n, CallerStyle style) {
+        auto const add = [&](std::uint32_t n, CallerStyle style, bool limited = false) {
             for (std::uint32_t i = 0; i < n; ++i)
-                all.push_back({seed + all.size() + 1, "a" + std::to_string(all.size()), style});
-        };
-        auto const add_limited = [&](std::uint32_t n) {
-            for (std::uint32_t i = 0; i < n; ++i)
-                all.push_back(
-                    {seed + all.size() + 1, "a" + std::to_string(all.size()), CallerStyle::Pooled, true});
+                all.push_back({seed + all.size() + 1, "a" + std::to_string(all.size()), style, limited});
         };
         add(shape.pooled_callers, CallerStyle::Pooled);
         add(shape.kept_callers, CallerStyle::Kept);
         add(shape.fresh_callers, CallerStyle::Fresh);
         add(shape.ahead_callers, CallerStyle::Ahead);
         add(shape.safe_ahead_callers, CallerStyle::SafeAhead);
-        add_limited(shape.limited_callers);
+        add(shape.limited_callers, CallerStyle::Pooled, true);
         return all;
     }
 
--- a/testbed/soak/tenants.cc
+++ b/testbed/soak/tenants.cc
@@ -1,5 +1,7 @@
 #include "testbed/soak/tenants.h"
 
+#include "graniteseam/common/duration_text.h"
+
 namespace graniteseam::testbed::soak {
 
 auto unlimited_tenant() -> SoakTenant const&
@@ -25,10 +27,9 @@
 
 auto allowed_in_window(SoakTenant const& tenant) -> std::uint64_t
 {
-    constexpr double window_seconds = 5;
     constexpr double overshoot = 0.1;
     constexpr double slack = 20;
-    auto const quota = tenant.rate_per_second * window_seconds + tenant.burst;
+    auto const quota = tenant.rate_per_second * ToSeconds(quota_window) + tenant.burst;
     return static_cast<std::uint64_t>(quota * (1 + overshoot) + slack);
 }
 
--- a/testbed/soak/tenants.h
+++ b/testbed/soak/tenants.h
@@ -6,6 +6,8 @@
 #include <nlohmann/json.hpp>
 #include <string>
 
+#include "graniteseam/common/time.h"
+
 namespace graniteseam::testbed::soak {
 
 struct SoakTenant {
@@ -25,7 +27,10 @@
 /// The member "tenants" of each configuration.
 auto tenants_of_configurations() -> nlohmann::json;
 
-/// What all routers together may let in of a tenant within any 5 s, as the users allow: a tenth and
+/// Within any such time a quota is counted.
+inline constexpr Duration quota_window {5'000'000};
+
+/// What all routers together may let in of a tenant within any window, as the users allow: a tenth and
 /// twenty requests beyond its quota.
 auto allowed_in_window(SoakTenant const&) -> std::uint64_t;
 
