Divide a quota in steps that can be read by themselves

`QuotaLedger::DivideOne` counted claims, divided and settled them in one function of seventy lines; two numbers had no name, and a comment stood before the wrong constant.

--- a/src/control/quota_ledger.cc
+++ b/src/control/quota_ledger.cc
@@ -1,12 +1,13 @@
 #include "src/control/quota_ledger.h"
 
 #include <algorithm>
-#include <chrono>
 #include <cmath>
 #include <cstdio>
 #include <string>
 #include <utility>
 
+#include "graniteseam/common/duration_text.h"
+
 namespace graniteseam::control {
 namespace {
 
@@ -30,8 +31,6 @@
 /// answers requests that were let in and reach a server a moment later.
 constexpr double kOvershootInBurst = 0.4;
 constexpr double kOvershootInTokens = 0.2;
-/// A share is as much as its router's mean demand. What comes beyond it by chance takes single
-/// tokens: of what all have left over, less is kept free in vain than of what each has.
 /// Requests a second from which on a router gets a share, and below which it loses it. With fewer,
 /// a share fills too slowly to be worth what it keeps from others.
 constexpr double kDemandMinimum = 0.8;
@@ -49,10 +48,17 @@
 /// A share that lets no whole request in at once is none.
 constexpr double kBurstMinimum = 1.0;
 constexpr std::uint64_t kNumbersPerTerm = std::uint64_t{1} << 32;
+/// Shorter spans between polls are taken for this, in seconds: their rates say nothing.
+constexpr double kReportSpanMinimum = 0.05;
+/// Requests a second by which a refusal tells when to come back, where next to none come.
+constexpr double kRetryRateMinimum = 0.1;
 /// Routers and tenants of one report; more is a mistake of its sender.
 constexpr std::size_t kTenantsPerRouter = 4'096;
 
-double Seconds(Duration span) { return std::chrono::duration<double>(span).count(); }
+/// Whether a share that goes from one size to another is worth telling to its router.
+bool IsWorthTelling(double before, double after) {
+  return (before == 0) != (after == 0) || std::abs(after - before) > kWorthTelling * before;
+}
 
 }  // namespace
 
@@ -65,7 +71,7 @@
 
 void QuotaLedger::SetQuota(Account& account, const traffic::TenantQuota& quota) const {
   account.quota = quota;
-  const double window = Seconds(options_.window);
+  const double window = ToSeconds(options_.window);
   const double allowed = quota.rate_per_second * window + quota.burst;
   const double overshoot = allowed * options_.overshoot + options_.slack;
   account.total.rate = quota.rate_per_second + kBurstAsRate * quota.burst / window;
@@ -121,7 +127,7 @@
 }
 
 void QuotaLedger::TakeDemand(Router& router, const traffic::QuotaReport& report, Instant now) {
-  const double span = std::max(0.05, Seconds(now - router.polled));
+  const double span = std::max(kReportSpanMinimum, ToSeconds(now - router.polled));
   const bool first = router.polled == Instant{};
   router.polled = now;
   if (first) return;
@@ -136,7 +142,7 @@
   }
   // A silence that chance does not explain: the tenant's requests go elsewhere now.
   std::erase_if(router.demand, [&](const auto& entry) {
-    return Seconds(now - entry.second.newest) * entry.second.rate > kSilenceInRequests ||
+    return ToSeconds(now - entry.second.newest) * entry.second.rate > kSilenceInRequests ||
            entry.second.rate < kDemandForgotten;
   });
 }
@@ -207,14 +213,26 @@
 
 void QuotaLedger::DivideOne(const TenantName& tenant, Account& account, Instant now) {
   Fill(account, now);
-  struct Claim {
-    const RouterId* router;
-    double demand;
-    Part reserved;
-    Part wanted{};
-  };
+  std::vector<Claim> claims = TakeClaims(tenant, account, now);
+  const Part leased = {std::max(account.total.rate * kLeasedRateMinimum,
+                                account.total.rate - account.demand * kPooledDemand),
+                       account.total.burst * kLeasedBurst};
+  SetWanted(claims, leased, account.demand);
+  // A share grows by what nobody may use; a smaller one frees the rest once its router has it.
+  Part free;
+  if (!Inherits(now)) {
+    free = {leased.rate - account.reserved.rate, leased.burst - account.reserved.burst};
+  }
+  for (const Claim& claim : claims) {
+    const Router& router = routers_.at(*claim.router);
+    if (router.told.number == router.newest.number) Settle(claim, tenant, account, free);
+  }
+}
+
+std::vector<QuotaLedger::Claim> QuotaLedger::TakeClaims(const TenantName& tenant, Account& account,
+                                                        Instant now) {
   std::vector<Claim> claims;
-  double demand = 0;
+  account.demand = 0;
   account.reserved = {};
   looks_ += routers_.size();
   for (const auto& [id, router] : routers_) {
@@ -223,54 +241,47 @@
     account.reserved.rate += reserved.rate;
     account.reserved.burst += reserved.burst;
     if (asked == 0 && reserved.burst == 0) continue;
-    claims.push_back({&id, asked, reserved});
-    demand += asked;
+    claims.push_back({&id, asked, reserved, {}});
+    account.demand += asked;
   }
-  account.demand = demand;
   // Largest first: where not all get a share of a whole request, those that ask most do.
   std::stable_sort(claims.begin(), claims.end(),
                    [](const Claim& a, const Claim& b) { return a.demand > b.demand; });
-  const double rate = std::max(account.total.rate * kLeasedRateMinimum,
-                               account.total.rate - demand * kPooledDemand);
-  double burst_left = account.total.burst * kLeasedBurst;
-  const double burst = burst_left;
+  return claims;
+}
+
+void QuotaLedger::SetWanted(std::vector<Claim>& claims, const Part& leased, double demand) {
+  double burst_left = leased.burst;
   for (Claim& claim : claims) {
     if (claim.demand <= 0) continue;
     const double part = claim.demand / demand;
-    const double wanted_burst = std::max(kBurstMinimum, burst * part);
-    if (wanted_burst > burst_left) break;
-    burst_left -= wanted_burst;
-    claim.wanted = {std::min(claim.demand, rate * part), wanted_burst};
+    const double burst = std::max(kBurstMinimum, leased.burst * part);
+    if (burst > burst_left) break;
+    burst_left -= burst;
+    claim.wanted = {std::min(claim.demand, leased.rate * part), burst};
   }
-  // A share grows by what nobody may use; a smaller one frees the rest once its router has it.
-  double free_rate = Inherits(now) ? 0 : rate - account.reserved.rate;
-  double free_burst = Inherits(now) ? 0 : burst - account.reserved.burst;
-  for (Claim& claim : claims) {
-    Router& router = routers_.at(*claim.router);
-    if (router.told.number != router.newest.number) continue;
-    Part next;
-    next.rate = std::min(claim.wanted.rate, claim.reserved.rate + std::max(0.0, free_rate));
-    next.burst = std::min(claim.wanted.burst, claim.reserved.burst + std::max(0.0, free_burst));
-    if (next.burst < kBurstMinimum || next.rate <= 0) next = {};
-    const auto tells = [](double before, double after) {
-      return (before == 0) != (after == 0) || std::abs(after - before) > kWorthTelling * before;
-    };
-    const bool worth =
-        tells(claim.reserved.rate, next.rate) || tells(claim.reserved.burst, next.burst);
-    if (!worth) continue;
-    const double more_rate = std::max(0.0, next.rate - claim.reserved.rate);
-    const double more_burst = std::max(0.0, next.burst - claim.reserved.burst);
-    free_rate -= more_rate;
-    free_burst -= more_burst;
-    // Reserved from now on, though its router hears of it with its next poll.
-    account.reserved.rate += more_rate;
-    account.reserved.burst += more_burst;
-    const auto [wanted, fresh] = wanted_.try_emplace(*claim.router, router.newest.parts);
-    if (next.burst == 0) {
-      wanted->second.erase(tenant);
-    } else {
-      wanted->second[tenant] = next;
-    }
+}
+
+void QuotaLedger::Settle(const Claim& claim, const TenantName& tenant, Account& account,
+                         Part& free) {
+  const Part& held = claim.reserved;
+  Part next;
+  next.rate = std::min(claim.wanted.rate, held.rate + std::max(0.0, free.rate));
+  next.burst = std::min(claim.wanted.burst, held.burst + std::max(0.0, free.burst));
+  if (next.burst < kBurstMinimum || next.rate <= 0) next = {};
+  if (!IsWorthTelling(held.rate, next.rate) && !IsWorthTelling(held.burst, next.burst)) return;
+  const Part more = {std::max(0.0, next.rate - held.rate), std::max(0.0, next.burst - held.burst)};
+  free.rate -= more.rate;
+  free.burst -= more.burst;
+  // Reserved from now on, though its router hears of it with its next poll.
+  account.reserved.rate += more.rate;
+  account.reserved.burst += more.burst;
+  const Sent& newest = routers_.at(*claim.router).newest;
+  auto& wanted = wanted_.try_emplace(*claim.router, newest.parts).first->second;
+  if (next.burst == 0) {
+    wanted.erase(tenant);
+  } else {
+    wanted[tenant] = next;
   }
 }
 
@@ -299,7 +310,7 @@
 void QuotaLedger::Fill(Account& account, Instant now) {
   const double free_rate =
       Inherits(now) ? 0 : std::max(0.0, account.total.rate - account.reserved.rate);
-  const double come = (free_rate + account.token_rate) * Seconds(now - account.filled);
+  const double come = (free_rate + account.token_rate) * ToSeconds(now - account.filled);
   account.filled = now;
   account.tokens = std::min(account.tokens + come, TokenRoom(account));
 }
@@ -320,7 +331,7 @@
     grant.requests = std::min(wanted.requests, static_cast<std::uint32_t>(account.tokens));
     account.tokens -= grant.requests;
     if (grant.requests == wanted.requests) continue;
-    const double rate = std::max(0.1, account.total.rate - account.reserved.rate);
+    const double rate = std::max(kRetryRateMinimum, account.total.rate - account.reserved.rate);
     constexpr double kMillis = 1'000;
     const double missing = 1.0 - (account.tokens - std::floor(account.tokens));
     grant.retry_after_ms = static_cast<std::int64_t>(std::ceil(kMillis * missing / rate));
--- a/src/control/quota_ledger.h
+++ b/src/control/quota_ledger.h
@@ -101,6 +101,20 @@
   /// Divides all quotas anew, at intervals.
   void Divide(Instant now);
   void DivideOne(const traffic::TenantName& tenant, Account& account, Instant now);
+  /// One router's part in the division of one quota.
+  struct Claim {
+    const RouterId* router;
+    double demand;  ///< Requests a second that last.
+    Part reserved;  ///< That the router may use now.
+    Part wanted;    ///< That it is to have once others use no more of it.
+  };
+  /// Counts what is reserved and asked for, anew.
+  /// @return those that ask or have something, the largest first.
+  std::vector<Claim> TakeClaims(const traffic::TenantName& tenant, Account& account, Instant now);
+  /// Divides what is leased in all by demand.
+  static void SetWanted(std::vector<Claim>& claims, const Part& leased, double demand);
+  /// Moves a share towards what is wanted, by no more than is free.
+  void Settle(const Claim& claim, const traffic::TenantName& tenant, Account& account, Part& free);
   void Fill(Account& account, Instant now);
   void NoteUsedUp(const traffic::TenantName& tenant, Account& account, Instant now);
   double TokenRoom(const Account& account) const;
