Look a request's tenant up once, and tenants only when they change

Each request searched its key's holder twice, and each update of instances or ranges, of which there are many a second, went over all tenants to take their limits. Requests that waited for a quota go on by one function.

--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -5,6 +5,7 @@
 #include <string>
 #include <utility>
 
+#include "graniteseam/common/duration_text.h"
 #include "src/gateway/hold_limits.h"
 #include "src/gateway/refusals.h"
 
@@ -18,6 +19,12 @@
 /// Speeds change slowly: one poll in so many tells them.
 constexpr std::uint64_t kPollsPerSpeeds = 4;
 
+/// Most updates are of instances and ranges, and many.
+bool ChangesTenants(const traffic::TrafficUpdate& update) {
+  const traffic::TenancyUpdate& tenancy = update.tenancy;
+  return update.base == 0 || !tenancy.tenants.empty() || !tenancy.removed_tenants.empty();
+}
+
 }  // namespace
 
 GatewayNode::GatewayNode(GatewayOptions options, std::uint64_t seed)
@@ -29,7 +36,7 @@
 
 GatewayEffects GatewayNode::OnUpdate(const traffic::TrafficUpdate& update, Instant now) {
   const bool taken = traffic_.take(update, now);
-  if (taken) quotas_.follow(traffic_.tenants());
+  if (taken && ChangesTenants(update)) quotas_.follow(traffic_.tenants());
   if (update.sequence != 0) quotas_.take(update.quota, update.sequence, now);
   NoteConfirmation(update, now);
   if (!taken) return Finish();
@@ -66,12 +73,9 @@
     for (const RequestNumber number : token_queue_.take(grant.tenant, grant.requests)) {
       LiveRequest& request = requests_.at(number);
       requests_.set_timer(request, {});
-      request.hold_from = now;
-      request.counted = true;
       Note(number, "quota_token", {},
-           "for " + request.tenant.value + ", after " +
-               std::to_string((now - request.received).count() / 1000) + " ms");
-      Offer(request, now);
+           "for " + request.tenant.value + ", after " + InMs(now - request.received));
+      LetIn(request, now);
     }
     if (grant.retry_after_ms == 0) continue;
     for (const RequestNumber number : token_queue_.take(grant.tenant, token_queue_.size())) {
@@ -172,6 +176,7 @@
     return EndWithoutRun(request, sure ? RefusalReason::kNoRoute : RefusalReason::kUnconfirmed,
                          now);
   }
+  request.priority = route->priority;
   if (const auto refused = TakeTenant(request, *route, now)) {
     return EndWithoutRun(request, *refused, now);
   }
@@ -205,6 +210,10 @@
     return EndWithoutRun(request, RefusalReason::kQuotaUnknown, now);
   }
   token_queue_.remove(request.tenant, request.arrived.number);
+  LetIn(request, now);
+}
+
+void GatewayNode::LetIn(LiveRequest& request, Instant now) {
   request.counted = true;
   request.hold_from = now;
   Offer(request, now);
@@ -213,8 +222,7 @@
 void GatewayNode::RefuseByQuota(LiveRequest& request, Instant now) {
   const Duration retry_after = quotas_.retry_after(request.tenant, now);
   Note(request.arrived.number, "refuse", {},
-       "quota of " + request.tenant.value + ", retry after " +
-           std::to_string(retry_after.count() / 1000) + " ms");
+       "quota of " + request.tenant.value + ", retry after " + InMs(retry_after));
   effects_.actions.emplace_back(refusal_by_quota(request, retry_after));
   Forget(request);
 }
@@ -261,6 +269,7 @@
     return IsConfirmed(now) ? RefusalReason::kUnknownApiKey : RefusalReason::kUnconfirmed;
   }
   request.tenant = tenant->name;
+  if (tenant->priority) request.priority = *tenant->priority;
   return std::nullopt;
 }
 
@@ -292,9 +301,6 @@
                             const ServiceName& service) {
   request.kind = route.kind;
   request.service = service;
-  const traffic::Tenant* const tenant = traffic_.tenants().find(request.arrived.api_key);
-  const bool ranked = tenant != nullptr && tenant->priority;
-  request.priority = ranked ? *tenant->priority : route.priority;
   request.target_latency = std::chrono::milliseconds(route.target_latency_ms);
   request.attempts_maximum =
       static_cast<std::uint32_t>(std::max<std::int64_t>(1, route.attempts_maximum));
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -101,6 +101,8 @@
   /// Lets a request in by its tenant's quota, or has it wait for a token, or refuses it.
   /// @return whether it goes on.
   bool TakeQuota(LiveRequest& request, Instant now);
+  /// Lets in a request that waited for its quota.
+  void LetIn(LiveRequest& request, Instant now);
   /// No token came in time.
   void EndTokenWait(LiveRequest& request, Instant now);
   void RefuseByQuota(LiveRequest& request, Instant now);
