List instances by service in one way, for whole updates as for changes

A whole update listed all anew by a function of its own. Listing one at a time serves both; a doc comment had come to stand before the wrong member.

--- a/src/gateway/backend_table.cc
+++ b/src/gateway/backend_table.cc
@@ -58,7 +58,11 @@
 
 void BackendTable::Apply(const traffic::TrafficUpdate& update, Instant now) {
   std::map<traffic::InstanceId, Backend> before;
-  if (update.base == 0) before = std::move(backends_), backends_.clear();
+  if (update.base == 0) {
+    before = std::move(backends_);
+    backends_.clear();
+    services_.clear();
+  }
   for (const traffic::Instance& instance : update.instances) {
     const traffic::InstanceId& id = instance.report.id;
     const auto old = before.find(id);
@@ -66,28 +70,25 @@
       Remove(id);
       continue;
     }
-    const bool fresh = old == before.end() && !backends_.contains(id);
+    const bool listed = backends_.contains(id);
+    const bool fresh = old == before.end() && !listed;
     Backend& backend = backends_[id];
+    List(backend, listed, instance);
     if (old != before.end()) backend = old->second;
     const bool drains_now = !fresh && backend.instance.TakesNewWork() && !instance.TakesNewWork();
     if (drains_now) backend.drained_since = confirmed_at_;
     FollowWarmUp(backend, instance, fresh, now);
-    if (update.base != 0 && (fresh || backend.instance.report.service != instance.report.service)) {
-      if (!fresh) Unlist(backend);
-      std::vector<traffic::InstanceId>& listed = services_[instance.report.service];
-      listed.insert(std::lower_bound(listed.begin(), listed.end(), id), id);
-    }
     backend.instance = instance;
     if (fresh) backend.latency_us = Micros(options_.first_latency);
   }
-  if (update.base == 0) ListAll();
 }
 
-void BackendTable::ListAll() {
-  services_.clear();
-  for (const auto& [id, backend] : backends_) {
-    services_[backend.instance.report.service].push_back(id);
-  }
+void BackendTable::List(const Backend& backend, bool listed, const traffic::Instance& next) {
+  const ServiceName& service = next.report.service;
+  if (listed && backend.instance.report.service == service) return;
+  if (listed) Unlist(backend);
+  std::vector<traffic::InstanceId>& ids = services_[service];
+  ids.insert(std::lower_bound(ids.begin(), ids.end(), next.report.id), next.report.id);
 }
 
 void BackendTable::Unlist(const Backend& backend) {
--- a/src/gateway/backend_table.h
+++ b/src/gateway/backend_table.h
@@ -175,12 +175,13 @@
     auto operator<=>(const ServiceZone&) const = default;
   };
 
-  /// Takes what control says of an instance's warm-up.
-  /// Instances by service are kept up to date by what changes: an update of a few must not go over
-  /// ten thousand.
-  void ListAll();
+  /// Lists an instance by its service, one at a time: an update of a few must not go over ten
+  /// thousand.
+  /// @param listed whether `backend`, as it was, is.
+  void List(const Backend& backend, bool listed, const traffic::Instance& next);
   void Unlist(const Backend& backend);
   void Remove(const traffic::InstanceId& id);
+  /// Takes what control says of an instance's warm-up.
   void FollowWarmUp(Backend& backend, const traffic::Instance& next, bool fresh, Instant now);
   /// Whether this gateway may send a server a request now, as far as its warm-up goes; also of one
   /// that has just told a probe that it turned cold.
