--- a/include/graniteseam/control/rollout_note.h
+++ b/include/graniteseam/control/rollout_note.h
@@ -11,10 +11,12 @@
 
 namespace graniteseam::control {
 
-/// One step of a change, or a router that is behind; for the event log.
+/// One step of a change, a router that is behind, or a tenant's quota that is used up; for the
+/// event log.
 struct RolloutNote {
   /// "configuration_committed", "configuration_acknowledged", "configuration_in_force",
-  /// "router_behind" or "router_caught_up".
+  /// "router_behind", "router_caught_up" or "quota_used_up", which names its tenant in `inputs` and
+  /// nothing of a configuration.
   std::string_view what;
   traffic::ConfigurationVersion configuration;
   std::uint64_t version = 0;  ///< Log index of the traffic state that first has the change.
--- a/src/control/control_node.cc
+++ b/src/control/control_node.cc
@@ -59,6 +59,7 @@
 ControlEffects ControlNode::OnFeedPushSent(std::uint64_t push, Instant now) {
   return impl_->OnFeedPushSent(push, now);
 }
+
 ControlEffects ControlNode::PrepareStop(Instant now) { return impl_->PrepareStop(now); }
 
 const consensus::RaftConsensus& ControlNode::consensus() const { return impl_->consensus(); }
--- a/src/control/feed_choice.h
+++ b/src/control/feed_choice.h
@@ -31,7 +31,7 @@
  private:
   Instant due_{};
   std::string leader_;
-  std::map<std::string, Instant> fit_at_;  ///< When each member last had all that was committed.
+  std::map<std::string, Instant> fit_at_;  ///< When members last had all that was committed.
   std::vector<std::string> all_;           ///< Without the leader.
   std::map<ZoneName, std::vector<std::string>> by_zone_;
 };
--- a/src/control/traffic_sessions.cc
+++ b/src/control/traffic_sessions.cc
@@ -18,7 +18,7 @@
                                               const traffic::TrafficPoll& poll, Instant now,
                                               const std::string& feed, traffic::QuotaGrant quota) {
   census_.Heard(poll.router, now);
-  if (sessions_.emplace(connection, poll.router).second) new_.insert(connection);
+  if (sessions_.insert(connection).second) new_.insert(connection);
   std::vector<RouterSend> sends;
   const bool lacks_state = poll.wants_state && poll.version != state_.version();
   StateFeed::Message state = lacks_state ? StateFor(poll.version, now) : nullptr;
@@ -53,7 +53,7 @@
 void TrafficSessions::TellAll(const traffic::TrafficHints& hints,
                               std::vector<RouterSend>& sends) const {
   const auto message = std::make_shared<const ControlToRouter>(hints);
-  for (const auto& [connection, router] : sessions_) sends.push_back({connection, message});
+  for (const ConnectionId connection : sessions_) sends.push_back({connection, message});
 }
 
 void TrafficSessions::TellNew(const traffic::TrafficHints& hints, std::vector<RouterSend>& sends) {
--- a/src/control/traffic_sessions.h
+++ b/src/control/traffic_sessions.h
@@ -4,7 +4,6 @@
 #pragma once
 
 #include <cstdint>
-#include <map>
 #include <set>
 #include <string>
 #include <vector>
@@ -70,7 +69,7 @@
   const traffic::TrafficState& state_;
   StateFeed feed_;
   RouterCensus census_;
-  std::map<ConnectionId, RouterId> sessions_;
+  std::set<ConnectionId> sessions_;
   std::set<ConnectionId> new_;  ///< Told no hints yet.
   Instant next_update_{};       ///< When one more message may be made for a router by itself.
 };
