Read what servers state of the requests that they take, and log it

Cause: of an answer the gateway took the echo, the seal, the mark of a request that did not run and the load. A limit, a rest and a leaving were lost at the boundary, and no log or metric could tell whether servers had stated them.

Change: answers are read for them; beliefs that begin, change or end are lines (limit_named, limit_ended, rest_asked, leaving), with metrics. Fields that mean nothing to a gateway are told once a name (unknown_field), so that the next word that is lost here is seen. Nothing is decided by any of it yet.

Result: exchange_translator tests pass, among them odd forms: no number, negative, infinite, several, a date, another request's answer.

--- a/src/daemon/gateway/exchange_names.h
+++ b/src/daemon/gateway/exchange_names.h
@@ -18,6 +18,8 @@
   std::string answerer{};       ///< From servers, to probes: which instance answers.
   std::string warm_up_ms{};     ///< From servers, to probes: how much longer it warms up.
   std::string tenant{};         ///< To servers: whose key the caller showed.
+  std::string limit{};          ///< From servers: requests a second, from all gateways together.
+  std::string leaving{};        ///< From servers: "1" when they will end as planned.
 };
 
 }  // namespace graniteseam::daemon
--- a/src/daemon/gateway/exchange_translator.cc
+++ b/src/daemon/gateway/exchange_translator.cc
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 #include <cstdio>
 #include <utility>
@@ -19,6 +20,7 @@
 constexpr std::int64_t kTimeLeftMaximumMs = 3'600'000;
 constexpr int kUnauthorised = 401;
 constexpr int kMisdirected = 421;
+constexpr int kUnavailable = 503;
 
 template <class Number>
 std::optional<Number> ReadNumber(const std::string* text) {
@@ -50,6 +52,35 @@
   return load;
 }
 
+/// A number of seconds or of requests a second, which are decimal and not negative.
+std::optional<double> ReadDecimal(const std::string& text) {
+  constexpr double kMaximum = 1e9;
+  double number = 0;
+  const char* const end = text.data() + text.size();
+  const auto [parsed, error] = std::from_chars(text.data(), end, number, std::chars_format::fixed);
+  if (error != std::errc() || parsed != end || !(number >= 0 && number <= kMaximum)) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+/// The lowest of all fields of a name that can be read; nullopt when none can.
+std::optional<double> ReadLowest(const event_http::HeaderFields& fields, const std::string& name) {
+  std::optional<double> lowest;
+  for (const event_http::HeaderField& field : fields.all()) {
+    if (!event_http::SameName(field.name, name)) continue;
+    const auto number = ReadDecimal(field.value);
+    if (number && (!lowest || *number < *lowest)) lowest = number;
+  }
+  return lowest;
+}
+
+/// Fields of HTTP itself that servers send, and that say nothing to the decision maker.
+constexpr std::array<std::string_view, 14> kStandardFields = {
+    "Content-Type",  "Content-Length", "Content-Encoding",  "Connection", "Keep-Alive",
+    "Date",          "Server",         "Transfer-Encoding", "Vary",       "Retry-After",
+    "Cache-Control", "ETag",           "Last-Modified",     "Location"};
+
 /// The digest leaves out the sign bit.
 constexpr std::uint64_t kDigestBits = (std::uint64_t{1} << 63) - 1;
 
@@ -167,9 +198,44 @@
     report.load_unreadable = load != nullptr && !report.load;
   }
   report.not_owner = result.response.status == kMisdirected;
+  // An answer that may be another instance's tells nothing of this one.
+  const bool own = report.end != AttemptEnd::kUnusable && !report.not_owner;
+  if (own) report.pressure = PressureOf(result.response);
   return report;
 }
 
+gateway::BackPressure ExchangeTranslator::PressureOf(const event_http::Response& answer) const {
+  constexpr char kRetryAfter[] = "Retry-After";
+  const event_http::HeaderFields& fields = answer.fields;
+  gateway::BackPressure pressure;
+  pressure.limit_per_second = ReadLowest(fields, names_.limit);
+  pressure.unreadable = !pressure.limit_per_second && fields.Count(names_.limit) > 0;
+  const std::string* const leaving = fields.Find(names_.leaving);
+  pressure.leaving = leaving != nullptr && *leaving == "1";
+  pressure.unreadable |= leaving != nullptr && !pressure.leaving && *leaving != "0";
+  if (answer.status != kUnavailable || fields.Count(kRetryAfter) == 0) return pressure;
+  // A date, which RFC 9110, section 10.2.3, allows too, is not read.
+  const auto seconds = ReadLowest(fields, kRetryAfter);
+  pressure.unreadable |= !seconds;
+  if (seconds) {
+    pressure.rest = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(*seconds));
+  }
+  return pressure;
+}
+
+const std::string* ExchangeTranslator::UnknownField(const event_http::Response& answer) const {
+  const std::array<std::string_view, 9> known = {
+      names_.attempt_id, names_.seal,  names_.load,    names_.not_executed,   names_.answerer,
+      names_.warm_up_ms, names_.limit, names_.leaving, names_.target_instance};
+  for (const event_http::HeaderField& field : answer.fields.all()) {
+    const auto same = [&](std::string_view name) { return event_http::SameName(field.name, name); };
+    const bool is_known = std::any_of(known.begin(), known.end(), same) ||
+                          std::any_of(kStandardFields.begin(), kStandardFields.end(), same);
+    if (!is_known) return &field.name;
+  }
+  return nullptr;
+}
+
 std::string ExchangeTranslator::ForProbe(const gateway::ProbeInstance& probe) const {
   event_http::Request request;
   request.method = "GET";
--- a/src/daemon/gateway/exchange_translator.h
+++ b/src/daemon/gateway/exchange_translator.h
@@ -42,6 +42,10 @@
   event_http::Response ForCaller(const gateway::Refuse& refusal,
                                  const event_http::Request& request) const;
 
+  /// The first field of a server's answer that neither this dialect nor HTTP has a meaning for
+  /// here; null when there is none.
+  const std::string* UnknownField(const event_http::Response& answer) const;
+
   /// The caller's id of a request, for the log; empty when it has none.
   std::string AttemptId(const event_http::Request& request) const;
 
@@ -50,6 +54,7 @@
   void HideApiKey(const gateway::SendAttempt& send, event_http::HeaderFields& fields) const;
   gateway::AttemptEnd EndOf(const event_http::Response& answer,
                             const event_http::Request& request) const;
+  gateway::BackPressure PressureOf(const event_http::Response& answer) const;
 
   const ExchangeNames names_;
 };
--- a/src/daemon/gateway/gateway_metrics.cc
+++ b/src/daemon/gateway/gateway_metrics.cc
@@ -12,6 +12,9 @@
       sends_(registry.Counter(Metric::kGatewaySends)),
       callers_gone_(registry.Counter(Metric::kGatewayCallersGone)),
       unreadable_loads_(registry.Counter(Metric::kGatewayUnreadableLoads)),
+      unreadable_pressure_(registry.Counter(Metric::kGatewayUnreadablePressure)),
+      rests_asked_(registry.Counter(Metric::kGatewayRestsAsked)),
+      limited_instances_(registry.Gauge(Metric::kGatewayLimitedInstances)),
       probes_(registry.Counter(Metric::kGatewayProbes)),
       version_(registry.Gauge(Metric::kGatewayStateVersion)),
       configuration_(registry.Gauge(Metric::kGatewayConfigurationVersion)) {}
@@ -32,6 +35,13 @@
   registry_.Counter(Metric::kGatewayAttempts, {{"end", std::string(EndName(end))}}).Increment();
 }
 
+void GatewayMetrics::OnBackPressure(const gateway::BackPressure& pressure,
+                                    std::size_t limited_instances) {
+  if (pressure.unreadable) unreadable_pressure_.Increment();
+  if (pressure.rest) rests_asked_.Increment();
+  limited_instances_.Set(static_cast<double>(limited_instances));
+}
+
 void GatewayMetrics::OnVersion(std::uint64_t version, std::uint64_t configuration) {
   version_.Set(static_cast<double>(version));
   configuration_.Set(static_cast<double>(configuration));
--- a/src/daemon/gateway/gateway_metrics.h
+++ b/src/daemon/gateway/gateway_metrics.h
@@ -22,6 +22,7 @@
   void OnAttemptEnd(gateway::AttemptEnd end);
   void OnProbe() { probes_.Increment(); }
   void OnUnreadableLoad() { unreadable_loads_.Increment(); }
+  void OnBackPressure(const gateway::BackPressure& pressure, std::size_t limited_instances);
   void OnCallerGone() { callers_gone_.Increment(); }
   void OnVersion(std::uint64_t version, std::uint64_t configuration);
 
@@ -30,6 +31,9 @@
   runtime::CounterHandle sends_;
   runtime::CounterHandle callers_gone_;
   runtime::CounterHandle unreadable_loads_;
+  runtime::CounterHandle unreadable_pressure_;
+  runtime::CounterHandle rests_asked_;
+  runtime::GaugeHandle limited_instances_;
   runtime::CounterHandle probes_;
   runtime::GaugeHandle version_;
   runtime::GaugeHandle configuration_;
--- a/src/daemon/gateway/gateway_process.cc
+++ b/src/daemon/gateway/gateway_process.cc
@@ -16,6 +16,10 @@
 constexpr Duration kUrgentPollInterval{100'000};
 /// Of the requests that went well at the first try, one in so many is told in full.
 constexpr std::uint64_t kSampledRequests = 64;
+/// Of servers' answers, one in so many is searched for fields that mean nothing here; so many names
+/// of such fields are told.
+constexpr std::uint64_t kAnswersPerLook = 16;
+constexpr std::size_t kUnknownFieldsMaximum = 16;
 /// A request that took longer is told in full.
 constexpr Duration kSlow{1'000'000};
 /// A server that is reached accepts within milliseconds. A lost opening packet is sent again after
@@ -240,8 +244,10 @@
   if (report.load_unreadable) metrics_.OnUnreadableLoad();
   if (report.end == gateway::AttemptEnd::kUnusable && live.call) servers_->Distrust(*live.call);
   live.call.reset();
+  LogUnknownField(result.response);
   live.answer = std::move(result.response);
   Run(node_.OnAttemptEnd(report, runtime::BootTimeNow()));
+  metrics_.OnBackPressure(report.pressure, node_.limited_instances());
 }
 
 void GatewayProcess::Do(const gateway::AbandonAttempt& abandon) {
@@ -348,6 +354,16 @@
                             .Add("version", node_.version()));
 }
 
+/// A field that this gateway has no meaning for may be a word that it should heed.
+void GatewayProcess::LogUnknownField(const event_http::Response& answer) {
+  if (answers_looked_at_++ % kAnswersPerLook != 0) return;
+  const std::string* const name = translator_.UnknownField(answer);
+  if (name == nullptr || unknown_fields_.size() >= kUnknownFieldsMaximum) return;
+  if (!unknown_fields_.insert(*name).second) return;
+  events_.Write(runtime::EventWeight::kNotable,
+                runtime::EventLine("unknown_field").Add("name", *name));
+}
+
 // --- Control and time ---
 
 void GatewayProcess::OnControlMessage(const control::ControlToRouter& message) {
--- a/src/daemon/gateway/gateway_process.h
+++ b/src/daemon/gateway/gateway_process.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -77,6 +78,7 @@
               std::string_view outcome);
   void AnswerTheRest();
   void TakeNotes(std::vector<gateway::DecisionNote> notes);
+  void LogUnknownField(const event_http::Response& answer);
   void LogRequest(const LiveExchange& live, int status, std::string_view outcome, Duration taken);
   void ArmTimer();
   void Poll();
@@ -106,6 +108,8 @@
   std::map<gateway::RequestNumber, LiveExchange> live_;
   gateway::RequestNumber last_number_;
   std::uint64_t finished_ = 0;
+  std::uint64_t answers_looked_at_ = 0;
+  std::set<std::string> unknown_fields_;  ///< Told so far.
   bool rest_answered_ = false;
   std::atomic<bool> stopping_{false};
 };
--- a/src/gateway/backend_table.cc
+++ b/src/gateway/backend_table.cc
@@ -81,6 +81,9 @@
     backend.instance = instance;
     if (fresh) backend.latency_us = Micros(options_.first_latency);
   }
+  for (const auto& [id, backend] : before) {
+    if (!backends_.contains(id)) pressure_.forget(id);
+  }
 }
 
 void BackendTable::List(const Backend& backend, bool listed, const traffic::Instance& next) {
@@ -104,6 +107,7 @@
   if (found == backends_.end()) return;
   Unlist(found->second);
   backends_.erase(found);
+  pressure_.forget(id);
 }
 
 void BackendTable::FollowWarmUp(Backend& backend, const traffic::Instance& next, bool fresh,
--- a/src/gateway/backend_table.h
+++ b/src/gateway/backend_table.h
@@ -13,6 +13,7 @@
 
 #include "graniteseam/traffic/hints.h"
 #include "graniteseam/traffic/update.h"
+#include "src/gateway/back_pressure_table.h"
 #include "src/gateway/gateway_events.h"
 #include "src/gateway/warm_up_gate.h"
 
@@ -150,6 +151,9 @@
                Instant now);
   void OnAbandoned(const traffic::InstanceId& id);
 
+  BackPressureTable& pressure() { return pressure_; }
+  const BackPressureTable& pressure() const { return pressure_; }
+
   /// Speeds of servers that were seen since they were last taken.
   /// @param all false: only of those that failed meanwhile, which control should know at once.
   std::vector<traffic::InstanceSpeed> TakeSpeeds(bool all);
@@ -232,6 +236,7 @@
   const BackendOptions options_;
   std::mt19937_64 random_;
   WarmUpGate warm_ups_;
+  BackPressureTable pressure_;
   std::map<traffic::InstanceId, Backend> backends_;
   Instant confirmed_at_{};
   std::map<ServiceName, std::vector<traffic::InstanceId>> services_;
--- a/src/gateway/gateway_events.h
+++ b/src/gateway/gateway_events.h
@@ -41,6 +41,16 @@
   std::optional<double> work_percent = std::nullopt;
 };
 
+/// What a server states in an answer, beyond its load, of the requests that it takes.
+struct BackPressure {
+  /// Requests a second that it takes from all gateways together.
+  std::optional<double> limit_per_second = std::nullopt;
+  /// For which it wants no request from this gateway.
+  std::optional<Duration> rest = std::nullopt;
+  bool leaving = false;     ///< It will end as planned.
+  bool unreadable = false;  ///< It states one of these in a form that is none.
+};
+
 /// How one sending of a request ended.
 enum class AttemptEnd {
   kAnswered,     ///< The server's own answer, whole and in place.
@@ -60,6 +70,7 @@
   std::optional<ReportedLoad> load;
   bool load_unreadable = false;  ///< The answer told of a load that is none.
   bool not_owner = false;  ///< The server is not the one that was meant, or does not hold the key.
+  BackPressure pressure{};
 };
 
 /// How asking a server for its load went.
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -99,6 +99,7 @@
   const ServiceName service = request->service;
   traffic_.backends().OnEnded(request->open->instance, report, now - request->open->sent_at, now);
   if (report.load) probes_.note_answer(service, *report.load, now);
+  NoteBackPressure(request->open->instance, report, now);
   TakeEnd(*request, report, now);
   ServeWaiting(service, now);
   return Finish();
@@ -329,6 +330,17 @@
 
 // --- Helpers ---
 
+void GatewayNode::NoteBackPressure(const traffic::InstanceId& instance, const AttemptReport& report,
+                                   Instant now) {
+  const bool ran = report.end == AttemptEnd::kAnswered;
+  if (!ran && report.end != AttemptEnd::kNotExecuted) return;
+  if (report.not_owner || traffic_.backends().Find(instance) == nullptr) return;
+  for (const BackPressureChange& change :
+       traffic_.backends().pressure().take(instance, report.pressure, ran, now)) {
+    Note({}, change.what, instance, change.inputs);
+  }
+}
+
 SharedRetryBudget& GatewayNode::BudgetOf(const ServiceName& service) {
   return budgets_.try_emplace(service, options_.budget).first->second;
 }
--- a/tests/gateway_daemon/exchange_translator_test.cc
+++ b/tests/gateway_daemon/exchange_translator_test.cc
@@ -156,3 +156,55 @@
   cr_assert_eq(*response.fields.Find("WWW-Authenticate"), "Bearer");
   cr_assert(event_http::Serialize(response, false).find("secret") == std::string::npos);
 }
+
+namespace {
+
+/// What an answer to Lookup() with this status and these fields states.
+gateway::BackPressure Stated(int status, const std::vector<event_http::HeaderField>& fields,
+                             const std::string& id = "one") {
+  daemon::ExchangeNames names = Names();
+  names.limit = "Limit";
+  names.leaving = "Leaving";
+  event_http::CallResult result;
+  result.end = event_http::CallEnd::kAnswered;
+  result.response.status = status;
+  result.response.fields.Add("Id", id);
+  result.response.fields.Add("Seal", "s");
+  for (const event_http::HeaderField& field : fields) {
+    result.response.fields.Add(field.name, field.value);
+  }
+  return daemon::ExchangeTranslator(names).Read(result, Lookup(), gateway::SendAttempt{}).pressure;
+}
+
+}  // namespace
+
+/// Guards against back-pressure that is lost between a server's answer and what decides on
+/// requests.
+Test(exchange_translator, reads_limits_rests_and_leavings_of_servers) {
+  cr_expect(Stated(200, {{"limit", "5.25"}}).limit_per_second == 5.25);
+  cr_expect(Stated(500, {{"Limit", "0"}}).limit_per_second == 0.0);
+  cr_expect(Stated(200, {{"Leaving", "1"}}).leaving);
+  cr_expect(!Stated(200, {{"Leaving", "0"}}).leaving);
+  const auto resting = Stated(503, {{"Not-Run", "1"}, {"Retry-After", "1.5"}});
+  cr_assert(resting.rest && *resting.rest == std::chrono::milliseconds(1'500));
+  cr_expect(!Stated(500, {{"Retry-After", "3"}}).rest, "only a 503 asks for rest");
+}
+
+Test(exchange_translator, takes_no_limit_or_rest_from_what_is_none) {
+  for (const char* const text : {"", "-1", "5 a second", "nan", "inf", "1e3", "1e400", "0x10"}) {
+    const auto limit = Stated(200, {{"Limit", text}});
+    cr_expect(!limit.limit_per_second && limit.unreadable, "limit %s", text);
+    const auto rest = Stated(503, {{"Retry-After", text}});
+    cr_expect(!rest.rest && rest.unreadable, "rest %s", text);
+  }
+  cr_expect(Stated(503, {{"Retry-After", "Fri, 31 Dec 1999 23:59:59 GMT"}}).unreadable);
+  cr_expect(Stated(200, {{"Leaving", "yes"}}).unreadable);
+  const auto twice = Stated(200, {{"Limit", "7"}, {"Limit", "none"}, {"Limit", "3"}});
+  cr_expect(twice.limit_per_second == 3.0, "the lowest that can be read");
+}
+
+/// Another instance at the server's address, or another request's answer, speaks for itself.
+Test(exchange_translator, takes_no_back_pressure_from_another_answerer) {
+  cr_expect(!Stated(421, {{"Limit", "5"}}).limit_per_second);
+  cr_expect(!Stated(200, {{"Limit", "5"}}, "two").limit_per_second);
+}
