--- a/simulation/simulator/main.cc
+++ b/simulation/simulator/main.cc
@@ -38,6 +38,9 @@
 /// The same as the first with requests that end each worker that runs them.
 constexpr const char* kTrafficCrashing = "traffic-crashing";
 
+/// The same as the first with workers that name limits and ask for rests.
+constexpr const char* kTrafficLimits = "traffic-limits";
+
 constexpr const char* kUsage =
     "Usage: graniteseam-simulation [OPTION...]\n"
     "  --seeds A:B        run the seeds from A to B (default 1:20)\n"
@@ -63,7 +66,7 @@
 
   bool Traffic() const {
     return scenario == kTrafficScenario || scenario == kTrafficCalmCore ||
-           scenario == kTrafficCrashing;
+           scenario == kTrafficCrashing || scenario == kTrafficLimits;
   }
 };
 
@@ -156,6 +159,8 @@
               "the same without faults of control and of the whole network");
   std::printf("scenario %-36s %s\n", kTrafficCrashing,
               "traffic with requests that end each worker that runs them");
+  std::printf("scenario %-36s %s\n", kTrafficLimits,
+              "traffic with workers that name limits, ask for rests and say that they leave");
   for (const auto& [defect, name, promise, description] : seeded_traffic_defects()) {
     std::printf("defect   %-36.*s traffic: %.*s\n", static_cast<int>(name.size()), name.data(),
                 static_cast<int>(description.size()), description.data());
@@ -217,10 +222,12 @@
   options.trace = trace;
   if (!settings.Traffic()) return RunScenario(*scenario, options);
   const auto* defect = FindTrafficDefect(settings.defect);
-  return graniteseam::simulation::run_traffic(
-      {options,
-       {defect ? defect->defect : TrafficDefect::kNone, settings.scenario == kTrafficCalmCore,
-        settings.scenario == kTrafficCrashing, false}});
+  graniteseam::simulation::TrafficWorldOptions world;
+  if (defect != nullptr) world.defect = defect->defect;
+  world.core_stays_calm = settings.scenario == kTrafficCalmCore;
+  world.crashing_requests = settings.scenario == kTrafficCrashing;
+  world.stated_limits = settings.scenario == kTrafficLimits;
+  return graniteseam::simulation::run_traffic({options, world});
 }
 
 void RunAll(const Settings& settings, const Scenario* scenario, Totals& totals) {
--- a/simulation/traffic_world/gateway_process.cc
+++ b/simulation/traffic_world/gateway_process.cc
@@ -175,6 +175,8 @@
         report.status = answer.status;
         report.load = answer.load;
         report.not_owner = end == gateway::AttemptEnd::kNotExecuted && answer.status == kMisdirected;
+        if (!report.not_owner)
+            report.pressure = answer.pressure;
     }
     found->second.attempt = 0;
     found->second.answer = answer;
@@ -197,6 +199,7 @@
 auto GatewayProcess::act(gateway::RelayAnswer const& relay) -> void
 {
     auto const& answer = m_live.at(relay.request).answer;
+    m_ports.on_relayed(*this, m_live.at(relay.request).address, answer);
     tell(relay.request, {CallerAnswer::End::kAnswered, answer.status, answer.number, {}, {}});
 }
 
--- a/simulation/traffic_world/traffic_callers.cc
+++ b/simulation/traffic_world/traffic_callers.cc
@@ -44,7 +44,9 @@
 
 auto TrafficCallers::start() -> void
 {
-    m_world.queue.After(m_world.random.Between(kArrivalMinimum, kArrivalMaximum), [this] {
+    auto const drawn = m_world.random.Between(kArrivalMinimum, kArrivalMaximum);
+    auto const wait = static_cast<double>(drawn.count()) / m_fleet.options().load;
+    m_world.queue.After(Duration {static_cast<std::int64_t>(wait)}, [this] {
         arrive();
         start();
     });
@@ -111,7 +113,7 @@
 {
     --call.tries_left;
     auto const number = ++m_last_request;
-    m_oracle.on_sent(number, call.kind->repeatable);
+    m_oracle.on_sent(number, call.kind->repeatable, m_world.now());
     gateway::ArrivedRequest request;
     request.number = {number};
     request.host = "host";
--- a/simulation/traffic_world/traffic_faults.cc
+++ b/simulation/traffic_world/traffic_faults.cc
@@ -43,19 +43,39 @@
     return kinds;
 }
 
+auto TrafficFaults::stated() -> std::vector<TrafficFaultKind> const&
+{
+    static std::vector<TrafficFaultKind> const kinds {
+        {"worker names a limit", &TrafficFaults::name_limit},
+        {"worker asks for rest", &TrafficFaults::ask_for_rest},
+        {"worker drained", &TrafficFaults::drain_worker},
+    };
+    return kinds;
+}
+
 auto TrafficFaults::inject_until(TrueTime end, bool overlapping) -> void
 {
     m_end = end;
+    if (!m_fleet.options().nothing_else)
+        m_kinds = draw_kinds();
+    if (m_fleet.options().stated_limits)
+        m_kinds.insert(m_kinds.end(), stated().begin(), stated().end());
+    inject_next(end, overlapping);
+}
+
+auto TrafficFaults::draw_kinds() -> std::vector<TrafficFaultKind>
+{
     auto kinds = all();
     if (m_fleet.options().core_stays_calm)
         std::erase_if(kinds, [](TrafficFaultKind const& kind) { return kind.disturbs_core; });
     auto const count = kKindsMinimum + m_world.random.Below(kinds.size() - kKindsMinimum + 1);
-    while (m_kinds.size() < count) {
+    std::vector<TrafficFaultKind> chosen;
+    while (chosen.size() < count) {
         auto const drawn = kinds.begin() + static_cast<std::ptrdiff_t>(m_world.random.Below(kinds.size()));
-        m_kinds.push_back(*drawn);
+        chosen.push_back(*drawn);
         kinds.erase(drawn);
     }
-    inject_next(end, overlapping);
+    return chosen;
 }
 
 auto TrafficFaults::inject_next(TrueTime end, bool overlapping) -> void
@@ -80,6 +100,11 @@
     ++m_network_moods;
     m_world.mood = {};
     m_fleet.mood = {};
+    for (auto const& place : m_fleet.places) {
+        if (place.worker->limit())
+            place.worker->name_limit(std::nullopt);
+        place.worker->turn_away(0, {});
+    }
     m_fleet.disturb_core(m_world.now());
     for (auto const& control : m_fleet.controls) {
         m_world.RestoreNode(control->name());
@@ -251,6 +276,30 @@
     in_mood(&WorkerMood::answer_surplus, m_world.random.Fraction() * 0.3);
 }
 
+/// A fraction of what a worker gets, so that the limit binds.
+auto TrafficFaults::name_limit() -> void
+{
+    auto* const place = any_place();
+    if (place == nullptr || place->worker->limit())
+        return;
+    constexpr double kMinimum = 0.5;
+    constexpr double kSpan = 5.5;
+    auto const worker = place->worker;
+    worker->name_limit(kMinimum + kSpan * m_world.random.Fraction());
+    m_world.queue.After(span(5'000, 15'000), [worker] {
+        if (worker->up())
+            worker->name_limit(std::nullopt);
+    });
+}
+
+auto TrafficFaults::ask_for_rest() -> void
+{
+    auto* const place = any_place();
+    if (place == nullptr || place->worker->turns_away())
+        return;
+    place->worker->turn_away(m_world.now() + span(500, 9'000).count(), span(500, 4'000));
+}
+
 // --- Control and gateways ---
 
 auto TrafficFaults::pause(ControlProcess& control, Duration length) -> void
--- a/simulation/traffic_world/traffic_faults.h
+++ b/simulation/traffic_world/traffic_faults.h
@@ -29,6 +29,8 @@
     }
 
     static auto all() -> std::vector<TrafficFaultKind> const&;
+    /// What workers state of the requests that they take.
+    static auto stated() -> std::vector<TrafficFaultKind> const&;
 
     /// Injects kinds drawn from some drawn for this run, until `end`: one after another, or with
     /// `overlapping` two at once and often.
@@ -56,10 +58,13 @@
     auto cut_gateway() -> void;
     auto kill_gateway() -> void;
     auto disturb_network() -> void;
+    auto name_limit() -> void;
+    auto ask_for_rest() -> void;
     auto race_operators() -> void { m_operators.race(); }
     auto turn_form() -> void { m_operators.turn_form(); }
 
 private:
+    auto draw_kinds() -> std::vector<TrafficFaultKind>;
     auto inject_next(TrueTime end, bool overlapping) -> void;
     auto span(std::int64_t low_ms, std::int64_t high_ms) -> Duration;
     auto any_control() -> ControlProcess&;
--- a/simulation/traffic_world/traffic_fleet.cc
+++ b/simulation/traffic_world/traffic_fleet.cc
@@ -54,7 +54,7 @@
     }
     for (auto const& control : controls)
         control->SetFirstVoters(voters);
-    for (std::uint32_t number = 1; number <= kTrafficGateways; ++number) {
+    for (std::uint32_t number = 1; number <= m_options.gateways; ++number) {
         gateways.push_back(
             std::make_unique<GatewayProcess>(world, *this, number, (number - 1) % kTrafficZones, addresses));
         gateways.back()->takes_any_answer = defect() == TrafficDefect::kSurplusAnswerTaken;
@@ -180,9 +180,8 @@
     for (auto const& gateway : gateways) {
         if (!gateway->alive() || gateway->paused())
             continue;
-        auto const life = ToString(gateway->name()) + " start " + std::to_string(gateway->starts());
         m_oracle.on_gateway_configuration(
-            life, gateway->configuration(), calm_for(*gateway, kMustHaveHeard), m_world.now());
+            life_of(*gateway), gateway->configuration(), calm_for(*gateway, kMustHaveHeard), m_world.now());
     }
 }
 
@@ -327,6 +326,8 @@
     if (!worker || !worker->up() || place.planned_end)
         return;
     place.planned_end = true;
+    if (m_options.stated_limits)
+        worker->say_leaving();
     m_world.Trace(worker->traits().id + (with_word ? " drains" : " leaves without a word of draining"));
     end_after(place, worker, kDrainUnheard + kDrain);
     if (with_word) {
@@ -548,6 +549,8 @@
     if (counts && m_drains_heard.contains(worker->traits().id))
         m_world.Count("request from a gateway in touch to a drained worker");
     m_oracle.on_request_reached(worker->traits().id, counts, m_world.now());
+    auto const life = life_of(from);
+    m_oracle.on_request_from(worker->traits().id, life, request.number, m_world.now());
     if (is_crashing(request.digest)) {
         m_world.Trace(worker->traits().id + " reached by " + std::to_string(request.number) + " of digest "
             + std::to_string(request.digest) + (in_touch(from) ? ", in touch" : ""));
@@ -572,10 +575,30 @@
         }
         auto const end
             = answer.end == WorkerAnswer::End::kAnswered ? AttemptEnd::kAnswered : AttemptEnd::kNotExecuted;
-        m_world.SendOnce(place.node, from.name(), [reply, end, answer] { reply(end, answer); });
+        m_world.SendOnce(place.node, from.name(), [=, this] {
+            if (answer.pressure.rest && answer.number == request.number)
+                m_oracle.on_rest_asked(
+                    worker->traits().id, life, answer.pressure.rest->count(), m_world.now());
+            reply(end, answer);
+        });
     });
 }
 
+auto TrafficFleet::on_relayed(GatewayProcess& from, std::string const& address, WorkerAnswer const& answer)
+    -> void
+{
+    auto const& worker = place_of(address).worker;
+    if (answer.pressure.limit_per_second)
+        m_oracle.on_limit_relayed(worker->traits().id, life_of(from), m_world.now());
+    if (answer.pressure.leaving)
+        m_oracle.on_leaving_relayed(worker->traits().id, life_of(from), m_world.now());
+}
+
+auto TrafficFleet::life_of(GatewayProcess const& gateway) -> std::string
+{
+    return ToString(gateway.name()) + " start " + std::to_string(gateway.starts());
+}
+
 auto TrafficFleet::close_at_worker(GatewayProcess& from, std::string const& address, std::uint64_t request)
     -> void
 {
--- a/simulation/traffic_world/traffic_fleet.h
+++ b/simulation/traffic_world/traffic_fleet.h
@@ -53,8 +53,12 @@
     /// Some requests end each worker that runs them and come again and again, and many callers ask for
     /// the same.
     bool crashing_requests = false;
-    /// Nothing else goes wrong beside those requests.
+    /// Nothing else goes wrong beside those requests, or beside what workers state.
     bool nothing_else = false;
+    /// Workers name limits, ask for rests, and say that they leave.
+    bool stated_limits = false;
+    std::uint32_t gateways = kTrafficGateways;
+    double load = 1; ///< Calls, as a multiple of the usual.
 };
 
 /// An address, and who lives there.
@@ -117,6 +121,7 @@
         -> void override;
     auto send_to_worker(GatewayProcess& from, std::string const& address, WorkerRequest const&,
         std::function<void(gateway::AttemptEnd, WorkerAnswer const&)> const& reply) -> void override;
+    auto on_relayed(GatewayProcess& from, std::string const& address, WorkerAnswer const&) -> void override;
     auto close_at_worker(GatewayProcess& from, std::string const& address, std::uint64_t request)
         -> void override;
 
@@ -142,6 +147,8 @@
         std::function<void()> const& acknowledged) -> void;
     auto end_after(Place&, std::shared_ptr<Worker> const&, Duration) -> void;
 
+    /// A gateway's life from one start to the next.
+    static auto life_of(GatewayProcess const&) -> std::string;
     auto connect_to_owner(ControlProcess& from, control::RangeOrder const&, TrueTime sent, OrderEnd const&)
         -> void;
     auto hand_over_request(GatewayProcess& from, Place&, WorkerRequest const&, AttemptReply const&) -> void;
--- a/simulation/traffic_world/traffic_oracle.cc
+++ b/simulation/traffic_world/traffic_oracle.cc
@@ -18,6 +18,18 @@
     /// Times that it may reach a worker after that.
     constexpr std::uint32_t kReachedAllowed = 3;
 
+    /// From when on a limit binds, over which time it is counted, and since when a gateway must have
+    /// passed it on.
+    constexpr std::int64_t kLimitBindsAfter = 3'000'000;
+    constexpr std::int64_t kLimitWindow = 4'000'000;
+    constexpr std::int64_t kToldBefore = 500'000;
+    /// Requests within the window that a limit allows, as a multiple of what it names and beyond that.
+    constexpr double kLimitStretch = 1.5;
+    constexpr double kLimitExtra = 5;
+    /// A rest binds from then on; requests that may reach the worker within it.
+    constexpr std::int64_t kRestBindsAfter = 500'000;
+    constexpr std::uint32_t kReachedInRest = 2;
+
     auto to_text(Keys const& keys) -> std::string
     {
         return std::to_string(keys.first) + " to " + std::to_string(keys.last);
@@ -115,9 +127,10 @@
 
 // --- Requests ---
 
-auto TrafficOracle::on_sent(std::uint64_t request, bool repeatable) -> void
+auto TrafficOracle::on_sent(std::uint64_t request, bool repeatable, std::int64_t now) -> void
 {
     m_requests[request].repeatable = repeatable;
+    m_requests[request].sent = now;
 }
 
 auto TrafficOracle::on_run(std::uint64_t request, std::string const& worker, std::int64_t now) -> void
@@ -215,6 +228,93 @@
             now);
 }
 
+// --- What workers state of the requests that they take ---
+
+auto TrafficOracle::on_limit(std::string const& worker, double limit, std::int64_t now) -> void
+{
+    m_limits.erase(worker);
+    if (limit > 0)
+        m_limits[worker] = {limit, now, {}, {}};
+}
+
+auto TrafficOracle::on_limit_relayed(std::string const& worker, std::string const& gateway, std::int64_t now)
+    -> void
+{
+    auto const found = m_limits.find(worker);
+    if (found != m_limits.end())
+        found->second.told.try_emplace(gateway, now);
+}
+
+auto TrafficOracle::on_leaving_relayed(
+    std::string const& worker, std::string const& gateway, std::int64_t now) -> void
+{
+    m_leaving.try_emplace({worker, gateway}, now);
+}
+
+auto TrafficOracle::on_rest_asked(
+    std::string const& worker, std::string const& gateway, std::int64_t rest, std::int64_t now) -> void
+{
+    m_rests[{worker, gateway}].push_back({now + kRestBindsAfter, now + rest, 0});
+}
+
+auto TrafficOracle::on_request_from(
+    std::string const& worker, std::string const& gateway, std::uint64_t request, std::int64_t now) -> void
+{
+    check_limit(worker, gateway, now);
+    check_rests({worker, gateway}, now);
+    auto const leaving = m_leaving.find({worker, gateway});
+    if (leaving == m_leaving.end())
+        return;
+    ++m_checks;
+    auto const late = m_requests[request].sent - leaving->second;
+    if (late > kDrainAllowed)
+        violate("leaving",
+            worker + " gets a request that was sent " + std::to_string(late / 1'000) + " ms after " + gateway
+                + " had passed on that it leaves",
+            now);
+}
+
+auto TrafficOracle::check_limit(std::string const& worker, std::string const& gateway, std::int64_t now)
+    -> void
+{
+    auto const found = m_limits.find(worker);
+    if (found == m_limits.end())
+        return;
+    auto& limit = found->second;
+    auto const told = limit.told.find(gateway);
+    auto const counts = told != limit.told.end() && now - told->second >= kToldBefore;
+    if (!counts || now - limit.since < kLimitBindsAfter)
+        return;
+    ++m_checks;
+    limit.arrived.push_back(now);
+    while (now - limit.arrived.front() > kLimitWindow)
+        limit.arrived.pop_front();
+    constexpr double kMicros = 1e6;
+    auto const allowed = kLimitStretch * limit.per_second * kLimitWindow / kMicros + kLimitExtra;
+    if (static_cast<double>(limit.arrived.size()) > allowed)
+        violate("limit",
+            worker + " names a limit of " + std::to_string(limit.per_second) + " a second and gets "
+                + std::to_string(limit.arrived.size()) + " requests in 4 s from gateways that were told",
+            now);
+}
+
+auto TrafficOracle::check_rests(WorkerAndGateway const& pair, std::int64_t now) -> void
+{
+    auto const found = m_rests.find(pair);
+    if (found == m_rests.end())
+        return;
+    std::erase_if(found->second, [now](Rest const& rest) { return now >= rest.until; });
+    for (auto& rest : found->second) {
+        ++m_checks;
+        if (now < rest.from || ++rest.reached <= kReachedInRest)
+            continue;
+        violate("rest",
+            pair.first + " gets " + std::to_string(rest.reached) + " requests from " + pair.second
+                + " within a rest that it asked for",
+            now);
+    }
+}
+
 // --- Configuration ---
 
 auto TrafficOracle::on_change_accepted(
--- a/simulation/traffic_world/traffic_oracle.h
+++ b/simulation/traffic_world/traffic_oracle.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <set>
 #include <string>
@@ -49,7 +50,7 @@
     auto on_worker_over(std::string const& worker) -> void;
 
     // Requests.
-    auto on_sent(std::uint64_t request, bool repeatable) -> void;
+    auto on_sent(std::uint64_t request, bool repeatable, std::int64_t now = 0) -> void;
     /// A worker began to work on a request.
     auto on_run(std::uint64_t request, std::string const& worker, std::int64_t now) -> void;
     /// A caller was told that its request did not run and never will.
@@ -71,6 +72,20 @@
     /// A request reaches a worker. @param in_touch whether its gateway was in touch when it sent it.
     auto on_request_reached(std::string const& worker, bool in_touch, std::int64_t now) -> void;
 
+    // What workers state of the requests that they take. Gateways are told apart by their lives.
+    /// A worker names this limit in its answers from now on, in requests a second; 0 for none.
+    auto on_limit(std::string const& worker, double limit, std::int64_t now) -> void;
+    /// A gateway passed on an answer that names the worker's limit.
+    auto on_limit_relayed(std::string const& worker, std::string const& gateway, std::int64_t now) -> void;
+    /// A gateway passed on an answer by which the worker leaves.
+    auto on_leaving_relayed(std::string const& worker, std::string const& gateway, std::int64_t now) -> void;
+    /// A worker turned a gateway's request away, and wants nothing from that gateway for so long.
+    auto on_rest_asked(
+        std::string const& worker, std::string const& gateway, std::int64_t rest, std::int64_t now) -> void;
+    /// A gateway's request reaches a worker.
+    auto on_request_from(std::string const& worker, std::string const& gateway, std::uint64_t request,
+        std::int64_t now) -> void;
+
     // Configuration.
     /// An operator was told that a change is accepted.
     auto on_change_accepted(
@@ -100,6 +115,7 @@
 
 private:
     struct Request {
+        std::int64_t sent = 0;
         bool repeatable = false;
         bool refused = false;
         std::uint32_t runs = 0;
@@ -113,6 +129,24 @@
         std::string content;
         std::int64_t at = 0;
     };
+    /// A worker's limit as long as it names the same one.
+    struct Limit {
+        double per_second = 0;
+        std::int64_t since = 0;
+        std::map<std::string, std::int64_t> told; ///< When gateways first passed it on.
+        std::deque<std::int64_t> arrived; ///< From gateways that were told, within the last window.
+    };
+    /// A rest that a worker asked a gateway for.
+    struct Rest {
+        std::int64_t from = 0;
+        std::int64_t until = 0;
+        std::uint32_t reached = 0;
+    };
+    using WorkerAndGateway = std::pair<std::string, std::string>;
+
+    auto check_limit(std::string const& worker, std::string const& gateway, std::int64_t now) -> void;
+    auto check_rests(WorkerAndGateway const&, std::int64_t now) -> void;
+
     using ServiceOf = std::pair<std::string, std::string>; ///< Worker and service.
 
     auto find_second_holder(ServiceOf const& holder, std::int64_t now) -> void;
@@ -123,6 +157,9 @@
     std::map<std::uint64_t, Request> m_requests;
     std::map<std::uint64_t, Crashing> m_crashing; ///< By digest.
     std::map<std::string, std::int64_t> m_drained_since;
+    std::map<std::string, Limit> m_limits;
+    std::map<WorkerAndGateway, std::int64_t> m_leaving; ///< When the gateway first passed it on.
+    std::map<WorkerAndGateway, std::vector<Rest>> m_rests;
     std::map<std::uint64_t, Accepted> m_accepted; ///< By version.
     std::map<std::uint64_t, std::string> m_accepted_on; ///< Contents by base.
     std::set<std::string> m_refused_contents;
--- a/simulation/traffic_world/traffic_run.cc
+++ b/simulation/traffic_world/traffic_run.cc
@@ -79,7 +79,7 @@
         callers.start();
         if (options.world.crashing_requests)
             callers.start_crashing(calm_from);
-        if (!options.world.nothing_else)
+        if (!options.world.nothing_else || options.world.stated_limits)
             faults.inject_until(calm_from, overlapping);
     });
     world.queue.At(calm_from, [&] {
--- a/simulation/traffic_world/worker.cc
+++ b/simulation/traffic_world/worker.cc
@@ -253,7 +253,7 @@
     Work work {request, reply, m_world.now()};
     if (!would_run(request))
         return answer(work, WorkerAnswer::End::kNotExecuted, kMisdirected);
-    if (m_queue.size() >= m_traits.queue)
+    if (turns_away() || m_queue.size() >= m_traits.queue)
         return answer(work, WorkerAnswer::End::kNotExecuted, kUnavailable);
     m_queue.push_back(std::move(work));
     start_next();
@@ -308,9 +308,32 @@
     answer.number = work.request.number;
     answer.load = {static_cast<double>(m_running.size()), static_cast<double>(m_queue.size()),
         static_cast<double>(m_traits.slots)};
+    answer.pressure = pressure(status);
     work.reply(answer);
 }
 
+auto Worker::pressure(int status) const -> gateway::BackPressure
+{
+    gateway::BackPressure stated;
+    stated.limit_per_second = m_limit;
+    stated.leaving = m_leaving;
+    if (status == kUnavailable && turns_away())
+        stated.rest = m_rest;
+    return stated;
+}
+
+auto Worker::name_limit(std::optional<double> limit) -> void
+{
+    m_limit = limit;
+    m_oracle.on_limit(m_traits.id, limit.value_or(0), m_world.now());
+}
+
+auto Worker::turn_away(TrueTime until, Duration rest) -> void
+{
+    m_turns_away_until = until;
+    m_rest = rest;
+}
+
 auto Worker::drop(std::uint64_t request) -> void
 {
     std::erase_if(m_queue, [&](Work const& work) { return work.request.number == request; });
--- a/simulation/traffic_world/worker.h
+++ b/simulation/traffic_world/worker.h
@@ -58,6 +58,7 @@
     int status = 200;
     std::uint64_t number = 0; ///< Of the request that it belongs to.
     gateway::ReportedLoad load;
+    gateway::BackPressure pressure;
 };
 
 /// Not thread safe: one run, one thread.
@@ -90,6 +91,14 @@
     auto drop(std::uint64_t request) -> void;
 
     auto say_draining() -> void { m_draining = true; }
+    /// Says in each answer that it leaves.
+    auto say_leaving() -> void { m_leaving = true; }
+    /// Names a limit in each answer, in requests a second; nullopt ends it.
+    auto name_limit(std::optional<double> limit) -> void;
+    auto limit() const -> std::optional<double> { return m_limit; }
+    /// Turns all requests away until then, and asks for a rest each time.
+    auto turn_away(TrueTime until, Duration rest) -> void;
+    auto turns_away() const -> bool { return m_world.now() < m_turns_away_until; }
     /// Ends at once; what it had open breaks.
     auto end() -> void;
 
@@ -124,6 +133,7 @@
     auto start_next() -> void;
     auto finish(std::uint64_t started, int status) -> void;
     auto answer(Work const&, WorkerAnswer::End, int status) -> void;
+    auto pressure(int status) const -> gateway::BackPressure;
     auto tell_holdings() -> void;
 
     World& m_world;
@@ -131,6 +141,10 @@
     WorkerTraits m_traits;
     bool m_up = true;
     bool m_draining = false;
+    bool m_leaving = false;
+    std::optional<double> m_limit;
+    TrueTime m_turns_away_until = 0;
+    Duration m_rest {};
     SpanMap<Hold> m_holds;
     SpanMap<std::uint64_t> m_seen; ///< The highest fence by key.
     std::vector<OpenRelease> m_releases;
--- /dev/null
+++ b/tests/traffic_world/stated_limits_test.cc
@@ -0,0 +1,55 @@
+/// @file
+/// What workers state of the requests that they take holds over all gateways together.
+
+#include <criterion/criterion.h>
+
+#include <string>
+
+#include "simulation/traffic_world/traffic_run.h"
+
+using namespace graniteseam;
+using namespace graniteseam::simulation;
+
+namespace {
+
+/// Breaches of one promise under the seeds from 1 to `last`.
+auto breaches(TrafficWorldOptions const& world, std::uint64_t last, std::string const& promise) -> std::string
+{
+    std::string found;
+    for (std::uint64_t seed = 1; seed <= last; ++seed) {
+        TrafficRunOptions options;
+        options.run.seed = seed;
+        options.world = world;
+        for (auto const& violation : run_traffic(options).violations) {
+            if (violation.find(" us: " + promise + ": ") != std::string::npos)
+                found += "seed " + std::to_string(seed) + ": " + violation + "\n";
+        }
+    }
+    return found;
+}
+
+auto only_stated_limits(std::uint32_t gateways, double load) -> TrafficWorldOptions
+{
+    TrafficWorldOptions world;
+    world.stated_limits = true;
+    world.nothing_else = true;
+    world.gateways = gateways;
+    world.load = load;
+    return world;
+}
+
+} // namespace
+
+/// Guards against servers that name a limit and are sent as much as before by gateways that were told.
+Test(stated_limits, server_gets_no_more_than_its_limit_from_all_gateways, .timeout = 300)
+{
+    auto const found = breaches(only_stated_limits(11, 2), 6, "limit");
+    cr_assert(found.empty(), "%s", found.c_str());
+}
+
+/// Guards against gateways that go on sending to a server which asked them for rest.
+Test(stated_limits, server_rests_for_as_long_as_it_asked, .timeout = 300)
+{
+    auto const found = breaches(only_stated_limits(11, 2), 6, "rest");
+    cr_assert(found.empty(), "%s", found.c_str());
+}
