Share a server's limit among all gateways, and move keys off owners that name one

Callers saw nothing: an owner that names a limit goes on answering, and was sent as much as before, by gateways that it had told: 70 requests in 4 s where 36 are allowed.

Cause: what a server states beyond its load was not part of what a gateway knows of it.

Change: a request for an owner with a limit uses up a token of the leader's, asked for with the word itself, so that the leader hears of it at once; without one it is refused as limited. One bucket holds for any number of gateways, and tokens are given under the leader lease only. Without a leader, and in pools, gateways send a part of the limit by tokens of their own, at instants drawn by seed and lost when not used soon: idle gateways can not all send at once. Of two words the one that was heard later counts; the leader tells all gateways of what began and ended. The balancer leaves such an owner the keys that bring 0.6 of its limit, and takes them back to it afterwards. Every request to a server goes through GatewayNode::Send, which asks. Internal protocol 11.

--- a/include/graniteseam/traffic/hints.h
+++ b/include/graniteseam/traffic/hints.h
@@ -9,6 +9,7 @@
 
 #include "graniteseam/traffic/configuration.h"
 #include "graniteseam/traffic/instance.h"
+#include "graniteseam/traffic/instance_limit.h"
 
 namespace graniteseam::traffic {
 
@@ -36,9 +37,10 @@
 struct TrafficHints {
   std::vector<InstanceHint> instances;
   std::vector<HotKey> hot_keys;
+  std::vector<InstanceLimit> limits;
 
   bool operator==(const TrafficHints&) const = default;
 };
-BOOST_DESCRIBE_STRUCT(TrafficHints, (), (instances, hot_keys))
+BOOST_DESCRIBE_STRUCT(TrafficHints, (), (instances, hot_keys, limits))
 
 }  // namespace graniteseam::traffic
--- a/include/graniteseam/traffic/quota.h
+++ b/include/graniteseam/traffic/quota.h
@@ -10,6 +10,7 @@
 
 #include "graniteseam/common/ids.h"
 #include "graniteseam/common/time.h"
+#include "graniteseam/traffic/instance_limit.h"
 #include "graniteseam/traffic/tenant.h"
 
 namespace graniteseam::traffic {
@@ -72,10 +73,11 @@
   RouterId router;
   std::uint64_t sequence = 0;
   std::vector<TenantCount> wanted;
+  std::vector<LimitTokenRequest> limited;
 
   bool operator==(const TokenRequest&) const = default;
 };
-BOOST_DESCRIBE_STRUCT(TokenRequest, (), (router, sequence, wanted))
+BOOST_DESCRIBE_STRUCT(TokenRequest, (), (router, sequence, wanted, limited))
 
 /// Tokens for one tenant: for these requests and no others, and at once.
 struct TokenGrant {
@@ -90,9 +92,10 @@
 struct TokenAnswer {
   std::uint64_t sequence = 0;
   std::vector<TokenGrant> granted;
+  std::vector<LimitTokenGrant> limited;
 
   bool operator==(const TokenAnswer&) const = default;
 };
-BOOST_DESCRIBE_STRUCT(TokenAnswer, (), (sequence, granted))
+BOOST_DESCRIBE_STRUCT(TokenAnswer, (), (sequence, granted, limited))
 
 }  // namespace graniteseam::traffic
--- a/include/graniteseam/traffic/update.h
+++ b/include/graniteseam/traffic/update.h
@@ -10,6 +10,7 @@
 
 #include "graniteseam/traffic/configuration.h"
 #include "graniteseam/traffic/instance.h"
+#include "graniteseam/traffic/instance_limit.h"
 #include "graniteseam/traffic/key_range.h"
 #include "graniteseam/traffic/quota.h"
 #include "graniteseam/traffic/suspect.h"
@@ -95,12 +96,13 @@
   bool wants_state = true;
   std::uint32_t feeds_tried = 0;  ///< Feeds that did not keep up, or were not reached.
   QuotaReport quota;
+  std::vector<InstanceLimit> limits;  ///< Heard of in answers since the last poll.
 
   bool operator==(const TrafficPoll&) const = default;
 };
 BOOST_DESCRIBE_STRUCT(TrafficPoll, (),
                       (router, zone, sequence, version, loads, speeds, losses, answered,
-                       wants_state, feeds_tried, quota))
+                       wants_state, feeds_tried, quota, limits))
 
 /// Asks a control process for the state and, as long as the connection stands, for its changes.
 struct FeedRequest {
--- a/src/control/hint_teller.cc
+++ b/src/control/hint_teller.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace graniteseam::control {
 namespace {
@@ -38,14 +39,17 @@
 }
 
 std::optional<traffic::TrafficHints> HintTeller::Look(const std::vector<traffic::HotKey>& hot,
-                                                      Instant now) {
+                                                      Instant now,
+                                                      std::vector<traffic::InstanceLimit> limits) {
   look_due_ = now + kLookInterval;
   traffic::TrafficHints hints;
+  hints.limits = std::move(limits);
   hints.instances = outlook_.TakeChanges(now);
   outlook_.ForgetOld(now);
   for (const traffic::HotKey& one : hot) TellHot(one, hints.hot_keys, now);
   TellOver(hot, hints.hot_keys);
-  if (hints.instances.empty() && hints.hot_keys.empty()) return std::nullopt;
+  const bool nothing = hints.instances.empty() && hints.hot_keys.empty() && hints.limits.empty();
+  if (nothing) return std::nullopt;
   return hints;
 }
 
--- a/src/control/hint_teller.h
+++ b/src/control/hint_teller.h
@@ -22,7 +22,9 @@
   bool IsDue(Instant now) const { return now >= look_due_; }
   /// What all routers should be told now.
   /// @param hot keys that are hot at present.
-  std::optional<traffic::TrafficHints> Look(const std::vector<traffic::HotKey>& hot, Instant now);
+  /// @param limits of instances, those that changed.
+  std::optional<traffic::TrafficHints> Look(const std::vector<traffic::HotKey>& hot, Instant now,
+                                            std::vector<traffic::InstanceLimit> limits = {});
   /// What a router should be told that was told nothing yet.
   traffic::TrafficHints All(Instant now) const;
 
--- /dev/null
+++ b/src/control/instance_limits.h
@@ -0,0 +1,52 @@
+/// @file
+/// The limits that instances name, as routers tell the leader, and the tokens that share them.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "graniteseam/common/time.h"
+#include "graniteseam/traffic/instance_limit.h"
+
+namespace graniteseam::control {
+
+/// Invariant: within any span, the tokens given for an instance are no more than its limit allows
+/// in that span and a burst, also over a change of leader: a new one begins without any, and
+/// tokens are given under the leader lease only. Answers the load of many routers that each keep
+/// to a limit by themselves.
+///
+/// The newest word counts, by when a router heard it. Lives as long as one leadership. Not thread
+/// safe; `now` never goes back.
+class InstanceLimits {
+ public:
+  void Take(const traffic::InstanceLimit& word, Instant now);
+  traffic::LimitTokenGrant TakeTokens(const traffic::LimitTokenRequest& request, Instant now);
+
+  /// Requests a second; nullopt for an instance that names no limit.
+  std::optional<double> LimitOf(const traffic::InstanceId& instance) const;
+
+  /// Words that changed much since they were told to all routers.
+  std::vector<traffic::InstanceLimit> TakeChanges(Instant now);
+  /// All limits that stand, for a router that was told nothing yet.
+  std::vector<traffic::InstanceLimit> All(Instant now) const;
+
+ private:
+  struct Word {
+    double limit = 0;  ///< Requests a second; 0 for none.
+    Instant heard{};
+    Instant used{};   ///< Told or asked about by any router.
+    double told = 0;  ///< As told to all routers.
+    double tokens = 0;
+    Instant filled{};
+  };
+
+  static void Fill(Word& word, Instant now);
+  static traffic::InstanceLimit ToMessage(const traffic::InstanceId& instance, const Word& word,
+                                          Instant now);
+
+  std::map<traffic::InstanceId, Word> words_;
+};
+
+}  // namespace graniteseam::control
--- a/src/control/range_controller.cc
+++ b/src/control/range_controller.cc
@@ -34,6 +34,12 @@
 constexpr double kFilled = 1.1;
 /// Instances among which the keys of one that is gone are divided.
 constexpr std::size_t kHeirsMaximum = 3;
+/// An owner that names a limit is to carry this part of it: what comes by chance beyond the mean
+/// still finds tokens.
+constexpr double kOwnedPartOfLimit = 0.6;
+/// Bounds of what such an owner's slots are worked out from, in requests a second and in slots.
+constexpr double kLoadOfSlotMinimum = 0.01;
+constexpr double kSlotsMinimum = 0.02;
 
 /// A part of a span for one of many: neighbours get parts that lie apart, and many are spread
 /// evenly.
@@ -51,12 +57,13 @@
 }  // namespace
 
 RangeController::RangeController(RangeOptions options, const traffic::TrafficState& state,
-                                 const InstanceLiveness& liveness, OrderNumber last_used,
-                                 Instant now)
+                                 const InstanceLiveness& liveness, const InstanceLimits& limits,
+                                 OrderNumber last_used, Instant now)
     : options_(options),
       inherited_until_(EndOfGrant(options.lease_length, now)),
       state_(state),
       liveness_(liveness),
+      limits_(limits),
       last_number_(last_used) {
   // Former leaders may have granted anything up to the end of their leases, which ended before this
   // election.
@@ -347,9 +354,38 @@
   }
   if (candidates.empty()) candidates = std::move(warming_up);
   speeds_.Scale(candidates);
+  BoundByLimits(service, candidates);
   return candidates;
 }
 
+void RangeController::BoundByLimits(const ServiceName& service,
+                                    std::vector<RangeCandidate>& candidates) const {
+  const auto ranges = state_.ranges().services().find(service);
+  if (ranges == state_.ranges().services().end()) return;
+  double load_elsewhere = 0;  // Of those that take what comes.
+  double slots_elsewhere = 0;
+  std::map<traffic::InstanceId, double> bounds;
+  for (const RangeCandidate& candidate : candidates) {
+    const auto limit = limits_.LimitOf(candidate.id);
+    if (limit) {
+      bounds[candidate.id] = kOwnedPartOfLimit * *limit;
+      load_elsewhere -= bounds[candidate.id];
+    } else {
+      slots_elsewhere += candidate.slots;
+    }
+  }
+  if (bounds.empty() || slots_elsewhere == 0) return;
+  for (const auto& [owner, load] : balancer_.OwnerLoads(service, ranges->second)) {
+    load_elsewhere += load;
+  }
+  const double load_of_slot = std::max(kLoadOfSlotMinimum, load_elsewhere / slots_elsewhere);
+  for (RangeCandidate& candidate : candidates) {
+    const auto bound = bounds.find(candidate.id);
+    if (bound == bounds.end()) continue;
+    candidate.slots = std::clamp(bound->second / load_of_slot, kSlotsMinimum, candidate.slots);
+  }
+}
+
 bool RangeController::Unresponsive(const traffic::InstanceId& instance, Instant now) const {
   const auto failing = failing_since_.find(instance);
   if (failing == failing_since_.end()) return false;
--- a/src/control/range_controller.h
+++ b/src/control/range_controller.h
@@ -18,6 +18,7 @@
 #include "graniteseam/control/traffic_options.h"
 #include "graniteseam/traffic/hints.h"
 #include "src/control/commands.h"
+#include "src/control/instance_limits.h"
 #include "src/control/instance_liveness.h"
 #include "src/control/instance_speeds.h"
 #include "src/control/range_balancer.h"
@@ -42,7 +43,8 @@
   /// @param last_used the newest order number of this process's earlier leaderships. Results of
   /// their orders may still come, and must not be taken for those of this one's.
   RangeController(RangeOptions options, const traffic::TrafficState& state,
-                  const InstanceLiveness& liveness, OrderNumber last_used, Instant now);
+                  const InstanceLiveness& liveness, const InstanceLimits& limits,
+                  OrderNumber last_used, Instant now);
 
   OrderNumber last_number() const { return last_number_; }
 
@@ -181,6 +183,8 @@
   std::vector<RangeCandidate> CandidatesFor(const ServiceName& service,
                                             const std::set<traffic::InstanceId>& avoided,
                                             Instant now) const;
+  /// Leaves candidates that name limits the slots to which as much load belongs as they take.
+  void BoundByLimits(const ServiceName& service, std::vector<RangeCandidate>& candidates) const;
   /// Instances that fail their requests, none where many do.
   std::set<traffic::InstanceId> AvoidedInstances(const ServiceName& service, Instant now) const;
   /// Whether an instance answers neither orders nor sends heartbeats.
@@ -228,6 +232,7 @@
   const Instant inherited_until_;
   const traffic::TrafficState& state_;
   const InstanceLiveness& liveness_;
+  const InstanceLimits& limits_;
   RangeBalancer balancer_;
   InstanceSpeeds speeds_;
   std::map<RangeKey, RangeCare> care_;
--- a/src/control/traffic_leader.h
+++ b/src/control/traffic_leader.h
@@ -12,6 +12,7 @@
 #include "src/control/crash_tally.h"
 #include "src/control/displacement.h"
 #include "src/control/hint_teller.h"
+#include "src/control/instance_limits.h"
 #include "src/control/instance_liveness.h"
 #include "src/control/quota_ledger.h"
 #include "src/control/range_controller.h"
@@ -27,7 +28,7 @@
                 OrderNumber orders_used, std::uint64_t pushes_used, Instant now)
       : state_(state),
         liveness_(options.instance_silence, now),
-        ranges_(options.ranges, state.traffic(), liveness_, orders_used, now),
+        ranges_(options.ranges, state.traffic(), liveness_, limits_, orders_used, now),
         sessions_(state.traffic(), now, options.pushes_are_timed, pushes_used),
         hints_(state.traffic()),
         crashes_(state.traffic(), liveness_, now),
@@ -53,6 +54,7 @@
   /// @param feed where the router is to take the state from.
   std::vector<RouterSend> TakePoll(ConnectionId connection, const traffic::TrafficPoll& poll,
                                    Instant now, const std::string& feed = "") {
+    for (const traffic::InstanceLimit& limit : poll.limits) limits_.Take(limit, now);
     ranges_.TakeLoads(poll, now);
     hints_.TakePoll(poll, now);
     crashes_.TakePoll(poll, now);
@@ -64,16 +66,24 @@
 
   traffic::TokenAnswer TakeTokens(const traffic::TokenRequest& request, Instant now) {
     FollowTenants(now);
-    return quotas_.TakeTokens(request, now);
+    traffic::TokenAnswer answer = quotas_.TakeTokens(request, now);
+    for (const traffic::LimitTokenRequest& limited : request.limited) {
+      answer.limited.push_back(limits_.TakeTokens(limited, now));
+    }
+    return answer;
   }
 
   /// What routers are to be sent by themselves.
   std::vector<RouterSend> Push(Instant now) {
     rollout_.Look(now);
     std::vector<RouterSend> sends = sessions_.Push(now);
-    if (sessions_.HasNew()) sessions_.TellNew(hints_.All(now), sends);
+    if (sessions_.HasNew()) {
+      traffic::TrafficHints all = hints_.All(now);
+      all.limits = limits_.All(now);
+      sessions_.TellNew(all, sends);
+    }
     if (!hints_.IsDue(now)) return sends;
-    const auto hints = hints_.Look(ranges_.HotKeys(), now);
+    const auto hints = hints_.Look(ranges_.HotKeys(), now, limits_.TakeChanges(now));
     if (!hints) return sends;
     for (const traffic::HotKey& hot : hints->hot_keys) ranges_.NoteTold(hot);
     sessions_.TellAll(*hints, sends);
@@ -121,6 +131,7 @@
 
   const ReplicatedState& state_;
   InstanceLiveness liveness_;
+  InstanceLimits limits_;
   RangeController ranges_;
   TrafficSessions sessions_;
   HintTeller hints_;
--- a/src/gateway/back_pressure_table.h
+++ b/src/gateway/back_pressure_table.h
@@ -1,51 +1,97 @@
 /// @file
-/// What servers state of the requests that they take, as a gateway knows it from their answers.
+/// What servers state of the requests that they take, as a gateway knows it, and what this gateway
+/// may send them by it.
 #pragma once
 
+#include <cstdint>
 #include <map>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "graniteseam/common/time.h"
-#include "graniteseam/traffic/instance.h"
+#include "graniteseam/traffic/instance_limit.h"
 #include "src/gateway/gateway_events.h"
 
 namespace graniteseam::gateway {
 
 /// A belief that began, changed or ended, for the log.
 struct BackPressureChange {
+  traffic::InstanceId instance;
   std::string_view what;  ///< For example "limit_named".
   std::string inputs;
 };
 
-/// Each word holds for one life of an instance, from the answer that brought it: a limit until a
-/// request that ran there is answered without one, a rest for its time, a leaving for good. Not
-/// thread safe; `now` never goes back.
+/// Each word holds for one life of an instance: a limit until a request that ran there is answered
+/// without one, whichever gateway heard that, a rest for its time, a leaving for good.
+///
+/// Invariant: a request to an instance that names a limit uses up a token that the leader gave, or
+/// one of this gateway's own. Of those, each gateway has one at a time, at instants drawn by its
+/// seed that are so far apart that all gateways together get a part of the limit; one that is not
+/// used soon is lost, so that gateways which were idle do not all have one at the same moment.
+///
+/// Deterministic under its seed; not thread safe; `now` never goes back.
 class BackPressureTable {
  public:
+  using Changes = std::vector<BackPressureChange>;
+
+  explicit BackPressureTable(std::uint64_t seed) : m_seed(seed) {}
+
+  /// Takes how many gateways there are.
+  auto set_gateways(std::uint32_t count) -> void { m_gateways = count; }
+
   /// Takes what an answer stated.
   /// @param ran whether the request ran. A server that turns one away may be too busy to name a
   /// limit, so that only the silence of other answers ends it.
   auto take(traffic::InstanceId const& instance, BackPressure const& pressure, bool ran,
-            Instant now) -> std::vector<BackPressureChange>;
+            Instant now) -> Changes;
+  /// Takes what another gateway heard.
+  auto take(traffic::InstanceLimit const& limit, Instant now) -> Changes;
   auto forget(traffic::InstanceId const& instance) -> void { m_words.erase(instance); }
 
+  /// What was heard of limits since the last call.
+  auto tell(Instant now) -> std::vector<traffic::InstanceLimit>;
+  /// The limit of an instance as it is known here.
+  auto limit_of(traffic::InstanceId const& instance, Instant now) const -> traffic::InstanceLimit;
+
+  auto is_limited(traffic::InstanceId const& instance) const -> bool;
+  /// Whether a token of the leader's is there.
+  auto has_token(traffic::InstanceId const& instance) const -> bool;
+  /// Whether one of this gateway's own is there.
+  /// @param part of the limit that all gateways together take by these.
+  auto has_own_token(traffic::InstanceId const& instance, double part, Instant now) const -> bool;
+  /// Takes an answer of the leader. Its tokens are for requests that wait now: none are kept.
+  auto give_tokens(traffic::LimitTokenGrant const& grant, Instant now) -> void;
+  auto drop_tokens(traffic::InstanceId const& instance) -> void;
+  /// Whether the leader has just said that there are none.
+  auto is_used_up(traffic::InstanceId const& instance, Instant now) const -> bool;
+  /// A request was sent.
+  auto note_sent(traffic::InstanceId const& instance, Instant now) -> void;
+
   /// Instances that name a limit at present.
   auto limited() const -> std::size_t;
 
  private:
   struct Word {
     double limit_per_second = 0;  ///< 0 for none.
+    Instant heard{};              ///< When an answer told that, here or elsewhere.
+    bool untold = false;          ///< Heard here since control was told.
+    std::uint32_t tokens = 0;
+    Instant used_up_until{};
+    Instant limited_since{};
+    Instant sent{};  ///< The last request of this gateway that no token of the leader's covered.
     Instant rests_until{};
     bool leaving = false;
   };
 
-  static auto take_limit(Word& word, BackPressure const& pressure, bool ran,
-                         std::vector<BackPressureChange>& changes) -> void;
-  static auto take_rest(Word& word, Duration rest, Instant now,
-                        std::vector<BackPressureChange>& changes) -> void;
+  static auto set_limit(traffic::InstanceId const& instance, Word& word, double limit, Instant now,
+                        Changes& changes) -> void;
+  static auto take_rest(traffic::InstanceId const& instance, Word& word, Duration rest, Instant now,
+                        Changes& changes) -> void;
+  auto find(traffic::InstanceId const& instance) const -> Word const*;
 
+  std::uint64_t const m_seed;
+  std::uint32_t m_gateways = 1;
   std::map<traffic::InstanceId, Word> m_words;
 };
 
--- a/src/gateway/backend_table.cc
+++ b/src/gateway/backend_table.cc
@@ -40,6 +40,8 @@
 constexpr double kNewestUsual = 0.02;
 /// A word of a server's load that is older tells nothing of the moment.
 constexpr Duration kWordIsFresh{100'000};
+/// Of the limit that a server of a pool names, the part that all gateways send it.
+constexpr double kOwnPartOfLimit = 0.5;
 /// Below this part failing servers are drawn still, so that it is found out when they are sound.
 constexpr double kSoundMinimum = 0.05;
 
@@ -54,7 +56,8 @@
 BackendTable::BackendTable(BackendOptions options, std::uint64_t seed)
     : options_(std::move(options)),
       random_(seed),
-      warm_ups_(options_.warm_up_requests_per_second) {}
+      warm_ups_(options_.warm_up_requests_per_second),
+      pressure_(seed) {}
 
 void BackendTable::Apply(const traffic::TrafficUpdate& update, Instant now) {
   std::map<traffic::InstanceId, Backend> before;
@@ -144,6 +147,14 @@
   return backend.in_flight < ConnectionShare(backend.instance.report.service);
 }
 
+bool BackendTable::Admits(const Backend& backend, Instant now) const {
+  const traffic::InstanceId& id = backend.instance.report.id;
+  if (!pressure_.is_limited(id) || pressure_.has_token(id)) return true;
+  // The others of a pool take what its limited ones do not; the owner of a key has no others.
+  const bool keyed = keyed_.contains(backend.instance.report.service);
+  return !keyed && pressure_.has_own_token(id, kOwnPartOfLimit, now);
+}
+
 const Backend* BackendTable::Find(const traffic::InstanceId& id) const {
   const auto found = backends_.find(id);
   return found == backends_.end() ? nullptr : &found->second;
@@ -220,7 +231,7 @@
     const Backend& backend = backends_.at(id);
     const bool was_tried = std::find(tried.begin(), tried.end(), id) != tried.end();
     if (!backend.instance.TakesNewWork() || was_tried) continue;
-    if (!WarmUpAdmits(backend, now)) continue;
+    if (!WarmUpAdmits(backend, now) || !Admits(backend, now)) continue;
     if (now < backend.ejected_until) {
       const bool sooner =
           best_ejected == nullptr || backend.ejected_until < best_ejected->ejected_until;
@@ -231,7 +242,9 @@
       if (full == nullptr) full = &backend;
       continue;
     }
-    if (warm_ups_.is_bounded() && WarmsUp(backend, now)) choice.warming_up = &backend;
+    const bool is_rare =
+        pressure_.is_limited(id) || (warm_ups_.is_bounded() && WarmsUp(backend, now));
+    if (is_rare) choice.rare = &backend;
     choice.usable.push_back(&backend);
   }
   choice.last_resort = full == nullptr ? best_ejected : full;
@@ -243,7 +256,7 @@
                                     Instant now) {
   const Choice choice = ChoiceOf(service, tried, now);
   // The few requests that it bears would be lost if they had to wait for chance to draw it.
-  if (choice.warming_up != nullptr) return choice.warming_up;
+  if (choice.rare != nullptr) return choice.rare;
   if (choice.usable.empty()) return choice.last_resort;
   return KnowsServers(service, services_.at(service).size(), now)
              ? Shortest(choice.usable, target, now)
@@ -254,7 +267,7 @@
                                           const std::vector<traffic::InstanceId>& tried,
                                           std::size_t count, Instant now) {
   const Choice choice = ChoiceOf(service, tried, now);
-  if (choice.warming_up != nullptr) return {};
+  if (choice.rare != nullptr) return {};
   Backends near;
   Backends far;
   for (const Backend* const backend : choice.usable) {
@@ -278,7 +291,7 @@
     const Backend* const backend = Find(id);
     if (backend == nullptr || now - backend->others_at > kWordIsFresh) continue;
     if (!backend->instance.TakesNewWork() || !HasConnectionLeft(*backend)) continue;
-    if (!WarmUpAdmits(*backend, now)) continue;
+    if (!WarmUpAdmits(*backend, now) || !Admits(*backend, now)) continue;
     if (LoadOf(*backend, now) >= SlotsOf(*backend) * (1.0 + options_.waiting_maximum)) continue;
     const double time = CompletionMicros(*backend, target, now);
     if (best != nullptr && time >= least) continue;
@@ -388,6 +401,7 @@
   const auto found = backends_.find(id);
   if (found == backends_.end()) return;
   ++found->second.in_flight;
+  pressure_.note_sent(id, now);
   if (WarmsUp(found->second, now)) warm_ups_.note_sent(id, now);
   Visits& visits =
       visits_.try_emplace(found->second.instance.report.service, Visits{0, now, now}).first->second;
--- a/src/gateway/backend_table.h
+++ b/src/gateway/backend_table.h
@@ -151,6 +151,9 @@
                Instant now);
   void OnAbandoned(const traffic::InstanceId& id);
 
+  /// Whether this gateway may send a server a request now, by what the server states of those that
+  /// it takes.
+  bool Admits(const Backend& backend, Instant now) const;
   BackPressureTable& pressure() { return pressure_; }
   const BackPressureTable& pressure() const { return pressure_; }
 
@@ -197,7 +200,8 @@
   /// The servers of a service that a request may go to.
   struct Choice {
     Backends usable;
-    const Backend* warming_up = nullptr;  ///< It may get one request from this gateway now.
+    /// One that may get a single request from this gateway now: it warms up, or names a limit.
+    const Backend* rare = nullptr;
     /// Where nothing is usable: one at which this gateway has all its connections, or else the
     /// ejected one that is tried again first.
     const Backend* last_resort = nullptr;
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -60,10 +60,16 @@
 GatewayEffects GatewayNode::OnHints(const traffic::TrafficHints& hints, Instant now) {
   traffic_.backends().TakeHints(hints.instances, now);
   hot_keys_.take(hints.hot_keys, now);
+  for (const traffic::InstanceLimit& limit : hints.limits) {
+    if (traffic_.backends().Find(limit.instance) == nullptr) continue;
+    NoteChanges(traffic_.backends().pressure().take(limit, now));
+  }
   for (const traffic::HotKey& hot : hints.hot_keys) RefuseExcess(hot, now);
   Note({}, "hints", {},
        "instances " + std::to_string(hints.instances.size()) + ", hot keys " +
-           std::to_string(hints.hot_keys.size()));
+           std::to_string(hints.hot_keys.size()) + ", limits " +
+           std::to_string(hints.limits.size()));
+  if (!hints.limits.empty()) ServeAllWaiting(now);
   return Finish();
 }
 
@@ -82,10 +88,20 @@
       RefuseByQuota(requests_.at(number), now);
     }
   }
+  for (const traffic::LimitTokenGrant& grant : answer.limited) TakeLimitTokens(grant, now);
   AskForTokens(now);
   return Finish();
 }
 
+void GatewayNode::TakeLimitTokens(const traffic::LimitTokenGrant& grant, Instant now) {
+  const std::vector<RequestNumber> asked = limit_queue_.asked_for(grant.instance);
+  if (asked.empty()) return;
+  BackPressureTable& pressure = traffic_.backends().pressure();
+  pressure.give_tokens(grant, now);
+  ServeWaiting(ServiceName(requests_.at(asked.front()).service), now);
+  pressure.drop_tokens(grant.instance);
+}
+
 GatewayEffects GatewayNode::OnRequest(const ArrivedRequest& arrived, Instant now) {
   Admit(requests_.add(arrived, now), now);
   return Finish();
@@ -163,6 +179,7 @@
   poll.speeds = traffic_.backends().TakeSpeeds(tell_speeds);
   crashes_.tell(poll, now);
   quotas_.tell(poll, now);
+  poll.limits = traffic_.backends().pressure().tell(now);
   return poll;
 }
 
@@ -229,7 +246,14 @@
 }
 
 void GatewayNode::AskForTokens(Instant now) {
-  auto question = quotas_.next_question(token_queue_.wanted(), now);
+  if (!quotas_.may_ask(now)) return;
+  const BackPressureTable& pressure = traffic_.backends().pressure();
+  std::vector<traffic::LimitTokenRequest> limited;
+  for (const LimitQueue::Wanted& wanted : limit_queue_.ask()) {
+    if (!pressure.is_limited(wanted.instance)) continue;
+    limited.push_back({pressure.limit_of(wanted.instance, now), wanted.requests});
+  }
+  auto question = quotas_.next_question(token_queue_.wanted(), now, std::move(limited));
   if (question) effects_.actions.emplace_back(AskTokens{*std::move(question)});
 }
 
@@ -335,9 +359,12 @@
   const bool ran = report.end == AttemptEnd::kAnswered;
   if (!ran && report.end != AttemptEnd::kNotExecuted) return;
   if (report.not_owner || traffic_.backends().Find(instance) == nullptr) return;
-  for (const BackPressureChange& change :
-       traffic_.backends().pressure().take(instance, report.pressure, ran, now)) {
-    Note({}, change.what, instance, change.inputs);
+  NoteChanges(traffic_.backends().pressure().take(instance, report.pressure, ran, now));
+}
+
+void GatewayNode::NoteChanges(const BackPressureTable::Changes& changes) {
+  for (const BackPressureChange& change : changes) {
+    Note({}, change.what, change.instance, change.inputs);
   }
 }
 
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -17,6 +17,7 @@
 #include "src/gateway/gateway_events.h"
 #include "src/gateway/hot_key_gate.h"
 #include "src/gateway/key_loads.h"
+#include "src/gateway/limit_queue.h"
 #include "src/gateway/live_requests.h"
 #include "src/gateway/probe_policy.h"
 #include "src/gateway/quota_gate.h"
@@ -125,6 +126,9 @@
   SharedRetryBudget& BudgetOf(const ServiceName& service);
   void Note(RequestNumber request, std::string_view what, const traffic::InstanceId& instance,
             std::string inputs);
+  /// Sends what the tokens of an owner's limit let in, and refuses the rest.
+  void TakeLimitTokens(const traffic::LimitTokenGrant& grant, Instant now);
+  void NoteChanges(const BackPressureTable::Changes& changes);
   void NoteBackPressure(const traffic::InstanceId& instance, const AttemptReport& report,
                         Instant now);
   GatewayEffects Finish() { return std::exchange(effects_, {}); }
@@ -143,7 +147,12 @@
   /// Sends the request to the best of the servers that were asked.
   /// @return whether one of them answered and has room.
   bool SendToProbed(LiveRequest& request, Instant now);
-  void Send(LiveRequest& request, const Backend& backend, Instant now);
+  /// Sends a request to the server that was chosen, or has it wait while the server takes none from
+  /// this gateway: every request to a server goes through here.
+  Step Send(LiveRequest& request, const Backend& backend, Instant now);
+  void BeginAttempt(LiveRequest& request, const Backend& backend, Instant now);
+  /// Waits for a token of the leader's by which the owner's limit lets the request in.
+  Step WaitForToken(LiveRequest& request, const Backend& owner, Instant now);
   /// Leaves the request in its queue until `limit` after `hold_from`. With its time to wait over it
   /// gets no timer, and the caller ends it.
   Step Wait(LiveRequest& request, RefusalReason reason, Duration limit, Instant now);
@@ -175,6 +184,7 @@
   FeedWatch feed_;
   QuotaGate quotas_;
   TokenQueue token_queue_;
+  LimitQueue limit_queue_;
   std::uint64_t poll_sequence_ = 0;
   traffic::ConfigurationVersion told_configuration_;  ///< In force at the newest poll.
   Instant polled_at_{};                               ///< When the newest poll was made.
--- a/src/gateway/hold_limits.cc
+++ b/src/gateway/hold_limits.cc
@@ -23,6 +23,11 @@
 /// without any event here.
 constexpr Duration kOwnerLook{25'000};
 
+auto token_wait(LiveRequest const& request) -> Duration {
+  return std::clamp(request.target_latency / kTokenWaitPartOfTarget, kTokenWaitMinimum,
+                    kTokenWaitMaximum);
+}
+
 auto long_hold_end(LiveRequest const& request) -> Instant {
   auto const time_left = static_cast<double>(request.arrived.time_left.count());
   return request.received + Duration(std::llround(time_left * kHoldPartOfTime));
@@ -47,9 +52,11 @@
 }
 
 auto token_wait_end(LiveRequest const& request) -> Instant {
-  auto const wait = std::clamp(request.target_latency / kTokenWaitPartOfTarget, kTokenWaitMinimum,
-                               kTokenWaitMaximum);
-  return std::min(request.received + wait, request.give_up);
+  return std::min(request.received + token_wait(request), request.give_up);
+}
+
+auto limit_wait_end(LiveRequest const& request) -> Instant {
+  return std::min(request.asks_since + token_wait(request), request.give_up);
 }
 
 auto hold_timer(LiveRequest const& request, Duration limit, Instant now) -> Instant {
--- a/src/gateway/hold_limits.h
+++ b/src/gateway/hold_limits.h
@@ -27,6 +27,9 @@
 /// there and back.
 auto token_wait_end(LiveRequest const& request) -> Instant;
 
+/// Until when a request may wait for a token of its owner's limit.
+auto limit_wait_end(LiveRequest const& request) -> Instant;
+
 /// When to act on a request that is held for `limit` since `hold_from`, at its deadline at the
 /// latest.
 /// @return Instant{} when its time to wait is over.
--- a/src/gateway/quota_gate.cc
+++ b/src/gateway/quota_gate.cc
@@ -134,12 +134,16 @@
   }
 }
 
-auto QuotaGate::next_question(std::vector<traffic::TenantCount> wanted, Instant now)
+auto QuotaGate::next_question(std::vector<traffic::TenantCount> wanted, Instant now,
+                              std::vector<traffic::LimitTokenRequest> limited)
     -> std::optional<traffic::TokenRequest> {
-  auto const open = m_asked_at && now - *m_asked_at < kQuestionLimit;
-  if (wanted.empty() || open) return std::nullopt;
+  if ((wanted.empty() && limited.empty()) || !may_ask(now)) return std::nullopt;
   m_asked_at = now;
-  return traffic::TokenRequest{m_router, ++m_questions, std::move(wanted)};
+  return traffic::TokenRequest{m_router, ++m_questions, std::move(wanted), std::move(limited)};
+}
+
+auto QuotaGate::may_ask(Instant now) const -> bool {
+  return !m_asked_at || now - *m_asked_at >= kQuestionLimit;
 }
 
 auto QuotaGate::take(traffic::TokenAnswer const& answer, Instant now) -> bool {
--- a/src/gateway/quota_gate.h
+++ b/src/gateway/quota_gate.h
@@ -46,8 +46,12 @@
   auto take(traffic::QuotaGrant const& grant, std::uint64_t poll, Instant now) -> void;
 
   /// What to ask the leader for, when there is something and no question is open.
-  auto next_question(std::vector<traffic::TenantCount> wanted, Instant now)
+  /// @param limited what else to ask for: tokens of instances that name limits.
+  auto next_question(std::vector<traffic::TenantCount> wanted, Instant now,
+                     std::vector<traffic::LimitTokenRequest> limited = {})
       -> std::optional<traffic::TokenRequest>;
+  /// Whether no question is open.
+  auto may_ask(Instant now) const -> bool;
   /// @return whether the answer is one to the open question.
   auto take(traffic::TokenAnswer const& answer, Instant now) -> bool;
 
--- a/src/gateway/request_ending.cc
+++ b/src/gateway/request_ending.cc
@@ -107,6 +107,7 @@
 
 void GatewayNode::Forget(LiveRequest& request) {
   token_queue_.remove(request.tenant, request.arrived.number);
+  limit_queue_.remove(request.arrived.number);
   if (request.counted && request.attempts == 0 && !request.open) {
     quotas_.give_back(request.tenant);
   }
--- a/src/gateway/request_sending.cc
+++ b/src/gateway/request_sending.cc
@@ -6,6 +6,13 @@
 #include "src/gateway/hold_limits.h"
 
 namespace graniteseam::gateway {
+namespace {
+
+/// Of the limit that the owner of a key names, the part that all gateways send it while no leader
+/// gives tokens: enough to hear of its end.
+constexpr double kOwnPartWithoutLeader = 0.2;
+
+}  // namespace
 
 void GatewayNode::ServeWaiting(const ServiceName& service, Instant now) {
   const bool keyed = traffic_.is_keyed(service);
@@ -72,8 +79,7 @@
   const bool room = is_in_time(request, now) ? backends.HasRoom(*owner, request.target_latency, now)
                                              : backends.HasFreeSlot(*owner, now);
   if (!room) return WaitForOwner(request, RefusalReason::kOverloaded, now);
-  Send(request, *owner, now);
-  return Step::kSent;
+  return Send(request, *owner, now);
 }
 
 GatewayNode::Step GatewayNode::TryPool(LiveRequest& request, Instant now) {
@@ -94,8 +100,7 @@
   if (!backends.HasRoom(*backend, request.target_latency, now)) {
     return Wait(request, RefusalReason::kOverloaded, short_hold(request), now);
   }
-  Send(request, *backend, now);
-  return Step::kSent;
+  return Send(request, *backend, now);
 }
 
 bool GatewayNode::BeginProbes(LiveRequest& request, Instant now) {
@@ -131,12 +136,44 @@
     request.probes.rests_until = now + probes_.options().rest;
     return false;
   }
-  Send(request, *backend, now);
-  return true;
+  return Send(request, *backend, now) == Step::kSent;
+}
+
+GatewayNode::Step GatewayNode::Send(LiveRequest& request, const Backend& backend, Instant now) {
+  if (!traffic_.backends().Admits(backend, now)) {
+    const bool keyed = traffic_.is_keyed(request.service);
+    if (!keyed) return Wait(request, RefusalReason::kLimited, short_hold(request), now);
+    if (WaitForToken(request, backend, now) == Step::kWaits) return Step::kWaits;
+  }
+  BeginAttempt(request, backend, now);
+  return Step::kSent;
+}
+
+GatewayNode::Step GatewayNode::WaitForToken(LiveRequest& request, const Backend& owner,
+                                            Instant now) {
+  const traffic::InstanceId& id = owner.instance.report.id;
+  const BackPressureTable& pressure = traffic_.backends().pressure();
+  if (request.asks_since == Instant{}) request.asks_since = now;
+  request.waits_for = RefusalReason::kLimited;
+  const Instant end = limit_wait_end(request);
+  const bool leader_is_silent = now >= end;
+  if (leader_is_silent && pressure.has_own_token(id, kOwnPartWithoutLeader, now)) {
+    return Step::kSent;
+  }
+  if (leader_is_silent || pressure.is_used_up(id, now)) {
+    requests_.set_timer(request, {});
+    return Step::kWaits;
+  }
+  requests_.set_timer(request, end);
+  limit_queue_.add(id, request.arrived.number);
+  AskForTokens(now);
+  return Step::kWaits;
 }
 
-void GatewayNode::Send(LiveRequest& request, const Backend& backend, Instant now) {
+void GatewayNode::BeginAttempt(LiveRequest& request, const Backend& backend, Instant now) {
   requests_.dequeue(request);
+  limit_queue_.remove(request.arrived.number);
+  request.asks_since = {};
   const traffic::InstanceId id = backend.instance.report.id;
   Note(request.arrived.number, "send", id, traffic_.backends().Describe(backend, now));
   request.open = OpenAttempt{++request.numbering, id, now};
--- a/src/gateway/traffic_view.cc
+++ b/src/gateway/traffic_view.cc
@@ -10,6 +10,7 @@
 
 auto TrafficView::take(traffic::TrafficUpdate const& update, Instant now) -> bool {
   if (update.routers > 0) m_gateways = update.routers;
+  m_backends.pressure().set_gateways(gateway_count());
   // Only the answer to a poll names a place.
   auto const names_place = update.routers > 0 && update.sequence > 0;
   if (names_place) m_backends.SetPlace({update.router_place, update.routers});
--- a/src/protocol/hello.h
+++ b/src/protocol/hello.h
@@ -14,8 +14,8 @@
 namespace graniteseam::protocol {
 
 /// The newest version of the internal protocol that this build speaks, and the oldest.
-inline constexpr std::int32_t kProtocolVersion = 10;
-inline constexpr std::int32_t kOldestProtocolVersion = 10;
+inline constexpr std::int32_t kProtocolVersion = 11;
+inline constexpr std::int32_t kOldestProtocolVersion = 11;
 
 enum class ProcessKind { kControl, kRouter };
 BOOST_DESCRIBE_ENUM(ProcessKind, kControl, kRouter)
--- a/tests/control/heartbeat_leases_test.cc
+++ b/tests/control/heartbeat_leases_test.cc
@@ -89,7 +89,8 @@
   state.Report({EmptyHeartbeat("i-1", 1).report}, 5);
   state.Report({EmptyHeartbeat("i-2", 1).report}, 6);
   control::InstanceLiveness liveness(4 * kSecond, kStart);
-  control::RangeController leader({}, state, liveness, {}, kStart);
+  control::InstanceLimits limits;
+  control::RangeController leader({}, state, liveness, limits, {}, kStart);
   const auto hear = [&](const std::string& id, std::int64_t sequence, Instant now) {
     liveness.Heard({id}, now);
     leader.TakeHeartbeat(EmptyHeartbeat(id, sequence), now);
@@ -108,7 +109,8 @@
   traffic::TrafficState state = StateWithOwner();
   for (const char* const id : {"i-1", "i-2"}) state.Report({EmptyHeartbeat(id, 1).report}, 5);
   control::InstanceLiveness liveness(4 * kSecond, kStart);
-  control::RangeController leader({}, state, liveness, {}, kStart);
+  control::InstanceLimits limits;
+  control::RangeController leader({}, state, liveness, limits, {}, kStart);
   std::optional<Duration> first_move;
   for (int step = 0; step < 80 && !first_move; ++step) {
     const Duration since = step * kSecond / 10;
--- a/tests/control/leased_world.cc
+++ b/tests/control/leased_world.cc
@@ -172,7 +172,7 @@
 void LeasedWorld::LeadOn() {
   liveness_.emplace(std::chrono::seconds(4), now_);
   leader_ = std::make_unique<control::RangeController>(control::RangeOptions{}, state_, *liveness_,
-                                                       control::OrderNumber{}, now_);
+                                                       limits_, control::OrderNumber{}, now_);
 }
 
 void LeasedWorld::Propose(std::vector<control::CommandBody> commands) {
--- a/tests/control/leased_world.h
+++ b/tests/control/leased_world.h
@@ -120,6 +120,7 @@
   std::vector<control::CommandBody> proposed_;
   Instant committed_at_{};
   std::optional<control::InstanceLiveness> liveness_;
+  control::InstanceLimits limits_;
   std::unique_ptr<control::RangeController> leader_;
   Instant leaderless_until_{};
   std::map<std::string, Server> servers_;
--- a/tests/control/range_controller_test.cc
+++ b/tests/control/range_controller_test.cc
@@ -21,6 +21,7 @@
 /// as each test says.
 struct Fixture {
   traffic::TrafficState state;
+  InstanceLimits limits;
   InstanceLiveness liveness{std::chrono::seconds(4), kStart};
   std::uint64_t index = 1;
   std::optional<RangeController> controller;
@@ -39,7 +40,7 @@
     const auto applied = Attempt([&] { return state.Apply(change, ++index); });
     cr_assert(ErrorOf(applied) == nullptr);
     for (int instance = 1; instance <= instances; ++instance) Report(instance, 1, false);
-    controller.emplace(RangeOptions{}, state, liveness, OrderNumber{}, kStart);
+    controller.emplace(RangeOptions{}, state, liveness, limits, OrderNumber{}, kStart);
   }
 
   void Report(int instance, std::int64_t sequence, bool draining) {
@@ -279,8 +280,8 @@
   Fixture fixture(3);
   fixture.Run(0, 2'000);
   fixture.answers["i-1"] = RangeOrderResult::Outcome::kNotDelivered;
-  fixture.controller.emplace(RangeOptions{}, fixture.state, fixture.liveness, OrderNumber{},
-                             At(2'000));
+  fixture.controller.emplace(RangeOptions{}, fixture.state, fixture.liveness, fixture.limits,
+                             OrderNumber{}, At(2'000));
   fixture.Run(2'000, 5'000);
   cr_assert(fixture.KeysOf(RangePhase::kServing).count("i-1") == 1);
   fixture.Run(5'010, 6'000);
@@ -293,7 +294,8 @@
   fixture.Run(0, 2'000);
   fixture.answers["i-1"] = RangeOrderResult::Outcome::kNotDelivered;
   const RangeOptions options;
-  fixture.controller.emplace(options, fixture.state, fixture.liveness, OrderNumber{}, At(2'000));
+  fixture.controller.emplace(options, fixture.state, fixture.liveness, fixture.limits,
+                             OrderNumber{}, At(2'000));
   const Duration longest = options.hold + options.order_sent_within;
   const auto over = 2'000 + std::chrono::duration_cast<std::chrono::milliseconds>(longest).count();
   fixture.Run(2'000, over);
@@ -581,3 +583,37 @@
   cr_assert(fixture.sent.size() >= 200);
   cr_assert(most <= 32, "%zu orders within 10 ms", most);
 }
+
+/// Guards against an owner that names a limit and keeps all its keys: most of their requests would
+/// be refused for as long as it does.
+Test(range_controller, owner_that_names_a_limit_keeps_as_many_keys_as_it_may_be_asked_for) {
+  Fixture fixture(4);
+  fixture.Run(0, 2'000);
+  const auto load_of = [&](const std::string& owner) {
+    double keys = 0;
+    for (const auto& [first, range] : fixture.state.ranges().services().at(kService)) {
+      if (range.owner.value == owner) keys += range.span.size();
+    }
+    return 80 * keys / (traffic::kLastKey + 1.0);
+  };
+  std::mt19937_64 random(1);
+  const auto play = [&](std::int64_t from, std::int64_t to, double limit) {
+    for (std::int64_t ms = from; ms < to; ms += 250) {
+      traffic::TrafficPoll poll;
+      poll.loads = {{kService, {}}};
+      for (int request = 0; request < 20; ++request) {
+        poll.loads[0].keys.push_back({static_cast<std::uint32_t>(random() % 65'536), 1});
+      }
+      fixture.limits.Take({{"i-1"}, limit, 0}, At(ms));
+      fixture.controller->TakeLoads(poll, At(ms));
+      fixture.Run(ms, ms + 240);
+    }
+  };
+  play(2'000, 6'000, 0);
+  cr_assert_geq(load_of("i-1"), 15);
+  play(6'000, 9'000, 6);
+  cr_assert_leq(load_of("i-1"), 6, "%.1f a second", load_of("i-1"));
+  cr_assert_geq(load_of("i-1"), 1, "it takes what it can");
+  play(9'000, 16'000, 0);
+  cr_assert_geq(load_of("i-1"), 12, "%.1f a second", load_of("i-1"));
+}
--- a/tests/traffic_world/stated_limits_test.cc
+++ b/tests/traffic_world/stated_limits_test.cc
@@ -47,6 +47,22 @@
     cr_assert(found.empty(), "%s", found.c_str());
 }
 
+/// Guards against bounds that hold for a few gateways only, where each lets in a request by itself.
+Test(stated_limits, server_gets_no_more_than_its_limit_from_90_gateways, .timeout = 300)
+{
+    auto const found = breaches(only_stated_limits(90, 3), 2, "limit");
+    cr_assert(found.empty(), "%s", found.c_str());
+}
+
+/// Guards against sums that hold only while gateways, control and servers are well.
+Test(stated_limits, server_gets_no_more_than_its_limit_whatever_else_fails, .timeout = 300)
+{
+    TrafficWorldOptions world;
+    world.stated_limits = true;
+    auto const found = breaches(world, 20, "limit");
+    cr_assert(found.empty(), "%s", found.c_str());
+}
+
 /// Guards against gateways that go on sending to a server which asked them for rest.
 Test(stated_limits, server_rests_for_as_long_as_it_asked, .timeout = 300)
 {
