Leave servers alone that ask for rest or say that they leave

Callers of four of 14 owners were told 503, one caller in five, for as long as these turned requests away: each request reached its owner twice, 30 ms apart, and the next ones were sent at once, 24 within a rest of 3 s.

After a request that did not run, an owner was taken for one that had lost the key, and asked again.

Change: a rest is kept by instance from the answer that asks for it. Pools choose others; a request whose owner rests is held when the rest ends soon, and refused at once otherwise, with the rest that is left as Retry-After, and without use of the retry budget. Gateways tell the leader of rests at once, and keys of an owner that asks for a second or more go to others, unless more than 0.4 of the owners rest; one that asks again soon after it got keys back is left without for longer. A server that says in its answers that it leaves gets nothing from that gateway afterwards, an owner for a second still, while its keys move; control's word is not waited for. GatewayNode::Send asks for all of it.

--- a/include/graniteseam/traffic/instance_limit.h
+++ b/include/graniteseam/traffic/instance_limit.h
@@ -1,5 +1,6 @@
 /// @file
-/// Limits that instances name to all routers together, and the tokens by which routers share them.
+/// What instances state of the requests that they take: limits for all routers together, the tokens
+/// by which routers share them, and rests.
 #pragma once
 
 #include <boost/describe/class.hpp>
@@ -20,6 +21,15 @@
 };
 BOOST_DESCRIBE_STRUCT(InstanceLimit, (), (instance, requests_per_second, heard_ms_ago))
 
+/// An instance turned a router's request away and wants none from that router for a time.
+struct InstanceRest {
+  InstanceId instance;
+  std::int64_t left_ms = 0;  ///< Of the time that it asked for.
+
+  bool operator==(const InstanceRest&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(InstanceRest, (), (instance, left_ms))
+
 /// Asks for tokens, for requests that wait to be sent to an instance now.
 struct LimitTokenRequest {
   InstanceLimit limit;  ///< As the router knows it.
--- a/include/graniteseam/traffic/update.h
+++ b/include/graniteseam/traffic/update.h
@@ -97,12 +97,13 @@
   std::uint32_t feeds_tried = 0;  ///< Feeds that did not keep up, or were not reached.
   QuotaReport quota;
   std::vector<InstanceLimit> limits;  ///< Heard of in answers since the last poll.
+  std::vector<InstanceRest> rests;    ///< Asked for since then.
 
   bool operator==(const TrafficPoll&) const = default;
 };
 BOOST_DESCRIBE_STRUCT(TrafficPoll, (),
                       (router, zone, sequence, version, loads, speeds, losses, answered,
-                       wants_state, feeds_tried, quota, limits))
+                       wants_state, feeds_tried, quota, limits, rests))
 
 /// Asks a control process for the state and, as long as the connection stands, for its changes.
 struct FeedRequest {
--- a/simulation/traffic_world/gateway_process.h
+++ b/simulation/traffic_world/gateway_process.h
@@ -45,6 +45,8 @@
     virtual auto send_to_worker(GatewayProcess& from, std::string const& address, WorkerRequest const&,
         std::function<void(gateway::AttemptEnd, WorkerAnswer const&)> const& reply) -> void
         = 0;
+    /// A worker's answer was read, as that to the attempt that is under way.
+    virtual auto on_read(GatewayProcess& from, std::string const& address, WorkerAnswer const&) -> void = 0;
     /// A worker's answer goes to its caller.
     virtual auto on_relayed(GatewayProcess& from, std::string const& address, WorkerAnswer const&) -> void
         = 0;
--- a/simulation/traffic_world/traffic_fleet.h
+++ b/simulation/traffic_world/traffic_fleet.h
@@ -121,6 +121,7 @@
         -> void override;
     auto send_to_worker(GatewayProcess& from, std::string const& address, WorkerRequest const&,
         std::function<void(gateway::AttemptEnd, WorkerAnswer const&)> const& reply) -> void override;
+    auto on_read(GatewayProcess& from, std::string const& address, WorkerAnswer const&) -> void override;
     auto on_relayed(GatewayProcess& from, std::string const& address, WorkerAnswer const&) -> void override;
     auto close_at_worker(GatewayProcess& from, std::string const& address, std::uint64_t request)
         -> void override;
@@ -151,7 +152,8 @@
     static auto life_of(GatewayProcess const&) -> std::string;
     auto connect_to_owner(ControlProcess& from, control::RangeOrder const&, TrueTime sent, OrderEnd const&)
         -> void;
-    auto hand_over_request(GatewayProcess& from, Place&, WorkerRequest const&, AttemptReply const&) -> void;
+    auto hand_over_request(
+        GatewayProcess& from, Place&, WorkerRequest const&, TrueTime sent, AttemptReply const&) -> void;
 
     World& m_world;
     TrafficOracle& m_oracle;
--- a/simulation/traffic_world/worker.cc
+++ b/simulation/traffic_world/worker.cc
@@ -309,6 +309,7 @@
     answer.load = {static_cast<double>(m_running.size()), static_cast<double>(m_queue.size()),
         static_cast<double>(m_traits.slots)};
     answer.pressure = pressure(status);
+    answer.at = m_world.now();
     work.reply(answer);
 }
 
--- a/simulation/traffic_world/worker.h
+++ b/simulation/traffic_world/worker.h
@@ -59,6 +59,7 @@
     std::uint64_t number = 0; ///< Of the request that it belongs to.
     gateway::ReportedLoad load;
     gateway::BackPressure pressure;
+    TrueTime at = 0;
 };
 
 /// Not thread safe: one run, one thread.
--- a/src/control/instance_limits.cc
+++ b/src/control/instance_limits.cc
@@ -16,6 +16,14 @@
 /// A word that no router tells of or asks about for longer is forgotten.
 constexpr Duration kForgotten{60'000'000};
 constexpr double kMillis = 1'000;
+/// A shorter rest is over before moved keys would be served again.
+constexpr Duration kRestWorthMoving{1'000'000};
+/// How long an instance owns nothing after its rest. A server that sheds load goes on for some
+/// seconds, and nobody who does not ask it hears of the end.
+constexpr Duration kPauseMinimum{2'000'000};
+constexpr Duration kPauseMaximum{16'000'000};
+/// Within this after its pause a further rest is taken for the same trouble.
+constexpr Duration kSameTrouble{10'000'000};
 
 }  // namespace
 
@@ -55,6 +63,26 @@
   return grant;
 }
 
+void InstanceLimits::Take(const traffic::InstanceRest& told, Instant now) {
+  const Duration left = std::chrono::milliseconds(told.left_ms);
+  if (left < kRestWorthMoving) return;
+  std::erase_if(rests_,
+                [&](const auto& entry) { return now > entry.second.avoid_until + kSameTrouble; });
+  const auto [found, fresh] = rests_.try_emplace(told.instance);
+  Rest& rest = found->second;
+  if (fresh) {
+    rest.pause = kPauseMinimum;
+  } else if (now >= rest.avoid_until) {
+    rest.pause = std::min(2 * rest.pause, kPauseMaximum);
+  }
+  rest.avoid_until = std::max(rest.avoid_until, now + left + rest.pause);
+}
+
+bool InstanceLimits::Rests(const traffic::InstanceId& instance, Instant now) const {
+  const auto found = rests_.find(instance);
+  return found != rests_.end() && now < found->second.avoid_until;
+}
+
 std::optional<double> InstanceLimits::LimitOf(const traffic::InstanceId& instance) const {
   const auto found = words_.find(instance);
   const bool limited = found != words_.end() && found->second.limit > 0;
--- a/src/control/instance_limits.h
+++ b/src/control/instance_limits.h
@@ -1,5 +1,6 @@
 /// @file
-/// The limits that instances name, as routers tell the leader, and the tokens that share them.
+/// What instances state of the requests that they take, as routers tell the leader: limits, with
+/// the tokens that share them, and rests.
 #pragma once
 
 #include <cstdint>
@@ -24,6 +25,10 @@
   void Take(const traffic::InstanceLimit& word, Instant now);
   traffic::LimitTokenGrant TakeTokens(const traffic::LimitTokenRequest& request, Instant now);
 
+  void Take(const traffic::InstanceRest& rest, Instant now);
+  /// Whether an instance lately asked for so long a rest that it had better own nothing.
+  bool Rests(const traffic::InstanceId& instance, Instant now) const;
+
   /// Requests a second; nullopt for an instance that names no limit.
   std::optional<double> LimitOf(const traffic::InstanceId& instance) const;
 
@@ -42,11 +47,18 @@
     Instant filled{};
   };
 
+  /// An instance that asks again soon after it got keys back is left without for longer each time.
+  struct Rest {
+    Instant avoid_until{};
+    Duration pause{};  ///< Added to the rest.
+  };
+
   static void Fill(Word& word, Instant now);
   static traffic::InstanceLimit ToMessage(const traffic::InstanceId& instance, const Word& word,
                                           Instant now);
 
   std::map<traffic::InstanceId, Word> words_;
+  std::map<traffic::InstanceId, Rest> rests_;
 };
 
 }  // namespace graniteseam::control
--- a/src/control/range_releases.cc
+++ b/src/control/range_releases.cc
@@ -16,6 +16,9 @@
 /// Where more than this part of a service's instances fail, the cause is a common one, and moving
 /// keys would only add load to the rest.
 constexpr double kAvoidedPart = 0.2;
+/// The same of instances that asked for rest. More than of those that fail: they say themselves
+/// that they will run nothing, and the others that they would.
+constexpr double kRestingPart = 0.4;
 /// Key ranges of a drained zone that are released together: so many, or one for this number of
 /// owners elsewhere when that is more. A range is without an owner for about 0.8 s, and the zones'
 /// owners have some three ranges each: a third of the owners are left within 3 s.
@@ -50,14 +53,21 @@
                                                                 Instant now) const {
   CountLooks(InstanceCount());
   std::set<traffic::InstanceId> failing;
+  std::set<traffic::InstanceId> resting;
   std::size_t all = 0;
   for (const auto& [id, instance] : state_.instances().instances()) {
     if (instance.report.service != service || !instance.TakesNewWork()) continue;
     ++all;
     if (speeds_.Failing(id, now)) failing.insert(id);
+    if (limits_.Rests(id, now)) resting.insert(id);
   }
-  const bool many = static_cast<double>(failing.size()) > kAvoidedPart * static_cast<double>(all);
-  return many ? std::set<traffic::InstanceId>{} : failing;
+  const auto many = [all](const std::set<traffic::InstanceId>& some, double part) {
+    return static_cast<double>(some.size()) > part * static_cast<double>(all);
+  };
+  std::set<traffic::InstanceId> avoided;
+  if (!many(failing, kAvoidedPart)) avoided.merge(failing);
+  if (!many(resting, kRestingPart)) avoided.merge(resting);
+  return avoided;
 }
 
 void RangeController::DecideReleases(Instant now, std::vector<CommandBody>& commands) {
@@ -77,7 +87,9 @@
       }
       command.releases.push_back({service, range.span, range.fence, {}});
       Note("begin_release", range, range.span,
-           must_go ? "the owner leaves" : "the owner fails requests");
+           must_go                           ? "the owner leaves"
+           : limits_.Rests(range.owner, now) ? "the owner asked for rest"
+                                             : "the owner fails requests");
     }
     const bool by_heartbeat = LeasedByHeartbeat(service);
     // Their release would not be known of before then, and the keys would rest for as long: their
--- a/src/control/traffic_leader.h
+++ b/src/control/traffic_leader.h
@@ -55,6 +55,7 @@
   std::vector<RouterSend> TakePoll(ConnectionId connection, const traffic::TrafficPoll& poll,
                                    Instant now, const std::string& feed = "") {
     for (const traffic::InstanceLimit& limit : poll.limits) limits_.Take(limit, now);
+    for (const traffic::InstanceRest& rest : poll.rests) limits_.Take(rest, now);
     ranges_.TakeLoads(poll, now);
     hints_.TakePoll(poll, now);
     crashes_.TakePoll(poll, now);
--- a/src/daemon/gateway/gateway_process.cc
+++ b/src/daemon/gateway/gateway_process.cc
@@ -168,7 +168,7 @@
   live.digest = arrived.digest;
   Run(node_.OnRequest(arrived, runtime::BootTimeNow()));
   const bool due = runtime::BootTimeNow() - last_poll_ >= kUrgentPollInterval;
-  if (node_.LoadIsUrgent() && due) Poll();
+  if (node_.PollIsUrgent() && due) Poll();
 }
 
 void GatewayProcess::OnStatus(const std::shared_ptr<event_http::Exchange>& exchange) const {
--- a/src/gateway/back_pressure_table.cc
+++ b/src/gateway/back_pressure_table.cc
@@ -17,6 +17,9 @@
 constexpr double kLimitMinimum = 0.05;
 /// A rest is taken for this at most, so that a mistaken one ends.
 constexpr Duration kRestMaximum{600'000'000};
+/// Added to a rest: the server's clock may be slower than this one's, and a request that was sent
+/// before may be overtaken.
+constexpr Duration kRestMargin{10'000};
 /// Part by which a limit must change to be told in the log.
 constexpr double kWorthTelling = 0.25;
 /// For which a gateway's own token waits for a request.
@@ -53,9 +56,11 @@
               changes);
   }
   if (pressure.rest) take_rest(instance, word, *pressure.rest, now, changes);
-  if (pressure.leaving && !std::exchange(word.leaving, true)) {
+  if (pressure.leaving && !word.leaving_since) {
+    word.leaving_since = now;
     changes.push_back({instance, "leaving", ""});
   }
+  m_news = m_news || !changes.empty();
   return changes;
 }
 
@@ -85,15 +90,18 @@
 auto BackPressureTable::take_rest(traffic::InstanceId const& instance, Word& word, Duration rest,
                                   Instant now, Changes& changes) -> void {
   if (now >= word.rests_until) changes.push_back({instance, "rest_asked", "for " + InMs(rest)});
-  word.rests_until = std::max(word.rests_until, now + std::min(rest, kRestMaximum));
+  word.rests_until = std::max(word.rests_until, now + std::min(rest, kRestMaximum) + kRestMargin);
+  word.rest_untold = true;
 }
 
-auto BackPressureTable::tell(Instant now) -> std::vector<traffic::InstanceLimit> {
-  std::vector<traffic::InstanceLimit> heard;
+auto BackPressureTable::tell(traffic::TrafficPoll& poll, Instant now) -> void {
+  m_news = false;
   for (auto& [instance, word] : m_words) {
-    if (std::exchange(word.untold, false)) heard.push_back(limit_of(instance, now));
+    if (std::exchange(word.untold, false)) poll.limits.push_back(limit_of(instance, now));
+    if (!std::exchange(word.rest_untold, false) || now >= word.rests_until) continue;
+    auto const left = std::chrono::duration_cast<std::chrono::milliseconds>(word.rests_until - now);
+    poll.rests.push_back({instance, left.count()});
   }
-  return heard;
 }
 
 auto BackPressureTable::limit_of(traffic::InstanceId const& instance, Instant now) const
@@ -104,6 +112,17 @@
   return {instance, word->limit_per_second, age.count()};
 }
 
+auto BackPressureTable::rests_until(traffic::InstanceId const& instance) const -> Instant {
+  auto const* const word = find(instance);
+  return word == nullptr ? Instant{} : word->rests_until;
+}
+
+auto BackPressureTable::leaving_since(traffic::InstanceId const& instance) const
+    -> std::optional<Instant> {
+  auto const* const word = find(instance);
+  return word == nullptr ? std::nullopt : word->leaving_since;
+}
+
 auto BackPressureTable::is_limited(traffic::InstanceId const& instance) const -> bool {
   auto const* const word = find(instance);
   return word != nullptr && word->limit_per_second > 0;
--- a/src/gateway/back_pressure_table.h
+++ b/src/gateway/back_pressure_table.h
@@ -5,12 +5,13 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "graniteseam/common/time.h"
-#include "graniteseam/traffic/instance_limit.h"
+#include "graniteseam/traffic/update.h"
 #include "src/gateway/gateway_events.h"
 
 namespace graniteseam::gateway {
@@ -49,11 +50,17 @@
   auto take(traffic::InstanceLimit const& limit, Instant now) -> Changes;
   auto forget(traffic::InstanceId const& instance) -> void { m_words.erase(instance); }
 
-  /// What was heard of limits since the last call.
-  auto tell(Instant now) -> std::vector<traffic::InstanceLimit>;
+  /// Adds what was heard since the last call to a poll.
+  auto tell(traffic::TrafficPoll& poll, Instant now) -> void;
+  /// Whether something began or ended that no poll has told of.
+  auto has_news() const -> bool { return m_news; }
   /// The limit of an instance as it is known here.
   auto limit_of(traffic::InstanceId const& instance, Instant now) const -> traffic::InstanceLimit;
 
+  /// Until when an instance wants no request from this gateway; Instant{} where it never asked.
+  auto rests_until(traffic::InstanceId const& instance) const -> Instant;
+  /// Since when an instance is known to leave; nullopt where it does not.
+  auto leaving_since(traffic::InstanceId const& instance) const -> std::optional<Instant>;
   auto is_limited(traffic::InstanceId const& instance) const -> bool;
   /// Whether a token of the leader's is there.
   auto has_token(traffic::InstanceId const& instance) const -> bool;
@@ -81,7 +88,8 @@
     Instant limited_since{};
     Instant sent{};  ///< The last request of this gateway that no token of the leader's covered.
     Instant rests_until{};
-    bool leaving = false;
+    bool rest_untold = false;
+    std::optional<Instant> leaving_since;
   };
 
   static auto set_limit(traffic::InstanceId const& instance, Word& word, double limit, Instant now,
@@ -92,6 +100,7 @@
 
   std::uint64_t const m_seed;
   std::uint32_t m_gateways = 1;
+  bool m_news = false;
   std::map<traffic::InstanceId, Word> m_words;
 };
 
--- a/src/gateway/backend_table.cc
+++ b/src/gateway/backend_table.cc
@@ -147,12 +147,22 @@
   return backend.in_flight < ConnectionShare(backend.instance.report.service);
 }
 
-bool BackendTable::Admits(const Backend& backend, Instant now) const {
+std::optional<RefusalReason> BackendTable::Bar(const Backend& backend, Instant now) const {
   const traffic::InstanceId& id = backend.instance.report.id;
-  if (!pressure_.is_limited(id) || pressure_.has_token(id)) return true;
-  // The others of a pool take what its limited ones do not; the owner of a key has no others.
+  // The owner of a key has no others that could take its requests.
   const bool keyed = keyed_.contains(backend.instance.report.service);
-  return !keyed && pressure_.has_own_token(id, kOwnPartOfLimit, now);
+  if (now < pressure_.rests_until(id)) return RefusalReason::kResting;
+  if (keyed ? LeftForLong(id, now) : pressure_.leaving_since(id).has_value()) {
+    return RefusalReason::kNoServer;
+  }
+  if (!pressure_.is_limited(id) || pressure_.has_token(id)) return std::nullopt;
+  const bool own_token = !keyed && pressure_.has_own_token(id, kOwnPartOfLimit, now);
+  return own_token ? std::nullopt : std::optional(RefusalReason::kLimited);
+}
+
+bool BackendTable::LeftForLong(const traffic::InstanceId& id, Instant now) const {
+  const auto since = pressure_.leaving_since(id);
+  return since && now - *since >= options_.drain_allowance;
 }
 
 const Backend* BackendTable::Find(const traffic::InstanceId& id) const {
@@ -161,6 +171,7 @@
 }
 
 bool BackendTable::DrainedForLong(const Backend& backend, Instant now) const {
+  if (LeftForLong(backend.instance.report.id, now)) return true;
   const bool zone = backend.instance.state == traffic::InstanceState::kZoneDrained;
   const Duration allowance = zone ? options_.zone_drain_allowance : options_.drain_allowance;
   return !backend.instance.TakesNewWork() && now - backend.drained_since >= allowance;
@@ -231,7 +242,7 @@
     const Backend& backend = backends_.at(id);
     const bool was_tried = std::find(tried.begin(), tried.end(), id) != tried.end();
     if (!backend.instance.TakesNewWork() || was_tried) continue;
-    if (!WarmUpAdmits(backend, now) || !Admits(backend, now)) continue;
+    if (!WarmUpAdmits(backend, now) || Bar(backend, now)) continue;
     if (now < backend.ejected_until) {
       const bool sooner =
           best_ejected == nullptr || backend.ejected_until < best_ejected->ejected_until;
@@ -291,7 +302,7 @@
     const Backend* const backend = Find(id);
     if (backend == nullptr || now - backend->others_at > kWordIsFresh) continue;
     if (!backend->instance.TakesNewWork() || !HasConnectionLeft(*backend)) continue;
-    if (!WarmUpAdmits(*backend, now) || !Admits(*backend, now)) continue;
+    if (!WarmUpAdmits(*backend, now) || Bar(*backend, now)) continue;
     if (LoadOf(*backend, now) >= SlotsOf(*backend) * (1.0 + options_.waiting_maximum)) continue;
     const double time = CompletionMicros(*backend, target, now);
     if (best != nullptr && time >= least) continue;
--- a/src/gateway/backend_table.h
+++ b/src/gateway/backend_table.h
@@ -115,7 +115,8 @@
   void TakeHints(const std::vector<traffic::InstanceHint>& hints, Instant now);
 
   const Backend* Find(const traffic::InstanceId& id) const;
-  /// Whether a server has been without new work for so long that its promise to get none is due.
+  /// Whether a server has been without new work, or said that it leaves, for so long that its
+  /// promise to get none is due.
   bool DrainedForLong(const Backend& backend, Instant now) const;
 
   /// The server of a service with the shortest wait to expect, without those in `tried`; one drawn
@@ -151,9 +152,9 @@
                Instant now);
   void OnAbandoned(const traffic::InstanceId& id);
 
-  /// Whether this gateway may send a server a request now, by what the server states of those that
-  /// it takes.
-  bool Admits(const Backend& backend, Instant now) const;
+  /// Why this gateway may send a server no request now, by what the server states of those that it
+  /// takes; nullopt when it may.
+  std::optional<RefusalReason> Bar(const Backend& backend, Instant now) const;
   BackPressureTable& pressure() { return pressure_; }
   const BackPressureTable& pressure() const { return pressure_; }
 
@@ -190,6 +191,8 @@
   void Remove(const traffic::InstanceId& id);
   /// Takes what control says of an instance's warm-up.
   void FollowWarmUp(Backend& backend, const traffic::Instance& next, bool fresh, Instant now);
+  /// Whether the owner of keys said so long ago that it leaves that it is to get no more requests.
+  bool LeftForLong(const traffic::InstanceId& id, Instant now) const;
   /// Whether this gateway may send a server a request now, as far as its warm-up goes; also of one
   /// that has just told a probe that it turned cold.
   bool WarmUpAdmits(const Backend& backend, Instant now) const;
--- a/src/gateway/gateway_events.cc
+++ b/src/gateway/gateway_events.cc
@@ -42,6 +42,8 @@
       return "stale_owner";
     case RefusalReason::kOverloaded:
       return "overloaded";
+    case RefusalReason::kResting:
+      return "resting";
     case RefusalReason::kLimited:
       return "limited";
     case RefusalReason::kQuarantined:
--- a/src/gateway/gateway_events.h
+++ b/src/gateway/gateway_events.h
@@ -98,6 +98,7 @@
   kOwnerFails,      ///< The owner of the key resets connections or is not reached.
   kStaleOwner,      ///< The owner known here is not it any more; another gateway may know more.
   kOverloaded,      ///< No server would take it in time.
+  kResting,         ///< The server asked this gateway for a rest.
   kLimited,         ///< What the server's limit allows is used up.
   kQuarantined,     ///< Servers ended under what it asks for, one after the other.
   kHotKey,          ///< The key is asked for more often than its owner can answer.
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -179,7 +179,7 @@
   poll.speeds = traffic_.backends().TakeSpeeds(tell_speeds);
   crashes_.tell(poll, now);
   quotas_.tell(poll, now);
-  poll.limits = traffic_.backends().pressure().tell(now);
+  traffic_.backends().pressure().tell(poll, now);
   return poll;
 }
 
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -64,8 +64,11 @@
   /// What to ask control, with the loads counted since the last call.
   traffic::TrafficPoll TakePoll(Instant now);
 
-  /// Whether some key got so much since the last poll that control should know at once.
-  bool LoadIsUrgent() const { return key_loads_.is_urgent(); }
+  /// Whether some key got so much since the last poll, or a server stated something new, that
+  /// control should know at once.
+  bool PollIsUrgent() const {
+    return key_loads_.is_urgent() || traffic_.backends().pressure().has_news();
+  }
 
   /// Whether a configuration is in force here that no poll has told of. Its operator's
   /// acknowledgement waits for that word.
@@ -151,6 +154,10 @@
   /// this gateway: every request to a server goes through here.
   Step Send(LiveRequest& request, const Backend& backend, Instant now);
   void BeginAttempt(LiveRequest& request, const Backend& backend, Instant now);
+  /// Waits for the end of the rest that the only server of a request asked for, when that is soon.
+  Step WaitForRest(LiveRequest& request, const Backend& owner, Instant now);
+  /// Whether the owner of the request's key rests for longer than the request may be held.
+  bool RestsForLong(const LiveRequest& request, const traffic::InstanceId& owner) const;
   /// Waits for a token of the leader's by which the owner's limit lets the request in.
   Step WaitForToken(LiveRequest& request, const Backend& owner, Instant now);
   /// Leaves the request in its queue until `limit` after `hold_from`. With its time to wait over it
--- a/src/gateway/live_request.h
+++ b/src/gateway/live_request.h
@@ -61,7 +61,8 @@
   bool let_in = false;   ///< While its key was known to be hot.
   bool counted = false;  ///< Let in by its tenant's quota.
   Instant asks_since{};  ///< For a token of its owner's limit; Instant{} while it asks for none.
-  Instant not_before{};  ///< While waiting: not tried again earlier.
+  Instant server_rests_until{};  ///< The server that alone can run it; Instant{} for none.
+  Instant not_before{};          ///< While waiting: not tried again earlier.
   RefusalReason waits_for = RefusalReason::kOverloaded;
 };
 
--- a/src/gateway/request_ending.cc
+++ b/src/gateway/request_ending.cc
@@ -53,6 +53,11 @@
   if (crashes_.is_quarantined(request.arrived.digest)) {
     return End(request, RefusalReason::kQuarantined, now);
   }
+  // Its keys have no other server; a retry that can't be sent must not use up the budget.
+  if (traffic_.is_keyed(request.service) && RestsForLong(request, request.tried.back())) {
+    request.server_rests_until = traffic_.backends().pressure().rests_until(request.tried.back());
+    return EndWithoutRun(request, RefusalReason::kResting, now);
+  }
   const auto bar =
       bar_to_retry(request, report.end, BudgetOf(request.service), traffic_.gateway_count(), now);
   if (!bar) return Requeue(request, now);
--- a/src/gateway/request_sending.cc
+++ b/src/gateway/request_sending.cc
@@ -140,15 +140,32 @@
 }
 
 GatewayNode::Step GatewayNode::Send(LiveRequest& request, const Backend& backend, Instant now) {
-  if (!traffic_.backends().Admits(backend, now)) {
+  if (const auto bar = traffic_.backends().Bar(backend, now)) {
     const bool keyed = traffic_.is_keyed(request.service);
-    if (!keyed) return Wait(request, RefusalReason::kLimited, short_hold(request), now);
+    if (!keyed) return Wait(request, *bar, short_hold(request), now);
+    if (*bar == RefusalReason::kResting) return WaitForRest(request, backend, now);
+    if (*bar != RefusalReason::kLimited) return WaitForOwner(request, *bar, now);
     if (WaitForToken(request, backend, now) == Step::kWaits) return Step::kWaits;
   }
   BeginAttempt(request, backend, now);
   return Step::kSent;
 }
 
+GatewayNode::Step GatewayNode::WaitForRest(LiveRequest& request, const Backend& owner,
+                                           Instant now) {
+  const traffic::InstanceId& id = owner.instance.report.id;
+  request.waits_for = RefusalReason::kResting;
+  request.server_rests_until = traffic_.backends().pressure().rests_until(id);
+  const bool ends_soon = !RestsForLong(request, id) && now < request.server_rests_until;
+  requests_.set_timer(request, ends_soon ? request.server_rests_until : Instant{});
+  return Step::kWaits;
+}
+
+bool GatewayNode::RestsForLong(const LiveRequest& request, const traffic::InstanceId& owner) const {
+  const Instant hold_end = std::min(request.hold_from + owner_hold(request), request.give_up);
+  return traffic_.backends().pressure().rests_until(owner) >= hold_end;
+}
+
 GatewayNode::Step GatewayNode::WaitForToken(LiveRequest& request, const Backend& owner,
                                             Instant now) {
   const traffic::InstanceId& id = owner.instance.report.id;
--- a/src/gateway/traffic_view.h
+++ b/src/gateway/traffic_view.h
@@ -41,6 +41,7 @@
 
   auto routes() -> RouteTable& { return m_routes; }
   auto backends() -> BackendTable& { return m_backends; }
+  auto backends() const -> BackendTable const& { return m_backends; }
   auto keys() -> KeyMap& { return m_keys; }
   auto tenants() const -> TenantTable const& { return m_tenants; }
 
--- a/tests/gateway/stated_limits_test.cc
+++ b/tests/gateway/stated_limits_test.cc
@@ -119,3 +119,70 @@
   cr_assert_geq(sent["p-1"], 10, "it takes what it can");
   cr_assert_geq(sent["p-2"], 350);
 }
+
+namespace {
+
+BackPressure Rest(std::int64_t ms) {
+  BackPressure pressure;
+  pressure.rest = std::chrono::milliseconds(ms);
+  return pressure;
+}
+
+}  // namespace
+
+/// Guards against a request that is sent to an owner again 30 ms after that asked for rest.
+Test(stated_limits, owner_that_asked_for_rest_gets_nothing_until_its_end) {
+  Fixture fixture;
+  const auto first = Only<SendAttempt>(fixture.Request("/keyed/x", 0, 7));
+  const auto refused =
+      Only<Refuse>(EndStating(fixture, first, AttemptEnd::kNotExecuted, 503, Rest(3'000), 10));
+  cr_assert(refused.reason == RefusalReason::kResting);
+  cr_assert_eq(refused.retry_after->count(), 1'000'000);
+  const auto next = Only<Refuse>(fixture.Request("/keyed/x", 500, 7));
+  cr_assert(next.reason == RefusalReason::kResting, "at once: it can't be served in its time");
+  cr_assert(!Has<SendAttempt>(fixture.Request("/keyed/x", 3'005, 7)));
+  cr_assert(Has<SendAttempt>(fixture.Request("/keyed/x", 3'030, 7)));
+}
+
+Test(stated_limits, request_whose_time_outlasts_the_rest_waits_for_its_end) {
+  Fixture fixture;
+  const auto first = Only<SendAttempt>(fixture.Request("/keyed/x", 0, 7));
+  cr_assert(!Has<Refuse>(EndStating(fixture, first, AttemptEnd::kNotExecuted, 503, Rest(200), 10)));
+  cr_assert(!Has<SendAttempt>(fixture.node.Tick(At(100))));
+  cr_assert(Has<SendAttempt>(fixture.node.Tick(At(230))));
+}
+
+Test(stated_limits, server_of_a_pool_that_asked_for_rest_gets_nothing_until_its_end) {
+  Fixture fixture;
+  const auto first = Only<SendAttempt>(fixture.Request("/safe/x", 0));
+  const auto other =
+      Only<SendAttempt>(EndStating(fixture, first, AttemptEnd::kNotExecuted, 503, Rest(3'000), 10));
+  cr_assert(other.instance != first.instance);
+  EndStating(fixture, other, AttemptEnd::kNotExecuted, 503, Rest(2'000), 20);
+  for (std::int64_t ms = 50; ms < 2'000; ms += 50) {
+    fixture.Request("/safe/x", ms);
+    cr_assert(!Has<SendAttempt>(fixture.node.Tick(At(ms + 45))), "%lld ms",
+              static_cast<long long>(ms));
+  }
+  cr_assert(Only<SendAttempt>(fixture.Request("/safe/x", 2'050)).instance == other.instance);
+}
+
+/// Guards against a gateway that knows from a server's answers that it leaves, and not from
+/// control.
+Test(stated_limits, server_that_said_that_it_leaves_gets_nothing_soon) {
+  Fixture fixture;
+  BackPressure leaving;
+  leaving.leaving = true;
+  const auto pooled = Only<SendAttempt>(fixture.Request("/safe/x", 0));
+  EndStating(fixture, pooled, AttemptEnd::kAnswered, 200, leaving, 20);
+  const auto keyed = Only<SendAttempt>(fixture.Request("/keyed/x", 30, 7));
+  EndStating(fixture, keyed, AttemptEnd::kAnswered, 200, leaving, 50);
+  const auto while_keys_move = Only<SendAttempt>(fixture.Request("/keyed/x", 500, 7));
+  EndStating(fixture, while_keys_move, AttemptEnd::kAnswered, 200, leaving, 520);
+  for (std::int64_t ms = 1'100; ms < 5'000; ms += 100) {
+    cr_assert(!Has<SendAttempt>(fixture.Request("/keyed/x", ms, 7)));
+    const auto send = Only<SendAttempt>(fixture.Request("/safe/x", ms));
+    cr_assert(send.instance != pooled.instance);
+    fixture.End(send, AttemptEnd::kAnswered, 200, ms + 20);
+  }
+}
--- a/tests/traffic_world/stated_limits_test.cc
+++ b/tests/traffic_world/stated_limits_test.cc
@@ -69,3 +69,13 @@
     auto const found = breaches(only_stated_limits(11, 2), 6, "rest");
     cr_assert(found.empty(), "%s", found.c_str());
 }
+
+/// Guards against a gateway that knows from a server's answers that it leaves, and waits for control's
+/// word; and against rests that are kept only while all else is well.
+Test(stated_limits, server_rests_and_leaves_whatever_else_fails, .timeout = 300)
+{
+    TrafficWorldOptions world;
+    world.stated_limits = true;
+    auto const found = breaches(world, 20, "rest") + breaches(world, 20, "leaving");
+    cr_assert(found.empty(), "%s", found.c_str());
+}
