--- a/src/gateway/request_ending.cc
+++ b/src/gateway/request_ending.cc
@@ -46,16 +46,17 @@
 }
 
 void GatewayNode::RetryOrEnd(LiveRequest& request, const AttemptReport& report, Instant now) {
-  if (report.not_owner && traffic_.is_keyed(request.service)) {
-    const traffic::KeyRange* range = traffic_.keys().Find(request.service, *request.arrived.key);
-    if (range != nullptr) traffic_.keys().Disown(*range, now + kDisowned);
-  }
+  const bool keyed = traffic_.is_keyed(request.service);
+  const traffic::KeyRange* const range =
+      keyed ? traffic_.keys().Find(request.service, *request.arrived.key) : nullptr;
+  if (report.not_owner && range != nullptr) traffic_.keys().Disown(*range, now + kDisowned);
   if (crashes_.is_quarantined(request.arrived.digest)) {
     return End(request, RefusalReason::kQuarantined, now);
   }
-  // Its keys have no other server; a retry that can't be sent must not use up the budget.
-  if (traffic_.is_keyed(request.service) && RestsForLong(request, request.tried.back())) {
-    request.server_rests_until = traffic_.backends().pressure().rests_until(request.tried.back());
+  // The key has no other server; a retry that can't be sent must not use up the budget.
+  if (range != nullptr && RestsForLong(request, range->owner)) {
+    if (may_be_relayed(report)) return Relay(request);
+    request.server_rests_until = traffic_.backends().pressure().rests_until(range->owner);
     return EndWithoutRun(request, RefusalReason::kResting, now);
   }
   const auto bar =
--- a/testbed/registered/worker.cc
+++ b/testbed/registered/worker.cc
@@ -11,6 +11,7 @@
 #include <set>
 #include <thread>
 
+#include "graniteseam/common/duration_text.h"
 #include "src/event_http/client_pool.h"
 #include "src/event_http/server.h"
 #include "src/runtime/clock.h"
@@ -46,6 +47,7 @@
 constexpr int kNothingThere = 404;
 constexpr int kHigherFenceSeen = 409;
 constexpr int kNotMeantForIt = 421;
+constexpr int kTurnedAway = 503;
 constexpr int kRanTooLong = 500;
 
 std::optional<std::uint32_t> ReadKey(const event_http::Request& request, const std::string& name) {
@@ -78,6 +80,9 @@
  public:
   explicit Impl(WorkerOptions options)
       : options_(std::move(options)), pool_(loop_.context(), {}), beat_timer_(loop_.context()) {
+    auto const& statements = options_.statements;
+    stated_ = {options_.id, statements.limit_per_second, started_ + statements.limited_from,
+               started_ + statements.limited_until};
     Listen();
     address_ = options_.address.ip + ":" + std::to_string(server_->port());
     asio::post(loop_.context(), [this] { BeatAfter(options_.first_heartbeat); });
@@ -88,6 +93,7 @@
   void Drain() {
     const std::lock_guard lock(mutex_);
     draining_ = true;
+    if (options_.statements.says_leaving) stated_.leaving_from = runtime::BootTimeNow();
   }
   auto Deregister() -> void {
     std::lock_guard const lock(mutex_);
@@ -110,6 +116,12 @@
     const std::lock_guard lock(mutex_);
     return runs_;
   }
+  auto stated() const -> WorkerStated {
+    std::lock_guard const lock(mutex_);
+    auto stated = stated_;
+    stated.arrivals = arrivals_;
+    return stated;
+  }
   auto holds() const -> std::vector<WorkerHold> {
     std::lock_guard const lock(mutex_);
     std::vector<WorkerHold> holds;
@@ -243,6 +255,7 @@
       return CrashUnder(request, id == nullptr ? "" : *id, now);
     }
     arrivals_.emplace_back(now, id == nullptr ? "" : *id);
+    if (TurnsAway(now)) return TurnAway(exchange, std::move(response), now);
     WorkerRun run{
         options_.id, id == nullptr ? "" : *id, key, holder == nullptr ? 0 : holder->fence, now,
         {},          options_.service};
@@ -258,6 +271,32 @@
     });
   }
 
+  auto TurnsAway(Instant now) const -> bool {
+    auto const since = now - started_;
+    auto const& statements = options_.statements;
+    return statements.turns_away_from <= since && since < statements.turns_away_until;
+  }
+
+  auto TurnAway(std::shared_ptr<Exchange> const& exchange, Response response, Instant now) -> void {
+    auto const rest = options_.statements.rest;
+    response.status = kTurnedAway;
+    response.fields.Add(options_.names.not_executed, "1");
+    response.fields.Add("Retry-After", std::to_string(ToSeconds(rest)));
+    State(response, now);
+    auto const* const id = response.fields.Find(options_.names.attempt_id);
+    stated_.rests.push_back({id == nullptr ? "" : *id, now, rest});
+    exchange->Respond(response);
+  }
+
+  /// Adds to an answer what the worker states of the requests that it takes.
+  auto State(Response& response, Instant now) const -> void {
+    auto const limited = stated_.limited_from <= now && now < stated_.limited_until;
+    if (limited && stated_.limit_per_second > 0) {
+      response.fields.Add(options_.names.limit, std::to_string(stated_.limit_per_second));
+    }
+    if (now >= stated_.leaving_from) response.fields.Add(options_.names.leaving, "1");
+  }
+
   /// The process is gone: nothing that it was at work on ends, and it says nothing any more.
   auto CrashUnder(event_http::Request const& request, std::string const& attempt, Instant now)
       -> void {
@@ -286,6 +325,7 @@
     }
     response.fields.Add(options_.names.seal, "seal-of-" + options_.id);
     response.fields.Add(options_.names.load, "0,0,2");
+    State(response, now);
     response.body = options_.id;
     runs_.push_back(std::move(run));
   }
@@ -446,6 +486,8 @@
   event_http::ClientPool pool_;
   asio::steady_timer beat_timer_;  ///< Used on the loop only.
 
+  Instant const started_ = runtime::BootTimeNow();
+
   mutable std::mutex mutex_;  ///< Guards what follows.
   std::int64_t sequence_ = 0;
   std::string home_;
@@ -461,6 +503,7 @@
   std::uint64_t last_release_ = 0;
   std::vector<std::pair<Instant, std::string>> arrivals_;
   std::vector<WorkerRun> runs_;
+  WorkerStated stated_;  ///< Without its arrivals.
 };
 
 Worker::Worker(WorkerOptions options) : impl_(std::make_shared<Impl>(std::move(options))) {}
@@ -473,6 +516,7 @@
 auto Worker::HoldBackHeartbeat() -> WorkerBeat { return impl_->HoldBackHeartbeat(); }
 auto Worker::crash() const -> std::optional<WorkerCrash> { return impl_->crash(); }
 std::vector<WorkerRun> Worker::runs() const { return impl_->runs(); }
+auto Worker::stated() const -> WorkerStated { return impl_->stated(); }
 auto Worker::holds() const -> std::vector<WorkerHold> { return impl_->holds(); }
 auto Worker::arrivals_after_drain(Duration allowance) const -> std::vector<std::string> {
   return impl_->arrivals_after_drain(allowance);
--- a/testbed/registered/worker.h
+++ b/testbed/registered/worker.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "src/daemon/control/owner_calls.h"
@@ -17,6 +18,17 @@
 
 namespace graniteseam::testbed {
 
+/// What a worker states in its answers of the requests that it takes, in spans since its start.
+struct WorkerStatements {
+  double limit_per_second = 0;  ///< 0: it never names one.
+  Duration limited_from{};
+  Duration limited_until{};
+  Duration rest{};  ///< Asked for with each request that it turns away.
+  Duration turns_away_from{};
+  Duration turns_away_until{};
+  bool says_leaving = false;  ///< In each answer from Drain() on.
+};
+
 struct WorkerOptions {
   std::string id;
   std::string service;
@@ -31,6 +43,7 @@
   Duration heartbeat{200'000};
   Duration first_heartbeat{0};   ///< How long after its start.
   std::uint32_t late_every = 0;  ///< One heartbeat in so many is held up on its way; 0: none is.
+  WorkerStatements statements{};
 };
 
 /// Requests whose path contains this end the worker that begins to run them.
@@ -64,6 +77,25 @@
   HeldSpan span;
 };
 
+/// A request that a worker turned away, asking for rest.
+struct WorkerRest {
+  std::string attempt;
+  Instant asked{};
+  Duration rest{};
+};
+
+/// What a worker stated, and which attempts reached it; those that are not meant for it are left
+/// out.
+struct WorkerStated {
+  std::string worker;
+  double limit_per_second = 0;
+  Instant limited_from{};
+  Instant limited_until{};
+  Instant leaving_from = Instant::max();
+  std::vector<WorkerRest> rests{};
+  std::vector<std::pair<Instant, std::string>> arrivals{};
+};
+
 /// A heartbeat as it is sent.
 struct WorkerBeat {
   std::string target;  ///< Path of the call.
@@ -98,6 +130,7 @@
   auto crash() const -> std::optional<WorkerCrash>;
 
   std::vector<WorkerRun> runs() const;
+  auto stated() const -> WorkerStated;
   auto holds() const -> std::vector<WorkerHold>;
   /// Attempts that arrived after the drain was acknowledged and `allowance` had passed; those that
   /// it refused as not meant for it are left out.
--- a/testbed/soak/promises.cc
+++ b/testbed/soak/promises.cc
@@ -7,6 +7,7 @@
 
 #include "graniteseam/common/duration_text.h"
 #include "testbed/soak/calm.h"
+#include "testbed/soak/stated_promises.h"
 #include "testbed/soak/tenants.h"
 #include "testbed/soak/version_promises.h"
 
@@ -377,6 +378,7 @@
     check_changes(seen, breaches);
     check_holds(seen, breaches);
     check_drains(seen, breaches);
+    check_statements(seen, breaches);
     check_kept_connections(seen, breaches);
     check_spared(seen, breaches);
     check_contained(seen, breaches);
--- a/testbed/soak/promises.h
+++ b/testbed/soak/promises.h
@@ -94,6 +94,7 @@
     std::vector<SeenProbe> probes;
     std::vector<SeenDrain> drains;
     std::vector<WorkerHold> holds;
+    std::vector<WorkerStated> stated;
     std::map<std::string, Instant> worker_ends; ///< Of those that ended, by id.
     std::vector<SeenDisturbance> disturbances;
     std::vector<SeenCoreDisturbance> core_disturbances;
--- a/testbed/soak/soak.cc
+++ b/testbed/soak/soak.cc
@@ -46,6 +46,7 @@
         std::optional<RunSize> size;
         bool crashing = false;
         bool silencing = false;
+        bool stating = false;
         bool keep = false;
         std::optional<double> processor;
         std::string folder = "/tmp/graniteseam-soak";
@@ -56,7 +57,7 @@
     constexpr char usage[]
         = "Usage: graniteseam-soak [--seed N] [--seeds N] [--parallel K] [--size small|large|crowd] "
           "[--faults N]\n"
-          "                        [--crashing] [--silencing] [--processor SHARE] [--keep]\n"
+          "                        [--crashing] [--silencing] [--stating] [--processor SHARE] [--keep]\n"
           "                        [--folder DIR] [--programs DIR] [--templates DIR]\n"
           "  --seed N       first seed; without it one is drawn and printed\n"
           "  --seeds N      how many, from the first on (1)\n"
@@ -64,6 +65,7 @@
           "  --size SIZE    of all runs; without it drawn from the seed, one in four large, none a crowd\n"
           "  --crashing     some requests end each worker that runs them, as in a crowd\n"
           "  --silencing    open connections with control fall silent for good, and new ones work\n"
+          "  --stating      workers name limits, ask for rests and say that they leave\n"
           "  --processor X  part of a core that each control process and each router may use\n"
           "  --keep         logs and data of seeds that kept every promise, too\n"
           "  --faults N     of each run (20, a large one 45, a crowd 10)\n"
@@ -84,13 +86,14 @@
 
     auto read_arguments(int argc, char** argv) -> std::optional<Arguments>
     {
-        static option const options[] = {{"seed", required_argument, nullptr, 's'},
-            {"seeds", required_argument, nullptr, 'n'}, {"parallel", required_argument, nullptr, 'k'},
-            {"size", required_argument, nullptr, 'z'}, {"crashing", no_argument, nullptr, 'x'},
-            {"silencing", no_argument, nullptr, 'i'}, {"processor", required_argument, nullptr, 'c'},
-            {"keep", no_argument, nullptr, 'e'}, {"faults", required_argument, nullptr, 'f'},
-            {"folder", required_argument, nullptr, 'd'}, {"programs", required_argument, nullptr, 'p'},
-            {"templates", required_argument, nullptr, 't'}, {}};
+        static option const options[]
+            = {{"seed", required_argument, nullptr, 's'}, {"seeds", required_argument, nullptr, 'n'},
+                {"parallel", required_argument, nullptr, 'k'}, {"size", required_argument, nullptr, 'z'},
+                {"crashing", no_argument, nullptr, 'x'}, {"silencing", no_argument, nullptr, 'i'},
+                {"stating", no_argument, nullptr, 'g'}, {"processor", required_argument, nullptr, 'c'},
+                {"keep", no_argument, nullptr, 'e'}, {"faults", required_argument, nullptr, 'f'},
+                {"folder", required_argument, nullptr, 'd'}, {"programs", required_argument, nullptr, 'p'},
+                {"templates", required_argument, nullptr, 't'}, {}};
         Arguments arguments;
         arguments.first_seed = std::random_device {}();
         arguments.programs = std::filesystem::path(argv[0]).parent_path();
@@ -118,6 +121,9 @@
             case 'i':
                 arguments.silencing = true;
                 break;
+            case 'g':
+                arguments.stating = true;
+                break;
             case 'e':
                 arguments.keep = true;
                 break;
@@ -267,6 +273,7 @@
         options.losses_tolerated = shape.losses_tolerated;
         options.processor = shape.processor;
         options.router_processor = shape.router_processor;
+        options.stating = shape.stating;
         return options;
     }
 
@@ -357,6 +364,7 @@
         auto shape = draw_shape(seed, arguments.size);
         shape.crashing = shape.crashing || arguments.crashing;
         shape.silencing = arguments.silencing;
+        shape.stating = arguments.stating;
         shape.processor = arguments.processor.value_or(shape.processor);
         shape.router_processor = arguments.processor.value_or(shape.router_processor);
         PlanBounds bounds;
--- a/testbed/soak/soaked_fleet.cc
+++ b/testbed/soak/soaked_fleet.cc
@@ -9,6 +9,7 @@
 #include <filesystem>
 #include <fstream>
 
+#include "graniteseam/common/duration_text.h"
 #include "src/runtime/clock.h"
 #include "testbed/registered/template.h"
 #include "testbed/support/text_file.h"
@@ -38,6 +39,7 @@
     constexpr Duration crashed_for {1'500'000};
     /// A heartbeat that outlives its sender is held up for at most so long.
     constexpr std::uint32_t heartbeat_delay_spread_ms = 2'500;
+    constexpr std::uint64_t statement_salt = 0x57a7'ed00'1115'0001;
     constexpr int exit_not_run = 127;
     /// Seeds that a process is told of, as the users' platform does.
     constexpr std::uint32_t seeds_told = 3;
@@ -63,6 +65,7 @@
     : m_options(std::move(options))
     , m_names(std::move(names))
     , m_random(m_options.seed)
+    , m_statement_random(m_options.seed ^ statement_salt)
 {
     std::filesystem::create_directories(m_options.folder);
     while (m_ports.size() < PortCount) {
@@ -303,10 +306,33 @@
     options.work = work_shortest + Duration(static_cast<std::int64_t>(m_random() % work_spread_us));
     options.first_heartbeat = Duration(static_cast<std::int64_t>(m_random() % first_heartbeat_spread_us));
     options.late_every = late_heartbeat_every;
+    if (m_options.stating)
+        options.statements = draw_statements();
     slot.worker_id = options.id;
     slot.worker = std::make_unique<Worker>(options);
 }
 
+auto SoakedFleet::draw_statements() -> WorkerStatements
+{
+    auto const between = [&](std::int64_t least_ms, std::int64_t most_ms) {
+        auto const spread = static_cast<std::uint64_t>(most_ms - least_ms);
+        return Duration {1'000 * (least_ms + static_cast<std::int64_t>(m_statement_random() % spread))};
+    };
+    WorkerStatements statements;
+    statements.says_leaving = true;
+    if (m_statement_random() % 2 == 0) {
+        statements.limit_per_second = ToSeconds(between(500, 6'000));
+        statements.limited_from = between(3'000, 12'000);
+        statements.limited_until = statements.limited_from + between(5'000, 15'000);
+    }
+    if (m_statement_random() % 2 == 0) {
+        statements.turns_away_from = between(3'000, 25'000);
+        statements.turns_away_until = statements.turns_away_from + between(500, 5'000);
+        statements.rest = between(500, 3'000);
+    }
+    return statements;
+}
+
 auto SoakedFleet::delay_heartbeat(Worker& worker, std::uint32_t choice) -> void
 {
     auto const all = registries();
@@ -325,6 +351,8 @@
     m_seen.runs.insert(m_seen.runs.end(), runs.begin(), runs.end());
     auto const holds = worker.holds();
     m_seen.holds.insert(m_seen.holds.end(), holds.begin(), holds.end());
+    if (m_options.stating)
+        m_seen.stated.push_back(worker.stated());
     if (worker.drain_acknowledged())
         m_seen.drains.push_back({slot.worker_id, worker.arrivals_after_drain(drain_allowance)});
     auto const crash = worker.crash();
@@ -564,6 +592,7 @@
     seen.runs = m_seen.runs;
     seen.holds = m_seen.holds;
     seen.drains = m_seen.drains;
+    seen.stated = m_seen.stated;
     seen.disturbances = m_seen.disturbances;
     seen.thaws = m_seen.thaws;
     seen.crashes = m_seen.crashes;
--- a/testbed/soak/soaked_fleet.h
+++ b/testbed/soak/soaked_fleet.h
@@ -51,6 +51,7 @@
     std::uint32_t losses_tolerated = 1;
     double processor = 1; ///< Part of a core that each control process may use; 1: not limited.
     double router_processor = 1; ///< The same of routers.
+    bool stating = false; ///< Workers name limits, ask for rests and say that they leave.
 };
 
 /// How often a worker was replaced by another process.
@@ -122,6 +123,8 @@
     auto tear_newest_file(std::uint32_t control) const -> void;
     /// Starts a worker of the slot's service at the slot's address.
     auto add_worker(std::uint32_t index) -> void;
+    /// What a worker that starts now is to state.
+    auto draw_statements() -> WorkerStatements;
     /// Notes what the slot's worker saw and ends it, as a crash does. A heartbeat of it may come later.
     auto retire_worker(std::uint32_t index, std::uint32_t choice) -> void;
     /// Keeps a heartbeat back that was made now, and delivers it later.
@@ -161,6 +164,7 @@
     std::map<std::uint32_t, Slot> m_slots; ///< By index.
     std::uint32_t m_worker_lives = 0;
     std::mt19937_64 m_random;
+    std::mt19937_64 m_statement_random; ///< Of its own: without statements a seed's course stays what it is.
     LateHeartbeats m_late_heartbeats;
     Replacements m_replacements;
     Observed m_seen; ///< Of workers that ended, and of what was done.
--- a/tests/gateway/stated_limits_test.cc
+++ b/tests/gateway/stated_limits_test.cc
@@ -186,3 +186,12 @@
     fixture.End(send, AttemptEnd::kAnswered, 200, ms + 20);
   }
 }
+
+/// A failure that the owner answered is the caller's; no word of the gateway's takes its place.
+Test(stated_limits, answer_of_an_owner_that_rests_is_passed_on) {
+  Fixture fixture;
+  const auto failed = Only<SendAttempt>(fixture.Request("/keyed/x", 0, 7));
+  const auto turned_away = Only<SendAttempt>(fixture.Request("/keyed/x", 0, 7));
+  EndStating(fixture, turned_away, AttemptEnd::kNotExecuted, 503, Rest(3'000), 10);
+  cr_assert(Has<RelayAnswer>(fixture.End(failed, AttemptEnd::kAnswered, 500, 20)));
+}
--- a/tests/soak/promises_test.cc
+++ b/tests/soak/promises_test.cc
@@ -425,3 +425,68 @@
     seen.answers.back().crashes = false;
     cr_assert(breaks(seen, "spared"));
 }
+
+namespace {
+
+/// A worker that named a limit of one a second from 0 s to 20 s, and was reached each 100 ms by router 0.
+auto limited_worker(Observed& seen) -> WorkerStated
+{
+    WorkerStated stated {"w-1", 1.0, at(0), at(20'000)};
+    for (std::int64_t ms = 0; ms < 20'000; ms += 100) {
+        auto const attempt = "a-" + std::to_string(ms);
+        seen.answers.push_back(answer(attempt, true, 200));
+        seen.answers.back().ended = at(ms + 20);
+        seen.runs.push_back(run("w-1", attempt, 8, ms, ms + 10));
+        stated.arrivals.emplace_back(at(ms), attempt);
+    }
+    return stated;
+}
+
+} // namespace
+
+Test(promises, breach_of_a_limit_by_routers_that_were_told_is_found)
+{
+    Observed seen;
+    seen.stated.push_back(limited_worker(seen));
+    cr_assert(breaks(seen, "limit"));
+    auto rare = seen;
+    rare.stated[0].limit_per_second = 10;
+    cr_assert(!breaks(rare, "limit"));
+    auto untold = seen;
+    for (auto& one : untold.answers)
+        one.status = 503;
+    cr_assert(!breaks(untold, "limit"));
+    seen.disturbances.push_back({0, at(1'000), at(30'000)});
+    cr_assert(!breaks(seen, "limit"));
+}
+
+Test(promises, breach_of_a_rest_by_the_router_that_was_asked_is_found)
+{
+    Observed seen;
+    WorkerStated stated {"w-1"};
+    for (auto const& [attempt, ms] : {std::pair {"a", 0}, {"b", 600}, {"c", 900}, {"d", 2'000}}) {
+        seen.answers.push_back(answer(attempt, true, 503));
+        stated.arrivals.emplace_back(at(ms), attempt);
+    }
+    stated.rests.push_back({"a", at(0), std::chrono::seconds(3)});
+    seen.stated.push_back(stated);
+    cr_assert(breaks(seen, "rest"));
+    seen.answers.back().router = 1;
+    cr_assert(!breaks(seen, "rest"));
+}
+
+Test(promises, request_to_a_worker_that_said_long_ago_that_it_leaves_is_found)
+{
+    Observed seen;
+    WorkerStated stated {"w-1"};
+    stated.leaving_from = at(0);
+    seen.answers.push_back(answer("a", true, 200));
+    seen.runs.push_back(run("w-1", "a", 8, 0, 10));
+    seen.answers.push_back(answer("b", true, 200));
+    seen.answers.back().sent = at(2'100);
+    stated.arrivals.emplace_back(at(2'110), "b");
+    seen.stated.push_back(stated);
+    cr_assert(breaks(seen, "leaving"));
+    seen.answers.back().sent = at(1'900);
+    cr_assert(!breaks(seen, "leaving"));
+}
--- a/tests/soak/seeded_runs_test.cc
+++ b/tests/soak/seeded_runs_test.cc
@@ -56,3 +56,9 @@
 {
     play("9100002", {"--silencing"});
 }
+
+/// Guards against limits, rests and leavings that are lost between the wire and what decides on requests.
+Test(seeded_runs, seed_50001_with_workers_that_state_limits_and_rests, .timeout = 240)
+{
+    play("50001", {"--stating"});
+}
