--- a/src/gateway/back_pressure_table.h
+++ b/src/gateway/back_pressure_table.h
@@ -57,6 +57,10 @@
   /// The limit of an instance as it is known here.
   auto limit_of(traffic::InstanceId const& instance, Instant now) const -> traffic::InstanceLimit;
 
+  /// Whether an instance ever stated anything.
+  auto knows(traffic::InstanceId const& instance) const -> bool {
+    return m_words.contains(instance);
+  }
   /// Until when an instance wants no request from this gateway; Instant{} where it never asked.
   auto rests_until(traffic::InstanceId const& instance) const -> Instant;
   /// Since when an instance is known to leave; nullopt where it does not.
--- a/src/gateway/backend_table.cc
+++ b/src/gateway/backend_table.cc
@@ -149,6 +149,7 @@
 
 std::optional<RefusalReason> BackendTable::Bar(const Backend& backend, Instant now) const {
   const traffic::InstanceId& id = backend.instance.report.id;
+  if (!pressure_.knows(id)) return std::nullopt;
   // The owner of a key has no others that could take its requests.
   const bool keyed = keyed_.contains(backend.instance.report.service);
   if (now < pressure_.rests_until(id)) return RefusalReason::kResting;
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -84,7 +84,7 @@
   std::uint64_t version() const { return traffic_.version(); }
   std::size_t requests() const { return requests_.size(); }
   /// Instances that name a limit at present, as far as is known here.
-  std::size_t limited_instances() { return traffic_.backends().pressure().limited(); }
+  std::size_t limited_instances() const { return traffic_.backends().pressure().limited(); }
   /// The newest instant as of which the configuration here is known to leave out no accepted
   /// change: when the poll was sent that a leader answered with the same one. The clock's start
   /// before there was one. What is pushed proves nothing: it may come from a member that is cut
--- a/src/gateway/limit_queue.cc
+++ b/src/gateway/limit_queue.cc
@@ -17,6 +17,7 @@
     ++counts[waiting.instance];
   }
   std::vector<Wanted> wanted;
+  wanted.reserve(counts.size());
   for (auto const& [instance, count] : counts) wanted.push_back({instance, count});
   return wanted;
 }
