--- a/simulation/simulator/main.cc
+++ b/simulation/simulator/main.cc
@@ -29,7 +29,6 @@
 using graniteseam::simulation::Scenario;
 using graniteseam::simulation::Scenarios;
 using graniteseam::simulation::seeded_traffic_defects;
-using graniteseam::simulation::TrafficDefect;
 
 /// The world of gateways, key ranges and configuration, with faults of its own.
 constexpr const char* kTrafficScenario = "traffic";
