Tell the count of limited instances with each poll, not with each answer

Cause: the gauge was set after every answer of a server, by a look at all instances that ever stated anything.

--- a/src/daemon/gateway/gateway_metrics.cc
+++ b/src/daemon/gateway/gateway_metrics.cc
@@ -35,11 +35,13 @@
   registry_.Counter(Metric::kGatewayAttempts, {{"end", std::string(EndName(end))}}).Increment();
 }
 
-void GatewayMetrics::OnBackPressure(const gateway::BackPressure& pressure,
-                                    std::size_t limited_instances) {
+void GatewayMetrics::OnBackPressure(const gateway::BackPressure& pressure) {
   if (pressure.unreadable) unreadable_pressure_.Increment();
   if (pressure.rest) rests_asked_.Increment();
-  limited_instances_.Set(static_cast<double>(limited_instances));
+}
+
+void GatewayMetrics::OnLimitedInstances(std::size_t count) {
+  limited_instances_.Set(static_cast<double>(count));
 }
 
 void GatewayMetrics::OnVersion(std::uint64_t version, std::uint64_t configuration) {
--- a/src/daemon/gateway/gateway_metrics.h
+++ b/src/daemon/gateway/gateway_metrics.h
@@ -22,7 +22,8 @@
   void OnAttemptEnd(gateway::AttemptEnd end);
   void OnProbe() { probes_.Increment(); }
   void OnUnreadableLoad() { unreadable_loads_.Increment(); }
-  void OnBackPressure(const gateway::BackPressure& pressure, std::size_t limited_instances);
+  void OnBackPressure(const gateway::BackPressure& pressure);
+  void OnLimitedInstances(std::size_t count);
   void OnCallerGone() { callers_gone_.Increment(); }
   void OnVersion(std::uint64_t version, std::uint64_t configuration);
 
--- a/src/daemon/gateway/gateway_process.cc
+++ b/src/daemon/gateway/gateway_process.cc
@@ -247,7 +247,7 @@
   LogUnknownField(result.response);
   live.answer = std::move(result.response);
   Run(node_.OnAttemptEnd(report, runtime::BootTimeNow()));
-  metrics_.OnBackPressure(report.pressure, node_.limited_instances());
+  metrics_.OnBackPressure(report.pressure);
 }
 
 void GatewayProcess::Do(const gateway::AbandonAttempt& abandon) {
@@ -434,6 +434,7 @@
 
 void GatewayProcess::Poll() {
   last_poll_ = runtime::BootTimeNow();
+  metrics_.OnLimitedInstances(node_.limited_instances());
   if (control_) control_->Send(node_.TakePoll(last_poll_));
   poll_timer_.expires_after(settings_.poll_interval);
   poll_timer_.async_wait([this](auto error) {
--- a/src/gateway/gateway_events.h
+++ b/src/gateway/gateway_events.h
@@ -153,7 +153,7 @@
   std::optional<Duration> retry_after;
 };
 
-/// Ask the leader for tokens of tenants' quotas.
+/// Ask the leader for tokens of tenants' quotas and of servers' limits.
 struct AskTokens {
   traffic::TokenRequest request;
 };
