Log and count requests to instances that warm up

Cause: what an instance gets while it warms up depends on which gateways count as its users, by which place and since when, and on how long they hold it for warming up. No line and no metric told of any of these. Change: a line send_while_warming_up for each such request and a counter of them. Nothing is decided otherwise.

--- a/src/daemon/gateway/gateway_metrics.cc
+++ b/src/daemon/gateway/gateway_metrics.cc
@@ -10,6 +10,7 @@
 GatewayMetrics::GatewayMetrics(runtime::MetricsRegistry& registry)
     : registry_(registry),
       sends_(registry.Counter(Metric::kGatewaySends)),
+      sends_while_warming_up_(registry.Counter(Metric::kGatewaySendsWhileWarmingUp)),
       callers_gone_(registry.Counter(Metric::kGatewayCallersGone)),
       unreadable_loads_(registry.Counter(Metric::kGatewayUnreadableLoads)),
       unreadable_pressure_(registry.Counter(Metric::kGatewayUnreadablePressure)),
@@ -31,6 +32,11 @@
   found->second.Observe(std::chrono::duration<double>(taken).count());
 }
 
+void GatewayMetrics::OnSend(bool while_warming_up) {
+  sends_.Increment();
+  if (while_warming_up) sends_while_warming_up_.Increment();
+}
+
 void GatewayMetrics::OnAttemptEnd(gateway::AttemptEnd end) {
   registry_.Counter(Metric::kGatewayAttempts, {{"end", std::string(EndName(end))}}).Increment();
 }
--- a/src/daemon/gateway/gateway_metrics.h
+++ b/src/daemon/gateway/gateway_metrics.h
@@ -18,7 +18,7 @@
   explicit GatewayMetrics(runtime::MetricsRegistry& registry);
 
   void OnRequest(std::string_view outcome, Duration taken);
-  void OnSend() { sends_.Increment(); }
+  void OnSend(bool while_warming_up);
   void OnAttemptEnd(gateway::AttemptEnd end);
   void OnProbe() { probes_.Increment(); }
   void OnUnreadableLoad() { unreadable_loads_.Increment(); }
@@ -30,6 +30,7 @@
  private:
   runtime::MetricsRegistry& registry_;
   runtime::CounterHandle sends_;
+  runtime::CounterHandle sends_while_warming_up_;
   runtime::CounterHandle callers_gone_;
   runtime::CounterHandle unreadable_loads_;
   runtime::CounterHandle unreadable_pressure_;
--- a/src/daemon/gateway/gateway_process.cc
+++ b/src/daemon/gateway/gateway_process.cc
@@ -210,7 +210,7 @@
   // The request tells how much time is left now; with a later hand-over the server would work on
   // for longer than its caller waits.
   call.not_after = runtime::BootTimeNow() + kHandedOverWithin;
-  metrics_.OnSend();
+  metrics_.OnSend(send.server_warms_up);
   live.call = servers_->Start(std::move(call), [this, send](event_http::CallResult result) {
     OnCallEnd(send, std::move(result));
   });
--- a/src/gateway/backend_table.cc
+++ b/src/gateway/backend_table.cc
@@ -5,6 +5,7 @@
 #include <cstdio>
 #include <utility>
 
+#include "graniteseam/common/duration_text.h"
 #include "src/gateway/connection_share.h"
 
 namespace graniteseam::gateway {
@@ -532,6 +533,10 @@
   backend.ejected_until = now + backend.ejection;
 }
 
+std::string BackendTable::DescribeWarmUp(const Backend& backend, Instant now) const {
+  return InMs(backend.warm_at - now) + " left, " + warm_ups_.describe_place(now);
+}
+
 std::string BackendTable::Describe(const Backend& backend, Instant now) const {
   char text[160];
   const auto age =
--- a/src/gateway/backend_table.h
+++ b/src/gateway/backend_table.h
@@ -115,7 +115,7 @@
   void Confirm(Instant at) { confirmed_at_ = std::max(confirmed_at_, at); }
 
   /// Sets this gateway's place among all gateways, by which warming-up instances are divided.
-  void SetPlace(const GatewayPlace& place) { warm_ups_.set_place(place); }
+  void SetPlace(const GatewayPlace& place, Instant now) { warm_ups_.set_place(place, now); }
 
   /// Applies the latencies and failure rates that control aggregated over all gateways.
   void ApplyHints(const std::vector<traffic::InstanceHint>& hints, Instant now);
@@ -173,6 +173,12 @@
   /// @param all false: only those of servers with failures, which control needs at once.
   std::vector<traffic::InstanceSpeed> TakeSpeeds(bool all);
 
+  /// Whether a server counts as warming up here.
+  static bool IsWarmingUp(const Backend& backend, Instant now) { return now < backend.warm_at; }
+  /// "2100 ms left, place 3 of 76 for 400 ms" for the log: what the number of requests that a
+  /// warming-up server gets depends on.
+  std::string DescribeWarmUp(const Backend& backend, Instant now) const;
+
   /// "load 2.1 of 2, reported 120 ms ago, latency 61 ms" for the log.
   std::string Describe(const Backend& backend, Instant now) const;
 
@@ -208,7 +214,6 @@
   /// Whether this gateway may send a server a request now as regards its warm-up; applies also to a
   /// server whose warm-up was just reported by a probe.
   bool WarmUpAdmits(const Backend& backend, Instant now) const;
-  static bool IsWarmingUp(const Backend& backend, Instant now) { return now < backend.warm_at; }
 
   /// Whether this gateway sends to each server of a service often enough to choose by its own
   /// samples.
--- a/src/gateway/gateway_events.h
+++ b/src/gateway/gateway_events.h
@@ -126,6 +126,7 @@
   /// The server already had an attempt of this request, which must run at most once. A late answer
   /// to that attempt carries the same id, and must not be taken for the answer to this one.
   bool needs_new_connection = false;
+  bool server_warms_up = false;  ///< For the metrics.
   /// The tenant whose API key the request presented; empty when it presented none.
   traffic::TenantName tenant;
   /// The server gets no API key, and no tenant header other than the gateway's own.
--- a/src/gateway/request_sending.cc
+++ b/src/gateway/request_sending.cc
@@ -196,6 +196,11 @@
   request.token_wait_since = {};
   const traffic::InstanceId id = backend.instance.report.id;
   Note(request.arrived.number, "send", id, traffic_.backends().Describe(backend, now));
+  const bool warms_up = BackendTable::IsWarmingUp(backend, now);
+  if (warms_up) {
+    const std::string role = traffic_.is_keyed(request.service) ? "owner, " : "pool, ";
+    Note({}, "send_while_warming_up", id, role + traffic_.backends().DescribeWarmUp(backend, now));
+  }
   request.open = OpenAttempt{++request.newest_attempt, id, now};
   ++request.attempts;
   const bool again =
@@ -208,6 +213,7 @@
   send.address = backend.instance.report.address;
   send.time_left = request.give_up - now;
   send.needs_new_connection = again && !traffic::MayRepeat(request.kind);
+  send.server_warms_up = warms_up;
   send.tenant = request.tenant;
   send.hides_api_key = traffic_.tenants().keys_required();
   effects_.actions.emplace_back(std::move(send));
--- a/src/gateway/warm_up_gate.cc
+++ b/src/gateway/warm_up_gate.cc
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "graniteseam/common/duration_text.h"
+
 namespace graniteseam::gateway {
 namespace {
 
@@ -19,6 +21,18 @@
 
 WarmUpGate::WarmUpGate(double requests_per_second) : m_users(users_for(requests_per_second)) {}
 
+auto WarmUpGate::set_place(GatewayPlace place, Instant now) -> void {
+  if (place == m_place) return;
+  m_place = place;
+  m_place_changed_at = now;
+}
+
+auto WarmUpGate::describe_place(Instant now) const -> std::string {
+  if (m_place.count == 0) return "no place";
+  return "place " + std::to_string(m_place.place) + " of " + std::to_string(m_place.count) +
+         " for " + InMs(now - m_place_changed_at);
+}
+
 auto WarmUpGate::is_user_of(traffic::InstanceId const& instance) const -> bool {
   if (m_place.count == 0) return false;
   auto const hash = XXH3_64bits(instance.value.data(), instance.value.size());
--- a/src/gateway/warm_up_gate.h
+++ b/src/gateway/warm_up_gate.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <string>
 
 #include "graniteseam/common/time.h"
 #include "graniteseam/traffic/instance.h"
@@ -14,6 +15,8 @@
 struct GatewayPlace {
   std::uint32_t place = 0;  ///< Counted from 0.
   std::uint32_t count = 0;  ///< Number of gateways; 0 before control assigned a place.
+
+  auto operator==(GatewayPlace const&) const -> bool = default;
 };
 
 /// A warming-up instance fails at a rate well above its capacity, and gateways cannot count each
@@ -29,7 +32,9 @@
   /// @param requests_per_second that one instance may get from all gateways; 0: no bound.
   explicit WarmUpGate(double requests_per_second);
 
-  auto set_place(GatewayPlace place) -> void { m_place = place; }
+  auto set_place(GatewayPlace place, Instant now) -> void;
+  /// "place 3 of 76 for 400 ms" for the log.
+  auto describe_place(Instant now) const -> std::string;
 
   auto is_bounded() const -> bool { return m_users > 0; }
 
@@ -49,6 +54,7 @@
 
   std::uint32_t const m_users;  ///< Gateways that use one instance; 0: all, without bound.
   GatewayPlace m_place;
+  Instant m_place_changed_at{};
   std::map<traffic::InstanceId, Instant> m_sent;  ///< Last request within the last spacing.
 };
 
--- a/tests/gateway/backend_table_test.cc
+++ b/tests/gateway/backend_table_test.cc
@@ -294,7 +294,7 @@
   options.zone = {"near"};
   options.warm_up_requests_per_second = 8;
   BackendTable table(options, 1);
-  table.SetPlace({0, 1});
+  table.SetPlace({0, 1}, kNow);
   traffic::TrafficUpdate update;
   update.instances = {MakeInstance("cold", "near"), MakeInstance("warm", "near")};
   update.instances[0].report.warmup_left_ms = 3'000;
--- a/tests/gateway/warm_up_gate_test.cc
+++ b/tests/gateway/warm_up_gate_test.cc
@@ -4,8 +4,6 @@
 /// The bound must hold in each second, summed over all gateways, whatever each of them knows: 8
 /// requests for an instance, as many as every such instance bears beyond its rate.
 
-#include "src/gateway/warm_up_gate.h"
-
 #include <criterion/criterion.h>
 
 #include <algorithm>
@@ -13,6 +11,8 @@
 #include <set>
 #include <vector>
 
+#include "src/gateway/warm_up_gate.h"
+
 using namespace graniteseam;
 using namespace graniteseam::gateway;
 
@@ -52,7 +52,7 @@
   for (int number = 0; number < 50; ++number) {
     auto gateways = Gateways();
     for (std::uint32_t place = 0; place < kGateways; ++place) {
-      gateways[place].set_place({place, kGateways});
+      gateways[place].set_place({place, kGateways}, kStart);
     }
     Instant now = kStart;
     const auto most = MostInOneSecond(gateways, {"i-" + std::to_string(number)}, now, 3 * kSecond);
@@ -65,7 +65,7 @@
   for (int round = 0; round < 200; ++round) {
     auto gateways = Gateways();
     for (std::uint32_t place = 0; place < kGateways; ++place) {
-      gateways[place].set_place({place, kGateways});
+      gateways[place].set_place({place, kGateways}, kStart);
     }
     const traffic::InstanceId instance{"i-" + std::to_string(round)};
     Instant now = kStart;
@@ -74,7 +74,7 @@
     const auto gone = static_cast<std::uint32_t>(random() % kGateways);
     for (std::uint32_t place = 0; place < kGateways; ++place) {
       if (random() % 2 == 0) continue;
-      gateways[place].set_place({place > gone ? place - 1 : place, kGateways - 1});
+      gateways[place].set_place({place > gone ? place - 1 : place, kGateways - 1}, now);
     }
     most = std::max(most, MostInOneSecond(gateways, instance, now, 2 * kSecond));
     cr_assert(most <= kBound, "%zu requests in one second", most);
