Test how many requests an instance gets while it warms up, over all gateways

Cause: the gate's test let one place change once and counted before and after the change apart; no test counted what a server gets from all gateways while it warms up. Change: the gate's senders are counted across changes, and gateways join while others poll; workers of the traffic world warm up after a start and after a drain of their zone, its oracle counts what reaches them in a second from any gateway, and gateways return to a new leader meanwhile.

--- a/simulation/simulator/control_process.cc
+++ b/simulation/simulator/control_process.cc
@@ -67,6 +67,7 @@
   control::ControlOptions control;
   control.compact_after_entries = kCompactAfter;
   control.consensus.entries_kept_after_snapshot = kCompactAfter / 2;
+  control.traffic = traffic_options_;
   control.reviewer_keys[kReviewerName] = ReviewerPublicKey();
   node_ = std::make_unique<control::ControlNode>(control, storage_->TakeRecovered(),
                                                  world_.random.Next(), Now());
--- a/simulation/simulator/control_process.h
+++ b/simulation/simulator/control_process.h
@@ -38,6 +38,8 @@
 
   /// The settings of the group's first start.
   void SetFirstVoters(const std::vector<consensus::Member>& voters) { first_voters_ = voters; }
+  /// The settings of traffic management, from the next start on.
+  void SetTrafficOptions(const control::TrafficOptions& options) { traffic_options_ = options; }
   /// Itself as the first voters know it.
   consensus::Member FirstSelf() const;
   const std::string& address() const { return address_; }
@@ -80,6 +82,7 @@
   ControlPorts& ports_;
   std::string address_;
   std::vector<consensus::Member> first_voters_;
+  control::TrafficOptions traffic_options_;
   storage::MemoryFileSystem disk_;
   std::uint64_t disks_ = 1;
   bool founded_ = false;
--- a/simulation/traffic_world/gateway_process.cc
+++ b/simulation/traffic_world/gateway_process.cc
@@ -27,6 +27,7 @@
     gateway::GatewayOptions options;
     options.id = RouterId {ToString(name())};
     options.backends.zone = ZoneName {"zone-" + std::to_string(world_.ZoneOf(name()))};
+    options.backends.warm_up_requests_per_second = warm_up_requests_per_second;
     m_node = std::make_unique<gateway::GatewayNode>(options, world_.random.Next());
     m_tracker = std::make_unique<protocol::LeaderTracker>(m_controls, kPollInterval);
     m_feed.clear();
--- a/simulation/traffic_world/gateway_process.h
+++ b/simulation/traffic_world/gateway_process.h
@@ -64,6 +64,8 @@
         World&, GatewayPorts&, std::uint32_t number, std::uint32_t zone, std::vector<std::string> controls);
 
     /// Takes the answers of any request for its own; a seeded defect.
+    /// What one instance that warms up may get from all gateways, a second; 0 for no bound.
+    double warm_up_requests_per_second = 0;
     bool takes_any_answer = false;
 
     auto on_control_connected(std::string const& address) -> void;
--- a/simulation/traffic_world/traffic_faults.cc
+++ b/simulation/traffic_world/traffic_faults.cc
@@ -11,6 +11,8 @@
     constexpr Duration kIntervalMaximum {2'500'000};
     constexpr Duration kOverlappingIntervalMaximum {1'200'000};
     constexpr std::size_t kKindsMinimum = 2;
+    /// Part of the gateways that are cut from control together.
+    constexpr double kGatewaysCut = 0.4;
 
 } // namespace
 
@@ -53,6 +55,20 @@
     return kinds;
 }
 
+auto TrafficFaults::warm_ups() -> std::vector<TrafficFaultKind> const&
+{
+    static std::vector<TrafficFaultKind> const kinds {
+        {"zone's workers restarted", &TrafficFaults::restart_zone},
+        {"zone drained and taken back", &TrafficFaults::drain_zone},
+        {"gateways joined", &TrafficFaults::join_gateways},
+        {"gateways cut from control", &TrafficFaults::cut_gateways},
+        {"gateways returned to a new leader", &TrafficFaults::return_gateways, true},
+        {"leader lost power", &TrafficFaults::kill_leader, true},
+        {"heartbeats disturbed", &TrafficFaults::disturb_heartbeats},
+    };
+    return kinds;
+}
+
 auto TrafficFaults::inject_until(TrueTime end, bool overlapping) -> void
 {
     m_end = end;
@@ -60,6 +76,13 @@
         m_kinds = draw_kinds();
     if (m_fleet.options().stated_limits)
         m_kinds.insert(m_kinds.end(), stated().begin(), stated().end());
+    if (m_fleet.options().warm_ups)
+        m_kinds.insert(m_kinds.end(), warm_ups().begin(), warm_ups().end());
+    if (auto const& only = m_fleet.options().only_faults; !only.empty()) {
+        std::erase_if(m_kinds, [&](TrafficFaultKind const& kind) {
+            return std::find(only.begin(), only.end(), kind.name) == only.end();
+        });
+    }
     inject_next(end, overlapping);
 }
 
@@ -225,6 +248,59 @@
     start_after(*place, place->worker->traits().service, Duration {10'000'000});
 }
 
+auto TrafficFaults::restart_zone() -> void
+{
+    auto const zone = static_cast<std::uint32_t>(m_world.random.Below(kTrafficZones));
+    auto const down = span(200, 2'000);
+    auto const in_zone = [&](Place const& place) { return m_world.ZoneOf(place.node) == zone; };
+    // One zone at a time: the others bear the load.
+    auto const others_bear = std::all_of(m_fleet.places.begin(), m_fleet.places.end(),
+        [&](Place const& place) { return in_zone(place) || place.worker->is_warm(); });
+    if (!others_bear)
+        return;
+    for (auto& place : m_fleet.places) {
+        if (!in_zone(place) || !place.worker->up() || place.planned_end)
+            continue;
+        auto const service = place.worker->traits().service;
+        m_fleet.crash(place, std::nullopt);
+        start_after(place, service, down);
+    }
+}
+
+auto TrafficFaults::drain_zone() -> void
+{
+    drain_zone_for(span(500, 9'000));
+}
+
+auto TrafficFaults::drain_zone_for(Duration length) -> void
+{
+    // As the platform's operator, one zone at a time.
+    if (std::exchange(m_zone_drained, true))
+        return;
+    auto const zone = static_cast<std::uint32_t>(m_world.random.Below(kTrafficZones));
+    m_fleet.drain_zone(zone, true);
+    m_world.queue.After(length, [this, zone] {
+        // They went cold while they had nothing to do.
+        for (auto& place : m_fleet.places) {
+            if (m_world.ZoneOf(place.node) == zone && place.worker->up())
+                place.worker->warm_up(kWarmUp);
+        }
+        m_fleet.drain_zone(zone, false);
+        m_zone_drained = false;
+    });
+}
+
+auto TrafficFaults::join_gateways() -> void
+{
+    for (auto const& gateway : m_fleet.gateways) {
+        if (gateway->alive())
+            continue;
+        auto const wait = span(0, 1'500);
+        m_fleet.disturb_gateway(gateway->name().number, m_world.now() + wait.count());
+        m_world.queue.After(wait, [&gateway = *gateway] { gateway.Start(); });
+    }
+}
+
 auto TrafficFaults::cut_worker_from_control() -> void
 {
     auto* const place = any_place();
@@ -361,8 +437,40 @@
 
 auto TrafficFaults::cut_gateway() -> void
 {
-    auto& gateway = any_gateway();
-    auto const length = span(500, 6'000);
+    cut(any_gateway(), span(500, 6'000));
+}
+
+auto TrafficFaults::cut_gateways() -> void
+{
+    cut_gateways_for(span(2'000, 10'000));
+}
+
+/// The new leader counts the gateways anew, the more the sooner those that were cut find it, while the
+/// workers of a zone that is taken back are cold.
+auto TrafficFaults::return_gateways() -> void
+{
+    if (m_zone_drained)
+        return;
+    auto const length = span(5'000, 8'000);
+    // Gateways that are cut must have heard of the drain.
+    static constexpr Duration kHeard {500'000};
+    drain_zone_for(length + span(0, 500));
+    m_world.queue.After(kHeard, [this, length] {
+        cut_gateways_for(length - kHeard);
+        kill_leader();
+    });
+}
+
+auto TrafficFaults::cut_gateways_for(Duration length) -> void
+{
+    for (auto const& gateway : m_fleet.gateways) {
+        if (m_world.random.Chance(kGatewaysCut))
+            cut(*gateway, length);
+    }
+}
+
+auto TrafficFaults::cut(GatewayProcess& gateway, Duration length) -> void
+{
     m_fleet.disturb_gateway(gateway.name().number, m_world.now() + length.count());
     for (auto const& control : m_fleet.controls) {
         m_world.CutLink(control->name(), gateway.name());
--- a/simulation/traffic_world/traffic_faults.h
+++ b/simulation/traffic_world/traffic_faults.h
@@ -31,6 +31,8 @@
     static auto all() -> std::vector<TrafficFaultKind> const&;
     /// What workers state of the requests that they take.
     static auto stated() -> std::vector<TrafficFaultKind> const&;
+    /// What makes workers warm up, and what disturbs how many gateways send to them meanwhile.
+    static auto warm_ups() -> std::vector<TrafficFaultKind> const&;
 
     /// Injects kinds drawn from some drawn for this run, until `end`: one after another, or with
     /// `overlapping` two at once and often.
@@ -60,6 +62,11 @@
     auto disturb_network() -> void;
     auto name_limit() -> void;
     auto ask_for_rest() -> void;
+    auto restart_zone() -> void;
+    auto drain_zone() -> void;
+    auto join_gateways() -> void;
+    auto cut_gateways() -> void;
+    auto return_gateways() -> void;
     auto race_operators() -> void { m_operators.race(); }
     auto turn_form() -> void { m_operators.turn_form(); }
 
@@ -74,6 +81,10 @@
     auto any_place() -> Place*;
     auto crash(Place&, bool heard_of_later) -> void;
     auto start_after(Place&, std::string const& service, Duration) -> void;
+    auto cut(GatewayProcess&, Duration) -> void;
+    auto cut_gateways_for(Duration) -> void;
+    /// Drains a zone for so long, unless one is drained; its workers are cold when it is taken back.
+    auto drain_zone_for(Duration) -> void;
     auto pause(ControlProcess&, Duration) -> void;
     auto kill(ControlProcess&, Duration) -> void;
     auto in_mood(double WorkerMood::*what, double part) -> void;
@@ -83,6 +94,7 @@
     ConfigurationOperators& m_operators;
     std::vector<TrafficFaultKind> m_kinds;
     std::uint64_t m_network_moods = 0;
+    bool m_zone_drained = false;
     TrueTime m_end = 0;
 };
 
--- a/simulation/traffic_world/traffic_fleet.cc
+++ b/simulation/traffic_world/traffic_fleet.cc
@@ -34,6 +34,8 @@
     /// A worker that ended under a request is back after so long.
     constexpr Duration kBackMinimum {400'000};
     constexpr Duration kBackMaximum {4'000'000};
+    /// As the platform's settings give it to gateways: requests a second, over all of them.
+    constexpr double kWarmUpBound = 8;
     constexpr std::array kHomes {kOrderedService, kLeasedService, kPooledService};
 
 } // namespace
@@ -54,9 +56,14 @@
     }
     for (auto const& control : controls)
         control->SetFirstVoters(voters);
-    for (std::uint32_t number = 1; number <= m_options.gateways; ++number) {
+    control::TrafficOptions traffic;
+    traffic.ranges.excludes_warming_up = m_options.warm_ups;
+    for (auto const& control : controls)
+        control->SetTrafficOptions(traffic);
+    for (std::uint32_t number = 1; number <= m_options.gateways + m_options.spare_gateways; ++number) {
         gateways.push_back(
             std::make_unique<GatewayProcess>(world, *this, number, (number - 1) % kTrafficZones, addresses));
+        gateways.back()->warm_up_requests_per_second = m_options.warm_ups ? kWarmUpBound : 0;
         gateways.back()->takes_any_answer = defect() == TrafficDefect::kSurplusAnswerTaken;
         for (auto const& control : controls)
             m_lines.push_back(std::make_unique<RouterLine>(world, *gateways.back(), *control));
@@ -75,8 +82,8 @@
 {
     for (auto const& control : controls)
         control->Start();
-    for (auto const& gateway : gateways)
-        gateway->Start();
+    for (std::uint32_t number = 0; number < m_options.gateways; ++number)
+        gateways[number]->Start();
     for (auto& place : places)
         start_worker(place, place.home);
     maintain_lines();
@@ -266,6 +273,8 @@
     traits.clock_rate = 0.98 + 0.02 * m_world.random.Fraction();
     traits.work = m_world.random.Between(Duration {20'000}, Duration {120'000});
     traits.keyed = service != kPooledService;
+    if (m_options.warm_ups && m_traffic_begun)
+        traits.warm_up = kWarmUp;
     traits.checks_instance = defect() != TrafficDefect::kOrderTakenByAnyInstance;
     traits.lease_never_ends = defect() == TrafficDefect::kLeaseNeverEnds;
     traits.crash = [this, &place](WorkerRequest const& request) { crash_under(place, request); };
@@ -341,6 +350,25 @@
     });
 }
 
+auto TrafficFleet::drain_zone(std::uint32_t zone, bool drained) -> void
+{
+    m_zone_target = m_zone_target % kTrafficControls + 1;
+    NodeName const from {NodeKind::kOperator, 1};
+    auto const done = std::make_shared<bool>(false);
+    auto const again = [this, zone, drained, done] {
+        if (!std::exchange(*done, true))
+            drain_zone(zone, drained);
+    };
+    ask(from, m_zone_target, control::DrainZone {{"zone-" + std::to_string(zone)}, drained},
+        [this, done, again](control::OperatorAnswer const& answer) {
+            if (std::holds_alternative<control::Accepted>(answer))
+                *done = true;
+            else
+                m_world.queue.After(kTurnPause, again);
+        });
+    m_world.queue.After(kCallLimit, again);
+}
+
 auto TrafficFleet::deregister(Place& place, std::shared_ptr<Worker> const& worker, TrueTime until,
     std::function<void()> const& acknowledged) -> void
 {
@@ -549,6 +577,8 @@
     if (counts && m_drains_heard.contains(worker->traits().id))
         m_world.Count("request from a gateway in touch to a drained worker");
     m_oracle.on_request_reached(worker->traits().id, counts, m_world.now());
+    if (worker->would_run(request))
+        m_oracle.on_request_taken(worker->traits().id, sent, m_world.now());
     auto const life = life_of(from);
     m_oracle.on_request_from(worker->traits().id, life, request.number, sent, m_world.now());
     if (is_crashing(request.digest)) {
--- a/simulation/traffic_world/traffic_fleet.h
+++ b/simulation/traffic_world/traffic_fleet.h
@@ -57,7 +57,12 @@
     bool nothing_else = false;
     /// Workers name limits, ask for rests, and say that they leave.
     bool stated_limits = false;
+    /// Workers warm up after a start, and whole zones of them restart or are drained and taken back.
+    bool warm_ups = false;
+    /// Names of the only faults that are injected; empty for no such restriction.
+    std::vector<std::string> only_faults;
     std::uint32_t gateways = kTrafficGateways;
+    std::uint32_t spare_gateways = 0; ///< That join later.
     double load = 1; ///< Calls, as a multiple of the usual.
 };
 
@@ -77,6 +82,8 @@
     TrafficFleet(World&, TrafficOracle&, TrafficWorldOptions);
 
     auto start() -> void;
+    /// Workers that start from now on warm up, in a world with warm-ups.
+    auto begin_traffic() -> void { m_traffic_begun = true; }
 
     std::vector<std::unique_ptr<ControlProcess>> controls;
     std::vector<std::unique_ptr<GatewayProcess>> gateways;
@@ -96,6 +103,9 @@
     /// The place's worker leaves as planned, with a word first or by the word that it is gone.
     auto drain(Place&, bool with_word) -> void;
 
+    /// Drains a zone or takes it back; asks one control process after the other until it is accepted.
+    auto drain_zone(std::uint32_t zone, bool drained) -> void;
+
     /// Asks a control process; `reply` may never come, and comes once at most.
     auto ask(NodeName const& from, std::uint32_t control, control::OperatorRequest const&,
         std::function<void(control::OperatorAnswer const&)> const& reply) -> void;
@@ -174,6 +184,8 @@
     TrueTime m_core_disturbed = 0;
     std::map<std::uint32_t, TrueTime> m_gateway_disturbed;
     std::uint32_t m_last_leader = 0;
+    std::uint32_t m_zone_target = 0; ///< The control process that was asked last to drain a zone.
+    bool m_traffic_begun = false;
 };
 
 } // namespace graniteseam::simulation
--- a/simulation/traffic_world/traffic_oracle.cc
+++ b/simulation/traffic_world/traffic_oracle.cc
@@ -30,6 +30,11 @@
     constexpr std::int64_t kRestBindsAfter = 500'000;
     constexpr std::uint32_t kReachedInRest = 2;
 
+    /// Requests that a worker may get in one second while it warms up, over all gateways: one and a half
+    /// times the 4.2 a second that it bears, and 8.
+    constexpr std::int64_t kWarmUpWindow = 1'000'000;
+    constexpr double kWarmUpAllowed = 4.2 * 1.5 + 8;
+
     auto to_text(Keys const& keys) -> std::string
     {
         return std::to_string(keys.first) + " to " + std::to_string(keys.last);
@@ -316,6 +321,32 @@
     }
 }
 
+// --- Warm-ups ---
+
+auto TrafficOracle::on_warm_up(std::string const& worker, std::int64_t warm_at, std::int64_t now) -> void
+{
+    m_warm_ups[worker] = {now, warm_at, {}};
+}
+
+auto TrafficOracle::on_request_taken(std::string const& worker, std::int64_t sent, std::int64_t now) -> void
+{
+    auto const found = m_warm_ups.find(worker);
+    if (found == m_warm_ups.end() || now >= found->second.until)
+        return;
+    ++m_checks;
+    auto& taken = found->second.taken;
+    taken.emplace_back(now, sent);
+    while (now - taken.front().first >= kWarmUpWindow)
+        taken.pop_front();
+    auto const within = std::count_if(
+        taken.begin(), taken.end(), [&](auto const& one) { return now - one.second < kWarmUpWindow; });
+    if (static_cast<double>(within) > kWarmUpAllowed)
+        violate("warm_up",
+            worker + " gets " + std::to_string(within) + " requests in one second, "
+                + std::to_string((now - found->second.from) / 1'000) + " ms after it began to warm up",
+            now);
+}
+
 // --- Configuration ---
 
 auto TrafficOracle::on_change_accepted(
--- a/simulation/traffic_world/traffic_oracle.h
+++ b/simulation/traffic_world/traffic_oracle.h
@@ -87,6 +87,12 @@
     auto on_request_from(std::string const& worker, std::string const& gateway, std::uint64_t request,
         std::int64_t sent, std::int64_t now) -> void;
 
+    // Warm-ups.
+    /// A worker warms up from now on, until `warm_at`.
+    auto on_warm_up(std::string const& worker, std::int64_t warm_at, std::int64_t now) -> void;
+    /// A request reaches the worker that it is meant for, from whatever gateway.
+    auto on_request_taken(std::string const& worker, std::int64_t sent, std::int64_t now) -> void;
+
     // Configuration.
     /// An operator was told that a change is accepted.
     auto on_change_accepted(
@@ -143,6 +149,12 @@
         std::int64_t until = 0;
         std::uint32_t reached = 0;
     };
+    struct WarmUp {
+        std::int64_t from = 0;
+        std::int64_t until = 0;
+        /// When requests were sent that arrived within the last second, by their arrivals.
+        std::deque<std::pair<std::int64_t, std::int64_t>> taken;
+    };
     using WorkerAndGateway = std::pair<std::string, std::string>;
 
     auto check_limit(std::string const& worker, std::string const& gateway, std::int64_t now) -> void;
@@ -159,6 +171,7 @@
     std::map<std::uint64_t, Crashing> m_crashing; ///< By digest.
     std::map<std::string, std::int64_t> m_drained_since;
     std::map<std::string, Limit> m_limits;
+    std::map<std::string, WarmUp> m_warm_ups;
     std::map<WorkerAndGateway, std::int64_t> m_leaving; ///< When the gateway first passed it on.
     std::map<WorkerAndGateway, std::vector<Rest>> m_rests;
     std::map<std::uint64_t, Accepted> m_accepted; ///< By version.
--- a/simulation/traffic_world/traffic_run.cc
+++ b/simulation/traffic_world/traffic_run.cc
@@ -76,10 +76,11 @@
     auto read = false;
     auto const overlapping = world.random.Chance(0.5);
     world.queue.After(kCalmAtStart, [&] {
+        fleet.begin_traffic();
         callers.start();
         if (options.world.crashing_requests)
             callers.start_crashing(calm_from);
-        if (!options.world.nothing_else || options.world.stated_limits)
+        if (!options.world.nothing_else || options.world.stated_limits || options.world.warm_ups)
             faults.inject_until(calm_from, overlapping);
     });
     world.queue.At(calm_from, [&] {
--- a/simulation/traffic_world/worker.cc
+++ b/simulation/traffic_world/worker.cc
@@ -32,6 +32,8 @@
     , m_oracle(oracle)
     , m_traits(std::move(traits))
 {
+    if (m_traits.warm_up > Duration {0})
+        warm_up(m_traits.warm_up);
 }
 
 // --- Keys ---
@@ -107,6 +109,8 @@
     report.slots = m_traits.slots;
     report.draining = m_draining;
     report.sequence = ++m_sequence;
+    if (warms_up())
+        report.warmup_left_ms = 1 + (m_warm_at - m_world.now()) / 1'000;
     for (auto const& part : m_holds.all())
         heartbeat.keys.held.push_back({span_of(part.keys), {part.value.fence}});
     heartbeat.keys.released = m_released;
@@ -335,6 +339,13 @@
     m_rest = rest;
 }
 
+auto Worker::warm_up(Duration length) -> void
+{
+    m_warm_at = m_world.now() + length.count();
+    m_world.Trace(m_traits.id + " warms up for " + std::to_string(length.count() / 1'000) + " ms");
+    m_oracle.on_warm_up(m_traits.id, m_warm_at, m_world.now());
+}
+
 auto Worker::drop(std::uint64_t request) -> void
 {
     std::erase_if(m_queue, [&](Work const& work) { return work.request.number == request; });
--- a/simulation/traffic_world/worker.h
+++ b/simulation/traffic_world/worker.h
@@ -30,6 +30,9 @@
     std::uint64_t digest = 0; ///< Of what it asks for.
 };
 
+/// For which a worker warms up.
+inline constexpr Duration kWarmUp {3'000'000};
+
 /// What a worker is from its start to its end.
 struct WorkerTraits {
     std::string id;
@@ -41,6 +44,7 @@
     double clock_rate = 1.0; ///< At which its clock runs: 0.98 to 1.
     Duration work {60'000}; ///< Mean time of one request.
     bool keyed = false;
+    Duration warm_up {0}; ///< For which it warms up after its start.
     /// Refuses an order that names another instance. Only with a transport that carries the name.
     bool checks_instance = false;
     bool lease_never_ends = false; ///< A seeded defect.
@@ -100,6 +104,10 @@
     /// Turns all requests away until then, and asks for a rest each time.
     auto turn_away(TrueTime until, Duration rest) -> void;
     auto turns_away() const -> bool { return m_world.now() < m_turns_away_until; }
+    /// Warms up from now on, for so long.
+    auto warm_up(Duration) -> void;
+    auto warms_up() const -> bool { return m_world.now() < m_warm_at; }
+    auto is_warm() const -> bool { return m_up && !warms_up(); }
     /// Ends at once; what it had open breaks.
     auto end() -> void;
 
@@ -146,6 +154,7 @@
     std::optional<double> m_limit;
     TrueTime m_turns_away_until = 0;
     Duration m_rest {};
+    TrueTime m_warm_at = 0;
     SpanMap<Hold> m_holds;
     SpanMap<std::uint64_t> m_seen; ///< The highest fence by key.
     std::vector<OpenRelease> m_releases;
--- a/tests/gateway/warm_up_gate_test.cc
+++ b/tests/gateway/warm_up_gate_test.cc
@@ -4,15 +4,16 @@
 /// The bound must hold in each second, summed over all gateways, whatever each of them knows: 8
 /// requests for an instance, as many as every such instance bears beyond its rate.
 
+#include "src/gateway/warm_up_gate.h"
+
 #include <criterion/criterion.h>
 
 #include <algorithm>
+#include <numeric>
 #include <random>
 #include <set>
 #include <vector>
 
-#include "src/gateway/warm_up_gate.h"
-
 using namespace graniteseam;
 using namespace graniteseam::gateway;
 
@@ -24,17 +25,17 @@
 constexpr std::uint32_t kGateways = 76;
 constexpr double kBound = 8;
 
-std::vector<WarmUpGate> Gateways() {
-  return std::vector<WarmUpGate>(kGateways, WarmUpGate(kBound));
-}
+/// Gateways that all want to send to one instance all the time.
+struct Senders {
+  explicit Senders(std::uint32_t count) : gateways(count, WarmUpGate(kBound)) {}
 
-/// All gateways want to send all the time.
-/// @return the most requests that fell into one second.
-std::size_t MostInOneSecond(std::vector<WarmUpGate>& gateways, const traffic::InstanceId& instance,
-                            Instant& now, Duration length) {
-  std::multiset<Instant> sent;
-  std::size_t most = 0;
-  for (const Instant end = now + length; now < end; now += kStep) {
+  void PlaceInOrder() {
+    const auto count = static_cast<std::uint32_t>(gateways.size());
+    for (std::uint32_t place = 0; place < count; ++place)
+      gateways[place].set_place({place, count}, kStart);
+  }
+
+  void Send(const traffic::InstanceId& instance, Instant now) {
     for (WarmUpGate& gateway : gateways) {
       if (!gateway.admits(instance, now)) continue;
       gateway.note_sent(instance, now);
@@ -43,41 +44,81 @@
     sent.erase(sent.begin(), sent.upper_bound(now - kSecond));
     most = std::max(most, sent.size());
   }
-  return most;
-}
+
+  void SendFor(Duration length, const traffic::InstanceId& instance, Instant& now) {
+    for (const Instant end = now + length; now < end; now += kStep) Send(instance, now);
+  }
+
+  std::vector<WarmUpGate> gateways;
+  std::multiset<Instant> sent;  ///< Within the last second.
+  std::size_t most = 0;         ///< The most requests that fell into one second.
+};
 
 }  // namespace
 
 Test(warm_up_gate, half_of_the_bound_is_given_out_and_used) {
   for (int number = 0; number < 50; ++number) {
-    auto gateways = Gateways();
-    for (std::uint32_t place = 0; place < kGateways; ++place) {
-      gateways[place].set_place({place, kGateways}, kStart);
-    }
+    Senders senders(kGateways);
+    senders.PlaceInOrder();
     Instant now = kStart;
-    const auto most = MostInOneSecond(gateways, {"i-" + std::to_string(number)}, now, 3 * kSecond);
-    cr_assert(most == kBound / 2, "%zu requests in one second", most);
+    senders.SendFor(3 * kSecond, {"i-" + std::to_string(number)}, now);
+    cr_assert(senders.most == kBound / 2, "%zu requests in one second", senders.most);
   }
 }
 
 Test(warm_up_gate, bound_holds_while_places_change_and_not_all_gateways_know) {
   std::mt19937_64 random(7);
   for (int round = 0; round < 200; ++round) {
-    auto gateways = Gateways();
-    for (std::uint32_t place = 0; place < kGateways; ++place) {
-      gateways[place].set_place({place, kGateways}, kStart);
-    }
+    Senders senders(kGateways);
+    senders.PlaceInOrder();
     const traffic::InstanceId instance{"i-" + std::to_string(round)};
     Instant now = kStart;
-    std::size_t most = MostInOneSecond(gateways, instance, now, kSecond);
+    senders.SendFor(kSecond, instance, now);
     // One gateway is gone, so that those behind it move up; some hear of it and some never do.
     const auto gone = static_cast<std::uint32_t>(random() % kGateways);
     for (std::uint32_t place = 0; place < kGateways; ++place) {
       if (random() % 2 == 0) continue;
-      gateways[place].set_place({place > gone ? place - 1 : place, kGateways - 1}, now);
+      senders.gateways[place].set_place({place > gone ? place - 1 : place, kGateways - 1}, now);
+    }
+    senders.SendFor(2 * kSecond, instance, now);
+    cr_assert(senders.most <= kBound, "%zu requests in one second", senders.most);
+  }
+}
+
+/// Guards against gateways that each send at once whenever their place changes: while others join,
+/// it does so with each answer to a poll.
+Test(warm_up_gate, bound_holds_while_gateways_join_one_after_the_other) {
+  constexpr std::uint32_t kJoining = 14;
+  constexpr Duration kPollInterval{500'000};
+  std::mt19937_64 random(7);
+  const auto random_time = [&](Duration below) {
+    return Duration(
+        static_cast<std::int64_t>(random() % static_cast<std::uint64_t>(below.count())));
+  };
+  for (int round = 0; round < 200; ++round) {
+    Senders senders(kGateways + kJoining);
+    const auto count = static_cast<std::uint32_t>(senders.gateways.size());
+    std::vector<std::uint32_t> ids(count);
+    std::iota(ids.begin(), ids.end(), 0);
+    std::shuffle(ids.begin(), ids.end(), random);
+    std::vector<Instant> next_polls;
+    for (std::uint32_t number = 0; number < count; ++number) {
+      const bool joins = number >= kGateways;
+      next_polls.push_back(kStart + (joins ? kSecond + random_time(kSecond) : Duration{0}));
+    }
+    std::set<std::uint32_t> polled(ids.begin(), ids.begin() + kGateways);
+    for (Instant now = kStart; now < kStart + 5 * kSecond; now += kStep) {
+      for (std::uint32_t number = 0; number < count; ++number) {
+        if (now < next_polls[number]) continue;
+        next_polls[number] = now + (now == kStart ? random_time(kPollInterval) : kPollInterval);
+        // A place is the rank among the gateways that have polled.
+        const auto found = polled.insert(ids[number]).first;
+        const auto place = static_cast<std::uint32_t>(std::distance(polled.begin(), found));
+        senders.gateways[number].set_place({place, static_cast<std::uint32_t>(polled.size())}, now);
+      }
+      senders.Send({"i-" + std::to_string(round)}, now);
     }
-    most = std::max(most, MostInOneSecond(gateways, instance, now, 2 * kSecond));
-    cr_assert(most <= kBound, "%zu requests in one second", most);
+    cr_assert(senders.most <= kBound, "%zu requests in one second", senders.most);
   }
 }
 
