Let places among gateways settle before warming-up instances are used by them

What callers saw: servers that warmed up got more than they bear (20 requests in a second where 14.3 are allowed), and were slow for it. Cause: four gateways use a warming-up instance, by a hash over their places, and each sent at once when its place changed. While 30 gateways returned to a new leader, the count went from 46 to 76 within a second, each answer to a poll named other users, and a gateway that was cut off kept its place of before. Change: a place holds for 1.02 s from the poll by whose answer it was told, and a gateway whose place changed waits as long before its first request. Why it works: gateways of the former places have stopped when those of the new ones begin, so a second holds the users of two places at most, which is what the bound keeps half back for. The test of a change of one place now counts across the change; that of the instance's few requests polls as a gateway does.

--- a/src/gateway/backend_table.h
+++ b/src/gateway/backend_table.h
@@ -115,7 +115,10 @@
   void Confirm(Instant at) { confirmed_at_ = std::max(confirmed_at_, at); }
 
   /// Sets this gateway's place among all gateways, by which warming-up instances are divided.
-  void SetPlace(const GatewayPlace& place, Instant now) { warm_ups_.set_place(place, now); }
+  /// @param polled_at when the poll was sent in whose answer control assigned it.
+  void SetPlace(const GatewayPlace& place, Instant polled_at, Instant now) {
+    warm_ups_.set_place(place, polled_at, now);
+  }
 
   /// Applies the latencies and failure rates that control aggregated over all gateways.
   void ApplyHints(const std::vector<traffic::InstanceHint>& hints, Instant now);
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -55,6 +55,9 @@
   if (update.sequence == 0) return;
   note_answer(feed_, update.feed, update.version, version(), now);
   const bool newest = update.sequence == poll_sequence_;
+  if (newest && update.routers > 0) {
+    traffic_.backends().SetPlace({update.router_place, update.routers}, polled_at_, now);
+  }
   if (newest && configuration() == update.configuration) confirmed_at_ = polled_at_;
 }
 
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -107,7 +107,7 @@
   enum class Step { kSent, kWaits };
 
   // gateway_node.cc
-  /// Updates confirmed_at() by a leader's answer to the newest poll.
+  /// Updates confirmed_at() and this gateway's place by a leader's answer to the newest poll.
   void NoteConfirmation(const traffic::TrafficUpdate& update, Instant now);
   void Admit(LiveRequest& request, Instant now);
   /// Copies the route's settings to the request.
--- a/src/gateway/traffic_view.cc
+++ b/src/gateway/traffic_view.cc
@@ -11,9 +11,6 @@
 auto TrafficView::apply_update(traffic::TrafficUpdate const& update, Instant now) -> bool {
   if (update.routers > 0) m_gateways = update.routers;
   m_backends.pressure().set_gateways(gateway_count());
-  // Only the answer to a poll includes a place.
-  auto const names_place = update.routers > 0 && update.sequence > 0;
-  if (names_place) m_backends.SetPlace({update.router_place, update.routers}, now);
   if (update.sequence > 0) note_answer(update.version, now);
   auto const fits = update.base == 0 || update.base <= m_version;
   auto const applies = update.version > m_version && fits;
--- a/src/gateway/warm_up_gate.cc
+++ b/src/gateway/warm_up_gate.cc
@@ -21,7 +21,8 @@
 
 WarmUpGate::WarmUpGate(double requests_per_second) : m_users(users_for(requests_per_second)) {}
 
-auto WarmUpGate::set_place(GatewayPlace place, Instant now) -> void {
+auto WarmUpGate::set_place(GatewayPlace place, Instant polled_at, Instant now) -> void {
+  m_polled_at = std::max(m_polled_at, polled_at);
   if (place == m_place) return;
   m_place = place;
   m_place_changed_at = now;
@@ -33,8 +34,12 @@
          " for " + InMs(now - m_place_changed_at);
 }
 
+auto WarmUpGate::is_place_valid(Instant now) const -> bool {
+  return m_place.count > 0 && now - m_place_changed_at >= kPlaceLifetime &&
+         now - m_polled_at < kPlaceLifetime;
+}
+
 auto WarmUpGate::is_user_of(traffic::InstanceId const& instance) const -> bool {
-  if (m_place.count == 0) return false;
   auto const hash = XXH3_64bits(instance.value.data(), instance.value.size());
   auto const first = static_cast<std::uint32_t>(hash % m_place.count);
   auto const behind_first = (m_place.place + m_place.count - first) % m_place.count;
@@ -43,7 +48,7 @@
 
 auto WarmUpGate::admits(traffic::InstanceId const& instance, Instant now) const -> bool {
   if (!is_bounded()) return true;
-  if (!is_user_of(instance)) return false;
+  if (!is_place_valid(now) || !is_user_of(instance)) return false;
   auto const sent = m_sent.find(instance);
   return sent == m_sent.end() || now - sent->second >= kSpacing;
 }
--- a/tests/gateway/backend_table_test.cc
+++ b/tests/gateway/backend_table_test.cc
@@ -294,7 +294,9 @@
   options.zone = {"near"};
   options.warm_up_requests_per_second = 8;
   BackendTable table(options, 1);
-  table.SetPlace({0, 1}, kNow);
+  const auto settle = [&](Instant polled_at) { table.SetPlace({0, 1}, polled_at, polled_at); };
+  settle(kNow - Duration{1'100'000});
+  settle(kNow);
   traffic::TrafficUpdate update;
   update.instances = {MakeInstance("cold", "near"), MakeInstance("warm", "near")};
   update.instances[0].report.warmup_left_ms = 3'000;
@@ -306,6 +308,7 @@
   table.OnSent({"cold"}, kNow);
   table.OnAbandoned({"cold"});
   cr_assert(chosen(kNow + Duration{500'000}) == "warm");
+  settle(kNow + Duration{1'000'000});
   cr_assert(chosen(kNow + Duration{1'100'000}) == "cold");
   update.base = 1;
   update.instances[0].report.warmup_left_ms = 0;
--- a/tests/gateway/warm_up_gate_test.cc
+++ b/tests/gateway/warm_up_gate_test.cc
@@ -22,17 +22,25 @@
 constexpr Instant kStart = InstantFromMicros(1'000'000'000);
 constexpr Duration kSecond{1'000'000};
 constexpr Duration kStep{20'000};
+constexpr Duration kPollInterval{500'000};
 constexpr std::uint32_t kGateways = 76;
 constexpr double kBound = 8;
 
-/// Gateways that all want to send to one instance all the time.
+/// Gateways that all want to send to one instance all the time, and poll at the same instants.
 struct Senders {
-  explicit Senders(std::uint32_t count) : gateways(count, WarmUpGate(kBound)) {}
+  explicit Senders(std::uint32_t count) : gateways(count, WarmUpGate(kBound)), places(count) {}
 
+  /// All have had their places for long enough.
   void PlaceInOrder() {
     const auto count = static_cast<std::uint32_t>(gateways.size());
-    for (std::uint32_t place = 0; place < count; ++place)
-      gateways[place].set_place({place, count}, kStart);
+    for (std::uint32_t place = 0; place < count; ++place) places[place] = {place, count};
+    Poll(kStart - 2 * kSecond);
+  }
+
+  void Poll(Instant now) {
+    for (std::size_t number = 0; number < gateways.size(); ++number) {
+      gateways[number].set_place(places[number], now, now);
+    }
   }
 
   void Send(const traffic::InstanceId& instance, Instant now) {
@@ -46,12 +54,16 @@
   }
 
   void SendFor(Duration length, const traffic::InstanceId& instance, Instant& now) {
-    for (const Instant end = now + length; now < end; now += kStep) Send(instance, now);
+    for (const Instant end = now + length; now < end; now += kStep) {
+      if ((now - kStart) % kPollInterval == Duration{0}) Poll(now);
+      Send(instance, now);
+    }
   }
 
   std::vector<WarmUpGate> gateways;
-  std::multiset<Instant> sent;  ///< Within the last second.
-  std::size_t most = 0;         ///< The most requests that fell into one second.
+  std::vector<GatewayPlace> places;  ///< As the answers to their polls assign them.
+  std::multiset<Instant> sent;       ///< Within the last second.
+  std::size_t most = 0;              ///< The most requests that fell into one second.
 };
 
 }  // namespace
@@ -78,7 +90,7 @@
     const auto gone = static_cast<std::uint32_t>(random() % kGateways);
     for (std::uint32_t place = 0; place < kGateways; ++place) {
       if (random() % 2 == 0) continue;
-      senders.gateways[place].set_place({place > gone ? place - 1 : place, kGateways - 1}, now);
+      senders.places[place] = {place > gone ? place - 1 : place, kGateways - 1};
     }
     senders.SendFor(2 * kSecond, instance, now);
     cr_assert(senders.most <= kBound, "%zu requests in one second", senders.most);
@@ -89,7 +101,6 @@
 /// it does so with each answer to a poll.
 Test(warm_up_gate, bound_holds_while_gateways_join_one_after_the_other) {
   constexpr std::uint32_t kJoining = 14;
-  constexpr Duration kPollInterval{500'000};
   std::mt19937_64 random(7);
   const auto random_time = [&](Duration below) {
     return Duration(
@@ -114,14 +125,26 @@
         // A place is the rank among the gateways that have polled.
         const auto found = polled.insert(ids[number]).first;
         const auto place = static_cast<std::uint32_t>(std::distance(polled.begin(), found));
-        senders.gateways[number].set_place({place, static_cast<std::uint32_t>(polled.size())}, now);
+        const auto known = static_cast<std::uint32_t>(polled.size());
+        senders.gateways[number].set_place({place, known}, now, now);
       }
       senders.Send({"i-" + std::to_string(round)}, now);
     }
     cr_assert(senders.most <= kBound, "%zu requests in one second", senders.most);
+    cr_assert(!senders.sent.empty(), "it is used again once places stay");
   }
 }
 
+/// Guards against gateways that hold places of different times while they are cut from control.
+Test(warm_up_gate, gateway_whose_place_is_out_of_date_sends_nothing) {
+  WarmUpGate gateway(kBound);
+  gateway.set_place({0, 1}, kStart, kStart);
+  cr_assert(!gateway.admits({"i-1"}, kStart), "others may have sent by the former places");
+  gateway.set_place({0, 1}, kStart + kPollInterval, kStart + kPollInterval);
+  cr_assert(gateway.admits({"i-1"}, kStart + 2 * kPollInterval + kStep));
+  cr_assert(!gateway.admits({"i-1"}, kStart + 4 * kPollInterval));
+}
+
 Test(warm_up_gate, gateway_that_was_told_no_place_sends_nothing) {
   WarmUpGate gateway(kBound);
   cr_assert(!gateway.admits({"i-1"}, kStart));
