Bound what an owner of keys gets while it warms up

Cause: the bound of warming-up instances was asked for by the choice among a pool's servers alone. An owner whose zone was drained and taken back before its keys had moved is cold with all of its keys, and each gateway sent it all of their requests. Change: while an owner warms up, each request to it needs a token of the leader's, which gives out half of the bound, beside the tokens of a limit that the owner names; both are asked for at the place through which all requests are sent, as is the gate of a pool's servers. Operators of the traffic world wait for an order's acceptance before the next one. Why it works: the leader counts for all gateways; a gateway that no leader answers has no token.

--- a/include/graniteseam/control/traffic_options.h
+++ b/include/graniteseam/control/traffic_options.h
@@ -57,6 +57,9 @@
 struct TrafficOptions {
   QuotaOptions quotas;
   RangeOptions ranges;
+  /// Requests per second that an owner of keys may get from all routers while it warms up; 0 for no
+  /// bound. Half of it is granted, as routers give half of theirs to the instances of pools.
+  double warm_up_requests_per_second = 0;
   /// Time without a heartbeat after which an instance is unreachable and gets no new work.
   Duration instance_timeout{4'000'000};
   /// Whether the driver reports when broadcasts have been sent. The next broadcast then waits for
--- a/simulation/traffic_world/traffic_faults.cc
+++ b/simulation/traffic_world/traffic_faults.cc
@@ -278,15 +278,15 @@
     if (std::exchange(m_zone_drained, true))
         return;
     auto const zone = static_cast<std::uint32_t>(m_world.random.Below(kTrafficZones));
-    m_fleet.drain_zone(zone, true);
-    m_world.queue.After(length, [this, zone] {
-        // They went cold while they had nothing to do.
-        for (auto& place : m_fleet.places) {
-            if (m_world.ZoneOf(place.node) == zone && place.worker->up())
-                place.worker->warm_up(kWarmUp);
-        }
-        m_fleet.drain_zone(zone, false);
-        m_zone_drained = false;
+    m_fleet.drain_zone(zone, true, [this, zone, length] {
+        m_world.queue.After(length, [this, zone] {
+            // They went cold while they had nothing to do.
+            for (auto& place : m_fleet.places) {
+                if (m_world.ZoneOf(place.node) == zone && place.worker->up())
+                    place.worker->warm_up(kWarmUp);
+            }
+            m_fleet.drain_zone(zone, false, [this] { m_zone_drained = false; });
+        });
     });
 }
 
--- a/simulation/traffic_world/traffic_fleet.cc
+++ b/simulation/traffic_world/traffic_fleet.cc
@@ -58,6 +58,7 @@
         control->SetFirstVoters(voters);
     control::TrafficOptions traffic;
     traffic.ranges.excludes_warming_up = m_options.warm_ups;
+    traffic.warm_up_requests_per_second = m_options.warm_ups ? kWarmUpBound : 0;
     for (auto const& control : controls)
         control->SetTrafficOptions(traffic);
     for (std::uint32_t number = 1; number <= m_options.gateways + m_options.spare_gateways; ++number) {
@@ -350,21 +351,21 @@
     });
 }
 
-auto TrafficFleet::drain_zone(std::uint32_t zone, bool drained) -> void
+auto TrafficFleet::drain_zone(std::uint32_t zone, bool drained, std::function<void()> const& accepted) -> void
 {
     m_zone_target = m_zone_target % kTrafficControls + 1;
     NodeName const from {NodeKind::kOperator, 1};
     auto const done = std::make_shared<bool>(false);
-    auto const again = [this, zone, drained, done] {
+    auto const again = [this, zone, drained, accepted, done] {
         if (!std::exchange(*done, true))
-            drain_zone(zone, drained);
+            drain_zone(zone, drained, accepted);
     };
     ask(from, m_zone_target, control::DrainZone {{"zone-" + std::to_string(zone)}, drained},
-        [this, done, again](control::OperatorAnswer const& answer) {
-            if (std::holds_alternative<control::Accepted>(answer))
-                *done = true;
-            else
-                m_world.queue.After(kTurnPause, again);
+        [this, accepted, done, again](control::OperatorAnswer const& answer) {
+            if (!std::holds_alternative<control::Accepted>(answer))
+                return m_world.queue.After(kTurnPause, again);
+            if (!std::exchange(*done, true))
+                accepted();
         });
     m_world.queue.After(kCallLimit, again);
 }
--- a/simulation/traffic_world/traffic_fleet.h
+++ b/simulation/traffic_world/traffic_fleet.h
@@ -104,7 +104,7 @@
     auto drain(Place&, bool with_word) -> void;
 
     /// Drains a zone or takes it back; asks one control process after the other until it is accepted.
-    auto drain_zone(std::uint32_t zone, bool drained) -> void;
+    auto drain_zone(std::uint32_t zone, bool drained, std::function<void()> const& accepted) -> void;
 
     /// Asks a control process; `reply` may never come, and comes once at most.
     auto ask(NodeName const& from, std::uint32_t control, control::OperatorRequest const&,
--- a/src/control/instance_limits.cc
+++ b/src/control/instance_limits.cc
@@ -90,9 +90,13 @@
   return limited ? std::optional(found->second.limit) : std::nullopt;
 }
 
-std::vector<traffic::InstanceLimit> InstanceLimits::TakeChanges(Instant now) {
+void InstanceLimits::DropUnused(Instant now) {
   std::erase_if(limits_,
                 [&](const auto& entry) { return now - entry.second.last_used > kRetention; });
+}
+
+std::vector<traffic::InstanceLimit> InstanceLimits::TakeChanges(Instant now) {
+  DropUnused(now);
   std::vector<traffic::InstanceLimit> changes;
   for (auto& [instance, state] : limits_) {
     const bool begins_or_ends = (state.limit == 0) != (state.published == 0);
--- a/src/control/instance_limits.h
+++ b/src/control/instance_limits.h
@@ -38,6 +38,8 @@
   /// In requests per second; nullopt for an instance without a limit.
   std::optional<double> LimitOf(const traffic::InstanceId& instance) const;
 
+  /// Drops the limits that no router reported or requested tokens for recently.
+  void DropUnused(Instant now);
   /// Limits that changed considerably since they were last published to all routers; marks them as
   /// published.
   std::vector<traffic::InstanceLimit> TakeChanges(Instant now);
--- a/src/control/traffic_leader.h
+++ b/src/control/traffic_leader.h
@@ -28,6 +28,7 @@
   TrafficLeader(const TrafficOptions& options, const ReplicatedState& state, Term term,
                 OrderNumber orders_used, std::uint64_t pushes_used, Instant now)
       : state_(state),
+        warm_up_limit_(kWarmUpPart * options.warm_up_requests_per_second),
         liveness_(options.instance_timeout, now),
         ranges_(options.ranges, state.traffic(), liveness_, limits_, orders_used, now),
         sessions_(state.traffic(), now, options.reports_push_completion, pushes_used),
@@ -72,7 +73,7 @@
     SyncQuotaTenants(now);
     traffic::TokenAnswer answer = quotas_.TakeTokens(request, now);
     for (const traffic::LimitTokenRequest& limited : request.limited) {
-      answer.limited.push_back(limits_.TakeTokens(limited, now));
+      answer.limited.push_back(TakeLimitTokens(limited, now));
     }
     return answer;
   }
@@ -87,6 +88,7 @@
       sessions_.SendInitialHints(all, sends);
     }
     if (!hints_.IsDue(now)) return sends;
+    warm_up_limits_.DropUnused(now);
     const auto hints = hints_.Evaluate(ranges_.HotKeys(), now, limits_.TakeChanges(now));
     if (!hints) return sends;
     for (const traffic::HotKey& hot : hints->hot_keys) ranges_.RecordHotKeySent(hot);
@@ -115,11 +117,27 @@
   }
 
  private:
+  /// Grants tokens of an instance's rate limit, at most those of its warm-up.
+  traffic::LimitTokenGrant TakeLimitTokens(traffic::LimitTokenRequest request, Instant now) {
+    const traffic::InstanceId& id = request.limit.instance;
+    const traffic::Instance* const instance = state_.traffic().instances().Find(id);
+    const bool warms_up = warm_up_limit_ > 0 && instance != nullptr && instance->IsWarmingUp();
+    if (!warms_up) return limits_.TakeTokens(request, now);
+    const auto warm_up =
+        warm_up_limits_.TakeTokens({{id, warm_up_limit_, 0}, request.requests}, now);
+    request.requests = warm_up.requests;
+    traffic::LimitTokenGrant grant = limits_.TakeTokens(request, now);
+    grant.retry_after_ms = std::max(grant.retry_after_ms, warm_up.retry_after_ms);
+    return grant;
+  }
+
   void SyncQuotaTenants(Instant now) {
     const traffic::ConfigurationStore& store = state_.traffic().configuration();
     quotas_.SyncTenants(store.tenancy(), store.changed_at(), now);
   }
 
+  /// The part of the bound of warming-up instances that is granted to owners.
+  static constexpr double kWarmUpPart = 0.5;
   /// Interval of the check for displaced instances that are still running.
   static constexpr Duration kStaleAddressCheckInterval{1'000'000};
 
@@ -135,8 +153,10 @@
   }
 
   const ReplicatedState& state_;
+  const double warm_up_limit_;  ///< Requests per second of one owner; 0 for no limit.
   InstanceLiveness liveness_;
   InstanceLimits limits_;
+  InstanceLimits warm_up_limits_;  ///< Tokens for owners that warm up.
   RangeController ranges_;
   TrafficSessions sessions_;
   HintPublisher hints_;
--- a/src/daemon/control/control_settings.cc
+++ b/src/daemon/control/control_settings.cc
@@ -213,6 +213,10 @@
   reader.AddSwitch("spare_warming_up",
                    "Gives no keys to instances that warm up while there are others.",
                    settings.node.traffic.ranges.excludes_warming_up);
+  reader.AddNumber("warm_up_requests_per_second",
+                   "Requests that an owner of keys may get from all gateways together in a second "
+                   "while it warms up; 0: no bound.",
+                   settings.node.traffic.warm_up_requests_per_second, 0.0, 1e6);
   reader.AddSwitch("initialise", "Creates the group when the data folder is empty.",
                    settings.initialise);
   reader.AddAddressList("platform", "Where the platform's list of machines is served.",
--- a/src/gateway/back_pressure_table.cc
+++ b/src/gateway/back_pressure_table.cc
@@ -156,9 +156,7 @@
 }
 
 auto BackPressureTable::give_tokens(traffic::LimitTokenGrant const& grant, Instant now) -> void {
-  auto const found = m_entries.find(grant.instance);
-  if (found == m_entries.end()) return;
-  auto& entry = found->second;
+  auto& entry = m_entries[grant.instance];
   entry.tokens = grant.requests;
   auto const wait =
       Duration(std::chrono::milliseconds(std::max<std::int64_t>(0, grant.retry_after_ms)));
@@ -178,11 +176,11 @@
 
 auto BackPressureTable::note_sent(traffic::InstanceId const& instance, Instant now) -> void {
   auto const found = m_entries.find(instance);
-  if (found == m_entries.end() || found->second.limit_per_second == 0) return;
+  if (found == m_entries.end()) return;
   auto& entry = found->second;
   if (entry.tokens > 0) {
     --entry.tokens;
-  } else {
+  } else if (entry.limit_per_second > 0) {
     entry.last_own_sent = now;
   }
 }
--- a/src/gateway/backend_table.cc
+++ b/src/gateway/backend_table.cc
@@ -150,17 +150,24 @@
   return backend.in_flight < ConnectionShare(backend.instance.report.service);
 }
 
+bool BackendTable::NeedsToken(const Backend& backend, Instant now) const {
+  if (pressure_.is_limited(backend.instance.report.id)) return true;
+  return warm_ups_.is_bounded() && IsWarmingUp(backend, now) &&
+         keyed_.contains(backend.instance.report.service);
+}
+
 std::optional<RefusalReason> BackendTable::SendBlockReason(const Backend& backend,
                                                            Instant now) const {
   const traffic::InstanceId& id = backend.instance.report.id;
-  if (!pressure_.contains(id)) return std::nullopt;
+  if (!pressure_.contains(id) && !IsWarmingUp(backend, now)) return std::nullopt;
   // The requests of a key's owner can go to no other server.
   const bool keyed = keyed_.contains(backend.instance.report.service);
+  if (!keyed && !WarmUpAdmits(backend, now)) return RefusalReason::kLimited;
   if (now < pressure_.back_off_until(id)) return RefusalReason::kResting;
   if (keyed ? LeavingPastAllowance(id, now) : pressure_.leaving_since(id).has_value()) {
     return RefusalReason::kNoServer;
   }
-  if (!pressure_.is_limited(id) || pressure_.has_token(id)) return std::nullopt;
+  if (!NeedsToken(backend, now) || pressure_.has_token(id)) return std::nullopt;
   const bool own_token = !keyed && pressure_.has_own_token(id, kOwnPartOfLimit, now);
   return own_token ? std::nullopt : std::optional(RefusalReason::kLimited);
 }
@@ -248,7 +255,7 @@
     const Backend& backend = backends_.at(id);
     const bool was_tried = std::find(tried.begin(), tried.end(), id) != tried.end();
     if (!backend.instance.AcceptsNewWork() || was_tried) continue;
-    if (!WarmUpAdmits(backend, now) || SendBlockReason(backend, now)) continue;
+    if (SendBlockReason(backend, now)) continue;
     if (now < backend.ejected_until) {
       const bool sooner =
           best_ejected == nullptr || backend.ejected_until < best_ejected->ejected_until;
@@ -308,7 +315,7 @@
     const Backend* const backend = Find(id);
     if (backend == nullptr || now - backend->load_reported_at > kLoadReportMaxAge) continue;
     if (!backend->instance.AcceptsNewWork() || !HasConnectionLeft(*backend)) continue;
-    if (!WarmUpAdmits(*backend, now) || SendBlockReason(*backend, now)) continue;
+    if (SendBlockReason(*backend, now)) continue;
     if (LoadOf(*backend, now) >= SlotsOf(*backend) * (1.0 + options_.waiting_maximum)) continue;
     const double time = CompletionMicros(*backend, target, now);
     if (best != nullptr && time >= least) continue;
--- a/src/gateway/backend_table.h
+++ b/src/gateway/backend_table.h
@@ -166,8 +166,11 @@
   /// Records that this gateway stopped waiting for an attempt, without a sample of its latency.
   void OnAbandoned(const traffic::InstanceId& id);
 
-  /// Why this gateway may not send a server a request now because of the server's back pressure;
-  /// nullopt when it may.
+  /// Whether a request to a server needs a token: it has a rate limit, or it owns keys and warms
+  /// up.
+  bool NeedsToken(const Backend& backend, Instant now) const;
+  /// Why this gateway may not send a server a request now because of the server's back pressure or
+  /// its warm-up; nullopt when it may.
   std::optional<RefusalReason> SendBlockReason(const Backend& backend, Instant now) const;
   BackPressureTable& pressure() { return pressure_; }
   const BackPressureTable& pressure() const { return pressure_; }
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -251,11 +251,12 @@
 
 void GatewayNode::AskForTokens(Instant now) {
   if (!quotas_.may_request_tokens(now)) return;
-  const BackPressureTable& pressure = traffic_.backends().pressure();
+  const BackendTable& backends = traffic_.backends();
   std::vector<traffic::LimitTokenRequest> limited;
   for (const LimitQueue::Wanted& wanted : limit_queue_.take_wanted()) {
-    if (!pressure.is_limited(wanted.instance)) continue;
-    limited.push_back({pressure.limit_of(wanted.instance, now), wanted.requests});
+    const Backend* const backend = backends.Find(wanted.instance);
+    if (backend == nullptr || !backends.NeedsToken(*backend, now)) continue;
+    limited.push_back({backends.pressure().limit_of(wanted.instance, now), wanted.requests});
   }
   auto question = quotas_.next_token_request(token_queue_.wanted(), now, std::move(limited));
   if (question) effects_.actions.emplace_back(AskTokens{*std::move(question)});
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -106,7 +106,8 @@
     return update;
   }
 
-  explicit Fixture(bool configured = true) : node(Options(), 1) {
+  explicit Fixture(bool configured = true, const GatewayOptions& options = Options())
+      : node(options, 1) {
     if (!configured) return;
     node.OnUpdate(State(), kStart);
     Confirm(0);
--- a/tests/traffic_world/warm_up_test.cc
+++ b/tests/traffic_world/warm_up_test.cc
@@ -50,3 +50,11 @@
     auto const found = breaches(only({"gateways returned to a new leader"}, 76, 8), 5, 8);
     cr_assert(found.empty(), "%s", found.c_str());
 }
+
+/// Guards against an owner that is flooded while it warms up, since a drain of its zone ended before
+/// its keys had moved.
+Test(warm_up, bound_holds_for_owners_that_kept_their_keys, .timeout = 300)
+{
+    auto const found = breaches(only({"zone drained and taken back"}, 76, 4), 3, 6);
+    cr_assert(found.empty(), "%s", found.c_str());
+}
