End a warm-up by time alone, not by a report that may be older than its begin

What callers saw: a server flooded while it warms up; this way to it was found by reading and in the traffic world. Cause: a heartbeat that was sent before an instance became cold and arrives after its zone was taken back says that it does not warm up. Control and all gateways took it for the end; gateways held out for 1.5 s only, and heartbeats may be seconds late. Owners got keys and as many requests as their keys had. Change: a gateway never moves the end of a warm-up back, and holds an instance of a zone that is taken back for warming up for 3 s; the leader bounds an owner too when it is a router that holds it for warming up. Why it works: an instance warms up for a fixed time, so the latest end that was ever told is the true one or a little later. The test of an instance's few requests now asks that a report does not end the warm-up, and that time does.

--- a/src/control/traffic_leader.h
+++ b/src/control/traffic_leader.h
@@ -121,8 +121,11 @@
   traffic::LimitTokenGrant TakeLimitTokens(traffic::LimitTokenRequest request, Instant now) {
     const traffic::InstanceId& id = request.limit.instance;
     const traffic::Instance* const instance = state_.traffic().instances().Find(id);
-    const bool warms_up = warm_up_limit_ > 0 && instance != nullptr && instance->IsWarmingUp();
-    if (!warms_up) return limits_.TakeTokens(request, now);
+    // A router that knows of no limit asks because it holds the instance for warming up; a report
+    // of the end that is known here may be older than the begin.
+    const bool held_for_warming_up = request.limit.requests_per_second == 0;
+    const bool warms_up = held_for_warming_up || (instance != nullptr && instance->IsWarmingUp());
+    if (warm_up_limit_ == 0 || !warms_up) return limits_.TakeTokens(request, now);
     const auto warm_up =
         warm_up_limits_.TakeTokens({{id, warm_up_limit_, 0}, request.requests}, now);
     request.requests = warm_up.requests;
--- a/src/gateway/backend_table.cc
+++ b/src/gateway/backend_table.cc
@@ -120,11 +120,10 @@
                                 Instant now) {
   const bool drained = backend.instance.state == traffic::InstanceState::kZoneDrained;
   const bool taken_back = !fresh && drained && next.AcceptsNewWork();
-  if (taken_back) backend.warm_at_earliest = now + options_.taken_back_warm_up;
-  const bool changed = fresh || taken_back || next.IsWarmingUp() != backend.instance.IsWarmingUp();
-  if (!changed) return;
-  const Instant reported_warm_at = now + std::chrono::milliseconds(next.report.warmup_left_ms);
-  backend.warm_at = std::max(reported_warm_at, backend.warm_at_earliest);
+  if (taken_back) backend.warm_at = std::max(backend.warm_at, now + options_.taken_back_warm_up);
+  const std::int64_t left_ms = next.report.warmup_left_ms;
+  if (!fresh && left_ms == backend.instance.report.warmup_left_ms) return;
+  backend.warm_at = std::max(backend.warm_at, now + std::chrono::milliseconds(left_ms));
 }
 
 bool BackendTable::WarmUpAdmits(const Backend& backend, Instant now) const {
--- a/src/gateway/backend_table.h
+++ b/src/gateway/backend_table.h
@@ -45,8 +45,8 @@
   /// bound, only its assumed latency is higher.
   double warm_up_requests_per_second = 0;
   /// How long an instance counts as warming up after its zone is taken back, regardless of its own
-  /// reports: its next heartbeats may have been sent before it became cold.
-  Duration taken_back_warm_up{1'500'000};
+  /// reports: heartbeats that arrive seconds later may have been sent before it became cold.
+  Duration taken_back_warm_up{3'000'000};
   /// Penalty for a server that fails all requests, in target latencies: a failure costs the whole
   /// value of an answer, so a long wait elsewhere is better.
   double failure_targets = 4.0;
@@ -66,8 +66,7 @@
 /// One server and this gateway's measurements of it.
 struct Backend {
   traffic::Instance instance;
-  Instant warm_at{};
-  Instant warm_at_earliest{};  ///< Lower bound of warm_at, regardless of the instance's reports.
+  Instant warm_at{};  ///< When it has warmed up, by the latest end that was ever reported.
   /// Earliest instant at which it may have stopped taking new work; valid while it takes none.
   Instant drained_since{};
   std::uint32_t in_flight = 0;  ///< Requests of this gateway.
@@ -212,7 +211,8 @@
   void List(const Backend& backend, bool listed, const traffic::Instance& next);
   void Unlist(const Backend& backend);
   void Remove(const traffic::InstanceId& id);
-  /// Applies control's report on an instance's warm-up.
+  /// Applies control's report on an instance's warm-up. Only time ends one: a report of its end may
+  /// be older than its begin.
   void UpdateWarmUp(Backend& backend, const traffic::Instance& next, bool fresh, Instant now);
   /// Whether an owner of keys announced its shutdown longer ago than drain_allowance, so that it
   /// must get no more requests.
--- a/tests/gateway/backend_table_test.cc
+++ b/tests/gateway/backend_table_test.cc
@@ -313,9 +313,13 @@
   update.base = 1;
   update.instances[0].report.warmup_left_ms = 0;
   update.instances.resize(1);
+  table.OnSent({"cold"}, kNow + Duration{1'200'000});
   table.Apply(update, kNow + Duration{1'200'000});
-  table.OnSent({"warm"}, kNow);
-  cr_assert(chosen(kNow + Duration{1'200'000}) == "cold", "it is warm, and idle");
+  table.OnAbandoned({"cold"});
+  cr_assert(chosen(kNow + Duration{1'300'000}) == "warm",
+            "the report may be older than the warm-up");
+  for (int sent = 0; sent < 3; ++sent) table.OnSent({"warm"}, kNow + Duration{2'900'000});
+  cr_assert(chosen(kNow + Duration{3'000'000}) == "cold", "it is warm, and idle");
 }
 
 Test(backend_table, instance_whose_zone_is_taken_back_warms_up_whatever_a_late_heartbeat_says) {
--- a/tests/traffic_world/warm_up_test.cc
+++ b/tests/traffic_world/warm_up_test.cc
@@ -58,3 +58,11 @@
     auto const found = breaches(only({"zone drained and taken back"}, 76, 4), 3, 6);
     cr_assert(found.empty(), "%s", found.c_str());
 }
+
+/// Guards against a server that is flooded while it warms up, since a heartbeat from before counts as
+/// its end.
+Test(warm_up, bound_holds_while_heartbeats_arrive_late, .timeout = 300)
+{
+    auto const found = breaches(only({"zone drained and taken back", "heartbeats disturbed"}, 76, 1), 5, 10);
+    cr_assert(found.empty(), "%s", found.c_str());
+}
