Ask servers whether they warm up while control is silent

What callers saw: a server flooded while it warms up; this way to it was found by reading and in the traffic world. Cause: a gateway that is cut from control does not hear that a zone was drained and taken back, and holds its servers for warm. All machines count, in touch or not, so the share of the cut ones alone can exceed what such a server bears. Change: a gateway whose state no leader has confirmed for 1.6 s sends a request only to a server that answered a probe of its own within the last second; it probes a few of a pool's servers or the key's owner first, and refuses within the time for which a request may be held what no server answers for. Only where warm-ups are bounded. Workers of the traffic world answer probes. Why it works: health answers say whether a server warms up, and a gateway without control has no valid place, so it sends nothing to one that does.

--- a/simulation/traffic_world/configuration_operators.cc
+++ b/simulation/traffic_world/configuration_operators.cc
@@ -48,6 +48,7 @@
         traffic::Service service;
         service.name = {name};
         service.keyed = keyed;
+        service.health_path = "/health";
         service.connections_maximum = 100;
         service.lease_form = form;
         return service;
--- a/simulation/traffic_world/gateway_process.cc
+++ b/simulation/traffic_world/gateway_process.cc
@@ -149,14 +149,23 @@
         });
 }
 
-/// Workers of this world do not tell how long their work takes, so that none is ever probed.
 auto GatewayProcess::act(gateway::ProbeInstance const& probe) -> void
 {
-    gateway::ProbeReport report;
-    report.request = probe.request;
-    report.round = probe.round;
-    report.instance = probe.instance;
-    carry_out(m_node->OnProbeEnd(report, Now()));
+    m_ports.probe_worker(*this, probe.address, [this, probe, sent = Now()](WorkerHealth const& health) {
+        gateway::ProbeReport report;
+        report.request = probe.request;
+        report.round = probe.round;
+        report.instance = probe.instance;
+        report.taken = Now() - sent;
+        report.other_instance = health.instance != probe.instance.value;
+        if (!report.other_instance) {
+            report.answered = true;
+            report.load = health.load;
+            if (health.warm_up_left > Duration {0})
+                report.warm_up_left = health.warm_up_left;
+        }
+        carry_out(m_node->OnProbeEnd(report, Now()));
+    });
 }
 
 auto GatewayProcess::on_attempt_end(
--- a/simulation/traffic_world/gateway_process.h
+++ b/simulation/traffic_world/gateway_process.h
@@ -45,6 +45,11 @@
     virtual auto send_to_worker(GatewayProcess& from, std::string const& address, WorkerRequest const&,
         std::function<void(gateway::AttemptEnd, WorkerAnswer const&)> const& reply) -> void
         = 0;
+    /// Asks whoever lives at an address for its health. The reply comes once at most, not after the
+    /// gateway has ended.
+    virtual auto probe_worker(GatewayProcess& from, std::string const& address,
+        std::function<void(WorkerHealth const&)> const& reply) -> void
+        = 0;
     /// A worker's answer was read, as that to the attempt that is under way.
     virtual auto on_read(GatewayProcess& from, std::string const& address, WorkerAnswer const&) -> void = 0;
     /// A worker's answer goes to its caller.
@@ -63,9 +68,9 @@
     GatewayProcess(
         World&, GatewayPorts&, std::uint32_t number, std::uint32_t zone, std::vector<std::string> controls);
 
-    /// Takes the answers of any request for its own; a seeded defect.
     /// What one instance that warms up may get from all gateways, a second; 0 for no bound.
     double warm_up_requests_per_second = 0;
+    /// Takes the answers of any request for its own; a seeded defect.
     bool takes_any_answer = false;
 
     auto on_control_connected(std::string const& address) -> void;
--- a/simulation/traffic_world/traffic_fleet.cc
+++ b/simulation/traffic_world/traffic_fleet.cc
@@ -610,6 +610,20 @@
     });
 }
 
+auto TrafficFleet::probe_worker(GatewayProcess& from, std::string const& address,
+    std::function<void(WorkerHealth const&)> const& reply) -> void
+{
+    auto& place = place_of(address);
+    m_world.SendOnce(from.name(), place.node, [this, &from, &place, reply, start = from.starts()] {
+        if (!place.worker->up())
+            return;
+        m_world.SendOnce(place.node, from.name(), [&from, reply, start, health = place.worker->health()] {
+            if (from.starts() == start)
+                from.Deliver([reply, health] { reply(health); });
+        });
+    });
+}
+
 /// A rest counts from the answer that asks for it. One that is never read binds nobody: its attempt
 /// was abandoned, and its connection closed.
 auto TrafficFleet::on_read(GatewayProcess& from, std::string const& address, WorkerAnswer const& answer)
--- a/simulation/traffic_world/traffic_fleet.h
+++ b/simulation/traffic_world/traffic_fleet.h
@@ -131,6 +131,8 @@
         -> void override;
     auto send_to_worker(GatewayProcess& from, std::string const& address, WorkerRequest const&,
         std::function<void(gateway::AttemptEnd, WorkerAnswer const&)> const& reply) -> void override;
+    auto probe_worker(GatewayProcess& from, std::string const& address,
+        std::function<void(WorkerHealth const&)> const& reply) -> void override;
     auto on_read(GatewayProcess& from, std::string const& address, WorkerAnswer const&) -> void override;
     auto on_relayed(GatewayProcess& from, std::string const& address, WorkerAnswer const&) -> void override;
     auto close_at_worker(GatewayProcess& from, std::string const& address, std::uint64_t request)
--- a/simulation/traffic_world/worker.cc
+++ b/simulation/traffic_world/worker.cc
@@ -310,13 +310,23 @@
     answer.end = end;
     answer.status = status;
     answer.number = work.request.number;
-    answer.load = {static_cast<double>(m_running.size()), static_cast<double>(m_queue.size()),
-        static_cast<double>(m_traits.slots)};
+    answer.load = load();
     answer.pressure = pressure(status);
     answer.at = m_world.now();
     work.reply(answer);
 }
 
+auto Worker::load() const -> gateway::ReportedLoad
+{
+    return {static_cast<double>(m_running.size()), static_cast<double>(m_queue.size()),
+        static_cast<double>(m_traits.slots)};
+}
+
+auto Worker::health() const -> WorkerHealth
+{
+    return {m_traits.id, load(), std::max(Duration {0}, Duration {m_warm_at - m_world.now()})};
+}
+
 auto Worker::pressure(int status) const -> gateway::BackPressure
 {
     gateway::BackPressure stated;
--- a/simulation/traffic_world/worker.h
+++ b/simulation/traffic_world/worker.h
@@ -52,6 +52,13 @@
     std::function<void(WorkerRequest const&)> crash;
 };
 
+/// What a worker says when it is asked for its health.
+struct WorkerHealth {
+    std::string instance;
+    gateway::ReportedLoad load;
+    Duration warm_up_left {};
+};
+
 struct WorkerAnswer {
     enum class End {
         kAnswered,
@@ -92,6 +99,7 @@
     /// Whether a request is for this instance, and for a key that it holds.
     auto would_run(WorkerRequest const&) const -> bool;
     auto run(WorkerRequest const&, Reply const&) -> void;
+    auto health() const -> WorkerHealth;
     /// The connection of a request closed: it is dropped unless it runs.
     auto drop(std::uint64_t request) -> void;
 
@@ -142,6 +150,7 @@
     auto start_next() -> void;
     auto finish(std::uint64_t started, int status) -> void;
     auto answer(Work const&, WorkerAnswer::End, int status) -> void;
+    auto load() const -> gateway::ReportedLoad;
     auto pressure(int status) const -> gateway::BackPressure;
     auto tell_holdings() -> void;
 
--- a/src/daemon/gateway/exchange_translator.cc
+++ b/src/daemon/gateway/exchange_translator.cc
@@ -255,6 +255,7 @@
   const std::string* const answerer = fields.Find(names_.answerer);
   report.other_instance = answerer != nullptr && *answerer != traffic::ServerNameOf(probe.instance);
   if (report.other_instance) return report;
+  report.answered = true;
   // Also of a server that says it is not well: whether it fails requests is seen by them.
   if (const std::string* const load = fields.Find(names_.load)) report.load = ReadLoad(*load);
   const auto warm_up = ReadNumber<std::int64_t>(fields.Find(names_.warm_up_ms));
--- a/src/gateway/backend_table.cc
+++ b/src/gateway/backend_table.cc
@@ -40,6 +40,10 @@
 constexpr double kUsualPercent = 100;
 /// Weight of the newest request in the usual latency of a service.
 constexpr double kNewestUsual = 0.02;
+/// Age from which on the state counts as outdated: three polls and an answer. And how long a
+/// server's own answer stands in for it then.
+constexpr Duration kStateMaxAge{1'600'000};
+constexpr Duration kProbeMaxAge{1'000'000};
 /// An older load report does not describe the current load.
 constexpr Duration kLoadReportMaxAge{100'000};
 /// The part of a pool server's limit that all gateways together send on their own tokens.
@@ -63,6 +67,7 @@
 
 void BackendTable::Apply(const traffic::TrafficUpdate& update, Instant now) {
   std::map<traffic::InstanceId, Backend> before;
+  if (first_applied_at_ == Instant{}) first_applied_at_ = now;
   if (update.base == 0) {
     before = std::move(backends_);
     backends_.clear();
@@ -134,8 +139,10 @@
                                     std::uint32_t gateways) {
   connection_shares_.clear();
   keyed_.clear();
+  probeable_.clear();
   for (const auto& [name, service] : services) {
     if (service.keyed) keyed_.insert(name);
+    if (!service.health_path.empty()) probeable_.insert(name);
     connection_shares_[name] = connection_share({service.connections_maximum, gateways});
   }
 }
@@ -155,8 +162,22 @@
          keyed_.contains(backend.instance.report.service);
 }
 
+bool BackendTable::StateMayBeOutdated(Instant now) const {
+  return warm_ups_.is_bounded() && now - std::max(confirmed_at_, first_applied_at_) > kStateMaxAge;
+}
+
+bool BackendTable::NeedsProbe(const Backend& backend, Instant now) const {
+  return StateMayBeOutdated(now) && now - backend.probed_at > kProbeMaxAge &&
+         probeable_.contains(backend.instance.report.service);
+}
+
 std::optional<RefusalReason> BackendTable::SendBlockReason(const Backend& backend,
                                                            Instant now) const {
+  return NeedsProbe(backend, now) ? RefusalReason::kNoServer : PressureBlockReason(backend, now);
+}
+
+std::optional<RefusalReason> BackendTable::PressureBlockReason(const Backend& backend,
+                                                               Instant now) const {
   const traffic::InstanceId& id = backend.instance.report.id;
   if (!pressure_.contains(id) && !IsWarmingUp(backend, now)) return std::nullopt;
   // The requests of a key's owner can go to no other server.
@@ -242,7 +263,7 @@
 
 BackendTable::Choice BackendTable::ChoiceOf(const ServiceName& service,
                                             const std::vector<traffic::InstanceId>& tried,
-                                            Instant now) const {
+                                            bool before_probes, Instant now) const {
   Choice choice;
   const auto ids = services_.find(service);
   if (ids == services_.end()) return choice;
@@ -254,7 +275,7 @@
     const Backend& backend = backends_.at(id);
     const bool was_tried = std::find(tried.begin(), tried.end(), id) != tried.end();
     if (!backend.instance.AcceptsNewWork() || was_tried) continue;
-    if (SendBlockReason(backend, now)) continue;
+    if (before_probes ? PressureBlockReason(backend, now) : SendBlockReason(backend, now)) continue;
     if (now < backend.ejected_until) {
       const bool sooner =
           best_ejected == nullptr || backend.ejected_until < best_ejected->ejected_until;
@@ -277,7 +298,7 @@
 const Backend* BackendTable::Choose(const ServiceName& service,
                                     const std::vector<traffic::InstanceId>& tried, Duration target,
                                     Instant now) {
-  const Choice choice = ChoiceOf(service, tried, now);
+  const Choice choice = ChoiceOf(service, tried, /*before_probes=*/false, now);
   // Such a server accepts few requests; they would be lost if it had to be drawn at random.
   if (choice.scarce != nullptr) return choice.scarce;
   if (choice.usable.empty()) return choice.last_resort;
@@ -289,8 +310,9 @@
 BackendTable::Backends BackendTable::DrawForProbes(const ServiceName& service,
                                                    const std::vector<traffic::InstanceId>& tried,
                                                    std::size_t count, Instant now) {
-  const Choice choice = ChoiceOf(service, tried, now);
-  if (choice.scarce != nullptr) return {};
+  const Choice choice = ChoiceOf(service, tried, /*before_probes=*/true, now);
+  const bool outdated = StateMayBeOutdated(now);
+  if (choice.scarce != nullptr && !outdated) return {};
   Backends near;
   Backends far;
   for (const Backend* const backend : choice.usable) {
@@ -303,7 +325,7 @@
     drawn.push_back(DrawBySpeed(from, now));
     std::erase(from, drawn.back());
   }
-  return drawn.size() < 2 ? Backends{} : drawn;
+  return drawn.size() < 2 && !outdated ? Backends{} : drawn;
 }
 
 const Backend* BackendTable::FastestProbed(const std::vector<traffic::InstanceId>& asked,
@@ -344,6 +366,7 @@
   if (found == backends_.end()) return;
   Backend& backend = found->second;
   if (report.other_instance) return Fail(backend, now);
+  if (report.answered) backend.probed_at = now;
   if (report.load) ApplyLoad(backend, *report.load, now);
   if (report.warm_up_left) backend.warm_at = std::max(backend.warm_at, now + *report.warm_up_left);
 }
--- a/src/gateway/backend_table.h
+++ b/src/gateway/backend_table.h
@@ -72,6 +72,7 @@
   std::uint32_t in_flight = 0;  ///< Requests of this gateway.
   double others_in_flight = 0;  ///< Requests of other gateways, as last reported.
   Instant load_reported_at{};   ///< When the server last reported its load.
+  Instant probed_at{};          ///< When it last answered a probe.
   /// Work time at the last load report, in percent of the usual; not every server reports it.
   std::optional<double> work_percent;
   double latency_us = 0;  ///< Mean latency of a request that did not wait.
@@ -165,6 +166,12 @@
   /// Records that this gateway stopped waiting for an attempt, without a sample of its latency.
   void OnAbandoned(const traffic::InstanceId& id);
 
+  /// Whether control has not confirmed the state here for so long that an instance may warm up, or
+  /// may have been drained and taken back, without this gateway's knowledge.
+  bool StateMayBeOutdated(Instant now) const;
+  /// Whether this gateway must hear from a server itself that it does not warm up, before it sends
+  /// it a request.
+  bool NeedsProbe(const Backend& backend, Instant now) const;
   /// Whether a request to a server needs a token: it has a rate limit, or it owns keys and warms
   /// up.
   bool NeedsToken(const Backend& backend, Instant now) const;
@@ -234,8 +241,11 @@
     /// connections, or else the ejected one whose ejection ends first.
     const Backend* last_resort = nullptr;
   };
+  /// @param before_probes whether the servers are to be probed before one of them is chosen.
   Choice ChoiceOf(const ServiceName& service, const std::vector<traffic::InstanceId>& tried,
-                  Instant now) const;
+                  bool before_probes, Instant now) const;
+  /// Why a server's own words forbid a request to it.
+  std::optional<RefusalReason> PressureBlockReason(const Backend& backend, Instant now) const;
   /// Expected latency of a further request at a server that has just reported its load.
   double CompletionMicros(const Backend& backend, Duration target, Instant now) const;
   /// Adds a request's latency to the usual latency of its service.
@@ -275,6 +285,8 @@
   std::map<ServiceName, std::vector<traffic::InstanceId>> services_;
   std::map<ServiceName, std::uint32_t> connection_shares_;
   std::set<ServiceName> keyed_;
+  std::set<ServiceName> probeable_;  ///< Services whose servers have a health path.
+  Instant first_applied_at_{};
   std::map<ServiceName, RequestCount> request_counts_;
   std::map<ServiceZone, Occupancy> occupancies_;
   /// Mean latency of a request by service, normalised to usual work time, in microseconds.
--- a/src/gateway/gateway_events.h
+++ b/src/gateway/gateway_events.h
@@ -81,7 +81,8 @@
   std::uint32_t round = 0;  ///< Probe round of the request.
   traffic::InstanceId instance;
   Duration taken{};
-  std::optional<ReportedLoad> load;        ///< Set when the server answered.
+  bool answered = false;                   ///< By the instance itself.
+  std::optional<ReportedLoad> load;        ///< Set when the server reported it.
   std::optional<Duration> warm_up_left{};  ///< Set when the server reported it.
   bool other_instance = false;             ///< Another process has taken the address.
 };
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -159,6 +159,9 @@
   /// Probes a few servers for their load before the request is sent to one of them.
   /// @return whether any probe was sent.
   bool BeginProbes(LiveRequest& request, Instant now);
+  /// Probes an owner of keys, of which this gateway may not know that it warms up.
+  Step ProbeOwner(LiveRequest& request, const Backend& owner, Instant now);
+  void Probe(LiveRequest& request, const BackendTable::Backends& servers, Instant now);
   /// Sends the request to the best of the probed servers.
   /// @return whether it was sent; false when none of them answered and has room, or the chosen one
   /// accepts none from this gateway now.
--- a/src/gateway/request_sending.cc
+++ b/src/gateway/request_sending.cc
@@ -80,9 +80,16 @@
   const bool room = is_in_time(request, now) ? backends.HasRoom(*owner, request.target_latency, now)
                                              : backends.HasFreeSlot(*owner, now);
   if (!room) return WaitForOwner(request, RefusalReason::kOverloaded, now);
+  if (backends.NeedsProbe(*owner, now)) return ProbeOwner(request, *owner, now);
   return Send(request, *owner, now);
 }
 
+GatewayNode::Step GatewayNode::ProbeOwner(LiveRequest& request, const Backend& owner, Instant now) {
+  const Step step = WaitForOwner(request, RefusalReason::kOwnerFails, now);
+  if (request.timer != Instant{}) Probe(request, {&owner}, now);
+  return step;
+}
+
 GatewayNode::Step GatewayNode::TryPool(LiveRequest& request, Instant now) {
   if (!request.probes.asked.empty()) {
     if (SendToProbed(request, now)) return Step::kSent;
@@ -96,7 +103,14 @@
   if (backend == nullptr)
     backend = backends.Choose(request.service, {}, request.target_latency, now);
   if (backend == nullptr) {
-    return Wait(request, RefusalReason::kNoServer, short_hold(request), now);
+    const Step step = Wait(request, RefusalReason::kNoServer, short_hold(request), now);
+    // Others than those that were probed may answer.
+    const bool probes_again = backends.StateMayBeOutdated(now) && request.timer != Instant{};
+    if (probes_again && now < request.probes.back_off_until) {
+      request.not_before = request.probes.back_off_until;
+      requests_.set_timer(request, std::min(request.timer, request.not_before));
+    }
+    return step;
   }
   if (!backends.HasRoom(*backend, request.target_latency, now)) {
     return Wait(request, RefusalReason::kOverloaded, short_hold(request), now);
@@ -105,25 +119,33 @@
 }
 
 bool GatewayNode::BeginProbes(LiveRequest& request, Instant now) {
-  if (now < request.probes.back_off_until || !probes_.applies(request.service, now)) return false;
-  const std::string path = traffic_.health_path(request.service);
-  if (path.empty()) return false;
+  const bool applies =
+      probes_.applies(request.service, now) || traffic_.backends().StateMayBeOutdated(now);
+  if (now < request.probes.back_off_until || !applies) return false;
+  if (traffic_.health_path(request.service).empty()) return false;
+  const BackendTable::Backends servers = traffic_.backends().DrawForProbes(
+      request.service, request.tried, probes_.options().per_request, now);
+  if (servers.empty()) return false;
+  Probe(request, servers, now);
+  return true;
+}
+
+void GatewayNode::Probe(LiveRequest& request, const BackendTable::Backends& servers, Instant now) {
   const ProbeOptions& options = probes_.options();
+  const std::string path = traffic_.health_path(request.service);
   ProbeRound& round = request.probes;
   ++round.number;
   round.loads_received = 0;
-  for (const Backend* const backend : traffic_.backends().DrawForProbes(
-           request.service, request.tried, options.per_request, now)) {
+  round.asked.clear();
+  for (const Backend* const backend : servers) {
     const traffic::InstanceReport& instance = backend->instance.report;
     round.asked.push_back(instance.id);
     effects_.actions.emplace_back(ProbeInstance{request.arrived.number, round.number, instance.id,
                                                 instance.address, path, options.wait});
   }
-  if (round.asked.empty()) return false;
   round.open = static_cast<std::uint32_t>(round.asked.size());
   request.not_before = now + options.wait;
   requests_.set_timer(request, std::min(request.not_before, request.give_up));
-  return true;
 }
 
 bool GatewayNode::SendToProbed(LiveRequest& request, Instant now) {
--- a/tests/traffic_world/warm_up_test.cc
+++ b/tests/traffic_world/warm_up_test.cc
@@ -66,3 +66,12 @@
     auto const found = breaches(only({"zone drained and taken back", "heartbeats disturbed"}, 76, 1), 5, 10);
     cr_assert(found.empty(), "%s", found.c_str());
 }
+
+/// Guards against a server that is flooded while it warms up, by gateways that are cut from control and
+/// do not hear that its zone was drained and taken back.
+Test(warm_up, bound_holds_for_gateways_cut_from_control, .timeout = 300)
+{
+    auto const found
+        = breaches(only({"zone drained and taken back", "gateways cut from control"}, 76, 2), 7, 10);
+    cr_assert(found.empty(), "%s", found.c_str());
+}
