--- a/simulation/simulator/main.cc
+++ b/simulation/simulator/main.cc
@@ -39,6 +39,8 @@
 
 /// The same as the first with workers that name limits and ask for rests.
 constexpr const char* kTrafficLimits = "traffic-limits";
+/// The same as the first with workers that warm up and more gateways, some of which join later.
+constexpr const char* kTrafficWarmUps = "traffic-warm-ups";
 
 constexpr const char* kUsage =
     "Usage: graniteseam-simulation [OPTION...]\n"
@@ -65,7 +67,8 @@
 
   bool Traffic() const {
     return scenario == kTrafficScenario || scenario == kTrafficCalmCore ||
-           scenario == kTrafficCrashing || scenario == kTrafficLimits;
+           scenario == kTrafficCrashing || scenario == kTrafficLimits ||
+           scenario == kTrafficWarmUps;
   }
 };
 
@@ -160,6 +163,9 @@
               "traffic with requests that end each worker that runs them");
   std::printf("scenario %-36s %s\n", kTrafficLimits,
               "traffic with workers that name limits, ask for rests and say that they leave");
+  std::printf(
+      "scenario %-36s %s\n", kTrafficWarmUps,
+      "traffic with workers that warm up, zones that restart or are drained, and 24 gateways");
   for (const auto& [defect, name, promise, description] : seeded_traffic_defects()) {
     std::printf("defect   %-36.*s traffic: %.*s\n", static_cast<int>(name.size()), name.data(),
                 static_cast<int>(description.size()), description.data());
@@ -226,6 +232,11 @@
   world.core_stays_calm = settings.scenario == kTrafficCalmCore;
   world.crashing_requests = settings.scenario == kTrafficCrashing;
   world.stated_limits = settings.scenario == kTrafficLimits;
+  world.warm_ups = settings.scenario == kTrafficWarmUps;
+  if (world.warm_ups) {
+    world.gateways = 24;
+    world.spare_gateways = 6;
+  }
   return graniteseam::simulation::run_traffic({options, world});
 }
 
