Soak workers that warm up

Cause: no worker of the soak ever warmed up, so that no run with real processes asked what one gets meanwhile from all routers.

--- a/testbed/registered/worker.cc
+++ b/testbed/registered/worker.cc
@@ -83,6 +83,7 @@
     auto const& statements = options_.statements;
     stated_ = {options_.id, statements.limit_per_second, started_ + statements.limited_from,
                started_ + statements.limited_until};
+    stated_.warm_at = started_ + options_.warm_up;
     Listen();
     address_ = options_.address.ip + ":" + std::to_string(server_->port());
     asio::post(loop_.context(), [this] { BeatAfter(options_.first_heartbeat); });
@@ -160,11 +161,27 @@
       TakeOrder(exchange, [this](auto const& it, auto const& order) { Grant(it, order); });
     } else if (path == options_.owner_names.release_path) {
       TakeOrder(exchange, [this](auto const& it, auto const& order) { LetGoByOrder(it, order); });
+    } else if (path == kHealthPath) {
+      TellHealth(exchange);
     } else {
       Serve(exchange);
     }
   }
 
+  auto TellHealth(std::shared_ptr<Exchange> const& exchange) const -> void {
+    Response response;
+    response.fields.Add(options_.names.answerer, options_.id);
+    response.fields.Add(options_.names.load, "0,0,2");
+    if (auto const left = WarmUpLeftMs(); left > 0)
+      response.fields.Add(options_.names.warm_up_ms, std::to_string(left));
+    exchange->Respond(response);
+  }
+
+  auto WarmUpLeftMs() const -> std::int64_t {
+    auto const left = stated_.warm_at - runtime::BootTimeNow();
+    return std::max<std::int64_t>(0, std::chrono::ceil<std::chrono::milliseconds>(left).count());
+  }
+
   /// Listens. The socket of the worker before at the address may live for a moment more, in a
   /// process that is just being started and has not closed yet what it inherited.
   auto Listen() -> void {
@@ -348,7 +365,7 @@
                  {"zone", options_.zone},
                  {"version", "v1"},
                  {"slots", 2},
-                 {"warmup_left_ms", 0},
+                 {"warmup_left_ms", WarmUpLeftMs()},
                  {"state", draining_ ? "draining" : "ready"},
                  {"sequence", beat.sequence}};
     if (options_.leases) TellKeys(body, beat);
--- a/testbed/registered/worker.h
+++ b/testbed/registered/worker.h
@@ -42,10 +42,14 @@
   Duration work{5'000};
   Duration heartbeat{200'000};
   Duration first_heartbeat{0};   ///< How long after its start.
+  Duration warm_up{0};           ///< For which it warms up after its start.
   std::uint32_t late_every = 0;  ///< One heartbeat in so many is held up on its way; 0: none is.
   WorkerStatements statements{};
 };
 
+/// The path at which a worker says how it is.
+inline constexpr char kHealthPath[] = "/health";
+
 /// Requests whose path contains this end the worker that begins to run them.
 inline constexpr char kCrashingWord[] = "/crashing-";
 
@@ -94,6 +98,7 @@
   Instant leaving_from = Instant::max();
   std::vector<WorkerRest> rests{};
   std::vector<std::pair<Instant, std::string>> arrivals{};
+  Instant warm_at{};  ///< Until when it warmed up.
 };
 
 /// A heartbeat as it is sent.
--- a/testbed/soak/routed_paths.cc
+++ b/testbed/soak/routed_paths.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 
+#include "testbed/registered/worker.h"
 #include "testbed/soak/tenants.h"
 
 namespace graniteseam::testbed::soak {
@@ -154,8 +155,10 @@
     add_changing(version, routes);
     return {{"version", version}, {"routes", routes},
         {"services",
-            {{{"name", pool}}, {{"name", annex}}, {{"name", "keyed"}, {"keyed", true}},
-                {{"name", "leased"}, {"keyed", true}, {"grants", "heartbeat"}}}},
+            {{{"name", pool}, {"health_path", kHealthPath}}, {{"name", annex}, {"health_path", kHealthPath}},
+                {{"name", "keyed"}, {"keyed", true}, {"health_path", kHealthPath}},
+                {{"name", "leased"}, {"keyed", true}, {"health_path", kHealthPath},
+                    {"grants", "heartbeat"}}}},
         {"tenants", tenants_of_configurations()}, {"limits", {{"idle_timeout_ms", 15'000}}}};
 }
 
--- a/testbed/soak/run_shape.h
+++ b/testbed/soak/run_shape.h
@@ -29,6 +29,7 @@
     bool silencing = false; ///< Open connections to control fall silent for good at times.
     bool crashing = false; ///< Some requests end each worker that runs them.
     bool stating = false; ///< Workers name limits, ask for rests and say that they leave.
+    bool warming = false; ///< Workers warm up after their starts.
     bool crowded = false; ///< Faults of many workers at once.
     Duration operator_pause {250'000}; ///< Between two changes that are no series.
 
--- a/testbed/soak/soak.cc
+++ b/testbed/soak/soak.cc
@@ -47,6 +47,7 @@
         bool crashing = false;
         bool silencing = false;
         bool stating = false;
+        bool warming = false;
         bool keep = false;
         std::optional<double> processor;
         std::string folder = "/tmp/graniteseam-soak";
@@ -57,7 +58,8 @@
     constexpr char usage[]
         = "Usage: graniteseam-soak [--seed N] [--seeds N] [--parallel K] [--size small|large|crowd] "
           "[--faults N]\n"
-          "                        [--crashing] [--silencing] [--stating] [--processor SHARE] [--keep]\n"
+          "                        [--crashing] [--silencing] [--stating] [--warming] [--processor SHARE] "
+          "[--keep]\n"
           "                        [--folder DIR] [--programs DIR] [--templates DIR]\n"
           "  --seed N       first seed; without it one is drawn and printed\n"
           "  --seeds N      how many, from the first on (1)\n"
@@ -66,6 +68,7 @@
           "  --crashing     some requests end each worker that runs them, as in a crowd\n"
           "  --silencing    open connections with control fall silent for good, and new ones work\n"
           "  --stating      workers name limits, ask for rests and say that they leave\n"
+          "  --warming      workers warm up after their starts\n"
           "  --processor X  part of a core that each control process and each router may use\n"
           "  --keep         logs and data of seeds that kept every promise, too\n"
           "  --faults N     of each run (20, a large one 45, a crowd 10)\n"
@@ -86,14 +89,14 @@
 
     auto read_arguments(int argc, char** argv) -> std::optional<Arguments>
     {
-        static option const options[]
-            = {{"seed", required_argument, nullptr, 's'}, {"seeds", required_argument, nullptr, 'n'},
-                {"parallel", required_argument, nullptr, 'k'}, {"size", required_argument, nullptr, 'z'},
-                {"crashing", no_argument, nullptr, 'x'}, {"silencing", no_argument, nullptr, 'i'},
-                {"stating", no_argument, nullptr, 'g'}, {"processor", required_argument, nullptr, 'c'},
-                {"keep", no_argument, nullptr, 'e'}, {"faults", required_argument, nullptr, 'f'},
-                {"folder", required_argument, nullptr, 'd'}, {"programs", required_argument, nullptr, 'p'},
-                {"templates", required_argument, nullptr, 't'}, {}};
+        static option const options[] = {{"seed", required_argument, nullptr, 's'},
+            {"seeds", required_argument, nullptr, 'n'}, {"parallel", required_argument, nullptr, 'k'},
+            {"size", required_argument, nullptr, 'z'}, {"crashing", no_argument, nullptr, 'x'},
+            {"silencing", no_argument, nullptr, 'i'}, {"stating", no_argument, nullptr, 'g'},
+            {"warming", no_argument, nullptr, 'w'}, {"processor", required_argument, nullptr, 'c'},
+            {"keep", no_argument, nullptr, 'e'}, {"faults", required_argument, nullptr, 'f'},
+            {"folder", required_argument, nullptr, 'd'}, {"programs", required_argument, nullptr, 'p'},
+            {"templates", required_argument, nullptr, 't'}, {}};
         Arguments arguments;
         arguments.first_seed = std::random_device {}();
         arguments.programs = std::filesystem::path(argv[0]).parent_path();
@@ -124,6 +127,9 @@
             case 'g':
                 arguments.stating = true;
                 break;
+            case 'w':
+                arguments.warming = true;
+                break;
             case 'e':
                 arguments.keep = true;
                 break;
@@ -274,6 +280,7 @@
         options.processor = shape.processor;
         options.router_processor = shape.router_processor;
         options.stating = shape.stating;
+        options.warming = shape.warming;
         return options;
     }
 
@@ -365,6 +372,7 @@
         shape.crashing = shape.crashing || arguments.crashing;
         shape.silencing = arguments.silencing;
         shape.stating = arguments.stating;
+        shape.warming = arguments.warming;
         shape.processor = arguments.processor.value_or(shape.processor);
         shape.router_processor = arguments.processor.value_or(shape.router_processor);
         PlanBounds bounds;
--- a/testbed/soak/soaked_fleet.cc
+++ b/testbed/soak/soaked_fleet.cc
@@ -46,6 +46,7 @@
     /// Of all workers, those that leave together: a part between these, in hundredths.
     constexpr std::uint32_t leaving_least = 10;
     constexpr std::uint32_t leaving_spread = 21;
+    constexpr Duration warm_up {3'000'000};
 
     auto ip_of(std::uint32_t machine) -> std::string
     {
@@ -178,6 +179,10 @@
     auto text = FillTemplate(std::get<std::string>(source), m_names.fields_of(fields));
     if (program == "control")
         text += "advertised_peer_address = \"" + at_port(LinkLayer::RelayIp(fields.ip), PeerPort) + "\"\n";
+    if (m_options.warming)
+        text += "warm_up_requests_per_second = 8\n";
+    if (m_options.warming && program == "control")
+        text += "spare_warming_up = true\n";
     return text;
 }
 
@@ -308,6 +313,8 @@
     options.late_every = late_heartbeat_every;
     if (m_options.stating)
         options.statements = draw_statements();
+    if (m_options.warming && m_worker_lives > m_slots.size())
+        options.warm_up = warm_up;
     slot.worker_id = options.id;
     slot.worker = std::make_unique<Worker>(options);
 }
@@ -351,7 +358,7 @@
     m_seen.runs.insert(m_seen.runs.end(), runs.begin(), runs.end());
     auto const holds = worker.holds();
     m_seen.holds.insert(m_seen.holds.end(), holds.begin(), holds.end());
-    if (m_options.stating)
+    if (m_options.stating || m_options.warming)
         m_seen.stated.push_back(worker.stated());
     if (worker.drain_acknowledged())
         m_seen.drains.push_back({slot.worker_id, worker.arrivals_after_drain(drain_allowance)});
--- a/testbed/soak/soaked_fleet.h
+++ b/testbed/soak/soaked_fleet.h
@@ -52,6 +52,7 @@
     double processor = 1; ///< Part of a core that each control process may use; 1: not limited.
     double router_processor = 1; ///< The same of routers.
     bool stating = false; ///< Workers name limits, ask for rests and say that they leave.
+    bool warming = false; ///< Workers that start in place of others warm up.
 };
 
 /// How often a worker was replaced by another process.
--- a/testbed/soak/stated_promises.cc
+++ b/testbed/soak/stated_promises.cc
@@ -27,6 +27,11 @@
     /// A request that is sent later than this must not reach a worker that leaves.
     constexpr Duration leaving_allowed {2'000'000};
 
+    /// Requests that a worker may get in one second while it warms up: one and a half times the 4.2 a second
+    /// that it bears, and 8.
+    constexpr Duration warm_up_window {1'000'000};
+    constexpr double warm_up_allowed = 4.2 * 1.5 + 8;
+
     using AnswersByAttempt = std::map<std::string, SeenAnswer const*>;
     using TimeByRouter = std::map<std::uint32_t, Instant>;
 
@@ -111,6 +116,23 @@
         }
     }
 
+    auto check_warm_up(WorkerStated const& stated, std::vector<Breach>& breaches) -> void
+    {
+        auto const& arrivals = stated.arrivals;
+        auto const end = std::partition_point(
+            arrivals.begin(), arrivals.end(), [&](auto const& it) { return it.first < stated.warm_at; });
+        for (auto from = arrivals.begin(); from != end; ++from) {
+            auto const past = std::partition_point(
+                from, end, [&](auto const& it) { return it.first < from->first + warm_up_window; });
+            if (static_cast<double>(past - from) <= warm_up_allowed)
+                continue;
+            breaches.push_back({"warm_up",
+                stated.worker + " got " + std::to_string(past - from)
+                    + " requests in 1 s while it warmed up"});
+            return;
+        }
+    }
+
     auto check_leaving(Observed const& seen, AnswersByAttempt const& answers, WorkerStated const& stated,
         std::vector<Breach>& breaches) -> void
     {
@@ -142,6 +164,7 @@
         check_limit(seen, answers, stated, breaches);
         check_rests(seen, answers, stated, breaches);
         check_leaving(seen, answers, stated, breaches);
+        check_warm_up(stated, breaches);
     }
 }
 
--- a/testbed/soak/stated_promises.h
+++ b/testbed/soak/stated_promises.h
@@ -8,8 +8,8 @@
 
 namespace graniteseam::testbed::soak {
 
-/// Checks the promises "limit", "rest" and "leaving" as the users' rules say. A disturbance of a router
-/// since it was told excuses what that router sends.
+/// Checks the promises "limit", "rest", "leaving" and "warm_up" as the users' rules say. A disturbance of a
+/// router since it was told excuses what that router sends, but from the last of them.
 auto check_statements(Observed const&, std::vector<Breach>&) -> void;
 
 } // namespace graniteseam::testbed::soak
--- a/tests/soak/promises_test.cc
+++ b/tests/soak/promises_test.cc
@@ -444,6 +444,21 @@
 
 } // namespace
 
+/// Guards against a soak that does not see a worker flooded while it warms up.
+Test(promises, breach_of_the_bound_of_a_warm_up_is_found)
+{
+    Observed seen;
+    WorkerStated stated {"w-1"};
+    for (std::int64_t ms = 0; ms < 5'000; ms += 70)
+        stated.arrivals.emplace_back(at(ms), "a-" + std::to_string(ms));
+    seen.stated.push_back(stated);
+    cr_assert(!breaks(seen, "warm_up"), "it was warm");
+    seen.stated[0].warm_at = at(3'000);
+    cr_assert(breaks(seen, "warm_up"), "15 in a second");
+    seen.stated[0].warm_at = at(970);
+    cr_assert(!breaks(seen, "warm_up"), "14 before it was warm");
+}
+
 Test(promises, breach_of_a_limit_by_routers_that_were_told_is_found)
 {
     Observed seen;
--- a/tests/soak/seeded_runs_test.cc
+++ b/tests/soak/seeded_runs_test.cc
@@ -57,6 +57,12 @@
     play("9100002", {"--silencing"});
 }
 
+/// Guards against servers that are flooded while they warm up, over all routers together.
+Test(seeded_runs, seed_70001_with_workers_that_warm_up, .timeout = 240)
+{
+    play("70001", {"--warming"});
+}
+
 /// Guards against limits, rests and leavings that are lost between the wire and what decides on requests.
 Test(seeded_runs, seed_50001_with_workers_that_state_limits_and_rests, .timeout = 240)
 {
