--- a/src/gateway/backend_table.cc
+++ b/src/gateway/backend_table.cc
@@ -40,9 +40,10 @@
 constexpr double kUsualPercent = 100;
 /// Weight of the newest request in the usual latency of a service.
 constexpr double kNewestUsual = 0.02;
-/// Age from which on the state counts as outdated: three polls and an answer. And how long a
-/// server's own answer stands in for it then.
+/// Age of control's last confirmation from which on the state counts as outdated: three polls and
+/// an answer.
 constexpr Duration kStateMaxAge{1'600'000};
+/// While the state is outdated, how long a server's answer to a probe allows requests to it.
 constexpr Duration kProbeMaxAge{1'000'000};
 /// An older load report does not describe the current load.
 constexpr Duration kLoadReportMaxAge{100'000};
--- a/src/gateway/backend_table.h
+++ b/src/gateway/backend_table.h
@@ -244,7 +244,7 @@
   /// @param before_probes whether the servers are to be probed before one of them is chosen.
   Choice ChoiceOf(const ServiceName& service, const std::vector<traffic::InstanceId>& tried,
                   bool before_probes, Instant now) const;
-  /// Why a server's own words forbid a request to it.
+  /// Why a server's back pressure or warm-up, as far as known here, forbids a request to it.
   std::optional<RefusalReason> PressureBlockReason(const Backend& backend, Instant now) const;
   /// Expected latency of a further request at a server that has just reported its load.
   double CompletionMicros(const Backend& backend, Duration target, Instant now) const;
@@ -286,7 +286,7 @@
   std::map<ServiceName, std::uint32_t> connection_shares_;
   std::set<ServiceName> keyed_;
   std::set<ServiceName> probeable_;  ///< Services whose servers have a health path.
-  Instant first_applied_at_{};
+  Instant first_applied_at_{};       ///< When this gateway received its first state.
   std::map<ServiceName, RequestCount> request_counts_;
   std::map<ServiceZone, Occupancy> occupancies_;
   /// Mean latency of a request by service, normalised to usual work time, in microseconds.
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -159,8 +159,9 @@
   /// Probes a few servers for their load before the request is sent to one of them.
   /// @return whether any probe was sent.
   bool BeginProbes(LiveRequest& request, Instant now);
-  /// Probes an owner of keys, of which this gateway may not know that it warms up.
+  /// Probes a key's owner, which may warm up without this gateway's knowledge; the request waits.
   Step ProbeOwner(LiveRequest& request, const Backend& owner, Instant now);
+  /// Starts a round of probes, for whose answers the request waits.
   void Probe(LiveRequest& request, const BackendTable::Backends& servers, Instant now);
   /// Sends the request to the best of the probed servers.
   /// @return whether it was sent; false when none of them answered and has room, or the chosen one
