--- a/simulation/traffic_world/traffic_fleet.cc
+++ b/simulation/traffic_world/traffic_fleet.cc
@@ -43,7 +43,7 @@
 TrafficFleet::TrafficFleet(World& world, TrafficOracle& oracle, TrafficWorldOptions options)
     : m_world(world)
     , m_oracle(oracle)
-    , m_options(options)
+    , m_options(std::move(options))
 {
     std::vector<std::string> addresses;
     std::vector<consensus::Member> voters;
