--- /dev/null
+++ b/include/graniteseam/traffic/peer.h
@@ -0,0 +1,47 @@
+/// @file
+/// The list of gateways that coordinate admission among themselves, as the leader distributes it.
+#pragma once
+
+#include <boost/describe/class.hpp>
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "graniteseam/common/ids.h"
+
+namespace graniteseam::traffic {
+
+/// A gateway that takes part in coordinated admission.
+struct GatewayPeer {
+  RouterId id;
+  std::string address;  ///< "ip:port" of its datagram socket.
+  ZoneName zone;
+  double weight = 1;  ///< Its machine's processor share, relative to the other gateways.
+
+  bool operator==(const GatewayPeer&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(GatewayPeer, (), (id, address, zone, weight))
+
+/// A version of the list. Lists of different terms are unrelated.
+struct PeerVersion {
+  std::uint64_t term = 0;
+  std::uint64_t number = 0;  ///< 0 for no list.
+
+  auto operator<=>(const PeerVersion&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(PeerVersion, (), (term, number))
+
+/// The difference of the list from `base` to `version`. With base number 0 it is the whole list;
+/// with version number 0 it contains nothing and changes nothing.
+struct PeerUpdate {
+  PeerVersion base;
+  PeerVersion version;
+  std::vector<GatewayPeer> changed;  ///< New or changed.
+  std::vector<RouterId> removed;
+
+  bool operator==(const PeerUpdate&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(PeerUpdate, (), (base, version, changed, removed))
+
+}  // namespace graniteseam::traffic
--- a/include/graniteseam/traffic/update.h
+++ b/include/graniteseam/traffic/update.h
@@ -12,6 +12,7 @@
 #include "graniteseam/traffic/instance.h"
 #include "graniteseam/traffic/instance_limit.h"
 #include "graniteseam/traffic/key_range.h"
+#include "graniteseam/traffic/peer.h"
 #include "graniteseam/traffic/quota.h"
 #include "graniteseam/traffic/suspect.h"
 #include "graniteseam/traffic/tenant.h"
@@ -42,13 +43,14 @@
   /// polling router is to use as its feed; empty for the responding process.
   std::string feed;
   QuotaGrant quota;  ///< In the response to a poll.
+  PeerUpdate peers;  ///< In the response to a poll.
 
   bool operator==(const TrafficUpdate&) const = default;
 };
 BOOST_DESCRIBE_STRUCT(TrafficUpdate, (),
                       (sequence, base, version, configuration, routes, removed_routes, services,
                        removed_services, limits, instances, ranges, routers, router_place, suspects,
-                       tenancy, feed, quota))
+                       tenancy, feed, quota, peers))
 
 /// Requests for one key that one router received since its last poll.
 struct KeyLoad {
@@ -77,10 +79,15 @@
   std::uint32_t whole = 0;      ///< Complete responses, including those to queued requests.
   std::uint32_t failures = 0;   ///< Complete responses that indicate a failure of the instance.
   std::uint32_t unreached = 0;  ///< Attempts that ended without a complete response.
+  /// Work times that responses reported, in percent of the usual, and their number.
+  double work_percent_sum = 0;
+  std::uint32_t work_percent_answers = 0;
 
   bool operator==(const InstanceSpeed&) const = default;
 };
-BOOST_DESCRIBE_STRUCT(InstanceSpeed, (), (instance, answers, busy_us, whole, failures, unreached))
+BOOST_DESCRIBE_STRUCT(InstanceSpeed, (),
+                      (instance, answers, busy_us, whole, failures, unreached, work_percent_sum,
+                       work_percent_answers))
 
 /// A router's request for changes, which also serves as its heartbeat.
 struct TrafficPoll {
@@ -98,12 +105,17 @@
   QuotaReport quota;
   std::vector<InstanceLimit> limits;  ///< Observed in responses since the last poll.
   std::vector<InstanceRest> rests;    ///< Back-off periods requested since the last poll.
+  /// The router's address for coordinated admission, "ip:port"; empty when it takes no part.
+  std::string peer_address;
+  double peer_weight = 1;     ///< Its machine's processor share.
+  PeerVersion peers_version;  ///< Of the list of gateways that the router has.
 
   bool operator==(const TrafficPoll&) const = default;
 };
 BOOST_DESCRIBE_STRUCT(TrafficPoll, (),
                       (router, zone, sequence, version, loads, speeds, losses, answered,
-                       wants_state, feeds_tried, quota, limits, rests))
+                       wants_state, feeds_tried, quota, limits, rests, peer_address, peer_weight,
+                       peers_version))
 
 /// Subscribes to a control process's traffic state: the state, then its changes for as long as the
 /// connection lasts.
