Run pipelined reads of a connection in parallel

A connection parsed nothing while a request was being answered, so the requests that a caller pipelined ran one after the other: with 260 ms of work each, the fourth was answered after more than a second, for a target of 800 ms.

Requests that the server's predicate permits (safe methods, RFC 9112, section 9.3.2) now begin at once, up to 16 a connection and 256 KiB of finished responses that wait for their turn; responses keep the order of the requests. Any other request waits for those ahead of it and holds back those behind it. Nothing begins behind a request that ends the connection, since its caller sends again whatever came behind it. Pipeline holds these decisions without I/O; the connection moves to files of its own. The gateway permits GET and HEAD on routes that may be repeated.

--- a/fuzz/requests_ahead_fuzz.cc
+++ b/fuzz/requests_ahead_fuzz.cc
@@ -2,7 +2,8 @@
 /// Requests that a client sends ahead, in pieces of any size and with answers at any time, against
 /// a plain parser of the same bytes: the server must hand on the same sequence, once each, and
 /// answer in that order. Also across refusals, drains, a closed server, a client that ends its
-/// sending and connections that end.
+/// sending and connections that end. Each input is played twice: with requests that run one after
+/// the other, and with reads that run in parallel and are answered in the reverse order.
 #include <boost/asio/io_context.hpp>
 #include <cstdio>
 #include <cstdlib>
@@ -38,8 +39,12 @@
 /// A server whose loop is turned by hand, and one client of it.
 class Exchanges {
  public:
-  Exchanges() {
+  /// @param parallel whether reads run in parallel, and the newest request is answered first.
+  explicit Exchanges(bool parallel) : parallel_(parallel) {
     event_http::ServerOptions options;
+    if (parallel) {
+      options.may_run_beside = [](const auto& request) { return request.method == "GET"; };
+    }
     options.address = {"127.0.0.1", 0};
     options.clock = [] { return Instant{} + std::chrono::hours(1); };
     server_ = std::make_unique<event_http::Server>(
@@ -74,8 +79,8 @@
 
   bool AnswerNext() {
     if (held_.empty()) return false;
-    const auto exchange = held_.front();
-    held_.pop_front();
+    const auto exchange = parallel_ ? held_.back() : held_.front();
+    parallel_ ? held_.pop_back() : held_.pop_front();
     event_http::Response response;
     response.body = "answer to " + exchange->request().target + ";";
     exchange->Respond(response);
@@ -121,6 +126,7 @@
     });
   }
 
+  const bool parallel_;
   boost::asio::io_context context_;
   std::deque<std::shared_ptr<event_http::Exchange>> held_;
   std::unique_ptr<event_http::Server> server_;
@@ -215,16 +221,13 @@
   }
 }
 
-}  // namespace
-
-extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
-  InputReader input(data, size);
+void Check(InputReader input, bool parallel) {
   std::string bytes;
   const std::size_t requests = 1 + input.Draw(kRequestsMaximum);
   for (std::size_t number = 0; number < requests && bytes.size() < kScriptBytes; ++number) {
     AppendRequest(input, number, bytes);
   }
-  Exchanges exchanges;
+  Exchanges exchanges(parallel);
   const Endings endings = Play(input, bytes, exchanges);
   const ExpectedRequests expected = ParsePlainly(bytes);
   std::optional<std::size_t> awaited;
@@ -232,5 +235,12 @@
   exchanges.Finish(awaited, expected.refused || expected.last_closes);
   CheckSequence(exchanges.sequence(), expected, endings);
   CheckAnswers(exchanges.answers(), exchanges.sequence().size(), expected, endings);
+}
+
+}  // namespace
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+  Check(InputReader(data, size), false);
+  Check(InputReader(data, size), true);
   return 0;
 }
--- a/src/daemon/gateway/gateway_process.cc
+++ b/src/daemon/gateway/gateway_process.cc
@@ -73,6 +73,10 @@
   callers.address = settings_.caller_address;
   callers.connections_maximum = static_cast<std::size_t>(settings_.connections_maximum);
   callers.body_bytes_total = kBodyBytesTotal;
+  callers.may_run_beside = [this](const event_http::Request& request) {
+    const std::string* const host = request.fields.Find("Host");
+    return host != nullptr && node_.MayRunBeside(*host, request.Path(), request.method);
+  };
   callers_ = std::make_unique<event_http::Server>(
       loop_.context(), callers, [this](const auto& exchange) { OnExchange(exchange); });
   event_http::ServerOptions status;
--- /dev/null
+++ b/src/event_http/pipeline.cc
@@ -0,0 +1,68 @@
+#include "src/event_http/pipeline.h"
+
+#include <algorithm>
+
+namespace graniteseam::event_http {
+
+bool Pipeline::MayParse() const {
+  if (entries_.empty()) return true;
+  const Entry& last = entries_.back();
+  return last.beside && !last.ends_connection && entries_.size() < bounds_.requests_maximum &&
+         waiting_answer_bytes_ < bounds_.answer_bytes_maximum;
+}
+
+Pipeline::Ticket Pipeline::Add(bool beside, bool ends_connection, std::size_t body_bytes) {
+  Entry& entry = entries_.emplace_back();
+  entry.ticket = ++last_ticket_;
+  entry.beside = beside;
+  entry.ends_connection = ends_connection;
+  entry.body_bytes = body_bytes;
+  return entry.ticket;
+}
+
+Pipeline::Entry* Pipeline::FindOpen(Ticket ticket) {
+  const auto found = std::find_if(entries_.begin(), entries_.end(), [&](const Entry& entry) {
+    return entry.ticket == ticket && !entry.response;
+  });
+  return found == entries_.end() ? nullptr : &*found;
+}
+
+bool Pipeline::IsOpen(Ticket ticket) const {
+  return std::any_of(entries_.begin(), entries_.end(),
+                     [&](const Entry& entry) { return entry.ticket == ticket && !entry.response; });
+}
+
+void Pipeline::SetGoneHandler(Ticket ticket, std::function<void()> handler) {
+  if (Entry* const entry = FindOpen(ticket)) entry->gone = std::move(handler);
+}
+
+std::size_t Pipeline::Finish(Ticket ticket, Response response) {
+  Entry* const entry = FindOpen(ticket);
+  if (entry == nullptr) return 0;
+  entry->gone = nullptr;
+  waiting_answer_bytes_ += response.body.size();
+  entry->response = std::move(response);
+  return std::exchange(entry->body_bytes, 0);
+}
+
+std::optional<Pipeline::Ready> Pipeline::TakeReady() {
+  if (entries_.empty() || !entries_.front().response) return std::nullopt;
+  Entry& first = entries_.front();
+  Ready ready{*std::move(first.response), first.ends_connection, entries_.size() == 1};
+  waiting_answer_bytes_ -= ready.response.body.size();
+  entries_.pop_front();
+  return ready;
+}
+
+Pipeline::Remains Pipeline::Clear() {
+  Remains remains;
+  for (Entry& entry : entries_) {
+    if (entry.gone) remains.gone_handlers.push_back(std::move(entry.gone));
+    remains.body_bytes += entry.body_bytes;
+  }
+  entries_.clear();
+  waiting_answer_bytes_ = 0;
+  return remains;
+}
+
+}  // namespace graniteseam::event_http
--- a/src/event_http/server.h
+++ b/src/event_http/server.h
@@ -31,6 +31,15 @@
   std::size_t body_bytes_total = std::size_t{96} << 20;
   /// A client that takes no bytes of its answer for so long is hung up on.
   Duration write_timeout{10'000'000};
+  /// Whether a request may run in parallel with others of its connection. It must be idempotent and
+  /// have a safe method (RFC 9112, section 9.3.2). Empty: requests of a connection run one after
+  /// the other.
+  std::function<bool(const Request&)> may_run_beside;
+  /// Requests of one connection in progress, those whose responses wait for their turn included.
+  std::size_t requests_ahead_maximum = 16;
+  /// Bytes of finished responses of one connection that wait for their turn. Beyond it no further
+  /// request of the connection begins; those in progress go on.
+  std::size_t answer_bytes_ahead = std::size_t{256} << 10;
   /// Tests step it by hand.
   std::function<Instant()> clock = runtime::BootTimeNow;
 };
@@ -52,7 +61,8 @@
 /// All calls and handlers run on the event loop's thread.
 ///
 /// Lifecycle: Start() once; BeginDrain(), then Close() for a planned stop. The event loop stops
-/// before destruction. Requests of one connection are answered in their order, one at a time.
+/// before destruction. Requests of one connection are answered in their order; they run one
+/// at a time, but for those that ServerOptions::may_run_beside permits to run in parallel.
 /// Malformed, oversized and slow input is answered with 400, 408, 413, 431 or 503 and ends its
 /// connection; others are not touched by it.
 ///
--- /dev/null
+++ b/src/event_http/server_connection.cc
@@ -0,0 +1,347 @@
+#include "src/event_http/server_connection.h"
+
+#include <boost/asio/write.hpp>
+#include <utility>
+
+#include "src/event_http/socket_options.h"
+
+namespace graniteseam::event_http {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+// Statuses of the server's own answers (RFC 9110, section 15; RFC 6585, section 5).
+constexpr int kBadRequest = 400;
+constexpr int kRequestTimeout = 408;
+constexpr int kBodyTooLarge = 413;
+constexpr int kHeaderTooLarge = 431;
+constexpr int kServiceUnavailable = 503;
+/// What a client may send ahead while requests are in progress and nothing further may begin.
+constexpr std::size_t kReadAheadBytes = 65'536;
+/// How long a client that was refused may go on sending, so that it sees why.
+constexpr Duration kLinger{1'000'000};
+
+}  // namespace
+
+class ServerConnection::ExchangeImpl : public Exchange {
+ public:
+  ExchangeImpl(Request request, std::weak_ptr<ServerConnection> connection, Instant received_at)
+      : request_(std::move(request)),
+        connection_(std::move(connection)),
+        received_at_(received_at) {}
+
+  void SetTicket(Pipeline::Ticket ticket) { ticket_ = ticket; }
+
+  const Request& request() const override { return request_; }
+  Instant received_at() const override { return received_at_; }
+  void Respond(const Response& response) override {
+    if (const auto connection = connection_.lock()) connection->Respond(ticket_, response);
+  }
+  void OnGone(std::function<void()> handler) override {
+    const auto connection = connection_.lock();
+    if (connection) connection->pipeline_.SetGoneHandler(ticket_, std::move(handler));
+  }
+
+ private:
+  const Request request_;
+  const std::weak_ptr<ServerConnection> connection_;
+  const Instant received_at_;
+  Pipeline::Ticket ticket_ = 0;
+};
+
+ServerConnection::ServerConnection(asio::ip::tcp::socket socket,
+                                   const std::shared_ptr<Server::Impl>& server)
+    : socket_(std::move(socket)),
+      server_(server),
+      clock_(server->options().clock),
+      pipeline_({server->options().requests_ahead_maximum, server->options().answer_bytes_ahead}) {}
+
+void ServerConnection::Start() {
+  SetSocketOptions(socket_);
+  last_activity_ = clock_();
+  Advance();
+}
+
+void ServerConnection::CloseIfResting() {
+  if (!unfinished() && !parser_) Close();
+}
+
+void ServerConnection::Close() {
+  if (closed_) return;
+  closed_ = true;
+  ErrorCode ignored;
+  socket_.close(ignored);
+  ReturnUnbegunBytes();
+  Pipeline::Remains remains = pipeline_.Clear();
+  ReturnBytes(remains.body_bytes);
+  for (const auto& handler : remains.gone_handlers) handler();
+  if (const auto server = server_.lock()) server->Remove(shared_from_this());
+}
+
+void ServerConnection::Drop() {
+  ReturnBytes(pipeline_.Clear().body_bytes);
+  Close();
+}
+
+void ServerConnection::Sweep(Instant now) {
+  const auto server = server_.lock();
+  if (!server || closed_) return;
+  const Duration quiet = now - last_activity_;
+  if (lingering_) {
+    if (quiet > kLinger) Close();
+  } else if (writing_) {
+    if (quiet > server->options().write_timeout) Close();
+  } else if (!pipeline_.empty()) {
+    return;
+  } else if (parser_ && !parser_->is_header_done()) {
+    if (now - message_start_ > server->limits().header_timeout) Refuse(kRequestTimeout);
+  } else if (quiet > server->limits().idle_timeout) {
+    parser_ ? Refuse(kRequestTimeout) : Close();
+  }
+}
+
+// --- Reading ---
+
+void ServerConnection::Read() {
+  if (buffer_.pending() || closed_ || input_ended_) return;
+  if (busy() && buffer_.size() >= kReadAheadBytes) return;
+  socket_.async_read_some(buffer_.BeginRead(),
+                          [self = shared_from_this()](ErrorCode error, std::size_t bytes) {
+                            self->OnRead(error, bytes);
+                          });
+}
+
+void ServerConnection::OnRead(ErrorCode error, std::size_t bytes) {
+  buffer_.EndRead(error || lingering_ ? 0 : bytes);
+  if (closed_) return;
+  // The client sends nothing more. It may still take the answer that is on its way; one that was
+  // not made yet has nobody who waits for it, since a client that left looks the same.
+  input_ended_ = error == asio::error::eof;
+  if (input_ended_ && writing_) return;
+  if (error) return Close();
+  last_activity_ = clock_();
+  if (lingering_) return Read();  // What came was thrown away.
+  Advance();
+}
+
+bool ServerConnection::MayParse() const {
+  if (next_ || refusal_status_ || lingering_ || closed_ || write_closes_) return false;
+  // Without parallel requests, nothing is parsed before the response is written.
+  const auto server = server_.lock();
+  const bool parallel = server && server->options().may_run_beside;
+  return parallel ? pipeline_.MayParse() : !busy();
+}
+
+void ServerConnection::Advance() {
+  const auto server = server_.lock();
+  if (!server) return Close();
+  if (parser_) ExpectContinue();
+  Dispatch(*server);
+  while (MayParse() && !buffer_.empty()) {
+    if (!ParseSome(*server)) break;
+  }
+  Read();
+}
+
+bool ServerConnection::ParseSome(Server::Impl& server) {
+  if (!parser_) BeginMessage(server);
+  ErrorCode error;
+  const std::size_t used = parser_->put(asio::buffer(buffer_.unread()), error);
+  buffer_.Consume(used);
+  if (error && error != http::error::need_more) {
+    RefuseFor(error);
+    return false;
+  }
+  const bool in_head = !parser_->is_header_done();
+  if (in_head && head_limit_.Exceeded(used, buffer_.size())) {
+    Refuse(kHeaderTooLarge);
+    return false;
+  }
+  if (!in_head) TakeHead();
+  if (!CountBody(server)) {
+    Refuse(kServiceUnavailable);
+    return false;
+  }
+  ExpectContinue();
+  if (!parser_->is_done()) return used != 0;
+  TakeParsed(server);
+  Dispatch(server);
+  return true;
+}
+
+void ServerConnection::BeginMessage(Server::Impl& server) {
+  parser_.emplace();
+  // Stops behind the head, whose fields are taken before those of a trailer join them.
+  parser_->eager(false);
+  parser_->header_limit(static_cast<std::uint32_t>(server.limits().header_bytes));
+  head_limit_.Begin(server.limits().header_bytes);
+  head_is_taken_ = false;
+  parser_->body_limit(server.limits().body_bytes);
+  message_start_ = clock_();
+  continued_ = false;
+}
+
+/// Fields of a trailer are left out (RFC 9110, section 6.5.1): a request is judged by its head,
+/// and a trailer could add a key, an id or a tenant to it.
+void ServerConnection::TakeHead() {
+  if (std::exchange(head_is_taken_, true)) return;
+  head_fields_ = {};
+  for (const auto& field : parser_->get()) {
+    head_fields_.Add({field.name_string().data(), field.name_string().size()},
+                     {field.value().data(), field.value().size()});
+  }
+  parser_->eager(true);
+}
+
+bool ServerConnection::CountBody(Server::Impl& server) {
+  const std::size_t size = parser_->get().body().size();
+  if (size <= counted_bytes_) return true;
+  if (!server.TakeBodyBytes(size - counted_bytes_)) return false;
+  counted_bytes_ = size;
+  return true;
+}
+
+void ServerConnection::ReturnBytes(std::size_t bytes) {
+  if (const auto server = server_.lock()) server->ReturnBodyBytes(bytes);
+}
+
+void ServerConnection::ReturnUnbegunBytes() {
+  ReturnBytes(std::exchange(counted_bytes_, 0));
+  if (next_) ReturnBytes(next_->body_bytes);
+  next_.reset();
+}
+
+/// A client that waits for leave to send its body gets it (RFC 9110, section 10.1.1), but not
+/// before the responses to earlier requests: it would take it for a part of those.
+void ServerConnection::ExpectContinue() {
+  if (continued_ || busy() || !parser_->is_header_done() || parser_->is_done()) return;
+  continued_ = true;
+  if (!boost::beast::iequals(parser_->get()[http::field::expect], "100-continue")) return;
+  static constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+  ErrorCode ignored;
+  socket_.non_blocking(true, ignored);
+  socket_.write_some(asio::buffer(kContinue), ignored);
+}
+
+// --- Requests ---
+
+void ServerConnection::TakeParsed(Server::Impl& server) {
+  ParsedRequest& parsed = next_.emplace();
+  parsed.keep_alive = parser_->keep_alive();
+  auto message = parser_->release();
+  parser_.reset();
+  parsed.request.method = std::string(message.method_string());
+  parsed.request.target = std::string(message.target());
+  parsed.request.fields = std::move(head_fields_);
+  parsed.request.body = std::move(message.body());
+  parsed.body_bytes = std::exchange(counted_bytes_, 0);
+  parsed.received_at = clock_();
+  parsed.beside = server.MayRunBeside(parsed.request);
+}
+
+bool ServerConnection::Dispatch(Server::Impl& server) {
+  if (!next_ || refusal_status_ || write_closes_ || lingering_ || closed_) return false;
+  if (!pipeline_.Admits(next_->beside)) return false;
+  // It came whole only after the close, when its answer might come too late.
+  if (server.closing()) {
+    Refuse(kServiceUnavailable);
+    return false;
+  }
+  ParsedRequest parsed = *std::move(next_);
+  next_.reset();
+  const auto exchange = std::make_shared<ExchangeImpl>(std::move(parsed.request), weak_from_this(),
+                                                       parsed.received_at);
+  exchange->SetTicket(pipeline_.Add(parsed.beside, !parsed.keep_alive, parsed.body_bytes));
+  server.Handle(exchange);
+  return true;
+}
+
+// --- Responses ---
+
+void ServerConnection::Respond(Pipeline::Ticket ticket, const Response& response) {
+  if (closed_ || !pipeline_.IsOpen(ticket)) return;
+  ReturnBytes(pipeline_.Finish(ticket, response));
+  WriteNext();
+}
+
+void ServerConnection::WriteNext() {
+  if (writing_) return;
+  auto ready = pipeline_.TakeReady();
+  if (!ready) return;
+  const auto server = server_.lock();
+  // What the client sent ahead is answered before the connection ends: it was read.
+  const bool leaves = !server || server->draining() || server->closing();
+  const bool nothing_behind = ready->last && !next_ && !parser_ && buffer_.empty();
+  const bool close = ready->ends_connection || (leaves && nothing_behind);
+  Write(Serialize(ready->response, close), close);
+}
+
+void ServerConnection::Write(std::string text, bool close) {
+  writing_ = true;
+  write_closes_ = close;
+  output_ = std::move(text);
+  last_activity_ = clock_();
+  asio::async_write(
+      socket_, asio::buffer(output_),
+      [self = shared_from_this()](ErrorCode error, std::size_t) {
+        self->last_activity_ = self->clock_();
+        return asio::transfer_all()(error, 0);
+      },
+      [self = shared_from_this(), close](ErrorCode error, std::size_t) {
+        self->OnWritten(error, close);
+      });
+}
+
+void ServerConnection::OnWritten(ErrorCode error, bool close) {
+  if (closed_) return;
+  writing_ = false;
+  output_.clear();
+  output_.shrink_to_fit();
+  last_activity_ = clock_();
+  // A message that is being parsed has its time from here on.
+  message_start_ = last_activity_;
+  if (error) return Close();
+  if (close) return Linger();
+  WriteNext();
+  if (writing_) return Advance();
+  // Nobody waits for responses that were not made yet.
+  if (input_ended_) return Close();
+  if (pipeline_.empty() && refusal_status_) return WriteRefusal();
+  const auto server = server_.lock();
+  // The server was closed amid an answer that did not say so.
+  if (server && server->closing() && pipeline_.empty()) {
+    const bool resting = buffer_.empty() && !next_ && !parser_;
+    return resting ? Close() : Refuse(kServiceUnavailable);
+  }
+  Advance();
+}
+
+void ServerConnection::Linger() {
+  lingering_ = true;
+  ErrorCode ignored;
+  socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  buffer_.Clear();
+  Read();
+}
+
+void ServerConnection::RefuseFor(ErrorCode error) {
+  if (error == http::error::header_limit) return Refuse(kHeaderTooLarge);
+  if (error == http::error::body_limit) return Refuse(kBodyTooLarge);
+  Refuse(kBadRequest);
+}
+
+void ServerConnection::Refuse(int status) {
+  parser_.reset();
+  ReturnUnbegunBytes();
+  refusal_status_ = status;
+  if (!busy()) WriteRefusal();
+}
+
+void ServerConnection::WriteRefusal() {
+  Response response;
+  response.status = *refusal_status_;
+  Write(Serialize(response, true), true);
+}
+
+}  // namespace graniteseam::event_http
--- /dev/null
+++ b/src/event_http/server_connection.h
@@ -0,0 +1,115 @@
+/// @file
+/// One connection of an HTTP server.
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "src/event_http/head_limit.h"
+#include "src/event_http/pipeline.h"
+#include "src/event_http/read_buffer.h"
+#include "src/event_http/server_impl.h"
+
+namespace graniteseam::event_http {
+
+/// Reads requests one after the other. While requests are in progress it parses and begins further
+/// ones as far as Pipeline permits; otherwise it only goes on reading a little, to see when the
+/// client leaves.
+class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
+ public:
+  ServerConnection(boost::asio::ip::tcp::socket socket,
+                   const std::shared_ptr<Server::Impl>& server);
+
+  void Start();
+
+  /// Whether a request has no response yet, or a response is being written.
+  bool busy() const { return !pipeline_.empty() || writing_; }
+  /// Also while the client may not have taken its answer yet.
+  bool unfinished() const { return busy() || lingering_; }
+
+  void CloseIfResting();
+  void Close();
+  /// Closes without calling the handler of a client that goes: the server itself goes, and what the
+  /// handler would use may be gone already.
+  void Drop();
+  /// Ends what takes too long.
+  void Sweep(Instant now);
+
+ private:
+  using ErrorCode = boost::system::error_code;
+  using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+  class ExchangeImpl;
+
+  /// A request that was parsed and may not begin yet.
+  struct ParsedRequest {
+    Request request;
+    bool keep_alive = true;
+    bool beside = false;
+    std::size_t body_bytes = 0;
+    Instant received_at{};
+  };
+
+  void Read();
+  void OnRead(ErrorCode error, std::size_t bytes);
+  /// Parses and begins what was read, as far as the requests in progress permit.
+  void Advance();
+  bool MayParse() const;
+  /// Parses until a request is whole.
+  /// @return whether to go on.
+  bool ParseSome(Server::Impl& server);
+  void BeginMessage(Server::Impl& server);
+  void TakeHead();
+  bool CountBody(Server::Impl& server);
+  /// Returns the body bytes of the message that is being parsed, and of one that was not begun.
+  void ReturnUnbegunBytes();
+  void ExpectContinue();
+  /// Takes the request that was parsed out of the parser.
+  void TakeParsed(Server::Impl& server);
+  /// Begins the parsed request if it may begin now.
+  /// @return whether it did.
+  bool Dispatch(Server::Impl& server);
+
+  void Respond(Pipeline::Ticket ticket, const Response& response);
+  /// Writes the next response whose turn has come, if none is being written.
+  void WriteNext();
+  void Write(std::string text, bool close);
+  void OnWritten(ErrorCode error, bool close);
+  /// Says that nothing more comes, and takes what the client still sends, so that no reset
+  /// overtakes the answer.
+  void Linger();
+  void RefuseFor(ErrorCode error);
+  /// Ends the connection with an answer of the server's own, once all requests in progress are
+  /// answered.
+  void Refuse(int status);
+  void WriteRefusal();
+  void ReturnBytes(std::size_t bytes);
+
+  boost::asio::ip::tcp::socket socket_;
+  const std::weak_ptr<Server::Impl> server_;
+  const std::function<Instant()> clock_;
+  ReadBuffer buffer_;
+  std::optional<Parser> parser_;
+  HeadLimit head_limit_;
+  HeaderFields head_fields_;
+  bool head_is_taken_ = false;
+  Pipeline pipeline_;
+  std::optional<ParsedRequest> next_;
+  std::string output_;
+  std::size_t counted_bytes_ = 0;  ///< Body bytes of the message that is being parsed.
+  Instant message_start_{};
+  Instant last_activity_{};
+  std::optional<int> refusal_status_;  ///< Set when the connection ends with a refusal.
+  bool continued_ = false;
+  bool writing_ = false;
+  bool write_closes_ = false;  ///< The connection ends with the response being written.
+  bool lingering_ = false;
+  bool input_ended_ = false;
+  bool closed_ = false;
+};
+
+}  // namespace graniteseam::event_http
--- /dev/null
+++ b/src/event_http/server_impl.h
@@ -0,0 +1,74 @@
+/// @file
+/// The implementation of Server: the port, its connections and what they share.
+#pragma once
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+#include <set>
+#include <utility>
+
+#include "src/event_http/server.h"
+
+namespace graniteseam::event_http {
+
+class ServerConnection;
+
+class Server::Impl : public std::enable_shared_from_this<Server::Impl> {
+ public:
+  Impl(boost::asio::io_context& context, ServerOptions options, Handler handler)
+      : context_(context),
+        options_(std::move(options)),
+        handler_(std::move(handler)),
+        acceptor_(context),
+        sweep_(context) {}
+
+  Result<void> Start();
+  std::uint16_t port() const { return port_; }
+  void BeginDrain() { draining_ = true; }
+  void Close();
+  void Stop();
+
+  const ServerOptions& options() const { return options_; }
+  const ServerLimits& limits() const { return limits_; }
+  void SetLimits(const ServerLimits& limits) { limits_ = limits; }
+  bool draining() const { return draining_; }
+  bool closing() const { return closing_; }
+  void Handle(const std::shared_ptr<Exchange>& exchange) { handler_(exchange); }
+  /// Whether the request may run in parallel with others of its connection.
+  bool MayRunBeside(const Request& request) const {
+    return options_.may_run_beside && options_.may_run_beside(request);
+  }
+  void Remove(const std::shared_ptr<ServerConnection>& connection) {
+    connections_.erase(connection);
+  }
+  std::size_t connections() const { return connections_.size(); }
+  std::size_t busy() const;
+
+  /// Takes room for body bytes.
+  /// @return false when all of it is in use.
+  bool TakeBodyBytes(std::size_t bytes) {
+    if (body_bytes_ + bytes > options_.body_bytes_total) return false;
+    body_bytes_ += bytes;
+    return true;
+  }
+  void ReturnBodyBytes(std::size_t bytes) { body_bytes_ -= bytes; }
+
+ private:
+  void Accept();
+  void Sweep();
+
+  boost::asio::io_context& context_;
+  const ServerOptions options_;
+  const Handler handler_;
+  ServerLimits limits_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::steady_timer sweep_;
+  std::set<std::shared_ptr<ServerConnection>> connections_;
+  std::size_t body_bytes_ = 0;
+  std::uint16_t port_ = 0;
+  bool draining_ = false;
+  bool closing_ = false;
+};
+
+}  // namespace graniteseam::event_http
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -187,6 +187,13 @@
   return poll;
 }
 
+bool GatewayNode::MayRunBeside(std::string_view host, std::string_view path,
+                               std::string_view method) {
+  if (method != "GET" && method != "HEAD") return false;
+  const traffic::Route* const route = traffic_.routes().Find(host, path);
+  return route != nullptr && traffic::MayRepeat(route->kind);
+}
+
 // --- Admission ---
 
 void GatewayNode::Admit(LiveRequest& request, Instant now) {
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -89,6 +89,10 @@
   /// The control process that feeds the state, "ip:port"; empty before the leader named one.
   const std::string& feed() const { return feed_.address; }
 
+  /// Whether a request may run in parallel with others that its caller pipelined: it has a safe
+  /// method, and its route's requests may be repeated.
+  bool MayRunBeside(std::string_view host, std::string_view path, std::string_view method);
+
   /// Whether a configuration was ever received.
   bool Ready() const { return traffic_.is_ready(); }
   const traffic::CallerLimits& limits() const { return traffic_.limits(); }
--- a/tests/event_http/stepped_server.h
+++ b/tests/event_http/stepped_server.h
@@ -45,8 +45,7 @@
   int gone = 0;
   std::unique_ptr<Server> server;
 
-  SteppedServer() {
-    ServerOptions options;
+  explicit SteppedServer(ServerOptions options = {}) {
     options.address = {"127.0.0.1", 0};
     options.write_timeout = kWriteLimit;
     options.clock = [this] { return now; };
--- a/tests/gateway/gateway_node_test.cc
+++ b/tests/gateway/gateway_node_test.cc
@@ -334,3 +334,14 @@
   fixture.node.OnUpdate(newer, At(2'700));
   cr_assert(Only<Refuse>(fixture.Request("/nothing/x", 2'800)).status == 503);
 }
+
+// Two requests of an unsafe route must not be in progress on one connection: its end would tell the
+// caller to send one of them again that may have run.
+Test(gateway_node, only_reads_of_repeatable_routes_run_beside_others) {
+  Fixture fixture;
+  cr_assert(fixture.node.MayRunBeside("A.example:8080", "/keyed/1", "GET"));
+  cr_assert(fixture.node.MayRunBeside("A.example:8080", "/safe/1", "HEAD"));
+  cr_assert_not(fixture.node.MayRunBeside("A.example:8080", "/safe/1", "POST"));
+  cr_assert_not(fixture.node.MayRunBeside("A.example:8080", "/unsafe/1", "GET"));
+  cr_assert_not(fixture.node.MayRunBeside("A.example:8080", "/unknown/1", "GET"));
+}
