--- a/include/graniteseam/traffic/peer.h
+++ b/include/graniteseam/traffic/peer.h
@@ -15,7 +15,7 @@
 /// A gateway that takes part in coordinated admission.
 struct GatewayPeer {
   RouterId id;
-  std::string address;  ///< "ip:port" of its datagram socket.
+  std::string address;  ///< "ip:port" at which other gateways ask it for slots.
   ZoneName zone;
   double weight = 1;  ///< Its machine's processor share, relative to the other gateways.
 
--- a/src/coordination/slot_coordinator.h
+++ b/src/coordination/slot_coordinator.h
@@ -24,11 +24,10 @@
     SlotCoordinator(RouterId self, std::uint64_t incarnation);
     ~SlotCoordinator();
 
-    /// Handles requests and releases; answers in the datagram are ignored.
-    /// @param from the address to which answers are sent.
+    /// Handles requests and releases; answers in the batch are ignored.
+    /// @param from where answers are sent.
     /// @return answers to this sender, and grants to others for which a release made room.
-    auto on_datagram(std::string_view from, SlotDatagram const& datagram, Instant now)
-        -> std::vector<SlotSend>;
+    auto on_batch(std::string_view from, SlotBatch const& batch, Instant now) -> std::vector<SlotSend>;
 
     /// Handles all timers that are due: waits that end, grants that expire.
     auto tick(Instant now) -> std::vector<SlotSend>;
--- a/src/coordination/slot_messages.h
+++ b/src/coordination/slot_messages.h
@@ -13,9 +13,6 @@
 
 namespace graniteseam::coordination {
 
-/// Maximum size of an encoded datagram: fits into one packet on every common link.
-inline constexpr std::size_t datagram_bytes_maximum = 1'200;
-
 /// A request for one slot at a server, sent to the server's coordinator.
 struct SlotRequest {
     std::uint64_t number = 0; ///< Unique within the sender's incarnation; resending it queries its state.
@@ -74,22 +71,22 @@
 };
 BOOST_DESCRIBE_STRUCT(SlotRelease, (), (number, outcome, served_us, has_load, running, waiting, slots))
 
-/// One datagram. Messages to the same gateway that result from one event share it.
-struct SlotDatagram {
+/// One batch. Messages to the same gateway that result from one event.
+struct SlotBatch {
     RouterId sender;
     std::uint64_t incarnation = 0; ///< Drawn when the sender starts.
     std::vector<SlotRequest> requests;
     std::vector<SlotRelease> releases;
     std::vector<SlotAnswer> answers;
 
-    auto operator==(SlotDatagram const&) const -> bool = default;
+    auto operator==(SlotBatch const&) const -> bool = default;
 };
-BOOST_DESCRIBE_STRUCT(SlotDatagram, (), (sender, incarnation, requests, releases, answers))
+BOOST_DESCRIBE_STRUCT(SlotBatch, (), (sender, incarnation, requests, releases, answers))
 
-/// Effect: send a datagram to a gateway's coordination address.
+/// Effect: send messages to a gateway.
 struct SlotSend {
-    std::string address; ///< "ip:port".
-    SlotDatagram datagram;
+    std::string address; ///< "ip:port" of a gateway, or where its messages came from.
+    SlotBatch batch;
 };
 
 } // namespace graniteseam::coordination
--- a/tests/protocol/schema_test.cc
+++ b/tests/protocol/schema_test.cc
@@ -9,6 +9,7 @@
 
 #include "graniteseam/consensus/types.h"
 #include "graniteseam/control/router_messages.h"
+#include "src/coordination/slot_messages.h"
 #include "src/protocol/hello.h"
 
 namespace codec = graniteseam::codec;
@@ -49,3 +50,7 @@
 Test(schemas, control_to_router) {
   ExpectCommitted<control::ControlToRouter>("control_to_router.avsc");
 }
+
+Test(schemas, slot_batch) {
+  ExpectCommitted<graniteseam::coordination::SlotBatch>("slot_batch.avsc");
+}
