Distribute the list of gateways that coordinate admission

Gateways know nothing of each other. The leader keeps a list from their polls, in versions, and answers each poll with the changes that its gateway lacks.

--- a/src/control/traffic_leader.h
+++ b/src/control/traffic_leader.h
@@ -31,7 +31,7 @@
         warm_up_limit_(kWarmUpPart * options.warm_up_requests_per_second),
         liveness_(options.instance_timeout, now),
         ranges_(options.ranges, state.traffic(), liveness_, limits_, orders_used, now),
-        sessions_(state.traffic(), now, options.reports_push_completion, pushes_used),
+        sessions_(state.traffic(), term, now, options.reports_push_completion, pushes_used),
         hints_(state.traffic()),
         suspect_detector_(state.traffic(), liveness_, now),
         rollout_(now),
--- a/src/control/traffic_sessions.cc
+++ b/src/control/traffic_sessions.cc
@@ -18,6 +18,7 @@
                                               const traffic::TrafficPoll& poll, Instant now,
                                               const std::string& feed, traffic::QuotaGrant quota) {
   routers_.RecordPoll(poll.router, now);
+  directory_.RecordPoll(poll, now);
   if (sessions_.insert(connection).second) hints_pending_.insert(connection);
   std::vector<RouterSend> sends;
   const bool lacks_state = poll.wants_state && poll.version != state_.version();
@@ -36,6 +37,7 @@
   answer.router_place = routers_.IndexOf(poll.router, now);
   answer.feed = feed;
   answer.quota = std::move(quota);
+  answer.peers = directory_.UpdateSince(poll.peers_version, now);
   sends.push_back({connection, std::make_shared<const ControlToRouter>(std::move(answer))});
   return sends;
 }
--- a/src/control/traffic_sessions.h
+++ b/src/control/traffic_sessions.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "graniteseam/control/control_node.h"
+#include "src/control/gateway_directory.h"
 #include "src/control/router_registry.h"
 #include "src/control/state_feed.h"
 #include "src/traffic/traffic_state.h"
@@ -22,11 +23,15 @@
 /// polls make up for lost messages. Not thread safe; `now` never decreases.
 class TrafficSessions {
  public:
+  /// @param term of the leadership.
   /// @param timed whether the driver calls PushSent() after each push.
   /// @param pushes_used the highest push number of this process's earlier leaderships.
-  TrafficSessions(const traffic::TrafficState& state, Instant now, bool timed = false,
+  TrafficSessions(const traffic::TrafficState& state, Term term, Instant now, bool timed = false,
                   std::uint64_t pushes_used = 0)
-      : state_(state), feed_(state, {timed, false}, pushes_used), routers_(now) {}
+      : state_(state),
+        feed_(state, {timed, false}, pushes_used),
+        routers_(now),
+        directory_(term, now) {}
 
   /// Answers a poll. A router that requests the state is sent the missing changes first, in a
   /// separate message that refers to no poll, so that hundreds of routers that start together share
@@ -73,6 +78,7 @@
   const traffic::TrafficState& state_;
   StateFeed feed_;
   RouterRegistry routers_;
+  GatewayDirectory directory_;
   std::set<ConnectionId> sessions_;
   std::set<ConnectionId> hints_pending_;  ///< Routers that have not been sent hints yet.
   /// Rate limit of messages built for single routers: the time at which the next one is due.
--- a/tests/control/traffic_sessions_test.cc
+++ b/tests/control/traffic_sessions_test.cc
@@ -14,7 +14,7 @@
 /// Routers that all have the state as it was at the start.
 struct Fixture {
   traffic::TrafficState state;
-  TrafficSessions sessions{state, kStart};
+  TrafficSessions sessions{state, {1}, kStart};
   std::uint64_t index = 1;
 
   explicit Fixture(ConnectionId routers) {
