Ask for a slot before a request goes to an owner of keys

What the coordinator rejects is refused at once with its return time. At most once, warm-up bounds, limits, back-off and drains stay decided where they were.

CallerAge tells callers that return from first attempts by the time that they state to be left, so that late requests do not pass for timely ones.

Messages travel over framed connections between gateways.

--- a/src/daemon/gateway/gateway_metrics.cc
+++ b/src/daemon/gateway/gateway_metrics.cc
@@ -17,6 +17,10 @@
       rests_asked_(registry.Counter(Metric::kGatewayRestsAsked)),
       limited_instances_(registry.Gauge(Metric::kGatewayLimitedInstances)),
       probes_(registry.Counter(Metric::kGatewayProbes)),
+      slot_wait_seconds_(registry.Histogram(Metric::kGatewaySlotWaitSeconds)),
+      slot_start_error_seconds_(registry.Histogram(Metric::kGatewaySlotStartErrorSeconds)),
+      slot_grants_unused_(registry.Counter(Metric::kGatewaySlotGrantsUnused)),
+      coordinated_queue_(registry.Gauge(Metric::kGatewayCoordinatedQueue)),
       version_(registry.Gauge(Metric::kGatewayStateVersion)),
       configuration_(registry.Gauge(Metric::kGatewayConfigurationVersion)) {}
 
@@ -46,6 +50,30 @@
   if (pressure.rest) rests_asked_.Increment();
 }
 
+void GatewayMetrics::OnSlotResult(const coordination::SlotResult& result) {
+  using Kind = coordination::SlotResult::Kind;
+  const auto count = [&](const char* name) {
+    registry_.Counter(Metric::kGatewaySlotAsks, {{"result", name}}).Increment();
+  };
+  switch (result.kind) {
+    case Kind::kGranted:
+      count("granted");
+      slot_wait_seconds_.Observe(std::chrono::duration<double>(result.waited).count());
+      slot_start_error_seconds_.Observe(std::chrono::duration<double>(result.start_error).count());
+      return;
+    case Kind::kQueued:
+      return count("queued");
+    case Kind::kRejected:
+      return count("rejected");
+    case Kind::kUnanswered:
+      return count("timeout");
+  }
+}
+
+void GatewayMetrics::OnSlotGrantsUnused(std::size_t count) {
+  for (std::size_t grant = 0; grant < count; ++grant) slot_grants_unused_.Increment();
+}
+
 void GatewayMetrics::OnLimitedInstances(std::size_t count) {
   limited_instances_.Set(static_cast<double>(count));
 }
--- a/src/daemon/gateway/gateway_metrics.h
+++ b/src/daemon/gateway/gateway_metrics.h
@@ -25,6 +25,11 @@
   void OnBackPressure(const gateway::BackPressure& pressure);
   void OnLimitedInstances(std::size_t count);
   void OnCallerGone() { callers_gone_.Increment(); }
+  void OnSlotResult(const coordination::SlotResult& result);
+  void OnSlotGrantsUnused(std::size_t count);
+  void OnCoordinatedQueue(std::size_t length) {
+    coordinated_queue_.Set(static_cast<double>(length));
+  }
   void OnVersion(std::uint64_t version, std::uint64_t configuration);
 
  private:
@@ -37,6 +42,10 @@
   runtime::CounterHandle rests_asked_;
   runtime::GaugeHandle limited_instances_;
   runtime::CounterHandle probes_;
+  runtime::HistogramHandle slot_wait_seconds_;
+  runtime::HistogramHandle slot_start_error_seconds_;
+  runtime::CounterHandle slot_grants_unused_;
+  runtime::GaugeHandle coordinated_queue_;
   runtime::GaugeHandle version_;
   runtime::GaugeHandle configuration_;
   std::map<std::string, runtime::HistogramHandle, std::less<>> seconds_;  ///< By outcome.
--- a/src/daemon/gateway/gateway_process.cc
+++ b/src/daemon/gateway/gateway_process.cc
@@ -5,6 +5,7 @@
 #include <thread>
 #include <utility>
 
+#include "graniteseam/codec/codec.h"
 #include "src/runtime/clock.h"
 
 namespace graniteseam::daemon {
@@ -47,6 +48,10 @@
   options.backends.zone = {settings.zone};
   options.backends.warm_up_requests_per_second = settings.warm_up_requests_per_second;
   options.budget = settings.budget;
+  if (!settings.coordination_address.ip.empty()) {
+    options.coordination_address = runtime::ToString(settings.coordination_address);
+  }
+  options.machine_weight = settings.machine_weight;
   return options;
 }
 
@@ -92,6 +97,7 @@
   servers_ = std::make_unique<event_http::ClientPool>(loop_.context(), pool);
   BOOST_LEAF_CHECK(callers_->Start());
   BOOST_LEAF_CHECK(status_->Start());
+  BOOST_LEAF_CHECK(StartCoordination());
   metrics_port_ =
       event_http::OpenMetricsPort(loop_.context(), settings_.metrics_address, metrics_registry_);
   protocol::RouterControlClientOptions control;
@@ -122,6 +128,20 @@
   return {};
 }
 
+Result<void> GatewayProcess::StartCoordination() {
+  if (settings_.coordination_address.ip.empty()) return {};
+  protocol::GatewayTransportOptions options;
+  options.address = settings_.coordination_address;
+  options.name = settings_.id;
+  options.security = settings_.security;
+  coordination_ = std::make_unique<protocol::GatewayTransport>(
+      options, loop_, metrics_registry_,
+      [this](const std::string& from, const std::string& payload) {
+        return OnSlotMessages(from, payload);
+      });
+  return coordination_->Start();
+}
+
 void GatewayProcess::Reload(const GatewaySettings& settings) {
   std::vector<std::string> addresses;
   for (const auto& address : settings.control) addresses.push_back(runtime::ToString(address));
@@ -193,6 +213,10 @@
 
 void GatewayProcess::Run(gateway::GatewayEffects effects) {
   TakeNotes(std::move(effects.notes));
+  for (const coordination::SlotResult& result : effects.slot_results) {
+    metrics_.OnSlotResult(result);
+  }
+  metrics_.OnSlotGrantsUnused(effects.slot_grants_unused);
   for (const gateway::GatewayEffect& action : effects.actions) {
     std::visit([this](const auto& one) { Do(one); }, action);
   }
@@ -282,6 +306,22 @@
   if (control_) control_->Send(ask.request);
 }
 
+void GatewayProcess::Do(const gateway::SendSlots& slots) {
+  if (coordination_) coordination_->Send(slots.send.address, codec::Encode(slots.send.batch));
+}
+
+void GatewayProcess::Do(const gateway::ResetPeer& peer) {
+  if (coordination_) coordination_->Reset(peer.address);
+}
+
+std::optional<Error> GatewayProcess::OnSlotMessages(const std::string& from,
+                                                    const std::string& payload) {
+  const auto batch = Attempt([&] { return codec::Decode<coordination::SlotBatch>(payload); });
+  if (const Error* const error = ErrorOf(batch)) return *error;
+  Run(node_.OnSlotBatch(from, std::get<coordination::SlotBatch>(batch), runtime::BootTimeNow()));
+  return std::nullopt;
+}
+
 void GatewayProcess::Finish(gateway::RequestNumber number, const event_http::Response& response,
                             std::string_view outcome) {
   const auto found = live_.find(number);
@@ -439,6 +479,7 @@
 void GatewayProcess::Poll() {
   last_poll_ = runtime::BootTimeNow();
   metrics_.OnLimitedInstances(node_.limited_instances());
+  metrics_.OnCoordinatedQueue(node_.coordinated_queue());
   if (control_) control_->Send(node_.TakePoll(last_poll_));
   poll_timer_.expires_after(settings_.poll_interval);
   poll_timer_.async_wait([this](auto error) {
--- a/src/daemon/gateway/gateway_process.h
+++ b/src/daemon/gateway/gateway_process.h
@@ -20,6 +20,7 @@
 #include "src/event_http/metrics_port.h"
 #include "src/event_http/server.h"
 #include "src/gateway/gateway_node.h"
+#include "src/protocol/gateway_transport.h"
 #include "src/protocol/router_control_client.h"
 #include "src/runtime/event_log.h"
 #include "src/runtime/event_loop.h"
@@ -73,6 +74,10 @@
   void Do(const gateway::RelayAnswer& relay);
   void Do(const gateway::Refuse& refusal);
   void Do(const gateway::AskTokens& ask);
+  void Do(const gateway::SendSlots& slots);
+  void Do(const gateway::ResetPeer& peer);
+  Result<void> StartCoordination();
+  std::optional<Error> OnSlotMessages(const std::string& from, const std::string& payload);
   void OnCallEnd(const gateway::SendAttempt& send, event_http::CallResult result);
   void Finish(gateway::RequestNumber number, const event_http::Response& response,
               std::string_view outcome);
@@ -98,6 +103,7 @@
   std::unique_ptr<event_http::Server> status_;
   std::unique_ptr<event_http::MetricsPort> metrics_port_;
   std::unique_ptr<event_http::ClientPool> servers_;
+  std::unique_ptr<protocol::GatewayTransport> coordination_;
   std::unique_ptr<protocol::RouterControlClient> control_;
   boost::asio::steady_timer timer_;
   Instant timer_at_ = Instant::max();
--- a/src/daemon/gateway/gateway_settings.cc
+++ b/src/daemon/gateway/gateway_settings.cc
@@ -43,12 +43,31 @@
                    "Requests that one instance of a pool may get from all gateways together in a "
                    "second while it warms up; 0: no bound.",
                    settings.warm_up_requests_per_second, 0, kRequestsMaximum);
+  reader.AddAddress("coordination_address",
+                    "Address at which other gateways ask for slots of the servers that this one "
+                    "coordinates; without it "
+                    "this gateway takes no part in coordinated admission.",
+                    settings.coordination_address);
+  constexpr double kWeightMinimum = 0.001;
+  constexpr double kWeightMaximum = 1e6;
+  reader.AddNumber(
+      "machine_weight",
+      "This machine's processor share, relative to other gateways: the part of the servers "
+      "that it coordinates follows it.",
+      settings.machine_weight, kWeightMinimum, kWeightMaximum);
   reader.AddInteger("connections_maximum", "Callers' connections at once.",
                     settings.connections_maximum, 1, kConnectionsMaximum);
   protocol::AddInternalSecuritySettings(reader, settings.security, nullptr, &settings.control);
   reader.AddLogSettings();
-  reader.AddCheck([&settings](std::vector<runtime::SettingFault>&) {
+  reader.AddCheck([&settings](std::vector<runtime::SettingFault>& faults) {
     runtime::UsePort(settings.control, settings.control_port);
+    const runtime::SocketAddress& address = settings.coordination_address;
+    const protocol::InternalSecurity& security = settings.security;
+    const bool safe = security.trusted_network || !security.secret_file.empty();
+    if (address.ip.empty() || safe || runtime::IsLoopback(address)) return;
+    faults.push_back(
+        {"settings", "coordination_address", "It is not a loopback address and no secret is set.",
+         "Set internal_secret_file, or trusted_network if no other process can reach it."});
   });
 }
 
--- a/src/daemon/gateway/gateway_settings.h
+++ b/src/daemon/gateway/gateway_settings.h
@@ -26,6 +26,8 @@
   std::int64_t connections_maximum = 2'000;
   /// That an instance may get from all gateways while it warms up; 0: no bound.
   double warm_up_requests_per_second = 0;
+  runtime::SocketAddress coordination_address;  ///< Empty: no coordinated admission.
+  double machine_weight = 1;
 };
 
 /// Declares all settings with their checks. `settings` must stay valid until the reader is gone.
--- a/src/gateway/gateway_events.h
+++ b/src/gateway/gateway_events.h
@@ -15,6 +15,8 @@
 #include "graniteseam/traffic/quota.h"
 #include "graniteseam/traffic/request_digest.h"
 #include "graniteseam/traffic/tenant.h"
+#include "src/coordination/slot_client.h"
+#include "src/coordination/slot_messages.h"
 
 namespace graniteseam::gateway {
 
@@ -164,8 +166,18 @@
   traffic::TokenRequest request;
 };
 
-using GatewayEffect =
-    std::variant<SendAttempt, ProbeInstance, AbandonAttempt, RelayAnswer, Refuse, AskTokens>;
+/// Effect: send messages of coordinated admission to another gateway.
+struct SendSlots {
+  coordination::SlotSend send;
+};
+
+/// Effect: close the connection to a gateway that leaves messages unanswered.
+struct ResetPeer {
+  std::string address;  ///< "ip:port".
+};
+
+using GatewayEffect = std::variant<SendAttempt, ProbeInstance, AbandonAttempt, RelayAnswer, Refuse,
+                                   AskTokens, SendSlots, ResetPeer>;
 
 /// A decision to be logged.
 struct DecisionNote {
@@ -179,6 +191,8 @@
 struct GatewayEffects {
   std::vector<GatewayEffect> actions;
   std::vector<DecisionNote> notes;
+  std::vector<coordination::SlotResult> slot_results;  ///< For the metrics.
+  std::size_t slot_grants_unused = 0;                  ///< For the metrics.
 };
 
 }  // namespace graniteseam::gateway
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -33,14 +33,20 @@
       traffic_(options_.backends, options_.gateways_assumed, seed),
       hot_keys_(seed),
       probes_(options_.probes),
-      quotas_(options_.id) {}
+      quotas_(options_.id),
+      slots_(options_.id, seed),
+      coordinator_(options_.id, seed) {}
 
 GatewayEffects GatewayNode::OnUpdate(const traffic::TrafficUpdate& update, Instant now) {
   const bool applied = traffic_.apply_update(update, now);
   if (applied && ChangesTenants(update)) quotas_.apply_quotas(traffic_.tenants());
   if (update.sequence != 0) quotas_.take(update.quota, update.sequence, now);
+  ApplyPeers(update.peers, now);
   NoteConfirmation(update, now);
-  if (!applied) return Finish();
+  if (!applied) return Finish(now);
+  for (const traffic::Instance& instance : update.instances) {
+    if (instance.IsGone()) coordinator_.forget_server(instance.report.id);
+  }
   Note({}, "update", {}, traffic_.describe(update));
   if (update.suspects) {
     crashes_.set_suspects(*update.suspects);
@@ -48,7 +54,7 @@
   }
   if (Ready()) AdmitUnrouted(now);
   ServeAllWaiting(now);
-  return Finish();
+  return Finish(now);
 }
 
 void GatewayNode::NoteConfirmation(const traffic::TrafficUpdate& update, Instant now) {
@@ -74,11 +80,11 @@
            std::to_string(hints.hot_keys.size()) + ", limits " +
            std::to_string(hints.limits.size()));
   if (!hints.limits.empty()) ServeAllWaiting(now);
-  return Finish();
+  return Finish(now);
 }
 
 GatewayEffects GatewayNode::OnTokens(const traffic::TokenAnswer& answer, Instant now) {
-  if (!quotas_.take(answer, now)) return Finish();
+  if (!quotas_.take(answer, now)) return Finish(now);
   for (const traffic::TokenGrant& grant : answer.granted) {
     for (const RequestNumber number : token_queue_.take(grant.tenant, grant.requests)) {
       LiveRequest& request = requests_.at(number);
@@ -94,7 +100,7 @@
   }
   for (const traffic::LimitTokenGrant& grant : answer.limited) ApplyLimitTokens(grant, now);
   AskForTokens(now);
-  return Finish();
+  return Finish(now);
 }
 
 void GatewayNode::ApplyLimitTokens(const traffic::LimitTokenGrant& grant, Instant now) {
@@ -108,46 +114,46 @@
 
 GatewayEffects GatewayNode::OnRequest(const ArrivedRequest& arrived, Instant now) {
   Admit(requests_.add(arrived, now), now);
-  return Finish();
+  return Finish(now);
 }
 
 GatewayEffects GatewayNode::OnAttemptEnd(const AttemptReport& report, Instant now) {
   LiveRequest* const request = requests_.find(report.request);
   const bool current =
       request != nullptr && request->open && request->open->number == report.attempt;
-  if (!current) return Finish();
+  if (!current) return Finish(now);
   const ServiceName service = request->service;
   traffic_.backends().OnEnded(request->open->instance, report, now - request->open->sent_at, now);
   if (report.load) probes_.note_answer(service, *report.load, now);
   NoteBackPressure(request->open->instance, report, now);
   HandleAttemptEnd(*request, report, now);
   ServeWaiting(service, now);
-  return Finish();
+  return Finish(now);
 }
 
 GatewayEffects GatewayNode::OnProbeEnd(const ProbeReport& report, Instant now) {
   traffic_.backends().OnProbed(report, now);
   LiveRequest* const request = requests_.find(report.request);
-  if (request == nullptr) return Finish();
+  if (request == nullptr) return Finish(now);
   probes_.note_probe(request->service, report.taken, now);
   ProbeRound& round = request->probes;
   const bool awaited = request->waiting && round.open > 0 && round.number == report.round;
-  if (!awaited) return Finish();
+  if (!awaited) return Finish(now);
   if (report.load) ++round.loads_received;
-  if (--round.open > 0) return Finish();
+  if (--round.open > 0) return Finish(now);
   request->not_before = now;
   ServeWaiting(ServiceName(request->service), now);
-  return Finish();
+  return Finish(now);
 }
 
 GatewayEffects GatewayNode::OnCallerGone(RequestNumber number, Instant now) {
   LiveRequest* const request = requests_.find(number);
-  if (request == nullptr) return Finish();
+  if (request == nullptr) return Finish(now);
   const ServiceName service = request->service;
   Note(number, "caller_gone", request->open ? request->open->instance : traffic::InstanceId{}, "");
   Remove(*request);
   ServeWaiting(service, now);
-  return Finish();
+  return Finish(now);
 }
 
 GatewayEffects GatewayNode::Tick(Instant now) {
@@ -161,10 +167,14 @@
     }
     ServeWaiting(service, now);
   }
-  return Finish();
+  ApplySlotResults(slots_.tick(now), now);
+  DeliverSlots(coordinator_.tick(now), now);
+  return Finish(now);
 }
 
-Instant GatewayNode::NextTick() const { return requests_.next_timer(); }
+Instant GatewayNode::NextTick() const {
+  return std::min({requests_.next_timer(), slots_.next_tick(), coordinator_.next_tick()});
+}
 
 traffic::TrafficPoll GatewayNode::TakePoll(Instant now) {
   traffic::TrafficPoll poll;
@@ -184,6 +194,9 @@
   crashes_.add_to_poll(poll, now);
   quotas_.add_to_poll(poll, now);
   traffic_.backends().pressure().add_to_poll(poll, now);
+  poll.peer_address = options_.coordination_address;
+  poll.peer_weight = options_.machine_weight;
+  poll.peers_version = coordinators_.version();
   return poll;
 }
 
@@ -342,6 +355,9 @@
   request.attempts_maximum =
       static_cast<std::uint32_t>(std::max<std::int64_t>(1, route.attempts_maximum));
   const Duration timeout = std::chrono::milliseconds(route.timeout_ms);
+  const bool coordinated =
+      !options_.coordination_address.empty() && traffic_.is_leased_by_heartbeat(service);
+  if (coordinated) request.age = caller_ages_.age_of(route.name, request.arrived.time_left);
   request.give_up =
       request.received + std::min(request.arrived.time_left - options_.answer_margin, timeout);
 }
@@ -366,6 +382,23 @@
 
 // --- Helpers ---
 
+GatewayEffects GatewayNode::Finish(Instant now) {
+  SendSlotMessages(now);
+  return std::exchange(effects_, {});
+}
+
+void GatewayNode::ApplyPeers(const traffic::PeerUpdate& update, Instant now) {
+  const traffic::PeerVersion before = coordinators_.version();
+  for (const RouterId& gone : coordinators_.apply(update)) {
+    DeliverSlots(coordinator_.forget_gateway(gone, now), now);
+  }
+  if (coordinators_.version() == before) return;
+  Note({}, "peers", {},
+       "term " + std::to_string(coordinators_.version().term) + ", number " +
+           std::to_string(coordinators_.version().number) + ", gateways " +
+           std::to_string(coordinators_.size()));
+}
+
 void GatewayNode::NoteBackPressure(const traffic::InstanceId& instance, const AttemptReport& report,
                                    Instant now) {
   const bool ran = report.end == AttemptEnd::kAnswered;
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -11,7 +11,11 @@
 #include <vector>
 
 #include "graniteseam/traffic/update.h"
+#include "src/coordination/coordinator_selector.h"
+#include "src/coordination/slot_client.h"
+#include "src/coordination/slot_coordinator.h"
 #include "src/gateway/backend_table.h"
+#include "src/gateway/caller_age.h"
 #include "src/gateway/crash_watch.h"
 #include "src/gateway/feed_watch.h"
 #include "src/gateway/gateway_events.h"
@@ -38,6 +42,10 @@
   /// Subtracted from the caller's time, so that an answer still reaches it.
   Duration answer_margin{10'000};
   std::size_t waiting_maximum = 256;  ///< Maximum of waiting requests for one service.
+  /// The address at which other gateways reach this one for coordinated admission, "ip:port"; empty
+  /// when it takes no part.
+  std::string coordination_address;
+  double machine_weight = 1;  ///< The machine's processor share, relative to other gateways.
 };
 
 /// Decides about requests; performs no input or output itself.
@@ -58,6 +66,10 @@
   GatewayEffects OnHints(const traffic::TrafficHints& hints, Instant now);
   /// Handles a leader's answer to a token request.
   GatewayEffects OnTokens(const traffic::TokenAnswer& answer, Instant now);
+  /// Handles messages of coordinated admission.
+  /// @param from where answers are to be sent.
+  GatewayEffects OnSlotBatch(std::string_view from, const coordination::SlotBatch& batch,
+                             Instant now);
   /// Handles a caller's request that was read completely.
   GatewayEffects OnRequest(const ArrivedRequest& request, Instant now);
   /// Handles the end of an attempt; ignored for an attempt that is no longer in flight.
@@ -96,6 +108,8 @@
   /// Whether a configuration was ever received.
   bool Ready() const { return traffic_.is_ready(); }
   const traffic::CallerLimits& limits() const { return traffic_.limits(); }
+  /// Requests of all gateways that wait for servers which this gateway coordinates.
+  std::size_t coordinated_queue() const { return coordinator_.queued(); }
   traffic::ConfigurationVersion configuration() const { return traffic_.configuration(); }
   std::uint64_t version() const { return traffic_.version(); }
   std::size_t requests() const { return requests_.size(); }
@@ -148,9 +162,12 @@
   /// Sends the requests covered by new tokens of an owner's limit, and refuses the rest.
   void ApplyLimitTokens(const traffic::LimitTokenGrant& grant, Instant now);
   void NoteChanges(const BackPressureTable::Changes& changes);
+  /// Applies a change of the list of gateways that coordinate admission.
+  void ApplyPeers(const traffic::PeerUpdate& update, Instant now);
   void NoteBackPressure(const traffic::InstanceId& instance, const AttemptReport& report,
                         Instant now);
-  GatewayEffects Finish() { return std::exchange(effects_, {}); }
+  /// Sends the messages of coordinated admission that are due and returns the effects of the event.
+  GatewayEffects Finish(Instant now);
 
   // request_sending.cc
   void ServeWaiting(const ServiceName& service, Instant now);
@@ -175,6 +192,24 @@
   /// gateway. All requests to servers are sent through this function.
   Step Send(LiveRequest& request, const Backend& backend, Instant now);
   void BeginAttempt(LiveRequest& request, const Backend& backend, Instant now);
+
+  // slot_requests.cc
+  /// Whether requests to an owner of keys need a slot from its coordinator.
+  bool IsCoordinated(const LiveRequest& request, const Backend& owner, Instant now) const;
+  /// Asks the owner's coordinator for a slot, or waits for one that was asked for.
+  /// @return nullopt when the request is to be sent without a slot.
+  std::optional<Step> TrySlot(LiveRequest& request, const Backend& owner, Instant now);
+  Step AskForSlot(LiveRequest& request, const Backend& owner,
+                  const traffic::GatewayPeer& coordinator, Instant now);
+  /// Returns the request's slot, or withdraws its slot request.
+  void EndSlot(LiveRequest& request, const coordination::SlotRelease& release);
+  void WithdrawSlot(LiveRequest& request) { EndSlot(request, {}); }
+  void ReleaseSlot(LiveRequest& request, const AttemptReport& report, Duration taken);
+  /// Exchanges what this gateway has to say to itself, and sends the rest.
+  void SendSlotMessages(Instant now);
+  void DeliverSlots(std::vector<coordination::SlotSend> sends, Instant now);
+  void ApplySlotResults(const std::vector<coordination::SlotResult>& results, Instant now);
+  void ApplySlotResult(const coordination::SlotResult& result, Instant now);
   /// Waits for the end of the back-off of the only server that can run the request, if it ends
   /// within the request's hold time.
   Step WaitForBackOff(LiveRequest& request, const Backend& owner, Instant now);
@@ -215,6 +250,11 @@
   QuotaGate quotas_;
   TokenQueue token_queue_;
   LimitQueue limit_queue_;
+  CallerAge caller_ages_;
+  coordination::CoordinatorSelector coordinators_;
+  coordination::SlotClient slots_;
+  coordination::SlotCoordinator coordinator_;
+  std::map<std::uint64_t, RequestNumber> slot_requests_;  ///< By number of the slot request.
   std::uint64_t poll_sequence_ = 0;
   /// The active configuration at the newest poll.
   traffic::ConfigurationVersion reported_configuration_;
--- a/src/gateway/hold_limits.cc
+++ b/src/gateway/hold_limits.cc
@@ -13,6 +13,8 @@
 /// try.
 constexpr double kHoldPartOfTime = 0.4;
 constexpr Duration kHoldWithoutTarget{100'000};
+/// A late request may wait for a slot for the time that is left divided by this.
+constexpr int kSlotHoldPartOfTime = 4;
 /// A token arrives within a few milliseconds, or within 0.1 s to 0.2 s from a leader that was
 /// throttled because its CPU share was used up. Its request is still in time then; a refusal would
 /// send the caller to another gateway, which asks the same leader.
@@ -36,7 +38,16 @@
 }  // namespace
 
 auto is_in_time(LiveRequest const& request, Instant now) -> bool {
-  return now - request.received < request.target_latency;
+  return target_left(request, now) > Duration{};
+}
+
+auto target_left(LiveRequest const& request, Instant now) -> Duration {
+  return request.target_latency - request.age - (now - request.received);
+}
+
+auto slot_hold(LiveRequest const& request, Instant now) -> Duration {
+  auto const part = (request.give_up - now) / kSlotHoldPartOfTime;
+  return std::max({Duration{}, part, target_left(request, now)});
 }
 
 auto short_hold(LiveRequest const& request) -> Duration {
--- a/src/gateway/hold_limits.h
+++ b/src/gateway/hold_limits.h
@@ -10,6 +10,13 @@
 /// Whether a request may still be answered within its target latency.
 auto is_in_time(LiveRequest const& request, Instant now) -> bool;
 
+/// Time until the answer to a request loses its full value; negative when it has.
+auto target_left(LiveRequest const& request, Instant now) -> Duration;
+
+/// How long a request may wait for a slot at its key's owner: as long as it can be in time, or for
+/// a part of the time that its caller has left, so that one refused in the end can return.
+auto slot_hold(LiveRequest const& request, Instant now) -> Duration;
+
 /// Hold time of a request that any server of its service may run, or whose caller should soon try
 /// another gateway: a request refused early may still be served in time when its caller retries.
 auto short_hold(LiveRequest const& request) -> Duration;
--- a/src/gateway/live_request.h
+++ b/src/gateway/live_request.h
@@ -35,6 +35,16 @@
   Instant back_off_until{};                ///< No further round before this instant.
 };
 
+/// A slot that a request asked for at its key's owner.
+struct SlotHold {
+  std::uint64_t number = 0;  ///< Of the slot request; 0 for none.
+  traffic::InstanceId server;
+  Instant hold_end{};
+  bool granted = false;
+  /// The coordinator did not answer: the next attempt goes without a slot.
+  bool unanswered = false;
+};
+
 /// A request with its route's settings, its attempts so far and what it waits for.
 struct LiveRequest {
   ArrivedRequest arrived;
@@ -46,6 +56,8 @@
   std::uint32_t attempts_maximum = 1;
 
   Instant received{};
+  /// How long its caller had been trying when it was received; zero for a first attempt.
+  Duration age{};
   Instant hold_from{};  ///< Start of the wait for its next server.
   Instant give_up{};    ///< The caller's deadline or the route's timeout.
   Instant timer{};      ///< As entered in LiveRequests; Instant{} for none.
@@ -58,6 +70,10 @@
   bool may_have_run = false;
   ProbeRound probes;
 
+  SlotHold slot;
+  /// When its caller should return, if a coordinator rejected it.
+  std::optional<Duration> return_after;
+
   bool waiting = false;                   ///< In its service's queue.
   bool admitted_by_hot_key_gate = false;  ///< Set while its key was known to be hot.
   bool charged_to_quota = false;          ///< Admitted under its tenant's quota.
--- a/src/gateway/refusals.cc
+++ b/src/gateway/refusals.cc
@@ -45,6 +45,7 @@
   if (reason == RefusalReason::kStaleOwner) return kRetryAfterMinimum;
   // An earlier retry would be refused again.
   if (reason == RefusalReason::kQuarantined) return traffic::kSuspectRetention;
+  if (request.return_after) return std::max(*request.return_after, kRetryAfterMinimum);
   if (reason == RefusalReason::kResting && request.server_back_off_until > now) {
     return std::clamp<Duration>(request.server_back_off_until - now, kRetryAfterMinimum,
                                 kRetryAfterMaximum);
--- a/src/gateway/request_ending.cc
+++ b/src/gateway/request_ending.cc
@@ -22,6 +22,7 @@
 void GatewayNode::HandleAttemptEnd(LiveRequest& request, const AttemptReport& report, Instant now) {
   const OpenAttempt ended = *request.open;
   request.open.reset();
+  ReleaseSlot(request, report, now - ended.sent_at);
   if (report.end == AttemptEnd::kNotSent) {
     --request.attempts;
     ++request.unsent;
@@ -121,6 +122,9 @@
   if (request.charged_to_quota && request.attempts == 0 && !request.open) {
     quotas_.give_back(request.tenant);
   }
+  coordination::SlotRelease release;
+  if (request.open) release.outcome = coordination::SlotOutcome::kLost;
+  EndSlot(request, release);
   if (request.open) {
     traffic_.backends().OnAbandoned(request.open->instance);
     effects_.actions.emplace_back(AbandonAttempt{request.arrived.number, request.open->number});
--- a/src/gateway/request_sending.cc
+++ b/src/gateway/request_sending.cc
@@ -70,13 +70,19 @@
                              ? backends.Find(range->owner)
                              : nullptr;
   if (owner == nullptr || backends.DrainAllowanceElapsed(*owner, now)) {
+    WithdrawSlot(request);
     return WaitForOwner(request, RefusalReason::kNoOwner, now);
   }
   if (traffic_.keys().IsOwnerStale(*range, now)) {
+    WithdrawSlot(request);
     // This gateway's map is out of date: the caller should soon try another gateway.
     return Wait(request, RefusalReason::kStaleOwner, short_hold(request), now);
   }
-  if (now < owner->paused_until) return WaitForOwner(request, RefusalReason::kOwnerFails, now);
+  if (now < owner->paused_until) {
+    WithdrawSlot(request);
+    return WaitForOwner(request, RefusalReason::kOwnerFails, now);
+  }
+  if (const auto step = TrySlot(request, *owner, now)) return *step;
   const bool room = is_in_time(request, now) ? backends.HasRoom(*owner, request.target_latency, now)
                                              : backends.HasFreeSlot(*owner, now);
   if (!room) return WaitForOwner(request, RefusalReason::kOverloaded, now);
--- a/src/gateway/route_table.cc
+++ b/src/gateway/route_table.cc
@@ -31,6 +31,24 @@
   // A route may take the host and path of another one that moves in the same update.
   for (const traffic::Route& route : update.routes) Remove(route.name);
   for (const traffic::Route& route : update.routes) Put(route);
+  const bool changed = update.base == 0 || !update.routes.empty() || !update.removed_routes.empty();
+  if (changed) ComputeLongestTargets();
+}
+
+void RouteTable::ComputeLongestTargets() {
+  longest_targets_.clear();
+  for (const auto& [name, entry] : routes_) {
+    const Duration target = std::chrono::milliseconds(entry.route.target_latency_ms);
+    for (const traffic::WeightedService& part : entry.route.split) {
+      Duration& longest = longest_targets_[part.service];
+      longest = std::max(longest, target);
+    }
+  }
+}
+
+Duration RouteTable::LongestTarget(const ServiceName& service) const {
+  const auto found = longest_targets_.find(service);
+  return found == longest_targets_.end() ? Duration{} : found->second;
 }
 
 void RouteTable::Put(const traffic::Route& route) {
--- a/src/gateway/route_table.h
+++ b/src/gateway/route_table.h
@@ -10,6 +10,7 @@
 #include <string_view>
 #include <vector>
 
+#include "graniteseam/common/time.h"
 #include "graniteseam/traffic/update.h"
 
 namespace graniteseam::gateway {
@@ -27,6 +28,9 @@
   /// @return null when the configuration has no such route; valid until the next Apply().
   const traffic::Route* Find(std::string_view host, std::string_view path) const;
 
+  /// The longest target latency of the routes to a service; zero without any.
+  Duration LongestTarget(const ServiceName& service) const;
+
   /// The service of the route's next request; the split follows the weights as evenly as whole
   /// requests allow (smooth weighted round robin).
   /// @return nullopt when no service has a weight.
@@ -42,10 +46,12 @@
   void Put(const traffic::Route& route);
   void Remove(const traffic::RouteName& name);
   static std::optional<ServiceName> NextTurn(Entry& entry);
+  void ComputeLongestTargets();
 
   std::mt19937_64 random_;
   std::map<traffic::RouteName, Entry> routes_;
   std::map<std::string, ByPrefix, std::less<>> hosts_;
+  std::map<ServiceName, Duration> longest_targets_;
 };
 
 }  // namespace graniteseam::gateway
--- a/src/gateway/traffic_view.cc
+++ b/src/gateway/traffic_view.cc
@@ -51,6 +51,12 @@
   return found != m_services.end() && found->second.keyed;
 }
 
+auto TrafficView::is_leased_by_heartbeat(ServiceName const& service) const -> bool {
+  auto const found = m_services.find(service);
+  return found != m_services.end() && found->second.keyed &&
+         found->second.lease_form == traffic::LeaseForm::kHeartbeat;
+}
+
 auto TrafficView::health_path(ServiceName const& service) const -> std::string {
   auto const found = m_services.find(service);
   return found == m_services.end() ? std::string() : found->second.health_path;
--- a/src/gateway/traffic_view.h
+++ b/src/gateway/traffic_view.h
@@ -30,6 +30,8 @@
   /// Whether a configuration was ever received.
   auto is_ready() const -> bool { return m_configuration.value > 0; }
   auto is_keyed(ServiceName const& service) const -> bool;
+  /// Whether the owners of a service's keys receive their leases by heartbeat.
+  auto is_leased_by_heartbeat(ServiceName const& service) const -> bool;
   /// The path at which servers of a service report their load; empty when the service has none.
   auto health_path(ServiceName const& service) const -> std::string;
   auto gateway_count() const -> std::uint32_t;
@@ -41,6 +43,7 @@
   auto describe(traffic::TrafficUpdate const& update) const -> std::string;
 
   auto routes() -> RouteTable& { return m_routes; }
+  auto routes() const -> RouteTable const& { return m_routes; }
   auto backends() -> BackendTable& { return m_backends; }
   auto backends() const -> BackendTable const& { return m_backends; }
   auto keys() -> KeyMap& { return m_keys; }
