Write downloads in pieces so that small messages pass

A gateway with a link of 6 Mbit/s relays some three downloads of 90 KB a second. Each holds up everything that is sent after it by 120 ms, in the queue of the machine's link: requests to servers, answers to callers, messages between gateways.

Answers of download routes are written in pieces of 4 KiB, together at three quarters of the rate that the setting link_mbps states; WritePacer holds the schedule. Without the setting, and for all other answers, nothing changes. Pacing what is received from servers as well made no difference and is left out.

--- a/src/daemon/gateway/gateway_process.cc
+++ b/src/daemon/gateway/gateway_process.cc
@@ -38,6 +38,10 @@
 /// Connections that rested for so long are used for probes still: one that its server closes under
 /// a probe costs nothing but that, and a new one costs more than the probe.
 constexpr Duration kProbeRested{8'000'000};
+/// Part of the link that downloads may use together: the rest is left to small messages, which then
+/// find the link free for at least a quarter of the time.
+constexpr double kBulkPartOfLink = 0.75;
+constexpr double kBytesPerMegabit = 125'000;
 /// Kept free of callers' bodies: the rest of the process, and answers under way.
 constexpr std::size_t kBodyBytesTotal = std::size_t{64} << 20;
 constexpr std::size_t kAnswerBytesMaximum = std::size_t{32} << 20;
@@ -78,6 +82,7 @@
   callers.address = settings_.caller_address;
   callers.connections_maximum = static_cast<std::size_t>(settings_.connections_maximum);
   callers.body_bytes_total = kBodyBytesTotal;
+  callers.bulk_bytes_per_second = kBulkPartOfLink * settings_.link_mbps * kBytesPerMegabit;
   callers.may_run_beside = [this](const event_http::Request& request) {
     const std::string* const host = request.fields.Find("Host");
     return host != nullptr && node_.MayRunBeside(*host, request.Path(), request.method);
@@ -287,7 +292,9 @@
 
 void GatewayProcess::Do(const gateway::RelayAnswer& relay) {
   LiveExchange& live = live_.at(relay.request);
-  Finish(relay.request, translator_.ForCaller(std::move(*live.answer)), "relayed");
+  event_http::Response answer = translator_.ForCaller(std::move(*live.answer));
+  answer.bulk = relay.bulk;
+  Finish(relay.request, answer, "relayed");
 }
 
 void GatewayProcess::Do(const gateway::Refuse& refusal) {
--- a/src/daemon/gateway/gateway_settings.cc
+++ b/src/daemon/gateway/gateway_settings.cc
@@ -55,6 +55,12 @@
       "This machine's processor share, relative to other gateways: the part of the servers "
       "that it coordinates follows it.",
       settings.machine_weight, kWeightMinimum, kWeightMaximum);
+  constexpr double kLinkMaximum = 1e6;
+  reader.AddNumber(
+      "link_mbps",
+      "Rate of this machine's link in Mbit/s: downloads use three quarters of it at most, so that "
+      "small messages pass. 0: unknown, downloads are sent as fast as the link takes them.",
+      settings.link_mbps, 0, kLinkMaximum);
   reader.AddInteger("connections_maximum", "Callers' connections at once.",
                     settings.connections_maximum, 1, kConnectionsMaximum);
   protocol::AddInternalSecuritySettings(reader, settings.security, nullptr, &settings.control);
--- a/src/daemon/gateway/gateway_settings.h
+++ b/src/daemon/gateway/gateway_settings.h
@@ -28,6 +28,7 @@
   double warm_up_requests_per_second = 0;
   runtime::SocketAddress coordination_address;  ///< Empty: no coordinated admission.
   double machine_weight = 1;
+  double link_mbps = 0;  ///< Of the machine's link; 0: unknown.
 };
 
 /// Declares all settings with their checks. `settings` must stay valid until the reader is gone.
--- a/src/event_http/message.h
+++ b/src/event_http/message.h
@@ -53,6 +53,9 @@
   std::string body;
   /// Without a body although its fields speak of one: the answer to a HEAD request.
   bool head_only = false;
+  /// A large response whose caller waits for the whole of it: it may be written more slowly than
+  /// others.
+  bool bulk = false;
 };
 
 /// Whether two names are equal without regard to case.
--- a/src/event_http/server.h
+++ b/src/event_http/server.h
@@ -40,6 +40,8 @@
   /// Bytes of finished responses of one connection that wait for their turn. Beyond it no further
   /// request of the connection begins; those in progress go on.
   std::size_t answer_bytes_ahead = std::size_t{256} << 10;
+  /// Rate at which all bulk responses together are written; 0: as fast as the link takes them.
+  double bulk_bytes_per_second = 0;
   /// Tests step it by hand.
   std::function<Instant()> clock = runtime::BootTimeNow;
 };
--- a/src/event_http/server_connection.cc
+++ b/src/event_http/server_connection.cc
@@ -1,5 +1,6 @@
 #include "src/event_http/server_connection.h"
 
+#include <algorithm>
 #include <boost/asio/write.hpp>
 #include <utility>
 
@@ -55,7 +56,8 @@
     : socket_(std::move(socket)),
       server_(server),
       clock_(server->options().clock),
-      pipeline_({server->options().requests_ahead_maximum, server->options().answer_bytes_ahead}) {}
+      pipeline_({server->options().requests_ahead_maximum, server->options().answer_bytes_ahead}),
+      piece_timer_(socket_.get_executor()) {}
 
 void ServerConnection::Start() {
   SetSocketOptions(socket_);
@@ -72,6 +74,7 @@
   closed_ = true;
   ErrorCode ignored;
   socket_.close(ignored);
+  piece_timer_.cancel();
   ReturnUnbegunBytes();
   Pipeline::Remains remains = pipeline_.Clear();
   ReturnBytes(remains.body_bytes);
@@ -274,14 +277,16 @@
   const bool leaves = !server || server->draining() || server->closing();
   const bool nothing_behind = ready->last && !next_ && !parser_ && buffer_.empty();
   const bool close = ready->ends_connection || (leaves && nothing_behind);
-  Write(Serialize(ready->response, close), close);
+  Write(Serialize(ready->response, close), close, ready->response.bulk);
 }
 
-void ServerConnection::Write(std::string text, bool close) {
+void ServerConnection::Write(std::string text, bool close, bool bulk) {
   writing_ = true;
   write_closes_ = close;
   output_ = std::move(text);
   last_activity_ = clock_();
+  const auto server = server_.lock();
+  if (bulk && server && server->pacer().Paces(output_.size())) return WritePiece(0);
   asio::async_write(
       socket_, asio::buffer(output_),
       [self = shared_from_this()](ErrorCode error, std::size_t) {
@@ -293,6 +298,22 @@
       });
 }
 
+void ServerConnection::WritePiece(std::size_t written) {
+  const auto server = server_.lock();
+  if (!server) return Close();
+  const std::size_t bytes = std::min(WritePacer::kPieceBytes, output_.size() - written);
+  piece_timer_.expires_after(server->pacer().Reserve(bytes, clock_()));
+  piece_timer_.async_wait([self = shared_from_this(), written, bytes](ErrorCode stopped) {
+    if (stopped || self->closed_) return;
+    asio::async_write(self->socket_, asio::buffer(self->output_.data() + written, bytes),
+                      [self, end = written + bytes](ErrorCode error, std::size_t) {
+                        self->last_activity_ = self->clock_();
+                        const bool more = !error && end < self->output_.size();
+                        more ? self->WritePiece(end) : self->OnWritten(error, self->write_closes_);
+                      });
+  });
+}
+
 void ServerConnection::OnWritten(ErrorCode error, bool close) {
   if (closed_) return;
   writing_ = false;
--- a/src/event_http/server_connection.h
+++ b/src/event_http/server_connection.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <functional>
@@ -77,7 +78,9 @@
   void Respond(Pipeline::Ticket ticket, const Response& response);
   /// Writes the next response whose turn has come, if none is being written.
   void WriteNext();
-  void Write(std::string text, bool close);
+  void Write(std::string text, bool close, bool bulk = false);
+  /// Writes the output in pieces, each when the pacer permits it.
+  void WritePiece(std::size_t written);
   void OnWritten(ErrorCode error, bool close);
   /// Says that nothing more comes, and takes what the client still sends, so that no reset
   /// overtakes the answer.
@@ -100,6 +103,7 @@
   Pipeline pipeline_;
   std::optional<ParsedRequest> next_;
   std::string output_;
+  boost::asio::steady_timer piece_timer_;
   std::size_t counted_bytes_ = 0;  ///< Body bytes of the message that is being parsed.
   Instant message_start_{};
   Instant last_activity_{};
--- a/src/event_http/server_impl.h
+++ b/src/event_http/server_impl.h
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "src/event_http/server.h"
+#include "src/event_http/write_pacer.h"
 
 namespace graniteseam::event_http {
 
@@ -20,6 +21,7 @@
       : context_(context),
         options_(std::move(options)),
         handler_(std::move(handler)),
+        pacer_(options_.bulk_bytes_per_second),
         acceptor_(context),
         sweep_(context) {}
 
@@ -39,6 +41,7 @@
   bool MayRunBeside(const Request& request) const {
     return options_.may_run_beside && options_.may_run_beside(request);
   }
+  WritePacer& pacer() { return pacer_; }
   void Remove(const std::shared_ptr<ServerConnection>& connection) {
     connections_.erase(connection);
   }
@@ -62,6 +65,7 @@
   const ServerOptions options_;
   const Handler handler_;
   ServerLimits limits_;
+  WritePacer pacer_;
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer sweep_;
   std::set<std::shared_ptr<ServerConnection>> connections_;
--- a/src/gateway/gateway_events.h
+++ b/src/gateway/gateway_events.h
@@ -152,6 +152,8 @@
 /// Effect: relay the answer of the most recently reported attempt to the caller.
 struct RelayAnswer {
   RequestNumber request;
+  bool bulk =
+      false;  ///< Its route's answers are large, and may be written more slowly than others.
 };
 /// Effect: answer from the gateway itself; nothing of the request is in flight any more.
 struct Refuse {
--- a/src/gateway/request_ending.cc
+++ b/src/gateway/request_ending.cc
@@ -81,7 +81,8 @@
 }
 
 void GatewayNode::Relay(LiveRequest& request) {
-  effects_.actions.emplace_back(RelayAnswer{request.arrived.number});
+  const bool bulk = request.kind == traffic::RouteKind::kDownload;
+  effects_.actions.emplace_back(RelayAnswer{request.arrived.number, bulk});
   Remove(request);
 }
 
