Don't send a slot request that has ended in the same event

A slot request that was asked for, or repeated, and ended before the batch left was sent together with its withdrawal. A coordinator handles releases first, so it ignored the withdrawal and granted the request: a slot stayed taken until the request's time plus 500 ms. Such a request is now taken out of the batch; its withdrawal is sent only if the coordinator may know it. Both new tests failed before.

--- a/src/coordination/slot_client.cc
+++ b/src/coordination/slot_client.cc
@@ -64,8 +64,19 @@
     auto const found = m_asks.find(release.number);
     if (found == m_asks.end())
         return;
-    outgoing(found->second.address).releases.push_back(release);
+    auto const ask = std::move(found->second);
     m_asks.erase(found);
+    auto& batch = outgoing(ask.address);
+    // Coordinators handle the releases of a batch before its requests: a request that is still to be sent
+    // would take a slot that nobody returns.
+    auto const unsent = std::erase_if(batch.requests, [&](auto const& other) {
+        return other.number == release.number;
+    }) > 0;
+    auto const unknown_to_coordinator = unsent && ask.expected_grant == Instant {};
+    if (!unknown_to_coordinator)
+        batch.releases.push_back(release);
+    else if (batch.requests.empty() && batch.releases.empty())
+        m_outgoing.erase(ask.address);
 }
 
 auto SlotClient::take_answer(Ask& ask, SlotAnswer const& answer, Instant now) -> SlotResult
--- a/tests/coordination/slot_client_test.cc
+++ b/tests/coordination/slot_client_test.cc
@@ -310,3 +310,32 @@
     }
     cr_assert_eq(client.client.open(), 0);
 }
+
+// The coordinator handles releases first: a request that follows its own withdrawal would be granted, and the
+// slot stay taken until the end of its time.
+Test(slot_client, request_that_ends_before_it_is_sent_is_not_sent)
+{
+    Client client;
+    auto const kept = client.client.ask(first, request(), at(0));
+    SlotRelease release;
+    release.number = client.client.ask(first, request(), at(0));
+    client.client.end(release);
+    client.take();
+    cr_assert_eq(client.requests.size(), 1);
+    cr_assert_eq(client.requests[0].number, kept);
+    cr_assert(client.releases.empty());
+}
+
+Test(slot_client, request_that_ends_before_it_is_repeated_is_only_withdrawn)
+{
+    Client client;
+    auto const number = client.ask(0);
+    client.answered(answer(number, SlotVerdict::kQueued, 200), 4);
+    client.client.tick(at(304));
+    SlotRelease release;
+    release.number = number;
+    client.client.end(release);
+    client.take();
+    cr_assert(client.requests.empty());
+    cr_assert(client.releases == std::vector {release});
+}
