Repeat a slot request only where the new incarnation has not answered it

When an answer showed that a coordinator had restarted, all waiting requests were sent to it again before the answers in that batch were applied. Answers are now applied first, and what the present incarnation has answered is not repeated. The test failed before. The comment on late answers claimed a return of the slot that does not happen.

--- a/src/coordination/slot_client.cc
+++ b/src/coordination/slot_client.cc
@@ -115,27 +115,32 @@
         return results;
     auto& coordinator = m_coordinators[batch.sender];
     coordinator.unanswered = 0;
-    if (std::exchange(coordinator.incarnation, batch.incarnation) != batch.incarnation)
-        ask_again(batch.sender, now);
+    auto const restarted = std::exchange(coordinator.incarnation, batch.incarnation) != batch.incarnation;
     for (auto const& answer : batch.answers) {
         auto const found = m_asks.find(answer.number);
-        // The request ended meanwhile, or another coordinator was asked: a slot that was granted is returned.
+        // The request ended meanwhile, or another coordinator was asked. A slot that this answer grants is
+        // freed by the withdrawal, or when its time ends.
         if (found == m_asks.end() || found->second.coordinator != batch.sender)
             continue;
         if (found->second.granted)
             continue;
+        found->second.answered_by = batch.incarnation;
         results.push_back(take_answer(found->second, answer, now));
         if (answer.verdict == SlotVerdict::kRejected)
             m_asks.erase(found);
     }
+    if (restarted)
+        ask_again(batch.sender, batch.incarnation, now);
     return results;
 }
 
-auto SlotClient::ask_again(RouterId const& coordinator, Instant now) -> void
+auto SlotClient::ask_again(RouterId const& coordinator, std::uint64_t incarnation, Instant now) -> void
 {
     for (auto& [number, ask] : m_asks) {
         if (ask.coordinator != coordinator || ask.granted || ask.expected_grant == Instant {})
             continue;
+        if (ask.answered_by == incarnation)
+            continue;
         repeat(ask, now);
     }
 }
--- a/src/coordination/slot_client.h
+++ b/src/coordination/slot_client.h
@@ -77,6 +77,7 @@
         Instant asked_at;
         Instant answer_due; ///< Instant::max() once granted.
         Instant expected_grant {}; ///< Instant{} before the first answer.
+        std::uint64_t answered_by = 0; ///< Incarnation of the coordinator that sent the last answer.
         bool granted = false;
         bool repeated = false; ///< Since its last answer.
     };
@@ -88,8 +89,8 @@
 
     auto outgoing(std::string const& address) -> SlotBatch&;
     auto take_answer(Ask&, SlotAnswer const&, Instant now) -> SlotResult;
-    /// A coordinator that restarted knows nothing of what was asked before.
-    auto ask_again(RouterId const& coordinator, Instant now) -> void;
+    /// Repeats what waits at former incarnations of a coordinator: the present one knows nothing of it.
+    auto ask_again(RouterId const& coordinator, std::uint64_t incarnation, Instant now) -> void;
     /// Sends a slot request again, with the times that are left now.
     auto repeat(Ask&, Instant now) -> void;
     auto note_unanswered(Ask const&, Instant now) -> void;
--- a/tests/coordination/slot_client_test.cc
+++ b/tests/coordination/slot_client_test.cc
@@ -339,3 +339,17 @@
     cr_assert(client.requests.empty());
     cr_assert(client.releases == std::vector {release});
 }
+
+// A request that the new incarnation has just answered would be decided on twice, and the second grant be
+// used by nobody.
+Test(slot_client, restarted_coordinator_is_not_asked_again_for_what_it_answers_just_then)
+{
+    Client client;
+    auto const number = client.ask(0);
+    client.answered(answer(number, SlotVerdict::kQueued, 100), 4);
+    client.tick(204);
+    cr_assert_eq(client.requests.size(), 1, "The grant is lost with the coordinator.");
+    client.answered(answer(number, SlotVerdict::kRejected), 208, second_incarnation);
+    cr_assert(client.requests.empty());
+    cr_assert_eq(client.client.open(), 0);
+}
