Bound what a gateway remembers of coordinators

SlotClient kept the incarnation of every sender of answers, also of gateways that it had asked nothing, and never removed a coordinator. Names in messages of a faulty gateway, and gateways replaced under new names, made the map grow without bound. Answers of strangers are now ignored, and above 1,024 entries those are removed that nothing is asked of and that are not suspended. Both tests failed before.

--- a/src/coordination/slot_client.cc
+++ b/src/coordination/slot_client.cc
@@ -1,6 +1,7 @@
 #include "src/coordination/slot_client.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace graniteseam::coordination {
@@ -11,6 +12,9 @@
     constexpr Duration suspension {1'000'000};
     /// Bound of the times in answers, against overflow.
     constexpr std::int64_t time_maximum_us = 3'600'000'000;
+    /// Gateways are replaced under new names. At most 32 gateways in each of nine zones coordinate servers.
+    constexpr std::size_t coordinators_maximum = 1'024;
+
     auto bounded(std::int64_t time_us) -> Duration
     {
         return Duration {std::clamp<std::int64_t>(time_us, 0, time_maximum_us)};
@@ -47,6 +51,9 @@
 auto SlotClient::ask(traffic::GatewayPeer const& coordinator, SlotRequest request, Instant now)
     -> std::uint64_t
 {
+    if (m_coordinators.size() >= coordinators_maximum)
+        forget_idle_coordinators(now);
+    m_coordinators.try_emplace(coordinator.id);
     request.number = ++m_last_number;
     outgoing(coordinator.address).requests.push_back(request);
     Ask ask;
@@ -113,7 +120,10 @@
     std::vector<SlotResult> results;
     if (batch.answers.empty())
         return results;
-    auto& coordinator = m_coordinators[batch.sender];
+    auto const known = m_coordinators.find(batch.sender);
+    if (known == m_coordinators.end())
+        return results;
+    auto& coordinator = known->second;
     coordinator.unanswered = 0;
     auto const restarted = std::exchange(coordinator.incarnation, batch.incarnation) != batch.incarnation;
     for (auto const& answer : batch.answers) {
@@ -196,6 +206,16 @@
     m_silent.push_back(ask.address);
 }
 
+auto SlotClient::forget_idle_coordinators(Instant now) -> void
+{
+    std::set<RouterId> asked;
+    for (auto const& [number, ask] : m_asks)
+        asked.insert(ask.coordinator);
+    std::erase_if(m_coordinators, [&](auto const& entry) {
+        return now >= entry.second.suspended_until && !asked.contains(entry.first);
+    });
+}
+
 auto SlotClient::next_tick() const -> Instant
 {
     auto next = Instant::max();
--- a/src/coordination/slot_client.h
+++ b/src/coordination/slot_client.h
@@ -68,6 +68,8 @@
     auto take_silent() -> std::vector<std::string>;
 
     auto open() const -> std::size_t { return m_asks.size(); }
+    /// Coordinators of which the incarnation or a silence is remembered.
+    auto coordinators() const -> std::size_t { return m_coordinators.size(); }
 
 private:
     struct Ask {
@@ -82,7 +84,7 @@
         bool repeated = false; ///< Since its last answer.
     };
     struct Coordinator {
-        std::uint64_t incarnation = 0;
+        std::uint64_t incarnation = 0; ///< 0 before the first answer.
         int unanswered = 0; ///< Consecutive slot requests without an answer.
         Instant suspended_until {};
     };
@@ -94,6 +96,8 @@
     /// Sends a slot request again, with the times that are left now.
     auto repeat(Ask&, Instant now) -> void;
     auto note_unanswered(Ask const&, Instant now) -> void;
+    /// Removes coordinators that nothing is asked of and that are not suspended.
+    auto forget_idle_coordinators(Instant now) -> void;
 
     RouterId const m_self;
     std::uint64_t const m_incarnation;
--- a/tests/coordination/slot_client_test.cc
+++ b/tests/coordination/slot_client_test.cc
@@ -353,3 +353,31 @@
     cr_assert(client.requests.empty());
     cr_assert_eq(client.client.open(), 0);
 }
+
+// Each name in a message of a faulty or foreign gateway was kept for good.
+Test(slot_client, answers_of_gateways_that_were_never_asked_leave_no_state)
+{
+    Client client;
+    for (int number = 0; number < 100; ++number) {
+        auto const stranger = coordinator("x-" + std::to_string(number));
+        client.client.on_batch(batch({answer(1, SlotVerdict::kGranted)}, 1, stranger), at(number));
+    }
+    cr_assert_eq(client.client.coordinators(), 0);
+}
+
+// Gateways that are replaced under new names, over months.
+Test(slot_client, coordinators_of_the_past_are_forgotten)
+{
+    Client client;
+    client.suspend(0);
+    for (int number = 0; number < 3'000; ++number) {
+        auto const peer = coordinator("x-" + std::to_string(number));
+        SlotRelease release;
+        release.number = client.ask(200, peer);
+        client.client.on_batch(batch({answer(release.number, SlotVerdict::kGranted)}, 1, peer), at(200));
+        client.client.end(release);
+        client.take();
+    }
+    cr_assert_leq(client.client.coordinators(), 1'024);
+    cr_assert_not(client.client.may_ask(first.id, at(200)), "It is suspended still.");
+}
