End the wait for a slot at its hold time on the asking side

SlotClient relied on the coordinator's expected start alone: after a coordinator was killed, a request that it had expected to start in 4 s waited that long, and one that was answered as queued again and again waited without end. Only the gateway's own timer cut this short. Both tests failed before.

--- a/src/coordination/slot_client.cc
+++ b/src/coordination/slot_client.cc
@@ -61,6 +61,7 @@
     ask.address = coordinator.address;
     ask.asked_at = now;
     ask.answer_due = now + answer_limit;
+    ask.wait_end = now + bounded(request.hold_us) + answer_limit;
     ask.request = std::move(request);
     m_asks.emplace(m_last_number, std::move(ask));
     return m_last_number;
@@ -105,7 +106,7 @@
         result.kind = SlotResult::Kind::kQueued;
         result.start_in = bounded(answer.start_in_us);
         ask.expected_grant = now + result.start_in;
-        ask.answer_due = ask.expected_grant + answer_limit;
+        ask.answer_due = std::min(ask.expected_grant + answer_limit, ask.wait_end);
         break;
     case SlotVerdict::kRejected:
         result.kind = SlotResult::Kind::kRejected;
@@ -177,7 +178,7 @@
             continue;
         }
         auto const was_answered = ask.expected_grant != Instant {};
-        if (was_answered && !ask.repeated) {
+        if (was_answered && !ask.repeated && now < ask.wait_end) {
             // The grant may have been lost.
             repeat(ask, now);
             ++entry;
--- a/src/coordination/slot_client.h
+++ b/src/coordination/slot_client.h
@@ -78,6 +78,7 @@
         SlotRequest request;
         Instant asked_at;
         Instant answer_due; ///< Instant::max() once granted.
+        Instant wait_end; ///< By then the coordinator's rejection at the end of the hold time has arrived.
         Instant expected_grant {}; ///< Instant{} before the first answer.
         std::uint64_t answered_by = 0; ///< Incarnation of the coordinator that sent the last answer.
         bool granted = false;
--- a/tests/coordination/slot_client_test.cc
+++ b/tests/coordination/slot_client_test.cc
@@ -381,3 +381,32 @@
     cr_assert_leq(client.client.coordinators(), 1'024);
     cr_assert_not(client.client.may_ask(first.id, at(200)), "It is suspended still.");
 }
+
+// The coordinator was killed after it had answered with a time far off.
+Test(slot_client, queued_request_waits_no_longer_than_its_hold_time)
+{
+    Client client;
+    auto const number = client.ask(0);
+    client.answered(answer(number, SlotVerdict::kQueued, 4'000), 4);
+    cr_assert(client.client.next_tick() == at(1'350));
+    auto const results = client.tick(1'350);
+    cr_assert_eq(results.size(), 1);
+    cr_assert(results[0].kind == SlotResult::Kind::kUnanswered);
+    cr_assert_eq(client.releases.size(), 1);
+}
+
+// A coordinator that estimates wrongly each time would be asked again without end.
+Test(slot_client, request_that_is_queued_again_and_again_ends_with_its_hold_time)
+{
+    Client client;
+    auto const number = client.ask(0);
+    std::int64_t ms = 4;
+    std::size_t ended = 0;
+    for (; ended == 0 && ms < 5'000; ms += 4) {
+        client.answered(answer(number, SlotVerdict::kQueued, 10), ms);
+        ms = (client.client.next_tick() - start) / std::chrono::milliseconds(1);
+        ended = client.tick(ms).size();
+    }
+    cr_assert_eq(ended, 1);
+    cr_assert_leq(ms, 1'460);
+}
