--- a/tests/coordination/return_schedule_test.cc
+++ b/tests/coordination/return_schedule_test.cc
@@ -83,3 +83,18 @@
         cr_assert_leq(time, at(900));
     }
 }
+
+// One slot and a second of work: each step had a place of its own.
+Test(return_schedule, slow_server_gets_no_more_returns_than_it_starts_whenever_callers_are_rejected)
+{
+    constexpr double starts_per_step = 0.1;
+    ReturnSchedule schedule;
+    std::map<std::int64_t, int> returns;
+    for (int rejection = 0; rejection < 30; ++rejection) {
+        auto const now = at(rejection * 100);
+        ++returns[step_of(schedule.book(now, at(30'000), starts_per_step, now)) / 10];
+    }
+    for (auto const& [second, count] : returns)
+        cr_assert_leq(count, 2, "%d returns within a second.", count);
+    cr_assert_geq(returns.size(), 25);
+}
