Set the queue's timer for the moment at which waiting requests have room

While requests waited, the timer was due whenever the assumed number of other senders' requests fell by one. A server that reports a senseless load (bounded to a million) made that over a hundred thousand ticks a second. At the same time it was not due when a slot request stated more slots than the one before, so that these stayed unused until the next release. room_at() now gives the one moment at which a grant becomes possible.

--- a/src/coordination/server_queue.cc
+++ b/src/coordination/server_queue.cc
@@ -320,13 +320,19 @@
         if (!waiting.late)
             next = std::min(next, latest_start(waiting) + Duration {1});
     }
-    // Nobody reports the end of other senders' requests; their number only decays.
-    auto const counted = std::round(m_foreign);
-    if (!m_waiting.empty() && counted > 0) {
-        auto const until_one_less = m_service_us * std::log(m_foreign / (counted - 0.5));
-        next = std::min(next, m_foreign_at + Duration {std::llround(until_one_less) + 1});
-    }
-    return next;
+    return std::min(next, room_at());
+}
+
+auto ServerQueue::room_at() const -> Instant
+{
+    auto const room = static_cast<double>(m_slots + extra_grants) - static_cast<double>(m_grants.size());
+    if (m_waiting.empty() || room <= 0)
+        return Instant::max();
+    auto const most = room - 0.5; // Rounded, it leaves one of the places.
+    if (m_foreign < most)
+        return m_foreign_at;
+    auto const until_less = m_service_us * std::log(m_foreign / most);
+    return m_foreign_at + Duration {std::llround(until_less) + 1};
 }
 
 } // namespace graniteseam::coordination
--- a/src/coordination/server_queue.h
+++ b/src/coordination/server_queue.h
@@ -85,6 +85,10 @@
     /// Grants and requests of other senders that are assumed to be at the server.
     auto outstanding(Instant now) const -> double;
     auto foreign(Instant now) const -> double;
+    /// When waiting requests can be granted without a release: requests of other senders decay, and a slot
+    /// request may have stated more slots. A time in the past is now; Instant::max() while grants take all
+    /// slots.
+    auto room_at() const -> Instant;
     /// Time until the server starts the request with this many before it, outstanding ones included.
     auto wait_behind(double before) const -> Duration;
     /// Time until a late request is expected to be granted; nullopt when requests in time leave no room.
