Keep a gateway that has open slot requests

A gateway that had sent nothing for 60 s was forgotten with its address and its incarnation, also while its requests waited or held slots: a grant to it was dropped, and a restart under another incarnation did not end its grants, whose numbers the new one would then use again. It affects deadlines above a minute. The test failed before.

--- a/src/coordination/slot_coordinator.cc
+++ b/src/coordination/slot_coordinator.cc
@@ -188,8 +188,15 @@
                 && now - entry.second.last_used > idle_retention;
         });
         std::erase_if(m_open, [&](auto const& entry) { return !is_open(entry.first, entry.second, now); });
-        std::erase_if(
-            m_gateways, [&](auto const& entry) { return now - entry.second.last_heard > idle_retention; });
+        std::erase_if(m_gateways, [&](auto const& entry) {
+            return now - entry.second.last_heard > idle_retention && !has_open(entry.first);
+        });
+    }
+
+    auto has_open(RouterId const& gateway) const -> bool
+    {
+        auto const found = m_open.lower_bound({gateway, 0});
+        return found != m_open.end() && found->first.gateway == gateway;
     }
 
     /// Grants end without a message when their release was lost.
--- a/tests/coordination/slot_coordinator_test.cc
+++ b/tests/coordination/slot_coordinator_test.cc
@@ -316,3 +316,19 @@
     coordinator.collect(coordinator.coordinator.on_batch("#g-1", batch, at(0)));
     cr_assert(coordinator.answers.empty());
 }
+
+// Nothing else was heard of the gateway for a minute: the grant had no address to go to.
+Test(slot_coordinator, gateway_with_a_long_wait_gets_its_grant)
+{
+    Coordinator coordinator;
+    auto patient = request(1);
+    patient.target_left_us = patient.time_left_us = patient.hold_us = 300'000'000;
+    for (patient.number = 1; patient.number <= grants_maximum; ++patient.number)
+        coordinator.receive("g-1", {patient}, {}, 0);
+    coordinator.receive("g-2", {patient}, {}, 0);
+    cr_assert_eq(coordinator.verdict("g-2", patient.number), "kQueued");
+    for (std::int64_t ms = 10'000; ms <= 100'000; ms += 10'000)
+        coordinator.receive("g-1", {}, {}, ms);
+    coordinator.receive("g-1", {}, {release(1)}, 100'001);
+    cr_assert_eq(coordinator.verdict("g-2", patient.number), "kGranted");
+}
