Treat a weight that is not a number as the least weight

std::max(weight, minimum) returns a NaN unchanged: the scores then have no order, which std::sort requires, and such a gateway took servers at random. The leader refuses such weights, but a gateway must not depend on that. The test failed before.

--- a/src/coordination/coordinator_selector.cc
+++ b/src/coordination/coordinator_selector.cc
@@ -24,7 +24,8 @@
         constexpr int discarded_bits = 11;
         constexpr double values = 9007199254740992.0; // 2^53, the integers that a double holds exactly.
         auto const uniform = (static_cast<double>(digest >> discarded_bits) + 0.5) / values;
-        return -std::max(peer.weight, weight_minimum) / std::log(uniform);
+        // The order of the arguments makes NaN the minimum.
+        return -std::max(weight_minimum, peer.weight) / std::log(uniform);
     }
 
 } // namespace
--- a/tests/coordination/coordinator_selector_test.cc
+++ b/tests/coordination/coordinator_selector_test.cc
@@ -174,3 +174,20 @@
     cr_assert(selector.apply({{3, 1}, {3, 2}, {moved}, {}}).empty());
     cr_assert_eq(selector.coordinator_of(server(1), {"z-1"})->address, "a:2");
 }
+
+// Not a number is neither above nor below any other score, and breaks the order that sorting needs.
+Test(coordinator_selector, gateway_without_a_valid_weight_gets_almost_no_servers)
+{
+    for (auto const weight : {std::numeric_limits<double>::quiet_NaN(), 0.0, -1.0}) {
+        for (std::string const name : {"a", "b", "c"}) {
+            std::vector<traffic::GatewayPeer> peers {peer("a"), peer("b"), peer("c")};
+            peers.at(static_cast<std::size_t>(name[0] - 'a')).weight = weight;
+            CoordinatorSelector selector;
+            selector.apply(whole(peers, 3));
+            auto const chosen = coordinators(selector);
+            cr_assert_lt(share_of(chosen, name), 0.01, "Weight %f of %s.", weight, name.c_str());
+            auto const other = name == "a" ? "b" : "a";
+            cr_assert_float_eq(share_of(chosen, other), 0.5, 0.03, "Weight %f of %s.", weight, name.c_str());
+        }
+    }
+}
