Remove a killed gateway also while few others poll

The directory takes a pause between two checks for a stall of the leader itself and then extends the time of every gateway. Its limit was 500 ms, but checks are caused by polls, and with one gateway left a poll comes every 500 ms and more: the killed ones stayed listed and were asked for slots for good. The limit is now 1.4 s; a shorter stall of the leader removes nobody, since every gateway has polled within 500 ms before it. The test failed before.

--- a/src/control/gateway_directory.cc
+++ b/src/control/gateway_directory.cc
@@ -14,8 +14,9 @@
 constexpr Duration kDiscoveryTime{2'000'000};
 constexpr Duration kCheckInterval{100'000};
 /// A check that comes later than this shows that the leader itself stood still, and could not
-/// receive polls.
-constexpr Duration kOwnStall{500'000};
+/// receive polls. Checks are caused by polls, which a single gateway sends every 500 ms; and a
+/// shorter stall removes nobody, since everybody has polled within 500 ms before it.
+constexpr Duration kOwnStall{1'400'000};
 /// Changes kept for gateways that are behind; one that is further behind is sent the whole list.
 constexpr std::size_t kChangesMaximum = 256;
 constexpr std::size_t kGatewaysMaximum = 16'384;
--- a/tests/control/gateway_directory_test.cc
+++ b/tests/control/gateway_directory_test.cc
@@ -185,3 +185,12 @@
   PollThrough(directory, gateways, 3'500, 6'000);
   cr_assert(directory.UpdateSince(whole.version, At(6'000)) == traffic::PeerUpdate{});
 }
+
+// Between two polls of one gateway pass 500 ms and more: the leader took each for a time in which
+// it stood still itself, and the killed gateway stayed listed for good.
+Test(gateway_directory, killed_gateway_is_removed_when_only_one_other_polls) {
+  GatewayDirectory directory(kTerm, kStart);
+  PollThrough(directory, {"a", "b"}, 0, 3'000);
+  for (std::int64_t ms = 3'510; ms <= 6'000; ms += 510) directory.RecordPoll(PollOf("a"), At(ms));
+  cr_assert(List(directory, 6'000) == Names({"a"}));
+}
