--- a/tests/protocol/transport_test.cc
+++ b/tests/protocol/transport_test.cc
@@ -1,9 +1,6 @@
 #include <criterion/criterion.h>
 
-#include <condition_variable>
-#include <filesystem>
-#include <fstream>
-#include <mutex>
+#include <thread>
 
 #include "graniteseam/codec/codec.h"
 #include "src/protocol/frame.h"
@@ -12,43 +9,21 @@
 #include "src/protocol/internal_tls.h"
 #include "src/protocol/peer_transport.h"
 #include "src/protocol/router_control_client.h"
+#include "tests/support/mailbox.h"
 #include "tests/support/raw_client.h"
+#include "tests/support/secret_file.h"
 
 namespace consensus = graniteseam::consensus;
 namespace control = graniteseam::control;
 namespace runtime = graniteseam::runtime;
 namespace protocol = graniteseam::protocol;
 using graniteseam::protocol::FrameKind;
+using graniteseam::test::Mailbox;
 using graniteseam::test::RawClient;
+using graniteseam::test::SecretFile;
 
 namespace {
 
-/// Collects what handlers deliver on other threads.
-template <class T>
-class Mailbox {
- public:
-  void Put(T item) {
-    const std::lock_guard lock(mutex_);
-    items_.push_back(std::move(item));
-    arrived_.notify_all();
-  }
-  /// Waits for `count` items, with a limit that only a defect reaches.
-  bool WaitFor(std::size_t count) {
-    std::unique_lock lock(mutex_);
-    return arrived_.wait_for(lock, std::chrono::seconds(60),
-                             [&] { return items_.size() >= count; });
-  }
-  std::vector<T> items() {
-    const std::lock_guard lock(mutex_);
-    return items_;
-  }
-
- private:
-  std::mutex mutex_;  ///< Guards items_.
-  std::condition_variable arrived_;
-  std::vector<T> items_;
-};
-
 /// A control process's internal port that answers renewals with their sequence.
 struct Control {
   explicit Control(protocol::InternalSecurity security = {}, std::size_t connections = 100,
@@ -103,17 +78,6 @@
   protocol::RouterControlClient client;
 };
 
-/// A secret file that is removed with this object.
-struct SecretFile {
-  SecretFile(const std::string& name, const std::string& text)
-      : path((std::filesystem::temp_directory_path() / (name + std::to_string(::getpid())))
-                 .string()) {
-    std::ofstream(path) << text;
-  }
-  ~SecretFile() { std::filesystem::remove(path); }
-  std::string path;
-};
-
 const std::string kSecret(40, 's');
 const std::string kOtherSecret(40, 'o');
 
