Count messages to a peer that cannot be reached as dropped

Messages that waited for a connection vanished from the metrics when the dial failed, the connection ended before it was ready, or it was reset: only later ones were counted. All are now counted, and the log line on an ended connection names the gateway. The new test failed before; the test of a reset now states the 64 messages that it drops.

--- a/src/protocol/gateway_transport.cc
+++ b/src/protocol/gateway_transport.cc
@@ -70,6 +70,7 @@
            Connection::Side side);
   void OnReady(const std::string& name, std::uint64_t generation);
   void OnClosed(const std::string& name, std::uint64_t generation, const Error& reason);
+  void DropPending(Peer& peer);
   Peer* Find(const std::string& name, std::uint64_t generation);
   void CloseIdle();
 
@@ -180,10 +181,16 @@
                                       const Error& reason) {
   Peer* const peer = Find(name, generation);
   if (peer == nullptr) return;
-  log_.Info("Connection of gateways ended: {}", reason.message);
+  log_.Info("Connection with gateway {} ended: {}", name, reason.message);
+  DropPending(*peer);
   peers_.erase(name);
 }
 
+void GatewayTransport::Impl::DropPending(Peer& peer) {
+  metrics_.frames_dropped.Increment(static_cast<double>(peer.pending.size()));
+  peer.pending.clear();
+}
+
 void GatewayTransport::Impl::Send(const std::string& address, std::string_view payload) {
   if (stopped_) return;
   const bool accepted = address.starts_with(kAcceptedPrefix);
@@ -229,7 +236,7 @@
   const auto socket = std::exchange(peer->dialling, nullptr);
   peer->dial_timer->cancel();
   if (error) {
-    peer->pending.clear();
+    DropPending(*peer);
     peer->dial_after = runtime::BootTimeNow() + kDialPause;
     return;
   }
@@ -239,8 +246,9 @@
 void GatewayTransport::Impl::Reset(const std::string& address) {
   const auto found = peers_.find(address);
   if (found == peers_.end()) return;
-  const Peer peer = std::move(found->second);
+  Peer peer = std::move(found->second);
   peers_.erase(found);
+  DropPending(peer);
   ErrorCode ignored;
   if (peer.dialling) peer.dialling->close(ignored);
   if (peer.connection) {
