--- a/src/protocol/gateway_transport.cc
+++ b/src/protocol/gateway_transport.cc
@@ -24,6 +24,8 @@
 constexpr std::chrono::milliseconds kDialTimeout{300};
 /// After a failed dial, messages to the peer are dropped for this long.
 constexpr Duration kDialPause{100'000};
+/// After a failed accept: without free descriptors, the next one would fail at once again.
+constexpr std::chrono::milliseconds kAcceptPause{100};
 /// Connections without messages for this long are closed.
 constexpr Duration kIdleLimit{60'000'000};
 constexpr std::chrono::seconds kIdleCheckInterval{10};
@@ -42,6 +44,7 @@
         metrics_(registry),
         handler_(std::move(handler)),
         acceptor_(loop.context()),
+        accept_timer_(loop.context()),
         idle_timer_(loop.context()) {}
 
   Result<void> Start();
@@ -63,6 +66,7 @@
   };
 
   void Accept();
+  void AcceptLater();
   void Take(asio::ip::tcp::socket socket);
   void Dial(const std::string& address, Peer& peer);
   void OnDialled(const std::string& address, std::uint64_t generation, ErrorCode error);
@@ -80,6 +84,7 @@
   ConnectionMetrics metrics_;
   const Handler handler_;
   asio::ip::tcp::acceptor acceptor_;
+  asio::steady_timer accept_timer_;
   asio::steady_timer idle_timer_;
   std::map<std::string, Peer> peers_;  ///< By address, or by name for accepted connections.
   std::uint64_t last_generation_ = 0;
@@ -115,6 +120,7 @@
   stopped_ = true;
   ErrorCode ignored;
   acceptor_.close(ignored);
+  accept_timer_.cancel();
   idle_timer_.cancel();
   const auto peers = std::exchange(peers_, {});
   for (const auto& [name, peer] : peers) {
@@ -127,11 +133,19 @@
   acceptor_.async_accept(
       [self = shared_from_this()](ErrorCode error, asio::ip::tcp::socket socket) {
         if (error == asio::error::operation_aborted || self->stopped_) return;
-        if (!error && self->peers_.size() < kConnectionsMaximum) self->Take(std::move(socket));
+        if (error) return self->AcceptLater();
+        if (self->peers_.size() < kConnectionsMaximum) self->Take(std::move(socket));
         self->Accept();
       });
 }
 
+void GatewayTransport::Impl::AcceptLater() {
+  accept_timer_.expires_after(kAcceptPause);
+  accept_timer_.async_wait([self = shared_from_this()](ErrorCode error) {
+    if (!error && !self->stopped_) self->Accept();
+  });
+}
+
 void GatewayTransport::Impl::Take(asio::ip::tcp::socket socket) {
   const std::string name = kAcceptedPrefix + std::to_string(last_generation_ + 1);
   Run(name, peers_[name], std::move(socket), Connection::Side::kAccepted);
--- a/tests/protocol/gateway_transport_test.cc
+++ b/tests/protocol/gateway_transport_test.cc
@@ -2,8 +2,11 @@
 #include "src/protocol/gateway_transport.h"
 
 #include <criterion/criterion.h>
+#include <sys/resource.h>
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
+#include <ctime>
 #include <future>
 #include <memory>
 #include <optional>
@@ -347,3 +350,29 @@
   one.Send(ClosedAddress(), "lost");
   cr_assert(one.WaitForMetric(kDropped, 1));
 }
+
+// A gateway under a burst may have as many caller connections as it can open: the failed accept was
+// repeated at once, and took the processor from the requests that would have freed descriptors.
+Test(gateway_transport, accepting_without_free_descriptors_takes_no_processor_time) {
+  Gateway other;
+  const int client = socket(AF_INET, SOCK_STREAM, 0);
+  std::vector<int> taken;
+  rlimit limit{};
+  getrlimit(RLIMIT_NOFILE, &limit);
+  limit.rlim_cur = std::min<rlim_t>(limit.rlim_cur, 128);
+  setrlimit(RLIMIT_NOFILE, &limit);
+  for (int copy = dup(client); copy >= 0; copy = dup(client)) taken.push_back(copy);
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port = htons(other.port());
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  cr_assert_eq(connect(client, reinterpret_cast<sockaddr*>(&address), sizeof(address)), 0);
+  const std::clock_t before = std::clock();
+  std::this_thread::sleep_for(milliseconds(500));
+  const double used = static_cast<double>(std::clock() - before) / CLOCKS_PER_SEC;
+  cr_assert_lt(used, 0.1, "%f s of processor time in 0.5 s", used);
+  for (const int copy : taken) close(copy);
+  char hello = 0;
+  cr_assert_eq(recv(client, &hello, 1, 0), 1, "It is accepted once descriptors are free.");
+  close(client);
+}
