--- a/src/coordination/slot_client.cc
+++ b/src/coordination/slot_client.cc
@@ -1,6 +1,7 @@
 #include "src/coordination/slot_client.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace graniteseam::coordination {
@@ -11,6 +12,9 @@
     constexpr Duration suspension {1'000'000};
     /// Bound of the times in answers, against overflow.
     constexpr std::int64_t time_maximum_us = 3'600'000'000;
+    /// Gateways are replaced under new names. At most 32 gateways in each of nine zones coordinate servers.
+    constexpr std::size_t coordinators_maximum = 1'024;
+
     auto bounded(std::int64_t time_us) -> Duration
     {
         return Duration {std::clamp<std::int64_t>(time_us, 0, time_maximum_us)};
@@ -47,6 +51,9 @@
 auto SlotClient::ask(traffic::GatewayPeer const& coordinator, SlotRequest request, Instant now)
     -> std::uint64_t
 {
+    if (m_coordinators.size() >= coordinators_maximum)
+        forget_idle_coordinators(now);
+    m_coordinators.try_emplace(coordinator.id);
     request.number = ++m_last_number;
     outgoing(coordinator.address).requests.push_back(request);
     Ask ask;
@@ -54,6 +61,7 @@
     ask.address = coordinator.address;
     ask.asked_at = now;
     ask.answer_due = now + answer_limit;
+    ask.wait_end = now + bounded(request.hold_us) + answer_limit;
     ask.request = std::move(request);
     m_asks.emplace(m_last_number, std::move(ask));
     return m_last_number;
@@ -64,8 +72,19 @@
     auto const found = m_asks.find(release.number);
     if (found == m_asks.end())
         return;
-    outgoing(found->second.address).releases.push_back(release);
+    auto const ask = std::move(found->second);
     m_asks.erase(found);
+    auto& batch = outgoing(ask.address);
+    // Coordinators handle the releases of a batch before its requests: a request that is still to be sent
+    // would take a slot that nobody returns.
+    auto const unsent = std::erase_if(batch.requests, [&](auto const& other) {
+        return other.number == release.number;
+    }) > 0;
+    auto const unknown_to_coordinator = unsent && ask.expected_grant == Instant {};
+    if (!unknown_to_coordinator)
+        batch.releases.push_back(release);
+    else if (batch.requests.empty() && batch.releases.empty())
+        m_outgoing.erase(ask.address);
 }
 
 auto SlotClient::take_answer(Ask& ask, SlotAnswer const& answer, Instant now) -> SlotResult
@@ -87,7 +106,7 @@
         result.kind = SlotResult::Kind::kQueued;
         result.start_in = bounded(answer.start_in_us);
         ask.expected_grant = now + result.start_in;
-        ask.answer_due = ask.expected_grant + answer_limit;
+        ask.answer_due = std::min(ask.expected_grant + answer_limit, ask.wait_end);
         break;
     case SlotVerdict::kRejected:
         result.kind = SlotResult::Kind::kRejected;
@@ -102,29 +121,37 @@
     std::vector<SlotResult> results;
     if (batch.answers.empty())
         return results;
-    auto& coordinator = m_coordinators[batch.sender];
+    auto const known = m_coordinators.find(batch.sender);
+    if (known == m_coordinators.end())
+        return results;
+    auto& coordinator = known->second;
     coordinator.unanswered = 0;
-    if (std::exchange(coordinator.incarnation, batch.incarnation) != batch.incarnation)
-        ask_again(batch.sender, now);
+    auto const restarted = std::exchange(coordinator.incarnation, batch.incarnation) != batch.incarnation;
     for (auto const& answer : batch.answers) {
         auto const found = m_asks.find(answer.number);
-        // The request ended meanwhile, or another coordinator was asked: a slot that was granted is returned.
+        // The request ended meanwhile, or another coordinator was asked. A slot that this answer grants is
+        // freed by the withdrawal, or when its time ends.
         if (found == m_asks.end() || found->second.coordinator != batch.sender)
             continue;
         if (found->second.granted)
             continue;
+        found->second.answered_by = batch.incarnation;
         results.push_back(take_answer(found->second, answer, now));
         if (answer.verdict == SlotVerdict::kRejected)
             m_asks.erase(found);
     }
+    if (restarted)
+        ask_again(batch.sender, batch.incarnation, now);
     return results;
 }
 
-auto SlotClient::ask_again(RouterId const& coordinator, Instant now) -> void
+auto SlotClient::ask_again(RouterId const& coordinator, std::uint64_t incarnation, Instant now) -> void
 {
     for (auto& [number, ask] : m_asks) {
         if (ask.coordinator != coordinator || ask.granted || ask.expected_grant == Instant {})
             continue;
+        if (ask.answered_by == incarnation)
+            continue;
         repeat(ask, now);
     }
 }
@@ -151,7 +178,7 @@
             continue;
         }
         auto const was_answered = ask.expected_grant != Instant {};
-        if (was_answered && !ask.repeated) {
+        if (was_answered && !ask.repeated && now < ask.wait_end) {
             // The grant may have been lost.
             repeat(ask, now);
             ++entry;
@@ -180,6 +207,16 @@
     m_silent.push_back(ask.address);
 }
 
+auto SlotClient::forget_idle_coordinators(Instant now) -> void
+{
+    std::set<RouterId> asked;
+    for (auto const& [number, ask] : m_asks)
+        asked.insert(ask.coordinator);
+    std::erase_if(m_coordinators, [&](auto const& entry) {
+        return now >= entry.second.suspended_until && !asked.contains(entry.first);
+    });
+}
+
 auto SlotClient::next_tick() const -> Instant
 {
     auto next = Instant::max();
--- a/src/coordination/slot_client.h
+++ b/src/coordination/slot_client.h
@@ -68,6 +68,8 @@
     auto take_silent() -> std::vector<std::string>;
 
     auto open() const -> std::size_t { return m_asks.size(); }
+    /// Coordinators of which the incarnation or a silence is remembered.
+    auto coordinators() const -> std::size_t { return m_coordinators.size(); }
 
 private:
     struct Ask {
@@ -76,23 +78,27 @@
         SlotRequest request;
         Instant asked_at;
         Instant answer_due; ///< Instant::max() once granted.
+        Instant wait_end; ///< By then the coordinator's rejection at the end of the hold time has arrived.
         Instant expected_grant {}; ///< Instant{} before the first answer.
+        std::uint64_t answered_by = 0; ///< Incarnation of the coordinator that sent the last answer.
         bool granted = false;
         bool repeated = false; ///< Since its last answer.
     };
     struct Coordinator {
-        std::uint64_t incarnation = 0;
+        std::uint64_t incarnation = 0; ///< 0 before the first answer.
         int unanswered = 0; ///< Consecutive slot requests without an answer.
         Instant suspended_until {};
     };
 
     auto outgoing(std::string const& address) -> SlotBatch&;
     auto take_answer(Ask&, SlotAnswer const&, Instant now) -> SlotResult;
-    /// A coordinator that restarted knows nothing of what was asked before.
-    auto ask_again(RouterId const& coordinator, Instant now) -> void;
+    /// Repeats what waits at former incarnations of a coordinator: the present one knows nothing of it.
+    auto ask_again(RouterId const& coordinator, std::uint64_t incarnation, Instant now) -> void;
     /// Sends a slot request again, with the times that are left now.
     auto repeat(Ask&, Instant now) -> void;
     auto note_unanswered(Ask const&, Instant now) -> void;
+    /// Removes coordinators that nothing is asked of and that are not suspended.
+    auto forget_idle_coordinators(Instant now) -> void;
 
     RouterId const m_self;
     std::uint64_t const m_incarnation;
