Simulate gateways that coordinate admission

The traffic world no longer compiled, since its gateways did not handle the new effects, and no simulation covered slot requests between gateways.

The scenario traffic-coordination gives six gateways, two a zone, coordination addresses and a service with leases by heartbeat a target of 1,000 ms, at three times the calls. Coordinators are killed, replaced, frozen and resumed, and cut from one another in one direction, beside all other faults. Faults of gateways move to a file of their own.

A run in which no slot is granted, or no request waits for one, fails.

--- a/simulation/simulator/main.cc
+++ b/simulation/simulator/main.cc
@@ -41,6 +41,8 @@
 constexpr const char* kTrafficLimits = "traffic-limits";
 /// The same as the first with workers that warm up and more gateways, some of which join later.
 constexpr const char* kTrafficWarmUps = "traffic-warm-ups";
+/// The same as the first with gateways that coordinate admission, and faults of theirs.
+constexpr const char* kTrafficCoordination = "traffic-coordination";
 
 constexpr const char* kUsage =
     "Usage: graniteseam-simulation [OPTION...]\n"
@@ -68,7 +70,7 @@
   bool Traffic() const {
     return scenario == kTrafficScenario || scenario == kTrafficCalmCore ||
            scenario == kTrafficCrashing || scenario == kTrafficLimits ||
-           scenario == kTrafficWarmUps;
+           scenario == kTrafficWarmUps || scenario == kTrafficCoordination;
   }
 };
 
@@ -166,6 +168,8 @@
   std::printf(
       "scenario %-36s %s\n", kTrafficWarmUps,
       "traffic with workers that warm up, zones that restart or are drained, and 24 gateways");
+  std::printf("scenario %-36s %s\n", kTrafficCoordination,
+              "traffic with six gateways that coordinate admission, and three times the calls");
   for (const auto& [defect, name, promise, description] : seeded_traffic_defects()) {
     std::printf("defect   %-36.*s traffic: %.*s\n", static_cast<int>(name.size()), name.data(),
                 static_cast<int>(description.size()), description.data());
@@ -237,6 +241,13 @@
     world.gateways = 24;
     world.spare_gateways = 6;
   }
+  if (settings.scenario == kTrafficCoordination) {
+    world.coordination = true;
+    // Two a zone, so that another one of the same zone takes over the servers of one that is gone.
+    world.gateways = 6;
+    // Owners of busy keys get more than they can run.
+    world.load = 3;
+  }
   return graniteseam::simulation::run_traffic({options, world});
 }
 
--- a/simulation/traffic_world/configuration_operators.cc
+++ b/simulation/traffic_world/configuration_operators.cc
@@ -13,8 +13,12 @@
     /// The route whose source says which change made a configuration.
     constexpr auto kMarker = "marker";
 
+    constexpr std::int64_t kTargetMs = 500;
+    /// Long enough for coordinated admission.
+    constexpr std::int64_t kCoordinatedTargetMs = 1'000;
+
     auto route(std::string const& name, std::string const& host, std::string const& prefix,
-        std::string const& service, bool repeatable) -> traffic::Route
+        std::string const& service, bool repeatable, std::int64_t target_ms = kTargetMs) -> traffic::Route
     {
         traffic::Route route;
         route.name = {name};
@@ -22,7 +26,7 @@
         route.path_prefix = prefix;
         route.kind = repeatable ? traffic::RouteKind::kSafe : traffic::RouteKind::kUnsafe;
         route.timeout_ms = 2'500;
-        route.target_latency_ms = 500;
+        route.target_latency_ms = target_ms;
         route.attempts_maximum = 3;
         route.split = {{{service}, 1.0}};
         return route;
@@ -54,7 +58,7 @@
         return service;
     }
 
-    auto first_change() -> traffic::ConfigurationChange
+    auto first_change(bool coordination) -> traffic::ConfigurationChange
     {
         traffic::ConfigurationChange change;
         change.version = {1};
@@ -66,7 +70,9 @@
         for (auto const* name : {kOrderedService, kLeasedService, kPooledService}) {
             for (auto const repeatable : {true, false}) {
                 auto const prefix = "/" + std::string(name) + (repeatable ? "/safe/" : "/unsafe/");
-                change.routes.push_back(route(prefix, "host", prefix, name, repeatable));
+                auto const coordinated = coordination && name == kLeasedService;
+                auto const target = coordinated ? kCoordinatedTargetMs : kTargetMs;
+                change.routes.push_back(route(prefix, "host", prefix, name, repeatable, target));
             }
         }
         change.routes.push_back(marker(change.digest));
@@ -77,7 +83,7 @@
 
 auto ConfigurationOperators::start() -> void
 {
-    send(0, first_change());
+    send(0, first_change(m_fleet.options().coordination));
     plan(1);
 }
 
--- a/simulation/traffic_world/gateway_process.cc
+++ b/simulation/traffic_world/gateway_process.cc
@@ -12,6 +12,22 @@
     constexpr Duration kTrackerInterval {50'000};
     constexpr int kMisdirected = 421;
 
+    auto name_of(coordination::SlotResult::Kind kind) -> std::string
+    {
+        using Kind = coordination::SlotResult::Kind;
+        switch (kind) {
+        case Kind::kGranted:
+            return "slot granted";
+        case Kind::kQueued:
+            return "slot queued";
+        case Kind::kRejected:
+            return "slot rejected";
+        case Kind::kUnanswered:
+            break;
+        }
+        return "slot request unanswered";
+    }
+
 } // namespace
 
 GatewayProcess::GatewayProcess(World& world, GatewayPorts& ports, std::uint32_t number, std::uint32_t zone,
@@ -28,6 +44,7 @@
     options.id = RouterId {ToString(name())};
     options.backends.zone = ZoneName {"zone-" + std::to_string(world_.ZoneOf(name()))};
     options.backends.warm_up_requests_per_second = warm_up_requests_per_second;
+    options.coordination_address = coordination_address;
     m_node = std::make_unique<gateway::GatewayNode>(options, world_.random.Next());
     m_tracker = std::make_unique<protocol::LeaderTracker>(m_controls, kPollInterval);
     m_feed.clear();
@@ -119,6 +136,11 @@
         carry_out(m_node->OnHints(*hints, Now()));
 }
 
+auto GatewayProcess::on_slot_batch(std::string const& from, coordination::SlotBatch const& batch) -> void
+{
+    carry_out(m_node->OnSlotBatch(from, batch, Now()));
+}
+
 auto GatewayProcess::take(gateway::ArrivedRequest const& request, Reply const& reply) -> void
 {
     m_live[request.number] = {request, reply, 0, {}, {}};
@@ -131,6 +153,8 @@
 {
     for (auto const& action : effects.actions)
         std::visit([this](auto const& one) { act(one); }, action);
+    for (auto const& result : effects.slot_results)
+        world_.Count(name_of(result.kind));
     for (auto const& note : effects.notes)
         world_.Trace(ToString(name()) + " " + std::to_string(note.request.value) + " "
             + std::string(note.what) + " " + note.instance.value + ": " + note.inputs);
@@ -226,6 +250,16 @@
             gateway::ReasonName(refusal.reason)});
 }
 
+auto GatewayProcess::act(gateway::SendSlots const& slots) -> void
+{
+    m_ports.send_slots(*this, slots.send);
+}
+
+auto GatewayProcess::act(gateway::ResetPeer const& peer) -> void
+{
+    m_ports.reset_peer(*this, peer.address);
+}
+
 auto GatewayProcess::tell(gateway::RequestNumber number, CallerAnswer const& answer) -> void
 {
     auto const found = m_live.find(number);
--- a/simulation/traffic_world/gateway_process.h
+++ b/simulation/traffic_world/gateway_process.h
@@ -58,6 +58,9 @@
     virtual auto close_at_worker(GatewayProcess& from, std::string const& address, std::uint64_t request)
         -> void
         = 0;
+    /// Carries messages of coordinated admission to a gateway's address, or over an accepted connection.
+    virtual auto send_slots(GatewayProcess& from, coordination::SlotSend const&) -> void = 0;
+    virtual auto reset_peer(GatewayProcess& from, std::string const& address) -> void = 0;
 };
 
 /// Not thread safe.
@@ -72,10 +75,14 @@
     double warm_up_requests_per_second = 0;
     /// Takes the answers of any request for its own; a seeded defect.
     bool takes_any_answer = false;
+    /// Where other gateways ask it for slots; empty when it takes no part in coordinated admission.
+    std::string coordination_address;
 
     auto on_control_connected(std::string const& address) -> void;
     auto on_control_disconnected(std::string const& address) -> void;
     auto on_control_message(std::string const& address, control::ControlToRouter const&) -> void;
+    /// @param from where answers are to be sent.
+    auto on_slot_batch(std::string const& from, coordination::SlotBatch const&) -> void;
     auto take(gateway::ArrivedRequest const&, Reply const&) -> void;
 
     auto ready() const -> bool { return alive() && m_node->Ready(); }
@@ -106,6 +113,8 @@
     auto act(gateway::RelayAnswer const&) -> void;
     auto act(gateway::AskTokens const&) -> void;
     auto act(gateway::Refuse const&) -> void;
+    auto act(gateway::SendSlots const&) -> void;
+    auto act(gateway::ResetPeer const&) -> void;
     auto on_attempt_end(gateway::SendAttempt const&, gateway::AttemptEnd, WorkerAnswer const&) -> void;
     auto close(Live&) -> void;
     auto tell(gateway::RequestNumber, CallerAnswer const&) -> void;
--- a/simulation/traffic_world/traffic_faults.cc
+++ b/simulation/traffic_world/traffic_faults.cc
@@ -11,8 +11,6 @@
     constexpr Duration kIntervalMaximum {2'500'000};
     constexpr Duration kOverlappingIntervalMaximum {1'200'000};
     constexpr std::size_t kKindsMinimum = 2;
-    /// Part of the gateways that are cut from control together.
-    constexpr double kGatewaysCut = 0.4;
 
 } // namespace
 
@@ -78,6 +76,8 @@
         m_kinds.insert(m_kinds.end(), stated().begin(), stated().end());
     if (m_fleet.options().warm_ups)
         m_kinds.insert(m_kinds.end(), warm_ups().begin(), warm_ups().end());
+    if (m_fleet.options().coordination)
+        m_kinds.insert(m_kinds.end(), coordination().begin(), coordination().end());
     if (auto const& only = m_fleet.options().only_faults; !only.empty()) {
         std::erase_if(m_kinds, [&](TrafficFaultKind const& kind) {
             return std::find(only.begin(), only.end(), kind.name) == only.end();
@@ -141,8 +141,11 @@
             m_world.RestoreLink(place.node, control->name());
         }
     }
-    for (auto const& gateway : m_fleet.gateways)
+    for (auto const& gateway : m_fleet.gateways) {
+        for (auto const& other : m_fleet.gateways)
+            m_world.RestoreLink(gateway->name(), other->name());
         gateway->Start();
+    }
     // Each service has workers again, whichever service an address was given to meanwhile.
     for (auto& place : m_fleet.places) {
         if (!place.worker->up())
@@ -290,17 +293,6 @@
     });
 }
 
-auto TrafficFaults::join_gateways() -> void
-{
-    for (auto const& gateway : m_fleet.gateways) {
-        if (gateway->alive())
-            continue;
-        auto const wait = span(0, 1'500);
-        m_fleet.disturb_gateway(gateway->name().number, m_world.now() + wait.count());
-        m_world.queue.After(wait, [&gateway = *gateway] { gateway.Start(); });
-    }
-}
-
 auto TrafficFaults::cut_worker_from_control() -> void
 {
     auto* const place = any_place();
@@ -435,62 +427,6 @@
     });
 }
 
-auto TrafficFaults::cut_gateway() -> void
-{
-    cut(any_gateway(), span(500, 6'000));
-}
-
-auto TrafficFaults::cut_gateways() -> void
-{
-    cut_gateways_for(span(2'000, 10'000));
-}
-
-/// The new leader counts the gateways anew, the more the sooner those that were cut find it, while the
-/// workers of a zone that is taken back are cold.
-auto TrafficFaults::return_gateways() -> void
-{
-    if (m_zone_drained)
-        return;
-    auto const length = span(5'000, 8'000);
-    // Gateways that are cut must have heard of the drain.
-    static constexpr Duration kHeard {500'000};
-    drain_zone_for(length + span(0, 500));
-    m_world.queue.After(kHeard, [this, length] {
-        cut_gateways_for(length - kHeard);
-        kill_leader();
-    });
-}
-
-auto TrafficFaults::cut_gateways_for(Duration length) -> void
-{
-    for (auto const& gateway : m_fleet.gateways) {
-        if (m_world.random.Chance(kGatewaysCut))
-            cut(*gateway, length);
-    }
-}
-
-auto TrafficFaults::cut(GatewayProcess& gateway, Duration length) -> void
-{
-    m_fleet.disturb_gateway(gateway.name().number, m_world.now() + length.count());
-    for (auto const& control : m_fleet.controls) {
-        m_world.CutLink(control->name(), gateway.name());
-        m_world.CutLink(gateway.name(), control->name());
-        m_world.queue.After(length, [this, node = gateway.name(), to = control->name()] {
-            m_world.RestoreLink(to, node);
-            m_world.RestoreLink(node, to);
-        });
-    }
-}
-
-auto TrafficFaults::kill_gateway() -> void
-{
-    auto& gateway = any_gateway();
-    auto const length = span(1, 2'000);
-    m_fleet.disturb_gateway(gateway.name().number, m_world.now() + length.count());
-    gateway.Kill();
-    m_world.queue.After(length, [&gateway] { gateway.Start(); });
-}
-
 auto TrafficFaults::disturb_network() -> void
 {
     auto const length = span(500, 4'000);
--- a/simulation/traffic_world/traffic_faults.h
+++ b/simulation/traffic_world/traffic_faults.h
@@ -33,6 +33,8 @@
     static auto stated() -> std::vector<TrafficFaultKind> const&;
     /// What makes workers warm up, and what disturbs how many gateways send to them meanwhile.
     static auto warm_ups() -> std::vector<TrafficFaultKind> const&;
+    /// What happens to gateways that coordinate admission.
+    static auto coordination() -> std::vector<TrafficFaultKind> const&;
 
     /// Injects kinds drawn from some drawn for this run, until `end`: one after another, or with
     /// `overlapping` two at once and often.
@@ -59,6 +61,9 @@
     auto stop_leader_as_planned() -> void;
     auto cut_gateway() -> void;
     auto kill_gateway() -> void;
+    auto replace_coordinator() -> void;
+    auto freeze_gateway() -> void;
+    auto cut_between_gateways() -> void;
     auto disturb_network() -> void;
     auto name_limit() -> void;
     auto ask_for_rest() -> void;
@@ -83,6 +88,7 @@
     auto start_after(Place&, std::string const& service, Duration) -> void;
     auto cut(GatewayProcess&, Duration) -> void;
     auto cut_gateways_for(Duration) -> void;
+    auto kill(GatewayProcess&, Duration) -> void;
     /// Drains a zone for so long, unless one is drained; its workers are cold when it is taken back.
     auto drain_zone_for(Duration) -> void;
     auto pause(ControlProcess&, Duration) -> void;
--- a/simulation/traffic_world/traffic_fleet.cc
+++ b/simulation/traffic_world/traffic_fleet.cc
@@ -44,6 +44,7 @@
     : m_world(world)
     , m_oracle(oracle)
     , m_options(std::move(options))
+    , m_slot_lines(world)
 {
     std::vector<std::string> addresses;
     std::vector<consensus::Member> voters;
@@ -66,6 +67,10 @@
             std::make_unique<GatewayProcess>(world, *this, number, (number - 1) % kTrafficZones, addresses));
         gateways.back()->warm_up_requests_per_second = m_options.warm_ups ? kWarmUpBound : 0;
         gateways.back()->takes_any_answer = defect() == TrafficDefect::kSurplusAnswerTaken;
+        if (m_options.coordination) {
+            gateways.back()->coordination_address = "10.2.0." + std::to_string(number) + ":7200";
+            m_slot_lines.add(*gateways.back());
+        }
         for (auto const& control : controls)
             m_lines.push_back(std::make_unique<RouterLine>(world, *gateways.back(), *control));
     }
--- a/simulation/traffic_world/traffic_fleet.h
+++ b/simulation/traffic_world/traffic_fleet.h
@@ -15,6 +15,7 @@
 #include "simulation/simulator/control_process.h"
 #include "simulation/simulator/router_line.h"
 #include "simulation/traffic_world/gateway_process.h"
+#include "simulation/traffic_world/slot_lines.h"
 #include "simulation/traffic_world/traffic_defect.h"
 #include "simulation/traffic_world/traffic_oracle.h"
 #include "simulation/traffic_world/worker.h"
@@ -59,6 +60,8 @@
     bool stated_limits = false;
     /// Workers warm up after a start, and whole zones of them restart or are drained and taken back.
     bool warm_ups = false;
+    /// Gateways coordinate the admission at owners whose keys are leased by heartbeat.
+    bool coordination = false;
     /// Names of the only faults that are injected; empty for no such restriction.
     std::vector<std::string> only_faults;
     std::uint32_t gateways = kTrafficGateways;
@@ -137,6 +140,14 @@
     auto on_relayed(GatewayProcess& from, std::string const& address, WorkerAnswer const&) -> void override;
     auto close_at_worker(GatewayProcess& from, std::string const& address, std::uint64_t request)
         -> void override;
+    auto send_slots(GatewayProcess& from, coordination::SlotSend const& send) -> void override
+    {
+        m_slot_lines.send(from, send.address, send.batch);
+    }
+    auto reset_peer(GatewayProcess& from, std::string const& address) -> void override
+    {
+        m_slot_lines.reset(from, address);
+    }
 
 private:
     using OrderEnd = std::function<void(control::RangeOrderResult::Outcome, std::string const&)>;
@@ -171,6 +182,7 @@
     TrafficOracle& m_oracle;
     TrafficWorldOptions const m_options;
     std::vector<std::unique_ptr<RouterLine>> m_lines;
+    SlotLines m_slot_lines;
     std::map<std::string, std::uint32_t> m_control_of_address;
     std::map<std::string, std::uint32_t> m_place_of_address;
     std::map<std::string, std::uint32_t> m_targets; ///< Where each worker beats next, by id.
--- /dev/null
+++ b/simulation/traffic_world/traffic_gateway_faults.cc
@@ -0,0 +1,119 @@
+// Faults of gateways: of their connections to control and to one another, and of their processes.
+#include "simulation/traffic_world/traffic_faults.h"
+
+namespace graniteseam::simulation {
+namespace {
+
+    /// Part of the gateways that are cut from control together.
+    constexpr double kGatewaysCut = 0.4;
+
+} // namespace
+
+auto TrafficFaults::coordination() -> std::vector<TrafficFaultKind> const&
+{
+    static std::vector<TrafficFaultKind> const kinds {
+        {"coordinator killed", &TrafficFaults::kill_gateway},
+        {"coordinator replaced", &TrafficFaults::replace_coordinator},
+        {"coordinator frozen", &TrafficFaults::freeze_gateway},
+        {"gateway cut from another in one direction", &TrafficFaults::cut_between_gateways},
+    };
+    return kinds;
+}
+
+auto TrafficFaults::join_gateways() -> void
+{
+    for (auto const& gateway : m_fleet.gateways) {
+        if (gateway->alive())
+            continue;
+        auto const wait = span(0, 1'500);
+        m_fleet.disturb_gateway(gateway->name().number, m_world.now() + wait.count());
+        m_world.queue.After(wait, [&gateway = *gateway] { gateway.Start(); });
+    }
+}
+
+auto TrafficFaults::cut_gateway() -> void
+{
+    cut(any_gateway(), span(500, 6'000));
+}
+
+auto TrafficFaults::cut_gateways() -> void
+{
+    cut_gateways_for(span(2'000, 10'000));
+}
+
+/// The new leader counts the gateways anew, the more the sooner those that were cut find it, while the
+/// workers of a zone that is taken back are cold.
+auto TrafficFaults::return_gateways() -> void
+{
+    if (m_zone_drained)
+        return;
+    auto const length = span(5'000, 8'000);
+    // Gateways that are cut must have heard of the drain.
+    static constexpr Duration kHeard {500'000};
+    drain_zone_for(length + span(0, 500));
+    m_world.queue.After(kHeard, [this, length] {
+        cut_gateways_for(length - kHeard);
+        kill_leader();
+    });
+}
+
+auto TrafficFaults::cut_gateways_for(Duration length) -> void
+{
+    for (auto const& gateway : m_fleet.gateways) {
+        if (m_world.random.Chance(kGatewaysCut))
+            cut(*gateway, length);
+    }
+}
+
+auto TrafficFaults::cut(GatewayProcess& gateway, Duration length) -> void
+{
+    m_fleet.disturb_gateway(gateway.name().number, m_world.now() + length.count());
+    for (auto const& control : m_fleet.controls) {
+        m_world.CutLink(control->name(), gateway.name());
+        m_world.CutLink(gateway.name(), control->name());
+        m_world.queue.After(length, [this, node = gateway.name(), to = control->name()] {
+            m_world.RestoreLink(to, node);
+            m_world.RestoreLink(node, to);
+        });
+    }
+}
+
+auto TrafficFaults::kill_gateway() -> void
+{
+    auto& gateway = any_gateway();
+    kill(gateway, span(1, 2'000));
+}
+
+auto TrafficFaults::kill(GatewayProcess& gateway, Duration length) -> void
+{
+    m_fleet.disturb_gateway(gateway.name().number, m_world.now() + length.count());
+    gateway.Kill();
+    m_world.queue.After(length, [&gateway] { gateway.Start(); });
+}
+
+/// Longer than the leader keeps a silent gateway in its list.
+auto TrafficFaults::replace_coordinator() -> void
+{
+    auto& gateway = any_gateway();
+    kill(gateway, span(2'500, 6'000));
+}
+
+auto TrafficFaults::freeze_gateway() -> void
+{
+    auto& gateway = any_gateway();
+    auto const length = span(50, 4'000);
+    m_fleet.disturb_gateway(gateway.name().number, m_world.now() + length.count());
+    gateway.PauseFor(length);
+}
+
+auto TrafficFaults::cut_between_gateways() -> void
+{
+    auto const from = any_gateway().name();
+    auto const to = any_gateway().name();
+    if (from == to)
+        return;
+    m_world.CutLink(from, to);
+    m_world.queue.After(span(200, 5'000), [this, from, to] { m_world.RestoreLink(from, to); });
+}
+
+} // namespace graniteseam::simulation
--- a/simulation/traffic_world/traffic_run.cc
+++ b/simulation/traffic_world/traffic_run.cc
@@ -43,7 +43,7 @@
     }
 
     auto check_work_done(World const& world, TrafficOracle& oracle, TrafficCallers const& callers,
-        ConfigurationOperators const& operators) -> void
+        ConfigurationOperators const& operators, TrafficWorldOptions const& options) -> void
     {
         auto const missing
             = [&](std::string const& what) { oracle.violate("the run proves nothing", what, world.now()); };
@@ -53,6 +53,8 @@
         if (std::none_of(counts.begin(), counts.end(),
                 [](auto const& count) { return count.first.starts_with("fault: "); }))
             missing("no fault was injected");
+        if (options.coordination && (!counts.contains("slot granted") || !counts.contains("slot queued")))
+            missing("no slot was granted, or no request waited for one");
         if (operators.accepted() < 2)
             missing("no change of the configuration was accepted");
         if (oracle.unsafe_runs() == 0)
@@ -80,7 +82,8 @@
         callers.start();
         if (options.world.crashing_requests)
             callers.start_crashing(calm_from);
-        if (!options.world.nothing_else || options.world.stated_limits || options.world.warm_ups)
+        if (!options.world.nothing_else || options.world.stated_limits || options.world.warm_ups
+            || options.world.coordination)
             faults.inject_until(calm_from, overlapping);
     });
     world.queue.At(calm_from, [&] {
@@ -95,7 +98,7 @@
     check_recovered(world, oracle, fleet, callers);
     if (!read)
         oracle.violate("recovers", "the configuration cannot be read", world.now());
-    check_work_done(world, oracle, callers, operators);
+    check_work_done(world, oracle, callers, operators, options.world);
     RunResult result;
     result.seed = options.run.seed;
     result.violations = oracle.violations();
