Keep chance from giving ages to callers that state all different times

A bucket ended the range of first attempts when it had less than half of the mean of those above it. Of 256 times in 20 buckets that happens by chance: in 500 of 1,000 trials with evenly drawn times, callers that stated little got an age of seconds, and their requests counted as late.

A bucket must now also be three standard deviations below that mean, which changes nothing where the mean is 36 or more.

--- a/src/gateway/caller_age.cc
+++ b/src/gateway/caller_age.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <vector>
 
 namespace graniteseam::gateway {
@@ -21,6 +22,10 @@
 /// A bucket belongs to the range of first attempts if it has at least this part of the mean of the
 /// buckets above it. Callers that come back state times that spread over many buckets.
 constexpr double kDensePart = 0.5;
+/// Standard deviations by which it must also be below that mean, so that chance does not end the
+/// range: in half of 1,000 trials with 256 evenly drawn times, a bucket had less than half of the
+/// mean.
+constexpr double kDeviations = 3;
 
 }  // namespace
 
@@ -50,7 +55,9 @@
   auto sum = counts[lowest];
   while (lowest > 0) {
     auto const mean = sum / static_cast<double>(kBuckets - lowest);
-    if (counts[lowest - 1] < kDensePart * mean) break;
+    if (counts[lowest - 1] < std::min(kDensePart * mean, mean - kDeviations * std::sqrt(mean))) {
+      break;
+    }
     --lowest;
     sum += counts[lowest];
   }
