Withdraw the slot request of a service that has no keys any more

A request that waited for a slot when a configuration took the keys from its service was sent to the pool, and its slot request stayed open. The grant that arrived later sent the request a second time, beside the attempt in flight, also for unsafe routes. The slot request is now withdrawn before the request goes to the pool.

--- a/src/gateway/request_sending.cc
+++ b/src/gateway/request_sending.cc
@@ -60,7 +60,10 @@
 
 GatewayNode::Step GatewayNode::TryNext(LiveRequest& request, Instant now) {
   if (now < request.not_before) return Step::kWaits;
-  return traffic_.is_keyed(request.service) ? TryOwner(request, now) : TryPool(request, now);
+  if (traffic_.is_keyed(request.service)) return TryOwner(request, now);
+  // The service may have had keys when the request asked for a slot.
+  WithdrawSlot(request);
+  return TryPool(request, now);
 }
 
 GatewayNode::Step GatewayNode::TryOwner(LiveRequest& request, Instant now) {
--- a/tests/gateway/slot_requests_test.cc
+++ b/tests/gateway/slot_requests_test.cc
@@ -313,6 +313,22 @@
   cr_assert(!Has<SendSlots>(later));
 }
 
+/// Guards against an unsafe request that runs twice: its service lost its keys while it waited for
+/// a slot, so that it was sent to the pool, and then the grant arrived.
+Test(slot_requests, grant_for_a_service_that_has_no_keys_any_more_does_not_send_again) {
+  auto state = SlotFixture::SlotState();
+  state.routes[2].kind = traffic::RouteKind::kUnsafe;
+  Asking fixture(state);
+  const auto ask = AskedOf2(fixture.Ask(10));
+  auto update = fixture.NextUpdate();
+  update.services = {state.services[1]};
+  update.services[0].keyed = false;
+  const auto effects = fixture.node.OnUpdate(update, At(20));
+  cr_assert_eq(Sends(effects), 1);
+  cr_assert_eq(Sends(Grant(fixture, ask.number, 30)), 0);
+  cr_assert_eq(ReleasedTo2(effects).number, ask.number);
+}
+
 /// Guards against coordination that is on without its setting.
 Test(slot_requests, gateway_without_a_coordination_address_sends_as_before) {
   auto options = SlotFixture::SlotOptions(1);
