Send no request whose grant is read after its deadline

Timers stop while a machine is suspended, so the event that wakes it may be a grant that arrives before they fire. The request was then sent with no time left. It is now given up, and its slot returned, as for all other events.

--- a/src/gateway/slot_requests.cc
+++ b/src/gateway/slot_requests.cc
@@ -191,6 +191,8 @@
       request.return_after = result.retry_after;
       return EndWithoutRun(request, RefusalReason::kOverloaded, now);
   }
+  // Timers stop while a machine is suspended: the grant may be read before they fire.
+  if (now >= request.give_up) return GiveUp(request, now);
   if (TryNext(request, now) == Step::kSent) return;
   // What blocks it may last longer than the server should be kept idle.
   if (request.slot.granted) WithdrawSlot(request);
--- a/tests/gateway/slot_requests_test.cc
+++ b/tests/gateway/slot_requests_test.cc
@@ -313,6 +313,17 @@
   cr_assert(!Has<SendSlots>(later));
 }
 
+/// Guards against a request that is sent after its deadline, when a machine that was suspended
+/// reads the grant before its timers fire.
+Test(slot_requests, grant_read_after_the_deadline_does_not_send_the_request) {
+  Asking fixture;
+  const auto ask = AskedOf2(fixture.Ask(10));
+  const auto effects = Grant(fixture, ask.number, 2'010);
+  cr_assert_eq(Sends(effects), 0);
+  cr_assert(Only<Refuse>(effects).reason == RefusalReason::kDeadline);
+  cr_assert(ReleasedTo2(effects).outcome == SlotOutcome::kUnused);
+}
+
 /// Guards against an unsafe request that runs twice: its service lost its keys while it waited for
 /// a slot, so that it was sent to the pool, and then the grant arrived.
 Test(slot_requests, grant_for_a_service_that_has_no_keys_any_more_does_not_send_again) {
