Ask for no slot at an owner that backs off or must be probed first

Requests asked for slots at an owner that had told the gateway to back off. Each grant was returned unused and asked for again at the next event, and a rejection refused the request as overloaded with the coordinator's return time instead of the end of the back-off. Such requests now wait as without coordination and ask once the owner may be sent to. A slot asked for before is withdrawn at the next event.

--- a/src/gateway/slot_requests.cc
+++ b/src/gateway/slot_requests.cc
@@ -28,7 +28,10 @@
   const Duration target = traffic_.routes().LongestTarget(request.service);
   if (target < kTargetAnswerLimits * coordination::answer_limit) return false;
   // Its requests are bound by tokens of the leader.
-  return !traffic_.backends().NeedsToken(owner, now) && !BackendTable::IsWarmingUp(owner, now);
+  const BackendTable& backends = traffic_.backends();
+  if (backends.NeedsToken(owner, now) || BackendTable::IsWarmingUp(owner, now)) return false;
+  // A slot could not be used: the owner backs off, or must be probed first.
+  return !backends.SendBlockReason(owner, now).has_value();
 }
 
 std::optional<GatewayNode::Step> GatewayNode::TrySlot(LiveRequest& request, const Backend& owner,
@@ -36,17 +39,9 @@
   SlotHold& slot = request.slot;
   const traffic::InstanceId& id = owner.instance.report.id;
   const bool coordinated = IsCoordinated(request, owner, now);
-  if (slot.number != 0 && (!coordinated || slot.server != id)) WithdrawSlot(request);
+  if (!coordinated || slot.server != id) WithdrawSlot(request);
   if (!coordinated) return std::nullopt;
-  if (traffic_.backends().NeedsProbe(owner, now)) {
-    WithdrawSlot(request);
-    return ProbeOwner(request, owner, now);
-  }
-  if (slot.granted) {
-    const Step step = Send(request, owner, now);
-    if (step == Step::kWaits) WithdrawSlot(request);
-    return step;
-  }
+  if (slot.granted) return Send(request, owner, now);
   if (slot.number != 0) {
     if (now < slot.hold_end) {
       requests_.set_timer(request, std::min(slot.hold_end, request.give_up));
--- a/tests/gateway/slot_requests_test.cc
+++ b/tests/gateway/slot_requests_test.cc
@@ -324,6 +324,31 @@
   cr_assert(ReleasedTo2(effects).outcome == SlotOutcome::kUnused);
 }
 
+/// Guards against slots asked for at an owner that backs off, where each grant is returned unused
+/// and a rejection names another return time than the owner's.
+Test(slot_requests, owner_that_backs_off_is_waited_for_without_a_slot) {
+  Asking fixture;
+  const auto ask = AskedOf2(fixture.Ask(10));
+  const auto send = Only<SendAttempt>(Grant(fixture, ask.number, 12));
+  const auto waits = AskedOf2(fixture.Ask(14));
+  AttemptReport report;
+  report.request = send.request;
+  report.attempt = send.attempt;
+  report.end = AttemptEnd::kAnswered;
+  report.status = 200;
+  report.pressure.rest = milliseconds(300);
+  const auto ended = SentTo(PeerOf(2).address, fixture.node.OnAttemptEnd(report, At(50)));
+  cr_assert_eq(ended->releases.size(), 2);
+  cr_assert_eq(ended->releases[1].number, waits.number);
+  cr_assert(ended->requests.empty());
+  cr_assert(!Has<SendSlots>(fixture.Ask(60)));
+  // It is asked again once the back-off has ended.
+  const Instant end = fixture.node.NextTick();
+  cr_assert(end >= At(350) && end < At(400));
+  const auto asked = SentTo(PeerOf(2).address, fixture.node.Tick(end));
+  cr_assert_eq(asked->requests.size(), 2);
+}
+
 /// Guards against an unsafe request that runs twice: its service lost its keys while it waited for
 /// a slot, so that it was sent to the pool, and then the grant arrived.
 Test(slot_requests, grant_for_a_service_that_has_no_keys_any_more_does_not_send_again) {
