Let silence of a coordinator bind one attempt at one server only

After a slot request without an answer, the request went without slots until it ended: also its retries, and also to a new owner whose coordinator answers. An owner then gets requests that its coordinator does not count. The mark now ends with the attempt and holds for the server that was asked for; whether a coordinator is asked again is decided by its suspension.

--- a/src/gateway/live_request.h
+++ b/src/gateway/live_request.h
@@ -37,11 +37,11 @@
 
 /// A slot that a request asked for at its key's owner.
 struct SlotHold {
-  std::uint64_t number = 0;  ///< Of the slot request; 0 for none.
-  traffic::InstanceId server;
+  std::uint64_t number = 0;    ///< Of the slot request; 0 for none.
+  traffic::InstanceId server;  ///< Kept when the coordinator did not answer.
   Instant hold_end{};
   bool granted = false;
-  /// The coordinator did not answer: the next attempt goes without a slot.
+  /// The coordinator did not answer: the next attempt at `server` goes without a slot.
   bool unanswered = false;
 };
 
--- a/src/gateway/request_sending.cc
+++ b/src/gateway/request_sending.cc
@@ -225,6 +225,7 @@
   requests_.dequeue(request);
   limit_queue_.remove(request.arrived.number);
   request.token_wait_since = {};
+  request.slot.unanswered = false;
   const traffic::InstanceId id = backend.instance.report.id;
   Note(request.arrived.number, "send", id, traffic_.backends().Describe(backend, now));
   const bool warms_up = BackendTable::IsWarmingUp(backend, now);
--- a/src/gateway/slot_requests.cc
+++ b/src/gateway/slot_requests.cc
@@ -52,7 +52,7 @@
     requests_.set_timer(request, {});
     return Step::kWaits;
   }
-  if (slot.unanswered) return std::nullopt;
+  if (slot.unanswered && slot.server == id) return std::nullopt;
   const traffic::GatewayPeer* const coordinator =
       coordinators_.coordinator_of(id, owner.instance.report.zone);
   if (coordinator == nullptr || !slots_.may_ask(coordinator->id, now)) return std::nullopt;
@@ -72,6 +72,7 @@
   ask.hold_us = hold.count();
   ask.returned = request.age > Duration{};
   SlotHold& slot = request.slot;
+  slot = {};
   slot.number = slots_.ask(coordinator, std::move(ask), now);
   slot.server = owner.instance.report.id;
   // The coordinator ends the wait; this end is for one whose answer is lost.
@@ -175,7 +176,7 @@
     case SlotResult::Kind::kUnanswered:
       Note(number, "slot_timeout", request.slot.server, queue.substr(2));
       slot_requests_.erase(found);
-      request.slot = {};
+      request.slot.number = 0;
       request.slot.unanswered = true;
       break;
     case SlotResult::Kind::kRejected:
--- a/tests/gateway/slot_requests_test.cc
+++ b/tests/gateway/slot_requests_test.cc
@@ -349,6 +349,36 @@
   cr_assert_eq(asked->requests.size(), 2);
 }
 
+/// Guards against an owner that is sent requests past its coordinator, since another owner's was
+/// silent before.
+Test(slot_requests, silence_of_a_coordinator_does_not_send_later_attempts_without_a_slot) {
+  Asking fixture;
+  fixture.Ask(10);
+  const auto send = Only<SendAttempt>(fixture.node.Tick(At(110)));
+  fixture.End(send, AttemptEnd::kLost, 0, 140);
+  const auto effects = fixture.node.Tick(At(180));
+  cr_assert(!Has<SendAttempt>(effects));
+  cr_assert(Has<SendAttempt>(Grant(fixture, AskedOf2(effects).number, 182)));
+}
+
+/// Guards against a request that goes to a new owner without a slot, since the coordinator of the
+/// former one was silent.
+Test(slot_requests, silence_of_a_coordinator_does_not_send_to_the_next_owner_without_a_slot) {
+  Asking fixture;
+  const auto first = Only<SendAttempt>(Grant(fixture, AskedOf2(fixture.Ask(10)).number, 12));
+  fixture.EndWithLoad(first, {40, 40, 2}, 20);
+  fixture.Ask(22);
+  // The owner has no room, so that the request waits as before.
+  cr_assert(!Has<SendAttempt>(fixture.node.Tick(At(122))));
+  auto update = fixture.NextUpdate();
+  update.ranges = Fixture::State().ranges;
+  update.ranges[0].owner = {"k-2"};
+  update.ranges[0].fence = {20};
+  const auto effects = fixture.node.OnUpdate(update, At(130));
+  cr_assert(!Has<SendAttempt>(effects));
+  cr_assert(AskedOf2(effects).instance.value == "k-2");
+}
+
 /// Guards against an unsafe request that runs twice: its service lost its keys while it waited for
 /// a slot, so that it was sent to the pool, and then the grant arrived.
 Test(slot_requests, grant_for_a_service_that_has_no_keys_any_more_does_not_send_again) {
