Tell coordinators no load from answers of other instances

An answer 421 may come from another process that has taken the address. Its load was released to the coordinator of the intended server, which drops grants by it.

--- a/src/gateway/slot_requests.cc
+++ b/src/gateway/slot_requests.cc
@@ -113,7 +113,8 @@
       release.outcome = coordination::SlotOutcome::kLost;
       break;
   }
-  if (report.load) {
+  // An answer that may be another instance's tells nothing of this server's load.
+  if (report.load && !report.not_owner) {
     release.has_load = true;
     release.running = report.load->running;
     release.waiting = report.load->waiting;
--- a/tests/gateway/slot_requests_test.cc
+++ b/tests/gateway/slot_requests_test.cc
@@ -379,6 +379,23 @@
   cr_assert(AskedOf2(effects).instance.value == "k-2");
 }
 
+/// Guards against grants that a coordinator drops by the load of another server, which lives at the
+/// address now.
+Test(slot_requests, load_in_an_answer_of_another_instance_is_not_told_to_the_coordinator) {
+  Asking fixture;
+  const auto send = Only<SendAttempt>(Grant(fixture, AskedOf2(fixture.Ask(10)).number, 12));
+  AttemptReport report;
+  report.request = send.request;
+  report.attempt = send.attempt;
+  report.end = AttemptEnd::kNotExecuted;
+  report.status = 421;
+  report.not_owner = true;
+  report.load = ReportedLoad{0, 0, 4};
+  const auto released = ReleasedTo2(fixture.node.OnAttemptEnd(report, At(20)));
+  cr_assert(released.outcome == SlotOutcome::kNotRun);
+  cr_assert(!released.has_load);
+}
+
 /// Guards against an unsafe request that runs twice: its service lost its keys while it waited for
 /// a slot, so that it was sent to the pool, and then the grant arrived.
 Test(slot_requests, grant_for_a_service_that_has_no_keys_any_more_does_not_send_again) {
