Free the slots of removed gateways after the rest of an update

An update that removed a gateway from the list granted its slots before the update's suspects were applied: a waiting request that the same update quarantines was sent to a server first. The list is still applied first, so that the update's requests ask the new coordinators, and the freed slots are granted last.

--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -41,9 +41,17 @@
   const bool applied = traffic_.apply_update(update, now);
   if (applied && ChangesTenants(update)) quotas_.apply_quotas(traffic_.tenants());
   if (update.sequence != 0) quotas_.take(update.quota, update.sequence, now);
-  ApplyPeers(update.peers, now);
+  const std::vector<RouterId> gone = ApplyPeers(update.peers);
   NoteConfirmation(update, now);
-  if (!applied) return Finish(now);
+  if (applied) ApplyState(update, now);
+  // Last: the slots that they free go to requests that the new state must bind already.
+  for (const RouterId& gateway : gone) {
+    DeliverSlots(coordinator_.forget_gateway(gateway, now), now);
+  }
+  return Finish(now);
+}
+
+void GatewayNode::ApplyState(const traffic::TrafficUpdate& update, Instant now) {
   for (const traffic::Instance& instance : update.instances) {
     if (instance.IsGone()) coordinator_.forget_server(instance.report.id);
   }
@@ -54,7 +62,6 @@
   }
   if (Ready()) AdmitUnrouted(now);
   ServeAllWaiting(now);
-  return Finish(now);
 }
 
 void GatewayNode::NoteConfirmation(const traffic::TrafficUpdate& update, Instant now) {
@@ -387,16 +394,15 @@
   return std::exchange(effects_, {});
 }
 
-void GatewayNode::ApplyPeers(const traffic::PeerUpdate& update, Instant now) {
+std::vector<RouterId> GatewayNode::ApplyPeers(const traffic::PeerUpdate& update) {
   const traffic::PeerVersion before = coordinators_.version();
-  for (const RouterId& gone : coordinators_.apply(update)) {
-    DeliverSlots(coordinator_.forget_gateway(gone, now), now);
-  }
-  if (coordinators_.version() == before) return;
+  std::vector<RouterId> gone = coordinators_.apply(update);
+  if (coordinators_.version() == before) return gone;
   Note({}, "peers", {},
        "term " + std::to_string(coordinators_.version().term) + ", number " +
            std::to_string(coordinators_.version().number) + ", gateways " +
            std::to_string(coordinators_.size()));
+  return gone;
 }
 
 void GatewayNode::NoteBackPressure(const traffic::InstanceId& instance, const AttemptReport& report,
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -125,6 +125,8 @@
   enum class Step { kSent, kWaits };
 
   // gateway_node.cc
+  /// Applies what a newer state of traffic means for requests.
+  void ApplyState(const traffic::TrafficUpdate& update, Instant now);
   /// Updates confirmed_at() and this gateway's place by a leader's answer to the newest poll.
   void NoteConfirmation(const traffic::TrafficUpdate& update, Instant now);
   void Admit(LiveRequest& request, Instant now);
@@ -163,7 +165,8 @@
   void ApplyLimitTokens(const traffic::LimitTokenGrant& grant, Instant now);
   void NoteChanges(const BackPressureTable::Changes& changes);
   /// Applies a change of the list of gateways that coordinate admission.
-  void ApplyPeers(const traffic::PeerUpdate& update, Instant now);
+  /// @return the gateways that are no longer listed.
+  std::vector<RouterId> ApplyPeers(const traffic::PeerUpdate& update);
   void NoteBackPressure(const traffic::InstanceId& instance, const AttemptReport& report,
                         Instant now);
   /// Sends the messages of coordinated admission that are due and returns the effects of the event.
--- a/tests/gateway/slot_requests_test.cc
+++ b/tests/gateway/slot_requests_test.cc
@@ -412,6 +412,41 @@
   cr_assert_eq(ReleasedTo2(effects).number, ask.number);
 }
 
+/// Guards against a request that is sent although the update that frees its slot quarantines it.
+Test(slot_requests, removed_gateway_frees_no_slot_for_a_request_quarantined_by_the_same_update) {
+  SlotFixture fixture;
+  fixture.List({1}, 0);
+  coordination::SlotBatch others;
+  others.sender = PeerOf(3).id;
+  others.incarnation = 33;
+  coordination::SlotRequest taken;
+  taken.instance = {"k-1"};
+  taken.slots = 2;
+  taken.target_left_us = taken.hold_us = 800'000;
+  taken.time_left_us = 2'000'000;
+  for (taken.number = 1; taken.number <= 3; ++taken.number) others.requests.push_back(taken);
+  fixture.node.OnSlotBatch("#3", others, At(5));
+  ArrivedRequest crashing;
+  crashing.number = {++fixture.numbers};
+  crashing.host = "a.example";
+  crashing.path = "/keyed/x";
+  crashing.key = 7;
+  crashing.time_left = milliseconds(2'000);
+  crashing.digest = {77};
+  cr_assert(!Has<SendAttempt>(fixture.node.OnRequest(crashing, At(10))));
+  fixture.List({1, 3}, 12);
+  auto update = fixture.NextUpdate();
+  update.peers.version = {1, ++fixture.list};
+  update.peers.changed = {PeerOf(1)};
+  traffic::SuspectRequest suspect;
+  suspect.digest = {77};
+  suspect.ended = {{"k-2"}, {"k-3"}, {"k-4"}};
+  update.suspects = {suspect};
+  const auto effects = fixture.node.OnUpdate(update, At(20));
+  cr_assert_eq(Sends(effects), 0);
+  cr_assert(Only<Refuse>(effects).reason == RefusalReason::kQuarantined);
+}
+
 /// Guards against coordination that is on without its setting.
 Test(slot_requests, gateway_without_a_coordination_address_sends_as_before) {
   auto options = SlotFixture::SlotOptions(1);
