--- a/src/coordination/slot_client.cc
+++ b/src/coordination/slot_client.cc
@@ -53,7 +53,7 @@
     ask.coordinator = coordinator.id;
     ask.address = coordinator.address;
     ask.asked_at = now;
-    ask.answer_due = now + answer_limit;
+    ask.answer_due = now + kAnswerLimit;
     ask.request = std::move(request);
     m_asks.emplace(m_last_number, std::move(ask));
     return m_last_number;
@@ -87,7 +87,7 @@
         result.kind = SlotResult::Kind::kQueued;
         result.start_in = bounded(answer.start_in_us);
         ask.expected_grant = now + result.start_in;
-        ask.answer_due = ask.expected_grant + answer_limit;
+        ask.answer_due = ask.expected_grant + kAnswerLimit;
         break;
     case SlotVerdict::kRejected:
         result.kind = SlotResult::Kind::kRejected;
@@ -137,7 +137,7 @@
     request.time_left_us -= passed;
     request.hold_us -= passed;
     outgoing(ask.address).requests.push_back(std::move(request));
-    ask.answer_due = now + answer_limit;
+    ask.answer_due = now + kAnswerLimit;
     ask.repeated = true;
 }
 
