--- a/src/coordination/slot_client.cc
+++ b/src/coordination/slot_client.cc
@@ -60,8 +60,8 @@
     ask.coordinator = coordinator.id;
     ask.address = coordinator.address;
     ask.asked_at = now;
-    ask.answer_due = now + answer_limit;
-    ask.wait_end = now + bounded(request.hold_us) + answer_limit;
+    ask.answer_due = now + kAnswerLimit;
+    ask.wait_end = now + bounded(request.hold_us) + kAnswerLimit;
     ask.request = std::move(request);
     m_asks.emplace(m_last_number, std::move(ask));
     return m_last_number;
@@ -106,7 +106,7 @@
         result.kind = SlotResult::Kind::kQueued;
         result.start_in = bounded(answer.start_in_us);
         ask.expected_grant = now + result.start_in;
-        ask.answer_due = std::min(ask.expected_grant + answer_limit, ask.wait_end);
+        ask.answer_due = std::min(ask.expected_grant + kAnswerLimit, ask.wait_end);
         break;
     case SlotVerdict::kRejected:
         result.kind = SlotResult::Kind::kRejected;
@@ -164,7 +164,7 @@
     request.time_left_us -= passed;
     request.hold_us -= passed;
     outgoing(ask.address).requests.push_back(std::move(request));
-    ask.answer_due = now + answer_limit;
+    ask.answer_due = now + kAnswerLimit;
     ask.repeated = true;
 }
 
--- a/src/gateway/slot_requests.cc
+++ b/src/gateway/slot_requests.cc
@@ -26,9 +26,12 @@
   // Keys that are leased by heartbeat move a heartbeat late, so that moves cannot answer a burst.
   if (!traffic_.is_leased_by_heartbeat(request.service)) return false;
   const Duration target = traffic_.routes().LongestTarget(request.service);
-  if (target < kTargetAnswerLimits * coordination::answer_limit) return false;
+  if (target < kTargetAnswerLimits * coordination::kAnswerLimit) return false;
   // Its requests are bound by tokens of the leader.
-  return !traffic_.backends().NeedsToken(owner, now) && !BackendTable::IsWarmingUp(owner, now);
+  const BackendTable& backends = traffic_.backends();
+  if (backends.NeedsToken(owner, now) || BackendTable::IsWarmingUp(owner, now)) return false;
+  // A slot could not be used: the owner backs off, or must be probed first.
+  return !backends.SendBlockReason(owner, now).has_value();
 }
 
 std::optional<GatewayNode::Step> GatewayNode::TrySlot(LiveRequest& request, const Backend& owner,
@@ -36,17 +39,9 @@
   SlotHold& slot = request.slot;
   const traffic::InstanceId& id = owner.instance.report.id;
   const bool coordinated = IsCoordinated(request, owner, now);
-  if (slot.number != 0 && (!coordinated || slot.server != id)) WithdrawSlot(request);
+  if (!coordinated || slot.server != id) WithdrawSlot(request);
   if (!coordinated) return std::nullopt;
-  if (traffic_.backends().NeedsProbe(owner, now)) {
-    WithdrawSlot(request);
-    return ProbeOwner(request, owner, now);
-  }
-  if (slot.granted) {
-    const Step step = Send(request, owner, now);
-    if (step == Step::kWaits) WithdrawSlot(request);
-    return step;
-  }
+  if (slot.granted) return Send(request, owner, now);
   if (slot.number != 0) {
     if (now < slot.hold_end) {
       requests_.set_timer(request, std::min(slot.hold_end, request.give_up));
@@ -57,7 +52,7 @@
     requests_.set_timer(request, {});
     return Step::kWaits;
   }
-  if (slot.unanswered) return std::nullopt;
+  if (slot.unanswered && slot.server == id) return std::nullopt;
   const traffic::GatewayPeer* const coordinator =
       coordinators_.coordinator_of(id, owner.instance.report.zone);
   if (coordinator == nullptr || !slots_.may_ask(coordinator->id, now)) return std::nullopt;
@@ -77,10 +72,11 @@
   ask.hold_us = hold.count();
   ask.returned = request.age > Duration{};
   SlotHold& slot = request.slot;
+  slot = {};
   slot.number = slots_.ask(coordinator, std::move(ask), now);
   slot.server = owner.instance.report.id;
   // The coordinator ends the wait; this end is for one whose answer is lost.
-  slot.hold_end = now + hold + coordination::answer_limit;
+  slot.hold_end = now + hold + coordination::kAnswerLimit;
   slot_requests_[slot.number] = request.arrived.number;
   request.waits_for = RefusalReason::kOverloaded;
   Note(request.arrived.number, "slot_asked", slot.server,
@@ -117,7 +113,8 @@
       release.outcome = coordination::SlotOutcome::kLost;
       break;
   }
-  if (report.load) {
+  // An answer that may be another instance's tells nothing of this server's load.
+  if (report.load && !report.not_owner) {
     release.has_load = true;
     release.running = report.load->running;
     release.waiting = report.load->waiting;
@@ -180,7 +177,7 @@
     case SlotResult::Kind::kUnanswered:
       Note(number, "slot_timeout", request.slot.server, queue.substr(2));
       slot_requests_.erase(found);
-      request.slot = {};
+      request.slot.number = 0;
       request.slot.unanswered = true;
       break;
     case SlotResult::Kind::kRejected:
@@ -191,6 +188,8 @@
       request.return_after = result.retry_after;
       return EndWithoutRun(request, RefusalReason::kOverloaded, now);
   }
+  // Timers stop while a machine is suspended: the grant may be read before they fire.
+  if (now >= request.give_up) return GiveUp(request, now);
   if (TryNext(request, now) == Step::kSent) return;
   // What blocks it may last longer than the server should be kept idle.
   if (request.slot.granted) WithdrawSlot(request);
