Tell how long a request waited on its connection before it began

A request that a client sends ahead counted as received only when it was parsed. Parsing waits for the requests ahead of it, so this wait was in no log line and no metric.

received_at() is now the instant at which the last byte of the request was read, as the interface says, and connection_wait() is the time from then until the handler got the request.

--- a/src/event_http/server.h
+++ b/src/event_http/server.h
@@ -50,7 +50,11 @@
   virtual ~Exchange() = default;
 
   virtual const Request& request() const = 0;
+  /// When its last byte was read.
   virtual Instant received_at() const = 0;
+  /// From received_at() until the handler was given it: a request that was sent ahead waits for
+  /// earlier ones of its connection.
+  virtual Duration connection_wait() const = 0;
   /// Sends the answer, once. After the client has gone it does nothing.
   virtual void Respond(const Response& response) = 0;
   /// Is called at most once, when the client goes before it was answered; not when the server is
--- a/src/event_http/server_connection.cc
+++ b/src/event_http/server_connection.cc
@@ -26,15 +26,18 @@
 
 class ServerConnection::ExchangeImpl : public Exchange {
  public:
-  ExchangeImpl(Request request, std::weak_ptr<ServerConnection> connection, Instant received_at)
+  ExchangeImpl(Request request, std::weak_ptr<ServerConnection> connection, Instant received_at,
+               Duration connection_wait)
       : request_(std::move(request)),
         connection_(std::move(connection)),
-        received_at_(received_at) {}
+        received_at_(received_at),
+        connection_wait_(connection_wait) {}
 
   void SetTicket(Pipeline::Ticket ticket) { ticket_ = ticket; }
 
   const Request& request() const override { return request_; }
   Instant received_at() const override { return received_at_; }
+  Duration connection_wait() const override { return connection_wait_; }
   void Respond(const Response& response) override {
     if (const auto connection = connection_.lock()) connection->Respond(ticket_, response);
   }
@@ -47,6 +50,7 @@
   const Request request_;
   const std::weak_ptr<ServerConnection> connection_;
   const Instant received_at_;
+  const Duration connection_wait_;
   Pipeline::Ticket ticket_ = 0;
 };
 
@@ -113,7 +117,9 @@
 }
 
 void ServerConnection::OnRead(ErrorCode error, std::size_t bytes) {
-  buffer_.EndRead(error || lingering_ ? 0 : bytes);
+  const std::size_t taken = error || lingering_ ? 0 : bytes;
+  buffer_.EndRead(taken);
+  read_times_.OnRead(taken, clock_());
   if (closed_) return;
   // The client sends nothing more. It may still take the answer that is on its way; one that was
   // not made yet has nobody who waits for it, since a client that left looks the same.
@@ -149,6 +155,7 @@
   ErrorCode error;
   const std::size_t used = parser_->put(asio::buffer(buffer_.unread()), error);
   buffer_.Consume(used);
+  read_times_.OnConsumed(used);
   if (error && error != http::error::need_more) {
     RefuseFor(error);
     return false;
@@ -236,7 +243,7 @@
   parsed.request.fields = std::move(head_fields_);
   parsed.request.body = std::move(message.body());
   parsed.body_bytes = std::exchange(counted_bytes_, 0);
-  parsed.received_at = clock_();
+  parsed.received_at = read_times_.last_consumed_at();
   parsed.beside = server.MayRunBeside(parsed.request);
 }
 
@@ -250,8 +257,9 @@
   }
   ParsedRequest parsed = *std::move(next_);
   next_.reset();
-  const auto exchange = std::make_shared<ExchangeImpl>(std::move(parsed.request), weak_from_this(),
-                                                       parsed.received_at);
+  const auto exchange =
+      std::make_shared<ExchangeImpl>(std::move(parsed.request), weak_from_this(),
+                                     parsed.received_at, clock_() - parsed.received_at);
   exchange->SetTicket(pipeline_.Add(parsed.beside, !parsed.keep_alive, parsed.body_bytes));
   server.Handle(exchange);
   return true;
--- a/src/event_http/server_connection.h
+++ b/src/event_http/server_connection.h
@@ -13,6 +13,7 @@
 #include "src/event_http/head_limit.h"
 #include "src/event_http/pipeline.h"
 #include "src/event_http/read_buffer.h"
+#include "src/event_http/read_times.h"
 #include "src/event_http/server_impl.h"
 
 namespace graniteseam::event_http {
@@ -93,6 +94,7 @@
   const std::weak_ptr<Server::Impl> server_;
   const std::function<Instant()> clock_;
   ReadBuffer buffer_;
+  ReadTimes read_times_;
   std::optional<Parser> parser_;
   HeadLimit head_limit_;
   HeaderFields head_fields_;
--- a/tests/event_http/parallel_requests_test.cc
+++ b/tests/event_http/parallel_requests_test.cc
@@ -4,6 +4,7 @@
 // fourth of them was answered after a second.
 #include <criterion/criterion.h>
 
+#include "src/event_http/read_times.h"
 #include "tests/event_http/stepped_server.h"
 
 using namespace graniteseam;
@@ -84,6 +85,50 @@
   stepped.ReadAnswers(client, 3);
 }
 
+// Guards against a wait that no log tells: before, a request counted as received only when it was
+// parsed, which the requests ahead of it delay.
+Test(parallel_requests, request_sent_ahead_is_received_when_read_and_tells_its_wait) {
+  for (const bool parallel : {false, true}) {
+    SteppedServer stepped(parallel ? Parallel() : ServerOptions{});
+    RawClient client(stepped.server->port());
+    const Instant read = stepped.now;
+    client.Send(Get("/hold") + "POST /hold HTTP/1.1\r\nHost: a\r\nContent-Length: 1\r\n\r\nx" +
+                GetHeld(3));
+    TurnUntilHeld(stepped, 1);
+    stepped.TurnAfterSweeps();
+    stepped.now += Duration{250'000};
+    const auto first = std::exchange(stepped.held, {}).front();
+    SteppedServer::Answer(*first, "first;");
+    TurnUntilHeld(stepped, 1);
+    stepped.now += Duration{50'000};
+    const auto second = std::exchange(stepped.held, {}).front();
+    SteppedServer::Answer(*second, "second;");
+    TurnUntilHeld(stepped, 1);
+    cr_assert(first->received_at() == read && second->received_at() == read);
+    cr_assert(stepped.held.front()->received_at() == read);
+    cr_assert(first->connection_wait() == Duration{});
+    cr_assert(second->connection_wait() == Duration{250'000});
+    cr_assert(stepped.held.front()->connection_wait() == Duration{300'000});
+  }
+}
+
+// Guards against an account of reads that grows with the number of single bytes sent ahead.
+Test(parallel_requests, instants_of_reads_are_bounded_and_never_earlier_than_the_read) {
+  ReadTimes times;
+  const Instant start{};
+  constexpr int kReads = 1'000;
+  for (int read = 1; read <= kReads; ++read) times.OnRead(1, start + Duration{read});
+  for (int read = 1; read <= kReads; ++read) {
+    times.OnConsumed(1);
+    cr_assert(times.last_consumed_at() >= start + Duration{read});
+    if (read < static_cast<int>(ReadTimes::reads_maximum)) {
+      cr_assert(times.last_consumed_at() == start + Duration{read});
+    }
+  }
+  times.OnConsumed(0);
+  cr_assert(times.last_consumed_at() == start + Duration{kReads});
+}
+
 Test(parallel_requests, client_that_leaves_ends_each_request_in_progress_once) {
   SteppedServer stepped(Parallel());
   {
