Log what tells the causes of late and refused requests apart

The "answer" line of a gateway's event log lacked the wait on the connection, the time of the first sending, the target latency, the caller's age and the server's work time. Requests that were late against a target below a second were written only once in 64, like those in time.

The line now has connection_wait_us, sent_after_us, target_us, age_us and work_percent; what is not known is left out. GatewayNode gives target, age and work time of each request that ends (RequestSummary).

--- a/src/daemon/gateway/gateway_process.cc
+++ b/src/daemon/gateway/gateway_process.cc
@@ -15,14 +15,10 @@
 
 constexpr Duration kStopLook{20'000};
 constexpr Duration kUrgentPollInterval{100'000};
-/// Of the requests that went well at the first try, one in so many is told in full.
-constexpr std::uint64_t kSampledRequests = 64;
 /// Of servers' answers, one in so many is searched for fields that mean nothing here; so many names
 /// of such fields are told.
 constexpr std::uint64_t kAnswersPerLook = 16;
 constexpr std::size_t kUnknownFieldsMaximum = 16;
-/// A request that took longer is told in full.
-constexpr Duration kSlow{1'000'000};
 /// A server that is reached accepts within milliseconds. A lost opening packet is sent again after
 /// a second at the earliest: by then another server would have answered.
 constexpr Duration kConnectLimit{300'000};
@@ -61,6 +57,7 @@
     : settings_(std::move(settings)),
       translator_(std::move(names)),
       events_(settings_.id, event_descriptor),
+      request_log_(events_),
       metrics_(metrics_registry_),
       node_(NodeOptions(settings_), runtime::RandomBits()),
       timer_(loop_.context()),
@@ -213,6 +210,10 @@
 
 void GatewayProcess::Run(gateway::GatewayEffects effects) {
   TakeNotes(std::move(effects.notes));
+  for (const gateway::RequestSummary& summary : effects.ended) {
+    const auto found = live_.find(summary.request);
+    if (found != live_.end()) found->second.summary = summary;
+  }
   for (const coordination::SlotResult& result : effects.slot_results) {
     metrics_.OnSlotResult(result);
   }
@@ -227,7 +228,7 @@
   // It would be cut off at once.
   if (rest_answered_) return;
   LiveExchange& live = live_.at(send.request);
-  live.sent = true;
+  if (!live.first_sent) live.first_sent = runtime::BootTimeNow();
   const event_http::Request& request = live.exchange->request();
   event_http::Call call;
   call.address = send.address;
@@ -329,7 +330,20 @@
   live_.erase(found);
   const Duration taken = runtime::BootTimeNow() - live.exchange->received_at();
   metrics_.OnRequest(outcome, taken);
-  LogRequest(live, response.status, outcome, taken);
+  const event_http::Exchange& exchange = *live.exchange;
+  EndedRequest ended;
+  ended.id = translator_.AttemptId(exchange.request());
+  ended.target = exchange.request().target;
+  ended.digest = live.digest;
+  ended.version = node_.version();
+  ended.status = response.status;
+  ended.outcome = outcome;
+  ended.received = exchange.received_at();
+  ended.taken = taken;
+  ended.connection_wait = exchange.connection_wait();
+  ended.first_sent = live.first_sent;
+  ended.summary = live.summary;
+  request_log_.Write(ended, live.notes);
   live.exchange->Respond(response);
 }
 
@@ -346,9 +360,9 @@
     constexpr int kUnavailable = 503;
     gateway::Refuse refusal;
     refusal.request = number;
-    refusal.status = found->second.sent ? kBadGateway : kUnavailable;
-    refusal.reason = found->second.sent ? gateway::RefusalReason::kOutcomeUnknown
-                                        : gateway::RefusalReason::kOverloaded;
+    refusal.status = found->second.first_sent ? kBadGateway : kUnavailable;
+    refusal.reason = found->second.first_sent ? gateway::RefusalReason::kOutcomeUnknown
+                                              : gateway::RefusalReason::kOverloaded;
     Do(gateway::AbandonAttempt{number, {}});
     Run(node_.OnCallerGone(number, runtime::BootTimeNow()));
     Do(refusal);
@@ -361,8 +375,7 @@
   for (gateway::DecisionNote& note : notes) {
     const auto found = live_.find(note.request);
     if (found != live_.end()) {
-      found->second.notes.push_back(std::move(note));
-      found->second.note_times.push_back(runtime::BootTimeNow());
+      found->second.notes.push_back({std::move(note), runtime::BootTimeNow()});
       continue;
     }
     events_.Write(runtime::EventWeight::kNotable, runtime::EventLine(note.what)
@@ -371,33 +384,6 @@
   }
 }
 
-/// Failures, retries and slow requests are told in full, of the rest a sample: all that was
-/// decided, in order, with what it was decided on.
-void GatewayProcess::LogRequest(const LiveExchange& live, int status, std::string_view outcome,
-                                Duration taken) {
-  const bool plain = status < 400 && live.notes.size() <= 1 && taken < kSlow;
-  if (plain && finished_++ % kSampledRequests != 0) return;
-  const auto weight = plain ? runtime::EventWeight::kOrdinary : runtime::EventWeight::kNotable;
-  const std::string id = translator_.AttemptId(live.exchange->request());
-  const Instant received = live.exchange->received_at();
-  for (std::size_t note = 0; note < live.notes.size(); ++note) {
-    const Duration at = live.note_times[note] - received;
-    events_.Write(weight, runtime::EventLine(live.notes[note].what)
-                              .Add("request", id)
-                              .Add("after_us", static_cast<std::int64_t>(at.count()))
-                              .Add("instance", live.notes[note].instance.value)
-                              .Add("inputs", live.notes[note].inputs));
-  }
-  events_.Write(weight, runtime::EventLine("answer")
-                            .Add("request", id)
-                            .Add("after_us", static_cast<std::int64_t>(taken.count()))
-                            .Add("status", static_cast<std::int64_t>(status))
-                            .Add("outcome", outcome)
-                            .Add("target", live.exchange->request().target)
-                            .Add("digest", live.digest.value)
-                            .Add("version", node_.version()));
-}
-
 /// A field that this gateway has no meaning for may be a word that it should heed.
 void GatewayProcess::LogUnknownField(const event_http::Response& answer) {
   if (answers_looked_at_++ % kAnswersPerLook != 0) return;
--- a/src/daemon/gateway/gateway_process.h
+++ b/src/daemon/gateway/gateway_process.h
@@ -15,6 +15,7 @@
 #include "src/daemon/gateway/exchange_translator.h"
 #include "src/daemon/gateway/gateway_metrics.h"
 #include "src/daemon/gateway/gateway_settings.h"
+#include "src/daemon/gateway/request_log.h"
 #include "src/daemon/gateway/stop_schedule.h"
 #include "src/event_http/client_pool.h"
 #include "src/event_http/metrics_port.h"
@@ -52,10 +53,10 @@
     std::shared_ptr<event_http::Exchange> exchange;
     traffic::RequestDigest digest;
     std::optional<event_http::CallNumber> call;
-    bool sent = false;                           ///< At least once, to a server.
     std::optional<event_http::Response> answer;  ///< The last that a server gave.
-    std::vector<gateway::DecisionNote> notes;
-    std::vector<Instant> note_times;
+    std::optional<Instant> first_sent;           ///< To a server.
+    std::vector<TimedNote> notes;
+    gateway::RequestSummary summary;
   };
 
   void OnExchange(const std::shared_ptr<event_http::Exchange>& exchange);
@@ -84,7 +85,6 @@
   void AnswerTheRest();
   void TakeNotes(std::vector<gateway::DecisionNote> notes);
   void LogUnknownField(const event_http::Response& answer);
-  void LogRequest(const LiveExchange& live, int status, std::string_view outcome, Duration taken);
   void ArmTimer();
   void Poll();
   void ApplyLimits();
@@ -94,6 +94,7 @@
   const GatewaySettings settings_;
   const ExchangeTranslator translator_;
   runtime::EventLog events_;
+  RequestLog request_log_;
   runtime::MetricsRegistry metrics_registry_;
   GatewayMetrics metrics_;
   // Before what runs on it, so that it outlives that.
@@ -113,7 +114,6 @@
   std::string feed_;  ///< The control process that brings the state.
   std::map<gateway::RequestNumber, LiveExchange> live_;
   gateway::RequestNumber last_number_;
-  std::uint64_t finished_ = 0;
   std::uint64_t answers_looked_at_ = 0;
   std::set<std::string> unknown_fields_;  ///< Told so far.
   bool rest_answered_ = false;
--- a/src/event_http/read_times.h
+++ b/src/event_http/read_times.h
@@ -13,17 +13,17 @@
 /// Tells when the last consumed byte of a connection was read. Requests that a client sends ahead
 /// may be parsed long after they were read.
 ///
-/// Keeps at most reads_maximum instants, so that a client that sends single bytes does not make it
+/// Keeps at most kReadsMaximum instants, so that a client that sends single bytes does not make it
 /// grow; later reads then share the newest instant. Not thread safe.
 class ReadTimes {
  public:
-  static constexpr std::size_t reads_maximum = 16;
+  static constexpr std::size_t kReadsMaximum = 16;
 
   /// Records a read of `bytes` bytes.
   void OnRead(std::size_t bytes, Instant now) {
     if (bytes == 0) return;
     read_ += bytes;
-    if (reads_.size() < reads_maximum) {
+    if (reads_.size() < kReadsMaximum) {
       reads_.push_back({read_, now});
     } else {
       reads_.back() = {read_, now};
--- a/src/gateway/gateway_events.h
+++ b/src/gateway/gateway_events.h
@@ -187,10 +187,20 @@
   std::string inputs;            ///< Inputs of the decision, with ages or versions.
 };
 
+/// What the log tells of a request that ended.
+struct RequestSummary {
+  RequestNumber request;
+  Duration target_latency{};  ///< Zero when no route was found for it.
+  Duration age{};             ///< How long its caller had been trying when it came.
+  /// Last known work time of the server that got its newest attempt, in percent of the usual.
+  std::optional<double> work_percent = std::nullopt;
+};
+
 /// What the caller of a GatewayNode must do, in order, and what to log.
 struct GatewayEffects {
   std::vector<GatewayEffect> actions;
   std::vector<DecisionNote> notes;
+  std::vector<RequestSummary> ended;                   ///< Requests that ended, for the log.
   std::vector<coordination::SlotResult> slot_results;  ///< For the metrics.
   std::size_t slot_grants_unused = 0;                  ///< For the metrics.
 };
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -237,6 +237,8 @@
   void End(LiveRequest& request, RefusalReason reason, Instant now);
   void EndWithoutRun(LiveRequest& request, RefusalReason reason, Instant now);
   void Remove(LiveRequest& request);
+  /// Adds what the log tells of a request that ends to the effects.
+  void Summarise(const LiveRequest& request);
 
   const GatewayOptions options_;
   TrafficView traffic_;
--- a/src/gateway/request_ending.cc
+++ b/src/gateway/request_ending.cc
@@ -117,6 +117,7 @@
 }
 
 void GatewayNode::Remove(LiveRequest& request) {
+  Summarise(request);
   token_queue_.remove(request.tenant, request.arrived.number);
   limit_queue_.remove(request.arrived.number);
   if (request.charged_to_quota && request.attempts == 0 && !request.open) {
@@ -132,4 +133,14 @@
   requests_.erase(request);
 }
 
+void GatewayNode::Summarise(const LiveRequest& request) {
+  RequestSummary& summary = effects_.ended.emplace_back();
+  summary.request = request.arrived.number;
+  summary.target_latency = request.target_latency;
+  summary.age = request.age;
+  if (request.tried.empty()) return;
+  const Backend* const server = traffic_.backends().Find(request.tried.back());
+  if (server != nullptr) summary.work_percent = server->work_percent;
+}
+
 }  // namespace graniteseam::gateway
--- a/tests/event_http/parallel_requests_test.cc
+++ b/tests/event_http/parallel_requests_test.cc
@@ -121,7 +121,7 @@
   for (int read = 1; read <= kReads; ++read) {
     times.OnConsumed(1);
     cr_assert(times.last_consumed_at() >= start + Duration{read});
-    if (read < static_cast<int>(ReadTimes::reads_maximum)) {
+    if (read < static_cast<int>(ReadTimes::kReadsMaximum)) {
       cr_assert(times.last_consumed_at() == start + Duration{read});
     }
   }
--- a/tests/platform/platform_test.cc
+++ b/tests/platform/platform_test.cc
@@ -3,10 +3,12 @@
 #include <criterion/criterion.h>
 #include <sys/signal.h>
 
+#include <algorithm>
 #include <filesystem>
 #include <map>
 #include <nlohmann/json.hpp>
 #include <set>
+#include <sstream>
 
 #include "platform/machine_fields.h"
 #include "platform/names.h"
@@ -76,6 +78,10 @@
     }
     return addresses;
   }
+  std::string RouterLog(int router) const {
+    const std::string path = folder_ + "/" + std::to_string(kControls + router) + ".log";
+    return std::get<std::string>(Attempt([&] { return ReadTextFile(path); }));
+  }
   std::string RouterAddress(int router) const {
     return Ip(kControls + router) + ":" + std::to_string(ports_.numbers[1]);
   }
@@ -250,6 +256,16 @@
   std::set<std::string> unsafe_;
 };
 
+/// The first line of a log with all of the texts; empty when there is none.
+std::string LineWith(const std::string& log, const std::vector<std::string>& texts) {
+  std::istringstream lines(log);
+  for (std::string line; std::getline(lines, line);) {
+    const auto has = [&](const std::string& text) { return line.find(text) != std::string::npos; };
+    if (std::all_of(texts.begin(), texts.end(), has)) return line;
+  }
+  return "";
+}
+
 /// A configuration with a safe and an unsafe route to "pool" and a keyed one.
 std::string ConfigurationText(int version, const std::string& further_prefix) {
   const auto route = [](const std::string& name, const std::string& prefix, const std::string& kind,
@@ -314,6 +330,14 @@
   for (int router = 1; router <= kRouters; ++router) fleet.AwaitServed(router, "/more/x");
   fleet.CheckRuns();
 
+  // A gateway told what each request waited for.
+  const std::string answer =
+      LineWith(fleet.RouterLog(1), {"\"event\":\"answer\"", "\"outcome\":\"relayed\""});
+  for (const std::string told :
+       {"\"connection_wait_us\":", "\"sent_after_us\":", "\"target_us\":500000", "\"age_us\":0"}) {
+    cr_assert(answer.find(told) != std::string::npos, "%s: %s", told.c_str(), answer.c_str());
+  }
+
   // Control told what it did.
   const std::string metrics = fleet.ControlMetrics();
   for (const std::string told :
