Count late, refused and failed requests by their causes

To learn why requests were lost, an operator had to explain them one by one with `graniteseamctl request explain`.

`graniteseamctl log losses FILE...` reads event logs of gateways line by line, decides one cause for each late, refused or failed request (decide_loss over RequestFacts, without input or output) and prints late, refused, failed, share of all requests, and p50 and p99 of the lost time by cause. A late request counts for the cause on which it spent most time. Sampled lines count with their factor. Lines that can't be read, answers without a target latency, requests without an answer line, and lines that processes left out are counted and said.

--- a/src/daemon/operator_cli/command.cc
+++ b/src/daemon/operator_cli/command.cc
@@ -45,6 +45,8 @@
      "Tell from event logs what became of a request, and why.", RequestExplain},
     {"log", "timeline", "LOG...", 1, kLogsMaximum,
      "Show changes of belief of all processes in the order of their times.", LogTimeline},
+    {"log", "losses", "FILE...", 1, kLogsMaximum,
+     "Count late, refused and failed requests in gateways' event logs by their causes.", LogLosses},
     {"key", "generate", "", 0, 0, "Draw a reviewer's key: private into --key-file, public printed.",
      KeyGenerate},
     {"completion", "bash", "", 0, 0, "Print a completion script for bash.", CompletionBash},
--- a/src/daemon/operator_cli/command.h
+++ b/src/daemon/operator_cli/command.h
@@ -69,6 +69,7 @@
 
 Result<void> RequestExplain(const CommandContext& context);
 Result<void> LogTimeline(const CommandContext& context);
+Result<void> LogLosses(const CommandContext& context);
 
 Result<void> KeyGenerate(const CommandContext& context);
 Result<void> CompletionBash(const CommandContext& context);
--- a/src/daemon/operator_cli/event_story.cc
+++ b/src/daemon/operator_cli/event_story.cc
@@ -2,9 +2,10 @@
 
 #include <algorithm>
 #include <istream>
-#include <nlohmann/json.hpp>
 #include <set>
 
+#include "src/daemon/operator_cli/event_line.h"
+
 namespace graniteseam::operator_cli {
 namespace {
 
@@ -111,11 +112,9 @@
 
 auto parse_events(std::istream& log, ParsedLog& parsed) -> void {
   for (std::string line; std::getline(log, line);) {
-    auto const begin = line.find('{');
-    if (begin == std::string::npos) continue;
-    auto const object = json::parse(line.begin() + static_cast<std::ptrdiff_t>(begin), line.end(),
-                                    nullptr, /*allow_exceptions=*/false);
-    if (!object.is_object() || !object.contains("event")) {
+    if (line.find('{') == std::string::npos) continue;
+    auto const object = event_in(line);
+    if (!object.is_object()) {
       ++parsed.unreadable;
       continue;
     }
--- a/src/daemon/operator_cli/json_output.cc
+++ b/src/daemon/operator_cli/json_output.cc
@@ -25,5 +25,6 @@
 void PrintJson(std::ostream& out, const consensus::Member& member) { Print(out, member); }
 void PrintJson(std::ostream& out, const RequestStory& story) { Print(out, story); }
 void PrintJson(std::ostream& out, const std::vector<LoggedEvent>& line) { Print(out, line); }
+void PrintJson(std::ostream& out, const LossReport& report) { Print(out, report); }
 
 }  // namespace graniteseam::operator_cli
--- a/src/daemon/operator_cli/json_output.h
+++ b/src/daemon/operator_cli/json_output.h
@@ -11,6 +11,7 @@
 #include "graniteseam/bundle/bundle.h"
 #include "graniteseam/control/operator_messages.h"
 #include "src/daemon/operator_cli/event_story.h"
+#include "src/daemon/operator_cli/loss_report.h"
 
 namespace graniteseam::operator_cli {
 
@@ -47,5 +48,6 @@
 void PrintJson(std::ostream& out, const consensus::Member& member);
 void PrintJson(std::ostream& out, const RequestStory& story);
 void PrintJson(std::ostream& out, const std::vector<LoggedEvent>& line);
+void PrintJson(std::ostream& out, const LossReport& report);
 
 }  // namespace graniteseam::operator_cli
--- a/src/gateway/backend_table.h
+++ b/src/gateway/backend_table.h
@@ -191,7 +191,8 @@
   /// warming-up server gets depends on.
   std::string DescribeWarmUp(const Backend& backend, Instant now) const;
 
-  /// "load 2.1 of 2, reported 120 ms ago, latency 61 ms" for the log.
+  /// "load 2.1 of 2, reported 120 ms ago, latency 61 ms" for the log. `graniteseamctl log
+  /// losses` reads load, slots and latency from it.
   std::string Describe(const Backend& backend, Instant now) const;
 
  private:
