Name the coordinator's rejection when a request is explained

`request explain` gave a rejection by a coordinator the sentence of a gateway's own refusal, and `log losses` could put a late request whose caller had come back without any time left under a later wait.

The explanation now names the server and the time after which the caller should return. A late request that had used up its target latency when it came counts as "came back after a rejection", like a refused one.

--- a/src/daemon/operator_cli/event_story.cc
+++ b/src/daemon/operator_cli/event_story.cc
@@ -93,14 +93,20 @@
     return "No log given here has a line of it. Plain successes are told one in 64.";
   LoggedEvent const* answer = nullptr;
   LoggedEvent const* last_attempt = &events.front();
+  LoggedEvent const* rejection = nullptr;
   bool failed = false;
   for (auto const& it : events) {
+    if (it.event == "slot_rejected") rejection = &it;
     if (it.event == "answer") answer = &it;
     if (it.event == "send" && !failed) last_attempt = &it;
     if (it.event == "attempt_failed" || it.event == "give_up") last_attempt = &it, failed = true;
   }
   if (answer == nullptr)
     return "It was taken and no answer is logged: its caller left, or the process ended.";
+  if (answer->outcome == "overloaded" && rejection != nullptr) {
+    return "The coordinator of " + rejection->instance + " saw no room for it there in time (" +
+           rejection->details + "); it did not run.";
+  }
   if (answer->outcome != "relayed") return cause_of_refusal(answer->outcome, *last_attempt);
   return failed ? "A server's answer was passed on after attempts that failed."
                 : "A server's answer was passed on at the first attempt.";
--- a/src/daemon/operator_cli/loss_causes.cc
+++ b/src/daemon/operator_cli/loss_causes.cc
@@ -26,7 +26,7 @@
     {"deadline", LossCause::kDeadline},
 };
 
-/// A late request had no chance if its caller had used up the target before it came.
+/// Whether its caller had used up the target latency before it came: it had no chance here.
 auto came_too_late(RequestFacts const& request) -> bool {
   return request.target && request.age >= *request.target;
 }
@@ -85,6 +85,9 @@
 }
 
 auto loss_of_late(RequestFacts const& request) -> Loss {
+  if (came_too_late(request)) {
+    return {LossKind::kLate, LossCause::kReturnedAfterRejection, request.age};
+  }
   Loss loss{LossKind::kLate, LossCause::kOther, 0};
   auto const consider = [&](LossCause cause, std::int64_t lost) {
     if (lost > loss.lost) loss = {LossKind::kLate, cause, lost};
--- a/src/daemon/operator_cli/loss_causes.h
+++ b/src/daemon/operator_cli/loss_causes.h
@@ -64,7 +64,8 @@
   std::int64_t lost = 0;  ///< Microseconds spent on the cause.
 };
 
-/// Decides the loss of a request: for a late one, the cause on which it spent most time.
+/// Decides the loss of a request: for a late one that could have been in time when it came,
+/// the cause on which it spent most time.
 auto decide_loss(RequestFacts const& request) -> Loss;
 
 /// The name of a cause for tables.
--- a/tests/operator_cli/log_commands_test.cc
+++ b/tests/operator_cli/log_commands_test.cc
@@ -77,6 +77,22 @@
   cr_assert(beliefs == std::vector<std::string>({"leads", "update", "release"}));
 }
 
+// Guards against a rejection by a coordinator that reads like a gateway's own refusal.
+Test(log_commands, rejection_by_a_coordinator_names_the_server_and_the_time_to_return) {
+  const TemporaryFolder folder;
+  const std::string begin = R"({"wall_ms":1000,"process":"g-1","request":"dd",)";
+  const std::string log = folder.Write(
+      "gateway.log",
+      begin + R"("event":"slot_asked","after_us":80,"instance":"i-7"})" + "\n" + begin +
+          R"("event":"slot_rejected","after_us":90,"instance":"i-7",)"
+          R"("inputs":"return after 300 ms, queue 9, after 2 ms"})" +
+          "\n" + begin + R"("event":"answer","after_us":99,"status":503,"outcome":"overloaded"})");
+  const auto result = RunCommand({"request", "explain", "dd", log});
+  for (const char* const told : {"coordinator of i-7", "return after 300 ms", "did not run"}) {
+    cr_assert(result.out.find(told) != std::string::npos, "%s", result.out.c_str());
+  }
+}
+
 Test(log_commands, request_without_a_line_is_said_to_have_none) {
   const Logs logs;
   const auto story = logs.explain("zz");
--- a/tests/operator_cli/loss_commands_test.cc
+++ b/tests/operator_cli/loss_commands_test.cc
@@ -145,6 +145,9 @@
 Test(log_losses, late_or_refused_since_its_caller_came_back) {
   expect(GatewayLog().send(1).answer(251, 200, "relayed", {{"age_us", 700'000}}),
          "returned_after_rejection", "late", 700);
+  // It could not be in time any more, whatever it then waited for.
+  expect(GatewayLog().send(1'200).answer(1'500, 200, "relayed", {{"age_us", 800'000}}),
+         "returned_after_rejection", "late", 800);
   expect(GatewayLog()
              .note("slot_asked", 1)
              .note("slot_rejected", 4)
