--- a/src/daemon/operator_cli/event_story.cc
+++ b/src/daemon/operator_cli/event_story.cc
@@ -2,9 +2,10 @@
 
 #include <algorithm>
 #include <istream>
-#include <nlohmann/json.hpp>
 #include <set>
 
+#include "src/daemon/operator_cli/event_line.h"
+
 namespace graniteseam::operator_cli {
 namespace {
 
@@ -92,14 +93,20 @@
     return "No log given here has a line of it. Plain successes are told one in 64.";
   LoggedEvent const* answer = nullptr;
   LoggedEvent const* last_attempt = &events.front();
+  LoggedEvent const* rejection = nullptr;
   bool failed = false;
   for (auto const& it : events) {
+    if (it.event == "slot_rejected") rejection = &it;
     if (it.event == "answer") answer = &it;
     if (it.event == "send" && !failed) last_attempt = &it;
     if (it.event == "attempt_failed" || it.event == "give_up") last_attempt = &it, failed = true;
   }
   if (answer == nullptr)
     return "It was taken and no answer is logged: its caller left, or the process ended.";
+  if (answer->outcome == "overloaded" && rejection != nullptr) {
+    return "The coordinator of " + rejection->instance + " saw no room for it there in time (" +
+           rejection->details + "); it did not run.";
+  }
   if (answer->outcome != "relayed") return cause_of_refusal(answer->outcome, *last_attempt);
   return failed ? "A server's answer was passed on after attempts that failed."
                 : "A server's answer was passed on at the first attempt.";
@@ -111,11 +118,9 @@
 
 auto parse_events(std::istream& log, ParsedLog& parsed) -> void {
   for (std::string line; std::getline(log, line);) {
-    auto const begin = line.find('{');
-    if (begin == std::string::npos) continue;
-    auto const object = json::parse(line.begin() + static_cast<std::ptrdiff_t>(begin), line.end(),
-                                    nullptr, /*allow_exceptions=*/false);
-    if (!object.is_object() || !object.contains("event")) {
+    if (line.find('{') == std::string::npos) continue;
+    auto const object = event_in(line);
+    if (!object.is_object()) {
       ++parsed.unreadable;
       continue;
     }
