Send a refusal that waits behind the last answer of a drain

While a request was in progress, a further one was parsed whole and refused, for example with 503 by a closed server. The answer ahead of it did not take the waiting refusal for something that follows, said `Connection: close` and ended the connection; the refusal was never sent.

An answer ends a draining connection only if no refusal waits behind it. The new test failed before.

--- a/src/event_http/server_connection.cc
+++ b/src/event_http/server_connection.cc
@@ -272,7 +272,8 @@
   const auto server = server_.lock();
   // What the client sent ahead is answered before the connection ends: it was read.
   const bool leaves = !server || server->draining() || server->closing();
-  const bool nothing_behind = ready->last && !next_ && !parser_ && buffer_.empty();
+  const bool nothing_behind =
+      ready->last && !next_ && !parser_ && !refusal_status_ && buffer_.empty();
   const bool close = ready->ends_connection || (leaves && nothing_behind);
   Write(Serialize(ready->response, close), close);
 }
--- a/tests/event_http/parallel_requests_test.cc
+++ b/tests/event_http/parallel_requests_test.cc
@@ -240,3 +240,19 @@
   client.Send("Host: a\r\n\r\n");
   stepped.ReadAnswers(client, 1);
 }
+
+// The last answer in progress ended the connection, and the refusal was never sent.
+Test(parallel_requests, read_sent_to_a_closed_server_is_refused_after_the_answers_ahead_of_it) {
+  SteppedServer stepped(Parallel());
+  RawClient client(stepped.server->port());
+  client.Send(GetHeld(1));
+  TurnUntilHeld(stepped, 1);
+  stepped.server->Close();
+  client.Send(GetHeld(2));
+  stepped.Turn();
+  AnswerWithTarget(stepped, 0);
+  const std::string answers = stepped.ReadToEnd(client);
+  cr_assert_eq(Count(answers, " 200 OK"), 1, "%s", answers.c_str());
+  cr_assert_eq(Count(answers, " 503 "), 1, "%s", answers.c_str());
+  cr_assert_eq(stepped.held.size(), 1);
+}
