Begin nothing for a client that ended its sending

A client that ends its sending has left, and only gets the answers that are ready. As these were written one after the other, requests that had waited in the buffer began, also ones that may not be repeated, and were given up as soon as the last ready answer was written.

After the end of the input nothing further is parsed or dispatched. The new test failed before.

--- a/src/event_http/server_connection.cc
+++ b/src/event_http/server_connection.cc
@@ -125,8 +125,12 @@
   Advance();
 }
 
+bool ServerConnection::TakesRequests() const {
+  return !refusal_status_ && !write_closes_ && !input_ended_ && !lingering_ && !closed_;
+}
+
 bool ServerConnection::MayParse() const {
-  if (next_ || refusal_status_ || lingering_ || closed_ || write_closes_) return false;
+  if (next_ || !TakesRequests()) return false;
   // Without parallel requests, nothing is parsed before the response is written.
   const auto server = server_.lock();
   const bool parallel = server && server->options().may_run_beside;
@@ -241,7 +245,7 @@
 }
 
 bool ServerConnection::Dispatch(Server::Impl& server) {
-  if (!next_ || refusal_status_ || write_closes_ || lingering_ || closed_) return false;
+  if (!next_ || !TakesRequests()) return false;
   if (!pipeline_.Admits(next_->beside)) return false;
   // It came whole only after the close, when its answer might come too late.
   if (server.closing()) {
--- a/src/event_http/server_connection.h
+++ b/src/event_http/server_connection.h
@@ -58,6 +58,9 @@
   void OnRead(ErrorCode error, std::size_t bytes);
   /// Parses and begins what was read, as far as the requests in progress permit.
   void Advance();
+  /// Whether a further request of the connection may begin at all. None does once the client ended
+  /// its sending: its answer would reach nobody.
+  bool TakesRequests() const;
   bool MayParse() const;
   /// Parses until a request is whole.
   /// @return whether to go on.
--- a/tests/event_http/parallel_requests_test.cc
+++ b/tests/event_http/parallel_requests_test.cc
@@ -256,3 +256,17 @@
   cr_assert_eq(Count(answers, " 503 "), 1, "%s", answers.c_str());
   cr_assert_eq(stepped.held.size(), 1);
 }
+
+// The order began although its answer could not reach anybody.
+Test(parallel_requests, nothing_begins_for_a_client_that_ended_its_sending) {
+  SteppedServer stepped(Parallel());
+  RawClient client(stepped.server->port());
+  client.Send(Get("/large") + GetHeld(2) + Post("/order"));
+  TurnUntilHeld(stepped, 1);
+  client.EndSending();
+  for (int round = 0; round < 20; ++round) stepped.Turn();
+  AnswerWithTarget(stepped, 0);
+  const std::string answers = stepped.ReadToEnd(client);
+  cr_assert_eq(Count(answers, " 200 OK"), 2, "%zu begun.", stepped.handed_on.size());
+  cr_assert_eq(stepped.handed_on.size(), 2);
+}
