End a draining connection with the last of its parallel requests

During a drain, an answer with further requests in progress behind it left the connection open and let further ones begin. A client that always has a read in progress thus kept its connection until the server was closed, and the requests that it had sent by then were refused with 503.

The first answer of a drain that has requests in progress behind it now makes the last of those end the connection; nothing further begins, and what the client sent behind it counts as not read. The body bytes of such a request are returned as the connection ends. The new tests failed before.

--- a/src/event_http/pipeline.cc
+++ b/src/event_http/pipeline.cc
@@ -54,6 +54,10 @@
   return ready;
 }
 
+void Pipeline::EndWithLast() {
+  if (!entries_.empty()) entries_.back().ends_connection = true;
+}
+
 Pipeline::Remains Pipeline::Clear() {
   Remains remains;
   for (Entry& entry : entries_) {
--- a/src/event_http/pipeline.h
+++ b/src/event_http/pipeline.h
@@ -67,6 +67,9 @@
   /// Removes the first request if it is finished.
   std::optional<Ready> TakeReady();
 
+  /// The connection ends with the response to the last request in progress; none begins any more.
+  void EndWithLast();
+
   /// What is to be called and returned when the connection ends.
   struct Remains {
     std::vector<std::function<void()>> gone_handlers;  ///< Of open requests, in order.
--- a/src/event_http/server_connection.cc
+++ b/src/event_http/server_connection.cc
@@ -274,7 +274,12 @@
   auto ready = pipeline_.TakeReady();
   if (!ready) return;
   const auto server = server_.lock();
-  // What the client sent ahead is answered before the connection ends: it was read.
+  // The caller sends again what came behind the answer that ends the connection, so it is the last
+  // answer in progress. After a close, what was sent ahead is refused instead.
+  if (server && server->draining() && !server->closing() && !refusal_status_) {
+    pipeline_.EndWithLast();
+  }
+  // What the client sent ahead of a request that ran alone is answered before the connection ends.
   const bool leaves = !server || server->draining() || server->closing();
   const bool nothing_behind =
       ready->last && !next_ && !parser_ && !refusal_status_ && buffer_.empty();
@@ -324,6 +329,8 @@
 
 void ServerConnection::Linger() {
   lingering_ = true;
+  parser_.reset();
+  ReturnUnbegunBytes();
   ErrorCode ignored;
   socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
   buffer_.Clear();
--- a/tests/event_http/parallel_requests_test.cc
+++ b/tests/event_http/parallel_requests_test.cc
@@ -270,3 +270,43 @@
   cr_assert_eq(Count(answers, " 200 OK"), 2, "%zu begun.", stepped.handed_on.size());
   cr_assert_eq(stepped.handed_on.size(), 2);
 }
+
+// The connection of a client that always has a further read in progress outlasted the drain.
+Test(parallel_requests, drain_ends_a_connection_that_always_has_reads_in_progress) {
+  SteppedServer stepped(Parallel());
+  RawClient client(stepped.server->port());
+  client.Send(GetHeld(0) + GetHeld(1));
+  TurnUntilHeld(stepped, 2);
+  stepped.server->BeginDrain();
+  std::size_t answered = 0;
+  for (; answered < stepped.held.size() && answered < kAhead; ++answered) {
+    AnswerWithTarget(stepped, answered);
+    client.Send(GetHeld(static_cast<int>(stepped.held.size())));
+    for (int round = 0; round < 5; ++round) stepped.Turn();
+  }
+  cr_assert_eq(answered, 2, "%zu begun.", stepped.held.size());
+  const std::string answers = stepped.ReadToEnd(client);
+  cr_assert_eq(Count(answers, "Connection: close"), 1);
+  cr_assert(answers.find("answer to /hold?1;") > answers.find("Connection: close"));
+}
+
+// A client sends again what it sent behind the answer that ends the connection.
+Test(parallel_requests, order_behind_reads_that_end_a_drained_connection_does_not_begin) {
+  ServerOptions options = Parallel();
+  options.body_bytes_total = 1;
+  SteppedServer stepped(options);
+  RawClient client(stepped.server->port());
+  client.Send(GetHeld(1) + GetHeld(2) + Post("/order"));
+  TurnUntilHeld(stepped, 2);
+  stepped.server->BeginDrain();
+  AnswerWithTarget(stepped, 0);
+  stepped.Turn();
+  AnswerWithTarget(stepped, 1);
+  const std::string answers = stepped.ReadToEnd(client);
+  cr_assert_eq(Count(answers, " 200 OK"), 2, "%s", answers.c_str());
+  cr_assert_eq(Count(answers, "Connection: close"), 1);
+  cr_assert_eq(stepped.handed_on.size(), 2);
+  RawClient other(stepped.server->port());
+  other.Send(Post("/order"));
+  cr_assert_eq(Count(stepped.ReadToEnd(other), " 200 OK"), 1, "Its body bytes were not returned.");
+}
--- a/tests/event_http/pipeline_test.cc
+++ b/tests/event_http/pipeline_test.cc
@@ -59,6 +59,19 @@
   cr_assert_not(pipeline.Admits(true));
 }
 
+Test(pipeline, nothing_begins_behind_requests_of_which_the_last_was_made_to_end_the_connection) {
+  Pipeline pipeline(kBounds);
+  const auto first = pipeline.Add(true, false, 0);
+  const auto second = pipeline.Add(true, false, 0);
+  pipeline.EndWithLast();
+  cr_assert_not(pipeline.Admits(true));
+  pipeline.Finish(second, WithBody(""));
+  pipeline.Finish(first, WithBody(""));
+  cr_assert_not(pipeline.TakeReady()->ends_connection);
+  cr_assert_not(pipeline.Admits(true));
+  cr_assert(pipeline.TakeReady()->ends_connection);
+}
+
 Test(pipeline, responses_leave_in_the_order_of_the_requests) {
   Pipeline pipeline(kBounds);
   const auto first = pipeline.Add(true, false, 3);
