Measure the write timeout from the bytes that a client takes

Bytes that a client sent while it took nothing of its answer restarted the write timeout, so one byte in ten seconds kept the connection and the responses that wait on it, as far as the system's own limit for unacknowledged bytes let it.

The time of the last bytes written is kept apart. The new test failed before.

--- a/src/event_http/server_connection.cc
+++ b/src/event_http/server_connection.cc
@@ -91,7 +91,7 @@
   if (lingering_) {
     if (quiet > kLinger) Close();
   } else if (writing_) {
-    if (quiet > server->options().write_timeout) Close();
+    if (now - last_written_ > server->options().write_timeout) Close();
   } else if (!pipeline_.empty()) {
     return;
   } else if (parser_ && !parser_->is_header_done()) {
@@ -291,11 +291,11 @@
   writing_ = true;
   write_closes_ = close;
   output_ = std::move(text);
-  last_activity_ = clock_();
+  last_activity_ = last_written_ = clock_();
   asio::async_write(
       socket_, asio::buffer(output_),
       [self = shared_from_this()](ErrorCode error, std::size_t) {
-        self->last_activity_ = self->clock_();
+        self->last_activity_ = self->last_written_ = self->clock_();
         return asio::transfer_all()(error, 0);
       },
       [self = shared_from_this(), close](ErrorCode error, std::size_t) {
--- a/src/event_http/server_connection.h
+++ b/src/event_http/server_connection.h
@@ -106,6 +106,7 @@
   std::size_t counted_bytes_ = 0;  ///< Body bytes of the message that is being parsed.
   Instant message_start_{};
   Instant last_activity_{};
+  Instant last_written_{};  ///< When the client last took bytes of the response being written.
   std::optional<int> refusal_status_;  ///< Set when the connection ends with a refusal.
   bool continued_ = false;
   bool writing_ = false;
--- a/tests/event_http/parallel_requests_test.cc
+++ b/tests/event_http/parallel_requests_test.cc
@@ -310,3 +310,19 @@
   other.Send(Post("/order"));
   cr_assert_eq(Count(stepped.ReadToEnd(other), " 200 OK"), 1, "Its body bytes were not returned.");
 }
+
+// Bytes that the client goes on sending do not show that it takes its answer. All of this takes
+// less time than the system itself gives an answer that nobody takes (3 s).
+Test(parallel_requests, client_that_sends_but_takes_nothing_is_hung_up_on) {
+  SteppedServer stepped(Parallel());
+  RawClient client(stepped.server->port());
+  client.Send(Get("/large"));
+  stepped.Turn();
+  for (int round = 0; round < 3; ++round) {
+    client.Send("G");
+    stepped.Turn();
+    stepped.now += kWriteLimit * 3 / 4;
+    stepped.TurnAfterSweeps();
+  }
+  cr_assert_eq(stepped.server->connections(), 0);
+}
