--- a/src/event_http/server_connection.cc
+++ b/src/event_http/server_connection.cc
@@ -98,7 +98,7 @@
   if (lingering_) {
     if (quiet > kLinger) Close();
   } else if (writing_) {
-    if (quiet > server->options().write_timeout) Close();
+    if (now - last_written_ > server->options().write_timeout) Close();
   } else if (!pipeline_.empty()) {
     return;
   } else if (parser_ && !parser_->is_header_done()) {
@@ -134,8 +134,12 @@
   Advance();
 }
 
+bool ServerConnection::TakesRequests() const {
+  return !refusal_status_ && !write_closes_ && !input_ended_ && !lingering_ && !closed_;
+}
+
 bool ServerConnection::MayParse() const {
-  if (next_ || refusal_status_ || lingering_ || closed_ || write_closes_) return false;
+  if (next_ || !TakesRequests()) return false;
   // Without parallel requests, nothing is parsed before the response is written.
   const auto server = server_.lock();
   const bool parallel = server && server->options().may_run_beside;
@@ -251,7 +255,7 @@
 }
 
 bool ServerConnection::Dispatch(Server::Impl& server) {
-  if (!next_ || refusal_status_ || write_closes_ || lingering_ || closed_) return false;
+  if (!next_ || !TakesRequests()) return false;
   if (!pipeline_.Admits(next_->beside)) return false;
   // It came whole only after the close, when its answer might come too late.
   if (server.closing()) {
@@ -281,9 +285,15 @@
   auto ready = pipeline_.TakeReady();
   if (!ready) return;
   const auto server = server_.lock();
-  // What the client sent ahead is answered before the connection ends: it was read.
+  // The caller sends again what came behind the answer that ends the connection, so it is the last
+  // answer in progress. After a close, what was sent ahead is refused instead.
+  if (server && server->draining() && !server->closing() && !refusal_status_) {
+    pipeline_.EndWithLast();
+  }
+  // What the client sent ahead of a request that ran alone is answered before the connection ends.
   const bool leaves = !server || server->draining() || server->closing();
-  const bool nothing_behind = ready->last && !next_ && !parser_ && buffer_.empty();
+  const bool nothing_behind =
+      ready->last && !next_ && !parser_ && !refusal_status_ && buffer_.empty();
   const bool close = ready->ends_connection || (leaves && nothing_behind);
   Write(Serialize(ready->response, close), close, ready->response.bulk);
 }
@@ -292,13 +302,13 @@
   writing_ = true;
   write_closes_ = close;
   output_ = std::move(text);
-  last_activity_ = clock_();
+  last_activity_ = last_written_ = clock_();
   const auto server = server_.lock();
   if (bulk && server && server->pacer().Paces(output_.size())) return WritePiece(0);
   asio::async_write(
       socket_, asio::buffer(output_),
       [self = shared_from_this()](ErrorCode error, std::size_t) {
-        self->last_activity_ = self->clock_();
+        self->last_activity_ = self->last_written_ = self->clock_();
         return asio::transfer_all()(error, 0);
       },
       [self = shared_from_this(), close](ErrorCode error, std::size_t) {
@@ -315,7 +325,7 @@
     if (stopped || self->closed_) return;
     asio::async_write(self->socket_, asio::buffer(self->output_.data() + written, bytes),
                       [self, end = written + bytes](ErrorCode error, std::size_t) {
-                        self->last_activity_ = self->clock_();
+                        self->last_activity_ = self->last_written_ = self->clock_();
                         const bool more = !error && end < self->output_.size();
                         more ? self->WritePiece(end) : self->OnWritten(error, self->write_closes_);
                       });
@@ -348,6 +358,8 @@
 
 void ServerConnection::Linger() {
   lingering_ = true;
+  parser_.reset();
+  ReturnUnbegunBytes();
   ErrorCode ignored;
   socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
   buffer_.Clear();
--- a/src/event_http/server_connection.h
+++ b/src/event_http/server_connection.h
@@ -60,6 +60,9 @@
   void OnRead(ErrorCode error, std::size_t bytes);
   /// Parses and begins what was read, as far as the requests in progress permit.
   void Advance();
+  /// Whether a further request of the connection may begin at all. None does once the client ended
+  /// its sending: its answer would reach nobody.
+  bool TakesRequests() const;
   bool MayParse() const;
   /// Parses until a request is whole.
   /// @return whether to go on.
@@ -109,6 +112,7 @@
   std::size_t counted_bytes_ = 0;  ///< Body bytes of the message that is being parsed.
   Instant message_start_{};
   Instant last_activity_{};
+  Instant last_written_{};  ///< When the client last took bytes of the response being written.
   std::optional<int> refusal_status_;  ///< Set when the connection ends with a refusal.
   bool continued_ = false;
   bool writing_ = false;
--- a/tests/event_http/parallel_requests_test.cc
+++ b/tests/event_http/parallel_requests_test.cc
@@ -285,3 +285,89 @@
   client.Send("Host: a\r\n\r\n");
   stepped.ReadAnswers(client, 1);
 }
+
+// The last answer in progress ended the connection, and the refusal was never sent.
+Test(parallel_requests, read_sent_to_a_closed_server_is_refused_after_the_answers_ahead_of_it) {
+  SteppedServer stepped(Parallel());
+  RawClient client(stepped.server->port());
+  client.Send(GetHeld(1));
+  TurnUntilHeld(stepped, 1);
+  stepped.server->Close();
+  client.Send(GetHeld(2));
+  stepped.Turn();
+  AnswerWithTarget(stepped, 0);
+  const std::string answers = stepped.ReadToEnd(client);
+  cr_assert_eq(Count(answers, " 200 OK"), 1, "%s", answers.c_str());
+  cr_assert_eq(Count(answers, " 503 "), 1, "%s", answers.c_str());
+  cr_assert_eq(stepped.held.size(), 1);
+}
+
+// The order began although its answer could not reach anybody.
+Test(parallel_requests, nothing_begins_for_a_client_that_ended_its_sending) {
+  SteppedServer stepped(Parallel());
+  RawClient client(stepped.server->port());
+  client.Send(Get("/large") + GetHeld(2) + Post("/order"));
+  TurnUntilHeld(stepped, 1);
+  client.EndSending();
+  for (int round = 0; round < 20; ++round) stepped.Turn();
+  AnswerWithTarget(stepped, 0);
+  const std::string answers = stepped.ReadToEnd(client);
+  cr_assert_eq(Count(answers, " 200 OK"), 2, "%zu begun.", stepped.handed_on.size());
+  cr_assert_eq(stepped.handed_on.size(), 2);
+}
+
+// The connection of a client that always has a further read in progress outlasted the drain.
+Test(parallel_requests, drain_ends_a_connection_that_always_has_reads_in_progress) {
+  SteppedServer stepped(Parallel());
+  RawClient client(stepped.server->port());
+  client.Send(GetHeld(0) + GetHeld(1));
+  TurnUntilHeld(stepped, 2);
+  stepped.server->BeginDrain();
+  std::size_t answered = 0;
+  for (; answered < stepped.held.size() && answered < kAhead; ++answered) {
+    AnswerWithTarget(stepped, answered);
+    client.Send(GetHeld(static_cast<int>(stepped.held.size())));
+    for (int round = 0; round < 5; ++round) stepped.Turn();
+  }
+  cr_assert_eq(answered, 2, "%zu begun.", stepped.held.size());
+  const std::string answers = stepped.ReadToEnd(client);
+  cr_assert_eq(Count(answers, "Connection: close"), 1);
+  cr_assert(answers.find("answer to /hold?1;") > answers.find("Connection: close"));
+}
+
+// A client sends again what it sent behind the answer that ends the connection.
+Test(parallel_requests, order_behind_reads_that_end_a_drained_connection_does_not_begin) {
+  ServerOptions options = Parallel();
+  options.body_bytes_total = 1;
+  SteppedServer stepped(options);
+  RawClient client(stepped.server->port());
+  client.Send(GetHeld(1) + GetHeld(2) + Post("/order"));
+  TurnUntilHeld(stepped, 2);
+  stepped.server->BeginDrain();
+  AnswerWithTarget(stepped, 0);
+  stepped.Turn();
+  AnswerWithTarget(stepped, 1);
+  const std::string answers = stepped.ReadToEnd(client);
+  cr_assert_eq(Count(answers, " 200 OK"), 2, "%s", answers.c_str());
+  cr_assert_eq(Count(answers, "Connection: close"), 1);
+  cr_assert_eq(stepped.handed_on.size(), 2);
+  RawClient other(stepped.server->port());
+  other.Send(Post("/order"));
+  cr_assert_eq(Count(stepped.ReadToEnd(other), " 200 OK"), 1, "Its body bytes were not returned.");
+}
+
+// Bytes that the client goes on sending do not show that it takes its answer. All of this takes
+// less time than the system itself gives an answer that nobody takes (3 s).
+Test(parallel_requests, client_that_sends_but_takes_nothing_is_hung_up_on) {
+  SteppedServer stepped(Parallel());
+  RawClient client(stepped.server->port());
+  client.Send(Get("/large"));
+  stepped.Turn();
+  for (int round = 0; round < 3; ++round) {
+    client.Send("G");
+    stepped.Turn();
+    stepped.now += kWriteLimit * 3 / 4;
+    stepped.TurnAfterSweeps();
+  }
+  cr_assert_eq(stepped.server->connections(), 0);
+}
