Report the work times that servers state to control

Control knew the speed of an owner of keys only by the latency of its answers, which includes the time that requests wait in the owner's queue.

Gateways sum the fourth load figure of answers, work time in percent of the usual, in InstanceSpeed::work_percent_sum and work_percent_answers. Reports of servers without the figure stay as they were.

--- a/src/gateway/backend_table.cc
+++ b/src/gateway/backend_table.cc
@@ -497,6 +497,10 @@
   const bool failed = report.status >= kFirstFailureStatus && report.status != kDeadlineStatus;
   ++backend.speed.whole;
   if (failed) ++backend.speed.failures;
+  if (report.load && report.load->work_percent) {
+    backend.speed.work_percent_sum += *report.load->work_percent;
+    ++backend.speed.work_percent_answers;
+  }
   NoteOutcome(backend, failed, now);
   backend.failures = 0;
   backend.ejection = {};
--- a/tests/gateway/backend_table_test.cc
+++ b/tests/gateway/backend_table_test.cc
@@ -354,6 +354,34 @@
   cr_assert(told.find("work 300%") != std::string::npos, "%s", told.c_str());
 }
 
+// Control would take a server whose queue is long for a slow one: only the reported work time shows
+// the speed of a server whose requests wait.
+Test(backend_table, reported_work_times_are_summed_over_all_answers_until_the_next_poll) {
+  Fixture fixture({MakeInstance("a", "near")});
+  ReportedLoad load{2, 9, 2};
+  for (const double percent : {300.0, 100.0}) {
+    load.work_percent = percent;
+    fixture.Answer("a", Duration{900'000}, kNow, load);
+  }
+  fixture.Answer("a", Duration{900'000}, kNow, ReportedLoad{2, 9, 2});
+  const auto speeds = fixture.table.TakeSpeeds(/*all=*/true);
+  cr_assert(speeds.size() == 1 && speeds[0].whole == 3);
+  cr_assert(speeds[0].work_percent_sum == 400 && speeds[0].work_percent_answers == 2);
+  fixture.Answer("a", Duration{900'000}, kNow, load);
+  const auto later = fixture.table.TakeSpeeds(/*all=*/true);
+  cr_assert(later.size() == 1 && later[0].work_percent_sum == 100);
+}
+
+// A report that changed for servers without the figure would change the placement of their keys.
+Test(backend_table, speeds_of_servers_that_report_no_work_time_stay_as_they_were) {
+  Fixture fixture({MakeInstance("a", "near")});
+  fixture.Answer("a", Duration{50'000}, kNow, ReportedLoad{1, 0, 2});
+  fixture.Answer("a", Duration{70'000}, kNow);
+  const auto speeds = fixture.table.TakeSpeeds(/*all=*/true);
+  const traffic::InstanceSpeed expected{{"a"}, 2, 120'000, 2, 0, 0};
+  cr_assert(speeds.size() == 1 && speeds[0] == expected);
+}
+
 Test(backend_table, server_that_tells_a_probe_that_it_turned_cold_keeps_to_its_bound) {
   BackendOptions options;
   options.zone = {"near"};
