--- a/src/control/range_controller.cc
+++ b/src/control/range_controller.cc
@@ -36,14 +36,6 @@
 constexpr double kTargetUtilization = 1.1;
 /// Maximum instances among which the keys of a lost instance are divided.
 constexpr std::size_t kSuccessorsMaximum = 3;
-/// Target load of an owner that reports a rate limit, relative to that limit: requests that by
-/// chance exceed the mean still find tokens.
-constexpr double kOwnedPartOfLimit = 0.6;
-/// Lower bounds in computing such an owner's slots: load per slot in requests per second, and
-/// slots.
-constexpr double kLoadOfSlotMinimum = 0.01;
-constexpr double kSlotsMinimum = 0.02;
-
 /// Returns a part of a time span by number, to stagger work: neighbouring numbers get distant
 /// parts, and many numbers are spread evenly.
 Duration StaggeredPart(Duration span, std::size_t number) {
@@ -338,62 +330,6 @@
   return known->second;
 }
 
-std::vector<RangeCandidate> RangeController::CandidatesFor(
-    const ServiceName& service, const std::set<traffic::InstanceId>& avoided, Instant now) const {
-  AddEvaluations(InstanceCount());
-  std::vector<RangeCandidate> candidates;
-  std::vector<RangeCandidate> warming_up;
-  const bool by_heartbeat = LeasedByHeartbeat(service);
-  for (const auto& [id, instance] : state_.instances().instances()) {
-    const bool fits = instance.report.service == service && instance.AcceptsNewWork();
-    if (!fits || liveness_.IsUnreachable(id, now) || Unresponsive(id, now)) continue;
-    if (avoided.contains(id) || HasEnded(id)) continue;
-    if (by_heartbeat && !SentHeartbeatRecently(id, now)) continue;
-    const double slots = static_cast<double>(std::max<std::int64_t>(1, instance.report.slots));
-    const bool spared = options_.excludes_warming_up && instance.IsWarmingUp();
-    RangeCandidate& candidate = (spared ? warming_up : candidates).emplace_back();
-    candidate.id = id;
-    candidate.zone = instance.report.zone;
-    candidate.slots = slots;
-    if (!by_heartbeat) continue;
-    const HeartbeatStatus& heartbeat_status = heartbeat_status_.at(id);
-    candidate.next_heartbeat = heartbeat_status.last_heartbeat + heartbeat_status.interval;
-    candidate.heartbeat_interval = heartbeat_status.interval;
-  }
-  if (candidates.empty()) candidates = std::move(warming_up);
-  speeds_.ScaleSlots(candidates);
-  BoundByLimits(service, candidates);
-  return candidates;
-}
-
-void RangeController::BoundByLimits(const ServiceName& service,
-                                    std::vector<RangeCandidate>& candidates) const {
-  const auto ranges = state_.ranges().services().find(service);
-  if (ranges == state_.ranges().services().end()) return;
-  double load_elsewhere = 0;  // Load of the candidates without a limit.
-  double slots_elsewhere = 0;
-  std::map<traffic::InstanceId, double> bounds;
-  for (const RangeCandidate& candidate : candidates) {
-    const auto limit = limits_.LimitOf(candidate.id);
-    if (limit) {
-      bounds[candidate.id] = kOwnedPartOfLimit * *limit;
-      load_elsewhere -= bounds[candidate.id];
-    } else {
-      slots_elsewhere += candidate.slots;
-    }
-  }
-  if (bounds.empty() || slots_elsewhere == 0) return;
-  for (const auto& [owner, load] : balancer_.OwnerLoads(service, ranges->second)) {
-    load_elsewhere += load;
-  }
-  const double load_of_slot = std::max(kLoadOfSlotMinimum, load_elsewhere / slots_elsewhere);
-  for (RangeCandidate& candidate : candidates) {
-    const auto bound = bounds.find(candidate.id);
-    if (bound == bounds.end()) continue;
-    candidate.slots = std::clamp(bound->second / load_of_slot, kSlotsMinimum, candidate.slots);
-  }
-}
-
 bool RangeController::Unresponsive(const traffic::InstanceId& instance, Instant now) const {
   const auto failing = failing_since_.find(instance);
   if (failing == failing_since_.end()) return false;
--- a/src/control/range_controller.h
+++ b/src/control/range_controller.h
@@ -2,6 +2,7 @@
 /// The leader's control of key ranges: grants and their renewals, planned releases, and new owners
 /// for the keys of instances that are gone. Grants are sent in one of two forms: as orders to the
 /// owner (range_controller.cc), or in the answers to its heartbeats (heartbeat_leases.cc).
+/// Candidates for keys are in range_candidates.cc, planned releases in range_releases.cc.
 #pragma once
 
 #include <cstdint>
