Let the lint check pass over the server's connection

clang refuses optional::emplace() without arguments for a struct that is nested in a class that is not complete yet, and tools/check-lint failed on server_connection.cc since requests are parsed ahead.

--- a/src/event_http/server_connection.cc
+++ b/src/event_http/server_connection.cc
@@ -234,7 +234,7 @@
 // --- Requests ---
 
 void ServerConnection::TakeParsed(Server::Impl& server) {
-  ParsedRequest& parsed = next_.emplace();
+  ParsedRequest parsed;
   parsed.keep_alive = parser_->keep_alive();
   auto message = parser_->release();
   parser_.reset();
@@ -245,6 +245,7 @@
   parsed.body_bytes = std::exchange(counted_bytes_, 0);
   parsed.received_at = read_times_.last_consumed_at();
   parsed.beside = server.MayRunBeside(parsed.request);
+  next_ = std::move(parsed);
 }
 
 bool ServerConnection::Dispatch(Server::Impl& server) {
