Let src/coordination pass the linter

The linter also took the coordinator's choice for a null reference where a map that cannot be empty is empty; it now starts from the first gateway.

--- a/src/coordination/coordinator_selector.cc
+++ b/src/coordination/coordinator_selector.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 #include <functional>
+#include <limits>
 #include <utility>
 
 namespace graniteseam::coordination {
@@ -85,24 +86,24 @@
 auto CoordinatorSelector::choose(traffic::InstanceId const& server, ZoneName const& zone) const -> RouterId
 {
     auto const digest = XXH3_64bits(server.value.data(), server.value.size());
-    RouterId const* best = nullptr;
-    double best_score = 0;
+    auto best = m_coordinators.begin()->second.front();
+    auto best_score = -std::numeric_limits<double>::infinity();
     auto const consider = [&](std::vector<RouterId> const& candidates) {
         for (auto const& id : candidates) {
             auto const score = score_of(m_peers.at(id), digest);
-            if (best != nullptr && best_score >= score)
+            if (best_score >= score)
                 continue;
-            best = &id;
+            best = id;
             best_score = score;
         }
     };
     if (auto const near = m_coordinators.find(zone); near != m_coordinators.end()) {
         consider(near->second);
-        return *best;
+        return best;
     }
     for (auto const& [other, candidates] : m_coordinators)
         consider(candidates);
-    return *best;
+    return best;
 }
 
 } // namespace graniteseam::coordination
