--- a/fuzz/avro_messages_fuzz.cc
+++ b/fuzz/avro_messages_fuzz.cc
@@ -7,6 +7,7 @@
 #include "graniteseam/codec/codec.h"
 #include "graniteseam/consensus/types.h"
 #include "graniteseam/control/router_messages.h"
+#include "src/coordination/slot_messages.h"
 
 namespace {
 
@@ -31,5 +32,6 @@
   DecodeAs<control::RouterRenewalAnswer>(bytes);
   DecodeAs<control::JournalRequest>(bytes);
   DecodeAs<control::JournalAnswer>(bytes);
+  DecodeAs<coordination::SlotBatch>(bytes);
   return 0;
 }
