--- a/src/coordination/slot_client.cc
+++ b/src/coordination/slot_client.cc
@@ -6,14 +6,14 @@
 namespace graniteseam::coordination {
 namespace {
 
-    constexpr int unanswered_to_suspend = 2;
+    constexpr int kUnansweredToSuspend = 2;
     /// Until a suspended coordinator is tried again.
-    constexpr Duration suspension {1'000'000};
+    constexpr Duration kSuspension {1'000'000};
     /// Bound of the times in answers, against overflow.
-    constexpr std::int64_t time_maximum_us = 3'600'000'000;
+    constexpr std::int64_t kTimeMaximumUs = 3'600'000'000;
     auto bounded(std::int64_t time_us) -> Duration
     {
-        return Duration {std::clamp<std::int64_t>(time_us, 0, time_maximum_us)};
+        return Duration {std::clamp<std::int64_t>(time_us, 0, kTimeMaximumUs)};
     }
 
 } // namespace
@@ -27,7 +27,7 @@
 auto SlotClient::may_ask(RouterId const& coordinator, Instant now) const -> bool
 {
     auto const found = m_coordinators.find(coordinator);
-    if (found == m_coordinators.end() || found->second.unanswered < unanswered_to_suspend)
+    if (found == m_coordinators.end() || found->second.unanswered < kUnansweredToSuspend)
         return true;
     if (now < found->second.suspended_until)
         return false;
@@ -174,9 +174,9 @@
 auto SlotClient::note_unanswered(Ask const& ask, Instant now) -> void
 {
     auto& coordinator = m_coordinators[ask.coordinator];
-    if (++coordinator.unanswered < unanswered_to_suspend)
+    if (++coordinator.unanswered < kUnansweredToSuspend)
         return;
-    coordinator.suspended_until = now + suspension;
+    coordinator.suspended_until = now + kSuspension;
     m_silent.push_back(ask.address);
 }
 
