Leave no slot request open that ends before it is sent

A coordinator handles the releases of a batch before its requests. A slot request that was repeated and withdrawn within one event was therefore taken for a new one, and its grant lasted until 500 ms after the end of the request's time. The withdrawal now removes the request from the batch.

--- a/src/coordination/slot_client.cc
+++ b/src/coordination/slot_client.cc
@@ -64,7 +64,11 @@
     auto const found = m_asks.find(release.number);
     if (found == m_asks.end())
         return;
-    outgoing(found->second.address).releases.push_back(release);
+    auto& batch = outgoing(found->second.address);
+    // A coordinator handles releases first, and would then take the request for a new one.
+    std::erase_if(
+        batch.requests, [&](SlotRequest const& request) { return request.number == release.number; });
+    batch.releases.push_back(release);
     m_asks.erase(found);
 }
 
