Send a request of a silent coordinator also after its time to wait

A gateway that stood still until both the answer and the hold time of a late request were overdue refused it as overloaded, although its coordinator had never answered. Silence is now handled first, so that the request is sent without a slot.

--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -164,6 +164,9 @@
 }
 
 GatewayEffects GatewayNode::Tick(Instant now) {
+  // First: a request whose coordinator is silent is sent without a slot, also when its time to wait
+  // for one has passed meanwhile.
+  ApplySlotResults(slots_.tick(now), now);
   while (LiveRequest* const request = requests_.take_due(now)) {
     const ServiceName service = request->service;
     const bool waits_for_token = token_queue_.contains(request->arrived.number);
@@ -174,7 +177,6 @@
     }
     ServeWaiting(service, now);
   }
-  ApplySlotResults(slots_.tick(now), now);
   DeliverSlots(coordinator_.tick(now), now);
   return Finish(now);
 }
--- a/tests/gateway/slot_requests_test.cc
+++ b/tests/gateway/slot_requests_test.cc
@@ -236,6 +236,33 @@
   cr_assert_eq(fixture.node.requests(), 0);
 }
 
+/// Guards against a request that is refused for want of a slot although its coordinator never
+/// answered: its machine stood still until both its answer and its hold time were overdue.
+Test(slot_requests, late_request_of_a_gateway_that_stood_still_is_sent_without_a_slot) {
+  Asking fixture;
+  for (int request = 0; request < 64; ++request) {
+    fixture.AskFor(milliseconds(5'000), 1);
+    fixture.node.OnCallerGone({fixture.numbers}, At(1));
+  }
+  const auto ask = AskedOf2(fixture.AskFor(milliseconds(610), 10));
+  cr_assert(ask.returned);
+  cr_assert_eq(ask.hold_us, 150'000);
+  cr_assert(Has<SendAttempt>(fixture.node.Tick(At(270))));
+}
+
+/// Guards against a slot request that is repeated and withdrawn in one batch, by a gateway that
+/// stood still until the expected start and the hold time had both passed.
+Test(slot_requests, queued_request_of_a_gateway_that_stood_still_leaves_no_slot_request_open) {
+  Asking fixture;
+  const auto ask = AskedOf2(fixture.Ask(10));
+  Answer(fixture, ask.number, SlotVerdict::kQueued, milliseconds(300), 12);
+  const auto effects = fixture.node.Tick(At(920));
+  cr_assert(Only<Refuse>(effects).reason == RefusalReason::kOverloaded);
+  const auto batch = SentTo(PeerOf(2).address, effects);
+  cr_assert(batch->requests.empty());
+  cr_assert_eq(ReleasedTo2(effects).number, ask.number);
+}
+
 /// Guards against a request that waits for ever when its grant and its rejection are lost.
 Test(slot_requests, lost_answers_after_a_place_in_the_queue_end_with_the_hold_time) {
   Asking fixture;
