--- a/tests/gateway/slot_fixture.h
+++ b/tests/gateway/slot_fixture.h
@@ -91,6 +91,13 @@
   std::uint64_t list = 0;
 };
 
+/// A gateway whose list names gateway 2 only, which therefore coordinates all servers.
+struct Asking : SlotFixture {
+  explicit Asking(const traffic::TrafficUpdate& state = SlotState()) : SlotFixture(1, state) {
+    List({2}, 0);
+  }
+};
+
 /// The batch that is sent to a gateway, all batches to it taken together; nullopt when there is
 /// none.
 inline std::optional<coordination::SlotBatch> SentTo(const std::string& address,
