Close at once after the last answer to a client that ended its sending

After an answer that ends the connection the server reads on for a second, so that no reset overtakes the answer. A client that has already ended its sending sends nothing that could, yet its connection rested for that second and counted as busy, which delays a drain. Before requests ran in parallel such a connection was closed at once.

It is closed at once again.

--- a/src/event_http/server_connection.cc
+++ b/src/event_http/server_connection.cc
@@ -312,7 +312,8 @@
   // A message that is being parsed has its time from here on.
   message_start_ = last_activity_;
   if (error) return Close();
-  if (close) return Linger();
+  // A client that ended its sending has nothing left that could reset the answer.
+  if (close) return input_ended_ ? Close() : Linger();
   WriteNext();
   if (writing_) return Advance();
   // Nobody waits for responses that were not made yet.
--- a/tests/event_http/parallel_requests_test.cc
+++ b/tests/event_http/parallel_requests_test.cc
@@ -326,3 +326,16 @@
   }
   cr_assert_eq(stepped.server->connections(), 0);
 }
+
+// The connection rested for the time that a client has to read its last answer.
+Test(parallel_requests, last_answer_to_a_client_that_ended_its_sending_ends_the_connection_at_once) {
+  SteppedServer stepped(Parallel());
+  RawClient client(stepped.server->port());
+  client.Send(GetAndClose("/large"));
+  cr_assert(stepped.TurnUntil([&] { return !stepped.handed_on.empty(); }));
+  client.EndSending();
+  for (int round = 0; round < 20; ++round) stepped.Turn();
+  cr_assert_eq(Count(stepped.ReadToEnd(client), " 200 OK"), 1);
+  stepped.Turn();
+  cr_assert_eq(stepped.server->connections(), 0);
+}
