Let gateways advertise another coordination address than they listen at

Gateways publish coordination_address to each other, so that it could not stand behind a relay or an address translation, and tests could not cut or silence the connections between gateways.

The setting advertised_coordination_address names what is published, as advertised_peer_address does for control processes. It defaults to coordination_address.

--- a/src/daemon/gateway/gateway_process.cc
+++ b/src/daemon/gateway/gateway_process.cc
@@ -49,7 +49,9 @@
   options.backends.warm_up_requests_per_second = settings.warm_up_requests_per_second;
   options.budget = settings.budget;
   if (!settings.coordination_address.ip.empty()) {
-    options.coordination_address = runtime::ToString(settings.coordination_address);
+    const runtime::SocketAddress& advertised = settings.advertised_coordination_address;
+    options.coordination_address =
+        runtime::ToString(advertised.ip.empty() ? settings.coordination_address : advertised);
   }
   options.machine_weight = settings.machine_weight;
   return options;
--- a/src/daemon/gateway/gateway_settings.cc
+++ b/src/daemon/gateway/gateway_settings.cc
@@ -48,6 +48,10 @@
                     "coordinates; without it "
                     "this gateway takes no part in coordinated admission.",
                     settings.coordination_address);
+  reader.AddAddress("advertised_coordination_address",
+                    "Where other gateways reach coordination_address, behind a relay or address "
+                    "translation.",
+                    settings.advertised_coordination_address);
   constexpr double kWeightMinimum = 0.001;
   constexpr double kWeightMaximum = 1e6;
   reader.AddNumber(
--- a/src/daemon/gateway/gateway_settings.h
+++ b/src/daemon/gateway/gateway_settings.h
@@ -27,6 +27,7 @@
   /// That an instance may get from all gateways while it warms up; 0: no bound.
   double warm_up_requests_per_second = 0;
   runtime::SocketAddress coordination_address;  ///< Empty: no coordinated admission.
+  runtime::SocketAddress advertised_coordination_address;  ///< Empty: coordination_address.
   double machine_weight = 1;
 };
 
