--- a/src/event_http/server.h
+++ b/src/event_http/server.h
@@ -84,8 +84,8 @@
 
   void SetLimits(const ServerLimits& limits);
   /// From now on each answer ends its connection, unless its client had sent a further request
-  /// ahead. Where requests run in parallel, nothing further begins and the last of their answers ends
-  /// the connection. New connections are still taken.
+  /// ahead. Where requests run in parallel, nothing further begins and the last of their answers
+  /// ends the connection. New connections are still taken.
   void BeginDrain();
   /// Takes no connections any more and closes those that rest. The handler gets nothing more: a
   /// request that comes whole only now, or was sent ahead, is refused with 503.
--- a/src/event_http/server_connection.h
+++ b/src/event_http/server_connection.h
@@ -17,6 +17,15 @@
 
 namespace graniteseam::event_http {
 
+/// A request that was parsed and may not begin yet.
+struct ParsedRequest {
+  Request request;
+  bool keep_alive = true;
+  bool beside = false;
+  std::size_t body_bytes = 0;
+  Instant received_at{};
+};
+
 /// Reads requests one after the other. While requests are in progress it parses and begins further
 /// ones as far as Pipeline permits; otherwise it only goes on reading a little, to see when the
 /// client leaves.
@@ -45,15 +54,6 @@
   using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
   class ExchangeImpl;
 
-  /// A request that was parsed and may not begin yet.
-  struct ParsedRequest {
-    Request request;
-    bool keep_alive = true;
-    bool beside = false;
-    std::size_t body_bytes = 0;
-    Instant received_at{};
-  };
-
   void Read();
   void OnRead(ErrorCode error, std::size_t bytes);
   /// Parses and begins what was read, as far as the requests in progress permit.
