--- a/benchmark/connections/pipelined_memory_benchmark.cc
+++ b/benchmark/connections/pipelined_memory_benchmark.cc
@@ -14,7 +14,7 @@
 
 namespace {
 
-using namespace graniteseam;
+namespace event_http = graniteseam::event_http;
 
 constexpr std::size_t kClients = 1'000;
 constexpr int kTurnsMaximum = 10'000;
@@ -42,7 +42,7 @@
     ahead_ = options.requests_ahead_maximum;
     server_ = std::make_unique<event_http::Server>(
         context_, options, [this](const auto& exchange) { exchanges_.push_back(exchange); });
-    static_cast<void>(Attempt([this] { return server_->Start(); }));
+    static_cast<void>(graniteseam::Attempt([this] { return server_->Start(); }));
     Turn();
   }
 
@@ -53,7 +53,7 @@
       bytes += "GET /read HTTP/1.1\r\nHost: a.example\r\nAccept: */*\r\n\r\n";
     }
     for (std::size_t client = 0; client < kClients; ++client) {
-      clients_.push_back(std::make_unique<test::RawClient>(server_->port()));
+      clients_.push_back(std::make_unique<graniteseam::test::RawClient>(server_->port()));
       clients_.back()->Send(bytes);
       Turn();
     }
@@ -84,13 +84,13 @@
   boost::asio::io_context context_;
   std::vector<std::shared_ptr<event_http::Exchange>> exchanges_;
   std::unique_ptr<event_http::Server> server_;
-  std::vector<std::unique_ptr<test::RawClient>> clients_;
+  std::vector<std::unique_ptr<graniteseam::test::RawClient>> clients_;
   std::size_t ahead_ = 0;
 };
 
 void PipelinedConnection(benchmark::State& state) {
   AllowDescriptors();
-  for (auto _ : state) {
+  for ([[maybe_unused]] const auto _ : state) {
     SilentClients clients;
     const std::size_t before = HeapBytes();
     if (!clients.Send()) {
