Let the client take the answer that a close of the server came amid

When the server was closed while an answer was being written that did not end its connection, the socket was closed as soon as the system had taken the answer. Bytes that the client sent meanwhile, such as its next request, then met a closed socket; the reset discarded what was left of the answer, although its request had run.

Such a connection ends as others do: it says that nothing more comes and reads on.

--- a/src/event_http/server_connection.cc
+++ b/src/event_http/server_connection.cc
@@ -323,7 +323,7 @@
   // The server was closed amid an answer that did not say so.
   if (server && server->closing() && pipeline_.empty()) {
     const bool resting = buffer_.empty() && !next_ && !parser_;
-    return resting ? Close() : Refuse(kServiceUnavailable);
+    return resting ? Linger() : Refuse(kServiceUnavailable);
   }
   Advance();
 }
--- a/tests/event_http/parallel_requests_test.cc
+++ b/tests/event_http/parallel_requests_test.cc
@@ -339,3 +339,19 @@
   stepped.Turn();
   cr_assert_eq(stepped.server->connections(), 0);
 }
+
+// What the client sent met a socket that was closed already, and the reset discarded the rest of
+// the answer.
+Test(parallel_requests, answer_that_a_close_comes_amid_is_whole_for_a_client_that_goes_on_sending) {
+  constexpr int kReceiveBytes = 4'096;
+  SteppedServer stepped(Parallel());
+  RawClient client(stepped.server->port(), kReceiveBytes);
+  client.Send(GetHeld(1));
+  TurnUntilHeld(stepped, 1);
+  SteppedServer::Answer(*stepped.held.at(0), std::string(std::size_t{64} << 10, 'x') + ";");
+  stepped.server->Close();
+  stepped.Turn();
+  client.Send(GetHeld(2));
+  const std::string answer = stepped.ReadToEnd(client);
+  cr_assert(answer.ends_with(";"), "%zu bytes came.", answer.size());
+}
