Let resting connections of a closed server take their last answer

A closed server closed the sockets of connections that rest. An answer that the system had taken, but not yet delivered, was discarded by the reset that the client's next bytes caused.

A connection that has brought an answer ends as after an answer that says so: the server reads on until the client closes, for a second of silence at most, and counts it as busy meanwhile.

--- a/src/event_http/server_connection.cc
+++ b/src/event_http/server_connection.cc
@@ -64,7 +64,9 @@
 }
 
 void ServerConnection::CloseIfResting() {
-  if (!unfinished() && !parser_) Close();
+  if (unfinished() || parser_) return;
+  // The client may not have taken its last answer yet.
+  last_written_ == Instant{} ? Close() : Linger();
 }
 
 void ServerConnection::Close() {
--- a/tests/event_http/parallel_requests_test.cc
+++ b/tests/event_http/parallel_requests_test.cc
@@ -355,3 +355,19 @@
   const std::string answer = stepped.ReadToEnd(client);
   cr_assert(answer.ends_with(";"), "%zu bytes came.", answer.size());
 }
+
+// The same for an answer that the system had taken before the close.
+Test(parallel_requests, answer_written_before_a_close_is_whole_for_a_client_that_goes_on_sending) {
+  constexpr int kReceiveBytes = 4'096;
+  SteppedServer stepped(Parallel());
+  RawClient client(stepped.server->port(), kReceiveBytes);
+  client.Send(GetHeld(1));
+  TurnUntilHeld(stepped, 1);
+  SteppedServer::Answer(*stepped.held.at(0), std::string(std::size_t{64} << 10, 'x') + ";");
+  cr_assert(stepped.TurnUntil([&] { return stepped.server->busy() == 0; }));
+  stepped.server->Close();
+  stepped.Turn();
+  client.Send(GetHeld(2));
+  const std::string answer = stepped.ReadToEnd(client);
+  cr_assert(answer.ends_with(";"), "%zu bytes came.", answer.size());
+}
