Soak routers that coordinate admission and run reads in parallel

The soak's routers never coordinated: the target latency of the service with leases by heartbeat was below the least for it, and routers reached each other directly.

The checks are unchanged.

--- /dev/null
+++ b/testbed/soak/arguments.cc
@@ -0,0 +1,123 @@
+#include "testbed/soak/arguments.h"
+
+#include <getopt.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+#include <filesystem>
+#include <random>
+#include <string_view>
+
+namespace graniteseam::testbed::soak {
+
+namespace {
+
+    constexpr char usage[]
+        = "Usage: graniteseam-soak [--seed N] [--seeds N] [--parallel K] [--size small|large|crowd] "
+          "[--faults N]\n"
+          "                        [--crashing] [--silencing] [--stating] [--warming] [--coordinating]\n"
+          "                        [--processor SHARE] [--keep] [--folder DIR] [--programs DIR] [--templates "
+          "DIR]\n"
+          "  --seed N       first seed; without it one is drawn and printed\n"
+          "  --seeds N      how many, from the first on (1)\n"
+          "  --parallel K   how many side by side (1), as long as they start at most 60 processes together\n"
+          "  --size SIZE    of all runs; without it drawn from the seed, one in four large, none a crowd\n"
+          "  --crashing     some requests end each worker that runs them, as in a crowd\n"
+          "  --silencing    open connections with control fall silent for good, and new ones work\n"
+          "  --stating      workers name limits, ask for rests and say that they leave\n"
+          "  --warming      workers warm up after their starts\n"
+          "  --coordinating routers coordinate admission at workers whose leases come by heartbeat\n"
+          "  --processor X  part of a core that each control process and each router may use\n"
+          "  --keep         logs and data of seeds that kept every promise, too\n"
+          "  --faults N     of each run (20, a large one 45, a crowd 10)\n"
+          "  --folder DIR   for data and logs; those of failed seeds are kept\n"
+          "  --programs DIR where graniteseam-platform-* are (beside this program)\n"
+          "  --templates DIR where their settings templates are (platform)\n";
+
+    auto read_size(std::string_view text) -> std::optional<RunSize>
+    {
+        if (text == "small")
+            return RunSize::Small;
+        if (text == "large")
+            return RunSize::Large;
+        if (text == "crowd")
+            return RunSize::Crowd;
+        return std::nullopt;
+    }
+
+} // namespace
+
+auto read_arguments(int argc, char** argv) -> std::optional<Arguments>
+{
+    static option const options[] = {{"seed", required_argument, nullptr, 's'},
+        {"seeds", required_argument, nullptr, 'n'}, {"parallel", required_argument, nullptr, 'k'},
+        {"size", required_argument, nullptr, 'z'}, {"crashing", no_argument, nullptr, 'x'},
+        {"silencing", no_argument, nullptr, 'i'}, {"stating", no_argument, nullptr, 'g'},
+        {"warming", no_argument, nullptr, 'w'}, {"coordinating", no_argument, nullptr, 'o'},
+        {"processor", required_argument, nullptr, 'c'}, {"keep", no_argument, nullptr, 'e'},
+        {"faults", required_argument, nullptr, 'f'}, {"folder", required_argument, nullptr, 'd'},
+        {"programs", required_argument, nullptr, 'p'}, {"templates", required_argument, nullptr, 't'}, {}};
+    Arguments arguments;
+    arguments.first_seed = std::random_device {}();
+    arguments.programs = std::filesystem::path(argv[0]).parent_path();
+    for (int c = 0; (c = getopt_long(argc, argv, "", options, nullptr)) != -1;) {
+        switch (c) {
+        case 's':
+            arguments.first_seed = std::strtoull(optarg, nullptr, 10);
+            break;
+        case 'n':
+            arguments.seeds = std::strtoull(optarg, nullptr, 10);
+            break;
+        case 'k':
+            arguments.parallel = std::max(1ULL, std::strtoull(optarg, nullptr, 10));
+            break;
+        case 'z':
+            arguments.size = read_size(optarg);
+            if (!arguments.size) {
+                std::fputs(usage, stderr);
+                return std::nullopt;
+            }
+            break;
+        case 'x':
+            arguments.crashing = true;
+            break;
+        case 'i':
+            arguments.silencing = true;
+            break;
+        case 'g':
+            arguments.stating = true;
+            break;
+        case 'w':
+            arguments.warming = true;
+            break;
+        case 'o':
+            arguments.coordinating = true;
+            break;
+        case 'e':
+            arguments.keep = true;
+            break;
+        case 'c':
+            arguments.processor = std::strtod(optarg, nullptr);
+            break;
+        case 'f':
+            arguments.faults = static_cast<std::uint32_t>(std::strtoul(optarg, nullptr, 10));
+            break;
+        case 'd':
+            arguments.folder = optarg;
+            break;
+        case 'p':
+            arguments.programs = optarg;
+            break;
+        case 't':
+            arguments.templates = optarg;
+            break;
+        default:
+            std::fputs(usage, stderr);
+            return std::nullopt;
+        }
+    }
+    return arguments;
+}
+
+} // namespace graniteseam::testbed::soak
--- a/testbed/soak/load.cc
+++ b/testbed/soak/load.cc
@@ -95,8 +95,10 @@
     auto change(Operator& it, std::uint64_t base, std::uint64_t version) -> bool
     {
         auto const whole = base == 0 || it.random_forms() % 2 == 0;
-        auto const text = whole ? configuration_of(version).dump() : patch_between(base, version).dump();
-        auto const body = in_order(configuration_of(version)).dump();
+        auto const coordinated = it.endpoints.coordinated;
+        auto const sent_whole = configuration_of(version, coordinated);
+        auto const text = whole ? sent_whole.dump() : patch_between(base, version, coordinated).dump();
+        auto const body = in_order(sent_whole).dump();
         for (int sending = 0; sending <= resends_maximum; ++sending) {
             SeenChange change {base, version, body, false, runtime::BootTimeNow(), {}, {}};
             auto const result = call(it, whole ? "PUT" : "PATCH", text, base);
@@ -231,13 +233,12 @@
         return options.name + "-" + std::to_string(number);
     }
 
-    /// Sends one to eight requests in one piece and takes their answers in that order.
+    /// Sends some requests in one piece and takes their answers in that order.
     auto call_ahead(Caller& it, CallerOptions const& options, std::vector<SeenAnswer>& answers) -> void
     {
-        constexpr std::size_t longest = 8;
         auto const kinds = options.style == CallerStyle::SafeAhead ? all_kinds - 1 : all_kinds;
         auto const first = answers.size();
-        std::vector<event_http::Request> requests(1 + it.random() % longest);
+        std::vector<event_http::Request> requests(1 + it.random() % options.ahead_longest);
         connect(it);
         for (auto& request : requests) {
             auto& answer = answers.emplace_back();
--- a/testbed/soak/load.h
+++ b/testbed/soak/load.h
@@ -16,6 +16,7 @@
     std::vector<std::string> routers; ///< Callers' addresses.
     std::vector<std::string> registries;
     daemon::ExchangeNames names;
+    bool coordinated = false; ///< Whether routers coordinate admission to the leased service.
 };
 
 enum class CallerStyle {
@@ -23,7 +24,7 @@
     Kept, ///< One connection, used until it is closed; then one to the same router, while that answers.
     Fresh, ///< A connection for each request.
     Ahead, ///< As Kept, with further requests sent before the first is answered; of all kinds.
-    SafeAhead, ///< The same, with only such as may be repeated.
+    SafeAhead, ///< The same, with only reads that may be repeated: routers run these in parallel.
 };
 
 struct CallerOptions {
@@ -31,6 +32,7 @@
     std::string name; ///< Its attempts begin with it.
     CallerStyle style = CallerStyle::Pooled;
     bool limited = false; ///< Sends as the tenant whose quota is far below that.
+    std::size_t ahead_longest = 8; ///< Requests that it sends in one piece, at most.
 };
 
 /// Sends attempts until it is told to stop: keyed ones of both forms, ones that may be repeated, ones that
--- a/testbed/soak/routed_paths.cc
+++ b/testbed/soak/routed_paths.cc
@@ -18,6 +18,8 @@
     constexpr std::uint64_t versions_per_timeout = 8;
     constexpr std::uint64_t timeouts = 7;
     constexpr std::uint64_t shortest_timeout_ms = 2'000;
+    /// Routers coordinate admission from 800 ms on.
+    constexpr std::uint64_t coordinated_target_ms = 1'000;
 
     /// What becomes of a path from one span of versions to the next.
     enum class Course {
@@ -145,10 +147,12 @@
     return services;
 }
 
-auto configuration_of(std::uint64_t version) -> json
+auto configuration_of(std::uint64_t version, bool coordinated) -> json
 {
     json routes {route_to(version, "/safe/", "safe", pool), route_to(version, "/unsafe/", "unsafe", pool),
         route_to(version, "/keyed/", "safe", "keyed"), route_to(version, "/leased/", "safe", "leased")};
+    if (coordinated)
+        routes.back()["target_latency_ms"] = coordinated_target_ms;
     auto const first = version > versions_routed ? version - versions_routed + 1 : 1;
     for (auto since = first; since <= version; ++since)
         routes.push_back(open_route_to(version, path_since(since)));
@@ -162,10 +166,10 @@
         {"tenants", tenants_of_configurations()}, {"limits", {{"idle_timeout_ms", 15'000}}}};
 }
 
-auto patch_between(std::uint64_t base, std::uint64_t version) -> json
+auto patch_between(std::uint64_t base, std::uint64_t version, bool coordinated) -> json
 {
-    auto const before = configuration_of(base);
-    auto const after = configuration_of(version);
+    auto const before = configuration_of(base, coordinated);
+    auto const after = configuration_of(version, coordinated);
     json changed = json::array();
     json removed = json::array();
     for (auto const& it : after["routes"]) {
--- a/testbed/soak/routed_paths.h
+++ b/testbed/soak/routed_paths.h
@@ -25,10 +25,12 @@
 auto services_for(std::uint64_t version, std::string_view path) -> std::set<std::string>;
 
 /// A whole configuration.
-auto configuration_of(std::uint64_t version) -> nlohmann::json;
+/// @param coordinated whether routers coordinate admission to the leased service: its target latency is
+///     above the least for which they do.
+auto configuration_of(std::uint64_t version, bool coordinated = false) -> nlohmann::json;
 
 /// The change that leads from one version's configuration to another's.
-auto patch_between(std::uint64_t base, std::uint64_t version) -> nlohmann::json;
+auto patch_between(std::uint64_t base, std::uint64_t version, bool coordinated = false) -> nlohmann::json;
 
 /// A configuration with its routes in the order of their names: patches may leave them in another one.
 auto in_order(nlohmann::json configuration) -> nlohmann::json;
--- a/testbed/soak/run_shape.h
+++ b/testbed/soak/run_shape.h
@@ -21,6 +21,7 @@
     std::uint32_t ahead_callers = 1; ///< That send requests of all kinds ahead.
     std::uint32_t limited_callers = 2; ///< Whose tenant may send far less than they do.
     std::uint32_t safe_ahead_callers = 1; ///< That send only such ahead as may be repeated.
+    std::uint32_t long_ahead_callers = 0; ///< The same, at times more than a router runs in parallel.
     std::uint32_t faults = 20;
     Duration heartbeat {200'000};
     std::uint32_t losses_tolerated = 1;
@@ -30,6 +31,7 @@
     bool crashing = false; ///< Some requests end each worker that runs them.
     bool stating = false; ///< Workers name limits, ask for rests and say that they leave.
     bool warming = false; ///< Workers warm up after their starts.
+    bool coordinating = false; ///< Routers coordinate admission at the workers of the leased service.
     bool crowded = false; ///< Faults of many workers at once.
     Duration operator_pause {250'000}; ///< Between two changes that are no series.
 
--- a/testbed/soak/soak.cc
+++ b/testbed/soak/soak.cc
@@ -1,21 +1,20 @@
 #include "testbed/soak/soak.h"
 
 #include <fmt/format.h>
-#include <getopt.h>
 
 #include <algorithm>
 #include <condition_variable>
 #include <cstdio>
-#include <cstdlib>
 #include <filesystem>
+#include <fstream>
 #include <map>
 #include <mutex>
 #include <optional>
-#include <random>
 #include <set>
 #include <thread>
 
 #include "src/runtime/clock.h"
+#include "testbed/soak/arguments.h"
 #include "testbed/soak/load.h"
 #include "testbed/soak/probes.h"
 #include "testbed/soak/run_shape.h"
@@ -38,124 +37,6 @@
     /// A run tells at most so many breaches of one promise.
     constexpr int breaches_told = 5;
 
-    struct Arguments {
-        std::uint64_t first_seed = 0;
-        std::uint64_t seeds = 1;
-        std::uint64_t parallel = 1;
-        std::optional<std::uint32_t> faults;
-        std::optional<RunSize> size;
-        bool crashing = false;
-        bool silencing = false;
-        bool stating = false;
-        bool warming = false;
-        bool keep = false;
-        std::optional<double> processor;
-        std::string folder = "/tmp/graniteseam-soak";
-        std::string programs;
-        std::string templates = "platform";
-    };
-
-    constexpr char usage[]
-        = "Usage: graniteseam-soak [--seed N] [--seeds N] [--parallel K] [--size small|large|crowd] "
-          "[--faults N]\n"
-          "                        [--crashing] [--silencing] [--stating] [--warming] [--processor SHARE] "
-          "[--keep]\n"
-          "                        [--folder DIR] [--programs DIR] [--templates DIR]\n"
-          "  --seed N       first seed; without it one is drawn and printed\n"
-          "  --seeds N      how many, from the first on (1)\n"
-          "  --parallel K   how many side by side (1), as long as they start at most 60 processes together\n"
-          "  --size SIZE    of all runs; without it drawn from the seed, one in four large, none a crowd\n"
-          "  --crashing     some requests end each worker that runs them, as in a crowd\n"
-          "  --silencing    open connections with control fall silent for good, and new ones work\n"
-          "  --stating      workers name limits, ask for rests and say that they leave\n"
-          "  --warming      workers warm up after their starts\n"
-          "  --processor X  part of a core that each control process and each router may use\n"
-          "  --keep         logs and data of seeds that kept every promise, too\n"
-          "  --faults N     of each run (20, a large one 45, a crowd 10)\n"
-          "  --folder DIR   for data and logs; those of failed seeds are kept\n"
-          "  --programs DIR where graniteseam-platform-* are (beside this program)\n"
-          "  --templates DIR where their settings templates are (platform)\n";
-
-    auto read_size(std::string_view text) -> std::optional<RunSize>
-    {
-        if (text == "small")
-            return RunSize::Small;
-        if (text == "large")
-            return RunSize::Large;
-        if (text == "crowd")
-            return RunSize::Crowd;
-        return std::nullopt;
-    }
-
-    auto read_arguments(int argc, char** argv) -> std::optional<Arguments>
-    {
-        static option const options[] = {{"seed", required_argument, nullptr, 's'},
-            {"seeds", required_argument, nullptr, 'n'}, {"parallel", required_argument, nullptr, 'k'},
-            {"size", required_argument, nullptr, 'z'}, {"crashing", no_argument, nullptr, 'x'},
-            {"silencing", no_argument, nullptr, 'i'}, {"stating", no_argument, nullptr, 'g'},
-            {"warming", no_argument, nullptr, 'w'}, {"processor", required_argument, nullptr, 'c'},
-            {"keep", no_argument, nullptr, 'e'}, {"faults", required_argument, nullptr, 'f'},
-            {"folder", required_argument, nullptr, 'd'}, {"programs", required_argument, nullptr, 'p'},
-            {"templates", required_argument, nullptr, 't'}, {}};
-        Arguments arguments;
-        arguments.first_seed = std::random_device {}();
-        arguments.programs = std::filesystem::path(argv[0]).parent_path();
-        for (int c = 0; (c = getopt_long(argc, argv, "", options, nullptr)) != -1;) {
-            switch (c) {
-            case 's':
-                arguments.first_seed = std::strtoull(optarg, nullptr, 10);
-                break;
-            case 'n':
-                arguments.seeds = std::strtoull(optarg, nullptr, 10);
-                break;
-            case 'k':
-                arguments.parallel = std::max(1ULL, std::strtoull(optarg, nullptr, 10));
-                break;
-            case 'z':
-                arguments.size = read_size(optarg);
-                if (!arguments.size) {
-                    std::fputs(usage, stderr);
-                    return std::nullopt;
-                }
-                break;
-            case 'x':
-                arguments.crashing = true;
-                break;
-            case 'i':
-                arguments.silencing = true;
-                break;
-            case 'g':
-                arguments.stating = true;
-                break;
-            case 'w':
-                arguments.warming = true;
-                break;
-            case 'e':
-                arguments.keep = true;
-                break;
-            case 'c':
-                arguments.processor = std::strtod(optarg, nullptr);
-                break;
-            case 'f':
-                arguments.faults = static_cast<std::uint32_t>(std::strtoul(optarg, nullptr, 10));
-                break;
-            case 'd':
-                arguments.folder = optarg;
-                break;
-            case 'p':
-                arguments.programs = optarg;
-                break;
-            case 't':
-                arguments.templates = optarg;
-                break;
-            default:
-                std::fputs(usage, stderr);
-                return std::nullopt;
-            }
-        }
-        return arguments;
-    }
-
     /// Meanwhile workers that crashed come back.
     auto sleep_until(SoakedFleet& fleet, Instant instant) -> void
     {
@@ -254,12 +135,18 @@
             for (std::uint32_t i = 0; i < n; ++i)
                 all.push_back({seed + all.size() + 1, "a" + std::to_string(all.size()), style, limited});
         };
+        // A router runs 16 requests of a connection in parallel.
+        constexpr std::size_t more_than_in_parallel = 24;
         add(shape.pooled_callers, CallerStyle::Pooled);
         add(shape.kept_callers, CallerStyle::Kept);
         add(shape.fresh_callers, CallerStyle::Fresh);
         add(shape.ahead_callers, CallerStyle::Ahead);
         add(shape.safe_ahead_callers, CallerStyle::SafeAhead);
         add(shape.limited_callers, CallerStyle::Pooled, true);
+        auto const before = all.size();
+        add(shape.long_ahead_callers, CallerStyle::SafeAhead);
+        for (auto i = before; i < all.size(); ++i)
+            all[i].ahead_longest = more_than_in_parallel;
         return all;
     }
 
@@ -281,6 +168,7 @@
         options.router_processor = shape.router_processor;
         options.stating = shape.stating;
         options.warming = shape.warming;
+        options.coordinating = shape.coordinating;
         return options;
     }
 
@@ -297,7 +185,7 @@
     auto observe(SoakedFleet& fleet, RunShape const& shape, std::vector<Fault> const& plan,
         PlanBounds const& bounds, std::uint64_t seed, ProgramNames const& names) -> Observed
     {
-        Endpoints endpoints {{}, fleet.registries(), names.exchange};
+        Endpoints endpoints {{}, fleet.registries(), names.exchange, shape.coordinating};
         for (std::uint32_t i = 0; i < shape.routers; ++i)
             endpoints.routers.push_back(fleet.caller_address(i));
         Observed seen;
@@ -342,6 +230,24 @@
         return seen;
     }
 
+    /// Runs that began before another run of the same caller ended.
+    auto runs_in_parallel(Observed const& seen) -> std::size_t
+    {
+        std::map<std::string, std::vector<WorkerRun const*>> by_caller;
+        for (auto const& run : seen.runs)
+            by_caller[run.attempt.substr(0, run.attempt.rfind('-'))].push_back(&run);
+        std::size_t n = 0;
+        for (auto& [caller, runs] : by_caller) {
+            std::sort(runs.begin(), runs.end(), [](auto* a, auto* b) { return a->begun < b->begun; });
+            Instant ended {};
+            for (auto const* run : runs) {
+                n += run->begun < ended ? 1 : 0;
+                ended = std::max(ended, run->ended);
+            }
+        }
+        return n;
+    }
+
     /// What a run's line tells, whatever came of it.
     auto summary_text(Observed const& seen, RunShape const& shape, std::vector<Fault> const& plan)
         -> std::string
@@ -352,16 +258,34 @@
         auto const looked = looked_at(seen);
         return fmt::format(
             "{} routers, {} orders + {} leases + {} pool workers; {} faults ({}); "
-            "{} attempts, {} served, {} kept-connection requests, {} of them lost; {} runs, "
+            "{} attempts, {} served, {} kept-connection requests, {} of them lost; {} runs ({} in parallel), "
             "{} grants held, {} changes sent, {} reads, {} probes ({} of changing routes in calm, "
             "{} that tell an older version), {} workers crashed; at the "
             "end {} of {} served",
             shape.routers, shape.keyed_workers, shape.leased_workers, shape.pool_workers, plan.size(),
             kinds_text(plan), seen.answers.size(), count([](auto const& it) { return it.status == 200; }),
             count([](auto const& it) { return it.kept; }), lost_on_kept_connections(seen).size(),
-            seen.runs.size(), seen.holds.size(), seen.changes.size(), seen.reads.size(), seen.probes.size(),
-            looked.in_calm, looked.telling, seen.crashes.size(), seen.served_at_the_end,
-            seen.asked_at_the_end);
+            seen.runs.size(), runs_in_parallel(seen), seen.holds.size(), seen.changes.size(),
+            seen.reads.size(), seen.probes.size(), looked.in_calm, looked.telling, seen.crashes.size(),
+            seen.served_at_the_end, seen.asked_at_the_end);
+    }
+
+    /// "; slots: 812 granted, 3 rejected, 5 timeouts", by what routers logged.
+    auto slots_text(std::string const& folder) -> std::string
+    {
+        std::map<std::string_view, std::size_t> events {
+            {"slot_granted", 0}, {"slot_rejected", 0}, {"slot_timeout", 0}};
+        for (auto const& entry : std::filesystem::directory_iterator(folder)) {
+            if (entry.path().extension() != ".log")
+                continue;
+            std::ifstream log(entry.path());
+            for (std::string line; std::getline(log, line);) {
+                for (auto& [event, n] : events)
+                    n += line.find(fmt::format("\"event\":\"{}\"", event)) != std::string::npos ? 1 : 0;
+            }
+        }
+        return fmt::format("; slots: {} granted, {} rejected, {} timeouts", events["slot_granted"],
+            events["slot_rejected"], events["slot_timeout"]);
     }
 
     /// @return the promises of which one was broken at least.
@@ -373,6 +297,8 @@
         shape.silencing = arguments.silencing;
         shape.stating = arguments.stating;
         shape.warming = arguments.warming;
+        shape.coordinating = arguments.coordinating;
+        shape.long_ahead_callers = shape.coordinating ? 2 : 0;
         shape.processor = arguments.processor.value_or(shape.processor);
         shape.router_processor = arguments.processor.value_or(shape.router_processor);
         PlanBounds bounds;
@@ -393,9 +319,9 @@
             breaches = check_promises(seen);
             auto const replaced = fleet.replacements();
             text = fmt::format(
-                "seed {}: {}; replaced at the same address {}, elsewhere {}; promises broken: {}\n", seed,
-                summary_text(seen, shape, plan), replaced.at_same_address, replaced.elsewhere,
-                promises_text(breaches));
+                "seed {}: {}{}; replaced at the same address {}, elsewhere {}; promises broken: {}\n", seed,
+                summary_text(seen, shape, plan), shape.coordinating ? slots_text(options.folder) : "",
+                replaced.at_same_address, replaced.elsewhere, promises_text(breaches));
         }
         if (!breaches.empty()) {
             text += breaches_text(breaches) + plan_text(plan);
--- a/testbed/soak/soaked_fleet.cc
+++ b/testbed/soak/soaked_fleet.cc
@@ -20,8 +20,6 @@
 
     /// That a worker which said that it leaves may still get work.
     constexpr Duration drain_allowance {2'000'000};
-    /// A router that was told to stop ends by itself before its time is over; it is killed so long after.
-    constexpr Duration stop_limit {300'000};
     constexpr char local_ip[] = "127.0.0.1";
     constexpr char keyed_service[] = "keyed";
     constexpr char leased_service[] = "leased";
@@ -48,11 +46,6 @@
     constexpr std::uint32_t leaving_spread = 21;
     constexpr Duration warm_up {3'000'000};
 
-    auto ip_of(std::uint32_t machine) -> std::string
-    {
-        return "127.0.78." + std::to_string(machine);
-    }
-
 } // namespace
 
 auto run_closed(char** words) -> int
@@ -94,6 +87,14 @@
             std::exit(EXIT_FAILURE);
         }
     }
+    for (std::uint32_t i = 0; m_options.coordinating && i < m_options.routers; ++i) {
+        runtime::SocketAddress address {ip_of(router_machine(i)), m_ports[HttpPort].address().port};
+        auto const added = Attempt([&] { return m_links->AddEndpoint(address); });
+        if (ErrorOf(added) != nullptr) {
+            std::fprintf(stderr, "soak: the relay could not listen for %s.\n", address.ip.c_str());
+            std::exit(EXIT_FAILURE);
+        }
+    }
     if (m_options.processor < 1)
         m_quota.emplace(m_options.processor);
     if (m_options.router_processor < 1)
@@ -127,6 +128,11 @@
     m_processes.clear();
 }
 
+auto SoakedFleet::ip_of(Machine machine) -> std::string
+{
+    return "127.0.78." + std::to_string(machine);
+}
+
 auto SoakedFleet::registries() const -> std::vector<std::string>
 {
     std::vector<std::string> addresses;
@@ -179,6 +185,10 @@
     auto text = FillTemplate(std::get<std::string>(source), m_names.fields_of(fields));
     if (program == "control")
         text += "advertised_peer_address = \"" + at_port(LinkLayer::RelayIp(fields.ip), PeerPort) + "\"\n";
+    // The template has routers listen for each other at the last port.
+    if (m_options.coordinating && program == "router")
+        text += "advertised_coordination_address = \"" + at_port(LinkLayer::RelayIp(fields.ip), HttpPort)
+            + "\"\n";
     if (m_options.warming)
         text += "warm_up_requests_per_second = 8\n";
     if (m_options.warming && program == "control")
@@ -394,22 +404,6 @@
     return others[choice % others.size()];
 }
 
-auto SoakedFleet::begin_disturbance(std::uint32_t router) -> void
-{
-    m_seen.disturbances.push_back({router, runtime::BootTimeNow(), Instant::max()});
-    ++m_open_disturbances[router];
-}
-
-auto SoakedFleet::end_disturbance(std::uint32_t router) -> void
-{
-    if (--m_open_disturbances[router] > 0)
-        return;
-    for (auto& it : m_seen.disturbances) {
-        if (it.router == router && it.ended == Instant::max())
-            it.ended = runtime::BootTimeNow();
-    }
-}
-
 auto SoakedFleet::tear_newest_file(std::uint32_t control) const -> void
 {
     std::filesystem::path newest;
@@ -447,149 +441,6 @@
         std::max(silent_before(from), silent_before(to))};
 }
 
-auto SoakedFleet::begin(Fault const& fault) -> void
-{
-    if (disturbs_core(fault.kind))
-        m_seen.core_disturbances.push_back({runtime::BootTimeNow(), runtime::BootTimeNow() + fault.span});
-    auto const control = control_machine(fault.target);
-    auto const router = router_machine(fault.target);
-    switch (fault.kind) {
-    case FaultKind::KillControl:
-        return kill(control);
-    case FaultKind::KillRouter:
-        begin_disturbance(fault.target);
-        return kill(router);
-    case FaultKind::KillAllControls:
-        for (std::uint32_t i = 0; i < m_options.controls; ++i)
-            kill(control_machine(i));
-        return;
-    case FaultKind::StopControl:
-        return m_processes.at(control).Signal(SIGTERM);
-    case FaultKind::StopRouter:
-        return m_processes.at(router).Signal(SIGTERM);
-    case FaultKind::ReloadControl:
-        return reload(control, "control", fault.choice);
-    case FaultKind::ReloadRouter:
-        return reload(router, "router", fault.choice);
-    case FaultKind::FreezeControl:
-        return freeze(control);
-    case FaultKind::FreezeRouter:
-        begin_disturbance(fault.target);
-        return freeze(router);
-    case FaultKind::LoseDisk:
-        kill(control);
-        std::filesystem::remove_all(data_folder(fault.target));
-        return;
-    case FaultKind::TearWrite:
-        kill(control);
-        return tear_newest_file(fault.target);
-    case FaultKind::CrashWorker:
-    case FaultKind::ReplaceWorker:
-    case FaultKind::ReuseAddress:
-        return retire_worker(fault.target, fault.choice);
-    case FaultKind::DrainWorker:
-    case FaultKind::DeregisterWorker: {
-        auto& worker = *m_slots.at(fault.target).worker;
-        delay_heartbeat(worker, fault.choice);
-        return fault.kind == FaultKind::DrainWorker ? worker.Drain() : worker.Deregister();
-    }
-    case FaultKind::ScaleIn:
-        for (auto const index : leaving_workers(fault))
-            m_slots.at(index).worker->Drain();
-        return;
-    case FaultKind::SilenceRouter:
-        begin_disturbance(fault.target);
-        return silence(ip_of(router));
-    case FaultKind::SilenceControl:
-        for (std::uint32_t i = 0; i < m_options.routers; ++i)
-            begin_disturbance(i);
-        return silence(ip_of(control));
-    case FaultKind::CutRouter:
-        begin_disturbance(fault.target);
-        break;
-    default:
-        break;
-    }
-    std::lock_guard const lock(m_mutex);
-    if (fault.kind == FaultKind::CutControl)
-        m_cut_controls.insert(ip_of(control));
-    if (fault.kind == FaultKind::CutControlOneWay)
-        m_mute_controls.insert(ip_of(control));
-    if (fault.kind == FaultKind::CutRouter)
-        m_cut_routers.insert(ip_of(router));
-}
-
-auto SoakedFleet::undo(Fault const& fault) -> void
-{
-    auto const control = control_machine(fault.target);
-    auto const router = router_machine(fault.target);
-    switch (fault.kind) {
-    case FaultKind::KillControl:
-    case FaultKind::StopControl:
-    case FaultKind::LoseDisk:
-    case FaultKind::TearWrite:
-        return start_control(fault.target, false);
-    case FaultKind::KillAllControls:
-        for (std::uint32_t i = 0; i < m_options.controls; ++i)
-            start_control(i, false);
-        return;
-    case FaultKind::KillRouter:
-        start_router(fault.target);
-        return end_disturbance(fault.target);
-    case FaultKind::StopRouter:
-        static_cast<void>(m_processes.at(router).Wait(stop_limit));
-        begin_disturbance(fault.target);
-        start_router(fault.target);
-        return end_disturbance(fault.target);
-    case FaultKind::FreezeControl:
-        m_seen.thaws.push_back(runtime::BootTimeNow());
-        return thaw(control);
-    case FaultKind::FreezeRouter:
-        thaw(router);
-        return end_disturbance(fault.target);
-    case FaultKind::CrashWorker:
-        ++m_replacements.elsewhere;
-        reserve_address(fault.target);
-        return add_worker(fault.target);
-    case FaultKind::ReuseAddress:
-        m_slots.at(fault.target).service = next_service(fault.target, fault.choice);
-        [[fallthrough]];
-    case FaultKind::ReplaceWorker:
-        ++m_replacements.at_same_address;
-        return add_worker(fault.target);
-    case FaultKind::DrainWorker:
-    case FaultKind::DeregisterWorker:
-        ++m_replacements.at_same_address;
-        retire_worker(fault.target, fault.choice);
-        return add_worker(fault.target);
-    case FaultKind::ScaleIn:
-        for (auto const index : leaving_workers(fault)) {
-            ++m_replacements.at_same_address;
-            retire_worker(index, 0);
-            add_worker(index);
-        }
-        return;
-    case FaultKind::SilenceControl:
-        for (std::uint32_t i = 0; i < m_options.routers; ++i)
-            end_disturbance(i);
-        return;
-    case FaultKind::SilenceRouter:
-        return end_disturbance(fault.target);
-    case FaultKind::CutRouter:
-        end_disturbance(fault.target);
-        break;
-    default:
-        break;
-    }
-    std::lock_guard const lock(m_mutex);
-    if (fault.kind == FaultKind::CutRouter) {
-        m_cut_routers.erase(ip_of(router));
-        return;
-    }
-    m_cut_controls.erase(ip_of(control));
-    m_mute_controls.erase(ip_of(control));
-}
-
 auto SoakedFleet::collect(Observed& seen) -> void
 {
     for (auto& [index, slot] : m_slots) {
--- a/testbed/soak/soaked_fleet.h
+++ b/testbed/soak/soaked_fleet.h
@@ -53,6 +53,7 @@
     double router_processor = 1; ///< The same of routers.
     bool stating = false; ///< Workers name limits, ask for rests and say that they leave.
     bool warming = false; ///< Workers that start in place of others warm up.
+    bool coordinating = false; ///< Routers reach each other through the relay to coordinate admission.
 };
 
 /// How often a worker was replaced by another process.
@@ -108,6 +109,7 @@
         PortCount,
     };
 
+    static auto ip_of(Machine) -> std::string;
     auto control_machine(std::uint32_t index) const -> Machine { return 1 + index; }
     auto router_machine(std::uint32_t index) const -> Machine { return 1 + m_options.controls + index; }
     auto start_control(std::uint32_t index, bool first) -> void;
--- /dev/null
+++ b/testbed/soak/soaked_fleet_faults.cc
@@ -0,0 +1,176 @@
+// The faults that hit a soaked fleet, and their ends.
+#include <csignal>
+#include <filesystem>
+
+#include "src/runtime/clock.h"
+#include "testbed/soak/soaked_fleet.h"
+
+namespace graniteseam::testbed::soak {
+
+namespace {
+
+    /// A router that was told to stop ends by itself before its time is over; it is killed so long after.
+    constexpr Duration stop_limit {300'000};
+
+} // namespace
+
+auto SoakedFleet::begin_disturbance(std::uint32_t router) -> void
+{
+    m_seen.disturbances.push_back({router, runtime::BootTimeNow(), Instant::max()});
+    ++m_open_disturbances[router];
+}
+
+auto SoakedFleet::end_disturbance(std::uint32_t router) -> void
+{
+    if (--m_open_disturbances[router] > 0)
+        return;
+    for (auto& it : m_seen.disturbances) {
+        if (it.router == router && it.ended == Instant::max())
+            it.ended = runtime::BootTimeNow();
+    }
+}
+
+auto SoakedFleet::begin(Fault const& fault) -> void
+{
+    if (disturbs_core(fault.kind))
+        m_seen.core_disturbances.push_back({runtime::BootTimeNow(), runtime::BootTimeNow() + fault.span});
+    auto const control = control_machine(fault.target);
+    auto const router = router_machine(fault.target);
+    switch (fault.kind) {
+    case FaultKind::KillControl:
+        return kill(control);
+    case FaultKind::KillRouter:
+        begin_disturbance(fault.target);
+        return kill(router);
+    case FaultKind::KillAllControls:
+        for (std::uint32_t i = 0; i < m_options.controls; ++i)
+            kill(control_machine(i));
+        return;
+    case FaultKind::StopControl:
+        return m_processes.at(control).Signal(SIGTERM);
+    case FaultKind::StopRouter:
+        return m_processes.at(router).Signal(SIGTERM);
+    case FaultKind::ReloadControl:
+        return reload(control, "control", fault.choice);
+    case FaultKind::ReloadRouter:
+        return reload(router, "router", fault.choice);
+    case FaultKind::FreezeControl:
+        return freeze(control);
+    case FaultKind::FreezeRouter:
+        begin_disturbance(fault.target);
+        return freeze(router);
+    case FaultKind::LoseDisk:
+        kill(control);
+        std::filesystem::remove_all(data_folder(fault.target));
+        return;
+    case FaultKind::TearWrite:
+        kill(control);
+        return tear_newest_file(fault.target);
+    case FaultKind::CrashWorker:
+    case FaultKind::ReplaceWorker:
+    case FaultKind::ReuseAddress:
+        return retire_worker(fault.target, fault.choice);
+    case FaultKind::DrainWorker:
+    case FaultKind::DeregisterWorker: {
+        auto& worker = *m_slots.at(fault.target).worker;
+        delay_heartbeat(worker, fault.choice);
+        return fault.kind == FaultKind::DrainWorker ? worker.Drain() : worker.Deregister();
+    }
+    case FaultKind::ScaleIn:
+        for (auto const index : leaving_workers(fault))
+            m_slots.at(index).worker->Drain();
+        return;
+    case FaultKind::SilenceRouter:
+        begin_disturbance(fault.target);
+        return silence(ip_of(router));
+    case FaultKind::SilenceControl:
+        for (std::uint32_t i = 0; i < m_options.routers; ++i)
+            begin_disturbance(i);
+        return silence(ip_of(control));
+    case FaultKind::CutRouter:
+        begin_disturbance(fault.target);
+        break;
+    default:
+        break;
+    }
+    std::lock_guard const lock(m_mutex);
+    if (fault.kind == FaultKind::CutControl)
+        m_cut_controls.insert(ip_of(control));
+    if (fault.kind == FaultKind::CutControlOneWay)
+        m_mute_controls.insert(ip_of(control));
+    if (fault.kind == FaultKind::CutRouter)
+        m_cut_routers.insert(ip_of(router));
+}
+
+auto SoakedFleet::undo(Fault const& fault) -> void
+{
+    auto const control = control_machine(fault.target);
+    auto const router = router_machine(fault.target);
+    switch (fault.kind) {
+    case FaultKind::KillControl:
+    case FaultKind::StopControl:
+    case FaultKind::LoseDisk:
+    case FaultKind::TearWrite:
+        return start_control(fault.target, false);
+    case FaultKind::KillAllControls:
+        for (std::uint32_t i = 0; i < m_options.controls; ++i)
+            start_control(i, false);
+        return;
+    case FaultKind::KillRouter:
+        start_router(fault.target);
+        return end_disturbance(fault.target);
+    case FaultKind::StopRouter:
+        static_cast<void>(m_processes.at(router).Wait(stop_limit));
+        begin_disturbance(fault.target);
+        start_router(fault.target);
+        return end_disturbance(fault.target);
+    case FaultKind::FreezeControl:
+        m_seen.thaws.push_back(runtime::BootTimeNow());
+        return thaw(control);
+    case FaultKind::FreezeRouter:
+        thaw(router);
+        return end_disturbance(fault.target);
+    case FaultKind::CrashWorker:
+        ++m_replacements.elsewhere;
+        reserve_address(fault.target);
+        return add_worker(fault.target);
+    case FaultKind::ReuseAddress:
+        m_slots.at(fault.target).service = next_service(fault.target, fault.choice);
+        [[fallthrough]];
+    case FaultKind::ReplaceWorker:
+        ++m_replacements.at_same_address;
+        return add_worker(fault.target);
+    case FaultKind::DrainWorker:
+    case FaultKind::DeregisterWorker:
+        ++m_replacements.at_same_address;
+        retire_worker(fault.target, fault.choice);
+        return add_worker(fault.target);
+    case FaultKind::ScaleIn:
+        for (auto const index : leaving_workers(fault)) {
+            ++m_replacements.at_same_address;
+            retire_worker(index, 0);
+            add_worker(index);
+        }
+        return;
+    case FaultKind::SilenceControl:
+        for (std::uint32_t i = 0; i < m_options.routers; ++i)
+            end_disturbance(i);
+        return;
+    case FaultKind::SilenceRouter:
+        return end_disturbance(fault.target);
+    case FaultKind::CutRouter:
+        end_disturbance(fault.target);
+        break;
+    default:
+        break;
+    }
+    std::lock_guard const lock(m_mutex);
+    if (fault.kind == FaultKind::CutRouter) {
+        m_cut_routers.erase(ip_of(router));
+        return;
+    }
+    m_cut_controls.erase(ip_of(control));
+    m_mute_controls.erase(ip_of(control));
+}
+
+} // namespace graniteseam::testbed::soak
--- a/tests/soak/seeded_runs_test.cc
+++ b/tests/soak/seeded_runs_test.cc
@@ -68,3 +68,10 @@
 {
     play("50001", {"--stating"});
 }
+
+/// Guards against promises that hold only without coordinated admission: killed, stopped and cut routers are
+/// coordinators too, and reads of a connection run in parallel.
+Test(seeded_runs, seed_81101_with_routers_that_coordinate_admission, .timeout = 240)
+{
+    play("81101", {"--coordinating"});
+}
--- a/tests/soak/version_promises_test.cc
+++ b/tests/soak/version_promises_test.cc
@@ -148,12 +148,14 @@
     cr_assert(looked.telling == 1, "no version up to 40 moves /moves-64/");
 }
 
-Test(routed_paths, patches_lead_from_each_configuration_to_each_later_one)
+namespace {
+
+auto check_patches(bool coordinated) -> void
 {
     for (std::uint64_t base = 1; base < 130; base += 3) {
         for (std::uint64_t version : {base + 1, base + 2, base + 70}) {
-            auto const patch = patch_between(base, version);
-            auto patched = configuration_of(base);
+            auto const patch = patch_between(base, version, coordinated);
+            auto patched = configuration_of(base, coordinated);
             auto& routes = patched["routes"];
             auto const drop = [&](nlohmann::json const& name) {
                 for (std::size_t i = 0; i < routes.size(); ++i) {
@@ -168,7 +170,20 @@
                 routes.push_back(route);
             }
             patched["version"] = version;
-            cr_assert(in_order(patched) == in_order(configuration_of(version)), "%lu to %lu", base, version);
+            cr_assert(in_order(patched) == in_order(configuration_of(version, coordinated)), "%lu to %lu",
+                base, version);
         }
     }
 }
+
+} // namespace
+
+Test(routed_paths, patches_lead_from_each_configuration_to_each_later_one)
+{
+    check_patches(false);
+}
+
+Test(routed_paths, patches_lead_to_each_later_configuration_with_coordinated_admission)
+{
+    check_patches(true);
+}
