--- a/src/event_http/server_connection.cc
+++ b/src/event_http/server_connection.cc
@@ -70,7 +70,9 @@
 }
 
 void ServerConnection::CloseIfResting() {
-  if (!unfinished() && !parser_) Close();
+  if (unfinished() || parser_) return;
+  // The client may not have taken its last answer yet.
+  last_written_ == Instant{} ? Close() : Linger();
 }
 
 void ServerConnection::Close() {
@@ -342,7 +344,8 @@
   // A message that is being parsed has its time from here on.
   message_start_ = last_activity_;
   if (error) return Close();
-  if (close) return Linger();
+  // A client that ended its sending has nothing left that could reset the answer.
+  if (close) return input_ended_ ? Close() : Linger();
   WriteNext();
   if (writing_) return Advance();
   // Nobody waits for responses that were not made yet.
@@ -352,7 +355,7 @@
   // The server was closed amid an answer that did not say so.
   if (server && server->closing() && pipeline_.empty()) {
     const bool resting = buffer_.empty() && !next_ && !parser_;
-    return resting ? Close() : Refuse(kServiceUnavailable);
+    return resting ? Linger() : Refuse(kServiceUnavailable);
   }
   Advance();
 }
--- a/tests/event_http/parallel_requests_test.cc
+++ b/tests/event_http/parallel_requests_test.cc
@@ -371,3 +371,48 @@
   }
   cr_assert_eq(stepped.server->connections(), 0);
 }
+
+// The connection rested for the time that a client has to read its last answer.
+Test(parallel_requests, last_answer_to_a_client_that_ended_its_sending_ends_the_connection_at_once) {
+  SteppedServer stepped(Parallel());
+  RawClient client(stepped.server->port());
+  client.Send(GetAndClose("/large"));
+  cr_assert(stepped.TurnUntil([&] { return !stepped.handed_on.empty(); }));
+  client.EndSending();
+  for (int round = 0; round < 20; ++round) stepped.Turn();
+  cr_assert_eq(Count(stepped.ReadToEnd(client), " 200 OK"), 1);
+  stepped.Turn();
+  cr_assert_eq(stepped.server->connections(), 0);
+}
+
+// What the client sent met a socket that was closed already, and the reset discarded the rest of
+// the answer.
+Test(parallel_requests, answer_that_a_close_comes_amid_is_whole_for_a_client_that_goes_on_sending) {
+  constexpr int kReceiveBytes = 4'096;
+  SteppedServer stepped(Parallel());
+  RawClient client(stepped.server->port(), kReceiveBytes);
+  client.Send(GetHeld(1));
+  TurnUntilHeld(stepped, 1);
+  SteppedServer::Answer(*stepped.held.at(0), std::string(std::size_t{64} << 10, 'x') + ";");
+  stepped.server->Close();
+  stepped.Turn();
+  client.Send(GetHeld(2));
+  const std::string answer = stepped.ReadToEnd(client);
+  cr_assert(answer.ends_with(";"), "%zu bytes came.", answer.size());
+}
+
+// The same for an answer that the system had taken before the close.
+Test(parallel_requests, answer_written_before_a_close_is_whole_for_a_client_that_goes_on_sending) {
+  constexpr int kReceiveBytes = 4'096;
+  SteppedServer stepped(Parallel());
+  RawClient client(stepped.server->port(), kReceiveBytes);
+  client.Send(GetHeld(1));
+  TurnUntilHeld(stepped, 1);
+  SteppedServer::Answer(*stepped.held.at(0), std::string(std::size_t{64} << 10, 'x') + ";");
+  cr_assert(stepped.TurnUntil([&] { return stepped.server->busy() == 0; }));
+  stepped.server->Close();
+  stepped.Turn();
+  client.Send(GetHeld(2));
+  const std::string answer = stepped.ReadToEnd(client);
+  cr_assert(answer.ends_with(";"), "%zu bytes came.", answer.size());
+}
