Keep slots of servers busy while messages are on their way

With one request beyond the slots, a slot stood idle whenever a release and the next grant took longer than a request waits: on links that downloads fill, some 100 ms and more. The coordinator measures that time and sends so many requests ahead as cover it, up to as many as the server has slots.

A gateway that stood still for more than 20 ms reads what has arrived before it counts its coordinators as silent: all its slot requests were overdue then, and healthy coordinators were suspended.

The former are sampled like others, late ones one in eight.

--- a/src/coordination/server_queue.cc
+++ b/src/coordination/server_queue.cc
@@ -8,9 +8,11 @@
 namespace graniteseam::coordination {
 namespace {
 
-    /// Requests beyond the slots that are sent to the server: one in its own queue hides the exchange of
-    /// messages between two requests. With more, the server would decide the order.
-    constexpr std::uint32_t extra_grants = 1;
+    /// With fewer, a slot would be idle between two requests; with more than the slots, the server would
+    /// decide the order.
+    constexpr std::uint32_t extra_grants_minimum = 1;
+    /// Bound of a single sample of the exchange: a gateway that stood still says nothing of the network.
+    constexpr double exchange_us_maximum = 500'000;
     /// Assumed before the first answer.
     constexpr double first_service_us = 250'000;
     constexpr double newest_sample_weight = 0.1;
@@ -55,6 +57,13 @@
     return Duration {std::llround(m_service_us)};
 }
 
+auto ServerQueue::extra_grants() const -> std::uint32_t
+{
+    auto const covering = std::ceil(m_slots * m_exchange_us / m_service_us);
+    return static_cast<std::uint32_t>(
+        std::clamp(covering, static_cast<double>(extra_grants_minimum), static_cast<double>(m_slots)));
+}
+
 auto ServerQueue::place_of(SlotKey const& key, Waiting const& waiting) const -> Place
 {
     return {waiting.priority, waiting.late ? waiting.give_up : waiting.deadline, key};
@@ -117,13 +126,13 @@
     auto const place = place_of(key, waiting);
     auto const ahead = static_cast<double>(std::distance(m_in_time.begin(), m_in_time.lower_bound(place)));
     waiting.late = now + wait_behind(busy + ahead) > latest_start(waiting);
-    auto const has_slot = busy < m_slots + extra_grants;
+    auto const has_slot = busy < m_slots + extra_grants();
     auto const passed = waiting.late ? !m_waiting.empty() : ahead > 0;
     if (has_slot && !passed)
         return grant(key, waiting.give_up, waiting.late, now);
 
     if (!waiting.late)
-        return queue(key, waiting, wait_behind(busy - extra_grants + ahead));
+        return queue(key, waiting, wait_behind(busy - extra_grants() + ahead));
     auto const wait = late_wait(late_before(place_of(key, waiting)), now);
     if (!wait || now + *wait > waiting.hold_end)
         return reject(key, waiting.give_up, now);
@@ -147,7 +156,7 @@
     auto const in_time = static_cast<double>(std::distance(m_in_time.begin(), m_in_time.lower_bound(place)));
     auto const wait = found->second.late
         ? late_wait(late_before(place), now).value_or(found->second.hold_end - now)
-        : wait_behind(outstanding(now) - extra_grants + in_time);
+        : wait_behind(outstanding(now) - extra_grants() + in_time);
     answer.start_in_us = wait.count();
     return SlotDecision {key, answer};
 }
@@ -210,19 +219,27 @@
 auto ServerQueue::release(SlotKey const& key, SlotRelease const& released, Instant now)
     -> std::vector<SlotDecision>
 {
-    auto const was_granted = m_grants.erase(key) > 0;
+    auto const grant = m_grants.find(key);
+    auto const was_granted = grant != m_grants.end();
+    if (was_granted && released.outcome == SlotOutcome::kServed && released.served_us > 0)
+        note_served(released, grant->second.granted_at, now);
+    m_grants.erase(key);
     remove_waiting(key);
-    if (was_granted && released.outcome == SlotOutcome::kServed && released.served_us > 0) {
-        auto const sample
-            = std::clamp(static_cast<double>(released.served_us), service_us_minimum, service_us_maximum);
-        m_service_us = m_measured ? m_service_us + newest_sample_weight * (sample - m_service_us) : sample;
-        m_measured = true;
-    }
     if (was_granted && released.has_load)
         note_load(released, now);
     return serve(now);
 }
 
+auto ServerQueue::note_served(SlotRelease const& released, Instant granted_at, Instant now) -> void
+{
+    auto const served = static_cast<double>(released.served_us);
+    auto const sample = std::clamp(served, service_us_minimum, service_us_maximum);
+    m_service_us = m_measured ? m_service_us + newest_sample_weight * (sample - m_service_us) : sample;
+    m_measured = true;
+    auto const exchange = std::clamp(micros(now - granted_at) - served, 0.0, exchange_us_maximum);
+    m_exchange_us += newest_sample_weight * (exchange - m_exchange_us);
+}
+
 auto ServerQueue::note_load(SlotRelease const& released, Instant now) -> void
 {
     if (!(released.running >= 0 && released.waiting >= 0))
@@ -294,7 +311,7 @@
     m_foreign = foreign(now);
     m_foreign_at = now;
     expire(now, decisions);
-    while (!m_waiting.empty() && outstanding(now) < m_slots + extra_grants) {
+    while (!m_waiting.empty() && outstanding(now) < m_slots + extra_grants()) {
         auto const& first = m_in_time.empty() ? *m_late.begin() : *m_in_time.begin();
         auto const key = std::get<SlotKey>(first);
         auto const waiting = m_waiting.at(key);
@@ -325,7 +342,7 @@
 
 auto ServerQueue::room_at() const -> Instant
 {
-    auto const room = static_cast<double>(m_slots + extra_grants) - static_cast<double>(m_grants.size());
+    auto const room = static_cast<double>(m_slots + extra_grants()) - static_cast<double>(m_grants.size());
     if (m_waiting.empty() || room <= 0)
         return Instant::max();
     auto const most = room - 0.5; // Rounded, it leaves one of the places.
--- a/src/coordination/server_queue.h
+++ b/src/coordination/server_queue.h
@@ -63,6 +63,9 @@
     auto granted() const -> std::size_t { return m_grants.size(); }
     /// Mean time that the server takes for a request.
     auto service_time() const -> Duration;
+    /// Requests beyond the slots that are sent to the server: enough that none of its slots is idle while a
+    /// release and the next grant are on their way.
+    auto extra_grants() const -> std::uint32_t;
 
 private:
     struct Grant {
@@ -103,11 +106,14 @@
     /// Rejects or reclassifies waiting requests whose time has passed, then grants what fits.
     auto serve(Instant now) -> std::vector<SlotDecision>;
     auto expire(Instant now, std::vector<SlotDecision>&) -> void;
+    auto note_served(SlotRelease const&, Instant granted_at, Instant now) -> void;
     auto note_load(SlotRelease const&, Instant now) -> void;
     auto note_late_grant(Instant now) -> void;
 
     std::uint32_t m_slots;
     double m_service_us;
+    double m_exchange_us
+        = 0; ///< Mean time of a slot that its request is neither waiting nor running at the server.
     bool m_measured = false;
     std::map<SlotKey, Grant> m_grants;
     std::map<SlotKey, Waiting> m_waiting;
--- a/src/coordination/slot_client.cc
+++ b/src/coordination/slot_client.cc
@@ -10,6 +10,10 @@
     constexpr int kUnansweredToSuspend = 2;
     /// Until a suspended coordinator is tried again.
     constexpr Duration kSuspension {1'000'000};
+    /// A timer that is handled later than this shows that this process stood still.
+    constexpr Duration kOwnStall {20'000};
+    /// Within it, a process that runs again has read what its peers sent.
+    constexpr Duration kReadTime {20'000};
     /// Bound of the times in answers, against overflow.
     constexpr std::int64_t kTimeMaximumUs = 3'600'000'000;
     /// Gateways are replaced under new names. At most 32 gateways in each of nine zones coordinate servers.
@@ -177,6 +181,12 @@
             ++entry;
             continue;
         }
+        // A gateway that stood still must first read what has arrived meanwhile.
+        if (now - ask.answer_due > kOwnStall && !std::exchange(ask.excused, true)) {
+            ask.answer_due = now + kReadTime;
+            ++entry;
+            continue;
+        }
         auto const was_answered = ask.expected_grant != Instant {};
         if (was_answered && !ask.repeated && now < ask.wait_end) {
             // The grant may have been lost.
--- a/src/coordination/slot_client.h
+++ b/src/coordination/slot_client.h
@@ -83,6 +83,7 @@
         std::uint64_t answered_by = 0; ///< Incarnation of the coordinator that sent the last answer.
         bool granted = false;
         bool repeated = false; ///< Since its last answer.
+        bool excused = false; ///< Its limit passed while this gateway stood still.
     };
     struct Coordinator {
         std::uint64_t incarnation = 0; ///< 0 before the first answer.
--- a/src/daemon/gateway/request_log.cc
+++ b/src/daemon/gateway/request_log.cc
@@ -1,5 +1,6 @@
 #include "src/daemon/gateway/request_log.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace graniteseam::daemon {
@@ -10,6 +11,8 @@
 /// A request that took longer is written in full.
 constexpr Duration kSlow{1'000'000};
 constexpr int kFirstFailureStatus = 400;
+/// Begins the names of notes of coordinated admission.
+constexpr std::string_view kSlotNotes = "slot_";
 
 std::int64_t Micros(Duration duration) { return duration.count(); }
 
@@ -22,18 +25,32 @@
 
 }  // namespace
 
+std::uint64_t RequestLog::TakeSamplingFactor(const EndedRequest& request,
+                                             std::span<const TimedNote> notes) {
+  // A request that got its slot has up to three notes about it.
+  const auto decisions = std::count_if(notes.begin(), notes.end(), [](const TimedNote& one) {
+    return !one.note.what.starts_with(kSlotNotes);
+  });
+  const bool plain =
+      request.status < kFirstFailureStatus && decisions <= 1 && request.taken < kSlow;
+  if (!plain) return 1;
+  const bool late = IsLate(request);
+  const std::uint64_t factor = late ? kLateSamplingFactor : kSamplingFactor;
+  return (late ? m_late : m_plain)++ % factor == 0 ? factor : 0;
+}
+
 void RequestLog::Write(const EndedRequest& request, std::span<const TimedNote> notes) {
-  const bool plain = request.status < kFirstFailureStatus && notes.size() <= 1 &&
-                     request.taken < kSlow && !IsLate(request);
-  if (plain && m_plain++ % kSamplingFactor != 0) return;
-  const auto weight = plain ? runtime::EventWeight::kOrdinary : runtime::EventWeight::kNotable;
+  const std::uint64_t factor = TakeSamplingFactor(request, notes);
+  if (factor == 0) return;
+  const bool sampled = factor > 1;
+  const auto weight = sampled ? runtime::EventWeight::kOrdinary : runtime::EventWeight::kNotable;
   for (const TimedNote& one : notes) {
     EventLine line(one.note.what);
     line.Add("request", request.id)
         .Add("after_us", Micros(one.at - request.received))
         .Add("instance", one.note.instance.value)
         .Add("inputs", one.note.inputs);
-    if (plain) line.Add("sampled", kSamplingFactor);
+    if (sampled) line.Add("sampled", factor);
     m_events.Write(weight, line);
   }
   EventLine line("answer");
@@ -52,7 +69,7 @@
   if (summary.work_percent) {
     line.Add("work_percent", static_cast<std::int64_t>(std::llround(*summary.work_percent)));
   }
-  if (plain) line.Add("sampled", kSamplingFactor);
+  if (sampled) line.Add("sampled", factor);
   m_events.Write(weight, line);
 }
 
--- a/tests/coordination/server_queue_test.cc
+++ b/tests/coordination/server_queue_test.cc
@@ -238,6 +238,25 @@
     cr_assert(later.verdict == SlotVerdict::kRejected || later.start_in_us > soon.start_in_us);
 }
 
+// On links that large responses fill, a release and the next grant take so long that slots were idle between
+// two requests at an overloaded server.
+Test(server_queue, slow_exchange_with_gateways_keeps_more_requests_at_the_server)
+{
+    ServerQueue queue(slots);
+    cr_assert_eq(queue.extra_grants(), 1);
+    std::int64_t ms = 0;
+    for (std::uint64_t number = 1; number <= 60; ++number) {
+        queue.ask(key(number), request(number), at(ms));
+        // 200 ms at the server, 150 ms on the way of the grant and of the release.
+        ms += 350;
+        queue.release(key(number), served(200), at(ms));
+    }
+    cr_assert_eq(queue.extra_grants(), slots);
+    for (std::uint64_t number = 100; number < 100 + 2 * slots; ++number)
+        cr_assert(ask(queue, request(number), ms).verdict == SlotVerdict::kGranted);
+    cr_assert(ask(queue, request(200), ms).verdict != SlotVerdict::kGranted);
+}
+
 // The release is lost: the slot would stay taken for good.
 Test(server_queue, grant_without_a_release_ends_by_itself)
 {
