--- a/src/daemon/gateway/gateway_settings.h
+++ b/src/daemon/gateway/gateway_settings.h
@@ -26,7 +26,7 @@
   std::int64_t connections_maximum = 2'000;
   /// That an instance may get from all gateways while it warms up; 0: no bound.
   double warm_up_requests_per_second = 0;
-  runtime::SocketAddress coordination_address;  ///< Empty: no coordinated admission.
+  runtime::SocketAddress coordination_address;             ///< Empty: no coordinated admission.
   runtime::SocketAddress advertised_coordination_address;  ///< Empty: coordination_address.
   double machine_weight = 1;
 };
--- a/tests/event_http/parallel_requests_test.cc
+++ b/tests/event_http/parallel_requests_test.cc
@@ -328,7 +328,8 @@
 }
 
 // The connection rested for the time that a client has to read its last answer.
-Test(parallel_requests, last_answer_to_a_client_that_ended_its_sending_ends_the_connection_at_once) {
+Test(parallel_requests,
+     last_answer_to_a_client_that_ended_its_sending_ends_the_connection_at_once) {
   SteppedServer stepped(Parallel());
   RawClient client(stepped.server->port());
   client.Send(GetAndClose("/large"));
