Let callers return at once to a server that fails requests with room

A server that refuses part of its requests although it has room for them used up the attempts of each request and the retry budget; its callers were told to return after a second, when their requests were late. A request that had a slot when its server refused it now lets its caller return after 20 ms while it can still be in time.

A gateway that stood still counts no silence of its coordinators, and gives answers that wait in its sockets 20 ms to be read. A request that was queued and whose time to wait is over is refused, as its coordinator would.

--- a/src/control/owner_capacity.h
+++ b/src/control/owner_capacity.h
@@ -26,7 +26,8 @@
     -> std::optional<Duration>;
 
 /// Scales the candidates' slots by their capacity for a target latency, with the same sum as
-/// before; without a target, or where servers report no work times, by InstanceSpeeds::ScaleSlots().
+/// before; without a target, or where servers report no work times, by
+/// InstanceSpeeds::ScaleSlots().
 /// @param target as given by balancing_target().
 auto scale_slots(std::vector<RangeCandidate>& candidates, InstanceSpeeds const& speeds,
                  std::optional<Duration> target) -> void;
--- a/src/coordination/slot_client.cc
+++ b/src/coordination/slot_client.cc
@@ -182,7 +182,8 @@
             continue;
         }
         // A gateway that stood still must first read what has arrived meanwhile.
-        if (now - ask.answer_due > kOwnStall && !std::exchange(ask.excused, true)) {
+        auto const stood_still = now - ask.answer_due > kOwnStall && !std::exchange(ask.excused, true);
+        if (stood_still && now + kReadTime < ask.wait_end) {
             ask.answer_due = now + kReadTime;
             ++entry;
             continue;
@@ -194,7 +195,8 @@
             ++entry;
             continue;
         }
-        note_unanswered(ask, now);
+        if (!stood_still)
+            note_unanswered(ask, now);
         SlotRelease withdrawal;
         withdrawal.number = number;
         outgoing(ask.address).releases.push_back(withdrawal);
--- a/src/gateway/live_request.h
+++ b/src/gateway/live_request.h
@@ -40,6 +40,7 @@
   std::uint64_t number = 0;    ///< Of the slot request; 0 for none.
   traffic::InstanceId server;  ///< Kept when the coordinator did not answer.
   Instant hold_end{};
+  bool queued = false;  ///< The coordinator answered that it waits.
   bool granted = false;
   /// The coordinator did not answer: the next attempt at `server` goes without a slot.
   bool unanswered = false;
@@ -71,6 +72,8 @@
   ProbeRound probes;
 
   SlotHold slot;
+  /// The server of its last attempt refused to run it although it had a slot.
+  bool refused_with_slot = false;
   /// When its caller should return, if a coordinator rejected it.
   std::optional<Duration> return_after;
 
--- a/src/gateway/refusals.cc
+++ b/src/gateway/refusals.cc
@@ -4,6 +4,7 @@
 #include <optional>
 
 #include "graniteseam/traffic/suspect.h"
+#include "src/gateway/hold_limits.h"
 
 namespace graniteseam::gateway {
 namespace {
@@ -45,6 +46,11 @@
   if (reason == RefusalReason::kStaleOwner) return kRetryAfterMinimum;
   // An earlier retry would be refused again.
   if (reason == RefusalReason::kQuarantined) return traffic::kSuspectRetention;
+  // The server has room but fails some requests: another attempt may succeed, and still be in time.
+  auto const ends_retries =
+      reason == RefusalReason::kAttemptsUsed || reason == RefusalReason::kBudget;
+  if (ends_retries && request.refused_with_slot && is_in_time(request, now))
+    return kRetryAfterMinimum;
   if (request.return_after) return std::max(*request.return_after, kRetryAfterMinimum);
   if (reason == RefusalReason::kResting && request.server_back_off_until > now) {
     return std::clamp<Duration>(request.server_back_off_until - now, kRetryAfterMinimum,
--- a/src/gateway/slot_requests.cc
+++ b/src/gateway/slot_requests.cc
@@ -98,6 +98,8 @@
 }
 
 void GatewayNode::ReleaseSlot(LiveRequest& request, const AttemptReport& report, Duration taken) {
+  request.refused_with_slot =
+      request.slot.granted && report.end == AttemptEnd::kNotExecuted && !report.not_owner;
   coordination::SlotRelease release;
   switch (report.end) {
     case AttemptEnd::kAnswered:
@@ -167,6 +169,7 @@
       ", queue " + std::to_string(result.queued) + ", after " + InMs(result.waited);
   switch (result.kind) {
     case SlotResult::Kind::kQueued:
+      request.slot.queued = true;
       Note(number, "slot_queued", request.slot.server, "start in " + InMs(result.start_in) + queue);
       return;
     case SlotResult::Kind::kGranted:
@@ -179,6 +182,10 @@
       slot_requests_.erase(found);
       request.slot.number = 0;
       request.slot.unanswered = true;
+      // The server had no room for it within its time to wait.
+      if (request.slot.queued && now >= request.slot.hold_end) {
+        return EndWithoutRun(request, RefusalReason::kOverloaded, now);
+      }
       break;
     case SlotResult::Kind::kRejected:
       Note(number, "slot_rejected", request.slot.server,
--- a/tests/coordination/slot_client_test.cc
+++ b/tests/coordination/slot_client_test.cc
@@ -175,6 +175,18 @@
     cr_assert(client.client.may_ask(first.id, at(1'250)));
 }
 
+// All its slot requests are overdue then, and its coordinators' answers wait in its sockets.
+Test(slot_client, gateway_that_stood_still_reads_answers_before_it_suspends_coordinators)
+{
+    Client client;
+    auto const number = client.ask(0);
+    client.ask(1);
+    cr_assert(client.tick(300).empty(), "Given up before the answers that arrived meanwhile were read.");
+    cr_assert_eq(client.answered(answer(number, SlotVerdict::kGranted), 301).size(), 1);
+    cr_assert_eq(client.tick(320).size(), 1, "The other one stays unanswered.");
+    cr_assert(client.client.may_ask(first.id, at(320)));
+}
+
 Test(slot_client, silence_with_an_answer_between_suspends_nobody)
 {
     Client client;
--- a/tests/gateway/slot_failures_test.cc
+++ b/tests/gateway/slot_failures_test.cc
@@ -154,3 +154,20 @@
   cr_assert_eq(Sends(effects), 0);
   cr_assert(Only<Refuse>(effects).reason == RefusalReason::kQuarantined);
 }
+
+/// Guards against a caller that is sent away until its request is late: a server that refuses part
+/// of its requests although it has room for them may run the next one.
+Test(slot_failures, server_that_refuses_requests_with_slots_lets_their_callers_return_at_once) {
+  SlotFixture fixture;
+  fixture.List({1}, 0);
+  auto send = Only<SendAttempt>(fixture.Ask(10));
+  auto effects = fixture.End(send, AttemptEnd::kNotExecuted, 503, 20);
+  for (std::int64_t ms = 60; !Has<Refuse>(effects) && ms < 500; ms += 40) {
+    effects = fixture.node.Tick(At(ms));
+    if (!Has<SendAttempt>(effects)) continue;
+    effects = fixture.End(Only<SendAttempt>(effects), AttemptEnd::kNotExecuted, 503, ms + 10);
+  }
+  const auto refused = Only<Refuse>(effects);
+  cr_assert(refused.reason == RefusalReason::kAttemptsUsed);
+  cr_assert(refused.retry_after <= milliseconds(50));
+}
