--- a/src/coordination/slot_client.cc
+++ b/src/coordination/slot_client.cc
@@ -7,21 +7,21 @@
 namespace graniteseam::coordination {
 namespace {
 
-    constexpr int kUnansweredToSuspend = 2;
+    constexpr int unanswered_to_suspend = 2;
     /// Until a suspended coordinator is tried again.
-    constexpr Duration kSuspension {1'000'000};
+    constexpr Duration suspension {1'000'000};
     /// A timer that is handled later than this shows that this process stood still.
-    constexpr Duration kOwnStall {20'000};
+    constexpr Duration own_stall {20'000};
     /// Within it, a process that runs again has read what its peers sent.
-    constexpr Duration kReadTime {20'000};
+    constexpr Duration read_time {20'000};
     /// Bound of the times in answers, against overflow.
-    constexpr std::int64_t kTimeMaximumUs = 3'600'000'000;
+    constexpr std::int64_t time_maximum_us = 3'600'000'000;
     /// Gateways are replaced under new names. At most 32 gateways in each of nine zones coordinate servers.
-    constexpr std::size_t kCoordinatorsMaximum = 1'024;
+    constexpr std::size_t coordinators_maximum = 1'024;
 
     auto bounded(std::int64_t time_us) -> Duration
     {
-        return Duration {std::clamp<std::int64_t>(time_us, 0, kTimeMaximumUs)};
+        return Duration {std::clamp<std::int64_t>(time_us, 0, time_maximum_us)};
     }
 
 } // namespace
@@ -35,7 +35,7 @@
 auto SlotClient::may_ask(RouterId const& coordinator, Instant now) const -> bool
 {
     auto const found = m_coordinators.find(coordinator);
-    if (found == m_coordinators.end() || found->second.unanswered < kUnansweredToSuspend)
+    if (found == m_coordinators.end() || found->second.unanswered < unanswered_to_suspend)
         return true;
     if (now < found->second.suspended_until)
         return false;
@@ -55,7 +55,7 @@
 auto SlotClient::ask(traffic::GatewayPeer const& coordinator, SlotRequest request, Instant now)
     -> std::uint64_t
 {
-    if (m_coordinators.size() >= kCoordinatorsMaximum)
+    if (m_coordinators.size() >= coordinators_maximum)
         forget_idle_coordinators(now);
     m_coordinators.try_emplace(coordinator.id);
     request.number = ++m_last_number;
@@ -64,8 +64,8 @@
     ask.coordinator = coordinator.id;
     ask.address = coordinator.address;
     ask.asked_at = now;
-    ask.answer_due = now + kAnswerLimit;
-    ask.wait_end = now + bounded(request.hold_us) + kAnswerLimit;
+    ask.answer_due = now + answer_limit;
+    ask.wait_end = now + bounded(request.hold_us) + answer_limit;
     ask.request = std::move(request);
     m_asks.emplace(m_last_number, std::move(ask));
     return m_last_number;
@@ -110,7 +110,7 @@
         result.kind = SlotResult::Kind::kQueued;
         result.start_in = bounded(answer.start_in_us);
         ask.expected_grant = now + result.start_in;
-        ask.answer_due = std::min(ask.expected_grant + kAnswerLimit, ask.wait_end);
+        ask.answer_due = std::min(ask.expected_grant + answer_limit, ask.wait_end);
         break;
     case SlotVerdict::kRejected:
         result.kind = SlotResult::Kind::kRejected;
@@ -168,7 +168,7 @@
     request.time_left_us -= passed;
     request.hold_us -= passed;
     outgoing(ask.address).requests.push_back(std::move(request));
-    ask.answer_due = now + kAnswerLimit;
+    ask.answer_due = now + answer_limit;
     ask.repeated = true;
 }
 
@@ -182,9 +182,9 @@
             continue;
         }
         // A gateway that stood still must first read what has arrived meanwhile.
-        auto const stood_still = now - ask.answer_due > kOwnStall && !std::exchange(ask.excused, true);
-        if (stood_still && now + kReadTime < ask.wait_end) {
-            ask.answer_due = now + kReadTime;
+        auto const stood_still = now - ask.answer_due > own_stall && !std::exchange(ask.excused, true);
+        if (stood_still && now + read_time < ask.wait_end) {
+            ask.answer_due = now + read_time;
             ++entry;
             continue;
         }
@@ -213,9 +213,9 @@
 auto SlotClient::note_unanswered(Ask const& ask, Instant now) -> void
 {
     auto& coordinator = m_coordinators[ask.coordinator];
-    if (++coordinator.unanswered < kUnansweredToSuspend)
+    if (++coordinator.unanswered < unanswered_to_suspend)
         return;
-    coordinator.suspended_until = now + kSuspension;
+    coordinator.suspended_until = now + suspension;
     m_silent.push_back(ask.address);
 }
 
--- a/src/coordination/slot_client.h
+++ b/src/coordination/slot_client.h
@@ -16,7 +16,7 @@
 
 /// How long a coordinator may take to answer. A process that has used up its share of the processor stands
 /// still for up to a tenth of a second.
-inline constexpr Duration kAnswerLimit {100'000};
+inline constexpr Duration answer_limit {100'000};
 
 /// What became of a slot request.
 struct SlotResult {
--- a/src/gateway/live_request.h
+++ b/src/gateway/live_request.h
@@ -50,11 +50,11 @@
 struct LiveRequest {
   ArrivedRequest arrived;
   traffic::RouteKind kind = traffic::RouteKind::kUnsafe;
+  std::uint32_t attempts_maximum = 1;
   ServiceName service;
   traffic::TenantName tenant;  ///< Empty when the request presented no API key.
   std::int64_t priority = 0;
   Duration target_latency{};
-  std::uint32_t attempts_maximum = 1;
 
   Instant received{};
   /// How long its caller had been trying when it was received; zero for a first attempt.
@@ -69,11 +69,11 @@
   std::uint32_t unsent = 0;          ///< Attempts that sent no byte.
   std::vector<traffic::InstanceId> tried;
   bool may_have_run = false;
+  /// The server of its last attempt refused to run it although it had a slot.
+  bool refused_with_slot = false;
   ProbeRound probes;
 
   SlotHold slot;
-  /// The server of its last attempt refused to run it although it had a slot.
-  bool refused_with_slot = false;
   /// When its caller should return, if a coordinator rejected it.
   std::optional<Duration> return_after;
 
--- a/src/gateway/slot_requests.cc
+++ b/src/gateway/slot_requests.cc
@@ -26,7 +26,7 @@
   // Keys that are leased by heartbeat move a heartbeat late, so that moves cannot answer a burst.
   if (!traffic_.is_leased_by_heartbeat(request.service)) return false;
   const Duration target = traffic_.routes().LongestTarget(request.service);
-  if (target < kTargetAnswerLimits * coordination::kAnswerLimit) return false;
+  if (target < kTargetAnswerLimits * coordination::answer_limit) return false;
   // Its requests are bound by tokens of the leader.
   const BackendTable& backends = traffic_.backends();
   if (backends.NeedsToken(owner, now) || BackendTable::IsWarmingUp(owner, now)) return false;
@@ -76,7 +76,7 @@
   slot.number = slots_.ask(coordinator, std::move(ask), now);
   slot.server = owner.instance.report.id;
   // The coordinator ends the wait; this end is for one whose answer is lost.
-  slot.hold_end = now + hold + coordination::kAnswerLimit;
+  slot.hold_end = now + hold + coordination::answer_limit;
   slot_requests_[slot.number] = request.arrived.number;
   request.waits_for = RefusalReason::kOverloaded;
   Note(request.arrived.number, "slot_asked", slot.server,
