--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -364,9 +364,8 @@
   request.attempts_maximum =
       static_cast<std::uint32_t>(std::max<std::int64_t>(1, route.attempts_maximum));
   const Duration timeout = std::chrono::milliseconds(route.timeout_ms);
-  const bool coordinated =
-      !options_.coordination_address.empty() && traffic_.is_leased_by_heartbeat(service);
-  if (coordinated) request.age = caller_ages_.age_of(route.name, request.arrived.time_left);
+  if (IsCoordinatedService(service))
+    request.age = caller_ages_.age_of(route.name, request.arrived.time_left);
   request.give_up =
       request.received + std::min(request.arrived.time_left - options_.answer_margin, timeout);
 }
--- a/src/gateway/slot_requests.cc
+++ b/src/gateway/slot_requests.cc
@@ -20,13 +20,16 @@
 
 }  // namespace
 
+bool GatewayNode::IsCoordinatedService(const ServiceName& service) const {
+  // Keys that are leased by heartbeat move a heartbeat late, so that moves cannot answer a burst.
+  return !options_.coordination_address.empty() && traffic_.is_leased_by_heartbeat(service) &&
+         traffic_.routes().LongestTarget(service) >=
+             kTargetAnswerLimits * coordination::answer_limit;
+}
+
 bool GatewayNode::IsCoordinated(const LiveRequest& request, const Backend& owner,
                                 Instant now) const {
-  if (options_.coordination_address.empty() || coordinators_.size() == 0) return false;
-  // Keys that are leased by heartbeat move a heartbeat late, so that moves cannot answer a burst.
-  if (!traffic_.is_leased_by_heartbeat(request.service)) return false;
-  const Duration target = traffic_.routes().LongestTarget(request.service);
-  if (target < kTargetAnswerLimits * coordination::answer_limit) return false;
+  if (!IsCoordinatedService(request.service) || coordinators_.size() == 0) return false;
   // Its requests are bound by tokens of the leader.
   const BackendTable& backends = traffic_.backends();
   if (backends.NeedsToken(owner, now) || BackendTable::IsWarmingUp(owner, now)) return false;
--- a/tests/gateway/slot_requests_test.cc
+++ b/tests/gateway/slot_requests_test.cc
@@ -347,6 +347,22 @@
   cr_assert(!Has<SendSlots>(effects));
 }
 
+/// Guards against a service that is not coordinated whose requests count as late by the age of their
+/// callers, so that it is served in another order than before.
+Test(slot_requests, ages_of_callers_change_nothing_below_the_target_latency) {
+  auto state = SlotFixture::SlotState();
+  state.routes[2].target_latency_ms = 799;
+  Asking fixture(state);
+  for (int request = 0; request < 64; ++request) {
+    fixture.AskFor(milliseconds(5'000), 1);
+    fixture.node.OnCallerGone({fixture.numbers}, At(1));
+  }
+  const auto send = Only<SendAttempt>(fixture.AskFor(milliseconds(610), 10));
+  const auto ended = fixture.End(send, AttemptEnd::kAnswered, 200, 20);
+  cr_assert_eq(ended.ended.size(), 1);
+  cr_assert_eq(ended.ended[0].age.count(), 0);
+}
+
 /// Guards against coordination of keys that are moved by orders, and of services without keys.
 Test(slot_requests, services_without_leases_by_heartbeat_are_sent_as_before) {
   auto state = SlotFixture::SlotState();
