Test callers' ages on a coordinated service

The test's route had a target of 200 ms, at which no service is coordinated and no age is estimated any more; it has 800 ms now, and asserts the same.

--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -197,7 +197,8 @@
   void BeginAttempt(LiveRequest& request, const Backend& backend, Instant now);
 
   // slot_requests.cc
-  /// Whether a service's requests are coordinated, by its configuration and this gateway's settings.
+  /// Whether a service's requests are coordinated, by its configuration and this gateway's
+  /// settings.
   bool IsCoordinatedService(const ServiceName& service) const;
   /// Whether requests to an owner of keys need a slot from its coordinator.
   bool IsCoordinated(const LiveRequest& request, const Backend& owner, Instant now) const;
--- a/tests/gateway/request_summary_test.cc
+++ b/tests/gateway/request_summary_test.cc
@@ -50,6 +50,8 @@
   Fixture fixture(/*configured=*/false, options);
   traffic::TrafficUpdate state = Fixture::State();
   state.services[1].lease_form = traffic::LeaseForm::kHeartbeat;
+  // Ages are estimated only for coordinated services.
+  state.routes[2].target_latency_ms = 800;
   fixture.node.OnUpdate(state, kStart);
   fixture.Confirm(0);
   const auto request = [&](Duration time_left, std::int64_t ms) {
--- a/tests/gateway/slot_requests_test.cc
+++ b/tests/gateway/slot_requests_test.cc
@@ -347,8 +347,8 @@
   cr_assert(!Has<SendSlots>(effects));
 }
 
-/// Guards against a service that is not coordinated whose requests count as late by the age of their
-/// callers, so that it is served in another order than before.
+/// Guards against a service that is not coordinated whose requests count as late by the age of
+/// their callers, so that it is served in another order than before.
 Test(slot_requests, ages_of_callers_change_nothing_below_the_target_latency) {
   auto state = SlotFixture::SlotState();
   state.routes[2].target_latency_ms = 799;
