Start gateways on machines whose link rate the platform does not state

Cause: the router's template wrote "link_mbps = " where the platform gives no limits.linkMbps, so the settings file did not parse and no gateway started.

--- a/testbed/registered/template.cc
+++ b/testbed/registered/template.cc
@@ -65,8 +65,11 @@
     }
     const std::string end = "{{/" + gap.substr(1) + "}}";
     const std::size_t finish = text.find(end, position);
-    const json* list = Find(fields, gap.substr(1));
-    if (list != nullptr) filled += FillList(text.substr(position, finish - position), *list);
+    const json* value = Find(fields, gap.substr(1));
+    const std::string inner = text.substr(position, finish - position);
+    if (value != nullptr) {
+      filled += value->is_array() ? FillList(inner, *value) : FillTemplate(inner, fields_json);
+    }
     position = finish + end.size();
   }
 }
--- a/testbed/registered/template.h
+++ b/testbed/registered/template.h
@@ -1,7 +1,7 @@
 /// @file
 /// Fills the gaps of a settings template as docs/design/platform.md describes: {{a.b}}, {{a.0}},
-/// and
-/// {{#a}} .. {{.}} .. {{,}} .. {{/a}} for lists.
+/// {{#a}} .. {{.}} .. {{,}} .. {{/a}} for lists, and {{#a}} .. {{a}} .. {{/a}} for a part that is
+/// left out where the field is missing.
 #pragma once
 
 #include <string>
