Share what this change and older code wrote separately

Cause: a reading of the whole change found a third copy of the listening sequence, a check of a secret beside the one that all programs share, answers of a server's queue composed in four places, the criterion of coordination written in gateways and in control, and three constants of one status. Change: runtime::Listen serves the HTTP server, the internal server and the gateway transport, whose errors now read alike ("Can't listen on"). AddInternalSecuritySettings checks the coordination address, so its fault names internal_secret_file. The criterion's target is one constant. A connection's exchange gets its ticket when it is made, and the end of a connection is kept once. Decisions are unchanged.

--- a/benchmark/connections/pipelined_memory_benchmark.cc
+++ b/benchmark/connections/pipelined_memory_benchmark.cc
@@ -1,36 +1,25 @@
 // What a connection holds whose client pipelines the maximum and does not read.
 #include <benchmark/benchmark.h>
-#include <malloc.h>
-#include <sys/resource.h>
 
-#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <memory>
 #include <string>
 #include <vector>
 
 #include "src/event_http/server.h"
+#include "tests/support/process_limits.h"
 #include "tests/support/raw_client.h"
 
 namespace {
 
 namespace event_http = graniteseam::event_http;
+using graniteseam::test::HeapBytes;
 
 constexpr std::size_t kClients = 1'000;
+/// Both ends of each connection are descriptors of this process.
+constexpr std::size_t kDescriptors = 4 * kClients;
 constexpr int kTurnsMaximum = 10'000;
 
-std::size_t HeapBytes() {
-  const struct mallinfo2 info = mallinfo2();
-  return info.uordblks + info.hblkhd;
-}
-
-void AllowDescriptors() {
-  rlimit limit{};
-  getrlimit(RLIMIT_NOFILE, &limit);
-  limit.rlim_cur = std::min<rlim_t>(limit.rlim_max, 4 * kClients);
-  setrlimit(RLIMIT_NOFILE, &limit);
-}
-
 /// A thousand connections with all requests in progress, of which all but the first of each
 /// connection are answered.
 class SilentClients {
@@ -89,7 +78,10 @@
 };
 
 void PipelinedConnection(benchmark::State& state) {
-  AllowDescriptors();
+  if (!graniteseam::test::AllowDescriptors(kDescriptors)) {
+    state.SkipWithError("The limit of descriptors can't be set.");
+    return;
+  }
   for ([[maybe_unused]] const auto _ : state) {
     SilentClients clients;
     const std::size_t before = HeapBytes();
--- a/include/graniteseam/traffic/peer.h
+++ b/include/graniteseam/traffic/peer.h
@@ -9,9 +9,14 @@
 #include <vector>
 
 #include "graniteseam/common/ids.h"
+#include "graniteseam/common/time.h"
 
 namespace graniteseam::traffic {
 
+/// Services are coordinated, and their keys divided by what owners can answer in time, from this
+/// target latency on: eight times the 100 ms that an unanswered coordinator costs.
+inline constexpr Duration kCoordinatedTargetMinimum{800'000};
+
 /// A gateway that takes part in coordinated admission.
 struct GatewayPeer {
   RouterId id;
--- a/src/control/owner_capacity.cc
+++ b/src/control/owner_capacity.cc
@@ -5,6 +5,8 @@
 #include <cmath>
 #include <utility>
 
+#include "graniteseam/traffic/peer.h"
+
 namespace graniteseam::control {
 namespace {
 
@@ -16,8 +18,6 @@
 /// Halvings of the interval in which the capacity is searched: accurate to 1/65,536 of the
 /// throughput.
 constexpr int kSteps = 16;
-/// Least target latency by which load is divided: below it, requests are not coordinated either.
-constexpr Duration kTargetMinimum{800'000};
 
 auto seconds_of(Duration duration) -> double {
   return std::chrono::duration<double>(duration).count();
@@ -65,7 +65,7 @@
   auto shortest = std::optional<Duration>{};
   for (auto const& route : configuration.routes) {
     Duration const target = std::chrono::milliseconds(route.target_latency_ms);
-    if (target < kTargetMinimum || (shortest && *shortest <= target)) continue;
+    if (target < traffic::kCoordinatedTargetMinimum || (shortest && *shortest <= target)) continue;
     auto const leads_there = std::any_of(route.split.begin(), route.split.end(),
                                          [&](auto const& part) { return part.service == service; });
     if (leads_there) shortest = target;
--- a/src/coordination/server_queue.cc
+++ b/src/coordination/server_queue.cc
@@ -31,13 +31,6 @@
     /// Bounds what a faulty gateway can make a coordinator store for one server.
     constexpr std::size_t waiting_maximum = 512;
     constexpr std::uint32_t slots_maximum = 1'024;
-    /// Bound of the times in messages, against overflow.
-    constexpr std::int64_t time_maximum_us = 3'600'000'000;
-
-    auto bounded(std::int64_t time_us) -> Duration
-    {
-        return Duration {std::clamp(time_us, -time_maximum_us, time_maximum_us)};
-    }
 
     auto micros(Duration duration) -> double
     {
@@ -141,38 +134,38 @@
 
 auto ServerQueue::state_of(SlotKey const& key, Instant now) const -> std::optional<SlotDecision>
 {
-    SlotAnswer answer;
-    answer.number = key.number;
-    answer.queued = static_cast<std::uint32_t>(m_waiting.size());
-    if (m_grants.contains(key)) {
-        answer.verdict = SlotVerdict::kGranted;
-        return SlotDecision {key, answer};
-    }
+    if (m_grants.contains(key))
+        return decision(key, SlotVerdict::kGranted);
     auto const found = m_waiting.find(key);
     if (found == m_waiting.end())
         return std::nullopt;
-    answer.verdict = SlotVerdict::kQueued;
     auto const place = place_of(key, found->second);
     auto const in_time = static_cast<double>(std::distance(m_in_time.begin(), m_in_time.lower_bound(place)));
     auto const wait = found->second.late
         ? late_wait(late_before(place), now).value_or(found->second.hold_end - now)
         : wait_behind(outstanding(now) - extra_grants() + in_time);
-    answer.start_in_us = wait.count();
-    return SlotDecision {key, answer};
+    auto queued = decision(key, SlotVerdict::kQueued);
+    queued.answer.start_in_us = wait.count();
+    return queued;
 }
 
-auto ServerQueue::grant(SlotKey const& key, Instant give_up, bool late, Instant now) -> SlotDecision
+auto ServerQueue::decision(SlotKey const& key, SlotVerdict verdict) const -> SlotDecision
 {
-    m_grants[key] = {now, give_up + release_slack};
-    if (late)
-        note_late_grant(now);
     SlotAnswer answer;
     answer.number = key.number;
-    answer.verdict = SlotVerdict::kGranted;
+    answer.verdict = verdict;
     answer.queued = static_cast<std::uint32_t>(m_waiting.size());
     return {key, answer};
 }
 
+auto ServerQueue::grant(SlotKey const& key, Instant give_up, bool late, Instant now) -> SlotDecision
+{
+    m_grants[key] = {now, give_up + release_slack};
+    if (late)
+        note_late_grant(now);
+    return decision(key, SlotVerdict::kGranted);
+}
+
 auto ServerQueue::note_late_grant(Instant now) -> void
 {
     m_late_grants.push_back(now);
@@ -184,12 +177,9 @@
 {
     m_waiting[key] = waiting;
     (waiting.late ? m_late : m_in_time).insert(place_of(key, waiting));
-    SlotAnswer answer;
-    answer.number = key.number;
-    answer.verdict = SlotVerdict::kQueued;
-    answer.start_in_us = start_in.count();
-    answer.queued = static_cast<std::uint32_t>(m_waiting.size());
-    return {key, answer};
+    auto queued = decision(key, SlotVerdict::kQueued);
+    queued.answer.start_in_us = start_in.count();
+    return queued;
 }
 
 auto ServerQueue::reject(SlotKey const& key, Instant give_up, Instant now) -> SlotDecision
@@ -199,12 +189,9 @@
     auto const room = now + wait_behind(outstanding(now) + static_cast<double>(m_waiting.size()));
     auto const per_step = m_slots * micros(ReturnSchedule::step) / m_service_us;
     auto const at = m_returns.book(std::max(room, now + retry_after_minimum), latest, per_step, now);
-    SlotAnswer answer;
-    answer.number = key.number;
-    answer.verdict = SlotVerdict::kRejected;
-    answer.retry_after_us = std::min(at - now, latest - now).count();
-    answer.queued = static_cast<std::uint32_t>(m_waiting.size());
-    return {key, answer};
+    auto rejected = decision(key, SlotVerdict::kRejected);
+    rejected.answer.retry_after_us = std::min(at - now, latest - now).count();
+    return rejected;
 }
 
 auto ServerQueue::remove_waiting(SlotKey const& key) -> void
--- a/src/coordination/server_queue.h
+++ b/src/coordination/server_queue.h
@@ -99,6 +99,8 @@
     auto late_wait(std::size_t before, Instant now) const -> std::optional<Duration>;
     auto late_before(Place const&) const -> std::size_t;
 
+    /// The answer to a request with the present length of the queue; its times are not set.
+    auto decision(SlotKey const&, SlotVerdict) const -> SlotDecision;
     auto grant(SlotKey const&, Instant give_up, bool late, Instant now) -> SlotDecision;
     auto queue(SlotKey const&, Waiting const&, Duration start_in) -> SlotDecision;
     auto reject(SlotKey const&, Instant give_up, Instant now) -> SlotDecision;
--- a/src/coordination/slot_client.cc
+++ b/src/coordination/slot_client.cc
@@ -14,16 +14,9 @@
     constexpr Duration own_stall {20'000};
     /// Within it, a process that runs again has read what its peers sent.
     constexpr Duration read_time {20'000};
-    /// Bound of the times in answers, against overflow.
-    constexpr std::int64_t time_maximum_us = 3'600'000'000;
     /// Gateways are replaced under new names. At most 32 gateways in each of nine zones coordinate servers.
     constexpr std::size_t coordinators_maximum = 1'024;
 
-    auto bounded(std::int64_t time_us) -> Duration
-    {
-        return Duration {std::clamp<std::int64_t>(time_us, 0, time_maximum_us)};
-    }
-
 } // namespace
 
 SlotClient::SlotClient(RouterId self, std::uint64_t incarnation)
@@ -65,7 +58,7 @@
     ask.address = coordinator.address;
     ask.asked_at = now;
     ask.answer_due = now + answer_limit;
-    ask.wait_end = now + bounded(request.hold_us) + answer_limit;
+    ask.wait_end = now + std::max(Duration {}, bounded(request.hold_us)) + answer_limit;
     ask.request = std::move(request);
     m_asks.emplace(m_last_number, std::move(ask));
     return m_last_number;
@@ -108,13 +101,13 @@
         break;
     case SlotVerdict::kQueued:
         result.kind = SlotResult::Kind::kQueued;
-        result.start_in = bounded(answer.start_in_us);
+        result.start_in = std::max(Duration {}, bounded(answer.start_in_us));
         ask.expected_grant = now + result.start_in;
         ask.answer_due = std::min(ask.expected_grant + answer_limit, ask.wait_end);
         break;
     case SlotVerdict::kRejected:
         result.kind = SlotResult::Kind::kRejected;
-        result.retry_after = bounded(answer.retry_after_us);
+        result.retry_after = std::max(Duration {}, bounded(answer.retry_after_us));
         break;
     }
     return result;
--- a/src/coordination/slot_messages.h
+++ b/src/coordination/slot_messages.h
@@ -2,6 +2,7 @@
 /// Messages of coordinated admission between gateways.
 #pragma once
 
+#include <algorithm>
 #include <boost/describe/class.hpp>
 #include <boost/describe/enum.hpp>
 #include <cstdint>
@@ -9,6 +10,7 @@
 #include <vector>
 
 #include "graniteseam/common/ids.h"
+#include "graniteseam/common/time.h"
 #include "graniteseam/traffic/instance.h"
 
 namespace graniteseam::coordination {
@@ -83,6 +85,13 @@
 };
 BOOST_DESCRIBE_STRUCT(SlotBatch, (), (sender, incarnation, requests, releases, answers))
 
+/// A time from a message, bounded so that sums with it do not overflow.
+inline auto bounded(std::int64_t time_us) -> Duration
+{
+    constexpr std::int64_t maximum_us = 3'600'000'000;
+    return Duration {std::clamp(time_us, -maximum_us, maximum_us)};
+}
+
 /// Effect: send messages to a gateway.
 struct SlotSend {
     std::string address; ///< "ip:port" of a gateway, or where its messages came from.
--- a/src/daemon/gateway/gateway_metrics.cc
+++ b/src/daemon/gateway/gateway_metrics.cc
@@ -70,10 +70,6 @@
   }
 }
 
-void GatewayMetrics::OnSlotGrantsUnused(std::size_t count) {
-  for (std::size_t grant = 0; grant < count; ++grant) slot_grants_unused_.Increment();
-}
-
 void GatewayMetrics::OnLimitedInstances(std::size_t count) {
   limited_instances_.Set(static_cast<double>(count));
 }
--- a/src/daemon/gateway/gateway_metrics.h
+++ b/src/daemon/gateway/gateway_metrics.h
@@ -26,7 +26,9 @@
   void OnLimitedInstances(std::size_t count);
   void OnCallerGone() { callers_gone_.Increment(); }
   void OnSlotResult(const coordination::SlotResult& result);
-  void OnSlotGrantsUnused(std::size_t count);
+  void OnSlotGrantsUnused(std::size_t count) {
+    slot_grants_unused_.Increment(static_cast<double>(count));
+  }
   void OnCoordinatedQueue(std::size_t length) {
     coordinated_queue_.Set(static_cast<double>(length));
   }
--- a/src/daemon/gateway/gateway_settings.cc
+++ b/src/daemon/gateway/gateway_settings.cc
@@ -67,17 +67,11 @@
       settings.link_mbps, 0, kLinkMaximum);
   reader.AddInteger("connections_maximum", "Callers' connections at once.",
                     settings.connections_maximum, 1, kConnectionsMaximum);
-  protocol::AddInternalSecuritySettings(reader, settings.security, nullptr, &settings.control);
+  protocol::AddInternalSecuritySettings(reader, settings.security, &settings.coordination_address,
+                                        &settings.control);
   reader.AddLogSettings();
-  reader.AddCheck([&settings](std::vector<runtime::SettingFault>& faults) {
+  reader.AddCheck([&settings](std::vector<runtime::SettingFault>&) {
     runtime::UsePort(settings.control, settings.control_port);
-    const runtime::SocketAddress& address = settings.coordination_address;
-    const protocol::InternalSecurity& security = settings.security;
-    const bool safe = security.trusted_network || !security.secret_file.empty();
-    if (address.ip.empty() || safe || runtime::IsLoopback(address)) return;
-    faults.push_back(
-        {"settings", "coordination_address", "It is not a loopback address and no secret is set.",
-         "Set internal_secret_file, or trusted_network if no other process can reach it."});
   });
 }
 
--- a/src/event_http/server.cc
+++ b/src/event_http/server.cc
@@ -1,12 +1,11 @@
 #include "src/event_http/server.h"
 
-#include <netinet/tcp.h>
-
 #include <boost/asio/post.hpp>
 #include <utility>
 
 #include "src/event_http/server_connection.h"
 #include "src/event_http/server_impl.h"
+#include "src/runtime/listen.h"
 
 namespace graniteseam::event_http {
 namespace {
@@ -22,20 +21,9 @@
 // --- Server::Impl ---
 
 Result<void> Server::Impl::Start() {
-  ErrorCode error;
-  const Tcp::endpoint endpoint(asio::ip::make_address(options_.address.ip, error),
-                               options_.address.port);
-  if (!error) acceptor_.open(endpoint.protocol(), error);
-  if (!error) acceptor_.set_option(Tcp::acceptor::reuse_address(true), error);
-  if (!error) acceptor_.bind(endpoint, error);
-  if (!error) acceptor_.listen(asio::socket_base::max_listen_connections, error);
-  if (error) {
-    return Fail(
-        ErrorKind::kInvalidSettings,
-        "Can't listen on " + runtime::ToString(options_.address) + ": " + error.message() + ".",
-        "Choose an address of this machine whose port is free.");
-  }
-  port_ = acceptor_.local_endpoint(error).port();
+  BOOST_LEAF_ASSIGN(port_,
+                    runtime::Listen(acceptor_, options_.address,
+                                    "Choose an address of this machine whose port is free."));
   asio::post(context_, [self = shared_from_this()] {
     self->Accept();
     self->Sweep();
--- a/src/event_http/server_connection.cc
+++ b/src/event_http/server_connection.cc
@@ -27,15 +27,14 @@
 
 class ServerConnection::ExchangeImpl : public Exchange {
  public:
-  ExchangeImpl(Request request, std::weak_ptr<ServerConnection> connection, Instant received_at,
-               Duration connection_wait)
+  ExchangeImpl(Request request, std::weak_ptr<ServerConnection> connection, Pipeline::Ticket ticket,
+               Instant received_at, Duration connection_wait)
       : request_(std::move(request)),
         connection_(std::move(connection)),
+        ticket_(ticket),
         received_at_(received_at),
         connection_wait_(connection_wait) {}
 
-  void SetTicket(Pipeline::Ticket ticket) { ticket_ = ticket; }
-
   const Request& request() const override { return request_; }
   Instant received_at() const override { return received_at_; }
   Duration connection_wait() const override { return connection_wait_; }
@@ -50,9 +49,9 @@
  private:
   const Request request_;
   const std::weak_ptr<ServerConnection> connection_;
+  const Pipeline::Ticket ticket_;
   const Instant received_at_;
   const Duration connection_wait_;
-  Pipeline::Ticket ticket_ = 0;
 };
 
 ServerConnection::ServerConnection(asio::ip::tcp::socket socket,
@@ -267,11 +266,9 @@
   }
   ParsedRequest parsed = *std::move(next_);
   next_.reset();
-  const auto exchange =
-      std::make_shared<ExchangeImpl>(std::move(parsed.request), weak_from_this(),
-                                     parsed.received_at, clock_() - parsed.received_at);
-  exchange->SetTicket(pipeline_.Add(parsed.beside, !parsed.keep_alive, parsed.body_bytes));
-  server.Handle(exchange);
+  const auto ticket = pipeline_.Add(parsed.beside, !parsed.keep_alive, parsed.body_bytes);
+  server.Handle(std::make_shared<ExchangeImpl>(std::move(parsed.request), weak_from_this(), ticket,
+                                               parsed.received_at, clock_() - parsed.received_at));
   return true;
 }
 
@@ -314,9 +311,7 @@
         self->last_activity_ = self->last_written_ = self->clock_();
         return asio::transfer_all()(error, 0);
       },
-      [self = shared_from_this(), close](ErrorCode error, std::size_t) {
-        self->OnWritten(error, close);
-      });
+      [self = shared_from_this()](ErrorCode error, std::size_t) { self->OnWritten(error); });
 }
 
 void ServerConnection::WritePiece(std::size_t written) {
@@ -330,12 +325,12 @@
                       [self, end = written + bytes](ErrorCode error, std::size_t) {
                         self->last_activity_ = self->last_written_ = self->clock_();
                         const bool more = !error && end < self->output_.size();
-                        more ? self->WritePiece(end) : self->OnWritten(error, self->write_closes_);
+                        more ? self->WritePiece(end) : self->OnWritten(error);
                       });
   });
 }
 
-void ServerConnection::OnWritten(ErrorCode error, bool close) {
+void ServerConnection::OnWritten(ErrorCode error) {
   if (closed_) return;
   writing_ = false;
   output_.clear();
@@ -345,7 +340,7 @@
   message_start_ = last_activity_;
   if (error) return Close();
   // A client that ended its sending has nothing left that could reset the answer.
-  if (close) return input_ended_ ? Close() : Linger();
+  if (write_closes_) return input_ended_ ? Close() : Linger();
   WriteNext();
   if (writing_) return Advance();
   // Nobody waits for responses that were not made yet.
--- a/src/event_http/server_connection.h
+++ b/src/event_http/server_connection.h
@@ -85,7 +85,7 @@
   void Write(std::string text, bool close, bool bulk = false);
   /// Writes the output in pieces, each when the pacer permits it.
   void WritePiece(std::size_t written);
-  void OnWritten(ErrorCode error, bool close);
+  void OnWritten(ErrorCode error);
   /// Says that nothing more comes, and takes what the client still sends, so that no reset
   /// overtakes the answer.
   void Linger();
--- a/src/gateway/backend_table.cc
+++ b/src/gateway/backend_table.cc
@@ -19,7 +19,6 @@
 constexpr double kNewestSuccess = 0.2;
 /// A request that ends at its deadline shows the state of its queue, not of the server.
 constexpr int kDeadlineStatus = 504;
-constexpr int kFirstFailureStatus = 500;
 /// Servers with similar expected latency are chosen at random, so that gateways with the same
 /// information do not all choose the same server.
 constexpr double kJitter = 0.15;
--- a/src/gateway/gateway_events.h
+++ b/src/gateway/gateway_events.h
@@ -65,6 +65,10 @@
 /// The name of an attempt's end, for logs and metrics.
 std::string_view EndName(AttemptEnd end);
 
+/// Answers of this status or above are failures of the server, and may come sooner than the work
+/// would take.
+inline constexpr int kFirstFailureStatus = 500;
+
 /// The end of one attempt.
 struct AttemptReport {
   RequestNumber request;
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -210,7 +210,7 @@
 }
 
 bool GatewayNode::MayRunBeside(std::string_view host, std::string_view path,
-                               std::string_view method) {
+                               std::string_view method) const {
   if (method != "GET" && method != "HEAD") return false;
   const traffic::Route* const route = traffic_.routes().Find(host, path);
   return route != nullptr && traffic::MayRepeat(route->kind);
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -103,7 +103,7 @@
 
   /// Whether a request may run in parallel with others that its caller pipelined: it has a safe
   /// method, and its route's requests may be repeated.
-  bool MayRunBeside(std::string_view host, std::string_view path, std::string_view method);
+  bool MayRunBeside(std::string_view host, std::string_view path, std::string_view method) const;
 
   /// Whether a configuration was ever received.
   bool Ready() const { return traffic_.is_ready(); }
--- a/src/gateway/retry_rules.cc
+++ b/src/gateway/retry_rules.cc
@@ -3,7 +3,6 @@
 namespace graniteseam::gateway {
 namespace {
 
-constexpr int kFirstFailureStatus = 500;
 /// Failed connections after which a request is ended.
 constexpr std::uint32_t kUnsentMaximum = 3;
 
--- a/src/gateway/slot_requests.cc
+++ b/src/gateway/slot_requests.cc
@@ -12,19 +12,14 @@
 
 using coordination::SlotResult;
 
-/// A service is coordinated when a target latency of its routes is at least this multiple of the
-/// time that an unanswered coordinator costs.
-constexpr int kTargetAnswerLimits = 8;
-/// Answers of this status or above may come sooner than the work would take.
-constexpr int kFirstFailureStatus = 500;
+static_assert(traffic::kCoordinatedTargetMinimum == 8 * coordination::answer_limit);
 
 }  // namespace
 
 bool GatewayNode::IsCoordinatedService(const ServiceName& service) const {
   // Keys that are leased by heartbeat move a heartbeat late, so that moves cannot answer a burst.
   return !options_.coordination_address.empty() && traffic_.is_leased_by_heartbeat(service) &&
-         traffic_.routes().LongestTarget(service) >=
-             kTargetAnswerLimits * coordination::answer_limit;
+         traffic_.routes().LongestTarget(service) >= traffic::kCoordinatedTargetMinimum;
 }
 
 bool GatewayNode::IsCoordinated(const LiveRequest& request, const Backend& owner,
--- a/src/protocol/gateway_transport.cc
+++ b/src/protocol/gateway_transport.cc
@@ -9,6 +9,7 @@
 
 #include "src/protocol/connection.h"
 #include "src/runtime/clock.h"
+#include "src/runtime/listen.h"
 #include "src/runtime/log.h"
 
 namespace graniteseam::protocol {
@@ -95,20 +96,8 @@
 
 Result<void> GatewayTransport::Impl::Start() {
   BOOST_LEAF_CHECK(tls_.Load());
-  ErrorCode error;
-  const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(options_.address.ip, error),
-                                         options_.address.port);
-  if (!error) acceptor_.open(endpoint.protocol(), error);
-  if (!error) acceptor_.set_option(asio::socket_base::reuse_address(true), error);
-  if (!error) acceptor_.bind(endpoint, error);
-  if (!error) acceptor_.listen(asio::socket_base::max_listen_connections, error);
-  if (error) {
-    return Fail(
-        ErrorKind::kInvalidSettings,
-        "Can't listen on " + runtime::ToString(options_.address) + ": " + error.message() + ".",
-        "Free the port, or set another coordination_address.");
-  }
-  port_ = acceptor_.local_endpoint(error).port();
+  BOOST_LEAF_ASSIGN(port_, runtime::Listen(acceptor_, options_.address,
+                                           "Free the port, or set another coordination_address."));
   asio::post(loop_.context(), [self = shared_from_this()] {
     self->Accept();
     self->CloseIdle();
--- a/src/protocol/internal_server.cc
+++ b/src/protocol/internal_server.cc
@@ -1,6 +1,5 @@
 #include "src/protocol/internal_server.h"
 
-#include <boost/asio/ip/address.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <map>
@@ -9,6 +8,7 @@
 #include "graniteseam/codec/codec.h"
 #include "src/protocol/connection.h"
 #include "src/protocol/frame.h"
+#include "src/runtime/listen.h"
 #include "src/runtime/log.h"
 
 namespace graniteseam::protocol {
@@ -65,19 +65,8 @@
 
 Result<void> InternalServer::Impl::Start() {
   BOOST_LEAF_CHECK(tls_.Load());
-  const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(options_.address.ip),
-                                         options_.address.port);
-  boost::system::error_code error;
-  acceptor_.open(endpoint.protocol(), error);
-  if (!error) acceptor_.set_option(asio::socket_base::reuse_address(true), error);
-  if (!error) acceptor_.bind(endpoint, error);
-  if (!error) acceptor_.listen(asio::socket_base::max_listen_connections, error);
-  if (error) {
-    return Fail(ErrorKind::kInvalidSettings,
-                "Cannot listen on " + ToString(options_.address) + ": " + error.message() + ".",
-                "Free the port, or set another peer_address.");
-  }
-  port_ = acceptor_.local_endpoint().port();
+  BOOST_LEAF_ASSIGN(port_, runtime::Listen(acceptor_, options_.address,
+                                           "Free the port, or set another peer_address."));
   asio::post(loop_.context(), [self = shared_from_this()] {
     self->Accept();
     self->ScheduleLivenessCheck();
--- a/src/protocol/internal_settings.cc
+++ b/src/protocol/internal_settings.cc
@@ -11,7 +11,7 @@
 
 bool OnlyLoopback(const runtime::SocketAddress* own,
                   const std::vector<runtime::SocketAddress>* peers) {
-  if (own != nullptr && !runtime::IsLoopback(*own)) return false;
+  if (own != nullptr && !own->ip.empty() && !runtime::IsLoopback(*own)) return false;
   return peers == nullptr || std::all_of(peers->begin(), peers->end(), runtime::IsLoopback);
 }
 
--- a/tests/control/owner_capacity_test.cc
+++ b/tests/control/owner_capacity_test.cc
@@ -48,6 +48,17 @@
   return {{{"i-1"}, 20, 20 * 200'000, 20, 0, 0}, {{"i-2"}, 20, 20 * 400'000, 20, 0, 0}};
 }
 
+/// The same with reported work times, in percent of the usual.
+auto two_speeds_with_work(double first_percent, double second_percent)
+    -> std::vector<traffic::InstanceSpeed> {
+  auto speeds = two_speeds();
+  for (auto& speed : speeds) {
+    speed.work_percent_answers = 20;
+    speed.work_percent_sum = 20 * (speed.instance.value == "i-1" ? first_percent : second_percent);
+  }
+  return speeds;
+}
+
 /// How many keys a controller first assigns to the faster one of two instances.
 auto keys_of_faster(traffic::LeaseForm form, std::int64_t target_ms) -> std::uint32_t {
   auto state = traffic::TrafficState{};
@@ -67,11 +78,7 @@
   auto limits = InstanceLimits{};
   auto controller = RangeController({}, state, liveness, limits, {}, kStart);
   auto poll = traffic::TrafficPoll{};
-  poll.speeds = two_speeds();
-  for (auto& speed : poll.speeds) {
-    speed.work_percent_answers = 20;
-    speed.work_percent_sum = 20 * (speed.instance.value == "i-1" ? 70 : 140);
-  }
+  poll.speeds = two_speeds_with_work(70, 140);
   controller.TakeLoads(poll, kStart);
   for (auto now = kStart; now < kStart + std::chrono::seconds(10);
        now += std::chrono::milliseconds(100)) {
@@ -229,11 +236,7 @@
 // Services without a target keep the numbers that they had, also where work times are reported.
 Test(owner_capacity, slots_without_a_target_do_not_depend_on_work_times) {
   auto speeds = InstanceSpeeds{};
-  for (auto speed : two_speeds()) {
-    speed.work_percent_answers = 20;
-    speed.work_percent_sum = 20 * (speed.instance.value == "i-1" ? 150 : 50);
-    speeds.Take(speed, kStart);
-  }
+  for (auto const& speed : two_speeds_with_work(150, 50)) speeds.Take(speed, kStart);
   auto candidates = std::vector<RangeCandidate>{{{"i-1"}, {}, 3, {}, {}}, {{"i-2"}, {}, 3, {}, {}}};
   scale_slots(candidates, speeds, std::nullopt);
   cr_assert(candidates[0].slots == 3 * (600'000.0 / 2 / 200'000.0));
@@ -254,11 +257,7 @@
 // Latency includes the wait in the owner's queue: an owner with too many keys counted as slow.
 Test(owner_capacity, service_time_follows_reported_work_times) {
   auto speeds = InstanceSpeeds{};
-  for (auto speed : two_speeds()) {
-    speed.work_percent_answers = 20;
-    speed.work_percent_sum = 20 * (speed.instance.value == "i-1" ? 150 : 50);
-    speeds.Take(speed, kStart);
-  }
+  for (auto const& speed : two_speeds_with_work(150, 50)) speeds.Take(speed, kStart);
   auto candidates = std::vector<RangeCandidate>{{{"i-1"}, {}, 3, {}, {}}, {{"i-2"}, {}, 3, {}, {}}};
   auto const times = speeds.ServiceTimes(candidates);
   cr_assert_eq(times.size(), 2);
--- a/tests/event_http/pipeline_memory_test.cc
+++ b/tests/event_http/pipeline_memory_test.cc
@@ -1,14 +1,15 @@
 // Guards against memory that grows with clients that pipeline and do not read their answers: what a
 // connection holds stays within the bounds of ServerOptions.
 #include <criterion/criterion.h>
-#include <malloc.h>
-#include <sys/resource.h>
 
 #include "tests/event_http/stepped_server.h"
+#include "tests/support/process_limits.h"
 
 using namespace graniteseam;
 using namespace graniteseam::event_http;
 using namespace graniteseam::event_http::test;
+using graniteseam::test::AllowDescriptors;
+using graniteseam::test::HeapBytes;
 
 namespace {
 
@@ -23,18 +24,8 @@
 /// Bytes of requests that wait to be parsed, 64 KiB and one read; a string may reserve twice that.
 constexpr std::size_t kReadAheadBytes = 2 * (65'536 + 8'192);
 
-std::size_t HeapBytes() {
-  const struct mallinfo2 info = mallinfo2();
-  return info.uordblks + info.hblkhd;
-}
-
 /// Both ends of each connection are descriptors of this process.
-void AllowDescriptors() {
-  rlimit limit{};
-  getrlimit(RLIMIT_NOFILE, &limit);
-  limit.rlim_cur = std::min<rlim_t>(limit.rlim_max, 4 * kClients);
-  cr_assert(setrlimit(RLIMIT_NOFILE, &limit) == 0);
-}
+constexpr std::size_t kDescriptors = 4 * kClients;
 
 ServerOptions Parallel() {
   ServerOptions options;
@@ -68,7 +59,7 @@
 }  // namespace
 
 Test(pipeline_memory, thousand_clients_with_all_requests_in_progress_hold_their_answers_at_most) {
-  AllowDescriptors();
+  cr_assert(AllowDescriptors(kDescriptors));
   SteppedServer stepped(Parallel());
   const std::size_t before = HeapBytes();
   const SilentClients clients(stepped, "/hold", "/hold");
@@ -85,7 +76,7 @@
 }
 
 Test(pipeline_memory, thousand_clients_get_no_further_requests_begun_beyond_the_answer_bytes) {
-  AllowDescriptors();
+  cr_assert(AllowDescriptors(kDescriptors));
   SteppedServer stepped(Parallel());
   const std::size_t before = HeapBytes();
   // Answered at once, with the path and a few bytes more.
