Soak 93 routers with limited links, and ask all of them at one moment

Cause: the record has 93 gateways on 2 Mbit/s and a tenth of a core, and a question to all of them at one moment; the soak had no links, asked one router after the other, and its relay delivered what a cut had held as soon as it was healed.

--- a/testbed/fleet/link_layer.cc
+++ b/testbed/fleet/link_layer.cc
@@ -4,9 +4,11 @@
 #include <boost/asio.hpp>
 #include <deque>
 #include <mutex>
+#include <optional>
 #include <thread>
 
 #include "src/runtime/clock.h"
+#include "testbed/fleet/retransmission.h"
 
 namespace graniteseam::testbed {
 
@@ -20,15 +22,24 @@
 constexpr std::size_t kPieceBytes = std::size_t{64} * 1024;
 /// Pieces held in one direction before reading pauses; the sender's window then fills up.
 constexpr std::size_t kHeldPiecesMaximum = 64;
+/// After which the programs give up a connection whose bytes are not acknowledged.
+constexpr Duration kUnacknowledgedMaximum{5'000'000};
+
+/// One direction of the link that a connection uses.
+struct LinkDirection {
+  std::function<LinkState()> state;
+  /// When that many bytes have arrived.
+  std::function<Instant(std::size_t bytes, Instant now)> arrival;
+  bool retransmits = false;
+};
 
 /// One direction of one connection: reads pieces, holds each until its time, writes it.
 class Pump : public std::enable_shared_from_this<Pump> {
  public:
-  Pump(std::shared_ptr<Tcp::socket> source, std::shared_ptr<Tcp::socket> sink,
-       std::function<LinkState()> state)
+  Pump(std::shared_ptr<Tcp::socket> source, std::shared_ptr<Tcp::socket> sink, LinkDirection link)
       : source_(std::move(source)),
         sink_(std::move(sink)),
-        state_(std::move(state)),
+        link_(std::move(link)),
         timer_(source_->get_executor()) {}
 
   void Start() { Read(); }
@@ -50,7 +61,7 @@
   }
 
   void Hold(std::size_t size) {
-    const Instant due = runtime::BootTimeNow() + state_().delay;
+    const Instant due = link_.arrival(size, runtime::BootTimeNow()) + link_.state().delay;
     held_.push_back({due, {buffer_.begin(), buffer_.begin() + static_cast<std::ptrdiff_t>(size)}});
     if (!delivering_) Deliver();
   }
@@ -64,8 +75,10 @@
     delivering_ = true;
     const Duration left = held_.front().due - runtime::BootTimeNow();
     if (left > Duration(0)) return Later(left);
-    const LinkState state = state_();
-    if (state.cut || made_at_ < state.silent_before) return Later(kHealCheckPeriod);
+    const LinkState state = link_.state();
+    if (made_at_ < state.silent_before) return Later(kHealCheckPeriod);
+    if (state.cut) return Block();
+    if (const Duration silence = SilenceLeft(); silence > Duration(0)) return Later(silence);
     if (held_.front().bytes.empty()) return Close();
     boost::asio::async_write(*sink_, boost::asio::buffer(held_.front().bytes),
                              [self = shared_from_this()](ErrorCode error, std::size_t) {
@@ -76,6 +89,27 @@
                              });
   }
 
+  void Block() {
+    const Instant now = runtime::BootTimeNow();
+    if (!blocked_since_) blocked_since_ = now;
+    resumes_at_.reset();
+    if (link_.retransmits && now - *blocked_since_ >= kUnacknowledgedMaximum) return Close();
+    Later(kHealCheckPeriod);
+  }
+
+  /// How long a connection whose bytes were lost stays silent over the healed link.
+  Duration SilenceLeft() {
+    if (!blocked_since_) return Duration(0);
+    const Instant now = runtime::BootTimeNow();
+    if (!resumes_at_) {
+      resumes_at_ = link_.retransmits ? next_retransmission(*blocked_since_, now) : now;
+    }
+    if (now < *resumes_at_) return *resumes_at_ - now;
+    blocked_since_.reset();
+    resumes_at_.reset();
+    return Duration(0);
+  }
+
   void Later(Duration wait) {
     timer_.expires_after(wait);
     timer_.async_wait([self = shared_from_this()](ErrorCode error) {
@@ -94,7 +128,9 @@
 
   std::shared_ptr<Tcp::socket> source_;
   std::shared_ptr<Tcp::socket> sink_;
-  std::function<LinkState()> state_;
+  const LinkDirection link_;
+  std::optional<Instant> blocked_since_;  ///< Since when the link was cut, if bytes were lost.
+  std::optional<Instant> resumes_at_;     ///< Once the link is healed.
   const Instant made_at_ = runtime::BootTimeNow();
   boost::asio::steady_timer timer_;
   std::array<char, kPieceBytes> buffer_{};
@@ -107,11 +143,13 @@
 class Relay : public std::enable_shared_from_this<Relay> {
  public:
   Relay(boost::asio::io_context& context, Tcp::endpoint target,
-        const LinkLayer::StateFunction& state, const LinkLayer::SourceFunction& source)
+        const LinkLayer::StateFunction& state, const LinkLayer::SourceFunction& source,
+        const LinkOptions& options)
       : context_(context),
         target_(std::move(target)),
         state_(state),
         source_(source),
+        options_(options),
         acceptor_(context) {}
 
   void Listen() {
@@ -167,20 +205,26 @@
           ErrorCode ignored;
           client->set_option(Tcp::no_delay(true), ignored);
           server->set_option(Tcp::no_delay(true), ignored);
-          const auto& state = self->state_;
-          std::make_shared<Pump>(client, server, [state, from, to] {
-            return state(from, to);
-          })->Start();
-          std::make_shared<Pump>(server, client, [state, from, to] {
-            return state(to, from);
-          })->Start();
+          std::make_shared<Pump>(client, server, self->Direction(from, to))->Start();
+          std::make_shared<Pump>(server, client, self->Direction(to, from))->Start();
         });
   }
 
+  LinkDirection Direction(const std::string& from, const std::string& to) const {
+    LinkDirection direction;
+    direction.state = [state = state_, from, to] { return state(from, to); };
+    direction.arrival = [arrival = options_.arrival, from, to](std::size_t bytes, Instant now) {
+      return arrival ? arrival(from, to, bytes, now) : now;
+    };
+    direction.retransmits = options_.retransmits;
+    return direction;
+  }
+
   boost::asio::io_context& context_;
   const Tcp::endpoint target_;
   const LinkLayer::StateFunction state_;
   const LinkLayer::SourceFunction source_;
+  const LinkOptions options_;
   Tcp::acceptor acceptor_;
 };
 
@@ -188,9 +232,10 @@
 
 class LinkLayer::Impl {
  public:
-  Impl(StateFunction state, SourceFunction source)
+  Impl(StateFunction state, SourceFunction source, LinkOptions options)
       : state_(std::move(state)),
         source_(std::move(source)),
+        options_(std::move(options)),
         work_(boost::asio::make_work_guard(context_)),
         thread_([this] { context_.run(); }) {}
 
@@ -202,7 +247,7 @@
   Result<void> AddEndpoint(const runtime::SocketAddress& address) {
     const Tcp::endpoint target(boost::asio::ip::make_address(address.ip), address.port);
     try {
-      std::make_shared<Relay>(context_, target, state_, source_)->Listen();
+      std::make_shared<Relay>(context_, target, state_, source_, options_)->Listen();
     } catch (const boost::system::system_error& error) {
       return Fail(ErrorKind::kUnavailable,
                   "The link layer can't listen for " + runtime::ToString(address) + ": " +
@@ -215,13 +260,14 @@
  private:
   const StateFunction state_;
   const SourceFunction source_;
+  const LinkOptions options_;
   boost::asio::io_context context_;
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work_;
   std::thread thread_;
 };
 
-LinkLayer::LinkLayer(StateFunction state, SourceFunction source)
-    : impl_(std::make_unique<Impl>(std::move(state), std::move(source))) {}
+LinkLayer::LinkLayer(StateFunction state, SourceFunction source, LinkOptions options)
+    : impl_(std::make_unique<Impl>(std::move(state), std::move(source), std::move(options))) {}
 LinkLayer::~LinkLayer() = default;
 
 Result<void> LinkLayer::AddEndpoint(const runtime::SocketAddress& address) {
--- a/testbed/fleet/link_layer.h
+++ b/testbed/fleet/link_layer.h
@@ -2,6 +2,7 @@
 /// The links between a fleet's processes: delays and cuts, by a TCP relay in front of each process.
 #pragma once
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
@@ -27,10 +28,22 @@
   runtime::SocketAddress relay;
 };
 
+/// What a relay adds to the state of its links.
+struct LinkOptions {
+  /// Tells when bytes that are sent now have arrived. Empty for links of unlimited bandwidth.
+  /// Called on the relay's thread, once for each piece of data.
+  std::function<Instant(const std::string& from_ip, const std::string& to_ip, std::size_t bytes,
+                        Instant now)>
+      arrival;
+  /// Whether a connection over a healed link resumes only when TCP sends the lost bytes again, and
+  /// ends when they were not acknowledged for 5 s. Otherwise it resumes at once.
+  bool retransmits = false;
+};
+
 /// Relays connections to addresses 127.0.x.y, for those who were told that they are 127.1.x.y.
 ///
 /// A cut link is silent, as a lost network is: bytes of connections that exist are held and arrive
-/// when the link is healed, if nobody has given up by then; a connection made while the link is cut
+/// when the link is healed, or later if LinkOptions say so; a connection made while the link is cut
 /// is never led on. Both sides of a connection are judged by themselves, so a cut may be one way.
 /// A connection may also fall silent for good while new ones over the same link work: what is sent
 /// on it is acknowledged by the relay and goes nowhere, as behind a lost entry of an address
@@ -48,7 +61,7 @@
   /// of the fleet; called on the relay's thread, once a connection.
   using SourceFunction = std::function<std::string(const ConnectionEnds& ends)>;
 
-  LinkLayer(StateFunction state, SourceFunction source);
+  LinkLayer(StateFunction state, SourceFunction source, LinkOptions options = {});
   ~LinkLayer();
 
   /// Relays connections to `address` from now on.
--- a/testbed/fleet/socket_owners.cc
+++ b/testbed/fleet/socket_owners.cc
@@ -71,16 +71,6 @@
   return "socket:[" + std::to_string(message.idiag_inode) + "]";
 }
 
-bool Holds(pid_t process, const std::string& link) {
-  std::error_code error;
-  const std::filesystem::path folder = "/proc/" + std::to_string(process) + "/fd";
-  for (const auto& entry : std::filesystem::directory_iterator(folder, error)) {
-    std::error_code gone;
-    if (std::filesystem::read_symlink(entry.path(), gone) == link) return true;
-  }
-  return false;
-}
-
 }  // namespace
 
 void SocketOwners::Add(pid_t process, const std::string& ip) {
@@ -92,10 +82,22 @@
   const std::string link = SocketLink(ends);
   if (link.empty()) return "";
   const std::lock_guard lock(mutex_);
+  if (!ips_by_socket_.contains(link)) LookThroughProcesses();
+  const auto found = ips_by_socket_.find(link);
+  return found == ips_by_socket_.end() ? "" : found->second;
+}
+
+void SocketOwners::LookThroughProcesses() const {
+  ips_by_socket_.clear();
   for (const auto& [process, ip] : ips_) {
-    if (Holds(process, link)) return ip;
+    std::error_code error;
+    const std::filesystem::path folder = "/proc/" + std::to_string(process) + "/fd";
+    for (const auto& entry : std::filesystem::directory_iterator(folder, error)) {
+      std::error_code gone;
+      const std::string link = std::filesystem::read_symlink(entry.path(), gone);
+      if (link.starts_with("socket:")) ips_by_socket_.emplace(link, ip);
+    }
   }
-  return "";
 }
 
 }  // namespace graniteseam::testbed
--- a/testbed/fleet/socket_owners.h
+++ b/testbed/fleet/socket_owners.h
@@ -8,12 +8,14 @@
 #include <map>
 #include <mutex>
 #include <string>
+#include <unordered_map>
 
 #include "testbed/fleet/link_layer.h"
 
 namespace graniteseam::testbed {
 
-/// Thread safe.
+/// Thread safe. Looking through all processes takes milliseconds, and each look finds all sockets
+/// that exist: when a fleet dials anew, most connections are known from the look for an earlier one.
 class SocketOwners {
  public:
   /// Makes a process known. One that ended may stay: it holds no sockets.
@@ -23,8 +25,12 @@
   std::string IpOf(const ConnectionEnds& ends) const;
 
  private:
-  mutable std::mutex mutex_;  ///< Guards ips_.
+  void LookThroughProcesses() const;
+
+  mutable std::mutex mutex_;  ///< Guards the members below.
   std::map<pid_t, std::string> ips_;
+  /// Addresses by socket, as of the last look. The kernel does not use a socket's number again.
+  mutable std::unordered_map<std::string, std::string> ips_by_socket_;
 };
 
 }  // namespace graniteseam::testbed
--- a/testbed/soak/arguments.cc
+++ b/testbed/soak/arguments.cc
@@ -14,7 +14,7 @@
 namespace {
 
     constexpr char usage[]
-        = "Usage: graniteseam-soak [--seed N] [--seeds N] [--parallel K] [--size small|large|crowd] "
+        = "Usage: graniteseam-soak [--seed N] [--seeds N] [--parallel K] [--size small|large|crowd|wide] "
           "[--faults N]\n"
           "                        [--crashing] [--silencing] [--stating] [--warming] [--coordinating]\n"
           "                        [--processor SHARE] [--keep] [--folder DIR] [--programs DIR] [--templates "
@@ -22,7 +22,7 @@
           "  --seed N       first seed; without it one is drawn and printed\n"
           "  --seeds N      how many, from the first on (1)\n"
           "  --parallel K   how many side by side (1), as long as they start at most 60 processes together\n"
-          "  --size SIZE    of all runs; without it drawn from the seed, one in four large, none a crowd\n"
+          "  --size SIZE    of all runs; without it drawn from the seed, one in four large, none a crowd or wide\n"
           "  --crashing     some requests end each worker that runs them, as in a crowd\n"
           "  --silencing    open connections with control fall silent for good, and new ones work\n"
           "  --stating      workers name limits, ask for rests and say that they leave\n"
@@ -43,6 +43,8 @@
             return RunSize::Large;
         if (text == "crowd")
             return RunSize::Crowd;
+        if (text == "wide")
+            return RunSize::Wide;
         return std::nullopt;
     }
 
--- a/testbed/soak/promises.cc
+++ b/testbed/soak/promises.cc
@@ -259,7 +259,7 @@
     {
         constexpr int no_such_route = 404;
         for (auto const& probe : seen.probes) {
-            auto const& [answer, version, acknowledged, path] = probe;
+            auto const& [answer, version, acknowledged, path, round] = probe;
             if (is_changing(path) || (answer.status != no_such_route && !answer.unconfirmed))
                 continue;
             auto const calm = core_is_calm(seen, acknowledged, answer.sent)
--- a/testbed/soak/promises.h
+++ b/testbed/soak/promises.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -62,6 +63,7 @@
     std::uint64_t version = 0; ///< The newest that is to be in force: its change, or newer ones, decide.
     Instant acknowledged {}; ///< When the operator was told that it is accepted.
     std::string path; ///< That it asks for, without what stands behind the route's prefix.
+    std::optional<std::uint64_t> round {}; ///< Sent to all routers at one moment, in this round.
 };
 
 /// A worker's word that it leaves.
@@ -91,7 +93,8 @@
     std::vector<SeenRead> reads;
     std::vector<WorkerCrash> crashes;
     std::vector<SeenReadTry> read_tries;
-    std::vector<SeenProbe> probes;
+    std::vector<SeenProbe> probes; ///< In the order of their sending.
+    std::uint64_t probe_rounds = 0; ///< Rounds of probes to all routers.
     std::vector<SeenDrain> drains;
     std::vector<WorkerHold> holds;
     std::vector<WorkerStated> stated;
--- a/testbed/soak/run_shape.cc
+++ b/testbed/soak/run_shape.cc
@@ -35,6 +35,25 @@
         return shape;
     }
 
+    /// The users' deployment with the most routers for three control processes.
+    auto wide_shape() -> RunShape
+    {
+        RunShape shape;
+        shape.routers = 93;
+        shape.keyed_workers = 123;
+        shape.leased_workers = 30;
+        shape.pool_workers = 111;
+        shape.pooled_callers = 2;
+        shape.kept_callers = 60;
+        shape.fresh_callers = 2;
+        shape.heartbeat = Duration {870'000};
+        shape.operator_pause = Duration {330'000};
+        shape.processor = 0.3;
+        shape.router_processor = 0.1;
+        shape.router_link_mbps = 2;
+        return shape;
+    }
+
 } // namespace
 
 auto draw_shape(std::uint64_t seed, std::optional<RunSize> size) -> RunShape
@@ -53,6 +72,8 @@
     }
     if (size == RunSize::Crowd)
         return draw_crowd(between);
+    if (size == RunSize::Wide)
+        return wide_shape();
     shape.routers = between(9, 20);
     auto const workers = between(60, 150);
     shape.pool_workers = workers / 6;
--- a/testbed/soak/run_shape.h
+++ b/testbed/soak/run_shape.h
@@ -27,6 +27,7 @@
     std::uint32_t losses_tolerated = 1;
     double processor = 1; ///< Part of a core that each control process may use; 1: not limited.
     double router_processor = 1; ///< The same of routers.
+    double router_link_mbps = 0; ///< Bandwidth of each router's link, each way; 0: not limited.
     bool silencing = false; ///< Open connections to control fall silent for good at times.
     bool crashing = false; ///< Some requests end each worker that runs them.
     bool stating = false; ///< Workers name limits, ask for rests and say that they leave.
@@ -42,6 +43,7 @@
     Small,
     Large,
     Crowd, ///< Six control processes of which five vote, 100 routers, hundreds of workers, little processor.
+    Wide, ///< Three control processes, 93 routers on small machines and links under load, 264 workers.
 };
 
 /// @param size drawn from the seed, one in four large and none a crowd, where none is given.
--- a/testbed/soak/soak.cc
+++ b/testbed/soak/soak.cc
@@ -13,6 +13,7 @@
 #include <set>
 #include <thread>
 
+#include "graniteseam/common/duration_text.h"
 #include "src/runtime/clock.h"
 #include "testbed/soak/arguments.h"
 #include "testbed/soak/load.h"
@@ -166,6 +167,7 @@
         options.losses_tolerated = shape.losses_tolerated;
         options.processor = shape.processor;
         options.router_processor = shape.router_processor;
+        options.router_link_mbps = shape.router_link_mbps;
         options.stating = shape.stating;
         options.warming = shape.warming;
         options.coordinating = shape.coordinating;
@@ -192,6 +194,7 @@
         SeenByOperator by_operator;
         AcceptedVersions accepted;
         std::vector<SeenAnswer> crashing;
+        ProbeRounds rounds;
         auto const callers = caller_options(shape, seed);
         std::vector<std::vector<SeenAnswer>> answers(callers.size());
         auto const start = runtime::BootTimeNow();
@@ -203,6 +206,8 @@
             });
             threads.emplace_back(
                 [&](std::stop_token const& stop) { seen.probes = run_prober(endpoints, accepted, stop); });
+            threads.emplace_back(
+                [&](std::stop_token const& stop) { rounds = run_probe_rounds(endpoints, accepted, stop); });
             for (std::size_t i = 0; i < callers.size(); ++i) {
                 threads.emplace_back([&, i](std::stop_token const& stop) {
                     answers[i] = run_caller(endpoints, callers[i], stop);
@@ -222,6 +227,7 @@
         seen.changes = std::move(by_operator.changes);
         seen.reads = std::move(by_operator.reads);
         seen.read_tries = std::move(by_operator.read_tries);
+        add_rounds(rounds, seen);
         for (auto const& probe : seen.probes)
             seen.answers.push_back(probe.answer);
         seen.settled = settled_at(seen);
@@ -260,13 +266,13 @@
             "{} routers, {} orders + {} leases + {} pool workers; {} faults ({}); "
             "{} attempts, {} served, {} kept-connection requests, {} of them lost; {} runs ({} in parallel), "
             "{} grants held, {} changes sent, {} reads, {} probes ({} of changing routes in calm, "
-            "{} that tell an older version), {} workers crashed; at the "
-            "end {} of {} served",
+            "{} that tell an older version; {} rounds of all routers, {} of them in calm that tell one), "
+            "{} workers crashed; at the end {} of {} served",
             shape.routers, shape.keyed_workers, shape.leased_workers, shape.pool_workers, plan.size(),
             kinds_text(plan), seen.answers.size(), count([](auto const& it) { return it.status == 200; }),
             count([](auto const& it) { return it.kept; }), lost_on_kept_connections(seen).size(),
             seen.runs.size(), runs_in_parallel(seen), seen.holds.size(), seen.changes.size(),
-            seen.reads.size(), seen.probes.size(), looked.in_calm, looked.telling, seen.crashes.size(),
+            seen.reads.size(), seen.probes.size(), looked.in_calm, looked.telling, seen.probe_rounds, looked.telling_rounds, seen.crashes.size(),
             seen.served_at_the_end, seen.asked_at_the_end);
     }
 
@@ -288,6 +294,13 @@
             events["slot_rejected"], events["slot_timeout"]);
     }
 
+    auto links_text(RunShape const& shape, SoakedFleet const& fleet) -> std::string
+    {
+        if (shape.router_link_mbps == 0)
+            return "";
+        return "; longest wait at a link " + InMs(fleet.longest_link_wait());
+    }
+
     /// @return the promises of which one was broken at least.
     auto soak(std::uint64_t seed, Arguments const& arguments, ProgramNames const& names)
         -> std::set<std::string>
@@ -318,9 +331,11 @@
             auto const seen = observe(fleet, shape, plan, bounds, seed, names);
             breaches = check_promises(seen);
             auto const replaced = fleet.replacements();
+            fleet.end_links();
             text = fmt::format(
                 "seed {}: {}{}; replaced at the same address {}, elsewhere {}; promises broken: {}\n", seed,
-                summary_text(seen, shape, plan), shape.coordinating ? slots_text(options.folder) : "",
+                summary_text(seen, shape, plan),
+                (shape.coordinating ? slots_text(options.folder) : "") + links_text(shape, fleet),
                 replaced.at_same_address, replaced.elsewhere, promises_text(breaches));
         }
         if (!breaches.empty()) {
--- a/testbed/soak/soaked_fleet.cc
+++ b/testbed/soak/soaked_fleet.cc
@@ -20,6 +20,7 @@
 
     /// That a worker which said that it leaves may still get work.
     constexpr Duration drain_allowance {2'000'000};
+    constexpr double bytes_per_megabit = 125'000;
     constexpr char local_ip[] = "127.0.0.1";
     constexpr char keyed_service[] = "keyed";
     constexpr char leased_service[] = "leased";
@@ -76,24 +77,31 @@
         }
         m_ports.push_back(std::move(std::get<ReservedPort>(port)));
     }
+    auto const limits_links = m_options.router_link_mbps > 0;
+    for (std::uint32_t i = 0; limits_links && i < m_options.routers; ++i) {
+        LinkRate const rate(m_options.router_link_mbps * bytes_per_megabit);
+        m_router_links.emplace(ip_of(router_machine(i)), RouterLink {rate, rate});
+    }
+    LinkOptions links;
+    links.retransmits = limits_links;
+    links.arrival = [this](auto const& from, auto const& to, std::size_t bytes, Instant now) {
+        return arrival(from, to, bytes, now);
+    };
     m_links = std::make_unique<LinkLayer>(
         [this](auto const& from, auto const& to) { return link_state(from, to); },
-        [this](auto const& ends) { return m_owners.IpOf(ends); });
-    for (std::uint32_t i = 0; i < m_options.controls; ++i) {
-        runtime::SocketAddress address {ip_of(control_machine(i)), m_ports[PeerPort].address().port};
-        auto const added = Attempt([&] { return m_links->AddEndpoint(address); });
-        if (ErrorOf(added) != nullptr) {
-            std::fprintf(stderr, "soak: the relay could not listen for %s.\n", address.ip.c_str());
-            std::exit(EXIT_FAILURE);
-        }
-    }
-    for (std::uint32_t i = 0; m_options.coordinating && i < m_options.routers; ++i) {
-        runtime::SocketAddress address {ip_of(router_machine(i)), m_ports[HttpPort].address().port};
-        auto const added = Attempt([&] { return m_links->AddEndpoint(address); });
-        if (ErrorOf(added) != nullptr) {
-            std::fprintf(stderr, "soak: the relay could not listen for %s.\n", address.ip.c_str());
-            std::exit(EXIT_FAILURE);
-        }
+        [this](auto const& ends) {
+            // Only callers dial this port, and they are no process of the fleet.
+            auto const is_caller = ends.relay.port == m_ports[CallerPort].address().port;
+            return is_caller ? std::string() : m_owners.IpOf(ends);
+        },
+        links);
+    for (std::uint32_t i = 0; i < m_options.controls; ++i)
+        add_endpoint(control_machine(i), PeerPort);
+    for (std::uint32_t i = 0; i < m_options.routers; ++i) {
+        if (m_options.coordinating)
+            add_endpoint(router_machine(i), HttpPort);
+        if (limits_links)
+            add_endpoint(router_machine(i), CallerPort);
     }
     if (m_options.processor < 1)
         m_quota.emplace(m_options.processor);
@@ -128,6 +136,39 @@
     m_processes.clear();
 }
 
+auto SoakedFleet::add_endpoint(Machine machine, Port port) -> void
+{
+    runtime::SocketAddress const address {ip_of(machine), m_ports[port].address().port};
+    auto const added = Attempt([&] { return m_links->AddEndpoint(address); });
+    if (ErrorOf(added) == nullptr)
+        return;
+    std::fprintf(stderr, "soak: the relay could not listen for %s.\n", address.ip.c_str());
+    std::exit(EXIT_FAILURE);
+}
+
+auto SoakedFleet::arrival(std::string const& from, std::string const& to, std::size_t bytes, Instant now)
+    -> Instant
+{
+    // What a router passes on between a caller and a worker crosses its link twice, and the relay carries
+    // only the caller's side.
+    auto const is_caller = from.empty() || to.empty();
+    auto const crossing = is_caller ? 2 * bytes : bytes;
+    auto at = now;
+    if (auto const it = m_router_links.find(from); it != m_router_links.end())
+        at = it->second.sent.Send(crossing, at);
+    if (auto const it = m_router_links.find(to); it != m_router_links.end())
+        at = it->second.received.Send(crossing, at);
+    return at;
+}
+
+auto SoakedFleet::longest_link_wait() const -> Duration
+{
+    Duration longest {};
+    for (auto const& [ip, link] : m_router_links)
+        longest = std::max({longest, link.sent.longest_wait(), link.received.longest_wait()});
+    return longest;
+}
+
 auto SoakedFleet::ip_of(Machine machine) -> std::string
 {
     return "127.0.78." + std::to_string(machine);
@@ -143,7 +184,8 @@
 
 auto SoakedFleet::caller_address(std::uint32_t router) const -> std::string
 {
-    return at_port(ip_of(router_machine(router)), CallerPort);
+    auto const ip = ip_of(router_machine(router));
+    return at_port(m_options.router_link_mbps > 0 ? LinkLayer::RelayIp(ip) : ip, CallerPort);
 }
 
 auto SoakedFleet::at_port(std::string const& ip, Port port) const -> std::string
--- a/testbed/soak/soaked_fleet.h
+++ b/testbed/soak/soaked_fleet.h
@@ -15,6 +15,7 @@
 
 #include "testbed/fleet/child_process.h"
 #include "testbed/fleet/link_layer.h"
+#include "testbed/fleet/link_rate.h"
 #include "testbed/fleet/reserved_port.h"
 #include "testbed/fleet/socket_owners.h"
 #include "testbed/registered/fleet_machine.h"
@@ -51,6 +52,9 @@
     std::uint32_t losses_tolerated = 1;
     double processor = 1; ///< Part of a core that each control process may use; 1: not limited.
     double router_processor = 1; ///< The same of routers.
+    /// Bandwidth of each router's link, each way; 0: not limited. Otherwise callers reach routers over the
+    /// relay too, and connections over a link that was cut resume as TCP's do.
+    double router_link_mbps = 0;
     bool stating = false; ///< Workers name limits, ask for rests and say that they leave.
     bool warming = false; ///< Workers that start in place of others warm up.
     bool coordinating = false; ///< Routers reach each other through the relay to coordinate admission.
@@ -97,6 +101,11 @@
 
     auto replacements() const -> Replacements { return m_replacements; }
 
+    /// The longest time for which bytes have waited at a router's link. Once the relay has ended.
+    auto longest_link_wait() const -> Duration;
+    /// Ends the relay, and with it all links.
+    auto end_links() -> void { m_links.reset(); }
+
 private:
     using Machine = std::uint32_t; ///< Controls from 1, routers after them.
     /// Ports, the same on all machines.
@@ -147,11 +156,19 @@
     /// Open connections with a process carry nothing any more.
     auto silence(std::string const& ip) -> void;
     auto link_state(std::string const& from, std::string const& to) const -> LinkState;
+    auto add_endpoint(Machine, Port) -> void;
+    /// When bytes that are sent now have arrived, by the bandwidths of the links on their way.
+    auto arrival(std::string const& from, std::string const& to, std::size_t bytes, Instant now) -> Instant;
 
     FleetOptions const m_options;
     ProgramNames const m_names;
     std::vector<ReservedPort> m_ports;
     SocketOwners m_owners;
+    struct RouterLink {
+        LinkRate sent;
+        LinkRate received;
+    };
+    std::map<std::string, RouterLink> m_router_links; ///< By address; the relay's thread uses them.
     std::unique_ptr<LinkLayer> m_links;
     std::map<Machine, ChildProcess> m_processes;
     // After the processes, so that they end first.
--- a/testbed/soak/version_promises.cc
+++ b/testbed/soak/version_promises.cc
@@ -201,6 +201,7 @@
     auto const versions = possible_versions(seen);
     auto const handled = handlings(seen);
     LookedAt looked;
+    std::set<std::uint64_t> telling_rounds;
     for (auto const& probe : seen.probes) {
         if (!is_changing(probe.path) || !tells(handled.at(probe.answer.attempt)) || !is_in_calm(seen, probe))
             continue;
@@ -215,9 +216,13 @@
             return it.version < probe.version
                 && !std::includes(allowed.begin(), allowed.end(), services.begin(), services.end());
         });
-        if (told_apart)
-            ++looked.telling;
+        if (!told_apart)
+            continue;
+        ++looked.telling;
+        if (probe.round)
+            telling_rounds.insert(*probe.round);
     }
+    looked.telling_rounds = telling_rounds.size();
     return looked;
 }
 
--- a/testbed/soak/version_promises.h
+++ b/testbed/soak/version_promises.h
@@ -23,6 +23,7 @@
     std::uint64_t in_calm = 0; ///< Probes of changing paths, router in touch and control group calm.
     /// Of those, the ones that an older version would have handled otherwise.
     std::uint64_t telling = 0;
+    std::uint64_t telling_rounds = 0; ///< Rounds of probes to all routers with such a probe.
 };
 auto looked_at(Observed const&) -> LookedAt;
 
