Tell by which state a request was routed, and for whom an acknowledgement did not wait

Cause: the logs could not tell a request that was routed long before it was sent, a leader that acknowledged without waiting, and the path of a late update apart. No decision changes.

--- a/src/control/configuration_rollout.cc
+++ b/src/control/configuration_rollout.cc
@@ -29,6 +29,7 @@
 /// Maximum number of routers recorded as behind by one check. With hundreds of lagging routers,
 /// further records add no information.
 constexpr int kRoutersReportedPerCheckMaximum = 16;
+constexpr std::size_t kLaggingRoutersNamedMaximum = 8;
 /// Interval of checks while acknowledgements are pending, which detect awaited routers that have
 /// stopped polling.
 constexpr Duration kAcknowledgementCheckInterval{50'000};
@@ -58,8 +59,8 @@
   std::erase_if(held_, [&](const Held& held) {
     const bool over = now >= held.until;
     if (!over && !IsReadyToAcknowledge(held, now)) return false;
-    if (over) StopAwaiting(held, now);
     NoteAcknowledged(held, now);
+    if (over) StopAwaiting(held, now);
     due.push_back({held.request, held.version});
     return true;
   });
@@ -101,11 +102,26 @@
 
 void ConfigurationRollout::NoteAcknowledged(const Held& held, Instant now) {
   const Instant committed = held.until - kAcknowledgementWaitMaximum;
-  const auto behind = std::count_if(routers_.begin(), routers_.end(), [&](const auto& entry) {
-    return entry.second.version < held.version && IsReachable(entry.second, now);
-  });
+  std::string lagging;
+  std::size_t behind = 0;
+  for (const auto& [id, router] : routers_) {
+    if (router.version >= held.version || !IsReachable(router, now)) continue;
+    if (++behind > kLaggingRoutersNamedMaximum) continue;
+    lagging += (lagging.empty() ? ": " : "; ") + DescribeLagging(id, router, now);
+  }
   Note("configuration_acknowledged", {newest_.configuration, held.version, committed}, {},
-       InMs(now - committed) + " after commit, " + std::to_string(behind) + " routers behind");
+       InMs(now - committed) + " after commit, " + std::to_string(behind) + " routers behind" +
+           lagging);
+}
+
+std::string ConfigurationRollout::DescribeLagging(const RouterId& id, const Router& router,
+                                                  Instant now) const {
+  const Duration silence = now - router.last_poll_at;
+  const std::string_view reason = silence > kAwaitedIfPolledWithin ? "silent"
+                                  : router.awaited                 ? "awaited in vain"
+                                                                   : "missed an earlier change";
+  return id.value + " " + std::string(reason) + ", at version " + std::to_string(router.version) +
+         ", last poll " + InMs(silence) + " ago";
 }
 
 void ConfigurationRollout::RecordPoll(const RouterId& id, std::uint64_t version, Instant now) {
--- a/src/control/configuration_rollout.h
+++ b/src/control/configuration_rollout.h
@@ -20,7 +20,8 @@
 /// Tracks each change from its commit until every reachable router has reported in a poll that it
 /// has applied it. The event log records show at which step a router lags: what was committed, what
 /// was sent to it, what it reported and when it last polled; the router's own log has when it
-/// received and applied a change. Volume: three records per change, and two for each period in
+/// received and applied a change. The record of an acknowledgement names the routers that lacked
+/// the change, and why it did not wait for them. Volume: three records per change, and two for each period in
 /// which a router is behind.
 ///
 /// Invariant: an acknowledgement is sent when every reachable router has reported that it has the
@@ -101,6 +102,8 @@
   /// Marks the routers for which an acknowledgement waited in vain as no longer awaited.
   void StopAwaiting(const Held& held, Instant now);
   void NoteAcknowledged(const Held& held, Instant now);
+  /// Why an acknowledgement leaves although this router has not reported the change.
+  std::string DescribeLagging(const RouterId& id, const Router& router, Instant now) const;
   bool IsBehind(const Router& router, Instant now) const;
   void NoteBehind(const RouterId& id, Router& router, Instant now);
   /// Completes the changes that all reachable routers have applied.
--- a/src/daemon/gateway/gateway_process.cc
+++ b/src/daemon/gateway/gateway_process.cc
@@ -111,7 +111,9 @@
   control.answer_timeout = settings_.poll_interval;
   control_ = std::make_unique<protocol::RouterControlClient>(
       control, metrics_registry_,
-      [this](const control::ControlToRouter& answer) { OnControlMessage(answer); },
+      [this](const control::ControlToRouter& answer, const std::string& from) {
+        OnControlMessage(answer, from);
+      },
       [this](bool connected) {
         events_.Write(runtime::EventWeight::kNotable,
                       runtime::EventLine(connected ? "control_connected" : "control_lost"));
@@ -405,10 +407,11 @@
 
 // --- Control and time ---
 
-void GatewayProcess::OnControlMessage(const control::ControlToRouter& message) {
+void GatewayProcess::OnControlMessage(const control::ControlToRouter& message,
+                                      const std::string& from) {
   if (const auto* update = std::get_if<control::TrafficUpdate>(&message)) {
-    const Instant received = runtime::BootTimeNow();
-    asio::post(loop_.context(), [this, update = *update, received] { OnUpdate(update, received); });
+    const Receipt receipt{runtime::BootTimeNow(), from};
+    asio::post(loop_.context(), [this, update = *update, receipt] { OnUpdate(update, receipt); });
   } else if (const auto* hints = std::get_if<control::TrafficHints>(&message)) {
     asio::post(loop_.context(),
                [this, hints = *hints] { Run(node_.OnHints(hints, runtime::BootTimeNow())); });
@@ -418,13 +421,13 @@
   }
 }
 
-void GatewayProcess::OnUpdate(const traffic::TrafficUpdate& update, Instant received) {
+void GatewayProcess::OnUpdate(const traffic::TrafficUpdate& update, const Receipt& receipt) {
   const bool was_ready = node_.Ready();
   const traffic::ConfigurationVersion before = node_.configuration();
   Run(node_.OnUpdate(update, runtime::BootTimeNow()));
   if (update.limits) ApplyLimits();
   metrics_.OnVersion(node_.version(), node_.configuration().value);
-  if (node_.configuration() != before) LogConfiguration(update, received);
+  if (node_.configuration() != before) LogConfiguration(update, receipt);
   control_->SetStateVersion(node_.version());
   if (node_.feed() != feed_) FollowFeed();
   if (node_.HasUnreportedConfiguration()) Poll();
@@ -451,13 +454,15 @@
   Poll();
 }
 
-void GatewayProcess::LogConfiguration(const traffic::TrafficUpdate& update, Instant received) {
-  const Duration waited = runtime::BootTimeNow() - received;
+void GatewayProcess::LogConfiguration(const traffic::TrafficUpdate& update,
+                                      const Receipt& receipt) {
+  const Duration waited = runtime::BootTimeNow() - receipt.at;
   events_.Write(runtime::EventWeight::kNotable,
                 runtime::EventLine("configuration_applied")
                     .Add("configuration", node_.configuration().value)
                     .Add("version", node_.version())
                     .Add("base", update.base)
+                    .Add("from", receipt.from)
                     .Add("received_us_ago", static_cast<std::int64_t>(waited.count())));
 }
 
--- a/src/daemon/gateway/gateway_process.h
+++ b/src/daemon/gateway/gateway_process.h
@@ -59,15 +59,21 @@
     gateway::RequestSummary summary;
   };
 
+  /// When, and from which control process, a message arrived.
+  struct Receipt {
+    Instant at{};
+    std::string from;  ///< "ip:port".
+  };
+
   void OnExchange(const std::shared_ptr<event_http::Exchange>& exchange);
   void OnStatus(const std::shared_ptr<event_http::Exchange>& exchange) const;
   /// Runs on the control connections' thread.
-  void OnControlMessage(const control::ControlToRouter& message);
-  void OnUpdate(const traffic::TrafficUpdate& update, Instant received);
+  void OnControlMessage(const control::ControlToRouter& message, const std::string& from);
+  void OnUpdate(const traffic::TrafficUpdate& update, const Receipt& receipt);
   /// Takes the state from the process that the leader named last.
   void FollowFeed();
   void OnFeedLost();
-  void LogConfiguration(const traffic::TrafficUpdate& update, Instant received);
+  void LogConfiguration(const traffic::TrafficUpdate& update, const Receipt& receipt);
   void Run(gateway::GatewayEffects effects);
   void Do(const gateway::SendAttempt& send);
   void Do(const gateway::ProbeInstance& probe);
--- a/src/daemon/router/main.cc
+++ b/src/daemon/router/main.cc
@@ -154,7 +154,9 @@
   control_options.security = settings.security;
   auto client = std::make_unique<protocol::RouterControlClient>(
       control_options, metrics,
-      [&driver](const control::ControlToRouter& message) { driver.OnControlMessage(message); },
+      [&driver](const control::ControlToRouter& message, const std::string& /*from*/) {
+        driver.OnControlMessage(message);
+      },
       [&driver](bool connected) {
         if (connected) driver.OnControlConnected();
       });
--- a/src/gateway/gateway_events.h
+++ b/src/gateway/gateway_events.h
@@ -193,11 +193,19 @@
   std::string inputs;            ///< Inputs of the decision, with ages or versions.
 };
 
+/// When, and by which traffic state, a request was routed.
+struct RoutingDecision {
+  std::uint64_t version = 0;  ///< Of the traffic state; 0 before the decision.
+  Instant decided_at{};
+  Instant confirmed_at{};  ///< As of when a leader had confirmed the configuration by then.
+};
+
 /// What the log tells of a request that ended.
 struct RequestSummary {
   RequestNumber request;
   Duration target_latency{};  ///< Zero when no route was found for it.
   Duration age{};             ///< How long its caller had been trying when it came.
+  RoutingDecision routing;
   /// Last known work time of the server that got its newest attempt, in percent of the usual.
   std::optional<double> work_percent = std::nullopt;
 };
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -227,6 +227,7 @@
     return EndWithoutRun(request, confirmed ? RefusalReason::kNoRoute : RefusalReason::kUnconfirmed,
                          now);
   }
+  request.routing = {version(), now, confirmed_at_};
   request.priority = route->priority;
   if (const auto refused = ResolveTenant(request, *route, now)) {
     return EndWithoutRun(request, *refused, now);
--- a/src/gateway/live_request.h
+++ b/src/gateway/live_request.h
@@ -52,6 +52,7 @@
   traffic::RouteKind kind = traffic::RouteKind::kUnsafe;
   std::uint32_t attempts_maximum = 1;
   ServiceName service;
+  RoutingDecision routing;
   traffic::TenantName tenant;  ///< Empty when the request presented no API key.
   std::int64_t priority = 0;
   Duration target_latency{};
--- a/src/gateway/request_ending.cc
+++ b/src/gateway/request_ending.cc
@@ -138,6 +138,7 @@
   RequestSummary& summary = effects_.ended.emplace_back();
   summary.request = request.arrived.number;
   summary.target_latency = request.target_latency;
+  summary.routing = request.routing;
   summary.age = request.age;
   if (request.tried.empty()) return;
   const Backend* const server = traffic_.backends().Find(request.tried.back());
--- a/src/protocol/router_control_client.cc
+++ b/src/protocol/router_control_client.cc
@@ -193,7 +193,7 @@
     return std::nullopt;
   }
   tracker_.OnAnswered(address, answer);
-  on_answer_(answer);
+  on_answer_(answer, address);
   return std::nullopt;
 }
 
--- a/src/protocol/router_control_client.h
+++ b/src/protocol/router_control_client.h
@@ -42,7 +42,9 @@
 class RouterControlClient {
  public:
   /// Receives all answers except NotLeader, which the client handles itself.
-  using AnswerHandler = std::function<void(const control::ControlToRouter& answer)>;
+  /// @param from address "ip:port" of the control process that sent it.
+  using AnswerHandler =
+      std::function<void(const control::ControlToRouter& answer, const std::string& from)>;
   /// Called with true when the first connection is ready and with false when the last one is lost.
   using ConnectedHandler = std::function<void(bool connected)>;
 
--- a/tests/testbed/silent_connection_test.cc
+++ b/tests/testbed/silent_connection_test.cc
@@ -109,7 +109,7 @@
   protocol::RouterControlClientOptions options;
   options.router = {"r"};
   options.control = {link.address()};
-  protocol::RouterControlClient client(options, link.metrics, [](const auto&) {});
+  protocol::RouterControlClient client(options, link.metrics, [](const auto&, const auto&) {});
   client.Send(Poll(1));
   cr_assert(link.polls.RisesAbove(0));
   link.FallSilent();
