Reproduce gateways that run moved routes while one control process can't keep up

What callers saw: requests run by the former service of a route, seconds after the change was acknowledged, at the gateways of one zone. Change: faults that leave one control process hardly any processor time, or a narrow link to routers (--starving), and faults of named kinds alone (--only). While they last, a router may refuse and the group may be slow; what was acknowledged holds.

--- a/testbed/soak/arguments.cc
+++ b/testbed/soak/arguments.cc
@@ -15,9 +15,9 @@
 
     constexpr char usage[]
         = "Usage: graniteseam-soak [--seed N] [--seeds N] [--parallel K] [--size small|large|crowd|wide] "
-          "[--faults N]\n"
-          "                        [--crashing] [--silencing] [--stating] [--warming] [--coordinating]\n"
-          "                        [--processor SHARE] [--keep] [--folder DIR] [--programs DIR] [--templates "
+          "[--faults N] [--only KINDS]\n"
+          "                        [--crashing] [--silencing] [--starving] [--stating] [--warming]\n"
+          "                        [--coordinating] [--processor SHARE] [--keep] [--folder DIR] [--programs DIR] [--templates "
           "DIR]\n"
           "  --seed N       first seed; without it one is drawn and printed\n"
           "  --seeds N      how many, from the first on (1)\n"
@@ -25,12 +25,14 @@
           "  --size SIZE    of all runs; without it drawn from the seed, one in four large, none a crowd or wide\n"
           "  --crashing     some requests end each worker that runs them, as in a crowd\n"
           "  --silencing    open connections with control fall silent for good, and new ones work\n"
+          "  --starving     control processes get hardly any processor time for seconds\n"
           "  --stating      workers name limits, ask for rests and say that they leave\n"
           "  --warming      workers warm up after their starts\n"
           "  --coordinating routers coordinate admission at workers whose leases come by heartbeat\n"
           "  --processor X  part of a core that each control process and each router may use\n"
           "  --keep         logs and data of seeds that kept every promise, too\n"
           "  --faults N     of each run (20, a large one 45, a crowd 10)\n"
+          "  --only KINDS   faults of these kinds alone, such as kill_router,cut_control\n"
           "  --folder DIR   for data and logs; those of failed seeds are kept\n"
           "  --programs DIR where graniteseam-platform-* are (beside this program)\n"
           "  --templates DIR where their settings templates are (platform)\n";
@@ -48,6 +50,23 @@
         return std::nullopt;
     }
 
+    /// Adds kinds of faults, separated by commas.
+    auto read_kinds(std::string_view text, std::set<FaultKind>& kinds) -> bool
+    {
+        while (!text.empty()) {
+            auto const name = text.substr(0, text.find(','));
+            auto const kind = kind_named(name);
+            if (!kind) {
+                std::fprintf(stderr, "There is no kind of fault with the name '%.*s'.\n",
+                    static_cast<int>(name.size()), name.data());
+                return false;
+            }
+            kinds.insert(*kind);
+            text.remove_prefix(std::min(text.size(), name.size() + 1));
+        }
+        return true;
+    }
+
 } // namespace
 
 auto read_arguments(int argc, char** argv) -> std::optional<Arguments>
@@ -56,9 +75,10 @@
         {"seeds", required_argument, nullptr, 'n'}, {"parallel", required_argument, nullptr, 'k'},
         {"size", required_argument, nullptr, 'z'}, {"crashing", no_argument, nullptr, 'x'},
         {"silencing", no_argument, nullptr, 'i'}, {"stating", no_argument, nullptr, 'g'},
+        {"starving", no_argument, nullptr, 'v'},
         {"warming", no_argument, nullptr, 'w'}, {"coordinating", no_argument, nullptr, 'o'},
         {"processor", required_argument, nullptr, 'c'}, {"keep", no_argument, nullptr, 'e'},
-        {"faults", required_argument, nullptr, 'f'}, {"folder", required_argument, nullptr, 'd'},
+        {"faults", required_argument, nullptr, 'f'}, {"only", required_argument, nullptr, 'l'}, {"folder", required_argument, nullptr, 'd'},
         {"programs", required_argument, nullptr, 'p'}, {"templates", required_argument, nullptr, 't'}, {}};
     Arguments arguments;
     arguments.first_seed = std::random_device {}();
@@ -87,6 +107,9 @@
         case 'i':
             arguments.silencing = true;
             break;
+        case 'v':
+            arguments.starving = true;
+            break;
         case 'g':
             arguments.stating = true;
             break;
@@ -105,6 +128,12 @@
         case 'f':
             arguments.faults = static_cast<std::uint32_t>(std::strtoul(optarg, nullptr, 10));
             break;
+        case 'l':
+            if (!read_kinds(optarg, arguments.only)) {
+                std::fputs(usage, stderr);
+                return std::nullopt;
+            }
+            break;
         case 'd':
             arguments.folder = optarg;
             break;
--- a/testbed/soak/arguments.h
+++ b/testbed/soak/arguments.h
@@ -4,8 +4,10 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 
+#include "testbed/soak/fault_plan.h"
 #include "testbed/soak/run_shape.h"
 
 namespace graniteseam::testbed::soak {
@@ -15,9 +17,11 @@
     std::uint64_t seeds = 1;
     std::uint64_t parallel = 1;
     std::optional<std::uint32_t> faults;
+    std::set<FaultKind> only;
     std::optional<RunSize> size;
     bool crashing = false;
     bool silencing = false;
+    bool starving = false;
     bool stating = false;
     bool warming = false;
     bool coordinating = false;
--- a/testbed/soak/calm.h
+++ b/testbed/soak/calm.h
@@ -19,12 +19,23 @@
     });
 }
 
+/// Whether no span of these reaches from `contact` before an instant until another one.
+inline auto none_within(std::vector<SeenCoreDisturbance> const& spans, Instant from, Instant until) -> bool
+{
+    return std::none_of(spans.begin(), spans.end(),
+        [&](auto const& it) { return it.begun <= until && from <= it.ended + contact; });
+}
+
 /// Whether nothing disturbed the control group from `contact` before an instant until another one.
 inline auto core_is_calm(Observed const& seen, Instant from, Instant until) -> bool
 {
-    return from - contact >= seen.settled
-        && std::none_of(seen.core_disturbances.begin(), seen.core_disturbances.end(),
-            [&](auto const& it) { return it.begun <= until && from <= it.ended + contact; });
+    return from - contact >= seen.settled && none_within(seen.core_disturbances, from, until);
+}
+
+/// Whether the control group was calm and had its processor time as well.
+inline auto core_is_unstrained(Observed const& seen, Instant from, Instant until) -> bool
+{
+    return core_is_calm(seen, from, until) && none_within(seen.core_strains, from, until);
 }
 
 } // namespace graniteseam::testbed::soak
--- a/testbed/soak/fault_plan.cc
+++ b/testbed/soak/fault_plan.cc
@@ -50,6 +50,10 @@
             &PlanBounds::silencing},
         {FaultKind::SilenceControl, "silence_control", Duration {1'000}, Duration {10'000}, 3, Role::Control,
             &PlanBounds::silencing},
+        {FaultKind::StarveControl, "starve_control", Duration {3'000'000}, Duration {8'000'000}, 8,
+            Role::Control, &PlanBounds::starving},
+        {FaultKind::NarrowControl, "narrow_control", Duration {4'000'000}, Duration {9'000'000}, 8,
+            Role::Control, &PlanBounds::starving},
         {FaultKind::ScaleIn, "scale_in", Duration {4'000'000}, Duration {6'000'000}, 8, Role::Worker,
             &PlanBounds::crowded},
     });
@@ -118,6 +122,9 @@
             return false;
         if (is_reload(a.kind) || is_reload(b.kind) || traits_of(a.kind).role != traits_of(b.kind).role)
             return true;
+        // The group is to bear one control process that can't keep up, beside what hits others.
+        if (strains_core(a.kind) && strains_core(b.kind))
+            return false;
         auto const disk = a.kind == FaultKind::LoseDisk || b.kind == FaultKind::LoseDisk;
         if (disk && hits_control(a.kind))
             return false;
@@ -131,7 +138,8 @@
     auto draw_kind(std::uint64_t drawn, PlanBounds const& bounds) -> KindTraits const&
     {
         auto const weight_of = [&](auto const& it) -> std::uint64_t {
-            auto const drawn_here = it.only_with == nullptr || bounds.*it.only_with;
+            auto const drawn_here = (it.only_with == nullptr || bounds.*it.only_with)
+                && (bounds.only.empty() || bounds.only.contains(it.kind));
             return drawn_here ? it.weight : 0;
         };
         auto const total = std::accumulate(kind_traits.begin(), kind_traits.end(), std::uint64_t {0},
@@ -152,9 +160,21 @@
     return traits_of(kind).name;
 }
 
+auto kind_named(std::string_view name) -> std::optional<FaultKind>
+{
+    auto const* const it = std::find_if(
+        kind_traits.begin(), kind_traits.end(), [&](auto const& traits) { return traits.name == name; });
+    return it == kind_traits.end() ? std::nullopt : std::optional(it->kind);
+}
+
 auto disturbs_core(FaultKind kind) -> bool
 {
-    return hits_control(kind) && !is_reload(kind);
+    return hits_control(kind) && !is_reload(kind) && !strains_core(kind);
+}
+
+auto strains_core(FaultKind kind) -> bool
+{
+    return kind == FaultKind::StarveControl || kind == FaultKind::NarrowControl;
 }
 
 auto plan_faults(std::uint64_t seed, PlanBounds const& bounds) -> std::vector<Fault>
--- a/testbed/soak/fault_plan.h
+++ b/testbed/soak/fault_plan.h
@@ -4,6 +4,8 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
+#include <set>
 #include <span>
 #include <string_view>
 #include <vector>
@@ -34,14 +36,20 @@
     DeregisterWorker, ///< Says that it is gone, serves on for the span; another one starts at its address.
     SilenceRouter, ///< Its open connections to control carry nothing any more; new ones work.
     SilenceControl, ///< The same of a control process's connections with peers and routers.
+    StarveControl, ///< Gets hardly any processor time; its machine and links are as before.
+    NarrowControl, ///< What it sends to routers shares a narrow link; its peers hear it as before.
     ScaleIn, ///< Many workers say at the same moment that they leave; others start at their addresses.
 };
 
 auto name_of(FaultKind kind) -> std::string_view;
+auto kind_named(std::string_view name) -> std::optional<FaultKind>;
 
 /// Whether it takes a control process away for a time, or cuts one off.
 auto disturbs_core(FaultKind kind) -> bool;
 
+/// Whether it leaves a control process too little of something to keep up, and takes none away.
+auto strains_core(FaultKind kind) -> bool;
+
 struct Fault {
     FaultKind kind = FaultKind::KillControl;
     Duration at {}; ///< Since the start of traffic.
@@ -63,6 +71,8 @@
     std::uint32_t faults = 20;
     bool crowded = false; ///< Draws what hits many workers at once, too.
     bool silencing = false; ///< Draws connections that fall silent, too.
+    std::set<FaultKind> only; ///< The kinds that are drawn; empty: all that the other bounds allow.
+    bool starving = false; ///< Draws control processes that are short of processor time, too.
 };
 
 /// Faults in the order of their times. At most one disk is lost at once: while a control process that
--- a/testbed/soak/probes.cc
+++ b/testbed/soak/probes.cc
@@ -39,7 +39,10 @@
         if (result.end != event_http::CallEnd::kAnswered)
             return;
         answer.status = result.response.status;
-        answer.unconfirmed = result.response.body.find("\"unconfirmed\"") != std::string::npos;
+        auto const names = [&](char const* reason) {
+            return result.response.body.find(reason) != std::string::npos;
+        };
+        answer.unconfirmed = names("\"unconfirmed\"") || names("\"outdated\"");
     }
 
     /// Sends one request to each router at one moment. Not thread safe.
--- a/testbed/soak/processor_quota.cc
+++ b/testbed/soak/processor_quota.cc
@@ -24,10 +24,15 @@
             std::chrono::seconds(used.tv_sec) + std::chrono::nanoseconds(used.tv_nsec));
     }
 
+    auto allowed_by(double share) -> Duration
+    {
+        return Duration {static_cast<std::int64_t>(share * static_cast<double>(period.count()))};
+    }
+
 } // namespace
 
 ProcessorQuota::ProcessorQuota(double share)
-    : m_allowed(static_cast<std::int64_t>(share * static_cast<double>(period.count())))
+    : m_allowed(allowed_by(share))
     , m_thread([this](std::stop_token const& stop) { run(stop); })
 {
 }
@@ -45,7 +50,17 @@
 auto ProcessorQuota::add(pid_t process) -> void
 {
     std::lock_guard const lock(m_mutex);
-    m_accounts[process] = {used_by(process), false};
+    auto& account = m_accounts[process];
+    if (account.stopped)
+        ::kill(process, SIGCONT);
+    account = {used_by(process), false, m_allowed};
+}
+
+auto ProcessorQuota::set_share(pid_t process, double share) -> void
+{
+    std::lock_guard const lock(m_mutex);
+    if (auto const it = m_accounts.find(process); it != m_accounts.end())
+        it->second.allowed = allowed_by(share);
 }
 
 auto ProcessorQuota::remove(pid_t process) -> void
@@ -81,7 +96,7 @@
             if (account.stopped)
                 ::kill(process, SIGCONT);
             account.stopped = false;
-        } else if (!account.stopped && used - account.used_at_start >= m_allowed) {
+        } else if (!account.stopped && used - account.used_at_start >= account.allowed) {
             account.stopped = true;
             ::kill(process, SIGSTOP);
         }
--- a/testbed/soak/processor_quota.h
+++ b/testbed/soak/processor_quota.h
@@ -24,6 +24,8 @@
     auto operator=(ProcessorQuota const&) -> ProcessorQuota& = delete;
 
     auto add(pid_t) -> void;
+    /// Gives a process another part of a core than the others; add() gives it the usual one again.
+    auto set_share(pid_t, double share) -> void;
     /// From here on the process is not signalled, whatever became of it. Leaves it running.
     auto remove(pid_t) -> void;
 
@@ -31,12 +33,13 @@
     struct Account {
         Duration used_at_start {}; ///< Processor time when the present period began.
         bool stopped = false;
+        Duration allowed {}; ///< In one period.
     };
 
     auto run(std::stop_token const&) -> void;
     auto look(bool new_period) -> void;
 
-    Duration const m_allowed; ///< In one period.
+    Duration const m_allowed; ///< In one period, where no other share was set.
     std::mutex m_mutex; ///< Guards the accounts, and that only those are signalled.
     std::map<pid_t, Account> m_accounts;
     std::jthread m_thread;
--- a/testbed/soak/promises.cc
+++ b/testbed/soak/promises.cc
@@ -254,7 +254,8 @@
     }
 
     /// While the control group was disturbed, changes need not be in force anywhere sooner than after the
-    /// last disturbance, so that only calm time is looked at.
+    /// last disturbance, so that only calm time is looked at. While it was strained, a router may say that it
+    /// is not sure of its configuration.
     auto check_in_force(Observed const& seen, std::vector<Breach>& breaches) -> void
     {
         constexpr int no_such_route = 404;
@@ -264,7 +265,9 @@
                 continue;
             auto const calm = core_is_calm(seen, acknowledged, answer.sent)
                 && in_touch(seen, answer.router, answer.sent, answer.sent);
-            if (calm)
+            auto const may_be_unsure = answer.unconfirmed
+                && !core_is_unstrained(seen, acknowledged, answer.sent);
+            if (calm && !may_be_unsure)
                 add(breaches, "in_force",
                     "router " + std::to_string(answer.router) + " did not know version "
                         + std::to_string(version) + " " + InMs(answer.sent - acknowledged)
@@ -286,7 +289,7 @@
             auto const due = change->sent + answered_within;
             auto const it = clear.find(name);
             auto const late = it == clear.end() ? seen.ended >= due : it->second > due;
-            if (late && core_is_calm(seen, change->sent, due))
+            if (late && core_is_unstrained(seen, change->sent, due))
                 add(breaches, "acknowledged",
                     "version " + std::to_string(name.first) + " had no clear answer after "
                         + InMs(answered_within) + " of calm");
@@ -297,7 +300,7 @@
     {
         for (auto const& failed : seen.read_tries) {
             auto const due = failed.sent + answered_within;
-            if (failed.answered || due > seen.ended || !core_is_calm(seen, failed.sent, due))
+            if (failed.answered || due > seen.ended || !core_is_unstrained(seen, failed.sent, due))
                 continue;
             auto const answered = std::any_of(seen.read_tries.begin(), seen.read_tries.end(),
                 [&](auto const& it) { return it.answered && it.ended >= failed.sent && it.ended <= due; });
--- a/testbed/soak/promises.h
+++ b/testbed/soak/promises.h
@@ -101,6 +101,9 @@
     std::map<std::string, Instant> worker_ends; ///< Of those that ended, by id.
     std::vector<SeenDisturbance> disturbances;
     std::vector<SeenCoreDisturbance> core_disturbances;
+    /// Spans in which a control process was short of processor time. The group may be slow then; what it
+    /// acknowledges holds all the same.
+    std::vector<SeenCoreDisturbance> core_strains;
     Instant ended {}; ///< When the callers and the operator were told to stop.
     Instant settled {}; ///< When all processes had started and found each other.
     std::vector<Instant> thaws; ///< When a control process that had stood still went on.
--- a/testbed/soak/run_shape.h
+++ b/testbed/soak/run_shape.h
@@ -29,6 +29,7 @@
     double router_processor = 1; ///< The same of routers.
     double router_link_mbps = 0; ///< Bandwidth of each router's link, each way; 0: not limited.
     bool silencing = false; ///< Open connections to control fall silent for good at times.
+    bool starving = false; ///< Control processes are short of processor time at times.
     bool crashing = false; ///< Some requests end each worker that runs them.
     bool stating = false; ///< Workers name limits, ask for rests and say that they leave.
     bool warming = false; ///< Workers warm up after their starts.
--- a/testbed/soak/soak.cc
+++ b/testbed/soak/soak.cc
@@ -171,6 +171,7 @@
         options.stating = shape.stating;
         options.warming = shape.warming;
         options.coordinating = shape.coordinating;
+        options.starving = shape.starving;
         return options;
     }
 
@@ -308,6 +309,7 @@
         auto shape = draw_shape(seed, arguments.size);
         shape.crashing = shape.crashing || arguments.crashing;
         shape.silencing = arguments.silencing;
+        shape.starving = arguments.starving;
         shape.stating = arguments.stating;
         shape.warming = arguments.warming;
         shape.coordinating = arguments.coordinating;
@@ -320,6 +322,8 @@
         bounds.workers = workers_of(shape);
         bounds.crowded = shape.crowded;
         bounds.silencing = shape.silencing;
+        bounds.starving = shape.starving;
+        bounds.only = arguments.only;
         bounds.faults = arguments.faults.value_or(shape.faults);
         auto const plan = plan_faults(seed, bounds);
         auto const options = fleet_options(shape, seed, arguments);
--- a/testbed/soak/soaked_fleet.cc
+++ b/testbed/soak/soaked_fleet.cc
@@ -103,7 +103,7 @@
         if (limits_links)
             add_endpoint(router_machine(i), CallerPort);
     }
-    if (m_options.processor < 1)
+    if (m_options.processor < 1 || m_options.starving)
         m_quota.emplace(m_options.processor);
     if (m_options.router_processor < 1)
         m_router_quota.emplace(m_options.router_processor);
@@ -154,13 +154,29 @@
     auto const is_caller = from.empty() || to.empty();
     auto const crossing = is_caller ? 2 * bytes : bytes;
     auto at = now;
+    if (!is_control(to)) {
+        std::lock_guard const lock(m_mutex);
+        if (auto const it = m_narrow_links.find(from); it != m_narrow_links.end())
+            at = std::max(at, it->second.Send(bytes, now));
+    }
+    // Each link from now on, not from the arrival over the one before: it would be taken until then, also
+    // for what comes over other links.
     if (auto const it = m_router_links.find(from); it != m_router_links.end())
-        at = it->second.sent.Send(crossing, at);
+        at = std::max(at, it->second.sent.Send(crossing, now));
     if (auto const it = m_router_links.find(to); it != m_router_links.end())
-        at = it->second.received.Send(crossing, at);
+        at = std::max(at, it->second.received.Send(crossing, now));
     return at;
 }
 
+auto SoakedFleet::is_control(std::string const& ip) const -> bool
+{
+    for (std::uint32_t i = 0; i < m_options.controls; ++i) {
+        if (ip == ip_of(control_machine(i)))
+            return true;
+    }
+    return false;
+}
+
 auto SoakedFleet::longest_link_wait() const -> Duration
 {
     Duration longest {};
@@ -465,13 +481,6 @@
 auto SoakedFleet::link_state(std::string const& from, std::string const& to) const -> LinkState
 {
     std::lock_guard const lock(m_mutex);
-    auto const is_control = [&](std::string const& ip) {
-        for (std::uint32_t i = 0; i < m_options.controls; ++i) {
-            if (ip == ip_of(control_machine(i)))
-                return true;
-        }
-        return false;
-    };
     auto const between_controls = is_control(from) && is_control(to);
     auto const cut = between_controls
         && (m_cut_controls.contains(from) || m_cut_controls.contains(to) || m_mute_controls.contains(from));
@@ -497,6 +506,7 @@
     seen.thaws = m_seen.thaws;
     seen.crashes = m_seen.crashes;
     seen.core_disturbances = m_seen.core_disturbances;
+    seen.core_strains = m_seen.core_strains;
     seen.worker_ends = m_seen.worker_ends;
 }
 
--- a/testbed/soak/soaked_fleet.h
+++ b/testbed/soak/soaked_fleet.h
@@ -58,6 +58,7 @@
     bool stating = false; ///< Workers name limits, ask for rests and say that they leave.
     bool warming = false; ///< Workers that start in place of others warm up.
     bool coordinating = false; ///< Routers reach each other through the relay to coordinate admission.
+    bool starving = false; ///< Control processes are short of processor time at times.
 };
 
 /// How often a worker was replaced by another process.
@@ -156,6 +157,7 @@
     /// Open connections with a process carry nothing any more.
     auto silence(std::string const& ip) -> void;
     auto link_state(std::string const& from, std::string const& to) const -> LinkState;
+    auto is_control(std::string const& ip) const -> bool;
     auto add_endpoint(Machine, Port) -> void;
     /// When bytes that are sent now have arrived, by the bandwidths of the links on their way.
     auto arrival(std::string const& from, std::string const& to, std::size_t bytes, Instant now) -> Instant;
@@ -194,6 +196,7 @@
     std::set<std::string> m_cut_controls;
     std::set<std::string> m_mute_controls; ///< Cut one way.
     std::set<std::string> m_cut_routers;
+    std::map<std::string, LinkRate> m_narrow_links; ///< From control processes to all routers.
     std::map<std::string, Instant> m_silent_before; ///< By address: its older connections are silent.
 };
 
--- a/testbed/soak/soaked_fleet_faults.cc
+++ b/testbed/soak/soaked_fleet_faults.cc
@@ -11,6 +11,10 @@
 
     /// A router that was told to stop ends by itself before its time is over; it is killed so long after.
     constexpr Duration stop_limit {300'000};
+    /// Part of a core: enough to keep its connections, too little to keep up.
+    constexpr double starved_share = 0.01;
+    /// For each router of the fleet: enough to answer polls, too little for the state of a zone's routers.
+    constexpr double narrow_bytes_per_second = 320;
 
 } // namespace
 
@@ -34,6 +38,8 @@
 {
     if (disturbs_core(fault.kind))
         m_seen.core_disturbances.push_back({runtime::BootTimeNow(), runtime::BootTimeNow() + fault.span});
+    if (strains_core(fault.kind))
+        m_seen.core_strains.push_back({runtime::BootTimeNow(), runtime::BootTimeNow() + fault.span});
     auto const control = control_machine(fault.target);
     auto const router = router_machine(fault.target);
     switch (fault.kind) {
@@ -76,6 +82,8 @@
         delay_heartbeat(worker, fault.choice);
         return fault.kind == FaultKind::DrainWorker ? worker.Drain() : worker.Deregister();
     }
+    case FaultKind::StarveControl:
+        return m_quota->set_share(m_processes.at(control).id(), starved_share);
     case FaultKind::ScaleIn:
         for (auto const index : leaving_workers(fault))
             m_slots.at(index).worker->Drain();
@@ -100,6 +108,8 @@
         m_mute_controls.insert(ip_of(control));
     if (fault.kind == FaultKind::CutRouter)
         m_cut_routers.insert(ip_of(router));
+    if (fault.kind == FaultKind::NarrowControl)
+        m_narrow_links.emplace(ip_of(control), LinkRate(narrow_bytes_per_second * m_options.routers));
 }
 
 auto SoakedFleet::undo(Fault const& fault) -> void
@@ -145,6 +155,8 @@
         ++m_replacements.at_same_address;
         retire_worker(fault.target, fault.choice);
         return add_worker(fault.target);
+    case FaultKind::StarveControl:
+        return m_quota->add(m_processes.at(control).id());
     case FaultKind::ScaleIn:
         for (auto const index : leaving_workers(fault)) {
             ++m_replacements.at_same_address;
@@ -171,6 +183,7 @@
     }
     m_cut_controls.erase(ip_of(control));
     m_mute_controls.erase(ip_of(control));
+    m_narrow_links.erase(ip_of(control));
 }
 
 } // namespace graniteseam::testbed::soak
--- a/tests/soak/fault_plan_test.cc
+++ b/tests/soak/fault_plan_test.cc
@@ -28,6 +28,39 @@
     cr_assert(kinds.size() == 19);
 }
 
+Test(fault_plan, strains_are_drawn_only_where_asked_for_and_hit_one_control_process_at_a_time)
+{
+    PlanBounds bounds;
+    bounds.starving = true;
+    std::set<FaultKind> strains;
+    for (std::uint64_t seed = 0; seed < 200; ++seed) {
+        auto const plan = plan_faults(seed, bounds);
+        cr_assert(is_borne(plan, bounds), "seed %lu", seed);
+        for (auto const& fault : plan) {
+            if (strains_core(fault.kind))
+                strains.insert(fault.kind);
+        }
+    }
+    cr_assert(strains.size() == 2);
+    Fault const starved {FaultKind::StarveControl, Duration {5'000'000}, Duration {4'000'000}, 0};
+    Fault const narrowed {FaultKind::NarrowControl, Duration {8'000'000}, Duration {4'000'000}, 1};
+    Fault const later {FaultKind::NarrowControl, Duration {9'000'000}, Duration {4'000'000}, 1};
+    cr_assert(!is_borne(std::vector {starved, narrowed}, bounds));
+    cr_assert(is_borne(std::vector {starved, later}, bounds));
+}
+
+Test(fault_plan, only_the_kinds_that_were_named_are_drawn)
+{
+    PlanBounds bounds;
+    bounds.only = {FaultKind::KillRouter, FaultKind::CutControl};
+    for (std::uint64_t seed = 0; seed < 50; ++seed) {
+        for (auto const& fault : plan_faults(seed, bounds))
+            cr_assert(bounds.only.contains(fault.kind));
+    }
+    cr_assert(kind_named("kill_router") == FaultKind::KillRouter);
+    cr_assert(!kind_named("kill"));
+}
+
 Test(fault_plan, second_lost_disk_and_a_killed_member_beside_a_lost_disk_are_not_borne)
 {
     PlanBounds const bounds;
--- a/tests/soak/promises_test.cc
+++ b/tests/soak/promises_test.cc
@@ -371,6 +371,23 @@
     cr_assert(!breaks(seen, "in_force"));
 }
 
+Test(promises, strained_control_excuses_refusals_and_slow_answers_and_no_older_configuration)
+{
+    auto seen = calm();
+    seen.core_strains = {{at(4'000), at(6'000)}};
+    seen.probes = {probe(3, 503, 5'000, 7'600)};
+    seen.probes[0].answer.unconfirmed = true;
+    cr_assert(!breaks(seen, "in_force"));
+    seen.probes = {probe(3, 404, 5'000, 7'600)};
+    cr_assert(breaks(seen, "in_force"));
+    seen.probes.clear();
+    seen.changes = {{4, 5, "body", false, at(6'000), at(7'000), false}};
+    seen.read_tries = {{at(6'000), at(7'000), false}, {at(7'100), at(8'000), false}};
+    cr_assert(!breaks(seen, "acknowledged") && !breaks(seen, "readable"));
+    seen.core_strains.clear();
+    cr_assert(breaks(seen, "acknowledged") && breaks(seen, "readable"));
+}
+
 Test(promises, change_without_a_clear_answer_in_calm_breaks_acknowledged)
 {
     auto seen = calm();
--- a/tests/soak/run_shape_test.cc
+++ b/tests/soak/run_shape_test.cc
@@ -17,6 +17,13 @@
     cr_assert(large > 20 && large < 100);
 }
 
+Test(run_shape, wide_run_has_the_processor_shares_and_links_of_the_users_machines)
+{
+    auto const shape = draw_shape(1, RunSize::Wide);
+    cr_assert(shape.controls == 3 && shape.routers == 93 && workers_of(shape) == 264);
+    cr_assert(shape.processor == 0.3 && shape.router_processor == 0.1 && shape.router_link_mbps == 2);
+}
+
 Test(run_shape, large_runs_stay_within_a_few_hundred_processes)
 {
     for (std::uint64_t seed = 0; seed < 200; ++seed) {
--- a/tests/soak/version_promises_test.cc
+++ b/tests/soak/version_promises_test.cc
@@ -148,6 +148,17 @@
     cr_assert(looked.telling == 1, "no version up to 40 moves /moves-64/");
 }
 
+Test(version_promises, count_rounds_that_would_tell_an_older_version)
+{
+    auto seen = forty_versions();
+    add_probe(seen, "/moves-32/", 40, 5'000, "annex");
+    add_probe(seen, "/moves-32/", 40, 5'000, "annex");
+    add_probe(seen, "/moves-64/", 40, 5'000, "pool");
+    for (std::size_t i = 0; i < seen.probes.size(); ++i)
+        seen.probes[i].round = i / 2;
+    cr_assert(looked_at(seen).telling_rounds == 1);
+}
+
 namespace {
 
 auto check_patches(bool coordinated) -> void
--- a/tests/testbed/link_layer_test.cc
+++ b/tests/testbed/link_layer_test.cc
@@ -5,6 +5,7 @@
 #include <atomic>
 #include <boost/asio.hpp>
 #include <thread>
+#include <utility>
 
 #include "testbed/fleet/reserved_port.h"
 
@@ -31,7 +32,7 @@
   ReservedPort port;
   LinkLayer links;
 
-  LinkFixture()
+  explicit LinkFixture(LinkOptions options = {})
       : port(std::get<ReservedPort>(
             Attempt([] { return ReservedPort::Reserve(kServer, LinkLayer::RelayIp(kServer)); }))),
         links(
@@ -43,7 +44,7 @@
               return LinkState{from == kClient ? cut_to_server.load() : cut_to_client.load(),
                                Duration(0)};
             },
-            [](const ConnectionEnds& ends) { return ends.client.ip; }) {
+            [](const ConnectionEnds& ends) { return ends.client.ip; }, std::move(options)) {
     const Tcp::endpoint real(boost::asio::ip::make_address(kServer), port.address().port);
     acceptor.open(real.protocol());
     acceptor.set_option(Tcp::acceptor::reuse_address(true));
@@ -116,6 +117,38 @@
   cr_assert(error == boost::asio::error::would_block);
 }
 
+Test(link_layer, bytes_arrive_when_the_link_has_carried_them) {
+  std::atomic<bool> asked = false;
+  LinkOptions options;
+  options.arrival = [&](const std::string& from, const std::string& to, std::size_t bytes,
+                        graniteseam::Instant now) {
+    cr_assert(from == kClient && to == kServer && bytes == 1);
+    asked = true;
+    return now + std::chrono::milliseconds(60);
+  };
+  LinkFixture link(options);
+  const auto begun = std::chrono::steady_clock::now();
+  Write(link.client, "a");
+  cr_assert(ReadOne(link.server) == "a");
+  cr_assert(asked);
+  cr_assert(std::chrono::steady_clock::now() - begun >= std::chrono::milliseconds(60));
+}
+
+// TCP doubles the time between retransmissions, so that a connection may be silent for as long after
+// a cut as the cut was; a relay that delivers at once never shows it.
+Test(link_layer, connection_resumes_only_when_its_bytes_are_sent_again) {
+  LinkOptions options;
+  options.retransmits = true;
+  LinkFixture link(options);
+  link.cut_to_server = true;
+  const auto lost = std::chrono::steady_clock::now();
+  Write(link.client, "a");
+  std::this_thread::sleep_for(std::chrono::milliseconds(250));
+  link.cut_to_server = false;
+  cr_assert(ReadOne(link.server) == "a");
+  cr_assert(std::chrono::steady_clock::now() - lost >= std::chrono::milliseconds(600));
+}
+
 Test(link_layer, end_of_a_connection_is_passed_on) {
   LinkFixture link;
   Write(link.client, "a");
