Refuse requests at gateways that know of a newer configuration; wait longer for late ones

What callers saw: requests run by the former service of a route long after the change was acknowledged. Cause: nothing enforced what an acknowledgement promises. It left 0.5 s after the commit whoever lacked the change; a gateway that had missed one was not awaited again until it had all changes, which under a change each 0.33 s never came; and a gateway that the leader told of a newer configuration went on by the older one.

--- a/src/control/configuration_rollout.cc
+++ b/src/control/configuration_rollout.cc
@@ -13,10 +13,11 @@
 constexpr Duration kBehindAfter{1'000'000};
 /// A router without a poll for longer counts as gone or cut off.
 constexpr Duration kReachableWithin{2'000'000};
-/// Longest wait of an acknowledgement after the commit. Operators fail over to another process
-/// after one second without an answer, and a group short of processor time needs part of that
-/// second to commit.
-constexpr Duration kAcknowledgementWaitMaximum{500'000};
+/// Longest wait of an acknowledgement after the commit. Half of the 4 s within which users expect
+/// an answer; the rest is left to the commit and to lost answers.
+constexpr Duration kAcknowledgementWaitMaximum{2'000'000};
+/// A router that missed an acknowledgement is awaited again once it is less far behind than this.
+constexpr Duration kAwaitedAgainWithin{1'000'000};
 /// Acknowledgements do not wait for a router without a poll for longer. Allows two polls and a
 /// delay of one of them.
 constexpr Duration kAwaitedIfPolledWithin{1'200'000};
@@ -130,9 +131,8 @@
   const Duration silence = now - router.last_poll_at;
   router.last_poll_at = now;
   const std::uint64_t before = std::exchange(router.version, std::max(router.version, version));
-  if (changes_in_progress_.empty() || router.version >= changes_in_progress_.back().version)
-    router.awaited = true;
-  if (router.reported_behind && !IsBehind(router, now)) {
+  if (!IsBehind(router, kAwaitedAgainWithin, now)) router.awaited = true;
+  if (router.reported_behind && !IsBehind(router, kBehindAfter, now)) {
     router.reported_behind = false;
     notes_.push_back(
         {"router_caught_up", {}, version, id, "no poll for " + InMs(silence) + " before"});
@@ -148,7 +148,7 @@
   int noted = 0;
   evaluations_ += routers_.size();
   for (auto& [id, router] : routers_) {
-    if (noted < kRoutersReportedPerCheckMaximum && IsBehind(router, now)) {
+    if (noted < kRoutersReportedPerCheckMaximum && IsBehind(router, kBehindAfter, now)) {
       NoteBehind(id, router, now);
       ++noted;
     }
@@ -197,10 +197,10 @@
   return now - router.last_poll_at <= kReachableWithin;
 }
 
-bool ConfigurationRollout::IsBehind(const Router& router, Instant now) const {
+bool ConfigurationRollout::IsBehind(const Router& router, Duration lag, Instant now) const {
   return std::any_of(
       changes_in_progress_.begin(), changes_in_progress_.end(), [&](const Change& change) {
-        return change.version > router.version && now - change.committed >= kBehindAfter;
+        return change.version > router.version && now - change.committed >= lag;
       });
 }
 
--- a/src/control/configuration_rollout.h
+++ b/src/control/configuration_rollout.h
@@ -25,11 +25,12 @@
 /// which a router is behind.
 ///
 /// Invariant: an acknowledgement is sent when every reachable router has reported that it has the
-/// change, or 0.5 s after the commit. The users measure from the acknowledgement until a change
+/// change, or 2 s after the commit. The users measure from the acknowledgement until a change
 /// must be in force at all connected routers; acknowledging at the commit would not depend on any
-/// router, so any delay of a router would break that guarantee. A router that misses the limit is
-/// not awaited again until it reports that it has caught up: a router that is cut off, and rightly
-/// continues to serve, delays one change by 0.5 s instead of every change.
+/// router, so any delay of a router would break that guarantee. By the end of the 2 s, a router
+/// that the leader told of the change and that still lacks it refuses requests (ConfigurationLag).
+/// It is not awaited again until it is less than 1 s behind, so that it delays one change instead
+/// of every change.
 ///
 /// The cost of a poll does not depend on the number of routers. All routers are examined only when
 /// one has reached a change and, while acknowledgements are pending, at intervals that grow with
@@ -104,7 +105,8 @@
   void NoteAcknowledged(const Held& held, Instant now);
   /// Why an acknowledgement leaves although this router has not reported the change.
   std::string DescribeLagging(const RouterId& id, const Router& router, Instant now) const;
-  bool IsBehind(const Router& router, Instant now) const;
+  /// Whether the router lacks a change that was committed at least `lag` ago.
+  bool IsBehind(const Router& router, Duration lag, Instant now) const;
   void NoteBehind(const RouterId& id, Router& router, Instant now);
   /// Completes the changes that all reachable routers have applied.
   void CompleteChanges(const RouterId& last, Instant now);
--- a/src/gateway/gateway_events.cc
+++ b/src/gateway/gateway_events.cc
@@ -26,6 +26,8 @@
       return "no_route";
     case RefusalReason::kUnconfirmed:
       return "unconfirmed";
+    case RefusalReason::kOutdated:
+      return "outdated";
     case RefusalReason::kBadKey:
       return "bad_key";
     case RefusalReason::kNoApiKey:
--- a/src/gateway/gateway_events.h
+++ b/src/gateway/gateway_events.h
@@ -99,6 +99,8 @@
   kNoRoute,          ///< The configuration has no such route.
   /// The active configuration has no such route, but may be older than the newest accepted one.
   kUnconfirmed,
+  /// The active configuration was replaced, and the newer one has not arrived here in time.
+  kOutdated,
   kBadKey,         ///< A keyed service needs a key from 0 to 65535.
   kNoApiKey,       ///< The route requires a tenant's API key; the request has none.
   kUnknownApiKey,  ///< No tenant has the presented API key.
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -65,7 +65,9 @@
 }
 
 void GatewayNode::NoteConfirmation(const traffic::TrafficUpdate& update, Instant now) {
+  note_applied(configuration_lag_, configuration());
   if (update.sequence == 0) return;
+  note_leader_answer(configuration_lag_, update.configuration, configuration(), now);
   note_answer(feed_, update.feed, update.version, version(), now);
   const bool newest = update.sequence == poll_sequence_;
   if (newest && update.routers > 0) {
@@ -221,6 +223,9 @@
 void GatewayNode::Admit(LiveRequest& request, Instant now) {
   const ArrivedRequest& arrived = request.arrived;
   if (!Ready()) return AwaitConfiguration(request, now);
+  if (is_outdated(configuration_lag_, now)) {
+    return EndWithoutRun(request, RefusalReason::kOutdated, now);
+  }
   const traffic::Route* route = traffic_.routes().Find(arrived.host, arrived.path);
   if (route == nullptr) {
     const bool confirmed = IsConfirmed(now);
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -16,6 +16,7 @@
 #include "src/coordination/slot_coordinator.h"
 #include "src/gateway/backend_table.h"
 #include "src/gateway/caller_age.h"
+#include "src/gateway/configuration_lag.h"
 #include "src/gateway/crash_watch.h"
 #include "src/gateway/feed_watch.h"
 #include "src/gateway/gateway_events.h"
@@ -255,6 +256,7 @@
   CrashWatch crashes_;
   ProbePolicy probes_;
   FeedWatch feed_;
+  ConfigurationLag configuration_lag_;
   QuotaGate quotas_;
   TokenQueue token_queue_;
   LimitQueue limit_queue_;
--- a/src/gateway/refusals.cc
+++ b/src/gateway/refusals.cc
@@ -42,8 +42,10 @@
 }
 
 auto retry_after(LiveRequest const& request, RefusalReason reason, Instant now) -> Duration {
-  // This gateway's map is out of date; an immediate retry at another gateway may succeed.
-  if (reason == RefusalReason::kStaleOwner) return kRetryAfterMinimum;
+  // The state here is out of date; an immediate retry at another gateway may succeed.
+  auto const is_stale_here =
+      reason == RefusalReason::kStaleOwner || reason == RefusalReason::kOutdated;
+  if (is_stale_here) return kRetryAfterMinimum;
   // An earlier retry would be refused again.
   if (reason == RefusalReason::kQuarantined) return traffic::kSuspectRetention;
   // The server has room but fails some requests: another attempt may succeed, and still be in time.
