Let followers tell gateways which state they have

Cause: only the leader told gateways how far the state is. One whose answers came late over a slow link left them without that knowledge, and nobody named another feed. Change: a process that follows a leader answers a poll with its version and configuration; a gateway counts that as knowledge of a newer configuration, and takes the state from there when its feed is late. Internal protocol 13.

--- a/include/graniteseam/control/router_messages.h
+++ b/include/graniteseam/control/router_messages.h
@@ -155,8 +155,12 @@
 struct NotLeaderAnswer {
   std::uint64_t sequence = 0;
   std::string leader_address;
+  /// In answer to a poll: the traffic state that the receiver has applied, if it follows a leader;
+  /// 0 otherwise.
+  std::uint64_t version = 0;
+  traffic::ConfigurationVersion configuration{};  ///< In that state.
 };
-BOOST_DESCRIBE_STRUCT(NotLeaderAnswer, (), (sequence, leader_address))
+BOOST_DESCRIBE_STRUCT(NotLeaderAnswer, (), (sequence, leader_address, version, configuration))
 
 using traffic::FeedRequest;
 using traffic::TokenAnswer;
--- a/simulation/traffic_world/gateway_process.cc
+++ b/simulation/traffic_world/gateway_process.cc
@@ -117,17 +117,17 @@
 auto GatewayProcess::on_control_message(std::string const& address, control::ControlToRouter const& message)
     -> void
 {
-    if (auto const* const not_leader = std::get_if<control::NotLeaderAnswer>(&message))
-        return transmit(m_tracker->OnNotLeader(address, *not_leader, Now()));
+    if (auto const* const not_leader = std::get_if<control::NotLeaderAnswer>(&message)) {
+        transmit(m_tracker->OnNotLeader(address, *not_leader, Now()));
+        if (not_leader->version > 0)
+            carry_out(m_node->OnFollowerReport(
+                {address, not_leader->version, not_leader->configuration}, Now()));
+        return follow_feed();
+    }
     m_tracker->OnAnswered(address, message);
     if (auto const* const update = std::get_if<control::TrafficUpdate>(&message))
         carry_out(m_node->OnUpdate(*update, Now()));
-    if (m_feed != m_node->feed()) {
-        if (!m_feed.empty())
-            m_ports.send_to_control(*this, m_feed, control::FeedRequest {{}, 0, 0, true});
-        m_feed = m_node->feed();
-        ask_feed();
-    }
+    follow_feed();
     if (m_node->HasUnreportedConfiguration())
         poll();
     if (auto const* const tokens = std::get_if<control::TokenAnswer>(&message))
@@ -136,6 +136,16 @@
         carry_out(m_node->OnHints(*hints, Now()));
 }
 
+auto GatewayProcess::follow_feed() -> void
+{
+    if (m_feed == m_node->feed())
+        return;
+    if (!m_feed.empty())
+        m_ports.send_to_control(*this, m_feed, control::FeedRequest {{}, 0, 0, true});
+    m_feed = m_node->feed();
+    ask_feed();
+}
+
 auto GatewayProcess::on_slot_batch(std::string const& from, coordination::SlotBatch const& batch) -> void
 {
     carry_out(m_node->OnSlotBatch(from, batch, Now()));
--- a/simulation/traffic_world/gateway_process.h
+++ b/simulation/traffic_world/gateway_process.h
@@ -105,6 +105,7 @@
 
     auto poll() -> void;
     auto ask_feed() -> void;
+    auto follow_feed() -> void;
     auto transmit(std::vector<protocol::LeaderSend> const&) -> void;
     auto carry_out(gateway::GatewayEffects const&) -> void;
     auto act(gateway::SendAttempt const&) -> void;
--- a/src/control/control_node_requests.cc
+++ b/src/control/control_node_requests.cc
@@ -69,7 +69,12 @@
 void ControlNode::Impl::OnTrafficPoll(ConnectionId connection, const TrafficPoll& poll,
                                       Instant now) {
   if (!Leading(now) || !leadership_) {
-    SendNotLeader(connection, poll.sequence);
+    NotLeaderAnswer answer{poll.sequence, LeaderAddress()};
+    if (FollowsLeader()) {
+      answer.version = state_.traffic().version();
+      answer.configuration = state_.traffic().configuration().current().version;
+    }
+    SendToRouter(connection, std::move(answer));
     return;
   }
   const std::string feed = FeedFor(poll, now);
--- a/src/daemon/gateway/gateway_process.cc
+++ b/src/daemon/gateway/gateway_process.cc
@@ -412,6 +412,9 @@
   if (const auto* update = std::get_if<control::TrafficUpdate>(&message)) {
     const Receipt receipt{runtime::BootTimeNow(), from};
     asio::post(loop_.context(), [this, update = *update, receipt] { OnUpdate(update, receipt); });
+  } else if (const auto* report = std::get_if<control::NotLeaderAnswer>(&message)) {
+    const gateway::FollowerReport follower{from, report->version, report->configuration};
+    asio::post(loop_.context(), [this, follower] { OnFollowerReport(follower); });
   } else if (const auto* hints = std::get_if<control::TrafficHints>(&message)) {
     asio::post(loop_.context(),
                [this, hints = *hints] { Run(node_.OnHints(hints, runtime::BootTimeNow())); });
@@ -437,6 +440,11 @@
   }
 }
 
+void GatewayProcess::OnFollowerReport(const gateway::FollowerReport& report) {
+  Run(node_.OnFollowerReport(report, runtime::BootTimeNow()));
+  if (node_.feed() != feed_) FollowFeed();
+}
+
 void GatewayProcess::FollowFeed() {
   events_.Write(runtime::EventWeight::kNotable, runtime::EventLine("feed")
                                                     .Add("from", feed_)
--- a/src/daemon/gateway/gateway_process.h
+++ b/src/daemon/gateway/gateway_process.h
@@ -70,7 +70,8 @@
   /// Runs on the control connections' thread.
   void OnControlMessage(const control::ControlToRouter& message, const std::string& from);
   void OnUpdate(const traffic::TrafficUpdate& update, const Receipt& receipt);
-  /// Takes the state from the process that the leader named last.
+  void OnFollowerReport(const gateway::FollowerReport& report);
+  /// Takes the state from the process that the gateway's logic chose last.
   void FollowFeed();
   void OnFeedLost();
   void LogConfiguration(const traffic::TrafficUpdate& update, const Receipt& receipt);
--- a/src/gateway/configuration_lag.cc
+++ b/src/gateway/configuration_lag.cc
@@ -5,26 +5,26 @@
 
 /// Time for a reported configuration to arrive. An acknowledgement waits for it equally long.
 constexpr Duration kArrivalTimeout{2'000'000};
-/// Without an answer from a leader for longer, control counts as unavailable. Longer than the
-/// search for a new leader.
-constexpr Duration kLeaderTimeout{5'000'000};
+/// Without a report for longer, control counts as unavailable. Longer than the search for a new
+/// leader.
+constexpr Duration kReportTimeout{5'000'000};
 /// Further reports are joined to the newest one. With a report per poll, the oldest one is then
 /// long overdue.
 constexpr std::size_t kMissingMaximum = 32;
 
 }  // namespace
 
-auto note_leader_answer(ConfigurationLag& lag, traffic::ConfigurationVersion leaders,
-                        traffic::ConfigurationVersion own, Instant now) -> void {
-  lag.leader_answered_at = now;
-  if (leaders <= own) return;
-  auto const is_known = !lag.missing.empty() && lag.missing.back().configuration >= leaders;
+auto note_report(ConfigurationLag& lag, traffic::ConfigurationVersion reported,
+                 traffic::ConfigurationVersion own, Instant now) -> void {
+  lag.last_report_at = now;
+  if (reported <= own) return;
+  auto const is_known = !lag.missing.empty() && lag.missing.back().configuration >= reported;
   if (is_known) return;
   if (lag.missing.size() >= kMissingMaximum) {
-    lag.missing.back().configuration = leaders;
+    lag.missing.back().configuration = reported;
     return;
   }
-  lag.missing.push_back({leaders, now});
+  lag.missing.push_back({reported, now});
 }
 
 auto note_applied(ConfigurationLag& lag, traffic::ConfigurationVersion own) -> void {
@@ -32,7 +32,7 @@
 }
 
 auto is_outdated(ConfigurationLag const& lag, Instant now) -> bool {
-  if (lag.missing.empty() || now - lag.leader_answered_at > kLeaderTimeout) return false;
+  if (lag.missing.empty() || now - lag.last_report_at > kReportTimeout) return false;
   return now - lag.missing.front().reported_at > kArrivalTimeout;
 }
 
--- a/src/gateway/feed_watch.cc
+++ b/src/gateway/feed_watch.cc
@@ -29,6 +29,16 @@
   watch.awaited_since = now;
 }
 
+auto note_follower(FeedWatch& watch, std::string const& follower, std::uint64_t version,
+                   std::uint64_t own_version, Instant now) -> void {
+  if (own_version >= version) return;
+  if (own_version >= watch.awaited) {
+    watch.awaited = version;
+    watch.awaited_since = now;
+  }
+  if (watch.wants_state_from_leader) watch.address = follower;
+}
+
 auto check_feed(FeedWatch& watch, std::uint64_t own_version, Instant now) -> void {
   if (own_version != watch.version) {
     watch.version = own_version;
--- a/src/gateway/feed_watch.h
+++ b/src/gateway/feed_watch.h
@@ -16,7 +16,7 @@
 /// the state from the leader itself, and another feed.
 struct FeedWatch {
   bool answered = false;  ///< A leader has answered a poll.
-  std::string address;    ///< The feed that the leader named last; empty before the first.
+  std::string address;    ///< The present feed; empty before the first.
   /// Feeds abandoned since the gateway started; reported in polls so that the leader names another.
   std::uint32_t feeds_abandoned = 0;
   std::uint64_t awaited = 0;  ///< A version that the leader has and this gateway still waits for.
@@ -34,6 +34,11 @@
 auto note_answer(FeedWatch& watch, std::string const& feed, std::uint64_t leader_version,
                  std::uint64_t own_version, Instant now) -> void;
 
+/// Records the version of a control process that follows the leader. It becomes the feed if the
+/// present one was abandoned: while the leader's answers do not arrive, nobody names another.
+auto note_follower(FeedWatch& watch, std::string const& follower, std::uint64_t version,
+                   std::uint64_t own_version, Instant now) -> void;
+
 /// Abandons the feed if it is late. Call before each poll.
 auto check_feed(FeedWatch& watch, std::uint64_t own_version, Instant now) -> void;
 
--- a/src/gateway/gateway_events.h
+++ b/src/gateway/gateway_events.h
@@ -11,6 +11,7 @@
 
 #include "graniteseam/common/ids.h"
 #include "graniteseam/common/time.h"
+#include "graniteseam/traffic/configuration.h"
 #include "graniteseam/traffic/instance.h"
 #include "graniteseam/traffic/quota.h"
 #include "graniteseam/traffic/request_digest.h"
@@ -93,6 +94,13 @@
   bool other_instance = false;             ///< Another process has taken the address.
 };
 
+/// The traffic state of a control process that follows a leader, as it answered a poll.
+struct FollowerReport {
+  std::string follower;  ///< "ip:port".
+  std::uint64_t version = 0;
+  traffic::ConfigurationVersion configuration{};
+};
+
 /// Why the gateway itself answered a request.
 enum class RefusalReason {
   kNoConfiguration,  ///< No configuration was ever received.
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -67,7 +67,7 @@
 void GatewayNode::NoteConfirmation(const traffic::TrafficUpdate& update, Instant now) {
   note_applied(configuration_lag_, configuration());
   if (update.sequence == 0) return;
-  note_leader_answer(configuration_lag_, update.configuration, configuration(), now);
+  note_report(configuration_lag_, update.configuration, configuration(), now);
   note_answer(feed_, update.feed, update.version, version(), now);
   const bool newest = update.sequence == poll_sequence_;
   if (newest && update.routers > 0) {
@@ -76,6 +76,12 @@
   if (newest && configuration() == update.configuration) confirmed_at_ = polled_at_;
 }
 
+GatewayEffects GatewayNode::OnFollowerReport(const FollowerReport& report, Instant now) {
+  note_report(configuration_lag_, report.configuration, configuration(), now);
+  note_follower(feed_, report.follower, report.version, version(), now);
+  return Finish(now);
+}
+
 GatewayEffects GatewayNode::OnHints(const traffic::TrafficHints& hints, Instant now) {
   traffic_.backends().ApplyHints(hints.instances, now);
   hot_keys_.update_hot_keys(hints.hot_keys, now);
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -63,6 +63,8 @@
 
   /// Handles an update of the traffic state from the feed, or a leader's answer to a poll.
   GatewayEffects OnUpdate(const traffic::TrafficUpdate& update, Instant now);
+  /// Handles the answer of a control process that does not lead.
+  GatewayEffects OnFollowerReport(const FollowerReport& report, Instant now);
   /// Handles what control aggregated over all gateways: server hints, hot keys and rate limits.
   GatewayEffects OnHints(const traffic::TrafficHints& hints, Instant now);
   /// Handles a leader's answer to a token request.
@@ -99,7 +101,8 @@
   /// acknowledgement of that configuration waits for the report.
   bool HasUnreportedConfiguration() const { return reported_configuration_ != configuration(); }
 
-  /// The control process that feeds the state, "ip:port"; empty before the leader named one.
+  /// The control process that feeds the state, "ip:port": as the leader named it, or a follower
+  /// that has newer state while neither leader nor feed delivers. Empty before the first.
   const std::string& feed() const { return feed_.address; }
 
   /// Whether a request may run in parallel with others that its caller pipelined: it has a safe
--- a/src/protocol/hello.h
+++ b/src/protocol/hello.h
@@ -14,8 +14,8 @@
 namespace graniteseam::protocol {
 
 /// The newest and the oldest version of the internal protocol that this build supports.
-inline constexpr std::int32_t kProtocolVersion = 12;
-inline constexpr std::int32_t kOldestProtocolVersion = 12;
+inline constexpr std::int32_t kProtocolVersion = 13;
+inline constexpr std::int32_t kOldestProtocolVersion = 13;
 
 enum class ProcessKind { kControl, kRouter };
 BOOST_DESCRIBE_ENUM(ProcessKind, kControl, kRouter)
--- a/src/protocol/router_control_client.cc
+++ b/src/protocol/router_control_client.cc
@@ -190,6 +190,7 @@
   const auto& answer = std::get<control::ControlToRouter>(decoded);
   if (const auto* not_leader = std::get_if<control::NotLeaderAnswer>(&answer)) {
     Deliver(tracker_.OnNotLeader(address, *not_leader, runtime::BootTimeNow()));
+    if (not_leader->version > 0) on_answer_(answer, address);
     return std::nullopt;
   }
   tracker_.OnAnswered(address, answer);
--- a/src/protocol/router_control_client.h
+++ b/src/protocol/router_control_client.h
@@ -41,7 +41,8 @@
 /// safe; the handlers run on the client's own thread and must not block.
 class RouterControlClient {
  public:
-  /// Receives all answers except NotLeader, which the client handles itself.
+  /// Receives all answers. Of NotLeader answers, which the client handles itself, only those that
+  /// report the sender's traffic state.
   /// @param from address "ip:port" of the control process that sent it.
   using AnswerHandler =
       std::function<void(const control::ControlToRouter& answer, const std::string& from)>;
--- a/tests/gateway/configuration_lag_test.cc
+++ b/tests/gateway/configuration_lag_test.cc
@@ -87,10 +87,18 @@
   cr_assert(gateway.Sends(7'600));
 }
 
+Test(configuration_lag, follower_reports_a_configuration_while_the_leader_is_silent) {
+  LagFixture gateway;
+  for (std::int64_t ms = 0; ms <= 2'500; ms += 500) {
+    gateway.node.OnFollowerReport({"10.0.0.8:1", 11, {6}}, At(ms));
+  }
+  cr_assert_not(gateway.Sends(2'600));
+}
+
 Test(configuration_lag, reports_are_bounded_and_the_oldest_one_counts) {
   ConfigurationLag lag;
   for (std::uint64_t number = 1; number <= 1'000; ++number) {
-    note_leader_answer(lag, {number}, {0}, At(static_cast<std::int64_t>(number)));
+    note_report(lag, {number}, {0}, At(static_cast<std::int64_t>(number)));
   }
   cr_assert_leq(lag.missing.size(), 64U);
   cr_assert_not(is_outdated(lag, At(1'999)));
--- a/tests/gateway/feed_watch_test.cc
+++ b/tests/gateway/feed_watch_test.cc
@@ -109,3 +109,19 @@
   fixture.node.OnUpdate(Answer(next, 120, 6), At(12'001));
   cr_assert_eq(Only<Refuse>(fixture.Request("/nothing/x", 12'002)).status, 503);
 }
+
+// The leader's answers came over the same slow link as the state, so that nobody named another feed.
+Test(feed_watch, follower_with_newer_state_becomes_the_feed_in_place_of_a_late_one) {
+  FeedWatch watch;
+  note_answer(watch, "leader", 10, 10, At(0));
+  note_follower(watch, "follower", 20, 10, At(500));
+  check_feed(watch, 10, At(600));
+  note_follower(watch, "follower", 20, 10, At(700));
+  cr_assert_str_eq(watch.address.c_str(), "leader", "it still has time");
+  check_feed(watch, 10, At(1'200));
+  note_follower(watch, "follower", 20, 10, At(1'300));
+  cr_assert_str_eq(watch.address.c_str(), "follower");
+  // One that is no further than this gateway is no better.
+  note_follower(watch, "other", 10, 10, At(1'400));
+  cr_assert_str_eq(watch.address.c_str(), "follower");
+}
