--- a/simulation/traffic_world/gateway_process.cc
+++ b/simulation/traffic_world/gateway_process.cc
@@ -120,8 +120,8 @@
     if (auto const* const not_leader = std::get_if<control::NotLeaderAnswer>(&message)) {
         transmit(m_tracker->OnNotLeader(address, *not_leader, Now()));
         if (not_leader->version > 0)
-            carry_out(m_node->OnFollowerReport(
-                {address, not_leader->version, not_leader->configuration}, Now()));
+            carry_out(
+                m_node->OnFollowerReport({address, not_leader->version, not_leader->configuration}, Now()));
         return follow_feed();
     }
     m_tracker->OnAnswered(address, message);
--- a/src/control/configuration_rollout.cc
+++ b/src/control/configuration_rollout.cc
@@ -198,10 +198,10 @@
 }
 
 bool ConfigurationRollout::IsBehind(const Router& router, Duration lag, Instant now) const {
-  return std::any_of(
-      changes_in_progress_.begin(), changes_in_progress_.end(), [&](const Change& change) {
-        return change.version > router.version && now - change.committed >= lag;
-      });
+  return std::any_of(changes_in_progress_.begin(), changes_in_progress_.end(),
+                     [&](const Change& change) {
+                       return change.version > router.version && now - change.committed >= lag;
+                     });
 }
 
 void ConfigurationRollout::NoteBehind(const RouterId& id, Router& router, Instant now) {
--- a/src/control/configuration_rollout.h
+++ b/src/control/configuration_rollout.h
@@ -21,8 +21,8 @@
 /// has applied it. The event log records show at which step a router lags: what was committed, what
 /// was sent to it, what it reported and when it last polled; the router's own log has when it
 /// received and applied a change. The record of an acknowledgement names the routers that lacked
-/// the change, and why it did not wait for them. Volume: three records per change, and two for each period in
-/// which a router is behind.
+/// the change, and why it did not wait for them. Volume: three records per change, and two for each
+/// period in which a router is behind.
 ///
 /// Invariant: an acknowledgement is sent when every reachable router has reported that it has the
 /// change, or 2 s after the commit. The users measure from the acknowledgement until a change
--- a/testbed/fleet/socket_owners.h
+++ b/testbed/fleet/socket_owners.h
@@ -15,7 +15,8 @@
 namespace graniteseam::testbed {
 
 /// Thread safe. Looking through all processes takes milliseconds, and each look finds all sockets
-/// that exist: when a fleet dials anew, most connections are known from the look for an earlier one.
+/// that exist: when a fleet dials anew, most connections are known from the look for an earlier
+/// one.
 class SocketOwners {
  public:
   /// Makes a process known. One that ended may stay: it holds no sockets.
--- a/testbed/soak/arguments.cc
+++ b/testbed/soak/arguments.cc
@@ -17,12 +17,14 @@
         = "Usage: graniteseam-soak [--seed N] [--seeds N] [--parallel K] [--size small|large|crowd|wide] "
           "[--faults N] [--only KINDS]\n"
           "                        [--crashing] [--silencing] [--starving] [--stating] [--warming]\n"
-          "                        [--coordinating] [--processor SHARE] [--keep] [--folder DIR] [--programs DIR] [--templates "
+          "                        [--coordinating] [--processor SHARE] [--keep] [--folder DIR] [--programs "
+          "DIR] [--templates "
           "DIR]\n"
           "  --seed N       first seed; without it one is drawn and printed\n"
           "  --seeds N      how many, from the first on (1)\n"
           "  --parallel K   how many side by side (1), as long as they start at most 60 processes together\n"
-          "  --size SIZE    of all runs; without it drawn from the seed, one in four large, none a crowd or wide\n"
+          "  --size SIZE    of all runs; without it drawn from the seed, one in four large, none a crowd or "
+          "wide\n"
           "  --crashing     some requests end each worker that runs them, as in a crowd\n"
           "  --silencing    open connections with control fall silent for good, and new ones work\n"
           "  --starving     control processes get hardly any processor time for seconds\n"
@@ -75,10 +77,10 @@
         {"seeds", required_argument, nullptr, 'n'}, {"parallel", required_argument, nullptr, 'k'},
         {"size", required_argument, nullptr, 'z'}, {"crashing", no_argument, nullptr, 'x'},
         {"silencing", no_argument, nullptr, 'i'}, {"stating", no_argument, nullptr, 'g'},
-        {"starving", no_argument, nullptr, 'v'},
-        {"warming", no_argument, nullptr, 'w'}, {"coordinating", no_argument, nullptr, 'o'},
-        {"processor", required_argument, nullptr, 'c'}, {"keep", no_argument, nullptr, 'e'},
-        {"faults", required_argument, nullptr, 'f'}, {"only", required_argument, nullptr, 'l'}, {"folder", required_argument, nullptr, 'd'},
+        {"starving", no_argument, nullptr, 'v'}, {"warming", no_argument, nullptr, 'w'},
+        {"coordinating", no_argument, nullptr, 'o'}, {"processor", required_argument, nullptr, 'c'},
+        {"keep", no_argument, nullptr, 'e'}, {"faults", required_argument, nullptr, 'f'},
+        {"only", required_argument, nullptr, 'l'}, {"folder", required_argument, nullptr, 'd'},
         {"programs", required_argument, nullptr, 'p'}, {"templates", required_argument, nullptr, 't'}, {}};
     Arguments arguments;
     arguments.first_seed = std::random_device {}();
--- a/testbed/soak/probes.cc
+++ b/testbed/soak/probes.cc
@@ -39,9 +39,8 @@
         if (result.end != event_http::CallEnd::kAnswered)
             return;
         answer.status = result.response.status;
-        auto const names = [&](char const* reason) {
-            return result.response.body.find(reason) != std::string::npos;
-        };
+        auto const names
+            = [&](char const* reason) { return result.response.body.find(reason) != std::string::npos; };
         answer.unconfirmed = names("\"unconfirmed\"") || names("\"outdated\"");
     }
 
@@ -177,8 +176,8 @@
     return probes;
 }
 
-auto run_probe_rounds(Endpoints const& endpoints, AcceptedVersions const& versions,
-    std::stop_token const& stop) -> ProbeRounds
+auto run_probe_rounds(
+    Endpoints const& endpoints, AcceptedVersions const& versions, std::stop_token const& stop) -> ProbeRounds
 {
     ProbeRounds seen;
     RoundSender sender(endpoints);
--- a/testbed/soak/promises.cc
+++ b/testbed/soak/promises.cc
@@ -265,8 +265,8 @@
                 continue;
             auto const calm = core_is_calm(seen, acknowledged, answer.sent)
                 && in_touch(seen, answer.router, answer.sent, answer.sent);
-            auto const may_be_unsure = answer.unconfirmed
-                && !core_is_unstrained(seen, acknowledged, answer.sent);
+            auto const may_be_unsure
+                = answer.unconfirmed && !core_is_unstrained(seen, acknowledged, answer.sent);
             if (calm && !may_be_unsure)
                 add(breaches, "in_force",
                     "router " + std::to_string(answer.router) + " did not know version "
--- a/testbed/soak/soak.cc
+++ b/testbed/soak/soak.cc
@@ -273,8 +273,8 @@
             kinds_text(plan), seen.answers.size(), count([](auto const& it) { return it.status == 200; }),
             count([](auto const& it) { return it.kept; }), lost_on_kept_connections(seen).size(),
             seen.runs.size(), runs_in_parallel(seen), seen.holds.size(), seen.changes.size(),
-            seen.reads.size(), seen.probes.size(), looked.in_calm, looked.telling, seen.probe_rounds, looked.telling_rounds, seen.crashes.size(),
-            seen.served_at_the_end, seen.asked_at_the_end);
+            seen.reads.size(), seen.probes.size(), looked.in_calm, looked.telling, seen.probe_rounds,
+            looked.telling_rounds, seen.crashes.size(), seen.served_at_the_end, seen.asked_at_the_end);
     }
 
     /// "; slots: 812 granted, 3 rejected, 5 timeouts", by what routers logged.
--- a/tests/gateway/feed_watch_test.cc
+++ b/tests/gateway/feed_watch_test.cc
@@ -110,7 +110,8 @@
   cr_assert_eq(Only<Refuse>(fixture.Request("/nothing/x", 12'002)).status, 503);
 }
 
-// The leader's answers came over the same slow link as the state, so that nobody named another feed.
+// The leader's answers came over the same slow link as the state, so that nobody named another
+// feed.
 Test(feed_watch, follower_with_newer_state_becomes_the_feed_in_place_of_a_late_one) {
   FeedWatch watch;
   note_answer(watch, "leader", 10, 10, At(0));
--- a/tests/protocol/transport_test.cc
+++ b/tests/protocol/transport_test.cc
@@ -67,7 +67,8 @@
 struct Router {
   Router(std::vector<runtime::SocketAddress> addresses, protocol::InternalSecurity security = {})
       : client({.router = {"r1"}, .control = std::move(addresses), .security = std::move(security)},
-               metrics, [this](const control::ControlToRouter& answer, const std::string& /*from*/) {
+               metrics,
+               [this](const control::ControlToRouter& answer, const std::string& /*from*/) {
                  answers.Put(answer);
                }) {}
   void Renew(std::uint64_t sequence) {
--- a/tests/testbed/link_layer_test.cc
+++ b/tests/testbed/link_layer_test.cc
@@ -134,8 +134,8 @@
   cr_assert(std::chrono::steady_clock::now() - begun >= std::chrono::milliseconds(60));
 }
 
-// TCP doubles the time between retransmissions, so that a connection may be silent for as long after
-// a cut as the cut was; a relay that delivers at once never shows it.
+// TCP doubles the time between retransmissions, so that a connection may be silent for as long
+// after a cut as the cut was; a relay that delivers at once never shows it.
 Test(link_layer, connection_resumes_only_when_its_bytes_are_sent_again) {
   LinkOptions options;
   options.retransmits = true;
--- a/tests/testbed/link_rate_test.cc
+++ b/tests/testbed/link_rate_test.cc
@@ -19,7 +19,8 @@
   cr_assert(link.Send(1'000, kStart) == kStart + 10 * kMs);
   cr_assert(link.Send(1'000, kStart + 4 * kMs) == kStart + 20 * kMs);
   cr_assert(link.longest_wait() == 6 * kMs);
-  cr_assert(link.Send(1'000, kStart + 50 * kMs) == kStart + 60 * kMs, "an idle link saves nothing up");
+  cr_assert(link.Send(1'000, kStart + 50 * kMs) == kStart + 60 * kMs,
+            "an idle link saves nothing up");
 }
 
 Test(retransmission, timeout_doubles) {
