Turn away from a leader from which only old messages arrive

Cause: any message from the leader counted as its answer, pushed state and answers to polls of seconds ago too. Over a slow link these went on arriving, so that the gateway asked nobody else and knew only what had been so 7 s before. Change: only an answer to a poll of the last second keeps the leader; late answers do not change the feed.

--- a/simulation/simulator/router_process.cc
+++ b/simulation/simulator/router_process.cc
@@ -65,7 +65,7 @@
     Transmit(tracker_->OnNotLeader(address, *not_leader, Now()));
     return;
   }
-  tracker_->OnAnswered(address, message);
+  tracker_->OnAnswered(address, message, Now());
   TakeEffects(node_->OnControlMessage(message, Now()));
 }
 
--- a/simulation/traffic_world/gateway_process.cc
+++ b/simulation/traffic_world/gateway_process.cc
@@ -124,7 +124,7 @@
                 m_node->OnFollowerReport({address, not_leader->version, not_leader->configuration}, Now()));
         return follow_feed();
     }
-    m_tracker->OnAnswered(address, message);
+    m_tracker->OnAnswered(address, message, Now());
     if (auto const* const update = std::get_if<control::TrafficUpdate>(&message))
         carry_out(m_node->OnUpdate(*update, Now()));
     follow_feed();
--- a/src/gateway/feed_watch.cc
+++ b/src/gateway/feed_watch.cc
@@ -15,15 +15,16 @@
 /// another feed would only add to that, so the timeout doubles with each abandoned feed.
 constexpr Duration kLagTimeout{1'500'000};
 constexpr std::uint32_t kDoublingsMaximum = 3;
+constexpr Duration kPollAgeMaximum{1'000'000};
 /// For the first state, which all gateways of a zone may request together.
 constexpr Duration kFirstStateTimeout{4'000'000};
 
 }  // namespace
 
 auto note_answer(FeedWatch& watch, std::string const& feed, std::uint64_t leader_version,
-                 std::uint64_t own_version, Instant now) -> void {
+                 std::uint64_t own_version, Instant now, Duration poll_age) -> void {
   watch.answered = true;
-  watch.address = feed;
+  if (watch.address.empty() || poll_age <= kPollAgeMaximum) watch.address = feed;
   if (own_version < watch.awaited || own_version >= leader_version) return;
   watch.awaited = leader_version;
   watch.awaited_since = now;
--- a/src/gateway/feed_watch.h
+++ b/src/gateway/feed_watch.h
@@ -30,9 +30,11 @@
 };
 
 /// Records the leader's answer to a poll.
+/// @param feed the feed that it names. An answer to a poll of long ago does not change the feed:
+/// its link is slow, and so is the feed if it is the leader itself.
 /// @param leader_version the leader's newest version; `own_version` the version here.
 auto note_answer(FeedWatch& watch, std::string const& feed, std::uint64_t leader_version,
-                 std::uint64_t own_version, Instant now) -> void;
+                 std::uint64_t own_version, Instant now, Duration poll_age = {}) -> void;
 
 /// Records the version of a control process that follows the leader. It becomes the feed if the
 /// present one was abandoned: while the leader's answers do not arrive, nobody names another.
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -19,6 +19,7 @@
 constexpr Duration kConfirmedFor{1'600'000};
 /// Latency samples change slowly: one poll in this many includes all of them.
 constexpr std::uint64_t kPollsPerSpeeds = 4;
+constexpr std::size_t kPollTimesMaximum = 64;
 
 /// Most updates only change instances and ranges, and there are many of those.
 bool ChangesTenants(const traffic::TrafficUpdate& update) {
@@ -68,7 +69,7 @@
   note_applied(configuration_lag_, configuration());
   if (update.sequence == 0) return;
   note_report(configuration_lag_, update.configuration, configuration(), now);
-  note_answer(feed_, update.feed, update.version, version(), now);
+  note_answer(feed_, update.feed, update.version, version(), now, PollAge(update.sequence, now));
   const bool newest = update.sequence == poll_sequence_;
   if (newest && update.routers > 0) {
     traffic_.backends().SetPlace({update.router_place, update.routers}, polled_at_, now);
@@ -76,6 +77,12 @@
   if (newest && configuration() == update.configuration) confirmed_at_ = polled_at_;
 }
 
+Duration GatewayNode::PollAge(std::uint64_t sequence, Instant now) const {
+  const std::uint64_t later = poll_sequence_ - sequence;
+  if (sequence > poll_sequence_ || later >= poll_times_.size()) return Duration::max();
+  return now - poll_times_[poll_times_.size() - 1 - later];
+}
+
 GatewayEffects GatewayNode::OnFollowerReport(const FollowerReport& report, Instant now) {
   note_report(configuration_lag_, report.configuration, configuration(), now);
   note_follower(feed_, report.follower, report.version, version(), now);
@@ -199,6 +206,8 @@
   poll.zone = options_.backends.zone;
   poll.sequence = ++poll_sequence_;
   polled_at_ = now;
+  if (poll_times_.size() >= kPollTimesMaximum) poll_times_.pop_front();
+  poll_times_.push_back(now);
   poll.version = version();
   check_feed(feed_, version(), now);
   const bool has_feed = !feed_.address.empty();
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -133,6 +134,8 @@
   void ApplyState(const traffic::TrafficUpdate& update, Instant now);
   /// Updates confirmed_at() and this gateway's place by a leader's answer to the newest poll.
   void NoteConfirmation(const traffic::TrafficUpdate& update, Instant now);
+  /// How long ago the poll with this sequence was created; Duration::max() for one of long ago.
+  Duration PollAge(std::uint64_t sequence, Instant now) const;
   void Admit(LiveRequest& request, Instant now);
   /// Copies the route's settings to the request.
   void ApplyRoute(LiveRequest& request, const traffic::Route& route, const ServiceName& service);
@@ -272,6 +275,7 @@
   /// The active configuration at the newest poll.
   traffic::ConfigurationVersion reported_configuration_;
   Instant polled_at_{};  ///< When the newest poll was created.
+  std::deque<Instant> poll_times_;  ///< Of the newest polls; the last one is polled_at_.
   Instant confirmed_at_{};
   GatewayEffects effects_;
 };
--- a/src/protocol/leader_tracker.cc
+++ b/src/protocol/leader_tracker.cc
@@ -16,6 +16,9 @@
 /// Unanswered messages are dropped after this many answer timeouts.
 constexpr int kExpiryTimeouts = 10;
 constexpr std::size_t kPendingMaximum = 256;
+/// An answer to a poll that is older than this many answer timeouts shows that the target is slow.
+constexpr int kAnswerAgeTimeouts = 2;
+constexpr std::size_t kPollsMaximum = 64;
 /// Switches retained until TakeSwitches().
 constexpr std::size_t kSwitchesRetainedMaximum = 16;
 
@@ -59,6 +62,10 @@
   std::erase_if(pending_,
                 [&](const Pending& pending) { return Supersedes(message, pending.message); });
   if (pending_.size() >= kPendingMaximum) pending_.pop_front();
+  if (const auto* const poll = std::get_if<control::TrafficPoll>(&message)) {
+    if (polls_.size() >= kPollsMaximum) polls_.pop_front();
+    polls_.push_back({poll->sequence, now});
+  }
   pending_.push_back({std::move(message), now, now});
   if (connected_[target_]) return {SendOne(pending_.back(), now)};
   // Sent once the target is connected, or when Tick() switches the target.
@@ -85,8 +92,19 @@
                           : std::vector<LeaderSend>{};
 }
 
-void LeaderTracker::OnAnswered(const std::string& address, const control::ControlToRouter& answer) {
-  if (IndexOf(address) == target_) {
+bool LeaderTracker::IsTimely(const control::ControlToRouter& answer, Instant now) const {
+  if (std::holds_alternative<control::TrafficHints>(answer)) return false;
+  const auto* const update = std::get_if<control::TrafficUpdate>(&answer);
+  if (update == nullptr) return true;
+  const auto poll = std::find_if(polls_.begin(), polls_.end(), [&](const SentPoll& sent) {
+    return sent.sequence == update->sequence;
+  });
+  return poll != polls_.end() && now - poll->sent <= kAnswerAgeTimeouts * answer_timeout_;
+}
+
+void LeaderTracker::OnAnswered(const std::string& address, const control::ControlToRouter& answer,
+                               Instant now) {
+  if (IndexOf(address) == target_ && IsTimely(answer, now)) {
     unanswered_since_.reset();
     switch_interval_ = kSwitchIntervalMinimum;
   }
--- a/src/protocol/leader_tracker.h
+++ b/src/protocol/leader_tracker.h
@@ -45,8 +45,10 @@
   std::vector<LeaderSend> OnSend(control::RouterToControl message, Instant now);
   std::vector<LeaderSend> OnConnected(const std::string& address, Instant now);
   std::vector<LeaderSend> OnDisconnected(const std::string& address, Instant now);
-  /// Processes an answer and drops the message that it answers.
-  void OnAnswered(const std::string& address, const control::ControlToRouter& answer);
+  /// Processes an answer and drops the message that it answers. Messages that answer nothing, and
+  /// answers to polls of long ago, do not keep the target: over a slow link they arrive for as long
+  /// as they are queued there.
+  void OnAnswered(const std::string& address, const control::ControlToRouter& answer, Instant now);
   std::vector<LeaderSend> OnNotLeader(const std::string& address,
                                       const control::NotLeaderAnswer& answer, Instant now);
   /// Switches away from an unresponsive process and drops expired messages. Must be called several
@@ -63,7 +65,14 @@
     Instant last_sent;
   };
 
+  struct SentPoll {
+    std::uint64_t sequence = 0;
+    Instant sent;
+  };
+
   std::size_t IndexOf(const std::string& address);
+  /// Whether the answer shows that the target answers within a reasonable time.
+  bool IsTimely(const control::ControlToRouter& answer, Instant now) const;
   bool RecentlyUnresponsive(std::size_t index, Instant now) const;
   std::size_t NextConnected() const;
   /// Makes `target` the target, now or at the first tick after `next_switch_`.
@@ -85,6 +94,7 @@
   /// Since when the target has not answered, including for lack of a connection.
   std::optional<Instant> unanswered_since_;
   std::deque<Pending> pending_;
+  std::deque<SentPoll> polls_;  ///< The newest ones, answered or not.
   std::vector<LeaderSwitch> switches_;  ///< The first ones since the last TakeSwitches().
 };
 
--- a/src/protocol/router_control_client.cc
+++ b/src/protocol/router_control_client.cc
@@ -193,7 +193,7 @@
     if (not_leader->version > 0) on_answer_(answer, address);
     return std::nullopt;
   }
-  tracker_.OnAnswered(address, answer);
+  tracker_.OnAnswered(address, answer, runtime::BootTimeNow());
   on_answer_(answer, address);
   return std::nullopt;
 }
--- a/tests/control_daemon/crowded_group.cc
+++ b/tests/control_daemon/crowded_group.cc
@@ -363,7 +363,7 @@
   if (const auto* not_leader = std::get_if<control::NotLeaderAnswer>(&message)) {
     return Deliver(router, router.tracker.OnNotLeader(address, *not_leader, now_));
   }
-  router.tracker.OnAnswered(address, message);
+  router.tracker.OnAnswered(address, message, now_);
   const auto* update = std::get_if<control::TrafficUpdate>(&message);
   if (update == nullptr || update->version <= router.version || update->base > router.version) {
     return;
--- a/tests/gateway/feed_watch_test.cc
+++ b/tests/gateway/feed_watch_test.cc
@@ -126,3 +126,13 @@
   note_follower(watch, "other", 10, 10, At(1'400));
   cr_assert_str_eq(watch.address.c_str(), "follower");
 }
+
+Test(feed_watch, late_answer_of_the_leader_does_not_change_the_feed) {
+  FeedWatch watch;
+  note_answer(watch, "leader", 10, 10, At(0), Duration{5'000'000});
+  cr_assert_str_eq(watch.address.c_str(), "leader", "any feed is better than none");
+  note_answer(watch, "other", 10, 10, At(500), Duration{1'500'000});
+  cr_assert_str_eq(watch.address.c_str(), "leader");
+  note_answer(watch, "other", 10, 10, At(1'000), Duration{600'000});
+  cr_assert_str_eq(watch.address.c_str(), "other");
+}
--- a/tests/protocol/leader_tracker_test.cc
+++ b/tests/protocol/leader_tracker_test.cc
@@ -84,7 +84,7 @@
   LeaderTracker tracker = ThreeConnected();
   tracker.OnSend(Journal(1), At(20));
   tracker.OnSend(Renewal(1), At(20));
-  tracker.OnAnswered("a", RenewalAnswer(1));
+  tracker.OnAnswered("a", RenewalAnswer(1), At(20));
   // The journal batch is only asked again, at the same process.
   const auto sends = tracker.Tick(At(130));
   cr_assert(tracker.target() == "a");
@@ -111,10 +111,53 @@
   cr_assert(tracker.OnConnected("b", At(2002)).empty());
 }
 
+namespace {
+
+control::TrafficPoll Poll(std::uint64_t sequence) {
+  control::TrafficPoll poll;
+  poll.sequence = sequence;
+  return poll;
+}
+
+/// An answer to that poll; 0 for a pushed update.
+control::TrafficUpdate Update(std::uint64_t sequence) {
+  control::TrafficUpdate update;
+  update.sequence = sequence;
+  return update;
+}
+
+}  // namespace
+
+// A leader with a slow link was kept for as long as what it had sent before went on arriving: the
+// gateway learned of changes seconds late, and asked nobody else.
+Test(leader_tracker, turns_from_a_leader_from_which_only_old_messages_arrive) {
+  LeaderTracker tracker = ThreeConnected();
+  tracker.OnSend(Poll(1), At(20));
+  tracker.OnAnswered("a", Update(1), At(30));
+  tracker.OnSend(Poll(2), At(120));
+  tracker.OnAnswered("a", Update(0), At(200));
+  tracker.OnAnswered("a", control::TrafficHints{}, At(210));
+  tracker.OnSend(Poll(3), At(215));
+  tracker.OnAnswered("a", Update(1), At(221));
+  cr_assert_not(tracker.Tick(At(231)).empty());
+  cr_assert(tracker.target() == "b");
+}
+
+Test(leader_tracker, keeps_a_leader_that_answers_a_little_late) {
+  LeaderTracker tracker = ThreeConnected();
+  for (std::uint64_t poll = 1; poll < 20; ++poll) {
+    const auto sent = static_cast<std::int64_t>(100 * poll);
+    tracker.OnSend(Poll(poll), At(sent));
+    if (poll > 1) tracker.OnAnswered("a", Update(poll - 1), At(sent + 50));
+    cr_assert(tracker.Tick(At(sent + 99)).empty());
+  }
+  cr_assert(tracker.target() == "a");
+}
+
 Test(leader_tracker, does_not_send_again_what_was_answered) {
   LeaderTracker tracker = ThreeConnected();
   tracker.OnSend(Journal(1), At(20));
-  tracker.OnAnswered("a", control::JournalAnswer{1, {}});
+  tracker.OnAnswered("a", control::JournalAnswer{1, {}}, At(20));
   cr_assert(tracker.OnDisconnected("a", At(25)).empty());
 }
 
@@ -168,7 +211,7 @@
     sent += tracker.Tick(At(now)).size();
   }
   cr_assert(sent >= 8 && sent <= 16, "%zu sends in 2 s", sent);
-  tracker.OnAnswered(tracker.target(), RenewalAnswer(1));
+  tracker.OnAnswered(tracker.target(), RenewalAnswer(1), At(2'400));
   sent = tracker.OnSend(Renewal(2), At(2'400)).size();
   for (std::int64_t now = 2'401; now < 2'501; ++now) {
     sent += tracker.OnNotLeader(tracker.target(), {2, ""}, At(now)).size();
