--- a/tests/soak/seeded_runs_test.cc
+++ b/tests/soak/seeded_runs_test.cc
@@ -57,6 +57,13 @@
     play("9100002", {"--silencing"});
 }
 
+/// Guards against gateways that go on by routes that were replaced, while the control process that tells them
+/// of changes can't keep up.
+Test(seeded_runs, seed_62307_with_control_processes_that_cannot_keep_up, .timeout = 240)
+{
+    play("62307", {"--starving", "--faults", "4", "--only", "narrow_control"});
+}
+
 /// Guards against servers that are flooded while they warm up, over all routers together.
 Test(seeded_runs, seed_70001_with_workers_that_warm_up, .timeout = 240)
 {
