--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -274,7 +274,7 @@
   std::uint64_t poll_sequence_ = 0;
   /// The active configuration at the newest poll.
   traffic::ConfigurationVersion reported_configuration_;
-  Instant polled_at_{};  ///< When the newest poll was created.
+  Instant polled_at_{};             ///< When the newest poll was created.
   std::deque<Instant> poll_times_;  ///< Of the newest polls; the last one is polled_at_.
   Instant confirmed_at_{};
   GatewayEffects effects_;
--- a/src/protocol/leader_tracker.h
+++ b/src/protocol/leader_tracker.h
@@ -94,7 +94,7 @@
   /// Since when the target has not answered, including for lack of a connection.
   std::optional<Instant> unanswered_since_;
   std::deque<Pending> pending_;
-  std::deque<SentPoll> polls_;  ///< The newest ones, answered or not.
+  std::deque<SentPoll> polls_;          ///< The newest ones, answered or not.
   std::vector<LeaderSwitch> switches_;  ///< The first ones since the last TakeSwitches().
 };
 
