Cut and silence only the links between processes in the soak

Cause: where callers go through the relay (--size wide), a fault of a router's link to control held its callers' requests too. Change: links of callers are neither cut nor silenced, as with the other sizes.

--- a/testbed/soak/soaked_fleet.cc
+++ b/testbed/soak/soaked_fleet.cc
@@ -26,6 +26,11 @@
     constexpr char leased_service[] = "leased";
     constexpr char pool_service[] = "pool";
     constexpr char annex_service[] = "annex";
+    /// The relay names no address for those who are no process of the fleet.
+    auto is_caller(std::string const& ip) -> bool
+    {
+        return ip.empty();
+    }
     /// A service that has fewer workers left gives none away.
     constexpr std::ptrdiff_t workers_left_minimum = 2;
     /// Workers differ in speed.
@@ -90,9 +95,9 @@
     m_links = std::make_unique<LinkLayer>(
         [this](auto const& from, auto const& to) { return link_state(from, to); },
         [this](auto const& ends) {
-            // Only callers dial this port, and they are no process of the fleet.
-            auto const is_caller = ends.relay.port == m_ports[CallerPort].address().port;
-            return is_caller ? std::string() : m_owners.IpOf(ends);
+            // Only callers dial this port.
+            auto const dialled_by_caller = ends.relay.port == m_ports[CallerPort].address().port;
+            return dialled_by_caller ? std::string() : m_owners.IpOf(ends);
         },
         links);
     for (std::uint32_t i = 0; i < m_options.controls; ++i)
@@ -151,8 +156,7 @@
 {
     // What a router passes on between a caller and a worker crosses its link twice, and the relay carries
     // only the caller's side.
-    auto const is_caller = from.empty() || to.empty();
-    auto const crossing = is_caller ? 2 * bytes : bytes;
+    auto const crossing = is_caller(from) || is_caller(to) ? 2 * bytes : bytes;
     auto at = now;
     if (!is_control(to)) {
         std::lock_guard const lock(m_mutex);
@@ -480,6 +484,9 @@
 
 auto SoakedFleet::link_state(std::string const& from, std::string const& to) const -> LinkState
 {
+    // Faults hit the links between the fleet's processes, and callers are none of them.
+    if (is_caller(from) || is_caller(to))
+        return {};
     std::lock_guard const lock(m_mutex);
     auto const between_controls = is_control(from) && is_control(to);
     auto const cut = between_controls
