Hold requests to workers that announced their shutdown to the whole rule in the soak

What callers saw: requests at a back end that had said that it leaves. Cause: the soak could not see it. Its check counted successes alone and let a router's cut or silent connections excuse it, and every worker that said so told control as well.

--- a/testbed/registered/worker.cc
+++ b/testbed/registered/worker.cc
@@ -94,7 +94,11 @@
   void Drain() {
     const std::lock_guard lock(mutex_);
     draining_ = true;
-    if (options_.statements.says_leaving) stated_.leaving_from = runtime::BootTimeNow();
+    StateLeaving();
+  }
+  auto AnnounceLeaving() -> void {
+    std::lock_guard const lock(mutex_);
+    StateLeaving();
   }
   auto Deregister() -> void {
     std::lock_guard const lock(mutex_);
@@ -314,6 +318,11 @@
     if (now >= stated_.leaving_from) response.fields.Add(options_.names.leaving, "1");
   }
 
+  auto StateLeaving() -> void {
+    if (options_.statements.says_leaving && stated_.leaving_from == Instant::max())
+      stated_.leaving_from = runtime::BootTimeNow();
+  }
+
   /// The process is gone: nothing that it was at work on ends, and it says nothing any more.
   auto CrashUnder(event_http::Request const& request, std::string const& attempt, Instant now)
       -> void {
@@ -531,6 +540,7 @@
 auto Worker::Stop() -> void { impl_->Stop(); }
 bool Worker::drain_acknowledged() const { return impl_->drain_acknowledged(); }
 auto Worker::HoldBackHeartbeat() -> WorkerBeat { return impl_->HoldBackHeartbeat(); }
+auto Worker::AnnounceLeaving() -> void { impl_->AnnounceLeaving(); }
 auto Worker::crash() const -> std::optional<WorkerCrash> { return impl_->crash(); }
 std::vector<WorkerRun> Worker::runs() const { return impl_->runs(); }
 auto Worker::stated() const -> WorkerStated { return impl_->stated(); }
--- a/testbed/registered/worker.h
+++ b/testbed/registered/worker.h
@@ -26,7 +26,7 @@
   Duration rest{};  ///< Asked for with each request that it turns away.
   Duration turns_away_from{};
   Duration turns_away_until{};
-  bool says_leaving = false;  ///< In each answer from Drain() on.
+  bool says_leaving = false;  ///< In each answer from Drain() or AnnounceLeaving() on.
 };
 
 struct WorkerOptions {
@@ -117,6 +117,8 @@
 
   /// From the next heartbeat on it says that it drains.
   void Drain();
+  /// From now on it says in its answers that it leaves; its heartbeats stay as they are.
+  auto AnnounceLeaving() -> void;
   /// Says that it is gone, sends no heartbeat any more, and serves on.
   auto Deregister() -> void;
   /// Whether a call that said either was acknowledged.
--- a/testbed/soak/fault_plan.cc
+++ b/testbed/soak/fault_plan.cc
@@ -54,6 +54,8 @@
             Role::Control, &PlanBounds::starving},
         {FaultKind::NarrowControl, "narrow_control", Duration {4'000'000}, Duration {9'000'000}, 8,
             Role::Control, &PlanBounds::starving},
+        {FaultKind::LeaveUnheard, "leave_unheard", Duration {14'000'000}, Duration {17'000'000}, 3,
+            Role::Worker, &PlanBounds::stating},
         {FaultKind::ScaleIn, "scale_in", Duration {4'000'000}, Duration {6'000'000}, 8, Role::Worker,
             &PlanBounds::crowded},
     });
--- a/testbed/soak/fault_plan.h
+++ b/testbed/soak/fault_plan.h
@@ -38,6 +38,9 @@
     SilenceControl, ///< The same of a control process's connections with peers and routers.
     StarveControl, ///< Gets hardly any processor time; its machine and links are as before.
     NarrowControl, ///< What it sends to routers shares a narrow link; its peers hear it as before.
+    /// Ends without a word, and so does the next one at its address. A third one there says in its answers
+    /// alone that it leaves, is displaced by the late heartbeat of the second, and ends after the span.
+    LeaveUnheard,
     ScaleIn, ///< Many workers say at the same moment that they leave; others start at their addresses.
 };
 
@@ -73,6 +76,7 @@
     bool silencing = false; ///< Draws connections that fall silent, too.
     std::set<FaultKind> only; ///< The kinds that are drawn; empty: all that the other bounds allow.
     bool starving = false; ///< Draws control processes that are short of processor time, too.
+    bool stating = false; ///< Draws workers whose announcements reach routers alone, too.
 };
 
 /// Faults in the order of their times. At most one disk is lost at once: while a control process that
--- a/testbed/soak/load.cc
+++ b/testbed/soak/load.cc
@@ -179,6 +179,7 @@
         answer.status = response.status;
         answer.quarantined = response.body.find("\"quarantined\"") != std::string::npos;
         answer.own = answer.status / 100 != 2 || is_own(response, answer.attempt, it.endpoints.names);
+        answer.sealed = response.fields.Find(it.endpoints.names.seal) != nullptr;
     }
 
     auto call_pooled(Caller& it, event_http::Request const& request, SeenAnswer& answer) -> void
--- a/testbed/soak/promises.h
+++ b/testbed/soak/promises.h
@@ -19,6 +19,7 @@
     bool may_repeat = true;
     int status = 0; ///< 0: no answer.
     bool own = true; ///< A success carried this attempt's id, a seal and the worker's body.
+    bool sealed = false; ///< Carried a worker's seal, whatever its status.
     Instant sent {};
     Instant ended {};
     std::uint32_t router = 0; ///< Which one it was sent to, from 0.
@@ -78,6 +79,8 @@
     std::uint32_t router = 0;
     Instant begun {};
     Instant ended {};
+    /// Its process lived and ran all the while; only its links or its connections were hit.
+    bool only_links = false;
 };
 
 /// A span in which something was done to a control process.
--- a/testbed/soak/soak.cc
+++ b/testbed/soak/soak.cc
@@ -323,6 +323,7 @@
         bounds.crowded = shape.crowded;
         bounds.silencing = shape.silencing;
         bounds.starving = shape.starving;
+        bounds.stating = shape.stating;
         bounds.only = arguments.only;
         bounds.faults = arguments.faults.value_or(shape.faults);
         auto const plan = plan_faults(seed, bounds);
--- a/testbed/soak/soaked_fleet.cc
+++ b/testbed/soak/soaked_fleet.cc
@@ -413,11 +413,15 @@
     return statements;
 }
 
-auto SoakedFleet::delay_heartbeat(Worker& worker, std::uint32_t choice) -> void
+auto SoakedFleet::any_delay(std::uint32_t choice) -> Duration
+{
+    return std::chrono::milliseconds(choice % heartbeat_delay_spread_ms);
+}
+
+auto SoakedFleet::delay_heartbeat(Worker& worker, std::uint32_t choice, Duration after) -> void
 {
     auto const all = registries();
-    m_late_heartbeats.Deliver(all[choice % all.size()], worker.HoldBackHeartbeat(),
-        std::chrono::milliseconds(choice % heartbeat_delay_spread_ms));
+    m_late_heartbeats.Deliver(all[choice % all.size()], worker.HoldBackHeartbeat(), after);
 }
 
 auto SoakedFleet::retire_worker(std::uint32_t index, std::uint32_t choice) -> void
@@ -425,7 +429,7 @@
     auto& slot = m_slots.at(index);
     auto& worker = *slot.worker;
     if (choice % 2 == 1)
-        delay_heartbeat(worker, choice);
+        delay_heartbeat(worker, choice, any_delay(choice));
     worker.Stop();
     auto const runs = worker.runs();
     m_seen.runs.insert(m_seen.runs.end(), runs.begin(), runs.end());
--- a/testbed/soak/soaked_fleet.h
+++ b/testbed/soak/soaked_fleet.h
@@ -11,6 +11,7 @@
 #include <random>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "testbed/fleet/child_process.h"
@@ -141,7 +142,9 @@
     /// Notes what the slot's worker saw and ends it, as a crash does. A heartbeat of it may come later.
     auto retire_worker(std::uint32_t index, std::uint32_t choice) -> void;
     /// Keeps a heartbeat back that was made now, and delivers it later.
-    auto delay_heartbeat(Worker&, std::uint32_t choice) -> void;
+    auto delay_heartbeat(Worker&, std::uint32_t choice, Duration after) -> void;
+    /// For how long a heartbeat is kept back where a fault does not say.
+    static auto any_delay(std::uint32_t choice) -> Duration;
     auto reserve_address(std::uint32_t index) -> void;
     auto next_service(std::uint32_t index, std::uint32_t choice) const -> std::string;
     /// Kills a process, which is not signalled by the quota any more.
@@ -152,8 +155,8 @@
     auto quota_of(Machine) -> ProcessorQuota*;
     /// Workers that leave together by such a fault.
     auto leaving_workers(Fault const&) const -> std::vector<std::uint32_t>;
-    auto begin_disturbance(std::uint32_t router) -> void;
-    auto end_disturbance(std::uint32_t router) -> void;
+    auto begin_disturbance(std::uint32_t router, bool only_links = false) -> void;
+    auto end_disturbance(std::uint32_t router, bool only_links = false) -> void;
     /// Open connections with a process carry nothing any more.
     auto silence(std::string const& ip) -> void;
     auto link_state(std::string const& from, std::string const& to) const -> LinkState;
@@ -190,7 +193,7 @@
     LateHeartbeats m_late_heartbeats;
     Replacements m_replacements;
     Observed m_seen; ///< Of workers that ended, and of what was done.
-    std::map<std::uint32_t, int> m_open_disturbances; ///< By router.
+    std::map<std::pair<std::uint32_t, bool>, int> m_open_disturbances; ///< By router and only_links.
 
     mutable std::mutex m_mutex; ///< Guards what follows, which the relay's thread reads.
     std::set<std::string> m_cut_controls;
--- a/testbed/soak/soaked_fleet_faults.cc
+++ b/testbed/soak/soaked_fleet_faults.cc
@@ -15,21 +15,24 @@
     constexpr double starved_share = 0.01;
     /// For each router of the fleet: enough to answer polls, too little for the state of a zone's routers.
     constexpr double narrow_bytes_per_second = 320;
+    /// When the heartbeat of a worker that is gone displaces its successor.
+    constexpr Duration late_heartbeat_least {1'800'000};
+    constexpr std::uint32_t late_heartbeat_spread_us = 700'000;
 
 } // namespace
 
-auto SoakedFleet::begin_disturbance(std::uint32_t router) -> void
+auto SoakedFleet::begin_disturbance(std::uint32_t router, bool only_links) -> void
 {
-    m_seen.disturbances.push_back({router, runtime::BootTimeNow(), Instant::max()});
-    ++m_open_disturbances[router];
+    m_seen.disturbances.push_back({router, runtime::BootTimeNow(), Instant::max(), only_links});
+    ++m_open_disturbances[{router, only_links}];
 }
 
-auto SoakedFleet::end_disturbance(std::uint32_t router) -> void
+auto SoakedFleet::end_disturbance(std::uint32_t router, bool only_links) -> void
 {
-    if (--m_open_disturbances[router] > 0)
+    if (--m_open_disturbances[{router, only_links}] > 0)
         return;
     for (auto& it : m_seen.disturbances) {
-        if (it.router == router && it.ended == Instant::max())
+        if (it.router == router && it.only_links == only_links && it.ended == Instant::max())
             it.ended = runtime::BootTimeNow();
     }
 }
@@ -79,7 +82,7 @@
     case FaultKind::DrainWorker:
     case FaultKind::DeregisterWorker: {
         auto& worker = *m_slots.at(fault.target).worker;
-        delay_heartbeat(worker, fault.choice);
+        delay_heartbeat(worker, fault.choice, any_delay(fault.choice));
         return fault.kind == FaultKind::DrainWorker ? worker.Drain() : worker.Deregister();
     }
     case FaultKind::StarveControl:
@@ -88,15 +91,27 @@
         for (auto const index : leaving_workers(fault))
             m_slots.at(index).worker->Drain();
         return;
+    case FaultKind::LeaveUnheard: {
+        // Control never hears of the first of the two while it lives. Its only heartbeat displaces the
+        // second one, when routers have been told that this one leaves.
+        retire_worker(fault.target, 0);
+        add_worker(fault.target);
+        auto const after = late_heartbeat_least + Duration(fault.choice % late_heartbeat_spread_us);
+        delay_heartbeat(*m_slots.at(fault.target).worker, fault.choice, after);
+        retire_worker(fault.target, 0);
+        ++m_replacements.at_same_address;
+        add_worker(fault.target);
+        return m_slots.at(fault.target).worker->AnnounceLeaving();
+    }
     case FaultKind::SilenceRouter:
-        begin_disturbance(fault.target);
+        begin_disturbance(fault.target, true);
         return silence(ip_of(router));
     case FaultKind::SilenceControl:
         for (std::uint32_t i = 0; i < m_options.routers; ++i)
-            begin_disturbance(i);
+            begin_disturbance(i, true);
         return silence(ip_of(control));
     case FaultKind::CutRouter:
-        begin_disturbance(fault.target);
+        begin_disturbance(fault.target, true);
         break;
     default:
         break;
@@ -152,6 +167,7 @@
         return add_worker(fault.target);
     case FaultKind::DrainWorker:
     case FaultKind::DeregisterWorker:
+    case FaultKind::LeaveUnheard:
         ++m_replacements.at_same_address;
         retire_worker(fault.target, fault.choice);
         return add_worker(fault.target);
@@ -166,12 +182,12 @@
         return;
     case FaultKind::SilenceControl:
         for (std::uint32_t i = 0; i < m_options.routers; ++i)
-            end_disturbance(i);
+            end_disturbance(i, true);
         return;
     case FaultKind::SilenceRouter:
-        return end_disturbance(fault.target);
+        return end_disturbance(fault.target, true);
     case FaultKind::CutRouter:
-        end_disturbance(fault.target);
+        end_disturbance(fault.target, true);
         break;
     default:
         break;
--- a/testbed/soak/stated_promises.cc
+++ b/testbed/soak/stated_promises.cc
@@ -35,22 +35,45 @@
     using AnswersByAttempt = std::map<std::string, SeenAnswer const*>;
     using TimeByRouter = std::map<std::uint32_t, Instant>;
 
+    auto overlaps(SeenDisturbance const& it, std::uint32_t router, Instant from, Instant until) -> bool
+    {
+        return it.router == router && it.begun <= until && from <= it.ended;
+    }
+
     auto was_disturbed(Observed const& seen, std::uint32_t router, Instant from, Instant until) -> bool
     {
         return std::any_of(seen.disturbances.begin(), seen.disturbances.end(),
-            [&](auto const& it) { return it.router == router && it.begun <= until && from <= it.ended; });
+            [&](auto const& it) { return overlaps(it, router, from, until); });
+    }
+
+    /// Whether its process started anew or stood still.
+    auto was_interrupted(Observed const& seen, std::uint32_t router, Instant from, Instant until) -> bool
+    {
+        return std::any_of(seen.disturbances.begin(), seen.disturbances.end(),
+            [&](auto const& it) { return !it.only_links && overlaps(it, router, from, until); });
     }
 
-    /// When each router first passed on a success of the worker that it gave within a span.
+    auto is_success(SeenAnswer const& answer) -> bool
+    {
+        return answer.status / 100 == 2;
+    }
+
+    /// A worker's answer of any status; what a router says in its own name carries no seal.
+    auto is_of_worker(SeenAnswer const& answer) -> bool
+    {
+        return answer.sealed || is_success(answer);
+    }
+
+    /// When each router first passed on such an answer of the worker that it gave within a span.
     auto routers_told(Observed const& seen, AnswersByAttempt const& answers, std::string const& worker,
-        Instant from, Instant until) -> TimeByRouter
+        Instant from, Instant until, bool (*counts)(SeenAnswer const&)) -> TimeByRouter
     {
         TimeByRouter told;
         for (auto const& run : seen.runs) {
             auto const answer = answers.find(run.attempt);
             if (run.worker != worker || run.ended < from || run.ended >= until || answer == answers.end())
                 continue;
-            if (answer->second->status / 100 != 2)
+            if (!counts(*answer->second))
                 continue;
             auto const [it, fresh] = told.try_emplace(answer->second->router, answer->second->ended);
             if (!fresh)
@@ -64,8 +87,8 @@
     {
         if (stated.limit_per_second <= 0)
             return;
-        auto const told
-            = routers_told(seen, answers, stated.worker, stated.limited_from, stated.limited_until);
+        auto const told = routers_told(
+            seen, answers, stated.worker, stated.limited_from, stated.limited_until, is_success);
         std::vector<Instant> counted;
         for (auto const& [at, attempt] : stated.arrivals) {
             auto const answer = answers.find(attempt);
@@ -138,7 +161,8 @@
     {
         if (stated.leaving_from == Instant::max())
             return;
-        auto const told = routers_told(seen, answers, stated.worker, stated.leaving_from, Instant::max());
+        auto const told
+            = routers_told(seen, answers, stated.worker, stated.leaving_from, Instant::max(), is_of_worker);
         for (auto const& [at, attempt] : stated.arrivals) {
             auto const answer = answers.find(attempt);
             if (answer == answers.end())
@@ -146,7 +170,7 @@
             auto const router = answer->second->router;
             auto const it = told.find(router);
             auto const late = it != told.end() && answer->second->sent > it->second + leaving_allowed;
-            if (late && !was_disturbed(seen, router, it->second, at))
+            if (late && !was_interrupted(seen, router, it->second, at))
                 breaches.push_back({"leaving",
                     stated.worker + " got " + attempt + " from router " + std::to_string(router)
                         + " long after it had said that it leaves"});
--- a/tests/soak/promises_test.cc
+++ b/tests/soak/promises_test.cc
@@ -522,3 +522,24 @@
     seen.answers.back().sent = at(1'900);
     cr_assert(!breaks(seen, "leaving"));
 }
+
+/// Guards against a check that lets a cut excuse requests to a worker that leaves, or counts successes alone.
+Test(promises, request_to_a_worker_that_leaves_is_found_after_a_failed_answer_and_beside_a_cut)
+{
+    Observed seen;
+    WorkerStated stated {"w-1"};
+    stated.leaving_from = at(0);
+    seen.answers.push_back(answer("a", true, 500));
+    seen.runs.push_back(run("w-1", "a", 8, 0, 10));
+    seen.answers.push_back(answer("b", true, 200));
+    seen.answers.back().sent = at(2'100);
+    stated.arrivals.emplace_back(at(2'110), "b");
+    seen.stated.push_back(stated);
+    cr_assert(!breaks(seen, "leaving"));
+    seen.answers.front().sealed = true;
+    cr_assert(breaks(seen, "leaving"));
+    seen.disturbances.push_back({0, at(500), at(1'500), true});
+    cr_assert(breaks(seen, "leaving"));
+    seen.disturbances.push_back({0, at(600), at(700)});
+    cr_assert(!breaks(seen, "leaving"));
+}
