Keep announced shutdowns of instances that leave the list

What callers saw: requests at a back end long after it had said in an answer that it leaves. Cause: the word, with limits and back-offs, was kept by an instance's place in the list. An instance that was displaced by a late heartbeat, or left out of a complete update, was fresh when it was listed again; and what an unlisted instance answered was not read. Change: reports of back pressure are kept for an hour after their instance is unlisted, and are read whether it is listed or not.

--- a/src/gateway/back_pressure_table.cc
+++ b/src/gateway/back_pressure_table.cc
@@ -27,6 +27,9 @@
 /// Upper bound of the period for which the gateway relies on the leader's report that an instance's
 /// tokens are used up.
 constexpr Duration kExhaustedMaximum{250'000};
+/// How long reports on an unlisted instance are kept: longer than a server goes on after its
+/// heartbeats have ended.
+constexpr Duration kUnlistedRetention{std::chrono::hours(1)};
 
 auto per_second(double limit) -> std::string {
   if (limit == 0) return "none";
@@ -42,6 +45,20 @@
   return found == m_entries.end() ? nullptr : &found->second;
 }
 
+auto BackPressureTable::note_listed(traffic::InstanceId const& instance) -> void {
+  auto const found = m_entries.find(instance);
+  if (found != m_entries.end()) found->second.unlisted_since.reset();
+}
+
+auto BackPressureTable::note_unlisted(traffic::InstanceId const& instance, Instant now) -> void {
+  auto const found = m_entries.find(instance);
+  if (found != m_entries.end() && !found->second.unlisted_since) found->second.unlisted_since = now;
+  std::erase_if(m_entries, [now](auto const& it) {
+    auto const& since = it.second.unlisted_since;
+    return since && now - *since > kUnlistedRetention;
+  });
+}
+
 auto BackPressureTable::apply(traffic::InstanceId const& instance, BackPressure const& pressure,
                               bool ran, Instant now) -> Changes {
   Changes changes;
@@ -187,8 +204,9 @@
 
 auto BackPressureTable::limited() const -> std::size_t {
   return static_cast<std::size_t>(
-      std::count_if(m_entries.begin(), m_entries.end(),
-                    [](auto const& entry) { return entry.second.limit_per_second > 0; }));
+      std::count_if(m_entries.begin(), m_entries.end(), [](auto const& entry) {
+        return entry.second.limit_per_second > 0 && !entry.second.unlisted_since;
+      }));
 }
 
 }  // namespace graniteseam::gateway
--- a/src/gateway/back_pressure_table.h
+++ b/src/gateway/back_pressure_table.h
@@ -25,7 +25,9 @@
 
 /// Tracks rate limits, back-off periods and announced shutdowns of instances. A report holds for
 /// one incarnation of an instance: a limit until any gateway receives an answer to a request that
-/// ran there without one, a back-off until its time is over, an announced shutdown for good.
+/// ran there without one, a back-off until its time is over, an announced shutdown for good. It
+/// holds whether the instance is listed or not: one that was displaced, or left out of a complete
+/// update, may be listed again.
 ///
 /// Invariant: each request to an instance with a limit uses up a token from the leader or one of
 /// this gateway's own. A gateway has at most one own token at a time. Own tokens arise at instants
@@ -50,7 +52,11 @@
   /// Applies a limit that another gateway received; ignored when not newer than the one stored
   /// here.
   auto apply(traffic::InstanceLimit const& limit, Instant now) -> Changes;
-  auto remove(traffic::InstanceId const& instance) -> void { m_entries.erase(instance); }
+  /// Records that an instance is listed. Reports on it are kept until it is unlisted.
+  auto note_listed(traffic::InstanceId const& instance) -> void;
+  /// Records that an instance is not listed, and drops the reports on those that have been unlisted
+  /// for so long that they must have ended.
+  auto note_unlisted(traffic::InstanceId const& instance, Instant now) -> void;
 
   /// Adds limits and back-off periods received since the last call to a poll.
   auto add_to_poll(traffic::TrafficPoll& poll, Instant now) -> void;
@@ -83,7 +89,7 @@
   /// Uses up a token for a request that was sent.
   auto note_sent(traffic::InstanceId const& instance, Instant now) -> void;
 
-  /// The number of instances with a limit.
+  /// The number of listed instances with a limit.
   auto limited() const -> std::size_t;
 
  private:
@@ -99,6 +105,7 @@
     Instant back_off_until{};
     bool unreported_rest = false;
     std::optional<Instant> leaving_since;
+    std::optional<Instant> unlisted_since;
   };
 
   static auto set_limit(traffic::InstanceId const& instance, Entry& entry, double limit,
--- a/src/gateway/backend_table.cc
+++ b/src/gateway/backend_table.cc
@@ -77,7 +77,7 @@
     const traffic::InstanceId& id = instance.report.id;
     const auto old = before.find(id);
     if (instance.IsGone()) {
-      Remove(id);
+      Remove(id, now);
       continue;
     }
     const bool listed = backends_.contains(id);
@@ -90,10 +90,12 @@
     if (drains_now) backend.drained_since = confirmed_at_;
     UpdateWarmUp(backend, instance, fresh, now);
     backend.instance = instance;
-    if (fresh) backend.latency_us = Micros(options_.first_latency);
+    if (!fresh) continue;
+    backend.latency_us = Micros(options_.first_latency);
+    pressure_.note_listed(id);
   }
   for (const auto& [id, backend] : before) {
-    if (!backends_.contains(id)) pressure_.remove(id);
+    if (!backends_.contains(id)) pressure_.note_unlisted(id, now);
   }
 }
 
@@ -113,12 +115,12 @@
   if (listed->second.empty()) services_.erase(listed);
 }
 
-void BackendTable::Remove(const traffic::InstanceId& id) {
+void BackendTable::Remove(const traffic::InstanceId& id, Instant now) {
   const auto found = backends_.find(id);
   if (found == backends_.end()) return;
   Unlist(found->second);
   backends_.erase(found);
-  pressure_.remove(id);
+  pressure_.note_unlisted(id, now);
 }
 
 void BackendTable::UpdateWarmUp(Backend& backend, const traffic::Instance& next, bool fresh,
--- a/src/gateway/backend_table.h
+++ b/src/gateway/backend_table.h
@@ -218,7 +218,7 @@
   /// @param listed whether `backend`, in its previous state, is in a list.
   void List(const Backend& backend, bool listed, const traffic::Instance& next);
   void Unlist(const Backend& backend);
-  void Remove(const traffic::InstanceId& id);
+  void Remove(const traffic::InstanceId& id, Instant now);
   /// Applies control's report on an instance's warm-up. Only time ends one: a report of its end may
   /// be older than its begin.
   void UpdateWarmUp(Backend& backend, const traffic::Instance& next, bool fresh, Instant now);
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -431,8 +431,11 @@
                                    Instant now) {
   const bool ran = report.end == AttemptEnd::kAnswered;
   if (!ran && report.end != AttemptEnd::kNotExecuted) return;
-  if (report.not_owner || traffic_.backends().Find(instance) == nullptr) return;
-  NoteChanges(traffic_.backends().pressure().apply(instance, report.pressure, ran, now));
+  if (report.not_owner) return;
+  BackPressureTable& pressure = traffic_.backends().pressure();
+  NoteChanges(pressure.apply(instance, report.pressure, ran, now));
+  // Also of an instance that left the list while it answered: it may be listed again.
+  if (traffic_.backends().Find(instance) == nullptr) pressure.note_unlisted(instance, now);
 }
 
 void GatewayNode::NoteChanges(const BackPressureTable::Changes& changes) {
--- a/tests/gateway/stated_limits_test.cc
+++ b/tests/gateway/stated_limits_test.cc
@@ -2,6 +2,7 @@
 #include <algorithm>
 #include <map>
 #include <string>
+#include <vector>
 
 #include "tests/gateway/gateway_fixture.h"
 
@@ -34,6 +35,45 @@
   EndStating(fixture, send, AttemptEnd::kAnswered, 200, Limit(per_second), 20);
 }
 
+BackPressure Leaving() {
+  BackPressure pressure;
+  pressure.leaving = true;
+  return pressure;
+}
+
+/// One after State() in which an instance of the pool was displaced by a heartbeat of a former
+/// process at its address.
+traffic::TrafficUpdate Displaced(const traffic::InstanceId& id) {
+  traffic::TrafficUpdate update = Fixture::NextState();
+  update.instances = {MakeInstance(id.value, "pool")};
+  update.instances[0].state = traffic::InstanceState::kDisplaced;
+  return update;
+}
+
+/// The next one, in which it is listed again.
+traffic::TrafficUpdate ListedAgain(const traffic::InstanceId& id) {
+  traffic::TrafficUpdate update = Displaced(id);
+  update.base = 11;
+  update.version = 12;
+  update.instances[0].state = traffic::InstanceState::kReady;
+  return update;
+}
+
+/// Whether an instance of the pool gets any of many requests, of which several are under way at a
+/// time, so that each server that takes any is needed.
+bool GetsRequests(Fixture& fixture, const traffic::InstanceId& id, std::int64_t from_ms) {
+  constexpr int kTogether = 4;
+  for (std::int64_t ms = from_ms; ms < from_ms + 5'000; ms += 200) {
+    std::vector<SendAttempt> sends;
+    for (int i = 0; i < kTogether; ++i) {
+      sends.push_back(Only<SendAttempt>(fixture.Request("/safe/x", ms)));
+      if (sends.back().instance == id) return true;
+    }
+    for (const SendAttempt& send : sends) fixture.End(send, AttemptEnd::kAnswered, 200, ms + 100);
+  }
+  return false;
+}
+
 GatewayEffects GiveTokens(Fixture& fixture, const AskTokens& asked, std::uint32_t tokens,
                           std::int64_t ms) {
   traffic::TokenAnswer answer;
@@ -195,3 +235,50 @@
   EndStating(fixture, turned_away, AttemptEnd::kNotExecuted, 503, Rest(3'000), 10);
   cr_assert(Has<RelayAnswer>(fixture.End(failed, AttemptEnd::kAnswered, 500, 20)));
 }
+
+/// Guards against an announced shutdown that is forgotten when its instance is displaced for a
+/// moment.
+Test(stated_limits, server_that_leaves_gets_nothing_after_it_was_displaced_and_listed_again) {
+  Fixture fixture;
+  const auto send = Only<SendAttempt>(fixture.Request("/safe/x", 0));
+  EndStating(fixture, send, AttemptEnd::kAnswered, 500, Leaving(), 20);
+  fixture.node.OnUpdate(Displaced(send.instance), At(100));
+  fixture.node.OnUpdate(ListedAgain(send.instance), At(200));
+  cr_assert(!GetsRequests(fixture, send.instance, 2'100));
+}
+
+/// Guards against an announced shutdown that is forgotten when a complete update lacks its
+/// instance.
+Test(stated_limits, server_that_leaves_gets_nothing_after_a_complete_update_without_it) {
+  Fixture fixture;
+  const auto send = Only<SendAttempt>(fixture.Request("/safe/x", 0));
+  EndStating(fixture, send, AttemptEnd::kAnswered, 200, Leaving(), 20);
+  traffic::TrafficUpdate complete = Fixture::State();
+  complete.version = 11;
+  std::erase_if(complete.instances,
+                [&](const auto& instance) { return instance.report.id == send.instance; });
+  fixture.node.OnUpdate(complete, At(100));
+  fixture.node.OnUpdate(ListedAgain(send.instance), At(200));
+  cr_assert(!GetsRequests(fixture, send.instance, 2'100));
+}
+
+/// Guards against an announced shutdown that is not read, since the answer comes while its instance
+/// is not listed.
+Test(stated_limits, server_that_says_that_it_leaves_while_it_is_not_listed_gets_nothing) {
+  Fixture fixture;
+  const auto send = Only<SendAttempt>(fixture.Request("/safe/x", 0));
+  fixture.node.OnUpdate(Displaced(send.instance), At(10));
+  EndStating(fixture, send, AttemptEnd::kAnswered, 200, Leaving(), 20);
+  fixture.node.OnUpdate(ListedAgain(send.instance), At(200));
+  cr_assert(!GetsRequests(fixture, send.instance, 2'100));
+}
+
+/// Guards against a back-off that ends early, since its instance is displaced for a moment.
+Test(stated_limits, server_that_backs_off_gets_nothing_after_it_was_displaced_and_listed_again) {
+  Fixture fixture;
+  const auto send = Only<SendAttempt>(fixture.Request("/safe/x", 0));
+  EndStating(fixture, send, AttemptEnd::kNotExecuted, 503, Rest(6'000), 20);
+  fixture.node.OnUpdate(Displaced(send.instance), At(100));
+  fixture.node.OnUpdate(ListedAgain(send.instance), At(200));
+  cr_assert(!GetsRequests(fixture, send.instance, 600));
+}
--- a/tests/soak/seeded_runs_test.cc
+++ b/tests/soak/seeded_runs_test.cc
@@ -76,6 +76,12 @@
     play("50001", {"--stating"});
 }
 
+/// Guards against announced shutdowns that routers forget when the worker is displaced for a while.
+Test(seeded_runs, seed_66301_with_workers_whose_announcements_reach_routers_alone, .timeout = 240)
+{
+    play("66301", {"--stating", "--faults", "8", "--only", "leave_unheard"});
+}
+
 /// Guards against promises that hold only without coordinated admission: killed, stopped and cut routers are
 /// coordinators too, and reads of a connection run in parallel.
 Test(seeded_runs, seed_81101_with_routers_that_coordinate_admission, .timeout = 240)
