Move the keys of owners that announce their shutdown to routers alone

What callers saw: requests for an owner's keys refused from a second after it said in an answer that it leaves until it ended. Cause: control moves keys by heartbeats, and nobody told it what gateways had read. Change: a poll names the instances that announced their shutdown and are not known to drain, until they are; the leader commits the drain as their own heartbeat would have.

--- a/include/graniteseam/traffic/update.h
+++ b/include/graniteseam/traffic/update.h
@@ -105,6 +105,9 @@
   QuotaReport quota;
   std::vector<InstanceLimit> limits;  ///< Observed in responses since the last poll.
   std::vector<InstanceRest> rests;    ///< Back-off periods requested since the last poll.
+  /// Instances that announced their shutdown in an answer and still accept new work for all that
+  /// the router knows.
+  std::vector<InstanceId> leaving;
   /// The router's address for coordinated admission, "ip:port"; empty when it takes no part.
   std::string peer_address;
   double peer_weight = 1;     ///< Its machine's processor share.
@@ -114,8 +117,8 @@
 };
 BOOST_DESCRIBE_STRUCT(TrafficPoll, (),
                       (router, zone, sequence, version, loads, speeds, losses, answered,
-                       wants_state, feeds_tried, quota, limits, rests, peer_address, peer_weight,
-                       peers_version))
+                       wants_state, feeds_tried, quota, limits, rests, leaving, peer_address,
+                       peer_weight, peers_version))
 
 /// Subscribes to a control process's traffic state: the state, then its changes for as long as the
 /// connection lasts.
--- a/src/control/traffic_leader.h
+++ b/src/control/traffic_leader.h
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <iterator>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -59,6 +60,7 @@
                                    Instant now, const std::string& feed = "") {
     for (const traffic::InstanceLimit& limit : poll.limits) limits_.Take(limit, now);
     for (const traffic::InstanceRest& rest : poll.rests) limits_.Take(rest, now);
+    leaving_.insert(poll.leaving.begin(), poll.leaving.end());
     ranges_.TakeLoads(poll, now);
     hints_.TakePoll(poll, now);
     suspect_detector_.TakePoll(poll, now);
@@ -102,6 +104,7 @@
     std::vector<CommandBody> commands = ranges_.Decide(now);
     if (now >= stale_address_check_due_) DeregisterStaleAddressHolders(commands, now);
     suspect_detector_.Decide(commands, now);
+    DrainLeaving(commands);
     return commands;
   }
   /// Records the log index of the last command that Decide() returned.
@@ -155,6 +158,20 @@
     }
   }
 
+  /// Drains the instances that announced their shutdown to routers, and whose heartbeats do not say
+  /// so: their keys go to other owners.
+  void DrainLeaving(std::vector<CommandBody>& commands) {
+    ReportInstancesCommand command;
+    for (const traffic::InstanceId& id : std::exchange(leaving_, {})) {
+      const traffic::Instance* const instance = state_.traffic().instances().Find(id);
+      if (instance == nullptr || !instance->AcceptsNewWork()) continue;
+      traffic::InstanceReport& report = command.reports.emplace_back(instance->report);
+      report.draining = true;
+      ++report.sequence;  // A higher sequence, so that the report is accepted.
+    }
+    if (!command.reports.empty()) commands.emplace_back(std::move(command));
+  }
+
   const ReplicatedState& state_;
   const double warm_up_limit_;  ///< Requests per second of one owner; 0 for no limit.
   InstanceLiveness liveness_;
@@ -167,6 +184,7 @@
   ConfigurationRollout rollout_;
   QuotaLedger quotas_;
   LogIndex proposed_;
+  std::set<traffic::InstanceId> leaving_;  ///< As routers reported since the last decision.
   Instant stale_address_check_due_{};
 };
 
--- a/src/gateway/back_pressure_table.cc
+++ b/src/gateway/back_pressure_table.cc
@@ -146,6 +146,14 @@
   return entry == nullptr ? std::nullopt : entry->leaving_since;
 }
 
+auto BackPressureTable::leaving() const -> std::vector<traffic::InstanceId> {
+  std::vector<traffic::InstanceId> leaving;
+  for (auto const& [instance, entry] : m_entries) {
+    if (entry.leaving_since && !entry.unlisted_since) leaving.push_back(instance);
+  }
+  return leaving;
+}
+
 auto BackPressureTable::is_limited(traffic::InstanceId const& instance) const -> bool {
   auto const* const entry = find(instance);
   return entry != nullptr && entry->limit_per_second > 0;
--- a/src/gateway/back_pressure_table.h
+++ b/src/gateway/back_pressure_table.h
@@ -89,6 +89,8 @@
   /// Uses up a token for a request that was sent.
   auto note_sent(traffic::InstanceId const& instance, Instant now) -> void;
 
+  /// Listed instances that announced their shutdown.
+  auto leaving() const -> std::vector<traffic::InstanceId>;
   /// The number of listed instances with a limit.
   auto limited() const -> std::size_t;
 
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -220,12 +220,23 @@
   crashes_.add_to_poll(poll, now);
   quotas_.add_to_poll(poll, now);
   traffic_.backends().pressure().add_to_poll(poll, now);
+  poll.leaving = LeavingUnknownToControl();
   poll.peer_address = options_.coordination_address;
   poll.peer_weight = options_.machine_weight;
   poll.peers_version = coordinators_.version();
   return poll;
 }
 
+std::vector<traffic::InstanceId> GatewayNode::LeavingUnknownToControl() const {
+  const BackendTable& backends = traffic_.backends();
+  std::vector<traffic::InstanceId> leaving = backends.pressure().leaving();
+  std::erase_if(leaving, [&](const traffic::InstanceId& id) {
+    const Backend* const backend = backends.Find(id);
+    return backend == nullptr || !backend->instance.AcceptsNewWork();
+  });
+  return leaving;
+}
+
 bool GatewayNode::MayRunBeside(std::string_view host, std::string_view path,
                                std::string_view method) const {
   if (method != "GET" && method != "HEAD") return false;
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -171,6 +171,9 @@
   /// Sends the requests covered by new tokens of an owner's limit, and refuses the rest.
   void ApplyLimitTokens(const traffic::LimitTokenGrant& grant, Instant now);
   void NoteChanges(const BackPressureTable::Changes& changes);
+  /// Instances that announced their shutdown and are not known to drain. Told with each poll until
+  /// they are, so that a new leader hears of them too.
+  std::vector<traffic::InstanceId> LeavingUnknownToControl() const;
   /// Applies a change of the list of gateways that coordinate admission.
   /// @return the gateways that are no longer listed.
   std::vector<RouterId> ApplyPeers(const traffic::PeerUpdate& update);
--- a/tests/gateway/stated_limits_test.cc
+++ b/tests/gateway/stated_limits_test.cc
@@ -282,3 +282,19 @@
   fixture.node.OnUpdate(ListedAgain(send.instance), At(200));
   cr_assert(!GetsRequests(fixture, send.instance, 600));
 }
+
+/// Guards against an owner whose announced shutdown control does not hear of, so that its keys stay
+/// without service until it ends.
+Test(stated_limits, server_that_leaves_is_reported_until_it_is_known_to_drain) {
+  Fixture fixture;
+  const auto send = Only<SendAttempt>(fixture.Request("/keyed/x", 0, 7));
+  EndStating(fixture, send, AttemptEnd::kAnswered, 200, Leaving(), 20);
+  cr_assert(fixture.node.PollIsUrgent());
+  for (const std::int64_t ms : {30, 530}) {
+    const auto poll = fixture.node.TakePoll(At(ms));
+    cr_assert_eq(poll.leaving.size(), 1);
+    cr_assert(poll.leaving[0].value == "k-1");
+  }
+  fixture.node.OnUpdate(Fixture::DrainOfOwner(), At(600));
+  cr_assert(fixture.node.TakePoll(At(1'030)).leaving.empty());
+}
