--- a/include/graniteseam/traffic/peer.h
+++ b/include/graniteseam/traffic/peer.h
@@ -1,5 +1,6 @@
 /// @file
-/// The list of gateways that coordinate admission among themselves, as the leader distributes it.
+/// The list of gateways that coordinate admission and take forwarded requests, as the leader
+/// distributes it.
 #pragma once
 
 #include <boost/describe/class.hpp>
@@ -23,10 +24,12 @@
   std::string address;  ///< "ip:port" at which other gateways ask it for slots.
   ZoneName zone;
   double weight = 1;  ///< Its machine's processor share, relative to the other gateways.
+  /// "ip:port" at which it takes requests that other gateways forward; empty when it takes none.
+  std::string caller_address{};
 
   bool operator==(const GatewayPeer&) const = default;
 };
-BOOST_DESCRIBE_STRUCT(GatewayPeer, (), (id, address, zone, weight))
+BOOST_DESCRIBE_STRUCT(GatewayPeer, (), (id, address, zone, weight, caller_address))
 
 /// A version of the list. Lists of different terms are unrelated.
 struct PeerVersion {
--- a/include/graniteseam/traffic/update.h
+++ b/include/graniteseam/traffic/update.h
@@ -110,15 +110,16 @@
   std::vector<InstanceId> leaving;
   /// The router's address for coordinated admission, "ip:port"; empty when it takes no part.
   std::string peer_address;
-  double peer_weight = 1;     ///< Its machine's processor share.
-  PeerVersion peers_version;  ///< Of the list of gateways that the router has.
+  double peer_weight = 1;      ///< Its machine's processor share.
+  std::string caller_address;  ///< Where it takes forwarded requests; empty when it takes none.
+  PeerVersion peers_version;   ///< Of the list of gateways that the router has.
 
   bool operator==(const TrafficPoll&) const = default;
 };
 BOOST_DESCRIBE_STRUCT(TrafficPoll, (),
                       (router, zone, sequence, version, loads, speeds, losses, answered,
                        wants_state, feeds_tried, quota, limits, rests, leaving, peer_address,
-                       peer_weight, peers_version))
+                       peer_weight, caller_address, peers_version))
 
 /// Subscribes to a control process's traffic state: the state, then its changes for as long as the
 /// connection lasts.
--- a/simulation/simulator/main.cc
+++ b/simulation/simulator/main.cc
@@ -43,6 +43,7 @@
 constexpr const char* kTrafficWarmUps = "traffic-warm-ups";
 /// The same as the first with gateways that coordinate admission, and faults of theirs.
 constexpr const char* kTrafficCoordination = "traffic-coordination";
+constexpr const char* kTrafficPartitions = "traffic-partitions";
 
 constexpr const char* kUsage =
     "Usage: graniteseam-simulation [OPTION...]\n"
@@ -70,7 +71,8 @@
   bool Traffic() const {
     return scenario == kTrafficScenario || scenario == kTrafficCalmCore ||
            scenario == kTrafficCrashing || scenario == kTrafficLimits ||
-           scenario == kTrafficWarmUps || scenario == kTrafficCoordination;
+           scenario == kTrafficWarmUps || scenario == kTrafficCoordination ||
+           scenario == kTrafficPartitions;
   }
 };
 
@@ -170,6 +172,8 @@
       "traffic with workers that warm up, zones that restart or are drained, and 24 gateways");
   std::printf("scenario %-36s %s\n", kTrafficCoordination,
               "traffic with six gateways that coordinate admission, and three times the calls");
+  std::printf("scenario %-36s %s\n", kTrafficPartitions,
+              "traffic with eleven gateways that are partitioned from all workers at times");
   for (const auto& [defect, name, promise, description] : seeded_traffic_defects()) {
     std::printf("defect   %-36.*s traffic: %.*s\n", static_cast<int>(name.size()), name.data(),
                 static_cast<int>(description.size()), description.data());
@@ -248,6 +252,11 @@
     // Owners of busy keys get more than they can run.
     world.load = 3;
   }
+  if (settings.scenario == kTrafficPartitions) {
+    world.partitions = true;
+    world.gateways = 11;
+    world.load = 2;
+  }
   return graniteseam::simulation::run_traffic({options, world});
 }
 
--- a/simulation/traffic_world/gateway_process.cc
+++ b/simulation/traffic_world/gateway_process.cc
@@ -45,6 +45,7 @@
     options.backends.zone = ZoneName {"zone-" + std::to_string(world_.ZoneOf(name()))};
     options.backends.warm_up_requests_per_second = warm_up_requests_per_second;
     options.coordination_address = coordination_address;
+    options.caller_address = caller_address;
     m_node = std::make_unique<gateway::GatewayNode>(options, world_.random.Next());
     m_tracker = std::make_unique<protocol::LeaderTracker>(m_controls, kPollInterval);
     m_feed.clear();
@@ -153,12 +154,21 @@
 
 auto GatewayProcess::take(gateway::ArrivedRequest const& request, Reply const& reply) -> void
 {
-    m_live[request.number] = {request, reply, 0, {}, {}};
+    m_live[request.number] = {request, reply, 0, {}, {}, false, {}};
     carry_out(m_node->OnRequest(request, Now()));
     if (m_node->PollIsUrgent() && Now() - m_last_poll >= kUrgentPollInterval)
         poll();
 }
 
+auto GatewayProcess::drop(std::uint64_t request) -> void
+{
+    gateway::RequestNumber const number {request};
+    if (!m_live.contains(number))
+        return;
+    carry_out(m_node->OnCallerGone(number, Now()));
+    m_live.erase(number);
+}
+
 auto GatewayProcess::carry_out(gateway::GatewayEffects const& effects) -> void
 {
     for (auto const& action : effects.actions)
@@ -175,6 +185,7 @@
     auto& live = m_live.at(send.request);
     live.attempt = send.attempt;
     live.address = send.address;
+    live.at_gateway = false;
     WorkerRequest const request {
         send.request.value, send.instance.value, live.request.key, send.time_left, live.request.digest.value};
     m_ports.send_to_worker(
@@ -202,6 +213,51 @@
     });
 }
 
+auto GatewayProcess::act(gateway::TryConnection const& trial) -> void
+{
+    m_ports.try_connection(*this, trial.address, [this, trial](bool reached) {
+        carry_out(m_node->OnConnectionTried({trial.round, trial.instance, reached}, Now()));
+    });
+}
+
+auto GatewayProcess::act(gateway::ForwardRequest const& forward) -> void
+{
+    world_.Count("request forwarded");
+    auto& live = m_live.at(forward.request);
+    live.attempt = forward.attempt;
+    live.address = forward.address;
+    live.at_gateway = true;
+    auto request = live.request;
+    request.hop = forward.hop;
+    request.time_left = forward.time_left;
+    m_ports.forward(*this, forward.address, request,
+        [this, forward](CallerAnswer const& answer) { on_forward_end(forward, answer); });
+}
+
+auto GatewayProcess::on_forward_end(gateway::ForwardRequest const& forward, CallerAnswer const& answer)
+    -> void
+{
+    auto const found = m_live.find(forward.request);
+    if (found == m_live.end() || found->second.attempt != forward.attempt)
+        return;
+    using End = CallerAnswer::End;
+    gateway::AttemptReport report;
+    report.request = forward.request;
+    report.attempt = forward.attempt;
+    report.status = answer.status;
+    report.hop = answer.hop;
+    report.pressure = answer.worker.pressure;
+    if (answer.end == End::kBroken || answer.end == End::kNotSent)
+        report.end = answer.end == End::kBroken ? gateway::AttemptEnd::kLost : gateway::AttemptEnd::kNotSent;
+    else if (answer.end == End::kAnswered && answer.answered != forward.request.value)
+        report.end = gateway::AttemptEnd::kUnusable;
+    else
+        report.end = gateway::AttemptEnd::kAnswered;
+    found->second.attempt = 0;
+    found->second.forwarded = answer;
+    carry_out(m_node->OnAttemptEnd(report, Now()));
+}
+
 auto GatewayProcess::on_attempt_end(
     gateway::SendAttempt const& send, gateway::AttemptEnd end, WorkerAnswer const& answer) -> void
 {
@@ -230,7 +286,11 @@
 
 auto GatewayProcess::close(Live& live) -> void
 {
-    if (std::exchange(live.attempt, 0) != 0)
+    if (std::exchange(live.attempt, 0) == 0)
+        return;
+    if (live.at_gateway)
+        m_ports.close_at_gateway(*this, live.address, live.request.number.value);
+    else
         m_ports.close_at_worker(*this, live.address, live.request.number.value);
 }
 
@@ -243,9 +303,19 @@
 
 auto GatewayProcess::act(gateway::RelayAnswer const& relay) -> void
 {
-    auto const& answer = m_live.at(relay.request).answer;
-    m_ports.on_relayed(*this, m_live.at(relay.request).address, answer);
-    tell(relay.request, {CallerAnswer::End::kAnswered, answer.status, answer.number, {}, {}});
+    auto const& live = m_live.at(relay.request);
+    if (live.at_gateway) {
+        if (live.forwarded.end == CallerAnswer::End::kAnswered)
+            m_ports.on_relayed(*this, live.forwarded.worker_address, live.forwarded.worker);
+        return tell(relay.request, CallerAnswer(live.forwarded));
+    }
+    m_ports.on_relayed(*this, live.address, live.answer);
+    CallerAnswer answer {CallerAnswer::End::kAnswered, live.answer.status, live.answer.number, {}, {}};
+    if (relay.hop)
+        answer.hop = *relay.hop;
+    answer.worker_address = live.address;
+    answer.worker = live.answer;
+    tell(relay.request, answer);
 }
 
 auto GatewayProcess::act(gateway::AskTokens const& ask) -> void
@@ -255,9 +325,10 @@
 
 auto GatewayProcess::act(gateway::Refuse const& refusal) -> void
 {
-    tell(refusal.request,
-        {CallerAnswer::End::kRefused, refusal.status, 0, refusal.retry_after,
-            gateway::ReasonName(refusal.reason)});
+    CallerAnswer answer {CallerAnswer::End::kRefused, refusal.status, 0, refusal.retry_after,
+        gateway::ReasonName(refusal.reason)};
+    answer.hop.declined = refusal.declines_hop;
+    tell(refusal.request, answer);
 }
 
 auto GatewayProcess::act(gateway::SendSlots const& slots) -> void
--- a/simulation/traffic_world/gateway_process.h
+++ b/simulation/traffic_world/gateway_process.h
@@ -26,12 +26,17 @@
         kAnswered, ///< By a worker.
         kRefused, ///< By the gateway, in its own name.
         kBroken, ///< The connection ended.
+        kNotSent, ///< There was none: the gateway was not reached.
     };
     End end = End::kBroken;
     int status = 0;
     std::uint64_t answered = 0; ///< The request that a worker's answer says it belongs to.
     std::optional<Duration> retry_after;
     std::string_view reason; ///< Of a refusal.
+    // For a gateway that forwarded the request.
+    gateway::HopReport hop {};
+    std::string worker_address {};
+    WorkerAnswer worker {};
 };
 
 /// Where a gateway's messages go; the fleet implements it.
@@ -50,6 +55,11 @@
     virtual auto probe_worker(GatewayProcess& from, std::string const& address,
         std::function<void(WorkerHealth const&)> const& reply) -> void
         = 0;
+    /// Opens a connection to an address and closes it. The reply says whether it was accepted; it comes
+    /// once at most, not after the gateway has ended.
+    virtual auto try_connection(GatewayProcess& from, std::string const& address,
+        std::function<void(bool reached)> const& reply) -> void
+        = 0;
     /// A worker's answer was read, as that to the attempt that is under way.
     virtual auto on_read(GatewayProcess& from, std::string const& address, WorkerAnswer const&) -> void = 0;
     /// A worker's answer goes to its caller.
@@ -59,6 +69,14 @@
         -> void
         = 0;
     /// Carries messages of coordinated admission to a gateway's address, or over an accepted connection.
+    /// Hands a request to the gateway that takes forwarded ones at an address. The reply comes once at
+    /// most, not after the sender has ended.
+    virtual auto forward(GatewayProcess& from, std::string const& address, gateway::ArrivedRequest const&,
+        std::function<void(CallerAnswer const&)> const& reply) -> void
+        = 0;
+    virtual auto close_at_gateway(GatewayProcess& from, std::string const& address, std::uint64_t request)
+        -> void
+        = 0;
     virtual auto send_slots(GatewayProcess& from, coordination::SlotSend const&) -> void = 0;
     virtual auto reset_peer(GatewayProcess& from, std::string const& address) -> void = 0;
 };
@@ -77,6 +95,8 @@
     bool takes_any_answer = false;
     /// Where other gateways ask it for slots; empty when it takes no part in coordinated admission.
     std::string coordination_address;
+    /// Where it takes requests that other gateways forward; empty when it takes none.
+    std::string caller_address;
 
     auto on_control_connected(std::string const& address) -> void;
     auto on_control_disconnected(std::string const& address) -> void;
@@ -84,6 +104,8 @@
     /// @param from where answers are to be sent.
     auto on_slot_batch(std::string const& from, coordination::SlotBatch const&) -> void;
     auto take(gateway::ArrivedRequest const&, Reply const&) -> void;
+    /// The caller of a request has closed its connection.
+    auto drop(std::uint64_t request) -> void;
 
     auto ready() const -> bool { return alive() && m_node->Ready(); }
     auto configuration() const -> std::uint64_t { return m_node->configuration().value; }
@@ -101,6 +123,8 @@
         std::uint32_t attempt = 0; ///< Under way; 0 for none.
         std::string address;
         WorkerAnswer answer;
+        bool at_gateway = false; ///< The address is another gateway's.
+        CallerAnswer forwarded; ///< What that gateway answered.
     };
 
     auto poll() -> void;
@@ -110,12 +134,15 @@
     auto carry_out(gateway::GatewayEffects const&) -> void;
     auto act(gateway::SendAttempt const&) -> void;
     auto act(gateway::ProbeInstance const&) -> void;
+    auto act(gateway::TryConnection const&) -> void;
+    auto act(gateway::ForwardRequest const&) -> void;
     auto act(gateway::AbandonAttempt const&) -> void;
     auto act(gateway::RelayAnswer const&) -> void;
     auto act(gateway::AskTokens const&) -> void;
     auto act(gateway::Refuse const&) -> void;
     auto act(gateway::SendSlots const&) -> void;
     auto act(gateway::ResetPeer const&) -> void;
+    auto on_forward_end(gateway::ForwardRequest const&, CallerAnswer const&) -> void;
     auto on_attempt_end(gateway::SendAttempt const&, gateway::AttemptEnd, WorkerAnswer const&) -> void;
     auto close(Live&) -> void;
     auto tell(gateway::RequestNumber, CallerAnswer const&) -> void;
--- a/simulation/traffic_world/traffic_callers.cc
+++ b/simulation/traffic_world/traffic_callers.cc
@@ -23,6 +23,10 @@
     constexpr Duration kToGateway {8'000};
     constexpr Duration kRetryPause {20'000};
     constexpr int kTries = 3;
+    /// The users' rule counts from so long after a partition began.
+    constexpr Duration kPartitionNoticed {3'000'000};
+    /// Part of the gateways that must reach workers: with fewer, nobody is left to take the requests.
+    constexpr double kOthersLeast = 0.25;
     constexpr double kHotKeys = 0.4;
     constexpr std::uint32_t kKeys = 65'536;
     /// Part of the calls that ask for what others ask for as well.
@@ -123,10 +127,16 @@
     request.time_left = Duration {call.deadline - m_world.now()};
     auto& gateway = *m_fleet.gateways[m_world.random.Below(m_fleet.gateways.size())];
     auto const ended = std::make_shared<bool>(false);
-    auto const told = [this, call, number, ended](CallerAnswer const& answer) {
-        m_world.queue.After(kToGateway, [this, call, number, ended, answer] {
-            if (!std::exchange(*ended, true))
-                on_told(call, number, answer);
+    auto* const first_try = call.tries_left == kTries - 1 ? count_of_first_try(gateway) : nullptr;
+    if (first_try != nullptr)
+        ++first_try->calls;
+    auto const told = [this, call, number, ended, first_try](CallerAnswer const& answer) {
+        m_world.queue.After(kToGateway, [this, call, number, ended, first_try, answer] {
+            if (std::exchange(*ended, true))
+                return;
+            if (first_try != nullptr && answer.end == CallerAnswer::End::kAnswered && answer.status < 300)
+                ++first_try->served;
+            on_told(call, number, answer);
         });
     };
     m_world.queue.After(kToGateway, [&gateway, request, told] {
@@ -140,6 +150,26 @@
     });
 }
 
+auto TrafficCallers::count_of_first_try(GatewayProcess const& gateway) -> Served*
+{
+    auto const counts_since = m_world.now() - kPartitionNoticed.count();
+    auto const counts = [&](GatewayProcess const& one) {
+        auto const since = m_fleet.partitioned_since(one);
+        return since && *since <= counts_since && m_fleet.in_touch(one);
+    };
+    auto const& all = m_fleet.gateways;
+    auto const partitioned
+        = std::count_if(all.begin(), all.end(), [&](auto const& one) { return counts(*one); });
+    auto const others = std::count_if(all.begin(), all.end(),
+        [&](auto const& one) { return m_fleet.in_touch(*one) && !m_fleet.partitioned_since(*one); });
+    auto const enough = static_cast<double>(others) >= kOthersLeast * static_cast<double>(all.size());
+    if (partitioned == 0 || !enough || !m_fleet.in_touch(gateway))
+        return nullptr;
+    if (counts(gateway))
+        return &m_first_tries.partitioned;
+    return m_fleet.partitioned_since(gateway) ? nullptr : &m_first_tries.others;
+}
+
 auto TrafficCallers::on_told(Call call, std::uint64_t request, CallerAnswer const& answer) -> void
 {
     if (answer.end == CallerAnswer::End::kAnswered) {
--- a/simulation/traffic_world/traffic_callers.h
+++ b/simulation/traffic_world/traffic_callers.h
@@ -40,6 +40,13 @@
         std::uint64_t served = 0;
     };
     auto take_served() -> std::map<std::string, Served>;
+    /// First tries, and those of them that were served, while some gateways in touch have been partitioned
+    /// from all workers for longer than they need to notice it.
+    struct FirstTries {
+        Served partitioned; ///< At such gateways.
+        Served others; ///< At all others in touch, meanwhile.
+    };
+    auto first_tries() const -> FirstTries const& { return m_first_tries; }
     auto answered() const -> std::uint64_t { return m_answered; }
 
 private:
@@ -56,6 +63,8 @@
     auto make_popular(Call&) -> void;
     auto come_again(Call, TrueTime end) -> void;
     auto attempt(Call) -> void;
+    /// Where a first try at a gateway is counted; null when it is not.
+    auto count_of_first_try(GatewayProcess const&) -> Served*;
     auto on_told(Call, std::uint64_t request, CallerAnswer const&) -> void;
     auto count_end(Call const&, bool served) -> void;
     auto draw_key() -> std::uint32_t;
@@ -66,6 +75,7 @@
     std::uint64_t m_last_request = 0;
     std::uint64_t m_answered = 0;
     std::map<std::string, Served> m_served;
+    FirstTries m_first_tries;
 };
 
 } // namespace graniteseam::simulation
--- a/simulation/traffic_world/traffic_faults.cc
+++ b/simulation/traffic_world/traffic_faults.cc
@@ -76,6 +76,8 @@
         m_kinds.insert(m_kinds.end(), stated().begin(), stated().end());
     if (m_fleet.options().warm_ups)
         m_kinds.insert(m_kinds.end(), warm_ups().begin(), warm_ups().end());
+    if (m_fleet.options().partitions)
+        m_kinds.insert(m_kinds.end(), partitions().begin(), partitions().end());
     if (m_fleet.options().coordination)
         m_kinds.insert(m_kinds.end(), coordination().begin(), coordination().end());
     if (auto const& only = m_fleet.options().only_faults; !only.empty()) {
--- a/simulation/traffic_world/traffic_faults.h
+++ b/simulation/traffic_world/traffic_faults.h
@@ -33,6 +33,8 @@
     static auto stated() -> std::vector<TrafficFaultKind> const&;
     /// What makes workers warm up, and what disturbs how many gateways send to them meanwhile.
     static auto warm_ups() -> std::vector<TrafficFaultKind> const&;
+    /// Partitions of gateways from all workers.
+    static auto partitions() -> std::vector<TrafficFaultKind> const&;
     /// What happens to gateways that coordinate admission.
     static auto coordination() -> std::vector<TrafficFaultKind> const&;
 
@@ -59,6 +61,8 @@
     auto kill_leader() -> void;
     auto cut_control() -> void;
     auto stop_leader_as_planned() -> void;
+    auto partition_gateway() -> void;
+    auto partition_most_gateways() -> void;
     auto cut_gateway() -> void;
     auto kill_gateway() -> void;
     auto replace_coordinator() -> void;
@@ -88,6 +92,7 @@
     auto start_after(Place&, std::string const& service, Duration) -> void;
     auto cut(GatewayProcess&, Duration) -> void;
     auto cut_gateways_for(Duration) -> void;
+    auto partition(double part_of_gateways) -> void;
     auto kill(GatewayProcess&, Duration) -> void;
     /// Drains a zone for so long, unless one is drained; its workers are cold when it is taken back.
     auto drain_zone_for(Duration) -> void;
--- a/simulation/traffic_world/traffic_fleet.cc
+++ b/simulation/traffic_world/traffic_fleet.cc
@@ -23,6 +23,7 @@
     constexpr Duration kTurnsPause {200'000};
     constexpr int kTurnsInARow = 3;
     constexpr Duration kConnectRetry {50'000};
+    constexpr Duration kTrialLimit {300'000};
     constexpr Duration kLateMaximum {4'000'000};
     /// A worker that leaves goes on for this long after its word was acknowledged, and up to as long again.
     constexpr Duration kDrain {2'000'000};
@@ -67,7 +68,9 @@
             std::make_unique<GatewayProcess>(world, *this, number, (number - 1) % kTrafficZones, addresses));
         gateways.back()->warm_up_requests_per_second = m_options.warm_ups ? kWarmUpBound : 0;
         gateways.back()->takes_any_answer = defect() == TrafficDefect::kSurplusAnswerTaken;
-        if (m_options.coordination) {
+        if (m_options.partitions)
+            gateways.back()->caller_address = "10.2.0." + std::to_string(number) + ":80";
+        if (m_options.coordination || m_options.partitions) {
             gateways.back()->coordination_address = "10.2.0." + std::to_string(number) + ":7200";
             m_slot_lines.add(*gateways.back());
         }
@@ -554,6 +557,8 @@
                   return;
               from.Deliver([reply, end, answer] { reply(end, answer); });
           };
+    if (ends_by_partition(from, once))
+        return;
     auto& place = place_of(address);
     m_world.queue.After(m_world.Delay(), [this, &from, &place, request, once, sent = m_world.now()] {
         hand_over_request(from, place, request, sent, once);
@@ -611,10 +616,96 @@
         }
         auto const end
             = answer.end == WorkerAnswer::End::kAnswered ? AttemptEnd::kAnswered : AttemptEnd::kNotExecuted;
+        auto const partitioned = partition_of(from);
+        if (partitioned && partitioned->form == PartitionForm::kSilent)
+            return;
+        if (partitioned && partitioned->form == PartitionForm::kReset)
+            return end_with(lost);
         m_world.SendOnce(place.node, from.name(), [reply, end, answer] { reply(end, answer); });
     });
 }
 
+auto TrafficFleet::partition(GatewayProcess const& gateway, PartitionForm form, TrueTime until) -> void
+{
+    auto& one = m_partitions[gateway.name().number];
+    if (one.until <= m_world.now())
+        one = {form, m_world.now(), until};
+}
+
+auto TrafficFleet::partition_of(GatewayProcess const& gateway) const -> std::optional<Partition>
+{
+    auto const found = m_partitions.find(gateway.name().number);
+    auto const under_way = found != m_partitions.end() && m_world.now() < found->second.until;
+    return under_way ? std::optional(found->second) : std::nullopt;
+}
+
+auto TrafficFleet::partitioned_since(GatewayProcess const& gateway) const -> std::optional<TrueTime>
+{
+    auto const found = partition_of(gateway);
+    return found ? std::optional(found->since) : std::nullopt;
+}
+
+auto TrafficFleet::ends_by_partition(GatewayProcess const& from, AttemptReply const& reply) -> bool
+{
+    auto const partitioned = partition_of(from);
+    if (!partitioned)
+        return false;
+    auto const on_open_connection = m_world.random.Chance(kOnOldConnection);
+    auto const end_after
+        = [&](Duration wait, AttemptEnd end) { m_world.queue.After(wait, [reply, end] { reply(end, {}); }); };
+    switch (partitioned->form) {
+    case PartitionForm::kSilent:
+        // What hangs ends by the gateway's own patience.
+        if (!on_open_connection)
+            end_after(kTrialLimit, AttemptEnd::kNotSent);
+        return true;
+    case PartitionForm::kReset:
+        end_after(m_world.Delay(), AttemptEnd::kNotSent);
+        return true;
+    case PartitionForm::kRefused:
+        if (!on_open_connection)
+            end_after(m_world.Delay(), AttemptEnd::kNotSent);
+        return !on_open_connection;
+    }
+    return false;
+}
+
+auto TrafficFleet::forward(GatewayProcess& from, std::string const& address,
+    gateway::ArrivedRequest const& request, std::function<void(CallerAnswer const&)> const& reply) -> void
+{
+    auto const found = std::find_if(gateways.begin(), gateways.end(),
+        [&](auto const& gateway) { return gateway->caller_address == address; });
+    auto& to = **found;
+    auto const once = [&from, reply, done = std::make_shared<bool>(false), start = from.starts()](
+                          CallerAnswer const& answer) {
+        if (!std::exchange(*done, true) && from.starts() == start)
+            from.Deliver([reply, answer] { reply(answer); });
+    };
+    auto const back = [this, &from, &to, once](CallerAnswer const& answer) {
+        m_world.SendOnce(to.name(), from.name(), [once, answer] { once(answer); });
+    };
+    m_world.SendOnce(from.name(), to.name(), [&to, request, back] {
+        CallerAnswer not_reached;
+        not_reached.end = CallerAnswer::End::kNotSent;
+        if (!to.alive())
+            return back(not_reached);
+        to.Deliver([&to, request, back] { to.take(request, back); });
+    });
+}
+
+auto TrafficFleet::close_at_gateway(GatewayProcess& from, std::string const& address, std::uint64_t request)
+    -> void
+{
+    for (auto const& gateway : gateways) {
+        if (gateway->caller_address != address)
+            continue;
+        m_world.SendOnce(from.name(), gateway->name(), [&to = *gateway, request] {
+            if (to.alive())
+                to.Deliver([&to, request] { to.drop(request); });
+        });
+    }
+}
+
 auto TrafficFleet::probe_worker(GatewayProcess& from, std::string const& address,
     std::function<void(WorkerHealth const&)> const& reply) -> void
 {
@@ -629,6 +720,27 @@
     });
 }
 
+auto TrafficFleet::try_connection(
+    GatewayProcess& from, std::string const& address, std::function<void(bool reached)> const& reply) -> void
+{
+    auto const done = std::make_shared<bool>(false);
+    auto const once = [&from, reply, done, start = from.starts()](bool reached) {
+        if (!std::exchange(*done, true) && from.starts() == start)
+            from.Deliver([reply, reached] { reply(reached); });
+    };
+    auto& place = place_of(address);
+    m_world.queue.After(kTrialLimit, [once] { once(false); });
+    if (auto const partitioned = partition_of(from)) {
+        if (partitioned->form != PartitionForm::kSilent)
+            m_world.queue.After(m_world.Delay(), [once] { once(false); });
+        return;
+    }
+    m_world.SendOnce(from.name(), place.node, [this, &from, &place, once] {
+        m_world.SendOnce(
+            place.node, from.name(), [once, reached = place.worker && place.worker->up()] { once(reached); });
+    });
+}
+
 /// A rest counts from the answer that asks for it. One that is never read binds nobody: its attempt
 /// was abandoned, and its connection closed.
 auto TrafficFleet::on_read(GatewayProcess& from, std::string const& address, WorkerAnswer const& answer)
--- a/simulation/traffic_world/traffic_fleet.h
+++ b/simulation/traffic_world/traffic_fleet.h
@@ -62,6 +62,8 @@
     bool warm_ups = false;
     /// Gateways coordinate the admission at owners whose keys are leased by heartbeat.
     bool coordination = false;
+    /// Gateways are partitioned from all workers at times, and forward requests to others.
+    bool partitions = false;
     /// Names of the only faults that are injected; empty for no such restriction.
     std::vector<std::string> only_faults;
     std::uint32_t gateways = kTrafficGateways;
@@ -69,6 +71,13 @@
     double load = 1; ///< Calls, as a multiple of the usual.
 };
 
+/// What a gateway that is partitioned from all workers sees of its connections to them.
+enum class PartitionForm {
+    kSilent, ///< Open ones hang, and new ones do not come up.
+    kReset, ///< Open ones are reset, and new ones refused.
+    kRefused, ///< Open ones work, and new ones are refused.
+};
+
 /// An address, and who lives there.
 struct Place {
     NodeName node;
@@ -113,6 +122,11 @@
     auto ask(NodeName const& from, std::uint32_t control, control::OperatorRequest const&,
         std::function<void(control::OperatorAnswer const&)> const& reply) -> void;
 
+    /// Partitions a gateway from all workers until then. It stays in touch.
+    auto partition(GatewayProcess const&, PartitionForm, TrueTime until) -> void;
+    /// Since when a gateway has been partitioned; nullopt when it is not.
+    auto partitioned_since(GatewayProcess const&) const -> std::optional<TrueTime>;
+
     // Who is in touch.
     /// The group or the whole network is disturbed until then.
     auto disturb_core(TrueTime until) -> void { m_core_disturbed = std::max(m_core_disturbed, until); }
@@ -134,6 +148,12 @@
         -> void override;
     auto send_to_worker(GatewayProcess& from, std::string const& address, WorkerRequest const&,
         std::function<void(gateway::AttemptEnd, WorkerAnswer const&)> const& reply) -> void override;
+    auto forward(GatewayProcess& from, std::string const& address, gateway::ArrivedRequest const&,
+        std::function<void(CallerAnswer const&)> const& reply) -> void override;
+    auto close_at_gateway(GatewayProcess& from, std::string const& address, std::uint64_t request)
+        -> void override;
+    auto try_connection(GatewayProcess& from, std::string const& address,
+        std::function<void(bool reached)> const& reply) -> void override;
     auto probe_worker(GatewayProcess& from, std::string const& address,
         std::function<void(WorkerHealth const&)> const& reply) -> void override;
     auto on_read(GatewayProcess& from, std::string const& address, WorkerAnswer const&) -> void override;
@@ -178,9 +198,21 @@
     auto hand_over_request(
         GatewayProcess& from, Place&, WorkerRequest const&, TrueTime sent, AttemptReply const&) -> void;
 
+    struct Partition {
+        PartitionForm form = PartitionForm::kSilent;
+        TrueTime since = 0;
+        TrueTime until = 0;
+    };
+
+    auto partition_of(GatewayProcess const&) const -> std::optional<Partition>;
+    /// Ends an attempt of a partitioned gateway as the form of the partition has it.
+    /// @return whether it ended, or hangs.
+    auto ends_by_partition(GatewayProcess const& from, AttemptReply const&) -> bool;
+
     World& m_world;
     TrafficOracle& m_oracle;
     TrafficWorldOptions const m_options;
+    std::map<std::uint32_t, Partition> m_partitions; ///< By gateway.
     std::vector<std::unique_ptr<RouterLine>> m_lines;
     SlotLines m_slot_lines;
     std::map<std::string, std::uint32_t> m_control_of_address;
--- a/simulation/traffic_world/traffic_gateway_faults.cc
+++ b/simulation/traffic_world/traffic_gateway_faults.cc
@@ -1,4 +1,6 @@
 // Faults of gateways: of their connections to control and to one another, and of their processes.
+#include <array>
+
 #include "simulation/traffic_world/traffic_faults.h"
 
 namespace graniteseam::simulation {
@@ -6,6 +8,9 @@
 
     /// Part of the gateways that are cut from control together.
     constexpr double kGatewaysCut = 0.4;
+    /// Parts of the gateways that are partitioned from all workers together.
+    constexpr double kGatewaysPartitioned = 0.2;
+    constexpr double kMostGatewaysPartitioned = 0.65;
 
 } // namespace
 
@@ -20,6 +25,36 @@
     return kinds;
 }
 
+auto TrafficFaults::partitions() -> std::vector<TrafficFaultKind> const&
+{
+    static std::vector<TrafficFaultKind> const kinds {
+        {"gateway partitioned from all workers", &TrafficFaults::partition_gateway},
+        {"most gateways partitioned from all workers", &TrafficFaults::partition_most_gateways},
+    };
+    return kinds;
+}
+
+auto TrafficFaults::partition_gateway() -> void
+{
+    partition(kGatewaysPartitioned);
+}
+
+auto TrafficFaults::partition_most_gateways() -> void
+{
+    partition(kMostGatewaysPartitioned);
+}
+
+auto TrafficFaults::partition(double part_of_gateways) -> void
+{
+    constexpr std::array forms {PartitionForm::kSilent, PartitionForm::kReset, PartitionForm::kRefused};
+    auto const form = forms.at(m_world.random.Below(forms.size()));
+    auto const until = m_world.now() + span(5'000, 12'000).count();
+    for (auto const& gateway : m_fleet.gateways) {
+        if (m_world.random.Chance(part_of_gateways))
+            m_fleet.partition(*gateway, form, until);
+    }
+}
+
 auto TrafficFaults::join_gateways() -> void
 {
     for (auto const& gateway : m_fleet.gateways) {
--- a/simulation/traffic_world/traffic_run.cc
+++ b/simulation/traffic_world/traffic_run.cc
@@ -61,6 +61,28 @@
             missing("no unsafe request ran");
     }
 
+    /// The users' rule: first tries at gateways that are partitioned from all workers are served two thirds
+    /// as often as those at others, unless hardly any fail.
+    auto check_partitions(World& world, TrafficOracle& oracle, TrafficCallers const& callers) -> void
+    {
+        auto const& tries = callers.first_tries();
+        auto const part = [](TrafficCallers::Served const& it) {
+            return it.calls == 0 ? 1.0 : static_cast<double>(it.served) / static_cast<double>(it.calls);
+        };
+        constexpr double least = 2.0 / 3;
+        constexpr std::uint64_t failed_allowed = 10;
+        constexpr std::uint64_t failed_allowed_one_in = 50;
+        auto const failed = tries.partitioned.calls - tries.partitioned.served;
+        auto const all = tries.partitioned.calls + tries.others.calls;
+        auto const many = failed > failed_allowed + all / failed_allowed_one_in;
+        if (many && part(tries.partitioned) < least * part(tries.others))
+            oracle.violate("reached",
+                "partitioned gateways served " + std::to_string(tries.partitioned.served) + " of "
+                    + std::to_string(tries.partitioned.calls) + " first tries, the others "
+                    + std::to_string(tries.others.served) + " of " + std::to_string(tries.others.calls),
+                world.now());
+    }
+
 } // namespace
 
 auto run_traffic(TrafficRunOptions const& options) -> RunResult
@@ -83,7 +105,7 @@
         if (options.world.crashing_requests)
             callers.start_crashing(calm_from);
         if (!options.world.nothing_else || options.world.stated_limits || options.world.warm_ups
-            || options.world.coordination)
+            || options.world.coordination || options.world.partitions)
             faults.inject_until(calm_from, overlapping);
     });
     world.queue.At(calm_from, [&] {
@@ -96,6 +118,7 @@
     });
     while (world.queue.Step(end)) { }
     check_recovered(world, oracle, fleet, callers);
+    check_partitions(world, oracle, callers);
     if (!read)
         oracle.violate("recovers", "the configuration cannot be read", world.now());
     check_work_done(world, oracle, callers, operators, options.world);
--- a/src/control/gateway_directory.cc
+++ b/src/control/gateway_directory.cc
@@ -41,7 +41,9 @@
     gateways_.erase(known);
     return NoteChange(poll.router);
   }
-  const traffic::GatewayPeer peer{poll.router, poll.peer_address, poll.zone, poll.peer_weight};
+  const bool takes_requests = poll.caller_address.size() <= kAddressBytesMaximum;
+  const traffic::GatewayPeer peer{poll.router, poll.peer_address, poll.zone, poll.peer_weight,
+                                  takes_requests ? poll.caller_address : std::string()};
   if (known != gateways_.end()) {
     known->second.last_poll = now;
     if (known->second.peer == peer) return;
--- a/src/coordination/coordinator_selector.h
+++ b/src/coordination/coordinator_selector.h
@@ -24,6 +24,7 @@
 
     auto version() const -> traffic::PeerVersion { return m_version; }
     auto size() const -> std::size_t { return m_peers.size(); }
+    auto peers() const -> std::map<RouterId, traffic::GatewayPeer> const& { return m_peers; }
 
     /// The coordinator of a server: a gateway in the server's zone, or any gateway if that zone has none.
     /// @return null without gateways; valid until the next apply().
--- a/src/daemon/gateway/exchange_translator.cc
+++ b/src/daemon/gateway/exchange_translator.cc
@@ -97,6 +97,20 @@
 
 constexpr char kAuthorization[] = "Authorization";
 
+/// Between gateways: with a forwarded request, the oldest configuration that may route it and the
+/// attempts at servers that it may use up.
+constexpr char kHopConfiguration[] = "Graniteseam-Hop-Configuration";
+constexpr char kHopAttempts[] = "Graniteseam-Hop-Attempts";
+/// Between gateways: with the answer, whose it is, and that another gateway is to be tried.
+constexpr char kHopServer[] = "Graniteseam-Hop-Server";
+constexpr char kHopDeclined[] = "Graniteseam-Hop-Declined";
+
+void RemoveHopFields(event_http::HeaderFields& fields) {
+  for (const char* const name : {kHopConfiguration, kHopAttempts, kHopServer, kHopDeclined}) {
+    fields.Remove(name);
+  }
+}
+
 /// The digest of the key in "Authorization: Bearer KEY" (RFC 6750, section 2.1); empty when there
 /// is none, or more than one, since then it is not told which one counts.
 traffic::KeyDigest ApiKeyOf(const event_http::HeaderFields& fields) {
@@ -136,14 +150,30 @@
     arrived.time_left =
         std::chrono::milliseconds(std::clamp<std::int64_t>(*left, 0, kTimeLeftMaximumMs));
   }
+  const auto configuration = ReadNumber<std::uint64_t>(request.fields.Find(kHopConfiguration));
+  const auto attempts = ReadNumber<std::uint32_t>(request.fields.Find(kHopAttempts));
+  if (configuration && attempts) arrived.hop = gateway::HopLimits{{*configuration}, *attempts};
   return arrived;
 }
 
+std::string ExchangeTranslator::ForPeer(const event_http::Request& request,
+                                        const gateway::ForwardRequest& forward) const {
+  event_http::Request forwarded = request;
+  event_http::RemoveConnectionFields(forwarded.fields);
+  forwarded.fields.Remove("Expect");
+  const std::int64_t left = std::max<std::int64_t>(1, ToMillis(forward.time_left));
+  forwarded.fields.Set(names_.time_left_ms, std::to_string(left));
+  forwarded.fields.Set(kHopConfiguration, std::to_string(forward.hop.configuration.value));
+  forwarded.fields.Set(kHopAttempts, std::to_string(forward.hop.attempts));
+  return event_http::Serialize(forwarded);
+}
+
 std::string ExchangeTranslator::ForServer(const event_http::Request& request,
                                           const gateway::SendAttempt& send) const {
   event_http::Request forwarded = request;
   event_http::RemoveConnectionFields(forwarded.fields);
   forwarded.fields.Remove("Expect");
+  RemoveHopFields(forwarded.fields);
   if (send.hides_api_key) HideApiKey(send, forwarded.fields);
   forwarded.fields.Set(names_.target_instance, std::string(traffic::ServerNameOf(send.instance)));
   const std::int64_t left = std::max<std::int64_t>(1, ToMillis(send.time_left));
@@ -174,9 +204,32 @@
 gateway::AttemptReport ExchangeTranslator::Read(const event_http::CallResult& result,
                                                 const event_http::Request& request,
                                                 const gateway::SendAttempt& send) const {
-  gateway::AttemptReport report;
+  gateway::AttemptReport report = ReadEnd(result, request);
   report.request = send.request;
   report.attempt = send.attempt;
+  return report;
+}
+
+gateway::AttemptReport ExchangeTranslator::Read(const event_http::CallResult& result,
+                                                const event_http::Request& request,
+                                                const gateway::ForwardRequest& forward) const {
+  gateway::AttemptReport report = ReadEnd(result, request);
+  report.request = forward.request;
+  report.attempt = forward.attempt;
+  if (report.end != AttemptEnd::kAnswered) return report;
+  const event_http::HeaderFields& fields = result.response.fields;
+  if (const std::string* const server = fields.Find(kHopServer)) {
+    report.hop.server = traffic::InstanceId{*server};
+  }
+  const auto configuration = ReadNumber<std::uint64_t>(fields.Find(kHopConfiguration));
+  if (configuration) report.hop.configuration = {*configuration};
+  report.hop.declined = report.status == kUnavailable && fields.Find(kHopDeclined) != nullptr;
+  return report;
+}
+
+gateway::AttemptReport ExchangeTranslator::ReadEnd(const event_http::CallResult& result,
+                                                   const event_http::Request& request) const {
+  gateway::AttemptReport report;
   switch (result.end) {
     case event_http::CallEnd::kNotSent:
       report.end = AttemptEnd::kNotSent;
@@ -266,8 +319,13 @@
   return report;
 }
 
-event_http::Response ExchangeTranslator::ForCaller(event_http::Response answer) const {
+event_http::Response ExchangeTranslator::ForCaller(
+    event_http::Response answer, const std::optional<gateway::HopReport>& hop) const {
   event_http::RemoveConnectionFields(answer.fields);
+  RemoveHopFields(answer.fields);
+  if (!hop) return answer;
+  answer.fields.Add(kHopConfiguration, std::to_string(hop->configuration.value));
+  if (hop->server) answer.fields.Add(kHopServer, hop->server->value);
   return answer;
 }
 
@@ -286,6 +344,7 @@
                   std::chrono::duration<double>(*refusal.retry_after).count());
     response.fields.Add("Retry-After", seconds);
   }
+  if (refusal.declines_hop) response.fields.Add(kHopDeclined, "1");
   response.body = "{\"status\":" + std::to_string(refusal.status) + ",\"kind\":\"" +
                   std::string(gateway::ReasonName(refusal.reason)) + "\"}";
   return response;
--- a/src/daemon/gateway/exchange_translator.h
+++ b/src/daemon/gateway/exchange_translator.h
@@ -30,6 +30,15 @@
                               const event_http::Request& request,
                               const gateway::SendAttempt& send) const;
 
+  /// The bytes for another gateway: the request as its caller sent it, with the time that is left
+  /// and what the other gateway may do with it.
+  std::string ForPeer(const event_http::Request& request,
+                      const gateway::ForwardRequest& forward) const;
+  /// What the decision maker must know of the end of such a call.
+  gateway::AttemptReport Read(const event_http::CallResult& result,
+                              const event_http::Request& request,
+                              const gateway::ForwardRequest& forward) const;
+
   /// The bytes that ask a server for its load.
   std::string ForProbe(const gateway::ProbeInstance& probe) const;
   /// What the decision maker must know of the end of such a call.
@@ -37,7 +46,9 @@
                             const gateway::ProbeInstance& probe) const;
 
   /// A server's answer as the caller gets it.
-  event_http::Response ForCaller(event_http::Response answer) const;
+  /// @param hop what to tell the caller if it is a gateway that forwarded the request.
+  event_http::Response ForCaller(event_http::Response answer,
+                                 const std::optional<gateway::HopReport>& hop) const;
   /// The gateway's own answer.
   event_http::Response ForCaller(const gateway::Refuse& refusal,
                                  const event_http::Request& request) const;
@@ -52,6 +63,8 @@
  private:
   /// The server learns whose key it was, from the gateway alone.
   void HideApiKey(const gateway::SendAttempt& send, event_http::HeaderFields& fields) const;
+  gateway::AttemptReport ReadEnd(const event_http::CallResult& result,
+                                 const event_http::Request& request) const;
   gateway::AttemptEnd EndOf(const event_http::Response& answer,
                             const event_http::Request& request) const;
   gateway::BackPressure PressureOf(const event_http::Response& answer) const;
--- a/src/daemon/gateway/gateway_metrics.h
+++ b/src/daemon/gateway/gateway_metrics.h
@@ -21,6 +21,9 @@
   void OnSend(bool while_warming_up);
   void OnAttemptEnd(gateway::AttemptEnd end);
   void OnProbe() { probes_.Increment(); }
+  void OnTrialConnection() { trial_connections_.Increment(); }
+  void OnForward() { forwards_.Increment(); }
+  void OnPartitioned(bool partitioned) { partitioned_.Set(partitioned ? 1 : 0); }
   void OnUnreadableLoad() { unreadable_loads_.Increment(); }
   void OnBackPressure(const gateway::BackPressure& pressure);
   void OnLimitedInstances(std::size_t count);
@@ -44,6 +47,9 @@
   runtime::CounterHandle rests_asked_;
   runtime::GaugeHandle limited_instances_;
   runtime::CounterHandle probes_;
+  runtime::CounterHandle trial_connections_;
+  runtime::CounterHandle forwards_;
+  runtime::GaugeHandle partitioned_;
   runtime::HistogramHandle slot_wait_seconds_;
   runtime::HistogramHandle slot_start_error_seconds_;
   runtime::CounterHandle slot_grants_unused_;
--- a/src/daemon/gateway/gateway_process.cc
+++ b/src/daemon/gateway/gateway_process.cc
@@ -54,6 +54,9 @@
         runtime::ToString(advertised.ip.empty() ? settings.coordination_address : advertised);
   }
   options.machine_weight = settings.machine_weight;
+  const runtime::SocketAddress& callers = settings.advertised_caller_address;
+  options.caller_address =
+      runtime::ToString(callers.ip.empty() ? settings.caller_address : callers);
   return options;
 }
 
@@ -273,11 +276,44 @@
   });
 }
 
-void GatewayProcess::OnCallEnd(const gateway::SendAttempt& send, event_http::CallResult result) {
-  const auto found = live_.find(send.request);
+void GatewayProcess::Do(const gateway::TryConnection& trial) {
+  if (rest_answered_) return;
+  event_http::Call call;
+  call.address = trial.address;
+  call.limit = kConnectLimit;
+  call.needs_new_connection = true;
+  call.only_connects = true;
+  metrics_.OnTrialConnection();
+  servers_->Start(std::move(call), [this, trial](const event_http::CallResult& result) {
+    const bool reached = result.end == event_http::CallEnd::kAnswered;
+    Run(node_.OnConnectionTried({trial.round, trial.instance, reached}, runtime::BootTimeNow()));
+    metrics_.OnPartitioned(node_.is_partitioned());
+  });
+}
+
+void GatewayProcess::Do(const gateway::ForwardRequest& forward) {
+  if (rest_answered_) return;
+  LiveExchange& live = live_.at(forward.request);
+  if (!live.first_sent) live.first_sent = runtime::BootTimeNow();
+  const event_http::Request& request = live.exchange->request();
+  event_http::Call call;
+  call.address = forward.address;
+  call.bytes = translator_.ForPeer(request, forward);
+  call.head = request.method == "HEAD";
+  call.limit = forward.time_left;
+  call.not_after = runtime::BootTimeNow() + kHandedOverWithin;
+  metrics_.OnForward();
+  live.call = servers_->Start(std::move(call), [this, forward](event_http::CallResult result) {
+    OnCallEnd(forward, std::move(result));
+  });
+}
+
+template <class Effect>
+void GatewayProcess::OnCallEnd(const Effect& effect, event_http::CallResult result) {
+  const auto found = live_.find(effect.request);
   if (found == live_.end()) return;
   LiveExchange& live = found->second;
-  const gateway::AttemptReport report = translator_.Read(result, live.exchange->request(), send);
+  const gateway::AttemptReport report = translator_.Read(result, live.exchange->request(), effect);
   metrics_.OnAttemptEnd(report.end);
   if (report.load_unreadable) metrics_.OnUnreadableLoad();
   if (report.end == gateway::AttemptEnd::kUnusable && live.call) servers_->Distrust(*live.call);
@@ -297,7 +333,7 @@
 
 void GatewayProcess::Do(const gateway::RelayAnswer& relay) {
   LiveExchange& live = live_.at(relay.request);
-  event_http::Response answer = translator_.ForCaller(std::move(*live.answer));
+  event_http::Response answer = translator_.ForCaller(std::move(*live.answer), relay.hop);
   answer.bulk = relay.bulk;
   Finish(relay.request, answer, "relayed");
 }
--- a/src/daemon/gateway/gateway_process.h
+++ b/src/daemon/gateway/gateway_process.h
@@ -78,6 +78,8 @@
   void Run(gateway::GatewayEffects effects);
   void Do(const gateway::SendAttempt& send);
   void Do(const gateway::ProbeInstance& probe);
+  void Do(const gateway::TryConnection& trial);
+  void Do(const gateway::ForwardRequest& forward);
   void Do(const gateway::AbandonAttempt& abandon);
   void Do(const gateway::RelayAnswer& relay);
   void Do(const gateway::Refuse& refusal);
@@ -86,7 +88,9 @@
   void Do(const gateway::ResetPeer& peer);
   Result<void> StartCoordination();
   std::optional<Error> OnSlotMessages(const std::string& from, const std::string& payload);
-  void OnCallEnd(const gateway::SendAttempt& send, event_http::CallResult result);
+  /// @param effect the SendAttempt or ForwardRequest that began the attempt.
+  template <class Effect>
+  void OnCallEnd(const Effect& effect, event_http::CallResult result);
   void Finish(gateway::RequestNumber number, const event_http::Response& response,
               std::string_view outcome);
   void AnswerTheRest();
--- a/src/daemon/gateway/gateway_settings.cc
+++ b/src/daemon/gateway/gateway_settings.cc
@@ -16,6 +16,10 @@
   reader.AddText("zone", "The zone it runs in.", settings.zone, Presence::kRequired);
   reader.AddAddress("caller_address", "Address for callers.", settings.caller_address,
                     Presence::kRequired);
+  reader.AddAddress("advertised_caller_address",
+                    "Where other gateways reach caller_address, behind a relay or address "
+                    "translation.",
+                    settings.advertised_caller_address);
   reader.AddAddress("status_address", "Address for /ready and /metrics.", settings.status_address,
                     Presence::kRequired);
   reader.AddAddress("metrics_address",
--- a/src/daemon/gateway/gateway_settings.h
+++ b/src/daemon/gateway/gateway_settings.h
@@ -15,6 +15,7 @@
   std::string id;
   std::string zone;
   runtime::SocketAddress caller_address;
+  runtime::SocketAddress advertised_caller_address;  ///< Empty: caller_address.
   runtime::SocketAddress status_address;
   runtime::SocketAddress metrics_address;  ///< Empty: only at status_address.
   std::vector<runtime::SocketAddress> control;
--- a/src/event_http/client_pool.cc
+++ b/src/event_http/client_pool.cc
@@ -157,6 +157,7 @@
       if (failed) return self->Fail(CallEnd::kNotSent);
       self->connected_ = true;
       if (const auto pool = self->pool_.lock()) ++pool->counts().connections_opened;
+      if (self->call_.only_connects) return self->SettleConnected();
       SetSocketOptions(self->socket_);
       const Duration spent = runtime::BootTimeNow() - self->started_at_;
       self->ArmTimer(std::max(Duration{1'000}, self->call_.limit - spent));
@@ -165,6 +166,16 @@
     });
   }
 
+  void SettleConnected() {
+    CallResult result;
+    result.end = CallEnd::kAnswered;
+    result.new_connection = true;
+    const ClientPool::Handler handler = std::exchange(handler_, nullptr);
+    if (const auto pool = pool_.lock()) pool->Finished(number_);
+    Close(false);
+    handler(std::move(result));
+  }
+
   void WatchAndWrite(Duration opening) {
     const auto pool = pool_.lock();
     const bool watches = call_.watches_new_connection;
--- a/src/event_http/client_pool.h
+++ b/src/event_http/client_pool.h
@@ -28,6 +28,9 @@
   Instant not_after = Instant::max();
   /// Whether a new connection is watched before the request is sent, as the pool's options say.
   bool watches_new_connection = true;
+  /// Opens a connection and closes it, without a request: the call is answered, by an empty
+  /// response, once the server has accepted. Needs needs_new_connection.
+  bool only_connects = false;
   /// Connections that rested longer are not used: the server may just be closing them.
   Duration rested_maximum{4'000'000};
 };
--- a/src/gateway/backend_table.cc
+++ b/src/gateway/backend_table.cc
@@ -330,6 +330,26 @@
   return drawn.size() < 2 && !outdated ? Backends{} : drawn;
 }
 
+BackendTable::Backends BackendTable::DrawForTrial(std::size_t count) {
+  Backends listed;
+  for (const auto& [id, backend] : backends_) {
+    if (backend.instance.AcceptsNewWork()) listed.push_back(&backend);
+  }
+  Backends drawn;
+  std::sample(listed.begin(), listed.end(), std::back_inserter(drawn), count, random_);
+  return drawn;
+}
+
+void BackendTable::ForgetUnreached() {
+  for (auto& [id, backend] : backends_) {
+    backend.speed.unreached = 0;
+    backend.failures = 0;
+    backend.ejection = {};
+    backend.ejected_until = {};
+    backend.paused_until = {};
+  }
+}
+
 const Backend* BackendTable::FastestProbed(const std::vector<traffic::InstanceId>& asked,
                                            Duration target, Instant now) const {
   const Backend* best = nullptr;
--- a/src/gateway/backend_table.h
+++ b/src/gateway/backend_table.h
@@ -136,6 +136,12 @@
   const Backend* Choose(const ServiceName& service, const std::vector<traffic::InstanceId>& tried,
                         Duration target, Instant now);
 
+  /// Draws servers of all services at random, to find out whether this gateway reaches them.
+  Backends DrawForTrial(std::size_t count);
+  /// Forgets the attempts that reached no server, and what followed from them: this gateway was
+  /// partitioned from the servers, or was not any more.
+  void ForgetUnreached();
+
   /// Draws servers to probe for their load before a request is sent: by speed, the last one from
   /// another zone, so that a zone which is fuller than others is detected.
   /// @return none if a warming-up or limited instance is to get the request, or if there is no
--- /dev/null
+++ b/src/gateway/forwarding.cc
@@ -0,0 +1,130 @@
+// Requests that a gateway which is partitioned from the servers forwards to other gateways.
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "graniteseam/common/duration_text.h"
+#include "src/gateway/gateway_node.h"
+#include "src/gateway/hold_limits.h"
+#include "src/gateway/retry_rules.h"
+
+namespace graniteseam::gateway {
+namespace {
+
+/// Peers that one request is forwarded to, one after the other, while none of them takes it.
+constexpr std::size_t kPeersMaximum = 5;
+
+}  // namespace
+
+void GatewayNode::CheckReachability(Instant now) {
+  if (!reachability_.needs_round(now)) return;
+  BackendTable::Backends servers =
+      traffic_.backends().DrawForTrial(ServerReachability::kServersPerRound);
+  if (servers.size() < ServerReachability::kServersMinimum) servers.clear();
+  const std::uint32_t round = reachability_.begin_round(servers.size(), now);
+  for (const Backend* const server : servers) {
+    const traffic::InstanceReport& instance = server->instance.report;
+    effects_.actions.emplace_back(TryConnection{round, instance.id, instance.address});
+  }
+}
+
+GatewayEffects GatewayNode::OnConnectionTried(const ConnectionTrial& trial, Instant now) {
+  if (!reachability_.note_trial(trial.round, trial.reached, now)) return Finish(now);
+  const bool partitioned = reachability_.is_partitioned();
+  Note({}, partitioned ? "partitioned" : "partition_healed", trial.instance,
+       "peers " + std::to_string(coordinators_.size()));
+  // What failed meanwhile tells nothing of the servers.
+  traffic_.backends().ForgetUnreached();
+  if (partitioned) AbandonHanging(now);
+  ServeAllWaiting(now);
+  return Finish(now);
+}
+
+void GatewayNode::AbandonHanging(Instant now) {
+  for (const RequestNumber number : requests_.numbers()) {
+    LiveRequest& request = requests_.at(number);
+    if (!request.open || request.peer || !reachability_.hangs(number, now)) continue;
+    if (retry_block_reason(request, AttemptEnd::kLost, BudgetOf(request.service),
+                           traffic_.gateway_count(), now)) {
+      continue;
+    }
+    Note(number, "abandon", request.open->instance, "partitioned");
+    traffic_.backends().OnAbandoned(request.open->instance);
+    reachability_.note_abandoned(number);
+    effects_.actions.emplace_back(AbandonAttempt{number, request.open->number});
+    EndSlot(request, {.outcome = coordination::SlotOutcome::kLost});
+    request.open.reset();
+    request.may_have_run = true;
+    requests_.enqueue(request);
+    request.hold_from = now;
+    Wait(request, RefusalReason::kNoServer, short_hold(request), now);
+  }
+}
+
+bool GatewayNode::NeedsPeer() const {
+  // A peer ran requests by a newer configuration: going back to an older one is not allowed.
+  return reachability_.is_partitioned() || configuration() < peers_configuration_;
+}
+
+bool GatewayNode::Forward(LiveRequest& request, Instant now) {
+  if (request.arrived.hop || !NeedsPeer()) return false;
+  if (request.attempts >= request.attempts_maximum) return false;
+  if (request.peers_tried.size() >= kPeersMaximum) return false;
+  const traffic::GatewayPeer* const peer =
+      peers_.choose(coordinators_.peers(), request.peers_tried, now);
+  if (peer == nullptr) return false;
+  ForwardTo(request, *peer, now);
+  return true;
+}
+
+void GatewayNode::ForwardTo(LiveRequest& request, const traffic::GatewayPeer& peer, Instant now) {
+  requests_.dequeue(request);
+  limit_queue_.remove(request.arrived.number);
+  WithdrawSlot(request);
+  request.probes = {};
+  // The peer charges it.
+  if (std::exchange(request.charged_to_quota, false)) quotas_.give_back(request.tenant);
+  ForwardRequest forward;
+  forward.request = request.arrived.number;
+  forward.attempt = ++request.newest_attempt;
+  forward.address = peer.caller_address;
+  forward.time_left = request.give_up - now;
+  forward.hop.configuration = std::max(configuration(), peers_configuration_);
+  forward.hop.attempts = request.attempts_maximum - request.attempts;
+  Note(request.arrived.number, "forward", {},
+       "to " + peer.id.value + ", attempts " + std::to_string(forward.hop.attempts) +
+           ", configuration " + std::to_string(forward.hop.configuration.value) + ", after " +
+           InMs(now - request.received));
+  request.open = OpenAttempt{forward.attempt, {}, now};
+  request.peer = peer.id;
+  request.peers_tried.insert(peer.id);
+  peers_.note_sent(peer.id);
+  effects_.actions.emplace_back(std::move(forward));
+  requests_.set_timer(request, request.give_up);
+}
+
+void GatewayNode::HandleForwardEnd(LiveRequest& request, const AttemptReport& report, Instant now) {
+  const RouterId peer = *std::exchange(request.peer, std::nullopt);
+  const Duration taken = now - request.open->sent_at;
+  request.open.reset();
+  peers_.note_end(peer);
+  if (report.hop.server) NoteBackPressure(*report.hop.server, report, now);
+  peers_configuration_ = std::max(peers_configuration_, report.hop.configuration);
+  if (report.end == AttemptEnd::kAnswered && !report.hop.declined) {
+    // The peer's promise that it did not run the request says nothing of attempts from here.
+    const bool holds = may_be_relayed(report) || !request.may_have_run;
+    return holds ? Relay(request) : End(request, RefusalReason::kOutcomeUnknown, now);
+  }
+  Note(request.arrived.number, "forward_failed", {},
+       peer.value + ", end " + std::string(EndName(report.end)) + ", status " +
+           std::to_string(report.status) + ", after " + InMs(taken));
+  if (report.end == AttemptEnd::kLost || report.end == AttemptEnd::kUnusable) {
+    request.may_have_run = true;
+    return End(request, RefusalReason::kOutcomeUnknown, now);
+  }
+  peers_.avoid(peer, now);
+  if (now >= request.give_up) return GiveUp(request, now);
+  if (!Forward(request, now)) EndWithoutRun(request, RefusalReason::kPartitioned, now);
+}
+
+}  // namespace graniteseam::gateway
--- a/src/gateway/gateway_events.cc
+++ b/src/gateway/gateway_events.cc
@@ -36,6 +36,8 @@
       return "unknown_api_key";
     case RefusalReason::kNoServer:
       return "no_server";
+    case RefusalReason::kPartitioned:
+      return "partitioned";
     case RefusalReason::kNoOwner:
       return "no_owner";
     case RefusalReason::kOwnerFails:
--- a/src/gateway/gateway_events.h
+++ b/src/gateway/gateway_events.h
@@ -24,6 +24,13 @@
 /// Identifies one caller's request while the gateway handles it.
 using RequestNumber = NumericId<struct RequestNumberTag>;
 
+/// What a gateway that forwards a request allows the gateway that takes it.
+struct HopLimits {
+  /// The request may be routed by this configuration or a newer one.
+  traffic::ConfigurationVersion configuration;
+  std::uint32_t attempts = 1;  ///< At servers.
+};
+
 /// A request that was read completely.
 struct ArrivedRequest {
   RequestNumber number;
@@ -33,6 +40,7 @@
   Duration time_left{};              ///< The caller's remaining time at arrival.
   traffic::RequestDigest digest;     ///< Digest of the request's content.
   traffic::KeyDigest api_key;  ///< Digest of the presented API key; empty when none is presented.
+  std::optional<HopLimits> hop{};  ///< Set when another gateway forwarded it.
 };
 
 /// A server's report of its own load.
@@ -70,6 +78,13 @@
 /// would take.
 inline constexpr int kFirstFailureStatus = 500;
 
+/// What a gateway says in its answer to a forwarded request, beside the answer itself.
+struct HopReport {
+  std::optional<traffic::InstanceId> server;    ///< Whose answer it is; nullopt for its own.
+  traffic::ConfigurationVersion configuration;  ///< The newest by which it may have been routed.
+  bool declined = false;  ///< It can serve no request at present; another gateway may.
+};
+
 /// The end of one attempt.
 struct AttemptReport {
   RequestNumber request;
@@ -80,6 +95,7 @@
   bool load_unreadable = false;  ///< The reported load is malformed.
   bool not_owner = false;        ///< Not the intended server, or not the key's owner.
   BackPressure pressure{};
+  HopReport hop{};  ///< Of an attempt at another gateway.
 };
 
 /// The result of probing a server for its load.
@@ -94,6 +110,13 @@
   bool other_instance = false;             ///< Another process has taken the address.
 };
 
+/// The end of a trial connection to a server.
+struct ConnectionTrial {
+  std::uint32_t round = 0;
+  traffic::InstanceId instance;
+  bool reached = false;  ///< The connection was accepted.
+};
+
 /// The traffic state of a control process that follows a leader, as it answered a poll.
 struct FollowerReport {
   std::string follower;  ///< "ip:port".
@@ -113,6 +136,7 @@
   kNoApiKey,       ///< The route requires a tenant's API key; the request has none.
   kUnknownApiKey,  ///< No tenant has the presented API key.
   kNoServer,       ///< No server takes new work.
+  kPartitioned,    ///< This gateway reaches no server, and no other gateway took the request.
   kNoOwner,        ///< The key has no owner at present.
   kOwnerFails,     ///< The key's owner resets connections or is unreachable.
   /// The owner stored here no longer owns the key; another gateway may be more recent.
@@ -158,6 +182,20 @@
   std::string path;
   Duration useful_for{};  ///< Later answers are ignored.
 };
+/// Effect: open a connection to a server and close it, to find out whether it can be reached.
+struct TryConnection {
+  std::uint32_t round = 0;
+  traffic::InstanceId instance;
+  std::string address;  ///< "ip:port".
+};
+/// Effect: forward the request to another gateway, whose answer ends an attempt.
+struct ForwardRequest {
+  RequestNumber request;
+  std::uint32_t attempt = 0;
+  std::string address;  ///< "ip:port".
+  Duration time_left{};
+  HopLimits hop;
+};
 /// Effect: stop waiting for an attempt and close its connection.
 struct AbandonAttempt {
   RequestNumber request;
@@ -168,6 +206,7 @@
   RequestNumber request;
   bool bulk =
       false;  ///< Its route's answers are large, and may be written more slowly than others.
+  std::optional<HopReport> hop{};  ///< For the gateway that forwarded the request.
 };
 /// Effect: answer from the gateway itself; nothing of the request is in flight any more.
 struct Refuse {
@@ -175,6 +214,8 @@
   int status = 503;
   RefusalReason reason = RefusalReason::kOverloaded;
   std::optional<Duration> retry_after;
+  /// Tells the gateway that forwarded the request to try another one.
+  bool declines_hop = false;
 };
 
 /// Effect: request tokens of tenants' quotas and of servers' limits from the leader.
@@ -192,8 +233,9 @@
   std::string address;  ///< "ip:port".
 };
 
-using GatewayEffect = std::variant<SendAttempt, ProbeInstance, AbandonAttempt, RelayAnswer, Refuse,
-                                   AskTokens, SendSlots, ResetPeer>;
+using GatewayEffect =
+    std::variant<SendAttempt, ProbeInstance, TryConnection, ForwardRequest, AbandonAttempt,
+                 RelayAnswer, Refuse, AskTokens, SendSlots, ResetPeer>;
 
 /// A decision to be logged.
 struct DecisionNote {
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -35,6 +35,7 @@
       hot_keys_(seed),
       probes_(options_.probes),
       quotas_(options_.id),
+      peers_(options_.id, options_.backends.zone, seed),
       slots_(options_.id, seed),
       coordinator_(options_.id, seed) {}
 
@@ -145,11 +146,17 @@
       request != nullptr && request->open && request->open->number == report.attempt;
   if (!current) return Finish(now);
   const ServiceName service = request->service;
+  if (request->peer) {
+    HandleForwardEnd(*request, report, now);
+    return Finish(now);
+  }
+  reachability_.note_end(report.request, request->open->instance, report.end, now);
   traffic_.backends().OnEnded(request->open->instance, report, now - request->open->sent_at, now);
   if (report.load) probes_.note_answer(service, *report.load, now);
   NoteBackPressure(request->open->instance, report, now);
   HandleAttemptEnd(*request, report, now);
   ServeWaiting(service, now);
+  CheckReachability(now);
   return Finish(now);
 }
 
@@ -193,11 +200,13 @@
     ServeWaiting(service, now);
   }
   DeliverSlots(coordinator_.tick(now), now);
+  CheckReachability(now);
   return Finish(now);
 }
 
 Instant GatewayNode::NextTick() const {
-  return std::min({requests_.next_timer(), slots_.next_tick(), coordinator_.next_tick()});
+  return std::min({requests_.next_timer(), slots_.next_tick(), coordinator_.next_tick(),
+                   reachability_.next_check()});
 }
 
 traffic::TrafficPoll GatewayNode::TakePoll(Instant now) {
@@ -216,13 +225,15 @@
   reported_configuration_ = configuration();
   poll.loads = key_loads_.take();
   const bool tell_speeds = poll_sequence_ % kPollsPerSpeeds == 0;
-  poll.speeds = traffic_.backends().TakeSpeeds(tell_speeds);
+  // Control would take keys and requests from sound servers.
+  if (!reachability_.is_suspected()) poll.speeds = traffic_.backends().TakeSpeeds(tell_speeds);
   crashes_.add_to_poll(poll, now);
   quotas_.add_to_poll(poll, now);
   traffic_.backends().pressure().add_to_poll(poll, now);
   poll.leaving = LeavingUnknownToControl();
   poll.peer_address = options_.coordination_address;
   poll.peer_weight = options_.machine_weight;
+  poll.caller_address = options_.caller_address;
   poll.peers_version = coordinators_.version();
   return poll;
 }
@@ -249,9 +260,14 @@
 void GatewayNode::Admit(LiveRequest& request, Instant now) {
   const ArrivedRequest& arrived = request.arrived;
   if (!Ready()) return AwaitConfiguration(request, now);
-  if (is_outdated(configuration_lag_, now)) {
+  const std::optional<HopLimits>& hop = arrived.hop;
+  const bool behind = hop && configuration() < hop->configuration;
+  if (behind || is_outdated(configuration_lag_, now)) {
     return EndWithoutRun(request, RefusalReason::kOutdated, now);
   }
+  if (hop && reachability_.is_partitioned()) {
+    return EndWithoutRun(request, RefusalReason::kPartitioned, now);
+  }
   const traffic::Route* route = traffic_.routes().Find(arrived.host, arrived.path);
   if (route == nullptr) {
     const bool confirmed = IsConfirmed(now);
@@ -266,6 +282,7 @@
   const auto service = traffic_.routes().NextService(*route);
   if (!service) return EndWithoutRun(request, RefusalReason::kNoServer, now);
   ApplyRoute(request, *route, *service);
+  if (now < request.give_up && Forward(request, now)) return;
   if (ChargeQuota(request, now)) Offer(request, now);
 }
 
@@ -338,7 +355,9 @@
   }
   BudgetOf(service).CountRequest(now);
   if (now >= request.give_up) return EndWithoutRun(request, RefusalReason::kDeadline, now);
-  if (requests_.queue_size(service) >= options_.waiting_maximum) {
+  // The rest of the queue is for this gateway's own callers.
+  const std::size_t maximum = options_.waiting_maximum / (arrived.hop ? 2 : 1);
+  if (requests_.queue_size(service) >= maximum) {
     return EndWithoutRun(request, RefusalReason::kOverloaded, now);
   }
   requests_.enqueue(request);
@@ -395,6 +414,9 @@
   request.target_latency = std::chrono::milliseconds(route.target_latency_ms);
   request.attempts_maximum =
       static_cast<std::uint32_t>(std::max<std::int64_t>(1, route.attempts_maximum));
+  if (const auto& hop = request.arrived.hop) {
+    request.attempts_maximum = std::min(request.attempts_maximum, std::max(1U, hop->attempts));
+  }
   const Duration timeout = std::chrono::milliseconds(route.timeout_ms);
   if (IsCoordinatedService(service))
     request.age = caller_ages_.age_of(route.name, request.arrived.time_left);
@@ -431,6 +453,7 @@
   const traffic::PeerVersion before = coordinators_.version();
   std::vector<RouterId> gone = coordinators_.apply(update);
   if (coordinators_.version() == before) return gone;
+  peers_.forget_unlisted(coordinators_.peers());
   Note({}, "peers", {},
        "term " + std::to_string(coordinators_.version().term) + ", number " +
            std::to_string(coordinators_.version().number) + ", gateways " +
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -25,8 +25,10 @@
 #include "src/gateway/key_loads.h"
 #include "src/gateway/limit_queue.h"
 #include "src/gateway/live_requests.h"
+#include "src/gateway/peer_selector.h"
 #include "src/gateway/probe_policy.h"
 #include "src/gateway/quota_gate.h"
+#include "src/gateway/server_reachability.h"
 #include "src/gateway/shared_retry_budget.h"
 #include "src/gateway/token_queue.h"
 #include "src/gateway/traffic_view.h"
@@ -48,6 +50,9 @@
   /// when it takes no part.
   std::string coordination_address;
   double machine_weight = 1;  ///< The machine's processor share, relative to other gateways.
+  /// The address at which it takes requests that other gateways forward, "ip:port"; empty when it
+  /// takes none.
+  std::string caller_address;
 };
 
 /// Decides about requests; performs no input or output itself.
@@ -78,6 +83,8 @@
   GatewayEffects OnRequest(const ArrivedRequest& request, Instant now);
   /// Handles the end of an attempt; ignored for an attempt that is no longer in flight.
   GatewayEffects OnAttemptEnd(const AttemptReport& report, Instant now);
+  /// Handles the end of a trial connection to a server.
+  GatewayEffects OnConnectionTried(const ConnectionTrial& trial, Instant now);
   /// Handles the end of a probe.
   GatewayEffects OnProbeEnd(const ProbeReport& report, Instant now);
   /// Drops a request whose caller closed its connection.
@@ -110,6 +117,9 @@
   /// method, and its route's requests may be repeated.
   bool MayRunBeside(std::string_view host, std::string_view path, std::string_view method) const;
 
+  /// Whether this gateway is partitioned from the servers.
+  bool is_partitioned() const { return reachability_.is_partitioned(); }
+
   /// Whether a configuration was ever received.
   bool Ready() const { return traffic_.is_ready(); }
   const traffic::CallerLimits& limits() const { return traffic_.limits(); }
@@ -206,6 +216,20 @@
   Step Send(LiveRequest& request, const Backend& backend, Instant now);
   void BeginAttempt(LiveRequest& request, const Backend& backend, Instant now);
 
+  // forwarding.cc
+  /// Begins a round of trial connections when one is due.
+  void CheckReachability(Instant now);
+  /// Queues requests again that wait for servers which this gateway does not reach any more, as far
+  /// as they may be repeated.
+  void AbandonHanging(Instant now);
+  /// Whether requests must not go to servers from here.
+  bool NeedsPeer() const;
+  /// Forwards a request to another gateway if it must not go to a server from here.
+  /// @return whether it was forwarded; false also when no other gateway takes it.
+  bool Forward(LiveRequest& request, Instant now);
+  void ForwardTo(LiveRequest& request, const traffic::GatewayPeer& peer, Instant now);
+  void HandleForwardEnd(LiveRequest& request, const AttemptReport& report, Instant now);
+
   // slot_requests.cc
   /// Whether a service's requests are coordinated, by its configuration and this gateway's
   /// settings.
@@ -270,6 +294,10 @@
   TokenQueue token_queue_;
   LimitQueue limit_queue_;
   CallerAge caller_ages_;
+  ServerReachability reachability_;
+  PeerSelector peers_;
+  /// The newest configuration by which another gateway may have routed a request of this one.
+  traffic::ConfigurationVersion peers_configuration_;
   coordination::CoordinatorSelector coordinators_;
   coordination::SlotClient slots_;
   coordination::SlotCoordinator coordinator_;
--- a/src/gateway/live_request.h
+++ b/src/gateway/live_request.h
@@ -4,6 +4,7 @@
 
 #include <compare>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "graniteseam/traffic/configuration.h"
@@ -65,6 +66,8 @@
   Instant timer{};      ///< As entered in LiveRequests; Instant{} for none.
 
   std::optional<OpenAttempt> open;
+  std::optional<RouterId> peer;  ///< The gateway that has the open attempt; nullopt for a server.
+  std::set<RouterId> peers_tried;
   std::uint32_t attempts = 0;        ///< Attempts so far, without those that sent no byte.
   std::uint32_t newest_attempt = 0;  ///< Number of the newest attempt, unsent ones counted.
   std::uint32_t unsent = 0;          ///< Attempts that sent no byte.
--- a/src/gateway/live_requests.cc
+++ b/src/gateway/live_requests.cc
@@ -30,6 +30,12 @@
   m_requests.erase(number);
 }
 
+auto LiveRequests::numbers() const -> std::vector<RequestNumber> {
+  std::vector<RequestNumber> numbers;
+  for (auto const& [number, request] : m_requests) numbers.push_back(number);
+  return numbers;
+}
+
 auto LiveRequests::set_timer(LiveRequest& request, Instant at) -> void {
   m_timers.erase({request.timer, request.arrived.number});
   request.timer = at;
--- a/src/gateway/live_requests.h
+++ b/src/gateway/live_requests.h
@@ -26,6 +26,7 @@
   /// Removes a request with its timer and queue entry.
   auto erase(LiveRequest& request) -> void;
   auto size() const -> std::size_t { return m_requests.size(); }
+  auto numbers() const -> std::vector<RequestNumber>;
 
   /// Replaces the request's timer.
   /// @param at Instant{} for none.
--- a/src/gateway/refusals.cc
+++ b/src/gateway/refusals.cc
@@ -41,11 +41,19 @@
   }
 }
 
+/// Whether the reason lies in this gateway, so that another one may serve the request now.
+auto is_only_here(RefusalReason reason) -> bool {
+  return reason == RefusalReason::kStaleOwner || reason == RefusalReason::kOutdated ||
+         reason == RefusalReason::kPartitioned;
+}
+
+auto declines_hop(RefusalReason reason) -> bool {
+  return reason == RefusalReason::kOutdated || reason == RefusalReason::kPartitioned ||
+         reason == RefusalReason::kNoConfiguration || reason == RefusalReason::kUnconfirmed;
+}
+
 auto retry_after(LiveRequest const& request, RefusalReason reason, Instant now) -> Duration {
-  // The state here is out of date; an immediate retry at another gateway may succeed.
-  auto const is_stale_here =
-      reason == RefusalReason::kStaleOwner || reason == RefusalReason::kOutdated;
-  if (is_stale_here) return kRetryAfterMinimum;
+  if (is_only_here(reason)) return kRetryAfterMinimum;
   // An earlier retry would be refused again.
   if (reason == RefusalReason::kQuarantined) return traffic::kSuspectRetention;
   // The server has room but fails some requests: another attempt may succeed, and still be in time.
@@ -67,6 +75,7 @@
 
 auto refusal_without_run(LiveRequest const& request, RefusalReason reason, Instant now) -> Refuse {
   Refuse refusal{request.arrived.number, status_of(reason), reason, std::nullopt};
+  refusal.declines_hop = request.arrived.hop && declines_hop(reason);
   if (refusal.status == kUnavailable) refusal.retry_after = retry_after(request, reason, now);
   return refusal;
 }
--- a/src/gateway/request_ending.cc
+++ b/src/gateway/request_ending.cc
@@ -82,7 +82,9 @@
 
 void GatewayNode::Relay(LiveRequest& request) {
   const bool bulk = request.kind == traffic::RouteKind::kDownload;
-  effects_.actions.emplace_back(RelayAnswer{request.arrived.number, bulk});
+  RelayAnswer relay{request.arrived.number, bulk};
+  if (request.arrived.hop) relay.hop = HopReport{request.tried.back(), configuration()};
+  effects_.actions.emplace_back(std::move(relay));
   Remove(request);
 }
 
@@ -127,8 +129,12 @@
   coordination::SlotRelease release;
   if (request.open) release.outcome = coordination::SlotOutcome::kLost;
   EndSlot(request, release);
+  if (request.peer) peers_.note_end(*request.peer);
   if (request.open) {
-    traffic_.backends().OnAbandoned(request.open->instance);
+    if (!request.peer) {
+      traffic_.backends().OnAbandoned(request.open->instance);
+      reachability_.note_abandoned(request.arrived.number);
+    }
     effects_.actions.emplace_back(AbandonAttempt{request.arrived.number, request.open->number});
   }
   requests_.erase(request);
--- a/src/gateway/request_sending.cc
+++ b/src/gateway/request_sending.cc
@@ -1,5 +1,6 @@
 // Choice of a server for waiting requests, and their waits.
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 #include "src/gateway/gateway_node.h"
@@ -59,6 +60,7 @@
 }
 
 GatewayNode::Step GatewayNode::TryNext(LiveRequest& request, Instant now) {
+  if (Forward(request, now)) return Step::kSent;
   if (now < request.not_before) return Step::kWaits;
   if (traffic_.is_keyed(request.service)) return TryOwner(request, now);
   // The service may have had keys when the request asked for a slot.
@@ -250,6 +252,8 @@
   send.hides_api_key = traffic_.tenants().keys_required();
   effects_.actions.emplace_back(std::move(send));
   traffic_.backends().OnSent(id, now);
+  const auto expected = Duration(std::llround(backend.latency_us));
+  reachability_.note_sent(request.arrived.number, id, expected, now);
   requests_.set_timer(request, request.give_up);
 }
 
--- a/src/protocol/hello.h
+++ b/src/protocol/hello.h
@@ -14,7 +14,7 @@
 namespace graniteseam::protocol {
 
 /// The newest and the oldest version of the internal protocol that this build supports.
-inline constexpr std::int32_t kProtocolVersion = 14;
+inline constexpr std::int32_t kProtocolVersion = 15;
 inline constexpr std::int32_t kOldestProtocolVersion = 13;
 
 enum class ProcessKind { kControl, kRouter };
--- a/tests/event_http/event_http_test.cc
+++ b/tests/event_http/event_http_test.cc
@@ -107,6 +107,27 @@
   loop.Stop();
 }
 
+Test(event_http, call_that_only_connects_tells_whether_the_server_accepts) {
+  EchoServer server;
+  runtime::EventLoop loop;
+  ClientPool pool(loop.context(), {});
+  const auto connect = [&](const std::string& address) {
+    std::promise<CallEnd> ended;
+    boost::asio::post(loop.context(), [&] {
+      Call call;
+      call.address = address;
+      call.limit = std::chrono::seconds(5);
+      call.needs_new_connection = call.only_connects = true;
+      pool.Start(std::move(call), [&](const CallResult& result) { ended.set_value(result.end); });
+    });
+    return ended.get_future().get();
+  };
+  cr_assert(connect(server.address()) == CallEnd::kAnswered);
+  cr_assert(connect("127.0.0.1:1") == CallEnd::kNotSent);
+  cr_assert(CallAndWait(loop, pool, server.address(), Post("/x", "one")).new_connection);
+  loop.Stop();
+}
+
 Test(event_http, nothing_is_sent_over_a_connection_that_its_server_resets_as_it_opens) {
   namespace asio = boost::asio;
   asio::io_context context;
--- /dev/null
+++ b/tests/gateway/forwarding_test.cc
@@ -0,0 +1,320 @@
+// A gateway that is partitioned from the servers forwards requests to gateways that are not.
+#include <algorithm>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "tests/gateway/gateway_fixture.h"
+
+using namespace graniteseam;
+using namespace graniteseam::gateway;
+using namespace graniteseam::gateway::test;
+
+namespace {
+
+std::vector<TryConnection> TrialsOf(const GatewayEffects& effects) {
+  std::vector<TryConnection> trials;
+  for (const GatewayEffect& effect : effects.actions) {
+    if (const auto* trial = std::get_if<TryConnection>(&effect)) trials.push_back(*trial);
+  }
+  return trials;
+}
+
+traffic::GatewayPeer Peer(const std::string& id) {
+  return {{id}, id + ":7001", {"z"}, 1, id + ":80"};
+}
+
+/// A gateway that knows of two others.
+struct PeersFixture : Fixture {
+  explicit PeersFixture(std::vector<traffic::GatewayPeer> peers = {Peer("g-2"), Peer("g-3")}) {
+    traffic::TrafficUpdate update;
+    update.peers.version = {1, 1};
+    update.peers.changed = std::move(peers);
+    node.OnUpdate(update, At(0));
+  }
+
+  /// Two servers that can't be connected to.
+  std::vector<TryConnection> FailConnections(std::int64_t ms) {
+    std::set<traffic::InstanceId> failed;
+    GatewayEffects effects = Request("/safe/x", ms);
+    std::vector<TryConnection> trials;
+    while (failed.size() < 2) {
+      const auto send = Only<SendAttempt>(effects);
+      failed.insert(send.instance);
+      effects = End(send, AttemptEnd::kNotSent, 0, ms);
+      trials = TrialsOf(effects);
+    }
+    return trials;
+  }
+
+  GatewayEffects EndTrials(const std::vector<TryConnection>& trials, bool reached,
+                           std::int64_t ms) {
+    GatewayEffects effects;
+    for (const TryConnection& trial : trials) {
+      effects = node.OnConnectionTried({trial.round, trial.instance, reached}, At(ms));
+    }
+    return effects;
+  }
+
+  /// Until 600 ms.
+  void Partition() {
+    const auto trials = FailConnections(100);
+    cr_assert_eq(trials.size(), 4);
+    EndTrials(trials, false, 400);
+    cr_assert(node.is_partitioned());
+  }
+
+  GatewayEffects EndForward(const ForwardRequest& forward, AttemptEnd end, int status,
+                            const HopReport& hop, std::int64_t ms) {
+    AttemptReport report;
+    report.request = forward.request;
+    report.attempt = forward.attempt;
+    report.end = end;
+    report.status = status;
+    report.hop = hop;
+    return node.OnAttemptEnd(report, At(ms));
+  }
+
+  GatewayEffects HopRequest(const HopLimits& hop, std::int64_t ms) {
+    ArrivedRequest request;
+    request.number = {++numbers};
+    request.host = "a.example";
+    request.path = "/safe/x";
+    request.time_left = std::chrono::seconds(2);
+    request.hop = hop;
+    return node.OnRequest(request, At(ms));
+  }
+};
+
+HopReport Declined() {
+  HopReport hop;
+  hop.declined = true;
+  return hop;
+}
+
+}  // namespace
+
+/// Guards against a gateway that tries servers for each request anew while it reaches none.
+Test(forwarding, requests_of_a_partitioned_gateway_are_served_by_its_peers) {
+  PeersFixture fixture;
+  fixture.Partition();
+  for (const char* const path : {"/safe/x", "/unsafe/x", "/keyed/x"}) {
+    const auto effects = fixture.Request(path, 700, 7);
+    cr_assert(!Has<SendAttempt>(effects));
+    const auto forward = Only<ForwardRequest>(effects);
+    cr_assert(forward.address == "g-2:80" || forward.address == "g-3:80");
+    cr_assert_eq(forward.hop.attempts, 2);
+    cr_assert_eq(forward.hop.configuration.value, 5);
+    cr_assert(forward.time_left <= std::chrono::milliseconds(1'000));
+    const auto relayed = fixture.EndForward(forward, AttemptEnd::kAnswered, 200, {}, 800);
+    cr_assert(Has<RelayAnswer>(relayed));
+  }
+}
+
+/// Guards against servers that are full or crashed and count as a partition.
+Test(forwarding, servers_that_fail_are_no_partition_while_others_are_reached) {
+  PeersFixture fixture;
+  fixture.EndTrials(fixture.FailConnections(100), true, 200);
+  cr_assert(!fixture.node.is_partitioned());
+  cr_assert(Has<SendAttempt>(fixture.Request("/safe/x", 300)));
+}
+
+/// Guards against a partition that is noticed only when requests expire, since kept connections
+/// hang.
+Test(forwarding, silence_of_several_servers_raises_a_suspicion) {
+  PeersFixture fixture;
+  std::set<traffic::InstanceId> asked;
+  for (int i = 0; i < 8; ++i) {
+    asked.insert(Only<SendAttempt>(fixture.Request("/safe/x", 100)).instance);
+  }
+  cr_assert_eq(asked.size(), 2);
+  cr_assert(TrialsOf(fixture.node.Tick(At(300))).empty());
+  cr_assert_leq(fixture.node.NextTick().time_since_epoch().count(),
+                At(550).time_since_epoch().count());
+  const auto trials = TrialsOf(fixture.node.Tick(At(550)));
+  cr_assert_eq(trials.size(), 4);
+  const auto effects = fixture.EndTrials(trials, false, 850);
+  cr_assert(fixture.node.is_partitioned());
+  const auto forwarded = std::count_if(
+      effects.actions.begin(), effects.actions.end(),
+      [](const auto& effect) { return std::holds_alternative<ForwardRequest>(effect); });
+  cr_assert_eq(forwarded, 8);
+}
+
+/// Guards against a request that may not be repeated and is forwarded after it was sent.
+Test(forwarding, unsafe_request_that_hangs_at_a_server_is_left_there) {
+  PeersFixture fixture;
+  for (int i = 0; i < 8; ++i) Only<SendAttempt>(fixture.Request("/unsafe/x", 100));
+  const auto effects = fixture.EndTrials(TrialsOf(fixture.node.Tick(At(550))), false, 850);
+  cr_assert(fixture.node.is_partitioned());
+  cr_assert(!Has<ForwardRequest>(effects) && !Has<AbandonAttempt>(effects));
+}
+
+/// Guards against attempts at a peer beyond those that the route allows.
+Test(forwarding, attempts_that_a_request_used_are_not_allowed_to_its_peer) {
+  PeersFixture fixture;
+  for (int i = 0; i < 8; ++i) Only<SendAttempt>(fixture.Request("/safe/x", 100));
+  const auto effects = fixture.EndTrials(TrialsOf(fixture.node.Tick(At(550))), false, 850);
+  for (const GatewayEffect& effect : effects.actions) {
+    const auto* forward = std::get_if<ForwardRequest>(&effect);
+    cr_assert(forward == nullptr || forward->hop.attempts == 1);
+  }
+}
+
+/// Guards against gateways that forward a request in circles, or hold it although they know that
+/// they can't serve it.
+Test(forwarding, partitioned_peer_declines_at_once) {
+  PeersFixture fixture;
+  fixture.Partition();
+  const auto refusal = Only<Refuse>(fixture.HopRequest({{5}, 2}, 700));
+  cr_assert_eq(refusal.status, 503);
+  cr_assert(refusal.reason == RefusalReason::kPartitioned && refusal.declines_hop);
+}
+
+/// Guards against a request that goes back to an older configuration at another gateway.
+Test(forwarding, peer_with_an_older_configuration_declines) {
+  PeersFixture fixture;
+  const auto refusal = Only<Refuse>(fixture.HopRequest({{6}, 2}, 100));
+  cr_assert(refusal.reason == RefusalReason::kOutdated && refusal.declines_hop);
+  cr_assert(Has<SendAttempt>(fixture.HopRequest({{5}, 2}, 100)));
+}
+
+Test(forwarding, peer_keeps_to_the_attempts_that_it_is_allowed) {
+  PeersFixture fixture;
+  const auto send = Only<SendAttempt>(fixture.HopRequest({{5}, 1}, 100));
+  const auto refusal = Only<Refuse>(fixture.End(send, AttemptEnd::kNotExecuted, 503, 150));
+  cr_assert(refusal.reason == RefusalReason::kAttemptsUsed && !refusal.declines_hop);
+}
+
+/// Guards against a promise of "not run" for a request that a peer may have run.
+Test(forwarding, lost_hop_is_an_unknown_outcome) {
+  PeersFixture fixture;
+  fixture.Partition();
+  for (const char* const path : {"/unsafe/x", "/safe/x"}) {
+    const auto forward = Only<ForwardRequest>(fixture.Request(path, 700));
+    const auto effects = fixture.EndForward(forward, AttemptEnd::kLost, 0, {}, 750);
+    cr_assert(!Has<ForwardRequest>(effects) && !Has<SendAttempt>(effects));
+    cr_assert(Only<Refuse>(effects).reason == RefusalReason::kOutcomeUnknown);
+  }
+}
+
+Test(forwarding, request_goes_to_the_next_peer_when_one_declines_or_is_not_reached) {
+  PeersFixture fixture;
+  fixture.Partition();
+  const auto first = Only<ForwardRequest>(fixture.Request("/unsafe/x", 700));
+  const auto second =
+      Only<ForwardRequest>(fixture.EndForward(first, AttemptEnd::kNotSent, 0, {}, 710));
+  cr_assert(second.address != first.address);
+  const auto effects = fixture.EndForward(second, AttemptEnd::kAnswered, 503, Declined(), 720);
+  const auto refusal = Only<Refuse>(effects);
+  cr_assert_eq(refusal.status, 503);
+  cr_assert(refusal.reason == RefusalReason::kPartitioned && refusal.retry_after.has_value());
+}
+
+/// Guards against a peer's own refusal in place of which the gateway makes up another one.
+Test(forwarding, refusal_of_a_peer_is_passed_on) {
+  PeersFixture fixture;
+  fixture.Partition();
+  const auto forward = Only<ForwardRequest>(fixture.Request("/unsafe/x", 700));
+  cr_assert(Has<RelayAnswer>(fixture.EndForward(forward, AttemptEnd::kAnswered, 503, {}, 710)));
+}
+
+/// Guards against a peer's promise of "not run" for a request that ran before it was forwarded.
+Test(forwarding, refusal_of_a_peer_is_no_promise_for_a_request_that_may_have_run) {
+  PeersFixture fixture;
+  for (int i = 0; i < 8; ++i) Only<SendAttempt>(fixture.Request("/safe/x", 100));
+  const auto effects = fixture.EndTrials(TrialsOf(fixture.node.Tick(At(550))), false, 850);
+  std::vector<ForwardRequest> forwards;
+  for (const GatewayEffect& effect : effects.actions) {
+    if (const auto* forward = std::get_if<ForwardRequest>(&effect)) forwards.push_back(*forward);
+  }
+  cr_assert(!forwards.empty());
+  const auto ended = fixture.EndForward(forwards[0], AttemptEnd::kAnswered, 503, {}, 900);
+  cr_assert(!Has<RelayAnswer>(ended));
+  cr_assert(Only<Refuse>(ended).reason == RefusalReason::kOutcomeUnknown);
+}
+
+Test(forwarding, requests_go_to_servers_again_once_they_are_reached) {
+  PeersFixture fixture;
+  fixture.Partition();
+  const auto trials = TrialsOf(fixture.node.Tick(At(700)));
+  cr_assert_eq(trials.size(), 4);
+  cr_assert(Has<ForwardRequest>(fixture.Request("/safe/x", 701)));
+  fixture.EndTrials(trials, true, 702);
+  cr_assert(!fixture.node.is_partitioned());
+  cr_assert(Has<SendAttempt>(fixture.Request("/safe/x", 703)));
+}
+
+/// Guards against an announced shutdown that a gateway passed on and does not keep, since a peer
+/// had it from the server.
+Test(forwarding, announced_shutdown_holds_over_the_hop) {
+  PeersFixture fixture;
+  fixture.Partition();
+  const auto forward = Only<ForwardRequest>(fixture.Request("/safe/x", 700));
+  AttemptReport report;
+  report.request = forward.request;
+  report.attempt = forward.attempt;
+  report.end = AttemptEnd::kAnswered;
+  report.status = 200;
+  report.hop.server = traffic::InstanceId{"p-1"};
+  report.pressure.leaving = true;
+  fixture.node.OnAttemptEnd(report, At(800));
+  fixture.EndTrials(TrialsOf(fixture.node.Tick(At(900))), true, 910);
+  for (int i = 0; i < 50; ++i) {
+    const auto send = Only<SendAttempt>(fixture.Request("/safe/x", 3'000 + i));
+    cr_assert(send.instance.value == "p-2");
+    fixture.End(send, AttemptEnd::kAnswered, 200, 3'000 + i);
+  }
+}
+
+/// Guards against a gateway that serves by an older configuration than a peer did for it.
+Test(forwarding, configuration_of_a_peer_is_not_gone_back_from) {
+  PeersFixture fixture;
+  fixture.Partition();
+  const auto forward = Only<ForwardRequest>(fixture.Request("/safe/x", 700));
+  HopReport hop;
+  hop.configuration = {7};
+  fixture.EndForward(forward, AttemptEnd::kAnswered, 200, hop, 750);
+  fixture.EndTrials(TrialsOf(fixture.node.Tick(At(800))), true, 810);
+  const auto next = Only<ForwardRequest>(fixture.Request("/safe/x", 900));
+  cr_assert_eq(next.hop.configuration.value, 7);
+}
+
+/// Guards against a peer that goes on with a request whose caller has gone or is told that its time
+/// is over.
+Test(forwarding, hop_ends_with_its_caller_and_its_deadline) {
+  PeersFixture fixture;
+  fixture.Partition();
+  const auto gone = Only<ForwardRequest>(fixture.Request("/safe/x", 700));
+  cr_assert(Has<AbandonAttempt>(fixture.node.OnCallerGone(gone.request, At(750))));
+  fixture.node.Tick(At(1'150));
+  Only<ForwardRequest>(fixture.Request("/safe/x", 1'200));
+  const auto late = fixture.node.Tick(At(2'250));
+  cr_assert(Has<AbandonAttempt>(late));
+  cr_assert_eq(Only<Refuse>(late).status, 504);
+}
+
+/// Guards against control that takes keys and requests from sound servers, since gateways that are
+/// partitioned from them report them as unreached.
+Test(forwarding, partitioned_gateway_reports_no_server_as_unreached) {
+  PeersFixture fixture;
+  const auto trials = fixture.FailConnections(100);
+  cr_assert(fixture.node.TakePoll(At(200)).speeds.empty());
+  fixture.EndTrials(trials, false, 400);
+  cr_assert(fixture.node.TakePoll(At(500)).speeds.empty());
+  fixture.EndTrials(TrialsOf(fixture.node.Tick(At(700))), true, 710);
+  cr_assert(fixture.node.TakePoll(At(800)).speeds.empty());
+}
+
+Test(forwarding, unreached_servers_are_reported_when_there_is_no_partition) {
+  PeersFixture fixture;
+  fixture.EndTrials(fixture.FailConnections(100), true, 200);
+  cr_assert(!fixture.node.TakePoll(At(300)).speeds.empty());
+}
+
+/// Without peers there is nobody to forward to, and a server may still be reached by chance.
+Test(forwarding, gateway_without_peers_goes_on_trying_servers) {
+  PeersFixture fixture(std::vector<traffic::GatewayPeer>{});
+  fixture.Partition();
+  cr_assert(Has<SendAttempt>(fixture.Request("/safe/x", 700)));
+}
--- /dev/null
+++ b/tests/gateway/server_reachability_test.cc
@@ -0,0 +1,98 @@
+// When a gateway takes itself for partitioned from the servers.
+#include "src/gateway/server_reachability.h"
+
+#include <criterion/criterion.h>
+
+#include <string>
+
+using namespace graniteseam;
+using namespace graniteseam::gateway;
+
+namespace {
+
+constexpr Instant kStart = InstantFromMicros(1'000'000'000);
+
+Instant At(std::int64_t ms) { return kStart + std::chrono::milliseconds(ms); }
+
+traffic::InstanceId Server(int number) { return {"i-" + std::to_string(number)}; }
+
+/// Ends a round of which so many trial connections succeed.
+bool PlayRound(ServerReachability& reachability, std::size_t servers, std::size_t reached,
+               std::int64_t ms) {
+  const std::uint32_t round = reachability.begin_round(servers, At(ms));
+  bool changed = false;
+  for (std::size_t i = 0; i < servers; ++i) {
+    changed = reachability.note_trial(round, i < reached, At(ms));
+  }
+  return changed;
+}
+
+}  // namespace
+
+Test(server_reachability, one_server_that_fails_raises_no_suspicion) {
+  ServerReachability reachability;
+  for (int i = 0; i < 5; ++i) reachability.note_end({1}, Server(1), AttemptEnd::kNotSent, At(i));
+  cr_assert(!reachability.needs_round(At(10)));
+  reachability.note_end({2}, Server(2), AttemptEnd::kNotSent, At(20));
+  cr_assert(reachability.needs_round(At(20)));
+}
+
+Test(server_reachability, failures_that_are_old_or_followed_by_answers_raise_no_suspicion) {
+  ServerReachability reachability;
+  reachability.note_end({1}, Server(1), AttemptEnd::kNotSent, At(0));
+  reachability.note_end({2}, Server(1), AttemptEnd::kAnswered, At(10));
+  reachability.note_end({3}, Server(2), AttemptEnd::kNotSent, At(20));
+  cr_assert(!reachability.needs_round(At(30)));
+  reachability.note_end({4}, Server(3), AttemptEnd::kNotSent, At(1'200));
+  cr_assert(!reachability.needs_round(At(1'200)));
+}
+
+/// Guards against gateways that take slow servers for a partition.
+Test(server_reachability, silence_counts_only_when_no_server_answers_and_requests_are_overdue) {
+  ServerReachability reachability;
+  reachability.note_sent({1}, Server(1), std::chrono::milliseconds(50), At(0));
+  reachability.note_sent({2}, Server(2), std::chrono::milliseconds(900), At(0));
+  reachability.note_sent({3}, Server(3), std::chrono::milliseconds(50), At(0));
+  cr_assert(!reachability.needs_round(At(399)));
+  cr_assert(reachability.needs_round(At(400)));
+  reachability.note_end({4}, Server(4), AttemptEnd::kAnswered, At(500));
+  cr_assert(!reachability.needs_round(At(600)));
+  cr_assert(!reachability.hangs({1}, At(600)), "it was sent before a server answered");
+}
+
+/// Guards against a gateway that goes back and forth while it reaches few servers.
+Test(server_reachability, partition_begins_and_ends_by_the_servers_that_are_reached) {
+  ServerReachability reachability;
+  cr_assert(!PlayRound(reachability, 5, 2, 0));
+  cr_assert(!reachability.is_partitioned());
+  cr_assert(PlayRound(reachability, 5, 1, 1'000));
+  cr_assert(reachability.is_partitioned());
+  cr_assert(!PlayRound(reachability, 5, 1, 1'300));
+  cr_assert(reachability.is_partitioned());
+  cr_assert(PlayRound(reachability, 5, 2, 1'600));
+  cr_assert(!reachability.is_partitioned());
+}
+
+Test(server_reachability, results_of_an_earlier_round_change_nothing) {
+  ServerReachability reachability;
+  const std::uint32_t first = reachability.begin_round(3, At(0));
+  const std::uint32_t second = reachability.begin_round(3, At(1'000));
+  for (int i = 0; i < 3; ++i) cr_assert(!reachability.note_trial(first, false, At(1'010)));
+  cr_assert(!reachability.note_trial(second, false, At(1'020)));
+  cr_assert(!reachability.note_trial(second, false, At(1'020)));
+  cr_assert(reachability.note_trial(second, false, At(1'020)));
+}
+
+/// Guards against a timer that is due at once, again and again.
+Test(server_reachability, next_check_lies_in_the_future_after_a_check) {
+  ServerReachability reachability;
+  cr_assert(reachability.next_check() == Instant::max());
+  reachability.note_sent({1}, Server(1), std::chrono::milliseconds(50), At(0));
+  cr_assert(!reachability.needs_round(At(100)));
+  cr_assert(reachability.next_check() > At(100));
+  PlayRound(reachability, 5, 0, 1'000);
+  cr_assert(reachability.next_check() > At(1'000));
+  reachability.begin_round(0, At(2'000));
+  cr_assert(!reachability.is_partitioned(), "too few servers to tell");
+  cr_assert(reachability.next_check() > At(2'000));
+}
--- a/tests/gateway_daemon/exchange_translator_test.cc
+++ b/tests/gateway_daemon/exchange_translator_test.cc
@@ -68,7 +68,7 @@
   result.response.fields.Add("Id", "one");
   result.response.fields.Add("Seal", "s");
   result.response.fields.Add("Load", load);
-  return daemon::ExchangeTranslator(Names()).Read(result, Lookup(), {});
+  return daemon::ExchangeTranslator(Names()).Read(result, Lookup(), gateway::SendAttempt{});
 }
 
 }  // namespace
@@ -208,3 +208,77 @@
   cr_expect(!Stated(421, {{"Limit", "5"}}).limit_per_second);
   cr_expect(!Stated(200, {{"Limit", "5"}}, "two").limit_per_second);
 }
+
+namespace {
+
+/// The request that a gateway reads when another one forwards Lookup() to it.
+event_http::Request Forwarded(const gateway::ForwardRequest& forward) {
+  const std::string bytes = daemon::ExchangeTranslator(Names()).ForPeer(Lookup(), forward);
+  event_http::Request request = Lookup();
+  request.fields = {};
+  std::size_t at = bytes.find("\r\n") + 2;
+  for (std::size_t end = bytes.find("\r\n", at); end > at; end = bytes.find("\r\n", at)) {
+    const std::string line = bytes.substr(at, end - at);
+    request.fields.Add(line.substr(0, line.find(": ")), line.substr(line.find(": ") + 2));
+    at = end + 2;
+  }
+  return request;
+}
+
+gateway::AttemptReport AnswerOfPeer(const event_http::Response& answer) {
+  event_http::CallResult result;
+  result.end = event_http::CallEnd::kAnswered;
+  result.response = answer;
+  return daemon::ExchangeTranslator(Names()).Read(result, Lookup(), gateway::ForwardRequest{});
+}
+
+}  // namespace
+
+/// Guards against a hop that loses the deadline, or what the next gateway may do with the request.
+Test(exchange_translator, forwarded_request_is_read_as_its_caller_sent_it_with_its_limits) {
+  const daemon::ExchangeTranslator translator(Names());
+  gateway::ForwardRequest forward;
+  forward.time_left = std::chrono::milliseconds(431);
+  forward.hop = {{12}, 1};
+  const event_http::Request request = Forwarded(forward);
+  const gateway::ArrivedRequest arrived = translator.Read(request, {1});
+  cr_assert(arrived.hop.has_value());
+  cr_expect_eq(arrived.hop->configuration.value, 12);
+  cr_expect_eq(arrived.hop->attempts, 1);
+  cr_expect(arrived.time_left == std::chrono::milliseconds(431));
+  cr_expect(arrived.digest == DigestOf(Lookup()));
+  cr_expect(arrived.key == translator.Read(Lookup(), {1}).key);
+  cr_expect(translator.AttemptId(request) == "one");
+  cr_expect(!translator.Read(Lookup(), {1}).hop);
+  const std::string for_server = translator.ForServer(request, {});
+  cr_expect(for_server.find("Hop") == std::string::npos, "%s", for_server.c_str());
+}
+
+Test(exchange_translator,
+     gateway_that_forwarded_learns_whose_answer_it_is_and_its_caller_does_not) {
+  const daemon::ExchangeTranslator translator(Names());
+  event_http::Response answer;
+  answer.status = 200;
+  answer.fields.Add("Id", "one");
+  answer.fields.Add("Seal", "s");
+  gateway::HopReport hop;
+  hop.server = traffic::InstanceId{"i-1"};
+  hop.configuration = {12};
+  const auto told = translator.ForCaller(answer, hop);
+  const auto report = AnswerOfPeer(told);
+  cr_expect(report.end == gateway::AttemptEnd::kAnswered && !report.hop.declined);
+  cr_assert(report.hop.server.has_value());
+  cr_expect(report.hop.server->value == "i-1");
+  cr_expect_eq(report.hop.configuration.value, 12);
+  const auto passed_on = event_http::Serialize(translator.ForCaller(told, std::nullopt), false);
+  cr_expect(passed_on.find("Hop") == std::string::npos, "%s", passed_on.c_str());
+}
+
+Test(exchange_translator, gateway_that_declines_says_so_to_a_gateway_alone) {
+  const daemon::ExchangeTranslator translator(Names());
+  gateway::Refuse refusal;
+  refusal.reason = gateway::RefusalReason::kPartitioned;
+  cr_expect(!AnswerOfPeer(translator.ForCaller(refusal, Lookup())).hop.declined);
+  refusal.declines_hop = true;
+  cr_expect(AnswerOfPeer(translator.ForCaller(refusal, Lookup())).hop.declined);
+}
