--- a/simulation/traffic_world/traffic_faults.h
+++ b/simulation/traffic_world/traffic_faults.h
@@ -92,7 +92,9 @@
     auto start_after(Place&, std::string const& service, Duration) -> void;
     auto cut(GatewayProcess&, Duration) -> void;
     auto cut_gateways_for(Duration) -> void;
-    auto partition(double part_of_gateways) -> void;
+    /// Partitions some gateways from all workers.
+    /// @return until when.
+    auto partition(double part_of_gateways) -> TrueTime;
     auto kill(GatewayProcess&, Duration) -> void;
     /// Drains a zone for so long, unless one is drained; its workers are cold when it is taken back.
     auto drain_zone_for(Duration) -> void;
@@ -106,6 +108,7 @@
     std::vector<TrafficFaultKind> m_kinds;
     std::uint64_t m_network_moods = 0;
     bool m_zone_drained = false;
+    TrueTime m_most_partitioned_until = 0;
     TrueTime m_end = 0;
 };
 
--- a/simulation/traffic_world/traffic_gateway_faults.cc
+++ b/simulation/traffic_world/traffic_gateway_faults.cc
@@ -41,10 +41,13 @@
 
 auto TrafficFaults::partition_most_gateways() -> void
 {
-    partition(kMostGatewaysPartitioned);
+    // A second one would leave no gateway that reaches workers.
+    if (m_world.now() < m_most_partitioned_until)
+        return;
+    m_most_partitioned_until = partition(kMostGatewaysPartitioned);
 }
 
-auto TrafficFaults::partition(double part_of_gateways) -> void
+auto TrafficFaults::partition(double part_of_gateways) -> TrueTime
 {
     constexpr std::array forms {PartitionForm::kSilent, PartitionForm::kReset, PartitionForm::kRefused};
     auto const form = forms.at(m_world.random.Below(forms.size()));
@@ -53,6 +56,7 @@
         if (m_world.random.Chance(part_of_gateways))
             m_fleet.partition(*gateway, form, until);
     }
+    return until;
 }
 
 auto TrafficFaults::join_gateways() -> void
--- a/src/gateway/peer_selector.h
+++ b/src/gateway/peer_selector.h
@@ -30,7 +30,8 @@
 
   auto note_sent(RouterId const& peer) -> void { ++m_states[peer].in_flight; }
   auto note_end(RouterId const& peer) -> void;
-  /// Makes requests avoid a peer that could not be reached, or that declined one, for a while.
+  /// Makes requests avoid a peer that could not be reached, or that declined one, for a while; for
+  /// less while all others are avoided too.
   auto avoid(RouterId const& peer, Instant now) -> void;
   /// Forgets peers that are no longer listed and have none of this gateway's requests.
   auto forget_unlisted(Peers const& peers) -> void;
@@ -38,9 +39,11 @@
  private:
   struct State {
     std::uint32_t in_flight = 0;
-    Instant avoid_until{};
+    Instant avoided_at{};  ///< When it last failed a request.
   };
 
+  /// For how long a peer has been avoided; Duration::max() when it never was.
+  auto avoided_for(RouterId const& peer, Instant now) const -> Duration;
   auto load_of(traffic::GatewayPeer const& peer) const -> double;
 
   RouterId const m_self;
