Read hops as hops: back-off, readiness, unknown fields, and suspicions that end

What callers saw: nothing yet; found by reading the change. Causes: a peer's own Retry-After counted as a server's request to back off in the metrics; a gateway without a configuration held forwarded requests in place of declining them; fields of the hop were logged as unknown; failures were withheld from control for as long as no server answered, so that a single dead server that is asked by one gateway alone was never told. Change: each of these, with tests of the translator and of ServerReachability; failures are withheld for 1.5 s at most without a partition.

--- a/simulation/traffic_world/traffic_gateway_faults.cc
+++ b/simulation/traffic_world/traffic_gateway_faults.cc
@@ -49,8 +49,8 @@
 
 auto TrafficFaults::partition(double part_of_gateways) -> TrueTime
 {
-    constexpr std::array forms {PartitionForm::kSilent, PartitionForm::kReset, PartitionForm::kRefused};
-    auto const form = forms.at(m_world.random.Below(forms.size()));
+    constexpr std::array kForms {PartitionForm::kSilent, PartitionForm::kReset, PartitionForm::kRefused};
+    auto const form = kForms.at(m_world.random.Below(kForms.size()));
     auto const until = m_world.now() + span(5'000, 12'000).count();
     for (auto const& gateway : m_fleet.gateways) {
         if (m_world.random.Chance(part_of_gateways))
--- a/simulation/traffic_world/traffic_run.cc
+++ b/simulation/traffic_world/traffic_run.cc
@@ -69,13 +69,13 @@
         auto const part = [](TrafficCallers::Served const& it) {
             return it.calls == 0 ? 1.0 : static_cast<double>(it.served) / static_cast<double>(it.calls);
         };
-        constexpr double least = 2.0 / 3;
-        constexpr std::uint64_t failed_allowed = 10;
-        constexpr std::uint64_t failed_allowed_one_in = 50;
+        constexpr double kLeast = 2.0 / 3;
+        constexpr std::uint64_t kFailedAllowed = 10;
+        constexpr std::uint64_t kFailedAllowedOneIn = 50;
         auto const failed = tries.partitioned.calls - tries.partitioned.served;
         auto const all = tries.partitioned.calls + tries.others.calls;
-        auto const many = failed > failed_allowed + all / failed_allowed_one_in;
-        if (many && part(tries.partitioned) < least * part(tries.others))
+        auto const many = failed > kFailedAllowed + all / kFailedAllowedOneIn;
+        if (many && part(tries.partitioned) < kLeast * part(tries.others))
             oracle.violate("reached",
                 "partitioned gateways served " + std::to_string(tries.partitioned.served) + " of "
                     + std::to_string(tries.partitioned.calls) + " first tries, the others "
--- a/src/daemon/gateway/exchange_translator.cc
+++ b/src/daemon/gateway/exchange_translator.cc
@@ -220,6 +220,9 @@
   const event_http::HeaderFields& fields = result.response.fields;
   if (const std::string* const server = fields.Find(kHopServer)) {
     report.hop.server = traffic::InstanceId{*server};
+  } else {
+    // Its Retry-After is the peer's own.
+    report.pressure = {};
   }
   const auto configuration = ReadNumber<std::uint64_t>(fields.Find(kHopConfiguration));
   if (configuration) report.hop.configuration = {*configuration};
@@ -277,9 +280,10 @@
 }
 
 const std::string* ExchangeTranslator::UnknownField(const event_http::Response& answer) const {
-  const std::array<std::string_view, 9> known = {
-      names_.attempt_id, names_.seal,  names_.load,    names_.not_executed,   names_.answerer,
-      names_.warm_up_ms, names_.limit, names_.leaving, names_.target_instance};
+  const std::array<std::string_view, 12> known = {
+      names_.attempt_id,      names_.seal,       names_.load,  names_.not_executed,
+      names_.answerer,        names_.warm_up_ms, names_.limit, names_.leaving,
+      names_.target_instance, kHopConfiguration, kHopServer,   kHopDeclined};
   for (const event_http::HeaderField& field : answer.fields.all()) {
     const auto same = [&](std::string_view name) { return event_http::SameName(field.name, name); };
     const bool is_known = std::any_of(known.begin(), known.end(), same) ||
--- a/src/gateway/forwarding.cc
+++ b/src/gateway/forwarding.cc
@@ -81,7 +81,8 @@
   requests_.dequeue(request);
   limit_queue_.remove(request.arrived.number);
   WithdrawSlot(request);
-  request.probes = {};
+  request.probes.asked.clear();
+  request.probes.open = 0;
   // The peer charges it.
   if (std::exchange(request.charged_to_quota, false)) quotas_.give_back(request.tenant);
   ForwardRequest forward;
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -226,7 +226,7 @@
   poll.loads = key_loads_.take();
   const bool tell_speeds = poll_sequence_ % kPollsPerSpeeds == 0;
   // Control would take keys and requests from sound servers.
-  if (!reachability_.is_suspected()) poll.speeds = traffic_.backends().TakeSpeeds(tell_speeds);
+  if (!reachability_.is_suspected(now)) poll.speeds = traffic_.backends().TakeSpeeds(tell_speeds);
   crashes_.add_to_poll(poll, now);
   quotas_.add_to_poll(poll, now);
   traffic_.backends().pressure().add_to_poll(poll, now);
@@ -259,6 +259,9 @@
 
 void GatewayNode::Admit(LiveRequest& request, Instant now) {
   const ArrivedRequest& arrived = request.arrived;
+  if (!Ready() && arrived.hop) {
+    return EndWithoutRun(request, RefusalReason::kNoConfiguration, now);
+  }
   if (!Ready()) return AwaitConfiguration(request, now);
   const std::optional<HopLimits>& hop = arrived.hop;
   const bool behind = hop && configuration() < hop->configuration;
--- a/src/gateway/server_reachability.cc
+++ b/src/gateway/server_reachability.cc
@@ -1,6 +1,7 @@
 #include "src/gateway/server_reachability.h"
 
 #include <algorithm>
+#include <set>
 
 namespace graniteseam::gateway {
 namespace {
@@ -13,6 +14,8 @@
 constexpr Duration kOverdueMinimum{400'000};
 constexpr int kOverdueFactor = 3;
 constexpr Duration kCheckInterval{100'000};
+/// How long failures are withheld from control without a partition being found.
+constexpr Duration kSuspicionMaximum{1'500'000};
 /// Between two rounds while servers count as reached, and while they do not.
 constexpr Duration kSuspicionInterval{1'000'000};
 constexpr Duration kRecoveryInterval{250'000};
@@ -38,14 +41,19 @@
   m_open.erase(request);
   if (is_answer(end)) {
     m_answered_at = now;
-    m_failed_last = false;
+    m_failing_since.reset();
     m_unreached.erase(server);
   } else if (end == AttemptEnd::kNotSent) {
-    m_failed_last = true;
+    if (!m_failing_since) m_failing_since = now;
     m_unreached[server] = now;
   }
 }
 
+auto ServerReachability::is_suspected(Instant now) const -> bool {
+  if (m_partitioned || m_open_trials > 0) return true;
+  return m_failing_since && now - *m_failing_since < kSuspicionMaximum;
+}
+
 auto ServerReachability::needs_round(Instant now) -> bool {
   m_checked_at = now;
   if (m_open_trials > 0 || now < m_next_round) return false;
@@ -82,7 +90,7 @@
   m_next_round = now + (m_partitioned ? kRecoveryInterval : kSuspicionInterval);
   if (!m_partitioned) {
     m_unreached.clear();
-    m_failed_last = false;
+    m_failing_since.reset();
   }
   return m_partitioned != before;
 }
--- a/src/gateway/server_reachability.h
+++ b/src/gateway/server_reachability.h
@@ -4,7 +4,7 @@
 
 #include <cstdint>
 #include <map>
-#include <set>
+#include <optional>
 
 #include "graniteseam/common/time.h"
 #include "graniteseam/traffic/instance.h"
@@ -53,8 +53,8 @@
   /// Whether a request is overdue and no server has answered anything since it was sent.
   auto hangs(RequestNumber request, Instant now) const -> bool;
   /// Whether failures since the newest answer may be this gateway's own, so that they tell nothing
-  /// of the servers.
-  auto is_suspected() const -> bool { return m_partitioned || m_open_trials > 0 || m_failed_last; }
+  /// of the servers. A partition is found soon after the first of them, or there is none.
+  auto is_suspected(Instant now) const -> bool;
 
   /// When needs_round() has to be asked again; Instant::max() when nothing is under way.
   auto next_check() const -> Instant;
@@ -71,8 +71,9 @@
   std::map<RequestNumber, OpenAttempt> m_open;
   /// Servers to which no connection could be opened since they last answered, and when.
   std::map<traffic::InstanceId, Instant> m_unreached;
-  Instant m_answered_at{};     ///< The newest answer of any server.
-  bool m_failed_last = false;  ///< A connection failed after the newest answer.
+  Instant m_answered_at{};  ///< The newest answer of any server.
+  /// When a connection first failed after the newest answer.
+  std::optional<Instant> m_failing_since;
   bool m_partitioned = false;
   std::uint32_t m_round = 0;
   std::size_t m_trials = 0;       ///< Of the newest round.
--- a/tests/gateway/server_reachability_test.cc
+++ b/tests/gateway/server_reachability_test.cc
@@ -83,6 +83,20 @@
   cr_assert(reachability.note_trial(second, false, At(1'020)));
 }
 
+/// Guards against control that never hears of a server which is gone, since no other one is asked.
+Test(server_reachability, failures_are_withheld_for_a_moment_only_when_there_is_no_partition) {
+  ServerReachability reachability;
+  cr_assert(!reachability.is_suspected(At(0)));
+  for (int ms = 0; ms < 1'500; ms += 100) {
+    reachability.note_end({1}, Server(1), AttemptEnd::kNotSent, At(ms));
+    cr_assert(reachability.is_suspected(At(ms)));
+  }
+  cr_assert(!reachability.is_suspected(At(1'600)));
+  reachability.note_end({2}, Server(2), AttemptEnd::kAnswered, At(1'700));
+  reachability.note_end({3}, Server(1), AttemptEnd::kNotSent, At(1'800));
+  cr_assert(reachability.is_suspected(At(1'800)));
+}
+
 /// Guards against a timer that is due at once, again and again.
 Test(server_reachability, next_check_lies_in_the_future_after_a_check) {
   ServerReachability reachability;
--- a/tests/gateway_daemon/exchange_translator_test.cc
+++ b/tests/gateway_daemon/exchange_translator_test.cc
@@ -274,6 +274,14 @@
   cr_expect(passed_on.find("Hop") == std::string::npos, "%s", passed_on.c_str());
 }
 
+/// Guards against a peer's Retry-After that counts as a server's request to back off.
+Test(exchange_translator, refusal_of_a_peer_states_nothing_of_a_server) {
+  gateway::Refuse refusal;
+  refusal.retry_after = std::chrono::seconds(1);
+  const auto answer = daemon::ExchangeTranslator(Names()).ForCaller(refusal, Lookup());
+  cr_expect(!AnswerOfPeer(answer).pressure.rest);
+}
+
 Test(exchange_translator, gateway_that_declines_says_so_to_a_gateway_alone) {
   const daemon::ExchangeTranslator translator(Names());
   gateway::Refuse refusal;
