Look for silent servers on a fixed grid of times

Cause: read again, the watch of silence moved its timer with each answer of a server, a system call for each. Change: one look every 200 ms while requests are under way.

--- a/src/gateway/server_reachability.cc
+++ b/src/gateway/server_reachability.cc
@@ -13,7 +13,7 @@
 /// A request is overdue after this, or this many times the usual latency of its server.
 constexpr Duration kOverdueMinimum{400'000};
 constexpr int kOverdueFactor = 3;
-constexpr Duration kCheckInterval{100'000};
+constexpr Duration kCheckInterval{200'000};
 /// How long failures are withheld from control without a partition being found.
 constexpr Duration kSuspicionMaximum{1'500'000};
 /// Between two rounds while servers count as reached, and while they do not.
@@ -32,7 +32,7 @@
 
 auto ServerReachability::note_sent(RequestNumber request, traffic::InstanceId const& server,
                                    Duration expected, Instant now) -> void {
-  if (m_open.empty()) m_checked_at = now;
+  if (m_open.empty()) m_check_at = now + kCheckInterval;
   m_open[request] = {server, now, now + std::max(kOverdueMinimum, kOverdueFactor * expected)};
 }
 
@@ -55,7 +55,7 @@
 }
 
 auto ServerReachability::needs_round(Instant now) -> bool {
-  m_checked_at = now;
+  if (now >= m_check_at) m_check_at = now + kCheckInterval;
   if (m_open_trials > 0 || now < m_next_round) return false;
   if (m_partitioned) return true;
   std::erase_if(m_unreached, [now](auto const& it) { return now - it.second > kFailureMemory; });
@@ -104,7 +104,7 @@
 auto ServerReachability::next_check() const -> Instant {
   if (m_open_trials > 0) return Instant::max();
   if (m_partitioned) return m_next_round;
-  return m_open.empty() ? Instant::max() : std::max(m_next_round, m_checked_at + kCheckInterval);
+  return m_open.empty() ? Instant::max() : std::max(m_next_round, m_check_at);
 }
 
 }  // namespace graniteseam::gateway
--- a/src/gateway/server_reachability.h
+++ b/src/gateway/server_reachability.h
@@ -80,7 +80,9 @@
   std::size_t m_open_trials = 0;  ///< Of these, without a result.
   std::size_t m_reached = 0;      ///< Of these, those that succeeded.
   Instant m_next_round{};         ///< No round before.
-  Instant m_checked_at{};
+  /// While requests are under way: the next look whether servers are silent. Not moved by answers,
+  /// so that the timer is not set anew with each of them.
+  Instant m_check_at{};
 };
 
 }  // namespace graniteseam::gateway
