--- a/src/gateway/backend_table.h
+++ b/src/gateway/backend_table.h
@@ -138,8 +138,8 @@
 
   /// Draws servers of all services at random, to find out whether this gateway reaches them.
   Backends DrawForTrial(std::size_t count);
-  /// Forgets attempts that reached no server, with the ejections and pauses that followed from them:
-  /// while this gateway is partitioned from all servers, they tell nothing of a single one.
+  /// Forgets attempts that reached no server, with the ejections and pauses that followed from
+  /// them: while this gateway is partitioned from all servers, they tell nothing of a single one.
   void ForgetUnreached();
 
   /// Draws servers to probe for their load before a request is sent: by speed, the last one from
