Keep the order of an answer's fields in the soak

Cause: the field for a worker's seal stood before fields that tests of the promises initialise by place, so that test_soak did not compile since. Change: it stands last.

--- a/testbed/soak/promises.h
+++ b/testbed/soak/promises.h
@@ -19,7 +19,6 @@
     bool may_repeat = true;
     int status = 0; ///< 0: no answer.
     bool own = true; ///< A success carried this attempt's id, a seal and the worker's body.
-    bool sealed = false; ///< Carried a worker's seal, whatever its status.
     Instant sent {};
     Instant ended {};
     std::uint32_t router = 0; ///< Which one it was sent to, from 0.
@@ -31,6 +30,7 @@
     std::string tenant {}; ///< Whose key it showed; empty when it showed none, or an unknown one.
     bool unknown_key = false; ///< It showed a key that nobody has.
     bool out_of_order = false; ///< Sent ahead; the answer in its place names another attempt.
+    bool sealed = false; ///< Carried a worker's seal, whatever its status.
 };
 
 /// One change of the configuration, or one resend of it, as the operator saw it.
