--- a/src/gateway/forwarding.cc
+++ b/src/gateway/forwarding.cc
@@ -16,11 +16,16 @@
 
 }  // namespace
 
+bool GatewayNode::KnowsPeers() const {
+  const std::size_t self = coordinators_.peers().contains(options_.id) ? 1 : 0;
+  return coordinators_.size() > self;
+}
+
 void GatewayNode::CheckReachability(Instant now) {
   if (!reachability_.needs_round(now)) return;
   BackendTable::Backends servers;
   // Without another gateway, there is nothing to gain from knowing.
-  if (coordinators_.size() > 1) {
+  if (KnowsPeers()) {
     servers = traffic_.backends().DrawForTrial(ServerReachability::kServersPerRound);
   }
   if (servers.size() < ServerReachability::kServersMinimum) servers.clear();
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -226,7 +226,7 @@
   poll.loads = key_loads_.take();
   const bool tell_speeds = poll_sequence_ % kPollsPerSpeeds == 0;
   // Control would take keys and requests from sound servers.
-  const bool withholds_speeds = coordinators_.size() > 1 && reachability_.is_suspected(now);
+  const bool withholds_speeds = KnowsPeers() && reachability_.is_suspected(now);
   if (!withholds_speeds) poll.speeds = traffic_.backends().TakeSpeeds(tell_speeds);
   crashes_.add_to_poll(poll, now);
   quotas_.add_to_poll(poll, now);
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -217,6 +217,8 @@
   void BeginAttempt(LiveRequest& request, const Backend& backend, Instant now);
 
   // forwarding.cc
+  /// Whether control lists any other gateway.
+  bool KnowsPeers() const;
   /// Begins a round of trial connections when one is due.
   void CheckReachability(Instant now);
   /// Queues requests again that wait for servers which this gateway does not reach any more, as far
