--- a/src/daemon/gateway/exchange_translator.h
+++ b/src/daemon/gateway/exchange_translator.h
@@ -63,6 +63,9 @@
  private:
   /// The server learns whose key it was, from the gateway alone.
   void HideApiKey(const gateway::SendAttempt& send, event_http::HeaderFields& fields) const;
+  /// The request as it came, without what concerns its connection or hop, with the time that is
+  /// left.
+  event_http::Request ForNext(const event_http::Request& request, Duration time_left) const;
   gateway::AttemptReport ReadEnd(const event_http::CallResult& result,
                                  const event_http::Request& request) const;
   gateway::AttemptEnd EndOf(const event_http::Response& answer,
--- a/src/daemon/gateway/gateway_process.cc
+++ b/src/daemon/gateway/gateway_process.cc
@@ -239,21 +239,25 @@
 void GatewayProcess::Do(const gateway::SendAttempt& send) {
   // It would be cut off at once.
   if (rest_answered_) return;
-  LiveExchange& live = live_.at(send.request);
-  if (!live.first_sent) live.first_sent = runtime::BootTimeNow();
-  const event_http::Request& request = live.exchange->request();
   event_http::Call call;
-  call.address = send.address;
-  call.bytes = translator_.ForServer(request, send);
-  call.head = request.method == "HEAD";
-  call.limit = send.time_left;
+  call.bytes = translator_.ForServer(live_.at(send.request).exchange->request(), send);
   call.needs_new_connection = send.needs_new_connection;
+  metrics_.OnSend(send.server_warms_up);
+  StartCall(send, std::move(call));
+}
+
+template <class Effect>
+void GatewayProcess::StartCall(const Effect& effect, event_http::Call call) {
+  LiveExchange& live = live_.at(effect.request);
+  if (!live.first_sent) live.first_sent = runtime::BootTimeNow();
+  call.address = effect.address;
+  call.head = live.exchange->request().method == "HEAD";
+  call.limit = effect.time_left;
   // The request tells how much time is left now; with a later hand-over the server would work on
   // for longer than its caller waits.
   call.not_after = runtime::BootTimeNow() + kHandedOverWithin;
-  metrics_.OnSend(send.server_warms_up);
-  live.call = servers_->Start(std::move(call), [this, send](event_http::CallResult result) {
-    OnCallEnd(send, std::move(result));
+  live.call = servers_->Start(std::move(call), [this, effect](event_http::CallResult result) {
+    OnCallEnd(effect, std::move(result));
   });
 }
 
@@ -293,19 +297,10 @@
 
 void GatewayProcess::Do(const gateway::ForwardRequest& forward) {
   if (rest_answered_) return;
-  LiveExchange& live = live_.at(forward.request);
-  if (!live.first_sent) live.first_sent = runtime::BootTimeNow();
-  const event_http::Request& request = live.exchange->request();
   event_http::Call call;
-  call.address = forward.address;
-  call.bytes = translator_.ForPeer(request, forward);
-  call.head = request.method == "HEAD";
-  call.limit = forward.time_left;
-  call.not_after = runtime::BootTimeNow() + kHandedOverWithin;
+  call.bytes = translator_.ForPeer(live_.at(forward.request).exchange->request(), forward);
   metrics_.OnForward();
-  live.call = servers_->Start(std::move(call), [this, forward](event_http::CallResult result) {
-    OnCallEnd(forward, std::move(result));
-  });
+  StartCall(forward, std::move(call));
 }
 
 template <class Effect>
--- a/src/daemon/gateway/gateway_process.h
+++ b/src/daemon/gateway/gateway_process.h
@@ -88,7 +88,10 @@
   void Do(const gateway::ResetPeer& peer);
   Result<void> StartCoordination();
   std::optional<Error> OnSlotMessages(const std::string& from, const std::string& payload);
-  /// @param effect the SendAttempt or ForwardRequest that began the attempt.
+  /// Starts the call of an attempt, whose bytes are given.
+  /// @param effect the SendAttempt or ForwardRequest that began the attempt; also below.
+  template <class Effect>
+  void StartCall(const Effect& effect, event_http::Call call);
   template <class Effect>
   void OnCallEnd(const Effect& effect, event_http::CallResult result);
   void Finish(gateway::RequestNumber number, const event_http::Response& response,
