--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Plays the case once. Ends with 1 if the rule was broken, 0 if it held, 2 if it could not run.
-# TROUBLE=0 sends a body of the usual size instead of the large one.
+# TROUBLE=0 leaves the cut out.
 set -uo pipefail
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$here/../.." && pwd)
