Soak: workers that reject requests and repeat or spoil their answers

No run of real processes had servers that answer as the interface allows of servers in trouble, so that none could show a refusal of a request that runs. A proxy in front of each worker now repeats, cuts, withholds or spoils a part of its answers, those to orders included; further callers send requests that may run once, with large bodies and short deadlines. `not_run` holds for 408 and 421 too, and counts what is at work when its worker ends.

--- /dev/null
+++ b/testbed/registered/answer_fault_proxy.cc
@@ -0,0 +1,281 @@
+#include "testbed/registered/answer_fault_proxy.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <cstdio>
+#include <cstdlib>
+#include <deque>
+#include <optional>
+#include <random>
+#include <utility>
+
+#include "graniteseam/common/time.h"
+#include "src/runtime/listen.h"
+
+namespace graniteseam::testbed {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using Tcp = asio::ip::tcp;
+using ErrorCode = boost::system::error_code;
+using Parser = http::response_parser<http::string_body>;
+
+/// A surplus answer follows so soon that it arrives beside a retry.
+constexpr std::int64_t kSurplusWithinMs = 60;
+constexpr std::size_t kReadBytes = 16'384;
+constexpr char kMalformedAnswer[] = "HTTP/7 fine\r\n\x01\x02: \r\n\r\n";
+constexpr char kInterimAnswer[] = "HTTP/1.1 103 Early Hints\r\n\r\n";
+
+auto ToEndpoint(runtime::SocketAddress const& address) -> Tcp::endpoint {
+  return {asio::ip::make_address(address.ip), address.port};
+}
+
+}  // namespace
+
+auto NameOf(AnswerFault fault) -> std::string_view {
+  constexpr std::array<std::string_view, kAnswerFaults> kNames = {
+      "none", "repeated", "rejection_appended", "reset",    "closed",
+      "cut",  "withheld", "malformed",          "unmarked", "interim"};
+  return kNames[static_cast<std::size_t>(fault)];
+}
+
+/// Everything runs on the proxy's event loop.
+class AnswerFaultProxy::Impl : public std::enable_shared_from_this<Impl> {
+ public:
+  Impl(asio::io_context& context, AnswerFaultOptions options, Tcp::endpoint server)
+      : context_(context),
+        acceptor_(context),
+        options_(std::move(options)),
+        server_(std::move(server)),
+        random_(options_.seed) {}
+
+  auto Listen(runtime::SocketAddress const& address) -> void;
+  auto Accept() -> void;
+
+  auto context() -> asio::io_context& { return context_; }
+  auto options() const -> AnswerFaultOptions const& { return options_; }
+  auto server() const -> Tcp::endpoint const& { return server_; }
+
+  auto Draw(bool names_attempt) -> AnswerFault;
+  auto DrawDelay() -> std::chrono::milliseconds {
+    return std::chrono::milliseconds(random_() % kSurplusWithinMs);
+  }
+  auto DrawBool() -> bool { return random_() % 2 == 0; }
+
+ private:
+  asio::io_context& context_;
+  Tcp::acceptor acceptor_;
+  AnswerFaultOptions const options_;
+  Tcp::endpoint const server_;
+  std::mt19937_64 random_;
+};
+
+namespace {
+
+/// One client's connection and the one to the server that it is joined to.
+template <class Proxy>
+class Session : public std::enable_shared_from_this<Session<Proxy>> {
+ public:
+  Session(std::shared_ptr<Proxy> proxy, Tcp::socket client)
+      : proxy_(std::move(proxy)), client_(std::move(client)), server_(proxy_->context()) {}
+
+  auto Start() -> void {
+    ErrorCode ignored;
+    client_.set_option(Tcp::no_delay(true), ignored);
+    server_.async_connect(proxy_->server(), [self = this->shared_from_this()](ErrorCode error) {
+      if (error) return self->Close(true);
+      ErrorCode none;
+      self->server_.set_option(Tcp::no_delay(true), none);
+      self->ReadClient();
+      self->ReadServer();
+    });
+  }
+
+ private:
+  auto ReadClient() -> void {
+    client_.async_read_some(asio::buffer(from_client_), [self = this->shared_from_this()](
+                                                            ErrorCode error, std::size_t bytes) {
+      if (self->closed_) return;
+      if (error) return self->Close(true);
+      asio::async_write(self->server_, asio::buffer(self->from_client_, bytes),
+                        [self](ErrorCode failed, std::size_t) {
+                          if (self->closed_ || failed) return;
+                          self->ReadClient();
+                        });
+    });
+  }
+
+  auto ReadServer() -> void {
+    server_.async_read_some(asio::buffer(from_server_),
+                            [self = this->shared_from_this()](ErrorCode error, std::size_t bytes) {
+                              if (self->closed_) return;
+                              if (error) return self->CloseWhenWritten(error != asio::error::eof);
+                              self->unread_.append(self->from_server_.data(), bytes);
+                              self->ParseAnswers();
+                              if (!self->closed_) self->ReadServer();
+                            });
+  }
+
+  auto ParseAnswers() -> void {
+    while (!unread_.empty() && !closed_) {
+      if (!parser_) {
+        parser_.emplace();
+        parser_->eager(true);
+        parser_->body_limit(boost::none);
+      }
+      ErrorCode error;
+      auto const used = parser_->put(asio::buffer(unread_), error);
+      answer_.append(unread_, 0, used);
+      unread_.erase(0, used);
+      if (error && error != http::error::need_more) return Close(true);
+      if (!parser_->is_done()) return;
+      TakeAnswer();
+      parser_.reset();
+      answer_.clear();
+    }
+  }
+
+  auto TakeAnswer() -> void {
+    auto const& options = proxy_->options();
+    auto const id = parser_->get()[options.attempt_id];
+    auto const fault = withholds_ ? AnswerFault::Withheld : proxy_->Draw(!id.empty());
+    if (options.counts) options.counts->Add(fault);
+    auto const half = answer_.size() / 2;
+    switch (fault) {
+      case AnswerFault::None:
+        return Write(answer_);
+      case AnswerFault::Repeated:
+        Write(answer_);
+        return WriteLater(answer_);
+      case AnswerFault::RejectionAppended:
+        Write(answer_);
+        return WriteLater(Failure(503, id, /*marked=*/true));
+      case AnswerFault::Reset:
+        return Close(true);
+      case AnswerFault::Closed:
+        return CloseWhenWritten(false);
+      case AnswerFault::Cut:
+        Write(answer_.substr(0, half));
+        return CloseWhenWritten(proxy_->DrawBool());
+      case AnswerFault::Withheld:
+        withholds_ = true;
+        return;
+      case AnswerFault::Malformed:
+        Write(kMalformedAnswer);
+        return CloseWhenWritten(false);
+      case AnswerFault::Unmarked:
+        return Write(Failure(proxy_->DrawBool() ? 503 : 429, id, /*marked=*/false));
+      case AnswerFault::Interim:
+        return Write(kInterimAnswer + answer_);
+    }
+  }
+
+  auto Failure(int status, std::string_view id, bool marked) const -> std::string {
+    auto const& options = proxy_->options();
+    auto text = "HTTP/1.1 " + std::to_string(status) + " Failure\r\nContent-Length: 0\r\n";
+    text += options.attempt_id + ": " + std::string(id) + "\r\n";
+    if (marked) text += options.not_executed + ": 1\r\n";
+    return text + "\r\n";
+  }
+
+  auto WriteLater(std::string text) -> void {
+    auto timer = std::make_shared<asio::steady_timer>(proxy_->context(), proxy_->DrawDelay());
+    timer->async_wait([self = this->shared_from_this(), timer, text = std::move(text)](auto) {
+      if (!self->closed_ && !self->closes_) self->Write(text);
+    });
+  }
+
+  auto Write(std::string text) -> void {
+    output_.push_back(std::move(text));
+    WriteNext();
+  }
+
+  auto WriteNext() -> void {
+    if (writing_) return;
+    if (output_.empty()) {
+      if (closes_) Close(resets_);
+      return;
+    }
+    writing_ = true;
+    asio::async_write(client_, asio::buffer(output_.front()),
+                      [self = this->shared_from_this()](ErrorCode error, std::size_t) {
+                        self->writing_ = false;
+                        if (self->closed_) return;
+                        if (error) return self->Close(true);
+                        self->output_.pop_front();
+                        self->WriteNext();
+                      });
+  }
+
+  auto CloseWhenWritten(bool resets) -> void {
+    closes_ = true;
+    resets_ = resets;
+    WriteNext();
+  }
+
+  auto Close(bool resets) -> void {
+    if (std::exchange(closed_, true)) return;
+    ErrorCode ignored;
+    if (resets) client_.set_option(asio::socket_base::linger(true, 0), ignored);
+    client_.close(ignored);
+    server_.close(ignored);
+  }
+
+  std::shared_ptr<Proxy> const proxy_;
+  Tcp::socket client_;
+  Tcp::socket server_;
+  std::array<char, kReadBytes> from_client_{};
+  std::array<char, kReadBytes> from_server_{};
+  std::string unread_;
+  std::string answer_;  ///< Bytes of the answer that is being parsed.
+  std::optional<Parser> parser_;
+  std::deque<std::string> output_;
+  bool writing_ = false;
+  bool withholds_ = false;
+  bool closes_ = false;  ///< Once everything is written.
+  bool resets_ = false;
+  bool closed_ = false;
+};
+
+}  // namespace
+
+auto AnswerFaultProxy::Impl::Listen(runtime::SocketAddress const& address) -> void {
+  auto const listening = Attempt([&] { return runtime::Listen(acceptor_, address, ""); });
+  auto const* const error = ErrorOf(listening);
+  if (error == nullptr) return;
+  std::fprintf(stderr, "proxy of a server: %s\n", error->message.c_str());
+  std::abort();
+}
+
+auto AnswerFaultProxy::Impl::Accept() -> void {
+  acceptor_.async_accept([self = shared_from_this()](ErrorCode error, Tcp::socket client) {
+    if (error) return;
+    std::make_shared<Session<Impl>>(self, std::move(client))->Start();
+    self->Accept();
+  });
+}
+
+auto AnswerFaultProxy::Impl::Draw(bool names_attempt) -> AnswerFault {
+  auto const drawn = static_cast<double>(random_()) / static_cast<double>(random_.max());
+  if (drawn >= options_.part) return AnswerFault::None;
+  // A half of the faults are copies: they need a second request on the same connection to matter.
+  if (!names_attempt || random_() % 2 == 0) return AnswerFault::Repeated;
+  return static_cast<AnswerFault>(1 + random_() % (kAnswerFaults - 1));
+}
+
+AnswerFaultProxy::AnswerFaultProxy(AnswerFaultOptions options, runtime::SocketAddress const& listen,
+                                   runtime::SocketAddress const& server)
+    : impl_(std::make_shared<Impl>(loop_.context(), std::move(options), ToEndpoint(server))) {
+  impl_->Listen(listen);
+  asio::post(loop_.context(), [impl = impl_] { impl->Accept(); });
+}
+
+AnswerFaultProxy::~AnswerFaultProxy() { loop_.Stop(); }
+
+}  // namespace graniteseam::testbed
--- a/testbed/registered/worker.cc
+++ b/testbed/registered/worker.cc
@@ -6,6 +6,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <functional>
+#include <map>
 #include <mutex>
 #include <nlohmann/json.hpp>
 #include <random>
@@ -87,6 +88,7 @@
     stated_.warm_at = started_ + options_.warm_up;
     Listen();
     address_ = options_.address.ip + ":" + std::to_string(server_->port());
+    if (HasAnswerFaults()) StartProxy();
     asio::post(loop_.context(), [this] { BeatAfter(options_.first_heartbeat); });
   }
   ~Impl() { loop_.Stop(); }
@@ -120,7 +122,13 @@
   }
   std::vector<WorkerRun> runs() const {
     const std::lock_guard lock(mutex_);
-    return runs_;
+    auto runs = runs_;
+    auto const now = crash_ ? crash_->at : runtime::BootTimeNow();
+    for (auto const& [number, run] : open_runs_) {
+      runs.push_back(run);
+      runs.back().ended = std::max(run.begun, std::min(run.ended, now));
+    }
+    return runs;
   }
   auto stated() const -> WorkerStated {
     std::lock_guard const lock(mutex_);
@@ -196,6 +204,7 @@
   auto Listen() -> void {
     event_http::ServerOptions server;
     server.address = options_.address;
+    if (HasAnswerFaults()) server.address.port = 0;
     auto const end = runtime::BootTimeNow() + kListenLimit;
     for (;;) {
       server_ = std::make_unique<event_http::Server>(
@@ -211,6 +220,18 @@
     }
   }
 
+  auto HasAnswerFaults() const -> bool { return options_.answer_faults.part > 0; }
+
+  auto StartProxy() -> void {
+    auto faults = options_.answer_faults;
+    faults.attempt_id = options_.names.attempt_id;
+    faults.not_executed = options_.names.not_executed;
+    faults.seed = std::hash<std::string>{}(options_.id);
+    proxy_ = std::make_unique<AnswerFaultProxy>(
+        faults, options_.address, runtime::SocketAddress{options_.address.ip, server_->port()});
+    address_ = runtime::ToString(options_.address);
+  }
+
   /// Refuses what is no order for this instance, and leads the rest on.
   template <class Handler>
   auto TakeOrder(std::shared_ptr<Exchange> const& exchange, Handler const& handler) -> void {
@@ -292,9 +313,12 @@
     run.saw_api_key = request.fields.Find("Authorization") != nullptr;
     if (options_.keyed) working_.insert(*key);
     auto const until = holder == nullptr ? Instant::max() : holder->until;
+    auto const number = ++last_run_;
+    run.ended = until;
+    open_runs_[number] = run;
     auto timer = std::make_shared<asio::steady_timer>(loop_.context(), options_.work);
-    timer->async_wait([this, timer, exchange, response, run, until](auto) mutable {
-      Finish(std::move(run), until, response);
+    timer->async_wait([this, timer, exchange, response, number, until](auto) mutable {
+      Finish(number, until, response);
       exchange->Respond(response);
     });
   }
@@ -349,12 +373,16 @@
     crash_ = WorkerCrash{options_.id, std::string(request.Path()), attempt, now};
     deregistered_ = true;
     // Not from within the exchange that it came by.
-    asio::post(loop_.context(), [this] { server_.reset(); });
+    asio::post(loop_.context(), [this] {
+      proxy_.reset();
+      server_.reset();
+    });
   }
 
   /// @param until when the lease under which the run began was to end; it may have been renewed.
-  auto Finish(WorkerRun run, Instant until, Response& response) -> void {
+  auto Finish(std::uint64_t number, Instant until, Response& response) -> void {
     std::lock_guard const lock(mutex_);
+    auto run = std::move(open_runs_.extract(number).mapped());
     // What it was at work on ended with it; its callers get no answer.
     auto const now = crash_ ? crash_->at : runtime::BootTimeNow();
     run.ended = now;
@@ -528,6 +556,7 @@
   runtime::EventLoop loop_;
   std::string address_;
   std::unique_ptr<event_http::Server> server_;
+  std::unique_ptr<AnswerFaultProxy> proxy_;  ///< Listens at the worker's address.
   event_http::ClientPool pool_;
   asio::steady_timer beat_timer_;  ///< Used on the loop only.
 
@@ -549,6 +578,9 @@
   std::vector<std::pair<Instant, std::string>> arrivals_;
   std::vector<std::pair<Instant, std::string>> received_;
   std::mt19937 random_{static_cast<std::uint32_t>(std::hash<std::string>{}(options_.id))};
+  /// Begun and not ended, with the end of the lease under which they began.
+  std::map<std::uint64_t, WorkerRun> open_runs_;
+  std::uint64_t last_run_ = 0;
   std::vector<WorkerRun> runs_;
   WorkerStated stated_;  ///< Without its arrivals.
 };
--- a/testbed/registered/worker.h
+++ b/testbed/registered/worker.h
@@ -15,6 +15,7 @@
 #include "src/daemon/control/owner_calls.h"
 #include "src/daemon/gateway/exchange_names.h"
 #include "src/runtime/socket_address.h"
+#include "testbed/registered/answer_fault_proxy.h"
 #include "testbed/registered/held_keys.h"
 
 namespace graniteseam::testbed {
@@ -48,6 +49,9 @@
   WorkerStatements statements{};
   /// Part of its requests that it rejects without running them; null: none. Shared with others.
   std::shared_ptr<std::atomic<double> const> rejected_part{};
+  /// Faults in its answers; none where their part is 0. Names of headers and the seed are set by
+  /// the worker.
+  AnswerFaultOptions answer_faults{};
 };
 
 /// The path at which a worker says how it is.
@@ -139,6 +143,7 @@
   /// is destroyed.
   auto crash() const -> std::optional<WorkerCrash>;
 
+  /// What it ran or is at work on; the latter ends now, or with its lease.
   std::vector<WorkerRun> runs() const;
   auto stated() const -> WorkerStated;
   /// Attempts that reached it, those that it rejected included.
--- a/testbed/soak/arguments.cc
+++ b/testbed/soak/arguments.cc
@@ -17,9 +17,9 @@
         = "Usage: graniteseam-soak [--seed N] [--seeds N] [--parallel K] [--size small|large|crowd|wide] "
           "[--faults N] [--only KINDS]\n"
           "                        [--crashing] [--silencing] [--starving] [--stating] [--warming]\n"
-          "                        [--coordinating] [--stopping] [--rejecting] [--processor SHARE] "
-          "[--keep]\n"
-          "                        [--folder DIR] [--programs DIR] [--templates DIR]\n"
+          "                        [--coordinating] [--stopping] [--rejecting] [--faulty-answers]\n"
+          "                        [--processor SHARE] [--keep] [--folder DIR] [--programs DIR] "
+          "[--templates DIR]\n"
           "  --seed N       first seed; without it one is drawn and printed\n"
           "  --seeds N      how many, from the first on (1)\n"
           "  --parallel K   how many side by side (1), as long as they start at most 60 processes together\n"
@@ -35,6 +35,8 @@
           "                 callers that rest and send around the close of a router that stops\n"
           "  --rejecting    all workers begin to reject requests at one moment, and all routers start again\n"
           "                 soon after\n"
+          "  --faulty-answers workers reject requests, and repeat, cut, withhold or spoil answers; further\n"
+          "                 callers send requests that may run once only\n"
           "  --processor X  part of a core that each control process and each router may use\n"
           "  --keep         logs and data of seeds that kept every promise, too\n"
           "  --faults N     of each run (20, a large one 45, a crowd 10)\n"
@@ -83,10 +85,11 @@
         {"silencing", no_argument, nullptr, 'i'}, {"stating", no_argument, nullptr, 'g'},
         {"starving", no_argument, nullptr, 'v'}, {"warming", no_argument, nullptr, 'w'},
         {"coordinating", no_argument, nullptr, 'o'}, {"stopping", no_argument, nullptr, 'b'},
-        {"rejecting", no_argument, nullptr, 'r'}, {"processor", required_argument, nullptr, 'c'},
-        {"keep", no_argument, nullptr, 'e'}, {"faults", required_argument, nullptr, 'f'},
-        {"only", required_argument, nullptr, 'l'}, {"folder", required_argument, nullptr, 'd'},
-        {"programs", required_argument, nullptr, 'p'}, {"templates", required_argument, nullptr, 't'}, {}};
+        {"rejecting", no_argument, nullptr, 'r'}, {"faulty-answers", no_argument, nullptr, 'a'},
+        {"processor", required_argument, nullptr, 'c'}, {"keep", no_argument, nullptr, 'e'},
+        {"faults", required_argument, nullptr, 'f'}, {"only", required_argument, nullptr, 'l'},
+        {"folder", required_argument, nullptr, 'd'}, {"programs", required_argument, nullptr, 'p'},
+        {"templates", required_argument, nullptr, 't'}, {}};
     Arguments arguments;
     arguments.first_seed = std::random_device {}();
     arguments.programs = std::filesystem::path(argv[0]).parent_path();
@@ -132,6 +135,9 @@
         case 'r':
             arguments.rejecting = true;
             break;
+        case 'a':
+            arguments.faulty_answers = true;
+            break;
         case 'e':
             arguments.keep = true;
             break;
--- a/testbed/soak/arguments.h
+++ b/testbed/soak/arguments.h
@@ -27,6 +27,7 @@
     bool coordinating = false;
     bool stopping = false;
     bool rejecting = false;
+    bool faulty_answers = false;
     bool keep = false;
     std::optional<double> processor;
     std::string folder = "/tmp/graniteseam-soak";
--- a/testbed/soak/load.cc
+++ b/testbed/soak/load.cc
@@ -60,6 +60,11 @@
     /// Apart from the numbers that versions are drawn from.
     constexpr std::uint64_t form_salt = 0x5eed'0f5a'4a9e'0002;
     constexpr std::size_t all_kinds = 4; ///< Of requests; the last one is of those that may not be repeated.
+    /// Of requests that may run once: what differs between them.
+    constexpr std::uint64_t large_body_every = 8;
+    constexpr std::uint64_t body_largest = 1'048'576;
+    constexpr std::uint64_t time_least_ms = 150;
+    constexpr std::uint64_t time_spread_ms = 1'350;
     constexpr std::uint64_t unknown_key_every = 40;
     constexpr std::uint32_t keys_asked_for = 64;
     constexpr std::uint32_t key_distance = 1'021;
@@ -195,6 +200,30 @@
         return request;
     }
 
+    /// One that may run once only.
+    auto next_unsafe_request(Caller& it, SeenAnswer& answer) -> event_http::Request
+    {
+        auto const& names = it.endpoints.names;
+        constexpr auto paths
+            = std::to_array<char const*>({"/keyed-unsafe/x", "/leased-unsafe/x", "/unsafe/x"});
+        constexpr auto services = std::to_array<char const*>({"keyed", "leased", "pool"});
+        auto const kind = it.random() % paths.size();
+        answer.may_repeat = false;
+        answer.service = services[kind];
+        event_http::Request request;
+        request.method = "POST";
+        request.target = paths[kind];
+        request.fields.Add("Host", "a.example");
+        request.fields.Add(names.attempt_id, answer.attempt);
+        request.fields.Add(names.time_left_ms, std::to_string(time_least_ms + it.random() % time_spread_ms));
+        show_key(it, request, answer);
+        if (kind < 2)
+            request.fields.Add(names.key, std::to_string(it.random() % keys_asked_for * key_distance));
+        auto const large = it.random() % large_body_every == 0;
+        request.body = std::string(large ? it.random() % body_largest : 1, 'x');
+        return request;
+    }
+
     auto note(Caller const& it, event_http::Response const& response, SeenAnswer& answer) -> void
     {
         answer.status = response.status;
@@ -288,7 +317,8 @@
         for (auto& request : requests) {
             auto& answer = answers.emplace_back();
             answer.attempt = attempt_name(options, answers.size() - 1);
-            request = next_request(it, answer, kinds);
+            request = options.style == CallerStyle::Unsafe ? next_unsafe_request(it, answer)
+                                                           : next_request(it, answer, kinds);
             note_sending(it, answer);
         }
         if (!it.connection->open())
@@ -301,6 +331,11 @@
         }
     }
 
+    auto sends_ahead(CallerStyle style) -> bool
+    {
+        return style == CallerStyle::Ahead || style == CallerStyle::SafeAhead || style == CallerStyle::Unsafe;
+    }
+
     /// Sends on the connection where it is open.
     auto call_open(Caller& it, std::vector<SeenAnswer>& answers) -> void
     {
@@ -346,7 +381,7 @@
     Caller it {endpoints, options, std::mt19937_64(options.seed), std::mt19937_64(~options.seed), {}, {}, 0};
     std::vector<SeenAnswer> answers;
     while (!stop.stop_requested()) {
-        if (options.style == CallerStyle::Ahead || options.style == CallerStyle::SafeAhead) {
+        if (sends_ahead(options.style)) {
             call_ahead(it, options, answers);
             std::this_thread::sleep_for(pause_of_callers);
             continue;
@@ -367,6 +402,7 @@
             break;
         case CallerStyle::Ahead:
         case CallerStyle::SafeAhead:
+        case CallerStyle::Unsafe:
             break; // Taken above.
         }
         answers.push_back(std::move(answer));
--- a/testbed/soak/load.h
+++ b/testbed/soak/load.h
@@ -25,6 +25,7 @@
     Fresh, ///< A connection for each request.
     Ahead, ///< As Kept, with further requests sent before the first is answered; of all kinds.
     SafeAhead, ///< The same, with only reads that may be repeated: routers run these in parallel.
+    Unsafe, ///< As Ahead, with only requests that may run once; large bodies and short deadlines too.
     Hesitant, ///< As Fresh, and sends some 100 ms after the connection was opened.
 };
 
--- a/testbed/soak/promises.cc
+++ b/testbed/soak/promises.cc
@@ -31,6 +31,12 @@
         breaches.push_back({std::move(promise), std::move(detail)});
     }
 
+    /// Statuses by which a router says that a request has not run and never will.
+    auto promises_not_run(int status) -> bool
+    {
+        return status == 408 || status == 421 || status == 429 || status == 503;
+    }
+
     auto check_runs_of_answers(Observed const& seen, std::vector<Breach>& breaches) -> void
     {
         std::map<std::string, int> runs;
@@ -43,8 +49,7 @@
             auto const n = it == runs.end() ? 0 : it->second;
             if (!answer.may_repeat && n > 1)
                 add(breaches, "at_most_once", answer.attempt + " ran " + std::to_string(n) + " times");
-            auto const promised = answer.status == 503 || answer.status == 429;
-            if (promised && n > 0)
+            if (promises_not_run(answer.status) && n > 0)
                 add(breaches, "not_run", answer.attempt + " was refused and ran");
             if (!answer.own)
                 add(breaches, "own_answer",
--- a/testbed/soak/routed_paths.cc
+++ b/testbed/soak/routed_paths.cc
@@ -150,6 +150,8 @@
 auto configuration_of(std::uint64_t version, bool coordinated) -> json
 {
     json routes {route_to(version, "/safe/", "safe", pool), route_to(version, "/unsafe/", "unsafe", pool),
+        route_to(version, "/keyed-unsafe/", "unsafe", "keyed"),
+        route_to(version, "/leased-unsafe/", "unsafe", "leased"),
         route_to(version, "/keyed/", "safe", "keyed"), route_to(version, "/leased/", "safe", "leased")};
     if (coordinated)
         routes.back()["target_latency_ms"] = coordinated_target_ms;
--- a/testbed/soak/run_shape.cc
+++ b/testbed/soak/run_shape.cc
@@ -112,6 +112,14 @@
     return shape;
 }
 
+auto for_faulty_answers(RunShape shape) -> RunShape
+{
+    constexpr std::uint32_t unsafe_callers = 24;
+    shape.faulty_answers = true;
+    shape.unsafe_callers = unsafe_callers;
+    return shape;
+}
+
 auto processes_of(RunShape const& shape) -> std::uint32_t
 {
     return shape.controls + shape.routers;
--- a/testbed/soak/run_shape.h
+++ b/testbed/soak/run_shape.h
@@ -37,6 +37,8 @@
     bool warming = false; ///< Workers warm up after their starts.
     bool stopping = false; ///< Only planned faults, and callers that send around a router's close.
     bool coordinating = false; ///< Routers coordinate admission at the workers of the leased service.
+    std::uint32_t unsafe_callers = 0; ///< That send only requests which may run once.
+    bool faulty_answers = false; ///< Workers reject requests and spoil answers.
     bool rejecting = false; ///< Workers reject requests, and all routers start again soon after.
     bool crowded = false; ///< Faults of many workers at once.
     Duration operator_pause {250'000}; ///< Between two changes that are no series.
@@ -62,6 +64,10 @@
 /// bound on retries depends on their requests.
 auto for_rejecting(RunShape) -> RunShape;
 
+/// Of the same size, for workers that reject requests and spoil answers: with callers whose requests may
+/// run once only.
+auto for_faulty_answers(RunShape) -> RunShape;
+
 /// Processes that such a run starts.
 auto processes_of(RunShape const&) -> std::uint32_t;
 
--- a/testbed/soak/soak.cc
+++ b/testbed/soak/soak.cc
@@ -148,6 +148,7 @@
         add(shape.ahead_callers, CallerStyle::Ahead);
         add(shape.safe_ahead_callers, CallerStyle::SafeAhead);
         add(shape.limited_callers, CallerStyle::Pooled, true);
+        add(shape.unsafe_callers, CallerStyle::Unsafe);
         auto const before = all.size();
         add(shape.long_ahead_callers, CallerStyle::SafeAhead);
         for (auto i = before; i < all.size(); ++i)
@@ -188,6 +189,7 @@
         options.warming = shape.warming;
         options.coordinating = shape.coordinating;
         options.starving = shape.starving;
+        options.faulty_answers = shape.faulty_answers;
         return options;
     }
 
@@ -357,6 +359,26 @@
         return fmt::format("; most retries: {:.2f} of the bound", most);
     }
 
+    /// What was told of requests that may run once, and which faults answers got.
+    auto answers_text(Observed const& seen, AnswerFaultCounts const& faults) -> std::string
+    {
+        std::map<int, int> statuses;
+        for (auto const& answer : seen.answers) {
+            if (!answer.may_repeat)
+                ++statuses[answer.status];
+        }
+        std::string text = "; unsafe by status:";
+        for (auto const& [status, n] : statuses)
+            text += fmt::format(" {} {},", status, n);
+        text += " faulty answers:";
+        for (std::size_t i = 1; i < kAnswerFaults; ++i) {
+            auto const fault = static_cast<AnswerFault>(i);
+            text += fmt::format(" {} {},", NameOf(fault), faults.of(fault));
+        }
+        text.pop_back();
+        return text;
+    }
+
     auto links_text(RunShape const& shape, SoakedFleet const& fleet) -> std::string
     {
         if (shape.router_link_mbps == 0)
@@ -371,6 +393,8 @@
             shape = for_stopping(shape);
         if (arguments.rejecting)
             shape = for_rejecting(shape);
+        if (arguments.faulty_answers)
+            shape = for_faulty_answers(shape);
         shape.crashing = shape.crashing || arguments.crashing;
         shape.silencing = arguments.silencing;
         shape.starving = arguments.starving;
@@ -420,8 +444,9 @@
                 "seed {}: {}{}; replaced at the same address {}, elsewhere {}; promises broken: {}\n", seed,
                 summary_text(seen, shape, plan),
                 (shape.coordinating ? slots_text(options.folder) : "")
-                    + (shape.stopping ? closes_text(seen) : "") + retries_text(seen)
-                    + links_text(shape, fleet),
+                    + (shape.stopping ? closes_text(seen) : "")
+                    + (shape.faulty_answers ? answers_text(seen, fleet.answer_faults()) : "")
+                    + retries_text(seen) + links_text(shape, fleet),
                 replaced.at_same_address, replaced.elsewhere, promises_text(breaches));
         }
         if (!breaches.empty()) {
--- a/testbed/soak/soaked_fleet.cc
+++ b/testbed/soak/soaked_fleet.cc
@@ -51,6 +51,9 @@
     constexpr std::uint32_t leaving_least = 10;
     constexpr std::uint32_t leaving_spread = 21;
     constexpr Duration warm_up {3'000'000};
+    /// With faulty answers: of the requests, and of the answers.
+    constexpr double always_rejected_part = 0.3;
+    constexpr double faulty_part = 0.25;
 
 } // namespace
 
@@ -68,6 +71,8 @@
     , m_statement_random(m_options.seed ^ statement_salt)
 {
     std::filesystem::create_directories(m_options.folder);
+    if (m_options.faulty_answers)
+        m_rejected_part->store(always_rejected_part);
     while (m_ports.size() < PortCount) {
         // The relay listens on the same ports of its own addresses. Control's own HTTP listens on the local
         // address, as its settings template has it, where workers and callers take ports too.
@@ -387,6 +392,8 @@
     options.rejected_part = m_rejected_part;
     if (m_options.stating)
         options.statements = draw_statements();
+    if (m_options.faulty_answers && slot.service != annex_service)
+        options.answer_faults = {.part = faulty_part, .counts = m_answer_faults};
     if (m_options.warming && m_worker_lives > m_slots.size())
         options.warm_up = warm_up;
     slot.worker_id = options.id;
--- a/testbed/soak/soaked_fleet.h
+++ b/testbed/soak/soaked_fleet.h
@@ -61,6 +61,7 @@
     bool warming = false; ///< Workers that start in place of others warm up.
     bool coordinating = false; ///< Routers reach each other through the relay to coordinate admission.
     bool starving = false; ///< Control processes are short of processor time at times.
+    bool faulty_answers = false; ///< Workers reject requests and spoil answers, but for those of the annex.
 };
 
 /// How often a worker was replaced by another process.
@@ -102,6 +103,8 @@
     /// Starts workers again that ended under a request some time ago.
     auto revive_crashed() -> void;
 
+    auto answer_faults() const -> AnswerFaultCounts const& { return *m_answer_faults; }
+
     auto replacements() const -> Replacements { return m_replacements; }
 
     /// The longest time for which bytes have waited at a router's link. Once the relay has ended.
@@ -193,6 +196,7 @@
     std::mt19937_64 m_statement_random; ///< Of its own: without statements a seed's course stays what it is.
     LateHeartbeats m_late_heartbeats;
     std::shared_ptr<std::atomic<double>> const m_rejected_part = std::make_shared<std::atomic<double>>(0);
+    std::shared_ptr<AnswerFaultCounts> const m_answer_faults = std::make_shared<AnswerFaultCounts>();
     Replacements m_replacements;
     Observed m_seen; ///< Of workers that ended, and of what was done.
     std::map<std::pair<std::uint32_t, bool>, int> m_open_disturbances; ///< By router and only_links.
--- a/tests/soak/promises_test.cc
+++ b/tests/soak/promises_test.cc
@@ -125,6 +125,18 @@
     assert_only(seen, "at_most_once");
 }
 
+Test(promises, run_of_a_request_that_was_refused_by_any_status_that_promises)
+{
+    for (auto const status : {408, 421, 429, 503}) {
+        auto seen = whole();
+        auto const refused = std::find_if(seen.answers.begin(), seen.answers.end(),
+            [](auto const& answer) { return answer.attempt == "c"; });
+        refused->status = status;
+        seen.runs.push_back(run("w-2", "c", 8, 40, 45));
+        assert_only(seen, "not_run");
+    }
+}
+
 Test(promises, run_of_a_refused_request)
 {
     auto seen = whole();
--- a/tests/soak/run_shape_test.cc
+++ b/tests/soak/run_shape_test.cc
@@ -34,6 +34,14 @@
     }
 }
 
+Test(run_shape, run_of_faulty_answers_has_callers_whose_requests_may_run_once)
+{
+    auto const small = draw_shape(1, RunSize::Small);
+    auto const shape = for_faulty_answers(small);
+    cr_assert(shape.faulty_answers && shape.unsafe_callers > 0);
+    cr_assert(workers_of(shape) == workers_of(small) && processes_of(shape) == processes_of(small));
+}
+
 Test(run_shape, run_of_planned_stops_has_routers_with_little_processor_time_and_callers_that_rest)
 {
     auto const small = draw_shape(1, RunSize::Small);
