Send a request again over none of the connections that carried it

Callers saw: a request refused with 503, a promise that it has not run and never will, that ran.

Cause: an answer names the request's attempt id, which is the same for each attempt.

Change: a call names the connections that carried its request before, and the pool uses none of them. This holds for each kind of request and whoever decided on the attempt, and another kept connection is used where there is one.

--- a/src/daemon/gateway/gateway_process.cc
+++ b/src/daemon/gateway/gateway_process.cc
@@ -270,7 +270,6 @@
   if (rest_answered_) return;
   event_http::Call call;
   call.bytes = translator_.ForServer(live_.at(send.request).exchange->request(), send);
-  call.needs_new_connection = send.needs_new_connection;
   metrics_.OnSend(send.server_warms_up);
   StartCall(send, std::move(call));
 }
@@ -282,6 +281,7 @@
   call.address = effect.address;
   call.head = live.exchange->request().method == "HEAD";
   call.limit = effect.time_left;
+  call.avoided_connections = live.connections;
   // The request tells how much time is left now; with a later hand-over the server would work on
   // for longer than its caller waits.
   call.not_after = runtime::BootTimeNow() + kHandedOverWithin;
@@ -345,6 +345,7 @@
   if (report.load_unreadable) metrics_.OnUnreadableLoad();
   if (report.end == gateway::AttemptEnd::kUnusable && live.call) servers_->Distrust(*live.call);
   live.call.reset();
+  live.connections.push_back(result.connection);
   LogUnknownField(result.response);
   live.answer = std::move(result.response);
   NoteLoopDelay();
--- a/src/daemon/gateway/gateway_process.h
+++ b/src/daemon/gateway/gateway_process.h
@@ -56,6 +56,9 @@
     std::optional<event_http::CallNumber> call;
     std::optional<event_http::Response> answer;  ///< The last that a server gave.
     std::optional<Instant> first_sent;           ///< To a server.
+    /// Connections that carried it. A surplus answer on one of them names the same attempt as the
+    /// answer to a further attempt would.
+    std::vector<event_http::ConnectionNumber> connections;
     std::vector<TimedNote> notes;
     gateway::RequestSummary summary;
   };
--- a/src/event_http/client_pool.cc
+++ b/src/event_http/client_pool.cc
@@ -81,6 +81,7 @@
   const ClientPoolOptions options_;
   asio::steady_timer sweep_;
   CallNumber last_number_;
+  ConnectionNumber last_connection_;
   /// Calls and their connections, which are null until the call begins.
   std::map<CallNumber, std::shared_ptr<ClientConnection>> open_;
   /// Resting connections by address, the one used last at the end.
@@ -90,14 +91,16 @@
 
 class ClientConnection : public std::enable_shared_from_this<ClientConnection> {
  public:
-  ClientConnection(asio::io_context& context, std::string address,
+  ClientConnection(asio::io_context& context, ConnectionNumber connection, std::string address,
                    std::weak_ptr<ClientPool::Impl> pool)
-      : socket_(context),
+      : connection_(connection),
+        socket_(context),
         timer_(context),
         watch_(context),
         address_(std::move(address)),
         pool_(std::move(pool)) {}
 
+  ConnectionNumber number() const { return connection_; }
   const std::string& address() const { return address_; }
   CallNumber last_call() const { return number_; }
   Duration Rested() const { return runtime::BootTimeNow() - rests_since_; }
@@ -218,6 +221,7 @@
     CallResult result;
     result.end = CallEnd::kAnswered;
     result.new_connection = true;
+    result.connection = connection_;
     const ClientPool::Handler handler = std::exchange(handler_, nullptr);
     if (const auto pool = pool_.lock()) pool->Finished(number_);
     Close(false);
@@ -310,6 +314,7 @@
     const bool keep = parser_->keep_alive() && !ended_;
     result.server_closes = !keep;
     result.new_connection = new_connection_;
+    result.connection = connection_;
     auto message = parser_->release();
     result.response.status = static_cast<int>(message.result_int());
     result.response.reason = std::string(message.reason());
@@ -350,6 +355,7 @@
     result.end = end;
     result.fault = fault;
     result.new_connection = new_connection_;
+    result.connection = connection_;
     handler(std::move(result));
   }
 
@@ -364,6 +370,7 @@
     if (const auto pool = pool_.lock()) pool->Remove(shared_from_this());
   }
 
+  const ConnectionNumber connection_;
   Tcp::socket socket_;
   asio::steady_timer timer_;
   asio::steady_timer watch_;
@@ -398,7 +405,9 @@
     if (found == self->open_.end()) return;
     std::shared_ptr<ClientConnection> connection = self->TakeResting(call);
     if (!connection) {
-      connection = std::make_shared<ClientConnection>(self->context_, call.address, self);
+      self->last_connection_ = self->last_connection_.Next();
+      connection = std::make_shared<ClientConnection>(self->context_, self->last_connection_,
+                                                      call.address, self);
     }
     // TakeResting() closes connections, which leaves this entry where it is.
     found->second = connection;
@@ -413,10 +422,16 @@
   for (;;) {
     const auto found = resting_.find(call.address);
     if (found == resting_.end() || found->second.empty()) return nullptr;
-    std::shared_ptr<ClientConnection> connection = found->second.back();
+    const auto usable =
+        std::find_if(found->second.rbegin(), found->second.rend(), [&](const auto& resting) {
+          const auto& avoided = call.avoided_connections;
+          return std::find(avoided.begin(), avoided.end(), resting->number()) == avoided.end();
+        });
+    if (usable == found->second.rend()) return nullptr;
+    std::shared_ptr<ClientConnection> connection = *usable;
     const Duration limit = std::min(call.rested_maximum, connection->rest_limit());
     if (connection->Rested() > limit) return nullptr;
-    found->second.pop_back();
+    found->second.erase(std::next(usable).base());
     if (connection->Silent()) return connection;
     connection->Drop();
   }
--- a/src/event_http/client_pool.h
+++ b/src/event_http/client_pool.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "graniteseam/common/ids.h"
 #include "graniteseam/common/time.h"
@@ -16,6 +17,8 @@
 
 /// Names a call as long as its pool lives.
 using CallNumber = NumericId<struct CallNumberTag>;
+/// Names a connection as long as its pool lives.
+using ConnectionNumber = NumericId<struct ConnectionNumberTag>;
 
 struct Call {
   std::string address;  ///< "ip:port".
@@ -24,8 +27,12 @@
   /// For connecting, sending and the whole answer together. What has arrived by then is taken, also
   /// by a loop that is late.
   Duration limit{};
-  /// A kept connection may still bring a second answer to an earlier call.
+  /// For a call whose answer can't be told from one to another call: a kept connection may still
+  /// bring a second answer to an earlier one.
   bool needs_new_connection = false;
+  /// Connections that are not used, since they carried calls whose answers look like one to this
+  /// call. A second answer to one of those may still come.
+  std::vector<ConnectionNumber> avoided_connections{};
   /// A request that is not handed to the kernel by then is not sent at all.
   Instant not_after = Instant::max();
   /// Whether a new connection is watched before the request is sent, as the pool's options say.
@@ -58,6 +65,7 @@
   bool server_closes = false;                ///< The server said that it closes the connection.
   /// The call opened its connection, or tried to; otherwise it went over a kept one.
   bool new_connection = false;
+  ConnectionNumber connection;  ///< That the call used.
 };
 
 struct ClientPoolOptions {
--- a/src/gateway/gateway_events.h
+++ b/src/gateway/gateway_events.h
@@ -182,9 +182,6 @@
   traffic::InstanceId instance;
   std::string address;  ///< "ip:port".
   Duration time_left{};
-  /// The server already had an attempt of this request, which must run at most once. A late answer
-  /// to that attempt carries the same id, and must not be taken for the answer to this one.
-  bool needs_new_connection = false;
   bool server_warms_up = false;  ///< For the metrics.
   /// The tenant whose API key the request presented; empty when it presented none.
   traffic::TenantName tenant;
--- a/src/gateway/request_sending.cc
+++ b/src/gateway/request_sending.cc
@@ -241,8 +241,6 @@
   }
   request.open = OpenAttempt{++request.newest_attempt, id, now};
   ++request.attempts;
-  const bool again =
-      std::find(request.tried.begin(), request.tried.end(), id) != request.tried.end();
   request.tried.push_back(id);
   SendAttempt send;
   send.request = request.arrived.number;
@@ -250,7 +248,6 @@
   send.instance = id;
   send.address = backend.instance.report.address;
   send.time_left = request.give_up - now;
-  send.needs_new_connection = again && !traffic::MayRepeat(request.kind);
   send.server_warms_up = warms_up;
   send.tenant = request.tenant;
   send.hides_api_key = traffic_.tenants().keys_required();
--- a/tests/soak/seeded_runs_test.cc
+++ b/tests/soak/seeded_runs_test.cc
@@ -113,3 +113,10 @@
 {
     play("76002", {"--rejecting"});
 }
+
+/// Guards against requests that are refused as not run and run: a second copy of a worker's rejection was
+/// taken for the answer to the next attempt.
+Test(seeded_runs, seed_82001_with_workers_that_repeat_and_spoil_answers, .timeout = 240)
+{
+    play("82001", {"--faulty-answers"});
+}
