Believe an answer that ends an ownership on a connection of its order's own

Seen: keys get another owner while the former one works on them.

Answers to orders name no order, and what comes on a connection is taken for the answer to whatever was sent last.

Change: a release opens a connection. A 421 or a 409 that comes over a kept connection has an unknown outcome, and the next order to that address opens a connection, whose first answer is its own. A grant that is wrongly taken for done is corrected by its renewal.

--- a/src/daemon/control/owner_client.cc
+++ b/src/daemon/control/owner_client.cc
@@ -100,6 +100,8 @@
   call.bytes = event_http::Serialize(request);
   call.limit = order.limit;
   call.not_after = order.not_after;
+  const bool unproven = unproven_.erase(order.address) > 0;
+  call.needs_new_connection = !grant || unproven;
   const Instant sent = runtime::BootTimeNow();
   pool_.Start(std::move(call), [this, order, sent](const event_http::CallResult& result) {
     OnEnd(order, sent, result);
@@ -110,7 +112,7 @@
                         const event_http::CallResult& result) {
   RangeOrderResult ended;
   ended.number = order.number;
-  ended.outcome = OutcomeOf(names_, order, result);
+  ended.outcome = ProvenOutcome(order, result);
   if (ended.outcome == RangeOrderResult::Outcome::kDone) {
     ended.handover = PlainToken(result.response.fields.Find(names_.handover_header));
   }
@@ -118,6 +120,17 @@
   handler_(ended);
 }
 
+RangeOrderResult::Outcome OwnerClient::ProvenOutcome(const RangeOrder& order,
+                                                     const event_http::CallResult& result) {
+  using Outcome = RangeOrderResult::Outcome;
+  const Outcome outcome = OutcomeOf(names_, order, result);
+  const bool ends_ownership = outcome == Outcome::kOtherInstance || outcome == Outcome::kRefused;
+  if (result.new_connection || !ends_ownership) return outcome;
+  // A grant that is wrongly taken for done is corrected by its renewal.
+  unproven_.insert(order.address);
+  return Outcome::kUnknown;
+}
+
 void OwnerClient::WriteEvent(const RangeOrder& order, Duration took,
                              RangeOrderResult::Outcome outcome,
                              const event_http::CallResult& result) {
--- a/src/daemon/control/owner_client.h
+++ b/src/daemon/control/owner_client.h
@@ -4,6 +4,8 @@
 
 #include <functional>
 #include <memory>
+#include <set>
+#include <string>
 
 #include "graniteseam/control/range_orders.h"
 #include "src/daemon/control/owner_calls.h"
@@ -27,6 +29,10 @@
  private:
   void Start(const control::RangeOrder& order);
   void OnEnd(const control::RangeOrder& order, Instant sent, const event_http::CallResult& result);
+  /// What an answer proves. Answers name no order: on a kept connection, a second answer to an
+  /// earlier order may come in the place of this one's.
+  control::RangeOrderResult::Outcome ProvenOutcome(const control::RangeOrder& order,
+                                                   const event_http::CallResult& result);
   /// What tells one order from another, and the process that took it from the one that was meant:
   /// an address may have passed to another process since the order was decided.
   void WriteEvent(const control::RangeOrder& order, Duration took,
@@ -36,6 +42,8 @@
   runtime::EventLoop& loop_;
   runtime::EventLog& events_;
   const Handler handler_;
+  /// Addresses whose last answer proves nothing; the next order opens a connection.
+  std::set<std::string> unproven_;
   event_http::ClientPool pool_;
 };
 
--- a/tests/control_daemon/owner_client_test.cc
+++ b/tests/control_daemon/owner_client_test.cc
@@ -2,12 +2,19 @@
 
 #include <criterion/criterion.h>
 #include <fcntl.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <atomic>
+#include <chrono>
 #include <future>
+#include <list>
 #include <memory>
 #include <string>
+#include <string_view>
+#include <thread>
+#include <utility>
 #include <vector>
 
 #include "src/event_http/server.h"
@@ -140,8 +147,101 @@
   cr_assert(outcome == Outcome::kOtherInstance);
 }
 
+constexpr char kGranted[] = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+
+/// Sends a surplus answer before its answer to each order but the first of a connection; answers a
+/// release when its work has ended.
+class RepeatingOwner {
+ public:
+  explicit RepeatingOwner(std::string surplus)
+      : m_surplus(std::move(surplus)), m_listener(::socket(AF_INET, SOCK_STREAM, 0)) {
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof(address);
+    cr_assert(::bind(m_listener, reinterpret_cast<sockaddr*>(&address), size) == 0);
+    cr_assert(::getsockname(m_listener, reinterpret_cast<sockaddr*>(&address), &size) == 0);
+    m_port = ntohs(address.sin_port);
+    cr_assert(::listen(m_listener, 8) == 0);
+    m_acceptor = std::thread([this] {
+      for (;;) {
+        auto const connection = ::accept(m_listener, nullptr, nullptr);
+        if (connection < 0) return;
+        m_connections.emplace_back(connection,
+                                   std::thread([this, connection] { serve(connection); }));
+      }
+    });
+  }
+  ~RepeatingOwner() {
+    ::shutdown(m_listener, SHUT_RDWR);
+    m_acceptor.join();
+    for (auto& [connection, thread] : m_connections) {
+      ::shutdown(connection, SHUT_RDWR);
+      thread.join();
+      ::close(connection);
+    }
+    ::close(m_listener);
+  }
+
+  auto port() const -> std::uint16_t { return m_port; }
+  auto work_ended() const -> bool { return m_work_ended; }
+
+ private:
+  auto serve(int connection) -> void {
+    auto first = true;
+    char buf[4096];
+    for (;;) {
+      auto const n = ::recv(connection, buf, sizeof(buf), 0);
+      if (n <= 0) return;
+      if (!std::exchange(first, false)) write(connection, m_surplus);
+      if (std::string_view(buf, static_cast<std::size_t>(n)).starts_with("POST /grant")) {
+        write(connection, kGranted);
+        continue;
+      }
+      std::this_thread::sleep_for(std::chrono::milliseconds(200));
+      m_work_ended = true;
+      write(connection, "HTTP/1.1 200 OK\r\nHandover: h\r\nContent-Length: 0\r\n\r\n");
+    }
+  }
+
+  static auto write(int connection, std::string const& bytes) -> void {
+    ::send(connection, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+  }
+
+  std::string const m_surplus;
+  int const m_listener;
+  std::uint16_t m_port = 0;
+  std::atomic<bool> m_work_ended{false};
+  std::thread m_acceptor;
+  std::list<std::pair<int, std::thread>> m_connections;
+};
+
 }  // namespace
 
+/// Guards against keys that get another owner while the former one works on them: a surplus answer
+/// to a grant was taken for the answer to their release.
+Test(owner_client, release_is_not_ended_by_a_surplus_answer_to_a_grant) {
+  RepeatingOwner owner(kGranted);
+  Orders orders(owner.port());
+  cr_assert(orders.send(Kind::kGrant) == Outcome::kDone);
+  cr_assert(orders.send(Kind::kRelease) == Outcome::kDone);
+  cr_assert(owner.work_ended());
+}
+
+/// Guards against keys that get another owner while the former one lives: a surplus answer to an
+/// earlier order was taken for proof that another process has its address, or that it holds
+/// nothing.
+Test(owner_client, surplus_answer_does_not_end_an_ownership) {
+  for (auto const* const status : {"421 Misdirected Request", "409 Conflict"}) {
+    RepeatingOwner owner("HTTP/1.1 " + std::string(status) + "\r\nContent-Length: 0\r\n\r\n");
+    Orders orders(owner.port());
+    cr_assert(orders.send(Kind::kGrant) == Outcome::kDone);
+    cr_assert(orders.send(Kind::kGrant) == Outcome::kUnknown);
+    // It opens a connection, whose first answer is its own.
+    cr_assert(orders.send(Kind::kGrant) == Outcome::kDone);
+  }
+}
+
 Test(owner_client, renewal_is_not_taken_by_the_next_process_at_the_address) {
   expect_not_taken_by_the_next_process(Kind::kGrant);
 }
