Simulator: surplus rejections and surplus answers to orders

The traffic world copied answers of requests that had run only, and no answers to orders, so that a rejection or a release never met a second copy. traffic-surplus-answers has both beside rejections and drains. A further attempt of a request does not read the second answer to an earlier one, as the connection pool has it, and orders are read as OwnerClient reads them; two seeded defects take each back.

--- a/simulation/simulator/main.cc
+++ b/simulation/simulator/main.cc
@@ -48,6 +48,8 @@
 constexpr const char* kTrafficRetries = "traffic-retries";
 /// Requests begin to fail at one moment, and most gateways start again soon after.
 constexpr const char* kTrafficRetryRestarts = "traffic-retry-restarts";
+/// Workers reject requests, and answer requests and orders twice.
+constexpr const char* kTrafficSurplusAnswers = "traffic-surplus-answers";
 
 constexpr const char* kUsage =
     "Usage: graniteseam-simulation [OPTION...]\n"
@@ -77,7 +79,7 @@
            scenario == kTrafficCrashing || scenario == kTrafficLimits ||
            scenario == kTrafficWarmUps || scenario == kTrafficCoordination ||
            scenario == kTrafficPartitions || scenario == kTrafficRetries ||
-           scenario == kTrafficRetryRestarts;
+           scenario == kTrafficRetryRestarts || scenario == kTrafficSurplusAnswers;
   }
 };
 
@@ -183,6 +185,8 @@
               "24 gateways that stop in turn and are partitioned, while workers shed requests");
   std::printf("scenario %-36s %s\n", kTrafficRetryRestarts,
               "24 gateways, most of which start again as requests begin to fail");
+  std::printf("scenario %-36s %s\n", kTrafficSurplusAnswers,
+              "workers that reject requests, and answer requests and orders twice");
   for (const auto& [defect, name, promise, description] : seeded_traffic_defects()) {
     std::printf("defect   %-36.*s traffic: %.*s\n", static_cast<int>(name.size()), name.data(),
                 static_cast<int>(description.size()), description.data());
@@ -282,6 +286,7 @@
     world.gateways = 24;
     world.load = 4;
   }
+  world.surplus_answers = settings.scenario == kTrafficSurplusAnswers;
   return graniteseam::simulation::run_traffic({options, world});
 }
 
--- a/simulation/traffic_world/traffic_defect.h
+++ b/simulation/traffic_world/traffic_defect.h
@@ -18,6 +18,8 @@
     kDrainForgotten,
     kAcknowledgedBeforeCommit,
     kCutNeverHealed,
+    kAttemptsShareConnection,
+    kOrderAnswersBelieved,
 };
 
 struct SeededTrafficDefect {
@@ -27,7 +29,7 @@
     std::string_view description;
 };
 
-constexpr auto seeded_traffic_defects() -> std::array<SeededTrafficDefect, 8>
+constexpr auto seeded_traffic_defects() -> std::array<SeededTrafficDefect, 10>
 {
     return {{
         {TrafficDefect::kLeaseNeverEnds, "lease-never-ends", "one_owner",
@@ -46,6 +48,10 @@
             "control's doorstep acknowledges a change when it comes"},
         {TrafficDefect::kCutNeverHealed, "cut-never-healed", "recovers",
             "gateways that were cut off once never find control again"},
+        {TrafficDefect::kAttemptsShareConnection, "attempts-share-connection", "refusal_true",
+            "a request goes to a server again over the connection of its first attempt"},
+        {TrafficDefect::kOrderAnswersBelieved, "order-answers-believed", "one_owner",
+            "control believes any answer on a connection to be that of its newest order"},
     }};
 }
 
--- a/simulation/traffic_world/traffic_faults.cc
+++ b/simulation/traffic_world/traffic_faults.cc
@@ -80,6 +80,17 @@
     return kinds;
 }
 
+auto TrafficFaults::surplus_answers() -> std::vector<TrafficFaultKind> const&
+{
+    static std::vector<TrafficFaultKind> const kinds {
+        {"requests shed", &TrafficFaults::shed_requests},
+        {"answers surplus", &TrafficFaults::add_answers},
+        {"orders answered twice", &TrafficFaults::answer_orders_twice},
+        {"worker drained", &TrafficFaults::drain_worker},
+    };
+    return kinds;
+}
+
 auto TrafficFaults::inject_until(TrueTime end, bool overlapping) -> void
 {
     m_end = end;
@@ -97,6 +108,8 @@
         m_kinds.insert(m_kinds.end(), restarts_at_failures().begin(), restarts_at_failures().end());
     if (m_fleet.options().coordination)
         m_kinds.insert(m_kinds.end(), coordination().begin(), coordination().end());
+    if (m_fleet.options().surplus_answers)
+        m_kinds.insert(m_kinds.end(), surplus_answers().begin(), surplus_answers().end());
     if (auto const& only = m_fleet.options().only_faults; !only.empty()) {
         std::erase_if(m_kinds, [&](TrafficFaultKind const& kind) {
             return std::find(only.begin(), only.end(), kind.name) == only.end();
@@ -363,6 +376,11 @@
     in_mood(&WorkerMood::answer_surplus, m_world.random.Fraction() * 0.3);
 }
 
+auto TrafficFaults::answer_orders_twice() -> void
+{
+    in_mood(&WorkerMood::order_answer_surplus, m_world.random.Fraction());
+}
+
 auto TrafficFaults::shed_requests() -> void
 {
     constexpr double kMinimum = 0.2;
--- a/simulation/traffic_world/traffic_faults.h
+++ b/simulation/traffic_world/traffic_faults.h
@@ -35,6 +35,8 @@
     static auto warm_ups() -> std::vector<TrafficFaultKind> const&;
     /// Partitions of gateways from all workers.
     static auto partitions() -> std::vector<TrafficFaultKind> const&;
+    /// What makes surplus answers matter: rejections, and releases of keys.
+    static auto surplus_answers() -> std::vector<TrafficFaultKind> const&;
     /// What makes gateways retry, and forget what they have spent on retries.
     static auto retries() -> std::vector<TrafficFaultKind> const&;
     /// Requests begin to fail while the retry budgets are unused, and most gateways start again soon after.
@@ -59,6 +61,7 @@
     auto delay_orders() -> void;
     auto lose_answers() -> void;
     auto add_answers() -> void;
+    auto answer_orders_twice() -> void;
     auto shed_requests() -> void;
     auto pause_control() -> void;
     auto pause_leader() -> void;
--- a/simulation/traffic_world/traffic_fleet.cc
+++ b/simulation/traffic_world/traffic_fleet.cc
@@ -529,15 +529,19 @@
     m_world.queue.At(give_up, [end] { end(Outcome::kUnknown, ""); });
     if (m_world.random.Chance(mood.order_lost))
         return m_world.Count("order lost");
+    auto const surplus_place = std::pair(from.name().number, worker->traits().id);
+    read_surplus_order_answer(from, place, order, end);
     Duration wait {0};
     if (m_world.random.Chance(mood.order_late)) {
         m_world.Count("order carried out late");
         wait = m_world.random.Between(Duration {100'000}, kLateMaximum);
     }
     auto const answered
-        = [this, &from, node = place.node, end](Outcome outcome, std::string const& handover) {
+        = [this, &from, surplus_place, node = place.node, end](Outcome outcome, std::string const& handover) {
               if (m_world.random.Chance(mood.order_answer_lost))
                   return m_world.Count("order's answer lost");
+              if (mood.order_answer_surplus > 0 && m_world.random.Chance(mood.order_answer_surplus))
+                  m_order_surplus[surplus_place] = {outcome, handover};
               m_world.SendOnce(node, from.name(), [end, outcome, handover] { end(outcome, handover); });
           };
     m_world.queue.After(wait, [this, worker, order, answered, give_up] {
@@ -546,6 +550,25 @@
     });
 }
 
+/// As the daemon reads answers to orders: releases open a connection, and on a kept one no answer proves that
+/// an owner has ended or holds nothing.
+auto TrafficFleet::read_surplus_order_answer(
+    ControlProcess& from, Place& place, control::RangeOrder const& order, OrderEnd const& end) -> void
+{
+    auto const believed = defect() == TrafficDefect::kOrderAnswersBelieved;
+    if (order.kind == control::RangeOrder::Kind::kRelease && !believed)
+        return;
+    auto const found = m_order_surplus.find({from.name().number, place.worker->traits().id});
+    if (found == m_order_surplus.end())
+        return;
+    m_world.Count("surplus answer to an order read");
+    auto answer = found->second;
+    m_order_surplus.erase(found);
+    if (answer.outcome != Outcome::kDone && !believed)
+        answer.outcome = Outcome::kUnknown;
+    m_world.SendOnce(place.node, from.name(), [end, answer] { end(answer.outcome, answer.handover); });
+}
+
 // --- Requests ---
 
 auto TrafficFleet::send_to_worker(GatewayProcess& from, std::string const& address,
@@ -599,7 +622,6 @@
             + std::to_string(request.digest) + (in_touch(from) ? ", in touch" : ""));
         m_oracle.on_crashing_reached(request.digest, in_touch(from), m_world.now());
     }
-    auto const surplus_place = std::pair(from.name().number, worker->traits().id);
     auto const answered = [=, this, &from, &place](WorkerAnswer const& given) {
         if (given.end == WorkerAnswer::End::kBroken)
             return end_with(lost);
@@ -607,15 +629,7 @@
             m_world.Count("answer lost");
             return end_with(lost);
         }
-        auto answer = given;
-        auto const surplus = m_surplus.find(surplus_place);
-        if (surplus != m_surplus.end()) {
-            m_world.Count("surplus answer read");
-            answer = surplus->second;
-            m_surplus.erase(surplus);
-        } else if (given.end == WorkerAnswer::End::kAnswered && m_world.random.Chance(mood.answer_surplus)) {
-            m_surplus[surplus_place] = given;
-        }
+        auto const answer = answer_read(from, *worker, request, given);
         auto const end
             = answer.end == WorkerAnswer::End::kAnswered ? AttemptEnd::kAnswered : AttemptEnd::kNotExecuted;
         auto const partitioned = partition_of(from);
@@ -632,6 +646,26 @@
     worker->run(request, answered);
 }
 
+auto TrafficFleet::answer_read(GatewayProcess const& from, Worker const& worker, WorkerRequest const& request,
+    WorkerAnswer const& given) -> WorkerAnswer
+{
+    auto const place = std::pair(from.name().number, worker.traits().id);
+    auto const surplus = m_surplus.find(place);
+    // A further attempt uses none of the connections that carried the request.
+    auto const same_connection = defect() == TrafficDefect::kAttemptsShareConnection;
+    if (surplus != m_surplus.end() && (surplus->second.number != request.number || same_connection)) {
+        m_world.Count("surplus answer read");
+        auto const answer = surplus->second;
+        m_surplus.erase(surplus);
+        return answer;
+    }
+    auto const repeated = given.end == WorkerAnswer::End::kAnswered
+        || (m_options.surplus_answers && given.end == WorkerAnswer::End::kNotExecuted);
+    if (surplus == m_surplus.end() && repeated && m_world.random.Chance(mood.answer_surplus))
+        m_surplus[place] = given;
+    return given;
+}
+
 auto TrafficFleet::partition(GatewayProcess const& gateway, PartitionForm form, TrueTime until) -> void
 {
     auto& one = m_partitions[gateway.name().number];
--- a/simulation/traffic_world/traffic_fleet.h
+++ b/simulation/traffic_world/traffic_fleet.h
@@ -41,6 +41,7 @@
     double order_lost = 0;
     double order_late = 0; ///< Carried out seconds after it came.
     double order_answer_lost = 0;
+    double order_answer_surplus = 0; ///< A second answer, in the place of the next order's.
     double answer_lost = 0; ///< The worker runs the request, and its connection breaks.
     double answer_surplus = 0; ///< A second answer, in the place of the next one.
     double request_shed = 0; ///< The worker says that it does not run the request.
@@ -69,6 +70,8 @@
     bool retries = false;
     /// All workers begin to shed requests at one moment, and most gateways start again soon after.
     bool restarts_at_failures = false;
+    /// Workers shed requests and answer requests and orders twice; second rejections come too.
+    bool surplus_answers = false;
     /// Of the gateways' settings, for each service: retries beyond a fifth of the requests.
     RetryBound retry_bound;
     /// Names of the only faults that are injected; empty for no such restriction.
@@ -202,6 +205,11 @@
     static auto life_of(GatewayProcess const&) -> std::string;
     auto connect_to_owner(ControlProcess& from, control::RangeOrder const&, TrueTime sent, OrderEnd const&)
         -> void;
+    auto read_surplus_order_answer(ControlProcess& from, Place&, control::RangeOrder const&, OrderEnd const&)
+        -> void;
+    /// The answer that a gateway reads in the place of the one that the worker gives now.
+    auto answer_read(GatewayProcess const& from, Worker const&, WorkerRequest const&, WorkerAnswer const&)
+        -> WorkerAnswer;
     auto hand_over_request(
         GatewayProcess& from, Place&, WorkerRequest const&, TrueTime sent, AttemptReply const&) -> void;
 
@@ -229,6 +237,12 @@
     std::map<std::uint64_t, std::function<void(control::OperatorAnswer const&)>> m_asked;
     /// Answers that come in the place of the next one, by gateway and worker.
     std::map<std::pair<std::uint32_t, std::string>, WorkerAnswer> m_surplus;
+    struct OrderAnswer {
+        control::RangeOrderResult::Outcome outcome;
+        std::string handover;
+    };
+    /// The same of orders, by control process and worker.
+    std::map<std::pair<std::uint32_t, std::string>, OrderAnswer> m_order_surplus;
     std::set<std::string> m_drains_heard; ///< Workers whose word was acknowledged.
     std::set<std::uint32_t> m_lost_for_good; ///< Gateways, by the seeded defect.
     std::uint64_t m_last_connection = 0;
--- a/tests/traffic_world/traffic_world_test.cc
+++ b/tests/traffic_world/traffic_world_test.cc
@@ -26,6 +26,14 @@
     return options;
 }
 
+/// The same, with workers that reject requests and answer twice.
+auto with_surplus_answers(std::uint64_t seed, TrafficDefect defect) -> TrafficRunOptions
+{
+    auto options = options_of(seed, defect);
+    options.world.surplus_answers = true;
+    return options;
+}
+
 /// Whether a run breaks the promise of this name.
 auto breaks(RunResult const& result, std::string_view promise) -> bool
 {
@@ -34,13 +42,14 @@
         [&](auto const& violation) { return violation.find(said) != std::string::npos; });
 }
 
-auto is_caught(TrafficDefect defect) -> bool
+auto is_caught(TrafficDefect defect, TrafficRunOptions (*options)(std::uint64_t, TrafficDefect) = options_of)
+    -> bool
 {
     auto const all = seeded_traffic_defects();
     auto const seeded
         = std::find_if(all.begin(), all.end(), [&](auto const& one) { return one.defect == defect; });
     for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
-        if (breaks(run_traffic(options_of(seed, defect)), seeded->promise))
+        if (breaks(run_traffic(options(seed, defect)), seeded->promise))
             return true;
     }
     return false;
@@ -98,6 +107,34 @@
     cr_assert(is_caught(TrafficDefect::kSurplusAnswerTaken));
 }
 
+/// Guards against requests that are refused as not run and run: a second copy of a rejection is taken for the
+/// answer to the next attempt of the same request.
+Test(traffic_world, refusal_true_catches_attempts_that_share_a_connection)
+{
+    cr_assert(is_caught(TrafficDefect::kAttemptsShareConnection, with_surplus_answers));
+}
+
+/// Guards against keys that get another owner while the former one works on them: a second answer to an
+/// earlier order is taken for the answer to their release.
+Test(traffic_world, one_owner_catches_order_answers_that_are_believed)
+{
+    cr_assert(is_caught(TrafficDefect::kOrderAnswersBelieved, with_surplus_answers));
+}
+
+Test(traffic_world, promises_are_kept_beside_surplus_answers)
+{
+    std::map<std::string, std::uint64_t> counts;
+    for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+        auto const result = run_traffic(with_surplus_answers(seed, TrafficDefect::kNone));
+        cr_expect(result.violations.empty(), "seed %lu: %s", seed,
+            result.violations.empty() ? "" : result.violations.front().c_str());
+        for (auto const& [name, count] : result.counts)
+            counts[name] += count;
+    }
+    for (auto const* name : {"surplus answer read", "surplus answer to an order read", "request shed"})
+        cr_expect(counts[name] > 0, "no run had: %s", name);
+}
+
 Test(traffic_world, drained_catches_a_drain_that_is_forgotten)
 {
     cr_assert(is_caught(TrafficDefect::kDrainForgotten));
