Give no answer that names an attempt to a request without an id

Callers of the interface name each attempt; one that does not could get the answer, or the refusal, of another request that came late on the same kept connection.

Change: an answer belongs to a request without an id only if it names none either. Result: the new test of exchange_translator failed before (kNotExecuted), and passes.

--- a/src/daemon/gateway/exchange_translator.cc
+++ b/src/daemon/gateway/exchange_translator.cc
@@ -206,7 +206,8 @@
                                      const event_http::Request& request) const {
   const std::string* echo = answer.fields.Find(names_.attempt_id);
   const std::string* own = request.fields.Find(names_.attempt_id);
-  if (own != nullptr && (echo == nullptr || *echo != *own)) return AttemptEnd::kUnusable;
+  const bool same = own == nullptr ? echo == nullptr : echo != nullptr && *echo == *own;
+  if (!same) return AttemptEnd::kUnusable;
   const bool not_executed = answer.fields.Find(names_.not_executed) != nullptr;
   if (not_executed || answer.status == kMisdirected) return AttemptEnd::kNotExecuted;
   if (answer.fields.Find("Content-Encoding") != nullptr) return AttemptEnd::kUnusable;
--- a/tests/gateway_daemon/exchange_translator_test.cc
+++ b/tests/gateway_daemon/exchange_translator_test.cc
@@ -58,6 +58,22 @@
   cr_expect(DigestOf(other) != DigestOf(Lookup()));
 }
 
+/// Guards against the answer to another request, taken for that to a request without an id.
+Test(exchange_translator, answer_that_names_an_attempt_belongs_to_no_request_without_one) {
+  event_http::Request request = Lookup();
+  request.fields.Remove("Id");
+  event_http::CallResult result;
+  result.end = event_http::CallEnd::kAnswered;
+  result.response.status = 503;
+  result.response.fields.Add("Not-Run", "1");
+  const auto end = [&] {
+    return daemon::ExchangeTranslator(Names()).Read(result, request, gateway::SendAttempt{}).end;
+  };
+  cr_assert(end() == gateway::AttemptEnd::kNotExecuted);
+  result.response.fields.Add("Id", "another");
+  cr_assert(end() == gateway::AttemptEnd::kUnusable);
+}
+
 namespace {
 
 /// What is read of an answer that tells this of the server's load.
