Refuse with a promise only what the request's attempts prove not to have run

By reading, no way on today's code to a refusal of a request with an attempt in flight was found. But each of some twenty places had to be right: End() and EndWithoutRun() looked at attempts that had ended, GiveUp() asked for other reasons first, a stop asked whether anything was ever sent, and a message of a coordinator ended a request whatever its state.

Change: AttemptRecord holds a request's attempts and alone gives a NotRunProof; a Refuse effect with a status that promises can't be built without one. Every end of a request goes through End(): with the proof it is refused, without it the outcome is told to be unknown and the attempt abandoned. A stop asks the same record, so that what was rejected and waits for its next attempt is refused with 503 and a short Retry-After (it was 502). A peer's promise ends the attempt there as not executed.

Logs: refuse and end_unknown count the attempts by their ends, attempt_failed tells whether its connection was new, so that the hypotheses of the incident can be told apart.

--- a/src/daemon/gateway/exchange_translator.cc
+++ b/src/daemon/gateway/exchange_translator.cc
@@ -249,6 +249,7 @@
                                                    const event_http::Request& request) const {
   gateway::AttemptReport report;
   report.cause = CauseOf(result.fault);
+  report.new_connection = result.new_connection;
   switch (result.end) {
     case event_http::CallEnd::kNotSent:
       report.end = AttemptEnd::kNotSent;
--- a/src/daemon/gateway/gateway_process.cc
+++ b/src/daemon/gateway/gateway_process.cc
@@ -423,26 +423,10 @@
   live.exchange->Respond(response);
 }
 
-/// What has no answer at the end of a stop gets one. A server may still work on it: then nothing
-/// is promised. What was never sent did not run, and will not.
+/// What has no answer at the end of a stop gets one.
 void GatewayProcess::AnswerTheRest() {
   rest_answered_ = true;
-  std::vector<gateway::RequestNumber> numbers;
-  for (const auto& [number, live] : live_) numbers.push_back(number);
-  for (const gateway::RequestNumber number : numbers) {
-    const auto found = live_.find(number);
-    if (found == live_.end()) continue;
-    constexpr int kBadGateway = 502;
-    constexpr int kUnavailable = 503;
-    gateway::Refuse refusal;
-    refusal.request = number;
-    refusal.status = found->second.first_sent ? kBadGateway : kUnavailable;
-    refusal.reason = found->second.first_sent ? gateway::RefusalReason::kOutcomeUnknown
-                                              : gateway::RefusalReason::kOverloaded;
-    Do(gateway::AbandonAttempt{number, {}});
-    Run(node_.OnCallerGone(number, runtime::BootTimeNow()));
-    Do(refusal);
-  }
+  Run(node_.EndAll(runtime::BootTimeNow()));
 }
 
 // --- Log ---
--- a/src/gateway/forwarding.cc
+++ b/src/gateway/forwarding.cc
@@ -51,15 +51,14 @@
 void GatewayNode::AbandonHanging(Instant now) {
   for (const RequestNumber number : requests_.numbers()) {
     LiveRequest& request = requests_.at(number);
-    if (!request.open || request.peer || !reachability_.hangs(number, now)) continue;
+    if (!request.record.open() || request.peer || !reachability_.hangs(number, now)) continue;
     if (RetryBlockReason(request, AttemptEnd::kLost, now)) continue;
-    Note(number, "abandon", request.open->instance, "partitioned");
-    traffic_.backends().OnAbandoned(request.open->instance);
+    const OpenAttempt abandoned = request.record.abandon();
+    Note(number, "abandon", abandoned.instance, "partitioned");
+    traffic_.backends().OnAbandoned(abandoned.instance);
     reachability_.note_abandoned(number);
-    effects_.actions.emplace_back(AbandonAttempt{number, request.open->number});
+    effects_.actions.emplace_back(AbandonAttempt{number, abandoned.number});
     EndSlot(request, {.outcome = coordination::SlotOutcome::kLost});
-    request.open.reset();
-    request.may_have_run = true;
     requests_.enqueue(request);
     request.hold_from = now;
     Wait(request, RefusalReason::kNoServer, short_hold(request), now);
@@ -92,7 +91,7 @@
   if (std::exchange(request.charged_to_quota, false)) quotas_.give_back(request.tenant);
   ForwardRequest forward;
   forward.request = request.arrived.number;
-  forward.attempt = ++request.newest_attempt;
+  forward.attempt = request.record.begin({}, now);
   forward.address = peer.caller_address;
   forward.time_left = request.give_up - now;
   forward.hop.configuration = std::max(configuration(), peers_configuration_);
@@ -101,7 +100,6 @@
        "to " + peer.id.value + ", attempts " + std::to_string(forward.hop.attempts) +
            ", configuration " + std::to_string(forward.hop.configuration.value) + ", after " +
            InMs(now - request.received) + DescribeDelay());
-  request.open = OpenAttempt{forward.attempt, {}, now};
   request.peer = peer.id;
   request.peers_tried.insert(peer.id);
   peers_.note_sent(peer.id);
@@ -111,15 +109,16 @@
 
 void GatewayNode::HandleForwardEnd(LiveRequest& request, const AttemptReport& report, Instant now) {
   const RouterId peer = *std::exchange(request.peer, std::nullopt);
-  const Instant sent_at = request.open->sent_at;
-  request.open.reset();
+  const bool not_run = report.hop.declined || promises_not_run(report);
+  const Instant sent_at =
+      request.record.end(not_run ? AttemptEnd::kNotExecuted : report.end).sent_at;
   peers_.note_end(peer);
   if (report.end != AttemptEnd::kNotSent && !report.hop.declined) SpendRetry(request, now);
   if (report.hop.server) NoteBackPressure(*report.hop.server, report, now);
   peers_configuration_ = std::max(peers_configuration_, report.hop.configuration);
   if (report.end == AttemptEnd::kAnswered && !report.hop.declined) {
     // The peer's promise that it did not run the request says nothing of attempts from here.
-    const bool holds = may_be_relayed(report) || !request.may_have_run;
+    const bool holds = may_be_relayed(report) || request.record.not_run();
     return holds ? Relay(request) : End(request, RefusalReason::kOutcomeUnknown, now);
   }
   Note(request.arrived.number, "forward_failed", {},
@@ -127,7 +126,6 @@
            std::to_string(report.status) + ", after " + InMs(now - sent_at) +
            DescribeCause(report));
   if (report.end == AttemptEnd::kLost || report.end == AttemptEnd::kUnusable) {
-    request.may_have_run = true;
     return End(request, RefusalReason::kOutcomeUnknown, now);
   }
   // The next peer would not be reached either by a gateway that is late itself.
@@ -135,7 +133,7 @@
   if (by_peer) peers_.avoid(peer, now);
   if (now >= request.give_up) return GiveUp(request, now);
   if (by_peer && Forward(request, now)) return;
-  EndWithoutRun(request, RefusalReason::kPartitioned, now);
+  End(request, RefusalReason::kPartitioned, now);
 }
 
 }  // namespace graniteseam::gateway
--- a/src/gateway/gateway_events.cc
+++ b/src/gateway/gateway_events.cc
@@ -76,6 +76,8 @@
       return "outcome_unknown";
     case RefusalReason::kQuota:
       return "quota";
+    case RefusalReason::kStopping:
+      return "stopping";
     case RefusalReason::kQuotaUnknown:
       return "quota_unknown";
   }
--- a/src/gateway/gateway_events.h
+++ b/src/gateway/gateway_events.h
@@ -18,6 +18,7 @@
 #include "graniteseam/traffic/tenant.h"
 #include "src/coordination/slot_client.h"
 #include "src/coordination/slot_messages.h"
+#include "src/gateway/not_run_proof.h"
 
 namespace graniteseam::gateway {
 
@@ -105,7 +106,8 @@
   bool load_unreadable = false;  ///< The reported load is malformed.
   bool not_owner = false;        ///< Not the intended server, or not the key's owner.
   BackPressure pressure{};
-  HopReport hop{};                                 ///< Of an attempt at another gateway.
+  HopReport hop{};              ///< Of an attempt at another gateway.
+  bool new_connection = false;  ///< It opened its connection; otherwise it used a kept one.
   FailureCause cause = FailureCause::kConnection;  ///< When not sent or lost.
 };
 
@@ -170,6 +172,7 @@
   kOutcomeUnknown,  ///< It may have run.
   kQuota,           ///< The tenant's quota is used up.
   kQuotaUnknown,    ///< No leader answered whether the tenant's quota has room.
+  kStopping,        ///< This gateway's process ends.
 };
 
 /// The name of a refusal reason, for logs and metrics.
@@ -223,12 +226,24 @@
       false;  ///< Its route's answers are large, and may be written more slowly than others.
   std::optional<HopReport> hop{};  ///< For the gateway that forwarded the request.
 };
-/// Effect: answer from the gateway itself; nothing of the request is in flight any more.
+/// Statuses that promise nothing of whether a request has run.
+enum class UnknownOutcomeStatus { kBadGateway = 502, kGatewayTimeout = 504 };
+
+/// Effect: answer from the gateway itself. An attempt in flight is abandoned.
 struct Refuse {
+  /// Refuses a request that has not run and never will, by any status.
+  Refuse(RequestNumber number, NotRunProof, int refusal_status, RefusalReason why)
+      : request(number), status(refusal_status), reason(why) {}
+  /// Answers a request that may have run.
+  Refuse(RequestNumber number, UnknownOutcomeStatus unknown)
+      : request(number),
+        status(static_cast<int>(unknown)),
+        reason(RefusalReason::kOutcomeUnknown) {}
+
   RequestNumber request;
-  int status = 503;
-  RefusalReason reason = RefusalReason::kOverloaded;
-  std::optional<Duration> retry_after;
+  int status;
+  RefusalReason reason;
+  std::optional<Duration> retry_after{};
   /// Tells the gateway that forwarded the request to try another one.
   bool declines_hop = false;
 };
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -144,17 +144,15 @@
 
 GatewayEffects GatewayNode::OnAttemptEnd(const AttemptReport& report, Instant now) {
   LiveRequest* const request = requests_.find(report.request);
-  const bool current =
-      request != nullptr && request->open && request->open->number == report.attempt;
-  if (!current) return Finish(now);
+  if (request == nullptr || !request->record.is_open(report.attempt)) return Finish(now);
   const ServiceName service = request->service;
   if (request->peer) {
     HandleForwardEnd(*request, report, now);
     return Finish(now);
   }
-  NoteAttemptEnd(*request->open, report, now);
+  NoteAttemptEnd(*request->record.open(), report, now);
   if (report.load) probes_.note_answer(service, *report.load, now);
-  NoteBackPressure(request->open->instance, report, now);
+  NoteBackPressure(request->record.open()->instance, report, now);
   HandleAttemptEnd(*request, report, now);
   ServeWaiting(service, now);
   CheckReachability(now);
@@ -195,8 +193,9 @@
   LiveRequest* const request = requests_.find(number);
   if (request == nullptr) return Finish(now);
   const ServiceName service = request->service;
-  if (request->open) SpendRetry(*request, now);
-  Note(number, "caller_gone", request->open ? request->open->instance : traffic::InstanceId{}, "");
+  const auto& open = request->record.open();
+  if (open) SpendRetry(*request, now);
+  Note(number, "caller_gone", open ? open->instance : traffic::InstanceId{}, "");
   Remove(*request);
   ServeWaiting(service, now);
   return Finish(now);
@@ -278,30 +277,29 @@
 void GatewayNode::Admit(LiveRequest& request, Instant now) {
   const ArrivedRequest& arrived = request.arrived;
   if (!Ready() && arrived.hop) {
-    return EndWithoutRun(request, RefusalReason::kNoConfiguration, now);
+    return End(request, RefusalReason::kNoConfiguration, now);
   }
   if (!Ready()) return AwaitConfiguration(request, now);
   const std::optional<HopLimits>& hop = arrived.hop;
   const bool behind = hop && configuration() < hop->configuration;
   if (behind || is_outdated(configuration_lag_, now)) {
-    return EndWithoutRun(request, RefusalReason::kOutdated, now);
+    return End(request, RefusalReason::kOutdated, now);
   }
   if (hop && reachability_.is_partitioned()) {
-    return EndWithoutRun(request, RefusalReason::kPartitioned, now);
+    return End(request, RefusalReason::kPartitioned, now);
   }
   const traffic::Route* route = traffic_.routes().Find(arrived.host, arrived.path);
   if (route == nullptr) {
     const bool confirmed = IsConfirmed(now);
-    return EndWithoutRun(request, confirmed ? RefusalReason::kNoRoute : RefusalReason::kUnconfirmed,
-                         now);
+    return End(request, confirmed ? RefusalReason::kNoRoute : RefusalReason::kUnconfirmed, now);
   }
   request.routing = {version(), now, confirmed_at_};
   request.priority = route->priority;
   if (const auto refused = ResolveTenant(request, *route, now)) {
-    return EndWithoutRun(request, *refused, now);
+    return End(request, *refused, now);
   }
   const auto service = traffic_.routes().NextService(*route);
-  if (!service) return EndWithoutRun(request, RefusalReason::kNoServer, now);
+  if (!service) return End(request, RefusalReason::kNoServer, now);
   ApplyRoute(request, *route, *service);
   if (now < request.give_up && Forward(request, now)) return;
   if (ChargeQuota(request, now)) Offer(request, now);
@@ -328,7 +326,7 @@
 void GatewayNode::EndTokenWait(LiveRequest& request, Instant now) {
   // The leader did not answer; the share may have refilled meanwhile.
   if (!quotas_.admit_by_share(request.tenant, now)) {
-    return EndWithoutRun(request, RefusalReason::kQuotaUnknown, now);
+    return End(request, RefusalReason::kQuotaUnknown, now);
   }
   token_queue_.remove(request.tenant, request.arrived.number);
   AdmitWithToken(request, now);
@@ -341,10 +339,12 @@
 }
 
 void GatewayNode::RefuseByQuota(LiveRequest& request, Instant now) {
+  const auto not_run = request.record.not_run();
+  if (!not_run) return End(request, RefusalReason::kQuota, now);
   const Duration retry_after = quotas_.retry_after(request.tenant, now);
   Note(request.arrived.number, "refuse", {},
        "quota of " + request.tenant.value + ", retry after " + InMs(retry_after));
-  effects_.actions.emplace_back(refusal_by_quota(request, retry_after));
+  effects_.actions.emplace_back(refusal_by_quota(request, *not_run, retry_after));
   Remove(request);
 }
 
@@ -365,23 +365,23 @@
   const ArrivedRequest& arrived = request.arrived;
   const ServiceName service = request.service;
   if (crashes_.is_quarantined(arrived.digest)) {
-    return EndWithoutRun(request, RefusalReason::kQuarantined, now);
+    return End(request, RefusalReason::kQuarantined, now);
   }
   if (traffic_.is_keyed(service)) {
     if (!arrived.key || *arrived.key > traffic::kLastKey) {
-      return EndWithoutRun(request, RefusalReason::kBadKey, now);
+      return End(request, RefusalReason::kBadKey, now);
     }
     key_loads_.count(service, *arrived.key);
-    if (!PassesHotKeyGate(request, now)) return EndWithoutRun(request, RefusalReason::kHotKey, now);
+    if (!PassesHotKeyGate(request, now)) return End(request, RefusalReason::kHotKey, now);
   }
   BudgetOf(service).CountRequest(traffic_.gateway_count(), now);
   NoteRetryBudget(service, now);
   request.counted_at = now;
-  if (now >= request.give_up) return EndWithoutRun(request, RefusalReason::kDeadline, now);
+  if (now >= request.give_up) return End(request, RefusalReason::kDeadline, now);
   // The rest of the queue is for this gateway's own callers.
   const std::size_t maximum = options_.waiting_maximum / (arrived.hop ? 2 : 1);
   if (requests_.queue_size(service) >= maximum) {
-    return EndWithoutRun(request, RefusalReason::kOverloaded, now);
+    return End(request, RefusalReason::kOverloaded, now);
   }
   requests_.enqueue(request);
   ServeWaiting(service, now);
@@ -416,7 +416,7 @@
   for (const WaitingPlace& place : requests_.queue_of(hot.service)) {
     LiveRequest& request = requests_.at(place.number);
     if (request.arrived.key != hot.key || request.admitted_by_hot_key_gate) continue;
-    if (!PassesHotKeyGate(request, now)) EndWithoutRun(request, RefusalReason::kHotKey, now);
+    if (!PassesHotKeyGate(request, now)) End(request, RefusalReason::kHotKey, now);
   }
 }
 
@@ -425,7 +425,7 @@
     for (const WaitingPlace& place : requests_.queue_of(service)) {
       LiveRequest& request = requests_.at(place.number);
       if (!crashes_.is_quarantined(request.arrived.digest)) continue;
-      EndWithoutRun(request, RefusalReason::kQuarantined, now);
+      End(request, RefusalReason::kQuarantined, now);
     }
   }
 }
@@ -450,7 +450,7 @@
 void GatewayNode::AwaitConfiguration(LiveRequest& request, Instant now) {
   request.give_up = configuration_wait_end(request);
   if (requests_.unrouted_size() >= options_.waiting_maximum || now >= request.give_up) {
-    return EndWithoutRun(request, RefusalReason::kNoConfiguration, now);
+    return End(request, RefusalReason::kNoConfiguration, now);
   }
   requests_.add_unrouted(request);
   requests_.set_timer(request, request.give_up);
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -62,7 +62,7 @@
 ///
 /// Invariants: a request of an unsafe route is retried only if the server reported that it did not
 /// run it, or if no byte of it was sent. Status 503 is given only to a request that has not run and
-/// never will. The traffic state never returns to an older version.
+/// never will (see AttemptRecord). The traffic state never returns to an older version.
 ///
 /// Deterministic under its seed: the daemon drives it with sockets, tests drive it in virtual time.
 /// Not thread safe; `now` must not decrease.
@@ -94,6 +94,8 @@
   GatewayEffects OnProbeEnd(const ProbeReport& report, Instant now);
   /// Drops a request whose caller closed its connection.
   GatewayEffects OnCallerGone(RequestNumber request, Instant now);
+  /// Answers all requests, since the process ends.
+  GatewayEffects EndAll(Instant now);
   /// Handles the end of the connection to the control process that feeds the state.
   void OnFeedLost(Instant now) { abandon_feed(feed_, now); }
   /// Handles all timers that are due.
@@ -298,8 +300,10 @@
   void Requeue(LiveRequest& request, Instant now);
   void Relay(LiveRequest& request);
   void GiveUp(LiveRequest& request, Instant now);
+  /// Why a request that did not run by its deadline is refused.
+  RefusalReason ReasonAtDeadline(const LiveRequest& request) const;
+  /// Refuses the request for the reason; one that may have run is told that its outcome is unknown.
   void End(LiveRequest& request, RefusalReason reason, Instant now);
-  void EndWithoutRun(LiveRequest& request, RefusalReason reason, Instant now);
   void Remove(LiveRequest& request);
   /// Adds what the log tells of a request that ends to the effects.
   void Summarise(const LiveRequest& request);
--- a/src/gateway/live_request.h
+++ b/src/gateway/live_request.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "graniteseam/traffic/configuration.h"
+#include "src/gateway/attempt_record.h"
 #include "src/gateway/gateway_events.h"
 
 namespace graniteseam::gateway {
@@ -20,13 +21,6 @@
   auto operator<=>(const WaitingPlace&) const = default;
 };
 
-/// The attempt in flight.
-struct OpenAttempt {
-  std::uint32_t number = 0;
-  traffic::InstanceId instance;
-  Instant sent_at{};
-};
-
 /// The servers that are probed for their load before a request's next attempt.
 struct ProbeRound {
   std::uint32_t number = 0;                ///< Answers to earlier rounds are ignored.
@@ -65,14 +59,12 @@
   Instant give_up{};    ///< The caller's deadline or the route's timeout.
   Instant timer{};      ///< As entered in LiveRequests; Instant{} for none.
 
-  std::optional<OpenAttempt> open;
+  AttemptRecord record;
   std::optional<RouterId> peer;  ///< The gateway that has the open attempt; nullopt for a server.
   std::set<RouterId> peers_tried;
-  std::uint32_t attempts = 0;        ///< Attempts so far, without those that sent no byte.
-  std::uint32_t newest_attempt = 0;  ///< Number of the newest attempt, unsent ones counted.
-  std::uint32_t unsent = 0;          ///< Attempts that sent no byte.
+  std::uint32_t attempts = 0;  ///< At servers so far, without those that sent no byte.
+  std::uint32_t unsent = 0;    ///< Attempts at servers that sent no byte.
   std::vector<traffic::InstanceId> tried;
-  bool may_have_run = false;
   /// The server of its last attempt refused to run it although it had a slot.
   bool refused_with_slot = false;
   ProbeRound probes;
--- a/src/gateway/refusals.cc
+++ b/src/gateway/refusals.cc
@@ -13,9 +13,7 @@
 constexpr int kUnauthorised = 401;
 constexpr int kNotFound = 404;
 constexpr int kTooManyRequests = 429;
-constexpr int kBadGateway = 502;
 constexpr int kUnavailable = 503;
-constexpr int kGatewayTimeout = 504;
 
 /// Retry-After is the caller's remaining time divided by this. A sooner retry would mostly find the
 /// same state; callers with little time may retry only once.
@@ -32,8 +30,6 @@
     case RefusalReason::kNoApiKey:
     case RefusalReason::kUnknownApiKey:
       return kUnauthorised;
-    case RefusalReason::kOutcomeUnknown:
-      return kBadGateway;
     case RefusalReason::kQuota:
       return kTooManyRequests;
     default:
@@ -44,7 +40,7 @@
 /// Whether the reason lies in this gateway, so that another one may serve the request now.
 auto is_only_here(RefusalReason reason) -> bool {
   return reason == RefusalReason::kStaleOwner || reason == RefusalReason::kOutdated ||
-         reason == RefusalReason::kPartitioned;
+         reason == RefusalReason::kPartitioned || reason == RefusalReason::kStopping;
 }
 
 auto declines_hop(RefusalReason reason) -> bool {
@@ -73,23 +69,27 @@
 
 }  // namespace
 
-auto refusal_without_run(LiveRequest const& request, RefusalReason reason, Instant now) -> Refuse {
-  Refuse refusal{request.arrived.number, status_of(reason), reason, std::nullopt};
+auto refusal_without_run(LiveRequest const& request, NotRunProof not_run, RefusalReason reason,
+                         Instant now) -> Refuse {
+  Refuse refusal(request.arrived.number, not_run, status_of(reason), reason);
   refusal.declines_hop = request.arrived.hop && declines_hop(reason);
   if (refusal.status == kUnavailable) refusal.retry_after = retry_after(request, reason, now);
   return refusal;
 }
 
-auto refusal_by_quota(LiveRequest const& request, Duration retry_after) -> Refuse {
-  return {request.arrived.number, kTooManyRequests, RefusalReason::kQuota, retry_after};
+auto refusal_by_quota(LiveRequest const& request, NotRunProof not_run, Duration retry_after)
+    -> Refuse {
+  Refuse refusal(request.arrived.number, not_run, kTooManyRequests, RefusalReason::kQuota);
+  refusal.retry_after = retry_after;
+  return refusal;
 }
 
 auto refusal_of_unknown_outcome(LiveRequest const& request) -> Refuse {
-  return {request.arrived.number, kBadGateway, RefusalReason::kOutcomeUnknown, std::nullopt};
+  return {request.arrived.number, UnknownOutcomeStatus::kBadGateway};
 }
 
 auto refusal_at_deadline(LiveRequest const& request) -> Refuse {
-  return {request.arrived.number, kGatewayTimeout, RefusalReason::kOutcomeUnknown, std::nullopt};
+  return {request.arrived.number, UnknownOutcomeStatus::kGatewayTimeout};
 }
 
 }  // namespace graniteseam::gateway
--- a/src/gateway/refusals.h
+++ b/src/gateway/refusals.h
@@ -9,11 +9,13 @@
 namespace graniteseam::gateway {
 
 /// The answer to a request that has not run and never will. Status 503 includes a retry time.
-auto refusal_without_run(LiveRequest const& request, RefusalReason reason, Instant now) -> Refuse;
+auto refusal_without_run(LiveRequest const& request, NotRunProof not_run, RefusalReason reason,
+                         Instant now) -> Refuse;
 
 /// The answer to a request whose tenant's quota is used up.
 /// @param retry_after when the quota may have room again.
-auto refusal_by_quota(LiveRequest const& request, Duration retry_after) -> Refuse;
+auto refusal_by_quota(LiveRequest const& request, NotRunProof not_run, Duration retry_after)
+    -> Refuse;
 
 /// The answer to a request that may have run and will not be retried.
 auto refusal_of_unknown_outcome(LiveRequest const& request) -> Refuse;
--- a/src/gateway/request_ending.cc
+++ b/src/gateway/request_ending.cc
@@ -20,8 +20,7 @@
 }  // namespace
 
 void GatewayNode::HandleAttemptEnd(LiveRequest& request, const AttemptReport& report, Instant now) {
-  const OpenAttempt ended = *request.open;
-  request.open.reset();
+  const OpenAttempt ended = request.record.end(report.end);
   ReleaseSlot(request, report, now - ended.sent_at);
   if (report.end == AttemptEnd::kNotSent) {
     --request.attempts;
@@ -29,11 +28,11 @@
   } else {
     SpendRetry(request, now);
   }
-  request.may_have_run = request.may_have_run || may_have_run(report.end);
   RecordForCrashTracking(request, report, ended, now);
   if (is_final_answer(report)) return Relay(request);
   Note(request.arrived.number, "attempt_failed", ended.instance,
        "end " + std::string(EndName(report.end)) + ", status " + std::to_string(report.status) +
+           (report.new_connection ? ", connection new" : ", connection kept") +
            AfterMs(now - ended.sent_at) + DescribeCause(report));
   RetryOrEnd(request, report, now);
 }
@@ -64,7 +63,7 @@
   if (range != nullptr && BacksOffPastHold(request, range->owner)) {
     if (may_be_relayed(report)) return Relay(request);
     request.server_back_off_until = traffic_.backends().pressure().back_off_until(range->owner);
-    return EndWithoutRun(request, RefusalReason::kResting, now);
+    return End(request, RefusalReason::kResting, now);
   }
   const auto block_reason = RetryBlockReason(request, report.end, now);
   if (!block_reason) return Requeue(request, now);
@@ -90,56 +89,60 @@
 }
 
 void GatewayNode::GiveUp(LiveRequest& request, Instant now) {
-  if (requests_.is_unrouted(request)) {
-    return EndWithoutRun(request, RefusalReason::kNoConfiguration, now);
-  }
-  if (token_queue_.contains(request.arrived.number)) {
-    return EndWithoutRun(request, RefusalReason::kQuotaUnknown, now);
-  }
-  if (!request.open && !request.may_have_run) {
-    return EndWithoutRun(request, RefusalReason::kDeadline, now);
-  }
-  if (request.open) SpendRetry(request, now);
-  Note(request.arrived.number, "give_up",
-       request.open ? request.open->instance : traffic::InstanceId{},
+  if (request.record.not_run()) return End(request, ReasonAtDeadline(request), now);
+  const auto& open = request.record.open();
+  if (open) SpendRetry(request, now);
+  Note(request.arrived.number, "give_up", open ? open->instance : traffic::InstanceId{},
        "deadline or timeout" + DescribeDelay());
   effects_.actions.emplace_back(refusal_at_deadline(request));
   Remove(request);
 }
 
+RefusalReason GatewayNode::ReasonAtDeadline(const LiveRequest& request) const {
+  if (requests_.is_unrouted(request)) return RefusalReason::kNoConfiguration;
+  const bool waits_for_token = token_queue_.contains(request.arrived.number);
+  return waits_for_token ? RefusalReason::kQuotaUnknown : RefusalReason::kDeadline;
+}
+
 void GatewayNode::End(LiveRequest& request, RefusalReason reason, Instant now) {
-  if (!request.may_have_run) return EndWithoutRun(request, reason, now);
-  effects_.actions.emplace_back(refusal_of_unknown_outcome(request));
+  const auto not_run = request.record.not_run();
+  Note(request.arrived.number, not_run ? "refuse" : "end_unknown", {},
+       std::string(ReasonName(reason)) + ", attempts " + request.record.describe() + ", version " +
+           std::to_string(version()) + ", confirmed " + InMs(now - confirmed_at_) + " ago" +
+           AfterMs(now - request.received));
+  effects_.actions.emplace_back(not_run ? refusal_without_run(request, *not_run, reason, now)
+                                        : refusal_of_unknown_outcome(request));
   Remove(request);
 }
 
-void GatewayNode::EndWithoutRun(LiveRequest& request, RefusalReason reason, Instant now) {
-  if (request.may_have_run) return End(request, RefusalReason::kOutcomeUnknown, now);
-  Note(request.arrived.number, "refuse", {},
-       std::string(ReasonName(reason)) + ", version " + std::to_string(version()) + ", confirmed " +
-           InMs(now - confirmed_at_) + " ago" + AfterMs(now - request.received));
-  effects_.actions.emplace_back(refusal_without_run(request, reason, now));
-  Remove(request);
+GatewayEffects GatewayNode::EndAll(Instant now) {
+  for (const RequestNumber number : requests_.numbers()) {
+    LiveRequest& request = requests_.at(number);
+    if (request.record.open()) SpendRetry(request, now);
+    End(request, RefusalReason::kStopping, now);
+  }
+  return Finish(now);
 }
 
 void GatewayNode::Remove(LiveRequest& request) {
   Summarise(request);
   token_queue_.remove(request.tenant, request.arrived.number);
   limit_queue_.remove(request.arrived.number);
-  if (request.charged_to_quota && request.attempts == 0 && !request.open) {
+  const std::optional<OpenAttempt> open = request.record.open();
+  if (request.charged_to_quota && request.attempts == 0 && !open) {
     quotas_.give_back(request.tenant);
   }
   if (request.retry_reserved) BudgetOf(request.service).Release();
   coordination::SlotRelease release;
-  if (request.open) release.outcome = coordination::SlotOutcome::kLost;
+  if (open) release.outcome = coordination::SlotOutcome::kLost;
   EndSlot(request, release);
   if (request.peer) peers_.note_end(*request.peer);
-  if (request.open) {
+  if (open) {
     if (!request.peer) {
-      traffic_.backends().OnAbandoned(request.open->instance);
+      traffic_.backends().OnAbandoned(open->instance);
       reachability_.note_abandoned(request.arrived.number);
     }
-    effects_.actions.emplace_back(AbandonAttempt{request.arrived.number, request.open->number});
+    effects_.actions.emplace_back(AbandonAttempt{request.arrived.number, open->number});
   }
   requests_.erase(request);
 }
--- a/src/gateway/request_sending.cc
+++ b/src/gateway/request_sending.cc
@@ -36,7 +36,7 @@
     if (TryNext(request, now) != Step::kWaits) continue;
     const bool held = request.not_before > now;
     if (request.timer == Instant{} && !held) {
-      EndWithoutRun(request, request.waits_for, now);
+      End(request, request.waits_for, now);
     } else if (!keyed && !held) {
       return HoldBehind(place, places, now);
     }
@@ -55,7 +55,7 @@
     LiveRequest& later = requests_.at(behind.number);
     if (later.timer != Instant{}) continue;
     Wait(later, reason, short_hold(later), now);
-    if (later.timer == Instant{}) EndWithoutRun(later, reason, now);
+    if (later.timer == Instant{}) End(later, reason, now);
   }
 }
 
@@ -239,12 +239,11 @@
     const std::string role = traffic_.is_keyed(request.service) ? "owner, " : "pool, ";
     Note({}, "send_while_warming_up", id, role + traffic_.backends().DescribeWarmUp(backend, now));
   }
-  request.open = OpenAttempt{++request.newest_attempt, id, now};
   ++request.attempts;
   request.tried.push_back(id);
   SendAttempt send;
   send.request = request.arrived.number;
-  send.attempt = request.newest_attempt;
+  send.attempt = request.record.begin(id, now);
   send.instance = id;
   send.address = backend.instance.report.address;
   send.time_left = request.give_up - now;
--- a/src/gateway/retry_rules.cc
+++ b/src/gateway/retry_rules.cc
@@ -6,12 +6,14 @@
 /// Failed connections after which a request is ended.
 constexpr std::uint32_t kUnsentMaximum = 3;
 
-auto promises_not_run(int status) -> bool {
-  return status == 408 || status == 421 || status == 429 || status == 503;
-}
-
 }  // namespace
 
+auto promises_not_run(AttemptReport const& report) -> bool {
+  auto const status = report.status;
+  auto const promises = status == 408 || status == 421 || status == 429 || status == 503;
+  return report.end == AttemptEnd::kAnswered && promises;
+}
+
 auto may_have_run(AttemptEnd end) -> bool {
   return end != AttemptEnd::kNotSent && end != AttemptEnd::kNotExecuted;
 }
@@ -21,7 +23,7 @@
 }
 
 auto may_be_relayed(AttemptReport const& report) -> bool {
-  return report.end == AttemptEnd::kAnswered && !promises_not_run(report.status);
+  return report.end == AttemptEnd::kAnswered && !promises_not_run(report);
 }
 
 auto retry_block_reason(LiveRequest& request, AttemptEnd end, SharedRetryBudget& budget,
--- a/src/gateway/retry_rules.h
+++ b/src/gateway/retry_rules.h
@@ -15,6 +15,9 @@
 /// Whether the request ran, or may have run, in the attempt.
 auto may_have_run(AttemptEnd end) -> bool;
 
+/// Whether an answer's status states that the request has not run and never will.
+auto promises_not_run(AttemptReport const& report) -> bool;
+
 /// Whether an answer goes to the caller at once, without considering a retry.
 auto is_final_answer(AttemptReport const& report) -> bool;
 
--- a/src/gateway/slot_requests.cc
+++ b/src/gateway/slot_requests.cc
@@ -182,7 +182,7 @@
       request.slot.unanswered = true;
       // The server had no room for it within its time to wait.
       if (request.slot.queued && now >= request.slot.hold_end) {
-        return EndWithoutRun(request, RefusalReason::kOverloaded, now);
+        return End(request, RefusalReason::kOverloaded, now);
       }
       break;
     case SlotResult::Kind::kRejected:
@@ -191,7 +191,7 @@
       slot_requests_.erase(found);
       request.slot = {};
       request.return_after = result.retry_after;
-      return EndWithoutRun(request, RefusalReason::kOverloaded, now);
+      return End(request, RefusalReason::kOverloaded, now);
   }
   // Timers stop while a machine is suspended: the grant may be read before they fire.
   if (now >= request.give_up) return GiveUp(request, now);
@@ -199,7 +199,7 @@
   // What blocks it may last longer than the server should be kept idle.
   if (request.slot.granted) WithdrawSlot(request);
   if (request.timer == Instant{} && request.not_before <= now) {
-    EndWithoutRun(request, request.waits_for, now);
+    End(request, request.waits_for, now);
   }
 }
 
--- a/tests/gateway_daemon/exchange_translator_test.cc
+++ b/tests/gateway_daemon/exchange_translator_test.cc
@@ -3,6 +3,7 @@
 
 #include <criterion/criterion.h>
 
+#include "src/gateway/attempt_record.h"
 #include "src/runtime/secret_digest.h"
 
 using namespace graniteseam;
@@ -25,6 +26,11 @@
   return request;
 }
 
+/// A refusal of a request that was never sent.
+gateway::Refuse Refusal(int status, gateway::RefusalReason reason) {
+  return {{1}, *gateway::AttemptRecord().not_run(), status, reason};
+}
+
 traffic::RequestDigest DigestOf(const event_http::Request& request) {
   return daemon::ExchangeTranslator(Names()).Read(request, {1}).digest;
 }
@@ -165,9 +171,7 @@
 Test(exchange_translator, refusal_of_a_key_tells_the_scheme_and_not_the_key) {
   event_http::Request request = Lookup();
   request.fields.Add("Authorization", "Bearer secret");
-  gateway::Refuse refusal;
-  refusal.status = 401;
-  refusal.reason = gateway::RefusalReason::kUnknownApiKey;
+  const gateway::Refuse refusal = Refusal(401, gateway::RefusalReason::kUnknownApiKey);
   const auto response = TenantTranslator().ForCaller(refusal, request);
   cr_assert_eq(*response.fields.Find("WWW-Authenticate"), "Bearer");
   cr_assert(event_http::Serialize(response, false).find("secret") == std::string::npos);
@@ -310,7 +314,7 @@
 
 /// Guards against a peer's Retry-After that counts as a server's request to back off.
 Test(exchange_translator, refusal_of_a_peer_states_nothing_of_a_server) {
-  gateway::Refuse refusal;
+  gateway::Refuse refusal = Refusal(503, gateway::RefusalReason::kOverloaded);
   refusal.retry_after = std::chrono::seconds(1);
   const auto answer = daemon::ExchangeTranslator(Names()).ForCaller(refusal, Lookup());
   cr_expect(!AnswerOfPeer(answer).pressure.rest);
@@ -318,8 +322,7 @@
 
 Test(exchange_translator, gateway_that_declines_says_so_to_a_gateway_alone) {
   const daemon::ExchangeTranslator translator(Names());
-  gateway::Refuse refusal;
-  refusal.reason = gateway::RefusalReason::kPartitioned;
+  gateway::Refuse refusal = Refusal(503, gateway::RefusalReason::kPartitioned);
   cr_expect(!AnswerOfPeer(translator.ForCaller(refusal, Lookup())).hop.declined);
   refusal.declines_hop = true;
   cr_expect(AnswerOfPeer(translator.ForCaller(refusal, Lookup())).hop.declined);
