Keep a timer for requests whose hold ends before their next try

Cause: the timer was set to the end of the hold. It fired before the next try was due, and a request that is held back was left without one.

Change: what waits for its next try has a timer for it.

--- a/src/gateway/request_sending.cc
+++ b/src/gateway/request_sending.cc
@@ -65,7 +65,10 @@
   if (IsBehindPeers() && !request.arrived.hop) {
     return Wait(request, RefusalReason::kOutdated, short_hold(request), now);
   }
-  if (now < request.not_before) return Step::kWaits;
+  if (now < request.not_before) {
+    requests_.set_timer(request, std::min(request.not_before, request.give_up));
+    return Step::kWaits;
+  }
   if (traffic_.is_keyed(request.service)) return TryOwner(request, now);
   // The service may have had keys when the request asked for a slot.
   WithdrawSlot(request);
--- a/tests/gateway/gateway_node_test.cc
+++ b/tests/gateway/gateway_node_test.cc
@@ -195,6 +195,31 @@
   cr_assert(Only<SendAttempt>(fixture.node.OnUpdate(update, At(46))).instance.value == "k-2");
 }
 
+/// Guards against requests that get no answer at all: their hold ended before their next try was
+/// due, and no timer was left.
+Test(gateway_node,
+     request_that_an_owner_turned_away_is_answered_where_its_hold_ends_before_its_next_try) {
+  Fixture fixture;
+  auto update = Fixture::NextState();
+  update.routes = {MakeRoute("keyed", traffic::RouteKind::kSafe, "keyed")};
+  update.routes[0].target_latency_ms = 100;
+  fixture.node.OnUpdate(update, At(0));
+  const auto send = Only<SendAttempt>(fixture.Request("/keyed/x", 0, 9));
+  AttemptReport report;
+  report.request = send.request;
+  report.attempt = send.attempt;
+  report.end = AttemptEnd::kNotExecuted;
+  report.status = 421;
+  report.not_owner = true;
+  fixture.node.OnAttemptEnd(report, At(5));
+  bool refused = false;
+  for (Instant tick = fixture.node.NextTick(); !refused && tick <= At(100);
+       tick = fixture.node.NextTick()) {
+    refused = Has<Refuse>(fixture.node.Tick(tick));
+  }
+  cr_assert(refused);
+}
+
 Test(gateway_node, owner_that_fails_is_left_alone_for_longer_each_time_and_soon_asked_again) {
   Fixture fixture;
   // One lost answer is sent again; it says nothing of the owner.
