--- a/testbed/registered/answer_fault_proxy.cc
+++ b/testbed/registered/answer_fault_proxy.cc
@@ -144,34 +144,34 @@
   auto TakeAnswer() -> void {
     auto const& options = proxy_->options();
     auto const id = parser_->get()[options.attempt_id];
-    auto const fault = withholds_ ? AnswerFault::Withheld : proxy_->Draw(!id.empty());
+    auto const fault = withholds_ ? AnswerFault::kWithheld : proxy_->Draw(!id.empty());
     if (options.counts) options.counts->Add(fault);
     auto const half = answer_.size() / 2;
     switch (fault) {
-      case AnswerFault::None:
+      case AnswerFault::kNone:
         return Write(answer_);
-      case AnswerFault::Repeated:
+      case AnswerFault::kRepeated:
         Write(answer_);
         return WriteLater(answer_);
-      case AnswerFault::RejectionAppended:
+      case AnswerFault::kRejectionAppended:
         Write(answer_);
         return WriteLater(Failure(503, id, /*marked=*/true));
-      case AnswerFault::Reset:
+      case AnswerFault::kReset:
         return Close(true);
-      case AnswerFault::Closed:
+      case AnswerFault::kClosed:
         return CloseWhenWritten(false);
-      case AnswerFault::Cut:
+      case AnswerFault::kCut:
         Write(answer_.substr(0, half));
         return CloseWhenWritten(proxy_->DrawBool());
-      case AnswerFault::Withheld:
+      case AnswerFault::kWithheld:
         withholds_ = true;
         return;
-      case AnswerFault::Malformed:
+      case AnswerFault::kMalformed:
         Write(kMalformedAnswer);
         return CloseWhenWritten(false);
-      case AnswerFault::Unmarked:
+      case AnswerFault::kUnmarked:
         return Write(Failure(proxy_->DrawBool() ? 503 : 429, id, /*marked=*/false));
-      case AnswerFault::Interim:
+      case AnswerFault::kInterim:
         return Write(kInterimAnswer + answer_);
     }
   }
@@ -263,9 +263,9 @@
 
 auto AnswerFaultProxy::Impl::Draw(bool names_attempt) -> AnswerFault {
   auto const drawn = static_cast<double>(random_()) / static_cast<double>(random_.max());
-  if (drawn >= options_.part) return AnswerFault::None;
+  if (drawn >= options_.part) return AnswerFault::kNone;
   // A half of the faults are copies: they need a second request on the same connection to matter.
-  if (!names_attempt || random_() % 2 == 0) return AnswerFault::Repeated;
+  if (!names_attempt || random_() % 2 == 0) return AnswerFault::kRepeated;
   return static_cast<AnswerFault>(1 + random_() % (kAnswerFaults - 1));
 }
 
--- a/testbed/registered/answer_fault_proxy.h
+++ b/testbed/registered/answer_fault_proxy.h
@@ -16,16 +16,16 @@
 namespace graniteseam::testbed {
 
 enum class AnswerFault {
-  None,
-  Repeated,           ///< A copy follows, in the place of the connection's next answer.
-  RejectionAppended,  ///< A surplus rejection with the same attempt id follows.
-  Reset,              ///< The connection is reset in place of the answer.
-  Closed,             ///< The connection is closed in place of the answer.
-  Cut,                ///< Half of the answer, then a close.
-  Withheld,           ///< Nothing; the connection stays open.
-  Malformed,          ///< Bytes that are no answer, then a close.
-  Unmarked,           ///< The server's own 503 or 429, without the word that it did not run it.
-  Interim,            ///< A 103 before the answer.
+  kNone,
+  kRepeated,           ///< A copy follows, in the place of the connection's next answer.
+  kRejectionAppended,  ///< A surplus rejection with the same attempt id follows.
+  kReset,              ///< The connection is reset in place of the answer.
+  kClosed,             ///< The connection is closed in place of the answer.
+  kCut,                ///< Half of the answer, then a close.
+  kWithheld,           ///< Nothing; the connection stays open.
+  kMalformed,          ///< Bytes that are no answer, then a close.
+  kUnmarked,           ///< The server's own 503 or 429, without the word that it did not run it.
+  kInterim,            ///< A 103 before the answer.
 };
 
 inline constexpr std::size_t kAnswerFaults = 10;
--- a/testbed/soak/promises.cc
+++ b/testbed/soak/promises.cc
@@ -50,7 +50,9 @@
             if (!answer.may_repeat && n > 1)
                 add(breaches, "at_most_once", answer.attempt + " ran " + std::to_string(n) + " times");
             if (promises_not_run(answer.status) && n > 0)
-                add(breaches, "not_run", answer.attempt + " was refused and ran");
+                add(breaches, "not_run",
+                    answer.attempt + " was refused and ran"
+                        + (answer.may_repeat ? "" : ", and may run once only"));
             if (!answer.own)
                 add(breaches, "own_answer",
                     answer.attempt + " got an answer that is not its own or not whole");
