Tests of forwarding: check the status too, which is what promises

A gateway that took a lost hop for one that did not run would have passed lost_hop_is_an_unknown_outcome, which looked at the reason alone: found by a mutant, which fails it now.

--- a/tests/gateway/forwarding_test.cc
+++ b/tests/gateway/forwarding_test.cc
@@ -220,7 +220,8 @@
     const auto forward = Only<ForwardRequest>(fixture.Request(path, 700));
     const auto effects = fixture.EndForward(forward, AttemptEnd::kLost, 0, {}, 750);
     cr_assert(!Has<ForwardRequest>(effects) && !Has<SendAttempt>(effects));
-    cr_assert(Only<Refuse>(effects).reason == RefusalReason::kOutcomeUnknown);
+    const auto refusal = Only<Refuse>(effects);
+    cr_assert(refusal.reason == RefusalReason::kOutcomeUnknown && refusal.status == 502);
   }
 }
 
@@ -257,7 +258,8 @@
   cr_assert(!forwards.empty());
   const auto ended = fixture.EndForward(forwards[0], AttemptEnd::kAnswered, 503, {}, 900);
   cr_assert(!Has<RelayAnswer>(ended));
-  cr_assert(Only<Refuse>(ended).reason == RefusalReason::kOutcomeUnknown);
+  const auto refusal = Only<Refuse>(ended);
+  cr_assert(refusal.reason == RefusalReason::kOutcomeUnknown && refusal.status == 502);
 }
 
 Test(forwarding, requests_go_to_servers_again_once_they_are_reached) {
