Soak: keep copies of answers back until the connection's next request; listen again at a used address

Half of the second copies come with the next request now, in the place of its answer, whenever that is sent.

--- a/testbed/registered/answer_fault_proxy.cc
+++ b/testbed/registered/answer_fault_proxy.cc
@@ -6,14 +6,18 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <chrono>
 #include <cstdio>
 #include <cstdlib>
 #include <deque>
 #include <optional>
 #include <random>
+#include <thread>
 #include <utility>
+#include <vector>
 
 #include "graniteseam/common/time.h"
+#include "src/runtime/clock.h"
 #include "src/runtime/listen.h"
 
 namespace graniteseam::testbed {
@@ -29,6 +33,8 @@
 /// A surplus answer follows so soon that it arrives beside a retry.
 constexpr std::int64_t kSurplusWithinMs = 60;
 constexpr std::size_t kReadBytes = 16'384;
+constexpr Duration kListenLimit{5'000'000};
+constexpr auto kListenPause = std::chrono::milliseconds(5);
 constexpr char kMalformedAnswer[] = "HTTP/7 fine\r\n\x01\x02: \r\n\r\n";
 constexpr char kInterimAnswer[] = "HTTP/1.1 103 Early Hints\r\n\r\n";
 
@@ -103,6 +109,7 @@
                                                             ErrorCode error, std::size_t bytes) {
       if (self->closed_) return;
       if (error) return self->Close(true);
+      self->WriteKeptBack();
       asio::async_write(self->server_, asio::buffer(self->from_client_, bytes),
                         [self](ErrorCode failed, std::size_t) {
                           if (self->closed_ || failed) return;
@@ -111,6 +118,12 @@
     });
   }
 
+  auto WriteKeptBack() -> void {
+    for (auto& surplus : std::exchange(kept_back_, {})) {
+      if (!closes_) Write(std::move(surplus));
+    }
+  }
+
   auto ReadServer() -> void {
     server_.async_read_some(asio::buffer(from_server_),
                             [self = this->shared_from_this()](ErrorCode error, std::size_t bytes) {
@@ -152,7 +165,7 @@
         return Write(answer_);
       case AnswerFault::kRepeated:
         Write(answer_);
-        return WriteLater(answer_);
+        return proxy_->DrawBool() ? WriteLater(answer_) : kept_back_.push_back(answer_);
       case AnswerFault::kRejectionAppended:
         Write(answer_);
         return WriteLater(Failure(503, id, /*marked=*/true));
@@ -236,6 +249,7 @@
   std::string answer_;  ///< Bytes of the answer that is being parsed.
   std::optional<Parser> parser_;
   std::deque<std::string> output_;
+  std::vector<std::string> kept_back_;  ///< Copies that come with the client's next bytes.
   bool writing_ = false;
   bool withholds_ = false;
   bool closes_ = false;  ///< Once everything is written.
@@ -245,12 +259,22 @@
 
 }  // namespace
 
+/// The socket of the proxy before at the address may live for a moment more, in a process that is
+/// just being started and has not closed yet what it inherited.
 auto AnswerFaultProxy::Impl::Listen(runtime::SocketAddress const& address) -> void {
-  auto const listening = Attempt([&] { return runtime::Listen(acceptor_, address, ""); });
-  auto const* const error = ErrorOf(listening);
-  if (error == nullptr) return;
-  std::fprintf(stderr, "proxy of a server: %s\n", error->message.c_str());
-  std::abort();
+  auto const end = runtime::BootTimeNow() + kListenLimit;
+  for (;;) {
+    auto const listening = Attempt([&] { return runtime::Listen(acceptor_, address, ""); });
+    auto const* const error = ErrorOf(listening);
+    if (error == nullptr) return;
+    if (runtime::BootTimeNow() >= end) {
+      std::fprintf(stderr, "proxy of a server: %s\n", error->message.c_str());
+      std::abort();
+    }
+    ErrorCode ignored;
+    acceptor_.close(ignored);
+    std::this_thread::sleep_for(kListenPause);
+  }
 }
 
 auto AnswerFaultProxy::Impl::Accept() -> void {
--- a/testbed/registered/answer_fault_proxy.h
+++ b/testbed/registered/answer_fault_proxy.h
@@ -17,7 +17,7 @@
 
 enum class AnswerFault {
   kNone,
-  kRepeated,           ///< A copy follows, in the place of the connection's next answer.
+  kRepeated,           ///< A copy follows soon, or when the connection's next request comes.
   kRejectionAppended,  ///< A surplus rejection with the same attempt id follows.
   kReset,              ///< The connection is reset in place of the answer.
   kClosed,             ///< The connection is closed in place of the answer.
