Tell the newest count of what an ending process still has

A stop logged "unfinished": "unknown" where its last look, begun just before its time was over, had no answer yet, though the look 20 ms earlier had one.

Change: the newest answer is told; none only where the loop has given none.

--- a/src/runtime/wait_until_none.cc
+++ b/src/runtime/wait_until_none.cc
@@ -18,7 +18,7 @@
     const auto promise = std::make_shared<std::promise<std::size_t>>();
     std::future<std::size_t> answer = promise->get_future();
     boost::asio::post(loop, [promise, count] { promise->set_value(count()); });
-    if (answer.wait_for(latest - now) != std::future_status::ready) return std::nullopt;
+    if (answer.wait_for(latest - now) != std::future_status::ready) return newest;
     newest = answer.get();
     if (newest == 0 && BootTimeNow() >= earliest) break;
     std::this_thread::sleep_for(kLook);
