Soak: have workers behind a proxy listen at an address of their own

A worker behind a proxy listened on a port that the system chose at the same address; it may choose one that is reserved, since a reservation is a socket that does not listen.

--- a/testbed/registered/worker.cc
+++ b/testbed/registered/worker.cc
@@ -28,6 +28,9 @@
 using event_http::Response;
 using nlohmann::json;
 
+/// Where workers behind a proxy listen. Of its own: a port that the system chooses may be one that
+/// another fleet has reserved at the address.
+constexpr char kBehindProxyIp[] = "127.0.79.1";
 constexpr Duration kCallLimit{1'000'000};
 /// An answer to a heartbeat is used for so long after the heartbeat was sent.
 constexpr Duration kAnswerUsable{1'000'000};
@@ -204,7 +207,7 @@
   auto Listen() -> void {
     event_http::ServerOptions server;
     server.address = options_.address;
-    if (HasAnswerFaults()) server.address.port = 0;
+    if (HasAnswerFaults()) server.address = {kBehindProxyIp, 0};
     auto const end = runtime::BootTimeNow() + kListenLimit;
     for (;;) {
       server_ = std::make_unique<event_http::Server>(
@@ -228,7 +231,7 @@
     faults.not_executed = options_.names.not_executed;
     faults.seed = std::hash<std::string>{}(options_.id);
     proxy_ = std::make_unique<AnswerFaultProxy>(
-        faults, options_.address, runtime::SocketAddress{options_.address.ip, server_->port()});
+        faults, options_.address, runtime::SocketAddress{kBehindProxyIp, server_->port()});
     address_ = runtime::ToString(options_.address);
   }
 
