Testbed: listen again at a used address in one place

A worker and the proxy in front of it had the same loop, once each. Behaviour is as before, but for the message of a proxy's and a worker's failure, which keep their names.

--- a/testbed/registered/answer_fault_proxy.cc
+++ b/testbed/registered/answer_fault_proxy.cc
@@ -7,18 +7,15 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <chrono>
-#include <cstdio>
-#include <cstdlib>
 #include <deque>
 #include <optional>
 #include <random>
-#include <thread>
 #include <utility>
 #include <vector>
 
 #include "graniteseam/common/time.h"
-#include "src/runtime/clock.h"
 #include "src/runtime/listen.h"
+#include "testbed/registered/listening.h"
 
 namespace graniteseam::testbed {
 
@@ -33,8 +30,6 @@
 /// A surplus answer follows so soon that it arrives beside a retry.
 constexpr std::int64_t kSurplusWithinMs = 60;
 constexpr std::size_t kReadBytes = 16'384;
-constexpr Duration kListenLimit{5'000'000};
-constexpr auto kListenPause = std::chrono::milliseconds(5);
 constexpr char kMalformedAnswer[] = "HTTP/7 fine\r\n\x01\x02: \r\n\r\n";
 constexpr char kInterimAnswer[] = "HTTP/1.1 103 Early Hints\r\n\r\n";
 
@@ -259,22 +254,12 @@
 
 }  // namespace
 
-/// The socket of the proxy before at the address may live for a moment more, in a process that is
-/// just being started and has not closed yet what it inherited.
 auto AnswerFaultProxy::Impl::Listen(runtime::SocketAddress const& address) -> void {
-  auto const end = runtime::BootTimeNow() + kListenLimit;
-  for (;;) {
-    auto const listening = Attempt([&] { return runtime::Listen(acceptor_, address, ""); });
-    auto const* const error = ErrorOf(listening);
-    if (error == nullptr) return;
-    if (runtime::BootTimeNow() >= end) {
-      std::fprintf(stderr, "proxy of a server: %s\n", error->message.c_str());
-      std::abort();
-    }
+  ListenOnceFree("proxy of a server", [&] {
     ErrorCode ignored;
     acceptor_.close(ignored);
-    std::this_thread::sleep_for(kListenPause);
-  }
+    return runtime::Listen(acceptor_, address, "");
+  });
 }
 
 auto AnswerFaultProxy::Impl::Accept() -> void {
--- a/testbed/registered/worker.cc
+++ b/testbed/registered/worker.cc
@@ -3,21 +3,19 @@
 #include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <cstdio>
-#include <cstdlib>
 #include <functional>
 #include <map>
 #include <mutex>
 #include <nlohmann/json.hpp>
 #include <random>
 #include <set>
-#include <thread>
 
 #include "graniteseam/common/duration_text.h"
 #include "src/event_http/client_pool.h"
 #include "src/event_http/server.h"
 #include "src/runtime/clock.h"
 #include "src/runtime/event_loop.h"
+#include "testbed/registered/listening.h"
 
 namespace graniteseam::testbed {
 
@@ -38,8 +36,6 @@
 constexpr Duration kUrgentHeartbeat{100'000};
 /// After a call that nobody answered.
 constexpr Duration kRetryAfter{150'000};
-constexpr Duration kListenLimit{5'000'000};
-constexpr auto kListenPause = std::chrono::milliseconds(5);
 constexpr Duration kReleaseLook{2'000};
 /// How long a heartbeat is held up: this, and a part of the second figure.
 constexpr Duration kLateAtLeast{300'000};
@@ -202,25 +198,15 @@
     return std::max<std::int64_t>(0, std::chrono::ceil<std::chrono::milliseconds>(left).count());
   }
 
-  /// Listens. The socket of the worker before at the address may live for a moment more, in a
-  /// process that is just being started and has not closed yet what it inherited.
   auto Listen() -> void {
     event_http::ServerOptions server;
     server.address = options_.address;
     if (HasAnswerFaults()) server.address = {kBehindProxyIp, 0};
-    auto const end = runtime::BootTimeNow() + kListenLimit;
-    for (;;) {
+    ListenOnceFree("worker " + options_.id, [&] {
       server_ = std::make_unique<event_http::Server>(
           loop_.context(), server, [this](auto const& exchange) { OnExchange(exchange); });
-      auto const started = Attempt([this] { return server_->Start(); });
-      auto const* error = ErrorOf(started);
-      if (error == nullptr) return;
-      if (runtime::BootTimeNow() >= end) {
-        std::fprintf(stderr, "worker %s: %s\n", options_.id.c_str(), error->message.c_str());
-        std::abort();
-      }
-      std::this_thread::sleep_for(kListenPause);
-    }
+      return server_->Start();
+    });
   }
 
   auto HasAnswerFaults() const -> bool { return options_.answer_faults.part > 0; }
