--- a/testbed/soak/load.cc
+++ b/testbed/soak/load.cc
@@ -60,6 +60,7 @@
     /// Apart from the numbers that versions are drawn from.
     constexpr std::uint64_t form_salt = 0x5eed'0f5a'4a9e'0002;
     constexpr std::size_t all_kinds = 4; ///< Of requests; the last one is of those that may not be repeated.
+    constexpr std::uint64_t time_left_ms = 2'000;
     /// Of requests that may run once: what differs between them.
     constexpr std::uint64_t large_body_every = 8;
     constexpr std::uint64_t body_largest = 1'048'576;
@@ -175,6 +176,21 @@
         request.fields.Add(it.endpoints.names.tenant, "somebody-else");
     }
 
+    /// With all fields but the key.
+    auto begin_request(Caller& it, SeenAnswer& answer, char const* method, char const* path,
+        std::uint64_t time_left) -> event_http::Request
+    {
+        auto const& names = it.endpoints.names;
+        event_http::Request request;
+        request.method = method;
+        request.target = path;
+        request.fields.Add("Host", "a.example");
+        request.fields.Add(names.attempt_id, answer.attempt);
+        request.fields.Add(names.time_left_ms, std::to_string(time_left));
+        show_key(it, request, answer);
+        return request;
+    }
+
     /// @param kinds of the four paths, from the first on.
     auto next_request(Caller& it, SeenAnswer& answer, std::size_t kinds) -> event_http::Request
     {
@@ -186,13 +202,7 @@
         auto const unsafe = kind == 3;
         answer.may_repeat = !unsafe;
         answer.service = services[kind];
-        event_http::Request request;
-        request.method = unsafe ? "POST" : "GET";
-        request.target = paths[kind];
-        request.fields.Add("Host", "a.example");
-        request.fields.Add(names.attempt_id, answer.attempt);
-        request.fields.Add(names.time_left_ms, "2000");
-        show_key(it, request, answer);
+        auto request = begin_request(it, answer, unsafe ? "POST" : "GET", paths[kind], time_left_ms);
         if (keyed)
             request.fields.Add(names.key, std::to_string(it.random() % keys_asked_for * key_distance));
         if (unsafe)
@@ -210,13 +220,8 @@
         auto const kind = it.random() % paths.size();
         answer.may_repeat = false;
         answer.service = services[kind];
-        event_http::Request request;
-        request.method = "POST";
-        request.target = paths[kind];
-        request.fields.Add("Host", "a.example");
-        request.fields.Add(names.attempt_id, answer.attempt);
-        request.fields.Add(names.time_left_ms, std::to_string(time_least_ms + it.random() % time_spread_ms));
-        show_key(it, request, answer);
+        auto const time_left = time_least_ms + it.random() % time_spread_ms;
+        auto request = begin_request(it, answer, "POST", paths[kind], time_left);
         if (kind < 2)
             request.fields.Add(names.key, std::to_string(it.random() % keys_asked_for * key_distance));
         auto const large = it.random() % large_body_every == 0;
