--- a/tests/event_http/client_pool_test.cc
+++ b/tests/event_http/client_pool_test.cc
@@ -86,6 +86,16 @@
     asio::read_until(connection, asio::dynamic_buffer(request), "\r\n\r\n");
   }
 
+  /// The first call, answered with "first". @return its connection, which rests.
+  Tcp::socket ServeFirst() {
+    Start(std::chrono::seconds(5));
+    Tcp::socket connection = Accept();
+    TakeRequest(connection);
+    Answer(connection, "first");
+    cr_assert(TurnUntil([this] { return results.size() == 1; }));
+    return connection;
+  }
+
   static void Answer(Tcp::socket& connection, const std::string& body) {
     asio::write(connection, asio::buffer(AnswerOf(body)));
   }
@@ -130,11 +140,7 @@
 /// A second answer to an earlier call lay unread and was taken for the next call's.
 Test(client_pool, connection_with_a_surplus_answer_unread_is_not_used_again) {
   SteppedPool stepped;
-  stepped.Start(std::chrono::seconds(5));
-  Tcp::socket first = stepped.Accept();
-  stepped.TakeRequest(first);
-  SteppedPool::Answer(first, "first");
-  cr_assert(stepped.TurnUntil([&] { return stepped.results.size() == 1; }));
+  Tcp::socket first = stepped.ServeFirst();
   SteppedPool::Answer(first, "surplus");
   stepped.Start(std::chrono::seconds(5));
   Tcp::socket second = stepped.Accept();
@@ -149,11 +155,7 @@
 /// answer to it.
 Test(client_pool, call_uses_none_of_the_connections_that_it_avoids) {
   SteppedPool stepped;
-  stepped.Start(std::chrono::seconds(5));
-  Tcp::socket first = stepped.Accept();
-  stepped.TakeRequest(first);
-  SteppedPool::Answer(first, "first");
-  cr_assert(stepped.TurnUntil([&] { return stepped.results.size() == 1; }));
+  Tcp::socket first = stepped.ServeFirst();
   stepped.Start(std::chrono::seconds(5), {stepped.results[0].connection});
   Tcp::socket second = stepped.Accept();
   stepped.TakeRequest(second);
@@ -167,11 +169,7 @@
 /// A connection that one call avoids is kept for others.
 Test(client_pool, avoided_connection_serves_other_calls) {
   SteppedPool stepped;
-  stepped.Start(std::chrono::seconds(5));
-  Tcp::socket first = stepped.Accept();
-  stepped.TakeRequest(first);
-  SteppedPool::Answer(first, "first");
-  cr_assert(stepped.TurnUntil([&] { return stepped.results.size() == 1; }));
+  Tcp::socket first = stepped.ServeFirst();
   const ConnectionNumber avoided = stepped.results[0].connection;
   stepped.Start(std::chrono::seconds(5), {avoided});
   stepped.Start(std::chrono::seconds(5));
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -141,6 +141,17 @@
     report.status = status;
     return node.OnAttemptEnd(report, At(ms));
   }
+
+  /// The server replies that it does not own the key.
+  GatewayEffects EndAsNotOwner(const SendAttempt& send, std::int64_t ms) {
+    AttemptReport report;
+    report.request = send.request;
+    report.attempt = send.attempt;
+    report.end = AttemptEnd::kNotExecuted;
+    report.status = 421;
+    report.not_owner = true;
+    return node.OnAttemptEnd(report, At(ms));
+  }
 };
 
 /// The only effect of a kind, which must be there.
--- a/tests/gateway/gateway_node_test.cc
+++ b/tests/gateway/gateway_node_test.cc
@@ -176,13 +176,7 @@
 Test(gateway_node, owner_that_disowns_a_key_is_left_alone_until_the_map_changes) {
   Fixture fixture;
   const auto send = Only<SendAttempt>(fixture.Request("/keyed/x", 0, 9));
-  AttemptReport report;
-  report.request = send.request;
-  report.attempt = send.attempt;
-  report.end = AttemptEnd::kNotExecuted;
-  report.status = 421;
-  report.not_owner = true;
-  cr_assert(!Has<SendAttempt>(fixture.node.OnAttemptEnd(report, At(5))));
+  cr_assert(!Has<SendAttempt>(fixture.EndAsNotOwner(send, 5)));
   // Others for the same keys do not ask it either: each would cost a repetition.
   cr_assert(!Has<SendAttempt>(fixture.Request("/keyed/x", 6, 10)));
   const auto refused = Only<Refuse>(fixture.node.Tick(At(45)));
@@ -205,13 +199,7 @@
   update.routes[0].target_latency_ms = 100;
   fixture.node.OnUpdate(update, At(0));
   const auto send = Only<SendAttempt>(fixture.Request("/keyed/x", 0, 9));
-  AttemptReport report;
-  report.request = send.request;
-  report.attempt = send.attempt;
-  report.end = AttemptEnd::kNotExecuted;
-  report.status = 421;
-  report.not_owner = true;
-  fixture.node.OnAttemptEnd(report, At(5));
+  fixture.EndAsNotOwner(send, 5);
   bool refused = false;
   for (Instant tick = fixture.node.NextTick(); !refused && tick <= At(100);
        tick = fixture.node.NextTick()) {
