--- a/src/gateway/request_ending.cc
+++ b/src/gateway/request_ending.cc
@@ -128,7 +128,7 @@
   Summarise(request);
   token_queue_.remove(request.tenant, request.arrived.number);
   limit_queue_.remove(request.arrived.number);
-  const std::optional<OpenAttempt> open = request.record.open();
+  const auto& open = request.record.open();
   if (request.charged_to_quota && request.attempts == 0 && !open) {
     quotas_.give_back(request.tenant);
   }
