--- a/cmake/Targets.cmake
+++ b/cmake/Targets.cmake
@@ -65,9 +65,13 @@
   target_link_libraries(${name} PUBLIC graniteseam_options ${ARG_LINK})
 endfunction()
 
-# A Criterion test program from tests/<name>/*.cc, registered with CTest.
+# A Criterion test program from tests/<name>/*.cc, registered with CTest. JOBS: tests of it that run
+# at once, 2 by default.
 function(graniteseam_test name)
-  cmake_parse_arguments(ARG "" "" "LINK" ${ARGN})
+  cmake_parse_arguments(ARG "" "JOBS" "LINK" ${ARGN})
+  if(NOT ARG_JOBS)
+    set(ARG_JOBS 2)
+  endif()
   file(GLOB sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/${name}/*.cc)
   if(NOT sources)
     return()
@@ -77,6 +81,6 @@
   target_compile_definitions(test_${name} PRIVATE
     GRANITESEAM_SOURCE_DIR="${PROJECT_SOURCE_DIR}" GRANITESEAM_BINARY_DIR="${CMAKE_BINARY_DIR}")
   add_test(NAME ${name} COMMAND ${PROJECT_SOURCE_DIR}/tools/run-criterion ${name}
-    $<TARGET_FILE:test_${name}> --jobs 2)
+    $<TARGET_FILE:test_${name}> --jobs ${ARG_JOBS})
   set_tests_properties(${name} PROPERTIES TIMEOUT 300)
 endfunction()
--- a/testbed/registered/fleet_machine.h
+++ b/testbed/registered/fleet_machine.h
@@ -20,6 +20,7 @@
   std::string front_address;    ///< For callers.
   std::string ready_address;    ///< For /ready.
   std::string data_folder;
+  std::uint32_t memory_mb = 256;       ///< Of each process.
   std::uint32_t losses_tolerated = 1;  ///< Control processes that may be lost with their disks.
 };
 
