--- a/src/event_http/client_pool.cc
+++ b/src/event_http/client_pool.cc
@@ -3,6 +3,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -243,8 +244,10 @@
   void Write() {
     if (IsTooLate()) return Fail(CallEnd::kNotSent, CallFault::kDelay);
     handed_over_ = true;
+    const std::array<asio::const_buffer, 2> buffers = {
+        asio::buffer(call_.bytes), call_.body ? asio::buffer(*call_.body) : asio::const_buffer()};
     asio::async_write(
-        socket_, asio::buffer(call_.bytes),
+        socket_, buffers,
         [self = shared_from_this(), number = number_](ErrorCode error, std::size_t bytes) {
           if (self->number_ != number) return;
           if (error) {
@@ -255,6 +258,7 @@
           }
           self->written_ = true;
           self->call_.bytes.clear();
+          self->call_.body.reset();
         });
   }
 
--- a/src/event_http/client_pool.h
+++ b/src/event_http/client_pool.h
@@ -22,8 +22,11 @@
 
 struct Call {
   std::string address;  ///< "ip:port".
-  std::string bytes;    ///< The whole request.
-  bool head = false;    ///< A HEAD request: its answer has no body.
+  std::string bytes;    ///< The whole request, or all of it that stands before `body`.
+  /// Sent after `bytes`; null: nothing is. Shared, so that a request that is sent again is held
+  /// once.
+  std::shared_ptr<const std::string> body{};
+  bool head = false;  ///< A HEAD request: its answer has no body.
   /// For connecting, sending and the whole answer together. What has arrived by then is taken, also
   /// by a loop that is late.
   Duration limit{};
--- a/src/event_http/message.h
+++ b/src/event_http/message.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstddef>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -10,6 +11,8 @@
 
 namespace graniteseam::event_http {
 
+class ByteCharge;
+
 struct HeaderField {
   std::string name;
   std::string value;
@@ -56,6 +59,8 @@
   /// A large response whose caller waits for the whole of it: it may be written more slowly than
   /// others.
   bool bulk = false;
+  /// Accounts for the body as long as the response exists; null: nothing does.
+  std::shared_ptr<const ByteCharge> charge{};
 };
 
 /// Whether two names are equal without regard to case.
