Bound the chunk lines and trailers of a request

Callers saw a router or control process end for want of memory while clients sent a trailer, or the extension of a chunk, without end.

Cause: the head alone had a bound; the parser leaves an incomplete line or trailer in the read buffer, which grew with it.

Change: FramingLimit counts heads, chunk lines and trailers. 400 refuses a chunk line that is too long, 431 a head or a trailer, and the connection ends.

--- a/src/event_http/server_connection.cc
+++ b/src/event_http/server_connection.cc
@@ -22,6 +22,7 @@
 constexpr std::size_t kReadAheadBytes = 65'536;
 /// How long a client that was refused may go on sending, so that it sees why.
 constexpr Duration kLinger{1'000'000};
+constexpr std::string_view kLineEnd = "\r\n";
 
 }  // namespace
 
@@ -220,12 +221,12 @@
     RefuseFor(error);
     return false;
   }
-  const bool in_head = !parser_->is_header_done();
-  if (in_head && head_limit_.Exceeded(used, buffer_.size())) {
-    Refuse(kHeaderTooLarge);
+  if (!head_is_taken_ && parser_->is_header_done()) {
+    TakeHead();
+  } else if (FramingExceeded(used)) {
+    Refuse(InChunkLine() ? kBadRequest : kHeaderTooLarge);
     return false;
   }
-  if (!in_head) TakeHead();
   if (!CountBody(server)) {
     Refuse(kServiceUnavailable);
     return false;
@@ -242,7 +243,7 @@
   // Stops behind the head, whose fields are taken before those of a trailer join them.
   parser_->eager(false);
   parser_->header_limit(static_cast<std::uint32_t>(server.limits().header_bytes));
-  head_limit_.Begin(server.limits().header_bytes);
+  framing_limit_.Begin(server.limits().header_bytes);
   head_is_taken_ = false;
   parser_->body_limit(server.limits().body_bytes);
   message_start_ = clock_();
@@ -252,7 +253,8 @@
 /// Fields of a trailer are left out (RFC 9110, section 6.5.1): a request is judged by its head,
 /// and a trailer could add a key, an id or a tenant to it.
 void ServerConnection::TakeHead() {
-  if (std::exchange(head_is_taken_, true)) return;
+  head_is_taken_ = true;
+  framing_limit_.EndHead();
   head_fields_ = {};
   for (const auto& field : parser_->get()) {
     head_fields_.Add({field.name_string().data(), field.name_string().size()},
@@ -261,6 +263,20 @@
   parser_->eager(true);
 }
 
+/// What the parser left of a message that is not whole belongs to a line that is not whole.
+bool ServerConnection::FramingExceeded(std::size_t consumed) {
+  const std::size_t unread = parser_->is_done() ? 0 : buffer_.size();
+  return framing_limit_.Exceeded(consumed, parser_->get().body().size(), unread);
+}
+
+/// The parser takes the line of the last chunk together with the trailer.
+bool ServerConnection::InChunkLine() const {
+  if (!head_is_taken_ || parser_->is_done()) return false;
+  std::string_view line = buffer_.unread();
+  if (line.starts_with(kLineEnd)) line.remove_prefix(kLineEnd.size());
+  return line.find(kLineEnd) == std::string_view::npos;
+}
+
 bool ServerConnection::CountBody(Server::Impl& server) {
   const std::size_t size = parser_->get().body().size();
   if (size <= counted_bytes_) return true;
--- a/src/event_http/server_connection.h
+++ b/src/event_http/server_connection.h
@@ -11,7 +11,7 @@
 #include <optional>
 #include <string>
 
-#include "src/event_http/head_limit.h"
+#include "src/event_http/framing_limit.h"
 #include "src/event_http/pipeline.h"
 #include "src/event_http/read_buffer.h"
 #include "src/event_http/read_times.h"
@@ -84,6 +84,9 @@
   bool ParseSome(Server::Impl& server);
   void BeginMessage(Server::Impl& server);
   void TakeHead();
+  /// Whether a head, the line of a chunk or a trailer is too long.
+  bool FramingExceeded(std::size_t consumed);
+  bool InChunkLine() const;
   bool CountBody(Server::Impl& server);
   /// Returns the body bytes of the message that is being parsed, and of one that was not begun.
   void ReturnUnbegunBytes();
@@ -130,7 +133,7 @@
   ReadBuffer buffer_;
   ReadTimes read_times_;
   std::optional<Parser> parser_;
-  HeadLimit head_limit_;
+  FramingLimit framing_limit_;
   HeaderFields head_fields_;
   bool head_is_taken_ = false;
   Pipeline pipeline_;
