Hold each body of a request or response once

Callers of one router of 160 MB with bodies of 64 MiB: each was held four times, 274,548 KiB by a router that served one.

Cause: the body grew in a string by doubling and was copied for the server, into the serialised text, and each response on its way to the socket.

Change: bodies are read into segments, which are freed as they are joined; the call to a server refers to the exchange's body; responses are moved, and written as head and body. What is held of a request is charged to an account of the process: 60% of the new setting memory_mb. Writes wait for the socket without an operation that owns the output, so that it can be freed at any time.

Pipeline no longer counts body bytes: the charge stays with the request. The test that looked for a returned byte looks at the account now.

--- a/src/daemon/gateway/exchange_translator.cc
+++ b/src/daemon/gateway/exchange_translator.cc
@@ -168,31 +168,31 @@
   return arrived;
 }
 
-event_http::Request ExchangeTranslator::ForNext(const event_http::Request& request,
-                                                Duration time_left) const {
-  event_http::Request next = request;
-  event_http::RemoveConnectionFields(next.fields);
-  next.fields.Remove("Expect");
-  RemoveHopFields(next.fields);
+event_http::HeaderFields ExchangeTranslator::ForNext(const event_http::Request& request,
+                                                     Duration time_left) const {
+  event_http::HeaderFields fields = request.fields;
+  event_http::RemoveConnectionFields(fields);
+  fields.Remove("Expect");
+  RemoveHopFields(fields);
   const std::int64_t left = std::max<std::int64_t>(1, ToMillis(time_left));
-  next.fields.Set(names_.time_left_ms, std::to_string(left));
-  return next;
+  fields.Set(names_.time_left_ms, std::to_string(left));
+  return fields;
 }
 
 std::string ExchangeTranslator::ForPeer(const event_http::Request& request,
                                         const gateway::ForwardRequest& forward) const {
-  event_http::Request forwarded = ForNext(request, forward.time_left);
-  forwarded.fields.Set(kHopConfiguration, std::to_string(forward.hop.configuration.value));
-  forwarded.fields.Set(kHopAttempts, std::to_string(forward.hop.attempts));
-  return event_http::Serialize(forwarded);
+  event_http::HeaderFields fields = ForNext(request, forward.time_left);
+  fields.Set(kHopConfiguration, std::to_string(forward.hop.configuration.value));
+  fields.Set(kHopAttempts, std::to_string(forward.hop.attempts));
+  return event_http::SerializeHead(request.method, request.target, fields, request.body.size());
 }
 
 std::string ExchangeTranslator::ForServer(const event_http::Request& request,
                                           const gateway::SendAttempt& send) const {
-  event_http::Request forwarded = ForNext(request, send.time_left);
-  if (send.hides_api_key) HideApiKey(send, forwarded.fields);
-  forwarded.fields.Set(names_.target_instance, std::string(traffic::ServerNameOf(send.instance)));
-  return event_http::Serialize(forwarded);
+  event_http::HeaderFields fields = ForNext(request, send.time_left);
+  if (send.hides_api_key) HideApiKey(send, fields);
+  fields.Set(names_.target_instance, std::string(traffic::ServerNameOf(send.instance)));
+  return event_http::SerializeHead(request.method, request.target, fields, request.body.size());
 }
 
 void ExchangeTranslator::HideApiKey(const gateway::SendAttempt& send,
--- a/src/daemon/gateway/exchange_translator.h
+++ b/src/daemon/gateway/exchange_translator.h
@@ -23,7 +23,8 @@
   gateway::ArrivedRequest Read(const event_http::Request& request,
                                gateway::RequestNumber number) const;
 
-  /// The bytes for a server: the request as it came, with the target and the time that is left.
+  /// The head for a server: the request as it came, with the target and the time that is left. Its
+  /// body follows unchanged.
   std::string ForServer(const event_http::Request& request, const gateway::SendAttempt& send) const;
 
   /// What the decision maker must know of the end of a call. An answer counts only when it echoes
@@ -33,8 +34,8 @@
                               const event_http::Request& request,
                               const gateway::SendAttempt& send) const;
 
-  /// The bytes for another gateway: the request as its caller sent it, with the time that is left
-  /// and what the other gateway may do with it.
+  /// The head for another gateway: the request as its caller sent it, with the time that is left
+  /// and what the other gateway may do with it. Its body follows unchanged.
   std::string ForPeer(const event_http::Request& request,
                       const gateway::ForwardRequest& forward) const;
   /// What the decision maker must know of the end of such a call.
@@ -66,9 +67,9 @@
  private:
   /// The server learns whose key it was, from the gateway alone.
   void HideApiKey(const gateway::SendAttempt& send, event_http::HeaderFields& fields) const;
-  /// The request as it came, without what concerns its connection or hop, with the time that is
-  /// left.
-  event_http::Request ForNext(const event_http::Request& request, Duration time_left) const;
+  /// The fields of the request as it came, without what concerns its connection or hop, with the
+  /// time that is left.
+  event_http::HeaderFields ForNext(const event_http::Request& request, Duration time_left) const;
   gateway::AttemptReport ReadEnd(const event_http::CallResult& result,
                                  const event_http::Request& request) const;
   gateway::AttemptEnd EndOf(const event_http::Response& answer,
--- a/src/daemon/gateway/gateway_process.cc
+++ b/src/daemon/gateway/gateway_process.cc
@@ -36,8 +36,6 @@
 /// find the link free for at least a quarter of the time.
 constexpr double kBulkPartOfLink = 0.75;
 constexpr double kBytesPerMegabit = 125'000;
-/// Kept free of callers' bodies: the rest of the process, and answers under way.
-constexpr std::size_t kBodyBytesTotal = std::size_t{64} << 20;
 constexpr std::size_t kAnswerBytesMaximum = std::size_t{32} << 20;
 
 gateway::GatewayOptions NodeOptions(const GatewaySettings& settings) {
@@ -67,6 +65,7 @@
       events_(settings_.id, event_descriptor),
       request_log_(events_),
       metrics_(metrics_registry_),
+      account_(std::make_shared<event_http::ByteAccount>(HeldBytesMaximum(settings_))),
       loop_delay_(loop_.context()),
       node_(NodeOptions(settings_), runtime::RandomBits()),
       timer_(loop_.context()),
@@ -83,7 +82,7 @@
   event_http::ServerOptions callers;
   callers.address = settings_.caller_address;
   callers.connections_maximum = static_cast<std::size_t>(settings_.connections_maximum);
-  callers.body_bytes_total = kBodyBytesTotal;
+  callers.account = account_;
   callers.bulk_bytes_per_second = kBulkPartOfLink * settings_.link_mbps * kBytesPerMegabit;
   callers.may_run_beside = [this](const event_http::Request& request) {
     const std::string* const host = request.fields.Find("Host");
@@ -246,7 +245,7 @@
   } else {
     response.status = 404;
   }
-  exchange->Respond(response);
+  exchange->Respond(std::move(response));
 }
 
 void GatewayProcess::Run(gateway::GatewayEffects effects) {
@@ -279,6 +278,10 @@
   LiveExchange& live = live_.at(effect.request);
   if (!live.first_sent) live.first_sent = runtime::BootTimeNow();
   call.address = effect.address;
+  // Shared with the exchange: a request that is sent again is held once.
+  if (const std::string& body = live.exchange->request().body; !body.empty()) {
+    call.body = std::shared_ptr<const std::string>(live.exchange, &body);
+  }
   call.head = live.exchange->request().method == "HEAD";
   call.limit = effect.time_left;
   call.avoided_connections = live.connections;
@@ -364,7 +367,7 @@
   LiveExchange& live = live_.at(relay.request);
   event_http::Response answer = translator_.ForCaller(std::move(*live.answer), relay.hop);
   answer.bulk = relay.bulk;
-  Finish(relay.request, answer, "relayed");
+  Finish(relay.request, std::move(answer), "relayed");
 }
 
 void GatewayProcess::Do(const gateway::Refuse& refusal) {
@@ -399,7 +402,7 @@
   return std::nullopt;
 }
 
-void GatewayProcess::Finish(gateway::RequestNumber number, const event_http::Response& response,
+void GatewayProcess::Finish(gateway::RequestNumber number, event_http::Response response,
                             std::string_view outcome) {
   const auto found = live_.find(number);
   const LiveExchange live = std::move(found->second);
@@ -420,7 +423,7 @@
   ended.first_sent = live.first_sent;
   ended.summary = live.summary;
   request_log_.Write(ended, live.notes);
-  live.exchange->Respond(response);
+  live.exchange->Respond(std::move(response));
 }
 
 /// What has no answer at the end of a stop gets one.
--- a/src/daemon/gateway/gateway_process.h
+++ b/src/daemon/gateway/gateway_process.h
@@ -98,7 +98,7 @@
   void StartCall(const Effect& effect, event_http::Call call);
   template <class Effect>
   void OnCallEnd(const Effect& effect, event_http::CallResult result);
-  void Finish(gateway::RequestNumber number, const event_http::Response& response,
+  void Finish(gateway::RequestNumber number, event_http::Response response,
               std::string_view outcome);
   void AnswerTheRest();
   void TakeNotes(std::vector<gateway::DecisionNote> notes);
@@ -120,6 +120,8 @@
   GatewayMetrics metrics_;
   // Before what runs on it, so that it outlives that.
   runtime::EventLoop loop_;
+  /// Of what is held for callers and servers.
+  const std::shared_ptr<event_http::ByteAccount> account_;
   runtime::LoopDelayMeter loop_delay_;
   gateway::GatewayNode node_;
   std::unique_ptr<event_http::Server> callers_;
--- a/src/daemon/gateway/gateway_settings.cc
+++ b/src/daemon/gateway/gateway_settings.cc
@@ -4,6 +4,14 @@
 
 namespace graniteseam::daemon {
 
+std::size_t HeldBytesMaximum(const GatewaySettings& settings) {
+  constexpr double kMemoryMbWhereUnknown = 160;
+  constexpr double kHeldPart = 0.6;
+  constexpr double kBytesPerMegabyte = 1e6;
+  const double megabytes = settings.memory_mb > 0 ? settings.memory_mb : kMemoryMbWhereUnknown;
+  return static_cast<std::size_t>(megabytes * kHeldPart * kBytesPerMegabyte);
+}
+
 void DeclareGatewaySettings(runtime::SettingsReader& reader, GatewaySettings& settings) {
   using Presence = runtime::SettingsReader::Presence;
   using std::chrono::milliseconds;
@@ -69,6 +77,12 @@
       "Rate of this machine's link in Mbit/s: downloads use three quarters of it at most, so that "
       "small messages pass. 0: unknown, downloads are sent as fast as the link takes them.",
       settings.link_mbps, 0, kLinkMaximum);
+  constexpr double kMemoryMaximumMb = 1e6;
+  reader.AddNumber(
+      "memory_mb",
+      "Memory of this machine in MB, of which requests and answers that are being sent or read use "
+      "60% at most. 0: unknown, as with 160.",
+      settings.memory_mb, 0, kMemoryMaximumMb);
   reader.AddInteger("connections_maximum", "Callers' connections at once.",
                     settings.connections_maximum, 1, kConnectionsMaximum);
   protocol::AddInternalSecuritySettings(reader, settings.security, &settings.coordination_address,
--- a/src/daemon/gateway/gateway_settings.h
+++ b/src/daemon/gateway/gateway_settings.h
@@ -2,6 +2,7 @@
 /// Settings of a gateway.
 #pragma once
 
+#include <cstddef>
 #include <string>
 #include <vector>
 
@@ -31,8 +32,13 @@
   runtime::SocketAddress advertised_coordination_address;  ///< Empty: coordination_address.
   double machine_weight = 1;
   double link_mbps = 0;  ///< Of the machine's link; 0: unknown.
+  double memory_mb = 0;  ///< Of the machine, in units of 1,000,000 bytes; 0: unknown.
 };
 
+/// What a gateway may hold for callers and servers: bodies, answers, and what was read of them. The
+/// rest of the memory is left to the program itself.
+std::size_t HeldBytesMaximum(const GatewaySettings& settings);
+
 /// Declares all settings with their checks. `settings` must stay valid until the reader is gone.
 void DeclareGatewaySettings(runtime::SettingsReader& reader, GatewaySettings& settings);
 
--- a/src/event_http/byte_account.cc
+++ b/src/event_http/byte_account.cc
@@ -65,4 +65,14 @@
   return true;
 }
 
+std::shared_ptr<ByteCharge> MakeCharge(std::shared_ptr<ByteAccount> account) {
+  struct Kept {
+    explicit Kept(std::shared_ptr<ByteAccount> of) : account(std::move(of)), charge(*account) {}
+    std::shared_ptr<ByteAccount> account;
+    ByteCharge charge;
+  };
+  const auto kept = std::make_shared<Kept>(std::move(account));
+  return {kept, &kept->charge};
+}
+
 }  // namespace graniteseam::event_http
--- a/src/event_http/byte_account.h
+++ b/src/event_http/byte_account.h
@@ -99,4 +99,7 @@
   std::size_t bytes_ = 0;
 };
 
+/// A charge that keeps its account.
+std::shared_ptr<ByteCharge> MakeCharge(std::shared_ptr<ByteAccount> account);
+
 }  // namespace graniteseam::event_http
--- a/src/event_http/message.cc
+++ b/src/event_http/message.cc
@@ -35,6 +35,9 @@
   return text;
 }
 
+/// Of most heads.
+constexpr std::size_t kHeadBytes = 512;
+
 /// Statuses whose answers never have a body (RFC 9110, section 6.4.1).
 bool NeverHasBody(int status) { return status / 100 == 1 || status == 204 || status == 304; }
 
@@ -96,20 +99,29 @@
   for (const std::string_view name : kConnectionFields) fields.Remove(name);
 }
 
-std::string Serialize(const Request& request) {
+bool HasBody(const Response& response) {
+  return !response.head_only && !NeverHasBody(response.status);
+}
+
+std::string SerializeHead(std::string_view method, std::string_view target,
+                          const HeaderFields& fields, std::size_t body_bytes) {
   std::string text;
-  text.reserve(512 + request.body.size());
-  text.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\n");
-  AppendFields(request.fields, text);
-  const bool framed = !request.body.empty() || request.method == "POST" ||
-                      request.method == "PUT" || request.method == "PATCH";
-  if (framed) AppendLength(request.body.size(), text);
-  return text.append("\r\n").append(request.body);
+  text.reserve(kHeadBytes);
+  text.append(method).append(" ").append(target).append(" HTTP/1.1\r\n");
+  AppendFields(fields, text);
+  const bool framed = body_bytes > 0 || method == "POST" || method == "PUT" || method == "PATCH";
+  if (framed) AppendLength(body_bytes, text);
+  return text.append("\r\n");
 }
 
-std::string Serialize(const Response& response, bool close) {
+std::string Serialize(const Request& request) {
+  return SerializeHead(request.method, request.target, request.fields, request.body.size()) +
+         request.body;
+}
+
+std::string SerializeHead(const Response& response, bool close) {
   std::string text;
-  text.reserve(256 + response.body.size());
+  text.reserve(kHeadBytes);
   const auto standard =
       boost::beast::http::obsolete_reason(static_cast<boost::beast::http::status>(response.status));
   text.append("HTTP/1.1 ").append(std::to_string(response.status)).append(" ");
@@ -120,12 +132,14 @@
   }
   text.append("\r\n");
   AppendFields(response.fields, text);
-  if (!response.head_only && !NeverHasBody(response.status)) {
-    AppendLength(response.body.size(), text);
-  }
+  if (HasBody(response)) AppendLength(response.body.size(), text);
   if (close) text.append("Connection: close\r\n");
-  text.append("\r\n");
-  if (!response.head_only && !NeverHasBody(response.status)) text.append(response.body);
+  return text.append("\r\n");
+}
+
+std::string Serialize(const Response& response, bool close) {
+  std::string text = SerializeHead(response, close);
+  if (HasBody(response)) text.append(response.body);
   return text;
 }
 
--- a/src/event_http/message.h
+++ b/src/event_http/message.h
@@ -70,9 +70,17 @@
 /// `Connection` names, and the framing, which is written anew.
 void RemoveConnectionFields(HeaderFields& fields);
 
-/// The bytes of a message; the body is framed by its length.
-std::string Serialize(const Request& request);
+/// Whether the response is sent with its body (RFC 9110, section 6.4.1).
+bool HasBody(const Response& response);
+
+/// What stands before the body of a request, which is framed by its length.
+/// @param fields without those of RemoveConnectionFields().
+std::string SerializeHead(std::string_view method, std::string_view target,
+                          const HeaderFields& fields, std::size_t body_bytes);
 /// @param close says that the connection ends with this answer.
+std::string SerializeHead(const Response& response, bool close);
+/// The bytes of a whole message.
+std::string Serialize(const Request& request);
 std::string Serialize(const Response& response, bool close);
 
 }  // namespace graniteseam::event_http
--- a/src/event_http/pipeline.cc
+++ b/src/event_http/pipeline.cc
@@ -11,12 +11,11 @@
          waiting_answer_bytes_ < bounds_.answer_bytes_maximum;
 }
 
-Pipeline::Ticket Pipeline::Add(bool beside, bool ends_connection, std::size_t body_bytes) {
+Pipeline::Ticket Pipeline::Add(bool beside, bool ends_connection) {
   Entry& entry = entries_.emplace_back();
   entry.ticket = ++last_ticket_;
   entry.beside = beside;
   entry.ends_connection = ends_connection;
-  entry.body_bytes = body_bytes;
   return entry.ticket;
 }
 
@@ -36,13 +35,13 @@
   if (Entry* const entry = FindOpen(ticket)) entry->gone = std::move(handler);
 }
 
-std::size_t Pipeline::Finish(Ticket ticket, Response response) {
+bool Pipeline::Finish(Ticket ticket, Response response) {
   Entry* const entry = FindOpen(ticket);
-  if (entry == nullptr) return 0;
+  if (entry == nullptr) return false;
   entry->gone = nullptr;
   waiting_answer_bytes_ += response.body.size();
   entry->response = std::move(response);
-  return std::exchange(entry->body_bytes, 0);
+  return true;
 }
 
 std::optional<Pipeline::Ready> Pipeline::TakeReady() {
@@ -58,15 +57,14 @@
   if (!entries_.empty()) entries_.back().ends_connection = true;
 }
 
-Pipeline::Remains Pipeline::Clear() {
-  Remains remains;
+std::vector<std::function<void()>> Pipeline::Clear() {
+  std::vector<std::function<void()>> gone;
   for (Entry& entry : entries_) {
-    if (entry.gone) remains.gone_handlers.push_back(std::move(entry.gone));
-    remains.body_bytes += entry.body_bytes;
+    if (entry.gone) gone.push_back(std::move(entry.gone));
   }
   entries_.clear();
   waiting_answer_bytes_ = 0;
-  return remains;
+  return gone;
 }
 
 }  // namespace graniteseam::event_http
--- a/src/event_http/pipeline.h
+++ b/src/event_http/pipeline.h
@@ -47,16 +47,15 @@
 
   /// Adds a request that begins; Admits() must have returned true.
   /// @param ends_connection whether the connection ends with its response.
-  /// @param body_bytes of the request, counted against the server's total until its response.
-  Ticket Add(bool beside, bool ends_connection, std::size_t body_bytes);
+  Ticket Add(bool beside, bool ends_connection);
 
   /// Whether the request is in progress and has no response yet.
   bool IsOpen(Ticket ticket) const;
   /// Sets what to call when the client leaves before the request is answered.
   void SetGoneHandler(Ticket ticket, std::function<void()> handler);
-  /// Stores the response of an open request.
-  /// @return the request's body bytes.
-  std::size_t Finish(Ticket ticket, Response response);
+  /// Stores the response of a request.
+  /// @return whether the request was open.
+  bool Finish(Ticket ticket, Response response);
 
   /// A response whose turn has come.
   struct Ready {
@@ -70,20 +69,15 @@
   /// The connection ends with the response to the last request in progress; none begins any more.
   void EndWithLast();
 
-  /// What is to be called and returned when the connection ends.
-  struct Remains {
-    std::vector<std::function<void()>> gone_handlers;  ///< Of open requests, in order.
-    std::size_t body_bytes = 0;
-  };
   /// Removes all requests.
-  Remains Clear();
+  /// @return the handlers of open requests, in order, which are to be called.
+  std::vector<std::function<void()>> Clear();
 
  private:
   struct Entry {
     Ticket ticket = 0;
     bool beside = false;
     bool ends_connection = false;
-    std::size_t body_bytes = 0;
     std::function<void()> gone;
     std::optional<Response> response;
   };
--- a/src/event_http/read_buffer.h
+++ b/src/event_http/read_buffer.h
@@ -31,9 +31,14 @@
   /// Takes the first `bytes` of the area; 0 when the read failed or nobody wants them.
   void EndRead(std::size_t bytes) {
     pending_ = false;
+    Append({area_.data(), bytes});
+  }
+
+  /// Takes bytes that were read elsewhere.
+  void Append(std::string_view bytes) {
     unread_.erase(0, consumed_);
     consumed_ = 0;
-    unread_.append(area_.data(), bytes);
+    unread_.append(bytes);
   }
 
   bool pending() const { return pending_; }
@@ -48,11 +53,13 @@
     if (empty()) Clear();
   }
 
-  /// Forgets what is unread. A pending read goes on.
+  /// Forgets what is unread, and returns its memory. A pending read goes on.
   void Clear() {
-    unread_.clear();
+    unread_ = {};
     consumed_ = 0;
   }
+  /// Bytes that are held for what is unread.
+  std::size_t held_bytes() const { return unread_.capacity(); }
 
  private:
   std::vector<char> area_;
--- a/src/event_http/server.h
+++ b/src/event_http/server.h
@@ -10,6 +10,7 @@
 
 #include "graniteseam/common/error.h"
 #include "graniteseam/common/time.h"
+#include "src/event_http/byte_account.h"
 #include "src/event_http/message.h"
 #include "src/runtime/clock.h"
 #include "src/runtime/socket_address.h"
@@ -27,7 +28,9 @@
 struct ServerOptions {
   runtime::SocketAddress address;
   std::size_t connections_maximum = 2'000;
-  /// Of all bodies that are being read or answered, together.
+  /// What the server holds for its clients is charged to it; null: one of its own.
+  std::shared_ptr<ByteAccount> account;
+  /// Limit of an account of its own.
   std::size_t body_bytes_total = std::size_t{96} << 20;
   /// A client that takes no bytes of its answer for so long is hung up on.
   Duration write_timeout{10'000'000};
@@ -58,7 +61,7 @@
   /// earlier ones of its connection.
   virtual Duration connection_wait() const = 0;
   /// Sends the answer, once. After the client has gone it does nothing.
-  virtual void Respond(const Response& response) = 0;
+  virtual void Respond(Response response) = 0;
   /// Is called at most once, when the client goes before it was answered; not when the server is
   /// destroyed.
   virtual void OnGone(std::function<void()> handler) = 0;
--- a/src/event_http/server_connection.h
+++ b/src/event_http/server_connection.h
@@ -5,16 +5,17 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <functional>
 #include <memory>
 #include <optional>
-#include <string>
 
+#include "src/event_http/byte_account.h"
 #include "src/event_http/framing_limit.h"
 #include "src/event_http/pipeline.h"
 #include "src/event_http/read_buffer.h"
 #include "src/event_http/read_times.h"
+#include "src/event_http/response_output.h"
+#include "src/event_http/segmented_body.h"
 #include "src/event_http/server_impl.h"
 
 namespace graniteseam::event_http {
@@ -24,7 +25,7 @@
   Request request;
   bool keep_alive = true;
   bool beside = false;
-  std::size_t body_bytes = 0;
+  std::shared_ptr<const ByteCharge> charge;  ///< Of the request, as long as it is held.
   Instant received_at{};
 };
 
@@ -43,9 +44,7 @@
   /// Also while the client may not have taken its answer yet.
   bool unfinished() const { return busy() || lingering_; }
   /// Of responses that were made: what the socket has not taken yet.
-  std::size_t unwritten_bytes() const {
-    return output_.size() - written_bytes_ + pipeline_.waiting_answer_bytes();
-  }
+  std::size_t unwritten_bytes() const { return output_.left() + pipeline_.waiting_answer_bytes(); }
 
   /// Closes an idle connection, after the requests that its socket holds were begun or refused.
   /// Does nothing while a request or an answer is in progress.
@@ -62,7 +61,7 @@
 
  private:
   using ErrorCode = boost::system::error_code;
-  using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+  using Parser = boost::beast::http::request_parser<SegmentedBody>;
   class ExchangeImpl;
 
   void Read();
@@ -87,9 +86,11 @@
   /// Whether a head, the line of a chunk or a trailer is too long.
   bool FramingExceeded(std::size_t consumed);
   bool InChunkLine() const;
-  bool CountBody(Server::Impl& server);
-  /// Returns the body bytes of the message that is being parsed, and of one that was not begun.
-  void ReturnUnbegunBytes();
+  /// Charges the account with what is held of the message that is being parsed.
+  /// @return false when there is no room.
+  bool ChargeMessage();
+  /// Drops the message that is being parsed, and one that was not begun.
+  void ForgetUnbegun();
   void ExpectContinue();
   /// Takes the request that was parsed out of the parser.
   void TakeParsed(Server::Impl& server);
@@ -97,14 +98,17 @@
   /// @return whether it did.
   bool Dispatch(Server::Impl& server);
 
-  void Respond(Pipeline::Ticket ticket, const Response& response);
+  void Respond(Pipeline::Ticket ticket, Response response);
   /// Writes the next response whose turn has come, if none is being written.
   void WriteNext();
-  void Write(std::string text, bool close, bool bulk = false);
+  void Write(Response response, bool close);
   /// Hands the next bytes of the output to the socket, then writes the following piece.
   void WriteSome(std::size_t bytes);
-  /// The socket took bytes of the output, of which it has `written_bytes` now.
-  void OnTaken(std::size_t written_bytes);
+  /// Writes once, without waiting, and then goes on when the socket takes more.
+  void WriteArea();
+  void OnAreaWritten(ErrorCode error);
+  /// The socket took bytes of the output.
+  void OnTaken(std::size_t bytes);
   /// Writes the output in pieces, each when the pacer permits it.
   void WritePiece();
   /// Writes a piece whose time has come, and with it what a late event loop held up.
@@ -125,24 +129,25 @@
   /// answered.
   void Refuse(int status);
   void WriteRefusal();
-  void ReturnBytes(std::size_t bytes);
 
   boost::asio::ip::tcp::socket socket_;
   const std::weak_ptr<Server::Impl> server_;
+  const std::shared_ptr<ByteAccount> account_;
   const std::function<Instant()> clock_;
   ReadBuffer buffer_;
   ReadTimes read_times_;
   std::optional<Parser> parser_;
   FramingLimit framing_limit_;
+  std::size_t head_bytes_ = 0;  ///< Of the message that is being parsed.
   HeaderFields head_fields_;
   bool head_is_taken_ = false;
   Pipeline pipeline_;
   std::optional<ParsedRequest> next_;
-  std::string output_;
-  std::size_t written_bytes_ = 0;     ///< Of the output, taken by the socket.
+  ResponseOutput output_;
+  std::size_t write_end_ = 0;         ///< Up to here the output may be written now.
   std::size_t paced_bytes_left_ = 0;  ///< Of the output, counted by the pacer.
   boost::asio::steady_timer piece_timer_;
-  std::size_t counted_bytes_ = 0;  ///< Body bytes of the message that is being parsed.
+  std::shared_ptr<ByteCharge> message_charge_;  ///< Of the message that is being parsed.
   Instant message_start_{};
   Instant last_activity_{};
   Instant last_written_{};  ///< When the client last took bytes of the response being written.
--- a/src/event_http/server_impl.h
+++ b/src/event_http/server_impl.h
@@ -7,7 +7,10 @@
 #include <memory>
 #include <set>
 #include <utility>
+#include <vector>
 
+#include "src/event_http/byte_account.h"
+#include "src/event_http/read_buffer.h"
 #include "src/event_http/server.h"
 #include "src/event_http/write_pacer.h"
 
@@ -21,6 +24,10 @@
       : context_(context),
         options_(std::move(options)),
         handler_(std::move(handler)),
+        account_(options_.account
+                     ? options_.account
+                     : std::make_shared<ByteAccount>(options_.body_bytes_total, options_.clock)),
+        read_area_(ReadBuffer::kReadBytes),
         pacer_(options_.bulk_bytes_per_second),
         acceptor_(context),
         sweep_(context) {}
@@ -51,14 +58,9 @@
   std::size_t unwritten_bytes() const;
   void WriteBulkBy(Instant end);
 
-  /// Takes room for body bytes.
-  /// @return false when all of it is in use.
-  bool TakeBodyBytes(std::size_t bytes) {
-    if (body_bytes_ + bytes > options_.body_bytes_total) return false;
-    body_bytes_ += bytes;
-    return true;
-  }
-  void ReturnBodyBytes(std::size_t bytes) { body_bytes_ -= bytes; }
+  const std::shared_ptr<ByteAccount>& account() const { return account_; }
+  /// Where a connection reads to, without waiting.
+  std::vector<char>& read_area() { return read_area_; }
 
  private:
   void Accept();
@@ -70,12 +72,13 @@
   boost::asio::io_context& context_;
   const ServerOptions options_;
   const Handler handler_;
+  const std::shared_ptr<ByteAccount> account_;
+  std::vector<char> read_area_;
   ServerLimits limits_;
   WritePacer pacer_;
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer sweep_;
   std::set<std::shared_ptr<ServerConnection>> connections_;
-  std::size_t body_bytes_ = 0;
   std::uint16_t port_ = 0;
   bool draining_ = false;
   bool closing_ = false;
--- a/tests/event_http/parallel_requests_test.cc
+++ b/tests/event_http/parallel_requests_test.cc
@@ -338,7 +338,7 @@
 // A client sends again what it sent behind the answer that ends the connection.
 Test(parallel_requests, order_behind_reads_that_end_a_drained_connection_does_not_begin) {
   ServerOptions options = Parallel();
-  options.body_bytes_total = 1;
+  options.account = std::make_shared<ByteAccount>(options.body_bytes_total);
   SteppedServer stepped(options);
   RawClient client(stepped.server->port());
   client.Send(GetHeld(1) + GetHeld(2) + Post("/order"));
@@ -353,7 +353,9 @@
   cr_assert_eq(stepped.handed_on.size(), 2);
   RawClient other(stepped.server->port());
   other.Send(Post("/order"));
-  cr_assert_eq(Count(stepped.ReadToEnd(other), " 200 OK"), 1, "Its body bytes were not returned.");
+  cr_assert_eq(Count(stepped.ReadToEnd(other), " 200 OK"), 1);
+  stepped.held.clear();
+  cr_assert_eq(options.account->held(), 0, "Its body bytes were not returned.");
 }
 
 // Bytes that the client goes on sending do not show that it takes its answer. All of this takes
--- a/tests/event_http/pipeline_test.cc
+++ b/tests/event_http/pipeline_test.cc
@@ -23,7 +23,7 @@
   Pipeline pipeline(kBounds);
   for (std::size_t number = 0; number < kBounds.requests_maximum; ++number) {
     cr_assert(pipeline.Admits(true), "Request %zu is held back.", number);
-    pipeline.Add(true, false, 0);
+    pipeline.Add(true, false);
   }
   cr_assert_not(pipeline.Admits(true));
   cr_assert_not(pipeline.MayParse());
@@ -31,7 +31,7 @@
 
 Test(pipeline, request_that_may_not_run_beside_others_waits_for_them) {
   Pipeline pipeline(kBounds);
-  const auto read = pipeline.Add(true, false, 0);
+  const auto read = pipeline.Add(true, false);
   cr_assert_not(pipeline.Admits(false));
   pipeline.Finish(read, WithBody("a"));
   cr_assert_not(pipeline.Admits(false), "It begins before the response ahead of it is sent.");
@@ -41,7 +41,7 @@
 
 Test(pipeline, request_that_may_not_run_beside_others_holds_back_what_follows) {
   Pipeline pipeline(kBounds);
-  const auto order = pipeline.Add(false, false, 0);
+  const auto order = pipeline.Add(false, false);
   cr_assert_not(pipeline.MayParse());
   cr_assert_not(pipeline.Admits(true));
   pipeline.Finish(order, WithBody("a"));
@@ -53,16 +53,16 @@
 // had it begun, it would run twice.
 Test(pipeline, nothing_begins_behind_a_request_that_ends_the_connection) {
   Pipeline pipeline(kBounds);
-  pipeline.Add(true, false, 0);
-  pipeline.Add(true, true, 0);
+  pipeline.Add(true, false);
+  pipeline.Add(true, true);
   cr_assert_not(pipeline.MayParse());
   cr_assert_not(pipeline.Admits(true));
 }
 
 Test(pipeline, nothing_begins_behind_requests_of_which_the_last_was_made_to_end_the_connection) {
   Pipeline pipeline(kBounds);
-  const auto first = pipeline.Add(true, false, 0);
-  const auto second = pipeline.Add(true, false, 0);
+  const auto first = pipeline.Add(true, false);
+  const auto second = pipeline.Add(true, false);
   pipeline.EndWithLast();
   cr_assert_not(pipeline.Admits(true));
   pipeline.Finish(second, WithBody(""));
@@ -74,11 +74,11 @@
 
 Test(pipeline, responses_leave_in_the_order_of_the_requests) {
   Pipeline pipeline(kBounds);
-  const auto first = pipeline.Add(true, false, 3);
-  const auto second = pipeline.Add(true, false, 5);
-  cr_assert_eq(pipeline.Finish(second, WithBody("second")), 5);
+  const auto first = pipeline.Add(true, false);
+  const auto second = pipeline.Add(true, false);
+  cr_assert(pipeline.Finish(second, WithBody("second")));
   cr_assert_not(pipeline.TakeReady().has_value());
-  cr_assert_eq(pipeline.Finish(first, WithBody("first")), 3);
+  cr_assert(pipeline.Finish(first, WithBody("first")));
   auto ready = pipeline.TakeReady();
   cr_assert(ready && ready->response.body == "first" && !ready->last);
   ready = pipeline.TakeReady();
@@ -89,8 +89,8 @@
 // A client that does not read would otherwise fill the server's memory with finished responses.
 Test(pipeline, finished_responses_beyond_the_bound_hold_back_further_requests) {
   Pipeline pipeline(kBounds);
-  const auto slow = pipeline.Add(true, false, 0);
-  const auto large = pipeline.Add(true, false, 0);
+  const auto slow = pipeline.Add(true, false);
+  const auto large = pipeline.Add(true, false);
   pipeline.Finish(large, WithBody(std::string(kBounds.answer_bytes_maximum, 'x')));
   cr_assert_eq(pipeline.waiting_answer_bytes(), kBounds.answer_bytes_maximum);
   cr_assert_not(pipeline.Admits(true));
@@ -102,28 +102,26 @@
 
 Test(pipeline, second_response_to_a_request_is_ignored) {
   Pipeline pipeline(kBounds);
-  pipeline.Add(true, false, 0);
-  const auto second = pipeline.Add(true, false, 7);
-  cr_assert_eq(pipeline.Finish(second, WithBody("a")), 7);
+  pipeline.Add(true, false);
+  const auto second = pipeline.Add(true, false);
+  cr_assert(pipeline.Finish(second, WithBody("a")));
   cr_assert_not(pipeline.IsOpen(second));
-  cr_assert_eq(pipeline.Finish(second, WithBody("b")), 0);
+  cr_assert_not(pipeline.Finish(second, WithBody("b")));
   cr_assert_eq(pipeline.waiting_answer_bytes(), 1);
 }
 
 Test(pipeline, connection_that_ends_tells_each_open_request_once) {
   Pipeline pipeline(kBounds);
   std::string gone;
-  const auto first = pipeline.Add(true, false, 1);
-  const auto second = pipeline.Add(true, false, 2);
-  const auto third = pipeline.Add(true, false, 4);
+  const auto first = pipeline.Add(true, false);
+  const auto second = pipeline.Add(true, false);
+  const auto third = pipeline.Add(true, false);
   pipeline.SetGoneHandler(first, [&] { gone += "1"; });
   pipeline.SetGoneHandler(second, [&] { gone += "2"; });
   pipeline.SetGoneHandler(third, [&] { gone += "3"; });
   pipeline.Finish(second, WithBody("done"));
-  const Pipeline::Remains remains = pipeline.Clear();
-  for (const auto& handler : remains.gone_handlers) handler();
+  for (const auto& handler : pipeline.Clear()) handler();
   cr_assert_eq(gone, std::string("13"));
-  cr_assert_eq(remains.body_bytes, 5);
   cr_assert(pipeline.empty());
   cr_assert_eq(pipeline.waiting_answer_bytes(), 0);
 }
--- a/tests/gateway_daemon/gateway_settings_test.cc
+++ b/tests/gateway_daemon/gateway_settings_test.cc
@@ -4,6 +4,8 @@
 
 #include <sstream>
 
+#include "src/event_http/byte_account.h"
+
 using namespace graniteseam;
 using namespace graniteseam::daemon;
 
@@ -41,3 +43,15 @@
   cr_assert(Faults({"--coordination-address=10.0.0.1:4"}) == at_fault);
   cr_assert(Faults({"--coordination-address=10.0.0.1:4", "--trusted-network"}).empty());
 }
+
+// One body of the largest size that a configuration may allow was refused on a small machine.
+Test(gateway_settings, largest_body_fits_beside_the_room_for_small_ones) {
+  constexpr std::size_t kLargestBody = std::size_t{64} << 20;
+  GatewaySettings settings;
+  for (const double memory_mb : {0.0, 120.0, 160.0, 260.0}) {
+    settings.memory_mb = memory_mb;
+    event_http::ByteAccount account(HeldBytesMaximum(settings));
+    event_http::ByteCharge body(account);
+    cr_expect(body.Set(kLargestBody, event_http::ChargeSize::kLarge), "%f MB", memory_mb);
+  }
+}
--- a/tests/platform/router_template_test.cc
+++ b/tests/platform/router_template_test.cc
@@ -28,3 +28,10 @@
   fields["limits"].erase("linkMbps");
   cr_assert(FilledFor(fields).find("link_mbps") == std::string::npos);
 }
+
+Test(router_template, memory_is_left_out_where_the_platform_states_none) {
+  auto fields = nlohmann::json::parse(platform::FieldsOf({}));
+  cr_assert(FilledFor(fields).find("\nmemory_mb = 256\n") != std::string::npos);
+  fields["limits"].erase("memoryMb");
+  cr_assert(FilledFor(fields).find("memory_mb") == std::string::npos);
+}
