Bound chunk lines and trailers of a server's answer

Callers saw a router end for lack of memory after one server's answer whose chunk extension or trailer did not end: 538,440 KiB and 538,524 KiB held, of 160 MB. Cause: the limit was asked only until the head was whole, and the parser's own does not hold behind it; both tests have this one cause. Change: FramingLimit counts the head, the line of a chunk with its extensions, and the trailer, 64 KiB each; beyond it the call ends as malformed and its connection is reset. Fields of a trailer no longer join those of the head.

--- a/src/event_http/answer_reader.cc
+++ b/src/event_http/answer_reader.cc
@@ -12,7 +12,8 @@
 namespace http = boost::beast::http;
 using ErrorCode = boost::system::error_code;
 
-constexpr std::uint32_t kHeaderBytes = 65'536;
+/// Of a head, of the line of a chunk, and of a trailer.
+constexpr std::uint32_t kFramingBytes = 65'536;
 
 }  // namespace
 
@@ -24,29 +25,55 @@
 
 void AnswerReader::BeginMessage() {
   parser_.emplace();
-  parser_->eager(true);
-  parser_->header_limit(kHeaderBytes);
-  head_limit_.Begin(kHeaderBytes);
+  // Stops behind the head, whose fields are taken before those of a trailer join them.
+  parser_->eager(false);
+  parser_->header_limit(kFramingBytes);
+  framing_.Begin(kFramingBytes);
+  head_is_taken_ = false;
   parser_->body_limit(body_bytes_maximum_);
   parser_->skip(head_only_);
 }
 
 AnswerState AnswerReader::Read(ReadBuffer& buffer) {
-  while (!buffer.empty() && !parser_->is_done()) {
-    ErrorCode error;
-    const std::size_t used = parser_->put(asio::buffer(buffer.unread()), error);
-    buffer.Consume(used);
-    if (error && error != http::error::need_more) return AnswerState::kMalformed;
-    const bool in_head = !parser_->is_header_done();
-    if (in_head && head_limit_.Exceeded(used, buffer.size())) return AnswerState::kMalformed;
-    if (parser_->is_done() && parser_->get().result_int() / 100 == 1) {
-      // An interim answer; the final one follows (RFC 9110, section 15.2).
-      BeginMessage();
-    } else if (used == 0) {
-      break;
-    }
+  AnswerState state = AnswerState::kIncomplete;
+  while (!buffer.empty() && state == AnswerState::kIncomplete) {
+    const std::size_t before = buffer.size();
+    state = ReadSome(buffer);
+    if (buffer.size() == before) break;
+  }
+  return state;
+}
+
+AnswerState AnswerReader::ReadSome(ReadBuffer& buffer) {
+  ErrorCode error;
+  const std::size_t used = parser_->put(asio::buffer(buffer.unread()), error);
+  buffer.Consume(used);
+  const bool needs_more = error == http::error::need_more;
+  if (error && !needs_more) return AnswerState::kMalformed;
+  // What is left behind for want of more is a line that is not whole.
+  const std::size_t unread = needs_more ? buffer.size() : 0;
+  const std::size_t body_bytes = parser_->get().body().size();
+  if (framing_.Exceeded(used, body_bytes, unread)) return AnswerState::kMalformed;
+  if (parser_->is_header_done()) TakeHead();
+  if (!parser_->is_done()) return AnswerState::kIncomplete;
+  if (parser_->get().result_int() / 100 != 1) return AnswerState::kWhole;
+  // An interim answer; the final one follows (RFC 9110, section 15.2).
+  BeginMessage();
+  return AnswerState::kIncomplete;
+}
+
+/// Fields of a trailer are left out (RFC 9110, section 6.5.1): a caller is told what the head says,
+/// and a trailer could add to it what the server did not say there.
+void AnswerReader::TakeHead() {
+  if (std::exchange(head_is_taken_, true)) return;
+  framing_.EndHead();
+  head_keeps_alive_ = parser_->keep_alive();
+  head_fields_ = {};
+  for (const auto& field : parser_->get()) {
+    head_fields_.Add({field.name_string().data(), field.name_string().size()},
+                     {field.value().data(), field.value().size()});
   }
-  return parser_->is_done() ? AnswerState::kWhole : AnswerState::kIncomplete;
+  parser_->eager(true);
 }
 
 bool AnswerReader::End() {
@@ -61,10 +88,7 @@
   Response response;
   response.status = static_cast<int>(message.result_int());
   response.reason = std::string(message.reason());
-  for (const auto& field : message) {
-    response.fields.Add({field.name_string().data(), field.name_string().size()},
-                        {field.value().data(), field.value().size()});
-  }
+  response.fields = std::move(head_fields_);
   response.body = std::move(message.body());
   response.head_only = head_only_;
   return response;
--- a/src/event_http/answer_reader.h
+++ b/src/event_http/answer_reader.h
@@ -7,7 +7,7 @@
 #include <cstddef>
 #include <optional>
 
-#include "src/event_http/head_limit.h"
+#include "src/event_http/framing_limit.h"
 #include "src/event_http/message.h"
 #include "src/event_http/read_buffer.h"
 
@@ -33,17 +33,22 @@
   bool End();
 
   /// Of a whole answer, before Take().
-  bool keep_alive() const { return parser_->keep_alive(); }
+  bool keep_alive() const { return head_keeps_alive_ && parser_->keep_alive(); }
   /// The whole answer, once.
   Response Take();
 
  private:
   void BeginMessage();
+  AnswerState ReadSome(ReadBuffer& buffer);
+  void TakeHead();
 
   std::size_t body_bytes_maximum_ = 0;
   bool head_only_ = false;
   std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> parser_;
-  HeadLimit head_limit_;
+  FramingLimit framing_;
+  HeaderFields head_fields_;  ///< Once the head is whole.
+  bool head_is_taken_ = false;
+  bool head_keeps_alive_ = false;
 };
 
 }  // namespace graniteseam::event_http
--- a/tests/event_http/client_pool_test.cc
+++ b/tests/event_http/client_pool_test.cc
@@ -286,3 +286,89 @@
   ExpectEndOfCall("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nffffffffff\r\n", bytes);
   ExpectEndOfCall("HTTP/1.1 200 OK\r\nContent-Length: 999999999999\r\n\r\n", bytes);
 }
+
+// An extension of a chunk was kept until its line ended.
+Test(client_pool, chunk_extension_without_end_ends_the_call_and_its_connection) {
+  const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string bytes(16'000, 'x');
+  ExpectEndOfCall(head + "5;", bytes);
+  ExpectEndOfCall(head + "5\r\nhello\r\n5;", bytes);
+  ExpectEndOfCall(head + "5\r\nhello\r\n0;", bytes);
+}
+
+// Fields of trailers were kept without a bound.
+Test(client_pool, trailer_without_end_ends_the_call_and_its_connection) {
+  const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string field = "X-Trailer: " + std::string(1'000, 'x') + "\r\n";
+  ExpectEndOfCall(head + "5\r\nhello\r\n0\r\n", field);
+  ExpectEndOfCall(head + "5\r\nhello\r\n0\r\nX-Trailer: ", std::string(16'000, 'x'));
+  ExpectEndOfCall(head + "0\r\n", field);
+}
+
+namespace {
+
+/// The result of a call whose server sends `text`, piece by piece, and then closes.
+CallResult ResultOf(const std::string& text, std::size_t piece) {
+  SteppedPool stepped;
+  stepped.Start(std::chrono::seconds(30));
+  Tcp::socket connection = stepped.Accept();
+  stepped.TakeRequest(connection);
+  for (std::size_t at = 0; at < text.size() && stepped.results.empty(); at += piece) {
+    asio::write(connection, asio::buffer(text.substr(at, piece)));
+    stepped.Turn();
+  }
+  connection.shutdown(Tcp::socket::shutdown_send);
+  cr_assert(stepped.TurnUntil([&] { return !stepped.results.empty(); }));
+  return stepped.results[0];
+}
+
+constexpr char kChunkedAnswer[] =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Head: head\r\n\r\n"
+    "5;name=value\r\nhello\r\n7\r\n, world\r\n0;last\r\n"
+    "X-Trailer: trailer\r\nX-Head: trailer\r\n\r\n";
+
+}  // namespace
+
+// Guards against limits that refuse extensions and trailers within them, however they arrive.
+Test(client_pool, answer_in_chunks_with_extensions_and_a_trailer_is_taken) {
+  for (const std::size_t piece : {1, 2, 7, 1'000}) {
+    const CallResult result = ResultOf(kChunkedAnswer, piece);
+    cr_assert(result.end == CallEnd::kAnswered, "in pieces of %zu", piece);
+    cr_assert(result.response.body == "hello, world");
+  }
+}
+
+// A server's trailer joined its head: a caller was told what no head had said.
+Test(client_pool, fields_of_a_trailer_do_not_join_the_head) {
+  const CallResult result = ResultOf(kChunkedAnswer, sizeof(kChunkedAnswer));
+  cr_assert(result.end == CallEnd::kAnswered);
+  cr_assert(result.response.fields.Find("X-Trailer") == nullptr);
+  cr_assert_eq(result.response.fields.Count("X-Head"), std::size_t{1});
+  cr_assert(*result.response.fields.Find("X-Head") == "head");
+}
+
+// Guards against a part of an answer in chunks that is taken for the whole of it: wherever its
+// connection ends but behind it.
+Test(client_pool, answer_in_chunks_that_is_cut_anywhere_is_lost) {
+  const std::string whole = kChunkedAnswer;
+  for (std::size_t bytes = 0; bytes < whole.size(); ++bytes) {
+    const CallResult result = ResultOf(whole.substr(0, bytes), whole.size());
+    cr_assert(result.end == CallEnd::kLost, "cut after %zu bytes", bytes);
+    cr_assert(result.fault == CallFault::kConnection);
+  }
+}
+
+// Guards against an answer without a length whose connection was reset, not ended: a part of it
+// may be missing.
+Test(client_pool, answer_without_length_that_is_reset_is_lost) {
+  SteppedPool stepped;
+  stepped.Start(std::chrono::seconds(30));
+  Tcp::socket connection = stepped.Accept();
+  stepped.TakeRequest(connection);
+  asio::write(connection, asio::buffer("HTTP/1.1 200 OK\r\n\r\nhello"));
+  stepped.Turn();
+  connection.set_option(asio::socket_base::linger(true, 0));
+  connection.close();
+  cr_assert(stepped.TurnUntil([&] { return !stepped.results.empty(); }));
+  cr_assert(stepped.results[0].end == CallEnd::kLost);
+}
