At most 16 interim answers before the final one

Callers waited for the whole limit of their request while a server sent interim answers without end; the router read 198 MiB of them. Cause: each one began the answer anew, and none was counted. Change: beyond 16 the call ends as malformed and its connection is reset.

--- a/src/event_http/answer_reader.cc
+++ b/src/event_http/answer_reader.cc
@@ -15,11 +15,15 @@
 /// Of a head, of the line of a chunk, and of a trailer.
 constexpr std::uint32_t kFramingBytes = 65'536;
 
+/// Before one final answer; each is thrown away.
+constexpr int kInterimAnswersMaximum = 16;
+
 }  // namespace
 
 void AnswerReader::Begin(std::size_t body_bytes_maximum, bool head_only) {
   body_bytes_maximum_ = body_bytes_maximum;
   head_only_ = head_only;
+  interim_answers_ = 0;
   BeginMessage();
 }
 
@@ -58,6 +62,7 @@
   if (!parser_->is_done()) return AnswerState::kIncomplete;
   if (parser_->get().result_int() / 100 != 1) return AnswerState::kWhole;
   // An interim answer; the final one follows (RFC 9110, section 15.2).
+  if (++interim_answers_ > kInterimAnswersMaximum) return AnswerState::kMalformed;
   BeginMessage();
   return AnswerState::kIncomplete;
 }
--- a/src/event_http/answer_reader.h
+++ b/src/event_http/answer_reader.h
@@ -48,6 +48,7 @@
   FramingLimit framing_;
   HeaderFields head_fields_;  ///< Once the head is whole.
   bool head_is_taken_ = false;
+  int interim_answers_ = 0;
   bool head_keeps_alive_ = false;
 };
 
--- a/tests/event_http/client_pool_test.cc
+++ b/tests/event_http/client_pool_test.cc
@@ -372,3 +372,28 @@
   cr_assert(stepped.TurnUntil([&] { return !stepped.results.empty(); }));
   cr_assert(stepped.results[0].end == CallEnd::kLost);
 }
+
+// Interim answers without end kept a call, and its connection, until the call's limit.
+Test(client_pool, interim_answers_without_end_end_the_call_and_its_connection) {
+  ExpectEndOfCall("", "HTTP/1.1 102 Processing\r\n\r\n");
+}
+
+// Guards against a limit that refuses a server's usual interim answers, or that counts those of
+// earlier calls over the connection.
+Test(client_pool, few_interim_answers_precede_the_final_one) {
+  SteppedPool stepped;
+  constexpr std::size_t kCalls = 5;
+  std::string interim;
+  for (int count = 0; count < 8; ++count) interim += "HTTP/1.1 103 Early Hints\r\n\r\n";
+  Tcp::socket connection = stepped.ServeFirst();
+  while (stepped.results.size() < kCalls) {
+    const std::size_t before = stepped.results.size();
+    stepped.Start(std::chrono::seconds(30));
+    stepped.TakeRequest(connection);
+    asio::write(connection, asio::buffer(interim + AnswerOf("final")));
+    cr_assert(stepped.TurnUntil([&] { return stepped.results.size() > before; }));
+    cr_assert(stepped.results.back().end == CallEnd::kAnswered);
+    cr_assert(stepped.results.back().response.body == "final");
+    cr_assert(!stepped.results.back().new_connection);
+  }
+}
