--- /dev/null
+++ b/src/event_http/answer_reader.cc
@@ -0,0 +1,102 @@
+#include "src/event_http/answer_reader.h"
+
+#include <boost/asio/buffer.hpp>
+#include <cstdint>
+#include <string>
+#include <utility>
+
+namespace graniteseam::event_http {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using ErrorCode = boost::system::error_code;
+
+/// Of a head, of the line of a chunk, and of a trailer.
+constexpr std::uint32_t kFramingBytes = 65'536;
+
+/// Before one final answer; each is thrown away.
+constexpr int kInterimAnswersMaximum = 16;
+
+}  // namespace
+
+void AnswerReader::Begin(std::size_t body_bytes_maximum, bool head_only) {
+  body_bytes_maximum_ = body_bytes_maximum;
+  head_only_ = head_only;
+  interim_answers_ = 0;
+  BeginMessage();
+}
+
+void AnswerReader::BeginMessage() {
+  parser_.emplace();
+  // Stops behind the head, whose fields are taken before those of a trailer join them.
+  parser_->eager(false);
+  parser_->header_limit(kFramingBytes);
+  framing_.Begin(kFramingBytes);
+  head_is_taken_ = false;
+  parser_->body_limit(body_bytes_maximum_);
+  parser_->skip(head_only_);
+}
+
+AnswerState AnswerReader::Read(ReadBuffer& buffer) {
+  AnswerState state = AnswerState::kIncomplete;
+  while (!buffer.empty() && state == AnswerState::kIncomplete) {
+    const std::size_t before = buffer.size();
+    state = ReadSome(buffer);
+    if (buffer.size() == before) break;
+  }
+  return state;
+}
+
+AnswerState AnswerReader::ReadSome(ReadBuffer& buffer) {
+  ErrorCode error;
+  const std::size_t used = parser_->put(asio::buffer(buffer.unread()), error);
+  buffer.Consume(used);
+  const bool needs_more = error == http::error::need_more;
+  if (error && !needs_more) return AnswerState::kMalformed;
+  // What is left behind for want of more is a line that is not whole.
+  const std::size_t unread = needs_more ? buffer.size() : 0;
+  const std::size_t body_bytes = parser_->get().body().size();
+  if (framing_.Exceeded(used, body_bytes, unread)) return AnswerState::kMalformed;
+  if (parser_->is_header_done()) TakeHead();
+  if (!parser_->is_done()) return AnswerState::kIncomplete;
+  if (parser_->get().result_int() / 100 != 1) return AnswerState::kWhole;
+  // An interim answer; the final one follows (RFC 9110, section 15.2).
+  if (++interim_answers_ > kInterimAnswersMaximum) return AnswerState::kMalformed;
+  BeginMessage();
+  return AnswerState::kIncomplete;
+}
+
+/// Fields of a trailer are left out (RFC 9110, section 6.5.1): a caller is told what the head says,
+/// and a trailer could add to it what the server did not say there.
+void AnswerReader::TakeHead() {
+  if (std::exchange(head_is_taken_, true)) return;
+  framing_.EndHead();
+  head_keeps_alive_ = parser_->keep_alive();
+  head_fields_ = {};
+  for (const auto& field : parser_->get()) {
+    head_fields_.Add({field.name_string().data(), field.name_string().size()},
+                     {field.value().data(), field.value().size()});
+  }
+  parser_->eager(true);
+}
+
+bool AnswerReader::End() {
+  ErrorCode error;
+  if (parser_->got_some()) parser_->put_eof(error);
+  return !error && parser_->is_done();
+}
+
+Response AnswerReader::Take() {
+  auto message = parser_->release();
+  parser_.reset();
+  Response response;
+  response.status = static_cast<int>(message.result_int());
+  response.reason = std::string(message.reason());
+  response.fields = std::move(head_fields_);
+  response.body = std::move(message.body());
+  response.head_only = head_only_;
+  return response;
+}
+
+}  // namespace graniteseam::event_http
--- a/src/event_http/server_connection_reading.cc
+++ b/src/event_http/server_connection_reading.cc
@@ -224,7 +224,7 @@
   parsed.request.method = std::string(message.method_string());
   parsed.request.target = std::string(message.target());
   parsed.request.fields = std::move(head_fields_);
-  parsed.request.body = message.body().Take();
+  parsed.request.body = std::move(message.body()).Join();
   message_charge_->Set(2 * head_bytes_ + parsed.request.body.capacity(), ChargeSize::kLarge);
   parsed.charge = std::move(message_charge_);
   parsed.received_at = read_times_.last_consumed_at();
