Read the body of an answer in segments

A router held up to twice an answer's body while its text grew. Change: the body of an answer is a SegmentedBody; a stated length is no longer reserved ahead.

--- a/src/event_http/answer_reader.cc
+++ b/src/event_http/answer_reader.cc
@@ -94,7 +94,7 @@
   response.status = static_cast<int>(message.result_int());
   response.reason = std::string(message.reason());
   response.fields = std::move(head_fields_);
-  response.body = std::move(message.body());
+  response.body = std::move(message.body()).Join();
   response.head_only = head_only_;
   return response;
 }
--- a/src/event_http/answer_reader.h
+++ b/src/event_http/answer_reader.h
@@ -3,13 +3,13 @@
 #pragma once
 
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <cstddef>
 #include <optional>
 
 #include "src/event_http/framing_limit.h"
 #include "src/event_http/message.h"
 #include "src/event_http/read_buffer.h"
+#include "src/event_http/segmented_body.h"
 
 namespace graniteseam::event_http {
 
@@ -44,7 +44,7 @@
 
   std::size_t body_bytes_maximum_ = 0;
   bool head_only_ = false;
-  std::optional<boost::beast::http::response_parser<boost::beast::http::string_body>> parser_;
+  std::optional<boost::beast::http::response_parser<SegmentedBody>> parser_;
   FramingLimit framing_;
   HeaderFields head_fields_;  ///< Once the head is whole.
   bool head_is_taken_ = false;
