--- a/src/event_http/segmented_body.h
+++ b/src/event_http/segmented_body.h
@@ -73,10 +73,10 @@
 struct SegmentedBody {
   using value_type = SegmentedBytes;
 
-  class reader {
+  class Reader {
    public:
     template <bool IsRequest, class Fields>
-    reader(boost::beast::http::header<IsRequest, Fields>& /*head*/, value_type& body)
+    Reader(boost::beast::http::header<IsRequest, Fields>& /*head*/, value_type& body)
         : body_(body) {}
 
     void init(const boost::optional<std::uint64_t>& /*length*/, boost::system::error_code& error) {
@@ -101,6 +101,7 @@
    private:
     value_type& body_;
   };
+  using reader = Reader;  ///< The name that Boost.Beast looks for.
 };
 
 }  // namespace graniteseam::event_http
