Charge the bodies of answers to an account

Callers saw a router end for lack of memory when many servers' large answers came at once: each answer had a limit, and nothing counted them together. Change: ClientPoolOptions::account is charged for the body of an answer until its Response::charge ends. A stated length is charged as a whole at the head, so that two answers that were read in part can't keep each other waiting; a body in chunks is charged as it comes. Without room the connection is not read on, until bytes are returned or a holder has become slow enough to be evicted, within the call's limit. An answer that never fits ends its call at once. CallResult::awaited_room and ClientPoolCounts::calls_that_awaited_room tell such a call from one whose server is silent. Null, as today, charges nothing; the router does not set it yet.

--- a/src/event_http/answer_reader.cc
+++ b/src/event_http/answer_reader.cc
@@ -1,5 +1,6 @@
 #include "src/event_http/answer_reader.h"
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <cstdint>
 #include <string>
@@ -17,13 +18,40 @@
 
 /// Before one final answer; each is thrown away.
 constexpr int kInterimAnswersMaximum = 16;
+/// Bodies up to this size may use the part of an account that is reserved for small ones.
+constexpr std::size_t kSmallBodyBytes = std::size_t{64} << 10;
+
+/// Keeps the account alive as long as the charge.
+struct OwningCharge {
+  explicit OwningCharge(std::shared_ptr<ByteAccount> charged) : account(std::move(charged)) {}
+
+  std::shared_ptr<ByteAccount> account;
+  ByteCharge charge{*account};
+};
+
+std::shared_ptr<ByteCharge> MakeCharge(const std::shared_ptr<ByteAccount>& account) {
+  const auto owning = std::make_shared<OwningCharge>(account);
+  return {owning, &owning->charge};
+}
+
+std::size_t LargestCharge(const ByteAccount& account) {
+  const std::size_t room = account.limit() - std::min(ByteAccount::kReservedBytes, account.limit());
+  return std::max(room, std::min(kSmallBodyBytes, account.limit()));
+}
+
+/// Large bodies are charged in segments, as they take memory.
+std::size_t InSegments(std::size_t bytes) {
+  constexpr std::size_t kSegment = SegmentedBytes::kSegmentBytes;
+  return bytes <= kSmallBodyBytes ? bytes : (bytes + kSegment - 1) / kSegment * kSegment;
+}
 
 }  // namespace
 
-void AnswerReader::Begin(std::size_t body_bytes_maximum, bool head_only) {
-  body_bytes_maximum_ = body_bytes_maximum;
+void AnswerReader::Begin(AnswerLimits limits, bool head_only) {
+  limits_ = std::move(limits);
   head_only_ = head_only;
   interim_answers_ = 0;
+  charge_.reset();
   BeginMessage();
 }
 
@@ -34,18 +62,35 @@
   parser_->header_limit(kFramingBytes);
   framing_.Begin(kFramingBytes);
   head_is_taken_ = false;
-  parser_->body_limit(body_bytes_maximum_);
+  parser_->body_limit(limits_.body_bytes_maximum);
   parser_->skip(head_only_);
 }
 
 AnswerState AnswerReader::Read(ReadBuffer& buffer) {
-  AnswerState state = AnswerState::kIncomplete;
-  while (!buffer.empty() && state == AnswerState::kIncomplete) {
+  for (;;) {
+    const AnswerState room = MakeRoom(buffer.size());
+    if (room != AnswerState::kIncomplete || buffer.empty()) return room;
     const std::size_t before = buffer.size();
-    state = ReadSome(buffer);
-    if (buffer.size() == before) break;
+    const AnswerState state = ReadSome(buffer);
+    if (state != AnswerState::kIncomplete || buffer.size() == before) return state;
   }
-  return state;
+}
+
+/// Charges the body for what it will be once it has taken the unread bytes, or for its whole stated
+/// length.
+AnswerState AnswerReader::MakeRoom(std::size_t unread) {
+  if (!limits_.account || !head_is_taken_) return AnswerState::kIncomplete;
+  const auto stated = parser_->content_length();
+  const std::size_t bytes =
+      stated ? static_cast<std::size_t>(*stated) : parser_->get().body().size() + unread;
+  if (bytes == 0) return AnswerState::kIncomplete;
+  const std::size_t largest = LargestCharge(*limits_.account);
+  if (bytes > largest) return AnswerState::kMalformed;
+  const std::size_t wanted = std::min(stated ? bytes : InSegments(bytes), largest);
+  if (!charge_) charge_ = MakeCharge(limits_.account);
+  if (wanted <= charge_->bytes()) return AnswerState::kIncomplete;
+  const ChargeSize size = wanted <= kSmallBodyBytes ? ChargeSize::kSmall : ChargeSize::kLarge;
+  return charge_->Set(wanted, size) ? AnswerState::kIncomplete : AnswerState::kAwaitsRoom;
 }
 
 AnswerState AnswerReader::ReadSome(ReadBuffer& buffer) {
@@ -96,6 +141,8 @@
   response.fields = std::move(head_fields_);
   response.body = std::move(message.body()).Join();
   response.head_only = head_only_;
+  if (charge_) charge_->Set(response.body.size(), ChargeSize::kSmall);
+  response.charge = std::move(charge_);
   return response;
 }
 
--- a/src/event_http/client_connection.cc
+++ b/src/event_http/client_connection.cc
@@ -24,6 +24,8 @@
 using ErrorCode = boost::system::error_code;
 
 constexpr Duration kShortestTimer{1'000};
+/// An account may find room without that bytes are returned: its holders become slow.
+constexpr Duration kRoomRetryInterval{100'000};
 /// Of the rest that a server states: it may have begun to count earlier.
 constexpr double kUsableRest = 0.7;
 
@@ -50,7 +52,10 @@
   handed_over_ = false;
   written_ = false;
   const auto pool = pool_.lock();
-  answer_.Begin(pool ? pool->options().answer_bytes_maximum : 0, call_.head);
+  awaited_room_ = false;
+  answer_.Begin(pool ? AnswerLimits{pool->options().answer_bytes_maximum, pool->options().account}
+                     : AnswerLimits{},
+                call_.head);
   // Not worth a connection.
   if (IsTooLate()) return Fail(CallEnd::kNotSent, CallFault::kDelay);
   ArmTimer(connected_ ? call_.limit : std::min(call_.limit, ConnectLimit()));
@@ -83,7 +88,7 @@
 
 void ClientConnection::OnLimit() {
   if (AwaitsOpening()) return ArmTimer(LeftOfLimit());
-  if (!handed_over_) return Fail(CallEnd::kLost, CallFault::kTimeout);
+  if (!handed_over_ || awaits_room_) return Fail(CallEnd::kLost, CallFault::kTimeout);
   ErrorCode ignored;
   // One read may have ended whose handler has not run yet.
   TakeArrived(read_bytes_ + socket_.available(ignored) + ReadBuffer::kReadBytes);
@@ -94,7 +99,7 @@
              [self = shared_from_this(), number = number_, most, before = read_bytes_] {
                if (self->closed_ || self->number_ != number || !self->handler_) return;
                const bool arrives = self->read_bytes_ > before || !self->Silent();
-               if (!arrives || self->read_bytes_ > most) {
+               if (!arrives || self->awaits_room_ || self->read_bytes_ > most) {
                  return self->Fail(CallEnd::kLost, CallFault::kTimeout);
                }
                self->TakeArrived(most);
@@ -169,7 +174,8 @@
         if (error) {
           // The read end tells why, and may still bring an answer.
           self->handed_over_ = bytes > 0;
-          if (!self->buffer_.pending()) self->Fail(CallEnd::kLost);
+          const bool reads = self->buffer_.pending() || self->awaits_room_;
+          if (!reads) self->Fail(CallEnd::kLost);
           return;
         }
         self->written_ = true;
@@ -198,14 +204,47 @@
 }
 
 void ClientConnection::Parse() {
-  switch (answer_.Read(buffer_)) {
+  const AnswerState state = answer_.Read(buffer_);
+  // A holder that was evicted for the answer may have been the one that waited for it.
+  if (closed_) return;
+  switch (state) {
     case AnswerState::kIncomplete:
       return Read();
     case AnswerState::kMalformed:
       return Fail(CallEnd::kMalformed);
     case AnswerState::kWhole:
       return Settle();
+    case AnswerState::kAwaitsRoom:
+      return AwaitRoom();
+  }
+}
+
+void ClientConnection::AwaitRoom() {
+  const auto pool = pool_.lock();
+  if (!pool) return;
+  awaits_room_ = true;
+  if (!std::exchange(awaited_room_, true)) ++pool->counts().calls_that_awaited_room;
+  const auto retry = [weak = weak_from_this()] {
+    if (const auto self = weak.lock()) self->OnRoom();
+  };
+  if (!std::exchange(asked_for_room_, true)) {
+    pool->options().account->OnReturn([weak = weak_from_this(), retry] {
+      const auto self = weak.lock();
+      if (!self) return;
+      self->asked_for_room_ = false;
+      asio::post(self->socket_.get_executor(), retry);
+    });
   }
+  room_timer_.expires_after(kRoomRetryInterval);
+  room_timer_.async_wait([retry](ErrorCode error) {
+    if (!error) retry();
+  });
+}
+
+void ClientConnection::OnRoom() {
+  if (closed_ || !std::exchange(awaits_room_, false)) return;
+  room_timer_.cancel();
+  Parse();
 }
 
 void ClientConnection::OnEnd() {
@@ -247,10 +286,12 @@
   const ClientPool::Handler handler = std::exchange(handler_, nullptr);
   if (const auto pool = pool_.lock()) pool->Finished(number_);
   Close(true);
+  answer_.Discard();
   if (!handler) return;
   CallResult result;
   result.end = end;
   result.fault = fault;
+  result.awaited_room = awaits_room_;
   result.new_connection = new_connection_;
   result.connection = connection_;
   handler(std::move(result));
@@ -261,6 +302,7 @@
   closed_ = true;
   timer_.cancel();
   watch_.cancel();
+  room_timer_.cancel();
   if (discard) DiscardOnClose(socket_);
   ErrorCode ignored;
   socket_.close(ignored);
--- a/src/event_http/client_connection.h
+++ b/src/event_http/client_connection.h
@@ -27,6 +27,7 @@
         socket_(context),
         timer_(context),
         watch_(context),
+        room_timer_(context),
         address_(std::move(address)),
         pool_(std::move(pool)) {}
 
@@ -64,6 +65,9 @@
   void Read();
   void OnRead(boost::system::error_code error);
   void Parse();
+  /// Reads nothing until the account may have room for the answer.
+  void AwaitRoom();
+  void OnRoom();
   /// The server closed: that ends an answer without a length, and cuts off every other.
   void OnEnd();
   /// Hands the answer over, which may be whole before the request is known to be written. The
@@ -76,6 +80,7 @@
   boost::asio::ip::tcp::socket socket_;
   boost::asio::steady_timer timer_;
   boost::asio::steady_timer watch_;
+  boost::asio::steady_timer room_timer_;
   const std::string address_;
   const std::weak_ptr<ClientPool::Impl> pool_;
   CallNumber number_;
@@ -92,6 +97,9 @@
   bool handed_over_ = false;
   bool written_ = false;
   bool ended_ = false;
+  bool awaits_room_ = false;     ///< Nothing is read meanwhile.
+  bool awaited_room_ = false;    ///< At some time of the present call.
+  bool asked_for_room_ = false;  ///< The account tells this connection when bytes are returned.
   bool closed_ = false;
 };
 
--- a/src/event_http/client_pool.cc
+++ b/src/event_http/client_pool.cc
@@ -122,7 +122,7 @@
 }
 
 ClientPool::ClientPool(asio::io_context& context, ClientPoolOptions options)
-    : impl_(std::make_shared<Impl>(context, options)) {
+    : impl_(std::make_shared<Impl>(context, std::move(options))) {
   impl_->Begin();
 }
 ClientPool::~ClientPool() { impl_->Stop(); }
--- a/src/event_http/client_pool.h
+++ b/src/event_http/client_pool.h
@@ -11,6 +11,7 @@
 
 #include "graniteseam/common/ids.h"
 #include "graniteseam/common/time.h"
+#include "src/event_http/byte_account.h"
 #include "src/event_http/message.h"
 
 namespace graniteseam::event_http {
@@ -28,7 +29,7 @@
   std::shared_ptr<const std::string> body{};
   bool head = false;  ///< A HEAD request: its answer has no body.
   /// For connecting, sending and the whole answer together. What has arrived by then is taken, also
-  /// by a loop that is late.
+  /// by a loop that is late, but not what waits for room in the pool's account.
   Duration limit{};
   /// For a call whose answer can't be told from one to another call: a kept connection may still
   /// bring a second answer to an earlier one.
@@ -69,10 +70,17 @@
   /// The call opened its connection, or tried to; otherwise it went over a kept one.
   bool new_connection = false;
   ConnectionNumber connection;  ///< That the call used.
+  /// When lost at its limit: the answer was arriving and waited for room in the pool's account; the
+  /// server was not silent.
+  bool awaited_room = false;
 };
 
 struct ClientPoolOptions {
   std::size_t answer_bytes_maximum = std::size_t{64} << 20;
+  /// Charged for the bodies of answers, until Response::charge ends. An answer for which it has no
+  /// room is not read on until it has; one for which it never has ends the call as malformed. Null:
+  /// nothing is charged.
+  std::shared_ptr<ByteAccount> account{};
   std::size_t resting_maximum = 8;  ///< Connections kept for one address.
   Duration connect_limit{1'000'000};
   /// A new connection is watched for as long as its opening took, within these bounds, before a
@@ -88,6 +96,7 @@
 struct ClientPoolCounts {
   std::uint64_t connections_opened = 0;
   std::uint64_t calls = 0;
+  std::uint64_t calls_that_awaited_room = 0;
 };
 
 /// Invariant: a connection is used again only after exactly one whole answer to its last request,
--- a/src/event_http/client_pool_impl.h
+++ b/src/event_http/client_pool_impl.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "src/event_http/client_pool.h"
@@ -17,7 +18,7 @@
 class ClientPool::Impl : public std::enable_shared_from_this<ClientPool::Impl> {
  public:
   Impl(boost::asio::io_context& context, ClientPoolOptions options)
-      : context_(context), options_(options), sweep_(context) {}
+      : context_(context), options_(std::move(options)), sweep_(context) {}
 
   void Begin() { Sweep(); }
   CallNumber Start(Call call, Handler handler);
