Let a gateway that stops refuse what it could not end

Callers of a gateway that stops saw requests answered with 502 by the gateway while their server was at work on them, also requests that may run once only and that had come later than 3 s after the signal (LOST).

Cause: every request that was read by the close was passed on, whatever its deadline. With a limit of 12 s or more requests are read for longer than the 3 s after which breaking off counts.

The decision: from 2.7 s after the signal, or 45 in 100 of the limit where that is earlier, a request begins only if its deadline and its route's timeout end before the rest is answered. Any other gets 503 at once, unsent; a gateway that forwarded it is told to try another one. Nothing calls BeginStop() yet.

--- a/src/daemon/gateway/stop_schedule.h
+++ b/src/daemon/gateway/stop_schedule.h
@@ -2,6 +2,8 @@
 /// When a gateway that was told to stop does what.
 #pragma once
 
+#include <algorithm>
+
 #include "graniteseam/common/time.h"
 
 namespace graniteseam::daemon {
@@ -13,6 +15,9 @@
 /// answered; whoever sends a request later finds the connection closed unread and goes elsewhere.
 /// What a server still works on near the end is answered as of unknown outcome.
 struct StopSchedule {
+  /// From here on, a request begins only if its deadline and its route's timeout end before
+  /// answer_rest.
+  Duration begin_only_what_ends;
   Duration leave_earliest;  ///< Not before this, so that new callers have been led elsewhere.
   Duration close;           ///< Idle connections are closed, after what has arrived was read.
   Duration begin_latest;    ///< A close that is later than this refuses what has arrived.
@@ -20,6 +25,11 @@
   Duration end;             ///< The process ends, whatever is left.
 };
 
+/// Breaking off a request that was sent later than this after the signal is a loss (rule LOST).
+constexpr Duration kMayBreakOffSentBy{3'000'000};
+/// From the signal until this process knows of it, on a machine that is short of processor time.
+constexpr Duration kSignalDelay{300'000};
+
 /// @param limit after which the process is killed.
 inline StopSchedule ScheduleStop(Duration limit) {
   constexpr int kHundred = 100;
@@ -30,8 +40,12 @@
   constexpr int kBeginLatestAt = 53;
   constexpr int kAnswerRestAt = 93;
   constexpr int kEndAt = 95;
-  return {limit * kLeaveAt / kHundred, limit * kCloseAt / kHundred,
-          limit * kBeginLatestAt / kHundred, limit * kAnswerRestAt / kHundred,
+  const Duration leave = limit * kLeaveAt / kHundred;
+  return {std::min(leave, kMayBreakOffSentBy - kSignalDelay),
+          leave,
+          limit * kCloseAt / kHundred,
+          limit * kBeginLatestAt / kHundred,
+          limit * kAnswerRestAt / kHundred,
           limit * kEndAt / kHundred};
 }
 
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -301,10 +301,15 @@
   const auto service = traffic_.routes().NextService(*route);
   if (!service) return End(request, RefusalReason::kNoServer, now);
   ApplyRoute(request, *route, *service);
+  if (OutlastsStop(request, now)) return End(request, RefusalReason::kStopping, now);
   if (now < request.give_up && Forward(request, now)) return;
   if (ChargeQuota(request, now)) Offer(request, now);
 }
 
+bool GatewayNode::OutlastsStop(const LiveRequest& request, Instant now) const {
+  return stop_ && now >= stop_->begin_only_what_ends && request.give_up > stop_->ends;
+}
+
 bool GatewayNode::ChargeQuota(LiveRequest& request, Instant now) {
   if (request.tenant.Empty()) return true;
   switch (quotas_.admit(request.tenant, now)) {
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -58,6 +58,13 @@
   Instant started_at{};
 };
 
+/// The planned end of a gateway's process.
+struct PlannedStop {
+  /// From here on, no request begins that may last beyond the end.
+  Instant begin_only_what_ends;
+  Instant ends;  ///< What has no answer by then is broken off.
+};
+
 /// Decides about requests; performs no input or output itself.
 ///
 /// Invariants: a request of an unsafe route is retried only if the server reported that it did not
@@ -94,6 +101,8 @@
   GatewayEffects OnProbeEnd(const ProbeReport& report, Instant now);
   /// Drops a request whose caller closed its connection.
   GatewayEffects OnCallerGone(RequestNumber request, Instant now);
+  /// Refuses requests from now on that the end of the process would break off.
+  void BeginStop(PlannedStop stop) { stop_ = stop; }
   /// Answers all requests, since the process ends.
   GatewayEffects EndAll(Instant now);
   /// Handles the end of the connection to the control process that feeds the state.
@@ -160,6 +169,8 @@
   /// Records what the end of an attempt tells of its server, if it tells anything.
   void NoteAttemptEnd(const OpenAttempt& attempt, const AttemptReport& report, Instant now);
   void Admit(LiveRequest& request, Instant now);
+  /// Whether the end of the process may break the request off, and it came too late for that.
+  bool OutlastsStop(const LiveRequest& request, Instant now) const;
   /// Copies the route's settings to the request.
   void ApplyRoute(LiveRequest& request, const traffic::Route& route, const ServiceName& service);
   /// Finds the tenant of the presented API key.
@@ -338,6 +349,7 @@
   std::deque<Instant> poll_times_;  ///< Of the newest polls; the last one is polled_at_.
   Instant confirmed_at_{};
   LoopDelay loop_delay_;
+  std::optional<PlannedStop> stop_;
   GatewayEffects effects_;
 };
 
--- a/src/gateway/refusals.cc
+++ b/src/gateway/refusals.cc
@@ -45,7 +45,8 @@
 
 auto declines_hop(RefusalReason reason) -> bool {
   return reason == RefusalReason::kOutdated || reason == RefusalReason::kPartitioned ||
-         reason == RefusalReason::kNoConfiguration || reason == RefusalReason::kUnconfirmed;
+         reason == RefusalReason::kNoConfiguration || reason == RefusalReason::kUnconfirmed ||
+         reason == RefusalReason::kStopping;
 }
 
 auto retry_after(LiveRequest const& request, RefusalReason reason, Instant now) -> Duration {
--- a/tests/gateway_daemon/stop_schedule_test.cc
+++ b/tests/gateway_daemon/stop_schedule_test.cc
@@ -22,3 +22,13 @@
   cr_assert(schedule.leave_earliest >= Duration{2'500'000});
   cr_assert(schedule.answer_rest < schedule.end && schedule.end < kLimit);
 }
+
+// Guards against requests that came later than 3 s after the signal and were broken off at the end:
+// with a long limit, requests are taken for much longer than that.
+Test(stop_schedule, what_may_outlast_the_stop_begins_no_later_than_may_be_broken_off) {
+  for (const std::int64_t seconds : {2, 6, 12, 60, 600}) {
+    const StopSchedule schedule = ScheduleStop(std::chrono::seconds(seconds));
+    cr_assert(schedule.begin_only_what_ends + kSignalDelay <= kMayBreakOffSentBy);
+    cr_assert(schedule.begin_only_what_ends <= schedule.close);
+  }
+}
