Tell the node of a gateway when its process ends

The gateway process passes the schedule of its stop to the node, which refuses what it could not end by then.

--- a/src/daemon/gateway/gateway_process.cc
+++ b/src/daemon/gateway/gateway_process.cc
@@ -175,9 +175,11 @@
   const auto at = [this](Duration after) { return stop_began_ + after; };
   const auto connections = [this] { return callers_->connections(); };
   const auto busy = [this] { return callers_->busy(); };
-  BeginStopStep("drain", [this, answer_rest = at(schedule.answer_rest)] {
+  const gateway::PlannedStop stop{at(schedule.begin_only_what_ends), at(schedule.answer_rest)};
+  BeginStopStep("drain", [this, stop] {
+    node_.BeginStop(stop);
     callers_->BeginDrain();
-    callers_->WriteBulkBy(answer_rest);
+    callers_->WriteBulkBy(stop.ends);
   });
   runtime::WaitUntilNone(loop_.context(), connections, at(schedule.leave_earliest),
                          at(schedule.close));
