--- a/tests/gateway_daemon/gateway_stand_ins.h
+++ b/tests/gateway_daemon/gateway_stand_ins.h
@@ -198,13 +198,14 @@
   std::unique_ptr<daemon::GatewayProcess> process;
 
   RunningGateway(const std::string& id, std::uint16_t control_port,
-                 Duration stop_limit = std::chrono::seconds(2)) {
+                 Duration stop_limit = std::chrono::seconds(2), double link_mbps = 0) {
     settings.id = id;
     settings.zone = "z";
     settings.caller_address = {"127.0.0.1", FreePort()};
     settings.status_address = {"127.0.0.1", FreePort()};
     settings.control = {{"127.0.0.1", control_port}};
     settings.stop_limit = stop_limit;
+    settings.link_mbps = link_mbps;
     const daemon::ExchangeNames names{"Attempt", "Time-Left", "Key",         "Target",
                                       "Seal",    "Load",      "Not-Executed"};
     process =
