--- a/src/event_http/answer_reader.cc
+++ b/src/event_http/answer_reader.cc
@@ -6,6 +6,8 @@
 #include <string>
 #include <utility>
 
+#include "src/event_http/chunk_end.h"
+
 namespace graniteseam::event_http {
 namespace {
 
@@ -94,6 +96,7 @@
 }
 
 AnswerState AnswerReader::ReadSome(ReadBuffer& buffer) {
+  if (!MayParseUnread(*parser_, buffer.size())) return AnswerState::kIncomplete;
   ErrorCode error;
   const std::size_t used = parser_->put(asio::buffer(buffer.unread()), error);
   buffer.Consume(used);
--- a/src/event_http/server_connection_reading.cc
+++ b/src/event_http/server_connection_reading.cc
@@ -1,6 +1,7 @@
 // How a connection reads its requests and begins them.
 #include <utility>
 
+#include "src/event_http/chunk_end.h"
 #include "src/event_http/server_connection.h"
 #include "src/event_http/server_statuses.h"
 
@@ -125,6 +126,7 @@
 
 bool ServerConnection::ParseSome(Server::Impl& server) {
   if (!parser_) BeginMessage(server);
+  if (!MayParseUnread(*parser_, buffer_.size())) return false;
   ErrorCode error;
   const std::size_t used = parser_->put(asio::buffer(buffer_.unread()), error);
   buffer_.Consume(used);
