Send a slow gateway no superseded configuration first

What callers saw: a gateway behind a link of 2 Mbit/s refused requests for half a minute after a large configuration had been changed again and again: it was told of the newest version and was still receiving the earlier ones.

Cause: every update of the state was queued for each subscribed gateway, up to 32 MiB, and the system took megabytes more ahead of the link. Nothing that was queued was ever superseded.

Change: an update for a connection that has more than 64 KiB to send is skipped. Once its queue is empty, the connection requests the state in the gateway's name from the version that was last sent to it: one update for all that was skipped. The system takes 64 KiB at most ahead of the link (TCP_NOTSENT_LOWAT).

--- a/src/protocol/connection.cc
+++ b/src/protocol/connection.cc
@@ -21,6 +21,9 @@
 constexpr int kKeepAliveIntervalSeconds = 2;
 constexpr int kKeepAliveProbes = 3;
 constexpr int kUnacknowledgedMilliseconds = 5'000;
+/// The system takes no more than this ahead of the link, so that the queue here shows how far a
+/// slow peer is behind.
+constexpr int kUnsentBytesMaximum = 65'536;
 
 // In calls of CheckLiveness(): 1 s without an answer. Routers poll every 0.5 s and are answered
 // within milliseconds; a peer short of processor time answers some hundred milliseconds late.
@@ -92,6 +95,7 @@
   SetOption(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, kKeepAliveIntervalSeconds);
   SetOption(descriptor, IPPROTO_TCP, TCP_KEEPCNT, kKeepAliveProbes);
   SetOption(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, kUnacknowledgedMilliseconds);
+  SetOption(descriptor, IPPROTO_TCP, TCP_NOTSENT_LOWAT, kUnsentBytesMaximum);
 }
 
 void Connection::BeginHandshake() {
@@ -231,7 +235,8 @@
   writing_ = false;
   in_flight_.clear();
   if (!waiting_.empty()) return Write();
-  if (refused_) ShutdownSend();
+  if (refused_) return ShutdownSend();
+  if (ready_ && handlers_.on_drained) handlers_.on_drained();
 }
 
 void Connection::ShutdownSend() {
--- a/src/protocol/connection.h
+++ b/src/protocol/connection.h
@@ -48,6 +48,8 @@
     std::function<std::optional<Error>(const Hello& peer)> on_ready;
     /// @return an error to refuse the message and close.
     std::function<std::optional<Error>(std::string payload)> on_message;
+    /// All queued frames were passed to the system. May be empty.
+    std::function<void()> on_drained;
     std::function<void(const Error& reason)> on_closed;
   };
 
@@ -83,6 +85,8 @@
   void Close() { Close({ErrorKind::kTransport, "This side closed the connection.", "None."}); }
 
   bool ready() const { return ready_; }
+  /// Bytes that the system has not taken yet.
+  std::size_t queued_bytes() const { return queued_bytes_; }
 
  private:
   using Stream = boost::asio::ssl::stream<Socket&>;
--- a/src/protocol/internal_server.cc
+++ b/src/protocol/internal_server.cc
@@ -8,6 +8,7 @@
 #include "graniteseam/codec/codec.h"
 #include "src/protocol/connection.h"
 #include "src/protocol/frame.h"
+#include "src/protocol/state_subscription.h"
 #include "src/runtime/listen.h"
 #include "src/runtime/log.h"
 
@@ -33,7 +34,9 @@
   /// Uses one timer for all connections: hundreds of separate timers would wake the process as many
   /// times per interval.
   void ScheduleLivenessCheck();
-  void SendToRouter(RouterConnectionId id, std::shared_ptr<const std::string> frame);
+  /// @param update the state update in the frame, if it is one.
+  void SendToRouter(RouterConnectionId id, std::shared_ptr<const std::string> frame,
+                    std::optional<StateUpdate> update);
   void Disconnect();
 
   runtime::EventLoop& loop() { return loop_; }
@@ -43,12 +46,15 @@
   struct Client {
     std::shared_ptr<Connection> connection;
     std::optional<ProcessKind> kind;  ///< Set once its hello was received.
+    StateSubscription state;
   };
 
   void Take(Connection::Socket socket);
   std::optional<Error> OnReady(RouterConnectionId id, const Hello& peer);
   std::optional<Error> OnMessage(RouterConnectionId id, const std::string& payload);
   void OnClosed(RouterConnectionId id, const Error& reason);
+  /// Requests the updates that a router was not sent, once it has received the earlier ones.
+  void RequestSkipped(RouterConnectionId id, Client& client);
 
   InternalServerOptions options_;
   runtime::EventLoop& loop_;
@@ -78,7 +84,10 @@
   liveness_timer_.expires_after(kLivenessCheckInterval);
   liveness_timer_.async_wait([self = shared_from_this()](auto error) {
     if (error) return;
-    for (const auto& [id, client] : self->clients_) client.connection->CheckLiveness();
+    for (auto& [id, client] : self->clients_) {
+      client.connection->CheckLiveness();
+      self->RequestSkipped(id, client);
+    }
     self->ScheduleLivenessCheck();
   });
 }
@@ -111,6 +120,10 @@
   handlers.on_message = [self = shared_from_this(), id](const std::string& payload) {
     return self->OnMessage(id, payload);
   };
+  handlers.on_drained = [self = shared_from_this(), id] {
+    const auto found = self->clients_.find(id);
+    if (found != self->clients_.end()) self->RequestSkipped(id, found->second);
+  };
   handlers.on_closed = [self = shared_from_this(), id](const Error& reason) {
     self->OnClosed(id, reason);
   };
@@ -132,7 +145,11 @@
   if (clients_[id].kind == ProcessKind::kRouter) {
     auto decoded = Attempt([&] { return codec::Decode<control::RouterToControl>(payload); });
     if (const Error* error = ErrorOf(decoded)) return *error;
-    handlers_.on_router_message(id, std::move(std::get<control::RouterToControl>(decoded)));
+    auto& message = std::get<control::RouterToControl>(decoded);
+    if (const auto* request = std::get_if<control::FeedRequest>(&message)) {
+      clients_[id].state.Subscribe(*request);
+    }
+    handlers_.on_router_message(id, std::move(message));
     return std::nullopt;
   }
   auto decoded = Attempt([&] { return codec::Decode<consensus::PeerMessage>(payload); });
@@ -149,10 +166,18 @@
   if (was_router) handlers_.on_router_disconnected(id);
 }
 
+void InternalServer::Impl::RequestSkipped(RouterConnectionId id, Client& client) {
+  const auto request = client.state.TakeRequest(client.connection->queued_bytes());
+  if (request) handlers_.on_router_message(id, *request);
+}
+
 void InternalServer::Impl::SendToRouter(RouterConnectionId id,
-                                        std::shared_ptr<const std::string> frame) {
+                                        std::shared_ptr<const std::string> frame,
+                                        std::optional<StateUpdate> update) {
   const auto found = clients_.find(id);
   if (found == clients_.end()) return;
+  Client& client = found->second;
+  if (update && !client.state.Admit(*update, client.connection->queued_bytes())) return;
   if (found->second.connection->SendFrame(std::move(frame))) return;
   found->second.connection->Close(
       {ErrorKind::kOverloaded, "The send queue of the router's connection is full.",
@@ -184,7 +209,9 @@
   asio::post(encoder_.context(), [this, connection, message = std::move(message)] {
     const auto frame = EncodeOnce(message);
     asio::post(impl_->loop().context(),
-               [impl = impl_, connection, frame] { impl->SendToRouter(connection, frame); });
+               [impl = impl_, connection, frame, update = StateUpdateOf(*message)] {
+                 impl->SendToRouter(connection, frame, update);
+               });
   });
 }
 
--- a/tests/memory_bounds/fleet.h
+++ b/tests/memory_bounds/fleet.h
@@ -71,6 +71,10 @@
   runtime::SocketAddress Control(int control) const {
     return {MachineIp(control), ports_.numbers[0]};
   }
+  /// Where a control process takes the connections of routers.
+  runtime::SocketAddress Internal(int control) const {
+    return {MachineIp(control), ports_.numbers[2]};
+  }
   runtime::SocketAddress Router() const { return {MachineIp(kRouter), ports_.numbers[1]}; }
 
   void StartControl(int control, bool first) {
