Make room by ending clients that keep bytes longest

Callers were refused, or the process ended, while clients held bodies that stopped short of their end, or answers that they did not read.

Cause: bodies that are not whole stay until the idle timeout; what is read ahead and heads were counted nowhere; each connection kept 8 KiB to read into; a connection beyond the maximum was dropped, however long others had rested.

Change: a connection is a ByteHolder. It is evicted while its request is not whole (408, it never ran) or while its client does not read an answer (cut); the rate of reading counts what the peer acknowledged, since the socket takes megabytes ahead of a slow link. Heads and bytes read ahead are charged, the area for reading is shared, and an empty buffer holds nothing. No room: 503 with Retry-After. Beyond the maximum the connection that rested longest is closed. pipeline_memory looks at the bound of one connection; its server gets an account that 1,000 of them fit in, since what they read ahead counts now.

--- a/src/event_http/pipeline.cc
+++ b/src/event_http/pipeline.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "src/event_http/byte_account.h"
+
 namespace graniteseam::event_http {
 
 bool Pipeline::MayParse() const {
@@ -11,6 +13,14 @@
          waiting_answer_bytes_ < bounds_.answer_bytes_maximum;
 }
 
+std::size_t Pipeline::waiting_charged_bytes() const {
+  std::size_t bytes = 0;
+  for (const Entry& entry : entries_) {
+    if (entry.response && entry.response->charge) bytes += entry.response->charge->bytes();
+  }
+  return bytes;
+}
+
 Pipeline::Ticket Pipeline::Add(bool beside, bool ends_connection) {
   Entry& entry = entries_.emplace_back();
   entry.ticket = ++last_ticket_;
--- a/src/event_http/pipeline.h
+++ b/src/event_http/pipeline.h
@@ -39,6 +39,9 @@
   /// Bytes of the bodies of finished responses that wait for their turn.
   std::size_t waiting_answer_bytes() const { return waiting_answer_bytes_; }
 
+  /// Bytes that the account of these responses gets back by Clear().
+  std::size_t waiting_charged_bytes() const;
+
   /// Whether a further message may be parsed while these requests are in progress.
   bool MayParse() const;
   /// Whether a parsed request may begin now.
--- a/src/event_http/read_buffer.h
+++ b/src/event_http/read_buffer.h
@@ -59,7 +59,7 @@
     consumed_ = 0;
   }
   /// Bytes that are held for what is unread.
-  std::size_t held_bytes() const { return unread_.capacity(); }
+  std::size_t held_bytes() const { return unread_.empty() ? 0 : unread_.capacity(); }
 
  private:
   std::vector<char> area_;
--- a/src/event_http/segmented_body.h
+++ b/src/event_http/segmented_body.h
@@ -78,7 +78,7 @@
 struct SegmentedBody {
   using value_type = SegmentedBytes;
 
-  class reader {
+  class reader {  // NOLINT(readability-identifier-naming): Beast looks for this name.
    public:
     template <bool IsRequest, class Fields>
     reader(boost::beast::http::header<IsRequest, Fields>& /*head*/, value_type& body)
--- a/src/event_http/server.cc
+++ b/src/event_http/server.cc
@@ -51,6 +51,7 @@
 }
 
 void Server::Impl::Take(Tcp::socket socket) {
+  if (!closing_ && connections_.size() >= options_.connections_maximum) CloseRested();
   // The last ones of the queue are taken in any case: they end at once.
   if (!closing_ && connections_.size() >= options_.connections_maximum) return;
   const auto connection = std::make_shared<ServerConnection>(std::move(socket), shared_from_this());
@@ -59,6 +60,16 @@
   close_counts_.accepted += closing_ ? 1 : 0;
 }
 
+void Server::Impl::CloseRested() {
+  std::shared_ptr<ServerConnection> longest;
+  for (const auto& connection : connections_) {
+    if (!connection->resting()) continue;
+    if (longest && longest->last_activity() <= connection->last_activity()) continue;
+    longest = connection;
+  }
+  if (longest) longest->CloseUnlessArrived(ArrivedRequests::kServe);
+}
+
 void Server::Impl::Sweep() {
   const Instant now = options_.clock();
   const auto connections = connections_;
@@ -122,6 +133,7 @@
 std::size_t Server::connections() const { return impl_->connections(); }
 std::size_t Server::busy() const { return impl_->busy(); }
 std::size_t Server::unwritten_bytes() const { return impl_->unwritten_bytes(); }
+std::uint64_t Server::refusals_for_room() const { return impl_->refusals_for_room(); }
 void Server::WriteBulkBy(Instant end) { impl_->WriteBulkBy(end); }
 
 }  // namespace graniteseam::event_http
--- a/src/event_http/server.h
+++ b/src/event_http/server.h
@@ -25,11 +25,23 @@
   Duration idle_timeout{60'000'000};
 };
 
+/// A connection whose bytes were needed for others.
+struct Eviction {
+  std::string peer;  ///< "ip:port".
+  std::size_t bytes = 0;
+  double bytes_per_second = 0;  ///< That the peer has lately sent or read.
+  bool upload = false;          ///< Of a request that was not whole; otherwise of responses.
+};
+
 struct ServerOptions {
   runtime::SocketAddress address;
+  /// Beyond it, a new connection closes the one that has rested longest, and is closed itself when
+  /// none rests.
   std::size_t connections_maximum = 2'000;
   /// What the server holds for its clients is charged to it; null: one of its own.
   std::shared_ptr<ByteAccount> account;
+  /// Called as it happens, from within the charge that needed the room. May be empty.
+  std::function<void(const Eviction&)> on_eviction;
   /// Limit of an account of its own.
   std::size_t body_bytes_total = std::size_t{96} << 20;
   /// A client that takes no bytes of its answer for so long is hung up on.
@@ -86,7 +98,8 @@
 /// before destruction. Requests of one connection are answered in their order; they run one
 /// at a time, but for those that ServerOptions::may_run_beside permits to run in parallel.
 /// Malformed, oversized and slow input is answered with 400, 408, 413, 431 or 503 and ends its
-/// connection; others are not touched by it.
+/// connection; others are not touched by it. Where the account is full, clients that send or read
+/// slowest for what they hold are ended, as ByteAccount says.
 ///
 /// Invariant: a request that the handler was given is answered before its connection ends, unless
 /// the client left or takes no bytes. A client that ends its sending before its answer was made has
@@ -128,6 +141,8 @@
   /// Bytes of responses that were made and that the sockets have not taken yet. They are lost if
   /// the process ends now.
   std::size_t unwritten_bytes() const;
+  /// Requests that were refused with 503 since there was no room for their bytes.
+  std::uint64_t refusals_for_room() const;
 
   class Impl;  ///< Known to the implementation only.
 
--- a/src/event_http/server_connection.cc
+++ b/src/event_http/server_connection.cc
@@ -1,5 +1,7 @@
 #include "src/event_http/server_connection.h"
 
+#include <boost/asio/post.hpp>
+#include <string>
 #include <utility>
 
 #include "src/event_http/server_statuses.h"
@@ -12,6 +14,8 @@
 
 /// How long a client that was refused may go on sending, so that it sees why.
 constexpr Duration kLinger{1'000'000};
+/// Bodies that stop on their way make room for others after one to two windows of RateMeter.
+constexpr char kRoomRetryAfterSeconds[] = "2";
 
 }  // namespace
 
@@ -21,6 +25,7 @@
       server_(server),
       account_(server->account()),
       clock_(server->options().clock),
+      unread_charge_(*account_),
       pipeline_({server->options().requests_ahead_maximum, server->options().answer_bytes_ahead}),
       piece_timer_(socket_.get_executor()) {}
 
@@ -29,6 +34,7 @@
   ErrorCode ignored;
   socket_.non_blocking(true, ignored);
   last_activity_ = clock_();
+  account_->Add(*this);
   Advance();
 }
 
@@ -60,6 +66,11 @@
 
 void ServerConnection::Close() {
   if (closed_) return;
+  for (const auto& handler : Release()) handler();
+  if (const auto server = server_.lock()) server->Remove(shared_from_this());
+}
+
+std::vector<std::function<void()>> ServerConnection::Release() {
   closed_ = true;
   ErrorCode ignored;
   socket_.close(ignored);
@@ -67,9 +78,9 @@
   ReturnPacedBytes(paced_bytes_left_);
   ForgetUnbegun();
   buffer_.Clear();
+  ChargeUnread();
   output_.Clear();
-  for (const auto& handler : pipeline_.Clear()) handler();
-  if (const auto server = server_.lock()) server->Remove(shared_from_this());
+  return pipeline_.Clear();
 }
 
 void ServerConnection::Drop() {
@@ -77,9 +88,53 @@
   Close();
 }
 
+// --- Eviction ---
+
+std::size_t ServerConnection::evictable_bytes() const {
+  if (closed_ || lingering_) return 0;
+  // Also responses that wait behind the one that the client does not read.
+  if (writing_) {
+    return output_.left() == 0 ? 0 : output_.charged_bytes() + pipeline_.waiting_charged_bytes();
+  }
+  // Where its bytes are not taken, the server itself makes the client slow.
+  return parser_ && MayParse() ? message_charge_->bytes() + unread_charge_.bytes() : 0;
+}
+
+double ServerConnection::bytes_per_second(Instant now) const {
+  return (writing_ ? download_rate_ : upload_rate_).Rate(now, ByteAccount::kRateMinimum);
+}
+
+/// Called from within a charge of another connection, whose caller may be anywhere in the process:
+/// what runs handlers is posted.
+void ServerConnection::Evict() {
+  const auto server = server_.lock();
+  if (server) {
+    ErrorCode ignored;
+    const auto peer = socket_.remote_endpoint(ignored);
+    server->OnEviction({peer.address().to_string() + ":" + std::to_string(peer.port()),
+                        evictable_bytes(), bytes_per_second(clock_()), !writing_});
+  }
+  if (!writing_) return Refuse(kRequestTimeout);
+  asio::post(socket_.get_executor(), [self = shared_from_this(), server, gone = Release()] {
+    for (const auto& handler : gone) handler();
+    if (server) server->Remove(self);
+  });
+}
+
+void ServerConnection::CountAcknowledged(Instant now) {
+  if (!writing_) return;
+  const std::size_t waiting = UnacknowledgedBytes(socket_);
+  if (written_bytes_ <= waiting + acknowledged_bytes_) return;
+  download_rate_.Record(written_bytes_ - waiting - acknowledged_bytes_, now);
+  acknowledged_bytes_ = written_bytes_ - waiting;
+}
+
+// --- The end of a connection ---
+
 void ServerConnection::Sweep(Instant now) {
   const auto server = server_.lock();
   if (!server || closed_) return;
+  CountAcknowledged(now);
   const Duration quiet = now - last_activity_;
   if (lingering_) {
     if (quiet > kLinger) FinishLinger();
@@ -102,6 +157,7 @@
   ErrorCode ignored;
   socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
   buffer_.Clear();
+  ChargeUnread();
   Read();
 }
 
@@ -128,8 +184,17 @@
   if (!busy()) WriteRefusal();
 }
 
+void ServerConnection::RefuseForRoom() {
+  refused_for_room_ = true;
+  if (const auto server = server_.lock()) server->CountRefusalForRoom();
+  Refuse(kServiceUnavailable);
+  buffer_.Clear();
+  ChargeUnread();
+}
+
 void ServerConnection::WriteRefusal() {
   Response response;
+  if (refused_for_room_) response.fields.Add("Retry-After", kRoomRetryAfterSeconds);
   response.status = *refusal_status_;
   Write(std::move(response), true);
 }
--- a/src/event_http/server_connection.h
+++ b/src/event_http/server_connection.h
@@ -8,10 +8,12 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <vector>
 
 #include "src/event_http/byte_account.h"
 #include "src/event_http/framing_limit.h"
 #include "src/event_http/pipeline.h"
+#include "src/event_http/rate_meter.h"
 #include "src/event_http/read_buffer.h"
 #include "src/event_http/read_times.h"
 #include "src/event_http/response_output.h"
@@ -32,10 +34,22 @@
 /// Reads requests one after the other. While requests are in progress it parses and begins further
 /// ones as far as Pipeline permits; otherwise it only goes on reading a little, to see when the
 /// client leaves.
-class ServerConnection : public std::enable_shared_from_this<ServerConnection> {
+///
+/// What its client makes it hold can be evicted while the client has not sent a request whole,
+/// which is then refused, or does not read a response, which is then cut. Requests in progress are
+/// not evicted for what they hold.
+class ServerConnection final : public ByteHolder,
+                               public std::enable_shared_from_this<ServerConnection> {
  public:
   ServerConnection(boost::asio::ip::tcp::socket socket,
                    const std::shared_ptr<Server::Impl>& server);
+  ~ServerConnection() override { account_->Remove(*this); }
+  ServerConnection(const ServerConnection&) = delete;
+  ServerConnection& operator=(const ServerConnection&) = delete;
+
+  std::size_t evictable_bytes() const override;
+  double bytes_per_second(Instant now) const override;
+  void Evict() override;
 
   void Start();
 
@@ -54,6 +68,11 @@
   /// Closes without calling the handler of a client that goes: the server itself goes, and what the
   /// handler would use may be gone already.
   void Drop();
+  /// Whether nothing of a request has come since the last response was taken over by the socket.
+  bool resting() const {
+    return !unfinished() && !parser_ && !next_ && buffer_.empty() && !closed_;
+  }
+  Instant last_activity() const { return last_activity_; }
   /// Ends what takes too long.
   void Sweep(Instant now);
   /// Writes the piece that waits for its turn.
@@ -91,6 +110,9 @@
   bool ChargeMessage();
   /// Drops the message that is being parsed, and one that was not begun.
   void ForgetUnbegun();
+  /// Charges what was read and not parsed yet.
+  /// @return false when there is no room.
+  bool ChargeUnread();
   void ExpectContinue();
   /// Takes the request that was parsed out of the parser.
   void TakeParsed(Server::Impl& server);
@@ -128,12 +150,19 @@
   /// Ends the connection with an answer of the server's own, once all requests in progress are
   /// answered.
   void Refuse(int status);
+  void RefuseForRoom();
   void WriteRefusal();
+  /// Ends the connection and returns all that it holds.
+  /// @return handlers of clients that go, which are to be called.
+  std::vector<std::function<void()>> Release();
+  /// Counts what the client has acknowledged of what was written: the socket takes far more ahead.
+  void CountAcknowledged(Instant now);
 
   boost::asio::ip::tcp::socket socket_;
   const std::weak_ptr<Server::Impl> server_;
   const std::shared_ptr<ByteAccount> account_;
   const std::function<Instant()> clock_;
+  ByteCharge unread_charge_;  ///< Of the buffer.
   ReadBuffer buffer_;
   ReadTimes read_times_;
   std::optional<Parser> parser_;
@@ -143,6 +172,10 @@
   bool head_is_taken_ = false;
   Pipeline pipeline_;
   std::optional<ParsedRequest> next_;
+  RateMeter upload_rate_;               ///< Of the message that is being parsed.
+  RateMeter download_rate_;             ///< Of the response being written.
+  std::size_t written_bytes_ = 0;       ///< Of all responses.
+  std::size_t acknowledged_bytes_ = 0;  ///< Of these.
   ResponseOutput output_;
   std::size_t write_end_ = 0;         ///< Up to here the output may be written now.
   std::size_t paced_bytes_left_ = 0;  ///< Of the output, counted by the pacer.
@@ -152,6 +185,7 @@
   Instant last_activity_{};
   Instant last_written_{};  ///< When the client last took bytes of the response being written.
   std::optional<int> refusal_status_;  ///< Set when the connection ends with a refusal.
+  bool refused_for_room_ = false;
   bool continued_ = false;
   bool writing_ = false;
   bool write_closes_ = false;  ///< The connection ends with the response being written.
--- a/src/event_http/server_connection_reading.cc
+++ b/src/event_http/server_connection_reading.cc
@@ -89,10 +89,12 @@
   std::vector<char>& area = server->read_area();
   ErrorCode error;
   const std::size_t bytes = socket_.read_some(asio::buffer(area), error);
-  const std::size_t taken = error || lingering_ ? 0 : bytes;
+  const std::size_t taken = error || lingering_ || refused_for_room_ ? 0 : bytes;
   buffer_.Append({area.data(), taken});
-  read_times_.OnRead(taken, clock_());
-  if (!error) last_activity_ = clock_();
+  const Instant now = clock_();
+  read_times_.OnRead(taken, now);
+  if (!error) last_activity_ = now;
+  if (parser_) upload_rate_.Record(taken, now);
   return error;
 }
 
@@ -116,11 +118,14 @@
 }
 
 void ServerConnection::ParseRead(Server::Impl& server) {
+  if (!ChargeUnread()) return RefuseForRoom();
   if (parser_) ExpectContinue();
   Dispatch(server);
   while (MayParse() && !buffer_.empty()) {
     if (!ParseSome(server)) break;
   }
+  // Less than before: bytes were parsed.
+  ChargeUnread();
 }
 
 bool ServerConnection::ParseSome(Server::Impl& server) {
@@ -141,7 +146,7 @@
     return false;
   }
   if (!ChargeMessage()) {
-    Refuse(kServiceUnavailable);
+    RefuseForRoom();
     return false;
   }
   ExpectContinue();
@@ -162,6 +167,7 @@
   message_charge_ = MakeCharge(account_);
   parser_->body_limit(server.limits().body_bytes);
   message_start_ = clock_();
+  upload_rate_.Start(message_start_);
   continued_ = false;
 }
 
@@ -196,7 +202,11 @@
   // The parser and the request each hold the fields of the head.
   const std::size_t bytes = 2 * head_bytes_ + parser_->get().body().capacity();
   const bool small = bytes <= kSmallMessageBytes;
-  return message_charge_->Set(bytes, small ? ChargeSize::kSmall : ChargeSize::kLarge);
+  return message_charge_->Set(bytes, small ? ChargeSize::kSmall : ChargeSize::kLarge, this);
+}
+
+bool ServerConnection::ChargeUnread() {
+  return unread_charge_.Set(buffer_.held_bytes(), ChargeSize::kSmall, this);
 }
 
 void ServerConnection::ForgetUnbegun() {
--- a/src/event_http/server_connection_writing.cc
+++ b/src/event_http/server_connection_writing.cc
@@ -45,6 +45,7 @@
   write_closes_ = close;
   output_ = {std::move(response), close};
   last_activity_ = last_written_ = clock_();
+  download_rate_.Start(last_written_);
   const auto server = server_.lock();
   if (!bulk || !server || !server->pacer().Paces(output_.size())) return WriteSome(output_.size());
   paced_bytes_left_ = output_.size();
@@ -78,7 +79,9 @@
 
 void ServerConnection::OnTaken(std::size_t bytes) {
   output_.Take(bytes);
+  written_bytes_ += bytes;
   last_activity_ = last_written_ = clock_();
+  CountAcknowledged(last_written_);
 }
 
 void ServerConnection::OnAreaWritten(ErrorCode error) {
--- a/src/event_http/server_impl.h
+++ b/src/event_http/server_impl.h
@@ -58,6 +58,11 @@
   std::size_t unwritten_bytes() const;
   void WriteBulkBy(Instant end);
 
+  void CountRefusalForRoom() { ++refusals_for_room_; }
+  std::uint64_t refusals_for_room() const { return refusals_for_room_; }
+  void OnEviction(const Eviction& eviction) const {
+    if (options_.on_eviction) options_.on_eviction(eviction);
+  }
   const std::shared_ptr<ByteAccount>& account() const { return account_; }
   /// Where a connection reads to, without waiting.
   std::vector<char>& read_area() { return read_area_; }
@@ -67,6 +72,8 @@
   /// Takes all connections of the listener's queue.
   void TakeQueued();
   void Take(boost::asio::ip::tcp::socket socket);
+  /// Closes the connection that has rested longest, if one does.
+  void CloseRested();
   void Sweep();
 
   boost::asio::io_context& context_;
@@ -79,6 +86,7 @@
   boost::asio::ip::tcp::acceptor acceptor_;
   boost::asio::steady_timer sweep_;
   std::set<std::shared_ptr<ServerConnection>> connections_;
+  std::uint64_t refusals_for_room_ = 0;
   std::uint16_t port_ = 0;
   bool draining_ = false;
   bool closing_ = false;
--- a/src/event_http/socket_options.cc
+++ b/src/event_http/socket_options.cc
@@ -20,9 +20,14 @@
                                  &kUnacknowledgedMs, sizeof(kUnacknowledgedMs)));
 }
 
-bool IsAcknowledged(boost::asio::ip::tcp::socket& socket) {
+std::size_t UnacknowledgedBytes(boost::asio::ip::tcp::socket& socket) {
   int bytes = 0;
-  return ::ioctl(socket.native_handle(), SIOCOUTQ, &bytes) != 0 || bytes == 0;
+  const bool known = ::ioctl(socket.native_handle(), SIOCOUTQ, &bytes) == 0 && bytes > 0;
+  return known ? static_cast<std::size_t>(bytes) : 0;
+}
+
+bool IsAcknowledged(boost::asio::ip::tcp::socket& socket) {
+  return UnacknowledgedBytes(socket) == 0;
 }
 
 bool IsOpeningSettled(boost::asio::ip::tcp::socket& socket) {
--- a/tests/event_http/pipeline_memory_test.cc
+++ b/tests/event_http/pipeline_memory_test.cc
@@ -31,6 +31,8 @@
   ServerOptions options;
   options.requests_ahead_maximum = kAhead;
   options.answer_bytes_ahead = kAnswerBytesAhead;
+  // The bounds of one connection are looked at, not the one of all together.
+  options.body_bytes_total = kClients * kReadAheadBytes * 2;
   options.may_run_beside = [](const Request& request) { return request.method == "GET"; };
   return options;
 }
