--- a/src/daemon/gateway/gateway_metrics.cc
+++ b/src/daemon/gateway/gateway_metrics.cc
@@ -29,7 +29,10 @@
       version_(registry.Gauge(Metric::kGatewayStateVersion)),
       configuration_(registry.Gauge(Metric::kGatewayConfigurationVersion)),
       loop_delay_seconds_(registry.Histogram(Metric::kGatewayLoopDelaySeconds)),
-      retry_budget_gateways_(registry.Gauge(Metric::kGatewayRetryBudgetGateways)) {}
+      retry_budget_gateways_(registry.Gauge(Metric::kGatewayRetryBudgetGateways)),
+      held_bytes_(registry.Gauge(Metric::kGatewayHeldBytes)),
+      evictions_(registry.Counter(Metric::kGatewayEvictions)),
+      refusals_for_room_(registry.Counter(Metric::kGatewayRefusalsForRoom)) {}
 
 void GatewayMetrics::OnRequest(std::string_view outcome, Duration taken) {
   auto found = seconds_.find(outcome);
@@ -100,6 +103,16 @@
   retry_budget_gateways_.Set(static_cast<double>(count));
 }
 
+void GatewayMetrics::OnHeldBytes(std::size_t bytes, std::uint64_t evictions,
+                                 std::uint64_t refusals) {
+  held_bytes_.Set(static_cast<double>(bytes));
+  const auto since = [](std::uint64_t now, std::uint64_t& reported) {
+    return static_cast<double>(now - std::exchange(reported, now));
+  };
+  evictions_.Increment(since(evictions, evictions_reported_));
+  refusals_for_room_.Increment(since(refusals, refusals_reported_));
+}
+
 void GatewayMetrics::OnVersion(std::uint64_t version, std::uint64_t configuration) {
   version_.Set(static_cast<double>(version));
   configuration_.Set(static_cast<double>(configuration));
--- a/src/daemon/gateway/gateway_metrics.h
+++ b/src/daemon/gateway/gateway_metrics.h
@@ -39,6 +39,8 @@
   /// @param counts of the service's retry budget since the process started.
   void OnRetryBudget(const ServiceName& service, const gateway::RetryBudgetCounts& counts);
   void OnRetryBudgetGateways(std::uint32_t count);
+  /// @param evictions, refusals since the process started.
+  void OnHeldBytes(std::size_t bytes, std::uint64_t evictions, std::uint64_t refusals);
   void OnVersion(std::uint64_t version, std::uint64_t configuration);
   void OnLoopDelay(Duration delay) {
     loop_delay_seconds_.Observe(std::chrono::duration<double>(delay).count());
@@ -65,6 +67,11 @@
   runtime::GaugeHandle configuration_;
   runtime::HistogramHandle loop_delay_seconds_;
   runtime::GaugeHandle retry_budget_gateways_;
+  runtime::GaugeHandle held_bytes_;
+  runtime::CounterHandle evictions_;
+  runtime::CounterHandle refusals_for_room_;
+  std::uint64_t evictions_reported_ = 0;
+  std::uint64_t refusals_reported_ = 0;
   std::map<std::string, runtime::HistogramHandle, std::less<>> seconds_;  ///< By outcome.
   std::map<ServiceName, gateway::RetryBudgetCounts> retry_budgets_;       ///< As last reported.
 };
--- a/src/daemon/gateway/gateway_process.cc
+++ b/src/daemon/gateway/gateway_process.cc
@@ -83,6 +83,7 @@
   callers.address = settings_.caller_address;
   callers.connections_maximum = static_cast<std::size_t>(settings_.connections_maximum);
   callers.account = account_;
+  callers.on_eviction = [this](const event_http::Eviction& eviction) { LogEviction(eviction); };
   callers.bulk_bytes_per_second = kBulkPartOfLink * settings_.link_mbps * kBytesPerMegabit;
   callers.may_run_beside = [this](const event_http::Request& request) {
     const std::string* const host = request.fields.Find("Host");
@@ -457,6 +458,15 @@
                 runtime::EventLine("unknown_field").Add("name", *name));
 }
 
+void GatewayProcess::LogEviction(const event_http::Eviction& eviction) {
+  events_.Write(runtime::EventWeight::kNotable,
+                runtime::EventLine("evicted")
+                    .Add("peer", eviction.peer)
+                    .Add("bytes", static_cast<std::uint64_t>(eviction.bytes))
+                    .Add("bytes_per_second", static_cast<std::uint64_t>(eviction.bytes_per_second))
+                    .Add("for", eviction.upload ? "request" : "answer"));
+}
+
 // --- Control and time ---
 
 void GatewayProcess::OnControlMessage(const control::ControlToRouter& message,
@@ -540,6 +550,7 @@
   last_poll_ = runtime::BootTimeNow();
   metrics_.OnLimitedInstances(node_.limited_instances());
   metrics_.OnCoordinatedQueue(node_.coordinated_queue());
+  metrics_.OnHeldBytes(account_->held(), account_->evictions(), callers_->refusals_for_room());
   for (const auto& [service, budget] : node_.retry_budgets()) {
     metrics_.OnRetryBudget(service, budget.counts());
   }
--- a/src/daemon/gateway/gateway_process.h
+++ b/src/daemon/gateway/gateway_process.h
@@ -102,6 +102,7 @@
               std::string_view outcome);
   void AnswerTheRest();
   void TakeNotes(std::vector<gateway::DecisionNote> notes);
+  void LogEviction(const event_http::Eviction& eviction);
   void LogUnknownField(const event_http::Response& answer);
   void ArmTimer();
   void Poll();
