--- a/src/event_http/answer_reader.cc
+++ b/src/event_http/answer_reader.cc
@@ -23,19 +23,6 @@
 /// Bodies up to this size may use the part of an account that is reserved for small ones.
 constexpr std::size_t kSmallBodyBytes = std::size_t{64} << 10;
 
-/// Keeps the account alive as long as the charge.
-struct OwningCharge {
-  explicit OwningCharge(std::shared_ptr<ByteAccount> charged) : account(std::move(charged)) {}
-
-  std::shared_ptr<ByteAccount> account;
-  ByteCharge charge{*account};
-};
-
-std::shared_ptr<ByteCharge> MakeCharge(const std::shared_ptr<ByteAccount>& account) {
-  const auto owning = std::make_shared<OwningCharge>(account);
-  return {owning, &owning->charge};
-}
-
 std::size_t LargestCharge(const ByteAccount& account) {
   const std::size_t room = account.limit() - std::min(ByteAccount::kReservedBytes, account.limit());
   return std::max(room, std::min(kSmallBodyBytes, account.limit()));
