Bound the framing of answers to control's and servers' own calls

A process that asks for a lease or a list kept what its answerer sent as a chunk's extension or as a trailer without end until the call's limit (10 s in the tests). Cause: Beast's limits hold for heads and bodies only, and the read buffer had none. Change: at most 128 KiB may lie unparsed; beyond it the call ends with kTooLarge.

--- a/src/http/async_http_client.cc
+++ b/src/http/async_http_client.cc
@@ -22,12 +22,16 @@
 namespace beast = boost::beast;
 
 using ErrorCode = boost::system::error_code;
+/// What of an answer may be read and not parsed yet: a part of a body, or a line of its framing.
+constexpr std::size_t kUnparsedBytesMaximum = std::size_t{128} << 10;
+
 using Response = beast::http::response_parser<beast::http::string_body>;
 
 Error TransportError(const runtime::SocketAddress& address, ErrorCode error) {
   const bool malformed =
       error.category() == beast::http::make_error_code(beast::http::error::bad_version).category();
-  if (error == beast::http::error::body_limit || error == beast::http::error::header_limit) {
+  if (error == beast::http::error::body_limit || error == beast::http::error::header_limit ||
+      error == beast::http::error::buffer_overflow) {
     return {ErrorKind::kTooLarge, ToString(address) + " sent an answer that is too long.",
             "Correct the program at that address."};
   }
@@ -79,7 +83,7 @@
   std::optional<asio::ssl::context> tls_context_;
   std::optional<asio::ssl::stream<beast::tcp_stream&>> tls_stream_;  ///< Present when TLS is on.
   runtime::SocketAddress address_;
-  beast::flat_buffer buffer_;
+  beast::flat_buffer buffer_{kUnparsedBytesMaximum};
   beast::http::request<beast::http::string_body> request_;
   std::optional<Response> response_;
   Handler handler_;
--- /dev/null
+++ b/tests/http/async_http_client_test.cc
@@ -0,0 +1,71 @@
+// What a client makes of answers whose chunk lines or trailers do not end.
+#include "src/http/async_http_client.h"
+
+#include <criterion/criterion.h>
+
+#include <boost/asio/post.hpp>
+#include <future>
+#include <optional>
+#include <string>
+
+#include "src/runtime/event_loop.h"
+#include "tests/http/scripted_server.h"
+
+using namespace graniteseam;
+
+namespace {
+
+/// What a call is told whose server sends `bytes`, and then nothing.
+Outcome<http::HttpReply> ReplyTo(const std::string& bytes) {
+  test::ScriptedServer server([&](const std::string& /*request*/, int /*number*/) {
+    return test::Script{bytes, false, {}};
+  });
+  const auto address = std::get<runtime::SocketAddress>(
+      Attempt([&] { return runtime::ParseSocketAddress(server.address()); }));
+  runtime::EventLoop loop;
+  std::promise<Outcome<http::HttpReply>> told;
+  std::optional<http::AsyncHttpClient> client;
+  boost::asio::post(loop.context(), [&] {
+    client.emplace(loop, address);
+    client->Start({false, "/", {}}, std::chrono::seconds(10),
+                  [&](const Outcome<http::HttpReply>& reply) { told.set_value(reply); });
+  });
+  Outcome<http::HttpReply> reply = told.get_future().get();
+  std::promise<void> gone;
+  boost::asio::post(loop.context(), [&] {
+    client.reset();
+    gone.set_value();
+  });
+  gone.get_future().wait();
+  return reply;
+}
+
+constexpr char kChunkedHead[] = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+constexpr std::size_t kMuch = std::size_t{1} << 20;
+
+void ExpectTooLarge(const std::string& bytes) {
+  const auto reply = ReplyTo(bytes);
+  const Error* const error = ErrorOf(reply);
+  cr_assert(error != nullptr);
+  cr_assert(error->kind == ErrorKind::kTooLarge, "%s", error->message.c_str());
+}
+
+}  // namespace
+
+Test(async_http_client, chunk_extension_without_end_is_refused) {
+  ExpectTooLarge(kChunkedHead + std::string("5;") + std::string(kMuch, 'x'));
+}
+
+Test(async_http_client, trailer_without_end_is_refused) {
+  std::string trailer;
+  while (trailer.size() < kMuch) trailer += "X-Trailer: " + std::string(1'000, 'x') + "\r\n";
+  ExpectTooLarge(kChunkedHead + std::string("5\r\nhello\r\n0\r\n") + trailer);
+}
+
+// Guards against a limit on lines that refuses bodies.
+Test(async_http_client, long_body_in_chunks_is_taken) {
+  const auto reply = ReplyTo(kChunkedHead + std::string("100000\r\n") + std::string(kMuch, 'x') +
+                             "\r\n0\r\nX-Trailer: value\r\n\r\n");
+  cr_assert(ErrorOf(reply) == nullptr);
+  cr_assert_eq(std::get<http::HttpReply>(reply).body.size(), kMuch);
+}
