Refuse callers of the operators' port before their body is read

Anyone who reached the operators' port, without a credential, could have a body of up to 2 MiB held on each of 64 connections, each in a thread for 15 s. Cause: the credential was looked at once the body was whole. Change: a caller without one gets 401 at the end of the head, and the connection ends; what it still sends is read off within bounds, so that the answer arrives.

--- a/src/http/caller_server.cc
+++ b/src/http/caller_server.cc
@@ -6,7 +6,6 @@
 #include <unistd.h>
 
 #include <algorithm>
-#include <array>
 #include <cmath>
 #include <utility>
 #include <vector>
@@ -14,6 +13,7 @@
 #include "src/http/caller_connection.h"
 #include "src/http/caller_request_parser.h"
 #include "src/http/connection_threads.h"
+#include "src/http/discard_input.h"
 #include "src/http/header_rules.h"
 #include "src/runtime/clock.h"
 
@@ -33,20 +33,6 @@
 constexpr int kTooLarge = 413;
 constexpr int kUriTooLong = 414;
 
-/// Reads off what the caller still sends, within bounds: closing a socket with unread bytes resets
-/// the connection and may take the answer with it.
-void DiscardInput(int descriptor) {
-  constexpr int kReadsMaximum = 64;
-  constexpr int kPauseMs = 200;
-  std::array<char, 16384> buffer;
-  ::shutdown(descriptor, SHUT_WR);
-  for (int reads = 0; reads < kReadsMaximum; ++reads) {
-    pollfd poll_entry{descriptor, POLLIN, 0};
-    if (::poll(&poll_entry, 1, kPauseMs) <= 0) return;
-    if (::recv(descriptor, buffer.data(), buffer.size(), 0) <= 0) return;
-  }
-}
-
 }  // namespace
 
 CallerServer::CallerServer(CallerServerOptions options, Handler handler, BodyLimit body_limit,
--- a/src/http/operator_server.cc
+++ b/src/http/operator_server.cc
@@ -11,7 +11,9 @@
 #include <utility>
 
 #include "src/http/bounded_stream.h"
+#include "src/http/caller_request_parser.h"
 #include "src/http/dashboard_page.h"
+#include "src/http/discard_input.h"
 #include "src/http/operator_credentials.h"
 #include "src/http/operator_json.h"
 #include "src/http/operator_requests.h"
@@ -70,6 +72,7 @@
   bool AwaitRequest(const BoundedStream& stream, int descriptor) const;
   void SetLimits();
   void SetRoutes();
+  HandlerResponse BeforeBody(const httplib::Request& request, httplib::Response& response);
   void Answer(const httplib::Request& request, httplib::Response& response);
   std::optional<Error> CheckCaller(const httplib::Request& request) const;
   void ExplainRefusal(httplib::Response& response);
@@ -116,7 +119,9 @@
 bool OperatorServer::Impl::process_and_close_socket(socket_t descriptor) {
   const int on = 1;
   ::setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+  must_close = false;
   Serve(descriptor);
+  if (must_close) DiscardInput(descriptor);
   ::shutdown(descriptor, SHUT_RDWR);
   ::close(descriptor);
   return true;
@@ -161,6 +166,9 @@
 }
 
 void OperatorServer::Impl::SetRoutes() {
+  set_pre_routing_handler([this](const httplib::Request& request, httplib::Response& response) {
+    return BeforeBody(request, response);
+  });
   const auto answer = [this](const httplib::Request& request, httplib::Response& response) {
     Answer(request, response);
     Count(response);
@@ -189,6 +197,20 @@
   Count(response);
 }
 
+/// A caller without a credential is refused before its body is read: anyone who reaches the port
+/// could have bodies held on all connections.
+httplib::Server::HandlerResponse OperatorServer::Impl::BeforeBody(const httplib::Request& request,
+                                                                  httplib::Response& response) {
+  if (request.method == "GET" || !HasBody(request)) return HandlerResponse::Unhandled;
+  const std::optional<Error> refused = CheckCaller(request);
+  if (!refused) return HandlerResponse::Unhandled;
+  // The body can't be told from a next request.
+  must_close = true;
+  AnswerProblem(response, {*refused, ""});
+  Count(response);
+  return HandlerResponse::Handled;
+}
+
 void OperatorServer::Impl::Answer(const httplib::Request& request, httplib::Response& response) {
   response.status = kStatusOk;
   if (request.method == "GET" && request.path == "/livez") {
--- a/tests/http/operator_server_test.cc
+++ b/tests/http/operator_server_test.cc
@@ -202,3 +202,11 @@
   const auto live = client.Get("/livez");
   cr_assert(live && live->status == 200);
 }
+
+// Anyone who reached the port could have bodies held, up to the limit on every connection.
+Test(operator_server, reads_no_body_of_a_caller_without_a_credential) {
+  const std::string head = "POST /v1/bundles HTTP/1.1\r\nHost: x\r\n";
+  ExpectStatus(head + "Content-Length: 90000\r\n\r\n" + std::string(1'000, 'x'), " 401 ");
+  ExpectStatus(head + "Transfer-Encoding: chunked\r\n\r\n5;" + std::string(1'000, 'x'), " 401 ");
+  ExpectStatus(head + "Content-Length: 90000\r\n\r\n" + std::string(90'000, 'x'), " 401 ");
+}
