--- a/tests/memory_bounds/fleet.h
+++ b/tests/memory_bounds/fleet.h
@@ -72,6 +72,7 @@
     return {MachineIp(control), ports_.numbers[0]};
   }
   runtime::SocketAddress Router() const { return {MachineIp(kRouter), ports_.numbers[1]}; }
+  runtime::SocketAddress RouterReady() const { return {MachineIp(kRouter), ports_.numbers[4]}; }
 
   void StartControl(int control, bool first) {
     testbed::FleetMachine fields = Fields(control, first);
