Test the library's router among chunk lines and trailers without end

Both directions hold what a stream may bring at most: a request twice its service's body and 64 KiB, an answer 16 MiB and 64 KiB. No change of logic was needed.

--- a/tests/http/caller_server_test.cc
+++ b/tests/http/caller_server_test.cc
@@ -189,6 +189,16 @@
                 "413");
 }
 
+// Guards against lines of chunks and trailers that are kept for as long as a caller sends them.
+Test(caller_server, bounds_chunk_extensions_and_trailers) {
+  const std::string framing = "Transfer-Encoding: chunked\r\n";
+  const std::string much(200'000, 'x');
+  ExpectRefused(Request("PUT", "/v1/services/archive/x", framing, "5;" + much), "413");
+  ExpectRefused(
+      Request("PUT", "/v1/services/archive/x", framing, "5\r\nabcde\r\n0\r\nX-Trailer: " + much),
+      "4");
+}
+
 Test(caller_server, claims_nothing_about_earlier_sendings_of_an_operation) {
   EchoServer server;
   const std::string answer = server.Send(Request(
--- a/tests/http/request_driver_test.cc
+++ b/tests/http/request_driver_test.cc
@@ -86,6 +86,22 @@
   ExpectUnknownAndRunOnce(router, server);
 }
 
+// Guards against lines of chunks and trailers that are kept for as long as a server sends them.
+Test(request_driver, bounds_chunk_extensions_and_trailers_of_answers) {
+  const std::string head =
+      "HTTP/1.1 200 x\r\nTransfer-Encoding: chunked\r\nGraniteseam-Attempt: {attempt}\r\n\r\n";
+  const std::string much(std::size_t{17} << 20, 'x');
+  for (const char* start : {"5;", "5\r\nhello\r\n0\r\nX-Trailer: "}) {
+    ScriptedServer server([&](const std::string&, int) {
+      return Script{head + start + much, false, {}};
+    });
+    RouterFixture router;
+    router.AddServer("a", kShutOffs, server.address());
+    router.Start();
+    ExpectUnknownAndRunOnce(router, server);
+  }
+}
+
 Test(request_driver, takes_an_answer_whose_end_is_not_marked_for_none) {
   ScriptedServer server([](const std::string&, int) {
     return Script{"HTTP/1.1 200 OK\r\nGraniteseam-Attempt: {attempt}\r\n\r\nhalf", true, {}};
