Soak: clients that keep to no limit, and a promise on memory

Seen by operators: clients that they do not control ended a process, which ran out of memory. No run of the soak had such clients, and none looked at what processes hold.

--hostile-clients adds ten clients for each router and control process: trailers and chunk extensions without end, bodies in chunks or sized that stop just short of their end and stay open, and requests whose answers nobody reads. The promise `memory` holds every process of every run to its machine's 160 MB or 256 MB (VmHWM, read each 0.1 s); `recovers` says that ordinary callers are served beside them. A breach of own_answer tells the status and the router.

--- a/testbed/soak/arguments.cc
+++ b/testbed/soak/arguments.cc
@@ -18,6 +18,7 @@
           "[--faults N] [--only KINDS]\n"
           "                        [--crashing] [--silencing] [--starving] [--stating] [--warming]\n"
           "                        [--coordinating] [--stopping] [--rejecting] [--faulty-answers]\n"
+          "                        [--hostile-clients]\n"
           "                        [--processor SHARE] [--keep] [--folder DIR] [--programs DIR] "
           "[--templates DIR]\n"
           "  --seed N       first seed; without it one is drawn and printed\n"
@@ -35,6 +36,7 @@
           "                 callers that rest and send around the close of a router that stops\n"
           "  --rejecting    all workers begin to reject requests at one moment, and all routers start again\n"
           "                 soon after\n"
+          "  --hostile-clients clients that keep to no limit send without end, stop short or read nothing\n"
           "  --faulty-answers workers reject requests, and repeat, cut, withhold or spoil answers; further\n"
           "                 callers send requests that may run once only\n"
           "  --processor X  part of a core that each control process and each router may use\n"
@@ -86,10 +88,10 @@
         {"starving", no_argument, nullptr, 'v'}, {"warming", no_argument, nullptr, 'w'},
         {"coordinating", no_argument, nullptr, 'o'}, {"stopping", no_argument, nullptr, 'b'},
         {"rejecting", no_argument, nullptr, 'r'}, {"faulty-answers", no_argument, nullptr, 'a'},
-        {"processor", required_argument, nullptr, 'c'}, {"keep", no_argument, nullptr, 'e'},
-        {"faults", required_argument, nullptr, 'f'}, {"only", required_argument, nullptr, 'l'},
-        {"folder", required_argument, nullptr, 'd'}, {"programs", required_argument, nullptr, 'p'},
-        {"templates", required_argument, nullptr, 't'}, {}};
+        {"hostile-clients", no_argument, nullptr, 'h'}, {"processor", required_argument, nullptr, 'c'},
+        {"keep", no_argument, nullptr, 'e'}, {"faults", required_argument, nullptr, 'f'},
+        {"only", required_argument, nullptr, 'l'}, {"folder", required_argument, nullptr, 'd'},
+        {"programs", required_argument, nullptr, 'p'}, {"templates", required_argument, nullptr, 't'}, {}};
     Arguments arguments;
     arguments.first_seed = std::random_device {}();
     arguments.programs = std::filesystem::path(argv[0]).parent_path();
@@ -138,6 +140,9 @@
         case 'a':
             arguments.faulty_answers = true;
             break;
+        case 'h':
+            arguments.hostile_clients = true;
+            break;
         case 'e':
             arguments.keep = true;
             break;
--- a/testbed/soak/arguments.h
+++ b/testbed/soak/arguments.h
@@ -28,6 +28,7 @@
     bool stopping = false;
     bool rejecting = false;
     bool faulty_answers = false;
+    bool hostile_clients = false;
     bool keep = false;
     std::optional<double> processor;
     std::string folder = "/tmp/graniteseam-soak";
--- a/testbed/soak/promises.cc
+++ b/testbed/soak/promises.cc
@@ -55,7 +55,8 @@
                         + (answer.may_repeat ? "" : ", and may run once only"));
             if (!answer.own)
                 add(breaches, "own_answer",
-                    answer.attempt + " got an answer that is not its own or not whole");
+                    answer.attempt + " got an answer that is not its own or not whole, status "
+                        + std::to_string(answer.status) + " of router " + std::to_string(answer.router));
             if (answer.out_of_order)
                 add(breaches, "answers_in_order", answer.attempt + " got the answer of another attempt");
             if (answer.status / 100 == 2 && n == 0)
@@ -378,6 +379,19 @@
     return lost;
 }
 
+static auto check_memory(Observed const& seen, std::vector<Breach>& breaches) -> void
+{
+    for (auto const& memory : seen.memory) {
+        auto const bound = memory.program == "router" ? router_memory_bytes : control_memory_bytes;
+        if (memory.peak_bytes <= bound)
+            continue;
+        add(breaches, "memory",
+            "a " + memory.program + " process of machine " + std::to_string(memory.machine) + " held "
+                + std::to_string(memory.peak_bytes / bytes_per_megabyte) + " MB of "
+                + std::to_string(bound / bytes_per_megabyte));
+    }
+}
+
 auto check_promises(Observed const& seen) -> std::vector<Breach>
 {
     std::vector<Breach> breaches;
@@ -398,6 +412,7 @@
     check_versions(seen, breaches);
     check_acknowledged(seen, breaches);
     check_readable(seen, breaches);
+    check_memory(seen, breaches);
     auto const wanted = static_cast<double>(seen.asked_at_the_end) * served_share_minimum;
     if (static_cast<double>(seen.served_at_the_end) < wanted)
         add(breaches, "recovers",
--- a/testbed/soak/promises.h
+++ b/testbed/soak/promises.h
@@ -107,6 +107,18 @@
     Instant at {};
 };
 
+/// The most memory that one process was resident in.
+struct SeenMemory {
+    std::string program; ///< "router" or "control".
+    std::uint32_t machine = 0;
+    std::uint64_t peak_bytes = 0;
+};
+
+inline constexpr std::uint64_t bytes_per_megabyte = 1'000'000;
+/// Memory of the users' machines for each program.
+inline constexpr std::uint64_t router_memory_bytes = 160 * bytes_per_megabyte;
+inline constexpr std::uint64_t control_memory_bytes = 256 * bytes_per_megabyte;
+
 struct Observed {
     std::vector<SeenAnswer> answers;
     std::vector<WorkerRun> runs;
@@ -122,6 +134,7 @@
     std::vector<SeenArrival> arrivals;
     std::map<std::string, Instant> worker_ends; ///< Of those that ended, by id.
     std::vector<SeenDisturbance> disturbances;
+    std::vector<SeenMemory> memory; ///< Of each process that was looked at.
     std::vector<SeenSignal> stops; ///< SIGTERM.
     std::vector<SeenSignal> reloads; ///< SIGHUP.
     std::vector<SeenCoreDisturbance> core_disturbances;
--- a/testbed/soak/run_shape.h
+++ b/testbed/soak/run_shape.h
@@ -39,6 +39,7 @@
     bool coordinating = false; ///< Routers coordinate admission at the workers of the leased service.
     std::uint32_t unsafe_callers = 0; ///< That send only requests which may run once.
     bool faulty_answers = false; ///< Workers reject requests and spoil answers.
+    std::uint32_t hostile_clients = 0; ///< Threads, with a connection each, that keep to no limit.
     bool rejecting = false; ///< Workers reject requests, and all routers start again soon after.
     bool crowded = false; ///< Faults of many workers at once.
     Duration operator_pause {250'000}; ///< Between two changes that are no series.
--- a/testbed/soak/soak.cc
+++ b/testbed/soak/soak.cc
@@ -16,6 +16,7 @@
 #include "graniteseam/common/duration_text.h"
 #include "src/runtime/clock.h"
 #include "testbed/soak/arguments.h"
+#include "testbed/soak/hostile_clients.h"
 #include "testbed/soak/load.h"
 #include "testbed/soak/probes.h"
 #include "testbed/soak/retry_promises.h"
@@ -34,6 +35,8 @@
     constexpr Duration last_planned_work {22'000'000};
     /// How long it is looked whether requests are served again.
     constexpr Duration final_look {4'000'000};
+    /// For each process that they reach.
+    constexpr std::uint32_t hostile_clients_each = 10;
     constexpr int exit_breach = 1;
     constexpr int exit_usage = 2;
     /// Of the programs under test, of all runs at once.
@@ -47,6 +50,7 @@
         constexpr Duration look {100'000};
         for (auto now = runtime::BootTimeNow(); now < instant; now = runtime::BootTimeNow()) {
             fleet.revive_crashed();
+            fleet.note_memory();
             std::this_thread::sleep_for(std::min(instant - now, look));
         }
     }
@@ -209,6 +213,9 @@
         Endpoints endpoints {{}, fleet.registries(), names.exchange, shape.coordinating};
         for (std::uint32_t i = 0; i < shape.routers; ++i)
             endpoints.routers.push_back(fleet.caller_address(i));
+        auto hostile_targets = endpoints.routers;
+        hostile_targets.insert(
+            hostile_targets.end(), endpoints.registries.begin(), endpoints.registries.end());
         Observed seen;
         SeenByOperator by_operator;
         AcceptedVersions accepted;
@@ -245,6 +252,11 @@
                 threads.emplace_back(
                     [&](std::stop_token const& stop) { crashing = run_crasher(endpoints, seed, stop); });
             }
+            for (std::uint32_t i = 0; i < shape.hostile_clients; ++i) {
+                threads.emplace_back([&hostile_targets, seed, i](std::stop_token const& stop) {
+                    run_hostile_client(hostile_targets, seed + i, stop);
+                });
+            }
             play(fleet, plan, start);
             sleep_until(fleet, settled + final_look);
             seen.ended = runtime::BootTimeNow();
@@ -323,6 +335,16 @@
             events["slot_rejected"], events["slot_timeout"]);
     }
 
+    /// "; most memory: router 31 MB, control 44 MB".
+    auto memory_text(Observed const& seen) -> std::string
+    {
+        std::map<std::string, std::uint64_t> most;
+        for (auto const& memory : seen.memory)
+            most[memory.program] = std::max(most[memory.program], memory.peak_bytes);
+        return fmt::format("; most memory: router {} MB, control {} MB", most["router"] / bytes_per_megabyte,
+            most["control"] / bytes_per_megabyte);
+    }
+
     /// What came of requests that were sent to stopping routers around their close or later.
     auto closes_text(Observed const& seen) -> std::string
     {
@@ -395,6 +417,7 @@
             shape = for_rejecting(shape);
         if (arguments.faulty_answers)
             shape = for_faulty_answers(shape);
+        shape.hostile_clients = arguments.hostile_clients ? hostile_clients_each * processes_of(shape) : 0;
         shape.crashing = shape.crashing || arguments.crashing;
         shape.silencing = arguments.silencing;
         shape.starving = arguments.starving;
@@ -446,7 +469,7 @@
                 (shape.coordinating ? slots_text(options.folder) : "")
                     + (shape.stopping ? closes_text(seen) : "")
                     + (shape.faulty_answers ? answers_text(seen, fleet.answer_faults()) : "")
-                    + retries_text(seen) + links_text(shape, fleet),
+                    + retries_text(seen) + memory_text(seen) + links_text(shape, fleet),
                 replaced.at_same_address, replaced.elsewhere, promises_text(breaches));
         }
         if (!breaches.empty()) {
--- a/testbed/soak/soaked_fleet.cc
+++ b/testbed/soak/soaked_fleet.cc
@@ -232,6 +232,8 @@
     fields.ip = ip_of(machine);
     fields.first_start = first;
     fields.losses_tolerated = m_options.losses_tolerated;
+    auto const memory = program == "control" ? control_memory_bytes : router_memory_bytes;
+    fields.memory_mb = static_cast<std::uint32_t>(memory / bytes_per_megabyte);
     // Others are told the relay's addresses, so that every link between processes can be cut.
     for (std::uint32_t i = 0; i < std::min(m_options.controls, seeds_told); ++i) {
         auto const control = control_machine((first_seed + i) % m_options.controls);
@@ -514,6 +516,36 @@
         std::max(silent_before(from), silent_before(to))};
 }
 
+/// The most memory that a process was resident in; nullopt when it has ended, or has not yet become the
+/// program that it is to run.
+static auto peak_bytes_of(int process) -> std::optional<std::uint64_t>
+{
+    auto const folder = "/proc/" + std::to_string(process);
+    std::error_code ec;
+    auto const program = std::filesystem::read_symlink(folder + "/exe", ec).filename().string();
+    if (ec || !program.starts_with("graniteseam-platform-"))
+        return std::nullopt;
+    constexpr std::string_view peak = "VmHWM:";
+    constexpr std::uint64_t bytes_per_kib = 1'024;
+    std::ifstream status(folder + "/status");
+    for (std::string line; std::getline(status, line);) {
+        if (line.starts_with(peak))
+            return std::strtoull(line.c_str() + peak.size(), nullptr, 10) * bytes_per_kib;
+    }
+    return std::nullopt;
+}
+
+auto SoakedFleet::note_memory() -> void
+{
+    for (auto& [machine, process] : m_processes) {
+        auto const peak = peak_bytes_of(process.id());
+        if (!peak)
+            continue;
+        auto const* const program = machine <= m_options.controls ? "control" : "router";
+        m_memory[process.id()] = {program, machine, *peak};
+    }
+}
+
 auto SoakedFleet::collect(Observed& seen) -> void
 {
     for (auto& [index, slot] : m_slots) {
@@ -533,6 +565,9 @@
     seen.core_disturbances = m_seen.core_disturbances;
     seen.core_strains = m_seen.core_strains;
     seen.worker_ends = m_seen.worker_ends;
+    note_memory();
+    for (auto const& [process, memory] : m_memory)
+        seen.memory.push_back(memory);
 }
 
 } // namespace graniteseam::testbed::soak
--- a/testbed/soak/soaked_fleet.h
+++ b/testbed/soak/soaked_fleet.h
@@ -103,6 +103,9 @@
     /// Starts workers again that ended under a request some time ago.
     auto revive_crashed() -> void;
 
+    /// Notes the most memory that each process has held so far.
+    auto note_memory() -> void;
+
     auto answer_faults() const -> AnswerFaultCounts const& { return *m_answer_faults; }
 
     auto replacements() const -> Replacements { return m_replacements; }
@@ -197,6 +200,7 @@
     LateHeartbeats m_late_heartbeats;
     std::shared_ptr<std::atomic<double>> const m_rejected_part = std::make_shared<std::atomic<double>>(0);
     std::shared_ptr<AnswerFaultCounts> const m_answer_faults = std::make_shared<AnswerFaultCounts>();
+    std::map<int, SeenMemory> m_memory; ///< By process.
     Replacements m_replacements;
     Observed m_seen; ///< Of workers that ended, and of what was done.
     std::map<std::pair<std::uint32_t, bool>, int> m_open_disturbances; ///< By router and only_links.
--- a/tests/soak/promises_test.cc
+++ b/tests/soak/promises_test.cc
@@ -263,6 +263,18 @@
     assert_only(seen, "recovers");
 }
 
+Test(promises, process_that_holds_more_than_its_machine_has)
+{
+    for (auto const& [program, bound] :
+        {std::pair {"router", router_memory_bytes}, {"control", control_memory_bytes}}) {
+        auto seen = whole();
+        seen.memory.push_back({program, 2, bound});
+        cr_assert(check_promises(seen).empty());
+        seen.memory.push_back({program, 2, bound + 1});
+        assert_only(seen, "memory");
+    }
+}
+
 Test(promises, same_key_number_of_two_services_is_two_keys)
 {
     auto seen = whole();
--- a/tests/soak/seeded_runs_test.cc
+++ b/tests/soak/seeded_runs_test.cc
@@ -120,3 +120,10 @@
 {
     play("82001", {"--faulty-answers"});
 }
+
+/// Guards against clients that exhaust a router's or a control process's memory, and against ordinary callers
+/// that are not served beside them.
+Test(seeded_runs, seed_83001_with_clients_that_keep_to_no_limit, .timeout = 240)
+{
+    play("83001", {"--hostile-clients"});
+}
