Testbed: servers' answers without end among the injected faults

The proxy had no such fault.

One in 16 of the faults that are no copies is now a head, a body, a chunk's extension or a trailer without end, 16 KiB each millisecond. Nothing else follows on such a connection: a surplus rejection behind a begun head ended it, and was then a whole answer that no server gave.

--- a/testbed/registered/answer_fault_proxy.cc
+++ b/testbed/registered/answer_fault_proxy.cc
@@ -30,6 +30,12 @@
 /// A surplus answer follows so soon that it arrives beside a retry.
 constexpr std::int64_t kSurplusWithinMs = 60;
 constexpr std::size_t kReadBytes = 16'384;
+/// One answer in so many that get a fault does not end: each may take much of its client's time.
+constexpr std::uint64_t kFaultsPerEndless = 16;
+constexpr auto kFirstEndless = static_cast<std::size_t>(AnswerFault::kEndlessHead);
+/// An endless answer goes on by this at a time.
+constexpr std::size_t kEndlessPieceBytes = 16'384;
+constexpr std::chrono::milliseconds kEndlessPause{1};
 constexpr char kMalformedAnswer[] = "HTTP/7 fine\r\n\x01\x02: \r\n\r\n";
 constexpr char kInterimAnswer[] = "HTTP/1.1 103 Early Hints\r\n\r\n";
 
@@ -41,8 +47,9 @@
 
 auto NameOf(AnswerFault fault) -> std::string_view {
   constexpr std::array<std::string_view, kAnswerFaults> kNames = {
-      "none", "repeated", "rejection_appended", "reset",    "closed",
-      "cut",  "withheld", "malformed",          "unmarked", "interim"};
+      "none",         "repeated",     "rejection_appended", "reset",          "closed",
+      "cut",          "withheld",     "malformed",          "unmarked",       "interim",
+      "endless_head", "endless_body", "endless_extension",  "endless_trailer"};
   return kNames[static_cast<std::size_t>(fault)];
 }
 
@@ -84,7 +91,10 @@
 class Session : public std::enable_shared_from_this<Session<Proxy>> {
  public:
   Session(std::shared_ptr<Proxy> proxy, Tcp::socket client)
-      : proxy_(std::move(proxy)), client_(std::move(client)), server_(proxy_->context()) {}
+      : proxy_(std::move(proxy)),
+        client_(std::move(client)),
+        server_(proxy_->context()),
+        endless_timer_(proxy_->context()) {}
 
   auto Start() -> void {
     ErrorCode ignored;
@@ -113,9 +123,13 @@
     });
   }
 
+  /// A surplus answer behind the begin of an endless one would end that, and make it a whole answer
+  /// that no server gave.
+  auto MayWriteSurplus() const -> bool { return !closes_ && endless_piece_.empty(); }
+
   auto WriteKeptBack() -> void {
     for (auto& surplus : std::exchange(kept_back_, {})) {
-      if (!closes_) Write(std::move(surplus));
+      if (MayWriteSurplus()) Write(std::move(surplus));
     }
   }
 
@@ -181,6 +195,14 @@
         return Write(Failure(proxy_->DrawBool() ? 503 : 429, id, /*marked=*/false));
       case AnswerFault::kInterim:
         return Write(kInterimAnswer + answer_);
+      case AnswerFault::kEndlessHead:
+        return WriteEndless(Begin(id) + "Long: ", "x");
+      case AnswerFault::kEndlessBody:
+        return WriteEndless(Begin(id) + "\r\n", "x");
+      case AnswerFault::kEndlessExtension:
+        return WriteEndless(Begin(id) + "Transfer-Encoding: chunked\r\n\r\n4;", "x");
+      case AnswerFault::kEndlessTrailer:
+        return WriteEndless(Begin(id) + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "T: 1\r\n");
     }
   }
 
@@ -192,10 +214,22 @@
     return text + "\r\n";
   }
 
+  /// The begin of the head of a success.
+  auto Begin(std::string_view id) const -> std::string {
+    return "HTTP/1.1 200 OK\r\n" + proxy_->options().attempt_id + ": " + std::string(id) + "\r\n";
+  }
+
+  /// Later answers are withheld.
+  auto WriteEndless(std::string begin, std::string_view repeated) -> void {
+    withholds_ = true;
+    while (endless_piece_.size() < kEndlessPieceBytes) endless_piece_ += repeated;
+    Write(std::move(begin));
+  }
+
   auto WriteLater(std::string text) -> void {
     auto timer = std::make_shared<asio::steady_timer>(proxy_->context(), proxy_->DrawDelay());
     timer->async_wait([self = this->shared_from_this(), timer, text = std::move(text)](auto) {
-      if (!self->closed_ && !self->closes_) self->Write(text);
+      if (!self->closed_ && self->MayWriteSurplus()) self->Write(text);
     });
   }
 
@@ -207,7 +241,8 @@
   auto WriteNext() -> void {
     if (writing_) return;
     if (output_.empty()) {
-      if (closes_) Close(resets_);
+      if (closes_) return Close(resets_);
+      if (!endless_piece_.empty()) WriteNextPiece();
       return;
     }
     writing_ = true;
@@ -221,6 +256,13 @@
                       });
   }
 
+  auto WriteNextPiece() -> void {
+    endless_timer_.expires_after(kEndlessPause);
+    endless_timer_.async_wait([self = this->shared_from_this()](ErrorCode error) {
+      if (!error && !self->closed_) self->Write(self->endless_piece_);
+    });
+  }
+
   auto CloseWhenWritten(bool resets) -> void {
     closes_ = true;
     resets_ = resets;
@@ -233,11 +275,13 @@
     if (resets) client_.set_option(asio::socket_base::linger(true, 0), ignored);
     client_.close(ignored);
     server_.close(ignored);
+    endless_timer_.cancel();
   }
 
   std::shared_ptr<Proxy> const proxy_;
   Tcp::socket client_;
   Tcp::socket server_;
+  asio::steady_timer endless_timer_;
   std::array<char, kReadBytes> from_client_{};
   std::array<char, kReadBytes> from_server_{};
   std::string unread_;
@@ -245,6 +289,7 @@
   std::optional<Parser> parser_;
   std::deque<std::string> output_;
   std::vector<std::string> kept_back_;  ///< Copies that come with the client's next bytes.
+  std::string endless_piece_;           ///< Is written again and again; empty for none.
   bool writing_ = false;
   bool withholds_ = false;
   bool closes_ = false;  ///< Once everything is written.
@@ -275,7 +320,10 @@
   if (drawn >= options_.part) return AnswerFault::kNone;
   // A half of the faults are copies: they need a second request on the same connection to matter.
   if (!names_attempt || random_() % 2 == 0) return AnswerFault::kRepeated;
-  return static_cast<AnswerFault>(1 + random_() % (kAnswerFaults - 1));
+  if (random_() % kFaultsPerEndless == 0) {
+    return static_cast<AnswerFault>(kFirstEndless + random_() % (kAnswerFaults - kFirstEndless));
+  }
+  return static_cast<AnswerFault>(1 + random_() % (kFirstEndless - 1));
 }
 
 AnswerFaultProxy::AnswerFaultProxy(AnswerFaultOptions options, runtime::SocketAddress const& listen,
--- a/testbed/registered/answer_fault_proxy.h
+++ b/testbed/registered/answer_fault_proxy.h
@@ -1,6 +1,6 @@
 /// @file
 /// A proxy in front of a server that injects faults into its answers, as the interface allows of
-/// servers in trouble: surplus, missing, cut, reset and malformed answers.
+/// servers in trouble: surplus, missing, cut, reset, malformed and endless answers.
 #pragma once
 
 #include <array>
@@ -26,9 +26,14 @@
   kMalformed,          ///< Bytes that are no answer, then a close.
   kUnmarked,           ///< The server's own 503 or 429, without the word that it did not run it.
   kInterim,            ///< A 103 before the answer.
+  // Without end, until the client closes:
+  kEndlessHead,       ///< A field of the head.
+  kEndlessBody,       ///< A body without a length.
+  kEndlessExtension,  ///< An extension of a chunk.
+  kEndlessTrailer,    ///< Fields of a trailer.
 };
 
-inline constexpr std::size_t kAnswerFaults = 10;
+inline constexpr std::size_t kAnswerFaults = 14;
 
 /// The name of a fault, for reports.
 auto NameOf(AnswerFault fault) -> std::string_view;
--- a/tests/soak/answer_fault_proxy_test.cc
+++ b/tests/soak/answer_fault_proxy_test.cc
@@ -87,7 +87,14 @@
     std::set<soak::ExchangeEnd> seen;
     std::set<int> statuses;
     auto surplus = 0;
-    for (auto i = 0; i < 200; ++i) {
+    auto const injected_all = [&] {
+        for (std::size_t i = 1; i < kAnswerFaults; ++i) {
+            if (scene.counts->of(static_cast<AnswerFault>(i)) == 0)
+                return false;
+        }
+        return true;
+    };
+    for (auto i = 0; i < 200 || (i < 2'000 && !injected_all()); ++i) {
         soak::CallerConnection connection(scene.address(), call_limit);
         auto const outcome = connection.exchange(request_of("a-" + std::to_string(i)), call_limit);
         seen.insert(outcome.end);
