Test what a control process without its disk holds as it catches up

A fleet of three control processes takes 60 changes of 4,000 routes; one loses its disk and starts again.

--- a/tests/memory_bounds/fleet.h
+++ b/tests/memory_bounds/fleet.h
@@ -87,6 +87,11 @@
   void KillControls() {
     for (int control = 1; control <= kControls; ++control) processes_.erase(control);
   }
+  void KillControl(int control) { processes_.erase(control); }
+  /// Of a control process that does not run.
+  void LoseDisk(int control) {
+    std::filesystem::remove_all(folder_ + "/data-" + std::to_string(control));
+  }
 
   bool RouterRuns() { return processes_.at(kRouter).Running(); }
   bool ControlsRun() {
@@ -97,7 +102,17 @@
     return all;
   }
 
-  /// The most memory that the router was resident in, in KiB.
+  /// The most memory that a machine's process was resident in, in KiB.
+  long PeakKib(int machine) const {
+    std::ifstream status(ProcessFolder(machine) / "status");
+    for (std::string line; std::getline(status, line);) {
+      constexpr std::string_view kPeak = "VmHWM:";
+      if (line.starts_with(kPeak)) return std::stol(line.substr(kPeak.size()));
+    }
+    cr_assert_fail("machine %d has no process", machine);
+    return 0;
+  }
+  /// The same of the router.
   long RouterPeakKib() const { return PeakKib(kRouter); }
   /// The same of the control process that took most.
   long ControlPeakKib() const {
@@ -209,16 +224,6 @@
     return "/proc/" + std::to_string(processes_.at(machine).id());
   }
 
-  long PeakKib(int machine) const {
-    std::ifstream status(ProcessFolder(machine) / "status");
-    for (std::string line; std::getline(status, line);) {
-      constexpr std::string_view kPeak = "VmHWM:";
-      if (line.starts_with(kPeak)) return std::stol(line.substr(kPeak.size()));
-    }
-    cr_assert_fail("machine %d has no process", machine);
-    return 0;
-  }
-
   std::size_t Descriptors(int machine) const {
     const std::filesystem::directory_iterator open(ProcessFolder(machine) / "fd");
     return static_cast<std::size_t>(std::distance(begin(open), end(open)));
--- a/tests/memory_bounds/slow_gateways_test.cc
+++ b/tests/memory_bounds/slow_gateways_test.cc
@@ -1,8 +1,7 @@
 // Control processes that send a large configuration to many gateways which read slowly or not at
 // all: each stays within its machine's memory.
-#include <nlohmann/json.hpp>
-
 #include "tests/memory_bounds/fleet.h"
+#include "tests/memory_bounds/large_configuration.h"
 #include "tests/memory_bounds/stand_in_gateways.h"
 
 using namespace graniteseam;
@@ -16,33 +15,15 @@
 /// A link of 2 Mbit/s.
 constexpr std::size_t kLinkBytesPerSecond = 250'000;
 
-std::string ConfigurationText(int version) {
-  using nlohmann::json;
-  json list = json::array();
-  for (int number = 0; number < kRoutes; ++number) {
-    const std::string name = std::to_string(number);
-    list.push_back({{"name", "route-" + name},
-                    {"host", "a.example"},
-                    {"path_prefix", "/prefix/" + name + "/"},
-                    {"kind", "safe"},
-                    {"timeout_ms", 1'200 + version % 7},
-                    {"target_latency_ms", 300},
-                    {"priority", 2},
-                    {"service", "texts"},
-                    {"attempts_maximum", 2}});
-  }
-  return json{{"version", version}, {"routes", list}, {"services", {{{"name", "texts"}}}}}.dump();
-}
-
 /// Changes the whole configuration again and again while the gateways do what they do.
 struct ChangedFleet : Fleet {
   explicit ChangedFleet(GatewayHabit habit) {
-    cr_assert(Operate("PUT", ConfigurationText(1), 0).status == 200);
+    cr_assert(Operate("PUT", LargeConfigurationText(1, kRoutes), 0).status == 200);
     for (int control = 1; control <= kControls; ++control) {
       crowds.push_back(std::make_unique<StandInGateways>(Internal(control), kGateways, habit));
     }
     for (int version = 2; version <= kChanges; ++version) {
-      const auto answer = Operate("PUT", ConfigurationText(version), version - 1);
+      const auto answer = Operate("PUT", LargeConfigurationText(version, kRoutes), version - 1);
       cr_assert(answer.status == 200, "version %d: %d", version, answer.status);
     }
   }
@@ -52,6 +33,10 @@
     const long peak = ControlPeakKib();
     cr_expect(peak <= KibOf(kControlMemoryMb), "a control process held %ld KiB", peak);
     cr_log_info("a control process held %ld KiB", peak);
+    // The router of the fleet takes the same changes.
+    const long router_peak = RouterPeakKib();
+    cr_expect(router_peak <= KibOf(kRouterMemoryMb), "the router held %ld KiB", router_peak);
+    cr_log_info("the router held %ld KiB", router_peak);
   }
 
   std::vector<std::unique_ptr<StandInGateways>> crowds;
@@ -76,7 +61,7 @@
   cr_log_info("in force at all gateways %ld ms after the last change",
               (runtime::BootTimeNow() - changed).count() / 1'000);
   // What they were receiving, its replacement, and what the binary form may exceed the text by.
-  const std::size_t most = 3 * kGateways * ConfigurationText(kChanges).size();
+  const std::size_t most = 3 * kGateways * LargeConfigurationText(kChanges, kRoutes).size();
   for (std::size_t crowd = 0; crowd < before.size(); ++crowd) {
     const std::uint64_t read = fleet.crowds[crowd]->bytes_read() - before[crowd];
     cr_expect(read <= most, "%lu KiB for %d gateways", read >> 10, kGateways);
