Simulate a traffic configuration of 1,762 further routes

Changes, races of operators and reads were simulated with seven routes only. Other scenarios are unchanged.

The traffic scenarios play no lost disk of a control process.

--- a/simulation/simulator/main.cc
+++ b/simulation/simulator/main.cc
@@ -44,6 +44,9 @@
 /// The same as the first with gateways that coordinate admission, and faults of theirs.
 constexpr const char* kTrafficCoordination = "traffic-coordination";
 constexpr const char* kTrafficPartitions = "traffic-partitions";
+/// The same as the first with a configuration that takes many messages to copy to a member.
+constexpr const char* kTrafficLargeConfiguration = "traffic-large-configuration";
+constexpr int kFurtherRoutes = 1'762;
 /// Only what makes gateways retry and forget what they spent on it.
 constexpr const char* kTrafficRetries = "traffic-retries";
 /// Requests begin to fail at one moment, and most gateways start again soon after.
@@ -79,7 +82,8 @@
            scenario == kTrafficCrashing || scenario == kTrafficLimits ||
            scenario == kTrafficWarmUps || scenario == kTrafficCoordination ||
            scenario == kTrafficPartitions || scenario == kTrafficRetries ||
-           scenario == kTrafficRetryRestarts || scenario == kTrafficSurplusAnswers;
+           scenario == kTrafficLargeConfiguration || scenario == kTrafficRetryRestarts ||
+           scenario == kTrafficSurplusAnswers;
   }
 };
 
@@ -181,6 +185,8 @@
               "traffic with six gateways that coordinate admission, and three times the calls");
   std::printf("scenario %-36s %s\n", kTrafficPartitions,
               "traffic with eleven gateways that are partitioned from all workers at times");
+  std::printf("scenario %-36s %s\n", kTrafficLargeConfiguration,
+              "traffic with a configuration of 1,762 further routes");
   std::printf("scenario %-36s %s\n", kTrafficRetries,
               "24 gateways that stop in turn and are partitioned, while workers shed requests");
   std::printf("scenario %-36s %s\n", kTrafficRetryRestarts,
@@ -260,6 +266,7 @@
     world.gateways = 24;
     world.spare_gateways = 6;
   }
+  if (settings.scenario == kTrafficLargeConfiguration) world.further_routes = kFurtherRoutes;
   if (settings.scenario == kTrafficCoordination) {
     world.coordination = true;
     // Two a zone, so that another one of the same zone takes over the servers of one that is gone.
--- a/simulation/traffic_world/configuration_operators.cc
+++ b/simulation/traffic_world/configuration_operators.cc
@@ -58,7 +58,7 @@
         return service;
     }
 
-    auto first_change(bool coordination) -> traffic::ConfigurationChange
+    auto first_change(bool coordination, int further_routes) -> traffic::ConfigurationChange
     {
         traffic::ConfigurationChange change;
         change.version = {1};
@@ -75,6 +75,10 @@
                 change.routes.push_back(route(prefix, "host", prefix, name, repeatable, target));
             }
         }
+        for (int number = 0; number < further_routes; ++number) {
+            auto const prefix = "/further/" + std::to_string(number) + "/";
+            change.routes.push_back(route(prefix, "host", prefix, kPooledService, true, kTargetMs));
+        }
         change.routes.push_back(marker(change.digest));
         return change;
     }
@@ -83,7 +87,7 @@
 
 auto ConfigurationOperators::start() -> void
 {
-    send(0, first_change(m_fleet.options().coordination));
+    send(0, first_change(m_fleet.options().coordination, m_fleet.options().further_routes));
     plan(1);
 }
 
--- a/simulation/traffic_world/traffic_fleet.h
+++ b/simulation/traffic_world/traffic_fleet.h
@@ -64,6 +64,8 @@
     bool warm_ups = false;
     /// Gateways coordinate the admission at owners whose keys are leased by heartbeat.
     bool coordination = false;
+    /// Routes that the first configuration has beside those of callers.
+    int further_routes = 0;
     /// Gateways are partitioned from all workers at times, and forward requests to others.
     bool partitions = false;
     /// Workers shed requests, and many gateways stop one after the other.
