--- a/src/daemon/gateway/gateway_process.cc
+++ b/src/daemon/gateway/gateway_process.cc
@@ -98,6 +98,7 @@
       loop_.context(), status, [this](const auto& exchange) { OnStatus(exchange); });
   event_http::ClientPoolOptions pool;
   pool.answer_bytes_maximum = kAnswerBytesMaximum;
+  pool.account = account_;
   pool.connect_limit = kConnectLimit;
   pool.watch_minimum = kWatchMinimum;
   pool.watch_maximum = kWatchMaximum;
