Bound the values of a body that is parsed, and write a configuration without parsing it

Cause: a body of 8 MiB at the registry port is parsed into a tree of values; "[]" takes two bytes of text and a value with an allocation of its own. A configuration was parsed as a whole again for each reader.

Change: a body of more than 400,000 values is refused with 413 before it is parsed, naming the limit. A configuration is written from the items' texts.

--- a/src/http/traffic_json.cc
+++ b/src/http/traffic_json.cc
@@ -15,6 +15,8 @@
 using nlohmann::json;
 
 constexpr char kRemedy[] = "Send what docs/interface/traffic.md describes.";
+/// A parsed value takes up to 100 bytes, whatever its text: "[]" takes two.
+constexpr std::size_t kJsonValuesMaximum = 400'000;
 constexpr char kVersion[] = "version";
 constexpr char kRoutes[] = "routes";
 constexpr char kServices[] = "services";
@@ -315,7 +317,30 @@
   return {};
 }
 
+/// The most values that a JSON text may hold: each but the first follows a bracket or a comma.
+std::size_t CountValues(std::string_view text) {
+  std::size_t values = 1;
+  bool quoted = false;
+  for (std::size_t at = 0; at < text.size(); ++at) {
+    const char c = text[at];
+    if (quoted && c == '\\') {
+      ++at;
+    } else if (c == '"') {
+      quoted = !quoted;
+    } else if (!quoted && (c == ',' || c == '[' || c == '{')) {
+      ++values;
+    }
+  }
+  return values;
+}
+
 Result<json> ReadObject(const std::string& text) {
+  if (const std::size_t values = CountValues(text); values > kJsonValuesMaximum) {
+    return Fail(ErrorKind::kTooLarge,
+                "The body holds up to " + std::to_string(values) + " JSON values; " +
+                    std::to_string(kJsonValuesMaximum) + " are read at most.",
+                "Send it in several changes with PATCH.");
+  }
   json object = json::parse(text, nullptr, /*allow_exceptions=*/false);
   if (object.is_discarded() || !object.is_object()) {
     return Fail(ErrorKind::kMalformedMessage, "The body is not one JSON object.", kRemedy);
@@ -333,11 +358,16 @@
   return change;
 }
 
+/// Appends a member that lists the items as they were submitted. They are not parsed for it: that
+/// takes many times the memory of their text.
 template <class Item>
-json SourcesOf(const std::vector<Item>& items) {
-  json sources = json::array();
-  for (const Item& item : items) sources.push_back(json::parse(item.source));
-  return sources;
+void AppendSources(std::string& object, const char* key, const std::vector<Item>& items) {
+  object.append(",\"").append(key).append("\":[");
+  for (const Item& item : items) {
+    if (&item != items.data()) object += ',';
+    object += item.source;
+  }
+  object += ']';
 }
 
 }  // namespace
@@ -377,31 +407,33 @@
 
 namespace {
 
-json ObjectOf(const traffic::Configuration& configuration) {
-  json object = configuration.further.empty() ? json::object() : json::parse(configuration.further);
-  object[kVersion] = configuration.version.value;
-  object[kRoutes] = SourcesOf(configuration.routes);
-  object[kServices] = SourcesOf(configuration.services);
+/// The text of the object, without its closing brace.
+std::string OpenObjectOf(const traffic::Configuration& configuration) {
+  std::string object = "{";
+  if (!configuration.further.empty()) {
+    const std::string_view members(configuration.further);
+    object.append(members.substr(1, members.size() - 2)).append(",");
+  }
+  object.append("\"").append(kVersion).append("\":");
+  object += std::to_string(configuration.version.value);
+  AppendSources(object, kRoutes, configuration.routes);
+  AppendSources(object, kServices, configuration.services);
   if (!configuration.limits.source.empty()) {
-    object[kLimits] = json::parse(configuration.limits.source);
+    object.append(",\"").append(kLimits).append("\":").append(configuration.limits.source);
   }
   return object;
 }
 
-std::string TextOf(const json& object) {
-  return object.dump(-1, ' ', false, json::error_handler_t::replace);
-}
-
 }  // namespace
 
 std::string ToJson(const traffic::Configuration& configuration) {
-  return TextOf(ObjectOf(configuration));
+  return OpenObjectOf(configuration) + "}";
 }
 
 std::string ToJson(const control::ConfigurationView& view) {
-  json object = ObjectOf(view.configuration);
-  if (view.speaks_of_tenants) object[kTenants] = SourcesOf(view.tenants);
-  return TextOf(object);
+  std::string object = OpenObjectOf(view.configuration);
+  if (view.speaks_of_tenants) AppendSources(object, kTenants, view.tenants);
+  return object + "}";
 }
 
 Result<control::ReportInstance> ReadHeartbeat(const std::string& text,
--- a/tests/http/traffic_configuration_json_test.cc
+++ b/tests/http/traffic_configuration_json_test.cc
@@ -162,3 +162,34 @@
     cr_assert(error.remedy.find(kSecret) == std::string::npos);
   }
 }
+
+// "[[],[],..." of 8 MiB took 20 times its size once it was parsed.
+Test(traffic_configuration, text_of_millions_of_values_is_refused_before_it_is_parsed) {
+  constexpr std::size_t kBodyBytes = 8UL << 20U;
+  for (const std::string unit : {"[],", "{},", "0,", "\"\","}) {
+    std::string text = R"({"version":1,"routes":[)";
+    while (text.size() + unit.size() < kBodyBytes) text += unit;
+    text += "0]}";
+    const Error error = RefusalOf(text);
+    cr_assert(error.kind == ErrorKind::kTooLarge, "%s", unit.c_str());
+    cr_assert_not(error.remedy.empty());
+  }
+  const std::string quoted = std::string(1UL << 20U, ',') + "\\\"" + std::string(1UL << 20U, '[');
+  const auto whole =
+      Read(json::parse(R"({"version":1,"routes":[],"services":[],"note":")" + quoted + R"("})"));
+  cr_assert(json::parse(whole.further)["note"].get<std::string>().size() == (2UL << 20U) + 1);
+}
+
+// Reading a configuration back parsed it as a whole: several times its size for each reader.
+Test(traffic_configuration, written_configuration_is_what_was_submitted) {
+  json object = Whole();
+  object["note"] = {{"text", "\xC3\xA4 \" \\ ,[{"}, {"list", {1, 2.5, nullptr}}};
+  object["limits"] = {{"body_bytes_maximum", 1'000}};
+  traffic::ConfigurationStore store;
+  cr_assert(ErrorOf(Attempt([&] { return store.Apply(Read(object), 1); })) == nullptr);
+  const control::ConfigurationView view{store.current(), true, store.tenancy().tenants};
+  cr_assert(json::parse(http::ToJson(view)) == object);
+  json without = object;
+  without.erase("tenants");
+  cr_assert(json::parse(http::ToJson(store.current())) == without);
+}
