Bound the bytes of configuration changes that wait for their answers

Cause: callers of the registry port that left did not take their changes back, so changes of 8 MiB piled up before the deciding thread without a bound; a heartbeat of 8 MiB was parsed.

Change: changes beyond 16 MiB without an answer are refused with 503, to be sent again; other bodies than changes are refused with 413 beyond 1 MiB.

--- a/src/daemon/control/registry_server.cc
+++ b/src/daemon/control/registry_server.cc
@@ -26,6 +26,10 @@
 constexpr int kBadGateway = 502;
 constexpr int kServiceUnavailable = 503;
 constexpr std::size_t kBodyBytesMaximum = std::size_t{8} << 20;
+/// Of all but configuration changes: a heartbeat names the spans of keys that its instance holds.
+constexpr std::size_t kSmallBodyBytesMaximum = std::size_t{1} << 20;
+/// Of configuration changes without an answer; one of any size is taken.
+constexpr std::size_t kChangeBytesMaximum = std::size_t{16} << 20;
 constexpr std::uint32_t kHeartbeatsPerAddress = 8;
 constexpr std::size_t kInstancesRemembered = 10'000;
 /// For what arrived unread to be refused, and callers to take the last answers: a second is how
@@ -103,6 +107,10 @@
               "See docs/interface/traffic.md.");
 }
 
+bool IsChange(const event_http::Request& request) {
+  return request.Path() == kConfigurationPath && request.method != "GET";
+}
+
 std::string_view CallName(const event_http::Request& request) {
   if (request.Path() == kConfigurationPath) {
     return request.method == "GET" ? "read_configuration" : "change_configuration";
@@ -191,7 +199,10 @@
     return;
   }
   const std::string what = request.method + " " + std::string(request.Path());
-  auto read = Attempt([&] { return ReadRequest(request); });
+  auto read = Attempt([&]() -> Result<control::OperatorRequest> {
+    BOOST_LEAF_CHECK(CheckBody(request));
+    return ReadRequest(request);
+  });
   if (const Error* error = ErrorOf(read)) {
     const control::OperatorAnswer answer = *error;
     const event_http::Response response = ResponseFor(answer, request);
@@ -203,16 +214,46 @@
   auto& command = std::get<control::OperatorRequest>(read);
   const auto* heartbeat = std::get_if<control::ReportInstance>(&command);
   waiting_[number] = {exchange, what, {}};
+  if (IsChange(request)) {
+    changes_[number] = request.body.size();
+    change_bytes_ += request.body.size();
+  }
   if (heartbeat != nullptr) waiting_[number].heartbeat = heartbeat->report;
   exchange->OnGone([this, number] { waiting_.erase(number); });
   hooks_.execute(number, std::move(command));
 }
 
+Result<void> RegistryServer::CheckBody(const event_http::Request& request) const {
+  const std::size_t bytes = request.body.size();
+  if (!IsChange(request) && bytes > kSmallBodyBytesMaximum) {
+    return Fail(ErrorKind::kTooLarge,
+                "The body has " + std::to_string(bytes) + " bytes; " +
+                    std::to_string(kSmallBodyBytesMaximum) + " are read at most here.",
+                "Send what docs/interface/traffic.md describes.");
+  }
+  if (IsChange(request) && !changes_.empty() && change_bytes_ + bytes > kChangeBytesMaximum) {
+    return Fail(ErrorKind::kUnavailable,
+                std::to_string(change_bytes_) +
+                    " bytes of configuration changes wait for their answers; " +
+                    std::to_string(kChangeBytesMaximum) + " may wait at most.",
+                "Send the same change again in a second; it was not run.");
+  }
+  return {};
+}
+
+void RegistryServer::EndChange(control::RequestId number) {
+  const auto change = changes_.find(number);
+  if (change == changes_.end()) return;
+  change_bytes_ -= change->second;
+  changes_.erase(change);
+}
+
 void RegistryServer::Answer(const control::OperatorReply& reply) {
   boost::asio::post(loop_.context(), [this, reply] { OnAnswer(reply); });
 }
 
 void RegistryServer::OnAnswer(const control::OperatorReply& reply) {
+  EndChange(reply.request);
   const auto found = waiting_.find(reply.request);
   if (found == waiting_.end()) return;
   const Waiting waiting = std::move(found->second);
--- a/src/daemon/control/registry_server.h
+++ b/src/daemon/control/registry_server.h
@@ -57,6 +57,9 @@
   };
 
   void OnExchange(const std::shared_ptr<event_http::Exchange>& exchange);
+  /// Whether the body may be read while the changes before it have no answer.
+  Result<void> CheckBody(const event_http::Request& request) const;
+  void EndChange(control::RequestId number);
   void OnAnswer(const control::OperatorReply& reply);
   void AnswerTheRest();
   event_http::Response ResponseFor(const control::OperatorAnswer& answer,
@@ -74,6 +77,10 @@
   std::map<std::string, std::uint32_t> heartbeats_;  ///< Taken here, by instance.
   control::RequestId next_request_ = kRequestBit;
   std::map<control::RequestId, Waiting> waiting_;
+  /// Bytes of the configuration changes without an answer. A caller that leaves does not take its
+  /// change back.
+  std::map<control::RequestId, std::size_t> changes_;
+  std::size_t change_bytes_ = 0;  ///< Of all of them.
 };
 
 }  // namespace graniteseam::daemon
--- a/tests/control_daemon/registry_server_test.cc
+++ b/tests/control_daemon/registry_server_test.cc
@@ -139,3 +139,42 @@
   cr_assert(Has(answer, "HTTP/1.1 502 ") && Has(answer, "Connection: close"), "%s", answer.c_str());
   cr_assert(Has(answer, "outcome_unknown"), "%s", answer.c_str());
 }
+
+/// Changes that wait for their answers, also those whose callers have left, had no bound in bytes.
+Test(registry_server, changes_beyond_the_bytes_that_may_wait_are_refused, .timeout = 60) {
+  constexpr std::size_t kNoteBytes = 7UL << 20U;
+  const std::string body =
+      R"({"version":1,"routes":[],"services":[],"note":")" + std::string(kNoteBytes, 'x') + R"("})";
+  const std::string change =
+      "PUT /v1/traffic/configuration HTTP/1.1\r\nHost: a\r\nIf-Match: 0\r\nConnection: close\r\n"
+      "Content-Length: " +
+      std::to_string(body.size()) + "\r\n\r\n" + body;
+  Registry registry;
+  for (std::size_t count = 1; count <= 2; ++count) {
+    RawClient leaving(registry.server->port());
+    leaving.Send(change);
+    registry.AwaitChanges(count);
+  }
+  RawClient refused(registry.server->port());
+  refused.Send(change);
+  const std::string answer = ReadToEnd(refused);
+  cr_assert(Has(answer, "HTTP/1.1 503 "), "%s", answer.c_str());
+  cr_assert_eq(registry.changes().size(), 2U);
+  registry.server->Answer({registry.changes()[0], control::Accepted{}});
+  RawClient taken(registry.server->port());
+  taken.Send(change);
+  registry.AwaitChanges(3);
+}
+
+/// A heartbeat of the size of a configuration was parsed.
+Test(registry_server, large_heartbeat_is_refused, .timeout = 60) {
+  const std::string body = R"({"note":")" + std::string(2UL << 20U, 'x') + R"("})";
+  Registry registry;
+  RawClient client(registry.server->port());
+  client.Send(
+      "POST /v1/instances/i-1/heartbeat HTTP/1.1\r\nHost: a\r\nConnection: close\r\n"
+      "Content-Length: " +
+      std::to_string(body.size()) + "\r\n\r\n" + body);
+  const std::string answer = ReadToEnd(client);
+  cr_assert(Has(answer, "HTTP/1.1 413 "), "%s", answer.c_str());
+}
