--- a/include/graniteseam/consensus/raft_consensus.h
+++ b/include/graniteseam/consensus/raft_consensus.h
@@ -36,6 +36,9 @@
   std::size_t entries_kept_after_snapshot = 1'000;
   /// Bytes that these entries may take together.
   std::size_t bytes_kept_after_snapshot = 2UL << 20U;
+  /// Bytes of committed entries in one Effects, or one entry; the log may hold many times as much
+  /// after a start.
+  std::size_t committed_bytes_maximum = 1 << 20;
 };
 
 /// Durable state that a member recovers at startup. The driver restores its state machine from the
@@ -61,8 +64,9 @@
   std::optional<HardState> hard_state;
   std::optional<LogIndex> truncate_from;  ///< Removes this index and all after it.
   std::vector<LogEntry> entries;
-  std::optional<Snapshot> snapshot;  ///< Replaces everything up to its last index.
-  std::uint64_t sequence = 0;        ///< Passed back to PersistDone().
+  /// Replaces everything up to its last index. Shared, since a snapshot is as large as the state.
+  std::shared_ptr<const Snapshot> snapshot;
+  std::uint64_t sequence = 0;  ///< Passed back to PersistDone().
 
   bool Empty() const { return !hard_state && !truncate_from && entries.empty() && !snapshot; }
 };
@@ -73,10 +77,12 @@
 /// Actions for the driver after one step, in the order of the struct's fields. The driver completes
 /// each Effects before the next one, in the order in which they were returned.
 struct Effects {
-  PersistRequest persist;             ///< Written first; PersistDone() follows.
-  std::vector<PeerMessage> messages;  ///< Sent only once `persist` is durable.
-  std::optional<Snapshot> restored;   ///< Replaces the state machine's state.
-  std::vector<LogEntry> committed;    ///< Applied in order, after `restored`.
+  PersistRequest persist;                    ///< Written first; PersistDone() follows.
+  std::vector<PeerMessage> messages;         ///< Sent only once `persist` is durable.
+  std::shared_ptr<const Snapshot> restored;  ///< Replaces the state machine's state.
+  std::vector<LogEntry> committed;           ///< Applied in order, after `restored`.
+  /// Further entries are committed: the driver takes them with TakeCommitted() before it goes on.
+  bool more_committed = false;
   bool role_changed = false;
 };
 
@@ -111,6 +117,10 @@
   /// non-members, are dropped.
   Effects Step(const PeerMessage& message, Instant now);
 
+  /// Returns the committed entries that follow those of the last Effects; see
+  /// Effects::more_committed.
+  Effects TakeCommitted();
+
   /// Reports that the persist request with this sequence, and all before it, are durable. Only then
   /// does a leader count its own entries and a follower acknowledge.
   Effects PersistDone(std::uint64_t sequence, Instant now);
@@ -151,6 +161,8 @@
   std::shared_ptr<const Snapshot> snapshot() const;
   /// Bytes of the log's entries in memory.
   std::size_t log_bytes() const;
+  /// Bytes of the entries that are not committed.
+  std::size_t uncommitted_bytes() const;
   const Membership& membership() const;
   const Member& self() const;
   /// Processes outside the membership with a recent announcement: candidates for learners.
--- a/src/consensus/follower.cc
+++ b/src/consensus/follower.cc
@@ -73,7 +73,7 @@
   }
   const bool stored = StoreEntries(request);
   const LogIndex match{request.previous_index.value + request.entries.size()};
-  AdvanceCommit(std::min(request.commit_index, match));
+  commit_index_ = std::max(commit_index_, std::min(request.commit_index, match));
   response.success = true;
   if (stored) {
     response.match_index = match;
--- a/src/consensus/leader.cc
+++ b/src/consensus/leader.cc
@@ -116,10 +116,12 @@
 
 void RaftConsensus::Impl::SendEntries(const Member& peer, PeerProgress& progress, Instant now) {
   const LogIndex previous{progress.next.value - 1};
-  AppendRequest request{
-      hard_state_.term,       previous,
-      *log_.TermAt(previous), log_.From(progress.next, options_.append_bytes_maximum),
-      commit_index_,          round_};
+  AppendRequest request{hard_state_.term,
+                        previous,
+                        *log_.TermAt(previous),
+                        log_.From(progress.next, log_.last_index(), options_.append_bytes_maximum),
+                        commit_index_,
+                        round_};
   progress.in_flight_end = request.entries.back().index;
   progress.in_flight_since = now;
   progress.sent_commit_index = commit_index_;
@@ -176,7 +178,7 @@
   }
   const LogIndex reached = ReachedByQuorum(std::move(durable), QuorumSize());
   if (reached > commit_index_ && log_.TermAt(reached) == hard_state_.term) {
-    AdvanceCommit(reached);
+    commit_index_ = reached;
     const bool delayed = options_.commit_notification_delay > Duration{};
     if (delayed)
       commit_notification_due_ =
--- a/src/consensus/raft_consensus.cc
+++ b/src/consensus/raft_consensus.cc
@@ -20,6 +20,7 @@
       last_leader_contact_(now) {
   if (log_.last_term() > hard_state_.term) hard_state_ = {log_.last_term(), std::nullopt};
   commit_index_ = log_.snapshot_index();
+  handed_out_index_ = commit_index_;
   durable_index_ = log_.last_index();
   StartBootstrap(recovered, now);
   SetRole(IsVoter(self_) ? Role::kFollower : Role::kLearner);
@@ -106,6 +107,7 @@
 Effects RaftConsensus::Impl::TakeEffects() {
   Effects effects = std::move(effects_);
   effects_ = Effects{};
+  HandOutCommitted(effects);
   if (!effects.persist.Empty()) effects.persist.sequence = ++sequence_;
   return effects;
 }
@@ -167,11 +169,21 @@
   return pending_.back();
 }
 
-void RaftConsensus::Impl::AdvanceCommit(LogIndex index) {
-  if (index <= commit_index_) return;
-  auto committed = log_.Range(commit_index_.Next(), index);
-  std::move(committed.begin(), committed.end(), std::back_inserter(effects_.committed));
-  commit_index_ = index;
+void RaftConsensus::Impl::HandOutCommitted(Effects& effects) {
+  if (effects.restored) handed_out_index_ = effects.restored->last_index;
+  if (handed_out_index_ == commit_index_) return;
+  effects.committed =
+      log_.From(handed_out_index_.Next(), commit_index_, options_.committed_bytes_maximum);
+  handed_out_index_ = effects.committed.back().index;
+  effects.more_committed = handed_out_index_ < commit_index_;
+}
+
+std::size_t RaftConsensus::Impl::UncommittedBytes() const {
+  std::size_t bytes = 0;
+  for (LogIndex index = commit_index_.Next(); index <= log_.last_index(); index = index.Next()) {
+    bytes += BytesOf(log_.At(index));
+  }
+  return bytes;
 }
 
 bool RaftConsensus::Impl::IsVoter(const Member& member) const {
@@ -224,6 +236,8 @@
   return impl_->TakeEffects();
 }
 
+Effects RaftConsensus::TakeCommitted() { return impl_->TakeEffects(); }
+
 Effects RaftConsensus::PersistDone(std::uint64_t sequence, Instant now) {
   impl_->PersistDone(sequence, now);
   return impl_->TakeEffects();
@@ -264,6 +278,7 @@
 LogIndex RaftConsensus::last_index() const { return impl_->log().last_index(); }
 std::shared_ptr<const Snapshot> RaftConsensus::snapshot() const { return impl_->log().snapshot(); }
 std::size_t RaftConsensus::log_bytes() const { return impl_->log().bytes(); }
+std::size_t RaftConsensus::uncommitted_bytes() const { return impl_->UncommittedBytes(); }
 const Membership& RaftConsensus::membership() const { return impl_->log().membership(); }
 const Member& RaftConsensus::self() const { return impl_->self(); }
 std::vector<Member> RaftConsensus::announced() const { return impl_->Announced(); }
--- a/src/consensus/raft_impl.h
+++ b/src/consensus/raft_impl.h
@@ -33,6 +33,7 @@
   void Compact(LogIndex index, std::string data, Instant now);
   std::vector<Member> Announced() const;
   std::vector<PeerStatus> Peers(Instant now) const;
+  std::size_t UncommittedBytes() const;
 
   /// Returns the effects collected since the last call and assigns a sequence number to their
   /// persist request.
@@ -72,7 +73,8 @@
   void AppendEntry(LogEntry entry);
   void TruncateLogFrom(LogIndex index);
   PendingPersist& CurrentPendingPersist();
-  void AdvanceCommit(LogIndex index);
+  /// Adds the next committed entries, within their bound.
+  void HandOutCommitted(Effects& effects);
   bool IsVoter(const Member& member) const;
   bool IsMember(const Member& member) const;
   std::vector<Member> OtherMembers() const;
@@ -157,7 +159,8 @@
   HardState hard_state_;
   RaftLog log_;
   LogIndex commit_index_;
-  LogIndex durable_index_;  ///< Last index of the log that is durable on this member.
+  LogIndex handed_out_index_;  ///< Last committed index that the driver was given.
+  LogIndex durable_index_;     ///< Last index of the log that is durable on this member.
 
   Role role_ = Role::kFollower;
   std::optional<Member> leader_;
--- a/src/consensus/raft_log.cc
+++ b/src/consensus/raft_log.cc
@@ -11,7 +11,7 @@
 }
 
 RaftLog::RaftLog(std::optional<Snapshot> snapshot, std::vector<LogEntry> entries) {
-  if (snapshot) Install(std::move(*snapshot));
+  if (snapshot) Install(std::make_shared<const Snapshot>(*std::move(snapshot)));
   for (auto& entry : entries) Append(std::move(entry));
 }
 
@@ -29,10 +29,11 @@
   return index;
 }
 
-std::vector<LogEntry> RaftLog::From(LogIndex from, std::size_t bytes_maximum) const {
+std::vector<LogEntry> RaftLog::From(LogIndex first, LogIndex last,
+                                    std::size_t bytes_maximum) const {
   std::vector<LogEntry> copied;
   std::size_t bytes = 0;
-  for (LogIndex index = from; index <= last_index(); index = index.Next()) {
+  for (LogIndex index = first; index <= last; index = index.Next()) {
     const LogEntry& entry = At(index);
     bytes += BytesOf(entry);
     if (!copied.empty() && bytes > bytes_maximum) break;
@@ -41,11 +42,6 @@
   return copied;
 }
 
-std::vector<LogEntry> RaftLog::Range(LogIndex first, LogIndex last) const {
-  const auto begin = entries_.begin() + static_cast<std::ptrdiff_t>(OffsetOf(first));
-  return {begin, begin + static_cast<std::ptrdiff_t>(last.value - first.value + 1)};
-}
-
 void RaftLog::Append(LogEntry entry) {
   if (entry.kind == EntryKind::kMembership) {
     // Payloads are validated earlier: when they are proposed, received or recovered.
@@ -83,27 +79,27 @@
   base_term_ = term;
 }
 
-void RaftLog::Compact(Snapshot snapshot, const KeptEntries& kept) {
-  DropMembershipsBefore(snapshot.last_index);
-  const LogIndex last_dropped = LastBefore(snapshot.last_index, kept);
-  snapshot_ = std::make_shared<const Snapshot>(std::move(snapshot));
+void RaftLog::Compact(std::shared_ptr<const Snapshot> snapshot, const KeptEntries& kept) {
+  DropMembershipsBefore(snapshot->last_index);
+  const LogIndex last_dropped = LastBefore(snapshot->last_index, kept);
+  snapshot_ = std::move(snapshot);
   if (last_dropped > base_index_) DropThrough(last_dropped);
 }
 
-bool RaftLog::Install(Snapshot snapshot) {
-  const LogIndex index = snapshot.last_index;
-  const bool keep_suffix = TermAt(index) == snapshot.last_term && index > base_index_;
+bool RaftLog::Install(std::shared_ptr<const Snapshot> snapshot) {
+  const LogIndex index = snapshot->last_index;
+  const bool keep_suffix = TermAt(index) == snapshot->last_term && index > base_index_;
   if (keep_suffix) {
     DropThrough(index);
     DropMembershipsBefore(index);
   } else {
     entries_.clear();
     bytes_ = 0;
-    memberships_.assign(1, {index, snapshot.membership});
+    memberships_.assign(1, {index, snapshot->membership});
   }
   base_index_ = index;
-  base_term_ = snapshot.last_term;
-  snapshot_ = std::make_shared<const Snapshot>(std::move(snapshot));
+  base_term_ = snapshot->last_term;
+  snapshot_ = std::move(snapshot);
   return keep_suffix;
 }
 
--- a/src/consensus/raft_log.h
+++ b/src/consensus/raft_log.h
@@ -52,11 +52,9 @@
   /// The first index of the contiguous entries with the same term as the one at `index`.
   LogIndex FirstOfTermRun(LogIndex index) const;
 
-  /// Copies entries from `from` on, up to `bytes_maximum` but at least one when there is one.
-  std::vector<LogEntry> From(LogIndex from, std::size_t bytes_maximum) const;
-
-  /// Copies the entries of a closed range.
-  std::vector<LogEntry> Range(LogIndex first, LogIndex last) const;
+  /// Copies the entries of a closed range, up to `bytes_maximum` but at least one when there is
+  /// one.
+  std::vector<LogEntry> From(LogIndex first, LogIndex last, std::size_t bytes_maximum) const;
 
   /// Appends the next entry. A kMembership entry takes effect at once, before it is committed
   /// (dissertation, 4.1).
@@ -67,12 +65,12 @@
 
   /// Stores a snapshot of this member's own state and drops the entries before it, except the
   /// newest within `kept` for followers that are slightly behind.
-  void Compact(Snapshot snapshot, const KeptEntries& kept);
+  void Compact(std::shared_ptr<const Snapshot> snapshot, const KeptEntries& kept);
 
   /// Replaces the log by a snapshot from the leader. Entries after the snapshot are retained when
   /// the log holds the snapshot's last entry.
   /// @return whether they are retained.
-  bool Install(Snapshot snapshot);
+  bool Install(std::shared_ptr<const Snapshot> snapshot);
 
   /// The latest membership of the log, committed or not; empty before the first one.
   const Membership& membership() const;
--- a/src/consensus/snapshot_transfer.cc
+++ b/src/consensus/snapshot_transfer.cc
@@ -8,8 +8,9 @@
 
 void RaftConsensus::Impl::Compact(LogIndex index, std::string data, Instant now) {
   now_ = std::max(now_, now);
-  if (index > commit_index_ || index <= log_.snapshot_index()) return;
-  Snapshot snapshot{index, *log_.TermAt(index), log_.MembershipAt(index), std::move(data)};
+  if (index > handed_out_index_ || index <= log_.snapshot_index()) return;
+  auto snapshot = std::make_shared<const Snapshot>(
+      Snapshot{index, *log_.TermAt(index), log_.MembershipAt(index), std::move(data)});
   effects_.persist.snapshot = snapshot;
   log_.Compact(std::move(snapshot),
                {options_.entries_kept_after_snapshot, options_.bytes_kept_after_snapshot});
@@ -91,9 +92,9 @@
 
 void RaftConsensus::Impl::InstallReceivedSnapshot(const Member& from,
                                                   const InstallSnapshotRequest& request) {
-  Snapshot snapshot = std::move(*incoming_snapshot_);
+  auto snapshot = std::make_shared<const Snapshot>(std::move(*incoming_snapshot_));
   incoming_snapshot_.reset();
-  const LogIndex last = snapshot.last_index;
+  const LogIndex last = snapshot->last_index;
   effects_.persist.snapshot = snapshot;
   effects_.restored = snapshot;
   if (!log_.Install(std::move(snapshot))) {
--- a/src/control/control_node_impl.cc
+++ b/src/control/control_node_impl.cc
@@ -166,11 +166,15 @@
 // --- Consensus ---
 
 void ControlNode::Impl::HandleConsensusEffects(consensus::Effects effects, Instant now) {
-  MergePersist(std::move(effects.persist));
-  std::move(effects.messages.begin(), effects.messages.end(),
-            std::back_inserter(effects_.peer_messages));
-  if (effects.restored) RestoreState(*effects.restored);
-  for (const auto& entry : effects.committed) ApplyEntry(entry, now);
+  for (;;) {
+    MergePersist(std::move(effects.persist));
+    std::move(effects.messages.begin(), effects.messages.end(),
+              std::back_inserter(effects_.peer_messages));
+    if (effects.restored) RestoreState(*effects.restored);
+    for (const auto& entry : effects.committed) ApplyEntry(entry, now);
+    if (!effects.more_committed) break;
+    effects = consensus_.TakeCommitted();
+  }
   UpdateRole(now);
 }
 
--- a/src/storage/consensus_storage.cc
+++ b/src/storage/consensus_storage.cc
@@ -91,7 +91,7 @@
     // the whole log on disk, because its entries may conflict with the leader's.
     const bool replaces_log =
         request.truncate_from && *request.truncate_from <= request.snapshot->last_index.Next();
-    BOOST_LEAF_CHECK(snapshots_.Save({*request.snapshot, replaces_log}));
+    BOOST_LEAF_CHECK(snapshots_.Save(*request.snapshot, replaces_log));
     if (replaces_log) {
       batch.replaced_by = {request.snapshot->last_index, request.snapshot->last_term};
     }
--- a/src/storage/snapshot_store.cc
+++ b/src/storage/snapshot_store.cc
@@ -8,6 +8,13 @@
 
 constexpr const char* kSnapshotName = "snapshot";
 
+/// The fields of StoredSnapshot after its snapshot. Encoded on their own, so that the snapshot is
+/// not copied.
+struct SnapshotEffect {
+  bool replaces_log = false;
+};
+BOOST_DESCRIBE_STRUCT(SnapshotEffect, (), (replaces_log))
+
 }  // namespace
 
 SnapshotStore::SnapshotStore(FileSystem& files, std::string folder)
@@ -30,8 +37,11 @@
   return std::optional<StoredSnapshot>(std::move(stored));
 }
 
-Result<void> SnapshotStore::Save(const StoredSnapshot& stored) {
-  const std::string frame = EncodeFrame(stored.snapshot.last_index.value, codec::Encode(stored));
+Result<void> SnapshotStore::Save(const consensus::Snapshot& snapshot, bool replaces_log) {
+  // Fields are encoded one after the other, so this is an encoded StoredSnapshot.
+  const std::string frame =
+      EncodeFrame(snapshot.last_index.value,
+                  codec::Encode(snapshot) + codec::Encode(SnapshotEffect{replaces_log}));
   return WriteFileAtomically(files_, folder_, kSnapshotName, frame);
 }
 
--- a/src/storage/snapshot_store.h
+++ b/src/storage/snapshot_store.h
@@ -28,7 +28,8 @@
   Result<std::optional<StoredSnapshot>> Load();
 
   /// Replaces the snapshot atomically: a crash leaves either the old or the new one complete.
-  Result<void> Save(const StoredSnapshot& stored);
+  /// @param replaces_log as in StoredSnapshot.
+  Result<void> Save(const consensus::Snapshot& snapshot, bool replaces_log);
 
  private:
   FileSystem& files_;
--- a/tests/control/control_harness.cc
+++ b/tests/control/control_harness.cc
@@ -48,7 +48,7 @@
 
 void Disk::Write(const consensus::PersistRequest& request) {
   if (request.snapshot) {
-    snapshot = request.snapshot;
+    snapshot = *request.snapshot;
     std::erase_if(entries, [&](const consensus::LogEntry& entry) {
       return entry.index <= snapshot->last_index;
     });
--- a/tests/control_daemon/persist_batch_test.cc
+++ b/tests/control_daemon/persist_batch_test.cc
@@ -18,7 +18,7 @@
 
   void Apply(const consensus::PersistRequest& request) {
     if (request.snapshot) {
-      snapshot = request.snapshot;
+      snapshot = *request.snapshot;
       std::erase_if(entries, [&](const consensus::LogEntry& entry) {
         return entry.index <= snapshot->last_index;
       });
@@ -48,7 +48,9 @@
       last = from - 1;
     }
     if (*rc::gen::inRange(0, 6) == 0) {
-      request.snapshot.emplace().last_index = graniteseam::LogIndex{last};
+      consensus::Snapshot snapshot;
+      snapshot.last_index = graniteseam::LogIndex{last};
+      request.snapshot = std::make_shared<const consensus::Snapshot>(std::move(snapshot));
     }
     for (int entry = *rc::gen::inRange(0, 4); entry > 0; --entry) {
       request.entries.push_back({{request.sequence}, {++last}, {}, ""});
--- a/tests/storage/consensus_storage_test.cc
+++ b/tests/storage/consensus_storage_test.cc
@@ -66,7 +66,8 @@
 
 PersistRequest SnapshotAt(std::uint64_t index, std::uint64_t term, bool replaces_log) {
   PersistRequest request;
-  request.snapshot = Snapshot{LogIndex{index}, Term{term}, {}, "state"};
+  request.snapshot =
+      std::make_shared<const Snapshot>(Snapshot{LogIndex{index}, Term{term}, {}, "state"});
   if (replaces_log) request.truncate_from = LogIndex{index + 1};
   return request;
 }
@@ -85,7 +86,7 @@
   const auto recovered = OpenStorage(files, options)->TakeRecovered();
   cr_assert(recovered.self == self);
   cr_assert(recovered.hard_state == *vote.hard_state);
-  cr_assert(recovered.snapshot == SnapshotAt(8, 2, false).snapshot);
+  cr_assert(recovered.snapshot == *SnapshotAt(8, 2, false).snapshot);
   cr_assert_eq(recovered.entries.size(), 2U);
 }
 
--- a/tests/storage/storage_model_test.cc
+++ b/tests/storage/storage_model_test.cc
@@ -90,10 +90,12 @@
       request.truncate_from = LogIndex{first};
     } else if (shape == 2 && !model.entries.empty()) {  // Compaction.
       const auto through = std::min(model.last_index(), model.snapshot_index + 1 + back);
-      request.snapshot = Snapshot{LogIndex{through}, Term{1}, {}, std::string(bytes, letter)};
+      request.snapshot = std::make_shared<const Snapshot>(
+          Snapshot{LogIndex{through}, Term{1}, {}, std::string(bytes, letter)});
     } else if (shape == 3) {  // A snapshot of the leader replaces the log.
       const auto through = model.last_index() + 1 + back;
-      request.snapshot = Snapshot{LogIndex{through}, Term{2}, {}, std::string(bytes, letter)};
+      request.snapshot = std::make_shared<const Snapshot>(
+          Snapshot{LogIndex{through}, Term{2}, {}, std::string(bytes, letter)});
       request.truncate_from = LogIndex{through + 1};
       first = through + 1;
     }
