Refuse changes that control processes cannot hold

Cause: a configuration larger than the machines' memory was committed, and changes were appended to the log without a bound while no quorum answered.

Change: setting memory_mb, 256 by default; a change that would make the configuration larger than a sixteenth of it is refused with 413, unless it makes it smaller. Beyond 8 MiB of entries without a quorum, operators' changes are refused with 503, to be sent again.

A process at the largest configuration was not measured.

--- a/include/graniteseam/control/control_node.h
+++ b/include/graniteseam/control/control_node.h
@@ -33,6 +33,10 @@
   /// Bytes of applied log entries after which it is compacted as well; the size of the latest
   /// snapshot when that is larger, so that snapshots are not written more than the log itself.
   std::size_t compact_after_bytes = 8UL << 20U;
+  /// Bytes of log entries without a quorum beyond which operators' changes are refused.
+  std::size_t uncommitted_bytes_maximum = 8UL << 20U;
+  /// Bytes of the traffic configuration beyond which a change that makes it larger is refused.
+  std::size_t configuration_bytes_maximum = 16UL << 20U;
   TrafficOptions traffic;
   MembershipRepairOptions membership;
   std::map<std::string, std::string> reviewer_keys;  ///< Reviewer -> Ed25519 public key, base64.
--- a/src/control/control_node_impl.h
+++ b/src/control/control_node_impl.h
@@ -128,6 +128,9 @@
   /// membership change.
   OperatorStep Plan(const OperatorRequest& command, Instant now) const;
   BundlesView Bundles(Instant now) const;
+  /// Refuses a configuration that is too large for this process's memory.
+  OperatorStep PlanChange(const traffic::ConfigurationChange& change) const;
+  Error BacklogError() const;
   Error NotLeaderError() const;
   std::string LeaderAddress() const;
 
--- a/src/control/control_node_requests.cc
+++ b/src/control/control_node_requests.cc
@@ -209,7 +209,7 @@
           return OperatorAnswer(
               ConfigurationView{store.current(), tenancy.keys_required, tenancy.tenants});
         } else if constexpr (std::is_same_v<Request, ChangeConfiguration>) {
-          return CommandBody(ChangeConfigurationCommand{request.change});
+          return PlanChange(request.change);
         } else if constexpr (std::is_same_v<Request, ReportInstance>) {
           return CommandBody(ReportInstancesCommand{{request.report}});
         } else if constexpr (std::is_same_v<Request, DeregisterInstance>) {
@@ -235,6 +235,10 @@
     return;
   }
   if (const auto* command = std::get_if<CommandBody>(&step)) {
+    if (consensus_.uncommitted_bytes() > options_.uncommitted_bytes_maximum) {
+      Reply(request, BacklogError());
+      return;
+    }
     const auto index = Propose({*command}, now);
     if (index) {
       pending_.Add(*index, consensus_.term(), WaitingOperator{request, {}});
@@ -274,6 +278,30 @@
   return leader->address;
 }
 
+Error ControlNode::Impl::BacklogError() const {
+  return {ErrorKind::kUnavailable,
+          std::to_string(consensus_.uncommitted_bytes()) +
+              " bytes of changes wait for a quorum of control processes; more are taken below " +
+              std::to_string(options_.uncommitted_bytes_maximum) + ".",
+          "Send the same request again in a second; it was not run."};
+}
+
+OperatorStep ControlNode::Impl::PlanChange(const traffic::ConfigurationChange& change) const {
+  const traffic::ConfigurationStore& store = state_.traffic().configuration();
+  const std::size_t bytes = store.BytesAfter(change);
+  // A change that frees memory is taken also above the limit, which may have been lowered.
+  if (bytes > options_.configuration_bytes_maximum && bytes > store.Bytes()) {
+    return OperatorAnswer(
+        Error{ErrorKind::kTooLarge,
+              "The configuration would take " + std::to_string(bytes) +
+                  " bytes; the limit of memory_mb on this control process is " +
+                  std::to_string(options_.configuration_bytes_maximum) + " bytes.",
+              "Remove routes, services or tenants, or give all control processes more memory and "
+              "raise memory_mb in their settings."});
+  }
+  return CommandBody(ChangeConfigurationCommand{change});
+}
+
 Error ControlNode::Impl::NotLeaderError() const {
   const std::string address = LeaderAddress();
   return {ErrorKind::kNotLeader,
--- a/src/daemon/control/control_process.cc
+++ b/src/daemon/control/control_process.cc
@@ -171,6 +171,7 @@
 }
 
 void ControlProcess::CreateDriver() {
+  settings_.node.configuration_bytes_maximum = settings_.ConfigurationBytes();
   ControlOutputs outputs;
   outputs.to_peer = [this](consensus::PeerMessage message) { peers_->Send(std::move(message)); };
   outputs.to_server = [this](control::LeaseSend send) {
--- a/src/daemon/control/control_settings.cc
+++ b/src/daemon/control/control_settings.cc
@@ -123,6 +123,12 @@
   return static_cast<std::size_t>(static_cast<double>(descriptors_maximum) * kRegistryPart);
 }
 
+std::size_t ControlSettings::ConfigurationBytes() const {
+  constexpr std::size_t kConfigurationPart = 16;
+  constexpr std::size_t kBytesOfMegabyte = 1'000'000;
+  return static_cast<std::size_t>(memory_mb) * kBytesOfMegabyte / kConfigurationPart;
+}
+
 const runtime::SocketAddress& ControlSettings::KnownHttpAddress() const {
   return advertised_http_address.ip.empty() ? http_address : advertised_http_address;
 }
@@ -182,6 +188,12 @@
                     "Descriptors that this process may have open; half of them are for connections "
                     "at registry_address.",
                     settings.descriptors_maximum, kDescriptorsMinimum, kDescriptorsMaximum);
+  constexpr std::int64_t kMemoryMinimumMb = 64;
+  constexpr std::int64_t kMemoryMaximumMb = 1 << 20;
+  reader.AddInteger("memory_mb",
+                    "Megabytes of memory that this process may take; a traffic configuration may "
+                    "take a sixteenth of them.",
+                    settings.memory_mb, kMemoryMinimumMb, kMemoryMaximumMb);
   reader.AddSwitch("self_repair",
                    "Takes in processes that announce themselves, and replaces members that are "
                    "gone or lost their disk.",
--- a/src/daemon/control/control_settings.h
+++ b/src/daemon/control/control_settings.h
@@ -28,6 +28,7 @@
   runtime::SocketAddress registry_address;    ///< Empty: instances can't register themselves.
   runtime::SocketAddress metrics_address;     ///< Empty: only at the other HTTP ports.
   std::int64_t descriptors_maximum = 4'096;   ///< That this process may have open.
+  std::int64_t memory_mb = 256;               ///< That this process may take.
   bool initialise = false;
   std::int64_t voters = 3;
   /// Machines whose loss at once, disks included, the group must survive; 0 leaves it to `voters`.
@@ -47,6 +48,10 @@
   /// Where operators reach it.
   const runtime::SocketAddress& KnownHttpAddress() const;
 
+  /// Of the traffic configuration. The process holds several copies of it at a time: the state,
+  /// its snapshot, log entries, and what is being encoded.
+  std::size_t ConfigurationBytes() const;
+
   /// Voters that self_repair keeps: as many as it takes for the losses that are to be survived.
   std::size_t WantedVoters() const;
 
--- a/src/traffic/configuration_store.cc
+++ b/src/traffic/configuration_store.cc
@@ -13,6 +13,47 @@
 /// Longest timeout of a route: ten minutes.
 constexpr std::int64_t kTimeoutMaximumMs = 600'000;
 
+std::size_t BytesOf(const Route& route) {
+  std::size_t bytes = sizeof(Route) + route.name.value.size() + route.host.size() +
+                      route.path_prefix.size() + route.source.size();
+  for (const WeightedService& part : route.split) {
+    bytes += sizeof(WeightedService) + part.service.value.size();
+  }
+  return bytes;
+}
+
+std::size_t BytesOf(const Service& service) {
+  return sizeof(Service) + service.name.value.size() + service.health_path.size() +
+         service.source.size();
+}
+
+std::size_t BytesOf(const Tenant& tenant) {
+  std::size_t bytes = sizeof(Tenant) + tenant.name.value.size() + tenant.source.size();
+  for (const KeyDigest& key : tenant.keys) bytes += sizeof(KeyDigest) + key.size();
+  return bytes;
+}
+
+template <class Item>
+std::size_t BytesOf(const std::vector<Item>& items) {
+  std::size_t bytes = 0;
+  for (const Item& item : items) bytes += BytesOf(item);
+  return bytes;
+}
+
+/// Bytes of the items that a change neither replaces nor removes.
+template <class Item, class Name>
+std::size_t BytesBeside(const std::vector<Item>& items, const std::vector<Item>& changed,
+                        const std::vector<Name>& removed) {
+  std::set<std::string_view> gone;
+  for (const Item& item : changed) gone.insert(item.name.value);
+  for (const Name& name : removed) gone.insert(name.value);
+  std::size_t bytes = 0;
+  for (const Item& item : items) {
+    if (!gone.contains(item.name.value)) bytes += BytesOf(item);
+  }
+  return bytes;
+}
+
 boost::leaf::error_id Invalid(std::string message, std::string remedy) {
   return Fail(ErrorKind::kInvalidArgument, std::move(message), std::move(remedy));
 }
@@ -90,6 +131,24 @@
   return {};
 }
 
+std::size_t ConfigurationStore::Bytes() const {
+  return BytesOf(configuration_.routes) + BytesOf(configuration_.services) +
+         BytesOf(tenancy().tenants) + configuration_.further.size() +
+         configuration_.limits.source.size();
+}
+
+std::size_t ConfigurationStore::BytesAfter(const ConfigurationChange& change) const {
+  std::size_t bytes = BytesOf(change.routes) + BytesOf(change.services) +
+                      BytesOf(change.tenancy.tenants) + change.further.size();
+  if (change.limits) bytes += change.limits->source.size();
+  if (change.whole) return bytes;
+  return bytes + configuration_.further.size() +
+         (change.limits ? 0 : configuration_.limits.source.size()) +
+         BytesBeside(configuration_.routes, change.routes, change.removed_routes) +
+         BytesBeside(configuration_.services, change.services, change.removed_services) +
+         BytesBeside(tenancy().tenants, change.tenancy.tenants, change.tenancy.removed_tenants);
+}
+
 const Service* ConfigurationStore::FindService(const ServiceName& name) const {
   const auto& services = configuration_.services;
   const auto found = std::find_if(services.begin(), services.end(),
--- a/src/traffic/configuration_store.h
+++ b/src/traffic/configuration_store.h
@@ -44,6 +44,11 @@
   ///     would be invalid; the state is unchanged then.
   Result<void> Apply(const ConfigurationChange& change, std::uint64_t log_index);
 
+  /// Bytes that the configuration takes in memory, its tenants included.
+  std::size_t Bytes() const;
+  /// Bytes that it would take after a change.
+  std::size_t BytesAfter(const ConfigurationChange& change) const;
+
   const Configuration& current() const { return configuration_; }
   const Tenancy& tenancy() const { return tenants_.current(); }
   /// Log index of the last change.
--- a/tests/control/log_size_test.cc
+++ b/tests/control/log_size_test.cc
@@ -80,3 +80,39 @@
   }
   cr_expect(harness.disk(0).snapshot->last_index == first);
 }
+
+// Changes were appended without a bound while no quorum answered.
+Test(log_size, changes_without_a_quorum_are_refused_beyond_a_bound) {
+  ControlHarness harness;
+  ApplyChanges(harness, 1, kMegabyte);
+  const std::size_t leader = *harness.Leader();
+  for (std::size_t index = 0; index < 3; ++index) {
+    if (index != leader) harness.StopControl(index);
+  }
+  const Error* refused = nullptr;
+  for (std::uint64_t number = 0; number < 30 && refused == nullptr; ++number) {
+    auto change = Change(2, kMegabyte);
+    change.change.digest = "racer-" + std::to_string(number);
+    harness.Submit(leader, change);
+    harness.RunFor(std::chrono::milliseconds(1));
+    const auto* answer = harness.LastAnswer();
+    if (answer != nullptr) refused = std::get_if<Error>(answer);
+    cr_assert_leq(harness.node(leader).consensus().uncommitted_bytes(), 10 * kMegabyte);
+  }
+  cr_assert_not_null(refused);
+  cr_expect(refused->kind == ErrorKind::kUnavailable);
+  cr_expect(refused->message.find("wait for a quorum") != std::string::npos);
+}
+
+// A configuration that no control process can hold was taken, and ended them all.
+Test(log_size, configuration_larger_than_the_limit_is_refused) {
+  ControlHarness harness;
+  ApplyChanges(harness, 1, 15 * kMegabyte);
+  const auto answer = harness.Ask(Change(2, 17 * kMegabyte));
+  const auto* error = std::get_if<Error>(&answer);
+  cr_assert_not_null(error);
+  cr_expect(error->kind == ErrorKind::kTooLarge);
+  cr_expect(error->message.find("memory_mb") != std::string::npos);
+  cr_expect_not(error->remedy.empty());
+  cr_expect(std::holds_alternative<control::Accepted>(harness.Ask(Change(2, 15 * kMegabyte))));
+}
--- a/tests/traffic/configuration_store_test.cc
+++ b/tests/traffic/configuration_store_test.cc
@@ -115,3 +115,29 @@
   restored.AddChanges(1, update);
   cr_assert(update.removed_routes.size() == 1 && update.removed_routes[0].value == "r");
 }
+
+// The size of a configuration was not known before a change of it was in the log.
+Test(configuration_store, size_after_a_change_is_that_of_the_changed_configuration) {
+  ConfigurationStore store;
+  const auto check = [&](const ConfigurationChange& change, std::uint64_t index) {
+    const std::size_t expected = store.BytesAfter(change);
+    cr_assert(!Refusal(store, change, index));
+    cr_assert_eq(store.Bytes(), expected);
+  };
+  auto first = Whole(0, 1, {MakeRoute("r", "/a/", "s"), MakeRoute("t", "/t/", "s")});
+  first.routes[0].source = std::string(1'000, 'x');
+  first.further = R"({"note":"kept"})";
+  first.tenancy.given = true;
+  first.tenancy.tenants = {{{"tenant"}, {"digest"}, {}, {}, "source"}};
+  check(first, 1);
+  cr_assert_gt(store.Bytes(), 1'000U);
+
+  ConfigurationChange patch = Whole(1, 2, {MakeRoute("r", "/b/", "s"), MakeRoute("u", "/u/", "s")});
+  patch.whole = false;
+  patch.services.clear();
+  patch.removed_routes = {{"t"}};
+  patch.limits.emplace().source = "limits";
+  check(patch, 2);
+  cr_assert_lt(store.Bytes(), 1'500U);
+  check(Whole(2, 3, {MakeRoute("r", "/a/", "s")}), 3);
+}
