--- a/src/daemon/control/control_driver.cc
+++ b/src/daemon/control/control_driver.cc
@@ -46,6 +46,8 @@
       : leading(registry.Gauge(runtime::Metric::kControlLeading)),
         term(registry.Gauge(runtime::Metric::kControlTerm)),
         commit_index(registry.Gauge(runtime::Metric::kControlCommitIndex)),
+        log_bytes(registry.Gauge(runtime::Metric::kControlLogBytes)),
+        snapshot_bytes(registry.Gauge(runtime::Metric::kControlSnapshotBytes)),
         bundle_version(registry.Gauge(runtime::Metric::kControlBundleVersion)),
         routers(registry.Gauge(runtime::Metric::kControlRoutersConnected)),
         servers_leased(registry.Gauge(runtime::Metric::kControlServersLeased)),
@@ -77,6 +79,8 @@
   runtime::GaugeHandle leading;
   runtime::GaugeHandle term;
   runtime::GaugeHandle commit_index;
+  runtime::GaugeHandle log_bytes;
+  runtime::GaugeHandle snapshot_bytes;
   runtime::GaugeHandle bundle_version;
   runtime::GaugeHandle routers;
   runtime::GaugeHandle servers_leased;
@@ -221,12 +225,12 @@
 /// durable together; only then their effects go out, and the node is told, which may bring more.
 void ControlDriver::Settle(std::vector<control::ControlEffects> pending) {
   while (!pending.empty()) {
-    if (!Persist(pending)) return;
     std::vector<std::uint64_t> durable;
-    for (control::ControlEffects& effects : pending) {
+    for (const control::ControlEffects& effects : pending) {
       if (!effects.persist.Empty()) durable.push_back(effects.persist.sequence);
-      Deliver(std::move(effects));
     }
+    if (!Persist(pending)) return;
+    for (control::ControlEffects& effects : pending) Deliver(std::move(effects));
     pending.clear();
     for (const std::uint64_t sequence : durable) {
       pending.push_back(node_.OnPersistDone(sequence, runtime::BootTimeNow()));
@@ -234,10 +238,10 @@
   }
 }
 
-bool ControlDriver::Persist(const std::vector<control::ControlEffects>& pending) {
+bool ControlDriver::Persist(std::vector<control::ControlEffects>& pending) {
   std::vector<consensus::PersistRequest> requests;
-  for (const control::ControlEffects& effects : pending) {
-    if (!effects.persist.Empty()) requests.push_back(effects.persist);
+  for (control::ControlEffects& effects : pending) {
+    if (!effects.persist.Empty()) requests.push_back(std::move(effects.persist));
   }
   for (const consensus::PersistRequest& request : JoinRequests(std::move(requests))) {
     if (!PersistOne(request)) return false;
@@ -338,6 +342,9 @@
   statistics_->leading.Set(node_.Leading(now) ? 1 : 0);
   statistics_->term.Set(static_cast<double>(fleet.term.value));
   statistics_->commit_index.Set(static_cast<double>(fleet.commit_index.value));
+  const auto snapshot = node_.consensus().snapshot();
+  statistics_->log_bytes.Set(static_cast<double>(node_.consensus().log_bytes()));
+  statistics_->snapshot_bytes.Set(static_cast<double>(snapshot ? snapshot->data.size() : 0));
   statistics_->bundle_version.Set(static_cast<double>(fleet.bundle_version.value));
   statistics_->routers.Set(static_cast<double>(fleet.routers.size()));
   statistics_->servers_leased.Set(static_cast<double>(leased));
--- a/src/daemon/control/control_driver.h
+++ b/src/daemon/control/control_driver.h
@@ -90,7 +90,8 @@
   control::ControlEffects ApplyOperatorRequest(const OperatorRequested& asked, Instant now,
                                                std::int64_t wall_ms);
   void Settle(std::vector<control::ControlEffects> pending);
-  bool Persist(const std::vector<control::ControlEffects>& pending);
+  /// Takes the requests out of `pending`.
+  bool Persist(std::vector<control::ControlEffects>& pending);
   bool PersistOne(const consensus::PersistRequest& request);
   void RefuseWhileFull(const Error& error);
   void Deliver(control::ControlEffects effects);
--- a/src/daemon/control/control_process.cc
+++ b/src/daemon/control/control_process.cc
@@ -117,9 +117,24 @@
   if (storage_->torn_bytes() > 0) {
     log_.Warning("Cut {} bytes of a write that a crash tore.", storage_->torn_bytes());
   }
+  WriteRecovered();
   return {};
 }
 
+void ControlProcess::WriteRecovered() {
+  const consensus::RecoveredState& recovered = storage_->recovered();
+  std::uint64_t bytes = 0;
+  for (const consensus::LogEntry& entry : recovered.entries) bytes += entry.payload.size();
+  events_.Write(
+      runtime::EventWeight::kVital,
+      runtime::EventLine("recovered")
+          .Add("entries", static_cast<std::uint64_t>(recovered.entries.size()))
+          .Add("bytes", bytes)
+          .Add("snapshot_bytes",
+               static_cast<std::uint64_t>(recovered.snapshot ? recovered.snapshot->data.size() : 0))
+          .Add("snapshot_index", recovered.snapshot ? recovered.snapshot->last_index.value : 0));
+}
+
 void ControlProcess::CreateTransport() {
   const std::string name = std::to_string(settings_.EffectiveId().value);
   protocol::ServedAddresses served;
--- a/src/daemon/control/control_process.h
+++ b/src/daemon/control/control_process.h
@@ -53,6 +53,7 @@
 
  private:
   Result<void> OpenStorage();
+  void WriteRecovered();
   std::string HeartbeatAddress(const traffic::InstanceReport& report) const;
   void CreateRegistry();
   Result<void> LoadTls();
--- a/src/storage/consensus_storage.h
+++ b/src/storage/consensus_storage.h
@@ -51,6 +51,8 @@
   static Result<std::unique_ptr<ConsensusStorage>> Open(FileSystem& files,
                                                         const StorageOptions& options);
 
+  /// The recovered state until it is taken.
+  const consensus::RecoveredState& recovered() const { return recovered_; }
   /// Moves out the recovered state; call it once.
   consensus::RecoveredState TakeRecovered() { return std::move(recovered_); }
 
