Count the fields of heads by what they take in memory

A head has at most 256 lines now (431; a server's answer is malformed), and each line is charged.

Heads of answers are bounded by their lines and not charged.

--- a/src/event_http/answer_reader.cc
+++ b/src/event_http/answer_reader.cc
@@ -6,7 +6,7 @@
 #include <string>
 #include <utility>
 
-#include "src/event_http/chunk_end.h"
+#include "src/runtime/chunk_end.h"
 
 namespace graniteseam::event_http {
 namespace {
@@ -50,6 +50,7 @@
   parser_->eager(false);
   parser_->header_limit(kFramingBytes);
   framing_.Begin(kFramingBytes);
+  head_ = {};
   head_is_taken_ = false;
   parser_->body_limit(limits_.body_bytes_maximum);
   parser_->skip(head_only_);
@@ -83,12 +84,13 @@
 }
 
 AnswerState AnswerReader::ReadSome(ReadBuffer& buffer) {
-  if (!MayParseUnread(*parser_, buffer.size())) return AnswerState::kIncomplete;
+  if (!runtime::MayParseUnread(*parser_, buffer.size())) return AnswerState::kIncomplete;
   ErrorCode error;
   const std::size_t used = parser_->put(asio::buffer(buffer.unread()), error);
+  if (!head_is_taken_) head_.Add(buffer.unread().substr(0, used));
   buffer.Consume(used);
   const bool needs_more = error == http::error::need_more;
-  if (error && !needs_more) return AnswerState::kMalformed;
+  if ((error && !needs_more) || head_.TooMany()) return AnswerState::kMalformed;
   // What is left behind for want of more is a line that is not whole.
   const std::size_t unread = needs_more ? buffer.size() : 0;
   const std::size_t body_bytes = parser_->get().body().size();
--- a/src/event_http/answer_reader.h
+++ b/src/event_http/answer_reader.h
@@ -9,6 +9,7 @@
 
 #include "src/event_http/byte_account.h"
 #include "src/event_http/framing_limit.h"
+#include "src/event_http/head_fields.h"
 #include "src/event_http/message.h"
 #include "src/event_http/read_buffer.h"
 #include "src/event_http/segmented_body.h"
@@ -60,6 +61,7 @@
   bool head_only_ = false;
   std::optional<boost::beast::http::response_parser<SegmentedBody>> parser_;
   FramingLimit framing_;
+  HeadFields head_;
   HeaderFields head_fields_;  ///< Once the head is whole.
   bool head_is_taken_ = false;
   int interim_answers_ = 0;
--- a/src/event_http/server_connection.h
+++ b/src/event_http/server_connection.h
@@ -12,6 +12,7 @@
 
 #include "src/event_http/byte_account.h"
 #include "src/event_http/framing_limit.h"
+#include "src/event_http/head_fields.h"
 #include "src/event_http/pipeline.h"
 #include "src/event_http/rate_meter.h"
 #include "src/event_http/read_buffer.h"
@@ -121,6 +122,10 @@
   bool Dispatch(Server::Impl& server);
 
   void Respond(Pipeline::Ticket ticket, Response response);
+  /// @return false when there is no room for the body.
+  bool ChargeResponse(Response& response) const;
+  /// Refuses a request for want of room.
+  static Response RoomRefusal();
   /// Writes the next response whose turn has come, if none is being written.
   void WriteNext();
   void Write(Response response, bool close);
@@ -167,7 +172,7 @@
   ReadTimes read_times_;
   std::optional<Parser> parser_;
   FramingLimit framing_limit_;
-  std::size_t head_bytes_ = 0;  ///< Of the message that is being parsed.
+  HeadFields head_;  ///< Of the message that is being parsed.
   HeaderFields head_fields_;
   bool head_is_taken_ = false;
   Pipeline pipeline_;
--- a/src/event_http/server_connection_reading.cc
+++ b/src/event_http/server_connection_reading.cc
@@ -1,9 +1,9 @@
 // How a connection reads its requests and begins them.
 #include <utility>
 
-#include "src/event_http/chunk_end.h"
 #include "src/event_http/server_connection.h"
 #include "src/event_http/server_statuses.h"
+#include "src/runtime/chunk_end.h"
 
 namespace graniteseam::event_http {
 namespace {
@@ -131,16 +131,20 @@
 
 bool ServerConnection::ParseSome(Server::Impl& server) {
   if (!parser_) BeginMessage(server);
-  if (!MayParseUnread(*parser_, buffer_.size())) return false;
+  if (!runtime::MayParseUnread(*parser_, buffer_.size())) return false;
   ErrorCode error;
   const std::size_t used = parser_->put(asio::buffer(buffer_.unread()), error);
+  if (!head_is_taken_) head_.Add(buffer_.unread().substr(0, used));
   buffer_.Consume(used);
   read_times_.OnConsumed(used);
   if (error && error != http::error::need_more) {
     RefuseFor(error);
     return false;
   }
-  if (!head_is_taken_) head_bytes_ += used;
+  if (head_.TooMany()) {
+    Refuse(kHeaderTooLarge);
+    return false;
+  }
   if (!head_is_taken_ && parser_->is_header_done()) {
     TakeHead();
   } else if (FramingExceeded(used)) {
@@ -165,7 +169,7 @@
   parser_->header_limit(static_cast<std::uint32_t>(server.limits().header_bytes));
   framing_limit_.Begin(server.limits().header_bytes);
   head_is_taken_ = false;
-  head_bytes_ = 0;
+  head_ = {};
   message_charge_ = MakeCharge(account_);
   parser_->body_limit(server.limits().body_bytes);
   message_start_ = clock_();
@@ -201,8 +205,7 @@
 }
 
 bool ServerConnection::ChargeMessage() {
-  // The parser and the request each hold the fields of the head.
-  const std::size_t bytes = 2 * head_bytes_ + parser_->get().body().capacity();
+  const std::size_t bytes = head_.held_bytes() + parser_->get().body().capacity();
   const bool small = bytes <= kSmallMessageBytes;
   return message_charge_->Set(bytes, small ? ChargeSize::kSmall : ChargeSize::kLarge, this);
 }
@@ -237,7 +240,7 @@
   parsed.request.target = std::string(message.target());
   parsed.request.fields = std::move(head_fields_);
   parsed.request.body = std::move(message.body()).Join();
-  message_charge_->Set(2 * head_bytes_ + parsed.request.body.capacity(), ChargeSize::kLarge);
+  message_charge_->Set(head_.held_bytes() + parsed.request.body.capacity(), ChargeSize::kLarge);
   parsed.charge = std::move(message_charge_);
   parsed.received_at = read_times_.last_consumed_at();
   parsed.beside = server.MayRunBeside(parsed.request);
--- a/tests/memory_bounds/router_clients_test.cc
+++ b/tests/memory_bounds/router_clients_test.cc
@@ -60,6 +60,17 @@
   fleet.CheckRouter();
 }
 
+// A short field takes forty times as much memory as it has bytes.
+Test(router_clients, heads_of_many_short_fields, .timeout = 120) {
+  ServedFleet fleet;
+  constexpr int kMany = 400;
+  cr_assert(AllowDescriptors(kMany + 200));
+  Crowd crowd(fleet.Router(), kMany);
+  const std::string head = HeadOfShortFields();
+  crowd.Send(head, "x", head.size() + 1);
+  fleet.CheckRouter();
+}
+
 Test(router_clients, bodies_that_stop_short_of_their_length, .timeout = 120) {
   ServedFleet fleet;
   Crowd crowd(fleet.Router(), kManyClients);
--- a/tests/memory_bounds/served_fleet.h
+++ b/tests/memory_bounds/served_fleet.h
@@ -73,6 +73,15 @@
   return HeadOfUpload("Content-Length: " + std::to_string(bytes));
 }
 
+/// A head within the limits of configurations, of fields that are as short as they may be.
+inline std::string HeadOfShortFields() {
+  constexpr std::size_t kHeadBytes = 16'200;
+  std::string head = HeadOfSizedUpload(100);
+  head.resize(head.size() - 2);
+  while (head.size() < kHeadBytes) head += "a:\r\n";
+  return head + "\r\n";
+}
+
 /// One chunk with its framing.
 inline std::string Chunk(std::size_t bytes) {
   char size[32];
