Evict no client that the server itself makes slow

Found in review, by trials: 20 downloads paced to a link of 2 Mbit/s were below the rate that is never evicted although their clients read at once, and one was cut. After a stall of the event loop of 2.5 s a client that read 1 MB a second seemed to read nothing, and was cut.

The paced case has no test of its own.

--- a/src/event_http/byte_account.cc
+++ b/src/event_http/byte_account.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "src/event_http/rate_meter.h"
+
 namespace graniteseam::event_http {
 
 ByteAccount::ByteAccount(std::size_t limit, std::function<Instant()> clock)
@@ -30,6 +32,11 @@
   for (const auto& handler : std::exchange(waiting_, {})) handler();
 }
 
+void ByteAccount::Sweep(Instant now) {
+  if (swept_at_ && now - *swept_at_ > kSweepLate) rates_known_from_ = now + 2 * RateMeter::kWindow;
+  swept_at_ = now;
+}
+
 void ByteAccount::Add(ByteHolder& holder) { holders_.push_back(&holder); }
 
 void ByteAccount::Remove(const ByteHolder& holder) { std::erase(holders_, &holder); }
@@ -40,7 +47,8 @@
 
 ByteHolder* ByteAccount::WorstHolder(const ByteHolder* requester) {
   const Instant now = clock_();
-  if (now < next_search_) return nullptr;
+  const bool is_late = swept_at_ && now - *swept_at_ > kSweepLate;
+  if (is_late || now < rates_known_from_ || now < next_search_) return nullptr;
   ByteHolder* worst = nullptr;
   double longest = 0;
   for (ByteHolder* const holder : holders_) {
--- a/src/event_http/byte_account.h
+++ b/src/event_http/byte_account.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include "graniteseam/common/time.h"
@@ -41,6 +42,9 @@
  public:
   /// A tenth of a link of 2 Mbit/s.
   static constexpr double kRateMinimum = 25'000;
+  static constexpr Duration kSweepInterval{250'000};
+  /// A later sweep is late.
+  static constexpr Duration kSweepLate{1'000'000};
   /// Between two searches for a holder where the first one found none: each looks at all of them.
   static constexpr Duration kSearchInterval{50'000};
   /// Room that large bodies leave to others.
@@ -60,6 +64,10 @@
   void Add(ByteHolder& holder);
   void Remove(const ByteHolder& holder);
 
+  /// To be called each kSweepInterval. After a late call nobody is evicted for two windows of
+  /// RateMeter: what peers moved meanwhile was not counted.
+  void Sweep(Instant now);
+
   /// Calls `handler` once, when bytes are next returned. It is called from within Return(), so it
   /// must post what charges.
   void OnReturn(std::function<void()> handler);
@@ -77,7 +85,9 @@
   std::size_t held_ = 0;
   std::uint64_t evictions_ = 0;
   std::vector<ByteHolder*> holders_;
-  Instant next_search_{};  ///< Not before, since no holder was slow enough.
+  Instant next_search_{};       ///< Not before, since no holder was slow enough.
+  Instant rates_known_from_{};  ///< Rates of holders mean something from then on.
+  std::optional<Instant> swept_at_;
   std::vector<std::function<void()>> waiting_;
 };
 
--- a/src/event_http/server.cc
+++ b/src/event_http/server.cc
@@ -14,8 +14,6 @@
 using Tcp = asio::ip::tcp;
 using ErrorCode = boost::system::error_code;
 
-constexpr std::chrono::milliseconds kSweepInterval{250};
-
 }  // namespace
 
 // --- Server::Impl ---
@@ -72,9 +70,10 @@
 
 void Server::Impl::Sweep() {
   const Instant now = options_.clock();
+  account_->Sweep(now);
   const auto connections = connections_;
   for (const auto& connection : connections) connection->Sweep(now);
-  sweep_.expires_after(kSweepInterval);
+  sweep_.expires_after(ByteAccount::kSweepInterval);
   sweep_.async_wait([self = shared_from_this()](ErrorCode error) {
     if (!error) self->Sweep();
   });
--- a/src/event_http/server_connection.cc
+++ b/src/event_http/server_connection.cc
@@ -94,6 +94,9 @@
   if (closed_ || lingering_) return 0;
   // Also responses that wait behind the one that the client does not read.
   if (writing_) {
+    const bool paced_here =
+        paced_bytes_left_ > 0 && UnacknowledgedBytes(socket_) <= WritePacer::kPieceBytes;
+    if (paced_here) return 0;
     return output_.left() == 0 ? 0 : output_.charged_bytes() + pipeline_.waiting_charged_bytes();
   }
   // Where its bytes are not taken, the server itself makes the client slow.
@@ -192,9 +195,16 @@
   ChargeUnread();
 }
 
+Response ServerConnection::RoomRefusal() {
+  Response response;
+  response.status = kServiceUnavailable;
+  response.fields.Add("Retry-After", kRoomRetryAfterSeconds);
+  return response;
+}
+
 void ServerConnection::WriteRefusal() {
+  if (refused_for_room_) return Write(RoomRefusal(), true);
   Response response;
-  if (refused_for_room_) response.fields.Add("Retry-After", kRoomRetryAfterSeconds);
   response.status = *refusal_status_;
   Write(std::move(response), true);
 }
--- a/src/event_http/socket_options.cc
+++ b/src/event_http/socket_options.cc
@@ -20,9 +20,11 @@
                                  &kUnacknowledgedMs, sizeof(kUnacknowledgedMs)));
 }
 
-std::size_t UnacknowledgedBytes(boost::asio::ip::tcp::socket& socket) {
+std::size_t UnacknowledgedBytes(const boost::asio::ip::tcp::socket& socket) {
   int bytes = 0;
-  const bool known = ::ioctl(socket.native_handle(), SIOCOUTQ, &bytes) == 0 && bytes > 0;
+  // asio has no native_handle() of a constant socket.
+  const int descriptor = const_cast<boost::asio::ip::tcp::socket&>(socket).native_handle();
+  const bool known = ::ioctl(descriptor, SIOCOUTQ, &bytes) == 0 && bytes > 0;
   return known ? static_cast<std::size_t>(bytes) : 0;
 }
 
--- a/src/event_http/socket_options.h
+++ b/src/event_http/socket_options.h
@@ -15,7 +15,7 @@
 /// Whether the other side's system has acknowledged all that was written. Its program may not have
 /// read it yet.
 /// Bytes that were written and that the peer has not acknowledged.
-std::size_t UnacknowledgedBytes(boost::asio::ip::tcp::socket& socket);
+std::size_t UnacknowledgedBytes(const boost::asio::ip::tcp::socket& socket);
 bool IsAcknowledged(boost::asio::ip::tcp::socket& socket);
 
 /// Whether the kernel has opened a connection that is being opened, or failed to. Does not wait.
--- a/tests/event_http/byte_account_test.cc
+++ b/tests/event_http/byte_account_test.cc
@@ -94,6 +94,26 @@
   account.Remove(holder);
 }
 
+// After a stall of the event loop, peers that move bytes seem to move none.
+Test(byte_account, evicts_nobody_after_a_late_sweep) {
+  Clock clock;
+  ByteAccount account(kLimit, clock.Reader());
+  Holder holder(account, kRoomForLarge, 0);
+  account.Add(holder);
+  ByteCharge charge(account);
+  account.Sweep(clock.now);
+  clock.now += 2 * ByteAccount::kSweepLate;
+  cr_assert(!charge.Set(1 << 20, ChargeSize::kLarge));
+  account.Sweep(clock.now);
+  cr_assert(!charge.Set(1 << 20, ChargeSize::kLarge));
+  for (int sweep = 0; sweep < 8; ++sweep) {
+    clock.now += ByteAccount::kSweepInterval;
+    account.Sweep(clock.now);
+  }
+  cr_assert(charge.Set(1 << 20, ChargeSize::kLarge));
+  account.Remove(holder);
+}
+
 Test(byte_account, evicts_nobody_for_its_own_charge) {
   ByteAccount account(kLimit);
   Holder holder(account, kRoomForLarge, 0);
