Count large responses that a process makes itself, and bound open reads of the configuration

Responses of more than 64 KiB are charged to the account of their server, 503 with Retry-After where there is no room; at most 16 reads of the configuration wait for their answers. An upload that the server itself held up counts as new when it is read again.

--- a/src/daemon/control/registry_server.cc
+++ b/src/daemon/control/registry_server.cc
@@ -30,6 +30,8 @@
 constexpr std::size_t kSmallBodyBytesMaximum = std::size_t{1} << 20;
 /// Of configuration changes without an answer; one of any size is taken.
 constexpr std::size_t kChangeBytesMaximum = std::size_t{16} << 20;
+/// Reads of the configuration without an answer: each holds a copy of it.
+constexpr std::size_t kReadsMaximum = 16;
 constexpr std::uint32_t kHeartbeatsPerAddress = 8;
 constexpr std::size_t kInstancesRemembered = 10'000;
 /// For what arrived unread to be refused, and callers to take the last answers: a second is how
@@ -111,6 +113,10 @@
   return request.Path() == kConfigurationPath && request.method != "GET";
 }
 
+bool IsRead(const event_http::Request& request) {
+  return request.Path() == kConfigurationPath && request.method == "GET";
+}
+
 std::string_view CallName(const event_http::Request& request) {
   if (request.Path() == kConfigurationPath) {
     return request.method == "GET" ? "read_configuration" : "change_configuration";
@@ -214,6 +220,7 @@
   auto& command = std::get<control::OperatorRequest>(read);
   const auto* heartbeat = std::get_if<control::ReportInstance>(&command);
   waiting_[number] = {exchange, what, {}};
+  if (IsRead(request)) reads_.insert(number);
   if (IsChange(request)) {
     changes_[number] = request.body.size();
     change_bytes_ += request.body.size();
@@ -231,6 +238,12 @@
                     std::to_string(kSmallBodyBytesMaximum) + " are read at most here.",
                 "Send what docs/interface/traffic.md describes.");
   }
+  if (IsRead(request) && reads_.size() >= kReadsMaximum) {
+    return Fail(ErrorKind::kUnavailable,
+                std::to_string(reads_.size()) +
+                    " reads of the configuration wait for their answers; no more may wait.",
+                "Read it again in a second, or at another control process.");
+  }
   if (IsChange(request) && !changes_.empty() && change_bytes_ + bytes > kChangeBytesMaximum) {
     return Fail(ErrorKind::kUnavailable,
                 std::to_string(change_bytes_) +
@@ -241,7 +254,8 @@
   return {};
 }
 
-void RegistryServer::EndChange(control::RequestId number) {
+void RegistryServer::EndRequest(control::RequestId number) {
+  reads_.erase(number);
   const auto change = changes_.find(number);
   if (change == changes_.end()) return;
   change_bytes_ -= change->second;
@@ -253,7 +267,7 @@
 }
 
 void RegistryServer::OnAnswer(const control::OperatorReply& reply) {
-  EndChange(reply.request);
+  EndRequest(reply.request);
   const auto found = waiting_.find(reply.request);
   if (found == waiting_.end()) return;
   const Waiting waiting = std::move(found->second);
--- a/src/daemon/control/registry_server.h
+++ b/src/daemon/control/registry_server.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 #include "graniteseam/control/operator_messages.h"
@@ -59,7 +60,7 @@
   void OnExchange(const std::shared_ptr<event_http::Exchange>& exchange);
   /// Whether the body may be read while the changes before it have no answer.
   Result<void> CheckBody(const event_http::Request& request) const;
-  void EndChange(control::RequestId number);
+  void EndRequest(control::RequestId number);
   void OnAnswer(const control::OperatorReply& reply);
   void AnswerTheRest();
   event_http::Response ResponseFor(const control::OperatorAnswer& answer,
@@ -80,7 +81,8 @@
   /// Bytes of the configuration changes without an answer. A caller that leaves does not take its
   /// change back.
   std::map<control::RequestId, std::size_t> changes_;
-  std::size_t change_bytes_ = 0;  ///< Of all of them.
+  std::set<control::RequestId> reads_;  ///< Of the configuration, that have no answer.
+  std::size_t change_bytes_ = 0;        ///< Of all of them.
 };
 
 }  // namespace graniteseam::daemon
--- a/src/event_http/server_connection_writing.cc
+++ b/src/event_http/server_connection_writing.cc
@@ -13,11 +13,26 @@
 
 /// Of one write, so that other connections have their turn between two.
 constexpr std::size_t kWriteBytes = 65'536;
+/// Shorter responses are not charged.
+constexpr std::size_t kSmallResponseBytes = 65'536;
 
 }  // namespace
 
 void ServerConnection::Respond(Pipeline::Ticket ticket, Response response) {
-  if (!closed_ && pipeline_.Finish(ticket, std::move(response))) WriteNext();
+  if (closed_ || !pipeline_.IsOpen(ticket)) return;
+  if (!ChargeResponse(response)) response = RoomRefusal();
+  pipeline_.Finish(ticket, std::move(response));
+  WriteNext();
+}
+
+/// Large responses that are made here are charged as those of servers are. Only reads have such.
+bool ServerConnection::ChargeResponse(Response& response) const {
+  const std::size_t bytes = response.body.size();
+  if (response.charge || bytes <= kSmallResponseBytes) return true;
+  const auto charge = MakeCharge(account_);
+  if (!charge->Set(bytes, ChargeSize::kLarge, this)) return false;
+  response.charge = charge;
+  return true;
 }
 
 void ServerConnection::WriteNext() {
@@ -122,6 +137,7 @@
   last_activity_ = clock_();
   // A message that is being parsed has its time from here on.
   message_start_ = last_activity_;
+  upload_rate_.Start(last_activity_);
   if (error) return Close();
   // A client that ended its sending has nothing left that could reset the answer.
   if (write_closes_) return input_ended_ ? Close() : Linger();
