Count the segments of a body by their real capacity

Found in review: the first segment took up to 480 KiB where 256 KiB were counted, since reserve() doubles a string beyond what is asked for.

--- a/src/event_http/segmented_body.h
+++ b/src/event_http/segmented_body.h
@@ -37,8 +37,9 @@
   std::size_t size() const { return size_; }
   /// Bytes that are held, unused ones included.
   std::size_t capacity() const {
-    if (segments_.size() < 2) return segments_.empty() ? 0 : segments_.front().capacity();
-    return segments_.size() * kSegmentBytes;
+    std::size_t bytes = 0;
+    for (const std::string& segment : segments_) bytes += segment.capacity();
+    return bytes;
   }
 
   /// @return all bytes in one text. Each segment is freed once it is copied; a single one is moved.
@@ -66,7 +67,11 @@
 
   static void Grow(std::string& segment, std::size_t bytes) {
     const std::size_t doubled = std::min(2 * segment.capacity(), kSegmentBytes);
-    segment.reserve(std::max(segment.size() + bytes, doubled));
+    // A string of its own: reserve() would double the capacity beyond the segment.
+    std::string larger;
+    larger.reserve(std::max(segment.size() + bytes, doubled));
+    larger.append(segment);
+    segment.swap(larger);
   }
 
   std::vector<std::string> segments_;
