Send a gateway no update with a gap

Found in review: an update made for an earlier subscription of the same connection was sent although the router lacked what lies before it, and the update that fills the gap was then refused as known. The router drops one with a gap, and would have been late until its next poll. Such an update counts as skipped, so that the whole is requested.

--- a/src/protocol/state_subscription.cc
+++ b/src/protocol/state_subscription.cc
@@ -25,9 +25,11 @@
   // A router without a subscription polls the leader again for what it lacks.
   if (!request_) return queued_bytes <= kBehindBytes;
   if (update.version <= request_->version) return false;
-  // Updates that were made before the skipped ones are replaced do not apply to the router's
-  // version.
-  if (skipped_ && update.base > request_->version) return false;
+  // It does not apply to the router's version: what lies between was skipped, or was never sent.
+  if (update.base > request_->version) {
+    skipped_ = true;
+    return false;
+  }
   if (queued_bytes > kBehindBytes) {
     skipped_ = true;
     requested_ = false;
--- a/tests/protocol/state_subscription_test.cc
+++ b/tests/protocol/state_subscription_test.cc
@@ -40,6 +40,15 @@
   cr_assert(request && request->version == 5);
 }
 
+// An update made for an earlier subscription was sent, and the one that fills the gap was not.
+Test(state_subscription, requests_what_lies_before_an_update_with_a_gap) {
+  StateSubscription state = SubscribedAt(5);
+  cr_assert(!state.Admit({6, 7}, kNothing));
+  const auto request = state.TakeRequest(kNothing);
+  cr_assert(request && request->version == 5);
+  cr_assert(state.Admit({5, 7}, kNothing));
+}
+
 Test(state_subscription, sends_nothing_that_the_router_has) {
   StateSubscription state = SubscribedAt(5);
   cr_assert(!state.Admit({4, 5}, kNothing));
