--- a/src/consensus/raft_log.cc
+++ b/src/consensus/raft_log.cc
@@ -64,7 +64,8 @@
   std::size_t bytes = 0;
   while (index > base_index_) {
     bytes += BytesOf(At(index));
-    if (++entries > kept.entries || bytes > kept.bytes) break;
+    // One entry stays whatever its size: a follower that lacks only it needs no snapshot.
+    if (++entries > kept.entries || (entries > 1 && bytes > kept.bytes)) break;
     --index.value;
   }
   return index;
