--- a/src/event_http/byte_account.h
+++ b/src/event_http/byte_account.h
@@ -33,7 +33,7 @@
   kLarge,  ///< May not use the part of the limit that is reserved for small ones.
 };
 
-/// Counts the bytes of all connections of a process. Where a charge does not fit, it evicts the
+/// Counts the bytes of all connections that share it. Where a charge does not fit, it evicts the
 /// holders that would keep their bytes longest: those with most bytes for the rate at which they
 /// move them. A peer that moves kRateMinimum is never evicted, so that a slow link is no reason.
 ///
