--- a/src/daemon/control/registry_server.h
+++ b/src/daemon/control/registry_server.h
@@ -58,8 +58,9 @@
   };
 
   void OnExchange(const std::shared_ptr<event_http::Exchange>& exchange);
-  /// Whether the body may be read while the changes before it have no answer.
+  /// Whether the request may be read beside the changes and reads that have no answer yet.
   Result<void> CheckBody(const event_http::Request& request) const;
+  /// Counts a change or a read no longer as one without an answer.
   void EndRequest(control::RequestId number);
   void OnAnswer(const control::OperatorReply& reply);
   void AnswerTheRest();
@@ -81,8 +82,8 @@
   /// Bytes of the configuration changes without an answer. A caller that leaves does not take its
   /// change back.
   std::map<control::RequestId, std::size_t> changes_;
+  std::size_t change_bytes_ = 0;        ///< Of all changes in `changes_`.
   std::set<control::RequestId> reads_;  ///< Of the configuration, that have no answer.
-  std::size_t change_bytes_ = 0;        ///< Of all of them.
 };
 
 }  // namespace graniteseam::daemon
