Log and count each change of the control group's membership

Callers saw a group without a leader after control machines had been replaced; no line told which members it had, so that a repair that rests, a machine that never found the group and a repair that is too slow looked alike. Each proposal of membership repair now writes what it rests on, each committed change who votes and who learns; gauges tell voters, learners and voters that do not answer.

Also the interface for the mends that follow: seeds that can be replaced, and a planned stop that waits until the node has handed over what it holds (as before, its leadership).

--- a/include/graniteseam/consensus/raft_consensus.h
+++ b/include/graniteseam/consensus/raft_consensus.h
@@ -141,6 +141,9 @@
   /// refused until the transfer completes or times out after election_timeout_minimum.
   Effects TransferLeadership(Instant now);
 
+  /// Replaces the seeds to which this process announces itself.
+  void SetSeeds(std::vector<Member> seeds);
+
   /// Compacts the log up to `index`, given the encoded state machine up to and including `index` in
   /// `data`. The returned Effects persist the snapshot.
   Effects Compact(LogIndex index, std::string data, Instant now);
--- a/include/graniteseam/control/control_node.h
+++ b/include/graniteseam/control/control_node.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "graniteseam/consensus/raft_consensus.h"
+#include "graniteseam/control/membership_note.h"
 #include "graniteseam/control/operator_messages.h"
 #include "graniteseam/control/range_orders.h"
 #include "graniteseam/control/rollout_note.h"
@@ -79,11 +80,12 @@
   /// completed with OnFeedPushSent().
   std::optional<std::uint64_t> feed_push;
   std::vector<OperatorReply> operator_replies;
-  std::vector<RangeOrder> range_orders;    ///< For instances that own keys.
-  std::vector<RangeNote> range_notes;      ///< For the event log.
-  std::vector<SuspectNote> suspect_notes;  ///< For the event log.
-  std::vector<RolloutNote> rollout_notes;  ///< For the event log.
-  std::vector<Error> faults;               ///< Malformed or unusable peer messages, for the log.
+  std::vector<RangeOrder> range_orders;          ///< For instances that own keys.
+  std::vector<RangeNote> range_notes;            ///< For the event log.
+  std::vector<SuspectNote> suspect_notes;        ///< For the event log.
+  std::vector<RolloutNote> rollout_notes;        ///< For the event log.
+  std::vector<MembershipNote> membership_notes;  ///< For the event log and the metrics.
+  std::vector<Error> faults;  ///< Malformed or unusable peer messages, for the log.
 };
 
 /// One control process without its I/O. Not thread safe; `now` must not decrease between calls.
@@ -127,6 +129,12 @@
   /// Transfers leadership before a planned stop. The process takes no part in leading afterwards.
   ControlEffects PrepareStop(Instant now);
 
+  /// Replaces the seeds to which this process announces itself while no leader knows it.
+  void SetSeeds(std::vector<consensus::Member> seeds);
+  /// After PrepareStop(): whether the group loses nothing by the end of this process that it could
+  /// still be handed.
+  bool ReadyToStop(Instant now) const;
+
   const consensus::RaftConsensus& consensus() const;
   /// Whether this process is the leader, holds its leader lease and has applied the no-op entry of
   /// its term.
--- a/src/consensus/raft_consensus.cc
+++ b/src/consensus/raft_consensus.cc
@@ -262,6 +262,8 @@
   return impl_->TakeEffects();
 }
 
+void RaftConsensus::SetSeeds(std::vector<Member> seeds) { impl_->SetSeeds(std::move(seeds)); }
+
 Effects RaftConsensus::Compact(LogIndex index, std::string data, Instant now) {
   impl_->Compact(index, std::move(data), now);
   return impl_->TakeEffects();
--- a/src/consensus/raft_impl.h
+++ b/src/consensus/raft_impl.h
@@ -30,6 +30,7 @@
   Result<LogIndex> Propose(std::vector<std::string> commands, Instant now);
   Result<LogIndex> ProposeMembership(const Membership& next, Instant now);
   void TransferLeadership(Instant now);
+  void SetSeeds(std::vector<Member> seeds) { seeds_ = std::move(seeds); }
   void Compact(LogIndex index, std::string data, Instant now);
   std::vector<Member> Announced() const;
   std::vector<PeerStatus> Peers(Instant now) const;
--- a/src/control/control_node.cc
+++ b/src/control/control_node.cc
@@ -62,6 +62,12 @@
 
 ControlEffects ControlNode::PrepareStop(Instant now) { return impl_->PrepareStop(now); }
 
+void ControlNode::SetSeeds(std::vector<consensus::Member> seeds) {
+  impl_->SetSeeds(std::move(seeds));
+}
+
+bool ControlNode::ReadyToStop(Instant now) const { return impl_->ReadyToStop(now); }
+
 const consensus::RaftConsensus& ControlNode::consensus() const { return impl_->consensus(); }
 
 bool ControlNode::Leading(Instant now) const { return impl_->Leading(now); }
--- a/src/control/control_node_impl.cc
+++ b/src/control/control_node_impl.cc
@@ -4,7 +4,9 @@
 #include <cstdlib>
 #include <utility>
 
+#include "graniteseam/codec/codec.h"
 #include "graniteseam/common/seeded_defects.h"
+#include "src/control/membership_notes.h"
 #include "src/control/membership_repair.h"
 
 namespace graniteseam::control {
@@ -163,6 +165,8 @@
   return Finish(now);
 }
 
+bool ControlNode::Impl::ReadyToStop(Instant now) const { return stopping_ && !Leading(now); }
+
 // --- Consensus ---
 
 void ControlNode::Impl::HandleConsensusEffects(consensus::Effects effects, Instant now) {
@@ -207,9 +211,23 @@
   if (ErrorOf(restored) != nullptr) std::abort();
   compacted_index_ = snapshot.last_index;
   bytes_since_snapshot_ = 0;
+  committed_membership_ = snapshot.membership;
+}
+
+void ControlNode::Impl::NoteMembership(const consensus::LogEntry& entry) {
+  if (entry.kind != consensus::EntryKind::kMembership) return;
+  const auto decoded = Attempt([&] { return codec::Decode<consensus::Membership>(entry.payload); });
+  const auto* const membership = std::get_if<consensus::Membership>(&decoded);
+  if (membership == nullptr) return;  // Consensus refuses entries that do not decode.
+  MembershipNote note =
+      DescribeChange("membership_changed", committed_membership_, *membership, entry.term);
+  note.inputs = DescribeMembers(*membership);
+  effects_.membership_notes.push_back(std::move(note));
+  committed_membership_ = *membership;
 }
 
 void ControlNode::Impl::ApplyEntry(const consensus::LogEntry& entry, Instant now) {
+  NoteMembership(entry);
   const ApplyOutcome outcome = state_.Apply(entry);
   bytes_since_snapshot_ += entry.payload.size();
   if (leadership_) {
@@ -383,9 +401,17 @@
                             consensus_.announced()};
   const auto next = NextMembership(options_.membership, view);
   if (!next) return;
+  MembershipNote note =
+      DescribeChange("membership_proposed", view.membership, *next, consensus_.term());
+  note.inputs = DescribeView(view);
   consensus::Effects effects;
   // Consensus refuses the change while an earlier one is uncommitted; the next check repeats it.
-  static_cast<void>(Attempt([&] { return consensus_.ProposeMembership(*next, now, effects); }));
+  const auto proposed = Attempt([&] { return consensus_.ProposeMembership(*next, now, effects); });
+  if (const Error* const error = ErrorOf(proposed)) {
+    note.what = "membership_proposal_failed";
+    note.inputs = error->message + " " + note.inputs;
+  }
+  effects_.membership_notes.push_back(std::move(note));
   HandleConsensusEffects(std::move(effects), now);
 }
 
--- a/src/control/control_node_impl.h
+++ b/src/control/control_node_impl.h
@@ -43,6 +43,8 @@
   ControlEffects OnFeedPushSent(std::uint64_t push, Instant now);
   ControlEffects PrepareStop(Instant now);
 
+  void SetSeeds(std::vector<consensus::Member> seeds) { consensus_.SetSeeds(std::move(seeds)); }
+  bool ReadyToStop(Instant now) const;
   const consensus::RaftConsensus& consensus() const { return consensus_; }
   bool Leading(Instant now) const;
   FleetView Fleet(Instant now) const;
@@ -83,6 +85,8 @@
   void ProposeDecisions(Decider& decider, Instant now);
   void SendTrafficOrders(Instant now);
   void RepairMembership(Instant now);
+  /// Records a committed change of the membership.
+  void NoteMembership(const consensus::LogEntry& entry);
   /// Sends the due acknowledgements of configuration changes to operators.
   void AcknowledgeChanges(Instant now);
   /// Runs the work that follows every entry point and returns the collected effects.
@@ -152,6 +156,7 @@
   std::uint64_t earlier_evaluations_ = 0;  ///< Evaluations of earlier leaderships of this process.
   Instant journal_expiry_due_{};
   Instant membership_check_due_{};
+  consensus::Membership committed_membership_;
   HeartbeatRelayer relayer_{state_.traffic()};
   StateFeed feed_;
   FeedSelector feed_selector_;
--- a/src/daemon/control/control_driver.cc
+++ b/src/daemon/control/control_driver.cc
@@ -39,6 +39,17 @@
   return responsive;
 }
 
+/// Voters that did not answer the leader lately; 0 at other members.
+std::size_t UnresponsiveVoters(const consensus::RaftConsensus& consensus, Instant now) {
+  const auto peers = consensus.peers(now);
+  const auto& voters = consensus.membership().voters;
+  return static_cast<std::size_t>(std::count_if(peers.begin(), peers.end(), [&](const auto& peer) {
+    return peer.time_since_response >= kResponsive &&
+           std::any_of(voters.begin(), voters.end(),
+                       [&](const auto& voter) { return voter.IsSameMemberAs(peer.member); });
+  }));
+}
+
 }  // namespace
 
 struct ControlDriver::Statistics {
@@ -55,6 +66,9 @@
         queue_length(registry.Gauge(runtime::Metric::kControlEventQueueLength)),
         decision_evaluations(registry.Counter(runtime::Metric::kControlDecisionLooks)),
         drained_zones(registry.Gauge(runtime::Metric::kControlDrainedZones)),
+        voters(registry.Gauge(runtime::Metric::kControlVoters)),
+        learners(registry.Gauge(runtime::Metric::kControlLearners)),
+        unresponsive_voters(registry.Gauge(runtime::Metric::kControlUnresponsiveVoters)),
         lanes{LaneStatistics(registry, EventLane::kConsensus),
               LaneStatistics(registry, EventLane::kOperator),
               LaneStatistics(registry, EventLane::kFleet)},
@@ -88,6 +102,9 @@
   runtime::GaugeHandle queue_length;
   runtime::CounterHandle decision_evaluations;
   runtime::GaugeHandle drained_zones;
+  runtime::GaugeHandle voters;
+  runtime::GaugeHandle learners;
+  runtime::GaugeHandle unresponsive_voters;
   std::uint64_t looks_told = 0;                   ///< Counted up to here.
   std::array<LaneStatistics, kEventLanes> lanes;  ///< In the order of EventLane.
   runtime::HistogramHandle round_seconds;
@@ -302,6 +319,7 @@
   for (const auto& note : effects.range_notes) outputs_.on_range_note(note);
   for (const auto& note : effects.suspect_notes) outputs_.on_suspect_note(note);
   for (const auto& note : effects.rollout_notes) outputs_.on_rollout_note(note);
+  for (const auto& note : effects.membership_notes) outputs_.on_membership_note(note);
   for (const Error& fault : effects.faults) log_.Error(fault);
 }
 
@@ -315,6 +333,7 @@
   status.last_step = now;
   status.term = node_.consensus().term();
   status.role = node_.consensus().role();
+  status.ready_to_stop = node_.ReadyToStop(now);
   status.strain = strain_.Worst(now);
   if (status.leading) status.relays = ResponsivePeers(node_.consensus(), now);
   const bool changed = status.leading != status_.leading || status.leader != status_.leader;
@@ -350,6 +369,10 @@
   statistics_->servers_leased.Set(static_cast<double>(leased));
   statistics_->shard_moves.Set(static_cast<double>(fleet.shard_moves));
   statistics_->drained_zones.Set(static_cast<double>(fleet.drained_zones.size()));
+  statistics_->voters.Set(static_cast<double>(fleet.membership.voters.size()));
+  statistics_->learners.Set(static_cast<double>(fleet.membership.learners.size()));
+  statistics_->unresponsive_voters.Set(
+      static_cast<double>(UnresponsiveVoters(node_.consensus(), now)));
   statistics_->queue_length.Set(static_cast<double>(queue_.size()));
   const auto count = [](runtime::CounterHandle& counter, std::uint64_t& told, std::uint64_t total) {
     counter.Increment(static_cast<double>(total - told));
--- a/src/daemon/control/control_driver.h
+++ b/src/daemon/control/control_driver.h
@@ -32,7 +32,8 @@
   bool storage_full = false;
   Instant last_step;
   consensus::Role role = consensus::Role::kFollower;
-  Strain strain;  ///< Of the last second or two.
+  bool ready_to_stop = false;  ///< After StopPrepared, as ControlNode::ReadyToStop() says.
+  Strain strain;               ///< Of the last second or two.
 };
 
 /// How the effects leave the process. Called from the deciding thread; none may block.
@@ -52,6 +53,8 @@
   std::function<void(const control::SuspectNote& note)> on_suspect_note = [](const auto&) {};
   /// A step of a configuration change on its way to the routers.
   std::function<void(const control::RolloutNote& note)> on_rollout_note = [](const auto&) {};
+  /// A proposed or committed change of the control group's membership.
+  std::function<void(const control::MembershipNote& note)> on_membership_note = [](const auto&) {};
   /// A storage error that the process must not survive.
   std::function<void()> stop;
 };
--- a/src/daemon/control/control_process.cc
+++ b/src/daemon/control/control_process.cc
@@ -260,6 +260,7 @@
                       .Add("router", note.router.value)
                       .Add("inputs", note.inputs));
   };
+  outputs.on_membership_note = [this](const control::MembershipNote& note) { WriteNote(note); };
   outputs.stop = [this] { stop_signals_.RequestStop(); };
   control::ControlOptions options = settings_.node;
   options.traffic.reports_push_completion = true;
@@ -270,6 +271,21 @@
                                             std::move(outputs), metrics_);
 }
 
+void ControlProcess::WriteNote(const control::MembershipNote& note) {
+  metrics_
+      .Counter(runtime::Metric::kControlMembershipChanges,
+               {{"event", std::string(note.what)}, {"change", std::string(note.change)}})
+      .Increment();
+  events_.Write(runtime::EventWeight::kVital,
+                runtime::EventLine(note.what)
+                    .Add("change", note.change)
+                    .Add("member", note.member.address)
+                    .Add("term", note.term.value)
+                    .Add("voters", static_cast<std::uint64_t>(note.voters))
+                    .Add("learners", static_cast<std::uint64_t>(note.learners))
+                    .Add("inputs", note.inputs));
+}
+
 void ControlProcess::CreateOperatorServer() {
   http::OperatorServerOptions options;
   options.address = settings_.http_address;
@@ -349,7 +365,7 @@
   stopping_ = true;
   events_.Write(runtime::EventWeight::kVital, runtime::EventLine("stopping"));
   if (registry_) registry_->BeginDrain();
-  if (!driver_->failed()) HandLeadershipOver();
+  if (!driver_->failed()) PrepareStop();
   // While the deciding thread runs: it answers what it was given.
   if (registry_) registry_->Close(driver_->failed() ? Duration{} : kAnswersLimit);
   operator_server_->Stop();
@@ -360,11 +376,10 @@
   log_.Info("Stopped.");
 }
 
-void ControlProcess::HandLeadershipOver() {
-  if (!driver_->status().leading) return;
+void ControlProcess::PrepareStop() {
   queue_.Push(StopPrepared{});
   const Instant end = runtime::BootTimeNow() + kHandOverLimit;
-  while (driver_->status().leading && runtime::BootTimeNow() < end) {
+  while (!driver_->status().ready_to_stop && !driver_->failed() && runtime::BootTimeNow() < end) {
     std::this_thread::sleep_for(kHandOverPoll);
   }
 }
--- a/src/daemon/control/control_process.h
+++ b/src/daemon/control/control_process.h
@@ -62,9 +62,11 @@
   void CreateClients();
   void CreateOperatorServer();
   protocol::InternalServer::Handlers InternalHandlers();
+  void WriteNote(const control::MembershipNote& note);
   void NotePeer(const std::string& name, const protocol::ServedAddresses& served);
   protocol::ServedAddresses LeaderAddresses() const;
-  void HandLeadershipOver();
+  /// Hands over what the group needs from this process before a planned stop.
+  void PrepareStop();
 
   ControlSettings settings_;
   runtime::StopSignals& stop_signals_;
