--- a/tests/control/membership_repair_test.cc
+++ b/tests/control/membership_repair_test.cc
@@ -107,6 +107,28 @@
   cr_assert(!NextMembership(options, view));
 }
 
+// Guards against a repair that rests with two lost voters, whose group ends with the next loss.
+Test(membership_keeper, two_voters_lost_at_once_are_both_replaced) {
+  const Member e = MakeMember(5, 15);
+  const Member f = MakeMember(6, 16);
+  const Member g = MakeMember(7, 17);
+  MembershipRepairOptions options = Enabled();
+  options.voters = 5;
+  MembershipView view{kA,
+                      {{kA, kB, kC, kD, e}, {f, g}},
+                      {Status(kB, 50), Status(kC, 50), Status(kD, 7'000), Status(e, 7'000),
+                       Status(f, 50), Status(g, 50)},
+                      {}};
+  constexpr int kStepsMaximum = 16;
+  for (int step = 0; step < kStepsMaximum; ++step) {
+    const auto next = NextMembership(options, view);
+    if (!next) break;
+    view.membership = *next;
+  }
+  cr_assert(view.membership.voters == (std::vector<Member>{kA, kB, kC, f, g}));
+  cr_assert(view.membership.learners.empty());
+}
+
 Test(membership_keeper, switched_off_it_does_nothing) {
   const MembershipView view{kA, {{kA, kB, kC}, {}}, {Status(kB, 50), Status(kC, 50)}, {kD}};
   cr_assert(!NextMembership({}, view));
