Membership repair: remove lost voters beyond the wanted number at once

Callers saw a group without a leader for good after the third control machine was lost, however long after the first two: with two voters lost within the time after which one is replaced, repair promoted one learner and then rested at six voters of which two were lost.

Cause: a surplus voter was removed only while as many voters as wanted answered, and a learner was promoted only at exactly the wanted number. A removal never raises the quorum, so it now needs no more than a quorum of all voters; a voter whose disk is known to be replaced goes first, then the one that is silent longest. No step is taken without a quorum, and a learner does not vote beside the former disk of its machine.

--- a/src/control/membership_repair.cc
+++ b/src/control/membership_repair.cc
@@ -62,14 +62,44 @@
       voters.begin(), voters.end(), [&](const Member& voter) { return IsReachable(view, voter); }));
 }
 
-/// An unreachable voter that can be removed: the group has more voters than wanted, and enough of
-/// them are reachable. This includes the former voter of a member that votes with a newer disk.
+bool HasQuorum(const MembershipView& view) {
+  return ReachableVoterCount(view) > view.membership.voters.size() / 2;
+}
+
+Duration SilenceOf(const MembershipView& view, const Member& member) {
+  const consensus::PeerStatus* status = StatusOf(view, member);
+  return status == nullptr ? Duration{} : status->time_since_response;
+}
+
+/// Whether `members` holds the machine of `member` with another disk.
+bool HasOtherDisk(const std::vector<Member>& members, const Member& member) {
+  return std::any_of(members.begin(), members.end(), [&](const Member& other) {
+    return other.id == member.id && !other.IsSameMemberAs(member);
+  });
+}
+
+/// Whether a voter that does not answer never will: its machine returned with another disk.
+bool DiskIsReplaced(const MembershipView& view, const Member& voter) {
+  if (IsReachable(view, voter)) return false;
+  return HasOtherDisk(view.membership.learners, voter) ||
+         HasOtherDisk(view.membership.voters, voter) || HasOtherDisk(view.announced, voter);
+}
+
+/// An unreachable voter beyond the wanted number. Its removal lowers the quorum or leaves it as it
+/// is, so it waits for no further voter: two lost voters among six would end the group with the
+/// next loss. A voter whose disk is replaced goes first, since others may return.
 const Member* SurplusVoter(const MembershipRepairOptions& options, const MembershipView& view) {
   const auto& voters = view.membership.voters;
-  if (voters.size() <= options.voters || ReachableVoterCount(view) < options.voters) return nullptr;
-  const auto unreachable = std::find_if(
-      voters.begin(), voters.end(), [&](const Member& voter) { return !IsReachable(view, voter); });
-  return unreachable == voters.end() ? nullptr : &*unreachable;
+  if (voters.size() <= options.voters) return nullptr;
+  const Member* surplus = nullptr;
+  const auto rank = [&](const Member& voter) {
+    return std::pair(DiskIsReplaced(view, voter), SilenceOf(view, voter));
+  };
+  for (const Member& voter : voters) {
+    if (IsReachable(view, voter)) continue;
+    if (surplus == nullptr || rank(voter) > rank(*surplus)) surplus = &voter;
+  }
+  return surplus;
 }
 
 /// A voter whose machine returned with another disk that has caught up with the log. The former
@@ -94,18 +124,15 @@
 bool NeedsReplacement(const MembershipRepairOptions& options, const MembershipView& view,
                       const Member& voter) {
   if (IsReachable(view, voter)) return false;
-  const auto& learners = view.membership.learners;
-  const bool disk_lost = std::any_of(learners.begin(), learners.end(),
-                                     [&](const Member& one) { return one.id == voter.id; });
-  const consensus::PeerStatus* status = StatusOf(view, voter);
-  return disk_lost || (status != nullptr && status->time_since_response >= options.replace_after);
+  return HasOtherDisk(view.membership.learners, voter) ||
+         SilenceOf(view, voter) >= options.replace_after;
 }
 
-/// A learner that is ready to vote.
+/// A learner that is ready to vote, and whose machine has no other vote.
 const Member* ReadyLearner(const MembershipView& view) {
   const auto& learners = view.membership.learners;
   const auto ready = std::find_if(learners.begin(), learners.end(), [&](const Member& learner) {
-    return IsReadyToVote(view, learner);
+    return IsReadyToVote(view, learner) && !HasOtherDisk(view.membership.voters, learner);
   });
   return ready == learners.end() ? nullptr : &*ready;
 }
@@ -142,7 +169,7 @@
 
 std::optional<Membership> NextMembership(const MembershipRepairOptions& options,
                                          const MembershipView& view) {
-  if (!options.enabled) return std::nullopt;
+  if (!options.enabled || !HasQuorum(view)) return std::nullopt;
   if (const Member* surplus = SurplusVoter(options, view)) {
     return WithoutVoter(view.membership, *surplus);
   }
--- a/tests/control/membership_repair_test.cc
+++ b/tests/control/membership_repair_test.cc
@@ -2,6 +2,8 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
+
 using namespace graniteseam;
 using namespace graniteseam::control;
 using consensus::Member;
@@ -129,6 +131,30 @@
   cr_assert(view.membership.learners.empty());
 }
 
+// Guards against the removal of a voter that may return while one that never will still counts.
+Test(membership_keeper, voter_with_a_replaced_disk_goes_before_one_that_is_silent) {
+  const Member e = MakeMember(5, 15);
+  const Member f = MakeMember(6, 16);
+  MembershipRepairOptions options = Enabled();
+  options.voters = 5;
+  const MembershipView view{kA,
+                            {{kA, kB, kC, kD, e, f}, {kEmptyC}},
+                            {Status(kB, 50), Status(kC, 2'000), Status(kD, 9'000), Status(e, 50),
+                             Status(f, 50), Status(kEmptyC, 50, false)},
+                            {}};
+  const auto next = NextMembership(options, view);
+  cr_assert(next && next->voters == (std::vector<Member>{kA, kB, kD, e, f}));
+}
+
+// Guards against a machine with two votes, one of which is lost with its former disk.
+Test(membership_keeper, learner_waits_while_the_former_vote_of_its_machine_counts) {
+  MembershipRepairOptions options = Enabled();
+  options.voters = 5;
+  const MembershipView view{
+      kA, {{kA, kB, kC}, {kEmptyC}}, {Status(kB, 50), Status(kC, 500), Status(kEmptyC, 50)}, {}};
+  cr_assert(!NextMembership(options, view));
+}
+
 Test(membership_keeper, switched_off_it_does_nothing) {
   const MembershipView view{kA, {{kA, kB, kC}, {}}, {Status(kB, 50), Status(kC, 50)}, {kD}};
   cr_assert(!NextMembership({}, view));
