Membership repair: silent learners make room for announced processes

Callers saw nothing yet: eight learners that are silent took all places for 30 s, and a process that announced itself meanwhile was left out, so that a group whose reserve was lost had no learner to repair with.

While all places are taken, the learner that is silent longest, for at least the time after which a voter is replaced, is removed for an announced process. A process without a former learner takes a free place before one with a former learner frees a place, so that neither waits for the other.

learner_that_is_silent_longest_makes_room_for_an_announced_process fails before and passes now; each_announced_process_is_admitted passes in both.

--- a/src/control/membership_repair.cc
+++ b/src/control/membership_repair.cc
@@ -151,18 +151,36 @@
   return WithPromoted(view.membership, *learner);
 }
 
+/// The learner that has been silent longest, if for at least this long.
+const Member* SilentLearner(const MembershipView& view, Duration minimum) {
+  const Member* silent = nullptr;
+  for (const Member& learner : view.membership.learners) {
+    const Duration silence = SilenceOf(view, learner);
+    if (silence < minimum) continue;
+    if (silent == nullptr || silence > SilenceOf(view, *silent)) silent = &learner;
+  }
+  return silent;
+}
+
 /// Admits an announced process as a learner. An existing learner with the same id, which lost its
-/// disk, is removed first.
-std::optional<Membership> Admission(const MembershipView& view) {
-  for (const Member& member : view.announced) {
-    const auto& learners = view.membership.learners;
-    const auto older = std::find_if(learners.begin(), learners.end(), [&](const Member& one) {
-      return one.id == member.id && !one.IsSameMemberAs(member);
-    });
-    if (older != learners.end()) return WithoutLearner(view.membership, *older);
-    if (learners.size() < kLearnersMaximum) return WithLearner(view.membership, member);
+/// disk, is removed first. While all places are taken, the learner that is silent longest makes
+/// room, or processes that answer would wait for remove_learner_after.
+std::optional<Membership> Admission(const MembershipRepairOptions& options,
+                                    const MembershipView& view) {
+  if (view.announced.empty()) return std::nullopt;
+  const auto& learners = view.membership.learners;
+  if (learners.size() < kLearnersMaximum) {
+    const auto admitted =
+        std::find_if(view.announced.begin(), view.announced.end(),
+                     [&](const Member& member) { return !HasOtherDisk(learners, member); });
+    if (admitted != view.announced.end()) return WithLearner(view.membership, *admitted);
   }
-  return std::nullopt;
+  const auto former = std::find_if(learners.begin(), learners.end(), [&](const Member& learner) {
+    return HasOtherDisk(view.announced, learner);
+  });
+  if (former != learners.end()) return WithoutLearner(view.membership, *former);
+  const Member* silent = SilentLearner(view, options.replace_after);
+  return silent == nullptr ? std::nullopt : std::optional(WithoutLearner(view.membership, *silent));
 }
 
 }  // namespace
@@ -176,12 +194,9 @@
   if (const Member* former = VoterWithReplacedDisk(view))
     return WithoutVoter(view.membership, *former);
   if (auto promoted = Promotion(options, view)) return promoted;
-  if (auto admitted = Admission(view)) return admitted;
-  for (const Member& learner : view.membership.learners) {
-    const consensus::PeerStatus* status = StatusOf(view, learner);
-    if (status != nullptr && status->time_since_response >= options.remove_learner_after) {
-      return WithoutLearner(view.membership, learner);
-    }
+  if (auto admitted = Admission(options, view)) return admitted;
+  if (const Member* silent = SilentLearner(view, options.remove_learner_after)) {
+    return WithoutLearner(view.membership, *silent);
   }
   return std::nullopt;
 }
--- a/tests/control/membership_repair_test.cc
+++ b/tests/control/membership_repair_test.cc
@@ -155,6 +155,50 @@
   cr_assert(!NextMembership(options, view));
 }
 
+// Guards against silent learners that take all places while other processes announce themselves.
+Test(membership_keeper, learner_that_is_silent_longest_makes_room_for_an_announced_process) {
+  constexpr std::uint64_t kFirst = 10;
+  constexpr std::uint64_t kPlaces = 8;
+  constexpr std::uint64_t kLongest = kFirst + 5;
+  MembershipView view{kA, {{kA, kB, kC}, {}}, {Status(kB, 50), Status(kC, 50)}, {kD}};
+  for (std::uint64_t id = kFirst; id < kFirst + kPlaces; ++id) {
+    const Member learner = MakeMember(id, id);
+    view.membership.learners.push_back(learner);
+    view.others.push_back(Status(learner, id == kLongest ? 8'000 : 7'000));
+  }
+  auto next = NextMembership(Enabled(), view);
+  cr_assert(next && next->learners.size() == kPlaces - 1);
+  cr_assert(std::none_of(next->learners.begin(), next->learners.end(),
+                         [&](const Member& learner) { return learner.id.value == kLongest; }));
+  view.membership = *next;
+  next = NextMembership(Enabled(), view);
+  cr_assert(next && next->learners.back().IsSameMemberAs(kD));
+
+  view.membership.learners.push_back(MakeMember(kLongest, kLongest));
+  for (auto& status : view.others) status.time_since_response = std::chrono::milliseconds(50);
+  cr_assert(!NextMembership(Enabled(), view), "learners that answer keep their places");
+}
+
+// Guards against a process that waits because one before it in the list can't be admitted yet.
+Test(membership_keeper, each_announced_process_is_admitted) {
+  const Member newer_d = MakeMember(4, 24);
+  const Member e = MakeMember(5, 15);
+  const Member f = MakeMember(6, 16);
+  MembershipView view{kA, {{kA, kB, kC}, {kD}}, {}, {newer_d, e, f}};
+  view.others = {Status(kB, 50), Status(kC, 50), Status(kD, 2'000)};
+  for (int step = 0; step < 4; ++step) {
+    const auto next = NextMembership(Enabled(), view);
+    cr_assert(next);
+    view.membership = *next;
+    for (const Member& learner : next->learners) {
+      std::erase_if(view.announced,
+                    [&](const Member& member) { return member.IsSameMemberAs(learner); });
+    }
+  }
+  cr_assert(view.announced.empty());
+  cr_assert(view.membership.learners.size() == 3);
+}
+
 Test(membership_keeper, switched_off_it_does_nothing) {
   const MembershipView view{kA, {{kA, kB, kC}, {}}, {Status(kB, 50), Status(kC, 50)}, {kD}};
   cr_assert(!NextMembership({}, view));
