Membership repair: its pace follows from replacement_time_ms

Callers saw a group without a leader where control machines were replaced in series: a silent voter was replaced after 6 s, while the next machines may be lost 4 s after the start of the first ones' replacements. Four of five voters were lost then.

replacement_time_ms says when the replacements of lost machines count; a voter is replaced after half of it, which must be above the 1 s within which a voter is reachable and hold two of the longest election timeouts. Without it the time stays 6 s. The next step of a repair follows at once on the commit of the one before and on announcements, no longer on the next check up to 200 ms later.

--- a/include/graniteseam/control/traffic_options.h
+++ b/include/graniteseam/control/traffic_options.h
@@ -67,6 +67,9 @@
   bool reports_push_completion = false;
 };
 
+/// A member of the control group that answered within this time is reachable.
+inline constexpr Duration kMemberReachableWithin{1'000'000};
+
 /// Settings of the automatic repair of the control group's membership.
 struct MembershipRepairOptions {
   bool enabled = false;
--- a/src/control/control_node_impl.cc
+++ b/src/control/control_node_impl.cc
@@ -73,6 +73,8 @@
   if (std::holds_alternative<consensus::HeartbeatRelay>(message.payload)) {
     TakeRelay(message, now);
   } else {
+    if (std::holds_alternative<consensus::Announcement>(message.payload))
+      membership_check_due_ = {};
     HandleConsensusEffects(consensus_.Step(message, now), now);
   }
   return Finish(now);
@@ -224,6 +226,8 @@
   note.inputs = DescribeMembers(*membership);
   effects_.membership_notes.push_back(std::move(note));
   committed_membership_ = *membership;
+  // The next step of a repair only waited for this one.
+  membership_check_due_ = {};
 }
 
 void ControlNode::Impl::ApplyEntry(const consensus::LogEntry& entry, Instant now) {
--- a/src/control/membership_repair.cc
+++ b/src/control/membership_repair.cc
@@ -8,8 +8,6 @@
 using consensus::Member;
 using consensus::Membership;
 
-/// A member that answered within this time is reachable.
-constexpr Duration kReachableWithin{1'000'000};
 constexpr std::size_t kLearnersMaximum = 8;
 
 const consensus::PeerStatus* StatusOf(const MembershipView& view, const Member& member) {
@@ -22,7 +20,7 @@
 bool IsReachable(const MembershipView& view, const Member& member) {
   if (member.IsSameMemberAs(view.self)) return true;
   const consensus::PeerStatus* status = StatusOf(view, member);
-  return status != nullptr && status->time_since_response <= kReachableWithin;
+  return status != nullptr && status->time_since_response <= kMemberReachableWithin;
 }
 
 /// Whether a learner is reachable and has caught up with the log.
--- a/src/daemon/control/control_settings.cc
+++ b/src/daemon/control/control_settings.cc
@@ -74,6 +74,26 @@
   }
 }
 
+/// A lost voter is replaced after half of the replacement time. The other half is for what comes
+/// before and after it: the election of a leader, whose count of the silence starts anew, and the
+/// copy of the log.
+void CheckReplacementTime(ControlSettings& settings, std::vector<SettingFault>& faults) {
+  const Duration replace_after = settings.replacement_time / 2;
+  settings.node.membership.replace_after = replace_after;
+  if (!settings.node.membership.enabled) return;
+  if (replace_after <= control::kMemberReachableWithin) {
+    faults.push_back(
+        {"settings", "replacement_time_ms",
+         "Half of it is not above the 1000 ms within which a voter counts as reachable.",
+         "Raise replacement_time_ms."});
+  }
+  if (replace_after < 2 * settings.node.consensus.election_timeout_maximum) {
+    faults.push_back({"settings", "replacement_time_ms",
+                      "Half of it is shorter than two of the longest election timeouts.",
+                      "Raise replacement_time_ms, or lower election_timeout_maximum_ms."});
+  }
+}
+
 void DeclareTimes(SettingsReader& reader, ControlSettings& settings) {
   using std::chrono::milliseconds;
   using std::chrono::seconds;
@@ -204,6 +224,12 @@
                     "Machines that may be lost at once with their disks; self_repair keeps the "
                     "voters that this takes, twice as many and one. 0: as voters says.",
                     settings.losses_tolerated, 0, (kVotersMaximum - 1) / 2);
+  reader.AddMilliseconds("replacement_time_ms",
+                         "Time from the start of a lost machine's replacement after which "
+                         "losses_tolerated machines may be lost again; self_repair replaces a "
+                         "voter that is silent for half of it.",
+                         settings.replacement_time, std::chrono::milliseconds(500),
+                         std::chrono::seconds(600));
   reader.AddMilliseconds("range_hold_ms", "Length of a grant of keys.",
                          settings.node.traffic.ranges.hold, std::chrono::milliseconds(500),
                          std::chrono::seconds(60));
@@ -246,6 +272,7 @@
     CheckFirstVoters(settings, faults);
     CheckOperators(settings, faults);
     CheckTimes(settings, faults);
+    CheckReplacementTime(settings, faults);
   });
 }
 
--- a/src/daemon/control/control_settings.h
+++ b/src/daemon/control/control_settings.h
@@ -33,6 +33,9 @@
   std::int64_t voters = 3;
   /// Machines whose loss at once, disks included, the group must survive; 0 leaves it to `voters`.
   std::int64_t losses_tolerated = 0;
+  /// Time from the start of a lost machine's replacement after which as many machines may be lost
+  /// again.
+  Duration replacement_time{12'000'000};
   std::vector<runtime::SocketAddress> platform;
   runtime::TextTable operators;
   runtime::TextTable reviewers;
