Forward announcements of new control processes to the leader

A new control process announces itself to its seeds and to the members that its own disk names. Only the leader admits a process, and a member that does not lead kept what it was told: a process whose seeds did not lead stayed outside the group for good, and a group whose control machines were replaced one after the other lost its spare members.

A member that follows a leader now forwards an announcement that names no disk to the leader, with the leader's disk, so that it takes one hop. The process that announces itself stays the sender; connections are proved by the group's shared secret and not by a member's identity, so that no receiver refuses it. What is forwarded is not founding, and never counts for a bootstrap. Repetitions within the shortest election timeout are dropped.

--- a/src/consensus/group_bootstrap.cc
+++ b/src/consensus/group_bootstrap.cc
@@ -8,6 +8,12 @@
 /// incarnation. It then appends the membership as the first entry of its log and takes part in
 /// elections. An initial voter that lost its disk and is started for bootstrap again receives
 /// announcements of members that are already in a group, and never creates a second group.
+///
+/// Only the leader can admit a process, and a process may know no member that leads. A member that
+/// follows a leader therefore forwards announcements to it:
+/// - only those that name no disk incarnation, and with the leader's, so that they take one hop;
+/// - with the process that announces itself as their sender;
+/// - as not founding, so that a forwarded announcement never counts for a bootstrap.
 #include <algorithm>
 
 #include "graniteseam/codec/codec.h"
@@ -77,7 +83,20 @@
   const bool to_this_disk = message.to.disk == self_.disk;
   if (message.to.id != self_.id || (!to_this_disk && message.to.disk.value != 0)) return;
   if (message.from.id == self_.id) return;
+  const auto known = announced_.find(message.from.id);
+  // Bounds what a process costs that announces itself more often than it should.
+  if (known != announced_.end() && known->second.member == message.from &&
+      known->second.founding == founding && known->second.addressed_to_this_disk == to_this_disk &&
+      now - known->second.at < options_.election_timeout_minimum) {
+    return;
+  }
   announced_[message.from.id] = {message.from, founding, to_this_disk, now};
+  // A leader that was not heard of for an election timeout is forgotten, so a member that was
+  // removed while it was disconnected forwards nothing.
+  const bool follows = !InNoMembership() && role_ != Role::kLeader && leader_;
+  if (follows && !to_this_disk && !IsMember(message.from)) {
+    effects_.messages.push_back({message.from, *leader_, Announcement{}});
+  }
   BootstrapIfComplete(now);
 }
 
