Answers whose status is none end the call as malformed

Callers saw `HTTP/1.1 0 No` where a server had answered `000 No`, and 010, 099, 600, 700 and 999 likewise; with the server's mark for a request that was not run, such an answer also counted as a refusal. A status is an integer from 100 to 599 (RFC 9110, section 15).

Cause: the parser takes any three digits for a status, and the answer reader took all but 1xx for final. 101 was skipped as an interim answer, although another protocol follows it.

The answer reader now ends the call as malformed once the head is whole, before any of the body, when the status is below 100, above 599 or 101. The connection is reset, the request counts as one that may have run, and the answer counts against the server as any malformed one does. This covers each user of the client pool: requests to servers, requests between gateways, probes and range orders. 100, 102 to 199 are skipped as before, 16 at most.

--- a/src/event_http/answer_reader.cc
+++ b/src/event_http/answer_reader.cc
@@ -6,6 +6,7 @@
 #include <string>
 #include <utility>
 
+#include "src/event_http/answer_status.h"
 #include "src/runtime/chunk_end.h"
 
 namespace graniteseam::event_http {
@@ -17,9 +18,6 @@
 
 /// Of a head, of the line of a chunk, and of a trailer.
 constexpr std::uint32_t kFramingBytes = 65'536;
-
-/// Before one final answer; each is thrown away.
-constexpr int kInterimAnswersMaximum = 16;
 /// Bodies up to this size may use the part of an account that is reserved for small ones.
 constexpr std::size_t kSmallBodyBytes = std::size_t{64} << 10;
 
@@ -95,10 +93,12 @@
   const std::size_t unread = needs_more ? buffer.size() : 0;
   const std::size_t body_bytes = parser_->get().body().size();
   if (framing_.Exceeded(used, body_bytes, unread)) return AnswerState::kMalformed;
-  if (parser_->is_header_done()) TakeHead();
+  if (!parser_->is_header_done()) return AnswerState::kIncomplete;
+  TakeHead();
+  const StatusClass status = ClassOfStatus(static_cast<int>(parser_->get().result_int()));
+  if (status == StatusClass::kInvalid) return AnswerState::kMalformed;
   if (!parser_->is_done()) return AnswerState::kIncomplete;
-  if (parser_->get().result_int() / 100 != 1) return AnswerState::kWhole;
-  // An interim answer; the final one follows (RFC 9110, section 15.2).
+  if (status == StatusClass::kFinal) return AnswerState::kWhole;
   if (++interim_answers_ > kInterimAnswersMaximum) return AnswerState::kMalformed;
   BeginMessage();
   return AnswerState::kIncomplete;
--- a/tests/gateway_daemon/cut_answers_test.cc
+++ b/tests/gateway_daemon/cut_answers_test.cc
@@ -2,6 +2,7 @@
 // a success that is not the server's whole answer, and each gets the answer to its own request.
 #include <criterion/criterion.h>
 
+#include <atomic>
 #include <functional>
 #include <mutex>
 #include <string>
@@ -156,6 +157,25 @@
   cr_assert(whole.starts_with("HTTP/1.1 200 ") && whole.ends_with("ab"), "%s", whole.c_str());
 }
 
+/// Guards against a status that is none and reaches the caller, and against a request that may have
+/// run and is sent again, or called not run, for it.
+Test(cut_answers, answer_whose_status_is_none_is_a_failure, .timeout = 120) {
+  Fixture fixture(traffic::RouteKind::kUnsafe);
+  for (const std::string status : {"000 No", "010 No", "099 No", "101 Switching Protocols",
+                                   "600 No", "700 No", "999 No", "1000 No"}) {
+    for (const std::string fields : {"", "Not-Executed: 1\r\n"}) {
+      const std::string head = Head(status, fields + "Content-Length: 4\r\n");
+      std::atomic<int> sends{0};
+      fixture.AnswerBy([&](const ServedConnection& connection, const TakenRequest& request) {
+        ++sends;
+        return connection.Send(Fixture::WithId(head, request.id) + "body");
+      });
+      fixture.AssertFailure(fixture.Ask("POST"), head);
+      cr_assert_eq(sends, 1, "%s", head.c_str());
+    }
+  }
+}
+
 /// Guards against a part of a head that passes for an answer that has no body anyway.
 Test(cut_answers, answers_without_body_that_are_cut_in_their_head_are_no_success, .timeout = 300) {
   Fixture fixture(traffic::RouteKind::kUnsafe);
