Lease client and platform poller skip interim answers

A call of the lease client or the platform poller was told the status of an interim answer (100, 102, 103, 199) where the final one, 201, followed it; by reading, that one was then taken for the answer to the next call over the kept connection. The statuses 000, 001, 010, 099, 101, 600 and 999 were told as they came.

Cause: the client took each message of the parser for the final answer, with any three digits as its status.

It now drops interim answers, 16 at most, and ends a call whose status is no final one with kMalformedMessage; its connection is closed.

Before: async_http_client/status_that_is_none_is_refused, .../interim_answers_are_skipped and .../interim_answers_are_bounded fail.

--- a/src/http/async_http_client.cc
+++ b/src/http/async_http_client.cc
@@ -16,6 +16,7 @@
 #include <optional>
 #include <utility>
 
+#include "src/http/answer_status.h"
 #include "src/runtime/chunk_end.h"
 
 namespace graniteseam::http {
@@ -76,13 +77,14 @@
   void Connect();
   void OnConnected();
   void Prepare(HttpCall call);
+  void PrepareParser();
   template <class Operation>
   void OnStream(Operation operation);
   void Write();
   void OnWritten(ErrorCode error);
   void Read();
   void OnBytes(ErrorCode error, std::size_t bytes);
-  /// Parses what was read, as far as the parser takes it.
+  /// Parses what was read, as far as the parser takes it, and drops interim answers.
   /// @return no error when more is needed.
   ErrorCode Parse();
   /// The peer sends no more: that ends an answer without a length, and cuts off every other.
@@ -98,6 +100,7 @@
   beast::flat_buffer buffer_{kUnparsedBytesMaximum};
   beast::http::request<beast::http::string_body> request_;
   std::optional<Response> response_;
+  int interim_answers_ = 0;  ///< To the present call.
   Handler handler_;
   bool connected_ = false;
   bool closed_ = false;
@@ -158,6 +161,11 @@
   if (call.post) request_.set(beast::http::field::content_type, "application/json");
   request_.body() = std::move(call.body);
   request_.prepare_payload();
+  interim_answers_ = 0;
+  PrepareParser();
+}
+
+void AsyncHttpClient::Session::PrepareParser() {
   response_.emplace();
   response_->eager(true);
   response_->body_limit(kReplyBytesMaximum);
@@ -199,6 +207,14 @@
     const std::size_t used = response_->put(buffer_.data(), error);
     buffer_.consume(used);
     if (error && error != beast::http::error::need_more) return error;
+    if (response_->is_header_done()) {
+      const StatusClass status = ClassOfStatus(static_cast<int>(response_->get().result_int()));
+      if (status == StatusClass::kInvalid) return beast::http::error::bad_status;
+      if (status == StatusClass::kInterim) {
+        if (++interim_answers_ > kInterimAnswersMaximum) return beast::http::error::bad_status;
+        PrepareParser();
+      }
+    }
     if (used == 0 || buffer_.size() == 0) break;
   }
   return {};
--- a/tests/http/async_http_client_test.cc
+++ b/tests/http/async_http_client_test.cc
@@ -1,4 +1,5 @@
-// What a client makes of answers whose chunk lines or trailers do not end.
+// What a client makes of answers whose chunk lines or trailers do not end, whose status is none, or
+// that are interim.
 #include "src/http/async_http_client.h"
 
 #include <criterion/criterion.h>
@@ -79,3 +80,36 @@
   cr_assert(ErrorOf(reply) == nullptr);
   cr_assert_eq(std::get<http::HttpReply>(reply).body.size(), kMuch);
 }
+
+// Guards against a status beyond 100 to 599 that is told to the caller.
+Test(async_http_client, status_that_is_none_is_refused) {
+  for (const std::string status :
+       {"000 No", "010 No", "099 No", "101 Switching Protocols", "600 No", "999 No", "20 No"}) {
+    const auto reply = ReplyTo("HTTP/1.1 " + status + "\r\nContent-Length: 2\r\n\r\n{}");
+    const Error* const error = ErrorOf(reply);
+    cr_assert(error != nullptr, "%s", status.c_str());
+    cr_assert(error->kind == ErrorKind::kMalformedMessage, "%s", error->message.c_str());
+  }
+}
+
+// Guards against an interim answer that is taken for the final one, which then lies in the
+// connection and is taken for the answer to the next call.
+Test(async_http_client, interim_answers_are_skipped) {
+  for (const std::string status : {"100 Continue", "102 Processing", "103 Early Hints", "199 x"}) {
+    const auto reply = ReplyTo("HTTP/1.1 " + status + "\r\nLink: a\r\n\r\n",
+                               {"HTTP/1.1 201 Created\r\nContent-Length: 2\r\n\r\nab"});
+    cr_assert(ErrorOf(reply) == nullptr, "%s", status.c_str());
+    cr_assert_eq(std::get<http::HttpReply>(reply).status, 201, "%s", status.c_str());
+    cr_assert(std::get<http::HttpReply>(reply).body == "ab");
+  }
+}
+
+// Guards against a server that keeps a call open by interim answers.
+Test(async_http_client, interim_answers_are_bounded) {
+  std::string many;
+  for (int i = 0; i < 17; ++i) many += "HTTP/1.1 103 Early Hints\r\n\r\n";
+  const auto reply = ReplyTo(many + "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  const Error* const error = ErrorOf(reply);
+  cr_assert(error != nullptr);
+  cr_assert(error->kind == ErrorKind::kMalformedMessage, "%s", error->message.c_str());
+}
