Operators' client: a change without a final status may have been accepted

graniteseamctl called a change refused, with kInternal, when the answer to it had the status 000, 010, 099, 101, 102 to 199, or one above 599. Such an answer says nothing about the change.

Cause: cpp-httplib takes any three digits for a status and each status but 100 for a final one; the client took each but 200 for a refusal.

An answer without a final status now counts as lost: the call is tried again, and ends with kOutcomeUnknown for a change, kUnavailable for a read and kTransport for a call of one process.

--- a/src/http/operator_client.cc
+++ b/src/http/operator_client.cc
@@ -7,6 +7,7 @@
 #include <thread>
 #include <utility>
 
+#include "src/http/answer_status.h"
 #include "src/runtime/clock.h"
 
 namespace graniteseam::http {
@@ -41,9 +42,8 @@
           ""};
 }
 
-Error TransportError(const SocketAddress& address, httplib::Error error) {
-  return {ErrorKind::kTransport,
-          ToString(address) + " gave no answer (" + httplib::to_string(error) + ").",
+Error TransportError(const SocketAddress& address, const std::string& cause) {
+  return {ErrorKind::kTransport, ToString(address) + " gave no answer (" + cause + ").",
           "Check that a control process runs there and can be reached from here."};
 }
 
@@ -126,7 +126,12 @@
                            result.error() != httplib::Error::SSLConnection;
     return {connected ? AttemptEnd::kAnswerLost : AttemptEnd::kNotSent,
             "",
-            {TransportError(address, result.error()), ""}};
+            {TransportError(address, httplib::to_string(result.error())), ""}};
+  }
+  // Control sends no interim answers. The library skips 100 alone and takes others for final.
+  if (ClassOfStatus(result->status) != StatusClass::kFinal) {
+    const std::string cause = "status " + std::to_string(result->status);
+    return {AttemptEnd::kAnswerLost, "", {TransportError(address, cause), ""}};
   }
   if (result->status == 200) return {AttemptEnd::kAnswered, result->body, {}};
   return {AttemptEnd::kRefused, "", ReadOperatorProblem(result->status, result->body)};
