Router: check heads of servers' answers before the library reads them

A server's status line with a reason phrase of 1 MiB ended the router's process by a stack overflow. Callers were given 000, 001, 010, 099, 600 and 999 as statuses. A request whose answer came behind an interim one (100 with header fields, 102, 103, 199) was of unknown outcome.

Cause: cpp-httplib 0.11 matches the status line with a std::regex that recurses once for each character, takes any three digits for a status and each status but 100 for a final one, and expects no fields in 100.

UpstreamConnection now reads through AnswerStream, which takes the head itself: up to 64 KiB each, dropping interim answers, 16 at most, and ending the exchange at a status that is none. The library gets the final head without its reason phrase, which nothing used. Such an exchange is broken, hence of unknown outcome, and its connection is closed.

Before: request_driver/takes_an_answer_whose_status_is_none_for_none and .../skips_interim_answers fail, .../bounds_heads_of_answers crashes (with a stack without limit, the exchange with the 1 MiB reason ends whole).

--- a/src/http/upstream_connection.cc
+++ b/src/http/upstream_connection.cc
@@ -45,7 +45,8 @@
 UpstreamConnection::UpstreamConnection(const runtime::SocketAddress& address, int descriptor)
     : httplib::ClientImpl(address.ip, address.port),
       descriptor_(descriptor),
-      stream_(descriptor, kReadTick) {
+      stream_(descriptor, kReadTick),
+      answer_(stream_, kHeadBytesMaximum) {
   set_url_encode(false);  // The caller's path goes on byte for byte.
   set_decompress(false);
 }
@@ -55,8 +56,9 @@
 ExchangeEnd UpstreamConnection::Exchange(httplib::Request& request, httplib::Response& response,
                                          Instant deadline, std::size_t answer_bytes_maximum) {
   stream_.Begin(deadline, answer_bytes_maximum + kHeadBytesMaximum);
+  answer_.Begin();
   httplib::Error error = httplib::Error::Success;
-  const bool whole = process_request(stream_, request, response, false, error);
+  const bool whole = process_request(answer_, request, response, false, error);
   if (!whole) return stream_.AnythingSent() ? ExchangeEnd::kBroken : ExchangeEnd::kNotSent;
   if (!EndOfBodyIsKnown(request, response)) return ExchangeEnd::kBroken;
   close_asked_ = SaysClose(response);
--- a/src/http/upstream_connection.h
+++ b/src/http/upstream_connection.h
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "graniteseam/common/time.h"
+#include "src/http/answer_stream.h"
 #include "src/http/bounded_stream.h"
 #include "src/runtime/socket_address.h"
 
@@ -59,6 +60,7 @@
 
   int descriptor_;
   BoundedStream stream_;
+  AnswerStream answer_;  ///< Reads from stream_.
   bool close_asked_ = false;
 };
 
--- a/tests/http/request_driver_test.cc
+++ b/tests/http/request_driver_test.cc
@@ -112,6 +112,61 @@
   ExpectUnknownAndRunOnce(router, server);
 }
 
+// Guards against a status beyond 100 to 599 that reaches the caller.
+Test(request_driver, takes_an_answer_whose_status_is_none_for_none) {
+  for (const std::string status :
+       {"000 No", "010 No", "099 No", "101 Switching Protocols", "600 No", "999 No", "20 No"}) {
+    ScriptedServer server([&](const std::string&, int) {
+      return Script{"HTTP/1.1 " + status +
+                        "\r\nGraniteseam-Attempt: {attempt}\r\nContent-Length: 4\r\n\r\nbody",
+                    false,
+                    {}};
+    });
+    RouterFixture router;
+    router.AddServer("a", kShutOffs, server.address());
+    router.Start();
+    ExpectUnknownAndRunOnce(router, server);
+  }
+}
+
+// Guards against an interim answer that is taken for the final one.
+Test(request_driver, skips_interim_answers) {
+  for (const std::string status : {"100 Continue", "102 Processing", "103 Early Hints", "199 x"}) {
+    ScriptedServer server([&](const std::string&, int) {
+      return Script{"HTTP/1.1 " + status + "\r\nLink: a\r\n\r\n" + Answer(200, "right"), false, {}};
+    });
+    RouterFixture router;
+    router.AddServer("a", kShutOffs, server.address());
+    router.Start();
+    for (int call = 0; call < 2; ++call) {
+      const http::CallerReply reply = router.Call(kShutOffs);
+      cr_assert(reply.outcome == RequestOutcome::kAnswered, "%s", status.c_str());
+      cr_assert_eq(reply.status, 200, "%s", status.c_str());
+      cr_assert_str_eq(reply.body.c_str(), "right");
+    }
+    cr_assert_eq(server.connections(), 1, "%s", status.c_str());
+  }
+}
+
+// Guards against a process that a status line without end brings down.
+Test(request_driver, bounds_heads_of_answers) {
+  const std::string head = "HTTP/1.1 200 OK\r\nGraniteseam-Attempt: {attempt}\r\n";
+  std::string fields = head;
+  while (fields.size() < std::size_t{1} << 20) fields += "Field: value\r\n";
+  std::string interim;
+  while (interim.size() < std::size_t{1} << 20) interim += "HTTP/1.1 103 Early Hints\r\n\r\n";
+  for (const std::string& start :
+       {"HTTP/1.1 200 " + std::string(std::size_t{1} << 20, 'x'), fields, interim}) {
+    ScriptedServer server([&](const std::string&, int) {
+      return Script{start + "\r\nContent-Length: 0\r\n\r\n", false, {}};
+    });
+    RouterFixture router;
+    router.AddServer("a", kShutOffs, server.address());
+    router.Start();
+    ExpectUnknownAndRunOnce(router, server);
+  }
+}
+
 Test(request_driver, does_not_send_again_on_a_kept_connection_that_dies_under_the_request) {
   ScriptedServer server([](const std::string&, int number) {
     // The second request arrives on the kept connection, and the server falls silent for good.
