Tell routers the members of the control group

A gateway knew the control addresses of its settings and of processes that had led or fed it. Once all of these had been replaced at other addresses it was lost for good, though the group was alive; and its list of addresses only grew.

The leader now sends each router that polls it the addresses of the voters, and of the learners that caught up: in a message of its own, with the first poll and after changes. It is a new message of protocol version 16 and is not sent to routers of version 15; nothing else of the protocol differs, so that both versions run together.

A router keeps the list and dials members of it only while fewer connections are ready than its settings name addresses, so that it keeps as many connections as before. It drops addresses that are neither in the settings nor a member's after 60 s without a connection. Addresses of settings that are read again replace the earlier ones.

--- a/include/graniteseam/control/router_messages.h
+++ b/include/graniteseam/control/router_messages.h
@@ -162,6 +162,16 @@
 };
 BOOST_DESCRIBE_STRUCT(NotLeaderAnswer, (), (sequence, leader_address, version, configuration))
 
+/// The control processes that a router may connect to: the group's voters, and its learners that
+/// caught up. Sent with the answer to a router's first poll and after each change, to routers that
+/// speak protocol version 16.
+struct GroupMembers {
+  std::vector<std::string> addresses;  ///< Internal addresses, "ip:port".
+
+  bool operator==(const GroupMembers&) const = default;
+};
+BOOST_DESCRIBE_STRUCT(GroupMembers, (), (addresses))
+
 using traffic::FeedRequest;
 using traffic::TokenAnswer;
 using traffic::TokenRequest;
@@ -172,6 +182,6 @@
 using RouterToControl =
     std::variant<RouterRenewal, JournalRequest, TrafficPoll, FeedRequest, TokenRequest>;
 using ControlToRouter = std::variant<RouterRenewalAnswer, JournalAnswer, NotLeaderAnswer,
-                                     TrafficUpdate, TrafficHints, TokenAnswer>;
+                                     TrafficUpdate, TrafficHints, TokenAnswer, GroupMembers>;
 
 }  // namespace graniteseam::control
--- a/src/control/control_node_requests.cc
+++ b/src/control/control_node_requests.cc
@@ -100,7 +100,11 @@
 }
 
 std::string ControlNode::Impl::FeedFor(const TrafficPoll& poll, Instant now) {
-  if (feed_selector_.IsDue(now)) feed_selector_.Take(consensus_.self(), consensus_.peers(now), now);
+  if (feed_selector_.IsDue(now)) {
+    const std::vector<consensus::PeerStatus> peers = consensus_.peers(now);
+    feed_selector_.Take(consensus_.self(), peers, now);
+    leadership_->traffic.sessions().SetMembers(consensus_.membership(), peers);
+  }
   return feed_selector_.SelectFeed(poll.router, poll.zone, poll.feeds_tried);
 }
 
--- a/src/control/traffic_sessions.cc
+++ b/src/control/traffic_sessions.cc
@@ -29,6 +29,9 @@
     feed_.MarkCurrent(connection);
   }
   if (state) sends.push_back({connection, std::move(state)});
+  if (members_ && std::exchange(members_told_[connection], members_) != members_) {
+    sends.push_back({connection, members_});
+  }
   traffic::TrafficUpdate answer;
   answer.sequence = poll.sequence;
   answer.base = answer.version = state_.version();
@@ -42,6 +45,35 @@
   return sends;
 }
 
+void TrafficSessions::SetMembers(const consensus::Membership& membership,
+                                 const std::vector<consensus::PeerStatus>& peers) {
+  const auto* const before = members_ ? &std::get<GroupMembers>(*members_).addresses : nullptr;
+  const auto was_ready = [&](const std::string& address) {
+    return before != nullptr && std::find(before->begin(), before->end(), address) != before->end();
+  };
+  const auto is_caught_up = [&](const consensus::Member& learner) {
+    return std::any_of(peers.begin(), peers.end(), [&](const consensus::PeerStatus& peer) {
+      return peer.caught_up && peer.member.IsSameMemberAs(learner);
+    });
+  };
+  GroupMembers members;
+  for (const consensus::Member& voter : membership.voters) {
+    members.addresses.push_back(voter.address);
+  }
+  for (const consensus::Member& learner : membership.learners) {
+    if (was_ready(learner.address) || is_caught_up(learner)) {
+      members.addresses.push_back(learner.address);
+    }
+  }
+  // A promotion changes nothing here, and a machine whose disk was replaced is two members for a
+  // while.
+  std::sort(members.addresses.begin(), members.addresses.end());
+  const auto repeated = std::unique(members.addresses.begin(), members.addresses.end());
+  members.addresses.erase(repeated, members.addresses.end());
+  if (before != nullptr && members.addresses == *before) return;
+  members_ = std::make_shared<const ControlToRouter>(std::move(members));
+}
+
 StateFeed::Message TrafficSessions::StateFor(std::uint64_t version, Instant now) {
   const std::uint64_t made_before = feed_.updates_made();
   if (now + kUpdatesAtOnce * kUpdateInterval < next_update_) return nullptr;
--- a/src/control/traffic_sessions.h
+++ b/src/control/traffic_sessions.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <set>
 #include <string>
 #include <vector>
@@ -35,15 +36,20 @@
 
   /// Answers a poll. A router that requests the state is sent the missing changes first, in a
   /// separate message that refers to no poll, so that hundreds of routers that start together share
-  /// one message.
+  /// one message. The same goes for the members, when they changed since the router's last poll.
   /// @param feed address "ip:port" from which the router is to receive the state; empty for none.
   /// @param quota the quota part of the answer.
   std::vector<RouterSend> Poll(ConnectionId connection, const traffic::TrafficPoll& poll,
                                Instant now, const std::string& feed = "",
                                traffic::QuotaGrant quota = {});
+  /// Sets the members that routers may connect to. A learner counts from when it first caught up
+  /// until it leaves the group, so that the list does not change while members lag.
+  void SetMembers(const consensus::Membership& membership,
+                  const std::vector<consensus::PeerStatus>& peers);
   /// Removes a router whose connection was closed.
   void Disconnect(ConnectionId connection) {
     sessions_.erase(connection);
+    members_told_.erase(connection);
     feed_.Disconnect(connection);
     hints_pending_.erase(connection);
   }
@@ -81,6 +87,9 @@
   GatewayDirectory directory_;
   std::set<ConnectionId> sessions_;
   std::set<ConnectionId> hints_pending_;  ///< Routers that have not been sent hints yet.
+  StateFeed::Message members_;            ///< The list of members; null before the first one.
+  /// The list that each router was sent last. By address, so that one list is one message.
+  std::map<ConnectionId, StateFeed::Message> members_told_;
   /// Rate limit of messages built for single routers: the time at which the next one is due.
   Instant next_update_{};
 };
--- a/src/daemon/gateway/gateway_process.cc
+++ b/src/daemon/gateway/gateway_process.cc
@@ -162,7 +162,7 @@
 void GatewayProcess::Reload(const GatewaySettings& settings) {
   std::vector<std::string> addresses;
   for (const auto& address : settings.control) addresses.push_back(runtime::ToString(address));
-  control_->AddControl(addresses);
+  control_->SetControl(addresses);
   events_.Write(runtime::EventWeight::kNotable,
                 runtime::EventLine("reloaded")
                     .Add("control", static_cast<std::uint64_t>(settings.control.size())));
--- a/src/protocol/hello.h
+++ b/src/protocol/hello.h
@@ -14,9 +14,12 @@
 namespace graniteseam::protocol {
 
 /// The newest and the oldest version of the internal protocol that this build supports.
-inline constexpr std::int32_t kProtocolVersion = 15;
+inline constexpr std::int32_t kProtocolVersion = 16;
 inline constexpr std::int32_t kOldestProtocolVersion = 13;
 
+/// The first version with control::GroupMembers.
+inline constexpr std::int32_t kGroupMembersVersion = 16;
+
 enum class ProcessKind { kControl, kRouter };
 BOOST_DESCRIBE_ENUM(ProcessKind, kControl, kRouter)
 
--- a/src/protocol/internal_server.cc
+++ b/src/protocol/internal_server.cc
@@ -16,6 +16,16 @@
 
 namespace asio = boost::asio;
 
+namespace {
+
+/// The first protocol version with this message.
+std::int32_t FirstVersionOf(const control::ControlToRouter& message) {
+  return std::holds_alternative<control::GroupMembers>(message) ? kGroupMembersVersion
+                                                                : kOldestProtocolVersion;
+}
+
+}  // namespace
+
 /// All members except Start() and port() run on the event loop's thread.
 class InternalServer::Impl : public std::enable_shared_from_this<InternalServer::Impl> {
  public:
@@ -35,8 +45,9 @@
   /// times per interval.
   void ScheduleLivenessCheck();
   /// @param update the state update in the frame, if it is one.
+  /// @param version the first protocol version with this message.
   void SendToRouter(RouterConnectionId id, std::shared_ptr<const std::string> frame,
-                    std::optional<StateUpdate> update);
+                    std::optional<StateUpdate> update, std::int32_t version);
   void Disconnect();
 
   runtime::EventLoop& loop() { return loop_; }
@@ -46,6 +57,7 @@
   struct Client {
     std::shared_ptr<Connection> connection;
     std::optional<ProcessKind> kind;  ///< Set once its hello was received.
+    std::int32_t newest_version = 0;  ///< That it speaks.
     StateSubscription state;
   };
 
@@ -132,6 +144,7 @@
 
 std::optional<Error> InternalServer::Impl::OnReady(RouterConnectionId id, const Hello& peer) {
   clients_[id].kind = peer.kind;
+  clients_[id].newest_version = peer.newest_version;
   log_.Info("Connected: {} {}.", peer.kind == ProcessKind::kRouter ? "router" : "control",
             peer.name);
   if (peer.kind == ProcessKind::kControl) {
@@ -173,10 +186,11 @@
 
 void InternalServer::Impl::SendToRouter(RouterConnectionId id,
                                         std::shared_ptr<const std::string> frame,
-                                        std::optional<StateUpdate> update) {
+                                        std::optional<StateUpdate> update, std::int32_t version) {
   const auto found = clients_.find(id);
   if (found == clients_.end()) return;
   Client& client = found->second;
+  if (client.newest_version < version) return;
   if (update && !client.state.Admit(*update, client.connection->queued_bytes())) return;
   if (found->second.connection->SendFrame(std::move(frame))) return;
   found->second.connection->Close(
@@ -209,8 +223,9 @@
   asio::post(encoder_.context(), [this, connection, message = std::move(message)] {
     const auto frame = EncodeOnce(message);
     asio::post(impl_->loop().context(),
-               [impl = impl_, connection, frame, update = StateUpdateOf(*message)] {
-                 impl->SendToRouter(connection, frame, update);
+               [impl = impl_, connection, frame, update = StateUpdateOf(*message),
+                version = FirstVersionOf(*message)] {
+                 impl->SendToRouter(connection, frame, update, version);
                });
   });
 }
--- a/src/protocol/leader_tracker.cc
+++ b/src/protocol/leader_tracker.cc
@@ -19,6 +19,15 @@
 /// An answer to a poll that is older than this many answer timeouts shows that the target is slow.
 constexpr int kAnswerAgeTimeouts = 2;
 constexpr std::size_t kPollsMaximum = 64;
+/// Bounds what is kept of a list of members.
+constexpr std::size_t kMembersMaximum = 32;
+/// Time after which members are added while fewer connections than configured addresses are ready:
+/// longer than a process's restart takes to be noticed and dialled again. Without any connection,
+/// the answer timeout.
+constexpr Duration kMemberAddedAfter{2'000'000};
+/// Time without a connection after which an address that is neither configured nor a member's is
+/// removed: its machine is gone, or was given to another purpose.
+constexpr Duration kRemovedAfter{60'000'000};
 /// Switches retained until TakeSwitches().
 constexpr std::size_t kSwitchesRetainedMaximum = 16;
 
@@ -44,6 +53,10 @@
   return false;
 }
 
+bool Contains(const std::vector<std::string>& addresses, const std::string& address) {
+  return std::find(addresses.begin(), addresses.end(), address) != addresses.end();
+}
+
 /// Whether a newer message of the same kind replaces an older one.
 bool Supersedes(const control::RouterToControl& newer, const control::RouterToControl& older) {
   return newer.index() == older.index() && !std::holds_alternative<control::JournalRequest>(newer);
@@ -51,11 +64,15 @@
 
 }  // namespace
 
-LeaderTracker::LeaderTracker(std::vector<std::string> addresses, Duration answer_timeout)
+LeaderTracker::LeaderTracker(std::vector<std::string> addresses, Duration answer_timeout,
+                             std::size_t spread)
     : addresses_(std::move(addresses)),
       connected_(addresses_.size()),
+      disconnected_since_(addresses_.size()),
       unresponsive_at_(addresses_.size()),
+      configured_(addresses_),
       answer_timeout_(answer_timeout),
+      spread_(spread),
       switch_interval_(kSwitchIntervalMinimum) {}
 
 std::vector<LeaderSend> LeaderTracker::OnSend(control::RouterToControl message, Instant now) {
@@ -94,6 +111,7 @@
 
 bool LeaderTracker::IsTimely(const control::ControlToRouter& answer, Instant now) const {
   if (std::holds_alternative<control::TrafficHints>(answer)) return false;
+  if (std::holds_alternative<control::GroupMembers>(answer)) return false;
   const auto* const update = std::get_if<control::TrafficUpdate>(&answer);
   if (update == nullptr) return true;
   const auto poll = std::find_if(polls_.begin(), polls_.end(), [&](const SentPoll& sent) {
@@ -104,6 +122,11 @@
 
 void LeaderTracker::OnAnswered(const std::string& address, const control::ControlToRouter& answer,
                                Instant now) {
+  const auto* const members = std::get_if<control::GroupMembers>(&answer);
+  if (members != nullptr && !members->addresses.empty()) {
+    members_ = members->addresses;
+    if (members_.size() > kMembersMaximum) members_.resize(kMembersMaximum);
+  }
   if (IndexOf(address) == target_ && IsTimely(answer, now)) {
     unanswered_since_.reset();
     switch_interval_ = kSwitchIntervalMinimum;
@@ -126,6 +149,8 @@
 
 std::vector<LeaderSend> LeaderTracker::Tick(Instant now) {
   DropExpired(now);
+  AddMembers(now);
+  RemoveUnused(now);
   if (wanted_target_ && now >= next_switch_) return SwitchTo(*wanted_target_, wanted_why_, now);
   if (pending_.empty()) return {};
   // Not measured from the oldest message, because newer messages replace older ones of their kind.
@@ -143,11 +168,61 @@
   if (found == addresses_.end()) {
     addresses_.push_back(address);
     connected_.push_back(false);
+    disconnected_since_.emplace_back();
     unresponsive_at_.emplace_back();
   }
   return index;
 }
 
+void LeaderTracker::SetConfigured(const std::vector<std::string>& addresses) {
+  configured_ = addresses;
+  for (const std::string& address : addresses) IndexOf(address);
+}
+
+void LeaderTracker::AddMembers(Instant now) {
+  const std::size_t wanted = std::min(configured_.size(), members_.size());
+  const auto ready =
+      static_cast<std::size_t>(std::count(connected_.begin(), connected_.end(), true));
+  if (ready >= wanted) {
+    short_since_.reset();
+    return;
+  }
+  if (!short_since_) short_since_ = now;
+  if (now - *short_since_ < (ready == 0 ? answer_timeout_ : kMemberAddedAfter)) return;
+  short_since_ = now;
+  std::size_t missing = ready == 0 ? members_.size() : wanted - ready;
+  for (std::size_t step = 0; step < members_.size() && missing > 0; ++step) {
+    const std::string& member = members_[(spread_ + step) % members_.size()];
+    if (Contains(addresses_, member)) continue;
+    IndexOf(member);
+    --missing;
+  }
+}
+
+void LeaderTracker::RemoveUnused(Instant now) {
+  for (std::size_t index = 0; index < addresses_.size(); ++index) {
+    if (connected_[index]) {
+      disconnected_since_[index].reset();
+    } else if (!disconnected_since_[index]) {
+      disconnected_since_[index] = now;
+    } else if (now - *disconnected_since_[index] >= kRemovedAfter && index != target_ &&
+               index != wanted_target_ && !Contains(configured_, addresses_[index]) &&
+               !Contains(members_, addresses_[index])) {
+      return Remove(index);  // One a call: indexes after it change.
+    }
+  }
+}
+
+void LeaderTracker::Remove(std::size_t index) {
+  const auto at = static_cast<std::ptrdiff_t>(index);
+  addresses_.erase(addresses_.begin() + at);
+  connected_.erase(connected_.begin() + at);
+  disconnected_since_.erase(disconnected_since_.begin() + at);
+  unresponsive_at_.erase(unresponsive_at_.begin() + at);
+  if (target_ > index) --target_;
+  if (wanted_target_ && *wanted_target_ > index) --*wanted_target_;
+}
+
 bool LeaderTracker::RecentlyUnresponsive(std::size_t index, Instant now) const {
   return unresponsive_at_[index] && now - *unresponsive_at_[index] <= 2 * answer_timeout_;
 }
--- a/src/protocol/leader_tracker.h
+++ b/src/protocol/leader_tracker.h
@@ -33,12 +33,22 @@
 /// decrease.
 class LeaderTracker {
  public:
+  /// @param addresses from the settings; at least one.
   /// @param answer_timeout time without an answer after which the next process is tried.
-  LeaderTracker(std::vector<std::string> addresses, Duration answer_timeout);
+  /// @param spread the member to begin with when members are added, so that routers that lost the
+  ///     same process do not all add the same member.
+  LeaderTracker(std::vector<std::string> addresses, Duration answer_timeout,
+                std::size_t spread = 0);
 
-  /// All addresses to stay connected to; leader hints may add some.
+  /// All addresses to stay connected to. Leader hints and Tick() add some; Tick() removes those
+  /// that are not in use any more.
   const std::vector<std::string>& addresses() const { return addresses_; }
   void AddAddress(const std::string& address) { IndexOf(address); }
+  /// Replaces the addresses from the settings; Tick() does not remove these.
+  void SetConfigured(const std::vector<std::string>& addresses);
+  /// The group's members as a leader last told them. Those that are not in addresses() are added as
+  /// others are lost.
+  const std::vector<std::string>& members() const { return members_; }
   /// The presumed leader.
   const std::string& target() const { return addresses_[target_]; }
 
@@ -51,8 +61,8 @@
   void OnAnswered(const std::string& address, const control::ControlToRouter& answer, Instant now);
   std::vector<LeaderSend> OnNotLeader(const std::string& address,
                                       const control::NotLeaderAnswer& answer, Instant now);
-  /// Switches away from an unresponsive process and drops expired messages. Must be called several
-  /// times per answer timeout.
+  /// Switches away from an unresponsive process, drops expired messages, and adds and removes
+  /// addresses. Must be called several times per answer timeout.
   std::vector<LeaderSend> Tick(Instant now);
 
   /// Returns the switches since the last call.
@@ -71,6 +81,12 @@
   };
 
   std::size_t IndexOf(const std::string& address);
+  /// Adds members in place of connections that are missing.
+  void AddMembers(Instant now);
+  /// Removes an address that is neither in the settings nor a member's and was not connected for
+  /// long.
+  void RemoveUnused(Instant now);
+  void Remove(std::size_t index);
   /// Whether the answer shows that the target answers within a reasonable time.
   bool IsTimely(const control::ControlToRouter& answer, Instant now) const;
   bool RecentlyUnresponsive(std::size_t index, Instant now) const;
@@ -83,9 +99,14 @@
 
   std::vector<std::string> addresses_;
   std::vector<bool> connected_;
+  std::vector<std::optional<Instant>> disconnected_since_;  ///< As Tick() found it.
   std::vector<std::optional<Instant>>
       unresponsive_at_;  ///< When each last timed out or was disconnected.
+  std::vector<std::string> configured_;
+  std::vector<std::string> members_;
+  std::optional<Instant> short_since_;  ///< Since when connections are missing.
   Duration answer_timeout_;
+  std::size_t spread_;
   std::size_t target_ = 0;
   std::optional<std::size_t> wanted_target_;  ///< A switch that waits for `next_switch_`.
   std::string_view wanted_why_;
--- a/src/protocol/router_control_client.cc
+++ b/src/protocol/router_control_client.cc
@@ -1,7 +1,9 @@
 #include "src/protocol/router_control_client.h"
 
+#include <algorithm>
 #include <atomic>
 #include <boost/asio/post.hpp>
+#include <functional>
 #include <map>
 #include <utility>
 
@@ -37,7 +39,7 @@
   ~Impl();
 
   void Send(control::RouterToControl message);
-  void AddControl(std::vector<std::string> addresses);
+  void SetControl(std::vector<std::string> addresses);
   void SubscribeToState(const std::string& address);
   void SetStateVersion(std::uint64_t version) { version_ = version; }
 
@@ -47,6 +49,7 @@
   void SendFeedRequest(bool ends);
   void Dial(const std::string& address);
   void DialNewAddresses();
+  void StopRemovedDialers();
   void Deliver(const std::vector<LeaderSend>& sends);
   void OnConnected(const std::string& address);
   void OnDisconnected(const std::string& address);
@@ -82,7 +85,8 @@
       on_feed_lost_(std::move(on_feed_lost)),
       metrics_(registry),
       tls_(options_.security),
-      tracker_(ToTexts(options_.control), options_.answer_timeout) {
+      tracker_(ToTexts(options_.control), options_.answer_timeout,
+               std::hash<std::string>{}(options_.router.value)) {
   const auto loaded = Attempt([&] { return tls_.Load(); });
   if (const Error* error = ErrorOf(loaded)) runtime::Logger("internal").Error(*error);
   asio::post(loop_.context(), [this] {
@@ -105,9 +109,9 @@
   });
 }
 
-void RouterControlClient::Impl::AddControl(std::vector<std::string> addresses) {
+void RouterControlClient::Impl::SetControl(std::vector<std::string> addresses) {
   asio::post(loop_.context(), [this, addresses = std::move(addresses)] {
-    for (const std::string& address : addresses) tracker_.AddAddress(address);
+    tracker_.SetConfigured(addresses);
     DialNewAddresses();
   });
 }
@@ -136,6 +140,21 @@
   for (const std::string& address : tracker_.addresses()) {
     if (!dialers_.contains(address)) Dial(address);
   }
+  if (dialers_.size() > tracker_.addresses().size()) StopRemovedDialers();
+}
+
+void RouterControlClient::Impl::StopRemovedDialers() {
+  const std::vector<std::string>& used = tracker_.addresses();
+  for (auto one = dialers_.begin(); one != dialers_.end();) {
+    if (std::find(used.begin(), used.end(), one->first) != used.end()) {
+      ++one;
+      continue;
+    }
+    if (one->second) one->second->Stop();
+    // A later subscription to this address dials it again.
+    if (one->first == feed_) feed_.clear();
+    one = dialers_.erase(one);
+  }
 }
 
 void RouterControlClient::Impl::Dial(const std::string& address) {
@@ -218,8 +237,8 @@
 
 RouterControlClient::~RouterControlClient() = default;
 
-void RouterControlClient::AddControl(std::vector<std::string> addresses) {
-  impl_->AddControl(std::move(addresses));
+void RouterControlClient::SetControl(std::vector<std::string> addresses) {
+  impl_->SetControl(std::move(addresses));
 }
 
 void RouterControlClient::SubscribeToState(const std::string& address) {
--- a/src/protocol/router_control_client.h
+++ b/src/protocol/router_control_client.h
@@ -1,6 +1,7 @@
 /// @file
-/// A router's client of the control group: it is connected to every known control process, sends to
-/// the leader, follows NotLeader answers and switches away from an unresponsive leader.
+/// A router's client of the control group: it is connected to the control processes of its settings
+/// and to those that it was referred to, sends to the leader, follows NotLeader answers and
+/// switches away from an unresponsive leader. Further members are connected to as others are lost.
 #pragma once
 
 #include <cstdint>
@@ -22,7 +23,8 @@
 /// Settings of a control client.
 struct RouterControlClientOptions {
   RouterId router;
-  std::vector<runtime::SocketAddress> control;  ///< From the settings; leader hints may add more.
+  /// From the settings; leader hints and the members that a leader tells may add more.
+  std::vector<runtime::SocketAddress> control;
   InternalSecurity security;
   /// A control process that does not answer within this time counts as unresponsive, and the
   /// message is sent to the next one. Must be shorter than half the router's lease.
@@ -71,8 +73,8 @@
   /// Sets the version of the router's state, for the next subscription request.
   void SetStateVersion(std::uint64_t version);
 
-  /// Adds control processes ("ip:port") to connect to.
-  void AddControl(std::vector<std::string> addresses);
+  /// Replaces the control processes ("ip:port") of the settings.
+  void SetControl(std::vector<std::string> addresses);
 
  private:
   class Impl;
--- a/tests/control/traffic_sessions_test.cc
+++ b/tests/control/traffic_sessions_test.cc
@@ -138,3 +138,45 @@
   cr_assert_gt(told, 50U);
   cr_assert_leq(fixture.sessions.evaluations() - before, 121U + 7U * kRouters);
 }
+
+// Gateways were not told of members that never led: they were lost once those of their settings had
+// been replaced.
+Test(traffic_sessions, router_is_sent_the_members_once_and_again_when_they_changed) {
+  Fixture fixture(0);
+  const auto member = [](std::uint64_t id) {
+    return consensus::Member{
+        ControlId{id}, DiskIncarnation{id}, "10.0.0." + std::to_string(id) + ":7140", {}};
+  };
+  const auto told = [&](ConnectionId router) -> std::vector<std::string> {
+    traffic::TrafficPoll poll;
+    poll.router = {"r-" + std::to_string(router)};
+    poll.version = fixture.index;
+    for (const RouterSend& send : fixture.sessions.Poll(router, poll, kStart)) {
+      if (const auto* members = std::get_if<GroupMembers>(&*send.message)) {
+        return members->addresses;
+      }
+    }
+    return {};
+  };
+  cr_assert(told(1).empty());
+  consensus::Membership membership{{member(2), member(1)}, {member(3)}};
+  consensus::PeerStatus learner{member(3), {}, false};
+  fixture.sessions.SetMembers(membership, {learner});
+  const std::vector<std::string> voters{"10.0.0.1:7140", "10.0.0.2:7140"};
+  cr_assert(told(1) == voters);
+  cr_assert(told(1).empty());
+  cr_assert(told(2) == voters);
+  learner.caught_up = true;
+  fixture.sessions.SetMembers(membership, {learner});
+  const std::vector<std::string> all{"10.0.0.1:7140", "10.0.0.2:7140", "10.0.0.3:7140"};
+  cr_assert(told(1) == all);
+  // A learner that lags for a moment, and then votes.
+  learner.caught_up = false;
+  fixture.sessions.SetMembers(membership, {learner});
+  membership = {{member(1), member(2), member(3)}, {}};
+  fixture.sessions.SetMembers(membership, {learner});
+  cr_assert(told(1).empty());
+  cr_assert(told(2) == all);
+  fixture.sessions.Disconnect(1);
+  cr_assert(told(1) == all);
+}
--- a/tests/protocol/leader_tracker_test.cc
+++ b/tests/protocol/leader_tracker_test.cc
@@ -2,6 +2,8 @@
 
 #include <criterion/criterion.h>
 
+#include <algorithm>
+
 namespace control = graniteseam::control;
 using graniteseam::Duration;
 using graniteseam::Instant;
@@ -198,3 +200,92 @@
   }
   cr_assert(sent >= 4, "%zu sends in 0.1 s", sent);
 }
+
+// A gateway whose configured control processes had all been replaced was lost for good: it had
+// never been told of the others.
+Test(leader_tracker,
+     finds_the_group_at_members_told_earlier_once_all_it_was_configured_with_are_gone) {
+  LeaderTracker tracker = ThreeConnected();
+  tracker.OnAnswered("a", control::GroupMembers{{"a", "b", "c", "d", "e"}}, At(10));
+  tracker.OnAnswered("a", control::GroupMembers{{"d", "e", "f"}}, At(20));
+  for (const char* address : {"a", "b", "c"}) tracker.OnDisconnected(address, At(30));
+  tracker.OnSend(Poll(1), At(30));
+  for (std::int64_t now = 31; now < 500; now += 10) tracker.Tick(At(now));
+  for (const char* member : {"d", "e", "f"}) {
+    const auto& addresses = tracker.addresses();
+    cr_assert(std::find(addresses.begin(), addresses.end(), member) != addresses.end());
+  }
+  const auto sends = tracker.OnConnected("e", At(500));
+  cr_assert(tracker.target() == "e" || !tracker.Tick(At(1'000)).empty());
+  cr_assert(tracker.target() == "e");
+}
+
+Test(leader_tracker, keeps_no_more_connections_than_addresses_in_the_settings) {
+  LeaderTracker tracker = ThreeConnected();
+  tracker.OnAnswered("a", control::GroupMembers{{"a", "b", "c", "d", "e", "f", "g"}}, At(10));
+  for (std::int64_t now = 10; now < 10'000; now += 10) tracker.Tick(At(now));
+  cr_assert_eq(tracker.addresses().size(), 3U);
+  tracker.OnDisconnected("c", At(10'000));
+  for (std::int64_t now = 10'000; now < 11'900; now += 10) tracker.Tick(At(now));
+  cr_assert_eq(tracker.addresses().size(), 3U, "a process that restarts is waited for");
+  for (std::int64_t now = 11'900; now < 12'100; now += 10) tracker.Tick(At(now));
+  cr_assert_eq(tracker.addresses().size(), 4U);
+  tracker.OnConnected(tracker.addresses().back(), At(12'100));
+  for (std::int64_t now = 12'100; now < 30'000; now += 10) tracker.Tick(At(now));
+  cr_assert_eq(tracker.addresses().size(), 4U);
+}
+
+Test(leader_tracker, routers_begin_with_different_members) {
+  const auto added = [](std::size_t spread) {
+    LeaderTracker tracker({"a", "b"}, kLimit, spread);
+    tracker.OnConnected("b", At(0));
+    tracker.OnAnswered("b", control::GroupMembers{{"c", "d", "e"}}, At(10));
+    for (std::int64_t now = 10; now < 2'100; now += 10) tracker.Tick(At(now));
+    cr_assert_eq(tracker.addresses().size(), 3U);
+    return tracker.addresses().back();
+  };
+  cr_assert_eq(added(0), "c");
+  cr_assert_eq(added(1), "d");
+  cr_assert_eq(added(5), "e");
+}
+
+// The list of addresses only grew, by each process that had ever led.
+Test(leader_tracker, drops_an_address_that_is_no_member_any_more_and_stays_unconnected) {
+  LeaderTracker tracker = ThreeConnected();
+  tracker.OnAnswered("a", control::GroupMembers{{"a", "b", "c", "e"}}, At(5));
+  tracker.AddAddress("d");
+  tracker.AddAddress("e");
+  tracker.OnConnected("d", At(10));
+  for (std::int64_t now = 10; now < 70'000; now += 10) tracker.Tick(At(now));
+  cr_assert_eq(tracker.addresses().size(), 5U, "one is connected, the other a member");
+  tracker.OnDisconnected("d", At(70'000));
+  tracker.OnDisconnected("b", At(70'000));
+  for (std::int64_t now = 70'000; now < 129'000; now += 10) tracker.Tick(At(now));
+  cr_assert_eq(tracker.addresses().size(), 5U);
+  for (std::int64_t now = 129'000; now < 131'000; now += 10) tracker.Tick(At(now));
+  const std::vector<std::string> left{"a", "b", "c", "e"};
+  cr_assert(tracker.addresses() == left);
+}
+
+Test(leader_tracker, keeps_its_target_when_an_address_before_it_is_dropped) {
+  LeaderTracker tracker({"a"}, kLimit);
+  for (const char* address : {"b", "c"}) tracker.AddAddress(address);
+  tracker.OnConnected("c", At(10));
+  cr_assert(tracker.target() == "c");
+  for (std::int64_t now = 10; now < 61'000; now += 10) tracker.Tick(At(now));
+  const std::vector<std::string> left{"a", "c"};
+  cr_assert(tracker.addresses() == left);
+  cr_assert(tracker.target() == "c");
+  const auto sends = tracker.OnSend(Poll(1), At(61'000));
+  cr_assert(sends.size() == 1 && sends[0].address == "c");
+}
+
+Test(leader_tracker, settings_that_changed_replace_the_addresses_of_the_earlier_ones) {
+  LeaderTracker tracker({"a", "b"}, kLimit);
+  tracker.SetConfigured({"c", "d"});
+  cr_assert_eq(tracker.addresses().size(), 4U);
+  tracker.OnConnected("c", At(10));
+  for (std::int64_t now = 10; now < 61'000; now += 10) tracker.Tick(At(now));
+  const std::vector<std::string> left{"c", "d"};
+  cr_assert(tracker.addresses() == left);
+}
--- a/tests/protocol/transport_test.cc
+++ b/tests/protocol/transport_test.cc
@@ -48,6 +48,7 @@
       server.SendToRouter(id, control::NotLeaderAnswer{renewal->sequence, hint});
       return;
     }
+    if (!members.empty()) server.SendToRouter(id, control::GroupMembers{members});
     control::RouterRenewalAnswer answer;
     answer.sequence = renewal->sequence;
     server.SendToRouter(id, answer);
@@ -56,7 +57,8 @@
 
   runtime::MetricsRegistry metrics;
   runtime::EventLoop loop;
-  std::string hint;  ///< The leader to name; empty while this one leads.
+  std::string hint;                  ///< The leader to name; empty while this one leads.
+  std::vector<std::string> members;  ///< To tell with each answer; empty: none are told.
   Mailbox<std::string> hellos;
   Mailbox<consensus::PeerMessage> peers;
   Mailbox<protocol::RouterConnectionId> gone;
@@ -146,6 +148,52 @@
   cr_assert(router.answers.WaitFor(2));
 }
 
+// A router knew only the addresses of its settings and of processes that had led.
+Test(transport, router_finds_a_member_it_was_told_of_once_its_settings_name_nobody_alive) {
+  auto first = std::make_unique<Control>();
+  Control second;
+  first->members = {ToString(first->address()), ToString(second.address())};
+  Router router({first->address()});
+  router.Renew(1);
+  cr_assert(router.answers.WaitFor(2));
+  first.reset();
+  router.Renew(2);
+  cr_assert(router.answers.WaitFor(3));
+}
+
+// A router of the release before refuses a message that it can not decode, and its connection ends.
+Test(transport, router_of_the_release_before_is_not_sent_the_members) {
+  Control control;
+  control.members = {"127.0.0.1:1"};
+  control::RouterRenewal renewal;
+  renewal.sequence = 7;
+  const auto first_message = [&](std::int32_t newest_version) {
+    protocol::Hello hello = protocol::MakeHello(protocol::ProcessKind::kRouter, "test");
+    hello.newest_version = newest_version;
+    RawClient client(control.server.port());
+    client.Send(protocol::EncodeFrame(FrameKind::kHello, graniteseam::codec::Encode(hello)));
+    client.Send(protocol::EncodeFrame(
+        FrameKind::kMessage, graniteseam::codec::Encode(control::RouterToControl(renewal))));
+    protocol::FrameReader reader;
+    reader.set_payload_limit(protocol::kFramePayloadMaximum);
+    for (bool closed = false; !closed;) {
+      reader.Feed(client.ReadArrived(1 << 16, closed));
+      const auto next = graniteseam::Attempt([&] { return reader.Next(); });
+      const auto& frame = std::get<std::optional<protocol::Frame>>(next);
+      if (!frame) std::this_thread::sleep_for(std::chrono::milliseconds(1));
+      if (!frame || frame->kind != FrameKind::kMessage) continue;
+      return std::get<control::ControlToRouter>(graniteseam::Attempt(
+          [&] { return graniteseam::codec::Decode<control::ControlToRouter>(frame->payload); }));
+    }
+    cr_assert_fail("the connection was closed");
+    return control::ControlToRouter{};
+  };
+  cr_assert(std::holds_alternative<control::RouterRenewalAnswer>(
+      first_message(protocol::kGroupMembersVersion - 1)));
+  cr_assert(
+      std::holds_alternative<control::GroupMembers>(first_message(protocol::kProtocolVersion)));
+}
+
 Test(transport, first_message_to_a_peer_that_was_dialled_before_arrives) {
   Control control;
   runtime::MetricsRegistry metrics;
