--- a/src/event_http/answer_reader.cc
+++ b/src/event_http/answer_reader.cc
@@ -6,7 +6,7 @@
 #include <string>
 #include <utility>
 
-#include "src/event_http/answer_status.h"
+#include "src/runtime/answer_status.h"
 #include "src/runtime/chunk_end.h"
 
 namespace graniteseam::event_http {
@@ -95,11 +95,12 @@
   if (framing_.Exceeded(used, body_bytes, unread)) return AnswerState::kMalformed;
   if (!parser_->is_header_done()) return AnswerState::kIncomplete;
   TakeHead();
-  const StatusClass status = ClassOfStatus(static_cast<int>(parser_->get().result_int()));
-  if (status == StatusClass::kInvalid) return AnswerState::kMalformed;
+  const runtime::StatusClass status =
+      runtime::ClassOfStatus(static_cast<int>(parser_->get().result_int()));
+  if (status == runtime::StatusClass::kInvalid) return AnswerState::kMalformed;
   if (!parser_->is_done()) return AnswerState::kIncomplete;
-  if (status == StatusClass::kFinal) return AnswerState::kWhole;
-  if (++interim_answers_ > kInterimAnswersMaximum) return AnswerState::kMalformed;
+  if (status == runtime::StatusClass::kFinal) return AnswerState::kWhole;
+  if (++interim_answers_ > runtime::kInterimAnswersMaximum) return AnswerState::kMalformed;
   BeginMessage();
   return AnswerState::kIncomplete;
 }
--- a/src/http/answer_stream.cc
+++ b/src/http/answer_stream.cc
@@ -6,7 +6,7 @@
 #include <optional>
 #include <string_view>
 
-#include "src/http/answer_status.h"
+#include "src/runtime/answer_status.h"
 
 namespace graniteseam::http {
 namespace {
@@ -47,12 +47,14 @@
 }
 
 AnswerStream::State AnswerStream::ReadFinalHead() {
-  for (int interim_answers = 0; interim_answers <= kInterimAnswersMaximum; ++interim_answers) {
+  for (int interim_answers = 0; interim_answers <= runtime::kInterimAnswersMaximum;
+       ++interim_answers) {
     if (!ReadHead()) return State::kFailed;
     const auto status = StatusOf(head_);
-    const StatusClass kind = status ? ClassOfStatus(*status) : StatusClass::kInvalid;
-    if (kind == StatusClass::kInvalid) return State::kFailed;
-    if (kind == StatusClass::kInterim) continue;
+    const runtime::StatusClass kind =
+        status ? runtime::ClassOfStatus(*status) : runtime::StatusClass::kInvalid;
+    if (kind == runtime::StatusClass::kInvalid) return State::kFailed;
+    if (kind == runtime::StatusClass::kInterim) continue;
     constexpr std::size_t kReasonAt = kVersionBytes + kStatusDigits;
     head_.erase(kReasonAt, head_.find("\r\n") - kReasonAt);
     return State::kHeadRead;
--- a/src/http/async_http_client.cc
+++ b/src/http/async_http_client.cc
@@ -16,7 +16,7 @@
 #include <optional>
 #include <utility>
 
-#include "src/http/answer_status.h"
+#include "src/runtime/answer_status.h"
 #include "src/runtime/chunk_end.h"
 
 namespace graniteseam::http {
@@ -208,10 +208,12 @@
     buffer_.consume(used);
     if (error && error != beast::http::error::need_more) return error;
     if (response_->is_header_done()) {
-      const StatusClass status = ClassOfStatus(static_cast<int>(response_->get().result_int()));
-      if (status == StatusClass::kInvalid) return beast::http::error::bad_status;
-      if (status == StatusClass::kInterim) {
-        if (++interim_answers_ > kInterimAnswersMaximum) return beast::http::error::bad_status;
+      const runtime::StatusClass status =
+          runtime::ClassOfStatus(static_cast<int>(response_->get().result_int()));
+      if (status == runtime::StatusClass::kInvalid) return beast::http::error::bad_status;
+      if (status == runtime::StatusClass::kInterim) {
+        if (++interim_answers_ > runtime::kInterimAnswersMaximum)
+          return beast::http::error::bad_status;
         PrepareParser();
       }
     }
--- a/src/http/operator_client.cc
+++ b/src/http/operator_client.cc
@@ -7,7 +7,7 @@
 #include <thread>
 #include <utility>
 
-#include "src/http/answer_status.h"
+#include "src/runtime/answer_status.h"
 #include "src/runtime/clock.h"
 
 namespace graniteseam::http {
@@ -129,7 +129,7 @@
             {TransportError(address, httplib::to_string(result.error())), ""}};
   }
   // Control sends no interim answers. The library skips 100 alone and takes others for final.
-  if (ClassOfStatus(result->status) != StatusClass::kFinal) {
+  if (runtime::ClassOfStatus(result->status) != runtime::StatusClass::kFinal) {
     const std::string cause = "status " + std::to_string(result->status);
     return {AttemptEnd::kAnswerLost, "", {TransportError(address, cause), ""}};
   }
--- a/src/http/answer_status.h
+++ b/src/runtime/answer_status.h
@@ -1,23 +1,22 @@
 /// @file
-/// What the status of an answer makes of it (RFC 9110, section 15).
+/// Classes of status codes, for clients (RFC 9110, section 15).
 #pragma once
 
-namespace graniteseam::http {
+namespace graniteseam::runtime {
 
 enum class StatusClass {
   kInterim,  ///< The final answer follows.
   kFinal,
-  kInvalid,  ///< No status, or one that no call of ours can get.
+  kInvalid,  ///< Outside 100 to 599, or 101, behind which HTTP ends.
 };
 
-/// Before one final answer; each is thrown away.
+/// Interim answers that are skipped before a final one.
 inline constexpr int kInterimAnswersMaximum = 16;
 
 constexpr StatusClass ClassOfStatus(int status) {
   constexpr int kLowest = 100;
   constexpr int kLowestFinal = 200;
   constexpr int kHighest = 599;
-  /// Behind it the connection speaks another protocol, for which no call asks.
   constexpr int kSwitchingProtocols = 101;
   if (status < kLowest || status > kHighest || status == kSwitchingProtocols) {
     return StatusClass::kInvalid;
@@ -25,4 +24,4 @@
   return status < kLowestFinal ? StatusClass::kInterim : StatusClass::kFinal;
 }
 
-}  // namespace graniteseam::http
+}  // namespace graniteseam::runtime
