Planned stop of a control process: hand over its vote

Callers saw a group that tolerates one loss less after each planned stop of a control process: its leadership was handed over, but its vote was missed only by silence. A leader's process also ended before its transfer was complete, since a process that stops never counted as leading.

A member that prepares its stop says so in its answers to appends (`leaving`; nothing is stored, so a restart resets it). The leader promotes a learner that holds the log and stays, then makes the leaving voter a learner; without such a learner the vote stays. Leadership goes to a voter that stays where there is one, also when the member is elected again meanwhile. A process is ready to stop once it neither leads nor votes, at once in a group without learners, after 0.4 s without a leader, and after 1 s in any case.

The schema of peer messages changes; builds of protocol version 15 with and without the field refuse each other by their fingerprints until the version is raised.

--- a/include/graniteseam/consensus/raft_consensus.h
+++ b/include/graniteseam/consensus/raft_consensus.h
@@ -92,6 +92,7 @@
   Duration time_since_response{};  ///< Since its last response, or since this leadership
                                    ///< began.
   bool caught_up = false;  ///< Holds all entries committed at the start of the latest round.
+  bool leaving = false;    ///< Its last response said that it is about to stop as planned.
 };
 
 /// One member of one replicated log.
@@ -137,10 +138,15 @@
   ///     voters would have no responsive quorum; kNotLeader and kUnavailable as for Propose().
   Result<LogIndex> ProposeMembership(const Membership& next, Instant now, Effects& effects);
 
-  /// Transfers leadership to the most advanced responsive voter, for a planned stop. Proposals are
-  /// refused until the transfer completes or times out after election_timeout_minimum.
+  /// Transfers leadership to the most advanced responsive voter, preferably to one that is not
+  /// leaving. Proposals are refused until the transfer completes or times out after
+  /// election_timeout_minimum.
   Effects TransferLeadership(Instant now);
 
+  /// Before a planned stop: transfers leadership, now and whenever this member leads again, and
+  /// reports this member as leaving to other leaders. It lasts until the process ends.
+  Effects PrepareStop(Instant now);
+
   /// Replaces the seeds to which this process announces itself.
   void SetSeeds(std::vector<Member> seeds);
 
--- a/include/graniteseam/consensus/types.h
+++ b/include/graniteseam/consensus/types.h
@@ -114,8 +114,10 @@
   LogIndex match_index;    ///< Highest index that is durable and equal to the leader's.
   LogIndex conflict_hint;  ///< On failure: the index from which the leader sends next.
   std::int64_t round = 0;
+  bool leaving = false;  ///< The sender is about to stop as planned.
 };
-BOOST_DESCRIBE_STRUCT(AppendResponse, (), (term, success, match_index, conflict_hint, round))
+BOOST_DESCRIBE_STRUCT(AppendResponse, (),
+                      (term, success, match_index, conflict_hint, round, leaving))
 
 /// One chunk of a snapshot; chunks are sent in order, one in flight.
 struct InstallSnapshotRequest {
--- a/src/consensus/follower.cc
+++ b/src/consensus/follower.cc
@@ -57,6 +57,7 @@
 void RaftConsensus::Impl::OnAppendRequest(const Member& from, const AppendRequest& request,
                                           Instant now) {
   AppendResponse response{hard_state_.term, false, {}, log_.last_index().Next(), request.round};
+  response.leaving = leaving_;
   if (!EntriesAreWellFormed(request)) return;
   if (!AcceptLeader(from, request.term, now)) {
     Send(from, response);
--- a/src/consensus/leader.cc
+++ b/src/consensus/leader.cc
@@ -44,6 +44,11 @@
   }
   if (now >= commit_notification_due_) SendCommitIndex();
   if (now < next_heartbeat_) return;
+  if (leaving_) {
+    // Not to voters that stop too, which would pass it around among themselves.
+    TransferLeadership(now, true);
+    if (role_ != Role::kLeader) return;
+  }
   StartRound(now);
   Heartbeat(now);
 }
@@ -143,6 +148,7 @@
   PeerProgress* const responder = RecordResponse(from, response.term, response.round, now);
   if (responder == nullptr) return;
   PeerProgress& progress = *responder;
+  progress.leaving = response.leaving;
   if (response.success) {
     progress.match = std::max(progress.match, std::min(response.match_index, log_.last_index()));
     progress.next = std::max(progress.next, progress.match.Next());
--- a/src/consensus/leadership_transfer.cc
+++ b/src/consensus/leadership_transfer.cc
@@ -1,20 +1,26 @@
 /// @file
 /// Leadership transfer for a planned stop (dissertation, 3.10). It is safe with leader leases: the
 /// leader steps down as it sends TimeoutNowRequest, and never leads again in that term.
+#include <algorithm>
+#include <utility>
+
 #include "src/consensus/raft_impl.h"
 
 namespace graniteseam::consensus {
 
-void RaftConsensus::Impl::TransferLeadership(Instant now) {
+void RaftConsensus::Impl::TransferLeadership(Instant now, bool only_to_staying) {
   now_ = std::max(now_, now);
   if (role_ != Role::kLeader || TransferPending(now_)) return;
   std::optional<Member> best;
-  LogIndex best_match;
+  std::pair<bool, LogIndex> best_rank;
   for (const Member& voter : OtherVoters()) {
-    const LogIndex match = progress_.at(VoteKey(voter)).match;
-    if (!RespondedRecently(voter, now_) || (best && match <= best_match)) continue;
+    const PeerProgress& progress = progress_.at(VoteKey(voter));
+    const bool stays = !progress.leaving && progress.match >= commit_at_round_start_;
+    const std::pair rank(stays, progress.match);
+    if (!RespondedRecently(voter, now_) || (only_to_staying && !stays)) continue;
+    if (best && rank <= best_rank) continue;
     best = voter;
-    best_match = match;
+    best_rank = rank;
   }
   if (!best) return;
   transfer_target_ = best;
@@ -22,6 +28,11 @@
   CompleteTransferWhenReady(now_);
 }
 
+void RaftConsensus::Impl::PrepareStop(Instant now) {
+  leaving_ = true;
+  TransferLeadership(now, false);
+}
+
 bool RaftConsensus::Impl::TransferPending(Instant now) const {
   return transfer_target_ && now < transfer_deadline_;
 }
--- a/src/consensus/membership_change.cc
+++ b/src/consensus/membership_change.cc
@@ -130,7 +130,8 @@
   for (const Member& member : OtherMembers()) {
     const PeerProgress& progress = progress_.at(VoteKey(member));
     const Instant last_response = std::max(progress.last_response_at, leader_since_);
-    peers.push_back({member, now - last_response, progress.match >= commit_at_round_start_});
+    const bool caught_up = progress.match >= commit_at_round_start_;
+    peers.push_back({member, now - last_response, caught_up, progress.leaving});
   }
   return peers;
 }
--- a/src/consensus/peer_progress.h
+++ b/src/consensus/peer_progress.h
@@ -36,6 +36,7 @@
   LogIndex sent_commit_index;                 ///< The highest commit index sent to it.
   std::int64_t acknowledged_round = 0;        ///< The latest heartbeat round that it acknowledged.
   Instant last_response_at = Instant::min();  ///< Receipt of its last response in this term.
+  bool leaving = false;                       ///< As its last response to an append says.
   std::unique_ptr<SnapshotTransfer> transfer;
 };
 
--- a/src/consensus/raft_consensus.cc
+++ b/src/consensus/raft_consensus.cc
@@ -258,7 +258,12 @@
 }
 
 Effects RaftConsensus::TransferLeadership(Instant now) {
-  impl_->TransferLeadership(now);
+  impl_->TransferLeadership(now, false);
+  return impl_->TakeEffects();
+}
+
+Effects RaftConsensus::PrepareStop(Instant now) {
+  impl_->PrepareStop(now);
   return impl_->TakeEffects();
 }
 
--- a/src/consensus/raft_impl.h
+++ b/src/consensus/raft_impl.h
@@ -29,7 +29,9 @@
   void PersistDone(std::uint64_t sequence, Instant now);
   Result<LogIndex> Propose(std::vector<std::string> commands, Instant now);
   Result<LogIndex> ProposeMembership(const Membership& next, Instant now);
-  void TransferLeadership(Instant now);
+  /// @param only_to_staying excludes voters that are leaving or behind.
+  void TransferLeadership(Instant now, bool only_to_staying);
+  void PrepareStop(Instant now);
   void SetSeeds(std::vector<Member> seeds) { seeds_ = std::move(seeds); }
   void Compact(LogIndex index, std::string data, Instant now);
   std::vector<Member> Announced() const;
@@ -186,6 +188,8 @@
   std::optional<Member> transfer_target_;
   Instant transfer_deadline_;
 
+  bool leaving_ = false;  ///< A stop is prepared.
+
   // Follower only: the snapshot being received.
   std::optional<Snapshot> incoming_snapshot_;
 
--- a/src/control/control_node_impl.cc
+++ b/src/control/control_node_impl.cc
@@ -17,6 +17,11 @@
 constexpr Duration kJournalExpiryInterval{10'000'000};
 /// Interval of membership repair checks.
 constexpr Duration kMembershipCheckInterval{200'000};
+/// Time in which a process that stops as planned hands over its leadership and its vote. Shorter
+/// than the time that the daemon gives it.
+constexpr Duration kHandOverLimit{1'000'000};
+/// Time without a leader after which a process that stops expects none that replaces it.
+constexpr Duration kLeaderlessLimit{400'000};
 
 OwnershipOptions OwnershipOptionsOf(const ControlOptions& options) {
   OwnershipOptions ownership;
@@ -73,8 +78,11 @@
   if (std::holds_alternative<consensus::HeartbeatRelay>(message.payload)) {
     TakeRelay(message, now);
   } else {
-    if (std::holds_alternative<consensus::Announcement>(message.payload))
+    const auto* const response = std::get_if<consensus::AppendResponse>(&message.payload);
+    const bool leaving = response != nullptr && response->leaving;
+    if (leaving || std::holds_alternative<consensus::Announcement>(message.payload)) {
       membership_check_due_ = {};
+    }
     HandleConsensusEffects(consensus_.Step(message, now), now);
   }
   return Finish(now);
@@ -161,13 +169,29 @@
 }
 
 ControlEffects ControlNode::Impl::PrepareStop(Instant now) {
+  if (!stopping_) stop_prepared_at_ = now;
   stopping_ = true;
-  HandleConsensusEffects(consensus_.TransferLeadership(now), now);
+  HandleConsensusEffects(consensus_.PrepareStop(now), now);
   EndLeadership();
   return Finish(now);
 }
 
-bool ControlNode::Impl::ReadyToStop(Instant now) const { return stopping_ && !Leading(now); }
+bool ControlNode::Impl::ReadyToStop(Instant now) const {
+  if (!stopping_) return false;
+  if (now >= stop_prepared_at_ + kHandOverLimit) return true;
+  const bool has_other_voters = committed_membership_.voters.size() > 1;
+  if (consensus_.role() == consensus::Role::kLeader) return !has_other_voters;
+  return !MayBeReplaced(now);
+}
+
+bool ControlNode::Impl::MayBeReplaced(Instant now) const {
+  if (!options_.membership.enabled || committed_membership_.learners.empty()) return false;
+  if (now >= std::max(leader_known_at_, stop_prepared_at_) + kLeaderlessLimit) return false;
+  const auto& voters = committed_membership_.voters;
+  return std::any_of(voters.begin(), voters.end(), [&](const consensus::Member& voter) {
+    return voter.IsSameMemberAs(consensus_.self());
+  });
+}
 
 // --- Consensus ---
 
--- a/src/control/control_node_impl.h
+++ b/src/control/control_node_impl.h
@@ -85,6 +85,8 @@
   void ProposeDecisions(Decider& decider, Instant now);
   void SendTrafficOrders(Instant now);
   void RepairMembership(Instant now);
+  /// Whether this voter, which stops, may still be replaced by a learner.
+  bool MayBeReplaced(Instant now) const;
   /// Records a committed change of the membership.
   void NoteMembership(const consensus::LogEntry& entry);
   /// Sends the due acknowledgements of configuration changes to operators.
@@ -163,6 +165,7 @@
   Instant leader_known_at_{};  ///< When this process last knew another process that leads.
   Instant last_entry_at_{};    ///< Time of the latest entry point.
   bool stopping_ = false;
+  Instant stop_prepared_at_{};
 };
 
 }  // namespace graniteseam::control
--- a/src/control/membership_repair.cc
+++ b/src/control/membership_repair.cc
@@ -23,10 +23,15 @@
   return status != nullptr && status->time_since_response <= kMemberReachableWithin;
 }
 
-/// Whether a learner is reachable and has caught up with the log.
+bool IsLeaving(const MembershipView& view, const Member& member) {
+  const consensus::PeerStatus* status = StatusOf(view, member);
+  return status != nullptr && status->leaving;
+}
+
+/// Whether a learner is reachable, has caught up with the log and stays.
 bool IsReadyToVote(const MembershipView& view, const Member& learner) {
   const consensus::PeerStatus* status = StatusOf(view, learner);
-  return status != nullptr && status->caught_up && IsReachable(view, learner);
+  return status != nullptr && status->caught_up && !status->leaving && IsReachable(view, learner);
 }
 
 void Erase(std::vector<Member>& members, const Member& gone) {
@@ -49,6 +54,12 @@
   return membership;
 }
 
+Membership WithDemoted(Membership membership, const Member& voter) {
+  Erase(membership.voters, voter);
+  membership.learners.push_back(voter);
+  return membership;
+}
+
 Membership WithoutLearner(Membership membership, const Member& learner) {
   Erase(membership.learners, learner);
   return membership;
@@ -100,6 +111,17 @@
   return surplus;
 }
 
+/// A voter that is leaving while there is one beyond the wanted number in its place. It becomes a
+/// learner, since it may return.
+const Member* ReplacedLeavingVoter(const MembershipRepairOptions& options,
+                                   const MembershipView& view) {
+  const auto& voters = view.membership.voters;
+  if (voters.size() <= options.voters) return nullptr;
+  const auto leaving = std::find_if(voters.begin(), voters.end(),
+                                    [&](const Member& voter) { return IsLeaving(view, voter); });
+  return leaving == voters.end() ? nullptr : &*leaving;
+}
+
 /// A voter whose machine returned with another disk that has caught up with the log. The former
 /// voter never answers again, so removing it does not increase the number of other voters that a
 /// quorum needs. If both voted, the loss of the new disk would be the second loss of one machine: a
@@ -117,10 +139,11 @@
   return former == voters.end() ? nullptr : &*former;
 }
 
-/// Whether a voter needs a replacement: its disk came back empty, or it has been unreachable for
-/// too long.
+/// Whether a voter needs a replacement: it is leaving, its disk came back empty, or it has been
+/// unreachable for too long.
 bool NeedsReplacement(const MembershipRepairOptions& options, const MembershipView& view,
                       const Member& voter) {
+  if (IsLeaving(view, voter)) return true;
   if (IsReachable(view, voter)) return false;
   return HasOtherDisk(view.membership.learners, voter) ||
          SilenceOf(view, voter) >= options.replace_after;
@@ -162,7 +185,8 @@
 
 /// Admits an announced process as a learner. An existing learner with the same id, which lost its
 /// disk, is removed first. While all places are taken, the learner that is silent longest makes
-/// room, or processes that answer would wait for remove_learner_after.
+/// room, or one that is leaving; processes that answer would wait for remove_learner_after
+/// otherwise.
 std::optional<Membership> Admission(const MembershipRepairOptions& options,
                                     const MembershipView& view) {
   if (view.announced.empty()) return std::nullopt;
@@ -177,8 +201,14 @@
     return HasOtherDisk(view.announced, learner);
   });
   if (former != learners.end()) return WithoutLearner(view.membership, *former);
-  const Member* silent = SilentLearner(view, options.replace_after);
-  return silent == nullptr ? std::nullopt : std::optional(WithoutLearner(view.membership, *silent));
+  if (const Member* silent = SilentLearner(view, options.replace_after)) {
+    return WithoutLearner(view.membership, *silent);
+  }
+  const auto leaving = std::find_if(learners.begin(), learners.end(), [&](const Member& learner) {
+    return IsLeaving(view, learner);
+  });
+  return leaving == learners.end() ? std::nullopt
+                                   : std::optional(WithoutLearner(view.membership, *leaving));
 }
 
 }  // namespace
@@ -189,6 +219,9 @@
   if (const Member* surplus = SurplusVoter(options, view)) {
     return WithoutVoter(view.membership, *surplus);
   }
+  if (const Member* leaving = ReplacedLeavingVoter(options, view)) {
+    return WithDemoted(view.membership, *leaving);
+  }
   if (const Member* former = VoterWithReplacedDisk(view))
     return WithoutVoter(view.membership, *former);
   if (auto promoted = Promotion(options, view)) return promoted;
