Membership repair: propose nothing while a change is uncommitted

The event log told of a failed proposal at each check between the proposal of a change and its commit, and since checks also follow announcements and members that leave, possibly at each of their messages. Consensus refuses such a proposal anyway, and the commit makes the next check due.

--- a/src/control/control_node_impl.cc
+++ b/src/control/control_node_impl.cc
@@ -424,6 +424,8 @@
 
 void ControlNode::Impl::RepairMembership(Instant now) {
   if (!options_.membership.enabled || now < membership_check_due_) return;
+  // Consensus refuses a change while an earlier one is uncommitted, and its commit ends the wait.
+  if (consensus_.membership() != committed_membership_) return;
   membership_check_due_ = now + kMembershipCheckInterval;
   const MembershipView view{consensus_.self(), consensus_.membership(), consensus_.peers(now),
                             consensus_.announced()};
@@ -433,7 +435,8 @@
       DescribeChange("membership_proposed", view.membership, *next, consensus_.term());
   note.inputs = DescribeView(view);
   consensus::Effects effects;
-  // Consensus refuses the change while an earlier one is uncommitted; the next check repeats it.
+  // Consensus may refuse the change, for example for a learner that fell behind; the next check
+  // repeats it.
   const auto proposed = Attempt([&] { return consensus_.ProposeMembership(*next, now, effects); });
   if (const Error* const error = ErrorOf(proposed)) {
     note.what = "membership_proposal_failed";
