Log announcements of control processes outside the group

Nothing told whether a control process that is in no group announced itself, to whom, and whether the leader heard of it: in the record of a group without a leader, machines that never joined were silent.

The process now writes "announces" with all recipients, each 5 s at most; a member that forwards writes "announcement_forwarded", and the leader "announcement_received", when a process is first seen or seen again after a minute.

--- a/src/daemon/control/control_process.cc
+++ b/src/daemon/control/control_process.cc
@@ -22,7 +22,6 @@
 constexpr Duration kCommitToldWithin{5'000};
 /// A deciding thread that stood still for longer is taken for stuck.
 constexpr Duration kLiveLimit{10'000'000};
-
 std::string_view RoleName(consensus::Role role) {
   switch (role) {
     case consensus::Role::kLearner:
@@ -159,6 +158,11 @@
     NotePeer(name, served);
   };
   handlers.on_peer_message = [this](consensus::PeerMessage message) {
+    if (std::holds_alternative<consensus::Announcement>(message.payload) &&
+        driver_->status().leading) {
+      const auto note = announcements_.OnReceived(message, runtime::BootTimeNow());
+      if (note) WriteNote(*note);
+    }
     queue_.Push(PeerMessageArrived{std::move(message)});
   };
   handlers.on_router_message = [this](protocol::RouterConnectionId connection,
@@ -188,7 +192,7 @@
 void ControlProcess::CreateDriver() {
   settings_.node.configuration_bytes_maximum = settings_.ConfigurationBytes();
   ControlOutputs outputs;
-  outputs.to_peer = [this](consensus::PeerMessage message) { peers_->Send(std::move(message)); };
+  outputs.to_peer = [this](const consensus::PeerMessage& message) { SendToPeer(message); };
   outputs.to_server = [this](control::LeaseSend send) {
     lease_client_->Send(std::move(send.address), std::move(send.request));
   };
@@ -286,6 +290,21 @@
                     .Add("inputs", note.inputs));
 }
 
+void ControlProcess::WriteNote(const AnnouncementNote& note) {
+  runtime::EventLine line(note.what);
+  line.Add("process", note.process);
+  if (!note.to.empty()) line.Add("to", note.to);
+  events_.Write(runtime::EventWeight::kVital, line);
+}
+
+void ControlProcess::SendToPeer(const consensus::PeerMessage& message) {
+  if (std::holds_alternative<consensus::Announcement>(message.payload)) {
+    const Instant now = runtime::BootTimeNow();
+    if (const auto note = announcements_.OnSent(message, now)) WriteNote(*note);
+  }
+  peers_->Send(message);
+}
+
 void ControlProcess::CreateOperatorServer() {
   http::OperatorServerOptions options;
   options.address = settings_.http_address;
--- a/src/daemon/control/control_process.h
+++ b/src/daemon/control/control_process.h
@@ -6,8 +6,11 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
+#include <vector>
 
+#include "src/daemon/control/announcement_log.h"
 #include "src/daemon/control/control_driver.h"
 #include "src/daemon/control/control_event.h"
 #include "src/daemon/control/control_settings.h"
@@ -63,6 +66,8 @@
   void CreateOperatorServer();
   protocol::InternalServer::Handlers InternalHandlers();
   void WriteNote(const control::MembershipNote& note);
+  void WriteNote(const AnnouncementNote& note);
+  void SendToPeer(const consensus::PeerMessage& message);
   void NotePeer(const std::string& name, const protocol::ServedAddresses& served);
   protocol::ServedAddresses LeaderAddresses() const;
   /// Hands over what the group needs from this process before a planned stop.
@@ -92,6 +97,7 @@
   std::unique_ptr<ControlDriver> driver_;
   std::unique_ptr<http::OperatorServer> operator_server_;
   std::atomic<bool> stopping_{false};
+  AnnouncementLog announcements_{settings_.EffectiveId()};
   mutable std::mutex peers_mutex_;                                   ///< Guards peer_addresses_.
   std::map<std::string, protocol::ServedAddresses> peer_addresses_;  ///< By control id.
   runtime::Logger log_{"control"};
