Testbed: a section of a settings template names its value by a dot

Seen: settings that a template writes as {{#bounds.catchUp}}replacement_time_ms = {{.}}000{{/bounds.catchUp}} came out as replacement_time_ms = 000 in the tests and the soak. The stand-in for the platform's templates knew {{.}} in sections of lists alone.

The section of a value now fills {{.}} with it, as the users' page on templates says.

--- a/testbed/registered/template.cc
+++ b/testbed/registered/template.cc
@@ -30,16 +30,17 @@
   return value.is_string() ? value.get<std::string>() : value.dump();
 }
 
+auto FillGap(std::string& text, std::string const& gap, std::string const& by) -> void {
+  std::size_t const at = text.find(gap);
+  if (at != std::string::npos) text.replace(at, gap.size(), by);
+}
+
 std::string FillList(const std::string& inner, const json& list) {
   std::string text;
   for (std::size_t index = 0; index < list.size(); ++index) {
     std::string once = inner;
-    const auto replace = [&](const std::string& gap, const std::string& by) {
-      const std::size_t at = once.find(gap);
-      if (at != std::string::npos) once.replace(at, gap.size(), by);
-    };
-    replace("{{.}}", TextOf(list[index]));
-    replace("{{,}}", index + 1 < list.size() ? "," : "");
+    FillGap(once, "{{.}}", TextOf(list[index]));
+    FillGap(once, "{{,}}", index + 1 < list.size() ? "," : "");
     text += once;
   }
   return text;
@@ -66,9 +67,12 @@
     const std::string end = "{{/" + gap.substr(1) + "}}";
     const std::size_t finish = text.find(end, position);
     const json* value = Find(fields, gap.substr(1));
-    const std::string inner = text.substr(position, finish - position);
-    if (value != nullptr) {
-      filled += value->is_array() ? FillList(inner, *value) : FillTemplate(inner, fields_json);
+    std::string inner = text.substr(position, finish - position);
+    if (value != nullptr && value->is_array()) {
+      filled += FillList(inner, *value);
+    } else if (value != nullptr) {
+      FillGap(inner, "{{.}}", TextOf(*value));
+      filled += FillTemplate(inner, fields_json);
     }
     position = finish + end.size();
   }
