Soak: replace control processes for good at other addresses

Seen by operators: no leader after control machines were replaced in series. No run of the soak replaced a control process at another address.

--replacing does so until none of the first processes is left: with its data removed and the next one started later, or planned, with the next one started first. One of three or two of six are lost at once at most, each until catchUp (4 s) after its successor's start. The operator, the workers and new settings files name control processes from a list that is 3 s old. Settings files of running processes are written anew with other seeds.

--- a/testbed/registered/worker.cc
+++ b/testbed/registered/worker.cc
@@ -435,7 +435,10 @@
 
   /// Where the next call goes: where an answer led it, until a call fails there.
   auto Registry() -> std::string {
-    return home_.empty() ? options_.registries[turn_++ % options_.registries.size()] : home_;
+    if (!home_.empty()) return home_;
+    auto const all =
+        options_.registry_list ? options_.registry_list->Addresses() : options_.registries;
+    return all[turn_++ % all.size()];
   }
 
   auto BeatAfter(Duration pause) -> void {
--- a/testbed/registered/worker.h
+++ b/testbed/registered/worker.h
@@ -17,6 +17,7 @@
 #include "src/runtime/socket_address.h"
 #include "testbed/registered/answer_fault_proxy.h"
 #include "testbed/registered/held_keys.h"
+#include "testbed/registered/lagging_list.h"
 
 namespace graniteseam::testbed {
 
@@ -38,6 +39,8 @@
   bool keyed = false;
   bool leases = false;  ///< Of a keyed one: it takes no orders, keys come by heartbeat.
   std::vector<std::string> registries;  ///< "ip:port" of control processes.
+  /// In place of `registries`, for control processes that others take the place of.
+  std::shared_ptr<LaggingList const> registry_list{};
   daemon::ExchangeNames names;
   daemon::OwnerCallNames owner_names;
   runtime::SocketAddress address{"127.0.0.1", 0};  ///< Port 0: one that is free.
--- a/testbed/soak/arguments.cc
+++ b/testbed/soak/arguments.cc
@@ -18,7 +18,7 @@
           "[--faults N] [--only KINDS]\n"
           "                        [--crashing] [--silencing] [--starving] [--stating] [--warming]\n"
           "                        [--coordinating] [--stopping] [--rejecting] [--faulty-answers]\n"
-          "                        [--hostile-clients]\n"
+          "                        [--hostile-clients] [--replacing]\n"
           "                        [--processor SHARE] [--keep] [--folder DIR] [--programs DIR] "
           "[--templates DIR]\n"
           "  --seed N       first seed; without it one is drawn and printed\n"
@@ -36,6 +36,8 @@
           "                 callers that rest and send around the close of a router that stops\n"
           "  --rejecting    all workers begin to reject requests at one moment, and all routers start again\n"
           "                 soon after\n"
+          "  --replacing    control processes are replaced for good at other addresses, in series and\n"
+          "                 overlapping, planned and not, until none of the first ones is left\n"
           "  --hostile-clients clients that keep to no limit send without end, stop short or read nothing\n"
           "  --faulty-answers workers reject requests, and repeat, cut, withhold or spoil answers; further\n"
           "                 callers send requests that may run once only\n"
@@ -89,9 +91,10 @@
         {"coordinating", no_argument, nullptr, 'o'}, {"stopping", no_argument, nullptr, 'b'},
         {"rejecting", no_argument, nullptr, 'r'}, {"faulty-answers", no_argument, nullptr, 'a'},
         {"hostile-clients", no_argument, nullptr, 'h'}, {"processor", required_argument, nullptr, 'c'},
-        {"keep", no_argument, nullptr, 'e'}, {"faults", required_argument, nullptr, 'f'},
-        {"only", required_argument, nullptr, 'l'}, {"folder", required_argument, nullptr, 'd'},
-        {"programs", required_argument, nullptr, 'p'}, {"templates", required_argument, nullptr, 't'}, {}};
+        {"replacing", no_argument, nullptr, 'm'}, {"keep", no_argument, nullptr, 'e'},
+        {"faults", required_argument, nullptr, 'f'}, {"only", required_argument, nullptr, 'l'},
+        {"folder", required_argument, nullptr, 'd'}, {"programs", required_argument, nullptr, 'p'},
+        {"templates", required_argument, nullptr, 't'}, {}};
     Arguments arguments;
     arguments.first_seed = std::random_device {}();
     arguments.programs = std::filesystem::path(argv[0]).parent_path();
@@ -137,6 +140,9 @@
         case 'r':
             arguments.rejecting = true;
             break;
+        case 'm':
+            arguments.replacing = true;
+            break;
         case 'a':
             arguments.faulty_answers = true;
             break;
--- a/testbed/soak/arguments.h
+++ b/testbed/soak/arguments.h
@@ -27,6 +27,7 @@
     bool coordinating = false;
     bool stopping = false;
     bool rejecting = false;
+    bool replacing = false;
     bool faulty_answers = false;
     bool hostile_clients = false;
     bool keep = false;
--- a/testbed/soak/fault_plan.cc
+++ b/testbed/soak/fault_plan.cc
@@ -60,10 +60,16 @@
             &PlanBounds::crowded},
         {FaultKind::RejectRequests, "reject_requests", Duration {10'000'000}, Duration {10'000'000}, 0,
             Role::Worker, &PlanBounds::rejecting},
+        {FaultKind::ReplaceControl, "replace_control", Duration {200'000}, Duration {2'000'000}, 2,
+            Role::Control, &PlanBounds::replacing},
+        {FaultKind::TurnOverControl, "turn_over_control", Duration {500'000}, Duration {5'000'000}, 2,
+            Role::Control, &PlanBounds::replacing},
+        {FaultKind::ChangeSeeds, "change_seeds", Duration {1'000}, Duration {10'000}, 2, Role::Control,
+            &PlanBounds::replacing},
     });
 
     /// Faults of a series begin within this after the one before.
-    constexpr std::uint64_t series_gap_us = 1'500'000;
+    constexpr std::int64_t series_gap_us = 1'500'000;
 
     auto traits_of(FaultKind kind) -> KindTraits const&
     {
@@ -73,7 +79,7 @@
 
     auto targets_of(FaultKind kind, PlanBounds const& bounds) -> std::uint32_t
     {
-        if (kind == FaultKind::KillAllControls)
+        if (kind == FaultKind::KillAllControls || kind == FaultKind::ChangeSeeds)
             return 1;
         switch (traits_of(kind).role) {
         case Role::Control:
@@ -98,7 +104,8 @@
 
     auto is_reload(FaultKind kind) -> bool
     {
-        return kind == FaultKind::ReloadControl || kind == FaultKind::ReloadRouter;
+        return kind == FaultKind::ReloadControl || kind == FaultKind::ReloadRouter
+            || kind == FaultKind::ChangeSeeds;
     }
 
     auto ends_router(FaultKind kind) -> bool
@@ -118,8 +125,19 @@
         return a.at < end_of(b, bounds) && b.at < end_of(a, bounds);
     }
 
+    /// Whether a control process is to take a signal that it may not be ready for so soon after its start.
+    auto signals_new_process(Fault const& signal, Fault const& fault) -> bool
+    {
+        constexpr Duration ready_for_signals {2'000'000};
+        return signal.kind == FaultKind::ReloadControl && disturbs_core(fault.kind)
+            && signal.target == fault.target && fault.at <= signal.at
+            && signal.at < fault.at + fault.span + ready_for_signals;
+    }
+
     auto go_together(Fault const& a, Fault const& b, PlanBounds const& bounds) -> bool
     {
+        if (bounds.replacing && (signals_new_process(a, b) || signals_new_process(b, a)))
+            return false;
         if (!overlap(a, b, bounds))
             return true;
         if (a.kind == b.kind && a.target == b.target)
@@ -167,6 +185,81 @@
         return plan;
     }
 
+    /// From when on the process that a fault takes away, or the one that follows it, does not count as lost.
+    auto lost_until(Fault const& fault, PlanBounds const& bounds) -> Duration
+    {
+        if (fault.kind == FaultKind::TurnOverControl)
+            return fault.at + std::max(fault.span, bounds.lost_after_start);
+        return fault.at + fault.span + bounds.lost_after_start;
+    }
+
+    auto lost_at(std::span<Fault const> plan, Duration at, PlanBounds const& bounds) -> std::uint32_t
+    {
+        std::uint32_t lost = 0;
+        for (auto const& fault : plan) {
+            if (disturbs_core(fault.kind) && fault.at <= at && at < lost_until(fault, bounds))
+                lost += hits_all_of_role(fault.kind) ? bounds.controls : 1;
+        }
+        return lost;
+    }
+
+    /// Whether no more control processes are lost at once than the group is to bear. The most are lost at
+    /// the beginning of a fault.
+    auto losses_are_tolerated(std::span<Fault const> plan, PlanBounds const& bounds) -> bool
+    {
+        return std::all_of(plan.begin(), plan.end(),
+            [&](auto const& fault) { return lost_at(plan, fault.at, bounds) <= bounds.losses_tolerated; });
+    }
+
+    auto losses_stay_tolerated(std::vector<Fault> plan, Fault const& further, PlanBounds const& bounds)
+        -> bool
+    {
+        plan.push_back(further);
+        return losses_are_tolerated(plan, bounds);
+    }
+
+    /// Each place's process is replaced once at least, in an order that is drawn. The next replacement begins
+    /// as soon as the losses before it permit, or some time later.
+    auto plan_replacements(std::mt19937_64& random, PlanBounds const& bounds) -> std::vector<Fault>
+    {
+        constexpr std::uint64_t rest_one_in = 4;
+        constexpr std::int64_t rest_spread_us = 3'000'000;
+        auto const up_to = [&](std::int64_t most_us) {
+            return Duration {static_cast<std::int64_t>(random() % static_cast<std::uint64_t>(most_us))};
+        };
+        std::vector<std::uint32_t> places(bounds.controls);
+        std::iota(places.begin(), places.end(), 0U);
+        // Not std::shuffle: its results differ between standard libraries.
+        for (auto left = places.size(); left > 1; --left)
+            std::swap(places[left - 1], places[random() % left]);
+        std::vector<Fault> plan;
+        auto at = bounds.first;
+        for (auto const place : places) {
+            auto const& traits
+                = traits_of(random() % 2 == 0 ? FaultKind::ReplaceControl : FaultKind::TurnOverControl);
+            constexpr Duration step {50'000};
+            while (lost_at(plan, at, bounds) >= bounds.losses_tolerated)
+                at += step;
+            auto const rests = random() % rest_one_in == 0;
+            at += up_to(rests ? rest_spread_us : series_gap_us / 2);
+            Fault fault {
+                traits.kind, at, traits.shortest + up_to((traits.longest - traits.shortest).count()), place};
+            fault.choice = static_cast<std::uint32_t>(random());
+            plan.push_back(fault);
+        }
+        return plan;
+    }
+
+    /// One that ends in time.
+    auto plan_fitting_replacements(std::mt19937_64& random, PlanBounds const& bounds) -> std::vector<Fault>
+    {
+        constexpr int attempts_maximum = 100;
+        auto plan = plan_replacements(random, bounds);
+        for (int attempt = 0; attempt < attempts_maximum && !is_borne(plan, bounds); ++attempt)
+            plan = plan_replacements(random, bounds);
+        return plan;
+    }
+
     auto draw_kind(std::uint64_t drawn, PlanBounds const& bounds) -> KindTraits const&
     {
         auto const weight_of = [&](auto const& it) -> std::uint64_t {
@@ -209,6 +302,11 @@
     return kind == FaultKind::StarveControl || kind == FaultKind::NarrowControl;
 }
 
+auto replaces_control(FaultKind kind) -> bool
+{
+    return kind == FaultKind::ReplaceControl || kind == FaultKind::TurnOverControl;
+}
+
 auto planned_router_work() -> std::set<FaultKind>
 {
     return {FaultKind::StopRouter, FaultKind::ReloadRouter};
@@ -220,6 +318,13 @@
         FaultKind::DrainWorker};
 }
 
+auto beside_replacements() -> std::set<FaultKind>
+{
+    return {FaultKind::ReplaceControl, FaultKind::TurnOverControl, FaultKind::ChangeSeeds,
+        FaultKind::KillControl, FaultKind::StopControl, FaultKind::ReloadControl, FaultKind::KillRouter,
+        FaultKind::StopRouter, FaultKind::ReloadRouter, FaultKind::ReplaceWorker, FaultKind::DrainWorker};
+}
+
 auto plan_faults(std::uint64_t seed, PlanBounds const& bounds) -> std::vector<Fault>
 {
     std::mt19937_64 random(seed);
@@ -228,6 +333,8 @@
     std::vector<Fault> plan;
     if (bounds.rejecting)
         plan = plan_restarts_at_rejections(random, bounds);
+    if (bounds.replacing)
+        plan = plan_fitting_replacements(random, bounds);
     constexpr int attempts_maximum = 1'000;
     for (int attempt = 0; attempt < attempts_maximum && plan.size() < bounds.faults; ++attempt) {
         auto const& traits = draw_kind(random(), bounds);
@@ -242,13 +349,13 @@
         fault.choice = static_cast<std::uint32_t>(random());
         auto const in_series = !plan.empty() && below(2) == 0;
         fault.at = in_series
-            ? plan.back().at + Duration(static_cast<std::int64_t>(below(series_gap_us)))
+            ? plan.back().at + Duration(static_cast<std::int64_t>(below(std::uint64_t {series_gap_us})))
             : bounds.first + Duration(static_cast<std::int64_t>(below(static_cast<std::uint64_t>(room))));
         if (fault.at + fault.span > bounds.last)
             continue;
         auto const fits = std::all_of(
             plan.begin(), plan.end(), [&](auto const& it) { return go_together(it, fault, bounds); });
-        if (fits)
+        if (fits && (!bounds.replacing || losses_stay_tolerated(plan, fault, bounds)))
             plan.push_back(fault);
     }
     std::sort(plan.begin(), plan.end(), [](auto const& a, auto const& b) { return a.at < b.at; });
@@ -257,6 +364,8 @@
 
 auto is_borne(std::span<Fault const> plan, PlanBounds const& bounds) -> bool
 {
+    if (bounds.replacing && !losses_are_tolerated(plan, bounds))
+        return false;
     for (std::size_t i = 0; i < plan.size(); ++i) {
         if (plan[i].at < bounds.first || plan[i].at + plan[i].span > bounds.last)
             return false;
--- a/testbed/soak/fault_plan.h
+++ b/testbed/soak/fault_plan.h
@@ -43,6 +43,12 @@
     LeaveUnheard,
     ScaleIn, ///< Many workers say at the same moment that they leave; others start at their addresses.
     RejectRequests, ///< All workers reject a part of their requests.
+    /// SIGKILL; its data folder is gone for good. Another one starts after the span, at another address and
+    /// with an empty folder.
+    ReplaceControl,
+    TurnOverControl, ///< Another one starts at another address; after the span it gets SIGTERM and is
+                     ///< removed.
+    ChangeSeeds, ///< All settings files name other control processes; SIGHUP, or no signal.
 };
 
 auto name_of(FaultKind kind) -> std::string_view;
@@ -51,6 +57,9 @@
 /// Whether it takes a control process away for a time, or cuts one off.
 auto disturbs_core(FaultKind kind) -> bool;
 
+/// Whether another process takes a control process's place for good, at another address.
+auto replaces_control(FaultKind kind) -> bool;
+
 /// Whether it leaves a control process too little of something to keep up, and takes none away.
 auto strains_core(FaultKind kind) -> bool;
 
@@ -80,6 +89,11 @@
     bool stating = false; ///< Draws workers whose announcements reach routers alone, too.
     /// Begins with workers that reject requests, and routers that all start again soon after.
     bool rejecting = false;
+    /// Begins with replacements of control processes until none of the first ones is left.
+    bool replacing = false;
+    std::uint32_t losses_tolerated = 1; ///< With replacing: control processes that are lost at once.
+    /// With replacing: a control process counts as lost so long after its start.
+    Duration lost_after_start {4'000'000};
 };
 
 /// The kinds of planned work on routers.
@@ -88,12 +102,18 @@
 /// The kinds that leave routers their unused retry budgets and control its leader.
 auto beside_rejections() -> std::set<FaultKind>;
 
+/// The kinds beside replacements of control processes.
+auto beside_replacements() -> std::set<FaultKind>;
+
 /// Faults in the order of their times. At most one disk is lost at once: while a control process that
 /// lost its disk catches up, no other control process is killed or cut, and none lost one within
 /// catch_up before. The users' claim is that nothing acknowledged is lost by such faults.
 ///
 /// Half of the faults begin within moments of another one, so that they come in series and overlap; a
 /// router may be hit by several signals at once.
+///
+/// With replacing, the target of a fault of control processes is a place, which one process after the other
+/// takes. Never more than losses_tolerated of them are lost at once.
 auto plan_faults(std::uint64_t seed, PlanBounds const&) -> std::vector<Fault>;
 
 /// Whether a plan keeps to what plan_faults() promises.
--- a/testbed/soak/load.cc
+++ b/testbed/soak/load.cc
@@ -96,7 +96,8 @@
         request.fields.Add("Host", "control");
         request.fields.Add("If-Match", std::to_string(base));
         request.body = body;
-        auto const& registry = it.endpoints.registries[it.random() % it.endpoints.registries.size()];
+        auto const registries = it.endpoints.registries->Addresses();
+        auto const& registry = registries[it.random() % registries.size()];
         return it.caller.CallFollowing(registry, request, operator_call_limit);
     }
 
--- a/testbed/soak/load.h
+++ b/testbed/soak/load.h
@@ -3,18 +3,20 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <stop_token>
 #include <string>
 #include <vector>
 
 #include "src/daemon/gateway/exchange_names.h"
+#include "testbed/registered/lagging_list.h"
 #include "testbed/soak/promises.h"
 
 namespace graniteseam::testbed::soak {
 
 struct Endpoints {
     std::vector<std::string> routers; ///< Callers' addresses.
-    std::vector<std::string> registries;
+    std::shared_ptr<LaggingList const> registries;
     daemon::ExchangeNames names;
     bool coordinated = false; ///< Whether routers coordinate admission to the leased service.
 };
--- a/testbed/soak/run_shape.cc
+++ b/testbed/soak/run_shape.cc
@@ -11,6 +11,8 @@
     /// Apart from the numbers that the plan of faults is drawn from.
     constexpr std::uint64_t shape_salt = 0x5eed'0f5a'4a9e'0001;
 
+    constexpr std::uint64_t replacing_salt = 0x5eed'0f5a'4a9e'0002;
+
     template<class Between>
     auto draw_crowd(Between const& between) -> RunShape
     {
@@ -120,6 +122,21 @@
     return shape;
 }
 
+auto for_replacing(RunShape shape, std::uint64_t seed) -> RunShape
+{
+    std::mt19937_64 random(seed ^ replacing_salt);
+    constexpr std::uint32_t faults_beside = 14;
+    shape.replacing = true;
+    if (random() % 2 == 0) {
+        shape.controls = 6;
+        shape.losses_tolerated = 2;
+    }
+    shape.faults = shape.controls + faults_beside;
+    // As on the users' platform.
+    shape.list_lag = Duration {3'000'000};
+    return shape;
+}
+
 auto processes_of(RunShape const& shape) -> std::uint32_t
 {
     return shape.controls + shape.routers;
--- a/testbed/soak/run_shape.h
+++ b/testbed/soak/run_shape.h
@@ -41,6 +41,8 @@
     bool faulty_answers = false; ///< Workers reject requests and spoil answers.
     std::uint32_t hostile_clients = 0; ///< Threads, with a connection each, that keep to no limit.
     bool rejecting = false; ///< Workers reject requests, and all routers start again soon after.
+    bool replacing = false; ///< Control processes are replaced for good until none of the first is left.
+    Duration list_lag {0}; ///< By which lists of control processes that are told to others are late.
     bool crowded = false; ///< Faults of many workers at once.
     Duration operator_pause {250'000}; ///< Between two changes that are no series.
 
@@ -69,6 +71,10 @@
 /// run once only.
 auto for_faulty_answers(RunShape) -> RunShape;
 
+/// Of the same size, for control processes that are replaced at other addresses: six of which five vote, or
+/// three, as the seed draws.
+auto for_replacing(RunShape, std::uint64_t seed) -> RunShape;
+
 /// Processes that such a run starts.
 auto processes_of(RunShape const&) -> std::uint32_t;
 
--- a/testbed/soak/soak.cc
+++ b/testbed/soak/soak.cc
@@ -33,6 +33,9 @@
     constexpr Duration recovery {15'000'000};
     /// Planned work alone needs less time than all kinds of faults.
     constexpr Duration last_planned_work {22'000'000};
+    /// A group that was just founded has its wanted number of voters by then.
+    constexpr Duration first_replacement {8'000'000};
+    constexpr Duration last_replacement {38'000'000};
     /// How long it is looked whether requests are served again.
     constexpr Duration final_look {4'000'000};
     /// For each process that they reach.
@@ -50,6 +53,7 @@
         constexpr Duration look {100'000};
         for (auto now = runtime::BootTimeNow(); now < instant; now = runtime::BootTimeNow()) {
             fleet.revive_crashed();
+            fleet.remove_departed();
             fleet.note_memory();
             std::this_thread::sleep_for(std::min(instant - now, look));
         }
@@ -194,6 +198,7 @@
         options.coordinating = shape.coordinating;
         options.starving = shape.starving;
         options.faulty_answers = shape.faulty_answers;
+        options.list_lag = shape.list_lag;
         return options;
     }
 
@@ -214,8 +219,8 @@
         for (std::uint32_t i = 0; i < shape.routers; ++i)
             endpoints.routers.push_back(fleet.caller_address(i));
         auto hostile_targets = endpoints.routers;
-        hostile_targets.insert(
-            hostile_targets.end(), endpoints.registries.begin(), endpoints.registries.end());
+        auto const first_registries = endpoints.registries->Addresses();
+        hostile_targets.insert(hostile_targets.end(), first_registries.begin(), first_registries.end());
         Observed seen;
         SeenByOperator by_operator;
         AcceptedVersions accepted;
@@ -401,6 +406,13 @@
         return text;
     }
 
+    /// "; 7 control processes replaced for good, 0 of the first ones left".
+    auto replaced_text(Replacements const& replaced) -> std::string
+    {
+        return fmt::format("; {} control processes replaced for good, {} of the first ones left",
+            replaced.of_controls, replaced.first_controls_left);
+    }
+
     auto links_text(RunShape const& shape, SoakedFleet const& fleet) -> std::string
     {
         if (shape.router_link_mbps == 0)
@@ -417,6 +429,8 @@
             shape = for_rejecting(shape);
         if (arguments.faulty_answers)
             shape = for_faulty_answers(shape);
+        if (arguments.replacing)
+            shape = for_replacing(shape, seed);
         shape.hostile_clients = arguments.hostile_clients ? hostile_clients_each * processes_of(shape) : 0;
         shape.crashing = shape.crashing || arguments.crashing;
         shape.silencing = arguments.silencing;
@@ -444,6 +458,8 @@
         bounds.starving = shape.starving;
         bounds.stating = shape.stating;
         bounds.rejecting = shape.rejecting;
+        bounds.replacing = shape.replacing;
+        bounds.losses_tolerated = shape.losses_tolerated;
         bounds.only = arguments.only;
         if (shape.stopping) {
             bounds.only = bounds.only.empty() ? planned_router_work() : bounds.only;
@@ -451,6 +467,11 @@
         }
         if (shape.rejecting && bounds.only.empty())
             bounds.only = beside_rejections();
+        if (shape.replacing) {
+            bounds.only = bounds.only.empty() ? beside_replacements() : bounds.only;
+            bounds.first = first_replacement;
+            bounds.last = last_replacement;
+        }
         bounds.faults = arguments.faults.value_or(shape.faults);
         auto const plan = plan_faults(seed, bounds);
         auto const options = fleet_options(shape, seed, arguments);
@@ -469,7 +490,8 @@
                 (shape.coordinating ? slots_text(options.folder) : "")
                     + (shape.stopping ? closes_text(seen) : "")
                     + (shape.faulty_answers ? answers_text(seen, fleet.answer_faults()) : "")
-                    + retries_text(seen) + memory_text(seen) + links_text(shape, fleet),
+                    + (shape.replacing ? replaced_text(replaced) : "") + retries_text(seen)
+                    + memory_text(seen) + links_text(shape, fleet),
                 replaced.at_same_address, replaced.elsewhere, promises_text(breaches));
         }
         if (!breaches.empty()) {
--- a/testbed/soak/soaked_fleet.cc
+++ b/testbed/soak/soaked_fleet.cc
@@ -54,6 +54,10 @@
     /// With faulty answers: of the requests, and of the answers.
     constexpr double always_rejected_part = 0.3;
     constexpr double faulty_part = 0.25;
+    /// A process that was told to stop is killed after this.
+    constexpr Duration stop_grace {6'000'000};
+    /// A process that was just started may not have its handlers of signals yet.
+    constexpr Duration ready_for_signals {2'000'000};
 
 } // namespace
 
@@ -71,6 +75,11 @@
     , m_statement_random(m_options.seed ^ statement_salt)
 {
     std::filesystem::create_directories(m_options.folder);
+    m_last_machine = m_options.controls + m_options.routers;
+    for (Machine machine = 1; machine <= m_options.controls; ++machine) {
+        m_places.push_back(machine);
+        m_control_ips.insert(ip_of(machine));
+    }
     if (m_options.faulty_answers)
         m_rejected_part->store(always_rejected_part);
     while (m_ports.size() < PortCount) {
@@ -87,6 +96,10 @@
         }
         m_ports.push_back(std::move(std::get<ReservedPort>(port)));
     }
+    std::vector<std::string> registries;
+    for (auto const machine : m_places)
+        registries.push_back(at_port(ip_of(machine), RegistryPort));
+    m_registries = std::make_shared<LaggingList>(std::move(registries), m_options.list_lag);
     auto const limits_links = m_options.router_link_mbps > 0;
     for (std::uint32_t i = 0; limits_links && i < m_options.routers; ++i) {
         LinkRate const rate(m_options.router_link_mbps * bytes_per_megabit);
@@ -105,8 +118,8 @@
             return dialled_by_caller ? std::string() : m_owners.IpOf(ends);
         },
         links);
-    for (std::uint32_t i = 0; i < m_options.controls; ++i)
-        add_endpoint(control_machine(i), PeerPort);
+    for (auto const machine : m_places)
+        add_endpoint(machine, PeerPort);
     for (std::uint32_t i = 0; i < m_options.routers; ++i) {
         if (m_options.coordinating)
             add_endpoint(router_machine(i), HttpPort);
@@ -117,8 +130,8 @@
         m_quota.emplace(m_options.processor);
     if (m_options.router_processor < 1)
         m_router_quota.emplace(m_options.router_processor);
-    for (std::uint32_t i = 0; i < m_options.controls; ++i)
-        start_control(i, true);
+    for (auto const machine : m_places)
+        start_control(machine, true);
     for (std::uint32_t i = 0; i < m_options.routers; ++i)
         start_router(i);
     auto const workers = m_options.keyed_workers + m_options.leased_workers + m_options.pool_workers;
@@ -180,11 +193,12 @@
 
 auto SoakedFleet::is_control(std::string const& ip) const -> bool
 {
-    for (std::uint32_t i = 0; i < m_options.controls; ++i) {
-        if (ip == ip_of(control_machine(i)))
-            return true;
-    }
-    return false;
+    return m_control_ips.contains(ip);
+}
+
+auto SoakedFleet::runs_control(Machine machine) const -> bool
+{
+    return machine <= m_options.controls || machine > m_options.controls + m_options.routers;
 }
 
 auto SoakedFleet::longest_link_wait() const -> Duration
@@ -200,14 +214,6 @@
     return "127.0.78." + std::to_string(machine);
 }
 
-auto SoakedFleet::registries() const -> std::vector<std::string>
-{
-    std::vector<std::string> addresses;
-    for (std::uint32_t i = 0; i < m_options.controls; ++i)
-        addresses.push_back(at_port(ip_of(control_machine(i)), RegistryPort));
-    return addresses;
-}
-
 auto SoakedFleet::caller_address(std::uint32_t router) const -> std::string
 {
     auto const ip = ip_of(router_machine(router));
@@ -219,9 +225,9 @@
     return ip + ":" + std::to_string(m_ports[port].address().port);
 }
 
-auto SoakedFleet::data_folder(std::uint32_t control) const -> std::string
+auto SoakedFleet::data_folder(Machine machine) const -> std::string
 {
-    return m_options.folder + "/data-" + std::to_string(control);
+    return m_options.folder + "/data-" + std::to_string(machine - 1);
 }
 
 auto SoakedFleet::settings_of(
@@ -235,16 +241,15 @@
     auto const memory = program == "control" ? control_memory_bytes : router_memory_bytes;
     fields.memory_mb = static_cast<std::uint32_t>(memory / bytes_per_megabyte);
     // Others are told the relay's addresses, so that every link between processes can be cut.
-    for (std::uint32_t i = 0; i < std::min(m_options.controls, seeds_told); ++i) {
-        auto const control = control_machine((first_seed + i) % m_options.controls);
-        fields.seeds.push_back(at_port(LinkLayer::RelayIp(ip_of(control)), RegistryPort));
-    }
+    auto const listed = m_registries->Addresses();
+    for (std::size_t i = 0; i < std::min<std::size_t>(listed.size(), seeds_told); ++i)
+        fields.seeds.push_back(LinkLayer::RelayIp(listed[(first_seed + i) % listed.size()]));
     fields.first_port = m_ports[PeerPort].address().port;
     fields.last_port = m_ports[HttpPort].address().port;
     fields.control_address = at_port(fields.ip, RegistryPort);
     fields.front_address = at_port(fields.ip, CallerPort);
     fields.ready_address = at_port(fields.ip, StatusPort);
-    fields.data_folder = data_folder(machine - 1);
+    fields.data_folder = data_folder(machine);
     auto const source
         = Attempt([&] { return ReadTextFile(m_options.templates + "/" + program + ".toml.template"); });
     if (ErrorOf(source) != nullptr) {
@@ -302,6 +307,7 @@
     if (auto* quota = quota_of(machine))
         quota->add(started.id());
     m_processes.emplace(machine, std::move(started));
+    m_started[machine] = runtime::BootTimeNow();
 }
 
 auto SoakedFleet::kill(Machine machine) -> void
@@ -314,7 +320,7 @@
 
 auto SoakedFleet::quota_of(Machine machine) -> ProcessorQuota*
 {
-    auto& quota = machine <= m_options.controls ? m_quota : m_router_quota;
+    auto& quota = runs_control(machine) ? m_quota : m_router_quota;
     return quota ? &*quota : nullptr;
 }
 
@@ -352,10 +358,72 @@
     return leaving;
 }
 
-auto SoakedFleet::start_control(std::uint32_t index, bool first) -> void
+auto SoakedFleet::start_control(Machine machine, bool first, std::uint32_t first_seed) -> void
+{
+    start(machine, "control", settings_of(machine, "control", first, first_seed));
+}
+
+auto SoakedFleet::start_successor(std::uint32_t choice) -> Machine
+{
+    auto const machine = ++m_last_machine;
+    {
+        std::lock_guard const lock(m_mutex);
+        m_control_ips.insert(ip_of(machine));
+    }
+    add_endpoint(machine, PeerPort);
+    start_control(machine, false, choice % m_options.controls);
+    ++m_replacements.of_controls;
+    return machine;
+}
+
+auto SoakedFleet::publish_controls() -> void
+{
+    std::vector<std::string> addresses;
+    for (auto const machine : m_places)
+        addresses.push_back(at_port(ip_of(machine), RegistryPort));
+    for (auto const& [place, machine] : m_successors)
+        addresses.push_back(at_port(ip_of(machine), RegistryPort));
+    m_registries->Change(std::move(addresses));
+}
+
+auto SoakedFleet::change_seeds(std::uint32_t choice) -> void
+{
+    // The users' platform may change the file without a signal too.
+    auto const signals = choice % 2 == 0;
+    auto const now = runtime::BootTimeNow();
+    for (auto& [machine, process] : m_processes) {
+        auto const control = runs_control(machine);
+        auto const* const program = control ? "control" : "router";
+        write_settings(machine, settings_of(machine, program, false, choice / 2));
+        if (!signals || now - m_started.at(machine) < ready_for_signals)
+            continue;
+        if (!control)
+            m_seen.reloads.push_back({machine - m_options.controls - 1, now});
+        process.Signal(SIGHUP);
+    }
+}
+
+auto SoakedFleet::remove_departed() -> void
+{
+    auto const now = runtime::BootTimeNow();
+    std::erase_if(m_departing, [&](auto const& departing) {
+        auto const& [machine, since] = departing;
+        if (m_processes.at(machine).Running() && now - since < stop_grace)
+            return false;
+        m_seen.core_disturbances.push_back({now, now});
+        kill(machine);
+        m_processes.erase(machine);
+        std::filesystem::remove_all(data_folder(machine));
+        return true;
+    });
+}
+
+auto SoakedFleet::replacements() const -> Replacements
 {
-    auto const machine = control_machine(index);
-    start(machine, "control", settings_of(machine, "control", first));
+    auto replacements = m_replacements;
+    replacements.first_controls_left = static_cast<std::uint32_t>(std::count_if(
+        m_places.begin(), m_places.end(), [&](auto machine) { return machine <= m_options.controls; }));
+    return replacements;
 }
 
 auto SoakedFleet::start_router(std::uint32_t index) -> void
@@ -383,7 +451,7 @@
     options.zone = "z" + std::to_string(index % 3);
     options.keyed = slot.service == keyed_service || slot.service == leased_service;
     options.leases = slot.service == leased_service;
-    options.registries = registries();
+    options.registry_list = m_registries;
     options.names = m_names.exchange;
     options.owner_names = m_names.owner_calls;
     options.address = slot.port->address();
@@ -430,7 +498,7 @@
 
 auto SoakedFleet::delay_heartbeat(Worker& worker, std::uint32_t choice, Duration after) -> void
 {
-    auto const all = registries();
+    auto const all = m_registries->Addresses();
     m_late_heartbeats.Deliver(all[choice % all.size()], worker.HoldBackHeartbeat(), after);
 }
 
@@ -483,11 +551,11 @@
     return others[choice % others.size()];
 }
 
-auto SoakedFleet::tear_newest_file(std::uint32_t control) const -> void
+auto SoakedFleet::tear_newest_file(Machine machine) const -> void
 {
     std::filesystem::path newest;
     std::filesystem::file_time_type time {};
-    for (auto const& it : std::filesystem::recursive_directory_iterator(data_folder(control))) {
+    for (auto const& it : std::filesystem::recursive_directory_iterator(data_folder(machine))) {
         if (it.is_regular_file() && (newest.empty() || it.last_write_time() > time)) {
             newest = it.path();
             time = it.last_write_time();
@@ -541,7 +609,7 @@
         auto const peak = peak_bytes_of(process.id());
         if (!peak)
             continue;
-        auto const* const program = machine <= m_options.controls ? "control" : "router";
+        auto const* const program = runs_control(machine) ? "control" : "router";
         m_memory[process.id()] = {program, machine, *peak};
     }
 }
--- a/testbed/soak/soaked_fleet.h
+++ b/testbed/soak/soaked_fleet.h
@@ -62,12 +62,15 @@
     bool coordinating = false; ///< Routers reach each other through the relay to coordinate admission.
     bool starving = false; ///< Control processes are short of processor time at times.
     bool faulty_answers = false; ///< Workers reject requests and spoil answers, but for those of the annex.
+    Duration list_lag {0}; ///< By which lists of control processes that are told to others are late.
 };
 
-/// How often a worker was replaced by another process.
+/// How often a worker, or a control process for good, was replaced by another process.
 struct Replacements {
     std::uint64_t at_same_address = 0;
     std::uint64_t elsewhere = 0;
+    std::uint64_t of_controls = 0;
+    std::uint32_t first_controls_left = 0;
 };
 
 /// The word that makes the soak's own program run another one in its place, see run_closed().
@@ -89,7 +92,7 @@
     auto operator=(SoakedFleet const&) -> SoakedFleet& = delete;
 
     /// Where operators and workers call control, "ip:port".
-    auto registries() const -> std::vector<std::string>;
+    auto registries() const -> std::shared_ptr<LaggingList const> { return m_registries; }
     /// Where callers call a router.
     auto caller_address(std::uint32_t router) const -> std::string;
 
@@ -103,12 +106,16 @@
     /// Starts workers again that ended under a request some time ago.
     auto revive_crashed() -> void;
 
+    /// Ends control processes that were told to stop for good and have had their time for it; their data
+    /// is gone.
+    auto remove_departed() -> void;
+
     /// Notes the most memory that each process has held so far.
     auto note_memory() -> void;
 
     auto answer_faults() const -> AnswerFaultCounts const& { return *m_answer_faults; }
 
-    auto replacements() const -> Replacements { return m_replacements; }
+    auto replacements() const -> Replacements;
 
     /// The longest time for which bytes have waited at a router's link. Once the relay has ended.
     auto longest_link_wait() const -> Duration;
@@ -116,7 +123,8 @@
     auto end_links() -> void { m_links.reset(); }
 
 private:
-    using Machine = std::uint32_t; ///< Controls from 1, routers after them.
+    /// Control processes from 1, routers after them, then control processes that others were replaced by.
+    using Machine = std::uint32_t;
     /// Ports, the same on all machines.
     enum Port : std::size_t {
         RegistryPort,
@@ -128,20 +136,27 @@
     };
 
     static auto ip_of(Machine) -> std::string;
-    auto control_machine(std::uint32_t index) const -> Machine { return 1 + index; }
+    /// Of the process that has a place among the control processes at present.
+    auto control_machine(std::uint32_t place) const -> Machine { return m_places[place]; }
     auto router_machine(std::uint32_t index) const -> Machine { return 1 + m_options.controls + index; }
-    auto start_control(std::uint32_t index, bool first) -> void;
+    auto start_control(Machine, bool first, std::uint32_t first_seed = 0) -> void;
+    /// Starts a control process on a new machine, with an empty folder.
+    auto start_successor(std::uint32_t choice) -> Machine;
+    /// Changes the list of control processes that others are told.
+    auto publish_controls() -> void;
+    /// Writes the settings of all running processes anew.
+    auto change_seeds(std::uint32_t choice) -> void;
     auto start_router(std::uint32_t index) -> void;
     auto start(Machine, std::string const& program, std::string const& settings) -> void;
-    /// @param first_seed index of the control process that stands first among the seeds.
+    /// @param first_seed where the seeds begin in the list of control processes.
     auto settings_of(Machine, std::string const& program, bool first, std::uint32_t first_seed = 0) const
         -> std::string;
     auto write_settings(Machine, std::string const& settings) const -> std::string;
     /// Changes a program's settings file and tells it so.
     auto reload(Machine, std::string const& program, std::uint32_t choice) -> void;
     auto at_port(std::string const& ip, Port) const -> std::string;
-    auto data_folder(std::uint32_t control) const -> std::string;
-    auto tear_newest_file(std::uint32_t control) const -> void;
+    auto data_folder(Machine) const -> std::string;
+    auto tear_newest_file(Machine) const -> void;
     /// Starts a worker of the slot's service at the slot's address.
     auto add_worker(std::uint32_t index) -> void;
     /// What a worker that starts now is to state.
@@ -167,7 +182,9 @@
     /// Open connections with a process carry nothing any more.
     auto silence(std::string const& ip) -> void;
     auto link_state(std::string const& from, std::string const& to) const -> LinkState;
+    /// Of the relay's thread, which holds the mutex.
     auto is_control(std::string const& ip) const -> bool;
+    auto runs_control(Machine) const -> bool;
     auto add_endpoint(Machine, Port) -> void;
     /// When bytes that are sent now have arrived, by the bandwidths of the links on their way.
     auto arrival(std::string const& from, std::string const& to, std::size_t bytes, Instant now) -> Instant;
@@ -183,6 +200,12 @@
     std::map<std::string, RouterLink> m_router_links; ///< By address; the relay's thread uses them.
     std::unique_ptr<LinkLayer> m_links;
     std::map<Machine, ChildProcess> m_processes;
+    std::map<Machine, Instant> m_started; ///< When their present processes did.
+    std::vector<Machine> m_places; ///< The process of each place among the control processes.
+    std::map<std::uint32_t, Machine> m_successors; ///< By place: those that run beside whom they replace.
+    std::map<Machine, Instant> m_departing; ///< Told to stop for good, and when.
+    Machine m_last_machine = 0;
+    std::shared_ptr<LaggingList> m_registries;
     // After the processes, so that they end first.
     std::optional<ProcessorQuota> m_quota; ///< Of control processes.
     std::optional<ProcessorQuota> m_router_quota;
@@ -206,6 +229,7 @@
     std::map<std::pair<std::uint32_t, bool>, int> m_open_disturbances; ///< By router and only_links.
 
     mutable std::mutex m_mutex; ///< Guards what follows, which the relay's thread reads.
+    std::set<std::string> m_control_ips; ///< Those of processes that are gone too.
     std::set<std::string> m_cut_controls;
     std::set<std::string> m_mute_controls; ///< Cut one way.
     std::set<std::string> m_cut_routers;
--- a/testbed/soak/soaked_fleet_faults.cc
+++ b/testbed/soak/soaked_fleet_faults.cc
@@ -54,8 +54,8 @@
         begin_disturbance(fault.target);
         return kill(router);
     case FaultKind::KillAllControls:
-        for (std::uint32_t i = 0; i < m_options.controls; ++i)
-            kill(control_machine(i));
+        for (auto const machine : m_places)
+            kill(machine);
         return;
     case FaultKind::StopControl:
         return m_processes.at(control).Signal(SIGTERM);
@@ -74,11 +74,21 @@
         return freeze(router);
     case FaultKind::LoseDisk:
         kill(control);
-        std::filesystem::remove_all(data_folder(fault.target));
+        std::filesystem::remove_all(data_folder(control));
         return;
     case FaultKind::TearWrite:
         kill(control);
-        return tear_newest_file(fault.target);
+        return tear_newest_file(control);
+    case FaultKind::ReplaceControl:
+        kill(control);
+        m_processes.erase(control);
+        std::filesystem::remove_all(data_folder(control));
+        return;
+    case FaultKind::TurnOverControl:
+        m_successors[fault.target] = start_successor(fault.choice);
+        return publish_controls();
+    case FaultKind::ChangeSeeds:
+        return change_seeds(fault.choice);
     case FaultKind::CrashWorker:
     case FaultKind::ReplaceWorker:
     case FaultKind::ReuseAddress:
@@ -144,11 +154,20 @@
     case FaultKind::StopControl:
     case FaultKind::LoseDisk:
     case FaultKind::TearWrite:
-        return start_control(fault.target, false);
+        return start_control(control, false);
     case FaultKind::KillAllControls:
-        for (std::uint32_t i = 0; i < m_options.controls; ++i)
-            start_control(i, false);
+        for (auto const machine : m_places)
+            start_control(machine, false);
         return;
+    case FaultKind::ReplaceControl:
+        m_places[fault.target] = start_successor(fault.choice);
+        return publish_controls();
+    case FaultKind::TurnOverControl:
+        m_processes.at(control).Signal(SIGTERM);
+        m_departing[control] = runtime::BootTimeNow();
+        m_places[fault.target] = m_successors.at(fault.target);
+        m_successors.erase(fault.target);
+        return publish_controls();
     case FaultKind::KillRouter:
         start_router(fault.target);
         return end_disturbance(fault.target);
--- a/tests/soak/fault_plan_test.cc
+++ b/tests/soak/fault_plan_test.cc
@@ -145,3 +145,70 @@
         }
     }
 }
+
+namespace {
+
+auto bounds_of_replacements(std::uint32_t controls, std::uint32_t losses_tolerated) -> PlanBounds
+{
+    PlanBounds bounds;
+    bounds.replacing = true;
+    bounds.controls = controls;
+    bounds.losses_tolerated = losses_tolerated;
+    bounds.first = Duration {8'000'000};
+    bounds.last = Duration {38'000'000};
+    bounds.only = beside_replacements();
+    return bounds;
+}
+
+} // namespace
+
+/// Guards against soaks that never replace a control process at another address, or leave a founder.
+Test(fault_plan, replacements_leave_no_founder_and_overlap_within_the_tolerated_losses)
+{
+    for (auto const& bounds : {bounds_of_replacements(6, 2), bounds_of_replacements(3, 1)}) {
+        std::set<FaultKind> kinds;
+        std::size_t overlapping = 0;
+        for (std::uint64_t seed = 0; seed < 300; ++seed) {
+            auto const plan = plan_faults(seed, bounds);
+            cr_assert(is_borne(plan, bounds), "seed %lu", seed);
+            std::set<std::uint32_t> replaced;
+            std::vector<Fault> replacements;
+            for (auto const& fault : plan) {
+                kinds.insert(fault.kind);
+                if (!replaces_control(fault.kind))
+                    continue;
+                replaced.insert(fault.target);
+                for (auto const& other : replacements) {
+                    auto const planned = other.kind == FaultKind::TurnOverControl;
+                    auto const lost_for = planned ? std::max(other.span, bounds.lost_after_start)
+                                                  : other.span + bounds.lost_after_start;
+                    overlapping += fault.at < other.at + lost_for ? 1 : 0;
+                }
+                replacements.push_back(fault);
+            }
+            cr_assert(replaced.size() == bounds.controls, "seed %lu", seed);
+        }
+        cr_assert(kinds == bounds.only);
+        cr_assert((overlapping > 0) == (bounds.losses_tolerated > 1));
+    }
+}
+
+/// Guards against plans by which more control processes are lost at once than the group is to bear.
+Test(fault_plan, replaced_control_process_counts_as_lost_until_its_successor_has_had_its_time)
+{
+    auto const bounds = bounds_of_replacements(6, 2);
+    Duration const second {1'000'000};
+    Fault const lost {FaultKind::ReplaceControl, 10 * second, second, 0};
+    Fault const other {FaultKind::KillControl, 11 * second, second, 1};
+    Fault const third_too_soon {FaultKind::ReplaceControl, Duration {14'900'000}, second, 2};
+    Fault const third {FaultKind::ReplaceControl, 15 * second, second, 2};
+    cr_assert(is_borne(std::vector {lost, other}, bounds));
+    cr_assert(!is_borne(std::vector {lost, other, third_too_soon}, bounds));
+    cr_assert(is_borne(std::vector {lost, other, third}, bounds));
+    auto const one = bounds_of_replacements(3, 1);
+    Fault const planned {FaultKind::TurnOverControl, 10 * second, second, 0};
+    Fault const next_too_soon {FaultKind::TurnOverControl, Duration {13'900'000}, second, 1};
+    Fault const next {FaultKind::TurnOverControl, 14 * second, second, 1};
+    cr_assert(!is_borne(std::vector {planned, next_too_soon}, one));
+    cr_assert(is_borne(std::vector {planned, next}, one));
+}
--- a/tests/soak/run_shape_test.cc
+++ b/tests/soak/run_shape_test.cc
@@ -51,3 +51,17 @@
     cr_assert(workers_of(shape) == workers_of(small));
     cr_assert(for_stopping(draw_shape(1, RunSize::Wide)).routers == 93);
 }
+
+Test(run_shape, runs_of_replaced_control_processes_have_three_or_six_of_them_by_their_seed)
+{
+    auto const small = draw_shape(1, RunSize::Small);
+    int six = 0;
+    for (std::uint64_t seed = 0; seed < 100; ++seed) {
+        auto const shape = for_replacing(small, seed);
+        cr_assert(shape == for_replacing(small, seed));
+        cr_assert(shape.replacing && shape.list_lag == Duration {3'000'000});
+        cr_assert(shape.controls == 3 * shape.losses_tolerated);
+        six += shape.controls == 6 ? 1 : 0;
+    }
+    cr_assert(six > 20 && six < 80);
+}
