Simulator: control processes replaced for good while the group repairs itself

Seen by operators: no leader after control machines were replaced in series. In the simulator the operators replace lost disks by changes of the membership of their own, and no control process came back at another address, so that no run showed it.

The scenario control-replaced leaves the membership to ControlNode's repair: six control processes founded by three, five voters wanted. They are replaced at other addresses, lost and planned, and restarted, in series and overlapping; no more than two are lost at once, each until 4 s after its successor's start. Judged: a leader within 4 s of each loss, and at the end five voters, all of which stand. A run that leaves a founder proves nothing. The other scenarios draw what they drew.

--- a/simulation/simulator/control_process.cc
+++ b/simulation/simulator/control_process.cc
@@ -48,7 +48,7 @@
   options.fresh_incarnation = DiskIncarnation{present_disk()};
   if (!founded_) options.bootstrap = consensus::Membership{first_voters_, {}};
   founded_ = true;
-  for (consensus::Member seed : first_voters_) {
+  for (consensus::Member seed : seeds_.empty() ? first_voters_ : seeds_) {
     seed.disk = {};
     options.seeds.push_back(seed);
   }
@@ -67,6 +67,7 @@
   control::ControlOptions control;
   control.compact_after_entries = kCompactAfter;
   control.consensus.entries_kept_after_snapshot = kCompactAfter / 2;
+  control.membership = repair_options_;
   control.traffic = traffic_options_;
   control.reviewer_keys[kReviewerName] = ReviewerPublicKey();
   node_ = std::make_unique<control::ControlNode>(control, storage_->TakeRecovered(),
--- a/simulation/simulator/control_process.h
+++ b/simulation/simulator/control_process.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "graniteseam/control/control_node.h"
@@ -38,6 +39,14 @@
 
   /// The settings of the group's first start.
   void SetFirstVoters(const std::vector<consensus::Member>& voters) { first_voters_ = voters; }
+  /// Where it announces itself from the next start on, in place of the first voters.
+  auto SetSeeds(std::vector<consensus::Member> seeds) -> void { seeds_ = std::move(seeds); }
+  /// Its settings do not have it found the group.
+  auto JoinOnly() -> void { founded_ = true; }
+  /// The settings of the repair of the membership, from the next start on.
+  auto SetRepairOptions(control::MembershipRepairOptions const& options) -> void {
+    repair_options_ = options;
+  }
   /// The settings of traffic management, from the next start on.
   void SetTrafficOptions(const control::TrafficOptions& options) { traffic_options_ = options; }
   /// Itself as the first voters know it.
@@ -82,6 +91,8 @@
   ControlPorts& ports_;
   std::string address_;
   std::vector<consensus::Member> first_voters_;
+  std::vector<consensus::Member> seeds_;
+  control::MembershipRepairOptions repair_options_;
   control::TrafficOptions traffic_options_;
   storage::MemoryFileSystem disk_;
   std::uint64_t disks_ = 1;
--- a/simulation/simulator/faults.cc
+++ b/simulation/simulator/faults.cc
@@ -74,7 +74,8 @@
   fleet_.listed_as_leaving.clear();
   fleet_.unlisted.clear();
   for (std::uint32_t zone = 0; zone < kZones; ++zone) world_.RestoreZone(zone);
-  for (auto& control : fleet_.controls) {
+  for (auto const number : fleet_.standing) {
+    auto* const control = &fleet_.Control(number);
     control->SetDiskFull(false);
     world_.RestoreNode(control->name());
     control->Start();
@@ -90,9 +91,7 @@
   }
 }
 
-ControlProcess& Faults::AnyControl() {
-  return *fleet_.controls[world_.random.Below(fleet_.controls.size())];
-}
+ControlProcess& Faults::AnyControl() { return fleet_.AnyStandingControl(); }
 ControlProcess& Faults::LeaderOrAny() {
   ControlProcess* leader = fleet_.Leader();
   return leader != nullptr ? *leader : AnyControl();
--- a/simulation/simulator/fleet.cc
+++ b/simulation/simulator/fleet.cc
@@ -40,17 +40,25 @@
   return bundle;
 }
 
-Fleet::Fleet(World& world) : world_(world) {
+Fleet::Fleet(World& world, CoreOptions const& core) : world_(world) {
   std::vector<std::string> addresses;
   std::vector<consensus::Member> voters;
-  for (std::uint32_t number = 1; number <= kControls; ++number) {
+  for (std::uint32_t number = 1; number <= core.controls + core.spares; ++number) {
     const std::uint32_t zone = (number - 1) % kZones;
     controls.push_back(std::make_unique<ControlProcess>(world, *this, number, zone));
     addresses.push_back(controls.back()->address());
     control_of_address_[addresses.back()] = number;
-    voters.push_back(controls.back()->FirstSelf());
+    if (number <= core.controls) standing.push_back(number);
+    if (number <= core.first_voters) {
+      voters.push_back(controls.back()->FirstSelf());
+    } else {
+      controls.back()->JoinOnly();
+    }
+  }
+  for (auto& control : controls) {
+    control->SetFirstVoters(voters);
+    control->SetRepairOptions(core.repair);
   }
-  for (auto& control : controls) control->SetFirstVoters(voters);
   for (std::uint32_t number = 1; number <= kRouters; ++number) {
     routers.push_back(std::make_unique<RouterProcess>(world, *this, number, number - 1, addresses));
   }
@@ -69,7 +77,7 @@
 }
 
 void Fleet::Start() {
-  for (auto& control : controls) control->Start();
+  for (auto const number : standing) Control(number).Start();
   for (auto& server : servers) server->Start();
   for (auto& router : routers) router->Start();
   MaintainLines();
@@ -90,7 +98,7 @@
 
 void Fleet::MaintainLines() {
   for (std::uint32_t router = 1; router <= kRouters; ++router) {
-    for (std::uint32_t control = 1; control <= kControls; ++control) {
+    for (std::uint32_t control = 1; control <= controls.size(); ++control) {
       MaintainLine(LineBetween(router, control), *routers[router - 1], *controls[control - 1]);
     }
   }
@@ -186,7 +194,7 @@
 
 void Fleet::SendToPeer(const NodeName& from, const consensus::PeerMessage& message) {
   const auto to = static_cast<std::uint32_t>(message.to.id.value);
-  if (to == 0 || to > kControls) return;
+  if (to == 0 || to > controls.size()) return;
   ControlProcess& peer = *controls[to - 1];
   world_.Send(from, peer.name(), [&peer, message] {
     peer.Deliver([&peer, message] {
--- a/simulation/simulator/fleet.h
+++ b/simulation/simulator/fleet.h
@@ -27,22 +27,36 @@
 inline const char* const kShutOffs = "shut-offs";       ///< Keyed, not repeatable.
 inline const char* const kBilling = "billing";          ///< Pooled, not repeatable.
 
+/// The control processes of a fleet.
+struct CoreOptions {
+  std::uint32_t controls = kControls;
+  std::uint32_t first_voters = kControls;  ///< The first of them found the group.
+  std::uint32_t spares = 0;                ///< That may take the place of another one later.
+  control::MembershipRepairOptions repair{};
+};
+
 /// Makes a version of the users' bundle; `variant` tells two of the same version apart.
 bundle::Bundle MakeBundle(std::uint64_t version, std::uint32_t variant);
 
-/// Five control processes, three routers and three servers a service, over three zones.
+/// Control processes, three routers and three servers a service, over three zones.
 class Fleet : public ControlPorts, public RouterPorts {
  public:
-  explicit Fleet(World& world);
+  explicit Fleet(World& world, CoreOptions const& core = {});
 
   void Start();
 
-  std::vector<std::unique_ptr<ControlProcess>> controls;
+  std::vector<std::unique_ptr<ControlProcess>> controls;  ///< Spares are at the end.
+  /// Numbers of the control processes that have a machine at present, whether they run or not.
+  std::vector<std::uint32_t> standing;
   std::vector<std::unique_ptr<RouterProcess>> routers;
   std::vector<std::unique_ptr<ServerProcess>> servers;
 
   /// The control process that leads, or nullptr.
   ControlProcess* Leader();
+  auto Control(std::uint32_t number) -> ControlProcess& { return *controls[number - 1]; }
+  auto AnyStandingControl() -> ControlProcess& {
+    return Control(standing[world_.random.Below(standing.size())]);
+  }
   ServerProcess* ServerById(const std::string& id);
 
   /// Sends an operator's request to a control process; `reply` may never come.
@@ -70,7 +84,7 @@
   void TellPlatformList();
   void CheckLeaders();
   RouterLine& LineBetween(std::uint32_t router, std::uint32_t control) {
-    return *lines_[(router - 1) * kControls + control - 1];
+    return *lines_[(router - 1) * controls.size() + control - 1];
   }
 
   World& world_;
--- a/simulation/simulator/operators.cc
+++ b/simulation/simulator/operators.cc
@@ -45,9 +45,8 @@
   if (tries >= kAskTries) return;
   const auto answered = std::make_shared<bool>(false);
   ControlProcess* leader = world_.random.Chance(0.7) ? fleet_.Leader() : nullptr;
-  const std::uint32_t to = leader != nullptr
-                               ? leader->name().number
-                               : static_cast<std::uint32_t>(world_.random.Below(kControls)) + 1;
+  const std::uint32_t to =
+      (leader != nullptr ? *leader : fleet_.AnyStandingControl()).name().number;
   const auto again = [this, request, handler, tries] {
     world_.Count("operator requests resent");
     AskUntilAnswered(request, handler, tries + 1);
--- a/simulation/simulator/run.cc
+++ b/simulation/simulator/run.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <stdexcept>
 
+#include "simulation/simulator/control_replacements.h"
 #include "simulation/simulator/faults.h"
 
 namespace graniteseam::simulation {
@@ -71,15 +72,17 @@
 
 RunResult RunScenario(const Scenario& scenario, const RunOptions& options) {
   World world(options.seed, options.trace);
-  Fleet fleet(world);
+  Fleet fleet(world, scenario.replaces_controls ? ReplacedCore() : CoreOptions{});
   Callers callers(world, fleet);
   Operators operators(world, fleet);
   Faults faults(world, fleet, operators);
+  ControlReplacements replacements(world, fleet);
   fleet.Start();
   operators.Start();
   callers.Start();
   const TrueTime end = options.length.count();
   const TrueTime calm_from = end - kCalmAtEnd.count();
+  if (scenario.replaces_controls) replacements.PlayUntil(calm_from);
   world.queue.After(kCalmAtStart, [&] {
     faults.InjectUntil(KindsOf(scenario), scenario.interval_maximum, scenario.twice, calm_from);
   });
@@ -92,6 +95,7 @@
   }
   CheckRecovered(world, fleet, operators, callers);
   CheckWorkDone(scenario, world, callers);
+  if (scenario.replaces_controls) replacements.CheckAtEnd();
   RunResult result;
   result.seed = options.seed;
   result.violations = world.oracle.violations();
--- a/simulation/simulator/scenarios.cc
+++ b/simulation/simulator/scenarios.cc
@@ -92,6 +92,12 @@
        {"router stopped as planned", "leader stopped as planned", "server listed as leaving"},
        Span(3'000),
        false},
+      {"control-replaced",
+       "control processes replaced for good at other addresses, in series and overlapping",
+       {"router killed", "router cut", "server killed", "bundles raced", "clock rate changed"},
+       Span(2'000),
+       false,
+       true},
   };
   return scenarios;
 }
--- a/simulation/simulator/scenarios.h
+++ b/simulation/simulator/scenarios.h
@@ -15,6 +15,7 @@
   std::vector<std::string> faults;  ///< Names of fault kinds; empty for all.
   Duration interval_maximum{1'500'000};
   bool twice = false;
+  bool replaces_controls = false;  ///< See control_replacements.h.
 };
 
 /// All scenarios; the first is the one that seeds run without `--scenario`.
