Soak: a change that is resent in calm without a clear answer breaks acknowledged

It looked at the first sending of a change alone, and the operator goes on with the same version: its first sending lay in a disturbance.

Each resend counts as well now, where the change was sent once more after its time was over.

--- a/testbed/soak/promises.cc
+++ b/testbed/soak/promises.cc
@@ -285,19 +285,26 @@
 
     auto check_acknowledged(Observed const& seen, std::vector<Breach>& breaches) -> void
     {
-        std::map<std::pair<std::uint64_t, std::string>, SeenChange const*> first;
-        std::map<std::pair<std::uint64_t, std::string>, Instant> clear;
+        using Name = std::pair<std::uint64_t, std::string>;
+        std::map<Name, Instant> clear;
+        std::map<Name, Instant> last_sent;
         for (auto const& change : seen.changes) {
-            auto const name = std::pair(change.version, change.body);
-            first.try_emplace(name, &change);
+            Name const name(change.version, change.body);
+            last_sent[name] = change.sent;
             if (change.accepted || change.refused)
                 clear.try_emplace(name, change.ended);
         }
-        for (auto const& [name, change] : first) {
-            auto const due = change->sent + answered_within;
+        std::set<Name> begun;
+        std::set<Name> told;
+        for (auto const& change : seen.changes) {
+            Name const name(change.version, change.body);
+            auto const due = change.sent + answered_within;
             auto const it = clear.find(name);
             auto const late = it == clear.end() ? seen.ended >= due : it->second > due;
-            if (late && core_is_unstrained(seen, change->sent, due))
+            // A change that was first sent in a disturbance counts from a resend in calm on, where the
+            // operator did not give it up meanwhile.
+            auto const counts = begun.insert(name).second || last_sent.at(name) >= due;
+            if (late && counts && core_is_unstrained(seen, change.sent, due) && told.insert(name).second)
                 add(breaches, "acknowledged",
                     "version " + std::to_string(name.first) + " had no clear answer after "
                         + InMs(answered_within) + " of calm");
--- a/tests/soak/promises_test.cc
+++ b/tests/soak/promises_test.cc
@@ -581,6 +581,21 @@
     cr_assert(breaks(seen, "acknowledged") && breaks(seen, "readable"));
 }
 
+/// Guards against groups without a leader that pass since each change was first sent in a disturbance.
+Test(promises, change_that_is_resent_in_calm_without_a_clear_answer_breaks_acknowledged)
+{
+    auto seen = calm();
+    seen.core_disturbances = {{at(2'000), at(3'000)}};
+    seen.changes = {{4, 5, "body", false, at(2'500), at(2'600), false},
+        {4, 5, "body", false, at(6'500), at(6'600), false}};
+    cr_assert(!breaks(seen, "acknowledged"));
+    seen.changes.push_back({4, 5, "body", false, at(10'500), at(10'600), false});
+    seen.ended = at(11'000);
+    cr_assert(breaks(seen, "acknowledged"));
+    seen.changes.insert(seen.changes.begin() + 2, {4, 5, "body", true, at(8'000), at(8'100), false});
+    cr_assert(!breaks(seen, "acknowledged"));
+}
+
 Test(promises, change_without_a_clear_answer_in_calm_breaks_acknowledged)
 {
     auto seen = calm();
