Lease client and platform poller: a surplus answer spoils its connection

A second answer to a call of the lease client or the platform poller was taken for the answer to the next call over the kept connection. A lease answer does not name its message: what a server had said of an earlier one was told as said of the newest.

Cause: bytes behind an answer stayed in the buffer, and nothing looked whether others had come, before the connection was used again.

A connection is now kept only when nothing lies behind its answer, and used again only while its socket holds no bytes and no end.

Before: async_http_client/surplus_answer_is_not_taken_for_the_next_calls fails.

--- a/src/http/async_http_client.cc
+++ b/src/http/async_http_client.cc
@@ -6,6 +6,7 @@
 
 #include <openssl/ssl.h>
 #include <openssl/x509v3.h>
+#include <sys/socket.h>
 
 #include <algorithm>
 #include <boost/asio/ip/address.hpp>
@@ -13,6 +14,7 @@
 #include <boost/asio/ssl/stream.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <cerrno>
 #include <optional>
 #include <utility>
 
@@ -69,10 +71,13 @@
   }
 
   bool busy() const { return static_cast<bool>(handler_); }
-  bool usable() const { return !closed_; }
+  /// Whether the connection may take a call: open, and silent. Bytes that wait here belong to no
+  /// call.
+  bool usable() { return !closed_ && (!connected_ || Silent()); }
 
  private:
   void Close();
+  bool Silent();
   void UseTls(TlsContext& tls);
   void Connect();
   void OnConnected();
@@ -114,6 +119,14 @@
   Connect();
 }
 
+bool AsyncHttpClient::Session::Silent() {
+  if (tls_stream_ && SSL_has_pending(tls_stream_->native_handle()) != 0) return false;
+  char byte = 0;
+  const ssize_t peeked =
+      ::recv(stream_.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return peeked < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 void AsyncHttpClient::Session::UseTls(TlsContext& tls) {
   const std::shared_ptr<SSL_CTX> context = tls.Current();
   SSL_CTX_up_ref(context.get());  // asio's context gives it back.
@@ -232,7 +245,7 @@
 
 void AsyncHttpClient::Session::OnWhole() {
   auto message = response_->release();
-  if (!message.keep_alive()) Close();
+  if (!message.keep_alive() || buffer_.size() > 0) Close();
   Finish(HttpReply{static_cast<int>(message.result_int()), std::move(message.body())});
 }
 
--- a/tests/http/async_http_client_test.cc
+++ b/tests/http/async_http_client_test.cc
@@ -8,6 +8,7 @@
 #include <future>
 #include <optional>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "src/runtime/event_loop.h"
@@ -113,3 +114,36 @@
   cr_assert(error != nullptr);
   cr_assert(error->kind == ErrorKind::kMalformedMessage, "%s", error->message.c_str());
 }
+
+// Guards against a surplus answer, in the same packet or in a later one, that is taken for the
+// answer to the next call over the kept connection.
+Test(async_http_client, surplus_answer_is_not_taken_for_the_next_calls) {
+  const auto answer = [](const std::string& body) {
+    return "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n" + body;
+  };
+  const test::Script scripts[] = {{answer("first") + answer("extra"), false, {}},
+                                  {answer("first"), false, {}, {answer("extra")}}};
+  for (const test::Script& script : scripts) {
+    test::ScriptedServer server([&](const std::string& /*request*/, int number) {
+      return number == 1 ? script : test::Script{answer("other"), false, {}};
+    });
+    const auto address = std::get<runtime::SocketAddress>(
+        Attempt([&] { return runtime::ParseSocketAddress(server.address()); }));
+    runtime::EventLoop loop;
+    std::optional<http::AsyncHttpClient> client;
+    const auto call = [&] {
+      std::promise<Outcome<http::HttpReply>> told;
+      boost::asio::post(loop.context(), [&] {
+        if (!client) client.emplace(loop, address);
+        client->Start({false, "/", {}}, std::chrono::seconds(10),
+                      [&](const Outcome<http::HttpReply>& reply) { told.set_value(reply); });
+      });
+      return std::get<http::HttpReply>(told.get_future().get()).body;
+    };
+    cr_assert(call() == "first");
+    // The server sends the later packet after 50 ms.
+    std::this_thread::sleep_for(std::chrono::milliseconds(500));
+    cr_assert(call() == "other");
+    loop.Stop();
+  }
+}
