Planned stop: tell the leader by a message of its own

Control processes of the release before could not have run beside this one: a field added to AppendResponse can't be decoded by members that speak protocol version 15, so that a group upgraded one machine at a time had lost its quorum on the way.

The notice of a planned stop is now a message of version 16, sent beside the answer to each append and only to members that speak it; the leader forgets it an election timeout after the last one. AppendResponse is what it was.

--- a/include/graniteseam/consensus/raft_consensus.h
+++ b/include/graniteseam/consensus/raft_consensus.h
@@ -92,7 +92,7 @@
   Duration time_since_response{};  ///< Since its last response, or since this leadership
                                    ///< began.
   bool caught_up = false;  ///< Holds all entries committed at the start of the latest round.
-  bool leaving = false;    ///< Its last response said that it is about to stop as planned.
+  bool leaving = false;    ///< It said lately that it is about to stop as planned.
 };
 
 /// One member of one replicated log.
--- a/include/graniteseam/consensus/types.h
+++ b/include/graniteseam/consensus/types.h
@@ -114,10 +114,8 @@
   LogIndex match_index;    ///< Highest index that is durable and equal to the leader's.
   LogIndex conflict_hint;  ///< On failure: the index from which the leader sends next.
   std::int64_t round = 0;
-  bool leaving = false;  ///< The sender is about to stop as planned.
 };
-BOOST_DESCRIBE_STRUCT(AppendResponse, (),
-                      (term, success, match_index, conflict_hint, round, leaving))
+BOOST_DESCRIBE_STRUCT(AppendResponse, (), (term, success, match_index, conflict_hint, round))
 
 /// One chunk of a snapshot; chunks are sent in order, one in flight.
 struct InstallSnapshotRequest {
@@ -165,10 +163,17 @@
 };
 BOOST_DESCRIBE_STRUCT(HeartbeatRelay, (), (instances, changes))
 
+/// Sent to the leader beside each AppendResponse by a member that is about to stop as planned.
+/// Protocol version 16.
+struct LeavingNotice {
+  Term term;
+};
+BOOST_DESCRIBE_STRUCT(LeavingNotice, (), (term))
+
 /// The content of a PeerMessage.
-using PeerPayload =
-    std::variant<VoteRequest, VoteResponse, AppendRequest, AppendResponse, InstallSnapshotRequest,
-                 InstallSnapshotResponse, TimeoutNowRequest, Announcement, HeartbeatRelay>;
+using PeerPayload = std::variant<VoteRequest, VoteResponse, AppendRequest, AppendResponse,
+                                 InstallSnapshotRequest, InstallSnapshotResponse, TimeoutNowRequest,
+                                 Announcement, HeartbeatRelay, LeavingNotice>;
 
 /// A message between two control processes.
 ///
--- a/src/consensus/follower.cc
+++ b/src/consensus/follower.cc
@@ -57,13 +57,13 @@
 void RaftConsensus::Impl::OnAppendRequest(const Member& from, const AppendRequest& request,
                                           Instant now) {
   AppendResponse response{hard_state_.term, false, {}, log_.last_index().Next(), request.round};
-  response.leaving = leaving_;
   if (!EntriesAreWellFormed(request)) return;
   if (!AcceptLeader(from, request.term, now)) {
     Send(from, response);
     return;
   }
   response.term = hard_state_.term;
+  if (leaving_) Send(from, LeavingNotice{hard_state_.term});
   // Committed entries equal the leader's, whether or not they are compacted here.
   const bool matches = request.previous_index <= commit_index_ ||
                        log_.TermAt(request.previous_index) == request.previous_term;
--- a/src/consensus/leader.cc
+++ b/src/consensus/leader.cc
@@ -148,7 +148,6 @@
   PeerProgress* const responder = RecordResponse(from, response.term, response.round, now);
   if (responder == nullptr) return;
   PeerProgress& progress = *responder;
-  progress.leaving = response.leaving;
   if (response.success) {
     progress.match = std::max(progress.match, std::min(response.match_index, log_.last_index()));
     progress.next = std::max(progress.next, progress.match.Next());
@@ -163,6 +162,12 @@
   SendNext(from, progress, now);
 }
 
+void RaftConsensus::Impl::OnLeavingNotice(const Member& from, const LeavingNotice& notice,
+                                          Instant now) {
+  if (role_ != Role::kLeader || notice.term != hard_state_.term) return;
+  progress_.at(VoteKey(from)).leaving_until = now + options_.election_timeout_maximum;
+}
+
 PeerProgress* RaftConsensus::Impl::RecordResponse(const Member& from, Term term, std::int64_t round,
                                                   Instant now) {
   if (term > hard_state_.term) {
--- a/src/consensus/leadership_transfer.cc
+++ b/src/consensus/leadership_transfer.cc
@@ -15,7 +15,7 @@
   std::pair<bool, LogIndex> best_rank;
   for (const Member& voter : OtherVoters()) {
     const PeerProgress& progress = progress_.at(VoteKey(voter));
-    const bool stays = !progress.leaving && progress.match >= commit_at_round_start_;
+    const bool stays = now_ >= progress.leaving_until && progress.match >= commit_at_round_start_;
     const std::pair rank(stays, progress.match);
     if (!RespondedRecently(voter, now_) || (only_to_staying && !stays)) continue;
     if (best && rank <= best_rank) continue;
--- a/src/consensus/membership_change.cc
+++ b/src/consensus/membership_change.cc
@@ -131,7 +131,7 @@
     const PeerProgress& progress = progress_.at(VoteKey(member));
     const Instant last_response = std::max(progress.last_response_at, leader_since_);
     const bool caught_up = progress.match >= commit_at_round_start_;
-    peers.push_back({member, now - last_response, caught_up, progress.leaving});
+    peers.push_back({member, now - last_response, caught_up, now < progress.leaving_until});
   }
   return peers;
 }
--- a/src/consensus/peer_progress.h
+++ b/src/consensus/peer_progress.h
@@ -36,7 +36,7 @@
   LogIndex sent_commit_index;                 ///< The highest commit index sent to it.
   std::int64_t acknowledged_round = 0;        ///< The latest heartbeat round that it acknowledged.
   Instant last_response_at = Instant::min();  ///< Receipt of its last response in this term.
-  bool leaving = false;                       ///< As its last response to an append says.
+  Instant leaving_until = Instant::min();  ///< Its last notice of a planned stop counts until then.
   std::unique_ptr<SnapshotTransfer> transfer;
 };
 
--- a/src/consensus/raft_consensus.cc
+++ b/src/consensus/raft_consensus.cc
@@ -83,6 +83,8 @@
             OnVoteResponse(from, payload, now_);
           } else if constexpr (std::is_same_v<Payload, AppendResponse>) {
             OnAppendResponse(from, payload, now_);
+          } else if constexpr (std::is_same_v<Payload, LeavingNotice>) {
+            OnLeavingNotice(from, payload, now_);
           } else {
             OnInstallSnapshotResponse(from, payload, now_);
           }
--- a/src/consensus/raft_impl.h
+++ b/src/consensus/raft_impl.h
@@ -32,6 +32,7 @@
   /// @param only_to_staying excludes voters that are leaving or behind.
   void TransferLeadership(Instant now, bool only_to_staying);
   void PrepareStop(Instant now);
+  void OnLeavingNotice(const Member& from, const LeavingNotice& notice, Instant now);
   void SetSeeds(std::vector<Member> seeds) { seeds_ = std::move(seeds); }
   void Compact(LogIndex index, std::string data, Instant now);
   std::vector<Member> Announced() const;
--- a/src/control/control_node_impl.cc
+++ b/src/control/control_node_impl.cc
@@ -78,9 +78,8 @@
   if (std::holds_alternative<consensus::HeartbeatRelay>(message.payload)) {
     TakeRelay(message, now);
   } else {
-    const auto* const response = std::get_if<consensus::AppendResponse>(&message.payload);
-    const bool leaving = response != nullptr && response->leaving;
-    if (leaving || std::holds_alternative<consensus::Announcement>(message.payload)) {
+    if (std::holds_alternative<consensus::LeavingNotice>(message.payload) ||
+        std::holds_alternative<consensus::Announcement>(message.payload)) {
       membership_check_due_ = {};
     }
     HandleConsensusEffects(consensus_.Step(message, now), now);
--- a/src/protocol/dialer.cc
+++ b/src/protocol/dialer.cc
@@ -82,7 +82,8 @@
   connection_ = std::make_shared<Connection>(std::move(socket), Connection::Side::kDialled,
                                              own_hello_, tls_, metrics_, limits);
   Connection::Handlers handlers;
-  handlers.on_ready = [self = shared_from_this()](const Hello& /*peer*/) {
+  handlers.on_ready = [self = shared_from_this()](const Hello& peer) {
+    self->peer_version_ = peer.newest_version;
     self->was_ready_ = true;
     self->handshake_time_ = kHandshakeTimeoutMinimum;
     self->last_reason_.clear();
--- a/src/protocol/dialer.h
+++ b/src/protocol/dialer.h
@@ -35,6 +35,8 @@
   bool Send(std::string_view payload);
 
   bool connected() const { return connection_ != nullptr && connection_->ready(); }
+  /// The newest protocol version that the peer speaks; 0 before the first connection.
+  std::int32_t peer_version() const { return peer_version_; }
   const runtime::SocketAddress& address() const { return address_; }
 
  private:
@@ -58,6 +60,7 @@
   std::chrono::milliseconds handshake_time_;  ///< Handshake timeout of the next connection.
   std::minstd_rand jitter_;
   bool was_ready_ = false;
+  std::int32_t peer_version_ = 0;
   bool stopped_ = false;
   std::string last_reason_;  ///< Logged once until it changes or a connection becomes ready.
 };
--- a/src/protocol/hello.h
+++ b/src/protocol/hello.h
@@ -19,6 +19,8 @@
 
 /// The first version with control::GroupMembers.
 inline constexpr std::int32_t kGroupMembersVersion = 16;
+/// The first version with consensus::LeavingNotice.
+inline constexpr std::int32_t kLeavingNoticeVersion = 16;
 
 enum class ProcessKind { kControl, kRouter };
 BOOST_DESCRIBE_ENUM(ProcessKind, kControl, kRouter)
--- a/src/protocol/peer_transport.cc
+++ b/src/protocol/peer_transport.cc
@@ -37,6 +37,10 @@
     const Instant now = runtime::BootTimeNow();
     Peer* const peer = FindOrDial(message.to.address);
     if (peer == nullptr) return;
+    const bool unknown_to_peer =
+        std::holds_alternative<consensus::LeavingNotice>(message.payload) &&
+        peer->dialer->peer_version() < kLeavingNoticeVersion;
+    if (unknown_to_peer) return;
     peer->last_sent = now;
     // The receiver has its own address and zone; omitting them keeps the frequent heartbeats small.
     consensus::PeerMessage sent = message;
