Read seeds again while no leader is known

A control process took the seeds of its settings at its start and ignored SIGHUP; one whose seeds had all been replaced stayed outside the group, whatever its file said later. A gateway read its file after a signal alone, and kept the addresses of earlier settings for good.

Both read their settings again at SIGHUP, and without a signal when the file changed: a control process that has known no leader for 2 s, a gateway that is connected to no control process, each second. Only seeds and control addresses are taken. "seeds_changed" and "reloaded" name the addresses before and after.

--- a/src/daemon/control/control_process.cc
+++ b/src/daemon/control/control_process.cc
@@ -22,6 +22,17 @@
 constexpr Duration kCommitToldWithin{5'000};
 /// A deciding thread that stood still for longer is taken for stuck.
 constexpr Duration kLiveLimit{10'000'000};
+/// Longer than elections take: a group that lost its leader has the next one sooner.
+constexpr Duration kLeaderlessAfter{2'000'000};
+
+std::string AddressesOf(const std::vector<consensus::Member>& members) {
+  std::string text;
+  for (const consensus::Member& member : members) {
+    text += (text.empty() ? "" : " ") + member.address;
+  }
+  return text;
+}
+
 std::string_view RoleName(consensus::Role role) {
   switch (role) {
     case consensus::Role::kLearner:
@@ -49,7 +60,8 @@
     : settings_(std::move(settings)),
       stop_signals_(stop_signals),
       owner_names_(std::move(owner_names)),
-      events_("control-" + std::to_string(settings_.EffectiveId().value), STDOUT_FILENO) {}
+      events_("control-" + std::to_string(settings_.EffectiveId().value), STDOUT_FILENO),
+      seeds_(settings_.first_voters) {}
 
 ControlProcess::~ControlProcess() {
   // Nothing may run any more when the members go.
@@ -301,10 +313,53 @@
   if (std::holds_alternative<consensus::Announcement>(message.payload)) {
     const Instant now = runtime::BootTimeNow();
     if (const auto note = announcements_.OnSent(message, now)) WriteNote(*note);
+    if (message.from.id == settings_.EffectiveId()) AnnounceToNewSeeds(message, now);
   }
   peers_->Send(message);
 }
 
+void ControlProcess::AnnounceToNewSeeds(consensus::PeerMessage announcement, Instant now) {
+  const std::lock_guard lock(seeds_mutex_);
+  // The node sends one announcement to each of its recipients at a time.
+  if (now < added_seeds_due_) return;
+  added_seeds_due_ = now + settings_.node.consensus.election_timeout_minimum / 2;
+  for (const consensus::Member& seed : added_seeds_) {
+    announcement.to = seed;
+    if (const auto note = announcements_.OnSent(announcement, now)) WriteNote(*note);
+    peers_->Send(announcement);
+  }
+}
+
+void ControlProcess::Reload(const ControlSettings& changed) {
+  std::string before;
+  std::string after;
+  {
+    const std::lock_guard lock(seeds_mutex_);
+    if (changed.first_voters == seeds_) return;
+    before = AddressesOf(seeds_);
+    seeds_ = changed.first_voters;
+    after = AddressesOf(seeds_);
+    added_seeds_ = seeds_;
+    std::erase_if(added_seeds_, [&](const consensus::Member& seed) {
+      const auto& started = settings_.first_voters;
+      return seed.id == settings_.EffectiveId() ||
+             std::find(started.begin(), started.end(), seed) != started.end();
+    });
+  }
+  events_.Write(runtime::EventWeight::kVital,
+                runtime::EventLine("seeds_changed").Add("from", before).Add("to", after));
+}
+
+bool ControlProcess::LacksLeader() {
+  const Instant now = runtime::BootTimeNow();
+  if (driver_->status().leader) {
+    leaderless_since_.reset();
+    return false;
+  }
+  if (!leaderless_since_) leaderless_since_ = now;
+  return now - *leaderless_since_ >= kLeaderlessAfter;
+}
+
 void ControlProcess::CreateOperatorServer() {
   http::OperatorServerOptions options;
   options.address = settings_.http_address;
--- a/src/daemon/gateway/gateway_process.cc
+++ b/src/daemon/gateway/gateway_process.cc
@@ -68,6 +68,7 @@
       account_(std::make_shared<event_http::ByteAccount>(HeldBytesMaximum(settings_))),
       loop_delay_(loop_.context()),
       node_(NodeOptions(settings_), runtime::RandomBits()),
+      control_addresses_(settings_.control),
       timer_(loop_.context()),
       poll_timer_(loop_.context()) {}
 
@@ -119,6 +120,7 @@
         OnControlMessage(answer, from);
       },
       [this](bool connected) {
+        connected_to_control_ = connected;
         events_.Write(runtime::EventWeight::kNotable,
                       runtime::EventLine(connected ? "control_connected" : "control_lost"));
         if (connected) asio::post(loop_.context(), [this] { Poll(); });
@@ -159,13 +161,27 @@
   return coordination_->Start();
 }
 
-void GatewayProcess::Reload(const GatewaySettings& settings) {
-  std::vector<std::string> addresses;
-  for (const auto& address : settings.control) addresses.push_back(runtime::ToString(address));
-  control_->SetControl(addresses);
+void GatewayProcess::Reload(const GatewaySettings& changed) {
+  const auto addresses_of = [](const std::vector<runtime::SocketAddress>& addresses) {
+    std::vector<std::string> texts;
+    texts.reserve(addresses.size());
+    for (const auto& address : addresses) texts.push_back(runtime::ToString(address));
+    return texts;
+  };
+  const auto joined = [](const std::vector<std::string>& texts) {
+    std::string all;
+    for (const std::string& text : texts) all += (all.empty() ? "" : " ") + text;
+    return all;
+  };
+  const std::vector<std::string> before = addresses_of(control_addresses_);
+  const std::vector<std::string> after = addresses_of(changed.control);
+  control_addresses_ = changed.control;
+  control_->SetControl(after);
   events_.Write(runtime::EventWeight::kNotable,
                 runtime::EventLine("reloaded")
-                    .Add("control", static_cast<std::uint64_t>(settings.control.size())));
+                    .Add("control", static_cast<std::uint64_t>(changed.control.size()))
+                    .Add("from", joined(before))
+                    .Add("to", joined(after)));
 }
 
 void GatewayProcess::Stop() {
--- a/src/daemon/gateway/gateway_process.h
+++ b/src/daemon/gateway/gateway_process.h
@@ -45,8 +45,11 @@
   /// Not ready at once; serves on until callers have gone elsewhere, then ends.
   void Stop();
 
-  /// Takes other control addresses beside those it knows.
-  void Reload(const GatewaySettings& settings);
+  /// Takes the control addresses of settings that were read again. On the main thread.
+  void Reload(const GatewaySettings& changed);
+
+  /// Whether it is connected to no control process.
+  bool LacksControl() const { return !connected_to_control_; }
 
  private:
   /// A request with what the log may have to tell of it.
@@ -131,6 +134,8 @@
   std::unique_ptr<event_http::ClientPool> servers_;
   std::unique_ptr<protocol::GatewayTransport> coordination_;
   std::unique_ptr<protocol::RouterControlClient> control_;
+  std::atomic<bool> connected_to_control_{false};
+  std::vector<runtime::SocketAddress> control_addresses_;  ///< Of the settings as last read.
   boost::asio::steady_timer timer_;
   Instant timer_at_ = Instant::max();
   runtime::WakeWatch wake_watch_;
--- a/src/runtime/setting_value.h
+++ b/src/runtime/setting_value.h
@@ -56,6 +56,10 @@
 /// A settings file longer than this is refused.
 inline constexpr std::size_t kSettingsBytesMaximum = std::size_t{1} << 20;
 
+/// Reads a file, at most one byte more than kSettingsBytesMaximum.
+/// @return nullopt when it can not be read.
+std::optional<std::string> ReadWholeFile(const std::string& path);
+
 /// Reads the top-level keys of a TOML file.
 /// @return kInvalidSettings when the file can not be read or is no TOML; the message names the
 /// line.
--- a/src/runtime/settings.cc
+++ b/src/runtime/settings.cc
@@ -55,6 +55,7 @@
                                         std::ostream& errors) {
   faults_.clear();
   const CommandLine command_line = ReadCommandLine(argc, argv);
+  settings_file_ = command_line.settings_file;
   if (command_line.help) {
     out << HelpText();
     return 0;
--- a/src/runtime/settings.h
+++ b/src/runtime/settings.h
@@ -87,6 +87,8 @@
   /// What was wrong at the last Read().
   const std::vector<SettingFault>& faults() const { return faults_; }
   const std::vector<std::string>& arguments() const { return arguments_; }
+  /// The settings file that the last Read() was given; empty for none.
+  const std::string& settings_file() const { return settings_file_; }
 
  private:
   struct Setting {
@@ -129,6 +131,7 @@
   std::vector<Check> checks_;
   std::vector<SettingFault> faults_;
   std::vector<std::string> arguments_;
+  std::string settings_file_;
   std::size_t log_format_ = 0;
   std::size_t log_level_ = static_cast<std::size_t>(LogLevel::kInfo);
 };
--- a/src/runtime/settings_file.cc
+++ b/src/runtime/settings_file.cc
@@ -52,16 +52,6 @@
   return value;
 }
 
-std::optional<std::string> ReadWhole(const std::string& path) {
-  std::ifstream file(path, std::ios::binary);
-  if (!file) return std::nullopt;
-  std::string text(kSettingsBytesMaximum + 1, '\0');
-  file.read(text.data(), static_cast<std::streamsize>(text.size()));
-  if (file.bad()) return std::nullopt;
-  text.resize(static_cast<std::size_t>(file.gcount()));
-  return text;
-}
-
 Result<toml::table> ParseToml(const std::string& text, const std::string& path) {
   try {
     return toml::parse(text, path);
@@ -75,8 +65,18 @@
 
 }  // namespace
 
+std::optional<std::string> ReadWholeFile(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  if (!file) return std::nullopt;
+  std::string text(kSettingsBytesMaximum + 1, '\0');
+  file.read(text.data(), static_cast<std::streamsize>(text.size()));
+  if (file.bad()) return std::nullopt;
+  text.resize(static_cast<std::size_t>(file.gcount()));
+  return text;
+}
+
 Result<std::vector<FileSetting>> ReadSettingsFile(const std::string& path) {
-  const std::optional<std::string> text = ReadWhole(path);
+  const std::optional<std::string> text = ReadWholeFile(path);
   if (!text) {
     return Fail(ErrorKind::kInvalidSettings, path + ": The file can not be read.",
                 "Name a readable TOML file after --settings.");
