Membership repair: bound a short replacement time in place of refusing it

Where replacement_time_ms is shorter than a group can repair within, a control process did not start. It now starts, replaces voters as early as is safe, and says so.

--- a/src/daemon/control/control_process.cc
+++ b/src/daemon/control/control_process.cc
@@ -96,6 +96,13 @@
           .Add("initialise", static_cast<std::int64_t>(settings_.initialise))
           .Add("trusted_network", static_cast<std::int64_t>(settings_.security.trusted_network)));
   log_.Info("Listens for operators on {}.", ToString(settings_.http_address));
+  const Duration replace_after = settings_.ReplaceAfter();
+  if (settings_.node.membership.enabled && settings_.replacement_time / 2 < replace_after) {
+    log_.Warning(
+        "replacement_time_ms is {} ms, but a silent voter is replaced after {} ms at the earliest; "
+        "raise it, or lower election_timeout_maximum_ms.",
+        InMillis(settings_.replacement_time), InMillis(replace_after));
+  }
   return {};
 }
 
--- a/src/daemon/control/control_settings.cc
+++ b/src/daemon/control/control_settings.cc
@@ -1,5 +1,6 @@
 #include "src/daemon/control/control_settings.h"
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -74,26 +75,6 @@
   }
 }
 
-/// A lost voter is replaced after half of the replacement time. The other half is for what comes
-/// before and after it: the election of a leader, whose count of the silence starts anew, and the
-/// copy of the log.
-void CheckReplacementTime(ControlSettings& settings, std::vector<SettingFault>& faults) {
-  const Duration replace_after = settings.replacement_time / 2;
-  settings.node.membership.replace_after = replace_after;
-  if (!settings.node.membership.enabled) return;
-  if (replace_after <= control::kMemberReachableWithin) {
-    faults.push_back(
-        {"settings", "replacement_time_ms",
-         "Half of it is not above the 1000 ms within which a voter counts as reachable.",
-         "Raise replacement_time_ms."});
-  }
-  if (replace_after < 2 * settings.node.consensus.election_timeout_maximum) {
-    faults.push_back({"settings", "replacement_time_ms",
-                      "Half of it is shorter than two of the longest election timeouts.",
-                      "Raise replacement_time_ms, or lower election_timeout_maximum_ms."});
-  }
-}
-
 void DeclareTimes(SettingsReader& reader, ControlSettings& settings) {
   using std::chrono::milliseconds;
   using std::chrono::seconds;
@@ -138,6 +119,12 @@
   return static_cast<std::size_t>(losses_tolerated == 0 ? voters : 2 * losses_tolerated + 1);
 }
 
+Duration ControlSettings::ReplaceAfter() const {
+  const Duration shortest = std::max(control::kMemberReachableWithin,
+                                     2 * node.consensus.election_timeout_maximum);
+  return std::max(replacement_time / 2, shortest);
+}
+
 std::size_t ControlSettings::RegistryConnections() const {
   constexpr double kRegistryPart = 0.5;
   return static_cast<std::size_t>(static_cast<double>(descriptors_maximum) * kRegistryPart);
@@ -272,7 +259,7 @@
     CheckFirstVoters(settings, faults);
     CheckOperators(settings, faults);
     CheckTimes(settings, faults);
-    CheckReplacementTime(settings, faults);
+    settings.node.membership.replace_after = settings.ReplaceAfter();
   });
 }
 
--- a/src/daemon/control/control_settings.h
+++ b/src/daemon/control/control_settings.h
@@ -58,6 +58,12 @@
   /// Voters that self_repair keeps: as many as it takes for the losses that are to be survived.
   std::size_t WantedVoters() const;
 
+  /// Silence after which self_repair replaces a voter: half of the replacement time. The other half
+  /// is for the election of a leader, which counts the silence anew, and for the copy of the log.
+  /// Not less than two of the longest election timeouts, nor than the time within which a member
+  /// counts as reachable, or voters would be replaced that are not lost.
+  Duration ReplaceAfter() const;
+
   /// Of instances and operators at once: what is left belongs to peers, routers, owners of keys and
   /// files.
   std::size_t RegistryConnections() const;
