Membership repair: replace a silent voter after a third of replacement_time_ms; seeds that are read again reach consensus

Two losses, the second of which is the leader's, were repaired too late: the next leader counts the silence anew, so that half of the time was not enough for both. membership_repair_series/leader_is_lost_before_the_voter_ lost_earlier_is_replaced covers it.

Seeds that a process reads again replace those of consensus, by an event of the deciding thread, in place of announcements that the process sent itself; those did not work where the process was its only seed.

--- a/src/consensus/group_bootstrap.cc
+++ b/src/consensus/group_bootstrap.cc
@@ -68,6 +68,11 @@
   next_announcement_ = now + options_.election_timeout_minimum;
   std::vector<Member> recipients = seeds_;
   for (const Member& member : OtherMembers()) recipients.push_back(member);
+  // Seeds may have been replaced since the bootstrap began; repetitions are dropped.
+  if (bootstrap_) {
+    const auto& voters = bootstrap_->voters;
+    recipients.insert(recipients.end(), voters.begin(), voters.end());
+  }
   for (Member recipient : recipients) {
     if (recipient.id == self_.id) continue;
     const auto known = announced_.find(recipient.id);
--- a/src/daemon/control/control_driver.cc
+++ b/src/daemon/control/control_driver.cc
@@ -217,7 +217,11 @@
         } else if constexpr (std::is_same_v<Event, PushSent>) {
           return happened.of_feed ? node_.OnFeedPushSent(happened.push, now)
                                   : node_.OnPushSent(happened.push, now);
+        } else if constexpr (std::is_same_v<Event, SeedsChanged>) {
+          node_.SetSeeds(std::move(happened.seeds));
+          return control::ControlEffects{};
         } else {
+          static_assert(std::is_same_v<Event, StopPrepared>);
           return node_.PrepareStop(now);
         }
       },
--- a/src/daemon/control/control_event.cc
+++ b/src/daemon/control/control_event.cc
@@ -13,7 +13,8 @@
 
 EventLane LaneOf(const ControlEvent& event) {
   const bool consensus = std::holds_alternative<PeerMessageArrived>(event) ||
-                         std::holds_alternative<StopPrepared>(event);
+                         std::holds_alternative<StopPrepared>(event) ||
+                         std::holds_alternative<SeedsChanged>(event);
   if (consensus) return EventLane::kConsensus;
   const auto* const asked = std::get_if<OperatorRequested>(&event);
   if (asked == nullptr) return EventLane::kFleet;
--- a/src/daemon/control/control_event.h
+++ b/src/daemon/control/control_event.h
@@ -47,16 +47,21 @@
 /// A planned stop begins: hand leadership over.
 struct StopPrepared {};
 
-using ControlEvent =
-    std::variant<PeerMessageArrived, ServerAnswered, RouterMessageArrived, RouterDisconnected,
-                 OperatorRequested, PlatformListed, RangeOrderEnded, PushSent, StopPrepared>;
+/// The settings were read again and name other seeds.
+struct SeedsChanged {
+  std::vector<consensus::Member> seeds;
+};
+
+using ControlEvent = std::variant<PeerMessageArrived, ServerAnswered, RouterMessageArrived,
+                                  RouterDisconnected, OperatorRequested, PlatformListed,
+                                  RangeOrderEnded, PushSent, StopPrepared, SeedsChanged>;
 
 /// Whether the sender of an event sends it again by itself, so that it may be dropped.
 bool IsSentAgain(const ControlEvent& event);
 
 /// Which duty of the process an event serves, the one that goes first before the others.
 enum class EventLane {
-  kConsensus,  ///< Keeps the group together: messages of peers, a planned stop.
+  kConsensus,  ///< Keeps the group together: messages of peers, a planned stop, seeds.
   kOperator,   ///< What operators ask: few at once, and somebody waits for each.
   kFleet,      ///< Everything that grows with routers and instances.
 };
--- a/src/daemon/control/control_process.cc
+++ b/src/daemon/control/control_process.cc
@@ -97,7 +97,7 @@
           .Add("trusted_network", static_cast<std::int64_t>(settings_.security.trusted_network)));
   log_.Info("Listens for operators on {}.", ToString(settings_.http_address));
   const Duration replace_after = settings_.ReplaceAfter();
-  if (settings_.node.membership.enabled && settings_.replacement_time / 2 < replace_after) {
+  if (settings_.node.membership.enabled && settings_.replacement_time < replace_after) {
     log_.Warning(
         "replacement_time_ms is {} ms, but a silent voter is replaced after {} ms at the earliest; "
         "raise it, or lower election_timeout_maximum_ms.",
@@ -318,43 +318,18 @@
 
 void ControlProcess::SendToPeer(const consensus::PeerMessage& message) {
   if (std::holds_alternative<consensus::Announcement>(message.payload)) {
-    const Instant now = runtime::BootTimeNow();
-    if (const auto note = announcements_.OnSent(message, now)) WriteNote(*note);
-    if (message.from.id == settings_.EffectiveId()) AnnounceToNewSeeds(message, now);
+    if (const auto note = announcements_.OnSent(message, runtime::BootTimeNow())) WriteNote(*note);
   }
   peers_->Send(message);
 }
 
-void ControlProcess::AnnounceToNewSeeds(consensus::PeerMessage announcement, Instant now) {
-  const std::lock_guard lock(seeds_mutex_);
-  // The node sends one announcement to each of its recipients at a time.
-  if (now < added_seeds_due_) return;
-  added_seeds_due_ = now + settings_.node.consensus.election_timeout_minimum / 2;
-  for (const consensus::Member& seed : added_seeds_) {
-    announcement.to = seed;
-    if (const auto note = announcements_.OnSent(announcement, now)) WriteNote(*note);
-    peers_->Send(announcement);
-  }
-}
-
 void ControlProcess::Reload(const ControlSettings& changed) {
-  std::string before;
-  std::string after;
-  {
-    const std::lock_guard lock(seeds_mutex_);
-    if (changed.first_voters == seeds_) return;
-    before = AddressesOf(seeds_);
-    seeds_ = changed.first_voters;
-    after = AddressesOf(seeds_);
-    added_seeds_ = seeds_;
-    std::erase_if(added_seeds_, [&](const consensus::Member& seed) {
-      const auto& started = settings_.first_voters;
-      return seed.id == settings_.EffectiveId() ||
-             std::find(started.begin(), started.end(), seed) != started.end();
-    });
-  }
-  events_.Write(runtime::EventWeight::kVital,
-                runtime::EventLine("seeds_changed").Add("from", before).Add("to", after));
+  if (changed.first_voters == seeds_) return;
+  events_.Write(runtime::EventWeight::kVital, runtime::EventLine("seeds_changed")
+                                                  .Add("from", AddressesOf(seeds_))
+                                                  .Add("to", AddressesOf(changed.first_voters)));
+  seeds_ = changed.first_voters;
+  queue_.Push(SeedsChanged{seeds_});
 }
 
 bool ControlProcess::LacksLeader() {
--- a/src/daemon/control/control_process.h
+++ b/src/daemon/control/control_process.h
@@ -74,9 +74,6 @@
   void WriteNote(const control::MembershipNote& note);
   void WriteNote(const AnnouncementNote& note);
   void SendToPeer(const consensus::PeerMessage& message);
-  /// Sends an announcement of this process also to the seeds that the settings named since the
-  /// start.
-  void AnnounceToNewSeeds(consensus::PeerMessage announcement, Instant now);
   void NotePeer(const std::string& name, const protocol::ServedAddresses& served);
   protocol::ServedAddresses LeaderAddresses() const;
   /// Hands over what the group needs from this process before a planned stop.
@@ -107,12 +104,9 @@
   std::unique_ptr<http::OperatorServer> operator_server_;
   std::atomic<bool> stopping_{false};
   AnnouncementLog announcements_{settings_.EffectiveId()};
-  std::optional<Instant> leaderless_since_;     ///< Used on the main thread only.
-  std::mutex seeds_mutex_;                      ///< Guards the three members below.
-  std::vector<consensus::Member> seeds_;        ///< Of the settings as last read.
-  std::vector<consensus::Member> added_seeds_;  ///< Those that the node was not started with.
-  Instant added_seeds_due_{};
-  mutable std::mutex peers_mutex_;                                   ///< Guards peer_addresses_.
+  std::optional<Instant> leaderless_since_;  ///< Used on the main thread only.
+  std::vector<consensus::Member> seeds_;     ///< Of the settings as last read; on the main thread.
+  mutable std::mutex peers_mutex_;           ///< Guards peer_addresses_.
   std::map<std::string, protocol::ServedAddresses> peer_addresses_;  ///< By control id.
   runtime::Logger log_{"control"};
 };
--- a/src/daemon/control/control_settings.cc
+++ b/src/daemon/control/control_settings.cc
@@ -120,9 +120,9 @@
 }
 
 Duration ControlSettings::ReplaceAfter() const {
-  const Duration shortest = std::max(control::kMemberReachableWithin,
-                                     2 * node.consensus.election_timeout_maximum);
-  return std::max(replacement_time / 2, shortest);
+  const Duration shortest =
+      std::max(control::kMemberReachableWithin, 2 * node.consensus.election_timeout_maximum);
+  return std::max(replacement_time / 3, shortest);
 }
 
 std::size_t ControlSettings::RegistryConnections() const {
@@ -214,7 +214,7 @@
   reader.AddMilliseconds("replacement_time_ms",
                          "Time from the start of a lost machine's replacement after which "
                          "losses_tolerated machines may be lost again; self_repair replaces a "
-                         "voter that is silent for half of it.",
+                         "voter that is silent for a third of it.",
                          settings.replacement_time, std::chrono::milliseconds(500),
                          std::chrono::seconds(600));
   reader.AddMilliseconds("range_hold_ms", "Length of a grant of keys.",
--- a/src/daemon/control/control_settings.h
+++ b/src/daemon/control/control_settings.h
@@ -35,7 +35,7 @@
   std::int64_t losses_tolerated = 0;
   /// Time from the start of a lost machine's replacement after which as many machines may be lost
   /// again.
-  Duration replacement_time{12'000'000};
+  Duration replacement_time{18'000'000};
   std::vector<runtime::SocketAddress> platform;
   runtime::TextTable operators;
   runtime::TextTable reviewers;
@@ -58,8 +58,9 @@
   /// Voters that self_repair keeps: as many as it takes for the losses that are to be survived.
   std::size_t WantedVoters() const;
 
-  /// Silence after which self_repair replaces a voter: half of the replacement time. The other half
-  /// is for the election of a leader, which counts the silence anew, and for the copy of the log.
+  /// Silence after which self_repair replaces a voter: a third of the replacement time. The rest is
+  /// for the loss of a leader meanwhile, as the next one counts the silence anew, for its election,
+  /// and for the copy of the log.
   /// Not less than two of the longest election timeouts, nor than the time within which a member
   /// counts as reachable, or voters would be replaced that are not lost.
   Duration ReplaceAfter() const;
--- a/tests/control/membership_repair_series_test.cc
+++ b/tests/control/membership_repair_series_test.cc
@@ -114,3 +114,35 @@
     }
   }
 }
+
+// Guards against a repair that is too slow when the leader is lost after another voter: the next
+// leader counts the silence anew, and a third loss found both in the membership still.
+Test(membership_repair_series, leader_is_lost_before_the_voter_lost_earlier_is_replaced,
+     .timeout = 120) {
+  constexpr milliseconds kSuccessorAfter{400};
+  constexpr std::uint64_t kLeaderLostWithinMs = 2'500;
+  for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
+    RepairGroupOptions options = OptionsFor(seed);
+    options.replace_after = Duration(kReplacementTime) / 3;
+    RepairGroup group(kVoters, seed, options);
+    StartWithReserve(group, seed);
+    for (int round = 1; round <= 4; ++round) {
+      group.LoseMachine(LeaderAndAnother(group)[1]);
+      group.Run(kSuccessorAfter);
+      group.AddProcess();
+      const milliseconds leader_lost_after(group.Below(kLeaderLostWithinMs));
+      group.Run(leader_lost_after);
+      group.LoseMachine(group.Leader());
+      group.Run(kSuccessorAfter);
+      group.AddProcess();
+      // The first loss does not count any more.
+      group.Run(kReplacementTime - leader_lost_after - kSuccessorAfter);
+      cr_assert_neq(group.Leader(), 0U, "seed %lu, round %d: no leader", seed, round);
+      group.LoseMachine(LeaderAndAnother(group)[1]);
+      cr_assert(group.Commit(seconds(2)), "seed %lu, round %d: no leader", seed, round);
+      cr_assert(group.HoldsAllAcknowledged(), "seed %lu, round %d", seed, round);
+      AddReserve(group, seed, round);
+      AddReserve(group, seed, round);
+    }
+  }
+}
