Planned stop: wait for the next leader, and bound it by two seconds

A process that stops as planned gave up 0.4 s after the leader's loss, sooner than the next one can be elected: its vote was missed beside the leader's. It now waits for twice the longest election timeout, 2 s in all; the daemon's own limit is 2.5 s. The simulator ends a process that stops when the program does.

--- a/simulation/simulator/control_replacements.h
+++ b/simulation/simulator/control_replacements.h
@@ -38,6 +38,8 @@
   auto Disturb(Number target) -> void;
   auto ReplaceLost(Number target, Number successor) -> void;
   auto ReplaceAsPlanned(Number target, Number successor) -> void;
+  /// Ends a process that was told to stop once it is ready, at `latest` in any case.
+  auto AwaitStop(Number target, TrueTime latest) -> void;
   auto Restart(Number target) -> void;
   /// A spare of the same zone that was never started; 0 when there is none.
   auto UnusedSpare(Number target) -> Number;
--- a/src/control/control_node_impl.cc
+++ b/src/control/control_node_impl.cc
@@ -19,9 +19,7 @@
 constexpr Duration kMembershipCheckInterval{200'000};
 /// Time in which a process that stops as planned hands over its leadership and its vote. Shorter
 /// than the time that the daemon gives it.
-constexpr Duration kHandOverLimit{1'000'000};
-/// Time without a leader after which a process that stops expects none that replaces it.
-constexpr Duration kLeaderlessLimit{400'000};
+constexpr Duration kHandOverLimit{2'000'000};
 
 OwnershipOptions OwnershipOptionsOf(const ControlOptions& options) {
   OwnershipOptions ownership;
@@ -185,7 +183,9 @@
 
 bool ControlNode::Impl::MayBeReplaced(Instant now) const {
   if (!options_.membership.enabled || committed_membership_.learners.empty()) return false;
-  if (now >= std::max(leader_known_at_, stop_prepared_at_) + kLeaderlessLimit) return false;
+  // Without a leader for longer than an election takes, most voters stop as well.
+  const Duration election = 2 * options_.consensus.election_timeout_maximum;
+  if (now >= std::max(leader_known_at_, stop_prepared_at_) + election) return false;
   const auto& voters = committed_membership_.voters;
   return std::any_of(voters.begin(), voters.end(), [&](const consensus::Member& voter) {
     return voter.IsSameMemberAs(consensus_.self());
--- a/src/daemon/control/control_process.cc
+++ b/src/daemon/control/control_process.cc
@@ -12,8 +12,9 @@
 namespace graniteseam::daemon {
 namespace {
 
-/// Longer than a hand-over of leadership takes; a stop is not held up beyond it.
-constexpr Duration kHandOverLimit{1'500'000};
+/// Longer than the node takes to hand over its leadership and its vote; a stop is not held up
+/// beyond it.
+constexpr Duration kHandOverLimit{2'500'000};
 constexpr Duration kHandOverPoll{5'000};
 /// Longer than a heartbeat is held until a leader is known, and than an election takes.
 constexpr Duration kAnswersLimit{1'000'000};
