A member of a group takes no part in a bootstrap any more

A founder other than the one that wrote the first membership went on announcing that it was founding, for as long as its process ran.

--- a/src/consensus/group_bootstrap.cc
+++ b/src/consensus/group_bootstrap.cc
@@ -66,6 +66,9 @@
 
 void RaftConsensus::Impl::Announce(Instant now) {
   next_announcement_ = now + options_.election_timeout_minimum;
+  // A member of a group takes no part in a bootstrap any more. An announcement that names a disk is
+  // not forwarded to the leader.
+  if (!InNoMembership()) bootstrap_.reset();
   std::vector<Member> recipients = seeds_;
   for (const Member& member : OtherMembers()) recipients.push_back(member);
   // Seeds may have been replaced since the bootstrap began; repetitions are dropped.
--- a/tests/consensus/announcement_test.cc
+++ b/tests/consensus/announcement_test.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "graniteseam/codec/codec.h"
 #include "tests/consensus/virtual_cluster.h"
 
 using graniteseam::ControlId;
@@ -175,3 +176,35 @@
   message.from = MemberAt(3);
   cr_assert(AnnouncementsOf(member.Step(message, At(2))).empty());
 }
+
+// A founder that was removed while it was disconnected named the disks of those that it announced
+// itself to, so that they did not forward it.
+Test(announcement, a_founder_that_was_removed_names_no_disk) {
+  RecoveredState recovered;
+  recovered.self = MemberAt(2);
+  Member first = MemberAt(1);
+  Member third = MemberAt(3);
+  first.disk = third.disk = {};
+  recovered.bootstrap = Membership{{first, recovered.self, third}, {}};
+  RaftConsensus member({}, std::move(recovered), 1, At(0));
+  PeerMessage founding{MemberAt(1), MemberAt(2), Announcement{true}};
+  member.Step(founding, At(1));
+  PeerMessage entry = Heartbeat();
+  AppendRequest request;
+  request.term = Term{1};
+  const Membership membership{{MemberAt(1), MemberAt(2), MemberAt(3)}, {}};
+  request.entries = {{Term{1}, LogIndex{1}, graniteseam::consensus::EntryKind::kMembership,
+                      graniteseam::codec::Encode(membership)}};
+  entry.payload = request;
+  member.Step(entry, At(2));
+  cr_assert_eq(member.membership().voters.size(), 3U);
+  std::vector<PeerMessage> sent;
+  for (std::int64_t now = 3; now < 10'000; now += 10) {
+    for (const auto& message : AnnouncementsOf(member.Tick(At(now)))) sent.push_back(message);
+  }
+  cr_assert_not(sent.empty());
+  for (const PeerMessage& message : sent) {
+    cr_assert_eq(message.to.disk.value, 0U);
+    cr_assert_not(std::get<Announcement>(message.payload).founding);
+  }
+}
