--- a/src/protocol/leader_tracker.cc
+++ b/src/protocol/leader_tracker.cc
@@ -130,6 +130,7 @@
   if (IndexOf(address) == target_ && IsTimely(answer, now)) {
     unanswered_since_.reset();
     switch_interval_ = kSwitchIntervalMinimum;
+    led_at_ = now;
   }
   std::erase_if(pending_, [&](const Pending& pending) { return Answers(answer, pending.message); });
 }
@@ -183,14 +184,17 @@
   const std::size_t wanted = std::min(configured_.size(), members_.size());
   const auto ready =
       static_cast<std::size_t>(std::count(connected_.begin(), connected_.end(), true));
-  if (ready >= wanted) {
+  // Processes that answer without a leader may be outside the group.
+  const bool leaderless = !pending_.empty() && now - led_at_ >= kMemberAddedAfter;
+  if (ready >= wanted && !leaderless) {
     short_since_.reset();
     return;
   }
   if (!short_since_) short_since_ = now;
-  if (now - *short_since_ < (ready == 0 ? answer_timeout_ : kMemberAddedAfter)) return;
+  if (now - *short_since_ < (ready == 0 || leaderless ? answer_timeout_ : kMemberAddedAfter))
+    return;
   short_since_ = now;
-  std::size_t missing = ready == 0 ? members_.size() : wanted - ready;
+  std::size_t missing = ready == 0 ? members_.size() : leaderless ? 1 : wanted - ready;
   for (std::size_t step = 0; step < members_.size() && missing > 0; ++step) {
     const std::string& member = members_[(spread_ + step) % members_.size()];
     if (Contains(addresses_, member)) continue;
--- a/src/protocol/leader_tracker.h
+++ b/src/protocol/leader_tracker.h
@@ -105,6 +105,7 @@
   std::vector<std::string> configured_;
   std::vector<std::string> members_;
   std::optional<Instant> short_since_;  ///< Since when connections are missing.
+  Instant led_at_{};                    ///< When the target last answered as a leader does.
   Duration answer_timeout_;
   std::size_t spread_;
   std::size_t target_ = 0;
--- a/tests/protocol/leader_tracker_test.cc
+++ b/tests/protocol/leader_tracker_test.cc
@@ -220,6 +220,22 @@
   cr_assert(tracker.target() == "e");
 }
 
+// A gateway whose connected control processes had all left the group, and answered without a
+// leader, never turned to the members it had been told of.
+Test(leader_tracker, adds_members_while_processes_that_are_connected_know_no_leader) {
+  LeaderTracker tracker = ThreeConnected();
+  tracker.OnAnswered("a", control::GroupMembers{{"a", "b", "c", "d", "e"}}, At(10));
+  for (std::int64_t now = 20; now < 10'000; now += 20) {
+    tracker.OnSend(Poll(static_cast<std::uint64_t>(now)), At(now));
+    tracker.OnNotLeader(tracker.target(), {static_cast<std::uint64_t>(now), "", 0, {}}, At(now));
+    tracker.Tick(At(now + 1));
+  }
+  for (const char* member : {"d", "e"}) {
+    const auto& addresses = tracker.addresses();
+    cr_assert(std::find(addresses.begin(), addresses.end(), member) != addresses.end());
+  }
+}
+
 Test(leader_tracker, keeps_no_more_connections_than_addresses_in_the_settings) {
   LeaderTracker tracker = ThreeConnected();
   tracker.OnAnswered("a", control::GroupMembers{{"a", "b", "c", "d", "e", "f", "g"}}, At(10));
