Membership repair: do not rest at more voters than wanted

Where all voters answer and there are more than wanted, the one that answered least lately, never the leader, becomes a learner.

--- a/src/control/control_node_impl.cc
+++ b/src/control/control_node_impl.cc
@@ -182,7 +182,9 @@
 }
 
 bool ControlNode::Impl::MayBeReplaced(Instant now) const {
-  if (!options_.membership.enabled || committed_membership_.learners.empty()) return false;
+  const bool replaceable = !committed_membership_.learners.empty() ||
+                           committed_membership_.voters.size() > options_.membership.voters;
+  if (!options_.membership.enabled || !replaceable) return false;
   // Without a leader for longer than an election takes, most voters stop as well.
   const Duration election = 2 * options_.consensus.election_timeout_maximum;
   if (now >= std::max(leader_known_at_, stop_prepared_at_) + election) return false;
--- a/src/control/membership_repair.cc
+++ b/src/control/membership_repair.cc
@@ -122,6 +122,21 @@
   return leaving == voters.end() ? nullptr : &*leaving;
 }
 
+/// A voter that answers and is one beyond the wanted number, as after a return between the
+/// promotion of its replacement and its removal. An even number of voters can be cut into halves of
+/// which neither has a quorum. The one that answered least lately is the likeliest to fall silent
+/// again.
+const Member* ExcessVoter(const MembershipRepairOptions& options, const MembershipView& view) {
+  const auto& voters = view.membership.voters;
+  if (voters.size() <= options.voters) return nullptr;
+  const Member* excess = nullptr;
+  for (const Member& voter : voters) {
+    if (voter.IsSameMemberAs(view.self)) continue;
+    if (excess == nullptr || SilenceOf(view, voter) > SilenceOf(view, *excess)) excess = &voter;
+  }
+  return excess;
+}
+
 /// A voter whose machine returned with another disk that has caught up with the log. The former
 /// voter never answers again, so removing it does not increase the number of other voters that a
 /// quorum needs. If both voted, the loss of the new disk would be the second loss of one machine: a
@@ -222,6 +237,9 @@
   if (const Member* leaving = ReplacedLeavingVoter(options, view)) {
     return WithDemoted(view.membership, *leaving);
   }
+  if (const Member* excess = ExcessVoter(options, view)) {
+    return WithDemoted(view.membership, *excess);
+  }
   if (const Member* former = VoterWithReplacedDisk(view))
     return WithoutVoter(view.membership, *former);
   if (auto promoted = Promotion(options, view)) return promoted;
--- a/tests/control/membership_repair_test.cc
+++ b/tests/control/membership_repair_test.cc
@@ -131,6 +131,16 @@
   cr_assert(view.membership.learners.empty());
 }
 
+// Guards against a repair that rests at an even number of voters, all answering: halves of them
+// that are cut off from each other have no quorum on either side.
+Test(membership_keeper, voter_beyond_the_wanted_number_becomes_a_learner) {
+  const MembershipView view{
+      kA, {{kA, kB, kC, kD}, {}}, {Status(kB, 50), Status(kC, 300), Status(kD, 50)}, {}};
+  const auto next = NextMembership(Enabled(), view);
+  cr_assert(next && next->voters == (std::vector<Member>{kA, kB, kD}));
+  cr_assert(next->learners == std::vector<Member>{kC});
+}
+
 // Guards against the removal of a voter that may return while one that never will still counts.
 Test(membership_keeper, voter_with_a_replaced_disk_goes_before_one_that_is_silent) {
   const Member e = MakeMember(5, 15);
