--- a/src/protocol/leader_tracker.cc
+++ b/src/protocol/leader_tracker.cc
@@ -180,27 +180,26 @@
   for (const std::string& address : addresses) IndexOf(address);
 }
 
-std::size_t LeaderTracker::MissingConnections(Instant now) const {
-  const auto ready =
-      static_cast<std::size_t>(std::count(connected_.begin(), connected_.end(), true));
-  if (ready == 0) return members_.size();
-  const std::size_t wanted = std::min(configured_.size(), members_.size());
-  if (ready < wanted) return wanted - ready;
-  // Processes that answer without a leader may be outside the group.
-  const bool leaderless = !pending_.empty() && now - led_at_ >= kMemberAddedAfter;
-  return leaderless ? 1 : 0;
+bool LeaderTracker::IsLeaderless(Instant now) const {
+  return !pending_.empty() && now - led_at_ >= kMemberAddedAfter;
 }
 
 void LeaderTracker::AddMembers(Instant now) {
-  std::size_t missing = MissingConnections(now);
-  if (missing == 0) {
+  const std::size_t wanted = std::min(configured_.size(), members_.size());
+  const auto ready =
+      static_cast<std::size_t>(std::count(connected_.begin(), connected_.end(), true));
+  // Processes that answer without a leader may be outside the group.
+  const bool leaderless = IsLeaderless(now);
+  if (ready >= wanted && !leaderless) {
     short_since_.reset();
     return;
   }
   if (!short_since_) short_since_ = now;
-  const bool unled = now - led_at_ >= kMemberAddedAfter || missing == members_.size();
-  if (now - *short_since_ < (unled ? answer_timeout_ : kMemberAddedAfter)) return;
+  if (now - *short_since_ < (ready == 0 || leaderless ? answer_timeout_ : kMemberAddedAfter))
+    return;
   short_since_ = now;
+  std::size_t missing = ready < wanted ? wanted - ready : 1;
+  if (ready == 0) missing = members_.size();
   for (std::size_t step = 0; step < members_.size() && missing > 0; ++step) {
     const std::string& member = members_[(spread_ + step) % members_.size()];
     if (Contains(addresses_, member)) continue;
--- a/src/protocol/leader_tracker.h
+++ b/src/protocol/leader_tracker.h
@@ -81,8 +81,8 @@
   };
 
   std::size_t IndexOf(const std::string& address);
-  /// Members to connect to in addition.
-  std::size_t MissingConnections(Instant now) const;
+  /// Whether no leader has answered for some time, though something was asked.
+  bool IsLeaderless(Instant now) const;
   /// Adds members in place of connections that are missing.
   void AddMembers(Instant now);
   /// Removes an address that is neither in the settings nor a member's and was not connected for
