--- a/review/support-2/harness.h
+++ b/review/support-2/harness.h
@@ -9,6 +9,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -385,6 +386,8 @@
     const std::string log = folder_ + "/" + std::to_string(machine) + ".log";
     const pid_t pid = fork();
     if (pid == 0) {
+      // Also where this program is killed.
+      prctl(PR_SET_PDEATHSIG, SIGKILL);
       const int out = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
       dup2(out, 1);
       dup2(out, 2);
