OWNER: take no order of heartbeats for a proof that an instance has ended

Callers saw: a third of a service's keys held by two workers for 1.4 s. The first heartbeat of a process that had crashed was held up for 11.6 s, arrived after the next process at its address had registered and taken keys, and made control give these keys to others while their owner held and renewed them.

Cause: HasProvablyEnded() took an instance for ended, without a release and without waiting for its leases, when the heartbeat that displaced it arrived over 10 s after its own first one. Nothing bounds how late a heartbeat is.

Change: a displaced owner's keys go on when it has released them, when another process has answered an order at its address, or when its leases have expired. The same assumption deregistered for good the instance that was taken for the earlier one of two; a displacement is reversed instead, on the hint that only the displaced instance is heard of, and can be reversed again. The record of heartbeats of an instance that is gone is kept while its leases may last.

The simulator delayed heartbeats by 4 s at most and could not show this: scenario traffic-late-heartbeats delays them by up to 100 s, also over the end of their sender.

--- a/simulation/traffic_world/traffic_faults.cc
+++ b/simulation/traffic_world/traffic_faults.cc
@@ -91,6 +91,17 @@
     return kinds;
 }
 
+auto TrafficFaults::late_heartbeats() -> std::vector<TrafficFaultKind> const&
+{
+    static std::vector<TrafficFaultKind> const kinds {
+        {"worker crashed before it is heard of", &TrafficFaults::crash_worker_before_it_is_heard_of},
+        {"heartbeats held up", &TrafficFaults::hold_up_heartbeats},
+        {"worker crashed", &TrafficFaults::crash_worker},
+        {"leader lost power", &TrafficFaults::kill_leader, true},
+    };
+    return kinds;
+}
+
 auto TrafficFaults::inject_until(TrueTime end, bool overlapping) -> void
 {
     m_end = end;
@@ -110,6 +121,8 @@
         m_kinds.insert(m_kinds.end(), coordination().begin(), coordination().end());
     if (m_fleet.options().surplus_answers)
         m_kinds.insert(m_kinds.end(), surplus_answers().begin(), surplus_answers().end());
+    if (m_fleet.options().late_heartbeats)
+        m_kinds.insert(m_kinds.end(), late_heartbeats().begin(), late_heartbeats().end());
     if (auto const& only = m_fleet.options().only_faults; !only.empty()) {
         std::erase_if(m_kinds, [&](TrafficFaultKind const& kind) {
             return std::find(only.begin(), only.end(), kind.name) == only.end();
@@ -246,6 +259,22 @@
         crash(*place, true);
 }
 
+auto TrafficFaults::crash_worker_before_it_is_heard_of() -> void
+{
+    auto* const place = any_place();
+    if (place == nullptr)
+        return;
+    auto const service = place->worker->traits().service;
+    m_fleet.crash(*place, std::nullopt);
+    m_world.queue.After(span(1, 400), [this, place, service] {
+        if (place->worker->up())
+            return;
+        m_fleet.start_worker(*place, service);
+        m_fleet.crash(*place, draw_heartbeat_delay(m_world));
+        start_after(*place, service, span(1, 400));
+    });
+}
+
 auto TrafficFaults::give_address_to_another_service() -> void
 {
     auto* const place = any_place();
@@ -355,6 +384,11 @@
     in_mood(&WorkerMood::heartbeat_answer_lost, m_world.random.Fraction() * 0.3);
 }
 
+auto TrafficFaults::hold_up_heartbeats() -> void
+{
+    in_mood(&WorkerMood::heartbeat_held_up, m_world.random.Fraction() * 0.3);
+}
+
 auto TrafficFaults::lose_orders() -> void
 {
     in_mood(&WorkerMood::order_lost, m_world.random.Fraction() * 0.5);
--- a/simulation/traffic_world/traffic_faults.h
+++ b/simulation/traffic_world/traffic_faults.h
@@ -37,6 +37,8 @@
     static auto partitions() -> std::vector<TrafficFaultKind> const&;
     /// What makes surplus answers matter: rejections, and releases of keys.
     static auto surplus_answers() -> std::vector<TrafficFaultKind> const&;
+    /// Heartbeats that are late by any time, and what they may outlast.
+    static auto late_heartbeats() -> std::vector<TrafficFaultKind> const&;
     /// What makes gateways retry, and forget what they have spent on retries.
     static auto retries() -> std::vector<TrafficFaultKind> const&;
     /// Requests begin to fail while the retry budgets are unused, and most gateways start again soon after.
@@ -52,11 +54,15 @@
 
     auto crash_worker() -> void;
     auto crash_worker_heard_of_later() -> void;
+    /// A worker's process is replaced twice, and the first heartbeat of the short-lived one in between
+    /// arrives after those of its successor.
+    auto crash_worker_before_it_is_heard_of() -> void;
     auto give_address_to_another_service() -> void;
     auto drain_worker() -> void;
     auto drain_worker_without_word() -> void;
     auto cut_worker_from_control() -> void;
     auto disturb_heartbeats() -> void;
+    auto hold_up_heartbeats() -> void;
     auto lose_orders() -> void;
     auto delay_orders() -> void;
     auto lose_answers() -> void;
--- a/simulation/traffic_world/traffic_fleet.cc
+++ b/simulation/traffic_world/traffic_fleet.cc
@@ -41,6 +41,16 @@
 
 } // namespace
 
+auto draw_heartbeat_delay(World& world) -> Duration
+{
+    constexpr Duration kMinimum {100'000};
+    constexpr std::uint64_t kOrdersOfMagnitude = 3;
+    auto low = kMinimum;
+    for (auto order = world.random.Below(kOrdersOfMagnitude); order > 0; --order)
+        low *= 10;
+    return world.random.Between(low, 10 * low);
+}
+
 TrafficFleet::TrafficFleet(World& world, TrafficOracle& oracle, TrafficWorldOptions options)
     : m_world(world)
     , m_oracle(oracle)
@@ -460,6 +470,11 @@
     }
     if (m_world.random.Chance(mood.heartbeat_lost))
         return m_world.Count("heartbeat lost");
+    // Draws nothing in worlds without such heartbeats, so that their seeds keep their course.
+    if (mood.heartbeat_held_up > 0 && m_world.random.Chance(mood.heartbeat_held_up)) {
+        m_world.Count("heartbeat held up");
+        return m_world.queue.After(draw_heartbeat_delay(m_world), send);
+    }
     if (m_world.random.Chance(mood.heartbeat_late)) {
         m_world.Count("heartbeat late");
         return m_world.queue.After(m_world.random.Between(Duration {100'000}, kLateMaximum), send);
--- a/simulation/traffic_world/traffic_fleet.h
+++ b/simulation/traffic_world/traffic_fleet.h
@@ -36,6 +36,7 @@
 struct WorkerMood {
     double heartbeat_lost = 0;
     double heartbeat_late = 0; ///< By up to seconds, so that later ones come before it.
+    double heartbeat_held_up = 0; ///< For as long as the draw says, also over the end of its sender.
     double heartbeat_repeated = 0;
     double heartbeat_answer_lost = 0;
     double order_lost = 0;
@@ -74,6 +75,8 @@
     bool restarts_at_failures = false;
     /// Workers shed requests and answer requests and orders twice; second rejections come too.
     bool surplus_answers = false;
+    /// Heartbeats are late by any time, also over the crash of their sender and changes of leader.
+    bool late_heartbeats = false;
     /// Of the gateways' settings, for each service: retries beyond a fifth of the requests.
     RetryBound retry_bound;
     /// Names of the only faults that are injected; empty for no such restriction.
@@ -83,6 +86,9 @@
     double load = 1; ///< Calls, as a multiple of the usual.
 };
 
+/// Draws how late a heartbeat is: from 100 ms to 100 s, each order of magnitude as likely.
+auto draw_heartbeat_delay(World&) -> Duration;
+
 /// What a gateway that is partitioned from all workers sees of its connections to them.
 enum class PartitionForm {
     kSilent, ///< Open ones hang, and new ones do not come up.
--- a/src/control/commands.h
+++ b/src/control/commands.h
@@ -156,6 +156,14 @@
 };
 BOOST_DESCRIBE_STRUCT(DrainZoneCommand, (), (zone, drained))
 
+/// Reverses a displacement: makes the displaced instance active again and its successor displaced.
+/// No effect when the successor is not active any more.
+struct ReverseDisplacementCommand {
+  traffic::InstanceId displaced;
+  traffic::InstanceId successor;
+};
+BOOST_DESCRIBE_STRUCT(ReverseDisplacementCommand, (), (displaced, successor))
+
 using CommandBody =
     std::variant<SubmitBundleCommand, bundle::SignatureCommand, RollBundleCommand,
                  RegisterServerCommand, LoseServerCommand, AssignShardsCommand, BeginMovesCommand,
@@ -163,7 +171,7 @@
                  RemoveServerCommand, ChangeConfigurationCommand, ReportInstancesCommand,
                  DeregisterInstanceCommand, AssignRangesCommand, ReleaseRangesCommand,
                  ConfirmRangesCommand, RecordSuspectsCommand, ClearSuspectsCommand,
-                 DrainZoneCommand>;
+                 DrainZoneCommand, ReverseDisplacementCommand>;
 
 /// A log entry's payload. The struct around the variant makes it an Avro record.
 struct Command {
--- a/src/control/displacement.h
+++ b/src/control/displacement.h
@@ -1,11 +1,14 @@
 /// @file
-/// Determines which of two instances that reported from one address has terminated.
+/// Finds displaced instances that appear to be running, and the instances that displaced them.
 ///
 /// An address belongs to one process at a time, so an instance that reported from it earlier has
-/// terminated. But heartbeats may be delayed: if a process terminates before its first heartbeat
-/// arrives, that heartbeat may be received after those of the next process at the address. The
-/// terminated process then becomes the address's holder and displaces a live instance. The two
-/// cases are distinguished by the maximum delay of a heartbeat.
+/// terminated. But heartbeats may be delayed without bound: if a process terminates before its
+/// first heartbeat arrives, that heartbeat may be received after those of the next process at the
+/// address. The terminated process then becomes the address's holder and displaces a live instance.
+///
+/// The order in which heartbeats arrive therefore proves nothing. A displaced instance keeps its
+/// leases until it has released them, another process has answered an order at its address, or they
+/// have expired; and a displacement can be reversed any number of times.
 #pragma once
 
 #include <vector>
@@ -15,30 +18,16 @@
 
 namespace graniteseam::control {
 
-/// Maximum time from the sending of a heartbeat until the leader has processed it; an assumption of
-/// docs/design/platform.md.
-inline constexpr Duration kHeartbeatDelayMaximum{10'000'000};
-
-/// Whether a displaced instance has certainly terminated, so that no order sent to it can take
-/// effect: its first heartbeat arrived so long before its successor's that the successor's can't be
-/// a delayed one of an earlier process. False for an instance that is not displaced. Also false if
-/// the successor is a later incarnation with the same name and address: it accepts delayed orders
-/// for the earlier one. Its answer to a release shows that it has seen a higher fence, and it
-/// refuses such orders from then on.
-bool HasProvablyEnded(const traffic::InstanceTable& instances, const InstanceLiveness& liveness,
-                      const traffic::InstanceId& id);
-
-/// The recorded holder of an address that terminated before the displaced instance, which is proven
-/// to be alive, started.
-struct StaleAddressHolder {
-  traffic::InstanceId id;
-  traffic::InstanceReport displaced;  ///< The last report of the live instance.
+/// An instance that displaced another one and has been silent since, while the other one is heard
+/// of.
+struct ReversibleDisplacement {
+  traffic::InstanceId displaced;
+  traffic::InstanceId successor;
 };
 
-/// Finds the holders that are unreachable and whose displaced instance sent a heartbeat so much
-/// later than theirs that it can't be a delayed one.
-std::vector<StaleAddressHolder> FindStaleAddressHolders(const traffic::InstanceTable& instances,
-                                                        const InstanceLiveness& liveness,
-                                                        Instant now);
+/// Finds the displacements whose successor is unreachable and whose displaced instance has sent
+/// several heartbeats since the successor's last one.
+std::vector<ReversibleDisplacement> FindReversibleDisplacements(
+    const traffic::InstanceTable& instances, const InstanceLiveness& liveness, Instant now);
 
 }  // namespace graniteseam::control
--- a/src/control/instance_liveness.h
+++ b/src/control/instance_liveness.h
@@ -21,15 +21,14 @@
 
   /// Records the arrival of a heartbeat.
   void RecordHeartbeat(const traffic::InstanceId& id, Instant now) {
-    HeartbeatTimes& times =
-        heartbeat_times_.try_emplace(id, HeartbeatTimes{now, {}, now}).first->second;
+    HeartbeatTimes& times = heartbeat_times_.try_emplace(id, HeartbeatTimes{{}, now}).first->second;
     if (now - times.last >= kDuplicateWithin) times.previous = times.last;
     times.last = now;
   }
 
   /// Whether the time without a heartbeat exceeds the limit.
   bool IsUnreachable(const traffic::InstanceId& id, Instant now) const {
-    return now - LastHeartbeatAt(id).value_or(start_) > unreachable_after_;
+    return now - LastHeartbeatOrStart(id) > unreachable_after_;
   }
 
   /// Whether a heartbeat arrived at `since` or later.
@@ -44,16 +43,15 @@
     return found != heartbeat_times_.end() && found->second.previous >= since;
   }
 
-  /// When the first heartbeat in this leadership arrived; nullopt if there was none.
-  std::optional<Instant> FirstHeartbeatAt(const traffic::InstanceId& id) const {
-    const auto found = heartbeat_times_.find(id);
-    return found == heartbeat_times_.end() ? std::nullopt : std::optional(found->second.first);
-  }
   /// When the last heartbeat in this leadership arrived; nullopt if there was none.
   std::optional<Instant> LastHeartbeatAt(const traffic::InstanceId& id) const {
     const auto found = heartbeat_times_.find(id);
     return found == heartbeat_times_.end() ? std::nullopt : std::optional(found->second.last);
   }
+  /// The same, with the start of the leadership if there was none.
+  Instant LastHeartbeatOrStart(const traffic::InstanceId& id) const {
+    return LastHeartbeatAt(id).value_or(start_);
+  }
 
  private:
   /// A heartbeat that follows another one within this time may be a resent copy of it.
@@ -61,7 +59,6 @@
 
   /// Arrival times of an instance's heartbeats.
   struct HeartbeatTimes {
-    Instant first;
     Instant previous;  ///< The heartbeat before `last` that is not a copy of it; Instant{} for
                        ///< none.
     Instant last;
--- a/src/control/range_controller.cc
+++ b/src/control/range_controller.cc
@@ -4,8 +4,6 @@
 #include <ratio>
 #include <utility>
 
-#include "src/control/displacement.h"
-
 namespace graniteseam::control {
 namespace {
 
@@ -28,9 +26,11 @@
 /// pauses.
 constexpr std::size_t kOrdersAtOnce = 16;
 constexpr Duration kOrdersPause{12'000};
-/// Retention of the heartbeat record of an instance that is gone: longer than a heartbeat may be
-/// late.
-constexpr Duration kHeartbeatStatusRetention = 6 * kHeartbeatDelayMaximum;
+/// Minimum retention of the heartbeat record of an instance that is gone.
+constexpr Duration kHeartbeatStatusRetention{60'000'000};
+/// An instance that is heard of this long after another process answered at its address is asked
+/// again: that answer may have been wrong. A heartbeat that is later than this costs one order.
+constexpr Duration kReplacementReviewAfter{10'000'000};
 /// Load admitted for a hot key, relative to its owner's capacity: slightly above 1, so that the
 /// owner stays fully used although requests arrive unevenly.
 constexpr double kTargetUtilization = 1.1;
@@ -152,7 +152,9 @@
   std::erase_if(heartbeat_status_, [&](const auto& entry) {
     const traffic::Instance* const instance = state_.instances().Find(entry.first);
     const bool gone = instance == nullptr || instance->IsGone();
-    return gone && now - entry.second.last_heartbeat > kHeartbeatStatusRetention;
+    // A record that is created again by a late heartbeat must not prove a release.
+    const bool may_hold = grant_ends_.contains(entry.first);
+    return gone && !may_hold && now - entry.second.last_heartbeat > kHeartbeatStatusRetention;
   });
 }
 
@@ -272,16 +274,13 @@
   if (status.released) return status.handover.empty() ? "released" : "released with a handover";
   if (status.refused) return "the owner refused the fence";
   if (replaced_.contains(range.owner)) return "another process answered at its address";
-  const bool displaced = HasProvablyEnded(state_.instances(), liveness_, range.owner);
-  return displaced ? "another instance reported from its address" : "the last lease expired";
+  return "the last lease expired";
 }
 
 bool RangeController::HasEnded(const traffic::InstanceId& instance) const {
   const auto replaced = replaced_.find(instance);
-  if (replaced == replaced_.end()) return HasProvablyEnded(state_.instances(), liveness_, instance);
-  // An instance that still sends heartbeats this long after that answer is running: the answer was
-  // wrong.
-  return !liveness_.HasHeartbeatSince(instance, replaced->second + kHeartbeatDelayMaximum);
+  return replaced != replaced_.end() &&
+         !liveness_.HasHeartbeatSince(instance, replaced->second + kReplacementReviewAfter);
 }
 
 std::vector<CommandBody> RangeController::Decide(Instant now) {
--- a/src/control/range_controller.h
+++ b/src/control/range_controller.h
@@ -32,11 +32,11 @@
 ///
 /// Invariant: a span is assigned to another instance only when its owner has confirmed the release,
 /// when every grant that may have reached the owner has expired on the owner's own clock, or when
-/// the owner's process has provably ended: another process answered an order to it, or reported
-/// from its address and is not a predecessor of it (displacement.h). Orders that were sent to the
-/// owner earlier have no effect on the other process, because each names its instance. Tolerates a
-/// crash, partition or pause of an owner; another process at its address; lost and late orders and
-/// heartbeats; loss of the leader.
+/// another process answered an order to the owner at its address, so that the owner's process has
+/// ended. Orders that were sent to the owner earlier have no effect on the other process, because
+/// each names its instance. The order in which heartbeats arrive proves nothing, because any of
+/// them may be late by any time (displacement.h). Tolerates a crash, partition or pause of an
+/// owner; another process at its address; lost and late orders and heartbeats; loss of the leader.
 ///
 /// Deterministic; not thread safe; `now` never decreases.
 class RangeController {
@@ -157,7 +157,7 @@
   /// The time at which a grant has certainly expired on its owner's clock.
   Instant EndOfGrant(Duration length, Instant received) const;
   bool MustRelease(const traffic::KeyRange& range) const;
-  /// Whether an instance's process has provably ended.
+  /// Whether another process answered an order to the instance, which proves that it has ended.
   bool HasEnded(const traffic::InstanceId& instance) const;
 
   void Note(std::string_view what, const traffic::KeyRange& range, const traffic::KeySpan& span,
--- a/src/control/replicated_state.cc
+++ b/src/control/replicated_state.cc
@@ -223,6 +223,10 @@
   Keep(outcome, [&] { return traffic_.DrainZone(command.zone, command.drained, version()); });
 }
 
+void ReplicatedState::Run(const ReverseDisplacementCommand& command, ApplyOutcome& /*outcome*/) {
+  traffic_.ReverseDisplacement(command.displaced, command.successor, version());
+}
+
 std::string ReplicatedState::Save() const {
   ReplicatedStateImage image;
   image.applied = applied_;
--- a/src/control/replicated_state.h
+++ b/src/control/replicated_state.h
@@ -112,6 +112,7 @@
   void Run(const RecordSuspectsCommand& command, ApplyOutcome& outcome);
   void Run(const ClearSuspectsCommand& command, ApplyOutcome& outcome);
   void Run(const DrainZoneCommand& command, ApplyOutcome& outcome);
+  void Run(const ReverseDisplacementCommand& command, ApplyOutcome& outcome);
 
   /// Applies the service definitions of a newly rolled bundle.
   void AdoptServices(const bundle::Bundle& bundle);
--- a/src/control/traffic_leader.h
+++ b/src/control/traffic_leader.h
@@ -102,7 +102,7 @@
   std::vector<CommandBody> Decide(Instant now) {
     if (state_.applied() < proposed_) return {};
     std::vector<CommandBody> commands = ranges_.Decide(now);
-    if (now >= stale_address_check_due_) DeregisterStaleAddressHolders(commands, now);
+    if (now >= displacement_check_due_) ReverseDisplacements(commands, now);
     suspect_detector_.Decide(commands, now);
     DrainLeaving(commands);
     return commands;
@@ -144,17 +144,15 @@
 
   /// The part of the bound of warming-up instances that is granted to owners.
   static constexpr double kWarmUpPart = 0.5;
-  /// Interval of the check for displaced instances that are still running.
-  static constexpr Duration kStaleAddressCheckInterval{1'000'000};
-
-  /// Returns an address to the instance that is still running.
-  void DeregisterStaleAddressHolders(std::vector<CommandBody>& commands, Instant now) {
-    stale_address_check_due_ = now + kStaleAddressCheckInterval;
-    for (StaleAddressHolder& one :
-         FindStaleAddressHolders(state_.traffic().instances(), liveness_, now)) {
-      commands.emplace_back(DeregisterInstanceCommand{one.id});
-      ++one.displaced.sequence;  // A higher sequence, so that the report is accepted.
-      commands.emplace_back(ReportInstancesCommand{{one.displaced}});
+  /// Interval of the check for displaced instances that appear to be running.
+  static constexpr Duration kDisplacementCheckInterval{1'000'000};
+
+  /// Returns addresses to the instances that appear to be running there.
+  void ReverseDisplacements(std::vector<CommandBody>& commands, Instant now) {
+    displacement_check_due_ = now + kDisplacementCheckInterval;
+    for (const ReversibleDisplacement& one :
+         FindReversibleDisplacements(state_.traffic().instances(), liveness_, now)) {
+      commands.emplace_back(ReverseDisplacementCommand{one.displaced, one.successor});
     }
   }
 
@@ -185,7 +183,7 @@
   QuotaLedger quotas_;
   LogIndex proposed_;
   std::set<traffic::InstanceId> leaving_;  ///< As routers reported since the last decision.
-  Instant stale_address_check_due_{};
+  Instant displacement_check_due_{};
 };
 
 }  // namespace graniteseam::control
--- a/src/traffic/instance_table.cc
+++ b/src/traffic/instance_table.cc
@@ -125,6 +125,25 @@
   changed.push_back(displaced.report.id);
 }
 
+bool InstanceTable::ReverseDisplacement(const InstanceId& displaced, const InstanceId& successor,
+                                        std::uint64_t log_index) {
+  const auto returning = instances_.find(displaced);
+  const Instance* const latter = Find(successor);
+  if (returning == instances_.end() || latter == nullptr) return false;
+  Instance& instance = returning->second;
+  const bool reversible =
+      instance.state == InstanceState::kDisplaced && latter->state != InstanceState::kDisplaced;
+  const Instance* const holder = FindByAddress(instance.report.address);
+  if (!reversible || (holder != nullptr && holder != latter)) return false;
+  std::vector<InstanceId> changed;
+  Displace(latter, displaced, log_index, changed);
+  instance.state = StateOf(instance.report);
+  instance.changed_at = log_index;
+  instances_by_address_[instance.report.address] = displaced;
+  changed_at_ = log_index;
+  return true;
+}
+
 void InstanceTable::RecordIncarnation(const InstanceId& id) {
   const std::int64_t started_at_ms = StartTimeMsOf(id);
   if (started_at_ms == 0) return;
--- a/src/traffic/instance_table.h
+++ b/src/traffic/instance_table.h
@@ -17,8 +17,8 @@
 ///
 /// Invariants:
 /// - A deregistered instance never becomes active again.
-/// - A displaced instance becomes active again only by a committed report while no other instance
-///   has its address. WouldChange() does not request such a commit.
+/// - A displaced instance becomes active again only by ReverseDisplacement(), or by a committed
+///   report while no other instance has its address. WouldChange() does not request such a commit.
 /// - A draining instance never accepts new work again.
 /// - At most one instance per address, and one incarnation per server name, is not gone.
 ///
@@ -41,6 +41,12 @@
   /// @return whether anything changed.
   bool Deregister(const InstanceId& id, std::uint64_t log_index);
 
+  /// Makes a displaced instance active again and displaces its successor. May be applied to the
+  /// same pair in turn: which of the two is running is never certain.
+  /// @return whether anything changed; false when another instance has the address by now.
+  bool ReverseDisplacement(const InstanceId& displaced, const InstanceId& successor,
+                           std::uint64_t log_index);
+
   /// Drains or undrains a zone. Instances of a drained zone, including those that register later,
   /// get no new work. After the undrain an instance counts as warming up until its next heartbeat.
   /// @return whether anything changed.
--- a/src/traffic/traffic_state.cc
+++ b/src/traffic/traffic_state.cc
@@ -25,6 +25,11 @@
   instances_.Deregister(id, log_index);
 }
 
+void TrafficState::ReverseDisplacement(const InstanceId& displaced, const InstanceId& successor,
+                                       std::uint64_t log_index) {
+  instances_.ReverseDisplacement(displaced, successor, log_index);
+}
+
 Result<void> TrafficState::DrainZone(const ZoneName& zone, bool drained, std::uint64_t log_index) {
   const bool known = instances_.drained_zones().contains(zone);
   if (drained && !known && instances_.WouldDrainLastReadyZone(zone)) {
--- a/src/traffic/traffic_state.h
+++ b/src/traffic/traffic_state.h
@@ -40,6 +40,9 @@
   void Report(const std::vector<InstanceReport>& reports, std::uint64_t log_index);
   /// Marks an instance as deregistered; see InstanceTable::Deregister().
   void Deregister(const InstanceId& id, std::uint64_t log_index);
+  /// Reverses a displacement; see InstanceTable::ReverseDisplacement().
+  void ReverseDisplacement(const InstanceId& displaced, const InstanceId& successor,
+                           std::uint64_t log_index);
   /// Drains or undrains a zone; idempotent.
   /// @return kFailedPrecondition when no instance of another zone accepts new work. A drain moves
   /// work to other zones; it must not stop the service.
