LOST: tell a peer that pauses from one that has vanished

Cause: TCP_USER_TIMEOUT of 3 s. It is meant for peers that acknowledge nothing, but Linux applies it to a closed window too, whose probes the peer acknowledges.

Server and client pool give up after 3 s of that, as before. TCP_USER_TIMEOUT stays at 60 s, for connections that are closed or at rest. Two further limits of slow readers: the write timeout of 10 s counts from the newest acknowledged bytes instead of the newest bytes that the kernel took, and a gateway's answer is not cut by it before its caller's deadline (60 s at most). What is held for slow readers stays bounded by the account, which evicts the slowest.

--- a/src/daemon/gateway/gateway_process.cc
+++ b/src/daemon/gateway/gateway_process.cc
@@ -387,6 +387,7 @@
   LiveExchange& live = live_.at(relay.request);
   event_http::Response answer = translator_.ForCaller(std::move(*live.answer), relay.hop);
   answer.bulk = relay.bulk;
+  answer.deliver_by = relay.deliver_by;
   Finish(relay.request, std::move(answer), "relayed");
 }
 
--- a/src/event_http/client_connection.cc
+++ b/src/event_http/client_connection.cc
@@ -67,6 +67,11 @@
   Close(true);
 }
 
+void ClientConnection::EndIfVanished(Instant now) {
+  if (!handler_ || !handed_over_ || !silence_.Exceeds(socket_, now)) return;
+  Fail(CallEnd::kLost);
+}
+
 bool ClientConnection::Silent() {
   char byte = 0;
   const ssize_t peeked = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
--- a/src/event_http/client_connection.h
+++ b/src/event_http/client_connection.h
@@ -12,6 +12,7 @@
 
 #include "src/event_http/answer_reader.h"
 #include "src/event_http/client_pool.h"
+#include "src/event_http/peer_silence.h"
 #include "src/event_http/read_buffer.h"
 #include "src/runtime/clock.h"
 
@@ -42,6 +43,9 @@
   /// Closes without calling the handler.
   void Drop();
 
+  /// Ends the call if the server has vanished: it acknowledges nothing of the request.
+  void EndIfVanished(Instant now);
+
   /// Whether the socket holds nothing unread: no bytes, no end and no fault of the connection.
   bool Silent();
 
@@ -86,6 +90,7 @@
   CallNumber number_;
   Call call_;
   ClientPool::Handler handler_;
+  PeerSilence silence_;
   AnswerReader answer_;
   ReadBuffer buffer_;
   std::uint64_t read_bytes_ = 0;
--- a/src/event_http/client_pool.cc
+++ b/src/event_http/client_pool.cc
@@ -101,6 +101,12 @@
     }
   }
   for (const auto& connection : old) connection->Drop();
+  std::vector<std::shared_ptr<ClientConnection>> calling;
+  for (const auto& [number, connection] : open_) {
+    if (connection) calling.push_back(connection);
+  }
+  const Instant now = runtime::BootTimeNow();
+  for (const auto& connection : calling) connection->EndIfVanished(now);
   sweep_.expires_after(kSweepInterval);
   sweep_.async_wait([weak = weak_from_this()](ErrorCode error) {
     const auto self = weak.lock();
--- a/src/event_http/message.h
+++ b/src/event_http/message.h
@@ -9,6 +9,8 @@
 #include <string_view>
 #include <vector>
 
+#include "graniteseam/common/time.h"
+
 namespace graniteseam::event_http {
 
 class ByteCharge;
@@ -59,6 +61,8 @@
   /// A large response whose caller waits for the whole of it: it may be written more slowly than
   /// others.
   bool bulk = false;
+  /// Until then the client may pause for longer than ServerOptions::write_timeout.
+  Instant deliver_by{};
   /// Accounts for the body as long as the response exists; null: nothing does.
   std::shared_ptr<const ByteCharge> charge{};
 };
--- a/src/event_http/server.h
+++ b/src/event_http/server.h
@@ -44,7 +44,8 @@
   std::function<void(const Eviction&)> on_eviction;
   /// Limit of an account of its own.
   std::size_t body_bytes_total = std::size_t{96} << 20;
-  /// A client that takes no bytes of its answer for so long is hung up on.
+  /// A client that takes no bytes of its answer for so long is hung up on, but not before
+  /// Response::deliver_by. One that does not even acknowledge is hung up on by PeerSilence.
   Duration write_timeout{10'000'000};
   /// Whether a request may run in parallel with others of its connection. It must be idempotent and
   /// have a safe method (RFC 9112, section 9.3.2). Empty: requests of a connection run one after
--- a/src/event_http/server_connection.cc
+++ b/src/event_http/server_connection.cc
@@ -1,5 +1,6 @@
 #include "src/event_http/server_connection.h"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <string>
 #include <utility>
@@ -125,11 +126,19 @@
 }
 
 void ServerConnection::CountAcknowledged(Instant now) {
+  const Instant before = std::exchange(acknowledged_checked_at_, now);
   if (!writing_) return;
   const std::size_t waiting = UnacknowledgedBytes(socket_);
   if (written_bytes_ <= waiting + acknowledged_bytes_) return;
   download_rate_.Record(written_bytes_ - waiting - acknowledged_bytes_, now);
   acknowledged_bytes_ = written_bytes_ - waiting;
+  // It may have been acknowledged right after the check before.
+  last_written_ = std::max(last_written_, before);
+}
+
+bool ServerConnection::WriteStalls(Instant now) const {
+  const auto server = server_.lock();
+  return !server || (now > deliver_by_ && now - last_written_ > server->options().write_timeout);
 }
 
 // --- The end of a connection ---
@@ -139,10 +148,14 @@
   if (!server || closed_) return;
   CountAcknowledged(now);
   const Duration quiet = now - last_activity_;
+  if ((writing_ || lingering_) && silence_.Exceeds(socket_, now)) {
+    DiscardOnClose(socket_);
+    return Close();
+  }
   if (lingering_) {
     if (quiet > kLinger) FinishLinger();
   } else if (writing_) {
-    if (now - last_written_ > server->options().write_timeout) Close();
+    if (WriteStalls(now)) Close();
   } else if (!pipeline_.empty()) {
     return;
   } else if (parser_ && !parser_->is_header_done()) {
--- a/src/event_http/server_connection.h
+++ b/src/event_http/server_connection.h
@@ -13,6 +13,7 @@
 #include "src/event_http/byte_account.h"
 #include "src/event_http/framing_limit.h"
 #include "src/event_http/head_fields.h"
+#include "src/event_http/peer_silence.h"
 #include "src/event_http/pipeline.h"
 #include "src/event_http/rate_meter.h"
 #include "src/event_http/read_buffer.h"
@@ -160,6 +161,8 @@
   /// Ends the connection and returns all that it holds.
   /// @return handlers of clients that go, which are to be called.
   std::vector<std::function<void()>> Release();
+  /// Whether the client has taken no bytes of the response being written for too long.
+  bool WriteStalls(Instant now) const;
   /// Counts what the client has acknowledged of what was written: the socket takes far more ahead.
   void CountAcknowledged(Instant now);
 
@@ -181,6 +184,7 @@
   RateMeter download_rate_;             ///< Of the response being written.
   std::size_t written_bytes_ = 0;       ///< Of all responses.
   std::size_t acknowledged_bytes_ = 0;  ///< Of these.
+  Instant acknowledged_checked_at_{};
   ResponseOutput output_;
   std::size_t write_end_ = 0;         ///< Up to here the output may be written now.
   std::size_t paced_bytes_left_ = 0;  ///< Of the output, counted by the pacer.
@@ -189,6 +193,8 @@
   Instant message_start_{};
   Instant last_activity_{};
   Instant last_written_{};  ///< When the client last took bytes of the response being written.
+  Instant deliver_by_{};    ///< Of that response.
+  PeerSilence silence_;
   std::optional<int> refusal_status_;  ///< Set when the connection ends with a refusal.
   bool refused_for_room_ = false;
   bool continued_ = false;
--- a/src/event_http/server_connection_writing.cc
+++ b/src/event_http/server_connection_writing.cc
@@ -56,6 +56,7 @@
 
 void ServerConnection::Write(Response response, bool close) {
   const bool bulk = response.bulk;
+  deliver_by_ = response.deliver_by;
   writing_ = true;
   write_closes_ = close;
   output_ = {std::move(response), close};
--- a/src/event_http/socket_options.cc
+++ b/src/event_http/socket_options.cc
@@ -9,7 +9,7 @@
 namespace graniteseam::event_http {
 namespace {
 
-constexpr unsigned kUnacknowledgedMs = 3'000;
+constexpr unsigned kNothingTakenMaximumMs = 60'000;
 
 }  // namespace
 
@@ -17,7 +17,7 @@
   boost::system::error_code ignored;
   socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
   static_cast<void>(::setsockopt(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
-                                 &kUnacknowledgedMs, sizeof(kUnacknowledgedMs)));
+                                 &kNothingTakenMaximumMs, sizeof(kNothingTakenMaximumMs)));
 }
 
 std::size_t UnacknowledgedBytes(const boost::asio::ip::tcp::socket& socket) {
--- a/src/gateway/gateway_events.h
+++ b/src/gateway/gateway_events.h
@@ -225,6 +225,7 @@
   bool bulk =
       false;  ///< Its route's answers are large, and may be written more slowly than others.
   std::optional<HopReport> hop{};  ///< For the gateway that forwarded the request.
+  Instant deliver_by{};            ///< Until then the caller may pause while it reads.
 };
 /// Statuses that promise nothing of whether a request has run.
 enum class UnknownOutcomeStatus { kBadGateway = 502, kGatewayTimeout = 504 };
--- a/src/gateway/request_ending.cc
+++ b/src/gateway/request_ending.cc
@@ -1,4 +1,5 @@
 // The end of an attempt and of a request: answer, retry or refusal.
+#include <algorithm>
 #include <string>
 
 #include "graniteseam/common/duration_text.h"
@@ -14,6 +15,8 @@
 constexpr Duration kOwnerRetry{30'000};
 /// How long an owner that replied that it does not own the range gets no request for it.
 constexpr Duration kStaleOwnerPeriod{400'000};
+/// A caller that takes nothing of its answer is not waited for longer, whatever its deadline.
+constexpr Duration kDeliveryMaximum{60'000'000};
 
 std::string AfterMs(Duration taken) { return ", after " + InMs(taken); }
 
@@ -83,6 +86,7 @@
 void GatewayNode::Relay(LiveRequest& request) {
   const bool bulk = request.kind == traffic::RouteKind::kDownload;
   RelayAnswer relay{request.arrived.number, bulk};
+  relay.deliver_by = request.received + std::min(request.arrived.time_left, kDeliveryMaximum);
   if (request.arrived.hop) relay.hop = HopReport{request.tried.back(), configuration()};
   effects_.actions.emplace_back(std::move(relay));
   Remove(request);
--- a/tests/support/raw_client.h
+++ b/tests/support/raw_client.h
@@ -11,6 +11,8 @@
 #include <cstdint>
 #include <string>
 
+#include "tests/support/vanishing_socket.h"
+
 namespace graniteseam::test {
 
 class RawClient {
@@ -42,6 +44,9 @@
   /// Says that nothing more is sent; reading goes on.
   void EndSending() { shutdown(descriptor_, SHUT_WR); }
 
+  /// From now on its system acknowledges nothing, as if its machine were gone.
+  void Vanish() { graniteseam::test::Vanish(descriptor_); }
+
   /// What has arrived, `most` bytes of it, without waiting.
   /// @param[out] closed is set once the other side closed; left as it is otherwise.
   std::string ReadArrived(std::size_t most, bool& closed) {
