CONFIG: a live request always has a timer

Cause: a request that waits was left without a timer where its next try lay in the future, and both places that end requests without a timer passed such ones over. One way in: an owner turns a request away, its next try is 30 ms on, its hold is a fifth of the target, and the gateway knows of a newer configuration that it may not forward the request to any more. With targets below 150 ms the hold is over when its timer fires, and no timer follows.

Change: LiveRequests lists the requests without a timer and bounds each timer by the request's deadline. An event that leaves a request without a timer ends it: at once where TryNext() says that its wait is over, and in EndUntimed() for any other course, with the event timer_missing. The simulator takes both a request without a timer and a timer_missing for a violation after each step.

--- a/simulation/traffic_world/gateway_process.cc
+++ b/simulation/traffic_world/gateway_process.cc
@@ -178,9 +178,16 @@
         std::visit([this](auto const& one) { act(one); }, action);
     for (auto const& result : effects.slot_results)
         world_.Count(name_of(result.kind));
-    for (auto const& note : effects.notes)
+    if (!m_node->EachRequestHasTimer())
+        world_.oracle.Violate(world_.now(), ToString(name()) + " holds a request without a timer");
+    for (auto const& note : effects.notes) {
+        if (note.what == "timer_missing")
+            world_.oracle.Violate(world_.now(),
+                ToString(name()) + " lost the timer of request " + std::to_string(note.request.value) + ": "
+                    + note.inputs);
         world_.Trace(ToString(name()) + " " + std::to_string(note.request.value) + " "
             + std::string(note.what) + " " + note.instance.value + ": " + note.inputs);
+    }
 }
 
 auto GatewayProcess::act(gateway::SendAttempt const& send) -> void
--- a/src/gateway/gateway_node.cc
+++ b/src/gateway/gateway_node.cc
@@ -474,9 +474,26 @@
 
 GatewayEffects GatewayNode::Finish(Instant now) {
   SendSlotMessages(now);
+  EndUntimed(now);
   return std::exchange(effects_, {});
 }
 
+void GatewayNode::EndUntimed(Instant now) {
+  while (LiveRequest* const request = requests_.find_untimed()) {
+    const bool in_flight = request->record.open().has_value();
+    Note(request->arrived.number, "timer_missing", {},
+         std::string(in_flight ? "in flight" : ReasonName(request->waits_for)) + ", after " +
+             InMs(now - request->received));
+    if (in_flight && now < request->give_up) {
+      requests_.set_timer(*request, request->give_up);
+    } else if (now < request->give_up) {
+      End(*request, request->waits_for, now);
+    } else {
+      GiveUp(*request, now);
+    }
+  }
+}
+
 std::vector<RouterId> GatewayNode::ApplyPeers(const traffic::PeerUpdate& update) {
   const traffic::PeerVersion before = coordinators_.version();
   std::vector<RouterId> gone = coordinators_.apply(update);
--- a/src/gateway/gateway_node.h
+++ b/src/gateway/gateway_node.h
@@ -112,6 +112,10 @@
   /// When to call Tick() next; Instant::max() when no timer is set.
   Instant NextTick() const;
 
+  /// Whether each request has a timer: no request waits for an event that may never come. True
+  /// between any two events.
+  bool EachRequestHasTimer() const { return !requests_.has_untimed(); }
+
   /// The next poll to control, including the loads counted since the last call.
   traffic::TrafficPoll TakePoll(Instant now);
 
@@ -225,6 +229,8 @@
                         Instant now);
   /// Sends the messages of coordinated admission that are due and returns the effects of the event.
   GatewayEffects Finish(Instant now);
+  /// Ends the requests that the event left without a timer.
+  void EndUntimed(Instant now);
 
   // request_sending.cc
   void ServeWaiting(const ServiceName& service, Instant now);
--- a/src/gateway/live_requests.cc
+++ b/src/gateway/live_requests.cc
@@ -1,5 +1,7 @@
 #include "src/gateway/live_requests.h"
 
+#include <algorithm>
+
 namespace graniteseam::gateway {
 namespace {
 
@@ -14,6 +16,7 @@
   request.arrived = arrived;
   request.received = now;
   request.hold_from = now;
+  m_untimed.insert(arrived.number);
   return request;
 }
 
@@ -26,6 +29,7 @@
   auto const number = request.arrived.number;
   dequeue(request);
   m_timers.erase({request.timer, number});
+  m_untimed.erase(number);
   m_unrouted.erase(number);
   m_requests.erase(number);
 }
@@ -37,9 +41,16 @@
 }
 
 auto LiveRequests::set_timer(LiveRequest& request, Instant at) -> void {
-  m_timers.erase({request.timer, request.arrived.number});
-  request.timer = at;
-  if (at != Instant{}) m_timers.insert({at, request.arrived.number});
+  auto const number = request.arrived.number;
+  m_timers.erase({request.timer, number});
+  if (at == Instant{}) {
+    request.timer = {};
+    m_untimed.insert(number);
+    return;
+  }
+  request.timer = std::min(at, request.give_up);
+  m_timers.insert({request.timer, number});
+  m_untimed.erase(number);
 }
 
 auto LiveRequests::take_due(Instant now) -> LiveRequest* {
@@ -53,6 +64,10 @@
   return m_timers.empty() ? Instant::max() : m_timers.begin()->first;
 }
 
+auto LiveRequests::find_untimed() -> LiveRequest* {
+  return m_untimed.empty() ? nullptr : &m_requests.at(*m_untimed.begin());
+}
+
 auto LiveRequests::enqueue(LiveRequest& request) -> void {
   request.waiting = true;
   m_queues[request.service].insert(place_of(request));
--- a/src/gateway/live_requests.h
+++ b/src/gateway/live_requests.h
@@ -14,7 +14,9 @@
 /// Container of live requests.
 ///
 /// Invariants: each queued or timed entry refers to a live request; a request has at most one
-/// timer, the one in its `timer`; it is in its service's queue exactly while its `waiting` is set.
+/// timer, the one in its `timer`, which is not later than its `give_up`; it is in its service's
+/// queue exactly while its `waiting` is set. A request without a timer is listed as untimed: its
+/// owner ends it before the event that it handles is over, because nothing else would.
 /// Not thread safe. References stay valid until their request is erased.
 class LiveRequests {
  public:
@@ -29,12 +31,15 @@
   auto numbers() const -> std::vector<RequestNumber>;
 
   /// Replaces the request's timer.
-  /// @param at Instant{} for none.
+  /// @param at is brought forward to its `give_up`; Instant{} for none.
   auto set_timer(LiveRequest& request, Instant at) -> void;
   /// Clears the timer of a due request and returns the request; null when none is due.
   auto take_due(Instant now) -> LiveRequest*;
   /// The earliest timer; Instant::max() when none is set.
   auto next_timer() const -> Instant;
+  /// A request without a timer; null when each one has one.
+  auto find_untimed() -> LiveRequest*;
+  auto has_untimed() const -> bool { return !m_untimed.empty(); }
 
   auto enqueue(LiveRequest& request) -> void;
   auto dequeue(LiveRequest& request) -> void;
@@ -57,6 +62,7 @@
   std::set<RequestNumber> m_unrouted;
   std::map<ServiceName, std::set<WaitingPlace>> m_queues;
   std::set<std::pair<Instant, RequestNumber>> m_timers;
+  std::set<RequestNumber> m_untimed;
 };
 
 }  // namespace graniteseam::gateway
--- a/src/gateway/request_sending.cc
+++ b/src/gateway/request_sending.cc
@@ -34,10 +34,9 @@
       continue;
     }
     if (TryNext(request, now) != Step::kWaits) continue;
-    const bool held = request.not_before > now;
-    if (request.timer == Instant{} && !held) {
+    if (request.timer == Instant{}) {
       End(request, request.waits_for, now);
-    } else if (!keyed && !held) {
+    } else if (!keyed && request.not_before <= now) {
       return HoldBehind(place, places, now);
     }
   }
--- a/src/gateway/slot_requests.cc
+++ b/src/gateway/slot_requests.cc
@@ -198,9 +198,7 @@
   if (TryNext(request, now) == Step::kSent) return;
   // What blocks it may last longer than the server should be kept idle.
   if (request.slot.granted) WithdrawSlot(request);
-  if (request.timer == Instant{} && request.not_before <= now) {
-    End(request, request.waits_for, now);
-  }
+  if (request.timer == Instant{}) End(request, request.waits_for, now);
 }
 
 }  // namespace graniteseam::gateway
