--- a/src/event_http/client_connection.cc
+++ b/src/event_http/client_connection.cc
@@ -75,7 +75,11 @@
 bool ClientConnection::Silent() {
   char byte = 0;
   const ssize_t peeked = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return peeked < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  if (peeked >= 0) return false;
+  const ErrorCode error(errno, boost::system::system_category());
+  if (error == asio::error::would_block || error == asio::error::try_again) return true;
+  NoteError(error);
+  return false;
 }
 
 Duration ClientConnection::ConnectLimit() const {
@@ -177,7 +181,8 @@
       [self = shared_from_this(), number = number_](ErrorCode error, std::size_t bytes) {
         if (self->number_ != number) return;
         if (error) {
-          // The read end tells why, and may still bring an answer.
+          self->NoteError(error);
+          // The read end may still bring an answer.
           self->handed_over_ = bytes > 0;
           const bool reads = self->buffer_.pending() || self->awaits_room_;
           if (!reads) self->Fail(CallEnd::kLost);
@@ -208,6 +213,13 @@
   Parse();
 }
 
+void ClientConnection::NoteError(const ErrorCode& error) {
+  // A reset that follows the server's orderly end is reported as a broken pipe (RFC 9112, section
+  // 8: an answer that ended in order is whole, although the request was not read to its end).
+  const bool ended_before = error == asio::error::broken_pipe;
+  if (!ended_before && error != asio::error::operation_aborted) broken_ = true;
+}
+
 void ClientConnection::Parse() {
   const AnswerState state = answer_.Read(buffer_);
   // A holder that was evicted for the answer may have been the one that waited for it.
@@ -253,7 +265,7 @@
 }
 
 void ClientConnection::OnEnd() {
-  if (!answer_.End()) return Fail(CallEnd::kLost);
+  if (broken_ || !answer_.End()) return Fail(CallEnd::kLost);
   ended_ = true;
   Settle();
 }
--- a/src/event_http/client_connection.h
+++ b/src/event_http/client_connection.h
@@ -72,6 +72,9 @@
   /// Reads nothing until the account may have room for the answer.
   void AwaitRoom();
   void OnRoom();
+  /// Records an error of the socket. The kernel reports each one once, to whichever operation comes
+  /// next, and says afterwards that the stream has ended.
+  void NoteError(const boost::system::error_code& error);
   /// The server closed: that ends an answer without a length, and cuts off every other.
   void OnEnd();
   /// Hands the answer over, which may be whole before the request is known to be written. The
@@ -102,6 +105,7 @@
   bool handed_over_ = false;
   bool written_ = false;
   bool ended_ = false;
+  bool broken_ = false;          ///< Some bytes that the server sent may never arrive.
   bool awaits_room_ = false;     ///< Nothing is read meanwhile.
   bool awaited_room_ = false;    ///< At some time of the present call.
   bool asked_for_room_ = false;  ///< The account tells this connection when bytes are returned.
--- a/testbed/registered/answer_fault_proxy.cc
+++ b/testbed/registered/answer_fault_proxy.cc
@@ -46,10 +46,21 @@
 }  // namespace
 
 auto NameOf(AnswerFault fault) -> std::string_view {
-  constexpr std::array<std::string_view, kAnswerFaults> kNames = {
-      "none",         "repeated",     "rejection_appended", "reset",          "closed",
-      "cut",          "withheld",     "malformed",          "unmarked",       "interim",
-      "endless_head", "endless_body", "endless_extension",  "endless_trailer"};
+  constexpr std::array<std::string_view, kAnswerFaults> kNames = {"none",
+                                                                  "repeated",
+                                                                  "rejection_appended",
+                                                                  "reset",
+                                                                  "closed",
+                                                                  "cut",
+                                                                  "withheld",
+                                                                  "malformed",
+                                                                  "unmarked",
+                                                                  "interim",
+                                                                  "undelimited",
+                                                                  "endless_head",
+                                                                  "endless_body",
+                                                                  "endless_extension",
+                                                                  "endless_trailer"};
   return kNames[static_cast<std::size_t>(fault)];
 }
 
@@ -195,6 +206,9 @@
         return Write(Failure(proxy_->DrawBool() ? 503 : 429, id, /*marked=*/false));
       case AnswerFault::kInterim:
         return Write(kInterimAnswer + answer_);
+      case AnswerFault::kUndelimited:
+        Write(HalfWithoutLength());
+        return CloseWhenWritten(true);
       case AnswerFault::kEndlessHead:
         return WriteEndless(Begin(id) + "Long: ", "x");
       case AnswerFault::kEndlessBody:
@@ -206,6 +220,15 @@
     }
   }
 
+  /// The whole head but for the field that states the length, and half of the body.
+  auto HalfWithoutLength() const -> std::string {
+    auto const head_end = answer_.find("\r\n\r\n") + 4;
+    auto text = answer_.substr(0, head_end + (answer_.size() - head_end) / 2);
+    auto const field = text.find("\r\nContent-Length:");
+    if (field != std::string::npos) text.erase(field, text.find("\r\n", field + 2) - field);
+    return text;
+  }
+
   auto Failure(int status, std::string_view id, bool marked) const -> std::string {
     auto const& options = proxy_->options();
     auto text = "HTTP/1.1 " + std::to_string(status) + " Failure\r\nContent-Length: 0\r\n";
--- a/testbed/registered/answer_fault_proxy.h
+++ b/testbed/registered/answer_fault_proxy.h
@@ -26,6 +26,7 @@
   kMalformed,          ///< Bytes that are no answer, then a close.
   kUnmarked,           ///< The server's own 503 or 429, without the word that it did not run it.
   kInterim,            ///< A 103 before the answer.
+  kUndelimited,        ///< Half of the answer without its length, then a reset.
   // Without end, until the client closes:
   kEndlessHead,       ///< A field of the head.
   kEndlessBody,       ///< A body without a length.
@@ -33,7 +34,7 @@
   kEndlessTrailer,    ///< Fields of a trailer.
 };
 
-inline constexpr std::size_t kAnswerFaults = 14;
+inline constexpr std::size_t kAnswerFaults = 15;
 
 /// The name of a fault, for reports.
 auto NameOf(AnswerFault fault) -> std::string_view;
