Models and soak: heartbeats that are late by any time, and servers that pause

The models of keys bounded how late a process's first heartbeat is, as the code did, and could not find the fault in that bound. Both let it arrive at any time after the process's end now, and let control reverse a displacement at any time. DEFECT_DISPLACED_TAKEN_FOR_ENDED replaces two defects of the bound: that a displaced process comes back is no defect any more, since its keys are not free by its displacement.

--- a/model/heartbeat_leases/heartbeat_leases.pml
+++ b/model/heartbeat_leases/heartbeat_leases.pml
@@ -16,8 +16,7 @@
  * up and never takes its answer. A heartbeat may arrive at any later time, any number of times, or
  * never: the present call's, and those of two calls before. In place of sequence numbers each
  * carries whether it is newer than the newest that the leader took (`newer`), and than the one since
- * which all answers leave the key out (`after`); so the number of heartbeats is not bounded. The
- * first heartbeat of a process that arrives at all does so within LATE ticks after its end.
+ * which all answers leave the key out (`after`); so the number of heartbeats is not bounded.
  */
 
 #define LEASE 2
@@ -26,7 +25,6 @@
 #else
 #define COUNT LEASE
 #endif
-#define LATE 1
 #define LIVES 3
 #define MAXIMUM_FENCE 4
 #define OTHER 0
@@ -44,7 +42,6 @@
 bool answered = false;
 byte given = 0;      /* fence in the answer that is on its way; 0 leaves the key out */
 byte given_left = 0; /* LEASE minus the ticks since its heartbeat was sent */
-byte echo_left = 0;  /* ticks for which the second one's first heartbeat may arrive after its end */
 
 /* ---- Heartbeats on their way ---- */
 
@@ -62,10 +59,7 @@
 byte fence = 1;
 bool releasing = false;
 byte registered = 1;  /* of the address */
-byte young_left = 0;  /* ticks for which a heartbeat of its forerunner may arrive */
-bool heard[LIVES + 1]; /* a heartbeat arrived */
-bool barred[LIVES + 1]; /* displaced by another process at its address, and does not come back */
-bool ended[LIVES + 1]; /* the same, and its key is free at once */
+bool ended[LIVES + 1]; /* displaced, and its key is free at once: by a defect only */
 
 /* ---- The present leader ---- */
 
@@ -91,35 +85,6 @@
   call[k].life = 0; call[k].holds = false; call[k].newer = false; call[k].after = false
 }
 
-#ifdef DEFECT_DISPLACED_COMES_BACK
-#define BARRED(process) false
-#else
-#define BARRED(process) barred[process]
-#endif
-
-/* Forgets what no leader will take, so that fewer states differ. */
-inline ForgetBarred(k) {
-  if
-  :: call[k].life != 0 && BARRED(call[k].life) -> ClearCall(k)
-  :: else
-  fi
-}
-
-/* Who displaced another and was not displaced in turn is the one that lives. */
-inline BarOthers() {
-  barred[1] = barred[1] || (heard[1] && registered != 1);
-  barred[2] = barred[2] || (heard[2] && registered != 2);
-  barred[3] = barred[3] || (heard[3] && registered != 3);
-  ForgetBarred(0); ForgetBarred(1); ForgetBarred(NOW)
-}
-
-inline ForgetUnheard(k) {
-  if
-  :: call[k].life == 2 -> ClearCall(k)
-  :: else
-  fi
-}
-
 inline Tick() {
   FALL(lease_left);
   if
@@ -129,25 +94,7 @@
   FALL(sent_left);
   FALL(given_left);
   FALL(count_out);
-  FALL(taken_over);
-  if
-  :: echo_left > 0 ->
-     echo_left = echo_left - 1;
-     if
-     :: echo_left == 0 -> ForgetUnheard(0); ForgetUnheard(1); ForgetUnheard(NOW)
-     :: else
-     fi
-  :: else
-  fi;
-  if
-  :: young_left > 0 ->
-     young_left = young_left - 1;
-     if
-     :: young_left == 0 -> BarOthers()
-     :: else
-     fi
-  :: else
-  fi
+  FALL(taken_over)
 }
 
 /* ---- Steps of the process ---- */
@@ -215,40 +162,24 @@
   held = 0; lease_left = 0; seen = 0;
   GiveUpCall();
   ClearAnswer();
-  if
-  :: !heard[life] -> echo_left = LATE
-  :: else
-  fi;
   life = life + 1
 }
 
 /* ---- Steps of the leader ---- */
 
-/* The first heartbeat of a process displaces the one before at its address. One that is displaced
- * within LATE ticks of its first heartbeat may be the later one of both: its key waits for the end
- * of its lease, and a heartbeat brings it back in that time. */
-#ifdef DEFECT_YOUNG_ONE_TAKEN_FOR_ENDED
-#define DISPLACED_FOR_GOOD true
-#else
-#define DISPLACED_FOR_GOOD (young_left == 0)
-#endif
-
+/* The first heartbeat of a process displaces the one before at its address. It may be a late one of
+ * an earlier process, so the key of a displaced one waits for its release or the end of its lease;
+ * and a heartbeat of it reverses the displacement, since nothing tells for certain who lives. */
 inline Register(process) {
   if
   :: process != registered ->
-     ended[registered] = DISPLACED_FOR_GOOD;
-     barred[registered] = DISPLACED_FOR_GOOD;
+#ifdef DEFECT_DISPLACED_TAKEN_FOR_ENDED
+     ended[registered] = true;
+#endif
      registered = process;
-     ended[registered] = false; barred[registered] = false;
-     heard[registered] = true;
-     if
-     :: registered == 2 -> echo_left = 0
-     :: else
-     fi;
-     young_left = LATE;
+     ended[registered] = false;
      omits = false;
-     call[0].after = false; call[1].after = false; call[NOW].after = false;
-     ForgetBarred(0); ForgetBarred(1); ForgetBarred(NOW)
+     call[0].after = false; call[1].after = false; call[NOW].after = false
   :: else
   fi
 }
@@ -373,7 +304,7 @@
 }
 
 init {
-  d_step { heard[1] = true; count_out = COUNT; taken_over = COUNT }
+  d_step { count_out = COUNT; taken_over = COUNT }
   do
   :: atomic { true -> Tick() }
   :: atomic { true -> Call() }
--- a/model/key_orders/key_orders.pml
+++ b/model/key_orders/key_orders.pml
@@ -17,8 +17,7 @@
  * Network: an order goes to the address. It is carried out once, at any later time, or never, also
  * when control took it for lost; what runs at the address then takes it. Two are kept, the later
  * one in the last place. Heartbeats are not kept: one that is newer than all taken may arrive from
- * the process at any time, and after its end too; but the first one that arrives at all does so
- * within LATE ticks after the end.
+ * the process at any time, and at any time after its end too.
  *
  * A lease by an order that is carried out after control took it for lost, or after its leader was
  * followed by another, counts from an instant that nobody knows. Where the key then goes to another
@@ -32,7 +31,6 @@
 #else
 #define COUNT LEASE
 #endif
-#define LATE 2
 #define LIVES 3
 #define MAXIMUM_FENCE 7
 #define OTHER 0
@@ -51,7 +49,7 @@
 byte lease_left = 0;
 byte seen = 0;        /* highest fence that it saw */
 bool held_late = false; /* by an order that control took for lost */
-byte echo_left[LIVES + 1]; /* ticks for which the first heartbeat of an ended one may arrive */
+bool echo[LIVES + 1]; /* ended, and its first heartbeat may still arrive */
 
 /* ---- Orders ---- */
 
@@ -70,10 +68,8 @@
 byte fence = 1;
 bool releasing = false;
 byte registered = 1;  /* of the address */
-byte young_left = 0;  /* ticks for which a heartbeat of its forerunner may arrive */
 bool heard[LIVES + 1]; /* a heartbeat arrived */
-bool barred[LIVES + 1]; /* displaced, and does not come back */
-bool ended[LIVES + 1]; /* the same, and its keys are free at once */
+bool ended[LIVES + 1]; /* displaced, and its keys are free at once: by a defect only */
 
 /* ---- The present leader ---- */
 
@@ -92,29 +88,12 @@
 
 inline Release() { held = 0; lease_left = 0; held_late = false }
 
-/* Who displaced another and was not displaced in turn is the one that lives. */
-inline BarOthers() {
-  barred[1] = barred[1] || (heard[1] && registered != 1);
-  barred[2] = barred[2] || (heard[2] && registered != 2);
-  barred[3] = barred[3] || (heard[3] && registered != 3)
-}
-
 inline Tick() {
   FALL(lease_left);
   if
   :: lease_left == 0 -> Release()
   :: else
   fi;
-  FALL(echo_left[2]);
-  if
-  :: young_left > 0 ->
-     young_left = young_left - 1;
-     if
-     :: young_left == 0 -> BarOthers()
-     :: else
-     fi
-  :: else
-  fi;
   FALL(count_out)
 }
 
@@ -182,7 +161,7 @@
   Release();
   seen = 0;
   if
-  :: !heard[life] -> echo_left[life] = LATE
+  :: !heard[life] -> echo[life] = true
   :: else
   fi
 }
@@ -262,30 +241,20 @@
 /* Nothing runs at the address: the order is not delivered, and will be sent again. */
 #define CONNECTION_REFUSED (!up && OPEN && order[LAST].fate == under_way)
 
-/* A process that is displaced within LATE ticks of its first heartbeat may be the later one of both:
- * its keys wait for the end of its lease, and a heartbeat brings it back in that time. */
-#ifdef DEFECT_YOUNG_ONE_TAKEN_FOR_ENDED
-#define DISPLACED_FOR_GOOD true
-#else
-#define DISPLACED_FOR_GOOD (young_left == 0)
-#endif
-#ifdef DEFECT_DISPLACED_COMES_BACK
-#define BARRED(i) false
-#else
-#define BARRED(i) barred[i]
-#endif
+/* The first heartbeat of a process displaces the one before at its address. It may be a late one of
+ * an earlier process, so the keys of a displaced one wait for their release or the end of its lease.
+ * Control reverses a displacement at any time, since nothing tells it for certain who lives. */
 #define MAY_REGISTER(i) \
-  (i <= life && registered != i && !BARRED(i) && \
-   (heard[i] || (i == life && up) || echo_left[i] > 0))
+  (i <= life && registered != i && (heard[i] || (i == life && up) || echo[i]))
 
 inline Register(i) {
-  ended[registered] = DISPLACED_FOR_GOOD;
-  barred[registered] = DISPLACED_FOR_GOOD;
-  ended[i] = false; barred[i] = false;
+#ifdef DEFECT_DISPLACED_TAKEN_FOR_ENDED
+  ended[registered] = true;
+#endif
+  ended[i] = false;
   heard[i] = true;
-  echo_left[i] = 0;
-  registered = i;
-  young_left = LATE
+  echo[i] = false;
+  registered = i
 }
 
 #define OVER \
--- a/testbed/soak/soak.cc
+++ b/testbed/soak/soak.cc
@@ -402,7 +402,7 @@
             auto const fault = static_cast<AnswerFault>(i);
             text += fmt::format(" {} {},", NameOf(fault), faults.of(fault));
         }
-        text.pop_back();
+        text += fmt::format(" pauses {}", faults.pauses());
         return text;
     }
 
--- a/testbed/soak/soaked_fleet.cc
+++ b/testbed/soak/soaked_fleet.cc
@@ -41,8 +41,11 @@
     constexpr std::uint32_t late_heartbeat_every = 23;
     /// A worker that ended under a request is back after so long.
     constexpr Duration crashed_for {1'500'000};
-    /// A heartbeat that outlives its sender is held up for at most so long.
+    /// A heartbeat that outlives its sender is held up for so long at most; one in so many for longer than
+    /// any bound that its receiver could assume.
     constexpr std::uint32_t heartbeat_delay_spread_ms = 2'500;
+    constexpr std::uint32_t long_heartbeat_delay_every = 3;
+    constexpr std::uint32_t long_heartbeat_delay_spread_ms = 30'000;
     constexpr std::uint64_t statement_salt = 0x57a7'ed00'1115'0001;
     constexpr int exit_not_run = 127;
     /// Seeds that a process is told of, as the users' platform does.
@@ -493,7 +496,9 @@
 
 auto SoakedFleet::any_delay(std::uint32_t choice) -> Duration
 {
-    return std::chrono::milliseconds(choice % heartbeat_delay_spread_ms);
+    auto const is_long = choice % long_heartbeat_delay_every == 0;
+    return std::chrono::milliseconds(
+        choice % (is_long ? long_heartbeat_delay_spread_ms : heartbeat_delay_spread_ms));
 }
 
 auto SoakedFleet::delay_heartbeat(Worker& worker, std::uint32_t choice, Duration after) -> void
