Soak: take the pauses of the answer fault proxy out again

That is the stand-in's delay, and the check is right to count from the arrival. Pauses in both directions are tested over real sockets in tests/event_http/slow_peer_test.cc; a soak with them needs a stand-in that tells when a request began to arrive.

--- a/testbed/registered/answer_fault_proxy.cc
+++ b/testbed/registered/answer_fault_proxy.cc
@@ -36,11 +36,6 @@
 /// An endless answer goes on by this at a time.
 constexpr std::size_t kEndlessPieceBytes = 16'384;
 constexpr std::chrono::milliseconds kEndlessPause{1};
-/// One full read in so many is followed by a pause.
-constexpr std::uint64_t kFullReadsPerPause = 150;
-constexpr std::chrono::seconds kReadPause{4};
-/// Small, so that a pause closes the sender's window.
-constexpr int kReceiveBufferBytes = 65'536;
 constexpr char kMalformedAnswer[] = "HTTP/7 fine\r\n\x01\x02: \r\n\r\n";
 constexpr char kInterimAnswer[] = "HTTP/1.1 103 Early Hints\r\n\r\n";
 
@@ -91,7 +86,6 @@
     return std::chrono::milliseconds(random_() % kSurplusWithinMs);
   }
   auto DrawBool() -> bool { return random_() % 2 == 0; }
-  auto DrawPause() -> bool { return options_.part > 0 && random_() % kFullReadsPerPause == 0; }
 
  private:
   asio::io_context& context_;
@@ -111,13 +105,11 @@
       : proxy_(std::move(proxy)),
         client_(std::move(client)),
         server_(proxy_->context()),
-        endless_timer_(proxy_->context()),
-        pause_timer_(proxy_->context()) {}
+        endless_timer_(proxy_->context()) {}
 
   auto Start() -> void {
     ErrorCode ignored;
     client_.set_option(Tcp::no_delay(true), ignored);
-    client_.set_option(asio::socket_base::receive_buffer_size(kReceiveBufferBytes), ignored);
     server_.async_connect(proxy_->server(), [self = this->shared_from_this()](ErrorCode error) {
       if (error) return self->Close(true);
       ErrorCode none;
@@ -135,22 +127,13 @@
       if (error) return self->Close(true);
       self->WriteKeptBack();
       asio::async_write(self->server_, asio::buffer(self->from_client_, bytes),
-                        [self, bytes](ErrorCode failed, std::size_t) {
+                        [self](ErrorCode failed, std::size_t) {
                           if (self->closed_ || failed) return;
-                          bytes == kReadBytes && self->proxy_->DrawPause() ? self->PauseReading()
-                                                                           : self->ReadClient();
+                          self->ReadClient();
                         });
     });
   }
 
-  auto PauseReading() -> void {
-    if (proxy_->options().counts) proxy_->options().counts->AddPause();
-    pause_timer_.expires_after(kReadPause);
-    pause_timer_.async_wait([self = this->shared_from_this()](ErrorCode error) {
-      if (!error && !self->closed_) self->ReadClient();
-    });
-  }
-
   /// A surplus answer behind the begin of an endless one would end that, and make it a whole answer
   /// that no server gave.
   auto MayWriteSurplus() const -> bool { return !closes_ && endless_piece_.empty(); }
@@ -316,14 +299,12 @@
     client_.close(ignored);
     server_.close(ignored);
     endless_timer_.cancel();
-    pause_timer_.cancel();
   }
 
   std::shared_ptr<Proxy> const proxy_;
   Tcp::socket client_;
   Tcp::socket server_;
   asio::steady_timer endless_timer_;
-  asio::steady_timer pause_timer_;
   std::array<char, kReadBytes> from_client_{};
   std::array<char, kReadBytes> from_server_{};
   std::string unread_;
--- a/testbed/registered/answer_fault_proxy.h
+++ b/testbed/registered/answer_fault_proxy.h
@@ -46,12 +46,9 @@
   auto of(AnswerFault fault) const -> std::uint64_t {
     return counts_[static_cast<std::size_t>(fault)];
   }
-  auto AddPause() -> void { ++pauses_; }
-  auto pauses() const -> std::uint64_t { return pauses_; }
 
  private:
   std::array<std::atomic<std::uint64_t>, kAnswerFaults> counts_{};
-  std::atomic<std::uint64_t> pauses_{0};
 };
 
 struct AnswerFaultOptions {
@@ -62,7 +59,6 @@
   std::shared_ptr<AnswerFaultCounts> counts{};
 };
 
-/// Pauses for seconds while it reads some long requests, so that their sender's window closes.
 /// Answers that name no attempt, such as those to orders and health checks, are only repeated.
 ///
 /// Lifecycle: listens from construction to destruction. Thread safe.
--- a/testbed/soak/soak.cc
+++ b/testbed/soak/soak.cc
@@ -402,7 +402,7 @@
             auto const fault = static_cast<AnswerFault>(i);
             text += fmt::format(" {} {},", NameOf(fault), faults.of(fault));
         }
-        text += fmt::format(" pauses {}", faults.pauses());
+        text.pop_back();
         return text;
     }
 
